--- /dev/null
+++ b/include/wickbridge/error.h
@@ -0,0 +1,40 @@
+/**
+ * @file error.h
+ * @brief The error struct that is passed down through calls, and the verdict on a request.
+ */
+#ifndef WICKBRIDGE_ERROR_H
+#define WICKBRIDGE_ERROR_H
+
+#include <apr_errno.h>
+
+#define WB_ERROR_MESSAGE_SIZE 512
+
+/** An error filled in by the callee; the caller owns the storage. */
+typedef struct wb_error_t {
+    apr_status_t code;                   /**< APR_SUCCESS, or why the call failed */
+    char message[WB_ERROR_MESSAGE_SIZE]; /**< one line for a person, no newline */
+} wb_error_t;
+
+/** Whether a request may have run on a back end. */
+typedef enum wb_verdict_t {
+    WB_VERDICT_NOT_RUN,      /**< known: no engine started it */
+    WB_VERDICT_MAY_HAVE_RUN, /**< an engine may have started it, no whole answer is at hand */
+    WB_VERDICT_COMPLETED     /**< the whole answer is at hand */
+} wb_verdict_t;
+
+/**
+ * Fill in an error and return its code.
+ * @param error may be NULL
+ * @param code  the status to return
+ * @param format printf-like text, one line
+ */
+apr_status_t wb_error_set(wb_error_t *error, apr_status_t code, const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+/** Clear an error before use. @param error may be NULL */
+void wb_error_clear(wb_error_t *error);
+
+/** @return the verdict's name in protocols and logs: "not-run", "may-have-run", "completed" */
+const char *wb_verdict_name(wb_verdict_t verdict);
+
+#endif
--- /dev/null
+++ b/include/wickbridge/inventory.h
@@ -0,0 +1,57 @@
+/**
+ * @file inventory.h
+ * @brief What an engine says it holds, as typed values.
+ */
+#ifndef WICKBRIDGE_INVENTORY_H
+#define WICKBRIDGE_INVENTORY_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+typedef enum wb_load_state_t { WB_LOAD_LOADING, WB_LOAD_LOADED, WB_LOAD_UNLOADING } wb_load_state_t;
+
+/** An adapter on a model on an engine. */
+typedef struct wb_held_adapter_t {
+    char *name;
+    int64_t bytes;
+    wb_load_state_t state;
+    int running;
+} wb_held_adapter_t;
+
+/** A model on an engine. */
+typedef struct wb_held_model_t {
+    char *name;
+    int64_t version;
+    int64_t bytes;
+    wb_load_state_t state;
+    int running;
+    GHashTable *adapters; /**< name -> wb_held_adapter_t */
+} wb_held_model_t;
+
+typedef struct wb_inventory_t {
+    char *engine;
+    uint64_t fence;   /**< the highest order number it has taken */
+    int64_t sequence; /**< counts its changes */
+    int64_t capacity_bytes;
+    int64_t used_bytes;
+    gboolean leaving;
+    int batch;
+    GHashTable *models;        /**< name -> wb_held_model_t */
+    GHashTable *disk_copies;   /**< set of model names */
+    GHashTable *memory_copies; /**< set of model names */
+} wb_inventory_t;
+
+/** @return the inventory, or NULL when the JSON isn't one */
+wb_inventory_t *wb_inventory_parse(const json_t *body);
+wb_inventory_t *wb_inventory_create(const char *engine);
+void wb_inventory_free(wb_inventory_t *inventory);
+
+const wb_held_model_t *wb_inventory_model(const wb_inventory_t *inventory, const char *name);
+/** Add a model (for tests and emulation). */
+wb_held_model_t *wb_inventory_add_model(wb_inventory_t *inventory, const char *name, int64_t bytes,
+                                        wb_load_state_t state);
+wb_held_adapter_t *wb_held_model_add_adapter(wb_held_model_t *model, const char *name,
+                                             int64_t bytes, wb_load_state_t state);
+
+#endif
--- /dev/null
+++ b/include/wickbridge/link.h
@@ -0,0 +1,57 @@
+/**
+ * @file link.h
+ * @brief Links between nodes: TCP connections that carry framed messages, on a loop.
+ *
+ * Threads: everything here belongs on the loop's thread.
+ */
+#ifndef WICKBRIDGE_LINK_H
+#define WICKBRIDGE_LINK_H
+
+#include "wickbridge/loop.h"
+#include "wickbridge/message.h"
+
+typedef struct wb_link_t wb_link_t;
+typedef struct wb_link_listener_t wb_link_listener_t;
+
+/** Bytes and messages of a group of links, for metrics. */
+typedef struct wb_link_counters_t {
+    int64_t bytes_sent;
+    int64_t bytes_received;
+    int64_t messages_sent;
+    int64_t messages_received;
+} wb_link_counters_t;
+
+/** What happens on a link. */
+typedef struct wb_link_events_t {
+    void (*on_open)(wb_link_t *link, void *context);
+    /** The message is cleared after the callback. */
+    void (*on_message)(wb_link_t *link, const wb_wire_message *message, void *context);
+    /** The link is broken and is freed after the callback. */
+    void (*on_close)(wb_link_t *link, const char *reason, void *context);
+    void *context;
+} wb_link_events_t;
+
+/** Listen for links. @param address IP:PORT; port 0 picks one */
+apr_status_t wb_link_listen(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
+                            wb_link_counters_t *counters, wb_link_listener_t **listener,
+                            wb_error_t *error);
+unsigned wb_link_listener_port(const wb_link_listener_t *listener);
+void wb_link_listener_close(wb_link_listener_t *listener);
+
+/** Begin to connect; on_open or on_close follows, never from inside this call. */
+apr_status_t wb_link_connect(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
+                             wb_link_counters_t *counters, wb_link_t **link, wb_error_t *error);
+
+/** Queue a message; it is sent when the socket lets it. */
+void wb_link_send(wb_link_t *link, const wb_wire_message *message);
+
+/** Close without on_close and free. Must not be called from inside on_message of the same link. */
+void wb_link_close(wb_link_t *link);
+
+/** Break the link soon; on_close will run. Safe from any callback. */
+void wb_link_break(wb_link_t *link, const char *reason);
+
+void wb_link_set_data(wb_link_t *link, void *data);
+void *wb_link_data(const wb_link_t *link);
+
+#endif
--- /dev/null
+++ b/include/wickbridge/record.h
@@ -0,0 +1,61 @@
+/**
+ * @file record.h
+ * @brief The replicated record of a cell: members, slots, claims; changed by commands only.
+ *
+ * Pure: no clock, socket or lock inside; the same commands in the same order give equal records.
+ */
+#ifndef WICKBRIDGE_RECORD_H
+#define WICKBRIDGE_RECORD_H
+
+#include "wickbridge/message.h"
+
+/** A key's one run, for requests that may not be repeated. */
+typedef struct wb_claim_t {
+    char *model;
+    char *key;
+    char *stream;
+    char *engine;
+    char *engine_address;
+    char *node;
+    uint64_t attempt;
+    uint64_t digest;
+    gboolean done;
+    unsigned status;
+    char *answer;
+    int64_t taken_ms; /**< local clock when it came here; 0 for a claim without a time */
+} wb_claim_t;
+
+/** A slot: the model may be loaded on the engine, and nowhere without one. */
+typedef struct wb_slot_t {
+    char *model;
+    char *engine;
+} wb_slot_t;
+
+typedef struct wb_record_t {
+    uint64_t generation;
+    GPtrArray *members;      /**< char * */
+    GPtrArray *slots;        /**< wb_slot_t * */
+    GHashTable *claims;      /**< "model\nkey" -> wb_claim_t * */
+    int64_t unsure_until_ms; /**< until then claims from before a lost majority may be missing */
+} wb_record_t;
+
+wb_record_t *wb_record_create(void);
+void wb_record_free(wb_record_t *record);
+
+/** Apply a command. @param now_ms stamps new claims for their retention */
+void wb_record_apply(wb_record_t *record, const wb_wire_command *command, int64_t now_ms);
+
+/** Fill a wire record; free it with wb_record_wire_clear. */
+void wb_record_to_wire(const wb_record_t *record, wb_wire_record *wire, int64_t now_ms);
+void wb_record_wire_clear(wb_wire_record *wire);
+wb_record_t *wb_record_from_wire(const wb_wire_record *wire, int64_t now_ms);
+
+gboolean wb_record_has_member(const wb_record_t *record, const char *node);
+gboolean wb_record_has_slot(const wb_record_t *record, const char *model, const char *engine);
+guint wb_record_slot_count(const wb_record_t *record, const char *model);
+const wb_claim_t *wb_record_claim(const wb_record_t *record, const char *model, const char *key);
+
+/** Forget claims older than `retention_ms`. */
+void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms);
+
+#endif
--- /dev/null
+++ b/src/base/error.c
@@ -0,0 +1,38 @@
+/* Fills in error structs and names verdicts. */
+#include "wickbridge/error.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+
+apr_status_t wb_error_set(wb_error_t *error, apr_status_t code, const char *format, ...)
+{
+    if (error == NULL)
+        return code;
+    va_list arguments;
+    va_start(arguments, format);
+    vsnprintf(error->message, sizeof(error->message), format, arguments);
+    va_end(arguments);
+    error->code = code;
+    return code;
+}
+
+void wb_error_clear(wb_error_t *error)
+{
+    if (error == NULL)
+        return;
+    error->code = APR_SUCCESS;
+    error->message[0] = '\0';
+}
+
+const char *wb_verdict_name(wb_verdict_t verdict)
+{
+    switch (verdict) {
+    case WB_VERDICT_NOT_RUN:
+        return "not-run";
+    case WB_VERDICT_MAY_HAVE_RUN:
+        return "may-have-run";
+    case WB_VERDICT_COMPLETED:
+        return "completed";
+    }
+    return "may-have-run";
+}
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,243 @@
+/* Reads a program's settings from defaults, file and flags by one checked table. */
+#include "wickbridge/settings.h"
+
+#include <argp.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <arpa/inet.h>
+
+#define FLAG_KEY_BASE 1000
+#define FLAG_KEY_SETTINGS 999
+#define FLAG_KEY_DOCUMENT 998
+
+typedef struct wb_settings_parse_t {
+    const wb_settings_table_t *table;
+    void *target;
+    const char *file;
+    const char **flag_values; /* one a row, NULL when the flag was not given */
+} wb_settings_parse_t;
+
+int wb_address_is_valid(const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || colon == text)
+        return 0;
+    char host[64];
+    size_t length = (size_t)(colon - text);
+    if (length >= sizeof(host))
+        return 0;
+    memcpy(host, text, length);
+    host[length] = '\0';
+    struct in_addr address;
+    if (inet_pton(AF_INET, host, &address) != 1)
+        return 0;
+    char *end;
+    long port = strtol(colon + 1, &end, 10);
+    return end != colon + 1 && *end == '\0' && port >= 0 && port <= 65535;
+}
+
+static const wb_setting_t *row_find(const wb_settings_table_t *table, const char *name)
+{
+    for (size_t i = 0; i < table->count; i++)
+        if (strcmp(table->rows[i].name, name) == 0)
+            return &table->rows[i];
+    return NULL;
+}
+
+static apr_status_t integer_set(const wb_setting_t *row, int64_t *place, const char *value,
+                                const char *origin, wb_error_t *error)
+{
+    char *end;
+    long long number = strtoll(value, &end, 10);
+    if (end == value || *end != '\0')
+        return wb_error_set(error, APR_EINVAL, "%s: %s is '%s', but must be a whole number%s%s",
+                            origin, row->name, value, *row->unit ? " of " : "", row->unit);
+    if (number < row->minimum || number > row->maximum)
+        return wb_error_set(error, APR_EINVAL, "%s: %s is %lld, but must be from %lld to %lld %s",
+                            origin, row->name, number, (long long)row->minimum,
+                            (long long)row->maximum, row->unit);
+    *place = number;
+    return APR_SUCCESS;
+}
+
+static apr_status_t boolean_set(const wb_setting_t *row, int64_t *place, const char *value,
+                                const char *origin, wb_error_t *error)
+{
+    if (strcmp(value, "true") == 0)
+        *place = 1;
+    else if (strcmp(value, "false") == 0)
+        *place = 0;
+    else
+        return wb_error_set(error, APR_EINVAL, "%s: %s is '%s', but must be true or false", origin,
+                            row->name, value);
+    return APR_SUCCESS;
+}
+
+apr_status_t wb_settings_set(const wb_settings_table_t *table, void *target, const char *name,
+                             const char *value, const char *origin, wb_error_t *error)
+{
+    const wb_setting_t *row = row_find(table, name);
+    if (row == NULL)
+        return wb_error_set(error, APR_EINVAL, "%s: there is no setting '%s'", origin, name);
+    char *place = (char *)target + row->offset;
+    switch (row->type) {
+    case WB_SETTING_INTEGER:
+        return integer_set(row, (int64_t *)place, value, origin, error);
+    case WB_SETTING_BOOLEAN:
+        return boolean_set(row, (int64_t *)place, value, origin, error);
+    case WB_SETTING_ADDRESS:
+        if (*value != '\0' && !wb_address_is_valid(value))
+            return wb_error_set(error, APR_EINVAL,
+                                "%s: %s is '%s', but must be IP:PORT such as 127.0.0.1:8080",
+                                origin, name, value);
+        break;
+    case WB_SETTING_TEXT:
+        break;
+    }
+    *(const char **)place = g_strdup(value);
+    return APR_SUCCESS;
+}
+
+static apr_status_t defaults_set(const wb_settings_table_t *table, void *target, wb_error_t *error)
+{
+    for (size_t i = 0; i < table->count; i++) {
+        const wb_setting_t *row = &table->rows[i];
+        if (row->default_value == NULL)
+            continue;
+        apr_status_t status =
+            wb_settings_set(table, target, row->name, row->default_value, "default", error);
+        if (status != APR_SUCCESS)
+            return status;
+    }
+    return APR_SUCCESS;
+}
+
+static apr_status_t file_read(const wb_settings_table_t *table, void *target, const char *path,
+                              gboolean *seen, wb_error_t *error)
+{
+    g_autoptr(GKeyFile) file = g_key_file_new();
+    g_autoptr(GError) failure = NULL;
+    if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &failure))
+        return wb_error_set(error, APR_EINVAL, "settings file %s: %s", path, failure->message);
+    g_auto(GStrv) keys = g_key_file_get_keys(file, table->program, NULL, NULL);
+    for (gsize i = 0; keys != NULL && keys[i] != NULL; i++) {
+        g_autofree char *value = g_key_file_get_string(file, table->program, keys[i], NULL);
+        apr_status_t status = wb_settings_set(table, target, keys[i], value, path, error);
+        if (status != APR_SUCCESS)
+            return status;
+        seen[row_find(table, keys[i]) - table->rows] = TRUE;
+    }
+    return APR_SUCCESS;
+}
+
+static error_t flag_parse(int key, char *argument, struct argp_state *state)
+{
+    wb_settings_parse_t *parse = state->input;
+    if (key == FLAG_KEY_SETTINGS)
+        parse->file = argument;
+    else if (key == FLAG_KEY_DOCUMENT) {
+        wb_settings_document(parse->table, stdout);
+        exit(0);
+    } else if (key >= FLAG_KEY_BASE && (size_t)(key - FLAG_KEY_BASE) < parse->table->count)
+        parse->flag_values[key - FLAG_KEY_BASE] = argument;
+    else
+        return ARGP_ERR_UNKNOWN;
+    return 0;
+}
+
+static char *flag_help(const wb_setting_t *row)
+{
+    GString *text = g_string_new(row->text);
+    if (row->type == WB_SETTING_INTEGER)
+        g_string_append_printf(text, " [%lld to %lld%s%s]", (long long)row->minimum,
+                               (long long)row->maximum, *row->unit ? " " : "", row->unit);
+    if (row->default_value == NULL)
+        g_string_append(text, " (must be given)");
+    else if (*row->default_value != '\0')
+        g_string_append_printf(text, " (default %s)", row->default_value);
+    return g_string_free(text, FALSE);
+}
+
+static struct argp_option *options_create(const wb_settings_table_t *table)
+{
+    struct argp_option *options = g_new0(struct argp_option, table->count + 3);
+    for (size_t i = 0; i < table->count; i++) {
+        options[i].name = table->rows[i].name;
+        options[i].key = FLAG_KEY_BASE + (int)i;
+        options[i].arg = "VALUE";
+        options[i].doc = flag_help(&table->rows[i]);
+    }
+    options[table->count] = (struct argp_option){
+        "settings", FLAG_KEY_SETTINGS, "FILE", 0, "Read settings from this key file first", 0};
+    options[table->count + 1] =
+        (struct argp_option){"document-settings",
+                             FLAG_KEY_DOCUMENT,
+                             NULL,
+                             0,
+                             "Print the table of settings in Markdown and exit",
+                             0};
+    return options;
+}
+
+static apr_status_t flags_apply(const wb_settings_parse_t *parse, gboolean *seen, wb_error_t *error)
+{
+    for (size_t i = 0; i < parse->table->count; i++) {
+        if (parse->flag_values[i] == NULL)
+            continue;
+        apr_status_t status =
+            wb_settings_set(parse->table, parse->target, parse->table->rows[i].name,
+                            parse->flag_values[i], "command line", error);
+        if (status != APR_SUCCESS)
+            return status;
+        seen[i] = TRUE;
+    }
+    return APR_SUCCESS;
+}
+
+static apr_status_t required_check(const wb_settings_table_t *table, const gboolean *seen,
+                                   wb_error_t *error)
+{
+    for (size_t i = 0; i < table->count; i++)
+        if (table->rows[i].default_value == NULL && !seen[i])
+            return wb_error_set(error, APR_EINVAL, "setting '%s' must be given: %s",
+                                table->rows[i].name, table->rows[i].text);
+    return APR_SUCCESS;
+}
+
+apr_status_t wb_settings_read(const wb_settings_table_t *table, int argc, char **argv, void *target,
+                              wb_error_t *error)
+{
+    struct argp argp = {options_create(table), flag_parse, NULL, table->purpose, NULL, NULL, NULL};
+    g_autofree const char **values = g_new0(const char *, table->count);
+    g_autofree gboolean *seen = g_new0(gboolean, table->count);
+    wb_settings_parse_t parse = {table, target, NULL, values};
+    argp_parse(&argp, argc, argv, 0, NULL, &parse);
+    apr_status_t status = defaults_set(table, target, error);
+    if (status == APR_SUCCESS && parse.file != NULL)
+        status = file_read(table, target, parse.file, seen, error);
+    if (status == APR_SUCCESS)
+        status = flags_apply(&parse, seen, error);
+    if (status == APR_SUCCESS)
+        status = required_check(table, seen, error);
+    return status;
+}
+
+void wb_settings_document(const wb_settings_table_t *table, FILE *file)
+{
+    static const char *const type_names[] = {"text", "address", "integer", "boolean"};
+    fprintf(file, "## %s\n\n%s\n\n", table->program, table->purpose);
+    fprintf(file,
+            "| name | type | unit | range | default | meaning |\n|---|---|---|---|---|---|\n");
+    for (size_t i = 0; i < table->count; i++) {
+        const wb_setting_t *row = &table->rows[i];
+        char range[64] = "";
+        if (row->type == WB_SETTING_INTEGER)
+            snprintf(range, sizeof(range), "%lld to %lld", (long long)row->minimum,
+                     (long long)row->maximum);
+        fprintf(file, "| `%s` | %s | %s | %s | %s | %s |\n", row->name, type_names[row->type],
+                row->unit, range, row->default_value != NULL ? row->default_value : "must be given",
+                row->text);
+    }
+    fprintf(file, "\n");
+}
--- /dev/null
+++ b/src/cell/cell.c
@@ -0,0 +1,594 @@
+/* A cell's decisions: slots, orders and replicas wanted, step by step. */
+#include "cell_types.h"
+
+#define ORDER_RETRY_MS 300
+#define GATEWAY_FORGET_MS 15000
+#define TARGET_FORGET_MS (10 * 60 * 1000)
+
+const char *cell_pair(char *buffer, const char *first, const char *second)
+{
+    g_snprintf(buffer, CELL_PAIR_SIZE, "%s\n%s", first, second);
+    return buffer;
+}
+
+static void engine_free(gpointer data)
+{
+    cell_engine_t *engine = data;
+    wb_inventory_free(engine->inventory);
+    g_free(engine->room_for);
+    g_free(engine->id);
+    g_free(engine->address);
+    g_free(engine->zone);
+    g_free(engine);
+}
+
+static void gateway_free(gpointer data)
+{
+    cell_gateway_t *gateway = data;
+    g_free(gateway->node);
+    g_free(gateway);
+}
+
+static void target_free(gpointer data)
+{
+    cell_target_t *target = data;
+    g_hash_table_unref(target->gateways);
+    g_free(target->model);
+    g_free(target->adapter);
+    g_free(target);
+}
+
+static void load_free(gpointer data)
+{
+    cell_load_t *load = data;
+    g_free(load->model);
+    g_free(load->engine);
+    g_free(load);
+}
+
+wb_cell_t *wb_cell_create(const wb_cell_options_t *options, wb_record_t *record, uint64_t epoch,
+                          gboolean record_is_sure, const wb_cell_events_t *events, int64_t now_ms)
+{
+    wb_cell_t *cell = g_new0(wb_cell_t, 1);
+    cell->name = g_strdup(options->name);
+    cell->options = *options;
+    cell->events = *events;
+    cell->record = record;
+    cell->epoch = epoch;
+    cell->record_is_sure = record_is_sure;
+    cell->started_ms = now_ms;
+    cell->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
+    cell->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, target_free);
+    cell->uncommitted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cell->retiring = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    cell->surplus = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cell->loads = g_ptr_array_new_with_free_func(load_free);
+    cell->ms_per_gib[SOURCE_MEMORY] = (double)options->memory_ms_per_gib;
+    cell->ms_per_gib[SOURCE_DISK] = (double)options->disk_ms_per_gib;
+    cell->ms_per_gib[SOURCE_REMOTE] = (double)options->remote_ms_per_gib;
+    return cell;
+}
+
+void wb_cell_free(wb_cell_t *cell)
+{
+    g_hash_table_unref(cell->engines);
+    g_hash_table_unref(cell->targets);
+    g_hash_table_unref(cell->uncommitted);
+    g_hash_table_unref(cell->retiring);
+    g_hash_table_unref(cell->surplus);
+    g_ptr_array_unref(cell->loads);
+    wb_config_unref(cell->config);
+    g_free(cell->name);
+    g_free(cell);
+}
+
+void wb_cell_set_config(wb_cell_t *cell, wb_config_t *config)
+{
+    wb_config_ref(config);
+    wb_config_unref(cell->config);
+    cell->config = config;
+}
+
+void wb_cell_machine(wb_cell_t *cell, const char *id, const char *address, const char *zone,
+                     wb_machine_state_t state, int64_t now_ms)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
+    if (engine == NULL) {
+        engine = g_new0(cell_engine_t, 1);
+        engine->id = g_strdup(id);
+        engine->address = g_strdup(address);
+        engine->zone = g_strdup(zone);
+        engine->reachable = TRUE;
+        engine->retry_at_ms = now_ms;
+        g_hash_table_insert(cell->engines, engine->id, engine);
+    }
+    engine->machine = MAX(engine->machine, state); /* a leaving machine never comes back */
+}
+
+void wb_cell_committed(wb_cell_t *cell, uint64_t sequence)
+{
+    cell->committed = MAX(cell->committed, sequence);
+}
+
+cell_busy_t cell_target_busy(const cell_target_t *target)
+{
+    cell_busy_t busy = {0, 0, 0, target->used_ms};
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, target->gateways);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_gateway_t *gateway = value;
+        busy.waiting += gateway->waiting;
+        busy.running += gateway->running;
+        if (gateway->deadline_ms > 0 &&
+            (busy.deadline_ms == 0 || gateway->deadline_ms < busy.deadline_ms))
+            busy.deadline_ms = gateway->deadline_ms;
+    }
+    return busy;
+}
+
+cell_busy_t cell_model_busy(const wb_cell_t *cell, const char *model)
+{
+    cell_busy_t busy = {0, 0, 0, 0};
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_target_t *target = value;
+        if (strcmp(target->model, model) != 0)
+            continue;
+        cell_busy_t part = cell_target_busy(target);
+        busy.waiting += part.waiting;
+        busy.running += part.running;
+        busy.used_ms = MAX(busy.used_ms, part.used_ms);
+        if (part.deadline_ms > 0 && (busy.deadline_ms == 0 || part.deadline_ms < busy.deadline_ms))
+            busy.deadline_ms = part.deadline_ms;
+    }
+    return busy;
+}
+
+const wb_held_model_t *cell_held(const cell_engine_t *engine, const char *model)
+{
+    return engine->inventory != NULL ? wb_inventory_model(engine->inventory, model) : NULL;
+}
+
+gboolean cell_engine_is_usable(const cell_engine_t *engine)
+{
+    return engine->machine == WB_MACHINE_LIVE && engine->reachable && engine->fenced &&
+           engine->inventory != NULL && !engine->inventory->leaving;
+}
+
+gboolean cell_engine_is_orderable(const cell_engine_t *engine, int64_t now_ms)
+{
+    return engine->machine != WB_MACHINE_GONE && engine->fenced && engine->settled &&
+           engine->reachable && !engine->ordering && engine->inventory != NULL &&
+           now_ms >= engine->retry_at_ms;
+}
+
+static uint64_t fence_next(const wb_cell_t *cell, const cell_engine_t *engine)
+{
+    return MAX(engine->fence_sent, cell->epoch << 32) + 1;
+}
+
+void cell_order_send(wb_cell_t *cell, cell_engine_t *engine, wb_order_action_t action,
+                     const char *model, const char *adapter, int64_t version, int64_t bytes)
+{
+    wb_order_t order = {action, engine->id, engine->address, fence_next(cell, engine),
+                        model,  adapter,    version,         bytes};
+    engine->fence_sent = order.fence;
+    engine->ordering = TRUE;
+    engine->order_action = action;
+    cell->events.order(&order, cell->events.context);
+}
+
+static void inventory_take(wb_cell_t *cell, cell_engine_t *engine, wb_inventory_t *inventory,
+                           int64_t now_ms)
+{
+    gboolean older = engine->inventory != NULL && inventory->sequence < engine->inventory->sequence;
+    if (older) {
+        wb_inventory_free(inventory);
+        return;
+    }
+    wb_inventory_free(engine->inventory);
+    engine->inventory = inventory;
+    cell_loads_observe(cell, engine, now_ms);
+}
+
+void wb_cell_order_done(wb_cell_t *cell, const char *id, uint64_t fence, wb_order_outcome_t outcome,
+                        wb_inventory_t *inventory, int64_t now_ms)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
+    if (engine == NULL || !engine->ordering || fence != engine->fence_sent) {
+        wb_inventory_free(inventory);
+        return;
+    }
+    engine->ordering = FALSE;
+    if (inventory != NULL)
+        inventory_take(cell, engine, inventory, now_ms);
+    switch (outcome) {
+    case WB_ORDER_TAKEN:
+        engine->fenced = TRUE;
+        engine->settled = TRUE;
+        break;
+    case WB_ORDER_REFUSED:
+        engine->settled = TRUE;
+        engine->retry_at_ms = now_ms + ORDER_RETRY_MS;
+        break;
+    case WB_ORDER_STALE:
+        /* Either a lost order of ours came late, or someone with a higher epoch has taken over;
+         * in that case all that we send stays refused. */
+        engine->fenced = FALSE;
+        engine->settled = FALSE;
+        engine->retry_at_ms = now_ms + ORDER_RETRY_MS;
+        break;
+    case WB_ORDER_LOST:
+        engine->settled = FALSE;
+        engine->retry_at_ms = now_ms + ORDER_RETRY_MS;
+        break;
+    }
+}
+
+void wb_cell_inventory(wb_cell_t *cell, wb_inventory_t *inventory, int64_t now_ms)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, inventory->engine);
+    if (engine == NULL || engine->inventory == NULL) {
+        wb_inventory_free(inventory);
+        return;
+    }
+    inventory_take(cell, engine, inventory, now_ms);
+}
+
+void wb_cell_engine_reachable(wb_cell_t *cell, const char *id, gboolean reachable)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
+    if (engine != NULL)
+        engine->reachable = reachable;
+}
+
+void wb_cell_demand(wb_cell_t *cell, const wb_demand_t *demand, int64_t now_ms)
+{
+    char pair[CELL_PAIR_SIZE];
+    cell_pair(pair, demand->model, demand->adapter);
+    cell_target_t *target = g_hash_table_lookup(cell->targets, pair);
+    if (target == NULL) {
+        target = g_new0(cell_target_t, 1);
+        target->model = g_strdup(demand->model);
+        target->adapter = g_strdup(demand->adapter);
+        target->used_ms = now_ms;
+        target->gateways = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, gateway_free);
+        g_hash_table_insert(cell->targets, g_strdup(pair), target);
+    }
+    cell_gateway_t *gateway = g_hash_table_lookup(target->gateways, demand->node);
+    if (gateway == NULL) {
+        gateway = g_new0(cell_gateway_t, 1);
+        gateway->node = g_strdup(demand->node);
+        g_hash_table_insert(target->gateways, gateway->node, gateway);
+    }
+    gateway->waiting = demand->waiting;
+    gateway->running = demand->running;
+    gateway->heard_ms = now_ms;
+    gateway->deadline_ms =
+        demand->tightest_deadline_ms > 0 ? now_ms + demand->tightest_deadline_ms : 0;
+    if (demand->waiting + demand->running > 0)
+        target->used_ms = now_ms;
+    wb_cell_step(cell, now_ms);
+    cell_route_show_to(cell, target, gateway, TRUE, now_ms);
+}
+
+void wb_cell_gateway_gone(wb_cell_t *cell, const char *node)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->targets);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        g_hash_table_remove(((cell_target_t *)value)->gateways, node);
+}
+
+static void gateways_forget(wb_cell_t *cell, int64_t now_ms)
+{
+    GHashTableIter targets, gateways;
+    gpointer target_value, gateway_value;
+    g_hash_table_iter_init(&targets, cell->targets);
+    while (g_hash_table_iter_next(&targets, NULL, &target_value)) {
+        cell_target_t *target = target_value;
+        g_hash_table_iter_init(&gateways, target->gateways);
+        while (g_hash_table_iter_next(&gateways, NULL, &gateway_value))
+            if (now_ms - ((cell_gateway_t *)gateway_value)->heard_ms > GATEWAY_FORGET_MS)
+                g_hash_table_iter_remove(&gateways);
+        if (g_hash_table_size(target->gateways) == 0 && now_ms - target->used_ms > TARGET_FORGET_MS)
+            g_hash_table_iter_remove(&targets);
+    }
+}
+
+/* Raises the fence of engines that don't know our epoch, or where an order may still arrive. */
+static void engines_fence(wb_cell_t *cell, int64_t now_ms)
+{
+    gboolean all_seen = TRUE;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        cell_engine_t *engine = value;
+        if (engine->machine == WB_MACHINE_GONE)
+            continue;
+        all_seen = all_seen && engine->fenced;
+        if (engine->ordering || now_ms < engine->retry_at_ms || (engine->fenced && engine->settled))
+            continue;
+        cell_order_send(cell, engine, WB_ORDER_FENCE, NULL, NULL, 0, 0);
+    }
+    if (all_seen && g_hash_table_size(cell->engines) > 0)
+        cell->record_is_sure = TRUE;
+}
+
+static void slot_remove_propose(wb_cell_t *cell, const char *model, const char *engine)
+{
+    char pair[CELL_PAIR_SIZE];
+    cell_pair(pair, model, engine);
+    g_autofree char *model_copy = g_strdup(model);
+    g_autofree char *engine_copy = g_strdup(engine);
+    wb_wire_command command = {.kind = WB_WIRE_COMMAND_SLOT_REMOVE};
+    command.wb_wire_command_u.slot_remove.model = model_copy;
+    command.wb_wire_command_u.slot_remove.engine = engine_copy;
+    if (cell->events.propose(&command, cell->events.context) == 0)
+        return;
+    g_hash_table_remove(cell->uncommitted, pair);
+    g_hash_table_remove(cell->retiring, pair);
+}
+
+static gboolean slot_is_committed(const wb_cell_t *cell, const char *pair)
+{
+    const uint64_t *sequence = g_hash_table_lookup(cell->uncommitted, pair);
+    return sequence == NULL || *sequence <= cell->committed;
+}
+
+/* Loads what a slot allows. */
+static void slot_load(wb_cell_t *cell, cell_engine_t *engine, const wb_model_t *model,
+                      int64_t now_ms)
+{
+    if (cell_source(engine, model->name) == SOURCE_REMOTE &&
+        (int64_t)cell_remote_loads(cell) >= cell->options.remote_loads_at_once)
+        return; /* the weight store is busy with loads of ours */
+    cell_load_begun(cell, engine, model->name, model->memory_bytes, now_ms);
+    cell_order_send(cell, engine, WB_ORDER_LOAD, model->name, NULL, model->version,
+                    model->memory_bytes);
+}
+
+/* Moves one slot on: towards loaded, or towards gone. Returns FALSE when it was removed. */
+static gboolean slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
+    if (engine == NULL)
+        return TRUE; /* not in the machine list yet */
+    if (engine->machine == WB_MACHINE_GONE) {
+        slot_remove_propose(cell, slot->model, slot->engine);
+        return FALSE;
+    }
+    char pair[CELL_PAIR_SIZE];
+    cell_pair(pair, slot->model, slot->engine);
+    const wb_model_t *model = wb_config_model(cell->config, slot->model);
+    const wb_held_model_t *held = cell_held(engine, slot->model);
+    gboolean leaving = engine->machine == WB_MACHINE_LEAVING ||
+                       (engine->inventory != NULL && engine->inventory->leaving);
+    gboolean outdated = model == NULL || (held != NULL && held->version != model->version);
+    if ((leaving || outdated) && !g_hash_table_contains(cell->retiring, pair))
+        g_hash_table_insert(cell->retiring, g_strdup(pair),
+                            leaving ? "the engine is leaving" : "the declaration has changed");
+    if (!cell_engine_is_orderable(engine, now_ms))
+        return TRUE;
+    gboolean retiring = g_hash_table_contains(cell->retiring, pair);
+    if (retiring && held == NULL) {
+        slot_remove_propose(cell, slot->model, slot->engine);
+        return FALSE;
+    }
+    if (retiring && held->state != WB_LOAD_UNLOADING)
+        cell_order_send(cell, engine, WB_ORDER_UNLOAD, slot->model, NULL, 0, 0);
+    else if (!retiring && held == NULL && slot_is_committed(cell, pair))
+        slot_load(cell, engine, model, now_ms);
+    return TRUE;
+}
+
+static void slots_step(wb_cell_t *cell, int64_t now_ms)
+{
+    for (guint i = cell->record->slots->len; i-- > 0;)
+        slot_step(cell, cell->record->slots->pdata[i], now_ms);
+}
+
+/* After a lost majority, engines may hold models without a slot: those go. */
+static void strays_unload(wb_cell_t *cell, int64_t now_ms)
+{
+    GHashTableIter engines, models;
+    gpointer engine_value, model_value;
+    g_hash_table_iter_init(&engines, cell->engines);
+    while (g_hash_table_iter_next(&engines, NULL, &engine_value)) {
+        cell_engine_t *engine = engine_value;
+        if (!cell_engine_is_orderable(engine, now_ms))
+            continue;
+        g_hash_table_iter_init(&models, engine->inventory->models);
+        while (g_hash_table_iter_next(&models, NULL, &model_value)) {
+            const wb_held_model_t *held = model_value;
+            if (held->state == WB_LOAD_UNLOADING ||
+                wb_record_has_slot(cell->record, held->name, engine->id))
+                continue;
+            cell_order_send(cell, engine, WB_ORDER_UNLOAD, held->name, NULL, 0, 0);
+            break;
+        }
+    }
+}
+
+/* Replicas that are not on their way out. */
+static guint slots_staying(const wb_cell_t *cell, const char *model)
+{
+    guint count = 0;
+    char pair[CELL_PAIR_SIZE];
+    for (guint i = 0; i < cell->record->slots->len; i++) {
+        const wb_slot_t *slot = cell->record->slots->pdata[i];
+        if (strcmp(slot->model, model) == 0 &&
+            !g_hash_table_contains(cell->retiring, cell_pair(pair, model, slot->engine)))
+            count++;
+    }
+    return count;
+}
+
+static int64_t typical_batch(const wb_cell_t *cell)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_engine_t *engine = value;
+        if (engine->inventory != NULL && engine->inventory->batch > 0)
+            return engine->inventory->batch;
+    }
+    return 1;
+}
+
+/* Nothing waits, runs, or has run within the service's keep-alive. */
+static gboolean model_is_idle(const wb_cell_t *cell, const wb_model_t *model,
+                              const cell_busy_t *busy, int64_t now_ms)
+{
+    const wb_service_t *service = wb_config_service(cell->config, model->service);
+    gboolean recent = busy->used_ms > 0 && now_ms - busy->used_ms <= service->keep_alive_ms;
+    return busy->waiting + busy->running == 0 && !recent;
+}
+
+static int64_t replicas_wanted(const wb_cell_t *cell, const wb_model_t *model,
+                               const cell_busy_t *busy, gboolean idle)
+{
+    int64_t wanted = model->min_replicas;
+    int64_t total = busy->waiting + busy->running;
+    if (!idle)
+        wanted = MAX(wanted, 1);
+    int64_t batch = typical_batch(cell);
+    wanted = MAX(wanted, (total + batch - 1) / batch);
+    return MIN(wanted, model->max_replicas);
+}
+
+/* Lets the replica go that runs least. */
+static void replica_retire(wb_cell_t *cell, const char *model, const char *why)
+{
+    const char *best = NULL;
+    int least = INT_MAX;
+    char pair[CELL_PAIR_SIZE];
+    for (guint i = 0; i < cell->record->slots->len; i++) {
+        const wb_slot_t *slot = cell->record->slots->pdata[i];
+        const cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
+        if (strcmp(slot->model, model) != 0 || engine == NULL ||
+            g_hash_table_contains(cell->retiring, cell_pair(pair, model, slot->engine)))
+            continue;
+        const wb_held_model_t *held = cell_held(engine, model);
+        int running = held != NULL ? held->running : 0;
+        if (running < least) {
+            least = running;
+            best = slot->engine;
+        }
+    }
+    if (best != NULL)
+        g_hash_table_replace(cell->retiring, g_strdup(cell_pair(pair, model, best)), (gpointer)why);
+}
+
+/* More replicas than wanted: one goes at a time, the last one at once as its keep-alive is over. */
+static void surplus_step(wb_cell_t *cell, const wb_model_t *model, int64_t staying, gboolean idle,
+                         int64_t now_ms)
+{
+    const wb_service_t *service = wb_config_service(cell->config, model->service);
+    int64_t *since_ms = g_hash_table_lookup(cell->surplus, model->name);
+    if (since_ms == NULL) {
+        since_ms = g_new(int64_t, 1);
+        *since_ms = now_ms;
+        g_hash_table_insert(cell->surplus, g_strdup(model->name), since_ms);
+    }
+    if (staying > model->max_replicas || idle || now_ms - *since_ms > service->keep_alive_ms / 2) {
+        *since_ms = now_ms;
+        replica_retire(cell, model->name, idle ? "idle" : "more replicas than needed");
+    }
+}
+
+static void model_step(wb_cell_t *cell, const wb_model_t *model, int64_t now_ms)
+{
+    cell_busy_t busy = cell_model_busy(cell, model->name);
+    /* A new owner doesn't know yet who uses what: nothing is idle before its keep-alive. */
+    busy.used_ms = MAX(busy.used_ms,
+                       wb_record_slot_count(cell->record, model->name) > 0 ? cell->started_ms : 0);
+    gboolean idle = model_is_idle(cell, model, &busy, now_ms);
+    int64_t wanted = replicas_wanted(cell, model, &busy, idle);
+    int64_t slots = wb_record_slot_count(cell->record, model->name);
+    int64_t staying = slots_staying(cell, model->name);
+    if (staying > wanted) {
+        surplus_step(cell, model, staying, idle, now_ms);
+        return;
+    }
+    g_hash_table_remove(cell->surplus, model->name);
+    gboolean needed = busy.waiting > 0 || model->min_replicas > staying;
+    if (staying < wanted && needed && slots < model->max_replicas && cell->record_is_sure)
+        cell_place(cell, model, now_ms);
+}
+
+/* A model with what waits for it, for the order of decisions. */
+typedef struct model_turn_t {
+    const wb_model_t *model;
+    int64_t deadline_ms;
+} model_turn_t;
+
+static gint turn_compare(gconstpointer left, gconstpointer right)
+{
+    const model_turn_t *a = left;
+    const model_turn_t *b = right;
+    if (a->deadline_ms != b->deadline_ms)
+        return a->deadline_ms < b->deadline_ms ? -1 : 1;
+    return strcmp(a->model->name, b->model->name);
+}
+
+/* The model whose waiting requests have the tightest deadline comes first. */
+static void models_step(wb_cell_t *cell, int64_t now_ms)
+{
+    g_autoptr(GArray) turns = g_array_new(FALSE, FALSE, sizeof(model_turn_t));
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->config->models);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const wb_model_t *model = value;
+        if (strcmp(model->cell, cell->name) != 0)
+            continue;
+        cell_busy_t busy = cell_model_busy(cell, model->name);
+        model_turn_t turn = {model, busy.waiting > 0 && busy.deadline_ms > 0 ? busy.deadline_ms
+                                                                             : INT64_MAX};
+        g_array_append_val(turns, turn);
+    }
+    g_array_sort(turns, turn_compare);
+    for (guint i = 0; i < turns->len; i++)
+        model_step(cell, g_array_index(turns, model_turn_t, i).model, now_ms);
+}
+
+void wb_cell_step(wb_cell_t *cell, int64_t now_ms)
+{
+    if (cell->config == NULL)
+        return;
+    gateways_forget(cell, now_ms);
+    engines_fence(cell, now_ms);
+    slots_step(cell, now_ms);
+    strays_unload(cell, now_ms);
+    models_step(cell, now_ms);
+    slots_step(cell, now_ms);
+    cell_adapters_step(cell, now_ms);
+    cell_routes_show(cell, now_ms);
+}
+
+gboolean wb_cell_engine_usable(const wb_cell_t *cell, const char *id)
+{
+    const cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
+    return engine != NULL && cell_engine_is_usable(engine);
+}
+
+void wb_cell_engines_each(const wb_cell_t *cell,
+                          void (*visit)(const char *engine, const char *address, void *context),
+                          void *context)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_engine_t *engine = value;
+        if (engine->machine != WB_MACHINE_GONE)
+            visit(engine->id, engine->address, context);
+    }
+}
--- /dev/null
+++ b/src/gateway/target.c
@@ -0,0 +1,289 @@
+/* Keeps what is known of a model here: its queue, its replicas, and how much each may run. */
+#include "gateway_types.h"
+
+#include "wickbridge/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define SERVICE_WEIGHT 0.1   /* of a new measurement in the moving average */
+#define WINDOW_PER_BATCH 2.0 /* an engine's own queue keeps its batch full */
+#define WINDOW_CUT 0.5       /* after a refusal for a full queue */
+
+static char *pair_name(const char *model, const char *adapter)
+{
+    return g_strconcat(model, "\n", adapter, NULL);
+}
+
+gw_shard_t *shard_of(wb_gateway_t *gateway, const char *model, const char *adapter)
+{
+    g_autofree char *name = pair_name(model, adapter);
+    return &gateway->shards[XXH64(name, strlen(name), 0) % GATEWAY_SHARDS];
+}
+
+static void replica_free(gpointer data)
+{
+    gw_replica_t *replica = data;
+    g_free(replica->engine);
+    g_free(replica->address);
+    g_free(replica->zone);
+    g_free(replica);
+}
+
+void target_free(gpointer data)
+{
+    gw_target_t *target = data;
+    wb_fair_queue_free(target->queue);
+    g_ptr_array_unref(target->replicas);
+    g_free(target->model);
+    g_free(target->adapter);
+    g_free(target->cell);
+    g_free(target->reason);
+    g_free(target);
+}
+
+gw_target_t *target_get(gw_shard_t *shard, const char *model, const char *adapter, const char *cell,
+                        int64_t now_ms)
+{
+    g_autofree char *name = pair_name(model, adapter);
+    gw_target_t *target = g_hash_table_lookup(shard->targets, name);
+    if (target == NULL) {
+        target = g_new0(gw_target_t, 1);
+        target->model = g_strdup(model);
+        target->adapter = g_strdup(adapter);
+        target->cell = g_strdup(cell);
+        target->queue = wb_fair_queue_create();
+        target->replicas = g_ptr_array_new_with_free_func(replica_free);
+        g_hash_table_insert(shard->targets, g_steal_pointer(&name), target);
+    }
+    target->used_ms = now_ms;
+    return target;
+}
+
+gw_target_t *target_of(const gw_request_t *request)
+{
+    g_autofree char *name = pair_name(request->model, request->adapter);
+    return g_hash_table_lookup(request->shard->targets, name);
+}
+
+void target_enqueue(gw_target_t *target, gw_request_t *request, gboolean front)
+{
+    request->stage = STAGE_WAITING;
+    if (front)
+        wb_fair_queue_push_front(target->queue, request->owner, request->share, request);
+    else
+        wb_fair_queue_push(target->queue, request->owner, request->share, 1.0, request);
+}
+
+static gboolean replica_has_space(const gw_replica_t *replica, int64_t now_ms)
+{
+    return replica->shown && now_ms >= replica->down_until_ms &&
+           replica->running + 1 <= MAX(replica->window, 1.0);
+}
+
+static double replica_load(const gw_replica_t *replica, const char *zone)
+{
+    /* Of two equally loaded replicas, the one in our zone. */
+    double distance = strcmp(replica->zone, zone) == 0 ? 0.0 : 0.01;
+    return (double)replica->running / MAX(replica->window, 1.0) + distance;
+}
+
+/* Power of two choices (Mitzenmacher 2001) among replicas with space. */
+static gw_replica_t *replica_choose(const wb_gateway_t *gateway, const gw_target_t *target,
+                                    int64_t now_ms)
+{
+    g_autoptr(GPtrArray) free_replicas = g_ptr_array_new();
+    for (guint i = 0; i < target->replicas->len; i++)
+        if (replica_has_space(target->replicas->pdata[i], now_ms))
+            g_ptr_array_add(free_replicas, target->replicas->pdata[i]);
+    if (free_replicas->len == 0)
+        return NULL;
+    gw_replica_t *one = free_replicas->pdata[g_random_int_range(0, (gint32)free_replicas->len)];
+    gw_replica_t *two = free_replicas->pdata[g_random_int_range(0, (gint32)free_replicas->len)];
+    return replica_load(one, gateway->zone) <= replica_load(two, gateway->zone) ? one : two;
+}
+
+void target_dispatch(wb_gateway_t *gateway, gw_target_t *target, GQueue *starting, int64_t now_ms)
+{
+    while (wb_fair_queue_length(target->queue) > 0) {
+        gw_replica_t *replica = replica_choose(gateway, target, now_ms);
+        if (replica == NULL)
+            return;
+        gw_request_t *request = wb_fair_queue_pop(target->queue);
+        replica->running++;
+        target->running++;
+        request->holds_replica = TRUE;
+        request->attempts++;
+        request->started_ms = now_ms;
+        g_free(request->engine);
+        g_free(request->engine_address);
+        request->engine = g_strdup(replica->engine);
+        request->engine_address = g_strdup(replica->address);
+        request->stage = STAGE_RUNNING;
+        g_queue_push_tail(starting, request);
+    }
+}
+
+static gw_replica_t *replica_find(const gw_target_t *target, const char *engine)
+{
+    for (guint i = 0; i < target->replicas->len; i++) {
+        gw_replica_t *replica = target->replicas->pdata[i];
+        if (strcmp(replica->engine, engine) == 0)
+            return replica;
+    }
+    return NULL;
+}
+
+/* A replica that is no longer shown stays until our requests on it have ended. */
+static void replicas_sweep(gw_target_t *target)
+{
+    for (guint i = target->replicas->len; i-- > 0;) {
+        const gw_replica_t *replica = target->replicas->pdata[i];
+        if (!replica->shown && replica->running == 0)
+            g_ptr_array_remove_index_fast(target->replicas, i);
+    }
+}
+
+void target_release(gw_request_t *request, gboolean success, gboolean refused, int64_t down_ms)
+{
+    GQueue starting = G_QUEUE_INIT;
+    int64_t now_ms = wb_clock_ms();
+    g_mutex_lock(&request->shard->lock);
+    gw_target_t *target = target_of(request);
+    gboolean held = request->holds_replica;
+    request->holds_replica = FALSE;
+    if (target != NULL && held) {
+        target->running--;
+        target->used_ms = now_ms;
+        gw_replica_t *replica = replica_find(target, request->engine);
+        if (replica != NULL) {
+            replica->running--;
+            if (refused)
+                replica->window = MAX(replica->window * WINDOW_CUT, 1.0);
+            else if (success)
+                replica->window = MIN(replica->window + 1.0 / MAX(replica->window, 1.0),
+                                      WINDOW_PER_BATCH * replica->batch);
+            if (down_ms > 0)
+                replica->down_until_ms = now_ms + down_ms;
+        }
+        if (success) {
+            double took_ms = (double)(now_ms - request->started_ms);
+            target->service_ms =
+                target->service_ms <= 0.0
+                    ? took_ms
+                    : (1.0 - SERVICE_WEIGHT) * target->service_ms + SERVICE_WEIGHT * took_ms;
+        }
+        replicas_sweep(target);
+        target_dispatch(request->gateway, target, &starting, now_ms);
+    }
+    g_mutex_unlock(&request->shard->lock);
+    run_start_all(&starting);
+}
+
+/* How long a new request would wait, as far as is known; 0 when nothing is known. */
+int64_t target_predict_ms(const gw_target_t *target)
+{
+    double windows = 0.0;
+    for (guint i = 0; i < target->replicas->len; i++) {
+        const gw_replica_t *replica = target->replicas->pdata[i];
+        if (replica->shown)
+            windows += MAX(replica->window, 1.0);
+    }
+    if (windows < 1.0 || target->service_ms <= 0.0)
+        return 0;
+    double ahead = (double)wb_fair_queue_length(target->queue) + target->running - windows;
+    return ahead <= 0.0 ? 0 : (int64_t)(ahead / windows * target->service_ms);
+}
+
+static void replicas_update(gw_target_t *target, const wb_wire_route_show *show)
+{
+    for (guint i = 0; i < target->replicas->len; i++)
+        ((gw_replica_t *)target->replicas->pdata[i])->shown = FALSE;
+    for (u_int i = 0; i < show->replicas.replicas_len; i++) {
+        const wb_wire_replica *wire = &show->replicas.replicas_val[i];
+        gw_replica_t *replica = replica_find(target, wire->engine);
+        if (replica == NULL) {
+            replica = g_new0(gw_replica_t, 1);
+            replica->engine = g_strdup(wire->engine);
+            replica->address = g_strdup(wire->address);
+            replica->zone = g_strdup(wire->zone);
+            replica->batch = (int)MAX(wire->batch, 1);
+            replica->window = replica->batch;
+            g_ptr_array_add(target->replicas, replica);
+        }
+        replica->shown = TRUE;
+    }
+    replicas_sweep(target);
+}
+
+/* What a refused wake means for a request that waits. */
+typedef struct wake_check_t {
+    gw_target_t *target;
+    int64_t now_ms;
+    int64_t busy_wait_ms;
+    GQueue refused;
+} wake_check_t;
+
+static gboolean wake_is_too_late(gpointer item, gpointer context)
+{
+    gw_request_t *request = item;
+    wake_check_t *check = context;
+    const gw_target_t *target = check->target;
+    gboolean too_late = target->state == ROUTE_WAKING && target->replicas->len == 0 &&
+                        target->ready_at_ms > request->deadline_ms;
+    gboolean no_room =
+        target->state == ROUTE_BUSY &&
+        check->now_ms - MAX(target->busy_since_ms, request->arrived_ms) >= check->busy_wait_ms;
+    gboolean refused = too_late || no_room || target->state == ROUTE_REFUSED;
+    if (refused)
+        g_queue_push_tail(&check->refused, request);
+    return refused;
+}
+
+static void refused_answer(GQueue *refused, const char *code, const char *message,
+                           int64_t retry_after_ms)
+{
+    gw_request_t *request;
+    while ((request = g_queue_pop_head(refused)) != NULL) {
+        answer_not_run(request, retry_after_ms, code, message);
+        request_unref(request);
+    }
+}
+
+void target_show(wb_gateway_t *gateway, const wb_wire_route_show *show)
+{
+    static const gw_route_state_t states[] = {ROUTE_READY, ROUTE_WAKING, ROUTE_REFUSED,
+                                              ROUTE_UNKNOWN, ROUTE_BUSY};
+    gw_shard_t *shard = shard_of(gateway, show->model, show->adapter);
+    g_autofree char *name = pair_name(show->model, show->adapter);
+    GQueue starting = G_QUEUE_INIT;
+    wake_check_t check = {NULL, wb_clock_ms(), gateway->options.busy_wait_ms, G_QUEUE_INIT};
+    g_autofree char *message = NULL;
+    int64_t retry_after_ms = show->estimate_ms;
+    g_mutex_lock(&shard->lock);
+    gw_target_t *target = g_hash_table_lookup(shard->targets, name);
+    if (target == NULL || show->state == WB_WIRE_ROUTE_NOT_OWNER) {
+        g_mutex_unlock(&shard->lock);
+        return;
+    }
+    target->state = states[show->state];
+    target->shown_ms = check.now_ms;
+    target->owner_lost_ms = 0;
+    target->ready_at_ms = check.now_ms + show->estimate_ms;
+    g_free(target->reason);
+    target->reason = g_strdup(show->reason);
+    if (target->state != ROUTE_BUSY)
+        target->busy_since_ms = 0;
+    else if (target->busy_since_ms == 0)
+        target->busy_since_ms = check.now_ms;
+    replicas_update(target, show);
+    target_dispatch(gateway, target, &starting, check.now_ms);
+    check.target = target;
+    wb_fair_queue_remove(target->queue, wake_is_too_late, &check);
+    message = target->state != ROUTE_WAKING
+                  ? g_strdup_printf("The model can't be loaded now: %s.", show->reason)
+                  : g_strdup("The model can't be loaded before the deadline.");
+    g_mutex_unlock(&shard->lock);
+    refused_answer(&check.refused, "no_capacity", message, retry_after_ms);
+    run_start_all(&starting);
+}
--- /dev/null
+++ b/src/membership/membership.c
@@ -0,0 +1,457 @@
+/* Detects failed nodes by heartbeats of neighbours and spreads what is new by gossip. */
+#include "wickbridge/membership.h"
+
+#include "wickbridge/log.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define GOSSIP_FLUSH_MS 30
+#define FORGET_AFTER_MS (10 * 60 * 1000)
+#define IDLE_LINK_MS (60 * 1000)
+#define RECONNECT_TICKS 10 /* heartbeats between tries to reach dead members and seeds */
+#define MISMATCH_TICKS 4   /* heartbeats with another digest before tables are exchanged */
+
+/* Who owns one cell, as heard. */
+typedef struct cell_owner_t {
+    char *cell;
+    char *node;
+    uint64_t epoch;
+} cell_owner_t;
+
+struct wb_membership_t {
+    wb_loop_t *loop;
+    wb_peers_t *peers;
+    wb_membership_events_t events;
+    wb_member_table_t *table;
+    GHashTable *owners; /* cell -> cell_owner_t */
+    uint64_t owner_digest;
+    wb_member_t self;
+    GPtrArray *seeds;
+    GHashTable *fresh_members; /* names to pass on at the next flush */
+    GHashTable *fresh_cells;
+    GHashTable *mismatches; /* neighbour -> heartbeats in a row with another digest */
+    int64_t interval_ms;
+    int64_t suspect_after_ms;
+    int64_t dead_after_ms;
+    int64_t started_ms;
+    uint64_t config_version;
+    gboolean joined;
+    gboolean left;
+    unsigned ticks;
+    wb_timer_t *heartbeat_timer;
+    wb_timer_t *flush_timer;
+};
+
+static void owner_free(gpointer data)
+{
+    cell_owner_t *owner = data;
+    g_free(owner->cell);
+    g_free(owner->node);
+    g_free(owner);
+}
+
+static uint64_t owner_hash(const cell_owner_t *owner)
+{
+    return XXH64(owner->cell, strlen(owner->cell), owner->epoch);
+}
+
+static void member_learnt(wb_membership_t *membership, const char *node)
+{
+    g_hash_table_add(membership->fresh_members, g_strdup(node));
+    const wb_member_t *member = wb_member_table_find(membership->table, node);
+    wb_log_info(WB_PART_MEMBERSHIP, "Member %s is %s.", node, wb_member_state_name(member->state));
+    membership->events.on_member(member, membership->events.context);
+}
+
+/* Raises our incarnation when someone thinks that we are down. */
+static void self_refute(wb_membership_t *membership, const wb_member_t *update)
+{
+    if (membership->left || update->state == WB_MEMBER_ALIVE ||
+        update->incarnation < membership->self.incarnation)
+        return;
+    membership->self.incarnation = update->incarnation + 1;
+    if (wb_member_table_merge(membership->table, &membership->self, wb_clock_ms()))
+        g_hash_table_add(membership->fresh_members, g_strdup(membership->self.node));
+}
+
+static void member_merge(wb_membership_t *membership, const wb_member_t *update)
+{
+    if (strcmp(update->node, membership->self.node) == 0)
+        self_refute(membership, update);
+    else if (wb_member_table_merge(membership->table, update, wb_clock_ms()))
+        member_learnt(membership, update->node);
+}
+
+static void member_set_state(wb_membership_t *membership, const char *node, wb_member_state_t state)
+{
+    const wb_member_t *known = wb_member_table_find(membership->table, node);
+    if (known == NULL)
+        return;
+    wb_member_t update = *known;
+    update.state = state;
+    g_autofree char *name = g_strdup(node);
+    update.node = name;
+    member_merge(membership, &update);
+}
+
+static void owner_merge(wb_membership_t *membership, const char *cell, const char *node,
+                        uint64_t epoch)
+{
+    cell_owner_t *known = g_hash_table_lookup(membership->owners, cell);
+    if (known != NULL && known->epoch >= epoch)
+        return;
+    if (known == NULL) {
+        known = g_new0(cell_owner_t, 1);
+        known->cell = g_strdup(cell);
+        g_hash_table_insert(membership->owners, known->cell, known);
+    } else
+        membership->owner_digest ^= owner_hash(known);
+    g_free(known->node);
+    known->node = g_strdup(node);
+    known->epoch = epoch;
+    membership->owner_digest ^= owner_hash(known);
+    g_hash_table_add(membership->fresh_cells, g_strdup(cell));
+    membership->events.on_owner(cell, node, epoch, membership->events.context);
+}
+
+static void member_to_wire(const wb_member_t *member, wb_wire_member *wire)
+{
+    wire->node = member->node;
+    wire->address = member->address;
+    wire->caller_address = member->caller_address;
+    wire->zone = member->zone;
+    wire->incarnation = member->incarnation;
+    wire->state = member->state;
+}
+
+/* Sends members and owners; a NULL set means all. */
+static void gossip_send(wb_membership_t *membership, const GPtrArray *targets, GHashTable *members,
+                        GHashTable *cells)
+{
+    g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
+    g_autofree wb_wire_member *wire_members = g_new0(wb_wire_member, list->len);
+    guint cell_limit = g_hash_table_size(membership->owners);
+    g_autofree wb_wire_ownership *wire_owners = g_new0(wb_wire_ownership, cell_limit);
+    wb_wire_message message = {.kind = WB_WIRE_GOSSIP};
+    wb_wire_gossip *gossip = &message.wb_wire_message_u.gossip;
+    gossip->members.members_val = wire_members;
+    gossip->owners.owners_val = wire_owners;
+    for (guint i = 0; i < list->len; i++) {
+        const wb_member_t *member = list->pdata[i];
+        if (members == NULL || g_hash_table_contains(members, member->node))
+            member_to_wire(member, &wire_members[gossip->members.members_len++]);
+    }
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, membership->owners);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_owner_t *owner = value;
+        if (cells != NULL && !g_hash_table_contains(cells, owner->cell))
+            continue;
+        wb_wire_ownership *wire = &wire_owners[gossip->owners.owners_len++];
+        wire->cell = owner->cell;
+        wire->node = owner->node;
+        wire->epoch = owner->epoch;
+    }
+    for (guint i = 0; i < targets->len; i++)
+        wb_peers_send_open(membership->peers, targets->pdata[i], &message);
+}
+
+static void gossip_send_all(wb_membership_t *membership, const char *node)
+{
+    g_autoptr(GPtrArray) targets = g_ptr_array_new();
+    g_ptr_array_add(targets, (gpointer)node);
+    gossip_send(membership, targets, NULL, NULL);
+}
+
+static void gossip_flush(void *context)
+{
+    wb_membership_t *membership = context;
+    if (g_hash_table_size(membership->fresh_members) == 0 &&
+        g_hash_table_size(membership->fresh_cells) == 0)
+        return;
+    g_autoptr(GPtrArray) targets = wb_peers_overlay(membership->peers);
+    gossip_send(membership, targets, membership->fresh_members, membership->fresh_cells);
+    g_hash_table_remove_all(membership->fresh_members);
+    g_hash_table_remove_all(membership->fresh_cells);
+}
+
+static void gossip_take(wb_membership_t *membership, const wb_wire_gossip *gossip)
+{
+    for (u_int i = 0; i < gossip->members.members_len; i++) {
+        const wb_wire_member *wire = &gossip->members.members_val[i];
+        if (wire->state > WB_MEMBER_GONE)
+            continue;
+        wb_member_t update = {wire->node, wire->address,     wire->caller_address,
+                              wire->zone, wire->incarnation, (wb_member_state_t)wire->state,
+                              0};
+        member_merge(membership, &update);
+    }
+    for (u_int i = 0; i < gossip->owners.owners_len; i++) {
+        const wb_wire_ownership *wire = &gossip->owners.owners_val[i];
+        owner_merge(membership, wire->cell, wire->node, wire->epoch);
+    }
+    membership->joined = TRUE;
+}
+
+/* A heartbeat of a neighbour whose tables stay different leads to an exchange of tables. */
+static void heartbeat_take(wb_membership_t *membership, const char *node,
+                           const wb_wire_heartbeat *heartbeat)
+{
+    const wb_member_t *member = wb_member_table_find(membership->table, node);
+    if (member == NULL || member->state != WB_MEMBER_ALIVE)
+        gossip_send_all(membership, node); /* it learns what we think of it, and refutes */
+    gboolean same = heartbeat->member_digest == wb_member_table_digest(membership->table) &&
+                    heartbeat->owner_digest == membership->owner_digest;
+    guint count =
+        same ? 0 : GPOINTER_TO_UINT(g_hash_table_lookup(membership->mismatches, node)) + 1;
+    if (count >= MISMATCH_TICKS) {
+        gossip_send_all(membership, node);
+        count = 0;
+    }
+    g_hash_table_replace(membership->mismatches, g_strdup(node), GUINT_TO_POINTER(count));
+    membership->events.on_config_version(node, heartbeat->config_version,
+                                         membership->events.context);
+}
+
+gboolean wb_membership_message(wb_membership_t *membership, const char *node,
+                               const wb_wire_message *message)
+{
+    switch (message->kind) {
+    case WB_WIRE_HEARTBEAT:
+        heartbeat_take(membership, node, &message->wb_wire_message_u.heartbeat);
+        return TRUE;
+    case WB_WIRE_GOSSIP:
+        gossip_take(membership, &message->wb_wire_message_u.gossip);
+        return TRUE;
+    case WB_WIRE_SYNC:
+        gossip_send_all(membership, node);
+        return TRUE;
+    default:
+        return FALSE;
+    }
+}
+
+void wb_membership_link_up(wb_membership_t *membership, const char *node, gboolean overlay)
+{
+    if (overlay || !wb_member_table_is_up(membership->table, node))
+        gossip_send_all(membership, node);
+}
+
+void wb_membership_link_down(wb_membership_t *membership, const char *node)
+{
+    g_autoptr(GPtrArray) neighbours =
+        wb_member_table_neighbours(membership->table, membership->self.node);
+    if (!g_ptr_array_find_with_equal_func(neighbours, node, g_str_equal, NULL))
+        return;
+    member_set_state(membership, node, WB_MEMBER_SUSPECT);
+}
+
+void wb_membership_replaced(wb_membership_t *membership, const char *node)
+{
+    member_set_state(membership, node, WB_MEMBER_GONE);
+}
+
+void wb_membership_machine_gone(wb_membership_t *membership, const char *machine_id)
+{
+    g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
+    for (guint i = 0; i < list->len; i++) {
+        const wb_member_t *member = list->pdata[i];
+        char id[128];
+        wb_member_machine_id(member->node, id, sizeof(id));
+        if (strcmp(id, machine_id) == 0 && member->state != WB_MEMBER_GONE &&
+            strcmp(member->node, membership->self.node) != 0)
+            member_set_state(membership, member->node, WB_MEMBER_GONE);
+    }
+}
+
+/* Suspects neighbours that are silent. */
+static void neighbours_check(wb_membership_t *membership, const GPtrArray *overlay)
+{
+    int64_t now_ms = wb_clock_ms();
+    for (guint i = 0; i < overlay->len; i++) {
+        const char *node = overlay->pdata[i];
+        int64_t silence_ms = now_ms - wb_peers_heard_ms(membership->peers, node);
+        if (silence_ms <= membership->suspect_after_ms)
+            continue;
+        member_set_state(membership, node, WB_MEMBER_SUSPECT);
+        if (silence_ms > 2 * membership->suspect_after_ms)
+            wb_peers_drop(membership->peers, node, "it is silent");
+    }
+}
+
+static void suspects_check(wb_membership_t *membership)
+{
+    int64_t now_ms = wb_clock_ms();
+    g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
+    for (guint i = 0; i < list->len; i++) {
+        const wb_member_t *member = list->pdata[i];
+        if (member->state == WB_MEMBER_SUSPECT &&
+            now_ms - member->changed_ms > membership->dead_after_ms)
+            member_set_state(membership, member->node, WB_MEMBER_DEAD);
+    }
+}
+
+/* Connects to our neighbours and lets go of former ones. */
+static void overlay_maintain(wb_membership_t *membership, const GPtrArray *overlay)
+{
+    g_autoptr(GPtrArray) neighbours =
+        wb_member_table_neighbours(membership->table, membership->self.node);
+    for (guint i = 0; i < neighbours->len; i++)
+        wb_peers_connect(membership->peers, neighbours->pdata[i], TRUE);
+    for (guint i = 0; i < overlay->len; i++)
+        if (!g_ptr_array_find_with_equal_func(neighbours, overlay->pdata[i], g_str_equal, NULL))
+            wb_peers_release_overlay(membership->peers, overlay->pdata[i]);
+}
+
+static gboolean address_is_up(const wb_membership_t *membership, const char *address)
+{
+    g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
+    for (guint i = 0; i < list->len; i++) {
+        const wb_member_t *member = list->pdata[i];
+        if (wb_member_table_is_up(membership->table, member->node) &&
+            strcmp(member->address, address) == 0)
+            return TRUE;
+    }
+    return FALSE;
+}
+
+/* Tries seeds that nobody known serves, and members that may only have been cut off. */
+static void lost_reconnect(wb_membership_t *membership)
+{
+    for (guint i = 0; i < membership->seeds->len; i++)
+        if (!address_is_up(membership, membership->seeds->pdata[i]))
+            wb_peers_connect_address(membership->peers, membership->seeds->pdata[i]);
+    g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
+    g_autoptr(GPtrArray) dead = g_ptr_array_new();
+    for (guint i = 0; i < list->len; i++)
+        if (((wb_member_t *)list->pdata[i])->state == WB_MEMBER_DEAD)
+            g_ptr_array_add(dead, list->pdata[i]);
+    if (dead->len == 0)
+        return;
+    const wb_member_t *member = dead->pdata[(membership->ticks / RECONNECT_TICKS) % dead->len];
+    if (!address_is_up(membership, member->address))
+        wb_peers_connect_address(membership->peers, member->address);
+}
+
+static void heartbeats_send(wb_membership_t *membership, const GPtrArray *overlay)
+{
+    wb_wire_message message = {.kind = WB_WIRE_HEARTBEAT};
+    wb_wire_heartbeat *heartbeat = &message.wb_wire_message_u.heartbeat;
+    heartbeat->config_version = membership->config_version;
+    heartbeat->member_digest = wb_member_table_digest(membership->table);
+    heartbeat->owner_digest = membership->owner_digest;
+    for (guint i = 0; i < overlay->len; i++)
+        wb_peers_send_open(membership->peers, overlay->pdata[i], &message);
+}
+
+static void heartbeat_tick(void *context)
+{
+    wb_membership_t *membership = context;
+    g_autoptr(GPtrArray) overlay = wb_peers_overlay(membership->peers);
+    neighbours_check(membership, overlay);
+    suspects_check(membership);
+    overlay_maintain(membership, overlay);
+    heartbeats_send(membership, overlay);
+    if (membership->ticks++ % RECONNECT_TICKS == 0)
+        lost_reconnect(membership);
+    wb_peers_close_idle(membership->peers, IDLE_LINK_MS);
+    wb_member_table_sweep(membership->table, wb_clock_ms(), FORGET_AFTER_MS);
+}
+
+wb_membership_t *wb_membership_start(wb_loop_t *loop, wb_peers_t *peers,
+                                     const wb_membership_options_t *options,
+                                     const wb_membership_events_t *events)
+{
+    wb_membership_t *membership = g_new0(wb_membership_t, 1);
+    membership->loop = loop;
+    membership->peers = peers;
+    membership->events = *events;
+    membership->table = wb_member_table_create();
+    membership->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_free);
+    membership->fresh_members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    membership->fresh_cells = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    membership->mismatches = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    membership->seeds = g_ptr_array_new_with_free_func(g_free);
+    for (const char *const *seed = options->seeds; seed != NULL && *seed != NULL; seed++)
+        if (strcmp(*seed, options->address) != 0)
+            g_ptr_array_add(membership->seeds, g_strdup(*seed));
+    membership->self.node = g_strdup(options->node);
+    membership->self.address = g_strdup(options->address);
+    membership->self.caller_address = g_strdup(options->caller_address);
+    membership->self.zone = g_strdup(options->zone);
+    membership->self.incarnation = 1;
+    membership->interval_ms = options->heartbeat_interval_ms;
+    membership->suspect_after_ms = options->suspect_after_ms;
+    membership->dead_after_ms = options->dead_after_ms;
+    membership->started_ms = wb_clock_ms();
+    wb_member_table_merge(membership->table, &membership->self, membership->started_ms);
+    membership->heartbeat_timer =
+        wb_loop_every(loop, options->heartbeat_interval_ms, heartbeat_tick, membership);
+    membership->flush_timer = wb_loop_every(loop, GOSSIP_FLUSH_MS, gossip_flush, membership);
+    lost_reconnect(membership);
+    return membership;
+}
+
+void wb_membership_stop(wb_membership_t *membership)
+{
+    wb_timer_cancel(membership->heartbeat_timer);
+    wb_timer_cancel(membership->flush_timer);
+    wb_member_table_free(membership->table);
+    g_hash_table_unref(membership->owners);
+    g_hash_table_unref(membership->fresh_members);
+    g_hash_table_unref(membership->fresh_cells);
+    g_hash_table_unref(membership->mismatches);
+    g_ptr_array_unref(membership->seeds);
+    g_free(membership->self.node);
+    g_free(membership->self.address);
+    g_free(membership->self.caller_address);
+    g_free(membership->self.zone);
+    g_free(membership);
+}
+
+const wb_member_table_t *wb_membership_table(const wb_membership_t *membership)
+{
+    return membership->table;
+}
+
+const char *wb_membership_address(const wb_membership_t *membership, const char *node)
+{
+    const wb_member_t *member = wb_member_table_find(membership->table, node);
+    return member != NULL && member->state != WB_MEMBER_GONE ? member->address : NULL;
+}
+
+void wb_membership_announce_owner(wb_membership_t *membership, const char *cell, uint64_t epoch)
+{
+    owner_merge(membership, cell, membership->self.node, epoch);
+}
+
+const char *wb_membership_owner(const wb_membership_t *membership, const char *cell,
+                                uint64_t *epoch)
+{
+    const cell_owner_t *owner = g_hash_table_lookup(membership->owners, cell);
+    if (epoch != NULL)
+        *epoch = owner != NULL ? owner->epoch : 0;
+    return owner != NULL ? owner->node : NULL;
+}
+
+void wb_membership_set_config_version(wb_membership_t *membership, uint64_t version)
+{
+    membership->config_version = version;
+}
+
+void wb_membership_leave(wb_membership_t *membership)
+{
+    membership->left = TRUE;
+    wb_member_t update = membership->self;
+    update.state = WB_MEMBER_GONE;
+    if (wb_member_table_merge(membership->table, &update, wb_clock_ms()))
+        g_hash_table_add(membership->fresh_members, g_strdup(membership->self.node));
+    gossip_flush(membership);
+}
+
+gboolean wb_membership_is_joined(const wb_membership_t *membership)
+{
+    return membership->joined || membership->seeds->len == 0;
+}
--- /dev/null
+++ b/src/net/link.c
@@ -0,0 +1,356 @@
+/* Carries framed messages over TCP connections on a loop. */
+#include "wickbridge/link.h"
+
+#include "wickbridge/log.h"
+
+#include <apr_pools.h>
+#include <apr_portable.h>
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READ_CHUNK_BYTES (64 * 1024)
+#define CONNECT_TIMEOUT_MS 1500
+#define UNSENT_LIMIT_BYTES (16 * 1024 * 1024)
+#define LISTEN_BACKLOG 512
+
+struct wb_link_listener_t {
+    wb_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    wb_watch_t *watch;
+    wb_link_events_t events;
+    wb_link_counters_t *counters;
+};
+
+struct wb_link_t {
+    wb_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    wb_watch_t *watch;
+    wb_timer_t *connect_timer;
+    wb_timer_t *break_timer;
+    wb_link_events_t events;
+    wb_link_counters_t *counters;
+    gboolean open;
+    GByteArray *received;
+    GByteArray *unsent;
+    char *break_reason;
+    void *data;
+};
+
+static void link_free(wb_link_t *link)
+{
+    if (link->connect_timer != NULL)
+        wb_timer_cancel(link->connect_timer);
+    if (link->break_timer != NULL)
+        wb_timer_cancel(link->break_timer);
+    if (link->watch != NULL)
+        wb_watch_remove(link->watch);
+    apr_socket_close(link->socket);
+    g_byte_array_unref(link->received);
+    g_byte_array_unref(link->unsent);
+    apr_pool_destroy(link->pool);
+    g_free(link->break_reason);
+    g_free(link);
+}
+
+static void link_fail(wb_link_t *link, const char *reason)
+{
+    link->events.on_close(link, reason, link->events.context);
+    link_free(link);
+}
+
+void wb_link_close(wb_link_t *link)
+{
+    link_free(link);
+}
+
+static void link_break_now(void *context)
+{
+    wb_link_t *link = context;
+    link->break_timer = NULL;
+    link_fail(link, link->break_reason);
+}
+
+void wb_link_break(wb_link_t *link, const char *reason)
+{
+    if (link->break_timer != NULL)
+        return;
+    link->break_reason = g_strdup(reason);
+    link->break_timer = wb_loop_after(link->loop, 0, link_break_now, link);
+}
+
+void wb_link_set_data(wb_link_t *link, void *data)
+{
+    link->data = data;
+}
+
+void *wb_link_data(const wb_link_t *link)
+{
+    return link->data;
+}
+
+/* Sends what the socket takes. Returns FALSE when the link is broken. */
+static gboolean link_flush(wb_link_t *link)
+{
+    while (link->unsent->len > 0) {
+        apr_size_t length = link->unsent->len;
+        apr_status_t status =
+            apr_socket_send(link->socket, (const char *)link->unsent->data, &length);
+        if (length > 0) {
+            link->counters->bytes_sent += (int64_t)length;
+            g_byte_array_remove_range(link->unsent, 0, (guint)length);
+        }
+        if (APR_STATUS_IS_EAGAIN(status))
+            break;
+        if (status != APR_SUCCESS)
+            return FALSE;
+    }
+    int16_t events = APR_POLLIN;
+    if (link->unsent->len > 0)
+        events |= APR_POLLOUT;
+    wb_watch_change(link->watch, events);
+    return TRUE;
+}
+
+void wb_link_send(wb_link_t *link, const wb_wire_message *message)
+{
+    wb_error_t error;
+    if (wb_message_encode(message, link->unsent, &error) != APR_SUCCESS) {
+        wb_log_warning(WB_PART_LINK, "A message was not sent: %s.", error.message);
+        return;
+    }
+    link->counters->messages_sent++;
+    if (link->unsent->len > UNSENT_LIMIT_BYTES)
+        wb_link_break(link, "the peer doesn't read");
+    else if (link->open && !link_flush(link))
+        wb_link_break(link, "sending failed");
+}
+
+/* Takes one frame off the front. Returns TRUE when there was one; sets `bad` for a wrong frame. */
+static gboolean frame_take(wb_link_t *link, guint *used, gboolean *bad)
+{
+    guint left = link->received->len - *used;
+    uint32_t head;
+    if (left < sizeof(head))
+        return FALSE;
+    memcpy(&head, link->received->data + *used, sizeof(head));
+    uint32_t length = ntohl(head);
+    if (length > WB_MESSAGE_MAX_BYTES) {
+        *bad = TRUE;
+        return FALSE;
+    }
+    if (left < sizeof(head) + length)
+        return FALSE;
+    wb_wire_message message;
+    wb_error_t error;
+    const void *data = link->received->data + *used + sizeof(head);
+    if (wb_message_decode(data, length, &message, &error) != APR_SUCCESS) {
+        wb_log_warning(WB_PART_LINK, "A link sent something odd: %s.", error.message);
+        *bad = TRUE;
+        return FALSE;
+    }
+    *used += (guint)sizeof(head) + length;
+    link->counters->messages_received++;
+    link->events.on_message(link, &message, link->events.context);
+    wb_message_clear(&message);
+    return TRUE;
+}
+
+/* Returns NULL, or why the link is broken. */
+static const char *frames_take(wb_link_t *link)
+{
+    guint used = 0;
+    gboolean bad = FALSE;
+    while (link->break_timer == NULL && frame_take(link, &used, &bad))
+        continue;
+    if (used > 0)
+        g_byte_array_remove_range(link->received, 0, used);
+    return bad ? "it sent no valid message" : NULL;
+}
+
+/* Returns NULL, or why the link is broken. */
+static const char *link_read(wb_link_t *link)
+{
+    g_autofree char *chunk = g_malloc(READ_CHUNK_BYTES);
+    apr_size_t length = READ_CHUNK_BYTES;
+    apr_status_t status = apr_socket_recv(link->socket, chunk, &length);
+    if (length > 0) {
+        link->counters->bytes_received += (int64_t)length;
+        g_byte_array_append(link->received, (const guint8 *)chunk, (guint)length);
+        return frames_take(link);
+    }
+    if (APR_STATUS_IS_EAGAIN(status))
+        return NULL;
+    return APR_STATUS_IS_EOF(status) ? "the peer closed it" : "receiving failed";
+}
+
+static void link_ready(int16_t events, void *context)
+{
+    wb_link_t *link = context;
+    if (events & APR_POLLIN) {
+        const char *reason = link_read(link);
+        if (reason != NULL) {
+            link_fail(link, reason);
+            return;
+        }
+    } else if (events & (APR_POLLERR | APR_POLLHUP)) {
+        link_fail(link, "the connection broke");
+        return;
+    }
+    if ((events & APR_POLLOUT) && !link_flush(link))
+        link_fail(link, "sending failed");
+}
+
+static void link_opened(wb_link_t *link)
+{
+    link->open = TRUE;
+    apr_socket_opt_set(link->socket, APR_TCP_NODELAY, 1);
+    if (link->connect_timer != NULL) {
+        wb_timer_cancel(link->connect_timer);
+        link->connect_timer = NULL;
+    }
+    link->watch = wb_loop_watch(link->loop, link->socket, APR_POLLIN, link_ready, link);
+    if (link->events.on_open != NULL)
+        link->events.on_open(link, link->events.context);
+    if (!link_flush(link))
+        wb_link_break(link, "sending failed");
+}
+
+static wb_link_t *link_create(wb_loop_t *loop, apr_pool_t *pool, apr_socket_t *socket,
+                              const wb_link_events_t *events, wb_link_counters_t *counters)
+{
+    wb_link_t *link = g_new0(wb_link_t, 1);
+    link->loop = loop;
+    link->pool = pool;
+    link->socket = socket;
+    link->events = *events;
+    link->counters = counters;
+    link->received = g_byte_array_new();
+    link->unsent = g_byte_array_new();
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    return link;
+}
+
+static void connect_ready(int16_t events, void *context)
+{
+    wb_link_t *link = context;
+    wb_watch_remove(link->watch);
+    link->watch = NULL;
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    int descriptor;
+    apr_os_sock_get(&descriptor, link->socket);
+    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
+    if (failure != 0 || (events & (APR_POLLERR | APR_POLLHUP)))
+        link_fail(link, "it can't be reached");
+    else
+        link_opened(link);
+}
+
+static void connect_timed_out(void *context)
+{
+    wb_link_t *link = context;
+    link->connect_timer = NULL;
+    link_fail(link, "connecting took too long");
+}
+
+static apr_status_t address_resolve(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
+{
+    char *host = NULL;
+    char *scope = NULL;
+    apr_port_t port = 0;
+    apr_status_t status = apr_parse_addr_port(&host, &scope, &port, address, pool);
+    if (status != APR_SUCCESS || host == NULL)
+        return APR_EINVAL;
+    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
+}
+
+apr_status_t wb_link_connect(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
+                             wb_link_counters_t *counters, wb_link_t **link, wb_error_t *error)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_sockaddr_t *target;
+    apr_socket_t *socket;
+    apr_status_t status = address_resolve(address, pool, &target);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return wb_error_set(error, status, "can't connect to '%s'", address);
+    }
+    wb_link_t *created = link_create(loop, pool, socket, events, counters);
+    apr_socket_connect(socket, target);
+    created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
+    created->connect_timer = wb_loop_after(loop, CONNECT_TIMEOUT_MS, connect_timed_out, created);
+    *link = created;
+    return APR_SUCCESS;
+}
+
+static void listener_ready(int16_t events, void *context)
+{
+    (void)events;
+    wb_link_listener_t *listener = context;
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_socket_t *socket;
+    if (apr_socket_accept(&socket, listener->socket, pool) != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return;
+    }
+    link_opened(link_create(listener->loop, pool, socket, &listener->events, listener->counters));
+}
+
+apr_status_t wb_link_listen(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
+                            wb_link_counters_t *counters, wb_link_listener_t **listener,
+                            wb_error_t *error)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_sockaddr_t *own;
+    apr_socket_t *socket = NULL;
+    apr_status_t status = address_resolve(address, pool, &own);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status == APR_SUCCESS) {
+        apr_socket_opt_set(socket, APR_SO_REUSEADDR, 1);
+        apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+        apr_socket_timeout_set(socket, 0);
+        status = apr_socket_bind(socket, own);
+    }
+    if (status == APR_SUCCESS)
+        status = apr_socket_listen(socket, LISTEN_BACKLOG);
+    if (status != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return wb_error_set(error, status, "can't listen for nodes on %s", address);
+    }
+    wb_link_listener_t *created = g_new0(wb_link_listener_t, 1);
+    created->loop = loop;
+    created->pool = pool;
+    created->socket = socket;
+    created->events = *events;
+    created->counters = counters;
+    created->watch = wb_loop_watch(loop, socket, APR_POLLIN, listener_ready, created);
+    *listener = created;
+    return APR_SUCCESS;
+}
+
+unsigned wb_link_listener_port(const wb_link_listener_t *listener)
+{
+    apr_sockaddr_t *own;
+    if (apr_socket_addr_get(&own, APR_LOCAL, listener->socket) != APR_SUCCESS)
+        return 0;
+    return own->port;
+}
+
+void wb_link_listener_close(wb_link_listener_t *listener)
+{
+    wb_watch_remove(listener->watch);
+    apr_socket_close(listener->socket);
+    apr_pool_destroy(listener->pool);
+    g_free(listener);
+}
--- /dev/null
+++ b/src/net/loop.c
@@ -0,0 +1,243 @@
+/* Runs sockets, timers and posted tasks on one thread. */
+#include "wickbridge/loop.h"
+
+#include "wickbridge/log.h"
+
+#include <apr_pools.h>
+#include <glib.h>
+
+#define POLL_LIMIT_MS 1000
+
+struct wb_timer_t {
+    wb_loop_t *loop;
+    int64_t due_ms;
+    int64_t interval_ms; /* 0: once */
+    wb_loop_task_fn task;
+    void *context;
+    GSequenceIter *place; /* NULL while its task runs */
+    gboolean cancelled;
+};
+
+struct wb_watch_t {
+    wb_loop_t *loop;
+    apr_pollfd_t descriptor;
+    wb_watch_fn callback;
+    void *context;
+    gboolean removed;
+};
+
+typedef struct wb_task_t {
+    wb_loop_task_fn task;
+    void *context;
+} wb_task_t;
+
+struct wb_loop_t {
+    apr_pool_t *pool;
+    apr_pollset_t *pollset;
+    GThread *thread;
+    char *name;
+    GMutex lock; /* guards `tasks` and `stopping` */
+    GQueue tasks;
+    gboolean stopping;
+    GSequence *timers;  /* by due time */
+    GPtrArray *removed; /* watches to free after the present round */
+};
+
+int64_t wb_clock_ms(void)
+{
+    return g_get_monotonic_time() / 1000;
+}
+
+apr_status_t wb_loop_create(wb_loop_t **loop, const char *name, unsigned capacity,
+                            wb_error_t *error)
+{
+    wb_loop_t *created = g_new0(wb_loop_t, 1);
+    apr_pool_create(&created->pool, NULL);
+    apr_status_t status = apr_pollset_create(&created->pollset, capacity, created->pool,
+                                             APR_POLLSET_WAKEABLE | APR_POLLSET_NOCOPY);
+    if (status != APR_SUCCESS) {
+        apr_pool_destroy(created->pool);
+        g_free(created);
+        return wb_error_set(error, status, "can't create a pollset for loop %s", name);
+    }
+    created->name = g_strdup(name);
+    created->timers = g_sequence_new(NULL);
+    created->removed = g_ptr_array_new_with_free_func(g_free);
+    g_mutex_init(&created->lock);
+    *loop = created;
+    return APR_SUCCESS;
+}
+
+static gint timer_compare(gconstpointer left, gconstpointer right, gpointer data)
+{
+    (void)data;
+    const wb_timer_t *a = left;
+    const wb_timer_t *b = right;
+    return a->due_ms < b->due_ms ? -1 : a->due_ms > b->due_ms;
+}
+
+static wb_timer_t *timer_add(wb_loop_t *loop, int64_t delay_ms, int64_t interval_ms,
+                             wb_loop_task_fn task, void *context)
+{
+    wb_timer_t *timer = g_new0(wb_timer_t, 1);
+    timer->loop = loop;
+    timer->due_ms = wb_clock_ms() + delay_ms;
+    timer->interval_ms = interval_ms;
+    timer->task = task;
+    timer->context = context;
+    timer->place = g_sequence_insert_sorted(loop->timers, timer, timer_compare, NULL);
+    return timer;
+}
+
+wb_timer_t *wb_loop_every(wb_loop_t *loop, int64_t interval_ms, wb_loop_task_fn task, void *context)
+{
+    return timer_add(loop, interval_ms, interval_ms, task, context);
+}
+
+wb_timer_t *wb_loop_after(wb_loop_t *loop, int64_t delay_ms, wb_loop_task_fn task, void *context)
+{
+    return timer_add(loop, delay_ms, 0, task, context);
+}
+
+void wb_timer_cancel(wb_timer_t *timer)
+{
+    timer->cancelled = TRUE;
+    if (timer->place == NULL)
+        return; /* its task runs now; timers_run frees it */
+    g_sequence_remove(timer->place);
+    g_free(timer);
+}
+
+static void timer_run(wb_loop_t *loop, wb_timer_t *timer, int64_t now_ms)
+{
+    g_sequence_remove(timer->place);
+    timer->place = NULL;
+    timer->task(timer->context);
+    if (timer->cancelled || timer->interval_ms == 0) {
+        g_free(timer);
+        return;
+    }
+    timer->due_ms = MAX(timer->due_ms + timer->interval_ms, now_ms);
+    timer->place = g_sequence_insert_sorted(loop->timers, timer, timer_compare, NULL);
+}
+
+/* Runs what is due. Returns the time until the next timer in ms. */
+static int64_t timers_run(wb_loop_t *loop)
+{
+    int64_t now_ms = wb_clock_ms();
+    for (;;) {
+        GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
+        if (g_sequence_iter_is_end(first))
+            return POLL_LIMIT_MS;
+        wb_timer_t *timer = g_sequence_get(first);
+        if (timer->due_ms > now_ms)
+            return MIN(timer->due_ms - now_ms, POLL_LIMIT_MS);
+        timer_run(loop, timer, now_ms);
+    }
+}
+
+static gboolean tasks_run(wb_loop_t *loop)
+{
+    g_mutex_lock(&loop->lock);
+    GQueue tasks = loop->tasks;
+    gboolean stopping = loop->stopping;
+    g_queue_init(&loop->tasks);
+    g_mutex_unlock(&loop->lock);
+    wb_task_t *task;
+    while ((task = g_queue_pop_head(&tasks)) != NULL) {
+        task->task(task->context);
+        g_free(task);
+    }
+    return !stopping;
+}
+
+static gpointer loop_run(gpointer data)
+{
+    wb_loop_t *loop = data;
+    while (tasks_run(loop)) {
+        int64_t wait_ms = timers_run(loop);
+        g_mutex_lock(&loop->lock);
+        if (loop->tasks.length > 0)
+            wait_ms = 0;
+        g_mutex_unlock(&loop->lock);
+        const apr_pollfd_t *ready = NULL;
+        apr_int32_t count = 0;
+        apr_status_t status = apr_pollset_poll(loop->pollset, wait_ms * 1000, &count, &ready);
+        if (status != APR_SUCCESS)
+            continue;
+        for (apr_int32_t i = 0; i < count; i++) {
+            wb_watch_t *watch = ready[i].client_data;
+            if (watch != NULL && !watch->removed)
+                watch->callback(ready[i].rtnevents, watch->context);
+        }
+        g_ptr_array_set_size(loop->removed, 0);
+    }
+    return NULL;
+}
+
+void wb_loop_start(wb_loop_t *loop)
+{
+    loop->thread = g_thread_new(loop->name, loop_run, loop);
+}
+
+void wb_loop_stop(wb_loop_t *loop)
+{
+    g_mutex_lock(&loop->lock);
+    loop->stopping = TRUE;
+    g_mutex_unlock(&loop->lock);
+    apr_pollset_wakeup(loop->pollset);
+    if (loop->thread != NULL)
+        g_thread_join(loop->thread);
+    tasks_run(loop);
+    while (!g_sequence_iter_is_end(g_sequence_get_begin_iter(loop->timers)))
+        wb_timer_cancel(g_sequence_get(g_sequence_get_begin_iter(loop->timers)));
+    g_sequence_free(loop->timers);
+    g_ptr_array_unref(loop->removed);
+    g_mutex_clear(&loop->lock);
+    apr_pool_destroy(loop->pool);
+    g_free(loop->name);
+    g_free(loop);
+}
+
+void wb_loop_post(wb_loop_t *loop, wb_loop_task_fn task, void *context)
+{
+    wb_task_t *posted = g_new(wb_task_t, 1);
+    posted->task = task;
+    posted->context = context;
+    g_mutex_lock(&loop->lock);
+    g_queue_push_tail(&loop->tasks, posted);
+    g_mutex_unlock(&loop->lock);
+    apr_pollset_wakeup(loop->pollset);
+}
+
+wb_watch_t *wb_loop_watch(wb_loop_t *loop, apr_socket_t *socket, int16_t events,
+                          wb_watch_fn callback, void *context)
+{
+    wb_watch_t *watch = g_new0(wb_watch_t, 1);
+    watch->loop = loop;
+    watch->descriptor.desc_type = APR_POLL_SOCKET;
+    watch->descriptor.desc.s = socket;
+    watch->descriptor.reqevents = events;
+    watch->descriptor.client_data = watch;
+    watch->callback = callback;
+    watch->context = context;
+    if (apr_pollset_add(loop->pollset, &watch->descriptor) != APR_SUCCESS)
+        wb_log_warning(WB_PART_LINK, "The loop %s can't watch another socket.", loop->name);
+    return watch;
+}
+
+void wb_watch_change(wb_watch_t *watch, int16_t events)
+{
+    if (watch->descriptor.reqevents == events)
+        return;
+    apr_pollset_remove(watch->loop->pollset, &watch->descriptor);
+    watch->descriptor.reqevents = events;
+    apr_pollset_add(watch->loop->pollset, &watch->descriptor);
+}
+
+void wb_watch_remove(wb_watch_t *watch)
+{
+    apr_pollset_remove(watch->loop->pollset, &watch->descriptor);
+    watch->removed = TRUE;
+    g_ptr_array_add(watch->loop->removed, watch);
+}
--- /dev/null
+++ b/src/node/node_settings.h
@@ -0,0 +1,10 @@
+/* The table of a node's settings. */
+#ifndef WICKBRIDGE_NODE_SETTINGS_H
+#define WICKBRIDGE_NODE_SETTINGS_H
+
+#include "wickbridge/node.h"
+#include "wickbridge/settings.h"
+
+extern const wb_settings_table_t wb_node_settings_table;
+
+#endif
--- /dev/null
+++ b/src/protocol/messages.x
@@ -0,0 +1,294 @@
+/* Messages between nodes. The generated C is committed; scripts/generate.sh makes it again. */
+
+const WB_WIRE_NAME_MAX = 200;
+const WB_WIRE_TEXT_MAX = 4000000;
+const WB_WIRE_LIST_MAX = 20000;
+
+typedef string wb_wire_name<WB_WIRE_NAME_MAX>;
+typedef string wb_wire_text<WB_WIRE_TEXT_MAX>;
+
+/* Who speaks; the first message on every link. */
+struct wb_wire_hello {
+    wb_wire_name cluster;
+    wb_wire_name node;
+    unsigned hyper incarnation;
+    wb_wire_name address;
+    wb_wire_name zone;
+    bool overlay; /* the sender wants heartbeats on this link */
+};
+
+/* One node's state as known; a higher incarnation wins, then the graver state. */
+struct wb_wire_member {
+    wb_wire_name node;
+    wb_wire_name address;
+    wb_wire_name caller_address;
+    wb_wire_name zone;
+    unsigned hyper incarnation;
+    unsigned int state;
+};
+
+/* Who owns a cell; the higher epoch wins. */
+struct wb_wire_ownership {
+    wb_wire_name cell;
+    wb_wire_name node;
+    unsigned hyper epoch;
+};
+
+struct wb_wire_heartbeat {
+    unsigned hyper config_version;
+    unsigned hyper member_digest;
+    unsigned hyper owner_digest;
+};
+
+struct wb_wire_gossip {
+    wb_wire_member members<WB_WIRE_LIST_MAX>;
+    wb_wire_ownership owners<WB_WIRE_LIST_MAX>;
+};
+
+/* Ask for configuration changes after a version. */
+struct wb_wire_config_fetch {
+    unsigned hyper have;
+};
+
+/* One accepted change (from = to - 1), or a whole configuration. */
+struct wb_wire_config_change {
+    unsigned hyper from; /* equal to `to`: a whole configuration */
+    unsigned hyper to;
+    wb_wire_text text;
+};
+
+/* The replicated record of a cell: its members, slots and claims. */
+struct wb_wire_slot {
+    wb_wire_name model;
+    wb_wire_name engine;
+};
+
+enum wb_wire_claim_phase {
+    WB_WIRE_CLAIM_PHASE_TAKEN = 0,
+    WB_WIRE_CLAIM_PHASE_DONE = 1
+};
+
+struct wb_wire_claim {
+    wb_wire_name model;
+    wb_wire_name key;
+    wb_wire_name stream; /* at the engine; another one for each attempt */
+    wb_wire_name engine;
+    wb_wire_name engine_address;
+    wb_wire_name node;
+    unsigned hyper attempt; /* counts up from 1 */
+    unsigned hyper digest;  /* of the request's body */
+    wb_wire_claim_phase phase;
+    unsigned int status;
+    wb_wire_text answer;
+    unsigned int age_ms;
+};
+
+struct wb_wire_members {
+    unsigned hyper generation;
+    wb_wire_name names<16>;
+};
+
+struct wb_wire_record {
+    wb_wire_members members;
+    wb_wire_slot slots<WB_WIRE_LIST_MAX>;
+    wb_wire_claim claims<100000>;
+    unsigned int unsure_ms; /* claims from before may be missing for so long */
+};
+
+enum wb_wire_command_kind {
+    WB_WIRE_COMMAND_MEMBERS = 1,
+    WB_WIRE_COMMAND_SLOT_ADD = 2,
+    WB_WIRE_COMMAND_SLOT_REMOVE = 3,
+    WB_WIRE_COMMAND_CLAIM = 4,
+    WB_WIRE_COMMAND_CLAIM_DONE = 5
+};
+
+union wb_wire_command switch (wb_wire_command_kind kind) {
+case WB_WIRE_COMMAND_MEMBERS:
+    wb_wire_members members;
+case WB_WIRE_COMMAND_SLOT_ADD:
+    wb_wire_slot slot_add;
+case WB_WIRE_COMMAND_SLOT_REMOVE:
+    wb_wire_slot slot_remove;
+case WB_WIRE_COMMAND_CLAIM:
+    wb_wire_claim claim;
+case WB_WIRE_COMMAND_CLAIM_DONE:
+    wb_wire_claim claim_done;
+};
+
+struct wb_wire_group_state {
+    wb_wire_name cell;
+    unsigned hyper epoch;
+    unsigned hyper sequence;
+    wb_wire_record record;
+};
+
+struct wb_wire_group_append {
+    wb_wire_name cell;
+    unsigned hyper epoch;
+    unsigned hyper sequence; /* after these commands; without commands: a heartbeat */
+    wb_wire_command commands<WB_WIRE_LIST_MAX>;
+};
+
+struct wb_wire_group_ack {
+    wb_wire_name cell;
+    unsigned hyper epoch;    /* the highest epoch promised */
+    unsigned hyper sequence; /* last command held of that epoch's owner */
+    bool need_state;
+};
+
+struct wb_wire_group_vote {
+    wb_wire_name cell;
+    unsigned hyper epoch;
+    bool forced; /* the owner has handed over */
+};
+
+struct wb_wire_group_ballot {
+    wb_wire_name cell;
+    unsigned hyper epoch;
+    bool granted;
+    unsigned hyper promised;
+    unsigned hyper state_epoch;
+    unsigned hyper sequence;
+    wb_wire_record record; /* empty unless granted */
+};
+
+struct wb_wire_group_hand_over {
+    wb_wire_name cell;
+    unsigned hyper epoch;
+};
+
+/* A gateway wants replicas of a model, or tells that it uses them. */
+struct wb_wire_route_want {
+    wb_wire_name model;
+    wb_wire_name adapter;
+    unsigned int waiting;
+    unsigned int running;
+    unsigned int tightest_deadline_ms; /* of what waits; 0: none */
+    wb_wire_name owner;                /* whose request is next */
+};
+
+struct wb_wire_replica {
+    wb_wire_name engine;
+    wb_wire_name address;
+    wb_wire_name zone;
+    unsigned int batch;
+};
+
+enum wb_wire_route_state {
+    WB_WIRE_ROUTE_READY = 0,
+    WB_WIRE_ROUTE_WAKING = 1,
+    WB_WIRE_ROUTE_REFUSED = 2,
+    WB_WIRE_ROUTE_NOT_OWNER = 3,
+    WB_WIRE_ROUTE_BUSY = 4
+};
+
+struct wb_wire_route_show {
+    wb_wire_name model;
+    wb_wire_name adapter;
+    wb_wire_route_state state;
+    unsigned int estimate_ms; /* waking: until ready; refused: when to come back */
+    wb_wire_name reason;
+    wb_wire_replica replicas<WB_WIRE_LIST_MAX>;
+};
+
+/* A non-repeatable request asks to run. */
+struct wb_wire_claim_want {
+    unsigned hyper request;
+    wb_wire_name model;
+    wb_wire_name key;
+    wb_wire_name stream; /* empty: look for the key's run only */
+    wb_wire_name engine;
+    wb_wire_name engine_address;
+    wb_wire_name node;
+    unsigned hyper digest; /* of the body: one key, one request */
+    unsigned hyper retry_of; /* attempt known not to have run, as fetched; 0: none */
+};
+
+enum wb_wire_claim_state {
+    WB_WIRE_CLAIM_GRANTED = 0,
+    WB_WIRE_CLAIM_TAKEN = 1,   /* someone ran or runs it: look at its stream */
+    WB_WIRE_CLAIM_DONE = 2,    /* the first run's answer */
+    WB_WIRE_CLAIM_MISMATCH = 3,
+    WB_WIRE_CLAIM_REFUSED = 4, /* not owner, or no quorum: nothing was run */
+    WB_WIRE_CLAIM_UNKNOWN = 5  /* looked for only: nobody used this key lately */
+};
+
+struct wb_wire_claim_show {
+    unsigned hyper request;
+    wb_wire_claim_state state;
+    unsigned hyper attempt;
+    wb_wire_name stream;
+    wb_wire_name engine;
+    wb_wire_name engine_address;
+    wb_wire_name node;
+    unsigned int status;
+    wb_wire_text answer;
+    wb_wire_name reason;
+};
+
+/* The first run's answer, kept for retries with the same key. */
+struct wb_wire_claim_done {
+    wb_wire_name model;
+    wb_wire_name key;
+    wb_wire_name stream;
+    unsigned int status;
+    wb_wire_text answer;
+};
+
+enum wb_wire_kind {
+    WB_WIRE_HELLO = 1,
+    WB_WIRE_HEARTBEAT = 2,
+    WB_WIRE_GOSSIP = 3,
+    WB_WIRE_SYNC = 4,
+    WB_WIRE_CONFIG_FETCH = 5,
+    WB_WIRE_CONFIG_CHANGE = 6,
+    WB_WIRE_GROUP_STATE = 7,
+    WB_WIRE_GROUP_APPEND = 8,
+    WB_WIRE_GROUP_ACK = 9,
+    WB_WIRE_GROUP_VOTE = 10,
+    WB_WIRE_GROUP_BALLOT = 11,
+    WB_WIRE_ROUTE_WANT = 12,
+    WB_WIRE_ROUTE_SHOW = 13,
+    WB_WIRE_CLAIM_WANT = 14,
+    WB_WIRE_CLAIM_SHOW = 15,
+    WB_WIRE_CLAIM_DONE_NOTE = 16,
+    WB_WIRE_GROUP_HAND_OVER = 17
+};
+
+union wb_wire_message switch (wb_wire_kind kind) {
+case WB_WIRE_HELLO:
+    wb_wire_hello hello;
+case WB_WIRE_HEARTBEAT:
+    wb_wire_heartbeat heartbeat;
+case WB_WIRE_GOSSIP:
+    wb_wire_gossip gossip;
+case WB_WIRE_SYNC:
+    void;
+case WB_WIRE_CONFIG_FETCH:
+    wb_wire_config_fetch config_fetch;
+case WB_WIRE_CONFIG_CHANGE:
+    wb_wire_config_change config_change;
+case WB_WIRE_GROUP_STATE:
+    wb_wire_group_state group_state;
+case WB_WIRE_GROUP_APPEND:
+    wb_wire_group_append group_append;
+case WB_WIRE_GROUP_ACK:
+    wb_wire_group_ack group_ack;
+case WB_WIRE_GROUP_VOTE:
+    wb_wire_group_vote group_vote;
+case WB_WIRE_GROUP_BALLOT:
+    wb_wire_group_ballot group_ballot;
+case WB_WIRE_ROUTE_WANT:
+    wb_wire_route_want route_want;
+case WB_WIRE_ROUTE_SHOW:
+    wb_wire_route_show route_show;
+case WB_WIRE_CLAIM_WANT:
+    wb_wire_claim_want claim_want;
+case WB_WIRE_CLAIM_SHOW:
+    wb_wire_claim_show claim_show;
+case WB_WIRE_CLAIM_DONE_NOTE:
+    wb_wire_claim_done claim_done;
+case WB_WIRE_GROUP_HAND_OVER:
+    wb_wire_group_hand_over group_hand_over;
+};
--- /dev/null
+++ b/standins/engine/engine.h
@@ -0,0 +1,139 @@
+/**
+ * @file engine.h
+ * @brief The parts of the engine stand-in: models in memory, streams in a batch, cache, reports.
+ *
+ * Locks: one lock, engine_lock, guards everything here. A function says "lock held" when the
+ * caller must hold it; all others take it themselves.
+ */
+#ifndef WICKBRIDGE_STANDIN_ENGINE_H
+#define WICKBRIDGE_STANDIN_ENGINE_H
+
+#include "../standin_http.h"
+
+#include "wickbridge/http_client.h"
+
+#include <stdint.h>
+
+/** Settings of the stand-in. */
+typedef struct engine_settings_t {
+    const char *listen;
+    const char *id;
+    const char *weights;
+    const char *disk_models;
+    const char *log_level;
+    int64_t memory_mib;
+    int64_t host_cache_mib;
+    int64_t batch;
+    int64_t queue_limit;
+    int64_t token_interval_ms;
+    int64_t prefill_ms_per_kib;
+    int64_t call_ms;
+    int64_t remote_ms_per_gib;
+    int64_t disk_ms_per_gib;
+    int64_t memory_ms_per_gib;
+    int64_t report_lag_ms;
+    int64_t cache_entries;
+    int64_t stream_retention_ms;
+    int64_t load_slowdown;
+} engine_settings_t;
+
+extern engine_settings_t engine_settings;
+extern GMutex engine_lock;
+extern wb_http_client_t *engine_client;
+
+/** @return the monotonic clock in ms */
+int64_t engine_now_ms(void);
+
+typedef enum engine_load_state_t {
+    ENGINE_LOADING,
+    ENGINE_LOADED,
+    ENGINE_UNLOADING /**< no new streams; goes once none runs */
+} engine_load_state_t;
+
+/** An adapter on a model. */
+typedef struct engine_adapter_t {
+    char *name;
+    int64_t bytes;
+    engine_load_state_t state;
+    int running;
+} engine_adapter_t;
+
+/** A model in accelerator memory. */
+typedef struct engine_model_t {
+    char *name;
+    int64_t version;
+    int64_t bytes;
+    engine_load_state_t state;
+    int running; /**< streams waiting or running on it */
+    GHashTable *adapters;
+} engine_model_t;
+
+void models_setup(void);
+void models_order(wb_http_exchange_t *exchange);
+void models_fence(wb_http_exchange_t *exchange);
+void models_inventory(wb_http_exchange_t *exchange);
+void models_history(wb_http_exchange_t *exchange);
+/** Finish loads that are due, answer inventory calls that waited long enough. */
+void models_tick(void);
+/** @return the loaded model, or NULL. Lock held. */
+engine_model_t *models_find_loaded(const char *name);
+/** @return the loaded adapter, or NULL. Lock held. */
+engine_adapter_t *models_find_adapter(engine_model_t *model, const char *name);
+/** One stream on the model has ended. Lock held. */
+void models_release(const char *model_name, const char *adapter_name);
+/** Something the inventory shows has changed. Lock held. */
+void models_changed(void);
+/** @return TRUE while the engine takes no new work */
+gboolean engine_is_leaving(void);
+void engine_leave(void);
+
+/**
+ * Start fetching weights; `loads_finished` is called with the ticket, from any thread, no lock.
+ * @param full_speed_ms how long the weight store takes at full speed
+ */
+typedef void (*loads_finished_fn)(void *ticket);
+void loads_fetch_remote(int64_t full_speed_ms, loads_finished_fn finished, void *ticket);
+
+void streams_setup(void);
+void streams_start(wb_http_exchange_t *exchange, const char *id);
+void streams_resume(wb_http_exchange_t *exchange, const char *id);
+void streams_cancel(wb_http_exchange_t *exchange, const char *id);
+void streams_ledger(wb_http_exchange_t *exchange);
+/** One step of the batch. */
+void streams_tick(void);
+/** Running and waiting streams. Lock held. */
+void streams_count(int *running, int *waiting);
+
+/** What a stream answers, told apart by the kind of request. */
+typedef enum answer_kind_t { ANSWER_CHAT, ANSWER_COMPLETION, ANSWER_CALL } answer_kind_t;
+
+/** All that is needed to write any part of an answer again. */
+typedef struct answer_t {
+    answer_kind_t kind;
+    char *id;
+    char *model;
+    uint64_t seed; /**< chosen by the first engine; the text depends on it */
+    uint64_t prompt_hash;
+    int64_t prompt_bytes;
+    int tokens; /**< in the whole answer */
+    int64_t created_s;
+    char *call_result; /**< ANSWER_CALL only */
+} answer_t;
+
+/** Append the event with this index, as server-sent events. Indices run to answer_events()-1. */
+void answer_append_event(GString *out, const answer_t *answer, int index);
+int answer_events(const answer_t *answer);
+/** @return the whole answer as JSON text, freed by the caller */
+char *answer_whole(const answer_t *answer);
+
+void cache_setup(void);
+/** Remember a prompt's prefix. @return TRUE when it was there already. Lock held. */
+gboolean cache_touch(uint64_t prefix_hash);
+void cache_events(wb_http_exchange_t *exchange);
+void cache_export(wb_http_exchange_t *exchange, const char *stream);
+void cache_import(wb_http_exchange_t *exchange);
+
+void report_show(wb_http_exchange_t *exchange);
+void report_tick(void);
+
+#endif
