--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,12 @@
 run: install-needs all
 	scripts/run.sh $(BUILD)
 
+demo: install-needs all
+	scripts/demo.sh $(BUILD)
+
+check: install-needs all
+	scripts/check.sh $(BUILD)
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/standins/engine/main.c
+++ b/standins/engine/main.c
@@ -176,8 +176,8 @@
         fprintf(stderr, "wb-standin-engine: %s\n", error.message);
         return 1;
     }
-    g_thread_new("batch", batch_run, NULL);
-    g_thread_new("models", models_run, NULL);
+    g_thread_unref(g_thread_new("batch", batch_run, NULL));
+    g_thread_unref(g_thread_new("models", models_run, NULL));
     wb_log_message(WB_PART_STANDIN, "The engine listens on %s.", engine_settings.listen);
     standin_signals_wait();
     drain();
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -148,7 +148,7 @@
         fprintf(stderr, "wb-standin-platform: %s\n", error.message);
         return 1;
     }
-    g_thread_new("tick", tick_run, NULL);
+    g_thread_unref(g_thread_new("tick", tick_run, NULL));
     wb_log_message(WB_PART_STANDIN, "The platform listens on %s.", settings.listen);
     standin_signals_wait();
     return 0;
