--- a/include/wickbridge/cell.h
+++ b/include/wickbridge/cell.h
@@ -102,7 +102,7 @@
 
 /** Create the decisions of a new owner. @param record the group's record; must outlive the cell */
 wb_cell_t *wb_cell_create(const wb_cell_options_t *options, wb_record_t *record, uint64_t epoch,
-                          gboolean record_is_sure, const wb_cell_events_t *events, int64_t now_ms);
+                          const wb_cell_events_t *events, int64_t now_ms);
 void wb_cell_free(wb_cell_t *cell);
 
 void wb_cell_set_config(wb_cell_t *cell, wb_config_t *config);
@@ -111,6 +111,9 @@
 void wb_cell_machine(wb_cell_t *cell, const char *engine, const char *address, const char *zone,
                      wb_machine_state_t state, int64_t now_ms);
 
+/** All engines of a machine list were given to wb_cell_machine. */
+void wb_cell_machines_known(wb_cell_t *cell);
+
 /** Commands up to this sequence count. */
 void wb_cell_committed(wb_cell_t *cell, uint64_t sequence);
 
--- a/include/wickbridge/record.h
+++ b/include/wickbridge/record.h
@@ -49,6 +49,7 @@
     GHashTable *engines;     /**< id -> wb_record_engine_t * */
     GHashTable *claims;      /**< "model\nkey" -> wb_claim_t * */
     int64_t unsure_until_ms; /**< until then claims from before a lost majority may be missing */
+    gboolean slots_unsure;   /**< after a lost majority, until all engines were seen */
 } wb_record_t;
 
 wb_record_t *wb_record_create(void);
@@ -67,6 +68,20 @@
 guint wb_record_slot_count(const wb_record_t *record, const char *model);
 const wb_claim_t *wb_record_claim(const wb_record_t *record, const char *model, const char *key);
 
+/** What is to be done about a request that asks for its key's one run. */
+typedef enum wb_claim_decision_t {
+    WB_CLAIM_PROPOSE,     /**< the key is free, or its last attempt is known not to have run */
+    WB_CLAIM_ASKED_AGAIN, /**< this very attempt has been proposed before */
+    WB_CLAIM_TAKEN,       /**< another attempt ran or may still run */
+    WB_CLAIM_DONE,        /**< the first run's answer is known */
+    WB_CLAIM_MISMATCH,    /**< the key belongs to another request */
+    WB_CLAIM_UNSURE       /**< the record may have lost the key's claim */
+} wb_claim_decision_t;
+
+/** Decide on a claim. @param want with a stream, that is, with something to run */
+wb_claim_decision_t wb_claim_decide(const wb_record_t *record, const wb_wire_claim_want *want,
+                                    int64_t now_ms);
+
 /** Forget claims older than `retention_ms`. */
 void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms);
 
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -49,7 +49,7 @@
 }
 
 wb_cell_t *wb_cell_create(const wb_cell_options_t *options, wb_record_t *record, uint64_t epoch,
-                          gboolean record_is_sure, const wb_cell_events_t *events, int64_t now_ms)
+                          const wb_cell_events_t *events, int64_t now_ms)
 {
     wb_cell_t *cell = g_new0(wb_cell_t, 1);
     cell->name = g_strdup(options->name);
@@ -57,7 +57,6 @@
     cell->events = *events;
     cell->record = record;
     cell->epoch = epoch;
-    cell->record_is_sure = record_is_sure;
     cell->started_ms = now_ms;
     cell->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
     cell->targets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, target_free);
@@ -146,6 +145,11 @@
     engine_record(cell, engine);
 }
 
+void wb_cell_machines_known(wb_cell_t *cell)
+{
+    cell->machines_known = TRUE;
+}
+
 void wb_cell_committed(wb_cell_t *cell, uint64_t sequence)
 {
     cell->committed = MAX(cell->committed, sequence);
@@ -219,6 +223,8 @@
     engine->fence_sent = order.fence;
     engine->ordering = TRUE;
     engine->order_action = action;
+    if (action == WB_ORDER_LOAD && adapter != NULL)
+        engine->ordered_bytes = bytes;
     cell->events.order(&order, cell->events.context);
 }
 
@@ -250,9 +256,11 @@
     case WB_ORDER_TAKEN:
         engine->fenced = TRUE;
         engine->settled = TRUE;
+        engine->ordered_bytes = 0;
         break;
     case WB_ORDER_REFUSED:
         engine->settled = TRUE;
+        engine->ordered_bytes = 0;
         engine->retry_at_ms = now_ms + ORDER_RETRY_MS;
         break;
     case WB_ORDER_STALE:
@@ -341,6 +349,31 @@
     }
 }
 
+/* An engine holds the model without a slot, as can be after a lost majority. */
+static gboolean engine_has_stray(const wb_cell_t *cell, const cell_engine_t *engine,
+                                 const char *model)
+{
+    return engine->machine != WB_MACHINE_GONE && cell_held(engine, model) != NULL &&
+           !wb_record_has_slot(cell->record, model, engine->id);
+}
+
+static gboolean cell_has_stray(const wb_cell_t *cell)
+{
+    GHashTableIter engines, models;
+    gpointer engine_value, model;
+    g_hash_table_iter_init(&engines, cell->engines);
+    while (g_hash_table_iter_next(&engines, NULL, &engine_value)) {
+        const cell_engine_t *engine = engine_value;
+        if (engine->inventory == NULL)
+            continue;
+        g_hash_table_iter_init(&models, engine->inventory->models);
+        while (g_hash_table_iter_next(&models, &model, NULL))
+            if (engine_has_stray(cell, engine, model))
+                return TRUE;
+    }
+    return FALSE;
+}
+
 /* Raises the fence of engines that don't know our epoch, or where an order may still arrive. */
 static void engines_fence(wb_cell_t *cell, int64_t now_ms)
 {
@@ -357,8 +390,10 @@
             continue;
         cell_order_send(cell, engine, WB_ORDER_FENCE, NULL, NULL, 0, 0);
     }
-    if (all_seen && g_hash_table_size(cell->engines) > 0)
-        cell->record_is_sure = TRUE;
+    if (cell->record->slots_unsure && all_seen && cell->machines_known && !cell_has_stray(cell)) {
+        wb_wire_command command = {.kind = WB_WIRE_COMMAND_SLOTS_SURE};
+        cell->events.propose(&command, cell->events.context);
+    }
 }
 
 static void slot_remove_propose(wb_cell_t *cell, const char *model, const char *engine)
@@ -382,10 +417,21 @@
     return sequence == NULL || *sequence <= cell->committed;
 }
 
-/* Loads what a slot allows. */
+/* Loads what a slot allows. A record that may be old allows nothing before all engines were seen.
+ */
 static void slot_load(wb_cell_t *cell, cell_engine_t *engine, const wb_model_t *model,
                       int64_t now_ms)
 {
+    if (cell->record->slots_unsure)
+        return;
+    if (cell_engine_free_bytes(cell, engine, NULL) < 0) {
+        /* An earlier owner gave the slot up and used its memory, and then lost its office before
+         * that counted. */
+        char pair[CELL_PAIR_SIZE];
+        g_hash_table_replace(cell->retiring, g_strdup(cell_pair(pair, model->name, engine->id)),
+                             "there is no room for it any more");
+        return;
+    }
     if (cell_source(engine, model->name) == SOURCE_REMOTE &&
         (int64_t)cell_remote_loads(cell) >= cell->options.remote_loads_at_once)
         return; /* the weight store is busy with loads of ours */
@@ -560,7 +606,7 @@
     }
     g_hash_table_remove(cell->surplus, model->name);
     gboolean needed = busy.waiting > 0 || model->min_replicas > staying;
-    if (staying < wanted && needed && slots < model->max_replicas && cell->record_is_sure)
+    if (staying < wanted && needed && slots < model->max_replicas && !cell->record->slots_unsure)
         cell_place(cell, model, now_ms);
 }
 
--- a/src/cell/cell_claims.c
+++ b/src/cell/cell_claims.c
@@ -93,24 +93,29 @@
         look_up(host, node, want->request, claim);
         return;
     }
-    if (claim == NULL) {
-        if (now_ms < record->unsure_until_ms)
-            refuse(host, node, want->request, "earlier runs may have been forgotten");
-        else
-            claim_propose(hosted, node, want, 1);
-    } else if (claim->digest != want->digest)
-        show_send(host, node, want->request, WB_WIRE_CLAIM_MISMATCH, claim,
-                  "the key was used for another request");
-    else if (strcmp(claim->stream, want->stream) == 0) {
-        /* asked again; if the claim doesn't count yet, its waiting entry will answer */
+    switch (wb_claim_decide(record, want, now_ms)) {
+    case WB_CLAIM_UNSURE:
+        refuse(host, node, want->request, "earlier runs may have been forgotten");
+        break;
+    case WB_CLAIM_PROPOSE:
+        claim_propose(hosted, node, want, claim != NULL ? claim->attempt + 1 : 1);
+        break;
+    case WB_CLAIM_ASKED_AGAIN:
+        /* if the claim doesn't count yet, its waiting entry will answer */
         if (wb_group_committed(hosted->group) == wb_group_sequence(hosted->group))
             show_send(host, node, want->request, WB_WIRE_CLAIM_GRANTED, claim, "");
-    } else if (claim->done)
+        break;
+    case WB_CLAIM_MISMATCH:
+        show_send(host, node, want->request, WB_WIRE_CLAIM_MISMATCH, claim,
+                  "the key was used for another request");
+        break;
+    case WB_CLAIM_DONE:
         show_send(host, node, want->request, WB_WIRE_CLAIM_DONE, claim, "");
-    else if (want->retry_of != 0 && want->retry_of == claim->attempt)
-        claim_propose(hosted, node, want, claim->attempt + 1);
-    else
+        break;
+    case WB_CLAIM_TAKEN:
         show_send(host, node, want->request, WB_WIRE_CLAIM_TAKEN, claim, "");
+        break;
+    }
 }
 
 void cell_claim_done(wb_cell_host_t *host, const wb_wire_claim_done *done)
--- a/src/cell/cell_founding.c
+++ b/src/cell/cell_founding.c
@@ -107,9 +107,10 @@
         record = wb_record_from_wire(&wire, now_ms);
         wb_record_wire_clear(&wire);
     }
-    hosted->unsure = founding->again;
-    if (founding->again)
+    if (founding->again) {
+        record->slots_unsure = TRUE;
         record->unsure_until_ms = now_ms + founding->host->options.claim_retention_ms;
+    }
     wb_log_message(WB_PART_CELL,
                    "Cell %s is founded%s by this node at epoch %" G_GUINT64_FORMAT ".",
                    hosted->name, founding->again ? " again" : "", (guint64)epoch);
--- a/src/cell/cell_host.c
+++ b/src/cell/cell_host.c
@@ -121,7 +121,7 @@
         .memory_ms_per_gib = 30};
     wb_cell_events_t cell_events = {cell_propose, cell_order, cell_show, hosted};
     hosted->cell = wb_cell_create(&cell_options, wb_group_record(hosted->group), epoch,
-                                  !hosted->unsure, &cell_events, wb_clock_ms());
+                                  &cell_events, wb_clock_ms());
     wb_cell_committed(hosted->cell, wb_group_committed(hosted->group));
     wb_cell_engines_each(hosted->cell, engine_follow, hosted);
     wb_cell_set_config(hosted->cell, config);
@@ -139,7 +139,6 @@
     hosted->engines = NULL;
     wb_cell_free(hosted->cell);
     hosted->cell = NULL;
-    hosted->unsure = FALSE;
 }
 
 static void group_commit(uint64_t sequence, void *context)
--- a/src/cell/cell_host_types.h
+++ b/src/cell/cell_host_types.h
@@ -32,7 +32,6 @@
     int64_t member_changed_ms;
     int64_t row_version; /* of the cell's row as last seen */
     int64_t expire_next_ms;
-    gboolean unsure; /* founded again after a lost majority */
 } hosted_cell_t;
 
 struct wb_cell_host_t {
--- a/src/cell/cell_machines.c
+++ b/src/cell/cell_machines.c
@@ -54,8 +54,10 @@
                  engine_is_ours(hosted, config, machine))
             engine_take(hosted, machine, now_ms);
     }
-    if (hosted->cell != NULL)
-        wb_cell_step(hosted->cell, now_ms);
+    if (hosted->cell == NULL)
+        return;
+    wb_cell_machines_known(hosted->cell);
+    wb_cell_step(hosted->cell, now_ms);
 }
 
 /* The cell that a call was made for; it may be gone by the time of the answer. */
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -40,7 +40,7 @@
 int64_t cell_engine_free_bytes(const wb_cell_t *cell, const cell_engine_t *engine,
                                const char *except_model)
 {
-    int64_t spoken_for = 0;
+    int64_t spoken_for = engine->ordered_bytes;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, engine->inventory->models);
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -24,6 +24,7 @@
     gboolean settled;  /* no order of ours can still arrive */
     gboolean ordering; /* an order is under way */
     wb_order_action_t order_action;
+    int64_t ordered_bytes;     /* of an adapter whose load may still take effect */
     uint64_t fence_sent;       /* highest number that we used */
     int64_t retry_at_ms;       /* no orders before this */
     wb_inventory_t *inventory; /* NULL until fenced */
@@ -66,7 +67,7 @@
     wb_config_t *config;
     uint64_t epoch;
     uint64_t committed;
-    gboolean record_is_sure; /* FALSE until every engine was seen after a lost majority */
+    gboolean machines_known; /* a whole machine list came since we own the cell */
     GHashTable *engines;     /* id -> cell_engine_t */
     GHashTable *targets;     /* "model\nadapter" -> cell_target_t */
     GHashTable *uncommitted; /* "model\nengine" -> sequence of its slot's command */
--- a/src/cell/record.c
+++ b/src/cell/record.c
@@ -168,6 +168,9 @@
     case WB_WIRE_COMMAND_ENGINE:
         engine_set(record, &command->wb_wire_command_u.engine);
         break;
+    case WB_WIRE_COMMAND_SLOTS_SURE:
+        record->slots_unsure = FALSE;
+        break;
     }
 }
 
@@ -223,6 +226,7 @@
     GHashTableIter iterator;
     gpointer value;
     engines_to_wire(record, wire);
+    wire->slots_unsure = record->slots_unsure;
     wire->unsure_ms = (u_int)MAX(record->unsure_until_ms - now_ms, 0);
     g_hash_table_iter_init(&iterator, record->claims);
     while (g_hash_table_iter_next(&iterator, NULL, &value))
@@ -248,6 +252,7 @@
         engine_set(record, &wire->engines.engines_val[i]);
     for (u_int i = 0; i < wire->claims.claims_len; i++)
         claim_put(record, &wire->claims.claims_val[i], now_ms);
+    record->slots_unsure = wire->slots_unsure;
     record->unsure_until_ms = now_ms + (int64_t)wire->unsure_ms;
     return record;
 }
@@ -277,6 +282,23 @@
     return g_hash_table_lookup(record->claims, index);
 }
 
+wb_claim_decision_t wb_claim_decide(const wb_record_t *record, const wb_wire_claim_want *want,
+                                    int64_t now_ms)
+{
+    const wb_claim_t *claim = wb_record_claim(record, want->model, want->key);
+    if (claim == NULL)
+        return now_ms < record->unsure_until_ms ? WB_CLAIM_UNSURE : WB_CLAIM_PROPOSE;
+    if (claim->digest != want->digest)
+        return WB_CLAIM_MISMATCH;
+    if (strcmp(claim->stream, want->stream) == 0)
+        return WB_CLAIM_ASKED_AGAIN;
+    if (claim->done)
+        return WB_CLAIM_DONE;
+    if (want->retry_of != 0 && want->retry_of == claim->attempt)
+        return WB_CLAIM_PROPOSE;
+    return WB_CLAIM_TAKEN;
+}
+
 void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms)
 {
     GHashTableIter iterator;
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -101,6 +101,7 @@
     wb_wire_slot slots<WB_WIRE_LIST_MAX>;
     wb_wire_engine engines<WB_WIRE_LIST_MAX>;
     wb_wire_claim claims<100000>;
+    bool slots_unsure; /* slots from before a lost majority may be missing */
     unsigned int unsure_ms; /* claims from before may be missing for so long */
 };
 
@@ -110,7 +111,8 @@
     WB_WIRE_COMMAND_SLOT_REMOVE = 3,
     WB_WIRE_COMMAND_CLAIM = 4,
     WB_WIRE_COMMAND_CLAIM_DONE = 5,
-    WB_WIRE_COMMAND_ENGINE = 6
+    WB_WIRE_COMMAND_ENGINE = 6,
+    WB_WIRE_COMMAND_SLOTS_SURE = 7
 };
 
 union wb_wire_command switch (wb_wire_command_kind kind) {
@@ -126,6 +128,8 @@
     wb_wire_claim claim_done;
 case WB_WIRE_COMMAND_ENGINE:
     wb_wire_engine engine;
+case WB_WIRE_COMMAND_SLOTS_SURE:
+    void;
 };
 
 struct wb_wire_group_state {
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -34,8 +34,8 @@
 
 typedef struct engine_t {
     process_t process;
-    int port;        /**< where it listens */
-    int proxy_port;  /**< where nodes reach it */
+    int port;       /**< where it listens */
+    int proxy_port; /**< where nodes reach it */
     char service[32];
     char zone[16];
     gint64 killed_us; /**< 0: not killed */
@@ -44,10 +44,10 @@
 /** What a cluster consists of. */
 typedef struct cluster_options_t {
     int nodes;
-    int engines;           /**< of the service "assistant" */
-    int lock_engines;      /**< of the service "seat-lock" */
-    gboolean proxied;      /**< engines and the platform are reached through the proxy */
-    const char *engine_flags;   /**< more flags, with spaces between */
+    int engines;              /**< of the service "assistant" */
+    int lock_engines;         /**< of the service "seat-lock" */
+    gboolean proxied;         /**< engines and the platform are reached through the proxy */
+    const char *engine_flags; /**< more flags, with spaces between */
     const char *platform_flags;
     const char *node_flags;
 } cluster_options_t;
--- a/tests/harness/processes.c
+++ b/tests/harness/processes.c
@@ -15,6 +15,44 @@
 
 extern char **environ;
 
+#define MOST_PROCESSES 256
+
+/* A test that aborts leaves nothing running. */
+static volatile pid_t started[MOST_PROCESSES];
+static volatile sig_atomic_t started_count;
+
+static void abort_handle(int number)
+{
+    for (int i = 0; i < started_count; i++)
+        kill(started[i], SIGKILL);
+    signal(number, SIG_DFL);
+    raise(number);
+}
+
+static void abort_prepare(pid_t pid)
+{
+    if (started_count == 0) {
+        signal(SIGABRT, abort_handle);
+        signal(SIGTERM, abort_handle);
+        signal(SIGINT, abort_handle);
+        signal(SIGTRAP, abort_handle);
+    }
+    g_assert_cmpint(started_count, <, MOST_PROCESSES);
+    started[started_count] = pid;
+    started_count = started_count + 1;
+}
+
+/* A collected process's id may be given to another one. */
+static void abort_forget(pid_t pid)
+{
+    for (int i = 0; i < started_count; i++)
+        if (started[i] == pid) {
+            started[i] = started[started_count - 1];
+            started_count = started_count - 1;
+            return;
+        }
+}
+
 int64_t harness_now_ms(void)
 {
     return g_get_monotonic_time() / 1000;
@@ -74,6 +112,7 @@
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0)
         g_error("can't start %s: %s", process->program, strerror(failure));
+    abort_prepare(process->pid);
 }
 
 void process_signal(process_t *process, int signal)
@@ -88,6 +127,7 @@
         return;
     kill(process->pid, SIGKILL);
     waitpid(process->pid, NULL, 0);
+    abort_forget(process->pid);
     process->pid = 0;
 }
 
@@ -100,6 +140,7 @@
     while (harness_now_ms() < until_ms) {
         int status;
         if (waitpid(process->pid, &status, WNOHANG) == process->pid) {
+            abort_forget(process->pid);
             process->pid = 0;
             return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
         }
