Write a cell's row only on settled ground

Cause: the row of a cell was written from a record with a change of members that did not count yet, so row and group could differ by two steps, and someone founded the cell again beside a majority that still lived. The real code had the same order. Ruled out: the vote itself, and the founding rule, which is sound for a difference of one step. Change: the row is written only when all of the owner's commands count.

--- a/src/cell/cell_founding.c
+++ b/src/cell/cell_founding.c
@@ -349,6 +349,9 @@
     if (hosted->asking || now_ms - hosted->member_changed_ms < MAINTAIN_INTERVAL_MS ||
         hosted->host->leaving)
         return;
+    /* The row may be one step ahead of what a majority holds, never two. */
+    if (wb_group_committed(hosted->group) != wb_group_sequence(hosted->group))
+        return;
     hosted->member_changed_ms = now_ms;
     g_autoptr(GPtrArray) next = g_ptr_array_new_with_free_func(g_free);
     if (!members_next(hosted, next, now_ms))
--- a/tests/fuzz/sim_founding.c
+++ b/tests/fuzz/sim_founding.c
@@ -119,7 +119,8 @@
 {
     world_t *world = node->world;
     if (world->now_ms - node->maintained_ms < MAINTAIN_MS ||
-        world->row_era != wb_group_epoch(node->group) >> WB_GROUP_ERA_SHIFT)
+        world->row_era != wb_group_epoch(node->group) >> WB_GROUP_ERA_SHIFT ||
+        wb_group_committed(node->group) != wb_group_sequence(node->group))
         return;
     node->maintained_ms = world->now_ms;
     g_autoptr(GPtrArray) next = g_ptr_array_new_with_free_func(g_free);
