--- a/model/takeover.pml
+++ b/model/takeover.pml
@@ -12,7 +12,7 @@
 #define MEMBERS 3
 #define ENGINES 2
 #define MOST_EPOCH 3
-#define NOBODY 9
+#define MOST_ELECTIONS 3 /* the first owner, and two takeovers in a row */
 
 byte promised[MEMBERS];     /* nothing from lower epochs is taken */
 byte held_epoch[MEMBERS];   /* of the record held */
@@ -62,10 +62,11 @@
     bool got;
 
 candidate:
+    other = 0; engine = 0; seen = 0; committed = 0; got = false;
     /* a candidacy: a lapse of the owner's lease, real or only believed */
     atomic {
         if
-        :: elections < 2 && promised[me] < MOST_EPOCH ->
+        :: elections < MOST_ELECTIONS && promised[me] < MOST_EPOCH ->
             elections++;
             epoch = promised[me] + 1;
             promised[me] = epoch
@@ -173,6 +174,7 @@
 /* Orders arrive late or never, at any time; the engine looks at the fence only. */
 proctype engines() {
     byte e;
+end:
     do
     :: atomic {
         if
@@ -183,7 +185,9 @@
         :: ordered[e] >= fence[e] -> fence[e] = ordered[e]; loaded[e] = true
         :: else /* stale: refused */
         fi;
-        ordered[e] = 0
+        ordered[e] = 0;
+        e = 0;
+        assert(!(loaded[0] && loaded[1])) /* never more replicas than decided */
        }
     :: atomic { /* the order is lost */
         if
@@ -194,9 +198,6 @@
     od
 }
 
-/* Never more replicas than decided. */
-ltl one_replica { [] !(loaded[0] && loaded[1]) }
-
 init {
     atomic {
         run member(0);
--- a/standins/proxy/main.c
+++ b/standins/proxy/main.c
@@ -20,8 +20,8 @@
 } proxy_settings_t;
 
 static const wb_setting_t rows[] = {
-    {"control", WB_SETTING_ADDRESS, "", 0, 0, "127.0.0.1:7900",
-     offsetof(proxy_settings_t, control), "Address to set faults at"},
+    {"control", WB_SETTING_ADDRESS, "", 0, 0, "127.0.0.1:7900", offsetof(proxy_settings_t, control),
+     "Address to set faults at"},
     {"relays", WB_SETTING_TEXT, "", 0, 0, NULL, offsetof(proxy_settings_t, relays),
      "LISTEN=TARGET pairs with commas between"},
 };
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -146,8 +146,8 @@
         wb_watch_change(flow->watch, 0);
     } else if (!APR_STATUS_IS_EAGAIN(status))
         close = TRUE;
-    if (!flow_send(flow) || close || (pair->request.ended && pair->answer.ended &&
-                                      pair->answer.pieces.length == 0))
+    if (!flow_send(flow) || close ||
+        (pair->request.ended && pair->answer.ended && pair->answer.pieces.length == 0))
         pair_close(pair);
 }
 
