--- a/include/wickbridge/http_client.h
+++ b/include/wickbridge/http_client.h
@@ -69,6 +69,9 @@
 /** Break all calls (their on_done runs), join the thread and free the client. */
 void wb_http_client_stop(wb_http_client_t *client);
 
+/** @return bytes of bodies and headers sent and received so far, for metrics; any thread */
+int64_t wb_http_client_bytes(const wb_http_client_t *client);
+
 /** Start a call. @return a handle for cancel, valid until on_done has run */
 wb_http_call_t *wb_http_client_call(wb_http_client_t *client, const wb_http_request_t *request);
 
--- a/include/wickbridge/http_server.h
+++ b/include/wickbridge/http_server.h
@@ -62,6 +62,9 @@
 /** @return a query argument's value or NULL; only valid inside the handler */
 const char *wb_http_exchange_query(wb_http_exchange_t *exchange, const char *name);
 
+/** Write the IP address that the caller connected to; only valid inside the handler. */
+void wb_http_exchange_local_address(wb_http_exchange_t *exchange, char *text, size_t size);
+
 /** Add an answer header; before the reply or the stream's begin. */
 void wb_http_exchange_add_header(wb_http_exchange_t *exchange, const char *name, const char *value);
 
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -18,6 +18,7 @@
     GQueue starting;
     GQueue cancelling;
     gboolean stopping;
+    gint64 bytes; /* sent and received; written on the thread only */
     GHashTable *active; /* calls on the thread, only touched there */
     char *trust_file;
     char *certificate_file;
@@ -111,6 +112,22 @@
     return code != CURLE_OK && pretransfer == 0;
 }
 
+static void bytes_count(wb_http_call_t *call)
+{
+    long head = 0, request = 0;
+    curl_off_t up = 0, down = 0;
+    curl_easy_getinfo(call->easy, CURLINFO_HEADER_SIZE, &head);
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request);
+    curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+    curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+    call->client->bytes += head + request + (gint64)up + (gint64)down;
+}
+
+int64_t wb_http_client_bytes(const wb_http_client_t *client)
+{
+    return client->bytes;
+}
+
 static void call_finish(wb_http_call_t *call, CURLcode code)
 {
     wb_http_result_t result = {WB_HTTP_BROKEN,
@@ -129,6 +146,7 @@
         result.outcome = WB_HTTP_NOT_SENT;
     if (call->reason[0] == '\0' && code != CURLE_OK)
         result.reason = curl_easy_strerror(code);
+    bytes_count(call);
     curl_multi_remove_handle(call->client->multi, call->easy);
     g_hash_table_remove(call->client->active, call);
     call->on_done(&result, call->context);
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -318,6 +318,18 @@
     return MHD_lookup_connection_value(exchange->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
+void wb_http_exchange_local_address(wb_http_exchange_t *exchange, char *text, size_t size)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct sockaddr_in address;
+    socklen_t length = sizeof(address);
+    text[0] = '\0';
+    if (info != NULL &&
+        getsockname(info->connect_fd, (struct sockaddr *)&address, &length) == 0)
+        inet_ntop(AF_INET, &address.sin_addr, text, (socklen_t)size);
+}
+
 void wb_http_exchange_add_header(wb_http_exchange_t *exchange, const char *name, const char *value)
 {
     g_ptr_array_add(exchange->headers, g_strdup(name));
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -8,7 +8,8 @@
 
 #define GOSSIP_FLUSH_MS 30
 #define FORGET_AFTER_MS (10 * 60 * 1000)
-#define IDLE_LINK_MS (60 * 1000)
+#define IDLE_LINK_MS (5 * 1000)
+#define OVERLAY_LEAST 2    /* links below which neighbours are looked for at once */
 #define RECONNECT_TICKS 10 /* heartbeats between tries to reach dead members and seeds */
 #define MISMATCH_TICKS 4   /* heartbeats with another digest before tables are exchanged */
 
@@ -173,9 +174,13 @@
     if (g_hash_table_size(membership->fresh_members) == 0 &&
         g_hash_table_size(membership->fresh_cells) == 0)
         return;
-    if (g_hash_table_size(membership->fresh_members) > 0)
-        overlay_maintain(membership);
     g_autoptr(GPtrArray) targets = wb_peers_overlay(membership->peers);
+    if (targets->len < OVERLAY_LEAST) {
+        /* Who joins needs neighbours at once; later the next heartbeat is early enough. */
+        overlay_maintain(membership);
+        g_ptr_array_unref(targets);
+        targets = wb_peers_overlay(membership->peers);
+    }
     gossip_send(membership, targets, membership->fresh_members, membership->fresh_cells);
     g_hash_table_remove_all(membership->fresh_members);
     g_hash_table_remove_all(membership->fresh_cells);
