Cover each link with TLS; found a cell again only on certain knowledge

TLS by GnuTLS on links between nodes (both sides show a certificate of the nodes' authority) and under libmicrohttpd, by OpenSSL under libcurl towards platform and engines. Operators need a certificate of their own authority, else they get 403; callers never reach the operators' paths.

The first run of the TLS test found a grave fault: a node that reached the platform but no other node (here for a wrong certificate) took a cell over from its living owner, whose orders all engines then refused; a caller waited 55 s and was refused. Cause: members that a node had never heard of counted as gone. Ruled out: the election (no vote was asked for) and the fences (they did their duty). Now a member counts as gone only if it said so, a later process of its machine is known, or the machine list says that its machine is gone; the list is read at that moment. Test: isolated-node-founds-nothing, and the TLS test, failing before.

The same 55 s showed that a late load was promised for the next moment again and again, so its callers were held until their deadline.

--- a/include/wickbridge/link.h
+++ b/include/wickbridge/link.h
@@ -9,6 +9,7 @@
 
 #include "wickbridge/loop.h"
 #include "wickbridge/message.h"
+#include "wickbridge/tls.h"
 
 typedef struct wb_link_t wb_link_t;
 typedef struct wb_link_listener_t wb_link_listener_t;
@@ -29,6 +30,7 @@
     /** The link is broken and is freed after the callback. */
     void (*on_close)(wb_link_t *link, const char *reason, void *context);
     void *context;
+    wb_tls_context_t *tls; /**< NULL: no TLS */
 } wb_link_events_t;
 
 /** Listen for links. @param address IP:PORT; port 0 picks one */
--- a/include/wickbridge/node.h
+++ b/include/wickbridge/node.h
@@ -27,6 +27,8 @@
     const char *tls_key;
     const char *tls_certificate;
     const char *tls_trust;
+    const char *tls_node_trust;
+    const char *tls_platform_trust;
     int64_t log_json;
     int64_t http_threads;
     int64_t client_threads;
@@ -62,6 +64,8 @@
     wb_http_client_t *control_client; /**< platform and engines' control side */
     wb_http_client_t **stream_clients;
     guint stream_client_count;
+    wb_tls_context_t *link_tls; /**< for links between nodes; NULL: plain */
+    const char *scheme;         /**< towards platform and engines: "http" or "https" */
 } wb_node_parts_t;
 
 /** Build a node. Before the loop starts, or on its thread. */
--- a/include/wickbridge/peers.h
+++ b/include/wickbridge/peers.h
@@ -18,6 +18,7 @@
     const char *address; /**< as others reach us */
     const char *listen;  /**< where we listen */
     const char *zone;
+    wb_tls_context_t *tls; /**< NULL: plain links; must outlive the links */
 } wb_peers_self_t;
 
 /** What the owner of the links wants to know. */
--- a/src/cell/cell_founding.c
+++ b/src/cell/cell_founding.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define MEMBER_DOWN_MS 3000 /* a member is replaced after it was down so long */
+#define NO_VERSION (-1)     /* of the machine list: send it whole */
 #define MAINTAIN_INTERVAL_MS 500
 #define SURVIVOR_HASTE 4   /* a surviving member waits that much less */
 #define RANK_DELAY_MS 2000 /* between candidates for founding */
@@ -21,7 +22,9 @@
     uint64_t generation;
     uint64_t era;
     GPtrArray *members;
-    gboolean again; /* a majority is gone */
+    gboolean again;      /* a majority is gone */
+    json_t *row_members; /* of the row as read; NULL: there was none */
+    int64_t row_version;
 } founding_t;
 
 static founding_t *founding_create(hosted_cell_t *hosted)
@@ -39,6 +42,7 @@
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     if (hosted != NULL)
         hosted->asking = FALSE;
+    json_decref(founding->row_members);
     g_ptr_array_unref(founding->members);
     g_free(founding->cell);
     g_free(founding);
@@ -141,41 +145,80 @@
     founding_free(founding);
 }
 
-/* Whether the members of a row can't form a majority any more, for certain. */
-static gboolean majority_is_gone(wb_cell_host_t *host, const json_t *members, gboolean *self_in)
+/* Another process of the same machine, started later, is known: this one is gone. */
+static gboolean was_replaced(wb_cell_host_t *host, const char *node)
 {
-    const wb_member_table_t *table = wb_membership_table(host->parts.membership);
-    size_t index, gone = 0;
-    json_t *name;
-    *self_in = FALSE;
-    json_array_foreach(members, index, name)
+    char id[128], other[128];
+    wb_member_machine_id(node, id, sizeof(id));
+    g_autoptr(GPtrArray) list = wb_member_table_list(wb_membership_table(host->parts.membership));
+    for (guint i = 0; i < list->len; i++) {
+        const wb_member_t *member = list->pdata[i];
+        wb_member_machine_id(member->node, other, sizeof(other));
+        if (strcmp(id, other) == 0 && strcmp(member->node, node) > 0)
+            return TRUE;
+    }
+    return FALSE;
+}
+
+/* Only what is certain counts: a member that this node has never heard of may well be alive. */
+static gboolean member_is_gone(wb_cell_host_t *host, const json_t *machines, const char *node)
+{
+    const wb_member_t *member =
+        wb_member_table_find(wb_membership_table(host->parts.membership), node);
+    if ((member != NULL && member->state == WB_MEMBER_GONE) || was_replaced(host, node))
+        return TRUE;
+    char id[128];
+    wb_member_machine_id(node, id, sizeof(id));
+    size_t index;
+    json_t *machine;
+    json_array_foreach(machines, index, machine)
     {
-        const char *node = json_string_value(name);
-        const wb_member_t *member = wb_member_table_find(table, node);
-        if (strcmp(node, host->node) == 0)
-            *self_in = TRUE;
-        /* A member that nobody knows any more was forgotten long after it was gone. */
-        else if (member == NULL || member->state == WB_MEMBER_GONE)
-            gone++;
+        if (strcmp(wb_json_text(machine, "id", ""), id) == 0)
+            return strcmp(wb_json_text(machine, "state", ""), "gone") == 0;
     }
-    size_t size = json_array_size(members);
-    return size - gone < size / 2 + 1;
+    return FALSE;
 }
 
-/* All members but ourselves must be gone: another survivor would have to yield first. */
-static gboolean others_are_gone(wb_cell_host_t *host, const json_t *members)
+/* Whether a cell may be founded again: nobody else of its row can still act, for certain. Another
+ * survivor would have to yield first. */
+static gboolean others_are_gone(founding_t *founding, const json_t *machines, gboolean *self_in)
 {
-    const wb_member_table_t *table = wb_membership_table(host->parts.membership);
     size_t index;
     json_t *name;
-    json_array_foreach(members, index, name)
+    *self_in = FALSE;
+    json_array_foreach(founding->row_members, index, name)
     {
         const char *node = json_string_value(name);
-        const wb_member_t *member = wb_member_table_find(table, node);
-        if (strcmp(node, host->node) != 0 && member != NULL && member->state != WB_MEMBER_GONE)
+        if (strcmp(node, founding->host->node) == 0)
+            *self_in = TRUE;
+        else if (!member_is_gone(founding->host, machines, node))
             return FALSE;
     }
-    return TRUE;
+    size_t size = json_array_size(founding->row_members);
+    return !*self_in || size > 1;
+}
+
+static void founding_begin(founding_t *founding, gboolean self_in)
+{
+    wb_cell_host_t *host = founding->host;
+    hosted_cell_t *hosted = cell_host_find(host, founding->cell);
+    /* A survivor promises the new era to itself before it writes the row. */
+    if (self_in && hosted->group != NULL)
+        wb_group_yield(hosted->group, founding->era << WB_GROUP_ERA_SHIFT);
+    members_choose(host, founding->cell, founding->members);
+    row_write(founding, founding->row_version, founding_written);
+}
+
+static void founding_machines_read(wb_platform_status_t status, const json_t *body, void *context)
+{
+    founding_t *founding = context;
+    hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
+    const json_t *machines = status == WB_PLATFORM_DONE ? json_object_get(body, "machines") : NULL;
+    gboolean self_in;
+    if (hosted != NULL && others_are_gone(founding, machines, &self_in))
+        founding_begin(founding, self_in);
+    else
+        founding_free(founding);
 }
 
 static void founding_row_read(wb_platform_status_t status, const json_t *body, void *context)
@@ -189,20 +232,16 @@
     }
     const json_t *row = json_object_get(body, "value");
     const json_t *members = json_object_get(row, "members");
-    gboolean self_in = FALSE;
     founding->generation = (uint64_t)wb_json_integer(row, "generation", 0) + 1;
     founding->era = (uint64_t)wb_json_integer(row, "era", 0) + 1;
     founding->again = members != NULL;
-    if (members != NULL &&
-        !(majority_is_gone(host, members, &self_in) && others_are_gone(host, members))) {
-        founding_free(founding);
+    founding->row_version = wb_json_integer(body, "version", 0);
+    if (members == NULL) {
+        founding_begin(founding, FALSE);
         return;
     }
-    /* A survivor promises the new era to itself before it writes the row. */
-    if (self_in && hosted->group != NULL)
-        wb_group_yield(hosted->group, founding->era << WB_GROUP_ERA_SHIFT);
-    members_choose(host, founding->cell, founding->members);
-    row_write(founding, wb_json_integer(body, "version", 0), founding_written);
+    founding->row_members = json_deep_copy(members);
+    wb_platform_machines(host->parts.platform, NO_VERSION, founding_machines_read, founding);
 }
 
 /* How many better candidates for founding there are. */
--- a/src/cell/cell_route.c
+++ b/src/cell/cell_route.c
@@ -53,7 +53,9 @@
         return cell_load_estimate_ms(cell, engine, model, bytes);
     double gib = (double)bytes / (1024.0 * 1024.0 * 1024.0);
     int64_t whole_ms = (int64_t)(gib * cell->ms_per_gib[load->source]);
-    return MAX(whole_ms - (now_ms - load->started_ms), whole_ms / 10);
+    int64_t elapsed_ms = now_ms - load->started_ms;
+    /* A load that is late has shown that the estimate was wrong: it may well take as long again. */
+    return elapsed_ms <= whole_ms ? whole_ms - elapsed_ms : elapsed_ms;
 }
 
 int64_t cell_wake_estimate_ms(const wb_cell_t *cell, const char *model, int64_t now_ms)
--- a/src/ctl/request.c
+++ b/src/ctl/request.c
@@ -19,6 +19,8 @@
 
 static void tls_set(CURL *curl, const ctl_options_t *options)
 {
+    /* Nodes are known by IP numbers that come and go; what counts is who signed. */
+    curl_easy_setopt(curl, CURLOPT_SSL_VERIFYHOST, 0L);
     if (options->ca_file != NULL)
         curl_easy_setopt(curl, CURLOPT_CAINFO, options->ca_file);
     if (options->certificate_file != NULL)
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -18,7 +18,7 @@
     GQueue starting;
     GQueue cancelling;
     gboolean stopping;
-    gint64 bytes; /* sent and received; written on the thread only */
+    gint64 bytes;       /* sent and received; written on the thread only */
     GHashTable *active; /* calls on the thread, only touched there */
     char *trust_file;
     char *certificate_file;
@@ -318,6 +318,8 @@
 static void call_set_tls(wb_http_call_t *call)
 {
     const wb_http_client_t *client = call->client;
+    /* Machines are known by IP numbers that come and go; what counts is who signed. */
+    curl_easy_setopt(call->easy, CURLOPT_SSL_VERIFYHOST, 0L);
     if (client->trust_file != NULL)
         curl_easy_setopt(call->easy, CURLOPT_CAINFO, client->trust_file);
     if (client->certificate_file != NULL)
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -4,6 +4,7 @@
 #include "wickbridge/settings.h"
 
 #include <arpa/inet.h>
+#include <gnutls/gnutls.h>
 #include <microhttpd.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -13,6 +14,10 @@
 #define STREAM_BLOCK_BYTES 4096
 #define CONNECTION_LIMIT 20000
 
+static const char no_certificate_text[] =
+    "{\"error\":{\"message\":\"A certificate signed by this interface's authority is needed.\","
+    "\"type\":\"permission_error\",\"code\":\"certificate_needed\"},\"verdict\":\"not-run\"}";
+
 struct wb_http_server_t {
     struct MHD_Daemon *daemon;
     wb_http_server_options_t options;
@@ -111,12 +116,29 @@
     return result;
 }
 
+/* A caller's certificate is there and was signed by an authority that we trust. */
+static gboolean caller_is_trusted(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_GNUTLS_SESSION);
+    unsigned status = 0;
+    unsigned count = 0;
+    if (info == NULL || gnutls_certificate_get_peers(info->tls_session, &count) == NULL)
+        return FALSE;
+    return gnutls_certificate_verify_peers2(info->tls_session, &status) == GNUTLS_E_SUCCESS &&
+           status == 0;
+}
+
 static enum MHD_Result exchange_handle(wb_http_exchange_t *exchange)
 {
     wb_http_server_t *server = exchange->server;
     exchange->state = EXCHANGE_HANDLING;
     g_atomic_int_inc(&exchange->references);
-    server->options.handler(exchange, server->options.handler_context);
+    if (server->options.tls_trust_pem != NULL && !caller_is_trusted(exchange->connection))
+        wb_http_exchange_reply(exchange, MHD_HTTP_FORBIDDEN, "application/json",
+                               no_certificate_text, sizeof(no_certificate_text) - 1);
+    else
+        server->options.handler(exchange, server->options.handler_context);
     g_mutex_lock(&exchange->lock);
     enum MHD_Result result = MHD_YES;
     if (exchange->state == EXCHANGE_ANSWERED)
@@ -325,8 +347,7 @@
     struct sockaddr_in address;
     socklen_t length = sizeof(address);
     text[0] = '\0';
-    if (info != NULL &&
-        getsockname(info->connect_fd, (struct sockaddr *)&address, &length) == 0)
+    if (info != NULL && getsockname(info->connect_fd, (struct sockaddr *)&address, &length) == 0)
         inet_ntop(AF_INET, &address.sin_addr, text, (socklen_t)size);
 }
 
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -37,6 +37,7 @@
     GByteArray *received;
     GByteArray *unsent;
     char *break_reason;
+    wb_tls_session_t *tls; /* NULL: plain */
     void *data;
 };
 
@@ -48,6 +49,8 @@
         wb_timer_cancel(link->break_timer);
     if (link->watch != NULL)
         wb_watch_remove(link->watch);
+    if (link->tls != NULL)
+        wb_tls_session_free(link->tls);
     apr_socket_close(link->socket);
     g_byte_array_unref(link->received);
     g_byte_array_unref(link->unsent);
@@ -92,13 +95,46 @@
     return link->data;
 }
 
+/* Sends some bytes, in TLS if there is any. */
+static apr_status_t bytes_send(wb_link_t *link, const char *data, apr_size_t *length)
+{
+    if (link->tls == NULL)
+        return apr_socket_send(link->socket, data, length);
+    switch (wb_tls_session_send(link->tls, data, length)) {
+    case WB_TLS_DONE:
+        return APR_SUCCESS;
+    case WB_TLS_WANTS_READ:
+    case WB_TLS_WANTS_WRITE:
+        return APR_EAGAIN;
+    default:
+        return APR_EGENERAL;
+    }
+}
+
+/* Receives some bytes; no bytes with APR_EAGAIN when none are there. */
+static apr_status_t bytes_receive(wb_link_t *link, char *data, apr_size_t *length)
+{
+    if (link->tls == NULL)
+        return apr_socket_recv(link->socket, data, length);
+    switch (wb_tls_session_receive(link->tls, data, length)) {
+    case WB_TLS_DONE:
+        return APR_SUCCESS;
+    case WB_TLS_WANTS_READ:
+    case WB_TLS_WANTS_WRITE:
+        return APR_EAGAIN;
+    case WB_TLS_ENDED:
+        return APR_EOF;
+    default:
+        return APR_EGENERAL;
+    }
+}
+
 /* Sends what the socket takes. Returns FALSE when the link is broken. */
 static gboolean link_flush(wb_link_t *link)
 {
     while (link->unsent->len > 0) {
         apr_size_t length = link->unsent->len;
-        apr_status_t status =
-            apr_socket_send(link->socket, (const char *)link->unsent->data, &length);
+        apr_status_t status = bytes_send(link, (const char *)link->unsent->data, &length);
         if (length > 0) {
             link->counters->bytes_sent += (int64_t)length;
             g_byte_array_remove_range(link->unsent, 0, (guint)length);
@@ -176,11 +212,16 @@
 {
     g_autofree char *chunk = g_malloc(READ_CHUNK_BYTES);
     apr_size_t length = READ_CHUNK_BYTES;
-    apr_status_t status = apr_socket_recv(link->socket, chunk, &length);
-    if (length > 0) {
+    apr_status_t status = bytes_receive(link, chunk, &length);
+    while (length > 0) {
         link->counters->bytes_received += (int64_t)length;
         g_byte_array_append(link->received, (const guint8 *)chunk, (guint)length);
-        return frames_take(link);
+        const char *reason = frames_take(link);
+        /* TLS may hold more than the socket shows, so it is read until it is empty. */
+        if (reason != NULL || link->tls == NULL || link->break_timer != NULL)
+            return reason;
+        length = READ_CHUNK_BYTES;
+        status = bytes_receive(link, chunk, &length);
     }
     if (APR_STATUS_IS_EAGAIN(status))
         return NULL;
@@ -204,10 +245,10 @@
         link_fail(link, "sending failed");
 }
 
+/* Both sides are connected, and know each other's certificates if there is TLS. */
 static void link_opened(wb_link_t *link)
 {
     link->open = TRUE;
-    apr_socket_opt_set(link->socket, APR_TCP_NODELAY, 1);
     if (link->connect_timer != NULL) {
         wb_timer_cancel(link->connect_timer);
         link->connect_timer = NULL;
@@ -219,6 +260,51 @@
         wb_link_break(link, "sending failed");
 }
 
+static void handshake_ready(int16_t events, void *context)
+{
+    (void)events;
+    wb_link_t *link = context;
+    switch (wb_tls_session_handshake(link->tls)) {
+    case WB_TLS_DONE:
+        wb_watch_remove(link->watch);
+        link->watch = NULL;
+        link_opened(link);
+        break;
+    case WB_TLS_WANTS_READ:
+        wb_watch_change(link->watch, APR_POLLIN);
+        break;
+    case WB_TLS_WANTS_WRITE:
+        wb_watch_change(link->watch, APR_POLLOUT);
+        break;
+    default:
+        wb_log_warning(WB_PART_LINK, "A link was refused: %s.", wb_tls_session_failure(link->tls));
+        link_fail(link, "the TLS handshake failed");
+    }
+}
+
+static void connect_timed_out(void *context)
+{
+    wb_link_t *link = context;
+    link->connect_timer = NULL;
+    link_fail(link, "connecting took too long");
+}
+
+/* The TCP connection is there. */
+static void link_connected(wb_link_t *link, gboolean is_server)
+{
+    apr_socket_opt_set(link->socket, APR_TCP_NODELAY, 1);
+    if (link->events.tls == NULL) {
+        link_opened(link);
+        return;
+    }
+    link->tls = wb_tls_session_create(link->events.tls, link->socket, is_server);
+    if (link->connect_timer == NULL)
+        link->connect_timer =
+            wb_loop_after(link->loop, CONNECT_TIMEOUT_MS, connect_timed_out, link);
+    link->watch =
+        wb_loop_watch(link->loop, link->socket, APR_POLLIN | APR_POLLOUT, handshake_ready, link);
+}
+
 static wb_link_t *link_create(wb_loop_t *loop, apr_pool_t *pool, apr_socket_t *socket,
                               const wb_link_events_t *events, wb_link_counters_t *counters)
 {
@@ -248,14 +334,7 @@
     if (failure != 0 || (events & (APR_POLLERR | APR_POLLHUP)))
         link_fail(link, "it can't be reached");
     else
-        link_opened(link);
-}
-
-static void connect_timed_out(void *context)
-{
-    wb_link_t *link = context;
-    link->connect_timer = NULL;
-    link_fail(link, "connecting took too long");
+        link_connected(link, FALSE);
 }
 
 static apr_status_t address_resolve(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
@@ -302,7 +381,8 @@
         apr_pool_destroy(pool);
         return;
     }
-    link_opened(link_create(listener->loop, pool, socket, &listener->events, listener->counters));
+    link_connected(link_create(listener->loop, pool, socket, &listener->events, listener->counters),
+                   TRUE);
 }
 
 apr_status_t wb_link_listen(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -25,6 +25,7 @@
     char *address;
     char *zone;
     wb_peers_events_t events;
+    wb_tls_context_t *tls;
     wb_link_listener_t *listener;
     wb_link_counters_t counters;
     GPtrArray *all;      /* every wb_peer_t */
@@ -158,7 +159,7 @@
 static wb_peer_t *peer_open(wb_peers_t *peers, const char *node, const char *address,
                             gboolean overlay)
 {
-    wb_link_events_t events = {link_opened, peer_message, peer_closed, peers};
+    wb_link_events_t events = {link_opened, peer_message, peer_closed, peers, peers->tls};
     wb_link_t *link;
     wb_error_t error;
     if (wb_link_connect(peers->loop, address, &events, &peers->counters, &link, &error) !=
@@ -192,10 +193,11 @@
     created->node = g_strdup(self->node);
     created->address = g_strdup(self->address);
     created->zone = g_strdup(self->zone);
+    created->tls = self->tls;
     created->events = *events;
     created->all = g_ptr_array_new();
     created->by_node = g_hash_table_new(g_str_hash, g_str_equal);
-    wb_link_events_t link_events = {link_opened, peer_message, peer_closed, created};
+    wb_link_events_t link_events = {link_opened, peer_message, peer_closed, created, created->tls};
     apr_status_t status = wb_link_listen(loop, self->listen, &link_events, &created->counters,
                                          &created->listener, error);
     if (status == APR_SUCCESS)
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -48,10 +48,17 @@
 
 static apr_status_t clients_start(daemon_t *daemon, wb_error_t *error)
 {
-    apr_status_t status = wb_http_client_start(&daemon->control_client, NULL, error);
+    const wb_node_settings_t *settings = &daemon->settings;
+    gboolean secure = *settings->tls_platform_trust != '\0';
+    wb_http_client_tls_t tls = {settings->tls_platform_trust,
+                                *settings->tls_certificate != '\0' ? settings->tls_certificate
+                                                                   : NULL,
+                                *settings->tls_key != '\0' ? settings->tls_key : NULL};
+    apr_status_t status =
+        wb_http_client_start(&daemon->control_client, secure ? &tls : NULL, error);
     daemon->stream_clients = g_new0(wb_http_client_t *, (gsize)daemon->settings.client_threads);
     for (int64_t i = 0; status == APR_SUCCESS && i < daemon->settings.client_threads; i++)
-        status = wb_http_client_start(&daemon->stream_clients[i], NULL, error);
+        status = wb_http_client_start(&daemon->stream_clients[i], secure ? &tls : NULL, error);
     return status;
 }
 
@@ -164,8 +171,17 @@
     if (wb_loop_create(&daemon.loop, "node", LOOP_CAPACITY, &error) != APR_SUCCESS ||
         clients_start(&daemon, &error) != APR_SUCCESS)
         return fail(&error);
-    wb_node_parts_t parts = {daemon.loop, daemon.control_client, daemon.stream_clients,
-                             (guint)daemon.settings.client_threads};
+    wb_node_parts_t parts = {daemon.loop,
+                             daemon.control_client,
+                             daemon.stream_clients,
+                             (guint)daemon.settings.client_threads,
+                             NULL,
+                             *daemon.settings.tls_platform_trust != '\0' ? "https" : "http"};
+    if (*daemon.settings.tls_node_trust != '\0' &&
+        wb_tls_context_create(&parts.link_tls, daemon.settings.tls_key,
+                              daemon.settings.tls_certificate, daemon.settings.tls_node_trust,
+                              &error) != APR_SUCCESS)
+        return fail(&error);
     if (wb_node_create(&daemon.node, &daemon.settings, &parts, &error) != APR_SUCCESS)
         return fail(&error);
     wb_loop_start(daemon.loop);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -155,8 +155,8 @@
 static apr_status_t peers_start(wb_node_t *node, wb_error_t *error)
 {
     const wb_node_settings_t *settings = &node->settings;
-    wb_peers_self_t self = {settings->cluster, node->name, node->address, settings->listen_nodes,
-                            settings->zone};
+    wb_peers_self_t self = {settings->cluster,      node->name,     node->address,
+                            settings->listen_nodes, settings->zone, node->parts.link_tls};
     wb_peers_events_t events = {peer_address, peer_up,       peer_down,
                                 peer_message, peer_replaced, node};
     return wb_peers_start(&node->peers, node->parts.loop, &self, &events, error);
@@ -190,7 +190,7 @@
     wb_gateway_options_t options = {
         .node = node->name,
         .zone = settings->zone,
-        .engine_scheme = "http",
+        .engine_scheme = node->parts.scheme,
         .queue_limit = settings->queue_limit,
         .no_owner_wait_ms = settings->no_owner_wait_ms,
         .busy_wait_ms = settings->busy_wait_ms,
@@ -213,7 +213,7 @@
     const wb_node_settings_t *settings = &node->settings;
     wb_cell_host_options_t options = {
         .node = node->name,
-        .engine_scheme = "http",
+        .engine_scheme = node->parts.scheme,
         .group_size = settings->group_size,
         .group_heartbeat_ms = settings->group_heartbeat_ms,
         .election_timeout_ms = settings->election_timeout_ms,
@@ -247,7 +247,7 @@
         return status;
     }
     created->platform = wb_platform_create(parts->control_client, parts->loop, settings->platform,
-                                           "http", settings->platform_timeout_ms);
+                                           parts->scheme, settings->platform_timeout_ms);
     membership_start(created);
     gateway_create(created);
     wb_config_store_events_t events = {config_changed, created};
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -21,6 +21,9 @@
     const char *weights;
     const char *disk_models;
     const char *log_level;
+    const char *tls_key;
+    const char *tls_certificate;
+    const char *tls_trust;
     int64_t memory_mib;
     int64_t host_cache_mib;
     int64_t batch;
--- a/standins/engine/main.c
+++ b/standins/engine/main.c
@@ -28,6 +28,11 @@
         "Platform address for remote loads; empty: every load comes from disk"),
     ROW("disk-models", WB_SETTING_TEXT, "", 0, 0, "", disk_models,
         "Names of models with a copy on disk, with commas between"),
+    ROW("tls-key", WB_SETTING_TEXT, "", 0, 0, "", tls_key, "Key file in PEM; empty: plain HTTP"),
+    ROW("tls-certificate", WB_SETTING_TEXT, "", 0, 0, "", tls_certificate,
+        "Certificate file in PEM"),
+    ROW("tls-trust", WB_SETTING_TEXT, "", 0, 0, "", tls_trust,
+        "Authority that must have signed callers' certificates, in PEM"),
     ROW("log-level", WB_SETTING_TEXT, "", 0, 0, "message", log_level, "Least severe level logged"),
     ROW("memory-mib", WB_SETTING_INTEGER, "MiB", 1, 1 << 30, "81920", memory_mib,
         "Accelerator memory for models and adapters"),
@@ -165,11 +170,15 @@
     models_setup();
     streams_setup();
     cache_setup();
-    wb_http_server_options_t options = {.address = engine_settings.listen,
-                                        .body_limit_bytes = BODY_LIMIT_BYTES,
-                                        .thread_count = 2,
-                                        .idle_timeout_s = 0,
-                                        .handler = request_handle};
+    wb_http_server_options_t options = {
+        .address = engine_settings.listen,
+        .body_limit_bytes = BODY_LIMIT_BYTES,
+        .thread_count = 2,
+        .idle_timeout_s = 0,
+        .tls_key_pem = standin_read_file(engine_settings.tls_key),
+        .tls_cert_pem = standin_read_file(engine_settings.tls_certificate),
+        .tls_trust_pem = standin_read_file(engine_settings.tls_trust),
+        .handler = request_handle};
     wb_http_server_t *server;
     if (wb_http_client_start(&engine_client, NULL, &error) != APR_SUCCESS ||
         wb_http_server_start(&server, &options, &error) != APR_SUCCESS) {
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -29,6 +29,11 @@
         "Loads a second that the weight store starts (rail 3, agency 4)"),
     ROW("weight-loads-at-once", WB_SETTING_INTEGER, "", 1, 100000, "6", weight_loads_at_once,
         "Loads at once at full speed (rail 6, agency 13)"),
+    ROW("tls-key", WB_SETTING_TEXT, "", 0, 0, "", tls_key, "Key file in PEM; empty: plain HTTP"),
+    ROW("tls-certificate", WB_SETTING_TEXT, "", 0, 0, "", tls_certificate,
+        "Certificate file in PEM"),
+    ROW("tls-trust", WB_SETTING_TEXT, "", 0, 0, "", tls_trust,
+        "Authority that must have signed callers' certificates, in PEM"),
     ROW("log-level", WB_SETTING_TEXT, "", 0, 0, "message", log_level, "Least severe level logged"),
 };
 
@@ -142,6 +147,9 @@
                                         .body_limit_bytes = BODY_LIMIT_BYTES,
                                         .thread_count = 4,
                                         .idle_timeout_s = 0,
+                                        .tls_key_pem = standin_read_file(settings.tls_key),
+                                        .tls_cert_pem = standin_read_file(settings.tls_certificate),
+                                        .tls_trust_pem = standin_read_file(settings.tls_trust),
                                         .handler = request_handle};
     wb_http_server_t *server;
     if (wb_http_server_start(&server, &options, &error) != APR_SUCCESS) {
--- a/standins/platform/platform.h
+++ b/standins/platform/platform.h
@@ -27,6 +27,9 @@
     int64_t weight_loads_per_s;
     int64_t weight_loads_at_once;
     const char *log_level;
+    const char *tls_key;
+    const char *tls_certificate;
+    const char *tls_trust;
 } platform_settings_t;
 
 /** A rate limit: tokens refill at `per_s`, at most one second's worth is kept. */
--- a/standins/standin_http.c
+++ b/standins/standin_http.c
@@ -39,6 +39,15 @@
     return value;
 }
 
+char *standin_read_file(const char *path)
+{
+    char *text = NULL;
+    g_autoptr(GError) failure = NULL;
+    if (*path != '\0' && !g_file_get_contents(path, &text, NULL, &failure))
+        g_error("%s", failure->message);
+    return text;
+}
+
 static void signals_fill(sigset_t *set)
 {
     sigemptyset(set);
--- a/standins/standin_http.h
+++ b/standins/standin_http.h
@@ -19,6 +19,9 @@
 /** @return the request's body as JSON, or NULL after a 400 was sent */
 json_t *standin_read_json(wb_http_exchange_t *exchange);
 
+/** @return a file's text; NULL for an empty name; ends the program when it can't be read */
+char *standin_read_file(const char *path);
+
 /** Wait until SIGTERM or SIGINT; blocks the signals for threads that start later. */
 void standin_signals_block(void);
 void standin_signals_wait(void);
--- a/tests/bench/scale.c
+++ b/tests/bench/scale.c
@@ -143,7 +143,7 @@
     if (wb_settings_read(&wb_node_settings_table, 7, argv, &settings, &error) != APR_SUCCESS)
         g_error("%s", error.message);
     wb_http_client_t **client = &scale->clients[index % LOOPS];
-    wb_node_parts_t parts = {hollow->loop, *client, client, 1};
+    wb_node_parts_t parts = {hollow->loop, *client, client, 1, NULL, "http"};
     if (wb_node_create(&hollow->node, &settings, &parts, &error) != APR_SUCCESS)
         g_error("%s", error.message);
 }
--- a/tests/harness/calls.c
+++ b/tests/harness/calls.c
@@ -44,12 +44,30 @@
     return length;
 }
 
+const char *harness_tls_folder;
+
+static void tls_set(CURL *curl)
+{
+    if (harness_tls_folder == NULL)
+        return;
+    g_autofree char *ca = g_build_filename(harness_tls_folder, "ca.pem", NULL);
+    g_autofree char *certificate = g_build_filename(harness_tls_folder, "caller.pem", NULL);
+    g_autofree char *key = g_build_filename(harness_tls_folder, "caller.key", NULL);
+    curl_easy_setopt(curl, CURLOPT_SSL_VERIFYHOST, 0L);
+    curl_easy_setopt(curl, CURLOPT_CAINFO, ca);
+    if (!g_file_test(certificate, G_FILE_TEST_EXISTS))
+        return;
+    curl_easy_setopt(curl, CURLOPT_SSLCERT, certificate);
+    curl_easy_setopt(curl, CURLOPT_SSLKEY, key);
+}
+
 answer_t *call(const char *method, int port, const char *path, const char *const *headers,
                const char *body, int timeout_ms)
 {
     answer_t *answer = g_new0(answer_t, 1);
     collecting_t collecting = {answer, g_string_new(NULL), g_get_monotonic_time()};
-    g_autofree char *url = g_strdup_printf("http://127.0.0.1:%d%s", port, path);
+    g_autofree char *url = g_strdup_printf(
+        "%s://127.0.0.1:%d%s", harness_tls_folder != NULL ? "https" : "http", port, path);
     struct curl_slist *list = curl_slist_append(NULL, "Expect:");
     for (const char *const *line = headers; line != NULL && *line != NULL; line++)
         list = curl_slist_append(list, *line);
@@ -64,6 +82,7 @@
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &collecting);
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, header_collect);
     curl_easy_setopt(curl, CURLOPT_HEADERDATA, &collecting);
+    tls_set(curl);
     if (body != NULL)
         curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
     CURLcode code = curl_easy_perform(curl);
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -112,7 +112,7 @@
     return g_string_free(seeds, FALSE);
 }
 
-void node_start(cluster_t *cluster, int index)
+void node_launch(cluster_t *cluster, int index)
 {
     node_t *node = &cluster->nodes[index];
     process_clear(&node->process);
@@ -131,7 +131,14 @@
     flags_add(arguments, cluster->options.node_flags);
     process_prepare(cluster, &node->process, id, "wickbridged", arguments);
     process_start(&node->process);
-    machine_register(cluster, id, "node", "", node->zone, node->nodes_port, node->process.pid);
+}
+
+void node_start(cluster_t *cluster, int index)
+{
+    node_t *node = &cluster->nodes[index];
+    node_launch(cluster, index);
+    machine_register(cluster, node->process.name, "node", "", node->zone, node->nodes_port,
+                     node->process.pid);
     g_assert_true(
         eventually(port_answers, cluster, GINT_TO_POINTER(node->operators_port), READY_TIMEOUT_MS));
 }
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -76,6 +76,8 @@
 int cluster_add_node(cluster_t *cluster);
 /** Start a node process again at the place of a stopped one. */
 void node_start(cluster_t *cluster, int index);
+/** Start a node process without telling the platform or waiting for it. */
+void node_launch(cluster_t *cluster, int index);
 int cluster_add_engine(cluster_t *cluster, const char *service);
 
 void process_signal(process_t *process, int signal);
@@ -92,6 +94,9 @@
 void platform_faults(cluster_t *cluster, const char *json);
 void machine_leave(cluster_t *cluster, const char *id);
 
+/** With a folder here, all calls are made over TLS with its ca.pem, caller.pem and caller.key. */
+extern const char *harness_tls_folder;
+
 /** A call's answer. */
 typedef struct answer_t {
     long status; /**< 0: no whole answer */
--- a/tests/integration/main.c
+++ b/tests/integration/main.c
@@ -85,5 +85,6 @@
     stop_tests_add();
     config_tests_add();
     outage_tests_add();
+    tls_tests_add();
     return g_test_run();
 }
--- a/tests/integration/test_outages.c
+++ b/tests/integration/test_outages.c
@@ -101,11 +101,32 @@
     cluster_stop(cluster);
 }
 
+/* A node that reaches the platform but no other node must not take cells over. */
+static void test_isolated_node_founds_nothing(void)
+{
+    cluster_options_t options = {.nodes = 3, .engines = 1};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 1, 1);
+    answer_free(chat(cluster->nodes[0].callers_port, "m1", 4, NULL, NULL));
+    int owner = cell_owner(cluster, "assistant/0");
+    cluster->options.node_flags = "--cluster=another";
+    int isolated = cluster_add_node(cluster);
+    g_usleep(9000000); /* longer than a cell without an owner is left alone */
+    g_assert_cmpint(cell_owner(cluster, "assistant/0"), ==, owner);
+    process_kill(&cluster->nodes[isolated].process);
+    answer_t *answer = chat(cluster->nodes[1].callers_port, "m1", 4, NULL, NULL);
+    answer_print(answer);
+    g_assert_true(answer_is_whole(answer, 4));
+    answer_free(answer);
+    cluster_stop(cluster);
+}
+
 void outage_tests_add(void)
 {
     g_test_add_func("/outages/platform-away-for-the-whole-run",
                     test_platform_away_for_the_whole_run);
     g_test_add_func("/outages/zone-gone-at-once", test_zone_gone_at_once);
+    g_test_add_func("/outages/isolated-node-founds-nothing", test_isolated_node_founds_nothing);
     g_test_add_func("/outages/slow-weight-store", test_slow_weight_store);
     g_test_add_func("/outages/majority-of-a-group-lost", test_majority_of_a_group_lost);
 }
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -12,6 +12,7 @@
     GPtrArray *orders; /* "action model engine" */
     uint64_t fences[4];
     wb_route_state_t shown;
+    int64_t estimate_ms;
 } bench_t;
 
 static uint64_t propose(const wb_wire_command *command, void *context)
@@ -35,6 +36,7 @@
 {
     (void)node;
     ((bench_t *)context)->shown = route->state;
+    ((bench_t *)context)->estimate_ms = route->estimate_ms;
 }
 
 static wb_config_t *config_create(const char *text)
@@ -173,6 +175,26 @@
     bench_free(bench);
 }
 
+/* A load that takes far longer than thought isn't promised for the next moment all the time. */
+static void test_late_load_is_estimated_later(void)
+{
+    bench_t *bench = bench_create(config_two, 0);
+    engine_join(bench, "e1", 0);
+    ask(bench, 1, 10);
+    wb_cell_committed(bench->cell, bench->sequence);
+    wb_cell_step(bench->cell, 20);
+    wb_inventory_t *loading = inventory("e1", 2, 1000);
+    wb_inventory_add_model(loading, "m", 600 * WB_MIB, WB_LOAD_LOADING);
+    wb_cell_order_done(bench->cell, "e1", bench->fences[1], WB_ORDER_TAKEN, loading, 30);
+    ask(bench, 1, 40);
+    g_assert_cmpint(bench->shown, ==, WB_ROUTE_WAKING);
+    g_assert_cmpint(bench->estimate_ms, <, 300);
+    ask(bench, 1, 10020);
+    g_assert_cmpint(bench->shown, ==, WB_ROUTE_WAKING);
+    g_assert_cmpint(bench->estimate_ms, >=, 10000);
+    bench_free(bench);
+}
+
 static void test_no_engine_is_refused(void)
 {
     bench_t *bench = bench_create(config_two, 0);
@@ -188,5 +210,6 @@
     g_test_add_func("/cell/unreachable-engine-keeps-its-slot",
                     test_unreachable_engine_keeps_its_slot);
     g_test_add_func("/cell/idle-replica-goes", test_idle_replica_goes);
+    g_test_add_func("/cell/late-load-is-estimated-later", test_late_load_is_estimated_later);
     g_test_add_func("/cell/no-engine-is-refused", test_no_engine_is_refused);
 }
