Let operators decide keep-alive and placement by short Lua programs

A program is tried before its declaration is accepted; one that fails later falls back to the built-in rule for that call and says so. wickctl policy test runs programs against recorded situations.

--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -79,6 +79,7 @@
     g_hash_table_unref(cell->retiring);
     g_hash_table_unref(cell->surplus);
     g_ptr_array_unref(cell->loads);
+    wb_policy_free(cell->policy);
     wb_config_unref(cell->config);
     g_free(cell->name);
     g_free(cell);
@@ -89,6 +90,7 @@
     wb_config_ref(config);
     wb_config_unref(cell->config);
     cell->config = config;
+    cell_policy_load(cell);
 }
 
 static cell_engine_t *engine_get(wb_cell_t *cell, const char *id, const char *address,
@@ -530,12 +532,14 @@
 }
 
 /* Nothing waits, runs, or has run within the service's keep-alive. */
-static gboolean model_is_idle(const wb_cell_t *cell, const wb_model_t *model,
-                              const cell_busy_t *busy, int64_t now_ms)
+static gboolean model_is_idle(wb_cell_t *cell, const wb_model_t *model, const cell_busy_t *busy,
+                              int64_t now_ms)
 {
-    const wb_service_t *service = wb_config_service(cell->config, model->service);
-    gboolean recent = busy->used_ms > 0 && now_ms - busy->used_ms <= service->keep_alive_ms;
-    return busy->waiting + busy->running == 0 && !recent;
+    if (busy->waiting + busy->running > 0)
+        return FALSE;
+    if (busy->used_ms == 0 || wb_record_slot_count(cell->record, model->name) == 0)
+        return TRUE;
+    return now_ms - busy->used_ms > cell_keep_alive_ms(cell, model, busy, now_ms);
 }
 
 static int64_t replicas_wanted(const wb_cell_t *cell, const wb_model_t *model,
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -125,7 +125,7 @@
     return victims;
 }
 
-static guint zone_replicas(const wb_cell_t *cell, const char *model, const char *zone)
+guint cell_zone_replicas(const wb_cell_t *cell, const char *model, const char *zone)
 {
     guint count = 0;
     for (guint i = 0; i < cell->record->slots->len; i++) {
@@ -155,17 +155,21 @@
         return FALSE;
     choice->engine = engine;
     choice->victims = NULL;
-    choice->cost_ms = cell_load_estimate_ms(cell, engine, model->name, model->memory_bytes);
+    int64_t load_ms = cell_load_estimate_ms(cell, engine, model->name, model->memory_bytes);
+    choice->cost_ms = load_ms;
     choice->cost_ms +=
-        SAME_ZONE_PENALTY_MS * (int64_t)zone_replicas(cell, model->name, engine->zone);
+        SAME_ZONE_PENALTY_MS * (int64_t)cell_zone_replicas(cell, model->name, engine->zone);
     choice->cost_ms += BUSY_PENALTY_MS * (int64_t)g_hash_table_size(engine->inventory->models);
     int64_t missing = model->memory_bytes - cell_engine_free_bytes(cell, engine, model->name);
-    if (missing <= 0)
+    if (missing <= 0) {
+        choice->cost_ms += cell_placement_cost_ms(cell, model, engine, 0, load_ms);
         return TRUE;
+    }
     choice->victims = victims_find(cell, engine, missing);
     if (choice->victims == NULL)
         return FALSE;
     choice->cost_ms += EVICTION_PENALTY_MS * (int64_t)choice->victims->len;
+    choice->cost_ms += cell_placement_cost_ms(cell, model, engine, choice->victims->len, load_ms);
     return TRUE;
 }
 
--- a/src/cell/cell_types.h
+++ b/src/cell/cell_types.h
@@ -3,6 +3,7 @@
 #define WICKBRIDGE_CELL_TYPES_H
 
 #include "wickbridge/cell.h"
+#include "wickbridge/policy.h"
 
 #include <string.h>
 
@@ -65,6 +66,9 @@
     wb_cell_events_t events;
     wb_record_t *record;
     wb_config_t *config;
+    wb_policy_program_t *policy; /* of the service; NULL: the built-in rules */
+    int64_t policy_failures;
+    char policy_failure[WB_ERROR_MESSAGE_SIZE]; /* the last one */
     uint64_t epoch;
     uint64_t committed;
     gboolean machines_known; /* a whole machine list came since we own the cell */
@@ -104,6 +108,7 @@
 /* cell_place.c */
 int64_t cell_engine_free_bytes(const wb_cell_t *cell, const cell_engine_t *engine,
                                const char *except_model);
+guint cell_zone_replicas(const wb_cell_t *cell, const char *model, const char *zone);
 cell_source_t cell_source(const cell_engine_t *engine, const char *model);
 int64_t cell_load_estimate_ms(const wb_cell_t *cell, const cell_engine_t *engine, const char *model,
                               int64_t bytes);
@@ -112,6 +117,14 @@
 gboolean cell_model_is_idle_at(const wb_cell_t *cell, const cell_engine_t *engine,
                                const char *model);
 
+/* cell_policy.c: what the operators' policy says, or the built-in rule. */
+void cell_policy_load(wb_cell_t *cell);
+int64_t cell_keep_alive_ms(wb_cell_t *cell, const wb_model_t *model, const cell_busy_t *busy,
+                           int64_t now_ms);
+/* In addition to the built-in cost. */
+int64_t cell_placement_cost_ms(wb_cell_t *cell, const wb_model_t *model,
+                               const cell_engine_t *engine, guint evictions, int64_t load_ms);
+
 /* cell_adapters.c */
 void cell_adapters_step(wb_cell_t *cell, int64_t now_ms);
 
--- a/src/config/declaration.c
+++ b/src/config/declaration.c
@@ -2,6 +2,7 @@
 #include "wickbridge/declaration.h"
 
 #include "wickbridge/json.h"
+#include "wickbridge/policy.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -268,6 +269,18 @@
     return APR_SUCCESS;
 }
 
+static apr_status_t policy_check(const wb_policy_t *policy, wb_config_fault_t *fault,
+                                 wb_error_t *error)
+{
+    wb_policy_program_t *program = NULL;
+    if (wb_policy_compile(&program, policy->name, policy->program, error) == APR_SUCCESS) {
+        wb_policy_free(program);
+        return APR_SUCCESS;
+    }
+    g_autofree char *key = g_strconcat("policy/", policy->name, NULL);
+    return fault_set(fault, key, "program");
+}
+
 static apr_status_t references_check(wb_config_t *config, wb_config_fault_t *fault,
                                      wb_error_t *error)
 {
@@ -280,6 +293,9 @@
     g_hash_table_iter_init(&iterator, config->adapters);
     while (status == APR_SUCCESS && g_hash_table_iter_next(&iterator, NULL, &value))
         status = adapter_check_references(config, value, fault, error);
+    g_hash_table_iter_init(&iterator, config->policies);
+    while (status == APR_SUCCESS && g_hash_table_iter_next(&iterator, NULL, &value))
+        status = policy_check(value, fault, error);
     g_hash_table_iter_init(&iterator, config->services);
     while (status == APR_SUCCESS && g_hash_table_iter_next(&iterator, NULL, &value)) {
         const wb_service_t *service = value;
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -30,6 +30,7 @@
     gboolean prune;
     const char *author;
     int64_t count;
+    const char *history;  /* recorded situations for policy test */
     const char *words[3]; /* what stands after the command */
     int word_count;
 } ctl_options_t;
@@ -79,4 +80,7 @@
 int ctl_drain(const ctl_options_t *options);
 int ctl_explain(const ctl_options_t *options);
 
+/* commands_policy.c */
+int ctl_policy(const ctl_options_t *options);
+
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -28,6 +28,8 @@
     {"drain", "", "Let one node finish its work and hand its cells over", ctl_drain},
     {"explain", "model NAME | request ID", "Say why a model or request is where it is",
      ctl_explain},
+    {"policy", "test -f PATH [NAME]", "Run policies of PATH against recorded situations",
+     ctl_policy},
 };
 
 static const struct argp_option flag_table[] = {
@@ -37,6 +39,7 @@
     {"prune", 'p', NULL, 0, "Remove what is in force and not declared in PATH", 0},
     {"author", 'a', "NAME", 0, "Who makes the change, for the history", 0},
     {"count", 'c', "NUMBER", 0, "End watch after so many changes", 0},
+    {"history", 'H', "FILE", 0, "Situations for policy test, as a JSON array", 0},
     {"ca", 1, "FILE", 0, "Authorities that sign nodes' certificates; turns TLS on", 0},
     {"cert", 2, "FILE", 0, "Own certificate", 0},
     {"key", 3, "FILE", 0, "Own key", 0},
@@ -73,6 +76,9 @@
     case 'c':
         options->count = g_ascii_strtoll(value, NULL, 10);
         break;
+    case 'H':
+        options->history = value;
+        break;
     case 1:
         options->ca_file = value;
         break;
--- a/tests/fuzz/fuzz_parsers_check.c
+++ b/tests/fuzz/fuzz_parsers_check.c
@@ -11,7 +11,8 @@
 static const char config_sample[] =
     "{\"service/s\":{\"cells\":2,\"repeatable\":false},\"model/m\":{\"service\":\"s\","
     "\"memory_mib\":10,\"max_replicas\":2},\"adapter/a\":{\"model\":\"m\",\"memory_mib\":1},"
-    "\"owner/o\":{\"share\":3},\"policy/p\":{\"program\":\"return 1\"}}";
+    "\"owner/o\":{\"share\":3},\"policy/p\":{\"program\":\"function keep_alive_ms(m) return 1 "
+    "end\"}}";
 static const char inventory_sample[] =
     "{\"id\":\"e\",\"fence\":\"4294967297\",\"sequence\":3,\"capacity_bytes\":100,\"leaving\":"
     "false,"
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -15,5 +15,6 @@
     cell_tests_add();
     declaration_tests_add();
     message_tests_add();
+    policy_tests_add();
     return g_test_run();
 }
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -9,5 +9,6 @@
 void cell_tests_add(void);
 void declaration_tests_add(void);
 void message_tests_add(void);
+void policy_tests_add(void);
 
 #endif
