Split a cell's state from its decisions; tell neighbours only recent news

A new overlay link exchanged whole tables (25 KB each way at 350 nodes), which made up most of the traffic while a zone healed. Now it carries what was learnt in the last ten seconds; older news has reached everyone, and digests show it if not.

--- /dev/null
+++ b/src/cell/cell_step.c
@@ -0,0 +1,334 @@
+/* A cell's decisions, step by step: fences, slots, replicas wanted and replicas that go. */
+#include "cell_types.h"
+
+#define GATEWAY_FORGET_MS 15000
+#define TARGET_FORGET_MS (10 * 60 * 1000)
+
+static void gateways_forget(wb_cell_t *cell, int64_t now_ms)
+{
+    GHashTableIter targets, gateways;
+    gpointer target_value, gateway_value;
+    g_hash_table_iter_init(&targets, cell->targets);
+    while (g_hash_table_iter_next(&targets, NULL, &target_value)) {
+        cell_target_t *target = target_value;
+        g_hash_table_iter_init(&gateways, target->gateways);
+        while (g_hash_table_iter_next(&gateways, NULL, &gateway_value))
+            if (now_ms - ((cell_gateway_t *)gateway_value)->heard_ms > GATEWAY_FORGET_MS)
+                g_hash_table_iter_remove(&gateways);
+        if (g_hash_table_size(target->gateways) == 0 && now_ms - target->used_ms > TARGET_FORGET_MS)
+            g_hash_table_iter_remove(&targets);
+    }
+}
+
+/* An engine holds the model without a slot, as can be after a lost majority. */
+static gboolean engine_has_stray(const wb_cell_t *cell, const cell_engine_t *engine,
+                                 const char *model)
+{
+    return engine->machine != WB_MACHINE_GONE && cell_held(engine, model) != NULL &&
+           !wb_record_has_slot(cell->record, model, engine->id);
+}
+
+static gboolean cell_has_stray(const wb_cell_t *cell)
+{
+    GHashTableIter engines, models;
+    gpointer engine_value, model;
+    g_hash_table_iter_init(&engines, cell->engines);
+    while (g_hash_table_iter_next(&engines, NULL, &engine_value)) {
+        const cell_engine_t *engine = engine_value;
+        if (engine->inventory == NULL)
+            continue;
+        g_hash_table_iter_init(&models, engine->inventory->models);
+        while (g_hash_table_iter_next(&models, &model, NULL))
+            if (engine_has_stray(cell, engine, model))
+                return TRUE;
+    }
+    return FALSE;
+}
+
+/* Raises the fence of engines that don't know our epoch, or where an order may still arrive. */
+static void engines_fence(wb_cell_t *cell, int64_t now_ms)
+{
+    gboolean all_seen = TRUE;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        cell_engine_t *engine = value;
+        if (engine->machine == WB_MACHINE_GONE)
+            continue;
+        all_seen = all_seen && engine->fenced;
+        if (engine->ordering || now_ms < engine->retry_at_ms || (engine->fenced && engine->settled))
+            continue;
+        cell_order_send(cell, engine, WB_ORDER_FENCE, NULL, NULL, 0, 0);
+    }
+    if (cell->record->slots_unsure && all_seen && cell->machines_known && !cell_has_stray(cell)) {
+        wb_wire_command command = {.kind = WB_WIRE_COMMAND_SLOTS_SURE};
+        cell->events.propose(&command, cell->events.context);
+    }
+}
+
+static void slot_remove_propose(wb_cell_t *cell, const char *model, const char *engine)
+{
+    char pair[CELL_PAIR_SIZE];
+    cell_pair(pair, model, engine);
+    g_autofree char *model_copy = g_strdup(model);
+    g_autofree char *engine_copy = g_strdup(engine);
+    wb_wire_command command = {.kind = WB_WIRE_COMMAND_SLOT_REMOVE};
+    command.wb_wire_command_u.slot_remove.model = model_copy;
+    command.wb_wire_command_u.slot_remove.engine = engine_copy;
+    if (cell->events.propose(&command, cell->events.context) == 0)
+        return;
+    g_hash_table_remove(cell->uncommitted, pair);
+    g_hash_table_remove(cell->retiring, pair);
+}
+
+static gboolean slot_is_committed(const wb_cell_t *cell, const char *pair)
+{
+    const uint64_t *sequence = g_hash_table_lookup(cell->uncommitted, pair);
+    return sequence == NULL || *sequence <= cell->committed;
+}
+
+/* Loads what a slot allows. A record that may be old allows nothing before all engines were seen.
+ */
+static void slot_load(wb_cell_t *cell, cell_engine_t *engine, const wb_model_t *model,
+                      int64_t now_ms)
+{
+    if (cell->record->slots_unsure)
+        return;
+    if (cell_engine_free_bytes(cell, engine, NULL) < 0) {
+        /* An earlier owner gave the slot up and used its memory, and then lost its office before
+         * that counted. */
+        char pair[CELL_PAIR_SIZE];
+        g_hash_table_replace(cell->retiring, g_strdup(cell_pair(pair, model->name, engine->id)),
+                             "there is no room for it any more");
+        return;
+    }
+    if (cell_source(engine, model->name) == SOURCE_REMOTE &&
+        (int64_t)cell_remote_loads(cell) >= cell->options.remote_loads_at_once)
+        return; /* the weight store is busy with loads of ours */
+    cell_load_begun(cell, engine, model->name, model->memory_bytes, now_ms);
+    cell_order_send(cell, engine, WB_ORDER_LOAD, model->name, NULL, model->version,
+                    model->memory_bytes);
+}
+
+/* Moves one slot on: towards loaded, or towards gone. Returns FALSE when it was removed. */
+static gboolean slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms)
+{
+    cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
+    if (engine == NULL)
+        return TRUE; /* not in the machine list yet */
+    if (engine->machine == WB_MACHINE_GONE) {
+        slot_remove_propose(cell, slot->model, slot->engine);
+        return FALSE;
+    }
+    char pair[CELL_PAIR_SIZE];
+    cell_pair(pair, slot->model, slot->engine);
+    const wb_model_t *model = wb_config_model(cell->config, slot->model);
+    const wb_held_model_t *held = cell_held(engine, slot->model);
+    gboolean leaving = engine->machine == WB_MACHINE_LEAVING ||
+                       (engine->inventory != NULL && engine->inventory->leaving);
+    gboolean outdated = model == NULL || (held != NULL && held->version != model->version);
+    if ((leaving || outdated) && !g_hash_table_contains(cell->retiring, pair))
+        g_hash_table_insert(cell->retiring, g_strdup(pair),
+                            leaving ? "the engine is leaving" : "the declaration has changed");
+    if (!cell_engine_is_orderable(engine, now_ms))
+        return TRUE;
+    gboolean retiring = g_hash_table_contains(cell->retiring, pair);
+    if (retiring && held == NULL) {
+        slot_remove_propose(cell, slot->model, slot->engine);
+        return FALSE;
+    }
+    if (retiring && held->state != WB_LOAD_UNLOADING)
+        cell_order_send(cell, engine, WB_ORDER_UNLOAD, slot->model, NULL, 0, 0);
+    else if (!retiring && held == NULL && slot_is_committed(cell, pair))
+        slot_load(cell, engine, model, now_ms);
+    return TRUE;
+}
+
+static void slots_step(wb_cell_t *cell, int64_t now_ms)
+{
+    for (guint i = cell->record->slots->len; i-- > 0;)
+        slot_step(cell, cell->record->slots->pdata[i], now_ms);
+}
+
+/* After a lost majority, engines may hold models without a slot: those go. */
+static void strays_unload(wb_cell_t *cell, int64_t now_ms)
+{
+    GHashTableIter engines, models;
+    gpointer engine_value, model_value;
+    g_hash_table_iter_init(&engines, cell->engines);
+    while (g_hash_table_iter_next(&engines, NULL, &engine_value)) {
+        cell_engine_t *engine = engine_value;
+        if (!cell_engine_is_orderable(engine, now_ms))
+            continue;
+        g_hash_table_iter_init(&models, engine->inventory->models);
+        while (g_hash_table_iter_next(&models, NULL, &model_value)) {
+            const wb_held_model_t *held = model_value;
+            if (held->state == WB_LOAD_UNLOADING ||
+                wb_record_has_slot(cell->record, held->name, engine->id))
+                continue;
+            cell_order_send(cell, engine, WB_ORDER_UNLOAD, held->name, NULL, 0, 0);
+            break;
+        }
+    }
+}
+
+/* Replicas that are not on their way out. */
+static guint slots_staying(const wb_cell_t *cell, const char *model)
+{
+    guint count = 0;
+    char pair[CELL_PAIR_SIZE];
+    for (guint i = 0; i < cell->record->slots->len; i++) {
+        const wb_slot_t *slot = cell->record->slots->pdata[i];
+        if (strcmp(slot->model, model) == 0 &&
+            !g_hash_table_contains(cell->retiring, cell_pair(pair, model, slot->engine)))
+            count++;
+    }
+    return count;
+}
+
+static int64_t typical_batch(const wb_cell_t *cell)
+{
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->engines);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const cell_engine_t *engine = value;
+        if (engine->inventory != NULL && engine->inventory->batch > 0)
+            return engine->inventory->batch;
+    }
+    return 1;
+}
+
+/* Nothing waits, runs, or has run within the service's keep-alive. */
+static gboolean model_is_idle(wb_cell_t *cell, const wb_model_t *model, const cell_busy_t *busy,
+                              int64_t now_ms)
+{
+    if (busy->waiting + busy->running > 0)
+        return FALSE;
+    if (busy->used_ms == 0 || wb_record_slot_count(cell->record, model->name) == 0)
+        return TRUE;
+    return now_ms - busy->used_ms > cell_keep_alive_ms(cell, model, busy, now_ms);
+}
+
+static int64_t replicas_wanted(const wb_cell_t *cell, const wb_model_t *model,
+                               const cell_busy_t *busy, gboolean idle)
+{
+    int64_t wanted = model->min_replicas;
+    int64_t total = busy->waiting + busy->running;
+    if (!idle)
+        wanted = MAX(wanted, 1);
+    int64_t batch = typical_batch(cell);
+    wanted = MAX(wanted, (total + batch - 1) / batch);
+    return MIN(wanted, model->max_replicas);
+}
+
+/* Lets the replica go that runs least. */
+static void replica_retire(wb_cell_t *cell, const char *model, const char *why)
+{
+    const char *best = NULL;
+    int least = INT_MAX;
+    char pair[CELL_PAIR_SIZE];
+    for (guint i = 0; i < cell->record->slots->len; i++) {
+        const wb_slot_t *slot = cell->record->slots->pdata[i];
+        const cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
+        if (strcmp(slot->model, model) != 0 || engine == NULL ||
+            g_hash_table_contains(cell->retiring, cell_pair(pair, model, slot->engine)))
+            continue;
+        const wb_held_model_t *held = cell_held(engine, model);
+        int running = held != NULL ? held->running : 0;
+        if (running < least) {
+            least = running;
+            best = slot->engine;
+        }
+    }
+    if (best != NULL)
+        g_hash_table_replace(cell->retiring, g_strdup(cell_pair(pair, model, best)), (gpointer)why);
+}
+
+/* More replicas than wanted: one goes at a time, the last one at once as its keep-alive is over. */
+static void surplus_step(wb_cell_t *cell, const wb_model_t *model, int64_t staying, gboolean idle,
+                         int64_t now_ms)
+{
+    const wb_service_t *service = wb_config_service(cell->config, model->service);
+    int64_t *since_ms = g_hash_table_lookup(cell->surplus, model->name);
+    if (since_ms == NULL) {
+        since_ms = g_new(int64_t, 1);
+        *since_ms = now_ms;
+        g_hash_table_insert(cell->surplus, g_strdup(model->name), since_ms);
+    }
+    if (staying > model->max_replicas || idle || now_ms - *since_ms > service->keep_alive_ms / 2) {
+        *since_ms = now_ms;
+        replica_retire(cell, model->name, idle ? "idle" : "more replicas than needed");
+    }
+}
+
+static void model_step(wb_cell_t *cell, const wb_model_t *model, int64_t now_ms)
+{
+    cell_busy_t busy = cell_model_busy(cell, model->name);
+    /* A new owner doesn't know yet who uses what: nothing is idle before its keep-alive. */
+    busy.used_ms = MAX(busy.used_ms,
+                       wb_record_slot_count(cell->record, model->name) > 0 ? cell->started_ms : 0);
+    gboolean idle = model_is_idle(cell, model, &busy, now_ms);
+    int64_t wanted = replicas_wanted(cell, model, &busy, idle);
+    int64_t slots = wb_record_slot_count(cell->record, model->name);
+    int64_t staying = slots_staying(cell, model->name);
+    if (staying > wanted) {
+        surplus_step(cell, model, staying, idle, now_ms);
+        return;
+    }
+    g_hash_table_remove(cell->surplus, model->name);
+    gboolean needed = busy.waiting > 0 || model->min_replicas > staying;
+    if (staying < wanted && needed && slots < model->max_replicas && !cell->record->slots_unsure)
+        cell_place(cell, model, now_ms);
+}
+
+/* A model with what waits for it, for the order of decisions. */
+typedef struct model_turn_t {
+    const wb_model_t *model;
+    int64_t deadline_ms;
+} model_turn_t;
+
+static gint turn_compare(gconstpointer left, gconstpointer right)
+{
+    const model_turn_t *a = left;
+    const model_turn_t *b = right;
+    if (a->deadline_ms != b->deadline_ms)
+        return a->deadline_ms < b->deadline_ms ? -1 : 1;
+    return strcmp(a->model->name, b->model->name);
+}
+
+/* The model whose waiting requests have the tightest deadline comes first. */
+static void models_step(wb_cell_t *cell, int64_t now_ms)
+{
+    g_autoptr(GArray) turns = g_array_new(FALSE, FALSE, sizeof(model_turn_t));
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, cell->config->models);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const wb_model_t *model = value;
+        if (strcmp(model->cell, cell->name) != 0)
+            continue;
+        cell_busy_t busy = cell_model_busy(cell, model->name);
+        model_turn_t turn = {model, busy.waiting > 0 && busy.deadline_ms > 0 ? busy.deadline_ms
+                                                                             : INT64_MAX};
+        g_array_append_val(turns, turn);
+    }
+    g_array_sort(turns, turn_compare);
+    for (guint i = 0; i < turns->len; i++)
+        model_step(cell, g_array_index(turns, model_turn_t, i).model, now_ms);
+}
+
+void wb_cell_step(wb_cell_t *cell, int64_t now_ms)
+{
+    if (cell->config == NULL)
+        return;
+    gateways_forget(cell, now_ms);
+    engines_fence(cell, now_ms);
+    slots_step(cell, now_ms);
+    strays_unload(cell, now_ms);
+    models_step(cell, now_ms);
+    slots_step(cell, now_ms);
+    cell_adapters_step(cell, now_ms);
+    cell_routes_show(cell, now_ms);
+}
--- a/src/ctl/commands_policy.c
+++ b/src/ctl/commands_policy.c
@@ -161,8 +161,8 @@
             (options->words[1] != NULL && strcmp(options->words[1], name) != 0))
             continue;
         tested++;
-        result =
-            MAX(result, policy_run(options, name, wb_json_text(object, "program", ""), history));
+        int one = policy_run(options, name, wb_json_text(object, "program", ""), history);
+        result = MAX(result, one);
     }
     json_decref(history);
     ctl_declarations_clear(&declarations);
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #define GOSSIP_FLUSH_MS 30
+#define RECENT_MS 10000 /* news of this age may still be spreading */
 #define FORGET_AFTER_MS (10 * 60 * 1000)
 #define IDLE_LINK_MS (5 * 1000)
 #define OVERLAY_LEAST 2    /* links below which neighbours are looked for at once */
@@ -18,6 +19,7 @@
     char *cell;
     char *node;
     uint64_t epoch;
+    int64_t changed_ms; /* when it was learnt here */
 } cell_owner_t;
 
 struct wb_membership_t {
@@ -111,6 +113,7 @@
     g_free(known->node);
     known->node = g_strdup(node);
     known->epoch = epoch;
+    known->changed_ms = wb_clock_ms();
     membership->owner_digest ^= owner_hash(known);
     g_hash_table_add(membership->fresh_cells, g_strdup(cell));
     membership->events.on_owner(cell, node, epoch, membership->events.context);
@@ -126,21 +129,32 @@
     wire->state = member->state;
 }
 
-/* Sends members and owners; a NULL set means all. */
-static void gossip_send(wb_membership_t *membership, const GPtrArray *targets, GHashTable *members,
-                        GHashTable *cells)
+/* Which members and owners a gossip message carries. */
+typedef struct gossip_choice_t {
+    GHashTable *members; /* names; NULL: all */
+    GHashTable *cells;   /* names; NULL: all */
+    int64_t since_ms;    /* only what was learnt since */
+} gossip_choice_t;
+
+static gboolean choice_has(GHashTable *names, const char *name)
+{
+    return names == NULL || g_hash_table_contains(names, name);
+}
+
+static void gossip_send(wb_membership_t *membership, const GPtrArray *targets,
+                        const gossip_choice_t *choice)
 {
     g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
-    g_autofree wb_wire_member *wire_members = g_new0(wb_wire_member, list->len);
+    g_autofree wb_wire_member *wire_members = g_new0(wb_wire_member, list->len + 1);
     guint cell_limit = g_hash_table_size(membership->owners);
-    g_autofree wb_wire_ownership *wire_owners = g_new0(wb_wire_ownership, cell_limit);
+    g_autofree wb_wire_ownership *wire_owners = g_new0(wb_wire_ownership, cell_limit + 1);
     wb_wire_message message = {.kind = WB_WIRE_GOSSIP};
     wb_wire_gossip *gossip = &message.wb_wire_message_u.gossip;
     gossip->members.members_val = wire_members;
     gossip->owners.owners_val = wire_owners;
     for (guint i = 0; i < list->len; i++) {
         const wb_member_t *member = list->pdata[i];
-        if (members == NULL || g_hash_table_contains(members, member->node))
+        if (member->changed_ms >= choice->since_ms && choice_has(choice->members, member->node))
             member_to_wire(member, &wire_members[gossip->members.members_len++]);
     }
     GHashTableIter iterator;
@@ -148,7 +162,7 @@
     g_hash_table_iter_init(&iterator, membership->owners);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const cell_owner_t *owner = value;
-        if (cells != NULL && !g_hash_table_contains(cells, owner->cell))
+        if (owner->changed_ms < choice->since_ms || !choice_has(choice->cells, owner->cell))
             continue;
         wb_wire_ownership *wire = &wire_owners[gossip->owners.owners_len++];
         wire->cell = owner->cell;
@@ -159,11 +173,29 @@
         wb_peers_send_open(membership->peers, targets->pdata[i], &message);
 }
 
+static void gossip_send_since(wb_membership_t *membership, const char *node, int64_t since_ms)
+{
+    g_autoptr(GPtrArray) targets = g_ptr_array_new();
+    g_ptr_array_add(targets, (gpointer)node);
+    gossip_choice_t choice = {NULL, NULL, since_ms};
+    gossip_send(membership, targets, &choice);
+}
+
 static void gossip_send_all(wb_membership_t *membership, const char *node)
+{
+    gossip_send_since(membership, node, INT64_MIN);
+}
+
+/* Tells a node what we think of it, so that it can refute. */
+static void gossip_send_itself(wb_membership_t *membership, const char *node)
 {
     g_autoptr(GPtrArray) targets = g_ptr_array_new();
+    g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+    g_autoptr(GHashTable) no_cells = g_hash_table_new(g_str_hash, g_str_equal);
     g_ptr_array_add(targets, (gpointer)node);
-    gossip_send(membership, targets, NULL, NULL);
+    g_hash_table_add(names, (gpointer)node);
+    gossip_choice_t choice = {names, no_cells, INT64_MIN};
+    gossip_send(membership, targets, &choice);
 }
 
 static void overlay_maintain(wb_membership_t *membership);
@@ -181,7 +213,8 @@
         g_ptr_array_unref(targets);
         targets = wb_peers_overlay(membership->peers);
     }
-    gossip_send(membership, targets, membership->fresh_members, membership->fresh_cells);
+    gossip_choice_t choice = {membership->fresh_members, membership->fresh_cells, INT64_MIN};
+    gossip_send(membership, targets, &choice);
     g_hash_table_remove_all(membership->fresh_members);
     g_hash_table_remove_all(membership->fresh_cells);
 }
@@ -209,8 +242,10 @@
                            const wb_wire_heartbeat *heartbeat)
 {
     const wb_member_t *member = wb_member_table_find(membership->table, node);
-    if (member == NULL || member->state != WB_MEMBER_ALIVE)
-        gossip_send_all(membership, node); /* it learns what we think of it, and refutes */
+    if (member == NULL)
+        gossip_send_all(membership, node);
+    else if (member->state != WB_MEMBER_ALIVE)
+        gossip_send_itself(membership, node);
     gboolean same = heartbeat->member_digest == wb_member_table_digest(membership->table) &&
                     heartbeat->owner_digest == membership->owner_digest;
     guint count =
@@ -244,8 +279,10 @@
 
 void wb_membership_link_up(wb_membership_t *membership, const char *node, gboolean overlay)
 {
-    if (overlay || !wb_member_table_is_up(membership->table, node))
+    if (!wb_member_table_is_up(membership->table, node))
         gossip_send_all(membership, node);
+    else if (overlay) /* what is older has reached everyone; digests show it if not */
+        gossip_send_since(membership, node, wb_clock_ms() - RECENT_MS);
 }
 
 void wb_membership_link_down(wb_membership_t *membership, const char *node)
