--- a/tests/integration/test_refusals.c
+++ b/tests/integration/test_refusals.c
@@ -1,7 +1,12 @@
 /* Wrong requests and requests that can't be served: clear answers, nothing run, node unharmed. */
 #include "integration.h"
 
+#include <errno.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 typedef struct bad_case_t {
     const char *method;
@@ -60,6 +65,49 @@
     cluster_stop(cluster);
 }
 
+/* Connects and sends a request's start, and no more. */
+static int sender_open(int port, const char *text)
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+                                  .sin_port = htons((uint16_t)port)};
+    g_assert_cmpint(connect(descriptor, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+    g_assert_cmpint(send(descriptor, text, strlen(text), 0), ==, (int)strlen(text));
+    return descriptor;
+}
+
+/* Callers that begin a request and fall silent are cut, and keep nobody else waiting. */
+static void test_slow_senders(void)
+{
+    enum { SENDERS = 50 };
+    cluster_options_t options = {.nodes = 1, .engines = 1, .node_flags = "--sender-timeout-s=1"};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 1, 1);
+    int senders[SENDERS];
+    for (int i = 0; i < SENDERS; i++)
+        senders[i] = sender_open(cluster->nodes[0].callers_port,
+                                 i % 2 == 0 ? "POST /v1/chat/comp"
+                                            : "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                                              "Content-Length: 500\r\n\r\n{\"model\"");
+    answer_t *answer = chat(cluster->nodes[0].callers_port, "m1", 4, NULL, NULL);
+    answer_print(answer);
+    g_assert_true(answer_is_whole(answer, 4));
+    answer_free(answer);
+    for (int i = 0; i < SENDERS; i++) {
+        struct timeval limit = {.tv_sec = 30};
+        char rest[2048];
+        setsockopt(senders[i], SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+        /* an answer that tells of the time-out may come first; then the connection ends */
+        errno = 0;
+        while (recv(senders[i], rest, sizeof(rest), 0) > 0)
+            continue;
+        g_assert_cmpint(errno, !=, EAGAIN);
+        close(senders[i]);
+    }
+    cluster_stop(cluster);
+}
+
 /* A wake that takes longer than the deadline is refused as soon as that is known. */
 static void test_late_wake_is_refused_at_once(void)
 {
@@ -124,6 +172,7 @@
 void refusal_tests_add(void)
 {
     g_test_add_func("/refusals/bad-input", test_bad_input);
+    g_test_add_func("/refusals/slow-senders", test_slow_senders);
     g_test_add_func("/refusals/late-wake-is-refused-at-once", test_late_wake_is_refused_at_once);
     g_test_add_func("/refusals/no-capacity", test_no_capacity);
     g_test_add_func("/refusals/burst-on-a-full-cell", test_burst_on_a_full_cell);
