Cut nodes from each other with real processes

Each node can make its links from an IP of its own (bind-nodes), so the proxy can tell who speaks and cut one side off from the other. Both sides ask for cold models and use the same keys through a partition; configurations are accepted on both sides.

--- a/include/wickbridge/link.h
+++ b/include/wickbridge/link.h
@@ -31,6 +31,7 @@
     void (*on_close)(wb_link_t *link, const char *reason, void *context);
     void *context;
     wb_tls_context_t *tls; /**< NULL: no TLS */
+    const char *bind_host; /**< IP that connections are made from; NULL: any */
 } wb_link_events_t;
 
 /** Listen for links. @param address IP:PORT; port 0 picks one */
--- a/include/wickbridge/node.h
+++ b/include/wickbridge/node.h
@@ -21,6 +21,7 @@
     const char *listen_nodes;
     const char *listen_operators;
     const char *advertise_nodes;
+    const char *bind_nodes;
     const char *seeds;
     const char *platform;
     const char *log_level;
--- a/include/wickbridge/peers.h
+++ b/include/wickbridge/peers.h
@@ -18,6 +18,7 @@
     const char *address; /**< as others reach us */
     const char *listen;  /**< where we listen */
     const char *zone;
+    const char *bind_host; /**< IP that links are made from; NULL or "": any */
     wb_tls_context_t *tls; /**< NULL: plain links; must outlive the links */
 } wb_peers_self_t;
 
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -348,6 +348,17 @@
     return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
 }
 
+/* Makes the connection come from this IP; if that fails, it comes from any. */
+static void host_bind(apr_socket_t *socket, const char *host, apr_pool_t *pool)
+{
+    apr_sockaddr_t *own;
+    if (host == NULL || *host == '\0')
+        return;
+    if (apr_sockaddr_info_get(&own, host, APR_INET, 0, 0, pool) != APR_SUCCESS ||
+        apr_socket_bind(socket, own) != APR_SUCCESS)
+        wb_log_warning(WB_PART_LINK, "Links can't be made from %s.", host);
+}
+
 apr_status_t wb_link_connect(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
                              wb_link_counters_t *counters, wb_link_t **link, wb_error_t *error)
 {
@@ -363,6 +374,7 @@
         return wb_error_set(error, status, "can't connect to '%s'", address);
     }
     wb_link_t *created = link_create(loop, pool, socket, events, counters);
+    host_bind(socket, events->bind_host, pool);
     apr_socket_connect(socket, target);
     created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
     created->connect_timer = wb_loop_after(loop, CONNECT_TIMEOUT_MS, connect_timed_out, created);
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -26,6 +26,7 @@
     char *zone;
     wb_peers_events_t events;
     wb_tls_context_t *tls;
+    char *bind_host;
     wb_link_listener_t *listener;
     wb_link_counters_t counters;
     GPtrArray *all;      /* every wb_peer_t */
@@ -159,7 +160,8 @@
 static wb_peer_t *peer_open(wb_peers_t *peers, const char *node, const char *address,
                             gboolean overlay)
 {
-    wb_link_events_t events = {link_opened, peer_message, peer_closed, peers, peers->tls};
+    wb_link_events_t events = {link_opened, peer_message, peer_closed,
+                               peers,       peers->tls,   peers->bind_host};
     wb_link_t *link;
     wb_error_t error;
     if (wb_link_connect(peers->loop, address, &events, &peers->counters, &link, &error) !=
@@ -194,10 +196,12 @@
     created->address = g_strdup(self->address);
     created->zone = g_strdup(self->zone);
     created->tls = self->tls;
+    created->bind_host = g_strdup(self->bind_host);
     created->events = *events;
     created->all = g_ptr_array_new();
     created->by_node = g_hash_table_new(g_str_hash, g_str_equal);
-    wb_link_events_t link_events = {link_opened, peer_message, peer_closed, created, created->tls};
+    wb_link_events_t link_events = {link_opened, peer_message, peer_closed,
+                                    created,     created->tls, NULL};
     apr_status_t status = wb_link_listen(loop, self->listen, &link_events, &created->counters,
                                          &created->listener, error);
     if (status == APR_SUCCESS)
@@ -219,6 +223,7 @@
     g_free(peers->node);
     g_free(peers->address);
     g_free(peers->zone);
+    g_free(peers->bind_host);
     g_free(peers);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -156,7 +156,8 @@
 {
     const wb_node_settings_t *settings = &node->settings;
     wb_peers_self_t self = {settings->cluster,      node->name,     node->address,
-                            settings->listen_nodes, settings->zone, node->parts.link_tls};
+                            settings->listen_nodes, settings->zone, settings->bind_nodes,
+                            node->parts.link_tls};
     wb_peers_events_t events = {peer_address, peer_up,       peer_down,
                                 peer_message, peer_replaced, node};
     return wb_peers_start(&node->peers, node->parts.loop, &self, &events, error);
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -21,6 +21,8 @@
         "Address for operators, metrics and health checks"),
     ROW("advertise-nodes", WB_SETTING_ADDRESS, "", 0, 0, "", advertise_nodes,
         "Address that other nodes are told, if it isn't listen-nodes"),
+    ROW("bind-nodes", WB_SETTING_TEXT, "", 0, 0, "", bind_nodes,
+        "IP that links to other nodes are made from; empty: any"),
     ROW("seeds", WB_SETTING_TEXT, "", 0, 0, "", seeds,
         "Node addresses to join through, with commas between; this node's own may be among them"),
     ROW("platform", WB_SETTING_ADDRESS, "", 0, 0, "", platform,
--- a/standins/proxy/main.c
+++ b/standins/proxy/main.c
@@ -40,6 +40,9 @@
         standin_reply_error(exchange, 400, "bad_fault", "no such relay or fault", -1);
         return;
     }
+    const char *blocked = wb_json_text(body, "block", NULL);
+    if (blocked != NULL)
+        relay_set_blocked(relay, blocked);
     relay_fault_t fault = {(relay_fault_kind_t)kind, wb_json_integer(body, "delay_ms", 0),
                            wb_json_integer(body, "bytes", 0), wb_json_integer(body, "times", 0)};
     relay_set_fault(relay, &fault);
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -14,6 +14,7 @@
     apr_socket_t *socket;
     relay_fault_t fault;
     GPtrArray *pairs;
+    char **blocked; /* IPs whose connections are refused; may be NULL */
 };
 
 /* A piece that waits for its time or for a socket. */
@@ -212,6 +213,17 @@
         *fault = (relay_fault_t){RELAY_PASS, 0, 0, 0};
 }
 
+static gboolean is_blocked(const relay_t *relay, apr_socket_t *caller)
+{
+    apr_sockaddr_t *address;
+    char host[64] = "";
+    if (relay->blocked == NULL ||
+        apr_socket_addr_get(&address, APR_REMOTE, caller) != APR_SUCCESS ||
+        apr_sockaddr_ip_getbuf(host, sizeof(host), address) != APR_SUCCESS)
+        return FALSE;
+    return g_strv_contains((const char *const *)relay->blocked, host);
+}
+
 static void relay_accept(int16_t events, void *context)
 {
     (void)events;
@@ -223,7 +235,8 @@
         apr_pool_destroy(pool);
         return;
     }
-    if (relay->fault.kind == RELAY_CUT || target_connect(relay, pool, &target) != APR_SUCCESS) {
+    if (relay->fault.kind == RELAY_CUT || is_blocked(relay, caller) ||
+        target_connect(relay, pool, &target) != APR_SUCCESS) {
         apr_socket_close(caller);
         apr_pool_destroy(pool);
         return;
@@ -287,6 +300,33 @@
     g_free(change);
 }
 
+typedef struct blocked_change_t {
+    relay_t *relay;
+    char **hosts;
+} blocked_change_t;
+
+static void blocked_change(void *context)
+{
+    blocked_change_t *change = context;
+    relay_t *relay = change->relay;
+    g_strfreev(relay->blocked);
+    relay->blocked = change->hosts;
+    for (guint i = relay->pairs->len; i-- > 0;) {
+        pair_t *pair = relay->pairs->pdata[i];
+        if (is_blocked(relay, pair->request.from))
+            pair_close(pair);
+    }
+    g_free(change);
+}
+
+void relay_set_blocked(relay_t *relay, const char *hosts)
+{
+    blocked_change_t *change = g_new(blocked_change_t, 1);
+    change->relay = relay;
+    change->hosts = g_strsplit(hosts, ",", -1);
+    wb_loop_post(relay->loop, blocked_change, change);
+}
+
 void relay_set_fault(relay_t *relay, const relay_fault_t *fault)
 {
     fault_change_t *change = g_new(fault_change_t, 1);
--- a/standins/proxy/relay.h
+++ b/standins/proxy/relay.h
@@ -36,6 +36,9 @@
 apr_status_t relay_open(wb_loop_t *loop, const char *listen, const char *target, relay_t **relay,
                         wb_error_t *error);
 
+/** Refuse connections from these IPs (with commas between), and close open ones; any thread. */
+void relay_set_blocked(relay_t *relay, const char *hosts);
+
 /** Change what happens, from any thread. */
 void relay_set_fault(relay_t *relay, const relay_fault_t *fault);
 
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define READY_TIMEOUT_MS 30000
+#define NODE_HOST 10 /* with partitions, node i lives at 127.0.0.(10 + i) */
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
@@ -74,6 +75,7 @@
     for (int i = 0; i < HARNESS_NODES; i++) {
         cluster->nodes[i].callers_port = port_find();
         cluster->nodes[i].nodes_port = port_find();
+        cluster->nodes[i].link_proxy_port = port_find();
         cluster->nodes[i].operators_port = port_find();
     }
     for (int i = 0; i < HARNESS_ENGINES; i++) {
@@ -85,15 +87,21 @@
 
 static void proxy_start(cluster_t *cluster)
 {
-    if (!cluster->options.proxied)
+    if (!cluster->options.proxied && !cluster->options.partitions)
         return;
     cluster->proxy_control_port = port_find();
     g_autoptr(GString) relays = g_string_new(NULL);
-    g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d", cluster->platform_proxy_port,
-                           cluster->platform_port);
-    for (int i = 0; i < HARNESS_ENGINES; i++)
-        g_string_append_printf(relays, ",127.0.0.1:%d=127.0.0.1:%d", cluster->engines[i].proxy_port,
+    for (int i = 0; i < HARNESS_ENGINES && cluster->options.proxied; i++)
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", cluster->engines[i].proxy_port,
                                cluster->engines[i].port);
+    if (cluster->options.proxied)
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", cluster->platform_proxy_port,
+                               cluster->platform_port);
+    for (int i = 0; i < HARNESS_NODES && cluster->options.partitions; i++)
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.%d:%d,",
+                               cluster->nodes[i].link_proxy_port, NODE_HOST + i,
+                               cluster->nodes[i].nodes_port);
+    g_string_truncate(relays, relays->len - 1); /* the last comma */
     GPtrArray *arguments = g_ptr_array_new();
     argument_add(arguments, "--control=127.0.0.1:%d", cluster->proxy_control_port);
     argument_add(arguments, "--relays=%s", relays->str);
@@ -108,7 +116,8 @@
     GString *seeds = g_string_new(NULL);
     for (int i = 0; i < 3; i++)
         g_string_append_printf(seeds, "%s127.0.0.1:%d", i > 0 ? "," : "",
-                               cluster->nodes[i].nodes_port);
+                               cluster->options.partitions ? cluster->nodes[i].link_proxy_port
+                                                           : cluster->nodes[i].nodes_port);
     return g_string_free(seeds, FALSE);
 }
 
@@ -123,7 +132,13 @@
     argument_add(arguments, "--id=%s", id);
     argument_add(arguments, "--zone=%s", node->zone);
     argument_add(arguments, "--listen-callers=127.0.0.1:%d", node->callers_port);
-    argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
+    if (cluster->options.partitions) {
+        argument_add(arguments, "--listen-nodes=127.0.0.%d:%d", NODE_HOST + index,
+                     node->nodes_port);
+        argument_add(arguments, "--bind-nodes=127.0.0.%d", NODE_HOST + index);
+        argument_add(arguments, "--advertise-nodes=127.0.0.1:%d", node->link_proxy_port);
+    } else
+        argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
     argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->operators_port);
     argument_add(arguments, "--seeds=%s", seeds);
     argument_add(arguments, "--platform=127.0.0.1:%d", cluster->platform_proxy_port);
@@ -243,6 +258,28 @@
     proxy_fault(cluster, cluster->platform_proxy_port, fault, delay_ms, 0, times);
 }
 
+/* Whether a partition with the first nodes on one side lies between the two. */
+static gboolean is_between(int first_count, int one, int two)
+{
+    return first_count > 0 && (one < first_count) != (two < first_count);
+}
+
+void partition_set(cluster_t *cluster, int first_count)
+{
+    for (int i = 0; i < cluster->node_count; i++) {
+        g_autoptr(GString) hosts = g_string_new(NULL);
+        for (int j = 0; j < cluster->node_count; j++)
+            if (is_between(first_count, i, j))
+                g_string_append_printf(hosts, "%s127.0.0.%d", hosts->len > 0 ? "," : "",
+                                       NODE_HOST + j);
+        g_autofree char *body = g_strdup_printf("{\"relay\":\"127.0.0.1:%d\",\"block\":\"%s\"}",
+                                                cluster->nodes[i].link_proxy_port, hosts->str);
+        answer_t *answer = call("POST", cluster->proxy_control_port, "/", NULL, body, 5000);
+        g_assert_cmpint(answer->status, ==, 200);
+        answer_free(answer);
+    }
+}
+
 void platform_faults(cluster_t *cluster, const char *json)
 {
     answer_t *answer = call("POST", cluster->platform_port, "/standin/v1/faults", NULL, json, 5000);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -28,6 +28,7 @@
     process_t process;
     int callers_port;
     int nodes_port;
+    int link_proxy_port; /**< where other nodes reach it, with partitions */
     int operators_port;
     char zone[16];
 } node_t;
@@ -46,6 +47,7 @@
     int nodes;
     int engines;              /**< of the service "assistant" */
     int lock_engines;         /**< of the service "seat-lock" */
+    gboolean partitions;      /**< nodes are linked through the proxy, each from an IP of its own */
     gboolean proxied;         /**< engines and the platform are reached through the proxy */
     const char *engine_flags; /**< more flags, with spaces between */
     const char *platform_flags;
@@ -90,6 +92,8 @@
 void engine_fault(cluster_t *cluster, int engine, const char *fault, int delay_ms, int bytes,
                   int times);
 void platform_proxy_fault(cluster_t *cluster, const char *fault, int delay_ms, int times);
+/** Cut nodes 0..first_count-1 off from the others; 0 heals. Needs partitions in the options. */
+void partition_set(cluster_t *cluster, int first_count);
 /** Set the platform's own mode: {"table":"refuse"} and so on. */
 void platform_faults(cluster_t *cluster, const char *json);
 void machine_leave(cluster_t *cluster, const char *id);
--- /dev/null
+++ b/tests/integration/test_partitions.c
@@ -0,0 +1,142 @@
+/* Nodes are cut from each other, while both sides reach engines, platform and callers. */
+#include "integration.h"
+
+#include <string.h>
+
+#define NODES 5
+#define SMALLER 2 /* nodes 0 and 1 on one side, the other three on the other */
+
+static gboolean all_members_alive(cluster_t *cluster, void *context)
+{
+    (void)context;
+    for (int i = 0; i < cluster->node_count; i++) {
+        json_t *status = node_status(cluster, i);
+        int alive = 0;
+        size_t index;
+        json_t *member;
+        json_array_foreach(json_object_get(status, "members"), index, member)
+        {
+            const char *state = json_string_value(json_object_get(member, "state"));
+            alive += strcmp(state, "alive") == 0;
+        }
+        json_decref(status);
+        if (alive != cluster->node_count)
+            return FALSE;
+    }
+    return TRUE;
+}
+
+/* Callers ask for cold models on both sides of a partition, through it and after it. */
+static void test_both_sides_ask(void)
+{
+    cluster_options_t options = {.nodes = NODES, .engines = 4, .partitions = TRUE};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 8, 1);
+    g_assert_true(eventually(all_members_alive, cluster, NULL, 30000));
+    answer_free(chat(cluster->nodes[0].callers_port, "m1", 4, NULL, NULL));
+    answer_free(chat(cluster->nodes[4].callers_port, "m1", 4, NULL, NULL));
+    static const char *const models[] = {"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"};
+    partition_set(cluster, SMALLER);
+    crowd_call_t calls[16];
+    for (int i = 0; i < 16; i++)
+        calls[i] = (crowd_call_t){cluster->nodes[i % NODES].callers_port, models[i % 6], 4, NULL};
+    crowd_t *crowd = crowd_start(calls, 16);
+    crowd_join(crowd);
+    g_assert_cmpint(crowd_whole(crowd, 4) + crowd_refused(crowd), ==, 16);
+    crowd_free(crowd);
+    /* what is loaded is served on both sides */
+    for (int i = 0; i < NODES; i += NODES - 1) {
+        answer_t *answer = chat(cluster->nodes[i].callers_port, "m1", 4, NULL, NULL);
+        answer_print(answer);
+        g_assert_true(answer_is_whole(answer, 4));
+        answer_free(answer);
+    }
+    partition_set(cluster, 0);
+    g_assert_true(eventually(all_members_alive, cluster, NULL, 60000));
+    for (int i = 0; i < 8; i++) {
+        answer_t *answer = chat(cluster->nodes[i % NODES].callers_port, models[i], 4, NULL, NULL);
+        answer_print(answer);
+        g_assert_true(answer_is_whole(answer, 4));
+        answer_free(answer);
+        g_assert_cmpint(most_replicas(cluster, models[i]), ==, 1);
+    }
+    g_assert_cmpint(memory_attempts(cluster), ==, 0);
+    cluster_stop(cluster);
+}
+
+static answer_t *hold(int port, const char *key, const char *body)
+{
+    g_autofree char *header = g_strconcat("Idempotency-Key: ", key, NULL);
+    const char *headers[] = {header, NULL};
+    return call("POST", port, "/v1/services/seat-lock/hold", headers, body, 30000);
+}
+
+/* Keys are used on both sides; a key runs at most once, and refusals are true. */
+static void test_keys_on_both_sides(void)
+{
+    cluster_options_t options = {.nodes = NODES, .lock_engines = 2, .partitions = TRUE};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 0, 1);
+    g_assert_true(eventually(all_members_alive, cluster, NULL, 30000));
+    answer_free(hold(cluster->nodes[0].callers_port, "warm-0", "{\"warm\":0}"));
+    answer_free(hold(cluster->nodes[4].callers_port, "warm-4", "{\"warm\":4}"));
+    partition_set(cluster, SMALLER);
+    int served = 0;
+    for (int i = 0; i < 6; i++) {
+        g_autofree char *key = g_strdup_printf("p%d", i);
+        g_autofree char *body = g_strdup_printf("{\"partition\":%d}", i);
+        answer_t *one = hold(cluster->nodes[i % 2 == 0 ? 0 : 4].callers_port, key, body);
+        answer_t *two = hold(cluster->nodes[i % 2 == 0 ? 4 : 0].callers_port, key, body);
+        answer_print(one);
+        answer_print(two);
+        served += one->status == 200 || two->status == 200;
+        g_assert_cmpint(runs_of(cluster, body), <=, 1);
+        if (one->status == 200 && two->status == 200)
+            g_assert_cmpstr(one->body, ==, two->body);
+        answer_free(one);
+        answer_free(two);
+    }
+    g_assert_cmpint(served, ==, 6); /* the side with the majority goes on */
+    partition_set(cluster, 0);
+    g_assert_true(eventually(all_members_alive, cluster, NULL, 60000));
+    for (int i = 0; i < 6; i++) {
+        g_autofree char *key = g_strdup_printf("p%d", i);
+        g_autofree char *body = g_strdup_printf("{\"partition\":%d}", i);
+        answer_t *answer = hold(cluster->nodes[i % NODES].callers_port, key, body);
+        answer_print(answer);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_cmpint(runs_of(cluster, body), ==, 1);
+        answer_free(answer);
+    }
+    cluster_stop(cluster);
+}
+
+/* A configuration that was accepted during a partition is in force everywhere once it has healed;
+ * the cut-off side learns it from the platform at the latest. */
+static void test_configuration_after_healing(void)
+{
+    cluster_options_t options = {
+        .nodes = NODES, .partitions = TRUE, .node_flags = "--config-poll-ms=600000"};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 1, 1);
+    g_assert_true(eventually(all_members_alive, cluster, NULL, 30000));
+    partition_set(cluster, SMALLER);
+    g_assert_cmpint(declare(cluster, 4, "{\"owner/north\":{\"share\":7}}"), ==, 200);
+    /* the other side's change is made on top of it, though nobody told it */
+    g_assert_cmpint(declare(cluster, 0, "{\"owner/coast\":{\"share\":9}}"), ==, 200);
+    partition_set(cluster, 0);
+    int64_t until_ms = harness_now_ms() + 60000;
+    for (int i = 0; i < NODES; i++) {
+        while (node_config_version(cluster, i) < 3 && harness_now_ms() < until_ms)
+            g_usleep(20000);
+        g_assert_cmpint(node_config_version(cluster, i), ==, 3);
+    }
+    cluster_stop(cluster);
+}
+
+void partition_tests_add(void)
+{
+    g_test_add_func("/partitions/both-sides-ask", test_both_sides_ask);
+    g_test_add_func("/partitions/keys-on-both-sides", test_keys_on_both_sides);
+    g_test_add_func("/partitions/configuration-after-healing", test_configuration_after_healing);
+}
