--- a/tests/integration/integration.h
+++ b/tests/integration/integration.h
@@ -13,6 +13,7 @@
 void config_tests_add(void);
 void outage_tests_add(void);
 void tls_tests_add(void);
+void storm_tests_add(void);
 void partition_tests_add(void);
 void wickctl_tests_add(void);
 
--- a/tests/integration/main.c
+++ b/tests/integration/main.c
@@ -86,6 +86,7 @@
     config_tests_add();
     outage_tests_add();
     tls_tests_add();
+    storm_tests_add();
     partition_tests_add();
     wickctl_tests_add();
     return g_test_run();
