Take out what nothing uses, and share what stood twice

Unused functions, fields and a message member go; a fair queue is visited by its own function instead of a removal that removes nothing; the command of a claim is filled in one place for node and fuzzer. wb-bench-scale replaces nodes while it runs and shows how cells lie on nodes.

--- a/include/wickbridge/cell.h
+++ b/include/wickbridge/cell.h
@@ -139,9 +139,6 @@
 /** @return the route of a model as JSON for explain, with slots, engines and demand */
 json_t *wb_cell_explain(const wb_cell_t *cell, const char *model, int64_t now_ms);
 
-/** @return TRUE when the engine may be given new work */
-gboolean wb_cell_engine_usable(const wb_cell_t *cell, const char *engine);
-
 /** Call a function for each engine that is not gone. */
 void wb_cell_engines_each(const wb_cell_t *cell,
                           void (*visit)(const char *engine, const char *address, void *context),
--- a/include/wickbridge/error.h
+++ b/include/wickbridge/error.h
@@ -31,9 +31,6 @@
 apr_status_t wb_error_set(wb_error_t *error, apr_status_t code, const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
-/** Clear an error before use. @param error may be NULL */
-void wb_error_clear(wb_error_t *error);
-
 /** @return the verdict's name in protocols and logs: "not-run", "may-have-run", "completed" */
 const char *wb_verdict_name(wb_verdict_t verdict);
 
--- a/include/wickbridge/fair_queue.h
+++ b/include/wickbridge/fair_queue.h
@@ -26,10 +26,12 @@
                               gpointer item);
 /** @return the next item, or NULL */
 gpointer wb_fair_queue_pop(wb_fair_queue_t *queue);
-/** @return the owner whose item is next, or NULL */
-const char *wb_fair_queue_next_owner(const wb_fair_queue_t *queue);
 guint wb_fair_queue_length(const wb_fair_queue_t *queue);
 
+/** Call a function for each item, in order of their owners. */
+void wb_fair_queue_each(const wb_fair_queue_t *queue,
+                        void (*visit)(gpointer item, gpointer context), gpointer context);
+
 /** Remove the items for which `test` is true, in order of their owners. */
 void wb_fair_queue_remove(wb_fair_queue_t *queue, gboolean (*test)(gpointer item, gpointer context),
                           gpointer context);
--- a/include/wickbridge/http_server.h
+++ b/include/wickbridge/http_server.h
@@ -44,12 +44,6 @@
 apr_status_t wb_http_server_start(wb_http_server_t **server,
                                   const wb_http_server_options_t *options, wb_error_t *error);
 
-/** @return the port in use (useful after asking for port 0) */
-unsigned wb_http_server_port(const wb_http_server_t *server);
-
-/** Stop listening, keep open exchanges. */
-void wb_http_server_quiesce(wb_http_server_t *server);
-
 /** Cut what is open, join the threads and free the server. */
 void wb_http_server_stop(wb_http_server_t *server);
 
@@ -86,7 +80,4 @@
  */
 void wb_http_exchange_stream_end(wb_http_exchange_t *exchange, gboolean whole);
 
-/** @return TRUE when the caller has gone away */
-gboolean wb_http_exchange_is_closed(wb_http_exchange_t *exchange);
-
 #endif
--- a/include/wickbridge/log.h
+++ b/include/wickbridge/log.h
@@ -38,6 +38,5 @@
 #define wb_log_warning(part, ...) wb_log((part), G_LOG_LEVEL_WARNING, __VA_ARGS__)
 #define wb_log_message(part, ...) wb_log((part), G_LOG_LEVEL_MESSAGE, __VA_ARGS__)
 #define wb_log_info(part, ...) wb_log((part), G_LOG_LEVEL_INFO, __VA_ARGS__)
-#define wb_log_debug(part, ...) wb_log((part), G_LOG_LEVEL_DEBUG, __VA_ARGS__)
 
 #endif
--- a/include/wickbridge/membership.h
+++ b/include/wickbridge/membership.h
@@ -64,7 +64,4 @@
 /** Tell all that this node leaves for good. */
 void wb_membership_leave(wb_membership_t *membership);
 
-/** @return TRUE once the table was exchanged with a neighbour, or there is nobody else */
-gboolean wb_membership_is_joined(const wb_membership_t *membership);
-
 #endif
--- a/include/wickbridge/peers.h
+++ b/include/wickbridge/peers.h
@@ -67,7 +67,6 @@
 void wb_peers_close_idle(wb_peers_t *peers, int64_t idle_ms);
 
 const wb_link_counters_t *wb_peers_counters(const wb_peers_t *peers);
-unsigned wb_peers_port(const wb_peers_t *peers);
 unsigned wb_peers_open_links(const wb_peers_t *peers);
 
 #endif
--- a/include/wickbridge/record.h
+++ b/include/wickbridge/record.h
@@ -82,6 +82,9 @@
 wb_claim_decision_t wb_claim_decide(const wb_record_t *record, const wb_wire_claim_want *want,
                                     int64_t now_ms);
 
+/** Fill the command that claims a key for a request. It borrows the texts of `want`. */
+void wb_claim_command(const wb_wire_claim_want *want, uint64_t attempt, wb_wire_command *command);
+
 /** Forget claims older than `retention_ms`. */
 void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms);
 
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -16,14 +16,6 @@
     return code;
 }
 
-void wb_error_clear(wb_error_t *error)
-{
-    if (error == NULL)
-        return;
-    error->code = APR_SUCCESS;
-    error->message[0] = '\0';
-}
-
 const char *wb_verdict_name(wb_verdict_t verdict)
 {
     switch (verdict) {
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -333,12 +333,6 @@
         g_hash_table_remove(((cell_target_t *)value)->gateways, node);
 }
 
-gboolean wb_cell_engine_usable(const wb_cell_t *cell, const char *id)
-{
-    const cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
-    return engine != NULL && cell_engine_is_usable(engine);
-}
-
 void wb_cell_engines_each(const wb_cell_t *cell,
                           void (*visit)(const char *engine, const char *address, void *context),
                           void *context)
--- a/src/cell/cell_claims.c
+++ b/src/cell/cell_claims.c
@@ -39,17 +39,8 @@
 static void claim_propose(hosted_cell_t *hosted, const char *node, const wb_wire_claim_want *want,
                           uint64_t attempt)
 {
-    wb_wire_command command = {.kind = WB_WIRE_COMMAND_CLAIM};
-    wb_wire_claim *claim = &command.wb_wire_command_u.claim;
-    claim->model = want->model;
-    claim->key = want->key;
-    claim->stream = want->stream;
-    claim->engine = want->engine;
-    claim->engine_address = want->engine_address;
-    claim->node = want->node;
-    claim->attempt = attempt;
-    claim->digest = want->digest;
-    claim->answer = "";
+    wb_wire_command command;
+    wb_claim_command(want, attempt, &command);
     claim_wait_t *wait = g_new0(claim_wait_t, 1);
     wait->node = g_strdup(node);
     wait->request = want->request;
--- a/src/cell/cell_host_types.h
+++ b/src/cell/cell_host_types.h
@@ -30,7 +30,6 @@
     int64_t machines_next_ms;
     gboolean machines_asking;
     int64_t member_changed_ms;
-    int64_t row_version; /* of the cell's row as last seen */
     int64_t expire_next_ms;
     gboolean step_is_due; /* a deferred step is posted */
 } hosted_cell_t;
--- a/src/cell/record.c
+++ b/src/cell/record.c
@@ -299,6 +299,22 @@
     return WB_CLAIM_TAKEN;
 }
 
+void wb_claim_command(const wb_wire_claim_want *want, uint64_t attempt, wb_wire_command *command)
+{
+    memset(command, 0, sizeof(*command));
+    command->kind = WB_WIRE_COMMAND_CLAIM;
+    wb_wire_claim *claim = &command->wb_wire_command_u.claim;
+    claim->model = want->model;
+    claim->key = want->key;
+    claim->stream = want->stream;
+    claim->engine = want->engine;
+    claim->engine_address = want->engine_address;
+    claim->node = want->node;
+    claim->attempt = attempt;
+    claim->digest = want->digest;
+    claim->answer = "";
+}
+
 void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms)
 {
     GHashTableIter iterator;
--- a/src/config/config_apply.h
+++ b/src/config/config_apply.h
@@ -18,7 +18,6 @@
     int64_t poll_interval_ms;
     int64_t next_poll_ms;
     wb_timer_t *poll_timer;
-    uint64_t accepted_count;
 };
 
 /* Take an accepted change that follows `current`, and pass it on. */
--- a/src/gateway/fair_queue.c
+++ b/src/gateway/fair_queue.c
@@ -109,15 +109,22 @@
     return item;
 }
 
-const char *wb_fair_queue_next_owner(const wb_fair_queue_t *queue)
+guint wb_fair_queue_length(const wb_fair_queue_t *queue)
 {
-    const queue_owner_t *owner = owner_next(queue);
-    return owner != NULL ? owner->name : NULL;
+    return queue->length;
 }
 
-guint wb_fair_queue_length(const wb_fair_queue_t *queue)
+void wb_fair_queue_each(const wb_fair_queue_t *queue,
+                        void (*visit)(gpointer item, gpointer context), gpointer context)
 {
-    return queue->length;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, queue->owners);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const queue_owner_t *owner = value;
+        for (GList *place = owner->items.head; place != NULL; place = place->next)
+            visit(((queue_item_t *)place->data)->item, context);
+    }
 }
 
 void wb_fair_queue_remove(wb_fair_queue_t *queue, gboolean (*test)(gpointer item, gpointer context),
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -102,7 +102,6 @@
     gboolean holds_replica; /* counted in the replica's running */
     gboolean attached;      /* the stream belongs to an earlier run with the same key */
     gboolean may_have_run;  /* an engine may have started it */
-    gboolean was_sent;      /* a run was asked for, on any engine */
     int resumes;            /* tries to take up the present stream again */
     wb_http_call_t *call;
     gboolean caller_gone;
@@ -187,7 +186,6 @@
 void claim_show(wb_gateway_t *gateway, const wb_wire_claim_show *show);
 void claim_tell_done(gw_request_t *request, unsigned status, const char *answer, size_t length);
 void claims_check(wb_gateway_t *gateway, int64_t now_ms);
-void claim_forget(gw_request_t *request);
 
 /* want.c */
 void wants_tick(void *context);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -174,7 +174,6 @@
     headers_fill(request, lines, headers);
     g_string_truncate(request->partial, 0);
     request->resumes = 0;
-    request->was_sent = TRUE;
     g_autofree char *url = stream_url(request, kind_query(request));
     int64_t left_ms = MAX(request_time_left_ms(request), 1);
     wb_http_request_t call = {.method = "POST",
--- a/src/gateway/want.c
+++ b/src/gateway/want.c
@@ -10,13 +10,12 @@
 #define TARGET_FORGET_MS 300000
 #define RETRY_AFTER_MS 1000
 
-static gboolean smallest_deadline(gpointer item, gpointer context)
+static void smallest_deadline(gpointer item, gpointer context)
 {
     const gw_request_t *request = item;
     int64_t *deadline_ms = context;
     if (*deadline_ms == 0 || request->deadline_ms < *deadline_ms)
         *deadline_ms = request->deadline_ms;
-    return FALSE;
 }
 
 static gboolean want_is_due(const gw_target_t *target, int64_t now_ms)
@@ -42,15 +41,13 @@
     if (owner == NULL)
         return FALSE;
     int64_t deadline_ms = 0;
-    wb_fair_queue_remove(target->queue, smallest_deadline, &deadline_ms);
+    wb_fair_queue_each(target->queue, smallest_deadline, &deadline_ms);
     wb_wire_message message = {.kind = WB_WIRE_ROUTE_WANT};
     wb_wire_route_want *want = &message.wb_wire_message_u.route_want;
-    const char *next = wb_fair_queue_next_owner(target->queue);
     want->model = target->model;
     want->adapter = target->adapter;
     want->waiting = wb_fair_queue_length(target->queue);
     want->running = (u_int)target->running;
-    want->owner = (char *)(next != NULL ? next : "");
     want->tightest_deadline_ms = deadline_ms > 0 ? (u_int)MAX(deadline_ms - now_ms, 1) : 0;
     target->wanted_ms = now_ms;
     target->wanted_waiting = (int)want->waiting;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -21,7 +21,6 @@
 struct wb_http_server_t {
     struct MHD_Daemon *daemon;
     wb_http_server_options_t options;
-    MHD_socket quiesced_socket;
 };
 
 typedef enum wb_exchange_state_t {
@@ -260,7 +259,6 @@
         return wb_error_set(error, APR_EINVAL, "'%s' is not IP:PORT", options->address);
     wb_http_server_t *created = g_new0(wb_http_server_t, 1);
     created->options = *options;
-    created->quiesced_socket = MHD_INVALID_SOCKET;
     struct sockaddr_in address;
     address_split(options->address, &address);
     struct MHD_OptionItem tls[] = {{MHD_OPTION_END, 0, NULL},
@@ -292,24 +290,9 @@
     return APR_SUCCESS;
 }
 
-unsigned wb_http_server_port(const wb_http_server_t *server)
-{
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
-    return info != NULL ? info->port : 0;
-}
-
-void wb_http_server_quiesce(wb_http_server_t *server)
-{
-    if (server->quiesced_socket == MHD_INVALID_SOCKET)
-        server->quiesced_socket = MHD_quiesce_daemon(server->daemon);
-}
-
 void wb_http_server_stop(wb_http_server_t *server)
 {
     MHD_stop_daemon(server->daemon);
-    if (server->quiesced_socket != MHD_INVALID_SOCKET)
-        close(server->quiesced_socket);
     g_free(server);
 }
 
@@ -417,11 +400,3 @@
     g_mutex_unlock(&exchange->lock);
     exchange_release(exchange);
 }
-
-gboolean wb_http_exchange_is_closed(wb_http_exchange_t *exchange)
-{
-    g_mutex_lock(&exchange->lock);
-    gboolean closed = exchange->state == EXCHANGE_FINISHED;
-    g_mutex_unlock(&exchange->lock);
-    return closed;
-}
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -39,7 +39,6 @@
     int64_t dead_after_ms;
     int64_t started_ms;
     uint64_t config_version;
-    gboolean joined;
     gboolean left;
     unsigned ticks;
     wb_timer_t *heartbeat_timer;
@@ -234,7 +233,6 @@
         const wb_wire_ownership *wire = &gossip->owners.owners_val[i];
         owner_merge(membership, wire->cell, wire->node, wire->epoch);
     }
-    membership->joined = TRUE;
 }
 
 /* A heartbeat of a neighbour whose tables stay different leads to an exchange of tables. */
@@ -497,8 +495,3 @@
         g_hash_table_add(membership->fresh_members, g_strdup(membership->self.node));
     gossip_flush(membership);
 }
-
-gboolean wb_membership_is_joined(const wb_membership_t *membership)
-{
-    return membership->joined || membership->seeds->len == 0;
-}
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -325,11 +325,6 @@
     return &peers->counters;
 }
 
-unsigned wb_peers_port(const wb_peers_t *peers)
-{
-    return wb_link_listener_port(peers->listener);
-}
-
 unsigned wb_peers_open_links(const wb_peers_t *peers)
 {
     return peers->all->len;
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -181,7 +181,6 @@
     unsigned int waiting;
     unsigned int running;
     unsigned int tightest_deadline_ms; /* of what waits; 0: none */
-    wb_wire_name owner;                /* whose request is next */
 };
 
 struct wb_wire_replica {
--- a/tests/bench/scale.c
+++ b/tests/bench/scale.c
@@ -33,6 +33,7 @@
     int64_t seconds;
     int64_t changes;
     int64_t wakes;
+    int64_t replacements;
 } scale_settings_t;
 
 #define ROW(name, low, high, fallback, field, text)                                                \
@@ -50,6 +51,8 @@
     ROW("seconds", 1, 3600, "20", seconds, "Length of the steady part"),
     ROW("changes", 0, 10000, "20", changes, "Configuration changes timed"),
     ROW("wakes", 0, 10000, "20", wakes, "Wakes spread over the steady part"),
+    ROW("replacements", 0, 10000, "30", replacements,
+        "Nodes killed and replaced, two a second, half of them without warning"),
 };
 
 static const wb_settings_table_t table = {
@@ -418,7 +421,6 @@
     want->model = (char *)wake->model;
     want->adapter = (char *)wake->adapter;
     want->waiting = (u_int)wake->waiting;
-    want->owner = "north";
     if (strcmp(owner, wb_node_name(node)) == 0)
         wb_cell_host_message(wb_node_cell_host(node), owner, &message);
     else
@@ -504,6 +506,81 @@
         what, survey.alive, seen_ms, healed_ms, survey.worst_bytes);
 }
 
+typedef struct owned_t {
+    GMutex lock;
+    wb_samples_t cells; /* owned by each node */
+} owned_t;
+
+static void owned_work(hollow_node_t *hollow, void *context)
+{
+    owned_t *owned = context;
+    guint count = wb_cell_host_owned(wb_node_cell_host(hollow->node));
+    g_mutex_lock(&owned->lock);
+    wb_samples_add(&owned->cells, count);
+    g_mutex_unlock(&owned->lock);
+}
+
+/* How the cells lie on the nodes. */
+static void spread_print(scale_t *scale, const char *when)
+{
+    owned_t owned;
+    g_mutex_init(&owned.lock);
+    wb_samples_init(&owned.cells);
+    nodes_each(scale, owned_work, &owned);
+    printf("spread %s: %.2f cells a node, at most %.0f\n", when, wb_samples_mean(&owned.cells),
+           wb_samples_quantile(&owned.cells, 1.0));
+    wb_samples_clear(&owned.cells);
+    g_mutex_clear(&owned.lock);
+}
+
+typedef struct replacement_t {
+    scale_t *scale;
+    int index;
+    gboolean planned;
+} replacement_t;
+
+/* The machine is reclaimed, and another one comes at the same address. */
+static void replacement_run(void *context)
+{
+    replacement_t *replacement = context;
+    hollow_node_t *hollow = &replacement->scale->nodes[replacement->index];
+    if (hollow->node != NULL) {
+        if (replacement->planned) {
+            wb_cell_host_hand_over(wb_node_cell_host(hollow->node));
+            wb_node_leave(hollow->node);
+        }
+        wb_node_free(hollow->node);
+        hollow->node = NULL;
+        hollow->bytes_before = 0;
+        node_create_work(hollow, replacement->scale, replacement->index);
+    }
+    g_free(replacement);
+}
+
+/* An ordinary day's replacements in a short time. */
+static void replacements_measure(scale_t *scale)
+{
+    int count = (int)scale->settings.replacements;
+    if (count == 0)
+        return;
+    nodes_each(scale, bytes_mark, NULL);
+    int64_t started_ms = harness_now_ms();
+    for (int i = 0; i < count; i++) {
+        replacement_t *replacement = g_new(replacement_t, 1);
+        *replacement = (replacement_t){scale, (i * 37 + 5) % scale->node_count, i % 2 == 0};
+        wb_loop_post(scale->nodes[replacement->index].loop, replacement_run, replacement);
+        g_usleep(500000);
+    }
+    double joined_ms = wait_for(scale, all_joined);
+    double owned_ms = joined_ms + wait_for(scale, all_owned);
+    double seconds = (double)(harness_now_ms() - started_ms) / 1000.0;
+    survey_t survey = survey_take(scale, 0);
+    printf(
+        "replacements: %d of %d nodes in %.0f s, half planned; after the last one all know all in "
+        "%.0f ms and every cell has an owner in %.0f ms; worst node %.0f link bytes/s meanwhile\n",
+        count, scale->node_count, seconds, joined_ms, owned_ms, survey.worst_bytes / seconds);
+}
+
 int main(int argc, char **argv)
 {
     apr_initialize();
@@ -539,7 +616,10 @@
            (memory_mib() - memory) / scale.node_count);
     changes_measure(&scale);
     steady_measure(&scale);
+    replacements_measure(&scale);
+    spread_print(&scale, "before the zone goes");
     failure_measure(&scale, 1, "zone gone");
+    spread_print(&scale, "after it");
     fflush(stdout);
     process_kill(&scale.engines);
     process_kill(&scale.cluster.platform);
--- a/tests/fuzz/sim_claims.c
+++ b/tests/fuzz/sim_claims.c
@@ -44,17 +44,8 @@
 
 static void claim_propose(sim_node_t *node, const wb_wire_claim_want *want, uint64_t attempt)
 {
-    wb_wire_command command = {.kind = WB_WIRE_COMMAND_CLAIM};
-    wb_wire_claim *claim = &command.wb_wire_command_u.claim;
-    claim->model = want->model;
-    claim->key = want->key;
-    claim->stream = want->stream;
-    claim->engine = want->engine;
-    claim->engine_address = "";
-    claim->node = "";
-    claim->answer = "";
-    claim->attempt = attempt;
-    claim->digest = want->digest;
+    wb_wire_command command;
+    wb_claim_command(want, attempt, &command);
     sim_claim_wait_t *wait = g_new0(sim_claim_wait_t, 1);
     wait->sequence = wb_group_sequence(node->group) + 1;
     g_strlcpy(wait->key, want->key, sizeof(wait->key));
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -136,6 +136,8 @@
 json_t *node_status(cluster_t *cluster, int node);
 /** @return the index of the node that owns a cell, or -1 */
 int cell_owner(cluster_t *cluster, const char *cell);
+/** @return how many members a node holds for alive */
+int members_alive(cluster_t *cluster, int node);
 int64_t node_config_version(cluster_t *cluster, int node);
 double node_metric(cluster_t *cluster, int node, const char *name);
 
--- a/tests/harness/observe.c
+++ b/tests/harness/observe.c
@@ -41,6 +41,21 @@
     return owner;
 }
 
+int members_alive(cluster_t *cluster, int node)
+{
+    json_t *status = node_status(cluster, node);
+    int alive = 0;
+    size_t index;
+    json_t *member;
+    json_array_foreach(json_object_get(status, "members"), index, member)
+    {
+        const char *state = json_string_value(json_object_get(member, "state"));
+        alive += strcmp(state, "alive") == 0;
+    }
+    json_decref(status);
+    return alive;
+}
+
 int64_t node_config_version(cluster_t *cluster, int node)
 {
     json_t *status = node_status(cluster, node);
--- a/tests/integration/test_partitions.c
+++ b/tests/integration/test_partitions.c
@@ -9,20 +9,9 @@
 static gboolean all_members_alive(cluster_t *cluster, void *context)
 {
     (void)context;
-    for (int i = 0; i < cluster->node_count; i++) {
-        json_t *status = node_status(cluster, i);
-        int alive = 0;
-        size_t index;
-        json_t *member;
-        json_array_foreach(json_object_get(status, "members"), index, member)
-        {
-            const char *state = json_string_value(json_object_get(member, "state"));
-            alive += strcmp(state, "alive") == 0;
-        }
-        json_decref(status);
-        if (alive != cluster->node_count)
+    for (int i = 0; i < cluster->node_count; i++)
+        if (members_alive(cluster, i) != cluster->node_count)
             return FALSE;
-    }
     return TRUE;
 }
 
--- a/tests/integration/test_tls.c
+++ b/tests/integration/test_tls.c
@@ -76,21 +76,6 @@
                            folder, certificate, folder, certificate, folder, folder, folder);
 }
 
-static int members_alive(cluster_t *cluster, int node)
-{
-    json_t *status = node_status(cluster, node);
-    int alive = 0;
-    size_t index;
-    json_t *member;
-    json_array_foreach(json_object_get(status, "members"), index, member)
-    {
-        const char *state = json_string_value(json_object_get(member, "state"));
-        alive += strcmp(state, "alive") == 0;
-    }
-    json_decref(status);
-    return alive;
-}
-
 static void test_each_link(void)
 {
     char *folder = certificates_make();
