Hand cells over to members that own fewer

Cause: takeovers fall to whichever member asks first; 44 cells lay on 350 nodes with up to 3 on one. An owner of two or more hands one over to a member of its group that owns at least two fewer, one in two seconds.

--- a/include/wickbridge/group.h
+++ b/include/wickbridge/group.h
@@ -70,9 +70,12 @@
 /** Add a command. Only the owner can. @return its sequence, or 0 */
 uint64_t wb_group_propose(wb_group_t *group, const wb_wire_command *command, int64_t now_ms);
 
-/** Ask another member to take over at once. */
+/** Ask another member, whichever is ready, to take over at once. */
 void wb_group_hand_over(wb_group_t *group);
 
+/** Ask this member to take over at once. @return FALSE when it is not ready to */
+gboolean wb_group_hand_over_to(wb_group_t *group, const char *node);
+
 /** @return TRUE when the owner has heard from a majority lately */
 gboolean wb_group_has_quorum(const wb_group_t *group, int64_t now_ms);
 
--- a/src/cell/cell_host.c
+++ b/src/cell/cell_host.c
@@ -248,6 +248,7 @@
     g_autoptr(GList) names = g_hash_table_get_values(host->cells);
     for (GList *place = names; place != NULL; place = place->next)
         hosted_tick(place->data, now_ms);
+    cell_balance_tick(host, now_ms);
 }
 
 wb_cell_host_t *wb_cell_host_start(const wb_cell_host_options_t *options,
--- a/src/cell/cell_host_types.h
+++ b/src/cell/cell_host_types.h
@@ -40,10 +40,14 @@
     char *node;
     GHashTable *cells; /* name -> hosted_cell_t */
     wb_timer_t *tick_timer;
+    int64_t balance_next_ms;
     gboolean leaving;
     int64_t leaving_since_ms;
 };
 
+/* cell_balance.c: no node owns many cells while another owns few. */
+void cell_balance_tick(wb_cell_host_t *host, int64_t now_ms);
+
 /* cell_founding.c: rows of the table service. */
 void cell_founding_tick(hosted_cell_t *hosted, int64_t now_ms);
 void cell_members_maintain(hosted_cell_t *hosted, int64_t now_ms);
--- a/src/cell/group.c
+++ b/src/cell/group.c
@@ -527,13 +527,22 @@
     return sequence;
 }
 
-void wb_group_hand_over(wb_group_t *group)
+gboolean wb_group_hand_over_to(wb_group_t *group, const char *node)
 {
-    if (group->role != WB_GROUP_OWNER || group->committed != group->sequence)
-        return;
+    const group_peer_t *peer = g_hash_table_lookup(group->peers, node);
+    if (group->role != WB_GROUP_OWNER || group->committed != group->sequence || peer == NULL ||
+        peer->held != group->sequence || !wb_record_has_member(group->record, node))
+        return FALSE;
     wb_wire_message message = {.kind = WB_WIRE_GROUP_HAND_OVER};
     message.wb_wire_message_u.group_hand_over.cell = group->cell;
     message.wb_wire_message_u.group_hand_over.epoch = group->promised;
+    group->events.send(node, &message, group->events.context);
+    return TRUE;
+}
+
+/* The member that answered last comes first. */
+void wb_group_hand_over(wb_group_t *group)
+{
     const char *best = NULL;
     int64_t best_ms = INT64_MIN;
     GHashTableIter iterator;
@@ -541,14 +550,13 @@
     g_hash_table_iter_init(&iterator, group->peers);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const group_peer_t *peer = value;
-        if (peer->held == group->sequence && peer->acked_ms > best_ms &&
-            wb_record_has_member(group->record, peer->node)) {
-            best = peer->node;
-            best_ms = peer->acked_ms;
-        }
+        if (peer->held != group->sequence || peer->acked_ms <= best_ms)
+            continue;
+        best = peer->node;
+        best_ms = peer->acked_ms;
     }
     if (best != NULL)
-        group->events.send(best, &message, group->events.context);
+        wb_group_hand_over_to(group, best);
 }
 
 gboolean wb_group_has_quorum(const wb_group_t *group, int64_t now_ms)
