--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -139,7 +139,6 @@
 /** @return how many members a node holds for alive */
 int members_alive(cluster_t *cluster, int node);
 int64_t node_config_version(cluster_t *cluster, int node);
-double node_metric(cluster_t *cluster, int node, const char *name);
 
 /** Wait until a condition holds. @return FALSE after `timeout_ms` */
 gboolean eventually(gboolean (*condition)(cluster_t *cluster, void *context), cluster_t *cluster,
--- a/tests/harness/observe.c
+++ b/tests/harness/observe.c
@@ -64,17 +64,6 @@
     return version;
 }
 
-double node_metric(cluster_t *cluster, int node, const char *name)
-{
-    answer_t *answer =
-        call("GET", cluster->nodes[node].operators_port, "/metrics", NULL, NULL, 2000);
-    g_autofree char *start = g_strdup_printf("\nwickbridge_%s ", name);
-    const char *place = strstr(answer->body, start);
-    double value = place != NULL ? g_ascii_strtod(place + strlen(start), NULL) : -1.0;
-    answer_free(answer);
-    return value;
-}
-
 void engine_kill(cluster_t *cluster, int engine)
 {
     process_kill(&cluster->engines[engine].process);
