Never conclude from an engine that may have forgotten

Cause: a retry whose first run's node had died asked the engine for the stream; an engine that had ended and forgotten it answered "unknown", which was taken as proof that it never ran, and the request ran a second time. Ruled out: the claim itself, which was there. Claims now tell their age; beyond stream-memory-ms an unknown stream gives "may have run", and a run that is known to have ended is never tried again. A stream that was cancelled before it began is told apart from one that ran, and a key that is stuck on a forbidden stream can be claimed again. Also: the path of an opaque call reaches the engine, escaped; answers older than a minute leave the record, so that 30,000 claims fit into a message (test record-with-many-claims-fits).

--- a/include/wickbridge/gateway.h
+++ b/include/wickbridge/gateway.h
@@ -25,6 +25,7 @@
     int64_t no_owner_wait_ms;  /**< a request waits so long for a cell without an owner */
     int64_t busy_wait_ms;      /**< and so long for room when all that is loaded is in use */
     int64_t stream_idle_ms;    /**< an engine that is silent so long counts as cut */
+    int64_t stream_memory_ms;  /**< engines surely know a stream so long after it began */
     int64_t claim_timeout_ms;  /**< a claim without an answer is given up */
     int64_t attempt_limit;     /**< most engines tried for a request */
     int64_t answer_keep_bytes; /**< answers up to this size are kept for retries with a key */
--- a/include/wickbridge/message.h
+++ b/include/wickbridge/message.h
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 /** Largest message in bytes; a longer one ends its link. */
-#define WB_MESSAGE_MAX_BYTES (8 * 1024 * 1024)
+#define WB_MESSAGE_MAX_BYTES (32 * 1024 * 1024)
 
 /** Append a frame (length, then XDR) to `out`. */
 apr_status_t wb_message_encode(const wb_wire_message *message, GByteArray *out, wb_error_t *error);
--- a/include/wickbridge/node.h
+++ b/include/wickbridge/node.h
@@ -53,6 +53,7 @@
     int64_t no_owner_wait_ms;
     int64_t busy_wait_ms;
     int64_t stream_idle_ms;
+    int64_t stream_memory_ms;
     int64_t claim_timeout_ms;
     int64_t attempt_limit;
     int64_t answer_keep_bytes;
--- a/include/wickbridge/record.h
+++ b/include/wickbridge/record.h
@@ -85,7 +85,11 @@
 /** Fill the command that claims a key for a request. It borrows the texts of `want`. */
 void wb_claim_command(const wb_wire_claim_want *want, uint64_t attempt, wb_wire_command *command);
 
-/** Forget claims older than `retention_ms`. */
+/** Answers are kept so long with their claims; the claims themselves stay longer. */
+#define WB_CLAIM_ANSWER_KEEP_MS 60000
+
+/** Forget claims older than `retention_ms`, and answers older than WB_CLAIM_ANSWER_KEEP_MS, so that
+ * a record with many claims still fits into a message. */
 void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms);
 
 #endif
--- a/src/cell/cell_claims.c
+++ b/src/cell/cell_claims.c
@@ -19,6 +19,7 @@
     show->node = claim != NULL ? claim->node : "";
     show->attempt = claim != NULL ? claim->attempt : 0;
     show->status = claim != NULL ? claim->status : 0;
+    show->age_ms = claim != NULL ? (u_int)MAX(wb_clock_ms() - claim->taken_ms, 0) : 0;
     show->answer = claim != NULL && claim->answer != NULL ? claim->answer : "";
     host->parts.send(node, &message, host->parts.context);
 }
--- a/src/cell/record.c
+++ b/src/cell/record.c
@@ -321,8 +321,12 @@
     gpointer value;
     g_hash_table_iter_init(&iterator, record->claims);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const wb_claim_t *claim = value;
+        wb_claim_t *claim = value;
         if (now_ms - claim->taken_ms > retention_ms)
             g_hash_table_iter_remove(&iterator);
+        else if (now_ms - claim->taken_ms > WB_CLAIM_ANSWER_KEEP_MS && *claim->answer != '\0') {
+            g_free(claim->answer);
+            claim->answer = g_strdup("");
+        }
     }
 }
--- a/src/gateway/claim.c
+++ b/src/gateway/claim.c
@@ -86,6 +86,8 @@
     request->claim_attempt = show->attempt;
     request->attached = TRUE;
     request->claim_granted = FALSE;
+    request->attached_done = show->state == WB_WIRE_CLAIM_DONE;
+    request->attached_ms = wb_clock_ms() - (int64_t)show->age_ms;
     request->may_have_run = TRUE;
     request->resumes = 0;
     request_why(request, "follows the first run of its key");
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -163,10 +163,12 @@
 }
 
 /* The kind of request that a path stands for; FALSE for other paths. */
-static gboolean path_parse(const char *path, gw_kind_t *kind, char **service)
+static gboolean path_parse(const char *path, gw_kind_t *kind, char **service,
+                           const char **call_path)
 {
     static const char call_prefix[] = "/v1/services/";
     *service = NULL;
+    *call_path = "";
     if (strcmp(path, "/v1/chat/completions") == 0)
         *kind = KIND_CHAT;
     else if (strcmp(path, "/v1/completions") == 0)
@@ -175,6 +177,7 @@
         *kind = KIND_CALL;
         const char *name = path + sizeof(call_prefix) - 1;
         *service = g_strndup(name, strcspn(name, "/"));
+        *call_path = name + strlen(*service);
     } else
         return FALSE;
     return TRUE;
@@ -211,6 +214,7 @@
     const char *path = wb_http_exchange_path(exchange);
     gw_kind_t kind;
     g_autofree char *service = NULL;
+    const char *call_path;
     gw_request_t *request = NULL;
     if (strcmp(path, "/v1/models") == 0) {
         if (!turned_away(gateway, exchange, "GET"))
@@ -223,10 +227,10 @@
             g_atomic_int_inc(&gateway->counters.open);
             fetch_start(request);
         }
-    } else if (path_parse(path, &kind, &service)) {
+    } else if (path_parse(path, &kind, &service, &call_path)) {
         if (turned_away(gateway, exchange, "POST"))
             return TRUE;
-        request = request_read(gateway, exchange, kind, service);
+        request = request_read(gateway, exchange, kind, service, call_path);
         if (request != NULL) {
             g_atomic_int_inc(&gateway->counters.accepted);
             g_atomic_int_inc(&gateway->counters.open);
--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -101,6 +101,9 @@
     gboolean claim_granted; /* no other run of the key can have happened */
     gboolean holds_replica; /* counted in the replica's running */
     gboolean attached;      /* the stream belongs to an earlier run with the same key */
+    gboolean attached_done; /* and that run has ended with an answer */
+    int64_t attached_ms;    /* when that run was claimed */
+    char *path;             /* of an opaque call, behind the service's name; else NULL */
     gboolean may_have_run;  /* an engine may have started it */
     int resumes;            /* tries to take up the present stream again */
     wb_http_call_t *call;
@@ -137,7 +140,7 @@
 void request_unref(gw_request_t *request);
 /* Reads a request, or answers it with what is wrong. Returns NULL then. */
 gw_request_t *request_read(wb_gateway_t *gateway, wb_http_exchange_t *exchange, gw_kind_t kind,
-                           const char *service);
+                           const char *service, const char *call_path);
 gw_request_t *request_read_fetch(wb_gateway_t *gateway, wb_http_exchange_t *exchange,
                                  const char *key);
 void request_name_stream(gw_request_t *request);
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -10,6 +10,7 @@
 
 #define DEADLINE_LIMIT_MS 86400000
 #define KEY_LIMIT 128
+#define PATH_LIMIT 200
 #define OWNER_DEFAULT "default"
 
 gw_request_t *request_ref(gw_request_t *request)
@@ -30,6 +31,7 @@
     g_free(request->owner);
     g_free(request->key);
     g_free(request->body);
+    g_free(request->path);
     g_free(request->engine);
     g_free(request->engine_address);
     g_free(request->seed);
@@ -221,11 +223,21 @@
     return config;
 }
 
+/* Escaped, so that nothing in it can end the header that carries it to the engine. */
+static char *path_escape(const char *path)
+{
+    return g_uri_escape_string(path, G_URI_RESERVED_CHARS_ALLOWED_IN_PATH, FALSE);
+}
+
 gw_request_t *request_read(wb_gateway_t *gateway, wb_http_exchange_t *exchange, gw_kind_t kind,
-                           const char *service)
+                           const char *service, const char *call_path)
 {
     gw_request_t *request = request_create(gateway, exchange);
     request->kind = kind;
+    if (kind == KIND_CALL)
+        request->path = path_escape(call_path);
+    if (request->path != NULL && strlen(request->path) > PATH_LIMIT)
+        return request_fail(request, 400, "invalid_path", "The path is too long.");
     size_t length;
     const char *text = wb_http_exchange_body(exchange, &length);
     json_error_t failure;
@@ -247,6 +259,8 @@
     request->body = g_strndup(text, length);
     request->body_length = length;
     request->digest = XXH64(text, length, (uint64_t)kind) >> 1;
+    if (request->path != NULL)
+        request->digest ^= XXH64(request->path, strlen(request->path), 1) >> 1;
     request = request_resolve(request, config, name, service);
     json_decref(body);
     wb_config_unref(config);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -158,6 +158,8 @@
     if (*request->adapter != '\0')
         g_snprintf(lines[count++], HEADER_SIZE, "Engine-Adapter: %s", request->adapter);
     g_snprintf(lines[count++], HEADER_SIZE, "Engine-Stream: %d", request->streaming ? 1 : 0);
+    if (request->path != NULL)
+        g_snprintf(lines[count++], HEADER_SIZE, "Engine-Path: %s", request->path);
     if (request->seed != NULL && request->events > 0) {
         g_snprintf(lines[count++], HEADER_SIZE, "Engine-Seed: %s", request->seed);
         g_snprintf(lines[count++], HEADER_SIZE, "Engine-Offset: %d", request->events);
@@ -326,7 +328,8 @@
 {
     if (request->caller_gone || deadline_is_over(request)) {
         gboolean gone = request->caller_gone;
-        run_cancel(request);
+        if (request->key == NULL) /* with a key, a retry may want the answer */
+            run_cancel(request);
         target_release(request, FALSE, FALSE, 0);
         request->may_have_run = TRUE;
         if (gone)
@@ -351,7 +354,8 @@
     json_t *body = json_loadb(result->body, result->body_length, 0, NULL);
     const char *was = wb_json_text(body, "was", "");
     gboolean answered = result->outcome == WB_HTTP_ANSWERED && result->status == 200;
-    if (answered && (strcmp(was, "never-seen") == 0 || strcmp(was, "waiting") == 0)) {
+    if (answered && (strcmp(was, "never-seen") == 0 || strcmp(was, "waiting") == 0 ||
+                     strcmp(was, "forbidden") == 0)) {
         /* The engine will refuse the stream if it still arrives: the run did not happen. */
         request->may_have_run = FALSE;
         target_release(request, FALSE, FALSE, 0);
@@ -387,11 +391,30 @@
     request_over(request);
 }
 
+/* The engine doesn't know the stream of an earlier run, or that run was cancelled. What does that
+ * prove? Nothing, if the engine may have forgotten it. */
+static void first_run_unknown(gw_request_t *request)
+{
+    int64_t age_ms = wb_clock_ms() - request->attached_ms;
+    if (request->attached_done)
+        answer_error(request, 410, "invalid_request_error", "answer_expired", WB_VERDICT_COMPLETED,
+                     -1, "The request ran to its end; its answer is no longer kept.");
+    else if (age_ms >= request->gateway->options.stream_memory_ms)
+        answer_may_have_run(request, "The engine no longer remembers the key's first run.");
+    else {
+        run_forbid(request);
+        return;
+    }
+    request_over(request);
+}
+
 static void run_not_found(gw_request_t *request, const char *code)
 {
     gboolean unknown = strcmp(code, "unknown_stream") == 0;
     if (unknown && request->fetching)
         fetch_unknown(request);
+    else if (unknown && request->attached)
+        first_run_unknown(request);
     else if (unknown)
         run_forbid(request);
     else {
@@ -400,6 +423,19 @@
     }
 }
 
+/* The stream was cancelled. One that was forbidden before it began has certainly not run. */
+static void run_cancelled(gw_request_t *request, const char *code)
+{
+    gboolean forbidden = strcmp(code, "forbidden") == 0;
+    if (forbidden && request->attached && !request->fetching) {
+        request->may_have_run = FALSE;
+        run_again(request, "the key's first run was forbidden before it began");
+    } else if (forbidden && !request->attached && request->key != NULL)
+        run_claim_again(request);
+    else
+        engine_lost(request);
+}
+
 /* The engine answered with something else than 200. */
 static void run_refused(gw_request_t *request, const wb_http_result_t *result)
 {
@@ -412,13 +448,13 @@
         run_not_found(request, code);
         break;
     case 409:
-    case 410:
-        if (request->key != NULL && !request->fetching)
+        if (request->key != NULL)
             run_claim_again(request);
-        else if (result->status == 409)
-            run_attach(request); /* it has our stream already */
         else
-            engine_lost(request);
+            run_attach(request); /* it has our stream already */
+        break;
+    case 410:
+        run_cancelled(request, code);
         break;
     case 429:
         target_release(request, FALSE, TRUE, DOWN_FULL_MS);
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -12,7 +12,7 @@
 
 #define READ_CHUNK_BYTES (64 * 1024)
 #define CONNECT_TIMEOUT_MS 1500
-#define UNSENT_LIMIT_BYTES (16 * 1024 * 1024)
+#define UNSENT_LIMIT_BYTES (48 * 1024 * 1024)
 #define LISTEN_BACKLOG 512
 
 struct wb_link_listener_t {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -196,6 +196,7 @@
         .no_owner_wait_ms = settings->no_owner_wait_ms,
         .busy_wait_ms = settings->busy_wait_ms,
         .stream_idle_ms = settings->stream_idle_ms,
+        .stream_memory_ms = settings->stream_memory_ms,
         .claim_timeout_ms = settings->claim_timeout_ms,
         .attempt_limit = settings->attempt_limit,
         .answer_keep_bytes = settings->answer_keep_bytes,
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -85,6 +85,8 @@
         "A request waits so long for room when all that is loaded is in use"),
     ROW("stream-idle-ms", WB_SETTING_INTEGER, "ms", 100, 600000, "4000", stream_idle_ms,
         "A stream from an engine that is silent so long counts as cut"),
+    ROW("stream-memory-ms", WB_SETTING_INTEGER, "ms", 0, 86400000, "100000", stream_memory_ms,
+        "Engines surely know a stream so long after it began; beyond, 'unknown' proves nothing"),
     ROW("claim-timeout-ms", WB_SETTING_INTEGER, "ms", 100, 600000, "6000", claim_timeout_ms,
         "A request with a key is refused when its run can't be secured in this time"),
     ROW("attempt-limit", WB_SETTING_INTEGER, "engines", 1, 100, "6", attempt_limit,
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -240,6 +240,7 @@
     unsigned int status;
     wb_wire_text answer;
     wb_wire_name reason;
+    unsigned int age_ms; /* of the claim */
 };
 
 /* The first run's answer, kept for retries with the same key. */
--- a/standins/engine/streams.c
+++ b/standins/engine/streams.c
@@ -30,6 +30,8 @@
     char *model;
     char *adapter;
     stream_state_t state;
+    gboolean ran; /* it was taken into the batch */
+    char *path;   /* of a call */
     int priority;
     int64_t arrived;     /* order of arrival */
     int64_t ready_ms;    /* prefill ends */
@@ -71,6 +73,7 @@
     g_free(stream->answer.call_result);
     g_free(stream->model);
     g_free(stream->adapter);
+    g_free(stream->path);
     g_free(stream->id);
     g_free(stream);
 }
@@ -231,6 +234,8 @@
         engine_stream_t *stream = stream_create(id);
         stream->model = g_strdup(model);
         stream->adapter = g_strdup(adapter);
+        const char *path = wb_http_exchange_header(exchange, "Engine-Path");
+        stream->path = g_strdup(path != NULL ? path : "");
         stream->priority = header_integer(exchange, "Engine-Priority", 0);
         stream->produced = header_integer(exchange, "Engine-Offset", 0);
         int first = stream->produced;
@@ -257,7 +262,7 @@
     if (stream == NULL)
         standin_reply_error(exchange, 404, "unknown_stream", id, -1);
     else if (stream->state == STREAM_CANCELLED)
-        standin_reply_error(exchange, 410, "cancelled", id, -1);
+        standin_reply_error(exchange, 410, stream->ran ? "cancelled" : "forbidden", id, -1);
     else
         reader_add(stream, exchange, streaming != NULL && *streaming == '1',
                    offset != NULL ? atoi(offset) : 0);
@@ -283,7 +288,8 @@
         stream->state = STREAM_CANCELLED;
         stream->finished_ms = engine_now_ms();
     } else {
-        was = names[stream->state];
+        was =
+            stream->state == STREAM_CANCELLED && !stream->ran ? "forbidden" : names[stream->state];
         if (stream->state == STREAM_WAITING || stream->state == STREAM_RUNNING) {
             g_ptr_array_remove(stream->state == STREAM_WAITING ? waiting : running, stream);
             stream_end(stream, STREAM_CANCELLED);
@@ -308,9 +314,9 @@
     json_array_append_new(ledger, json_pack("{s:s, s:s, s:s}", "stream", stream->id, "model",
                                             stream->model, "body", body));
     json_t *parsed = json_loads(body, JSON_DECODE_ANY, NULL);
-    json_t *result =
-        json_pack("{s:b, s:s, s:i, s:o}", "ok", 1, "engine", engine_settings.id, "entry",
-                  (int)json_array_size(ledger), "request", parsed != NULL ? parsed : json_null());
+    json_t *result = json_pack("{s:b, s:s, s:s, s:i, s:o}", "ok", 1, "engine", engine_settings.id,
+                               "path", stream->path, "entry", (int)json_array_size(ledger),
+                               "request", parsed != NULL ? parsed : json_null());
     stream->answer.call_result = wb_json_dump(result);
     json_decref(result);
     g_free(body);
@@ -335,6 +341,7 @@
     engine_stream_t *stream;
     while ((int64_t)running->len < engine_settings.batch && (stream = waiting_take()) != NULL) {
         stream->state = STREAM_RUNNING;
+        stream->ran = TRUE;
         gboolean cached = cache_touch(stream->answer.prompt_hash);
         int64_t prefill_ms =
             cached ? 0 : stream->answer.prompt_bytes * engine_settings.prefill_ms_per_kib / 1024;
--- a/tests/integration/test_once.c
+++ b/tests/integration/test_once.c
@@ -194,6 +194,33 @@
     cluster_stop(cluster);
 }
 
+/* The engine has forgotten the first run by the time of the retry: nobody may conclude that it
+ * never happened. */
+static void test_retry_after_the_engine_forgot(void)
+{
+    cluster_options_t options = {.nodes = 4,
+                                 .lock_engines = 2,
+                                 .engine_flags = "--call-ms=1500 --stream-retention-ms=1000",
+                                 .node_flags = "--stream-memory-ms=1000"};
+    cluster_t *cluster = cluster_start(&options);
+    declare_usual(cluster, 0, 1);
+    int owner = cell_owner(cluster, "seat-lock/0");
+    int victim = (owner + 1) % 4;
+    hold_thread_t thread = {cluster->nodes[victim].callers_port, "old", "{\"old\":1}"};
+    GThread *caller = g_thread_new("caller", hold_run, &thread);
+    g_usleep(800000);
+    process_kill(&cluster->nodes[victim].process); /* before it could tell the answer */
+    answer_free(g_thread_join(caller));
+    g_usleep(5000000);
+    answer_t *retry = hold(cluster->nodes[(owner + 2) % 4].callers_port, "old", "{\"old\":1}");
+    answer_print(retry);
+    g_assert_cmpint(runs_of(cluster, "{\"old\":1}"), ==, 1);
+    g_assert_cmpint(retry->status, !=, 200);
+    g_assert_cmpstr(retry->verdict, ==, "may-have-run");
+    answer_free(retry);
+    cluster_stop(cluster);
+}
+
 void once_tests_add(void)
 {
     g_test_add_func("/once/retry-with-key-at-another-node", test_retry_with_key_at_another_node);
@@ -203,5 +230,6 @@
                     test_cut_at_every_byte_of_the_request);
     g_test_add_func("/once/cut-at-every-byte-of-the-answer", test_cut_at_every_byte_of_the_answer);
     g_test_add_func("/once/engine-dies-before-answering", test_engine_dies_before_answering);
+    g_test_add_func("/once/retry-after-the-engine-forgot", test_retry_after_the_engine_forgot);
     g_test_add_func("/once/without-the-table-service", test_once_without_the_table_service);
 }
--- a/tests/integration/test_path.c
+++ b/tests/integration/test_path.c
@@ -69,8 +69,15 @@
     answer_print(answer);
     g_assert_cmpint(answer->status, ==, 200);
     g_assert_nonnull(strstr(answer->body, "\"request\":{\"seat\":12}"));
+    g_assert_nonnull(strstr(answer->body, "\"path\":\"/hold\""));
     answer_free(answer);
     g_assert_cmpint(runs_of(cluster, "{\"seat\":12}"), ==, 1);
+    /* a path can't smuggle a header in */
+    answer = call("POST", cluster->nodes[1].callers_port,
+                  "/v1/services/seat-lock/x%0d%0aEngine-Model:%20other", NULL, "{}", 20000);
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_nonnull(strstr(answer->body, "/x%0D%0AEngine-Model:%20other"));
+    answer_free(answer);
     cluster_stop(cluster);
 }
 
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -124,6 +124,42 @@
         wb_group_free(net.groups[i]);
 }
 
+/* 30,000 claims with answers of 4 KiB would not fit into a message; without old answers they do. */
+static void test_record_with_many_claims_fits(void)
+{
+    wb_record_t *record = wb_record_create();
+    g_autofree char *answer = g_strnfill(4000, 'x');
+    for (int i = 0; i < 30000; i++) {
+        g_autofree char *key = g_strdup_printf("north/%d", i);
+        wb_wire_claim_want want = {0};
+        want.model = "m";
+        want.key = key;
+        want.stream = "s-0123456789abcdef01234567";
+        want.engine = "engine-1";
+        want.engine_address = "127.0.0.1:7000";
+        want.node = "node-1~1a235b3029e1a32";
+        wb_wire_command command;
+        wb_claim_command(&want, 1, &command);
+        wb_record_apply(record, &command, i * 10);
+        command.kind = WB_WIRE_COMMAND_CLAIM_DONE;
+        command.wb_wire_command_u.claim_done.status = 200;
+        command.wb_wire_command_u.claim_done.answer = answer;
+        wb_record_apply(record, &command, i * 10);
+    }
+    wb_record_expire(record, 300000, 600000);
+    g_assert_cmpuint(g_hash_table_size(record->claims), ==, 30000);
+    g_assert_cmpstr(wb_record_claim(record, "m", "north/0")->answer, ==, "");
+    g_assert_true(wb_record_claim(record, "m", "north/0")->done);
+    g_assert_cmpstr(wb_record_claim(record, "m", "north/29999")->answer, ==, answer);
+    wb_wire_message message = {.kind = WB_WIRE_GROUP_STATE};
+    message.wb_wire_message_u.group_state.cell = "s/0";
+    wb_record_to_wire(record, &message.wb_wire_message_u.group_state.record, 300000);
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    g_assert_cmpint(wb_message_encode(&message, bytes, NULL), ==, APR_SUCCESS);
+    wb_record_wire_clear(&message.wb_wire_message_u.group_state.record);
+    wb_record_free(record);
+}
+
 static void seed_run(guint32 seed)
 {
     world_figures_t figures = {0};
@@ -158,6 +194,7 @@
 void group_tests_add(void)
 {
     g_test_add_func("/group/takeover-keeps-what-counted", test_takeover_keeps_what_counted);
+    g_test_add_func("/group/record-with-many-claims-fits", test_record_with_many_claims_fits);
     g_test_add_func("/seeds/founder-with-an-old-record", test_seed_founder_with_an_old_record);
     g_test_add_func("/seeds/successor-takes-an-unsure-record-as-sure",
                     test_seed_successor_takes_an_unsure_record_as_sure);
