Count a model's demand once a step, and drop an answer nobody read

Reading the whole change again: the demand of each model was summed over all targets twice in every step, which runs after each event; the turn carries it now. slot_step's result was never used, and the check for a model without a slot stood twice. No behaviour changes.

--- a/src/cell/cell_step.c
+++ b/src/cell/cell_step.c
@@ -111,15 +111,15 @@
                     model->memory_bytes);
 }
 
-/* Moves one slot on: towards loaded, or towards gone. Returns FALSE when it was removed. */
-static gboolean slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms)
+/* Moves one slot on: towards loaded, or towards gone. The slot may be freed by this. */
+static void slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms)
 {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
     if (engine == NULL)
-        return TRUE; /* not in the machine list yet */
+        return; /* not in the machine list yet */
     if (engine->machine == WB_MACHINE_GONE) {
         slot_remove_propose(cell, slot->model, slot->engine);
-        return FALSE;
+        return;
     }
     char pair[CELL_PAIR_SIZE];
     cell_pair(pair, slot->model, slot->engine);
@@ -132,17 +132,16 @@
         g_hash_table_insert(cell->retiring, g_strdup(pair),
                             leaving ? "the engine is leaving" : "the declaration has changed");
     if (!cell_engine_is_orderable(engine, now_ms))
-        return TRUE;
+        return;
     gboolean retiring = g_hash_table_contains(cell->retiring, pair);
     if (retiring && held == NULL) {
         slot_remove_propose(cell, slot->model, slot->engine);
-        return FALSE;
+        return;
     }
     if (retiring && held->state != WB_LOAD_UNLOADING)
         cell_order_send(cell, engine, WB_ORDER_UNLOAD, slot->model, NULL, 0, 0);
     else if (!retiring && held == NULL && slot_is_committed(cell, pair))
         slot_load(cell, engine, model, now_ms);
-    return TRUE;
 }
 
 static void slots_step(wb_cell_t *cell, int64_t now_ms)
@@ -164,8 +163,7 @@
         g_hash_table_iter_init(&models, engine->inventory->models);
         while (g_hash_table_iter_next(&models, NULL, &model_value)) {
             const wb_held_model_t *held = model_value;
-            if (held->state == WB_LOAD_UNLOADING ||
-                wb_record_has_slot(cell->record, held->name, engine->id))
+            if (held->state == WB_LOAD_UNLOADING || !engine_has_stray(cell, engine, held->name))
                 continue;
             cell_order_send(cell, engine, WB_ORDER_UNLOAD, held->name, NULL, 0, 0);
             break;
@@ -263,9 +261,8 @@
     }
 }
 
-static void model_step(wb_cell_t *cell, const wb_model_t *model, int64_t now_ms)
+static void model_step(wb_cell_t *cell, const wb_model_t *model, cell_busy_t busy, int64_t now_ms)
 {
-    cell_busy_t busy = cell_model_busy(cell, model->name);
     /* A new owner doesn't know yet who uses what: nothing is idle before its keep-alive. */
     busy.used_ms = MAX(busy.used_ms,
                        wb_record_slot_count(cell->record, model->name) > 0 ? cell->started_ms : 0);
@@ -286,6 +283,7 @@
 /* A model with what waits for it, for the order of decisions. */
 typedef struct model_turn_t {
     const wb_model_t *model;
+    cell_busy_t busy;
     int64_t deadline_ms;
 } model_turn_t;
 
@@ -310,13 +308,15 @@
         if (strcmp(model->cell, cell->name) != 0)
             continue;
         cell_busy_t busy = cell_model_busy(cell, model->name);
-        model_turn_t turn = {model, busy.waiting > 0 && busy.deadline_ms > 0 ? busy.deadline_ms
-                                                                             : INT64_MAX};
+        model_turn_t turn = {
+            model, busy, busy.waiting > 0 && busy.deadline_ms > 0 ? busy.deadline_ms : INT64_MAX};
         g_array_append_val(turns, turn);
     }
     g_array_sort(turns, turn_compare);
-    for (guint i = 0; i < turns->len; i++)
-        model_step(cell, g_array_index(turns, model_turn_t, i).model, now_ms);
+    for (guint i = 0; i < turns->len; i++) {
+        const model_turn_t *turn = &g_array_index(turns, model_turn_t, i);
+        model_step(cell, turn->model, turn->busy, now_ms);
+    }
 }
 
 void wb_cell_step(wb_cell_t *cell, int64_t now_ms)
