--- /dev/null
+++ b/include/wickbridge/edge.h
@@ -0,0 +1,71 @@
+/**
+ * @file edge.h
+ * @brief An edge node: takes callers' requests, sends them to engines, and carries the placement
+ * controller.
+ *
+ * One process, one loop, one thread. What must last lives in the store behind wb_table_t; words and
+ * forms of the estate come from a wb_dialect_t.
+ */
+#ifndef WICKBRIDGE_EDGE_H
+#define WICKBRIDGE_EDGE_H
+
+#include "wickbridge/dialect.h"
+#include "wickbridge/loop.h"
+#include "wickbridge/settings.h"
+#include "wickbridge/table.h"
+
+typedef struct wb_edge_t wb_edge_t;
+typedef struct wb_edge_node_t wb_edge_node_t;
+
+/** Settings of an edge node; src/edge/edge_settings.c has the table. */
+typedef struct wb_edge_settings_t {
+    const char *id;
+    const char *zone;
+    const char *listen_callers;
+    const char *listen_ready;
+    const char *listen_nodes;
+    const char *listen_metrics;
+    const char *store;
+    int64_t log_lines_per_s;
+    double stop_grace_s;
+    int64_t drain_ms;
+    int64_t catalog_ms;
+    int64_t engine_heartbeat_ms;
+    int64_t lease_quiet_ms;
+    int64_t lease_duration_ms;
+    int64_t lease_renew_ms;
+    int64_t lease_margin_ms;
+    double retry_ratio;
+    double retry_window_s;
+    double retry_slack;
+    double load_window_s;
+    int64_t connect_timeout_ms;
+    int64_t silence_limit_ms;
+    int64_t store_timeout_ms;
+    int64_t order_timeout_ms;
+    int64_t engine_poll_ms;
+    int64_t demand_interval_ms;
+    int64_t adapter_load_ms;
+    int64_t answer_buffer_bytes;
+    double prefill_tokens_per_ms;
+} wb_edge_settings_t;
+
+extern const wb_settings_table_t wb_edge_settings_table;
+
+/**
+ * Create a node and begin to follow the store; nothing is served before wb_edge_node_run.
+ * @param table   the store; must outlive the node
+ * @param dialect the estate's words; must outlive the node
+ */
+apr_status_t wb_edge_node_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                 const wb_table_t *table, const wb_dialect_t *dialect,
+                                 wb_edge_node_t **node, wb_error_t *error);
+
+/** Begin a planned stop: not ready any more, answers end their connections, the lease is given up.
+ */
+void wb_edge_node_drain(wb_edge_node_t *node);
+
+/** @return TRUE when a planned stop is over and the process may end */
+gboolean wb_edge_node_is_drained(const wb_edge_node_t *node);
+
+#endif
--- /dev/null
+++ b/include/wickbridge/fleet.h
@@ -0,0 +1,97 @@
+/**
+ * @file fleet.h
+ * @brief Engines as a gateway knows them: what they announce, what the controller says, what
+ * answers showed.
+ *
+ * Threads: everything here belongs on the loop's thread.
+ */
+#ifndef WICKBRIDGE_FLEET_H
+#define WICKBRIDGE_FLEET_H
+
+#include "wickbridge/loop.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+/** A model on an engine. */
+typedef struct wb_engine_model_t {
+    char *name;
+    int64_t version;
+    GHashTable *adapters; /**< set of names */
+} wb_engine_model_t;
+
+/** What an engine announces of itself. */
+typedef struct wb_engine_state_t {
+    char *id; /**< new at each start of the engine */
+    char *service;
+    char *address;
+    char *zone;
+    int slots;
+    gboolean leaving;
+    int64_t remaining_ms;  /**< time until it is gone; -1: not told */
+    GHashTable *models;    /**< name -> wb_engine_model_t */
+    GHashTable *in_memory; /**< set of models with copies of their weights in memory */
+    GHashTable *on_disk;   /**< set of models with copies of their weights on disk */
+    /* Told only when the engine is asked for a report: */
+    gboolean reported;
+    gboolean busy;    /**< an order is under way */
+    int64_t sequence; /**< orders taken */
+    unsigned coming;  /**< adapters on their way */
+} wb_engine_state_t;
+
+wb_engine_state_t *wb_engine_state_create(const char *id);
+void wb_engine_state_free(wb_engine_state_t *state);
+wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
+                                             int64_t version);
+
+/** An engine, kept while it is announced or requests run on it. */
+typedef struct wb_engine_t {
+    int references;
+    wb_engine_state_t *state;
+    gboolean gone;       /**< no longer announced */
+    int64_t leaving_ms;  /**< steady time since which it is leaving or gone; 0: it isn't */
+    GHashTable *overlay; /**< MODEL/ADAPTER -> private; the controller's news */
+    /* What this node sees of it: */
+    unsigned running;          /**< this node's requests on it */
+    int64_t prefill_tokens;    /**< prompt tokens sent by this node and not yet answered */
+    unsigned reported_running; /**< running, by its last answer */
+    unsigned reported_waiting; /**< waiting, by its last answer */
+    int64_t reported_ms;       /**< when; 0: never */
+    unsigned failures;         /**< in a row */
+    int64_t avoid_until_ms;    /**< it failed: used only when there is no other */
+    int64_t latency_us;        /**< smoothed time to its answers' heads */
+    int64_t rejected_until_ms; /**< it turned a request away: full for the moment */
+    GQueue idle;               /**< kept connections; see upstream.c */
+    GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
+} wb_engine_t;
+
+typedef struct wb_fleet_t wb_fleet_t;
+
+wb_fleet_t *wb_fleet_create(void);
+/** Take an engine's announcement; the state is owned by the fleet from now on. */
+wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state);
+/** An engine is no longer announced. */
+void wb_fleet_remove(wb_fleet_t *fleet, const char *id);
+/** @return an engine that is announced, or NULL */
+wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id);
+/** @return engines of a service, those that are gone for a short while too; owned by the fleet, or
+ * NULL */
+const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service);
+/** @return all engines that are announced: id -> wb_engine_t; owned by the fleet */
+GHashTable *wb_fleet_all(const wb_fleet_t *fleet);
+/** Forget engines that have been gone for some time. */
+void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms);
+
+wb_engine_t *wb_engine_ref(wb_engine_t *engine);
+void wb_engine_unref(wb_engine_t *engine);
+
+/** The controller's news, which go before announcements for `valid_ms`. @param adapter "" for the
+ * model */
+void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
+                    int64_t now_ms, int64_t valid_ms);
+/** @return TRUE when the engine holds the model, and the adapter if one is named ("" or NULL: none)
+ */
+gboolean wb_engine_holds(const wb_engine_t *engine, const char *model, const char *adapter,
+                         int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/include/wickbridge/lease.h
@@ -0,0 +1,72 @@
+/**
+ * @file lease.h
+ * @brief The placement controller's lease: one row of the store, renewed by its holder.
+ *
+ * Engines don't check tokens, so time is the guard. The holder may act until `duration` after it
+ * *sent* its last renewal that counted. Another node takes the lease over only when it has known
+ * the row unchanged for `duration` + `quiet` + a margin, all by the steady clock: so at least
+ * `quiet` lies between two holders' acts. The token rises with each take-over. A restarted process
+ * of the holder's own machine takes it over at once.
+ *
+ * Pure: it is told the time, the rows and the outcomes of its writes, and says what to write.
+ */
+#ifndef WICKBRIDGE_LEASE_H
+#define WICKBRIDGE_LEASE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** The lease's row. */
+typedef struct wb_lease_row_t {
+    char *holder;   /**< the machine */
+    char *address;  /**< where other nodes reach it */
+    uint64_t token; /**< rises with each take-over */
+    uint64_t beat;  /**< counts renewals, so that a lost answer can be told from a lost write */
+    gboolean released;
+} wb_lease_row_t;
+
+typedef struct wb_lease_settings_t {
+    const char *machine;      /**< this node's machine; must outlive the lease */
+    const char *address;      /**< where other nodes reach this one; must outlive the lease */
+    int64_t duration_ms;      /**< how long a renewal lets its holder act, from its sending */
+    int64_t renew_ms;         /**< time between renewals */
+    int64_t quiet_ms;         /**< time that must lie between the acts of two holders */
+    int64_t margin_ms;        /**< added when waiting, taken off when acting */
+    int64_t write_timeout_ms; /**< a write without an answer is sent again after this time */
+} wb_lease_settings_t;
+
+typedef struct wb_lease_t wb_lease_t;
+
+wb_lease_t *wb_lease_create(const wb_lease_settings_t *settings);
+void wb_lease_free(wb_lease_t *lease);
+
+/** The row as read: `row` is NULL when it isn't there. Older versions than known are passed over.
+ */
+void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version, int64_t now_ms);
+
+/**
+ * Ask what to write now.
+ * @param row              out, texts are owned by the lease; valid when TRUE is returned
+ * @param expected_version out: the condition of the write
+ * @return TRUE when the row must be written; the outcome is then owed
+ */
+gboolean wb_lease_next_write(wb_lease_t *lease, int64_t now_ms, wb_lease_row_t *row,
+                             int64_t *expected_version);
+
+/** The write counted; the row now has this version. */
+void wb_lease_on_written(wb_lease_t *lease, int64_t version, int64_t now_ms);
+/** The write was surely not done, or lost its race. */
+void wb_lease_on_not_written(wb_lease_t *lease, int64_t now_ms);
+/** Nobody knows whether the write was done. */
+void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms);
+
+/** @return TRUE while this node may act. Ask right before each act. */
+gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms);
+/** @return the token of this node's holding, valid while it is held */
+uint64_t wb_lease_token(const wb_lease_t *lease);
+/** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
+const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
+/** Give the lease up at the next write, and don't take it again. */
+void wb_lease_release(wb_lease_t *lease);
+
+#endif
--- a/include/wickbridge/loop.h
+++ b/include/wickbridge/loop.h
@@ -30,6 +30,13 @@
 /** Start the loop's thread. */
 void wb_loop_start(wb_loop_t *loop);
 
+/** Run on the calling thread until wb_loop_quit; the loop was not started. */
+void wb_loop_run(wb_loop_t *loop);
+
+/** Make wb_loop_run return after the present round. Any thread, and signal handlers by wb_loop_post
+ * only. */
+void wb_loop_quit(wb_loop_t *loop);
+
 /** Run posted tasks that are left, join the thread and free the loop. */
 void wb_loop_stop(wb_loop_t *loop);
 
--- a/include/wickbridge/settings.h
+++ b/include/wickbridge/settings.h
@@ -16,6 +16,7 @@
     WB_SETTING_TEXT,    /**< any text, `const char *` in the target struct */
     WB_SETTING_ADDRESS, /**< IP:PORT, `const char *` in the target struct */
     WB_SETTING_INTEGER, /**< whole number in [minimum, maximum], `int64_t` */
+    WB_SETTING_REAL,    /**< number in [minimum, maximum], `double` */
     WB_SETTING_BOOLEAN  /**< true or false, `int64_t` 0 or 1 */
 } wb_setting_type_t;
 
@@ -24,8 +25,8 @@
     const char *name; /**< flag name without dashes, and key in the settings file */
     wb_setting_type_t type;
     const char *unit;          /**< "ms", "bytes", "" ... */
-    int64_t minimum;           /**< integers only */
-    int64_t maximum;           /**< integers only */
+    int64_t minimum;           /**< numbers only */
+    int64_t maximum;           /**< numbers only */
     const char *default_value; /**< as text; NULL: must be given */
     size_t offset;             /**< where the value goes in the target struct */
     const char *text;          /**< one sentence for --help and docs/SETTINGS.md */
--- a/scripts/install-needs.sh
+++ b/scripts/install-needs.sh
@@ -2,7 +2,7 @@
 # Installs the packages that building and testing need, if any is missing.
 set -eu
 packages="gcc make pkg-config meson ninja-build libapr1-dev libmicrohttpd-dev libcurl4-openssl-dev
-libglib2.0-dev libjansson-dev libyaml-dev liblua5.4-dev libgsl-dev libtirpc-dev libxxhash-dev
+libglib2.0-dev libjansson-dev libyaml-dev liblua5.4-dev libgsl-dev libhttp-parser-dev libtirpc-dev libxxhash-dev
 clang clang-format clang-tidy cppcheck spin openssl curl"
 missing=""
 for package in $packages; do
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -61,6 +61,22 @@
     return APR_SUCCESS;
 }
 
+static apr_status_t real_set(const wb_setting_t *row, double *place, const char *value,
+                             const char *origin, wb_error_t *error)
+{
+    char *end;
+    double number = g_ascii_strtod(value, &end);
+    if (end == value || *end != '\0')
+        return wb_error_set(error, APR_EINVAL, "%s: %s is '%s', but must be a number%s%s", origin,
+                            row->name, value, *row->unit ? " of " : "", row->unit);
+    if (!(number >= (double)row->minimum && number <= (double)row->maximum))
+        return wb_error_set(error, APR_EINVAL, "%s: %s is %g, but must be from %lld to %lld %s",
+                            origin, row->name, number, (long long)row->minimum,
+                            (long long)row->maximum, row->unit);
+    *place = number;
+    return APR_SUCCESS;
+}
+
 static apr_status_t boolean_set(const wb_setting_t *row, int64_t *place, const char *value,
                                 const char *origin, wb_error_t *error)
 {
@@ -84,6 +100,8 @@
     switch (row->type) {
     case WB_SETTING_INTEGER:
         return integer_set(row, (int64_t *)place, value, origin, error);
+    case WB_SETTING_REAL:
+        return real_set(row, (double *)place, value, origin, error);
     case WB_SETTING_BOOLEAN:
         return boolean_set(row, (int64_t *)place, value, origin, error);
     case WB_SETTING_ADDRESS:
@@ -149,7 +167,7 @@
 static char *flag_help(const wb_setting_t *row)
 {
     GString *text = g_string_new(row->text);
-    if (row->type == WB_SETTING_INTEGER)
+    if (row->type == WB_SETTING_INTEGER || row->type == WB_SETTING_REAL)
         g_string_append_printf(text, " [%lld to %lld%s%s]", (long long)row->minimum,
                                (long long)row->maximum, *row->unit ? " " : "", row->unit);
     if (row->default_value == NULL)
@@ -225,14 +243,14 @@
 
 void wb_settings_document(const wb_settings_table_t *table, FILE *file)
 {
-    static const char *const type_names[] = {"text", "address", "integer", "boolean"};
+    static const char *const type_names[] = {"text", "address", "integer", "number", "boolean"};
     fprintf(file, "## %s\n\n%s\n\n", table->program, table->purpose);
     fprintf(file,
             "| name | type | unit | range | default | meaning |\n|---|---|---|---|---|---|\n");
     for (size_t i = 0; i < table->count; i++) {
         const wb_setting_t *row = &table->rows[i];
         char range[64] = "";
-        if (row->type == WB_SETTING_INTEGER)
+        if (row->type == WB_SETTING_INTEGER || row->type == WB_SETTING_REAL)
             snprintf(range, sizeof(range), "%lld to %lld", (long long)row->minimum,
                      (long long)row->maximum);
         fprintf(file, "| `%s` | %s | %s | %s | %s | %s |\n", row->name, type_names[row->type],
--- /dev/null
+++ b/src/control/controller.c
@@ -0,0 +1,661 @@
+/* The placement controller: decides which engine loads or drops what. */
+#include "control/controller.h"
+
+#include "control/engine_orders.h"
+#include "control/load_window.h"
+#include "control/placement.h"
+
+#include "wickbridge/event_log.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TICK_MS 50
+#define DEMAND_LIFE_MS 2000
+/* Rates are averages over about so long. */
+#define RATE_TIME_S 5.0
+/* A model that is waited for though an engine should hold it gets another engine after this time.
+ */
+#define STUCK_MS 600
+#define SPREAD_INTERVAL_MS 300
+/* A model gets one more engine for its load only when what must go costs less than this. */
+#define SPREAD_COST_MS 120.0
+#define WATCHED_LIFE_MS 30000
+
+/* What one node said, and when. */
+typedef struct wb_node_demand_t {
+    wb_wire_message message;
+    int64_t at_ms;
+} wb_node_demand_t;
+
+/* A model's or adapter's use, kept between messages. */
+typedef struct wb_usage_t {
+    wb_model_use_t use;
+    int64_t rated_ms;  /* when the rates were last decayed */
+    int64_t waited_ms; /* since when it is waited for; 0: it isn't */
+    int64_t used_ms;   /* when it was last asked for */
+    unsigned time_left_ms;
+} wb_usage_t;
+
+struct wb_controller_t {
+    wb_loop_t *loop;
+    const wb_edge_settings_t *settings;
+    const wb_dialect_t *dialect;
+    wb_fleet_t *fleet;
+    wb_edge_metrics_t *metrics;
+    wb_controller_events_t events;
+    wb_catalog_t *catalog;
+    uint64_t token;      /* 0: not acting */
+    GHashTable *demands; /* node -> wb_node_demand_t */
+    GHashTable *usages;  /* SERVICE/MODEL/ADAPTER -> wb_usage_t */
+    GHashTable *orders;  /* engine id -> wb_engine_orders_t */
+    GHashTable *windows; /* service -> wb_load_window_t */
+    int64_t spread_ms;
+};
+
+static void node_demand_free(gpointer data)
+{
+    wb_node_demand_t *demand = data;
+    wb_message_clear(&demand->message);
+    g_free(demand);
+}
+
+static gboolean owner_may_act(void *context)
+{
+    wb_controller_t *controller = context;
+    return controller->token != 0 && controller->events.may_act(controller->events.context);
+}
+
+static const wb_service_t *owner_service(const char *name, void *context)
+{
+    const wb_controller_t *controller = context;
+    return controller->catalog != NULL ? wb_catalog_service(controller->catalog, name) : NULL;
+}
+
+static wb_load_window_t *window_of(wb_controller_t *controller, const char *service)
+{
+    wb_load_window_t *window = g_hash_table_lookup(controller->windows, service);
+    if (window == NULL) {
+        window = wb_load_window_create((int64_t)(controller->settings->load_window_s * 1000));
+        g_hash_table_insert(controller->windows, g_strdup(service), window);
+    }
+    const wb_service_t *spec = owner_service(service, controller);
+    wb_load_window_set_rate(window, spec != NULL ? spec->loads_per_s : 0);
+    return window;
+}
+
+static gboolean owner_store_has_room(const char *service, void *context)
+{
+    return wb_load_window_has_room(window_of(context, service), wb_clock_ms());
+}
+
+static void owner_store_load_begins(const char *service, void *context)
+{
+    wb_load_window_count(window_of(context, service), wb_clock_ms());
+}
+
+static uint64_t owner_token(void *context)
+{
+    return ((wb_controller_t *)context)->token;
+}
+
+static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
+                           gboolean held, void *context)
+{
+    wb_controller_t *controller = context;
+    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held};
+    wb_wire_message news = {.kind = WB_WIRE_PLACEMENT};
+    news.wb_wire_message_u.placement.token = controller->token;
+    news.wb_wire_message_u.placement.entries.entries_len = 1;
+    news.wb_wire_message_u.placement.entries.entries_val = &entry;
+    controller->events.on_news(&news, controller->events.context);
+}
+
+static char *usage_key(const char *service, const char *model, const char *adapter)
+{
+    return g_strjoin("/", service, model, adapter, NULL);
+}
+
+static wb_usage_t *usage_find(const wb_controller_t *controller, const char *service,
+                              const char *model, const char *adapter)
+{
+    g_autofree char *key = usage_key(service, model, adapter);
+    return g_hash_table_lookup(controller->usages, key);
+}
+
+static wb_usage_t *usage_of(wb_controller_t *controller, const char *service, const char *model,
+                            const char *adapter)
+{
+    g_autofree char *key = usage_key(service, model, adapter);
+    wb_usage_t *usage = g_hash_table_lookup(controller->usages, key);
+    if (usage == NULL) {
+        usage = g_new0(wb_usage_t, 1);
+        usage->rated_ms = wb_clock_ms();
+        g_hash_table_insert(controller->usages, g_steal_pointer(&key), usage);
+    }
+    return usage;
+}
+
+static void usage_decay(wb_usage_t *usage, int64_t now_ms)
+{
+    double passed_s = (double)(now_ms - usage->rated_ms) / 1000.0;
+    double kept = exp(-passed_s / RATE_TIME_S);
+    usage->use.rate_per_s *= kept;
+    usage->use.work_per_s *= kept;
+    usage->rated_ms = now_ms;
+}
+
+static void usage_arrivals(wb_usage_t *usage, unsigned arrivals, uint64_t work, int64_t now_ms)
+{
+    usage_decay(usage, now_ms);
+    usage->use.rate_per_s += arrivals / RATE_TIME_S;
+    usage->use.work_per_s += (double)work / RATE_TIME_S;
+    if (arrivals > 0)
+        usage->used_ms = now_ms;
+}
+
+void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand)
+{
+    int64_t now_ms = wb_clock_ms();
+    wb_node_demand_t *kept = g_new0(wb_node_demand_t, 1);
+    kept->at_ms = now_ms;
+    /* A copy by way of its bytes: the message belongs to its link. */
+    wb_wire_message source = {.kind = WB_WIRE_DEMAND};
+    source.wb_wire_message_u.demand = *demand;
+    g_autoptr(GByteArray) bytes = g_byte_array_new();
+    wb_error_t error;
+    if (wb_message_encode(&source, bytes, &error) != APR_SUCCESS ||
+        wb_message_decode(bytes->data + sizeof(uint32_t), bytes->len - sizeof(uint32_t),
+                          &kept->message, &error) != APR_SUCCESS) {
+        g_free(kept);
+        return;
+    }
+    g_hash_table_replace(controller->demands, g_strdup(demand->node), kept);
+    gboolean waits = FALSE;
+    for (guint i = 0; i < demand->entries.entries_len; i++) {
+        const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
+        usage_arrivals(usage_of(controller, entry->service, entry->model, ""), entry->arrivals,
+                       entry->work, now_ms);
+        if (*entry->adapter != '\0')
+            usage_arrivals(usage_of(controller, entry->service, entry->model, entry->adapter),
+                           entry->arrivals, 0, now_ms);
+        waits |= entry->waiting > 0;
+    }
+    if (waits)
+        wb_controller_decide(controller);
+}
+
+static void usages_clear(wb_controller_t *controller)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->usages);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_usage_t *usage = value;
+        usage->use.waiting = 0;
+        usage->use.running = 0;
+        usage->use.replicas = 0;
+        usage->use.in_loading = 0;
+        usage->time_left_ms = G_MAXUINT;
+    }
+}
+
+static void entry_count(wb_usage_t *usage, const wb_wire_demand_entry *entry, gboolean waits)
+{
+    usage->use.running += entry->running;
+    if (!waits || entry->waiting == 0)
+        return;
+    usage->use.waiting += entry->waiting;
+    usage->time_left_ms = MIN(usage->time_left_ms, entry->time_left_ms);
+}
+
+/* Adds up what all nodes said lately. */
+static void demands_count(wb_controller_t *controller, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->demands);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_node_demand_t *kept = value;
+        if (now_ms - kept->at_ms > DEMAND_LIFE_MS) {
+            g_hash_table_iter_remove(&iter);
+            continue;
+        }
+        const wb_wire_demand *demand = &kept->message.wb_wire_message_u.demand;
+        for (guint i = 0; i < demand->entries.entries_len; i++) {
+            const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
+            wb_usage_t *model = usage_of(controller, entry->service, entry->model, "");
+            entry_count(model, entry, *entry->adapter == '\0');
+            if (*entry->adapter == '\0')
+                continue;
+            entry_count(usage_of(controller, entry->service, entry->model, entry->adapter), entry,
+                        TRUE);
+            model->use.waiting += entry->waiting;
+            if (entry->waiting > 0)
+                model->time_left_ms = MIN(model->time_left_ms, entry->time_left_ms);
+        }
+    }
+}
+
+static gboolean usage_is_old(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    const wb_usage_t *usage = value;
+    int64_t now_ms = *(int64_t *)context;
+    return usage->use.waiting == 0 && usage->use.running == 0 &&
+           now_ms - MAX(usage->used_ms, usage->rated_ms) > WATCHED_LIFE_MS;
+}
+
+static void waiting_times_update(wb_controller_t *controller, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_foreach_remove(controller->usages, usage_is_old, &now_ms);
+    g_hash_table_iter_init(&iter, controller->usages);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_usage_t *usage = value;
+        usage_decay(usage, now_ms);
+        if (usage->use.waiting == 0)
+            usage->waited_ms = 0;
+        else if (usage->waited_ms == 0)
+            usage->waited_ms = now_ms;
+    }
+}
+
+static GPtrArray *owner_pick_victims(const wb_engine_state_t *state, const char *model,
+                                     void *context);
+static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context);
+
+static wb_engine_orders_t *orders_of(wb_controller_t *controller, wb_engine_t *engine)
+{
+    wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    if (orders != NULL)
+        return orders;
+    wb_engine_orders_owner_t owner = {
+        owner_may_act,  owner_pick_victims,   owner_pick_adapter_victim,
+        owner_service,  owner_store_has_room, owner_store_load_begins,
+        owner_announce, owner_token,          controller};
+    orders = wb_engine_orders_create(controller->loop, controller->settings, controller->dialect,
+                                     engine, controller->metrics, &owner);
+    g_hash_table_insert(controller->orders, g_strdup(engine->state->id), orders);
+    return orders;
+}
+
+/* Counts an engine's models as replicas, and adds it to a snapshot. */
+static void snapshot_add_engine(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                wb_engine_t *engine)
+{
+    const char *service = snapshot->service->name;
+    wb_engine_orders_t *orders = orders_of(controller, engine);
+    wb_placement_engine_t place = {engine, wb_engine_orders_state(orders),
+                                   wb_engine_orders_busy_ms(orders), TRUE};
+    place.available = engine->leaving_ms == 0 && !wb_engine_orders_is_unreachable(orders) &&
+                      wb_clock_ms() >= engine->avoid_until_ms;
+    g_array_append_val(snapshot->engines, place);
+    if (engine->leaving_ms != 0)
+        return;
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, place.state->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL))
+        usage_of(controller, service, name, "")->use.replicas++;
+    g_hash_table_iter_init(&iter, snapshot->service->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL))
+        if (wb_engine_orders_has(orders, name, ""))
+            usage_of(controller, service, name, "")->use.in_loading++;
+}
+
+static void snapshot_take(wb_controller_t *controller, const wb_service_t *service,
+                          wb_placement_snapshot_t *snapshot)
+{
+    snapshot->service = service;
+    snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
+    snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+    snapshot->store_has_room = owner_store_has_room(service->name, controller);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(controller->fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_engine_t *engine = value;
+        if (strcmp(engine->state->service, service->name) == 0)
+            snapshot_add_engine(controller, snapshot, engine);
+    }
+    gpointer name;
+    g_hash_table_iter_init(&iter, service->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        wb_usage_t *usage = usage_find(controller, service->name, name, "");
+        if (usage != NULL)
+            g_hash_table_insert(snapshot->uses, name, &usage->use);
+    }
+}
+
+static void snapshot_clear(wb_placement_snapshot_t *snapshot)
+{
+    g_array_unref(snapshot->engines);
+    g_hash_table_unref(snapshot->uses);
+}
+
+/* The counts of the last decision serve: a snapshot of one engine is enough to choose among its
+ * models. */
+static GPtrArray *owner_pick_victims(const wb_engine_state_t *state, const char *model,
+                                     void *context)
+{
+    wb_controller_t *controller = context;
+    wb_engine_t *engine = wb_fleet_find(controller->fleet, state->id);
+    const wb_service_t *service =
+        engine != NULL ? owner_service(engine->state->service, controller) : NULL;
+    const wb_model_spec_t *spec =
+        service != NULL ? g_hash_table_lookup(service->models, model) : NULL;
+    if (spec == NULL)
+        return NULL;
+    wb_placement_snapshot_t snapshot;
+    usages_clear(controller);
+    demands_count(controller, wb_clock_ms());
+    snapshot_take(controller, service, &snapshot);
+    double cost_ms;
+    GPtrArray *victims = wb_placement_victims(&snapshot, state, spec, &cost_ms);
+    snapshot_clear(&snapshot);
+    return victims;
+}
+
+/* The adapter that was asked for longest ago, and isn't running or waited for. */
+static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context)
+{
+    wb_controller_t *controller = context;
+    wb_engine_t *engine = wb_fleet_find(controller->fleet, state->id);
+    if (engine == NULL)
+        return NULL;
+    char *victim = NULL;
+    int64_t oldest_ms = G_MAXINT64;
+    GHashTableIter models;
+    gpointer model;
+    gpointer held;
+    g_hash_table_iter_init(&models, state->models);
+    while (g_hash_table_iter_next(&models, &model, &held)) {
+        GHashTableIter adapters;
+        gpointer adapter;
+        g_hash_table_iter_init(&adapters, ((wb_engine_model_t *)held)->adapters);
+        while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
+            const wb_usage_t *usage =
+                usage_find(controller, engine->state->service, model, adapter);
+            int64_t used_ms = usage != NULL ? usage->used_ms : 0;
+            if (usage != NULL && usage->use.waiting > 0)
+                continue;
+            if (usage != NULL && usage->use.running > 0)
+                used_ms += WATCHED_LIFE_MS;
+            if (used_ms >= oldest_ms)
+                continue;
+            oldest_ms = used_ms;
+            g_free(victim);
+            victim = g_strjoin("/", (char *)model, (char *)adapter, NULL);
+        }
+    }
+    return victim;
+}
+
+/* Loads a model where that costs least. Returns FALSE when there is no such engine. */
+static gboolean model_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                            const wb_model_spec_t *spec, double victim_limit_ms, const char *why)
+{
+    double cost_ms;
+    double victims_ms;
+    const wb_placement_engine_t *place = wb_placement_choose(snapshot, spec, &cost_ms, &victims_ms);
+    if (place == NULL || victims_ms > victim_limit_ms)
+        return FALSE;
+    wb_usage_t *usage = usage_of(controller, snapshot->service->name, spec->name, "");
+    wb_event("model-placed",
+             ",\"service\":\"%s\",\"model\":\"%s\",\"engine\":\"%s\",\"why\":\"%s\","
+             "\"cost_ms\":%.0f,\"victims_ms\":%.0f,\"waiting\":%u,\"replicas\":%u,"
+             "\"rate\":%.2f,\"time_left_ms\":%u",
+             snapshot->service->name, spec->name, place->engine->state->id, why, cost_ms,
+             victims_ms, usage->use.waiting, usage->use.replicas, usage->use.rate_per_s,
+             usage->time_left_ms);
+    wb_engine_orders_add(orders_of(controller, place->engine), spec->name, "");
+    ((wb_placement_engine_t *)place)->busy_ms +=
+        wb_placement_load_ms(spec, place->engine->state, NULL);
+    usage->use.in_loading++;
+    return TRUE;
+}
+
+typedef struct wb_need_t {
+    const wb_model_spec_t *spec;
+    unsigned time_left_ms;
+} wb_need_t;
+
+static gint more_urgent_first(gconstpointer left, gconstpointer right)
+{
+    const wb_need_t *a = left;
+    const wb_need_t *b = right;
+    return a->time_left_ms < b->time_left_ms ? -1 : a->time_left_ms > b->time_left_ms;
+}
+
+/* Models that are waited for and that no engine holds or loads. */
+static void needs_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                        int64_t now_ms)
+{
+    g_autoptr(GArray) needs = g_array_new(FALSE, FALSE, sizeof(wb_need_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, snapshot->service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_model_spec_t *spec = value;
+        const wb_usage_t *usage = usage_find(controller, snapshot->service->name, spec->name, "");
+        if (usage == NULL || usage->use.waiting == 0 || usage->use.in_loading > 0)
+            continue;
+        if (usage->use.replicas > 0 && now_ms - usage->waited_ms < STUCK_MS)
+            continue;
+        wb_need_t need = {spec, usage->time_left_ms};
+        g_array_append_val(needs, need);
+    }
+    g_array_sort(needs, more_urgent_first);
+    for (guint i = 0; i < needs->len; i++)
+        model_place(controller, snapshot, g_array_index(needs, wb_need_t, i).spec, G_MAXDOUBLE,
+                    "waited-for");
+}
+
+/* Models whose prompts take more reading than their engines should give to one model. */
+static void load_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, snapshot->service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_model_spec_t *spec = value;
+        const wb_usage_t *usage = usage_find(controller, snapshot->service->name, spec->name, "");
+        if (usage == NULL || usage->use.in_loading > 0)
+            continue;
+        unsigned wanted =
+            wb_placement_wanted(&usage->use, controller->settings->prefill_tokens_per_ms);
+        if (usage->use.replicas == 0 || usage->use.replicas >= wanted)
+            continue;
+        if (model_place(controller, snapshot, spec, SPREAD_COST_MS, "load"))
+            return;
+    }
+}
+
+/* Chooses among the engines that hold the model: rendezvous hashing, so an adapter keeps to few
+ * engines. */
+static wb_engine_t *adapter_engine(wb_controller_t *controller,
+                                   const wb_placement_snapshot_t *snapshot, const char *model,
+                                   const char *adapter)
+{
+    wb_engine_t *best = NULL;
+    uint64_t highest = 0;
+    g_autofree char *name = g_strjoin("/", model, adapter, NULL);
+    uint64_t seed = XXH64(name, strlen(name), 0);
+    for (guint i = 0; i < snapshot->engines->len; i++) {
+        const wb_placement_engine_t *place =
+            &g_array_index(snapshot->engines, wb_placement_engine_t, i);
+        if (!place->available || !g_hash_table_contains(place->state->models, model))
+            continue;
+        const char *id = place->engine->state->id;
+        uint64_t weight = XXH64(id, strlen(id), seed) >> 8;
+        if (!wb_engine_orders_is_busy(orders_of(controller, place->engine)))
+            weight += (uint64_t)1 << 60; /* engines that can take an order go first */
+        if (best == NULL || weight > highest) {
+            best = place->engine;
+            highest = weight;
+        }
+    }
+    return best;
+}
+
+static gboolean adapter_is_coming(const wb_controller_t *controller,
+                                  const wb_placement_snapshot_t *snapshot, const char *model,
+                                  const char *adapter)
+{
+    for (guint i = 0; i < snapshot->engines->len; i++) {
+        const wb_placement_engine_t *place =
+            &g_array_index(snapshot->engines, wb_placement_engine_t, i);
+        const wb_engine_orders_t *orders =
+            g_hash_table_lookup(controller->orders, place->engine->state->id);
+        if (orders != NULL && wb_engine_orders_has(orders, model, adapter))
+            return TRUE;
+    }
+    return FALSE;
+}
+
+static void adapter_need(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                         const wb_wire_demand_entry *entry)
+{
+    if (adapter_is_coming(controller, snapshot, entry->model, entry->adapter))
+        return;
+    wb_engine_t *engine = adapter_engine(controller, snapshot, entry->model, entry->adapter);
+    if (engine == NULL)
+        return;
+    wb_event("adapter-placed",
+             ",\"service\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\","
+             "\"waiting\":%u,\"time_left_ms\":%u",
+             entry->service, entry->model, entry->adapter, engine->state->id, entry->waiting,
+             entry->time_left_ms);
+    wb_engine_orders_add(orders_of(controller, engine), entry->model, entry->adapter);
+}
+
+static void adapters_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->demands);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_wire_demand *demand =
+            &((wb_node_demand_t *)value)->message.wb_wire_message_u.demand;
+        for (guint i = 0; i < demand->entries.entries_len; i++) {
+            const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
+            if (entry->waiting > 0 && *entry->adapter != '\0' &&
+                strcmp(entry->service, snapshot->service->name) == 0)
+                adapter_need(controller, snapshot, entry);
+        }
+    }
+}
+
+static void service_decide(wb_controller_t *controller, const wb_service_t *service,
+                           gboolean spread, int64_t now_ms)
+{
+    wb_placement_snapshot_t snapshot;
+    snapshot_take(controller, service, &snapshot);
+    needs_place(controller, &snapshot, now_ms);
+    adapters_place(controller, &snapshot);
+    if (spread)
+        load_spread(controller, &snapshot);
+    snapshot_clear(&snapshot);
+}
+
+void wb_controller_decide(wb_controller_t *controller)
+{
+    if (controller->catalog == NULL || !owner_may_act(controller))
+        return;
+    int64_t now_ms = wb_clock_ms();
+    usages_clear(controller);
+    demands_count(controller, now_ms);
+    waiting_times_update(controller, now_ms);
+    gboolean spread = now_ms - controller->spread_ms >= SPREAD_INTERVAL_MS;
+    if (spread)
+        controller->spread_ms = now_ms;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->catalog->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_service_t *service = value;
+        if (g_hash_table_size(service->models) > 0)
+            service_decide(controller, service, spread, now_ms);
+    }
+}
+
+static gboolean someone_waits(const wb_controller_t *controller)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->usages);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        if (((wb_usage_t *)value)->use.waiting > 0)
+            return TRUE;
+    return FALSE;
+}
+
+static void controller_tick(void *context)
+{
+    wb_controller_t *controller = context;
+    if (controller->token == 0)
+        return;
+    int64_t now_ms = wb_clock_ms();
+    if (someone_waits(controller) || now_ms - controller->spread_ms >= SPREAD_INTERVAL_MS)
+        wb_controller_decide(controller);
+}
+
+wb_controller_t *wb_controller_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                      const wb_dialect_t *dialect, wb_fleet_t *fleet,
+                                      wb_edge_metrics_t *metrics,
+                                      const wb_controller_events_t *events)
+{
+    wb_controller_t *controller = g_new0(wb_controller_t, 1);
+    controller->loop = loop;
+    controller->settings = settings;
+    controller->dialect = dialect;
+    controller->fleet = fleet;
+    controller->metrics = metrics;
+    controller->events = *events;
+    controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, node_demand_free);
+    controller->usages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                               (GDestroyNotify)wb_engine_orders_free);
+    controller->windows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_load_window_free);
+    wb_loop_every(loop, TICK_MS, controller_tick, controller);
+    return controller;
+}
+
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token, gboolean is_first)
+{
+    if (controller->token == token)
+        return;
+    controller->token = token;
+    /* What this node believed of engines is worth nothing once others may have given orders. */
+    g_hash_table_remove_all(controller->orders);
+    if (token == 0 || is_first || controller->catalog == NULL)
+        return;
+    GHashTableIter iter;
+    gpointer name;
+    int64_t now_ms = wb_clock_ms();
+    g_hash_table_iter_init(&iter, controller->catalog->services);
+    while (g_hash_table_iter_next(&iter, &name, NULL))
+        wb_load_window_assume_full(window_of(controller, name),
+                                   now_ms - controller->settings->lease_quiet_ms);
+}
+
+void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog)
+{
+    wb_catalog_unref(controller->catalog);
+    controller->catalog = wb_catalog_ref(catalog);
+}
+
+void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id)
+{
+    wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine_id);
+    if (orders == NULL)
+        return;
+    if (wb_fleet_find(controller->fleet, engine_id) != NULL)
+        wb_engine_orders_announced(orders);
+    else
+        g_hash_table_remove(controller->orders, engine_id);
+}
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,44 @@
+/**
+ * @file controller.h
+ * @brief The placement controller: while this node holds the lease, it alone orders engines to load
+ * and drop.
+ *
+ * An order names the engine's sequence that it expects, so of two orders given at one sequence at
+ * most one is carried out: an order without an answer is simply given again. Threads: the loop's
+ * thread.
+ */
+#ifndef WICKBRIDGE_CONTROLLER_H
+#define WICKBRIDGE_CONTROLLER_H
+
+#include "wickbridge/dialect.h"
+#include "wickbridge/edge.h"
+#include "wickbridge/message.h"
+
+#include "edge/edge_metrics.h"
+
+typedef struct wb_controller_t wb_controller_t;
+
+typedef struct wb_controller_events_t {
+    /** Asked right before each order is sent: may this node still act? */
+    gboolean (*may_act)(void *context);
+    /** Tell all gateways. */
+    void (*on_news)(const wb_wire_message *news, void *context);
+    void *context;
+} wb_controller_events_t;
+
+wb_controller_t *wb_controller_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                      const wb_dialect_t *dialect, wb_fleet_t *fleet,
+                                      wb_edge_metrics_t *metrics,
+                                      const wb_controller_events_t *events);
+/** Begin to act under a token, or stop acting (token 0). @param is_first nobody held the lease
+ * before */
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token, gboolean is_first);
+void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog);
+/** A gateway told what it has running and waiting. */
+void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand);
+/** An engine announced itself anew, or is gone. */
+void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id);
+/** Decide now, rather than at the next tick. */
+void wb_controller_decide(wb_controller_t *controller);
+
+#endif
--- /dev/null
+++ b/src/control/engine_orders.c
@@ -0,0 +1,536 @@
+/* Carries out tasks on one engine. */
+#include "control/engine_orders.h"
+
+#include "control/placement.h"
+
+#include "wickbridge/event_log.h"
+#include "wickbridge/http_peer.h"
+
+#include <string.h>
+
+#define LOOK_AGAIN_MS 60
+#define STORE_WAIT_MS 40
+#define UNLOAD_LOOK_MS 80
+#define LOAD_LATE_MS 250
+#define RETRY_MS 150
+#define RESENDS_LIMIT 8
+#define FAILURES_LIMIT 3
+#define UNREACHABLE_MS 2000
+#define TASK_LIFE_MS 12000
+#define ADAPTERS_COMING_LIMIT 4
+
+/* A model or adapter that is wanted on the engine. */
+typedef struct wb_task_t {
+    char *model;
+    char *adapter; /* "": the model */
+    int64_t created_ms;
+} wb_task_t;
+
+/* What the engine is waited for. */
+typedef enum wb_settle_t { WB_SETTLE_NONE, WB_SETTLE_LOADED, WB_SETTLE_UNLOADED } wb_settle_t;
+
+struct wb_engine_orders_t {
+    wb_loop_t *loop;
+    const wb_edge_settings_t *settings;
+    const wb_dialect_t *dialect;
+    wb_engine_t *engine;
+    wb_edge_metrics_t *metrics;
+    wb_engine_orders_owner_t owner;
+    wb_http_peer_t *peer;
+    GQueue tasks;             /* of wb_task_t; the first is under way */
+    wb_engine_state_t *state; /* as believed; NULL until it was read */
+    gboolean calling;
+    wb_timer_t *timer;
+    /* The order under way, or the last one. */
+    wb_order_t order;
+    char *order_model;
+    char *order_adapter;
+    gboolean order_from_store;
+    unsigned resends;
+    unsigned failures;
+    int64_t unreachable_until_ms;
+    wb_settle_t settle;
+    int64_t settle_due_ms;
+    int64_t adapters_ordered_ms[ADAPTERS_COMING_LIMIT];
+};
+
+static void orders_advance(wb_engine_orders_t *orders);
+
+static void task_free(wb_task_t *task)
+{
+    g_free(task->model);
+    g_free(task->adapter);
+    g_free(task);
+}
+
+wb_engine_orders_t *wb_engine_orders_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                            const wb_dialect_t *dialect, wb_engine_t *engine,
+                                            wb_edge_metrics_t *metrics,
+                                            const wb_engine_orders_owner_t *owner)
+{
+    wb_engine_orders_t *orders = g_new0(wb_engine_orders_t, 1);
+    orders->loop = loop;
+    orders->settings = settings;
+    orders->dialect = dialect;
+    orders->engine = wb_engine_ref(engine);
+    orders->metrics = metrics;
+    orders->owner = *owner;
+    orders->peer = wb_http_peer_create(loop, engine->state->address, settings->connect_timeout_ms,
+                                       settings->silence_limit_ms);
+    g_queue_init(&orders->tasks);
+    return orders;
+}
+
+void wb_engine_orders_free(wb_engine_orders_t *orders)
+{
+    if (orders->timer != NULL)
+        wb_timer_cancel(orders->timer);
+    wb_http_peer_free(orders->peer);
+    g_queue_clear_full(&orders->tasks, (GDestroyNotify)task_free);
+    wb_engine_state_free(orders->state);
+    wb_engine_unref(orders->engine);
+    g_free(orders->order_model);
+    g_free(orders->order_adapter);
+    g_free(orders);
+}
+
+static void advance_now(void *context)
+{
+    wb_engine_orders_t *orders = context;
+    orders->timer = NULL;
+    orders_advance(orders);
+}
+
+static void advance_after(wb_engine_orders_t *orders, int64_t delay_ms)
+{
+    if (orders->timer != NULL)
+        wb_timer_cancel(orders->timer);
+    orders->timer = wb_loop_after(orders->loop, MAX(delay_ms, 0), advance_now, orders);
+}
+
+static wb_task_t *task_first(const wb_engine_orders_t *orders)
+{
+    return g_queue_peek_head((GQueue *)&orders->tasks);
+}
+
+static void task_over(wb_engine_orders_t *orders, const char *outcome)
+{
+    wb_task_t *task = g_queue_pop_head(&orders->tasks);
+    wb_event(
+        "task-over",
+        ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"outcome\":\"%s\",\"ms\":%lld",
+        orders->engine->state->id, task->model, task->adapter, outcome,
+        (long long)(wb_clock_ms() - task->created_ms));
+    task_free(task);
+    orders->settle = WB_SETTLE_NONE;
+    advance_after(orders, 0);
+}
+
+static void state_forget(wb_engine_orders_t *orders)
+{
+    wb_engine_state_free(orders->state);
+    orders->state = NULL;
+}
+
+static void call_failed(wb_engine_orders_t *orders)
+{
+    orders->failures++;
+    if (orders->failures < FAILURES_LIMIT) {
+        advance_after(orders, RETRY_MS);
+        return;
+    }
+    orders->failures = 0;
+    orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
+    if (task_first(orders) != NULL)
+        task_over(orders, "unreachable");
+}
+
+static gboolean state_has(const wb_engine_state_t *state, const char *model, const char *adapter)
+{
+    const wb_engine_model_t *held = g_hash_table_lookup(state->models, model);
+    if (held == NULL)
+        return FALSE;
+    return *adapter == '\0' || g_hash_table_contains(held->adapters, adapter);
+}
+
+/* The engine holds what the first task asks for. */
+static void task_done(wb_engine_orders_t *orders)
+{
+    const wb_task_t *task = task_first(orders);
+    orders->owner.announce(orders->engine, task->model, task->adapter, TRUE, orders->owner.context);
+    task_over(orders, "done");
+}
+
+/* Compares a fresh report with what is waited for. */
+static void settle_check(wb_engine_orders_t *orders)
+{
+    gboolean has = state_has(orders->state, orders->order_model, "");
+    gboolean settled = !orders->state->busy && (orders->settle == WB_SETTLE_LOADED ? has : !has);
+    if (!settled) {
+        gboolean lost = !orders->state->busy && orders->settle == WB_SETTLE_LOADED &&
+                        wb_clock_ms() > orders->settle_due_ms + 4 * LOAD_LATE_MS;
+        if (lost)
+            orders->settle = WB_SETTLE_NONE;
+        advance_after(orders, LOOK_AGAIN_MS);
+        return;
+    }
+    gboolean loaded = orders->settle == WB_SETTLE_LOADED;
+    orders->settle = WB_SETTLE_NONE;
+    if (loaded && task_first(orders) != NULL)
+        task_done(orders);
+    else
+        advance_after(orders, 0);
+}
+
+static void report_answered(const wb_http_result_t *result, void *context)
+{
+    wb_engine_orders_t *orders = context;
+    orders->calling = FALSE;
+    wb_engine_state_t *state = NULL;
+    if (result->outcome == WB_HTTP_ANSWERED && result->status == 200)
+        state =
+            orders->dialect->report_parse(orders->engine->state->id, result->body, result->length);
+    if (state == NULL) {
+        call_failed(orders);
+        return;
+    }
+    orders->failures = 0;
+    if (orders->state != NULL && state->sequence < orders->state->sequence) {
+        /* The report is older than what the engine has already taken. */
+        wb_engine_state_free(state);
+        advance_after(orders, LOOK_AGAIN_MS);
+        return;
+    }
+    wb_engine_state_free(orders->state);
+    orders->state = state;
+    if (orders->settle != WB_SETTLE_NONE)
+        settle_check(orders);
+    else if (state->busy)
+        state_forget(orders), advance_after(orders, LOOK_AGAIN_MS);
+    else
+        advance_after(orders, 0);
+}
+
+static void report_ask(wb_engine_orders_t *orders)
+{
+    wb_http_request_t request = {.method = "GET",
+                                 .target = orders->dialect->report_target,
+                                 .timeout_ms = orders->settings->order_timeout_ms,
+                                 .on_result = report_answered,
+                                 .context = orders};
+    orders->calling = TRUE;
+    wb_http_peer_call(orders->peer, &request);
+}
+
+static gboolean order_may_send(void *context)
+{
+    wb_engine_orders_t *orders = context;
+    return orders->owner.may_act(orders->owner.context);
+}
+
+static void order_send(wb_engine_orders_t *orders);
+
+/* The engine took the order: the belief follows it. */
+static void order_taken(wb_engine_orders_t *orders, gboolean had_it)
+{
+    wb_engine_state_t *state = orders->state;
+    int64_t now_ms = wb_clock_ms();
+    gboolean is_adapter = *orders->order_adapter != '\0';
+    if (had_it && !(is_adapter && orders->order.kind == WB_ORDER_UNLOAD)) {
+        state_forget(orders); /* whether this counted in its sequence is not known */
+        advance_after(orders, 0);
+        return;
+    }
+    state->sequence = orders->order.expected_sequence + 1;
+    wb_engine_model_t *held = g_hash_table_lookup(state->models, orders->order_model);
+    if (orders->order.kind == WB_ORDER_UNLOAD) {
+        if (is_adapter) {
+            if (held != NULL)
+                g_hash_table_remove(held->adapters, orders->order_adapter);
+            advance_after(orders, 0);
+            return;
+        }
+        orders->settle = WB_SETTLE_UNLOADED;
+        advance_after(orders, UNLOAD_LOOK_MS);
+        return;
+    }
+    if (is_adapter) {
+        if (held != NULL)
+            g_hash_table_add(held->adapters, g_strdup(orders->order_adapter));
+        advance_after(orders, orders->settings->adapter_load_ms);
+        return;
+    }
+    orders->settle = WB_SETTLE_LOADED;
+    advance_after(orders, orders->settle_due_ms + LOAD_LATE_MS - now_ms);
+}
+
+static void order_answered(const wb_http_result_t *result, void *context)
+{
+    wb_engine_orders_t *orders = context;
+    orders->calling = FALSE;
+    wb_event("order-answered",
+             ",\"engine\":\"%s\",\"kind\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\","
+             "\"sequence\":%lld,\"token\":%llu,\"status\":%u,\"outcome\":%d",
+             orders->engine->state->id, orders->order.kind == WB_ORDER_LOAD ? "load" : "unload",
+             orders->order_model, orders->order_adapter, (long long)orders->order.expected_sequence,
+             (unsigned long long)orders->order.token, result->status, (int)result->outcome);
+    if (result->outcome == WB_HTTP_NOT_SENT) {
+        call_failed(orders);
+        return;
+    }
+    if (result->outcome == WB_HTTP_UNKNOWN) {
+        /* It may still be carried out; at this sequence only one of the two will be. */
+        orders->metrics->orders_unknown++;
+        if (++orders->resends > RESENDS_LIMIT)
+            call_failed(orders);
+        else
+            order_send(orders);
+        return;
+    }
+    orders->resends = 0;
+    if (result->status == 202 || result->status == 200) {
+        orders->failures = 0;
+        order_taken(orders, result->status == 200);
+        return;
+    }
+    state_forget(orders);
+    if (result->status == 400 && task_first(orders) != NULL)
+        task_over(orders, "refused");
+    else
+        advance_after(orders, LOOK_AGAIN_MS);
+}
+
+static void order_send(wb_engine_orders_t *orders)
+{
+    if (!orders->owner.may_act(orders->owner.context)) {
+        advance_after(orders, RETRY_MS);
+        return;
+    }
+    if (orders->order_from_store)
+        orders->owner.store_load_begins(orders->engine->state->service, orders->owner.context);
+    orders->metrics->orders++;
+    g_autofree char *body = orders->dialect->order_body(&orders->order);
+    g_autofree char *headers =
+        g_strdup_printf("%s: %s\r\n", orders->dialect->expected_engine, orders->engine->state->id);
+    wb_http_request_t request = {.method = "POST",
+                                 .target = orders->dialect->order_target,
+                                 .headers = headers,
+                                 .body = body,
+                                 .timeout_ms = orders->settings->order_timeout_ms,
+                                 .fresh = TRUE,
+                                 .may_send = order_may_send,
+                                 .on_result = order_answered,
+                                 .context = orders};
+    orders->calling = TRUE;
+    wb_http_peer_call(orders->peer, &request);
+}
+
+static void order_give(wb_engine_orders_t *orders, wb_order_kind_t kind, const char *model,
+                       const char *adapter)
+{
+    g_free(orders->order_model);
+    g_free(orders->order_adapter);
+    orders->order_model = g_strdup(model);
+    orders->order_adapter = g_strdup(adapter);
+    orders->resends = 0;
+    orders->order_from_store = FALSE;
+    orders->order = (wb_order_t){kind,
+                                 orders->order_model,
+                                 orders->order_adapter,
+                                 orders->state->sequence,
+                                 orders->settings->id,
+                                 orders->owner.token(orders->owner.context)};
+    if (kind == WB_ORDER_UNLOAD) {
+        orders->metrics->unloads++;
+        orders->owner.announce(orders->engine, model, adapter, FALSE, orders->owner.context);
+    }
+}
+
+static void model_load(wb_engine_orders_t *orders, const wb_task_t *task,
+                       const wb_model_spec_t *spec)
+{
+    g_autoptr(GPtrArray) victims =
+        orders->owner.pick_victims(orders->state, task->model, orders->owner.context);
+    if (victims == NULL) {
+        task_over(orders, "no-room");
+        return;
+    }
+    if (victims->len > 0) {
+        order_give(orders, WB_ORDER_UNLOAD, g_ptr_array_index(victims, 0), "");
+        order_send(orders);
+        return;
+    }
+    gboolean from_store;
+    double load_ms = wb_placement_load_ms(spec, orders->engine->state, &from_store);
+    if (from_store &&
+        !orders->owner.store_has_room(orders->engine->state->service, orders->owner.context)) {
+        advance_after(orders, STORE_WAIT_MS);
+        return;
+    }
+    if (from_store)
+        orders->metrics->store_loads++;
+    else
+        orders->metrics->local_loads++;
+    order_give(orders, WB_ORDER_LOAD, task->model, "");
+    orders->order_from_store = from_store;
+    orders->settle_due_ms = wb_clock_ms() + (int64_t)load_ms;
+    order_send(orders);
+}
+
+static unsigned adapters_held(const wb_engine_state_t *state)
+{
+    unsigned held = state->coming;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, state->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        held += g_hash_table_size(((wb_engine_model_t *)value)->adapters);
+    return held;
+}
+
+static gboolean adapter_fits(const wb_engine_state_t *state, const wb_service_t *service,
+                             const wb_model_spec_t *spec)
+{
+    return (int)adapters_held(state) < service->adapter_slots &&
+           wb_placement_used_mb(service, state) + spec->adapter_mb <= service->weights_mb;
+}
+
+static void adapter_load(wb_engine_orders_t *orders, const wb_task_t *task,
+                         const wb_service_t *service, const wb_model_spec_t *spec)
+{
+    if (!state_has(orders->state, task->model, "")) {
+        task_over(orders, "no-model");
+        return;
+    }
+    if (!adapter_fits(orders->state, service, spec)) {
+        g_autofree char *victim =
+            orders->owner.pick_adapter_victim(orders->state, orders->owner.context);
+        if (victim == NULL) {
+            task_over(orders, "no-room");
+            return;
+        }
+        char *slash = strchr(victim, '/');
+        *slash = '\0';
+        order_give(orders, WB_ORDER_UNLOAD, victim, slash + 1);
+        order_send(orders);
+        return;
+    }
+    order_give(orders, WB_ORDER_LOAD, task->model, task->adapter);
+    order_send(orders);
+}
+
+static void task_advance(wb_engine_orders_t *orders, const wb_task_t *task)
+{
+    const wb_service_t *service =
+        orders->owner.service(orders->engine->state->service, orders->owner.context);
+    const wb_model_spec_t *spec =
+        service != NULL ? g_hash_table_lookup(service->models, task->model) : NULL;
+    if (spec == NULL || wb_clock_ms() - task->created_ms > TASK_LIFE_MS)
+        task_over(orders, "given-up");
+    else if (state_has(orders->state, task->model, task->adapter))
+        task_done(orders);
+    else if (*task->adapter != '\0')
+        adapter_load(orders, task, service, spec);
+    else
+        model_load(orders, task, spec);
+}
+
+static void orders_advance(wb_engine_orders_t *orders)
+{
+    const wb_task_t *task = task_first(orders);
+    if (orders->calling || task == NULL)
+        return;
+    if (!orders->owner.may_act(orders->owner.context)) {
+        if (wb_clock_ms() - task->created_ms > TASK_LIFE_MS)
+            task_over(orders, "given-up");
+        else
+            advance_after(orders, RETRY_MS);
+        return;
+    }
+    if (orders->state == NULL || orders->settle != WB_SETTLE_NONE)
+        report_ask(orders);
+    else
+        task_advance(orders, task);
+}
+
+static wb_task_t *task_find(const wb_engine_orders_t *orders, const char *model,
+                            const char *adapter)
+{
+    for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
+        wb_task_t *task = item->data;
+        if (strcmp(task->model, model) == 0 && strcmp(task->adapter, adapter) == 0)
+            return task;
+    }
+    return NULL;
+}
+
+gboolean wb_engine_orders_has(const wb_engine_orders_t *orders, const char *model,
+                              const char *adapter)
+{
+    return task_find(orders, model, adapter) != NULL;
+}
+
+void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter)
+{
+    if (task_find(orders, model, adapter) != NULL)
+        return;
+    wb_task_t *task = g_new0(wb_task_t, 1);
+    task->model = g_strdup(model);
+    task->adapter = g_strdup(adapter);
+    task->created_ms = wb_clock_ms();
+    gboolean idle = orders->tasks.length == 0;
+    g_queue_push_tail(&orders->tasks, task);
+    if (idle && !orders->calling)
+        advance_after(orders, 0);
+}
+
+gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders)
+{
+    return orders->tasks.length > 0;
+}
+
+double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders)
+{
+    const wb_service_t *service =
+        orders->owner.service(orders->engine->state->service, orders->owner.context);
+    double busy_ms = 0;
+    for (GList *item = orders->tasks.head; service != NULL && item != NULL; item = item->next) {
+        const wb_task_t *task = item->data;
+        const wb_model_spec_t *spec = g_hash_table_lookup(service->models, task->model);
+        if (spec != NULL && *task->adapter == '\0')
+            busy_ms += wb_placement_load_ms(spec, orders->engine->state, NULL);
+    }
+    return busy_ms;
+}
+
+gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders)
+{
+    return wb_clock_ms() < orders->unreachable_until_ms;
+}
+
+const wb_engine_state_t *wb_engine_orders_state(const wb_engine_orders_t *orders)
+{
+    return orders->state != NULL ? orders->state : orders->engine->state;
+}
+
+void wb_engine_orders_announced(wb_engine_orders_t *orders)
+{
+    if (orders->settle == WB_SETTLE_NONE || orders->calling || orders->state == NULL)
+        return;
+    gboolean has = state_has(orders->engine->state, orders->order_model, "");
+    if (has != (orders->settle == WB_SETTLE_LOADED))
+        return;
+    /* The announcement shows that the order is carried out. */
+    if (orders->settle == WB_SETTLE_LOADED) {
+        const wb_engine_model_t *held =
+            g_hash_table_lookup(orders->engine->state->models, orders->order_model);
+        wb_engine_state_add_model(orders->state, orders->order_model, held->version);
+        orders->settle = WB_SETTLE_NONE;
+        if (task_first(orders) != NULL)
+            task_done(orders);
+        return;
+    }
+    g_hash_table_remove(orders->state->models, orders->order_model);
+    orders->settle = WB_SETTLE_NONE;
+    advance_after(orders, 0);
+}
--- /dev/null
+++ b/src/control/lease.c
@@ -0,0 +1,202 @@
+/* The placement controller's lease, as a pure state machine. */
+#include "wickbridge/lease.h"
+
+#include <string.h>
+
+/* Writes whose outcome may still show; an older one counts for nothing any more. */
+#define WRITES_REMEMBERED 16
+
+typedef struct wb_lease_write_t {
+    uint64_t beat;
+    int64_t sent_ms;
+} wb_lease_write_t;
+
+struct wb_lease_t {
+    wb_lease_settings_t settings;
+    wb_lease_row_t known; /* holder NULL: nobody */
+    int64_t version;      /* of the row; 0: not there; -1: never read */
+    int64_t version_since_ms;
+    uint64_t own_token; /* 0: never held by this process */
+    uint64_t beat;      /* of the last write; begins at random, so that no other process has it */
+    wb_lease_write_t writes[WRITES_REMEMBERED];
+    int64_t held_until_ms;
+    int64_t last_write_ms;
+    int64_t retry_at_ms;
+    gboolean writing;
+    wb_lease_row_t written; /* the write under way */
+    int64_t written_expected;
+    int64_t written_sent_ms;
+    gboolean releasing;
+    gboolean given_up;
+};
+
+static void row_clear(wb_lease_row_t *row)
+{
+    g_free(row->holder);
+    g_free(row->address);
+    memset(row, 0, sizeof(*row));
+}
+
+static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source)
+{
+    wb_lease_row_t copy = *source;
+    copy.holder = g_strdup(source->holder);
+    copy.address = g_strdup(source->address);
+    row_clear(target);
+    *target = copy;
+}
+
+wb_lease_t *wb_lease_create(const wb_lease_settings_t *settings)
+{
+    wb_lease_t *lease = g_new0(wb_lease_t, 1);
+    lease->settings = *settings;
+    lease->version = -1;
+    lease->beat = ((uint64_t)g_random_int() << 24) + 1;
+    return lease;
+}
+
+void wb_lease_free(wb_lease_t *lease)
+{
+    row_clear(&lease->known);
+    row_clear(&lease->written);
+    g_free(lease);
+}
+
+static gboolean is_own(const wb_lease_t *lease, const wb_lease_row_t *row)
+{
+    return row->holder != NULL && strcmp(row->holder, lease->settings.machine) == 0;
+}
+
+/* Returns when this process sent the write that made the row, or -1 when it wasn't this process. */
+static int64_t own_write_sent_ms(const wb_lease_t *lease, const wb_lease_row_t *row)
+{
+    const wb_lease_write_t *write = &lease->writes[row->beat % WRITES_REMEMBERED];
+    return is_own(lease, row) && write->beat == row->beat ? write->sent_ms : -1;
+}
+
+/* The row is as this process wrote it at some time. */
+static void own_row_take(wb_lease_t *lease, int64_t sent_ms)
+{
+    lease->own_token = lease->known.token;
+    if (lease->known.released)
+        lease->given_up = TRUE;
+    else if (!lease->releasing)
+        lease->held_until_ms = MAX(lease->held_until_ms, sent_ms + lease->settings.duration_ms);
+}
+
+void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version, int64_t now_ms)
+{
+    if (version <= lease->version && lease->version != -1)
+        return;
+    lease->version = version;
+    lease->version_since_ms = now_ms;
+    if (row == NULL) {
+        row_clear(&lease->known);
+        return;
+    }
+    row_copy(&lease->known, row);
+    int64_t sent_ms = own_write_sent_ms(lease, row);
+    if (sent_ms >= 0)
+        own_row_take(lease, sent_ms);
+    else
+        lease->held_until_ms = 0;
+}
+
+static gboolean is_holding(const wb_lease_t *lease)
+{
+    return lease->own_token != 0 && lease->known.token == lease->own_token &&
+           is_own(lease, &lease->known) && !lease->known.released;
+}
+
+/* When this node may take the lease over, if the row stays as it is. */
+static int64_t takeover_at_ms(const wb_lease_t *lease)
+{
+    const wb_lease_settings_t *settings = &lease->settings;
+    if (lease->known.holder == NULL || is_own(lease, &lease->known))
+        return lease->version_since_ms;
+    int64_t wait_ms = settings->quiet_ms + settings->margin_ms;
+    if (!lease->known.released)
+        wait_ms += settings->duration_ms;
+    return lease->version_since_ms + wait_ms;
+}
+
+static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms)
+{
+    if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
+        return FALSE;
+    if (is_holding(lease))
+        return lease->releasing || now_ms - lease->last_write_ms >= lease->settings.renew_ms;
+    if (lease->releasing || lease->given_up)
+        return FALSE;
+    return now_ms >= takeover_at_ms(lease);
+}
+
+gboolean wb_lease_next_write(wb_lease_t *lease, int64_t now_ms, wb_lease_row_t *row,
+                             int64_t *expected_version)
+{
+    if (!write_is_due(lease, now_ms))
+        return FALSE;
+    wb_lease_row_t next = {(char *)lease->settings.machine, (char *)lease->settings.address,
+                           lease->own_token, ++lease->beat, FALSE};
+    if (is_holding(lease)) {
+        next.released = lease->releasing;
+        if (lease->releasing)
+            lease->held_until_ms = 0; /* not one act more */
+    } else {
+        next.token = MAX(lease->known.token, lease->own_token) + 1;
+    }
+    row_copy(&lease->written, &next);
+    lease->written_expected = lease->version;
+    lease->written_sent_ms = now_ms;
+    lease->last_write_ms = now_ms;
+    lease->writes[next.beat % WRITES_REMEMBERED] = (wb_lease_write_t){next.beat, now_ms};
+    lease->writing = TRUE;
+    *row = lease->written;
+    *expected_version = lease->written_expected;
+    return TRUE;
+}
+
+void wb_lease_on_written(wb_lease_t *lease, int64_t version, int64_t now_ms)
+{
+    lease->writing = FALSE;
+    if (version <= lease->version)
+        return; /* the row was read meanwhile, this write or a later one */
+    lease->version = version;
+    lease->version_since_ms = now_ms;
+    row_copy(&lease->known, &lease->written);
+    own_row_take(lease, lease->written_sent_ms);
+}
+
+void wb_lease_on_not_written(wb_lease_t *lease, int64_t now_ms)
+{
+    lease->writing = FALSE;
+    lease->retry_at_ms = now_ms + lease->settings.write_timeout_ms / 4;
+    lease->last_write_ms = now_ms - lease->settings.renew_ms;
+}
+
+void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms)
+{
+    /* The same condition guards the next try; only one of the two can count. */
+    wb_lease_on_not_written(lease, now_ms);
+    lease->retry_at_ms = now_ms;
+}
+
+gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms)
+{
+    return is_holding(lease) && now_ms < lease->held_until_ms - lease->settings.margin_ms;
+}
+
+uint64_t wb_lease_token(const wb_lease_t *lease)
+{
+    return lease->own_token;
+}
+
+const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease)
+{
+    return lease->known.holder != NULL ? &lease->known : NULL;
+}
+
+void wb_lease_release(wb_lease_t *lease)
+{
+    lease->releasing = TRUE;
+}
--- /dev/null
+++ b/src/control/load_window.c
@@ -0,0 +1,58 @@
+/* A sliding window of loads from the weight store. */
+#include "control/load_window.h"
+
+struct wb_load_window_t {
+    int64_t window_ms;
+    unsigned most; /* loads in a window; 0: no limit */
+    GArray *began; /* of int64_t, oldest first */
+};
+
+wb_load_window_t *wb_load_window_create(int64_t window_ms)
+{
+    wb_load_window_t *window = g_new0(wb_load_window_t, 1);
+    window->window_ms = window_ms;
+    window->began = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    return window;
+}
+
+void wb_load_window_free(wb_load_window_t *window)
+{
+    g_array_unref(window->began);
+    g_free(window);
+}
+
+void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s)
+{
+    double most = loads_per_s * (double)window->window_ms / 1000.0;
+    window->most = loads_per_s <= 0 ? 0 : MAX((unsigned)most, 1);
+}
+
+void wb_load_window_assume_full(wb_load_window_t *window, int64_t until_ms)
+{
+    for (unsigned i = 0; i < window->most; i++)
+        wb_load_window_count(window, until_ms);
+}
+
+static unsigned counted_since(const wb_load_window_t *window, int64_t since_ms)
+{
+    unsigned counted = 0;
+    for (guint i = window->began->len; i > 0; i--) {
+        if (g_array_index(window->began, int64_t, i - 1) <= since_ms)
+            break;
+        counted++;
+    }
+    return counted;
+}
+
+gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms)
+{
+    return window->most == 0 || counted_since(window, now_ms - window->window_ms) < window->most;
+}
+
+void wb_load_window_count(wb_load_window_t *window, int64_t now_ms)
+{
+    while (window->began->len > 0 &&
+           g_array_index(window->began, int64_t, 0) <= now_ms - window->window_ms)
+        g_array_remove_index(window->began, 0);
+    g_array_append_val(window->began, now_ms);
+}
--- /dev/null
+++ b/src/control/load_window.h
@@ -0,0 +1,23 @@
+/**
+ * @file load_window.h
+ * @brief How many loads from the weight store may begin in any span of time. Pure.
+ */
+#ifndef WICKBRIDGE_LOAD_WINDOW_H
+#define WICKBRIDGE_LOAD_WINDOW_H
+
+#include <glib.h>
+#include <stdint.h>
+
+typedef struct wb_load_window_t wb_load_window_t;
+
+wb_load_window_t *wb_load_window_create(int64_t window_ms);
+void wb_load_window_free(wb_load_window_t *window);
+/** @param loads_per_s the store's rate; 0: no limit */
+void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s);
+/** Count what a holder before may have begun until `until_ms`: the whole of the window's loads. */
+void wb_load_window_assume_full(wb_load_window_t *window, int64_t until_ms);
+/** @return TRUE when one more load may begin now */
+gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms);
+void wb_load_window_count(wb_load_window_t *window, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/control/placement.c
@@ -0,0 +1,196 @@
+/* Where a model is loaded, and what makes room for it. */
+#include "control/placement.h"
+
+#include <math.h>
+#include <string.h>
+
+#define IMPOSSIBLE_MS 1e9
+/* Dropping a model takes an order and a look whether it was done. */
+#define UNLOAD_MS 120.0
+/* A run that must end before a model goes holds the load up by about so long. */
+#define RUN_END_MS 400.0
+/* Sharing a model's requests among one engine fewer costs each of them so much. */
+#define SHARE_MS 40.0
+/* The last replica costs this, however rarely it is asked for: it may be asked for next. */
+#define LAST_REPLICA_MS 150.0
+/* How far ahead a model's present rate is believed. */
+#define HORIZON_S 4.0
+#define FULL_STORE_MS 1500.0
+/* Share of an engine's reading that one model's prompts may take before it gets another engine. */
+#define READING_SHARE 0.3
+
+static const wb_model_use_t no_use;
+
+static const wb_model_use_t *use_of(const wb_placement_snapshot_t *snapshot, const char *model)
+{
+    const wb_model_use_t *use = g_hash_table_lookup(snapshot->uses, model);
+    return use != NULL ? use : &no_use;
+}
+
+static double model_mb(const wb_service_t *service, const wb_engine_model_t *held)
+{
+    const wb_model_spec_t *spec = g_hash_table_lookup(service->models, held->name);
+    if (spec == NULL)
+        return service->weights_mb; /* unknown: nothing fits beside it */
+    return spec->weights_mb + spec->adapter_mb * g_hash_table_size(held->adapters);
+}
+
+double wb_placement_used_mb(const wb_service_t *service, const wb_engine_state_t *state)
+{
+    double used = 0;
+    double largest_adapter = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, state->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        used += model_mb(service, value);
+        const wb_model_spec_t *spec =
+            g_hash_table_lookup(service->models, ((wb_engine_model_t *)value)->name);
+        if (spec != NULL)
+            largest_adapter = MAX(largest_adapter, spec->adapter_mb);
+    }
+    return used + state->coming * largest_adapter;
+}
+
+double wb_placement_load_ms(const wb_model_spec_t *model, const wb_engine_state_t *state,
+                            gboolean *from_store)
+{
+    gboolean in_memory = g_hash_table_contains(state->in_memory, model->name);
+    gboolean on_disk = g_hash_table_contains(state->on_disk, model->name);
+    if (from_store != NULL)
+        *from_store = !in_memory && !on_disk;
+    if (in_memory && model->memory_load_ms > 0)
+        return (double)model->memory_load_ms;
+    if ((in_memory || on_disk) && model->disk_load_ms > 0)
+        return (double)model->disk_load_ms;
+    if (from_store != NULL)
+        *from_store = TRUE;
+    return (double)model->store_load_ms;
+}
+
+/* What requests lose when an engine drops a model. */
+static double drop_cost_ms(const wb_placement_snapshot_t *snapshot, const char *name)
+{
+    const wb_model_use_t *use = use_of(snapshot, name);
+    const wb_model_spec_t *spec = g_hash_table_lookup(snapshot->service->models, name);
+    double expected = use->rate_per_s * HORIZON_S;
+    if (use->waiting > 0 && use->replicas <= 1)
+        return IMPOSSIBLE_MS;
+    if (use->replicas > 1)
+        return expected / use->replicas * SHARE_MS +
+               (double)use->running / use->replicas * RUN_END_MS;
+    double reload_ms = spec != NULL ? (double)spec->store_load_ms : 0;
+    return LAST_REPLICA_MS + (1 - exp(-expected)) * reload_ms + expected * SHARE_MS +
+           use->running * RUN_END_MS;
+}
+
+typedef struct wb_candidate_t {
+    const char *name;
+    double mb;
+    double cost_ms;
+} wb_candidate_t;
+
+static gint cheaper_first(gconstpointer left, gconstpointer right)
+{
+    const wb_candidate_t *a = left;
+    const wb_candidate_t *b = right;
+    return a->cost_ms < b->cost_ms ? -1 : a->cost_ms > b->cost_ms;
+}
+
+static GArray *candidates_collect(const wb_placement_snapshot_t *snapshot,
+                                  const wb_engine_state_t *state)
+{
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(wb_candidate_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, state->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_engine_model_t *held = value;
+        wb_candidate_t candidate = {held->name, model_mb(snapshot->service, held),
+                                    drop_cost_ms(snapshot, held->name)};
+        g_array_append_val(candidates, candidate);
+    }
+    g_array_sort(candidates, cheaper_first);
+    return candidates;
+}
+
+/* One model that alone makes room may cost less than several cheap ones. */
+static const wb_candidate_t *single_find(const GArray *candidates, double missing_mb)
+{
+    for (guint i = 0; i < candidates->len; i++) {
+        const wb_candidate_t *candidate = &g_array_index(candidates, wb_candidate_t, i);
+        if (candidate->mb >= missing_mb && candidate->cost_ms < IMPOSSIBLE_MS)
+            return candidate;
+    }
+    return NULL;
+}
+
+GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
+                                const wb_engine_state_t *state, const wb_model_spec_t *model,
+                                double *cost_ms)
+{
+    GPtrArray *victims = g_ptr_array_new_with_free_func(g_free);
+    double missing_mb = wb_placement_used_mb(snapshot->service, state) + model->weights_mb -
+                        snapshot->service->weights_mb;
+    *cost_ms = 0;
+    if (missing_mb <= 0)
+        return victims;
+    g_autoptr(GArray) candidates = candidates_collect(snapshot, state);
+    const wb_candidate_t *single = single_find(candidates, missing_mb);
+    double gathered_mb = 0;
+    double gathered_ms = 0;
+    for (guint i = 0; i < candidates->len && gathered_mb < missing_mb; i++) {
+        const wb_candidate_t *candidate = &g_array_index(candidates, wb_candidate_t, i);
+        g_ptr_array_add(victims, g_strdup(candidate->name));
+        gathered_mb += candidate->mb;
+        gathered_ms += candidate->cost_ms + UNLOAD_MS;
+    }
+    gboolean enough = gathered_mb >= missing_mb && gathered_ms < IMPOSSIBLE_MS;
+    if (single != NULL && (!enough || single->cost_ms + UNLOAD_MS < gathered_ms)) {
+        g_ptr_array_set_size(victims, 0);
+        g_ptr_array_add(victims, g_strdup(single->name));
+        *cost_ms = single->cost_ms + UNLOAD_MS;
+        return victims;
+    }
+    if (!enough) {
+        g_ptr_array_unref(victims);
+        return NULL;
+    }
+    *cost_ms = gathered_ms;
+    return victims;
+}
+
+const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
+                                                 const wb_model_spec_t *model, double *cost_ms,
+                                                 double *victim_cost_ms)
+{
+    const wb_placement_engine_t *best = NULL;
+    for (guint i = 0; i < snapshot->engines->len; i++) {
+        const wb_placement_engine_t *place =
+            &g_array_index(snapshot->engines, wb_placement_engine_t, i);
+        if (!place->available || g_hash_table_contains(place->state->models, model->name))
+            continue;
+        double victims_ms;
+        g_autoptr(GPtrArray) victims =
+            wb_placement_victims(snapshot, place->state, model, &victims_ms);
+        if (victims == NULL)
+            continue;
+        gboolean from_store;
+        double cost =
+            wb_placement_load_ms(model, place->state, &from_store) + victims_ms + place->busy_ms;
+        if (from_store && !snapshot->store_has_room)
+            cost += FULL_STORE_MS;
+        if (best != NULL && cost >= *cost_ms)
+            continue;
+        best = place;
+        *cost_ms = cost;
+        *victim_cost_ms = victims_ms;
+    }
+    return best;
+}
+
+unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms)
+{
+    double share = use->work_per_s / (tokens_per_ms * 1000.0 * READING_SHARE);
+    return (unsigned)ceil(share);
+}
--- /dev/null
+++ b/src/control/placement.h
@@ -0,0 +1,70 @@
+/**
+ * @file placement.h
+ * @brief Where a model is loaded, and what makes room for it: pure functions on a snapshot.
+ *
+ * No clock, no socket, no lock: the same code runs in a node, in tests and under a fuzzer. Costs
+ * are estimated times in ms that requests lose.
+ */
+#ifndef WICKBRIDGE_PLACEMENT_H
+#define WICKBRIDGE_PLACEMENT_H
+
+#include "wickbridge/catalog.h"
+#include "wickbridge/fleet.h"
+
+/** How much a model is asked for, over all nodes. */
+typedef struct wb_model_use_t {
+    unsigned waiting;    /**< requests that wait for it to be loaded */
+    unsigned running;    /**< requests under way */
+    double rate_per_s;   /**< arrivals, decayed */
+    double work_per_s;   /**< prompt tokens of arrivals, decayed */
+    unsigned replicas;   /**< engines that hold it and stay */
+    unsigned in_loading; /**< engines that are about to load it */
+} wb_model_use_t;
+
+/** An engine as the controller believes it to be. */
+typedef struct wb_placement_engine_t {
+    wb_engine_t *engine;
+    const wb_engine_state_t *state; /**< its last report, or its announcement */
+    double busy_ms;                 /**< time until it can take an order */
+    gboolean available;             /**< it stays, and answers */
+} wb_placement_engine_t;
+
+typedef struct wb_placement_snapshot_t {
+    const wb_service_t *service;
+    GArray *engines;         /**< of wb_placement_engine_t */
+    GHashTable *uses;        /**< model -> wb_model_use_t */
+    gboolean store_has_room; /**< a load from the weight store may begin now */
+} wb_placement_snapshot_t;
+
+/** @return MB that an engine's models and adapters take */
+double wb_placement_used_mb(const wb_service_t *service, const wb_engine_state_t *state);
+
+/** Time to load a model on an engine, by where its weights are. @param from_store out, may be NULL
+ */
+double wb_placement_load_ms(const wb_model_spec_t *model, const wb_engine_state_t *state,
+                            gboolean *from_store);
+
+/**
+ * Find what costs least to drop on an engine so that a model fits.
+ * @param cost_ms out: what dropping costs; 0 when it fits as it is
+ * @return names of models to drop, owned by the caller, empty when it fits; NULL when it can't be
+ * made to fit
+ */
+GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
+                                const wb_engine_state_t *state, const wb_model_spec_t *model,
+                                double *cost_ms);
+
+/**
+ * Choose an engine to load a model on.
+ * @param cost_ms out: the whole cost, with the load's time
+ * @param victim_cost_ms out: the part of it that dropping others makes
+ * @return NULL when there is none
+ */
+const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
+                                                 const wb_model_spec_t *model, double *cost_ms,
+                                                 double *victim_cost_ms);
+
+/** Engines that a model's measured work asks for. @param tokens_per_ms what an engine reads */
+unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms);
+
+#endif
--- /dev/null
+++ b/src/edge/attempt.c
@@ -0,0 +1,414 @@
+/* One sending of a request to one engine, and the connections to engines that are kept. */
+#include "edge/edge_types.h"
+
+#include <string.h>
+
+#define HEAD_LIMIT_BYTES 65536
+#define KEEP_ALIVE_MARGIN_MS 600
+#define KEPT_UNTOLD_MS 250 /* an engine that doesn't tell how long it keeps a connection */
+#define KEPT_PER_ENGINE 6
+
+/* A connection to an engine; an attempt has it, or it rests in its engine's queue. */
+typedef struct wb_upstream_t {
+    wb_edge_t *edge;
+    wb_engine_t *engine;
+    wb_tcp_stream_t *stream;
+    wb_http_reader_t *reader;
+    wb_attempt_t *attempt; /* NULL while it rests */
+    int64_t usable_until_ms;
+    gboolean feeding; /* the reader runs; freeing waits */
+    gboolean dropped;
+} wb_upstream_t;
+
+struct wb_attempt_t {
+    wb_exchange_t *exchange;
+    wb_upstream_t *upstream;
+    GString *output; /* the request, until the connection is open */
+    gboolean sent;
+    gboolean reused;
+    gboolean skipping; /* the present answer belongs to another request */
+    gboolean tainted;  /* the connection can't be used again */
+    gboolean keep_alive;
+    int64_t keep_for_ms; /* as the engine told; 0: it didn't */
+    gboolean whole;
+};
+
+static void upstream_drop(wb_upstream_t *upstream)
+{
+    if (!upstream->dropped) {
+        upstream->dropped = TRUE;
+        if (upstream->stream != NULL)
+            wb_tcp_stream_close(upstream->stream);
+        upstream->stream = NULL;
+    }
+    if (upstream->feeding)
+        return;
+    wb_http_reader_free(upstream->reader);
+    wb_engine_unref(upstream->engine);
+    g_free(upstream);
+}
+
+static void attempt_free(wb_attempt_t *attempt)
+{
+    if (attempt->output != NULL)
+        g_string_free(attempt->output, TRUE);
+    g_free(attempt);
+}
+
+/* Takes the attempt off its exchange. */
+static wb_exchange_t *attempt_detach(wb_attempt_t *attempt)
+{
+    wb_exchange_t *exchange = attempt->exchange;
+    exchange->attempt = NULL;
+    attempt->upstream->attempt = NULL;
+    return exchange;
+}
+
+void wb_attempt_cancel(wb_attempt_t *attempt)
+{
+    attempt_detach(attempt);
+    upstream_drop(attempt->upstream);
+    attempt_free(attempt);
+}
+
+static void attempt_fail(wb_attempt_t *attempt, const char *reason)
+{
+    gboolean sent = attempt->sent;
+    wb_exchange_t *exchange = attempt_detach(attempt);
+    upstream_drop(attempt->upstream);
+    attempt_free(attempt);
+    wb_exchange_attempt_failed(exchange, sent, reason);
+}
+
+/* Puts the connection into its engine's queue, or closes it. */
+static void upstream_rest(wb_upstream_t *upstream, const wb_attempt_t *attempt)
+{
+    gboolean keep = !attempt->tainted && attempt->keep_alive &&
+                    wb_tcp_stream_unsent(upstream->stream) == 0 && !upstream->engine->gone &&
+                    upstream->engine->leaving_ms == 0 &&
+                    g_queue_get_length(&upstream->engine->idle) < KEPT_PER_ENGINE;
+    int64_t keep_for_ms =
+        attempt->keep_for_ms > 0 ? attempt->keep_for_ms - KEEP_ALIVE_MARGIN_MS : KEPT_UNTOLD_MS;
+    if (!keep || keep_for_ms <= 0) {
+        upstream_drop(upstream);
+        return;
+    }
+    upstream->usable_until_ms = wb_clock_ms() + keep_for_ms;
+    wb_http_reader_next(upstream->reader);
+    wb_tcp_stream_set_reading(upstream->stream, TRUE);
+    g_queue_push_head(&upstream->engine->idle, upstream);
+}
+
+static void attempt_finish(wb_attempt_t *attempt)
+{
+    wb_upstream_t *upstream = attempt->upstream;
+    wb_exchange_t *exchange = attempt_detach(attempt);
+    upstream_rest(upstream, attempt);
+    attempt_free(attempt);
+    wb_exchange_attempt_done(exchange);
+}
+
+static int64_t keep_alive_ms(const wb_http_head_t *head)
+{
+    const char *text = wb_http_head_get(head, "Keep-Alive");
+    const char *timeout = text != NULL ? strstr(text, "timeout=") : NULL;
+    return timeout != NULL ? g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) * 1000 : 0;
+}
+
+/* An answer is this request's when it bears its id. Answers without one count on fresh connections
+ * only. */
+static gboolean answer_is_ours(const wb_attempt_t *attempt, const wb_http_head_t *head)
+{
+    const wb_exchange_t *exchange = attempt->exchange;
+    const char *id = wb_http_head_get(head, exchange->edge->dialect->request_id);
+    if (id == NULL)
+        return !attempt->reused && !attempt->tainted;
+    return strcmp(id, exchange->id) == 0;
+}
+
+static void engine_load_read(wb_engine_t *engine, const wb_dialect_t *dialect,
+                             const wb_http_head_t *head)
+{
+    const char *text = wb_http_head_get(head, dialect->engine_load);
+    unsigned running;
+    unsigned waiting;
+    if (text == NULL || sscanf(text, "%u,%u", &running, &waiting) != 2)
+        return;
+    engine->reported_running = running;
+    engine->reported_waiting = waiting;
+    engine->reported_ms = wb_clock_ms();
+}
+
+static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
+{
+    (void)reader;
+    wb_upstream_t *upstream = context;
+    wb_attempt_t *attempt = upstream->attempt;
+    if (attempt == NULL)
+        return;
+    attempt->skipping = head->status < 200;
+    if (attempt->skipping)
+        return;
+    if (!answer_is_ours(attempt, head)) {
+        attempt->skipping = TRUE;
+        attempt->tainted = TRUE;
+        wb_event("answer-passed-over", ",\"id\":\"%s\",\"engine\":\"%s\",\"status\":%u",
+                 wb_event_text(attempt->exchange->id), upstream->engine->state->id, head->status);
+        return;
+    }
+    attempt->keep_alive = head->keep_alive && !head->ends_with_connection;
+    attempt->keep_for_ms = keep_alive_ms(head);
+    engine_load_read(upstream->engine, upstream->edge->dialect, head);
+    wb_exchange_attempt_head(attempt->exchange, head);
+}
+
+static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
+{
+    (void)reader;
+    wb_upstream_t *upstream = context;
+    if (upstream->attempt != NULL && !upstream->attempt->skipping)
+        wb_exchange_attempt_body(upstream->attempt->exchange, data, length);
+}
+
+static void reader_complete(wb_http_reader_t *reader, void *context)
+{
+    wb_upstream_t *upstream = context;
+    wb_attempt_t *attempt = upstream->attempt;
+    if (attempt == NULL)
+        return;
+    if (attempt->skipping)
+        wb_http_reader_next(reader);
+    else
+        attempt->whole = TRUE;
+}
+
+static const wb_http_reader_events_t reader_events = {reader_head, reader_body, reader_complete};
+
+/* Reads an answer's bytes. Calls into the exchange may end the attempt, so it's looked up each
+ * time. */
+static void upstream_feed(wb_upstream_t *upstream, const char *data, size_t length)
+{
+    upstream->feeding = TRUE;
+    while (length > 0 && !upstream->dropped && upstream->attempt != NULL &&
+           !upstream->attempt->whole) {
+        size_t used = wb_http_reader_feed(upstream->reader, data, length);
+        data += used;
+        length -= used;
+        if (used == 0 || wb_http_reader_failure(upstream->reader) != WB_HTTP_FAILURE_NONE)
+            break;
+    }
+    upstream->feeding = FALSE;
+    if (upstream->dropped) {
+        upstream_drop(upstream);
+        return;
+    }
+    wb_attempt_t *attempt = upstream->attempt;
+    if (attempt == NULL)
+        return;
+    if (length > 0)
+        attempt->tainted = TRUE; /* bytes beyond the answer */
+    if (attempt->whole)
+        attempt_finish(attempt);
+    else if (length > 0 || wb_http_reader_failure(upstream->reader) != WB_HTTP_FAILURE_NONE)
+        attempt_fail(attempt, "not-an-answer");
+}
+
+static void idle_drop(wb_upstream_t *upstream)
+{
+    g_queue_remove(&upstream->engine->idle, upstream);
+    upstream_drop(upstream);
+}
+
+static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context)
+{
+    (void)stream;
+    wb_upstream_t *upstream = context;
+    if (upstream->attempt == NULL)
+        idle_drop(upstream); /* a late answer to an earlier request */
+    else
+        upstream_feed(upstream, data, length);
+}
+
+static const char *end_name(wb_tcp_end_t how)
+{
+    switch (how) {
+    case WB_TCP_END_UNREACHED:
+        return "unreached";
+    case WB_TCP_END_CLOSED:
+        return "closed";
+    default:
+        return "reset";
+    }
+}
+
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context)
+{
+    (void)stream;
+    wb_upstream_t *upstream = context;
+    if (upstream->attempt == NULL) {
+        idle_drop(upstream);
+        return;
+    }
+    if (how == WB_TCP_END_CLOSED) {
+        upstream->feeding = TRUE;
+        wb_http_reader_end(upstream->reader);
+        upstream->feeding = FALSE;
+        if (upstream->dropped) {
+            upstream_drop(upstream);
+            return;
+        }
+    }
+    wb_attempt_t *attempt = upstream->attempt;
+    if (attempt == NULL)
+        return;
+    attempt->tainted = TRUE;
+    if (attempt->whole)
+        attempt_finish(attempt);
+    else
+        attempt_fail(attempt, end_name(how));
+}
+
+static void request_write(wb_attempt_t *attempt)
+{
+    attempt->sent = TRUE;
+    wb_tcp_stream_write(attempt->upstream->stream, attempt->output->str, attempt->output->len);
+    g_string_free(attempt->output, TRUE);
+    attempt->output = NULL;
+}
+
+static void stream_open(wb_tcp_stream_t *stream, void *context)
+{
+    (void)stream;
+    wb_upstream_t *upstream = context;
+    if (upstream->attempt != NULL)
+        request_write(upstream->attempt);
+}
+
+static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
+
+/* Headers that this node sets itself. */
+static gboolean header_is_ours(const wb_exchange_t *exchange, const char *name)
+{
+    const wb_dialect_t *dialect = exchange->edge->dialect;
+    if (g_ascii_strcasecmp(name, "Content-Length") == 0 ||
+        g_ascii_strcasecmp(name, "Expect") == 0 ||
+        g_ascii_strcasecmp(name, dialect->deadline_ms) == 0 ||
+        g_ascii_strcasecmp(name, dialect->expected_engine) == 0 ||
+        g_ascii_strcasecmp(name, dialect->urgency) == 0)
+        return TRUE;
+    return exchange->resuming && g_ascii_strcasecmp(name, dialect->last_event_id) == 0;
+}
+
+static GString *request_text(const wb_exchange_t *exchange, const wb_engine_t *engine,
+                             int64_t now_ms)
+{
+    const wb_http_head_t *head = exchange->head;
+    const wb_dialect_t *dialect = exchange->edge->dialect;
+    GString *text = g_string_sized_new(exchange->body->len + 1024);
+    g_string_printf(text, "%s %s HTTP/1.1\r\n", head->method, head->target);
+    for (guint i = 0; i < head->headers->len; i++) {
+        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
+        if (wb_http_header_is_hop(head, header->name) || header_is_ours(exchange, header->name))
+            continue;
+        g_string_append_printf(text, "%s: %s\r\n", header->name, header->value);
+    }
+    int64_t left_ms = MAX(exchange->hold_until_ms - now_ms, 1);
+    g_string_append_printf(text, "%s: %lld\r\n%s: %s\r\n%s: %d\r\n", dialect->deadline_ms,
+                           (long long)left_ms, dialect->expected_engine, engine->state->id,
+                           dialect->urgency, CLAMP(exchange->route->rank, 0, 9));
+    if (exchange->resuming && exchange->last_event_id != NULL)
+        g_string_append_printf(text, "%s: %s\r\n", dialect->last_event_id, exchange->last_event_id);
+    if (exchange->body->len > 0 || head->has_length ||
+        wb_http_head_get(head, "Transfer-Encoding") != NULL)
+        g_string_append_printf(text, "Content-Length: %u\r\n", exchange->body->len);
+    g_string_append(text, "\r\n");
+    g_string_append_len(text, (const char *)exchange->body->data, exchange->body->len);
+    return text;
+}
+
+/* Returns a resting connection that the engine surely still keeps, or NULL. */
+static wb_upstream_t *idle_take(wb_engine_t *engine, int64_t now_ms)
+{
+    wb_upstream_t *upstream;
+    while ((upstream = g_queue_pop_head(&engine->idle)) != NULL) {
+        if (now_ms < upstream->usable_until_ms && wb_tcp_stream_is_open(upstream->stream))
+            return upstream;
+        upstream_drop(upstream);
+    }
+    return NULL;
+}
+
+static wb_upstream_t *upstream_connect(wb_edge_t *edge, wb_engine_t *engine)
+{
+    wb_upstream_t *upstream = g_new0(wb_upstream_t, 1);
+    upstream->edge = edge;
+    upstream->engine = wb_engine_ref(engine);
+    upstream->reader = wb_http_reader_create(FALSE, HEAD_LIMIT_BYTES, &reader_events, upstream);
+    wb_error_t error;
+    if (wb_tcp_stream_connect(edge->loop, engine->state->address, edge->settings.connect_timeout_ms,
+                              edge->settings.silence_limit_ms, &stream_events, upstream,
+                              &upstream->stream, &error) == APR_SUCCESS) {
+        edge->metrics.connections_opened++;
+        return upstream;
+    }
+    upstream_drop(upstream);
+    return NULL;
+}
+
+wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine)
+{
+    wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    wb_upstream_t *upstream = idle_take(engine, now_ms);
+    gboolean reused = upstream != NULL;
+    if (!reused)
+        upstream = upstream_connect(edge, engine);
+    if (upstream == NULL)
+        return NULL;
+    wb_attempt_t *attempt = g_new0(wb_attempt_t, 1);
+    attempt->exchange = exchange;
+    attempt->upstream = upstream;
+    attempt->reused = reused;
+    attempt->output = request_text(exchange, engine, now_ms);
+    upstream->attempt = attempt;
+    wb_http_reader_expect_no_body(upstream->reader, strcmp(exchange->head->method, "HEAD") == 0);
+    exchange->attempt = attempt;
+    if (reused) {
+        edge->metrics.connections_reused++;
+        request_write(attempt);
+    }
+    return attempt;
+}
+
+void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading)
+{
+    wb_tcp_stream_set_reading(attempt->upstream->stream, reading);
+}
+
+/* Drops the connections of an engine that have rested too long, or all when it is going. */
+static void idle_sweep(wb_engine_t *engine, int64_t now_ms)
+{
+    gboolean going = engine->gone || engine->leaving_ms != 0;
+    GList *item = engine->idle.head;
+    while (item != NULL) {
+        wb_upstream_t *upstream = item->data;
+        GList *next = item->next;
+        if (going || now_ms >= upstream->usable_until_ms) {
+            g_queue_delete_link(&engine->idle, item);
+            upstream_drop(upstream);
+        }
+        item = next;
+    }
+}
+
+void wb_upstreams_sweep(wb_edge_t *edge, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer service;
+    g_hash_table_iter_init(&iter, edge->catalog != NULL ? edge->catalog->services : edge->budgets);
+    while (g_hash_table_iter_next(&iter, &service, NULL)) {
+        const GPtrArray *engines = wb_fleet_service(edge->fleet, service);
+        for (guint i = 0; engines != NULL && i < engines->len; i++)
+            idle_sweep(g_ptr_array_index(engines, i), now_ms);
+    }
+}
--- /dev/null
+++ b/src/edge/balancer.c
@@ -0,0 +1,193 @@
+/* Chooses the engine of each sending. */
+#include "edge/edge_types.h"
+
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Costs are estimated times in ms until the engine has answered. */
+#define AVOIDED_MS 100000.0
+#define REJECTED_COST_MS 2000.0
+#define LEAVING_MS 1000000.0
+#define OTHER_ZONE_MS 3.0
+#define REPORT_TRUST_MS 1000.0
+/* Share of drain time within which an engine that leaves still gets work if there is no other. */
+#define LEAVING_SHARE 0.5
+#define FAILURE_MS 200.0
+#define READ_KEPT_MS 30000
+#define PREFIXES_LIMIT 512
+/* What one more running request costs the others of a batch, as a share of its full size. */
+#define FULLNESS_MS 150.0
+#define FULLNESS_FULL_MS 4000.0
+
+/* A key for a part of a prompt: what was read before it counts too, and the model that read it. */
+static uint64_t part_hash(uint64_t before, const char *id)
+{
+    return XXH64(id, strlen(id), before);
+}
+
+static uint64_t prompt_seed(const wb_exchange_t *exchange)
+{
+    uint64_t seed = XXH64(exchange->model, strlen(exchange->model), 0);
+    return XXH64(exchange->adapter, strlen(exchange->adapter), seed);
+}
+
+/* Hash of all but the last part: what requests of a kind have in common. */
+static uint64_t shared_hash(const wb_exchange_t *exchange)
+{
+    uint64_t hash = prompt_seed(exchange);
+    for (guint i = 0; i + 1 < exchange->parts->len; i++)
+        hash = part_hash(hash, g_array_index(exchange->parts, wb_prompt_part_t, i).id);
+    return hash;
+}
+
+int64_t wb_balancer_unread_tokens(const wb_engine_t *engine, const wb_exchange_t *exchange,
+                                  int64_t now_ms)
+{
+    if (exchange->model == NULL)
+        return 0;
+    int64_t unread = exchange->prompt_tokens;
+    uint64_t hash = prompt_seed(exchange);
+    for (guint i = 0; i < exchange->parts->len; i++) {
+        const wb_prompt_part_t *part = &g_array_index(exchange->parts, wb_prompt_part_t, i);
+        hash = part_hash(hash, part->id);
+        const int64_t *read_ms = g_hash_table_lookup(engine->prefixes, &hash);
+        if (read_ms == NULL || now_ms - *read_ms > READ_KEPT_MS)
+            break;
+        unread -= part->tokens;
+    }
+    return MAX(unread, 0);
+}
+
+void wb_balancer_note_read(wb_engine_t *engine, const wb_exchange_t *exchange, int64_t now_ms)
+{
+    if (exchange->model == NULL)
+        return;
+    if (g_hash_table_size(engine->prefixes) > PREFIXES_LIMIT)
+        g_hash_table_remove_all(engine->prefixes);
+    uint64_t hash = prompt_seed(exchange);
+    for (guint i = 0; i < exchange->parts->len; i++) {
+        hash = part_hash(hash, g_array_index(exchange->parts, wb_prompt_part_t, i).id);
+        int64_t *read_ms = g_hash_table_lookup(engine->prefixes, &hash);
+        if (read_ms != NULL)
+            *read_ms = now_ms;
+        else
+            g_hash_table_insert(engine->prefixes, g_memdup2(&hash, sizeof(hash)),
+                                g_memdup2(&now_ms, sizeof(now_ms)));
+    }
+}
+
+/* Running and waiting requests there: this node's own count, or what its last answer told, aged. */
+static double engine_load(const wb_engine_t *engine, int64_t now_ms)
+{
+    double own = engine->running;
+    if (engine->reported_ms == 0)
+        return own;
+    double age_ms = (double)(now_ms - engine->reported_ms);
+    double trust = exp(-age_ms / REPORT_TRUST_MS);
+    double told = engine->reported_running + engine->reported_waiting;
+    return MAX(own, trust * told);
+}
+
+/* Times until an engine has read what it must read first, and this prompt. */
+static double prefill_ms(const wb_edge_t *edge, const wb_engine_t *engine,
+                         const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms)
+{
+    int64_t unread = wb_balancer_unread_tokens(engine, exchange, now_ms);
+    guint parts = exchange->parts->len;
+    if (is_home && parts > 1) {
+        /* Other nodes send the same shared parts there. */
+        const wb_prompt_part_t *last = &g_array_index(exchange->parts, wb_prompt_part_t, parts - 1);
+        unread = MIN(unread, last->tokens);
+    }
+    return (double)(engine->prefill_tokens + unread) / edge->settings.prefill_tokens_per_ms;
+}
+
+static double engine_cost(const wb_edge_t *edge, const wb_engine_t *engine,
+                          const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms)
+{
+    double slots = MAX(engine->state->slots, 1);
+    double fullness = engine_load(engine, now_ms) / slots;
+    double cost = FULLNESS_MS * fullness;
+    if (fullness >= 1)
+        cost += FULLNESS_FULL_MS * (fullness - 1) + FULLNESS_MS;
+    if (exchange->model != NULL)
+        cost += prefill_ms(edge, engine, exchange, is_home, now_ms);
+    if (strcmp(engine->state->zone, edge->settings.zone) != 0)
+        cost += OTHER_ZONE_MS;
+    cost += FAILURE_MS * MIN(engine->failures, 8);
+    if (now_ms < engine->avoid_until_ms)
+        cost += AVOIDED_MS;
+    if (now_ms < engine->rejected_until_ms)
+        cost += REJECTED_COST_MS;
+    if (engine->leaving_ms != 0)
+        cost += LEAVING_MS;
+    return cost;
+}
+
+static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine)
+{
+    for (guint i = 0; i < exchange->tried->len; i++)
+        if (strcmp(g_ptr_array_index(exchange->tried, i), engine->state->id) == 0)
+            return TRUE;
+    return FALSE;
+}
+
+static gboolean is_usable(const wb_edge_t *edge, const wb_engine_t *engine,
+                          const wb_exchange_t *exchange, int64_t now_ms)
+{
+    if (was_tried(exchange, engine))
+        return FALSE;
+    if (engine->leaving_ms != 0) {
+        double left_ms = LEAVING_SHARE * (double)edge->settings.drain_ms;
+        if ((double)(now_ms - engine->leaving_ms) > left_ms || !engine->gone)
+            return FALSE;
+    }
+    return exchange->model == NULL ||
+           wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
+}
+
+/* The engine that rendezvous hashing gives a shared prompt: every node finds the same one. */
+static const wb_engine_t *home_find(const wb_exchange_t *exchange, const GPtrArray *usable)
+{
+    if (exchange->model == NULL)
+        return NULL;
+    uint64_t shared = shared_hash(exchange);
+    const wb_engine_t *home = NULL;
+    uint64_t highest = 0;
+    for (guint i = 0; i < usable->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(usable, i);
+        uint64_t weight = XXH64(engine->state->id, strlen(engine->state->id), shared);
+        if (home == NULL || weight > highest) {
+            home = engine;
+            highest = weight;
+        }
+    }
+    return home;
+}
+
+wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                int64_t now_ms)
+{
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
+    if (engines == NULL)
+        return NULL;
+    g_autoptr(GPtrArray) usable = g_ptr_array_sized_new(engines->len);
+    for (guint i = 0; i < engines->len; i++)
+        if (is_usable(edge, g_ptr_array_index(engines, i), exchange, now_ms))
+            g_ptr_array_add(usable, g_ptr_array_index(engines, i));
+    const wb_engine_t *home = home_find(exchange, usable);
+    wb_engine_t *best = NULL;
+    double lowest = 0;
+    for (guint i = 0; i < usable->len; i++) {
+        wb_engine_t *engine = g_ptr_array_index(usable, i);
+        double cost = engine_cost(edge, engine, exchange, engine == home, now_ms);
+        /* Ties go by chance, so that nodes without news don't all choose the same. */
+        cost += g_random_double();
+        if (best == NULL || cost < lowest) {
+            best = engine;
+            lowest = cost;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/edge/demand.c
@@ -0,0 +1,126 @@
+/* What this node's callers ask for, by model and adapter. */
+#include "edge/edge_types.h"
+
+#include <string.h>
+
+typedef struct wb_demand_entry_t {
+    char *service;
+    char *model;
+    char *adapter;
+    unsigned waiting;
+    unsigned running;
+    unsigned arrivals;
+    uint64_t work;
+    int64_t tightest_ms; /* steady time at which the tightest that waits is late */
+} wb_demand_entry_t;
+
+struct wb_demand_t {
+    GHashTable *entries; /* SERVICE/MODEL/ADAPTER -> wb_demand_entry_t */
+};
+
+static void entry_free(gpointer data)
+{
+    wb_demand_entry_t *entry = data;
+    g_free(entry->service);
+    g_free(entry->model);
+    g_free(entry->adapter);
+    g_free(entry);
+}
+
+wb_demand_t *wb_demand_create(void)
+{
+    wb_demand_t *demand = g_new0(wb_demand_t, 1);
+    demand->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_free);
+    return demand;
+}
+
+/* Returns the entry of a request's model, or NULL when it names none. */
+static wb_demand_entry_t *entry_of(wb_demand_t *demand, const wb_exchange_t *exchange)
+{
+    if (exchange->model == NULL)
+        return NULL;
+    g_autofree char *key =
+        g_strjoin("/", exchange->service->name, exchange->model, exchange->adapter, NULL);
+    wb_demand_entry_t *entry = g_hash_table_lookup(demand->entries, key);
+    if (entry != NULL)
+        return entry;
+    entry = g_new0(wb_demand_entry_t, 1);
+    entry->service = g_strdup(exchange->service->name);
+    entry->model = g_strdup(exchange->model);
+    entry->adapter = g_strdup(exchange->adapter);
+    entry->tightest_ms = G_MAXINT64;
+    g_hash_table_insert(demand->entries, g_steal_pointer(&key), entry);
+    return entry;
+}
+
+void wb_demand_arrived(wb_demand_t *demand, const wb_exchange_t *exchange)
+{
+    wb_demand_entry_t *entry = entry_of(demand, exchange);
+    if (entry == NULL)
+        return;
+    entry->arrivals++;
+    entry->work += (uint64_t)exchange->prompt_tokens;
+}
+
+void wb_demand_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting)
+{
+    wb_demand_entry_t *entry = entry_of(demand, exchange);
+    if (entry == NULL)
+        return;
+    if (!waiting) {
+        entry->waiting--;
+        if (entry->waiting == 0)
+            entry->tightest_ms = G_MAXINT64;
+        return;
+    }
+    entry->waiting++;
+    int64_t target_ms = exchange->route->target_latency_ms;
+    int64_t late_ms = target_ms > 0 ? exchange->began_ms + target_ms : exchange->hold_until_ms;
+    entry->tightest_ms = MIN(entry->tightest_ms, late_ms);
+}
+
+void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running)
+{
+    wb_demand_entry_t *entry = entry_of(demand, exchange);
+    if (entry != NULL)
+        entry->running += running ? 1 : -1;
+}
+
+static gboolean entry_is_empty(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    (void)context;
+    const wb_demand_entry_t *entry = value;
+    return entry->waiting == 0 && entry->running == 0 && entry->arrivals == 0;
+}
+
+void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message)
+{
+    memset(message, 0, sizeof(*message));
+    g_hash_table_foreach_remove(demand->entries, entry_is_empty, NULL);
+    guint count = g_hash_table_size(demand->entries);
+    int64_t now_ms = wb_clock_ms();
+    message->kind = WB_WIRE_DEMAND;
+    wb_wire_demand *told = &message->wb_wire_message_u.demand;
+    told->node = strdup(node);
+    told->entries.entries_len = count;
+    told->entries.entries_val = calloc(MAX(count, 1), sizeof(wb_wire_demand_entry));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, demand->entries);
+    for (guint i = 0; i < count && g_hash_table_iter_next(&iter, NULL, &value); i++) {
+        wb_demand_entry_t *entry = value;
+        wb_wire_demand_entry *row = &told->entries.entries_val[i];
+        row->service = strdup(entry->service);
+        row->model = strdup(entry->model);
+        row->adapter = strdup(entry->adapter);
+        row->waiting = entry->waiting;
+        row->running = entry->running;
+        row->arrivals = entry->arrivals;
+        row->work = entry->work;
+        row->time_left_ms =
+            entry->waiting > 0 ? (unsigned)CLAMP(entry->tightest_ms - now_ms, 0, 600000) : 0;
+        entry->arrivals = 0;
+        entry->work = 0;
+    }
+}
--- /dev/null
+++ b/src/edge/edge_metrics.c
@@ -0,0 +1,122 @@
+/* Figures of an edge node in the Prometheus text format. */
+#include "edge/edge_metrics.h"
+
+#include "edge/edge_types.h"
+
+static const unsigned bucket_bounds_ms[WB_LATENCY_BUCKETS] = {5,   10,   25,   50,   100,   250,
+                                                              500, 1000, 2500, 5000, 10000, 30000};
+
+void wb_histogram_add(wb_histogram_t *histogram, int64_t value_ms)
+{
+    size_t bucket = 0;
+    while (bucket < WB_LATENCY_BUCKETS && value_ms > bucket_bounds_ms[bucket])
+        bucket++;
+    histogram->buckets[bucket]++;
+    histogram->count++;
+    histogram->sum_ms += (uint64_t)MAX(value_ms, 0);
+}
+
+static void figure_write(GString *text, const char *name, const char *type, const char *help,
+                         uint64_t value)
+{
+    g_string_append_printf(text, "# HELP wickbridge_%s %s\n# TYPE wickbridge_%s %s\n", name, help,
+                           name, type);
+    g_string_append_printf(text, "wickbridge_%s %llu\n", name, (unsigned long long)value);
+}
+
+static void histogram_write(GString *text, const char *name, const char *help,
+                            const wb_histogram_t *histogram)
+{
+    g_string_append_printf(text, "# HELP wickbridge_%s %s\n# TYPE wickbridge_%s histogram\n", name,
+                           help, name);
+    uint64_t sum = 0;
+    for (size_t i = 0; i < WB_LATENCY_BUCKETS; i++) {
+        sum += histogram->buckets[i];
+        g_string_append_printf(text, "wickbridge_%s_bucket{le=\"%g\"} %llu\n", name,
+                               bucket_bounds_ms[i] / 1000.0, (unsigned long long)sum);
+    }
+    g_string_append_printf(text, "wickbridge_%s_bucket{le=\"+Inf\"} %llu\n", name,
+                           (unsigned long long)histogram->count);
+    g_string_append_printf(text, "wickbridge_%s_sum %.3f\nwickbridge_%s_count %llu\n", name,
+                           (double)histogram->sum_ms / 1000, name,
+                           (unsigned long long)histogram->count);
+}
+
+static void counters_write(const wb_edge_metrics_t *metrics, GString *text)
+{
+    const struct {
+        const char *name;
+        const char *help;
+        uint64_t value;
+    } rows[] = {
+        {"requests_total", "Requests of callers.", metrics->requests},
+        {"sends_total", "Sendings to engines.", metrics->sends},
+        {"resends_total", "Sendings beyond the first of a request.", metrics->resends},
+        {"rejections_total", "Sendings that engines turned away.", metrics->rejections},
+        {"broken_sends_total", "Sendings without a whole answer.", metrics->broken_sends},
+        {"waits_total", "Requests that waited for an engine or a model.", metrics->waits},
+        {"engine_connections_opened_total", "Connections opened to engines.",
+         metrics->connections_opened},
+        {"engine_connections_reused_total", "Kept connections used again.",
+         metrics->connections_reused},
+        {"store_calls_total", "Calls to the store.", metrics->table_calls},
+        {"store_failures_total", "Calls to the store without a good answer.",
+         metrics->table_failures},
+        {"lease_takeovers_total", "Times that this node took the controller's lease.",
+         metrics->lease_takeovers},
+        {"orders_total", "Orders given to engines.", metrics->orders},
+        {"orders_unknown_total", "Orders without an answer.", metrics->orders_unknown},
+        {"store_loads_total", "Loads ordered that read from the weight store.",
+         metrics->store_loads},
+        {"local_loads_total", "Loads ordered that read from an engine's memory or disk.",
+         metrics->local_loads},
+        {"unloads_total", "Unloads ordered.", metrics->unloads},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        figure_write(text, rows[i].name, "counter", rows[i].help, rows[i].value);
+}
+
+static void gauges_write(const wb_edge_gauges_t *gauges, GString *text)
+{
+    const struct {
+        const char *name;
+        const char *help;
+        uint64_t value;
+    } rows[] = {
+        {"catalog_version", "Version of the configuration in force.",
+         (uint64_t)gauges->catalog_version},
+        {"catalog_age_ms", "Time since the store last told of the configuration.",
+         (uint64_t)gauges->catalog_age_ms},
+        {"engines_age_ms", "Time since the store last told of engines.",
+         (uint64_t)gauges->engines_age_ms},
+        {"engines", "Engines that announce themselves.", gauges->engines},
+        {"open_requests", "Requests under way.", gauges->open_requests},
+        {"waiting_requests", "Requests that wait for an engine or a model.",
+         gauges->waiting_requests},
+        {"nodes", "Nodes known from the store.", gauges->nodes},
+        {"lease_held", "1 while this node is the placement controller.", gauges->holds_lease},
+        {"lease_token", "Token of this node's last holding.", gauges->lease_token},
+        {"log_lines_dropped", "Log lines dropped so far.", gauges->log_lines_dropped},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        figure_write(text, rows[i].name, "gauge", rows[i].help, rows[i].value);
+}
+
+void wb_edge_metrics_write(const wb_edge_metrics_t *metrics, const wb_edge_gauges_t *gauges,
+                           GString *text)
+{
+    counters_write(metrics, text);
+    g_string_append(text, "# HELP wickbridge_request_endings_total Requests by how they ended.\n"
+                          "# TYPE wickbridge_request_endings_total counter\n");
+    for (int i = 0; i < WB_ENDING_COUNT; i++)
+        g_string_append_printf(text, "wickbridge_request_endings_total{ending=\"%s\"} %llu\n",
+                               wb_ending_name((wb_ending_t)i),
+                               (unsigned long long)metrics->endings[i]);
+    histogram_write(text, "answer_seconds", "Arrival to the first bytes of the answer.",
+                    &metrics->answer_ms);
+    histogram_write(text, "request_seconds", "Arrival to the end of the answer.",
+                    &metrics->whole_ms);
+    histogram_write(text, "wait_seconds", "Time spent waiting for a model or an engine.",
+                    &metrics->wait_ms);
+    gauges_write(gauges, text);
+}
--- /dev/null
+++ b/src/edge/edge_metrics.h
@@ -0,0 +1,63 @@
+/**
+ * @file edge_metrics.h
+ * @brief Counters and latency histograms of an edge node, in the Prometheus text format.
+ */
+#ifndef WICKBRIDGE_EDGE_METRICS_H
+#define WICKBRIDGE_EDGE_METRICS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#define WB_ENDINGS_MAX 16
+#define WB_LATENCY_BUCKETS 12
+
+/** A latency histogram; bounds are in edge_metrics.c. */
+typedef struct wb_histogram_t {
+    uint64_t buckets[WB_LATENCY_BUCKETS + 1];
+    uint64_t count;
+    uint64_t sum_ms;
+} wb_histogram_t;
+
+typedef struct wb_edge_metrics_t {
+    uint64_t requests;
+    uint64_t endings[WB_ENDINGS_MAX];
+    uint64_t sends;
+    uint64_t resends;
+    uint64_t rejections;
+    uint64_t broken_sends;
+    uint64_t waits;
+    uint64_t connections_opened;
+    uint64_t connections_reused;
+    uint64_t table_calls;
+    uint64_t table_failures;
+    uint64_t lease_takeovers;
+    uint64_t orders;
+    uint64_t orders_unknown;
+    uint64_t store_loads;
+    uint64_t local_loads;
+    uint64_t unloads;
+    wb_histogram_t answer_ms; /**< arrival to the first bytes of the answer */
+    wb_histogram_t whole_ms;  /**< arrival to the end of the answer */
+    wb_histogram_t wait_ms;   /**< time spent waiting for a model */
+} wb_edge_metrics_t;
+
+void wb_histogram_add(wb_histogram_t *histogram, int64_t value_ms);
+/** Values that are read when the figures are told. */
+typedef struct wb_edge_gauges_t {
+    int64_t catalog_version;
+    int64_t catalog_age_ms;
+    int64_t engines_age_ms;
+    unsigned engines;
+    unsigned open_requests;
+    unsigned waiting_requests;
+    unsigned nodes;
+    gboolean holds_lease;
+    uint64_t lease_token;
+    uint64_t log_lines_dropped;
+} wb_edge_gauges_t;
+
+/** Append all figures as text. */
+void wb_edge_metrics_write(const wb_edge_metrics_t *metrics, const wb_edge_gauges_t *gauges,
+                           GString *text);
+
+#endif
--- /dev/null
+++ b/src/edge/edge_settings.c
@@ -0,0 +1,74 @@
+/* The table of an edge node's settings: flags, file, help and docs/SETTINGS.md all come from it. */
+#include "wickbridge/edge.h"
+
+#include <glib.h>
+
+#define ROW(name, type, unit, low, high, fallback, field, text)                                    \
+    {                                                                                              \
+        name, type, unit, low, high, fallback, offsetof(wb_edge_settings_t, field), text           \
+    }
+
+static const wb_setting_t rows[] = {
+    ROW("id", WB_SETTING_TEXT, "", 0, 0, NULL, id,
+        "Name of this node's machine; the same after a restart there"),
+    ROW("zone", WB_SETTING_TEXT, "", 0, 0, NULL, zone, "Zone of this node"),
+    ROW("listen-callers", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_callers,
+        "Address for callers"),
+    ROW("listen-ready", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_ready,
+        "Address where GET /ready answers 200 while the node takes requests"),
+    ROW("listen-nodes", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_nodes,
+        "Address for other nodes"),
+    ROW("listen-metrics", WB_SETTING_ADDRESS, "", 0, 0, "", listen_metrics,
+        "Address for metrics at GET /metrics; empty: none"),
+    ROW("store", WB_SETTING_ADDRESS, "", 0, 0, NULL, store, "Address of the store"),
+    ROW("log-lines-per-s", WB_SETTING_INTEGER, "lines", 1, 100000, "100", log_lines_per_s,
+        "Most log lines of one kind in a second"),
+    ROW("stop-grace-s", WB_SETTING_REAL, "s", 0, 86400, "8", stop_grace_s,
+        "Time that a planned stop may take"),
+    ROW("drain-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "2000", drain_ms,
+        "Time after which an engine that leaves must get no more requests"),
+    ROW("catalog-ms", WB_SETTING_INTEGER, "ms", 1, 3600000, "2000", catalog_ms,
+        "Time within which a change of the configuration must be in force"),
+    ROW("engine-heartbeat-ms", WB_SETTING_INTEGER, "ms", 1, 3600000, "1200", engine_heartbeat_ms,
+        "Time between the announcements of an engine"),
+    ROW("lease-quiet-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "3000", lease_quiet_ms,
+        "Time that must lie between the orders of two controllers"),
+    ROW("lease-duration-ms", WB_SETTING_INTEGER, "ms", 100, 3600000, "1600", lease_duration_ms,
+        "Time for which a renewal lets the controller act"),
+    ROW("lease-renew-ms", WB_SETTING_INTEGER, "ms", 10, 3600000, "500", lease_renew_ms,
+        "Time between renewals of the controller's lease"),
+    ROW("lease-margin-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "200", lease_margin_ms,
+        "Added when a lease is waited out, taken off when it is used"),
+    ROW("retry-ratio", WB_SETTING_REAL, "resends", 0, 100, "0.2", retry_ratio,
+        "Resends to engines for each request, over all nodes"),
+    ROW("retry-window-s", WB_SETTING_REAL, "s", 1, 3600, "10", retry_window_s,
+        "Window in which resends are counted"),
+    ROW("retry-slack", WB_SETTING_REAL, "resends", 0, 1000000, "54", retry_slack,
+        "Resends in a window beyond the ratio, over all nodes"),
+    ROW("load-window-s", WB_SETTING_REAL, "s", 1, 3600, "5", load_window_s,
+        "Window in which loads from the weight store are counted"),
+    ROW("connect-timeout-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "250", connect_timeout_ms,
+        "Longest time to connect to an engine"),
+    ROW("silence-limit-ms", WB_SETTING_INTEGER, "ms", 100, 60000, "1500", silence_limit_ms,
+        "Bytes that an engine doesn't acknowledge for so long end the connection"),
+    ROW("store-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "900", store_timeout_ms,
+        "Time after which the store's answer counts as lost"),
+    ROW("order-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "400", order_timeout_ms,
+        "Time after which an engine's answer to an order or a report counts as lost"),
+    ROW("engine-poll-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "300", engine_poll_ms,
+        "Shortest time between two looks for changes of engines, when nobody waits"),
+    ROW("demand-interval-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "250", demand_interval_ms,
+        "Time between messages to the controller about what is asked for"),
+    ROW("adapter-load-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "40", adapter_load_ms,
+        "Time after which an adapter that was ordered is counted on"),
+    ROW("answer-buffer-bytes", WB_SETTING_INTEGER, "bytes", 1024, 1 << 30, "65536",
+        answer_buffer_bytes, "Answers up to this size are read whole before they are passed on"),
+    ROW("prefill-tokens-per-ms", WB_SETTING_REAL, "tokens", 1, 1000000, "30", prefill_tokens_per_ms,
+        "Prompt tokens that an engine is taken to read in a millisecond"),
+};
+
+const wb_settings_table_t wb_edge_settings_table = {
+    "wickbridge-edge",
+    "An edge node: takes callers' requests, sends them to engines, and may hold the controller's "
+    "lease.",
+    rows, G_N_ELEMENTS(rows)};
--- /dev/null
+++ b/src/edge/edge_types.h
@@ -0,0 +1,167 @@
+/**
+ * @file edge_types.h
+ * @brief What the files of an edge node share: the node, its requests, and their sendings to
+ * engines.
+ */
+#ifndef WICKBRIDGE_EDGE_TYPES_H
+#define WICKBRIDGE_EDGE_TYPES_H
+
+#include "wickbridge/catalog.h"
+#include "wickbridge/dialect.h"
+#include "wickbridge/edge.h"
+#include "wickbridge/event_log.h"
+#include "wickbridge/fleet.h"
+#include "wickbridge/http_listener.h"
+#include "wickbridge/message.h"
+#include "wickbridge/tcp_stream.h"
+
+#include "edge/edge_metrics.h"
+#include "edge/retry_budget.h"
+
+typedef struct wb_exchange_t wb_exchange_t;
+typedef struct wb_attempt_t wb_attempt_t;
+typedef struct wb_demand_t wb_demand_t;
+
+/** A part of a prompt. */
+typedef struct wb_prompt_part_t {
+    char *id;
+    int64_t tokens;
+} wb_prompt_part_t;
+
+/** The node: state that all requests share. */
+struct wb_edge_t {
+    wb_loop_t *loop;
+    wb_edge_settings_t settings;
+    const wb_dialect_t *dialect;
+    wb_fleet_t *fleet;
+    wb_catalog_t *catalog; /* NULL: none known yet */
+    GHashTable *budgets;   /* service -> wb_retry_budget_t */
+    wb_demand_t *demand;
+    wb_edge_metrics_t metrics;
+    GQueue waiting;      /* exchanges that wait for an engine, oldest first */
+    GHashTable *open;    /* set of all exchanges */
+    unsigned node_count; /* nodes that share the slack of the retry budget */
+    gboolean draining;
+    /** Someone waits for what isn't loaded: tell the controller soon. */
+    void (*on_need)(void *context);
+    void *need_context;
+};
+
+/** Why a request ended, for logs and metrics. */
+typedef enum wb_ending_t {
+    WB_ENDING_SERVED,        /* an engine's whole answer was passed on */
+    WB_ENDING_ENGINE_FAILED, /* an engine's own failure was passed on */
+    WB_ENDING_NO_CATALOG,
+    WB_ENDING_NO_ROUTE,
+    WB_ENDING_BAD_REQUEST,
+    WB_ENDING_UNKNOWN_MODEL,
+    WB_ENDING_NO_ENGINE,  /* none could be used in time */
+    WB_ENDING_NOT_LOADED, /* its model could not be loaded in time */
+    WB_ENDING_REJECTED,   /* engines turned it away */
+    WB_ENDING_NO_BUDGET,  /* another sending was not allowed */
+    WB_ENDING_BROKEN,     /* an engine broke off, and it may not be sent again */
+    WB_ENDING_TIMED_OUT,  /* the route's time or the caller's is over */
+    WB_ENDING_CALLER_GONE,
+    WB_ENDING_COUNT
+} wb_ending_t;
+
+/** @return an ending's name in logs and metrics */
+const char *wb_ending_name(wb_ending_t ending);
+
+/** What the engine answered, while its answer is read. */
+typedef struct wb_reply_t {
+    unsigned status;
+    char *reason;
+    GString *headers; /* lines to pass on */
+    gboolean sealed;
+    gboolean rejected; /* the engine says that it did not run the request */
+    gboolean streamed; /* whole events are passed on as they come */
+} wb_reply_t;
+
+/** A caller's request, from its arrival to its answer. */
+struct wb_exchange_t {
+    wb_edge_t *edge;
+    wb_http_connection_t *connection;
+    wb_http_head_t *head;
+    GByteArray *body;
+    wb_catalog_t *catalog;
+    const wb_route_t *route;
+    const wb_service_t *service;
+    const char *id; /* owned by head; "" when there is none */
+    char *model;    /* NULL: none named */
+    char *adapter;  /* "" when none */
+    GArray *parts;  /* of wb_prompt_part_t */
+    int64_t prompt_tokens;
+    int64_t began_ms;
+    int64_t deadline_ms;   /* steady time at which the caller stops waiting */
+    int64_t hold_until_ms; /* steady time at which the final answer is due */
+    int64_t wait_until_ms; /* steady time until which waiting for an engine has a use */
+    wb_timer_t *hold_timer;
+    wb_timer_t *patience_timer;
+    GList *waiting_link; /* its place in edge->waiting, or NULL */
+    int64_t waiting_since_ms;
+    int64_t waited_ms;
+    wb_attempt_t *attempt;   /* the one under way, or NULL */
+    wb_engine_t *engine;     /* of the last sending; a reference, or NULL */
+    int64_t sent_ms;         /* of the last sending */
+    gboolean counted;        /* the sending counts as running at its engine */
+    int64_t prefill_counted; /* prompt tokens that count at its engine */
+    wb_reply_t reply;
+    gboolean paused;  /* the caller doesn't take its answer: the engine isn't read */
+    GPtrArray *tried; /* ids of engines it was sent to */
+    unsigned sends;   /* sendings that may have reached an engine */
+    unsigned runs;    /* engines that ran it, or may have */
+    unsigned rejections;
+    unsigned unreached;    /* sendings that never were connected */
+    gboolean answer_begun; /* the caller has got a head */
+    gboolean resuming;     /* the attempt goes on with a stream already begun */
+    GByteArray *answer;    /* bytes of the answer not yet passed on */
+    char *last_event_id;
+    gboolean first_event_seen;
+    int64_t first_event_ms;
+};
+
+/** Balancer: choose an engine. @return NULL when none can be used; owned by the fleet */
+wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                int64_t now_ms);
+/** Prompt tokens that the engine must still read for this request, as far as this node knows. */
+int64_t wb_balancer_unread_tokens(const wb_engine_t *engine, const wb_exchange_t *exchange,
+                                  int64_t now_ms);
+/** The engine has read this request's prompt. */
+void wb_balancer_note_read(wb_engine_t *engine, const wb_exchange_t *exchange, int64_t now_ms);
+
+/* Requests: exchange.c. */
+void wb_exchange_begin(wb_edge_t *edge, wb_http_connection_t *connection, wb_http_head_t *head,
+                       GByteArray *body);
+/** The caller left. */
+void wb_exchange_gone(wb_exchange_t *exchange);
+/** The caller took output that had piled up. */
+void wb_exchange_drained(wb_exchange_t *exchange);
+/** Engines or their models have changed: try those that wait. */
+void wb_exchanges_retry_waiting(wb_edge_t *edge);
+
+/* What an attempt tells its exchange. */
+void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head);
+void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length);
+void wb_exchange_attempt_done(wb_exchange_t *exchange);
+/** @param sent FALSE when no byte of the request left */
+void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason);
+
+/* One sending to one engine: attempt.c. */
+wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine);
+/** Stop it: the engine's connection is closed. */
+void wb_attempt_cancel(wb_attempt_t *attempt);
+void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading);
+/** Close kept connections of engines that are gone, or that rested too long. */
+void wb_upstreams_sweep(wb_edge_t *edge, int64_t now_ms);
+
+/* Demand by model: demand.c. */
+wb_demand_t *wb_demand_create(void);
+void wb_demand_arrived(wb_demand_t *demand, const wb_exchange_t *exchange);
+void wb_demand_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting);
+void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running);
+/** Fill in a message with all that runs or waits; to be freed with wb_message_clear. Arrivals begin
+ * anew. */
+void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet.c
@@ -0,0 +1,235 @@
+/* Engines as a gateway knows them. */
+#include "wickbridge/fleet.h"
+
+#include <string.h>
+
+#define GONE_KEPT_MS 5000
+
+/* The controller's news of a model or adapter. */
+typedef struct wb_note_t {
+    gboolean held;
+    int64_t until_ms;
+} wb_note_t;
+
+struct wb_fleet_t {
+    GHashTable *engines;  /* id -> wb_engine_t, announced */
+    GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
+};
+
+static void model_free(gpointer data)
+{
+    wb_engine_model_t *model = data;
+    g_free(model->name);
+    g_hash_table_unref(model->adapters);
+    g_free(model);
+}
+
+static GHashTable *set_create(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+wb_engine_state_t *wb_engine_state_create(const char *id)
+{
+    wb_engine_state_t *state = g_new0(wb_engine_state_t, 1);
+    state->id = g_strdup(id);
+    state->remaining_ms = -1;
+    state->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
+    state->in_memory = set_create();
+    state->on_disk = set_create();
+    return state;
+}
+
+void wb_engine_state_free(wb_engine_state_t *state)
+{
+    if (state == NULL)
+        return;
+    g_free(state->id);
+    g_free(state->service);
+    g_free(state->address);
+    g_free(state->zone);
+    g_hash_table_unref(state->models);
+    g_hash_table_unref(state->in_memory);
+    g_hash_table_unref(state->on_disk);
+    g_free(state);
+}
+
+wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
+                                             int64_t version)
+{
+    wb_engine_model_t *model = g_new0(wb_engine_model_t, 1);
+    model->name = g_strdup(name);
+    model->version = version;
+    model->adapters = set_create();
+    g_hash_table_replace(state->models, model->name, model);
+    return model;
+}
+
+wb_engine_t *wb_engine_ref(wb_engine_t *engine)
+{
+    engine->references++;
+    return engine;
+}
+
+void wb_engine_unref(wb_engine_t *engine)
+{
+    if (engine == NULL || --engine->references > 0)
+        return;
+    wb_engine_state_free(engine->state);
+    g_hash_table_unref(engine->overlay);
+    g_hash_table_unref(engine->prefixes);
+    g_queue_clear(&engine->idle);
+    g_free(engine);
+}
+
+wb_fleet_t *wb_fleet_create(void)
+{
+    wb_fleet_t *fleet = g_new0(wb_fleet_t, 1);
+    fleet->engines =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_engine_unref);
+    fleet->services =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    return fleet;
+}
+
+static GPtrArray *service_engines(wb_fleet_t *fleet, const char *service)
+{
+    GPtrArray *engines = g_hash_table_lookup(fleet->services, service);
+    if (engines == NULL) {
+        engines = g_ptr_array_new_with_free_func((GDestroyNotify)wb_engine_unref);
+        g_hash_table_insert(fleet->services, g_strdup(service), engines);
+    }
+    return engines;
+}
+
+static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state)
+{
+    wb_engine_t *engine = g_new0(wb_engine_t, 1);
+    engine->references = 1;
+    engine->state = state;
+    engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    g_queue_init(&engine->idle);
+    g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
+    g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
+    return engine;
+}
+
+/* An engine that was removed and announces itself again, under the same id, is the same engine. */
+static wb_engine_t *engine_return(wb_fleet_t *fleet, const wb_engine_state_t *state)
+{
+    const GPtrArray *engines = wb_fleet_service(fleet, state->service);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (strcmp(engine->state->id, state->id) != 0)
+            continue;
+        g_hash_table_insert(fleet->engines, g_strdup(state->id), wb_engine_ref(engine));
+        engine->gone = FALSE;
+        return engine;
+    }
+    return NULL;
+}
+
+wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state)
+{
+    wb_engine_t *engine = wb_fleet_find(fleet, state->id);
+    if (engine == NULL)
+        engine = engine_return(fleet, state);
+    if (engine == NULL) {
+        engine = engine_create(fleet, state);
+    } else {
+        wb_engine_state_free(engine->state);
+        engine->state = state;
+    }
+    if (!state->leaving)
+        engine->leaving_ms = 0;
+    else if (engine->leaving_ms == 0)
+        engine->leaving_ms = wb_clock_ms();
+    return engine;
+}
+
+void wb_fleet_remove(wb_fleet_t *fleet, const char *id)
+{
+    wb_engine_t *engine = wb_fleet_find(fleet, id);
+    if (engine == NULL)
+        return;
+    engine->gone = TRUE;
+    if (engine->leaving_ms == 0)
+        engine->leaving_ms = wb_clock_ms();
+    g_hash_table_remove(fleet->engines, id);
+}
+
+wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id)
+{
+    return g_hash_table_lookup(fleet->engines, id);
+}
+
+const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service)
+{
+    return g_hash_table_lookup(fleet->services, service);
+}
+
+GHashTable *wb_fleet_all(const wb_fleet_t *fleet)
+{
+    return fleet->engines;
+}
+
+void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GPtrArray *engines = value;
+        for (guint i = engines->len; i > 0; i--) {
+            const wb_engine_t *engine = g_ptr_array_index(engines, i - 1);
+            if (engine->gone && now_ms - engine->leaving_ms > GONE_KEPT_MS)
+                g_ptr_array_remove_index_fast(engines, i - 1);
+        }
+    }
+}
+
+static char *note_key(const char *model, const char *adapter)
+{
+    return g_strconcat(model, "/", adapter != NULL ? adapter : "", NULL);
+}
+
+void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
+                    int64_t now_ms, int64_t valid_ms)
+{
+    wb_note_t *note = g_new(wb_note_t, 1);
+    note->held = held;
+    note->until_ms = now_ms + valid_ms;
+    g_hash_table_replace(engine->overlay, note_key(model, adapter), note);
+}
+
+/* Returns the news that still counts, or NULL. */
+static const wb_note_t *note_find(const wb_engine_t *engine, const char *model, const char *adapter,
+                                  int64_t now_ms)
+{
+    if (g_hash_table_size(engine->overlay) == 0)
+        return NULL;
+    g_autofree char *key = note_key(model, adapter);
+    const wb_note_t *note = g_hash_table_lookup(engine->overlay, key);
+    if (note == NULL)
+        return NULL;
+    if (now_ms < note->until_ms)
+        return note;
+    g_hash_table_remove(engine->overlay, key);
+    return NULL;
+}
+
+gboolean wb_engine_holds(const wb_engine_t *engine, const char *model, const char *adapter,
+                         int64_t now_ms)
+{
+    const wb_engine_model_t *held = g_hash_table_lookup(engine->state->models, model);
+    const wb_note_t *note = note_find(engine, model, "", now_ms);
+    if (note != NULL ? !note->held : held == NULL)
+        return FALSE;
+    if (adapter == NULL || *adapter == '\0')
+        return TRUE;
+    note = note_find(engine, model, adapter, now_ms);
+    if (note != NULL)
+        return note->held;
+    return held != NULL && g_hash_table_contains(held->adapters, adapter);
+}
--- /dev/null
+++ b/src/http/http_listener.c
@@ -0,0 +1,415 @@
+/* HTTP/1.1 server connections on a loop. */
+#include "wickbridge/http_listener.h"
+
+#include "wickbridge/tcp_stream.h"
+
+#include <string.h>
+
+#define SWEEP_INTERVAL_MS 200
+#define SILENCE_LIMIT_MS 8000
+#define PENDING_LIMIT_BYTES (256 * 1024)
+#define HEAD_TEXT_BYTES 256
+
+struct wb_http_listener_t {
+    wb_loop_t *loop;
+    wb_tcp_listener_t *listener;
+    wb_timer_t *sweep;
+    wb_http_handler_t handler;
+    wb_http_limits_t limits;
+    GHashTable *connections; /* set */
+    gboolean draining;
+};
+
+struct wb_http_connection_t {
+    wb_http_listener_t *listener;
+    wb_tcp_stream_t *stream;
+    wb_http_reader_t *reader;
+    GByteArray *pending; /* bytes of later requests */
+    GByteArray *body;
+    void *request;
+    gboolean running; /* a request was handed over and isn't answered */
+    gboolean keep_alive;
+    gboolean chunked;
+    gboolean is_head; /* the running request's method is HEAD */
+    gboolean advancing;
+    gboolean closed;
+    unsigned refusal; /* status to refuse the present request with, 0: none */
+    int64_t began_ms; /* first byte of the present request */
+    int64_t active_ms;
+};
+
+static void connection_advance(wb_http_connection_t *connection);
+
+const char *wb_http_reason(unsigned status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+/* Frees the connection unless its own advance runs; that then frees it. */
+static void connection_free(wb_http_connection_t *connection)
+{
+    g_hash_table_remove(connection->listener->connections, connection);
+    connection->closed = TRUE;
+    if (connection->advancing)
+        return;
+    wb_http_reader_free(connection->reader);
+    g_byte_array_unref(connection->pending);
+    if (connection->body != NULL)
+        g_byte_array_unref(connection->body);
+    g_free(connection);
+}
+
+static void connection_finish(wb_http_connection_t *connection)
+{
+    wb_tcp_stream_finish(connection->stream);
+    connection_free(connection);
+}
+
+static void output_write(wb_http_connection_t *connection, const GString *text)
+{
+    wb_tcp_stream_write(connection->stream, text->str, text->len);
+}
+
+static GString *head_text(const wb_http_connection_t *connection, unsigned status,
+                          const char *reason, const char *headers)
+{
+    GString *text = g_string_sized_new(HEAD_TEXT_BYTES);
+    g_string_printf(text, "HTTP/1.1 %u %s\r\n%s", status, reason, headers);
+    if (!connection->keep_alive)
+        g_string_append(text, "Connection: close\r\n");
+    return text;
+}
+
+static gboolean status_has_body(const wb_http_connection_t *connection, unsigned status)
+{
+    return !connection->is_head && status != 204 && status != 304;
+}
+
+/* The running request is answered. */
+static void request_over(wb_http_connection_t *connection)
+{
+    connection->running = FALSE;
+    connection->request = NULL;
+    connection->active_ms = wb_clock_ms();
+    if (!connection->keep_alive) {
+        connection_finish(connection);
+        return;
+    }
+    wb_http_reader_next(connection->reader);
+    connection->began_ms = 0;
+    connection->refusal = 0;
+    if (!connection->advancing)
+        connection_advance(connection);
+}
+
+void wb_http_connection_answer(wb_http_connection_t *connection, unsigned status,
+                               const char *reason, const char *headers, const void *body,
+                               size_t length)
+{
+    if (connection->listener->draining)
+        connection->keep_alive = FALSE;
+    g_autoptr(GString) text = head_text(connection, status, reason, headers);
+    if (status != 204)
+        g_string_append_printf(text, "Content-Length: %zu\r\n", length);
+    g_string_append(text, "\r\n");
+    if (status_has_body(connection, status) && length > 0)
+        g_string_append_len(text, body, (gssize)length);
+    output_write(connection, text);
+    request_over(connection);
+}
+
+void wb_http_connection_stream_begin(wb_http_connection_t *connection, unsigned status,
+                                     const char *reason, const char *headers)
+{
+    if (connection->listener->draining)
+        connection->keep_alive = FALSE;
+    g_autoptr(GString) text = head_text(connection, status, reason, headers);
+    connection->chunked = TRUE;
+    g_string_append(text, "Transfer-Encoding: chunked\r\n\r\n");
+    output_write(connection, text);
+}
+
+void wb_http_connection_stream_write(wb_http_connection_t *connection, const void *data,
+                                     size_t length)
+{
+    if (length == 0)
+        return;
+    g_autoptr(GString) text = g_string_sized_new(length + 16);
+    g_string_printf(text, "%zx\r\n", length);
+    g_string_append_len(text, data, (gssize)length);
+    g_string_append(text, "\r\n");
+    output_write(connection, text);
+}
+
+void wb_http_connection_stream_end(wb_http_connection_t *connection)
+{
+    wb_tcp_stream_write(connection->stream, "0\r\n\r\n", 5);
+    request_over(connection);
+}
+
+void wb_http_connection_abort(wb_http_connection_t *connection)
+{
+    connection->running = FALSE;
+    wb_tcp_stream_close(connection->stream);
+    connection_free(connection);
+}
+
+size_t wb_http_connection_unsent(const wb_http_connection_t *connection)
+{
+    return wb_tcp_stream_unsent(connection->stream);
+}
+
+int64_t wb_http_connection_request_began_ms(const wb_http_connection_t *connection)
+{
+    return connection->began_ms;
+}
+
+void wb_http_connection_set_request(wb_http_connection_t *connection, void *request)
+{
+    connection->request = request;
+}
+
+/* Answers what can't be read, and ends the connection. */
+static void connection_refuse(wb_http_connection_t *connection, unsigned status)
+{
+    connection->keep_alive = FALSE;
+    connection->running = TRUE;
+    wb_http_connection_answer(connection, status, wb_http_reason(status), "", NULL, 0);
+}
+
+static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
+{
+    (void)reader;
+    wb_http_connection_t *connection = context;
+    connection->keep_alive = head->keep_alive && head->minor_version >= 1;
+    connection->is_head = strcmp(head->method, "HEAD") == 0;
+    if (head->has_length && head->content_length > connection->listener->limits.body_bytes)
+        connection->refusal = 413;
+    connection->body = g_byte_array_new();
+    const char *expect = wb_http_head_get(head, "Expect");
+    if (connection->refusal == 0 && expect != NULL &&
+        g_ascii_strcasecmp(expect, "100-continue") == 0)
+        wb_tcp_stream_write(connection->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
+{
+    (void)reader;
+    wb_http_connection_t *connection = context;
+    if (connection->body->len + length > connection->listener->limits.body_bytes)
+        connection->refusal = 413;
+    else
+        g_byte_array_append(connection->body, (const guint8 *)data, (guint)length);
+}
+
+static void reader_complete(wb_http_reader_t *reader, void *context)
+{
+    wb_http_connection_t *connection = context;
+    if (connection->refusal != 0)
+        return;
+    wb_http_head_t *head = wb_http_reader_take_head(reader);
+    GByteArray *body = connection->body;
+    connection->body = NULL;
+    connection->running = TRUE;
+    connection->listener->handler.on_request(connection, head, body,
+                                             connection->listener->handler.context);
+}
+
+static const wb_http_reader_events_t reader_events = {reader_head, reader_body, reader_complete};
+
+static unsigned failure_status(const wb_http_connection_t *connection)
+{
+    switch (wb_http_reader_failure(connection->reader)) {
+    case WB_HTTP_FAILURE_HEAD_TOO_LARGE:
+        return 431;
+    case WB_HTTP_FAILURE_SYNTAX:
+        return 400;
+    default:
+        return connection->refusal;
+    }
+}
+
+/* Reads pending bytes until a request runs or none is left. */
+static void connection_advance(wb_http_connection_t *connection)
+{
+    connection->advancing = TRUE;
+    while (!connection->closed && !connection->running && connection->pending->len > 0) {
+        if (connection->began_ms == 0)
+            connection->began_ms = wb_clock_ms();
+        /* The bytes are moved out first: a request may end inside this call. */
+        GByteArray *input = connection->pending;
+        connection->pending = g_byte_array_new();
+        size_t used =
+            wb_http_reader_feed(connection->reader, (const char *)input->data, input->len);
+        g_byte_array_append(connection->pending, input->data + used, input->len - (guint)used);
+        g_byte_array_unref(input);
+        if (connection->closed || connection->running)
+            break;
+        unsigned status = failure_status(connection);
+        if (status != 0) {
+            connection_refuse(connection, status);
+            break;
+        }
+    }
+    connection->advancing = FALSE;
+    if (connection->closed)
+        connection_free(connection);
+}
+
+static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context)
+{
+    wb_http_connection_t *connection = context;
+    connection->active_ms = wb_clock_ms();
+    g_byte_array_append(connection->pending, (const guint8 *)data, (guint)length);
+    if (connection->running) {
+        if (connection->pending->len > PENDING_LIMIT_BYTES)
+            wb_tcp_stream_set_reading(stream, FALSE);
+        return;
+    }
+    wb_tcp_stream_set_reading(stream, TRUE);
+    connection_advance(connection);
+}
+
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context)
+{
+    (void)how;
+    wb_http_connection_t *connection = context;
+    wb_http_listener_t *listener = connection->listener;
+    if (connection->running && listener->handler.on_gone != NULL)
+        listener->handler.on_gone(connection, connection->request, listener->handler.context);
+    wb_tcp_stream_close(stream);
+    connection_free(connection);
+}
+
+static void stream_drained(wb_tcp_stream_t *stream, void *context)
+{
+    (void)stream;
+    wb_http_connection_t *connection = context;
+    wb_http_listener_t *listener = connection->listener;
+    if (connection->running && listener->handler.on_drained != NULL)
+        listener->handler.on_drained(connection, connection->request, listener->handler.context);
+}
+
+static const wb_tcp_events_t stream_events = {NULL, stream_data, stream_end, stream_drained};
+
+static void connection_accepted(wb_tcp_stream_t *stream, void *context)
+{
+    wb_http_listener_t *listener = context;
+    wb_http_connection_t *connection = g_new0(wb_http_connection_t, 1);
+    connection->listener = listener;
+    connection->stream = stream;
+    connection->reader =
+        wb_http_reader_create(TRUE, listener->limits.head_bytes, &reader_events, connection);
+    connection->pending = g_byte_array_new();
+    connection->active_ms = wb_clock_ms();
+    wb_tcp_stream_set_events(stream, &stream_events, connection);
+    g_hash_table_add(listener->connections, connection);
+}
+
+/* Ends connections that rest or send too slowly. */
+static void connection_check(wb_http_connection_t *connection, int64_t now_ms)
+{
+    const wb_http_limits_t *limits = &connection->listener->limits;
+    if (connection->running)
+        return;
+    gboolean inside = connection->began_ms != 0;
+    gboolean in_head = inside && connection->body == NULL;
+    if (in_head && now_ms - connection->began_ms > limits->head_timeout_ms)
+        connection_refuse(connection, 408);
+    else if (now_ms - connection->active_ms > limits->idle_timeout_ms)
+        connection_finish(connection);
+}
+
+static void listener_sweep(void *context)
+{
+    wb_http_listener_t *listener = context;
+    int64_t now_ms = wb_clock_ms();
+    g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
+    for (GList *item = connections; item != NULL; item = item->next)
+        connection_check(item->data, now_ms);
+}
+
+apr_status_t wb_http_listener_open(wb_loop_t *loop, const char *address,
+                                   const wb_http_handler_t *handler, const wb_http_limits_t *limits,
+                                   wb_http_listener_t **listener, wb_error_t *error)
+{
+    wb_http_listener_t *created = g_new0(wb_http_listener_t, 1);
+    created->loop = loop;
+    created->handler = *handler;
+    created->limits = *limits;
+    created->connections = g_hash_table_new(NULL, NULL);
+    apr_status_t status = wb_tcp_listen(loop, address, SILENCE_LIMIT_MS, connection_accepted,
+                                        created, &created->listener, error);
+    if (status != APR_SUCCESS) {
+        g_hash_table_unref(created->connections);
+        g_free(created);
+        return status;
+    }
+    created->sweep = wb_loop_every(loop, SWEEP_INTERVAL_MS, listener_sweep, created);
+    *listener = created;
+    return APR_SUCCESS;
+}
+
+unsigned wb_http_listener_port(const wb_http_listener_t *listener)
+{
+    return wb_tcp_listener_port(listener->listener);
+}
+
+void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits)
+{
+    listener->limits = *limits;
+}
+
+void wb_http_listener_drain(wb_http_listener_t *listener)
+{
+    listener->draining = TRUE;
+}
+
+unsigned wb_http_listener_busy(const wb_http_listener_t *listener)
+{
+    unsigned busy = 0;
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, listener->connections);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const wb_http_connection_t *connection = key;
+        if (connection->running || connection->began_ms != 0 ||
+            wb_tcp_stream_unsent(connection->stream) > 0)
+            busy++;
+    }
+    return busy;
+}
+
+void wb_http_listener_close(wb_http_listener_t *listener)
+{
+    wb_timer_cancel(listener->sweep);
+    wb_tcp_listener_close(listener->listener);
+    g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
+    for (GList *item = connections; item != NULL; item = item->next)
+        stream_end(((wb_http_connection_t *)item->data)->stream, WB_TCP_END_CLOSED, item->data);
+    g_hash_table_unref(listener->connections);
+    g_free(listener);
+}
--- /dev/null
+++ b/src/http/http_reader.c
@@ -0,0 +1,317 @@
+/* Reads HTTP/1.1 messages with http-parser. */
+#include "wickbridge/http_reader.h"
+
+#include <http_parser.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* http-parser's word for a message whose length counts nothing. */
+#define SKIP_BODY 1
+
+struct wb_http_reader_t {
+    http_parser parser;
+    gboolean is_request;
+    gboolean without_body; /* answers to HEAD */
+    size_t head_limit_bytes;
+    size_t head_bytes;
+    const wb_http_reader_events_t *events;
+    void *context;
+    wb_http_head_t *head;
+    GString *target;
+    GString *reason;
+    GString *name;
+    GString *value;
+    gboolean value_begun;
+    gboolean inside;
+    gboolean in_body;
+    gboolean whole;
+    wb_http_failure_t failure;
+};
+
+static const char *const hop_headers[] = {"Connection",
+                                          "Keep-Alive",
+                                          "Proxy-Authenticate",
+                                          "Proxy-Authorization",
+                                          "Proxy-Connection",
+                                          "TE",
+                                          "Trailer",
+                                          "Transfer-Encoding",
+                                          "Upgrade"};
+
+static void header_clear(gpointer data)
+{
+    wb_http_header_t *header = data;
+    g_free(header->name);
+    g_free(header->value);
+}
+
+wb_http_head_t *wb_http_head_create(void)
+{
+    wb_http_head_t *head = g_new0(wb_http_head_t, 1);
+    head->headers = g_array_new(FALSE, FALSE, sizeof(wb_http_header_t));
+    g_array_set_clear_func(head->headers, header_clear);
+    return head;
+}
+
+void wb_http_head_free(wb_http_head_t *head)
+{
+    if (head == NULL)
+        return;
+    g_array_unref(head->headers);
+    g_free(head->method);
+    g_free(head->target);
+    g_free(head->reason);
+    g_free(head);
+}
+
+const char *wb_http_head_get(const wb_http_head_t *head, const char *name)
+{
+    for (guint i = 0; i < head->headers->len; i++) {
+        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
+        if (strcasecmp(header->name, name) == 0)
+            return header->value;
+    }
+    return NULL;
+}
+
+int64_t wb_http_head_number(const wb_http_head_t *head, const char *name, int64_t fallback)
+{
+    const char *text = wb_http_head_get(head, name);
+    if (text == NULL || !g_ascii_isdigit(*text))
+        return fallback;
+    return g_ascii_strtoll(text, NULL, 10);
+}
+
+static gboolean list_has(const char *list, const char *name)
+{
+    size_t length = strlen(name);
+    while (list != NULL && *list != '\0') {
+        list += strspn(list, ", \t");
+        size_t word = strcspn(list, ", \t");
+        if (word == length && strncasecmp(list, name, length) == 0)
+            return TRUE;
+        list += word;
+    }
+    return FALSE;
+}
+
+gboolean wb_http_header_is_hop(const wb_http_head_t *head, const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++)
+        if (strcasecmp(hop_headers[i], name) == 0)
+            return TRUE;
+    return list_has(wb_http_head_get(head, "Connection"), name);
+}
+
+static void header_finish(wb_http_reader_t *reader)
+{
+    if (reader->name->len == 0)
+        return;
+    wb_http_header_t header = {g_strdup(reader->name->str), g_strdup(reader->value->str)};
+    g_array_append_val(reader->head->headers, header);
+    g_string_truncate(reader->name, 0);
+    g_string_truncate(reader->value, 0);
+    reader->value_begun = FALSE;
+}
+
+static int on_begin(http_parser *parser)
+{
+    wb_http_reader_t *reader = parser->data;
+    wb_http_head_free(reader->head);
+    reader->head = wb_http_head_create();
+    g_string_truncate(reader->target, 0);
+    g_string_truncate(reader->reason, 0);
+    g_string_truncate(reader->name, 0);
+    g_string_truncate(reader->value, 0);
+    reader->value_begun = FALSE;
+    reader->inside = TRUE;
+    reader->in_body = FALSE;
+    return 0;
+}
+
+static int on_target(http_parser *parser, const char *data, size_t length)
+{
+    wb_http_reader_t *reader = parser->data;
+    g_string_append_len(reader->target, data, (gssize)length);
+    return 0;
+}
+
+static int on_reason(http_parser *parser, const char *data, size_t length)
+{
+    wb_http_reader_t *reader = parser->data;
+    g_string_append_len(reader->reason, data, (gssize)length);
+    return 0;
+}
+
+static int on_name(http_parser *parser, const char *data, size_t length)
+{
+    wb_http_reader_t *reader = parser->data;
+    if (reader->in_body)
+        return 0; /* a trailer */
+    if (reader->value_begun)
+        header_finish(reader);
+    g_string_append_len(reader->name, data, (gssize)length);
+    return 0;
+}
+
+static int on_value(http_parser *parser, const char *data, size_t length)
+{
+    wb_http_reader_t *reader = parser->data;
+    if (reader->in_body)
+        return 0;
+    reader->value_begun = TRUE;
+    g_string_append_len(reader->value, data, (gssize)length);
+    return 0;
+}
+
+/* TRUE for an answer with neither length nor chunks: it ends with its connection. */
+static gboolean answer_has_no_end(const wb_http_reader_t *reader)
+{
+    const http_parser *parser = &reader->parser;
+    unsigned status = parser->status_code;
+    if (status / 100 == 1 || status == 204 || status == 304 || reader->without_body)
+        return FALSE;
+    return (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+}
+
+static int on_head_complete(http_parser *parser)
+{
+    wb_http_reader_t *reader = parser->data;
+    header_finish(reader);
+    wb_http_head_t *head = reader->head;
+    if (reader->is_request) {
+        head->method = g_strdup(http_method_str(parser->method));
+        head->target = g_strdup(reader->target->str);
+    } else {
+        head->status = parser->status_code;
+        head->reason = g_strdup(reader->reason->str);
+        head->ends_with_connection = answer_has_no_end(reader);
+    }
+    head->minor_version = parser->http_minor;
+    head->keep_alive = http_should_keep_alive(parser) != 0;
+    head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+    head->content_length = head->has_length ? parser->content_length : 0;
+    reader->in_body = TRUE;
+    if (reader->events->on_head != NULL)
+        reader->events->on_head(reader, head, reader->context);
+    return reader->without_body ? SKIP_BODY : 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t length)
+{
+    wb_http_reader_t *reader = parser->data;
+    if (reader->events->on_body != NULL)
+        reader->events->on_body(reader, data, length, reader->context);
+    return 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+    wb_http_reader_t *reader = parser->data;
+    reader->whole = TRUE;
+    reader->inside = FALSE;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_target,
+    .on_status = on_reason,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head_complete,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+wb_http_reader_t *wb_http_reader_create(gboolean is_request, size_t head_limit_bytes,
+                                        const wb_http_reader_events_t *events, void *context)
+{
+    wb_http_reader_t *reader = g_new0(wb_http_reader_t, 1);
+    reader->is_request = is_request;
+    reader->head_limit_bytes = head_limit_bytes;
+    reader->events = events;
+    reader->context = context;
+    reader->target = g_string_new(NULL);
+    reader->reason = g_string_new(NULL);
+    reader->name = g_string_new(NULL);
+    reader->value = g_string_new(NULL);
+    http_parser_init(&reader->parser, is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+    reader->parser.data = reader;
+    return reader;
+}
+
+void wb_http_reader_free(wb_http_reader_t *reader)
+{
+    wb_http_head_free(reader->head);
+    g_string_free(reader->target, TRUE);
+    g_string_free(reader->reason, TRUE);
+    g_string_free(reader->name, TRUE);
+    g_string_free(reader->value, TRUE);
+    g_free(reader);
+}
+
+/* Tells the owner of a whole message, last thing, since it may free the reader. */
+static void whole_tell(wb_http_reader_t *reader)
+{
+    if (reader->whole && reader->events->on_complete != NULL)
+        reader->events->on_complete(reader, reader->context);
+}
+
+size_t wb_http_reader_feed(wb_http_reader_t *reader, const char *data, size_t length)
+{
+    if (reader->failure != WB_HTTP_FAILURE_NONE || reader->whole || length == 0)
+        return 0;
+    size_t used = http_parser_execute(&reader->parser, &parser_settings, data, length);
+    enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
+    if (!reader->in_body)
+        reader->head_bytes += used;
+    if (code == HPE_HEADER_OVERFLOW || reader->head_bytes > reader->head_limit_bytes)
+        reader->failure = WB_HTTP_FAILURE_HEAD_TOO_LARGE;
+    else if (code != HPE_OK && code != HPE_PAUSED)
+        reader->failure = WB_HTTP_FAILURE_SYNTAX;
+    whole_tell(reader);
+    return used;
+}
+
+void wb_http_reader_end(wb_http_reader_t *reader)
+{
+    if (reader->failure != WB_HTTP_FAILURE_NONE || reader->whole || !reader->inside)
+        return;
+    http_parser_execute(&reader->parser, &parser_settings, NULL, 0);
+    whole_tell(reader);
+}
+
+void wb_http_reader_expect_no_body(wb_http_reader_t *reader, gboolean without_body)
+{
+    reader->without_body = without_body;
+}
+
+void wb_http_reader_next(wb_http_reader_t *reader)
+{
+    http_parser_init(&reader->parser, reader->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
+    reader->parser.data = reader;
+    reader->head_bytes = 0;
+    reader->whole = FALSE;
+    reader->inside = FALSE;
+    reader->in_body = FALSE;
+}
+
+wb_http_failure_t wb_http_reader_failure(const wb_http_reader_t *reader)
+{
+    return reader->failure;
+}
+
+gboolean wb_http_reader_is_inside(const wb_http_reader_t *reader)
+{
+    return reader->inside;
+}
+
+wb_http_head_t *wb_http_reader_take_head(wb_http_reader_t *reader)
+{
+    wb_http_head_t *head = reader->head;
+    reader->head = NULL;
+    return head;
+}
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -180,12 +180,22 @@
     loop->thread = g_thread_new(loop->name, loop_run, loop);
 }
 
-void wb_loop_stop(wb_loop_t *loop)
+void wb_loop_run(wb_loop_t *loop)
+{
+    loop_run(loop);
+}
+
+void wb_loop_quit(wb_loop_t *loop)
 {
     g_mutex_lock(&loop->lock);
     loop->stopping = TRUE;
     g_mutex_unlock(&loop->lock);
     apr_pollset_wakeup(loop->pollset);
+}
+
+void wb_loop_stop(wb_loop_t *loop)
+{
+    wb_loop_quit(loop);
     if (loop->thread != NULL)
         g_thread_join(loop->thread);
     tasks_run(loop);
--- /dev/null
+++ b/src/net/tcp_stream.c
@@ -0,0 +1,450 @@
+/* One TCP connection on a loop, on APR's sockets. */
+#include "wickbridge/tcp_stream.h"
+
+#include "wickbridge/settings.h"
+
+#include <apr_pools.h>
+#include <apr_portable.h>
+#include <apr_strings.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define READ_CHUNK_BYTES 16384
+#define READS_PER_WAKEUP 4
+#define LISTEN_BACKLOG 1024
+#define ACCEPTS_PER_WAKEUP 32
+#define LINGER_MS 1000
+
+struct wb_tcp_listener_t {
+    wb_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    wb_watch_t *watch;
+    int64_t silence_limit_ms;
+    wb_tcp_accept_fn on_accept;
+    void *context;
+};
+
+struct wb_tcp_stream_t {
+    wb_loop_t *loop;
+    apr_pool_t *pool;
+    apr_socket_t *socket;
+    wb_watch_t *watch;
+    wb_timer_t *timer; /* while connecting, ending or lingering */
+    const wb_tcp_events_t *events;
+    void *context;
+    GByteArray *unsent;
+    gboolean open;
+    gboolean reading;
+    gboolean finishing; /* close after the output */
+    gboolean ended;     /* on_end was called */
+    gboolean closed;    /* free when no callback runs */
+    int callbacks;      /* depth of running callbacks */
+};
+
+static const wb_tcp_events_t silent_events = {NULL, NULL, NULL, NULL};
+
+static void stream_free(wb_tcp_stream_t *stream)
+{
+    g_byte_array_unref(stream->unsent);
+    apr_pool_destroy(stream->pool);
+    g_free(stream);
+}
+
+static void timer_clear(wb_tcp_stream_t *stream)
+{
+    if (stream->timer == NULL)
+        return;
+    wb_timer_cancel(stream->timer);
+    stream->timer = NULL;
+}
+
+void wb_tcp_stream_close(wb_tcp_stream_t *stream)
+{
+    if (stream->closed)
+        return;
+    stream->closed = TRUE;
+    timer_clear(stream);
+    if (stream->watch != NULL)
+        wb_watch_remove(stream->watch);
+    apr_socket_close(stream->socket);
+    if (stream->callbacks == 0)
+        stream_free(stream);
+}
+
+/* Every callback runs between enter and leave. leave returns FALSE when the stream is freed. */
+static void callback_enter(wb_tcp_stream_t *stream)
+{
+    stream->callbacks++;
+}
+
+static gboolean callback_leave(wb_tcp_stream_t *stream)
+{
+    stream->callbacks--;
+    if (!stream->closed)
+        return TRUE;
+    if (stream->callbacks == 0)
+        stream_free(stream);
+    return FALSE;
+}
+
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how)
+{
+    if (stream->ended)
+        return;
+    stream->ended = TRUE;
+    if (stream->events->on_end == NULL) {
+        wb_tcp_stream_close(stream);
+        return;
+    }
+    wb_watch_change(stream->watch, 0);
+    callback_enter(stream);
+    stream->events->on_end(stream, how, stream->context);
+    callback_leave(stream);
+}
+
+static void watch_update(wb_tcp_stream_t *stream)
+{
+    if (!stream->open || stream->closed || stream->ended)
+        return;
+    int16_t events = 0;
+    if (stream->reading)
+        events |= APR_POLLIN;
+    if (stream->unsent->len > 0)
+        events |= APR_POLLOUT;
+    wb_watch_change(stream->watch, events);
+}
+
+static void linger_over(void *context)
+{
+    wb_tcp_stream_t *stream = context;
+    stream->timer = NULL;
+    wb_tcp_stream_close(stream);
+}
+
+/* All output is sent: tell the peer, then wait a little for its close so that nothing resets. */
+static void linger_begin(wb_tcp_stream_t *stream)
+{
+    apr_socket_shutdown(stream->socket, APR_SHUTDOWN_WRITE);
+    stream->reading = TRUE;
+    watch_update(stream);
+    timer_clear(stream);
+    stream->timer = wb_loop_after(stream->loop, LINGER_MS, linger_over, stream);
+}
+
+/* Sends what the socket takes. Returns FALSE when the connection broke. */
+static gboolean output_flush(wb_tcp_stream_t *stream)
+{
+    guint sent = 0;
+    while (sent < stream->unsent->len) {
+        apr_size_t length = stream->unsent->len - sent;
+        apr_status_t status =
+            apr_socket_send(stream->socket, (const char *)stream->unsent->data + sent, &length);
+        sent += (guint)length;
+        if (APR_STATUS_IS_EAGAIN(status))
+            break;
+        if (status != APR_SUCCESS)
+            return FALSE;
+    }
+    if (sent > 0)
+        g_byte_array_remove_range(stream->unsent, 0, sent);
+    return TRUE;
+}
+
+static void broke_later(void *context)
+{
+    wb_tcp_stream_t *stream = context;
+    stream->timer = NULL;
+    stream_end(stream, WB_TCP_END_RESET);
+}
+
+void wb_tcp_stream_write(wb_tcp_stream_t *stream, const void *data, size_t length)
+{
+    if (stream->closed || stream->ended || stream->finishing)
+        return;
+    g_byte_array_append(stream->unsent, data, (guint)length);
+    if (!stream->open)
+        return;
+    if (!output_flush(stream)) {
+        /* The owner hears of it from the loop, not from inside its own call. */
+        g_byte_array_set_size(stream->unsent, 0);
+        timer_clear(stream);
+        stream->timer = wb_loop_after(stream->loop, 0, broke_later, stream);
+        return;
+    }
+    watch_update(stream);
+}
+
+size_t wb_tcp_stream_unsent(const wb_tcp_stream_t *stream)
+{
+    return stream->unsent->len;
+}
+
+gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream)
+{
+    return stream->open && !stream->ended && !stream->closed;
+}
+
+void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading)
+{
+    if (stream->reading == reading)
+        return;
+    stream->reading = reading;
+    watch_update(stream);
+}
+
+void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events, void *context)
+{
+    stream->events = events;
+    stream->context = context;
+}
+
+void wb_tcp_stream_finish(wb_tcp_stream_t *stream)
+{
+    if (stream->closed || stream->finishing)
+        return;
+    if (stream->ended || !stream->open) {
+        wb_tcp_stream_close(stream);
+        return;
+    }
+    stream->events = &silent_events;
+    stream->finishing = TRUE;
+    if (stream->unsent->len == 0)
+        linger_begin(stream);
+    else
+        watch_update(stream);
+}
+
+/* Reads what is there. Returns FALSE when the stream is freed or has ended. */
+static gboolean input_read(wb_tcp_stream_t *stream)
+{
+    char chunk[READ_CHUNK_BYTES];
+    for (int i = 0; i < READS_PER_WAKEUP && stream->reading; i++) {
+        apr_size_t length = sizeof(chunk);
+        apr_status_t status = apr_socket_recv(stream->socket, chunk, &length);
+        if (length > 0 && stream->events->on_data != NULL) {
+            callback_enter(stream);
+            stream->events->on_data(stream, chunk, length, stream->context);
+            if (!callback_leave(stream))
+                return FALSE;
+        }
+        if (status == APR_SUCCESS) {
+            if (length < sizeof(chunk))
+                return TRUE;
+            continue;
+        }
+        if (APR_STATUS_IS_EAGAIN(status))
+            return TRUE;
+        stream_end(stream, APR_STATUS_IS_EOF(status) ? WB_TCP_END_CLOSED : WB_TCP_END_RESET);
+        return FALSE;
+    }
+    return TRUE;
+}
+
+static void output_ready(wb_tcp_stream_t *stream)
+{
+    if (!output_flush(stream)) {
+        stream_end(stream, WB_TCP_END_RESET);
+        return;
+    }
+    watch_update(stream);
+    if (stream->unsent->len > 0)
+        return;
+    if (stream->finishing) {
+        linger_begin(stream);
+        return;
+    }
+    if (stream->events->on_drained != NULL) {
+        callback_enter(stream);
+        stream->events->on_drained(stream, stream->context);
+        callback_leave(stream);
+    }
+}
+
+static void stream_ready(int16_t events, void *context)
+{
+    wb_tcp_stream_t *stream = context;
+    if (stream->ended)
+        return;
+    if (events & (APR_POLLIN | APR_POLLHUP | APR_POLLERR)) {
+        gboolean was_reading = stream->reading;
+        if (events & (APR_POLLHUP | APR_POLLERR))
+            stream->reading = TRUE;
+        callback_enter(stream);
+        gboolean goes_on = input_read(stream);
+        if (!callback_leave(stream) || !goes_on)
+            return;
+        if (stream->reading && !was_reading)
+            stream->reading = FALSE;
+    }
+    if ((events & APR_POLLOUT) && stream->unsent->len > 0)
+        output_ready(stream);
+}
+
+static wb_tcp_stream_t *stream_create(wb_loop_t *loop, apr_pool_t *pool, apr_socket_t *socket,
+                                      int64_t silence_limit_ms)
+{
+    wb_tcp_stream_t *stream = g_new0(wb_tcp_stream_t, 1);
+    stream->loop = loop;
+    stream->pool = pool;
+    stream->socket = socket;
+    stream->events = &silent_events;
+    stream->unsent = g_byte_array_new();
+    stream->reading = TRUE;
+    apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+    apr_socket_timeout_set(socket, 0);
+    apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
+    int descriptor;
+    unsigned limit = (unsigned)silence_limit_ms;
+    apr_os_sock_get(&descriptor, socket);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    return stream;
+}
+
+static void connect_timed_out(void *context)
+{
+    wb_tcp_stream_t *stream = context;
+    stream->timer = NULL;
+    stream_end(stream, WB_TCP_END_UNREACHED);
+}
+
+static void connect_ready(int16_t events, void *context)
+{
+    wb_tcp_stream_t *stream = context;
+    int failure = 0;
+    socklen_t size = sizeof(failure);
+    int descriptor;
+    apr_os_sock_get(&descriptor, stream->socket);
+    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
+    timer_clear(stream);
+    if (failure != 0 || (events & (APR_POLLERR | APR_POLLHUP))) {
+        stream_end(stream, WB_TCP_END_UNREACHED);
+        return;
+    }
+    wb_watch_remove(stream->watch);
+    stream->open = TRUE;
+    stream->watch = wb_loop_watch(stream->loop, stream->socket, APR_POLLIN, stream_ready, stream);
+    callback_enter(stream);
+    if (stream->events->on_open != NULL)
+        stream->events->on_open(stream, stream->context);
+    if (!callback_leave(stream))
+        return;
+    if (stream->unsent->len > 0)
+        output_ready(stream);
+}
+
+/* Reads IP:PORT; APR's own reader doesn't take port 0, which asks for any free one. */
+static apr_status_t address_read(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
+{
+    const char *colon = strrchr(address, ':');
+    if (colon == NULL || !wb_address_is_valid(address))
+        return APR_EINVAL;
+    const char *host = apr_pstrndup(pool, address, (apr_size_t)(colon - address));
+    apr_port_t port = (apr_port_t)strtoul(colon + 1, NULL, 10);
+    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
+}
+
+apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address, int64_t connect_timeout_ms,
+                                   int64_t silence_limit_ms, const wb_tcp_events_t *events,
+                                   void *context, wb_tcp_stream_t **stream, wb_error_t *error)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_sockaddr_t *target;
+    apr_socket_t *socket;
+    apr_status_t status = address_read(address, pool, &target);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return wb_error_set(error, status, "can't connect to '%s'", address);
+    }
+    wb_tcp_stream_t *created = stream_create(loop, pool, socket, silence_limit_ms);
+    wb_tcp_stream_set_events(created, events, context);
+    apr_socket_connect(socket, target);
+    created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
+    created->timer = wb_loop_after(loop, connect_timeout_ms, connect_timed_out, created);
+    *stream = created;
+    return APR_SUCCESS;
+}
+
+/* Takes one connection. Returns FALSE when none is waiting. */
+static gboolean connection_accept(wb_tcp_listener_t *listener)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_socket_t *socket;
+    if (apr_socket_accept(&socket, listener->socket, pool) != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return FALSE;
+    }
+    wb_tcp_stream_t *stream =
+        stream_create(listener->loop, pool, socket, listener->silence_limit_ms);
+    stream->open = TRUE;
+    stream->watch = wb_loop_watch(listener->loop, socket, APR_POLLIN, stream_ready, stream);
+    listener->on_accept(stream, listener->context);
+    return TRUE;
+}
+
+static void listener_ready(int16_t events, void *context)
+{
+    (void)events;
+    wb_tcp_listener_t *listener = context;
+    for (int i = 0; i < ACCEPTS_PER_WAKEUP; i++)
+        if (!connection_accept(listener))
+            return;
+}
+
+apr_status_t wb_tcp_listen(wb_loop_t *loop, const char *address, int64_t silence_limit_ms,
+                           wb_tcp_accept_fn on_accept, void *context, wb_tcp_listener_t **listener,
+                           wb_error_t *error)
+{
+    apr_pool_t *pool;
+    apr_pool_create(&pool, NULL);
+    apr_sockaddr_t *own;
+    apr_socket_t *socket = NULL;
+    apr_status_t status = address_read(address, pool, &own);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status == APR_SUCCESS) {
+        apr_socket_opt_set(socket, APR_SO_REUSEADDR, 1);
+        apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
+        apr_socket_timeout_set(socket, 0);
+        status = apr_socket_bind(socket, own);
+    }
+    if (status == APR_SUCCESS)
+        status = apr_socket_listen(socket, LISTEN_BACKLOG);
+    if (status != APR_SUCCESS) {
+        apr_pool_destroy(pool);
+        return wb_error_set(error, status, "can't listen on %s", address);
+    }
+    wb_tcp_listener_t *created = g_new0(wb_tcp_listener_t, 1);
+    created->loop = loop;
+    created->pool = pool;
+    created->socket = socket;
+    created->silence_limit_ms = silence_limit_ms;
+    created->on_accept = on_accept;
+    created->context = context;
+    created->watch = wb_loop_watch(loop, socket, APR_POLLIN, listener_ready, created);
+    *listener = created;
+    return APR_SUCCESS;
+}
+
+unsigned wb_tcp_listener_port(const wb_tcp_listener_t *listener)
+{
+    apr_sockaddr_t *own;
+    if (apr_socket_addr_get(&own, APR_LOCAL, listener->socket) != APR_SUCCESS)
+        return 0;
+    return own->port;
+}
+
+void wb_tcp_listener_close(wb_tcp_listener_t *listener)
+{
+    wb_watch_remove(listener->watch);
+    apr_socket_close(listener->socket);
+    apr_pool_destroy(listener->pool);
+    g_free(listener);
+}
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -252,6 +252,46 @@
     wb_wire_text answer;
 };
 
+/* What one gateway asks of the placement controller for a model, or an adapter of it. */
+struct wb_wire_demand_entry {
+    wb_wire_name service;
+    wb_wire_name model;
+    wb_wire_name adapter;      /* empty: the model itself */
+    unsigned int waiting;      /* requests that wait for it to be loaded */
+    unsigned int running;      /* requests under way */
+    unsigned int arrivals;     /* requests since the last message */
+    unsigned hyper work;       /* prompt tokens of these arrivals */
+    unsigned int time_left_ms; /* of the tightest that waits */
+};
+
+/* All that a gateway has running or waiting; it replaces what the gateway said before. */
+struct wb_wire_demand {
+    wb_wire_name node;
+    wb_wire_demand_entry entries<WB_WIRE_LIST_MAX>;
+};
+
+/* News from the placement controller: an engine holds a model or adapter, or is about to drop it. */
+struct wb_wire_placement_entry {
+    wb_wire_name engine;
+    wb_wire_name model;
+    wb_wire_name adapter; /* empty: the model itself */
+    bool held;
+};
+
+struct wb_wire_placement {
+    unsigned hyper token;
+    wb_wire_placement_entry entries<WB_WIRE_LIST_MAX>;
+};
+
+/* The row of the placement controller's lease. */
+struct wb_wire_lease {
+    wb_wire_name holder;  /* the machine */
+    wb_wire_name address; /* where gateways reach it */
+    unsigned hyper token; /* rises with each take-over */
+    unsigned hyper beat;  /* counts renewals */
+    bool released;
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -269,7 +309,9 @@
     WB_WIRE_CLAIM_WANT = 14,
     WB_WIRE_CLAIM_SHOW = 15,
     WB_WIRE_CLAIM_DONE_NOTE = 16,
-    WB_WIRE_GROUP_HAND_OVER = 17
+    WB_WIRE_GROUP_HAND_OVER = 17,
+    WB_WIRE_DEMAND = 18,
+    WB_WIRE_PLACEMENT = 19
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -307,4 +349,8 @@
     wb_wire_claim_done claim_done;
 case WB_WIRE_GROUP_HAND_OVER:
     wb_wire_group_hand_over group_hand_over;
+case WB_WIRE_DEMAND:
+    wb_wire_demand demand;
+case WB_WIRE_PLACEMENT:
+    wb_wire_placement placement;
 };
--- /dev/null
+++ b/standins/estate/estate.h
@@ -0,0 +1,51 @@
+/**
+ * @file estate.h
+ * @brief A small stand-in for the platform that edge nodes run on: its store of rows, and its
+ * engines.
+ *
+ * It speaks the published protocol, can be made to fail in the ways that protocol allows, and
+ * remembers what it saw, for tests to check. One process, one loop.
+ */
+#ifndef WICKBRIDGE_STANDIN_ESTATE_H
+#define WICKBRIDGE_STANDIN_ESTATE_H
+
+#include "wickbridge/http_listener.h"
+
+#include <jansson.h>
+
+typedef struct wb_estate_store_t wb_estate_store_t;
+typedef struct wb_estate_engine_t wb_estate_engine_t;
+
+/** What tests look at, kept as JSON: arrays of runs, orders and violations. */
+typedef struct wb_estate_seen_t {
+    json_t *runs; /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
+    json_t
+        *orders; /**< {"engine","holder","token","operation","model","adapter","status","at_ms"} */
+    json_t *violations; /**< texts */
+} wb_estate_seen_t;
+
+/* The store: store.c. */
+wb_estate_store_t *wb_estate_store_open(wb_loop_t *loop, const char *address);
+unsigned wb_estate_store_port(const wb_estate_store_t *store);
+/** Write or remove (NULL) a row as the platform itself does. */
+void wb_estate_store_put(wb_estate_store_t *store, const char *table, const char *key,
+                         const char *value);
+/** Drop the history, so that calls for changes get 410; reads are `stale_ms` old for as long. */
+void wb_estate_store_compact(wb_estate_store_t *store);
+/** Set a fault: "" (none), "busy" (503), "silent", "lost" (writes are done and not answered),
+ * "late" (writes are done after a second and not answered), "reset". @param delay_ms added to each
+ * answer */
+void wb_estate_store_set_fault(wb_estate_store_t *store, const char *fault, int64_t delay_ms);
+
+/* Engines: engine.c. */
+/** @param row members of the engine's row besides those that it fills in itself */
+wb_estate_engine_t *wb_estate_engine_start(wb_loop_t *loop, wb_estate_store_t *store,
+                                           wb_estate_seen_t *seen, const char *id, json_t *options);
+void wb_estate_engine_stop(wb_estate_engine_t *engine, gboolean announce);
+void wb_estate_engine_set_leaving(wb_estate_engine_t *engine);
+/** Set a fault for the next `count` requests or orders: "error", "reject", "cut", "mute", "reset",
+ * "extra", "unsealed", "order-lost", "order-late". */
+void wb_estate_engine_set_fault(wb_estate_engine_t *engine, const char *fault, int count);
+const char *wb_estate_engine_id(const wb_estate_engine_t *engine);
+
+#endif
--- /dev/null
+++ b/standins/estate/main.c
@@ -0,0 +1,111 @@
+/* The stand-in for the platform as a process: its store, its engines, and calls by which tests
+ * steer it. */
+#include "estate.h"
+
+#include "wickbridge/json.h"
+
+#include <apr_general.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct wb_estate_t {
+    wb_loop_t *loop;
+    wb_estate_store_t *store;
+    wb_estate_seen_t seen;
+    GHashTable *engines; /* id -> wb_estate_engine_t */
+} wb_estate_t;
+
+static void text_answer(wb_http_connection_t *connection, unsigned status, json_t *body)
+{
+    char *text = wb_json_dump(body);
+    wb_http_connection_answer(connection, status, wb_http_reason(status),
+                              "Content-Type: application/json\r\n", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static json_t *seen_json(const wb_estate_t *estate)
+{
+    return json_pack("{s:O, s:O, s:O}", "runs", estate->seen.runs, "orders", estate->seen.orders,
+                     "violations", estate->seen.violations);
+}
+
+/* One call that steers: {"do": ..., ...}. Returns FALSE when it isn't known. */
+static gboolean steer(wb_estate_t *estate, const json_t *call)
+{
+    const char *verb = wb_json_text(call, "do", "");
+    const char *id = wb_json_text(call, "engine", "");
+    wb_estate_engine_t *engine = g_hash_table_lookup(estate->engines, id);
+    if (strcmp(verb, "put") == 0)
+        wb_estate_store_put(estate->store, wb_json_text(call, "table", "op"),
+                            wb_json_text(call, "key", "config"), wb_json_text(call, "value", NULL));
+    else if (strcmp(verb, "store-fault") == 0)
+        wb_estate_store_set_fault(estate->store, wb_json_text(call, "fault", ""),
+                                  wb_json_integer(call, "delay_ms", 0));
+    else if (strcmp(verb, "compact") == 0)
+        wb_estate_store_compact(estate->store);
+    else if (strcmp(verb, "engine-start") == 0)
+        g_hash_table_insert(estate->engines, g_strdup(id),
+                            wb_estate_engine_start(estate->loop, estate->store, &estate->seen, id,
+                                                   json_object_get(call, "options")));
+    else if (engine == NULL)
+        return FALSE;
+    else if (strcmp(verb, "engine-fault") == 0)
+        wb_estate_engine_set_fault(engine, wb_json_text(call, "fault", ""),
+                                   (int)wb_json_integer(call, "count", 1));
+    else if (strcmp(verb, "engine-leave") == 0)
+        wb_estate_engine_set_leaving(engine);
+    else if (strcmp(verb, "engine-stop") == 0) {
+        wb_estate_engine_stop(engine, wb_json_boolean(call, "announce", 1));
+        g_hash_table_remove(estate->engines, id);
+    } else
+        return FALSE;
+    return TRUE;
+}
+
+static void control_request(wb_http_connection_t *connection, wb_http_head_t *head,
+                            GByteArray *body, void *context)
+{
+    wb_estate_t *estate = context;
+    if (strcmp(head->method, "GET") == 0) {
+        text_answer(connection, 200, seen_json(estate));
+    } else {
+        json_t *call = json_loadb((const char *)body->data, body->len, 0, NULL);
+        gboolean known = json_is_object(call) && steer(estate, call);
+        json_decref(call);
+        text_answer(connection, known ? 200 : 400, json_object());
+    }
+    wb_http_head_free(head);
+    g_byte_array_unref(body);
+}
+
+int main(int argc, char **argv)
+{
+    if (argc != 3) {
+        fprintf(stderr, "usage: wb-standin-estate STORE-ADDRESS CONTROL-ADDRESS\n");
+        return 2;
+    }
+    wb_estate_t estate = {0};
+    wb_http_limits_t limits = {65536, 8 * 1024 * 1024, 30000, 600000};
+    wb_http_handler_t handler = {control_request, NULL, NULL, &estate};
+    wb_http_listener_t *control;
+    wb_error_t error;
+    apr_initialize();
+    signal(SIGPIPE, SIG_IGN);
+    if (wb_loop_create(&estate.loop, "estate", 4096, &error) != APR_SUCCESS)
+        return 1;
+    estate.seen = (wb_estate_seen_t){json_array(), json_array(), json_array()};
+    estate.engines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    estate.store = wb_estate_store_open(estate.loop, argv[1]);
+    if (wb_http_listener_open(estate.loop, argv[2], &handler, &limits, &control, &error) !=
+        APR_SUCCESS) {
+        fprintf(stderr, "wb-standin-estate: %s\n", error.message);
+        return 1;
+    }
+    printf("ready %u %u\n", wb_estate_store_port(estate.store), wb_http_listener_port(control));
+    fflush(stdout);
+    wb_loop_run(estate.loop);
+    return 0;
+}
