--- /dev/null
+++ b/standins/estate/store.c
@@ -0,0 +1,399 @@
+/* The stand-in's store: rows with versions, transactions, and calls held until something changes.
+ */
+#include "estate.h"
+
+#include "wickbridge/json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LATE_MS 1000
+
+typedef struct wb_estate_row_t {
+    char *table;
+    char *key;
+    char *value; /* base64; NULL: removed */
+    int64_t version;
+} wb_estate_row_t;
+
+/* A call for changes that is held. */
+typedef struct wb_estate_wait_t {
+    wb_estate_store_t *store;
+    wb_http_connection_t *connection;
+    wb_timer_t *timer;
+    char *table;
+    int64_t after;
+} wb_estate_wait_t;
+
+/* An answer that is given later. */
+typedef struct wb_estate_delayed_t {
+    wb_estate_store_t *store;
+    wb_http_connection_t *connection; /* NULL: the caller left */
+    unsigned status;
+    char *body;
+    json_t *transaction; /* done when its time comes, or NULL */
+    gboolean mute;
+} wb_estate_delayed_t;
+
+struct wb_estate_store_t {
+    wb_loop_t *loop;
+    wb_http_listener_t *listener;
+    GPtrArray *rows; /* of wb_estate_row_t, all that ever were */
+    GPtrArray *waits;
+    GPtrArray *delayed;
+    int64_t version;
+    int64_t history_from; /* changes before it are forgotten */
+    char *fault;
+    int64_t delay_ms;
+};
+
+static wb_estate_row_t *row_find(const wb_estate_store_t *store, const char *table, const char *key)
+{
+    for (guint i = 0; i < store->rows->len; i++) {
+        wb_estate_row_t *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0)
+            return row;
+    }
+    return NULL;
+}
+
+static json_t *row_json(const wb_estate_row_t *row)
+{
+    json_t *object = json_pack("{s:s, s:s, s:s, s:I}", "table", row->table, "part", "", "key",
+                               row->key, "ver", (json_int_t)row->version);
+    if (row->value != NULL)
+        json_object_set_new(object, "value", json_string(row->value));
+    else
+        json_object_set_new(object, "gone", json_true());
+    return object;
+}
+
+static json_t *answer_json(const wb_estate_store_t *store, json_t *rows)
+{
+    return json_pack("{s:o, s:b, s:I, s:I}", "rows", rows, "more", 0, "ver",
+                     (json_int_t)store->version, "now_ms", (json_int_t)wb_clock_ms());
+}
+
+static gint by_version(gconstpointer left, gconstpointer right)
+{
+    const wb_estate_row_t *a = *(wb_estate_row_t *const *)left;
+    const wb_estate_row_t *b = *(wb_estate_row_t *const *)right;
+    return a->version < b->version ? -1 : a->version > b->version;
+}
+
+/* Rows of a table that changed after a version, or all that are there. */
+static json_t *rows_json(const wb_estate_store_t *store, const char *table, int64_t after,
+                         gboolean changes)
+{
+    g_autoptr(GPtrArray) rows = g_ptr_array_new();
+    for (guint i = 0; i < store->rows->len; i++) {
+        wb_estate_row_t *row = g_ptr_array_index(store->rows, i);
+        if (strcmp(row->table, table) == 0 && (changes ? row->version > after : row->value != NULL))
+            g_ptr_array_add(rows, row);
+    }
+    g_ptr_array_sort(rows, by_version);
+    json_t *list = json_array();
+    for (guint i = 0; i < rows->len; i++)
+        json_array_append_new(list, row_json(g_ptr_array_index(rows, i)));
+    return list;
+}
+
+static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body)
+{
+    char *text = wb_json_dump(body);
+    wb_http_connection_answer(connection, status, wb_http_reason(status),
+                              "Content-Type: application/json\r\n", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static void wait_free(wb_estate_wait_t *wait)
+{
+    g_ptr_array_remove_fast(wait->store->waits, wait);
+    if (wait->timer != NULL)
+        wb_timer_cancel(wait->timer);
+    g_free(wait->table);
+    g_free(wait);
+}
+
+static void wait_answer(wb_estate_wait_t *wait)
+{
+    wb_estate_store_t *store = wait->store;
+    wb_http_connection_t *connection = wait->connection;
+    json_t *body = answer_json(store, rows_json(store, wait->table, wait->after, TRUE));
+    wait_free(wait);
+    json_answer(connection, 200, body);
+}
+
+static void wait_over(void *context)
+{
+    wb_estate_wait_t *wait = context;
+    wait->timer = NULL;
+    wait_answer(wait);
+}
+
+/* Answers the held calls that a change concerns. */
+static void waits_wake(wb_estate_store_t *store, const char *table)
+{
+    for (guint i = store->waits->len; i > 0; i--) {
+        if (i > store->waits->len)
+            continue;
+        wb_estate_wait_t *wait = g_ptr_array_index(store->waits, i - 1);
+        if (strcmp(wait->table, table) == 0)
+            wait_answer(wait);
+    }
+}
+
+static void row_write(wb_estate_store_t *store, const char *table, const char *key,
+                      const char *base64)
+{
+    wb_estate_row_t *row = row_find(store, table, key);
+    if (row == NULL) {
+        row = g_new0(wb_estate_row_t, 1);
+        row->table = g_strdup(table);
+        row->key = g_strdup(key);
+        g_ptr_array_add(store->rows, row);
+    }
+    g_free(row->value);
+    row->value = g_strdup(base64);
+    row->version = store->version;
+}
+
+void wb_estate_store_put(wb_estate_store_t *store, const char *table, const char *key,
+                         const char *value)
+{
+    g_autofree char *base64 =
+        value != NULL ? g_base64_encode((const guchar *)value, strlen(value)) : NULL;
+    store->version++;
+    row_write(store, table, key, base64);
+    waits_wake(store, table);
+}
+
+/* Returns the rows whose condition doesn't hold, or NULL when all hold. */
+static json_t *conflicts(const wb_estate_store_t *store, const json_t *transaction)
+{
+    json_t *list = json_array();
+    gboolean good = TRUE;
+    size_t i;
+    json_t *entry;
+    json_array_foreach(json_object_get(transaction, "expectedVersion"), i, entry)
+    {
+        const wb_estate_row_t *row =
+            row_find(store, wb_json_text(entry, "table", ""), wb_json_text(entry, "key", ""));
+        gboolean there = row != NULL && row->value != NULL;
+        int64_t version = there ? row->version : 0;
+        good &= version == wb_json_integer(entry, "ver", -1);
+        if (there)
+            json_array_append_new(list, row_json(row));
+    }
+    if (!good)
+        return list;
+    json_decref(list);
+    return NULL;
+}
+
+static unsigned transaction_do(wb_estate_store_t *store, const json_t *transaction, json_t **body)
+{
+    json_t *wrong = conflicts(store, transaction);
+    if (wrong != NULL) {
+        *body = answer_json(store, wrong);
+        return 412;
+    }
+    store->version++;
+    size_t i;
+    json_t *entry;
+    g_autofree char *table = NULL;
+    json_array_foreach(json_object_get(transaction, "put"), i, entry)
+    {
+        g_free(table);
+        table = g_strdup(wb_json_text(entry, "table", ""));
+        row_write(store, table, wb_json_text(entry, "key", ""), wb_json_text(entry, "value", ""));
+    }
+    *body = answer_json(store, json_array());
+    if (table != NULL)
+        waits_wake(store, table);
+    return 200;
+}
+
+static char *query_value(const char *target, const char *name)
+{
+    const char *query = strchr(target, '?');
+    if (query == NULL)
+        return NULL;
+    g_auto(GStrv) pairs = g_strsplit(query + 1, "&", -1);
+    size_t length = strlen(name);
+    for (char **pair = pairs; *pair != NULL; pair++)
+        if (strncmp(*pair, name, length) == 0 && (*pair)[length] == '=')
+            return g_uri_unescape_string(*pair + length + 1, NULL);
+    return NULL;
+}
+
+static int64_t query_number(const char *target, const char *name)
+{
+    g_autofree char *text = query_value(target, name);
+    return text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+}
+
+static void changes_call(wb_estate_store_t *store, wb_http_connection_t *connection,
+                         const char *target)
+{
+    g_autofree char *table = query_value(target, "table");
+    int64_t after = query_number(target, "after");
+    if (after < store->history_from) {
+        json_answer(connection, 410, json_object());
+        return;
+    }
+    json_t *rows = rows_json(store, table != NULL ? table : "", after, TRUE);
+    if (json_array_size(rows) > 0) {
+        json_answer(connection, 200, answer_json(store, rows));
+        return;
+    }
+    json_decref(rows);
+    wb_estate_wait_t *wait = g_new0(wb_estate_wait_t, 1);
+    wait->store = store;
+    wait->connection = connection;
+    wait->table = g_strdup(table);
+    wait->after = after;
+    wait->timer = wb_loop_after(store->loop, query_number(target, "waitMs"), wait_over, wait);
+    g_ptr_array_add(store->waits, wait);
+}
+
+static void delayed_run(void *context)
+{
+    wb_estate_delayed_t *delayed = context;
+    g_ptr_array_remove_fast(delayed->store->delayed, delayed);
+    if (delayed->transaction != NULL) {
+        json_t *body = NULL;
+        unsigned status = transaction_do(delayed->store, delayed->transaction, &body);
+        if (delayed->connection != NULL && !delayed->mute)
+            json_answer(delayed->connection, status, body);
+        else
+            json_decref(body);
+        json_decref(delayed->transaction);
+    } else if (delayed->connection != NULL) {
+        wb_http_connection_answer(delayed->connection, delayed->status,
+                                  wb_http_reason(delayed->status), "", delayed->body,
+                                  strlen(delayed->body));
+    }
+    g_free(delayed->body);
+    g_free(delayed);
+}
+
+static void transaction_later(wb_estate_store_t *store, wb_http_connection_t *connection,
+                              json_t *transaction, int64_t delay_ms, gboolean mute)
+{
+    wb_estate_delayed_t *delayed = g_new0(wb_estate_delayed_t, 1);
+    delayed->store = store;
+    delayed->connection = connection;
+    delayed->transaction = json_incref(transaction);
+    delayed->mute = mute;
+    g_ptr_array_add(store->delayed, delayed);
+    wb_loop_after(store->loop, delay_ms, delayed_run, delayed);
+}
+
+static void transaction_call(wb_estate_store_t *store, wb_http_connection_t *connection,
+                             const GByteArray *body)
+{
+    json_t *transaction = json_loadb((const char *)body->data, body->len, 0, NULL);
+    json_t *answer = NULL;
+    if (transaction == NULL) {
+        json_answer(connection, 400, json_object());
+        return;
+    }
+    if (strcmp(store->fault, "late") == 0) {
+        transaction_later(store, connection, transaction, LATE_MS, TRUE);
+    } else if (strcmp(store->fault, "lost") == 0) {
+        transaction_do(store, transaction, &answer);
+        json_decref(answer); /* done, and never answered */
+    } else if (store->delay_ms > 0) {
+        transaction_later(store, connection, transaction, store->delay_ms, FALSE);
+    } else {
+        unsigned status = transaction_do(store, transaction, &answer);
+        json_answer(connection, status, answer);
+    }
+    json_decref(transaction);
+}
+
+static void store_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
+                          void *context)
+{
+    wb_estate_store_t *store = context;
+    wb_http_connection_set_request(connection, connection);
+    if (strcmp(store->fault, "busy") == 0)
+        json_answer(connection, 503, json_object());
+    else if (strcmp(store->fault, "reset") == 0)
+        wb_http_connection_abort(connection);
+    else if (strcmp(store->fault, "silent") == 0)
+        (void)connection; /* it is never answered */
+    else if (g_str_has_prefix(head->target, "/rows-tx"))
+        transaction_call(store, connection, body);
+    else if (g_str_has_prefix(head->target, "/rows-feed"))
+        changes_call(store, connection, head->target);
+    else if (g_str_has_prefix(head->target, "/rows-get")) {
+        g_autofree char *table = query_value(head->target, "table");
+        json_answer(connection, 200,
+                    answer_json(store, rows_json(store, table != NULL ? table : "", 0, FALSE)));
+    } else
+        json_answer(connection, 404, json_object());
+    wb_http_head_free(head);
+    g_byte_array_unref(body);
+}
+
+static void store_gone(wb_http_connection_t *connection, void *request, void *context)
+{
+    (void)request;
+    wb_estate_store_t *store = context;
+    for (guint i = 0; i < store->waits->len; i++) {
+        wb_estate_wait_t *wait = g_ptr_array_index(store->waits, i);
+        if (wait->connection == connection) {
+            wait_free(wait);
+            break;
+        }
+    }
+    for (guint i = 0; i < store->delayed->len; i++) {
+        wb_estate_delayed_t *delayed = g_ptr_array_index(store->delayed, i);
+        if (delayed->connection == connection)
+            delayed->connection = NULL;
+    }
+}
+
+wb_estate_store_t *wb_estate_store_open(wb_loop_t *loop, const char *address)
+{
+    static const wb_http_limits_t limits = {65536, 1024 * 1024, 30000, 600000};
+    wb_estate_store_t *store = g_new0(wb_estate_store_t, 1);
+    wb_http_handler_t handler = {store_request, store_gone, NULL, store};
+    wb_error_t error;
+    store->loop = loop;
+    store->rows = g_ptr_array_new();
+    store->waits = g_ptr_array_new();
+    store->delayed = g_ptr_array_new();
+    store->fault = g_strdup("");
+    if (wb_http_listener_open(loop, address, &handler, &limits, &store->listener, &error) !=
+        APR_SUCCESS)
+        g_error("%s", error.message);
+    return store;
+}
+
+unsigned wb_estate_store_port(const wb_estate_store_t *store)
+{
+    return wb_http_listener_port(store->listener);
+}
+
+void wb_estate_store_compact(wb_estate_store_t *store)
+{
+    store->version++;
+    store->history_from = store->version;
+    while (store->waits->len > 0) {
+        wb_estate_wait_t *wait = g_ptr_array_index(store->waits, 0);
+        wb_http_connection_t *connection = wait->connection;
+        wait_free(wait);
+        json_answer(connection, 410, json_object());
+    }
+}
+
+void wb_estate_store_set_fault(wb_estate_store_t *store, const char *fault, int64_t delay_ms)
+{
+    g_free(store->fault);
+    store->fault = g_strdup(fault);
+    store->delay_ms = delay_ms;
+}
--- /dev/null
+++ b/target/meson-private/sanitycheckc.c
@@ -0,0 +1,5 @@
+int main(void)
+{
+    int class = 0;
+    return class;
+}
