--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -23,6 +23,7 @@
     uint64_t token; /**< rises with each take-over */
     uint64_t beat;  /**< counts renewals, so that a lost answer can be told from a lost write */
     gboolean released;
+    unsigned recent_loads; /**< loads from the weight store lately begun, told to a successor */
 } wb_lease_row_t;
 
 typedef struct wb_lease_settings_t {
@@ -66,6 +67,9 @@
 uint64_t wb_lease_token(const wb_lease_t *lease);
 /** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
 const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
+/** @return recent loads that the holder before this one told last, and when its row was seen
+ * (`seen_ms`) */
+unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms);
 /** Give the lease up at the next write, and don't take it again. */
 void wb_lease_release(wb_lease_t *lease);
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -46,7 +46,7 @@
 touch "$results/passed" "$results/failed"
 run_command format make -s format-check
 run_command lint make -s lint
-for program in unit-tests integration-tests; do
+for program in unit-tests edge-tests integration-tests; do
     for test in $("$build/$program" -l | grep '^/'); do
         run_one "$program" "$test"
     done
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -101,7 +101,7 @@
     case WB_SETTING_INTEGER:
         return integer_set(row, (int64_t *)place, value, origin, error);
     case WB_SETTING_REAL:
-        return real_set(row, (double *)place, value, origin, error);
+        return real_set(row, (double *)(void *)place, value, origin, error);
     case WB_SETTING_BOOLEAN:
         return boolean_set(row, (int64_t *)place, value, origin, error);
     case WB_SETTING_ADDRESS:
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -77,7 +77,8 @@
 {
     wb_load_window_t *window = g_hash_table_lookup(controller->windows, service);
     if (window == NULL) {
-        window = wb_load_window_create((int64_t)(controller->settings->load_window_s * 1000));
+        window = wb_load_window_create((int64_t)(controller->settings->load_window_s * 1000),
+                                       controller->settings->lease_duration_ms);
         g_hash_table_insert(controller->windows, g_strdup(service), window);
     }
     const wb_service_t *spec = owner_service(service, controller);
@@ -625,22 +626,33 @@
     return controller;
 }
 
-void wb_controller_set_token(wb_controller_t *controller, uint64_t token, gboolean is_first)
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token, unsigned loads,
+                             int64_t seen_ms)
 {
     if (controller->token == token)
         return;
     controller->token = token;
     /* What this node believed of engines is worth nothing once others may have given orders. */
     g_hash_table_remove_all(controller->orders);
-    if (token == 0 || is_first || controller->catalog == NULL)
+    if (token == 0 || seen_ms == 0 || controller->catalog == NULL)
         return;
     GHashTableIter iter;
     gpointer name;
-    int64_t now_ms = wb_clock_ms();
     g_hash_table_iter_init(&iter, controller->catalog->services);
     while (g_hash_table_iter_next(&iter, &name, NULL))
-        wb_load_window_assume_full(window_of(controller, name),
-                                   now_ms - controller->settings->lease_quiet_ms);
+        wb_load_window_assume(window_of(controller, name), loads,
+                              seen_ms + controller->settings->lease_duration_ms);
+}
+
+unsigned wb_controller_recent_loads(const wb_controller_t *controller)
+{
+    unsigned most = 0;
+    GHashTableIter iter;
+    gpointer window;
+    g_hash_table_iter_init(&iter, controller->windows);
+    while (g_hash_table_iter_next(&iter, NULL, &window))
+        most = MAX(most, wb_load_window_counted(window, wb_clock_ms()));
+    return most;
 }
 
 void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog)
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -30,9 +30,15 @@
                                       const wb_dialect_t *dialect, wb_fleet_t *fleet,
                                       wb_edge_metrics_t *metrics,
                                       const wb_controller_events_t *events);
-/** Begin to act under a token, or stop acting (token 0). @param is_first nobody held the lease
- * before */
-void wb_controller_set_token(wb_controller_t *controller, uint64_t token, gboolean is_first);
+/**
+ * Begin to act under a token, or stop acting (token 0).
+ * @param loads   loads from the weight store that the holder before told of last
+ * @param seen_ms steady time at which its last row was seen; 0: nobody held the lease before
+ */
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token, unsigned loads,
+                             int64_t seen_ms);
+/** @return loads from the weight store in the present window, the most of all services */
+unsigned wb_controller_recent_loads(const wb_controller_t *controller);
 void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog);
 /** A gateway told what it has running and waiting. */
 void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand);
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -26,6 +26,8 @@
     wb_lease_row_t written; /* the write under way */
     int64_t written_expected;
     int64_t written_sent_ms;
+    unsigned predecessor_loads; /* as the last row of another process told */
+    int64_t predecessor_ms;
     gboolean releasing;
     gboolean given_up;
 };
@@ -84,6 +86,13 @@
         lease->held_until_ms = MAX(lease->held_until_ms, sent_ms + lease->settings.duration_ms);
 }
 
+static void predecessor_seen(wb_lease_t *lease, int64_t now_ms)
+{
+    lease->held_until_ms = 0;
+    lease->predecessor_loads = lease->known.recent_loads;
+    lease->predecessor_ms = now_ms;
+}
+
 void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version, int64_t now_ms)
 {
     if (version <= lease->version && lease->version != -1)
@@ -99,7 +108,7 @@
     if (sent_ms >= 0)
         own_row_take(lease, sent_ms);
     else
-        lease->held_until_ms = 0;
+        predecessor_seen(lease, now_ms);
 }
 
 static gboolean is_holding(const wb_lease_t *lease)
@@ -136,8 +145,12 @@
 {
     if (!write_is_due(lease, now_ms))
         return FALSE;
-    wb_lease_row_t next = {(char *)lease->settings.machine, (char *)lease->settings.address,
-                           lease->own_token, ++lease->beat, FALSE};
+    wb_lease_row_t next = {(char *)lease->settings.machine,
+                           (char *)lease->settings.address,
+                           lease->own_token,
+                           ++lease->beat,
+                           FALSE,
+                           0};
     if (is_holding(lease)) {
         next.released = lease->releasing;
         if (lease->releasing)
@@ -196,6 +209,12 @@
     return lease->known.holder != NULL ? &lease->known : NULL;
 }
 
+unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms)
+{
+    *seen_ms = lease->predecessor_ms;
+    return lease->predecessor_loads;
+}
+
 void wb_lease_release(wb_lease_t *lease)
 {
     lease->releasing = TRUE;
--- a/src/control/load_window.c
+++ b/src/control/load_window.c
@@ -3,14 +3,17 @@
 
 struct wb_load_window_t {
     int64_t window_ms;
-    unsigned most; /* loads in a window; 0: no limit */
-    GArray *began; /* of int64_t, oldest first */
+    int64_t burst_ms;
+    unsigned most;       /* loads in a window; 0: no limit */
+    unsigned most_burst; /* loads in the shorter window */
+    GArray *began;       /* of int64_t, oldest first */
 };
 
-wb_load_window_t *wb_load_window_create(int64_t window_ms)
+wb_load_window_t *wb_load_window_create(int64_t window_ms, int64_t burst_ms)
 {
     wb_load_window_t *window = g_new0(wb_load_window_t, 1);
     window->window_ms = window_ms;
+    window->burst_ms = MIN(burst_ms, window_ms);
     window->began = g_array_new(FALSE, FALSE, sizeof(int64_t));
     return window;
 }
@@ -24,12 +27,15 @@
 void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s)
 {
     double most = loads_per_s * (double)window->window_ms / 1000.0;
+    double most_burst = loads_per_s * (double)window->burst_ms / 1000.0;
     window->most = loads_per_s <= 0 ? 0 : MAX((unsigned)most, 1);
+    window->most_burst = MAX((unsigned)most_burst, 1);
 }
 
-void wb_load_window_assume_full(wb_load_window_t *window, int64_t until_ms)
+void wb_load_window_assume(wb_load_window_t *window, unsigned told, int64_t until_ms)
 {
-    for (unsigned i = 0; i < window->most; i++)
+    unsigned begun = MIN(told + window->most_burst, window->most);
+    for (unsigned i = 0; i < begun; i++)
         wb_load_window_count(window, until_ms);
 }
 
@@ -44,9 +50,17 @@
     return counted;
 }
 
+unsigned wb_load_window_counted(const wb_load_window_t *window, int64_t now_ms)
+{
+    return counted_since(window, now_ms - window->window_ms);
+}
+
 gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms)
 {
-    return window->most == 0 || counted_since(window, now_ms - window->window_ms) < window->most;
+    if (window->most == 0)
+        return TRUE;
+    return wb_load_window_counted(window, now_ms) < window->most &&
+           counted_since(window, now_ms - window->burst_ms) < window->most_burst;
 }
 
 void wb_load_window_count(wb_load_window_t *window, int64_t now_ms)
--- a/src/control/load_window.h
+++ b/src/control/load_window.h
@@ -10,12 +10,16 @@
 
 typedef struct wb_load_window_t wb_load_window_t;
 
-wb_load_window_t *wb_load_window_create(int64_t window_ms);
+/** @param burst_ms a shorter window, which takes only its own part of the rate */
+wb_load_window_t *wb_load_window_create(int64_t window_ms, int64_t burst_ms);
 void wb_load_window_free(wb_load_window_t *window);
 /** @param loads_per_s the store's rate; 0: no limit */
 void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s);
-/** Count what a holder before may have begun until `until_ms`: the whole of the window's loads. */
-void wb_load_window_assume_full(wb_load_window_t *window, int64_t until_ms);
+/** Count what a holder before may have begun until `until_ms`: what it told, and a burst after
+ * that. */
+void wb_load_window_assume(wb_load_window_t *window, unsigned told, int64_t until_ms);
+/** @return loads counted in the window */
+unsigned wb_load_window_counted(const wb_load_window_t *window, int64_t now_ms);
 /** @return TRUE when one more load may begin now */
 gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms);
 void wb_load_window_count(wb_load_window_t *window, int64_t now_ms);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -68,7 +68,7 @@
     wb_timer_t *need_timer;
     gboolean held;
     gboolean ready_told;
-    int64_t drain_began_ms;
+    gboolean resting_closed;
     gboolean drained;
 };
 
@@ -171,7 +171,8 @@
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
     xdr_destroy(&stream);
     if (whole) {
-        wb_lease_row_t lease = {wire.holder, wire.address, wire.token, wire.beat, wire.released};
+        wb_lease_row_t lease = {wire.holder, wire.address,  wire.token,
+                                wire.beat,   wire.released, wire.recent_loads};
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
     } else {
         wb_event("lease-row-refused", ",\"row_version\":%lld", (long long)row->version);
@@ -277,10 +278,12 @@
     }
     /* A lapse stops orders at once; what is believed of engines stays good while nobody else held
      * it. */
+    int64_t seen_ms;
+    unsigned loads = wb_lease_predecessor_loads(node->lease, &seen_ms);
     if (held)
-        wb_controller_set_token(node->controller, token, token == 1);
+        wb_controller_set_token(node->controller, token, loads, seen_ms);
     else if (known != NULL && known->token != token)
-        wb_controller_set_token(node->controller, 0, FALSE);
+        wb_controller_set_token(node->controller, 0, 0, 0);
 }
 
 static void lease_answered(const wb_table_answer_t *answer, void *context)
@@ -308,7 +311,8 @@
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version)
 {
     char bytes[1024];
-    wb_wire_lease wire = {row->holder, row->address, row->token, row->beat, row->released};
+    wb_wire_lease wire = {row->holder, row->address,  row->token,
+                          row->beat,   row->released, wb_controller_recent_loads(node->controller)};
     XDR stream;
     xdrmem_create(&stream, bytes, sizeof(bytes), XDR_ENCODE);
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
@@ -511,7 +515,7 @@
 
 static gboolean node_is_ready(const wb_edge_node_t *node)
 {
-    return !node->edge.draining && node->edge.catalog != NULL && node->node_row_written &&
+    return node->edge.drain_began_ms == 0 && node->edge.catalog != NULL && node->node_row_written &&
            wb_table_watch_is_synced(node->engines_watch);
 }
 
@@ -578,8 +582,12 @@
  * is. */
 static void drain_tick(wb_edge_node_t *node, int64_t now_ms)
 {
-    int64_t passed_ms = now_ms - node->drain_began_ms;
+    int64_t passed_ms = now_ms - node->edge.drain_began_ms;
     int64_t grace_ms = (int64_t)(node->edge.settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
+    if (passed_ms >= STOP_LEAST_MS && !node->resting_closed) {
+        node->resting_closed = TRUE;
+        wb_http_listener_close_resting(node->callers);
+    }
     gboolean quiet = wb_http_listener_busy(node->callers) == 0 && passed_ms >= STOP_LEAST_MS;
     if (node->drained || (!quiet && passed_ms < grace_ms))
         return;
@@ -609,7 +617,7 @@
                  (long long)node->edge.catalog->version,
                  g_hash_table_size(wb_fleet_all(node->edge.fleet)), node->edge.node_count);
     }
-    if (node->edge.draining)
+    if (node->edge.drain_began_ms != 0)
         drain_tick(node, now_ms);
 }
 
@@ -692,10 +700,9 @@
 
 void wb_edge_node_drain(wb_edge_node_t *node)
 {
-    if (node->edge.draining)
+    if (node->edge.drain_began_ms != 0)
         return;
-    node->edge.draining = TRUE;
-    node->drain_began_ms = wb_clock_ms();
+    node->edge.drain_began_ms = wb_clock_ms();
     wb_http_listener_drain(node->callers);
     wb_lease_release(node->lease);
     wb_event("stopping", ",\"open\":%u,\"grace_s\":%g", g_hash_table_size(node->edge.open),
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -38,10 +38,10 @@
     GHashTable *budgets;   /* service -> wb_retry_budget_t */
     wb_demand_t *demand;
     wb_edge_metrics_t metrics;
-    GQueue waiting;      /* exchanges that wait for an engine, oldest first */
-    GHashTable *open;    /* set of all exchanges */
-    unsigned node_count; /* nodes that share the slack of the retry budget */
-    gboolean draining;
+    GQueue waiting;         /* exchanges that wait for an engine, oldest first */
+    GHashTable *open;       /* set of all exchanges */
+    unsigned node_count;    /* nodes that share the slack of the retry budget */
+    int64_t drain_began_ms; /* steady time at which a planned stop began; 0: none */
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
     void *need_context;
@@ -62,6 +62,7 @@
     WB_ENDING_BROKEN,     /* an engine broke off, and it may not be sent again */
     WB_ENDING_TIMED_OUT,  /* the route's time or the caller's is over */
     WB_ENDING_CALLER_GONE,
+    WB_ENDING_STOPPING, /* it came too late in a planned stop */
     WB_ENDING_COUNT
 } wb_ending_t;
 
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -26,11 +26,16 @@
 /* An engine that turned a request away is left alone for so long, if there is another. */
 #define REJECTED_MS 100
 #define UNREACHED_LIMIT 8
+/* So long into a planned stop every request is still taken. */
+#define STOP_TAKES_MS 2800
+/* Time that a short request is given to end, and time kept free before the stop's end. */
+#define STOP_SHORT_MS 1000
+#define STOP_RESERVE_MS 800
 
 static const char *const ending_names[WB_ENDING_COUNT] = {
-    "served",        "engine-failed", "no-catalog", "no-route", "bad-request",
-    "unknown-model", "no-engine",     "not-loaded", "rejected", "no-budget",
-    "broken",        "timed-out",     "caller-gone"};
+    "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
+    "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
+    "broken",        "timed-out",     "caller-gone", "stopping"};
 
 static void exchange_dispatch(wb_exchange_t *exchange);
 
@@ -684,6 +689,18 @@
     return number >= 1 && number <= spec->adapters;
 }
 
+/* Late in a planned stop a request is taken only if it will surely end in time. */
+static gboolean comes_too_late(const wb_exchange_t *exchange)
+{
+    const wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    if (edge->drain_began_ms == 0 || now_ms - edge->drain_began_ms < STOP_TAKES_MS)
+        return FALSE;
+    int64_t end_ms = edge->drain_began_ms + (int64_t)(edge->settings.stop_grace_s * 1000);
+    return exchange->route->kind == WB_ROUTE_STREAM ||
+           MIN(exchange->hold_until_ms, now_ms + STOP_SHORT_MS) > end_ms - STOP_RESERVE_MS;
+}
+
 /* Finds route and service. Returns WB_ENDING_COUNT, or why the request can't be served. */
 static wb_ending_t exchange_route(wb_exchange_t *exchange)
 {
@@ -699,6 +716,8 @@
         return WB_ENDING_NO_ROUTE;
     exchange->route = route;
     deadline_read(exchange);
+    if (comes_too_late(exchange))
+        return WB_ENDING_STOPPING;
     const char *service = wb_route_pick_service(route);
     exchange->service = service != NULL ? wb_catalog_service(edge->catalog, service) : NULL;
     if (exchange->service == NULL)
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -388,6 +388,16 @@
     listener->draining = TRUE;
 }
 
+void wb_http_listener_close_resting(wb_http_listener_t *listener)
+{
+    g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
+    for (GList *item = connections; item != NULL; item = item->next) {
+        wb_http_connection_t *connection = item->data;
+        if (!connection->running && connection->began_ms == 0)
+            connection_finish(connection);
+    }
+}
+
 unsigned wb_http_listener_busy(const wb_http_listener_t *listener)
 {
     unsigned busy = 0;
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -14,7 +14,7 @@
     gboolean is_request;
     gboolean without_body; /* answers to HEAD */
     size_t head_limit_bytes;
-    size_t head_bytes;
+    size_t head_bytes; /* of names, values and the first line */
     const wb_http_reader_events_t *events;
     void *context;
     wb_http_head_t *head;
@@ -130,11 +130,18 @@
     return 0;
 }
 
+/* Counts bytes of the head. Returns what http-parser is to be told: nonzero ends the reading. */
+static int head_count(wb_http_reader_t *reader, size_t length)
+{
+    reader->head_bytes += length;
+    return reader->head_bytes > reader->head_limit_bytes;
+}
+
 static int on_target(http_parser *parser, const char *data, size_t length)
 {
     wb_http_reader_t *reader = parser->data;
     g_string_append_len(reader->target, data, (gssize)length);
-    return 0;
+    return head_count(reader, length);
 }
 
 static int on_reason(http_parser *parser, const char *data, size_t length)
@@ -152,7 +159,7 @@
     if (reader->value_begun)
         header_finish(reader);
     g_string_append_len(reader->name, data, (gssize)length);
-    return 0;
+    return head_count(reader, length);
 }
 
 static int on_value(http_parser *parser, const char *data, size_t length)
@@ -162,7 +169,7 @@
         return 0;
     reader->value_begun = TRUE;
     g_string_append_len(reader->value, data, (gssize)length);
-    return 0;
+    return head_count(reader, length);
 }
 
 /* TRUE for an answer with neither length nor chunks: it ends with its connection. */
@@ -266,8 +273,6 @@
         return 0;
     size_t used = http_parser_execute(&reader->parser, &parser_settings, data, length);
     enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
-    if (!reader->in_body)
-        reader->head_bytes += used;
     if (code == HPE_HEADER_OVERFLOW || reader->head_bytes > reader->head_limit_bytes)
         reader->failure = WB_HTTP_FAILURE_HEAD_TOO_LARGE;
     else if (code != HPE_OK && code != HPE_PAUSED)
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -290,6 +290,7 @@
     unsigned hyper token; /* rises with each take-over */
     unsigned hyper beat;  /* counts renewals */
     bool released;
+    unsigned int recent_loads; /* from the weight store in the window before this renewal */
 };
 
 enum wb_wire_kind {
--- /dev/null
+++ b/tests/edge/test_control.c
@@ -0,0 +1,145 @@
+/* One controller at a time gives orders, and an order without an answer does no harm. */
+#include "edge.h"
+
+#include <signal.h>
+#include <string.h>
+
+/* Orders at each engine: tokens never fall, and two holders are `quiet_ms` apart. */
+static void assert_one_controller(const estate_t *estate, int64_t quiet_ms)
+{
+    json_t *seen = estate_seen(estate);
+    const json_t *orders = json_object_get(seen, "orders");
+    for (size_t i = 1; i < json_array_size(orders); i++) {
+        const json_t *before = json_array_get(orders, i - 1);
+        const json_t *after = json_array_get(orders, i);
+        int64_t gap_ms = json_integer_value(json_object_get(after, "at_ms")) -
+                         json_integer_value(json_object_get(before, "at_ms"));
+        int64_t rise = json_integer_value(json_object_get(after, "token")) -
+                       json_integer_value(json_object_get(before, "token"));
+        gboolean same = strcmp(json_string_value(json_object_get(before, "holder")),
+                               json_string_value(json_object_get(after, "holder"))) == 0;
+        g_assert_cmpint(rise, >=, 0);
+        if (!same) {
+            g_assert_cmpint(rise, >, 0);
+            g_assert_cmpint(gap_ms, >=, quiet_ms);
+        }
+    }
+    json_decref(seen);
+}
+
+static int controller_find(const estate_t *estate, int timeout_ms)
+{
+    int64_t until_ms = harness_now_ms() + timeout_ms;
+    int found;
+    while ((found = estate_controller(estate)) < 0 && harness_now_ms() < until_ms)
+        g_usleep(50000);
+    g_assert_cmpint(found, >=, 0);
+    return found;
+}
+
+static void model_asked(const estate_t *estate, int node, const char *model, const char *id)
+{
+    g_autofree char *headers = g_strdup_printf(
+        "Model: %s\r\nPrompt-Prefix: ab:50\r\nRequest-Deadline-Ms: 20000\r\n", model);
+    wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, "/chat/x", id, headers);
+    g_test_message("%s at node %d: %d", model, node, answer->status);
+    wire_answer_free(answer);
+}
+
+/* The controller is killed; another takes over after the quiet time, with a higher token. */
+static void test_takeover(void)
+{
+    estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    int first = controller_find(estate, 3000);
+    model_asked(estate, first, "m5", "t1");
+    process_kill(&estate->nodes[first].process);
+    int64_t killed_ms = harness_now_ms();
+    int next = controller_find(estate, 8000);
+    g_test_message("another controller after %d ms", (int)(harness_now_ms() - killed_ms));
+    g_assert_cmpint(harness_now_ms() - killed_ms, <, 4000);
+    model_asked(estate, next, "m6", "t2");
+    g_assert_cmpint(estate_runs(estate, "t2"), ==, 1);
+    assert_one_controller(estate, 1000);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* A controller that stands still and goes on gives no order once another holds the lease. */
+static void test_frozen_controller(void)
+{
+    estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    for (int round = 0; round < 2; round++) {
+        int frozen = controller_find(estate, 8000);
+        g_autofree char *id = g_strdup_printf("z%d", round);
+        process_signal(&estate->nodes[frozen].process, SIGSTOP);
+        g_usleep(3500000);
+        model_asked(estate, (frozen + 1) % 3, round == 0 ? "m5" : "m4", id);
+        process_signal(&estate->nodes[frozen].process, SIGCONT);
+        model_asked(estate, frozen, round == 0 ? "m6" : "m3", "z9");
+        g_usleep(500000);
+    }
+    assert_one_controller(estate, 1000);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* A planned stop of the controller hands the lease over sooner than a death would. */
+static void test_released_lease(void)
+{
+    estate_t *estate = estate_start(2, "--lease-quiet-ms=500 --lease-duration-ms=3000");
+    int first = controller_find(estate, 3000);
+    int other = 1 - first;
+    process_signal(&estate->nodes[first].process, SIGTERM);
+    int64_t asked_ms = harness_now_ms();
+    while (estate_metric(estate, other, "lease_held") <= 0) {
+        g_assert_cmpint(harness_now_ms() - asked_ms, <, 2500);
+        g_usleep(20000);
+    }
+    estate_stop(estate);
+}
+
+static void order_fault(const char *fault)
+{
+    estate_t *estate = estate_start(1, NULL);
+    controller_find(estate, 3000);
+    for (int i = 1; i <= 2; i++)
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"llm-%d\",\"fault\":\"%s\",\"count\":1}", i,
+                  fault);
+    model_asked(estate, 0, "m5", "f1");
+    g_assert_cmpint(estate_runs(estate, "f1"), ==, 1);
+    model_asked(estate, 0, "m6", "f2");
+    g_usleep(2000000); /* late orders come due */
+    model_asked(estate, 0, "m7", "f3");
+    g_assert_cmpint(estate_runs(estate, "f3"), ==, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+static void test_orders_without_answer(void)
+{
+    order_fault("order-lost");
+    order_fault("order-late");
+}
+
+/* An engine that dies is replaced by a load elsewhere. */
+static void test_engine_dies(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    controller_find(estate, 3000);
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"llm-2\",\"announce\":true}");
+    g_usleep(500000);
+    model_asked(estate, 0, "m2", "d1");
+    g_assert_cmpint(estate_runs(estate, "d1"), ==, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+void edge_control_tests_add(void)
+{
+    g_test_add_func("/edge/control/takeover", test_takeover);
+    g_test_add_func("/edge/control/frozen-controller", test_frozen_controller);
+    g_test_add_func("/edge/control/released-lease", test_released_lease);
+    g_test_add_func("/edge/control/orders-without-answer", test_orders_without_answer);
+    g_test_add_func("/edge/control/engine-dies", test_engine_dies);
+}
--- /dev/null
+++ b/tests/edge/test_once.c
@@ -0,0 +1,96 @@
+/* What may run once runs at most once; "not run" is said only when it is known. */
+#include "edge.h"
+
+#include <string.h>
+
+/* Asks with a fault at both engines of the service, and checks status and runs. */
+static void asked_with_fault(const char *path, const char *fault, int count, int status, int runs)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate,
+              "{\"do\":\"engine-fault\",\"engine\":\"lock-1\",\"fault\":\"%s\",\"count\":%d}",
+              fault, count);
+    estate_do(estate,
+              "{\"do\":\"engine-fault\",\"engine\":\"lock-2\",\"fault\":\"%s\",\"count\":%d}",
+              fault, count);
+    wire_answer_t *answer = wire_ask(estate->nodes[0].callers_port, path, "o1", EDGE_DEADLINE);
+    g_test_message("%s with %s: %d, %d runs", path, fault, answer->status,
+                   estate_runs(estate, "o1"));
+    g_assert_cmpint(answer->status, ==, status);
+    g_assert_cmpint(estate_runs(estate, "o1"), ==, runs);
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
+static void test_broken_runs(void)
+{
+    asked_with_fault("/lock/x", "reset", 1, 502, 1);    /* it may have run: no promise */
+    asked_with_fault("/lock/x", "unsealed", 1, 502, 1); /* no proper answer */
+    asked_with_fault("/lock/x", "error", 1, 500, 1);    /* the engine's own failure, as it is */
+    asked_with_fault("/lock/x", "mute", 1, 504, 1);     /* until the route's time is over */
+}
+
+static void test_rejected_runs(void)
+{
+    asked_with_fault("/lock/x", "reject", 1, 503, 0); /* both turn it away */
+}
+
+static void test_repeatable_runs(void)
+{
+    asked_with_fault("/look/x", "reset", 1, 502, 2); /* as many engines as the route allows */
+    asked_with_fault("/look/x", "mute", 1, 504, 2);
+}
+
+/* A resumable stream that breaks off goes on elsewhere after its last whole event. */
+static void test_stream_is_resumed(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    int resumed = 0;
+    for (int i = 0; i < 8; i++) {
+        /* One engine breaks its next answer off; the other goes on with it. */
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"llm-1\",\"fault\":\"cut\",\"count\":1}");
+        g_autofree char *id = g_strdup_printf("t%d", i);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[0].callers_port, "/chat/x", id, EDGE_MODEL("m0"));
+        g_assert_true(answer->whole);
+        for (int event = 1; event <= 5; event++) {
+            g_autofree char *text = g_strdup_printf("id: %d\ndata: %s-%d\n\n", event, id, event);
+            const char *place = strstr(answer->body->str, text);
+            g_assert_nonnull(place);
+            g_assert_null(strstr(place + 1, text));
+        }
+        resumed += estate_runs(estate, id) == 2;
+        wire_answer_free(answer);
+        g_usleep(500000); /* the engine is no longer avoided */
+    }
+    g_assert_cmpint(resumed, >, 0);
+    estate_stop(estate);
+}
+
+/* A stream that may not be resumed is broken off, never ended as if it were whole. */
+static void test_cut_stream_is_not_whole(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    for (int i = 1; i <= 2; i++)
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"llm-%d\",\"fault\":\"cut\",\"count\":9}",
+                  i);
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[0].callers_port, "/note/x", "n1", EDGE_MODEL("m0"));
+    g_assert_false(answer->whole);
+    g_assert_true(answer->closed);
+    g_assert_cmpint(estate_runs(estate, "n1"), ==, 1);
+    g_assert_null(strstr(answer->body->str, "id: 99"));
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
+void edge_once_tests_add(void)
+{
+    g_test_add_func("/edge/once/broken-runs", test_broken_runs);
+    g_test_add_func("/edge/once/rejected-runs", test_rejected_runs);
+    g_test_add_func("/edge/once/repeatable-runs", test_repeatable_runs);
+    g_test_add_func("/edge/once/stream-is-resumed", test_stream_is_resumed);
+    g_test_add_func("/edge/once/cut-stream-is-not-whole", test_cut_stream_is_not_whole);
+}
--- /dev/null
+++ b/tests/edge/test_path.c
@@ -0,0 +1,87 @@
+/* The whole path: a request goes to an engine as it came, and its answer comes back as it was made.
+ */
+#include "edge.h"
+
+#include <string.h>
+
+static void test_stream_is_whole(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[0].callers_port, "/chat/a%20b?c=%2F", "s1", EDGE_MODEL("m0"));
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    g_assert_nonnull(strstr(answer->head->str, "Response-Seal: seal"));
+    g_assert_cmpstr(answer->body->str, ==,
+                    "id: 1\ndata: s1-1\n\nid: 2\ndata: s1-2\n\nid: 3\ndata: s1-3\n\n"
+                    "id: 4\ndata: s1-4\n\nid: 5\ndata: s1-5\n\n");
+    json_t *seen = estate_seen(estate);
+    json_t *run = json_array_get(json_object_get(seen, "runs"), 0);
+    g_assert_cmpstr(json_string_value(json_object_get(run, "path")), ==, "/chat/a%20b?c=%2F");
+    g_assert_cmpstr(json_string_value(json_object_get(run, "body")), ==, "hello");
+    g_assert_cmpint(json_integer_value(json_object_get(run, "deadline_ms")), <=, 7000);
+    json_decref(seen);
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
+/* A model that no engine holds is loaded once, and all that wait for it are served. */
+static void test_cold_model_is_loaded(void)
+{
+    estate_t *estate = estate_start(2, NULL);
+    wire_t *wires[6];
+    for (int i = 0; i < 6; i++) {
+        g_autofree char *id = g_strdup_printf("c%d", i);
+        wires[i] = wire_open(estate->nodes[i % 2].callers_port);
+        wire_post(wires[i], "/chat/x", id, EDGE_MODEL("m5"), "hello");
+    }
+    for (int i = 0; i < 6; i++) {
+        wire_answer_t *answer = wire_read(wires[i], 8000);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(answer->whole);
+        wire_answer_free(answer);
+        wire_close(wires[i]);
+    }
+    g_assert_cmpint(estate_orders(estate, "model_load", "m5"), ==, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+static void test_adapter_is_loaded(void)
+{
+    estate_t *estate = estate_start(2, NULL);
+    for (int i = 1; i <= 5; i++) {
+        g_autofree char *headers =
+            g_strdup_printf("Model: m0/a%d\r\nPrompt-Prefix: ab:50\r\n" EDGE_DEADLINE, i);
+        g_autofree char *id = g_strdup_printf("a%d", i);
+        wire_answer_t *answer = wire_ask(estate->nodes[i % 2].callers_port, "/chat/x", id, headers);
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_answer_free(answer);
+    }
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* An engine without room for an adapter drops a model that is asked for less. */
+static void test_adapter_makes_room(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-3\",\"options\":{\"service\":\"llm\","
+              "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m6\",\"m7\"],\"load_ms\":200,"
+              "\"model_mb\":1050,\"weights_mb\":2100}}");
+    g_usleep(700000);
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[0].callers_port, "/chat/x", "r1", EDGE_MODEL("m6/a1"));
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
+void edge_path_tests_add(void)
+{
+    g_test_add_func("/edge/path/stream-is-whole", test_stream_is_whole);
+    g_test_add_func("/edge/path/cold-model-is-loaded", test_cold_model_is_loaded);
+    g_test_add_func("/edge/path/adapter-is-loaded", test_adapter_is_loaded);
+    g_test_add_func("/edge/path/adapter-makes-room", test_adapter_makes_room);
+}
--- /dev/null
+++ b/tests/edge/test_stops.c
@@ -0,0 +1,86 @@
+/* A planned stop loses nothing that was read. */
+#include "edge.h"
+
+#include <signal.h>
+#include <string.h>
+
+/* Kept connections are given up while there is still time to finish what comes on them. */
+static void test_resting_connections_end_early(void)
+{
+    estate_t *estate = estate_start(1, "--stop-grace-s=6");
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-9\",\"options\":{\"service\":\"llm\","
+              "\"streams\":1,\"models\":[\"m7\"],\"events\":400,\"event_ms\":20}}");
+    g_usleep(600000);
+    int port = estate->nodes[0].callers_port;
+    wire_t *resting = wire_open(port);
+    wire_post(resting, "/lock/x", "k1", EDGE_DEADLINE, "hello");
+    wire_answer_t *answer = wire_read(resting, 3000);
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    wire_t *streaming = wire_open(port);
+    wire_post(streaming, "/chat/x", "k2", EDGE_MODEL("m7"), "hello");
+    g_usleep(200000);
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    int64_t asked_ms = harness_now_ms();
+    g_assert_true(wire_is_closed(resting, 4000));
+    int64_t passed_ms = harness_now_ms() - asked_ms;
+    g_assert_cmpint(passed_ms, >=, 2000); /* the entry needs time to see it */
+    g_assert_cmpint(passed_ms, <=, 3300);
+    wire_close(resting);
+    wire_close(streaming);
+    estate_stop(estate);
+}
+
+/* A request that comes late in a stop is told at once that it has not run. */
+static void test_late_request_is_refused(void)
+{
+    estate_t *estate = estate_start(1, "--stop-grace-s=6");
+    int port = estate->nodes[0].callers_port;
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-9\",\"options\":{\"service\":\"llm\","
+              "\"streams\":1,\"models\":[\"m7\"],\"events\":400,\"event_ms\":20}}");
+    g_usleep(600000);
+    wire_t *streaming = wire_open(port);
+    wire_post(streaming, "/chat/x", "l1", EDGE_MODEL("m7"), "hello");
+    g_usleep(200000);
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    g_usleep(3500000);
+    wire_answer_t *answer = wire_ask(port, "/chat/x", "l2", EDGE_MODEL("m0"));
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_nonnull(strstr(answer->head->str, "Retry-After: "));
+    g_assert_cmpint(estate_runs(estate, "l2"), ==, 0);
+    wire_answer_free(answer);
+    wire_close(streaming);
+    estate_stop(estate);
+}
+
+/* What runs at SIGTERM is finished, and the process ends by itself. */
+static void test_running_requests_finish(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-9\",\"options\":{\"service\":\"llm\","
+              "\"streams\":1,\"models\":[\"m7\"],\"events\":50,\"event_ms\":20}}");
+    g_usleep(600000);
+    wire_t *wire = wire_open(estate->nodes[0].callers_port);
+    wire_post(wire, "/chat/x", "f1", EDGE_MODEL("m7"), "hello");
+    g_usleep(200000);
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    g_usleep(100000);
+    g_assert_false(estate_node_is_ready(estate, 0));
+    wire_answer_t *answer = wire_read(wire, 5000);
+    g_assert_true(answer->whole);
+    wire_answer_free(answer);
+    wire_close(wire);
+    g_assert_cmpint(process_stop(&estate->nodes[0].process, 6000), ==, 0);
+    estate_stop(estate);
+}
+
+void edge_stops_tests_add(void)
+{
+    g_test_add_func("/edge/stops/resting-connections-end-early",
+                    test_resting_connections_end_early);
+    g_test_add_func("/edge/stops/late-request-is-refused", test_late_request_is_refused);
+    g_test_add_func("/edge/stops/running-requests-finish", test_running_requests_finish);
+}
--- /dev/null
+++ b/tests/edge/test_store.c
@@ -0,0 +1,92 @@
+/* The store is down, slow, forgetful or silent: what is loaded goes on being served. */
+#include "edge.h"
+
+#include <string.h>
+
+static void asked(const estate_t *estate, const char *path, const char *id, const char *headers,
+                  int status)
+{
+    wire_answer_t *answer = wire_ask(estate->nodes[0].callers_port, path, id, headers);
+    g_assert_cmpint(answer->status, ==, status);
+    wire_answer_free(answer);
+}
+
+static void store_fault(const estate_t *estate, const char *fault, int delay_ms)
+{
+    estate_do(estate, "{\"do\":\"store-fault\",\"fault\":\"%s\",\"delay_ms\":%d}", fault, delay_ms);
+}
+
+static void test_faults(void)
+{
+    static const char *const faults[] = {"busy", "silent", "reset", "lost", "late"};
+    estate_t *estate = estate_start(1, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+        store_fault(estate, faults[i], 0);
+        g_usleep(1500000);
+        asked(estate, "/chat/x", faults[i], EDGE_MODEL("m0"), 200);
+        asked(estate, "/lock/x", faults[i], EDGE_DEADLINE, 200);
+        g_assert_true(estate_node_is_ready(estate, 0));
+        store_fault(estate, "", 0);
+        g_usleep(3000000);
+        g_assert_cmpint(estate_controller(estate), ==, 0);
+    }
+    asked(estate, "/chat/x", "cold", EDGE_MODEL("m5"), 200);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* A configuration changed while the history was dropped is found by reading anew. */
+static void test_forgotten_history(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate, "{\"do\":\"compact\"}");
+    estate_configure(estate,
+                     "{\"name\":\"new\",\"host\":\"a.example\",\"pathPrefix\":\"/new/\","
+                     "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\"}");
+    estate_do(estate, "{\"do\":\"compact\"}");
+    g_usleep(1000000);
+    asked(estate, "/new/x", "h1", EDGE_DEADLINE, 200);
+    asked(estate, "/lock/x", "h2", EDGE_DEADLINE, 404);
+    estate_stop(estate);
+}
+
+/* Without a configuration a node says 503, never 404. */
+static void test_no_catalog(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    store_fault(estate, "busy", 0);
+    process_kill(&estate->nodes[0].process);
+    estate_node_launch(estate, 0);
+    g_usleep(500000);
+    g_assert_false(estate_node_is_ready(estate, 0));
+    asked(estate, "/lock/x", "n1", EDGE_DEADLINE, 503);
+    store_fault(estate, "", 0);
+    estate_wait_ready(estate, 0);
+    asked(estate, "/lock/x", "n2", EDGE_DEADLINE, 200);
+    estate_stop(estate);
+}
+
+/* Engines that leave get nothing new after the drain time; those that go unannounced neither. */
+static void test_leaving_engines(void)
+{
+    estate_t *estate = estate_start(1, "--drain-ms=1000");
+    estate_do(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    g_usleep(1100000);
+    for (int i = 0; i < 20; i++)
+        asked(estate, "/lock/x", "v1", EDGE_DEADLINE, 200);
+    json_t *seen = estate_seen(estate);
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run)
+        g_assert_cmpstr(json_string_value(json_object_get(run, "engine")), ==, "lock-2");
+    json_decref(seen);
+    estate_stop(estate);
+}
+
+void edge_store_tests_add(void)
+{
+    g_test_add_func("/edge/store/faults", test_faults);
+    g_test_add_func("/edge/store/forgotten-history", test_forgotten_history);
+    g_test_add_func("/edge/store/no-catalog", test_no_catalog);
+    g_test_add_func("/edge/store/leaving-engines", test_leaving_engines);
+}
--- /dev/null
+++ b/tests/harness/estate.c
@@ -0,0 +1,259 @@
+/* Edge nodes before the platform's stand-in. */
+#include "estate.h"
+
+#include "harness_types.h"
+
+#include <glib/gstdio.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define READY_TIMEOUT_MS 15000
+
+static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
+
+static void argument_add(GPtrArray *arguments, const char *format, ...)
+{
+    va_list values;
+    va_start(values, format);
+    g_ptr_array_add(arguments, g_strdup_vprintf(format, values));
+    va_end(values);
+}
+
+static const char usual_routes[] =
+    "{\"name\":\"chat\",\"host\":\"a.example\",\"pathPrefix\":\"/chat/"
+    "\",\"routeType\":\"streaming\","
+    "\"timeoutMs\":8000,\"targetLatencyMs\":800,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":"
+    "2,"
+    "\"resumable\":true,\"targetGapMs\":400},"
+    "{\"name\":\"note\",\"host\":\"a.example\",\"pathPrefix\":\"/note/"
+    "\",\"routeType\":\"streaming\","
+    "\"timeoutMs\":8000,\"targetLatencyMs\":800,\"priority\":1,\"service\":\"llm\",\"maxAttempts\":"
+    "1,"
+    "\"resumable\":false,\"targetGapMs\":400},"
+    "{\"name\":\"lock\",\"host\":\"a.example\",\"pathPrefix\":\"/lock/\","
+    "\"routeType\":\"non_idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":400,\"priority\":2,"
+    "\"service\":\"lock\",\"maxAttempts\":1},"
+    "{\"name\":\"look\",\"host\":\"a.example\",\"pathPrefix\":\"/look/"
+    "\",\"routeType\":\"idempotent\","
+    "\"timeoutMs\":2000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"lock\","
+    "\"maxAttempts\":2}";
+
+void estate_configure(estate_t *estate, const char *routes)
+{
+    g_autoptr(GString) models = g_string_new(NULL);
+    for (int i = 0; i < 8; i++)
+        g_string_append_printf(models,
+                               "%s{\"name\":\"m%d\",\"weightsMb\":1000,\"loadS\":0.2,"
+                               "\"adapters\":5,\"adapterMb\":1,\"warmS\":0.1,\"diskS\":0.15}",
+                               i > 0 ? "," : "", i);
+    estate->catalog_version += 3;
+    json_t *call = json_object();
+    json_object_set_new(call, "do", json_string("put"));
+    json_object_set_new(call, "table", json_string("op"));
+    json_object_set_new(call, "key", json_string("config"));
+    json_object_set_new(
+        call, "value",
+        json_sprintf("{\"version\":%lld,\"routes\":[%s],\"services\":[{\"name\":\"llm\","
+                     "\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":2,"
+                     "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50}],"
+                     "\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
+                     "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}}",
+                     (long long)estate->catalog_version, routes != NULL ? routes : usual_routes,
+                     models->str));
+    char *text = json_dumps(call, JSON_COMPACT);
+    estate_do(estate, "%s", text);
+    free(text);
+    json_decref(call);
+}
+
+void estate_do(const estate_t *estate, const char *format, ...)
+{
+    va_list values;
+    va_start(values, format);
+    g_autofree char *body = g_strdup_vprintf(format, values);
+    va_end(values);
+    answer_t *answer = call("POST", estate->control_port, "/", NULL, body, 5000);
+    g_assert_cmpint(answer->status, ==, 200);
+    answer_free(answer);
+}
+
+json_t *estate_seen(const estate_t *estate)
+{
+    answer_t *answer = call("GET", estate->control_port, "/", NULL, NULL, 5000);
+    json_t *seen = json_loads(answer->body, 0, NULL);
+    g_assert_nonnull(seen);
+    answer_free(answer);
+    return seen;
+}
+
+int estate_runs(const estate_t *estate, const char *id)
+{
+    json_t *seen = estate_seen(estate);
+    int count = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) count +=
+        strcmp(json_string_value(json_object_get(run, "id")), id) == 0;
+    json_decref(seen);
+    return count;
+}
+
+int estate_orders(const estate_t *estate, const char *operation, const char *model)
+{
+    json_t *seen = estate_seen(estate);
+    int count = 0;
+    size_t i;
+    json_t *order;
+    json_array_foreach(json_object_get(seen, "orders"), i, order) count +=
+        strcmp(json_string_value(json_object_get(order, "operation")), operation) == 0 &&
+        (*model == '\0' || strcmp(json_string_value(json_object_get(order, "model")), model) == 0);
+    json_decref(seen);
+    return count;
+}
+
+void estate_assert_no_violation(const estate_t *estate)
+{
+    json_t *seen = estate_seen(estate);
+    char *text = json_dumps(json_object_get(seen, "violations"), JSON_COMPACT);
+    g_assert_cmpstr(text, ==, "[]");
+    free(text);
+    json_decref(seen);
+}
+
+gboolean estate_node_is_ready(const estate_t *estate, int index)
+{
+    answer_t *answer = call("GET", estate->nodes[index].ready_port, "/ready", NULL, NULL, 1000);
+    gboolean ready = answer->status == 200;
+    answer_free(answer);
+    return ready;
+}
+
+void estate_wait_ready(const estate_t *estate, int index)
+{
+    int64_t until_ms = harness_now_ms() + READY_TIMEOUT_MS;
+    while (!estate_node_is_ready(estate, index)) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(20000);
+    }
+}
+
+double estate_metric(const estate_t *estate, int index, const char *name)
+{
+    answer_t *answer = call("GET", estate->nodes[index].metrics_port, "/metrics", NULL, NULL, 2000);
+    g_autofree char *line = g_strdup_printf("\nwickbridge_%s ", name);
+    const char *place = answer->status == 200 ? strstr(answer->body, line) : NULL;
+    double value = place != NULL ? g_ascii_strtod(place + strlen(line), NULL) : -1;
+    answer_free(answer);
+    return value;
+}
+
+int estate_controller(const estate_t *estate)
+{
+    for (int i = 0; i < estate->node_count; i++)
+        if (estate->nodes[i].process.pid > 0 && estate_metric(estate, i, "lease_held") > 0)
+            return i;
+    return -1;
+}
+
+gboolean estate_log_has(const estate_t *estate, int index, const char *text)
+{
+    g_autofree char *log = NULL;
+    if (!g_file_get_contents(estate->nodes[index].process.log_path, &log, NULL, NULL))
+        return FALSE;
+    return strstr(log, text) != NULL;
+}
+
+void estate_node_launch(estate_t *estate, int index)
+{
+    estate_node_t *node = &estate->nodes[index];
+    process_clear(&node->process);
+    GPtrArray *arguments = g_ptr_array_new();
+    argument_add(arguments, "--id=node-%d", index);
+    argument_add(arguments, "--zone=zone-%d", index % 2 + 1);
+    argument_add(arguments, "--listen-callers=127.0.0.1:%d", node->callers_port);
+    argument_add(arguments, "--listen-ready=127.0.0.1:%d", node->ready_port);
+    argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
+    argument_add(arguments, "--listen-metrics=127.0.0.1:%d", node->metrics_port);
+    argument_add(arguments, "--store=127.0.0.1:%d", estate->store_port);
+    argument_add(arguments, "--engine-heartbeat-ms=300");
+    argument_add(arguments, "--log-lines-per-s=10000");
+    g_auto(GStrv) flags = g_strsplit(estate->node_flags != NULL ? estate->node_flags : "", " ", -1);
+    for (char **flag = flags; *flag != NULL; flag++)
+        if (**flag != '\0')
+            g_ptr_array_add(arguments, g_strdup(*flag));
+    g_autofree char *name = g_strdup_printf("edge-%d", index);
+    process_prepare(&estate->files, &node->process, name, "wickbridge-edge", arguments);
+    process_start(&node->process);
+}
+
+static void standin_start(estate_t *estate)
+{
+    estate->store_port = port_find();
+    estate->control_port = port_find();
+    GPtrArray *arguments = g_ptr_array_new();
+    argument_add(arguments, "127.0.0.1:%d", estate->store_port);
+    argument_add(arguments, "127.0.0.1:%d", estate->control_port);
+    process_prepare(&estate->files, &estate->standin, "estate", "wb-standin-estate", arguments);
+    process_start(&estate->standin);
+    int64_t until_ms = harness_now_ms() + READY_TIMEOUT_MS;
+    for (;;) {
+        answer_t *answer = call("GET", estate->control_port, "/", NULL, NULL, 1000);
+        gboolean answers = answer->status == 200;
+        answer_free(answer);
+        if (answers)
+            return;
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(10000);
+    }
+}
+
+estate_t *estate_start(int nodes, const char *node_flags)
+{
+    estate_t *estate = g_new0(estate_t, 1);
+    const char *build = g_getenv("WICKBRIDGE_BUILD");
+    g_assert_nonnull(build);
+    estate->files.build = g_strdup(build);
+    estate->files.folder = g_dir_make_tmp("wickbridge-edge-XXXXXX", NULL);
+    estate->node_flags = node_flags;
+    standin_start(estate);
+    estate_configure(estate, NULL);
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-1\",\"options\":{\"service\":\"llm\","
+              "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m0\",\"m1\"],\"load_ms\":200,"
+              "\"weights_mb\":2100}}");
+    estate_do(estate,
+              "{\"do\":\"engine-start\",\"engine\":\"llm-2\",\"options\":{\"service\":\"llm\","
+              "\"zone\":\"zone-2\",\"streams\":1,\"models\":[\"m0\",\"m2\"],\"load_ms\":200,"
+              "\"weights_mb\":2100}}");
+    estate_do(estate, "{\"do\":\"engine-start\",\"engine\":\"lock-1\",\"options\":{\"service\":"
+                      "\"lock\",\"zone\":\"zone-1\",\"work_ms\":10}}");
+    estate_do(estate, "{\"do\":\"engine-start\",\"engine\":\"lock-2\",\"options\":{\"service\":"
+                      "\"lock\",\"zone\":\"zone-2\",\"work_ms\":10}}");
+    estate->node_count = nodes;
+    for (int i = 0; i < nodes; i++) {
+        estate_node_t *node = &estate->nodes[i];
+        node->callers_port = port_find();
+        node->ready_port = port_find();
+        node->nodes_port = port_find();
+        node->metrics_port = port_find();
+        estate_node_launch(estate, i);
+    }
+    for (int i = 0; i < nodes; i++)
+        estate_wait_ready(estate, i);
+    return estate;
+}
+
+void estate_stop(estate_t *estate)
+{
+    for (int i = 0; i < estate->node_count; i++)
+        process_clear(&estate->nodes[i].process);
+    process_clear(&estate->standin);
+    if (!g_test_failed()) {
+        g_autofree char *command = g_strdup_printf("rm -rf '%s'", estate->files.folder);
+        g_spawn_command_line_sync(command, NULL, NULL, NULL, NULL);
+    }
+    g_free(estate->files.folder);
+    g_free(estate->files.build);
+    g_free(estate);
+}
