Load a waited-for model once

Ruled out: slow announcements, as requests ran 2 ms after the news. Change: on its own news that a model or adapter is held, the controller forgets who waited for it and since when; gateways say so anew if someone does. Test first: edge/control/model-is-loaded-once (2 orders before, 1 after).

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -101,18 +101,6 @@
     return ((wb_controller_t *)context)->token;
 }
 
-static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
-                           gboolean held, void *context)
-{
-    wb_controller_t *controller = context;
-    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held};
-    wb_wire_message news = {.kind = WB_WIRE_PLACEMENT};
-    news.wb_wire_message_u.placement.token = controller->token;
-    news.wb_wire_message_u.placement.entries.entries_len = 1;
-    news.wb_wire_message_u.placement.entries.entries_val = &entry;
-    controller->events.on_news(&news, controller->events.context);
-}
-
 static char *usage_key(const char *service, const char *model, const char *adapter)
 {
     return g_strjoin("/", service, model, adapter, NULL);
@@ -125,6 +113,41 @@
     return g_hash_table_lookup(controller->usages, key);
 }
 
+/* Who waited for a model or adapter is served now; gateways say so if someone still waits. */
+static void waiting_forget(wb_controller_t *controller, const char *service, const char *model,
+                           const char *adapter)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, controller->demands);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_wire_demand *demand = &((wb_node_demand_t *)value)->message.wb_wire_message_u.demand;
+        for (guint i = 0; i < demand->entries.entries_len; i++) {
+            wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
+            if (strcmp(entry->service, service) == 0 && strcmp(entry->model, model) == 0 &&
+                strcmp(entry->adapter, adapter) == 0)
+                entry->waiting = 0;
+        }
+    }
+    wb_usage_t *usage = usage_find(controller, service, model, "");
+    if (usage != NULL)
+        usage->waited_ms = 0;
+}
+
+static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
+                           gboolean held, void *context)
+{
+    wb_controller_t *controller = context;
+    if (held)
+        waiting_forget(controller, engine->state->service, model, adapter);
+    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held};
+    wb_wire_message news = {.kind = WB_WIRE_PLACEMENT};
+    news.wb_wire_message_u.placement.token = controller->token;
+    news.wb_wire_message_u.placement.entries.entries_len = 1;
+    news.wb_wire_message_u.placement.entries.entries_val = &entry;
+    controller->events.on_news(&news, controller->events.context);
+}
+
 static wb_usage_t *usage_of(wb_controller_t *controller, const char *service, const char *model,
                             const char *adapter)
 {
--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -122,6 +122,19 @@
     order_fault("order-late");
 }
 
+/* A model that was waited for is loaded once, also when gateways tell late that nobody waits any
+ * more. */
+static void test_model_is_loaded_once(void)
+{
+    estate_t *estate = estate_start(2, "--demand-interval-ms=3000");
+    int controller = controller_find(estate, 3000);
+    model_asked(estate, 1 - controller, "m5", "o1");
+    g_usleep(2000000);
+    g_assert_cmpint(estate_runs(estate, "o1"), ==, 1);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m5"), ==, 1);
+    estate_stop(estate);
+}
+
 /* An engine that dies is replaced by a load elsewhere. */
 static void test_engine_dies(void)
 {
@@ -141,5 +154,6 @@
     g_test_add_func("/edge/control/frozen-controller", test_frozen_controller);
     g_test_add_func("/edge/control/released-lease", test_released_lease);
     g_test_add_func("/edge/control/orders-without-answer", test_orders_without_answer);
+    g_test_add_func("/edge/control/model-is-loaded-once", test_model_is_loaded_once);
     g_test_add_func("/edge/control/engine-dies", test_engine_dies);
 }
