Give a model that turns busy more engines, when that saves more than it costs

Ruled out: the balancer, as there was nothing to balance over. Change: the work of the last 1.5 s beside that of 5 s, the gain as a single queue's delay saved over the believed horizon, against victims plus a load's own price; an engine that loads a model isn't chosen for it again.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -15,12 +15,12 @@
 #define DEMAND_LIFE_MS 2000
 /* Rates are averages over about so long. */
 #define RATE_TIME_S 5.0
+#define RECENT_TIME_S 1.5
 /* A model that is waited for though an engine should hold it gets another engine after this time.
  */
 #define STUCK_MS 600
 #define SPREAD_INTERVAL_MS 300
-/* A model gets one more engine for its load only when what must go costs less than this. */
-#define SPREAD_COST_MS 120.0
+#define SPREADS_AT_ONCE 3
 #define WATCHED_LIFE_MS 30000
 
 /* What one node said, and when. */
@@ -165,8 +165,11 @@
 {
     double passed_s = (double)(now_ms - usage->rated_ms) / 1000.0;
     double kept = exp(-passed_s / RATE_TIME_S);
+    double recent_kept = exp(-passed_s / RECENT_TIME_S);
     usage->use.rate_per_s *= kept;
     usage->use.work_per_s *= kept;
+    usage->use.recent_rate_per_s *= recent_kept;
+    usage->use.recent_work_per_s *= recent_kept;
     usage->rated_ms = now_ms;
 }
 
@@ -175,6 +178,8 @@
     usage_decay(usage, now_ms);
     usage->use.rate_per_s += arrivals / RATE_TIME_S;
     usage->use.work_per_s += (double)work / RATE_TIME_S;
+    usage->use.recent_rate_per_s += arrivals / RECENT_TIME_S;
+    usage->use.recent_work_per_s += (double)work / RECENT_TIME_S;
     if (arrivals > 0)
         usage->used_ms = now_ms;
 }
@@ -330,6 +335,13 @@
             usage_of(controller, service, name, "")->use.in_loading++;
 }
 
+static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context)
+{
+    const wb_controller_t *controller = context;
+    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    return orders != NULL && wb_engine_orders_has(orders, model, "");
+}
+
 static void snapshot_take(wb_controller_t *controller, const wb_service_t *service,
                           wb_placement_snapshot_t *snapshot)
 {
@@ -337,6 +349,8 @@
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
     snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
     snapshot->store_has_room = owner_store_has_room(service->name, controller);
+    snapshot->is_loading = engine_is_loading;
+    snapshot->context = controller;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, wb_fleet_all(controller->fleet));
@@ -418,14 +432,16 @@
     return victim;
 }
 
-/* Loads a model where that costs least. Returns FALSE when there is no such engine. */
+/* Loads a model where that costs least. Returns FALSE when no engine does it for less than the
+ * limit. */
 static gboolean model_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
-                            const wb_model_spec_t *spec, double victim_limit_ms, const char *why)
+                            const wb_model_spec_t *spec, double limit_ms, const char *why)
 {
     double cost_ms;
     double victims_ms;
     const wb_placement_engine_t *place = wb_placement_choose(snapshot, spec, &cost_ms, &victims_ms);
-    if (place == NULL || victims_ms > victim_limit_ms)
+    if (place == NULL ||
+        victims_ms + wb_placement_load_price_ms(spec, place->engine->state) > limit_ms)
         return FALSE;
     wb_usage_t *usage = usage_of(controller, snapshot->service->name, spec->name, "");
     wb_event("model-placed",
@@ -481,20 +497,21 @@
 /* Models whose prompts take more reading than their engines should give to one model. */
 static void load_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot)
 {
+    double tokens_per_ms = controller->settings->prefill_tokens_per_ms;
+    unsigned placed = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, snapshot->service->models);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (placed < SPREADS_AT_ONCE && g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_model_spec_t *spec = value;
         const wb_usage_t *usage = usage_find(controller, snapshot->service->name, spec->name, "");
-        if (usage == NULL || usage->use.in_loading > 0)
+        if (usage == NULL || usage->use.replicas == 0)
             continue;
-        unsigned wanted =
-            wb_placement_wanted(&usage->use, controller->settings->prefill_tokens_per_ms);
-        if (usage->use.replicas == 0 || usage->use.replicas >= wanted)
+        unsigned wanted = wb_placement_wanted(&usage->use, tokens_per_ms);
+        if (usage->use.replicas + usage->use.in_loading >= wanted)
             continue;
-        if (model_place(controller, snapshot, spec, SPREAD_COST_MS, "load"))
-            return;
+        double gain_ms = wb_placement_gain_ms(&usage->use, tokens_per_ms);
+        placed += model_place(controller, snapshot, spec, gain_ms, "load");
     }
 }
 
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -18,6 +18,11 @@
 #define FULL_STORE_MS 1500.0
 /* Share of an engine's reading that one model's prompts may take before it gets another engine. */
 #define READING_SHARE 0.3
+/* Share of prompts' tokens that an engine doesn't have in its cache. */
+#define UNREAD_SHARE 0.66
+#define FULLEST 0.95
+/* An engine that loads takes no other order, and the weight store has its limits. */
+#define LOAD_PRICE 0.3
 
 static const wb_model_use_t no_use;
 
@@ -168,7 +173,9 @@
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *place =
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
-        if (!place->available || g_hash_table_contains(place->state->models, model->name))
+        if (!place->available || g_hash_table_contains(place->state->models, model->name) ||
+            (snapshot->is_loading != NULL &&
+             snapshot->is_loading(place->engine, model->name, snapshot->context)))
             continue;
         double victims_ms;
         g_autoptr(GPtrArray) victims =
@@ -191,6 +198,31 @@
 
 unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms)
 {
-    double share = use->work_per_s / (tokens_per_ms * 1000.0 * READING_SHARE);
-    return (unsigned)ceil(share);
+    double work = MAX(use->work_per_s, use->recent_work_per_s);
+    return (unsigned)ceil(work / (tokens_per_ms * 1000.0 * READING_SHARE));
+}
+
+/* Mean wait before a prompt is read, in ms, when so many engines share a model's prompts. */
+static double reading_delay_ms(const wb_model_use_t *use, double engines, double tokens_per_ms)
+{
+    double rate = MAX(use->recent_rate_per_s, use->rate_per_s);
+    if (rate <= 0)
+        return 0;
+    double work = MAX(use->work_per_s, use->recent_work_per_s) * UNREAD_SHARE;
+    double fullness = MIN(work / (tokens_per_ms * 1000.0 * engines), FULLEST);
+    double prompt_ms = work / rate / tokens_per_ms;
+    return prompt_ms * fullness / (1 - fullness);
+}
+
+double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms)
+{
+    double engines = MAX(use->replicas + use->in_loading, 1);
+    double saved_ms = reading_delay_ms(use, engines, tokens_per_ms) -
+                      reading_delay_ms(use, engines + 1, tokens_per_ms);
+    return use->rate_per_s * HORIZON_S * saved_ms;
+}
+
+double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state)
+{
+    return LOAD_PRICE * wb_placement_load_ms(model, state, NULL);
 }
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -13,12 +13,14 @@
 
 /** How much a model is asked for, over all nodes. */
 typedef struct wb_model_use_t {
-    unsigned waiting;    /**< requests that wait for it to be loaded */
-    unsigned running;    /**< requests under way */
-    double rate_per_s;   /**< arrivals, decayed */
-    double work_per_s;   /**< prompt tokens of arrivals, decayed */
-    unsigned replicas;   /**< engines that hold it and stay */
-    unsigned in_loading; /**< engines that are about to load it */
+    unsigned waiting;         /**< requests that wait for it to be loaded */
+    unsigned running;         /**< requests under way */
+    double rate_per_s;        /**< arrivals, decayed */
+    double work_per_s;        /**< prompt tokens of arrivals, decayed */
+    double recent_rate_per_s; /**< arrivals of the last moments */
+    double recent_work_per_s; /**< prompt tokens of the last moments' arrivals */
+    unsigned replicas;        /**< engines that hold it and stay */
+    unsigned in_loading;      /**< engines that are about to load it */
 } wb_model_use_t;
 
 /** An engine as the controller believes it to be. */
@@ -29,11 +31,17 @@
     gboolean available;             /**< it stays, and answers */
 } wb_placement_engine_t;
 
+/** Says whether an engine is about to load a model. */
+typedef gboolean (*wb_placement_loading_fn)(const wb_engine_t *engine, const char *model,
+                                            void *context);
+
 typedef struct wb_placement_snapshot_t {
     const wb_service_t *service;
-    GArray *engines;         /**< of wb_placement_engine_t */
-    GHashTable *uses;        /**< model -> wb_model_use_t */
-    gboolean store_has_room; /**< a load from the weight store may begin now */
+    GArray *engines;                    /**< of wb_placement_engine_t */
+    GHashTable *uses;                   /**< model -> wb_model_use_t */
+    gboolean store_has_room;            /**< a load from the weight store may begin now */
+    wb_placement_loading_fn is_loading; /**< NULL: none loads anything */
+    void *context;                      /**< of is_loading */
 } wb_placement_snapshot_t;
 
 /** @return MB that an engine's models and adapters take */
@@ -55,7 +63,7 @@
                                 double *cost_ms);
 
 /**
- * Choose an engine to load a model on.
+ * Choose an engine to load a model on, that neither holds nor loads it.
  * @param cost_ms out: the whole cost, with the load's time
  * @param victim_cost_ms out: the part of it that dropping others makes
  * @return NULL when there is none
@@ -67,4 +75,14 @@
 /** Engines that a model's measured work asks for. @param tokens_per_ms what an engine reads */
 unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms);
 
+/**
+ * What one more engine would save a model's requests, in ms, over the time that its rate is
+ * believed. The delay is that of a single queue, so it grows without bound as an engine's reading
+ * fills up.
+ */
+double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms);
+
+/** What a load costs all others, in ms, besides what it displaces. */
+double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state);
+
 #endif
