Answer what waits for a model before a stop ends

Change: 1.2 s before the end those that wait are refused with when to come back; at the end whatever has no answer gets one. Test first: edge/stops/waiting-requests-are-answered (no answer before).

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -26,6 +26,8 @@
 #define STOP_LEAST_MS 2600
 /* What runs is broken off so long before the grace is over. */
 #define STOP_MARGIN_MS 700
+/* What waits for a model is refused so long before that. */
+#define STOP_WAITS_MS 1200
 /* Longest time that giving the lease up may take at the end of a stop. */
 #define RELEASE_MS 400
 #define READY_HEAD_BYTES 16384
@@ -588,6 +590,8 @@
 {
     int64_t passed_ms = now_ms - node->edge.drain_began_ms;
     int64_t grace_ms = (int64_t)(node->edge.settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
+    if (passed_ms >= grace_ms - STOP_WAITS_MS)
+        wb_exchanges_refuse_waiting(&node->edge);
     if (passed_ms >= STOP_LEAST_MS && !node->resting_closed) {
         node->resting_closed = TRUE;
         wb_http_listener_close_resting(node->callers);
@@ -602,6 +606,7 @@
     }
     if (wb_lease_is_owed(node->lease) && now_ms < node->release_until_ms)
         return; /* the lease's last write is under way */
+    wb_exchanges_refuse_unanswered(&node->edge);
     node->drained = TRUE;
     wb_event("stopped", ",\"ms\":%lld,\"open\":%u", (long long)passed_ms,
              g_hash_table_size(node->edge.open));
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -141,6 +141,11 @@
 /** Engines or their models have changed: try those that wait. */
 void wb_exchanges_retry_waiting(wb_edge_t *edge);
 
+/** Near the end of a stop: answer those that wait for an engine. */
+void wb_exchanges_refuse_waiting(wb_edge_t *edge);
+/** At the end of a stop: answer all that have no answer yet. */
+void wb_exchanges_refuse_unanswered(wb_edge_t *edge);
+
 /* What an attempt tells its exchange. */
 void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head);
 void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -409,6 +409,28 @@
     }
 }
 
+static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only)
+{
+    g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
+    for (GList *item = open; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        if (g_hash_table_contains(edge->open, exchange) && !exchange->answer_begun &&
+            (!waiting_only || exchange->waiting_link != NULL))
+            exchange_give_up(exchange, WB_ENDING_STOPPING);
+    }
+}
+
+void wb_exchanges_refuse_waiting(wb_edge_t *edge)
+{
+    if (edge->waiting.length > 0)
+        exchanges_stop(edge, TRUE);
+}
+
+void wb_exchanges_refuse_unanswered(wb_edge_t *edge)
+{
+    exchanges_stop(edge, FALSE);
+}
+
 /* Headers of the engine's answer that are passed on. */
 static GString *headers_passed(const wb_http_head_t *head)
 {
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -77,8 +77,33 @@
     estate_stop(estate);
 }
 
+/* A request that still waits for its model near a stop's end is told in time that it has not run.
+ */
+static void test_waiting_requests_are_answered(void)
+{
+    estate_t *estate = estate_start(1, "--stop-grace-s=4");
+    int port = estate->nodes[0].callers_port;
+    estate_do(estate, "{\"do\":\"store-fault\",\"fault\":\"busy\"}");
+    g_usleep(2500000); /* the lease lapses: nobody loads anything */
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    int64_t asked_ms = harness_now_ms();
+    g_usleep(2500000);
+    wire_t *wire = wire_open(port);
+    wire_post(wire, "/chat/x", "w1", "Model: m5\r\nRequest-Deadline-Ms: 20000\r\n", "hello");
+    wire_answer_t *answer = wire_read(wire, 5000);
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_nonnull(strstr(answer->head->str, "Retry-After: "));
+    g_test_message("answered after %d ms", (int)(harness_now_ms() - asked_ms));
+    g_assert_cmpint(harness_now_ms() - asked_ms, <, 3300);
+    wire_answer_free(answer);
+    wire_close(wire);
+    estate_stop(estate);
+}
+
 void edge_stops_tests_add(void)
 {
+    g_test_add_func("/edge/stops/waiting-requests-are-answered",
+                    test_waiting_requests_are_answered);
     g_test_add_func("/edge/stops/resting-connections-end-early",
                     test_resting_connections_end_early);
     g_test_add_func("/edge/stops/late-request-is-refused", test_late_request_is_refused);
