Keep loads off engines whose adapters are asked for

Ruled out: missing places (the same engines took the adapters in 50 ms when idle) and the store's budget. Change: choosing an engine counts what those who wait for adapters there lose while it loads; adapters go before loads not yet begun.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -168,6 +168,7 @@
     double recent_kept = exp(-passed_s / RECENT_TIME_S);
     usage->use.rate_per_s *= kept;
     usage->use.work_per_s *= kept;
+    usage->use.adapter_rate_per_s *= kept;
     usage->use.recent_rate_per_s *= recent_kept;
     usage->use.recent_work_per_s *= recent_kept;
     usage->rated_ms = now_ms;
@@ -206,9 +207,12 @@
         const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
         usage_arrivals(usage_of(controller, entry->service, entry->model, ""), entry->arrivals,
                        entry->work, now_ms);
-        if (*entry->adapter != '\0')
+        if (*entry->adapter != '\0') {
             usage_arrivals(usage_of(controller, entry->service, entry->model, entry->adapter),
                            entry->arrivals, 0, now_ms);
+            usage_of(controller, entry->service, entry->model, "")->use.adapter_rate_per_s +=
+                entry->arrivals / RATE_TIME_S;
+        }
         waits |= entry->waiting > 0;
     }
     if (waits)
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -470,6 +470,21 @@
     return task_find(orders, model, adapter) != NULL;
 }
 
+/* Adapters come in moments, so they go before models whose load hasn't begun. */
+static void task_queue(wb_engine_orders_t *orders, wb_task_t *task)
+{
+    GList *place = orders->tasks.head;
+    gboolean first_has_begun = orders->calling || orders->settle != WB_SETTLE_NONE;
+    if (place != NULL && first_has_begun)
+        place = place->next;
+    while (place != NULL && *((wb_task_t *)place->data)->adapter != '\0')
+        place = place->next;
+    if (*task->adapter == '\0' || place == NULL)
+        g_queue_push_tail(&orders->tasks, task);
+    else
+        g_queue_insert_before(&orders->tasks, place, task);
+}
+
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter)
 {
     if (task_find(orders, model, adapter) != NULL)
@@ -479,7 +494,7 @@
     task->adapter = g_strdup(adapter);
     task->created_ms = wb_clock_ms();
     gboolean idle = orders->tasks.length == 0;
-    g_queue_push_tail(&orders->tasks, task);
+    task_queue(orders, task);
     if (idle && !orders->calling)
         advance_after(orders, 0);
 }
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -18,6 +18,8 @@
 #define FULL_STORE_MS 1500.0
 /* Share of an engine's reading that one model's prompts may take before it gets another engine. */
 #define READING_SHARE 0.3
+/* Share of requests with an adapter whose adapter no engine holds. */
+#define ADAPTER_MISSES 0.3
 /* Share of prompts' tokens that an engine doesn't have in its cache. */
 #define UNREAD_SHARE 0.66
 #define FULLEST 0.95
@@ -165,6 +167,21 @@
     return victims;
 }
 
+/* An engine that loads takes no order for adapters: what those who wait for one lose meanwhile. */
+static double blocking_cost_ms(const wb_placement_snapshot_t *snapshot,
+                               const wb_engine_state_t *state, double load_ms)
+{
+    double adapters_per_s = 0;
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, state->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        const wb_model_use_t *use = use_of(snapshot, name);
+        adapters_per_s += use->adapter_rate_per_s / MAX(use->replicas, 1);
+    }
+    return adapters_per_s * ADAPTER_MISSES * (load_ms / 1000.0) * (load_ms / 2);
+}
+
 const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
                                                  const wb_model_spec_t *model, double *cost_ms,
                                                  double *victim_cost_ms)
@@ -183,8 +200,9 @@
         if (victims == NULL)
             continue;
         gboolean from_store;
-        double cost =
-            wb_placement_load_ms(model, place->state, &from_store) + victims_ms + place->busy_ms;
+        double load_ms = wb_placement_load_ms(model, place->state, &from_store);
+        double cost = load_ms + victims_ms + place->busy_ms +
+                      blocking_cost_ms(snapshot, place->state, load_ms);
         if (from_store && !snapshot->store_has_room)
             cost += FULL_STORE_MS;
         if (best != NULL && cost >= *cost_ms)
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -13,14 +13,15 @@
 
 /** How much a model is asked for, over all nodes. */
 typedef struct wb_model_use_t {
-    unsigned waiting;         /**< requests that wait for it to be loaded */
-    unsigned running;         /**< requests under way */
-    double rate_per_s;        /**< arrivals, decayed */
-    double work_per_s;        /**< prompt tokens of arrivals, decayed */
-    double recent_rate_per_s; /**< arrivals of the last moments */
-    double recent_work_per_s; /**< prompt tokens of the last moments' arrivals */
-    unsigned replicas;        /**< engines that hold it and stay */
-    unsigned in_loading;      /**< engines that are about to load it */
+    unsigned waiting;          /**< requests that wait for it to be loaded */
+    unsigned running;          /**< requests under way */
+    double rate_per_s;         /**< arrivals, decayed */
+    double work_per_s;         /**< prompt tokens of arrivals, decayed */
+    double recent_rate_per_s;  /**< arrivals of the last moments */
+    double recent_work_per_s;  /**< prompt tokens of the last moments' arrivals */
+    double adapter_rate_per_s; /**< those arrivals that name an adapter, decayed */
+    unsigned replicas;         /**< engines that hold it and stay */
+    unsigned in_loading;       /**< engines that are about to load it */
 } wb_model_use_t;
 
 /** An engine as the controller believes it to be. */
