--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -353,6 +353,7 @@
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
     snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
     snapshot->store_has_room = owner_store_has_room(service->name, controller);
+    snapshot->tokens_per_ms = controller->settings->prefill_tokens_per_ms;
     snapshot->is_loading = engine_is_loading;
     snapshot->context = controller;
     GHashTableIter iter;
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -75,6 +75,18 @@
     return (double)model->store_load_ms;
 }
 
+/* Mean wait before a prompt is read, in ms, when so many engines share a model's prompts. */
+static double reading_delay_ms(const wb_model_use_t *use, double engines, double tokens_per_ms)
+{
+    double rate = MAX(use->recent_rate_per_s, use->rate_per_s);
+    if (rate <= 0)
+        return 0;
+    double work = MAX(use->work_per_s, use->recent_work_per_s) * UNREAD_SHARE;
+    double fullness = MIN(work / (tokens_per_ms * 1000.0 * engines), FULLEST);
+    double prompt_ms = work / rate / tokens_per_ms;
+    return prompt_ms * fullness / (1 - fullness);
+}
+
 /* What requests lose when an engine drops a model. */
 static double drop_cost_ms(const wb_placement_snapshot_t *snapshot, const char *name)
 {
@@ -83,9 +95,13 @@
     double expected = use->rate_per_s * HORIZON_S;
     if (use->waiting > 0 && use->replicas <= 1)
         return IMPOSSIBLE_MS;
-    if (use->replicas > 1)
-        return expected / use->replicas * SHARE_MS +
+    if (use->replicas > 1) {
+        double tokens_per_ms = snapshot->tokens_per_ms;
+        double lost_ms = reading_delay_ms(use, use->replicas - 1, tokens_per_ms) -
+                         reading_delay_ms(use, use->replicas, tokens_per_ms);
+        return expected * MAX(lost_ms, SHARE_MS / use->replicas) +
                (double)use->running / use->replicas * RUN_END_MS;
+    }
     double reload_ms = spec != NULL ? (double)spec->store_load_ms : 0;
     return LAST_REPLICA_MS + (1 - exp(-expected)) * reload_ms + expected * SHARE_MS +
            use->running * RUN_END_MS;
@@ -220,18 +236,6 @@
     return (unsigned)ceil(work / (tokens_per_ms * 1000.0 * READING_SHARE));
 }
 
-/* Mean wait before a prompt is read, in ms, when so many engines share a model's prompts. */
-static double reading_delay_ms(const wb_model_use_t *use, double engines, double tokens_per_ms)
-{
-    double rate = MAX(use->recent_rate_per_s, use->rate_per_s);
-    if (rate <= 0)
-        return 0;
-    double work = MAX(use->work_per_s, use->recent_work_per_s) * UNREAD_SHARE;
-    double fullness = MIN(work / (tokens_per_ms * 1000.0 * engines), FULLEST);
-    double prompt_ms = work / rate / tokens_per_ms;
-    return prompt_ms * fullness / (1 - fullness);
-}
-
 double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms)
 {
     double engines = MAX(use->replicas + use->in_loading, 1);
