Tell gateways when a load should be done

Change: the controller tells gateways when each load it orders should be done; those whose time reaches beyond it wait, others are refused at once with that time as Retry-After. Test first: edge/path/wait-is-foreseen (refused after 99 ms and not served, before).

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -21,6 +21,8 @@
 #define STUCK_MS 600
 #define SPREAD_INTERVAL_MS 300
 #define SPREADS_AT_ONCE 3
+/* Making room takes about so long before a load begins. */
+#define DROP_TIME_MS 250
 #define WATCHED_LIFE_MS 30000
 
 /* What one node said, and when. */
@@ -134,13 +136,11 @@
         usage->waited_ms = 0;
 }
 
-static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
-                           gboolean held, void *context)
+static void news_tell(wb_controller_t *controller, const wb_engine_t *engine, const char *model,
+                      const char *adapter, gboolean held, unsigned ready_in_ms)
 {
-    wb_controller_t *controller = context;
-    if (held)
-        waiting_forget(controller, engine->state->service, model, adapter);
-    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held};
+    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held,
+                                     ready_in_ms};
     wb_wire_message news = {.kind = WB_WIRE_PLACEMENT};
     news.wb_wire_message_u.placement.token = controller->token;
     news.wb_wire_message_u.placement.entries.entries_len = 1;
@@ -148,6 +148,15 @@
     controller->events.on_news(&news, controller->events.context);
 }
 
+static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
+                           gboolean held, void *context)
+{
+    wb_controller_t *controller = context;
+    if (held)
+        waiting_forget(controller, engine->state->service, model, adapter);
+    news_tell(controller, engine, model, adapter, held, 0);
+}
+
 static wb_usage_t *usage_of(wb_controller_t *controller, const char *service, const char *model,
                             const char *adapter)
 {
@@ -457,8 +466,10 @@
              victims_ms, usage->use.waiting, usage->use.replicas, usage->use.rate_per_s,
              usage->time_left_ms);
     wb_engine_orders_add(orders_of(controller, place->engine), spec->name, "");
-    ((wb_placement_engine_t *)place)->busy_ms +=
-        wb_placement_load_ms(spec, place->engine->state, NULL);
+    double load_ms = wb_placement_load_ms(spec, place->engine->state, NULL);
+    double ready_ms = place->busy_ms + load_ms + (victims_ms > 0 ? DROP_TIME_MS : 0);
+    news_tell(controller, place->engine, spec->name, "", FALSE, (unsigned)MAX(ready_ms, 1));
+    ((wb_placement_engine_t *)place)->busy_ms += load_ms;
     usage->use.in_loading++;
     return TRUE;
 }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -360,6 +360,12 @@
         wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
         if (engine == NULL)
             continue;
+        if (entry->ready_in_ms > 0) {
+            wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
+            continue;
+        }
+        if (entry->held)
+            wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
         wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms,
                        2 * edge->settings.engine_heartbeat_ms);
         wb_event(
@@ -691,6 +697,7 @@
     edge->fleet = wb_fleet_create();
     edge->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)wb_retry_budget_free);
+    edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->demand = wb_demand_create();
     edge->node_count = 1;
     edge->open = g_hash_table_new(NULL, NULL);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -38,9 +38,10 @@
     GHashTable *budgets;   /* service -> wb_retry_budget_t */
     wb_demand_t *demand;
     wb_edge_metrics_t metrics;
-    GQueue waiting;         /* exchanges that wait for an engine, oldest first */
-    GHashTable *open;       /* set of all exchanges */
-    unsigned node_count;    /* nodes that share the slack of the retry budget */
+    GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
+    GQueue waiting;       /* exchanges that wait for an engine, oldest first */
+    GHashTable *open;     /* set of all exchanges */
+    unsigned node_count;  /* nodes that share the slack of the retry budget */
     int64_t drain_began_ms; /* steady time at which a planned stop began; 0: none */
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
@@ -141,6 +142,12 @@
 /** Engines or their models have changed: try those that wait. */
 void wb_exchanges_retry_waiting(wb_edge_t *edge);
 
+/** A model is being loaded and should be there in so many ms: those that wait for it wait on, or
+ * are refused. */
+void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
+                         unsigned ready_in_ms);
+/** A model is loaded: nothing is expected any more. */
+void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model);
 /** Near the end of a stop: answer those that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a stop: answer all that have no answer yet. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -7,6 +7,10 @@
 #define SENDS_LIMIT 4
 #define OUTPUT_LIMIT_BYTES (256 * 1024)
 #define RETRY_AFTER_MS 300
+#define COME_BACK_MARGIN_MS 50
+/* An expected load may be so much late before its waiters are refused; then a prompt is read. */
+#define LOAD_LATE_MS 700
+#define SERVE_MS 150
 #define FAR_FUTURE_MS (24 * 3600 * 1000LL)
 /* Share of the time at hand after which waiting for a model is given up. */
 #define WAIT_SHARE 0.45
@@ -159,6 +163,22 @@
     return connection;
 }
 
+static int64_t *expected_find(const wb_exchange_t *exchange)
+{
+    if (exchange->model == NULL || exchange->service == NULL)
+        return NULL;
+    g_autofree char *key = g_strjoin("/", exchange->service->name, exchange->model, NULL);
+    return g_hash_table_lookup(exchange->edge->expected, key);
+}
+
+/* When coming back has a use: once the model should be there, else soon. */
+static int64_t come_back_ms(const wb_exchange_t *exchange)
+{
+    const int64_t *ready_ms = expected_find(exchange);
+    int64_t left_ms = ready_ms != NULL ? *ready_ms - wb_clock_ms() : 0;
+    return left_ms > 0 ? left_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
+}
+
 /* Gives the final answer of this node's own. The promise "not run" is made only when that is known.
  */
 static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status)
@@ -169,7 +189,8 @@
     }
     char headers[64] = "";
     if (status == 503)
-        g_snprintf(headers, sizeof(headers), "Retry-After: %.1f\r\n", RETRY_AFTER_MS / 1000.0);
+        g_snprintf(headers, sizeof(headers), "Retry-After: %.2f\r\n",
+                   (double)come_back_ms(exchange) / 1000.0);
     wb_http_connection_t *connection = exchange_end(exchange, ending, status);
     wb_http_connection_answer(connection, status, wb_http_reason(status), headers, NULL, 0);
 }
@@ -255,19 +276,30 @@
     return MIN(time_ms, patience_ms);
 }
 
+/* Steady time until which waiting has a use; in the past when it has none. */
+static int64_t wait_until_ms(const wb_exchange_t *exchange)
+{
+    int64_t useful_ms = useful_time_ms(exchange);
+    int64_t target_ms = exchange->route->target_latency_ms;
+    if (exchange->model == NULL) {
+        int64_t wait_ms =
+            target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
+        return exchange->began_ms + MIN(wait_ms, useful_ms);
+    }
+    const int64_t *ready_ms = expected_find(exchange);
+    if (ready_ms == NULL || *ready_ms + LOAD_LATE_MS < wb_clock_ms())
+        return exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
+    int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
+    return *ready_ms > useful_until_ms ? 0 : MIN(*ready_ms + LOAD_LATE_MS, useful_until_ms);
+}
+
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
 static void exchange_wait(wb_exchange_t *exchange)
 {
     wb_edge_t *edge = exchange->edge;
     if (exchange->waiting_link != NULL)
         return;
-    int64_t useful_ms = useful_time_ms(exchange);
-    int64_t wait_ms = (int64_t)(WAIT_SHARE * (double)useful_ms);
-    if (exchange->model == NULL) {
-        int64_t target_ms = exchange->route->target_latency_ms;
-        wait_ms = target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
-    }
-    exchange->wait_until_ms = exchange->began_ms + MIN(wait_ms, useful_ms);
+    exchange->wait_until_ms = wait_until_ms(exchange);
     exchange->waiting_since_ms = wb_clock_ms();
     g_queue_push_tail(&edge->waiting, exchange);
     exchange->waiting_link = edge->waiting.tail;
@@ -409,6 +441,28 @@
     }
 }
 
+void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
+                         unsigned ready_in_ms)
+{
+    int64_t ready_ms = wb_clock_ms() + ready_in_ms;
+    g_hash_table_replace(edge->expected, g_strjoin("/", service, model, NULL),
+                         g_memdup2(&ready_ms, sizeof(ready_ms)));
+    for (GList *item = edge->waiting.head; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        if (exchange->model == NULL || strcmp(exchange->model, model) != 0 ||
+            strcmp(exchange->service->name, service) != 0)
+            continue;
+        exchange->wait_until_ms = wait_until_ms(exchange);
+        hold_timer_arm(exchange); /* who waits in vain is refused by the timer, at once */
+    }
+}
+
+void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model)
+{
+    g_autofree char *key = g_strjoin("/", service, model, NULL);
+    g_hash_table_remove(edge->expected, key);
+}
+
 static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only)
 {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -276,6 +276,7 @@
     wb_wire_name model;
     wb_wire_name adapter; /* empty: the model itself */
     bool held;
+    unsigned int ready_in_ms; /* not held yet: it is being loaded, and expected then; 0: it isn't */
 };
 
 struct wb_wire_placement {
--- a/tests/edge/test_path.c
+++ b/tests/edge/test_path.c
@@ -78,8 +78,39 @@
     estate_stop(estate);
 }
 
+/* A request that can wait for its model's load does; one that can't is told at once when the load
+ * is done. */
+static void test_wait_is_foreseen(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_configure(estate,
+                     "{\"name\":\"short\",\"host\":\"a.example\",\"pathPrefix\":\"/short/\","
+                     "\"routeType\":\"streaming\",\"timeoutMs\":220,\"service\":\"llm\"},"
+                     "{\"name\":\"long\",\"host\":\"a.example\",\"pathPrefix\":\"/long/\","
+                     "\"routeType\":\"streaming\",\"timeoutMs\":480,\"service\":\"llm\"}");
+    g_usleep(300000);
+    int port = estate->nodes[0].callers_port;
+    int64_t asked_ms = harness_now_ms();
+    wire_answer_t *answer = wire_ask(port, "/short/x", "f1", EDGE_MODEL("m5"));
+    g_test_message("refused after %d ms", (int)(harness_now_ms() - asked_ms));
+    g_assert_cmpint(harness_now_ms() - asked_ms, <, 80);
+    g_assert_cmpint(answer->status, ==, 503);
+    const char *told = strstr(answer->head->str, "Retry-After: ");
+    g_assert_nonnull(told);
+    double come_back_s = g_ascii_strtod(told + strlen("Retry-After: "), NULL);
+    g_assert_cmpfloat(come_back_s, >=, 0.15);
+    g_assert_cmpfloat(come_back_s, <=, 0.3);
+    wire_answer_free(answer);
+    answer = wire_ask(port, "/long/x", "f2", EDGE_MODEL("m6"));
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
 void edge_path_tests_add(void)
 {
+    g_test_add_func("/edge/path/wait-is-foreseen", test_wait_is_foreseen);
     g_test_add_func("/edge/path/stream-is-whole", test_stream_is_whole);
     g_test_add_func("/edge/path/cold-model-is-loaded", test_cold_model_is_loaded);
     g_test_add_func("/edge/path/adapter-is-loaded", test_adapter_is_loaded);
