--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -16,6 +16,8 @@
     void (*on_row)(const wb_table_row_t *row, void *context);
     /** A batch of rows is through. `whole` is TRUE after each whole read. */
     void (*on_batch)(gboolean whole, void *context);
+    /** A call was answered (well or not) or given up; for logs and counters. May be NULL. */
+    void (*on_call)(wb_table_name_t table, gboolean good, int64_t age_ms, void *context);
     void *context;
 } wb_table_watch_events_t;
 
--- a/scripts/settings.sh
+++ b/scripts/settings.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Writes docs/SETTINGS.md from the tables of settings in the programs. Usage: scripts/settings.sh BUILD
+# Writes docs/SETTINGS.md and docs/METRICS.md from the tables in the programs. Usage: scripts/settings.sh BUILD
 set -eu
 cd "$(dirname "$0")/.."
 {
@@ -9,7 +9,8 @@
     echo "(\`--name=value\`) or in a key file (\`--settings=FILE\`, group by the program's name); flags win. A wrong"
     echo "value stops the start with one line and exit code 2."
     echo
-    for program in wickbridged wickload wb-standin-platform wb-standin-engine; do
+    for program in wickbridged wickbridge-edge wickload wb-standin-platform wb-standin-engine; do
         "$1/$program" --document-settings
     done
 } >docs/SETTINGS.md
+"$1/wb-document-metrics" >docs/METRICS.md
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -120,6 +120,13 @@
     ask_after(watch, 0);
 }
 
+static void call_note(const wb_table_watch_t *watch, gboolean good)
+{
+    if (watch->events.on_call != NULL)
+        watch->events.on_call(watch->name, good, wb_table_watch_age_ms(watch),
+                              watch->events.context);
+}
+
 static void retry_later(wb_table_watch_t *watch)
 {
     watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), RETRY_LIMIT_MS);
@@ -130,6 +137,7 @@
 {
     wb_table_watch_t *watch = context;
     watch->asking = FALSE;
+    call_note(watch, answer->outcome == WB_TABLE_DONE);
     if (answer->outcome != WB_TABLE_DONE) {
         read_begin(watch);
         retry_later(watch);
@@ -160,6 +168,7 @@
 {
     wb_table_watch_t *watch = context;
     watch->asking = FALSE;
+    call_note(watch, answer->outcome == WB_TABLE_DONE || answer->outcome == WB_TABLE_HISTORY_GONE);
     if (answer->outcome == WB_TABLE_HISTORY_GONE) {
         read_begin(watch);
         ask_after(watch, HURRY_PAUSE_MS);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -54,7 +54,8 @@
     wb_http_listener_t *metrics;
     wb_lease_t *lease;
     wb_controller_t *controller;
-    GHashTable *nodes; /* id -> wb_node_row_t */
+    GHashTable *nodes;                       /* id -> wb_node_row_t */
+    gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
     gboolean node_row_written;
     gboolean node_row_writing;
     int64_t node_row_due_ms;
@@ -78,6 +79,21 @@
     gboolean drained;
 };
 
+/* Notes each call to the store, and logs when a table is lost and when it is back. */
+static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context)
+{
+    static const char *const names[] = {"catalog", "engines", "nodes"};
+    wb_edge_node_t *node = context;
+    node->edge.metrics.table_calls++;
+    if (!good)
+        node->edge.metrics.table_failures++;
+    if (node->store_lost[table] == !good)
+        return;
+    node->store_lost[table] = !good;
+    wb_event(good ? "store-back" : "store-lost", ",\"table\":\"%s\",\"age_ms\":%lld", names[table],
+             (long long)(age_ms == G_MAXINT64 ? -1 : age_ms));
+}
+
 /* News of the catalog. */
 
 static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog)
@@ -673,9 +689,9 @@
 static void watches_create(wb_edge_node_t *node)
 {
     wb_loop_t *loop = node->edge.loop;
-    wb_table_watch_events_t catalog = {catalog_row, catalog_batch, node};
-    wb_table_watch_events_t engines = {engine_row, engine_batch, node};
-    wb_table_watch_events_t nodes = {nodes_row, nodes_batch, node};
+    wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
+    wb_table_watch_events_t engines = {engine_row, engine_batch, store_called, node};
+    wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_called, node};
     node->catalog_watch = wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG,
                                                 CATALOG_WAIT_MS, CATALOG_PAUSE_MS, &catalog);
     node->engines_watch =
