Let wickctl tell of edge nodes; keep build products out

Operators' calls at listen-operators (it was listen-metrics): status, routes, models, explain model and request, drain, and the metrics; wickctl has routes, models and trace (a request's lines from log files of all nodes, in order). Test: edge/path/wickctl.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -727,3 +727,10 @@
     else
         g_hash_table_remove(controller->orders, engine_id);
 }
+
+const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
+                                               const char *service, const char *model)
+{
+    const wb_usage_t *usage = usage_find(controller, service, model, "");
+    return usage != NULL ? &usage->use : NULL;
+}
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -44,6 +44,9 @@
 void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand);
 /** An engine announced itself anew, or is gone. */
 void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id);
+/** What is known of a model's use, or NULL when it isn't asked for; owned by the controller. */
+const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
+                                               const char *service, const char *model);
 /** Decide now, rather than at the next tick. */
 void wb_controller_decide(wb_controller_t *controller);
 
--- a/src/ctl/commands_node.c
+++ b/src/ctl/commands_node.c
@@ -24,16 +24,27 @@
                wb_json_text(entry, "owner", "none"), (long long)wb_json_integer(entry, "epoch", 0));
 }
 
+static void lease_print(const json_t *lease)
+{
+    if (json_is_object(lease))
+        printf("  lease  %-40s token %lld%s%s\n", wb_json_text(lease, "holder", "?"),
+               (long long)wb_json_integer(lease, "token", 0),
+               wb_json_boolean(lease, "released", 0) ? ", released" : "",
+               wb_json_boolean(lease, "here", 0) ? ", held by this node" : "");
+}
+
 int ctl_status(const ctl_options_t *options)
 {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (ctl_request(options, "GET", "/operators/v1/status", NULL, &answer, &error) != APR_SUCCESS)
         return ctl_print_error(error.message);
-    if (options->json)
+    if (options->json) {
         ctl_print_json(answer.body);
-    else
+    } else {
         status_print(answer.body);
+        lease_print(json_object_get(answer.body, "lease"));
+    }
     gboolean ready = wb_json_boolean(answer.body, "ready", 0);
     ctl_answer_clear(&answer);
     return ready ? CTL_OK : CTL_FAILED;
@@ -158,3 +169,58 @@
     json_decref(found);
     return count > 0 ? CTL_OK : ctl_print_error(error.message);
 }
+
+static void route_print(const json_t *route)
+{
+    size_t index;
+    json_t *part;
+    printf("%-12s %s%s %s, %lld ms at most, target %lld ms, %lld engines at most:",
+           wb_json_text(route, "name", "?"), wb_json_text(route, "host", "?"),
+           wb_json_text(route, "path_prefix", "?"), wb_json_text(route, "kind", "?"),
+           (long long)wb_json_integer(route, "timeout_ms", 0),
+           (long long)wb_json_integer(route, "target_latency_ms", 0),
+           (long long)wb_json_integer(route, "max_attempts", 0));
+    json_array_foreach(json_object_get(route, "parts"), index, part)
+        printf(" %s %g", wb_json_text(part, "service", "?"),
+               json_number_value(json_object_get(part, "weight")));
+    printf("\n");
+}
+
+static void loaded_print(const json_t *model)
+{
+    size_t index;
+    json_t *replica;
+    printf("%-20s %-12s", wb_json_text(model, "model", "?"), wb_json_text(model, "service", "?"));
+    json_array_foreach(json_object_get(model, "replicas"), index, replica)
+        printf(" %s%s", wb_json_text(replica, "engine", "?"),
+               wb_json_boolean(replica, "leaving", 0) ? " (leaving)" : "");
+    printf("\n");
+}
+
+/* Shows a list that a node tells. */
+static int list_show(const ctl_options_t *options, const char *path, const char *list,
+                     void (*print)(const json_t *entry))
+{
+    ctl_answer_t answer = {0};
+    wb_error_t error;
+    if (ctl_request(options, "GET", path, NULL, &answer, &error) != APR_SUCCESS)
+        return ctl_print_error(error.message);
+    size_t index;
+    json_t *entry;
+    if (options->json)
+        ctl_print_json(answer.body);
+    else
+        json_array_foreach(json_object_get(answer.body, list), index, entry) print(entry);
+    ctl_answer_clear(&answer);
+    return CTL_OK;
+}
+
+int ctl_routes(const ctl_options_t *options)
+{
+    return list_show(options, "/operators/v1/routes", "routes", route_print);
+}
+
+int ctl_models(const ctl_options_t *options)
+{
+    return list_show(options, "/operators/v1/models", "models", loaded_print);
+}
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -79,6 +79,9 @@
 int ctl_status(const ctl_options_t *options);
 int ctl_drain(const ctl_options_t *options);
 int ctl_explain(const ctl_options_t *options);
+int ctl_routes(const ctl_options_t *options);
+int ctl_models(const ctl_options_t *options);
+int ctl_trace(const ctl_options_t *options);
 
 /* commands_policy.c */
 int ctl_policy(const ctl_options_t *options);
--- a/src/edge/document_metrics.c
+++ b/src/edge/document_metrics.c
@@ -18,7 +18,7 @@
     wb_edge_metrics_write(&metrics, &gauges, text);
     g_auto(GStrv) lines = g_strsplit(text->str, "\n", -1);
     printf("# Metrics\n\nMade by scripts/settings.sh from what an edge node serves at "
-           "`listen-metrics`, GET "
+           "`listen-operators`, GET "
            "/metrics, in the\nPrometheus text format. Times are in seconds, ages in milliseconds "
            "as their names "
            "say.\n\n| name | type | meaning |\n|---|---|---|\n");
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -1,12 +1,6 @@
 /* Puts an edge node together: follows the store, listens, holds the lease, talks to the controller.
  */
-#include "edge/edge_types.h"
-
-#include "control/controller.h"
-
-#include "wickbridge/lease.h"
-#include "wickbridge/link.h"
-#include "wickbridge/table_watch.h"
+#include "edge/edge_node_types.h"
 
 #include <string.h>
 
@@ -37,48 +31,6 @@
 #define LEASE_KEY "controller"
 #define NODE_KEY_PREFIX "node/"
 
-/* A node's row as this node saw it. */
-typedef struct wb_node_row_t {
-    int64_t seen_ms; /* when its row last changed */
-    int64_t version;
-} wb_node_row_t;
-
-struct wb_edge_node_t {
-    wb_edge_t edge;
-    const wb_table_t *table;
-    wb_table_watch_t *catalog_watch;
-    wb_table_watch_t *engines_watch;
-    wb_table_watch_t *nodes_watch;
-    wb_http_listener_t *callers;
-    wb_http_listener_t *ready;
-    wb_http_listener_t *metrics;
-    wb_lease_t *lease;
-    wb_controller_t *controller;
-    GHashTable *nodes;                       /* id -> wb_node_row_t */
-    gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
-    gboolean node_row_written;
-    gboolean node_row_writing;
-    int64_t node_row_due_ms;
-    uint64_t node_row_beat;
-    /* Links between gateways and the controller. */
-    wb_link_listener_t *link_listener;
-    wb_link_counters_t link_counters;
-    GHashTable *gateways; /* set of wb_link_t, when this node is the controller */
-    wb_link_t *controller_link;
-    char *controller_address;
-    gboolean controller_link_open;
-    int64_t link_retry_ms;
-    gboolean demand_told; /* the last message was not empty */
-    int64_t demand_told_ms;
-    wb_timer_t *need_timer;
-    gboolean held;
-    gboolean ready_told;
-    gboolean resting_closed;
-    gboolean releasing;
-    int64_t release_until_ms;
-    gboolean drained;
-};
-
 /* Notes each call to the store, and logs when a table is lost and when it is back. */
 static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context)
 {
@@ -541,7 +493,7 @@
         wb_exchange_drained(request);
 }
 
-static gboolean node_is_ready(const wb_edge_node_t *node)
+gboolean wb_edge_node_is_ready(const wb_edge_node_t *node)
 {
     return node->edge.drain_began_ms == 0 && node->edge.catalog != NULL && node->node_row_written &&
            wb_table_watch_is_synced(node->engines_watch);
@@ -553,53 +505,28 @@
     const wb_edge_node_t *node = context;
     unsigned status = 404;
     if (g_str_has_prefix(head->target, "/ready"))
-        status = node_is_ready(node) ? 200 : 503;
+        status = wb_edge_node_is_ready(node) ? 200 : 503;
     wb_http_head_free(head);
     g_byte_array_unref(body);
     wb_http_connection_answer(connection, status, wb_http_reason(status), "", NULL, 0);
 }
 
-static void metrics_request(wb_http_connection_t *connection, wb_http_head_t *head,
-                            GByteArray *body, void *context)
-{
-    const wb_edge_node_t *node = context;
-    const wb_edge_t *edge = &node->edge;
-    wb_edge_gauges_t gauges = {
-        .catalog_version = edge->catalog != NULL ? edge->catalog->version : 0,
-        .catalog_age_ms = wb_table_watch_age_ms(node->catalog_watch),
-        .engines_age_ms = wb_table_watch_age_ms(node->engines_watch),
-        .engines = g_hash_table_size(wb_fleet_all(edge->fleet)),
-        .open_requests = g_hash_table_size(edge->open),
-        .waiting_requests = edge->waiting.length,
-        .nodes = edge->node_count,
-        .holds_lease = node->held,
-        .lease_token = wb_lease_token(node->lease),
-        .log_lines_dropped = wb_event_log_dropped(),
-    };
-    g_autoptr(GString) text = g_string_new(NULL);
-    wb_edge_metrics_write(&edge->metrics, &gauges, text);
-    wb_http_head_free(head);
-    g_byte_array_unref(body);
-    wb_http_connection_answer(connection, 200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
-                              text->str, text->len);
-}
-
 static apr_status_t listeners_open(wb_edge_node_t *node, wb_error_t *error)
 {
     wb_edge_t *edge = &node->edge;
     wb_http_limits_t limits = {READY_HEAD_BYTES, READY_BODY_BYTES, READY_TIMEOUT_MS, READY_IDLE_MS};
     wb_http_handler_t callers = {caller_request, caller_gone, caller_drained, node};
     wb_http_handler_t ready = {ready_request, NULL, NULL, node};
-    wb_http_handler_t metrics = {metrics_request, NULL, NULL, node};
+    wb_http_handler_t operators = {wb_edge_operators_request, NULL, NULL, node};
     wb_link_events_t links = {gateway_open, gateway_message, gateway_close, node, NULL, NULL};
     apr_status_t status = wb_http_listener_open(edge->loop, edge->settings.listen_callers, &callers,
                                                 &limits, &node->callers, error);
     if (status == APR_SUCCESS)
         status = wb_http_listener_open(edge->loop, edge->settings.listen_ready, &ready, &limits,
                                        &node->ready, error);
-    if (status == APR_SUCCESS && *edge->settings.listen_metrics != '\0')
-        status = wb_http_listener_open(edge->loop, edge->settings.listen_metrics, &metrics, &limits,
-                                       &node->metrics, error);
+    if (status == APR_SUCCESS && *edge->settings.listen_operators != '\0')
+        status = wb_http_listener_open(edge->loop, edge->settings.listen_operators, &operators,
+                                       &limits, &node->operators, error);
     if (status == APR_SUCCESS)
         status = wb_link_listen(edge->loop, edge->settings.listen_nodes, &links,
                                 &node->link_counters, &node->link_listener, error);
@@ -649,7 +576,7 @@
         wb_exchanges_retry_waiting(&node->edge);
         wb_table_watch_hurry(node->engines_watch);
     }
-    if (!node->ready_told && node_is_ready(node)) {
+    if (!node->ready_told && wb_edge_node_is_ready(node)) {
         node->ready_told = TRUE;
         wb_event("ready", ",\"catalog\":%lld,\"engines\":%u,\"nodes\":%u",
                  (long long)node->edge.catalog->version,
--- /dev/null
+++ b/src/edge/edge_node_types.h
@@ -0,0 +1,64 @@
+/**
+ * @file edge_node_types.h
+ * @brief The edge node as its own files share it.
+ */
+#ifndef WICKBRIDGE_EDGE_NODE_TYPES_H
+#define WICKBRIDGE_EDGE_NODE_TYPES_H
+
+#include "edge/edge_types.h"
+
+#include "control/controller.h"
+
+#include "wickbridge/lease.h"
+#include "wickbridge/link.h"
+#include "wickbridge/table_watch.h"
+
+/* A node's row as this node saw it. */
+typedef struct wb_node_row_t {
+    int64_t seen_ms; /* when its row last changed */
+    int64_t version;
+} wb_node_row_t;
+
+struct wb_edge_node_t {
+    wb_edge_t edge;
+    const wb_table_t *table;
+    wb_table_watch_t *catalog_watch;
+    wb_table_watch_t *engines_watch;
+    wb_table_watch_t *nodes_watch;
+    wb_http_listener_t *callers;
+    wb_http_listener_t *ready;
+    wb_http_listener_t *operators;
+    wb_lease_t *lease;
+    wb_controller_t *controller;
+    GHashTable *nodes;                       /* id -> wb_node_row_t */
+    gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
+    gboolean node_row_written;
+    gboolean node_row_writing;
+    int64_t node_row_due_ms;
+    uint64_t node_row_beat;
+    /* Links between gateways and the controller. */
+    wb_link_listener_t *link_listener;
+    wb_link_counters_t link_counters;
+    GHashTable *gateways; /* set of wb_link_t, when this node is the controller */
+    wb_link_t *controller_link;
+    char *controller_address;
+    gboolean controller_link_open;
+    int64_t link_retry_ms;
+    gboolean demand_told; /* the last message was not empty */
+    int64_t demand_told_ms;
+    wb_timer_t *need_timer;
+    gboolean held;
+    gboolean ready_told;
+    gboolean resting_closed;
+    gboolean releasing;
+    int64_t release_until_ms;
+    gboolean drained;
+};
+
+gboolean wb_edge_node_is_ready(const wb_edge_node_t *node);
+
+/** Answers operators' calls and metrics: edge_operators.c. */
+void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
+                               GByteArray *body, void *context);
+
+#endif
--- /dev/null
+++ b/src/edge/edge_operators.c
@@ -0,0 +1,314 @@
+/* Answers operators' calls: status, routes, models, explanations, a planned stop; and metrics. */
+#include "edge/edge_node_types.h"
+
+#include "control/placement.h"
+
+#include "wickbridge/json.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BYTES_PER_MB 1000000.0
+
+static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body)
+{
+    char *text = wb_json_dump(body);
+    wb_http_connection_answer(connection, status, wb_http_reason(status),
+                              "Content-Type: application/json\r\n", text, strlen(text));
+    free(text);
+    json_decref(body);
+}
+
+static void error_answer(wb_http_connection_t *connection, unsigned status, const char *message)
+{
+    json_answer(connection, status, json_pack("{s:{s:s}}", "error", "message", message));
+}
+
+static void metrics_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
+{
+    (void)query;
+    const wb_edge_t *edge = &node->edge;
+    wb_edge_gauges_t gauges = {
+        .catalog_version = edge->catalog != NULL ? edge->catalog->version : 0,
+        .catalog_age_ms = wb_table_watch_age_ms(node->catalog_watch),
+        .engines_age_ms = wb_table_watch_age_ms(node->engines_watch),
+        .engines = g_hash_table_size(wb_fleet_all(edge->fleet)),
+        .open_requests = g_hash_table_size(edge->open),
+        .waiting_requests = edge->waiting.length,
+        .nodes = edge->node_count,
+        .holds_lease = node->held,
+        .lease_token = wb_lease_token(node->lease),
+        .log_lines_dropped = wb_event_log_dropped(),
+    };
+    g_autoptr(GString) text = g_string_new(NULL);
+    wb_edge_metrics_write(&edge->metrics, &gauges, text);
+    wb_http_connection_answer(connection, 200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
+                              text->str, text->len);
+}
+
+static json_t *lease_json(const wb_edge_node_t *node)
+{
+    const wb_lease_row_t *known = wb_lease_known(node->lease);
+    if (known == NULL)
+        return json_null();
+    return json_pack("{s:s, s:s, s:I, s:b, s:b}", "holder", known->holder, "address",
+                     known->address, "token", (json_int_t)known->token, "released", known->released,
+                     "here", node->held);
+}
+
+static void status_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
+{
+    (void)query;
+    const wb_edge_t *edge = &node->edge;
+    json_t *members = json_array();
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, &id, NULL))
+        json_array_append_new(members, json_pack("{s:s, s:s}", "node", id, "state", "known"));
+    json_answer(connection, 200,
+                json_pack("{s:s, s:b, s:I, s:i, s:i, s:i, s:o, s:o, s:I, s:I}", "node",
+                          edge->settings.id, "ready", wb_edge_node_is_ready(node), "config_version",
+                          (json_int_t)(edge->catalog != NULL ? edge->catalog->version : 0),
+                          "open_requests", (int)g_hash_table_size(edge->open), "waiting_requests",
+                          (int)edge->waiting.length, "engines",
+                          (int)g_hash_table_size(wb_fleet_all(edge->fleet)), "members", members,
+                          "lease", lease_json(node), "catalog_age_ms",
+                          (json_int_t)wb_table_watch_age_ms(node->catalog_watch), "engines_age_ms",
+                          (json_int_t)wb_table_watch_age_ms(node->engines_watch)));
+}
+
+static json_t *route_json(const wb_route_t *route)
+{
+    static const char *const kinds[] = {"repeatable", "once", "stream"};
+    json_t *parts = json_array();
+    for (guint i = 0; i < route->parts->len; i++) {
+        const wb_route_part_t *part = &g_array_index(route->parts, wb_route_part_t, i);
+        json_array_append_new(
+            parts, json_pack("{s:s, s:f}", "service", part->service, "weight", part->weight));
+    }
+    return json_pack("{s:s, s:s, s:s, s:s, s:b, s:I, s:I, s:i, s:i, s:o}", "name", route->name,
+                     "host", route->host, "path_prefix", route->path_prefix, "kind",
+                     kinds[route->kind], "resumable", route->resumable, "timeout_ms",
+                     (json_int_t)route->timeout_ms, "target_latency_ms",
+                     (json_int_t)route->target_latency_ms, "max_attempts", route->max_attempts,
+                     "rank", route->rank, "parts", parts);
+}
+
+static void routes_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
+{
+    (void)query;
+    json_t *routes = json_array();
+    GHashTableIter iter;
+    gpointer of_host;
+    if (node->edge.catalog == NULL) {
+        json_decref(routes);
+        error_answer(connection, 503, "no configuration is known yet");
+        return;
+    }
+    g_hash_table_iter_init(&iter, node->edge.catalog->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &of_host))
+        for (guint i = 0; i < ((GPtrArray *)of_host)->len; i++)
+            json_array_append_new(routes, route_json(g_ptr_array_index((GPtrArray *)of_host, i)));
+    json_answer(connection, 200, json_pack("{s:o}", "routes", routes));
+}
+
+/* Engines that hold a model, as this node would use them. */
+static json_t *replicas_json(const wb_edge_t *edge, const char *service, const char *model)
+{
+    json_t *replicas = json_array();
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, service);
+    int64_t now_ms = wb_clock_ms();
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (!wb_engine_holds(engine, model, "", now_ms))
+            continue;
+        json_array_append_new(replicas, json_pack("{s:s, s:s, s:i, s:f, s:b, s:b}", "engine",
+                                                  engine->state->id, "zone", engine->state->zone,
+                                                  "running", (int)engine->running, "window",
+                                                  (double)engine->state->slots, "leaving",
+                                                  engine->leaving_ms != 0, "avoided",
+                                                  now_ms < engine->avoid_until_ms));
+    }
+    return replicas;
+}
+
+static void models_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
+{
+    (void)query;
+    json_t *models = json_array();
+    GHashTableIter services;
+    gpointer service;
+    if (node->edge.catalog == NULL) {
+        json_decref(models);
+        error_answer(connection, 503, "no configuration is known yet");
+        return;
+    }
+    g_hash_table_iter_init(&services, node->edge.catalog->services);
+    while (g_hash_table_iter_next(&services, NULL, &service)) {
+        GHashTableIter specs;
+        gpointer spec;
+        g_hash_table_iter_init(&specs, ((wb_service_t *)service)->models);
+        while (g_hash_table_iter_next(&specs, NULL, &spec)) {
+            const char *name = ((wb_model_spec_t *)spec)->name;
+            json_array_append_new(
+                models,
+                json_pack("{s:s, s:s, s:o}", "model", name, "service",
+                          ((wb_service_t *)service)->name, "replicas",
+                          replicas_json(&node->edge, ((wb_service_t *)service)->name, name)));
+        }
+    }
+    json_answer(connection, 200, json_pack("{s:o}", "models", models));
+}
+
+static const wb_service_t *service_of_model(const wb_edge_t *edge, const char *model)
+{
+    GHashTableIter iter;
+    gpointer service;
+    if (edge->catalog == NULL)
+        return NULL;
+    g_hash_table_iter_init(&iter, edge->catalog->services);
+    while (g_hash_table_iter_next(&iter, NULL, &service))
+        if (g_hash_table_contains(((wb_service_t *)service)->models, model))
+            return service;
+    return NULL;
+}
+
+static void waiting_count(const wb_edge_t *edge, const char *model, int *waiting, int *running)
+{
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, edge->open);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        const wb_exchange_t *exchange = key;
+        if (exchange->model == NULL || strcmp(exchange->model, model) != 0)
+            continue;
+        *waiting += exchange->waiting_link != NULL;
+        *running += exchange->attempt != NULL;
+    }
+}
+
+/* What the controller believes and would do, told by the node that holds the lease only. */
+static json_t *decisions_json(wb_edge_node_t *node, const wb_service_t *service, const char *model)
+{
+    const wb_model_use_t *use = wb_controller_use(node->controller, service->name, model);
+    const wb_model_spec_t *spec = g_hash_table_lookup(service->models, model);
+    json_t *engines = json_array();
+    const GPtrArray *fleet = wb_fleet_service(node->edge.fleet, service->name);
+    for (guint i = 0; fleet != NULL && i < fleet->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(fleet, i);
+        double free_mb = service->weights_mb - wb_placement_used_mb(service, engine->state);
+        gboolean held = g_hash_table_contains(engine->state->models, model);
+        json_array_append_new(engines,
+                              json_pack("{s:s, s:s, s:b, s:s, s:I, s:b}", "engine",
+                                        engine->state->id, "machine", engine->state->address,
+                                        "slot", held, "model", held ? "loaded" : "not loaded",
+                                        "free_bytes", (json_int_t)(free_mb * BYTES_PER_MB),
+                                        "usable", engine->leaving_ms == 0));
+    }
+    return json_pack(
+        "{s:i, s:i, s:i, s:f, s:I, s:o}", "slots", use != NULL ? (int)use->replicas : 0, "waiting",
+        use != NULL ? (int)use->waiting : 0, "running", use != NULL ? (int)use->running : 0,
+        "rate_per_s", use != NULL ? use->rate_per_s : 0.0, "wake_estimate_ms",
+        (json_int_t)spec->store_load_ms, "engines", engines);
+}
+
+static void model_explain(wb_edge_node_t *node, wb_http_connection_t *connection, const char *model)
+{
+    const wb_edge_t *edge = &node->edge;
+    const wb_service_t *service = service_of_model(edge, model);
+    if (service == NULL) {
+        error_answer(connection, 404, "no service of the configuration has this model");
+        return;
+    }
+    const wb_lease_row_t *lease = wb_lease_known(node->lease);
+    json_t *replicas = replicas_json(edge, service->name, model);
+    int waiting = 0;
+    int running = 0;
+    waiting_count(edge, model, &waiting, &running);
+    const char *state = json_array_size(replicas) > 0 ? "loaded" : "not loaded";
+    json_t *gateway = json_pack("[{s:s, s:s, s:i, s:i, s:o}]", "route", state, "reason", "",
+                                "waiting", waiting, "running", running, "replicas", replicas);
+    json_t *body = json_pack("{s:s, s:s, s:s, s:s, s:o}", "node", edge->settings.id, "model", model,
+                             "cell", service->name, "owner", lease != NULL ? lease->holder : "none",
+                             "gateway", gateway);
+    if (node->held)
+        json_object_set_new(body, "decisions", decisions_json(node, service, model));
+    json_answer(connection, 200, body);
+}
+
+static void request_explain(wb_edge_node_t *node, wb_http_connection_t *connection, const char *id)
+{
+    const wb_edge_t *edge = &node->edge;
+    for (unsigned i = 1; i <= MIN(edge->ended_next, WB_ENDED_REQUESTS); i++) {
+        const wb_ended_request_t *ended = &edge->ended[(edge->ended_next - i) % WB_ENDED_REQUESTS];
+        if (strcmp(ended->id, id) != 0)
+            continue;
+        g_autofree char *why =
+            g_strdup_printf("status %u on route %s, %u runs, waited %lld ms", ended->status,
+                            ended->route, ended->runs, (long long)ended->waited_ms);
+        json_answer(connection, 200,
+                    json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:s}", "request", ended->id,
+                              "model", ended->model, "adapter", ended->adapter, "owner", "-",
+                              "outcome", ended->ending, "took_ms", (json_int_t)ended->took_ms,
+                              "attempts", (int)ended->sends, "engine",
+                              *ended->engine != '\0' ? ended->engine : "none", "why", why));
+        return;
+    }
+    error_answer(connection, 404, "this node doesn't remember such a request; see its log");
+}
+
+static void explanation_show(wb_edge_node_t *node, wb_http_connection_t *connection,
+                             const char *query)
+{
+    g_auto(GStrv) words = g_strsplit(query, "=", 2);
+    g_autofree char *name =
+        words[0] != NULL && words[1] != NULL ? g_uri_unescape_string(words[1], NULL) : NULL;
+    if (name != NULL && strcmp(words[0], "model") == 0)
+        model_explain(node, connection, name);
+    else if (name != NULL && strcmp(words[0], "request") == 0)
+        request_explain(node, connection, name);
+    else
+        error_answer(connection, 400, "say ?model=NAME or ?request=ID");
+}
+
+static void drain_begin(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
+{
+    (void)query;
+    wb_edge_node_drain(node);
+    json_answer(connection, 200, json_pack("{s:b}", "draining", 1));
+}
+
+typedef struct wb_operators_call_t {
+    const char *method;
+    const char *path;
+    void (*run)(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query);
+} wb_operators_call_t;
+
+static const wb_operators_call_t calls[] = {
+    {"GET", "/metrics", metrics_show},
+    {"GET", "/operators/v1/status", status_show},
+    {"GET", "/operators/v1/routes", routes_show},
+    {"GET", "/operators/v1/models", models_show},
+    {"GET", "/operators/v1/explain", explanation_show},
+    {"POST", "/operators/v1/drain", drain_begin},
+};
+
+void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
+                               GByteArray *body, void *context)
+{
+    wb_edge_node_t *node = context;
+    size_t length = strcspn(head->target, "?");
+    const char *query = head->target[length] == '?' ? head->target + length + 1 : "";
+    const wb_operators_call_t *call = NULL;
+    for (size_t i = 0; i < G_N_ELEMENTS(calls); i++)
+        if (strcmp(calls[i].method, head->method) == 0 && strlen(calls[i].path) == length &&
+            strncmp(calls[i].path, head->target, length) == 0)
+            call = &calls[i];
+    if (call != NULL)
+        call->run(node, connection, query);
+    else
+        error_answer(connection, 404, "there is no such call");
+    wb_http_head_free(head);
+    g_byte_array_unref(body);
+}
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -22,6 +22,23 @@
 typedef struct wb_attempt_t wb_attempt_t;
 typedef struct wb_demand_t wb_demand_t;
 
+/** An ended request, kept for a while so that operators can ask for it. */
+typedef struct wb_ended_request_t {
+    char id[64];
+    char model[64];
+    char adapter[32];
+    char route[64];
+    char engine[64];
+    const char *ending;
+    unsigned status;
+    unsigned sends;
+    unsigned runs;
+    int64_t took_ms;
+    int64_t waited_ms;
+} wb_ended_request_t;
+
+#define WB_ENDED_REQUESTS 128
+
 /** A part of a prompt. */
 typedef struct wb_prompt_part_t {
     char *id;
@@ -41,7 +58,9 @@
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
     GQueue waiting;       /* exchanges that wait for an engine, oldest first */
     GHashTable *open;     /* set of all exchanges */
-    unsigned node_count;  /* nodes that share the slack of the retry budget */
+    wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
+    unsigned ended_next;
+    unsigned node_count;    /* nodes that share the slack of the retry budget */
     int64_t drain_began_ms; /* steady time at which a planned stop began; 0: none */
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -131,6 +131,26 @@
     g_free(exchange);
 }
 
+static void ended_remember(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status,
+                           const char *engine)
+{
+    wb_edge_t *edge = exchange->edge;
+    wb_ended_request_t *ended = &edge->ended[edge->ended_next++ % WB_ENDED_REQUESTS];
+    g_strlcpy(ended->id, exchange->id, sizeof(ended->id));
+    g_strlcpy(ended->model, exchange->model != NULL ? exchange->model : "", sizeof(ended->model));
+    g_strlcpy(ended->adapter, exchange->adapter != NULL ? exchange->adapter : "",
+              sizeof(ended->adapter));
+    g_strlcpy(ended->route, exchange->route != NULL ? exchange->route->name : "",
+              sizeof(ended->route));
+    g_strlcpy(ended->engine, engine, sizeof(ended->engine));
+    ended->ending = ending_names[ending];
+    ended->status = status;
+    ended->sends = exchange->sends;
+    ended->runs = exchange->runs;
+    ended->took_ms = wb_clock_ms() - exchange->began_ms;
+    ended->waited_ms = exchange->waited_ms;
+}
+
 /* Logs and counts the end, and frees the exchange. Returns its connection, to answer on. */
 static wb_http_connection_t *exchange_end(wb_exchange_t *exchange, wb_ending_t ending,
                                           unsigned status)
@@ -141,6 +161,7 @@
                              ? g_ptr_array_index(exchange->tried, exchange->tried->len - 1)
                              : "";
     waiting_leave(exchange);
+    ended_remember(exchange, ending, status, engine);
     edge->metrics.endings[ending]++;
     wb_histogram_add(&edge->metrics.whole_ms, now_ms - exchange->began_ms);
     wb_event("request-ended",
--- a/target/meson-private/sanitycheckc.c
+++ /dev/null
@@ -1,5 +0,0 @@
-int main(void)
-{
-    int class = 0;
-    return class;
-}
--- a/tests/edge/test_path.c
+++ b/tests/edge/test_path.c
@@ -108,8 +108,54 @@
     estate_stop(estate);
 }
 
+/* Runs wickctl against a node's operators' address. Returns its exit status. */
+static int wickctl(const estate_t *estate, const char *words, char **output)
+{
+    g_autofree char *command =
+        g_strdup_printf("%s/wickctl %s --node 127.0.0.1:%d", estate->files.build, words,
+                        estate->nodes[0].metrics_port);
+    int status = 0;
+    g_assert_true(g_spawn_command_line_sync(command, output, NULL, &status, NULL));
+    return status;
+}
+
+/* wickctl tells of an edge node what it tells of any node, and follows a request through log files.
+ */
+static void test_wickctl(void)
+{
+    static const struct {
+        const char *words;
+        const char *shown;
+    } cases[] = {
+        {"status", "held by this node"},
+        {"routes", "a.example/chat/ stream"},
+        {"models", "llm-1"},
+        {"explain model m0", "replica on llm-1"},
+        {"explain request w1", "served"},
+    };
+    estate_t *estate = estate_start(1, NULL);
+    wire_answer_free(wire_ask(estate->nodes[0].callers_port, "/chat/x", "w1", EDGE_MODEL("m0")));
+    g_usleep(500000);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_autofree char *output = NULL;
+        int status = wickctl(estate, cases[i].words, &output);
+        g_test_message("%s: %s", cases[i].words, output);
+        g_assert_cmpint(status, ==, 0);
+        g_assert_nonnull(strstr(output, cases[i].shown));
+    }
+    g_autofree char *words = g_strdup_printf("trace w1 -f %s", estate->files.folder);
+    g_autofree char *output = NULL;
+    g_assert_cmpint(wickctl(estate, words, &output), ==, 0);
+    g_assert_nonnull(strstr(output, "\"event\":\"request-ended\""));
+    g_autofree char *drained = NULL;
+    g_assert_cmpint(wickctl(estate, "drain", &drained), ==, 0);
+    g_assert_false(estate_node_is_ready(estate, 0));
+    estate_stop(estate);
+}
+
 void edge_path_tests_add(void)
 {
+    g_test_add_func("/edge/path/wickctl", test_wickctl);
     g_test_add_func("/edge/path/wait-is-foreseen", test_wait_is_foreseen);
     g_test_add_func("/edge/path/stream-is-whole", test_stream_is_whole);
     g_test_add_func("/edge/path/cold-model-is-loaded", test_cold_model_is_loaded);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -174,7 +174,7 @@
     argument_add(arguments, "--listen-callers=127.0.0.1:%d", node->callers_port);
     argument_add(arguments, "--listen-ready=127.0.0.1:%d", node->ready_port);
     argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
-    argument_add(arguments, "--listen-metrics=127.0.0.1:%d", node->metrics_port);
+    argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->metrics_port);
     argument_add(arguments, "--store=127.0.0.1:%d", estate->store_port);
     argument_add(arguments, "--engine-heartbeat-ms=300");
     argument_add(arguments, "--log-lines-per-s=10000");
