--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -92,7 +92,7 @@
 {
     wb_load_window_t *window = wb_load_window_create(5000, 1500);
     wb_load_window_set_rate(window, 4);
-    int64_t begun[1000];
+    int64_t begun[1000] = {0};
     int count = 0;
     wb_load_window_assume(window, 5, 0);
     for (int64_t now_ms = 0; now_ms < 60000; now_ms += 10)
