--- /dev/null
+++ b/src/edge/exchange_end.c
@@ -0,0 +1,58 @@
+/* Notes how requests end: in the log, in the counters, and for operators who ask. */
+#include "edge/exchange_inner.h"
+
+static const char *const ending_names[WB_ENDING_COUNT] = {
+    "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
+    "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
+    "broken",        "timed-out",     "caller-gone", "stopping"};
+
+const char *wb_ending_name(wb_ending_t ending)
+{
+    return ending_names[ending];
+}
+
+static void ended_remember(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status,
+                           const char *engine)
+{
+    wb_edge_t *edge = exchange->edge;
+    wb_ended_request_t *ended = &edge->ended[edge->ended_next++ % WB_ENDED_REQUESTS];
+    g_strlcpy(ended->id, exchange->id, sizeof(ended->id));
+    g_strlcpy(ended->model, exchange->model != NULL ? exchange->model : "", sizeof(ended->model));
+    g_strlcpy(ended->adapter, exchange->adapter != NULL ? exchange->adapter : "",
+              sizeof(ended->adapter));
+    g_strlcpy(ended->route, exchange->route != NULL ? exchange->route->name : "",
+              sizeof(ended->route));
+    g_strlcpy(ended->engine, engine, sizeof(ended->engine));
+    ended->ending = ending_names[ending];
+    ended->status = status;
+    ended->sends = exchange->sends;
+    ended->runs = exchange->runs;
+    ended->took_ms = wb_clock_ms() - exchange->began_ms;
+    ended->waited_ms = exchange->waited_ms;
+}
+
+void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status)
+{
+    wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    const char *engine = exchange->tried->len > 0
+                             ? g_ptr_array_index(exchange->tried, exchange->tried->len - 1)
+                             : "";
+    ended_remember(exchange, ending, status, engine);
+    edge->metrics.endings[ending]++;
+    wb_histogram_add(&edge->metrics.whole_ms, now_ms - exchange->began_ms);
+    wb_event("request-ended",
+             ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
+             "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
+             "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"left_ms\":%lld,"
+             "\"catalog\":%lld,\"answer_begun\":%s",
+             wb_event_text(exchange->id), ending_names[ending], status,
+             exchange->route != NULL ? exchange->route->name : "",
+             exchange->service != NULL ? exchange->service->name : "",
+             wb_event_text(exchange->model), wb_event_text(exchange->adapter), engine,
+             exchange->sends, exchange->runs, exchange->rejections,
+             (long long)(now_ms - exchange->began_ms), (long long)exchange->waited_ms,
+             (long long)exchange->first_event_ms, (long long)(exchange->deadline_ms - now_ms),
+             exchange->catalog != NULL ? (long long)exchange->catalog->version : 0LL,
+             exchange->answer_begun ? "true" : "false");
+}
--- /dev/null
+++ b/src/edge/exchange_inner.h
@@ -0,0 +1,34 @@
+/**
+ * @file exchange_inner.h
+ * @brief What the files of a request share: exchange.c (sendings and answers), exchange_read.c,
+ * exchange_wait.c, exchange_end.c.
+ */
+#ifndef WICKBRIDGE_EXCHANGE_INNER_H
+#define WICKBRIDGE_EXCHANGE_INNER_H
+
+#include "edge/edge_types.h"
+
+/** Send it to an engine, let it wait, or give it up. It may be freed. */
+void wb_exchange_dispatch(wb_exchange_t *exchange);
+/** Give the final answer: 503 when it surely has not run, else a status that promises nothing. It
+ * is freed. */
+void wb_exchange_give_up(wb_exchange_t *exchange, wb_ending_t ending);
+/** Set the timer for when its wait, or its time, is over. */
+void wb_exchange_arm_hold(wb_exchange_t *exchange);
+
+/** Find route, service, model and times. @return WB_ENDING_COUNT, or why it can't be served */
+wb_ending_t wb_exchange_read(wb_exchange_t *exchange);
+/** @return the status of an ending that wb_exchange_read gives */
+unsigned wb_ending_status(wb_ending_t ending);
+
+/** Let it wait for an engine, as long as that has a use. */
+void wb_exchange_wait(wb_exchange_t *exchange);
+/** It no longer waits; does nothing when it doesn't. */
+void wb_exchange_leave_waiting(wb_exchange_t *exchange);
+/** @return ms after which coming back has a use */
+int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange);
+
+/** Write its end into log, counters and memory for operators. */
+void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status);
+
+#endif
--- /dev/null
+++ b/src/edge/exchange_read.c
@@ -0,0 +1,125 @@
+/* Reads what a request asks for: route, service, model, prompt, deadline. */
+#include "edge/exchange_inner.h"
+
+#include <string.h>
+
+#define FAR_FUTURE_MS (24 * 3600 * 1000LL)
+/* So long into a planned stop every request is still taken. */
+#define STOP_TAKES_MS 2800
+/* Time that a short request is given to end, and time kept free before the stop's end. */
+#define STOP_SHORT_MS 1000
+#define STOP_RESERVE_MS 800
+
+/* Reads the prompt's parts: ID:TOKENS with commas between. */
+static void parts_read(wb_exchange_t *exchange, const char *text)
+{
+    g_auto(GStrv) words = g_strsplit(text, ",", -1);
+    for (char **word = words; *word != NULL; word++) {
+        char *colon = strchr(*word, ':');
+        if (colon == NULL)
+            continue;
+        wb_prompt_part_t part = {g_strndup(*word, (gsize)(colon - *word)),
+                                 g_ascii_strtoll(colon + 1, NULL, 10)};
+        g_strstrip(part.id);
+        exchange->prompt_tokens += part.tokens;
+        g_array_append_val(exchange->parts, part);
+    }
+}
+
+static void model_read(wb_exchange_t *exchange)
+{
+    const wb_dialect_t *dialect = exchange->edge->dialect;
+    const char *text = wb_http_head_get(exchange->head, dialect->model);
+    if (text == NULL || *text == '\0')
+        return;
+    const char *slash = strchr(text, '/');
+    size_t length = slash != NULL ? (size_t)(slash - text) : strlen(text);
+    exchange->model = g_strndup(text, length);
+    exchange->adapter = g_strdup(slash != NULL ? slash + 1 : "");
+    const char *parts = wb_http_head_get(exchange->head, dialect->prompt_parts);
+    if (parts != NULL)
+        parts_read(exchange, parts);
+    if (exchange->parts->len == 0)
+        exchange->prompt_tokens =
+            wb_http_head_number(exchange->head, dialect->token_usage, exchange->body->len / 4);
+}
+
+static void deadline_read(wb_exchange_t *exchange)
+{
+    int64_t deadline_ms =
+        wb_http_head_number(exchange->head, exchange->edge->dialect->deadline_ms, FAR_FUTURE_MS);
+    deadline_ms = CLAMP(deadline_ms, 1, FAR_FUTURE_MS);
+    exchange->deadline_ms = exchange->began_ms + deadline_ms;
+    exchange->hold_until_ms = exchange->deadline_ms;
+    int64_t timeout_ms = exchange->route->timeout_ms;
+    if (timeout_ms > 0)
+        exchange->hold_until_ms = MIN(exchange->hold_until_ms, exchange->began_ms + timeout_ms);
+}
+
+/* An adapter is named by a letter and a number up to the model's count of them. */
+static gboolean adapter_is_known(const wb_model_spec_t *spec, const char *adapter)
+{
+    if (*adapter == '\0')
+        return TRUE;
+    if (!g_ascii_isalpha(*adapter) || !g_ascii_isdigit(adapter[1]))
+        return FALSE;
+    int64_t number = g_ascii_strtoll(adapter + 1, NULL, 10);
+    return number >= 1 && number <= spec->adapters;
+}
+
+/* Late in a planned stop a request is taken only if it will surely end in time. */
+static gboolean comes_too_late(const wb_exchange_t *exchange)
+{
+    const wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    if (edge->drain_began_ms == 0 || now_ms - edge->drain_began_ms < STOP_TAKES_MS)
+        return FALSE;
+    int64_t end_ms = edge->drain_began_ms + (int64_t)(edge->settings.stop_grace_s * 1000);
+    return exchange->route->kind == WB_ROUTE_STREAM ||
+           MIN(exchange->hold_until_ms, now_ms + STOP_SHORT_MS) > end_ms - STOP_RESERVE_MS;
+}
+
+/* Finds route and service. Returns WB_ENDING_COUNT, or why the request can't be served. */
+wb_ending_t wb_exchange_read(wb_exchange_t *exchange)
+{
+    wb_edge_t *edge = exchange->edge;
+    if (edge->catalog == NULL)
+        return WB_ENDING_NO_CATALOG;
+    const char *host = wb_http_head_get(exchange->head, "Host");
+    if (host == NULL || exchange->head->target[0] != '/')
+        return WB_ENDING_BAD_REQUEST;
+    exchange->catalog = wb_catalog_ref(edge->catalog);
+    wb_route_t *route = wb_catalog_route(edge->catalog, host, exchange->head->target);
+    if (route == NULL)
+        return WB_ENDING_NO_ROUTE;
+    exchange->route = route;
+    deadline_read(exchange);
+    if (comes_too_late(exchange))
+        return WB_ENDING_STOPPING;
+    const char *service = wb_route_pick_service(route);
+    exchange->service = service != NULL ? wb_catalog_service(edge->catalog, service) : NULL;
+    if (exchange->service == NULL)
+        return WB_ENDING_NO_ENGINE;
+    if (g_hash_table_size(exchange->service->models) == 0)
+        return WB_ENDING_COUNT;
+    model_read(exchange);
+    if (exchange->model == NULL)
+        return WB_ENDING_COUNT;
+    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
+    if (spec == NULL || !adapter_is_known(spec, exchange->adapter))
+        return WB_ENDING_UNKNOWN_MODEL;
+    return WB_ENDING_COUNT;
+}
+
+unsigned wb_ending_status(wb_ending_t ending)
+{
+    switch (ending) {
+    case WB_ENDING_BAD_REQUEST:
+        return 400;
+    case WB_ENDING_NO_ROUTE:
+    case WB_ENDING_UNKNOWN_MODEL:
+        return 404;
+    default:
+        return 503;
+    }
+}
--- /dev/null
+++ b/src/edge/exchange_wait.c
@@ -0,0 +1,159 @@
+/* Waiting for an engine or a model: how long it has a use, and when it ends. */
+#include "edge/exchange_inner.h"
+
+#include <string.h>
+
+#define RETRY_AFTER_MS 300
+#define COME_BACK_MARGIN_MS 50
+/* An expected load may be so much late before its waiters are refused; then a prompt is read. */
+#define LOAD_LATE_MS 700
+#define SERVE_MS 150
+/* Share of the time at hand after which waiting for a model is given up. */
+#define WAIT_SHARE 0.45
+/* Share of a target after which a request that no engine can take is refused. */
+#define HOPELESS_SHARE 0.22
+#define HOPELESS_MS 250
+/* A caller of a stream leaves after the longest of a fixed time, some targets, and some gaps. */
+#define STREAM_PATIENCE_MS 2000
+#define STREAM_PATIENCE_TARGETS 4
+#define STREAM_PATIENCE_GAPS 8
+
+void wb_exchange_leave_waiting(wb_exchange_t *exchange)
+{
+    if (exchange->waiting_link == NULL)
+        return;
+    g_queue_delete_link(&exchange->edge->waiting, exchange->waiting_link);
+    exchange->waiting_link = NULL;
+    int64_t waited_ms = wb_clock_ms() - exchange->waiting_since_ms;
+    exchange->waited_ms += waited_ms;
+    wb_histogram_add(&exchange->edge->metrics.wait_ms, waited_ms);
+    wb_demand_waiting(exchange->edge->demand, exchange, FALSE);
+}
+
+static int64_t *expected_find(const wb_exchange_t *exchange)
+{
+    if (exchange->model == NULL || exchange->service == NULL)
+        return NULL;
+    g_autofree char *key = g_strjoin("/", exchange->service->name, exchange->model, NULL);
+    return g_hash_table_lookup(exchange->edge->expected, key);
+}
+
+/* When coming back has a use: once the model should be there, else soon. */
+int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange)
+{
+    const int64_t *ready_ms = expected_find(exchange);
+    int64_t left_ms = ready_ms != NULL ? *ready_ms - wb_clock_ms() : 0;
+    return left_ms > 0 ? left_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
+}
+
+/* Time in which an answer has a use, from the request's arrival. */
+static int64_t useful_time_ms(const wb_exchange_t *exchange)
+{
+    const wb_route_t *route = exchange->route;
+    int64_t time_ms = exchange->hold_until_ms - exchange->began_ms;
+    if (route->kind != WB_ROUTE_STREAM || route->target_latency_ms == 0)
+        return time_ms;
+    int64_t patience_ms =
+        MAX(STREAM_PATIENCE_MS, MAX(STREAM_PATIENCE_TARGETS * route->target_latency_ms,
+                                    STREAM_PATIENCE_GAPS * route->target_gap_ms));
+    return MIN(time_ms, patience_ms);
+}
+
+/* Steady time until which waiting has a use; in the past when it has none. */
+static int64_t wait_until_ms(const wb_exchange_t *exchange)
+{
+    int64_t useful_ms = useful_time_ms(exchange);
+    int64_t target_ms = exchange->route->target_latency_ms;
+    if (exchange->model == NULL) {
+        int64_t wait_ms =
+            target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
+        return exchange->began_ms + MIN(wait_ms, useful_ms);
+    }
+    const int64_t *ready_ms = expected_find(exchange);
+    if (ready_ms == NULL || *ready_ms + LOAD_LATE_MS < wb_clock_ms())
+        return exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
+    int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
+    return *ready_ms > useful_until_ms ? 0 : MIN(*ready_ms + LOAD_LATE_MS, useful_until_ms);
+}
+
+/* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
+void wb_exchange_wait(wb_exchange_t *exchange)
+{
+    wb_edge_t *edge = exchange->edge;
+    if (exchange->waiting_link != NULL)
+        return;
+    exchange->wait_until_ms = wait_until_ms(exchange);
+    exchange->waiting_since_ms = wb_clock_ms();
+    g_queue_push_tail(&edge->waiting, exchange);
+    exchange->waiting_link = edge->waiting.tail;
+    edge->metrics.waits++;
+    wb_demand_waiting(edge->demand, exchange, TRUE);
+    wb_event(
+        "request-waits",
+        ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\",\"for_ms\":%lld",
+        wb_event_text(exchange->id), wb_event_text(exchange->model),
+        wb_event_text(exchange->adapter), exchange->service->name,
+        (long long)(exchange->wait_until_ms - exchange->waiting_since_ms));
+    wb_exchange_arm_hold(exchange);
+    if (exchange->model != NULL && edge->on_need != NULL)
+        edge->on_need(edge->need_context);
+}
+
+void wb_exchanges_retry_waiting(wb_edge_t *edge)
+{
+    int64_t now_ms = wb_clock_ms();
+    /* A sending that fails at once may end other requests, so the list is copied. */
+    g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.length);
+    for (GList *item = edge->waiting.head; item != NULL; item = item->next)
+        g_ptr_array_add(waiting, item->data);
+    for (guint i = 0; i < waiting->len; i++) {
+        wb_exchange_t *exchange = g_ptr_array_index(waiting, i);
+        if (g_hash_table_contains(edge->open, exchange) && exchange->waiting_link != NULL &&
+            wb_balancer_choose(edge, exchange, now_ms) != NULL)
+            wb_exchange_dispatch(exchange);
+    }
+}
+
+void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
+                         unsigned ready_in_ms)
+{
+    int64_t ready_ms = wb_clock_ms() + ready_in_ms;
+    g_hash_table_replace(edge->expected, g_strjoin("/", service, model, NULL),
+                         g_memdup2(&ready_ms, sizeof(ready_ms)));
+    for (GList *item = edge->waiting.head; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        if (exchange->model == NULL || strcmp(exchange->model, model) != 0 ||
+            strcmp(exchange->service->name, service) != 0)
+            continue;
+        exchange->wait_until_ms = wait_until_ms(exchange);
+        wb_exchange_arm_hold(exchange); /* who waits in vain is refused by the timer, at once */
+    }
+}
+
+void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model)
+{
+    g_autofree char *key = g_strjoin("/", service, model, NULL);
+    g_hash_table_remove(edge->expected, key);
+}
+
+static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only)
+{
+    g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
+    for (GList *item = open; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        if (g_hash_table_contains(edge->open, exchange) && !exchange->answer_begun &&
+            (!waiting_only || exchange->waiting_link != NULL))
+            wb_exchange_give_up(exchange, WB_ENDING_STOPPING);
+    }
+}
+
+void wb_exchanges_refuse_waiting(wb_edge_t *edge)
+{
+    if (edge->waiting.length > 0)
+        exchanges_stop(edge, TRUE);
+}
+
+void wb_exchanges_refuse_unanswered(wb_edge_t *edge)
+{
+    exchanges_stop(edge, FALSE);
+}
