--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -1,21 +1,17 @@
 /* The placement controller: decides which engine loads or drops what. */
 #include "control/controller.h"
 
+#include "control/demand_book.h"
 #include "control/engine_orders.h"
 #include "control/load_window.h"
 #include "control/placement.h"
 
 #include "wickbridge/event_log.h"
 
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 #define TICK_MS 50
-#define DEMAND_LIFE_MS 2000
-/* Rates are averages over about so long. */
-#define RATE_TIME_S 5.0
-#define RECENT_TIME_S 1.5
 /* A model that is waited for though an engine should hold it gets another engine after this time.
  */
 #define STUCK_MS 600
@@ -23,22 +19,8 @@
 #define SPREADS_AT_ONCE 3
 /* Making room takes about so long before a load begins. */
 #define DROP_TIME_MS 250
-#define WATCHED_LIFE_MS 30000
-
-/* What one node said, and when. */
-typedef struct wb_node_demand_t {
-    wb_wire_message message;
-    int64_t at_ms;
-} wb_node_demand_t;
-
-/* A model's or adapter's use, kept between messages. */
-typedef struct wb_usage_t {
-    wb_model_use_t use;
-    int64_t rated_ms;  /* when the rates were last decayed */
-    int64_t waited_ms; /* since when it is waited for; 0: it isn't */
-    int64_t used_ms;   /* when it was last asked for */
-    unsigned time_left_ms;
-} wb_usage_t;
+/* An adapter that runs counts as asked for so much later than it was. */
+#define RUNNING_BONUS_MS 30000
 
 struct wb_controller_t {
     wb_loop_t *loop;
@@ -48,21 +30,13 @@
     wb_edge_metrics_t *metrics;
     wb_controller_events_t events;
     wb_catalog_t *catalog;
-    uint64_t token;      /* 0: not acting */
-    GHashTable *demands; /* node -> wb_node_demand_t */
-    GHashTable *usages;  /* SERVICE/MODEL/ADAPTER -> wb_usage_t */
+    uint64_t token; /* 0: not acting */
+    wb_demand_book_t *book;
     GHashTable *orders;  /* engine id -> wb_engine_orders_t */
     GHashTable *windows; /* service -> wb_load_window_t */
     int64_t spread_ms;
 };
 
-static void node_demand_free(gpointer data)
-{
-    wb_node_demand_t *demand = data;
-    wb_message_clear(&demand->message);
-    g_free(demand);
-}
-
 static gboolean owner_may_act(void *context)
 {
     wb_controller_t *controller = context;
@@ -103,39 +77,6 @@
     return ((wb_controller_t *)context)->token;
 }
 
-static char *usage_key(const char *service, const char *model, const char *adapter)
-{
-    return g_strjoin("/", service, model, adapter, NULL);
-}
-
-static wb_usage_t *usage_find(const wb_controller_t *controller, const char *service,
-                              const char *model, const char *adapter)
-{
-    g_autofree char *key = usage_key(service, model, adapter);
-    return g_hash_table_lookup(controller->usages, key);
-}
-
-/* Who waited for a model or adapter is served now; gateways say so if someone still waits. */
-static void waiting_forget(wb_controller_t *controller, const char *service, const char *model,
-                           const char *adapter)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, controller->demands);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wb_wire_demand *demand = &((wb_node_demand_t *)value)->message.wb_wire_message_u.demand;
-        for (guint i = 0; i < demand->entries.entries_len; i++) {
-            wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
-            if (strcmp(entry->service, service) == 0 && strcmp(entry->model, model) == 0 &&
-                strcmp(entry->adapter, adapter) == 0)
-                entry->waiting = 0;
-        }
-    }
-    wb_usage_t *usage = usage_find(controller, service, model, "");
-    if (usage != NULL)
-        usage->waited_ms = 0;
-}
-
 static void news_tell(wb_controller_t *controller, const wb_engine_t *engine, const char *model,
                       const char *adapter, gboolean held, unsigned ready_in_ms)
 {
@@ -153,158 +94,10 @@
 {
     wb_controller_t *controller = context;
     if (held)
-        waiting_forget(controller, engine->state->service, model, adapter);
+        wb_demand_book_served(controller->book, engine->state->service, model, adapter);
     news_tell(controller, engine, model, adapter, held, 0);
 }
 
-static wb_usage_t *usage_of(wb_controller_t *controller, const char *service, const char *model,
-                            const char *adapter)
-{
-    g_autofree char *key = usage_key(service, model, adapter);
-    wb_usage_t *usage = g_hash_table_lookup(controller->usages, key);
-    if (usage == NULL) {
-        usage = g_new0(wb_usage_t, 1);
-        usage->rated_ms = wb_clock_ms();
-        g_hash_table_insert(controller->usages, g_steal_pointer(&key), usage);
-    }
-    return usage;
-}
-
-static void usage_decay(wb_usage_t *usage, int64_t now_ms)
-{
-    double passed_s = (double)(now_ms - usage->rated_ms) / 1000.0;
-    double kept = exp(-passed_s / RATE_TIME_S);
-    double recent_kept = exp(-passed_s / RECENT_TIME_S);
-    usage->use.rate_per_s *= kept;
-    usage->use.work_per_s *= kept;
-    usage->use.adapter_rate_per_s *= kept;
-    usage->use.recent_rate_per_s *= recent_kept;
-    usage->use.recent_work_per_s *= recent_kept;
-    usage->rated_ms = now_ms;
-}
-
-static void usage_arrivals(wb_usage_t *usage, unsigned arrivals, uint64_t work, int64_t now_ms)
-{
-    usage_decay(usage, now_ms);
-    usage->use.rate_per_s += arrivals / RATE_TIME_S;
-    usage->use.work_per_s += (double)work / RATE_TIME_S;
-    usage->use.recent_rate_per_s += arrivals / RECENT_TIME_S;
-    usage->use.recent_work_per_s += (double)work / RECENT_TIME_S;
-    if (arrivals > 0)
-        usage->used_ms = now_ms;
-}
-
-void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand)
-{
-    int64_t now_ms = wb_clock_ms();
-    wb_node_demand_t *kept = g_new0(wb_node_demand_t, 1);
-    kept->at_ms = now_ms;
-    /* A copy by way of its bytes: the message belongs to its link. */
-    wb_wire_message source = {.kind = WB_WIRE_DEMAND};
-    source.wb_wire_message_u.demand = *demand;
-    g_autoptr(GByteArray) bytes = g_byte_array_new();
-    wb_error_t error;
-    if (wb_message_encode(&source, bytes, &error) != APR_SUCCESS ||
-        wb_message_decode(bytes->data + sizeof(uint32_t), bytes->len - sizeof(uint32_t),
-                          &kept->message, &error) != APR_SUCCESS) {
-        g_free(kept);
-        return;
-    }
-    g_hash_table_replace(controller->demands, g_strdup(demand->node), kept);
-    gboolean waits = FALSE;
-    for (guint i = 0; i < demand->entries.entries_len; i++) {
-        const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
-        usage_arrivals(usage_of(controller, entry->service, entry->model, ""), entry->arrivals,
-                       entry->work, now_ms);
-        if (*entry->adapter != '\0') {
-            usage_arrivals(usage_of(controller, entry->service, entry->model, entry->adapter),
-                           entry->arrivals, 0, now_ms);
-            usage_of(controller, entry->service, entry->model, "")->use.adapter_rate_per_s +=
-                entry->arrivals / RATE_TIME_S;
-        }
-        waits |= entry->waiting > 0;
-    }
-    if (waits)
-        wb_controller_decide(controller);
-}
-
-static void usages_clear(wb_controller_t *controller)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, controller->usages);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wb_usage_t *usage = value;
-        usage->use.waiting = 0;
-        usage->use.running = 0;
-        usage->use.replicas = 0;
-        usage->use.in_loading = 0;
-        usage->time_left_ms = G_MAXUINT;
-    }
-}
-
-static void entry_count(wb_usage_t *usage, const wb_wire_demand_entry *entry, gboolean waits)
-{
-    usage->use.running += entry->running;
-    if (!waits || entry->waiting == 0)
-        return;
-    usage->use.waiting += entry->waiting;
-    usage->time_left_ms = MIN(usage->time_left_ms, entry->time_left_ms);
-}
-
-/* Adds up what all nodes said lately. */
-static void demands_count(wb_controller_t *controller, int64_t now_ms)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, controller->demands);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wb_node_demand_t *kept = value;
-        if (now_ms - kept->at_ms > DEMAND_LIFE_MS) {
-            g_hash_table_iter_remove(&iter);
-            continue;
-        }
-        const wb_wire_demand *demand = &kept->message.wb_wire_message_u.demand;
-        for (guint i = 0; i < demand->entries.entries_len; i++) {
-            const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
-            wb_usage_t *model = usage_of(controller, entry->service, entry->model, "");
-            entry_count(model, entry, *entry->adapter == '\0');
-            if (*entry->adapter == '\0')
-                continue;
-            entry_count(usage_of(controller, entry->service, entry->model, entry->adapter), entry,
-                        TRUE);
-            model->use.waiting += entry->waiting;
-            if (entry->waiting > 0)
-                model->time_left_ms = MIN(model->time_left_ms, entry->time_left_ms);
-        }
-    }
-}
-
-static gboolean usage_is_old(gpointer key, gpointer value, gpointer context)
-{
-    (void)key;
-    const wb_usage_t *usage = value;
-    int64_t now_ms = *(int64_t *)context;
-    return usage->use.waiting == 0 && usage->use.running == 0 &&
-           now_ms - MAX(usage->used_ms, usage->rated_ms) > WATCHED_LIFE_MS;
-}
-
-static void waiting_times_update(wb_controller_t *controller, int64_t now_ms)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_foreach_remove(controller->usages, usage_is_old, &now_ms);
-    g_hash_table_iter_init(&iter, controller->usages);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wb_usage_t *usage = value;
-        usage_decay(usage, now_ms);
-        if (usage->use.waiting == 0)
-            usage->waited_ms = 0;
-        else if (usage->waited_ms == 0)
-            usage->waited_ms = now_ms;
-    }
-}
-
 static GPtrArray *owner_pick_victims(const wb_engine_state_t *state, const char *model,
                                      void *context);
 static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context);
@@ -341,11 +134,12 @@
     gpointer name;
     g_hash_table_iter_init(&iter, place.state->models);
     while (g_hash_table_iter_next(&iter, &name, NULL))
-        usage_of(controller, service, name, "")->use.replicas++;
+        wb_demand_book_get(controller->book, service, name, "", wb_clock_ms())->use.replicas++;
     g_hash_table_iter_init(&iter, snapshot->service->models);
     while (g_hash_table_iter_next(&iter, &name, NULL))
         if (wb_engine_orders_has(orders, name, ""))
-            usage_of(controller, service, name, "")->use.in_loading++;
+            wb_demand_book_get(controller->book, service, name, "", wb_clock_ms())
+                ->use.in_loading++;
 }
 
 static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context)
@@ -376,7 +170,7 @@
     gpointer name;
     g_hash_table_iter_init(&iter, service->models);
     while (g_hash_table_iter_next(&iter, &name, NULL)) {
-        wb_usage_t *usage = usage_find(controller, service->name, name, "");
+        wb_usage_t *usage = wb_demand_book_find(controller->book, service->name, name, "");
         if (usage != NULL)
             g_hash_table_insert(snapshot->uses, name, &usage->use);
     }
@@ -402,8 +196,7 @@
     if (spec == NULL)
         return NULL;
     wb_placement_snapshot_t snapshot;
-    usages_clear(controller);
-    demands_count(controller, wb_clock_ms());
+    wb_demand_book_count(controller->book, wb_clock_ms());
     snapshot_take(controller, service, &snapshot);
     double cost_ms;
     GPtrArray *victims = wb_placement_victims(&snapshot, state, spec, &cost_ms);
@@ -430,12 +223,12 @@
         g_hash_table_iter_init(&adapters, ((wb_engine_model_t *)held)->adapters);
         while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
             const wb_usage_t *usage =
-                usage_find(controller, engine->state->service, model, adapter);
+                wb_demand_book_find(controller->book, engine->state->service, model, adapter);
             int64_t used_ms = usage != NULL ? usage->used_ms : 0;
             if (usage != NULL && usage->use.waiting > 0)
                 continue;
             if (usage != NULL && usage->use.running > 0)
-                used_ms += WATCHED_LIFE_MS;
+                used_ms += RUNNING_BONUS_MS;
             if (used_ms >= oldest_ms)
                 continue;
             oldest_ms = used_ms;
@@ -457,7 +250,8 @@
     if (place == NULL ||
         victims_ms + wb_placement_load_price_ms(spec, place->engine->state) > limit_ms)
         return FALSE;
-    wb_usage_t *usage = usage_of(controller, snapshot->service->name, spec->name, "");
+    wb_usage_t *usage = wb_demand_book_get(controller->book, snapshot->service->name, spec->name,
+                                           "", wb_clock_ms());
     wb_event("model-placed",
              ",\"service\":\"%s\",\"model\":\"%s\",\"engine\":\"%s\",\"why\":\"%s\","
              "\"cost_ms\":%.0f,\"victims_ms\":%.0f,\"waiting\":%u,\"replicas\":%u,"
@@ -496,7 +290,8 @@
     g_hash_table_iter_init(&iter, snapshot->service->models);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_model_spec_t *spec = value;
-        const wb_usage_t *usage = usage_find(controller, snapshot->service->name, spec->name, "");
+        const wb_usage_t *usage =
+            wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "");
         if (usage == NULL || usage->use.waiting == 0 || usage->use.in_loading > 0)
             continue;
         if (usage->use.replicas > 0 && now_ms - usage->waited_ms < STUCK_MS)
@@ -520,7 +315,8 @@
     g_hash_table_iter_init(&iter, snapshot->service->models);
     while (placed < SPREADS_AT_ONCE && g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_model_spec_t *spec = value;
-        const wb_usage_t *usage = usage_find(controller, snapshot->service->name, spec->name, "");
+        const wb_usage_t *usage =
+            wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "");
         if (usage == NULL || usage->use.replicas == 0)
             continue;
         unsigned wanted = wb_placement_wanted(&usage->use, tokens_per_ms);
@@ -573,12 +369,19 @@
     return FALSE;
 }
 
-static void adapter_need(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
-                         const wb_wire_demand_entry *entry)
+/* What adapter_need is asked with. */
+typedef struct wb_adapter_scene_t {
+    wb_controller_t *controller;
+    const wb_placement_snapshot_t *snapshot;
+} wb_adapter_scene_t;
+
+static void adapter_need(const wb_wire_demand_entry *entry, void *context)
 {
-    if (adapter_is_coming(controller, snapshot, entry->model, entry->adapter))
+    const wb_adapter_scene_t *scene = context;
+    wb_controller_t *controller = scene->controller;
+    if (adapter_is_coming(controller, scene->snapshot, entry->model, entry->adapter))
         return;
-    wb_engine_t *engine = adapter_engine(controller, snapshot, entry->model, entry->adapter);
+    wb_engine_t *engine = adapter_engine(controller, scene->snapshot, entry->model, entry->adapter);
     if (engine == NULL)
         return;
     wb_event("adapter-placed",
@@ -589,43 +392,32 @@
     wb_engine_orders_add(orders_of(controller, engine), entry->model, entry->adapter);
 }
 
-static void adapters_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, controller->demands);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wb_wire_demand *demand =
-            &((wb_node_demand_t *)value)->message.wb_wire_message_u.demand;
-        for (guint i = 0; i < demand->entries.entries_len; i++) {
-            const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
-            if (entry->waiting > 0 && *entry->adapter != '\0' &&
-                strcmp(entry->service, snapshot->service->name) == 0)
-                adapter_need(controller, snapshot, entry);
-        }
-    }
-}
-
 static void service_decide(wb_controller_t *controller, const wb_service_t *service,
                            gboolean spread, int64_t now_ms)
 {
     wb_placement_snapshot_t snapshot;
     snapshot_take(controller, service, &snapshot);
     needs_place(controller, &snapshot, now_ms);
-    adapters_place(controller, &snapshot);
+    wb_adapter_scene_t scene = {controller, &snapshot};
+    wb_demand_book_each_adapter(controller->book, service->name, adapter_need, &scene);
     if (spread)
         load_spread(controller, &snapshot);
     snapshot_clear(&snapshot);
 }
 
+void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand)
+{
+    if (wb_demand_book_take(controller->book, demand, wb_clock_ms()))
+        wb_controller_decide(controller);
+}
+
 void wb_controller_decide(wb_controller_t *controller)
 {
     if (controller->catalog == NULL || !owner_may_act(controller))
         return;
     int64_t now_ms = wb_clock_ms();
-    usages_clear(controller);
-    demands_count(controller, now_ms);
-    waiting_times_update(controller, now_ms);
+    wb_demand_book_count(controller->book, now_ms);
+    wb_demand_book_age(controller->book, now_ms);
     gboolean spread = now_ms - controller->spread_ms >= SPREAD_INTERVAL_MS;
     if (spread)
         controller->spread_ms = now_ms;
@@ -639,24 +431,14 @@
     }
 }
 
-static gboolean someone_waits(const wb_controller_t *controller)
-{
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, controller->usages);
-    while (g_hash_table_iter_next(&iter, NULL, &value))
-        if (((wb_usage_t *)value)->use.waiting > 0)
-            return TRUE;
-    return FALSE;
-}
-
 static void controller_tick(void *context)
 {
     wb_controller_t *controller = context;
     if (controller->token == 0)
         return;
     int64_t now_ms = wb_clock_ms();
-    if (someone_waits(controller) || now_ms - controller->spread_ms >= SPREAD_INTERVAL_MS)
+    if (wb_demand_book_someone_waits(controller->book) ||
+        now_ms - controller->spread_ms >= SPREAD_INTERVAL_MS)
         wb_controller_decide(controller);
 }
 
@@ -672,8 +454,7 @@
     controller->fleet = fleet;
     controller->metrics = metrics;
     controller->events = *events;
-    controller->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, node_demand_free);
-    controller->usages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    controller->book = wb_demand_book_create();
     controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                (GDestroyNotify)wb_engine_orders_free);
     controller->windows =
@@ -731,6 +512,6 @@
 const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
                                                const char *service, const char *model)
 {
-    const wb_usage_t *usage = usage_find(controller, service, model, "");
+    const wb_usage_t *usage = wb_demand_book_find(controller->book, service, model, "");
     return usage != NULL ? &usage->use : NULL;
 }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -14,7 +14,7 @@
 #include "wickbridge/edge.h"
 #include "wickbridge/message.h"
 
-#include "edge/edge_metrics.h"
+#include "wickbridge/edge_metrics.h"
 
 typedef struct wb_controller_t wb_controller_t;
 
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -12,7 +12,7 @@
 #include "wickbridge/dialect.h"
 #include "wickbridge/edge.h"
 
-#include "edge/edge_metrics.h"
+#include "wickbridge/edge_metrics.h"
 
 typedef struct wb_engine_orders_t wb_engine_orders_t;
 
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -1,5 +1,5 @@
 /* Figures of an edge node in the Prometheus text format. */
-#include "edge/edge_metrics.h"
+#include "wickbridge/edge_metrics.h"
 
 #include "edge/edge_types.h"
 
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -57,6 +57,36 @@
 
 gboolean wb_edge_node_is_ready(const wb_edge_node_t *node);
 
+/** Key of the lease's row. */
+#define WB_LEASE_KEY "controller"
+
+/* node_store.c */
+/** Begin to follow configuration, engines and own rows. */
+void wb_edge_node_follow_store(wb_edge_node_t *node);
+/** Keep this node's own row in the store; forget nodes whose rows don't change. */
+void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms);
+
+/* node_lease.c */
+void wb_edge_node_open_lease(wb_edge_node_t *node);
+void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row);
+/** Compare the lease with what the controller does: begin or stop to act. */
+void wb_edge_node_check_lease(wb_edge_node_t *node);
+/** Renew or take the lease when that is due. */
+void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms);
+gboolean wb_edge_node_may_act(void *context);
+
+/* node_links.c */
+void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
+void wb_edge_node_gateway_open(wb_link_t *link, void *context);
+void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context);
+void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context);
+/** Tell the controller what is asked for here. */
+void wb_edge_node_tell_demand(wb_edge_node_t *node);
+/** Someone waits for what isn't loaded: tell the controller once this round's requests are in. */
+void wb_edge_node_need_arose(void *context);
+/** Keep one link to whoever holds the lease, unless it is this node. */
+void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms);
+
 /** Answers operators' calls and metrics: edge_operators.c. */
 void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
                                GByteArray *body, void *context);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -15,7 +15,7 @@
 #include "wickbridge/message.h"
 #include "wickbridge/tcp_stream.h"
 
-#include "edge/edge_metrics.h"
+#include "wickbridge/edge_metrics.h"
 #include "edge/retry_budget.h"
 
 typedef struct wb_exchange_t wb_exchange_t;
--- /dev/null
+++ b/src/edge/node_lease.c
@@ -0,0 +1,100 @@
+/* The lease of the placement controller as a row of the store. */
+#include "edge/edge_node_types.h"
+
+#include <string.h>
+
+#define ROW_BYTES 1024
+
+void wb_edge_node_check_lease(wb_edge_node_t *node)
+{
+    gboolean held = wb_lease_is_held(node->lease, wb_clock_ms());
+    uint64_t token = wb_lease_token(node->lease);
+    const wb_lease_row_t *known = wb_lease_known(node->lease);
+    if (held != node->held) {
+        node->held = held;
+        wb_event(held ? "lease-held" : "lease-not-held",
+                 ",\"token\":%llu,\"known_holder\":\"%s\",\"known_token\":%llu",
+                 (unsigned long long)token, known != NULL ? wb_event_text(known->holder) : "",
+                 known != NULL ? (unsigned long long)known->token : 0ULL);
+        if (held)
+            node->edge.metrics.lease_takeovers++;
+    }
+    /* A lapse stops orders at once; what is believed of engines stays good while nobody else held
+     * it. */
+    int64_t seen_ms;
+    unsigned loads = wb_lease_predecessor_loads(node->lease, &seen_ms);
+    if (held)
+        wb_controller_set_token(node->controller, token, loads, seen_ms);
+    else if (known != NULL && known->token != token)
+        wb_controller_set_token(node->controller, 0, 0, 0);
+}
+
+static void lease_answered(const wb_table_answer_t *answer, void *context)
+{
+    wb_edge_node_t *node = context;
+    int64_t now_ms = wb_clock_ms();
+    switch (answer->outcome) {
+    case WB_TABLE_DONE:
+        wb_lease_on_written(node->lease, answer->version, now_ms);
+        break;
+    case WB_TABLE_UNKNOWN:
+        wb_lease_on_unknown(node->lease, now_ms);
+        break;
+    default:
+        wb_lease_on_not_written(node->lease, now_ms);
+        for (guint i = 0; i < answer->rows->len; i++) {
+            const wb_table_row_t *row = g_ptr_array_index(answer->rows, i);
+            if (strcmp(row->key, WB_LEASE_KEY) == 0 && row->version > 0)
+                wb_edge_node_take_lease_row(node, row);
+        }
+    }
+    wb_edge_node_check_lease(node);
+}
+
+static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version)
+{
+    char bytes[ROW_BYTES];
+    wb_wire_lease wire = {row->holder, row->address,  row->token,
+                          row->beat,   row->released, wb_controller_recent_loads(node->controller)};
+    XDR stream;
+    xdrmem_create(&stream, bytes, sizeof(bytes), XDR_ENCODE);
+    gboolean whole = xdr_wb_wire_lease(&stream, &wire);
+    u_int length = xdr_getpos(&stream);
+    xdr_destroy(&stream);
+    if (!whole) {
+        wb_lease_on_not_written(node->lease, wb_clock_ms());
+        return;
+    }
+    node->edge.metrics.table_calls++;
+    node->table->write(node->table->self, WB_LEASE_KEY, expected_version, (const guchar *)bytes,
+                       length, lease_answered, node);
+}
+
+void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms)
+{
+    wb_lease_row_t row;
+    int64_t expected_version;
+    if (wb_table_watch_is_synced(node->nodes_watch) &&
+        wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
+        lease_write(node, &row, expected_version);
+    wb_edge_node_check_lease(node);
+}
+
+gboolean wb_edge_node_may_act(void *context)
+{
+    wb_edge_node_t *node = context;
+    return wb_lease_is_held(node->lease, wb_clock_ms());
+}
+
+void wb_edge_node_open_lease(wb_edge_node_t *node)
+{
+    const wb_edge_settings_t *settings = &node->edge.settings;
+    wb_lease_settings_t lease = {settings->id,
+                                 settings->listen_nodes,
+                                 settings->lease_duration_ms,
+                                 settings->lease_renew_ms,
+                                 settings->lease_quiet_ms,
+                                 settings->lease_margin_ms,
+                                 settings->store_timeout_ms};
+    node->lease = wb_lease_create(&lease);
+}
--- /dev/null
+++ b/src/edge/node_links.c
@@ -0,0 +1,156 @@
+/* Links between gateways and the controller: what is asked for, and what engines hold. */
+#include "edge/edge_node_types.h"
+
+#include <string.h>
+
+#define LINK_RETRY_MS 150
+
+static void news_take(wb_edge_node_t *node, const wb_wire_placement *news)
+{
+    wb_edge_t *edge = &node->edge;
+    int64_t now_ms = wb_clock_ms();
+    for (guint i = 0; i < news->entries.entries_len; i++) {
+        const wb_wire_placement_entry *entry = &news->entries.entries_val[i];
+        wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
+        if (engine == NULL)
+            continue;
+        if (entry->ready_in_ms > 0) {
+            wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
+            continue;
+        }
+        if (entry->held)
+            wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
+        wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms,
+                       2 * edge->settings.engine_heartbeat_ms);
+        wb_event(
+            "placement-news",
+            ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s,\"token\":%llu",
+            wb_event_text(entry->engine), wb_event_text(entry->model),
+            wb_event_text(entry->adapter), entry->held ? "true" : "false",
+            (unsigned long long)news->token);
+    }
+    wb_exchanges_retry_waiting(edge);
+}
+
+void wb_edge_node_tell_news(const wb_wire_message *news, void *context)
+{
+    wb_edge_node_t *node = context;
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, NULL))
+        wb_link_send(link, news);
+    news_take(node, &news->wb_wire_message_u.placement);
+}
+
+void wb_edge_node_gateway_open(wb_link_t *link, void *context)
+{
+    g_hash_table_add(((wb_edge_node_t *)context)->gateways, link);
+}
+
+void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context)
+{
+    (void)link;
+    wb_edge_node_t *node = context;
+    if (message->kind == WB_WIRE_DEMAND)
+        wb_controller_take_demand(node->controller, &message->wb_wire_message_u.demand);
+}
+
+void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context)
+{
+    (void)reason;
+    g_hash_table_remove(((wb_edge_node_t *)context)->gateways, link);
+}
+
+void wb_edge_node_tell_demand(wb_edge_node_t *node)
+{
+    gboolean to_self = node->held;
+    if (!to_self && !node->controller_link_open)
+        return;
+    wb_wire_message message;
+    wb_demand_message(node->edge.demand, node->edge.settings.id, &message);
+    gboolean empty = message.wb_wire_message_u.demand.entries.entries_len == 0;
+    node->demand_told_ms = wb_clock_ms();
+    if (empty && !node->demand_told) {
+        wb_message_clear(&message);
+        return;
+    }
+    node->demand_told = !empty;
+    if (to_self)
+        wb_controller_take_demand(node->controller, &message.wb_wire_message_u.demand);
+    else
+        wb_link_send(node->controller_link, &message);
+    wb_message_clear(&message);
+}
+
+static void need_tell(void *context)
+{
+    wb_edge_node_t *node = context;
+    node->need_timer = NULL;
+    wb_edge_node_tell_demand(node);
+}
+
+/* Someone waits for what isn't loaded: tell the controller once this round's requests are in. */
+void wb_edge_node_need_arose(void *context)
+{
+    wb_edge_node_t *node = context;
+    if (node->need_timer == NULL)
+        node->need_timer = wb_loop_after(node->edge.loop, 0, need_tell, node);
+    wb_table_watch_hurry(node->engines_watch);
+}
+
+static void controller_open(wb_link_t *link, void *context)
+{
+    (void)link;
+    wb_edge_node_t *node = context;
+    node->controller_link_open = TRUE;
+    node->demand_told = TRUE;
+    wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
+    wb_edge_node_tell_demand(node);
+}
+
+static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context)
+{
+    (void)link;
+    if (message->kind == WB_WIRE_PLACEMENT)
+        news_take(context, &message->wb_wire_message_u.placement);
+}
+
+static void controller_close(wb_link_t *link, const char *reason, void *context)
+{
+    (void)link;
+    wb_edge_node_t *node = context;
+    wb_event("controller-lost", ",\"address\":\"%s\",\"reason\":\"%s\"", node->controller_address,
+             reason);
+    node->controller_link = NULL;
+    node->controller_link_open = FALSE;
+    node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
+}
+
+static void controller_connect(wb_edge_node_t *node, const char *address)
+{
+    wb_link_events_t events = {
+        controller_open, controller_message, controller_close, node, NULL, NULL};
+    wb_error_t error;
+    g_free(node->controller_address);
+    node->controller_address = g_strdup(address);
+    if (wb_link_connect(node->edge.loop, address, &events, &node->link_counters,
+                        &node->controller_link, &error) != APR_SUCCESS)
+        node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
+}
+
+/* Keeps one link to whoever holds the lease, unless it is this node. */
+void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms)
+{
+    const wb_lease_row_t *known = wb_lease_known(node->lease);
+    gboolean wanted =
+        known != NULL && !known->released && strcmp(known->holder, node->edge.settings.id) != 0;
+    if (node->controller_link != NULL &&
+        (!wanted || strcmp(known->address, node->controller_address) != 0)) {
+        wb_link_close(node->controller_link);
+        node->controller_link = NULL;
+        node->controller_link_open = FALSE;
+    }
+    if (wanted && node->controller_link == NULL && now_ms >= node->link_retry_ms)
+        controller_connect(node, known->address);
+}
--- /dev/null
+++ b/src/edge/node_store.c
@@ -0,0 +1,230 @@
+/* What an edge node learns from the store: configuration, engines, and the product's own rows. */
+#include "edge/edge_node_types.h"
+
+#include <string.h>
+
+#define CATALOG_WAIT_MS 1000
+#define CATALOG_PAUSE_MS 20
+#define ENGINES_WAIT_MS 1000
+#define NODES_WAIT_MS 1000
+#define NODES_PAUSE_MS 400
+#define NODE_ROW_RENEW_MS 20000
+#define NODE_ROW_LIFE_MS 70000
+#define NODE_ROW_RETRY_MS 500
+#define NODE_KEY_PREFIX "node/"
+
+/* Notes each call to the store, and logs when a table is lost and when it is back. */
+static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context)
+{
+    static const char *const names[] = {"catalog", "engines", "nodes"};
+    wb_edge_node_t *node = context;
+    node->edge.metrics.table_calls++;
+    if (!good)
+        node->edge.metrics.table_failures++;
+    if (node->store_lost[table] == !good)
+        return;
+    node->store_lost[table] = !good;
+    wb_event(good ? "store-back" : "store-lost", ",\"table\":\"%s\",\"age_ms\":%lld", names[table],
+             (long long)(age_ms == G_MAXINT64 ? -1 : age_ms));
+}
+
+/* News of the catalog. */
+
+static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog)
+{
+    wb_edge_t *edge = &node->edge;
+    int64_t before = edge->catalog != NULL ? edge->catalog->version : 0;
+    wb_catalog_unref(edge->catalog);
+    edge->catalog = catalog;
+    wb_http_limits_t limits = {catalog->limits.head_bytes, catalog->limits.body_bytes,
+                               catalog->limits.head_timeout_ms, catalog->limits.idle_timeout_ms};
+    wb_http_listener_set_limits(node->callers, &limits);
+    wb_controller_set_catalog(node->controller, catalog);
+    wb_event("catalog-in-force", ",\"version\":%lld,\"before\":%lld,\"routes\":%u,\"services\":%u",
+             (long long)catalog->version, (long long)before, catalog->route_count,
+             g_hash_table_size(catalog->services));
+}
+
+static void catalog_row(const wb_table_row_t *row, void *context)
+{
+    wb_edge_node_t *node = context;
+    const wb_dialect_t *dialect = node->edge.dialect;
+    if (strcmp(row->key, dialect->catalog_key) != 0 || row->value == NULL)
+        return;
+    wb_error_t error = {0};
+    wb_catalog_t *catalog = dialect->catalog_parse(row->value, row->length, &error);
+    if (catalog == NULL) {
+        wb_event("catalog-refused", ",\"row_version\":%lld,\"reason\":\"%s\"",
+                 (long long)row->version, wb_event_text(error.message));
+        return;
+    }
+    if (node->edge.catalog != NULL && catalog->version <= node->edge.catalog->version) {
+        wb_catalog_unref(catalog);
+        return;
+    }
+    catalog_take(node, catalog);
+}
+
+static void catalog_batch(gboolean whole, void *context)
+{
+    (void)whole;
+    wb_exchanges_retry_waiting(&((wb_edge_node_t *)context)->edge);
+}
+
+/* News of engines. */
+
+static void engine_row(const wb_table_row_t *row, void *context)
+{
+    wb_edge_node_t *node = context;
+    wb_edge_t *edge = &node->edge;
+    wb_engine_t *known = wb_fleet_find(edge->fleet, row->key);
+    if (row->value == NULL) {
+        if (known != NULL)
+            wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
+                     wb_event_text(row->key), (long long)row->version);
+        wb_fleet_remove(edge->fleet, row->key);
+        wb_controller_engine_changed(node->controller, row->key);
+        return;
+    }
+    wb_engine_state_t *state = edge->dialect->engine_parse(row->key, row->value, row->length);
+    if (state == NULL) {
+        wb_event("engine-row-refused", ",\"engine\":\"%s\"", wb_event_text(row->key));
+        return;
+    }
+    gboolean was_leaving = known != NULL && known->leaving_ms != 0;
+    wb_engine_t *engine = wb_fleet_announce(edge->fleet, state);
+    if (known == NULL || was_leaving != (engine->leaving_ms != 0))
+        wb_event("engine-seen",
+                 ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
+                 "\"row_version\":%lld",
+                 state->id, state->service, state->address, state->leaving ? "true" : "false",
+                 (long long)row->version);
+    wb_controller_engine_changed(node->controller, row->key);
+}
+
+static void engine_batch(gboolean whole, void *context)
+{
+    (void)whole;
+    wb_edge_node_t *node = context;
+    wb_exchanges_retry_waiting(&node->edge);
+    if (node->edge.waiting.length > 0)
+        wb_table_watch_hurry(node->engines_watch);
+}
+
+/* The product's own rows: nodes, and the controller's lease. */
+
+void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row)
+{
+    int64_t now_ms = wb_clock_ms();
+    if (row->value == NULL) {
+        wb_lease_on_row(node->lease, NULL, row->version, now_ms);
+        return;
+    }
+    wb_wire_lease wire;
+    memset(&wire, 0, sizeof(wire));
+    XDR stream;
+    xdrmem_create(&stream, (char *)row->value, (u_int)row->length, XDR_DECODE);
+    gboolean whole = xdr_wb_wire_lease(&stream, &wire);
+    xdr_destroy(&stream);
+    if (whole) {
+        wb_lease_row_t lease = {wire.holder, wire.address,  wire.token,
+                                wire.beat,   wire.released, wire.recent_loads};
+        wb_lease_on_row(node->lease, &lease, row->version, now_ms);
+    } else {
+        wb_event("lease-row-refused", ",\"row_version\":%lld", (long long)row->version);
+    }
+    xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
+}
+
+static void node_row_take(wb_edge_node_t *node, const wb_table_row_t *row)
+{
+    const char *id = row->key + strlen(NODE_KEY_PREFIX);
+    if (row->value == NULL) {
+        g_hash_table_remove(node->nodes, id);
+        return;
+    }
+    wb_node_row_t *known = g_new0(wb_node_row_t, 1);
+    known->seen_ms = wb_clock_ms();
+    known->version = row->version;
+    g_hash_table_replace(node->nodes, g_strdup(id), known);
+}
+
+static void nodes_row(const wb_table_row_t *row, void *context)
+{
+    wb_edge_node_t *node = context;
+    if (strcmp(row->key, WB_LEASE_KEY) == 0)
+        wb_edge_node_take_lease_row(node, row);
+    else if (g_str_has_prefix(row->key, NODE_KEY_PREFIX))
+        node_row_take(node, row);
+}
+
+static void nodes_batch(gboolean whole, void *context)
+{
+    wb_edge_node_t *node = context;
+    if (whole)
+        /* A table without the lease's row: nobody ever held it. */
+        wb_lease_on_row(node->lease, NULL, 0, wb_clock_ms());
+    node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
+    wb_edge_node_check_lease(node);
+}
+
+static void node_row_answered(const wb_table_answer_t *answer, void *context)
+{
+    wb_edge_node_t *node = context;
+    node->node_row_writing = FALSE;
+    int64_t now_ms = wb_clock_ms();
+    if (answer->outcome == WB_TABLE_DONE) {
+        node->node_row_written = TRUE;
+        node->node_row_due_ms = now_ms + NODE_ROW_RENEW_MS;
+        return;
+    }
+    for (guint i = 0; i < answer->rows->len; i++) {
+        const wb_table_row_t *row = g_ptr_array_index(answer->rows, i);
+        if (row->version > 0 && row->value != NULL)
+            node_row_take(node, row);
+    }
+    node->node_row_due_ms = now_ms + NODE_ROW_RETRY_MS;
+}
+
+/* Says that this node is there, so that all nodes know how many share what is shared. */
+static void node_row_write(wb_edge_node_t *node)
+{
+    const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
+    g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
+    g_autofree char *value = g_strdup_printf("%s %llu", node->edge.settings.listen_nodes,
+                                             (unsigned long long)++node->node_row_beat);
+    node->node_row_writing = TRUE;
+    node->edge.metrics.table_calls++;
+    node->table->write(node->table->self, key, known != NULL ? known->version : 0,
+                       (const guchar *)value, strlen(value), node_row_answered, node);
+}
+
+static gboolean node_row_is_old(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    return *(int64_t *)context - ((wb_node_row_t *)value)->seen_ms > NODE_ROW_LIFE_MS;
+}
+
+void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms)
+{
+    if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
+        now_ms >= node->node_row_due_ms)
+        node_row_write(node);
+    if (g_hash_table_foreach_remove(node->nodes, node_row_is_old, &now_ms) > 0)
+        node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
+}
+
+void wb_edge_node_follow_store(wb_edge_node_t *node)
+{
+    wb_loop_t *loop = node->edge.loop;
+    wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
+    wb_table_watch_events_t engines = {engine_row, engine_batch, store_called, node};
+    wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_called, node};
+    node->catalog_watch = wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG,
+                                                CATALOG_WAIT_MS, CATALOG_PAUSE_MS, &catalog);
+    node->engines_watch =
+        wb_table_watch_create(loop, node->table, WB_TABLE_ENGINES, ENGINES_WAIT_MS,
+                              node->edge.settings.engine_poll_ms, &engines);
+    node->nodes_watch = wb_table_watch_create(loop, node->table, WB_TABLE_NODES, NODES_WAIT_MS,
+                                              NODES_PAUSE_MS, &nodes);
+}
