--- a/src/net/link.c
+++ b/src/net/link.c
@@ -1,6 +1,7 @@
 /* Carries framed messages over TCP connections on a loop. */
 #include "wickbridge/link.h"
 
+#include "net/socket.h"
 #include "wickbridge/log.h"
 
 #include <apr_pools.h>
@@ -12,8 +13,8 @@
 
 #define READ_CHUNK_BYTES (64 * 1024)
 #define CONNECT_TIMEOUT_MS 1500
+#define SILENCE_LIMIT_MS 3000
 #define UNSENT_LIMIT_BYTES (48 * 1024 * 1024)
-#define LISTEN_BACKLOG 512
 
 struct wb_link_listener_t {
     wb_loop_t *loop;
@@ -293,6 +294,7 @@
 static void link_connected(wb_link_t *link, gboolean is_server)
 {
     apr_socket_opt_set(link->socket, APR_TCP_NODELAY, 1);
+    wb_socket_limit_silence(link->socket, SILENCE_LIMIT_MS);
     if (link->events.tls == NULL) {
         link_opened(link);
         return;
@@ -337,17 +339,6 @@
         link_connected(link, FALSE);
 }
 
-static apr_status_t address_resolve(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
-{
-    char *host = NULL;
-    char *scope = NULL;
-    apr_port_t port = 0;
-    apr_status_t status = apr_parse_addr_port(&host, &scope, &port, address, pool);
-    if (status != APR_SUCCESS || host == NULL)
-        return APR_EINVAL;
-    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
-}
-
 /* Makes the connection come from this IP; if that fails, it comes from any. */
 static void host_bind(apr_socket_t *socket, const char *host, apr_pool_t *pool)
 {
@@ -366,12 +357,10 @@
     apr_pool_create(&pool, NULL);
     apr_sockaddr_t *target;
     apr_socket_t *socket;
-    apr_status_t status = address_resolve(address, pool, &target);
-    if (status == APR_SUCCESS)
-        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    apr_status_t status = wb_socket_open(address, pool, &target, &socket, error);
     if (status != APR_SUCCESS) {
         apr_pool_destroy(pool);
-        return wb_error_set(error, status, "can't connect to '%s'", address);
+        return status;
     }
     wb_link_t *created = link_create(loop, pool, socket, events, counters);
     host_bind(socket, events->bind_host, pool);
@@ -403,22 +392,11 @@
 {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
-    apr_sockaddr_t *own;
-    apr_socket_t *socket = NULL;
-    apr_status_t status = address_resolve(address, pool, &own);
-    if (status == APR_SUCCESS)
-        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
-    if (status == APR_SUCCESS) {
-        apr_socket_opt_set(socket, APR_SO_REUSEADDR, 1);
-        apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
-        apr_socket_timeout_set(socket, 0);
-        status = apr_socket_bind(socket, own);
-    }
-    if (status == APR_SUCCESS)
-        status = apr_socket_listen(socket, LISTEN_BACKLOG);
+    apr_socket_t *socket;
+    apr_status_t status = wb_socket_listen(address, pool, &socket, error);
     if (status != APR_SUCCESS) {
         apr_pool_destroy(pool);
-        return wb_error_set(error, status, "can't listen for nodes on %s", address);
+        return status;
     }
     wb_link_listener_t *created = g_new0(wb_link_listener_t, 1);
     created->loop = loop;
@@ -433,10 +411,7 @@
 
 unsigned wb_link_listener_port(const wb_link_listener_t *listener)
 {
-    apr_sockaddr_t *own;
-    if (apr_socket_addr_get(&own, APR_LOCAL, listener->socket) != APR_SUCCESS)
-        return 0;
-    return own->port;
+    return wb_socket_port(listener->socket);
 }
 
 void wb_link_listener_close(wb_link_listener_t *listener)
--- /dev/null
+++ b/src/net/socket.c
@@ -0,0 +1,83 @@
+/* TCP sockets by numeric address. */
+#include "net/socket.h"
+
+#include "wickbridge/settings.h"
+
+#include <apr_portable.h>
+#include <apr_strings.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define LISTEN_BACKLOG 1024
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBES 3
+
+/* Reads IP:PORT; APR's own reader doesn't take port 0, which asks for any free one. */
+static apr_status_t address_read(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
+{
+    const char *colon = strrchr(address, ':');
+    if (colon == NULL || !wb_address_is_valid(address))
+        return APR_EINVAL;
+    const char *host = apr_pstrndup(pool, address, (apr_size_t)(colon - address));
+    apr_port_t port = (apr_port_t)strtoul(colon + 1, NULL, 10);
+    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
+}
+
+apr_status_t wb_socket_open(const char *address, apr_pool_t *pool, apr_sockaddr_t **target,
+                            apr_socket_t **socket, wb_error_t *error)
+{
+    apr_status_t status = address_read(address, pool, target);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status != APR_SUCCESS)
+        return wb_error_set(error, status, "can't connect to '%s'", address);
+    return APR_SUCCESS;
+}
+
+apr_status_t wb_socket_listen(const char *address, apr_pool_t *pool, apr_socket_t **socket,
+                              wb_error_t *error)
+{
+    apr_sockaddr_t *own;
+    apr_status_t status = address_read(address, pool, &own);
+    if (status == APR_SUCCESS)
+        status = apr_socket_create(socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    if (status == APR_SUCCESS) {
+        apr_socket_opt_set(*socket, APR_SO_REUSEADDR, 1);
+        apr_socket_opt_set(*socket, APR_SO_NONBLOCK, 1);
+        apr_socket_timeout_set(*socket, 0);
+        status = apr_socket_bind(*socket, own);
+    }
+    if (status == APR_SUCCESS)
+        status = apr_socket_listen(*socket, LISTEN_BACKLOG);
+    if (status != APR_SUCCESS)
+        return wb_error_set(error, status, "can't listen on %s", address);
+    return APR_SUCCESS;
+}
+
+void wb_socket_limit_silence(apr_socket_t *socket, int64_t limit_ms)
+{
+    int descriptor;
+    unsigned limit = (unsigned)limit_ms;
+    int on = 1;
+    int idle_s = PROBE_IDLE_S;
+    int interval_s = PROBE_INTERVAL_S;
+    int probes = PROBES;
+    apr_os_sock_get(&descriptor, socket);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+}
+
+unsigned wb_socket_port(apr_socket_t *socket)
+{
+    apr_sockaddr_t *own;
+    if (apr_socket_addr_get(&own, APR_LOCAL, socket) != APR_SUCCESS)
+        return 0;
+    return own->port;
+}
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -1,25 +1,17 @@
 /* One TCP connection on a loop, on APR's sockets. */
 #include "wickbridge/tcp_stream.h"
 
-#include "wickbridge/settings.h"
+#include "net/socket.h"
 
 #include <apr_pools.h>
 #include <apr_portable.h>
-#include <apr_strings.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #define READ_CHUNK_BYTES 16384
 #define READS_PER_WAKEUP 4
-#define LISTEN_BACKLOG 1024
 #define ACCEPTS_PER_WAKEUP 32
 #define LINGER_MS 1000
-#define PROBE_IDLE_S 1
-#define PROBE_INTERVAL_S 1
-#define PROBES 3
 
 struct wb_tcp_listener_t {
     wb_loop_t *loop;
@@ -287,19 +279,6 @@
         output_ready(stream);
 }
 
-/* A peer that is gone without a word is found out while nothing is sent, too. */
-static void keep_alive_set(int descriptor)
-{
-    int on = 1;
-    int idle_s = PROBE_IDLE_S;
-    int interval_s = PROBE_INTERVAL_S;
-    int probes = PROBES;
-    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
-    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
-    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-}
-
 static wb_tcp_stream_t *stream_create(wb_loop_t *loop, apr_pool_t *pool, apr_socket_t *socket,
                                       int64_t silence_limit_ms)
 {
@@ -313,11 +292,7 @@
     apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
     apr_socket_timeout_set(socket, 0);
     apr_socket_opt_set(socket, APR_TCP_NODELAY, 1);
-    int descriptor;
-    unsigned limit = (unsigned)silence_limit_ms;
-    apr_os_sock_get(&descriptor, socket);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
-    keep_alive_set(descriptor);
+    wb_socket_limit_silence(socket, silence_limit_ms);
     return stream;
 }
 
@@ -353,17 +328,6 @@
         output_ready(stream);
 }
 
-/* Reads IP:PORT; APR's own reader doesn't take port 0, which asks for any free one. */
-static apr_status_t address_read(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
-{
-    const char *colon = strrchr(address, ':');
-    if (colon == NULL || !wb_address_is_valid(address))
-        return APR_EINVAL;
-    const char *host = apr_pstrndup(pool, address, (apr_size_t)(colon - address));
-    apr_port_t port = (apr_port_t)strtoul(colon + 1, NULL, 10);
-    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
-}
-
 apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address, int64_t connect_timeout_ms,
                                    int64_t silence_limit_ms, const wb_tcp_events_t *events,
                                    void *context, wb_tcp_stream_t **stream, wb_error_t *error)
@@ -372,12 +336,10 @@
     apr_pool_create(&pool, NULL);
     apr_sockaddr_t *target;
     apr_socket_t *socket;
-    apr_status_t status = address_read(address, pool, &target);
-    if (status == APR_SUCCESS)
-        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
+    apr_status_t status = wb_socket_open(address, pool, &target, &socket, error);
     if (status != APR_SUCCESS) {
         apr_pool_destroy(pool);
-        return wb_error_set(error, status, "can't connect to '%s'", address);
+        return status;
     }
     wb_tcp_stream_t *created = stream_create(loop, pool, socket, silence_limit_ms);
     wb_tcp_stream_set_events(created, events, context);
@@ -421,22 +383,11 @@
 {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
-    apr_sockaddr_t *own;
-    apr_socket_t *socket = NULL;
-    apr_status_t status = address_read(address, pool, &own);
-    if (status == APR_SUCCESS)
-        status = apr_socket_create(&socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
-    if (status == APR_SUCCESS) {
-        apr_socket_opt_set(socket, APR_SO_REUSEADDR, 1);
-        apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
-        apr_socket_timeout_set(socket, 0);
-        status = apr_socket_bind(socket, own);
-    }
-    if (status == APR_SUCCESS)
-        status = apr_socket_listen(socket, LISTEN_BACKLOG);
+    apr_socket_t *socket;
+    apr_status_t status = wb_socket_listen(address, pool, &socket, error);
     if (status != APR_SUCCESS) {
         apr_pool_destroy(pool);
-        return wb_error_set(error, status, "can't listen on %s", address);
+        return status;
     }
     wb_tcp_listener_t *created = g_new0(wb_tcp_listener_t, 1);
     created->loop = loop;
@@ -452,10 +403,7 @@
 
 unsigned wb_tcp_listener_port(const wb_tcp_listener_t *listener)
 {
-    apr_sockaddr_t *own;
-    if (apr_socket_addr_get(&own, APR_LOCAL, listener->socket) != APR_SUCCESS)
-        return 0;
-    return own->port;
+    return wb_socket_port(listener->socket);
 }
 
 void wb_tcp_listener_close(wb_tcp_listener_t *listener)
