Decide on many engines with less work

Change: queues only for engines with tasks, tasks counted once, and eight times a decision's own time of rest between two that messages ask for (the tick of 50 ms stays).

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -17,6 +17,8 @@
 #define STUCK_MS 600
 #define SPREAD_INTERVAL_MS 300
 #define SPREADS_AT_ONCE 3
+/* Between two decisions that messages ask for lies at least so many times what one takes. */
+#define DECISION_REST 8
 /* Making room takes about so long before a load begins. */
 #define DROP_TIME_MS 250
 /* An adapter that runs counts as asked for so much later than it was. */
@@ -35,6 +37,7 @@
     GHashTable *orders;  /* engine id -> wb_engine_orders_t */
     GHashTable *windows; /* service -> wb_load_window_t */
     int64_t spread_ms;
+    int64_t next_us; /* not before this is a decision made for a message */
 };
 
 static gboolean owner_may_act(void *context)
@@ -117,16 +120,33 @@
     return orders;
 }
 
+/* What loading_count is asked with. */
+typedef struct wb_loading_scene_t {
+    wb_controller_t *controller;
+    const char *service;
+} wb_loading_scene_t;
+
+static void loading_count(const char *model, const char *adapter, void *context)
+{
+    const wb_loading_scene_t *scene = context;
+    if (*adapter == '\0')
+        wb_demand_book_get(scene->controller->book, scene->service, model, "", wb_clock_ms())
+            ->use.in_loading++;
+}
+
 /* Counts an engine's models as replicas, and adds it to a snapshot. */
 static void snapshot_add_engine(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
-                                wb_engine_t *engine)
+                                wb_engine_t *engine, int64_t now_ms)
 {
     const char *service = snapshot->service->name;
-    wb_engine_orders_t *orders = orders_of(controller, engine);
-    wb_placement_engine_t place = {engine, wb_engine_orders_state(orders),
-                                   wb_engine_orders_busy_ms(orders), TRUE};
-    place.available = engine->leaving_ms == 0 && !wb_engine_orders_is_unreachable(orders) &&
-                      wb_clock_ms() >= engine->avoid_until_ms;
+    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    wb_placement_engine_t place = {engine, engine->state, 0, TRUE};
+    place.available = engine->leaving_ms == 0 && now_ms >= engine->avoid_until_ms;
+    if (orders != NULL) {
+        place.state = wb_engine_orders_state(orders);
+        place.busy_ms = wb_engine_orders_busy_ms(orders);
+        place.available = place.available && !wb_engine_orders_is_unreachable(orders);
+    }
     g_array_append_val(snapshot->engines, place);
     if (engine->leaving_ms != 0)
         return;
@@ -134,12 +154,10 @@
     gpointer name;
     g_hash_table_iter_init(&iter, place.state->models);
     while (g_hash_table_iter_next(&iter, &name, NULL))
-        wb_demand_book_get(controller->book, service, name, "", wb_clock_ms())->use.replicas++;
-    g_hash_table_iter_init(&iter, snapshot->service->models);
-    while (g_hash_table_iter_next(&iter, &name, NULL))
-        if (wb_engine_orders_has(orders, name, ""))
-            wb_demand_book_get(controller->book, service, name, "", wb_clock_ms())
-                ->use.in_loading++;
+        wb_demand_book_get(controller->book, service, name, "", now_ms)->use.replicas++;
+    wb_loading_scene_t scene = {controller, service};
+    if (orders != NULL)
+        wb_engine_orders_each(orders, loading_count, &scene);
 }
 
 static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context)
@@ -152,6 +170,7 @@
 static void snapshot_take(wb_controller_t *controller, const wb_service_t *service,
                           wb_placement_snapshot_t *snapshot)
 {
+    int64_t now_ms = wb_clock_ms();
     snapshot->service = service;
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
     snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
@@ -165,7 +184,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wb_engine_t *engine = value;
         if (strcmp(engine->state->service, service->name) == 0)
-            snapshot_add_engine(controller, snapshot, engine);
+            snapshot_add_engine(controller, snapshot, engine, now_ms);
     }
     gpointer name;
     g_hash_table_iter_init(&iter, service->models);
@@ -344,7 +363,8 @@
             continue;
         const char *id = place->engine->state->id;
         uint64_t weight = XXH64(id, strlen(id), seed) >> 8;
-        if (!wb_engine_orders_is_busy(orders_of(controller, place->engine)))
+        const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, id);
+        if (orders == NULL || !wb_engine_orders_is_busy(orders))
             weight += (uint64_t)1 << 60; /* engines that can take an order go first */
         if (best == NULL || weight > highest) {
             best = place->engine;
@@ -407,7 +427,10 @@
 
 void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand)
 {
-    if (wb_demand_book_take(controller->book, demand, wb_clock_ms()))
+    /* With many engines a decision takes its time: the next waits for some times that, or the tick.
+     */
+    if (wb_demand_book_take(controller->book, demand, wb_clock_ms()) &&
+        g_get_monotonic_time() >= controller->next_us)
         wb_controller_decide(controller);
 }
 
@@ -415,6 +438,7 @@
 {
     if (controller->catalog == NULL || !owner_may_act(controller))
         return;
+    int64_t begun_us = g_get_monotonic_time();
     int64_t now_ms = wb_clock_ms();
     wb_demand_book_count(controller->book, now_ms);
     wb_demand_book_age(controller->book, now_ms);
@@ -429,6 +453,8 @@
         if (g_hash_table_size(service->models) > 0)
             service_decide(controller, service, spread, now_ms);
     }
+    int64_t ended_us = g_get_monotonic_time();
+    controller->next_us = ended_us + DECISION_REST * (ended_us - begun_us);
 }
 
 static void controller_tick(void *context)
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -499,6 +499,16 @@
         advance_after(orders, 0);
 }
 
+void wb_engine_orders_each(const wb_engine_orders_t *orders,
+                           void (*visit)(const char *model, const char *adapter, void *context),
+                           void *context)
+{
+    for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
+        const wb_task_t *task = item->data;
+        visit(task->model, task->adapter, context);
+    }
+}
+
 gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders)
 {
     return orders->tasks.length > 0;
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -43,6 +43,10 @@
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter);
 gboolean wb_engine_orders_has(const wb_engine_orders_t *orders, const char *model,
                               const char *adapter);
+/** Call for each task. */
+void wb_engine_orders_each(const wb_engine_orders_t *orders,
+                           void (*visit)(const char *model, const char *adapter, void *context),
+                           void *context);
 /** @return TRUE while there are tasks */
 gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders);
 /** @return estimated ms until all tasks are done */
