Cut the ways to engines behind each byte, and single nodes from the store

Tests behind the proxy: requests that may run once, cut behind each third byte of the request and of the answer (at most one run, 503 only without one, answers whole or not 200), and requests that may run again, served by the other engine; an engine that can't be reached; the controller cut from the store without a word; a store that is slow by 120 and 200 ms.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -61,8 +61,9 @@
 {
     if (engine->ended)
         return;
+    int64_t own_port = wb_http_listener_port(engine->listener);
     g_autofree char *address =
-        g_strdup_printf("127.0.0.1:%u", wb_http_listener_port(engine->listener));
+        g_strdup_printf("127.0.0.1:%lld", (long long)option(engine, "announce_port", own_port));
     json_t *row = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:O}", "service",
                             wb_json_text(engine->options, "service", "engines"), "address", address,
                             "zone", wb_json_text(engine->options, "zone", "zone-1"), "version",
@@ -418,7 +419,9 @@
     json_t *name;
     json_array_foreach(json_object_get(options, "models"), i, name)
         model_put(engine, json_string_value(name));
-    if (wb_http_listener_open(loop, "127.0.0.1:0", &handler, &limits, &engine->listener, &error) !=
+    g_autofree char *listen =
+        g_strdup_printf("127.0.0.1:%lld", (long long)option(engine, "port", 0));
+    if (wb_http_listener_open(loop, listen, &handler, &limits, &engine->listener, &error) !=
         APR_SUCCESS)
         g_error("%s", error.message);
     engine_announce(engine);
--- a/tests/edge/test_once.c
+++ b/tests/edge/test_once.c
@@ -113,8 +113,95 @@
     estate_stop(estate);
 }
 
+#define RELAY_SETTLES_US 20000 /* the proxy takes a fault up a moment after it has said so */
+
+/* Cuts the way to both engines behind each byte, and checks what each answer promises. */
+static void once_cut_at_every_byte(estate_t *estate, const char *fault, int bytes)
+{
+    int unsure = 0;
+    for (int at = 0; at <= bytes; at += 3) {
+        g_autofree char *id = g_strdup_printf("once-%d", at);
+        estate_engine_fault(estate, 0, fault, at, 1);
+        estate_engine_fault(estate, 1, fault, at, 1);
+        g_usleep(RELAY_SETTLES_US);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[0].callers_port, "/lock/x", id, EDGE_DEADLINE);
+        int runs = estate_runs(estate, id);
+        g_test_message("%s behind %d: %d, %d runs", fault, at, answer->status, runs);
+        g_assert_cmpint(runs, <=, 1);
+        g_assert_true(answer->status == 200 || answer->status == 502 || answer->status == 503);
+        if (answer->status == 503)
+            g_assert_cmpint(runs, ==, 0);
+        if (answer->status == 200) {
+            g_autofree char *body = g_strdup_printf("ran %s at lock-", id);
+            g_assert_true(g_str_has_prefix(answer->body->str, body));
+            g_assert_true(answer->whole);
+        }
+        unsure += answer->status == 502;
+        wire_answer_free(answer);
+    }
+    g_assert_cmpint(unsure, >, 20);
+}
+
+/* Cuts the way to one engine: a request that may be repeated is served by the other. */
+static void again_cut_at_every_byte(estate_t *estate, const char *fault, int bytes)
+{
+    estate_engine_fault(estate, 1, "pass", 0, 0);
+    for (int at = 0; at <= bytes; at += 3) {
+        g_autofree char *id = g_strdup_printf("again-%d", at);
+        estate_engine_fault(estate, 0, fault, at, 1);
+        g_usleep(RELAY_SETTLES_US);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[0].callers_port, "/look/x", id, EDGE_DEADLINE);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_cmpint(estate_runs(estate, id), <=, 2);
+        wire_answer_free(answer);
+    }
+}
+
+static void cut_at_every_byte(const char *fault, int bytes)
+{
+    estate_t *estate = estate_start(1, NULL);
+    once_cut_at_every_byte(estate, fault, bytes);
+    estate_stop(estate);
+    /* Anew: connections that were kept would still be cut behind their byte. */
+    estate = estate_start(1, NULL);
+    again_cut_at_every_byte(estate, fault, bytes);
+    estate_stop(estate);
+}
+
+static void test_cut_at_every_byte_of_the_request(void)
+{
+    cut_at_every_byte("cut_request", 200);
+}
+
+static void test_cut_at_every_byte_of_the_answer(void)
+{
+    cut_at_every_byte("cut_answer", 170);
+}
+
+/* An engine that can't be reached costs nobody a request. */
+static void test_unreached_engine(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_engine_fault(estate, 0, "cut", 0, 0);
+    for (int i = 0; i < 10; i++) {
+        g_autofree char *id = g_strdup_printf("u%d", i);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[0].callers_port, "/look/x", id, EDGE_DEADLINE);
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_answer_free(answer);
+    }
+    estate_stop(estate);
+}
+
 void edge_once_tests_add(void)
 {
+    g_test_add_func("/edge/once/cut-at-every-byte-of-the-request",
+                    test_cut_at_every_byte_of_the_request);
+    g_test_add_func("/edge/once/cut-at-every-byte-of-the-answer",
+                    test_cut_at_every_byte_of_the_answer);
+    g_test_add_func("/edge/once/unreached-engine", test_unreached_engine);
     g_test_add_func("/edge/once/quiet-engine-is-left-alone", test_quiet_engine_is_left_alone);
     g_test_add_func("/edge/once/broken-runs", test_broken_runs);
     g_test_add_func("/edge/once/rejected-runs", test_rejected_runs);
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -83,8 +83,62 @@
     estate_stop(estate);
 }
 
+/* The controller is cut from the store without a word: another takes over, the cut one serves what
+ * is loaded. */
+static void test_one_node_is_cut(void)
+{
+    estate_t *estate = estate_start(2, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    g_usleep(500000);
+    int cut = estate_controller(estate);
+    g_assert_cmpint(cut, >=, 0);
+    estate_store_fault(estate, cut, "freeze", 0);
+    int64_t cut_ms = harness_now_ms();
+    while (estate_metric(estate, 1 - cut, "lease_held") <= 0) {
+        g_assert_cmpint(harness_now_ms() - cut_ms, <, 5000);
+        g_usleep(20000);
+    }
+    g_assert_cmpfloat(estate_metric(estate, cut, "lease_held"), ==, 0);
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[cut].callers_port, "/chat/x", "c1", EDGE_MODEL("m0"));
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    answer = wire_ask(estate->nodes[1 - cut].callers_port, "/chat/x", "c2", EDGE_MODEL("m5"));
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    estate_store_fault(estate, cut, "pass", 0);
+    g_usleep(3000000);
+    answer = wire_ask(estate->nodes[cut].callers_port, "/chat/x", "c3", EDGE_MODEL("m6"));
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    g_assert_true(estate_log_has(estate, cut, "\"event\":\"store-lost\""));
+    g_assert_true(estate_log_has(estate, cut, "\"event\":\"store-back\""));
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* A store that takes 60 times as long: the lease is kept, models are loaded, configurations come
+ * into force. */
+static void test_slow_store(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    estate_store_fault(estate, 0, "delay", 120);
+    store_fault(estate, "", 200);
+    g_usleep(4000000);
+    g_assert_cmpint(estate_controller(estate), ==, 0);
+    asked(estate, "/chat/x", "s1", EDGE_MODEL("m5"), 200);
+    estate_configure(estate,
+                     "{\"name\":\"new\",\"host\":\"a.example\",\"pathPrefix\":\"/new/\","
+                     "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\"}");
+    g_usleep(1500000);
+    asked(estate, "/new/x", "s2", EDGE_DEADLINE, 200);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 void edge_store_tests_add(void)
 {
+    g_test_add_func("/edge/store/one-node-is-cut", test_one_node_is_cut);
+    g_test_add_func("/edge/store/slow", test_slow_store);
     g_test_add_func("/edge/store/faults", test_faults);
     g_test_add_func("/edge/store/forgotten-history", test_forgotten_history);
     g_test_add_func("/edge/store/no-catalog", test_no_catalog);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -175,7 +175,7 @@
     argument_add(arguments, "--listen-ready=127.0.0.1:%d", node->ready_port);
     argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
     argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->metrics_port);
-    argument_add(arguments, "--store=127.0.0.1:%d", estate->store_port);
+    argument_add(arguments, "--store=127.0.0.1:%d", estate->store_relays[index]);
     argument_add(arguments, "--engine-heartbeat-ms=300");
     argument_add(arguments, "--log-lines-per-s=10000");
     g_auto(GStrv) flags = g_strsplit(estate->node_flags != NULL ? estate->node_flags : "", " ", -1);
@@ -208,6 +208,61 @@
     }
 }
 
+static void proxy_start(estate_t *estate)
+{
+    g_autoptr(GString) relays = g_string_new(NULL);
+    estate->proxy_control_port = port_find();
+    for (int i = 0; i < ESTATE_NODES; i++) {
+        estate->store_relays[i] = port_find();
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->store_relays[i],
+                               estate->store_port);
+    }
+    for (int i = 0; i < ESTATE_PROXIED_ENGINES; i++) {
+        estate->engine_relays[i] = port_find();
+        estate->engine_ports[i] = port_find();
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->engine_relays[i],
+                               estate->engine_ports[i]);
+    }
+    g_string_truncate(relays, relays->len - 1);
+    GPtrArray *arguments = g_ptr_array_new();
+    argument_add(arguments, "--control=127.0.0.1:%d", estate->proxy_control_port);
+    argument_add(arguments, "--relays=%s", relays->str);
+    process_prepare(&estate->files, &estate->proxy, "proxy", "wb-standin-proxy", arguments);
+    process_start(&estate->proxy);
+    int64_t until_ms = harness_now_ms() + READY_TIMEOUT_MS;
+    for (;;) {
+        answer_t *answer = call("GET", estate->proxy_control_port, "/", NULL, NULL, 1000);
+        gboolean answers = answer->status != 0;
+        answer_free(answer);
+        if (answers)
+            return;
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(10000);
+    }
+}
+
+static void relay_fault(const estate_t *estate, int port, const char *fault, int delay_ms,
+                        int bytes, int times)
+{
+    g_autofree char *body = g_strdup_printf("{\"relay\":\"127.0.0.1:%d\",\"fault\":\"%s\","
+                                            "\"delay_ms\":%d,\"bytes\":%d,\"times\":%d}",
+                                            port, fault, delay_ms, bytes, times);
+    answer_t *answer = call("POST", estate->proxy_control_port, "/", NULL, body, 5000);
+    g_assert_cmpint(answer->status, ==, 200);
+    answer_free(answer);
+}
+
+void estate_store_fault(const estate_t *estate, int node, const char *fault, int delay_ms)
+{
+    relay_fault(estate, estate->store_relays[node], fault, delay_ms, 0, 0);
+}
+
+void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
+                         int times)
+{
+    relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
+}
+
 estate_t *estate_start(int nodes, const char *node_flags)
 {
     estate_t *estate = g_new0(estate_t, 1);
@@ -217,6 +272,7 @@
     estate->files.folder = g_dir_make_tmp("wickbridge-edge-XXXXXX", NULL);
     estate->node_flags = node_flags;
     standin_start(estate);
+    proxy_start(estate);
     estate_configure(estate, NULL);
     estate_do(estate,
               "{\"do\":\"engine-start\",\"engine\":\"llm-1\",\"options\":{\"service\":\"llm\","
@@ -226,10 +282,12 @@
               "{\"do\":\"engine-start\",\"engine\":\"llm-2\",\"options\":{\"service\":\"llm\","
               "\"zone\":\"zone-2\",\"streams\":1,\"models\":[\"m0\",\"m2\"],\"load_ms\":200,"
               "\"weights_mb\":2100}}");
-    estate_do(estate, "{\"do\":\"engine-start\",\"engine\":\"lock-1\",\"options\":{\"service\":"
-                      "\"lock\",\"zone\":\"zone-1\",\"work_ms\":10}}");
-    estate_do(estate, "{\"do\":\"engine-start\",\"engine\":\"lock-2\",\"options\":{\"service\":"
-                      "\"lock\",\"zone\":\"zone-2\",\"work_ms\":10}}");
+    for (int i = 0; i < ESTATE_PROXIED_ENGINES; i++)
+        estate_do(
+            estate,
+            "{\"do\":\"engine-start\",\"engine\":\"lock-%d\",\"options\":{\"service\":\"lock\","
+            "\"zone\":\"zone-%d\",\"work_ms\":10,\"port\":%d,\"announce_port\":%d}}",
+            i + 1, i + 1, estate->engine_ports[i], estate->engine_relays[i]);
     estate->node_count = nodes;
     for (int i = 0; i < nodes; i++) {
         estate_node_t *node = &estate->nodes[i];
@@ -248,6 +306,7 @@
 {
     for (int i = 0; i < estate->node_count; i++)
         process_clear(&estate->nodes[i].process);
+    process_clear(&estate->proxy);
     process_clear(&estate->standin);
     if (!g_test_failed()) {
         g_autofree char *command = g_strdup_printf("rm -rf '%s'", estate->files.folder);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -19,6 +19,8 @@
     int metrics_port;
 } estate_node_t;
 
+#define ESTATE_PROXIED_ENGINES 2
+
 typedef struct estate_t {
     cluster_t files; /**< folder and programs */
     process_t standin;
@@ -26,6 +28,11 @@
     int control_port;
     estate_node_t nodes[ESTATE_NODES];
     int node_count;
+    process_t proxy;
+    int proxy_control_port;
+    int store_relays[ESTATE_NODES];            /**< where each node reaches the store */
+    int engine_relays[ESTATE_PROXIED_ENGINES]; /**< where lock-1 and lock-2 are reached */
+    int engine_ports[ESTATE_PROXIED_ENGINES];
     int64_t catalog_version;
     const char *node_flags; /**< more flags, with spaces between */
 } estate_t;
@@ -44,6 +51,12 @@
 /** @return TRUE when a node's log has a line with this text */
 gboolean estate_log_has(const estate_t *estate, int index, const char *text);
 
+/** Set a fault between a node and the store, as wb-standin-proxy names them: pass, delay, cut,
+ * freeze ... */
+void estate_store_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
+/** Set a fault between all nodes and lock-1 (0) or lock-2 (1), for so many connections (0: all). */
+void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
+                         int times);
 /** Steer the stand-in: printf-like JSON. */
 void estate_do(const estate_t *estate, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /** @return what the stand-in saw: runs, orders, violations; the caller owns it */
