--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -61,6 +61,13 @@
                                  const wb_table_t *table, const wb_dialect_t *dialect,
                                  wb_edge_node_t **node, wb_error_t *error);
 
+/**
+ * Take up settings that may change while the node runs: the stop's grace, the drain time, the retry
+ * slack, time-outs, the reading rate. @return how many of the others differ, which only a start
+ * takes up
+ */
+unsigned wb_edge_node_reload(wb_edge_node_t *node, const wb_edge_settings_t *settings);
+
 /** Begin a planned stop: not ready any more, answers end their connections, the lease is given up.
  */
 void wb_edge_node_drain(wb_edge_node_t *node);
--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -55,7 +55,7 @@
 /** @return bytes queued and not yet handed to the system */
 size_t wb_tcp_stream_unsent(const wb_tcp_stream_t *stream);
 
-/** @return TRUE while bytes were handed to the system that the peer hasn't acknowledged */
+/** @return TRUE while it is connected and neither ended nor closed */
 gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream);
 
 /** Stop or go on calling on_data; a close of the peer behind unread bytes is then seen late. */
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -2,7 +2,9 @@
 #include "edge.h"
 
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Kept connections are given up while there is still time to finish what comes on them. */
 static void test_resting_connections_end_early(void)
@@ -100,8 +102,37 @@
     estate_stop(estate);
 }
 
+/* Settings are taken up on SIGHUP, or when their file has changed; wrong ones change nothing. */
+static void test_settings_reload(void)
+{
+    g_autofree char *path =
+        g_strdup_printf("%s/wickbridge-reload-%d.conf", g_get_tmp_dir(), (int)getpid());
+    g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=20\n", -1, NULL);
+    g_setenv("WICKBRIDGE_BOOT", path, TRUE);
+    estate_t *estate = estate_start(1, NULL);
+    g_unsetenv("WICKBRIDGE_BOOT");
+    g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=soon\n", -1, NULL);
+    process_signal(&estate->nodes[0].process, SIGHUP);
+    g_usleep(500000);
+    g_assert_true(estate_log_has(estate, 0, "\"good\":false,\"reason\":\""));
+    g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=4\nlease-quiet-ms=1\n", -1, NULL);
+    process_signal(&estate->nodes[0].process, SIGHUP);
+    g_usleep(500000);
+    g_assert_true(estate_log_has(estate, 0, "\"good\":true,\"reason\":\"\",\"for_a_start\":1"));
+    g_usleep(2500000);
+    g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=5\n", -1, NULL); /* no signal */
+    g_usleep(2500000);
+    g_assert_true(estate_log_has(estate, 0, "\"good\":true,\"reason\":\"\",\"for_a_start\":0"));
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    g_usleep(300000);
+    g_assert_true(estate_log_has(estate, 0, "\"grace_s\":5"));
+    remove(path);
+    estate_stop(estate);
+}
+
 void edge_stops_tests_add(void)
 {
+    g_test_add_func("/edge/stops/settings-reload", test_settings_reload);
     g_test_add_func("/edge/stops/waiting-requests-are-answered",
                     test_waiting_requests_are_answered);
     g_test_add_func("/edge/stops/resting-connections-end-early",
