--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -64,6 +64,9 @@
 /** Close at once and free. Safe from every callback of the stream. */
 void wb_tcp_stream_close(wb_tcp_stream_t *stream);
 
+/** Close at once so that the peer sees a broken connection, not an ended one. */
+void wb_tcp_stream_reset(wb_tcp_stream_t *stream);
+
 /** Close once all output is sent and the peer has closed or a short time has passed. No callbacks
  * follow. */
 void wb_tcp_stream_finish(wb_tcp_stream_t *stream);
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -346,7 +346,7 @@
     }
 }
 
-static void model_load(wb_engine_orders_t *orders, const wb_task_t *task,
+static void load_model(wb_engine_orders_t *orders, const wb_task_t *task,
                        const wb_model_spec_t *spec)
 {
     g_autoptr(GPtrArray) victims =
@@ -395,7 +395,7 @@
            wb_placement_used_mb(service, state) + spec->adapter_mb <= service->weights_mb;
 }
 
-static void adapter_load(wb_engine_orders_t *orders, const wb_task_t *task,
+static void load_adapter(wb_engine_orders_t *orders, const wb_task_t *task,
                          const wb_service_t *service, const wb_model_spec_t *spec)
 {
     if (!state_has(orders->state, task->model, "")) {
@@ -430,9 +430,9 @@
     else if (state_has(orders->state, task->model, task->adapter))
         task_done(orders);
     else if (*task->adapter != '\0')
-        adapter_load(orders, task, service, spec);
+        load_adapter(orders, task, service, spec);
     else
-        model_load(orders, task, spec);
+        load_model(orders, task, spec);
 }
 
 static void orders_advance(wb_engine_orders_t *orders)
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -29,8 +29,8 @@
     void *request;
     gboolean running; /* a request was handed over and isn't answered */
     gboolean keep_alive;
-    gboolean chunked;
-    gboolean is_head; /* the running request's method is HEAD */
+    gboolean without_chunks; /* an HTTP/1.0 caller: a streamed answer ends with the connection */
+    gboolean is_head;        /* the running request's method is HEAD */
     gboolean advancing;
     gboolean closed;
     unsigned refusal; /* status to refuse the present request with, 0: none */
@@ -147,8 +147,8 @@
     if (connection->listener->draining)
         connection->keep_alive = FALSE;
     g_autoptr(GString) text = head_text(connection, status, reason, headers);
-    connection->chunked = TRUE;
-    g_string_append(text, "Transfer-Encoding: chunked\r\n\r\n");
+    g_string_append(text,
+                    connection->without_chunks ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n");
     output_write(connection, text);
 }
 
@@ -157,6 +157,10 @@
 {
     if (length == 0)
         return;
+    if (connection->without_chunks) {
+        wb_tcp_stream_write(connection->stream, data, length);
+        return;
+    }
     g_autoptr(GString) text = g_string_sized_new(length + 16);
     g_string_printf(text, "%zx\r\n", length);
     g_string_append_len(text, data, (gssize)length);
@@ -166,14 +170,18 @@
 
 void wb_http_connection_stream_end(wb_http_connection_t *connection)
 {
-    wb_tcp_stream_write(connection->stream, "0\r\n\r\n", 5);
+    if (!connection->without_chunks)
+        wb_tcp_stream_write(connection->stream, "0\r\n\r\n", 5);
     request_over(connection);
 }
 
 void wb_http_connection_abort(wb_http_connection_t *connection)
 {
     connection->running = FALSE;
-    wb_tcp_stream_close(connection->stream);
+    if (connection->without_chunks)
+        wb_tcp_stream_reset(connection->stream); /* a plain close would end the answer */
+    else
+        wb_tcp_stream_close(connection->stream);
     connection_free(connection);
 }
 
@@ -204,7 +212,8 @@
 {
     (void)reader;
     wb_http_connection_t *connection = context;
-    connection->keep_alive = head->keep_alive && head->minor_version >= 1;
+    connection->without_chunks = head->minor_version == 0;
+    connection->keep_alive = head->keep_alive && !connection->without_chunks;
     connection->is_head = strcmp(head->method, "HEAD") == 0;
     if (head->has_length && head->content_length > connection->listener->limits.body_bytes)
         connection->refusal = 413;
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -70,6 +70,15 @@
         stream_free(stream);
 }
 
+void wb_tcp_stream_reset(wb_tcp_stream_t *stream)
+{
+    struct linger none = {1, 0};
+    int descriptor;
+    apr_os_sock_get(&descriptor, stream->socket);
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+    wb_tcp_stream_close(stream);
+}
+
 /* Every callback runs between enter and leave. leave returns FALSE when the stream is freed. */
 static void callback_enter(wb_tcp_stream_t *stream)
 {
--- a/tests/edge/test_callers.c
+++ b/tests/edge/test_callers.c
@@ -99,8 +99,28 @@
     estate_stop(estate);
 }
 
+/* An HTTP/1.0 caller gets a stream without chunks; it ends with the connection. */
+static void test_old_caller(void)
+{
+    estate_t *estate = estate_start(1, NULL);
+    wire_t *wire = wire_open(estate->nodes[0].callers_port);
+    wire_send(wire, "POST /chat/x HTTP/1.0\r\nHost: a.example\r\nRequest-Attempt-Id: old\r\n"
+                    "Model: m0\r\nContent-Length: 2\r\n\r\nhi");
+    wire_answer_t *answer = wire_read(wire, 3000);
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_null(strstr(answer->head->str, "chunked"));
+    wire_answer_free(answer);
+    g_usleep(300000);
+    wire_is_closed(wire, 1000);
+    g_assert_true(g_str_has_prefix(wire->unread->str, "id: 1\ndata: old-1\n\n"));
+    g_assert_true(g_str_has_suffix(wire->unread->str, "id: 5\ndata: old-5\n\n"));
+    wire_close(wire);
+    estate_stop(estate);
+}
+
 void edge_callers_tests_add(void)
 {
+    g_test_add_func("/edge/callers/old-caller", test_old_caller);
     g_test_add_func("/edge/callers/bad-messages", test_bad_messages);
     g_test_add_func("/edge/callers/unknown-model", test_unknown_model);
     g_test_add_func("/edge/callers/chunks-and-pipelines", test_chunks_and_pipelines);
