--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -42,6 +42,7 @@
     int64_t connect_timeout_ms;
     int64_t silence_limit_ms;
     int64_t store_timeout_ms;
+    double node_life_s;
     int64_t order_timeout_ms;
     int64_t engine_poll_ms;
     int64_t demand_interval_ms;
--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -52,7 +52,8 @@
     /** Read the changes after a version; held up to `wait_ms` until there are some. */
     void (*changes)(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
                     wb_table_answer_fn on_answer, void *context);
-    /** Write a row of WB_TABLE_NODES if it has `expected_version` (0: if it isn't there). */
+    /** Write a row of WB_TABLE_NODES, or remove it (no value), if it has `expected_version` (0: if
+     * it isn't there). */
     void (*write)(void *self, const char *key, int64_t expected_version, const guchar *value,
                   gsize length, wb_table_answer_fn on_answer, void *context);
 } wb_table_t;
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -53,6 +53,8 @@
         "Bytes that an engine doesn't acknowledge for so long end the connection"),
     ROW("store-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "900", store_timeout_ms,
         "Time after which the store's answer counts as lost"),
+    ROW("node-life-s", WB_SETTING_REAL, "s", 1, 86400, "70", node_life_s,
+        "A node whose row in the store hasn't changed for so long isn't counted any more"),
     ROW("order-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "400", order_timeout_ms,
         "Time after which an engine's answer to an order or a report counts as lost"),
     ROW("engine-poll-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "300", engine_poll_ms,
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -8,8 +8,8 @@
 #define ENGINES_WAIT_MS 1000
 #define NODES_WAIT_MS 1000
 #define NODES_PAUSE_MS 400
-#define NODE_ROW_RENEW_MS 20000
-#define NODE_ROW_LIFE_MS 70000
+/* A node's row is written anew so often in the life of a row. */
+#define NODE_ROW_RENEWALS 4
 #define NODE_ROW_RETRY_MS 500
 #define NODE_KEY_PREFIX "node/"
 
@@ -168,6 +168,11 @@
     wb_edge_node_check_lease(node);
 }
 
+static int64_t node_row_life_ms(const wb_edge_node_t *node)
+{
+    return (int64_t)(node->edge.settings.node_life_s * 1000);
+}
+
 static void node_row_answered(const wb_table_answer_t *answer, void *context)
 {
     wb_edge_node_t *node = context;
@@ -175,7 +180,7 @@
     int64_t now_ms = wb_clock_ms();
     if (answer->outcome == WB_TABLE_DONE) {
         node->node_row_written = TRUE;
-        node->node_row_due_ms = now_ms + NODE_ROW_RENEW_MS;
+        node->node_row_due_ms = now_ms + node_row_life_ms(node) / NODE_ROW_RENEWALS;
         return;
     }
     for (guint i = 0; i < answer->rows->len; i++) {
@@ -199,10 +204,37 @@
                        (const guchar *)value, strlen(value), node_row_answered, node);
 }
 
-static gboolean node_row_is_old(gpointer key, gpointer value, gpointer context)
+static void row_removed(const wb_table_answer_t *answer, void *context)
+{
+    (void)answer; /* another try follows if it is still there */
+    (void)context;
+}
+
+/* Rows of nodes that are gone for long would have the others share too little; the lease's holder
+ * removes them. */
+static void node_row_remove(wb_edge_node_t *node, const char *id, const wb_node_row_t *row)
 {
-    (void)key;
-    return *(int64_t *)context - ((wb_node_row_t *)value)->seen_ms > NODE_ROW_LIFE_MS;
+    g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
+    wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_text(id),
+             (long long)row->version);
+    node->table->write(node->table->self, key, row->version, NULL, 0, row_removed, node);
+}
+
+static void node_rows_forget(wb_edge_node_t *node, int64_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const wb_node_row_t *row = value;
+        if (now_ms - row->seen_ms <= node_row_life_ms(node))
+            continue;
+        if (node->held)
+            node_row_remove(node, id, row);
+        g_hash_table_iter_remove(&iter);
+    }
+    node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
 }
 
 void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms)
@@ -210,8 +242,7 @@
     if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
-    if (g_hash_table_foreach_remove(node->nodes, node_row_is_old, &now_ms) > 0)
-        node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
+    node_rows_forget(node, now_ms);
 }
 
 void wb_edge_node_follow_store(wb_edge_node_t *node)
--- a/standins/estate/store.c
+++ b/standins/estate/store.c
@@ -209,6 +209,12 @@
         table = g_strdup(wb_json_text(entry, "table", ""));
         row_write(store, table, wb_json_text(entry, "key", ""), wb_json_text(entry, "value", ""));
     }
+    json_array_foreach(json_object_get(transaction, "remove"), i, entry)
+    {
+        g_free(table);
+        table = g_strdup(wb_json_text(entry, "table", ""));
+        row_write(store, table, wb_json_text(entry, "key", ""), NULL);
+    }
     *body = answer_json(store, json_array());
     if (table != NULL)
         waits_wake(store, table);
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -135,8 +135,26 @@
     estate_stop(estate);
 }
 
+/* Nodes that are gone for long no longer share the retry budget; their rows go from the store. */
+static void test_gone_nodes_are_forgotten(void)
+{
+    estate_t *estate = estate_start(2, "--node-life-s=2");
+    estate_do(estate,
+              "{\"do\":\"put\",\"table\":\"wickbridge\",\"key\":\"node/ghost\",\"value\":\"x\"}");
+    g_usleep(1200000);
+    g_assert_cmpfloat(estate_metric(estate, 0, "nodes"), ==, 3);
+    g_usleep(2500000);
+    g_assert_cmpfloat(estate_metric(estate, 0, "nodes"), ==, 2);
+    process_kill(&estate->nodes[1].process);
+    estate_node_launch(estate, 1); /* reads the table anew */
+    estate_wait_ready(estate, 1);
+    g_assert_cmpfloat(estate_metric(estate, 1, "nodes"), ==, 2);
+    estate_stop(estate);
+}
+
 void edge_store_tests_add(void)
 {
+    g_test_add_func("/edge/store/gone-nodes-are-forgotten", test_gone_nodes_are_forgotten);
     g_test_add_func("/edge/store/one-node-is-cut", test_one_node_is_cut);
     g_test_add_func("/edge/store/slow", test_slow_store);
     g_test_add_func("/edge/store/faults", test_faults);
