--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -17,5 +17,6 @@
     message_tests_add();
     policy_tests_add();
     edge_tests_add();
+    table_watch_tests_add();
     return g_test_run();
 }
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -11,5 +11,6 @@
 void message_tests_add(void);
 void policy_tests_add(void);
 void edge_tests_add(void);
+void table_watch_tests_add(void);
 
 #endif
