--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -44,9 +44,6 @@
 wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
                                              int64_t version);
 
-/** @return TRUE when two announcements say the same of what requests and placement go by */
-gboolean wb_engine_state_equal(const wb_engine_state_t *left, const wb_engine_state_t *right);
-
 /** An engine, kept while it is announced or requests run on it. */
 typedef struct wb_engine_t {
     int references;
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -28,12 +28,6 @@
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
                                         wb_table_name_t name, int64_t wait_ms, int64_t pause_ms,
                                         const wb_table_watch_events_t *events);
-/** Take rows that another node read; older ones than known are passed over. */
-void wb_table_watch_take(wb_table_watch_t *watch, GPtrArray *rows);
-/** Change the shortest time between two calls for changes; a shorter one counts at once. */
-void wb_table_watch_set_pause(wb_table_watch_t *watch, int64_t pause_ms);
-/** @return steady time at which the last answered call was asked; 0: none was */
-int64_t wb_table_watch_asked_ms(const wb_table_watch_t *watch);
 /** Ask sooner than the pause says, once. */
 void wb_table_watch_hurry(wb_table_watch_t *watch);
 /** @return TRUE once the table was read whole */
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -541,8 +541,3 @@
     const wb_usage_t *usage = wb_demand_book_find(controller->book, service, model, "");
     return usage != NULL ? &usage->use : NULL;
 }
-
-gboolean wb_controller_someone_waits(const wb_controller_t *controller)
-{
-    return wb_demand_book_someone_waits(controller->book);
-}
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -47,8 +47,6 @@
 /** What is known of a model's use, or NULL when it isn't asked for; owned by the controller. */
 const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
                                                const char *service, const char *model);
-/** @return TRUE while some gateway has told that someone waits */
-gboolean wb_controller_someone_waits(const wb_controller_t *controller);
 /** Decide now, rather than at the next tick. */
 void wb_controller_decide(wb_controller_t *controller);
 
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -21,8 +21,7 @@
     wb_table_watch_events_t events;
     wb_watch_state_t state;
     GHashTable *versions; /* key -> int64_t *, rows that are there */
-    GHashTable *removed; /* key -> int64_t *, removals that this watch's own calls haven't passed */
-    GHashTable *seen;    /* keys of the present whole read */
+    GHashTable *seen;     /* keys of the present whole read */
     GPtrArray *page_rows; /* rows of the present whole read */
     char *next_key;
     int64_t read_version; /* lowest newest-version told by a page of the whole read */
@@ -31,7 +30,6 @@
     gboolean asking;
     wb_timer_t *timer;
     int64_t asked_ms;
-    int64_t answered_asked_ms; /* when the last answered call was asked */
     int64_t answered_ms;
     int64_t retry_ms;
     gboolean hurried;
@@ -63,30 +61,16 @@
     watch->timer = wb_loop_after(watch->loop, MAX(delay_ms, 0), watch_ask, watch);
 }
 
-/* Notes a removal that others told of: own calls will still show the row as it was before. */
-static void removal_note(wb_table_watch_t *watch, const wb_table_row_t *row)
-{
-    g_hash_table_remove(watch->versions, row->key);
-    if (row->version > watch->version)
-        g_hash_table_replace(watch->removed, g_strdup(row->key),
-                             g_memdup2(&row->version, sizeof(row->version)));
-}
-
-static gboolean is_older_than(GHashTable *versions, const wb_table_row_t *row)
-{
-    const int64_t *version = g_hash_table_lookup(versions, row->key);
-    return version != NULL && *version >= row->version;
-}
-
 /* A row can't go back to an older version within this process. */
 static gboolean row_take(wb_table_watch_t *watch, const wb_table_row_t *row)
 {
-    if (is_older_than(watch->versions, row) || is_older_than(watch->removed, row))
+    int64_t *known = g_hash_table_lookup(watch->versions, row->key);
+    if (known != NULL && *known >= row->version)
         return FALSE;
-    if (row->value == NULL && !g_hash_table_contains(watch->versions, row->key))
+    if (known == NULL && row->value == NULL)
         return FALSE;
     if (row->value == NULL)
-        removal_note(watch, row);
+        g_hash_table_remove(watch->versions, row->key);
     else
         g_hash_table_replace(watch->versions, g_strdup(row->key),
                              g_memdup2(&row->version, sizeof(row->version)));
@@ -94,19 +78,6 @@
     return TRUE;
 }
 
-static gboolean removal_is_passed(gpointer key, gpointer value, gpointer context)
-{
-    (void)key;
-    return *(int64_t *)value <= ((wb_table_watch_t *)context)->version;
-}
-
-/* All changes up to a version are known by own calls. */
-static void version_reach(wb_table_watch_t *watch, int64_t version)
-{
-    watch->version = MAX(watch->version, version);
-    g_hash_table_foreach_remove(watch->removed, removal_is_passed, watch);
-}
-
 /* Rows that a whole read no longer shows were removed. */
 static void missing_remove(wb_table_watch_t *watch)
 {
@@ -141,7 +112,7 @@
     for (guint i = 0; i < watch->page_rows->len; i++)
         row_take(watch, g_ptr_array_index(watch->page_rows, i));
     missing_remove(watch);
-    version_reach(watch, watch->read_version);
+    watch->version = watch->read_version;
     watch->synced = TRUE;
     g_ptr_array_set_size(watch->page_rows, 0);
     watch->state = WB_WATCH_FOLLOWING;
@@ -173,7 +144,6 @@
         return;
     }
     watch->answered_ms = wb_clock_ms();
-    watch->answered_asked_ms = watch->asked_ms;
     watch->retry_ms = 0;
     watch->read_version = MIN(watch->read_version, answer->version);
     for (guint i = 0; i < answer->rows->len; i++) {
@@ -209,12 +179,11 @@
         return;
     }
     watch->answered_ms = wb_clock_ms();
-    watch->answered_asked_ms = watch->asked_ms;
     watch->retry_ms = 0;
     gboolean changed = FALSE;
     for (guint i = 0; i < answer->rows->len; i++)
         changed |= row_take(watch, g_ptr_array_index(answer->rows, i));
-    version_reach(watch, answer->version);
+    watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
     int64_t pause_ms = watch->hurried ? HURRY_PAUSE_MS : watch->pause_ms;
@@ -248,7 +217,6 @@
     watch->pause_ms = pause_ms;
     watch->events = *events;
     watch->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    watch->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     watch->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->page_rows = g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
     read_begin(watch);
@@ -256,28 +224,6 @@
     return watch;
 }
 
-void wb_table_watch_take(wb_table_watch_t *watch, GPtrArray *rows)
-{
-    gboolean changed = FALSE;
-    for (guint i = 0; watch->synced && i < rows->len; i++)
-        changed |= row_take(watch, g_ptr_array_index(rows, i));
-    if (changed)
-        watch->events.on_batch(FALSE, watch->events.context);
-}
-
-void wb_table_watch_set_pause(wb_table_watch_t *watch, int64_t pause_ms)
-{
-    gboolean shorter = pause_ms < watch->pause_ms;
-    watch->pause_ms = pause_ms;
-    if (shorter && watch->timer != NULL && watch->retry_ms == 0)
-        ask_after(watch, watch->asked_ms + pause_ms - wb_clock_ms());
-}
-
-int64_t wb_table_watch_asked_ms(const wb_table_watch_t *watch)
-{
-    return watch->answered_asked_ms;
-}
-
 void wb_table_watch_hurry(wb_table_watch_t *watch)
 {
     watch->hurried = TRUE;
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -130,15 +130,8 @@
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.length > 0) {
         wb_exchanges_retry_waiting(&node->edge);
-        if (!node->engines_relaxed)
-            wb_table_watch_hurry(node->engines_watch);
+        wb_table_watch_hurry(node->engines_watch);
     }
-    if (node->held) {
-        wb_edge_node_tell_engines(node, now_ms);
-        if (wb_controller_someone_waits(node->controller))
-            wb_table_watch_hurry(node->engines_watch);
-    }
-    wb_edge_node_tick_engines(node, now_ms);
     if (!node->ready_told && wb_edge_node_is_ready(node)) {
         node->ready_told = TRUE;
         wb_event("ready", ",\"catalog\":%lld,\"engines\":%u,\"nodes\":%u",
@@ -183,7 +176,6 @@
     edge->need_context = created;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    created->engine_news = g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
     created->gateways = g_hash_table_new(NULL, NULL);
     apr_status_t status = listeners_open(created, error);
     if (status != APR_SUCCESS)
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -44,12 +44,7 @@
     char *controller_address;
     gboolean controller_link_open;
     int64_t link_retry_ms;
-    int64_t engines_unsure_ms; /* when the controller's view of engines wasn't fresh last */
-    int64_t engines_told_ms;   /* when the controller last told that its view of engines is fresh */
-    gboolean engines_relaxed;  /* the controller's news are relied on; the store is asked rarely */
-    GPtrArray *engine_news; /* of wb_table_row_t: what this node, as controller, has yet to tell */
-    int64_t engine_news_ms; /* when it told last */
-    gboolean demand_told;   /* the last message was not empty */
+    gboolean demand_told; /* the last message was not empty */
     int64_t demand_told_ms;
     wb_timer_t *need_timer;
     gboolean held;
@@ -89,10 +84,6 @@
 void wb_edge_node_tell_demand(wb_edge_node_t *node);
 /** Someone waits for what isn't loaded: tell the controller once this round's requests are in. */
 void wb_edge_node_need_arose(void *context);
-/** As controller: tell gateways of engines that changed, and that this view is fresh. */
-void wb_edge_node_tell_engines(wb_edge_node_t *node, int64_t now_ms);
-/** As gateway: ask the store rarely while the controller's view of engines is fresh, else often. */
-void wb_edge_node_tick_engines(wb_edge_node_t *node, int64_t now_ms);
 /** Keep one link to whoever holds the lease, unless it is this node. */
 void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms);
 
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -4,13 +4,6 @@
 #include <string.h>
 
 #define LINK_RETRY_MS 150
-/* The controller tells at least so often that its view of engines is fresh. */
-#define ENGINES_TELL_MS 250
-/* An older view isn't relied on, nor is one that wasn't told of for so long. */
-#define ENGINES_AGE_MS 700
-#define ENGINES_SILENCE_MS 700
-/* How often the store is asked of engines while the controller's view is relied on. */
-#define ENGINES_RELAXED_MS 5000
 
 static void news_take(wb_edge_node_t *node, const wb_wire_placement *news)
 {
@@ -50,65 +43,6 @@
     news_take(node, &news->wb_wire_message_u.placement);
 }
 
-void wb_edge_node_tell_engines(wb_edge_node_t *node, int64_t now_ms)
-{
-    if (node->engine_news->len == 0 && now_ms - node->engine_news_ms < ENGINES_TELL_MS)
-        return;
-    guint count = node->engine_news->len;
-    g_autofree wb_wire_engine_row *rows = g_new0(wb_wire_engine_row, MAX(count, 1));
-    for (guint i = 0; i < count; i++) {
-        const wb_table_row_t *row = g_ptr_array_index(node->engine_news, i);
-        rows[i].key = row->key;
-        rows[i].value.value_val = (char *)row->value;
-        rows[i].value.value_len = row->value != NULL ? (u_int)row->length : 0;
-        rows[i].row_version = (uint64_t)row->version;
-    }
-    wb_wire_message message = {.kind = WB_WIRE_ENGINES};
-    wb_wire_engines *told = &message.wb_wire_message_u.engines;
-    told->age_ms = (u_int)MIN(wb_table_watch_age_ms(node->engines_watch), G_MAXINT);
-    told->rows.rows_len = count;
-    told->rows.rows_val = rows;
-    GHashTableIter iter;
-    gpointer link;
-    g_hash_table_iter_init(&iter, node->gateways);
-    while (g_hash_table_iter_next(&iter, &link, NULL))
-        wb_link_send(link, &message);
-    g_ptr_array_set_size(node->engine_news, 0);
-    node->engine_news_ms = now_ms;
-}
-
-static void engines_take(wb_edge_node_t *node, const wb_wire_engines *told)
-{
-    g_autoptr(GPtrArray) rows = g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
-    for (guint i = 0; i < told->rows.rows_len; i++) {
-        const wb_wire_engine_row *row = &told->rows.rows_val[i];
-        gboolean removed = row->value.value_len == 0;
-        guchar *value = removed ? NULL : g_memdup2(row->value.value_val, row->value.value_len);
-        g_ptr_array_add(rows, wb_table_row_create(row->key, value, row->value.value_len,
-                                                  (int64_t)row->row_version));
-    }
-    if (told->age_ms <= ENGINES_AGE_MS)
-        node->engines_told_ms = wb_clock_ms();
-    wb_table_watch_take(node->engines_watch, rows);
-}
-
-void wb_edge_node_tick_engines(wb_edge_node_t *node, int64_t now_ms)
-{
-    gboolean told = node->controller_link_open && !node->held &&
-                    now_ms - node->engines_told_ms < ENGINES_SILENCE_MS;
-    if (!told)
-        node->engines_unsure_ms = now_ms;
-    /* A call of this node's own, asked since it was told again, has seen all that the news may
-     * lack. */
-    gboolean relaxed =
-        told && wb_table_watch_asked_ms(node->engines_watch) > node->engines_unsure_ms;
-    if (relaxed == node->engines_relaxed)
-        return;
-    node->engines_relaxed = relaxed;
-    wb_table_watch_set_pause(node->engines_watch,
-                             relaxed ? ENGINES_RELAXED_MS : node->edge.settings.engine_poll_ms);
-}
-
 void wb_edge_node_gateway_open(wb_link_t *link, void *context)
 {
     g_hash_table_add(((wb_edge_node_t *)context)->gateways, link);
@@ -162,8 +96,7 @@
     wb_edge_node_t *node = context;
     if (node->need_timer == NULL)
         node->need_timer = wb_loop_after(node->edge.loop, 0, need_tell, node);
-    if (!node->engines_relaxed)
-        wb_table_watch_hurry(node->engines_watch);
+    wb_table_watch_hurry(node->engines_watch);
 }
 
 static void controller_open(wb_link_t *link, void *context)
@@ -171,7 +104,6 @@
     (void)link;
     wb_edge_node_t *node = context;
     node->controller_link_open = TRUE;
-    node->engines_unsure_ms = wb_clock_ms();
     node->demand_told = TRUE;
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
     wb_edge_node_tell_demand(node);
@@ -182,8 +114,6 @@
     (void)link;
     if (message->kind == WB_WIRE_PLACEMENT)
         news_take(context, &message->wb_wire_message_u.placement);
-    else if (message->kind == WB_WIRE_ENGINES)
-        engines_take(context, &message->wb_wire_message_u.engines);
 }
 
 static void controller_close(wb_link_t *link, const char *reason, void *context)
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -73,18 +73,6 @@
 
 /* News of engines. */
 
-/* Keeps a change for the gateways; beats that say nothing new aren't worth telling. */
-static void engine_news_add(wb_edge_node_t *node, const wb_table_row_t *row)
-{
-    /* Also while the lease has lapsed: who is linked relies on hearing all once it is held again.
-     */
-    if (g_hash_table_size(node->gateways) == 0)
-        return;
-    guchar *value = row->value != NULL ? g_memdup2(row->value, row->length) : NULL;
-    g_ptr_array_add(node->engine_news,
-                    wb_table_row_create(row->key, value, row->length, row->version));
-}
-
 static void engine_row(const wb_table_row_t *row, void *context)
 {
     wb_edge_node_t *node = context;
@@ -94,7 +82,6 @@
         if (known != NULL)
             wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
                      wb_event_text(row->key), (long long)row->version);
-        engine_news_add(node, row);
         wb_fleet_remove(edge->fleet, row->key);
         wb_controller_engine_changed(node->controller, row->key);
         return;
@@ -104,8 +91,6 @@
         wb_event("engine-row-refused", ",\"engine\":\"%s\"", wb_event_text(row->key));
         return;
     }
-    if (known == NULL || !wb_engine_state_equal(known->state, state))
-        engine_news_add(node, row);
     gboolean was_leaving = known != NULL && known->leaving_ms != 0;
     wb_engine_t *engine = wb_fleet_announce(edge->fleet, state);
     if (known == NULL || was_leaving != (engine->leaving_ms != 0))
@@ -121,10 +106,8 @@
 {
     (void)whole;
     wb_edge_node_t *node = context;
-    if (node->held)
-        wb_edge_node_tell_engines(node, wb_clock_ms());
     wb_exchanges_retry_waiting(&node->edge);
-    if (node->edge.waiting.length > 0 && !node->engines_relaxed)
+    if (node->edge.waiting.length > 0)
         wb_table_watch_hurry(node->engines_watch);
 }
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -65,46 +65,6 @@
     return model;
 }
 
-static gboolean set_equal(GHashTable *left, GHashTable *right)
-{
-    if (g_hash_table_size(left) != g_hash_table_size(right))
-        return FALSE;
-    GHashTableIter iter;
-    gpointer key;
-    g_hash_table_iter_init(&iter, left);
-    while (g_hash_table_iter_next(&iter, &key, NULL))
-        if (!g_hash_table_contains(right, key))
-            return FALSE;
-    return TRUE;
-}
-
-static gboolean models_equal(GHashTable *left, GHashTable *right)
-{
-    if (g_hash_table_size(left) != g_hash_table_size(right))
-        return FALSE;
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iter, left);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const wb_engine_model_t *mine = value;
-        const wb_engine_model_t *other = g_hash_table_lookup(right, key);
-        if (other == NULL || other->version != mine->version ||
-            !set_equal(mine->adapters, other->adapters))
-            return FALSE;
-    }
-    return TRUE;
-}
-
-gboolean wb_engine_state_equal(const wb_engine_state_t *left, const wb_engine_state_t *right)
-{
-    return strcmp(left->service, right->service) == 0 &&
-           strcmp(left->address, right->address) == 0 && strcmp(left->zone, right->zone) == 0 &&
-           left->slots == right->slots && left->leaving == right->leaving &&
-           models_equal(left->models, right->models) &&
-           set_equal(left->in_memory, right->in_memory) && set_equal(left->on_disk, right->on_disk);
-}
-
 wb_engine_t *wb_engine_ref(wb_engine_t *engine)
 {
     engine->references++;
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -56,7 +56,6 @@
         "none",         "hello",         "heartbeat",       "gossip",       "sync",
         "config-fetch", "config-change", "group-state",     "group-append", "group-ack",
         "group-vote",   "group-ballot",  "route-want",      "route-show",   "claim-want",
-        "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement",
-        "engines"};
+        "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -3,7 +3,6 @@
 const WB_WIRE_NAME_MAX = 200;
 const WB_WIRE_TEXT_MAX = 4000000;
 const WB_WIRE_LIST_MAX = 20000;
-const WB_WIRE_ROW_MAX = 65536;
 
 typedef string wb_wire_name<WB_WIRE_NAME_MAX>;
 typedef string wb_wire_text<WB_WIRE_TEXT_MAX>;
@@ -285,19 +284,6 @@
     wb_wire_placement_entry entries<WB_WIRE_LIST_MAX>;
 };
 
-/* An engine's row of the store, as the controller read it. */
-struct wb_wire_engine_row {
-    wb_wire_name key;
-    opaque value<WB_WIRE_ROW_MAX>; /* empty: removed */
-    unsigned hyper row_version;
-};
-
-/* Engines that changed in earnest, and how fresh the controller's knowledge is. */
-struct wb_wire_engines {
-    unsigned int age_ms; /* since the store last answered it */
-    wb_wire_engine_row rows<WB_WIRE_LIST_MAX>;
-};
-
 /* The row of the placement controller's lease. */
 struct wb_wire_lease {
     wb_wire_name holder;  /* the machine */
@@ -327,8 +313,7 @@
     WB_WIRE_CLAIM_DONE_NOTE = 16,
     WB_WIRE_GROUP_HAND_OVER = 17,
     WB_WIRE_DEMAND = 18,
-    WB_WIRE_PLACEMENT = 19,
-    WB_WIRE_ENGINES = 20
+    WB_WIRE_PLACEMENT = 19
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -370,6 +355,4 @@
     wb_wire_demand demand;
 case WB_WIRE_PLACEMENT:
     wb_wire_placement placement;
-case WB_WIRE_ENGINES:
-    wb_wire_engines engines;
 };
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -152,63 +152,8 @@
     estate_stop(estate);
 }
 
-/* A gateway that the controller keeps up to date asks the store rarely, learns of engines as soon,
- * and asks again by itself when the controller is gone. */
-static void test_engines_by_the_controller(void)
-{
-    estate_t *estate = estate_start(2, "--lease-quiet-ms=1000 --lease-duration-ms=800");
-    g_usleep(3000000);
-    int gateway = 1 - estate_controller(estate);
-    double before = estate_metric(estate, gateway, "store_calls_total");
-    g_usleep(3000000);
-    double calls_per_s = (estate_metric(estate, gateway, "store_calls_total") - before) / 3;
-    g_test_message("%.1f calls a second", calls_per_s);
-    g_assert_cmpfloat(calls_per_s, <=, 4);
-    estate_do(estate,
-              "{\"do\":\"engine-start\",\"engine\":\"llm-3\",\"options\":{\"service\":\"llm\","
-              "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m7\"]}}");
-    g_usleep(600000);
-    wire_answer_t *answer =
-        wire_ask(estate->nodes[gateway].callers_port, "/chat/x", "e1", EDGE_MODEL("m7"));
-    g_assert_cmpint(answer->status, ==, 200);
-    wire_answer_free(answer);
-    process_kill(&estate->nodes[1 - gateway].process);
-    estate_do(estate,
-              "{\"do\":\"engine-start\",\"engine\":\"llm-4\",\"options\":{\"service\":\"llm\","
-              "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m6\"]}}");
-    g_usleep(900000);
-    g_assert_true(estate_log_has(estate, gateway, "\"engine\":\"llm-4\",\"service\""));
-    estate_stop(estate);
-}
-
-/* A controller whose lease lapses for a moment misses nothing that its gateways rely on it for. */
-static void test_engines_around_a_lapse(void)
-{
-    estate_t *estate = estate_start(2, "--lease-quiet-ms=30000 --lease-duration-ms=800");
-    g_usleep(1500000);
-    int controller = estate_controller(estate);
-    g_assert_cmpint(controller, >=, 0);
-    for (int i = 0; i < 8; i++) {
-        estate_store_fault(estate, controller, "freeze", 0);
-        g_usleep(1000000);
-        estate_store_fault(estate, controller, "pass", 0);
-        g_usleep(150000 + (gulong)i * 50000);
-        estate_do(
-            estate,
-            "{\"do\":\"engine-start\",\"engine\":\"late-%d\",\"options\":{\"service\":\"llm\","
-            "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m7\"],\"beat_ms\":60000}}",
-            i);
-        g_usleep(1300000);
-        g_autofree char *line = g_strdup_printf("\"engine\":\"late-%d\",\"service\"", i);
-        g_assert_true(estate_log_has(estate, 1 - controller, line));
-    }
-    estate_stop(estate);
-}
-
 void edge_store_tests_add(void)
 {
-    g_test_add_func("/edge/store/engines-around-a-lapse", test_engines_around_a_lapse);
-    g_test_add_func("/edge/store/engines-by-the-controller", test_engines_by_the_controller);
     g_test_add_func("/edge/store/gone-nodes-are-forgotten", test_gone_nodes_are_forgotten);
     g_test_add_func("/edge/store/one-node-is-cut", test_one_node_is_cut);
     g_test_add_func("/edge/store/slow", test_slow_store);
