--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -65,6 +65,8 @@
     (void)table;
     (void)wait_ms;
     script_t *script = self;
+    if (script->reads == 3)
+        return; /* the play is over */
     GPtrArray *rows = rows_make();
     script->calls++;
     if (script->calls > 1) {
