Share how connections are taken; drop what nothing calls

From reading the whole change once more. - Links and plain streams each had their own listener and their own check of a connect: net/acceptor.c and wb_socket_is_connected serve both.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -73,7 +73,4 @@
  */
 void wb_edge_node_drain(wb_edge_node_t *node);
 
-/** @return TRUE when a planned stop is over and the process may end */
-gboolean wb_edge_node_is_drained(const wb_edge_node_t *node);
-
 #endif
--- a/include/wickbridge/http_reader.h
+++ b/include/wickbridge/http_reader.h
@@ -69,8 +69,6 @@
 /** Be ready for the next message. */
 void wb_http_reader_next(wb_http_reader_t *reader);
 wb_http_failure_t wb_http_reader_failure(const wb_http_reader_t *reader);
-/** @return TRUE when some bytes of a message were read and it is not whole */
-gboolean wb_http_reader_is_inside(const wb_http_reader_t *reader);
 /** Take over the present head. */
 wb_http_head_t *wb_http_reader_take_head(wb_http_reader_t *reader);
 
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -34,7 +34,5 @@
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch);
 /** @return ms since the store last answered, for logs and metrics; G_MAXINT64 when it never did */
 int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch);
-/** @return the version up to which changes are known */
-int64_t wb_table_watch_version(const wb_table_watch_t *watch);
 
 #endif
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -201,8 +201,7 @@
     g_hash_table_unref(snapshot->uses);
 }
 
-/* The counts of the last decision serve: a snapshot of one engine is enough to choose among its
- * models. */
+/* What a model's loss costs depends on all its replicas, so everything is counted anew. */
 static GPtrArray *owner_pick_victims(const wb_engine_state_t *state, const char *model,
                                      void *context)
 {
--- a/src/control/demand_book.c
+++ b/src/control/demand_book.c
@@ -112,14 +112,13 @@
     gboolean waits = FALSE;
     for (guint i = 0; i < demand->entries.entries_len; i++) {
         const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
-        usage_arrivals(wb_demand_book_get(book, entry->service, entry->model, "", now_ms),
-                       entry->arrivals, entry->work, now_ms);
+        wb_usage_t *model = wb_demand_book_get(book, entry->service, entry->model, "", now_ms);
+        usage_arrivals(model, entry->arrivals, entry->work, now_ms);
         if (*entry->adapter != '\0') {
             usage_arrivals(
                 wb_demand_book_get(book, entry->service, entry->model, entry->adapter, now_ms),
                 entry->arrivals, 0, now_ms);
-            wb_demand_book_get(book, entry->service, entry->model, "", now_ms)
-                ->use.adapter_rate_per_s += entry->arrivals / RATE_TIME_S;
+            model->use.adapter_rate_per_s += entry->arrivals / RATE_TIME_S;
         }
         waits |= entry->waiting > 0;
     }
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -203,12 +203,14 @@
     }
     wb_engine_state_free(orders->state);
     orders->state = state;
-    if (orders->settle != WB_SETTLE_NONE)
+    if (orders->settle != WB_SETTLE_NONE) {
         settle_check(orders);
-    else if (state->busy)
-        state_forget(orders), advance_after(orders, LOOK_AGAIN_MS);
-    else
+    } else if (state->busy) {
+        state_forget(orders);
+        advance_after(orders, LOOK_AGAIN_MS);
+    } else {
         advance_after(orders, 0);
+    }
 }
 
 static void report_ask(wb_engine_orders_t *orders)
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -243,8 +243,3 @@
 {
     return watch->answered_ms == 0 ? G_MAXINT64 : wb_clock_ms() - watch->answered_ms;
 }
-
-int64_t wb_table_watch_version(const wb_table_watch_t *watch)
-{
-    return watch->version;
-}
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -202,11 +202,6 @@
              node->edge.settings.stop_grace_s);
 }
 
-gboolean wb_edge_node_is_drained(const wb_edge_node_t *node)
-{
-    return node->drained;
-}
-
 static unsigned text_differs(const char *old_text, const char *new_text)
 {
     return strcmp(old_text, new_text) != 0;
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -30,11 +30,16 @@
     wb_demand_waiting(exchange->edge->demand, exchange, FALSE);
 }
 
+static char *expected_key(const char *service, const char *model)
+{
+    return g_strjoin("/", service, model, NULL);
+}
+
 static int64_t *expected_find(const wb_exchange_t *exchange)
 {
     if (exchange->model == NULL || exchange->service == NULL)
         return NULL;
-    g_autofree char *key = g_strjoin("/", exchange->service->name, exchange->model, NULL);
+    g_autofree char *key = expected_key(exchange->service->name, exchange->model);
     return g_hash_table_lookup(exchange->edge->expected, key);
 }
 
@@ -101,15 +106,13 @@
 
 void wb_exchanges_retry_waiting(wb_edge_t *edge)
 {
-    int64_t now_ms = wb_clock_ms();
     /* A sending that fails at once may end other requests, so the list is copied. */
     g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.length);
     for (GList *item = edge->waiting.head; item != NULL; item = item->next)
         g_ptr_array_add(waiting, item->data);
     for (guint i = 0; i < waiting->len; i++) {
         wb_exchange_t *exchange = g_ptr_array_index(waiting, i);
-        if (g_hash_table_contains(edge->open, exchange) && exchange->waiting_link != NULL &&
-            wb_balancer_choose(edge, exchange, now_ms) != NULL)
+        if (g_hash_table_contains(edge->open, exchange) && exchange->waiting_link != NULL)
             wb_exchange_dispatch(exchange);
     }
 }
@@ -118,7 +121,7 @@
                          unsigned ready_in_ms)
 {
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
-    g_hash_table_replace(edge->expected, g_strjoin("/", service, model, NULL),
+    g_hash_table_replace(edge->expected, expected_key(service, model),
                          g_memdup2(&ready_ms, sizeof(ready_ms)));
     for (GList *item = edge->waiting.head; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
@@ -132,7 +135,7 @@
 
 void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model)
 {
-    g_autofree char *key = g_strjoin("/", service, model, NULL);
+    g_autofree char *key = expected_key(service, model);
     g_hash_table_remove(edge->expected, key);
 }
 
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -320,11 +320,6 @@
     return reader->failure;
 }
 
-gboolean wb_http_reader_is_inside(const wb_http_reader_t *reader)
-{
-    return reader->inside;
-}
-
 wb_http_head_t *wb_http_reader_take_head(wb_http_reader_t *reader)
 {
     wb_http_head_t *head = reader->head;
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -1,11 +1,11 @@
 /* Carries framed messages over TCP connections on a loop. */
 #include "wickbridge/link.h"
 
+#include "net/acceptor.h"
 #include "net/socket.h"
 #include "wickbridge/log.h"
 
 #include <apr_pools.h>
-#include <apr_portable.h>
 #include <arpa/inet.h>
 #include <glib.h>
 #include <stdlib.h>
@@ -18,9 +18,7 @@
 
 struct wb_link_listener_t {
     wb_loop_t *loop;
-    apr_pool_t *pool;
-    apr_socket_t *socket;
-    wb_watch_t *watch;
+    wb_acceptor_t *acceptor;
     wb_link_events_t events;
     wb_link_counters_t *counters;
 };
@@ -328,15 +326,10 @@
     wb_link_t *link = context;
     wb_watch_remove(link->watch);
     link->watch = NULL;
-    int failure = 0;
-    socklen_t size = sizeof(failure);
-    int descriptor;
-    apr_os_sock_get(&descriptor, link->socket);
-    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
-    if (failure != 0 || (events & (APR_POLLERR | APR_POLLHUP)))
-        link_fail(link, "it can't be reached");
-    else
+    if (wb_socket_is_connected(link->socket, events))
         link_connected(link, FALSE);
+    else
+        link_fail(link, "it can't be reached");
 }
 
 /* Makes the connection come from this IP; if that fails, it comes from any. */
@@ -371,17 +364,9 @@
     return APR_SUCCESS;
 }
 
-static void listener_ready(int16_t events, void *context)
+static void connection_accepted(apr_socket_t *socket, apr_pool_t *pool, void *context)
 {
-    (void)events;
     wb_link_listener_t *listener = context;
-    apr_pool_t *pool;
-    apr_pool_create(&pool, NULL);
-    apr_socket_t *socket;
-    if (apr_socket_accept(&socket, listener->socket, pool) != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return;
-    }
     link_connected(link_create(listener->loop, pool, socket, &listener->events, listener->counters),
                    TRUE);
 }
@@ -390,34 +375,27 @@
                             wb_link_counters_t *counters, wb_link_listener_t **listener,
                             wb_error_t *error)
 {
-    apr_pool_t *pool;
-    apr_pool_create(&pool, NULL);
-    apr_socket_t *socket;
-    apr_status_t status = wb_socket_listen(address, pool, &socket, error);
-    if (status != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return status;
-    }
     wb_link_listener_t *created = g_new0(wb_link_listener_t, 1);
     created->loop = loop;
-    created->pool = pool;
-    created->socket = socket;
     created->events = *events;
     created->counters = counters;
-    created->watch = wb_loop_watch(loop, socket, APR_POLLIN, listener_ready, created);
+    apr_status_t status =
+        wb_acceptor_open(loop, address, connection_accepted, created, &created->acceptor, error);
+    if (status != APR_SUCCESS) {
+        g_free(created);
+        return status;
+    }
     *listener = created;
     return APR_SUCCESS;
 }
 
 unsigned wb_link_listener_port(const wb_link_listener_t *listener)
 {
-    return wb_socket_port(listener->socket);
+    return wb_acceptor_port(listener->acceptor);
 }
 
 void wb_link_listener_close(wb_link_listener_t *listener)
 {
-    wb_watch_remove(listener->watch);
-    apr_socket_close(listener->socket);
-    apr_pool_destroy(listener->pool);
+    wb_acceptor_close(listener->acceptor);
     g_free(listener);
 }
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -1,6 +1,7 @@
 /* One TCP connection on a loop, on APR's sockets. */
 #include "wickbridge/tcp_stream.h"
 
+#include "net/acceptor.h"
 #include "net/socket.h"
 
 #include <apr_pools.h>
@@ -10,14 +11,11 @@
 
 #define READ_CHUNK_BYTES 16384
 #define READS_PER_WAKEUP 4
-#define ACCEPTS_PER_WAKEUP 32
 #define LINGER_MS 1000
 
 struct wb_tcp_listener_t {
     wb_loop_t *loop;
-    apr_pool_t *pool;
-    apr_socket_t *socket;
-    wb_watch_t *watch;
+    wb_acceptor_t *acceptor;
     int64_t silence_limit_ms;
     wb_tcp_accept_fn on_accept;
     void *context;
@@ -315,13 +313,8 @@
 static void connect_ready(int16_t events, void *context)
 {
     wb_tcp_stream_t *stream = context;
-    int failure = 0;
-    socklen_t size = sizeof(failure);
-    int descriptor;
-    apr_os_sock_get(&descriptor, stream->socket);
-    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
     timer_clear(stream);
-    if (failure != 0 || (events & (APR_POLLERR | APR_POLLHUP))) {
+    if (!wb_socket_is_connected(stream->socket, events)) {
         stream_end(stream, WB_TCP_END_UNREACHED);
         return;
     }
@@ -359,66 +352,42 @@
     return APR_SUCCESS;
 }
 
-/* Takes one connection. Returns FALSE when none is waiting. */
-static gboolean connection_accept(wb_tcp_listener_t *listener)
+static void connection_accepted(apr_socket_t *socket, apr_pool_t *pool, void *context)
 {
-    apr_pool_t *pool;
-    apr_pool_create(&pool, NULL);
-    apr_socket_t *socket;
-    if (apr_socket_accept(&socket, listener->socket, pool) != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return FALSE;
-    }
+    wb_tcp_listener_t *listener = context;
     wb_tcp_stream_t *stream =
         stream_create(listener->loop, pool, socket, listener->silence_limit_ms);
     stream->open = TRUE;
     stream->watch = wb_loop_watch(listener->loop, socket, APR_POLLIN, stream_ready, stream);
     listener->on_accept(stream, listener->context);
-    return TRUE;
-}
-
-static void listener_ready(int16_t events, void *context)
-{
-    (void)events;
-    wb_tcp_listener_t *listener = context;
-    for (int i = 0; i < ACCEPTS_PER_WAKEUP; i++)
-        if (!connection_accept(listener))
-            return;
 }
 
 apr_status_t wb_tcp_listen(wb_loop_t *loop, const char *address, int64_t silence_limit_ms,
                            wb_tcp_accept_fn on_accept, void *context, wb_tcp_listener_t **listener,
                            wb_error_t *error)
 {
-    apr_pool_t *pool;
-    apr_pool_create(&pool, NULL);
-    apr_socket_t *socket;
-    apr_status_t status = wb_socket_listen(address, pool, &socket, error);
-    if (status != APR_SUCCESS) {
-        apr_pool_destroy(pool);
-        return status;
-    }
     wb_tcp_listener_t *created = g_new0(wb_tcp_listener_t, 1);
     created->loop = loop;
-    created->pool = pool;
-    created->socket = socket;
     created->silence_limit_ms = silence_limit_ms;
     created->on_accept = on_accept;
     created->context = context;
-    created->watch = wb_loop_watch(loop, socket, APR_POLLIN, listener_ready, created);
+    apr_status_t status =
+        wb_acceptor_open(loop, address, connection_accepted, created, &created->acceptor, error);
+    if (status != APR_SUCCESS) {
+        g_free(created);
+        return status;
+    }
     *listener = created;
     return APR_SUCCESS;
 }
 
 unsigned wb_tcp_listener_port(const wb_tcp_listener_t *listener)
 {
-    return wb_socket_port(listener->socket);
+    return wb_acceptor_port(listener->acceptor);
 }
 
 void wb_tcp_listener_close(wb_tcp_listener_t *listener)
 {
-    wb_watch_remove(listener->watch);
-    apr_socket_close(listener->socket);
-    apr_pool_destroy(listener->pool);
+    wb_acceptor_close(listener->acceptor);
     g_free(listener);
 }
