Let the lease's holder tell gateways what it reads in the store

Each of 73 nodes asked for three tables, 7 calls a second, whether anything had changed or not.

Change: the holder tells gateways each 300 ms as of when it knows each table and which version of the configuration is newest, and sends only rows that come, leave or go (bounded over all links; else: look yourselves). A gateway that doesn't read its link is let go (was: 48 MB of unsent news).

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -45,6 +45,7 @@
     double node_life_s;
     int64_t order_timeout_ms;
     int64_t engine_poll_ms;
+    double store_look_s;
     int64_t demand_interval_ms;
     int64_t adapter_load_ms;
     int64_t answer_buffer_bytes;
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -65,6 +65,8 @@
 gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms);
 /** @return the token of this node's holding, valid while it is held */
 uint64_t wb_lease_token(const wb_lease_t *lease);
+/** @return the version of the row that is known; 0: none */
+int64_t wb_lease_version(const wb_lease_t *lease);
 /** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
 const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
 /** @return recent loads that the holder before this one told last, and when its row was seen
--- a/include/wickbridge/link.h
+++ b/include/wickbridge/link.h
@@ -48,6 +48,9 @@
 /** Queue a message; it is sent when the socket lets it. */
 void wb_link_send(wb_link_t *link, const wb_wire_message *message);
 
+/** @return bytes that wait to be sent */
+size_t wb_link_unsent(const wb_link_t *link);
+
 /** Close without on_close and free. Must not be called from inside on_message of the same link. */
 void wb_link_close(wb_link_t *link);
 
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -21,18 +21,40 @@
     void *context;
 } wb_table_watch_events_t;
 
-/**
- * @param wait_ms  how long a call for changes may be held
- * @param pause_ms shortest time between the starts of two calls for changes
- */
+/** How often a table is asked for. */
+typedef struct wb_table_pace_t {
+    int64_t wait_ms;   /**< how long a call for changes may be held */
+    int64_t pause_ms;  /**< shortest time between the starts of two calls for changes */
+    int64_t trust_ms;  /**< what another node has read stands for an own call for so long */
+    int64_t look_ms;   /**< shortest time between two calls that others' news ask for */
+    int64_t safety_ms; /**< longest time between two own calls, whatever others have read */
+} wb_table_pace_t;
+
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
-                                        wb_table_name_t name, int64_t wait_ms, int64_t pause_ms,
+                                        wb_table_name_t name, const wb_table_pace_t *pace,
                                         const wb_table_watch_events_t *events);
+void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace);
+/** Take a row that another node has read; an older one than is known changes nothing. */
+void wb_table_watch_take(wb_table_watch_t *watch, const wb_table_row_t *row);
+/**
+ * Another node has read the table: while its reading is fresh and shows nothing that is not known
+ * here, this node does not ask.
+ * @param newest_row the highest version of a row that it knows there
+ * @param known_ms   steady time as of which it knows the table
+ */
+void wb_table_watch_vouch(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms);
+/** @return the highest version of a row that was taken */
+int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch);
+/** @return steady time as of which this node itself has read the table; 0: never */
+int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch);
+/** Something has changed that is not known here: ask, whatever others have read. */
+void wb_table_watch_look(wb_table_watch_t *watch);
 /** Ask sooner than the pause says, once. */
 void wb_table_watch_hurry(wb_table_watch_t *watch);
 /** @return TRUE once the table was read whole */
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch);
-/** @return ms since the store last answered, for logs and metrics; G_MAXINT64 when it never did */
+/** @return ms since the store last answered this node or one that vouches, for logs and metrics;
+ * G_MAXINT64 when it never did */
 int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch);
 
 #endif
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -209,6 +209,11 @@
     return lease->known.holder != NULL ? &lease->known : NULL;
 }
 
+int64_t wb_lease_version(const wb_lease_t *lease)
+{
+    return MAX(lease->version, 0);
+}
+
 unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms)
 {
     *seen_ms = lease->predecessor_ms;
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -6,23 +6,41 @@
 #define RETRY_MS 150
 #define RETRY_LIMIT_MS 600
 #define HURRY_PAUSE_MS 25
+/* Own calls that others' readings replace are spread over so much of the time between them. */
+#define SAFETY_SPREAD 0.25
+/* Removed rows are remembered so that no older reading brings them back. */
+#define REMOVED_KEPT_MS 60000
+#define REMOVED_LIMIT 256
 
 typedef enum wb_watch_state_t {
     WB_WATCH_READING, /* the whole table, page by page */
     WB_WATCH_FOLLOWING
 } wb_watch_state_t;
 
+/* A row that was removed. */
+typedef struct wb_removed_row_t {
+    int64_t version;
+    int64_t at_ms;
+} wb_removed_row_t;
+
 struct wb_table_watch_t {
     wb_loop_t *loop;
     const wb_table_t *table;
     wb_table_name_t name;
-    int64_t wait_ms;
-    int64_t pause_ms;
+    wb_table_pace_t pace;
     wb_table_watch_events_t events;
     wb_watch_state_t state;
     GHashTable *versions; /* key -> int64_t *, rows that are there */
-    GHashTable *seen;     /* keys of the present whole read */
-    GPtrArray *page_rows; /* rows of the present whole read */
+    GHashTable *removed;  /* key -> wb_removed_row_t */
+    int64_t newest_row;   /* highest version of a row that was taken */
+    int64_t heard_row;    /* highest version of a row that another node has told of */
+    int64_t known_ms;     /* steady time as of which this node has read the table; 0: never */
+    int64_t read_began_ms;
+    int64_t vouched_ms;    /* as of which another node has read all that is known here; 0: none */
+    int64_t look_since_ms; /* another node knew more then; 0: not more than this one */
+    double spread;         /* this node's share of the time between own calls */
+    GHashTable *seen;      /* keys of the present whole read */
+    GPtrArray *page_rows;  /* rows of the present whole read */
     char *next_key;
     int64_t read_version; /* lowest newest-version told by a page of the whole read */
     int64_t version;      /* changes are known up to here */
@@ -61,19 +79,48 @@
     watch->timer = wb_loop_after(watch->loop, MAX(delay_ms, 0), watch_ask, watch);
 }
 
+static gboolean removal_is_old(gpointer key, gpointer value, gpointer context)
+{
+    (void)key;
+    return ((wb_removed_row_t *)value)->at_ms < *(int64_t *)context;
+}
+
+static void removal_note(wb_table_watch_t *watch, const char *key, int64_t version)
+{
+    int64_t now_ms = wb_clock_ms();
+    if (g_hash_table_size(watch->removed) >= REMOVED_LIMIT) {
+        int64_t oldest_ms = now_ms - REMOVED_KEPT_MS;
+        g_hash_table_foreach_remove(watch->removed, removal_is_old, &oldest_ms);
+    }
+    wb_removed_row_t removed = {version, now_ms};
+    g_hash_table_replace(watch->removed, g_strdup(key), g_memdup2(&removed, sizeof(removed)));
+}
+
+/* Returns the version up to which a row's history is known; 0: nothing is. */
+static int64_t row_known(const wb_table_watch_t *watch, const char *key)
+{
+    const int64_t *known = g_hash_table_lookup(watch->versions, key);
+    const wb_removed_row_t *removed = g_hash_table_lookup(watch->removed, key);
+    if (known != NULL)
+        return *known;
+    return removed != NULL ? removed->version : 0;
+}
+
 /* A row can't go back to an older version within this process. */
 static gboolean row_take(wb_table_watch_t *watch, const wb_table_row_t *row)
 {
-    int64_t *known = g_hash_table_lookup(watch->versions, row->key);
-    if (known != NULL && *known >= row->version)
+    if (row_known(watch, row->key) >= row->version)
         return FALSE;
-    if (known == NULL && row->value == NULL)
-        return FALSE;
-    if (row->value == NULL)
-        g_hash_table_remove(watch->versions, row->key);
-    else
+    watch->newest_row = MAX(watch->newest_row, row->version);
+    if (row->value == NULL) {
+        removal_note(watch, row->key, row->version);
+        if (!g_hash_table_remove(watch->versions, row->key))
+            return FALSE; /* it was not known to be there */
+    } else {
         g_hash_table_replace(watch->versions, g_strdup(row->key),
                              g_memdup2(&row->version, sizeof(row->version)));
+        g_hash_table_remove(watch->removed, row->key);
+    }
     watch->events.on_row(row, watch->events.context);
     return TRUE;
 }
@@ -87,6 +134,7 @@
             continue;
         wb_table_row_t row = {g_strdup(item->data), NULL, 0, watch->read_version};
         g_hash_table_remove(watch->versions, row.key);
+        removal_note(watch, row.key, row.version);
         watch->events.on_row(&row, watch->events.context);
         g_free(row.key);
     }
@@ -99,6 +147,29 @@
     g_ptr_array_set_size(watch->page_rows, 0);
     g_clear_pointer(&watch->next_key, g_free);
     watch->read_version = G_MAXINT64;
+    watch->read_began_ms = 0;
+}
+
+/* What is known now is as of the start of the call that told it. */
+static void known_note(wb_table_watch_t *watch, int64_t known_ms)
+{
+    watch->known_ms = known_ms;
+    if (known_ms >= watch->look_since_ms)
+        watch->look_since_ms = 0;
+}
+
+/* When an own call is due, after a call that began at asked_ms. */
+static int64_t due_ms(const wb_table_watch_t *watch)
+{
+    int64_t due = watch->asked_ms + watch->pace.pause_ms;
+    if (watch->vouched_ms == 0)
+        return due;
+    if (watch->look_since_ms != 0)
+        return MAX(due, watch->asked_ms + watch->pace.look_ms);
+    int64_t safety_ms = (int64_t)((double)watch->pace.safety_ms * watch->spread);
+    int64_t vouched_until_ms =
+        MIN(watch->vouched_ms + watch->pace.trust_ms, watch->asked_ms + safety_ms);
+    return MAX(due, vouched_until_ms);
 }
 
 /* The read is whole. An answer older than what is known is not taken: it's read again. */
@@ -113,6 +184,7 @@
         row_take(watch, g_ptr_array_index(watch->page_rows, i));
     missing_remove(watch);
     watch->version = watch->read_version;
+    known_note(watch, watch->read_began_ms);
     watch->synced = TRUE;
     g_ptr_array_set_size(watch->page_rows, 0);
     watch->state = WB_WATCH_FOLLOWING;
@@ -186,9 +258,10 @@
     watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
-    int64_t pause_ms = watch->hurried ? HURRY_PAUSE_MS : watch->pause_ms;
+    known_note(watch, watch->asked_ms);
+    int64_t next_ms = watch->hurried ? watch->asked_ms + HURRY_PAUSE_MS : due_ms(watch);
     watch->hurried = FALSE;
-    ask_after(watch, watch->asked_ms + pause_ms - wb_clock_ms());
+    ask_after(watch, next_ms - wb_clock_ms());
 }
 
 static void watch_ask(void *context)
@@ -197,25 +270,28 @@
     watch->timer = NULL;
     watch->asking = TRUE;
     watch->asked_ms = wb_clock_ms();
+    if (watch->state == WB_WATCH_READING && watch->read_began_ms == 0)
+        watch->read_began_ms = watch->asked_ms;
     if (watch->state == WB_WATCH_READING)
         watch->table->read(watch->table->self, watch->name,
                            watch->next_key != NULL ? watch->next_key : "", page_answered, watch);
     else
-        watch->table->changes(watch->table->self, watch->name, watch->version, watch->wait_ms,
+        watch->table->changes(watch->table->self, watch->name, watch->version, watch->pace.wait_ms,
                               changes_answered, watch);
 }
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
-                                        wb_table_name_t name, int64_t wait_ms, int64_t pause_ms,
+                                        wb_table_name_t name, const wb_table_pace_t *pace,
                                         const wb_table_watch_events_t *events)
 {
     wb_table_watch_t *watch = g_new0(wb_table_watch_t, 1);
     watch->loop = loop;
     watch->table = table;
     watch->name = name;
-    watch->wait_ms = wait_ms;
-    watch->pause_ms = pause_ms;
+    watch->pace = *pace;
     watch->events = *events;
+    watch->spread = 1 - SAFETY_SPREAD * g_random_double();
+    watch->removed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     watch->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     watch->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->page_rows = g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
@@ -234,6 +310,53 @@
     ask_after(watch, watch->asked_ms + HURRY_PAUSE_MS - wb_clock_ms());
 }
 
+/* Moves the next call for changes, unless one is under way or the store was not reached. */
+static void due_again(wb_table_watch_t *watch)
+{
+    if (!watch->asking && watch->state == WB_WATCH_FOLLOWING && watch->timer != NULL &&
+        watch->retry_ms == 0)
+        ask_after(watch, due_ms(watch) - wb_clock_ms());
+}
+
+void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace)
+{
+    if (memcmp(&watch->pace, pace, sizeof(*pace)) == 0)
+        return;
+    watch->pace = *pace;
+    due_again(watch);
+}
+
+void wb_table_watch_take(wb_table_watch_t *watch, const wb_table_row_t *row)
+{
+    if (watch->synced && row_take(watch, row))
+        watch->events.on_batch(FALSE, watch->events.context);
+}
+
+void wb_table_watch_vouch(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms)
+{
+    if (newest_row > MAX(watch->newest_row, watch->heard_row))
+        watch->look_since_ms = wb_clock_ms();
+    watch->heard_row = MAX(watch->heard_row, newest_row);
+    watch->vouched_ms = MAX(watch->vouched_ms, known_ms);
+    due_again(watch);
+}
+
+void wb_table_watch_look(wb_table_watch_t *watch)
+{
+    watch->look_since_ms = wb_clock_ms();
+    due_again(watch);
+}
+
+int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch)
+{
+    return watch->newest_row;
+}
+
+int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch)
+{
+    return watch->known_ms;
+}
+
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch)
 {
     return watch->synced;
@@ -241,5 +364,6 @@
 
 int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch)
 {
-    return watch->answered_ms == 0 ? G_MAXINT64 : wb_clock_ms() - watch->answered_ms;
+    int64_t heard_ms = MAX(watch->answered_ms, watch->vouched_ms);
+    return heard_ms == 0 ? G_MAXINT64 : wb_clock_ms() - heard_ms;
 }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -126,11 +126,13 @@
     wb_edge_node_tick_rows(node, now_ms);
     wb_edge_node_tick_lease(node, now_ms);
     wb_edge_node_tick_link(node, now_ms);
+    wb_edge_node_tick_news(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.length > 0) {
         wb_exchanges_retry_waiting(&node->edge);
-        wb_table_watch_hurry(node->engines_watch);
+        if (!wb_edge_node_hears_news(node))
+            wb_table_watch_hurry(node->engines_watch);
     }
     if (!node->ready_told && wb_edge_node_is_ready(node)) {
         node->ready_told = TRUE;
@@ -177,6 +179,7 @@
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     created->gateways = g_hash_table_new(NULL, NULL);
+    created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     apr_status_t status = listeners_open(created, error);
     if (status != APR_SUCCESS)
         return status;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -46,6 +46,13 @@
     int64_t link_retry_ms;
     gboolean demand_told; /* the last message was not empty */
     int64_t demand_told_ms;
+    int64_t link_opened_ms;
+    /* What the holder reads in the store, for gateways: node_news.c. */
+    GArray *news_rows; /* of wb_wire_table_row, not yet told */
+    gsize news_bytes;
+    gboolean news_look; /* too much to tell */
+    int64_t news_told_ms;
+    int64_t news_heard_ms;
     wb_timer_t *need_timer;
     gboolean held;
     gboolean ready_told;
@@ -87,6 +94,19 @@
 /** Keep one link to whoever holds the lease, unless it is this node. */
 void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_news.c */
+/** How often this node asks for a table, by whether it holds the lease. */
+wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table);
+/** Queue a row that gateways must know at once; does nothing without the lease. */
+void wb_edge_node_news_add(wb_edge_node_t *node, wb_table_name_t table, const wb_table_row_t *row);
+/** Tell gateways what is due, if this node holds the lease. */
+void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms);
+void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news);
+/** @return TRUE while the holder tells this node what it reads, or this node is the holder */
+gboolean wb_edge_node_hears_news(const wb_edge_node_t *node);
+/** Send a message on every link from a gateway that reads what it is sent. */
+void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
+
 /** Answers operators' calls and metrics: edge_operators.c. */
 void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
                                GByteArray *body, void *context);
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -16,8 +16,12 @@
                  ",\"token\":%llu,\"known_holder\":\"%s\",\"known_token\":%llu",
                  (unsigned long long)token, known != NULL ? wb_event_text(known->holder) : "",
                  known != NULL ? (unsigned long long)known->token : 0ULL);
-        if (held)
+        if (held) {
             node->edge.metrics.lease_takeovers++;
+            /* Others' readings were enough until now; decisions need this node's own. */
+            wb_table_watch_look(node->engines_watch);
+            wb_table_watch_look(node->catalog_watch);
+        }
     }
     /* A lapse stops orders at once; what is believed of engines stays good while nobody else held
      * it. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -12,8 +12,10 @@
     for (guint i = 0; i < news->entries.entries_len; i++) {
         const wb_wire_placement_entry *entry = &news->entries.entries_val[i];
         wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
-        if (engine == NULL)
+        if (engine == NULL) {
+            wb_table_watch_look(node->engines_watch);
             continue;
+        }
         if (entry->ready_in_ms > 0) {
             wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
             continue;
@@ -21,7 +23,8 @@
         if (entry->held)
             wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
         wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms,
-                       2 * edge->settings.engine_heartbeat_ms);
+                       2 * edge->settings.engine_heartbeat_ms +
+                           (int64_t)(edge->settings.store_look_s * 1000));
         wb_event(
             "placement-news",
             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s,\"token\":%llu",
@@ -35,11 +38,7 @@
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context)
 {
     wb_edge_node_t *node = context;
-    GHashTableIter iter;
-    gpointer link;
-    g_hash_table_iter_init(&iter, node->gateways);
-    while (g_hash_table_iter_next(&iter, &link, NULL))
-        wb_link_send(link, news);
+    wb_edge_node_tell_gateways(node, news);
     news_take(node, &news->wb_wire_message_u.placement);
 }
 
@@ -96,7 +95,8 @@
     wb_edge_node_t *node = context;
     if (node->need_timer == NULL)
         node->need_timer = wb_loop_after(node->edge.loop, 0, need_tell, node);
-    wb_table_watch_hurry(node->engines_watch);
+    if (!wb_edge_node_hears_news(node))
+        wb_table_watch_hurry(node->engines_watch);
 }
 
 static void controller_open(wb_link_t *link, void *context)
@@ -105,6 +105,7 @@
     wb_edge_node_t *node = context;
     node->controller_link_open = TRUE;
     node->demand_told = TRUE;
+    node->link_opened_ms = wb_clock_ms();
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
     wb_edge_node_tell_demand(node);
 }
@@ -114,6 +115,8 @@
     (void)link;
     if (message->kind == WB_WIRE_PLACEMENT)
         news_take(context, &message->wb_wire_message_u.placement);
+    else if (message->kind == WB_WIRE_STORE_NEWS)
+        wb_edge_node_take_news(context, &message->wb_wire_message_u.store_news);
 }
 
 static void controller_close(wb_link_t *link, const char *reason, void *context)
--- /dev/null
+++ b/src/edge/node_news.c
@@ -0,0 +1,191 @@
+/* What the lease's holder reads in the store, told to all gateways so that they need not ask. */
+#include "edge/edge_node_types.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NEWS_INTERVAL_MS 300
+/* A gateway that has heard nothing for so long asks the store itself. */
+#define NEWS_LIFE_MS 1200
+/* Rows that would take more than this over all links are left out: gateways look themselves. */
+#define NEWS_LIMIT_BYTES (256 * 1024)
+/* A gateway that doesn't read what it is told is let go. */
+#define BACKLOG_LIMIT_BYTES (512 * 1024)
+/* The holder's own calls: what it tells must be fresh. */
+#define HOLDER_WAIT_MS 200
+#define HOLDER_PAUSE_MS 200
+#define CATALOG_WAIT_MS 1000
+#define CATALOG_PAUSE_MS 20
+#define ENGINES_WAIT_MS 1000
+#define NODES_WAIT_MS 1000
+#define NODES_PAUSE_MS 400
+/* The lease's row comes with the news itself; nodes come and go slowly. */
+#define NODES_TRUST_MS 3000
+
+static wb_table_watch_t *watch_of(const wb_edge_node_t *node, unsigned table)
+{
+    switch (table) {
+    case WB_TABLE_CATALOG:
+        return node->catalog_watch;
+    case WB_TABLE_ENGINES:
+        return node->engines_watch;
+    case WB_TABLE_NODES:
+        return node->nodes_watch;
+    default:
+        return NULL;
+    }
+}
+
+wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table)
+{
+    const wb_edge_settings_t *settings = &node->edge.settings;
+    int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
+    switch (table) {
+    case WB_TABLE_CATALOG:
+        return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : CATALOG_WAIT_MS, CATALOG_PAUSE_MS,
+                                 settings->catalog_ms / 2, CATALOG_PAUSE_MS, safety_ms};
+    case WB_TABLE_ENGINES:
+        return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : ENGINES_WAIT_MS,
+                                 node->held ? HOLDER_PAUSE_MS : settings->engine_poll_ms,
+                                 settings->drain_ms / 2, settings->drain_ms / 4, safety_ms};
+    default:
+        return (wb_table_pace_t){NODES_WAIT_MS, NODES_PAUSE_MS, NODES_TRUST_MS, NODES_PAUSE_MS,
+                                 safety_ms};
+    }
+}
+
+void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message)
+{
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+        if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
+            wb_link_break(link, "it doesn't read what it is told");
+        else
+            wb_link_send(link, message);
+    }
+}
+
+static void news_clear(wb_edge_node_t *node)
+{
+    for (guint i = 0; i < node->news_rows->len; i++)
+        xdr_free((xdrproc_t)xdr_wb_wire_table_row,
+                 &g_array_index(node->news_rows, wb_wire_table_row, i));
+    g_array_set_size(node->news_rows, 0);
+    node->news_bytes = 0;
+}
+
+void wb_edge_node_news_add(wb_edge_node_t *node, wb_table_name_t table, const wb_table_row_t *row)
+{
+    if (!node->held || node->news_look)
+        return;
+    node->news_bytes += strlen(row->key) + row->length;
+    if (node->news_bytes * g_hash_table_size(node->gateways) > NEWS_LIMIT_BYTES) {
+        news_clear(node);
+        node->news_look = TRUE;
+        return;
+    }
+    g_array_set_size(node->news_rows, node->news_rows->len + 1);
+    wb_wire_table_row *wire =
+        &g_array_index(node->news_rows, wb_wire_table_row, node->news_rows->len - 1);
+    wire->table = table;
+    wire->key = strdup(row->key);
+    wire->row_version = (uint64_t)row->version;
+    wire->removed = row->value == NULL;
+    if (row->value == NULL)
+        return;
+    wire->value.value_val = malloc(MAX(row->length, 1));
+    memcpy(wire->value.value_val, row->value, row->length);
+    wire->value.value_len = (u_int)row->length;
+}
+
+static unsigned age_of(const wb_table_watch_t *watch, int64_t now_ms)
+{
+    int64_t known_ms = wb_table_watch_known_ms(watch);
+    return known_ms == 0 ? G_MAXUINT : (unsigned)CLAMP(now_ms - known_ms, 0, G_MAXINT);
+}
+
+/* Engines' and nodes' rows change all the time in ways that gateways need not know at once, so
+ * only the catalog's newest row is told. */
+static void news_tell(wb_edge_node_t *node, int64_t now_ms)
+{
+    const wb_lease_row_t *lease = wb_lease_known(node->lease);
+    if (lease == NULL)
+        return;
+    wb_wire_table_view views[] = {
+        {WB_TABLE_CATALOG, (uint64_t)wb_table_watch_newest_row(node->catalog_watch),
+         age_of(node->catalog_watch, now_ms)},
+        {WB_TABLE_ENGINES, 0, age_of(node->engines_watch, now_ms)},
+        {WB_TABLE_NODES, 0, age_of(node->nodes_watch, now_ms)},
+    };
+    wb_wire_message message = {.kind = WB_WIRE_STORE_NEWS};
+    wb_wire_store_news *news = &message.wb_wire_message_u.store_news;
+    news->views.views_len = G_N_ELEMENTS(views);
+    news->views.views_val = views;
+    news->lease = (wb_wire_lease){lease->holder, lease->address,  lease->token,
+                                  lease->beat,   lease->released, lease->recent_loads};
+    news->lease_version = (uint64_t)wb_lease_version(node->lease);
+    news->rows.rows_len = node->news_rows->len;
+    news->rows.rows_val = (wb_wire_table_row *)(void *)node->news_rows->data;
+    news->look = node->news_look;
+    wb_edge_node_tell_gateways(node, &message);
+    news_clear(node);
+    node->news_look = FALSE;
+    node->news_told_ms = now_ms;
+}
+
+void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms)
+{
+    for (unsigned table = WB_TABLE_CATALOG; table <= WB_TABLE_NODES; table++) {
+        wb_table_pace_t pace = wb_edge_node_pace(node, table);
+        wb_table_watch_set_pace(watch_of(node, table), &pace);
+    }
+    if (!node->held) {
+        news_clear(node);
+        node->news_look = FALSE;
+        return;
+    }
+    gboolean pending = node->news_rows->len > 0 || node->news_look;
+    if (pending || now_ms - node->news_told_ms >= NEWS_INTERVAL_MS)
+        news_tell(node, now_ms);
+}
+
+/* A holder's reading stands for an own one only once this node has itself read the table after the
+ * link came up: what changed before then, the holder may have told others only. */
+static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms)
+{
+    wb_table_watch_t *watch = watch_of(node, view->table);
+    if (watch != NULL && wb_table_watch_known_ms(watch) > node->link_opened_ms)
+        wb_table_watch_vouch(watch, (int64_t)view->newest_row, now_ms - (int64_t)view->age_ms);
+}
+
+static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire)
+{
+    wb_table_watch_t *watch = watch_of(node, wire->table);
+    wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
+                          wire->value.value_len, (int64_t)wire->row_version};
+    if (watch != NULL)
+        wb_table_watch_take(watch, &row);
+}
+
+void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news)
+{
+    int64_t now_ms = wb_clock_ms();
+    node->news_heard_ms = now_ms;
+    wb_lease_row_t lease = {news->lease.holder, news->lease.address,  news->lease.token,
+                            news->lease.beat,   news->lease.released, news->lease.recent_loads};
+    wb_lease_on_row(node->lease, &lease, (int64_t)news->lease_version, now_ms);
+    for (guint i = 0; i < news->rows.rows_len; i++)
+        row_take(node, &news->rows.rows_val[i]);
+    if (news->look)
+        wb_table_watch_look(node->engines_watch);
+    for (guint i = 0; i < news->views.views_len; i++)
+        view_take(node, &news->views.views_val[i], now_ms);
+}
+
+gboolean wb_edge_node_hears_news(const wb_edge_node_t *node)
+{
+    return node->held ||
+           (node->controller_link_open && wb_clock_ms() - node->news_heard_ms < NEWS_LIFE_MS);
+}
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -3,11 +3,6 @@
 
 #include <string.h>
 
-#define CATALOG_WAIT_MS 1000
-#define CATALOG_PAUSE_MS 20
-#define ENGINES_WAIT_MS 1000
-#define NODES_WAIT_MS 1000
-#define NODES_PAUSE_MS 400
 /* A node's row is written anew so often in the life of a row. */
 #define NODE_ROW_RENEWALS 4
 #define NODE_ROW_RETRY_MS 500
@@ -84,6 +79,7 @@
                      wb_event_text(row->key), (long long)row->version);
         wb_fleet_remove(edge->fleet, row->key);
         wb_controller_engine_changed(node->controller, row->key);
+        wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
         return;
     }
     wb_engine_state_t *state = edge->dialect->engine_parse(row->key, row->value, row->length);
@@ -93,12 +89,14 @@
     }
     gboolean was_leaving = known != NULL && known->leaving_ms != 0;
     wb_engine_t *engine = wb_fleet_announce(edge->fleet, state);
-    if (known == NULL || was_leaving != (engine->leaving_ms != 0))
+    if (known == NULL || was_leaving != (engine->leaving_ms != 0)) {
+        wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
         wb_event("engine-seen",
                  ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
                  "\"row_version\":%lld",
                  state->id, state->service, state->address, state->leaving ? "true" : "false",
                  (long long)row->version);
+    }
     wb_controller_engine_changed(node->controller, row->key);
 }
 
@@ -107,7 +105,7 @@
     (void)whole;
     wb_edge_node_t *node = context;
     wb_exchanges_retry_waiting(&node->edge);
-    if (node->edge.waiting.length > 0)
+    if (node->edge.waiting.length > 0 && !wb_edge_node_hears_news(node))
         wb_table_watch_hurry(node->engines_watch);
 }
 
@@ -141,8 +139,11 @@
     const char *id = row->key + strlen(NODE_KEY_PREFIX);
     if (row->value == NULL) {
         g_hash_table_remove(node->nodes, id);
+        wb_edge_node_news_add(node, WB_TABLE_NODES, row);
         return;
     }
+    if (!g_hash_table_contains(node->nodes, id))
+        wb_edge_node_news_add(node, WB_TABLE_NODES, row);
     wb_node_row_t *known = g_new0(wb_node_row_t, 1);
     known->seen_ms = wb_clock_ms();
     known->version = row->version;
@@ -251,11 +252,12 @@
     wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
     wb_table_watch_events_t engines = {engine_row, engine_batch, store_called, node};
     wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_called, node};
-    node->catalog_watch = wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG,
-                                                CATALOG_WAIT_MS, CATALOG_PAUSE_MS, &catalog);
+    wb_table_pace_t pace = wb_edge_node_pace(node, WB_TABLE_CATALOG);
+    node->catalog_watch =
+        wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG, &pace, &catalog);
+    pace = wb_edge_node_pace(node, WB_TABLE_ENGINES);
     node->engines_watch =
-        wb_table_watch_create(loop, node->table, WB_TABLE_ENGINES, ENGINES_WAIT_MS,
-                              node->edge.settings.engine_poll_ms, &engines);
-    node->nodes_watch = wb_table_watch_create(loop, node->table, WB_TABLE_NODES, NODES_WAIT_MS,
-                                              NODES_PAUSE_MS, &nodes);
+        wb_table_watch_create(loop, node->table, WB_TABLE_ENGINES, &pace, &engines);
+    pace = wb_edge_node_pace(node, WB_TABLE_NODES);
+    node->nodes_watch = wb_table_watch_create(loop, node->table, WB_TABLE_NODES, &pace, &nodes);
 }
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -164,6 +164,11 @@
         wb_link_break(link, "sending failed");
 }
 
+size_t wb_link_unsent(const wb_link_t *link)
+{
+    return link->unsent->len;
+}
+
 /* Takes one frame off the front. Returns TRUE when there was one; sets `bad` for a wrong frame. */
 static gboolean frame_take(wb_link_t *link, guint *used, gboolean *bad)
 {
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -56,6 +56,7 @@
         "none",         "hello",         "heartbeat",       "gossip",       "sync",
         "config-fetch", "config-change", "group-state",     "group-append", "group-ack",
         "group-vote",   "group-ballot",  "route-want",      "route-show",   "claim-want",
-        "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement"};
+        "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement",
+        "store-news"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -294,6 +294,31 @@
     unsigned int recent_loads; /* from the weight store in the window before this renewal */
 };
 
+/* A row of one of the store's tables, as the sender read it. */
+struct wb_wire_table_row {
+    unsigned int table; /* wb_table_name_t */
+    wb_wire_name key;
+    unsigned hyper row_version;
+    bool removed;
+    opaque value<WB_WIRE_TEXT_MAX>;
+};
+
+/* How far the sender follows a table. */
+struct wb_wire_table_view {
+    unsigned int table;
+    unsigned hyper newest_row; /* the highest version of a row that the sender knows there */
+    unsigned int age_ms;       /* since the sender asked for what it was last told */
+};
+
+/* What the placement controller reads in the store, so that gateways need not ask. */
+struct wb_wire_store_news {
+    wb_wire_table_view views<8>;
+    wb_wire_lease lease;
+    unsigned hyper lease_version;
+    wb_wire_table_row rows<WB_WIRE_LIST_MAX>;
+    bool look; /* more has changed than fits in: ask the store */
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -313,7 +338,8 @@
     WB_WIRE_CLAIM_DONE_NOTE = 16,
     WB_WIRE_GROUP_HAND_OVER = 17,
     WB_WIRE_DEMAND = 18,
-    WB_WIRE_PLACEMENT = 19
+    WB_WIRE_PLACEMENT = 19,
+    WB_WIRE_STORE_NEWS = 20
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -355,4 +381,6 @@
     wb_wire_demand demand;
 case WB_WIRE_PLACEMENT:
     wb_wire_placement placement;
+case WB_WIRE_STORE_NEWS:
+    wb_wire_store_news store_news;
 };
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -152,8 +152,93 @@
     estate_stop(estate);
 }
 
+static int follower_find(const estate_t *estate)
+{
+    int holder = -1;
+    for (int i = 0; holder < 0 && i < 100; i++) {
+        holder = estate_controller(estate);
+        g_usleep(50000);
+    }
+    g_assert_cmpint(holder, >=, 0);
+    return (holder + 1) % estate->node_count;
+}
+
+/* Nodes that the lease's holder tells what it reads hardly ask the store, and know as much. */
+static void test_holder_reads_for_others(void)
+{
+    estate_t *estate = estate_start(3, NULL);
+    int follower = follower_find(estate);
+    g_usleep(3000000);
+    double calls = estate_metric(estate, follower, "store_calls_total");
+    g_usleep(4000000);
+    calls = estate_metric(estate, follower, "store_calls_total") - calls;
+    g_test_message("%g calls in 4 s", calls);
+    g_assert_cmpfloat(calls, <=, 8);
+    estate_configure(estate,
+                     "{\"name\":\"new\",\"host\":\"a.example\",\"pathPrefix\":\"/new/\","
+                     "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\"}");
+    g_usleep(1000000);
+    for (int i = 0; i < estate->node_count; i++) {
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[i].callers_port, "/new/x", "w1", EDGE_DEADLINE);
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_answer_free(answer);
+    }
+    estate_stop(estate);
+}
+
+static void assert_only_second_engine_runs(const estate_t *estate, int node, const char *id)
+{
+    for (int i = 0; i < 20; i++) {
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[node].callers_port, "/lock/x", id, EDGE_DEADLINE);
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_answer_free(answer);
+    }
+    json_t *seen = estate_seen(estate);
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run)
+    {
+        if (strcmp(json_string_value(json_object_get(run, "id")), id) == 0)
+            g_assert_cmpstr(json_string_value(json_object_get(run, "engine")), ==, "lock-2");
+    }
+    json_decref(seen);
+}
+
+/* A node whose way to the store is silent learns from the holder that an engine leaves. */
+static void test_news_reach_a_cut_node(void)
+{
+    estate_t *estate = estate_start(2, "--drain-ms=1000");
+    int follower = follower_find(estate);
+    g_usleep(1500000);
+    estate_store_fault(estate, follower, "freeze", 0);
+    g_usleep(500000);
+    estate_do(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    g_usleep(1100000);
+    assert_only_second_engine_runs(estate, follower, "n1");
+    estate_stop(estate);
+}
+
+/* A holder that knows nothing new vouches for nothing: the others ask the store themselves. */
+static void test_holder_without_a_store(void)
+{
+    estate_t *estate = estate_start(2, "--drain-ms=1000");
+    int follower = follower_find(estate);
+    g_usleep(1500000);
+    estate_store_fault(estate, 1 - follower, "freeze", 0);
+    g_usleep(200000);
+    estate_do(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    g_usleep(1100000);
+    assert_only_second_engine_runs(estate, follower, "h1");
+    estate_stop(estate);
+}
+
 void edge_store_tests_add(void)
 {
+    g_test_add_func("/edge/store/holder-reads-for-others", test_holder_reads_for_others);
+    g_test_add_func("/edge/store/news-reach-a-cut-node", test_news_reach_a_cut_node);
+    g_test_add_func("/edge/store/holder-without-a-store", test_holder_without_a_store);
     g_test_add_func("/edge/store/gone-nodes-are-forgotten", test_gone_nodes_are_forgotten);
     g_test_add_func("/edge/store/one-node-is-cut", test_one_node_is_cut);
     g_test_add_func("/edge/store/slow", test_slow_store);
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -101,13 +101,124 @@
     g_assert_cmpint(wb_loop_create(&script.loop, "test", 16, &error), ==, APR_SUCCESS);
     script.table = (wb_table_t){&script, script_read, script_changes, NULL};
     script.seen = g_string_new(NULL);
-    wb_table_watch_create(script.loop, &script.table, WB_TABLE_ENGINES, 10, 20, &events);
+    wb_table_pace_t pace = {10, 20, 0, 20, 0};
+    wb_table_watch_create(script.loop, &script.table, WB_TABLE_ENGINES, &pace, &events);
     wb_loop_run(script.loop);
     g_assert_cmpstr(script.seen->str, ==, "+a@10 +b@11 +b@12 +c@18 -b@20 ");
     g_string_free(script.seen, TRUE);
 }
 
+/* What other nodes tell, while an own call for changes is held. */
+typedef struct held_t {
+    wb_loop_t *loop;
+    wb_table_t table;
+    wb_table_watch_t *watch;
+    int calls;
+    wb_table_answer_fn on_answer; /* of the held call */
+    void *context;
+    script_t script; /* where rows are noted */
+} held_t;
+
+static void held_read(void *self, wb_table_name_t table, const char *from_key,
+                      wb_table_answer_fn on_answer, void *context)
+{
+    (void)self;
+    (void)table;
+    (void)from_key;
+    GPtrArray *rows = rows_make();
+    g_ptr_array_add(rows, row_make("a", 5));
+    answer_give(on_answer, context, WB_TABLE_DONE, rows, 5);
+}
+
+static void held_changes(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+                         wb_table_answer_fn on_answer, void *context)
+{
+    (void)table;
+    (void)after;
+    (void)wait_ms;
+    held_t *held = self;
+    held->calls++;
+    held->on_answer = on_answer;
+    held->context = context;
+}
+
+static void held_play(void (*play)(void *context), void *context)
+{
+    held_t *held = context;
+    wb_error_t error;
+    wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &held->script};
+    wb_table_pace_t pace = {10, 20, 500, 20, 300};
+    g_assert_cmpint(wb_loop_create(&held->loop, "test", 16, &error), ==, APR_SUCCESS);
+    held->table = (wb_table_t){held, held_read, held_changes, NULL};
+    held->script.seen = g_string_new(NULL);
+    held->watch = wb_table_watch_create(held->loop, &held->table, WB_TABLE_ENGINES, &pace, &events);
+    wb_loop_after(held->loop, 50, play, held);
+    wb_loop_run(held->loop);
+    g_string_free(held->script.seen, TRUE);
+}
+
+static void removal_play(void *context)
+{
+    held_t *held = context;
+    wb_table_row_t removed = {(char *)"a", NULL, 0, 9};
+    wb_table_watch_take(held->watch, &removed);
+    GPtrArray *rows = rows_make();
+    g_ptr_array_add(rows, row_make("a", 8)); /* the held call's answer is from before */
+    answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows, 8);
+    g_assert_cmpstr(held->script.seen->str, ==, "+a@5 -a@9 ");
+    wb_table_row_t back = {(char *)"a", (guchar *)"v", 1, 12};
+    wb_table_watch_take(held->watch, &back);
+    g_assert_cmpstr(held->script.seen->str, ==, "+a@5 -a@9 +a@12 ");
+    wb_loop_quit(held->loop);
+}
+
+/* A removal that another node told of holds against an older answer of the store. */
+static void test_told_removal_stays(void)
+{
+    held_t held = {0};
+    held_play(removal_play, &held);
+}
+
+static void vouched_end(void *context)
+{
+    held_t *held = context;
+    /* The safety time is over though the other node still vouches. */
+    g_assert_cmpint(held->calls, ==, 3);
+    wb_loop_quit(held->loop);
+}
+
+static void vouched_later(void *context)
+{
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 2);
+    answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows_make(), 6);
+    wb_table_watch_vouch(held->watch, 6, wb_clock_ms());
+    wb_loop_after(held->loop, 360, vouched_end, held);
+}
+
+static void vouched_play(void *context)
+{
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 1);
+    answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows_make(), 5);
+    wb_table_watch_vouch(held->watch, 5, wb_clock_ms());
+    g_assert_cmpint(held->calls, ==, 1);
+    /* The other node knows a newer row: that is asked for at once. */
+    wb_table_watch_vouch(held->watch, 6, wb_clock_ms());
+    wb_loop_after(held->loop, 40, vouched_later, held);
+}
+
+/* While another node vouches for what is known, the store isn't asked, but for newer rows and for
+ * safety. */
+static void test_vouched_table_is_not_asked(void)
+{
+    held_t held = {0};
+    held_play(vouched_play, &held);
+}
+
 void table_watch_tests_add(void)
 {
+    g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
+    g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
     g_test_add_func("/table-watch/stale-read-is-not-taken", test_stale_read_is_not_taken);
 }
