Mend both-sides-ask: time without an owner counts only while someone waits

Cause: gw_target_t.owner_lost_ms was set in the partition and went back to 0 only when an owner answered, so the first request after healing met a wait of 6 s that was over already, and was refused with no_owner after 0.00 s. Change: one pure function notes losses; an empty queue forgets them.

--- a/src/gateway/gateway_types.h
+++ b/src/gateway/gateway_types.h
@@ -173,6 +173,10 @@
 /* Takes requests off the queue that may run now; they are returned for starting without locks. */
 void target_dispatch(wb_gateway_t *gateway, gw_target_t *target, GQueue *starting, int64_t now_ms);
 void target_release(gw_request_t *request, gboolean success, gboolean refused, int64_t down_ms);
+/* Notes whether the owner could be told of what waits. Returns TRUE when those that wait have
+ * waited long enough for one. */
+gboolean target_owner_is_missing(gw_target_t *target, gboolean lost, int64_t now_ms,
+                                 int64_t wait_ms);
 int64_t target_predict_ms(const gw_target_t *target);
 void target_show(wb_gateway_t *gateway, const wb_wire_route_show *show);
 
--- a/src/gateway/target.c
+++ b/src/gateway/target.c
@@ -196,6 +196,21 @@
     run_start_all(&starting);
 }
 
+gboolean target_owner_is_missing(gw_target_t *target, gboolean lost, int64_t now_ms,
+                                 int64_t wait_ms)
+{
+    if (wb_fair_queue_length(target->queue) == 0) {
+        /* Time in which nobody waited is no wait: an earlier loss may long be over. */
+        target->owner_lost_ms = 0;
+        return FALSE;
+    }
+    if (lost && target->owner_lost_ms == 0)
+        target->owner_lost_ms = now_ms;
+    /* Routes stay good without an owner; only requests without a replica are given up. */
+    return target->replicas->len == 0 && target->owner_lost_ms > 0 &&
+           now_ms - target->owner_lost_ms >= wait_ms;
+}
+
 /* How long a new request would wait, as far as is known; 0 when nothing is known. */
 int64_t target_predict_ms(const gw_target_t *target)
 {
--- a/src/gateway/want.c
+++ b/src/gateway/want.c
@@ -97,13 +97,9 @@
                         GQueue *starting)
 {
     int64_t now_ms = expiry->now_ms;
-    if (want_is_due(target, now_ms) && !want_send(gateway, target, now_ms) &&
-        target->owner_lost_ms == 0)
-        target->owner_lost_ms = now_ms;
-    /* Routes stay good without an owner; only requests without a replica are given up. */
-    gboolean served = target->replicas->len > 0;
-    expiry->no_owner = !served && target->owner_lost_ms > 0 &&
-                       now_ms - target->owner_lost_ms >= gateway->options.no_owner_wait_ms;
+    gboolean lost = want_is_due(target, now_ms) && !want_send(gateway, target, now_ms);
+    expiry->no_owner =
+        target_owner_is_missing(target, lost, now_ms, gateway->options.no_owner_wait_ms);
     wb_fair_queue_remove(target->queue, request_is_over, expiry);
     target_dispatch(gateway, target, starting, now_ms);
 }
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -18,5 +18,6 @@
     policy_tests_add();
     edge_tests_add();
     table_watch_tests_add();
+    target_tests_add();
     return g_test_run();
 }
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -12,5 +12,6 @@
 void policy_tests_add(void);
 void edge_tests_add(void);
 void table_watch_tests_add(void);
+void target_tests_add(void);
 
 #endif
