Arrange tests as one program a module

Each module's unit tests, and each area's tests with real processes, are a program of their own; test_edge.c, which held seven modules' tests, is cut by module.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -46,12 +46,16 @@
 touch "$results/passed" "$results/failed"
 run_command format make -s format-check
 run_command lint make -s lint
-for program in unit-tests edge-tests integration-tests; do
+programs() {
+    (cd "$build" && find . -maxdepth 1 -type f -name "$1" -perm -u+x | sort | cut -c3-)
+}
+
+for program in $(programs 'unit-*') $(programs 'edge-*') $(programs 'integration-*'); do
     for test in $("$build/$program" -l | grep '^/'); do
         run_one "$program" "$test"
     done
 done
-for program in $(cd "$build" && ls fuzz-*-check 2>/dev/null); do
+for program in $(programs 'fuzz-*-check'); do
     run_command "$program" "$build/$program"
 done
 run_command demo scripts/demo.sh "$build"
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -17,9 +17,13 @@
 work=$(mktemp -d)
 export TMPDIR="$work"
 failed=0
-"$build/unit-tests" >"$work/unit.out" 2>&1 || { failed=1; tail -n 40 "$work/unit.out"; }
+for program in "$build"/unit-*; do
+    [ -f "$program" ] || continue
+    "$program" >"$work/unit.out" 2>&1 || { failed=1; tail -n 40 "$work/unit.out"; }
+done
 for test in ${2:-/path /refusals/bad-input /replicas /once/retry /once/node /streams /stops/rolling /config/racing /outages/zone /tls}; do
-    timeout 300 "$build/integration-tests" -p "$test" >"$work/test.out" 2>&1 ||
+    area=$(echo "$test" | cut -d/ -f2)
+    timeout 300 "$build/integration-$area" -p "$test" >"$work/test.out" 2>&1 ||
         { failed=1; echo "FAILED $test"; tail -n 12 "$work/test.out"; }
 done
 # What the processes themselves reported.
--- a/tests/edge/edge.h
+++ b/tests/edge/edge.h
@@ -7,11 +7,4 @@
 #define EDGE_DEADLINE "Request-Deadline-Ms: 7000\r\n"
 #define EDGE_MODEL(name) "Model: " name "\r\nPrompt-Prefix: ab:50,cd:50\r\n" EDGE_DEADLINE
 
-void edge_path_tests_add(void);
-void edge_stops_tests_add(void);
-void edge_callers_tests_add(void);
-void edge_once_tests_add(void);
-void edge_control_tests_add(void);
-void edge_store_tests_add(void);
-
 #endif
--- a/tests/edge/test_callers.c
+++ b/tests/edge/test_callers.c
@@ -118,7 +118,7 @@
     estate_stop(estate);
 }
 
-void edge_callers_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/callers/old-caller", test_old_caller);
     g_test_add_func("/edge/callers/bad-messages", test_bad_messages);
@@ -126,3 +126,5 @@
     g_test_add_func("/edge/callers/chunks-and-pipelines", test_chunks_and_pipelines);
     g_test_add_func("/edge/callers/caller-leaves", test_caller_leaves);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -155,7 +155,7 @@
     estate_stop(estate);
 }
 
-void edge_control_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/control/takeover", test_takeover);
     g_test_add_func("/edge/control/frozen-controller", test_frozen_controller);
@@ -164,3 +164,5 @@
     g_test_add_func("/edge/control/model-is-loaded-once", test_model_is_loaded_once);
     g_test_add_func("/edge/control/engine-dies", test_engine_dies);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/edge/test_once.c
+++ b/tests/edge/test_once.c
@@ -195,7 +195,7 @@
     estate_stop(estate);
 }
 
-void edge_once_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/once/cut-at-every-byte-of-the-request",
                     test_cut_at_every_byte_of_the_request);
@@ -209,3 +209,5 @@
     g_test_add_func("/edge/once/stream-is-resumed", test_stream_is_resumed);
     g_test_add_func("/edge/once/cut-stream-is-not-whole", test_cut_stream_is_not_whole);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/edge/test_path.c
+++ b/tests/edge/test_path.c
@@ -153,7 +153,7 @@
     estate_stop(estate);
 }
 
-void edge_path_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/path/wickctl", test_wickctl);
     g_test_add_func("/edge/path/wait-is-foreseen", test_wait_is_foreseen);
@@ -162,3 +162,5 @@
     g_test_add_func("/edge/path/adapter-is-loaded", test_adapter_is_loaded);
     g_test_add_func("/edge/path/adapter-makes-room", test_adapter_makes_room);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -130,7 +130,7 @@
     estate_stop(estate);
 }
 
-void edge_stops_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/stops/settings-reload", test_settings_reload);
     g_test_add_func("/edge/stops/waiting-requests-are-answered",
@@ -140,3 +140,5 @@
     g_test_add_func("/edge/stops/late-request-is-refused", test_late_request_is_refused);
     g_test_add_func("/edge/stops/running-requests-finish", test_running_requests_finish);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -234,7 +234,7 @@
     estate_stop(estate);
 }
 
-void edge_store_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/edge/store/holder-reads-for-others", test_holder_reads_for_others);
     g_test_add_func("/edge/store/news-reach-a-cut-node", test_news_reach_a_cut_node);
@@ -247,3 +247,5 @@
     g_test_add_func("/edge/store/no-catalog", test_no_catalog);
     g_test_add_func("/edge/store/leaving-engines", test_leaving_engines);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -8,6 +8,7 @@
 #ifndef WICKBRIDGE_TEST_HARNESS_H
 #define WICKBRIDGE_TEST_HARNESS_H
 
+#include <curl/curl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <sys/types.h>
@@ -159,4 +160,14 @@
 
 int64_t harness_now_ms(void);
 
+/** The main function of a program of tests with real processes. @param tests_add adds them all */
+#define PROCESS_TEST_MAIN(tests_add)                                                               \
+    int main(int argc, char **argv)                                                                \
+    {                                                                                              \
+        g_test_init(&argc, &argv, NULL);                                                           \
+        curl_global_init(CURL_GLOBAL_ALL);                                                         \
+        tests_add();                                                                               \
+        return g_test_run();                                                                       \
+    }
+
 #endif
--- a/tests/integration/main.c
+++ b/tests/integration/crowd.c
@@ -1,8 +1,6 @@
-/* Runs the integration tests: real processes, one cluster a test. */
+/* Many callers at once. */
 #include "integration.h"
 
-#include <curl/curl.h>
-
 typedef struct crowd_thread_t {
     crowd_t *crowd;
     crowd_call_t call;
@@ -72,22 +70,3 @@
     }
     return count;
 }
-
-int main(int argc, char **argv)
-{
-    g_test_init(&argc, &argv, NULL);
-    curl_global_init(CURL_GLOBAL_ALL);
-    path_tests_add();
-    refusal_tests_add();
-    replica_tests_add();
-    once_tests_add();
-    stream_tests_add();
-    stop_tests_add();
-    config_tests_add();
-    outage_tests_add();
-    tls_tests_add();
-    storm_tests_add();
-    partition_tests_add();
-    wickctl_tests_add();
-    return g_test_run();
-}
--- a/tests/integration/integration.h
+++ b/tests/integration/integration.h
@@ -4,19 +4,6 @@
 
 #include "../harness/harness.h"
 
-void path_tests_add(void);
-void refusal_tests_add(void);
-void replica_tests_add(void);
-void once_tests_add(void);
-void stream_tests_add(void);
-void stop_tests_add(void);
-void config_tests_add(void);
-void outage_tests_add(void);
-void tls_tests_add(void);
-void storm_tests_add(void);
-void partition_tests_add(void);
-void wickctl_tests_add(void);
-
 /* Many callers at once; each result is checked by the test. */
 typedef struct crowd_t {
     GPtrArray *answers; /* answer_t */
--- a/tests/integration/test_config.c
+++ b/tests/integration/test_config.c
@@ -182,7 +182,7 @@
     cluster_stop(cluster);
 }
 
-void config_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/config/racing-operators", test_racing_operators);
     g_test_add_func("/config/accepted-answer-lost", test_accepted_answer_lost);
@@ -192,3 +192,5 @@
                     test_lone_node_without_platform_refuses);
     g_test_add_func("/config/object-store-away", test_object_store_away);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_once.c
+++ b/tests/integration/test_once.c
@@ -221,7 +221,7 @@
     cluster_stop(cluster);
 }
 
-void once_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/once/retry-with-key-at-another-node", test_retry_with_key_at_another_node);
     g_test_add_func("/once/node-killed-while-it-runs", test_node_killed_while_it_runs);
@@ -233,3 +233,5 @@
     g_test_add_func("/once/retry-after-the-engine-forgot", test_retry_after_the_engine_forgot);
     g_test_add_func("/once/without-the-table-service", test_once_without_the_table_service);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_outages.c
+++ b/tests/integration/test_outages.c
@@ -121,7 +121,7 @@
     cluster_stop(cluster);
 }
 
-void outage_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/outages/platform-away-for-the-whole-run",
                     test_platform_away_for_the_whole_run);
@@ -130,3 +130,5 @@
     g_test_add_func("/outages/slow-weight-store", test_slow_weight_store);
     g_test_add_func("/outages/majority-of-a-group-lost", test_majority_of_a_group_lost);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_partitions.c
+++ b/tests/integration/test_partitions.c
@@ -123,9 +123,11 @@
     cluster_stop(cluster);
 }
 
-void partition_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/partitions/both-sides-ask", test_both_sides_ask);
     g_test_add_func("/partitions/keys-on-both-sides", test_keys_on_both_sides);
     g_test_add_func("/partitions/configuration-after-healing", test_configuration_after_healing);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_path.c
+++ b/tests/integration/test_path.c
@@ -98,7 +98,7 @@
     cluster_stop(cluster);
 }
 
-void path_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/path/idle-model-is-woken", test_idle_model_is_woken);
     g_test_add_func("/path/herd-wakes-once", test_herd_wakes_once);
@@ -106,3 +106,5 @@
     g_test_add_func("/path/opaque-call", test_opaque_call);
     g_test_add_func("/path/idle-model-makes-room", test_idle_model_makes_room);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_refusals.c
+++ b/tests/integration/test_refusals.c
@@ -169,7 +169,7 @@
     cluster_stop(cluster);
 }
 
-void refusal_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/refusals/bad-input", test_bad_input);
     g_test_add_func("/refusals/slow-senders", test_slow_senders);
@@ -177,3 +177,5 @@
     g_test_add_func("/refusals/no-capacity", test_no_capacity);
     g_test_add_func("/refusals/burst-on-a-full-cell", test_burst_on_a_full_cell);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -156,7 +156,7 @@
     cluster_stop(cluster);
 }
 
-void replica_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/replicas/owner-killed-in-mid-load", test_owner_killed_in_mid_load);
     g_test_add_func("/replicas/frozen-owner-thaws", test_frozen_owner_thaws);
@@ -165,3 +165,5 @@
     g_test_add_func("/replicas/killed-engine-is-replaced", test_killed_engine_is_replaced);
     g_test_add_func("/replicas/memory-with-owner-lost", test_memory_with_owner_lost);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_stops.c
+++ b/tests/integration/test_stops.c
@@ -117,10 +117,12 @@
     cluster_stop(cluster);
 }
 
-void stop_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/stops/leaving-engine-gets-no-new-work", test_leaving_engine_gets_no_new_work);
     g_test_add_func("/stops/node-stop-cuts-off-nothing", test_node_stop_cuts_off_nothing);
     g_test_add_func("/stops/engine-stop-cuts-off-nothing", test_engine_stop_cuts_off_nothing);
     g_test_add_func("/stops/rolling-replacement", test_rolling_replacement);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_storm.c
+++ b/tests/integration/test_storm.c
@@ -243,7 +243,9 @@
     cluster_stop(cluster);
 }
 
-void storm_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/storm/two-failures-at-once", test_two_failures_at_once);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_streams.c
+++ b/tests/integration/test_streams.c
@@ -127,7 +127,7 @@
     cluster_stop(cluster);
 }
 
-void stream_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/streams/cut-streams-are-resumed", test_cut_streams_are_resumed);
     g_test_add_func("/streams/engine-killed-in-mid-stream", test_engine_killed_in_mid_stream);
@@ -136,3 +136,5 @@
     g_test_add_func("/streams/answer-fetched-from-another-node",
                     test_answer_fetched_from_another_node);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_tls.c
+++ b/tests/integration/test_tls.c
@@ -123,7 +123,9 @@
     folder_remove(folder);
 }
 
-void tls_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/tls/each-link", test_each_link);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/integration/test_wickctl.c
+++ b/tests/integration/test_wickctl.c
@@ -93,7 +93,9 @@
     cluster_stop(cluster);
 }
 
-void wickctl_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/wickctl/commands", test_commands);
 }
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -203,7 +203,7 @@
     bench_free(bench);
 }
 
-void cell_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/cell/load-waits-for-the-commit", test_load_waits_for_the_commit);
     g_test_add_func("/cell/lost-answer-is-fenced", test_lost_answer_is_fenced);
@@ -213,3 +213,5 @@
     g_test_add_func("/cell/late-load-is-estimated-later", test_late_load_is_estimated_later);
     g_test_add_func("/cell/no-engine-is-refused", test_no_engine_is_refused);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_declaration.c
+++ b/tests/unit/test_declaration.c
@@ -65,9 +65,11 @@
     }
 }
 
-void declaration_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/declaration/faults-are-named", test_faults_are_named);
     g_test_add_func("/declaration/change-is-applied", test_change_is_applied);
     g_test_add_func("/declaration/keys-spread-over-cells", test_keys_spread_over_cells);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -191,7 +191,7 @@
     seed_run(11375);
 }
 
-void group_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/group/takeover-keeps-what-counted", test_takeover_keeps_what_counted);
     g_test_add_func("/group/record-with-many-claims-fits", test_record_with_many_claims_fits);
@@ -203,3 +203,5 @@
     g_test_add_func("/seeds/slot-comes-back-without-room", test_seed_slot_comes_back_without_room);
     g_test_add_func("/seeds/row-two-steps-ahead", test_seed_row_two_steps_ahead);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- /dev/null
+++ b/tests/unit/test_lease.c
@@ -0,0 +1,113 @@
+/* The lease of the placement controller, played by hand. */
+#include "unit.h"
+
+#include "wickbridge/lease.h"
+
+#include <string.h>
+
+/* Two nodes and a row: a pure lease played by hand. */
+typedef struct row_t {
+    wb_lease_row_t row;
+    int64_t version;
+} row_t;
+
+static void row_set(row_t *target, const wb_lease_row_t *source)
+{
+    g_free(target->row.holder);
+    g_free(target->row.address);
+    target->row = *source;
+    target->row.holder = g_strdup(source->holder);
+    target->row.address = g_strdup(source->address);
+    target->version++;
+}
+
+static gboolean lease_write(wb_lease_t *lease, row_t *store, int64_t now_ms)
+{
+    wb_lease_row_t row;
+    int64_t expected;
+    if (!wb_lease_next_write(lease, now_ms, &row, &expected))
+        return FALSE;
+    if (expected != store->version) {
+        wb_lease_on_not_written(lease, now_ms);
+        return FALSE;
+    }
+    row_set(store, &row);
+    wb_lease_on_written(lease, store->version, now_ms);
+    return TRUE;
+}
+
+static void test_lease_takeover(void)
+{
+    wb_lease_settings_t first = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_settings_t second = {"b", "1.1.1.2:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *a = wb_lease_create(&first);
+    wb_lease_t *b = wb_lease_create(&second);
+    row_t store = {{0}, 0};
+    g_assert_false(lease_write(a, &store, 100)); /* the row was never read */
+    wb_lease_on_row(a, NULL, 0, 100);
+    wb_lease_on_row(b, NULL, 0, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    g_assert_false(lease_write(b, &store, 100)); /* lost the race */
+    wb_lease_on_row(b, &store.row, store.version, 110);
+    g_assert_true(wb_lease_is_held(a, 1499));
+    g_assert_false(wb_lease_is_held(a, 1500)); /* its own margin ends it early */
+    int64_t taken_ms = 0;
+    for (int64_t now_ms = 120; taken_ms == 0 && now_ms < 20000; now_ms += 10)
+        if (lease_write(b, &store, now_ms))
+            taken_ms = now_ms;
+    g_assert_cmpint(taken_ms, >=, 1500 + 3000);
+    g_assert_cmpuint(wb_lease_token(b), ==, 2);
+    g_assert_true(wb_lease_is_held(b, taken_ms));
+    wb_lease_on_row(a, &store.row, store.version, taken_ms + 5);
+    g_assert_false(wb_lease_is_held(a, taken_ms + 5));
+    wb_lease_free(a);
+    wb_lease_free(b);
+}
+
+/* A write whose answer is lost counts from when it was sent, and only once the row shows it. */
+static void test_lease_lost_answer(void)
+{
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *lease = wb_lease_create(&settings);
+    row_t store = {{0}, 0};
+    wb_lease_row_t row;
+    int64_t expected;
+    wb_lease_on_row(lease, NULL, 0, 0);
+    g_assert_true(wb_lease_next_write(lease, 0, &row, &expected));
+    row_set(&store, &row); /* done, and not answered */
+    wb_lease_on_unknown(lease, 900);
+    g_assert_false(wb_lease_is_held(lease, 900));
+    g_assert_true(wb_lease_next_write(lease, 900, &row, &expected)); /* the same condition again */
+    g_assert_cmpint(expected, ==, 0);
+    wb_lease_on_not_written(lease, 905);
+    wb_lease_on_row(lease, &store.row, store.version, 905);
+    g_assert_true(wb_lease_is_held(lease, 910));
+    g_assert_false(wb_lease_is_held(lease, 1401)); /* from 0, not from 900 */
+    wb_lease_free(lease);
+}
+
+static void test_lease_restart(void)
+{
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *before = wb_lease_create(&settings);
+    row_t store = {{0}, 0};
+    wb_lease_on_row(before, NULL, 0, 0);
+    g_assert_true(lease_write(before, &store, 0));
+    wb_lease_t *after = wb_lease_create(&settings);
+    wb_lease_on_row(after, &store.row, store.version, 300);
+    g_assert_false(wb_lease_is_held(after, 300)); /* the row is another process's */
+    g_assert_true(lease_write(after, &store, 300));
+    g_assert_cmpuint(wb_lease_token(after), ==, 2);
+    g_assert_true(wb_lease_is_held(after, 300));
+    wb_lease_free(before);
+    wb_lease_free(after);
+}
+
+static void tests_add(void)
+{
+    g_test_add_func("/lease/takeover", test_lease_takeover);
+    g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
+    g_test_add_func("/lease/restart", test_lease_restart);
+}
+
+UNIT_TEST_MAIN(tests_add)
--- /dev/null
+++ b/tests/unit/test_load_window.c
@@ -0,0 +1,32 @@
+/* Loads from the weight store stay under their ceiling in every window. */
+#include "unit.h"
+
+#include "control/load_window.h"
+
+#include <string.h>
+
+static void test_load_window(void)
+{
+    wb_load_window_t *window = wb_load_window_create(5000, 1500);
+    wb_load_window_set_rate(window, 4);
+    int64_t begun[1000] = {0};
+    int count = 0;
+    wb_load_window_assume(window, 5, 0);
+    for (int64_t now_ms = 0; now_ms < 60000; now_ms += 10)
+        if (wb_load_window_has_room(window, now_ms)) {
+            wb_load_window_count(window, now_ms);
+            begun[count++] = now_ms;
+        }
+    g_assert_cmpint(count, >=, 200); /* the rate is used */
+    for (int i = 0; i + 20 < count; i++)
+        g_assert_cmpint(begun[i + 20] - begun[i], >=, 5000);
+    g_assert_cmpint(begun[9], >=, 5000); /* what the holder before began counts */
+    wb_load_window_free(window);
+}
+
+static void tests_add(void)
+{
+    g_test_add_func("/load-window/every-window", test_load_window);
+}
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -91,10 +91,12 @@
     wb_member_table_free(table);
 }
 
-void member_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/member/merge-in-any-order", test_merge_in_any_order);
     g_test_add_func("/member/gone-is-final", test_gone_is_final);
     g_test_add_func("/member/overlay-is-connected", test_overlay_is_connected);
     g_test_add_func("/member/rank-spreads-zones", test_rank_spreads_zones);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -40,8 +40,10 @@
     g_assert_cmpuint(bytes->len, ==, 0);
 }
 
-void message_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/message/there-and-back", test_there_and_back);
     g_test_add_func("/message/too-long-a-name", test_too_long_a_name);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,151 @@
+/* Where models are loaded, and what makes room for them. */
+#include "unit.h"
+
+#include "control/placement.h"
+
+#include <string.h>
+
+/* Placement: two engines of 100 MB, models of 40. */
+typedef struct scene_t {
+    wb_catalog_t *catalog;
+    wb_service_t *service;
+    wb_placement_snapshot_t snapshot;
+    wb_engine_t engines[2];
+    wb_model_use_t uses[6];
+} scene_t;
+
+static void scene_open(scene_t *scene)
+{
+    static const char *const names[] = {"m0", "m1", "m2", "m3", "m4", "m5"};
+    memset(scene, 0, sizeof(*scene));
+    scene->catalog = wb_catalog_create(1);
+    scene->service = wb_catalog_add_service(scene->catalog, "s");
+    scene->service->weights_mb = 100;
+    scene->snapshot.service = scene->service;
+    scene->snapshot.engines = g_array_new(FALSE, TRUE, sizeof(wb_placement_engine_t));
+    scene->snapshot.uses = g_hash_table_new(g_str_hash, g_str_equal);
+    scene->snapshot.tokens_per_ms = 30;
+    scene->snapshot.store_has_room = TRUE;
+    for (int i = 0; i < 6; i++) {
+        wb_model_spec_t *model = wb_service_add_model(scene->service, names[i]);
+        model->weights_mb = 40;
+        model->store_load_ms = 2000;
+        model->disk_load_ms = 800;
+        model->memory_load_ms = 400;
+        g_hash_table_insert(scene->snapshot.uses, (gpointer)names[i], &scene->uses[i]);
+    }
+    for (int i = 0; i < 2; i++) {
+        scene->engines[i].state = wb_engine_state_create(i == 0 ? "e0" : "e1");
+        wb_placement_engine_t place = {&scene->engines[i], scene->engines[i].state, 0, TRUE};
+        g_array_append_val(scene->snapshot.engines, place);
+    }
+}
+
+static void scene_hold(scene_t *scene, int engine, int model)
+{
+    static const char *const names[] = {"m0", "m1", "m2", "m3", "m4", "m5"};
+    wb_engine_state_add_model(scene->engines[engine].state, names[model], 1);
+    scene->uses[model].replicas++;
+}
+
+static void scene_close(scene_t *scene)
+{
+    for (int i = 0; i < 2; i++)
+        wb_engine_state_free(scene->engines[i].state);
+    g_array_unref(scene->snapshot.engines);
+    g_hash_table_unref(scene->snapshot.uses);
+    wb_catalog_unref(scene->catalog);
+}
+
+static const char *scene_choose(scene_t *scene, const char *model)
+{
+    double cost_ms;
+    double victims_ms;
+    const wb_placement_engine_t *place =
+        wb_placement_choose(&scene->snapshot, g_hash_table_lookup(scene->service->models, model),
+                            &cost_ms, &victims_ms);
+    return place != NULL ? place->state->id : NULL;
+}
+
+static void test_placement_prefers_copies_at_hand(void)
+{
+    scene_t scene;
+    scene_open(&scene);
+    g_hash_table_add(scene.engines[1].state->on_disk, g_strdup("m0"));
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
+    g_hash_table_add(scene.engines[0].state->in_memory, g_strdup("m0"));
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e0");
+    scene_close(&scene);
+}
+
+static void test_placement_spares_what_is_used(void)
+{
+    scene_t scene;
+    scene_open(&scene);
+    scene_hold(&scene, 0, 1);
+    scene_hold(&scene, 0, 2);
+    scene_hold(&scene, 1, 3);
+    scene_hold(&scene, 1, 4);
+    scene.uses[1].rate_per_s = scene.uses[2].rate_per_s = scene.uses[3].rate_per_s = 2;
+    double cost_ms;
+    const wb_model_spec_t *model = g_hash_table_lookup(scene.service->models, "m0");
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
+    g_autoptr(GPtrArray) victims =
+        wb_placement_victims(&scene.snapshot, scene.engines[1].state, model, &cost_ms);
+    g_assert_cmpuint(victims->len, ==, 1);
+    g_assert_cmpstr(g_ptr_array_index(victims, 0), ==, "m4");
+    scene.uses[4].waiting = 1; /* who waits for its last replica keeps it */
+    g_assert_cmpstr(scene_choose(&scene, "m0"), !=, NULL);
+    g_autoptr(GPtrArray) others =
+        wb_placement_victims(&scene.snapshot, scene.engines[1].state, model, &cost_ms);
+    g_assert_cmpstr(g_ptr_array_index(others, 0), ==, "m3");
+    scene_close(&scene);
+}
+
+/* Engines whose adapters are asked for are spared, as a load holds adapters up. */
+static void test_placement_spares_adapters(void)
+{
+    scene_t scene;
+    scene_open(&scene);
+    scene_hold(&scene, 0, 1);
+    scene_hold(&scene, 1, 2);
+    scene.uses[1].adapter_rate_per_s = 3;
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
+    scene.uses[1].adapter_rate_per_s = 0;
+    scene.uses[2].adapter_rate_per_s = 3;
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e0");
+    scene_close(&scene);
+}
+
+/* Adding an engine and dropping one are judged by the same measure, so neither undoes the other. */
+static void test_placement_gain_matches_cost(void)
+{
+    scene_t scene;
+    scene_open(&scene);
+    scene_hold(&scene, 0, 1);
+    scene_hold(&scene, 1, 1);
+    scene_hold(&scene, 1, 2);
+    scene.uses[1].rate_per_s = scene.uses[1].recent_rate_per_s = 8;
+    scene.uses[1].work_per_s = scene.uses[1].recent_work_per_s = 60000;
+    wb_model_use_t one = scene.uses[1];
+    one.replicas = 1;
+    g_assert_cmpuint(wb_placement_wanted(&one, 30), >, 1);
+    double gain_ms = wb_placement_gain_ms(&one, 30);
+    double cost_ms;
+    const wb_model_spec_t *model = g_hash_table_lookup(scene.service->models, "m0");
+    g_autoptr(GPtrArray) victims =
+        wb_placement_victims(&scene.snapshot, scene.engines[1].state, model, &cost_ms);
+    g_assert_cmpstr(g_ptr_array_index(victims, 0), ==, "m2"); /* not the busy one's second */
+    g_assert_cmpfloat(gain_ms, >, 1000);
+    scene_close(&scene);
+}
+
+static void tests_add(void)
+{
+    g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
+    g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
+    g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
+    g_test_add_func("/placement/gain-matches-cost", test_placement_gain_matches_cost);
+}
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -76,9 +76,11 @@
     wb_policy_free(program);
 }
 
-void policy_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/policy/answers", test_answers);
     g_test_add_func("/policy/refused-programs", test_refused_programs);
     g_test_add_func("/policy/failure-is-for-one-call", test_failure_is_for_one_call);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -55,9 +55,11 @@
     wb_fair_queue_free(queue);
 }
 
-void queue_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/queue/shares-under-overload", test_shares_under_overload);
     g_test_add_func("/queue/idle-owner-is-served-next", test_idle_owner_is_served_next);
     g_test_add_func("/queue/put-back-pays-nothing-again", test_put_back_pays_nothing_again);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -57,8 +57,10 @@
     g_assert_nonnull(strstr(error.message, "'name' must be given"));
 }
 
-void settings_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/settings/defaults-and-flags", test_defaults_and_flags);
     g_test_add_func("/settings/wrong-values", test_wrong_values);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -216,9 +216,11 @@
     held_play(vouched_play, &held);
 }
 
-void table_watch_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
     g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
     g_test_add_func("/table-watch/stale-read-is-not-taken", test_stale_read_is_not_taken);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -27,7 +27,9 @@
     g_hash_table_unref(shard->targets);
 }
 
-void target_tests_add(void)
+static void tests_add(void)
 {
     g_test_add_func("/target/earlier-loss-is-over", test_earlier_loss_is_over);
 }
+
+UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -1,17 +1,21 @@
-/* What the unit tests share. */
+/**
+ * @file unit.h
+ * @brief What the unit tests share: each module's tests are a program of their own.
+ */
 #ifndef WICKBRIDGE_UNIT_H
 #define WICKBRIDGE_UNIT_H
 
-void settings_tests_add(void);
-void member_tests_add(void);
-void queue_tests_add(void);
-void group_tests_add(void);
-void cell_tests_add(void);
-void declaration_tests_add(void);
-void message_tests_add(void);
-void policy_tests_add(void);
-void edge_tests_add(void);
-void table_watch_tests_add(void);
-void target_tests_add(void);
+#include <apr_general.h>
+#include <glib.h>
+
+/** The main function of a module's tests. @param tests_add adds them all */
+#define UNIT_TEST_MAIN(tests_add)                                                                  \
+    int main(int argc, char **argv)                                                                \
+    {                                                                                              \
+        g_test_init(&argc, &argv, NULL);                                                           \
+        apr_initialize();                                                                          \
+        tests_add();                                                                               \
+        return g_test_run();                                                                       \
+    }
 
 #endif
