--- a/src/base/error.c
+++ b/src/base/error.c
@@ -4,8 +4,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 
-apr_status_t wb_error_set(wb_error_t *error, apr_status_t code, const char *format, ...)
-{
+apr_status_t wb_error_set(wb_error_t *error, apr_status_t code, const char *format, ...) {
     if (error == NULL)
         return code;
     va_list arguments;
@@ -16,8 +15,7 @@
     return code;
 }
 
-const char *wb_verdict_name(wb_verdict_t verdict)
-{
+const char *wb_verdict_name(wb_verdict_t verdict) {
     switch (verdict) {
     case WB_VERDICT_NOT_RUN:
         return "not-run";
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -27,8 +27,7 @@
     uint64_t dropped;
 } output;
 
-void wb_event_log_setup(const char *node, unsigned lines_per_s)
-{
+void wb_event_log_setup(const char *node, unsigned lines_per_s) {
     g_strlcpy(output.node, node, sizeof(output.node));
     output.lines_per_s = lines_per_s;
     output.budgets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
@@ -38,8 +37,7 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-static void line_append(const char *kind, const char *members)
-{
+static void line_append(const char *kind, const char *members) {
     if (output.gathered->len > GATHERED_LIMIT_BYTES) {
         output.dropped++;
         return;
@@ -53,8 +51,7 @@
 }
 
 /* Returns TRUE when the kind may write one more line in this second. */
-static gboolean budget_take(const char *kind)
-{
+static gboolean budget_take(const char *kind) {
     int64_t second = g_get_monotonic_time() / G_USEC_PER_SEC;
     wb_event_budget_t *budget = g_hash_table_lookup(output.budgets, kind);
     if (budget == NULL) {
@@ -81,8 +78,7 @@
     return FALSE;
 }
 
-void wb_event(const char *kind, const char *format, ...)
-{
+void wb_event(const char *kind, const char *format, ...) {
     if (output.gathered == NULL || !budget_take(kind))
         return;
     char members[LINE_BYTES];
@@ -95,8 +91,7 @@
     line_append(kind, members);
 }
 
-const char *wb_event_text(const char *text)
-{
+const char *wb_event_text(const char *text) {
     static char buffers[TEXT_BUFFERS][TEXT_BYTES];
     static unsigned next;
     char *buffer = buffers[next++ % TEXT_BUFFERS];
@@ -107,8 +102,7 @@
     return buffer;
 }
 
-void wb_event_log_flush(void)
-{
+void wb_event_log_flush(void) {
     if (output.gathered == NULL || output.gathered->len == 0)
         return;
     ssize_t written = write(STDOUT_FILENO, output.gathered->str, output.gathered->len);
@@ -118,7 +112,6 @@
         g_string_truncate(output.gathered, 0);
 }
 
-uint64_t wb_event_log_dropped(void)
-{
+uint64_t wb_event_log_dropped(void) {
     return output.dropped;
 }
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -3,26 +3,22 @@
 
 #include <string.h>
 
-const char *wb_json_text(const json_t *object, const char *key, const char *fallback)
-{
+const char *wb_json_text(const json_t *object, const char *key, const char *fallback) {
     const json_t *member = json_object_get(object, key);
     return json_is_string(member) ? json_string_value(member) : fallback;
 }
 
-int64_t wb_json_integer(const json_t *object, const char *key, int64_t fallback)
-{
+int64_t wb_json_integer(const json_t *object, const char *key, int64_t fallback) {
     const json_t *member = json_object_get(object, key);
     return json_is_number(member) ? (int64_t)json_number_value(member) : fallback;
 }
 
-int wb_json_boolean(const json_t *object, const char *key, int fallback)
-{
+int wb_json_boolean(const json_t *object, const char *key, int fallback) {
     const json_t *member = json_object_get(object, key);
     return json_is_boolean(member) ? json_is_true(member) : fallback;
 }
 
-char *wb_json_dump(const json_t *value)
-{
+char *wb_json_dump(const json_t *value) {
     char *text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
     return text != NULL ? text : strdup("null");
 }
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -18,8 +18,7 @@
     char node[NODE_NAME_SIZE];
 } output = {FALSE, G_LOG_LEVEL_INFO, "-"};
 
-static const char *level_name(GLogLevelFlags level)
-{
+static const char *level_name(GLogLevelFlags level) {
     if (level & G_LOG_LEVEL_ERROR)
         return "error";
     if (level & G_LOG_LEVEL_CRITICAL)
@@ -33,8 +32,7 @@
     return "debug";
 }
 
-static const char *field_find(const GLogField *fields, gsize count, const char *key)
-{
+static const char *field_find(const GLogField *fields, gsize count, const char *key) {
     for (gsize i = 0; i < count; i++)
         if (strcmp(fields[i].key, key) == 0)
             return fields[i].value;
@@ -42,8 +40,7 @@
 }
 
 static void line_write_json(const char *time_text, const char *level, const char *part,
-                            const char *message)
-{
+                            const char *message) {
     json_t *line = json_pack("{s:s, s:s, s:s, s:s, s:s}", "time", time_text, "level", level, "node",
                              output.node, "part", part, "message", message);
     char *text = json_dumps(line, JSON_COMPACT);
@@ -53,8 +50,7 @@
 }
 
 static GLogWriterOutput log_writer(GLogLevelFlags level, const GLogField *fields, gsize count,
-                                   gpointer data)
-{
+                                   gpointer data) {
     (void)data;
     if ((level & G_LOG_LEVEL_MASK) > output.level)
         return G_LOG_WRITER_HANDLED;
@@ -74,16 +70,14 @@
     return G_LOG_WRITER_HANDLED;
 }
 
-void wb_log_setup(gboolean json, GLogLevelFlags level, const char *node)
-{
+void wb_log_setup(gboolean json, GLogLevelFlags level, const char *node) {
     output.json = json;
     output.level = level;
     g_strlcpy(output.node, node, sizeof(output.node));
     g_log_set_writer_func(log_writer, NULL, NULL);
 }
 
-GLogLevelFlags wb_log_level_parse(const char *name)
-{
+GLogLevelFlags wb_log_level_parse(const char *name) {
     static const GLogLevelFlags levels[] = {G_LOG_LEVEL_ERROR, G_LOG_LEVEL_WARNING,
                                             G_LOG_LEVEL_MESSAGE, G_LOG_LEVEL_INFO,
                                             G_LOG_LEVEL_DEBUG};
@@ -93,8 +87,7 @@
     return 0;
 }
 
-void wb_log(wb_part_t part, GLogLevelFlags level, const char *format, ...)
-{
+void wb_log(wb_part_t part, GLogLevelFlags level, const char *format, ...) {
     if ((level & G_LOG_LEVEL_MASK) > output.level)
         return;
     char line[LINE_SIZE];
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -18,8 +18,7 @@
     const char **flag_values; /* one a row, NULL when the flag was not given */
 } wb_settings_parse_t;
 
-int wb_address_is_valid(const char *text)
-{
+int wb_address_is_valid(const char *text) {
     const char *colon = strrchr(text, ':');
     if (colon == NULL || colon == text)
         return 0;
@@ -37,8 +36,7 @@
     return end != colon + 1 && *end == '\0' && port >= 0 && port <= 65535;
 }
 
-static const wb_setting_t *row_find(const wb_settings_table_t *table, const char *name)
-{
+static const wb_setting_t *row_find(const wb_settings_table_t *table, const char *name) {
     for (size_t i = 0; i < table->count; i++)
         if (strcmp(table->rows[i].name, name) == 0)
             return &table->rows[i];
@@ -46,8 +44,7 @@
 }
 
 static apr_status_t integer_set(const wb_setting_t *row, int64_t *place, const char *value,
-                                const char *origin, wb_error_t *error)
-{
+                                const char *origin, wb_error_t *error) {
     char *end;
     long long number = strtoll(value, &end, 10);
     if (end == value || *end != '\0')
@@ -62,8 +59,7 @@
 }
 
 static apr_status_t real_set(const wb_setting_t *row, double *place, const char *value,
-                             const char *origin, wb_error_t *error)
-{
+                             const char *origin, wb_error_t *error) {
     char *end;
     double number = g_ascii_strtod(value, &end);
     if (end == value || *end != '\0')
@@ -78,8 +74,7 @@
 }
 
 static apr_status_t boolean_set(const wb_setting_t *row, int64_t *place, const char *value,
-                                const char *origin, wb_error_t *error)
-{
+                                const char *origin, wb_error_t *error) {
     if (strcmp(value, "true") == 0)
         *place = 1;
     else if (strcmp(value, "false") == 0)
@@ -91,8 +86,7 @@
 }
 
 apr_status_t wb_settings_set(const wb_settings_table_t *table, void *target, const char *name,
-                             const char *value, const char *origin, wb_error_t *error)
-{
+                             const char *value, const char *origin, wb_error_t *error) {
     const wb_setting_t *row = row_find(table, name);
     if (row == NULL)
         return wb_error_set(error, APR_EINVAL, "%s: there is no setting '%s'", origin, name);
@@ -117,8 +111,8 @@
     return APR_SUCCESS;
 }
 
-static apr_status_t defaults_set(const wb_settings_table_t *table, void *target, wb_error_t *error)
-{
+static apr_status_t defaults_set(const wb_settings_table_t *table, void *target,
+                                 wb_error_t *error) {
     for (size_t i = 0; i < table->count; i++) {
         const wb_setting_t *row = &table->rows[i];
         if (row->default_value == NULL)
@@ -132,8 +126,7 @@
 }
 
 static apr_status_t file_read(const wb_settings_table_t *table, void *target, const char *path,
-                              gboolean *seen, wb_error_t *error)
-{
+                              gboolean *seen, wb_error_t *error) {
     g_autoptr(GKeyFile) file = g_key_file_new();
     g_autoptr(GError) failure = NULL;
     if (!g_key_file_load_from_file(file, path, G_KEY_FILE_NONE, &failure))
@@ -149,8 +142,7 @@
     return APR_SUCCESS;
 }
 
-static error_t flag_parse(int key, char *argument, struct argp_state *state)
-{
+static error_t flag_parse(int key, char *argument, struct argp_state *state) {
     wb_settings_parse_t *parse = state->input;
     if (key == FLAG_KEY_SETTINGS)
         parse->file = argument;
@@ -164,8 +156,7 @@
     return 0;
 }
 
-static char *flag_help(const wb_setting_t *row)
-{
+static char *flag_help(const wb_setting_t *row) {
     GString *text = g_string_new(row->text);
     if (row->type == WB_SETTING_INTEGER || row->type == WB_SETTING_REAL)
         g_string_append_printf(text, " [%lld to %lld%s%s]", (long long)row->minimum,
@@ -177,8 +168,7 @@
     return g_string_free(text, FALSE);
 }
 
-static struct argp_option *options_create(const wb_settings_table_t *table)
-{
+static struct argp_option *options_create(const wb_settings_table_t *table) {
     struct argp_option *options = g_new0(struct argp_option, table->count + 3);
     for (size_t i = 0; i < table->count; i++) {
         options[i].name = table->rows[i].name;
@@ -198,8 +188,8 @@
     return options;
 }
 
-static apr_status_t flags_apply(const wb_settings_parse_t *parse, gboolean *seen, wb_error_t *error)
-{
+static apr_status_t flags_apply(const wb_settings_parse_t *parse, gboolean *seen,
+                                wb_error_t *error) {
     for (size_t i = 0; i < parse->table->count; i++) {
         if (parse->flag_values[i] == NULL)
             continue;
@@ -214,8 +204,7 @@
 }
 
 static apr_status_t required_check(const wb_settings_table_t *table, const gboolean *seen,
-                                   wb_error_t *error)
-{
+                                   wb_error_t *error) {
     for (size_t i = 0; i < table->count; i++)
         if (table->rows[i].default_value == NULL && !seen[i])
             return wb_error_set(error, APR_EINVAL, "setting '%s' must be given: %s",
@@ -224,8 +213,7 @@
 }
 
 apr_status_t wb_settings_read(const wb_settings_table_t *table, int argc, char **argv, void *target,
-                              wb_error_t *error)
-{
+                              wb_error_t *error) {
     struct argp argp = {options_create(table), flag_parse, NULL, table->purpose, NULL, NULL, NULL};
     g_autofree const char **values = g_new0(const char *, table->count);
     g_autofree gboolean *seen = g_new0(gboolean, table->count);
@@ -241,8 +229,7 @@
     return status;
 }
 
-void wb_settings_document(const wb_settings_table_t *table, FILE *file)
-{
+void wb_settings_document(const wb_settings_table_t *table, FILE *file) {
     static const char *const type_names[] = {"text", "address", "integer", "number", "boolean"};
     fprintf(file, "## %s\n\n%s\n\n", table->program, table->purpose);
     fprintf(file,
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -7,13 +7,11 @@
 
 #define GOLDEN_RATIO 0.6180339887498949
 
-static void part_clear(gpointer data)
-{
+static void part_clear(gpointer data) {
     g_free(((wb_route_part_t *)data)->service);
 }
 
-static void route_free(gpointer data)
-{
+static void route_free(gpointer data) {
     wb_route_t *route = data;
     g_free(route->name);
     g_free(route->host);
@@ -22,23 +20,20 @@
     g_free(route);
 }
 
-static void model_free(gpointer data)
-{
+static void model_free(gpointer data) {
     wb_model_spec_t *model = data;
     g_free(model->name);
     g_free(model);
 }
 
-static void service_free(gpointer data)
-{
+static void service_free(gpointer data) {
     wb_service_t *service = data;
     g_free(service->name);
     g_hash_table_unref(service->models);
     g_free(service);
 }
 
-wb_catalog_t *wb_catalog_create(int64_t version)
-{
+wb_catalog_t *wb_catalog_create(int64_t version) {
     wb_catalog_t *catalog = g_new0(wb_catalog_t, 1);
     catalog->references = 1;
     catalog->version = version;
@@ -48,14 +43,12 @@
     return catalog;
 }
 
-wb_catalog_t *wb_catalog_ref(wb_catalog_t *catalog)
-{
+wb_catalog_t *wb_catalog_ref(wb_catalog_t *catalog) {
     catalog->references++;
     return catalog;
 }
 
-void wb_catalog_unref(wb_catalog_t *catalog)
-{
+void wb_catalog_unref(wb_catalog_t *catalog) {
     if (catalog == NULL || --catalog->references > 0)
         return;
     g_hash_table_unref(catalog->hosts);
@@ -64,8 +57,7 @@
 }
 
 wb_route_t *wb_catalog_add_route(wb_catalog_t *catalog, const char *name, const char *host,
-                                 const char *path_prefix)
-{
+                                 const char *path_prefix) {
     wb_route_t *route = g_new0(wb_route_t, 1);
     route->name = g_strdup(name);
     route->host = g_ascii_strdown(host, -1);
@@ -84,14 +76,12 @@
     return route;
 }
 
-void wb_route_add_part(wb_route_t *route, const char *service, double weight)
-{
+void wb_route_add_part(wb_route_t *route, const char *service, double weight) {
     wb_route_part_t part = {g_strdup(service), weight};
     g_array_append_val(route->parts, part);
 }
 
-wb_service_t *wb_catalog_add_service(wb_catalog_t *catalog, const char *name)
-{
+wb_service_t *wb_catalog_add_service(wb_catalog_t *catalog, const char *name) {
     wb_service_t *service = g_new0(wb_service_t, 1);
     service->name = g_strdup(name);
     service->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
@@ -99,16 +89,14 @@
     return service;
 }
 
-wb_model_spec_t *wb_service_add_model(wb_service_t *service, const char *name)
-{
+wb_model_spec_t *wb_service_add_model(wb_service_t *service, const char *name) {
     wb_model_spec_t *model = g_new0(wb_model_spec_t, 1);
     model->name = g_strdup(name);
     g_hash_table_replace(service->models, model->name, model);
     return model;
 }
 
-static gint longer_first(gconstpointer left, gconstpointer right)
-{
+static gint longer_first(gconstpointer left, gconstpointer right) {
     const wb_route_t *a = *(wb_route_t *const *)left;
     const wb_route_t *b = *(wb_route_t *const *)right;
     size_t a_length = strlen(a->path_prefix);
@@ -116,8 +104,7 @@
     return a_length > b_length ? -1 : a_length < b_length;
 }
 
-void wb_catalog_seal(wb_catalog_t *catalog)
-{
+void wb_catalog_seal(wb_catalog_t *catalog) {
     GHashTableIter iter;
     gpointer routes;
     g_hash_table_iter_init(&iter, catalog->hosts);
@@ -125,8 +112,7 @@
         g_ptr_array_sort(routes, longer_first);
 }
 
-wb_route_t *wb_catalog_route(const wb_catalog_t *catalog, const char *host, const char *path)
-{
+wb_route_t *wb_catalog_route(const wb_catalog_t *catalog, const char *host, const char *path) {
     g_autofree char *name = g_ascii_strdown(host, -1);
     char *port = strchr(name, ':');
     if (port != NULL)
@@ -144,13 +130,11 @@
     return NULL;
 }
 
-const wb_service_t *wb_catalog_service(const wb_catalog_t *catalog, const char *name)
-{
+const wb_service_t *wb_catalog_service(const wb_catalog_t *catalog, const char *name) {
     return g_hash_table_lookup(catalog->services, name);
 }
 
-const char *wb_route_pick_service(wb_route_t *route)
-{
+const char *wb_route_pick_service(wb_route_t *route) {
     double total = 0;
     for (guint i = 0; i < route->parts->len; i++)
         total += g_array_index(route->parts, wb_route_part_t, i).weight;
--- a/src/cell/cell.c
+++ b/src/cell/cell.c
@@ -3,16 +3,14 @@
 
 #define ORDER_RETRY_MS 300
 
-const char *cell_pair(char *buffer, const char *first, const char *second)
-{
+const char *cell_pair(char *buffer, const char *first, const char *second) {
     g_snprintf(buffer, CELL_PAIR_SIZE, "%s\n%s", first, second);
     return buffer;
 }
 
 static void engines_from_record(wb_cell_t *cell, int64_t now_ms);
 
-static void engine_free(gpointer data)
-{
+static void engine_free(gpointer data) {
     cell_engine_t *engine = data;
     wb_inventory_free(engine->inventory);
     g_free(engine->room_for);
@@ -22,15 +20,13 @@
     g_free(engine);
 }
 
-static void gateway_free(gpointer data)
-{
+static void gateway_free(gpointer data) {
     cell_gateway_t *gateway = data;
     g_free(gateway->node);
     g_free(gateway);
 }
 
-static void target_free(gpointer data)
-{
+static void target_free(gpointer data) {
     cell_target_t *target = data;
     g_hash_table_unref(target->gateways);
     g_free(target->model);
@@ -38,8 +34,7 @@
     g_free(target);
 }
 
-static void load_free(gpointer data)
-{
+static void load_free(gpointer data) {
     cell_load_t *load = data;
     g_free(load->model);
     g_free(load->engine);
@@ -47,8 +42,7 @@
 }
 
 wb_cell_t *wb_cell_create(const wb_cell_options_t *options, wb_record_t *record, uint64_t epoch,
-                          const wb_cell_events_t *events, int64_t now_ms)
-{
+                          const wb_cell_events_t *events, int64_t now_ms) {
     wb_cell_t *cell = g_new0(wb_cell_t, 1);
     cell->name = g_strdup(options->name);
     cell->options = *options;
@@ -69,8 +63,7 @@
     return cell;
 }
 
-void wb_cell_free(wb_cell_t *cell)
-{
+void wb_cell_free(wb_cell_t *cell) {
     g_hash_table_unref(cell->engines);
     g_hash_table_unref(cell->targets);
     g_hash_table_unref(cell->uncommitted);
@@ -83,8 +76,7 @@
     g_free(cell);
 }
 
-void wb_cell_set_config(wb_cell_t *cell, wb_config_t *config)
-{
+void wb_cell_set_config(wb_cell_t *cell, wb_config_t *config) {
     wb_config_ref(config);
     wb_config_unref(cell->config);
     cell->config = config;
@@ -92,8 +84,7 @@
 }
 
 static cell_engine_t *engine_get(wb_cell_t *cell, const char *id, const char *address,
-                                 const char *zone, int64_t now_ms)
-{
+                                 const char *zone, int64_t now_ms) {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
     if (engine == NULL) {
         engine = g_new0(cell_engine_t, 1);
@@ -108,8 +99,7 @@
 }
 
 /* What the last owner knew of engines. */
-static void engines_from_record(wb_cell_t *cell, int64_t now_ms)
-{
+static void engines_from_record(wb_cell_t *cell, int64_t now_ms) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->record->engines);
@@ -122,8 +112,7 @@
 }
 
 /* Lets the next owner know without a machine list. */
-static void engine_record(wb_cell_t *cell, const cell_engine_t *engine)
-{
+static void engine_record(wb_cell_t *cell, const cell_engine_t *engine) {
     const wb_record_engine_t *known = g_hash_table_lookup(cell->record->engines, engine->id);
     gboolean gone = engine->machine == WB_MACHINE_GONE;
     if (known == NULL ? gone : known->state == (unsigned)engine->machine)
@@ -138,25 +127,21 @@
 }
 
 void wb_cell_machine(wb_cell_t *cell, const char *id, const char *address, const char *zone,
-                     wb_machine_state_t state, int64_t now_ms)
-{
+                     wb_machine_state_t state, int64_t now_ms) {
     cell_engine_t *engine = engine_get(cell, id, address, zone, now_ms);
     engine->machine = MAX(engine->machine, state); /* a leaving machine never comes back */
     engine_record(cell, engine);
 }
 
-void wb_cell_machines_known(wb_cell_t *cell)
-{
+void wb_cell_machines_known(wb_cell_t *cell) {
     cell->machines_known = TRUE;
 }
 
-void wb_cell_committed(wb_cell_t *cell, uint64_t sequence)
-{
+void wb_cell_committed(wb_cell_t *cell, uint64_t sequence) {
     cell->committed = MAX(cell->committed, sequence);
 }
 
-cell_busy_t cell_target_busy(const cell_target_t *target)
-{
+cell_busy_t cell_target_busy(const cell_target_t *target) {
     cell_busy_t busy = {0, 0, 0, target->used_ms};
     GHashTableIter iterator;
     gpointer value;
@@ -172,8 +157,7 @@
     return busy;
 }
 
-cell_busy_t cell_model_busy(const wb_cell_t *cell, const char *model)
-{
+cell_busy_t cell_model_busy(const wb_cell_t *cell, const char *model) {
     cell_busy_t busy = {0, 0, 0, 0};
     GHashTableIter iterator;
     gpointer value;
@@ -192,32 +176,27 @@
     return busy;
 }
 
-const wb_held_model_t *cell_held(const cell_engine_t *engine, const char *model)
-{
+const wb_held_model_t *cell_held(const cell_engine_t *engine, const char *model) {
     return engine->inventory != NULL ? wb_inventory_model(engine->inventory, model) : NULL;
 }
 
-gboolean cell_engine_is_usable(const cell_engine_t *engine)
-{
+gboolean cell_engine_is_usable(const cell_engine_t *engine) {
     return engine->machine == WB_MACHINE_LIVE && engine->reachable && engine->fenced &&
            engine->inventory != NULL && !engine->inventory->leaving;
 }
 
-gboolean cell_engine_is_orderable(const cell_engine_t *engine, int64_t now_ms)
-{
+gboolean cell_engine_is_orderable(const cell_engine_t *engine, int64_t now_ms) {
     return engine->machine != WB_MACHINE_GONE && engine->fenced && engine->settled &&
            engine->reachable && !engine->ordering && engine->inventory != NULL &&
            now_ms >= engine->retry_at_ms;
 }
 
-static uint64_t fence_next(const wb_cell_t *cell, const cell_engine_t *engine)
-{
+static uint64_t fence_next(const wb_cell_t *cell, const cell_engine_t *engine) {
     return MAX(engine->fence_sent, cell->epoch << 32) + 1;
 }
 
 void cell_order_send(wb_cell_t *cell, cell_engine_t *engine, wb_order_action_t action,
-                     const char *model, const char *adapter, int64_t version, int64_t bytes)
-{
+                     const char *model, const char *adapter, int64_t version, int64_t bytes) {
     wb_order_t order = {action, engine->id, engine->address, fence_next(cell, engine),
                         model,  adapter,    version,         bytes};
     engine->fence_sent = order.fence;
@@ -229,8 +208,7 @@
 }
 
 static void inventory_take(wb_cell_t *cell, cell_engine_t *engine, wb_inventory_t *inventory,
-                           int64_t now_ms)
-{
+                           int64_t now_ms) {
     gboolean older = engine->inventory != NULL && inventory->sequence < engine->inventory->sequence;
     if (older) {
         wb_inventory_free(inventory);
@@ -242,8 +220,7 @@
 }
 
 void wb_cell_order_done(wb_cell_t *cell, const char *id, uint64_t fence, wb_order_outcome_t outcome,
-                        wb_inventory_t *inventory, int64_t now_ms)
-{
+                        wb_inventory_t *inventory, int64_t now_ms) {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
     if (engine == NULL || !engine->ordering || fence != engine->fence_sent) {
         wb_inventory_free(inventory);
@@ -277,8 +254,7 @@
     }
 }
 
-void wb_cell_inventory(wb_cell_t *cell, wb_inventory_t *inventory, int64_t now_ms)
-{
+void wb_cell_inventory(wb_cell_t *cell, wb_inventory_t *inventory, int64_t now_ms) {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, inventory->engine);
     if (engine == NULL || engine->inventory == NULL) {
         wb_inventory_free(inventory);
@@ -287,15 +263,13 @@
     inventory_take(cell, engine, inventory, now_ms);
 }
 
-void wb_cell_engine_reachable(wb_cell_t *cell, const char *id, gboolean reachable)
-{
+void wb_cell_engine_reachable(wb_cell_t *cell, const char *id, gboolean reachable) {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, id);
     if (engine != NULL)
         engine->reachable = reachable;
 }
 
-void wb_cell_demand(wb_cell_t *cell, const wb_demand_t *demand, int64_t now_ms)
-{
+void wb_cell_demand(wb_cell_t *cell, const wb_demand_t *demand, int64_t now_ms) {
     char pair[CELL_PAIR_SIZE];
     cell_pair(pair, demand->model, demand->adapter);
     cell_target_t *target = g_hash_table_lookup(cell->targets, pair);
@@ -324,8 +298,7 @@
     cell_route_show_to(cell, target, gateway, TRUE, now_ms);
 }
 
-void wb_cell_gateway_gone(wb_cell_t *cell, const char *node)
-{
+void wb_cell_gateway_gone(wb_cell_t *cell, const char *node) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->targets);
@@ -335,8 +308,7 @@
 
 void wb_cell_engines_each(const wb_cell_t *cell,
                           void (*visit)(const char *engine, const char *address, void *context),
-                          void *context)
-{
+                          void *context) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->engines);
--- a/src/cell/cell_adapters.c
+++ b/src/cell/cell_adapters.c
@@ -2,23 +2,20 @@
 #include "cell_types.h"
 
 static const wb_held_adapter_t *adapter_held(const cell_engine_t *engine, const char *model,
-                                             const char *adapter)
-{
+                                             const char *adapter) {
     const wb_held_model_t *held = cell_held(engine, model);
     return held != NULL ? g_hash_table_lookup(held->adapters, adapter) : NULL;
 }
 
 static const cell_target_t *target_find(const wb_cell_t *cell, const char *model,
-                                        const char *adapter)
-{
+                                        const char *adapter) {
     char pair[CELL_PAIR_SIZE];
     return g_hash_table_lookup(cell->targets, cell_pair(pair, model, adapter));
 }
 
 /* An adapter that nothing waits for or runs on may go. */
 static gboolean adapter_is_idle(const wb_cell_t *cell, const char *model,
-                                const wb_held_adapter_t *adapter)
-{
+                                const wb_held_adapter_t *adapter) {
     if (adapter->state != WB_LOAD_LOADED || adapter->running > 0)
         return FALSE;
     const cell_target_t *target = target_find(cell, model, adapter->name);
@@ -28,15 +25,13 @@
     return busy.waiting == 0 && busy.running == 0;
 }
 
-static int64_t adapter_used_ms(const wb_cell_t *cell, const char *model, const char *adapter)
-{
+static int64_t adapter_used_ms(const wb_cell_t *cell, const char *model, const char *adapter) {
     const cell_target_t *target = target_find(cell, model, adapter);
     return target != NULL ? target->used_ms : 0;
 }
 
 /* Sends away the idle adapter on this engine that was used the longest ago. */
-static gboolean adapter_evict(wb_cell_t *cell, cell_engine_t *engine)
-{
+static gboolean adapter_evict(wb_cell_t *cell, cell_engine_t *engine) {
     const char *victim_model = NULL;
     const char *victim = NULL;
     int64_t oldest_ms = INT64_MAX;
@@ -63,8 +58,7 @@
 }
 
 /* The replica with the most room that could take the adapter. */
-static cell_engine_t *replica_choose(wb_cell_t *cell, const char *model, const char *adapter)
-{
+static cell_engine_t *replica_choose(wb_cell_t *cell, const char *model, const char *adapter) {
     cell_engine_t *best = NULL;
     int64_t most = INT64_MIN;
     for (guint i = 0; i < cell->record->slots->len; i++) {
@@ -91,8 +85,7 @@
 
 /* Replicas that hold the adapter or are loading it. */
 static guint adapter_replicas(const wb_cell_t *cell, const char *model, const char *adapter,
-                              int *batch)
-{
+                              int *batch) {
     guint count = 0;
     GHashTableIter iterator;
     gpointer value;
@@ -108,8 +101,7 @@
     return count;
 }
 
-static void target_serve(wb_cell_t *cell, const cell_target_t *target, int64_t now_ms)
-{
+static void target_serve(wb_cell_t *cell, const cell_target_t *target, int64_t now_ms) {
     const wb_adapter_t *adapter = wb_config_adapter(cell->config, target->adapter);
     cell_busy_t busy = cell_target_busy(target);
     if (adapter == NULL || strcmp(adapter->model, target->model) != 0 || busy.waiting == 0)
@@ -129,8 +121,7 @@
 }
 
 /* An adapter that is no longer declared, or was idle for the service's keep-alive, goes. */
-static void idle_unload(wb_cell_t *cell, cell_engine_t *engine, int64_t now_ms)
-{
+static void idle_unload(wb_cell_t *cell, cell_engine_t *engine, int64_t now_ms) {
     GHashTableIter models, adapters;
     gpointer model_value, adapter_value;
     g_hash_table_iter_init(&models, engine->inventory->models);
@@ -155,8 +146,7 @@
     }
 }
 
-void cell_adapters_step(wb_cell_t *cell, int64_t now_ms)
-{
+void cell_adapters_step(wb_cell_t *cell, int64_t now_ms) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->targets);
--- a/src/cell/cell_balance.c
+++ b/src/cell/cell_balance.c
@@ -10,8 +10,7 @@
 #define WORTH_MOVING 2 /* difference in owned cells; with less, cells would move back and forth */
 
 /* Cells owned by each node, as gossip tells. */
-static GHashTable *owned_count(wb_cell_host_t *host)
-{
+static GHashTable *owned_count(wb_cell_host_t *host) {
     GHashTable *counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GHashTableIter iterator;
     gpointer name;
@@ -27,8 +26,7 @@
 }
 
 /* The member of the group that owns the fewest cells and is up, or NULL. */
-static const char *member_choose(hosted_cell_t *hosted, GHashTable *counts, guint *fewest)
-{
+static const char *member_choose(hosted_cell_t *hosted, GHashTable *counts, guint *fewest) {
     const wb_member_table_t *table = wb_membership_table(hosted->host->parts.membership);
     const GPtrArray *members = wb_group_record(hosted->group)->members;
     const char *best = NULL;
@@ -45,8 +43,7 @@
     return best;
 }
 
-void cell_balance_tick(wb_cell_host_t *host, int64_t now_ms)
-{
+void cell_balance_tick(wb_cell_host_t *host, int64_t now_ms) {
     if (host->leaving || now_ms < host->balance_next_ms)
         return;
     host->balance_next_ms = now_ms + BALANCE_INTERVAL_MS;
--- a/src/cell/cell_claims.c
+++ b/src/cell/cell_claims.c
@@ -6,8 +6,7 @@
 #include <string.h>
 
 static void show_send(wb_cell_host_t *host, const char *node, uint64_t request,
-                      wb_wire_claim_state state, const wb_claim_t *claim, const char *reason)
-{
+                      wb_wire_claim_state state, const wb_claim_t *claim, const char *reason) {
     wb_wire_message message = {.kind = WB_WIRE_CLAIM_SHOW};
     wb_wire_claim_show *show = &message.wb_wire_message_u.claim_show;
     show->request = request;
@@ -24,13 +23,11 @@
     host->parts.send(node, &message, host->parts.context);
 }
 
-static void refuse(wb_cell_host_t *host, const char *node, uint64_t request, const char *reason)
-{
+static void refuse(wb_cell_host_t *host, const char *node, uint64_t request, const char *reason) {
     show_send(host, node, request, WB_WIRE_CLAIM_REFUSED, NULL, reason);
 }
 
-static void wait_free(claim_wait_t *wait)
-{
+static void wait_free(claim_wait_t *wait) {
     g_free(wait->node);
     g_free(wait->model);
     g_free(wait->key);
@@ -38,8 +35,7 @@
 }
 
 static void claim_propose(hosted_cell_t *hosted, const char *node, const wb_wire_claim_want *want,
-                          uint64_t attempt)
-{
+                          uint64_t attempt) {
     wb_wire_command command;
     wb_claim_command(want, attempt, &command);
     claim_wait_t *wait = g_new0(claim_wait_t, 1);
@@ -58,8 +54,7 @@
 
 /* Someone wants the answer of an earlier request and has nothing to run. */
 static void look_up(wb_cell_host_t *host, const char *node, uint64_t request,
-                    const wb_claim_t *claim)
-{
+                    const wb_claim_t *claim) {
     if (claim == NULL)
         show_send(host, node, request, WB_WIRE_CLAIM_UNKNOWN, NULL, "the key is not known");
     else
@@ -67,8 +62,7 @@
                   claim, "");
 }
 
-void cell_claim_want(wb_cell_host_t *host, const char *node, const wb_wire_claim_want *want)
-{
+void cell_claim_want(wb_cell_host_t *host, const char *node, const wb_wire_claim_want *want) {
     hosted_cell_t *hosted = cell_host_find_model(host, want->model);
     int64_t now_ms = wb_clock_ms();
     if (hosted == NULL || hosted->cell == NULL) {
@@ -110,8 +104,7 @@
     }
 }
 
-void cell_claim_done(wb_cell_host_t *host, const wb_wire_claim_done *done)
-{
+void cell_claim_done(wb_cell_host_t *host, const wb_wire_claim_done *done) {
     hosted_cell_t *hosted = cell_host_find_model(host, done->model);
     if (hosted == NULL || hosted->cell == NULL)
         return; /* a retry will find the answer at the engine */
@@ -128,8 +121,7 @@
     wb_group_propose(hosted->group, &command, wb_clock_ms());
 }
 
-void cell_claims_committed(hosted_cell_t *hosted, uint64_t sequence)
-{
+void cell_claims_committed(hosted_cell_t *hosted, uint64_t sequence) {
     claim_wait_t *wait;
     while ((wait = g_queue_peek_head(&hosted->claim_waits)) != NULL && wait->sequence <= sequence) {
         g_queue_pop_head(&hosted->claim_waits);
@@ -142,8 +134,7 @@
 }
 
 /* The owner changed: whether these claims count is not known, but none of them was granted. */
-void cell_claims_drop(hosted_cell_t *hosted)
-{
+void cell_claims_drop(hosted_cell_t *hosted) {
     claim_wait_t *wait;
     while ((wait = g_queue_pop_head(&hosted->claim_waits)) != NULL) {
         refuse(hosted->host, wait->node, wait->request, "the cell's owner has just changed");
--- a/src/cell/cell_explain.c
+++ b/src/cell/cell_explain.c
@@ -1,8 +1,8 @@
 /* Says why a model is where it is, for operators. */
 #include "cell_types.h"
 
-static json_t *engine_explain(const wb_cell_t *cell, const cell_engine_t *engine, const char *model)
-{
+static json_t *engine_explain(const wb_cell_t *cell, const cell_engine_t *engine,
+                              const char *model) {
     static const char *const machines[] = {"live", "leaving", "gone"};
     static const char *const states[] = {"loading", "loaded", "unloading"};
     char pair[CELL_PAIR_SIZE];
@@ -20,8 +20,7 @@
                      "retiring", why != NULL ? why : "");
 }
 
-json_t *wb_cell_explain(const wb_cell_t *cell, const char *model, int64_t now_ms)
-{
+json_t *wb_cell_explain(const wb_cell_t *cell, const char *model, int64_t now_ms) {
     json_t *engines = json_array();
     GHashTableIter iterator;
     gpointer value;
--- a/src/cell/cell_founding.c
+++ b/src/cell/cell_founding.c
@@ -27,8 +27,7 @@
     int64_t row_version;
 } founding_t;
 
-static founding_t *founding_create(hosted_cell_t *hosted)
-{
+static founding_t *founding_create(hosted_cell_t *hosted) {
     founding_t *founding = g_new0(founding_t, 1);
     founding->host = hosted->host;
     founding->cell = g_strdup(hosted->name);
@@ -37,8 +36,7 @@
     return founding;
 }
 
-static void founding_free(founding_t *founding)
-{
+static void founding_free(founding_t *founding) {
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     if (hosted != NULL)
         hosted->asking = FALSE;
@@ -48,8 +46,7 @@
     g_free(founding);
 }
 
-static json_t *row_describe(uint64_t generation, uint64_t era, const GPtrArray *members)
-{
+static json_t *row_describe(uint64_t generation, uint64_t era, const GPtrArray *members) {
     json_t *names = json_array();
     for (guint i = 0; i < members->len; i++)
         json_array_append_new(names, json_string(members->pdata[i]));
@@ -57,13 +54,11 @@
                      (json_int_t)era, "members", names);
 }
 
-static char *row_key(const char *cell)
-{
+static char *row_key(const char *cell) {
     return g_strconcat(CELL_ROW_PREFIX, cell, NULL);
 }
 
-static void row_write(founding_t *founding, int64_t row_version, wb_platform_done_fn done)
-{
+static void row_write(founding_t *founding, int64_t row_version, wb_platform_done_fn done) {
     g_autofree char *key = row_key(founding->cell);
     json_t *checks = json_array();
     json_array_append_new(checks, wb_platform_check(key, row_version));
@@ -75,8 +70,7 @@
 }
 
 /* This node first, then the best of the other zones, by rendezvous hashing. */
-static void members_choose(wb_cell_host_t *host, const char *cell, GPtrArray *members)
-{
+static void members_choose(wb_cell_host_t *host, const char *cell, GPtrArray *members) {
     const wb_member_table_t *table = wb_membership_table(host->parts.membership);
     g_ptr_array_add(members, g_strdup(host->node));
     const wb_member_t *self = wb_member_table_find(table, host->node);
@@ -94,8 +88,7 @@
     }
 }
 
-static void group_found(founding_t *founding)
-{
+static void group_found(founding_t *founding) {
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     if (hosted == NULL)
         return;
@@ -121,8 +114,7 @@
     wb_group_found(group, record, founding->members, founding->generation, epoch, now_ms);
 }
 
-static void founding_read_back(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void founding_read_back(wb_platform_status_t status, const json_t *body, void *context) {
     founding_t *founding = context;
     json_t *ours = row_describe(founding->generation, founding->era, founding->members);
     if (status == WB_PLATFORM_DONE && json_equal(json_object_get(body, "value"), ours))
@@ -131,8 +123,7 @@
     founding_free(founding);
 }
 
-static void founding_written(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void founding_written(wb_platform_status_t status, const json_t *body, void *context) {
     (void)body;
     founding_t *founding = context;
     if (status == WB_PLATFORM_UNKNOWN) {
@@ -146,8 +137,7 @@
 }
 
 /* Another process of the same machine, started later, is known: this one is gone. */
-static gboolean was_replaced(wb_cell_host_t *host, const char *node)
-{
+static gboolean was_replaced(wb_cell_host_t *host, const char *node) {
     char id[128], other[128];
     wb_member_machine_id(node, id, sizeof(id));
     g_autoptr(GPtrArray) list = wb_member_table_list(wb_membership_table(host->parts.membership));
@@ -161,8 +151,7 @@
 }
 
 /* Only what is certain counts: a member that this node has never heard of may well be alive. */
-static gboolean member_is_gone(wb_cell_host_t *host, const json_t *machines, const char *node)
-{
+static gboolean member_is_gone(wb_cell_host_t *host, const json_t *machines, const char *node) {
     const wb_member_t *member =
         wb_member_table_find(wb_membership_table(host->parts.membership), node);
     if ((member != NULL && member->state == WB_MEMBER_GONE) || was_replaced(host, node))
@@ -171,8 +160,7 @@
     wb_member_machine_id(node, id, sizeof(id));
     size_t index;
     json_t *machine;
-    json_array_foreach(machines, index, machine)
-    {
+    json_array_foreach(machines, index, machine) {
         if (strcmp(wb_json_text(machine, "id", ""), id) == 0)
             return strcmp(wb_json_text(machine, "state", ""), "gone") == 0;
     }
@@ -181,13 +169,11 @@
 
 /* Whether a cell may be founded again: nobody else of its row can still act, for certain. Another
  * survivor would have to yield first. */
-static gboolean others_are_gone(founding_t *founding, const json_t *machines, gboolean *self_in)
-{
+static gboolean others_are_gone(founding_t *founding, const json_t *machines, gboolean *self_in) {
     size_t index;
     json_t *name;
     *self_in = FALSE;
-    json_array_foreach(founding->row_members, index, name)
-    {
+    json_array_foreach(founding->row_members, index, name) {
         const char *node = json_string_value(name);
         if (strcmp(node, founding->host->node) == 0)
             *self_in = TRUE;
@@ -198,8 +184,7 @@
     return !*self_in || size > 1;
 }
 
-static void founding_begin(founding_t *founding, gboolean self_in)
-{
+static void founding_begin(founding_t *founding, gboolean self_in) {
     wb_cell_host_t *host = founding->host;
     hosted_cell_t *hosted = cell_host_find(host, founding->cell);
     /* A survivor promises the new era to itself before it writes the row. */
@@ -209,8 +194,7 @@
     row_write(founding, founding->row_version, founding_written);
 }
 
-static void founding_machines_read(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void founding_machines_read(wb_platform_status_t status, const json_t *body, void *context) {
     founding_t *founding = context;
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     const json_t *machines = status == WB_PLATFORM_DONE ? json_object_get(body, "machines") : NULL;
@@ -221,8 +205,7 @@
         founding_free(founding);
 }
 
-static void founding_row_read(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void founding_row_read(wb_platform_status_t status, const json_t *body, void *context) {
     founding_t *founding = context;
     wb_cell_host_t *host = founding->host;
     hosted_cell_t *hosted = cell_host_find(host, founding->cell);
@@ -245,8 +228,7 @@
 }
 
 /* How many better candidates for founding there are. */
-static guint founding_rank(wb_cell_host_t *host, const char *cell)
-{
+static guint founding_rank(wb_cell_host_t *host, const char *cell) {
     g_autoptr(GPtrArray) ranked =
         wb_member_table_rank(wb_membership_table(host->parts.membership), cell, FALSE);
     for (guint i = 0; i < ranked->len; i++)
@@ -256,14 +238,12 @@
 }
 
 /* A surviving member comes first: it may hold the newest record. */
-static gboolean is_member(const hosted_cell_t *hosted)
-{
+static gboolean is_member(const hosted_cell_t *hosted) {
     const wb_record_t *record = hosted->group != NULL ? wb_group_record(hosted->group) : NULL;
     return record != NULL && wb_record_has_member(record, hosted->host->node);
 }
 
-void cell_founding_tick(hosted_cell_t *hosted, int64_t now_ms)
-{
+void cell_founding_tick(hosted_cell_t *hosted, int64_t now_ms) {
     wb_cell_host_t *host = hosted->host;
     const char *owner = wb_membership_owner(host->parts.membership, hosted->name, NULL);
     const wb_member_table_t *table = wb_membership_table(host->parts.membership);
@@ -288,8 +268,7 @@
 }
 
 /* The members of the row, as agreed by the table service: now the group's turn. */
-static void members_propose(founding_t *founding)
-{
+static void members_propose(founding_t *founding) {
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     if (hosted == NULL || hosted->group == NULL)
         return;
@@ -303,8 +282,7 @@
                    sequence == 0 ? ", but not yet" : "");
 }
 
-static void members_read_back(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void members_read_back(wb_platform_status_t status, const json_t *body, void *context) {
     founding_t *founding = context;
     json_t *ours = row_describe(founding->generation, founding->era, founding->members);
     if (status == WB_PLATFORM_DONE && json_equal(json_object_get(body, "value"), ours))
@@ -313,8 +291,7 @@
     founding_free(founding);
 }
 
-static void members_written(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void members_written(wb_platform_status_t status, const json_t *body, void *context) {
     (void)body;
     founding_t *founding = context;
     if (status == WB_PLATFORM_UNKNOWN) {
@@ -327,8 +304,7 @@
     founding_free(founding);
 }
 
-static void members_row_read(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void members_row_read(wb_platform_status_t status, const json_t *body, void *context) {
     founding_t *founding = context;
     hosted_cell_t *hosted = cell_host_find(founding->host, founding->cell);
     const json_t *row = json_object_get(body, "value");
@@ -347,8 +323,7 @@
 }
 
 /* The member that should go: down for a while, or gone. */
-static const char *member_lost(hosted_cell_t *hosted, const wb_record_t *record, int64_t now_ms)
-{
+static const char *member_lost(hosted_cell_t *hosted, const wb_record_t *record, int64_t now_ms) {
     const wb_member_table_t *table = wb_membership_table(hosted->host->parts.membership);
     for (guint i = 0; i < record->members->len; i++) {
         const char *node = record->members->pdata[i];
@@ -361,8 +336,7 @@
 }
 
 /* One step towards a full group of members that are up: a lost one goes, then another comes. */
-static gboolean members_next(hosted_cell_t *hosted, GPtrArray *next, int64_t now_ms)
-{
+static gboolean members_next(hosted_cell_t *hosted, GPtrArray *next, int64_t now_ms) {
     const wb_record_t *record = wb_group_record(hosted->group);
     const char *lost = member_lost(hosted, record, now_ms);
     for (guint i = 0; i < record->members->len; i++)
@@ -383,8 +357,7 @@
     return FALSE;
 }
 
-void cell_members_maintain(hosted_cell_t *hosted, int64_t now_ms)
-{
+void cell_members_maintain(hosted_cell_t *hosted, int64_t now_ms) {
     if (hosted->asking || now_ms - hosted->member_changed_ms < MAINTAIN_INTERVAL_MS ||
         hosted->host->leaving)
         return;
--- a/src/cell/cell_host.c
+++ b/src/cell/cell_host.c
@@ -9,32 +9,27 @@
 #define EXPIRE_INTERVAL_MS 5000
 #define HAND_OVER_LIMIT_MS 5000 /* then a stop goes on without a successor */
 
-hosted_cell_t *cell_host_find(wb_cell_host_t *host, const char *name)
-{
+hosted_cell_t *cell_host_find(wb_cell_host_t *host, const char *name) {
     return g_hash_table_lookup(host->cells, name);
 }
 
-hosted_cell_t *cell_host_find_model(wb_cell_host_t *host, const char *model)
-{
+hosted_cell_t *cell_host_find_model(wb_cell_host_t *host, const char *model) {
     const wb_config_t *config = wb_config_store_current(host->parts.config_store);
     const wb_model_t *declared = wb_config_model(config, model);
     return declared != NULL ? cell_host_find(host, declared->cell) : NULL;
 }
 
-static void group_send(const char *node, const wb_wire_message *message, void *context)
-{
+static void group_send(const char *node, const wb_wire_message *message, void *context) {
     hosted_cell_t *hosted = context;
     hosted->host->parts.send(node, message, hosted->host->parts.context);
 }
 
-static uint64_t cell_propose(const wb_wire_command *command, void *context)
-{
+static uint64_t cell_propose(const wb_wire_command *command, void *context) {
     hosted_cell_t *hosted = context;
     return wb_group_propose(hosted->group, command, wb_clock_ms());
 }
 
-static void cell_order(const wb_order_t *order, void *context)
-{
+static void cell_order(const wb_order_t *order, void *context) {
     hosted_cell_t *hosted = context;
     static const char *const names[] = {"fence", "load", "unload"};
     wb_log_info(WB_PART_CELL, "Order %s %s%s%s to %s.", names[order->action],
@@ -43,8 +38,7 @@
     wb_engine_client_order(hosted->engines, order);
 }
 
-static void cell_show(const char *node, const wb_route_t *route, void *context)
-{
+static void cell_show(const char *node, const wb_route_t *route, void *context) {
     hosted_cell_t *hosted = context;
     wb_wire_message message = {.kind = WB_WIRE_ROUTE_SHOW};
     wb_wire_route_show *show = &message.wb_wire_message_u.route_show;
@@ -69,37 +63,32 @@
 }
 
 static void engine_order_done(const char *engine, uint64_t fence, wb_order_outcome_t outcome,
-                              wb_inventory_t *inventory, void *context)
-{
+                              wb_inventory_t *inventory, void *context) {
     hosted_cell_t *hosted = context;
     int64_t now_ms = wb_clock_ms();
     wb_cell_order_done(hosted->cell, engine, fence, outcome, inventory, now_ms);
     wb_cell_step(hosted->cell, now_ms);
 }
 
-static void engine_inventory(wb_inventory_t *inventory, void *context)
-{
+static void engine_inventory(wb_inventory_t *inventory, void *context) {
     hosted_cell_t *hosted = context;
     int64_t now_ms = wb_clock_ms();
     wb_cell_inventory(hosted->cell, inventory, now_ms);
     wb_cell_step(hosted->cell, now_ms);
 }
 
-static void engine_reachable(const char *engine, gboolean reachable, void *context)
-{
+static void engine_reachable(const char *engine, gboolean reachable, void *context) {
     hosted_cell_t *hosted = context;
     wb_cell_engine_reachable(hosted->cell, engine, reachable);
     wb_cell_step(hosted->cell, wb_clock_ms());
 }
 
-static void engine_follow(const char *engine, const char *address, void *context)
-{
+static void engine_follow(const char *engine, const char *address, void *context) {
     hosted_cell_t *hosted = context;
     wb_engine_client_follow(hosted->engines, engine, address);
 }
 
-static void group_owner(uint64_t epoch, void *context)
-{
+static void group_owner(uint64_t epoch, void *context) {
     hosted_cell_t *hosted = context;
     wb_cell_host_t *host = hosted->host;
     const wb_cell_host_options_t *options = &host->options;
@@ -130,8 +119,7 @@
     wb_membership_announce_owner(host->parts.membership, hosted->name, epoch);
 }
 
-static void group_lost(void *context)
-{
+static void group_lost(void *context) {
     hosted_cell_t *hosted = context;
     wb_log_message(WB_PART_CELL, "Cell %s is no longer owned here.", hosted->name);
     cell_claims_drop(hosted);
@@ -147,8 +135,7 @@
     char *cell;
 } step_call_t;
 
-static void step_run(void *context)
-{
+static void step_run(void *context) {
     step_call_t *call = context;
     hosted_cell_t *hosted = cell_host_find(call->host, call->cell);
     if (hosted != NULL) {
@@ -161,8 +148,7 @@
 }
 
 /* What counts now is acted on at once, but not from inside a step that may be under way. */
-static void step_soon(hosted_cell_t *hosted)
-{
+static void step_soon(hosted_cell_t *hosted) {
     if (hosted->step_is_due)
         return;
     hosted->step_is_due = TRUE;
@@ -172,8 +158,7 @@
     wb_loop_post(hosted->host->parts.loop, step_run, call);
 }
 
-static void group_commit(uint64_t sequence, void *context)
-{
+static void group_commit(uint64_t sequence, void *context) {
     hosted_cell_t *hosted = context;
     if (hosted->cell == NULL)
         return;
@@ -182,8 +167,7 @@
     step_soon(hosted);
 }
 
-wb_group_t *cell_host_group(hosted_cell_t *hosted)
-{
+wb_group_t *cell_host_group(hosted_cell_t *hosted) {
     wb_cell_host_t *host = hosted->host;
     if (hosted->group != NULL)
         return hosted->group;
@@ -194,8 +178,7 @@
     return hosted->group;
 }
 
-static hosted_cell_t *hosted_get(wb_cell_host_t *host, const char *name)
-{
+static hosted_cell_t *hosted_get(wb_cell_host_t *host, const char *name) {
     hosted_cell_t *hosted = cell_host_find(host, name);
     if (hosted != NULL)
         return hosted;
@@ -207,8 +190,7 @@
     return hosted;
 }
 
-static void hosted_free(gpointer data)
-{
+static void hosted_free(gpointer data) {
     hosted_cell_t *hosted = data;
     if (hosted->cell != NULL) {
         cell_claims_drop(hosted);
@@ -221,8 +203,7 @@
     g_free(hosted);
 }
 
-static void hosted_tick(hosted_cell_t *hosted, int64_t now_ms)
-{
+static void hosted_tick(hosted_cell_t *hosted, int64_t now_ms) {
     if (hosted->group != NULL)
         wb_group_tick(hosted->group, now_ms);
     cell_founding_tick(hosted, now_ms);
@@ -241,8 +222,7 @@
     }
 }
 
-static void host_tick(void *context)
-{
+static void host_tick(void *context) {
     wb_cell_host_t *host = context;
     int64_t now_ms = wb_clock_ms();
     g_autoptr(GList) names = g_hash_table_get_values(host->cells);
@@ -252,8 +232,7 @@
 }
 
 wb_cell_host_t *wb_cell_host_start(const wb_cell_host_options_t *options,
-                                   const wb_cell_host_parts_t *parts)
-{
+                                   const wb_cell_host_parts_t *parts) {
     wb_cell_host_t *host = g_new0(wb_cell_host_t, 1);
     host->options = *options;
     host->parts = *parts;
@@ -263,16 +242,14 @@
     return host;
 }
 
-void wb_cell_host_stop(wb_cell_host_t *host)
-{
+void wb_cell_host_stop(wb_cell_host_t *host) {
     wb_timer_cancel(host->tick_timer);
     g_hash_table_unref(host->cells);
     g_free(host->node);
     g_free(host);
 }
 
-void wb_cell_host_config(wb_cell_host_t *host, wb_config_t *config)
-{
+void wb_cell_host_config(wb_cell_host_t *host, wb_config_t *config) {
     g_autoptr(GPtrArray) cells = wb_config_cells(config);
     for (guint i = 0; i < cells->len; i++)
         hosted_get(host, cells->pdata[i]);
@@ -289,8 +266,7 @@
     }
 }
 
-static void route_want(wb_cell_host_t *host, const char *node, const wb_wire_route_want *want)
-{
+static void route_want(wb_cell_host_t *host, const char *node, const wb_wire_route_want *want) {
     hosted_cell_t *hosted = cell_host_find_model(host, want->model);
     if (hosted != NULL && hosted->cell != NULL) {
         wb_demand_t demand = {node,
@@ -312,8 +288,7 @@
 }
 
 static void group_message(wb_cell_host_t *host, const char *cell, const char *node,
-                          const wb_wire_message *message)
-{
+                          const wb_wire_message *message) {
     hosted_cell_t *hosted = cell_host_find(host, cell);
     if (hosted == NULL || hosted->group == NULL) {
         if (message->kind != WB_WIRE_GROUP_STATE || host->leaving)
@@ -325,8 +300,7 @@
 }
 
 gboolean wb_cell_host_message(wb_cell_host_t *host, const char *node,
-                              const wb_wire_message *message)
-{
+                              const wb_wire_message *message) {
     switch (message->kind) {
     case WB_WIRE_GROUP_STATE:
         group_message(host, message->wb_wire_message_u.group_state.cell, node, message);
@@ -362,8 +336,7 @@
     }
 }
 
-void wb_cell_host_member(wb_cell_host_t *host, const wb_member_t *member)
-{
+void wb_cell_host_member(wb_cell_host_t *host, const wb_member_t *member) {
     if (member->state != WB_MEMBER_DEAD && member->state != WB_MEMBER_GONE)
         return;
     int64_t now_ms = wb_clock_ms();
@@ -377,8 +350,7 @@
     }
 }
 
-gboolean wb_cell_host_hand_over(wb_cell_host_t *host)
-{
+gboolean wb_cell_host_hand_over(wb_cell_host_t *host) {
     int64_t now_ms = wb_clock_ms();
     if (!host->leaving)
         host->leaving_since_ms = now_ms;
@@ -399,8 +371,7 @@
     return done;
 }
 
-guint wb_cell_host_owned(const wb_cell_host_t *host)
-{
+guint wb_cell_host_owned(const wb_cell_host_t *host) {
     guint count = 0;
     GHashTableIter iterator;
     gpointer value;
@@ -411,8 +382,7 @@
     return count;
 }
 
-json_t *wb_cell_host_status(wb_cell_host_t *host)
-{
+json_t *wb_cell_host_status(wb_cell_host_t *host) {
     static const char *const roles[] = {"follower", "candidate", "establishing", "owner"};
     json_t *list = json_array();
     GHashTableIter iterator;
@@ -439,8 +409,7 @@
     return list;
 }
 
-json_t *wb_cell_host_explain(wb_cell_host_t *host, const char *model)
-{
+json_t *wb_cell_host_explain(wb_cell_host_t *host, const char *model) {
     hosted_cell_t *hosted = cell_host_find_model(host, model);
     if (hosted == NULL || hosted->cell == NULL)
         return NULL;
--- a/src/cell/cell_loads.c
+++ b/src/cell/cell_loads.c
@@ -4,8 +4,7 @@
 #define GIB (1024.0 * 1024.0 * 1024.0)
 #define NEW_WEIGHT 0.3 /* of a new measurement in the moving average */
 
-static gint load_find(const wb_cell_t *cell, const char *engine, const char *model)
-{
+static gint load_find(const wb_cell_t *cell, const char *engine, const char *model) {
     for (guint i = 0; i < cell->loads->len; i++) {
         const cell_load_t *load = cell->loads->pdata[i];
         if (strcmp(load->engine, engine) == 0 && strcmp(load->model, model) == 0)
@@ -14,15 +13,13 @@
     return -1;
 }
 
-const cell_load_t *cell_load_find(const wb_cell_t *cell, const char *engine, const char *model)
-{
+const cell_load_t *cell_load_find(const wb_cell_t *cell, const char *engine, const char *model) {
     gint index = load_find(cell, engine, model);
     return index >= 0 ? cell->loads->pdata[index] : NULL;
 }
 
 void cell_load_begun(wb_cell_t *cell, const cell_engine_t *engine, const char *model, int64_t bytes,
-                     int64_t now_ms)
-{
+                     int64_t now_ms) {
     if (load_find(cell, engine->id, model) >= 0)
         return;
     cell_load_t *load = g_new0(cell_load_t, 1);
@@ -34,8 +31,7 @@
     g_ptr_array_add(cell->loads, load);
 }
 
-static void speed_learn(wb_cell_t *cell, const cell_load_t *load, int64_t now_ms)
-{
+static void speed_learn(wb_cell_t *cell, const cell_load_t *load, int64_t now_ms) {
     double gib = (double)load->bytes / GIB;
     if (gib <= 0.0)
         return;
@@ -44,8 +40,7 @@
     *speed = (1.0 - NEW_WEIGHT) * *speed + NEW_WEIGHT * measured;
 }
 
-void cell_loads_observe(wb_cell_t *cell, const cell_engine_t *engine, int64_t now_ms)
-{
+void cell_loads_observe(wb_cell_t *cell, const cell_engine_t *engine, int64_t now_ms) {
     for (guint i = cell->loads->len; i-- > 0;) {
         const cell_load_t *load = cell->loads->pdata[i];
         if (strcmp(load->engine, engine->id) != 0)
@@ -59,8 +54,7 @@
     }
 }
 
-guint cell_remote_loads(const wb_cell_t *cell)
-{
+guint cell_remote_loads(const wb_cell_t *cell) {
     guint count = 0;
     for (guint i = 0; i < cell->loads->len; i++)
         if (((cell_load_t *)cell->loads->pdata[i])->source == SOURCE_REMOTE)
--- a/src/cell/cell_machines.c
+++ b/src/cell/cell_machines.c
@@ -7,8 +7,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-static wb_machine_state_t state_parse(const json_t *machine)
-{
+static wb_machine_state_t state_parse(const json_t *machine) {
     const char *state = wb_json_text(machine, "state", "live");
     if (strcmp(state, "gone") == 0)
         return WB_MACHINE_GONE;
@@ -17,8 +16,7 @@
 
 /* An engine belongs to one cell of its service, by its id. */
 static gboolean engine_is_ours(hosted_cell_t *hosted, const wb_config_t *config,
-                               const json_t *machine)
-{
+                               const json_t *machine) {
     const wb_service_t *service = wb_config_service(config, wb_json_text(machine, "service", ""));
     if (service == NULL)
         return FALSE;
@@ -26,8 +24,7 @@
     return strcmp(cell, hosted->name) == 0;
 }
 
-static void engine_take(hosted_cell_t *hosted, const json_t *machine, int64_t now_ms)
-{
+static void engine_take(hosted_cell_t *hosted, const json_t *machine, int64_t now_ms) {
     const char *id = wb_json_text(machine, "id", "");
     const char *address = wb_json_text(machine, "address", "");
     wb_machine_state_t state = state_parse(machine);
@@ -38,15 +35,13 @@
         wb_engine_client_follow(hosted->engines, id, address);
 }
 
-static void list_take(hosted_cell_t *hosted, const json_t *machines)
-{
+static void list_take(hosted_cell_t *hosted, const json_t *machines) {
     wb_cell_host_t *host = hosted->host;
     const wb_config_t *config = wb_config_store_current(host->parts.config_store);
     int64_t now_ms = wb_clock_ms();
     size_t index;
     json_t *machine;
-    json_array_foreach(machines, index, machine)
-    {
+    json_array_foreach(machines, index, machine) {
         const char *role = wb_json_text(machine, "role", "");
         if (strcmp(role, "node") == 0 && state_parse(machine) == WB_MACHINE_GONE)
             wb_membership_machine_gone(host->parts.membership, wb_json_text(machine, "id", ""));
@@ -66,8 +61,7 @@
     char *cell;
 } machines_call_t;
 
-static void list_read(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void list_read(wb_platform_status_t status, const json_t *body, void *context) {
     machines_call_t *call = context;
     hosted_cell_t *hosted = cell_host_find(call->host, call->cell);
     if (hosted != NULL) {
@@ -82,8 +76,7 @@
     g_free(call);
 }
 
-void cell_machines_tick(hosted_cell_t *hosted, int64_t now_ms)
-{
+void cell_machines_tick(hosted_cell_t *hosted, int64_t now_ms) {
     if (hosted->machines_asking || now_ms < hosted->machines_next_ms)
         return;
     hosted->machines_asking = TRUE;
--- a/src/cell/cell_place.c
+++ b/src/cell/cell_place.c
@@ -7,8 +7,7 @@
 #define SAME_ZONE_PENALTY_MS 1000 /* a second replica in a zone that has one */
 #define BUSY_PENALTY_MS 20        /* for each other model on the engine */
 
-cell_source_t cell_source(const cell_engine_t *engine, const char *model)
-{
+cell_source_t cell_source(const cell_engine_t *engine, const char *model) {
     if (engine->inventory == NULL)
         return SOURCE_REMOTE;
     if (g_hash_table_contains(engine->inventory->memory_copies, model))
@@ -19,14 +18,12 @@
 }
 
 int64_t cell_load_estimate_ms(const wb_cell_t *cell, const cell_engine_t *engine, const char *model,
-                              int64_t bytes)
-{
+                              int64_t bytes) {
     double gib = (double)bytes / GIB;
     return (int64_t)(gib * cell->ms_per_gib[cell_source(engine, model)]);
 }
 
-static int64_t adapters_bytes(const wb_held_model_t *held)
-{
+static int64_t adapters_bytes(const wb_held_model_t *held) {
     int64_t bytes = 0;
     GHashTableIter iterator;
     gpointer value;
@@ -38,8 +35,7 @@
 
 /* Memory that is not spoken for: what the engine holds, and slots whose model is not there yet. */
 int64_t cell_engine_free_bytes(const wb_cell_t *cell, const cell_engine_t *engine,
-                               const char *except_model)
-{
+                               const char *except_model) {
     int64_t spoken_for = engine->ordered_bytes;
     GHashTableIter iterator;
     gpointer value;
@@ -64,8 +60,7 @@
 }
 
 gboolean cell_model_is_idle_at(const wb_cell_t *cell, const cell_engine_t *engine,
-                               const char *model)
-{
+                               const char *model) {
     const wb_held_model_t *held = cell_held(engine, model);
     if (held != NULL && (held->running > 0 || held->state != WB_LOAD_LOADED))
         return FALSE;
@@ -80,15 +75,14 @@
     int64_t used_ms;
 } victim_t;
 
-static gint victim_compare(gconstpointer left, gconstpointer right)
-{
+static gint victim_compare(gconstpointer left, gconstpointer right) {
     const victim_t *a = left;
     const victim_t *b = right;
     return a->used_ms < b->used_ms ? -1 : a->used_ms > b->used_ms;
 }
 
-static gboolean may_be_evicted(const wb_cell_t *cell, const cell_engine_t *engine, const char *name)
-{
+static gboolean may_be_evicted(const wb_cell_t *cell, const cell_engine_t *engine,
+                               const char *name) {
     const wb_model_t *model = wb_config_model(cell->config, name);
     if (model != NULL && (int64_t)wb_record_slot_count(cell->record, name) <= model->min_replicas)
         return FALSE;
@@ -99,8 +93,7 @@
 
 /* The idle models whose leaving makes enough room, least recently used first; NULL if they don't.
  */
-static GArray *victims_find(const wb_cell_t *cell, const cell_engine_t *engine, int64_t missing)
-{
+static GArray *victims_find(const wb_cell_t *cell, const cell_engine_t *engine, int64_t missing) {
     GArray *victims = g_array_new(FALSE, TRUE, sizeof(victim_t));
     GHashTableIter iterator;
     gpointer value;
@@ -125,8 +118,7 @@
     return victims;
 }
 
-guint cell_zone_replicas(const wb_cell_t *cell, const char *model, const char *zone)
-{
+guint cell_zone_replicas(const wb_cell_t *cell, const char *model, const char *zone) {
     guint count = 0;
     for (guint i = 0; i < cell->record->slots->len; i++) {
         const wb_slot_t *slot = cell->record->slots->pdata[i];
@@ -145,8 +137,7 @@
 } choice_t;
 
 static gboolean choice_weigh(wb_cell_t *cell, cell_engine_t *engine, const wb_model_t *model,
-                             choice_t *choice)
-{
+                             choice_t *choice) {
     if (!cell_engine_is_usable(engine) || engine->inventory->capacity_bytes < model->memory_bytes ||
         wb_record_has_slot(cell->record, model->name, engine->id) ||
         cell_held(engine, model->name) != NULL)
@@ -173,22 +164,19 @@
     return TRUE;
 }
 
-static void choice_clear(choice_t *choice)
-{
+static void choice_clear(choice_t *choice) {
     if (choice->victims != NULL)
         g_array_unref(choice->victims);
     choice->victims = NULL;
 }
 
-static gboolean choice_is_better(const choice_t *choice, const choice_t *best)
-{
+static gboolean choice_is_better(const choice_t *choice, const choice_t *best) {
     if (best->engine == NULL || choice->cost_ms != best->cost_ms)
         return best->engine == NULL || choice->cost_ms < best->cost_ms;
     return strcmp(choice->engine->id, best->engine->id) < 0;
 }
 
-static choice_t choice_best(wb_cell_t *cell, const wb_model_t *model)
-{
+static choice_t choice_best(wb_cell_t *cell, const wb_model_t *model) {
     choice_t best = {NULL, NULL, 0};
     GHashTableIter iterator;
     gpointer value;
@@ -206,8 +194,7 @@
     return best;
 }
 
-static void slot_propose(wb_cell_t *cell, const char *model, const char *engine)
-{
+static void slot_propose(wb_cell_t *cell, const char *model, const char *engine) {
     wb_wire_command command = {.kind = WB_WIRE_COMMAND_SLOT_ADD};
     command.wb_wire_command_u.slot_add.model = (char *)model;
     command.wb_wire_command_u.slot_add.engine = (char *)engine;
@@ -220,15 +207,13 @@
     g_hash_table_replace(cell->uncommitted, g_strdup(cell_pair(pair, model, engine)), stored);
 }
 
-static void room_release(cell_engine_t *engine)
-{
+static void room_release(cell_engine_t *engine) {
     g_free(engine->room_for);
     engine->room_for = NULL;
 }
 
 /* The engine that makes room for this model, if any; gives up one that takes too long. */
-static cell_engine_t *room_find(wb_cell_t *cell, const char *model, int64_t now_ms)
-{
+static cell_engine_t *room_find(wb_cell_t *cell, const char *model, int64_t now_ms) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->engines);
@@ -244,8 +229,7 @@
 }
 
 static void room_make(wb_cell_t *cell, const choice_t *choice, const wb_model_t *model,
-                      int64_t now_ms)
-{
+                      int64_t now_ms) {
     char pair[CELL_PAIR_SIZE];
     for (guint i = 0; i < choice->victims->len; i++) {
         const char *victim = g_array_index(choice->victims, victim_t, i).model;
@@ -256,8 +240,7 @@
     choice->engine->room_since_ms = now_ms;
 }
 
-const char *cell_place(wb_cell_t *cell, const wb_model_t *model, int64_t now_ms)
-{
+const char *cell_place(wb_cell_t *cell, const wb_model_t *model, int64_t now_ms) {
     cell_engine_t *room = room_find(cell, model->name, now_ms);
     if (room != NULL) {
         if (cell_engine_free_bytes(cell, room, model->name) < model->memory_bytes)
--- a/src/cell/cell_policy.c
+++ b/src/cell/cell_policy.c
@@ -5,8 +5,7 @@
 
 #define FAILURES_LOGGED_EVERY 100
 
-void cell_policy_load(wb_cell_t *cell)
-{
+void cell_policy_load(wb_cell_t *cell) {
     wb_policy_free(cell->policy);
     cell->policy = NULL;
     g_autofree char *service_name = g_strndup(cell->name, strcspn(cell->name, "/"));
@@ -20,8 +19,7 @@
                        error.message);
 }
 
-static void failure_note(wb_cell_t *cell, const wb_error_t *error)
-{
+static void failure_note(wb_cell_t *cell, const wb_error_t *error) {
     g_strlcpy(cell->policy_failure, error->message, sizeof(cell->policy_failure));
     if (cell->policy_failures++ % FAILURES_LOGGED_EVERY == 0)
         wb_log_warning(WB_PART_CELL, "The built-in rule is used in cell %s: %s.", cell->name,
@@ -29,8 +27,7 @@
 }
 
 static wb_policy_model_t model_describe(const wb_cell_t *cell, const wb_model_t *model,
-                                        const cell_busy_t *busy, int64_t now_ms)
-{
+                                        const cell_busy_t *busy, int64_t now_ms) {
     const wb_service_t *service = wb_config_service(cell->config, model->service);
     return (wb_policy_model_t){
         .name = model->name,
@@ -45,8 +42,7 @@
 }
 
 int64_t cell_keep_alive_ms(wb_cell_t *cell, const wb_model_t *model, const cell_busy_t *busy,
-                           int64_t now_ms)
-{
+                           int64_t now_ms) {
     int64_t keep_alive_ms = wb_config_service(cell->config, model->service)->keep_alive_ms;
     if (cell->policy == NULL)
         return keep_alive_ms;
@@ -58,8 +54,7 @@
 }
 
 int64_t cell_placement_cost_ms(wb_cell_t *cell, const wb_model_t *model,
-                               const cell_engine_t *engine, guint evictions, int64_t load_ms)
-{
+                               const cell_engine_t *engine, guint evictions, int64_t load_ms) {
     static const char *const sources[] = {"memory", "disk", "remote"};
     int64_t cost_ms = 0;
     if (cell->policy == NULL)
--- a/src/cell/cell_route.c
+++ b/src/cell/cell_route.c
@@ -7,8 +7,7 @@
 #define DEFAULT_WAKE_MS 5000
 
 static gboolean replica_is_ready(const wb_cell_t *cell, const cell_engine_t *engine,
-                                 const cell_target_t *target)
-{
+                                 const cell_target_t *target) {
     char pair[CELL_PAIR_SIZE];
     const wb_held_model_t *held = cell_held(engine, target->model);
     if (held == NULL || held->state != WB_LOAD_LOADED || !cell_engine_is_usable(engine) ||
@@ -21,14 +20,12 @@
     return adapter != NULL && adapter->state == WB_LOAD_LOADED;
 }
 
-static gint replica_compare(gconstpointer left, gconstpointer right)
-{
+static gint replica_compare(gconstpointer left, gconstpointer right) {
     return strcmp(((const wb_route_replica_t *)left)->engine,
                   ((const wb_route_replica_t *)right)->engine);
 }
 
-static GArray *replicas_find(const wb_cell_t *cell, const cell_target_t *target)
-{
+static GArray *replicas_find(const wb_cell_t *cell, const cell_target_t *target) {
     GArray *replicas = g_array_new(FALSE, TRUE, sizeof(wb_route_replica_t));
     GHashTableIter iterator;
     gpointer value;
@@ -46,8 +43,7 @@
 }
 
 static int64_t slot_estimate_ms(const wb_cell_t *cell, const cell_engine_t *engine,
-                                const char *model, int64_t bytes, int64_t now_ms)
-{
+                                const char *model, int64_t bytes, int64_t now_ms) {
     const cell_load_t *load = cell_load_find(cell, engine->id, model);
     if (load == NULL)
         return cell_load_estimate_ms(cell, engine, model, bytes);
@@ -58,8 +54,7 @@
     return elapsed_ms <= whole_ms ? whole_ms - elapsed_ms : elapsed_ms;
 }
 
-int64_t cell_wake_estimate_ms(const wb_cell_t *cell, const char *model, int64_t now_ms)
-{
+int64_t cell_wake_estimate_ms(const wb_cell_t *cell, const char *model, int64_t now_ms) {
     const wb_model_t *declared = wb_config_model(cell->config, model);
     int64_t best_ms = INT64_MAX;
     for (guint i = 0; declared != NULL && i < cell->record->slots->len; i++) {
@@ -75,8 +70,7 @@
 
 /* Why nothing can be loaded for the model now, or NULL. */
 static const char *refusal_find(const wb_cell_t *cell, const cell_target_t *target,
-                                wb_route_state_t *state)
-{
+                                wb_route_state_t *state) {
     *state = WB_ROUTE_BUSY; /* a declaration may be on its way here, a model may become idle */
     const wb_model_t *model = wb_config_model(cell->config, target->model);
     if (model == NULL)
@@ -102,8 +96,7 @@
     return "no engine has room: all that is loaded is in use";
 }
 
-static guint route_hash(const wb_route_t *route)
-{
+static guint route_hash(const wb_route_t *route) {
     XXH64_hash_t hash = XXH64(&route->state, sizeof(route->state), 1);
     for (guint i = 0; i < route->replicas->len; i++) {
         const char *engine = g_array_index(route->replicas, wb_route_replica_t, i).engine;
@@ -113,14 +106,12 @@
 }
 
 /* During the first moments of an owner, engines are still being asked what they hold. */
-static gboolean cell_is_new(const wb_cell_t *cell, int64_t now_ms)
-{
+static gboolean cell_is_new(const wb_cell_t *cell, int64_t now_ms) {
     return now_ms - cell->started_ms < COME_BACK_MS;
 }
 
 static void route_fill(const wb_cell_t *cell, const cell_target_t *target, GArray *replicas,
-                       wb_route_t *route, int64_t now_ms)
-{
+                       wb_route_t *route, int64_t now_ms) {
     *route = (wb_route_t){target->model, target->adapter, WB_ROUTE_READY, 0, "", replicas};
     if (replicas->len > 0)
         return;
@@ -137,8 +128,7 @@
 }
 
 void cell_route_show_to(wb_cell_t *cell, cell_target_t *target, cell_gateway_t *gateway,
-                        gboolean always, int64_t now_ms)
-{
+                        gboolean always, int64_t now_ms) {
     g_autoptr(GArray) replicas = replicas_find(cell, target);
     wb_route_t route;
     route_fill(cell, target, replicas, &route, now_ms);
@@ -149,8 +139,7 @@
     cell->events.show(gateway->node, &route, cell->events.context);
 }
 
-void cell_routes_show(wb_cell_t *cell, int64_t now_ms)
-{
+void cell_routes_show(wb_cell_t *cell, int64_t now_ms) {
     GHashTableIter targets, gateways;
     gpointer target_value, gateway_value;
     g_hash_table_iter_init(&targets, cell->targets);
--- a/src/cell/cell_step.c
+++ b/src/cell/cell_step.c
@@ -4,8 +4,7 @@
 #define GATEWAY_FORGET_MS 15000
 #define TARGET_FORGET_MS (10 * 60 * 1000)
 
-static void gateways_forget(wb_cell_t *cell, int64_t now_ms)
-{
+static void gateways_forget(wb_cell_t *cell, int64_t now_ms) {
     GHashTableIter targets, gateways;
     gpointer target_value, gateway_value;
     g_hash_table_iter_init(&targets, cell->targets);
@@ -22,14 +21,12 @@
 
 /* An engine holds the model without a slot, as can be after a lost majority. */
 static gboolean engine_has_stray(const wb_cell_t *cell, const cell_engine_t *engine,
-                                 const char *model)
-{
+                                 const char *model) {
     return engine->machine != WB_MACHINE_GONE && cell_held(engine, model) != NULL &&
            !wb_record_has_slot(cell->record, model, engine->id);
 }
 
-static gboolean cell_has_stray(const wb_cell_t *cell)
-{
+static gboolean cell_has_stray(const wb_cell_t *cell) {
     GHashTableIter engines, models;
     gpointer engine_value, model;
     g_hash_table_iter_init(&engines, cell->engines);
@@ -46,8 +43,7 @@
 }
 
 /* Raises the fence of engines that don't know our epoch, or where an order may still arrive. */
-static void engines_fence(wb_cell_t *cell, int64_t now_ms)
-{
+static void engines_fence(wb_cell_t *cell, int64_t now_ms) {
     gboolean all_seen = TRUE;
     GHashTableIter iterator;
     gpointer value;
@@ -67,8 +63,7 @@
     }
 }
 
-static void slot_remove_propose(wb_cell_t *cell, const char *model, const char *engine)
-{
+static void slot_remove_propose(wb_cell_t *cell, const char *model, const char *engine) {
     char pair[CELL_PAIR_SIZE];
     cell_pair(pair, model, engine);
     g_autofree char *model_copy = g_strdup(model);
@@ -82,8 +77,7 @@
     g_hash_table_remove(cell->retiring, pair);
 }
 
-static gboolean slot_is_committed(const wb_cell_t *cell, const char *pair)
-{
+static gboolean slot_is_committed(const wb_cell_t *cell, const char *pair) {
     const uint64_t *sequence = g_hash_table_lookup(cell->uncommitted, pair);
     return sequence == NULL || *sequence <= cell->committed;
 }
@@ -91,8 +85,7 @@
 /* Loads what a slot allows. A record that may be old allows nothing before all engines were seen.
  */
 static void slot_load(wb_cell_t *cell, cell_engine_t *engine, const wb_model_t *model,
-                      int64_t now_ms)
-{
+                      int64_t now_ms) {
     if (cell->record->slots_unsure)
         return;
     if (cell_engine_free_bytes(cell, engine, NULL) < 0) {
@@ -112,8 +105,7 @@
 }
 
 /* Moves one slot on: towards loaded, or towards gone. The slot may be freed by this. */
-static void slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms)
-{
+static void slot_step(wb_cell_t *cell, const wb_slot_t *slot, int64_t now_ms) {
     cell_engine_t *engine = g_hash_table_lookup(cell->engines, slot->engine);
     if (engine == NULL)
         return; /* not in the machine list yet */
@@ -144,15 +136,13 @@
         slot_load(cell, engine, model, now_ms);
 }
 
-static void slots_step(wb_cell_t *cell, int64_t now_ms)
-{
+static void slots_step(wb_cell_t *cell, int64_t now_ms) {
     for (guint i = cell->record->slots->len; i-- > 0;)
         slot_step(cell, cell->record->slots->pdata[i], now_ms);
 }
 
 /* After a lost majority, engines may hold models without a slot: those go. */
-static void strays_unload(wb_cell_t *cell, int64_t now_ms)
-{
+static void strays_unload(wb_cell_t *cell, int64_t now_ms) {
     GHashTableIter engines, models;
     gpointer engine_value, model_value;
     g_hash_table_iter_init(&engines, cell->engines);
@@ -172,8 +162,7 @@
 }
 
 /* Replicas that are not on their way out. */
-static guint slots_staying(const wb_cell_t *cell, const char *model)
-{
+static guint slots_staying(const wb_cell_t *cell, const char *model) {
     guint count = 0;
     char pair[CELL_PAIR_SIZE];
     for (guint i = 0; i < cell->record->slots->len; i++) {
@@ -185,8 +174,7 @@
     return count;
 }
 
-static int64_t typical_batch(const wb_cell_t *cell)
-{
+static int64_t typical_batch(const wb_cell_t *cell) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, cell->engines);
@@ -200,8 +188,7 @@
 
 /* Nothing waits, runs, or has run within the service's keep-alive. */
 static gboolean model_is_idle(wb_cell_t *cell, const wb_model_t *model, const cell_busy_t *busy,
-                              int64_t now_ms)
-{
+                              int64_t now_ms) {
     if (busy->waiting + busy->running > 0)
         return FALSE;
     if (busy->used_ms == 0 || wb_record_slot_count(cell->record, model->name) == 0)
@@ -210,8 +197,7 @@
 }
 
 static int64_t replicas_wanted(const wb_cell_t *cell, const wb_model_t *model,
-                               const cell_busy_t *busy, gboolean idle)
-{
+                               const cell_busy_t *busy, gboolean idle) {
     int64_t wanted = model->min_replicas;
     int64_t total = busy->waiting + busy->running;
     if (!idle)
@@ -222,8 +208,7 @@
 }
 
 /* Lets the replica go that runs least. */
-static void replica_retire(wb_cell_t *cell, const char *model, const char *why)
-{
+static void replica_retire(wb_cell_t *cell, const char *model, const char *why) {
     const char *best = NULL;
     int least = INT_MAX;
     char pair[CELL_PAIR_SIZE];
@@ -246,8 +231,7 @@
 
 /* More replicas than wanted: one goes at a time, the last one at once as its keep-alive is over. */
 static void surplus_step(wb_cell_t *cell, const wb_model_t *model, int64_t staying, gboolean idle,
-                         int64_t now_ms)
-{
+                         int64_t now_ms) {
     const wb_service_t *service = wb_config_service(cell->config, model->service);
     int64_t *since_ms = g_hash_table_lookup(cell->surplus, model->name);
     if (since_ms == NULL) {
@@ -261,8 +245,7 @@
     }
 }
 
-static void model_step(wb_cell_t *cell, const wb_model_t *model, cell_busy_t busy, int64_t now_ms)
-{
+static void model_step(wb_cell_t *cell, const wb_model_t *model, cell_busy_t busy, int64_t now_ms) {
     /* A new owner doesn't know yet who uses what: nothing is idle before its keep-alive. */
     busy.used_ms = MAX(busy.used_ms,
                        wb_record_slot_count(cell->record, model->name) > 0 ? cell->started_ms : 0);
@@ -287,8 +270,7 @@
     int64_t deadline_ms;
 } model_turn_t;
 
-static gint turn_compare(gconstpointer left, gconstpointer right)
-{
+static gint turn_compare(gconstpointer left, gconstpointer right) {
     const model_turn_t *a = left;
     const model_turn_t *b = right;
     if (a->deadline_ms != b->deadline_ms)
@@ -297,8 +279,7 @@
 }
 
 /* The model whose waiting requests have the tightest deadline comes first. */
-static void models_step(wb_cell_t *cell, int64_t now_ms)
-{
+static void models_step(wb_cell_t *cell, int64_t now_ms) {
     g_autoptr(GArray) turns = g_array_new(FALSE, FALSE, sizeof(model_turn_t));
     GHashTableIter iterator;
     gpointer value;
@@ -319,8 +300,7 @@
     }
 }
 
-void wb_cell_step(wb_cell_t *cell, int64_t now_ms)
-{
+void wb_cell_step(wb_cell_t *cell, int64_t now_ms) {
     if (cell->config == NULL)
         return;
     gateways_forget(cell, now_ms);
--- a/src/cell/group.c
+++ b/src/cell/group.c
@@ -38,22 +38,19 @@
     uint64_t best_sequence;
 };
 
-static void peer_free(gpointer data)
-{
+static void peer_free(gpointer data) {
     group_peer_t *peer = data;
     g_free(peer->node);
     g_free(peer);
 }
 
-static void timeout_draw(wb_group_t *group)
-{
+static void timeout_draw(wb_group_t *group) {
     group->timeout_ms = group->election_timeout_ms +
                         g_rand_int_range(group->random, 0, (gint32)group->election_timeout_ms + 1);
 }
 
 wb_group_t *wb_group_create(const wb_group_options_t *options, const wb_group_events_t *events,
-                            int64_t now_ms)
-{
+                            int64_t now_ms) {
     wb_group_t *group = g_new0(wb_group_t, 1);
     group->cell = g_strdup(options->cell);
     group->self = g_strdup(options->self);
@@ -68,8 +65,7 @@
     return group;
 }
 
-void wb_group_free(wb_group_t *group)
-{
+void wb_group_free(wb_group_t *group) {
     wb_record_free(group->record);
     wb_record_free(group->best_record);
     g_hash_table_unref(group->peers);
@@ -81,29 +77,25 @@
     g_free(group);
 }
 
-static guint majority(const wb_group_t *group)
-{
+static guint majority(const wb_group_t *group) {
     return group->record->members->len / 2 + 1;
 }
 
-static void owner_set(wb_group_t *group, const char *node)
-{
+static void owner_set(wb_group_t *group, const char *node) {
     if (group->owner != NULL && node != NULL && strcmp(group->owner, node) == 0)
         return;
     g_free(group->owner);
     group->owner = g_strdup(node);
 }
 
-static void role_set(wb_group_t *group, wb_group_role_t role)
-{
+static void role_set(wb_group_t *group, wb_group_role_t role) {
     gboolean was_owner = group->role == WB_GROUP_OWNER;
     group->role = role;
     if (was_owner && role != WB_GROUP_OWNER)
         group->events.on_lost(group->events.context);
 }
 
-static void send_all(wb_group_t *group, const wb_wire_message *message)
-{
+static void send_all(wb_group_t *group, const wb_wire_message *message) {
     for (guint i = 0; i < group->record->members->len; i++) {
         const char *node = group->record->members->pdata[i];
         if (strcmp(node, group->self) != 0)
@@ -112,8 +104,7 @@
 }
 
 /* Follows a higher epoch. */
-static void promise(wb_group_t *group, uint64_t epoch, int64_t now_ms)
-{
+static void promise(wb_group_t *group, uint64_t epoch, int64_t now_ms) {
     group->promised = epoch;
     owner_set(group, NULL);
     role_set(group, WB_GROUP_FOLLOWER);
@@ -121,8 +112,7 @@
     timeout_draw(group);
 }
 
-static group_peer_t *peer_get(wb_group_t *group, const char *node)
-{
+static group_peer_t *peer_get(wb_group_t *group, const char *node) {
     group_peer_t *peer = g_hash_table_lookup(group->peers, node);
     if (peer == NULL) {
         peer = g_new0(group_peer_t, 1);
@@ -134,8 +124,7 @@
     return peer;
 }
 
-static void state_send(wb_group_t *group, const char *node, int64_t now_ms)
-{
+static void state_send(wb_group_t *group, const char *node, int64_t now_ms) {
     wb_wire_message message = {.kind = WB_WIRE_GROUP_STATE};
     wb_wire_group_state *state = &message.wb_wire_message_u.group_state;
     state->cell = group->cell;
@@ -147,8 +136,7 @@
     wb_record_wire_clear(&state->record);
 }
 
-static void ack_send(wb_group_t *group, const char *node, gboolean need_state)
-{
+static void ack_send(wb_group_t *group, const char *node, gboolean need_state) {
     wb_wire_message message = {.kind = WB_WIRE_GROUP_ACK};
     wb_wire_group_ack *ack = &message.wb_wire_message_u.group_ack;
     ack->cell = group->cell;
@@ -158,16 +146,14 @@
     group->events.send(node, &message, group->events.context);
 }
 
-static gint sequence_compare_down(gconstpointer left, gconstpointer right)
-{
+static gint sequence_compare_down(gconstpointer left, gconstpointer right) {
     uint64_t a = *(const uint64_t *)left;
     uint64_t b = *(const uint64_t *)right;
     return a < b ? 1 : a > b ? -1 : 0;
 }
 
 /* The highest sequence that a majority of the present members holds. */
-static uint64_t majority_sequence(wb_group_t *group)
-{
+static uint64_t majority_sequence(wb_group_t *group) {
     g_autoptr(GArray) held = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     for (guint i = 0; i < group->record->members->len; i++) {
         const char *node = group->record->members->pdata[i];
@@ -184,8 +170,7 @@
 }
 
 /* Sees whether more commands count, and whether the new owner may begin. */
-static void commit_advance(wb_group_t *group)
-{
+static void commit_advance(wb_group_t *group) {
     uint64_t sequence = majority_sequence(group);
     if (group->role == WB_GROUP_ESTABLISHING && sequence >= group->sequence) {
         group->committed = group->sequence;
@@ -201,8 +186,7 @@
 }
 
 /* The record is ours to hand out under the promised epoch. */
-static void establish(wb_group_t *group, int64_t now_ms)
-{
+static void establish(wb_group_t *group, int64_t now_ms) {
     group->state_epoch = group->promised;
     group->sequence++; /* the takeover itself is a step: a majority must hold it in this epoch */
     g_hash_table_remove_all(group->peers);
@@ -216,8 +200,7 @@
 }
 
 void wb_group_found(wb_group_t *group, wb_record_t *record, const GPtrArray *members,
-                    uint64_t generation, uint64_t epoch, int64_t now_ms)
-{
+                    uint64_t generation, uint64_t epoch, int64_t now_ms) {
     if (epoch <= group->promised) {
         wb_record_free(record);
         return;
@@ -232,16 +215,14 @@
     establish(group, now_ms);
 }
 
-wb_record_t *wb_group_yield(wb_group_t *group, uint64_t epoch)
-{
+wb_record_t *wb_group_yield(wb_group_t *group, uint64_t epoch) {
     if (epoch <= group->promised)
         return NULL;
     promise(group, epoch, group->heard_ms);
     return group->record;
 }
 
-static void best_offer(wb_group_t *group, wb_record_t *record, uint64_t epoch, uint64_t sequence)
-{
+static void best_offer(wb_group_t *group, wb_record_t *record, uint64_t epoch, uint64_t sequence) {
     gboolean newer = epoch > group->best_epoch ||
                      (epoch == group->best_epoch && sequence > group->best_sequence);
     if (group->best_record != NULL && !newer) {
@@ -256,8 +237,7 @@
 
 /* The candidate has a majority of the members in its own record: it goes on from the newest
  * record among them. */
-static void election_check(wb_group_t *group, int64_t now_ms)
-{
+static void election_check(wb_group_t *group, int64_t now_ms) {
     guint votes = 0;
     for (guint i = 0; i < group->record->members->len; i++)
         if (g_hash_table_contains(group->voters, group->record->members->pdata[i]))
@@ -273,8 +253,7 @@
     establish(group, now_ms);
 }
 
-static void votes_ask(wb_group_t *group, int64_t now_ms)
-{
+static void votes_ask(wb_group_t *group, int64_t now_ms) {
     wb_wire_message message = {.kind = WB_WIRE_GROUP_VOTE};
     message.wb_wire_message_u.group_vote.cell = group->cell;
     message.wb_wire_message_u.group_vote.epoch = group->promised;
@@ -283,8 +262,7 @@
     send_all(group, &message);
 }
 
-static void candidacy_start(wb_group_t *group, gboolean forced, int64_t now_ms)
-{
+static void candidacy_start(wb_group_t *group, gboolean forced, int64_t now_ms) {
     promise(group, group->promised + 1, now_ms);
     role_set(group, WB_GROUP_CANDIDATE);
     group->forced = forced;
@@ -298,16 +276,14 @@
     election_check(group, now_ms);
 }
 
-static gboolean owner_is_heard(const wb_group_t *group, int64_t now_ms)
-{
+static gboolean owner_is_heard(const wb_group_t *group, int64_t now_ms) {
     if (group->role == WB_GROUP_OWNER)
         return wb_group_has_quorum(group, now_ms);
     return group->owner != NULL && now_ms - group->heard_ms < group->election_timeout_ms;
 }
 
 static void vote_take(wb_group_t *group, const char *node, const wb_wire_group_vote *vote,
-                      int64_t now_ms)
-{
+                      int64_t now_ms) {
     gboolean granted = group->record != NULL && wb_record_has_member(group->record, node) &&
                        vote->epoch > group->promised &&
                        (vote->forced || !owner_is_heard(group, now_ms));
@@ -329,8 +305,7 @@
 }
 
 static void ballot_take(wb_group_t *group, const char *node, const wb_wire_group_ballot *ballot,
-                        int64_t now_ms)
-{
+                        int64_t now_ms) {
     if (group->role != WB_GROUP_CANDIDATE || ballot->epoch != group->promised)
         return;
     if (!ballot->granted) {
@@ -349,8 +324,7 @@
 }
 
 /* Follows the sender as owner of this epoch, if it is not outdated. */
-static gboolean owner_follow(wb_group_t *group, const char *node, uint64_t epoch, int64_t now_ms)
-{
+static gboolean owner_follow(wb_group_t *group, const char *node, uint64_t epoch, int64_t now_ms) {
     if (epoch < group->promised)
         return FALSE;
     if (epoch > group->promised)
@@ -363,8 +337,7 @@
 }
 
 static void state_take(wb_group_t *group, const char *node, const wb_wire_group_state *state,
-                       int64_t now_ms)
-{
+                       int64_t now_ms) {
     if (!owner_follow(group, node, state->epoch, now_ms)) {
         ack_send(group, node, FALSE);
         return;
@@ -380,8 +353,7 @@
 }
 
 static void append_take(wb_group_t *group, const char *node, const wb_wire_group_append *append,
-                        int64_t now_ms)
-{
+                        int64_t now_ms) {
     if (!owner_follow(group, node, append->epoch, now_ms)) {
         ack_send(group, node, FALSE);
         return;
@@ -401,8 +373,7 @@
 }
 
 static void ack_take(wb_group_t *group, const char *node, const wb_wire_group_ack *ack,
-                     int64_t now_ms)
-{
+                     int64_t now_ms) {
     if (ack->epoch > group->promised) {
         promise(group, ack->epoch, now_ms);
         return;
@@ -422,8 +393,7 @@
 }
 
 static void hand_over_take(wb_group_t *group, const char *node,
-                           const wb_wire_group_hand_over *hand_over, int64_t now_ms)
-{
+                           const wb_wire_group_hand_over *hand_over, int64_t now_ms) {
     if (group->role == WB_GROUP_FOLLOWER && group->record != NULL &&
         hand_over->epoch == group->promised && group->owner != NULL &&
         strcmp(group->owner, node) == 0)
@@ -431,8 +401,7 @@
 }
 
 void wb_group_message(wb_group_t *group, const char *node, const wb_wire_message *message,
-                      int64_t now_ms)
-{
+                      int64_t now_ms) {
     switch (message->kind) {
     case WB_WIRE_GROUP_STATE:
         state_take(group, node, &message->wb_wire_message_u.group_state, now_ms);
@@ -457,8 +426,7 @@
     }
 }
 
-static void append_send(wb_group_t *group, wb_wire_command *commands, u_int count)
-{
+static void append_send(wb_group_t *group, wb_wire_command *commands, u_int count) {
     wb_wire_message message = {.kind = WB_WIRE_GROUP_APPEND};
     wb_wire_group_append *append = &message.wb_wire_message_u.group_append;
     append->cell = group->cell;
@@ -470,8 +438,7 @@
 }
 
 /* A member that never answered in our epoch may not know of the group yet: it gets everything. */
-static void states_send_missing(wb_group_t *group, int64_t now_ms)
-{
+static void states_send_missing(wb_group_t *group, int64_t now_ms) {
     for (guint i = 0; i < group->record->members->len; i++) {
         const char *node = group->record->members->pdata[i];
         if (strcmp(node, group->self) == 0)
@@ -483,8 +450,7 @@
     }
 }
 
-void wb_group_tick(wb_group_t *group, int64_t now_ms)
-{
+void wb_group_tick(wb_group_t *group, int64_t now_ms) {
     if (group->record == NULL || !wb_record_has_member(group->record, group->self))
         return;
     switch (group->role) {
@@ -509,8 +475,7 @@
     }
 }
 
-uint64_t wb_group_propose(wb_group_t *group, const wb_wire_command *command, int64_t now_ms)
-{
+uint64_t wb_group_propose(wb_group_t *group, const wb_wire_command *command, int64_t now_ms) {
     if (group->role != WB_GROUP_OWNER)
         return 0;
     gboolean members_change = command->kind == WB_WIRE_COMMAND_MEMBERS;
@@ -527,8 +492,7 @@
     return sequence;
 }
 
-gboolean wb_group_hand_over_to(wb_group_t *group, const char *node)
-{
+gboolean wb_group_hand_over_to(wb_group_t *group, const char *node) {
     const group_peer_t *peer = g_hash_table_lookup(group->peers, node);
     if (group->role != WB_GROUP_OWNER || group->committed != group->sequence || peer == NULL ||
         peer->held != group->sequence || !wb_record_has_member(group->record, node))
@@ -541,8 +505,7 @@
 }
 
 /* The member that answered last comes first. */
-void wb_group_hand_over(wb_group_t *group)
-{
+void wb_group_hand_over(wb_group_t *group) {
     const char *best = NULL;
     int64_t best_ms = INT64_MIN;
     GHashTableIter iterator;
@@ -559,8 +522,7 @@
         wb_group_hand_over_to(group, best);
 }
 
-gboolean wb_group_has_quorum(const wb_group_t *group, int64_t now_ms)
-{
+gboolean wb_group_has_quorum(const wb_group_t *group, int64_t now_ms) {
     if (group->role != WB_GROUP_OWNER)
         return FALSE;
     guint heard = 1;
@@ -573,8 +535,7 @@
     return heard >= majority(group);
 }
 
-void wb_group_owner_down(wb_group_t *group, const char *node, int64_t now_ms)
-{
+void wb_group_owner_down(wb_group_t *group, const char *node, int64_t now_ms) {
     if (group->role != WB_GROUP_FOLLOWER || group->owner == NULL || strcmp(group->owner, node) != 0)
         return;
     owner_set(group, NULL);
@@ -583,32 +544,26 @@
     group->timeout_ms = g_rand_int_range(group->random, 0, (gint32)group->heartbeat_ms + 1);
 }
 
-wb_group_role_t wb_group_role(const wb_group_t *group)
-{
+wb_group_role_t wb_group_role(const wb_group_t *group) {
     return group->role;
 }
 
-uint64_t wb_group_epoch(const wb_group_t *group)
-{
+uint64_t wb_group_epoch(const wb_group_t *group) {
     return group->promised;
 }
 
-uint64_t wb_group_committed(const wb_group_t *group)
-{
+uint64_t wb_group_committed(const wb_group_t *group) {
     return group->committed;
 }
 
-uint64_t wb_group_sequence(const wb_group_t *group)
-{
+uint64_t wb_group_sequence(const wb_group_t *group) {
     return group->sequence;
 }
 
-wb_record_t *wb_group_record(wb_group_t *group)
-{
+wb_record_t *wb_group_record(wb_group_t *group) {
     return group->record;
 }
 
-const char *wb_group_owner(const wb_group_t *group)
-{
+const char *wb_group_owner(const wb_group_t *group) {
     return group->owner;
 }
--- a/src/cell/record.c
+++ b/src/cell/record.c
@@ -3,16 +3,14 @@
 
 #include <string.h>
 
-static void slot_free(gpointer data)
-{
+static void slot_free(gpointer data) {
     wb_slot_t *slot = data;
     g_free(slot->model);
     g_free(slot->engine);
     g_free(slot);
 }
 
-static void engine_free(gpointer data)
-{
+static void engine_free(gpointer data) {
     wb_record_engine_t *engine = data;
     g_free(engine->engine);
     g_free(engine->address);
@@ -20,8 +18,7 @@
     g_free(engine);
 }
 
-static void claim_free(gpointer data)
-{
+static void claim_free(gpointer data) {
     wb_claim_t *claim = data;
     g_free(claim->model);
     g_free(claim->key);
@@ -33,8 +30,7 @@
     g_free(claim);
 }
 
-wb_record_t *wb_record_create(void)
-{
+wb_record_t *wb_record_create(void) {
     wb_record_t *record = g_new0(wb_record_t, 1);
     record->members = g_ptr_array_new_with_free_func(g_free);
     record->slots = g_ptr_array_new_with_free_func(slot_free);
@@ -43,8 +39,7 @@
     return record;
 }
 
-void wb_record_free(wb_record_t *record)
-{
+void wb_record_free(wb_record_t *record) {
     if (record == NULL)
         return;
     g_ptr_array_unref(record->members);
@@ -54,13 +49,11 @@
     g_free(record);
 }
 
-static char *claim_index(const char *model, const char *key)
-{
+static char *claim_index(const char *model, const char *key) {
     return g_strconcat(model, "\n", key, NULL);
 }
 
-static gint slot_find(const wb_record_t *record, const char *model, const char *engine)
-{
+static gint slot_find(const wb_record_t *record, const char *model, const char *engine) {
     for (guint i = 0; i < record->slots->len; i++) {
         const wb_slot_t *slot = record->slots->pdata[i];
         if (strcmp(slot->model, model) == 0 && strcmp(slot->engine, engine) == 0)
@@ -69,8 +62,7 @@
     return -1;
 }
 
-static void slot_add(wb_record_t *record, const char *model, const char *engine)
-{
+static void slot_add(wb_record_t *record, const char *model, const char *engine) {
     if (slot_find(record, model, engine) >= 0)
         return;
     wb_slot_t *slot = g_new(wb_slot_t, 1);
@@ -79,15 +71,13 @@
     g_ptr_array_add(record->slots, slot);
 }
 
-static void slot_remove(wb_record_t *record, const char *model, const char *engine)
-{
+static void slot_remove(wb_record_t *record, const char *model, const char *engine) {
     gint index = slot_find(record, model, engine);
     if (index >= 0)
         g_ptr_array_remove_index(record->slots, (guint)index);
 }
 
-static void engine_set(wb_record_t *record, const wb_wire_engine *wire)
-{
+static void engine_set(wb_record_t *record, const wb_wire_engine *wire) {
     if (wire->state >= WB_RECORD_ENGINE_GONE) {
         g_hash_table_remove(record->engines, wire->engine);
         return;
@@ -100,16 +90,14 @@
     g_hash_table_replace(record->engines, engine->engine, engine);
 }
 
-static void members_set(wb_record_t *record, const wb_wire_members *members)
-{
+static void members_set(wb_record_t *record, const wb_wire_members *members) {
     record->generation = members->generation;
     g_ptr_array_set_size(record->members, 0);
     for (u_int i = 0; i < members->names.names_len; i++)
         g_ptr_array_add(record->members, g_strdup(members->names.names_val[i]));
 }
 
-static wb_claim_t *claim_from_wire(const wb_wire_claim *wire, int64_t now_ms)
-{
+static wb_claim_t *claim_from_wire(const wb_wire_claim *wire, int64_t now_ms) {
     wb_claim_t *claim = g_new0(wb_claim_t, 1);
     claim->model = g_strdup(wire->model);
     claim->key = g_strdup(wire->key);
@@ -126,15 +114,13 @@
     return claim;
 }
 
-static void claim_put(wb_record_t *record, const wb_wire_claim *wire, int64_t now_ms)
-{
+static void claim_put(wb_record_t *record, const wb_wire_claim *wire, int64_t now_ms) {
     g_hash_table_replace(record->claims, claim_index(wire->model, wire->key),
                          claim_from_wire(wire, now_ms));
 }
 
 /* The answer belongs to one attempt; a later attempt's claim is left alone. */
-static void claim_finish(wb_record_t *record, const wb_wire_claim *wire)
-{
+static void claim_finish(wb_record_t *record, const wb_wire_claim *wire) {
     g_autofree char *index = claim_index(wire->model, wire->key);
     wb_claim_t *claim = g_hash_table_lookup(record->claims, index);
     if (claim == NULL || strcmp(claim->stream, wire->stream) != 0)
@@ -145,8 +131,7 @@
     claim->answer = g_strdup(wire->answer);
 }
 
-void wb_record_apply(wb_record_t *record, const wb_wire_command *command, int64_t now_ms)
-{
+void wb_record_apply(wb_record_t *record, const wb_wire_command *command, int64_t now_ms) {
     switch (command->kind) {
     case WB_WIRE_COMMAND_MEMBERS:
         members_set(record, &command->wb_wire_command_u.members);
@@ -174,8 +159,7 @@
     }
 }
 
-static void claim_to_wire(const wb_claim_t *claim, wb_wire_claim *wire, int64_t now_ms)
-{
+static void claim_to_wire(const wb_claim_t *claim, wb_wire_claim *wire, int64_t now_ms) {
     wire->model = claim->model;
     wire->key = claim->key;
     wire->stream = claim->stream;
@@ -190,8 +174,7 @@
     wire->age_ms = (u_int)MAX(now_ms - claim->taken_ms, 0);
 }
 
-static void engines_to_wire(const wb_record_t *record, wb_wire_record *wire)
-{
+static void engines_to_wire(const wb_record_t *record, wb_wire_record *wire) {
     GHashTableIter iterator;
     gpointer value;
     wire->engines.engines_val = g_new0(wb_wire_engine, g_hash_table_size(record->engines) + 1);
@@ -207,8 +190,7 @@
 }
 
 /* The wire record borrows all texts; only its lists are allocated. */
-void wb_record_to_wire(const wb_record_t *record, wb_wire_record *wire, int64_t now_ms)
-{
+void wb_record_to_wire(const wb_record_t *record, wb_wire_record *wire, int64_t now_ms) {
     memset(wire, 0, sizeof(*wire));
     wire->members.generation = record->generation;
     wire->members.names.names_len = record->members->len;
@@ -233,8 +215,7 @@
         claim_to_wire(value, &wire->claims.claims_val[wire->claims.claims_len++], now_ms);
 }
 
-void wb_record_wire_clear(wb_wire_record *wire)
-{
+void wb_record_wire_clear(wb_wire_record *wire) {
     g_free(wire->members.names.names_val);
     g_free(wire->slots.slots_val);
     g_free(wire->engines.engines_val);
@@ -242,8 +223,7 @@
     memset(wire, 0, sizeof(*wire));
 }
 
-wb_record_t *wb_record_from_wire(const wb_wire_record *wire, int64_t now_ms)
-{
+wb_record_t *wb_record_from_wire(const wb_wire_record *wire, int64_t now_ms) {
     wb_record_t *record = wb_record_create();
     members_set(record, &wire->members);
     for (u_int i = 0; i < wire->slots.slots_len; i++)
@@ -257,18 +237,15 @@
     return record;
 }
 
-gboolean wb_record_has_member(const wb_record_t *record, const char *node)
-{
+gboolean wb_record_has_member(const wb_record_t *record, const char *node) {
     return g_ptr_array_find_with_equal_func(record->members, node, g_str_equal, NULL);
 }
 
-gboolean wb_record_has_slot(const wb_record_t *record, const char *model, const char *engine)
-{
+gboolean wb_record_has_slot(const wb_record_t *record, const char *model, const char *engine) {
     return slot_find(record, model, engine) >= 0;
 }
 
-guint wb_record_slot_count(const wb_record_t *record, const char *model)
-{
+guint wb_record_slot_count(const wb_record_t *record, const char *model) {
     guint count = 0;
     for (guint i = 0; i < record->slots->len; i++)
         if (strcmp(((wb_slot_t *)record->slots->pdata[i])->model, model) == 0)
@@ -276,15 +253,13 @@
     return count;
 }
 
-const wb_claim_t *wb_record_claim(const wb_record_t *record, const char *model, const char *key)
-{
+const wb_claim_t *wb_record_claim(const wb_record_t *record, const char *model, const char *key) {
     g_autofree char *index = claim_index(model, key);
     return g_hash_table_lookup(record->claims, index);
 }
 
 wb_claim_decision_t wb_claim_decide(const wb_record_t *record, const wb_wire_claim_want *want,
-                                    int64_t now_ms)
-{
+                                    int64_t now_ms) {
     const wb_claim_t *claim = wb_record_claim(record, want->model, want->key);
     if (claim == NULL)
         return now_ms < record->unsure_until_ms ? WB_CLAIM_UNSURE : WB_CLAIM_PROPOSE;
@@ -299,8 +274,7 @@
     return WB_CLAIM_TAKEN;
 }
 
-void wb_claim_command(const wb_wire_claim_want *want, uint64_t attempt, wb_wire_command *command)
-{
+void wb_claim_command(const wb_wire_claim_want *want, uint64_t attempt, wb_wire_command *command) {
     memset(command, 0, sizeof(*command));
     command->kind = WB_WIRE_COMMAND_CLAIM;
     wb_wire_claim *claim = &command->wb_wire_command_u.claim;
@@ -315,8 +289,7 @@
     claim->answer = "";
 }
 
-void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms)
-{
+void wb_record_expire(wb_record_t *record, int64_t now_ms, int64_t retention_ms) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, record->claims);
--- a/src/config/config_apply.c
+++ b/src/config/config_apply.c
@@ -28,8 +28,7 @@
     wb_config_apply_result_t result;
 } config_change_t;
 
-static void change_finish(config_change_t *change, wb_config_apply_status_t status)
-{
+static void change_finish(config_change_t *change, wb_config_apply_status_t status) {
     change->result.status = status;
     change->result.version = change->store->current->version;
     change->done(&change->result, change->context);
@@ -38,8 +37,7 @@
     g_free(change);
 }
 
-static void change_conflict(config_change_t *change)
-{
+static void change_conflict(config_change_t *change) {
     wb_config_catch_up_now(change->store);
     wb_error_set(&change->result.error, APR_EGENERAL,
                  "another change came first: version %" G_GUINT64_FORMAT
@@ -49,8 +47,8 @@
     change_finish(change, WB_CONFIG_CONFLICT);
 }
 
-static void snapshot_pointer_written(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void snapshot_pointer_written(wb_platform_status_t status, const json_t *body,
+                                     void *context) {
     (void)body;
     (void)context;
     if (status != WB_PLATFORM_DONE)
@@ -64,8 +62,7 @@
 } snapshot_write_t;
 
 /* The object is there: point to it and let go of the changes that it holds. */
-static void snapshot_written(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void snapshot_written(wb_platform_status_t status, const json_t *body, void *context) {
     (void)body;
     snapshot_write_t *write = context;
     if (status == WB_PLATFORM_DONE) {
@@ -85,8 +82,7 @@
     g_free(write);
 }
 
-static void snapshot_write(wb_config_store_t *store)
-{
+static void snapshot_write(wb_config_store_t *store) {
     snapshot_write_t *write = g_new0(snapshot_write_t, 1);
     write->store = store;
     write->version = store->current->version;
@@ -97,8 +93,7 @@
     json_decref(body);
 }
 
-static void change_accepted(config_change_t *change)
-{
+static void change_accepted(config_change_t *change) {
     wb_config_store_t *store = change->store;
     if (!wb_config_change_take(store, change->change, change->version, NULL) &&
         store->current->version < change->version)
@@ -111,8 +106,7 @@
 static void read_back_start(void *context);
 
 /* The transaction's answer was lost: the row of this version tells whose change it holds. */
-static void read_back_done(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void read_back_done(wb_platform_status_t status, const json_t *body, void *context) {
     config_change_t *change = context;
     if (status == WB_PLATFORM_DONE) {
         const json_t *value = json_object_get(body, "value");
@@ -140,8 +134,7 @@
     change_finish(change, WB_CONFIG_UNKNOWN);
 }
 
-static void read_back_start(void *context)
-{
+static void read_back_start(void *context) {
     config_change_t *change = context;
     g_autofree char *key = wb_config_change_key(change->version);
     wb_platform_row(change->store->platform, key, read_back_done, change);
@@ -150,8 +143,7 @@
 static void current_read_start(void *context);
 
 /* The table service refused, so nothing took effect; its rate limit may be over in a moment. */
-static void change_put_off(config_change_t *change)
-{
+static void change_put_off(config_change_t *change) {
     if (++change->refusals < REFUSAL_TRIES) {
         wb_loop_after(change->store->loop, REFUSAL_WAIT_MS, current_read_start, change);
         return;
@@ -161,8 +153,7 @@
     change_finish(change, WB_CONFIG_UNAVAILABLE);
 }
 
-static void transaction_done(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void transaction_done(wb_platform_status_t status, const json_t *body, void *context) {
     (void)body;
     config_change_t *change = context;
     switch (status) {
@@ -181,8 +172,7 @@
     }
 }
 
-static void transaction_start(config_change_t *change)
-{
+static void transaction_start(config_change_t *change) {
     g_autofree char *key = wb_config_change_key(change->version);
     json_t *checks = json_array();
     json_array_append_new(checks, wb_platform_check(WB_CONFIG_ROW_CURRENT, change->current_row));
@@ -196,8 +186,7 @@
 
 /* A service's cells can't change: its models would move between owners. */
 static gboolean cells_stay(const wb_config_t *before, const wb_config_t *after,
-                           wb_config_apply_result_t *result)
-{
+                           wb_config_apply_result_t *result) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, before->services);
@@ -216,8 +205,7 @@
     return TRUE;
 }
 
-static gboolean change_check(config_change_t *change, wb_config_apply_status_t *status)
-{
+static gboolean change_check(config_change_t *change, wb_config_apply_status_t *status) {
     const wb_config_t *current = change->store->current;
     json_t *objects = wb_config_objects_change(current->objects, change->change);
     gboolean same = json_equal(objects, current->objects);
@@ -233,14 +221,12 @@
 
 static void current_read(wb_platform_status_t status, const json_t *body, void *context);
 
-static void current_read_start(void *context)
-{
+static void current_read_start(void *context) {
     config_change_t *change = context;
     wb_platform_row(change->store->platform, WB_CONFIG_ROW_CURRENT, current_read, change);
 }
 
-static void current_read(wb_platform_status_t status, const json_t *body, void *context)
-{
+static void current_read(wb_platform_status_t status, const json_t *body, void *context) {
     config_change_t *change = context;
     wb_config_store_t *store = change->store;
     if (status != WB_PLATFORM_DONE) {
@@ -271,8 +257,7 @@
 }
 
 void wb_config_store_apply(wb_config_store_t *store, uint64_t base_version, json_t *change,
-                           wb_config_apply_fn done, void *context)
-{
+                           wb_config_apply_fn done, void *context) {
     config_change_t *created = g_new0(config_change_t, 1);
     created->store = store;
     created->change = json_deep_copy(change);
--- a/src/config/config_store.c
+++ b/src/config/config_store.c
@@ -11,21 +11,18 @@
 #define FETCH_INTERVAL_MS 300
 #define HEARD_SAME_NEEDED 2
 
-static void change_free(gpointer data)
-{
+static void change_free(gpointer data) {
     json_decref(data);
 }
 
-static void flood(wb_config_store_t *store, const wb_wire_message *message, const char *except)
-{
+static void flood(wb_config_store_t *store, const wb_wire_message *message, const char *except) {
     g_autoptr(GPtrArray) nodes = wb_peers_overlay(store->peers);
     for (guint i = 0; i < nodes->len; i++)
         if (except == NULL || strcmp(nodes->pdata[i], except) != 0)
             wb_peers_send_open(store->peers, nodes->pdata[i], message);
 }
 
-static void change_message(wb_wire_message *message, uint64_t from, uint64_t to, char *text)
-{
+static void change_message(wb_wire_message *message, uint64_t from, uint64_t to, char *text) {
     message->kind = WB_WIRE_CONFIG_CHANGE;
     message->wb_wire_message_u.config_change.from = from;
     message->wb_wire_message_u.config_change.to = to;
@@ -33,8 +30,7 @@
 }
 
 /* Puts newer declarations in force. Never goes back. */
-static gboolean config_install(wb_config_store_t *store, json_t *objects, uint64_t version)
-{
+static gboolean config_install(wb_config_store_t *store, json_t *objects, uint64_t version) {
     wb_config_t *config;
     wb_error_t error;
     if (version <= store->current->version)
@@ -52,8 +48,7 @@
 }
 
 gboolean wb_config_change_take(wb_config_store_t *store, const json_t *change, uint64_t to,
-                               const char *from_node)
-{
+                               const char *from_node) {
     if (to != store->current->version + 1)
         return FALSE;
     json_t *objects = wb_config_objects_change(store->current->objects, change);
@@ -72,8 +67,8 @@
     return TRUE;
 }
 
-gboolean wb_config_snapshot_take(wb_config_store_t *store, const json_t *objects, uint64_t version)
-{
+gboolean wb_config_snapshot_take(wb_config_store_t *store, const json_t *objects,
+                                 uint64_t version) {
     if (!config_install(store, (json_t *)objects, version))
         return FALSE;
     g_ptr_array_set_size(store->changes, 0);
@@ -81,8 +76,7 @@
 }
 
 /* Sends single changes when we have them all, else everything. */
-static void fetch_answer(wb_config_store_t *store, const char *node, uint64_t have)
-{
+static void fetch_answer(wb_config_store_t *store, const char *node, uint64_t have) {
     uint64_t version = store->current->version;
     if (have >= version)
         return;
@@ -103,8 +97,7 @@
     }
 }
 
-static void fetch_ask(wb_config_store_t *store, const char *node)
-{
+static void fetch_ask(wb_config_store_t *store, const char *node) {
     int64_t now_ms = wb_clock_ms();
     if (now_ms - store->fetch_asked_ms < FETCH_INTERVAL_MS)
         return;
@@ -115,8 +108,7 @@
 }
 
 static void change_message_take(wb_config_store_t *store, const char *node,
-                                const wb_wire_config_change *wire)
-{
+                                const wb_wire_config_change *wire) {
     if (wire->to <= store->current->version)
         return;
     json_t *body = json_loads(wire->text, 0, NULL);
@@ -130,8 +122,7 @@
 }
 
 gboolean wb_config_store_message(wb_config_store_t *store, const char *node,
-                                 const wb_wire_message *message)
-{
+                                 const wb_wire_message *message) {
     if (message->kind == WB_WIRE_CONFIG_FETCH)
         fetch_answer(store, node, message->wb_wire_message_u.config_fetch.have);
     else if (message->kind == WB_WIRE_CONFIG_CHANGE)
@@ -141,8 +132,7 @@
     return TRUE;
 }
 
-void wb_config_store_heard(wb_config_store_t *store, const char *node, uint64_t version)
-{
+void wb_config_store_heard(wb_config_store_t *store, const char *node, uint64_t version) {
     if (version > store->current->version) {
         g_hash_table_remove_all(store->heard_same);
         fetch_ask(store, node);
@@ -159,18 +149,15 @@
     }
 }
 
-wb_config_t *wb_config_store_current(const wb_config_store_t *store)
-{
+wb_config_t *wb_config_store_current(const wb_config_store_t *store) {
     return store->current;
 }
 
-gboolean wb_config_store_is_ready(const wb_config_store_t *store)
-{
+gboolean wb_config_store_is_ready(const wb_config_store_t *store) {
     return store->ready;
 }
 
-json_t *wb_config_store_history(const wb_config_store_t *store)
-{
+json_t *wb_config_store_history(const wb_config_store_t *store) {
     json_t *list = json_array();
     for (guint i = 0; i < store->changes->len; i++)
         json_array_append(list, store->changes->pdata[i]);
@@ -179,8 +166,7 @@
 
 wb_config_store_t *wb_config_store_start(wb_loop_t *loop, wb_platform_t *platform,
                                          wb_peers_t *peers, int64_t poll_interval_ms,
-                                         const wb_config_store_events_t *events)
-{
+                                         const wb_config_store_events_t *events) {
     wb_config_store_t *store = g_new0(wb_config_store_t, 1);
     store->loop = loop;
     store->platform = platform;
@@ -196,8 +182,7 @@
     return store;
 }
 
-void wb_config_store_stop(wb_config_store_t *store)
-{
+void wb_config_store_stop(wb_config_store_t *store) {
     wb_config_catch_up_stop(store);
     wb_config_unref(store->current);
     g_ptr_array_unref(store->changes);
--- a/src/config/declaration.c
+++ b/src/config/declaration.c
@@ -47,16 +47,14 @@
     {"policy", {{"program", JSON_STRING, TRUE, 0, 0}, {0}}},
 };
 
-static void service_free(gpointer data)
-{
+static void service_free(gpointer data) {
     wb_service_t *service = data;
     g_free(service->name);
     g_free(service->policy);
     g_free(service);
 }
 
-static void model_free(gpointer data)
-{
+static void model_free(gpointer data) {
     wb_model_t *model = data;
     g_free(model->name);
     g_free(model->service);
@@ -64,31 +62,27 @@
     g_free(model);
 }
 
-static void adapter_free(gpointer data)
-{
+static void adapter_free(gpointer data) {
     wb_adapter_t *adapter = data;
     g_free(adapter->name);
     g_free(adapter->model);
     g_free(adapter);
 }
 
-static void owner_free(gpointer data)
-{
+static void owner_free(gpointer data) {
     wb_owner_t *owner = data;
     g_free(owner->name);
     g_free(owner);
 }
 
-static void policy_free(gpointer data)
-{
+static void policy_free(gpointer data) {
     wb_policy_t *policy = data;
     g_free(policy->name);
     g_free(policy->program);
     g_free(policy);
 }
 
-static const kind_rule_t *kind_find(const char *key)
-{
+static const kind_rule_t *kind_find(const char *key) {
     for (size_t i = 0; i < G_N_ELEMENTS(kind_rules); i++) {
         size_t length = strlen(kind_rules[i].kind);
         if (strncmp(key, kind_rules[i].kind, length) == 0 && key[length] == '/')
@@ -97,8 +91,7 @@
     return NULL;
 }
 
-static gboolean name_is_valid(const char *name)
-{
+static gboolean name_is_valid(const char *name) {
     size_t length = strlen(name);
     if (length == 0 || length > 100)
         return FALSE;
@@ -108,8 +101,7 @@
     return TRUE;
 }
 
-static apr_status_t fault_set(wb_config_fault_t *fault, const char *key, const char *member)
-{
+static apr_status_t fault_set(wb_config_fault_t *fault, const char *key, const char *member) {
     if (fault != NULL) {
         g_strlcpy(fault->key, key, sizeof(fault->key));
         g_strlcpy(fault->member, member, sizeof(fault->member));
@@ -117,8 +109,7 @@
     return APR_EINVAL;
 }
 
-static const member_rule_t *member_find(const kind_rule_t *rule, const char *name)
-{
+static const member_rule_t *member_find(const kind_rule_t *rule, const char *name) {
     for (const member_rule_t *member = rule->members; member->name != NULL; member++)
         if (strcmp(member->name, name) == 0)
             return member;
@@ -126,8 +117,7 @@
 }
 
 static apr_status_t member_check(const char *key, const member_rule_t *rule, const json_t *value,
-                                 wb_config_fault_t *fault, wb_error_t *error)
-{
+                                 wb_config_fault_t *fault, wb_error_t *error) {
     if (rule->type == JSON_TRUE && !json_is_boolean(value))
         wb_error_set(error, APR_EINVAL, "%s: %s must be true or false", key, rule->name);
     else if (rule->type == JSON_STRING && !json_is_string(value))
@@ -146,8 +136,7 @@
 }
 
 static apr_status_t object_check(const char *key, const json_t *object, wb_config_fault_t *fault,
-                                 wb_error_t *error)
-{
+                                 wb_error_t *error) {
     const kind_rule_t *rule = kind_find(key);
     if (rule == NULL) {
         wb_error_set(error, APR_EINVAL,
@@ -165,8 +154,7 @@
     }
     const char *name;
     json_t *value;
-    json_object_foreach((json_t *)object, name, value)
-    {
+    json_object_foreach((json_t *)object, name, value) {
         const member_rule_t *member = member_find(rule, name);
         if (member == NULL) {
             wb_error_set(error, APR_EINVAL, "%s: a %s has no member '%s'", key, rule->kind, name);
@@ -185,8 +173,7 @@
     return APR_SUCCESS;
 }
 
-static void service_add(wb_config_t *config, const char *name, const json_t *object)
-{
+static void service_add(wb_config_t *config, const char *name, const json_t *object) {
     wb_service_t *service = g_new0(wb_service_t, 1);
     service->name = g_strdup(name);
     service->cells = wb_json_integer(object, "cells", 1);
@@ -198,8 +185,7 @@
     g_hash_table_insert(config->services, service->name, service);
 }
 
-static void model_add(wb_config_t *config, const char *name, const json_t *object)
-{
+static void model_add(wb_config_t *config, const char *name, const json_t *object) {
     wb_model_t *model = g_new0(wb_model_t, 1);
     model->name = g_strdup(name);
     model->service = g_strdup(wb_json_text(object, "service", ""));
@@ -210,8 +196,7 @@
     g_hash_table_insert(config->models, model->name, model);
 }
 
-static void object_add(wb_config_t *config, const char *key, const json_t *object)
-{
+static void object_add(wb_config_t *config, const char *key, const json_t *object) {
     const char *name = strchr(key, '/') + 1;
     if (g_str_has_prefix(key, "service/"))
         service_add(config, name, object);
@@ -237,8 +222,7 @@
 }
 
 static apr_status_t model_check_references(const wb_config_t *config, wb_model_t *model,
-                                           wb_config_fault_t *fault, wb_error_t *error)
-{
+                                           wb_config_fault_t *fault, wb_error_t *error) {
     g_autofree char *key = g_strconcat("model/", model->name, NULL);
     const wb_service_t *service = wb_config_service(config, model->service);
     if (service == NULL) {
@@ -255,8 +239,7 @@
 }
 
 static apr_status_t adapter_check_references(const wb_config_t *config, const wb_adapter_t *adapter,
-                                             wb_config_fault_t *fault, wb_error_t *error)
-{
+                                             wb_config_fault_t *fault, wb_error_t *error) {
     g_autofree char *key = g_strconcat("adapter/", adapter->name, NULL);
     if (wb_config_model(config, adapter->model) == NULL) {
         wb_error_set(error, APR_EINVAL, "%s: there is no model '%s'", key, adapter->model);
@@ -270,8 +253,7 @@
 }
 
 static apr_status_t policy_check(const wb_policy_t *policy, wb_config_fault_t *fault,
-                                 wb_error_t *error)
-{
+                                 wb_error_t *error) {
     wb_policy_program_t *program = NULL;
     if (wb_policy_compile(&program, policy->name, policy->program, error) == APR_SUCCESS) {
         wb_policy_free(program);
@@ -282,8 +264,7 @@
 }
 
 static apr_status_t references_check(wb_config_t *config, wb_config_fault_t *fault,
-                                     wb_error_t *error)
-{
+                                     wb_error_t *error) {
     GHashTableIter iterator;
     gpointer value;
     apr_status_t status = APR_SUCCESS;
@@ -309,8 +290,7 @@
 }
 
 apr_status_t wb_config_parse(json_t *objects, uint64_t version, wb_config_t **config,
-                             wb_config_fault_t *fault, wb_error_t *error)
-{
+                             wb_config_fault_t *fault, wb_error_t *error) {
     wb_config_t *parsed = g_new0(wb_config_t, 1);
     parsed->references = 1;
     parsed->version = version;
@@ -323,8 +303,7 @@
     const char *key;
     json_t *object;
     apr_status_t status = APR_SUCCESS;
-    json_object_foreach(objects, key, object)
-    {
+    json_object_foreach(objects, key, object) {
         status = object_check(key, object, fault, error);
         if (status != APR_SUCCESS)
             break;
@@ -339,14 +318,12 @@
     return status;
 }
 
-wb_config_t *wb_config_ref(wb_config_t *config)
-{
+wb_config_t *wb_config_ref(wb_config_t *config) {
     g_atomic_int_inc(&config->references);
     return config;
 }
 
-void wb_config_unref(wb_config_t *config)
-{
+void wb_config_unref(wb_config_t *config) {
     if (config == NULL || !g_atomic_int_dec_and_test(&config->references))
         return;
     json_decref(config->objects);
@@ -358,38 +335,31 @@
     g_free(config);
 }
 
-const wb_service_t *wb_config_service(const wb_config_t *config, const char *name)
-{
+const wb_service_t *wb_config_service(const wb_config_t *config, const char *name) {
     return g_hash_table_lookup(config->services, name);
 }
 
-const wb_model_t *wb_config_model(const wb_config_t *config, const char *name)
-{
+const wb_model_t *wb_config_model(const wb_config_t *config, const char *name) {
     return g_hash_table_lookup(config->models, name);
 }
 
-const wb_adapter_t *wb_config_adapter(const wb_config_t *config, const char *name)
-{
+const wb_adapter_t *wb_config_adapter(const wb_config_t *config, const char *name) {
     return g_hash_table_lookup(config->adapters, name);
 }
 
-const wb_owner_t *wb_config_owner(const wb_config_t *config, const char *name)
-{
+const wb_owner_t *wb_config_owner(const wb_config_t *config, const char *name) {
     return g_hash_table_lookup(config->owners, name);
 }
 
-const wb_policy_t *wb_config_policy(const wb_config_t *config, const char *name)
-{
+const wb_policy_t *wb_config_policy(const wb_config_t *config, const char *name) {
     return g_hash_table_lookup(config->policies, name);
 }
 
-static gint name_compare(gconstpointer left, gconstpointer right)
-{
+static gint name_compare(gconstpointer left, gconstpointer right) {
     return strcmp(*(const char *const *)left, *(const char *const *)right);
 }
 
-GPtrArray *wb_config_cells(const wb_config_t *config)
-{
+GPtrArray *wb_config_cells(const wb_config_t *config) {
     GPtrArray *cells = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iterator;
     gpointer value;
@@ -403,8 +373,7 @@
     return cells;
 }
 
-char *wb_cell_name_for(const wb_service_t *service, const char *key)
-{
+char *wb_cell_name_for(const wb_service_t *service, const char *key) {
     int64_t best = 0;
     uint64_t best_hash = 0;
     for (int64_t i = 0; i < service->cells; i++) {
@@ -417,16 +386,14 @@
     return g_strdup_printf("%s/%d", service->name, (int)best);
 }
 
-json_t *wb_config_objects_change(const json_t *objects, const json_t *change)
-{
+json_t *wb_config_objects_change(const json_t *objects, const json_t *change) {
     json_t *result = json_copy((json_t *)objects);
     const char *key;
     json_t *object;
     json_object_foreach(json_object_get(change, "set"), key, object)
         json_object_set(result, key, object);
     size_t index;
-    json_array_foreach(json_object_get(change, "remove"), index, object)
-    {
+    json_array_foreach(json_object_get(change, "remove"), index, object) {
         if (json_is_string(object))
             json_object_del(result, json_string_value(object));
     }
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -40,20 +40,17 @@
     int64_t next_us; /* not before this is a decision made for a message */
 };
 
-static gboolean owner_may_act(void *context)
-{
+static gboolean owner_may_act(void *context) {
     wb_controller_t *controller = context;
     return controller->token != 0 && controller->events.may_act(controller->events.context);
 }
 
-static const wb_service_t *owner_service(const char *name, void *context)
-{
+static const wb_service_t *owner_service(const char *name, void *context) {
     const wb_controller_t *controller = context;
     return controller->catalog != NULL ? wb_catalog_service(controller->catalog, name) : NULL;
 }
 
-static wb_load_window_t *window_of(wb_controller_t *controller, const char *service)
-{
+static wb_load_window_t *window_of(wb_controller_t *controller, const char *service) {
     wb_load_window_t *window = g_hash_table_lookup(controller->windows, service);
     if (window == NULL) {
         window = wb_load_window_create((int64_t)(controller->settings->load_window_s * 1000),
@@ -65,24 +62,20 @@
     return window;
 }
 
-static gboolean owner_store_has_room(const char *service, void *context)
-{
+static gboolean owner_store_has_room(const char *service, void *context) {
     return wb_load_window_has_room(window_of(context, service), wb_clock_ms());
 }
 
-static void owner_store_load_begins(const char *service, void *context)
-{
+static void owner_store_load_begins(const char *service, void *context) {
     wb_load_window_count(window_of(context, service), wb_clock_ms());
 }
 
-static uint64_t owner_token(void *context)
-{
+static uint64_t owner_token(void *context) {
     return ((wb_controller_t *)context)->token;
 }
 
 static void news_tell(wb_controller_t *controller, const wb_engine_t *engine, const char *model,
-                      const char *adapter, gboolean held, unsigned ready_in_ms)
-{
+                      const char *adapter, gboolean held, unsigned ready_in_ms) {
     wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)adapter, held,
                                      ready_in_ms};
     wb_wire_message news = {.kind = WB_WIRE_PLACEMENT};
@@ -93,8 +86,7 @@
 }
 
 static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
-                           gboolean held, void *context)
-{
+                           gboolean held, void *context) {
     wb_controller_t *controller = context;
     if (held)
         wb_demand_book_served(controller->book, engine->state->service, model, adapter);
@@ -105,8 +97,7 @@
                                      void *context);
 static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context);
 
-static wb_engine_orders_t *orders_of(wb_controller_t *controller, wb_engine_t *engine)
-{
+static wb_engine_orders_t *orders_of(wb_controller_t *controller, wb_engine_t *engine) {
     wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
     if (orders != NULL)
         return orders;
@@ -126,8 +117,7 @@
     const char *service;
 } wb_loading_scene_t;
 
-static void loading_count(const char *model, const char *adapter, void *context)
-{
+static void loading_count(const char *model, const char *adapter, void *context) {
     const wb_loading_scene_t *scene = context;
     if (*adapter == '\0')
         wb_demand_book_get(scene->controller->book, scene->service, model, "", wb_clock_ms())
@@ -136,8 +126,7 @@
 
 /* Counts an engine's models as replicas, and adds it to a snapshot. */
 static void snapshot_add_engine(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
-                                wb_engine_t *engine, int64_t now_ms)
-{
+                                wb_engine_t *engine, int64_t now_ms) {
     const char *service = snapshot->service->name;
     const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
     wb_placement_engine_t place = {engine, engine->state, 0, TRUE};
@@ -160,16 +149,14 @@
         wb_engine_orders_each(orders, loading_count, &scene);
 }
 
-static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context)
-{
+static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context) {
     const wb_controller_t *controller = context;
     const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
     return orders != NULL && wb_engine_orders_has(orders, model, "");
 }
 
 static void snapshot_take(wb_controller_t *controller, const wb_service_t *service,
-                          wb_placement_snapshot_t *snapshot)
-{
+                          wb_placement_snapshot_t *snapshot) {
     int64_t now_ms = wb_clock_ms();
     snapshot->service = service;
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
@@ -195,16 +182,14 @@
     }
 }
 
-static void snapshot_clear(wb_placement_snapshot_t *snapshot)
-{
+static void snapshot_clear(wb_placement_snapshot_t *snapshot) {
     g_array_unref(snapshot->engines);
     g_hash_table_unref(snapshot->uses);
 }
 
 /* What a model's loss costs depends on all its replicas, so everything is counted anew. */
 static GPtrArray *owner_pick_victims(const wb_engine_state_t *state, const char *model,
-                                     void *context)
-{
+                                     void *context) {
     wb_controller_t *controller = context;
     wb_engine_t *engine = wb_fleet_find(controller->fleet, state->id);
     const wb_service_t *service =
@@ -223,8 +208,7 @@
 }
 
 /* The adapter that was asked for longest ago, and isn't running or waited for. */
-static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context)
-{
+static char *owner_pick_adapter_victim(const wb_engine_state_t *state, void *context) {
     wb_controller_t *controller = context;
     wb_engine_t *engine = wb_fleet_find(controller->fleet, state->id);
     if (engine == NULL)
@@ -260,8 +244,7 @@
 /* Loads a model where that costs least. Returns FALSE when no engine does it for less than the
  * limit. */
 static gboolean model_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
-                            const wb_model_spec_t *spec, double limit_ms, const char *why)
-{
+                            const wb_model_spec_t *spec, double limit_ms, const char *why) {
     double cost_ms;
     double victims_ms;
     const wb_placement_engine_t *place = wb_placement_choose(snapshot, spec, &cost_ms, &victims_ms);
@@ -291,8 +274,7 @@
     unsigned time_left_ms;
 } wb_need_t;
 
-static gint more_urgent_first(gconstpointer left, gconstpointer right)
-{
+static gint more_urgent_first(gconstpointer left, gconstpointer right) {
     const wb_need_t *a = left;
     const wb_need_t *b = right;
     return a->time_left_ms < b->time_left_ms ? -1 : a->time_left_ms > b->time_left_ms;
@@ -300,8 +282,7 @@
 
 /* Models that are waited for and that no engine holds or loads. */
 static void needs_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
-                        int64_t now_ms)
-{
+                        int64_t now_ms) {
     g_autoptr(GArray) needs = g_array_new(FALSE, FALSE, sizeof(wb_need_t));
     GHashTableIter iter;
     gpointer value;
@@ -324,8 +305,7 @@
 }
 
 /* Models whose prompts take more reading than their engines should give to one model. */
-static void load_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot)
-{
+static void load_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot) {
     double tokens_per_ms = controller->settings->prefill_tokens_per_ms;
     unsigned placed = 0;
     GHashTableIter iter;
@@ -349,8 +329,7 @@
  * engines. */
 static wb_engine_t *adapter_engine(wb_controller_t *controller,
                                    const wb_placement_snapshot_t *snapshot, const char *model,
-                                   const char *adapter)
-{
+                                   const char *adapter) {
     wb_engine_t *best = NULL;
     uint64_t highest = 0;
     g_autofree char *name = g_strjoin("/", model, adapter, NULL);
@@ -375,8 +354,7 @@
 
 static gboolean adapter_is_coming(const wb_controller_t *controller,
                                   const wb_placement_snapshot_t *snapshot, const char *model,
-                                  const char *adapter)
-{
+                                  const char *adapter) {
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *place =
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
@@ -394,8 +372,7 @@
     const wb_placement_snapshot_t *snapshot;
 } wb_adapter_scene_t;
 
-static void adapter_need(const wb_wire_demand_entry *entry, void *context)
-{
+static void adapter_need(const wb_wire_demand_entry *entry, void *context) {
     const wb_adapter_scene_t *scene = context;
     wb_controller_t *controller = scene->controller;
     if (adapter_is_coming(controller, scene->snapshot, entry->model, entry->adapter))
@@ -412,8 +389,7 @@
 }
 
 static void service_decide(wb_controller_t *controller, const wb_service_t *service,
-                           gboolean spread, int64_t now_ms)
-{
+                           gboolean spread, int64_t now_ms) {
     wb_placement_snapshot_t snapshot;
     snapshot_take(controller, service, &snapshot);
     needs_place(controller, &snapshot, now_ms);
@@ -424,8 +400,7 @@
     snapshot_clear(&snapshot);
 }
 
-void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand)
-{
+void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand) {
     /* With many engines a decision takes its time: the next waits for some times that, or the tick.
      */
     if (wb_demand_book_take(controller->book, demand, wb_clock_ms()) &&
@@ -433,8 +408,7 @@
         wb_controller_decide(controller);
 }
 
-void wb_controller_decide(wb_controller_t *controller)
-{
+void wb_controller_decide(wb_controller_t *controller) {
     if (controller->catalog == NULL || !owner_may_act(controller))
         return;
     int64_t begun_us = g_get_monotonic_time();
@@ -456,8 +430,7 @@
     controller->next_us = ended_us + DECISION_REST * (ended_us - begun_us);
 }
 
-static void controller_tick(void *context)
-{
+static void controller_tick(void *context) {
     wb_controller_t *controller = context;
     if (controller->token == 0)
         return;
@@ -470,8 +443,7 @@
 wb_controller_t *wb_controller_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                       const wb_dialect_t *dialect, wb_fleet_t *fleet,
                                       wb_edge_metrics_t *metrics,
-                                      const wb_controller_events_t *events)
-{
+                                      const wb_controller_events_t *events) {
     wb_controller_t *controller = g_new0(wb_controller_t, 1);
     controller->loop = loop;
     controller->settings = settings;
@@ -489,8 +461,7 @@
 }
 
 void wb_controller_set_token(wb_controller_t *controller, uint64_t token, unsigned loads,
-                             int64_t seen_ms)
-{
+                             int64_t seen_ms) {
     if (controller->token == token)
         return;
     controller->token = token;
@@ -506,8 +477,7 @@
                               seen_ms + controller->settings->lease_duration_ms);
 }
 
-unsigned wb_controller_recent_loads(const wb_controller_t *controller)
-{
+unsigned wb_controller_recent_loads(const wb_controller_t *controller) {
     unsigned most = 0;
     GHashTableIter iter;
     gpointer window;
@@ -517,14 +487,12 @@
     return most;
 }
 
-void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog)
-{
+void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog) {
     wb_catalog_unref(controller->catalog);
     controller->catalog = wb_catalog_ref(catalog);
 }
 
-void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id)
-{
+void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id) {
     wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine_id);
     if (orders == NULL)
         return;
@@ -535,8 +503,7 @@
 }
 
 const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
-                                               const char *service, const char *model)
-{
+                                               const char *service, const char *model) {
     const wb_usage_t *usage = wb_demand_book_find(controller->book, service, model, "");
     return usage != NULL ? &usage->use : NULL;
 }
--- a/src/control/demand_book.c
+++ b/src/control/demand_book.c
@@ -21,43 +21,37 @@
     GHashTable *usages;  /* SERVICE/MODEL/ADAPTER -> wb_usage_t */
 };
 
-static void node_demand_free(gpointer data)
-{
+static void node_demand_free(gpointer data) {
     wb_node_demand_t *demand = data;
     wb_message_clear(&demand->message);
     g_free(demand);
 }
 
-wb_demand_book_t *wb_demand_book_create(void)
-{
+wb_demand_book_t *wb_demand_book_create(void) {
     wb_demand_book_t *book = g_new0(wb_demand_book_t, 1);
     book->demands = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, node_demand_free);
     book->usages = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return book;
 }
 
-void wb_demand_book_free(wb_demand_book_t *book)
-{
+void wb_demand_book_free(wb_demand_book_t *book) {
     g_hash_table_unref(book->demands);
     g_hash_table_unref(book->usages);
     g_free(book);
 }
 
-static char *usage_key(const char *service, const char *model, const char *adapter)
-{
+static char *usage_key(const char *service, const char *model, const char *adapter) {
     return g_strjoin("/", service, model, adapter, NULL);
 }
 
 wb_usage_t *wb_demand_book_find(const wb_demand_book_t *book, const char *service,
-                                const char *model, const char *adapter)
-{
+                                const char *model, const char *adapter) {
     g_autofree char *key = usage_key(service, model, adapter);
     return g_hash_table_lookup(book->usages, key);
 }
 
 wb_usage_t *wb_demand_book_get(wb_demand_book_t *book, const char *service, const char *model,
-                               const char *adapter, int64_t now_ms)
-{
+                               const char *adapter, int64_t now_ms) {
     g_autofree char *key = usage_key(service, model, adapter);
     wb_usage_t *usage = g_hash_table_lookup(book->usages, key);
     if (usage == NULL) {
@@ -69,8 +63,7 @@
     return usage;
 }
 
-static void usage_decay(wb_usage_t *usage, int64_t now_ms)
-{
+static void usage_decay(wb_usage_t *usage, int64_t now_ms) {
     double passed_s = (double)(now_ms - usage->rated_ms) / 1000.0;
     double kept = exp(-passed_s / RATE_TIME_S);
     double recent_kept = exp(-passed_s / RECENT_TIME_S);
@@ -82,8 +75,7 @@
     usage->rated_ms = now_ms;
 }
 
-static void usage_arrivals(wb_usage_t *usage, unsigned arrivals, uint64_t work, int64_t now_ms)
-{
+static void usage_arrivals(wb_usage_t *usage, unsigned arrivals, uint64_t work, int64_t now_ms) {
     usage_decay(usage, now_ms);
     usage->use.rate_per_s += arrivals / RATE_TIME_S;
     usage->use.work_per_s += (double)work / RATE_TIME_S;
@@ -93,8 +85,7 @@
         usage->used_ms = now_ms;
 }
 
-gboolean wb_demand_book_take(wb_demand_book_t *book, const wb_wire_demand *demand, int64_t now_ms)
-{
+gboolean wb_demand_book_take(wb_demand_book_t *book, const wb_wire_demand *demand, int64_t now_ms) {
     wb_node_demand_t *kept = g_new0(wb_node_demand_t, 1);
     kept->at_ms = now_ms;
     /* A copy by way of its bytes: the message belongs to its link. */
@@ -125,8 +116,7 @@
     return waits;
 }
 
-static void usages_clear(wb_demand_book_t *book)
-{
+static void usages_clear(wb_demand_book_t *book) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, book->usages);
@@ -140,8 +130,7 @@
     }
 }
 
-static void entry_count(wb_usage_t *usage, const wb_wire_demand_entry *entry, gboolean waits)
-{
+static void entry_count(wb_usage_t *usage, const wb_wire_demand_entry *entry, gboolean waits) {
     usage->use.running += entry->running;
     if (!waits || entry->waiting == 0)
         return;
@@ -150,8 +139,7 @@
 }
 
 /* Adds up what all nodes said lately. */
-void wb_demand_book_count(wb_demand_book_t *book, int64_t now_ms)
-{
+void wb_demand_book_count(wb_demand_book_t *book, int64_t now_ms) {
     usages_clear(book);
     GHashTableIter iter;
     gpointer value;
@@ -179,8 +167,7 @@
     }
 }
 
-static gboolean usage_is_old(gpointer key, gpointer value, gpointer context)
-{
+static gboolean usage_is_old(gpointer key, gpointer value, gpointer context) {
     (void)key;
     const wb_usage_t *usage = value;
     int64_t now_ms = *(int64_t *)context;
@@ -188,8 +175,7 @@
            now_ms - usage->used_ms > WB_USAGE_LIFE_MS;
 }
 
-void wb_demand_book_age(wb_demand_book_t *book, int64_t now_ms)
-{
+void wb_demand_book_age(wb_demand_book_t *book, int64_t now_ms) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_foreach_remove(book->usages, usage_is_old, &now_ms);
@@ -205,8 +191,7 @@
 }
 
 void wb_demand_book_served(wb_demand_book_t *book, const char *service, const char *model,
-                           const char *adapter)
-{
+                           const char *adapter) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, book->demands);
@@ -224,8 +209,7 @@
         usage->waited_ms = 0;
 }
 
-gboolean wb_demand_book_someone_waits(const wb_demand_book_t *book)
-{
+gboolean wb_demand_book_someone_waits(const wb_demand_book_t *book) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, book->usages);
@@ -237,8 +221,7 @@
 
 void wb_demand_book_each_adapter(const wb_demand_book_t *book, const char *service,
                                  void (*visit)(const wb_wire_demand_entry *entry, void *context),
-                                 void *context)
-{
+                                 void *context) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, book->demands);
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -56,8 +56,7 @@
 
 static void orders_advance(wb_engine_orders_t *orders);
 
-static void task_free(wb_task_t *task)
-{
+static void task_free(wb_task_t *task) {
     g_free(task->model);
     g_free(task->adapter);
     g_free(task);
@@ -66,8 +65,7 @@
 wb_engine_orders_t *wb_engine_orders_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                             const wb_dialect_t *dialect, wb_engine_t *engine,
                                             wb_edge_metrics_t *metrics,
-                                            const wb_engine_orders_owner_t *owner)
-{
+                                            const wb_engine_orders_owner_t *owner) {
     wb_engine_orders_t *orders = g_new0(wb_engine_orders_t, 1);
     orders->loop = loop;
     orders->settings = settings;
@@ -81,8 +79,7 @@
     return orders;
 }
 
-void wb_engine_orders_free(wb_engine_orders_t *orders)
-{
+void wb_engine_orders_free(wb_engine_orders_t *orders) {
     if (orders->timer != NULL)
         wb_timer_cancel(orders->timer);
     wb_http_peer_free(orders->peer);
@@ -94,27 +91,23 @@
     g_free(orders);
 }
 
-static void advance_now(void *context)
-{
+static void advance_now(void *context) {
     wb_engine_orders_t *orders = context;
     orders->timer = NULL;
     orders_advance(orders);
 }
 
-static void advance_after(wb_engine_orders_t *orders, int64_t delay_ms)
-{
+static void advance_after(wb_engine_orders_t *orders, int64_t delay_ms) {
     if (orders->timer != NULL)
         wb_timer_cancel(orders->timer);
     orders->timer = wb_loop_after(orders->loop, MAX(delay_ms, 0), advance_now, orders);
 }
 
-static wb_task_t *task_first(const wb_engine_orders_t *orders)
-{
+static wb_task_t *task_first(const wb_engine_orders_t *orders) {
     return g_queue_peek_head((GQueue *)&orders->tasks);
 }
 
-static void task_over(wb_engine_orders_t *orders, const char *outcome)
-{
+static void task_over(wb_engine_orders_t *orders, const char *outcome) {
     wb_task_t *task = g_queue_pop_head(&orders->tasks);
     wb_event(
         "task-over",
@@ -126,14 +119,12 @@
     advance_after(orders, 0);
 }
 
-static void state_forget(wb_engine_orders_t *orders)
-{
+static void state_forget(wb_engine_orders_t *orders) {
     wb_engine_state_free(orders->state);
     orders->state = NULL;
 }
 
-static void call_failed(wb_engine_orders_t *orders)
-{
+static void call_failed(wb_engine_orders_t *orders) {
     orders->failures++;
     if (orders->failures < FAILURES_LIMIT) {
         advance_after(orders, RETRY_MS);
@@ -145,8 +136,7 @@
         task_over(orders, "unreachable");
 }
 
-static gboolean state_has(const wb_engine_state_t *state, const char *model, const char *adapter)
-{
+static gboolean state_has(const wb_engine_state_t *state, const char *model, const char *adapter) {
     const wb_engine_model_t *held = g_hash_table_lookup(state->models, model);
     if (held == NULL)
         return FALSE;
@@ -154,16 +144,14 @@
 }
 
 /* The engine holds what the first task asks for. */
-static void task_done(wb_engine_orders_t *orders)
-{
+static void task_done(wb_engine_orders_t *orders) {
     const wb_task_t *task = task_first(orders);
     orders->owner.announce(orders->engine, task->model, task->adapter, TRUE, orders->owner.context);
     task_over(orders, "done");
 }
 
 /* Compares a fresh report with what is waited for. */
-static void settle_check(wb_engine_orders_t *orders)
-{
+static void settle_check(wb_engine_orders_t *orders) {
     gboolean has = state_has(orders->state, orders->order_model, "");
     gboolean settled = !orders->state->busy && (orders->settle == WB_SETTLE_LOADED ? has : !has);
     if (!settled) {
@@ -182,8 +170,7 @@
         advance_after(orders, 0);
 }
 
-static void report_answered(const wb_http_result_t *result, void *context)
-{
+static void report_answered(const wb_http_result_t *result, void *context) {
     wb_engine_orders_t *orders = context;
     orders->calling = FALSE;
     wb_engine_state_t *state = NULL;
@@ -213,8 +200,7 @@
     }
 }
 
-static void report_ask(wb_engine_orders_t *orders)
-{
+static void report_ask(wb_engine_orders_t *orders) {
     wb_http_request_t request = {.method = "GET",
                                  .target = orders->dialect->report_target,
                                  .timeout_ms = orders->settings->order_timeout_ms,
@@ -224,8 +210,7 @@
     wb_http_peer_call(orders->peer, &request);
 }
 
-static gboolean order_may_send(void *context)
-{
+static gboolean order_may_send(void *context) {
     wb_engine_orders_t *orders = context;
     return orders->owner.may_act(orders->owner.context);
 }
@@ -233,8 +218,7 @@
 static void order_send(wb_engine_orders_t *orders);
 
 /* The engine took the order: the belief follows it. */
-static void order_taken(wb_engine_orders_t *orders, gboolean had_it)
-{
+static void order_taken(wb_engine_orders_t *orders, gboolean had_it) {
     wb_engine_state_t *state = orders->state;
     int64_t now_ms = wb_clock_ms();
     gboolean is_adapter = *orders->order_adapter != '\0';
@@ -266,8 +250,7 @@
     advance_after(orders, orders->settle_due_ms + LOAD_LATE_MS - now_ms);
 }
 
-static void order_answered(const wb_http_result_t *result, void *context)
-{
+static void order_answered(const wb_http_result_t *result, void *context) {
     wb_engine_orders_t *orders = context;
     orders->calling = FALSE;
     wb_event("order-answered",
@@ -302,8 +285,7 @@
         advance_after(orders, LOOK_AGAIN_MS);
 }
 
-static void order_send(wb_engine_orders_t *orders)
-{
+static void order_send(wb_engine_orders_t *orders) {
     if (!orders->owner.may_act(orders->owner.context)) {
         advance_after(orders, RETRY_MS);
         return;
@@ -328,8 +310,7 @@
 }
 
 static void order_give(wb_engine_orders_t *orders, wb_order_kind_t kind, const char *model,
-                       const char *adapter)
-{
+                       const char *adapter) {
     g_free(orders->order_model);
     g_free(orders->order_adapter);
     orders->order_model = g_strdup(model);
@@ -349,8 +330,7 @@
 }
 
 static void load_model(wb_engine_orders_t *orders, const wb_task_t *task,
-                       const wb_model_spec_t *spec)
-{
+                       const wb_model_spec_t *spec) {
     g_autoptr(GPtrArray) victims =
         orders->owner.pick_victims(orders->state, task->model, orders->owner.context);
     if (victims == NULL) {
@@ -379,8 +359,7 @@
     order_send(orders);
 }
 
-static unsigned adapters_held(const wb_engine_state_t *state)
-{
+static unsigned adapters_held(const wb_engine_state_t *state) {
     unsigned held = state->coming;
     GHashTableIter iter;
     gpointer value;
@@ -391,15 +370,13 @@
 }
 
 static gboolean adapter_fits(const wb_engine_state_t *state, const wb_service_t *service,
-                             const wb_model_spec_t *spec)
-{
+                             const wb_model_spec_t *spec) {
     return (int)adapters_held(state) < service->adapter_slots &&
            wb_placement_used_mb(service, state) + spec->adapter_mb <= service->weights_mb;
 }
 
 static void load_adapter(wb_engine_orders_t *orders, const wb_task_t *task,
-                         const wb_service_t *service, const wb_model_spec_t *spec)
-{
+                         const wb_service_t *service, const wb_model_spec_t *spec) {
     if (!state_has(orders->state, task->model, "")) {
         task_over(orders, "no-model");
         return;
@@ -421,8 +398,7 @@
     order_send(orders);
 }
 
-static void task_advance(wb_engine_orders_t *orders, const wb_task_t *task)
-{
+static void task_advance(wb_engine_orders_t *orders, const wb_task_t *task) {
     const wb_service_t *service =
         orders->owner.service(orders->engine->state->service, orders->owner.context);
     const wb_model_spec_t *spec =
@@ -437,8 +413,7 @@
         load_model(orders, task, spec);
 }
 
-static void orders_advance(wb_engine_orders_t *orders)
-{
+static void orders_advance(wb_engine_orders_t *orders) {
     const wb_task_t *task = task_first(orders);
     if (orders->calling || task == NULL)
         return;
@@ -456,8 +431,7 @@
 }
 
 static wb_task_t *task_find(const wb_engine_orders_t *orders, const char *model,
-                            const char *adapter)
-{
+                            const char *adapter) {
     for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
         wb_task_t *task = item->data;
         if (strcmp(task->model, model) == 0 && strcmp(task->adapter, adapter) == 0)
@@ -467,14 +441,12 @@
 }
 
 gboolean wb_engine_orders_has(const wb_engine_orders_t *orders, const char *model,
-                              const char *adapter)
-{
+                              const char *adapter) {
     return task_find(orders, model, adapter) != NULL;
 }
 
 /* Adapters come in moments, so they go before models whose load hasn't begun. */
-static void task_queue(wb_engine_orders_t *orders, wb_task_t *task)
-{
+static void task_queue(wb_engine_orders_t *orders, wb_task_t *task) {
     GList *place = orders->tasks.head;
     gboolean first_has_begun = orders->calling || orders->settle != WB_SETTLE_NONE;
     if (place != NULL && first_has_begun)
@@ -487,8 +459,7 @@
         g_queue_insert_before(&orders->tasks, place, task);
 }
 
-void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter)
-{
+void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
     if (task_find(orders, model, adapter) != NULL)
         return;
     wb_task_t *task = g_new0(wb_task_t, 1);
@@ -503,21 +474,18 @@
 
 void wb_engine_orders_each(const wb_engine_orders_t *orders,
                            void (*visit)(const char *model, const char *adapter, void *context),
-                           void *context)
-{
+                           void *context) {
     for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
         const wb_task_t *task = item->data;
         visit(task->model, task->adapter, context);
     }
 }
 
-gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders)
-{
+gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders) {
     return orders->tasks.length > 0;
 }
 
-double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders)
-{
+double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders) {
     const wb_service_t *service =
         orders->owner.service(orders->engine->state->service, orders->owner.context);
     double busy_ms = 0;
@@ -530,18 +498,15 @@
     return busy_ms;
 }
 
-gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders)
-{
+gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders) {
     return wb_clock_ms() < orders->unreachable_until_ms;
 }
 
-const wb_engine_state_t *wb_engine_orders_state(const wb_engine_orders_t *orders)
-{
+const wb_engine_state_t *wb_engine_orders_state(const wb_engine_orders_t *orders) {
     return orders->state != NULL ? orders->state : orders->engine->state;
 }
 
-void wb_engine_orders_announced(wb_engine_orders_t *orders)
-{
+void wb_engine_orders_announced(wb_engine_orders_t *orders) {
     if (orders->settle == WB_SETTLE_NONE || orders->calling || orders->state == NULL)
         return;
     gboolean has = state_has(orders->engine->state, orders->order_model, "");
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -32,15 +32,13 @@
     gboolean given_up;
 };
 
-static void row_clear(wb_lease_row_t *row)
-{
+static void row_clear(wb_lease_row_t *row) {
     g_free(row->holder);
     g_free(row->address);
     memset(row, 0, sizeof(*row));
 }
 
-static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source)
-{
+static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source) {
     wb_lease_row_t copy = *source;
     copy.holder = g_strdup(source->holder);
     copy.address = g_strdup(source->address);
@@ -48,8 +46,7 @@
     *target = copy;
 }
 
-wb_lease_t *wb_lease_create(const wb_lease_settings_t *settings)
-{
+wb_lease_t *wb_lease_create(const wb_lease_settings_t *settings) {
     wb_lease_t *lease = g_new0(wb_lease_t, 1);
     lease->settings = *settings;
     lease->version = -1;
@@ -57,28 +54,24 @@
     return lease;
 }
 
-void wb_lease_free(wb_lease_t *lease)
-{
+void wb_lease_free(wb_lease_t *lease) {
     row_clear(&lease->known);
     row_clear(&lease->written);
     g_free(lease);
 }
 
-static gboolean is_own(const wb_lease_t *lease, const wb_lease_row_t *row)
-{
+static gboolean is_own(const wb_lease_t *lease, const wb_lease_row_t *row) {
     return row->holder != NULL && strcmp(row->holder, lease->settings.machine) == 0;
 }
 
 /* Returns when this process sent the write that made the row, or -1 when it wasn't this process. */
-static int64_t own_write_sent_ms(const wb_lease_t *lease, const wb_lease_row_t *row)
-{
+static int64_t own_write_sent_ms(const wb_lease_t *lease, const wb_lease_row_t *row) {
     const wb_lease_write_t *write = &lease->writes[row->beat % WRITES_REMEMBERED];
     return is_own(lease, row) && write->beat == row->beat ? write->sent_ms : -1;
 }
 
 /* The row is as this process wrote it at some time. */
-static void own_row_take(wb_lease_t *lease, int64_t sent_ms)
-{
+static void own_row_take(wb_lease_t *lease, int64_t sent_ms) {
     lease->own_token = lease->known.token;
     if (lease->known.released)
         lease->given_up = TRUE;
@@ -86,15 +79,14 @@
         lease->held_until_ms = MAX(lease->held_until_ms, sent_ms + lease->settings.duration_ms);
 }
 
-static void predecessor_seen(wb_lease_t *lease, int64_t now_ms)
-{
+static void predecessor_seen(wb_lease_t *lease, int64_t now_ms) {
     lease->held_until_ms = 0;
     lease->predecessor_loads = lease->known.recent_loads;
     lease->predecessor_ms = now_ms;
 }
 
-void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version, int64_t now_ms)
-{
+void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version,
+                     int64_t now_ms) {
     if (version <= lease->version && lease->version != -1)
         return;
     lease->version = version;
@@ -111,15 +103,13 @@
         predecessor_seen(lease, now_ms);
 }
 
-static gboolean is_holding(const wb_lease_t *lease)
-{
+static gboolean is_holding(const wb_lease_t *lease) {
     return lease->own_token != 0 && lease->known.token == lease->own_token &&
            is_own(lease, &lease->known) && !lease->known.released;
 }
 
 /* When this node may take the lease over, if the row stays as it is. */
-static int64_t takeover_at_ms(const wb_lease_t *lease)
-{
+static int64_t takeover_at_ms(const wb_lease_t *lease) {
     const wb_lease_settings_t *settings = &lease->settings;
     if (lease->known.holder == NULL || is_own(lease, &lease->known))
         return lease->version_since_ms;
@@ -129,8 +119,7 @@
     return lease->version_since_ms + wait_ms;
 }
 
-static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms)
-{
+static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms) {
     if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
         return FALSE;
     if (is_holding(lease))
@@ -141,8 +130,7 @@
 }
 
 gboolean wb_lease_next_write(wb_lease_t *lease, int64_t now_ms, wb_lease_row_t *row,
-                             int64_t *expected_version)
-{
+                             int64_t *expected_version) {
     if (!write_is_due(lease, now_ms))
         return FALSE;
     wb_lease_row_t next = {(char *)lease->settings.machine,
@@ -169,8 +157,7 @@
     return TRUE;
 }
 
-void wb_lease_on_written(wb_lease_t *lease, int64_t version, int64_t now_ms)
-{
+void wb_lease_on_written(wb_lease_t *lease, int64_t version, int64_t now_ms) {
     lease->writing = FALSE;
     if (version <= lease->version)
         return; /* the row was read meanwhile, this write or a later one */
@@ -180,52 +167,43 @@
     own_row_take(lease, lease->written_sent_ms);
 }
 
-void wb_lease_on_not_written(wb_lease_t *lease, int64_t now_ms)
-{
+void wb_lease_on_not_written(wb_lease_t *lease, int64_t now_ms) {
     lease->writing = FALSE;
     lease->retry_at_ms = now_ms + lease->settings.write_timeout_ms / 4;
     lease->last_write_ms = now_ms - lease->settings.renew_ms;
 }
 
-void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms)
-{
+void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms) {
     /* The same condition guards the next try; only one of the two can count. */
     wb_lease_on_not_written(lease, now_ms);
     lease->retry_at_ms = now_ms;
 }
 
-gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms)
-{
+gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms) {
     return is_holding(lease) && now_ms < lease->held_until_ms - lease->settings.margin_ms;
 }
 
-uint64_t wb_lease_token(const wb_lease_t *lease)
-{
+uint64_t wb_lease_token(const wb_lease_t *lease) {
     return lease->own_token;
 }
 
-const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease)
-{
+const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease) {
     return lease->known.holder != NULL ? &lease->known : NULL;
 }
 
-int64_t wb_lease_version(const wb_lease_t *lease)
-{
+int64_t wb_lease_version(const wb_lease_t *lease) {
     return MAX(lease->version, 0);
 }
 
-unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms)
-{
+unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms) {
     *seen_ms = lease->predecessor_ms;
     return lease->predecessor_loads;
 }
 
-void wb_lease_release(wb_lease_t *lease)
-{
+void wb_lease_release(wb_lease_t *lease) {
     lease->releasing = TRUE;
 }
 
-gboolean wb_lease_is_owed(const wb_lease_t *lease)
-{
+gboolean wb_lease_is_owed(const wb_lease_t *lease) {
     return lease->releasing && is_holding(lease);
 }
--- a/src/control/load_window.c
+++ b/src/control/load_window.c
@@ -9,8 +9,7 @@
     GArray *began;       /* of int64_t, oldest first */
 };
 
-wb_load_window_t *wb_load_window_create(int64_t window_ms, int64_t burst_ms)
-{
+wb_load_window_t *wb_load_window_create(int64_t window_ms, int64_t burst_ms) {
     wb_load_window_t *window = g_new0(wb_load_window_t, 1);
     window->window_ms = window_ms;
     window->burst_ms = MIN(burst_ms, window_ms);
@@ -18,29 +17,25 @@
     return window;
 }
 
-void wb_load_window_free(wb_load_window_t *window)
-{
+void wb_load_window_free(wb_load_window_t *window) {
     g_array_unref(window->began);
     g_free(window);
 }
 
-void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s)
-{
+void wb_load_window_set_rate(wb_load_window_t *window, double loads_per_s) {
     double most = loads_per_s * (double)window->window_ms / 1000.0;
     double most_burst = loads_per_s * (double)window->burst_ms / 1000.0;
     window->most = loads_per_s <= 0 ? 0 : MAX((unsigned)most, 1);
     window->most_burst = MAX((unsigned)most_burst, 1);
 }
 
-void wb_load_window_assume(wb_load_window_t *window, unsigned told, int64_t until_ms)
-{
+void wb_load_window_assume(wb_load_window_t *window, unsigned told, int64_t until_ms) {
     unsigned begun = MIN(told + window->most_burst, window->most);
     for (unsigned i = 0; i < begun; i++)
         wb_load_window_count(window, until_ms);
 }
 
-static unsigned counted_since(const wb_load_window_t *window, int64_t since_ms)
-{
+static unsigned counted_since(const wb_load_window_t *window, int64_t since_ms) {
     unsigned counted = 0;
     for (guint i = window->began->len; i > 0; i--) {
         if (g_array_index(window->began, int64_t, i - 1) <= since_ms)
@@ -50,21 +45,18 @@
     return counted;
 }
 
-unsigned wb_load_window_counted(const wb_load_window_t *window, int64_t now_ms)
-{
+unsigned wb_load_window_counted(const wb_load_window_t *window, int64_t now_ms) {
     return counted_since(window, now_ms - window->window_ms);
 }
 
-gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms)
-{
+gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms) {
     if (window->most == 0)
         return TRUE;
     return wb_load_window_counted(window, now_ms) < window->most &&
            counted_since(window, now_ms - window->burst_ms) < window->most_burst;
 }
 
-void wb_load_window_count(wb_load_window_t *window, int64_t now_ms)
-{
+void wb_load_window_count(wb_load_window_t *window, int64_t now_ms) {
     while (window->began->len > 0 &&
            g_array_index(window->began, int64_t, 0) <= now_ms - window->window_ms)
         g_array_remove_index(window->began, 0);
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -28,22 +28,19 @@
 
 static const wb_model_use_t no_use;
 
-static const wb_model_use_t *use_of(const wb_placement_snapshot_t *snapshot, const char *model)
-{
+static const wb_model_use_t *use_of(const wb_placement_snapshot_t *snapshot, const char *model) {
     const wb_model_use_t *use = g_hash_table_lookup(snapshot->uses, model);
     return use != NULL ? use : &no_use;
 }
 
-static double model_mb(const wb_service_t *service, const wb_engine_model_t *held)
-{
+static double model_mb(const wb_service_t *service, const wb_engine_model_t *held) {
     const wb_model_spec_t *spec = g_hash_table_lookup(service->models, held->name);
     if (spec == NULL)
         return service->weights_mb; /* unknown: nothing fits beside it */
     return spec->weights_mb + spec->adapter_mb * g_hash_table_size(held->adapters);
 }
 
-double wb_placement_used_mb(const wb_service_t *service, const wb_engine_state_t *state)
-{
+double wb_placement_used_mb(const wb_service_t *service, const wb_engine_state_t *state) {
     double used = 0;
     double largest_adapter = 0;
     GHashTableIter iter;
@@ -60,8 +57,7 @@
 }
 
 double wb_placement_load_ms(const wb_model_spec_t *model, const wb_engine_state_t *state,
-                            gboolean *from_store)
-{
+                            gboolean *from_store) {
     gboolean in_memory = g_hash_table_contains(state->in_memory, model->name);
     gboolean on_disk = g_hash_table_contains(state->on_disk, model->name);
     if (from_store != NULL)
@@ -76,8 +72,7 @@
 }
 
 /* Mean wait before a prompt is read, in ms, when so many engines share a model's prompts. */
-static double reading_delay_ms(const wb_model_use_t *use, double engines, double tokens_per_ms)
-{
+static double reading_delay_ms(const wb_model_use_t *use, double engines, double tokens_per_ms) {
     double rate = MAX(use->recent_rate_per_s, use->rate_per_s);
     if (rate <= 0)
         return 0;
@@ -88,8 +83,7 @@
 }
 
 /* What requests lose when an engine drops a model. */
-static double drop_cost_ms(const wb_placement_snapshot_t *snapshot, const char *name)
-{
+static double drop_cost_ms(const wb_placement_snapshot_t *snapshot, const char *name) {
     const wb_model_use_t *use = use_of(snapshot, name);
     const wb_model_spec_t *spec = g_hash_table_lookup(snapshot->service->models, name);
     double expected = use->rate_per_s * HORIZON_S;
@@ -113,16 +107,14 @@
     double cost_ms;
 } wb_candidate_t;
 
-static gint cheaper_first(gconstpointer left, gconstpointer right)
-{
+static gint cheaper_first(gconstpointer left, gconstpointer right) {
     const wb_candidate_t *a = left;
     const wb_candidate_t *b = right;
     return a->cost_ms < b->cost_ms ? -1 : a->cost_ms > b->cost_ms;
 }
 
 static GArray *candidates_collect(const wb_placement_snapshot_t *snapshot,
-                                  const wb_engine_state_t *state)
-{
+                                  const wb_engine_state_t *state) {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(wb_candidate_t));
     GHashTableIter iter;
     gpointer value;
@@ -138,8 +130,7 @@
 }
 
 /* One model that alone makes room may cost less than several cheap ones. */
-static const wb_candidate_t *single_find(const GArray *candidates, double missing_mb)
-{
+static const wb_candidate_t *single_find(const GArray *candidates, double missing_mb) {
     for (guint i = 0; i < candidates->len; i++) {
         const wb_candidate_t *candidate = &g_array_index(candidates, wb_candidate_t, i);
         if (candidate->mb >= missing_mb && candidate->cost_ms < IMPOSSIBLE_MS)
@@ -150,8 +141,7 @@
 
 GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
                                 const wb_engine_state_t *state, const wb_model_spec_t *model,
-                                double *cost_ms)
-{
+                                double *cost_ms) {
     GPtrArray *victims = g_ptr_array_new_with_free_func(g_free);
     double missing_mb = wb_placement_used_mb(snapshot->service, state) + model->weights_mb -
                         snapshot->service->weights_mb;
@@ -185,8 +175,7 @@
 
 /* An engine that loads takes no order for adapters: what those who wait for one lose meanwhile. */
 static double blocking_cost_ms(const wb_placement_snapshot_t *snapshot,
-                               const wb_engine_state_t *state, double load_ms)
-{
+                               const wb_engine_state_t *state, double load_ms) {
     double adapters_per_s = 0;
     GHashTableIter iter;
     gpointer name;
@@ -200,8 +189,7 @@
 
 const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
                                                  const wb_model_spec_t *model, double *cost_ms,
-                                                 double *victim_cost_ms)
-{
+                                                 double *victim_cost_ms) {
     const wb_placement_engine_t *best = NULL;
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *place =
@@ -230,21 +218,18 @@
     return best;
 }
 
-unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms)
-{
+unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms) {
     double work = MAX(use->work_per_s, use->recent_work_per_s);
     return (unsigned)ceil(work / (tokens_per_ms * 1000.0 * READING_SHARE));
 }
 
-double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms)
-{
+double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms) {
     double engines = MAX(use->replicas + use->in_loading, 1);
     double saved_ms = reading_delay_ms(use, engines, tokens_per_ms) -
                       reading_delay_ms(use, engines + 1, tokens_per_ms);
     return use->rate_per_s * HORIZON_S * saved_ms;
 }
 
-double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state)
-{
+double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state) {
     return LOAD_PRICE * wb_placement_load_ms(model, state, NULL);
 }
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -55,15 +55,13 @@
 
 static void watch_ask(void *context);
 
-void wb_table_row_free(wb_table_row_t *row)
-{
+void wb_table_row_free(wb_table_row_t *row) {
     g_free(row->key);
     g_free(row->value);
     g_free(row);
 }
 
-wb_table_row_t *wb_table_row_create(const char *key, guchar *value, gsize length, int64_t version)
-{
+wb_table_row_t *wb_table_row_create(const char *key, guchar *value, gsize length, int64_t version) {
     wb_table_row_t *row = g_new0(wb_table_row_t, 1);
     row->key = g_strdup(key);
     row->value = value;
@@ -72,21 +70,18 @@
     return row;
 }
 
-static void ask_after(wb_table_watch_t *watch, int64_t delay_ms)
-{
+static void ask_after(wb_table_watch_t *watch, int64_t delay_ms) {
     if (watch->timer != NULL)
         wb_timer_cancel(watch->timer);
     watch->timer = wb_loop_after(watch->loop, MAX(delay_ms, 0), watch_ask, watch);
 }
 
-static gboolean removal_is_old(gpointer key, gpointer value, gpointer context)
-{
+static gboolean removal_is_old(gpointer key, gpointer value, gpointer context) {
     (void)key;
     return ((wb_removed_row_t *)value)->at_ms < *(int64_t *)context;
 }
 
-static void removal_note(wb_table_watch_t *watch, const char *key, int64_t version)
-{
+static void removal_note(wb_table_watch_t *watch, const char *key, int64_t version) {
     int64_t now_ms = wb_clock_ms();
     if (g_hash_table_size(watch->removed) >= REMOVED_LIMIT) {
         int64_t oldest_ms = now_ms - REMOVED_KEPT_MS;
@@ -97,8 +92,7 @@
 }
 
 /* Returns the version up to which a row's history is known; 0: nothing is. */
-static int64_t row_known(const wb_table_watch_t *watch, const char *key)
-{
+static int64_t row_known(const wb_table_watch_t *watch, const char *key) {
     const int64_t *known = g_hash_table_lookup(watch->versions, key);
     const wb_removed_row_t *removed = g_hash_table_lookup(watch->removed, key);
     if (known != NULL)
@@ -107,8 +101,7 @@
 }
 
 /* A row can't go back to an older version within this process. */
-static gboolean row_take(wb_table_watch_t *watch, const wb_table_row_t *row)
-{
+static gboolean row_take(wb_table_watch_t *watch, const wb_table_row_t *row) {
     if (row_known(watch, row->key) >= row->version)
         return FALSE;
     watch->newest_row = MAX(watch->newest_row, row->version);
@@ -126,8 +119,7 @@
 }
 
 /* Rows that a whole read no longer shows were removed. */
-static void missing_remove(wb_table_watch_t *watch)
-{
+static void missing_remove(wb_table_watch_t *watch) {
     g_autoptr(GList) keys = g_hash_table_get_keys(watch->versions);
     for (GList *item = keys; item != NULL; item = item->next) {
         if (g_hash_table_contains(watch->seen, item->data))
@@ -140,8 +132,7 @@
     }
 }
 
-static void read_begin(wb_table_watch_t *watch)
-{
+static void read_begin(wb_table_watch_t *watch) {
     watch->state = WB_WATCH_READING;
     g_hash_table_remove_all(watch->seen);
     g_ptr_array_set_size(watch->page_rows, 0);
@@ -151,16 +142,14 @@
 }
 
 /* What is known now is as of the start of the call that told it. */
-static void known_note(wb_table_watch_t *watch, int64_t known_ms)
-{
+static void known_note(wb_table_watch_t *watch, int64_t known_ms) {
     watch->known_ms = known_ms;
     if (known_ms >= watch->look_since_ms)
         watch->look_since_ms = 0;
 }
 
 /* When an own call is due, after a call that began at asked_ms. */
-static int64_t due_ms(const wb_table_watch_t *watch)
-{
+static int64_t due_ms(const wb_table_watch_t *watch) {
     int64_t due = watch->asked_ms + watch->pace.pause_ms;
     if (watch->vouched_ms == 0)
         return due;
@@ -173,8 +162,7 @@
 }
 
 /* The read is whole. An answer older than what is known is not taken: it's read again. */
-static void read_finish(wb_table_watch_t *watch)
-{
+static void read_finish(wb_table_watch_t *watch) {
     if (watch->read_version < watch->version) {
         read_begin(watch);
         ask_after(watch, RETRY_MS);
@@ -192,21 +180,18 @@
     ask_after(watch, 0);
 }
 
-static void call_note(const wb_table_watch_t *watch, gboolean good)
-{
+static void call_note(const wb_table_watch_t *watch, gboolean good) {
     if (watch->events.on_call != NULL)
         watch->events.on_call(watch->name, good, wb_table_watch_age_ms(watch),
                               watch->events.context);
 }
 
-static void retry_later(wb_table_watch_t *watch)
-{
+static void retry_later(wb_table_watch_t *watch) {
     watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), RETRY_LIMIT_MS);
     ask_after(watch, watch->retry_ms);
 }
 
-static void page_answered(const wb_table_answer_t *answer, void *context)
-{
+static void page_answered(const wb_table_answer_t *answer, void *context) {
     wb_table_watch_t *watch = context;
     watch->asking = FALSE;
     call_note(watch, answer->outcome == WB_TABLE_DONE);
@@ -236,8 +221,7 @@
     ask_after(watch, 0);
 }
 
-static void changes_answered(const wb_table_answer_t *answer, void *context)
-{
+static void changes_answered(const wb_table_answer_t *answer, void *context) {
     wb_table_watch_t *watch = context;
     watch->asking = FALSE;
     call_note(watch, answer->outcome == WB_TABLE_DONE || answer->outcome == WB_TABLE_HISTORY_GONE);
@@ -264,8 +248,7 @@
     ask_after(watch, next_ms - wb_clock_ms());
 }
 
-static void watch_ask(void *context)
-{
+static void watch_ask(void *context) {
     wb_table_watch_t *watch = context;
     watch->timer = NULL;
     watch->asking = TRUE;
@@ -282,8 +265,7 @@
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
                                         wb_table_name_t name, const wb_table_pace_t *pace,
-                                        const wb_table_watch_events_t *events)
-{
+                                        const wb_table_watch_events_t *events) {
     wb_table_watch_t *watch = g_new0(wb_table_watch_t, 1);
     watch->loop = loop;
     watch->table = table;
@@ -300,8 +282,7 @@
     return watch;
 }
 
-void wb_table_watch_hurry(wb_table_watch_t *watch)
-{
+void wb_table_watch_hurry(wb_table_watch_t *watch) {
     watch->hurried = TRUE;
     if (watch->asking || watch->state != WB_WATCH_FOLLOWING || watch->timer == NULL ||
         watch->retry_ms != 0)
@@ -311,29 +292,25 @@
 }
 
 /* Moves the next call for changes, unless one is under way or the store was not reached. */
-static void due_again(wb_table_watch_t *watch)
-{
+static void due_again(wb_table_watch_t *watch) {
     if (!watch->asking && watch->state == WB_WATCH_FOLLOWING && watch->timer != NULL &&
         watch->retry_ms == 0)
         ask_after(watch, due_ms(watch) - wb_clock_ms());
 }
 
-void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace)
-{
+void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace) {
     if (memcmp(&watch->pace, pace, sizeof(*pace)) == 0)
         return;
     watch->pace = *pace;
     due_again(watch);
 }
 
-void wb_table_watch_take(wb_table_watch_t *watch, const wb_table_row_t *row)
-{
+void wb_table_watch_take(wb_table_watch_t *watch, const wb_table_row_t *row) {
     if (watch->synced && row_take(watch, row))
         watch->events.on_batch(FALSE, watch->events.context);
 }
 
-void wb_table_watch_vouch(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms)
-{
+void wb_table_watch_vouch(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms) {
     if (newest_row > MAX(watch->newest_row, watch->heard_row))
         watch->look_since_ms = wb_clock_ms();
     watch->heard_row = MAX(watch->heard_row, newest_row);
@@ -341,29 +318,24 @@
     due_again(watch);
 }
 
-void wb_table_watch_look(wb_table_watch_t *watch)
-{
+void wb_table_watch_look(wb_table_watch_t *watch) {
     watch->look_since_ms = wb_clock_ms();
     due_again(watch);
 }
 
-int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch)
-{
+int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch) {
     return watch->newest_row;
 }
 
-int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch)
-{
+int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch) {
     return watch->known_ms;
 }
 
-gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch)
-{
+gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch) {
     return watch->synced;
 }
 
-int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch)
-{
+int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch) {
     int64_t heard_ms = MAX(watch->answered_ms, watch->vouched_ms);
     return heard_ms == 0 ? G_MAXINT64 : wb_clock_ms() - heard_ms;
 }
--- a/src/ctl/commands_config.c
+++ b/src/ctl/commands_config.c
@@ -18,16 +18,14 @@
     json_t *before; /* in force */
 } difference_t;
 
-static void difference_clear(difference_t *difference)
-{
+static void difference_clear(difference_t *difference) {
     json_decref(difference->set);
     json_decref(difference->remove);
     json_decref(difference->before);
 }
 
 static apr_status_t config_get(const ctl_options_t *options, ctl_answer_t *answer,
-                               wb_error_t *error)
-{
+                               wb_error_t *error) {
     apr_status_t status = ctl_request(options, "GET", CONFIG_PATH, NULL, answer, error);
     if (status == APR_SUCCESS && answer->status != 200) {
         ctl_answer_clear(answer);
@@ -37,25 +35,21 @@
     return status;
 }
 
-static void difference_fill(difference_t *difference, const json_t *declared, gboolean prune)
-{
+static void difference_fill(difference_t *difference, const json_t *declared, gboolean prune) {
     const char *key;
     json_t *object;
-    json_object_foreach((json_t *)declared, key, object)
-    {
+    json_object_foreach((json_t *)declared, key, object) {
         if (!json_equal(object, json_object_get(difference->before, key)))
             json_object_set(difference->set, key, object);
     }
-    json_object_foreach(difference->before, key, object)
-    {
+    json_object_foreach(difference->before, key, object) {
         if (prune && json_object_get(declared, key) == NULL)
             json_array_append_new(difference->remove, json_string(key));
     }
 }
 
 static apr_status_t difference_find(const ctl_options_t *options, const json_t *declared,
-                                    difference_t *difference, wb_error_t *error)
-{
+                                    difference_t *difference, wb_error_t *error) {
     ctl_answer_t answer = {0};
     apr_status_t status = config_get(options, &answer, error);
     if (status != APR_SUCCESS)
@@ -69,14 +63,13 @@
     return APR_SUCCESS;
 }
 
-static gboolean difference_is_empty(const difference_t *difference)
-{
+static gboolean difference_is_empty(const difference_t *difference) {
     return json_object_size(difference->set) == 0 && json_array_size(difference->remove) == 0;
 }
 
 /* Checks here what the node will check, to say where in the files a fault is. */
-static int difference_check(const difference_t *difference, const ctl_declarations_t *declarations)
-{
+static int difference_check(const difference_t *difference,
+                            const ctl_declarations_t *declarations) {
     json_t *change = json_pack("{s:O, s:O}", "set", difference->set, "remove", difference->remove);
     json_t *objects = wb_config_objects_change(difference->before, change);
     wb_config_t *config = NULL;
@@ -91,24 +84,20 @@
     return status == APR_SUCCESS ? CTL_OK : CTL_INVALID;
 }
 
-static void member_lines_print(const char *sign, const json_t *object)
-{
+static void member_lines_print(const char *sign, const json_t *object) {
     const char *name;
     json_t *value;
-    json_object_foreach((json_t *)object, name, value)
-    {
+    json_object_foreach((json_t *)object, name, value) {
         char *text = wb_json_dump(value);
         printf("%s   %s: %s\n", sign, name, text);
         free(text);
     }
 }
 
-static void difference_print_text(const difference_t *difference)
-{
+static void difference_print_text(const difference_t *difference) {
     const char *key;
     json_t *object;
-    json_object_foreach(difference->set, key, object)
-    {
+    json_object_foreach(difference->set, key, object) {
         const json_t *before = json_object_get(difference->before, key);
         printf("%s %s\n", before == NULL ? "+" : "~", key);
         if (before != NULL)
@@ -120,8 +109,7 @@
         printf("- %s\n", json_string_value(object));
 }
 
-static void difference_print(const ctl_options_t *options, const difference_t *difference)
-{
+static void difference_print(const ctl_options_t *options, const difference_t *difference) {
     if (!options->json) {
         difference_print_text(difference);
         return;
@@ -134,8 +122,7 @@
 
 /* Reads the files and what is in force, and checks the result. */
 static int difference_prepare(const ctl_options_t *options, ctl_declarations_t *declarations,
-                              difference_t *difference)
-{
+                              difference_t *difference) {
     wb_error_t error;
     if (options->path == NULL) {
         ctl_print_error("name the files with -f PATH");
@@ -151,8 +138,7 @@
 }
 
 static int apply_report(const ctl_options_t *options, const ctl_answer_t *answer,
-                        const ctl_declarations_t *declarations)
-{
+                        const ctl_declarations_t *declarations) {
     const json_t *failure = json_object_get(answer->body, "error");
     const char *message = wb_json_text(failure, "message", "");
     if (options->json)
@@ -179,8 +165,7 @@
 }
 
 static int difference_send(const ctl_options_t *options, const difference_t *difference,
-                           const ctl_declarations_t *declarations)
-{
+                           const ctl_declarations_t *declarations) {
     json_t *body =
         json_pack("{s:I, s:O, s:O, s:s}", "base_version", (json_int_t)difference->version, "set",
                   difference->set, "remove", difference->remove, "author", options->author);
@@ -199,8 +184,7 @@
     return result;
 }
 
-int ctl_apply(const ctl_options_t *options)
-{
+int ctl_apply(const ctl_options_t *options) {
     ctl_declarations_t declarations = {0};
     difference_t difference = {0};
     int result = difference_prepare(options, &declarations, &difference);
@@ -220,8 +204,7 @@
     return result;
 }
 
-int ctl_diff(const ctl_options_t *options)
-{
+int ctl_diff(const ctl_options_t *options) {
     ctl_declarations_t declarations = {0};
     difference_t difference = {0};
     int result = difference_prepare(options, &declarations, &difference);
@@ -235,15 +218,13 @@
     return result;
 }
 
-static gboolean key_is_wanted(const char *key, const char *wanted)
-{
+static gboolean key_is_wanted(const char *key, const char *wanted) {
     size_t length = wanted != NULL ? strlen(wanted) : 0;
     return length == 0 ||
            (strncmp(key, wanted, length) == 0 && (key[length] == '\0' || key[length] == '/'));
 }
 
-int ctl_get(const ctl_options_t *options)
-{
+int ctl_get(const ctl_options_t *options) {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (config_get(options, &answer, &error) != APR_SUCCESS)
@@ -252,8 +233,7 @@
     json_t *wanted = json_object();
     const char *key;
     json_t *object;
-    json_object_foreach(objects, key, object)
-    {
+    json_object_foreach(objects, key, object) {
         if (key_is_wanted(key, options->words[0]))
             json_object_set(wanted, key, object);
     }
@@ -261,8 +241,7 @@
     if (options->json)
         ctl_print_json(wanted);
     else
-        json_object_foreach(wanted, key, object)
-        {
+        json_object_foreach(wanted, key, object) {
             printf("%s\n", key);
             member_lines_print(" ", object);
         }
@@ -271,8 +250,7 @@
     return none ? ctl_print_error("nothing of that kind and name is in force") : CTL_OK;
 }
 
-static void change_print(const json_t *change)
-{
+static void change_print(const json_t *change) {
     printf("version %lld  %s  by %s\n", (long long)wb_json_integer(change, "version", 0),
            wb_json_text(change, "at", "?"), wb_json_text(change, "author", "?"));
     const char *key;
@@ -284,13 +262,11 @@
 }
 
 static apr_status_t history_get(const ctl_options_t *options, ctl_answer_t *answer,
-                                wb_error_t *error)
-{
+                                wb_error_t *error) {
     return ctl_request(options, "GET", "/operators/v1/history", NULL, answer, error);
 }
 
-int ctl_history(const ctl_options_t *options)
-{
+int ctl_history(const ctl_options_t *options) {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (history_get(options, &answer, &error) != APR_SUCCESS)
@@ -307,8 +283,7 @@
 }
 
 /* Prints changes as they come into force; ends after --count changes, if given. */
-int ctl_watch(const ctl_options_t *options)
-{
+int ctl_watch(const ctl_options_t *options) {
     int64_t seen = -1, printed = 0;
     while (options->count == 0 || printed < options->count) {
         ctl_answer_t answer = {0};
@@ -318,8 +293,7 @@
         size_t index;
         json_t *change;
         int64_t newest = 0;
-        json_array_foreach(json_object_get(answer.body, "changes"), index, change)
-        {
+        json_array_foreach(json_object_get(answer.body, "changes"), index, change) {
             int64_t version = wb_json_integer(change, "version", 0);
             newest = MAX(newest, version);
             if (seen < 0 || version <= seen)
--- a/src/ctl/commands_node.c
+++ b/src/ctl/commands_node.c
@@ -6,8 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-static void status_print(const json_t *status)
-{
+static void status_print(const json_t *status) {
     size_t index;
     json_t *entry;
     printf("node %s: %s, configuration %lld, %lld open requests\n",
@@ -24,8 +23,7 @@
                wb_json_text(entry, "owner", "none"), (long long)wb_json_integer(entry, "epoch", 0));
 }
 
-static void lease_print(const json_t *lease)
-{
+static void lease_print(const json_t *lease) {
     if (json_is_object(lease))
         printf("  lease  %-40s token %lld%s%s\n", wb_json_text(lease, "holder", "?"),
                (long long)wb_json_integer(lease, "token", 0),
@@ -33,8 +31,7 @@
                wb_json_boolean(lease, "here", 0) ? ", held by this node" : "");
 }
 
-int ctl_status(const ctl_options_t *options)
-{
+int ctl_status(const ctl_options_t *options) {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (ctl_request(options, "GET", "/operators/v1/status", NULL, &answer, &error) != APR_SUCCESS)
@@ -50,8 +47,7 @@
     return ready ? CTL_OK : CTL_FAILED;
 }
 
-int ctl_drain(const ctl_options_t *options)
-{
+int ctl_drain(const ctl_options_t *options) {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (options->nodes[0] == NULL || options->nodes[1] != NULL) {
@@ -70,8 +66,7 @@
     return CTL_OK;
 }
 
-static void decisions_print(const json_t *decisions)
-{
+static void decisions_print(const json_t *decisions) {
     size_t index;
     json_t *engine;
     printf("  decisions of the owner: %lld slots, %lld waiting, %lld running, idle for %lld ms, "
@@ -91,12 +86,10 @@
         wb_json_text(engine, "retiring", ""));
 }
 
-static void gateway_print(const json_t *body)
-{
+static void gateway_print(const json_t *body) {
     size_t index, inner;
     json_t *target, *replica;
-    json_array_foreach(json_object_get(body, "gateway"), index, target)
-    {
+    json_array_foreach(json_object_get(body, "gateway"), index, target) {
         printf("  at %s: route %s%s%s, %lld waiting, %lld running\n",
                wb_json_text(body, "node", "?"), wb_json_text(target, "route", "?"),
                *wb_json_text(target, "reason", "") ? ": " : "", wb_json_text(target, "reason", ""),
@@ -109,8 +102,7 @@
     }
 }
 
-static void model_print(const json_t *body)
-{
+static void model_print(const json_t *body) {
     const json_t *decisions = json_object_get(body, "decisions");
     printf("model %s, cell %s, owner %s\n", wb_json_text(body, "model", "?"),
            wb_json_text(body, "cell", "?"), wb_json_text(body, "owner", "none"));
@@ -119,8 +111,7 @@
         decisions_print(decisions);
 }
 
-static void request_print(const json_t *body)
-{
+static void request_print(const json_t *body) {
     printf("request %s for %s%s%s of owner %s: %s after %lld ms, %lld tries, engine %s\n  %s\n",
            wb_json_text(body, "request", "?"), wb_json_text(body, "model", "?"),
            *wb_json_text(body, "adapter", "") ? "+" : "", wb_json_text(body, "adapter", ""),
@@ -131,8 +122,7 @@
 }
 
 /* Each node knows its own requests, and a cell's owner knows the decisions: all are asked. */
-int ctl_explain(const ctl_options_t *options)
-{
+int ctl_explain(const ctl_options_t *options) {
     const char *what = options->words[0];
     const char *name = options->words[1];
     gboolean of_model = what != NULL && strcmp(what, "model") == 0;
@@ -159,8 +149,7 @@
     if (options->json)
         ctl_print_json(found);
     else
-        json_array_foreach(found, index, entry)
-        {
+        json_array_foreach(found, index, entry) {
             if (of_model)
                 model_print(entry);
             else
@@ -170,8 +159,7 @@
     return count > 0 ? CTL_OK : ctl_print_error(error.message);
 }
 
-static void route_print(const json_t *route)
-{
+static void route_print(const json_t *route) {
     size_t index;
     json_t *part;
     printf("%-12s %s%s %s, %lld ms at most, target %lld ms, %lld engines at most:",
@@ -186,8 +174,7 @@
     printf("\n");
 }
 
-static void loaded_print(const json_t *model)
-{
+static void loaded_print(const json_t *model) {
     size_t index;
     json_t *replica;
     printf("%-20s %-12s", wb_json_text(model, "model", "?"), wb_json_text(model, "service", "?"));
@@ -199,8 +186,7 @@
 
 /* Shows a list that a node tells. */
 static int list_show(const ctl_options_t *options, const char *path, const char *list,
-                     void (*print)(const json_t *entry))
-{
+                     void (*print)(const json_t *entry)) {
     ctl_answer_t answer = {0};
     wb_error_t error;
     if (ctl_request(options, "GET", path, NULL, &answer, &error) != APR_SUCCESS)
@@ -215,12 +201,10 @@
     return CTL_OK;
 }
 
-int ctl_routes(const ctl_options_t *options)
-{
+int ctl_routes(const ctl_options_t *options) {
     return list_show(options, "/operators/v1/routes", "routes", route_print);
 }
 
-int ctl_models(const ctl_options_t *options)
-{
+int ctl_models(const ctl_options_t *options) {
     return list_show(options, "/operators/v1/models", "models", loaded_print);
 }
--- a/src/ctl/commands_policy.c
+++ b/src/ctl/commands_policy.c
@@ -22,8 +22,7 @@
     "\"engine\":{\"id\":\"e2\",\"zone\":\"z1\",\"free_mib\":2048,\"models\":4,\"evictions\":1,"
     "\"same_zone_replicas\":1,\"source\":\"remote\",\"load_ms\":2000}}]";
 
-static wb_policy_model_t model_read(const json_t *entry)
-{
+static wb_policy_model_t model_read(const json_t *entry) {
     return (wb_policy_model_t){
         .name = wb_json_text(entry, "model", "model"),
         .memory_mib = wb_json_integer(entry, "memory_mib", 1024),
@@ -36,8 +35,7 @@
     };
 }
 
-static wb_policy_engine_t engine_read(const json_t *entry)
-{
+static wb_policy_engine_t engine_read(const json_t *entry) {
     return (wb_policy_engine_t){
         .id = wb_json_text(entry, "id", "engine"),
         .zone = wb_json_text(entry, "zone", "zone"),
@@ -50,16 +48,14 @@
     };
 }
 
-static json_t *answer_describe(wb_policy_answer_t answer, int64_t value, const wb_error_t *error)
-{
+static json_t *answer_describe(wb_policy_answer_t answer, int64_t value, const wb_error_t *error) {
     if (answer == WB_POLICY_ANSWERED)
         return json_integer((json_int_t)value);
     return json_string(answer == WB_POLICY_UNDEFINED ? "built-in" : error->message);
 }
 
 /* Runs one situation. Returns what the policy said; counts failures. */
-static json_t *situation_run(wb_policy_program_t *program, const json_t *entry, int *failures)
-{
+static json_t *situation_run(wb_policy_program_t *program, const json_t *entry, int *failures) {
     wb_policy_model_t model = model_read(entry);
     wb_error_t error = {0};
     int64_t value = 0;
@@ -80,8 +76,7 @@
     return result;
 }
 
-static void result_print(const json_t *result)
-{
+static void result_print(const json_t *result) {
     char *keep = wb_json_dump(json_object_get(result, "keep_alive_ms"));
     printf("  %-12s keep_alive_ms %s", wb_json_text(result, "model", "?"), keep);
     if (json_object_get(result, "engine") != NULL) {
@@ -94,8 +89,7 @@
 }
 
 static int policy_run(const ctl_options_t *options, const char *name, const char *text,
-                      const json_t *history)
-{
+                      const json_t *history) {
     wb_policy_program_t *program = NULL;
     wb_error_t error;
     if (wb_policy_compile(&program, name, text, &error) != APR_SUCCESS) {
@@ -119,8 +113,7 @@
     return failures == 0 ? CTL_OK : CTL_FAILED;
 }
 
-static json_t *history_load(const ctl_options_t *options, wb_error_t *error)
-{
+static json_t *history_load(const ctl_options_t *options, wb_error_t *error) {
     json_error_t failure;
     json_t *history = options->history != NULL ? json_load_file(options->history, 0, &failure)
                                                : json_loads(sample_history, 0, &failure);
@@ -133,8 +126,7 @@
     return history;
 }
 
-int ctl_policy(const ctl_options_t *options)
-{
+int ctl_policy(const ctl_options_t *options) {
     wb_error_t error;
     ctl_declarations_t declarations = {0};
     if (options->word_count < 1 || strcmp(options->words[0], "test") != 0 ||
@@ -154,8 +146,7 @@
     int result = CTL_OK, tested = 0;
     const char *key;
     json_t *object;
-    json_object_foreach(declarations.objects, key, object)
-    {
+    json_object_foreach(declarations.objects, key, object) {
         const char *name = key + strlen("policy/");
         if (!g_str_has_prefix(key, "policy/") ||
             (options->words[1] != NULL && strcmp(options->words[1], name) != 0))
--- a/src/ctl/commands_trace.c
+++ b/src/ctl/commands_trace.c
@@ -11,21 +11,18 @@
     char *text;
 } trace_line_t;
 
-static void line_clear(gpointer data)
-{
+static void line_clear(gpointer data) {
     g_free(((trace_line_t *)data)->text);
 }
 
-static gint earlier_first(gconstpointer left, gconstpointer right)
-{
+static gint earlier_first(gconstpointer left, gconstpointer right) {
     const trace_line_t *a = left;
     const trace_line_t *b = right;
     return a->time_ms < b->time_ms ? -1 : a->time_ms > b->time_ms;
 }
 
 /* A line is of the request when its id, or the engine that is asked for, is a value in it. */
-static void line_take(GArray *lines, const char *text, const char *wanted)
-{
+static void line_take(GArray *lines, const char *text, const char *wanted) {
     const char *begin = strchr(text, '{');
     g_autofree char *quoted = g_strdup_printf("\"%s\"", wanted);
     if (begin == NULL || strstr(begin, quoted) == NULL)
@@ -38,8 +35,7 @@
     json_decref(line);
 }
 
-static gboolean file_take(GArray *lines, const char *path, const char *wanted)
-{
+static gboolean file_take(GArray *lines, const char *path, const char *wanted) {
     g_autofree char *text = NULL;
     if (!g_file_get_contents(path, &text, NULL, NULL))
         return FALSE;
@@ -49,8 +45,7 @@
     return TRUE;
 }
 
-static gboolean path_take(GArray *lines, const char *path, const char *wanted)
-{
+static gboolean path_take(GArray *lines, const char *path, const char *wanted) {
     GDir *folder = g_dir_open(path, 0, NULL);
     if (folder == NULL)
         return file_take(lines, path, wanted);
@@ -64,8 +59,7 @@
     return TRUE;
 }
 
-int ctl_trace(const ctl_options_t *options)
-{
+int ctl_trace(const ctl_options_t *options) {
     const char *wanted = options->words[0];
     if (wanted == NULL || options->path == NULL) {
         ctl_print_error("say 'trace ID -f PATH', with log files or a folder of them");
