--- a/src/ctl/declarations.c
+++ b/src/ctl/declarations.c
@@ -14,29 +14,25 @@
 } reading_t;
 
 static void line_remember(const reading_t *reading, const char *key, const char *member,
-                          const yaml_node_t *node)
-{
+                          const yaml_node_t *node) {
     char *index = *member != '\0' ? g_strconcat(key, ".", member, NULL) : g_strdup(key);
     g_hash_table_replace(reading->declarations->lines, index,
                          g_strdup_printf("%s:%zu", reading->file, node->start_mark.line + 1));
 }
 
 static apr_status_t reading_fail(const reading_t *reading, const yaml_node_t *node,
-                                 const char *message)
-{
+                                 const char *message) {
     return wb_error_set(reading->error, APR_EINVAL, "%s:%zu: %s", reading->file,
                         node != NULL ? node->start_mark.line + 1 : 1, message);
 }
 
-static const char *scalar_text(const yaml_node_t *node)
-{
+static const char *scalar_text(const yaml_node_t *node) {
     return node != NULL && node->type == YAML_SCALAR_NODE ? (const char *)node->data.scalar.value
                                                           : NULL;
 }
 
 /* Plain scalars may be numbers or truth values; quoted ones are texts. */
-static json_t *scalar_convert(const yaml_node_t *node)
-{
+static json_t *scalar_convert(const yaml_node_t *node) {
     const char *text = (const char *)node->data.scalar.value;
     if (node->data.scalar.style != YAML_PLAIN_SCALAR_STYLE)
         return json_string(text);
@@ -50,8 +46,7 @@
 }
 
 static const yaml_node_t *member_find(yaml_document_t *document, const yaml_node_t *mapping,
-                                      const char *name)
-{
+                                      const char *name) {
     for (yaml_node_pair_t *pair = mapping->data.mapping.pairs.start;
          pair < mapping->data.mapping.pairs.top; pair++) {
         const char *key = scalar_text(yaml_document_get_node(document, pair->key));
@@ -62,8 +57,7 @@
 }
 
 static apr_status_t members_read(const reading_t *reading, yaml_document_t *document,
-                                 const yaml_node_t *root, const char *key, json_t *object)
-{
+                                 const yaml_node_t *root, const char *key, json_t *object) {
     for (yaml_node_pair_t *pair = root->data.mapping.pairs.start;
          pair < root->data.mapping.pairs.top; pair++) {
         const yaml_node_t *name_node = yaml_document_get_node(document, pair->key);
@@ -81,8 +75,7 @@
     return APR_SUCCESS;
 }
 
-static apr_status_t document_read(const reading_t *reading, yaml_document_t *document)
-{
+static apr_status_t document_read(const reading_t *reading, yaml_document_t *document) {
     const yaml_node_t *root = yaml_document_get_root_node(document);
     if (root->type != YAML_MAPPING_NODE)
         return reading_fail(reading, root, "a declaration must be a mapping with kind and name");
@@ -101,8 +94,8 @@
     return members_read(reading, document, root, key, object);
 }
 
-static apr_status_t file_read(const char *path, ctl_declarations_t *declarations, wb_error_t *error)
-{
+static apr_status_t file_read(const char *path, ctl_declarations_t *declarations,
+                              wb_error_t *error) {
     reading_t reading = {path, declarations, error};
     FILE *file = fopen(path, "rb");
     if (file == NULL)
@@ -128,14 +121,12 @@
     return status;
 }
 
-static gint text_compare(gconstpointer left, gconstpointer right)
-{
+static gint text_compare(gconstpointer left, gconstpointer right) {
     return strcmp(*(const char *const *)left, *(const char *const *)right);
 }
 
 static apr_status_t folder_read(const char *path, ctl_declarations_t *declarations,
-                                wb_error_t *error)
-{
+                                wb_error_t *error) {
     GDir *folder = g_dir_open(path, 0, NULL);
     if (folder == NULL)
         return wb_error_set(error, APR_EINVAL, "%s: it can't be opened", path);
@@ -155,8 +146,7 @@
 }
 
 apr_status_t ctl_declarations_read(const char *path, ctl_declarations_t *declarations,
-                                   wb_error_t *error)
-{
+                                   wb_error_t *error) {
     declarations->objects = json_object();
     declarations->lines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     if (g_file_test(path, G_FILE_TEST_IS_DIR))
@@ -164,15 +154,13 @@
     return file_read(path, declarations, error);
 }
 
-void ctl_declarations_clear(ctl_declarations_t *declarations)
-{
+void ctl_declarations_clear(ctl_declarations_t *declarations) {
     json_decref(declarations->objects);
     g_hash_table_unref(declarations->lines);
 }
 
 const char *ctl_declarations_place(const ctl_declarations_t *declarations,
-                                   const wb_config_fault_t *fault)
-{
+                                   const wb_config_fault_t *fault) {
     g_autofree char *index = g_strconcat(fault->key, ".", fault->member, NULL);
     const char *place = g_hash_table_lookup(declarations->lines, index);
     if (place == NULL)
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -54,8 +54,7 @@
     const command_t *command;
 } command_line_t;
 
-static error_t flag_parse(int key, char *value, struct argp_state *state)
-{
+static error_t flag_parse(int key, char *value, struct argp_state *state) {
     command_line_t *line = state->input;
     ctl_options_t *options = &line->options;
     switch (key) {
@@ -103,16 +102,14 @@
     return 0;
 }
 
-static const command_t *command_find(const char *name)
-{
+static const command_t *command_find(const char *name) {
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
         if (strcmp(commands[i].name, name) == 0)
             return &commands[i];
     return NULL;
 }
 
-static char *commands_help(void)
-{
+static char *commands_help(void) {
     GString *text = g_string_new("Operate a wickbridge cluster.\vCommands:\n");
     for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
         g_string_append_printf(text, "  %-8s %-24s %s\n", commands[i].name, commands[i].words,
@@ -123,8 +120,7 @@
 }
 
 /* The command may be the first word; its own help follows "COMMAND --help". */
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     apr_initialize();
     curl_global_init(CURL_GLOBAL_ALL);
     command_line_t line = {0};
--- a/src/ctl/request.c
+++ b/src/ctl/request.c
@@ -11,14 +11,12 @@
 #define CONNECT_TIMEOUT_MS 2000L
 #define ANSWER_TIMEOUT_MS 30000L
 
-static size_t body_collect(char *data, size_t size, size_t count, void *context)
-{
+static size_t body_collect(char *data, size_t size, size_t count, void *context) {
     g_string_append_len(context, data, (gssize)(size * count));
     return size * count;
 }
 
-static void tls_set(CURL *curl, const ctl_options_t *options)
-{
+static void tls_set(CURL *curl, const ctl_options_t *options) {
     /* Nodes are known by IP numbers that come and go; what counts is who signed. */
     curl_easy_setopt(curl, CURLOPT_SSL_VERIFYHOST, 0L);
     if (options->ca_file != NULL)
@@ -31,8 +29,7 @@
 
 apr_status_t ctl_request_node(const ctl_options_t *options, const char *node, const char *method,
                               const char *path, const json_t *body, ctl_answer_t *answer,
-                              wb_error_t *error)
-{
+                              wb_error_t *error) {
     g_autoptr(GString) collected = g_string_new(NULL);
     g_autofree char *url =
         g_strdup_printf("%s://%s%s", options->ca_file != NULL ? "https" : "http", node, path);
@@ -62,8 +59,7 @@
 }
 
 apr_status_t ctl_request(const ctl_options_t *options, const char *method, const char *path,
-                         const json_t *body, ctl_answer_t *answer, wb_error_t *error)
-{
+                         const json_t *body, ctl_answer_t *answer, wb_error_t *error) {
     apr_status_t status = wb_error_set(error, APR_EINVAL, "no node is given");
     for (char **node = options->nodes; *node != NULL; node++) {
         status = ctl_request_node(options, *node, method, path, body, answer, error);
@@ -74,21 +70,18 @@
     return status;
 }
 
-void ctl_answer_clear(ctl_answer_t *answer)
-{
+void ctl_answer_clear(ctl_answer_t *answer) {
     json_decref(answer->body);
     answer->body = NULL;
 }
 
-void ctl_print_json(const json_t *value)
-{
+void ctl_print_json(const json_t *value) {
     char *text = json_dumps(value, JSON_INDENT(2) | JSON_SORT_KEYS | JSON_ENCODE_ANY);
     printf("%s\n", text != NULL ? text : "null");
     free(text);
 }
 
-int ctl_print_error(const char *message)
-{
+int ctl_print_error(const char *message) {
     fprintf(stderr, "wickctl: %s\n", message);
     return CTL_FAILED;
 }
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -33,8 +33,7 @@
     gboolean whole;
 };
 
-static void upstream_drop(wb_upstream_t *upstream)
-{
+static void upstream_drop(wb_upstream_t *upstream) {
     if (!upstream->dropped) {
         upstream->dropped = TRUE;
         if (upstream->stream != NULL)
@@ -48,31 +47,27 @@
     g_free(upstream);
 }
 
-static void attempt_free(wb_attempt_t *attempt)
-{
+static void attempt_free(wb_attempt_t *attempt) {
     if (attempt->output != NULL)
         g_string_free(attempt->output, TRUE);
     g_free(attempt);
 }
 
 /* Takes the attempt off its exchange. */
-static wb_exchange_t *attempt_detach(wb_attempt_t *attempt)
-{
+static wb_exchange_t *attempt_detach(wb_attempt_t *attempt) {
     wb_exchange_t *exchange = attempt->exchange;
     exchange->attempt = NULL;
     attempt->upstream->attempt = NULL;
     return exchange;
 }
 
-void wb_attempt_cancel(wb_attempt_t *attempt)
-{
+void wb_attempt_cancel(wb_attempt_t *attempt) {
     attempt_detach(attempt);
     upstream_drop(attempt->upstream);
     attempt_free(attempt);
 }
 
-static void attempt_fail(wb_attempt_t *attempt, const char *reason)
-{
+static void attempt_fail(wb_attempt_t *attempt, const char *reason) {
     gboolean sent = attempt->sent;
     wb_exchange_t *exchange = attempt_detach(attempt);
     upstream_drop(attempt->upstream);
@@ -81,8 +76,7 @@
 }
 
 /* Puts the connection into its engine's queue, or closes it. */
-static void upstream_rest(wb_upstream_t *upstream, const wb_attempt_t *attempt)
-{
+static void upstream_rest(wb_upstream_t *upstream, const wb_attempt_t *attempt) {
     gboolean keep = !attempt->tainted && attempt->keep_alive &&
                     wb_tcp_stream_unsent(upstream->stream) == 0 && !upstream->engine->gone &&
                     upstream->engine->leaving_ms == 0 &&
@@ -99,8 +93,7 @@
     g_queue_push_head(&upstream->engine->idle, upstream);
 }
 
-static void attempt_finish(wb_attempt_t *attempt)
-{
+static void attempt_finish(wb_attempt_t *attempt) {
     wb_upstream_t *upstream = attempt->upstream;
     wb_exchange_t *exchange = attempt_detach(attempt);
     upstream_rest(upstream, attempt);
@@ -108,8 +101,7 @@
     wb_exchange_attempt_done(exchange);
 }
 
-static int64_t keep_alive_ms(const wb_http_head_t *head)
-{
+static int64_t keep_alive_ms(const wb_http_head_t *head) {
     const char *text = wb_http_head_get(head, "Keep-Alive");
     const char *timeout = text != NULL ? strstr(text, "timeout=") : NULL;
     return timeout != NULL ? g_ascii_strtoll(timeout + strlen("timeout="), NULL, 10) * 1000 : 0;
@@ -117,8 +109,7 @@
 
 /* An answer is this request's when it bears its id. Answers without one count on fresh connections
  * only. */
-static gboolean answer_is_ours(const wb_attempt_t *attempt, const wb_http_head_t *head)
-{
+static gboolean answer_is_ours(const wb_attempt_t *attempt, const wb_http_head_t *head) {
     const wb_exchange_t *exchange = attempt->exchange;
     const char *id = wb_http_head_get(head, exchange->edge->dialect->request_id);
     if (id == NULL)
@@ -127,8 +118,7 @@
 }
 
 static void engine_load_read(wb_engine_t *engine, const wb_dialect_t *dialect,
-                             const wb_http_head_t *head)
-{
+                             const wb_http_head_t *head) {
     const char *text = wb_http_head_get(head, dialect->engine_load);
     unsigned running;
     unsigned waiting;
@@ -139,8 +129,7 @@
     engine->reported_ms = wb_clock_ms();
 }
 
-static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
-{
+static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
     (void)reader;
     wb_upstream_t *upstream = context;
     wb_attempt_t *attempt = upstream->attempt;
@@ -162,16 +151,14 @@
     wb_exchange_attempt_head(attempt->exchange, head);
 }
 
-static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
-{
+static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
     (void)reader;
     wb_upstream_t *upstream = context;
     if (upstream->attempt != NULL && !upstream->attempt->skipping)
         wb_exchange_attempt_body(upstream->attempt->exchange, data, length);
 }
 
-static void reader_complete(wb_http_reader_t *reader, void *context)
-{
+static void reader_complete(wb_http_reader_t *reader, void *context) {
     wb_upstream_t *upstream = context;
     wb_attempt_t *attempt = upstream->attempt;
     if (attempt == NULL)
@@ -186,8 +173,7 @@
 
 /* Reads an answer's bytes. Calls into the exchange may end the attempt, so it's looked up each
  * time. */
-static void upstream_feed(wb_upstream_t *upstream, const char *data, size_t length)
-{
+static void upstream_feed(wb_upstream_t *upstream, const char *data, size_t length) {
     upstream->feeding = TRUE;
     while (length > 0 && !upstream->dropped && upstream->attempt != NULL &&
            !upstream->attempt->whole) {
@@ -213,14 +199,12 @@
         attempt_fail(attempt, "not-an-answer");
 }
 
-static void idle_drop(wb_upstream_t *upstream)
-{
+static void idle_drop(wb_upstream_t *upstream) {
     g_queue_remove(&upstream->engine->idle, upstream);
     upstream_drop(upstream);
 }
 
-static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context)
-{
+static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     (void)stream;
     wb_upstream_t *upstream = context;
     upstream->engine->unheard_since_ms = 0;
@@ -230,8 +214,7 @@
         upstream_feed(upstream, data, length);
 }
 
-static const char *end_name(wb_tcp_end_t how)
-{
+static const char *end_name(wb_tcp_end_t how) {
     switch (how) {
     case WB_TCP_END_UNREACHED:
         return "unreached";
@@ -242,8 +225,7 @@
     }
 }
 
-static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context)
-{
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context) {
     (void)stream;
     wb_upstream_t *upstream = context;
     if (upstream->attempt == NULL) {
@@ -269,8 +251,7 @@
         attempt_fail(attempt, end_name(how));
 }
 
-static void request_write(wb_attempt_t *attempt)
-{
+static void request_write(wb_attempt_t *attempt) {
     attempt->sent = TRUE;
     if (attempt->upstream->engine->unheard_since_ms == 0)
         attempt->upstream->engine->unheard_since_ms = wb_clock_ms();
@@ -279,8 +260,7 @@
     attempt->output = NULL;
 }
 
-static void stream_open(wb_tcp_stream_t *stream, void *context)
-{
+static void stream_open(wb_tcp_stream_t *stream, void *context) {
     (void)stream;
     wb_upstream_t *upstream = context;
     if (upstream->attempt != NULL)
@@ -290,8 +270,7 @@
 static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
 
 /* Headers that this node sets itself. */
-static gboolean header_is_ours(const wb_exchange_t *exchange, const char *name)
-{
+static gboolean header_is_ours(const wb_exchange_t *exchange, const char *name) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
     if (g_ascii_strcasecmp(name, "Content-Length") == 0 ||
         g_ascii_strcasecmp(name, "Expect") == 0 ||
@@ -303,8 +282,7 @@
 }
 
 static GString *request_text(const wb_exchange_t *exchange, const wb_engine_t *engine,
-                             int64_t now_ms)
-{
+                             int64_t now_ms) {
     const wb_http_head_t *head = exchange->head;
     const wb_dialect_t *dialect = exchange->edge->dialect;
     GString *text = g_string_sized_new(exchange->body->len + 1024);
@@ -330,8 +308,7 @@
 }
 
 /* Returns a resting connection that the engine surely still keeps, or NULL. */
-static wb_upstream_t *idle_take(wb_engine_t *engine, int64_t now_ms)
-{
+static wb_upstream_t *idle_take(wb_engine_t *engine, int64_t now_ms) {
     wb_upstream_t *upstream;
     while ((upstream = g_queue_pop_head(&engine->idle)) != NULL) {
         if (now_ms < upstream->usable_until_ms && wb_tcp_stream_is_open(upstream->stream))
@@ -341,8 +318,7 @@
     return NULL;
 }
 
-static wb_upstream_t *upstream_connect(wb_edge_t *edge, wb_engine_t *engine)
-{
+static wb_upstream_t *upstream_connect(wb_edge_t *edge, wb_engine_t *engine) {
     wb_upstream_t *upstream = g_new0(wb_upstream_t, 1);
     upstream->edge = edge;
     upstream->engine = wb_engine_ref(engine);
@@ -358,8 +334,7 @@
     return NULL;
 }
 
-wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine)
-{
+wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     wb_upstream_t *upstream = idle_take(engine, now_ms);
@@ -383,14 +358,12 @@
     return attempt;
 }
 
-void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading)
-{
+void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading) {
     wb_tcp_stream_set_reading(attempt->upstream->stream, reading);
 }
 
 /* Drops the connections of an engine that have rested too long, or all of them. */
-static void idle_sweep(wb_engine_t *engine, gboolean all, int64_t now_ms)
-{
+static void idle_sweep(wb_engine_t *engine, gboolean all, int64_t now_ms) {
     GList *item = engine->idle.head;
     while (item != NULL) {
         wb_upstream_t *upstream = item->data;
@@ -403,13 +376,11 @@
     }
 }
 
-void wb_upstreams_drop(wb_engine_t *engine)
-{
+void wb_upstreams_drop(wb_engine_t *engine) {
     idle_sweep(engine, TRUE, 0);
 }
 
-void wb_upstreams_sweep(wb_edge_t *edge, int64_t now_ms)
-{
+void wb_upstreams_sweep(wb_edge_t *edge, int64_t now_ms) {
     GHashTableIter iter;
     gpointer service;
     g_hash_table_iter_init(&iter, edge->catalog != NULL ? edge->catalog->services : edge->budgets);
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -22,20 +22,17 @@
 #define FULLNESS_FULL_MS 4000.0
 
 /* A key for a part of a prompt: what was read before it counts too, and the model that read it. */
-static uint64_t part_hash(uint64_t before, const char *id)
-{
+static uint64_t part_hash(uint64_t before, const char *id) {
     return XXH64(id, strlen(id), before);
 }
 
-static uint64_t prompt_seed(const wb_exchange_t *exchange)
-{
+static uint64_t prompt_seed(const wb_exchange_t *exchange) {
     uint64_t seed = XXH64(exchange->model, strlen(exchange->model), 0);
     return XXH64(exchange->adapter, strlen(exchange->adapter), seed);
 }
 
 /* Hash of all but the last part: what requests of a kind have in common. */
-static uint64_t shared_hash(const wb_exchange_t *exchange)
-{
+static uint64_t shared_hash(const wb_exchange_t *exchange) {
     uint64_t hash = prompt_seed(exchange);
     for (guint i = 0; i + 1 < exchange->parts->len; i++)
         hash = part_hash(hash, g_array_index(exchange->parts, wb_prompt_part_t, i).id);
@@ -43,8 +40,7 @@
 }
 
 int64_t wb_balancer_unread_tokens(const wb_engine_t *engine, const wb_exchange_t *exchange,
-                                  int64_t now_ms)
-{
+                                  int64_t now_ms) {
     if (exchange->model == NULL)
         return 0;
     int64_t unread = exchange->prompt_tokens;
@@ -60,8 +56,7 @@
     return MAX(unread, 0);
 }
 
-void wb_balancer_note_read(wb_engine_t *engine, const wb_exchange_t *exchange, int64_t now_ms)
-{
+void wb_balancer_note_read(wb_engine_t *engine, const wb_exchange_t *exchange, int64_t now_ms) {
     if (exchange->model == NULL)
         return;
     if (g_hash_table_size(engine->prefixes) > PREFIXES_LIMIT)
@@ -79,8 +74,7 @@
 }
 
 /* Running and waiting requests there: this node's own count, or what its last answer told, aged. */
-static double engine_load(const wb_engine_t *engine, int64_t now_ms)
-{
+static double engine_load(const wb_engine_t *engine, int64_t now_ms) {
     double own = engine->running;
     if (engine->reported_ms == 0)
         return own;
@@ -92,8 +86,7 @@
 
 /* Times until an engine has read what it must read first, and this prompt. */
 static double prefill_ms(const wb_edge_t *edge, const wb_engine_t *engine,
-                         const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms)
-{
+                         const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms) {
     int64_t unread = wb_balancer_unread_tokens(engine, exchange, now_ms);
     guint parts = exchange->parts->len;
     if (is_home && parts > 1) {
@@ -106,8 +99,7 @@
 
 /* Requests were sent and no byte of any has come back, for longer than reading their prompts takes.
  */
-static gboolean is_quiet(const wb_edge_t *edge, const wb_engine_t *engine, int64_t now_ms)
-{
+static gboolean is_quiet(const wb_edge_t *edge, const wb_engine_t *engine, int64_t now_ms) {
     if (engine->unheard_since_ms == 0)
         return FALSE;
     double allowed_ms =
@@ -116,8 +108,7 @@
 }
 
 static double engine_cost(const wb_edge_t *edge, const wb_engine_t *engine,
-                          const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms)
-{
+                          const wb_exchange_t *exchange, gboolean is_home, int64_t now_ms) {
     double slots = MAX(engine->state->slots, 1);
     double fullness = engine_load(engine, now_ms) / slots;
     double cost = FULLNESS_MS * fullness;
@@ -139,8 +130,7 @@
     return cost;
 }
 
-static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine)
-{
+static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine) {
     for (guint i = 0; i < exchange->tried->len; i++)
         if (strcmp(g_ptr_array_index(exchange->tried, i), engine->state->id) == 0)
             return TRUE;
@@ -148,8 +138,7 @@
 }
 
 static gboolean is_usable(const wb_edge_t *edge, const wb_engine_t *engine,
-                          const wb_exchange_t *exchange, int64_t now_ms)
-{
+                          const wb_exchange_t *exchange, int64_t now_ms) {
     if (was_tried(exchange, engine))
         return FALSE;
     if (engine->leaving_ms != 0) {
@@ -162,8 +151,7 @@
 }
 
 /* The engine that rendezvous hashing gives a shared prompt: every node finds the same one. */
-static const wb_engine_t *home_find(const wb_exchange_t *exchange, const GPtrArray *usable)
-{
+static const wb_engine_t *home_find(const wb_exchange_t *exchange, const GPtrArray *usable) {
     if (exchange->model == NULL)
         return NULL;
     uint64_t shared = shared_hash(exchange);
@@ -181,8 +169,7 @@
 }
 
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
-                                int64_t now_ms)
-{
+                                int64_t now_ms) {
     const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
     if (engines == NULL)
         return NULL;
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -18,8 +18,7 @@
     GHashTable *entries; /* SERVICE/MODEL/ADAPTER -> wb_demand_entry_t */
 };
 
-static void entry_free(gpointer data)
-{
+static void entry_free(gpointer data) {
     wb_demand_entry_t *entry = data;
     g_free(entry->service);
     g_free(entry->model);
@@ -27,16 +26,14 @@
     g_free(entry);
 }
 
-wb_demand_t *wb_demand_create(void)
-{
+wb_demand_t *wb_demand_create(void) {
     wb_demand_t *demand = g_new0(wb_demand_t, 1);
     demand->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_free);
     return demand;
 }
 
 /* Returns the entry of a request's model, or NULL when it names none. */
-static wb_demand_entry_t *entry_of(wb_demand_t *demand, const wb_exchange_t *exchange)
-{
+static wb_demand_entry_t *entry_of(wb_demand_t *demand, const wb_exchange_t *exchange) {
     if (exchange->model == NULL)
         return NULL;
     g_autofree char *key =
@@ -53,8 +50,7 @@
     return entry;
 }
 
-void wb_demand_arrived(wb_demand_t *demand, const wb_exchange_t *exchange)
-{
+void wb_demand_arrived(wb_demand_t *demand, const wb_exchange_t *exchange) {
     wb_demand_entry_t *entry = entry_of(demand, exchange);
     if (entry == NULL)
         return;
@@ -62,8 +58,7 @@
     entry->work += (uint64_t)exchange->prompt_tokens;
 }
 
-void wb_demand_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting)
-{
+void wb_demand_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting) {
     wb_demand_entry_t *entry = entry_of(demand, exchange);
     if (entry == NULL)
         return;
@@ -79,23 +74,20 @@
     entry->tightest_ms = MIN(entry->tightest_ms, late_ms);
 }
 
-void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running)
-{
+void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running) {
     wb_demand_entry_t *entry = entry_of(demand, exchange);
     if (entry != NULL)
         entry->running += running ? 1 : -1;
 }
 
-static gboolean entry_is_empty(gpointer key, gpointer value, gpointer context)
-{
+static gboolean entry_is_empty(gpointer key, gpointer value, gpointer context) {
     (void)key;
     (void)context;
     const wb_demand_entry_t *entry = value;
     return entry->waiting == 0 && entry->running == 0 && entry->arrivals == 0;
 }
 
-void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message)
-{
+void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message) {
     memset(message, 0, sizeof(*message));
     g_hash_table_foreach_remove(demand->entries, entry_is_empty, NULL);
     guint count = g_hash_table_size(demand->entries);
--- a/src/edge/document_metrics.c
+++ b/src/edge/document_metrics.c
@@ -4,14 +4,12 @@
 #include <stdio.h>
 #include <string.h>
 
-static void line_document(const char *help, const char *type)
-{
+static void line_document(const char *help, const char *type) {
     g_auto(GStrv) words = g_strsplit(help + strlen("# HELP "), " ", 2);
     printf("| `%s` | %s | %s |\n", words[0], strrchr(type, ' ') + 1, words[1]);
 }
 
-int main(void)
-{
+int main(void) {
     wb_edge_metrics_t metrics = {0};
     wb_edge_gauges_t gauges = {0};
     g_autoptr(GString) text = g_string_new(NULL);
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -6,8 +6,7 @@
 static const unsigned bucket_bounds_ms[WB_LATENCY_BUCKETS] = {5,   10,   25,   50,   100,   250,
                                                               500, 1000, 2500, 5000, 10000, 30000};
 
-void wb_histogram_add(wb_histogram_t *histogram, int64_t value_ms)
-{
+void wb_histogram_add(wb_histogram_t *histogram, int64_t value_ms) {
     size_t bucket = 0;
     while (bucket < WB_LATENCY_BUCKETS && value_ms > bucket_bounds_ms[bucket])
         bucket++;
@@ -17,16 +16,14 @@
 }
 
 static void figure_write(GString *text, const char *name, const char *type, const char *help,
-                         uint64_t value)
-{
+                         uint64_t value) {
     g_string_append_printf(text, "# HELP wickbridge_%s %s\n# TYPE wickbridge_%s %s\n", name, help,
                            name, type);
     g_string_append_printf(text, "wickbridge_%s %llu\n", name, (unsigned long long)value);
 }
 
 static void histogram_write(GString *text, const char *name, const char *help,
-                            const wb_histogram_t *histogram)
-{
+                            const wb_histogram_t *histogram) {
     g_string_append_printf(text, "# HELP wickbridge_%s %s\n# TYPE wickbridge_%s histogram\n", name,
                            help, name);
     uint64_t sum = 0;
@@ -42,8 +39,7 @@
                            (unsigned long long)histogram->count);
 }
 
-static void counters_write(const wb_edge_metrics_t *metrics, GString *text)
-{
+static void counters_write(const wb_edge_metrics_t *metrics, GString *text) {
     const struct {
         const char *name;
         const char *help;
@@ -76,8 +72,7 @@
         figure_write(text, rows[i].name, "counter", rows[i].help, rows[i].value);
 }
 
-static void gauges_write(const wb_edge_gauges_t *gauges, GString *text)
-{
+static void gauges_write(const wb_edge_gauges_t *gauges, GString *text) {
     const struct {
         const char *name;
         const char *help;
@@ -103,8 +98,7 @@
 }
 
 void wb_edge_metrics_write(const wb_edge_metrics_t *metrics, const wb_edge_gauges_t *gauges,
-                           GString *text)
-{
+                           GString *text) {
     counters_write(metrics, text);
     g_string_append(text, "# HELP wickbridge_request_endings_total Requests by how they ended.\n"
                           "# TYPE wickbridge_request_endings_total counter\n");
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -23,36 +23,31 @@
 /* Listeners. */
 
 static void caller_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
-                           void *context)
-{
+                           void *context) {
     wb_exchange_begin(&((wb_edge_node_t *)context)->edge, connection, head, body);
 }
 
-static void caller_gone(wb_http_connection_t *connection, void *request, void *context)
-{
+static void caller_gone(wb_http_connection_t *connection, void *request, void *context) {
     (void)connection;
     (void)context;
     if (request != NULL)
         wb_exchange_gone(request);
 }
 
-static void caller_drained(wb_http_connection_t *connection, void *request, void *context)
-{
+static void caller_drained(wb_http_connection_t *connection, void *request, void *context) {
     (void)connection;
     (void)context;
     if (request != NULL)
         wb_exchange_drained(request);
 }
 
-gboolean wb_edge_node_is_ready(const wb_edge_node_t *node)
-{
+gboolean wb_edge_node_is_ready(const wb_edge_node_t *node) {
     return node->edge.drain_began_ms == 0 && node->edge.catalog != NULL && node->node_row_written &&
            wb_table_watch_is_synced(node->engines_watch);
 }
 
 static void ready_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
-                          void *context)
-{
+                          void *context) {
     const wb_edge_node_t *node = context;
     unsigned status = 404;
     if (g_str_has_prefix(head->target, "/ready"))
@@ -62,8 +57,7 @@
     wb_http_connection_answer(connection, status, wb_http_reason(status), "", NULL, 0);
 }
 
-static apr_status_t listeners_open(wb_edge_node_t *node, wb_error_t *error)
-{
+static apr_status_t listeners_open(wb_edge_node_t *node, wb_error_t *error) {
     wb_edge_t *edge = &node->edge;
     wb_http_limits_t limits = {READY_HEAD_BYTES, READY_BODY_BYTES, READY_TIMEOUT_MS, READY_IDLE_MS};
     wb_http_handler_t callers = {caller_request, caller_gone, caller_drained, node};
@@ -91,8 +85,7 @@
 
 /* A planned stop is over when nothing runs and the entry has had time to see it, or when the grace
  * is. */
-static void drain_tick(wb_edge_node_t *node, int64_t now_ms)
-{
+static void drain_tick(wb_edge_node_t *node, int64_t now_ms) {
     int64_t passed_ms = now_ms - node->edge.drain_began_ms;
     int64_t grace_ms = (int64_t)(node->edge.settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
     if (passed_ms >= grace_ms - STOP_WAITS_MS)
@@ -119,8 +112,7 @@
     wb_loop_quit(node->edge.loop);
 }
 
-static void node_tick(void *context)
-{
+static void node_tick(void *context) {
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
     wb_edge_node_tick_rows(node, now_ms);
@@ -144,24 +136,21 @@
         drain_tick(node, now_ms);
 }
 
-static void node_sweep(void *context)
-{
+static void node_sweep(void *context) {
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
     wb_upstreams_sweep(&node->edge, now_ms);
     wb_fleet_sweep(node->edge.fleet, now_ms);
 }
 
-static void log_flush(void *context)
-{
+static void log_flush(void *context) {
     (void)context;
     wb_event_log_flush();
 }
 
 apr_status_t wb_edge_node_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                  const wb_table_t *table, const wb_dialect_t *dialect,
-                                 wb_edge_node_t **node, wb_error_t *error)
-{
+                                 wb_edge_node_t **node, wb_error_t *error) {
     wb_edge_node_t *created = g_new0(wb_edge_node_t, 1);
     wb_edge_t *edge = &created->edge;
     edge->loop = loop;
@@ -195,8 +184,7 @@
     return APR_SUCCESS;
 }
 
-void wb_edge_node_drain(wb_edge_node_t *node)
-{
+void wb_edge_node_drain(wb_edge_node_t *node) {
     if (node->edge.drain_began_ms != 0)
         return;
     node->edge.drain_began_ms = wb_clock_ms();
@@ -205,13 +193,11 @@
              node->edge.settings.stop_grace_s);
 }
 
-static unsigned text_differs(const char *old_text, const char *new_text)
-{
+static unsigned text_differs(const char *old_text, const char *new_text) {
     return strcmp(old_text, new_text) != 0;
 }
 
-unsigned wb_edge_node_reload(wb_edge_node_t *node, const wb_edge_settings_t *settings)
-{
+unsigned wb_edge_node_reload(wb_edge_node_t *node, const wb_edge_settings_t *settings) {
     wb_edge_settings_t *own = &node->edge.settings;
     own->stop_grace_s = settings->stop_grace_s;
     own->drain_ms = settings->drain_ms;
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -10,8 +10,7 @@
 
 #define BYTES_PER_MB 1000000.0
 
-static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body)
-{
+static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body) {
     char *text = wb_json_dump(body);
     wb_http_connection_answer(connection, status, wb_http_reason(status),
                               "Content-Type: application/json\r\n", text, strlen(text));
@@ -19,13 +18,12 @@
     json_decref(body);
 }
 
-static void error_answer(wb_http_connection_t *connection, unsigned status, const char *message)
-{
+static void error_answer(wb_http_connection_t *connection, unsigned status, const char *message) {
     json_answer(connection, status, json_pack("{s:{s:s}}", "error", "message", message));
 }
 
-static void metrics_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
-{
+static void metrics_show(wb_edge_node_t *node, wb_http_connection_t *connection,
+                         const char *query) {
     (void)query;
     const wb_edge_t *edge = &node->edge;
     wb_edge_gauges_t gauges = {
@@ -46,8 +44,7 @@
                               text->str, text->len);
 }
 
-static json_t *lease_json(const wb_edge_node_t *node)
-{
+static json_t *lease_json(const wb_edge_node_t *node) {
     const wb_lease_row_t *known = wb_lease_known(node->lease);
     if (known == NULL)
         return json_null();
@@ -56,8 +53,7 @@
                      "here", node->held);
 }
 
-static void status_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
-{
+static void status_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
     (void)query;
     const wb_edge_t *edge = &node->edge;
     json_t *members = json_array();
@@ -78,8 +74,7 @@
                           (json_int_t)wb_table_watch_age_ms(node->engines_watch)));
 }
 
-static json_t *route_json(const wb_route_t *route)
-{
+static json_t *route_json(const wb_route_t *route) {
     static const char *const kinds[] = {"repeatable", "once", "stream"};
     json_t *parts = json_array();
     for (guint i = 0; i < route->parts->len; i++) {
@@ -95,8 +90,7 @@
                      "rank", route->rank, "parts", parts);
 }
 
-static void routes_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
-{
+static void routes_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
     (void)query;
     json_t *routes = json_array();
     GHashTableIter iter;
@@ -114,8 +108,7 @@
 }
 
 /* Engines that hold a model, as this node would use them. */
-static json_t *replicas_json(const wb_edge_t *edge, const char *service, const char *model)
-{
+static json_t *replicas_json(const wb_edge_t *edge, const char *service, const char *model) {
     json_t *replicas = json_array();
     const GPtrArray *engines = wb_fleet_service(edge->fleet, service);
     int64_t now_ms = wb_clock_ms();
@@ -133,8 +126,7 @@
     return replicas;
 }
 
-static void models_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
-{
+static void models_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
     (void)query;
     json_t *models = json_array();
     GHashTableIter services;
@@ -161,8 +153,7 @@
     json_answer(connection, 200, json_pack("{s:o}", "models", models));
 }
 
-static const wb_service_t *service_of_model(const wb_edge_t *edge, const char *model)
-{
+static const wb_service_t *service_of_model(const wb_edge_t *edge, const char *model) {
     GHashTableIter iter;
     gpointer service;
     if (edge->catalog == NULL)
@@ -174,8 +165,7 @@
     return NULL;
 }
 
-static void waiting_count(const wb_edge_t *edge, const char *model, int *waiting, int *running)
-{
+static void waiting_count(const wb_edge_t *edge, const char *model, int *waiting, int *running) {
     GHashTableIter iter;
     gpointer key;
     g_hash_table_iter_init(&iter, edge->open);
@@ -189,8 +179,8 @@
 }
 
 /* What the controller believes and would do, told by the node that holds the lease only. */
-static json_t *decisions_json(wb_edge_node_t *node, const wb_service_t *service, const char *model)
-{
+static json_t *decisions_json(wb_edge_node_t *node, const wb_service_t *service,
+                              const char *model) {
     const wb_model_use_t *use = wb_controller_use(node->controller, service->name, model);
     const wb_model_spec_t *spec = g_hash_table_lookup(service->models, model);
     json_t *engines = json_array();
@@ -213,8 +203,8 @@
         (json_int_t)spec->store_load_ms, "engines", engines);
 }
 
-static void model_explain(wb_edge_node_t *node, wb_http_connection_t *connection, const char *model)
-{
+static void model_explain(wb_edge_node_t *node, wb_http_connection_t *connection,
+                          const char *model) {
     const wb_edge_t *edge = &node->edge;
     const wb_service_t *service = service_of_model(edge, model);
     if (service == NULL) {
@@ -237,8 +227,8 @@
     json_answer(connection, 200, body);
 }
 
-static void request_explain(wb_edge_node_t *node, wb_http_connection_t *connection, const char *id)
-{
+static void request_explain(wb_edge_node_t *node, wb_http_connection_t *connection,
+                            const char *id) {
     const wb_edge_t *edge = &node->edge;
     for (unsigned i = 1; i <= MIN(edge->ended_next, WB_ENDED_REQUESTS); i++) {
         const wb_ended_request_t *ended = &edge->ended[(edge->ended_next - i) % WB_ENDED_REQUESTS];
@@ -259,8 +249,7 @@
 }
 
 static void explanation_show(wb_edge_node_t *node, wb_http_connection_t *connection,
-                             const char *query)
-{
+                             const char *query) {
     g_auto(GStrv) words = g_strsplit(query, "=", 2);
     g_autofree char *name =
         words[0] != NULL && words[1] != NULL ? g_uri_unescape_string(words[1], NULL) : NULL;
@@ -272,8 +261,7 @@
         error_answer(connection, 400, "say ?model=NAME or ?request=ID");
 }
 
-static void drain_begin(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query)
-{
+static void drain_begin(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
     (void)query;
     wb_edge_node_drain(node);
     json_answer(connection, 200, json_pack("{s:b}", "draining", 1));
@@ -295,8 +283,7 @@
 };
 
 void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
-                               GByteArray *body, void *context)
-{
+                               GByteArray *body, void *context) {
     wb_edge_node_t *node = context;
     size_t length = strcspn(head->target, "?");
     const char *query = head->target[length] == '?' ? head->target + length + 1 : "";
--- a/src/edge/event_stream.c
+++ b/src/edge/event_stream.c
@@ -5,8 +5,7 @@
 
 #define ID_FIELD "id:"
 
-size_t wb_events_whole(const char *text, size_t length)
-{
+size_t wb_events_whole(const char *text, size_t length) {
     for (size_t i = length; i >= 2; i--) {
         if (text[i - 1] != '\n')
             continue;
@@ -18,16 +17,14 @@
     return 0;
 }
 
-static size_t line_length(const char *text, size_t length)
-{
+static size_t line_length(const char *text, size_t length) {
     size_t size = 0;
     while (size < length && text[size] != '\n' && text[size] != '\r')
         size++;
     return size;
 }
 
-char *wb_events_last_id(const char *text, size_t length)
-{
+char *wb_events_last_id(const char *text, size_t length) {
     size_t field = strlen(ID_FIELD);
     for (size_t i = length; i > 0; i--) {
         size_t at = i - 1;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -17,20 +17,17 @@
 /* An engine that was silent for so long is at fault, not its work. */
 #define SILENT_MS 1000
 
-static void part_clear(gpointer data)
-{
+static void part_clear(gpointer data) {
     g_free(((wb_prompt_part_t *)data)->id);
 }
 
-static void timer_clear(wb_timer_t **timer)
-{
+static void timer_clear(wb_timer_t **timer) {
     if (*timer != NULL)
         wb_timer_cancel(*timer);
     *timer = NULL;
 }
 
-static void reply_clear(wb_reply_t *reply)
-{
+static void reply_clear(wb_reply_t *reply) {
     g_free(reply->reason);
     if (reply->headers != NULL)
         g_string_free(reply->headers, TRUE);
@@ -38,16 +35,14 @@
 }
 
 /* The engine has read the prompt, or won't: it no longer counts as its backlog. */
-static void prefill_release(wb_exchange_t *exchange)
-{
+static void prefill_release(wb_exchange_t *exchange) {
     if (exchange->engine != NULL)
         exchange->engine->prefill_tokens -= exchange->prefill_counted;
     exchange->prefill_counted = 0;
 }
 
 /* The sending is over: it no longer counts at its engine. */
-static void sending_release(wb_exchange_t *exchange)
-{
+static void sending_release(wb_exchange_t *exchange) {
     timer_clear(&exchange->patience_timer);
     prefill_release(exchange);
     exchange->paused = FALSE;
@@ -60,15 +55,13 @@
     wb_demand_running(exchange->edge->demand, exchange, FALSE);
 }
 
-static void attempt_stop(wb_exchange_t *exchange)
-{
+static void attempt_stop(wb_exchange_t *exchange) {
     sending_release(exchange);
     if (exchange->attempt != NULL)
         wb_attempt_cancel(exchange->attempt);
 }
 
-static void exchange_free(wb_exchange_t *exchange)
-{
+static void exchange_free(wb_exchange_t *exchange) {
     wb_exchange_leave_waiting(exchange);
     attempt_stop(exchange);
     timer_clear(&exchange->hold_timer);
@@ -89,8 +82,7 @@
 
 /* Notes the end and frees the exchange. Returns its connection, to answer on. */
 static wb_http_connection_t *exchange_end(wb_exchange_t *exchange, wb_ending_t ending,
-                                          unsigned status)
-{
+                                          unsigned status) {
     wb_exchange_leave_waiting(exchange);
     wb_exchange_note_end(exchange, ending, status);
     wb_http_connection_t *connection = exchange->connection;
@@ -101,8 +93,7 @@
 
 /* Gives the final answer of this node's own. The promise "not run" is made only when that is known.
  */
-static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status)
-{
+static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
     if (exchange->answer_begun) {
         wb_http_connection_abort(exchange_end(exchange, ending, 0));
         return;
@@ -116,21 +107,18 @@
 }
 
 /* Gives up: 503 when the request surely has not run, else a status that promises nothing. */
-void wb_exchange_give_up(wb_exchange_t *exchange, wb_ending_t ending)
-{
+void wb_exchange_give_up(wb_exchange_t *exchange, wb_ending_t ending) {
     unsigned may_have_run = ending == WB_ENDING_TIMED_OUT ? 504 : 502;
     attempt_stop(exchange);
     exchange_refuse(exchange, ending, exchange->runs == 0 ? 503 : may_have_run);
 }
 
-static void engine_succeeded(wb_engine_t *engine)
-{
+static void engine_succeeded(wb_engine_t *engine) {
     engine->failures = 0;
     engine->avoid_until_ms = 0;
 }
 
-static void engine_failed(wb_engine_t *engine, const char *reason, const char *request_id)
-{
+static void engine_failed(wb_engine_t *engine, const char *reason, const char *request_id) {
     engine->failures++;
     int64_t avoid_ms = AVOID_MS << MIN(engine->failures - 1, 4);
     avoid_ms = MIN(avoid_ms, AVOID_LIMIT_MS);
@@ -143,23 +131,20 @@
 }
 
 /* The engine has sent nothing at all since it got this request, though it had time. */
-static gboolean engine_is_silent(const wb_exchange_t *exchange)
-{
+static gboolean engine_is_silent(const wb_exchange_t *exchange) {
     const wb_engine_t *engine = exchange->engine;
     return exchange->attempt != NULL && !exchange->first_event_seen &&
            engine->unheard_since_ms != 0 && engine->unheard_since_ms <= exchange->sent_ms &&
            wb_clock_ms() - exchange->sent_ms > SILENT_MS;
 }
 
-void wb_exchange_gone(wb_exchange_t *exchange)
-{
+void wb_exchange_gone(wb_exchange_t *exchange) {
     if (engine_is_silent(exchange))
         engine_failed(exchange->engine, "silent", exchange->id);
     exchange_end(exchange, WB_ENDING_CALLER_GONE, 0);
 }
 
-static void hold_expired(void *context)
-{
+static void hold_expired(void *context) {
     wb_exchange_t *exchange = context;
     exchange->hold_timer = NULL;
     int64_t now_ms = wb_clock_ms();
@@ -173,8 +158,7 @@
     wb_exchange_give_up(exchange, WB_ENDING_TIMED_OUT);
 }
 
-void wb_exchange_arm_hold(wb_exchange_t *exchange)
-{
+void wb_exchange_arm_hold(wb_exchange_t *exchange) {
     timer_clear(&exchange->hold_timer);
     int64_t due_ms = exchange->hold_until_ms;
     if (exchange->waiting_link != NULL)
@@ -183,8 +167,7 @@
         wb_loop_after(exchange->edge->loop, MAX(due_ms - wb_clock_ms(), 0), hold_expired, exchange);
 }
 
-static wb_retry_budget_t *budget_of(wb_edge_t *edge, const char *service)
-{
+static wb_retry_budget_t *budget_of(wb_edge_t *edge, const char *service) {
     wb_retry_budget_t *budget = g_hash_table_lookup(edge->budgets, service);
     if (budget == NULL) {
         budget = wb_retry_budget_create(edge->settings.retry_ratio,
@@ -195,13 +178,11 @@
 }
 
 /* This node's equal share of the slack that all nodes have together. */
-static double slack_share(const wb_edge_t *edge)
-{
+static double slack_share(const wb_edge_t *edge) {
     return edge->settings.retry_slack / MAX(edge->node_count, 1);
 }
 
-static gboolean resend_allowed(wb_exchange_t *exchange)
-{
+static gboolean resend_allowed(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (exchange->sends == 0)
         return TRUE;
@@ -214,8 +195,7 @@
     return TRUE;
 }
 
-static void patience_over(void *context)
-{
+static void patience_over(void *context) {
     wb_exchange_t *exchange = context;
     exchange->patience_timer = NULL;
     wb_edge_t *edge = exchange->edge;
@@ -229,8 +209,7 @@
 }
 
 /* A repeatable request that hears nothing is tried elsewhere. */
-static void patience_arm(wb_exchange_t *exchange)
-{
+static void patience_arm(wb_exchange_t *exchange) {
     timer_clear(&exchange->patience_timer);
     const wb_route_t *route = exchange->route;
     if (route->kind != WB_ROUTE_REPEATABLE || route->target_latency_ms == 0 ||
@@ -242,8 +221,7 @@
         wb_loop_after(exchange->edge->loop, patience_ms, patience_over, exchange);
 }
 
-static void exchange_send(wb_exchange_t *exchange, wb_engine_t *engine)
-{
+static void exchange_send(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     wb_exchange_leave_waiting(exchange);
@@ -269,8 +247,7 @@
     patience_arm(exchange);
 }
 
-void wb_exchange_dispatch(wb_exchange_t *exchange)
-{
+void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     if (now_ms >= exchange->hold_until_ms) {
         wb_exchange_give_up(exchange, WB_ENDING_TIMED_OUT);
@@ -294,8 +271,7 @@
 }
 
 /* Headers of the engine's answer that are passed on. */
-static GString *headers_passed(const wb_http_head_t *head)
-{
+static GString *headers_passed(const wb_http_head_t *head) {
     GString *text = g_string_sized_new(256);
     for (guint i = 0; i < head->headers->len; i++) {
         const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
@@ -307,8 +283,7 @@
     return text;
 }
 
-void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head)
-{
+void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
     wb_reply_t *reply = &exchange->reply;
     gboolean rejected = head->status == dialect->wrong_engine_status ||
@@ -325,8 +300,7 @@
 }
 
 /* Sends the answer's head, once for each request. */
-static void answer_begin(wb_exchange_t *exchange)
-{
+static void answer_begin(wb_exchange_t *exchange) {
     if (exchange->answer_begun)
         return;
     wb_reply_t *reply = &exchange->reply;
@@ -335,8 +309,7 @@
                                     reply->headers->str);
 }
 
-static void first_event_note(wb_exchange_t *exchange)
-{
+static void first_event_note(wb_exchange_t *exchange) {
     if (exchange->first_event_seen)
         return;
     int64_t now_ms = wb_clock_ms();
@@ -347,8 +320,7 @@
 }
 
 /* Passes the first `length` bytes of the gathered answer on. */
-static void answer_pass(wb_exchange_t *exchange, size_t length)
-{
+static void answer_pass(wb_exchange_t *exchange, size_t length) {
     if (length == 0)
         return;
     answer_begin(exchange);
@@ -361,8 +333,7 @@
     }
 }
 
-void wb_exchange_drained(wb_exchange_t *exchange)
-{
+void wb_exchange_drained(wb_exchange_t *exchange) {
     if (!exchange->paused)
         return;
     exchange->paused = FALSE;
@@ -370,8 +341,7 @@
         wb_attempt_set_reading(exchange->attempt, TRUE);
 }
 
-static void events_pass(wb_exchange_t *exchange)
-{
+static void events_pass(wb_exchange_t *exchange) {
     const char *text = (const char *)exchange->answer->data;
     size_t length = wb_events_whole(text, exchange->answer->len);
     if (length == 0)
@@ -386,8 +356,7 @@
     answer_pass(exchange, length);
 }
 
-void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length)
-{
+void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length) {
     const wb_reply_t *reply = &exchange->reply;
     if (reply->rejected)
         return;
@@ -399,8 +368,7 @@
 }
 
 /* Sends again after a run that failed or may have run, if that is allowed. Returns FALSE if not. */
-static gboolean run_again(wb_exchange_t *exchange)
-{
+static gboolean run_again(wb_exchange_t *exchange) {
     const wb_route_t *route = exchange->route;
     gboolean repeatable =
         route->kind == WB_ROUTE_REPEATABLE || (route->kind == WB_ROUTE_STREAM && route->resumable);
@@ -415,8 +383,7 @@
     return TRUE;
 }
 
-static void rejection_handle(wb_exchange_t *exchange)
-{
+static void rejection_handle(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     wb_engine_t *engine = exchange->engine;
     exchange->runs--;
@@ -434,8 +401,7 @@
 }
 
 /* Passes a whole answer of the engine on. */
-static void answer_whole(wb_exchange_t *exchange)
-{
+static void answer_whole(wb_exchange_t *exchange) {
     wb_reply_t *reply = &exchange->reply;
     wb_ending_t ending = reply->status / 100 == 2 ? WB_ENDING_SERVED : WB_ENDING_ENGINE_FAILED;
     if (exchange->answer_begun || reply->streamed) {
@@ -452,8 +418,7 @@
     wb_http_connection_answer(connection, status, reason, headers, body->data, body->len);
 }
 
-void wb_exchange_attempt_done(wb_exchange_t *exchange)
-{
+void wb_exchange_attempt_done(wb_exchange_t *exchange) {
     const wb_reply_t *reply = &exchange->reply;
     sending_release(exchange);
     if (reply->rejected) {
@@ -475,8 +440,7 @@
     answer_whole(exchange);
 }
 
-void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason)
-{
+void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason) {
     wb_edge_t *edge = exchange->edge;
     sending_release(exchange);
     engine_failed(exchange->engine, reason, exchange->id);
@@ -499,8 +463,7 @@
 }
 
 void wb_exchange_begin(wb_edge_t *edge, wb_http_connection_t *connection, wb_http_head_t *head,
-                       GByteArray *body)
-{
+                       GByteArray *body) {
     wb_exchange_t *exchange = g_new0(wb_exchange_t, 1);
     exchange->edge = edge;
     exchange->connection = connection;
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -6,14 +6,12 @@
     "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
     "broken",        "timed-out",     "caller-gone", "stopping"};
 
-const char *wb_ending_name(wb_ending_t ending)
-{
+const char *wb_ending_name(wb_ending_t ending) {
     return ending_names[ending];
 }
 
 static void ended_remember(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status,
-                           const char *engine)
-{
+                           const char *engine) {
     wb_edge_t *edge = exchange->edge;
     wb_ended_request_t *ended = &edge->ended[edge->ended_next++ % WB_ENDED_REQUESTS];
     g_strlcpy(ended->id, exchange->id, sizeof(ended->id));
@@ -31,8 +29,7 @@
     ended->waited_ms = exchange->waited_ms;
 }
 
-void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status)
-{
+void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     const char *engine = exchange->tried->len > 0
--- a/src/edge/exchange_read.c
+++ b/src/edge/exchange_read.c
@@ -11,8 +11,7 @@
 #define STOP_RESERVE_MS 800
 
 /* Reads the prompt's parts: ID:TOKENS with commas between. */
-static void parts_read(wb_exchange_t *exchange, const char *text)
-{
+static void parts_read(wb_exchange_t *exchange, const char *text) {
     g_auto(GStrv) words = g_strsplit(text, ",", -1);
     for (char **word = words; *word != NULL; word++) {
         char *colon = strchr(*word, ':');
@@ -26,8 +25,7 @@
     }
 }
 
-static void model_read(wb_exchange_t *exchange)
-{
+static void model_read(wb_exchange_t *exchange) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
     const char *text = wb_http_head_get(exchange->head, dialect->model);
     if (text == NULL || *text == '\0')
@@ -44,8 +42,7 @@
             wb_http_head_number(exchange->head, dialect->token_usage, exchange->body->len / 4);
 }
 
-static void deadline_read(wb_exchange_t *exchange)
-{
+static void deadline_read(wb_exchange_t *exchange) {
     int64_t deadline_ms =
         wb_http_head_number(exchange->head, exchange->edge->dialect->deadline_ms, FAR_FUTURE_MS);
     deadline_ms = CLAMP(deadline_ms, 1, FAR_FUTURE_MS);
@@ -57,8 +54,7 @@
 }
 
 /* An adapter is named by a letter and a number up to the model's count of them. */
-static gboolean adapter_is_known(const wb_model_spec_t *spec, const char *adapter)
-{
+static gboolean adapter_is_known(const wb_model_spec_t *spec, const char *adapter) {
     if (*adapter == '\0')
         return TRUE;
     if (!g_ascii_isalpha(*adapter) || !g_ascii_isdigit(adapter[1]))
@@ -68,8 +64,7 @@
 }
 
 /* Late in a planned stop a request is taken only if it will surely end in time. */
-static gboolean comes_too_late(const wb_exchange_t *exchange)
-{
+static gboolean comes_too_late(const wb_exchange_t *exchange) {
     const wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     if (edge->drain_began_ms == 0 || now_ms - edge->drain_began_ms < STOP_TAKES_MS)
@@ -80,8 +75,7 @@
 }
 
 /* Finds route and service. Returns WB_ENDING_COUNT, or why the request can't be served. */
-wb_ending_t wb_exchange_read(wb_exchange_t *exchange)
-{
+wb_ending_t wb_exchange_read(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (edge->catalog == NULL)
         return WB_ENDING_NO_CATALOG;
@@ -111,8 +105,7 @@
     return WB_ENDING_COUNT;
 }
 
-unsigned wb_ending_status(wb_ending_t ending)
-{
+unsigned wb_ending_status(wb_ending_t ending) {
     switch (ending) {
     case WB_ENDING_BAD_REQUEST:
         return 400;
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -18,8 +18,7 @@
 #define STREAM_PATIENCE_TARGETS 4
 #define STREAM_PATIENCE_GAPS 8
 
-void wb_exchange_leave_waiting(wb_exchange_t *exchange)
-{
+void wb_exchange_leave_waiting(wb_exchange_t *exchange) {
     if (exchange->waiting_link == NULL)
         return;
     g_queue_delete_link(&exchange->edge->waiting, exchange->waiting_link);
@@ -30,13 +29,11 @@
     wb_demand_waiting(exchange->edge->demand, exchange, FALSE);
 }
 
-static char *expected_key(const char *service, const char *model)
-{
+static char *expected_key(const char *service, const char *model) {
     return g_strjoin("/", service, model, NULL);
 }
 
-static int64_t *expected_find(const wb_exchange_t *exchange)
-{
+static int64_t *expected_find(const wb_exchange_t *exchange) {
     if (exchange->model == NULL || exchange->service == NULL)
         return NULL;
     g_autofree char *key = expected_key(exchange->service->name, exchange->model);
@@ -44,16 +41,14 @@
 }
 
 /* When coming back has a use: once the model should be there, else soon. */
-int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange)
-{
+int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange) {
     const int64_t *ready_ms = expected_find(exchange);
     int64_t left_ms = ready_ms != NULL ? *ready_ms - wb_clock_ms() : 0;
     return left_ms > 0 ? left_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
 }
 
 /* Time in which an answer has a use, from the request's arrival. */
-static int64_t useful_time_ms(const wb_exchange_t *exchange)
-{
+static int64_t useful_time_ms(const wb_exchange_t *exchange) {
     const wb_route_t *route = exchange->route;
     int64_t time_ms = exchange->hold_until_ms - exchange->began_ms;
     if (route->kind != WB_ROUTE_STREAM || route->target_latency_ms == 0)
@@ -65,8 +60,7 @@
 }
 
 /* Steady time until which waiting has a use; in the past when it has none. */
-static int64_t wait_until_ms(const wb_exchange_t *exchange)
-{
+static int64_t wait_until_ms(const wb_exchange_t *exchange) {
     int64_t useful_ms = useful_time_ms(exchange);
     int64_t target_ms = exchange->route->target_latency_ms;
     if (exchange->model == NULL) {
@@ -82,8 +76,7 @@
 }
 
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
-void wb_exchange_wait(wb_exchange_t *exchange)
-{
+void wb_exchange_wait(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (exchange->waiting_link != NULL)
         return;
@@ -104,8 +97,7 @@
         edge->on_need(edge->need_context);
 }
 
-void wb_exchanges_retry_waiting(wb_edge_t *edge)
-{
+void wb_exchanges_retry_waiting(wb_edge_t *edge) {
     /* A sending that fails at once may end other requests, so the list is copied. */
     g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.length);
     for (GList *item = edge->waiting.head; item != NULL; item = item->next)
@@ -118,8 +110,7 @@
 }
 
 void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
-                         unsigned ready_in_ms)
-{
+                         unsigned ready_in_ms) {
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     g_hash_table_replace(edge->expected, expected_key(service, model),
                          g_memdup2(&ready_ms, sizeof(ready_ms)));
@@ -133,14 +124,12 @@
     }
 }
 
-void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model)
-{
+void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model) {
     g_autofree char *key = expected_key(service, model);
     g_hash_table_remove(edge->expected, key);
 }
 
-static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only)
-{
+static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
@@ -150,13 +139,11 @@
     }
 }
 
-void wb_exchanges_refuse_waiting(wb_edge_t *edge)
-{
+void wb_exchanges_refuse_waiting(wb_edge_t *edge) {
     if (edge->waiting.length > 0)
         exchanges_stop(edge, TRUE);
 }
 
-void wb_exchanges_refuse_unanswered(wb_edge_t *edge)
-{
+void wb_exchanges_refuse_unanswered(wb_edge_t *edge) {
     exchanges_stop(edge, FALSE);
 }
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -5,8 +5,7 @@
 
 #define ROW_BYTES 1024
 
-void wb_edge_node_check_lease(wb_edge_node_t *node)
-{
+void wb_edge_node_check_lease(wb_edge_node_t *node) {
     gboolean held = wb_lease_is_held(node->lease, wb_clock_ms());
     uint64_t token = wb_lease_token(node->lease);
     const wb_lease_row_t *known = wb_lease_known(node->lease);
@@ -33,8 +32,7 @@
         wb_controller_set_token(node->controller, 0, 0, 0);
 }
 
-static void lease_answered(const wb_table_answer_t *answer, void *context)
-{
+static void lease_answered(const wb_table_answer_t *answer, void *context) {
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
     switch (answer->outcome) {
@@ -55,8 +53,7 @@
     wb_edge_node_check_lease(node);
 }
 
-static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version)
-{
+static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
     char bytes[ROW_BYTES];
     wb_wire_lease wire = {row->holder, row->address,  row->token,
                           row->beat,   row->released, wb_controller_recent_loads(node->controller)};
@@ -74,8 +71,7 @@
                        length, lease_answered, node);
 }
 
-void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms)
-{
+void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected_version;
     if (wb_table_watch_is_synced(node->nodes_watch) &&
@@ -84,14 +80,12 @@
     wb_edge_node_check_lease(node);
 }
 
-gboolean wb_edge_node_may_act(void *context)
-{
+gboolean wb_edge_node_may_act(void *context) {
     wb_edge_node_t *node = context;
     return wb_lease_is_held(node->lease, wb_clock_ms());
 }
 
-void wb_edge_node_open_lease(wb_edge_node_t *node)
-{
+void wb_edge_node_open_lease(wb_edge_node_t *node) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     wb_lease_settings_t lease = {settings->id,
                                  settings->listen_nodes,
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -5,8 +5,7 @@
 
 #define LINK_RETRY_MS 150
 
-static void news_take(wb_edge_node_t *node, const wb_wire_placement *news)
-{
+static void news_take(wb_edge_node_t *node, const wb_wire_placement *news) {
     wb_edge_t *edge = &node->edge;
     int64_t now_ms = wb_clock_ms();
     for (guint i = 0; i < news->entries.entries_len; i++) {
@@ -35,34 +34,29 @@
     wb_exchanges_retry_waiting(edge);
 }
 
-void wb_edge_node_tell_news(const wb_wire_message *news, void *context)
-{
+void wb_edge_node_tell_news(const wb_wire_message *news, void *context) {
     wb_edge_node_t *node = context;
     wb_edge_node_tell_gateways(node, news);
     news_take(node, &news->wb_wire_message_u.placement);
 }
 
-void wb_edge_node_gateway_open(wb_link_t *link, void *context)
-{
+void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
     g_hash_table_add(((wb_edge_node_t *)context)->gateways, link);
 }
 
-void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context)
-{
+void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     (void)link;
     wb_edge_node_t *node = context;
     if (message->kind == WB_WIRE_DEMAND)
         wb_controller_take_demand(node->controller, &message->wb_wire_message_u.demand);
 }
 
-void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context)
-{
+void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context) {
     (void)reason;
     g_hash_table_remove(((wb_edge_node_t *)context)->gateways, link);
 }
 
-void wb_edge_node_tell_demand(wb_edge_node_t *node)
-{
+void wb_edge_node_tell_demand(wb_edge_node_t *node) {
     gboolean to_self = node->held;
     if (!to_self && !node->controller_link_open)
         return;
@@ -82,16 +76,14 @@
     wb_message_clear(&message);
 }
 
-static void need_tell(void *context)
-{
+static void need_tell(void *context) {
     wb_edge_node_t *node = context;
     node->need_timer = NULL;
     wb_edge_node_tell_demand(node);
 }
 
 /* Someone waits for what isn't loaded: tell the controller once this round's requests are in. */
-void wb_edge_node_need_arose(void *context)
-{
+void wb_edge_node_need_arose(void *context) {
     wb_edge_node_t *node = context;
     if (node->need_timer == NULL)
         node->need_timer = wb_loop_after(node->edge.loop, 0, need_tell, node);
@@ -99,8 +91,7 @@
         wb_table_watch_hurry(node->engines_watch);
 }
 
-static void controller_open(wb_link_t *link, void *context)
-{
+static void controller_open(wb_link_t *link, void *context) {
     (void)link;
     wb_edge_node_t *node = context;
     node->controller_link_open = TRUE;
@@ -110,8 +101,7 @@
     wb_edge_node_tell_demand(node);
 }
 
-static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context)
-{
+static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     (void)link;
     if (message->kind == WB_WIRE_PLACEMENT)
         news_take(context, &message->wb_wire_message_u.placement);
@@ -119,8 +109,7 @@
         wb_edge_node_take_news(context, &message->wb_wire_message_u.store_news);
 }
 
-static void controller_close(wb_link_t *link, const char *reason, void *context)
-{
+static void controller_close(wb_link_t *link, const char *reason, void *context) {
     (void)link;
     wb_edge_node_t *node = context;
     wb_event("controller-lost", ",\"address\":\"%s\",\"reason\":\"%s\"", node->controller_address,
@@ -130,8 +119,7 @@
     node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
 }
 
-static void controller_connect(wb_edge_node_t *node, const char *address)
-{
+static void controller_connect(wb_edge_node_t *node, const char *address) {
     wb_link_events_t events = {
         controller_open, controller_message, controller_close, node, NULL, NULL};
     wb_error_t error;
@@ -143,8 +131,7 @@
 }
 
 /* Keeps one link to whoever holds the lease, unless it is this node. */
-void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms)
-{
+void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms) {
     const wb_lease_row_t *known = wb_lease_known(node->lease);
     gboolean wanted =
         known != NULL && !known->released && strcmp(known->holder, node->edge.settings.id) != 0;
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -22,8 +22,7 @@
 /* The lease's row comes with the news itself; nodes come and go slowly. */
 #define NODES_TRUST_MS 3000
 
-static wb_table_watch_t *watch_of(const wb_edge_node_t *node, unsigned table)
-{
+static wb_table_watch_t *watch_of(const wb_edge_node_t *node, unsigned table) {
     switch (table) {
     case WB_TABLE_CATALOG:
         return node->catalog_watch;
@@ -36,8 +35,7 @@
     }
 }
 
-wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table)
-{
+wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
     switch (table) {
@@ -54,8 +52,7 @@
     }
 }
 
-void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message)
-{
+void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message) {
     GHashTableIter iter;
     gpointer link;
     g_hash_table_iter_init(&iter, node->gateways);
@@ -67,8 +64,7 @@
     }
 }
 
-static void news_clear(wb_edge_node_t *node)
-{
+static void news_clear(wb_edge_node_t *node) {
     for (guint i = 0; i < node->news_rows->len; i++)
         xdr_free((xdrproc_t)xdr_wb_wire_table_row,
                  &g_array_index(node->news_rows, wb_wire_table_row, i));
@@ -76,8 +72,7 @@
     node->news_bytes = 0;
 }
 
-void wb_edge_node_news_add(wb_edge_node_t *node, wb_table_name_t table, const wb_table_row_t *row)
-{
+void wb_edge_node_news_add(wb_edge_node_t *node, wb_table_name_t table, const wb_table_row_t *row) {
     if (!node->held || node->news_look)
         return;
     node->news_bytes += strlen(row->key) + row->length;
@@ -100,16 +95,14 @@
     wire->value.value_len = (u_int)row->length;
 }
 
-static unsigned age_of(const wb_table_watch_t *watch, int64_t now_ms)
-{
+static unsigned age_of(const wb_table_watch_t *watch, int64_t now_ms) {
     int64_t known_ms = wb_table_watch_known_ms(watch);
     return known_ms == 0 ? G_MAXUINT : (unsigned)CLAMP(now_ms - known_ms, 0, G_MAXINT);
 }
 
 /* Engines' and nodes' rows change all the time in ways that gateways need not know at once, so
  * only the catalog's newest row is told. */
-static void news_tell(wb_edge_node_t *node, int64_t now_ms)
-{
+static void news_tell(wb_edge_node_t *node, int64_t now_ms) {
     const wb_lease_row_t *lease = wb_lease_known(node->lease);
     if (lease == NULL)
         return;
@@ -135,8 +128,7 @@
     node->news_told_ms = now_ms;
 }
 
-void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms)
-{
+void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms) {
     for (unsigned table = WB_TABLE_CATALOG; table <= WB_TABLE_NODES; table++) {
         wb_table_pace_t pace = wb_edge_node_pace(node, table);
         wb_table_watch_set_pace(watch_of(node, table), &pace);
@@ -153,15 +145,13 @@
 
 /* A holder's reading stands for an own one only once this node has itself read the table after the
  * link came up: what changed before then, the holder may have told others only. */
-static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms)
-{
+static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms) {
     wb_table_watch_t *watch = watch_of(node, view->table);
     if (watch != NULL && wb_table_watch_known_ms(watch) > node->link_opened_ms)
         wb_table_watch_vouch(watch, (int64_t)view->newest_row, now_ms - (int64_t)view->age_ms);
 }
 
-static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire)
-{
+static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire) {
     wb_table_watch_t *watch = watch_of(node, wire->table);
     wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
                           wire->value.value_len, (int64_t)wire->row_version};
@@ -169,8 +159,7 @@
         wb_table_watch_take(watch, &row);
 }
 
-void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news)
-{
+void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news) {
     int64_t now_ms = wb_clock_ms();
     node->news_heard_ms = now_ms;
     wb_lease_row_t lease = {news->lease.holder, news->lease.address,  news->lease.token,
@@ -184,8 +173,7 @@
         view_take(node, &news->views.views_val[i], now_ms);
 }
 
-gboolean wb_edge_node_hears_news(const wb_edge_node_t *node)
-{
+gboolean wb_edge_node_hears_news(const wb_edge_node_t *node) {
     return node->held ||
            (node->controller_link_open && wb_clock_ms() - node->news_heard_ms < NEWS_LIFE_MS);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -9,8 +9,7 @@
 #define NODE_KEY_PREFIX "node/"
 
 /* Notes each call to the store, and logs when a table is lost and when it is back. */
-static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context)
-{
+static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context) {
     static const char *const names[] = {"catalog", "engines", "nodes"};
     wb_edge_node_t *node = context;
     node->edge.metrics.table_calls++;
@@ -25,8 +24,7 @@
 
 /* News of the catalog. */
 
-static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog)
-{
+static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog) {
     wb_edge_t *edge = &node->edge;
     int64_t before = edge->catalog != NULL ? edge->catalog->version : 0;
     wb_catalog_unref(edge->catalog);
@@ -40,8 +38,7 @@
              g_hash_table_size(catalog->services));
 }
 
-static void catalog_row(const wb_table_row_t *row, void *context)
-{
+static void catalog_row(const wb_table_row_t *row, void *context) {
     wb_edge_node_t *node = context;
     const wb_dialect_t *dialect = node->edge.dialect;
     if (strcmp(row->key, dialect->catalog_key) != 0 || row->value == NULL)
@@ -60,16 +57,14 @@
     catalog_take(node, catalog);
 }
 
-static void catalog_batch(gboolean whole, void *context)
-{
+static void catalog_batch(gboolean whole, void *context) {
     (void)whole;
     wb_exchanges_retry_waiting(&((wb_edge_node_t *)context)->edge);
 }
 
 /* News of engines. */
 
-static void engine_row(const wb_table_row_t *row, void *context)
-{
+static void engine_row(const wb_table_row_t *row, void *context) {
     wb_edge_node_t *node = context;
     wb_edge_t *edge = &node->edge;
     wb_engine_t *known = wb_fleet_find(edge->fleet, row->key);
@@ -100,8 +95,7 @@
     wb_controller_engine_changed(node->controller, row->key);
 }
 
-static void engine_batch(gboolean whole, void *context)
-{
+static void engine_batch(gboolean whole, void *context) {
     (void)whole;
     wb_edge_node_t *node = context;
     wb_exchanges_retry_waiting(&node->edge);
@@ -111,8 +105,7 @@
 
 /* The product's own rows: nodes, and the controller's lease. */
 
-void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row)
-{
+void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row) {
     int64_t now_ms = wb_clock_ms();
     if (row->value == NULL) {
         wb_lease_on_row(node->lease, NULL, row->version, now_ms);
@@ -134,8 +127,7 @@
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
-static void node_row_take(wb_edge_node_t *node, const wb_table_row_t *row)
-{
+static void node_row_take(wb_edge_node_t *node, const wb_table_row_t *row) {
     const char *id = row->key + strlen(NODE_KEY_PREFIX);
     if (row->value == NULL) {
         g_hash_table_remove(node->nodes, id);
@@ -150,8 +142,7 @@
     g_hash_table_replace(node->nodes, g_strdup(id), known);
 }
 
-static void nodes_row(const wb_table_row_t *row, void *context)
-{
+static void nodes_row(const wb_table_row_t *row, void *context) {
     wb_edge_node_t *node = context;
     if (strcmp(row->key, WB_LEASE_KEY) == 0)
         wb_edge_node_take_lease_row(node, row);
@@ -159,8 +150,7 @@
         node_row_take(node, row);
 }
 
-static void nodes_batch(gboolean whole, void *context)
-{
+static void nodes_batch(gboolean whole, void *context) {
     wb_edge_node_t *node = context;
     if (whole)
         /* A table without the lease's row: nobody ever held it. */
@@ -169,13 +159,11 @@
     wb_edge_node_check_lease(node);
 }
 
-static int64_t node_row_life_ms(const wb_edge_node_t *node)
-{
+static int64_t node_row_life_ms(const wb_edge_node_t *node) {
     return (int64_t)(node->edge.settings.node_life_s * 1000);
 }
 
-static void node_row_answered(const wb_table_answer_t *answer, void *context)
-{
+static void node_row_answered(const wb_table_answer_t *answer, void *context) {
     wb_edge_node_t *node = context;
     node->node_row_writing = FALSE;
     int64_t now_ms = wb_clock_ms();
@@ -193,8 +181,7 @@
 }
 
 /* Says that this node is there, so that all nodes know how many share what is shared. */
-static void node_row_write(wb_edge_node_t *node)
-{
+static void node_row_write(wb_edge_node_t *node) {
     const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
     g_autofree char *value = g_strdup_printf("%s %llu", node->edge.settings.listen_nodes,
@@ -205,24 +192,21 @@
                        (const guchar *)value, strlen(value), node_row_answered, node);
 }
 
-static void row_removed(const wb_table_answer_t *answer, void *context)
-{
+static void row_removed(const wb_table_answer_t *answer, void *context) {
     (void)answer; /* another try follows if it is still there */
     (void)context;
 }
 
 /* Rows of nodes that are gone for long would have the others share too little; the lease's holder
  * removes them. */
-static void node_row_remove(wb_edge_node_t *node, const char *id, const wb_node_row_t *row)
-{
+static void node_row_remove(wb_edge_node_t *node, const char *id, const wb_node_row_t *row) {
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
     wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_text(id),
              (long long)row->version);
     node->table->write(node->table->self, key, row->version, NULL, 0, row_removed, node);
 }
 
-static void node_rows_forget(wb_edge_node_t *node, int64_t now_ms)
-{
+static void node_rows_forget(wb_edge_node_t *node, int64_t now_ms) {
     GHashTableIter iter;
     gpointer id;
     gpointer value;
@@ -238,16 +222,14 @@
     node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
 }
 
-void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms)
-{
+void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms) {
     if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
     node_rows_forget(node, now_ms);
 }
 
-void wb_edge_node_follow_store(wb_edge_node_t *node)
-{
+void wb_edge_node_follow_store(wb_edge_node_t *node) {
     wb_loop_t *loop = node->edge.loop;
     wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
     wb_table_watch_events_t engines = {engine_row, engine_batch, store_called, node};
--- a/src/edge/retry_budget.c
+++ b/src/edge/retry_budget.c
@@ -14,22 +14,19 @@
     unsigned resends[SLICES + 1];
 };
 
-wb_retry_budget_t *wb_retry_budget_create(double ratio, int64_t window_ms)
-{
+wb_retry_budget_t *wb_retry_budget_create(double ratio, int64_t window_ms) {
     wb_retry_budget_t *budget = g_new0(wb_retry_budget_t, 1);
     budget->ratio = ratio;
     budget->slice_ms = MAX(window_ms / SLICES, 1);
     return budget;
 }
 
-void wb_retry_budget_free(wb_retry_budget_t *budget)
-{
+void wb_retry_budget_free(wb_retry_budget_t *budget) {
     g_free(budget);
 }
 
 /* Empties the slices that have left the window. Returns the present slice's place. */
-static size_t slice_at(wb_retry_budget_t *budget, int64_t now_ms)
-{
+static size_t slice_at(wb_retry_budget_t *budget, int64_t now_ms) {
     int64_t number = now_ms / budget->slice_ms;
     int64_t passed = MIN(number - budget->newest, SLICES + 1);
     for (int64_t i = 0; i < passed; i++) {
@@ -41,13 +38,11 @@
     return (size_t)(budget->newest % (SLICES + 1));
 }
 
-void wb_retry_budget_request(wb_retry_budget_t *budget, int64_t now_ms)
-{
+void wb_retry_budget_request(wb_retry_budget_t *budget, int64_t now_ms) {
     budget->requests[slice_at(budget, now_ms)]++;
 }
 
-double wb_retry_budget_left(wb_retry_budget_t *budget, double slack_share, int64_t now_ms)
-{
+double wb_retry_budget_left(wb_retry_budget_t *budget, double slack_share, int64_t now_ms) {
     slice_at(budget, now_ms);
     unsigned requests = 0;
     unsigned resends = 0;
@@ -58,8 +53,7 @@
     return budget->ratio * requests + slack_share - resends;
 }
 
-gboolean wb_retry_budget_take(wb_retry_budget_t *budget, double slack_share, int64_t now_ms)
-{
+gboolean wb_retry_budget_take(wb_retry_budget_t *budget, double slack_share, int64_t now_ms) {
     if (wb_retry_budget_left(budget, slack_share, now_ms) < 1)
         return FALSE;
     budget->resends[slice_at(budget, now_ms)]++;
--- a/src/engine/engine_client.c
+++ b/src/engine/engine_client.c
@@ -39,23 +39,20 @@
     uint64_t fence;
 } order_call_t;
 
-static void client_unref(wb_engine_client_t *client)
-{
+static void client_unref(wb_engine_client_t *client) {
     if (--client->references > 0)
         return;
     g_hash_table_unref(client->follows);
     g_free(client);
 }
 
-static void follow_free(follow_t *follow)
-{
+static void follow_free(follow_t *follow) {
     g_free(follow->engine);
     g_free(follow->address);
     g_free(follow);
 }
 
-static void follow_release(gpointer data)
-{
+static void follow_release(gpointer data) {
     follow_t *follow = data;
     follow->stopped = TRUE;
     if (!follow->calling)
@@ -64,8 +61,7 @@
 
 wb_engine_client_t *wb_engine_client_create(wb_http_client_t *http, wb_loop_t *loop,
                                             const wb_engine_client_options_t *options,
-                                            const wb_engine_client_events_t *events)
-{
+                                            const wb_engine_client_events_t *events) {
     wb_engine_client_t *client = g_new0(wb_engine_client_t, 1);
     client->references = 1;
     client->http = http;
@@ -76,15 +72,13 @@
     return client;
 }
 
-void wb_engine_client_free(wb_engine_client_t *client)
-{
+void wb_engine_client_free(wb_engine_client_t *client) {
     client->closed = TRUE;
     g_hash_table_remove_all(client->follows);
     client_unref(client);
 }
 
-static wb_inventory_t *inventory_read(const wb_http_result_t *result)
-{
+static wb_inventory_t *inventory_read(const wb_http_result_t *result) {
     json_t *body = json_loadb(result->body, result->body_length, 0, NULL);
     wb_inventory_t *inventory = body != NULL ? wb_inventory_parse(body) : NULL;
     json_decref(body);
@@ -92,8 +86,7 @@
 }
 
 static wb_order_outcome_t order_outcome(const wb_http_result_t *result, uint64_t fence,
-                                        const wb_inventory_t *inventory)
-{
+                                        const wb_inventory_t *inventory) {
     if (result->outcome != WB_HTTP_ANSWERED || inventory == NULL)
         return WB_ORDER_LOST;
     if (result->status == 200 || result->status == 202)
@@ -101,8 +94,7 @@
     return inventory->fence > fence || result->status == 409 ? WB_ORDER_STALE : WB_ORDER_REFUSED;
 }
 
-static void order_done(const wb_http_result_t *result, void *context)
-{
+static void order_done(const wb_http_result_t *result, void *context) {
     order_call_t *call = context;
     wb_engine_client_t *client = call->client;
     wb_inventory_t *inventory = result->outcome == WB_HTTP_ANSWERED ? inventory_read(result) : NULL;
@@ -122,8 +114,7 @@
     g_free(call);
 }
 
-static json_t *order_describe(const wb_order_t *order)
-{
+static json_t *order_describe(const wb_order_t *order) {
     char fence[32];
     g_snprintf(fence, sizeof(fence), "%" G_GUINT64_FORMAT, (guint64)order->fence);
     json_t *body = json_pack("{s:s}", "fence", fence);
@@ -139,8 +130,7 @@
     return body;
 }
 
-void wb_engine_client_order(wb_engine_client_t *client, const wb_order_t *order)
-{
+void wb_engine_client_order(wb_engine_client_t *client, const wb_order_t *order) {
     order_call_t *call = g_new0(order_call_t, 1);
     call->client = client;
     call->engine = g_strdup(order->engine);
@@ -165,8 +155,7 @@
 
 static void follow_call(follow_t *follow);
 
-static void follow_again(void *context)
-{
+static void follow_again(void *context) {
     follow_t *follow = context;
     wb_engine_client_t *client = follow->client;
     follow->calling = FALSE;
@@ -177,8 +166,7 @@
     client_unref(client);
 }
 
-static void follow_failed(follow_t *follow)
-{
+static void follow_failed(follow_t *follow) {
     wb_engine_client_t *client = follow->client;
     if (++follow->failures == LOST_AFTER_FAILURES) {
         wb_log_message(WB_PART_ENGINE, "Engine %s doesn't answer.", follow->engine);
@@ -189,8 +177,7 @@
     wb_loop_after(client->loop, FOLLOW_RETRY_MS, follow_again, follow);
 }
 
-static void follow_succeeded(follow_t *follow, wb_inventory_t *inventory)
-{
+static void follow_succeeded(follow_t *follow, wb_inventory_t *inventory) {
     wb_engine_client_t *client = follow->client;
     if (follow->failures >= LOST_AFTER_FAILURES) {
         wb_log_message(WB_PART_ENGINE, "Engine %s answers again.", follow->engine);
@@ -201,8 +188,7 @@
     client->events.on_inventory(inventory, client->events.context);
 }
 
-static void follow_done(const wb_http_result_t *result, void *context)
-{
+static void follow_done(const wb_http_result_t *result, void *context) {
     follow_t *follow = context;
     wb_engine_client_t *client = follow->client;
     follow->calling = FALSE;
@@ -226,8 +212,7 @@
     client_unref(client);
 }
 
-static void follow_call(follow_t *follow)
-{
+static void follow_call(follow_t *follow) {
     wb_engine_client_t *client = follow->client;
     int64_t wait_ms = follow->failures == 0 ? client->options.inventory_wait_ms : 0;
     g_autofree char *url = g_strdup_printf(
@@ -243,8 +228,7 @@
     wb_http_client_fetch(client->http, client->loop, &request);
 }
 
-void wb_engine_client_follow(wb_engine_client_t *client, const char *engine, const char *address)
-{
+void wb_engine_client_follow(wb_engine_client_t *client, const char *engine, const char *address) {
     if (g_hash_table_contains(client->follows, engine))
         return;
     follow_t *follow = g_new0(follow_t, 1);
@@ -256,7 +240,6 @@
     follow_call(follow);
 }
 
-void wb_engine_client_unfollow(wb_engine_client_t *client, const char *engine)
-{
+void wb_engine_client_unfollow(wb_engine_client_t *client, const char *engine) {
     g_hash_table_remove(client->follows, engine);
 }
--- a/src/engine/inventory.c
+++ b/src/engine/inventory.c
@@ -5,23 +5,20 @@
 
 #include <string.h>
 
-static void adapter_free(gpointer data)
-{
+static void adapter_free(gpointer data) {
     wb_held_adapter_t *adapter = data;
     g_free(adapter->name);
     g_free(adapter);
 }
 
-static void model_free(gpointer data)
-{
+static void model_free(gpointer data) {
     wb_held_model_t *model = data;
     g_hash_table_unref(model->adapters);
     g_free(model->name);
     g_free(model);
 }
 
-wb_inventory_t *wb_inventory_create(const char *engine)
-{
+wb_inventory_t *wb_inventory_create(const char *engine) {
     wb_inventory_t *inventory = g_new0(wb_inventory_t, 1);
     inventory->engine = g_strdup(engine);
     inventory->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
@@ -30,8 +27,7 @@
     return inventory;
 }
 
-void wb_inventory_free(wb_inventory_t *inventory)
-{
+void wb_inventory_free(wb_inventory_t *inventory) {
     if (inventory == NULL)
         return;
     g_free(inventory->engine);
@@ -42,8 +38,7 @@
 }
 
 wb_held_model_t *wb_inventory_add_model(wb_inventory_t *inventory, const char *name, int64_t bytes,
-                                        wb_load_state_t state)
-{
+                                        wb_load_state_t state) {
     wb_held_model_t *model = g_new0(wb_held_model_t, 1);
     model->name = g_strdup(name);
     model->version = 1;
@@ -55,8 +50,7 @@
 }
 
 wb_held_adapter_t *wb_held_model_add_adapter(wb_held_model_t *model, const char *name,
-                                             int64_t bytes, wb_load_state_t state)
-{
+                                             int64_t bytes, wb_load_state_t state) {
     wb_held_adapter_t *adapter = g_new0(wb_held_adapter_t, 1);
     adapter->name = g_strdup(name);
     adapter->bytes = bytes;
@@ -65,27 +59,23 @@
     return adapter;
 }
 
-static wb_load_state_t state_parse(const json_t *object)
-{
+static wb_load_state_t state_parse(const json_t *object) {
     const char *name = wb_json_text(object, "state", "");
     if (strcmp(name, "loaded") == 0)
         return WB_LOAD_LOADED;
     return strcmp(name, "unloading") == 0 ? WB_LOAD_UNLOADING : WB_LOAD_LOADING;
 }
 
-static void models_parse(wb_inventory_t *inventory, const json_t *models)
-{
+static void models_parse(wb_inventory_t *inventory, const json_t *models) {
     size_t i, j;
     json_t *entry, *held;
-    json_array_foreach(models, i, entry)
-    {
+    json_array_foreach(models, i, entry) {
         wb_held_model_t *model =
             wb_inventory_add_model(inventory, wb_json_text(entry, "name", ""),
                                    wb_json_integer(entry, "bytes", 0), state_parse(entry));
         model->version = wb_json_integer(entry, "version", 1);
         model->running = (int)wb_json_integer(entry, "running", 0);
-        json_array_foreach(json_object_get(entry, "adapters"), j, held)
-        {
+        json_array_foreach(json_object_get(entry, "adapters"), j, held) {
             wb_held_adapter_t *adapter =
                 wb_held_model_add_adapter(model, wb_json_text(held, "name", ""),
                                           wb_json_integer(held, "bytes", 0), state_parse(held));
@@ -94,19 +84,16 @@
     }
 }
 
-static void names_parse(GHashTable *set, const json_t *names)
-{
+static void names_parse(GHashTable *set, const json_t *names) {
     size_t index;
     json_t *name;
-    json_array_foreach(names, index, name)
-    {
+    json_array_foreach(names, index, name) {
         if (json_is_string(name))
             g_hash_table_add(set, g_strdup(json_string_value(name)));
     }
 }
 
-wb_inventory_t *wb_inventory_parse(const json_t *body)
-{
+wb_inventory_t *wb_inventory_parse(const json_t *body) {
     const char *id = wb_json_text(body, "id", NULL);
     const char *fence = wb_json_text(body, "fence", NULL);
     if (id == NULL || fence == NULL)
@@ -124,7 +111,6 @@
     return inventory;
 }
 
-const wb_held_model_t *wb_inventory_model(const wb_inventory_t *inventory, const char *name)
-{
+const wb_held_model_t *wb_inventory_model(const wb_inventory_t *inventory, const char *name) {
     return g_hash_table_lookup(inventory->models, name);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -16,21 +16,18 @@
     GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
 };
 
-static void model_free(gpointer data)
-{
+static void model_free(gpointer data) {
     wb_engine_model_t *model = data;
     g_free(model->name);
     g_hash_table_unref(model->adapters);
     g_free(model);
 }
 
-static GHashTable *set_create(void)
-{
+static GHashTable *set_create(void) {
     return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
-wb_engine_state_t *wb_engine_state_create(const char *id)
-{
+wb_engine_state_t *wb_engine_state_create(const char *id) {
     wb_engine_state_t *state = g_new0(wb_engine_state_t, 1);
     state->id = g_strdup(id);
     state->remaining_ms = -1;
@@ -40,8 +37,7 @@
     return state;
 }
 
-void wb_engine_state_free(wb_engine_state_t *state)
-{
+void wb_engine_state_free(wb_engine_state_t *state) {
     if (state == NULL)
         return;
     g_free(state->id);
@@ -55,8 +51,7 @@
 }
 
 wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
-                                             int64_t version)
-{
+                                             int64_t version) {
     wb_engine_model_t *model = g_new0(wb_engine_model_t, 1);
     model->name = g_strdup(name);
     model->version = version;
@@ -65,14 +60,12 @@
     return model;
 }
 
-wb_engine_t *wb_engine_ref(wb_engine_t *engine)
-{
+wb_engine_t *wb_engine_ref(wb_engine_t *engine) {
     engine->references++;
     return engine;
 }
 
-void wb_engine_unref(wb_engine_t *engine)
-{
+void wb_engine_unref(wb_engine_t *engine) {
     if (engine == NULL || --engine->references > 0)
         return;
     wb_engine_state_free(engine->state);
@@ -82,8 +75,7 @@
     g_free(engine);
 }
 
-wb_fleet_t *wb_fleet_create(void)
-{
+wb_fleet_t *wb_fleet_create(void) {
     wb_fleet_t *fleet = g_new0(wb_fleet_t, 1);
     fleet->engines =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_engine_unref);
@@ -92,8 +84,7 @@
     return fleet;
 }
 
-static GPtrArray *service_engines(wb_fleet_t *fleet, const char *service)
-{
+static GPtrArray *service_engines(wb_fleet_t *fleet, const char *service) {
     GPtrArray *engines = g_hash_table_lookup(fleet->services, service);
     if (engines == NULL) {
         engines = g_ptr_array_new_with_free_func((GDestroyNotify)wb_engine_unref);
@@ -102,8 +93,7 @@
     return engines;
 }
 
-static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state)
-{
+static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = g_new0(wb_engine_t, 1);
     engine->references = 1;
     engine->state = state;
@@ -116,8 +106,7 @@
 }
 
 /* An engine that was removed and announces itself again, under the same id, is the same engine. */
-static wb_engine_t *engine_return(wb_fleet_t *fleet, const wb_engine_state_t *state)
-{
+static wb_engine_t *engine_return(wb_fleet_t *fleet, const wb_engine_state_t *state) {
     const GPtrArray *engines = wb_fleet_service(fleet, state->service);
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         wb_engine_t *engine = g_ptr_array_index(engines, i);
@@ -130,8 +119,7 @@
     return NULL;
 }
 
-wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state)
-{
+wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = wb_fleet_find(fleet, state->id);
     if (engine == NULL)
         engine = engine_return(fleet, state);
@@ -148,8 +136,7 @@
     return engine;
 }
 
-void wb_fleet_remove(wb_fleet_t *fleet, const char *id)
-{
+void wb_fleet_remove(wb_fleet_t *fleet, const char *id) {
     wb_engine_t *engine = wb_fleet_find(fleet, id);
     if (engine == NULL)
         return;
@@ -159,23 +146,19 @@
     g_hash_table_remove(fleet->engines, id);
 }
 
-wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id)
-{
+wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id) {
     return g_hash_table_lookup(fleet->engines, id);
 }
 
-const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service)
-{
+const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service) {
     return g_hash_table_lookup(fleet->services, service);
 }
 
-GHashTable *wb_fleet_all(const wb_fleet_t *fleet)
-{
+GHashTable *wb_fleet_all(const wb_fleet_t *fleet) {
     return fleet->engines;
 }
 
-void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms)
-{
+void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, fleet->services);
@@ -189,14 +172,12 @@
     }
 }
 
-static char *note_key(const char *model, const char *adapter)
-{
+static char *note_key(const char *model, const char *adapter) {
     return g_strconcat(model, "/", adapter != NULL ? adapter : "", NULL);
 }
 
 void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
-                    int64_t now_ms, int64_t valid_ms)
-{
+                    int64_t now_ms, int64_t valid_ms) {
     wb_note_t *note = g_new(wb_note_t, 1);
     note->held = held;
     note->until_ms = now_ms + valid_ms;
@@ -205,8 +186,7 @@
 
 /* Returns the news that still counts, or NULL. */
 static const wb_note_t *note_find(const wb_engine_t *engine, const char *model, const char *adapter,
-                                  int64_t now_ms)
-{
+                                  int64_t now_ms) {
     if (g_hash_table_size(engine->overlay) == 0)
         return NULL;
     g_autofree char *key = note_key(model, adapter);
@@ -220,8 +200,7 @@
 }
 
 gboolean wb_engine_holds(const wb_engine_t *engine, const char *model, const char *adapter,
-                         int64_t now_ms)
-{
+                         int64_t now_ms) {
     const wb_engine_model_t *held = g_hash_table_lookup(engine->state->models, model);
     const wb_note_t *note = note_find(engine, model, "", now_ms);
     if (note != NULL ? !note->held : held == NULL)
--- a/src/gateway/answer.c
+++ b/src/gateway/answer.c
@@ -10,15 +10,13 @@
 #define RECENT_KEPT 512
 
 static json_t *error_describe(const char *type, const char *code, const char *message,
-                              wb_verdict_t verdict)
-{
+                              wb_verdict_t verdict) {
     return json_pack("{s:{s:s, s:s, s:s, s:n}, s:s}", "error", "message", message, "type", type,
                      "code", code, "param", "verdict", wb_verdict_name(verdict));
 }
 
 static void error_send(wb_http_exchange_t *exchange, unsigned status, json_t *body,
-                       wb_verdict_t verdict, int64_t retry_after_ms)
-{
+                       wb_verdict_t verdict, int64_t retry_after_ms) {
     wb_http_exchange_add_header(exchange, "Wickbridge-Verdict", wb_verdict_name(verdict));
     if (retry_after_ms >= 0) {
         char seconds[24];
@@ -33,21 +31,18 @@
 }
 
 void answer_bad(wb_gateway_t *gateway, wb_http_exchange_t *exchange, unsigned status,
-                const char *code, const char *message)
-{
+                const char *code, const char *message) {
     g_atomic_int_inc(&gateway->counters.bad);
     error_send(exchange, status,
                error_describe("invalid_request_error", code, message, WB_VERDICT_NOT_RUN),
                WB_VERDICT_NOT_RUN, status == 503 ? 1000 : -1);
 }
 
-static void json_free(gpointer data)
-{
+static void json_free(gpointer data) {
     json_decref(data);
 }
 
-static void recent_add(gw_request_t *request, const char *outcome)
-{
+static void recent_add(gw_request_t *request, const char *outcome) {
     wb_gateway_t *gateway = request->gateway;
     json_t *entry =
         json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:s}", "request", request->id,
@@ -64,8 +59,7 @@
 
 /* Marks the request as finished; only the first caller may answer. Returns the exchange to answer
  * on, or NULL when the caller is gone or was answered. */
-static wb_http_exchange_t *request_finish(gw_request_t *request, const char *outcome)
-{
+static wb_http_exchange_t *request_finish(gw_request_t *request, const char *outcome) {
     g_mutex_lock(&request->lock);
     if (request->stage == STAGE_FINISHED) {
         g_mutex_unlock(&request->lock);
@@ -80,8 +74,7 @@
     return exchange;
 }
 
-void answer_headers(gw_request_t *request, const char *verdict)
-{
+void answer_headers(gw_request_t *request, const char *verdict) {
     wb_http_exchange_add_header(request->exchange, "Wickbridge-Request-Id", request->id);
     if (verdict != NULL)
         wb_http_exchange_add_header(request->exchange, "Wickbridge-Verdict", verdict);
@@ -90,8 +83,7 @@
 }
 
 /* The head has gone out already: the error is an event, and the connection is cut behind it. */
-static void stream_error(wb_http_exchange_t *exchange, json_t *body)
-{
+static void stream_error(wb_http_exchange_t *exchange, json_t *body) {
     char *text = wb_json_dump(body);
     json_decref(body);
     g_autofree char *event = g_strconcat("data: ", text, "\n\n", NULL);
@@ -101,8 +93,7 @@
 }
 
 void answer_error(gw_request_t *request, unsigned status, const char *type, const char *code,
-                  wb_verdict_t verdict, int64_t retry_after_ms, const char *message)
-{
+                  wb_verdict_t verdict, int64_t retry_after_ms, const char *message) {
     gboolean begun = request->stream_begun;
     if (message != request->why)
         request_why(request, "%s", message);
@@ -121,8 +112,7 @@
 }
 
 void answer_not_run(gw_request_t *request, int64_t retry_after_ms, const char *code,
-                    const char *message)
-{
+                    const char *message) {
     if (request->may_have_run) {
         answer_may_have_run(request, message);
         return;
@@ -133,15 +123,13 @@
                  unsure ? WB_VERDICT_MAY_HAVE_RUN : WB_VERDICT_NOT_RUN, retry_after_ms, message);
 }
 
-void answer_may_have_run(gw_request_t *request, const char *message)
-{
+void answer_may_have_run(gw_request_t *request, const char *message) {
     /* A repeatable request can simply be sent again; what ran of it does no harm. */
     answer_error(request, 502, "server_error", "engine_failed", WB_VERDICT_MAY_HAVE_RUN, 1000,
                  message);
 }
 
-void answer_whole(gw_request_t *request, unsigned status, const char *body, size_t length)
-{
+void answer_whole(gw_request_t *request, unsigned status, const char *body, size_t length) {
     if (request->exchange != NULL)
         answer_headers(request, wb_verdict_name(WB_VERDICT_COMPLETED));
     wb_http_exchange_t *exchange = request_finish(request, "completed");
@@ -151,8 +139,7 @@
     wb_http_exchange_reply(exchange, status, "application/json", body, length);
 }
 
-void answer_stream_end(gw_request_t *request)
-{
+void answer_stream_end(gw_request_t *request) {
     wb_http_exchange_t *exchange = request_finish(request, "completed");
     if (exchange == NULL)
         return;
@@ -160,8 +147,7 @@
     wb_http_exchange_stream_end(exchange, TRUE);
 }
 
-void answer_caller_gone(gw_request_t *request)
-{
+void answer_caller_gone(gw_request_t *request) {
     wb_http_exchange_t *exchange = request_finish(request, "caller gone");
     if (exchange == NULL)
         return;
--- a/src/gateway/claim.c
+++ b/src/gateway/claim.c
@@ -8,8 +8,7 @@
 #define ASK_AGAIN_MS 300 /* also when an owner refused: another may take over */
 #define RETRY_AFTER_MS 1000
 
-static char *request_cell(gw_request_t *request)
-{
+static char *request_cell(gw_request_t *request) {
     char *cell = NULL;
     g_mutex_lock(&request->gateway->config_lock);
     const wb_model_t *model = wb_config_model(request->gateway->config, request->model);
@@ -20,8 +19,7 @@
 }
 
 /* On the loop's thread. */
-static void want_send(gw_request_t *request)
-{
+static void want_send(gw_request_t *request) {
     wb_gateway_t *gateway = request->gateway;
     request->claim_sent_ms = wb_clock_ms();
     g_autofree char *cell = request_cell(request);
@@ -43,8 +41,7 @@
     gateway->parts.send(owner, &message, gateway->parts.context);
 }
 
-static void ask_on_loop(void *context)
-{
+static void ask_on_loop(void *context) {
     gw_request_t *request = context;
     wb_gateway_t *gateway = request->gateway;
     g_mutex_lock(&gateway->claims_lock);
@@ -53,8 +50,7 @@
     want_send(request);
 }
 
-void claim_ask(gw_request_t *request, uint64_t retry_of)
-{
+void claim_ask(gw_request_t *request, uint64_t retry_of) {
     wb_gateway_t *gateway = request->gateway;
     request->stage = STAGE_CLAIMING;
     request->claim_attempt = retry_of;
@@ -64,8 +60,7 @@
     wb_loop_post(gateway->parts.loop, ask_on_loop, request);
 }
 
-static gw_request_t *claim_take(wb_gateway_t *gateway, uint64_t number)
-{
+static gw_request_t *claim_take(wb_gateway_t *gateway, uint64_t number) {
     g_mutex_lock(&gateway->claims_lock);
     gw_request_t *request = g_hash_table_lookup(gateway->claims, &number);
     if (request != NULL)
@@ -75,8 +70,7 @@
 }
 
 /* The key ran, or runs, elsewhere: read that run's answer. */
-static void claim_follow(gw_request_t *request, const wb_wire_claim_show *show)
-{
+static void claim_follow(gw_request_t *request, const wb_wire_claim_show *show) {
     target_release(request, FALSE, FALSE, 0);
     g_free(request->engine);
     g_free(request->engine_address);
@@ -94,8 +88,7 @@
     run_attach(request);
 }
 
-static void claim_answer_kept(gw_request_t *request, const wb_wire_claim_show *show)
-{
+static void claim_answer_kept(gw_request_t *request, const wb_wire_claim_show *show) {
     if (*show->answer == '\0' || request->streaming) {
         claim_follow(request, show);
         return;
@@ -109,16 +102,14 @@
 }
 
 static void claim_fail(gw_request_t *request, unsigned status, const char *type, const char *code,
-                       const char *message)
-{
+                       const char *message) {
     target_release(request, FALSE, FALSE, 0);
     answer_error(request, status, type, code, WB_VERDICT_NOT_RUN,
                  status == 422 ? -1 : RETRY_AFTER_MS, message);
     request_unref(request);
 }
 
-void claim_show(wb_gateway_t *gateway, const wb_wire_claim_show *show)
-{
+void claim_show(wb_gateway_t *gateway, const wb_wire_claim_show *show) {
     if (show->state == WB_WIRE_CLAIM_REFUSED)
         return; /* claims_check asks again, or gives up */
     gw_request_t *request = claim_take(gateway, show->request);
@@ -156,8 +147,7 @@
     char *answer;
 } claim_tell_t;
 
-static void tell_on_loop(void *context)
-{
+static void tell_on_loop(void *context) {
     claim_tell_t *tell = context;
     wb_gateway_t *gateway = tell->gateway;
     const char *owner = gateway->parts.find_owner(tell->cell, gateway->parts.context);
@@ -178,8 +168,7 @@
     g_free(tell);
 }
 
-void claim_tell_done(gw_request_t *request, unsigned status, const char *answer, size_t length)
-{
+void claim_tell_done(gw_request_t *request, unsigned status, const char *answer, size_t length) {
     if (request->key == NULL || request->attached)
         return;
     gboolean keep = (int64_t)length <= request->gateway->options.answer_keep_bytes;
@@ -197,8 +186,7 @@
 }
 
 /* Splits claims under way into those to ask again and those to give up. */
-static void claims_sort(wb_gateway_t *gateway, int64_t now_ms, GQueue *again, GQueue *over)
-{
+static void claims_sort(wb_gateway_t *gateway, int64_t now_ms, GQueue *again, GQueue *over) {
     GHashTableIter iterator;
     gpointer value;
     g_mutex_lock(&gateway->claims_lock);
@@ -215,8 +203,7 @@
     g_mutex_unlock(&gateway->claims_lock);
 }
 
-void claims_check(wb_gateway_t *gateway, int64_t now_ms)
-{
+void claims_check(wb_gateway_t *gateway, int64_t now_ms) {
     GQueue again = G_QUEUE_INIT, over = G_QUEUE_INIT;
     claims_sort(gateway, now_ms, &again, &over);
     gw_request_t *request;
--- a/src/gateway/fair_queue.c
+++ b/src/gateway/fair_queue.c
@@ -21,29 +21,25 @@
     guint length;
 };
 
-static void owner_free(gpointer data)
-{
+static void owner_free(gpointer data) {
     queue_owner_t *owner = data;
     g_queue_clear_full(&owner->items, g_free);
     g_free(owner->name);
     g_free(owner);
 }
 
-wb_fair_queue_t *wb_fair_queue_create(void)
-{
+wb_fair_queue_t *wb_fair_queue_create(void) {
     wb_fair_queue_t *queue = g_new0(wb_fair_queue_t, 1);
     queue->owners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, owner_free);
     return queue;
 }
 
-void wb_fair_queue_free(wb_fair_queue_t *queue)
-{
+void wb_fair_queue_free(wb_fair_queue_t *queue) {
     g_hash_table_unref(queue->owners);
     g_free(queue);
 }
 
-static queue_owner_t *owner_get(wb_fair_queue_t *queue, const char *name, double share)
-{
+static queue_owner_t *owner_get(wb_fair_queue_t *queue, const char *name, double share) {
     queue_owner_t *owner = g_hash_table_lookup(queue->owners, name);
     if (owner == NULL) {
         owner = g_new0(queue_owner_t, 1);
@@ -56,8 +52,7 @@
 }
 
 void wb_fair_queue_push(wb_fair_queue_t *queue, const char *name, double share, double cost,
-                        gpointer item)
-{
+                        gpointer item) {
     queue_owner_t *owner = owner_get(queue, name, share);
     if (owner->items.length == 0)
         owner->tag = MAX(owner->tag, queue->virtual_time);
@@ -68,8 +63,8 @@
     queue->length++;
 }
 
-void wb_fair_queue_push_front(wb_fair_queue_t *queue, const char *name, double share, gpointer item)
-{
+void wb_fair_queue_push_front(wb_fair_queue_t *queue, const char *name, double share,
+                              gpointer item) {
     queue_owner_t *owner = owner_get(queue, name, share);
     queue_item_t *entry = g_new(queue_item_t, 1);
     entry->item = item;
@@ -78,8 +73,7 @@
     queue->length++;
 }
 
-static queue_owner_t *owner_next(const wb_fair_queue_t *queue)
-{
+static queue_owner_t *owner_next(const wb_fair_queue_t *queue) {
     queue_owner_t *best = NULL;
     GHashTableIter iterator;
     gpointer value;
@@ -95,8 +89,7 @@
     return best;
 }
 
-gpointer wb_fair_queue_pop(wb_fair_queue_t *queue)
-{
+gpointer wb_fair_queue_pop(wb_fair_queue_t *queue) {
     queue_owner_t *owner = owner_next(queue);
     if (owner == NULL)
         return NULL;
@@ -109,14 +102,12 @@
     return item;
 }
 
-guint wb_fair_queue_length(const wb_fair_queue_t *queue)
-{
+guint wb_fair_queue_length(const wb_fair_queue_t *queue) {
     return queue->length;
 }
 
 void wb_fair_queue_each(const wb_fair_queue_t *queue,
-                        void (*visit)(gpointer item, gpointer context), gpointer context)
-{
+                        void (*visit)(gpointer item, gpointer context), gpointer context) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, queue->owners);
@@ -128,8 +119,7 @@
 }
 
 void wb_fair_queue_remove(wb_fair_queue_t *queue, gboolean (*test)(gpointer item, gpointer context),
-                          gpointer context)
-{
+                          gpointer context) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, queue->owners);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -10,14 +10,12 @@
 #define TICK_MS 20
 #define RETRY_AFTER_MS 1000
 
-static void json_free(gpointer data)
-{
+static void json_free(gpointer data) {
     json_decref(data);
 }
 
 wb_gateway_t *wb_gateway_create(const wb_gateway_options_t *options,
-                                const wb_gateway_parts_t *parts)
-{
+                                const wb_gateway_parts_t *parts) {
     wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
     gateway->options = *options;
     gateway->parts = *parts;
@@ -37,8 +35,7 @@
     return gateway;
 }
 
-void wb_gateway_free(wb_gateway_t *gateway)
-{
+void wb_gateway_free(wb_gateway_t *gateway) {
     wb_timer_cancel(gateway->tick_timer);
     for (int i = 0; i < GATEWAY_SHARDS; i++) {
         g_hash_table_unref(gateway->shards[i].targets);
@@ -52,8 +49,7 @@
     g_free(gateway);
 }
 
-void wb_gateway_set_config(wb_gateway_t *gateway, wb_config_t *config)
-{
+void wb_gateway_set_config(wb_gateway_t *gateway, wb_config_t *config) {
     g_mutex_lock(&gateway->config_lock);
     wb_config_t *old = gateway->config;
     gateway->config = wb_config_ref(config);
@@ -61,18 +57,15 @@
     wb_config_unref(old);
 }
 
-void wb_gateway_set_ready(wb_gateway_t *gateway, gboolean ready)
-{
+void wb_gateway_set_ready(wb_gateway_t *gateway, gboolean ready) {
     g_atomic_int_set(&gateway->ready, ready);
 }
 
-void wb_gateway_drain(wb_gateway_t *gateway)
-{
+void wb_gateway_drain(wb_gateway_t *gateway) {
     g_atomic_int_set(&gateway->draining, 1);
 }
 
-static char *cell_of(wb_gateway_t *gateway, const char *name)
-{
+static char *cell_of(wb_gateway_t *gateway, const char *name) {
     g_mutex_lock(&gateway->config_lock);
     const wb_model_t *model = wb_config_model(gateway->config, name);
     char *cell = g_strdup(model != NULL ? model->cell : "");
@@ -82,8 +75,7 @@
 
 /* Why a new request can't be served in time, or NULL. The shard's lock is held. */
 static const char *admission_check(const wb_gateway_t *gateway, const gw_target_t *target,
-                                   const gw_request_t *request, int64_t *retry_after_ms)
-{
+                                   const gw_request_t *request, int64_t *retry_after_ms) {
     *retry_after_ms = RETRY_AFTER_MS;
     if ((int64_t)wb_fair_queue_length(target->queue) >= gateway->options.queue_limit)
         return "Too many requests wait for this model.";
@@ -101,8 +93,7 @@
     return NULL;
 }
 
-static void request_admit(gw_request_t *request)
-{
+static void request_admit(gw_request_t *request) {
     wb_gateway_t *gateway = request->gateway;
     g_autofree char *cell = cell_of(gateway, request->model);
     GQueue starting = G_QUEUE_INIT;
@@ -130,15 +121,13 @@
 }
 
 /* An answer by key needs no engine of its own. */
-static void fetch_start(gw_request_t *request)
-{
+static void fetch_start(gw_request_t *request) {
     request->shard = shard_of(request->gateway, request->model, request->adapter);
     request->started_ms = wb_clock_ms();
     claim_ask(request, 0);
 }
 
-static void models_list(wb_gateway_t *gateway, wb_http_exchange_t *exchange)
-{
+static void models_list(wb_gateway_t *gateway, wb_http_exchange_t *exchange) {
     json_t *list = json_array();
     GHashTableIter iterator;
     gpointer value;
@@ -164,8 +153,7 @@
 
 /* The kind of request that a path stands for; FALSE for other paths. */
 static gboolean path_parse(const char *path, gw_kind_t *kind, char **service,
-                           const char **call_path)
-{
+                           const char **call_path) {
     static const char call_prefix[] = "/v1/services/";
     *service = NULL;
     *call_path = "";
@@ -183,8 +171,7 @@
     return TRUE;
 }
 
-static gboolean is_ready(wb_gateway_t *gateway)
-{
+static gboolean is_ready(wb_gateway_t *gateway) {
     g_mutex_lock(&gateway->config_lock);
     gboolean has_config = gateway->config != NULL;
     g_mutex_unlock(&gateway->config_lock);
@@ -193,8 +180,8 @@
 }
 
 /* Sends away what needs no reading. Returns TRUE when it did. */
-static gboolean turned_away(wb_gateway_t *gateway, wb_http_exchange_t *exchange, const char *method)
-{
+static gboolean turned_away(wb_gateway_t *gateway, wb_http_exchange_t *exchange,
+                            const char *method) {
     if (strcmp(wb_http_exchange_method(exchange), method) != 0) {
         wb_http_exchange_add_header(exchange, "Allow", method);
         answer_bad(gateway, exchange, 405, "method_not_allowed", "Use another method here.");
@@ -208,8 +195,7 @@
     return FALSE;
 }
 
-gboolean wb_gateway_handle(wb_gateway_t *gateway, wb_http_exchange_t *exchange)
-{
+gboolean wb_gateway_handle(wb_gateway_t *gateway, wb_http_exchange_t *exchange) {
     static const char fetch_prefix[] = "/v1/requests/";
     const char *path = wb_http_exchange_path(exchange);
     gw_kind_t kind;
@@ -241,8 +227,8 @@
     return TRUE;
 }
 
-gboolean wb_gateway_message(wb_gateway_t *gateway, const char *node, const wb_wire_message *message)
-{
+gboolean wb_gateway_message(wb_gateway_t *gateway, const char *node,
+                            const wb_wire_message *message) {
     (void)node;
     if (message->kind == WB_WIRE_ROUTE_SHOW)
         target_show(gateway, &message->wb_wire_message_u.route_show);
@@ -253,18 +239,15 @@
     return TRUE;
 }
 
-const wb_gateway_counters_t *wb_gateway_counters(const wb_gateway_t *gateway)
-{
+const wb_gateway_counters_t *wb_gateway_counters(const wb_gateway_t *gateway) {
     return &gateway->counters;
 }
 
-gint wb_gateway_open(const wb_gateway_t *gateway)
-{
+gint wb_gateway_open(const wb_gateway_t *gateway) {
     return g_atomic_int_get(&gateway->counters.open);
 }
 
-static json_t *target_explain(const gw_target_t *target)
-{
+static json_t *target_explain(const gw_target_t *target) {
     static const char *const states[] = {"unknown", "ready", "waking", "refused", "busy"};
     json_t *replicas = json_array();
     for (guint i = 0; i < target->replicas->len; i++) {
@@ -281,8 +264,7 @@
                      "service_ms", target->service_ms, "replicas", replicas);
 }
 
-json_t *wb_gateway_explain(wb_gateway_t *gateway, const char *model)
-{
+json_t *wb_gateway_explain(wb_gateway_t *gateway, const char *model) {
     json_t *list = json_array();
     for (int i = 0; i < GATEWAY_SHARDS; i++) {
         gw_shard_t *shard = &gateway->shards[i];
@@ -298,8 +280,7 @@
     return list;
 }
 
-json_t *wb_gateway_explain_request(wb_gateway_t *gateway, const char *request_id)
-{
+json_t *wb_gateway_explain_request(wb_gateway_t *gateway, const char *request_id) {
     json_t *found = NULL;
     g_mutex_lock(&gateway->recent_lock);
     for (GList *place = gateway->recent.tail; place != NULL && found == NULL; place = place->prev)
--- a/src/gateway/request.c
+++ b/src/gateway/request.c
@@ -13,14 +13,12 @@
 #define PATH_LIMIT 200
 #define OWNER_DEFAULT "default"
 
-gw_request_t *request_ref(gw_request_t *request)
-{
+gw_request_t *request_ref(gw_request_t *request) {
     g_atomic_int_inc(&request->references);
     return request;
 }
 
-void request_unref(gw_request_t *request)
-{
+void request_unref(gw_request_t *request) {
     if (!g_atomic_int_dec_and_test(&request->references))
         return;
     if (request->call != NULL)
@@ -39,32 +37,27 @@
     g_free(request);
 }
 
-static void random_name(char *name, const char *prefix)
-{
+static void random_name(char *name, const char *prefix) {
     g_snprintf(name, REQUEST_ID_SIZE, "%s%08x%08x%08x", prefix, g_random_int(), g_random_int(),
                g_random_int());
 }
 
-void request_name_stream(gw_request_t *request)
-{
+void request_name_stream(gw_request_t *request) {
     random_name(request->stream, "s-");
 }
 
-int64_t request_time_left_ms(const gw_request_t *request)
-{
+int64_t request_time_left_ms(const gw_request_t *request) {
     return request->deadline_ms - wb_clock_ms();
 }
 
-void request_why(gw_request_t *request, const char *format, ...)
-{
+void request_why(gw_request_t *request, const char *format, ...) {
     va_list arguments;
     va_start(arguments, format);
     g_vsnprintf(request->why, sizeof(request->why), format, arguments);
     va_end(arguments);
 }
 
-static gw_request_t *request_create(wb_gateway_t *gateway, wb_http_exchange_t *exchange)
-{
+static gw_request_t *request_create(wb_gateway_t *gateway, wb_http_exchange_t *exchange) {
     gw_request_t *request = g_new0(gw_request_t, 1);
     request->references = 1;
     g_mutex_init(&request->lock);
@@ -79,8 +72,7 @@
 
 /* Finds what a name means: a model, an adapter, or "model:adapter". */
 static const wb_model_t *model_resolve(const wb_config_t *config, const char *name,
-                                       const char **adapter)
-{
+                                       const char **adapter) {
     *adapter = "";
     const wb_model_t *model = wb_config_model(config, name);
     if (model != NULL)
@@ -100,8 +92,7 @@
 }
 
 /* Returns FALSE for a header that is no number of milliseconds in range. */
-static gboolean deadline_read(wb_http_exchange_t *exchange, int64_t *deadline_ms)
-{
+static gboolean deadline_read(wb_http_exchange_t *exchange, int64_t *deadline_ms) {
     const char *text = wb_http_exchange_header(exchange, "Wickbridge-Deadline-Ms");
     if (text == NULL)
         return TRUE;
@@ -114,8 +105,7 @@
 }
 
 /* Returns FALSE for a header that is neither "yes" nor "no". */
-static gboolean repeatable_read(wb_http_exchange_t *exchange, gboolean *repeatable)
-{
+static gboolean repeatable_read(wb_http_exchange_t *exchange, gboolean *repeatable) {
     const char *text = wb_http_exchange_header(exchange, "Wickbridge-Repeatable");
     if (text == NULL)
         return TRUE;
@@ -127,8 +117,7 @@
 
 /* What is wrong with the headers, or NULL. */
 static const char *headers_take(gw_request_t *request, const wb_config_t *config,
-                                const wb_service_t *service)
-{
+                                const wb_service_t *service) {
     int64_t deadline_ms = service->default_deadline_ms;
     request->repeatable = service->repeatable;
     if (!deadline_read(request->exchange, &deadline_ms))
@@ -151,8 +140,7 @@
 }
 
 static gw_request_t *request_fail(gw_request_t *request, unsigned status, const char *code,
-                                  const char *message)
-{
+                                  const char *message) {
     answer_bad(request->gateway, request->exchange, status, code, message);
     request_unref(request);
     return NULL;
@@ -160,8 +148,7 @@
 
 /* Sets the model and the headers' values. Returns NULL after an answer was sent. */
 static gw_request_t *request_resolve(gw_request_t *request, const wb_config_t *config,
-                                     const char *name, const char *service_name)
-{
+                                     const char *name, const char *service_name) {
     const char *adapter;
     const wb_model_t *model = model_resolve(config, name, &adapter);
     if (model == NULL || (service_name != NULL && strcmp(model->service, service_name) != 0)) {
@@ -178,8 +165,7 @@
 
 /* An opaque call names its model in a header, or its service has just one. */
 static const char *call_model(const wb_config_t *config, wb_http_exchange_t *exchange,
-                              const char *service)
-{
+                              const char *service) {
     const char *name = wb_http_exchange_header(exchange, "Wickbridge-Model");
     if (name != NULL)
         return name;
@@ -197,8 +183,7 @@
     return name != NULL ? name : "";
 }
 
-static const char *body_check(const json_t *body, gw_kind_t kind)
-{
+static const char *body_check(const json_t *body, gw_kind_t kind) {
     if (kind == KIND_CALL)
         return NULL;
     if (!json_is_object(body))
@@ -215,8 +200,7 @@
     return NULL;
 }
 
-static wb_config_t *config_get(wb_gateway_t *gateway)
-{
+static wb_config_t *config_get(wb_gateway_t *gateway) {
     g_mutex_lock(&gateway->config_lock);
     wb_config_t *config = gateway->config != NULL ? wb_config_ref(gateway->config) : NULL;
     g_mutex_unlock(&gateway->config_lock);
@@ -224,14 +208,12 @@
 }
 
 /* Escaped, so that nothing in it can end the header that carries it to the engine. */
-static char *path_escape(const char *path)
-{
+static char *path_escape(const char *path) {
     return g_uri_escape_string(path, G_URI_RESERVED_CHARS_ALLOWED_IN_PATH, FALSE);
 }
 
 gw_request_t *request_read(wb_gateway_t *gateway, wb_http_exchange_t *exchange, gw_kind_t kind,
-                           const char *service, const char *call_path)
-{
+                           const char *service, const char *call_path) {
     gw_request_t *request = request_create(gateway, exchange);
     request->kind = kind;
     if (kind == KIND_CALL)
@@ -268,8 +250,7 @@
 }
 
 gw_request_t *request_read_fetch(wb_gateway_t *gateway, wb_http_exchange_t *exchange,
-                                 const char *key)
-{
+                                 const char *key) {
     gw_request_t *request = request_create(gateway, exchange);
     const char *name = wb_http_exchange_query(exchange, "model");
     const char *stream = wb_http_exchange_query(exchange, "stream");
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -20,22 +20,19 @@
 
 static const char last_event[] = "data: [DONE]\n\n";
 
-static wb_http_client_t *client_of(const gw_request_t *request)
-{
+static wb_http_client_t *client_of(const gw_request_t *request) {
     const wb_gateway_parts_t *parts = &request->gateway->parts;
     return parts->clients[g_str_hash(request->id) % parts->client_count];
 }
 
-static char *stream_url(const gw_request_t *request, const char *query)
-{
+static char *stream_url(const gw_request_t *request, const char *query) {
     return g_strdup_printf("%s://%s/engine/v1/streams/%s%s",
                            request->gateway->options.engine_scheme, request->engine_address,
                            request->stream, query);
 }
 
 /* The caller went away, or has its whole answer. On an HTTP server thread. */
-static void stream_closed(gboolean whole, void *context)
-{
+static void stream_closed(gboolean whole, void *context) {
     gw_request_t *request = context;
     if (!whole && request->key == NULL) {
         g_mutex_lock(&request->lock);
@@ -50,8 +47,7 @@
     request_unref(request);
 }
 
-static void stream_begin(gw_request_t *request)
-{
+static void stream_begin(gw_request_t *request) {
     request->stream_begun = TRUE;
     answer_headers(request, NULL);
     wb_http_exchange_add_header(request->exchange, "Cache-Control", "no-cache");
@@ -59,8 +55,7 @@
                                   request_ref(request));
 }
 
-static int events_count(const char *data, size_t length)
-{
+static int events_count(const char *data, size_t length) {
     int count = 0;
     const char *place = data;
     const char *end = data + length;
@@ -75,16 +70,14 @@
 }
 
 /* The length of the whole events at the front. */
-static size_t whole_length(const char *data, size_t length)
-{
+static size_t whole_length(const char *data, size_t length) {
     for (size_t end = length; end >= 2; end--)
         if (data[end - 1] == '\n' && data[end - 2] == '\n')
             return end;
     return 0;
 }
 
-static void events_pass(gw_request_t *request, const char *data, size_t length)
-{
+static void events_pass(gw_request_t *request, const char *data, size_t length) {
     int events = events_count(data, length);
     request->events += events;
     g_atomic_int_add(&request->gateway->counters.events, events);
@@ -95,8 +88,7 @@
 }
 
 /* Passes whole events on; the start of another one waits for its rest. */
-static void run_data(const char *data, size_t length, void *context)
-{
+static void run_data(const char *data, size_t length, void *context) {
     gw_request_t *request = context;
     if (request->stage == STAGE_FINISHED)
         return;
@@ -118,8 +110,7 @@
         g_string_append_len(request->partial, data + whole, (gssize)(length - whole));
 }
 
-static void call_set(gw_request_t *request, wb_http_call_t *call)
-{
+static void call_set(gw_request_t *request, wb_http_call_t *call) {
     g_mutex_lock(&request->lock);
     wb_http_call_t *old = request->call;
     request->call = call;
@@ -133,8 +124,7 @@
 
 /* The call may end before its handle is stored; then the handle is stale but still referenced, and
  * the next call or the request's end drops it. */
-static void call_start(gw_request_t *request, wb_http_request_t *call)
-{
+static void call_start(gw_request_t *request, wb_http_request_t *call) {
     request->stage = STAGE_RUNNING;
     request_ref(request); /* keeps the request while the handle is stored */
     call->keep_handle = TRUE;
@@ -144,15 +134,13 @@
 
 static void run_ended(const wb_http_result_t *result, void *context);
 
-static const char *kind_query(const gw_request_t *request)
-{
+static const char *kind_query(const gw_request_t *request) {
     static const char *const queries[] = {"?kind=chat", "?kind=completion", "?kind=call"};
     return queries[request->kind];
 }
 
 static void headers_fill(const gw_request_t *request, char lines[MAX_HEADERS][HEADER_SIZE],
-                         const char *headers[MAX_HEADERS + 1])
-{
+                         const char *headers[MAX_HEADERS + 1]) {
     int count = 0;
     g_snprintf(lines[count++], HEADER_SIZE, "Engine-Model: %s", request->model);
     if (*request->adapter != '\0')
@@ -169,8 +157,7 @@
     headers[count] = NULL;
 }
 
-void run_on_engine(gw_request_t *request)
-{
+void run_on_engine(gw_request_t *request) {
     char lines[MAX_HEADERS][HEADER_SIZE];
     const char *headers[MAX_HEADERS + 1];
     headers_fill(request, lines, headers);
@@ -193,8 +180,7 @@
     call_start(request, &call);
 }
 
-void run_attach(gw_request_t *request)
-{
+void run_attach(gw_request_t *request) {
     g_autofree char *query =
         g_strdup_printf("?offset=%d&stream=%d", request->events, request->streaming ? 1 : 0);
     g_autofree char *url = stream_url(request, query);
@@ -211,26 +197,22 @@
     call_start(request, &call);
 }
 
-static void request_over(gw_request_t *request)
-{
+static void request_over(gw_request_t *request) {
     request_unref(request);
 }
 
 /* The deadline is for the first byte of a stream, and for the whole of other answers. */
-static gboolean deadline_is_over(const gw_request_t *request)
-{
+static gboolean deadline_is_over(const gw_request_t *request) {
     return !request->stream_begun && request_time_left_ms(request) <= 0;
 }
 
-static void cancel_ignored(const wb_http_result_t *result, void *context)
-{
+static void cancel_ignored(const wb_http_result_t *result, void *context) {
     (void)result;
     request_unref(context);
 }
 
 /* Tells the engine that nobody wants the stream any more. */
-void run_cancel(gw_request_t *request)
-{
+void run_cancel(gw_request_t *request) {
     g_autofree char *url = stream_url(request, "");
     wb_http_request_t call = {.method = "DELETE",
                               .url = url,
@@ -242,8 +224,7 @@
 
 /* Back to the queue, in front; for runs that are known not to have happened, or that may be
  * repeated. */
-void run_again(gw_request_t *request, const char *why)
-{
+void run_again(gw_request_t *request, const char *why) {
     wb_gateway_t *gateway = request->gateway;
     request_why(request, "%s", why);
     request->attached = FALSE;
@@ -272,8 +253,7 @@
     want_now(gateway);
 }
 
-void run_start_all(GQueue *starting)
-{
+void run_start_all(GQueue *starting) {
     gw_request_t *request;
     while ((request = g_queue_pop_head(starting)) != NULL) {
         if (request->key != NULL)
@@ -283,8 +263,7 @@
     }
 }
 
-static void run_completed(gw_request_t *request, const wb_http_result_t *result)
-{
+static void run_completed(gw_request_t *request, const wb_http_result_t *result) {
     target_release(request, TRUE, FALSE, 0);
     if (request->streaming) {
         claim_tell_done(request, 200, "", 0);
@@ -297,8 +276,7 @@
 }
 
 /* The engine is lost with a run that may have happened. */
-static void engine_lost(gw_request_t *request)
-{
+static void engine_lost(gw_request_t *request) {
     gboolean may_repeat = request->repeatable && !request->fetching &&
                           (!request->stream_begun || request->seed != NULL);
     target_release(request, FALSE, FALSE, DOWN_UNREACHABLE_MS);
@@ -312,20 +290,17 @@
     run_again(request, "the engine was lost while the request ran");
 }
 
-static void attach_on_loop(void *context)
-{
+static void attach_on_loop(void *context) {
     run_attach(context);
 }
 
-static void attach_later(void *context)
-{
+static void attach_later(void *context) {
     gw_request_t *request = context;
     wb_loop_after(request->gateway->parts.loop, RESUME_WAIT_MS, attach_on_loop, request);
 }
 
 /* Asks the engine for the rest of a stream that was cut. */
-static void run_resume(gw_request_t *request)
-{
+static void run_resume(gw_request_t *request) {
     if (request->caller_gone || deadline_is_over(request)) {
         gboolean gone = request->caller_gone;
         if (request->key == NULL) /* with a key, a retry may want the answer */
@@ -348,8 +323,7 @@
     wb_loop_post(request->gateway->parts.loop, attach_later, request);
 }
 
-static void never_seen_ended(const wb_http_result_t *result, void *context)
-{
+static void never_seen_ended(const wb_http_result_t *result, void *context) {
     gw_request_t *request = context;
     json_t *body = json_loadb(result->body, result->body_length, 0, NULL);
     const char *was = wb_json_text(body, "was", "");
@@ -366,8 +340,7 @@
 }
 
 /* The engine doesn't know the stream. It is told never to start it; then that is certain. */
-static void run_forbid(gw_request_t *request)
-{
+static void run_forbid(gw_request_t *request) {
     g_autofree char *url = stream_url(request, "");
     wb_http_request_t call = {.method = "DELETE",
                               .url = url,
@@ -378,14 +351,12 @@
 }
 
 /* Another node may have told the engine not to run it, or ran it itself: see the key's claim. */
-static void run_claim_again(gw_request_t *request)
-{
+static void run_claim_again(gw_request_t *request) {
     request_name_stream(request);
     claim_ask(request, 0);
 }
 
-static void fetch_unknown(gw_request_t *request)
-{
+static void fetch_unknown(gw_request_t *request) {
     answer_error(request, 503, "server_error", "not_started", WB_VERDICT_MAY_HAVE_RUN,
                  RETRY_AFTER_MS, "The engine doesn't know this request, or not yet.");
     request_over(request);
@@ -393,8 +364,7 @@
 
 /* The engine doesn't know the stream of an earlier run, or that run was cancelled. What does that
  * prove? Nothing, if the engine may have forgotten it. */
-static void first_run_unknown(gw_request_t *request)
-{
+static void first_run_unknown(gw_request_t *request) {
     int64_t age_ms = wb_clock_ms() - request->attached_ms;
     if (request->attached_done)
         answer_error(request, 410, "invalid_request_error", "answer_expired", WB_VERDICT_COMPLETED,
@@ -408,8 +378,7 @@
     request_over(request);
 }
 
-static void run_not_found(gw_request_t *request, const char *code)
-{
+static void run_not_found(gw_request_t *request, const char *code) {
     gboolean unknown = strcmp(code, "unknown_stream") == 0;
     if (unknown && request->fetching)
         fetch_unknown(request);
@@ -424,8 +393,7 @@
 }
 
 /* The stream was cancelled. One that was forbidden before it began has certainly not run. */
-static void run_cancelled(gw_request_t *request, const char *code)
-{
+static void run_cancelled(gw_request_t *request, const char *code) {
     gboolean forbidden = strcmp(code, "forbidden") == 0;
     if (forbidden && request->attached && !request->fetching) {
         request->may_have_run = FALSE;
@@ -437,8 +405,7 @@
 }
 
 /* The engine answered with something else than 200. */
-static void run_refused(gw_request_t *request, const wb_http_result_t *result)
-{
+static void run_refused(gw_request_t *request, const wb_http_result_t *result) {
     json_t *body = json_loadb(result->body, result->body_length, 0, NULL);
     g_autofree char *code =
         g_strdup(wb_json_text(json_object_get(body, "error"), "code", "unknown"));
@@ -477,8 +444,7 @@
 }
 
 /* A call to an engine is over, on the HTTP client's thread. */
-static void run_ended(const wb_http_result_t *result, void *context)
-{
+static void run_ended(const wb_http_result_t *result, void *context) {
     gw_request_t *request = context;
     call_set(request, NULL);
     if (request->seed == NULL && result->seed != NULL)
--- a/src/gateway/target.c
+++ b/src/gateway/target.c
@@ -11,19 +11,16 @@
 #define WINDOW_CUT 0.8       /* after a refusal for a full queue */
 #define WINDOW_CUT_INTERVAL_MS 200
 
-static char *pair_name(const char *model, const char *adapter)
-{
+static char *pair_name(const char *model, const char *adapter) {
     return g_strconcat(model, "\n", adapter, NULL);
 }
 
-gw_shard_t *shard_of(wb_gateway_t *gateway, const char *model, const char *adapter)
-{
+gw_shard_t *shard_of(wb_gateway_t *gateway, const char *model, const char *adapter) {
     g_autofree char *name = pair_name(model, adapter);
     return &gateway->shards[XXH64(name, strlen(name), 0) % GATEWAY_SHARDS];
 }
 
-static void replica_free(gpointer data)
-{
+static void replica_free(gpointer data) {
     gw_replica_t *replica = data;
     g_free(replica->engine);
     g_free(replica->address);
@@ -31,8 +28,7 @@
     g_free(replica);
 }
 
-void target_free(gpointer data)
-{
+void target_free(gpointer data) {
     gw_target_t *target = data;
     wb_fair_queue_free(target->queue);
     g_ptr_array_unref(target->replicas);
@@ -44,8 +40,7 @@
 }
 
 gw_target_t *target_get(gw_shard_t *shard, const char *model, const char *adapter, const char *cell,
-                        int64_t now_ms)
-{
+                        int64_t now_ms) {
     g_autofree char *name = pair_name(model, adapter);
     gw_target_t *target = g_hash_table_lookup(shard->targets, name);
     if (target == NULL) {
@@ -61,14 +56,12 @@
     return target;
 }
 
-gw_target_t *target_of(const gw_request_t *request)
-{
+gw_target_t *target_of(const gw_request_t *request) {
     g_autofree char *name = pair_name(request->model, request->adapter);
     return g_hash_table_lookup(request->shard->targets, name);
 }
 
-void target_enqueue(gw_target_t *target, gw_request_t *request, gboolean front)
-{
+void target_enqueue(gw_target_t *target, gw_request_t *request, gboolean front) {
     request->stage = STAGE_WAITING;
     if (front)
         wb_fair_queue_push_front(target->queue, request->owner, request->share, request);
@@ -76,14 +69,12 @@
         wb_fair_queue_push(target->queue, request->owner, request->share, 1.0, request);
 }
 
-static gboolean replica_has_space(const gw_replica_t *replica, int64_t now_ms)
-{
+static gboolean replica_has_space(const gw_replica_t *replica, int64_t now_ms) {
     return replica->shown && now_ms >= replica->down_until_ms &&
            replica->running + 1 <= MAX(replica->window, 1.0);
 }
 
-static double replica_load(const gw_replica_t *replica, const char *zone)
-{
+static double replica_load(const gw_replica_t *replica, const char *zone) {
     /* Of two equally loaded replicas, the one in our zone. */
     double distance = strcmp(replica->zone, zone) == 0 ? 0.0 : 0.01;
     return (double)replica->running / MAX(replica->window, 1.0) + distance;
@@ -91,8 +82,7 @@
 
 /* Power of two choices (Mitzenmacher 2001) among replicas with space. */
 static gw_replica_t *replica_choose(const wb_gateway_t *gateway, const gw_target_t *target,
-                                    int64_t now_ms)
-{
+                                    int64_t now_ms) {
     g_autoptr(GPtrArray) free_replicas = g_ptr_array_new();
     for (guint i = 0; i < target->replicas->len; i++)
         if (replica_has_space(target->replicas->pdata[i], now_ms))
@@ -104,8 +94,7 @@
     return replica_load(one, gateway->zone) <= replica_load(two, gateway->zone) ? one : two;
 }
 
-void target_dispatch(wb_gateway_t *gateway, gw_target_t *target, GQueue *starting, int64_t now_ms)
-{
+void target_dispatch(wb_gateway_t *gateway, gw_target_t *target, GQueue *starting, int64_t now_ms) {
     while (wb_fair_queue_length(target->queue) > 0) {
         gw_replica_t *replica = replica_choose(gateway, target, now_ms);
         if (replica == NULL)
@@ -125,8 +114,7 @@
     }
 }
 
-static gw_replica_t *replica_find(const gw_target_t *target, const char *engine)
-{
+static gw_replica_t *replica_find(const gw_target_t *target, const char *engine) {
     for (guint i = 0; i < target->replicas->len; i++) {
         gw_replica_t *replica = target->replicas->pdata[i];
         if (strcmp(replica->engine, engine) == 0)
@@ -136,8 +124,7 @@
 }
 
 /* A replica that is no longer shown stays until our requests on it have ended. */
-static void replicas_sweep(gw_target_t *target)
-{
+static void replicas_sweep(gw_target_t *target) {
     for (guint i = target->replicas->len; i-- > 0;) {
         const gw_replica_t *replica = target->replicas->pdata[i];
         if (!replica->shown && replica->running == 0)
@@ -146,8 +133,7 @@
 }
 
 /* The engine's queue was full. One burst of refusals is one sign, so it cuts once. */
-static void window_cut(gw_replica_t *replica, int64_t now_ms)
-{
+static void window_cut(gw_replica_t *replica, int64_t now_ms) {
     if (now_ms - replica->cut_ms < WINDOW_CUT_INTERVAL_MS)
         return;
     replica->cut_ms = now_ms;
@@ -155,14 +141,12 @@
 }
 
 /* Fast up to the engine's batch, then by one for each window's worth of successes. */
-static void window_grow(gw_replica_t *replica)
-{
+static void window_grow(gw_replica_t *replica) {
     double step = replica->window < replica->batch ? 1.0 : 1.0 / replica->window;
     replica->window = MIN(replica->window + step, WINDOW_PER_BATCH * replica->batch);
 }
 
-void target_release(gw_request_t *request, gboolean success, gboolean refused, int64_t down_ms)
-{
+void target_release(gw_request_t *request, gboolean success, gboolean refused, int64_t down_ms) {
     GQueue starting = G_QUEUE_INIT;
     int64_t now_ms = wb_clock_ms();
     g_mutex_lock(&request->shard->lock);
@@ -197,8 +181,7 @@
 }
 
 gboolean target_owner_is_missing(gw_target_t *target, gboolean lost, int64_t now_ms,
-                                 int64_t wait_ms)
-{
+                                 int64_t wait_ms) {
     if (wb_fair_queue_length(target->queue) == 0) {
         /* Time in which nobody waited is no wait: an earlier loss may long be over. */
         target->owner_lost_ms = 0;
@@ -212,8 +195,7 @@
 }
 
 /* How long a new request would wait, as far as is known; 0 when nothing is known. */
-int64_t target_predict_ms(const gw_target_t *target)
-{
+int64_t target_predict_ms(const gw_target_t *target) {
     double windows = 0.0;
     for (guint i = 0; i < target->replicas->len; i++) {
         const gw_replica_t *replica = target->replicas->pdata[i];
@@ -226,8 +208,7 @@
     return ahead <= 0.0 ? 0 : (int64_t)(ahead / windows * target->service_ms);
 }
 
-static void replicas_update(gw_target_t *target, const wb_wire_route_show *show)
-{
+static void replicas_update(gw_target_t *target, const wb_wire_route_show *show) {
     for (guint i = 0; i < target->replicas->len; i++)
         ((gw_replica_t *)target->replicas->pdata[i])->shown = FALSE;
     for (u_int i = 0; i < show->replicas.replicas_len; i++) {
@@ -255,8 +236,7 @@
     GQueue refused;
 } wake_check_t;
 
-static gboolean wake_is_too_late(gpointer item, gpointer context)
-{
+static gboolean wake_is_too_late(gpointer item, gpointer context) {
     gw_request_t *request = item;
     wake_check_t *check = context;
     const gw_target_t *target = check->target;
@@ -272,8 +252,7 @@
 }
 
 static void refused_answer(GQueue *refused, const char *code, const char *message,
-                           int64_t retry_after_ms)
-{
+                           int64_t retry_after_ms) {
     gw_request_t *request;
     while ((request = g_queue_pop_head(refused)) != NULL) {
         answer_not_run(request, retry_after_ms, code, message);
@@ -281,8 +260,7 @@
     }
 }
 
-void target_show(wb_gateway_t *gateway, const wb_wire_route_show *show)
-{
+void target_show(wb_gateway_t *gateway, const wb_wire_route_show *show) {
     static const gw_route_state_t states[] = {ROUTE_READY, ROUTE_WAKING, ROUTE_REFUSED,
                                               ROUTE_UNKNOWN, ROUTE_BUSY};
     gw_shard_t *shard = shard_of(gateway, show->model, show->adapter);
--- a/src/gateway/want.c
+++ b/src/gateway/want.c
@@ -10,16 +10,14 @@
 #define TARGET_FORGET_MS 300000
 #define RETRY_AFTER_MS 1000
 
-static void smallest_deadline(gpointer item, gpointer context)
-{
+static void smallest_deadline(gpointer item, gpointer context) {
     const gw_request_t *request = item;
     int64_t *deadline_ms = context;
     if (*deadline_ms == 0 || request->deadline_ms < *deadline_ms)
         *deadline_ms = request->deadline_ms;
 }
 
-static gboolean want_is_due(const gw_target_t *target, int64_t now_ms)
-{
+static gboolean want_is_due(const gw_target_t *target, int64_t now_ms) {
     int waiting = (int)wb_fair_queue_length(target->queue);
     int64_t age_ms = now_ms - target->wanted_ms;
     if (target->wanted_ms == 0)
@@ -35,8 +33,7 @@
 }
 
 /* Tells the owner. Returns FALSE when there is none. The shard's lock is held. */
-static gboolean want_send(wb_gateway_t *gateway, gw_target_t *target, int64_t now_ms)
-{
+static gboolean want_send(wb_gateway_t *gateway, gw_target_t *target, int64_t now_ms) {
     const char *owner = gateway->parts.find_owner(target->cell, gateway->parts.context);
     if (owner == NULL)
         return FALSE;
@@ -62,8 +59,7 @@
     GQueue unowned;
 } expiry_t;
 
-static gboolean request_is_over(gpointer item, gpointer context)
-{
+static gboolean request_is_over(gpointer item, gpointer context) {
     gw_request_t *request = item;
     expiry_t *expiry = context;
     if (request->caller_gone || expiry->now_ms >= request->deadline_ms)
@@ -75,8 +71,7 @@
     return TRUE;
 }
 
-static void over_answer(expiry_t *expiry)
-{
+static void over_answer(expiry_t *expiry) {
     gw_request_t *request;
     while ((request = g_queue_pop_head(&expiry->late)) != NULL) {
         if (request->caller_gone)
@@ -94,8 +89,7 @@
 }
 
 static void target_tick(wb_gateway_t *gateway, gw_target_t *target, expiry_t *expiry,
-                        GQueue *starting)
-{
+                        GQueue *starting) {
     int64_t now_ms = expiry->now_ms;
     gboolean lost = want_is_due(target, now_ms) && !want_send(gateway, target, now_ms);
     expiry->no_owner =
@@ -104,8 +98,7 @@
     target_dispatch(gateway, target, starting, now_ms);
 }
 
-void wants_tick(void *context)
-{
+void wants_tick(void *context) {
     wb_gateway_t *gateway = context;
     for (int i = 0; i < GATEWAY_SHARDS; i++) {
         gw_shard_t *shard = &gateway->shards[i];
@@ -129,7 +122,6 @@
     claims_check(gateway, wb_clock_ms());
 }
 
-void want_now(wb_gateway_t *gateway)
-{
+void want_now(wb_gateway_t *gateway) {
     wb_loop_post(gateway->parts.loop, wants_tick, gateway);
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -43,14 +43,12 @@
     void *context;
 };
 
-wb_http_call_t *wb_http_call_ref(wb_http_call_t *call)
-{
+wb_http_call_t *wb_http_call_ref(wb_http_call_t *call) {
     g_atomic_int_inc(&call->references);
     return call;
 }
 
-void wb_http_call_unref(wb_http_call_t *call)
-{
+void wb_http_call_unref(wb_http_call_t *call) {
     if (!g_atomic_int_dec_and_test(&call->references))
         return;
     curl_easy_cleanup(call->easy);
@@ -60,8 +58,7 @@
     g_free(call);
 }
 
-static size_t data_write(char *data, size_t size, size_t count, void *context)
-{
+static size_t data_write(char *data, size_t size, size_t count, void *context) {
     wb_http_call_t *call = context;
     size_t length = size * count;
     long status = 0;
@@ -77,16 +74,14 @@
 
 /* Returns a header's value when the line has this name, else NULL. The line is not ended by zero.
  */
-static char *header_value(const char *line, size_t length, const char *name)
-{
+static char *header_value(const char *line, size_t length, const char *name) {
     size_t name_length = strlen(name);
     if (length <= name_length || g_ascii_strncasecmp(line, name, name_length) != 0)
         return NULL;
     return g_strstrip(g_strndup(line + name_length, length - name_length));
 }
 
-static size_t header_read(char *line, size_t size, size_t count, void *context)
-{
+static size_t header_read(char *line, size_t size, size_t count, void *context) {
     wb_http_call_t *call = context;
     size_t length = size * count;
     call->last_activity_us = g_get_monotonic_time();
@@ -101,8 +96,7 @@
 }
 
 /* No byte of the request can have arrived: the connection was never made. */
-static gboolean call_was_not_sent(CURL *easy, CURLcode code)
-{
+static gboolean call_was_not_sent(CURL *easy, CURLcode code) {
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_SSL_CONNECT_ERROR || code == CURLE_PEER_FAILED_VERIFICATION ||
         code == CURLE_SSL_CERTPROBLEM)
@@ -112,8 +106,7 @@
     return code != CURLE_OK && pretransfer == 0;
 }
 
-static void bytes_count(wb_http_call_t *call)
-{
+static void bytes_count(wb_http_call_t *call) {
     long head = 0, request = 0;
     curl_off_t up = 0, down = 0;
     curl_easy_getinfo(call->easy, CURLINFO_HEADER_SIZE, &head);
@@ -123,13 +116,11 @@
     call->client->bytes += head + request + (gint64)up + (gint64)down;
 }
 
-int64_t wb_http_client_bytes(const wb_http_client_t *client)
-{
+int64_t wb_http_client_bytes(const wb_http_client_t *client) {
     return client->bytes;
 }
 
-static void call_finish(wb_http_call_t *call, CURLcode code)
-{
+static void call_finish(wb_http_call_t *call, CURLcode code) {
     wb_http_result_t result = {WB_HTTP_BROKEN,
                                0,
                                call->answer->str,
@@ -153,8 +144,7 @@
     wb_http_call_unref(call);
 }
 
-static void queues_take(wb_http_client_t *client, GQueue *starting, GQueue *cancelling)
-{
+static void queues_take(wb_http_client_t *client, GQueue *starting, GQueue *cancelling) {
     g_mutex_lock(&client->lock);
     *starting = client->starting;
     *cancelling = client->cancelling;
@@ -163,8 +153,7 @@
     g_mutex_unlock(&client->lock);
 }
 
-static void queues_work(wb_http_client_t *client)
-{
+static void queues_work(wb_http_client_t *client) {
     GQueue starting, cancelling;
     queues_take(client, &starting, &cancelling);
     wb_http_call_t *call;
@@ -180,8 +169,7 @@
     }
 }
 
-static void idle_calls_break(wb_http_client_t *client)
-{
+static void idle_calls_break(wb_http_client_t *client) {
     GHashTableIter iterator;
     gpointer key;
     int64_t now_us = g_get_monotonic_time();
@@ -197,8 +185,7 @@
         call_finish(call, CURLE_OPERATION_TIMEDOUT);
 }
 
-static void finished_calls_take(wb_http_client_t *client)
-{
+static void finished_calls_take(wb_http_client_t *client) {
     CURLMsg *message;
     int left;
     while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
@@ -211,8 +198,7 @@
     }
 }
 
-static void all_calls_break(wb_http_client_t *client)
-{
+static void all_calls_break(wb_http_client_t *client) {
     queues_work(client);
     GHashTableIter iterator;
     gpointer key;
@@ -224,8 +210,7 @@
     }
 }
 
-static gpointer client_run(gpointer data)
-{
+static gpointer client_run(gpointer data) {
     wb_http_client_t *client = data;
     int64_t next_idle_check_us = 0;
     for (;;) {
@@ -253,8 +238,7 @@
 }
 
 apr_status_t wb_http_client_start(wb_http_client_t **client, const wb_http_client_tls_t *tls,
-                                  wb_error_t *error)
-{
+                                  wb_error_t *error) {
     static gsize initialised = 0;
     if (g_once_init_enter(&initialised)) {
         curl_global_init(CURL_GLOBAL_ALL);
@@ -280,8 +264,7 @@
     return APR_SUCCESS;
 }
 
-void wb_http_client_stop(wb_http_client_t *client)
-{
+void wb_http_client_stop(wb_http_client_t *client) {
     g_mutex_lock(&client->lock);
     client->stopping = TRUE;
     g_mutex_unlock(&client->lock);
@@ -296,8 +279,7 @@
     g_free(client);
 }
 
-static void call_set_headers(wb_http_call_t *call, const wb_http_request_t *request)
-{
+static void call_set_headers(wb_http_call_t *call, const wb_http_request_t *request) {
     call->headers = curl_slist_append(NULL, "Expect:");
     for (const char *const *line = request->headers; line != NULL && *line != NULL; line++)
         call->headers = curl_slist_append(call->headers, *line);
@@ -306,8 +288,7 @@
     curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
 }
 
-static void call_set_body(wb_http_call_t *call, const wb_http_request_t *request)
-{
+static void call_set_body(wb_http_call_t *call, const wb_http_request_t *request) {
     if (request->body == NULL && strcmp(request->method, "POST") != 0)
         return;
     call->body = g_strndup(request->body != NULL ? request->body : "", request->body_length);
@@ -315,8 +296,7 @@
     curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, call->body);
 }
 
-static void call_set_tls(wb_http_call_t *call)
-{
+static void call_set_tls(wb_http_call_t *call) {
     const wb_http_client_t *client = call->client;
     /* Machines are known by IP numbers that come and go; what counts is who signed. */
     curl_easy_setopt(call->easy, CURLOPT_SSL_VERIFYHOST, 0L);
@@ -328,8 +308,7 @@
         curl_easy_setopt(call->easy, CURLOPT_SSLKEY, client->key_file);
 }
 
-wb_http_call_t *wb_http_client_call(wb_http_client_t *client, const wb_http_request_t *request)
-{
+wb_http_call_t *wb_http_client_call(wb_http_client_t *client, const wb_http_request_t *request) {
     wb_http_call_t *call = g_new0(wb_http_call_t, 1);
     call->references = request->keep_handle ? 2 : 1;
     call->client = client;
@@ -367,8 +346,7 @@
     return call;
 }
 
-void wb_http_call_cancel(wb_http_call_t *call)
-{
+void wb_http_call_cancel(wb_http_call_t *call) {
     wb_http_client_t *client = call->client;
     g_mutex_lock(&client->lock);
     g_queue_push_tail(&client->cancelling, wb_http_call_ref(call));
@@ -386,8 +364,7 @@
     char *reason;
 } wb_http_fetch_t;
 
-static void fetch_deliver(void *data)
-{
+static void fetch_deliver(void *data) {
     wb_http_fetch_t *fetch = data;
     fetch->on_done(&fetch->result, fetch->context);
     g_free(fetch->body);
@@ -395,8 +372,7 @@
     g_free(fetch);
 }
 
-static void fetch_done(const wb_http_result_t *result, void *context)
-{
+static void fetch_done(const wb_http_result_t *result, void *context) {
     wb_http_fetch_t *fetch = context;
     fetch->result = *result;
     fetch->body = g_strndup(result->body, result->body_length);
@@ -407,8 +383,7 @@
 }
 
 void wb_http_client_fetch(wb_http_client_t *client, wb_loop_t *loop,
-                          const wb_http_request_t *request)
-{
+                          const wb_http_request_t *request) {
     wb_http_fetch_t *fetch = g_new0(wb_http_fetch_t, 1);
     fetch->loop = loop;
     fetch->on_done = request->on_done;
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -40,8 +40,7 @@
 
 static void connection_advance(wb_http_connection_t *connection);
 
-const char *wb_http_reason(unsigned status)
-{
+const char *wb_http_reason(unsigned status) {
     switch (status) {
     case 200:
         return "OK";
@@ -69,8 +68,7 @@
 }
 
 /* Frees the connection unless its own advance runs; that then frees it. */
-static void connection_free(wb_http_connection_t *connection)
-{
+static void connection_free(wb_http_connection_t *connection) {
     g_hash_table_remove(connection->listener->connections, connection);
     connection->closed = TRUE;
     if (connection->advancing)
@@ -82,20 +80,17 @@
     g_free(connection);
 }
 
-static void connection_finish(wb_http_connection_t *connection)
-{
+static void connection_finish(wb_http_connection_t *connection) {
     wb_tcp_stream_finish(connection->stream);
     connection_free(connection);
 }
 
-static void output_write(wb_http_connection_t *connection, const GString *text)
-{
+static void output_write(wb_http_connection_t *connection, const GString *text) {
     wb_tcp_stream_write(connection->stream, text->str, text->len);
 }
 
 static GString *head_text(const wb_http_connection_t *connection, unsigned status,
-                          const char *reason, const char *headers)
-{
+                          const char *reason, const char *headers) {
     GString *text = g_string_sized_new(HEAD_TEXT_BYTES);
     g_string_printf(text, "HTTP/1.1 %u %s\r\n%s", status, reason, headers);
     if (!connection->keep_alive)
@@ -103,14 +98,12 @@
     return text;
 }
 
-static gboolean status_has_body(const wb_http_connection_t *connection, unsigned status)
-{
+static gboolean status_has_body(const wb_http_connection_t *connection, unsigned status) {
     return !connection->is_head && status != 204 && status != 304;
 }
 
 /* The running request is answered. */
-static void request_over(wb_http_connection_t *connection)
-{
+static void request_over(wb_http_connection_t *connection) {
     connection->running = FALSE;
     connection->request = NULL;
     connection->active_ms = wb_clock_ms();
@@ -127,8 +120,7 @@
 
 void wb_http_connection_answer(wb_http_connection_t *connection, unsigned status,
                                const char *reason, const char *headers, const void *body,
-                               size_t length)
-{
+                               size_t length) {
     if (connection->listener->draining)
         connection->keep_alive = FALSE;
     g_autoptr(GString) text = head_text(connection, status, reason, headers);
@@ -142,8 +134,7 @@
 }
 
 void wb_http_connection_stream_begin(wb_http_connection_t *connection, unsigned status,
-                                     const char *reason, const char *headers)
-{
+                                     const char *reason, const char *headers) {
     if (connection->listener->draining)
         connection->keep_alive = FALSE;
     g_autoptr(GString) text = head_text(connection, status, reason, headers);
@@ -153,8 +144,7 @@
 }
 
 void wb_http_connection_stream_write(wb_http_connection_t *connection, const void *data,
-                                     size_t length)
-{
+                                     size_t length) {
     if (length == 0)
         return;
     if (connection->without_chunks) {
@@ -168,15 +158,13 @@
     output_write(connection, text);
 }
 
-void wb_http_connection_stream_end(wb_http_connection_t *connection)
-{
+void wb_http_connection_stream_end(wb_http_connection_t *connection) {
     if (!connection->without_chunks)
         wb_tcp_stream_write(connection->stream, "0\r\n\r\n", 5);
     request_over(connection);
 }
 
-void wb_http_connection_abort(wb_http_connection_t *connection)
-{
+void wb_http_connection_abort(wb_http_connection_t *connection) {
     connection->running = FALSE;
     if (connection->without_chunks)
         wb_tcp_stream_reset(connection->stream); /* a plain close would end the answer */
@@ -185,31 +173,26 @@
     connection_free(connection);
 }
 
-size_t wb_http_connection_unsent(const wb_http_connection_t *connection)
-{
+size_t wb_http_connection_unsent(const wb_http_connection_t *connection) {
     return wb_tcp_stream_unsent(connection->stream);
 }
 
-int64_t wb_http_connection_request_began_ms(const wb_http_connection_t *connection)
-{
+int64_t wb_http_connection_request_began_ms(const wb_http_connection_t *connection) {
     return connection->began_ms;
 }
 
-void wb_http_connection_set_request(wb_http_connection_t *connection, void *request)
-{
+void wb_http_connection_set_request(wb_http_connection_t *connection, void *request) {
     connection->request = request;
 }
 
 /* Answers what can't be read, and ends the connection. */
-static void connection_refuse(wb_http_connection_t *connection, unsigned status)
-{
+static void connection_refuse(wb_http_connection_t *connection, unsigned status) {
     connection->keep_alive = FALSE;
     connection->running = TRUE;
     wb_http_connection_answer(connection, status, wb_http_reason(status), "", NULL, 0);
 }
 
-static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
-{
+static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
     (void)reader;
     wb_http_connection_t *connection = context;
     connection->without_chunks = head->minor_version == 0;
@@ -224,8 +207,7 @@
         wb_tcp_stream_write(connection->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 }
 
-static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
-{
+static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
     (void)reader;
     wb_http_connection_t *connection = context;
     if (connection->body->len + length > connection->listener->limits.body_bytes)
@@ -234,8 +216,7 @@
         g_byte_array_append(connection->body, (const guint8 *)data, (guint)length);
 }
 
-static void reader_complete(wb_http_reader_t *reader, void *context)
-{
+static void reader_complete(wb_http_reader_t *reader, void *context) {
     wb_http_connection_t *connection = context;
     if (connection->refusal != 0)
         return;
@@ -249,8 +230,7 @@
 
 static const wb_http_reader_events_t reader_events = {reader_head, reader_body, reader_complete};
 
-static unsigned failure_status(const wb_http_connection_t *connection)
-{
+static unsigned failure_status(const wb_http_connection_t *connection) {
     switch (wb_http_reader_failure(connection->reader)) {
     case WB_HTTP_FAILURE_HEAD_TOO_LARGE:
         return 431;
@@ -262,8 +242,7 @@
 }
 
 /* Reads pending bytes until a request runs or none is left. */
-static void connection_advance(wb_http_connection_t *connection)
-{
+static void connection_advance(wb_http_connection_t *connection) {
     connection->advancing = TRUE;
     while (!connection->closed && !connection->running && connection->pending->len > 0) {
         if (connection->began_ms == 0)
@@ -288,8 +267,7 @@
         connection_free(connection);
 }
 
-static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context)
-{
+static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     wb_http_connection_t *connection = context;
     connection->active_ms = wb_clock_ms();
     g_byte_array_append(connection->pending, (const guint8 *)data, (guint)length);
@@ -302,8 +280,7 @@
     connection_advance(connection);
 }
 
-static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context)
-{
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context) {
     (void)how;
     wb_http_connection_t *connection = context;
     wb_http_listener_t *listener = connection->listener;
@@ -313,8 +290,7 @@
     connection_free(connection);
 }
 
-static void stream_drained(wb_tcp_stream_t *stream, void *context)
-{
+static void stream_drained(wb_tcp_stream_t *stream, void *context) {
     (void)stream;
     wb_http_connection_t *connection = context;
     wb_http_listener_t *listener = connection->listener;
@@ -324,8 +300,7 @@
 
 static const wb_tcp_events_t stream_events = {NULL, stream_data, stream_end, stream_drained};
 
-static void connection_accepted(wb_tcp_stream_t *stream, void *context)
-{
+static void connection_accepted(wb_tcp_stream_t *stream, void *context) {
     wb_http_listener_t *listener = context;
     wb_http_connection_t *connection = g_new0(wb_http_connection_t, 1);
     connection->listener = listener;
@@ -339,8 +314,7 @@
 }
 
 /* Ends connections that rest or send too slowly. */
-static void connection_check(wb_http_connection_t *connection, int64_t now_ms)
-{
+static void connection_check(wb_http_connection_t *connection, int64_t now_ms) {
     const wb_http_limits_t *limits = &connection->listener->limits;
     if (connection->running)
         return;
@@ -352,8 +326,7 @@
         connection_finish(connection);
 }
 
-static void listener_sweep(void *context)
-{
+static void listener_sweep(void *context) {
     wb_http_listener_t *listener = context;
     int64_t now_ms = wb_clock_ms();
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
@@ -363,8 +336,7 @@
 
 apr_status_t wb_http_listener_open(wb_loop_t *loop, const char *address,
                                    const wb_http_handler_t *handler, const wb_http_limits_t *limits,
-                                   wb_http_listener_t **listener, wb_error_t *error)
-{
+                                   wb_http_listener_t **listener, wb_error_t *error) {
     wb_http_listener_t *created = g_new0(wb_http_listener_t, 1);
     created->loop = loop;
     created->handler = *handler;
@@ -382,23 +354,19 @@
     return APR_SUCCESS;
 }
 
-unsigned wb_http_listener_port(const wb_http_listener_t *listener)
-{
+unsigned wb_http_listener_port(const wb_http_listener_t *listener) {
     return wb_tcp_listener_port(listener->listener);
 }
 
-void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits)
-{
+void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits) {
     listener->limits = *limits;
 }
 
-void wb_http_listener_drain(wb_http_listener_t *listener)
-{
+void wb_http_listener_drain(wb_http_listener_t *listener) {
     listener->draining = TRUE;
 }
 
-void wb_http_listener_close_resting(wb_http_listener_t *listener)
-{
+void wb_http_listener_close_resting(wb_http_listener_t *listener) {
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
     for (GList *item = connections; item != NULL; item = item->next) {
         wb_http_connection_t *connection = item->data;
@@ -407,8 +375,7 @@
     }
 }
 
-unsigned wb_http_listener_busy(const wb_http_listener_t *listener)
-{
+unsigned wb_http_listener_busy(const wb_http_listener_t *listener) {
     unsigned busy = 0;
     GHashTableIter iter;
     gpointer key;
@@ -422,8 +389,7 @@
     return busy;
 }
 
-void wb_http_listener_close(wb_http_listener_t *listener)
-{
+void wb_http_listener_close(wb_http_listener_t *listener) {
     wb_timer_cancel(listener->sweep);
     wb_tcp_listener_close(listener->listener);
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
--- a/src/http/http_peer.c
+++ b/src/http/http_peer.c
@@ -35,8 +35,7 @@
     int64_t kept_since_ms;
 };
 
-static void connection_free(wb_http_call_t *call)
-{
+static void connection_free(wb_http_call_t *call) {
     if (call->timer != NULL)
         wb_timer_cancel(call->timer);
     if (call->stream != NULL)
@@ -49,8 +48,7 @@
 }
 
 /* Ends the running call: its connection is closed, and its owner is told. */
-static void call_end(wb_http_call_t *call, wb_http_outcome_t outcome)
-{
+static void call_end(wb_http_call_t *call, wb_http_outcome_t outcome) {
     wb_http_request_t request = call->request;
     g_ptr_array_remove_fast(call->peer->calls, call);
     connection_free(call);
@@ -58,20 +56,17 @@
     request.on_result(&result, request.context);
 }
 
-static void call_break(wb_http_call_t *call)
-{
+static void call_break(wb_http_call_t *call) {
     call_end(call, call->sent ? WB_HTTP_UNKNOWN : WB_HTTP_NOT_SENT);
 }
 
-static void call_timed_out(void *context)
-{
+static void call_timed_out(void *context) {
     wb_http_call_t *call = context;
     call->timer = NULL;
     call_break(call);
 }
 
-static void reader_complete(wb_http_reader_t *reader, void *context)
-{
+static void reader_complete(wb_http_reader_t *reader, void *context) {
     wb_http_call_t *call = context;
     if (call->status < 200)
         wb_http_reader_next(reader); /* an interim answer */
@@ -79,16 +74,14 @@
         call->whole = TRUE;
 }
 
-static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
-{
+static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
     (void)reader;
     wb_http_call_t *call = context;
     call->status = head->status;
     call->keep_alive = head->keep_alive;
 }
 
-static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
-{
+static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
     (void)reader;
     wb_http_call_t *call = context;
     if (call->body->len + length <= BODY_LIMIT_BYTES)
@@ -97,20 +90,17 @@
 
 static const wb_http_reader_events_t reader_events = {reader_head, reader_body, reader_complete};
 
-static gboolean is_kept(const wb_http_call_t *call)
-{
+static gboolean is_kept(const wb_http_call_t *call) {
     return call->request.on_result == NULL;
 }
 
-static void kept_drop(wb_http_call_t *call)
-{
+static void kept_drop(wb_http_call_t *call) {
     g_ptr_array_remove_fast(call->peer->kept, call);
     connection_free(call);
 }
 
 /* The answer is whole: keep or close the connection, then tell the owner, who may free the peer. */
-static void call_answered(wb_http_call_t *call, gboolean keep)
-{
+static void call_answered(wb_http_call_t *call, gboolean keep) {
     wb_http_peer_t *peer = call->peer;
     wb_http_request_t request = call->request;
     unsigned status = call->status;
@@ -131,8 +121,7 @@
     request.on_result(&result, request.context);
 }
 
-static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context)
-{
+static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     (void)stream;
     wb_http_call_t *call = context;
     if (is_kept(call)) {
@@ -154,8 +143,7 @@
     }
 }
 
-static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context)
-{
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context) {
     (void)stream;
     wb_http_call_t *call = context;
     if (is_kept(call)) {
@@ -170,8 +158,7 @@
         call_break(call);
 }
 
-static void call_send(wb_http_call_t *call)
-{
+static void call_send(wb_http_call_t *call) {
     if (call->request.may_send != NULL && !call->request.may_send(call->request.context)) {
         call_break(call);
         return;
@@ -182,8 +169,7 @@
     call->output = NULL;
 }
 
-static void stream_open(wb_tcp_stream_t *stream, void *context)
-{
+static void stream_open(wb_tcp_stream_t *stream, void *context) {
     (void)stream;
     call_send(context);
 }
@@ -191,8 +177,7 @@
 static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
 
 wb_http_peer_t *wb_http_peer_create(wb_loop_t *loop, const char *address,
-                                    int64_t connect_timeout_ms, int64_t silence_limit_ms)
-{
+                                    int64_t connect_timeout_ms, int64_t silence_limit_ms) {
     wb_http_peer_t *peer = g_new0(wb_http_peer_t, 1);
     peer->loop = loop;
     peer->address = g_strdup(address);
@@ -203,8 +188,7 @@
     return peer;
 }
 
-void wb_http_peer_free(wb_http_peer_t *peer)
-{
+void wb_http_peer_free(wb_http_peer_t *peer) {
     for (guint i = 0; i < peer->calls->len; i++)
         connection_free(g_ptr_array_index(peer->calls, i));
     for (guint i = 0; i < peer->kept->len; i++)
@@ -215,8 +199,7 @@
     g_free(peer);
 }
 
-static GString *request_text(const wb_http_peer_t *peer, const wb_http_request_t *request)
-{
+static GString *request_text(const wb_http_peer_t *peer, const wb_http_request_t *request) {
     GString *text = g_string_sized_new(512);
     g_string_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s", request->method, request->target,
                     peer->address, request->headers != NULL ? request->headers : "");
@@ -228,8 +211,7 @@
 }
 
 /* Returns a kept connection that is surely young enough, or NULL. */
-static wb_http_call_t *kept_take(wb_http_peer_t *peer)
-{
+static wb_http_call_t *kept_take(wb_http_peer_t *peer) {
     while (peer->kept->len > 0) {
         wb_http_call_t *call = g_ptr_array_index(peer->kept, peer->kept->len - 1);
         if (wb_clock_ms() - call->kept_since_ms <= KEPT_FOR_MS &&
@@ -242,15 +224,13 @@
     return NULL;
 }
 
-static void call_begin_later(void *context)
-{
+static void call_begin_later(void *context) {
     wb_http_call_t *call = context;
     call->timer = NULL;
     call_break(call);
 }
 
-void wb_http_peer_call(wb_http_peer_t *peer, const wb_http_request_t *request)
-{
+void wb_http_peer_call(wb_http_peer_t *peer, const wb_http_request_t *request) {
     wb_http_call_t *call = request->fresh ? NULL : kept_take(peer);
     gboolean reused = call != NULL;
     if (!reused) {
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -39,23 +39,20 @@
                                           "Transfer-Encoding",
                                           "Upgrade"};
 
-static void header_clear(gpointer data)
-{
+static void header_clear(gpointer data) {
     wb_http_header_t *header = data;
     g_free(header->name);
     g_free(header->value);
 }
 
-wb_http_head_t *wb_http_head_create(void)
-{
+wb_http_head_t *wb_http_head_create(void) {
     wb_http_head_t *head = g_new0(wb_http_head_t, 1);
     head->headers = g_array_new(FALSE, FALSE, sizeof(wb_http_header_t));
     g_array_set_clear_func(head->headers, header_clear);
     return head;
 }
 
-void wb_http_head_free(wb_http_head_t *head)
-{
+void wb_http_head_free(wb_http_head_t *head) {
     if (head == NULL)
         return;
     g_array_unref(head->headers);
@@ -65,8 +62,7 @@
     g_free(head);
 }
 
-const char *wb_http_head_get(const wb_http_head_t *head, const char *name)
-{
+const char *wb_http_head_get(const wb_http_head_t *head, const char *name) {
     for (guint i = 0; i < head->headers->len; i++) {
         const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
         if (strcasecmp(header->name, name) == 0)
@@ -75,16 +71,14 @@
     return NULL;
 }
 
-int64_t wb_http_head_number(const wb_http_head_t *head, const char *name, int64_t fallback)
-{
+int64_t wb_http_head_number(const wb_http_head_t *head, const char *name, int64_t fallback) {
     const char *text = wb_http_head_get(head, name);
     if (text == NULL || !g_ascii_isdigit(*text))
         return fallback;
     return g_ascii_strtoll(text, NULL, 10);
 }
 
-static gboolean list_has(const char *list, const char *name)
-{
+static gboolean list_has(const char *list, const char *name) {
     size_t length = strlen(name);
     while (list != NULL && *list != '\0') {
         list += strspn(list, ", \t");
@@ -96,16 +90,14 @@
     return FALSE;
 }
 
-gboolean wb_http_header_is_hop(const wb_http_head_t *head, const char *name)
-{
+gboolean wb_http_header_is_hop(const wb_http_head_t *head, const char *name) {
     for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++)
         if (strcasecmp(hop_headers[i], name) == 0)
             return TRUE;
     return list_has(wb_http_head_get(head, "Connection"), name);
 }
 
-static void header_finish(wb_http_reader_t *reader)
-{
+static void header_finish(wb_http_reader_t *reader) {
     if (reader->name->len == 0)
         return;
     wb_http_header_t header = {g_strdup(reader->name->str), g_strdup(reader->value->str)};
@@ -115,8 +107,7 @@
     reader->value_begun = FALSE;
 }
 
-static int on_begin(http_parser *parser)
-{
+static int on_begin(http_parser *parser) {
     wb_http_reader_t *reader = parser->data;
     wb_http_head_free(reader->head);
     reader->head = wb_http_head_create();
@@ -131,37 +122,32 @@
 }
 
 /* Counts bytes of the head. Returns what http-parser is to be told: nonzero ends the reading. */
-static int head_count(wb_http_reader_t *reader, size_t length)
-{
+static int head_count(wb_http_reader_t *reader, size_t length) {
     reader->head_bytes += length;
     return reader->head_bytes > reader->head_limit_bytes;
 }
 
-static int on_target(http_parser *parser, const char *data, size_t length)
-{
+static int on_target(http_parser *parser, const char *data, size_t length) {
     wb_http_reader_t *reader = parser->data;
     g_string_append_len(reader->target, data, (gssize)length);
     return head_count(reader, length);
 }
 
-static int on_reason(http_parser *parser, const char *data, size_t length)
-{
+static int on_reason(http_parser *parser, const char *data, size_t length) {
     wb_http_reader_t *reader = parser->data;
     g_string_append_len(reader->reason, data, (gssize)length);
     return 0;
 }
 
 /* http-parser may let blanks into names; an engine could read such a line in another way. */
-static gboolean is_token(const char *data, size_t length)
-{
+static gboolean is_token(const char *data, size_t length) {
     for (size_t i = 0; i < length; i++)
         if (!g_ascii_isalnum(data[i]) && strchr("!#$%&'*+-.^_`|~", data[i]) == NULL)
             return FALSE;
     return TRUE;
 }
 
-static int on_name(http_parser *parser, const char *data, size_t length)
-{
+static int on_name(http_parser *parser, const char *data, size_t length) {
     wb_http_reader_t *reader = parser->data;
     if (reader->in_body)
         return 0; /* a trailer */
@@ -173,8 +159,7 @@
     return head_count(reader, length);
 }
 
-static int on_value(http_parser *parser, const char *data, size_t length)
-{
+static int on_value(http_parser *parser, const char *data, size_t length) {
     wb_http_reader_t *reader = parser->data;
     if (reader->in_body)
         return 0;
@@ -184,8 +169,7 @@
 }
 
 /* TRUE for an answer with neither length nor chunks: it ends with its connection. */
-static gboolean answer_has_no_end(const wb_http_reader_t *reader)
-{
+static gboolean answer_has_no_end(const wb_http_reader_t *reader) {
     const http_parser *parser = &reader->parser;
     unsigned status = parser->status_code;
     if (status / 100 == 1 || status == 204 || status == 304 || reader->without_body)
@@ -193,8 +177,7 @@
     return (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 }
 
-static int on_head_complete(http_parser *parser)
-{
+static int on_head_complete(http_parser *parser) {
     wb_http_reader_t *reader = parser->data;
     header_finish(reader);
     wb_http_head_t *head = reader->head;
@@ -216,16 +199,14 @@
     return reader->without_body ? SKIP_BODY : 0;
 }
 
-static int on_body(http_parser *parser, const char *data, size_t length)
-{
+static int on_body(http_parser *parser, const char *data, size_t length) {
     wb_http_reader_t *reader = parser->data;
     if (reader->events->on_body != NULL)
         reader->events->on_body(reader, data, length, reader->context);
     return 0;
 }
 
-static int on_complete(http_parser *parser)
-{
+static int on_complete(http_parser *parser) {
     wb_http_reader_t *reader = parser->data;
     reader->whole = TRUE;
     reader->inside = FALSE;
@@ -245,8 +226,7 @@
 };
 
 wb_http_reader_t *wb_http_reader_create(gboolean is_request, size_t head_limit_bytes,
-                                        const wb_http_reader_events_t *events, void *context)
-{
+                                        const wb_http_reader_events_t *events, void *context) {
     wb_http_reader_t *reader = g_new0(wb_http_reader_t, 1);
     reader->is_request = is_request;
     reader->head_limit_bytes = head_limit_bytes;
@@ -261,8 +241,7 @@
     return reader;
 }
 
-void wb_http_reader_free(wb_http_reader_t *reader)
-{
+void wb_http_reader_free(wb_http_reader_t *reader) {
     wb_http_head_free(reader->head);
     g_string_free(reader->target, TRUE);
     g_string_free(reader->reason, TRUE);
@@ -272,14 +251,12 @@
 }
 
 /* Tells the owner of a whole message, last thing, since it may free the reader. */
-static void whole_tell(wb_http_reader_t *reader)
-{
+static void whole_tell(wb_http_reader_t *reader) {
     if (reader->whole && reader->events->on_complete != NULL)
         reader->events->on_complete(reader, reader->context);
 }
 
-size_t wb_http_reader_feed(wb_http_reader_t *reader, const char *data, size_t length)
-{
+size_t wb_http_reader_feed(wb_http_reader_t *reader, const char *data, size_t length) {
     if (reader->failure != WB_HTTP_FAILURE_NONE || reader->whole || length == 0)
         return 0;
     size_t used = http_parser_execute(&reader->parser, &parser_settings, data, length);
@@ -292,21 +269,18 @@
     return used;
 }
 
-void wb_http_reader_end(wb_http_reader_t *reader)
-{
+void wb_http_reader_end(wb_http_reader_t *reader) {
     if (reader->failure != WB_HTTP_FAILURE_NONE || reader->whole || !reader->inside)
         return;
     http_parser_execute(&reader->parser, &parser_settings, NULL, 0);
     whole_tell(reader);
 }
 
-void wb_http_reader_expect_no_body(wb_http_reader_t *reader, gboolean without_body)
-{
+void wb_http_reader_expect_no_body(wb_http_reader_t *reader, gboolean without_body) {
     reader->without_body = without_body;
 }
 
-void wb_http_reader_next(wb_http_reader_t *reader)
-{
+void wb_http_reader_next(wb_http_reader_t *reader) {
     http_parser_init(&reader->parser, reader->is_request ? HTTP_REQUEST : HTTP_RESPONSE);
     reader->parser.data = reader;
     reader->head_bytes = 0;
@@ -315,13 +289,11 @@
     reader->in_body = FALSE;
 }
 
-wb_http_failure_t wb_http_reader_failure(const wb_http_reader_t *reader)
-{
+wb_http_failure_t wb_http_reader_failure(const wb_http_reader_t *reader) {
     return reader->failure;
 }
 
-wb_http_head_t *wb_http_reader_take_head(wb_http_reader_t *reader)
-{
+wb_http_head_t *wb_http_reader_take_head(wb_http_reader_t *reader) {
     wb_http_head_t *head = reader->head;
     reader->head = NULL;
     return head;
--- a/src/http/http_server.c
+++ b/src/http/http_server.c
@@ -53,8 +53,7 @@
     void *close_context;
 };
 
-static void exchange_release(wb_http_exchange_t *exchange)
-{
+static void exchange_release(wb_http_exchange_t *exchange) {
     if (!g_atomic_int_dec_and_test(&exchange->references))
         return;
     if (exchange->response != NULL)
@@ -70,8 +69,7 @@
 
 static wb_http_exchange_t *exchange_create(wb_http_server_t *server,
                                            struct MHD_Connection *connection, const char *url,
-                                           const char *method)
-{
+                                           const char *method) {
     wb_http_exchange_t *exchange = g_new0(wb_http_exchange_t, 1);
     g_mutex_init(&exchange->lock);
     exchange->references = 1;
@@ -86,8 +84,7 @@
 }
 
 /* Lets libmicrohttpd look at the exchange again. The exchange's lock is held. */
-static void exchange_resume(wb_http_exchange_t *exchange)
-{
+static void exchange_resume(wb_http_exchange_t *exchange) {
     if (!exchange->suspended)
         return;
     exchange->suspended = FALSE;
@@ -95,13 +92,11 @@
 }
 
 /* Gives libmicrohttpd the answer. The exchange's lock is held. */
-static enum MHD_Result exchange_queue(wb_http_exchange_t *exchange)
-{
+static enum MHD_Result exchange_queue(wb_http_exchange_t *exchange) {
     return MHD_queue_response(exchange->connection, exchange->status, exchange->response);
 }
 
-static enum MHD_Result exchange_reject_body(wb_http_exchange_t *exchange)
-{
+static enum MHD_Result exchange_reject_body(wb_http_exchange_t *exchange) {
     static const char text[] = "{\"error\":{\"message\":\"The body is too large.\",\"type\":"
                                "\"invalid_request_error\",\"code\":\"body_too_large\"},"
                                "\"verdict\":\"not-run\"}";
@@ -116,8 +111,7 @@
 }
 
 /* A caller's certificate is there and was signed by an authority that we trust. */
-static gboolean caller_is_trusted(struct MHD_Connection *connection)
-{
+static gboolean caller_is_trusted(struct MHD_Connection *connection) {
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_GNUTLS_SESSION);
     unsigned status = 0;
@@ -128,8 +122,7 @@
            status == 0;
 }
 
-static enum MHD_Result exchange_handle(wb_http_exchange_t *exchange)
-{
+static enum MHD_Result exchange_handle(wb_http_exchange_t *exchange) {
     wb_http_server_t *server = exchange->server;
     exchange->state = EXCHANGE_HANDLING;
     g_atomic_int_inc(&exchange->references);
@@ -152,8 +145,7 @@
 
 static enum MHD_Result request_receive(void *context, struct MHD_Connection *connection,
                                        const char *url, const char *method, const char *version,
-                                       const char *data, size_t *data_size, void **request)
-{
+                                       const char *data, size_t *data_size, void **request) {
     (void)version;
     wb_http_server_t *server = context;
     wb_http_exchange_t *exchange = *request;
@@ -182,8 +174,7 @@
 }
 
 static void request_completed(void *context, struct MHD_Connection *connection, void **request,
-                              enum MHD_RequestTerminationCode reason)
-{
+                              enum MHD_RequestTerminationCode reason) {
     (void)context;
     (void)connection;
     wb_http_exchange_t *exchange = *request;
@@ -203,8 +194,7 @@
     exchange_release(exchange);
 }
 
-static ssize_t stream_read(void *context, uint64_t position, char *buffer, size_t size)
-{
+static ssize_t stream_read(void *context, uint64_t position, char *buffer, size_t size) {
     (void)position;
     wb_http_exchange_t *exchange = context;
     g_mutex_lock(&exchange->lock);
@@ -230,16 +220,14 @@
     return result;
 }
 
-static void *request_log_uri(void *context, const char *uri, struct MHD_Connection *connection)
-{
+static void *request_log_uri(void *context, const char *uri, struct MHD_Connection *connection) {
     (void)context;
     (void)uri;
     (void)connection;
     return NULL;
 }
 
-static void address_split(const char *address, struct sockaddr_in *socket_address)
-{
+static void address_split(const char *address, struct sockaddr_in *socket_address) {
     char host[64];
     g_strlcpy(host, address, sizeof(host));
     char *colon = strrchr(host, ':');
@@ -253,8 +241,7 @@
 }
 
 apr_status_t wb_http_server_start(wb_http_server_t **server,
-                                  const wb_http_server_options_t *options, wb_error_t *error)
-{
+                                  const wb_http_server_options_t *options, wb_error_t *error) {
     if (!wb_address_is_valid(options->address))
         return wb_error_set(error, APR_EINVAL, "'%s' is not IP:PORT", options->address);
     wb_http_server_t *created = g_new0(wb_http_server_t, 1);
@@ -290,41 +277,34 @@
     return APR_SUCCESS;
 }
 
-void wb_http_server_stop(wb_http_server_t *server)
-{
+void wb_http_server_stop(wb_http_server_t *server) {
     MHD_stop_daemon(server->daemon);
     g_free(server);
 }
 
-const char *wb_http_exchange_method(const wb_http_exchange_t *exchange)
-{
+const char *wb_http_exchange_method(const wb_http_exchange_t *exchange) {
     return exchange->method;
 }
 
-const char *wb_http_exchange_path(const wb_http_exchange_t *exchange)
-{
+const char *wb_http_exchange_path(const wb_http_exchange_t *exchange) {
     return exchange->path;
 }
 
-const char *wb_http_exchange_body(const wb_http_exchange_t *exchange, size_t *length)
-{
+const char *wb_http_exchange_body(const wb_http_exchange_t *exchange, size_t *length) {
     if (length != NULL)
         *length = exchange->body->len;
     return exchange->body->str;
 }
 
-const char *wb_http_exchange_header(wb_http_exchange_t *exchange, const char *name)
-{
+const char *wb_http_exchange_header(wb_http_exchange_t *exchange, const char *name) {
     return MHD_lookup_connection_value(exchange->connection, MHD_HEADER_KIND, name);
 }
 
-const char *wb_http_exchange_query(wb_http_exchange_t *exchange, const char *name)
-{
+const char *wb_http_exchange_query(wb_http_exchange_t *exchange, const char *name) {
     return MHD_lookup_connection_value(exchange->connection, MHD_GET_ARGUMENT_KIND, name);
 }
 
-void wb_http_exchange_local_address(wb_http_exchange_t *exchange, char *text, size_t size)
-{
+void wb_http_exchange_local_address(wb_http_exchange_t *exchange, char *text, size_t size) {
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     struct sockaddr_in address;
@@ -334,16 +314,15 @@
         inet_ntop(AF_INET, &address.sin_addr, text, (socklen_t)size);
 }
 
-void wb_http_exchange_add_header(wb_http_exchange_t *exchange, const char *name, const char *value)
-{
+void wb_http_exchange_add_header(wb_http_exchange_t *exchange, const char *name,
+                                 const char *value) {
     g_ptr_array_add(exchange->headers, g_strdup(name));
     g_ptr_array_add(exchange->headers, g_strdup(value));
 }
 
 /* Makes an answer known. The exchange's lock is held. */
 static void exchange_answer(wb_http_exchange_t *exchange, unsigned status, const char *content_type,
-                            struct MHD_Response *response)
-{
+                            struct MHD_Response *response) {
     exchange->status = status;
     exchange->response = response;
     MHD_add_response_header(response, "Content-Type", content_type);
@@ -356,8 +335,7 @@
 }
 
 void wb_http_exchange_reply(wb_http_exchange_t *exchange, unsigned status, const char *content_type,
-                            const char *body, size_t length)
-{
+                            const char *body, size_t length) {
     struct MHD_Response *response =
         MHD_create_response_from_buffer(length, (void *)body, MHD_RESPMEM_MUST_COPY);
     g_mutex_lock(&exchange->lock);
@@ -368,8 +346,7 @@
 
 void wb_http_exchange_stream_begin(wb_http_exchange_t *exchange, unsigned status,
                                    const char *content_type, wb_http_close_fn on_close,
-                                   void *context)
-{
+                                   void *context) {
     struct MHD_Response *response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, stream_read, exchange, NULL);
     g_mutex_lock(&exchange->lock);
@@ -380,8 +357,8 @@
     g_mutex_unlock(&exchange->lock);
 }
 
-size_t wb_http_exchange_stream_write(wb_http_exchange_t *exchange, const char *data, size_t length)
-{
+size_t wb_http_exchange_stream_write(wb_http_exchange_t *exchange, const char *data,
+                                     size_t length) {
     g_mutex_lock(&exchange->lock);
     if (exchange->state != EXCHANGE_FINISHED)
         g_string_append_len(exchange->stream, data, (gssize)length);
@@ -391,8 +368,7 @@
     return waiting;
 }
 
-void wb_http_exchange_stream_end(wb_http_exchange_t *exchange, gboolean whole)
-{
+void wb_http_exchange_stream_end(wb_http_exchange_t *exchange, gboolean whole) {
     g_mutex_lock(&exchange->lock);
     exchange->stream_ended = TRUE;
     exchange->stream_whole = whole;
--- a/src/load/load.c
+++ b/src/load/load.c
@@ -34,8 +34,7 @@
 
 static void stream_start(load_stream_t *stream);
 
-static void tail_keep(load_stream_t *stream, const char *data, size_t length)
-{
+static void tail_keep(load_stream_t *stream, const char *data, size_t length) {
     size_t room = sizeof(stream->tail) - 1;
     if (length >= room) {
         memcpy(stream->tail, data + length - room, room);
@@ -45,8 +44,7 @@
     memcpy(stream->tail + room - length, data, length);
 }
 
-static int events_count(const char *data, size_t length)
-{
+static int events_count(const char *data, size_t length) {
     int count = 0;
     for (size_t i = 0; i + 1 < length; i++)
         if (data[i] == '\n' && data[i + 1] == '\n')
@@ -54,8 +52,7 @@
     return count;
 }
 
-static void stream_data(const char *data, size_t length, void *context)
-{
+static void stream_data(const char *data, size_t length, void *context) {
     load_stream_t *stream = context;
     wb_load_result_t *result = stream->run->result;
     gint64 now_us = g_get_monotonic_time();
@@ -71,8 +68,7 @@
     tail_keep(stream, data, length);
 }
 
-static void stream_ended(const wb_http_result_t *outcome, void *context)
-{
+static void stream_ended(const wb_http_result_t *outcome, void *context) {
     load_stream_t *stream = context;
     load_run_t *run = stream->run;
     gboolean answered = outcome->outcome == WB_HTTP_ANSWERED;
@@ -93,16 +89,14 @@
     g_mutex_unlock(&run->lock);
 }
 
-static char *stream_url(load_run_t *run, const char *address)
-{
+static char *stream_url(load_run_t *run, const char *address) {
     if (!run->plan->direct)
         return g_strdup_printf("http://%s/v1/chat/completions", address);
     return g_strdup_printf("http://%s/engine/v1/streams/load-%" G_GINT64_MODIFIER "x-%d?kind=chat",
                            address, (guint64)g_get_monotonic_time(), (int)++run->names);
 }
 
-static void stream_start(load_stream_t *stream)
-{
+static void stream_start(load_stream_t *stream) {
     load_run_t *run = stream->run;
     const wb_load_plan_t *plan = run->plan;
     const char *address = plan->addresses[run->turn++ % run->address_count];
@@ -132,8 +126,7 @@
     wb_http_client_call(run->client, &request);
 }
 
-void wb_load_run(const wb_load_plan_t *plan, wb_load_result_t *result)
-{
+void wb_load_run(const wb_load_plan_t *plan, wb_load_result_t *result) {
     load_run_t run = {.plan = plan, .result = result, .open = plan->streams};
     memset(result, 0, sizeof(*result));
     wb_samples_init(&result->first_token);
@@ -162,8 +155,7 @@
     g_cond_clear(&run.ended);
 }
 
-void wb_load_result_clear(wb_load_result_t *result)
-{
+void wb_load_result_clear(wb_load_result_t *result) {
     wb_samples_clear(&result->first_token);
     wb_samples_clear(&result->gaps);
 }
--- a/src/load/main.c
+++ b/src/load/main.c
@@ -19,9 +19,7 @@
 } load_settings_t;
 
 #define ROW(name, type, unit, low, high, fallback, field, text)                                    \
-    {                                                                                              \
-        name, type, unit, low, high, fallback, offsetof(load_settings_t, field), text              \
-    }
+    { name, type, unit, low, high, fallback, offsetof(load_settings_t, field), text }
 
 static const wb_setting_t rows[] = {
     ROW("targets", WB_SETTING_TEXT, "", 0, 0, "127.0.0.1:8080", targets,
@@ -40,8 +38,7 @@
     "wickload", "Drive wickbridge nodes with streams and measure what callers see.", rows,
     G_N_ELEMENTS(rows)};
 
-static void round_run(const load_settings_t *settings, const char *name, const char *list)
-{
+static void round_run(const load_settings_t *settings, const char *name, const char *list) {
     g_auto(GStrv) addresses = g_strsplit(list, ",", -1);
     wb_load_plan_t plan = {(const char *const *)addresses,
                            FALSE,
@@ -65,8 +62,7 @@
     wb_load_result_clear(&result);
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     apr_initialize();
     load_settings_t settings;
     wb_error_t error;
--- a/src/load/samples.c
+++ b/src/load/samples.c
@@ -1,32 +1,27 @@
 /* Keeps measurements and gives their quantiles. */
 #include "wickbridge/load.h"
 
-void wb_samples_init(wb_samples_t *samples)
-{
+void wb_samples_init(wb_samples_t *samples) {
     samples->values = g_array_new(FALSE, FALSE, sizeof(double));
     samples->sorted = FALSE;
 }
 
-void wb_samples_clear(wb_samples_t *samples)
-{
+void wb_samples_clear(wb_samples_t *samples) {
     g_clear_pointer(&samples->values, g_array_unref);
 }
 
-void wb_samples_add(wb_samples_t *samples, double value)
-{
+void wb_samples_add(wb_samples_t *samples, double value) {
     g_array_append_val(samples->values, value);
     samples->sorted = FALSE;
 }
 
-static gint value_compare(gconstpointer left, gconstpointer right)
-{
+static gint value_compare(gconstpointer left, gconstpointer right) {
     double a = *(const double *)left;
     double b = *(const double *)right;
     return a < b ? -1 : a > b;
 }
 
-double wb_samples_quantile(wb_samples_t *samples, double quantile)
-{
+double wb_samples_quantile(wb_samples_t *samples, double quantile) {
     if (samples->values->len == 0)
         return 0.0;
     if (!samples->sorted)
@@ -36,8 +31,7 @@
     return g_array_index(samples->values, double, index);
 }
 
-double wb_samples_mean(const wb_samples_t *samples)
-{
+double wb_samples_mean(const wb_samples_t *samples) {
     double sum = 0.0;
     for (guint i = 0; i < samples->values->len; i++)
         sum += g_array_index(samples->values, double, i);
