--- a/tests/fuzz/fuzz_lease_check.c
+++ b/tests/fuzz/fuzz_lease_check.c
@@ -67,18 +67,15 @@
 
 static const char *taken_out = "";
 
-static gboolean chance(world_t *world, int in_thousand)
-{
+static gboolean chance(world_t *world, int in_thousand) {
     return g_rand_int_range(world->random, 0, 1000) < in_thousand;
 }
 
-static int64_t between(world_t *world, int low, int high)
-{
+static int64_t between(world_t *world, int low, int high) {
     return g_rand_int_range(world->random, low, high);
 }
 
-static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source)
-{
+static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source) {
     g_free(target->holder);
     g_free(target->address);
     *target = *source;
@@ -86,8 +83,7 @@
     target->address = g_strdup(source->address);
 }
 
-static void node_begin(world_t *world, int index)
-{
+static void node_begin(world_t *world, int index) {
     node_t *node = &world->nodes[index];
     if (node->lease != NULL)
         wb_lease_free(node->lease);
@@ -106,8 +102,7 @@
 
 /* The oracle: tokens rise, two machines never share one, and QUIET_MS lie between two machines'
  * acts. */
-static void act_note(world_t *world, int index, uint64_t token)
-{
+static void act_note(world_t *world, int index, uint64_t token) {
     gboolean other = world->acts > 0 && world->last_actor != index;
     if (token < world->last_token)
         world->fault = "a lower token after a higher one";
@@ -122,13 +117,11 @@
     world->acts++;
 }
 
-static gboolean store_answers(const world_t *world, const node_t *node)
-{
+static gboolean store_answers(const world_t *world, const node_t *node) {
     return world->now_ms >= world->down_until_ms && world->now_ms >= node->cut_until_ms;
 }
 
-static void write_send(world_t *world, int index, const wb_lease_row_t *row, int64_t expected)
-{
+static void write_send(world_t *world, int index, const wb_lease_row_t *row, int64_t expected) {
     node_t *node = &world->nodes[index];
     node->waiting_since_ms = world->now_ms;
     if (!store_answers(world, node))
@@ -157,8 +150,7 @@
     }
 }
 
-static void pending_step(world_t *world, pending_t *pending)
-{
+static void pending_step(world_t *world, pending_t *pending) {
     if (!pending->used)
         return;
     if (!pending->done && world->now_ms >= pending->done_ms) {
@@ -188,8 +180,7 @@
     }
 }
 
-static void node_step(world_t *world, int index)
-{
+static void node_step(world_t *world, int index) {
     node_t *node = &world->nodes[index];
     if (world->now_ms < node->frozen_until_ms)
         return;
@@ -212,8 +203,7 @@
         act_note(world, index, wb_lease_token(node->lease));
 }
 
-static void trouble_step(world_t *world)
-{
+static void trouble_step(world_t *world) {
     node_t *node = &world->nodes[between(world, 0, NODES)];
     if (chance(world, 2))
         node->frozen_until_ms = world->now_ms + between(world, 100, 8000);
@@ -231,8 +221,7 @@
         wb_lease_release(node->lease);
 }
 
-static void world_free(world_t *world)
-{
+static void world_free(world_t *world) {
     for (int i = 0; i < NODES; i++)
         wb_lease_free(world->nodes[i].lease);
     for (int i = 0; i < PENDING; i++) {
@@ -245,8 +234,7 @@
 }
 
 /* Plays one seed. Returns its fault, or NULL. */
-static const char *seed_play(guint32 seed, int *acts, int *takeovers)
-{
+static const char *seed_play(guint32 seed, int *acts, int *takeovers) {
     world_t world = {0};
     world.random = g_rand_new_with_seed(seed);
     g_random_set_seed(seed);
@@ -268,8 +256,7 @@
     return fault;
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     int faults = 0;
     int acts = 0;
     int takeovers = 0;
--- a/tests/fuzz/fuzz_libfuzzer.c
+++ b/tests/fuzz/fuzz_libfuzzer.c
@@ -9,16 +9,14 @@
 int LLVMFuzzerInitialize(int *argc, char ***argv);
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
-int LLVMFuzzerInitialize(int *argc, char ***argv)
-{
+int LLVMFuzzerInitialize(int *argc, char ***argv) {
     (void)argc;
     (void)argv;
     wb_log_setup(FALSE, G_LOG_LEVEL_ERROR, "fuzz");
     return 0;
 }
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
-{
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size) {
     if (size == 0)
         return 0;
     world_figures_t figures = {0};
--- a/tests/fuzz/fuzz_parsers_check.c
+++ b/tests/fuzz/fuzz_parsers_check.c
@@ -19,8 +19,7 @@
     "\"models\":[{\"name\":\"m\",\"bytes\":5,\"state\":\"loaded\",\"adapters\":[{\"name\":\"a\","
     "\"state\":\"loading\"}]}],\"disk_copies\":[\"m\",5]}";
 
-static GByteArray *message_sample(void)
-{
+static GByteArray *message_sample(void) {
     wb_wire_slot slots[] = {{"m", "e1"}, {"m", "e2"}};
     wb_wire_name members[] = {"n1", "n2"};
     wb_wire_message message = {.kind = WB_WIRE_GROUP_STATE};
@@ -37,8 +36,7 @@
     return bytes;
 }
 
-static void sample_mutate(GRand *random, GByteArray *bytes)
-{
+static void sample_mutate(GRand *random, GByteArray *bytes) {
     int changes = g_rand_int_range(random, 1, 6);
     for (int i = 0; i < changes && bytes->len > 0; i++)
         bytes->data[g_rand_int_range(random, 0, (gint32)bytes->len)] =
@@ -48,8 +46,7 @@
 }
 
 static void rounds_run(const void *sample, size_t size,
-                       void (*target)(const uint8_t *data, size_t size))
-{
+                       void (*target)(const uint8_t *data, size_t size)) {
     GRand *random = g_rand_new_with_seed(1);
     for (int i = 0; i < ROUNDS; i++) {
         g_autoptr(GByteArray) bytes = g_byte_array_new();
@@ -60,8 +57,7 @@
     g_rand_free(random);
 }
 
-int main(void)
-{
+int main(void) {
     g_autoptr(GByteArray) message = message_sample();
     rounds_run(message->data, message->len, target_message);
     rounds_run(config_sample, sizeof(config_sample) - 1, target_config);
--- a/tests/fuzz/fuzz_world_check.c
+++ b/tests/fuzz/fuzz_world_check.c
@@ -8,8 +8,7 @@
 
 #define RUN_STEPS 4000
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     guint32 first = argc > 1 ? (guint32)atoi(argv[1]) : 1;
     guint32 count = argc > 2 ? (guint32)atoi(argv[2]) : 400;
     world_figures_t figures = {0};
--- a/tests/fuzz/sim_claims.c
+++ b/tests/fuzz/sim_claims.c
@@ -11,19 +11,16 @@
     char engine[24];
 } sim_claim_wait_t;
 
-void claims_clear(sim_node_t *node)
-{
+void claims_clear(sim_node_t *node) {
     g_queue_clear_full(&node->claim_waits, g_free);
 }
 
-void claims_lost(sim_node_t *node)
-{
+void claims_lost(sim_node_t *node) {
     claims_clear(node);
 }
 
 /* Granted: the gateway sends the request, and it may arrive late or never. */
-static void run_send(world_t *world, const char *key, const char *stream, const char *engine)
-{
+static void run_send(world_t *world, const char *key, const char *stream, const char *engine) {
     if (world_chance(world, world->loss_percent))
         return;
     event_t *event = event_add(world, EVENT_RUN, 1 + world_choose(world, 250) * 4);
@@ -32,8 +29,7 @@
     g_strlcpy(event->stream, stream, sizeof(event->stream));
 }
 
-void claims_committed(sim_node_t *node, uint64_t sequence)
-{
+void claims_committed(sim_node_t *node, uint64_t sequence) {
     sim_claim_wait_t *wait;
     while ((wait = g_queue_peek_head(&node->claim_waits)) != NULL && wait->sequence <= sequence) {
         g_queue_pop_head(&node->claim_waits);
@@ -42,8 +38,7 @@
     }
 }
 
-static void claim_propose(sim_node_t *node, const wb_wire_claim_want *want, uint64_t attempt)
-{
+static void claim_propose(sim_node_t *node, const wb_wire_claim_want *want, uint64_t attempt) {
     wb_wire_command command;
     wb_claim_command(want, attempt, &command);
     sim_claim_wait_t *wait = g_new0(sim_claim_wait_t, 1);
@@ -59,8 +54,7 @@
 
 /* The key is taken: its stream is looked for, and forbidden when the engine never saw it. Then the
  * run did not happen and may be tried again. */
-static void taken_follow(world_t *world, sim_node_t *node, wb_wire_claim_want *want)
-{
+static void taken_follow(world_t *world, sim_node_t *node, wb_wire_claim_want *want) {
     const wb_claim_t *claim = wb_record_claim(wb_group_record(node->group), want->model, want->key);
     sim_engine_t *engine = engine_find(world, claim->engine);
     if (engine == NULL || engine->dead || world_chance(world, world->loss_percent))
@@ -72,8 +66,7 @@
         claim_propose(node, want, claim->attempt + 1);
 }
 
-void claim_make(world_t *world)
-{
+void claim_make(world_t *world) {
     sim_node_t *node = &world->nodes[world_choose(world, NODES)];
     if (node->cell == NULL || node->frozen || !wb_group_has_quorum(node->group, world->now_ms))
         return;
--- a/tests/fuzz/sim_engine.c
+++ b/tests/fuzz/sim_engine.c
@@ -5,8 +5,7 @@
 
 #define CAPACITY_BYTES (100 * WB_MIB)
 
-void engine_add(world_t *world)
-{
+void engine_add(world_t *world) {
     if (world->engine_count == MOST_ENGINES)
         return;
     sim_engine_t *engine = &world->engines[world->engine_count];
@@ -17,16 +16,14 @@
     engine->streams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
-void engine_clear(sim_engine_t *engine)
-{
+void engine_clear(sim_engine_t *engine) {
     wb_inventory_free(engine->held);
     g_ptr_array_unref(engine->loads);
     g_hash_table_unref(engine->streams);
 }
 
 /* A machine is reclaimed, or says that it will leave; another one comes. */
-void engine_fail(world_t *world)
-{
+void engine_fail(world_t *world) {
     sim_engine_t *engine = &world->engines[world_choose(world, (guint)world->engine_count)];
     if (engine->dead)
         return;
@@ -39,16 +36,14 @@
     engine_add(world);
 }
 
-sim_engine_t *engine_find(world_t *world, const char *id)
-{
+sim_engine_t *engine_find(world_t *world, const char *id) {
     for (int i = 0; i < world->engine_count; i++)
         if (strcmp(world->engines[i].id, id) == 0)
             return &world->engines[i];
     return NULL;
 }
 
-static int64_t memory_used(const sim_engine_t *engine)
-{
+static int64_t memory_used(const sim_engine_t *engine) {
     int64_t used = 0;
     GHashTableIter models, adapters;
     gpointer model, adapter;
@@ -62,8 +57,7 @@
     return used;
 }
 
-static wb_inventory_t *inventory_copy(const sim_engine_t *engine)
-{
+static wb_inventory_t *inventory_copy(const sim_engine_t *engine) {
     wb_inventory_t *copy = wb_inventory_create(engine->id);
     copy->fence = engine->fence;
     copy->sequence = engine->sequence;
@@ -87,8 +81,7 @@
     return copy;
 }
 
-static void load_begin(world_t *world, sim_engine_t *engine, const event_t *event)
-{
+static void load_begin(world_t *world, sim_engine_t *engine, const event_t *event) {
     sim_load_t *load = g_new0(sim_load_t, 1);
     g_strlcpy(load->model, event->model, sizeof(load->model));
     g_strlcpy(load->adapter, event->adapter, sizeof(load->adapter));
@@ -98,8 +91,7 @@
 }
 
 /* Returns FALSE when the engine can't carry the order out. */
-static gboolean load_take(world_t *world, sim_engine_t *engine, const event_t *event)
-{
+static gboolean load_take(world_t *world, sim_engine_t *engine, const event_t *event) {
     gboolean of_adapter = *event->adapter != '\0';
     wb_held_model_t *model = g_hash_table_lookup(engine->held->models, event->model);
     if (!of_adapter && model != NULL)
@@ -120,8 +112,7 @@
     return TRUE;
 }
 
-static void unload_take(sim_engine_t *engine, const event_t *event)
-{
+static void unload_take(sim_engine_t *engine, const event_t *event) {
     wb_held_model_t *model = g_hash_table_lookup(engine->held->models, event->model);
     if (model == NULL)
         return;
@@ -131,8 +122,7 @@
         g_hash_table_remove(engine->held->models, event->model);
 }
 
-static wb_order_outcome_t order_take(world_t *world, sim_engine_t *engine, const event_t *event)
-{
+static wb_order_outcome_t order_take(world_t *world, sim_engine_t *engine, const event_t *event) {
     gboolean newer = event->fence > engine->fence;
     if (!newer && !(event->action == WB_ORDER_FENCE && event->fence == engine->fence)) {
         world->figures->stale_orders++;
@@ -148,8 +138,7 @@
 }
 
 /* The sender has given up, and the order is still on its way. */
-static void order_delay(world_t *world, const event_t *event)
-{
+static void order_delay(world_t *world, const event_t *event) {
     event_t *late = event_add(world, EVENT_ORDER, 200 + world_choose(world, 250) * 10);
     int64_t at_ms = late->at_ms;
     *late = *event;
@@ -157,8 +146,7 @@
     late->is_late = TRUE;
 }
 
-void engine_order(world_t *world, const event_t *event)
-{
+void engine_order(world_t *world, const event_t *event) {
     sim_engine_t *engine = engine_find(world, event->to);
     gboolean alive = engine != NULL && !engine->dead;
     if (event->is_late) {
@@ -180,8 +168,7 @@
         order_delay(world, event);
 }
 
-static void load_finish(sim_engine_t *engine, const sim_load_t *load)
-{
+static void load_finish(sim_engine_t *engine, const sim_load_t *load) {
     wb_held_model_t *model = g_hash_table_lookup(engine->held->models, load->model);
     if (model == NULL)
         return;
@@ -195,8 +182,7 @@
 }
 
 /* Owners that reach an engine see its inventory now and then. */
-static void inventory_tell(world_t *world, const sim_engine_t *engine)
-{
+static void inventory_tell(world_t *world, const sim_engine_t *engine) {
     for (int i = 0; i < NODES; i++) {
         sim_node_t *node = &world->nodes[i];
         if (node->cell != NULL && !node->frozen && world_chance(world, 20))
@@ -204,8 +190,7 @@
     }
 }
 
-void engines_tick(world_t *world)
-{
+void engines_tick(world_t *world) {
     for (int i = 0; i < world->engine_count; i++) {
         sim_engine_t *engine = &world->engines[i];
         for (guint j = engine->loads->len; j-- > 0;) {
@@ -220,8 +205,7 @@
     }
 }
 
-void engine_run(world_t *world, const event_t *event)
-{
+void engine_run(world_t *world, const event_t *event) {
     sim_engine_t *engine = engine_find(world, event->to);
     if (engine == NULL || engine->dead ||
         !g_hash_table_add(engine->streams, g_strdup(event->stream)))
@@ -231,8 +215,7 @@
         world->fault = "a key ran twice";
 }
 
-static guint replicas_held(const world_t *world, const char *model)
-{
+static guint replicas_held(const world_t *world, const char *model) {
     guint count = 0;
     for (int i = 0; i < world->engine_count; i++)
         if (!world->engines[i].dead && wb_inventory_model(world->engines[i].held, model) != NULL)
@@ -241,8 +224,7 @@
 }
 
 /* The promises, as seen at the engines. */
-const char *oracle_check(world_t *world)
-{
+const char *oracle_check(world_t *world) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, world->config->models);
--- a/tests/fuzz/sim_founding.c
+++ b/tests/fuzz/sim_founding.c
@@ -7,13 +7,11 @@
 #define MAINTAIN_MS 200
 #define UNSURE_MS 1000000 /* longer than a run: a lost claim is never forgotten too early here */
 
-static gboolean row_has(const world_t *world, const char *name)
-{
+static gboolean row_has(const world_t *world, const char *name) {
     return g_ptr_array_find_with_equal_func(world->row_members, name, g_str_equal, NULL);
 }
 
-static gboolean others_are_gone(const world_t *world, const char *self)
-{
+static gboolean others_are_gone(const world_t *world, const char *self) {
     for (guint i = 0; i < world->row_members->len; i++) {
         const char *name = world->row_members->pdata[i];
         if (strcmp(name, self) != 0 && !node_is_gone(world, name))
@@ -22,8 +20,7 @@
     return TRUE;
 }
 
-static gboolean majority_is_gone(const world_t *world)
-{
+static gboolean majority_is_gone(const world_t *world) {
     guint gone = 0;
     for (guint i = 0; i < world->row_members->len; i++)
         if (node_is_gone(world, world->row_members->pdata[i]))
@@ -31,16 +28,14 @@
     return world->row_members->len - gone < world->row_members->len / 2 + 1;
 }
 
-static void row_write(world_t *world, const GPtrArray *members)
-{
+static void row_write(world_t *world, const GPtrArray *members) {
     world->row_generation++;
     g_ptr_array_set_size(world->row_members, 0);
     for (guint i = 0; i < members->len; i++)
         g_ptr_array_add(world->row_members, g_strdup(members->pdata[i]));
 }
 
-static void members_choose(world_t *world, const char *first, GPtrArray *members)
-{
+static void members_choose(world_t *world, const char *first, GPtrArray *members) {
     g_ptr_array_add(members, g_strdup(first));
     guint start = world_choose(world, NODES);
     for (guint i = 0; i < NODES && members->len < GROUP_SIZE; i++) {
@@ -50,8 +45,7 @@
     }
 }
 
-static wb_record_t *record_copy(wb_group_t *group, int64_t now_ms)
-{
+static wb_record_t *record_copy(wb_group_t *group, int64_t now_ms) {
     wb_record_t *known = wb_group_record(group);
     if (known == NULL)
         return wb_record_create();
@@ -62,8 +56,7 @@
     return copy;
 }
 
-void founding_try(world_t *world, sim_node_t *node)
-{
+void founding_try(world_t *world, sim_node_t *node) {
     if (node->frozen || (node->group != NULL && wb_group_owner(node->group) != NULL))
         return;
     gboolean again = world->row_members->len > 0;
@@ -90,8 +83,7 @@
 }
 
 /* One step: a lost member goes, or another comes. */
-static gboolean members_next(sim_node_t *node, GPtrArray *next)
-{
+static gboolean members_next(sim_node_t *node, GPtrArray *next) {
     world_t *world = node->world;
     const wb_record_t *record = wb_group_record(node->group);
     gboolean lost = FALSE;
@@ -115,8 +107,7 @@
     return TRUE;
 }
 
-void members_maintain(sim_node_t *node)
-{
+void members_maintain(sim_node_t *node) {
     world_t *world = node->world;
     if (world->now_ms - node->maintained_ms < MAINTAIN_MS ||
         world->row_era != wb_group_epoch(node->group) >> WB_GROUP_ERA_SHIFT ||
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -10,8 +10,7 @@
 #include <string.h>
 
 /* What was read must be written and read again as the same. */
-static void message_write_again(const wb_wire_message *message)
-{
+static void message_write_again(const wb_wire_message *message) {
     g_autoptr(GByteArray) bytes = g_byte_array_new();
     if (wb_message_encode(message, bytes, NULL) != APR_SUCCESS)
         return;
@@ -21,8 +20,7 @@
     wb_message_clear(&again);
 }
 
-void target_message(const uint8_t *data, size_t size)
-{
+void target_message(const uint8_t *data, size_t size) {
     wb_wire_message message;
     if (wb_message_decode(data, size, &message, NULL) != APR_SUCCESS)
         return;
@@ -39,8 +37,7 @@
     wb_message_clear(&message);
 }
 
-void target_config(const uint8_t *data, size_t size)
-{
+void target_config(const uint8_t *data, size_t size) {
     json_t *objects = json_loadb((const char *)data, size, 0, NULL);
     wb_config_t *config = NULL;
     wb_config_fault_t fault;
@@ -54,8 +51,7 @@
     json_decref(objects);
 }
 
-void target_inventory(const uint8_t *data, size_t size)
-{
+void target_inventory(const uint8_t *data, size_t size) {
     json_t *body = json_loadb((const char *)data, size, 0, NULL);
     if (body != NULL)
         wb_inventory_free(wb_inventory_parse(body));
--- a/tests/fuzz/world.c
+++ b/tests/fuzz/world.c
@@ -4,28 +4,24 @@
 #include <stdio.h>
 #include <string.h>
 
-guint world_choose(world_t *world, guint limit)
-{
+guint world_choose(world_t *world, guint limit) {
     if (world->used < world->size)
         return world->data[world->used++] % limit;
     return g_rand_int_range(world->random, 0, (gint32)limit);
 }
 
-gboolean world_chance(world_t *world, guint percent)
-{
+gboolean world_chance(world_t *world, guint percent) {
     return world_choose(world, 100) < percent;
 }
 
-int node_index(const world_t *world, const char *name)
-{
+int node_index(const world_t *world, const char *name) {
     for (int i = 0; i < NODES; i++)
         if (strcmp(world->nodes[i].name, name) == 0)
             return i;
     return -1;
 }
 
-static void event_free(gpointer data)
-{
+static void event_free(gpointer data) {
     event_t *event = data;
     if (event->bytes != NULL)
         g_byte_array_unref(event->bytes);
@@ -33,8 +29,7 @@
     g_free(event);
 }
 
-event_t *event_add(world_t *world, event_kind_t kind, int64_t delay_ms)
-{
+event_t *event_add(world_t *world, event_kind_t kind, int64_t delay_ms) {
     event_t *event = g_new0(event_t, 1);
     event->kind = kind;
     event->at_ms = world->now_ms + delay_ms;
@@ -43,8 +38,7 @@
 }
 
 /* Messages may be late, lost, out of order or doubled. */
-static void group_send(const char *to, const wb_wire_message *message, void *context)
-{
+static void group_send(const char *to, const wb_wire_message *message, void *context) {
     sim_node_t *node = context;
     world_t *world = node->world;
     if (world_chance(world, world->loss_percent))
@@ -59,14 +53,12 @@
     }
 }
 
-static uint64_t cell_propose(const wb_wire_command *command, void *context)
-{
+static uint64_t cell_propose(const wb_wire_command *command, void *context) {
     sim_node_t *node = context;
     return wb_group_propose(node->group, command, node->world->now_ms);
 }
 
-static void cell_order(const wb_order_t *order, void *context)
-{
+static void cell_order(const wb_order_t *order, void *context) {
     sim_node_t *node = context;
     world_t *world = node->world;
     event_t *event = event_add(world, EVENT_ORDER, 1 + world_choose(world, 80));
@@ -81,16 +73,14 @@
     g_strlcpy(event->adapter, order->adapter != NULL ? order->adapter : "", sizeof(event->adapter));
 }
 
-static void cell_show(const char *gateway, const wb_route_t *route, void *context)
-{
+static void cell_show(const char *gateway, const wb_route_t *route, void *context) {
     (void)gateway;
     sim_node_t *node = context;
     if (route->state == WB_ROUTE_READY)
         node->world->figures->served++;
 }
 
-static void machines_tell(world_t *world, sim_node_t *node)
-{
+static void machines_tell(world_t *world, sim_node_t *node) {
     for (int i = 0; i < world->engine_count; i++) {
         const sim_engine_t *engine = &world->engines[i];
         wb_machine_state_t state = engine->leaving ? WB_MACHINE_LEAVING : WB_MACHINE_LIVE;
@@ -101,8 +91,7 @@
     wb_cell_machines_known(node->cell);
 }
 
-static void group_owner(uint64_t epoch, void *context)
-{
+static void group_owner(uint64_t epoch, void *context) {
     sim_node_t *node = context;
     world_t *world = node->world;
     wb_cell_options_t options = {"service/0", 4, 100, 50, 10};
@@ -114,16 +103,14 @@
     wb_cell_set_config(node->cell, world->config);
 }
 
-static void group_lost(void *context)
-{
+static void group_lost(void *context) {
     sim_node_t *node = context;
     wb_cell_free(node->cell);
     node->cell = NULL;
     claims_lost(node);
 }
 
-static void group_commit(uint64_t sequence, void *context)
-{
+static void group_commit(uint64_t sequence, void *context) {
     sim_node_t *node = context;
     if (node->cell == NULL)
         return;
@@ -131,8 +118,7 @@
     claims_committed(node, sequence);
 }
 
-wb_group_t *node_group(sim_node_t *node)
-{
+wb_group_t *node_group(sim_node_t *node) {
     if (node->group != NULL)
         return node->group;
     wb_group_options_t options = {"service/0", node->name, 100, 400,
@@ -142,8 +128,7 @@
     return node->group;
 }
 
-static void node_clear(sim_node_t *node)
-{
+static void node_clear(sim_node_t *node) {
     if (node->cell != NULL)
         wb_cell_free(node->cell);
     if (node->group != NULL)
@@ -154,8 +139,7 @@
 }
 
 /* A process is killed; another one takes its place under a new name. */
-static void node_replace(world_t *world, int index)
-{
+static void node_replace(world_t *world, int index) {
     sim_node_t *node = &world->nodes[index];
     g_hash_table_insert(world->gone, g_strdup(node->name),
                         g_memdup2(&world->now_ms, sizeof(world->now_ms)));
@@ -166,14 +150,12 @@
     g_snprintf(node->name, sizeof(node->name), "n%d~%d", index, ++world->names);
 }
 
-gboolean node_is_gone(const world_t *world, const char *name)
-{
+gboolean node_is_gone(const world_t *world, const char *name) {
     const int64_t *died_ms = g_hash_table_lookup(world->gone, name);
     return died_ms != NULL && world->now_ms - *died_ms > LIST_LAG_MS;
 }
 
-static void message_deliver(world_t *world, const event_t *event)
-{
+static void message_deliver(world_t *world, const event_t *event) {
     int index = node_index(world, event->to);
     if (index < 0)
         return;
@@ -192,8 +174,7 @@
     wb_message_clear(&message);
 }
 
-static void order_answer_deliver(world_t *world, event_t *event)
-{
+static void order_answer_deliver(world_t *world, event_t *event) {
     int index = node_index(world, event->to);
     sim_node_t *node = index >= 0 ? &world->nodes[index] : NULL;
     if (node == NULL || node->cell == NULL)
@@ -204,16 +185,14 @@
 }
 
 /* Frozen nodes get what is due once they thaw. */
-static gboolean event_is_held(const world_t *world, const event_t *event)
-{
+static gboolean event_is_held(const world_t *world, const event_t *event) {
     if (event->kind == EVENT_ORDER || event->kind == EVENT_RUN)
         return FALSE;
     int index = node_index(world, event->to);
     return index >= 0 && world->nodes[index].frozen;
 }
 
-static void event_deliver(world_t *world, event_t *event)
-{
+static void event_deliver(world_t *world, event_t *event) {
     switch (event->kind) {
     case EVENT_MESSAGE:
         message_deliver(world, event);
@@ -230,8 +209,7 @@
     }
 }
 
-static void events_deliver(world_t *world)
-{
+static void events_deliver(world_t *world) {
     for (;;) {
         guint best = world->events->len;
         for (guint i = 0; i < world->events->len; i++) {
@@ -250,8 +228,7 @@
     }
 }
 
-static void time_pass(world_t *world)
-{
+static void time_pass(world_t *world) {
     static const int64_t spans_ms[] = {1, 5, 20, 20, 50, 50, 100, 300};
     world->now_ms += spans_ms[world_choose(world, G_N_ELEMENTS(spans_ms))];
     engines_tick(world);
@@ -270,8 +247,7 @@
 }
 
 /* Someone asks a node that believes to be the owner, an outdated one among them. */
-static void demand_make(world_t *world)
-{
+static void demand_make(world_t *world) {
     sim_node_t *node = &world->nodes[world_choose(world, NODES)];
     if (node->cell == NULL || node->frozen)
         return;
@@ -287,8 +263,7 @@
     wb_cell_demand(node->cell, &demand, world->now_ms);
 }
 
-static void failure_make(world_t *world)
-{
+static void failure_make(world_t *world) {
     sim_node_t *node = &world->nodes[world_choose(world, NODES)];
     switch (world_choose(world, 8)) {
     case 0:
@@ -320,8 +295,7 @@
     }
 }
 
-static wb_config_t *config_create(void)
-{
+static wb_config_t *config_create(void) {
     json_t *objects = json_pack("{s:{s:i}, s:{s:s, s:i}}", "service/service", "keep_alive_ms", 800,
                                 "adapter/a0", "model", "m0", "memory_mib", 5);
     for (int i = 0; i < MODELS; i++) {
@@ -339,8 +313,7 @@
     return config;
 }
 
-static void world_prepare(world_t *world)
-{
+static void world_prepare(world_t *world) {
     world->now_ms = 1000000;
     world->config = config_create();
     world->events = g_ptr_array_new_with_free_func(event_free);
@@ -356,8 +329,7 @@
         engine_add(world);
 }
 
-static void world_clear(world_t *world)
-{
+static void world_clear(world_t *world) {
     for (int i = 0; i < NODES; i++)
         node_clear(&world->nodes[i]);
     for (int i = 0; i < world->engine_count; i++)
@@ -372,8 +344,7 @@
 }
 
 const char *world_run(const uint8_t *data, size_t size, guint32 seed, guint64 steps,
-                      world_figures_t *figures)
-{
+                      world_figures_t *figures) {
     world_t *world = g_new0(world_t, 1);
     world->data = data;
     world->size = size;
--- a/tests/harness/calls.c
+++ b/tests/harness/calls.c
@@ -13,8 +13,7 @@
     int64_t started_us;
 } collecting_t;
 
-static size_t body_collect(char *data, size_t size, size_t count, void *context)
-{
+static size_t body_collect(char *data, size_t size, size_t count, void *context) {
     collecting_t *collecting = context;
     if (collecting->body->len == 0)
         collecting->answer->first_seconds =
@@ -23,8 +22,7 @@
     return size * count;
 }
 
-static void header_take(const char *line, size_t length, const char *name, char **value)
-{
+static void header_take(const char *line, size_t length, const char *name, char **value) {
     size_t name_length = strlen(name);
     if (length <= name_length || g_ascii_strncasecmp(line, name, name_length) != 0)
         return;
@@ -32,8 +30,7 @@
     *value = g_strstrip(g_strndup(line + name_length, length - name_length));
 }
 
-static size_t header_collect(char *line, size_t size, size_t count, void *context)
-{
+static size_t header_collect(char *line, size_t size, size_t count, void *context) {
     collecting_t *collecting = context;
     answer_t *answer = collecting->answer;
     size_t length = size * count;
@@ -46,8 +43,7 @@
 
 const char *harness_tls_folder;
 
-static void tls_set(CURL *curl)
-{
+static void tls_set(CURL *curl) {
     if (harness_tls_folder == NULL)
         return;
     g_autofree char *ca = g_build_filename(harness_tls_folder, "ca.pem", NULL);
@@ -62,8 +58,7 @@
 }
 
 answer_t *call(const char *method, int port, const char *path, const char *const *headers,
-               const char *body, int timeout_ms)
-{
+               const char *body, int timeout_ms) {
     answer_t *answer = g_new0(answer_t, 1);
     collecting_t collecting = {answer, g_string_new(NULL), g_get_monotonic_time()};
     g_autofree char *url = g_strdup_printf(
@@ -97,8 +92,7 @@
     return answer;
 }
 
-void answer_print(const answer_t *answer)
-{
+void answer_print(const answer_t *answer) {
     g_test_message("%ld, verdict %s, engine %s, after %.2f s: %.300s%s%s", answer->status,
                    answer->verdict != NULL ? answer->verdict : "none",
                    answer->engine != NULL ? answer->engine : "none", answer->seconds, answer->body,
@@ -106,8 +100,7 @@
                    answer->failure != NULL ? answer->failure : "");
 }
 
-void answer_free(answer_t *answer)
-{
+void answer_free(answer_t *answer) {
     g_free(answer->body);
     g_free(answer->verdict);
     g_free(answer->engine);
@@ -118,8 +111,7 @@
 }
 
 answer_t *chat(int port, const char *model, int tokens, const char *extra,
-               const char *const *headers)
-{
+               const char *const *headers) {
     g_autofree char *body =
         g_strdup_printf("{\"model\":\"%s\",\"max_tokens\":%d,"
                         "\"messages\":[{\"role\":\"user\",\"content\":\"Is there a seat?\"}]%s}",
@@ -128,8 +120,7 @@
 }
 
 /* All content of an answer, streamed or not. */
-static char *content_read(const char *body)
-{
+static char *content_read(const char *body) {
     GString *content = g_string_new(NULL);
     const char *place = body;
     while ((place = strstr(place, "\"content\":\"")) != NULL) {
@@ -139,8 +130,7 @@
     return g_string_free(content, FALSE);
 }
 
-gboolean answer_is_whole(const answer_t *answer, int tokens)
-{
+gboolean answer_is_whole(const answer_t *answer, int tokens) {
     if (answer->status != 200)
         return FALSE;
     gboolean streamed = strstr(answer->body, "data: ") != NULL;
--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -13,16 +13,14 @@
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
-static void argument_add(GPtrArray *arguments, const char *format, ...)
-{
+static void argument_add(GPtrArray *arguments, const char *format, ...) {
     va_list values;
     va_start(values, format);
     g_ptr_array_add(arguments, g_strdup_vprintf(format, values));
     va_end(values);
 }
 
-static void flags_add(GPtrArray *arguments, const char *flags)
-{
+static void flags_add(GPtrArray *arguments, const char *flags) {
     if (flags == NULL)
         return;
     g_auto(GStrv) words = g_strsplit(flags, " ", -1);
@@ -32,8 +30,7 @@
 }
 
 static void machine_register(cluster_t *cluster, const char *id, const char *role,
-                             const char *service, const char *zone, int port, pid_t pid)
-{
+                             const char *service, const char *zone, int port, pid_t pid) {
     g_autofree char *body =
         g_strdup_printf("{\"id\":\"%s\",\"role\":\"%s\",\"service\":\"%s\",\"zone\":\"%s\","
                         "\"address\":\"127.0.0.1:%d\",\"pid\":%d}",
@@ -44,8 +41,7 @@
     answer_free(answer);
 }
 
-static gboolean port_answers(cluster_t *cluster, void *context)
-{
+static gboolean port_answers(cluster_t *cluster, void *context) {
     (void)cluster;
     answer_t *answer = call("GET", GPOINTER_TO_INT(context), "/", NULL, NULL, 1000);
     gboolean answers = answer->status != 0;
@@ -53,8 +49,7 @@
     return answers;
 }
 
-static void platform_start(cluster_t *cluster)
-{
+static void platform_start(cluster_t *cluster) {
     cluster->platform_port = port_find();
     cluster->platform_proxy_port = cluster->options.proxied ? port_find() : cluster->platform_port;
     GPtrArray *arguments = g_ptr_array_new();
@@ -70,8 +65,7 @@
 }
 
 /* Ports are chosen ahead, so that the proxy can start first. */
-static void ports_choose(cluster_t *cluster)
-{
+static void ports_choose(cluster_t *cluster) {
     for (int i = 0; i < HARNESS_NODES; i++) {
         cluster->nodes[i].callers_port = port_find();
         cluster->nodes[i].nodes_port = port_find();
@@ -85,8 +79,7 @@
     }
 }
 
-static void proxy_start(cluster_t *cluster)
-{
+static void proxy_start(cluster_t *cluster) {
     if (!cluster->options.proxied && !cluster->options.partitions)
         return;
     cluster->proxy_control_port = port_find();
@@ -111,8 +104,7 @@
                              READY_TIMEOUT_MS));
 }
 
-static char *seeds_list(const cluster_t *cluster)
-{
+static char *seeds_list(const cluster_t *cluster) {
     GString *seeds = g_string_new(NULL);
     for (int i = 0; i < 3; i++)
         g_string_append_printf(seeds, "%s127.0.0.1:%d", i > 0 ? "," : "",
@@ -121,8 +113,7 @@
     return g_string_free(seeds, FALSE);
 }
 
-void node_launch(cluster_t *cluster, int index)
-{
+void node_launch(cluster_t *cluster, int index) {
     node_t *node = &cluster->nodes[index];
     process_clear(&node->process);
     g_snprintf(node->zone, sizeof(node->zone), "zone-%d", index % 3 + 1);
@@ -148,8 +139,7 @@
     process_start(&node->process);
 }
 
-void node_start(cluster_t *cluster, int index)
-{
+void node_start(cluster_t *cluster, int index) {
     node_t *node = &cluster->nodes[index];
     node_launch(cluster, index);
     machine_register(cluster, node->process.name, "node", "", node->zone, node->nodes_port,
@@ -158,16 +148,14 @@
         eventually(port_answers, cluster, GINT_TO_POINTER(node->operators_port), READY_TIMEOUT_MS));
 }
 
-int cluster_add_node(cluster_t *cluster)
-{
+int cluster_add_node(cluster_t *cluster) {
     g_assert_cmpint(cluster->node_count, <, HARNESS_NODES);
     int index = cluster->node_count++;
     node_start(cluster, index);
     return index;
 }
 
-int cluster_add_engine(cluster_t *cluster, const char *service)
-{
+int cluster_add_engine(cluster_t *cluster, const char *service) {
     g_assert_cmpint(cluster->engine_count, <, HARNESS_ENGINES);
     int index = cluster->engine_count++;
     engine_t *engine = &cluster->engines[index];
@@ -189,8 +177,7 @@
     return index;
 }
 
-cluster_t *cluster_start(const cluster_options_t *options)
-{
+cluster_t *cluster_start(const cluster_options_t *options) {
     cluster_t *cluster = g_new0(cluster_t, 1);
     cluster->options = *options;
     const char *build = g_getenv("WICKBRIDGE_BUILD");
@@ -208,8 +195,7 @@
     return cluster;
 }
 
-static void folder_remove(const char *path)
-{
+static void folder_remove(const char *path) {
     GDir *folder = g_dir_open(path, 0, NULL);
     const char *name;
     while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
@@ -221,8 +207,7 @@
     g_rmdir(path);
 }
 
-void cluster_stop(cluster_t *cluster)
-{
+void cluster_stop(cluster_t *cluster) {
     for (int i = 0; i < cluster->node_count; i++)
         process_clear(&cluster->nodes[i].process);
     for (int i = 0; i < cluster->engine_count; i++)
@@ -237,8 +222,7 @@
 }
 
 static void proxy_fault(cluster_t *cluster, int port, const char *fault, int delay_ms, int bytes,
-                        int times)
-{
+                        int times) {
     g_autofree char *body = g_strdup_printf(
         "{\"relay\":\"127.0.0.1:%d\",\"fault\":\"%s\",\"delay_ms\":%d,\"bytes\":%d,\"times\":%d}",
         port, fault, delay_ms, bytes, times);
@@ -248,24 +232,20 @@
 }
 
 void engine_fault(cluster_t *cluster, int engine, const char *fault, int delay_ms, int bytes,
-                  int times)
-{
+                  int times) {
     proxy_fault(cluster, cluster->engines[engine].proxy_port, fault, delay_ms, bytes, times);
 }
 
-void platform_proxy_fault(cluster_t *cluster, const char *fault, int delay_ms, int times)
-{
+void platform_proxy_fault(cluster_t *cluster, const char *fault, int delay_ms, int times) {
     proxy_fault(cluster, cluster->platform_proxy_port, fault, delay_ms, 0, times);
 }
 
 /* Whether a partition with the first nodes on one side lies between the two. */
-static gboolean is_between(int first_count, int one, int two)
-{
+static gboolean is_between(int first_count, int one, int two) {
     return first_count > 0 && (one < first_count) != (two < first_count);
 }
 
-void partition_set(cluster_t *cluster, int first_count)
-{
+void partition_set(cluster_t *cluster, int first_count) {
     for (int i = 0; i < cluster->node_count; i++) {
         g_autoptr(GString) hosts = g_string_new(NULL);
         for (int j = 0; j < cluster->node_count; j++)
@@ -280,22 +260,19 @@
     }
 }
 
-void platform_faults(cluster_t *cluster, const char *json)
-{
+void platform_faults(cluster_t *cluster, const char *json) {
     answer_t *answer = call("POST", cluster->platform_port, "/standin/v1/faults", NULL, json, 5000);
     g_assert_cmpint(answer->status, ==, 200);
     answer_free(answer);
 }
 
-void machine_leave(cluster_t *cluster, const char *id)
-{
+void machine_leave(cluster_t *cluster, const char *id) {
     g_autofree char *body = g_strdup_printf("{\"id\":\"%s\"}", id);
     answer_free(call("POST", cluster->platform_port, "/standin/v1/leave", NULL, body, 5000));
 }
 
 gboolean eventually(gboolean (*condition)(cluster_t *cluster, void *context), cluster_t *cluster,
-                    void *context, int timeout_ms)
-{
+                    void *context, int timeout_ms) {
     int64_t until_ms = harness_now_ms() + timeout_ms;
     while (!condition(cluster, context)) {
         if (harness_now_ms() > until_ms)
@@ -305,8 +282,7 @@
     return TRUE;
 }
 
-long declare(cluster_t *cluster, int node, const char *set_json)
-{
+long declare(cluster_t *cluster, int node, const char *set_json) {
     g_autofree char *body = g_strdup_printf("{\"author\":\"test\",\"set\":%s}", set_json);
     answer_t *answer = call("POST", cluster->nodes[node].operators_port, "/operators/v1/config",
                             NULL, body, 20000);
@@ -315,8 +291,7 @@
     return status;
 }
 
-static gboolean all_ready(cluster_t *cluster, void *context)
-{
+static gboolean all_ready(cluster_t *cluster, void *context) {
     int64_t version = *(int64_t *)context;
     for (int i = 0; i < cluster->node_count; i++) {
         if (cluster->nodes[i].process.pid == 0)
@@ -331,22 +306,19 @@
     return TRUE;
 }
 
-static gboolean cells_owned(cluster_t *cluster, void *context)
-{
+static gboolean cells_owned(cluster_t *cluster, void *context) {
     (void)context;
     return cell_owner(cluster, "assistant/0") >= 0 &&
            (cluster->options.lock_engines == 0 || cell_owner(cluster, "seat-lock/0") >= 0);
 }
 
-void wait_ready(cluster_t *cluster)
-{
+void wait_ready(cluster_t *cluster) {
     int64_t version = 1;
     g_assert_true(eventually(all_ready, cluster, &version, READY_TIMEOUT_MS));
     g_assert_true(eventually(cells_owned, cluster, NULL, READY_TIMEOUT_MS));
 }
 
-void declare_usual(cluster_t *cluster, int models, int max_replicas)
-{
+void declare_usual(cluster_t *cluster, int models, int max_replicas) {
     g_autoptr(GString) set = g_string_new("{\"service/assistant\":{\"keep_alive_ms\":600000}");
     if (cluster->options.lock_engines > 0)
         g_string_append(set, ",\"service/seat-lock\":{\"repeatable\":false,"
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -12,8 +12,7 @@
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
-static void argument_add(GPtrArray *arguments, const char *format, ...)
-{
+static void argument_add(GPtrArray *arguments, const char *format, ...) {
     va_list values;
     va_start(values, format);
     g_ptr_array_add(arguments, g_strdup_vprintf(format, values));
@@ -39,8 +38,7 @@
     "\"timeoutMs\":2000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"lock\","
     "\"maxAttempts\":2}";
 
-void estate_configure(estate_t *estate, const char *routes)
-{
+void estate_configure(estate_t *estate, const char *routes) {
     g_autoptr(GString) models = g_string_new(NULL);
     for (int i = 0; i < 8; i++)
         g_string_append_printf(models,
@@ -67,8 +65,7 @@
     json_decref(call);
 }
 
-void estate_do(const estate_t *estate, const char *format, ...)
-{
+void estate_do(const estate_t *estate, const char *format, ...) {
     va_list values;
     va_start(values, format);
     g_autofree char *body = g_strdup_vprintf(format, values);
@@ -78,8 +75,7 @@
     answer_free(answer);
 }
 
-json_t *estate_seen(const estate_t *estate)
-{
+json_t *estate_seen(const estate_t *estate) {
     answer_t *answer = call("GET", estate->control_port, "/", NULL, NULL, 5000);
     json_t *seen = json_loads(answer->body, 0, NULL);
     g_assert_nonnull(seen);
@@ -87,8 +83,7 @@
     return seen;
 }
 
-int estate_runs(const estate_t *estate, const char *id)
-{
+int estate_runs(const estate_t *estate, const char *id) {
     json_t *seen = estate_seen(estate);
     int count = 0;
     size_t i;
@@ -99,8 +94,7 @@
     return count;
 }
 
-int estate_orders(const estate_t *estate, const char *operation, const char *model)
-{
+int estate_orders(const estate_t *estate, const char *operation, const char *model) {
     json_t *seen = estate_seen(estate);
     int count = 0;
     size_t i;
@@ -112,8 +106,7 @@
     return count;
 }
 
-void estate_assert_no_violation(const estate_t *estate)
-{
+void estate_assert_no_violation(const estate_t *estate) {
     json_t *seen = estate_seen(estate);
     char *text = json_dumps(json_object_get(seen, "violations"), JSON_COMPACT);
     g_assert_cmpstr(text, ==, "[]");
@@ -121,16 +114,14 @@
     json_decref(seen);
 }
 
-gboolean estate_node_is_ready(const estate_t *estate, int index)
-{
+gboolean estate_node_is_ready(const estate_t *estate, int index) {
     answer_t *answer = call("GET", estate->nodes[index].ready_port, "/ready", NULL, NULL, 1000);
     gboolean ready = answer->status == 200;
     answer_free(answer);
     return ready;
 }
 
-void estate_wait_ready(const estate_t *estate, int index)
-{
+void estate_wait_ready(const estate_t *estate, int index) {
     int64_t until_ms = harness_now_ms() + READY_TIMEOUT_MS;
     while (!estate_node_is_ready(estate, index)) {
         g_assert_cmpint(harness_now_ms(), <, until_ms);
@@ -138,8 +129,7 @@
     }
 }
 
-double estate_metric(const estate_t *estate, int index, const char *name)
-{
+double estate_metric(const estate_t *estate, int index, const char *name) {
     answer_t *answer = call("GET", estate->nodes[index].metrics_port, "/metrics", NULL, NULL, 2000);
     g_autofree char *line = g_strdup_printf("\nwickbridge_%s ", name);
     const char *place = answer->status == 200 ? strstr(answer->body, line) : NULL;
@@ -148,24 +138,21 @@
     return value;
 }
 
-int estate_controller(const estate_t *estate)
-{
+int estate_controller(const estate_t *estate) {
     for (int i = 0; i < estate->node_count; i++)
         if (estate->nodes[i].process.pid > 0 && estate_metric(estate, i, "lease_held") > 0)
             return i;
     return -1;
 }
 
-gboolean estate_log_has(const estate_t *estate, int index, const char *text)
-{
+gboolean estate_log_has(const estate_t *estate, int index, const char *text) {
     g_autofree char *log = NULL;
     if (!g_file_get_contents(estate->nodes[index].process.log_path, &log, NULL, NULL))
         return FALSE;
     return strstr(log, text) != NULL;
 }
 
-void estate_node_launch(estate_t *estate, int index)
-{
+void estate_node_launch(estate_t *estate, int index) {
     estate_node_t *node = &estate->nodes[index];
     process_clear(&node->process);
     GPtrArray *arguments = g_ptr_array_new();
@@ -187,8 +174,7 @@
     process_start(&node->process);
 }
 
-static void standin_start(estate_t *estate)
-{
+static void standin_start(estate_t *estate) {
     estate->store_port = port_find();
     estate->control_port = port_find();
     GPtrArray *arguments = g_ptr_array_new();
@@ -208,8 +194,7 @@
     }
 }
 
-static void proxy_start(estate_t *estate)
-{
+static void proxy_start(estate_t *estate) {
     g_autoptr(GString) relays = g_string_new(NULL);
     estate->proxy_control_port = port_find();
     for (int i = 0; i < ESTATE_NODES; i++) {
@@ -242,8 +227,7 @@
 }
 
 static void relay_fault(const estate_t *estate, int port, const char *fault, int delay_ms,
-                        int bytes, int times)
-{
+                        int bytes, int times) {
     g_autofree char *body = g_strdup_printf("{\"relay\":\"127.0.0.1:%d\",\"fault\":\"%s\","
                                             "\"delay_ms\":%d,\"bytes\":%d,\"times\":%d}",
                                             port, fault, delay_ms, bytes, times);
@@ -252,19 +236,16 @@
     answer_free(answer);
 }
 
-void estate_store_fault(const estate_t *estate, int node, const char *fault, int delay_ms)
-{
+void estate_store_fault(const estate_t *estate, int node, const char *fault, int delay_ms) {
     relay_fault(estate, estate->store_relays[node], fault, delay_ms, 0, 0);
 }
 
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
-                         int times)
-{
+                         int times) {
     relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
 }
 
-estate_t *estate_start(int nodes, const char *node_flags)
-{
+estate_t *estate_start(int nodes, const char *node_flags) {
     estate_t *estate = g_new0(estate_t, 1);
     const char *build = g_getenv("WICKBRIDGE_BUILD");
     g_assert_nonnull(build);
@@ -302,8 +283,7 @@
     return estate;
 }
 
-void estate_stop(estate_t *estate)
-{
+void estate_stop(estate_t *estate) {
     for (int i = 0; i < estate->node_count; i++)
         process_clear(&estate->nodes[i].process);
     process_clear(&estate->proxy);
--- a/tests/harness/harness.h
+++ b/tests/harness/harness.h
@@ -162,8 +162,7 @@
 
 /** The main function of a program of tests with real processes. @param tests_add adds them all */
 #define PROCESS_TEST_MAIN(tests_add)                                                               \
-    int main(int argc, char **argv)                                                                \
-    {                                                                                              \
+    int main(int argc, char **argv) {                                                              \
         g_test_init(&argc, &argv, NULL);                                                           \
         curl_global_init(CURL_GLOBAL_ALL);                                                         \
         tests_add();                                                                               \
--- a/tests/harness/observe.c
+++ b/tests/harness/observe.c
@@ -5,8 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-json_t *node_status(cluster_t *cluster, int node)
-{
+json_t *node_status(cluster_t *cluster, int node) {
     answer_t *answer =
         call("GET", cluster->nodes[node].operators_port, "/operators/v1/status", NULL, NULL, 2000);
     json_t *status = json_loads(answer->body, 0, NULL);
@@ -15,8 +14,7 @@
 }
 
 /* The node that says itself that it owns the cell, with the highest epoch. */
-int cell_owner(cluster_t *cluster, const char *cell)
-{
+int cell_owner(cluster_t *cluster, const char *cell) {
     int owner = -1;
     json_int_t best = 0;
     for (int i = 0; i < cluster->node_count; i++) {
@@ -25,8 +23,7 @@
         json_t *status = node_status(cluster, i);
         size_t index;
         json_t *entry;
-        json_array_foreach(json_object_get(status, "cells"), index, entry)
-        {
+        json_array_foreach(json_object_get(status, "cells"), index, entry) {
             const char *name = json_string_value(json_object_get(entry, "cell"));
             const char *role = json_string_value(json_object_get(entry, "role"));
             json_int_t epoch = json_integer_value(json_object_get(entry, "epoch"));
@@ -41,14 +38,12 @@
     return owner;
 }
 
-int members_alive(cluster_t *cluster, int node)
-{
+int members_alive(cluster_t *cluster, int node) {
     json_t *status = node_status(cluster, node);
     int alive = 0;
     size_t index;
     json_t *member;
-    json_array_foreach(json_object_get(status, "members"), index, member)
-    {
+    json_array_foreach(json_object_get(status, "members"), index, member) {
         const char *state = json_string_value(json_object_get(member, "state"));
         alive += strcmp(state, "alive") == 0;
     }
@@ -56,24 +51,21 @@
     return alive;
 }
 
-int64_t node_config_version(cluster_t *cluster, int node)
-{
+int64_t node_config_version(cluster_t *cluster, int node) {
     json_t *status = node_status(cluster, node);
     int64_t version = json_integer_value(json_object_get(status, "config_version"));
     json_decref(status);
     return version;
 }
 
-void engine_kill(cluster_t *cluster, int engine)
-{
+void engine_kill(cluster_t *cluster, int engine) {
     process_kill(&cluster->engines[engine].process);
     /* with the process all that it held is gone */
     cluster->engines[engine].killed_us = g_get_monotonic_time();
 }
 
 /* What an engine printed of its own history; dead engines' logs stay. */
-static char **log_lines(const cluster_t *cluster, int engine)
-{
+static char **log_lines(const cluster_t *cluster, int engine) {
     g_autofree char *text = NULL;
     if (!g_file_get_contents(cluster->engines[engine].process.log_path, &text, NULL, NULL))
         return g_new0(char *, 1);
@@ -86,8 +78,7 @@
     int change;
 } replica_event_t;
 
-static gint event_compare(gconstpointer left, gconstpointer right)
-{
+static gint event_compare(gconstpointer left, gconstpointer right) {
     const replica_event_t *a = left;
     const replica_event_t *b = right;
     if (a->at_us != b->at_us)
@@ -96,8 +87,7 @@
 }
 
 /* Reads "EVENT time what model adapter" for the model itself. Returns 0 for other lines. */
-static int event_read(const char *line, const char *model, gint64 *at_us)
-{
+static int event_read(const char *line, const char *model, gint64 *at_us) {
     char what[32], name[128], adapter[128];
     if (sscanf(line, "EVENT %" G_GINT64_FORMAT " %31s %127s %127s", at_us, what, name, adapter) !=
         4)
@@ -109,8 +99,7 @@
     return strcmp(what, "unloaded") == 0 ? -1 : 0;
 }
 
-static void events_add(cluster_t *cluster, int engine, GArray *events, const char *model)
-{
+static void events_add(cluster_t *cluster, int engine, GArray *events, const char *model) {
     int held = 0;
     g_auto(GStrv) lines = log_lines(cluster, engine);
     for (int i = 0; lines[i] != NULL; i++) {
@@ -127,8 +116,7 @@
     }
 }
 
-static GArray *events_read(cluster_t *cluster, const char *model)
-{
+static GArray *events_read(cluster_t *cluster, const char *model) {
     GArray *events = g_array_new(FALSE, FALSE, sizeof(replica_event_t));
     for (int i = 0; i < cluster->engine_count; i++)
         events_add(cluster, i, events, model);
@@ -136,8 +124,7 @@
     return events;
 }
 
-int most_replicas(cluster_t *cluster, const char *model)
-{
+int most_replicas(cluster_t *cluster, const char *model) {
     g_autoptr(GArray) events = events_read(cluster, model);
     int held = 0, most = 0;
     for (guint i = 0; i < events->len; i++) {
@@ -147,8 +134,7 @@
     return most;
 }
 
-int loads_begun(cluster_t *cluster, const char *model)
-{
+int loads_begun(cluster_t *cluster, const char *model) {
     g_autoptr(GArray) events = events_read(cluster, model);
     int begun = 0;
     for (guint i = 0; i < events->len; i++)
@@ -157,8 +143,7 @@
     return begun;
 }
 
-static int lines_count(cluster_t *cluster, const char *wanted, gboolean whole)
-{
+static int lines_count(cluster_t *cluster, const char *wanted, gboolean whole) {
     int count = 0;
     for (int i = 0; i < cluster->engine_count; i++) {
         g_auto(GStrv) lines = log_lines(cluster, i);
@@ -169,13 +154,11 @@
     return count;
 }
 
-int memory_attempts(cluster_t *cluster)
-{
+int memory_attempts(cluster_t *cluster) {
     return lines_count(cluster, " memory-attempt ", FALSE);
 }
 
-int runs_of(cluster_t *cluster, const char *body)
-{
+int runs_of(cluster_t *cluster, const char *body) {
     g_autofree char *line = g_strconcat("RAN ", body, NULL);
     return lines_count(cluster, line, TRUE);
 }
--- a/tests/harness/processes.c
+++ b/tests/harness/processes.c
@@ -21,16 +21,14 @@
 static volatile pid_t started[MOST_PROCESSES];
 static volatile sig_atomic_t started_count;
 
-static void abort_handle(int number)
-{
+static void abort_handle(int number) {
     for (int i = 0; i < started_count; i++)
         kill(started[i], SIGKILL);
     signal(number, SIG_DFL);
     raise(number);
 }
 
-static void abort_prepare(pid_t pid)
-{
+static void abort_prepare(pid_t pid) {
     if (started_count == 0) {
         signal(SIGABRT, abort_handle);
         signal(SIGTERM, abort_handle);
@@ -43,8 +41,7 @@
 }
 
 /* A collected process's id may be given to another one. */
-static void abort_forget(pid_t pid)
-{
+static void abort_forget(pid_t pid) {
     for (int i = 0; i < started_count; i++)
         if (started[i] == pid) {
             started[i] = started[started_count - 1];
@@ -53,8 +50,7 @@
         }
 }
 
-int64_t harness_now_ms(void)
-{
+int64_t harness_now_ms(void) {
     return g_get_monotonic_time() / 1000;
 }
 
@@ -62,8 +58,7 @@
 #define LAST_PORT 32000 /* below the ports that outgoing connections get */
 #define PORT_STRIDE 149
 
-static gboolean port_is_free(int port)
-{
+static gboolean port_is_free(int port) {
     int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     int on = 1;
     struct sockaddr_in address = {.sin_family = AF_INET,
@@ -76,8 +71,7 @@
 }
 
 /* A port that nothing listens on at present; test programs that run at once start far apart. */
-int port_find(void)
-{
+int port_find(void) {
     static int next;
     if (next == 0)
         next = FIRST_PORT + (int)getpid() * PORT_STRIDE % (LAST_PORT - FIRST_PORT);
@@ -89,8 +83,7 @@
 }
 
 void process_prepare(cluster_t *cluster, process_t *process, const char *name, const char *program,
-                     GPtrArray *arguments)
-{
+                     GPtrArray *arguments) {
     g_strlcpy(process->name, name, sizeof(process->name));
     process->program = g_build_filename(cluster->build, program, NULL);
     process->log_path = g_strdup_printf("%s/%s.log", cluster->folder, name);
@@ -99,8 +92,7 @@
     process->arguments = (char **)g_ptr_array_free(arguments, FALSE);
 }
 
-void process_start(process_t *process)
-{
+void process_start(process_t *process) {
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
@@ -115,14 +107,12 @@
     abort_prepare(process->pid);
 }
 
-void process_signal(process_t *process, int signal)
-{
+void process_signal(process_t *process, int signal) {
     if (process->pid > 0)
         kill(process->pid, signal);
 }
 
-void process_kill(process_t *process)
-{
+void process_kill(process_t *process) {
     if (process->pid <= 0)
         return;
     kill(process->pid, SIGKILL);
@@ -131,8 +121,7 @@
     process->pid = 0;
 }
 
-int process_stop(process_t *process, int timeout_ms)
-{
+int process_stop(process_t *process, int timeout_ms) {
     if (process->pid <= 0)
         return -1;
     kill(process->pid, SIGTERM);
@@ -149,8 +138,7 @@
     return -1;
 }
 
-void process_clear(process_t *process)
-{
+void process_clear(process_t *process) {
     process_kill(process);
     g_free(process->program);
     g_free(process->log_path);
--- a/tests/harness/wire.c
+++ b/tests/harness/wire.c
@@ -10,8 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-wire_t *wire_open(int port)
-{
+wire_t *wire_open(int port) {
     wire_t *wire = g_new0(wire_t, 1);
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
@@ -22,15 +21,13 @@
     return wire;
 }
 
-void wire_close(wire_t *wire)
-{
+void wire_close(wire_t *wire) {
     close(wire->descriptor);
     g_string_free(wire->unread, TRUE);
     g_free(wire);
 }
 
-void wire_send(wire_t *wire, const char *format, ...)
-{
+void wire_send(wire_t *wire, const char *format, ...) {
     va_list values;
     va_start(values, format);
     g_autofree char *text = g_strdup_vprintf(format, values);
@@ -46,8 +43,7 @@
 }
 
 /* Reads some more bytes. Returns FALSE at the end or when time is over. */
-static gboolean more_read(wire_t *wire, int64_t until_ms, gboolean *closed)
-{
+static gboolean more_read(wire_t *wire, int64_t until_ms, gboolean *closed) {
     struct pollfd watched = {wire->descriptor, POLLIN, 0};
     int64_t left_ms = until_ms - harness_now_ms();
     if (left_ms <= 0 || poll(&watched, 1, (int)left_ms) <= 0)
@@ -62,14 +58,12 @@
     return TRUE;
 }
 
-static gboolean head_has(const wire_answer_t *answer, const char *text)
-{
+static gboolean head_has(const wire_answer_t *answer, const char *text) {
     return strstr(answer->head->str, text) != NULL;
 }
 
 /* Takes one chunk off the front. Returns -1 when it isn't all there, else its length. */
-static long chunk_take(wire_t *wire, GString *body)
-{
+static long chunk_take(wire_t *wire, GString *body) {
     char *line_end = strstr(wire->unread->str, "\r\n");
     if (line_end == NULL)
         return -1;
@@ -82,8 +76,7 @@
     return length;
 }
 
-static void chunks_read(wire_t *wire, wire_answer_t *answer, int64_t until_ms)
-{
+static void chunks_read(wire_t *wire, wire_answer_t *answer, int64_t until_ms) {
     for (;;) {
         long length = chunk_take(wire, answer->body);
         if (length == 0) {
@@ -95,8 +88,7 @@
     }
 }
 
-static void length_read(wire_t *wire, wire_answer_t *answer, size_t length, int64_t until_ms)
-{
+static void length_read(wire_t *wire, wire_answer_t *answer, size_t length, int64_t until_ms) {
     while (wire->unread->len < length && more_read(wire, until_ms, &answer->closed))
         continue;
     size_t taken = MIN(length, wire->unread->len);
@@ -105,8 +97,7 @@
     answer->whole = taken == length;
 }
 
-wire_answer_t *wire_read(wire_t *wire, int timeout_ms)
-{
+wire_answer_t *wire_read(wire_t *wire, int timeout_ms) {
     wire_answer_t *answer = g_new0(wire_answer_t, 1);
     int64_t until_ms = harness_now_ms() + timeout_ms;
     answer->head = g_string_new(NULL);
@@ -128,15 +119,13 @@
     return answer;
 }
 
-void wire_answer_free(wire_answer_t *answer)
-{
+void wire_answer_free(wire_answer_t *answer) {
     g_string_free(answer->head, TRUE);
     g_string_free(answer->body, TRUE);
     g_free(answer);
 }
 
-gboolean wire_is_closed(wire_t *wire, int timeout_ms)
-{
+gboolean wire_is_closed(wire_t *wire, int timeout_ms) {
     gboolean closed = FALSE;
     int64_t until_ms = harness_now_ms() + timeout_ms;
     while (more_read(wire, until_ms, &closed))
@@ -145,16 +134,14 @@
 }
 
 void wire_post(wire_t *wire, const char *path, const char *id, const char *headers,
-               const char *body)
-{
+               const char *body) {
     wire_send(wire,
               "POST %s HTTP/1.1\r\nHost: a.example\r\nRequest-Attempt-Id: %s\r\n%s"
               "Content-Length: %zu\r\n\r\n%s",
               path, id, headers, strlen(body), body);
 }
 
-wire_answer_t *wire_ask(int port, const char *path, const char *id, const char *headers)
-{
+wire_answer_t *wire_ask(int port, const char *path, const char *id, const char *headers) {
     wire_t *wire = wire_open(port);
     wire_post(wire, path, id, headers, "hello");
     wire_answer_t *answer = wire_read(wire, 15000);
--- a/tests/integration/crowd.c
+++ b/tests/integration/crowd.c
@@ -6,8 +6,7 @@
     crowd_call_t call;
 } crowd_thread_t;
 
-static gpointer crowd_run(gpointer data)
-{
+static gpointer crowd_run(gpointer data) {
     crowd_thread_t *thread = data;
     answer_t *answer =
         chat(thread->call.port, thread->call.model, thread->call.tokens, thread->call.extra, NULL);
@@ -18,8 +17,7 @@
     return NULL;
 }
 
-crowd_t *crowd_start(const crowd_call_t *calls, int count)
-{
+crowd_t *crowd_start(const crowd_call_t *calls, int count) {
     crowd_t *crowd = g_new0(crowd_t, 1);
     g_mutex_init(&crowd->lock);
     crowd->answers = g_ptr_array_new_with_free_func((GDestroyNotify)answer_free);
@@ -33,23 +31,20 @@
     return crowd;
 }
 
-void crowd_join(crowd_t *crowd)
-{
+void crowd_join(crowd_t *crowd) {
     for (guint i = 0; i < crowd->threads->len; i++)
         g_thread_join(crowd->threads->pdata[i]);
     g_ptr_array_set_size(crowd->threads, 0);
 }
 
-void crowd_free(crowd_t *crowd)
-{
+void crowd_free(crowd_t *crowd) {
     g_ptr_array_unref(crowd->threads);
     g_ptr_array_unref(crowd->answers);
     g_mutex_clear(&crowd->lock);
     g_free(crowd);
 }
 
-int crowd_whole(const crowd_t *crowd, int tokens)
-{
+int crowd_whole(const crowd_t *crowd, int tokens) {
     int count = 0;
     for (guint i = 0; i < crowd->answers->len; i++)
         if (answer_is_whole(crowd->answers->pdata[i], tokens))
@@ -59,8 +54,7 @@
     return count;
 }
 
-int crowd_refused(const crowd_t *crowd)
-{
+int crowd_refused(const crowd_t *crowd) {
     int count = 0;
     for (guint i = 0; i < crowd->answers->len; i++) {
         const answer_t *answer = crowd->answers->pdata[i];
--- a/tests/integration/test_config.c
+++ b/tests/integration/test_config.c
@@ -3,8 +3,7 @@
 
 #include <string.h>
 
-static gboolean version_is_everywhere(cluster_t *cluster, void *context)
-{
+static gboolean version_is_everywhere(cluster_t *cluster, void *context) {
     int64_t version = *(int64_t *)context;
     for (int i = 0; i < cluster->node_count; i++)
         if (cluster->nodes[i].process.pid != 0 && node_config_version(cluster, i) < version)
@@ -12,8 +11,7 @@
     return TRUE;
 }
 
-static answer_t *apply(cluster_t *cluster, int node, const char *owner, int share, int64_t base)
-{
+static answer_t *apply(cluster_t *cluster, int node, const char *owner, int share, int64_t base) {
     g_autofree char *body = g_strdup_printf(
         "{\"author\":\"test\",\"base_version\":%d,\"set\":{\"owner/%s\":{\"share\":%d}}}",
         (int)base, owner, share);
@@ -29,16 +27,14 @@
     answer_t *answer;
 } racer_t;
 
-static gpointer racer_run(gpointer data)
-{
+static gpointer racer_run(gpointer data) {
     racer_t *racer = data;
     racer->answer = apply(racer->cluster, racer->node, "north", racer->share, racer->base);
     return NULL;
 }
 
 /* Operators race from the same version: one wins, the others get a clear conflict. */
-static void test_racing_operators(void)
-{
+static void test_racing_operators(void) {
     cluster_options_t options = {.nodes = 4};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -68,8 +64,7 @@
 }
 
 /* The table service took the change and its answer was lost: the operator is told the truth. */
-static void test_accepted_answer_lost(void)
-{
+static void test_accepted_answer_lost(void) {
     cluster_options_t options = {.nodes = 2, .proxied = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -93,8 +88,7 @@
 }
 
 /* A node that starts while the platform is away learns the configuration from the others. */
-static void test_nodes_replaced_while_the_platform_is_away(void)
-{
+static void test_nodes_replaced_while_the_platform_is_away(void) {
     cluster_options_t options = {.nodes = 4, .engines = 1};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -126,8 +120,7 @@
 }
 
 /* A lone node that can't learn the newest configuration refuses work. */
-static void test_lone_node_without_platform_refuses(void)
-{
+static void test_lone_node_without_platform_refuses(void) {
     cluster_options_t options = {.nodes = 1, .engines = 1};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -149,8 +142,7 @@
 }
 
 /* The object store is away while more changes are accepted than fit between two snapshots. */
-static void test_object_store_away(void)
-{
+static void test_object_store_away(void) {
     cluster_options_t options = {.nodes = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -182,8 +174,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/config/racing-operators", test_racing_operators);
     g_test_add_func("/config/accepted-answer-lost", test_accepted_answer_lost);
     g_test_add_func("/config/nodes-replaced-while-the-platform-is-away",
--- a/tests/integration/test_once.c
+++ b/tests/integration/test_once.c
@@ -6,16 +6,14 @@
 
 static const char lock_path[] = "/v1/services/seat-lock/hold";
 
-static answer_t *hold(int port, const char *key, const char *body)
-{
+static answer_t *hold(int port, const char *key, const char *body) {
     g_autofree char *header = key != NULL ? g_strconcat("Idempotency-Key: ", key, NULL) : NULL;
     const char *headers[] = {header, NULL};
     return call("POST", port, lock_path, headers, body, 60000);
 }
 
 /* What an answer says and what the engines did must agree. */
-static void answer_check(cluster_t *cluster, const answer_t *answer, const char *body)
-{
+static void answer_check(cluster_t *cluster, const answer_t *answer, const char *body) {
     int runs = runs_of(cluster, body);
     g_assert_cmpint(runs, <=, 1);
     if (answer->status == 200)
@@ -24,8 +22,7 @@
         g_assert_cmpint(runs, ==, 0);
 }
 
-static void test_retry_with_key_at_another_node(void)
-{
+static void test_retry_with_key_at_another_node(void) {
     cluster_options_t options = {.nodes = 3, .engines = 0, .lock_engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -54,15 +51,13 @@
     const char *body;
 } hold_thread_t;
 
-static gpointer hold_run(gpointer data)
-{
+static gpointer hold_run(gpointer data) {
     const hold_thread_t *thread = data;
     return hold(thread->port, thread->key, thread->body);
 }
 
 /* The caller's node is killed while the request runs; the retry gets the first run's answer. */
-static void test_node_killed_while_it_runs(void)
-{
+static void test_node_killed_while_it_runs(void) {
     cluster_options_t options = {.nodes = 4, .lock_engines = 2, .engine_flags = "--call-ms=2500"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -91,8 +86,7 @@
 }
 
 /* A frozen node thaws after its caller has retried elsewhere. */
-static void test_frozen_node_thaws(void)
-{
+static void test_frozen_node_thaws(void) {
     cluster_options_t options = {.nodes = 4, .lock_engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -116,8 +110,7 @@
 }
 
 /* The connection to the engine is cut behind each byte of the request, then of the answer. */
-static void cut_at_bytes(const char *fault, int last, int step, gboolean keyed)
-{
+static void cut_at_bytes(const char *fault, int last, int step, gboolean keyed) {
     cluster_options_t options = {
         .nodes = 2, .lock_engines = 1, .proxied = TRUE, .engine_flags = "--call-ms=0"};
     cluster_t *cluster = cluster_start(&options);
@@ -138,19 +131,16 @@
     cluster_stop(cluster);
 }
 
-static void test_cut_at_every_byte_of_the_request(void)
-{
+static void test_cut_at_every_byte_of_the_request(void) {
     cut_at_bytes("cut_request", 340, 1, FALSE);
 }
 
-static void test_cut_at_every_byte_of_the_answer(void)
-{
+static void test_cut_at_every_byte_of_the_answer(void) {
     cut_at_bytes("cut_answer", 260, 1, TRUE);
 }
 
 /* The engine ran the request and died before it answered. */
-static void test_engine_dies_before_answering(void)
-{
+static void test_engine_dies_before_answering(void) {
     cluster_options_t options = {.nodes = 2, .lock_engines = 2, .engine_flags = "--call-ms=3000"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -173,8 +163,7 @@
 }
 
 /* The table service is away: keys are still claimed, among the nodes. */
-static void test_once_without_the_table_service(void)
-{
+static void test_once_without_the_table_service(void) {
     cluster_options_t options = {.nodes = 4, .lock_engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -196,8 +185,7 @@
 
 /* The engine has forgotten the first run by the time of the retry: nobody may conclude that it
  * never happened. */
-static void test_retry_after_the_engine_forgot(void)
-{
+static void test_retry_after_the_engine_forgot(void) {
     cluster_options_t options = {.nodes = 4,
                                  .lock_engines = 2,
                                  .engine_flags = "--call-ms=1500 --stream-retention-ms=1000",
@@ -221,8 +209,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/once/retry-with-key-at-another-node", test_retry_with_key_at_another_node);
     g_test_add_func("/once/node-killed-while-it-runs", test_node_killed_while_it_runs);
     g_test_add_func("/once/frozen-node-thaws", test_frozen_node_thaws);
--- a/tests/integration/test_outages.c
+++ b/tests/integration/test_outages.c
@@ -5,8 +5,7 @@
 #include <string.h>
 
 /* Models wake, run and fall idle while nothing of the platform answers, through a takeover. */
-static void test_platform_away_for_the_whole_run(void)
-{
+static void test_platform_away_for_the_whole_run(void) {
     cluster_options_t options = {.nodes = 4, .engines = 3};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 4, 1);
@@ -33,8 +32,7 @@
 }
 
 /* One zone of three dies at once: nodes and engines. */
-static void test_zone_gone_at_once(void)
-{
+static void test_zone_gone_at_once(void) {
     cluster_options_t options = {.nodes = 6, .engines = 6};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 4, 2);
@@ -59,8 +57,7 @@
 }
 
 /* The weight store is ten times slower: waiting callers are served or refused, none is dropped. */
-static void test_slow_weight_store(void)
-{
+static void test_slow_weight_store(void) {
     cluster_options_t options = {.nodes = 3, .engines = 3};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 3, 1);
@@ -79,8 +76,7 @@
 }
 
 /* Most members of a cell's group die at once: it is founded again, and counts what is loaded. */
-static void test_majority_of_a_group_lost(void)
-{
+static void test_majority_of_a_group_lost(void) {
     cluster_options_t options = {.nodes = 3, .engines = 3};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 2, 1);
@@ -102,8 +98,7 @@
 }
 
 /* A node that reaches the platform but no other node must not take cells over. */
-static void test_isolated_node_founds_nothing(void)
-{
+static void test_isolated_node_founds_nothing(void) {
     cluster_options_t options = {.nodes = 3, .engines = 1};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -121,8 +116,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/outages/platform-away-for-the-whole-run",
                     test_platform_away_for_the_whole_run);
     g_test_add_func("/outages/zone-gone-at-once", test_zone_gone_at_once);
--- a/tests/integration/test_partitions.c
+++ b/tests/integration/test_partitions.c
@@ -6,8 +6,7 @@
 #define NODES 5
 #define SMALLER 2 /* nodes 0 and 1 on one side, the other three on the other */
 
-static gboolean all_members_alive(cluster_t *cluster, void *context)
-{
+static gboolean all_members_alive(cluster_t *cluster, void *context) {
     (void)context;
     for (int i = 0; i < cluster->node_count; i++)
         if (members_alive(cluster, i) != cluster->node_count)
@@ -16,8 +15,7 @@
 }
 
 /* Callers ask for cold models on both sides of a partition, through it and after it. */
-static void test_both_sides_ask(void)
-{
+static void test_both_sides_ask(void) {
     cluster_options_t options = {.nodes = NODES, .engines = 4, .partitions = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 8, 1);
@@ -53,16 +51,14 @@
     cluster_stop(cluster);
 }
 
-static answer_t *hold(int port, const char *key, const char *body)
-{
+static answer_t *hold(int port, const char *key, const char *body) {
     g_autofree char *header = g_strconcat("Idempotency-Key: ", key, NULL);
     const char *headers[] = {header, NULL};
     return call("POST", port, "/v1/services/seat-lock/hold", headers, body, 30000);
 }
 
 /* Keys are used on both sides; a key runs at most once, and refusals are true. */
-static void test_keys_on_both_sides(void)
-{
+static void test_keys_on_both_sides(void) {
     cluster_options_t options = {.nodes = NODES, .lock_engines = 2, .partitions = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 0, 1);
@@ -102,8 +98,7 @@
 
 /* A configuration that was accepted during a partition is in force everywhere once it has healed;
  * the cut-off side learns it from the platform at the latest. */
-static void test_configuration_after_healing(void)
-{
+static void test_configuration_after_healing(void) {
     cluster_options_t options = {
         .nodes = NODES, .partitions = TRUE, .node_flags = "--config-poll-ms=600000"};
     cluster_t *cluster = cluster_start(&options);
@@ -123,8 +118,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/partitions/both-sides-ask", test_both_sides_ask);
     g_test_add_func("/partitions/keys-on-both-sides", test_keys_on_both_sides);
     g_test_add_func("/partitions/configuration-after-healing", test_configuration_after_healing);
--- a/tests/integration/test_path.c
+++ b/tests/integration/test_path.c
@@ -3,8 +3,7 @@
 
 #include <string.h>
 
-static void test_idle_model_is_woken(void)
-{
+static void test_idle_model_is_woken(void) {
     cluster_options_t options = {.nodes = 3, .engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 2, 1);
@@ -23,8 +22,7 @@
 }
 
 /* The herd: everyone asks for one cold model at every node. */
-static void test_herd_wakes_once(void)
-{
+static void test_herd_wakes_once(void) {
     cluster_options_t options = {.nodes = 3, .engines = 4};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -41,8 +39,7 @@
     cluster_stop(cluster);
 }
 
-static void test_adapter_beside_its_model(void)
-{
+static void test_adapter_beside_its_model(void) {
     cluster_options_t options = {.nodes = 1, .engines = 1};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -59,8 +56,7 @@
     cluster_stop(cluster);
 }
 
-static void test_opaque_call(void)
-{
+static void test_opaque_call(void) {
     cluster_options_t options = {.nodes = 2, .engines = 1, .lock_engines = 1};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -82,8 +78,7 @@
 }
 
 /* One engine, room for two models: the third wakes by sending an idle one away. */
-static void test_idle_model_makes_room(void)
-{
+static void test_idle_model_makes_room(void) {
     cluster_options_t options = {.nodes = 2, .engines = 1, .engine_flags = "--memory-mib=2100"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 3, 1);
@@ -98,8 +93,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/path/idle-model-is-woken", test_idle_model_is_woken);
     g_test_add_func("/path/herd-wakes-once", test_herd_wakes_once);
     g_test_add_func("/path/adapter-beside-its-model", test_adapter_beside_its_model);
--- a/tests/integration/test_refusals.c
+++ b/tests/integration/test_refusals.c
@@ -16,8 +16,7 @@
     long status;
 } bad_case_t;
 
-static void test_bad_input(void)
-{
+static void test_bad_input(void) {
     cluster_options_t options = {.nodes = 1, .engines = 1, .node_flags = "--body-limit-bytes=2000"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -66,8 +65,7 @@
 }
 
 /* Connects and sends a request's start, and no more. */
-static int sender_open(int port, const char *text)
-{
+static int sender_open(int port, const char *text) {
     int descriptor = socket(AF_INET, SOCK_STREAM, 0);
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
@@ -78,8 +76,7 @@
 }
 
 /* Callers that begin a request and fall silent are cut, and keep nobody else waiting. */
-static void test_slow_senders(void)
-{
+static void test_slow_senders(void) {
     enum { SENDERS = 50 };
     cluster_options_t options = {.nodes = 1, .engines = 1, .node_flags = "--sender-timeout-s=1"};
     cluster_t *cluster = cluster_start(&options);
@@ -109,8 +106,7 @@
 }
 
 /* A wake that takes longer than the deadline is refused as soon as that is known. */
-static void test_late_wake_is_refused_at_once(void)
-{
+static void test_late_wake_is_refused_at_once(void) {
     cluster_options_t options = {.nodes = 2, .engines = 1, .engine_flags = "--load-slowdown=100"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -126,8 +122,7 @@
 }
 
 /* Without any engine there is nothing to wait for. */
-static void test_no_capacity(void)
-{
+static void test_no_capacity(void) {
     cluster_options_t options = {.nodes = 2, .engines = 0};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -143,8 +138,7 @@
 }
 
 /* All engines are full of models in use: waiting callers get their refusal, none is dropped. */
-static void test_burst_on_a_full_cell(void)
-{
+static void test_burst_on_a_full_cell(void) {
     cluster_options_t options = {.nodes = 3,
                                  .engines = 1,
                                  .engine_flags = "--memory-mib=1100 --token-interval-ms=20",
@@ -169,8 +163,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/refusals/bad-input", test_bad_input);
     g_test_add_func("/refusals/slow-senders", test_slow_senders);
     g_test_add_func("/refusals/late-wake-is-refused-at-once", test_late_wake_is_refused_at_once);
--- a/tests/integration/test_replicas.c
+++ b/tests/integration/test_replicas.c
@@ -4,15 +4,13 @@
 #include <signal.h>
 #include <string.h>
 
-static gboolean another_owner(cluster_t *cluster, void *context)
-{
+static gboolean another_owner(cluster_t *cluster, void *context) {
     int owner = cell_owner(cluster, "assistant/0");
     return owner >= 0 && owner != GPOINTER_TO_INT(context);
 }
 
 /* The owner dies while its load is under way; its successor must not load a second replica. */
-static void test_owner_killed_in_mid_load(void)
-{
+static void test_owner_killed_in_mid_load(void) {
     cluster_options_t options = {.nodes = 4, .engines = 4, .engine_flags = "--load-slowdown=12"};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -33,8 +31,7 @@
 }
 
 /* A frozen owner is succeeded; thawed, its orders are refused by the engines' fences. */
-static void test_frozen_owner_thaws(void)
-{
+static void test_frozen_owner_thaws(void) {
     cluster_options_t options = {.nodes = 4, .engines = 3};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 3, 1);
@@ -60,8 +57,7 @@
 }
 
 /* Two takeovers in a row, with loads under way each time. */
-static void test_two_takeovers_in_a_row(void)
-{
+static void test_two_takeovers_in_a_row(void) {
     cluster_options_t options = {
         .nodes = 5, .engines = 4, .engine_flags = "--load-slowdown=8 --memory-mib=2100"};
     cluster_t *cluster = cluster_start(&options);
@@ -89,8 +85,7 @@
 }
 
 /* The order takes effect and its answer is lost: the load counts, and is not ordered elsewhere. */
-static void test_load_answer_lost(void)
-{
+static void test_load_answer_lost(void) {
     cluster_options_t options = {.nodes = 3, .engines = 3, .proxied = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 2, 1);
@@ -105,8 +100,7 @@
 }
 
 /* A killed engine's replica is loaded again elsewhere, after its machine is known to be gone. */
-static void test_killed_engine_is_replaced(void)
-{
+static void test_killed_engine_is_replaced(void) {
     cluster_options_t options = {.nodes = 3, .engines = 3};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -127,8 +121,7 @@
 }
 
 /* Many models and adapters, little memory, and the owner dies in between. */
-static void test_memory_with_owner_lost(void)
-{
+static void test_memory_with_owner_lost(void) {
     cluster_options_t options = {
         .nodes = 4, .engines = 2, .engine_flags = "--memory-mib=3000 --load-slowdown=2"};
     cluster_t *cluster = cluster_start(&options);
@@ -156,8 +149,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/replicas/owner-killed-in-mid-load", test_owner_killed_in_mid_load);
     g_test_add_func("/replicas/frozen-owner-thaws", test_frozen_owner_thaws);
     g_test_add_func("/replicas/two-takeovers-in-a-row", test_two_takeovers_in_a_row);
--- a/tests/integration/test_stops.c
+++ b/tests/integration/test_stops.c
@@ -4,8 +4,7 @@
 #include <signal.h>
 #include <string.h>
 
-static int engine_index(cluster_t *cluster, const char *name)
-{
+static int engine_index(cluster_t *cluster, const char *name) {
     for (int i = 0; i < cluster->engine_count; i++)
         if (g_str_equal(cluster->engines[i].process.name, name))
             return i;
@@ -13,8 +12,7 @@
 }
 
 /* The machine list says "leaving": a few seconds later nothing new goes there. */
-static void test_leaving_engine_gets_no_new_work(void)
-{
+static void test_leaving_engine_gets_no_new_work(void) {
     cluster_options_t options = {.nodes = 2, .engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 2);
@@ -40,8 +38,7 @@
 }
 
 /* SIGTERM to a node with streams open and requests waiting: all are answered whole. */
-static void test_node_stop_cuts_off_nothing(void)
-{
+static void test_node_stop_cuts_off_nothing(void) {
     cluster_options_t options = {
         .nodes = 3, .engines = 2, .engine_flags = "--token-interval-ms=10 --load-slowdown=4"};
     cluster_t *cluster = cluster_start(&options);
@@ -63,8 +60,7 @@
 }
 
 /* SIGTERM to an engine: its streams end, new requests run elsewhere. */
-static void test_engine_stop_cuts_off_nothing(void)
-{
+static void test_engine_stop_cuts_off_nothing(void) {
     cluster_options_t options = {
         .nodes = 2, .engines = 3, .engine_flags = "--token-interval-ms=10"};
     cluster_t *cluster = cluster_start(&options);
@@ -93,8 +89,7 @@
 }
 
 /* Every node is replaced in turn, while callers go on. */
-static void test_rolling_replacement(void)
-{
+static void test_rolling_replacement(void) {
     cluster_options_t options = {.nodes = 3, .engines = 2};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 2, 2);
@@ -117,8 +112,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/stops/leaving-engine-gets-no-new-work", test_leaving_engine_gets_no_new_work);
     g_test_add_func("/stops/node-stop-cuts-off-nothing", test_node_stop_cuts_off_nothing);
     g_test_add_func("/stops/engine-stop-cuts-off-nothing", test_engine_stop_cuts_off_nothing);
--- a/tests/integration/test_storm.c
+++ b/tests/integration/test_storm.c
@@ -29,72 +29,59 @@
     int wrong;
 } caller_t;
 
-static void node_kill(cluster_t *cluster, int which)
-{
+static void node_kill(cluster_t *cluster, int which) {
     process_kill(&cluster->nodes[which % NODES].process);
 }
 
-static void node_restart(cluster_t *cluster, int which)
-{
+static void node_restart(cluster_t *cluster, int which) {
     node_start(cluster, which % NODES);
 }
 
-static void node_freeze(cluster_t *cluster, int which)
-{
+static void node_freeze(cluster_t *cluster, int which) {
     process_signal(&cluster->nodes[which % NODES].process, SIGSTOP);
 }
 
-static void node_thaw(cluster_t *cluster, int which)
-{
+static void node_thaw(cluster_t *cluster, int which) {
     process_signal(&cluster->nodes[which % NODES].process, SIGCONT);
 }
 
-static void one_engine_kill(cluster_t *cluster, int which)
-{
+static void one_engine_kill(cluster_t *cluster, int which) {
     int engine = which % cluster->engine_count;
     if (cluster->engines[engine].process.pid != 0)
         engine_kill(cluster, engine);
 }
 
-static void engine_replace(cluster_t *cluster, int which)
-{
+static void engine_replace(cluster_t *cluster, int which) {
     cluster_add_engine(cluster, cluster->engines[which % cluster->engine_count].service);
 }
 
-static void engine_cut(cluster_t *cluster, int which)
-{
+static void engine_cut(cluster_t *cluster, int which) {
     engine_fault(cluster, which % cluster->engine_count, "cut", 0, 0, 0);
 }
 
-static void engine_drop(cluster_t *cluster, int which)
-{
+static void engine_drop(cluster_t *cluster, int which) {
     engine_fault(cluster, which % cluster->engine_count, "drop_answer", 0, 0, 5);
 }
 
-static void engine_heal(cluster_t *cluster, int which)
-{
+static void engine_heal(cluster_t *cluster, int which) {
     engine_fault(cluster, which % cluster->engine_count, "pass", 0, 0, 0);
 }
 
-static void platform_hang(cluster_t *cluster, int which)
-{
+static void platform_hang(cluster_t *cluster, int which) {
     (void)which;
     platform_faults(cluster, "{\"table\":\"hang\",\"machines\":\"hang\"}");
 }
 
-static void platform_heal(cluster_t *cluster, int which)
-{
+static void platform_heal(cluster_t *cluster, int which) {
     (void)which;
     platform_faults(cluster, "{}");
 }
 
-static void nodes_cut(cluster_t *cluster, int which)
-{
+static void nodes_cut(cluster_t *cluster, int which) {
     partition_set(cluster, which % 2 + 1);
 }
 
-static void nodes_heal(cluster_t *cluster, int which)
-{
+static void nodes_heal(cluster_t *cluster, int which) {
     (void)which;
     partition_set(cluster, 0);
 }
@@ -110,8 +97,7 @@
 };
 
 /* A chat: whole, refused with a reason, or cut with its node. */
-static void chat_once(caller_t *caller, int turn)
-{
+static void chat_once(caller_t *caller, int turn) {
     g_autofree char *model = g_strdup_printf("m%d", (caller->number + turn) % MODELS + 1);
     int port = caller->cluster->nodes[(caller->number * 3 + turn) % NODES].callers_port;
     gboolean streamed = turn % 2 == 0;
@@ -135,8 +121,7 @@
 }
 
 /* A seat lock with a key: tried at several nodes until it is answered. */
-static void hold_once(caller_t *caller, int turn)
-{
+static void hold_once(caller_t *caller, int turn) {
     g_autofree char *body = g_strdup_printf("{\"caller\":%d,\"turn\":%d}", caller->number, turn);
     g_autofree char *header = g_strdup_printf("Idempotency-Key: c%d-%d", caller->number, turn);
     const char *headers[] = {header, NULL};
@@ -155,8 +140,7 @@
     }
 }
 
-static gpointer caller_run(gpointer data)
-{
+static gpointer caller_run(gpointer data) {
     caller_t *caller = data;
     for (int turn = 0; !g_atomic_int_get(caller->stop); turn++) {
         chat_once(caller, turn);
@@ -165,8 +149,7 @@
     return NULL;
 }
 
-static void keys_check(cluster_t *cluster)
-{
+static void keys_check(cluster_t *cluster) {
     for (int i = 0; i < CALLERS; i++) {
         for (int turn = 0; turn < 400; turn++) {
             g_autofree char *body = g_strdup_printf("{\"caller\":%d,\"turn\":%d}", i, turn);
@@ -177,8 +160,7 @@
     }
 }
 
-static void test_two_failures_at_once(void)
-{
+static void test_two_failures_at_once(void) {
     cluster_options_t options = {.nodes = NODES,
                                  .engines = 4,
                                  .lock_engines = 2,
@@ -243,8 +225,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/storm/two-failures-at-once", test_two_failures_at_once);
 }
 
--- a/tests/integration/test_streams.c
+++ b/tests/integration/test_streams.c
@@ -5,8 +5,7 @@
 #include <string.h>
 
 /* The connection between node and engine is cut in mid stream, again and again. */
-static void test_cut_streams_are_resumed(void)
-{
+static void test_cut_streams_are_resumed(void) {
     cluster_options_t options = {.nodes = 1, .engines = 1, .proxied = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 1);
@@ -22,8 +21,7 @@
 }
 
 /* The engine dies in mid stream: the answer goes on elsewhere, and is that of one run. */
-static void test_engine_killed_in_mid_stream(void)
-{
+static void test_engine_killed_in_mid_stream(void) {
     cluster_options_t options = {
         .nodes = 2, .engines = 2, .engine_flags = "--token-interval-ms=20"};
     cluster_t *cluster = cluster_start(&options);
@@ -47,16 +45,14 @@
     cluster_stop(cluster);
 }
 
-static gpointer engine_kill_later(gpointer data)
-{
+static gpointer engine_kill_later(gpointer data) {
     g_usleep(1500000);
     engine_kill(data, 0);
     return NULL;
 }
 
 /* A stream that may not be repeated ends with an explicit error, never as if it were whole. */
-static void test_lost_stream_ends_with_an_error(void)
-{
+static void test_lost_stream_ends_with_an_error(void) {
     cluster_options_t options = {
         .nodes = 1, .engines = 1, .engine_flags = "--token-interval-ms=20"};
     cluster_t *cluster = cluster_start(&options);
@@ -74,8 +70,7 @@
 }
 
 /* Slow engines answer late and out of order; everyone still gets their own answer. */
-static void test_answers_out_of_order(void)
-{
+static void test_answers_out_of_order(void) {
     cluster_options_t options = {.nodes = 2, .engines = 2, .lock_engines = 2, .proxied = TRUE};
     cluster_t *cluster = cluster_start(&options);
     declare_usual(cluster, 1, 2);
@@ -94,16 +89,14 @@
     cluster_stop(cluster);
 }
 
-static gpointer process_kill_later(gpointer data)
-{
+static gpointer process_kill_later(gpointer data) {
     g_usleep(1000000);
     process_kill(data);
     return NULL;
 }
 
 /* The caller's node dies; the answer is fetched from another one by its key. */
-static void test_answer_fetched_from_another_node(void)
-{
+static void test_answer_fetched_from_another_node(void) {
     cluster_options_t options = {
         .nodes = 4, .engines = 1, .engine_flags = "--token-interval-ms=20"};
     cluster_t *cluster = cluster_start(&options);
@@ -127,8 +120,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/streams/cut-streams-are-resumed", test_cut_streams_are_resumed);
     g_test_add_func("/streams/engine-killed-in-mid-stream", test_engine_killed_in_mid_stream);
     g_test_add_func("/streams/lost-stream-ends-with-an-error", test_lost_stream_ends_with_an_error);
--- a/tests/integration/test_tls.c
+++ b/tests/integration/test_tls.c
@@ -7,8 +7,7 @@
 
 static void openssl(const char *folder, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
-static void openssl(const char *folder, const char *format, ...)
-{
+static void openssl(const char *folder, const char *format, ...) {
     va_list arguments;
     va_start(arguments, format);
     g_autofree char *command = g_strdup_vprintf(format, arguments);
@@ -23,16 +22,14 @@
     g_assert_cmpint(status, ==, 0);
 }
 
-static void authority_make(const char *folder, const char *name)
-{
+static void authority_make(const char *folder, const char *name) {
     openssl(folder,
             "req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -days 30 -subj "
             "/CN=%s -keyout %s.key -out %s.pem",
             name, name, name);
 }
 
-static void certificate_make(const char *folder, const char *authority, const char *name)
-{
+static void certificate_make(const char *folder, const char *authority, const char *name) {
     openssl(folder,
             "req -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes -subj /CN=%s -keyout "
             "%s.key -out %s.csr",
@@ -43,8 +40,7 @@
 }
 
 /* "ca" signs nodes, engines and the platform; "operators" signs operators; "stranger" nobody. */
-static char *certificates_make(void)
-{
+static char *certificates_make(void) {
     char *folder = g_dir_make_tmp("wickbridge-tls-XXXXXX", NULL);
     authority_make(folder, "ca");
     authority_make(folder, "operators");
@@ -55,8 +51,7 @@
     return folder;
 }
 
-static void folder_remove(char *folder)
-{
+static void folder_remove(char *folder) {
     GDir *directory = g_dir_open(folder, 0, NULL);
     const char *name;
     while ((name = g_dir_read_name(directory)) != NULL) {
@@ -68,16 +63,14 @@
     g_free(folder);
 }
 
-static char *node_flags(const char *folder, const char *certificate)
-{
+static char *node_flags(const char *folder, const char *certificate) {
     return g_strdup_printf("--tls-key=%s/%s.key --tls-certificate=%s/%s.pem "
                            "--tls-trust=%s/operators.pem --tls-node-trust=%s/ca.pem "
                            "--tls-platform-trust=%s/ca.pem",
                            folder, certificate, folder, certificate, folder, folder, folder);
 }
 
-static void test_each_link(void)
-{
+static void test_each_link(void) {
     char *folder = certificates_make();
     g_autofree char *flags = node_flags(folder, "node");
     g_autofree char *server_flags =
@@ -123,8 +116,7 @@
     folder_remove(folder);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/tls/each-link", test_each_link);
 }
 
--- a/tests/integration/test_wickctl.c
+++ b/tests/integration/test_wickctl.c
@@ -11,8 +11,7 @@
     char *errors;
 } run_t;
 
-static run_t wickctl(cluster_t *cluster, const char *words)
-{
+static run_t wickctl(cluster_t *cluster, const char *words) {
     run_t run = {0};
     g_autofree char *line = g_strdup_printf("%s/wickctl %s --node=127.0.0.1:%d", cluster->build,
                                             words, cluster->nodes[0].operators_port);
@@ -26,8 +25,7 @@
 }
 
 /* Runs a command and checks its exit code and what it prints, on either output. */
-static void expect(cluster_t *cluster, const char *words, int code, const char *text)
-{
+static void expect(cluster_t *cluster, const char *words, int code, const char *text) {
     run_t run = wickctl(cluster, words);
     g_assert_cmpint(run.code, ==, code);
     g_autofree char *all = g_strconcat(run.output, run.errors, NULL);
@@ -37,8 +35,7 @@
     g_free(run.errors);
 }
 
-static void file_write(const char *folder, const char *text)
-{
+static void file_write(const char *folder, const char *text) {
     g_autofree char *path = g_build_filename(folder, "all.yaml", NULL);
     g_assert_true(g_file_set_contents(path, text, -1, NULL));
 }
@@ -48,8 +45,7 @@
                                    "---\nkind: policy\nname: soon\nprogram: |\n"
                                    "  function keep_alive_ms(model) return 5000 end\n";
 
-static void test_commands(void)
-{
+static void test_commands(void) {
     cluster_options_t options = {.nodes = 1, .engines = 1};
     cluster_t *cluster = cluster_start(&options);
     char *folder = g_dir_make_tmp("wickbridge-declarations-XXXXXX", NULL);
@@ -93,8 +89,7 @@
     cluster_stop(cluster);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/wickctl/commands", test_commands);
 }
 
--- a/tests/sanitizer/glib_locks.h
+++ b/tests/sanitizer/glib_locks.h
@@ -10,35 +10,30 @@
 #include <glib.h>
 #include <sanitizer/tsan_interface.h>
 
-static inline void annotated_mutex_lock(GMutex *mutex)
-{
+static inline void annotated_mutex_lock(GMutex *mutex) {
     g_mutex_lock(mutex);
     __tsan_acquire(mutex);
 }
 
-static inline void annotated_mutex_unlock(GMutex *mutex)
-{
+static inline void annotated_mutex_unlock(GMutex *mutex) {
     __tsan_release(mutex);
     g_mutex_unlock(mutex);
 }
 
-static inline void annotated_cond_wait(GCond *condition, GMutex *mutex)
-{
+static inline void annotated_cond_wait(GCond *condition, GMutex *mutex) {
     __tsan_release(mutex);
     g_cond_wait(condition, mutex);
     __tsan_acquire(mutex);
 }
 
-static inline gboolean annotated_cond_wait_until(GCond *condition, GMutex *mutex, gint64 until_us)
-{
+static inline gboolean annotated_cond_wait_until(GCond *condition, GMutex *mutex, gint64 until_us) {
     __tsan_release(mutex);
     gboolean signalled = g_cond_wait_until(condition, mutex, until_us);
     __tsan_acquire(mutex);
     return signalled;
 }
 
-static inline gpointer annotated_thread_join(GThread *thread)
-{
+static inline gpointer annotated_thread_join(GThread *thread) {
     gpointer result = g_thread_join(thread);
     __tsan_acquire(thread);
     return result;
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-static wb_catalog_t *catalog_create(void)
-{
+static wb_catalog_t *catalog_create(void) {
     wb_catalog_t *catalog = wb_catalog_create(1);
     wb_route_t *all = wb_catalog_add_route(catalog, "all", "A.example", "/");
     wb_route_t *deep = wb_catalog_add_route(catalog, "deep", "a.example", "/a/b/");
@@ -21,14 +20,12 @@
 }
 
 static void route_is(const wb_catalog_t *catalog, const char *host, const char *path,
-                     const char *name)
-{
+                     const char *name) {
     const wb_route_t *route = wb_catalog_route(catalog, host, path);
     g_assert_cmpstr(route != NULL ? route->name : NULL, ==, name);
 }
 
-static void test_longest_prefix(void)
-{
+static void test_longest_prefix(void) {
     wb_catalog_t *catalog = catalog_create();
     route_is(catalog, "a.example", "/a/b/c", "deep");
     route_is(catalog, "a.example:8080", "/a/bc", "shallow");
@@ -40,8 +37,7 @@
 }
 
 /* Shares of a split are met closely in any 200 requests, not only in the long run. */
-static void test_split_shares(void)
-{
+static void test_split_shares(void) {
     wb_catalog_t *catalog = catalog_create();
     wb_route_t *route = wb_catalog_route(catalog, "a.example", "/a/b/c");
     for (int window = 0; window < 50; window++) {
@@ -58,8 +54,7 @@
     wb_catalog_unref(catalog);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/catalog/longest-prefix", test_longest_prefix);
     g_test_add_func("/catalog/split-shares", test_split_shares);
 }
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -15,15 +15,13 @@
     int64_t estimate_ms;
 } bench_t;
 
-static uint64_t propose(const wb_wire_command *command, void *context)
-{
+static uint64_t propose(const wb_wire_command *command, void *context) {
     bench_t *bench = context;
     wb_record_apply(bench->record, command, 0);
     return ++bench->sequence;
 }
 
-static void order(const wb_order_t *sent, void *context)
-{
+static void order(const wb_order_t *sent, void *context) {
     static const char *const names[] = {"fence", "load", "unload"};
     bench_t *bench = context;
     bench->fences[sent->engine[1] - '0'] = sent->fence;
@@ -32,15 +30,13 @@
                                     sent->model != NULL ? sent->model : "-", sent->engine));
 }
 
-static void show(const char *node, const wb_route_t *route, void *context)
-{
+static void show(const char *node, const wb_route_t *route, void *context) {
     (void)node;
     ((bench_t *)context)->shown = route->state;
     ((bench_t *)context)->estimate_ms = route->estimate_ms;
 }
 
-static wb_config_t *config_create(const char *text)
-{
+static wb_config_t *config_create(const char *text) {
     json_t *objects = json_loads(text, 0, NULL);
     wb_config_t *config = NULL;
     g_assert_cmpint(wb_config_parse(objects, 1, &config, NULL, NULL), ==, APR_SUCCESS);
@@ -48,8 +44,7 @@
     return config;
 }
 
-static bench_t *bench_create(const char *config_text, int64_t now_ms)
-{
+static bench_t *bench_create(const char *config_text, int64_t now_ms) {
     bench_t *bench = g_new0(bench_t, 1);
     wb_cell_options_t options = {"s/0", 4, 250, 120, 30};
     wb_cell_events_t events = {propose, order, show, bench};
@@ -62,16 +57,14 @@
     return bench;
 }
 
-static void bench_free(bench_t *bench)
-{
+static void bench_free(bench_t *bench) {
     wb_cell_free(bench->cell);
     wb_record_free(bench->record);
     g_ptr_array_unref(bench->orders);
     g_free(bench);
 }
 
-static wb_inventory_t *inventory(const char *engine, int64_t sequence, int64_t capacity_mib)
-{
+static wb_inventory_t *inventory(const char *engine, int64_t sequence, int64_t capacity_mib) {
     wb_inventory_t *created = wb_inventory_create(engine);
     created->sequence = sequence;
     created->capacity_bytes = capacity_mib * WB_MIB;
@@ -79,8 +72,7 @@
     return created;
 }
 
-static void engine_join(bench_t *bench, const char *engine, int64_t now_ms)
-{
+static void engine_join(bench_t *bench, const char *engine, int64_t now_ms) {
     wb_cell_machine(bench->cell, engine, "127.0.0.1:1", "zone", WB_MACHINE_LIVE, now_ms);
     wb_cell_step(bench->cell, now_ms);
     wb_cell_order_done(bench->cell, engine, bench->fences[engine[1] - '0'], WB_ORDER_TAKEN,
@@ -90,14 +82,12 @@
 static const char config_two[] = "{\"service/s\":{\"keep_alive_ms\":1000},\"model/m\":{\"service\":"
                                  "\"s\",\"memory_mib\":600,\"max_replicas\":1}}";
 
-static void ask(bench_t *bench, int waiting, int64_t now_ms)
-{
+static void ask(bench_t *bench, int waiting, int64_t now_ms) {
     wb_demand_t demand = {"gateway", "m", "", waiting, 0, 0};
     wb_cell_demand(bench->cell, &demand, now_ms);
 }
 
-static void test_load_waits_for_the_commit(void)
-{
+static void test_load_waits_for_the_commit(void) {
     bench_t *bench = bench_create(config_two, 0);
     engine_join(bench, "e1", 0);
     ask(bench, 1, 10);
@@ -110,8 +100,7 @@
 }
 
 /* A lost answer: nothing else is ordered there before the fence was raised again. */
-static void test_lost_answer_is_fenced(void)
-{
+static void test_lost_answer_is_fenced(void) {
     bench_t *bench = bench_create(config_two, 0);
     engine_join(bench, "e1", 0);
     ask(bench, 1, 10);
@@ -126,8 +115,7 @@
 }
 
 /* An unreachable engine keeps its slot: the model isn't loaded elsewhere. */
-static void test_unreachable_engine_keeps_its_slot(void)
-{
+static void test_unreachable_engine_keeps_its_slot(void) {
     bench_t *bench = bench_create(config_two, 0);
     engine_join(bench, "e1", 0);
     ask(bench, 1, 10);
@@ -150,8 +138,7 @@
 }
 
 /* A replica goes after its keep-alive, and its slot only once the engine no longer holds it. */
-static void test_idle_replica_goes(void)
-{
+static void test_idle_replica_goes(void) {
     bench_t *bench = bench_create(config_two, 0);
     engine_join(bench, "e1", 0);
     ask(bench, 1, 10);
@@ -176,8 +163,7 @@
 }
 
 /* A load that takes far longer than thought isn't promised for the next moment all the time. */
-static void test_late_load_is_estimated_later(void)
-{
+static void test_late_load_is_estimated_later(void) {
     bench_t *bench = bench_create(config_two, 0);
     engine_join(bench, "e1", 0);
     ask(bench, 1, 10);
@@ -195,16 +181,14 @@
     bench_free(bench);
 }
 
-static void test_no_engine_is_refused(void)
-{
+static void test_no_engine_is_refused(void) {
     bench_t *bench = bench_create(config_two, 0);
     ask(bench, 1, 10000);
     g_assert_cmpint(bench->shown, ==, WB_ROUTE_REFUSED);
     bench_free(bench);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/cell/load-waits-for-the-commit", test_load_waits_for_the_commit);
     g_test_add_func("/cell/lost-answer-is-fenced", test_lost_answer_is_fenced);
     g_test_add_func("/cell/unreachable-engine-keeps-its-slot",
--- a/tests/unit/test_declaration.c
+++ b/tests/unit/test_declaration.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-static void wrong(const char *text, const char *key, const char *member, const char *expected)
-{
+static void wrong(const char *text, const char *key, const char *member, const char *expected) {
     json_t *objects = json_loads(text, 0, NULL);
     wb_config_t *config = NULL;
     wb_config_fault_t fault;
@@ -18,8 +17,7 @@
     json_decref(objects);
 }
 
-static void test_faults_are_named(void)
-{
+static void test_faults_are_named(void) {
     wrong("{\"thing/x\":{}}", "thing/x", "kind", "must be service, model");
     wrong("{\"service/a b\":{}}", "service/a b", "name", "letters, digits");
     wrong("{\"service/s\":{\"cells\":0}}", "service/s", "cells", "from 1 to 1024");
@@ -36,8 +34,7 @@
     wrong("{\"service/s\":{\"policy\":\"p\"}}", "service/s", "policy", "no policy 'p'");
 }
 
-static void test_change_is_applied(void)
-{
+static void test_change_is_applied(void) {
     json_t *objects = json_loads("{\"owner/a\":{\"share\":1},\"owner/b\":{\"share\":1}}", 0, NULL);
     json_t *change =
         json_loads("{\"set\":{\"owner/c\":{\"share\":2}},\"remove\":[\"owner/a\"]}", 0, NULL);
@@ -50,8 +47,7 @@
     json_decref(objects);
 }
 
-static void test_keys_spread_over_cells(void)
-{
+static void test_keys_spread_over_cells(void) {
     wb_service_t service = {.name = "s", .cells = 8};
     int counts[8] = {0};
     for (int i = 0; i < 800; i++) {
@@ -65,8 +61,7 @@
     }
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/declaration/faults-are-named", test_faults_are_named);
     g_test_add_func("/declaration/change-is-applied", test_change_is_applied);
     g_test_add_func("/declaration/keys-spread-over-cells", test_keys_spread_over_cells);
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -6,8 +6,7 @@
 #include <string.h>
 
 /* At each cut of a stream, only whole events are passed on, and the last one's id is known. */
-static void test_events_at_every_cut(void)
-{
+static void test_events_at_every_cut(void) {
     static const char text[] =
         "id: 1\ndata: a\n\nid: 22\r\ndata: id: 9\r\n\r\ndata: no id\n\nid:333\ndata\n\n";
     static const size_t ends[] = {15, 38, 51, 64};
@@ -27,8 +26,7 @@
     }
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/events/every-cut", test_events_at_every_cut);
 }
 
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -27,8 +27,7 @@
     int index;
 } net_member_t;
 
-static void member_send(const char *to, const wb_wire_message *message, void *context)
-{
+static void member_send(const char *to, const wb_wire_message *message, void *context) {
     net_member_t *member = context;
     net_message_t *carried = g_new(net_message_t, 1);
     carried->from = member->index;
@@ -38,19 +37,16 @@
     g_queue_push_tail(&member->net->messages, carried);
 }
 
-static void ignore_epoch(uint64_t epoch, void *context)
-{
+static void ignore_epoch(uint64_t epoch, void *context) {
     (void)epoch;
     (void)context;
 }
 
-static void ignore(void *context)
-{
+static void ignore(void *context) {
     (void)context;
 }
 
-static void net_deliver(net_t *net, int64_t now_ms)
-{
+static void net_deliver(net_t *net, int64_t now_ms) {
     net_message_t *carried;
     while ((carried = g_queue_pop_head(&net->messages)) != NULL) {
         wb_wire_message message;
@@ -66,8 +62,7 @@
     }
 }
 
-static int net_owner(const net_t *net)
-{
+static int net_owner(const net_t *net) {
     int owner = -1;
     for (int i = 0; i < MEMBERS; i++)
         if (!net->down[i] && wb_group_role(net->groups[i]) == WB_GROUP_OWNER)
@@ -75,8 +70,7 @@
     return owner;
 }
 
-static void net_run(net_t *net, int64_t *now_ms, int64_t span_ms)
-{
+static void net_run(net_t *net, int64_t *now_ms, int64_t span_ms) {
     for (int64_t until_ms = *now_ms + span_ms; *now_ms < until_ms; *now_ms += 20) {
         for (int i = 0; i < MEMBERS; i++)
             if (!net->down[i])
@@ -85,8 +79,7 @@
     }
 }
 
-static void test_takeover_keeps_what_counted(void)
-{
+static void test_takeover_keeps_what_counted(void) {
     static net_t net;
     static net_member_t members[MEMBERS];
     int64_t now_ms = 1000;
@@ -125,8 +118,7 @@
 }
 
 /* 30,000 claims with answers of 4 KiB would not fit into a message; without old answers they do. */
-static void test_record_with_many_claims_fits(void)
-{
+static void test_record_with_many_claims_fits(void) {
     wb_record_t *record = wb_record_create();
     g_autofree char *answer = g_strnfill(4000, 'x');
     for (int i = 0; i < 30000; i++) {
@@ -160,39 +152,32 @@
     wb_record_free(record);
 }
 
-static void seed_run(guint32 seed)
-{
+static void seed_run(guint32 seed) {
     world_figures_t figures = {0};
     g_assert_cmpstr(world_run(NULL, 0, seed, 4000, &figures), ==, NULL);
 }
 
-static void test_seed_founder_with_an_old_record(void)
-{
+static void test_seed_founder_with_an_old_record(void) {
     seed_run(61);
 }
 
-static void test_seed_successor_takes_an_unsure_record_as_sure(void)
-{
+static void test_seed_successor_takes_an_unsure_record_as_sure(void) {
     seed_run(122);
 }
 
-static void test_seed_adapter_load_under_way_not_counted(void)
-{
+static void test_seed_adapter_load_under_way_not_counted(void) {
     seed_run(104);
 }
 
-static void test_seed_slot_comes_back_without_room(void)
-{
+static void test_seed_slot_comes_back_without_room(void) {
     seed_run(362);
 }
 
-static void test_seed_row_two_steps_ahead(void)
-{
+static void test_seed_row_two_steps_ahead(void) {
     seed_run(11375);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/group/takeover-keeps-what-counted", test_takeover_keeps_what_counted);
     g_test_add_func("/group/record-with-many-claims-fits", test_record_with_many_claims_fits);
     g_test_add_func("/seeds/founder-with-an-old-record", test_seed_founder_with_an_old_record);
--- a/tests/unit/test_http_reader.c
+++ b/tests/unit/test_http_reader.c
@@ -12,22 +12,19 @@
     int whole;
 } reading_t;
 
-static void reading_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context)
-{
+static void reading_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
     (void)reader;
     reading_t *reading = context;
     g_free(reading->target);
     reading->target = g_strdup(head->target);
 }
 
-static void reading_body(wb_http_reader_t *reader, const char *data, size_t length, void *context)
-{
+static void reading_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
     (void)reader;
     g_string_append_len(((reading_t *)context)->body, data, (gssize)length);
 }
 
-static void reading_complete(wb_http_reader_t *reader, void *context)
-{
+static void reading_complete(wb_http_reader_t *reader, void *context) {
     ((reading_t *)context)->whole++;
     wb_http_reader_next(reader);
 }
@@ -35,8 +32,7 @@
 static const wb_http_reader_events_t reading_events = {reading_head, reading_body,
                                                        reading_complete};
 
-static wb_http_failure_t message_read(const char *text, size_t step, reading_t *reading)
-{
+static wb_http_failure_t message_read(const char *text, size_t step, reading_t *reading) {
     wb_http_reader_t *reader = wb_http_reader_create(TRUE, 4096, &reading_events, reading);
     size_t length = strlen(text);
     size_t at = 0;
@@ -50,8 +46,7 @@
     return failure;
 }
 
-static void test_http_pieces(void)
-{
+static void test_http_pieces(void) {
     static const char text[] =
         "POST /a%2Fb?c=%20 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
         "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
@@ -68,8 +63,7 @@
     }
 }
 
-static void test_http_smuggling(void)
-{
+static void test_http_smuggling(void) {
     static const char *const bad[] = {
         "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
         "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -89,8 +83,7 @@
         }
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/http/pieces", test_http_pieces);
     g_test_add_func("/http/smuggling", test_http_smuggling);
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -11,8 +11,7 @@
     int64_t version;
 } row_t;
 
-static void row_set(row_t *target, const wb_lease_row_t *source)
-{
+static void row_set(row_t *target, const wb_lease_row_t *source) {
     g_free(target->row.holder);
     g_free(target->row.address);
     target->row = *source;
@@ -21,8 +20,7 @@
     target->version++;
 }
 
-static gboolean lease_write(wb_lease_t *lease, row_t *store, int64_t now_ms)
-{
+static gboolean lease_write(wb_lease_t *lease, row_t *store, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected;
     if (!wb_lease_next_write(lease, now_ms, &row, &expected))
@@ -36,8 +34,7 @@
     return TRUE;
 }
 
-static void test_lease_takeover(void)
-{
+static void test_lease_takeover(void) {
     wb_lease_settings_t first = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
     wb_lease_settings_t second = {"b", "1.1.1.2:1", 1600, 500, 3000, 200, 900};
     wb_lease_t *a = wb_lease_create(&first);
@@ -65,8 +62,7 @@
 }
 
 /* A write whose answer is lost counts from when it was sent, and only once the row shows it. */
-static void test_lease_lost_answer(void)
-{
+static void test_lease_lost_answer(void) {
     wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
     wb_lease_t *lease = wb_lease_create(&settings);
     row_t store = {{0}, 0};
@@ -86,8 +82,7 @@
     wb_lease_free(lease);
 }
 
-static void test_lease_restart(void)
-{
+static void test_lease_restart(void) {
     wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
     wb_lease_t *before = wb_lease_create(&settings);
     row_t store = {{0}, 0};
@@ -103,8 +98,7 @@
     wb_lease_free(after);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/lease/takeover", test_lease_takeover);
     g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
     g_test_add_func("/lease/restart", test_lease_restart);
--- a/tests/unit/test_load_window.c
+++ b/tests/unit/test_load_window.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-static void test_load_window(void)
-{
+static void test_load_window(void) {
     wb_load_window_t *window = wb_load_window_create(5000, 1500);
     wb_load_window_set_rate(window, 4);
     int64_t begun[1000] = {0};
@@ -24,8 +23,7 @@
     wb_load_window_free(window);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/load-window/every-window", test_load_window);
 }
 
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -3,13 +3,11 @@
 
 #include "wickbridge/member.h"
 
-static wb_member_t update(const char *node, uint64_t incarnation, wb_member_state_t state)
-{
+static wb_member_t update(const char *node, uint64_t incarnation, wb_member_state_t state) {
     return (wb_member_t){(char *)node, "127.0.0.1:1", "127.0.0.1:2", "zone", incarnation, state, 0};
 }
 
-static void test_merge_in_any_order(void)
-{
+static void test_merge_in_any_order(void) {
     wb_member_t updates[] = {update("a", 1, WB_MEMBER_ALIVE), update("b", 1, WB_MEMBER_ALIVE),
                              update("a", 1, WB_MEMBER_SUSPECT), update("a", 2, WB_MEMBER_ALIVE),
                              update("b", 1, WB_MEMBER_DEAD)};
@@ -27,8 +25,7 @@
     wb_member_table_free(two);
 }
 
-static void test_gone_is_final(void)
-{
+static void test_gone_is_final(void) {
     wb_member_table_t *table = wb_member_table_create();
     wb_member_t alive = update("a", 1, WB_MEMBER_ALIVE);
     wb_member_t gone = update("a", 1, WB_MEMBER_GONE);
@@ -42,8 +39,7 @@
 }
 
 /* The overlay connects all members, also after a third of them have failed. */
-static void test_overlay_is_connected(void)
-{
+static void test_overlay_is_connected(void) {
     enum { MEMBERS = 120 };
     wb_member_table_t *table = wb_member_table_create();
     for (int i = 0; i < MEMBERS; i++) {
@@ -73,8 +69,7 @@
     wb_member_table_free(table);
 }
 
-static void test_rank_spreads_zones(void)
-{
+static void test_rank_spreads_zones(void) {
     wb_member_table_t *table = wb_member_table_create();
     for (int i = 0; i < 9; i++) {
         g_autofree char *node = g_strdup_printf("node-%d", i);
@@ -91,8 +86,7 @@
     wb_member_table_free(table);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/member/merge-in-any-order", test_merge_in_any_order);
     g_test_add_func("/member/gone-is-final", test_gone_is_final);
     g_test_add_func("/member/overlay-is-connected", test_overlay_is_connected);
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-static void test_there_and_back(void)
-{
+static void test_there_and_back(void) {
     wb_wire_message message = {.kind = WB_WIRE_CLAIM_WANT};
     wb_wire_claim_want *want = &message.wb_wire_message_u.claim_want;
     want->request = 7;
@@ -29,8 +28,7 @@
         g_assert_cmpint(wb_message_decode(bytes->data + 4, length, &back, NULL), ==, APR_EINVAL);
 }
 
-static void test_too_long_a_name(void)
-{
+static void test_too_long_a_name(void) {
     g_autofree char *name = g_strnfill(WB_WIRE_NAME_MAX + 1, 'x');
     wb_wire_message message = {.kind = WB_WIRE_CONFIG_FETCH};
     message.kind = WB_WIRE_GROUP_HAND_OVER;
@@ -40,8 +38,7 @@
     g_assert_cmpuint(bytes->len, ==, 0);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/message/there-and-back", test_there_and_back);
     g_test_add_func("/message/too-long-a-name", test_too_long_a_name);
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -14,8 +14,7 @@
     wb_model_use_t uses[6];
 } scene_t;
 
-static void scene_open(scene_t *scene)
-{
+static void scene_open(scene_t *scene) {
     static const char *const names[] = {"m0", "m1", "m2", "m3", "m4", "m5"};
     memset(scene, 0, sizeof(*scene));
     scene->catalog = wb_catalog_create(1);
@@ -41,15 +40,13 @@
     }
 }
 
-static void scene_hold(scene_t *scene, int engine, int model)
-{
+static void scene_hold(scene_t *scene, int engine, int model) {
     static const char *const names[] = {"m0", "m1", "m2", "m3", "m4", "m5"};
     wb_engine_state_add_model(scene->engines[engine].state, names[model], 1);
     scene->uses[model].replicas++;
 }
 
-static void scene_close(scene_t *scene)
-{
+static void scene_close(scene_t *scene) {
     for (int i = 0; i < 2; i++)
         wb_engine_state_free(scene->engines[i].state);
     g_array_unref(scene->snapshot.engines);
@@ -57,8 +54,7 @@
     wb_catalog_unref(scene->catalog);
 }
 
-static const char *scene_choose(scene_t *scene, const char *model)
-{
+static const char *scene_choose(scene_t *scene, const char *model) {
     double cost_ms;
     double victims_ms;
     const wb_placement_engine_t *place =
@@ -67,8 +63,7 @@
     return place != NULL ? place->state->id : NULL;
 }
 
-static void test_placement_prefers_copies_at_hand(void)
-{
+static void test_placement_prefers_copies_at_hand(void) {
     scene_t scene;
     scene_open(&scene);
     g_hash_table_add(scene.engines[1].state->on_disk, g_strdup("m0"));
@@ -78,8 +73,7 @@
     scene_close(&scene);
 }
 
-static void test_placement_spares_what_is_used(void)
-{
+static void test_placement_spares_what_is_used(void) {
     scene_t scene;
     scene_open(&scene);
     scene_hold(&scene, 0, 1);
@@ -103,8 +97,7 @@
 }
 
 /* Engines whose adapters are asked for are spared, as a load holds adapters up. */
-static void test_placement_spares_adapters(void)
-{
+static void test_placement_spares_adapters(void) {
     scene_t scene;
     scene_open(&scene);
     scene_hold(&scene, 0, 1);
@@ -118,8 +111,7 @@
 }
 
 /* Adding an engine and dropping one are judged by the same measure, so neither undoes the other. */
-static void test_placement_gain_matches_cost(void)
-{
+static void test_placement_gain_matches_cost(void) {
     scene_t scene;
     scene_open(&scene);
     scene_hold(&scene, 0, 1);
@@ -140,8 +132,7 @@
     scene_close(&scene);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
     g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
     g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
--- a/tests/unit/test_policy.c
+++ b/tests/unit/test_policy.c
@@ -7,8 +7,7 @@
 
 static const wb_policy_model_t model = {"m", 1000, 5000, 0, 0, 1, 2, 60000};
 
-static void refused(const char *text, const char *expected)
-{
+static void refused(const char *text, const char *expected) {
     wb_policy_program_t *program = NULL;
     wb_error_t error;
     g_assert_cmpint(wb_policy_compile(&program, "p", text, &error), ==, APR_EINVAL);
@@ -16,8 +15,7 @@
         g_error("'%s' is not in '%s'", expected, error.message);
 }
 
-static void test_answers(void)
-{
+static void test_answers(void) {
     wb_policy_program_t *program;
     wb_error_t error;
     int64_t answer = 0;
@@ -35,8 +33,7 @@
     wb_policy_free(program);
 }
 
-static void test_refused_programs(void)
-{
+static void test_refused_programs(void) {
     refused("function keep_alive_ms(model) return 1", "'end' expected");
     refused("x = 1", "must define keep_alive_ms or placement_cost_ms");
     refused("function keep_alive_ms(model) return 'soon' end", "whole number");
@@ -54,8 +51,7 @@
 }
 
 /* A program that fails for some input falls back, and works again for the next. */
-static void test_failure_is_for_one_call(void)
-{
+static void test_failure_is_for_one_call(void) {
     wb_policy_program_t *program;
     wb_error_t error;
     int64_t answer = 0;
@@ -76,8 +72,7 @@
     wb_policy_free(program);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/policy/answers", test_answers);
     g_test_add_func("/policy/refused-programs", test_refused_programs);
     g_test_add_func("/policy/failure-is-for-one-call", test_failure_is_for_one_call);
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-static void test_shares_under_overload(void)
-{
+static void test_shares_under_overload(void) {
     wb_fair_queue_t *queue = wb_fair_queue_create();
     for (int i = 0; i < 400; i++)
         wb_fair_queue_push(queue, "north", 3.0, 1.0, "north");
@@ -25,8 +24,7 @@
 }
 
 /* An owner that was idle has saved up nothing, and isn't behind a burst of another one. */
-static void test_idle_owner_is_served_next(void)
-{
+static void test_idle_owner_is_served_next(void) {
     wb_fair_queue_t *queue = wb_fair_queue_create();
     for (int i = 0; i < 100; i++)
         wb_fair_queue_push(queue, "busy", 1.0, 1.0, "busy");
@@ -43,8 +41,7 @@
     wb_fair_queue_free(queue);
 }
 
-static void test_put_back_pays_nothing_again(void)
-{
+static void test_put_back_pays_nothing_again(void) {
     wb_fair_queue_t *queue = wb_fair_queue_create();
     wb_fair_queue_push(queue, "a", 1.0, 1.0, "a1");
     wb_fair_queue_push(queue, "a", 1.0, 1.0, "a2");
@@ -55,8 +52,7 @@
     wb_fair_queue_free(queue);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/queue/shares-under-overload", test_shares_under_overload);
     g_test_add_func("/queue/idle-owner-is-served-next", test_idle_owner_is_served_next);
     g_test_add_func("/queue/put-back-pays-nothing-again", test_put_back_pays_nothing_again);
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -6,8 +6,7 @@
 #include <string.h>
 
 /* In every window of 10 s the resends taken stay within ratio x requests + slack. */
-static void test_retry_budget(void)
-{
+static void test_retry_budget(void) {
     enum { SECONDS = 60, PER_S = 20 };
     static unsigned taken[SECONDS * 10];
     wb_retry_budget_t *budget = wb_retry_budget_create(0.2, 10000);
@@ -30,8 +29,7 @@
     wb_retry_budget_free(budget);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/retry-budget/every-window", test_retry_budget);
 }
 
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -21,8 +21,7 @@
 };
 static const wb_settings_table_t table = {"sample", "A sample.", rows, G_N_ELEMENTS(rows)};
 
-static void test_defaults_and_flags(void)
-{
+static void test_defaults_and_flags(void) {
     char *argv[] = {"sample", "--name=x", "--count=7", NULL};
     sample_t sample;
     wb_error_t error;
@@ -33,8 +32,7 @@
     g_assert_cmpint(sample.flag, ==, 0);
 }
 
-static void wrong(const char *flag, const char *expected)
-{
+static void wrong(const char *flag, const char *expected) {
     char *argv[] = {"sample", "--name=x", (char *)flag, NULL};
     sample_t sample;
     wb_error_t error;
@@ -43,8 +41,7 @@
     g_assert_null(strchr(error.message, '\n'));
 }
 
-static void test_wrong_values(void)
-{
+static void test_wrong_values(void) {
     wrong("--count=11", "must be from 1 to 10");
     wrong("--count=x", "whole number of ms");
     wrong("--address=here", "IP:PORT");
@@ -57,8 +54,7 @@
     g_assert_nonnull(strstr(error.message, "'name' must be given"));
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/settings/defaults-and-flags", test_defaults_and_flags);
     g_test_add_func("/settings/wrong-values", test_wrong_values);
 }
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -15,28 +15,24 @@
     GString *seen; /* what the watch told: +KEY@VERSION or -KEY@VERSION */
 } script_t;
 
-static wb_table_row_t *row_make(const char *key, int64_t version)
-{
+static wb_table_row_t *row_make(const char *key, int64_t version) {
     return wb_table_row_create(key, (guchar *)g_strdup("v"), 1, version);
 }
 
 static void answer_give(wb_table_answer_fn on_answer, void *context, wb_table_outcome_t outcome,
-                        GPtrArray *rows, int64_t version)
-{
+                        GPtrArray *rows, int64_t version) {
     wb_table_answer_t answer = {outcome, rows, FALSE, version};
     on_answer(&answer, context);
     g_ptr_array_unref(rows);
 }
 
-static GPtrArray *rows_make(void)
-{
+static GPtrArray *rows_make(void) {
     return g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
 }
 
 /* The first whole read, then a stale one, then a fresh one. */
 static void script_read(void *self, wb_table_name_t table, const char *from_key,
-                        wb_table_answer_fn on_answer, void *context)
-{
+                        wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)from_key;
     script_t *script = self;
@@ -60,8 +56,7 @@
 
 /* Some changes, then the history is gone. */
 static void script_changes(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
-                           wb_table_answer_fn on_answer, void *context)
-{
+                           wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)wait_ms;
     script_t *script = self;
@@ -80,21 +75,18 @@
     answer_give(on_answer, context, WB_TABLE_DONE, rows, 12);
 }
 
-static void row_seen(const wb_table_row_t *row, void *context)
-{
+static void row_seen(const wb_table_row_t *row, void *context) {
     script_t *script = context;
     g_string_append_printf(script->seen, "%c%s@%lld ", row->value != NULL ? '+' : '-', row->key,
                            (long long)row->version);
 }
 
-static void batch_seen(gboolean whole, void *context)
-{
+static void batch_seen(gboolean whole, void *context) {
     (void)whole;
     (void)context;
 }
 
-static void test_stale_read_is_not_taken(void)
-{
+static void test_stale_read_is_not_taken(void) {
     script_t script = {0};
     wb_error_t error;
     wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &script};
@@ -120,8 +112,7 @@
 } held_t;
 
 static void held_read(void *self, wb_table_name_t table, const char *from_key,
-                      wb_table_answer_fn on_answer, void *context)
-{
+                      wb_table_answer_fn on_answer, void *context) {
     (void)self;
     (void)table;
     (void)from_key;
@@ -131,8 +122,7 @@
 }
 
 static void held_changes(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
-                         wb_table_answer_fn on_answer, void *context)
-{
+                         wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)after;
     (void)wait_ms;
@@ -142,8 +132,7 @@
     held->context = context;
 }
 
-static void held_play(void (*play)(void *context), void *context)
-{
+static void held_play(void (*play)(void *context), void *context) {
     held_t *held = context;
     wb_error_t error;
     wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &held->script};
@@ -157,8 +146,7 @@
     g_string_free(held->script.seen, TRUE);
 }
 
-static void removal_play(void *context)
-{
+static void removal_play(void *context) {
     held_t *held = context;
     wb_table_row_t removed = {(char *)"a", NULL, 0, 9};
     wb_table_watch_take(held->watch, &removed);
@@ -173,22 +161,19 @@
 }
 
 /* A removal that another node told of holds against an older answer of the store. */
-static void test_told_removal_stays(void)
-{
+static void test_told_removal_stays(void) {
     held_t held = {0};
     held_play(removal_play, &held);
 }
 
-static void vouched_end(void *context)
-{
+static void vouched_end(void *context) {
     held_t *held = context;
     /* The safety time is over though the other node still vouches. */
     g_assert_cmpint(held->calls, ==, 3);
     wb_loop_quit(held->loop);
 }
 
-static void vouched_later(void *context)
-{
+static void vouched_later(void *context) {
     held_t *held = context;
     g_assert_cmpint(held->calls, ==, 2);
     answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows_make(), 6);
@@ -196,8 +181,7 @@
     wb_loop_after(held->loop, 360, vouched_end, held);
 }
 
-static void vouched_play(void *context)
-{
+static void vouched_play(void *context) {
     held_t *held = context;
     g_assert_cmpint(held->calls, ==, 1);
     answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows_make(), 5);
@@ -210,14 +194,12 @@
 
 /* While another node vouches for what is known, the store isn't asked, but for newer rows and for
  * safety. */
-static void test_vouched_table_is_not_asked(void)
-{
+static void test_vouched_table_is_not_asked(void) {
     held_t held = {0};
     held_play(vouched_play, &held);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
     g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
     g_test_add_func("/table-watch/stale-read-is-not-taken", test_stale_read_is_not_taken);
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -6,8 +6,7 @@
 #define WAIT_MS 6000
 
 /* A loss in which the last request was given up does not count against the next one. */
-static void test_earlier_loss_is_over(void)
-{
+static void test_earlier_loss_is_over(void) {
     wb_gateway_t gateway = {0};
     gw_shard_t *shard = &gateway.shards[0];
     gw_request_t request = {.owner = (char *)"north", .share = 1};
@@ -27,8 +26,7 @@
     g_hash_table_unref(shard->targets);
 }
 
-static void tests_add(void)
-{
+static void tests_add(void) {
     g_test_add_func("/target/earlier-loss-is-over", test_earlier_loss_is_over);
 }
 
--- a/tests/unit/unit.h
+++ b/tests/unit/unit.h
@@ -10,8 +10,7 @@
 
 /** The main function of a module's tests. @param tests_add adds them all */
 #define UNIT_TEST_MAIN(tests_add)                                                                  \
-    int main(int argc, char **argv)                                                                \
-    {                                                                                              \
+    int main(int argc, char **argv) {                                                              \
         g_test_init(&argc, &argv, NULL);                                                           \
         apr_initialize();                                                                          \
         tests_add();                                                                               \
