Soak edge nodes: randomized faults from outside, promises checked by what callers and engines see

wb-soak (make soak) runs four edge nodes, the stand-in and the proxy as processes, twelve callers, and up to three of 14 kinds of faults at once: kills, pauses, planned stops, reloads, all nodes at once, ways to the store, to a node and to engines (delayed, reset, silent, silent one way), a store that is busy, silent, slow, loses or delays answers or forgets its history, wrong answers and late orders, engines that leave or crash, configurations. It checks: at most once, 'not run' is true, whole answers and streams in order, one holder at a time with rising tokens, room, the weight store's ceiling, drain, no exit of its own, all served once faults are over. Clocks and disks aren't used by edge nodes, so none is disturbed.

The proxy learns to be silent one way; nodes may advertise another address than they listen on (advertise-nodes).

Found by edge/control/released-lease on the way: since the holder's news, a follower whose link ended still trusted them for up to 3 s, so a released lease was taken late (1,514 ms after the end, bound 1,500).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | grep -v /generated/)
 
-.PHONY: all install-needs run demo check bench bench-scale fuzz model sanitize format format-check lint clean
+.PHONY: all install-needs run demo check bench bench-scale fuzz soak model sanitize format format-check lint clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD)
@@ -31,6 +31,11 @@
 	WICKBRIDGE_BUILD=$(abspath $(BUILD)) $(BUILD)/wb-bench-scale --nodes=350 --engines=1400 \
 	    --cells=44 --models=510 --adapters=3700 --seconds=30 --wakes=30
 
+# Randomized faults against real processes: SOAK_COUNT fresh seeds, then those that ever failed.
+SOAK_COUNT ?= 4
+soak: install-needs all
+	scripts/soak.sh $(BUILD) $(SOAK_COUNT)
+
 model: install-needs
 	scripts/model.sh
 
--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -24,6 +24,7 @@
     const char *listen_callers;
     const char *listen_ready;
     const char *listen_nodes;
+    const char *advertise_nodes;
     const char *listen_operators;
     const char *store;
     int64_t log_lines_per_s;
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -46,6 +46,11 @@
            wb_table_watch_is_synced(node->engines_watch);
 }
 
+const char *wb_edge_node_address(const wb_edge_node_t *node) {
+    const wb_edge_settings_t *settings = &node->edge.settings;
+    return *settings->advertise_nodes != '\0' ? settings->advertise_nodes : settings->listen_nodes;
+}
+
 static void ready_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
                           void *context) {
     const wb_edge_node_t *node = context;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -64,6 +64,9 @@
 
 gboolean wb_edge_node_is_ready(const wb_edge_node_t *node);
 
+/** @return where other nodes reach this one */
+const char *wb_edge_node_address(const wb_edge_node_t *node);
+
 /** Key of the lease's row. */
 #define WB_LEASE_KEY "controller"
 
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -16,6 +16,8 @@
         "Address where GET /ready answers 200 while the node takes requests"),
     ROW("listen-nodes", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_nodes,
         "Address for other nodes"),
+    ROW("advertise-nodes", WB_SETTING_ADDRESS, "", 0, 0, "", advertise_nodes,
+        "Address that other nodes are told; empty: that of listen-nodes"),
     ROW("listen-operators", WB_SETTING_ADDRESS, "", 0, 0, "", listen_operators,
         "Address for operators and metrics; empty: none"),
     ROW("store", WB_SETTING_ADDRESS, "", 0, 0, NULL, store, "Address of the store"),
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -88,7 +88,7 @@
 void wb_edge_node_open_lease(wb_edge_node_t *node) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     wb_lease_settings_t lease = {settings->id,
-                                 settings->listen_nodes,
+                                 wb_edge_node_address(node),
                                  settings->lease_duration_ms,
                                  settings->lease_renew_ms,
                                  settings->lease_quiet_ms,
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -117,6 +117,8 @@
     node->controller_link = NULL;
     node->controller_link_open = FALSE;
     node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
+    /* Its last word on the lease may not have come. */
+    wb_table_watch_look(node->nodes_watch);
 }
 
 static void controller_connect(wb_edge_node_t *node, const char *address) {
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -184,7 +184,7 @@
 static void node_row_write(wb_edge_node_t *node) {
     const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
-    g_autofree char *value = g_strdup_printf("%s %llu", node->edge.settings.listen_nodes,
+    g_autofree char *value = g_strdup_printf("%s %llu", wb_edge_node_address(node),
                                              (unsigned long long)++node->node_row_beat);
     node->node_row_writing = TRUE;
     node->edge.metrics.table_calls++;
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -52,8 +52,9 @@
 };
 
 int relay_fault_kind_parse(const char *name) {
-    static const char *const names[] = {"pass",        "delay",       "cut",       "freeze",
-                                        "drop_answer", "cut_request", "cut_answer"};
+    static const char *const names[] = {"pass",       "delay",          "cut",
+                                        "freeze",     "drop_answer",    "cut_request",
+                                        "cut_answer", "freeze_request", "freeze_answer"};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
         if (strcmp(names[i], name) == 0)
             return (int)i;
@@ -94,6 +95,12 @@
     return TRUE;
 }
 
+static gboolean flow_is_frozen(const flow_t *flow) {
+    relay_fault_kind_t kind = pair_fault(flow->pair)->kind;
+    return kind == RELAY_FREEZE ||
+           kind == (flow->is_answer ? RELAY_FREEZE_ANSWER : RELAY_FREEZE_REQUEST);
+}
+
 /* How much of a piece may pass. Sets `close` when the connection ends behind it. */
 static gsize fault_limit(const flow_t *flow, gsize length, gboolean *close) {
     const relay_fault_t *fault = pair_fault(flow->pair);
@@ -123,7 +130,7 @@
     (void)events;
     flow_t *flow = context;
     pair_t *pair = flow->pair;
-    if (pair_fault(pair)->kind == RELAY_FREEZE) {
+    if (flow_is_frozen(flow)) {
         wb_watch_change(flow->watch, 0);
         return;
     }
@@ -145,16 +152,21 @@
         pair_close(pair);
 }
 
-/* Sends what was late or didn't fit, and takes up reading again after a freeze. */
+/* Takes up reading again after a freeze, and sends what is due. Returns FALSE when that failed. */
+static gboolean flow_tick(flow_t *flow) {
+    if (flow_is_frozen(flow)) {
+        return TRUE;
+    }
+    if (!flow->ended) {
+        wb_watch_change(flow->watch, APR_POLLIN);
+    }
+    return flow_send(flow);
+}
+
+/* Sends what was late or didn't fit. */
 static void pair_tick(void *context) {
     pair_t *pair = context;
-    if (pair_fault(pair)->kind == RELAY_FREEZE)
-        return;
-    if (!pair->request.ended)
-        wb_watch_change(pair->request.watch, APR_POLLIN);
-    if (!pair->answer.ended)
-        wb_watch_change(pair->answer.watch, APR_POLLIN);
-    gboolean fine = flow_send(&pair->request) && flow_send(&pair->answer);
+    gboolean fine = flow_tick(&pair->request) && flow_tick(&pair->answer);
     if (!fine || (pair->request.ended && pair->answer.ended && pair->request.pieces.length == 0 &&
                   pair->answer.pieces.length == 0))
         pair_close(pair);
--- a/standins/proxy/relay.h
+++ b/standins/proxy/relay.h
@@ -13,12 +13,14 @@
 
 typedef enum relay_fault_kind_t {
     RELAY_PASS,
-    RELAY_DELAY,       /**< each piece is passed `delay_ms` late */
-    RELAY_CUT,         /**< open connections are closed, new ones at once */
-    RELAY_FREEZE,      /**< connections stay open and carry nothing */
-    RELAY_DROP_ANSWER, /**< the request passes; the answer's first byte closes the connection */
-    RELAY_CUT_REQUEST, /**< closed after `bytes` of the request have passed */
-    RELAY_CUT_ANSWER   /**< closed after `bytes` of the answer have passed */
+    RELAY_DELAY,          /**< each piece is passed `delay_ms` late */
+    RELAY_CUT,            /**< open connections are closed, new ones at once */
+    RELAY_FREEZE,         /**< connections stay open and carry nothing */
+    RELAY_DROP_ANSWER,    /**< the request passes; the answer's first byte closes the connection */
+    RELAY_CUT_REQUEST,    /**< closed after `bytes` of the request have passed */
+    RELAY_CUT_ANSWER,     /**< closed after `bytes` of the answer have passed */
+    RELAY_FREEZE_REQUEST, /**< open, but nothing passes towards the target */
+    RELAY_FREEZE_ANSWER   /**< open, but nothing passes back */
 } relay_fault_kind_t;
 
 typedef struct relay_fault_t {
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -161,6 +161,7 @@
     argument_add(arguments, "--listen-callers=127.0.0.1:%d", node->callers_port);
     argument_add(arguments, "--listen-ready=127.0.0.1:%d", node->ready_port);
     argument_add(arguments, "--listen-nodes=127.0.0.1:%d", node->nodes_port);
+    argument_add(arguments, "--advertise-nodes=127.0.0.1:%d", estate->link_relays[index]);
     argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->metrics_port);
     argument_add(arguments, "--store=127.0.0.1:%d", estate->store_relays[index]);
     argument_add(arguments, "--engine-heartbeat-ms=300");
@@ -201,6 +202,10 @@
         estate->store_relays[i] = port_find();
         g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->store_relays[i],
                                estate->store_port);
+        estate->link_relays[i] = port_find();
+        estate->nodes[i].nodes_port = port_find();
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->link_relays[i],
+                               estate->nodes[i].nodes_port);
     }
     for (int i = 0; i < ESTATE_PROXIED_ENGINES; i++) {
         estate->engine_relays[i] = port_find();
@@ -240,6 +245,10 @@
     relay_fault(estate, estate->store_relays[node], fault, delay_ms, 0, 0);
 }
 
+void estate_link_fault(const estate_t *estate, int node, const char *fault, int delay_ms) {
+    relay_fault(estate, estate->link_relays[node], fault, delay_ms, 0, 0);
+}
+
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
                          int times) {
     relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
@@ -274,7 +283,6 @@
         estate_node_t *node = &estate->nodes[i];
         node->callers_port = port_find();
         node->ready_port = port_find();
-        node->nodes_port = port_find();
         node->metrics_port = port_find();
         estate_node_launch(estate, i);
     }
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -31,6 +31,7 @@
     process_t proxy;
     int proxy_control_port;
     int store_relays[ESTATE_NODES];            /**< where each node reaches the store */
+    int link_relays[ESTATE_NODES];             /**< where other nodes reach each node */
     int engine_relays[ESTATE_PROXIED_ENGINES]; /**< where lock-1 and lock-2 are reached */
     int engine_ports[ESTATE_PROXIED_ENGINES];
     int64_t catalog_version;
@@ -54,6 +55,8 @@
 /** Set a fault between a node and the store, as wb-standin-proxy names them: pass, delay, cut,
  * freeze ... */
 void estate_store_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
+/** Set a fault between a node and all others that reach it for orders and news. */
+void estate_link_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
 /** Set a fault between all nodes and lock-1 (0) or lock-2 (1), for so many connections (0: all). */
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
                          int times);
@@ -86,6 +89,8 @@
 } wire_answer_t;
 
 wire_t *wire_open(int port);
+/** @return NULL when nobody listens there */
+wire_t *wire_try_open(int port);
 void wire_close(wire_t *wire);
 void wire_send(wire_t *wire, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /** Read one answer. */
--- a/tests/harness/wire.c
+++ b/tests/harness/wire.c
@@ -11,13 +11,22 @@
 #include <unistd.h>
 
 wire_t *wire_open(int port) {
+    wire_t *wire = wire_try_open(port);
+    g_assert_nonnull(wire);
+    return wire;
+}
+
+wire_t *wire_try_open(int port) {
     wire_t *wire = g_new0(wire_t, 1);
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
                                   .sin_port = htons((uint16_t)port)};
     wire->unread = g_string_new(NULL);
     wire->descriptor = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(connect(wire->descriptor, (struct sockaddr *)&address, sizeof(address)), ==, 0);
+    if (connect(wire->descriptor, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        wire_close(wire);
+        return NULL;
+    }
     return wire;
 }
 
--- /dev/null
+++ b/tests/soak/callers.c
@@ -0,0 +1,151 @@
+/* Callers of the soak: they ask for all kinds of requests and check each answer by itself. */
+#include "soak.h"
+
+#include <string.h>
+
+#define DEADLINE_MS 3000
+#define LATE_MS 1500 /* beyond the deadline, an answer or the connection's end must have come */
+#define EVENTS 5
+#define MODELS 8
+#define RECOVERY_MS 15000
+
+typedef struct soak_caller_t {
+    soak_t *soak;
+    int number;
+    GRand *rand;
+} soak_caller_t;
+
+static const char *const paths[] = {"/lock/x", "/look/x", "/chat/x", "/note/x"};
+
+static gboolean path_is_stream(const char *path) {
+    return strcmp(path, "/chat/x") == 0 || strcmp(path, "/note/x") == 0;
+}
+
+static char *headers_create(const char *path, int model, gboolean with_adapter) {
+    g_autoptr(GString) text = g_string_new(NULL);
+    g_string_printf(text, "Request-Deadline-Ms: %d\r\n", DEADLINE_MS);
+    if (path_is_stream(path)) {
+        g_string_append_printf(text,
+                               "Model: m%d%s\r\nToken-Usage: 100,20\r\nPrompt-Prefix: ab:50\r\n",
+                               model, with_adapter ? "/a1" : "");
+    }
+    return g_strdup(text->str);
+}
+
+/* Events come once each, in order, each of this request; a whole stream has them all. */
+static void stream_check(soak_t *soak, const soak_request_t *request, const wire_answer_t *answer) {
+    g_autoptr(GString) wanted = g_string_new(NULL);
+    size_t matched = 0;
+    for (int event = 1; event <= EVENTS; event++) {
+        g_string_append_printf(wanted, "id: %d\ndata: %s-%d\n\n", event, request->id, event);
+    }
+    matched = answer->body->len;
+    if (matched > wanted->len || strncmp(answer->body->str, wanted->str, matched) != 0) {
+        soak_broken(soak, "%s: events out of order: %s", request->id, answer->body->str);
+    } else if (answer->whole && matched != wanted->len) {
+        soak_broken(soak, "%s: a cut stream was ended as whole", request->id);
+    }
+}
+
+static void answer_check(soak_t *soak, const soak_request_t *request, const wire_answer_t *answer) {
+    if (answer->status / 100 == 2) {
+        g_autofree char *start = g_strdup_printf("ran %s at ", request->id);
+        if (strstr(answer->head->str, "Response-Seal: ") == NULL) {
+            soak_broken(soak, "%s: a success without an engine's seal", request->id);
+        }
+        if (path_is_stream(request->path)) {
+            stream_check(soak, request, answer);
+        } else if (answer->whole && !g_str_has_prefix(answer->body->str, start)) {
+            soak_broken(soak, "%s: another answer: %s", request->id, answer->body->str);
+        }
+    }
+    int64_t took_ms = request->ended_ms - request->began_ms;
+    if (answer->status == 0 && !answer->closed && took_ms >= DEADLINE_MS + LATE_MS &&
+        !soak_is_disturbed(soak, request->node, request->began_ms, request->ended_ms)) {
+        soak_broken(soak, "%s: no answer in %lld ms", request->id, (long long)took_ms);
+    }
+}
+
+static void request_play(soak_t *soak, soak_request_t *request, const char *headers) {
+    request->began_ms = harness_now_ms();
+    wire_t *wire = wire_try_open(soak->estate->nodes[request->node].callers_port);
+    if (wire == NULL) {
+        return; /* the node is down: nothing was asked */
+    }
+    wire_post(wire, request->path, request->id, headers, "hello");
+    wire_answer_t *answer = wire_read(wire, DEADLINE_MS + LATE_MS);
+    wire_close(wire);
+    request->ended_ms = harness_now_ms();
+    request->status = answer->status;
+    request->whole = answer->whole;
+    answer_check(soak, request, answer);
+    wire_answer_free(answer);
+    g_mutex_lock(&soak->lock);
+    g_array_append_val(soak->requests, *request);
+    g_mutex_unlock(&soak->lock);
+}
+
+static gpointer caller_run(gpointer data) {
+    soak_caller_t *caller = data;
+    soak_t *soak = caller->soak;
+    for (int i = 0; !g_atomic_int_get(&soak->stop); i++) {
+        soak_request_t request = {.node = g_rand_int_range(caller->rand, 0, SOAK_NODES)};
+        request.path = paths[g_rand_int_range(caller->rand, 0, G_N_ELEMENTS(paths))];
+        g_snprintf(request.id, sizeof(request.id), "s%d-%d", caller->number, i);
+        /* Low numbers are asked for most. */
+        int model = MIN(g_rand_int_range(caller->rand, 0, MODELS),
+                        g_rand_int_range(caller->rand, 0, MODELS / 2));
+        g_autofree char *headers =
+            headers_create(request.path, model, g_rand_int_range(caller->rand, 0, 10) == 0);
+        request_play(soak, &request, headers);
+        g_usleep((gulong)g_rand_int_range(caller->rand, 0, 60) * 1000);
+    }
+    g_rand_free(caller->rand);
+    g_free(caller);
+    return NULL;
+}
+
+GPtrArray *soak_callers_start(soak_t *soak) {
+    GPtrArray *threads = g_ptr_array_new();
+    for (int i = 0; i < SOAK_CALLERS; i++) {
+        soak_caller_t *caller = g_new0(soak_caller_t, 1);
+        caller->soak = soak;
+        caller->number = i;
+        caller->rand = g_rand_new_with_seed(soak->seed + (guint32)i + 1);
+        g_ptr_array_add(threads, g_thread_new("caller", caller_run, caller));
+    }
+    return threads;
+}
+
+void soak_callers_join(GPtrArray *threads) {
+    for (guint i = 0; i < threads->len; i++) {
+        g_thread_join(threads->pdata[i]);
+    }
+    g_ptr_array_unref(threads);
+}
+
+static gboolean is_served(soak_t *soak, int node, const char *path, int model, int try) {
+    soak_request_t request = {.node = node, .path = path};
+    g_snprintf(request.id, sizeof(request.id), "r%d-%d-%d%s", node, model, try, path);
+    g_strdelimit(request.id, "/", '-');
+    g_autofree char *headers = headers_create(path, model, FALSE);
+    request_play(soak, &request, headers);
+    return request.status == 200 && request.whole;
+}
+
+void soak_recovery_check(soak_t *soak) {
+    int64_t until_ms = harness_now_ms() + RECOVERY_MS;
+    for (int node = 0; node < SOAK_NODES; node++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+            int try = 0;
+            while (!is_served(soak, node, paths[i], node % MODELS, try++)) {
+                if (harness_now_ms() > until_ms) {
+                    soak_broken(soak, "node %d does not serve %s after all faults are over", node,
+                                paths[i]);
+                    break;
+                }
+                g_usleep(100000);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/soak/checks.c
@@ -0,0 +1,145 @@
+/* What engines saw, against what callers were told. */
+#include "soak.h"
+
+#include <string.h>
+
+#define THAW_SLACK_MS 300
+#define LOADS_PER_S 4 /* as the estate's configuration says */
+#define WINDOW_MS 5000
+#define CEILING_OVERAGE 1.1
+#define CEILING_SLACK 3
+
+static const char *text_of(const json_t *object, const char *name) {
+    return json_string_value(json_object_get(object, name));
+}
+
+static int64_t number_of(const json_t *object, const char *name) {
+    return json_integer_value(json_object_get(object, name));
+}
+
+/* The most engines that may run a request, by its path. */
+static int runs_allowed(const char *path) {
+    gboolean once = strcmp(path, "/lock/x") == 0 || strcmp(path, "/note/x") == 0;
+    return once ? 1 : 2;
+}
+
+static gboolean status_promises_no_run(int status) {
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static void runs_check(soak_t *soak, const json_t *seen) {
+    g_autoptr(GHashTable) counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        const char *id = text_of(run, "id");
+        int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, id)) + 1;
+        g_hash_table_replace(counts, g_strdup(id), GINT_TO_POINTER(count));
+        if (strcmp(text_of(run, "body"), "hello") != 0) {
+            soak_broken(soak, "%s: an engine ran another body", id);
+        }
+    }
+    for (guint j = 0; j < soak->requests->len; j++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, j);
+        int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, request->id));
+        if (count > runs_allowed(request->path)) {
+            soak_broken(soak, "%s %s: ran %d times", request->id, request->path, count);
+        }
+        if (count > 0 && status_promises_no_run(request->status) &&
+            runs_allowed(request->path) == 1) {
+            soak_broken(soak, "%s %s: answered %d, and ran", request->id, request->path,
+                        request->status);
+        }
+        if (count == 0 && request->status / 100 == 2) {
+            soak_broken(soak, "%s %s: a success that no engine ran", request->id, request->path);
+        }
+    }
+}
+
+/* Orders that left before their sender was stopped may arrive once it goes on. */
+static gboolean order_is_excused(soak_t *soak, int64_t at_ms) {
+    gboolean excused = FALSE;
+    for (guint i = 0; i < soak->spans->len; i++) {
+        const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
+        gboolean stands_still =
+            strcmp(span->name, "pause") == 0 || g_str_has_prefix(span->name, "way-to");
+        int64_t over_ms = span->to_ms - 4000;
+        excused |= stands_still && at_ms >= span->from_ms && at_ms <= over_ms + THAW_SLACK_MS;
+    }
+    return excused;
+}
+
+static void holders_check(soak_t *soak, const json_t *seen) {
+    const json_t *orders = json_object_get(seen, "orders");
+    for (size_t i = 1; i < json_array_size(orders); i++) {
+        const json_t *before = json_array_get(orders, i - 1);
+        const json_t *after = json_array_get(orders, i);
+        int64_t gap_ms = number_of(after, "at_ms") - number_of(before, "at_ms");
+        int64_t rise = number_of(after, "token") - number_of(before, "token");
+        gboolean same = strcmp(text_of(before, "holder"), text_of(after, "holder")) == 0;
+        if (rise < 0 || (!same && rise == 0)) {
+            soak_broken(soak, "orders: token %lld of %s after %lld of %s",
+                        (long long)number_of(after, "token"), text_of(after, "holder"),
+                        (long long)number_of(before, "token"), text_of(before, "holder"));
+        } else if (!same && gap_ms < SOAK_LEASE_QUIET_MS &&
+                   !order_is_excused(soak, number_of(before, "at_ms"))) {
+            soak_broken(soak, "orders: %s follows %s after %lld ms", text_of(after, "holder"),
+                        text_of(before, "holder"), (long long)gap_ms);
+        }
+    }
+}
+
+/* Loads from the weight store in any window; the stand-in's engines have no copies at hand. */
+static void ceiling_check(soak_t *soak, const json_t *seen) {
+    const json_t *orders = json_object_get(seen, "orders");
+    g_autoptr(GArray) began = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    size_t i;
+    json_t *order;
+    guint most = (guint)(LOADS_PER_S * (WINDOW_MS / 1000.0) * CEILING_OVERAGE) + CEILING_SLACK;
+    json_array_foreach(orders, i, order) {
+        int64_t at_ms = number_of(order, "at_ms");
+        if (number_of(order, "status") != 202 || *text_of(order, "adapter") != '\0' ||
+            strcmp(text_of(order, "operation"), "model_load") != 0) {
+            continue;
+        }
+        g_array_append_val(began, at_ms);
+        while (at_ms - g_array_index(began, int64_t, 0) >= WINDOW_MS) {
+            g_array_remove_index(began, 0);
+        }
+        if (began->len > most) {
+            soak_broken(soak, "%u loads within %d ms", began->len, WINDOW_MS);
+        }
+    }
+}
+
+/* Engines that left in a calm time get nothing new after the drain time. */
+static void drain_check(soak_t *soak, const json_t *seen) {
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        int64_t at_ms = number_of(run, "at_ms");
+        for (guint j = 0; j < soak->leaves->len; j++) {
+            const soak_leave_t *leave = &g_array_index(soak->leaves, soak_leave_t, j);
+            if (strcmp(text_of(run, "engine"), leave->engine) == 0 &&
+                at_ms > leave->at_ms + SOAK_DRAIN_MS &&
+                !soak_is_disturbed(soak, -1, leave->at_ms + 1, at_ms)) {
+                soak_broken(soak, "%s: ran at %s %lld ms after it left", text_of(run, "id"),
+                            leave->engine, (long long)(at_ms - leave->at_ms));
+            }
+        }
+    }
+}
+
+void soak_checks_run(soak_t *soak) {
+    json_t *seen = estate_seen(soak->estate);
+    size_t i;
+    json_t *text;
+    json_array_foreach(json_object_get(seen, "violations"), i, text) {
+        soak_broken(soak, "%s", json_string_value(text));
+    }
+    runs_check(soak, seen);
+    holders_check(soak, seen);
+    ceiling_check(soak, seen);
+    drain_check(soak, seen);
+    json_decref(seen);
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,126 @@
+/* The soak's program: plays seeds one after the other and tells which broke a promise. */
+#include "soak.h"
+
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define DEFAULT_SECONDS 30
+
+void soak_broken(soak_t *soak, const char *format, ...) {
+    va_list values;
+    va_start(values, format);
+    char *text = g_strdup_vprintf(format, values);
+    va_end(values);
+    g_mutex_lock(&soak->lock);
+    g_ptr_array_add(soak->broken, text);
+    g_mutex_unlock(&soak->lock);
+}
+
+/* A node that ended though nobody ended it. */
+static void exits_check(soak_t *soak) {
+    for (int i = 0; i < SOAK_NODES; i++) {
+        process_t *process = &soak->estate->nodes[i].process;
+        int status;
+        if (process->pid > 0 && waitpid(process->pid, &status, WNOHANG) == process->pid) {
+            process->pid = 0;
+            soak_broken(soak, "node %d ended by itself, status %d", i, status);
+        }
+    }
+}
+
+static void spans_print(const soak_t *soak, int64_t began_ms) {
+    for (guint i = 0; i < soak->spans->len; i++) {
+        const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
+        printf("  %6.2f s  %s at node %d\n", (double)(span->from_ms - began_ms) / 1000, span->name,
+               span->node);
+    }
+}
+
+static unsigned served_count(const soak_t *soak) {
+    unsigned served = 0;
+    for (guint i = 0; i < soak->requests->len; i++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
+        served += request->status == 200 && request->whole;
+    }
+    return served;
+}
+
+/* Plays one seed. Returns TRUE when all promises held. */
+static gboolean seed_play(guint32 seed, int seconds) {
+    g_autofree char *flags = g_strdup_printf(
+        "--lease-quiet-ms=%d --lease-duration-ms=800 --drain-ms=%d --stop-grace-s=5",
+        SOAK_LEASE_QUIET_MS, SOAK_DRAIN_MS);
+    soak_t soak = {.seed = seed, .plan = g_rand_new_with_seed(seed)};
+    int64_t began_ms = harness_now_ms();
+    g_mutex_init(&soak.lock);
+    soak.spans = g_array_new(FALSE, FALSE, sizeof(soak_span_t));
+    soak.leaves = g_array_new(FALSE, FALSE, sizeof(soak_leave_t));
+    soak.requests = g_array_new(FALSE, FALSE, sizeof(soak_request_t));
+    soak.broken = g_ptr_array_new_with_free_func(g_free);
+    soak.estate = estate_start(SOAK_NODES, flags);
+    GPtrArray *callers = soak_callers_start(&soak);
+    soak_faults_play(&soak, (int64_t)seconds * 1000);
+    g_atomic_int_set(&soak.stop, 1);
+    soak_callers_join(callers);
+    soak_recovery_check(&soak);
+    exits_check(&soak);
+    soak_checks_run(&soak);
+    gboolean good = soak.broken->len == 0;
+    printf("seed %u: %s; %u requests, %u served whole, %u faults\n", seed,
+           good ? "all promises held" : "BROKEN", soak.requests->len, served_count(&soak),
+           soak.spans->len);
+    if (!good) {
+        for (guint i = 0; i < soak.broken->len; i++) {
+            printf("  %s\n", (char *)soak.broken->pdata[i]);
+        }
+        spans_print(&soak, began_ms);
+        printf("  logs: %s\n", soak.estate->files.folder);
+        g_test_fail(); /* the estate keeps its logs */
+    }
+    fflush(stdout);
+    estate_stop(soak.estate);
+    g_array_unref(soak.spans);
+    g_array_unref(soak.leaves);
+    g_array_unref(soak.requests);
+    g_ptr_array_unref(soak.broken);
+    g_rand_free(soak.plan);
+    g_mutex_clear(&soak.lock);
+    return good;
+}
+
+int main(int argc, char **argv) {
+    int seconds = DEFAULT_SECONDS;
+    int count = 1;
+    char *seeds = NULL;
+    const GOptionEntry entries[] = {
+        {"seconds", 's', 0, G_OPTION_ARG_INT, &seconds, "Length of each seed's faults", "S"},
+        {"count", 'n', 0, G_OPTION_ARG_INT, &count, "Fresh seeds to play", "N"},
+        {"seeds", 0, 0, G_OPTION_ARG_STRING, &seeds, "These seeds instead, with commas", "LIST"},
+        {NULL}};
+    g_autoptr(GOptionContext) options = g_option_context_new("- soak edge nodes with faults");
+    g_option_context_add_main_entries(options, entries, NULL);
+    g_autoptr(GError) error = NULL;
+    if (!g_option_context_parse(options, &argc, &argv, &error) || seconds < 1 || count < 1) {
+        fprintf(stderr, "wb-soak: %s\n", error != NULL ? error->message : "wrong numbers");
+        return 2;
+    }
+    curl_global_init(CURL_GLOBAL_ALL);
+    apr_initialize();
+    int broken = 0;
+    int played = 0;
+    g_auto(GStrv) list = g_strsplit(seeds != NULL ? seeds : "", ",", -1);
+    if (seeds == NULL) {
+        for (; played < count; played++) {
+            broken += !seed_play(g_random_int(), seconds);
+        }
+    }
+    for (char **seed = list; *seed != NULL && **seed != '\0'; seed++, played++) {
+        broken += !seed_play((guint32)g_ascii_strtoull(*seed, NULL, 10), seconds);
+    }
+    printf("%d passed, %d failed\n", played - broken, broken);
+    return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,79 @@
+/**
+ * @file soak.h
+ * @brief A randomized soak of edge nodes: real processes, faults from outside, promises checked by
+ * what callers and engines see.
+ *
+ * A seed lays down which faults begin when and how long they last, and what callers ask for. The
+ * processes' own timing is theirs, so a seed that failed is played several times.
+ */
+#ifndef WICKBRIDGE_TEST_SOAK_H
+#define WICKBRIDGE_TEST_SOAK_H
+
+#include "harness/estate.h"
+
+#define SOAK_NODES 4
+#define SOAK_CALLERS 12
+#define SOAK_DRAIN_MS 2000
+#define SOAK_LEASE_QUIET_MS 1000
+
+/** A span in which a fault was at work. */
+typedef struct soak_span_t {
+    char name[32];
+    int node; /* that it hit; -1: more than one */
+    int64_t from_ms;
+    int64_t to_ms;
+} soak_span_t;
+
+/** An engine that was told to leave. */
+typedef struct soak_leave_t {
+    char engine[32];
+    int64_t at_ms;
+} soak_leave_t;
+
+/** A request as its caller saw it. */
+typedef struct soak_request_t {
+    char id[32];
+    const char *path; /* "/lock/x" and so on; owned by nobody */
+    int node;
+    int status; /* 0: the connection ended without an answer */
+    gboolean whole;
+    int64_t began_ms;
+    int64_t ended_ms;
+} soak_request_t;
+
+/** One play. The lock guards what threads share. */
+typedef struct soak_t {
+    guint32 seed;
+    GRand *plan;
+    estate_t *estate;
+    GMutex lock;
+    GArray *spans;     /* of soak_span_t */
+    GArray *leaves;    /* of soak_leave_t */
+    GArray *requests;  /* of soak_request_t */
+    GPtrArray *broken; /* texts: promises that did not hold */
+    gint stop;
+    int engines_started; /* makes ids of engines unique */
+    int64_t version;     /* of the configuration */
+} soak_t;
+
+/** Note that a promise did not hold. */
+void soak_broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** @return TRUE when a fault was at work that may keep this node from its promises in time */
+gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+
+/* callers.c */
+/** Start the callers' threads. @return them; join with soak_callers_join */
+GPtrArray *soak_callers_start(soak_t *soak);
+void soak_callers_join(GPtrArray *threads);
+/** Every kind of request is served at every node: called once all faults are over. */
+void soak_recovery_check(soak_t *soak);
+
+/* faults.c */
+/** Begin and end faults as the seed lays down, until the time is over; then all are over. */
+void soak_faults_play(soak_t *soak, int64_t duration_ms);
+
+/* checks.c */
+/** Compare what engines saw with what callers were told. */
+void soak_checks_run(soak_t *soak);
+
+#endif
