Convert to the house rules: the store's calls come first in its object, lists are intrusive

wb_table_t is a vtable that an adapter's object begins with (was: pointers beside a self). Requests that wait, kept connections and tasks of an engine are linked by members of their own (include/wickbridge/list.h, unit-list); no behaviour changes.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -61,7 +61,7 @@
  * @param dialect the estate's words; must outlive the node
  */
 apr_status_t wb_edge_node_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
-                                 const wb_table_t *table, const wb_dialect_t *dialect,
+                                 wb_table_t *table, const wb_dialect_t *dialect,
                                  wb_edge_node_t **node, wb_error_t *error);
 
 /**
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -8,6 +8,7 @@
 #ifndef WICKBRIDGE_FLEET_H
 #define WICKBRIDGE_FLEET_H
 
+#include "wickbridge/list.h"
 #include "wickbridge/loop.h"
 
 #include <glib.h>
@@ -62,7 +63,7 @@
     int64_t unheard_since_ms;  /**< when the first request was sent after its last byte; 0: it owes
                                   nothing */
     int64_t rejected_until_ms; /**< it turned a request away: full for the moment */
-    GQueue idle;               /**< kept connections; see upstream.c */
+    wb_list_t idle;            /**< kept connections; see attempt.c */
     GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
 } wb_engine_t;
 
--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -3,8 +3,8 @@
  * @brief What the product asks of a store of rows: versions, conditional writes, and news of
  * changes.
  *
- * An adapter fills in wb_table_t for each real store. All calls answer once, later, on the loop's
- * thread.
+ * An adapter has an object for each real store that begins with a wb_table_t. All calls answer
+ * once, later, on the loop's thread.
  */
 #ifndef WICKBRIDGE_TABLE_H
 #define WICKBRIDGE_TABLE_H
@@ -42,21 +42,23 @@
     int64_t version; /**< the newest that the store knew; of a write, the row's new one */
 } wb_table_answer_t;
 
+typedef struct wb_table_t wb_table_t;
+
 typedef void (*wb_table_answer_fn)(const wb_table_answer_t *answer, void *context);
 
-typedef struct wb_table_t {
-    void *self;
+/** A store's calls; the first member of the object that makes them. */
+struct wb_table_t {
     /** Read a page of rows with keys from `from_key` on. */
-    void (*read)(void *self, wb_table_name_t table, const char *from_key,
+    void (*read)(wb_table_t *table, wb_table_name_t name, const char *from_key,
                  wb_table_answer_fn on_answer, void *context);
     /** Read the changes after a version; held up to `wait_ms` until there are some. */
-    void (*changes)(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+    void (*changes)(wb_table_t *table, wb_table_name_t name, int64_t after, int64_t wait_ms,
                     wb_table_answer_fn on_answer, void *context);
     /** Write a row of WB_TABLE_NODES, or remove it (no value), if it has `expected_version` (0: if
      * it isn't there). */
-    void (*write)(void *self, const char *key, int64_t expected_version, const guchar *value,
+    void (*write)(wb_table_t *table, const char *key, int64_t expected_version, const guchar *value,
                   gsize length, wb_table_answer_fn on_answer, void *context);
-} wb_table_t;
+};
 
 wb_table_row_t *wb_table_row_create(const char *key, guchar *value, gsize length, int64_t version);
 void wb_table_row_free(wb_table_row_t *row);
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -30,8 +30,8 @@
     int64_t safety_ms; /**< longest time between two own calls, whatever others have read */
 } wb_table_pace_t;
 
-wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
-                                        wb_table_name_t name, const wb_table_pace_t *pace,
+wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
+                                        const wb_table_pace_t *pace,
                                         const wb_table_watch_events_t *events);
 void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace);
 /** Take a row that another node has read; an older one than is known changes nothing. */
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -24,6 +24,7 @@
     char *model;
     char *adapter; /* "": the model */
     int64_t created_ms;
+    wb_list_item_t queued;
 } wb_task_t;
 
 /* What the engine is waited for. */
@@ -37,7 +38,7 @@
     wb_edge_metrics_t *metrics;
     wb_engine_orders_owner_t owner;
     wb_http_peer_t *peer;
-    GQueue tasks;             /* of wb_task_t; the first is under way */
+    wb_list_t tasks;          /* of wb_task_t; the first is under way */
     wb_engine_state_t *state; /* as believed; NULL until it was read */
     gboolean calling;
     wb_timer_t *timer;
@@ -75,7 +76,7 @@
     orders->owner = *owner;
     orders->peer = wb_http_peer_create(loop, engine->state->address, settings->connect_timeout_ms,
                                        settings->silence_limit_ms);
-    g_queue_init(&orders->tasks);
+    wb_list_init(&orders->tasks);
     return orders;
 }
 
@@ -83,7 +84,9 @@
     if (orders->timer != NULL)
         wb_timer_cancel(orders->timer);
     wb_http_peer_free(orders->peer);
-    g_queue_clear_full(&orders->tasks, (GDestroyNotify)task_free);
+    while (orders->tasks.len > 0) {
+        task_free(WB_LIST_OF(wb_list_pop(&orders->tasks), wb_task_t, queued));
+    }
     wb_engine_state_free(orders->state);
     wb_engine_unref(orders->engine);
     g_free(orders->order_model);
@@ -104,11 +107,12 @@
 }
 
 static wb_task_t *task_first(const wb_engine_orders_t *orders) {
-    return g_queue_peek_head((GQueue *)&orders->tasks);
+    wb_list_item_t *first = wb_list_first(&orders->tasks);
+    return first != NULL ? WB_LIST_OF(first, wb_task_t, queued) : NULL;
 }
 
 static void task_over(wb_engine_orders_t *orders, const char *outcome) {
-    wb_task_t *task = g_queue_pop_head(&orders->tasks);
+    wb_task_t *task = WB_LIST_OF(wb_list_pop(&orders->tasks), wb_task_t, queued);
     wb_event(
         "task-over",
         ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"outcome\":\"%s\",\"ms\":%lld",
@@ -432,8 +436,8 @@
 
 static wb_task_t *task_find(const wb_engine_orders_t *orders, const char *model,
                             const char *adapter) {
-    for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
-        wb_task_t *task = item->data;
+    WB_LIST_EACH(item, &orders->tasks) {
+        wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
         if (strcmp(task->model, model) == 0 && strcmp(task->adapter, adapter) == 0)
             return task;
     }
@@ -447,16 +451,19 @@
 
 /* Adapters come in moments, so they go before models whose load hasn't begun. */
 static void task_queue(wb_engine_orders_t *orders, wb_task_t *task) {
-    GList *place = orders->tasks.head;
+    const wb_list_item_t *first = wb_list_first(&orders->tasks);
     gboolean first_has_begun = orders->calling || orders->settle != WB_SETTLE_NONE;
-    if (place != NULL && first_has_begun)
-        place = place->next;
-    while (place != NULL && *((wb_task_t *)place->data)->adapter != '\0')
-        place = place->next;
-    if (*task->adapter == '\0' || place == NULL)
-        g_queue_push_tail(&orders->tasks, task);
-    else
-        g_queue_insert_before(&orders->tasks, place, task);
+    wb_list_item_t *place = &orders->tasks.ring;
+    if (*task->adapter != '\0') {
+        WB_LIST_EACH(item, &orders->tasks) {
+            gboolean has_begun = item == first && first_has_begun;
+            if (!has_begun && *WB_LIST_OF(item, wb_task_t, queued)->adapter == '\0') {
+                place = item;
+                break;
+            }
+        }
+    }
+    wb_list_add_before(&orders->tasks, place, &task->queued);
 }
 
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
@@ -466,7 +473,7 @@
     task->model = g_strdup(model);
     task->adapter = g_strdup(adapter);
     task->created_ms = wb_clock_ms();
-    gboolean idle = orders->tasks.length == 0;
+    gboolean idle = orders->tasks.len == 0;
     task_queue(orders, task);
     if (idle && !orders->calling)
         advance_after(orders, 0);
@@ -475,22 +482,25 @@
 void wb_engine_orders_each(const wb_engine_orders_t *orders,
                            void (*visit)(const char *model, const char *adapter, void *context),
                            void *context) {
-    for (GList *item = orders->tasks.head; item != NULL; item = item->next) {
-        const wb_task_t *task = item->data;
+    WB_LIST_EACH(item, &orders->tasks) {
+        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
         visit(task->model, task->adapter, context);
     }
 }
 
 gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders) {
-    return orders->tasks.length > 0;
+    return orders->tasks.len > 0;
 }
 
 double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders) {
     const wb_service_t *service =
         orders->owner.service(orders->engine->state->service, orders->owner.context);
     double busy_ms = 0;
-    for (GList *item = orders->tasks.head; service != NULL && item != NULL; item = item->next) {
-        const wb_task_t *task = item->data;
+    if (service == NULL) {
+        return 0;
+    }
+    WB_LIST_EACH(item, &orders->tasks) {
+        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
         const wb_model_spec_t *spec = g_hash_table_lookup(service->models, task->model);
         if (spec != NULL && *task->adapter == '\0')
             busy_ms += wb_placement_load_ms(spec, orders->engine->state, NULL);
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -25,7 +25,7 @@
 
 struct wb_table_watch_t {
     wb_loop_t *loop;
-    const wb_table_t *table;
+    wb_table_t *table;
     wb_table_name_t name;
     wb_table_pace_t pace;
     wb_table_watch_events_t events;
@@ -256,15 +256,15 @@
     if (watch->state == WB_WATCH_READING && watch->read_began_ms == 0)
         watch->read_began_ms = watch->asked_ms;
     if (watch->state == WB_WATCH_READING)
-        watch->table->read(watch->table->self, watch->name,
+        watch->table->read(watch->table, watch->name,
                            watch->next_key != NULL ? watch->next_key : "", page_answered, watch);
     else
-        watch->table->changes(watch->table->self, watch->name, watch->version, watch->pace.wait_ms,
+        watch->table->changes(watch->table, watch->name, watch->version, watch->pace.wait_ms,
                               changes_answered, watch);
 }
 
-wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, const wb_table_t *table,
-                                        wb_table_name_t name, const wb_table_pace_t *pace,
+wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
+                                        const wb_table_pace_t *pace,
                                         const wb_table_watch_events_t *events) {
     wb_table_watch_t *watch = g_new0(wb_table_watch_t, 1);
     watch->loop = loop;
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -15,6 +15,7 @@
     wb_tcp_stream_t *stream;
     wb_http_reader_t *reader;
     wb_attempt_t *attempt; /* NULL while it rests */
+    wb_list_item_t idle;   /* on its engine's list while it rests */
     int64_t usable_until_ms;
     gboolean feeding; /* the reader runs; freeing waits */
     gboolean dropped;
@@ -80,7 +81,7 @@
     gboolean keep = !attempt->tainted && attempt->keep_alive &&
                     wb_tcp_stream_unsent(upstream->stream) == 0 && !upstream->engine->gone &&
                     upstream->engine->leaving_ms == 0 &&
-                    g_queue_get_length(&upstream->engine->idle) < KEPT_PER_ENGINE;
+                    upstream->engine->idle.len < KEPT_PER_ENGINE;
     int64_t keep_for_ms =
         attempt->keep_for_ms > 0 ? attempt->keep_for_ms - KEEP_ALIVE_MARGIN_MS : KEPT_UNTOLD_MS;
     if (!keep || keep_for_ms <= 0) {
@@ -90,7 +91,7 @@
     upstream->usable_until_ms = wb_clock_ms() + keep_for_ms;
     wb_http_reader_next(upstream->reader);
     wb_tcp_stream_set_reading(upstream->stream, TRUE);
-    g_queue_push_head(&upstream->engine->idle, upstream);
+    wb_list_add_head(&upstream->engine->idle, &upstream->idle);
 }
 
 static void attempt_finish(wb_attempt_t *attempt) {
@@ -200,7 +201,7 @@
 }
 
 static void idle_drop(wb_upstream_t *upstream) {
-    g_queue_remove(&upstream->engine->idle, upstream);
+    wb_list_remove(&upstream->engine->idle, &upstream->idle);
     upstream_drop(upstream);
 }
 
@@ -309,8 +310,9 @@
 
 /* Returns a resting connection that the engine surely still keeps, or NULL. */
 static wb_upstream_t *idle_take(wb_engine_t *engine, int64_t now_ms) {
-    wb_upstream_t *upstream;
-    while ((upstream = g_queue_pop_head(&engine->idle)) != NULL) {
+    wb_list_item_t *item;
+    while ((item = wb_list_pop(&engine->idle)) != NULL) {
+        wb_upstream_t *upstream = WB_LIST_OF(item, wb_upstream_t, idle);
         if (now_ms < upstream->usable_until_ms && wb_tcp_stream_is_open(upstream->stream))
             return upstream;
         upstream_drop(upstream);
@@ -364,15 +366,12 @@
 
 /* Drops the connections of an engine that have rested too long, or all of them. */
 static void idle_sweep(wb_engine_t *engine, gboolean all, int64_t now_ms) {
-    GList *item = engine->idle.head;
-    while (item != NULL) {
-        wb_upstream_t *upstream = item->data;
-        GList *next = item->next;
+    WB_LIST_EACH_SAFE(item, &engine->idle) {
+        wb_upstream_t *upstream = WB_LIST_OF(item, wb_upstream_t, idle);
         if (all || now_ms >= upstream->usable_until_ms) {
-            g_queue_delete_link(&engine->idle, item);
+            wb_list_remove(&engine->idle, item);
             upstream_drop(upstream);
         }
-        item = next;
     }
 }
 
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -126,7 +126,7 @@
     wb_edge_node_tick_news(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
-    if (node->edge.waiting.length > 0) {
+    if (node->edge.waiting.len > 0) {
         wb_exchanges_retry_waiting(&node->edge);
         if (!wb_edge_node_hears_news(node))
             wb_table_watch_hurry(node->engines_watch);
@@ -154,7 +154,7 @@
 }
 
 apr_status_t wb_edge_node_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
-                                 const wb_table_t *table, const wb_dialect_t *dialect,
+                                 wb_table_t *table, const wb_dialect_t *dialect,
                                  wb_edge_node_t **node, wb_error_t *error) {
     wb_edge_node_t *created = g_new0(wb_edge_node_t, 1);
     wb_edge_t *edge = &created->edge;
@@ -166,6 +166,7 @@
                                           (GDestroyNotify)wb_retry_budget_free);
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->demand = wb_demand_create();
+    wb_list_init(&edge->waiting);
     edge->node_count = 1;
     edge->open = g_hash_table_new(NULL, NULL);
     edge->on_need = wb_edge_node_need_arose;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -21,7 +21,7 @@
 
 struct wb_edge_node_t {
     wb_edge_t edge;
-    const wb_table_t *table;
+    wb_table_t *table;
     wb_table_watch_t *catalog_watch;
     wb_table_watch_t *engines_watch;
     wb_table_watch_t *nodes_watch;
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -32,7 +32,7 @@
         .engines_age_ms = wb_table_watch_age_ms(node->engines_watch),
         .engines = g_hash_table_size(wb_fleet_all(edge->fleet)),
         .open_requests = g_hash_table_size(edge->open),
-        .waiting_requests = edge->waiting.length,
+        .waiting_requests = edge->waiting.len,
         .nodes = edge->node_count,
         .holds_lease = node->held,
         .lease_token = wb_lease_token(node->lease),
@@ -67,7 +67,7 @@
                           edge->settings.id, "ready", wb_edge_node_is_ready(node), "config_version",
                           (json_int_t)(edge->catalog != NULL ? edge->catalog->version : 0),
                           "open_requests", (int)g_hash_table_size(edge->open), "waiting_requests",
-                          (int)edge->waiting.length, "engines",
+                          (int)edge->waiting.len, "engines",
                           (int)g_hash_table_size(wb_fleet_all(edge->fleet)), "members", members,
                           "lease", lease_json(node), "catalog_age_ms",
                           (json_int_t)wb_table_watch_age_ms(node->catalog_watch), "engines_age_ms",
@@ -173,7 +173,7 @@
         const wb_exchange_t *exchange = key;
         if (exchange->model == NULL || strcmp(exchange->model, model) != 0)
             continue;
-        *waiting += exchange->waiting_link != NULL;
+        *waiting += wb_list_is_linked(&exchange->waiting);
         *running += exchange->attempt != NULL;
     }
 }
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -12,6 +12,7 @@
 #include "wickbridge/event_log.h"
 #include "wickbridge/fleet.h"
 #include "wickbridge/http_listener.h"
+#include "wickbridge/list.h"
 #include "wickbridge/message.h"
 #include "wickbridge/tcp_stream.h"
 
@@ -56,7 +57,7 @@
     wb_demand_t *demand;
     wb_edge_metrics_t metrics;
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
-    GQueue waiting;       /* exchanges that wait for an engine, oldest first */
+    wb_list_t waiting;    /* exchanges that wait for an engine, oldest first */
     GHashTable *open;     /* set of all exchanges */
     wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
     unsigned ended_next;
@@ -119,7 +120,7 @@
     int64_t wait_until_ms; /* steady time until which waiting for an engine has a use */
     wb_timer_t *hold_timer;
     wb_timer_t *patience_timer;
-    GList *waiting_link; /* its place in edge->waiting, or NULL */
+    wb_list_item_t waiting; /* on edge->waiting */
     int64_t waiting_since_ms;
     int64_t waited_ms;
     wb_attempt_t *attempt;   /* the one under way, or NULL */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -148,7 +148,7 @@
     wb_exchange_t *exchange = context;
     exchange->hold_timer = NULL;
     int64_t now_ms = wb_clock_ms();
-    if (exchange->waiting_link != NULL && now_ms < exchange->hold_until_ms) {
+    if (wb_list_is_linked(&exchange->waiting) && now_ms < exchange->hold_until_ms) {
         wb_exchange_give_up(exchange,
                             exchange->model != NULL ? WB_ENDING_NOT_LOADED : WB_ENDING_NO_ENGINE);
         return;
@@ -161,7 +161,7 @@
 void wb_exchange_arm_hold(wb_exchange_t *exchange) {
     timer_clear(&exchange->hold_timer);
     int64_t due_ms = exchange->hold_until_ms;
-    if (exchange->waiting_link != NULL)
+    if (wb_list_is_linked(&exchange->waiting))
         due_ms = MIN(due_ms, exchange->wait_until_ms);
     exchange->hold_timer =
         wb_loop_after(exchange->edge->loop, MAX(due_ms - wb_clock_ms(), 0), hold_expired, exchange);
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -19,10 +19,10 @@
 #define STREAM_PATIENCE_GAPS 8
 
 void wb_exchange_leave_waiting(wb_exchange_t *exchange) {
-    if (exchange->waiting_link == NULL)
+    if (!wb_list_is_linked(&exchange->waiting)) {
         return;
-    g_queue_delete_link(&exchange->edge->waiting, exchange->waiting_link);
-    exchange->waiting_link = NULL;
+    }
+    wb_list_remove(&exchange->edge->waiting, &exchange->waiting);
     int64_t waited_ms = wb_clock_ms() - exchange->waiting_since_ms;
     exchange->waited_ms += waited_ms;
     wb_histogram_add(&exchange->edge->metrics.wait_ms, waited_ms);
@@ -78,12 +78,12 @@
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
 void wb_exchange_wait(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
-    if (exchange->waiting_link != NULL)
+    if (wb_list_is_linked(&exchange->waiting)) {
         return;
+    }
     exchange->wait_until_ms = wait_until_ms(exchange);
     exchange->waiting_since_ms = wb_clock_ms();
-    g_queue_push_tail(&edge->waiting, exchange);
-    exchange->waiting_link = edge->waiting.tail;
+    wb_list_add_tail(&edge->waiting, &exchange->waiting);
     edge->metrics.waits++;
     wb_demand_waiting(edge->demand, exchange, TRUE);
     wb_event(
@@ -99,12 +99,13 @@
 
 void wb_exchanges_retry_waiting(wb_edge_t *edge) {
     /* A sending that fails at once may end other requests, so the list is copied. */
-    g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.length);
-    for (GList *item = edge->waiting.head; item != NULL; item = item->next)
-        g_ptr_array_add(waiting, item->data);
+    g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.len);
+    WB_LIST_EACH(item, &edge->waiting) {
+        g_ptr_array_add(waiting, WB_LIST_OF(item, wb_exchange_t, waiting));
+    }
     for (guint i = 0; i < waiting->len; i++) {
         wb_exchange_t *exchange = g_ptr_array_index(waiting, i);
-        if (g_hash_table_contains(edge->open, exchange) && exchange->waiting_link != NULL)
+        if (g_hash_table_contains(edge->open, exchange) && wb_list_is_linked(&exchange->waiting))
             wb_exchange_dispatch(exchange);
     }
 }
@@ -114,8 +115,8 @@
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     g_hash_table_replace(edge->expected, expected_key(service, model),
                          g_memdup2(&ready_ms, sizeof(ready_ms)));
-    for (GList *item = edge->waiting.head; item != NULL; item = item->next) {
-        wb_exchange_t *exchange = item->data;
+    WB_LIST_EACH(item, &edge->waiting) {
+        wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
         if (exchange->model == NULL || strcmp(exchange->model, model) != 0 ||
             strcmp(exchange->service->name, service) != 0)
             continue;
@@ -134,13 +135,13 @@
     for (GList *item = open; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
         if (g_hash_table_contains(edge->open, exchange) && !exchange->answer_begun &&
-            (!waiting_only || exchange->waiting_link != NULL))
+            (!waiting_only || wb_list_is_linked(&exchange->waiting)))
             wb_exchange_give_up(exchange, WB_ENDING_STOPPING);
     }
 }
 
 void wb_exchanges_refuse_waiting(wb_edge_t *edge) {
-    if (edge->waiting.length > 0)
+    if (edge->waiting.len > 0)
         exchanges_stop(edge, TRUE);
 }
 
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -67,8 +67,8 @@
         return;
     }
     node->edge.metrics.table_calls++;
-    node->table->write(node->table->self, WB_LEASE_KEY, expected_version, (const guchar *)bytes,
-                       length, lease_answered, node);
+    node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
+                       lease_answered, node);
 }
 
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -99,7 +99,7 @@
     (void)whole;
     wb_edge_node_t *node = context;
     wb_exchanges_retry_waiting(&node->edge);
-    if (node->edge.waiting.length > 0 && !wb_edge_node_hears_news(node))
+    if (node->edge.waiting.len > 0 && !wb_edge_node_hears_news(node))
         wb_table_watch_hurry(node->engines_watch);
 }
 
@@ -188,8 +188,8 @@
                                              (unsigned long long)++node->node_row_beat);
     node->node_row_writing = TRUE;
     node->edge.metrics.table_calls++;
-    node->table->write(node->table->self, key, known != NULL ? known->version : 0,
-                       (const guchar *)value, strlen(value), node_row_answered, node);
+    node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
+                       strlen(value), node_row_answered, node);
 }
 
 static void row_removed(const wb_table_answer_t *answer, void *context) {
@@ -203,7 +203,7 @@
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
     wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_text(id),
              (long long)row->version);
-    node->table->write(node->table->self, key, row->version, NULL, 0, row_removed, node);
+    node->table->write(node->table, key, row->version, NULL, 0, row_removed, node);
 }
 
 static void node_rows_forget(wb_edge_node_t *node, int64_t now_ms) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -71,7 +71,6 @@
     wb_engine_state_free(engine->state);
     g_hash_table_unref(engine->overlay);
     g_hash_table_unref(engine->prefixes);
-    g_queue_clear(&engine->idle);
     g_free(engine);
 }
 
@@ -99,7 +98,7 @@
     engine->state = state;
     engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    g_queue_init(&engine->idle);
+    wb_list_init(&engine->idle);
     g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
     g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
     return engine;
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -8,8 +8,8 @@
 
 /* A table that answers what the test lays down. */
 typedef struct script_t {
+    wb_table_t table; /* first */
     wb_loop_t *loop;
-    wb_table_t table;
     int reads;
     int calls;
     GString *seen; /* what the watch told: +KEY@VERSION or -KEY@VERSION */
@@ -31,11 +31,11 @@
 }
 
 /* The first whole read, then a stale one, then a fresh one. */
-static void script_read(void *self, wb_table_name_t table, const char *from_key,
+static void script_read(wb_table_t *self, wb_table_name_t table, const char *from_key,
                         wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)from_key;
-    script_t *script = self;
+    script_t *script = (script_t *)self;
     GPtrArray *rows = rows_make();
     script->reads++;
     if (script->reads == 1) {
@@ -55,11 +55,11 @@
 }
 
 /* Some changes, then the history is gone. */
-static void script_changes(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+static void script_changes(wb_table_t *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
                            wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)wait_ms;
-    script_t *script = self;
+    script_t *script = (script_t *)self;
     if (script->reads == 3)
         return; /* the play is over */
     GPtrArray *rows = rows_make();
@@ -91,7 +91,7 @@
     wb_error_t error;
     wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &script};
     g_assert_cmpint(wb_loop_create(&script.loop, "test", 16, &error), ==, APR_SUCCESS);
-    script.table = (wb_table_t){&script, script_read, script_changes, NULL};
+    script.table = (wb_table_t){script_read, script_changes, NULL};
     script.seen = g_string_new(NULL);
     wb_table_pace_t pace = {10, 20, 0, 20, 0};
     wb_table_watch_create(script.loop, &script.table, WB_TABLE_ENGINES, &pace, &events);
@@ -102,8 +102,8 @@
 
 /* What other nodes tell, while an own call for changes is held. */
 typedef struct held_t {
+    wb_table_t table; /* first */
     wb_loop_t *loop;
-    wb_table_t table;
     wb_table_watch_t *watch;
     int calls;
     wb_table_answer_fn on_answer; /* of the held call */
@@ -111,7 +111,7 @@
     script_t script; /* where rows are noted */
 } held_t;
 
-static void held_read(void *self, wb_table_name_t table, const char *from_key,
+static void held_read(wb_table_t *self, wb_table_name_t table, const char *from_key,
                       wb_table_answer_fn on_answer, void *context) {
     (void)self;
     (void)table;
@@ -121,12 +121,12 @@
     answer_give(on_answer, context, WB_TABLE_DONE, rows, 5);
 }
 
-static void held_changes(void *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+static void held_changes(wb_table_t *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
                          wb_table_answer_fn on_answer, void *context) {
     (void)table;
     (void)after;
     (void)wait_ms;
-    held_t *held = self;
+    held_t *held = (held_t *)self;
     held->calls++;
     held->on_answer = on_answer;
     held->context = context;
@@ -138,7 +138,7 @@
     wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &held->script};
     wb_table_pace_t pace = {10, 20, 500, 20, 300};
     g_assert_cmpint(wb_loop_create(&held->loop, "test", 16, &error), ==, APR_SUCCESS);
-    held->table = (wb_table_t){held, held_read, held_changes, NULL};
+    held->table = (wb_table_t){held_read, held_changes, NULL};
     held->script.seen = g_string_new(NULL);
     held->watch = wb_table_watch_create(held->loop, &held->table, WB_TABLE_ENGINES, &pace, &events);
     wb_loop_after(held->loop, 50, play, held);
