Ask an engine again that turned a request away for the moment

Change: an engine that said 'not run' (other than wrong engine) is open to the same request again after 120 ms, then 240 ms; four sendings at most, as before.

--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -130,16 +130,22 @@
     return cost;
 }
 
-static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine) {
-    for (guint i = 0; i < exchange->tried->len; i++)
-        if (strcmp(g_ptr_array_index(exchange->tried, i), engine->state->id) == 0)
+/* Engines that turned the request away for the moment are open to it again after a pause. */
+static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine,
+                          int64_t now_ms) {
+    for (guint i = 0; i < exchange->tried->len; i++) {
+        const wb_tried_engine_t *tried = &g_array_index(exchange->tried, wb_tried_engine_t, i);
+        gboolean closed = tried->again_ms == 0 || now_ms < tried->again_ms;
+        if (closed && strcmp(tried->id, engine->state->id) == 0) {
             return TRUE;
+        }
+    }
     return FALSE;
 }
 
 static gboolean is_usable(const wb_edge_t *edge, const wb_engine_t *engine,
                           const wb_exchange_t *exchange, int64_t now_ms) {
-    if (was_tried(exchange, engine))
+    if (was_tried(exchange, engine, now_ms))
         return FALSE;
     if (engine->leaving_ms != 0) {
         double left_ms = LEAVING_SHARE * (double)edge->settings.drain_ms;
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -100,6 +100,12 @@
     gboolean streamed; /* whole events are passed on as they come */
 } wb_reply_t;
 
+/** An engine that a request was sent to. */
+typedef struct wb_tried_engine_t {
+    char *id;
+    int64_t again_ms; /* steady time from which it may be tried again; 0: never */
+} wb_tried_engine_t;
+
 /** A caller's request, from its arrival to its answer. */
 struct wb_exchange_t {
     wb_edge_t *edge;
@@ -129,10 +135,10 @@
     gboolean counted;        /* the sending counts as running at its engine */
     int64_t prefill_counted; /* prompt tokens that count at its engine */
     wb_reply_t reply;
-    gboolean paused;  /* the caller doesn't take its answer: the engine isn't read */
-    GPtrArray *tried; /* ids of engines it was sent to */
-    unsigned sends;   /* sendings that may have reached an engine */
-    unsigned runs;    /* engines that ran it, or may have */
+    gboolean paused; /* the caller doesn't take its answer: the engine isn't read */
+    GArray *tried;   /* of wb_tried_engine_t, the last one last */
+    unsigned sends;  /* sendings that may have reached an engine */
+    unsigned runs;   /* engines that ran it, or may have */
     unsigned rejections;
     unsigned unreached;    /* sendings that never were connected */
     gboolean answer_begun; /* the caller has got a head */
@@ -143,6 +149,9 @@
     int64_t first_event_ms;
 };
 
+/** @return the id of the engine that it was last sent to; "" when it was sent to none */
+const char *wb_exchange_last_engine(const wb_exchange_t *exchange);
+
 /** Balancer: choose an engine. @return NULL when none can be used; owned by the fleet */
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                 int64_t now_ms);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -13,10 +13,26 @@
 #define AVOID_LIMIT_MS 6400
 /* An engine that turned a request away is left alone for so long, if there is another. */
 #define REJECTED_MS 100
+/* The same request may go to it again after this time, and after twice that the next time. */
+#define REJECTED_AGAIN_MS 120
 #define UNREACHED_LIMIT 8
 /* An engine that was silent for so long is at fault, not its work. */
 #define SILENT_MS 1000
 
+static void tried_clear(gpointer data) {
+    g_free(((wb_tried_engine_t *)data)->id);
+}
+
+static wb_tried_engine_t *tried_last(const wb_exchange_t *exchange) {
+    guint len = exchange->tried->len;
+    return len > 0 ? &g_array_index(exchange->tried, wb_tried_engine_t, len - 1) : NULL;
+}
+
+const char *wb_exchange_last_engine(const wb_exchange_t *exchange) {
+    const wb_tried_engine_t *last = tried_last(exchange);
+    return last != NULL ? last->id : "";
+}
+
 static void part_clear(gpointer data) {
     g_free(((wb_prompt_part_t *)data)->id);
 }
@@ -71,7 +87,7 @@
     wb_http_head_free(exchange->head);
     g_byte_array_unref(exchange->body);
     g_byte_array_unref(exchange->answer);
-    g_ptr_array_unref(exchange->tried);
+    g_array_unref(exchange->tried);
     g_array_unref(exchange->parts);
     wb_catalog_unref(exchange->catalog);
     g_free(exchange->model);
@@ -225,7 +241,8 @@
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     wb_exchange_leave_waiting(exchange);
-    g_ptr_array_add(exchange->tried, g_strdup(engine->state->id));
+    wb_tried_engine_t tried = {g_strdup(engine->state->id), 0};
+    g_array_append_val(exchange->tried, tried);
     wb_engine_ref(engine);
     wb_engine_unref(exchange->engine);
     exchange->engine = engine;
@@ -393,7 +410,12 @@
              ",\"id\":\"%s\",\"engine\":\"%s\",\"status\":%u,\"sends\":%u,\"model\":\"%s\"",
              wb_event_text(exchange->id), engine->state->id, exchange->reply.status,
              exchange->sends, wb_event_text(exchange->model));
-    engine->rejected_until_ms = wb_clock_ms() + REJECTED_MS;
+    int64_t now_ms = wb_clock_ms();
+    engine->rejected_until_ms = now_ms + REJECTED_MS;
+    if (exchange->reply.status != edge->dialect->wrong_engine_status) {
+        int64_t pause_ms = (int64_t)REJECTED_AGAIN_MS << MIN(exchange->rejections - 1, 4);
+        tried_last(exchange)->again_ms = now_ms + pause_ms;
+    }
     if (exchange->sends >= SENDS_LIMIT)
         wb_exchange_give_up(exchange, WB_ENDING_REJECTED);
     else
@@ -470,7 +492,8 @@
     exchange->head = head;
     exchange->body = body;
     exchange->answer = g_byte_array_new();
-    exchange->tried = g_ptr_array_new_with_free_func(g_free);
+    exchange->tried = g_array_new(FALSE, FALSE, sizeof(wb_tried_engine_t));
+    g_array_set_clear_func(exchange->tried, tried_clear);
     exchange->parts = g_array_new(FALSE, FALSE, sizeof(wb_prompt_part_t));
     g_array_set_clear_func(exchange->parts, part_clear);
     exchange->began_ms = wb_http_connection_request_began_ms(connection);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -32,9 +32,7 @@
 void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
-    const char *engine = exchange->tried->len > 0
-                             ? g_ptr_array_index(exchange->tried, exchange->tried->len - 1)
-                             : "";
+    const char *engine = wb_exchange_last_engine(exchange);
     ended_remember(exchange, ending, status, engine);
     edge->metrics.endings[ending]++;
     wb_histogram_add(&edge->metrics.whole_ms, now_ms - exchange->began_ms);
--- a/tests/edge/test_once.c
+++ b/tests/edge/test_once.c
@@ -32,6 +32,29 @@
     asked_with_fault("/lock/x", "reject", 1, 503, 0); /* both turn it away */
 }
 
+/* The only engine that holds a model turns a request away for the moment: it is asked again soon,
+ * and the model isn't loaded elsewhere. */
+static void test_only_holder_rejects(void) {
+    estate_t *estate = estate_start(1, NULL);
+    for (int i = 0; i < 3; i++) {
+        g_autofree char *id = g_strdup_printf("h%d", i);
+        estate_do(
+            estate,
+            "{\"do\":\"engine-fault\",\"engine\":\"llm-1\",\"fault\":\"reject\",\"count\":1}");
+        int64_t began_ms = harness_now_ms();
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[0].callers_port, "/chat/x", id, EDGE_MODEL("m1"));
+        int64_t took_ms = harness_now_ms() - began_ms;
+        g_test_message("%d after %d ms", answer->status, (int)took_ms);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_cmpint(took_ms, <, 550);
+        g_assert_cmpint(estate_runs(estate, id), ==, 1);
+        wire_answer_free(answer);
+    }
+    g_assert_cmpint(estate_orders(estate, "model_load", "m1"), ==, 0);
+    estate_stop(estate);
+}
+
 static void test_repeatable_runs(void) {
     asked_with_fault("/look/x", "reset", 1, 502, 2); /* as many engines as the route allows */
     asked_with_fault("/look/x", "mute", 1, 504, 2);
@@ -191,6 +214,7 @@
     g_test_add_func("/edge/once/quiet-engine-is-left-alone", test_quiet_engine_is_left_alone);
     g_test_add_func("/edge/once/broken-runs", test_broken_runs);
     g_test_add_func("/edge/once/rejected-runs", test_rejected_runs);
+    g_test_add_func("/edge/once/only-holder-rejects", test_only_holder_rejects);
     g_test_add_func("/edge/once/repeatable-runs", test_repeatable_runs);
     g_test_add_func("/edge/once/stream-is-resumed", test_stream_is_resumed);
     g_test_add_func("/edge/once/cut-stream-is-not-whole", test_cut_stream_is_not_whole);
