--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -33,6 +33,7 @@
     GHashTable *models;    /**< name -> wb_engine_model_t */
     GHashTable *in_memory; /**< set of models with copies of their weights in memory */
     GHashTable *on_disk;   /**< set of models with copies of their weights on disk */
+    GHashTable *arriving;  /**< set of MODEL/ADAPTER that were ordered and not yet reported */
     /* Told only when the engine is asked for a report: */
     gboolean reported;
     gboolean busy;    /**< an order is under way */
--- a/include/wickbridge/loop.h
+++ b/include/wickbridge/loop.h
@@ -61,5 +61,7 @@
 
 /** @return a monotonic clock in milliseconds */
 int64_t wb_clock_ms(void);
+/** @return the same clock in microseconds */
+int64_t wb_clock_us(void);
 
 #endif
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -224,6 +224,10 @@
         gpointer adapter;
         g_hash_table_iter_init(&adapters, ((wb_engine_model_t *)held)->adapters);
         while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
+            g_autofree char *name = g_strjoin("/", (char *)model, (char *)adapter, NULL);
+            if (g_hash_table_contains(state->arriving, name)) {
+                continue;
+            }
             const wb_usage_t *usage =
                 wb_demand_book_find(controller->book, engine->state->service, model, adapter);
             int64_t used_ms = usage != NULL ? usage->used_ms : 0;
@@ -235,7 +239,7 @@
                 continue;
             oldest_ms = used_ms;
             g_free(victim);
-            victim = g_strjoin("/", (char *)model, (char *)adapter, NULL);
+            victim = g_steal_pointer(&name);
         }
     }
     return victim;
@@ -404,14 +408,14 @@
     /* With many engines a decision takes its time: the next waits for some times that, or the tick.
      */
     if (wb_demand_book_take(controller->book, demand, wb_clock_ms()) &&
-        g_get_monotonic_time() >= controller->next_us)
+        wb_clock_us() >= controller->next_us)
         wb_controller_decide(controller);
 }
 
 void wb_controller_decide(wb_controller_t *controller) {
     if (controller->catalog == NULL || !owner_may_act(controller))
         return;
-    int64_t begun_us = g_get_monotonic_time();
+    int64_t begun_us = wb_clock_us();
     int64_t now_ms = wb_clock_ms();
     wb_demand_book_count(controller->book, now_ms);
     wb_demand_book_age(controller->book, now_ms);
@@ -426,7 +430,7 @@
         if (g_hash_table_size(service->models) > 0)
             service_decide(controller, service, spread, now_ms);
     }
-    int64_t ended_us = g_get_monotonic_time();
+    int64_t ended_us = wb_clock_us();
     controller->next_us = ended_us + DECISION_REST * (ended_us - begun_us);
 }
 
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -111,6 +111,11 @@
     return first != NULL ? WB_LIST_OF(first, wb_task_t, queued) : NULL;
 }
 
+static void state_forget(wb_engine_orders_t *orders) {
+    wb_engine_state_free(orders->state);
+    orders->state = NULL;
+}
+
 static void task_over(wb_engine_orders_t *orders, const char *outcome) {
     wb_task_t *task = WB_LIST_OF(wb_list_pop(&orders->tasks), wb_task_t, queued);
     wb_event(
@@ -119,15 +124,14 @@
         orders->engine->state->id, task->model, task->adapter, outcome,
         (long long)(wb_clock_ms() - task->created_ms));
     task_free(task);
-    orders->settle = WB_SETTLE_NONE;
+    if (orders->settle != WB_SETTLE_NONE) {
+        /* An order was taken and nothing shows yet what came of it: it still takes room. */
+        state_forget(orders);
+        orders->settle = WB_SETTLE_NONE;
+    }
     advance_after(orders, 0);
 }
 
-static void state_forget(wb_engine_orders_t *orders) {
-    wb_engine_state_free(orders->state);
-    orders->state = NULL;
-}
-
 static void call_failed(wb_engine_orders_t *orders) {
     orders->failures++;
     if (orders->failures < FAILURES_LIMIT) {
@@ -245,8 +249,11 @@
         return;
     }
     if (is_adapter) {
-        if (held != NULL)
+        if (held != NULL) {
             g_hash_table_add(held->adapters, g_strdup(orders->order_adapter));
+            g_hash_table_add(state->arriving,
+                             g_strjoin("/", orders->order_model, orders->order_adapter, NULL));
+        }
         advance_after(orders, orders->settings->adapter_load_ms);
         return;
     }
@@ -388,6 +395,12 @@
     if (!adapter_fits(orders->state, service, spec)) {
         g_autofree char *victim =
             orders->owner.pick_adapter_victim(orders->state, orders->owner.context);
+        if (victim == NULL && g_hash_table_size(orders->state->arriving) > 0) {
+            /* What is on its way can't be dropped: whether it is there by now, a report tells. */
+            state_forget(orders);
+            advance_after(orders, LOOK_AGAIN_MS);
+            return;
+        }
         if (victim == NULL) {
             task_over(orders, "no-room");
             return;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -34,6 +34,7 @@
     state->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
     state->in_memory = set_create();
     state->on_disk = set_create();
+    state->arriving = set_create();
     return state;
 }
 
@@ -47,6 +48,7 @@
     g_hash_table_unref(state->models);
     g_hash_table_unref(state->in_memory);
     g_hash_table_unref(state->on_disk);
+    g_hash_table_unref(state->arriving);
     g_free(state);
 }
 
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -47,6 +47,10 @@
     return g_get_monotonic_time() / 1000;
 }
 
+int64_t wb_clock_us(void) {
+    return g_get_monotonic_time();
+}
+
 apr_status_t wb_loop_create(wb_loop_t **loop, const char *name, unsigned capacity,
                             wb_error_t *error) {
     wb_loop_t *created = g_new0(wb_loop_t, 1);
