--- /dev/null
+++ b/src/control/controller_snapshot.c
@@ -0,0 +1,81 @@
+/* What the placement controller decides on, as one picture. */
+#include "control/controller_types.h"
+
+#include <string.h>
+
+/* What loading_count is asked with. */
+typedef struct wb_loading_scene_t {
+    wb_controller_t *controller;
+    const char *service;
+} wb_loading_scene_t;
+
+static void loading_count(const char *model, const char *adapter, void *context) {
+    const wb_loading_scene_t *scene = context;
+    if (*adapter == '\0')
+        wb_demand_book_get(scene->controller->book, scene->service, model, "", wb_clock_ms())
+            ->use.in_loading++;
+}
+
+/* Counts an engine's models as replicas, and adds it to a snapshot. */
+static void snapshot_add_engine(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                wb_engine_t *engine, int64_t now_ms) {
+    const char *service = snapshot->service->name;
+    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    wb_placement_engine_t place = {engine, engine->state, 0, TRUE};
+    place.available = engine->leaving_ms == 0 && now_ms >= engine->avoid_until_ms;
+    if (orders != NULL) {
+        place.state = wb_engine_orders_state(orders);
+        place.busy_ms = wb_engine_orders_busy_ms(orders);
+        place.available = place.available && !wb_engine_orders_is_unreachable(orders);
+    }
+    g_array_append_val(snapshot->engines, place);
+    if (engine->leaving_ms != 0)
+        return;
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, place.state->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL))
+        wb_demand_book_get(controller->book, service, name, "", now_ms)->use.replicas++;
+    wb_loading_scene_t scene = {controller, service};
+    if (orders != NULL)
+        wb_engine_orders_each(orders, loading_count, &scene);
+}
+
+static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context) {
+    const wb_controller_t *controller = context;
+    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    return orders != NULL && wb_engine_orders_has(orders, model, "");
+}
+
+void wb_controller_snapshot(wb_controller_t *controller, const wb_service_t *service,
+                            wb_placement_snapshot_t *snapshot) {
+    int64_t now_ms = wb_clock_ms();
+    snapshot->service = service;
+    snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
+    snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
+    snapshot->store_has_room =
+        wb_load_window_has_room(wb_controller_window(controller, service->name), now_ms);
+    snapshot->tokens_per_ms = controller->settings->prefill_tokens_per_ms;
+    snapshot->is_loading = engine_is_loading;
+    snapshot->context = controller;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(controller->fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_engine_t *engine = value;
+        if (strcmp(engine->state->service, service->name) == 0)
+            snapshot_add_engine(controller, snapshot, engine, now_ms);
+    }
+    gpointer name;
+    g_hash_table_iter_init(&iter, service->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        wb_usage_t *usage = wb_demand_book_find(controller->book, service->name, name, "");
+        if (usage != NULL)
+            g_hash_table_insert(snapshot->uses, name, &usage->use);
+    }
+}
+
+void wb_controller_snapshot_clear(wb_placement_snapshot_t *snapshot) {
+    g_array_unref(snapshot->engines);
+    g_hash_table_unref(snapshot->uses);
+}
--- /dev/null
+++ b/src/control/controller_types.h
@@ -0,0 +1,67 @@
+/**
+ * @file controller_types.h
+ * @brief The placement controller as its own files share it.
+ */
+#ifndef WICKBRIDGE_CONTROLLER_TYPES_H
+#define WICKBRIDGE_CONTROLLER_TYPES_H
+
+#include "control/controller.h"
+
+#include "control/demand_book.h"
+#include "control/engine_orders.h"
+#include "control/load_window.h"
+#include "control/placement.h"
+
+struct wb_controller_t {
+    wb_loop_t *loop;
+    const wb_edge_settings_t *settings;
+    const wb_dialect_t *dialect;
+    wb_fleet_t *fleet;
+    wb_edge_metrics_t *metrics;
+    wb_controller_events_t events;
+    wb_catalog_t *catalog;
+    uint64_t token; /* 0: not acting */
+    wb_demand_book_t *book;
+    GHashTable *orders;  /* engine id -> wb_engine_orders_t */
+    GHashTable *windows; /* service -> wb_load_window_t */
+    int64_t spread_ms;
+    int64_t next_us; /* not before this is a decision made for a message */
+};
+
+/* controller.c */
+/** @return a service of the configuration in force, or NULL. @param context the controller */
+const wb_service_t *wb_controller_service(const char *name, void *context);
+wb_load_window_t *wb_controller_window(wb_controller_t *controller, const char *service);
+/** @return an engine's orders; they are created when there are none */
+wb_engine_orders_t *wb_controller_orders(wb_controller_t *controller, wb_engine_t *engine);
+/** Tell all gateways of a model or adapter. @param ready_in_ms when it should be there; 0: no load
+ */
+void wb_controller_tell(wb_controller_t *controller, const wb_engine_t *engine, const char *model,
+                        const char *adapter, gboolean held, unsigned ready_in_ms);
+
+/* controller_snapshot.c */
+/** What decisions are made on; to be cleared. Counts each model's replicas in the demand book. */
+void wb_controller_snapshot(wb_controller_t *controller, const wb_service_t *service,
+                            wb_placement_snapshot_t *snapshot);
+void wb_controller_snapshot_clear(wb_placement_snapshot_t *snapshot);
+
+/* controller_models.c */
+/** Place models that are waited for and that no engine holds or loads. */
+void wb_controller_place_needs(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                               int64_t now_ms);
+/** Place models whose prompts take more reading than their engines should give to one model. */
+void wb_controller_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot);
+/** @return models to drop from an engine so that `model` fits, or NULL. @param context the
+ * controller */
+GPtrArray *wb_controller_pick_victims(const wb_engine_state_t *state, const char *model,
+                                      void *context);
+
+/* controller_adapters.c */
+/** Place adapters that are waited for on engines that hold their models. */
+void wb_controller_place_adapters(wb_controller_t *controller,
+                                  const wb_placement_snapshot_t *snapshot);
+/** @return an adapter to drop, as MODEL/ADAPTER, owned by the caller, or NULL. @param context the
+ * controller */
+char *wb_controller_pick_adapter_victim(const wb_engine_state_t *state, void *context);
+
+#endif
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -1,11 +1,9 @@
 /* A caller's request, from its arrival to its answer. */
-#include "edge/event_stream.h"
 #include "edge/exchange_inner.h"
 
 #include <string.h>
 
 #define SENDS_LIMIT 4
-#define OUTPUT_LIMIT_BYTES (256 * 1024)
 /* A repeatable request whose engine is silent for this share of its target is tried elsewhere. */
 #define SILENCE_SHARE 0.6
 #define SILENCE_LEAST_MS 40
@@ -37,13 +35,13 @@
     g_free(((wb_prompt_part_t *)data)->id);
 }
 
-static void timer_clear(wb_timer_t **timer) {
+void wb_exchange_clear_timer(wb_timer_t **timer) {
     if (*timer != NULL)
         wb_timer_cancel(*timer);
     *timer = NULL;
 }
 
-static void reply_clear(wb_reply_t *reply) {
+void wb_exchange_clear_reply(wb_reply_t *reply) {
     g_free(reply->reason);
     if (reply->headers != NULL)
         g_string_free(reply->headers, TRUE);
@@ -51,7 +49,7 @@
 }
 
 /* The engine has read the prompt, or won't: it no longer counts as its backlog. */
-static void prefill_release(wb_exchange_t *exchange) {
+void wb_exchange_release_prefill(wb_exchange_t *exchange) {
     if (exchange->engine != NULL)
         exchange->engine->prefill_tokens -= exchange->prefill_counted;
     exchange->prefill_counted = 0;
@@ -59,8 +57,8 @@
 
 /* The sending is over: it no longer counts at its engine. */
 static void sending_release(wb_exchange_t *exchange) {
-    timer_clear(&exchange->patience_timer);
-    prefill_release(exchange);
+    wb_exchange_clear_timer(&exchange->patience_timer);
+    wb_exchange_release_prefill(exchange);
     exchange->paused = FALSE;
     if (!exchange->counted)
         return;
@@ -80,9 +78,9 @@
 static void exchange_free(wb_exchange_t *exchange) {
     wb_exchange_leave_waiting(exchange);
     attempt_stop(exchange);
-    timer_clear(&exchange->hold_timer);
+    wb_exchange_clear_timer(&exchange->hold_timer);
     wb_engine_unref(exchange->engine);
-    reply_clear(&exchange->reply);
+    wb_exchange_clear_reply(&exchange->reply);
     g_hash_table_remove(exchange->edge->open, exchange);
     wb_http_head_free(exchange->head);
     g_byte_array_unref(exchange->body);
@@ -97,8 +95,8 @@
 }
 
 /* Notes the end and frees the exchange. Returns its connection, to answer on. */
-static wb_http_connection_t *exchange_end(wb_exchange_t *exchange, wb_ending_t ending,
-                                          unsigned status) {
+wb_http_connection_t *wb_exchange_end(wb_exchange_t *exchange, wb_ending_t ending,
+                                      unsigned status) {
     wb_exchange_leave_waiting(exchange);
     wb_exchange_note_end(exchange, ending, status);
     wb_http_connection_t *connection = exchange->connection;
@@ -111,14 +109,14 @@
  */
 static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
     if (exchange->answer_begun) {
-        wb_http_connection_abort(exchange_end(exchange, ending, 0));
+        wb_http_connection_abort(wb_exchange_end(exchange, ending, 0));
         return;
     }
     char headers[64] = "";
     if (status == 503)
         g_snprintf(headers, sizeof(headers), "Retry-After: %.2f\r\n",
                    (double)wb_exchange_come_back_ms(exchange) / 1000.0);
-    wb_http_connection_t *connection = exchange_end(exchange, ending, status);
+    wb_http_connection_t *connection = wb_exchange_end(exchange, ending, status);
     wb_http_connection_answer(connection, status, wb_http_reason(status), headers, NULL, 0);
 }
 
@@ -129,11 +127,6 @@
     exchange_refuse(exchange, ending, exchange->runs == 0 ? 503 : may_have_run);
 }
 
-static void engine_succeeded(wb_engine_t *engine) {
-    engine->failures = 0;
-    engine->avoid_until_ms = 0;
-}
-
 static void engine_failed(wb_engine_t *engine, const char *reason, const char *request_id) {
     engine->failures++;
     int64_t avoid_ms = AVOID_MS << MIN(engine->failures - 1, 4);
@@ -157,7 +150,7 @@
 void wb_exchange_gone(wb_exchange_t *exchange) {
     if (engine_is_silent(exchange))
         engine_failed(exchange->engine, "silent", exchange->id);
-    exchange_end(exchange, WB_ENDING_CALLER_GONE, 0);
+    wb_exchange_end(exchange, WB_ENDING_CALLER_GONE, 0);
 }
 
 static void hold_expired(void *context) {
@@ -175,7 +168,7 @@
 }
 
 void wb_exchange_arm_hold(wb_exchange_t *exchange) {
-    timer_clear(&exchange->hold_timer);
+    wb_exchange_clear_timer(&exchange->hold_timer);
     int64_t due_ms = exchange->hold_until_ms;
     if (wb_list_is_linked(&exchange->waiting))
         due_ms = MIN(due_ms, exchange->wait_until_ms);
@@ -226,7 +219,7 @@
 
 /* A repeatable request that hears nothing is tried elsewhere. */
 static void patience_arm(wb_exchange_t *exchange) {
-    timer_clear(&exchange->patience_timer);
+    wb_exchange_clear_timer(&exchange->patience_timer);
     const wb_route_t *route = exchange->route;
     if (route->kind != WB_ROUTE_REPEATABLE || route->target_latency_ms == 0 ||
         exchange->runs >= (unsigned)route->max_attempts)
@@ -287,103 +280,6 @@
     exchange_send(exchange, engine);
 }
 
-/* Headers of the engine's answer that are passed on. */
-static GString *headers_passed(const wb_http_head_t *head) {
-    GString *text = g_string_sized_new(256);
-    for (guint i = 0; i < head->headers->len; i++) {
-        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
-        if (wb_http_header_is_hop(head, header->name) ||
-            g_ascii_strcasecmp(header->name, "Content-Length") == 0)
-            continue;
-        g_string_append_printf(text, "%s: %s\r\n", header->name, header->value);
-    }
-    return text;
-}
-
-void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head) {
-    const wb_dialect_t *dialect = exchange->edge->dialect;
-    wb_reply_t *reply = &exchange->reply;
-    gboolean rejected = head->status == dialect->wrong_engine_status ||
-                        wb_http_head_get(head, dialect->not_run) != NULL;
-    timer_clear(&exchange->patience_timer);
-    reply_clear(reply);
-    reply->status = head->status;
-    reply->reason = g_strdup(head->reason);
-    reply->headers = headers_passed(head);
-    reply->sealed = wb_http_head_get(head, dialect->seal) != NULL;
-    reply->rejected = rejected;
-    reply->streamed = !rejected && reply->sealed && head->status / 100 == 2 &&
-                      exchange->route->kind == WB_ROUTE_STREAM;
-}
-
-/* Sends the answer's head, once for each request. */
-static void answer_begin(wb_exchange_t *exchange) {
-    if (exchange->answer_begun)
-        return;
-    wb_reply_t *reply = &exchange->reply;
-    exchange->answer_begun = TRUE;
-    wb_http_connection_stream_begin(exchange->connection, reply->status, reply->reason,
-                                    reply->headers->str);
-}
-
-static void first_event_note(wb_exchange_t *exchange) {
-    if (exchange->first_event_seen)
-        return;
-    int64_t now_ms = wb_clock_ms();
-    exchange->first_event_seen = TRUE;
-    exchange->first_event_ms = now_ms - exchange->began_ms;
-    wb_histogram_add(&exchange->edge->metrics.answer_ms, exchange->first_event_ms);
-    engine_succeeded(exchange->engine);
-}
-
-/* Passes the first `length` bytes of the gathered answer on. */
-static void answer_pass(wb_exchange_t *exchange, size_t length) {
-    if (length == 0)
-        return;
-    answer_begin(exchange);
-    wb_http_connection_stream_write(exchange->connection, exchange->answer->data, length);
-    g_byte_array_remove_range(exchange->answer, 0, (guint)length);
-    if (wb_http_connection_unsent(exchange->connection) > OUTPUT_LIMIT_BYTES &&
-        exchange->attempt != NULL) {
-        exchange->paused = TRUE;
-        wb_attempt_set_reading(exchange->attempt, FALSE);
-    }
-}
-
-void wb_exchange_drained(wb_exchange_t *exchange) {
-    if (!exchange->paused)
-        return;
-    exchange->paused = FALSE;
-    if (exchange->attempt != NULL)
-        wb_attempt_set_reading(exchange->attempt, TRUE);
-}
-
-static void events_pass(wb_exchange_t *exchange) {
-    const char *text = (const char *)exchange->answer->data;
-    size_t length = wb_events_whole(text, exchange->answer->len);
-    if (length == 0)
-        return;
-    first_event_note(exchange);
-    prefill_release(exchange);
-    char *id = wb_events_last_id(text, length);
-    if (id != NULL) {
-        g_free(exchange->last_event_id);
-        exchange->last_event_id = id;
-    }
-    answer_pass(exchange, length);
-}
-
-void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length) {
-    const wb_reply_t *reply = &exchange->reply;
-    if (reply->rejected)
-        return;
-    g_byte_array_append(exchange->answer, (const guint8 *)data, (guint)length);
-    if (reply->streamed)
-        events_pass(exchange);
-    else if (reply->sealed && exchange->answer->len > exchange->edge->settings.answer_buffer_bytes)
-        answer_pass(exchange, exchange->answer->len);
-}
-
 /* Sends again after a run that failed or may have run, if that is allowed. Returns FALSE if not. */
 static gboolean run_again(wb_exchange_t *exchange) {
     const wb_route_t *route = exchange->route;
@@ -422,24 +318,6 @@
         wb_exchange_dispatch(exchange);
 }
 
-/* Passes a whole answer of the engine on. */
-static void answer_whole(wb_exchange_t *exchange) {
-    wb_reply_t *reply = &exchange->reply;
-    wb_ending_t ending = reply->status / 100 == 2 ? WB_ENDING_SERVED : WB_ENDING_ENGINE_FAILED;
-    if (exchange->answer_begun || reply->streamed) {
-        answer_begin(exchange);
-        answer_pass(exchange, exchange->answer->len);
-        wb_http_connection_stream_end(exchange_end(exchange, ending, reply->status));
-        return;
-    }
-    g_autoptr(GByteArray) body = g_byte_array_ref(exchange->answer);
-    g_autofree char *headers = g_strdup(reply->headers->str);
-    g_autofree char *reason = g_strdup(reply->reason);
-    unsigned status = reply->status;
-    wb_http_connection_t *connection = exchange_end(exchange, ending, status);
-    wb_http_connection_answer(connection, status, reason, headers, body->data, body->len);
-}
-
 void wb_exchange_attempt_done(wb_exchange_t *exchange) {
     const wb_reply_t *reply = &exchange->reply;
     sending_release(exchange);
@@ -458,8 +336,8 @@
         wb_exchange_give_up(exchange, WB_ENDING_BROKEN);
         return;
     }
-    first_event_note(exchange);
-    answer_whole(exchange);
+    wb_exchange_note_first_event(exchange);
+    wb_exchange_pass_whole(exchange);
 }
 
 void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason) {
--- /dev/null
+++ b/src/edge/exchange_answer.c
@@ -0,0 +1,125 @@
+/* Passes an engine's answer on: whole events as they come, short answers whole. */
+#include "edge/event_stream.h"
+#include "edge/exchange_inner.h"
+
+#define OUTPUT_LIMIT_BYTES (256 * 1024)
+
+/* Headers of the engine's answer that are passed on. */
+static GString *headers_passed(const wb_http_head_t *head) {
+    GString *text = g_string_sized_new(256);
+    for (guint i = 0; i < head->headers->len; i++) {
+        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
+        if (wb_http_header_is_hop(head, header->name) ||
+            g_ascii_strcasecmp(header->name, "Content-Length") == 0)
+            continue;
+        g_string_append_printf(text, "%s: %s\r\n", header->name, header->value);
+    }
+    return text;
+}
+
+void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head) {
+    const wb_dialect_t *dialect = exchange->edge->dialect;
+    wb_reply_t *reply = &exchange->reply;
+    gboolean rejected = head->status == dialect->wrong_engine_status ||
+                        wb_http_head_get(head, dialect->not_run) != NULL;
+    wb_exchange_clear_timer(&exchange->patience_timer);
+    wb_exchange_clear_reply(reply);
+    reply->status = head->status;
+    reply->reason = g_strdup(head->reason);
+    reply->headers = headers_passed(head);
+    reply->sealed = wb_http_head_get(head, dialect->seal) != NULL;
+    reply->rejected = rejected;
+    reply->streamed = !rejected && reply->sealed && head->status / 100 == 2 &&
+                      exchange->route->kind == WB_ROUTE_STREAM;
+}
+
+static void engine_succeeded(wb_engine_t *engine) {
+    engine->failures = 0;
+    engine->avoid_until_ms = 0;
+}
+
+/* Sends the answer's head, once for each request. */
+static void answer_begin(wb_exchange_t *exchange) {
+    if (exchange->answer_begun)
+        return;
+    wb_reply_t *reply = &exchange->reply;
+    exchange->answer_begun = TRUE;
+    wb_http_connection_stream_begin(exchange->connection, reply->status, reply->reason,
+                                    reply->headers->str);
+}
+
+void wb_exchange_note_first_event(wb_exchange_t *exchange) {
+    if (exchange->first_event_seen)
+        return;
+    int64_t now_ms = wb_clock_ms();
+    exchange->first_event_seen = TRUE;
+    exchange->first_event_ms = now_ms - exchange->began_ms;
+    wb_histogram_add(&exchange->edge->metrics.answer_ms, exchange->first_event_ms);
+    engine_succeeded(exchange->engine);
+}
+
+/* Passes the first `length` bytes of the gathered answer on. */
+static void answer_pass(wb_exchange_t *exchange, size_t length) {
+    if (length == 0)
+        return;
+    answer_begin(exchange);
+    wb_http_connection_stream_write(exchange->connection, exchange->answer->data, length);
+    g_byte_array_remove_range(exchange->answer, 0, (guint)length);
+    if (wb_http_connection_unsent(exchange->connection) > OUTPUT_LIMIT_BYTES &&
+        exchange->attempt != NULL) {
+        exchange->paused = TRUE;
+        wb_attempt_set_reading(exchange->attempt, FALSE);
+    }
+}
+
+void wb_exchange_drained(wb_exchange_t *exchange) {
+    if (!exchange->paused)
+        return;
+    exchange->paused = FALSE;
+    if (exchange->attempt != NULL)
+        wb_attempt_set_reading(exchange->attempt, TRUE);
+}
+
+static void events_pass(wb_exchange_t *exchange) {
+    const char *text = (const char *)exchange->answer->data;
+    size_t length = wb_events_whole(text, exchange->answer->len);
+    if (length == 0)
+        return;
+    wb_exchange_note_first_event(exchange);
+    wb_exchange_release_prefill(exchange);
+    char *id = wb_events_last_id(text, length);
+    if (id != NULL) {
+        g_free(exchange->last_event_id);
+        exchange->last_event_id = id;
+    }
+    answer_pass(exchange, length);
+}
+
+void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length) {
+    const wb_reply_t *reply = &exchange->reply;
+    if (reply->rejected)
+        return;
+    g_byte_array_append(exchange->answer, (const guint8 *)data, (guint)length);
+    if (reply->streamed)
+        events_pass(exchange);
+    else if (reply->sealed && exchange->answer->len > exchange->edge->settings.answer_buffer_bytes)
+        answer_pass(exchange, exchange->answer->len);
+}
+
+/* Passes a whole answer of the engine on. */
+void wb_exchange_pass_whole(wb_exchange_t *exchange) {
+    wb_reply_t *reply = &exchange->reply;
+    wb_ending_t ending = reply->status / 100 == 2 ? WB_ENDING_SERVED : WB_ENDING_ENGINE_FAILED;
+    if (exchange->answer_begun || reply->streamed) {
+        answer_begin(exchange);
+        answer_pass(exchange, exchange->answer->len);
+        wb_http_connection_stream_end(wb_exchange_end(exchange, ending, reply->status));
+        return;
+    }
+    g_autoptr(GByteArray) body = g_byte_array_ref(exchange->answer);
+    g_autofree char *headers = g_strdup(reply->headers->str);
+    g_autofree char *reason = g_strdup(reply->reason);
+    unsigned status = reply->status;
+    wb_http_connection_t *connection = wb_exchange_end(exchange, ending, status);
+    wb_http_connection_answer(connection, status, reason, headers, body->data, body->len);
+}
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -13,6 +13,13 @@
 /** Give the final answer: 503 when it surely has not run, else a status that promises nothing. It
  * is freed. */
 void wb_exchange_give_up(wb_exchange_t *exchange, wb_ending_t ending);
+/** Note the end and free the exchange. @return its connection, to answer on */
+wb_http_connection_t *wb_exchange_end(wb_exchange_t *exchange, wb_ending_t ending, unsigned status);
+/** Cancel a timer, if it is set. */
+void wb_exchange_clear_timer(wb_timer_t **timer);
+void wb_exchange_clear_reply(wb_reply_t *reply);
+/** The engine has read the prompt, or won't: it no longer counts as its backlog. */
+void wb_exchange_release_prefill(wb_exchange_t *exchange);
 /** Set the timer for when its wait, or its time, is over. */
 void wb_exchange_arm_hold(wb_exchange_t *exchange);
 
@@ -28,6 +35,13 @@
 /** @return ms after which coming back has a use */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange);
 
+/* exchange_answer.c */
+/** The answer begins to come; only the first call counts. */
+void wb_exchange_note_first_event(wb_exchange_t *exchange);
+/** Pass the engine's whole answer on, or what is left of it. It is freed. */
+void wb_exchange_pass_whole(wb_exchange_t *exchange);
+
+/* exchange_end.c */
 /** Write its end into log, counters and memory for operators. */
 void wb_exchange_note_end(const wb_exchange_t *exchange, wb_ending_t ending, unsigned status);
 
