--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -1,6 +1,7 @@
 /* Carries out tasks on one engine. */
 #include "control/engine_orders.h"
 
+#include "control/engine_task.h"
 #include "control/placement.h"
 
 #include "wickbridge/event_log.h"
@@ -19,14 +20,6 @@
 #define TASK_LIFE_MS 12000
 #define ADAPTERS_COMING_LIMIT 4
 
-/* A model or adapter that is wanted on the engine. */
-typedef struct wb_task_t {
-    char *model;
-    char *adapter; /* "": the model */
-    int64_t created_ms;
-    wb_list_item_t queued;
-} wb_task_t;
-
 /* What the engine is waited for. */
 typedef enum wb_settle_t { WB_SETTLE_NONE, WB_SETTLE_LOADED, WB_SETTLE_UNLOADED } wb_settle_t;
 
@@ -57,12 +50,6 @@
 
 static void orders_advance(wb_engine_orders_t *orders);
 
-static void task_free(wb_task_t *task) {
-    g_free(task->model);
-    g_free(task->adapter);
-    g_free(task);
-}
-
 wb_engine_orders_t *wb_engine_orders_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                             const wb_dialect_t *dialect, wb_engine_t *engine,
                                             wb_edge_metrics_t *metrics,
@@ -85,7 +72,7 @@
         wb_timer_cancel(orders->timer);
     wb_http_peer_free(orders->peer);
     while (orders->tasks.len > 0) {
-        task_free(WB_LIST_OF(wb_list_pop(&orders->tasks), wb_task_t, queued));
+        wb_task_free(wb_task_pop(&orders->tasks));
     }
     wb_engine_state_free(orders->state);
     wb_engine_unref(orders->engine);
@@ -107,8 +94,7 @@
 }
 
 static wb_task_t *task_first(const wb_engine_orders_t *orders) {
-    wb_list_item_t *first = wb_list_first(&orders->tasks);
-    return first != NULL ? WB_LIST_OF(first, wb_task_t, queued) : NULL;
+    return wb_task_first(&orders->tasks);
 }
 
 static void state_forget(wb_engine_orders_t *orders) {
@@ -117,13 +103,13 @@
 }
 
 static void task_over(wb_engine_orders_t *orders, const char *outcome) {
-    wb_task_t *task = WB_LIST_OF(wb_list_pop(&orders->tasks), wb_task_t, queued);
+    wb_task_t *task = wb_task_pop(&orders->tasks);
     wb_event(
         "task-over",
         ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"outcome\":\"%s\",\"ms\":%lld",
         orders->engine->state->id, task->model, task->adapter, outcome,
         (long long)(wb_clock_ms() - task->created_ms));
-    task_free(task);
+    wb_task_free(task);
     if (orders->settle != WB_SETTLE_NONE) {
         /* An order was taken and nothing shows yet what came of it: it still takes room. */
         state_forget(orders);
@@ -370,29 +356,13 @@
     order_send(orders);
 }
 
-static unsigned adapters_held(const wb_engine_state_t *state) {
-    unsigned held = state->coming;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, state->models);
-    while (g_hash_table_iter_next(&iter, NULL, &value))
-        held += g_hash_table_size(((wb_engine_model_t *)value)->adapters);
-    return held;
-}
-
-static gboolean adapter_fits(const wb_engine_state_t *state, const wb_service_t *service,
-                             const wb_model_spec_t *spec) {
-    return (int)adapters_held(state) < service->adapter_slots &&
-           wb_placement_used_mb(service, state) + spec->adapter_mb <= service->weights_mb;
-}
-
 static void load_adapter(wb_engine_orders_t *orders, const wb_task_t *task,
                          const wb_service_t *service, const wb_model_spec_t *spec) {
     if (!state_has(orders->state, task->model, "")) {
         task_over(orders, "no-model");
         return;
     }
-    if (!adapter_fits(orders->state, service, spec)) {
+    if (!wb_placement_adapter_fits(service, orders->state, spec)) {
         g_autofree char *victim =
             orders->owner.pick_adapter_victim(orders->state, orders->owner.context);
         if (victim == NULL && g_hash_table_size(orders->state->arriving) > 0) {
@@ -447,49 +417,21 @@
         task_advance(orders, task);
 }
 
-static wb_task_t *task_find(const wb_engine_orders_t *orders, const char *model,
-                            const char *adapter) {
-    WB_LIST_EACH(item, &orders->tasks) {
-        wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
-        if (strcmp(task->model, model) == 0 && strcmp(task->adapter, adapter) == 0)
-            return task;
-    }
-    return NULL;
-}
-
 gboolean wb_engine_orders_has(const wb_engine_orders_t *orders, const char *model,
                               const char *adapter) {
-    return task_find(orders, model, adapter) != NULL;
-}
-
-/* Adapters come in moments, so they go before models whose load hasn't begun. */
-static void task_queue(wb_engine_orders_t *orders, wb_task_t *task) {
-    const wb_list_item_t *first = wb_list_first(&orders->tasks);
-    gboolean first_has_begun = orders->calling || orders->settle != WB_SETTLE_NONE;
-    wb_list_item_t *place = &orders->tasks.ring;
-    if (*task->adapter != '\0') {
-        WB_LIST_EACH(item, &orders->tasks) {
-            gboolean has_begun = item == first && first_has_begun;
-            if (!has_begun && *WB_LIST_OF(item, wb_task_t, queued)->adapter == '\0') {
-                place = item;
-                break;
-            }
-        }
-    }
-    wb_list_add_before(&orders->tasks, place, &task->queued);
+    return wb_task_find(&orders->tasks, model, adapter) != NULL;
 }
 
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
-    if (task_find(orders, model, adapter) != NULL)
+    if (wb_engine_orders_has(orders, model, adapter)) {
         return;
-    wb_task_t *task = g_new0(wb_task_t, 1);
-    task->model = g_strdup(model);
-    task->adapter = g_strdup(adapter);
-    task->created_ms = wb_clock_ms();
+    }
     gboolean idle = orders->tasks.len == 0;
-    task_queue(orders, task);
-    if (idle && !orders->calling)
+    gboolean first_has_begun = orders->calling || orders->settle != WB_SETTLE_NONE;
+    wb_task_queue(&orders->tasks, wb_task_create(model, adapter, wb_clock_ms()), first_has_begun);
+    if (idle && !orders->calling) {
         advance_after(orders, 0);
+    }
 }
 
 void wb_engine_orders_each(const wb_engine_orders_t *orders,
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -56,6 +56,19 @@
     return used + state->coming * largest_adapter;
 }
 
+gboolean wb_placement_adapter_fits(const wb_service_t *service, const wb_engine_state_t *state,
+                                   const wb_model_spec_t *spec) {
+    unsigned places = state->coming;
+    GHashTableIter iter;
+    gpointer held;
+    g_hash_table_iter_init(&iter, state->models);
+    while (g_hash_table_iter_next(&iter, NULL, &held)) {
+        places += g_hash_table_size(((wb_engine_model_t *)held)->adapters);
+    }
+    return (int)places < service->adapter_slots &&
+           wb_placement_used_mb(service, state) + spec->adapter_mb <= service->weights_mb;
+}
+
 double wb_placement_load_ms(const wb_model_spec_t *model, const wb_engine_state_t *state,
                             gboolean *from_store) {
     gboolean in_memory = g_hash_table_contains(state->in_memory, model->name);
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -49,6 +49,10 @@
 /** @return MB that an engine's models and adapters take */
 double wb_placement_used_mb(const wb_service_t *service, const wb_engine_state_t *state);
 
+/** @return TRUE when one more adapter of a model has room and a place; those on their way count */
+gboolean wb_placement_adapter_fits(const wb_service_t *service, const wb_engine_state_t *state,
+                                   const wb_model_spec_t *spec);
+
 /** Time to load a model on an engine, by where its weights are. @param from_store out, may be NULL
  */
 double wb_placement_load_ms(const wb_model_spec_t *model, const wb_engine_state_t *state,
