Ask the store less: rarer looks at what the holder tells, fewer at a store that does not answer

Each node looked for safety at three tables each 8 s and, while a store did not answer, asked each table again each 600 ms. Change: own looks at the configuration and at nodes each 16 s while the holder tells of them (engines: 8 s as before); looks that news ask for a third of the drain time apart; a failed call is tried again after at most 1.2 s, and not while the holder's reading is fresh; a node's row is written thrice in its life.

--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #define RETRY_MS 150
-#define RETRY_LIMIT_MS 600
+#define RETRY_LIMIT_MS 1200
 #define HURRY_PAUSE_MS 25
 /* Own calls that others' readings replace are spread over so much of the time between them. */
 #define SAFETY_SPREAD 0.25
@@ -49,7 +49,8 @@
     wb_timer_t *timer;
     int64_t asked_ms;
     int64_t answered_ms;
-    int64_t retry_ms;
+    int64_t retry_ms;  /* pause after failures in a row; 0: the last call was answered */
+    int64_t failed_ms; /* when the last of them failed */
     gboolean hurried;
 };
 
@@ -150,7 +151,7 @@
 
 /* When an own call is due, after a call that began at asked_ms. */
 static int64_t due_ms(const wb_table_watch_t *watch) {
-    int64_t due = watch->asked_ms + watch->pace.pause_ms;
+    int64_t due = MAX(watch->asked_ms + watch->pace.pause_ms, watch->failed_ms + watch->retry_ms);
     if (watch->vouched_ms == 0)
         return due;
     if (watch->look_since_ms != 0)
@@ -188,7 +189,12 @@
 
 static void retry_later(wb_table_watch_t *watch) {
     watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), RETRY_LIMIT_MS);
-    ask_after(watch, watch->retry_ms);
+    watch->failed_ms = wb_clock_ms();
+    if (watch->state == WB_WATCH_FOLLOWING) {
+        ask_after(watch, due_ms(watch) - wb_clock_ms());
+    } else {
+        ask_after(watch, watch->retry_ms);
+    }
 }
 
 static void page_answered(const wb_table_answer_t *answer, void *context) {
@@ -291,10 +297,9 @@
     ask_after(watch, watch->asked_ms + HURRY_PAUSE_MS - wb_clock_ms());
 }
 
-/* Moves the next call for changes, unless one is under way or the store was not reached. */
+/* Moves the next call for changes, unless one is under way. */
 static void due_again(wb_table_watch_t *watch) {
-    if (!watch->asking && watch->state == WB_WATCH_FOLLOWING && watch->timer != NULL &&
-        watch->retry_ms == 0)
+    if (!watch->asking && watch->state == WB_WATCH_FOLLOWING && watch->timer != NULL)
         ask_after(watch, due_ms(watch) - wb_clock_ms());
 }
 
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -12,8 +12,11 @@
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
 /* The holder's own calls: what it tells must be fresh. */
-#define HOLDER_WAIT_MS 200
-#define HOLDER_PAUSE_MS 200
+#define HOLDER_WAIT_MS 250
+#define HOLDER_PAUSE_MS 250
+/* Configurations are told by their version, and nodes come and go slowly: own looks at them are so
+ * many times rarer than those at engines, whose models change all the time. */
+#define SELDOM_TIMES 2
 #define CATALOG_WAIT_MS 1000
 #define CATALOG_PAUSE_MS 20
 #define ENGINES_WAIT_MS 1000
@@ -38,17 +41,18 @@
 wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
+    int64_t seldom_ms = SELDOM_TIMES * safety_ms;
     switch (table) {
     case WB_TABLE_CATALOG:
         return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : CATALOG_WAIT_MS, CATALOG_PAUSE_MS,
-                                 settings->catalog_ms / 2, CATALOG_PAUSE_MS, safety_ms};
+                                 settings->catalog_ms / 2, CATALOG_PAUSE_MS, seldom_ms};
     case WB_TABLE_ENGINES:
         return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : ENGINES_WAIT_MS,
                                  node->held ? HOLDER_PAUSE_MS : settings->engine_poll_ms,
-                                 settings->drain_ms / 2, settings->drain_ms / 4, safety_ms};
+                                 settings->drain_ms / 2, settings->drain_ms / 3, safety_ms};
     default:
         return (wb_table_pace_t){NODES_WAIT_MS, NODES_PAUSE_MS, NODES_TRUST_MS, NODES_PAUSE_MS,
-                                 safety_ms};
+                                 seldom_ms};
     }
 }
 
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /* A node's row is written anew so often in the life of a row. */
-#define NODE_ROW_RENEWALS 4
+#define NODE_ROW_RENEWALS 3
 #define NODE_ROW_RETRY_MS 500
 #define NODE_KEY_PREFIX "node/"
 
