Refuse at once, with when to come back, while nobody can decide on loads

Change: a node knows when someone can be expected to decide: at once while it hears the holder, else when the known row of the lease lets it be taken over. With that and the model's load time a request that can't be in time is refused at once and told when; its model is asked for until then, so that the next holder loads it before the caller is back. Logged as controller-missing.

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -65,6 +65,9 @@
 gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms);
 /** @return the token of this node's holding, valid while it is held */
 uint64_t wb_lease_token(const wb_lease_t *lease);
+/** @return ms until this node may take the lease over, if the row stays as it is; 0: at once, or
+ * the row was never read */
+int64_t wb_lease_takeover_in_ms(const wb_lease_t *lease, int64_t now_ms);
 /** @return the version of the row that is known; 0: none */
 int64_t wb_lease_version(const wb_lease_t *lease);
 /** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -119,6 +119,10 @@
     return lease->version_since_ms + wait_ms;
 }
 
+int64_t wb_lease_takeover_in_ms(const wb_lease_t *lease, int64_t now_ms) {
+    return lease->version < 0 ? 0 : MAX(takeover_at_ms(lease) - now_ms, 0);
+}
+
 static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms) {
     if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
         return FALSE;
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -12,6 +12,7 @@
     unsigned arrivals;
     uint64_t work;
     int64_t tightest_ms; /* steady time at which the tightest that waits is late */
+    int64_t promised_ms; /* steady time until which a caller that was refused may come back */
 } wb_demand_entry_t;
 
 struct wb_demand_t {
@@ -74,6 +75,13 @@
     entry->tightest_ms = MIN(entry->tightest_ms, late_ms);
 }
 
+void wb_demand_promised(wb_demand_t *demand, const wb_exchange_t *exchange, int64_t until_ms) {
+    wb_demand_entry_t *entry = entry_of(demand, exchange);
+    if (entry != NULL) {
+        entry->promised_ms = MAX(entry->promised_ms, until_ms);
+    }
+}
+
 void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running) {
     wb_demand_entry_t *entry = entry_of(demand, exchange);
     if (entry != NULL)
@@ -84,10 +92,42 @@
     (void)key;
     (void)context;
     const wb_demand_entry_t *entry = value;
-    return entry->waiting == 0 && entry->running == 0 && entry->arrivals == 0;
+    return entry->waiting == 0 && entry->running == 0 && entry->arrivals == 0 &&
+           entry->promised_ms < wb_clock_ms();
+}
+
+static gboolean is_held(const wb_fleet_t *fleet, const wb_demand_entry_t *entry, int64_t now_ms) {
+    const GPtrArray *engines = wb_fleet_service(fleet, entry->service);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (engine->leaving_ms == 0 &&
+            wb_engine_holds(engine, entry->model, entry->adapter, now_ms)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* What was promised counts like one that waits, until an engine holds it. */
+static void entry_write(const wb_demand_entry_t *entry, const wb_fleet_t *fleet, int64_t now_ms,
+                        wb_wire_demand_entry *row) {
+    int64_t tightest_ms = entry->tightest_ms;
+    row->service = strdup(entry->service);
+    row->model = strdup(entry->model);
+    row->adapter = strdup(entry->adapter);
+    row->waiting = entry->waiting;
+    row->running = entry->running;
+    row->arrivals = entry->arrivals;
+    row->work = entry->work;
+    if (entry->waiting == 0 && entry->promised_ms > now_ms && !is_held(fleet, entry, now_ms)) {
+        row->waiting = 1;
+        tightest_ms = entry->promised_ms;
+    }
+    row->time_left_ms = row->waiting > 0 ? (unsigned)CLAMP(tightest_ms - now_ms, 0, 600000) : 0;
 }
 
-void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message) {
+void wb_demand_message(wb_demand_t *demand, const wb_fleet_t *fleet, const char *node,
+                       wb_wire_message *message) {
     memset(message, 0, sizeof(*message));
     g_hash_table_foreach_remove(demand->entries, entry_is_empty, NULL);
     guint count = g_hash_table_size(demand->entries);
@@ -102,16 +142,7 @@
     g_hash_table_iter_init(&iter, demand->entries);
     for (guint i = 0; i < count && g_hash_table_iter_next(&iter, NULL, &value); i++) {
         wb_demand_entry_t *entry = value;
-        wb_wire_demand_entry *row = &told->entries.entries_val[i];
-        row->service = strdup(entry->service);
-        row->model = strdup(entry->model);
-        row->adapter = strdup(entry->adapter);
-        row->waiting = entry->waiting;
-        row->running = entry->running;
-        row->arrivals = entry->arrivals;
-        row->work = entry->work;
-        row->time_left_ms =
-            entry->waiting > 0 ? (unsigned)CLAMP(entry->tightest_ms - now_ms, 0, 600000) : 0;
+        entry_write(entry, fleet, now_ms, &told->entries.entries_val[i]);
         entry->arrivals = 0;
         entry->work = 0;
     }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -124,6 +124,7 @@
     wb_edge_node_tick_lease(node, now_ms);
     wb_edge_node_tick_link(node, now_ms);
     wb_edge_node_tick_news(node, now_ms);
+    wb_edge_node_tick_hearing(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.len > 0) {
@@ -171,6 +172,7 @@
     edge->open = g_hash_table_new(NULL, NULL);
     edge->on_need = wb_edge_node_need_arose;
     edge->need_context = created;
+    edge->controller_gap_ms = wb_edge_node_controller_gap_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     created->gateways = g_hash_table_new(NULL, NULL);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -66,6 +66,9 @@
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
     void *need_context;
+    /** Time until someone can be expected to decide on loads; 0: someone does. With need_context.
+     */
+    int64_t (*controller_gap_ms)(void *context);
 };
 
 /** Why a request ended, for logs and metrics. */
@@ -175,6 +178,8 @@
  * are refused. */
 void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
                          unsigned ready_in_ms);
+/** What is known of who decides on loads has changed: those that wait in vain are refused. */
+void wb_exchanges_reconsider(wb_edge_t *edge);
 /** A model is loaded: nothing is expected any more. */
 void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model);
 /** Near the end of a stop: answer those that wait for an engine. */
@@ -203,9 +208,12 @@
 wb_demand_t *wb_demand_create(void);
 void wb_demand_arrived(wb_demand_t *demand, const wb_exchange_t *exchange);
 void wb_demand_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting);
+/** Its caller was told when to come back: the model is wanted by then, though nobody waits. */
+void wb_demand_promised(wb_demand_t *demand, const wb_exchange_t *exchange, int64_t until_ms);
 void wb_demand_running(wb_demand_t *demand, wb_exchange_t *exchange, gboolean running);
-/** Fill in a message with all that runs or waits; to be freed with wb_message_clear. Arrivals begin
- * anew. */
-void wb_demand_message(wb_demand_t *demand, const char *node, wb_wire_message *message);
+/** Fill in a message with all that runs, waits or was promised and isn't held by an engine; to be
+ * freed with wb_message_clear. Arrivals begin anew. */
+void wb_demand_message(wb_demand_t *demand, const wb_fleet_t *fleet, const char *node,
+                       wb_wire_message *message);
 
 #endif
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -14,6 +14,8 @@
 /* The same request may go to it again after this time, and after twice that the next time. */
 #define REJECTED_AGAIN_MS 120
 #define UNREACHED_LIMIT 8
+/* A caller that was told when to come back for a model may be so much later. */
+#define PROMISE_KEPT_MS 500
 /* An engine that was silent for so long is at fault, not its work. */
 #define SILENT_MS 1000
 
@@ -113,9 +115,16 @@
         return;
     }
     char headers[64] = "";
-    if (status == 503)
+    if (status == 503) {
+        int64_t come_back_ms = wb_exchange_come_back_ms(exchange);
         g_snprintf(headers, sizeof(headers), "Retry-After: %.2f\r\n",
-                   (double)wb_exchange_come_back_ms(exchange) / 1000.0);
+                   (double)come_back_ms / 1000.0);
+        /* Who decides on loads knows what waits; while nobody does, it must be kept for later. */
+        if (ending == WB_ENDING_NOT_LOADED && wb_exchange_nobody_decides(exchange)) {
+            wb_demand_promised(exchange->edge->demand, exchange,
+                               wb_clock_ms() + come_back_ms + PROMISE_KEPT_MS);
+        }
+    }
     wb_http_connection_t *connection = wb_exchange_end(exchange, ending, status);
     wb_http_connection_answer(connection, status, wb_http_reason(status), headers, NULL, 0);
 }
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -32,6 +32,8 @@
 void wb_exchange_wait(wb_exchange_t *exchange);
 /** It no longer waits; does nothing when it doesn't. */
 void wb_exchange_leave_waiting(wb_exchange_t *exchange);
+/** @return TRUE while nobody can decide on loads */
+gboolean wb_exchange_nobody_decides(const wb_exchange_t *exchange);
 /** @return ms after which coming back has a use */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange);
 
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -40,11 +40,50 @@
     return g_hash_table_lookup(exchange->edge->expected, key);
 }
 
+/* Some engine that stays holds the model, whatever the adapter. */
+static gboolean model_is_held(const wb_exchange_t *exchange, int64_t now_ms) {
+    const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (engine->leaving_ms == 0 && wb_engine_holds(engine, exchange->model, "", now_ms)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+gboolean wb_exchange_nobody_decides(const wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    return edge->controller_gap_ms != NULL && edge->controller_gap_ms(edge->need_context) > 0;
+}
+
+/* Returns ms until the model should be there: as the controller told, or, while nobody decides,
+ * once somebody does and it is loaded; -1 when nothing is known. */
+static int64_t model_ready_in_ms(const wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    const int64_t *ready_ms = expected_find(exchange);
+    if (ready_ms != NULL && *ready_ms + LOAD_LATE_MS >= now_ms) {
+        return MAX(*ready_ms - now_ms, 0);
+    }
+    if (exchange->model == NULL || exchange->service == NULL || edge->controller_gap_ms == NULL) {
+        return -1;
+    }
+    int64_t gap_ms = edge->controller_gap_ms(edge->need_context);
+    if (gap_ms == 0) {
+        return -1;
+    }
+    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
+    if (spec == NULL || model_is_held(exchange, now_ms)) {
+        return gap_ms;
+    }
+    return gap_ms + (spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
+}
+
 /* When coming back has a use: once the model should be there, else soon. */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange) {
-    const int64_t *ready_ms = expected_find(exchange);
-    int64_t left_ms = ready_ms != NULL ? *ready_ms - wb_clock_ms() : 0;
-    return left_ms > 0 ? left_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
+    int64_t ready_in_ms = model_ready_in_ms(exchange);
+    return ready_in_ms > 0 ? ready_in_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
 }
 
 /* Time in which an answer has a use, from the request's arrival. */
@@ -68,11 +107,13 @@
             target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
         return exchange->began_ms + MIN(wait_ms, useful_ms);
     }
-    const int64_t *ready_ms = expected_find(exchange);
-    if (ready_ms == NULL || *ready_ms + LOAD_LATE_MS < wb_clock_ms())
+    int64_t ready_in_ms = model_ready_in_ms(exchange);
+    if (ready_in_ms < 0) {
         return exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
+    }
+    int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
-    return *ready_ms > useful_until_ms ? 0 : MIN(*ready_ms + LOAD_LATE_MS, useful_until_ms);
+    return ready_ms > useful_until_ms ? 0 : MIN(ready_ms + LOAD_LATE_MS, useful_until_ms);
 }
 
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
@@ -125,6 +166,14 @@
     }
 }
 
+void wb_exchanges_reconsider(wb_edge_t *edge) {
+    WB_LIST_EACH(item, &edge->waiting) {
+        wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
+        exchange->wait_until_ms = wait_until_ms(exchange);
+        wb_exchange_arm_hold(exchange); /* who waits in vain is refused by the timer, at once */
+    }
+}
+
 void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model) {
     g_autofree char *key = expected_key(service, model);
     g_hash_table_remove(edge->expected, key);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -61,7 +61,7 @@
     if (!to_self && !node->controller_link_open)
         return;
     wb_wire_message message;
-    wb_demand_message(node->edge.demand, node->edge.settings.id, &message);
+    wb_demand_message(node->edge.demand, node->edge.fleet, node->edge.settings.id, &message);
     gboolean empty = message.wb_wire_message_u.demand.entries.entries_len == 0;
     node->demand_told_ms = wb_clock_ms();
     if (empty && !node->demand_told) {
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -7,6 +7,10 @@
 #define NEWS_INTERVAL_MS 300
 /* A gateway that has heard nothing for so long asks the store itself. */
 #define NEWS_LIFE_MS 1200
+/* A link that ended may be back at once. */
+#define DEAF_GRACE_MS 400
+/* From a take-over until its holder has heard what is waited for. */
+#define TAKEOVER_SLACK_MS 300
 /* Rows that would take more than this over all links are left out: gateways look themselves. */
 #define NEWS_LIMIT_BYTES (256 * 1024)
 /* A gateway that doesn't read what it is told is let go. */
@@ -177,6 +181,32 @@
         view_take(node, &news->views.views_val[i], now_ms);
 }
 
+int64_t wb_edge_node_controller_gap_ms(void *context) {
+    const wb_edge_node_t *node = context;
+    int64_t now_ms = wb_clock_ms();
+    if (node->deaf_since_ms == 0 || now_ms - node->deaf_since_ms < DEAF_GRACE_MS) {
+        return 0;
+    }
+    return wb_lease_takeover_in_ms(node->lease, now_ms) + TAKEOVER_SLACK_MS;
+}
+
+void wb_edge_node_tick_hearing(wb_edge_node_t *node, int64_t now_ms) {
+    gboolean just_opened =
+        node->controller_link_open && now_ms - node->link_opened_ms < NEWS_LIFE_MS;
+    if (wb_edge_node_hears_news(node) || just_opened) {
+        node->deaf_since_ms = 0;
+        node->deaf_told = FALSE;
+    } else if (node->deaf_since_ms == 0) {
+        node->deaf_since_ms = now_ms;
+    } else if (!node->deaf_told && wb_edge_node_controller_gap_ms(node) > 0) {
+        node->deaf_told = TRUE;
+        wb_event("controller-missing", ",\"for_ms\":%lld,\"expected_in_ms\":%lld",
+                 (long long)(now_ms - node->deaf_since_ms),
+                 (long long)wb_edge_node_controller_gap_ms(node));
+        wb_exchanges_reconsider(&node->edge);
+    }
+}
+
 gboolean wb_edge_node_hears_news(const wb_edge_node_t *node) {
     return node->held ||
            (node->controller_link_open && wb_clock_ms() - node->news_heard_ms < NEWS_LIFE_MS);
--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -60,6 +60,41 @@
     estate_stop(estate);
 }
 
+/* While nobody can decide on loads, a request that can't be served in time is refused at once with
+ * when to come back, and its model is there by then. */
+static void test_refused_while_nobody_decides(void) {
+    estate_t *estate = estate_start(2, "--lease-quiet-ms=2500 --lease-duration-ms=1600");
+    int first = controller_find(estate, 3000);
+    int other = 1 - first;
+    g_usleep(1000000);
+    process_kill(&estate->nodes[first].process);
+    int64_t killed_ms = harness_now_ms();
+    g_usleep(700000);
+    int64_t asked_ms = harness_now_ms();
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[other].callers_port, "/chat/x", "b1", EDGE_MODEL("m5"));
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_cmpint(harness_now_ms() - asked_ms, <, 250);
+    const char *told = strstr(answer->head->str, "Retry-After: ");
+    g_assert_nonnull(told);
+    double come_back_s = g_ascii_strtod(told + strlen("Retry-After: "), NULL);
+    wire_answer_free(answer);
+    g_test_message("come back in %.2f s", come_back_s);
+    g_assert_cmpfloat(come_back_s, >, 2.5);
+    g_assert_cmpfloat(come_back_s, <, 6.0);
+    g_usleep((gulong)(come_back_s * 1e6));
+    asked_ms = harness_now_ms();
+    answer = wire_ask(estate->nodes[other].callers_port, "/chat/x", "b2", EDGE_MODEL("m5"));
+    g_test_message("%d after %d ms, %d ms after the kill", answer->status,
+                   (int)(harness_now_ms() - asked_ms), (int)(harness_now_ms() - killed_ms));
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_cmpint(harness_now_ms() - asked_ms, <, 300);
+    wire_answer_free(answer);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m5"), ==, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 /* A controller that stands still and goes on gives no order once another holds the lease. */
 static void test_frozen_controller(void) {
     estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
@@ -147,6 +182,8 @@
 
 static void tests_add(void) {
     g_test_add_func("/edge/control/takeover", test_takeover);
+    g_test_add_func("/edge/control/refused-while-nobody-decides",
+                    test_refused_while_nobody_decides);
     g_test_add_func("/edge/control/frozen-controller", test_frozen_controller);
     g_test_add_func("/edge/control/released-lease", test_released_lease);
     g_test_add_func("/edge/control/orders-without-answer", test_orders_without_answer);
