An adapter does not wait for a replica of its model

Change: while an engine holds the model, the time at which another load of it ends says nothing about the request. A wait that is over at once is logged as 0 ms (was: a negative time). Test: unit-exchange-wait; adapter-does-not-wait-for-a-replica failed before (waited 0 ms).

--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -57,24 +57,27 @@
     return edge->controller_gap_ms != NULL && edge->controller_gap_ms(edge->need_context) > 0;
 }
 
-/* Returns ms until the model should be there: as the controller told, or, while nobody decides,
- * once somebody does and it is loaded; -1 when nothing is known. */
+/* Returns ms until what the request lacks should be there: as the controller told, or, while nobody
+ * decides, once somebody does and it is loaded; -1 when nothing is known. */
 static int64_t model_ready_in_ms(const wb_exchange_t *exchange) {
     const wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
-    const int64_t *ready_ms = expected_find(exchange);
+    if (exchange->model == NULL || exchange->service == NULL) {
+        return -1;
+    }
+    /* A load that is expected is another replica's, and an adapter comes to where the model is. */
+    gboolean held = model_is_held(exchange, now_ms);
+    const int64_t *ready_ms = held ? NULL : expected_find(exchange);
     if (ready_ms != NULL && *ready_ms + LOAD_LATE_MS >= now_ms) {
         return MAX(*ready_ms - now_ms, 0);
     }
-    if (exchange->model == NULL || exchange->service == NULL || edge->controller_gap_ms == NULL) {
-        return -1;
-    }
-    int64_t gap_ms = edge->controller_gap_ms(edge->need_context);
+    int64_t gap_ms =
+        edge->controller_gap_ms != NULL ? edge->controller_gap_ms(edge->need_context) : 0;
     if (gap_ms == 0) {
         return -1;
     }
     const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
-    if (spec == NULL || model_is_held(exchange, now_ms)) {
+    if (spec == NULL || held) {
         return gap_ms;
     }
     return gap_ms + (spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
@@ -132,7 +135,7 @@
         ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\",\"for_ms\":%lld",
         wb_event_text(exchange->id), wb_event_text(exchange->model),
         wb_event_text(exchange->adapter), exchange->service->name,
-        (long long)(exchange->wait_until_ms - exchange->waiting_since_ms));
+        (long long)MAX(exchange->wait_until_ms - exchange->waiting_since_ms, 0));
     wb_exchange_arm_hold(exchange);
     if (exchange->model != NULL && edge->on_need != NULL)
         edge->on_need(edge->need_context);
--- /dev/null
+++ b/tests/unit/test_exchange_wait.c
@@ -0,0 +1,113 @@
+/* How long a request waits for its model or adapter, and when it is refused at once. */
+#include "unit.h"
+
+#include "edge/exchange_inner.h"
+
+#include <string.h>
+
+#define TARGET_MS 800
+#define LONG_LOAD_MS 60000
+
+/* A node that knows one engine with model m1, and one request that no engine can take. */
+typedef struct scene_t {
+    wb_edge_t edge;
+    wb_catalog_t *catalog;
+    wb_route_t *route;
+    wb_exchange_t *exchange;
+    int64_t gap_ms; /* until someone decides on loads */
+} scene_t;
+
+static int64_t gap_of(void *context) {
+    return ((scene_t *)context)->gap_ms;
+}
+
+static void need_ignore(void *context) {
+    (void)context;
+}
+
+static void scene_open(scene_t *scene, const char *model, const char *adapter) {
+    wb_error_t error;
+    wb_edge_t *edge = &scene->edge;
+    memset(scene, 0, sizeof(*scene));
+    g_assert_cmpint(wb_loop_create(&edge->loop, "test", 16, &error), ==, APR_SUCCESS);
+    edge->fleet = wb_fleet_create();
+    edge->demand = wb_demand_create();
+    edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    edge->on_need = need_ignore;
+    edge->controller_gap_ms = gap_of;
+    edge->need_context = scene;
+    wb_list_init(&edge->waiting);
+    scene->catalog = wb_catalog_create(1);
+    wb_service_t *service = wb_catalog_add_service(scene->catalog, "llm");
+    for (int i = 1; i <= 2; i++) {
+        g_autofree char *name = g_strdup_printf("m%d", i);
+        wb_service_add_model(service, name)->store_load_ms = 500;
+    }
+    scene->route = wb_catalog_add_route(scene->catalog, "chat", "a.example", "/chat/");
+    scene->route->kind = WB_ROUTE_STREAM;
+    scene->route->target_latency_ms = TARGET_MS;
+    wb_engine_state_t *state = wb_engine_state_create("e1");
+    state->service = g_strdup("llm");
+    state->address = g_strdup("127.0.0.1:1");
+    state->zone = g_strdup("zone-1");
+    wb_engine_state_add_model(state, "m1", 1);
+    wb_fleet_announce(edge->fleet, state);
+    wb_exchange_t *exchange = g_new0(wb_exchange_t, 1);
+    exchange->edge = edge;
+    exchange->route = scene->route;
+    exchange->service = service;
+    exchange->id = "r1";
+    exchange->model = g_strdup(model);
+    exchange->adapter = g_strdup(adapter);
+    exchange->began_ms = wb_clock_ms();
+    exchange->hold_until_ms = exchange->began_ms + 20000;
+    scene->exchange = exchange;
+}
+
+/* Returns how long the request would wait; 0 when it is refused at once. */
+static int64_t scene_wait(scene_t *scene) {
+    wb_exchange_wait(scene->exchange);
+    return MAX(scene->exchange->wait_until_ms - wb_clock_ms(), 0);
+}
+
+static void test_model_that_comes_too_late(void) {
+    scene_t scene;
+    scene_open(&scene, "m2", "");
+    wb_exchanges_expect(&scene.edge, "llm", "m2", LONG_LOAD_MS);
+    g_assert_cmpint(scene_wait(&scene), ==, 0);
+    g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), >, LONG_LOAD_MS - 1000);
+}
+
+/* One more engine that loads the model is nothing to a request whose adapter comes to the first. */
+static void test_adapter_does_not_wait_for_a_replica(void) {
+    scene_t scene;
+    scene_open(&scene, "m1", "a1");
+    wb_exchanges_expect(&scene.edge, "llm", "m1", LONG_LOAD_MS);
+    int64_t waits_ms = scene_wait(&scene);
+    g_assert_cmpint(waits_ms, >, TARGET_MS / 2);
+    g_assert_cmpint(waits_ms, <, 4 * TARGET_MS);
+    g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), <, 1000);
+    /* Nor when the load is told while it waits. */
+    wb_exchanges_expect(&scene.edge, "llm", "m1", LONG_LOAD_MS);
+    g_assert_cmpint(scene.exchange->wait_until_ms, >, wb_clock_ms());
+}
+
+static void test_nobody_decides(void) {
+    scene_t scene;
+    scene_open(&scene, "m2", "");
+    scene.gap_ms = 5000;
+    g_assert_cmpint(scene_wait(&scene), ==, 0);
+    g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), >=, 5500);
+    scene_open(&scene, "m2", "");
+    scene.gap_ms = 700;
+    g_assert_cmpint(scene_wait(&scene), >=, 1200);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/exchange-wait/model-that-comes-too-late", test_model_that_comes_too_late);
+    g_test_add_func("/exchange-wait/adapter-does-not-wait-for-a-replica",
+                    test_adapter_does_not_wait_for_a_replica);
+    g_test_add_func("/exchange-wait/nobody-decides", test_nobody_decides);
+}
+
+UNIT_TEST_MAIN(tests_add)
