Forget a node only after a look that shows its row unchanged

Cause: /edge/store/gone-nodes-are-forgotten failed in a run of all tests: made own looks at nodes rare (16 s), and a node's row counted as old by the time since it was seen to change, whether it had been looked at or not. With a life of 2 s live nodes were forgotten between two looks; with 70 s the same could come of a store that is away for a minute, and then resends beyond the budget. Change: only a row that was looked at and hadn't changed is old; nodes' rows are looked at four times in their life.

--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -21,6 +21,8 @@
 /* Configurations are told by their version, and nodes come and go slowly: own looks at them are so
  * many times rarer than those at engines, whose models change all the time. */
 #define SELDOM_TIMES 2
+/* Rows of nodes are looked at some times in their life. */
+#define NODE_LOOK_SHARE 0.25
 #define CATALOG_WAIT_MS 1000
 #define CATALOG_PAUSE_MS 20
 #define ENGINES_WAIT_MS 1000
@@ -46,6 +48,7 @@
     const wb_edge_settings_t *settings = &node->edge.settings;
     int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
     int64_t seldom_ms = SELDOM_TIMES * safety_ms;
+    int64_t node_ms = (int64_t)(settings->node_life_s * 1000 * NODE_LOOK_SHARE);
     switch (table) {
     case WB_TABLE_CATALOG:
         return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : CATALOG_WAIT_MS, CATALOG_PAUSE_MS,
@@ -56,7 +59,7 @@
                                  settings->drain_ms / 2, settings->drain_ms / 3, safety_ms};
     default:
         return (wb_table_pace_t){NODES_WAIT_MS, NODES_PAUSE_MS, NODES_TRUST_MS, NODES_PAUSE_MS,
-                                 seldom_ms};
+                                 MIN(seldom_ms, node_ms)};
     }
 }
 
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -206,15 +206,18 @@
     node->table->write(node->table, key, row->version, NULL, 0, row_removed, node);
 }
 
-static void node_rows_forget(wb_edge_node_t *node, int64_t now_ms) {
+static void node_rows_forget(wb_edge_node_t *node) {
+    int64_t known_ms = wb_table_watch_known_ms(node->nodes_watch);
     GHashTableIter iter;
     gpointer id;
     gpointer value;
     g_hash_table_iter_init(&iter, node->nodes);
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const wb_node_row_t *row = value;
-        if (now_ms - row->seen_ms <= node_row_life_ms(node))
+        /* Only a row that was looked at and hadn't changed is old. */
+        if (known_ms - row->seen_ms <= node_row_life_ms(node)) {
             continue;
+        }
         if (node->held)
             node_row_remove(node, id, row);
         g_hash_table_iter_remove(&iter);
@@ -226,7 +229,7 @@
     if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
-    node_rows_forget(node, now_ms);
+    node_rows_forget(node);
 }
 
 void wb_edge_node_follow_store(wb_edge_node_t *node) {
