Reread the change: one question to the fleet, one form of a lease's row, paces set when they change

Whether some engine that stays holds a model was asked by the same loop in demand.c and exchange_wait.c: wb_fleet_holds. A lease's row was turned into its wire form and back in four places: two functions. Looks at engines are hurried in three places under the same condition: wb_edge_node_hurry. Waits are reconsidered by one function. The paces of the three tables were built anew at each tick of 50 ms; they are set when the lease or the settings change. The soak's constant stood twice; a wrapper and a second test of the same state go. No behaviour changes.

--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -93,10 +93,6 @@
     orders->timer = wb_loop_after(orders->loop, MAX(delay_ms, 0), advance_now, orders);
 }
 
-static wb_task_t *task_first(const wb_engine_orders_t *orders) {
-    return wb_task_first(&orders->tasks);
-}
-
 static void state_forget(wb_engine_orders_t *orders) {
     wb_engine_state_free(orders->state);
     orders->state = NULL;
@@ -126,7 +122,7 @@
     }
     orders->failures = 0;
     orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
-    if (task_first(orders) != NULL)
+    if (wb_task_first(&orders->tasks) != NULL)
         task_over(orders, "unreachable");
 }
 
@@ -139,7 +135,7 @@
 
 /* The engine holds what the first task asks for. */
 static void task_done(wb_engine_orders_t *orders) {
-    const wb_task_t *task = task_first(orders);
+    const wb_task_t *task = wb_task_first(&orders->tasks);
     orders->owner.announce(orders->engine, task->model, task->adapter, TRUE, orders->owner.context);
     task_over(orders, "done");
 }
@@ -158,7 +154,7 @@
     }
     gboolean loaded = orders->settle == WB_SETTLE_LOADED;
     orders->settle = WB_SETTLE_NONE;
-    if (loaded && task_first(orders) != NULL)
+    if (loaded && wb_task_first(&orders->tasks) != NULL)
         task_done(orders);
     else
         advance_after(orders, 0);
@@ -276,7 +272,7 @@
         return;
     }
     state_forget(orders);
-    if (result->status == 400 && task_first(orders) != NULL)
+    if (result->status == 400 && wb_task_first(&orders->tasks) != NULL)
         task_over(orders, "refused");
     else
         advance_after(orders, LOOK_AGAIN_MS);
@@ -401,7 +397,7 @@
 }
 
 static void orders_advance(wb_engine_orders_t *orders) {
-    const wb_task_t *task = task_first(orders);
+    const wb_task_t *task = wb_task_first(&orders->tasks);
     if (orders->calling || task == NULL)
         return;
     if (!orders->owner.may_act(orders->owner.context)) {
@@ -483,7 +479,7 @@
             g_hash_table_lookup(orders->engine->state->models, orders->order_model);
         wb_engine_state_add_model(orders->state, orders->order_model, held->version);
         orders->settle = WB_SETTLE_NONE;
-        if (task_first(orders) != NULL)
+        if (wb_task_first(&orders->tasks) != NULL)
             task_done(orders);
         return;
     }
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -259,14 +259,16 @@
     watch->timer = NULL;
     watch->asking = TRUE;
     watch->asked_ms = wb_clock_ms();
-    if (watch->state == WB_WATCH_READING && watch->read_began_ms == 0)
-        watch->read_began_ms = watch->asked_ms;
-    if (watch->state == WB_WATCH_READING)
-        watch->table->read(watch->table, watch->name,
-                           watch->next_key != NULL ? watch->next_key : "", page_answered, watch);
-    else
+    if (watch->state == WB_WATCH_FOLLOWING) {
         watch->table->changes(watch->table, watch->name, watch->version, watch->pace.wait_ms,
                               changes_answered, watch);
+        return;
+    }
+    if (watch->read_began_ms == 0) {
+        watch->read_began_ms = watch->asked_ms;
+    }
+    watch->table->read(watch->table, watch->name, watch->next_key != NULL ? watch->next_key : "",
+                       page_answered, watch);
 }
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
--- a/src/edge/demand.c
+++ b/src/edge/demand.c
@@ -96,18 +96,6 @@
            entry->promised_ms < wb_clock_ms();
 }
 
-static gboolean is_held(const wb_fleet_t *fleet, const wb_demand_entry_t *entry, int64_t now_ms) {
-    const GPtrArray *engines = wb_fleet_service(fleet, entry->service);
-    for (guint i = 0; engines != NULL && i < engines->len; i++) {
-        const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (engine->leaving_ms == 0 &&
-            wb_engine_holds(engine, entry->model, entry->adapter, now_ms)) {
-            return TRUE;
-        }
-    }
-    return FALSE;
-}
-
 /* What was promised counts like one that waits, until an engine holds it. */
 static void entry_write(const wb_demand_entry_t *entry, const wb_fleet_t *fleet, int64_t now_ms,
                         wb_wire_demand_entry *row) {
@@ -119,7 +107,8 @@
     row->running = entry->running;
     row->arrivals = entry->arrivals;
     row->work = entry->work;
-    if (entry->waiting == 0 && entry->promised_ms > now_ms && !is_held(fleet, entry, now_ms)) {
+    if (entry->waiting == 0 && entry->promised_ms > now_ms &&
+        !wb_fleet_holds(fleet, entry->service, entry->model, entry->adapter, now_ms)) {
         row->waiting = 1;
         tightest_ms = entry->promised_ms;
     }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -129,8 +129,7 @@
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.len > 0) {
         wb_exchanges_retry_waiting(&node->edge);
-        if (!wb_edge_node_hears_news(node))
-            wb_table_watch_hurry(node->engines_watch);
+        wb_edge_node_hurry(node);
     }
     if (!node->ready_told && wb_edge_node_is_ready(node)) {
         node->ready_told = TRUE;
@@ -215,6 +214,7 @@
     own->order_timeout_ms = settings->order_timeout_ms;
     own->adapter_load_ms = settings->adapter_load_ms;
     own->prefill_tokens_per_ms = settings->prefill_tokens_per_ms;
+    wb_edge_node_set_paces(node);
     return text_differs(own->id, settings->id) + text_differs(own->zone, settings->zone) +
            text_differs(own->listen_callers, settings->listen_callers) +
            text_differs(own->listen_ready, settings->listen_ready) +
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -86,6 +86,10 @@
 /** Renew or take the lease when that is due. */
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms);
 gboolean wb_edge_node_may_act(void *context);
+/** A lease's row as it is sent and stored; texts are borrowed. */
+wb_wire_lease wb_edge_node_lease_to_wire(const wb_lease_row_t *row);
+/** The reverse; texts are borrowed. */
+wb_lease_row_t wb_edge_node_lease_from_wire(const wb_wire_lease *wire);
 
 /* node_links.c */
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
@@ -102,6 +106,10 @@
 /* node_news.c */
 /** How often this node asks for a table, by whether it holds the lease. */
 wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table);
+/** Set how often all tables are asked for; when the lease or the settings have changed. */
+void wb_edge_node_set_paces(wb_edge_node_t *node);
+/** Look at engines soon, unless the holder's news come anyway. */
+void wb_edge_node_hurry(wb_edge_node_t *node);
 /** Queue a row that gateways must know at once; does nothing without the lease. */
 void wb_edge_node_news_add(wb_edge_node_t *node, wb_table_name_t table, const wb_table_row_t *row);
 /** Tell gateways what is due, if this node holds the lease. */
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -34,27 +34,17 @@
 }
 
 static int64_t *expected_find(const wb_exchange_t *exchange) {
-    if (exchange->model == NULL || exchange->service == NULL)
-        return NULL;
     g_autofree char *key = expected_key(exchange->service->name, exchange->model);
     return g_hash_table_lookup(exchange->edge->expected, key);
 }
 
-/* Some engine that stays holds the model, whatever the adapter. */
-static gboolean model_is_held(const wb_exchange_t *exchange, int64_t now_ms) {
-    const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
-    for (guint i = 0; engines != NULL && i < engines->len; i++) {
-        const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (engine->leaving_ms == 0 && wb_engine_holds(engine, exchange->model, "", now_ms)) {
-            return TRUE;
-        }
-    }
-    return FALSE;
+/* Returns ms until someone can be expected to decide on loads; 0 while someone does. */
+static int64_t controller_gap_ms(const wb_edge_t *edge) {
+    return edge->controller_gap_ms != NULL ? edge->controller_gap_ms(edge->need_context) : 0;
 }
 
 gboolean wb_exchange_nobody_decides(const wb_exchange_t *exchange) {
-    const wb_edge_t *edge = exchange->edge;
-    return edge->controller_gap_ms != NULL && edge->controller_gap_ms(edge->need_context) > 0;
+    return controller_gap_ms(exchange->edge) > 0;
 }
 
 /* Returns ms until what the request lacks should be there: as the controller told, or, while nobody
@@ -66,13 +56,13 @@
         return -1;
     }
     /* A load that is expected is another replica's, and an adapter comes to where the model is. */
-    gboolean held = model_is_held(exchange, now_ms);
+    gboolean held =
+        wb_fleet_holds(edge->fleet, exchange->service->name, exchange->model, "", now_ms);
     const int64_t *ready_ms = held ? NULL : expected_find(exchange);
     if (ready_ms != NULL && *ready_ms + LOAD_LATE_MS >= now_ms) {
         return MAX(*ready_ms - now_ms, 0);
     }
-    int64_t gap_ms =
-        edge->controller_gap_ms != NULL ? edge->controller_gap_ms(edge->need_context) : 0;
+    int64_t gap_ms = controller_gap_ms(edge);
     if (gap_ms == 0) {
         return -1;
     }
@@ -154,6 +144,12 @@
     }
 }
 
+/* What is known of its model has changed: who waits in vain is refused by the timer, at once. */
+static void wait_reconsider(wb_exchange_t *exchange) {
+    exchange->wait_until_ms = wait_until_ms(exchange);
+    wb_exchange_arm_hold(exchange);
+}
+
 void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
                          unsigned ready_in_ms) {
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
@@ -161,19 +157,16 @@
                          g_memdup2(&ready_ms, sizeof(ready_ms)));
     WB_LIST_EACH(item, &edge->waiting) {
         wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
-        if (exchange->model == NULL || strcmp(exchange->model, model) != 0 ||
-            strcmp(exchange->service->name, service) != 0)
-            continue;
-        exchange->wait_until_ms = wait_until_ms(exchange);
-        wb_exchange_arm_hold(exchange); /* who waits in vain is refused by the timer, at once */
+        if (exchange->model != NULL && strcmp(exchange->model, model) == 0 &&
+            strcmp(exchange->service->name, service) == 0) {
+            wait_reconsider(exchange);
+        }
     }
 }
 
 void wb_exchanges_reconsider(wb_edge_t *edge) {
     WB_LIST_EACH(item, &edge->waiting) {
-        wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
-        exchange->wait_until_ms = wait_until_ms(exchange);
-        wb_exchange_arm_hold(exchange); /* who waits in vain is refused by the timer, at once */
+        wait_reconsider(WB_LIST_OF(item, wb_exchange_t, waiting));
     }
 }
 
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -11,6 +11,7 @@
     const wb_lease_row_t *known = wb_lease_known(node->lease);
     if (held != node->held) {
         node->held = held;
+        wb_edge_node_set_paces(node);
         wb_event(held ? "lease-held" : "lease-not-held",
                  ",\"token\":%llu,\"known_holder\":\"%s\",\"known_token\":%llu",
                  (unsigned long long)token, known != NULL ? wb_event_text(known->holder) : "",
@@ -53,10 +54,20 @@
     wb_edge_node_check_lease(node);
 }
 
+wb_wire_lease wb_edge_node_lease_to_wire(const wb_lease_row_t *row) {
+    return (wb_wire_lease){row->holder, row->address,  row->token,
+                           row->beat,   row->released, row->recent_loads};
+}
+
+wb_lease_row_t wb_edge_node_lease_from_wire(const wb_wire_lease *wire) {
+    return (wb_lease_row_t){wire->holder, wire->address,  wire->token,
+                            wire->beat,   wire->released, wire->recent_loads};
+}
+
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
     char bytes[ROW_BYTES];
-    wb_wire_lease wire = {row->holder, row->address,  row->token,
-                          row->beat,   row->released, wb_controller_recent_loads(node->controller)};
+    wb_wire_lease wire = wb_edge_node_lease_to_wire(row);
+    wire.recent_loads = wb_controller_recent_loads(node->controller);
     XDR stream;
     xdrmem_create(&stream, bytes, sizeof(bytes), XDR_ENCODE);
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -87,8 +87,7 @@
     wb_edge_node_t *node = context;
     if (node->need_timer == NULL)
         node->need_timer = wb_loop_after(node->edge.loop, 0, need_tell, node);
-    if (!wb_edge_node_hears_news(node))
-        wb_table_watch_hurry(node->engines_watch);
+    wb_edge_node_hurry(node);
 }
 
 static void controller_open(wb_link_t *link, void *context) {
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -127,8 +127,7 @@
     wb_wire_store_news *news = &message.wb_wire_message_u.store_news;
     news->views.views_len = G_N_ELEMENTS(views);
     news->views.views_val = views;
-    news->lease = (wb_wire_lease){lease->holder, lease->address,  lease->token,
-                                  lease->beat,   lease->released, lease->recent_loads};
+    news->lease = wb_edge_node_lease_to_wire(lease);
     news->lease_version = (uint64_t)wb_lease_version(node->lease);
     news->rows.rows_len = node->news_rows->len;
     news->rows.rows_val = (wb_wire_table_row *)(void *)node->news_rows->data;
@@ -139,11 +138,14 @@
     node->news_told_ms = now_ms;
 }
 
-void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms) {
+void wb_edge_node_set_paces(wb_edge_node_t *node) {
     for (unsigned table = WB_TABLE_CATALOG; table <= WB_TABLE_NODES; table++) {
         wb_table_pace_t pace = wb_edge_node_pace(node, table);
         wb_table_watch_set_pace(watch_of(node, table), &pace);
     }
+}
+
+void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms) {
     if (!node->held) {
         news_clear(node);
         node->news_look = FALSE;
@@ -173,8 +175,7 @@
 void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news) {
     int64_t now_ms = wb_clock_ms();
     node->news_heard_ms = now_ms;
-    wb_lease_row_t lease = {news->lease.holder, news->lease.address,  news->lease.token,
-                            news->lease.beat,   news->lease.released, news->lease.recent_loads};
+    wb_lease_row_t lease = wb_edge_node_lease_from_wire(&news->lease);
     wb_lease_on_row(node->lease, &lease, (int64_t)news->lease_version, now_ms);
     for (guint i = 0; i < news->rows.rows_len; i++)
         row_take(node, &news->rows.rows_val[i]);
@@ -201,11 +202,14 @@
         node->deaf_told = FALSE;
     } else if (node->deaf_since_ms == 0) {
         node->deaf_since_ms = now_ms;
-    } else if (!node->deaf_told && wb_edge_node_controller_gap_ms(node) > 0) {
+    } else if (!node->deaf_told) {
+        int64_t gap_ms = wb_edge_node_controller_gap_ms(node);
+        if (gap_ms == 0) {
+            return;
+        }
         node->deaf_told = TRUE;
         wb_event("controller-missing", ",\"for_ms\":%lld,\"expected_in_ms\":%lld",
-                 (long long)(now_ms - node->deaf_since_ms),
-                 (long long)wb_edge_node_controller_gap_ms(node));
+                 (long long)(now_ms - node->deaf_since_ms), (long long)gap_ms);
         wb_exchanges_reconsider(&node->edge);
     }
 }
@@ -214,3 +218,9 @@
     return node->held ||
            (node->controller_link_open && wb_clock_ms() - node->news_heard_ms < NEWS_LIFE_MS);
 }
+
+void wb_edge_node_hurry(wb_edge_node_t *node) {
+    if (!wb_edge_node_hears_news(node)) {
+        wb_table_watch_hurry(node->engines_watch);
+    }
+}
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -99,8 +99,9 @@
     (void)whole;
     wb_edge_node_t *node = context;
     wb_exchanges_retry_waiting(&node->edge);
-    if (node->edge.waiting.len > 0 && !wb_edge_node_hears_news(node))
-        wb_table_watch_hurry(node->engines_watch);
+    if (node->edge.waiting.len > 0) {
+        wb_edge_node_hurry(node);
+    }
 }
 
 /* The product's own rows: nodes, and the controller's lease. */
@@ -118,8 +119,7 @@
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
     xdr_destroy(&stream);
     if (whole) {
-        wb_lease_row_t lease = {wire.holder, wire.address,  wire.token,
-                                wire.beat,   wire.released, wire.recent_loads};
+        wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
     } else {
         wb_event("lease-row-refused", ",\"row_version\":%lld", (long long)row->version);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -213,3 +213,15 @@
         return note->held;
     return held != NULL && g_hash_table_contains(held->adapters, adapter);
 }
+
+gboolean wb_fleet_holds(const wb_fleet_t *fleet, const char *service, const char *model,
+                        const char *adapter, int64_t now_ms) {
+    const GPtrArray *engines = wb_fleet_service(fleet, service);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (engine->leaving_ms == 0 && wb_engine_holds(engine, model, adapter, now_ms)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -63,7 +63,7 @@
         const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
         gboolean stands_still =
             strcmp(span->name, "pause") == 0 || g_str_has_prefix(span->name, "way-to");
-        int64_t over_ms = span->to_ms - 4000;
+        int64_t over_ms = span->to_ms - SOAK_DISTURBED_AFTER_MS;
         excused |= stands_still && at_ms >= span->from_ms && at_ms <= over_ms + THAW_SLACK_MS;
     }
     return excused;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -6,7 +6,6 @@
 
 #define GAP_LIMIT_MS 900 /* between the beginnings of two faults */
 #define FAULTS_AT_ONCE 3
-#define DISTURBED_AFTER_MS 4000 /* a fault may be felt so long after its end */
 #define STOP_LIMIT_MS 12000
 
 typedef struct soak_fault_t soak_fault_t;
@@ -257,7 +256,7 @@
         fault.kind->end(&fault, soak);
         g_mutex_lock(&soak->lock);
         g_array_index(soak->spans, soak_span_t, fault.span).to_ms =
-            harness_now_ms() + DISTURBED_AFTER_MS;
+            harness_now_ms() + SOAK_DISTURBED_AFTER_MS;
         g_mutex_unlock(&soak->lock);
     }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -13,6 +13,7 @@
 
 #define SOAK_NODES 4
 #define SOAK_CALLERS 12
+#define SOAK_DISTURBED_AFTER_MS 4000 /* a fault may be felt so long after its end */
 #define SOAK_DRAIN_MS 2000
 #define SOAK_LEASE_QUIET_MS 1000
 
