Count settings that wait for a start from the settings' table

Change: wb_settings_differ compares all rows of a table; what was taken up is the same by then. Test: /edge/stops/settings-reload changes one more setting, which the list lacked, and asks for 2 (was: 1 of 1).

--- a/include/wickbridge/settings.h
+++ b/include/wickbridge/settings.h
@@ -55,6 +55,9 @@
 apr_status_t wb_settings_set(const wb_settings_table_t *table, void *target, const char *name,
                              const char *value, const char *origin, wb_error_t *error);
 
+/** @return how many settings have another value in `left` than in `right` */
+unsigned wb_settings_differ(const wb_settings_table_t *table, const void *left, const void *right);
+
 /** Write the table as a page section in Markdown. */
 void wb_settings_document(const wb_settings_table_t *table, FILE *file);
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -229,6 +229,28 @@
     return status;
 }
 
+static gboolean value_differs(const wb_setting_t *row, const void *left, const void *right) {
+    const void *left_place = (const char *)left + row->offset;
+    const void *right_place = (const char *)right + row->offset;
+    switch (row->type) {
+    case WB_SETTING_TEXT:
+    case WB_SETTING_ADDRESS:
+        return g_strcmp0(*(const char *const *)left_place, *(const char *const *)right_place) != 0;
+    case WB_SETTING_REAL:
+        return *(const double *)left_place != *(const double *)right_place;
+    default:
+        return *(const int64_t *)left_place != *(const int64_t *)right_place;
+    }
+}
+
+unsigned wb_settings_differ(const wb_settings_table_t *table, const void *left, const void *right) {
+    unsigned differ = 0;
+    for (size_t i = 0; i < table->count; i++) {
+        differ += value_differs(&table->rows[i], left, right);
+    }
+    return differ;
+}
+
 void wb_settings_document(const wb_settings_table_t *table, FILE *file) {
     static const char *const type_names[] = {"text", "address", "integer", "number", "boolean"};
     fprintf(file, "## %s\n\n%s\n\n", table->program, table->purpose);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -200,10 +200,6 @@
              node->edge.settings.stop_grace_s);
 }
 
-static unsigned text_differs(const char *old_text, const char *new_text) {
-    return strcmp(old_text, new_text) != 0;
-}
-
 unsigned wb_edge_node_reload(wb_edge_node_t *node, const wb_edge_settings_t *settings) {
     wb_edge_settings_t *own = &node->edge.settings;
     own->stop_grace_s = settings->stop_grace_s;
@@ -215,15 +211,6 @@
     own->adapter_load_ms = settings->adapter_load_ms;
     own->prefill_tokens_per_ms = settings->prefill_tokens_per_ms;
     wb_edge_node_set_paces(node);
-    return text_differs(own->id, settings->id) + text_differs(own->zone, settings->zone) +
-           text_differs(own->listen_callers, settings->listen_callers) +
-           text_differs(own->listen_ready, settings->listen_ready) +
-           text_differs(own->listen_nodes, settings->listen_nodes) +
-           text_differs(own->listen_operators, settings->listen_operators) +
-           text_differs(own->store, settings->store) +
-           (own->lease_quiet_ms != settings->lease_quiet_ms) +
-           (own->lease_duration_ms != settings->lease_duration_ms) +
-           (own->retry_ratio != settings->retry_ratio) +
-           (own->retry_window_s != settings->retry_window_s) +
-           (own->load_window_s != settings->load_window_s);
+    /* What was taken up is the same by now; the rest waits for a start. */
+    return wb_settings_differ(&wb_edge_settings_table, own, settings);
 }
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -110,10 +110,11 @@
     process_signal(&estate->nodes[0].process, SIGHUP);
     g_usleep(500000);
     g_assert_true(estate_log_has(estate, 0, "\"good\":false,\"reason\":\""));
-    g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=4\nlease-quiet-ms=1\n", -1, NULL);
+    g_file_set_contents(
+        path, "[wickbridge-edge]\nstop-grace-s=4\nlease-quiet-ms=1\nstore-look-s=3\n", -1, NULL);
     process_signal(&estate->nodes[0].process, SIGHUP);
     g_usleep(500000);
-    g_assert_true(estate_log_has(estate, 0, "\"good\":true,\"reason\":\"\",\"for_a_start\":1"));
+    g_assert_true(estate_log_has(estate, 0, "\"good\":true,\"reason\":\"\",\"for_a_start\":2"));
     g_usleep(2500000);
     g_file_set_contents(path, "[wickbridge-edge]\nstop-grace-s=5\n", -1, NULL); /* no signal */
     g_usleep(2500000);
