--- a/src/membership/member.c
+++ b/src/membership/member.c
@@ -15,8 +15,7 @@
     gboolean first_of_zone;
 } wb_member_rank_t;
 
-static void member_free(gpointer data)
-{
+static void member_free(gpointer data) {
     wb_member_t *member = data;
     g_free(member->node);
     g_free(member->address);
@@ -25,35 +24,30 @@
     g_free(member);
 }
 
-wb_member_table_t *wb_member_table_create(void)
-{
+wb_member_table_t *wb_member_table_create(void) {
     wb_member_table_t *table = g_new0(wb_member_table_t, 1);
     table->by_node = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, member_free);
     return table;
 }
 
-void wb_member_table_free(wb_member_table_t *table)
-{
+void wb_member_table_free(wb_member_table_t *table) {
     g_hash_table_unref(table->by_node);
     g_free(table);
 }
 
-static gboolean member_is_up(const wb_member_t *member)
-{
+static gboolean member_is_up(const wb_member_t *member) {
     return member->state == WB_MEMBER_ALIVE || member->state == WB_MEMBER_SUSPECT;
 }
 
 /* What a member adds to the table's digest. */
-static uint64_t member_hash(const wb_member_t *member)
-{
+static uint64_t member_hash(const wb_member_t *member) {
     if (!member_is_up(member))
         return 0;
     uint64_t state = member->incarnation * 4 + (uint64_t)member->state;
     return XXH64(member->node, strlen(member->node), state);
 }
 
-static gboolean update_is_newer(const wb_member_t *known, const wb_member_t *update)
-{
+static gboolean update_is_newer(const wb_member_t *known, const wb_member_t *update) {
     if (known->state == WB_MEMBER_GONE)
         return FALSE;
     if (update->state == WB_MEMBER_GONE)
@@ -63,8 +57,8 @@
     return update->state > known->state;
 }
 
-gboolean wb_member_table_merge(wb_member_table_t *table, const wb_member_t *update, int64_t now_ms)
-{
+gboolean wb_member_table_merge(wb_member_table_t *table, const wb_member_t *update,
+                               int64_t now_ms) {
     wb_member_t *known = g_hash_table_lookup(table->by_node, update->node);
     if (known == NULL) {
         if (!member_is_up(update))
@@ -87,26 +81,22 @@
     return TRUE;
 }
 
-const wb_member_t *wb_member_table_find(const wb_member_table_t *table, const char *node)
-{
+const wb_member_t *wb_member_table_find(const wb_member_table_t *table, const char *node) {
     return g_hash_table_lookup(table->by_node, node);
 }
 
-gboolean wb_member_table_is_up(const wb_member_table_t *table, const char *node)
-{
+gboolean wb_member_table_is_up(const wb_member_table_t *table, const char *node) {
     const wb_member_t *member = wb_member_table_find(table, node);
     return member != NULL && member_is_up(member);
 }
 
-static gint member_compare(gconstpointer left, gconstpointer right)
-{
+static gint member_compare(gconstpointer left, gconstpointer right) {
     const wb_member_t *a = *(const wb_member_t *const *)left;
     const wb_member_t *b = *(const wb_member_t *const *)right;
     return strcmp(a->node, b->node);
 }
 
-GPtrArray *wb_member_table_list(const wb_member_table_t *table)
-{
+GPtrArray *wb_member_table_list(const wb_member_table_t *table) {
     GPtrArray *list = g_ptr_array_new();
     GHashTableIter iterator;
     gpointer value;
@@ -117,13 +107,11 @@
     return list;
 }
 
-uint64_t wb_member_table_digest(const wb_member_table_t *table)
-{
+uint64_t wb_member_table_digest(const wb_member_table_t *table) {
     return table->digest;
 }
 
-void wb_member_table_sweep(wb_member_table_t *table, int64_t now_ms, int64_t keep_ms)
-{
+void wb_member_table_sweep(wb_member_table_t *table, int64_t now_ms, int64_t keep_ms) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, table->by_node);
@@ -134,8 +122,7 @@
     }
 }
 
-static gint rank_compare(gconstpointer left, gconstpointer right)
-{
+static gint rank_compare(gconstpointer left, gconstpointer right) {
     const wb_member_rank_t *a = left;
     const wb_member_rank_t *b = right;
     if (a->first_of_zone != b->first_of_zone)
@@ -146,8 +133,7 @@
 }
 
 /* Members that are up with their hash for a key, best first. */
-static GArray *ranks_create(const wb_member_table_t *table, const char *key)
-{
+static GArray *ranks_create(const wb_member_table_t *table, const char *key) {
     GArray *ranks = g_array_new(FALSE, TRUE, sizeof(wb_member_rank_t));
     uint64_t seed = XXH64(key, strlen(key), 0);
     GHashTableIter iterator;
@@ -165,8 +151,7 @@
 }
 
 GPtrArray *wb_member_table_rank(const wb_member_table_t *table, const char *key,
-                                gboolean spread_zones)
-{
+                                gboolean spread_zones) {
     GArray *ranks = ranks_create(table, key);
     if (spread_zones) {
         g_autoptr(GHashTable) zones = g_hash_table_new(g_str_hash, g_str_equal);
@@ -184,8 +169,7 @@
 }
 
 static void neighbour_add(GPtrArray *neighbours, const GPtrArray *ring, guint index,
-                          const char *self)
-{
+                          const char *self) {
     const wb_member_t *member = ring->pdata[index % ring->len];
     if (strcmp(member->node, self) == 0 ||
         g_ptr_array_find_with_equal_func(neighbours, member->node, g_str_equal, NULL))
@@ -193,8 +177,7 @@
     g_ptr_array_add(neighbours, g_strdup(member->node));
 }
 
-GPtrArray *wb_member_table_neighbours(const wb_member_table_t *table, const char *self)
-{
+GPtrArray *wb_member_table_neighbours(const wb_member_table_t *table, const char *self) {
     GPtrArray *neighbours = g_ptr_array_new_with_free_func(g_free);
     g_autoptr(GPtrArray) ring = wb_member_table_rank(table, "overlay ring", FALSE);
     guint place = 0;
@@ -209,16 +192,14 @@
     return neighbours;
 }
 
-void wb_member_machine_id(const char *node, char *id, size_t size)
-{
+void wb_member_machine_id(const char *node, char *id, size_t size) {
     g_strlcpy(id, node, size);
     char *mark = strchr(id, '~');
     if (mark != NULL)
         *mark = '\0';
 }
 
-const char *wb_member_state_name(wb_member_state_t state)
-{
+const char *wb_member_state_name(wb_member_state_t state) {
     static const char *const names[] = {"alive", "suspect", "dead", "gone"};
     return names[state];
 }
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -45,21 +45,18 @@
     wb_timer_t *flush_timer;
 };
 
-static void owner_free(gpointer data)
-{
+static void owner_free(gpointer data) {
     cell_owner_t *owner = data;
     g_free(owner->cell);
     g_free(owner->node);
     g_free(owner);
 }
 
-static uint64_t owner_hash(const cell_owner_t *owner)
-{
+static uint64_t owner_hash(const cell_owner_t *owner) {
     return XXH64(owner->cell, strlen(owner->cell), owner->epoch);
 }
 
-static void member_learnt(wb_membership_t *membership, const char *node)
-{
+static void member_learnt(wb_membership_t *membership, const char *node) {
     g_hash_table_add(membership->fresh_members, g_strdup(node));
     const wb_member_t *member = wb_member_table_find(membership->table, node);
     wb_log_info(WB_PART_MEMBERSHIP, "Member %s is %s.", node, wb_member_state_name(member->state));
@@ -67,8 +64,7 @@
 }
 
 /* Raises our incarnation when someone thinks that we are down. */
-static void self_refute(wb_membership_t *membership, const wb_member_t *update)
-{
+static void self_refute(wb_membership_t *membership, const wb_member_t *update) {
     if (membership->left || update->state == WB_MEMBER_ALIVE ||
         update->incarnation < membership->self.incarnation)
         return;
@@ -77,16 +73,15 @@
         g_hash_table_add(membership->fresh_members, g_strdup(membership->self.node));
 }
 
-static void member_merge(wb_membership_t *membership, const wb_member_t *update)
-{
+static void member_merge(wb_membership_t *membership, const wb_member_t *update) {
     if (strcmp(update->node, membership->self.node) == 0)
         self_refute(membership, update);
     else if (wb_member_table_merge(membership->table, update, wb_clock_ms()))
         member_learnt(membership, update->node);
 }
 
-static void member_set_state(wb_membership_t *membership, const char *node, wb_member_state_t state)
-{
+static void member_set_state(wb_membership_t *membership, const char *node,
+                             wb_member_state_t state) {
     const wb_member_t *known = wb_member_table_find(membership->table, node);
     if (known == NULL)
         return;
@@ -98,8 +93,7 @@
 }
 
 static void owner_merge(wb_membership_t *membership, const char *cell, const char *node,
-                        uint64_t epoch)
-{
+                        uint64_t epoch) {
     cell_owner_t *known = g_hash_table_lookup(membership->owners, cell);
     if (known != NULL && known->epoch >= epoch)
         return;
@@ -118,8 +112,7 @@
     membership->events.on_owner(cell, node, epoch, membership->events.context);
 }
 
-static void member_to_wire(const wb_member_t *member, wb_wire_member *wire)
-{
+static void member_to_wire(const wb_member_t *member, wb_wire_member *wire) {
     wire->node = member->node;
     wire->address = member->address;
     wire->caller_address = member->caller_address;
@@ -135,14 +128,12 @@
     int64_t since_ms;    /* only what was learnt since */
 } gossip_choice_t;
 
-static gboolean choice_has(GHashTable *names, const char *name)
-{
+static gboolean choice_has(GHashTable *names, const char *name) {
     return names == NULL || g_hash_table_contains(names, name);
 }
 
 static void gossip_send(wb_membership_t *membership, const GPtrArray *targets,
-                        const gossip_choice_t *choice)
-{
+                        const gossip_choice_t *choice) {
     g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
     g_autofree wb_wire_member *wire_members = g_new0(wb_wire_member, list->len + 1);
     guint cell_limit = g_hash_table_size(membership->owners);
@@ -172,22 +163,19 @@
         wb_peers_send_open(membership->peers, targets->pdata[i], &message);
 }
 
-static void gossip_send_since(wb_membership_t *membership, const char *node, int64_t since_ms)
-{
+static void gossip_send_since(wb_membership_t *membership, const char *node, int64_t since_ms) {
     g_autoptr(GPtrArray) targets = g_ptr_array_new();
     g_ptr_array_add(targets, (gpointer)node);
     gossip_choice_t choice = {NULL, NULL, since_ms};
     gossip_send(membership, targets, &choice);
 }
 
-static void gossip_send_all(wb_membership_t *membership, const char *node)
-{
+static void gossip_send_all(wb_membership_t *membership, const char *node) {
     gossip_send_since(membership, node, INT64_MIN);
 }
 
 /* Tells a node what we think of it, so that it can refute. */
-static void gossip_send_itself(wb_membership_t *membership, const char *node)
-{
+static void gossip_send_itself(wb_membership_t *membership, const char *node) {
     g_autoptr(GPtrArray) targets = g_ptr_array_new();
     g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
     g_autoptr(GHashTable) no_cells = g_hash_table_new(g_str_hash, g_str_equal);
@@ -199,8 +187,7 @@
 
 static void overlay_maintain(wb_membership_t *membership);
 
-static void gossip_flush(void *context)
-{
+static void gossip_flush(void *context) {
     wb_membership_t *membership = context;
     if (g_hash_table_size(membership->fresh_members) == 0 &&
         g_hash_table_size(membership->fresh_cells) == 0)
@@ -218,8 +205,7 @@
     g_hash_table_remove_all(membership->fresh_cells);
 }
 
-static void gossip_take(wb_membership_t *membership, const wb_wire_gossip *gossip)
-{
+static void gossip_take(wb_membership_t *membership, const wb_wire_gossip *gossip) {
     for (u_int i = 0; i < gossip->members.members_len; i++) {
         const wb_wire_member *wire = &gossip->members.members_val[i];
         if (wire->state > WB_MEMBER_GONE)
@@ -237,8 +223,7 @@
 
 /* A heartbeat of a neighbour whose tables stay different leads to an exchange of tables. */
 static void heartbeat_take(wb_membership_t *membership, const char *node,
-                           const wb_wire_heartbeat *heartbeat)
-{
+                           const wb_wire_heartbeat *heartbeat) {
     const wb_member_t *member = wb_member_table_find(membership->table, node);
     if (member == NULL)
         gossip_send_all(membership, node);
@@ -258,8 +243,7 @@
 }
 
 gboolean wb_membership_message(wb_membership_t *membership, const char *node,
-                               const wb_wire_message *message)
-{
+                               const wb_wire_message *message) {
     switch (message->kind) {
     case WB_WIRE_HEARTBEAT:
         heartbeat_take(membership, node, &message->wb_wire_message_u.heartbeat);
@@ -275,16 +259,14 @@
     }
 }
 
-void wb_membership_link_up(wb_membership_t *membership, const char *node, gboolean overlay)
-{
+void wb_membership_link_up(wb_membership_t *membership, const char *node, gboolean overlay) {
     if (!wb_member_table_is_up(membership->table, node))
         gossip_send_all(membership, node);
     else if (overlay) /* what is older has reached everyone; digests show it if not */
         gossip_send_since(membership, node, wb_clock_ms() - RECENT_MS);
 }
 
-void wb_membership_link_down(wb_membership_t *membership, const char *node)
-{
+void wb_membership_link_down(wb_membership_t *membership, const char *node) {
     g_autoptr(GPtrArray) neighbours =
         wb_member_table_neighbours(membership->table, membership->self.node);
     if (!g_ptr_array_find_with_equal_func(neighbours, node, g_str_equal, NULL))
@@ -292,13 +274,11 @@
     member_set_state(membership, node, WB_MEMBER_SUSPECT);
 }
 
-void wb_membership_replaced(wb_membership_t *membership, const char *node)
-{
+void wb_membership_replaced(wb_membership_t *membership, const char *node) {
     member_set_state(membership, node, WB_MEMBER_GONE);
 }
 
-void wb_membership_machine_gone(wb_membership_t *membership, const char *machine_id)
-{
+void wb_membership_machine_gone(wb_membership_t *membership, const char *machine_id) {
     g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
     for (guint i = 0; i < list->len; i++) {
         const wb_member_t *member = list->pdata[i];
@@ -311,8 +291,7 @@
 }
 
 /* Suspects neighbours that are silent. */
-static void neighbours_check(wb_membership_t *membership, const GPtrArray *overlay)
-{
+static void neighbours_check(wb_membership_t *membership, const GPtrArray *overlay) {
     int64_t now_ms = wb_clock_ms();
     for (guint i = 0; i < overlay->len; i++) {
         const char *node = overlay->pdata[i];
@@ -325,8 +304,7 @@
     }
 }
 
-static void suspects_check(wb_membership_t *membership)
-{
+static void suspects_check(wb_membership_t *membership) {
     int64_t now_ms = wb_clock_ms();
     g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
     for (guint i = 0; i < list->len; i++) {
@@ -338,8 +316,7 @@
 }
 
 /* Connects to our neighbours and lets go of former ones. */
-static void overlay_maintain(wb_membership_t *membership)
-{
+static void overlay_maintain(wb_membership_t *membership) {
     g_autoptr(GPtrArray) overlay = wb_peers_overlay(membership->peers);
     g_autoptr(GPtrArray) neighbours =
         wb_member_table_neighbours(membership->table, membership->self.node);
@@ -350,8 +327,7 @@
             wb_peers_release_overlay(membership->peers, overlay->pdata[i]);
 }
 
-static gboolean address_is_up(const wb_membership_t *membership, const char *address)
-{
+static gboolean address_is_up(const wb_membership_t *membership, const char *address) {
     g_autoptr(GPtrArray) list = wb_member_table_list(membership->table);
     for (guint i = 0; i < list->len; i++) {
         const wb_member_t *member = list->pdata[i];
@@ -363,8 +339,7 @@
 }
 
 /* Tries seeds that nobody known serves, and members that may only have been cut off. */
-static void lost_reconnect(wb_membership_t *membership)
-{
+static void lost_reconnect(wb_membership_t *membership) {
     for (guint i = 0; i < membership->seeds->len; i++)
         if (!address_is_up(membership, membership->seeds->pdata[i]))
             wb_peers_connect_address(membership->peers, membership->seeds->pdata[i]);
@@ -380,8 +355,7 @@
         wb_peers_connect_address(membership->peers, member->address);
 }
 
-static void heartbeats_send(wb_membership_t *membership, const GPtrArray *overlay)
-{
+static void heartbeats_send(wb_membership_t *membership, const GPtrArray *overlay) {
     wb_wire_message message = {.kind = WB_WIRE_HEARTBEAT};
     wb_wire_heartbeat *heartbeat = &message.wb_wire_message_u.heartbeat;
     heartbeat->config_version = membership->config_version;
@@ -391,8 +365,7 @@
         wb_peers_send_open(membership->peers, overlay->pdata[i], &message);
 }
 
-static void heartbeat_tick(void *context)
-{
+static void heartbeat_tick(void *context) {
     wb_membership_t *membership = context;
     g_autoptr(GPtrArray) overlay = wb_peers_overlay(membership->peers);
     neighbours_check(membership, overlay);
@@ -407,8 +380,7 @@
 
 wb_membership_t *wb_membership_start(wb_loop_t *loop, wb_peers_t *peers,
                                      const wb_membership_options_t *options,
-                                     const wb_membership_events_t *events)
-{
+                                     const wb_membership_events_t *events) {
     wb_membership_t *membership = g_new0(wb_membership_t, 1);
     membership->loop = loop;
     membership->peers = peers;
@@ -439,8 +411,7 @@
     return membership;
 }
 
-void wb_membership_stop(wb_membership_t *membership)
-{
+void wb_membership_stop(wb_membership_t *membership) {
     wb_timer_cancel(membership->heartbeat_timer);
     wb_timer_cancel(membership->flush_timer);
     wb_member_table_free(membership->table);
@@ -456,38 +427,32 @@
     g_free(membership);
 }
 
-const wb_member_table_t *wb_membership_table(const wb_membership_t *membership)
-{
+const wb_member_table_t *wb_membership_table(const wb_membership_t *membership) {
     return membership->table;
 }
 
-const char *wb_membership_address(const wb_membership_t *membership, const char *node)
-{
+const char *wb_membership_address(const wb_membership_t *membership, const char *node) {
     const wb_member_t *member = wb_member_table_find(membership->table, node);
     return member != NULL && member->state != WB_MEMBER_GONE ? member->address : NULL;
 }
 
-void wb_membership_announce_owner(wb_membership_t *membership, const char *cell, uint64_t epoch)
-{
+void wb_membership_announce_owner(wb_membership_t *membership, const char *cell, uint64_t epoch) {
     owner_merge(membership, cell, membership->self.node, epoch);
 }
 
 const char *wb_membership_owner(const wb_membership_t *membership, const char *cell,
-                                uint64_t *epoch)
-{
+                                uint64_t *epoch) {
     const cell_owner_t *owner = g_hash_table_lookup(membership->owners, cell);
     if (epoch != NULL)
         *epoch = owner != NULL ? owner->epoch : 0;
     return owner != NULL ? owner->node : NULL;
 }
 
-void wb_membership_set_config_version(wb_membership_t *membership, uint64_t version)
-{
+void wb_membership_set_config_version(wb_membership_t *membership, uint64_t version) {
     membership->config_version = version;
 }
 
-void wb_membership_leave(wb_membership_t *membership)
-{
+void wb_membership_leave(wb_membership_t *membership) {
     membership->left = TRUE;
     wb_member_t update = membership->self;
     update.state = WB_MEMBER_GONE;
--- a/src/net/acceptor.c
+++ b/src/net/acceptor.c
@@ -17,8 +17,7 @@
 };
 
 /* Takes one connection. Returns FALSE when none is waiting. */
-static gboolean connection_accept(wb_acceptor_t *acceptor)
-{
+static gboolean connection_accept(wb_acceptor_t *acceptor) {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
     apr_socket_t *socket;
@@ -30,8 +29,7 @@
     return TRUE;
 }
 
-static void acceptor_ready(int16_t events, void *context)
-{
+static void acceptor_ready(int16_t events, void *context) {
     (void)events;
     wb_acceptor_t *acceptor = context;
     for (int i = 0; i < ACCEPTS_PER_WAKEUP; i++)
@@ -40,8 +38,7 @@
 }
 
 apr_status_t wb_acceptor_open(wb_loop_t *loop, const char *address, wb_acceptor_fn on_accept,
-                              void *context, wb_acceptor_t **acceptor, wb_error_t *error)
-{
+                              void *context, wb_acceptor_t **acceptor, wb_error_t *error) {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
     apr_socket_t *socket;
@@ -60,13 +57,11 @@
     return APR_SUCCESS;
 }
 
-unsigned wb_acceptor_port(const wb_acceptor_t *acceptor)
-{
+unsigned wb_acceptor_port(const wb_acceptor_t *acceptor) {
     return wb_socket_port(acceptor->socket);
 }
 
-void wb_acceptor_close(wb_acceptor_t *acceptor)
-{
+void wb_acceptor_close(wb_acceptor_t *acceptor) {
     wb_watch_remove(acceptor->watch);
     apr_socket_close(acceptor->socket);
     apr_pool_destroy(acceptor->pool);
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -43,14 +43,12 @@
     GPtrArray *removed; /* watches to free after the present round */
 };
 
-int64_t wb_clock_ms(void)
-{
+int64_t wb_clock_ms(void) {
     return g_get_monotonic_time() / 1000;
 }
 
 apr_status_t wb_loop_create(wb_loop_t **loop, const char *name, unsigned capacity,
-                            wb_error_t *error)
-{
+                            wb_error_t *error) {
     wb_loop_t *created = g_new0(wb_loop_t, 1);
     apr_pool_create(&created->pool, NULL);
     apr_status_t status = apr_pollset_create(&created->pollset, capacity, created->pool,
@@ -68,8 +66,7 @@
     return APR_SUCCESS;
 }
 
-static gint timer_compare(gconstpointer left, gconstpointer right, gpointer data)
-{
+static gint timer_compare(gconstpointer left, gconstpointer right, gpointer data) {
     (void)data;
     const wb_timer_t *a = left;
     const wb_timer_t *b = right;
@@ -77,8 +74,7 @@
 }
 
 static wb_timer_t *timer_add(wb_loop_t *loop, int64_t delay_ms, int64_t interval_ms,
-                             wb_loop_task_fn task, void *context)
-{
+                             wb_loop_task_fn task, void *context) {
     wb_timer_t *timer = g_new0(wb_timer_t, 1);
     timer->loop = loop;
     timer->due_ms = wb_clock_ms() + delay_ms;
@@ -89,18 +85,16 @@
     return timer;
 }
 
-wb_timer_t *wb_loop_every(wb_loop_t *loop, int64_t interval_ms, wb_loop_task_fn task, void *context)
-{
+wb_timer_t *wb_loop_every(wb_loop_t *loop, int64_t interval_ms, wb_loop_task_fn task,
+                          void *context) {
     return timer_add(loop, interval_ms, interval_ms, task, context);
 }
 
-wb_timer_t *wb_loop_after(wb_loop_t *loop, int64_t delay_ms, wb_loop_task_fn task, void *context)
-{
+wb_timer_t *wb_loop_after(wb_loop_t *loop, int64_t delay_ms, wb_loop_task_fn task, void *context) {
     return timer_add(loop, delay_ms, 0, task, context);
 }
 
-void wb_timer_cancel(wb_timer_t *timer)
-{
+void wb_timer_cancel(wb_timer_t *timer) {
     timer->cancelled = TRUE;
     if (timer->place == NULL)
         return; /* its task runs now; timers_run frees it */
@@ -108,8 +102,7 @@
     g_free(timer);
 }
 
-static void timer_run(wb_loop_t *loop, wb_timer_t *timer, int64_t now_ms)
-{
+static void timer_run(wb_loop_t *loop, wb_timer_t *timer, int64_t now_ms) {
     g_sequence_remove(timer->place);
     timer->place = NULL;
     timer->task(timer->context);
@@ -122,8 +115,7 @@
 }
 
 /* Runs what is due. Returns the time until the next timer in ms. */
-static int64_t timers_run(wb_loop_t *loop)
-{
+static int64_t timers_run(wb_loop_t *loop) {
     int64_t now_ms = wb_clock_ms();
     for (;;) {
         GSequenceIter *first = g_sequence_get_begin_iter(loop->timers);
@@ -136,8 +128,7 @@
     }
 }
 
-static gboolean tasks_run(wb_loop_t *loop)
-{
+static gboolean tasks_run(wb_loop_t *loop) {
     g_mutex_lock(&loop->lock);
     GQueue tasks = loop->tasks;
     gboolean stopping = loop->stopping;
@@ -151,8 +142,7 @@
     return !stopping;
 }
 
-static gpointer loop_run(gpointer data)
-{
+static gpointer loop_run(gpointer data) {
     wb_loop_t *loop = data;
     while (tasks_run(loop)) {
         int64_t wait_ms = timers_run(loop);
@@ -175,26 +165,22 @@
     return NULL;
 }
 
-void wb_loop_start(wb_loop_t *loop)
-{
+void wb_loop_start(wb_loop_t *loop) {
     loop->thread = g_thread_new(loop->name, loop_run, loop);
 }
 
-void wb_loop_run(wb_loop_t *loop)
-{
+void wb_loop_run(wb_loop_t *loop) {
     loop_run(loop);
 }
 
-void wb_loop_quit(wb_loop_t *loop)
-{
+void wb_loop_quit(wb_loop_t *loop) {
     g_mutex_lock(&loop->lock);
     loop->stopping = TRUE;
     g_mutex_unlock(&loop->lock);
     apr_pollset_wakeup(loop->pollset);
 }
 
-void wb_loop_stop(wb_loop_t *loop)
-{
+void wb_loop_stop(wb_loop_t *loop) {
     wb_loop_quit(loop);
     if (loop->thread != NULL)
         g_thread_join(loop->thread);
@@ -209,8 +195,7 @@
     g_free(loop);
 }
 
-void wb_loop_post(wb_loop_t *loop, wb_loop_task_fn task, void *context)
-{
+void wb_loop_post(wb_loop_t *loop, wb_loop_task_fn task, void *context) {
     wb_task_t *posted = g_new(wb_task_t, 1);
     posted->task = task;
     posted->context = context;
@@ -221,8 +206,7 @@
 }
 
 wb_watch_t *wb_loop_watch(wb_loop_t *loop, apr_socket_t *socket, int16_t events,
-                          wb_watch_fn callback, void *context)
-{
+                          wb_watch_fn callback, void *context) {
     wb_watch_t *watch = g_new0(wb_watch_t, 1);
     watch->loop = loop;
     watch->descriptor.desc_type = APR_POLL_SOCKET;
@@ -236,8 +220,7 @@
     return watch;
 }
 
-void wb_watch_change(wb_watch_t *watch, int16_t events)
-{
+void wb_watch_change(wb_watch_t *watch, int16_t events) {
     if (watch->descriptor.reqevents == events)
         return;
     apr_pollset_remove(watch->loop->pollset, &watch->descriptor);
@@ -245,8 +228,7 @@
     apr_pollset_add(watch->loop->pollset, &watch->descriptor);
 }
 
-void wb_watch_remove(wb_watch_t *watch)
-{
+void wb_watch_remove(wb_watch_t *watch) {
     apr_pollset_remove(watch->loop->pollset, &watch->descriptor);
     watch->removed = TRUE;
     g_ptr_array_add(watch->loop->removed, watch);
--- a/src/net/peers.c
+++ b/src/net/peers.c
@@ -33,8 +33,7 @@
     GHashTable *by_node; /* the link used for sending */
 };
 
-static void greeting_send(wb_peer_t *peer)
-{
+static void greeting_send(wb_peer_t *peer) {
     wb_peers_t *peers = peer->peers;
     wb_wire_message message = {.kind = WB_WIRE_HELLO};
     wb_wire_hello *hello = &message.wb_wire_message_u.hello;
@@ -46,8 +45,7 @@
     wb_link_send(peer->link, &message);
 }
 
-static void peer_free(wb_peer_t *peer)
-{
+static void peer_free(wb_peer_t *peer) {
     wb_peers_t *peers = peer->peers;
     if (peer->node != NULL && g_hash_table_lookup(peers->by_node, peer->node) == peer) {
         g_hash_table_remove(peers->by_node, peer->node);
@@ -66,8 +64,7 @@
     g_free(peer);
 }
 
-static void peer_closed(wb_link_t *link, const char *reason, void *context)
-{
+static void peer_closed(wb_link_t *link, const char *reason, void *context) {
     (void)context;
     wb_peer_t *peer = wb_link_data(link);
     if (peer == NULL)
@@ -80,8 +77,7 @@
 }
 
 /* Takes the greeting. Returns FALSE when the link must not go on. */
-static gboolean greeting_take(wb_peer_t *peer, const wb_wire_hello *hello)
-{
+static gboolean greeting_take(wb_peer_t *peer, const wb_wire_hello *hello) {
     wb_peers_t *peers = peer->peers;
     if (strcmp(hello->cluster, peers->cluster) != 0) {
         wb_log_warning(WB_PART_LINK, "A node of cluster %s was turned away.", hello->cluster);
@@ -111,8 +107,7 @@
     return TRUE;
 }
 
-static void peer_message(wb_link_t *link, const wb_wire_message *message, void *context)
-{
+static void peer_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     (void)context;
     wb_peer_t *peer = wb_link_data(link);
     wb_peers_t *peers = peer->peers;
@@ -136,8 +131,7 @@
 }
 
 static wb_peer_t *peer_create(wb_peers_t *peers, wb_link_t *link, const char *node,
-                              const char *address)
-{
+                              const char *address) {
     wb_peer_t *peer = g_new0(wb_peer_t, 1);
     peer->peers = peers;
     peer->link = link;
@@ -151,15 +145,13 @@
 }
 
 /* A link that was accepted has no peer yet; one that we made greeted when it was created. */
-static void link_opened(wb_link_t *link, void *context)
-{
+static void link_opened(wb_link_t *link, void *context) {
     if (wb_link_data(link) == NULL)
         greeting_send(peer_create(context, link, NULL, NULL));
 }
 
 static wb_peer_t *peer_open(wb_peers_t *peers, const char *node, const char *address,
-                            gboolean overlay)
-{
+                            gboolean overlay) {
     wb_link_events_t events = {link_opened, peer_message, peer_closed,
                                peers,       peers->tls,   peers->bind_host};
     wb_link_t *link;
@@ -177,8 +169,7 @@
     return peer;
 }
 
-static wb_peer_t *peer_get(wb_peers_t *peers, const char *node, gboolean overlay)
-{
+static wb_peer_t *peer_get(wb_peers_t *peers, const char *node, gboolean overlay) {
     wb_peer_t *peer = g_hash_table_lookup(peers->by_node, node);
     if (peer != NULL)
         return peer;
@@ -187,8 +178,7 @@
 }
 
 apr_status_t wb_peers_start(wb_peers_t **peers, wb_loop_t *loop, const wb_peers_self_t *self,
-                            const wb_peers_events_t *events, wb_error_t *error)
-{
+                            const wb_peers_events_t *events, wb_error_t *error) {
     wb_peers_t *created = g_new0(wb_peers_t, 1);
     created->loop = loop;
     created->cluster = g_strdup(self->cluster);
@@ -209,8 +199,7 @@
     return status;
 }
 
-void wb_peers_stop(wb_peers_t *peers)
-{
+void wb_peers_stop(wb_peers_t *peers) {
     wb_link_listener_close(peers->listener);
     while (peers->all->len > 0) {
         wb_peer_t *peer = peers->all->pdata[0];
@@ -227,8 +216,7 @@
     g_free(peers);
 }
 
-gboolean wb_peers_send(wb_peers_t *peers, const char *node, const wb_wire_message *message)
-{
+gboolean wb_peers_send(wb_peers_t *peers, const char *node, const wb_wire_message *message) {
     wb_peer_t *peer = peer_get(peers, node, FALSE);
     if (peer == NULL)
         return FALSE;
@@ -237,8 +225,7 @@
     return TRUE;
 }
 
-gboolean wb_peers_send_open(wb_peers_t *peers, const char *node, const wb_wire_message *message)
-{
+gboolean wb_peers_send_open(wb_peers_t *peers, const char *node, const wb_wire_message *message) {
     wb_peer_t *peer = g_hash_table_lookup(peers->by_node, node);
     if (peer == NULL)
         return FALSE;
@@ -246,8 +233,7 @@
     return TRUE;
 }
 
-void wb_peers_connect(wb_peers_t *peers, const char *node, gboolean overlay)
-{
+void wb_peers_connect(wb_peers_t *peers, const char *node, gboolean overlay) {
     wb_peer_t *peer = peer_get(peers, node, overlay);
     if (peer == NULL || !overlay || peer->overlay_wanted)
         return;
@@ -257,8 +243,7 @@
         peers->events.on_up(node, TRUE, peers->events.context);
 }
 
-void wb_peers_connect_address(wb_peers_t *peers, const char *address)
-{
+void wb_peers_connect_address(wb_peers_t *peers, const char *address) {
     for (guint i = 0; i < peers->all->len; i++) {
         const wb_peer_t *peer = peers->all->pdata[i];
         if (peer->address != NULL && strcmp(peer->address, address) == 0)
@@ -267,8 +252,7 @@
     peer_open(peers, NULL, address, FALSE);
 }
 
-GPtrArray *wb_peers_overlay(wb_peers_t *peers)
-{
+GPtrArray *wb_peers_overlay(wb_peers_t *peers) {
     GPtrArray *nodes = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < peers->all->len; i++) {
         const wb_peer_t *peer = peers->all->pdata[i];
@@ -279,8 +263,7 @@
     return nodes;
 }
 
-int64_t wb_peers_heard_ms(wb_peers_t *peers, const char *node)
-{
+int64_t wb_peers_heard_ms(wb_peers_t *peers, const char *node) {
     int64_t heard_ms = 0;
     for (guint i = 0; i < peers->all->len; i++) {
         const wb_peer_t *peer = peers->all->pdata[i];
@@ -290,8 +273,7 @@
     return heard_ms;
 }
 
-void wb_peers_release_overlay(wb_peers_t *peers, const char *node)
-{
+void wb_peers_release_overlay(wb_peers_t *peers, const char *node) {
     wb_peer_t *peer = g_hash_table_lookup(peers->by_node, node);
     if (peer == NULL || !peer->overlay_wanted)
         return;
@@ -299,8 +281,7 @@
     greeting_send(peer);
 }
 
-void wb_peers_drop(wb_peers_t *peers, const char *node, const char *reason)
-{
+void wb_peers_drop(wb_peers_t *peers, const char *node, const char *reason) {
     for (guint i = 0; i < peers->all->len; i++) {
         wb_peer_t *peer = peers->all->pdata[i];
         if (peer->node != NULL && strcmp(peer->node, node) == 0)
@@ -308,8 +289,7 @@
     }
 }
 
-void wb_peers_close_idle(wb_peers_t *peers, int64_t idle_ms)
-{
+void wb_peers_close_idle(wb_peers_t *peers, int64_t idle_ms) {
     int64_t now_ms = wb_clock_ms();
     for (guint i = peers->all->len; i-- > 0;) {
         wb_peer_t *peer = peers->all->pdata[i];
@@ -320,12 +300,10 @@
     }
 }
 
-const wb_link_counters_t *wb_peers_counters(const wb_peers_t *peers)
-{
+const wb_link_counters_t *wb_peers_counters(const wb_peers_t *peers) {
     return &peers->counters;
 }
 
-unsigned wb_peers_open_links(const wb_peers_t *peers)
-{
+unsigned wb_peers_open_links(const wb_peers_t *peers) {
     return peers->all->len;
 }
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -18,8 +18,7 @@
 #define PROBES 3
 
 /* Reads IP:PORT; APR's own reader doesn't take port 0, which asks for any free one. */
-static apr_status_t address_read(const char *address, apr_pool_t *pool, apr_sockaddr_t **result)
-{
+static apr_status_t address_read(const char *address, apr_pool_t *pool, apr_sockaddr_t **result) {
     const char *colon = strrchr(address, ':');
     if (colon == NULL || !wb_address_is_valid(address))
         return APR_EINVAL;
@@ -29,8 +28,7 @@
 }
 
 apr_status_t wb_socket_open(const char *address, apr_pool_t *pool, apr_sockaddr_t **target,
-                            apr_socket_t **socket, wb_error_t *error)
-{
+                            apr_socket_t **socket, wb_error_t *error) {
     apr_status_t status = address_read(address, pool, target);
     if (status == APR_SUCCESS)
         status = apr_socket_create(socket, APR_INET, SOCK_STREAM, APR_PROTO_TCP, pool);
@@ -40,8 +38,7 @@
 }
 
 apr_status_t wb_socket_listen(const char *address, apr_pool_t *pool, apr_socket_t **socket,
-                              wb_error_t *error)
-{
+                              wb_error_t *error) {
     apr_sockaddr_t *own;
     apr_status_t status = address_read(address, pool, &own);
     if (status == APR_SUCCESS)
@@ -59,8 +56,7 @@
     return APR_SUCCESS;
 }
 
-void wb_socket_limit_silence(apr_socket_t *socket, int64_t limit_ms)
-{
+void wb_socket_limit_silence(apr_socket_t *socket, int64_t limit_ms) {
     int descriptor;
     unsigned limit = (unsigned)limit_ms;
     int on = 1;
@@ -75,8 +71,7 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
-gboolean wb_socket_is_connected(apr_socket_t *socket, int16_t events)
-{
+gboolean wb_socket_is_connected(apr_socket_t *socket, int16_t events) {
     int failure = 0;
     socklen_t size = sizeof(failure);
     int descriptor;
@@ -85,8 +80,7 @@
     return failure == 0 && !(events & (APR_POLLERR | APR_POLLHUP));
 }
 
-unsigned wb_socket_port(apr_socket_t *socket)
-{
+unsigned wb_socket_port(apr_socket_t *socket) {
     apr_sockaddr_t *own;
     if (apr_socket_addr_get(&own, APR_LOCAL, socket) != APR_SUCCESS)
         return 0;
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -40,23 +40,20 @@
 
 static const wb_tcp_events_t silent_events = {NULL, NULL, NULL, NULL};
 
-static void stream_free(wb_tcp_stream_t *stream)
-{
+static void stream_free(wb_tcp_stream_t *stream) {
     g_byte_array_unref(stream->unsent);
     apr_pool_destroy(stream->pool);
     g_free(stream);
 }
 
-static void timer_clear(wb_tcp_stream_t *stream)
-{
+static void timer_clear(wb_tcp_stream_t *stream) {
     if (stream->timer == NULL)
         return;
     wb_timer_cancel(stream->timer);
     stream->timer = NULL;
 }
 
-void wb_tcp_stream_close(wb_tcp_stream_t *stream)
-{
+void wb_tcp_stream_close(wb_tcp_stream_t *stream) {
     if (stream->closed)
         return;
     stream->closed = TRUE;
@@ -68,8 +65,7 @@
         stream_free(stream);
 }
 
-void wb_tcp_stream_reset(wb_tcp_stream_t *stream)
-{
+void wb_tcp_stream_reset(wb_tcp_stream_t *stream) {
     struct linger none = {1, 0};
     int descriptor;
     apr_os_sock_get(&descriptor, stream->socket);
@@ -78,13 +74,11 @@
 }
 
 /* Every callback runs between enter and leave. leave returns FALSE when the stream is freed. */
-static void callback_enter(wb_tcp_stream_t *stream)
-{
+static void callback_enter(wb_tcp_stream_t *stream) {
     stream->callbacks++;
 }
 
-static gboolean callback_leave(wb_tcp_stream_t *stream)
-{
+static gboolean callback_leave(wb_tcp_stream_t *stream) {
     stream->callbacks--;
     if (!stream->closed)
         return TRUE;
@@ -93,8 +87,7 @@
     return FALSE;
 }
 
-static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how)
-{
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_t how) {
     if (stream->ended)
         return;
     stream->ended = TRUE;
@@ -108,8 +101,7 @@
     callback_leave(stream);
 }
 
-static void watch_update(wb_tcp_stream_t *stream)
-{
+static void watch_update(wb_tcp_stream_t *stream) {
     if (!stream->open || stream->closed || stream->ended)
         return;
     int16_t events = 0;
@@ -120,16 +112,14 @@
     wb_watch_change(stream->watch, events);
 }
 
-static void linger_over(void *context)
-{
+static void linger_over(void *context) {
     wb_tcp_stream_t *stream = context;
     stream->timer = NULL;
     wb_tcp_stream_close(stream);
 }
 
 /* All output is sent: tell the peer, then wait a little for its close so that nothing resets. */
-static void linger_begin(wb_tcp_stream_t *stream)
-{
+static void linger_begin(wb_tcp_stream_t *stream) {
     apr_socket_shutdown(stream->socket, APR_SHUTDOWN_WRITE);
     stream->reading = TRUE;
     watch_update(stream);
@@ -138,8 +128,7 @@
 }
 
 /* Sends what the socket takes. Returns FALSE when the connection broke. */
-static gboolean output_flush(wb_tcp_stream_t *stream)
-{
+static gboolean output_flush(wb_tcp_stream_t *stream) {
     guint sent = 0;
     while (sent < stream->unsent->len) {
         apr_size_t length = stream->unsent->len - sent;
@@ -156,15 +145,13 @@
     return TRUE;
 }
 
-static void broke_later(void *context)
-{
+static void broke_later(void *context) {
     wb_tcp_stream_t *stream = context;
     stream->timer = NULL;
     stream_end(stream, WB_TCP_END_RESET);
 }
 
-void wb_tcp_stream_write(wb_tcp_stream_t *stream, const void *data, size_t length)
-{
+void wb_tcp_stream_write(wb_tcp_stream_t *stream, const void *data, size_t length) {
     if (stream->closed || stream->ended || stream->finishing)
         return;
     g_byte_array_append(stream->unsent, data, (guint)length);
@@ -180,32 +167,28 @@
     watch_update(stream);
 }
 
-size_t wb_tcp_stream_unsent(const wb_tcp_stream_t *stream)
-{
+size_t wb_tcp_stream_unsent(const wb_tcp_stream_t *stream) {
     return stream->unsent->len;
 }
 
-gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream)
-{
+gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream) {
     return stream->open && !stream->ended && !stream->closed;
 }
 
-void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading)
-{
+void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading) {
     if (stream->reading == reading)
         return;
     stream->reading = reading;
     watch_update(stream);
 }
 
-void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events, void *context)
-{
+void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events,
+                              void *context) {
     stream->events = events;
     stream->context = context;
 }
 
-void wb_tcp_stream_finish(wb_tcp_stream_t *stream)
-{
+void wb_tcp_stream_finish(wb_tcp_stream_t *stream) {
     if (stream->closed || stream->finishing)
         return;
     if (stream->ended || !stream->open) {
@@ -221,8 +204,7 @@
 }
 
 /* Reads what is there. Returns FALSE when the stream is freed or has ended. */
-static gboolean input_read(wb_tcp_stream_t *stream)
-{
+static gboolean input_read(wb_tcp_stream_t *stream) {
     char chunk[READ_CHUNK_BYTES];
     for (int i = 0; i < READS_PER_WAKEUP && stream->reading; i++) {
         apr_size_t length = sizeof(chunk);
@@ -246,8 +228,7 @@
     return TRUE;
 }
 
-static void output_ready(wb_tcp_stream_t *stream)
-{
+static void output_ready(wb_tcp_stream_t *stream) {
     if (!output_flush(stream)) {
         stream_end(stream, WB_TCP_END_RESET);
         return;
@@ -266,8 +247,7 @@
     }
 }
 
-static void stream_ready(int16_t events, void *context)
-{
+static void stream_ready(int16_t events, void *context) {
     wb_tcp_stream_t *stream = context;
     if (stream->ended)
         return;
@@ -287,8 +267,7 @@
 }
 
 static wb_tcp_stream_t *stream_create(wb_loop_t *loop, apr_pool_t *pool, apr_socket_t *socket,
-                                      int64_t silence_limit_ms)
-{
+                                      int64_t silence_limit_ms) {
     wb_tcp_stream_t *stream = g_new0(wb_tcp_stream_t, 1);
     stream->loop = loop;
     stream->pool = pool;
@@ -303,15 +282,13 @@
     return stream;
 }
 
-static void connect_timed_out(void *context)
-{
+static void connect_timed_out(void *context) {
     wb_tcp_stream_t *stream = context;
     stream->timer = NULL;
     stream_end(stream, WB_TCP_END_UNREACHED);
 }
 
-static void connect_ready(int16_t events, void *context)
-{
+static void connect_ready(int16_t events, void *context) {
     wb_tcp_stream_t *stream = context;
     timer_clear(stream);
     if (!wb_socket_is_connected(stream->socket, events)) {
@@ -332,8 +309,7 @@
 
 apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address, int64_t connect_timeout_ms,
                                    int64_t silence_limit_ms, const wb_tcp_events_t *events,
-                                   void *context, wb_tcp_stream_t **stream, wb_error_t *error)
-{
+                                   void *context, wb_tcp_stream_t **stream, wb_error_t *error) {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
     apr_sockaddr_t *target;
@@ -352,8 +328,7 @@
     return APR_SUCCESS;
 }
 
-static void connection_accepted(apr_socket_t *socket, apr_pool_t *pool, void *context)
-{
+static void connection_accepted(apr_socket_t *socket, apr_pool_t *pool, void *context) {
     wb_tcp_listener_t *listener = context;
     wb_tcp_stream_t *stream =
         stream_create(listener->loop, pool, socket, listener->silence_limit_ms);
@@ -364,8 +339,7 @@
 
 apr_status_t wb_tcp_listen(wb_loop_t *loop, const char *address, int64_t silence_limit_ms,
                            wb_tcp_accept_fn on_accept, void *context, wb_tcp_listener_t **listener,
-                           wb_error_t *error)
-{
+                           wb_error_t *error) {
     wb_tcp_listener_t *created = g_new0(wb_tcp_listener_t, 1);
     created->loop = loop;
     created->silence_limit_ms = silence_limit_ms;
@@ -381,13 +355,11 @@
     return APR_SUCCESS;
 }
 
-unsigned wb_tcp_listener_port(const wb_tcp_listener_t *listener)
-{
+unsigned wb_tcp_listener_port(const wb_tcp_listener_t *listener) {
     return wb_acceptor_port(listener->acceptor);
 }
 
-void wb_tcp_listener_close(wb_tcp_listener_t *listener)
-{
+void wb_tcp_listener_close(wb_tcp_listener_t *listener) {
     wb_acceptor_close(listener->acceptor);
     g_free(listener);
 }
--- a/src/net/tls.c
+++ b/src/net/tls.c
@@ -15,8 +15,7 @@
 
 apr_status_t wb_tls_context_create(wb_tls_context_t **context, const char *key_file,
                                    const char *certificate_file, const char *trust_file,
-                                   wb_error_t *error)
-{
+                                   wb_error_t *error) {
     wb_tls_context_t *created = g_new0(wb_tls_context_t, 1);
     gnutls_certificate_allocate_credentials(&created->credentials);
     int result = gnutls_certificate_set_x509_key_file(created->credentials, certificate_file,
@@ -39,15 +38,13 @@
     return APR_SUCCESS;
 }
 
-void wb_tls_context_free(wb_tls_context_t *context)
-{
+void wb_tls_context_free(wb_tls_context_t *context) {
     gnutls_certificate_free_credentials(context->credentials);
     g_free(context);
 }
 
 wb_tls_session_t *wb_tls_session_create(wb_tls_context_t *context, apr_socket_t *socket,
-                                        gboolean is_server)
-{
+                                        gboolean is_server) {
     wb_tls_session_t *session = g_new0(wb_tls_session_t, 1);
     unsigned flags = is_server ? GNUTLS_SERVER : GNUTLS_CLIENT;
     int descriptor;
@@ -63,14 +60,12 @@
     return session;
 }
 
-void wb_tls_session_free(wb_tls_session_t *session)
-{
+void wb_tls_session_free(wb_tls_session_t *session) {
     gnutls_deinit(session->session);
     g_free(session);
 }
 
-static wb_tls_step_t step_from(wb_tls_session_t *session, ssize_t result)
-{
+static wb_tls_step_t step_from(wb_tls_session_t *session, ssize_t result) {
     if (result == GNUTLS_E_AGAIN || result == GNUTLS_E_INTERRUPTED)
         return gnutls_record_get_direction(session->session) == 0 ? WB_TLS_WANTS_READ
                                                                   : WB_TLS_WANTS_WRITE;
@@ -80,21 +75,18 @@
     return WB_TLS_FAILED;
 }
 
-wb_tls_step_t wb_tls_session_handshake(wb_tls_session_t *session)
-{
+wb_tls_step_t wb_tls_session_handshake(wb_tls_session_t *session) {
     int result = gnutls_handshake(session->session);
     return result == GNUTLS_E_SUCCESS ? WB_TLS_DONE : step_from(session, result);
 }
 
-wb_tls_step_t wb_tls_session_send(wb_tls_session_t *session, const char *data, gsize *length)
-{
+wb_tls_step_t wb_tls_session_send(wb_tls_session_t *session, const char *data, gsize *length) {
     ssize_t result = gnutls_record_send(session->session, data, *length);
     *length = result > 0 ? (gsize)result : 0;
     return result > 0 ? WB_TLS_DONE : step_from(session, result);
 }
 
-wb_tls_step_t wb_tls_session_receive(wb_tls_session_t *session, char *data, gsize *length)
-{
+wb_tls_step_t wb_tls_session_receive(wb_tls_session_t *session, char *data, gsize *length) {
     ssize_t result = gnutls_record_recv(session->session, data, *length);
     *length = result > 0 ? (gsize)result : 0;
     if (result > 0)
@@ -102,7 +94,6 @@
     return result == 0 ? WB_TLS_ENDED : step_from(session, result);
 }
 
-const char *wb_tls_session_failure(const wb_tls_session_t *session)
-{
+const char *wb_tls_session_failure(const wb_tls_session_t *session) {
     return session->failure != 0 ? gnutls_strerror(session->failure) : "the connection broke";
 }
--- a/src/node/metrics.c
+++ b/src/node/metrics.c
@@ -2,16 +2,14 @@
 #include "operators.h"
 
 static void figure_write(GString *text, const char *name, const char *type, const char *help,
-                         int64_t value)
-{
+                         int64_t value) {
     g_string_append_printf(text,
                            "# HELP wickbridge_%s %s\n# TYPE wickbridge_%s %s\nwickbridge_%s "
                            "%" G_GINT64_FORMAT "\n",
                            name, help, name, type, name, (gint64)value);
 }
 
-static void gateway_write(GString *text, const wb_gateway_counters_t *counters)
-{
+static void gateway_write(GString *text, const wb_gateway_counters_t *counters) {
     figure_write(text, "requests_accepted_total", "counter", "Requests taken in.",
                  counters->accepted);
     figure_write(text, "requests_completed_total", "counter", "Requests answered whole.",
@@ -30,8 +28,7 @@
                  counters->events);
 }
 
-static void links_write(GString *text, wb_peers_t *peers)
-{
+static void links_write(GString *text, wb_peers_t *peers) {
     const wb_link_counters_t *counters = wb_peers_counters(peers);
     figure_write(text, "link_bytes_sent_total", "counter", "Bytes sent to nodes.",
                  counters->bytes_sent);
@@ -44,8 +41,7 @@
     figure_write(text, "links_open", "gauge", "Links to nodes.", wb_peers_open_links(peers));
 }
 
-static int64_t members_up(wb_node_t *node)
-{
+static int64_t members_up(wb_node_t *node) {
     const wb_member_table_t *table = wb_membership_table(wb_node_membership(node));
     g_autoptr(GPtrArray) list = wb_member_table_list(table);
     int64_t count = 0;
@@ -55,8 +51,7 @@
     return count;
 }
 
-GString *wb_metrics_write(wb_node_t *node)
-{
+GString *wb_metrics_write(wb_node_t *node) {
     GString *text = g_string_new(NULL);
     gateway_write(text, wb_gateway_counters(wb_node_gateway(node)));
     links_write(text, wb_node_peers(node));
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -28,8 +28,7 @@
     GByteArray *bytes;
 } self_message_t;
 
-static void message_deliver(wb_node_t *node, const char *from, const wb_wire_message *message)
-{
+static void message_deliver(wb_node_t *node, const char *from, const wb_wire_message *message) {
     if (wb_membership_message(node->membership, from, message) ||
         wb_config_store_message(node->config_store, from, message) ||
         wb_cell_host_message(node->cell_host, from, message) ||
@@ -39,8 +38,7 @@
                 wb_message_kind_name(message->kind), from);
 }
 
-static void self_deliver(void *context)
-{
+static void self_deliver(void *context) {
     self_message_t *carried = context;
     wb_wire_message message;
     /* the frame's four bytes of length come first */
@@ -53,8 +51,7 @@
     g_free(carried);
 }
 
-static gboolean message_send(const char *to, const wb_wire_message *message, void *context)
-{
+static gboolean message_send(const char *to, const wb_wire_message *message, void *context) {
     wb_node_t *node = context;
     if (strcmp(to, node->name) != 0)
         return wb_peers_send(node->peers, to, message);
@@ -70,13 +67,11 @@
     return TRUE;
 }
 
-static void host_send(const char *to, const wb_wire_message *message, void *context)
-{
+static void host_send(const char *to, const wb_wire_message *message, void *context) {
     message_send(to, message, context);
 }
 
-static const char *owner_find(const char *cell, void *context)
-{
+static const char *owner_find(const char *cell, void *context) {
     wb_node_t *node = context;
     const char *owner = wb_membership_owner(node->membership, cell, NULL);
     if (owner == NULL || !wb_member_table_is_up(wb_membership_table(node->membership), owner))
@@ -84,76 +79,64 @@
     return owner;
 }
 
-static const char *peer_address(const char *name, void *context)
-{
+static const char *peer_address(const char *name, void *context) {
     return wb_membership_address(((wb_node_t *)context)->membership, name);
 }
 
-static void peer_up(const char *name, gboolean overlay, void *context)
-{
+static void peer_up(const char *name, gboolean overlay, void *context) {
     wb_membership_link_up(((wb_node_t *)context)->membership, name, overlay);
 }
 
-static void peer_down(const char *name, const char *reason, void *context)
-{
+static void peer_down(const char *name, const char *reason, void *context) {
     wb_log_info(WB_PART_LINK, "The link to %s ended: %s.", name, reason);
     wb_membership_link_down(((wb_node_t *)context)->membership, name);
 }
 
-static void peer_message(const char *name, const wb_wire_message *message, void *context)
-{
+static void peer_message(const char *name, const wb_wire_message *message, void *context) {
     message_deliver(context, name, message);
 }
 
-static void peer_replaced(const char *expected, const char *name, void *context)
-{
+static void peer_replaced(const char *expected, const char *name, void *context) {
     (void)name;
     wb_membership_replaced(((wb_node_t *)context)->membership, expected);
 }
 
-static void member_changed(const wb_member_t *member, void *context)
-{
+static void member_changed(const wb_member_t *member, void *context) {
     wb_node_t *node = context;
     if (node->cell_host != NULL)
         wb_cell_host_member(node->cell_host, member);
 }
 
-static void owner_changed(const char *cell, const char *owner, uint64_t epoch, void *context)
-{
+static void owner_changed(const char *cell, const char *owner, uint64_t epoch, void *context) {
     (void)context;
     wb_log_info(WB_PART_CELL, "Cell %s is owned by %s at epoch %" G_GUINT64_FORMAT ".", cell, owner,
                 (guint64)epoch);
 }
 
-static void config_version_heard(const char *name, uint64_t version, void *context)
-{
+static void config_version_heard(const char *name, uint64_t version, void *context) {
     wb_node_t *node = context;
     if (node->config_store != NULL)
         wb_config_store_heard(node->config_store, name, version);
 }
 
-static void config_changed(wb_config_t *config, void *context)
-{
+static void config_changed(wb_config_t *config, void *context) {
     wb_node_t *node = context;
     wb_membership_set_config_version(node->membership, config->version);
     wb_gateway_set_config(node->gateway, config);
     wb_cell_host_config(node->cell_host, config);
 }
 
-static void ready_check(void *context)
-{
+static void ready_check(void *context) {
     wb_node_is_ready(context);
 }
 
 /* A name of its own for each start: who restarts has lost what it knew. */
-static char *name_create(const char *id)
-{
+static char *name_create(const char *id) {
     return g_strdup_printf("%s~%" G_GINT64_MODIFIER "x%04x", id,
                            (guint64)(g_get_real_time() / 1000), g_random_int() & 0xffff);
 }
 
-static apr_status_t peers_start(wb_node_t *node, wb_error_t *error)
-{
+static apr_status_t peers_start(wb_node_t *node, wb_error_t *error) {
     const wb_node_settings_t *settings = &node->settings;
     wb_peers_self_t self = {settings->cluster,      node->name,     node->address,
                             settings->listen_nodes, settings->zone, settings->bind_nodes,
@@ -163,8 +146,7 @@
     return wb_peers_start(&node->peers, node->parts.loop, &self, &events, error);
 }
 
-static void membership_start(wb_node_t *node)
-{
+static void membership_start(wb_node_t *node) {
     const wb_node_settings_t *settings = &node->settings;
     g_auto(GStrv) seeds = g_strsplit(settings->seeds, ",", -1);
     GPtrArray *addresses = g_ptr_array_new();
@@ -185,8 +167,7 @@
     g_ptr_array_unref(addresses);
 }
 
-static void gateway_create(wb_node_t *node)
-{
+static void gateway_create(wb_node_t *node) {
     const wb_node_settings_t *settings = &node->settings;
     wb_gateway_options_t options = {
         .node = node->name,
@@ -210,8 +191,7 @@
     node->gateway = wb_gateway_create(&options, &parts);
 }
 
-static void cell_host_start(wb_node_t *node)
-{
+static void cell_host_start(wb_node_t *node) {
     const wb_node_settings_t *settings = &node->settings;
     wb_cell_host_options_t options = {
         .node = node->name,
@@ -233,8 +213,7 @@
 }
 
 apr_status_t wb_node_create(wb_node_t **node, const wb_node_settings_t *settings,
-                            const wb_node_parts_t *parts, wb_error_t *error)
-{
+                            const wb_node_parts_t *parts, wb_error_t *error) {
     wb_node_t *created = g_new0(wb_node_t, 1);
     created->settings = *settings;
     created->parts = *parts;
@@ -261,8 +240,7 @@
     return APR_SUCCESS;
 }
 
-void wb_node_free(wb_node_t *node)
-{
+void wb_node_free(wb_node_t *node) {
     wb_timer_cancel(node->ready_timer);
     wb_cell_host_stop(node->cell_host);
     wb_config_store_stop(node->config_store);
@@ -275,8 +253,7 @@
     g_free(node);
 }
 
-void wb_node_drain(wb_node_t *node)
-{
+void wb_node_drain(wb_node_t *node) {
     if (!node->draining)
         wb_log_message(WB_PART_NODE, "This node stops: it finishes what is open.");
     node->draining = TRUE;
@@ -284,53 +261,43 @@
     wb_cell_host_hand_over(node->cell_host);
 }
 
-gboolean wb_node_is_drained(wb_node_t *node)
-{
+gboolean wb_node_is_drained(wb_node_t *node) {
     return wb_cell_host_hand_over(node->cell_host) && wb_gateway_open(node->gateway) == 0;
 }
 
-void wb_node_leave(wb_node_t *node)
-{
+void wb_node_leave(wb_node_t *node) {
     wb_membership_leave(node->membership);
 }
 
-const char *wb_node_name(const wb_node_t *node)
-{
+const char *wb_node_name(const wb_node_t *node) {
     return node->name;
 }
 
-wb_gateway_t *wb_node_gateway(wb_node_t *node)
-{
+wb_gateway_t *wb_node_gateway(wb_node_t *node) {
     return node->gateway;
 }
 
-wb_config_store_t *wb_node_config_store(wb_node_t *node)
-{
+wb_config_store_t *wb_node_config_store(wb_node_t *node) {
     return node->config_store;
 }
 
-wb_membership_t *wb_node_membership(wb_node_t *node)
-{
+wb_membership_t *wb_node_membership(wb_node_t *node) {
     return node->membership;
 }
 
-wb_cell_host_t *wb_node_cell_host(wb_node_t *node)
-{
+wb_cell_host_t *wb_node_cell_host(wb_node_t *node) {
     return node->cell_host;
 }
 
-wb_peers_t *wb_node_peers(wb_node_t *node)
-{
+wb_peers_t *wb_node_peers(wb_node_t *node) {
     return node->peers;
 }
 
-wb_platform_t *wb_node_platform(wb_node_t *node)
-{
+wb_platform_t *wb_node_platform(wb_node_t *node) {
     return node->platform;
 }
 
-gboolean wb_node_is_ready(wb_node_t *node)
-{
+gboolean wb_node_is_ready(wb_node_t *node) {
     gboolean ready = !node->draining && wb_config_store_is_ready(node->config_store);
     wb_gateway_set_ready(node->gateway, ready);
     return ready;
--- a/src/node/node_settings.c
+++ b/src/node/node_settings.c
@@ -4,9 +4,7 @@
 #include <glib.h>
 
 #define ROW(name, type, unit, low, high, fallback, field, text)                                    \
-    {                                                                                              \
-        name, type, unit, low, high, fallback, offsetof(wb_node_settings_t, field), text           \
-    }
+    { name, type, unit, low, high, fallback, offsetof(wb_node_settings_t, field), text }
 
 static const wb_setting_t rows[] = {
     ROW("id", WB_SETTING_TEXT, "", 0, 0, NULL, id, "Id of this node's machine in the machine list"),
--- a/src/node/operators.c
+++ b/src/node/operators.c
@@ -17,8 +17,7 @@
     char *request;
 } operator_call_t;
 
-static void call_free(operator_call_t *call)
-{
+static void call_free(operator_call_t *call) {
     g_free(call->path);
     g_free(call->method);
     g_free(call->model);
@@ -26,8 +25,7 @@
     g_free(call);
 }
 
-static void reply_json(wb_http_exchange_t *exchange, unsigned status, json_t *body)
-{
+static void reply_json(wb_http_exchange_t *exchange, unsigned status, json_t *body) {
     char *text = wb_json_dump(body);
     json_decref(body);
     wb_http_exchange_reply(exchange, status, "application/json", text, strlen(text));
@@ -35,14 +33,12 @@
 }
 
 static void reply_error(wb_http_exchange_t *exchange, unsigned status, const char *code,
-                        const char *message)
-{
+                        const char *message) {
     reply_json(exchange, status,
                json_pack("{s:{s:s, s:s}}", "error", "code", code, "message", message));
 }
 
-static json_t *members_describe(wb_node_t *node)
-{
+static json_t *members_describe(wb_node_t *node) {
     json_t *members = json_array();
     g_autoptr(GPtrArray) list = wb_member_table_list(wb_membership_table(wb_node_membership(node)));
     for (guint i = 0; i < list->len; i++) {
@@ -55,8 +51,7 @@
     return members;
 }
 
-static void status_show(operator_call_t *call)
-{
+static void status_show(operator_call_t *call) {
     wb_node_t *node = call->operators->node;
     wb_config_store_t *store = wb_node_config_store(node);
     reply_json(call->exchange, 200,
@@ -67,8 +62,7 @@
                          "cells", wb_cell_host_status(wb_node_cell_host(node))));
 }
 
-static void config_show(operator_call_t *call)
-{
+static void config_show(operator_call_t *call) {
     const wb_config_t *config =
         wb_config_store_current(wb_node_config_store(call->operators->node));
     reply_json(call->exchange, 200,
@@ -76,8 +70,7 @@
                          config->objects));
 }
 
-static void apply_done(const wb_config_apply_result_t *result, void *context)
-{
+static void apply_done(const wb_config_apply_result_t *result, void *context) {
     static const struct {
         unsigned http;
         const char *code;
@@ -98,8 +91,7 @@
     reply_json(exchange, answers[result->status].http, body);
 }
 
-static void config_apply(operator_call_t *call)
-{
+static void config_apply(operator_call_t *call) {
     size_t length;
     const char *text = wb_http_exchange_body(call->exchange, &length);
     json_error_t failure;
@@ -123,8 +115,7 @@
     json_decref(body);
 }
 
-static void model_explain(operator_call_t *call)
-{
+static void model_explain(operator_call_t *call) {
     wb_node_t *node = call->operators->node;
     const wb_config_t *config = wb_config_store_current(wb_node_config_store(node));
     const wb_adapter_t *adapter = wb_config_adapter(config, call->model);
@@ -143,8 +134,7 @@
                          "decisions", decisions));
 }
 
-static void request_explain(operator_call_t *call)
-{
+static void request_explain(operator_call_t *call) {
     json_t *found =
         wb_gateway_explain_request(wb_node_gateway(call->operators->node), call->request);
     if (found != NULL)
@@ -154,8 +144,7 @@
                     "this node does not remember such a request; ask the one that took it");
 }
 
-static void explain(operator_call_t *call)
-{
+static void explain(operator_call_t *call) {
     if (call->model != NULL)
         model_explain(call);
     else if (call->request != NULL)
@@ -164,32 +153,27 @@
         reply_error(call->exchange, 400, "invalid_request", "ask for ?model= or ?request=");
 }
 
-static void drain(operator_call_t *call)
-{
+static void drain(operator_call_t *call) {
     wb_node_drain(call->operators->node);
     reply_json(call->exchange, 202, json_pack("{s:s}", "result", "draining"));
 }
 
-static void ready_show(operator_call_t *call)
-{
+static void ready_show(operator_call_t *call) {
     gboolean ready = wb_node_is_ready(call->operators->node);
     reply_json(call->exchange, ready ? 200 : 503, json_pack("{s:b}", "ready", ready));
 }
 
-static void health_show(operator_call_t *call)
-{
+static void health_show(operator_call_t *call) {
     reply_json(call->exchange, 200, json_pack("{s:b}", "alive", 1));
 }
 
-static void metrics_show(operator_call_t *call)
-{
+static void metrics_show(operator_call_t *call) {
     GString *text = wb_metrics_write(call->operators->node);
     wb_http_exchange_reply(call->exchange, 200, "text/plain; version=0.0.4", text->str, text->len);
     g_string_free(text, TRUE);
 }
 
-static void history_show(operator_call_t *call)
-{
+static void history_show(operator_call_t *call) {
     json_t *changes = wb_config_store_history(wb_node_config_store(call->operators->node));
     reply_json(call->exchange, 200, json_pack("{s:o}", "changes", changes));
 }
@@ -210,8 +194,7 @@
     {"POST", "/operators/v1/drain", drain},
 };
 
-static void call_answer(void *context)
-{
+static void call_answer(void *context) {
     operator_call_t *call = context;
     gboolean path_known = FALSE;
     size_t i;
@@ -229,8 +212,7 @@
     call_free(call);
 }
 
-void wb_operators_handle(wb_http_exchange_t *exchange, void *context)
-{
+void wb_operators_handle(wb_http_exchange_t *exchange, void *context) {
     operator_call_t *call = g_new0(operator_call_t, 1);
     call->operators = context;
     call->exchange = exchange;
--- a/src/policy/policy.c
+++ b/src/policy/policy.c
@@ -14,8 +14,7 @@
 };
 
 /* Counts memory and refuses more than the limit; Lua turns that into an error. */
-static void *memory_allocate(void *context, void *block, size_t old_size, size_t new_size)
-{
+static void *memory_allocate(void *context, void *block, size_t old_size, size_t new_size) {
     wb_policy_program_t *program = context;
     size_t before = block != NULL ? old_size : 0;
     if (new_size == 0) {
@@ -31,15 +30,13 @@
     return result;
 }
 
-static void instructions_over(lua_State *lua, lua_Debug *debug)
-{
+static void instructions_over(lua_State *lua, lua_Debug *debug) {
     (void)debug;
     luaL_error(lua, "it takes more than %d instructions", WB_POLICY_INSTRUCTION_LIMIT);
 }
 
 /* Leaves what computes; takes away what loads code, prints, or differs from run to run. */
-static void sandbox_open(lua_State *lua)
-{
+static void sandbox_open(lua_State *lua) {
     static const char *const forbidden[] = {"load",    "loadfile", "dofile",        "print",
                                             "require", "warn",     "collectgarbage"};
     luaL_requiref(lua, LUA_GNAME, luaopen_base, 1);
@@ -57,28 +54,24 @@
     }
 }
 
-static int call_limited(lua_State *lua, int arguments, int results)
-{
+static int call_limited(lua_State *lua, int arguments, int results) {
     lua_sethook(lua, instructions_over, LUA_MASKCOUNT, WB_POLICY_INSTRUCTION_LIMIT);
     int status = lua_pcall(lua, arguments, results, 0);
     lua_sethook(lua, NULL, 0, 0);
     return status;
 }
 
-static void field_integer(lua_State *lua, const char *name, int64_t value)
-{
+static void field_integer(lua_State *lua, const char *name, int64_t value) {
     lua_pushinteger(lua, (lua_Integer)value);
     lua_setfield(lua, -2, name);
 }
 
-static void field_text(lua_State *lua, const char *name, const char *value)
-{
+static void field_text(lua_State *lua, const char *name, const char *value) {
     lua_pushstring(lua, value);
     lua_setfield(lua, -2, name);
 }
 
-static void model_push(lua_State *lua, const wb_policy_model_t *model)
-{
+static void model_push(lua_State *lua, const wb_policy_model_t *model) {
     lua_createtable(lua, 0, 8);
     field_text(lua, "name", model->name);
     field_integer(lua, "memory_mib", model->memory_mib);
@@ -90,8 +83,7 @@
     field_integer(lua, "keep_alive_ms", model->keep_alive_ms);
 }
 
-static void engine_push(lua_State *lua, const wb_policy_engine_t *engine)
-{
+static void engine_push(lua_State *lua, const wb_policy_engine_t *engine) {
     lua_createtable(lua, 0, 8);
     field_text(lua, "id", engine->id);
     field_text(lua, "zone", engine->zone);
@@ -112,8 +104,7 @@
     int64_t answer;
 } policy_call_t;
 
-static int call_protected(lua_State *lua)
-{
+static int call_protected(lua_State *lua) {
     policy_call_t *call = lua_touserdata(lua, 1);
     lua_settop(lua, 0);
     call->defined = lua_getglobal(lua, call->function) == LUA_TFUNCTION;
@@ -135,8 +126,7 @@
 }
 
 static wb_policy_answer_t program_call(wb_policy_program_t *program, policy_call_t *call,
-                                       int64_t *answer, wb_error_t *error)
-{
+                                       int64_t *answer, wb_error_t *error) {
     lua_State *lua = program->lua;
     lua_settop(lua, 0);
     lua_pushcfunction(lua, call_protected);
@@ -156,8 +146,7 @@
 
 wb_policy_answer_t wb_policy_keep_alive(wb_policy_program_t *program,
                                         const wb_policy_model_t *model, int64_t *keep_alive_ms,
-                                        wb_error_t *error)
-{
+                                        wb_error_t *error) {
     policy_call_t call = {"keep_alive_ms", model, NULL, FALSE, 0};
     return program_call(program, &call, keep_alive_ms, error);
 }
@@ -165,15 +154,13 @@
 wb_policy_answer_t wb_policy_placement_cost(wb_policy_program_t *program,
                                             const wb_policy_model_t *model,
                                             const wb_policy_engine_t *engine, int64_t *cost_ms,
-                                            wb_error_t *error)
-{
+                                            wb_error_t *error) {
     policy_call_t call = {"placement_cost_ms", model, engine, FALSE, 0};
     return program_call(program, &call, cost_ms, error);
 }
 
 /* One try with ordinary input, before the program is accepted. */
-static apr_status_t program_try(wb_policy_program_t *program, wb_error_t *error)
-{
+static apr_status_t program_try(wb_policy_program_t *program, wb_error_t *error) {
     static const wb_policy_model_t model = {"sample", 4096, 30000, 1, 0, 1, 2, 60000};
     static const wb_policy_engine_t engine = {"engine", "zone", 8192, 2, 0, 1, "disk", 480};
     int64_t answer;
@@ -191,8 +178,7 @@
 }
 
 apr_status_t wb_policy_compile(wb_policy_program_t **program, const char *name, const char *text,
-                               wb_error_t *error)
-{
+                               wb_error_t *error) {
     wb_policy_program_t *created = g_new0(wb_policy_program_t, 1);
     created->name = g_strdup(name);
     created->lua = lua_newstate(memory_allocate, created);
@@ -218,8 +204,7 @@
     return status;
 }
 
-void wb_policy_free(wb_policy_program_t *program)
-{
+void wb_policy_free(wb_policy_program_t *program) {
     if (program == NULL)
         return;
     if (program->lua != NULL)
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -6,8 +6,7 @@
 
 #define FRAME_HEAD_BYTES 4
 
-apr_status_t wb_message_encode(const wb_wire_message *message, GByteArray *out, wb_error_t *error)
-{
+apr_status_t wb_message_encode(const wb_wire_message *message, GByteArray *out, wb_error_t *error) {
     /* XDR only reads from the message while encoding, but its interface isn't const. */
     wb_wire_message *source = (wb_wire_message *)message;
     unsigned long size = xdr_sizeof((xdrproc_t)xdr_wb_wire_message, source);
@@ -30,8 +29,7 @@
 }
 
 apr_status_t wb_message_decode(const void *data, size_t length, wb_wire_message *message,
-                               wb_error_t *error)
-{
+                               wb_error_t *error) {
     memset(message, 0, sizeof(*message));
     XDR stream;
     xdrmem_create(&stream, (char *)data, (u_int)length, XDR_DECODE);
@@ -44,14 +42,12 @@
     return wb_error_set(error, APR_EINVAL, "%zu bytes are not a message", length);
 }
 
-void wb_message_clear(wb_wire_message *message)
-{
+void wb_message_clear(wb_wire_message *message) {
     xdr_free((xdrproc_t)xdr_wb_wire_message, message);
     memset(message, 0, sizeof(*message));
 }
 
-const char *wb_message_kind_name(wb_wire_kind kind)
-{
+const char *wb_message_kind_name(wb_wire_kind kind) {
     static const char *const names[] = {
         "none",         "hello",         "heartbeat",       "gossip",       "sync",
         "config-fetch", "config-change", "group-state",     "group-append", "group-ack",
--- a/standins/engine/answers.c
+++ b/standins/engine/answers.c
@@ -11,8 +11,7 @@
 } answer_word_input_t;
 
 /* The first word shows the seed, so that a reader can check all the others. */
-static void word_append(GString *out, const answer_t *answer, int index)
-{
+static void word_append(GString *out, const answer_t *answer, int index) {
     if (index == 0) {
         g_string_append_printf(out, "seed-%016" G_GINT64_MODIFIER "x ", (guint64)answer->seed);
         return;
@@ -22,8 +21,7 @@
     g_string_append_printf(out, "w%d-%08x ", index, (unsigned)hash);
 }
 
-static void chunk_append(GString *out, const answer_t *answer, int index, gboolean last)
-{
+static void chunk_append(GString *out, const answer_t *answer, int index, gboolean last) {
     gboolean chat = answer->kind == ANSWER_CHAT;
     g_string_append_printf(out,
                            "data: {\"id\":\"%s\",\"object\":\"%s\",\"created\":%" G_GINT64_FORMAT
@@ -46,13 +44,11 @@
     g_string_append_printf(out, ",\"finish_reason\":%s}]}\n\n", last ? "\"stop\"" : "null");
 }
 
-int answer_events(const answer_t *answer)
-{
+int answer_events(const answer_t *answer) {
     return answer->kind == ANSWER_CALL ? 1 : answer->tokens + 2;
 }
 
-void answer_append_event(GString *out, const answer_t *answer, int index)
-{
+void answer_append_event(GString *out, const answer_t *answer, int index) {
     if (answer->kind == ANSWER_CALL)
         g_string_append_printf(out, "data: %s\n\n", answer->call_result);
     else if (index < answer->tokens)
@@ -63,8 +59,7 @@
         g_string_append(out, "data: [DONE]\n\n");
 }
 
-char *answer_whole(const answer_t *answer)
-{
+char *answer_whole(const answer_t *answer) {
     if (answer->kind == ANSWER_CALL)
         return g_strdup(answer->call_result);
     gboolean chat = answer->kind == ANSWER_CHAT;
--- a/standins/engine/cache.c
+++ b/standins/engine/cache.c
@@ -21,13 +21,11 @@
 static GQueue events = G_QUEUE_INIT;
 static int64_t event_count;
 
-void cache_setup(void)
-{
+void cache_setup(void) {
     event_count = 0;
 }
 
-static void event_add(uint64_t prefix, gboolean added)
-{
+static void event_add(uint64_t prefix, gboolean added) {
     cache_event_t *event = g_new(cache_event_t, 1);
     event->number = ++event_count;
     event->at_ms = engine_now_ms();
@@ -38,8 +36,7 @@
         g_free(g_queue_pop_head(&events));
 }
 
-gboolean cache_touch(uint64_t prefix_hash)
-{
+gboolean cache_touch(uint64_t prefix_hash) {
     for (GList *place = entries.head; place != NULL; place = place->next) {
         if (*(uint64_t *)place->data != prefix_hash)
             continue;
@@ -59,8 +56,7 @@
     return FALSE;
 }
 
-void cache_events(wb_http_exchange_t *exchange)
-{
+void cache_events(wb_http_exchange_t *exchange) {
     const char *after_text = wb_http_exchange_query(exchange, "after");
     int64_t after = after_text != NULL ? g_ascii_strtoll(after_text, NULL, 10) : 0;
     json_t *list = json_array();
@@ -80,8 +76,7 @@
     standin_reply_json(exchange, 200, json_pack("{s:o}", "events", list));
 }
 
-void cache_export(wb_http_exchange_t *exchange, const char *stream)
-{
+void cache_export(wb_http_exchange_t *exchange, const char *stream) {
     json_t *list = json_array();
     g_mutex_lock(&engine_lock);
     for (GList *place = entries.head; place != NULL; place = place->next) {
@@ -94,16 +89,14 @@
     standin_reply_json(exchange, 200, json_pack("{s:s, s:o}", "stream", stream, "prefixes", list));
 }
 
-void cache_import(wb_http_exchange_t *exchange)
-{
+void cache_import(wb_http_exchange_t *exchange) {
     json_t *body = standin_read_json(exchange);
     if (body == NULL)
         return;
     size_t index;
     json_t *prefix;
     g_mutex_lock(&engine_lock);
-    json_array_foreach(json_object_get(body, "prefixes"), index, prefix)
-    {
+    json_array_foreach(json_object_get(body, "prefixes"), index, prefix) {
         if (json_is_string(prefix))
             cache_touch(g_ascii_strtoull(json_string_value(prefix), NULL, 16));
     }
--- a/standins/engine/hollow.c
+++ b/standins/engine/hollow.c
@@ -59,13 +59,11 @@
 static GMutex engines_lock;
 static GHashTable *engines;
 
-static int64_t now_ms(void)
-{
+static int64_t now_ms(void) {
     return g_get_monotonic_time() / 1000;
 }
 
-static hollow_engine_t *engine_of(wb_http_exchange_t *exchange)
-{
+static hollow_engine_t *engine_of(wb_http_exchange_t *exchange) {
     char address[64];
     wb_http_exchange_local_address(exchange, address, sizeof(address));
     g_mutex_lock(&engines_lock);
@@ -82,8 +80,7 @@
     return engine;
 }
 
-static json_t *adapters_describe(const hollow_engine_t *engine, const char *model)
-{
+static json_t *adapters_describe(const hollow_engine_t *engine, const char *model) {
     json_t *list = json_array();
     g_autofree char *prefix = g_strconcat(model, "+", NULL);
     GHashTableIter iterator;
@@ -100,8 +97,7 @@
     return list;
 }
 
-static json_t *inventory_describe(const hollow_engine_t *engine)
-{
+static json_t *inventory_describe(const hollow_engine_t *engine) {
     json_t *models = json_array();
     int64_t used = 0;
     GHashTableIter iterator;
@@ -124,8 +120,7 @@
                      "batch", BATCH, "models", models);
 }
 
-static void engine_changed(hollow_engine_t *engine)
-{
+static void engine_changed(hollow_engine_t *engine) {
     engine->sequence++;
     for (guint i = 0; i < engine->waits->len; i++)
         standin_reply_json(((hollow_wait_t *)engine->waits->pdata[i])->exchange, 200,
@@ -133,16 +128,14 @@
     g_ptr_array_set_size(engine->waits, 0);
 }
 
-static gboolean key_is_of(gpointer key, gpointer value, gpointer data)
-{
+static gboolean key_is_of(gpointer key, gpointer value, gpointer data) {
     (void)value;
     size_t length = strlen(data);
     return strncmp(key, data, length) == 0 &&
            (((char *)key)[length] == '\0' || ((char *)key)[length] == '+');
 }
 
-static void order_apply(hollow_engine_t *engine, const json_t *order)
-{
+static void order_apply(hollow_engine_t *engine, const json_t *order) {
     const char *adapter = wb_json_text(order, "adapter", NULL);
     const char *model = wb_json_text(order, "model", "");
     g_autofree char *key =
@@ -157,8 +150,7 @@
     g_hash_table_replace(engine->held, g_steal_pointer(&key), held);
 }
 
-static void order_take(wb_http_exchange_t *exchange, hollow_engine_t *engine, gboolean fence_only)
-{
+static void order_take(wb_http_exchange_t *exchange, hollow_engine_t *engine, gboolean fence_only) {
     json_t *order = standin_read_json(exchange);
     if (order == NULL)
         return;
@@ -178,8 +170,7 @@
     standin_reply_json(exchange, status, body);
 }
 
-static void inventory_show(wb_http_exchange_t *exchange, hollow_engine_t *engine)
-{
+static void inventory_show(wb_http_exchange_t *exchange, hollow_engine_t *engine) {
     const char *after = wb_http_exchange_query(exchange, "after");
     const char *wait_ms = wb_http_exchange_query(exchange, "wait_ms");
     g_mutex_lock(&engine->lock);
@@ -193,8 +184,7 @@
     g_mutex_unlock(&engine->lock);
 }
 
-static void request_handle(wb_http_exchange_t *exchange, void *context)
-{
+static void request_handle(wb_http_exchange_t *exchange, void *context) {
     (void)context;
     const char *path = wb_http_exchange_path(exchange);
     hollow_engine_t *engine = engine_of(exchange);
@@ -208,8 +198,7 @@
         standin_reply_error(exchange, 404, "no_such_path", path, -1);
 }
 
-static void engine_tick(hollow_engine_t *engine)
-{
+static void engine_tick(hollow_engine_t *engine) {
     gboolean changed = FALSE;
     GHashTableIter iterator;
     gpointer value;
@@ -234,8 +223,7 @@
     g_mutex_unlock(&engine->lock);
 }
 
-static gpointer tick_run(gpointer data)
-{
+static gpointer tick_run(gpointer data) {
     (void)data;
     for (;;) {
         g_mutex_lock(&engines_lock);
@@ -248,8 +236,7 @@
     return NULL;
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     apr_initialize();
     wb_error_t error;
     wb_http_server_t *server;
--- a/standins/engine/main.c
+++ b/standins/engine/main.c
@@ -17,9 +17,7 @@
 wb_http_client_t *engine_client;
 
 #define ROW(name, type, unit, low, high, fallback, field, text)                                    \
-    {                                                                                              \
-        name, type, unit, low, high, fallback, offsetof(engine_settings_t, field), text            \
-    }
+    { name, type, unit, low, high, fallback, offsetof(engine_settings_t, field), text }
 
 static const wb_setting_t rows[] = {
     ROW("listen", WB_SETTING_ADDRESS, "", 0, 0, "127.0.0.1:7100", listen, "Address to listen on"),
@@ -66,13 +64,11 @@
                                           "A stand-in for a model engine with continuous batching.",
                                           rows, G_N_ELEMENTS(rows)};
 
-int64_t engine_now_ms(void)
-{
+int64_t engine_now_ms(void) {
     return g_get_monotonic_time() / 1000;
 }
 
-static void stream_handle(wb_http_exchange_t *exchange, const char *id)
-{
+static void stream_handle(wb_http_exchange_t *exchange, const char *id) {
     const char *method = wb_http_exchange_method(exchange);
     if (strcmp(method, "POST") == 0)
         streams_start(exchange, id);
@@ -84,8 +80,7 @@
         standin_reply_error(exchange, 405, "bad_method", method, -1);
 }
 
-static void request_handle(wb_http_exchange_t *exchange, void *context)
-{
+static void request_handle(wb_http_exchange_t *exchange, void *context) {
     (void)context;
     const char *path = wb_http_exchange_path(exchange);
     if (g_str_has_prefix(path, "/engine/v1/streams/"))
@@ -112,8 +107,7 @@
         standin_reply_error(exchange, 404, "no_such_path", path, -1);
 }
 
-static gpointer batch_run(gpointer data)
-{
+static gpointer batch_run(gpointer data) {
     (void)data;
     int64_t next_us = g_get_monotonic_time();
     for (;;) {
@@ -128,8 +122,7 @@
     return NULL;
 }
 
-static gpointer models_run(gpointer data)
-{
+static gpointer models_run(gpointer data) {
     (void)data;
     int64_t reported_ms = 0;
     for (;;) {
@@ -144,8 +137,7 @@
 }
 
 /* After a stop was asked for: finish what runs, then go. */
-static void drain(void)
-{
+static void drain(void) {
     engine_leave();
     int running = 1, waiting = 0;
     while (running + waiting > 0) {
@@ -157,8 +149,7 @@
     g_usleep(200 * 1000); /* lets the last bytes leave */
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     apr_initialize();
     wb_error_t error;
     if (wb_settings_read(&table, argc, argv, &engine_settings, &error) != APR_SUCCESS) {
--- a/standins/engine/models.c
+++ b/standins/engine/models.c
@@ -38,23 +38,20 @@
 static int64_t stale_orders;
 static gboolean leaving;
 
-static void adapter_free(gpointer data)
-{
+static void adapter_free(gpointer data) {
     engine_adapter_t *adapter = data;
     g_free(adapter->name);
     g_free(adapter);
 }
 
-static void model_free(gpointer data)
-{
+static void model_free(gpointer data) {
     engine_model_t *model = data;
     g_hash_table_unref(model->adapters);
     g_free(model->name);
     g_free(model);
 }
 
-void models_setup(void)
-{
+void models_setup(void) {
     models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
     jobs = g_ptr_array_new();
     inventory_waits = g_ptr_array_new();
@@ -65,8 +62,7 @@
         g_hash_table_add(disk_copies, g_strdup(names[i]));
 }
 
-static int64_t memory_used(void)
-{
+static int64_t memory_used(void) {
     int64_t used = 0;
     GHashTableIter iterator, adapters;
     gpointer value, adapter;
@@ -82,8 +78,7 @@
 }
 
 /* The history is also printed: it outlives a killed engine. */
-static void history_add(const char *event, const char *model, const char *adapter)
-{
+static void history_add(const char *event, const char *model, const char *adapter) {
     fprintf(stderr, "EVENT %" G_GINT64_FORMAT " %s %s %s\n", (gint64)g_get_monotonic_time(), event,
             model, adapter != NULL ? adapter : "-");
     json_array_append_new(history,
@@ -92,8 +87,7 @@
                                     model, "adapter", adapter != NULL ? adapter : ""));
 }
 
-static json_t *adapters_describe(const engine_model_t *model)
-{
+static json_t *adapters_describe(const engine_model_t *model) {
     static const char *const states[] = {"loading", "loaded", "unloading"};
     json_t *list = json_array();
     GHashTableIter iterator;
@@ -108,8 +102,7 @@
     return list;
 }
 
-static json_t *models_describe(void)
-{
+static json_t *models_describe(void) {
     static const char *const states[] = {"loading", "loaded", "unloading"};
     json_t *list = json_array();
     GHashTableIter iterator;
@@ -126,8 +119,7 @@
     return list;
 }
 
-static json_t *copies_describe(void)
-{
+static json_t *copies_describe(void) {
     json_t *list = json_array();
     GHashTableIter iterator;
     gpointer name;
@@ -138,8 +130,7 @@
     return list;
 }
 
-static json_t *host_copies_describe(void)
-{
+static json_t *host_copies_describe(void) {
     json_t *list = json_array();
     for (GList *place = host_copies.head; place != NULL; place = place->next)
         json_array_append_new(list, json_string(place->data));
@@ -147,8 +138,7 @@
 }
 
 /* The fence is a string in JSON: it has 64 bits. */
-static json_t *inventory_describe(void)
-{
+static json_t *inventory_describe(void) {
     char fence_text[32];
     g_snprintf(fence_text, sizeof(fence_text), "%" G_GUINT64_FORMAT, (guint64)fence);
     int running, waiting;
@@ -161,8 +151,7 @@
                      "disk_copies", copies_describe(), "memory_copies", host_copies_describe());
 }
 
-void models_changed(void)
-{
+void models_changed(void) {
     sequence++;
     for (guint i = 0; i < inventory_waits->len; i++) {
         inventory_wait_t *wait = inventory_waits->pdata[i];
@@ -172,8 +161,7 @@
     g_ptr_array_set_size(inventory_waits, 0);
 }
 
-void models_inventory(wb_http_exchange_t *exchange)
-{
+void models_inventory(wb_http_exchange_t *exchange) {
     const char *after = wb_http_exchange_query(exchange, "after");
     const char *wait_ms = wb_http_exchange_query(exchange, "wait_ms");
     g_mutex_lock(&engine_lock);
@@ -187,8 +175,7 @@
     g_mutex_unlock(&engine_lock);
 }
 
-void models_history(wb_http_exchange_t *exchange)
-{
+void models_history(wb_http_exchange_t *exchange) {
     g_mutex_lock(&engine_lock);
     json_t *body = json_pack("{s:I, s:I, s:O, s:s}", "memory_attempts", (json_int_t)memory_attempts,
                              "stale_orders", (json_int_t)stale_orders, "events", history, "id",
@@ -198,15 +185,13 @@
 }
 
 static engine_adapter_t *adapter_of(const char *model_name, const char *name,
-                                    engine_model_t **model)
-{
+                                    engine_model_t **model) {
     *model = g_hash_table_lookup(models, model_name);
     return *model != NULL && name != NULL ? g_hash_table_lookup((*model)->adapters, name) : NULL;
 }
 
 /* The load behind a job is whole. Lock held. */
-static void job_finish(load_job_t *job)
-{
+static void job_finish(load_job_t *job) {
     engine_model_t *model;
     engine_adapter_t *adapter = adapter_of(job->model, job->adapter, &model);
     if (job->adapter != NULL && adapter != NULL && adapter->state == ENGINE_LOADING)
@@ -219,15 +204,13 @@
     models_changed();
 }
 
-static void job_free(load_job_t *job)
-{
+static void job_free(load_job_t *job) {
     g_free(job->model);
     g_free(job->adapter);
     g_free(job);
 }
 
-static void remote_finished(void *ticket)
-{
+static void remote_finished(void *ticket) {
     int64_t number = *(int64_t *)ticket;
     g_free(ticket);
     g_mutex_lock(&engine_lock);
@@ -239,16 +222,14 @@
     g_mutex_unlock(&engine_lock);
 }
 
-static gboolean host_copy_find(const char *name)
-{
+static gboolean host_copy_find(const char *name) {
     for (GList *place = host_copies.head; place != NULL; place = place->next)
         if (strcmp(place->data, name) == 0)
             return TRUE;
     return FALSE;
 }
 
-static void host_copy_add(const char *name)
-{
+static void host_copy_add(const char *name) {
     if (host_copy_find(name))
         return;
     g_queue_push_head(&host_copies, g_strdup(name));
@@ -258,8 +239,7 @@
 }
 
 /* Chooses the nearest source and starts the load. Lock held. */
-static void job_start(const char *model, const char *adapter, int64_t bytes)
-{
+static void job_start(const char *model, const char *adapter, int64_t bytes) {
     load_job_t *job = g_new0(load_job_t, 1);
     job->model = g_strdup(model);
     job->adapter = g_strdup(adapter);
@@ -281,8 +261,7 @@
 }
 
 /* Gives back memory of what is unloading and has no streams left. Lock held. */
-static void unloads_finish(void)
-{
+static void unloads_finish(void) {
     GHashTableIter iterator, adapters;
     gpointer value, adapter_value;
     gboolean changed = FALSE;
@@ -309,8 +288,7 @@
         models_changed();
 }
 
-void models_tick(void)
-{
+void models_tick(void) {
     g_mutex_lock(&engine_lock);
     int64_t now_ms = engine_now_ms();
     for (guint i = jobs->len; i-- > 0;) {
@@ -333,20 +311,17 @@
     g_mutex_unlock(&engine_lock);
 }
 
-engine_model_t *models_find_loaded(const char *name)
-{
+engine_model_t *models_find_loaded(const char *name) {
     engine_model_t *model = g_hash_table_lookup(models, name);
     return model != NULL && model->state == ENGINE_LOADED ? model : NULL;
 }
 
-engine_adapter_t *models_find_adapter(engine_model_t *model, const char *name)
-{
+engine_adapter_t *models_find_adapter(engine_model_t *model, const char *name) {
     engine_adapter_t *adapter = g_hash_table_lookup(model->adapters, name);
     return adapter != NULL && adapter->state == ENGINE_LOADED ? adapter : NULL;
 }
 
-void models_release(const char *model_name, const char *adapter_name)
-{
+void models_release(const char *model_name, const char *adapter_name) {
     engine_model_t *model;
     engine_adapter_t *adapter =
         adapter_of(model_name, *adapter_name != '\0' ? adapter_name : NULL, &model);
@@ -356,8 +331,7 @@
         adapter->running--;
 }
 
-static unsigned model_load(const json_t *order, const char *name)
-{
+static unsigned model_load(const json_t *order, const char *name) {
     engine_model_t *model = g_hash_table_lookup(models, name);
     if (model != NULL) {
         if (model->state == ENGINE_UNLOADING)
@@ -377,8 +351,7 @@
     return 202;
 }
 
-static unsigned adapter_load(const json_t *order, const char *model_name, const char *name)
-{
+static unsigned adapter_load(const json_t *order, const char *model_name, const char *name) {
     engine_model_t *model = models_find_loaded(model_name);
     if (model == NULL)
         return 404;
@@ -396,8 +369,7 @@
     return 202;
 }
 
-static unsigned unload(const char *model_name, const char *adapter_name)
-{
+static unsigned unload(const char *model_name, const char *adapter_name) {
     engine_model_t *model;
     engine_adapter_t *adapter = adapter_of(model_name, adapter_name, &model);
     if (adapter_name != NULL && adapter != NULL)
@@ -409,8 +381,7 @@
 }
 
 /* Carries out an order that the fence let through. Lock held. */
-static unsigned order_apply(const json_t *order)
-{
+static unsigned order_apply(const json_t *order) {
     const char *action = wb_json_text(order, "action", "");
     const char *model = wb_json_text(order, "model", "");
     const char *adapter = wb_json_text(order, "adapter", NULL);
@@ -430,13 +401,11 @@
     return status;
 }
 
-static uint64_t fence_parse(const json_t *body)
-{
+static uint64_t fence_parse(const json_t *body) {
     return g_ascii_strtoull(wb_json_text(body, "fence", "0"), NULL, 10);
 }
 
-void models_order(wb_http_exchange_t *exchange)
-{
+void models_order(wb_http_exchange_t *exchange) {
     json_t *order = standin_read_json(exchange);
     if (order == NULL)
         return;
@@ -455,8 +424,7 @@
     standin_reply_json(exchange, status, inventory);
 }
 
-void models_fence(wb_http_exchange_t *exchange)
-{
+void models_fence(wb_http_exchange_t *exchange) {
     json_t *body = standin_read_json(exchange);
     if (body == NULL)
         return;
@@ -473,16 +441,14 @@
     standin_reply_json(exchange, status, inventory);
 }
 
-gboolean engine_is_leaving(void)
-{
+gboolean engine_is_leaving(void) {
     g_mutex_lock(&engine_lock);
     gboolean result = leaving;
     g_mutex_unlock(&engine_lock);
     return result;
 }
 
-void engine_leave(void)
-{
+void engine_leave(void) {
     g_mutex_lock(&engine_lock);
     leaving = TRUE;
     models_changed();
--- a/standins/engine/report.c
+++ b/standins/engine/report.c
@@ -9,8 +9,7 @@
 
 static GQueue reports = G_QUEUE_INIT;
 
-void report_tick(void)
-{
+void report_tick(void) {
     g_mutex_lock(&engine_lock);
     report_t *report = g_new0(report_t, 1);
     report->at_ms = engine_now_ms();
@@ -25,8 +24,7 @@
     g_mutex_unlock(&engine_lock);
 }
 
-void report_show(wb_http_exchange_t *exchange)
-{
+void report_show(wb_http_exchange_t *exchange) {
     report_t shown = {0, 0, 0};
     g_mutex_lock(&engine_lock);
     const report_t *oldest = g_queue_peek_head(&reports);
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -17,8 +17,7 @@
     GHashTable *engines; /* id -> wb_estate_engine_t */
 } wb_estate_t;
 
-static void text_answer(wb_http_connection_t *connection, unsigned status, json_t *body)
-{
+static void text_answer(wb_http_connection_t *connection, unsigned status, json_t *body) {
     char *text = wb_json_dump(body);
     wb_http_connection_answer(connection, status, wb_http_reason(status),
                               "Content-Type: application/json\r\n", text, strlen(text));
@@ -26,15 +25,13 @@
     json_decref(body);
 }
 
-static json_t *seen_json(const wb_estate_t *estate)
-{
+static json_t *seen_json(const wb_estate_t *estate) {
     return json_pack("{s:O, s:O, s:O}", "runs", estate->seen.runs, "orders", estate->seen.orders,
                      "violations", estate->seen.violations);
 }
 
 /* One call that steers: {"do": ..., ...}. Returns FALSE when it isn't known. */
-static gboolean steer(wb_estate_t *estate, const json_t *call)
-{
+static gboolean steer(wb_estate_t *estate, const json_t *call) {
     const char *verb = wb_json_text(call, "do", "");
     const char *id = wb_json_text(call, "engine", "");
     wb_estate_engine_t *engine = g_hash_table_lookup(estate->engines, id);
@@ -66,8 +63,7 @@
 }
 
 static void control_request(wb_http_connection_t *connection, wb_http_head_t *head,
-                            GByteArray *body, void *context)
-{
+                            GByteArray *body, void *context) {
     wb_estate_t *estate = context;
     if (strcmp(head->method, "GET") == 0) {
         text_answer(connection, 200, seen_json(estate));
@@ -81,8 +77,7 @@
     g_byte_array_unref(body);
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     if (argc != 3) {
         fprintf(stderr, "usage: wb-standin-estate STORE-ADDRESS CONTROL-ADDRESS\n");
         return 2;
--- a/standins/platform/machines.c
+++ b/standins/platform/machines.c
@@ -28,33 +28,28 @@
     platform_mode_t mode;
 } machines;
 
-static void machine_free(gpointer data)
-{
+static void machine_free(gpointer data) {
     machine_t *machine = data;
     json_decref(machine->description);
     g_free(machine);
 }
 
-void machines_setup(int64_t lag_ms)
-{
+void machines_setup(int64_t lag_ms) {
     machines.by_id = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, machine_free);
     machines.lag_ms = lag_ms;
 }
 
-void machines_set_fault(platform_mode_t mode)
-{
+void machines_set_fault(platform_mode_t mode) {
     g_mutex_lock(&machines.lock);
     machines.mode = mode;
     g_mutex_unlock(&machines.lock);
 }
 
-static int64_t now_ms(void)
-{
+static int64_t now_ms(void) {
     return g_get_monotonic_time() / 1000;
 }
 
-static void state_change(machine_t *machine, machine_state_t state)
-{
+static void state_change(machine_t *machine, machine_state_t state) {
     if (machine->state == state)
         return;
     machine->state = state;
@@ -62,8 +57,7 @@
 }
 
 /* A killed process that its parent has not collected yet is gone as well. */
-static gboolean process_is_gone(pid_t pid)
-{
+static gboolean process_is_gone(pid_t pid) {
     if (kill(pid, 0) != 0 && errno == ESRCH)
         return TRUE;
     char path[64];
@@ -75,8 +69,7 @@
     return behind_name != NULL && (behind_name[2] == 'Z' || behind_name[2] == 'X');
 }
 
-void machines_tick(void)
-{
+void machines_tick(void) {
     g_mutex_lock(&machines.lock);
     GHashTableIter iterator;
     gpointer value;
@@ -95,8 +88,7 @@
     g_mutex_unlock(&machines.lock);
 }
 
-void machines_register(wb_http_exchange_t *exchange)
-{
+void machines_register(wb_http_exchange_t *exchange) {
     json_t *body = standin_read_json(exchange);
     if (body == NULL)
         return;
@@ -114,8 +106,7 @@
     standin_reply_json(exchange, 200, json_object());
 }
 
-void machines_leave(wb_http_exchange_t *exchange)
-{
+void machines_leave(wb_http_exchange_t *exchange) {
     json_t *body = standin_read_json(exchange);
     if (body == NULL)
         return;
@@ -128,8 +119,7 @@
     standin_reply_json(exchange, machine != NULL ? 200 : 404, json_object());
 }
 
-static json_t *list_describe(void)
-{
+static json_t *list_describe(void) {
     static const char *const names[] = {"live", "leaving", "gone"};
     json_t *list = json_array();
     GHashTableIter iterator;
@@ -146,8 +136,7 @@
     return list;
 }
 
-void machines_handle(wb_http_exchange_t *exchange)
-{
+void machines_handle(wb_http_exchange_t *exchange) {
     g_mutex_lock(&machines.lock);
     platform_mode_t mode = machines.mode;
     const char *after = wb_http_exchange_query(exchange, "after");
--- a/standins/platform/main.c
+++ b/standins/platform/main.c
@@ -13,9 +13,7 @@
 #define BODY_LIMIT_BYTES (64 * 1024 * 1024)
 
 #define ROW(name, type, unit, low, high, fallback, field, text)                                    \
-    {                                                                                              \
-        name, type, unit, low, high, fallback, offsetof(platform_settings_t, field), text          \
-    }
+    { name, type, unit, low, high, fallback, offsetof(platform_settings_t, field), text }
 
 static const wb_setting_t rows[] = {
     ROW("listen", WB_SETTING_ADDRESS, "", 0, 0, "127.0.0.1:7000", listen, "Address to listen on"),
@@ -42,8 +40,7 @@
     "A stand-in for the platform: table service, object store, machine list, weight store.", rows,
     G_N_ELEMENTS(rows)};
 
-int64_t platform_bucket_take(platform_bucket_t *bucket)
-{
+int64_t platform_bucket_take(platform_bucket_t *bucket) {
     int64_t now_us = g_get_monotonic_time();
     if (bucket->filled_us == 0)
         bucket->tokens = bucket->per_s;
@@ -60,21 +57,18 @@
     return 1 + (int64_t)((1.0 - bucket->tokens) / bucket->per_s * 1000.0);
 }
 
-void platform_hang(wb_http_exchange_t *exchange)
-{
+void platform_hang(wb_http_exchange_t *exchange) {
     (void)exchange; /* stays suspended until the caller gives up */
 }
 
-static platform_mode_t mode_parse(const json_t *faults, const char *key)
-{
+static platform_mode_t mode_parse(const json_t *faults, const char *key) {
     const char *name = wb_json_text(faults, key, "up");
     if (strcmp(name, "refuse") == 0)
         return PLATFORM_REFUSE;
     return strcmp(name, "hang") == 0 ? PLATFORM_HANG : PLATFORM_UP;
 }
 
-static void faults_set(wb_http_exchange_t *exchange)
-{
+static void faults_set(wb_http_exchange_t *exchange) {
     json_t *faults = standin_read_json(exchange);
     if (faults == NULL)
         return;
@@ -86,15 +80,13 @@
     standin_reply_json(exchange, 200, json_object());
 }
 
-static void counters_show(wb_http_exchange_t *exchange)
-{
+static void counters_show(wb_http_exchange_t *exchange) {
     standin_reply_json(exchange, 200,
                        json_pack("{s:o, s:o, s:o}", "table", table_counters(), "objects",
                                  objects_counters(), "weights", weights_counters()));
 }
 
-static void request_handle(wb_http_exchange_t *exchange, void *context)
-{
+static void request_handle(wb_http_exchange_t *exchange, void *context) {
     (void)context;
     const char *path = wb_http_exchange_path(exchange);
     if (g_str_has_prefix(path, "/table/v1/"))
@@ -117,8 +109,7 @@
         standin_reply_error(exchange, 404, "no_such_path", path, -1);
 }
 
-static gpointer tick_run(gpointer data)
-{
+static gpointer tick_run(gpointer data) {
     (void)data;
     for (;;) {
         machines_tick();
@@ -128,8 +119,7 @@
     return NULL;
 }
 
-int main(int argc, char **argv)
-{
+int main(int argc, char **argv) {
     apr_initialize();
     platform_settings_t settings;
     wb_error_t error;
--- a/standins/platform/objects.c
+++ b/standins/platform/objects.c
@@ -10,22 +10,19 @@
     platform_mode_t mode;
 } objects;
 
-void objects_setup(double operations_per_s)
-{
+void objects_setup(double operations_per_s) {
     objects.bodies =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
     objects.bucket.per_s = operations_per_s;
 }
 
-void objects_set_fault(platform_mode_t mode)
-{
+void objects_set_fault(platform_mode_t mode) {
     g_mutex_lock(&objects.lock);
     objects.mode = mode;
     g_mutex_unlock(&objects.lock);
 }
 
-json_t *objects_counters(void)
-{
+json_t *objects_counters(void) {
     g_mutex_lock(&objects.lock);
     json_t *counters = json_pack("{s:I, s:I}", "operations", (json_int_t)objects.bucket.taken,
                                  "refused", (json_int_t)objects.bucket.refused);
@@ -33,8 +30,7 @@
     return counters;
 }
 
-static void object_put(wb_http_exchange_t *exchange, const char *name)
-{
+static void object_put(wb_http_exchange_t *exchange, const char *name) {
     size_t length;
     const char *body = wb_http_exchange_body(exchange, &length);
     g_mutex_lock(&objects.lock);
@@ -43,8 +39,7 @@
     standin_reply_json(exchange, 200, json_object());
 }
 
-static void object_get(wb_http_exchange_t *exchange, const char *name)
-{
+static void object_get(wb_http_exchange_t *exchange, const char *name) {
     g_mutex_lock(&objects.lock);
     GBytes *body = g_hash_table_lookup(objects.bodies, name);
     if (body != NULL)
@@ -60,8 +55,7 @@
     g_bytes_unref(body);
 }
 
-void objects_handle(wb_http_exchange_t *exchange)
-{
+void objects_handle(wb_http_exchange_t *exchange) {
     g_mutex_lock(&objects.lock);
     platform_mode_t mode = objects.mode;
     int64_t wait_ms = mode == PLATFORM_UP ? platform_bucket_take(&objects.bucket) : 0;
--- a/standins/platform/weights.c
+++ b/standins/platform/weights.c
@@ -20,23 +20,20 @@
     int64_t ticked_us;
 } weights = {.slowdown = 1.0};
 
-void weights_setup(double loads_per_s, int64_t at_once)
-{
+void weights_setup(double loads_per_s, int64_t at_once) {
     weights.transfers = g_ptr_array_new_with_free_func(g_free);
     weights.bucket.per_s = loads_per_s;
     weights.at_once = at_once;
     weights.ticked_us = g_get_monotonic_time();
 }
 
-void weights_set_slowdown(double factor)
-{
+void weights_set_slowdown(double factor) {
     g_mutex_lock(&weights.lock);
     weights.slowdown = MAX(factor, 0.001);
     g_mutex_unlock(&weights.lock);
 }
 
-json_t *weights_counters(void)
-{
+json_t *weights_counters(void) {
     g_mutex_lock(&weights.lock);
     json_t *counters = json_pack("{s:I, s:I, s:I}", "loads", (json_int_t)weights.bucket.taken,
                                  "refused", (json_int_t)weights.bucket.refused, "most_at_once",
@@ -45,8 +42,7 @@
     return counters;
 }
 
-void weights_handle(wb_http_exchange_t *exchange)
-{
+void weights_handle(wb_http_exchange_t *exchange) {
     json_t *body = standin_read_json(exchange);
     if (body == NULL)
         return;
@@ -67,14 +63,12 @@
 }
 
 /* The share of full speed that each transfer has. The lock is held. */
-static double speed_share(void)
-{
+static double speed_share(void) {
     double crowd = (double)weights.transfers->len / (double)weights.at_once;
     return 1.0 / (MAX(crowd, 1.0) * weights.slowdown);
 }
 
-void weights_tick(void)
-{
+void weights_tick(void) {
     GQueue finished = G_QUEUE_INIT;
     g_mutex_lock(&weights.lock);
     int64_t now_us = g_get_monotonic_time();
