--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -16,7 +16,7 @@
                             const wb_model_spec_t *spec, double limit_ms, const char *why) {
     double cost_ms;
     double victims_ms;
-    const wb_placement_engine_t *place = wb_placement_choose(snapshot, spec, &cost_ms, &victims_ms);
+    wb_placement_engine_t *place = wb_placement_choose(snapshot, spec, &cost_ms, &victims_ms);
     if (place == NULL ||
         victims_ms + wb_placement_load_price_ms(spec, place->engine->state) > limit_ms)
         return FALSE;
@@ -34,7 +34,8 @@
     double ready_ms = place->busy_ms + load_ms + (victims_ms > 0 ? DROP_TIME_MS : 0);
     wb_controller_tell(controller, place->engine, spec->name, "", FALSE,
                        (unsigned)MAX(ready_ms, 1));
-    ((wb_placement_engine_t *)place)->busy_ms += load_ms;
+    place->busy_ms += load_ms;
+    place->pending_mb += spec->weights_mb;
     usage->use.in_loading++;
     return TRUE;
 }
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -6,14 +6,19 @@
 /* What loading_count is asked with. */
 typedef struct wb_loading_scene_t {
     wb_controller_t *controller;
-    const char *service;
+    const wb_service_t *service;
+    wb_placement_engine_t *place;
 } wb_loading_scene_t;
 
 static void loading_count(const char *model, const char *adapter, void *context) {
     const wb_loading_scene_t *scene = context;
-    if (*adapter == '\0')
-        wb_demand_book_get(scene->controller->book, scene->service, model, "", wb_clock_ms())
-            ->use.in_loading++;
+    if (*adapter != '\0')
+        return;
+    wb_demand_book_get(scene->controller->book, scene->service->name, model, "", wb_clock_ms())
+        ->use.in_loading++;
+    const wb_model_spec_t *spec = g_hash_table_lookup(scene->service->models, model);
+    if (spec != NULL && !g_hash_table_contains(scene->place->state->models, model))
+        scene->place->pending_mb += spec->weights_mb;
 }
 
 /* Counts an engine's models as replicas, and adds it to a snapshot. */
@@ -21,13 +26,17 @@
                                 wb_engine_t *engine, int64_t now_ms) {
     const char *service = snapshot->service->name;
     const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
-    wb_placement_engine_t place = {engine, engine->state, 0, TRUE};
+    wb_placement_engine_t place = {.engine = engine, .state = engine->state};
     place.available = engine->leaving_ms == 0 && now_ms >= engine->avoid_until_ms;
     if (orders != NULL) {
         place.state = wb_engine_orders_state(orders);
         place.busy_ms = wb_engine_orders_busy_ms(orders);
         place.available = place.available && !wb_engine_orders_is_unreachable(orders);
     }
+    if (orders != NULL && engine->leaving_ms == 0) {
+        wb_loading_scene_t scene = {controller, snapshot->service, &place};
+        wb_engine_orders_each(orders, loading_count, &scene);
+    }
     g_array_append_val(snapshot->engines, place);
     if (engine->leaving_ms != 0)
         return;
@@ -36,9 +45,6 @@
     g_hash_table_iter_init(&iter, place.state->models);
     while (g_hash_table_iter_next(&iter, &name, NULL))
         wb_demand_book_get(controller->book, service, name, "", now_ms)->use.replicas++;
-    wb_loading_scene_t scene = {controller, service};
-    if (orders != NULL)
-        wb_engine_orders_each(orders, loading_count, &scene);
 }
 
 static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context) {
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -152,12 +152,11 @@
     return NULL;
 }
 
-GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
-                                const wb_engine_state_t *state, const wb_model_spec_t *model,
-                                double *cost_ms) {
+/* What costs least to drop so that so much room is made; NULL when that can't be done. */
+static GPtrArray *victims_gather(const wb_placement_snapshot_t *snapshot,
+                                 const wb_engine_state_t *state, double missing_mb,
+                                 double *cost_ms) {
     GPtrArray *victims = g_ptr_array_new_with_free_func(g_free);
-    double missing_mb = wb_placement_used_mb(snapshot->service, state) + model->weights_mb -
-                        snapshot->service->weights_mb;
     *cost_ms = 0;
     if (missing_mb <= 0)
         return victims;
@@ -186,6 +185,39 @@
     return victims;
 }
 
+static double missing_mb(const wb_placement_snapshot_t *snapshot, const wb_engine_state_t *state,
+                         double wanted_mb) {
+    return wb_placement_used_mb(snapshot->service, state) + wanted_mb -
+           snapshot->service->weights_mb;
+}
+
+GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
+                                const wb_engine_state_t *state, const wb_model_spec_t *model,
+                                double *cost_ms) {
+    return victims_gather(snapshot, state, missing_mb(snapshot, state, model->weights_mb), cost_ms);
+}
+
+/* What making room costs beyond what the loads that were ordered there before make anyway. Returns
+ * FALSE when there can't be room for all of them. */
+static gboolean room_cost(const wb_placement_snapshot_t *snapshot,
+                          const wb_placement_engine_t *place, const wb_model_spec_t *model,
+                          double *cost_ms) {
+    double all_ms;
+    double pending_ms = 0;
+    double pending_mb = place->pending_mb;
+    g_autoptr(GPtrArray) all =
+        victims_gather(snapshot, place->state,
+                       missing_mb(snapshot, place->state, pending_mb + model->weights_mb), &all_ms);
+    if (all == NULL)
+        return FALSE;
+    if (pending_mb > 0) {
+        g_autoptr(GPtrArray) pending = victims_gather(
+            snapshot, place->state, missing_mb(snapshot, place->state, pending_mb), &pending_ms);
+    }
+    *cost_ms = MAX(all_ms - pending_ms, 0);
+    return TRUE;
+}
+
 /* An engine that loads takes no order for adapters: what those who wait for one lose meanwhile. */
 static double blocking_cost_ms(const wb_placement_snapshot_t *snapshot,
                                const wb_engine_state_t *state, double load_ms) {
@@ -200,21 +232,18 @@
     return adapters_per_s * ADAPTER_MISSES * (load_ms / 1000.0) * (load_ms / 2);
 }
 
-const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
-                                                 const wb_model_spec_t *model, double *cost_ms,
-                                                 double *victim_cost_ms) {
-    const wb_placement_engine_t *best = NULL;
+wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
+                                           const wb_model_spec_t *model, double *cost_ms,
+                                           double *victim_cost_ms) {
+    wb_placement_engine_t *best = NULL;
     for (guint i = 0; i < snapshot->engines->len; i++) {
-        const wb_placement_engine_t *place =
-            &g_array_index(snapshot->engines, wb_placement_engine_t, i);
+        wb_placement_engine_t *place = &g_array_index(snapshot->engines, wb_placement_engine_t, i);
         if (!place->available || g_hash_table_contains(place->state->models, model->name) ||
             (snapshot->is_loading != NULL &&
              snapshot->is_loading(place->engine, model->name, snapshot->context)))
             continue;
         double victims_ms;
-        g_autoptr(GPtrArray) victims =
-            wb_placement_victims(snapshot, place->state, model, &victims_ms);
-        if (victims == NULL)
+        if (!room_cost(snapshot, place, model, &victims_ms))
             continue;
         gboolean from_store;
         double load_ms = wb_placement_load_ms(model, place->state, &from_store);
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -29,6 +29,7 @@
     wb_engine_t *engine;
     const wb_engine_state_t *state; /**< its last report, or its announcement */
     double busy_ms;                 /**< time until it can take an order */
+    double pending_mb;              /**< weights ordered there that it doesn't hold yet */
     gboolean available;             /**< it stays, and answers */
 } wb_placement_engine_t;
 
@@ -74,9 +75,9 @@
  * @param victim_cost_ms out: the part of it that dropping others makes
  * @return NULL when there is none
  */
-const wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
-                                                 const wb_model_spec_t *model, double *cost_ms,
-                                                 double *victim_cost_ms);
+wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
+                                           const wb_model_spec_t *model, double *cost_ms,
+                                           double *victim_cost_ms);
 
 /** Engines that a model's measured work asks for. @param tokens_per_ms what an engine reads */
 unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms);
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -35,7 +35,8 @@
     }
     for (int i = 0; i < 2; i++) {
         scene->engines[i].state = wb_engine_state_create(i == 0 ? "e0" : "e1");
-        wb_placement_engine_t place = {&scene->engines[i], scene->engines[i].state, 0, TRUE};
+        wb_placement_engine_t place = {
+            .engine = &scene->engines[i], .state = scene->engines[i].state, .available = TRUE};
         g_array_append_val(scene->snapshot.engines, place);
     }
 }
@@ -132,10 +133,26 @@
     scene_close(&scene);
 }
 
+/* Room that an ordered load is about to take is not free for another one. */
+static void test_placement_counts_ordered_loads(void) {
+    scene_t scene;
+    scene_open(&scene);
+    scene_hold(&scene, 0, 1);
+    scene_hold(&scene, 1, 2);
+    scene_hold(&scene, 1, 3);
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e0"); /* it has room for one more */
+    wb_placement_engine_t *place = &g_array_index(scene.snapshot.engines, wb_placement_engine_t, 0);
+    place->pending_mb = 40;
+    scene.uses[1].rate_per_s = 2;
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
+    scene_close(&scene);
+}
+
 static void tests_add(void) {
     g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
     g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
     g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
+    g_test_add_func("/placement/counts-ordered-loads", test_placement_counts_ordered_loads);
     g_test_add_func("/placement/gain-matches-cost", test_placement_gain_matches_cost);
 }
 
