Wait for a late load as long as for one nobody told of

Change: an expected load lengthens the wait or ends it at once as before, but doesn't shorten it. Test: /exchange-wait/late-load-is-waited-for fails without it.

--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -100,13 +100,18 @@
             target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
         return exchange->began_ms + MIN(wait_ms, useful_ms);
     }
+    int64_t patient_until_ms = exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
     int64_t ready_in_ms = model_ready_in_ms(exchange);
     if (ready_in_ms < 0) {
-        return exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
+        return patient_until_ms;
     }
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
-    return ready_ms > useful_until_ms ? 0 : MIN(ready_ms + LOAD_LATE_MS, useful_until_ms);
+    if (ready_ms > useful_until_ms) {
+        return 0;
+    }
+    /* A load that is late is no reason to leave earlier than with no load in sight. */
+    return MIN(MAX(ready_ms + LOAD_LATE_MS, patient_until_ms), useful_until_ms);
 }
 
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
--- a/tests/unit/test_exchange_wait.c
+++ b/tests/unit/test_exchange_wait.c
@@ -103,10 +103,22 @@
     g_assert_cmpint(scene_wait(&scene), >=, 1200);
 }
 
+/* A load that is late doesn't shorten the time that a request would wait without any news. */
+static void test_late_load_is_waited_for(void) {
+    scene_t scene;
+    scene_open(&scene, "m2", "");
+    scene.route->target_latency_ms = 2500;
+    int64_t patience_ms = scene_wait(&scene);
+    g_assert_cmpint(patience_ms, >, 4000);
+    wb_exchanges_expect(&scene.edge, "llm", "m2", 100);
+    g_assert_cmpint(scene.exchange->wait_until_ms - wb_clock_ms(), >, 4000);
+}
+
 static void tests_add(void) {
     g_test_add_func("/exchange-wait/model-that-comes-too-late", test_model_that_comes_too_late);
     g_test_add_func("/exchange-wait/adapter-does-not-wait-for-a-replica",
                     test_adapter_does_not_wait_for_a_replica);
+    g_test_add_func("/exchange-wait/late-load-is-waited-for", test_late_load_is_waited_for);
     g_test_add_func("/exchange-wait/nobody-decides", test_nobody_decides);
 }
 
