Count who waited for a model that has come as running there

Cause: when a load is done, those who waited were taken off the book at once, and counted as running only with their gateways' next message, up to 0.25 s later.

Change: served waiters count as running until their gateway tells more. Test: /demand-book/served-waiters-run, fails without it.

--- a/src/control/demand_book.c
+++ b/src/control/demand_book.c
@@ -200,8 +200,10 @@
         for (guint i = 0; i < demand->entries.entries_len; i++) {
             wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
             if (strcmp(entry->service, service) == 0 && strcmp(entry->model, model) == 0 &&
-                strcmp(entry->adapter, adapter) == 0)
+                strcmp(entry->adapter, adapter) == 0) {
+                entry->running += entry->waiting;
                 entry->waiting = 0;
+            }
         }
     }
     wb_usage_t *usage = wb_demand_book_find(book, service, model, "");
