Judge a dropped model by its reload from disk

So rare models looked seven times too dear: busy models got too few replicas, and loads went to engines that don't have the weights because of what they would have dropped elsewhere.

Ruled out: the store's ceiling (never reached), too little memory (27 places before 30 models).

Change: the disk's time where the model has one. Test: /placement/reload-is-from-disk, fails without it.

--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -95,6 +95,11 @@
     return prompt_ms * fullness / (1 - fullness);
 }
 
+/* An engine keeps a copy of what it drops on its disk, if it has one. */
+static double reload_time_ms(const wb_model_spec_t *spec) {
+    return (double)(spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
+}
+
 /* What requests lose when an engine drops a model. */
 static double drop_cost_ms(const wb_placement_snapshot_t *snapshot, const char *name) {
     const wb_model_use_t *use = use_of(snapshot, name);
@@ -109,7 +114,7 @@
         return expected * MAX(lost_ms, SHARE_MS / use->replicas) +
                (double)use->running / use->replicas * RUN_END_MS;
     }
-    double reload_ms = spec != NULL ? (double)spec->store_load_ms : 0;
+    double reload_ms = spec != NULL ? reload_time_ms(spec) : 0;
     return LAST_REPLICA_MS + (1 - exp(-expected)) * reload_ms + expected * SHARE_MS +
            use->running * RUN_END_MS;
 }
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -148,11 +148,41 @@
     scene_close(&scene);
 }
 
+/* What dropping the only replica of a model costs, on the first engine. */
+static double scene_drop_cost_ms(scene_t *scene, const char *wanted) {
+    double cost_ms;
+    g_autoptr(GPtrArray) victims =
+        wb_placement_victims(&scene->snapshot, scene->engines[0].state,
+                             g_hash_table_lookup(scene->service->models, wanted), &cost_ms);
+    g_assert_cmpuint(victims->len, ==, 1);
+    return cost_ms;
+}
+
+/* A dropped model comes back from its engine's disk; without one, from the weight store. */
+static void test_placement_reload_is_from_disk(void) {
+    scene_t scene;
+    scene_open(&scene);
+    scene_hold(&scene, 0, 1);
+    scene_hold(&scene, 0, 2);
+    scene.uses[1].rate_per_s = scene.uses[2].rate_per_s = 1;
+    double from_disk_ms = scene_drop_cost_ms(&scene, "m0");
+    GHashTableIter iter;
+    gpointer model;
+    g_hash_table_iter_init(&iter, scene.service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &model)) {
+        ((wb_model_spec_t *)model)->disk_load_ms = 0;
+    }
+    double from_store_ms = scene_drop_cost_ms(&scene, "m0");
+    g_assert_cmpfloat(from_store_ms - from_disk_ms, >, 1000);
+    scene_close(&scene);
+}
+
 static void tests_add(void) {
     g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
     g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
     g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
     g_test_add_func("/placement/counts-ordered-loads", test_placement_counts_ordered_loads);
+    g_test_add_func("/placement/reload-is-from-disk", test_placement_reload_is_from_disk);
     g_test_add_func("/placement/gain-matches-cost", test_placement_gain_matches_cost);
 }
 
