--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -150,6 +150,8 @@
     char *last_event_id;
     gboolean first_event_seen;
     int64_t first_event_ms;
+    int64_t last_event_ms; /* steady time; 0: no event yet */
+    int64_t most_pause_ms; /* longest time between two events */
 };
 
 /** @return the id of the engine that it was last sent to; "" when it was sent to none */
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -80,12 +80,20 @@
         wb_attempt_set_reading(exchange->attempt, TRUE);
 }
 
+static void pause_note(wb_exchange_t *exchange) {
+    int64_t now_ms = wb_clock_ms();
+    if (exchange->last_event_ms != 0)
+        exchange->most_pause_ms = MAX(exchange->most_pause_ms, now_ms - exchange->last_event_ms);
+    exchange->last_event_ms = now_ms;
+}
+
 static void events_pass(wb_exchange_t *exchange) {
     const char *text = (const char *)exchange->answer->data;
     size_t length = wb_events_whole(text, exchange->answer->len);
     if (length == 0)
         return;
     wb_exchange_note_first_event(exchange);
+    pause_note(exchange);
     wb_exchange_release_prefill(exchange);
     char *id = wb_events_last_id(text, length);
     if (id != NULL) {
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -36,18 +36,20 @@
     ended_remember(exchange, ending, status, engine);
     edge->metrics.endings[ending]++;
     wb_histogram_add(&edge->metrics.whole_ms, now_ms - exchange->began_ms);
-    wb_event("request-ended",
-             ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
-             "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
-             "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"left_ms\":%lld,"
-             "\"catalog\":%lld,\"answer_begun\":%s",
-             wb_event_text(exchange->id), ending_names[ending], status,
-             exchange->route != NULL ? exchange->route->name : "",
-             exchange->service != NULL ? exchange->service->name : "",
-             wb_event_text(exchange->model), wb_event_text(exchange->adapter), engine,
-             exchange->sends, exchange->runs, exchange->rejections,
-             (long long)(now_ms - exchange->began_ms), (long long)exchange->waited_ms,
-             (long long)exchange->first_event_ms, (long long)(exchange->deadline_ms - now_ms),
-             exchange->catalog != NULL ? (long long)exchange->catalog->version : 0LL,
-             exchange->answer_begun ? "true" : "false");
+    wb_event(
+        "request-ended",
+        ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
+        "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
+        "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"most_pause_ms\":%lld,"
+        "\"left_ms\":%lld,"
+        "\"catalog\":%lld,\"answer_begun\":%s",
+        wb_event_text(exchange->id), ending_names[ending], status,
+        exchange->route != NULL ? exchange->route->name : "",
+        exchange->service != NULL ? exchange->service->name : "", wb_event_text(exchange->model),
+        wb_event_text(exchange->adapter), engine, exchange->sends, exchange->runs,
+        exchange->rejections, (long long)(now_ms - exchange->began_ms),
+        (long long)exchange->waited_ms, (long long)exchange->first_event_ms,
+        (long long)exchange->most_pause_ms, (long long)(exchange->deadline_ms - now_ms),
+        exchange->catalog != NULL ? (long long)exchange->catalog->version : 0LL,
+        exchange->answer_begun ? "true" : "false");
 }
