--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -5,6 +5,8 @@
 #ifndef WICKBRIDGE_EDGE_METRICS_H
 #define WICKBRIDGE_EDGE_METRICS_H
 
+#include "wickbridge/store_calls.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -28,8 +30,7 @@
     uint64_t waits;
     uint64_t connections_opened;
     uint64_t connections_reused;
-    uint64_t table_calls;
-    uint64_t table_failures;
+    wb_store_calls_t store_calls;
     uint64_t lease_takeovers;
     uint64_t orders;
     uint64_t orders_unknown;
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -7,6 +7,7 @@
 #define WICKBRIDGE_TABLE_WATCH_H
 
 #include "wickbridge/loop.h"
+#include "wickbridge/store_calls.h"
 #include "wickbridge/table.h"
 
 typedef struct wb_table_watch_t wb_table_watch_t;
@@ -17,7 +18,8 @@
     /** A batch of rows is through. `whole` is TRUE after each whole read. */
     void (*on_batch)(gboolean whole, void *context);
     /** A call was answered (well or not) or given up; for logs and counters. May be NULL. */
-    void (*on_call)(wb_table_name_t table, gboolean good, int64_t age_ms, void *context);
+    void (*on_call)(wb_table_name_t table, wb_store_cause_t cause, gboolean good, int64_t age_ms,
+                    void *context);
     void *context;
 } wb_table_watch_events_t;
 
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -52,6 +52,7 @@
     int64_t retry_ms;  /* pause after failures in a row; 0: the last call was answered */
     int64_t failed_ms; /* when the last of them failed */
     gboolean hurried;
+    wb_store_cause_t cause; /* of the call under way */
 };
 
 static void watch_ask(void *context);
@@ -183,7 +184,7 @@
 
 static void call_note(const wb_table_watch_t *watch, gboolean good) {
     if (watch->events.on_call != NULL)
-        watch->events.on_call(watch->name, good, wb_table_watch_age_ms(watch),
+        watch->events.on_call(watch->name, watch->cause, good, wb_table_watch_age_ms(watch),
                               watch->events.context);
 }
 
@@ -254,11 +255,28 @@
     ask_after(watch, next_ms - wb_clock_ms());
 }
 
+/* Why a call is made now; the one before began at asked_ms. */
+static wb_store_cause_t cause_of(const wb_table_watch_t *watch, int64_t now_ms) {
+    if (watch->state == WB_WATCH_READING)
+        return WB_STORE_CAUSE_READ;
+    if (watch->retry_ms != 0)
+        return WB_STORE_CAUSE_RETRY;
+    if (watch->vouched_ms == 0)
+        return WB_STORE_CAUSE_PACE;
+    if (watch->look_since_ms != 0)
+        return WB_STORE_CAUSE_LOOK;
+    if (now_ms >= watch->vouched_ms + watch->pace.trust_ms)
+        return WB_STORE_CAUSE_LAPSED;
+    return now_ms < due_ms(watch) ? WB_STORE_CAUSE_HURRY : WB_STORE_CAUSE_SAFETY;
+}
+
 static void watch_ask(void *context) {
     wb_table_watch_t *watch = context;
+    int64_t now_ms = wb_clock_ms();
     watch->timer = NULL;
     watch->asking = TRUE;
-    watch->asked_ms = wb_clock_ms();
+    watch->cause = cause_of(watch, now_ms);
+    watch->asked_ms = now_ms;
     if (watch->state == WB_WATCH_FOLLOWING) {
         watch->table->changes(watch->table, watch->name, watch->version, watch->pace.wait_ms,
                               changes_answered, watch);
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -55,9 +55,9 @@
          metrics->connections_opened},
         {"engine_connections_reused_total", "Kept connections used again.",
          metrics->connections_reused},
-        {"store_calls_total", "Calls to the store.", metrics->table_calls},
+        {"store_calls_total", "Calls to the store.", wb_store_calls_sum(&metrics->store_calls)},
         {"store_failures_total", "Calls to the store without a good answer.",
-         metrics->table_failures},
+         metrics->store_calls.failed},
         {"lease_takeovers_total", "Times that this node took the controller's lease.",
          metrics->lease_takeovers},
         {"orders_total", "Orders given to engines.", metrics->orders},
@@ -106,6 +106,7 @@
         g_string_append_printf(text, "wickbridge_request_endings_total{ending=\"%s\"} %llu\n",
                                wb_ending_name((wb_ending_t)i),
                                (unsigned long long)metrics->endings[i]);
+    wb_store_calls_write(&metrics->store_calls, text);
     histogram_write(text, "answer_seconds", "Arrival to the first bytes of the answer.",
                     &metrics->answer_ms);
     histogram_write(text, "request_seconds", "Arrival to the end of the answer.",
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -77,7 +77,7 @@
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
-    node->edge.metrics.table_calls++;
+    wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_answered, node);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -6,15 +6,17 @@
 /* A node's row is written anew so often in the life of a row. */
 #define NODE_ROW_RENEWALS 3
 #define NODE_ROW_RETRY_MS 500
+#define CALLS_LOG_MS 5000
 #define NODE_KEY_PREFIX "node/"
 
 /* Notes each call to the store, and logs when a table is lost and when it is back. */
-static void store_called(wb_table_name_t table, gboolean good, int64_t age_ms, void *context) {
+static void store_called(wb_table_name_t table, wb_store_cause_t cause, gboolean good,
+                         int64_t age_ms, void *context) {
     static const char *const names[] = {"catalog", "engines", "nodes"};
     wb_edge_node_t *node = context;
-    node->edge.metrics.table_calls++;
+    wb_store_calls_note(&node->edge.metrics.store_calls, table, cause);
     if (!good)
-        node->edge.metrics.table_failures++;
+        wb_store_calls_note_failure(&node->edge.metrics.store_calls);
     if (node->store_lost[table] == !good)
         return;
     node->store_lost[table] = !good;
@@ -187,7 +189,7 @@
     g_autofree char *value = g_strdup_printf("%s %llu", wb_edge_node_address(node),
                                              (unsigned long long)++node->node_row_beat);
     node->node_row_writing = TRUE;
-    node->edge.metrics.table_calls++;
+    wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
                        strlen(value), node_row_answered, node);
 }
@@ -203,6 +205,7 @@
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
     wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_text(id),
              (long long)row->version);
+    wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, row->version, NULL, 0, row_removed, node);
 }
 
@@ -230,6 +233,7 @@
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
     node_rows_forget(node);
+    wb_store_calls_log(&node->edge.metrics.store_calls, CALLS_LOG_MS, now_ms);
 }
 
 void wb_edge_node_follow_store(wb_edge_node_t *node) {
--- /dev/null
+++ b/src/edge/store_calls.c
@@ -0,0 +1,68 @@
+/* Counts a node's calls to the store by what was asked for and why. */
+#include "wickbridge/store_calls.h"
+
+#include "wickbridge/event_log.h"
+
+#include <string.h>
+
+static const char *const table_names[WB_STORE_TABLES] = {"catalog", "engines", "nodes"};
+static const char *const cause_names[WB_STORE_CAUSE_COUNT] = {"read", "pace",  "lapsed", "safety",
+                                                              "look", "hurry", "retry",  "write"};
+
+void wb_store_calls_note(wb_store_calls_t *calls, wb_table_name_t table, wb_store_cause_t cause) {
+    calls->made[table][cause]++;
+}
+
+void wb_store_calls_note_failure(wb_store_calls_t *calls) {
+    calls->failed++;
+}
+
+uint64_t wb_store_calls_sum(const wb_store_calls_t *calls) {
+    uint64_t sum = 0;
+    for (size_t table = 0; table < WB_STORE_TABLES; table++) {
+        for (size_t cause = 0; cause < WB_STORE_CAUSE_COUNT; cause++) {
+            sum += calls->made[table][cause];
+        }
+    }
+    return sum;
+}
+
+void wb_store_calls_log(wb_store_calls_t *calls, int64_t interval_ms, int64_t now_ms) {
+    if (now_ms - calls->told_ms < interval_ms) {
+        return;
+    }
+    int64_t passed_ms = calls->told_ms == 0 ? 0 : now_ms - calls->told_ms;
+    g_autoptr(GString) text = g_string_new(NULL);
+    for (size_t table = 0; table < WB_STORE_TABLES; table++) {
+        for (size_t cause = 0; cause < WB_STORE_CAUSE_COUNT; cause++) {
+            uint64_t made = calls->made[table][cause] - calls->told[table][cause];
+            if (made > 0) {
+                g_string_append_printf(text, ",\"%s-%s\":%llu", table_names[table],
+                                       cause_names[cause], (unsigned long long)made);
+            }
+        }
+    }
+    calls->told_ms = now_ms;
+    if (text->len == 0) {
+        return;
+    }
+    wb_event("store-calls", ",\"for_ms\":%lld,\"failed\":%llu%s", (long long)passed_ms,
+             (unsigned long long)(calls->failed - calls->failed_told), text->str);
+    memcpy(calls->told, calls->made, sizeof(calls->told));
+    calls->failed_told = calls->failed;
+}
+
+void wb_store_calls_write(const wb_store_calls_t *calls, GString *text) {
+    const char *name = "wickbridge_store_calls_by_cause_total";
+    g_string_append_printf(text,
+                           "# HELP %s Calls to the store by table and cause.\n"
+                           "# TYPE %s counter\n",
+                           name, name);
+    for (size_t table = 0; table < WB_STORE_TABLES; table++) {
+        for (size_t cause = 0; cause < WB_STORE_CAUSE_COUNT; cause++) {
+            g_string_append_printf(text, "%s{table=\"%s\",cause=\"%s\"} %llu\n", name,
+                                   table_names[table], cause_names[cause],
+                                   (unsigned long long)calls->made[table][cause]);
+        }
+    }
+}
