Follow changes to their last page before they count as known

Cause: the store answers at most 500 changes. 63 engines make some 50 a second, so a node that was turned away for nine seconds, or didn't ask because the holder told it, gets only the oldest 500; it took them for all, noted the table as known as of that call, and asked again only after its pause.

Ruled out: the look's pace itself (all other nodes learned within 1.6 s of the first), the machine being out of touch, news that weren't told.

Test: /table-watch/changes-in-pages, fails without it.

--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -38,7 +38,7 @@
 typedef struct wb_table_answer_t {
     wb_table_outcome_t outcome;
     GPtrArray *rows; /**< of wb_table_row_t; never NULL; freed after the callback */
-    gboolean more;   /**< a page ended before the table did */
+    gboolean more;   /**< a page ended before the table, or the changes, did */
     int64_t version; /**< the newest that the store knew; of a write, the row's new one */
 } wb_table_answer_t;
 
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -249,6 +249,11 @@
     watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
+    if (answer->more && answer->rows->len > 0) {
+        /* These were only the oldest changes: nothing is known yet as of this call. */
+        ask_after(watch, 0);
+        return;
+    }
     known_note(watch, watch->asked_ms);
     int64_t next_ms = watch->hurried ? watch->asked_ms + HURRY_PAUSE_MS : due_ms(watch);
     watch->hurried = FALSE;
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -106,6 +106,7 @@
     wb_loop_t *loop;
     wb_table_watch_t *watch;
     int calls;
+    int64_t asked_ms;
     wb_table_answer_fn on_answer; /* of the held call */
     void *context;
     script_t script; /* where rows are noted */
@@ -199,9 +200,37 @@
     held_play(vouched_play, &held);
 }
 
+static void page_given(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 2); /* at once, not after the pause */
+    g_assert_cmpint(wb_table_watch_known_ms(held->watch), <, held->asked_ms);
+    answer_give(held->on_answer, held->context, WB_TABLE_DONE, rows_make(), 9);
+    g_assert_cmpint(wb_table_watch_known_ms(held->watch), >=, held->asked_ms);
+    wb_loop_quit(held->loop);
+}
+
+static void page_play(void *context) {
+    held_t *held = context;
+    wb_table_pace_t slow = {10, 60000, 500, 20, 300};
+    wb_table_watch_set_pace(held->watch, &slow);
+    held->asked_ms = wb_clock_ms();
+    g_autoptr(GPtrArray) rows = rows_make();
+    g_ptr_array_add(rows, row_make("b", 7));
+    wb_table_answer_t answer = {WB_TABLE_DONE, rows, TRUE, 7};
+    held->on_answer(&answer, held->context);
+    wb_loop_after(held->loop, 60, page_given, held);
+}
+
+/* Changes that come in pages are asked for until the last one; only then is anything known. */
+static void test_changes_in_pages(void) {
+    held_t held = {0};
+    held_play(page_play, &held);
+}
+
 static void tests_add(void) {
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
     g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
+    g_test_add_func("/table-watch/changes-in-pages", test_changes_in_pages);
     g_test_add_func("/table-watch/stale-read-is-not-taken", test_stale_read_is_not_taken);
 }
 
