Let a gone engine's time run from when it was last known to be there

Cause: an announcement that is removed without a word leaves its engine open for half a drain's time, counted from when a node learned of it. A node learns up to 1.6 s late after the holder has lost the store (it trusts the last news for half a drain, then asks), so 3.1 s could pass of 3.0 allowed. An engine that had said that it leaves was opened again in the same way when its announcement went.

Change: the time runs from when the table was last known to have it; after a gap longer than a drain, that is when the store was away, engines whose announcements lapsed may be used for three quarters of a drain, as those that live are back about two seconds later. Tests: unit-fleet.

--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -50,9 +50,10 @@
 typedef struct wb_engine_t {
     int references;
     wb_engine_state_t *state;
-    gboolean gone;       /**< no longer announced */
-    int64_t leaving_ms;  /**< steady time since which it is leaving or gone; 0: it isn't */
-    GHashTable *overlay; /**< MODEL/ADAPTER -> private; the controller's news */
+    gboolean gone;        /**< no longer announced */
+    int64_t leaving_ms;   /**< steady time since which it is leaving or gone; 0: it isn't */
+    int64_t use_until_ms; /**< steady time until which a gone engine may still get work */
+    GHashTable *overlay;  /**< MODEL/ADAPTER -> private; the controller's news */
     /* What this node sees of it: */
     unsigned running;          /**< this node's requests on it */
     int64_t prefill_tokens;    /**< prompt tokens sent by this node and not yet answered */
@@ -73,8 +74,23 @@
 wb_fleet_t *wb_fleet_create(void);
 /** Take an engine's announcement; the state is owned by the fleet from now on. */
 wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state);
-/** An engine is no longer announced. */
-void wb_fleet_remove(wb_fleet_t *fleet, const char *id);
+/**
+ * The engine is no longer announced.
+ * @param use_until_ms steady time until which it may still get work, if no other can; it counts
+ * only for an engine that hadn't said that it leaves
+ */
+void wb_fleet_remove(wb_fleet_t *fleet, const char *id, int64_t use_until_ms);
+
+/**
+ * Tell until when an engine whose announcement has gone may still get work. It went at some time
+ * since the table was known to have it, and that is when its drain began. After a gap longer than a
+ * drain the store was away: then announcements lapse of engines that live, and come back.
+ * @param known_ms steady time as of which the table was known before
+ */
+int64_t wb_fleet_use_until_ms(int64_t known_ms, int64_t drain_ms, int64_t now_ms);
+
+/** @return TRUE when it may get work: it stays, or is gone and its time isn't over */
+gboolean wb_engine_is_open(const wb_engine_t *engine, int64_t now_ms);
 /** @return an engine that is announced, or NULL */
 wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id);
 /** @return engines of a service, those that are gone for a short while too; owned by the fleet, or
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -49,6 +49,8 @@
 int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch);
 /** @return steady time as of which this node itself has read the table; 0: never */
 int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch);
+/** @return steady time as of which this node or one that vouches has read the table; 0: never */
+int64_t wb_table_watch_fresh_ms(const wb_table_watch_t *watch);
 /** Something has changed that is not known here: ask, whatever others have read. */
 void wb_table_watch_look(wb_table_watch_t *watch);
 /** Ask sooner than the pause says, once. */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -5,6 +5,8 @@
 
 #define RETRY_MS 150
 #define RETRY_LIMIT_MS 1200
+/* After the history is gone, the whole read begins so soon. */
+#define READ_AGAIN_MS 25
 #define HURRY_PAUSE_MS 25
 /* Own calls that others' readings replace are spread over so much of the time between them. */
 #define SAFETY_SPREAD 0.25
@@ -234,7 +236,7 @@
     call_note(watch, answer->outcome == WB_TABLE_DONE || answer->outcome == WB_TABLE_HISTORY_GONE);
     if (answer->outcome == WB_TABLE_HISTORY_GONE) {
         read_begin(watch);
-        ask_after(watch, HURRY_PAUSE_MS);
+        ask_after(watch, READ_AGAIN_MS);
         return;
     }
     if (answer->outcome != WB_TABLE_DONE) {
@@ -361,6 +363,10 @@
     return watch->known_ms;
 }
 
+int64_t wb_table_watch_fresh_ms(const wb_table_watch_t *watch) {
+    return MAX(watch->known_ms, watch->vouched_ms);
+}
+
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch) {
     return watch->synced;
 }
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -11,8 +11,6 @@
 #define LEAVING_MS 1000000.0
 #define OTHER_ZONE_MS 3.0
 #define REPORT_TRUST_MS 1000.0
-/* Share of drain time within which an engine that leaves still gets work if there is no other. */
-#define LEAVING_SHARE 0.5
 #define FAILURE_MS 200.0
 #define READ_KEPT_MS 30000
 #define QUIET_MS 300.0
@@ -143,15 +141,12 @@
     return FALSE;
 }
 
-static gboolean is_usable(const wb_edge_t *edge, const wb_engine_t *engine,
-                          const wb_exchange_t *exchange, int64_t now_ms) {
+static gboolean is_usable(const wb_engine_t *engine, const wb_exchange_t *exchange,
+                          int64_t now_ms) {
     if (was_tried(exchange, engine, now_ms))
         return FALSE;
-    if (engine->leaving_ms != 0) {
-        double left_ms = LEAVING_SHARE * (double)edge->settings.drain_ms;
-        if ((double)(now_ms - engine->leaving_ms) > left_ms || !engine->gone)
-            return FALSE;
-    }
+    if (!wb_engine_is_open(engine, now_ms))
+        return FALSE;
     return exchange->model == NULL ||
            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
 }
@@ -181,7 +176,7 @@
         return NULL;
     g_autoptr(GPtrArray) usable = g_ptr_array_sized_new(engines->len);
     for (guint i = 0; i < engines->len; i++)
-        if (is_usable(edge, g_ptr_array_index(engines, i), exchange, now_ms))
+        if (is_usable(g_ptr_array_index(engines, i), exchange, now_ms))
             g_ptr_array_add(usable, g_ptr_array_index(engines, i));
     const wb_engine_t *home = home_find(exchange, usable);
     wb_engine_t *best = NULL;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -74,7 +74,9 @@
         if (known != NULL)
             wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
                      wb_event_text(row->key), (long long)row->version);
-        wb_fleet_remove(edge->fleet, row->key);
+        wb_fleet_remove(edge->fleet, row->key,
+                        wb_fleet_use_until_ms(wb_table_watch_fresh_ms(node->engines_watch),
+                                              edge->settings.drain_ms, wb_clock_ms()));
         wb_controller_engine_changed(node->controller, row->key);
         wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
         return;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+/* Share of a drain's time for which a gone engine still gets work if there is no other. */
+#define GONE_USE_SHARE 0.5
+/* The same after the store was away; an engine that lives is back about two seconds later. */
+#define LAPSED_USE_SHARE 0.75
 #define GONE_KEPT_MS 5000
 
 /* The controller's news of a model or adapter. */
@@ -137,11 +141,23 @@
     return engine;
 }
 
-void wb_fleet_remove(wb_fleet_t *fleet, const char *id) {
+int64_t wb_fleet_use_until_ms(int64_t known_ms, int64_t drain_ms, int64_t now_ms) {
+    if (now_ms - known_ms >= drain_ms) {
+        return now_ms + (int64_t)(LAPSED_USE_SHARE * (double)drain_ms);
+    }
+    return known_ms + (int64_t)(GONE_USE_SHARE * (double)drain_ms);
+}
+
+gboolean wb_engine_is_open(const wb_engine_t *engine, int64_t now_ms) {
+    return engine->leaving_ms == 0 || (engine->gone && now_ms < engine->use_until_ms);
+}
+
+void wb_fleet_remove(wb_fleet_t *fleet, const char *id, int64_t use_until_ms) {
     wb_engine_t *engine = wb_fleet_find(fleet, id);
     if (engine == NULL)
         return;
     engine->gone = TRUE;
+    engine->use_until_ms = engine->leaving_ms == 0 ? use_until_ms : 0;
     if (engine->leaving_ms == 0)
         engine->leaving_ms = wb_clock_ms();
     g_hash_table_remove(fleet->engines, id);
--- a/tests/fuzz/fuzz_control_check.c
+++ b/tests/fuzz/fuzz_control_check.c
@@ -132,7 +132,7 @@
             char *known = play->nodes[i].known[worker];
             const char *id = sim_worker_id(worker);
             if (*known != '\0' && strcmp(known, id) != 0) {
-                wb_fleet_remove(play->nodes[i].fleet, known);
+                wb_fleet_remove(play->nodes[i].fleet, known, 0);
                 wb_controller_engine_changed(play->nodes[i].controller, known);
             }
             g_strlcpy(known, id, sizeof(play->nodes[i].known[worker]));
--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,54 @@
+/* Engines that leave: how long they may still get work. */
+#include "unit.h"
+
+#include "wickbridge/fleet.h"
+#include "wickbridge/loop.h"
+
+#define DRAIN_MS 3000
+
+static wb_engine_t *engine_announce(wb_fleet_t *fleet, gboolean leaving) {
+    wb_engine_state_t *state = wb_engine_state_create("e1");
+    state->service = g_strdup("llm");
+    state->leaving = leaving;
+    return wb_fleet_announce(fleet, state);
+}
+
+/* A drain begins when the announcement went, which is up to as long ago as the table was known. */
+static void test_gone_since_last_known(void) {
+    int64_t now_ms = 100000;
+    g_assert_cmpint(wb_fleet_use_until_ms(now_ms - 300, DRAIN_MS, now_ms), ==, now_ms + 1200);
+    g_assert_cmpint(wb_fleet_use_until_ms(now_ms - 1600, DRAIN_MS, now_ms), <, now_ms);
+    /* After the store was away, engines that live are back soon. */
+    g_assert_cmpint(wb_fleet_use_until_ms(now_ms - 9000, DRAIN_MS, now_ms), >, now_ms + 2000);
+    g_assert_cmpint(wb_fleet_use_until_ms(now_ms - 9000, DRAIN_MS, now_ms), <, now_ms + DRAIN_MS);
+}
+
+static void test_gone_engine_closes(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_t *engine = engine_announce(fleet, FALSE);
+    g_assert_true(wb_engine_is_open(engine, now_ms));
+    wb_fleet_remove(fleet, "e1", now_ms + 500);
+    g_assert_true(wb_engine_is_open(engine, now_ms + 499));
+    g_assert_false(wb_engine_is_open(engine, now_ms + 500));
+    g_assert_true(engine_announce(fleet, FALSE) == engine);
+    g_assert_true(wb_engine_is_open(engine, now_ms + 5000));
+}
+
+/* An engine that said that it leaves stays closed when its announcement goes. */
+static void test_leaving_engine_stays_closed(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_t *engine = engine_announce(fleet, TRUE);
+    g_assert_false(wb_engine_is_open(engine, now_ms));
+    wb_fleet_remove(fleet, "e1", now_ms + 500);
+    g_assert_false(wb_engine_is_open(engine, now_ms));
+}
+
+static void tests_add(void) {
+    g_test_add_func("/fleet/gone-since-last-known", test_gone_since_last_known);
+    g_test_add_func("/fleet/gone-engine-closes", test_gone_engine_closes);
+    g_test_add_func("/fleet/leaving-engine-stays-closed", test_leaving_engine_stays_closed);
+}
+
+UNIT_TEST_MAIN(tests_add)
