Read all that has come before a planned stop closes or ends

Cause: at a stop's end the tick ran before the sockets were read when the loop had been held up, here by a page of 500 rows on an eighth of a core. It saw nothing running, closed resting connections with bytes unread, and ended the process 0.2 s after a request had come.

Ruled out: the entry (it may still send for two misses), the deadline (1.5 s), the lease (not held).

Change: a stop looks through two rounds of the loop, in which connections are accepted and read, before it closes what rests and before it ends.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -9,6 +9,8 @@
 #define LOG_FLUSH_MS 100
 /* A stop lasts at least so long: callers' connections still come until the entry has seen it. */
 #define STOP_LEAST_MS 2600
+/* Rounds of the loop in which all is read that has come. */
+#define STOP_READ_ROUNDS 2
 /* What runs is broken off so long before the grace is over. */
 #define STOP_MARGIN_MS 700
 /* What waits for a model is refused so long before that. */
@@ -88,19 +90,9 @@
     return status;
 }
 
-/* A planned stop is over when nothing runs and the entry has had time to see it, or when the grace
- * is. */
-static void drain_tick(wb_edge_node_t *node, int64_t now_ms) {
-    int64_t passed_ms = now_ms - node->edge.drain_began_ms;
-    int64_t grace_ms = (int64_t)(node->edge.settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
-    if (passed_ms >= grace_ms - STOP_WAITS_MS)
-        wb_exchanges_refuse_waiting(&node->edge);
-    if (passed_ms >= STOP_LEAST_MS && !node->resting_closed) {
-        node->resting_closed = TRUE;
-        wb_http_listener_close_resting(node->callers);
-    }
-    gboolean quiet = wb_http_listener_busy(node->callers) == 0 && passed_ms >= STOP_LEAST_MS;
-    if (node->drained || (!quiet && passed_ms < grace_ms))
+/* Gives the lease up, answers what is left, and ends the process. */
+static void stop_finish(wb_edge_node_t *node, int64_t now_ms) {
+    if (node->drained)
         return;
     if (!node->releasing) {
         node->releasing = TRUE;
@@ -111,12 +103,44 @@
         return; /* the lease's last write is under way */
     wb_exchanges_refuse_unanswered(&node->edge);
     node->drained = TRUE;
-    wb_event("stopped", ",\"ms\":%lld,\"open\":%u", (long long)passed_ms,
+    wb_event("stopped", ",\"ms\":%lld,\"open\":%u", (long long)(now_ms - node->edge.drain_began_ms),
              g_hash_table_size(node->edge.open));
     wb_event_log_flush();
     wb_loop_quit(node->edge.loop);
 }
 
+/* Connections are accepted in one round of the loop and read in the next, so after two rounds all
+ * is read that had come when a look began, however long the loop was held up before. */
+static void stop_look(void *context) {
+    wb_edge_node_t *node = context;
+    if (++node->look_rounds <= STOP_READ_ROUNDS) {
+        wb_loop_post(node->edge.loop, stop_look, node);
+        return;
+    }
+    node->look_rounds = 0;
+    if (!node->resting_closed) {
+        node->resting_closed = TRUE;
+        wb_http_listener_close_resting(node->callers);
+    }
+    if (wb_http_listener_busy(node->callers) == 0)
+        stop_finish(node, wb_clock_ms());
+}
+
+/* A planned stop is over when nothing runs and the entry has had time to see it, or when the grace
+ * is. */
+static void drain_tick(wb_edge_node_t *node, int64_t now_ms) {
+    int64_t passed_ms = now_ms - node->edge.drain_began_ms;
+    int64_t grace_ms = (int64_t)(node->edge.settings.stop_grace_s * 1000) - STOP_MARGIN_MS;
+    if (passed_ms >= grace_ms - STOP_WAITS_MS)
+        wb_exchanges_refuse_waiting(&node->edge);
+    if (passed_ms >= grace_ms || node->releasing) {
+        stop_finish(node, now_ms);
+        return;
+    }
+    if (passed_ms >= STOP_LEAST_MS && node->look_rounds == 0)
+        stop_look(node);
+}
+
 static void node_tick(void *context) {
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -61,6 +61,7 @@
     gboolean resting_closed;
     gboolean releasing;
     int64_t release_until_ms;
+    unsigned look_rounds; /* of the loop since a look at what still runs began; 0: none */
     gboolean drained;
 };
 
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -76,6 +76,30 @@
     estate_stop(estate);
 }
 
+/* A request that arrives while the process is held up at a stop's end is read and answered. */
+static void test_request_beside_the_end(void) {
+    estate_t *estate = estate_start(2, "--stop-grace-s=6");
+    while (estate_controller(estate) < 0) {
+        g_usleep(50000);
+    }
+    /* The controller takes longer to end: it gives its lease up. */
+    int other = 1 - estate_controller(estate);
+    process_t *process = &estate->nodes[other].process;
+    process_signal(process, SIGTERM);
+    g_usleep(2450000);
+    process_signal(process, SIGSTOP);
+    wire_t *wire = wire_open(estate->nodes[other].callers_port);
+    wire_post(wire, "/lock/x", "e1", EDGE_DEADLINE, "hello");
+    g_usleep(300000);
+    process_signal(process, SIGCONT);
+    wire_answer_t *answer = wire_read(wire, 3000);
+    g_assert_nonnull(answer);
+    g_assert_true(answer->whole);
+    wire_answer_free(answer);
+    wire_close(wire);
+    estate_stop(estate);
+}
+
 /* A request that still waits for its model near a stop's end is told in time that it has not run.
  */
 static void test_waiting_requests_are_answered(void) {
@@ -132,6 +156,7 @@
                     test_waiting_requests_are_answered);
     g_test_add_func("/edge/stops/resting-connections-end-early",
                     test_resting_connections_end_early);
+    g_test_add_func("/edge/stops/request-beside-the-end", test_request_beside_the_end);
     g_test_add_func("/edge/stops/late-request-is-refused", test_late_request_is_refused);
     g_test_add_func("/edge/stops/running-requests-finish", test_running_requests_finish);
 }
