Look at the store less in gaps of the lease, and as its holder

The holder itself makes 12 a second where freshness needs 4.

Change: without news engines are asked for three times in a drain's time; calls for configuration and nodes are held longer (they are answered at once when something changes); who waits hurries a look every 0.3 s; the holder asks three times in the time that gateways trust it.

--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -7,7 +7,7 @@
 #define RETRY_LIMIT_MS 1200
 /* After the history is gone, the whole read begins so soon. */
 #define READ_AGAIN_MS 25
-#define HURRY_PAUSE_MS 25
+#define HURRY_PAUSE_MS 300
 /* Own calls that others' readings replace are spread over so much of the time between them. */
 #define SAFETY_SPREAD 0.25
 /* Removed rows are remembered so that no older reading brings them back. */
@@ -154,11 +154,12 @@
 
 /* When an own call is due, after a call that began at asked_ms. */
 static int64_t due_ms(const wb_table_watch_t *watch) {
-    int64_t due = MAX(watch->asked_ms + watch->pace.pause_ms, watch->failed_ms + watch->retry_ms);
+    int64_t retry_at_ms = watch->failed_ms + watch->retry_ms;
+    if (watch->vouched_ms != 0 && watch->look_since_ms != 0)
+        return MAX(watch->asked_ms + watch->pace.look_ms, retry_at_ms);
+    int64_t due = MAX(watch->asked_ms + watch->pace.pause_ms, retry_at_ms);
     if (watch->vouched_ms == 0)
         return due;
-    if (watch->look_since_ms != 0)
-        return MAX(due, watch->asked_ms + watch->pace.look_ms);
     int64_t safety_ms = (int64_t)((double)watch->pace.safety_ms * watch->spread);
     int64_t vouched_until_ms =
         MIN(watch->vouched_ms + watch->pace.trust_ms, watch->asked_ms + safety_ms);
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -15,19 +15,23 @@
 #define NEWS_LIMIT_BYTES (256 * 1024)
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
-/* The holder's own calls: what it tells must be fresh. */
-#define HOLDER_WAIT_MS 250
-#define HOLDER_PAUSE_MS 250
+/* What the holder tells must still be fresh at gateways: its own calls take this share of the time
+ * for which theirs would be trusted. */
+#define HOLDER_SHARE 0.33
+/* Without news, engines are asked for so often in the time that a drain may take. */
+#define DRAIN_LOOKS 3
 /* Configurations are told by their version, and nodes come and go slowly: own looks at them are so
  * many times rarer than those at engines, whose models change all the time. */
 #define SELDOM_TIMES 2
 /* Rows of nodes are looked at some times in their life. */
 #define NODE_LOOK_SHARE 0.25
-#define CATALOG_WAIT_MS 1000
 #define CATALOG_PAUSE_MS 20
 #define ENGINES_WAIT_MS 1000
-#define NODES_WAIT_MS 1000
-#define NODES_PAUSE_MS 400
+/* A call for changes is answered as soon as there is one, so a long one costs nothing but the time
+ * until a silent store is noticed. */
+#define NODES_WAIT_MS 3000
+#define NODES_PAUSE_MS 1000
+#define NODES_LOOK_MS 100
 /* The lease's row comes with the news itself; nodes come and go slowly. */
 #define NODES_TRUST_MS 3000
 
@@ -49,17 +53,23 @@
     int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
     int64_t seldom_ms = SELDOM_TIMES * safety_ms;
     int64_t node_ms = (int64_t)(settings->node_life_s * 1000 * NODE_LOOK_SHARE);
+    int64_t trust_ms;
+    int64_t hold_ms;
     switch (table) {
     case WB_TABLE_CATALOG:
-        return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : CATALOG_WAIT_MS, CATALOG_PAUSE_MS,
-                                 settings->catalog_ms / 2, CATALOG_PAUSE_MS, seldom_ms};
+        trust_ms = settings->catalog_ms / 2;
+        hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : settings->catalog_ms;
+        return (wb_table_pace_t){hold_ms, CATALOG_PAUSE_MS, trust_ms, CATALOG_PAUSE_MS, seldom_ms};
     case WB_TABLE_ENGINES:
-        return (wb_table_pace_t){node->held ? HOLDER_WAIT_MS : ENGINES_WAIT_MS,
-                                 node->held ? HOLDER_PAUSE_MS : settings->engine_poll_ms,
-                                 settings->drain_ms / 2, settings->drain_ms / 3, safety_ms};
+        trust_ms = settings->drain_ms / 2;
+        hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : ENGINES_WAIT_MS;
+        return (wb_table_pace_t){
+            hold_ms,
+            node->held ? hold_ms : MAX(settings->engine_poll_ms, settings->drain_ms / DRAIN_LOOKS),
+            trust_ms, settings->drain_ms / DRAIN_LOOKS, safety_ms};
     default:
-        return (wb_table_pace_t){NODES_WAIT_MS, NODES_PAUSE_MS, NODES_TRUST_MS, NODES_PAUSE_MS,
-                                 MIN(seldom_ms, node_ms)};
+        return (wb_table_pace_t){MIN(NODES_WAIT_MS, node_ms), MIN(NODES_PAUSE_MS, node_ms),
+                                 NODES_TRUST_MS, NODES_LOOK_MS, MIN(seldom_ms, node_ms)};
     }
 }
 
