Have as many loads from the weight store under way as it delivers

Ruled out: the rate's window (17 a second, never full), orders without answers (20 of 451 tasks ended as unreachable), the lease (held throughout).

Change: load_pace learns from what loads take how many at once are timely, and a model whose weights would have to come from a busy store is not placed until there is room or an engine with a copy. Looks at an order grow rarer the longer it takes.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -1,6 +1,8 @@
 /* The placement controller: decides which engine loads or drops what. */
 #include "control/controller_types.h"
 
+#include "wickbridge/event_log.h"
+
 #include <string.h>
 
 #define TICK_MS 50
@@ -45,8 +47,50 @@
     return wb_load_window_has_room(wb_controller_window(context, service), wb_clock_ms());
 }
 
-static void owner_store_load_begins(const char *service, void *context) {
+static wb_load_pace_t *pace_of(wb_controller_t *controller, const char *service) {
+    wb_load_pace_t *pace = g_hash_table_lookup(controller->paces, service);
+    if (pace == NULL) {
+        pace = g_new0(wb_load_pace_t, 1);
+        g_hash_table_insert(controller->paces, g_strdup(service), pace);
+    }
+    return pace;
+}
+
+static unsigned store_loads(const wb_controller_t *controller, const char *service) {
+    unsigned loads = 0;
+    GHashTableIter iter;
+    gpointer id;
+    gpointer orders;
+    g_hash_table_iter_init(&iter, controller->orders);
+    while (g_hash_table_iter_next(&iter, &id, &orders)) {
+        const wb_engine_t *engine = wb_fleet_find(controller->fleet, id);
+        if (engine != NULL && strcmp(engine->state->service, service) == 0)
+            loads += wb_engine_orders_store_loads(orders);
+    }
+    return loads;
+}
+
+unsigned wb_controller_store_room(wb_controller_t *controller, const char *service) {
+    if (!owner_store_has_room(service, controller))
+        return 0;
+    unsigned limit = wb_load_pace_limit(pace_of(controller, service));
+    unsigned loads = store_loads(controller, service);
+    return limit > loads ? limit - loads : 0;
+}
+
+static unsigned owner_store_load_begins(const char *service, void *context) {
     wb_load_window_count(wb_controller_window(context, service), wb_clock_ms());
+    return store_loads(context, service);
+}
+
+static void owner_store_load_ended(const char *service, unsigned at_once, int64_t took_ms,
+                                   int64_t nominal_ms, void *context) {
+    wb_load_pace_t *pace = pace_of(context, service);
+    wb_load_pace_note(pace, at_once, took_ms, nominal_ms);
+    wb_event("store-load-ended",
+             ",\"service\":\"%s\",\"at_once\":%u,\"ms\":%lld,\"alone_ms\":%lld,\"limit\":%u",
+             wb_event_text(service), at_once, (long long)took_ms, (long long)nominal_ms,
+             wb_load_pace_limit(pace));
 }
 
 static uint64_t owner_token(void *context) {
@@ -71,6 +115,7 @@
                                       wb_controller_service,
                                       owner_store_has_room,
                                       owner_store_load_begins,
+                                      owner_store_load_ended,
                                       owner_announce,
                                       owner_token,
                                       controller};
@@ -145,6 +190,7 @@
     controller->book = wb_demand_book_create();
     controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                (GDestroyNotify)wb_engine_orders_free);
+    controller->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     controller->windows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_load_window_free);
     wb_loop_every(loop, TICK_MS, controller_tick, controller);
--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -12,7 +12,7 @@
 
 /* Loads a model where that costs least. Returns FALSE when no engine does it for less than the
  * limit. */
-static gboolean model_place(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+static gboolean model_place(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                             const wb_model_spec_t *spec, double limit_ms, const char *why) {
     double cost_ms;
     double victims_ms;
@@ -30,7 +30,10 @@
              victims_ms, usage->use.waiting, usage->use.replicas, usage->use.rate_per_s,
              usage->time_left_ms);
     wb_engine_orders_add(wb_controller_orders(controller, place->engine), spec->name, "");
-    double load_ms = wb_placement_load_ms(spec, place->engine->state, NULL);
+    gboolean from_store;
+    double load_ms = wb_placement_load_ms(spec, place->engine->state, &from_store);
+    if (from_store && snapshot->store_room > 0)
+        snapshot->store_room--;
     double ready_ms = place->busy_ms + load_ms + (victims_ms > 0 ? DROP_TIME_MS : 0);
     wb_controller_tell(controller, place->engine, spec->name, "", FALSE,
                        (unsigned)MAX(ready_ms, 1));
@@ -52,7 +55,7 @@
 }
 
 /* Models that are waited for and that no engine holds or loads. */
-void wb_controller_place_needs(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+void wb_controller_place_needs(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                int64_t now_ms) {
     g_autoptr(GArray) needs = g_array_new(FALSE, FALSE, sizeof(wb_need_t));
     GHashTableIter iter;
@@ -76,7 +79,7 @@
 }
 
 /* Models whose prompts take more reading than their engines should give to one model. */
-void wb_controller_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot) {
+void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot) {
     double tokens_per_ms = controller->settings->prefill_tokens_per_ms;
     unsigned placed = 0;
     GHashTableIter iter;
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -59,8 +59,7 @@
     snapshot->service = service;
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
     snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
-    snapshot->store_has_room =
-        wb_load_window_has_room(wb_controller_window(controller, service->name), now_ms);
+    snapshot->store_room = wb_controller_store_room(controller, service->name);
     snapshot->tokens_per_ms = controller->settings->prefill_tokens_per_ms;
     snapshot->is_loading = engine_is_loading;
     snapshot->context = controller;
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -9,6 +9,7 @@
 
 #include "control/demand_book.h"
 #include "control/engine_orders.h"
+#include "control/load_pace.h"
 #include "control/load_window.h"
 #include "control/placement.h"
 
@@ -24,6 +25,7 @@
     wb_demand_book_t *book;
     GHashTable *orders;  /* engine id -> wb_engine_orders_t */
     GHashTable *windows; /* service -> wb_load_window_t */
+    GHashTable *paces;   /* service -> wb_load_pace_t */
     int64_t spread_ms;
     int64_t next_us; /* not before this is a decision made for a message */
 };
@@ -32,6 +34,9 @@
 /** @return a service of the configuration in force, or NULL. @param context the controller */
 const wb_service_t *wb_controller_service(const char *name, void *context);
 wb_load_window_t *wb_controller_window(wb_controller_t *controller, const char *service);
+/** @return loads from the weight store that may begin now, by its rate and by what it is found to
+ * deliver at once */
+unsigned wb_controller_store_room(wb_controller_t *controller, const char *service);
 /** @return an engine's orders; they are created when there are none */
 wb_engine_orders_t *wb_controller_orders(wb_controller_t *controller, wb_engine_t *engine);
 /** Tell all gateways of a model or adapter. @param ready_in_ms when it should be there; 0: no load
@@ -47,10 +52,10 @@
 
 /* controller_models.c */
 /** Place models that are waited for and that no engine holds or loads. */
-void wb_controller_place_needs(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+void wb_controller_place_needs(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                int64_t now_ms);
 /** Place models whose prompts take more reading than their engines should give to one model. */
-void wb_controller_spread(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot);
+void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot);
 /** @return models to drop from an engine so that `model` fits, or NULL. @param context the
  * controller */
 GPtrArray *wb_controller_pick_victims(const wb_engine_state_t *state, const char *model,
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define LOOK_AGAIN_MS 60
+#define LOOK_RARELY_MS 400
+#define LOOK_SHARE 8
 #define STORE_WAIT_MS 40
 #define UNLOAD_LOOK_MS 80
 #define LOAD_LATE_MS 250
@@ -40,6 +42,9 @@
     char *order_model;
     char *order_adapter;
     gboolean order_from_store;
+    unsigned order_at_once; /* loads from the weight store when it began */
+    int64_t order_sent_ms;
+    int64_t order_load_ms; /* what the load takes alone */
     unsigned resends;
     unsigned failures;
     int64_t unreachable_until_ms;
@@ -136,10 +141,23 @@
 /* The engine holds what the first task asks for. */
 static void task_done(wb_engine_orders_t *orders) {
     const wb_task_t *task = wb_task_first(&orders->tasks);
+    if (orders->order_from_store && *task->adapter == '\0' &&
+        strcmp(task->model, orders->order_model) == 0) {
+        orders->order_from_store = FALSE;
+        orders->owner.store_load_ended(orders->engine->state->service, orders->order_at_once,
+                                       wb_clock_ms() - orders->order_sent_ms, orders->order_load_ms,
+                                       orders->owner.context);
+    }
     orders->owner.announce(orders->engine, task->model, task->adapter, TRUE, orders->owner.context);
     task_over(orders, "done");
 }
 
+/* The longer an order has taken, the rarer the looks: each comes late by an eighth at most. */
+static int64_t look_again_ms(const wb_engine_orders_t *orders) {
+    int64_t passed_ms = wb_clock_ms() - orders->order_sent_ms;
+    return CLAMP(passed_ms / LOOK_SHARE, LOOK_AGAIN_MS, LOOK_RARELY_MS);
+}
+
 /* Compares a fresh report with what is waited for. */
 static void settle_check(wb_engine_orders_t *orders) {
     gboolean has = state_has(orders->state, orders->order_model, "");
@@ -149,7 +167,7 @@
                         wb_clock_ms() > orders->settle_due_ms + 4 * LOAD_LATE_MS;
         if (lost)
             orders->settle = WB_SETTLE_NONE;
-        advance_after(orders, LOOK_AGAIN_MS);
+        advance_after(orders, look_again_ms(orders));
         return;
     }
     gboolean loaded = orders->settle == WB_SETTLE_LOADED;
@@ -283,8 +301,10 @@
         advance_after(orders, RETRY_MS);
         return;
     }
+    orders->order_sent_ms = wb_clock_ms();
     if (orders->order_from_store)
-        orders->owner.store_load_begins(orders->engine->state->service, orders->owner.context);
+        orders->order_at_once =
+            orders->owner.store_load_begins(orders->engine->state->service, orders->owner.context);
     orders->metrics->orders++;
     g_autofree char *body = orders->dialect->order_body(&orders->order);
     g_autofree char *headers =
@@ -348,6 +368,7 @@
         orders->metrics->local_loads++;
     order_give(orders, WB_ORDER_LOAD, task->model, "");
     orders->order_from_store = from_store;
+    orders->order_load_ms = (int64_t)load_ms;
     orders->settle_due_ms = wb_clock_ms() + (int64_t)load_ms;
     order_send(orders);
 }
@@ -459,6 +480,22 @@
     return busy_ms;
 }
 
+unsigned wb_engine_orders_store_loads(const wb_engine_orders_t *orders) {
+    const wb_service_t *service =
+        orders->owner.service(orders->engine->state->service, orders->owner.context);
+    unsigned loads = 0;
+    WB_LIST_EACH(item, &orders->tasks) {
+        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
+        const wb_model_spec_t *spec =
+            service != NULL ? g_hash_table_lookup(service->models, task->model) : NULL;
+        gboolean from_store = FALSE;
+        if (spec != NULL && *task->adapter == '\0')
+            wb_placement_load_ms(spec, orders->engine->state, &from_store);
+        loads += from_store ? 1 : 0;
+    }
+    return loads;
+}
+
 gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders) {
     return wb_clock_ms() < orders->unreachable_until_ms;
 }
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -25,7 +25,11 @@
     char *(*pick_adapter_victim)(const wb_engine_state_t *state, void *context);
     const wb_service_t *(*service)(const char *name, void *context);
     gboolean (*store_has_room)(const char *service, void *context);
-    void (*store_load_begins)(const char *service, void *context);
+    /** @return loads from the weight store under way over all engines, with this one */
+    unsigned (*store_load_begins)(const char *service, void *context);
+    /** A load from the weight store is done. @param at_once as told when it began */
+    void (*store_load_ended)(const char *service, unsigned at_once, int64_t took_ms,
+                             int64_t nominal_ms, void *context);
     void (*announce)(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
                      void *context);
     uint64_t (*token)(void *context);
@@ -51,6 +55,8 @@
 gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders);
 /** @return estimated ms until all tasks are done */
 double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders);
+/** @return tasks whose model must come from the weight store, the one under way too */
+unsigned wb_engine_orders_store_loads(const wb_engine_orders_t *orders);
 /** @return TRUE when calls to the engine fail */
 gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders);
 /** @return what the engine is believed to hold */
--- /dev/null
+++ b/src/control/load_pace.h
@@ -0,0 +1,30 @@
+/**
+ * @file load_pace.h
+ * @brief How many loads from the weight store are worth having under way at once. Pure.
+ *
+ * Past some number, which nobody tells, each load takes longer by as much as there are more: no
+ * more models arrive, all arrive later, and every engine takes no other order meanwhile. The number
+ * is learnt from how long loads take: timely ones raise the limit by one, slow ones cut it to what
+ * their time shows.
+ */
+#ifndef WICKBRIDGE_LOAD_PACE_H
+#define WICKBRIDGE_LOAD_PACE_H
+
+#include <stdint.h>
+
+typedef struct wb_load_pace_t {
+    double limit; /**< 0: nothing is known yet */
+} wb_load_pace_t;
+
+/** @return most loads that may be under way; at least one */
+unsigned wb_load_pace_limit(const wb_load_pace_t *pace);
+
+/**
+ * A load has ended.
+ * @param at_once    loads that were under way when it began, with it
+ * @param took_ms    from its order until it was seen done
+ * @param nominal_ms what it takes alone
+ */
+void wb_load_pace_note(wb_load_pace_t *pace, unsigned at_once, int64_t took_ms, int64_t nominal_ms);
+
+#endif
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -15,7 +15,6 @@
 #define LAST_REPLICA_MS 150.0
 /* How far ahead a model's present rate is believed. */
 #define HORIZON_S 4.0
-#define FULL_STORE_MS 1500.0
 /* Share of an engine's reading that one model's prompts may take before it gets another engine. */
 #define READING_SHARE 0.3
 /* Share of requests with an adapter whose adapter no engine holds. */
@@ -248,14 +247,14 @@
              snapshot->is_loading(place->engine, model->name, snapshot->context)))
             continue;
         double victims_ms;
-        if (!room_cost(snapshot, place, model, &victims_ms))
-            continue;
         gboolean from_store;
         double load_ms = wb_placement_load_ms(model, place->state, &from_store);
+        if (from_store && snapshot->store_room == 0)
+            continue;
+        if (!room_cost(snapshot, place, model, &victims_ms))
+            continue;
         double cost = load_ms + victims_ms + place->busy_ms +
                       blocking_cost_ms(snapshot, place->state, load_ms);
-        if (from_store && !snapshot->store_has_room)
-            cost += FULL_STORE_MS;
         if (best != NULL && cost >= *cost_ms)
             continue;
         best = place;
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -42,7 +42,7 @@
     GArray *engines;                    /**< of wb_placement_engine_t */
     GHashTable *uses;                   /**< model -> wb_model_use_t */
     double tokens_per_ms;               /**< prompt tokens that an engine reads in a millisecond */
-    gboolean store_has_room;            /**< a load from the weight store may begin now */
+    unsigned store_room;                /**< loads from the weight store that may begin now */
     wb_placement_loading_fn is_loading; /**< NULL: none loads anything */
     void *context;                      /**< of is_loading */
 } wb_placement_snapshot_t;
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -24,7 +24,7 @@
     scene->snapshot.engines = g_array_new(FALSE, TRUE, sizeof(wb_placement_engine_t));
     scene->snapshot.uses = g_hash_table_new(g_str_hash, g_str_equal);
     scene->snapshot.tokens_per_ms = 30;
-    scene->snapshot.store_has_room = TRUE;
+    scene->snapshot.store_room = 8;
     for (int i = 0; i < 6; i++) {
         wb_model_spec_t *model = wb_service_add_model(scene->service, names[i]);
         model->weights_mb = 40;
@@ -133,6 +133,17 @@
     scene_close(&scene);
 }
 
+/* What the weight store can't deliver now is loaded from an engine's disk or not at all. */
+static void test_placement_waits_for_the_store(void) {
+    scene_t scene;
+    scene_open(&scene);
+    scene.snapshot.store_room = 0;
+    g_assert_null(scene_choose(&scene, "m0"));
+    g_hash_table_add(scene.engines[1].state->on_disk, g_strdup("m0"));
+    g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
+    scene_close(&scene);
+}
+
 /* Room that an ordered load is about to take is not free for another one. */
 static void test_placement_counts_ordered_loads(void) {
     scene_t scene;
@@ -181,6 +192,7 @@
     g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
     g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
     g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
+    g_test_add_func("/placement/waits-for-the-store", test_placement_waits_for_the_store);
     g_test_add_func("/placement/counts-ordered-loads", test_placement_counts_ordered_loads);
     g_test_add_func("/placement/reload-is-from-disk", test_placement_reload_is_from_disk);
     g_test_add_func("/placement/gain-matches-cost", test_placement_gain_matches_cost);
