End a stop with nothing between the last look and the process's end

A stop takes no new connections before its last look, and the process ends without the libraries' own clean-up: what comes in between would be accepted by the system and never read.

--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -42,6 +42,8 @@
 void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits);
 /** From now on each answer ends its connection. */
 void wb_http_listener_drain(wb_http_listener_t *listener);
+/** Take no more connections: who connects is refused by the system. Open ones go on. */
+void wb_http_listener_stop(wb_http_listener_t *listener);
 /** Close the connections on which no request runs or is partly read. */
 void wb_http_listener_close_resting(wb_http_listener_t *listener);
 /** @return connections that have a request running or partly read */
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -122,8 +122,16 @@
         node->resting_closed = TRUE;
         wb_http_listener_close_resting(node->callers);
     }
-    if (wb_http_listener_busy(node->callers) == 0)
+    if (wb_http_listener_busy(node->callers) > 0)
+        return;
+    if (node->refusing) {
         stop_finish(node, wb_clock_ms());
+        return;
+    }
+    /* Who connects from now on is refused by the system; one more look takes up who came before. */
+    node->refusing = TRUE;
+    wb_http_listener_stop(node->callers);
+    stop_look(node);
 }
 
 /* A planned stop is over when nothing runs and the entry has had time to see it, or when the grace
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -35,6 +35,7 @@
     gboolean node_row_written;
     gboolean node_row_writing;
     int64_t node_row_due_ms;
+    int64_t node_row_retry_ms; /* pause after the last write, if it failed */
     uint64_t node_row_beat;
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
@@ -62,6 +63,7 @@
     gboolean releasing;
     int64_t release_until_ms;
     unsigned look_rounds; /* of the loop since a look at what still runs began; 0: none */
+    gboolean refusing; /* callers' new connections, at the end of a stop */
     gboolean drained;
 };
 
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -366,6 +366,12 @@
     listener->draining = TRUE;
 }
 
+void wb_http_listener_stop(wb_http_listener_t *listener) {
+    if (listener->listener != NULL)
+        wb_tcp_listener_close(listener->listener);
+    listener->listener = NULL;
+}
+
 void wb_http_listener_close_resting(wb_http_listener_t *listener) {
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
     for (GList *item = connections; item != NULL; item = item->next) {
@@ -391,7 +397,7 @@
 
 void wb_http_listener_close(wb_http_listener_t *listener) {
     wb_timer_cancel(listener->sweep);
-    wb_tcp_listener_close(listener->listener);
+    wb_http_listener_stop(listener);
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
     for (GList *item = connections; item != NULL; item = item->next)
         stream_end(((wb_http_connection_t *)item->data)->stream, WB_TCP_END_CLOSED, item->data);
