--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -30,6 +30,7 @@
     int64_t trust_ms;  /**< what another node has read stands for an own call for so long */
     int64_t look_ms;   /**< shortest time between two calls that others' news ask for */
     int64_t safety_ms; /**< longest time between two own calls, whatever others have read */
+    int64_t retry_ms;  /**< longest pause after a call that failed; 0: 1.2 s */
 } wb_table_pace_t;
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
@@ -53,6 +54,8 @@
 int64_t wb_table_watch_fresh_ms(const wb_table_watch_t *watch);
 /** Something has changed that is not known here: ask, whatever others have read. */
 void wb_table_watch_look(wb_table_watch_t *watch);
+/** The store is known to answer again: ask at once if the last call had failed. */
+void wb_table_watch_wake(wb_table_watch_t *watch);
 /** Ask sooner than the pause says, once. */
 void wb_table_watch_hurry(wb_table_watch_t *watch);
 /** @return TRUE once the table was read whole */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -192,7 +192,8 @@
 }
 
 static void retry_later(wb_table_watch_t *watch) {
-    watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), RETRY_LIMIT_MS);
+    int64_t limit_ms = watch->pace.retry_ms > 0 ? watch->pace.retry_ms : RETRY_LIMIT_MS;
+    watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), limit_ms);
     watch->failed_ms = wb_clock_ms();
     if (watch->state == WB_WATCH_FOLLOWING) {
         ask_after(watch, due_ms(watch) - wb_clock_ms());
@@ -325,6 +326,14 @@
     ask_after(watch, watch->asked_ms + HURRY_PAUSE_MS - wb_clock_ms());
 }
 
+void wb_table_watch_wake(wb_table_watch_t *watch) {
+    if (watch->retry_ms == 0 || watch->asking || watch->timer == NULL)
+        return;
+    watch->retry_ms = RETRY_MS;
+    watch->failed_ms = 0;
+    ask_after(watch, 0);
+}
+
 /* Moves the next call for changes, unless one is under way. */
 static void due_again(wb_table_watch_t *watch) {
     if (!watch->asking && watch->state == WB_WATCH_FOLLOWING && watch->timer != NULL)
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -27,6 +27,9 @@
 #define NODE_LOOK_SHARE 0.25
 #define CATALOG_PAUSE_MS 20
 #define ENGINES_WAIT_MS 1000
+/* A store that doesn't answer is asked for one table; the others follow once that answers. */
+#define RETRY_OFTEN_MS 1200
+#define RETRY_RARELY_MS 2400
 /* A call for changes is answered as soon as there is one, so a long one costs nothing but the time
  * until a silent store is noticed. */
 #define NODES_WAIT_MS 3000
@@ -59,17 +62,25 @@
     case WB_TABLE_CATALOG:
         trust_ms = settings->catalog_ms / 2;
         hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : settings->catalog_ms;
-        return (wb_table_pace_t){hold_ms, CATALOG_PAUSE_MS, trust_ms, CATALOG_PAUSE_MS, seldom_ms};
+        return (wb_table_pace_t){hold_ms,          CATALOG_PAUSE_MS, trust_ms,
+                                 CATALOG_PAUSE_MS, seldom_ms,        RETRY_RARELY_MS};
     case WB_TABLE_ENGINES:
         trust_ms = settings->drain_ms / 2;
         hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : ENGINES_WAIT_MS;
         return (wb_table_pace_t){
             hold_ms,
             node->held ? hold_ms : MAX(settings->engine_poll_ms, settings->drain_ms / DRAIN_LOOKS),
-            trust_ms, settings->drain_ms / DRAIN_LOOKS, safety_ms};
+            trust_ms,
+            settings->drain_ms / DRAIN_LOOKS,
+            safety_ms,
+            RETRY_RARELY_MS};
     default:
-        return (wb_table_pace_t){MIN(NODES_WAIT_MS, node_ms), MIN(NODES_PAUSE_MS, node_ms),
-                                 NODES_TRUST_MS, NODES_LOOK_MS, MIN(seldom_ms, node_ms)};
+        return (wb_table_pace_t){MIN(NODES_WAIT_MS, node_ms),
+                                 MIN(NODES_PAUSE_MS, node_ms),
+                                 NODES_TRUST_MS,
+                                 NODES_LOOK_MS,
+                                 MIN(seldom_ms, node_ms),
+                                 RETRY_OFTEN_MS};
     }
 }
 
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -5,10 +5,21 @@
 
 /* A node's row is written anew so often in the life of a row. */
 #define NODE_ROW_RENEWALS 3
+/* A write of it that failed is tried again after this time, then after twice that, and so on. */
 #define NODE_ROW_RETRY_MS 500
+#define NODE_ROW_RETRY_LIMIT_MS 8000
 #define CALLS_LOG_MS 5000
 #define NODE_KEY_PREFIX "node/"
 
+/* One table answers again: so should the others, which are asked rarely while they fail. */
+static void tables_wake(wb_edge_node_t *node) {
+    wb_table_watch_wake(node->catalog_watch);
+    wb_table_watch_wake(node->engines_watch);
+    wb_table_watch_wake(node->nodes_watch);
+    if (!node->node_row_written)
+        node->node_row_due_ms = 0;
+}
+
 /* Notes each call to the store, and logs when a table is lost and when it is back. */
 static void store_called(wb_table_name_t table, wb_store_cause_t cause, gboolean good,
                          int64_t age_ms, void *context) {
@@ -20,6 +31,8 @@
     if (node->store_lost[table] == !good)
         return;
     node->store_lost[table] = !good;
+    if (good)
+        tables_wake(node);
     wb_event(good ? "store-back" : "store-lost", ",\"table\":\"%s\",\"age_ms\":%lld", names[table],
              (long long)(age_ms == G_MAXINT64 ? -1 : age_ms));
 }
@@ -173,6 +186,7 @@
     int64_t now_ms = wb_clock_ms();
     if (answer->outcome == WB_TABLE_DONE) {
         node->node_row_written = TRUE;
+        node->node_row_retry_ms = 0;
         node->node_row_due_ms = now_ms + node_row_life_ms(node) / NODE_ROW_RENEWALS;
         return;
     }
@@ -181,7 +195,9 @@
         if (row->version > 0 && row->value != NULL)
             node_row_take(node, row);
     }
-    node->node_row_due_ms = now_ms + NODE_ROW_RETRY_MS;
+    node->node_row_retry_ms =
+        CLAMP(2 * node->node_row_retry_ms, NODE_ROW_RETRY_MS, NODE_ROW_RETRY_LIMIT_MS);
+    node->node_row_due_ms = now_ms + node->node_row_retry_ms;
 }
 
 /* Says that this node is there, so that all nodes know how many share what is shared. */
