Try at a lapsed lease one after the other; trust news after a link sooner

After a link comes up each node asked for all three tables once more (258 calls a take-over), and two changed rows of engines were too much to tell 85 gateways, so that all looked themselves (340 at the start).

Ruled out: renewals (2 a second), the order of links.

Change: each node waits up to 200 ms more, by chance, before it takes over; tries that fail are up to 1.35 s apart; only engines must be read anew after a link (of the catalog the newest version is told each time); up to 768 KB of rows are told over all links (256).

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -34,6 +34,8 @@
     int64_t quiet_ms;         /**< time that must lie between the acts of two holders */
     int64_t margin_ms;        /**< added when waiting, taken off when acting */
     int64_t write_timeout_ms; /**< a write without an answer is sent again after this time */
+    int64_t spread_ms; /**< each node waits up to so long more before it takes another's lease over,
+                          by chance, so that not all try at once */
 } wb_lease_settings_t;
 
 typedef struct wb_lease_t wb_lease_t;
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -5,6 +5,8 @@
 
 /* Writes whose outcome may still show; an older one counts for nothing any more. */
 #define WRITES_REMEMBERED 16
+/* Tries to take a lease over that fail are so many times as far apart as renewals, at most. */
+#define TAKEOVER_PAUSES 6
 
 typedef struct wb_lease_write_t {
     uint64_t beat;
@@ -30,6 +32,8 @@
     int64_t predecessor_ms;
     gboolean releasing;
     gboolean given_up;
+    int64_t takeover_delay_ms; /* this node's share of the spread */
+    int64_t takeover_pause_ms; /* after the last try in a row that failed */
 };
 
 static void row_clear(wb_lease_row_t *row) {
@@ -50,6 +54,8 @@
     wb_lease_t *lease = g_new0(wb_lease_t, 1);
     lease->settings = *settings;
     lease->version = -1;
+    if (settings->spread_ms > 0)
+        lease->takeover_delay_ms = g_random_int_range(0, (gint32)settings->spread_ms);
     lease->beat = ((uint64_t)g_random_int() << 24) + 1;
     return lease;
 }
@@ -113,7 +119,7 @@
     const wb_lease_settings_t *settings = &lease->settings;
     if (lease->known.holder == NULL || is_own(lease, &lease->known))
         return lease->version_since_ms;
-    int64_t wait_ms = settings->quiet_ms + settings->margin_ms;
+    int64_t wait_ms = settings->quiet_ms + settings->margin_ms + lease->takeover_delay_ms;
     if (!lease->known.released)
         wait_ms += settings->duration_ms;
     return lease->version_since_ms + wait_ms;
@@ -163,6 +169,7 @@
 
 void wb_lease_on_written(wb_lease_t *lease, int64_t version, int64_t now_ms) {
     lease->writing = FALSE;
+    lease->takeover_pause_ms = 0;
     if (version <= lease->version)
         return; /* the row was read meanwhile, this write or a later one */
     lease->version = version;
@@ -173,7 +180,14 @@
 
 void wb_lease_on_not_written(wb_lease_t *lease, int64_t now_ms) {
     lease->writing = FALSE;
-    lease->retry_at_ms = now_ms + lease->settings.write_timeout_ms / 4;
+    int64_t pause_ms = lease->settings.write_timeout_ms / 4;
+    /* A holder must renew soon; who only wants to be one asks ever more rarely. */
+    if (!is_holding(lease)) {
+        lease->takeover_pause_ms =
+            CLAMP(2 * lease->takeover_pause_ms, pause_ms, TAKEOVER_PAUSES * pause_ms);
+        pause_ms = lease->takeover_pause_ms;
+    }
+    lease->retry_at_ms = now_ms + pause_ms;
     lease->last_write_ms = now_ms - lease->settings.renew_ms;
 }
 
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define ROW_BYTES 1024
+/* Long enough for the first of many nodes to be seen by most others before they try. */
+#define TAKEOVER_SPREAD_MS 200
 
 void wb_edge_node_check_lease(wb_edge_node_t *node) {
     gboolean held = wb_lease_is_held(node->lease, wb_clock_ms());
@@ -104,6 +106,7 @@
                                  settings->lease_renew_ms,
                                  settings->lease_quiet_ms,
                                  settings->lease_margin_ms,
-                                 settings->store_timeout_ms};
+                                 settings->store_timeout_ms,
+                                 TAKEOVER_SPREAD_MS};
     node->lease = wb_lease_create(&lease);
 }
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -12,7 +12,7 @@
 /* From a take-over until its holder has heard what is waited for. */
 #define TAKEOVER_SLACK_MS 300
 /* Rows that would take more than this over all links are left out: gateways look themselves. */
-#define NEWS_LIMIT_BYTES (256 * 1024)
+#define NEWS_LIMIT_BYTES (768 * 1024)
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
 /* What the holder tells must still be fresh at gateways: its own calls take this share of the time
@@ -177,11 +177,14 @@
         news_tell(node, now_ms);
 }
 
-/* A holder's reading stands for an own one only once this node has itself read the table after the
- * link came up: what changed before then, the holder may have told others only. */
+/* A holder's reading of engines stands for an own one only once this node has itself read them
+ * after the link came up: what changed before then, the holder may have told others only. Of the
+ * catalog it tells the newest version each time, and a node that is missed only counts later. */
 static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms) {
     wb_table_watch_t *watch = watch_of(node, view->table);
-    if (watch != NULL && wb_table_watch_known_ms(watch) > node->link_opened_ms)
+    if (watch == NULL || !wb_table_watch_is_synced(watch))
+        return;
+    if (view->table != WB_TABLE_ENGINES || wb_table_watch_known_ms(watch) > node->link_opened_ms)
         wb_table_watch_vouch(watch, (int64_t)view->newest_row, now_ms - (int64_t)view->age_ms);
 }
 
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -98,7 +98,52 @@
     wb_lease_free(after);
 }
 
+/* A lease that another machine holds, known since 100 ms, and never renewed. */
+static wb_lease_t *lease_of_another(const wb_lease_settings_t *settings) {
+    wb_lease_row_t other = {"b", "1.1.1.2:1", 1, 1, FALSE, 0};
+    wb_lease_t *lease = wb_lease_create(settings);
+    wb_lease_on_row(lease, &other, 5, 100);
+    return lease;
+}
+
+/* Nodes that wait for the same lease don't all try at once, and none tries early. */
+static void test_lease_takeovers_spread(void) {
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900, 200};
+    int64_t first_ms = G_MAXINT64;
+    int64_t last_ms = 0;
+    for (int i = 0; i < 50; i++) {
+        wb_lease_t *lease = lease_of_another(&settings);
+        int64_t at_ms = 100 + wb_lease_takeover_in_ms(lease, 100);
+        first_ms = MIN(first_ms, at_ms);
+        last_ms = MAX(last_ms, at_ms);
+        wb_lease_free(lease);
+    }
+    g_assert_cmpint(first_ms, >=, 100 + 4800);
+    g_assert_cmpint(last_ms, <, 100 + 4800 + 200);
+    g_assert_cmpint(last_ms - first_ms, >, 50);
+}
+
+/* A node that the store turns away tries ever more rarely to take a lease over. */
+static void test_lease_refused_tries_are_rare(void) {
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *lease = lease_of_another(&settings);
+    wb_lease_row_t row;
+    int64_t expected;
+    int tries = 0;
+    for (int64_t now_ms = 5000; now_ms < 15000; now_ms += 10) {
+        if (wb_lease_next_write(lease, now_ms, &row, &expected)) {
+            wb_lease_on_not_written(lease, now_ms);
+            tries++;
+        }
+    }
+    g_assert_cmpint(tries, >=, 7);
+    g_assert_cmpint(tries, <=, 11);
+    wb_lease_free(lease);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/lease/takeovers-spread", test_lease_takeovers_spread);
+    g_test_add_func("/lease/refused-tries-are-rare", test_lease_refused_tries_are_rare);
     g_test_add_func("/lease/takeover", test_lease_takeover);
     g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
     g_test_add_func("/lease/restart", test_lease_restart);
