Spread a model by the places that its requests take, too

Ruled out: homes of shared prompts (they cost less than a place that is full), stale loads.

Change: a model is wanted on as many engines as give its running requests three quarters of their places, and one more saves the wait of a queue with many servers (Sakasegawa's approximation, 1977) and the backlog beyond; dropping one is judged alike. Test: /placement/spreads-by-slots.

--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -80,7 +80,6 @@
 
 /* Models whose prompts take more reading than their engines should give to one model. */
 void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot) {
-    double tokens_per_ms = controller->settings->prefill_tokens_per_ms;
     unsigned placed = 0;
     GHashTableIter iter;
     gpointer value;
@@ -91,10 +90,10 @@
             wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "");
         if (usage == NULL || usage->use.replicas == 0)
             continue;
-        unsigned wanted = wb_placement_wanted(&usage->use, tokens_per_ms);
+        unsigned wanted = wb_placement_wanted(&usage->use, &snapshot->power);
         if (usage->use.replicas + usage->use.in_loading >= wanted)
             continue;
-        double gain_ms = wb_placement_gain_ms(&usage->use, tokens_per_ms);
+        double gain_ms = wb_placement_gain_ms(&usage->use, &snapshot->power);
         placed += model_place(controller, snapshot, spec, gain_ms, "load");
     }
 }
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -38,6 +38,7 @@
         wb_engine_orders_each(orders, loading_count, &scene);
     }
     g_array_append_val(snapshot->engines, place);
+    snapshot->power.slots = MAX(snapshot->power.slots, engine->state->slots);
     if (engine->leaving_ms != 0)
         return;
     GHashTableIter iter;
@@ -60,7 +61,7 @@
     snapshot->engines = g_array_new(FALSE, FALSE, sizeof(wb_placement_engine_t));
     snapshot->uses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, NULL);
     snapshot->store_room = wb_controller_store_room(controller, service->name);
-    snapshot->tokens_per_ms = controller->settings->prefill_tokens_per_ms;
+    snapshot->power = (wb_engine_power_t){controller->settings->prefill_tokens_per_ms, 0};
     snapshot->is_loading = engine_is_loading;
     snapshot->context = controller;
     GHashTableIter iter;
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -17,6 +17,10 @@
 #define HORIZON_S 4.0
 /* Share of an engine's reading that one model's prompts may take before it gets another engine. */
 #define READING_SHARE 0.3
+/* Share of an engine's places that one model's requests may take before it gets another engine. */
+#define SLOTS_SHARE 0.75
+/* A request's time at an engine counts up to this; beyond, it waits rather than runs. */
+#define LONGEST_RUN_MS 5000.0
 /* Share of requests with an adapter whose adapter no engine holds. */
 #define ADAPTER_MISSES 0.3
 /* Share of prompts' tokens that an engine doesn't have in its cache. */
@@ -94,6 +98,25 @@
     return prompt_ms * fullness / (1 - fullness);
 }
 
+/* Mean wait for a place among those that run, in ms, when so many engines share a model's requests.
+ * What runs includes what waits at engines, so a backlog counts in full. */
+static double slots_delay_ms(const wb_model_use_t *use, double engines, unsigned slots) {
+    double rate = MAX(use->recent_rate_per_s, use->rate_per_s);
+    if (rate <= 0 || slots == 0)
+        return 0;
+    double service_ms = MIN(use->running / rate * 1000.0, LONGEST_RUN_MS);
+    double load = use->running / (engines * slots);
+    double fullness = MIN(load, FULLEST);
+    double queued = pow(fullness, sqrt(2.0 * (slots + 1)) - 1) / (slots * (1 - fullness));
+    return service_ms * (queued + MAX(load - 1, 0));
+}
+
+/* Mean delay of a model's requests when so many engines share them. */
+static double delay_ms(const wb_model_use_t *use, double engines, const wb_engine_power_t *power) {
+    return reading_delay_ms(use, engines, power->tokens_per_ms) +
+           slots_delay_ms(use, engines, power->slots);
+}
+
 /* An engine keeps a copy of what it drops on its disk, if it has one. */
 static double reload_time_ms(const wb_model_spec_t *spec) {
     return (double)(spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
@@ -107,9 +130,8 @@
     if (use->waiting > 0 && use->replicas <= 1)
         return IMPOSSIBLE_MS;
     if (use->replicas > 1) {
-        double tokens_per_ms = snapshot->tokens_per_ms;
-        double lost_ms = reading_delay_ms(use, use->replicas - 1, tokens_per_ms) -
-                         reading_delay_ms(use, use->replicas, tokens_per_ms);
+        double lost_ms = delay_ms(use, use->replicas - 1, &snapshot->power) -
+                         delay_ms(use, use->replicas, &snapshot->power);
         return expected * MAX(lost_ms, SHARE_MS / use->replicas) +
                (double)use->running / use->replicas * RUN_END_MS;
     }
@@ -264,15 +286,16 @@
     return best;
 }
 
-unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms) {
+unsigned wb_placement_wanted(const wb_model_use_t *use, const wb_engine_power_t *power) {
     double work = MAX(use->work_per_s, use->recent_work_per_s);
-    return (unsigned)ceil(work / (tokens_per_ms * 1000.0 * READING_SHARE));
+    double by_work = work / (power->tokens_per_ms * 1000.0 * READING_SHARE);
+    double by_slots = power->slots > 0 ? use->running / (SLOTS_SHARE * power->slots) : 0;
+    return (unsigned)ceil(MAX(by_work, by_slots));
 }
 
-double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms) {
+double wb_placement_gain_ms(const wb_model_use_t *use, const wb_engine_power_t *power) {
     double engines = MAX(use->replicas + use->in_loading, 1);
-    double saved_ms = reading_delay_ms(use, engines, tokens_per_ms) -
-                      reading_delay_ms(use, engines + 1, tokens_per_ms);
+    double saved_ms = delay_ms(use, engines, power) - delay_ms(use, engines + 1, power);
     return use->rate_per_s * HORIZON_S * saved_ms;
 }
 
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -33,6 +33,12 @@
     gboolean available;             /**< it stays, and answers */
 } wb_placement_engine_t;
 
+/** What one engine does. */
+typedef struct wb_engine_power_t {
+    double tokens_per_ms; /**< prompt tokens that it reads in a millisecond */
+    unsigned slots;       /**< requests that it runs at once; 0: not known */
+} wb_engine_power_t;
+
 /** Says whether an engine is about to load a model. */
 typedef gboolean (*wb_placement_loading_fn)(const wb_engine_t *engine, const char *model,
                                             void *context);
@@ -41,7 +47,7 @@
     const wb_service_t *service;
     GArray *engines;                    /**< of wb_placement_engine_t */
     GHashTable *uses;                   /**< model -> wb_model_use_t */
-    double tokens_per_ms;               /**< prompt tokens that an engine reads in a millisecond */
+    wb_engine_power_t power;            /**< what an engine does */
     unsigned store_room;                /**< loads from the weight store that may begin now */
     wb_placement_loading_fn is_loading; /**< NULL: none loads anything */
     void *context;                      /**< of is_loading */
@@ -79,15 +85,16 @@
                                            const wb_model_spec_t *model, double *cost_ms,
                                            double *victim_cost_ms);
 
-/** Engines that a model's measured work asks for. @param tokens_per_ms what an engine reads */
-unsigned wb_placement_wanted(const wb_model_use_t *use, double tokens_per_ms);
+/** Engines that a model's measured work asks for, by its prompts and by what runs. */
+unsigned wb_placement_wanted(const wb_model_use_t *use, const wb_engine_power_t *power);
 
 /**
  * What one more engine would save a model's requests, in ms, over the time that its rate is
- * believed. The delay is that of a single queue, so it grows without bound as an engine's reading
- * fills up.
+ * believed. The delay for reading is that of a single queue, so it grows without bound as an
+ * engine's reading fills up; that for a place among those that run is Sakasegawa's approximation of
+ * a queue with many servers (1977).
  */
-double wb_placement_gain_ms(const wb_model_use_t *use, double tokens_per_ms);
+double wb_placement_gain_ms(const wb_model_use_t *use, const wb_engine_power_t *power);
 
 /** What a load costs all others, in ms, besides what it displaces. */
 double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state);
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -23,7 +23,7 @@
     scene->snapshot.service = scene->service;
     scene->snapshot.engines = g_array_new(FALSE, TRUE, sizeof(wb_placement_engine_t));
     scene->snapshot.uses = g_hash_table_new(g_str_hash, g_str_equal);
-    scene->snapshot.tokens_per_ms = 30;
+    scene->snapshot.power.tokens_per_ms = 30;
     scene->snapshot.store_room = 8;
     for (int i = 0; i < 6; i++) {
         wb_model_spec_t *model = wb_service_add_model(scene->service, names[i]);
@@ -122,8 +122,8 @@
     scene.uses[1].work_per_s = scene.uses[1].recent_work_per_s = 60000;
     wb_model_use_t one = scene.uses[1];
     one.replicas = 1;
-    g_assert_cmpuint(wb_placement_wanted(&one, 30), >, 1);
-    double gain_ms = wb_placement_gain_ms(&one, 30);
+    g_assert_cmpuint(wb_placement_wanted(&one, &scene.snapshot.power), >, 1);
+    double gain_ms = wb_placement_gain_ms(&one, &scene.snapshot.power);
     double cost_ms;
     const wb_model_spec_t *model = g_hash_table_lookup(scene.service->models, "m0");
     g_autoptr(GPtrArray) victims =
@@ -133,6 +133,23 @@
     scene_close(&scene);
 }
 
+/* A model whose requests fill its engines' places is spread, though its prompts are short. */
+static void test_placement_spreads_by_slots(void) {
+    scene_t scene;
+    scene_open(&scene);
+    wb_engine_power_t power = {30, 24};
+    wb_model_use_t use = {.rate_per_s = 45, .recent_rate_per_s = 45, .replicas = 2, .running = 20};
+    use.work_per_s = use.recent_work_per_s = 9000;
+    g_assert_cmpuint(wb_placement_wanted(&use, &power), <=, 2);
+    g_assert_cmpfloat(wb_placement_gain_ms(&use, &power), <, 100);
+    use.running = 140; /* 70 at each of two engines that run 24 at once */
+    g_assert_cmpuint(wb_placement_wanted(&use, &power), >=, 6);
+    g_assert_cmpfloat(wb_placement_gain_ms(&use, &power), >, 10000);
+    power.slots = 0; /* not told: by prompts alone */
+    g_assert_cmpuint(wb_placement_wanted(&use, &power), <=, 2);
+    scene_close(&scene);
+}
+
 /* What the weight store can't deliver now is loaded from an engine's disk or not at all. */
 static void test_placement_waits_for_the_store(void) {
     scene_t scene;
@@ -192,6 +209,7 @@
     g_test_add_func("/placement/copies-at-hand", test_placement_prefers_copies_at_hand);
     g_test_add_func("/placement/spares-what-is-used", test_placement_spares_what_is_used);
     g_test_add_func("/placement/spares-adapters", test_placement_spares_adapters);
+    g_test_add_func("/placement/spreads-by-slots", test_placement_spreads_by_slots);
     g_test_add_func("/placement/waits-for-the-store", test_placement_waits_for_the_store);
     g_test_add_func("/placement/counts-ordered-loads", test_placement_counts_ordered_loads);
     g_test_add_func("/placement/reload-is-from-disk", test_placement_reload_is_from_disk);
