Let the controller's news yield to announcements made later

The holder had told that the engine drops it; then it loaded it again there, lost the store and its lease, and never told. Gateways read the engine's announcement with the model each second, but the old news went before it for two heartbeats and the time between own looks: 26 s since looks became rare (10 s before that).

Ruled out: the load (done after 0.84 s), the new holder (it knew of the replica, and found requests that waited beside it).

Change: news yield to an announcement that is taken two heartbeats later.

--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -108,10 +108,13 @@
 wb_engine_t *wb_engine_ref(wb_engine_t *engine);
 void wb_engine_unref(wb_engine_t *engine);
 
-/** The controller's news, which go before announcements for `valid_ms`. @param adapter "" for the
- * model */
+/**
+ * The controller's news, which go before announcements for `valid_ms`, or until an announcement is
+ * taken `row_after_ms` later: that one was made after what the news tell of.
+ * @param adapter "" for the model itself
+ */
 void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
-                    int64_t now_ms, int64_t valid_ms);
+                    int64_t now_ms, int64_t row_after_ms, int64_t valid_ms);
 /** @return TRUE when the engine holds the model, and the adapter if one is named ("" or NULL: none)
  */
 gboolean wb_engine_holds(const wb_engine_t *engine, const char *model, const char *adapter,
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -21,9 +21,9 @@
         }
         if (entry->held)
             wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
-        wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms,
-                       2 * edge->settings.engine_heartbeat_ms +
-                           (int64_t)(edge->settings.store_look_s * 1000));
+        int64_t row_after_ms = 2 * edge->settings.engine_heartbeat_ms;
+        wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms, row_after_ms,
+                       row_after_ms + (int64_t)(edge->settings.store_look_s * 1000));
         wb_event(
             "placement-news",
             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s,\"token\":%llu",
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -13,6 +13,7 @@
 typedef struct wb_note_t {
     gboolean held;
     int64_t until_ms;
+    int64_t row_from_ms; /* announcements from then on know better */
 } wb_note_t;
 
 struct wb_fleet_t {
@@ -124,6 +125,11 @@
     return NULL;
 }
 
+static gboolean note_is_settled(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    return ((const wb_note_t *)value)->row_from_ms <= *(const int64_t *)context;
+}
+
 wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = wb_fleet_find(fleet, state->id);
     if (engine == NULL)
@@ -134,10 +140,12 @@
         wb_engine_state_free(engine->state);
         engine->state = state;
     }
+    int64_t now_ms = wb_clock_ms();
+    g_hash_table_foreach_remove(engine->overlay, note_is_settled, &now_ms);
     if (!state->leaving)
         engine->leaving_ms = 0;
     else if (engine->leaving_ms == 0)
-        engine->leaving_ms = wb_clock_ms();
+        engine->leaving_ms = now_ms;
     return engine;
 }
 
@@ -194,8 +202,9 @@
 }
 
 void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
-                    int64_t now_ms, int64_t valid_ms) {
+                    int64_t now_ms, int64_t row_after_ms, int64_t valid_ms) {
     wb_note_t *note = g_new(wb_note_t, 1);
+    note->row_from_ms = now_ms + row_after_ms;
     note->held = held;
     note->until_ms = now_ms + valid_ms;
     g_hash_table_replace(engine->overlay, note_key(model, adapter), note);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -45,7 +45,22 @@
     g_assert_false(wb_engine_is_open(engine, now_ms));
 }
 
+/* The controller's news go before announcements, but not before one that was made long after. */
+static void test_news_yield_to_later_rows(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    wb_engine_t *engine = engine_announce(fleet, FALSE);
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_note(engine, "m1", "", FALSE, now_ms, 100, 60000);
+    wb_engine_state_add_model(engine_announce(fleet, FALSE)->state, "m1", 1);
+    g_assert_false(wb_engine_holds(engine, "m1", "", wb_clock_ms())); /* made before, perhaps */
+    g_usleep(150000);
+    g_assert_false(wb_engine_holds(engine, "m1", "", wb_clock_ms()));
+    wb_engine_state_add_model(engine_announce(fleet, FALSE)->state, "m1", 1);
+    g_assert_true(wb_engine_holds(engine, "m1", "", wb_clock_ms()));
+}
+
 static void tests_add(void) {
+    g_test_add_func("/fleet/news-yield-to-later-rows", test_news_yield_to_later_rows);
     g_test_add_func("/fleet/gone-since-last-known", test_gone_since_last_known);
     g_test_add_func("/fleet/gone-engine-closes", test_gone_engine_closes);
     g_test_add_func("/fleet/leaving-engine-stays-closed", test_leaving_engine_stays_closed);
