--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -1,11 +1,9 @@
 /* Carries out tasks on one engine. */
-#include "control/engine_orders.h"
+#include "control/engine_orders_types.h"
 
-#include "control/engine_task.h"
 #include "control/placement.h"
 
 #include "wickbridge/event_log.h"
-#include "wickbridge/http_peer.h"
 
 #include <string.h>
 
@@ -20,38 +18,6 @@
 #define FAILURES_LIMIT 3
 #define UNREACHABLE_MS 2000
 #define TASK_LIFE_MS 12000
-#define ADAPTERS_COMING_LIMIT 4
-
-/* What the engine is waited for. */
-typedef enum wb_settle_t { WB_SETTLE_NONE, WB_SETTLE_LOADED, WB_SETTLE_UNLOADED } wb_settle_t;
-
-struct wb_engine_orders_t {
-    wb_loop_t *loop;
-    const wb_edge_settings_t *settings;
-    const wb_dialect_t *dialect;
-    wb_engine_t *engine;
-    wb_edge_metrics_t *metrics;
-    wb_engine_orders_owner_t owner;
-    wb_http_peer_t *peer;
-    wb_list_t tasks;          /* of wb_task_t; the first is under way */
-    wb_engine_state_t *state; /* as believed; NULL until it was read */
-    gboolean calling;
-    wb_timer_t *timer;
-    /* The order under way, or the last one. */
-    wb_order_t order;
-    char *order_model;
-    char *order_adapter;
-    gboolean order_from_store;
-    unsigned order_at_once; /* loads from the weight store when it began */
-    int64_t order_sent_ms;
-    int64_t order_load_ms; /* what the load takes alone */
-    unsigned resends;
-    unsigned failures;
-    int64_t unreachable_until_ms;
-    wb_settle_t settle;
-    int64_t settle_due_ms;
-    int64_t adapters_ordered_ms[ADAPTERS_COMING_LIMIT];
-};
 
 static void orders_advance(wb_engine_orders_t *orders);
 
@@ -434,11 +400,6 @@
         task_advance(orders, task);
 }
 
-gboolean wb_engine_orders_has(const wb_engine_orders_t *orders, const char *model,
-                              const char *adapter) {
-    return wb_task_find(&orders->tasks, model, adapter) != NULL;
-}
-
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
     if (wb_engine_orders_has(orders, model, adapter)) {
         return;
@@ -451,59 +412,6 @@
     }
 }
 
-void wb_engine_orders_each(const wb_engine_orders_t *orders,
-                           void (*visit)(const char *model, const char *adapter, void *context),
-                           void *context) {
-    WB_LIST_EACH(item, &orders->tasks) {
-        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
-        visit(task->model, task->adapter, context);
-    }
-}
-
-gboolean wb_engine_orders_is_busy(const wb_engine_orders_t *orders) {
-    return orders->tasks.len > 0;
-}
-
-double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders) {
-    const wb_service_t *service =
-        orders->owner.service(orders->engine->state->service, orders->owner.context);
-    double busy_ms = 0;
-    if (service == NULL) {
-        return 0;
-    }
-    WB_LIST_EACH(item, &orders->tasks) {
-        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
-        const wb_model_spec_t *spec = g_hash_table_lookup(service->models, task->model);
-        if (spec != NULL && *task->adapter == '\0')
-            busy_ms += wb_placement_load_ms(spec, orders->engine->state, NULL);
-    }
-    return busy_ms;
-}
-
-unsigned wb_engine_orders_store_loads(const wb_engine_orders_t *orders) {
-    const wb_service_t *service =
-        orders->owner.service(orders->engine->state->service, orders->owner.context);
-    unsigned loads = 0;
-    WB_LIST_EACH(item, &orders->tasks) {
-        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
-        const wb_model_spec_t *spec =
-            service != NULL ? g_hash_table_lookup(service->models, task->model) : NULL;
-        gboolean from_store = FALSE;
-        if (spec != NULL && *task->adapter == '\0')
-            wb_placement_load_ms(spec, orders->engine->state, &from_store);
-        loads += from_store ? 1 : 0;
-    }
-    return loads;
-}
-
-gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders) {
-    return wb_clock_ms() < orders->unreachable_until_ms;
-}
-
-const wb_engine_state_t *wb_engine_orders_state(const wb_engine_orders_t *orders) {
-    return orders->state != NULL ? orders->state : orders->engine->state;
-}
-
 void wb_engine_orders_announced(wb_engine_orders_t *orders) {
     if (orders->settle == WB_SETTLE_NONE || orders->calling || orders->state == NULL)
         return;
--- /dev/null
+++ b/src/control/engine_orders_types.h
@@ -0,0 +1,43 @@
+/**
+ * @file engine_orders_types.h
+ * @brief One engine's orders as their own files share them.
+ */
+#ifndef WICKBRIDGE_ENGINE_ORDERS_TYPES_H
+#define WICKBRIDGE_ENGINE_ORDERS_TYPES_H
+
+#include "control/engine_orders.h"
+#include "control/engine_task.h"
+
+#include "wickbridge/http_peer.h"
+
+/* What the engine is waited for. */
+typedef enum wb_settle_t { WB_SETTLE_NONE, WB_SETTLE_LOADED, WB_SETTLE_UNLOADED } wb_settle_t;
+
+struct wb_engine_orders_t {
+    wb_loop_t *loop;
+    const wb_edge_settings_t *settings;
+    const wb_dialect_t *dialect;
+    wb_engine_t *engine;
+    wb_edge_metrics_t *metrics;
+    wb_engine_orders_owner_t owner;
+    wb_http_peer_t *peer;
+    wb_list_t tasks;          /* of wb_task_t; the first is under way */
+    wb_engine_state_t *state; /* as believed; NULL until it was read */
+    gboolean calling;
+    wb_timer_t *timer;
+    /* The order under way, or the last one. */
+    wb_order_t order;
+    char *order_model;
+    char *order_adapter;
+    gboolean order_from_store;
+    unsigned order_at_once; /* loads from the weight store when it began */
+    int64_t order_sent_ms;
+    int64_t order_load_ms; /* what the load takes alone */
+    unsigned resends;
+    unsigned failures;
+    int64_t unreachable_until_ms;
+    wb_settle_t settle;
+    int64_t settle_due_ms;
+};
+
+#endif
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -63,7 +63,7 @@
     gboolean releasing;
     int64_t release_until_ms;
     unsigned look_rounds; /* of the loop since a look at what still runs began; 0: none */
-    gboolean refusing; /* callers' new connections, at the end of a stop */
+    gboolean refusing;    /* callers' new connections, at the end of a stop */
     gboolean drained;
 };
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -31,7 +31,8 @@
     wb_fleet_remove(fleet, "e1", now_ms + 500);
     g_assert_true(wb_engine_is_open(engine, now_ms + 499));
     g_assert_false(wb_engine_is_open(engine, now_ms + 500));
-    g_assert_true(engine_announce(fleet, FALSE) == engine);
+    const wb_engine_t *back = engine_announce(fleet, FALSE);
+    g_assert_true(back == engine);
     g_assert_true(wb_engine_is_open(engine, now_ms + 5000));
 }
 
