Sum an engine's model loads in one place; say what a model is spread by

Found on rereading: wb_engine_orders_store_loads repeated the loop of wb_engine_orders_busy_ms; both ask one function now. Two comments still spoke of prompts alone, and a log format was cut in two.

--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -78,7 +78,8 @@
                     "waited-for");
 }
 
-/* Models whose prompts take more reading than their engines should give to one model. */
+/* Models whose prompts, or places among what runs, take more than their engines should give to one.
+ */
 void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot) {
     unsigned placed = 0;
     GHashTableIter iter;
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -54,7 +54,8 @@
 /** Place models that are waited for and that no engine holds or loads. */
 void wb_controller_place_needs(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                int64_t now_ms);
-/** Place models whose prompts take more reading than their engines should give to one model. */
+/** Place models whose prompts, or places among what runs, take more than their engines should
+ * give to one. */
 void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot);
 /** @return models to drop from an engine so that `model` fits, or NULL. @param context the
  * controller */
--- a/src/control/engine_orders_state.c
+++ b/src/control/engine_orders_state.c
@@ -20,36 +20,37 @@
     return orders->tasks.len > 0;
 }
 
-double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders) {
+/* What the model loads among the tasks take, and how many of them read from the weight store. */
+static double loads_sum(const wb_engine_orders_t *orders, unsigned *from_store) {
     const wb_service_t *service =
         orders->owner.service(orders->engine->state->service, orders->owner.context);
-    double busy_ms = 0;
+    double sum_ms = 0;
+    *from_store = 0;
     if (service == NULL) {
         return 0;
     }
     WB_LIST_EACH(item, &orders->tasks) {
         const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
         const wb_model_spec_t *spec = g_hash_table_lookup(service->models, task->model);
-        if (spec != NULL && *task->adapter == '\0')
-            busy_ms += wb_placement_load_ms(spec, orders->engine->state, NULL);
+        gboolean reads_store;
+        if (spec == NULL || *task->adapter != '\0') {
+            continue;
+        }
+        sum_ms += wb_placement_load_ms(spec, orders->engine->state, &reads_store);
+        *from_store += reads_store ? 1 : 0;
     }
-    return busy_ms;
+    return sum_ms;
+}
+
+double wb_engine_orders_busy_ms(const wb_engine_orders_t *orders) {
+    unsigned from_store;
+    return loads_sum(orders, &from_store);
 }
 
 unsigned wb_engine_orders_store_loads(const wb_engine_orders_t *orders) {
-    const wb_service_t *service =
-        orders->owner.service(orders->engine->state->service, orders->owner.context);
-    unsigned loads = 0;
-    WB_LIST_EACH(item, &orders->tasks) {
-        const wb_task_t *task = WB_LIST_OF(item, wb_task_t, queued);
-        const wb_model_spec_t *spec =
-            service != NULL ? g_hash_table_lookup(service->models, task->model) : NULL;
-        gboolean from_store = FALSE;
-        if (spec != NULL && *task->adapter == '\0')
-            wb_placement_load_ms(spec, orders->engine->state, &from_store);
-        loads += from_store ? 1 : 0;
-    }
-    return loads;
+    unsigned from_store;
+    loads_sum(orders, &from_store);
+    return from_store;
 }
 
 gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders) {
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -41,8 +41,7 @@
         ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
         "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
         "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"most_pause_ms\":%lld,"
-        "\"left_ms\":%lld,"
-        "\"catalog\":%lld,\"answer_begun\":%s",
+        "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s",
         wb_event_text(exchange->id), ending_names[ending], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_text(exchange->model),
