Refuse at once where the controller can't be reached

Ruled out: engines that can't be reached (all sends of these requests were answered), and a slow take-over (the lease never changed hands).

Change: what a node knows of the controller has three states, not a time: reached, awaited (nobody holds the lease, and when somebody may is known), unreached (the store hasn't answered since the controller is unheard, or the holder renews but isn't heard here, or a take-over is overdue). Unreached: a request that needs a load is refused at once as not run, to come back after 0.3 s, its next try reaches another node; 1.2 s while the link to the holder stands, as then the store is away for all. Waiters are told at each change.

A cut from engines has no test: loopback can't drop a connection's first packet here.

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -67,9 +67,11 @@
 gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms);
 /** @return the token of this node's holding, valid while it is held */
 uint64_t wb_lease_token(const wb_lease_t *lease);
-/** @return ms until this node may take the lease over, if the row stays as it is; 0: at once, or
+/** @return steady time from which this node may take the lease over, if the row stays as it is; 0:
  * the row was never read */
-int64_t wb_lease_takeover_in_ms(const wb_lease_t *lease, int64_t now_ms);
+int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease);
+/** @return steady time at which this node learned of the row's last change; 0: never */
+int64_t wb_lease_changed_ms(const wb_lease_t *lease);
 /** @return the version of the row that is known; 0: none */
 int64_t wb_lease_version(const wb_lease_t *lease);
 /** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -125,8 +125,12 @@
     return lease->version_since_ms + wait_ms;
 }
 
-int64_t wb_lease_takeover_in_ms(const wb_lease_t *lease, int64_t now_ms) {
-    return lease->version < 0 ? 0 : MAX(takeover_at_ms(lease) - now_ms, 0);
+int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease) {
+    return lease->version < 0 ? 0 : takeover_at_ms(lease);
+}
+
+int64_t wb_lease_changed_ms(const wb_lease_t *lease) {
+    return lease->version_since_ms;
 }
 
 static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms) {
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -54,8 +54,9 @@
     gboolean news_look; /* too much to tell */
     int64_t news_told_ms;
     int64_t news_heard_ms;
-    gboolean deaf_told;    /* waiting requests were told that nobody decides */
-    int64_t deaf_since_ms; /* since when nobody is heard who decides on loads; 0: someone is */
+    wb_controller_reach_t reach_told; /* as waiting requests were told last */
+    uint64_t unheard_token;           /* of the lease as it was known then */
+    int64_t unheard_since_ms; /* since when no controller is heard; 0: one is, or it is this node */
     wb_timer_t *need_timer;
     gboolean held;
     gboolean ready_told;
@@ -122,10 +123,9 @@
 gboolean wb_edge_node_hears_news(const wb_edge_node_t *node);
 /** Note whether someone is heard who decides on loads. */
 void wb_edge_node_tick_hearing(wb_edge_node_t *node, int64_t now_ms);
-/** @return ms until someone can be expected to decide on loads; 0: someone does, as far as is
- * known.
+/** @return whether the controller hears of what is asked for here, as far as is known
  * @param context the node */
-int64_t wb_edge_node_controller_gap_ms(void *context);
+wb_controller_view_t wb_edge_node_controller_view(void *context);
 /** Send a message on every link from a gateway that reads what it is sent. */
 void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
 
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -46,6 +46,20 @@
     int64_t tokens;
 } wb_prompt_part_t;
 
+/** Whether the controller, who decides on loads, hears of what is asked for here. */
+typedef enum wb_controller_reach_t {
+    WB_CONTROLLER_REACHED,  /* it is heard, or this node is it */
+    WB_CONTROLLER_AWAITED,  /* there is none; when another may take over is known */
+    WB_CONTROLLER_UNREACHED /* there may be one, but not for this node, nobody knows until when */
+} wb_controller_reach_t;
+
+typedef struct wb_controller_view_t {
+    wb_controller_reach_t reach;
+    /* Time until somebody should decide on loads. When it is awaited this is known; when it is
+     * unreached it is the time after which a caller should try again, here or at another node. */
+    int64_t back_in_ms;
+} wb_controller_view_t;
+
 /** The node: state that all requests share. */
 struct wb_edge_t {
     wb_loop_t *loop;
@@ -66,9 +80,8 @@
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
     void *need_context;
-    /** Time until someone can be expected to decide on loads; 0: someone does. With need_context.
-     */
-    int64_t (*controller_gap_ms)(void *context);
+    /** Whether the controller can be reached; NULL: it always can. With need_context. */
+    wb_controller_view_t (*controller_view)(void *context);
 };
 
 /** Why a request ended, for logs and metrics. */
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -38,17 +38,19 @@
     return g_hash_table_lookup(exchange->edge->expected, key);
 }
 
-/* Returns ms until someone can be expected to decide on loads; 0 while someone does. */
-static int64_t controller_gap_ms(const wb_edge_t *edge) {
-    return edge->controller_gap_ms != NULL ? edge->controller_gap_ms(edge->need_context) : 0;
+static wb_controller_view_t controller_view(const wb_edge_t *edge) {
+    if (edge->controller_view == NULL) {
+        return (wb_controller_view_t){WB_CONTROLLER_REACHED, 0};
+    }
+    return edge->controller_view(edge->need_context);
 }
 
 gboolean wb_exchange_nobody_decides(const wb_exchange_t *exchange) {
-    return controller_gap_ms(exchange->edge) > 0;
+    return controller_view(exchange->edge).reach != WB_CONTROLLER_REACHED;
 }
 
-/* Returns ms until what the request lacks should be there: as the controller told, or, while nobody
- * decides, once somebody does and it is loaded; -1 when nothing is known. */
+/* Returns ms until what the request lacks should be there: as the controller told, or, while there
+ * is none, once there is one and it is loaded; -1 when nothing is known. */
 static int64_t model_ready_in_ms(const wb_exchange_t *exchange) {
     const wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
@@ -62,21 +64,25 @@
     if (ready_ms != NULL && *ready_ms + LOAD_LATE_MS >= now_ms) {
         return MAX(*ready_ms - now_ms, 0);
     }
-    int64_t gap_ms = controller_gap_ms(edge);
-    if (gap_ms == 0) {
+    wb_controller_view_t view = controller_view(edge);
+    if (view.reach != WB_CONTROLLER_AWAITED) {
         return -1;
     }
     const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
     if (spec == NULL || held) {
-        return gap_ms;
+        return view.back_in_ms;
     }
-    return gap_ms + (spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
+    return view.back_in_ms + (spec->disk_load_ms > 0 ? spec->disk_load_ms : spec->store_load_ms);
 }
 
 /* When coming back has a use: once the model should be there, else soon. */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange) {
     int64_t ready_in_ms = model_ready_in_ms(exchange);
-    return ready_in_ms > 0 ? ready_in_ms + COME_BACK_MARGIN_MS : RETRY_AFTER_MS;
+    if (ready_in_ms > 0) {
+        return ready_in_ms + COME_BACK_MARGIN_MS;
+    }
+    wb_controller_view_t view = controller_view(exchange->edge);
+    return view.reach == WB_CONTROLLER_UNREACHED ? view.back_in_ms : RETRY_AFTER_MS;
 }
 
 /* Time in which an answer has a use, from the request's arrival. */
@@ -103,7 +109,8 @@
     int64_t patient_until_ms = exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
     int64_t ready_in_ms = model_ready_in_ms(exchange);
     if (ready_in_ms < 0) {
-        return patient_until_ms;
+        gboolean in_vain = controller_view(exchange->edge).reach == WB_CONTROLLER_UNREACHED;
+        return in_vain ? 0 : patient_until_ms;
     }
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
--- a/tests/unit/test_exchange_wait.c
+++ b/tests/unit/test_exchange_wait.c
@@ -14,11 +14,11 @@
     wb_catalog_t *catalog;
     wb_route_t *route;
     wb_exchange_t *exchange;
-    int64_t gap_ms; /* until someone decides on loads */
+    wb_controller_view_t view;
 } scene_t;
 
-static int64_t gap_of(void *context) {
-    return ((scene_t *)context)->gap_ms;
+static wb_controller_view_t view_of(void *context) {
+    return ((scene_t *)context)->view;
 }
 
 static void need_ignore(void *context) {
@@ -34,7 +34,7 @@
     edge->demand = wb_demand_create();
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->on_need = need_ignore;
-    edge->controller_gap_ms = gap_of;
+    edge->controller_view = view_of;
     edge->need_context = scene;
     wb_list_init(&edge->waiting);
     scene->catalog = wb_catalog_create(1);
@@ -95,14 +95,32 @@
 static void test_nobody_decides(void) {
     scene_t scene;
     scene_open(&scene, "m2", "");
-    scene.gap_ms = 5000;
+    scene.view = (wb_controller_view_t){WB_CONTROLLER_AWAITED, 5000};
     g_assert_cmpint(scene_wait(&scene), ==, 0);
     g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), >=, 5500);
     scene_open(&scene, "m2", "");
-    scene.gap_ms = 700;
+    scene.view = (wb_controller_view_t){WB_CONTROLLER_AWAITED, 700};
     g_assert_cmpint(scene_wait(&scene), >=, 1200);
 }
 
+/* A node that can't reach the controller refuses at once, also what waits for an adapter, unless a
+ * load that it was told of comes in time. */
+static void test_controller_is_unreached(void) {
+    static const wb_controller_view_t unreached = {WB_CONTROLLER_UNREACHED, 300};
+    scene_t scene;
+    scene_open(&scene, "m2", "");
+    scene.view = unreached;
+    g_assert_cmpint(scene_wait(&scene), ==, 0);
+    g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), ==, 300);
+    scene_open(&scene, "m1", "a1");
+    scene.view = unreached;
+    g_assert_cmpint(scene_wait(&scene), ==, 0);
+    scene_open(&scene, "m2", "");
+    scene.view = unreached;
+    wb_exchanges_expect(&scene.edge, "llm", "m2", 500);
+    g_assert_cmpint(scene_wait(&scene), >=, 500);
+}
+
 /* A load that is late doesn't shorten the time that a request would wait without any news. */
 static void test_late_load_is_waited_for(void) {
     scene_t scene;
@@ -120,6 +138,7 @@
                     test_adapter_does_not_wait_for_a_replica);
     g_test_add_func("/exchange-wait/late-load-is-waited-for", test_late_load_is_waited_for);
     g_test_add_func("/exchange-wait/nobody-decides", test_nobody_decides);
+    g_test_add_func("/exchange-wait/controller-is-unreached", test_controller_is_unreached);
 }
 
 UNIT_TEST_MAIN(tests_add)
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -113,7 +113,7 @@
     int64_t last_ms = 0;
     for (int i = 0; i < 50; i++) {
         wb_lease_t *lease = lease_of_another(&settings);
-        int64_t at_ms = 100 + wb_lease_takeover_in_ms(lease, 100);
+        int64_t at_ms = wb_lease_takeover_at_ms(lease);
         first_ms = MIN(first_ms, at_ms);
         last_ms = MAX(last_ms, at_ms);
         wb_lease_free(lease);
