Let a successor order at once the engines that its predecessor's row doesn't name

Cause: when the lease's holder is gone, no model is loaded for 4.8 s, 3.0 of which only wait out the orders that it might have given last, to any engine.

Change: the lease's row names the engines that its holder may order, and for 3.2 s after its last order to one; an order is given only once a row that names its engine is known to be in the store (asked for beside the engine's report). A successor takes the lease over 1.8 s after the last row, orders what that row doesn't name at once, leaves the rest alone for the quiet time, and names those to its own successor. Loads from the weight store that the predecessor may have begun untold are bounded by the engines named; a successor's own bursts are counted apart from them. News of the lease leave the names out: who takes over reads the row itself, else all engines count as named.

Kept for what it is for: the gap without a controller is 1.8 s, not 4.8.

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -3,10 +3,11 @@
  * @brief The placement controller's lease: one row of the store, renewed by its holder.
  *
  * Engines don't check tokens, so time is the guard. The holder may act until `duration` after it
- * *sent* its last renewal that counted. Another node takes the lease over only when it has known
- * the row unchanged for `duration` + `quiet` + a margin, all by the steady clock: so at least
- * `quiet` lies between two holders' acts. The token rises with each take-over. A restarted process
- * of the holder's own machine takes it over at once.
+ * *sent* its last renewal that counted. Another node takes the lease over when it has known the row
+ * unchanged for `duration` + a margin, all by the steady clock, or at once when the row says that
+ * it was released. It orders engines that the last row names only `quiet` later (lease_grants.h):
+ * so at least `quiet` lies between two holders' orders to one engine. The token rises with each
+ * take-over. A restarted process of the holder's own machine takes it over at once.
  *
  * Pure: it is told the time, the rows and the outcomes of its writes, and says what to write.
  */
@@ -24,8 +25,27 @@
     uint64_t beat;  /**< counts renewals, so that a lost answer can be told from a lost write */
     gboolean released;
     unsigned recent_loads; /**< loads from the weight store lately begun, told to a successor */
+    /* Engines that may have been ordered lately: */
+    gboolean grants_known; /**< FALSE: this copy of the row doesn't tell */
+    gboolean any_granted;  /**< any engine may have been; the lists are empty */
+    char **granted;        /**< by this holder */
+    guint granted_count;   /**< of granted */
+    char **inherited;      /**< by a holder before it */
+    guint inherited_count; /**< of inherited */
 } wb_lease_row_t;
 
+/** What is known of the holder before this one. */
+typedef struct wb_lease_predecessor_t {
+    int64_t seen_ms;       /**< steady time at which its last row was seen; 0: there was none */
+    unsigned loads;        /**< loads from the weight store lately begun, as that row told */
+    unsigned engines_most; /**< engines that it may have ordered after that row; G_MAXUINT: any */
+} wb_lease_predecessor_t;
+
+/** Free what a row holds; it is empty then. */
+void wb_lease_row_clear(wb_lease_row_t *row);
+/** Make a row a copy of another, with texts of its own; what it held is freed. */
+void wb_lease_row_copy(wb_lease_row_t *target, const wb_lease_row_t *source);
+
 typedef struct wb_lease_settings_t {
     const char *machine;      /**< this node's machine; must outlive the lease */
     const char *address;      /**< where other nodes reach this one; must outlive the lease */
@@ -63,8 +83,18 @@
 /** Nobody knows whether the write was done. */
 void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms);
 
+/**
+ * An order to an engine is due. Ask again right before its bytes leave.
+ * @return 0: it may be given; above: not before so many ms; -1: not before the next write counts,
+ * which is due now
+ */
+int64_t wb_lease_ask_order(wb_lease_t *lease, const char *engine, int64_t now_ms);
+/** @return ms for which an engine must be left alone, as another holder may have ordered it */
+int64_t wb_lease_blocked_ms(const wb_lease_t *lease, const char *engine, int64_t now_ms);
 /** @return TRUE while this node may act. Ask right before each act. */
 gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms);
+/** @return TRUE when the row that is known is this process's, though its time may be over */
+gboolean wb_lease_is_own(const wb_lease_t *lease);
 /** @return the token of this node's holding, valid while it is held */
 uint64_t wb_lease_token(const wb_lease_t *lease);
 /** @return steady time from which this node may take the lease over, if the row stays as it is; 0:
@@ -76,9 +106,8 @@
 int64_t wb_lease_version(const wb_lease_t *lease);
 /** @return who holds it as far as known; NULL when nobody does. Owned by the lease */
 const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
-/** @return recent loads that the holder before this one told last, and when its row was seen
- * (`seen_ms`) */
-unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms);
+/** @return what the holder before this one had begun; owned by the lease */
+const wb_lease_predecessor_t *wb_lease_predecessor(const wb_lease_t *lease);
 /** Give the lease up at the next write, and don't take it again. */
 void wb_lease_release(wb_lease_t *lease);
 /** @return TRUE while a lease that is to be given up isn't yet, as far as known */
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -9,6 +9,9 @@
 #define SPREAD_INTERVAL_MS 300
 /* Between two decisions that messages ask for lies at least so many times what one takes. */
 #define DECISION_REST 8
+/* An engine does one load after the other: within the time of a lease (1.6 s) it begins at most so
+ * many from the weight store, the fastest of which takes 1.3 s. */
+#define LOADS_UNTOLD 2
 
 const wb_service_t *wb_controller_service(const char *name, void *context) {
     const wb_controller_t *controller = context;
@@ -43,6 +46,11 @@
     return controller->token != 0 && controller->events.may_act(controller->events.context);
 }
 
+static int64_t owner_ask_order(const char *engine, void *context) {
+    wb_controller_t *controller = context;
+    return controller->events.ask_order(engine, controller->events.context);
+}
+
 static gboolean owner_store_has_room(const char *service, void *context) {
     return wb_load_window_has_room(wb_controller_window(context, service), wb_clock_ms());
 }
@@ -110,6 +118,7 @@
     if (orders != NULL)
         return orders;
     wb_engine_orders_owner_t owner = {owner_may_act,
+                                      owner_ask_order,
                                       wb_controller_pick_victims,
                                       wb_controller_pick_adapter_victim,
                                       wb_controller_service,
@@ -197,21 +206,25 @@
     return controller;
 }
 
-void wb_controller_set_token(wb_controller_t *controller, uint64_t token, unsigned loads,
-                             int64_t seen_ms) {
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token,
+                             const wb_lease_predecessor_t *predecessor) {
     if (controller->token == token)
         return;
     controller->token = token;
     /* What this node believed of engines is worth nothing once others may have given orders. */
     g_hash_table_remove_all(controller->orders);
-    if (token == 0 || seen_ms == 0 || controller->catalog == NULL)
+    if (token == 0 || predecessor->seen_ms == 0 || controller->catalog == NULL)
         return;
+    unsigned loads_untold = predecessor->engines_most > G_MAXUINT / LOADS_UNTOLD
+                                ? G_MAXUINT
+                                : LOADS_UNTOLD * predecessor->engines_most;
     GHashTableIter iter;
     gpointer name;
     g_hash_table_iter_init(&iter, controller->catalog->services);
     while (g_hash_table_iter_next(&iter, &name, NULL))
-        wb_load_window_assume(wb_controller_window(controller, name), loads,
-                              seen_ms + controller->settings->lease_duration_ms);
+        wb_load_window_assume(wb_controller_window(controller, name), predecessor->loads,
+                              loads_untold,
+                              predecessor->seen_ms + controller->settings->lease_duration_ms);
 }
 
 unsigned wb_controller_recent_loads(const wb_controller_t *controller) {
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -12,6 +12,7 @@
 
 #include "wickbridge/dialect.h"
 #include "wickbridge/edge.h"
+#include "wickbridge/lease.h"
 #include "wickbridge/message.h"
 
 #include "wickbridge/edge_metrics.h"
@@ -21,6 +22,10 @@
 typedef struct wb_controller_events_t {
     /** Asked right before each order is sent: may this node still act? */
     gboolean (*may_act)(void *context);
+    /** An order to an engine is due: 0: it may be given; above: not before so many ms; -1: soon. */
+    int64_t (*ask_order)(const char *engine, void *context);
+    /** @return ms for which an engine must be left alone, as another may have ordered it lately */
+    int64_t (*blocked_ms)(const char *engine, void *context);
     /** Tell all gateways. */
     void (*on_news)(const wb_wire_message *news, void *context);
     void *context;
@@ -32,11 +37,10 @@
                                       const wb_controller_events_t *events);
 /**
  * Begin to act under a token, or stop acting (token 0).
- * @param loads   loads from the weight store that the holder before told of last
- * @param seen_ms steady time at which its last row was seen; 0: nobody held the lease before
+ * @param predecessor the holder before; may be NULL with token 0
  */
-void wb_controller_set_token(wb_controller_t *controller, uint64_t token, unsigned loads,
-                             int64_t seen_ms);
+void wb_controller_set_token(wb_controller_t *controller, uint64_t token,
+                             const wb_lease_predecessor_t *predecessor);
 /** @return loads from the weight store in the present window, the most of all services */
 unsigned wb_controller_recent_loads(const wb_controller_t *controller);
 void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog);
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -33,6 +33,8 @@
         place.busy_ms = wb_engine_orders_busy_ms(orders);
         place.available = place.available && !wb_engine_orders_is_unreachable(orders);
     }
+    place.busy_ms +=
+        (double)controller->events.blocked_ms(engine->state->id, controller->events.context);
     if (orders != NULL && engine->leaving_ms == 0) {
         wb_loading_scene_t scene = {controller, snapshot->service, &place};
         wb_engine_orders_each(orders, loading_count, &scene);
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -11,6 +11,9 @@
 #define LOOK_RARELY_MS 400
 #define LOOK_SHARE 8
 #define STORE_WAIT_MS 40
+/* A row that lets an engine be ordered is in the store after one of its answers (4 ms) and a round
+ * trip. */
+#define GRANT_LOOK_MS 8
 #define UNLOAD_LOOK_MS 80
 #define LOAD_LATE_MS 250
 #define RETRY_MS 150
@@ -184,9 +187,17 @@
     wb_http_peer_call(orders->peer, &request);
 }
 
+/* Returns 0 when an order may be given now, else ms after which to ask again. */
+static int64_t order_wait_ms(const wb_engine_orders_t *orders) {
+    if (!orders->owner.may_act(orders->owner.context)) {
+        return RETRY_MS;
+    }
+    int64_t wait_ms = orders->owner.ask_order(orders->engine->state->id, orders->owner.context);
+    return wait_ms < 0 ? GRANT_LOOK_MS : MIN(wait_ms, RETRY_MS);
+}
+
 static gboolean order_may_send(void *context) {
-    wb_engine_orders_t *orders = context;
-    return orders->owner.may_act(orders->owner.context);
+    return order_wait_ms(context) == 0;
 }
 
 static void order_send(wb_engine_orders_t *orders);
@@ -263,8 +274,9 @@
 }
 
 static void order_send(wb_engine_orders_t *orders) {
-    if (!orders->owner.may_act(orders->owner.context)) {
-        advance_after(orders, RETRY_MS);
+    int64_t wait_ms = order_wait_ms(orders);
+    if (wait_ms > 0) {
+        advance_after(orders, wait_ms);
         return;
     }
     orders->order_sent_ms = wb_clock_ms();
@@ -387,17 +399,17 @@
     const wb_task_t *task = wb_task_first(&orders->tasks);
     if (orders->calling || task == NULL)
         return;
-    if (!orders->owner.may_act(orders->owner.context)) {
-        if (wb_clock_ms() - task->created_ms > TASK_LIFE_MS)
-            task_over(orders, "given-up");
-        else
-            advance_after(orders, RETRY_MS);
-        return;
-    }
-    if (orders->state == NULL || orders->settle != WB_SETTLE_NONE)
+    /* The leave to order is asked for beside the report. */
+    int64_t wait_ms = order_wait_ms(orders);
+    gboolean may_act = orders->owner.may_act(orders->owner.context);
+    if (may_act && (orders->state == NULL || orders->settle != WB_SETTLE_NONE))
         report_ask(orders);
-    else
+    else if (wait_ms == 0)
         task_advance(orders, task);
+    else if (wb_clock_ms() - task->created_ms > TASK_LIFE_MS)
+        task_over(orders, "given-up");
+    else
+        advance_after(orders, wait_ms);
 }
 
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -1,6 +1,8 @@
 /* The placement controller's lease, as a pure state machine. */
 #include "wickbridge/lease.h"
 
+#include "control/lease_grants.h"
+
 #include <string.h>
 
 /* Writes whose outcome may still show; an older one counts for nothing any more. */
@@ -25,28 +27,40 @@
     int64_t last_write_ms;
     int64_t retry_at_ms;
     gboolean writing;
+    wb_lease_grants_t *grants;
     wb_lease_row_t written; /* the write under way */
     int64_t written_expected;
     int64_t written_sent_ms;
-    unsigned predecessor_loads; /* as the last row of another process told */
-    int64_t predecessor_ms;
+    wb_lease_predecessor_t predecessor; /* the last row of another process */
     gboolean releasing;
     gboolean given_up;
     int64_t takeover_delay_ms; /* this node's share of the spread */
     int64_t takeover_pause_ms; /* after the last try in a row that failed */
 };
 
-static void row_clear(wb_lease_row_t *row) {
+static char **names_copy(char **names, guint count) {
+    char **copy = g_new0(char *, count + 1);
+    for (guint i = 0; i < count; i++) {
+        copy[i] = g_strdup(names[i]);
+    }
+    return copy;
+}
+
+void wb_lease_row_clear(wb_lease_row_t *row) {
     g_free(row->holder);
     g_free(row->address);
+    g_strfreev(row->granted);
+    g_strfreev(row->inherited);
     memset(row, 0, sizeof(*row));
 }
 
-static void row_copy(wb_lease_row_t *target, const wb_lease_row_t *source) {
+void wb_lease_row_copy(wb_lease_row_t *target, const wb_lease_row_t *source) {
     wb_lease_row_t copy = *source;
     copy.holder = g_strdup(source->holder);
     copy.address = g_strdup(source->address);
-    row_clear(target);
+    copy.granted = names_copy(source->granted, source->granted_count);
+    copy.inherited = names_copy(source->inherited, source->inherited_count);
+    wb_lease_row_clear(target);
     *target = copy;
 }
 
@@ -54,6 +68,7 @@
     wb_lease_t *lease = g_new0(wb_lease_t, 1);
     lease->settings = *settings;
     lease->version = -1;
+    lease->grants = wb_lease_grants_create(settings->quiet_ms + settings->margin_ms);
     if (settings->spread_ms > 0)
         lease->takeover_delay_ms = g_random_int_range(0, (gint32)settings->spread_ms);
     lease->beat = ((uint64_t)g_random_int() << 24) + 1;
@@ -61,8 +76,9 @@
 }
 
 void wb_lease_free(wb_lease_t *lease) {
-    row_clear(&lease->known);
-    row_clear(&lease->written);
+    wb_lease_row_clear(&lease->known);
+    wb_lease_row_clear(&lease->written);
+    wb_lease_grants_free(lease->grants);
     g_free(lease);
 }
 
@@ -79,6 +95,7 @@
 /* The row is as this process wrote it at some time. */
 static void own_row_take(wb_lease_t *lease, int64_t sent_ms) {
     lease->own_token = lease->known.token;
+    wb_lease_grants_written(lease->grants, lease->known.beat);
     if (lease->known.released)
         lease->given_up = TRUE;
     else if (!lease->releasing)
@@ -87,21 +104,26 @@
 
 static void predecessor_seen(wb_lease_t *lease, int64_t now_ms) {
     lease->held_until_ms = 0;
-    lease->predecessor_loads = lease->known.recent_loads;
-    lease->predecessor_ms = now_ms;
+    lease->predecessor.loads = lease->known.recent_loads;
+    lease->predecessor.seen_ms = now_ms;
 }
 
 void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version,
                      int64_t now_ms) {
+    if (version == lease->version && row != NULL && row->grants_known) {
+        /* Another node told of this row before, in short; now the store has shown it whole. */
+        wb_lease_row_copy(&lease->known, row);
+        return;
+    }
     if (version <= lease->version && lease->version != -1)
         return;
     lease->version = version;
     lease->version_since_ms = now_ms;
     if (row == NULL) {
-        row_clear(&lease->known);
+        wb_lease_row_clear(&lease->known);
         return;
     }
-    row_copy(&lease->known, row);
+    wb_lease_row_copy(&lease->known, row);
     int64_t sent_ms = own_write_sent_ms(lease, row);
     if (sent_ms >= 0)
         own_row_take(lease, sent_ms);
@@ -114,15 +136,29 @@
            is_own(lease, &lease->known) && !lease->known.released;
 }
 
+/* Until when the holder of the known row may act, as far as this node can tell. */
+static int64_t holder_acts_until_ms(const wb_lease_t *lease) {
+    const wb_lease_settings_t *settings = &lease->settings;
+    int64_t acts_ms = lease->known.released ? 0 : settings->duration_ms + settings->margin_ms;
+    return lease->version_since_ms + acts_ms;
+}
+
 /* When this node may take the lease over, if the row stays as it is. */
 static int64_t takeover_at_ms(const wb_lease_t *lease) {
-    const wb_lease_settings_t *settings = &lease->settings;
     if (lease->known.holder == NULL || is_own(lease, &lease->known))
         return lease->version_since_ms;
-    int64_t wait_ms = settings->quiet_ms + settings->margin_ms + lease->takeover_delay_ms;
-    if (!lease->known.released)
-        wait_ms += settings->duration_ms;
-    return lease->version_since_ms + wait_ms;
+    return holder_acts_until_ms(lease) + lease->takeover_delay_ms;
+}
+
+/* Whoever held the lease before may have ordered the engines of its row until its time was over. */
+static void takeover_begin(wb_lease_t *lease, int64_t now_ms) {
+    const wb_lease_settings_t *settings = &lease->settings;
+    gboolean anybody = lease->known.holder != NULL;
+    gboolean named = lease->known.grants_known && !lease->known.any_granted;
+    lease->predecessor.engines_most = named ? lease->known.granted_count : G_MAXUINT;
+    wb_lease_grants_begin(
+        lease->grants, anybody ? &lease->known : NULL, is_own(lease, &lease->known),
+        holder_acts_until_ms(lease) + settings->quiet_ms + settings->margin_ms, now_ms);
 }
 
 int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease) {
@@ -137,7 +173,8 @@
     if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
         return FALSE;
     if (is_holding(lease))
-        return lease->releasing || now_ms - lease->last_write_ms >= lease->settings.renew_ms;
+        return lease->releasing || wb_lease_grants_is_short(lease->grants) ||
+               now_ms - lease->last_write_ms >= lease->settings.renew_ms;
     if (lease->releasing || lease->given_up)
         return FALSE;
     return now_ms >= takeover_at_ms(lease);
@@ -147,20 +184,20 @@
                              int64_t *expected_version) {
     if (!write_is_due(lease, now_ms))
         return FALSE;
-    wb_lease_row_t next = {(char *)lease->settings.machine,
-                           (char *)lease->settings.address,
-                           lease->own_token,
-                           ++lease->beat,
-                           FALSE,
-                           0};
+    wb_lease_row_t next = {.holder = (char *)lease->settings.machine,
+                           .address = (char *)lease->settings.address,
+                           .token = lease->own_token,
+                           .beat = ++lease->beat};
     if (is_holding(lease)) {
         next.released = lease->releasing;
         if (lease->releasing)
             lease->held_until_ms = 0; /* not one act more */
     } else {
         next.token = MAX(lease->known.token, lease->own_token) + 1;
+        takeover_begin(lease, now_ms);
     }
-    row_copy(&lease->written, &next);
+    wb_lease_grants_write(lease->grants, &next, now_ms);
+    wb_lease_row_copy(&lease->written, &next);
     lease->written_expected = lease->version;
     lease->written_sent_ms = now_ms;
     lease->last_write_ms = now_ms;
@@ -178,7 +215,7 @@
         return; /* the row was read meanwhile, this write or a later one */
     lease->version = version;
     lease->version_since_ms = now_ms;
-    row_copy(&lease->known, &lease->written);
+    wb_lease_row_copy(&lease->known, &lease->written);
     own_row_take(lease, lease->written_sent_ms);
 }
 
@@ -196,9 +233,23 @@
 }
 
 void wb_lease_on_unknown(wb_lease_t *lease, int64_t now_ms) {
-    /* The same condition guards the next try; only one of the two can count. */
+    /* The same condition guards the next try; only one of the two can count. The pause runs from
+     * when the write was sent: after a timeout the next try follows at once, but not when the store
+     * resets each connection. */
     wb_lease_on_not_written(lease, now_ms);
-    lease->retry_at_ms = now_ms;
+    lease->retry_at_ms -= now_ms - lease->written_sent_ms;
+}
+
+int64_t wb_lease_ask_order(wb_lease_t *lease, const char *engine, int64_t now_ms) {
+    return wb_lease_grants_ask(lease->grants, engine, now_ms);
+}
+
+int64_t wb_lease_blocked_ms(const wb_lease_t *lease, const char *engine, int64_t now_ms) {
+    return wb_lease_grants_blocked_ms(lease->grants, engine, now_ms);
+}
+
+gboolean wb_lease_is_own(const wb_lease_t *lease) {
+    return is_holding(lease);
 }
 
 gboolean wb_lease_is_held(const wb_lease_t *lease, int64_t now_ms) {
@@ -217,9 +268,8 @@
     return MAX(lease->version, 0);
 }
 
-unsigned wb_lease_predecessor_loads(const wb_lease_t *lease, int64_t *seen_ms) {
-    *seen_ms = lease->predecessor_ms;
-    return lease->predecessor_loads;
+const wb_lease_predecessor_t *wb_lease_predecessor(const wb_lease_t *lease) {
+    return &lease->predecessor;
 }
 
 void wb_lease_release(wb_lease_t *lease) {
--- a/src/control/load_window.c
+++ b/src/control/load_window.c
@@ -7,6 +7,8 @@
     unsigned most;       /* loads in a window; 0: no limit */
     unsigned most_burst; /* loads in the shorter window */
     GArray *began;       /* of int64_t, oldest first */
+    unsigned assumed;    /* loads that a holder before may have begun */
+    int64_t assumed_ms;  /* until when */
 };
 
 wb_load_window_t *wb_load_window_create(int64_t window_ms, int64_t burst_ms) {
@@ -29,10 +31,10 @@
     window->most_burst = MAX((unsigned)most_burst, 1);
 }
 
-void wb_load_window_assume(wb_load_window_t *window, unsigned told, int64_t until_ms) {
-    unsigned begun = MIN(told + window->most_burst, window->most);
-    for (unsigned i = 0; i < begun; i++)
-        wb_load_window_count(window, until_ms);
+void wb_load_window_assume(wb_load_window_t *window, unsigned told, unsigned untold_most,
+                           int64_t until_ms) {
+    window->assumed = MIN(told + MIN(window->most_burst, untold_most), window->most);
+    window->assumed_ms = until_ms;
 }
 
 static unsigned counted_since(const wb_load_window_t *window, int64_t since_ms) {
@@ -46,7 +48,8 @@
 }
 
 unsigned wb_load_window_counted(const wb_load_window_t *window, int64_t now_ms) {
-    return counted_since(window, now_ms - window->window_ms);
+    gboolean assumed = window->assumed_ms > now_ms - window->window_ms;
+    return counted_since(window, now_ms - window->window_ms) + (assumed ? window->assumed : 0);
 }
 
 gboolean wb_load_window_has_room(const wb_load_window_t *window, int64_t now_ms) {
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -212,7 +212,8 @@
     if (status != APR_SUCCESS)
         return status;
     wb_edge_node_open_lease(created);
-    wb_controller_events_t events = {wb_edge_node_may_act, wb_edge_node_tell_news, created};
+    wb_controller_events_t events = {wb_edge_node_may_act, wb_edge_node_ask_order,
+                                     wb_edge_node_blocked_ms, wb_edge_node_tell_news, created};
     created->controller =
         wb_controller_create(loop, &edge->settings, dialect, edge->fleet, &edge->metrics, &events);
     wb_edge_node_follow_store(created);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -90,6 +90,10 @@
 /** Renew or take the lease when that is due. */
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms);
 gboolean wb_edge_node_may_act(void *context);
+/** As wb_lease_ask_order. @param context the node */
+int64_t wb_edge_node_ask_order(const char *engine, void *context);
+/** As wb_lease_blocked_ms. @param context the node */
+int64_t wb_edge_node_blocked_ms(const char *engine, void *context);
 /** A lease's row as it is sent and stored; texts are borrowed. */
 wb_wire_lease wb_edge_node_lease_to_wire(const wb_lease_row_t *row);
 /** The reverse; texts are borrowed. */
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-#define ROW_BYTES 1024
+/* The store takes rows of 64 KiB at most; this leaves room for 1,500 engines' names of 30 bytes. */
+#define ROW_BYTES (60 * 1024)
 /* Long enough for the first of many nodes to be seen by most others before they try. */
 #define TAKEOVER_SPREAD_MS 200
 
@@ -27,12 +28,10 @@
     }
     /* A lapse stops orders at once; what is believed of engines stays good while nobody else held
      * it. */
-    int64_t seen_ms;
-    unsigned loads = wb_lease_predecessor_loads(node->lease, &seen_ms);
     if (held)
-        wb_controller_set_token(node->controller, token, loads, seen_ms);
+        wb_controller_set_token(node->controller, token, wb_lease_predecessor(node->lease));
     else if (known != NULL && known->token != token)
-        wb_controller_set_token(node->controller, 0, 0, 0);
+        wb_controller_set_token(node->controller, 0, NULL);
 }
 
 static void lease_answered(const wb_table_answer_t *answer, void *context) {
@@ -57,25 +56,45 @@
 }
 
 wb_wire_lease wb_edge_node_lease_to_wire(const wb_lease_row_t *row) {
-    return (wb_wire_lease){row->holder, row->address,  row->token,
-                           row->beat,   row->released, row->recent_loads};
+    return (wb_wire_lease){.holder = row->holder,
+                           .address = row->address,
+                           .token = row->token,
+                           .beat = row->beat,
+                           .released = row->released,
+                           .recent_loads = row->recent_loads,
+                           .grants_known = row->grants_known,
+                           .any_granted = row->any_granted,
+                           .granted = {row->granted_count, row->granted},
+                           .inherited = {row->inherited_count, row->inherited}};
 }
 
 wb_lease_row_t wb_edge_node_lease_from_wire(const wb_wire_lease *wire) {
-    return (wb_lease_row_t){wire->holder, wire->address,  wire->token,
-                            wire->beat,   wire->released, wire->recent_loads};
+    return (wb_lease_row_t){.holder = wire->holder,
+                            .address = wire->address,
+                            .token = wire->token,
+                            .beat = wire->beat,
+                            .released = wire->released,
+                            .recent_loads = wire->recent_loads,
+                            .grants_known = wire->grants_known,
+                            .any_granted = wire->any_granted,
+                            .granted = wire->granted.granted_val,
+                            .granted_count = wire->granted.granted_len,
+                            .inherited = wire->inherited.inherited_val,
+                            .inherited_count = wire->inherited.inherited_len};
 }
 
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
-    char bytes[ROW_BYTES];
+    g_autofree char *bytes = g_malloc(ROW_BYTES);
     wb_wire_lease wire = wb_edge_node_lease_to_wire(row);
     wire.recent_loads = wb_controller_recent_loads(node->controller);
     XDR stream;
-    xdrmem_create(&stream, bytes, sizeof(bytes), XDR_ENCODE);
+    xdrmem_create(&stream, bytes, ROW_BYTES, XDR_ENCODE);
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
     u_int length = xdr_getpos(&stream);
     xdr_destroy(&stream);
     if (!whole) {
+        wb_event("lease-row-too-long", ",\"granted\":%u,\"inherited\":%u", row->granted_count,
+                 row->inherited_count);
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
@@ -87,8 +106,10 @@
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected_version;
-    if (wb_table_watch_is_synced(node->nodes_watch) &&
-        wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
+    /* A store that doesn't answer is asked rarely, for its tables; only a holder tries on. */
+    gboolean reached = wb_table_watch_is_synced(node->nodes_watch) &&
+                       (!node->store_lost[WB_TABLE_NODES] || wb_lease_is_own(node->lease));
+    if (reached && wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
         lease_write(node, &row, expected_version);
     wb_edge_node_check_lease(node);
 }
@@ -98,6 +119,22 @@
     return wb_lease_is_held(node->lease, wb_clock_ms());
 }
 
+int64_t wb_edge_node_ask_order(const char *engine, void *context) {
+    wb_edge_node_t *node = context;
+    int64_t now_ms = wb_clock_ms();
+    int64_t wait_ms = wb_lease_ask_order(node->lease, engine, now_ms);
+    if (wait_ms < 0) {
+        /* The row that names the engine is written now, not at the next tick. */
+        wb_edge_node_tick_lease(node, now_ms);
+    }
+    return wait_ms;
+}
+
+int64_t wb_edge_node_blocked_ms(const char *engine, void *context) {
+    const wb_edge_node_t *node = context;
+    return wb_lease_blocked_ms(node->lease, engine, wb_clock_ms());
+}
+
 void wb_edge_node_open_lease(wb_edge_node_t *node) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     wb_lease_settings_t lease = {settings->id,
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -158,7 +158,12 @@
     wb_wire_store_news *news = &message.wb_wire_message_u.store_news;
     news->views.views_len = G_N_ELEMENTS(views);
     news->views.views_val = views;
-    news->lease = wb_edge_node_lease_to_wire(lease);
+    /* Who takes the lease over reads the row itself: without its lists the news stay short. */
+    wb_lease_row_t in_short = *lease;
+    in_short.grants_known = FALSE;
+    in_short.granted_count = 0;
+    in_short.inherited_count = 0;
+    news->lease = wb_edge_node_lease_to_wire(&in_short);
     news->lease_version = (uint64_t)wb_lease_version(node->lease);
     news->rows.rows_len = node->news_rows->len;
     news->rows.rows_val = (wb_wire_table_row *)(void *)node->news_rows->data;
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -292,6 +292,10 @@
     unsigned hyper beat;  /* counts renewals */
     bool released;
     unsigned int recent_loads; /* from the weight store in the window before this renewal */
+    bool grants_known;         /* the lists below are told: in the store's row, not in news */
+    bool any_granted;          /* any engine may have been ordered lately; the lists are empty */
+    wb_wire_name granted<WB_WIRE_LIST_MAX>;   /* engines this holder may have ordered lately */
+    wb_wire_name inherited<WB_WIRE_LIST_MAX>; /* engines a holder before it may have */
 };
 
 /* A row of one of the store's tables, as the sender read it. */
