Ask the store less: trust whole reads, tell what rows show, look only with cause

Ruled out: shorter looks within the history (as many bytes), telling all rows that change models (by arithmetic 100 KB/s more from the holder).

Change: what was read whole is trusted for 0.3 of the time a change may take; the holder compares each announcement with what gateways know and tells them what differs, so own looks are for safety only (120 s, was 24); a gateway trusts the holder's reading for 0.6 of that time (was 0.5), longer than a lease takes to change hands; who loses the controller looks once, without hold, and nobody tries for the lease before the store has answered since; tries are spread by 30 ms a node; after an outage of the store the holder may renew first; while the nodes' table fails too, the others wait to be woken by it.

Tests: table-watch/whole-read-is-trusted, fleet/holdings, lease/after-outage; takeovers-spread measures tries.

--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -115,6 +115,13 @@
  */
 void wb_engine_note(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
                     int64_t now_ms, int64_t row_after_ms, int64_t valid_ms);
+/** @return a set of MODEL/ADAPTER (MODEL/ for a model itself) that the engine holds, by its
+ * announcement and by the controller's news; to be freed with g_hash_table_unref */
+GHashTable *wb_engine_holdings(const wb_engine_t *engine, int64_t now_ms);
+/** @return TRUE when news of the engine still go before its announcement */
+gboolean wb_engine_has_news(const wb_engine_t *engine);
+/** @return TRUE when two announcements tell of the same models and adapters */
+gboolean wb_engine_state_holds_same(const wb_engine_state_t *left, const wb_engine_state_t *right);
 /** @return TRUE when the engine holds the model, and the adapter if one is named ("" or NULL: none)
  */
 gboolean wb_engine_holds(const wb_engine_t *engine, const char *model, const char *adapter,
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -97,8 +97,8 @@
 gboolean wb_lease_is_own(const wb_lease_t *lease);
 /** @return the token of this node's holding, valid while it is held */
 uint64_t wb_lease_token(const wb_lease_t *lease);
-/** @return steady time from which this node may take the lease over, if the row stays as it is; 0:
- * the row was never read */
+/** @return steady time from which the lease may be taken over, if the row stays as it is; 0: the
+ * row was never read */
 int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease);
 /** @return steady time at which this node learned of the row's last change; 0: never */
 int64_t wb_lease_changed_ms(const wb_lease_t *lease);
@@ -108,6 +108,11 @@
 const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
 /** @return what the holder before this one had begun; owned by the lease */
 const wb_lease_predecessor_t *wb_lease_predecessor(const wb_lease_t *lease);
+/** Change the time over which nodes spread their tries to take the lease over. */
+void wb_lease_set_spread(wb_lease_t *lease, int64_t spread_ms);
+/** The store was away for this node, and answers again: whoever held the lease may renew it first.
+ */
+void wb_lease_store_back(wb_lease_t *lease, int64_t now_ms);
 /** Give the lease up at the next write, and don't take it again. */
 void wb_lease_release(wb_lease_t *lease);
 /** @return TRUE while a lease that is to be given up isn't yet, as far as known */
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -25,12 +25,13 @@
 
 /** How often a table is asked for. */
 typedef struct wb_table_pace_t {
-    int64_t wait_ms;   /**< how long a call for changes may be held */
-    int64_t pause_ms;  /**< shortest time between the starts of two calls for changes */
-    int64_t trust_ms;  /**< what another node has read stands for an own call for so long */
-    int64_t look_ms;   /**< shortest time between two calls that others' news ask for */
-    int64_t safety_ms; /**< longest time between two own calls, whatever others have read */
-    int64_t retry_ms;  /**< longest pause after a call that failed; 0: 1.2 s */
+    int64_t wait_ms;       /**< how long a call for changes may be held */
+    int64_t pause_ms;      /**< shortest time between the starts of two calls for changes */
+    int64_t trust_ms;      /**< what another node has read stands for an own call for so long */
+    int64_t look_ms;       /**< shortest time between two calls that others' news ask for */
+    int64_t safety_ms;     /**< longest time between two own calls, whatever others have read */
+    int64_t retry_ms;      /**< longest pause after a call that failed; 0: 1.2 s */
+    int64_t read_trust_ms; /**< changes are asked for so long after a whole read began, at least */
 } wb_table_pace_t;
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -9,6 +9,9 @@
 #define WRITES_REMEMBERED 16
 /* Tries to take a lease over that fail are so many times as far apart as renewals, at most. */
 #define TAKEOVER_PAUSES 6
+/* After the store was away its holder is as well as the others: it gets the time of so many
+ * renewals to go on. It tries at least twice in one. */
+#define HOLDER_FIRST_RENEWALS 2
 
 typedef struct wb_lease_write_t {
     uint64_t beat;
@@ -34,7 +37,9 @@
     wb_lease_predecessor_t predecessor; /* the last row of another process */
     gboolean releasing;
     gboolean given_up;
-    int64_t takeover_delay_ms; /* this node's share of the spread */
+    int64_t holder_first_ms; /* until then a holder that lost the store may renew first */
+    double takeover_share;   /* this node's place in the spread, 0 to 1 */
+    int64_t spread_ms;
     int64_t takeover_pause_ms; /* after the last try in a row that failed */
 };
 
@@ -69,8 +74,8 @@
     lease->settings = *settings;
     lease->version = -1;
     lease->grants = wb_lease_grants_create(settings->quiet_ms + settings->margin_ms);
-    if (settings->spread_ms > 0)
-        lease->takeover_delay_ms = g_random_int_range(0, (gint32)settings->spread_ms);
+    lease->spread_ms = settings->spread_ms;
+    lease->takeover_share = g_random_double();
     lease->beat = ((uint64_t)g_random_int() << 24) + 1;
     return lease;
 }
@@ -143,11 +148,18 @@
     return lease->version_since_ms + acts_ms;
 }
 
-/* When this node may take the lease over, if the row stays as it is. */
+/* When the lease may be taken over, if the row stays as it is. */
 static int64_t takeover_at_ms(const wb_lease_t *lease) {
     if (lease->known.holder == NULL || is_own(lease, &lease->known))
         return lease->version_since_ms;
-    return holder_acts_until_ms(lease) + lease->takeover_delay_ms;
+    return MAX(holder_acts_until_ms(lease), lease->holder_first_ms);
+}
+
+/* Time after that at which this node tries, so that not all try at once. */
+static int64_t takeover_delay_ms(const wb_lease_t *lease) {
+    if (is_own(lease, &lease->known))
+        return 0;
+    return (int64_t)(lease->takeover_share * (double)lease->spread_ms);
 }
 
 /* Whoever held the lease before may have ordered the engines of its row until its time was over. */
@@ -177,7 +189,7 @@
                now_ms - lease->last_write_ms >= lease->settings.renew_ms;
     if (lease->releasing || lease->given_up)
         return FALSE;
-    return now_ms >= takeover_at_ms(lease);
+    return now_ms >= takeover_at_ms(lease) + takeover_delay_ms(lease);
 }
 
 gboolean wb_lease_next_write(wb_lease_t *lease, int64_t now_ms, wb_lease_row_t *row,
@@ -272,6 +284,14 @@
     return &lease->predecessor;
 }
 
+void wb_lease_set_spread(wb_lease_t *lease, int64_t spread_ms) {
+    lease->spread_ms = spread_ms;
+}
+
+void wb_lease_store_back(wb_lease_t *lease, int64_t now_ms) {
+    lease->holder_first_ms = now_ms + HOLDER_FIRST_RENEWALS * lease->settings.renew_ms;
+}
+
 void wb_lease_release(wb_lease_t *lease) {
     lease->releasing = TRUE;
 }
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -182,7 +182,10 @@
     g_ptr_array_set_size(watch->page_rows, 0);
     watch->state = WB_WATCH_FOLLOWING;
     watch->events.on_batch(TRUE, watch->events.context);
-    ask_after(watch, 0);
+    /* An empty table is about to be filled. */
+    int64_t trust_ms = watch->newest_row > 0 ? watch->pace.read_trust_ms : 0;
+    int64_t fresh_until_ms = watch->read_began_ms + trust_ms;
+    ask_after(watch, MAX(due_ms(watch), fresh_until_ms) - wb_clock_ms());
 }
 
 static void call_note(const wb_table_watch_t *watch, gboolean good) {
@@ -287,8 +290,10 @@
     watch->cause = cause_of(watch, now_ms);
     watch->asked_ms = now_ms;
     if (watch->state == WB_WATCH_FOLLOWING) {
-        watch->table->changes(watch->table, watch->name, watch->version, watch->pace.wait_ms,
-                              changes_answered, watch);
+        /* Who looks wants to know now, also that nothing has changed. */
+        int64_t wait_ms = watch->cause == WB_STORE_CAUSE_LOOK ? 0 : watch->pace.wait_ms;
+        watch->table->changes(watch->table, watch->name, watch->version, wait_ms, changes_answered,
+                              watch);
         return;
     }
     if (watch->read_began_ms == 0) {
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -59,7 +59,7 @@
         "Time after which an engine's answer to an order or a report counts as lost"),
     ROW("engine-poll-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "300", engine_poll_ms,
         "Shortest time between two looks for changes of engines, when nobody waits"),
-    ROW("store-look-s", WB_SETTING_REAL, "s", 0, 3600, "24", store_look_s,
+    ROW("store-look-s", WB_SETTING_REAL, "s", 0, 3600, "120", store_look_s,
         "Longest time between own looks at the store while the controller tells what it reads"),
     ROW("demand-interval-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "250", demand_interval_ms,
         "Time between messages to the controller about what is asked for"),
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -5,7 +5,10 @@
 
 /* The store takes rows of 64 KiB at most; this leaves room for 1,500 engines' names of 30 bytes. */
 #define ROW_BYTES (60 * 1024)
-/* Long enough for the first of many nodes to be seen by most others before they try. */
+/* Nodes try to take a lease over so far apart on average, so the first of any number tries soon,
+ * and most others hear of it (some 60 ms later) before their turn. */
+#define TAKEOVER_GAP_MS 30
+/* Few nodes spread their tries over so long. */
 #define TAKEOVER_SPREAD_MS 200
 
 void wb_edge_node_check_lease(wb_edge_node_t *node) {
@@ -103,13 +106,20 @@
                        lease_answered, node);
 }
 
+/* Nobody takes over from a holder that isn't heard before the store has answered since: if it is
+ * away, the holder lost it as well. */
+static gboolean store_answered(const wb_edge_node_t *node) {
+    return wb_lease_is_own(node->lease) || wb_lease_known(node->lease) == NULL ||
+           wb_table_watch_known_ms(node->nodes_watch) >= node->unheard_since_ms;
+}
+
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected_version;
-    /* A store that doesn't answer is asked rarely, for its tables; only a holder tries on. */
-    gboolean reached = wb_table_watch_is_synced(node->nodes_watch) &&
-                       (!node->store_lost[WB_TABLE_NODES] || wb_lease_is_own(node->lease));
-    if (reached && wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
+    wb_lease_set_spread(node->lease,
+                        MAX(TAKEOVER_SPREAD_MS, TAKEOVER_GAP_MS * (int64_t)node->edge.node_count));
+    if (wb_table_watch_is_synced(node->nodes_watch) && store_answered(node) &&
+        wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
         lease_write(node, &row, expected_version);
     wb_edge_node_check_lease(node);
 }
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -114,10 +114,11 @@
     wb_event("controller-lost", ",\"address\":\"%s\",\"reason\":\"%s\"", node->controller_address,
              reason);
     node->controller_link = NULL;
+    /* Its last word on the lease may not have come. */
+    if (node->controller_link_open)
+        wb_table_watch_look(node->nodes_watch);
     node->controller_link_open = FALSE;
     node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
-    /* Its last word on the lease may not have come. */
-    wb_table_watch_look(node->nodes_watch);
 }
 
 static void controller_connect(wb_edge_node_t *node, const char *address) {
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -15,8 +15,9 @@
 /* While the store is away no node is better than another. One that was lost is asked for a table
  * every RETRY_OFTEN_MS, so nothing is known to have changed sooner. */
 #define STORE_AWAY_MS RETRY_OFTEN_MS
-/* From a take-over until its holder has heard what is waited for. */
-#define TAKEOVER_SLACK_MS 300
+/* From when a lease may be taken over until its new holder has heard what is waited for: few nodes'
+ * spread of tries (200 ms), a write, a link (150 ms), a decision. */
+#define TAKEOVER_SLACK_MS 500
 /* A take-over that isn't heard of for so long after it was due has failed, or isn't heard here: the
  * spread of tries (200 ms), a write to the store (its timeout is 900 ms) and a link to its holder.
  */
@@ -25,6 +26,10 @@
 #define NEWS_LIMIT_BYTES (768 * 1024)
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
+/* What the holder has read stands for an own call for this share of the time in which a change must
+ * be known: longer than a lease takes to change hands (2.2 s of 4), and an own call still has a
+ * second or more. */
+#define TRUST_SHARE 0.6
 /* What the holder tells must still be fresh at gateways: its own calls take this share of the time
  * for which theirs would be trusted. */
 #define HOLDER_SHARE 0.33
@@ -33,13 +38,19 @@
 /* Configurations are told by their version, and nodes come and go slowly: own looks at them are so
  * many times rarer than those at engines, whose models change all the time. */
 #define SELDOM_TIMES 2
-/* Rows of nodes are looked at some times in their life. */
+/* Who follows nodes looks at their rows some times in their life. The others look once in it: each
+ * row is renewed three times meanwhile, and the holder tells of those that come and go. */
 #define NODE_LOOK_SHARE 0.25
+/* What was read whole is taken for fresh for this share of the time for which others' reading is:
+ * by then, at a start, the holder's news have come. */
+#define READ_SHARE 0.5
 #define CATALOG_PAUSE_MS 20
 #define ENGINES_WAIT_MS 1000
 /* A store that doesn't answer is asked for one table; the others follow once that answers. */
 #define RETRY_OFTEN_MS 1200
 #define RETRY_RARELY_MS 2400
+/* While the table that is asked often fails too, the others wait to be woken by it. */
+#define RETRY_WOKEN_MS 10000
 /* A call for changes is answered as soon as there is one, so a long one costs nothing but the time
  * until a silent store is noticed. */
 #define NODES_WAIT_MS 3000
@@ -65,32 +76,43 @@
     const wb_edge_settings_t *settings = &node->edge.settings;
     int64_t safety_ms = (int64_t)(settings->store_look_s * 1000);
     int64_t seldom_ms = SELDOM_TIMES * safety_ms;
-    int64_t node_ms = (int64_t)(settings->node_life_s * 1000 * NODE_LOOK_SHARE);
+    int64_t node_life_ms = (int64_t)(settings->node_life_s * 1000);
+    int64_t node_ms = (int64_t)(NODE_LOOK_SHARE * (double)node_life_ms);
     int64_t trust_ms;
     int64_t hold_ms;
+    int64_t pause_ms;
+    int64_t retry_ms = node->store_lost[WB_TABLE_NODES] ? RETRY_WOKEN_MS : RETRY_RARELY_MS;
     switch (table) {
     case WB_TABLE_CATALOG:
-        trust_ms = settings->catalog_ms / 2;
+        trust_ms = (int64_t)(TRUST_SHARE * (double)settings->catalog_ms);
         hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : settings->catalog_ms;
-        return (wb_table_pace_t){hold_ms,          CATALOG_PAUSE_MS, trust_ms,
-                                 CATALOG_PAUSE_MS, seldom_ms,        RETRY_RARELY_MS};
+        return (wb_table_pace_t){.wait_ms = hold_ms,
+                                 .pause_ms = CATALOG_PAUSE_MS,
+                                 .trust_ms = trust_ms,
+                                 .look_ms = CATALOG_PAUSE_MS,
+                                 .safety_ms = seldom_ms,
+                                 .retry_ms = retry_ms,
+                                 .read_trust_ms = (int64_t)(READ_SHARE * (double)trust_ms)};
     case WB_TABLE_ENGINES:
-        trust_ms = settings->drain_ms / 2;
+        trust_ms = (int64_t)(TRUST_SHARE * (double)settings->drain_ms);
         hold_ms = node->held ? (int64_t)(HOLDER_SHARE * (double)trust_ms) : ENGINES_WAIT_MS;
-        return (wb_table_pace_t){
-            hold_ms,
-            node->held ? hold_ms : MAX(settings->engine_poll_ms, settings->drain_ms / DRAIN_LOOKS),
-            trust_ms,
-            settings->drain_ms / DRAIN_LOOKS,
-            safety_ms,
-            RETRY_RARELY_MS};
+        pause_ms =
+            node->held ? hold_ms : MAX(settings->engine_poll_ms, settings->drain_ms / DRAIN_LOOKS);
+        return (wb_table_pace_t){.wait_ms = hold_ms,
+                                 .pause_ms = pause_ms,
+                                 .trust_ms = trust_ms,
+                                 .look_ms = settings->drain_ms / DRAIN_LOOKS,
+                                 .safety_ms = safety_ms,
+                                 .retry_ms = retry_ms,
+                                 .read_trust_ms = (int64_t)(READ_SHARE * (double)trust_ms)};
     default:
-        return (wb_table_pace_t){MIN(NODES_WAIT_MS, node_ms),
-                                 MIN(NODES_PAUSE_MS, node_ms),
-                                 NODES_TRUST_MS,
-                                 NODES_LOOK_MS,
-                                 MIN(seldom_ms, node_ms),
-                                 RETRY_OFTEN_MS};
+        /* Who holds the lease shows in this table only, so it is followed at once. */
+        return (wb_table_pace_t){.wait_ms = MIN(NODES_WAIT_MS, node_ms),
+                                 .pause_ms = MIN(NODES_PAUSE_MS, node_ms),
+                                 .trust_ms = NODES_TRUST_MS,
+                                 .look_ms = NODES_LOOK_MS,
+                                 .safety_ms = MIN(seldom_ms, node_life_ms),
+                                 .retry_ms = node->held ? RETRY_OFTEN_MS : RETRY_RARELY_MS};
     }
 }
 
@@ -285,6 +307,9 @@
         /* Another holder than the one that was lost has its own time to be heard. */
         node->unheard_since_ms = now_ms;
         node->unheard_token = token;
+        if (node->news_heard_ms != 0) {
+            wb_table_watch_look(node->nodes_watch); /* whether the store is there, and the row */
+        }
     }
     wb_controller_view_t view = wb_edge_node_controller_view(node);
     if (view.reach == node->reach_told) {
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -31,6 +31,11 @@
     if (node->store_lost[table] == !good)
         return;
     node->store_lost[table] = !good;
+    if (table == WB_TABLE_NODES) {
+        wb_edge_node_set_paces(node);
+        if (good)
+            wb_lease_store_back(node->lease, wb_clock_ms());
+    }
     if (good)
         tables_wake(node);
     wb_event(good ? "store-back" : "store-lost", ",\"table\":\"%s\",\"age_ms\":%lld", names[table],
@@ -79,6 +84,58 @@
 
 /* News of engines. */
 
+/* Tells gateways of one model or adapter: KEY is MODEL/ADAPTER. */
+static void holding_tell(wb_edge_node_t *node, const char *engine, const char *key, gboolean held) {
+    g_auto(GStrv) names = g_strsplit(key, "/", 2);
+    wb_wire_placement_entry entry = {(char *)engine, names[0], names[1], held, 0};
+    wb_wire_message message = {.kind = WB_WIRE_PLACEMENT};
+    message.wb_wire_message_u.placement.token = wb_lease_token(node->lease);
+    message.wb_wire_message_u.placement.entries.entries_len = 1;
+    message.wb_wire_message_u.placement.entries.entries_val = &entry;
+    wb_edge_node_tell_gateways(node, &message);
+    wb_event("holding-differs",
+             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s",
+             wb_event_text(engine), wb_event_text(names[0]), wb_event_text(names[1]),
+             held ? "true" : "false");
+}
+
+/* An announcement may show what no order of this holder made: gateways, which rarely read
+ * announcements themselves, are told what they can't know. */
+static void holdings_compare(wb_edge_node_t *node, const char *engine, GHashTable *before,
+                             GHashTable *after) {
+    GHashTableIter iter;
+    gpointer key;
+    g_hash_table_iter_init(&iter, before);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (!g_hash_table_contains(after, key)) {
+            holding_tell(node, engine, key, FALSE);
+        }
+    }
+    g_hash_table_iter_init(&iter, after);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (!g_hash_table_contains(before, key)) {
+            holding_tell(node, engine, key, TRUE);
+        }
+    }
+}
+
+/* Takes an engine's announcement. */
+static wb_engine_t *engine_announce(wb_edge_node_t *node, wb_engine_t *known,
+                                    wb_engine_state_t *state) {
+    int64_t now_ms = wb_clock_ms();
+    gboolean may_differ =
+        node->held && known != NULL &&
+        (wb_engine_has_news(known) || !wb_engine_state_holds_same(known->state, state));
+    if (!may_differ) {
+        return wb_fleet_announce(node->edge.fleet, state);
+    }
+    g_autoptr(GHashTable) before = wb_engine_holdings(known, now_ms);
+    wb_engine_t *engine = wb_fleet_announce(node->edge.fleet, state);
+    g_autoptr(GHashTable) after = wb_engine_holdings(engine, now_ms);
+    holdings_compare(node, state->id, before, after);
+    return engine;
+}
+
 static void engine_row(const wb_table_row_t *row, void *context) {
     wb_edge_node_t *node = context;
     wb_edge_t *edge = &node->edge;
@@ -100,7 +157,7 @@
         return;
     }
     gboolean was_leaving = known != NULL && known->leaving_ms != 0;
-    wb_engine_t *engine = wb_fleet_announce(edge->fleet, state);
+    wb_engine_t *engine = engine_announce(node, known, state);
     if (known == NULL || was_leaving != (engine->leaving_ms != 0)) {
         wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
         wb_event("engine-seen",
@@ -167,6 +224,22 @@
         node_row_take(node, row);
 }
 
+static int64_t node_row_life_ms(const wb_edge_node_t *node) {
+    return (int64_t)(node->edge.settings.node_life_s * 1000);
+}
+
+/* The row of the process before this one on the same machine stands for this node too. It may be as
+ * old as the time between two renewals, so the next comes within another. */
+static void own_row_adopt(wb_edge_node_t *node) {
+    if (node->node_row_written || node->node_row_writing || node->node_row_due_ms != 0 ||
+        !g_hash_table_contains(node->nodes, node->edge.settings.id)) {
+        return;
+    }
+    int64_t renewal_ms = node_row_life_ms(node) / NODE_ROW_RENEWALS;
+    node->node_row_written = TRUE;
+    node->node_row_due_ms = wb_clock_ms() + g_random_int_range(0, (gint32)MAX(renewal_ms, 1));
+}
+
 static void nodes_batch(gboolean whole, void *context) {
     wb_edge_node_t *node = context;
     if (whole)
@@ -174,10 +247,7 @@
         wb_lease_on_row(node->lease, NULL, 0, wb_clock_ms());
     node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
     wb_edge_node_check_lease(node);
-}
-
-static int64_t node_row_life_ms(const wb_edge_node_t *node) {
-    return (int64_t)(node->edge.settings.node_life_s * 1000);
+    own_row_adopt(node);
 }
 
 static void node_row_answered(const wb_table_answer_t *answer, void *context) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -239,6 +239,69 @@
     return held != NULL && g_hash_table_contains(held->adapters, adapter);
 }
 
+gboolean wb_engine_has_news(const wb_engine_t *engine) {
+    return g_hash_table_size(engine->overlay) > 0;
+}
+
+GHashTable *wb_engine_holdings(const wb_engine_t *engine, int64_t now_ms) {
+    GHashTable *held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, engine->state->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_engine_model_t *model = value;
+        g_hash_table_add(held, note_key(model->name, ""));
+        GHashTableIter adapters;
+        gpointer adapter;
+        g_hash_table_iter_init(&adapters, model->adapters);
+        while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
+            g_hash_table_add(held, note_key(model->name, adapter));
+        }
+    }
+    gpointer key;
+    g_hash_table_iter_init(&iter, engine->overlay);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wb_note_t *note = value;
+        if (now_ms >= note->until_ms) {
+            continue;
+        }
+        if (note->held) {
+            g_hash_table_add(held, g_strdup(key));
+        } else {
+            g_hash_table_remove(held, key);
+        }
+    }
+    return held;
+}
+
+static gboolean models_contain(GHashTable *models, GHashTable *others) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, others);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_engine_model_t *other = value;
+        const wb_engine_model_t *model = g_hash_table_lookup(models, other->name);
+        if (model == NULL ||
+            g_hash_table_size(model->adapters) != g_hash_table_size(other->adapters)) {
+            return FALSE;
+        }
+        GHashTableIter adapters;
+        gpointer adapter;
+        g_hash_table_iter_init(&adapters, other->adapters);
+        while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
+            if (!g_hash_table_contains(model->adapters, adapter)) {
+                return FALSE;
+            }
+        }
+    }
+    return TRUE;
+}
+
+gboolean wb_engine_state_holds_same(const wb_engine_state_t *left, const wb_engine_state_t *right) {
+    return g_hash_table_size(left->models) == g_hash_table_size(right->models) &&
+           models_contain(left->models, right->models);
+}
+
 gboolean wb_fleet_holds(const wb_fleet_t *fleet, const char *service, const char *model,
                         const char *adapter, int64_t now_ms) {
     const GPtrArray *engines = wb_fleet_service(fleet, service);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -60,7 +60,33 @@
     g_assert_true(wb_engine_holds(engine, "m1", "", wb_clock_ms()));
 }
 
+/* What an engine holds, by its announcement and the news that go before it, as one set. */
+static void test_holdings(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    wb_engine_t *engine = engine_announce(fleet, FALSE);
+    int64_t now_ms = wb_clock_ms();
+    g_assert_false(wb_engine_has_news(engine));
+    g_hash_table_add(wb_engine_state_add_model(engine->state, "m1", 1)->adapters, g_strdup("a1"));
+    wb_engine_state_add_model(engine->state, "m2", 1);
+    wb_engine_note(engine, "m2", "", FALSE, now_ms, 100, 60000);
+    wb_engine_note(engine, "m3", "a2", TRUE, now_ms, 100, 60000);
+    g_assert_true(wb_engine_has_news(engine));
+    g_autoptr(GHashTable) held = wb_engine_holdings(engine, now_ms);
+    g_assert_cmpuint(g_hash_table_size(held), ==, 3);
+    g_assert_true(g_hash_table_contains(held, "m1/"));
+    g_assert_true(g_hash_table_contains(held, "m1/a1"));
+    g_assert_true(g_hash_table_contains(held, "m3/a2"));
+    wb_engine_state_t *other = wb_engine_state_create("e1");
+    wb_engine_state_add_model(other, "m2", 1);
+    wb_engine_model_t *model = wb_engine_state_add_model(other, "m1", 1);
+    g_assert_false(wb_engine_state_holds_same(engine->state, other));
+    g_hash_table_add(model->adapters, g_strdup("a1"));
+    g_assert_true(wb_engine_state_holds_same(engine->state, other));
+    wb_engine_state_free(other);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/fleet/holdings", test_holdings);
     g_test_add_func("/fleet/news-yield-to-later-rows", test_news_yield_to_later_rows);
     g_test_add_func("/fleet/gone-since-last-known", test_gone_since_last_known);
     g_test_add_func("/fleet/gone-engine-closes", test_gone_engine_closes);
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -125,6 +125,18 @@
     wb_lease_free(other);
 }
 
+/* After an outage of the store its holder goes on; another takes over only if it doesn't. */
+static void test_lease_after_outage(void) {
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *lease = lease_of_another(&settings);
+    wb_lease_row_t row;
+    int64_t expected;
+    wb_lease_store_back(lease, 9000);
+    g_assert_false(wb_lease_next_write(lease, 9990, &row, &expected));
+    g_assert_true(wb_lease_next_write(lease, 10000, &row, &expected));
+    wb_lease_free(lease);
+}
+
 static void test_lease_restart(void) {
     wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
     wb_lease_t *before = wb_lease_create(&settings);
@@ -148,7 +160,13 @@
     int64_t last_ms = 0;
     for (int i = 0; i < 50; i++) {
         wb_lease_t *lease = lease_of_another(&settings);
+        wb_lease_row_t row;
+        int64_t expected;
         int64_t at_ms = wb_lease_takeover_at_ms(lease);
+        g_assert_cmpint(at_ms, ==, 100 + 1800);
+        while (!wb_lease_next_write(lease, at_ms, &row, &expected)) {
+            at_ms++;
+        }
         first_ms = MIN(first_ms, at_ms);
         last_ms = MAX(last_ms, at_ms);
         wb_lease_free(lease);
@@ -181,6 +199,7 @@
     g_test_add_func("/lease/refused-tries-are-rare", test_lease_refused_tries_are_rare);
     g_test_add_func("/lease/takeover", test_lease_takeover);
     g_test_add_func("/lease/unknown-tries-are-paced", test_lease_unknown_tries_are_paced);
+    g_test_add_func("/lease/after-outage", test_lease_after_outage);
     g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
     g_test_add_func("/lease/restart", test_lease_restart);
 }
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -227,7 +227,37 @@
     held_play(page_play, &held);
 }
 
+static void read_trusted_end(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 1);
+    g_assert_cmpint(wb_clock_ms() - held->asked_ms, >=, 150);
+    wb_loop_quit(held->loop);
+}
+
+static void read_trusted_play(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 0); /* 50 ms after the read */
+    wb_loop_after(held->loop, 150, read_trusted_end, held);
+}
+
+/* What was just read whole isn't asked for at once again. */
+static void test_whole_read_is_trusted(void) {
+    held_t held = {0};
+    wb_error_t error;
+    wb_table_watch_events_t events = {row_seen, batch_seen, NULL, &held.script};
+    wb_table_pace_t pace = {.wait_ms = 10, .pause_ms = 20, .read_trust_ms = 150};
+    g_assert_cmpint(wb_loop_create(&held.loop, "test", 16, &error), ==, APR_SUCCESS);
+    held.table = (wb_table_t){held_read, held_changes, NULL};
+    held.script.seen = g_string_new(NULL);
+    held.asked_ms = wb_clock_ms();
+    held.watch = wb_table_watch_create(held.loop, &held.table, WB_TABLE_ENGINES, &pace, &events);
+    wb_loop_after(held.loop, 50, read_trusted_play, &held);
+    wb_loop_run(held.loop);
+    g_string_free(held.script.seen, TRUE);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/table-watch/whole-read-is-trusted", test_whole_read_is_trusted);
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
     g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
     g_test_add_func("/table-watch/changes-in-pages", test_changes_in_pages);
