Queue missing models for the weight store, and tell callers when their turn comes

Ruled out: a store that idles (it was full from the second load on), loads of replicas (none while models were missing).

Change: models that no engine holds form one queue, most missed requests first, then the tightest. A model counts as missing 7 s after its last refused request too, so that it is there when its caller comes back; then it may displace only what costs less than its missed requests. Those that can't begin get a time by what the store is found to serve at once, what is under way and what is before them; gateways are told when it moves by 0.5 s and a fifth, refuse at once what comes too late, and say when to come back. A load that is late is told anew, so that its waiters stay.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -64,7 +64,7 @@
     return pace;
 }
 
-static unsigned store_loads(const wb_controller_t *controller, const char *service) {
+unsigned wb_controller_store_loads(const wb_controller_t *controller, const char *service) {
     unsigned loads = 0;
     GHashTableIter iter;
     gpointer id;
@@ -78,17 +78,21 @@
     return loads;
 }
 
+unsigned wb_controller_store_limit(wb_controller_t *controller, const char *service) {
+    return wb_load_pace_limit(pace_of(controller, service));
+}
+
 unsigned wb_controller_store_room(wb_controller_t *controller, const char *service) {
     if (!owner_store_has_room(service, controller))
         return 0;
-    unsigned limit = wb_load_pace_limit(pace_of(controller, service));
-    unsigned loads = store_loads(controller, service);
+    unsigned limit = wb_controller_store_limit(controller, service);
+    unsigned loads = wb_controller_store_loads(controller, service);
     return limit > loads ? limit - loads : 0;
 }
 
 static unsigned owner_store_load_begins(const char *service, void *context) {
     wb_load_window_count(wb_controller_window(context, service), wb_clock_ms());
-    return store_loads(context, service);
+    return wb_controller_store_loads(context, service);
 }
 
 static void owner_store_load_ended(const char *service, unsigned at_once, int64_t took_ms,
@@ -113,6 +117,11 @@
     wb_controller_tell(controller, engine, model, adapter, held, 0);
 }
 
+static void owner_expect(const wb_engine_t *engine, const char *model, unsigned ready_in_ms,
+                         void *context) {
+    wb_controller_tell(context, engine, model, "", FALSE, MAX(ready_in_ms, 1));
+}
+
 wb_engine_orders_t *wb_controller_orders(wb_controller_t *controller, wb_engine_t *engine) {
     wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
     if (orders != NULL)
@@ -126,6 +135,7 @@
                                       owner_store_load_begins,
                                       owner_store_load_ended,
                                       owner_announce,
+                                      owner_expect,
                                       owner_token,
                                       controller};
     orders = wb_engine_orders_create(controller->loop, controller->settings, controller->dialect,
@@ -138,7 +148,7 @@
                            gboolean spread, int64_t now_ms) {
     wb_placement_snapshot_t snapshot;
     wb_controller_snapshot(controller, service, &snapshot);
-    wb_controller_place_needs(controller, &snapshot, now_ms);
+    wb_controller_place_missing(controller, &snapshot, now_ms);
     wb_controller_place_adapters(controller, &snapshot);
     if (spread)
         wb_controller_spread(controller, &snapshot);
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -44,6 +44,11 @@
 void wb_controller_tell(wb_controller_t *controller, const wb_engine_t *engine, const char *model,
                         const char *adapter, gboolean held, unsigned ready_in_ms);
 
+/** @return loads from the weight store under way or ordered, over all engines of a service */
+unsigned wb_controller_store_loads(const wb_controller_t *controller, const char *service);
+/** @return loads that the weight store is found to serve at once at full speed */
+unsigned wb_controller_store_limit(wb_controller_t *controller, const char *service);
+
 /* controller_snapshot.c */
 /** What decisions are made on; to be cleared. Counts each model's replicas in the demand book. */
 void wb_controller_snapshot(wb_controller_t *controller, const wb_service_t *service,
@@ -51,9 +56,11 @@
 void wb_controller_snapshot_clear(wb_placement_snapshot_t *snapshot);
 
 /* controller_models.c */
-/** Place models that are waited for and that no engine holds or loads. */
-void wb_controller_place_needs(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
-                               int64_t now_ms);
+/** Place models that no engine holds or loads: those that are waited for, or for which requests
+ * were lately refused. Tell gateways when those should be there that must wait for the weight
+ * store. */
+void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                 int64_t now_ms);
 /** Place models whose prompts, or places among what runs, take more than their engines should
  * give to one. */
 void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot);
--- a/src/control/demand_book.c
+++ b/src/control/demand_book.c
@@ -105,6 +105,8 @@
         const wb_wire_demand_entry *entry = &demand->entries.entries_val[i];
         wb_usage_t *model = wb_demand_book_get(book, entry->service, entry->model, "", now_ms);
         usage_arrivals(model, entry->arrivals, entry->work, now_ms);
+        if (model->use.replicas == 0)
+            model->missed += entry->arrivals;
         if (*entry->adapter != '\0') {
             usage_arrivals(
                 wb_demand_book_get(book, entry->service, entry->model, entry->adapter, now_ms),
--- a/src/control/demand_book.h
+++ b/src/control/demand_book.h
@@ -19,6 +19,8 @@
     int64_t waited_ms;     /**< since when it is waited for; 0: it isn't */
     int64_t used_ms;       /**< when it was last asked for */
     unsigned time_left_ms; /**< of the tightest that waits */
+    unsigned missed;       /**< requests for it since no engine holds it */
+    int64_t told_ready_ms; /**< steady time for which gateways expect it; 0: they weren't told */
 } wb_usage_t;
 
 typedef struct wb_demand_book_t wb_demand_book_t;
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -34,6 +34,9 @@
                              int64_t nominal_ms, void *context);
     void (*announce)(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
                      void *context);
+    /** A model that is being loaded should be there in so many ms. */
+    void (*expect)(const wb_engine_t *engine, const char *model, unsigned ready_in_ms,
+                   void *context);
     uint64_t (*token)(void *context);
     void *context;
 } wb_engine_orders_owner_t;
--- a/src/control/engine_orders_types.h
+++ b/src/control/engine_orders_types.h
@@ -38,6 +38,7 @@
     int64_t unreachable_until_ms;
     wb_settle_t settle;
     int64_t settle_due_ms;
+    int64_t late_told_ms; /* when gateways were last told that the load is late; 0: never */
 };
 
 #endif
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -34,10 +34,21 @@
     wb_exchanges_retry_waiting(edge);
 }
 
+/* Requests whose model comes too late for them are refused now, with when it should be there. */
+static void plan_take(wb_edge_node_t *node, const wb_wire_load_plan *plan) {
+    for (guint i = 0; i < plan->entries.entries_len; i++) {
+        const wb_wire_load_plan_entry *entry = &plan->entries.entries_val[i];
+        wb_exchanges_expect(&node->edge, plan->service, entry->model, entry->ready_in_ms);
+    }
+}
+
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context) {
     wb_edge_node_t *node = context;
     wb_edge_node_tell_gateways(node, news);
-    news_take(node, &news->wb_wire_message_u.placement);
+    if (news->kind == WB_WIRE_LOAD_PLAN)
+        plan_take(node, &news->wb_wire_message_u.load_plan);
+    else
+        news_take(node, &news->wb_wire_message_u.placement);
 }
 
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
@@ -104,6 +115,8 @@
     (void)link;
     if (message->kind == WB_WIRE_PLACEMENT)
         news_take(context, &message->wb_wire_message_u.placement);
+    else if (message->kind == WB_WIRE_LOAD_PLAN)
+        plan_take(context, &message->wb_wire_message_u.load_plan);
     else if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_news(context, &message->wb_wire_message_u.store_news);
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -323,6 +323,19 @@
     bool look; /* more has changed than fits in: ask the store */
 };
 
+/* When a model that waits for its turn at the weight store should be there. */
+struct wb_wire_load_plan_entry {
+    wb_wire_name model;
+    unsigned int ready_in_ms;
+};
+
+/* The controller's plan for models of one service that no engine holds; only what has changed. */
+struct wb_wire_load_plan {
+    unsigned hyper token;
+    wb_wire_name service;
+    wb_wire_load_plan_entry entries<WB_WIRE_LIST_MAX>;
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -343,7 +356,8 @@
     WB_WIRE_GROUP_HAND_OVER = 17,
     WB_WIRE_DEMAND = 18,
     WB_WIRE_PLACEMENT = 19,
-    WB_WIRE_STORE_NEWS = 20
+    WB_WIRE_STORE_NEWS = 20,
+    WB_WIRE_LOAD_PLAN = 21
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -387,4 +401,6 @@
     wb_wire_placement placement;
 case WB_WIRE_STORE_NEWS:
     wb_wire_store_news store_news;
+case WB_WIRE_LOAD_PLAN:
+    wb_wire_load_plan load_plan;
 };
