Spare own readings of engines where digests agree

Change: the holder's news carry a digest of which engines there are, which leave and which models each holds; a gateway that knows the same takes the holder's reading for its own at once. Where they differ it reads as before.

Test: unit fleet/digest. edge-control, edge-cut_off pass.

--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -179,7 +179,8 @@
     wb_wire_table_view views[] = {
         {WB_TABLE_CATALOG, (uint64_t)wb_table_watch_newest_row(node->catalog_watch),
          age_of(node->catalog_watch, now_ms)},
-        {WB_TABLE_ENGINES, 0, age_of(node->engines_watch, now_ms)},
+        {WB_TABLE_ENGINES, wb_fleet_digest(node->edge.fleet, now_ms),
+         age_of(node->engines_watch, now_ms)},
         {WB_TABLE_NODES, 0, age_of(node->nodes_watch, now_ms)},
     };
     wb_wire_message message = {.kind = WB_WIRE_STORE_NEWS};
@@ -220,15 +221,25 @@
         news_tell(node, now_ms);
 }
 
-/* A holder's reading of engines stands for an own one only once this node has itself read them
- * after the link came up: what changed before then, the holder may have told others only. Of the
- * catalog it tells the newest version each time, and a node that is missed only counts later. */
+/* Whether nothing that the holder knows of engines can be missing here: this node has itself read
+ * them after the link came up (what changed before then, the holder may have told others only), or
+ * it knows the very same engines and models. */
+static gboolean engines_are_complete(const wb_edge_node_t *node, uint64_t holder_digest) {
+    return wb_table_watch_known_ms(node->engines_watch) > node->link_opened_ms ||
+           wb_fleet_digest(node->edge.fleet, wb_clock_ms()) == holder_digest;
+}
+
+/* The holder's reading of a table stands for an own one. Of the catalog it tells the newest version
+ * each time, and a node that is missed only counts later. */
 static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms) {
     wb_table_watch_t *watch = watch_of(node, view->table);
     if (watch == NULL || !wb_table_watch_is_synced(watch))
         return;
-    if (view->table != WB_TABLE_ENGINES || wb_table_watch_known_ms(watch) > node->link_opened_ms)
-        wb_table_watch_vouch(watch, (int64_t)view->newest_row, now_ms - (int64_t)view->age_ms);
+    int64_t known_ms = now_ms - (int64_t)view->age_ms;
+    if (view->table != WB_TABLE_ENGINES)
+        wb_table_watch_vouch(watch, (int64_t)view->newest, known_ms);
+    else if (engines_are_complete(node, view->newest))
+        wb_table_watch_vouch(watch, 0, known_ms);
 }
 
 static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire) {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -2,6 +2,7 @@
 #include "wickbridge/fleet.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Share of a drain's time for which a gone engine still gets work if there is no other. */
 #define GONE_USE_SHARE 0.5
@@ -239,6 +240,47 @@
     return held != NULL && g_hash_table_contains(held->adapters, adapter);
 }
 
+/* A sum over what an engine holds, so that the order doesn't matter. */
+static uint64_t models_digest(const wb_engine_t *engine, uint64_t engine_hash, int64_t now_ms) {
+    uint64_t digest = 0;
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, engine->state->models);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        if (wb_engine_holds(engine, key, "", now_ms)) {
+            digest += XXH64(key, strlen(key), engine_hash);
+        }
+    }
+    g_hash_table_iter_init(&iter, engine->overlay);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wb_note_t *note = value;
+        const char *slash = strchr(key, '/');
+        if (!note->held || now_ms >= note->until_ms || slash[1] != '\0') {
+            continue;
+        }
+        g_autofree char *model = g_strndup(key, (gsize)(slash - (const char *)key));
+        if (!g_hash_table_contains(engine->state->models, model)) {
+            digest += XXH64(model, strlen(model), engine_hash);
+        }
+    }
+    return digest;
+}
+
+uint64_t wb_fleet_digest(const wb_fleet_t *fleet, int64_t now_ms) {
+    uint64_t digest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_engine_t *engine = value;
+        const char *id = engine->state->id;
+        uint64_t engine_hash = XXH64(id, strlen(id), engine->leaving_ms != 0);
+        digest += engine_hash + models_digest(engine, engine_hash, now_ms);
+    }
+    return digest;
+}
+
 gboolean wb_engine_has_news(const wb_engine_t *engine) {
     return g_hash_table_size(engine->overlay) > 0;
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -310,7 +310,8 @@
 /* How far the sender follows a table. */
 struct wb_wire_table_view {
     unsigned int table;
-    unsigned hyper newest_row; /* the highest version of a row that the sender knows there */
+    unsigned hyper newest;     /* the highest version of a row that the sender knows there; of
+                                * engines a digest of them */
     unsigned int age_ms;       /* since the sender asked for what it was last told */
 };
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -85,7 +85,31 @@
     wb_engine_state_free(other);
 }
 
+/* Two nodes that know the same have the same digest, however they came to know it. */
+static void test_digest(void) {
+    wb_fleet_t *left = wb_fleet_create();
+    wb_fleet_t *right = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), ==, wb_fleet_digest(right, now_ms));
+    wb_engine_t *told = engine_announce(left, FALSE);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), !=, wb_fleet_digest(right, now_ms));
+    wb_engine_t *read = engine_announce(right, FALSE);
+    wb_engine_note(told, "m1", "", TRUE, now_ms, 1000, 60000);
+    wb_engine_state_add_model(read->state, "m1", 1);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), ==, wb_fleet_digest(right, now_ms));
+    wb_engine_note(told, "m1", "", FALSE, now_ms, 1000, 60000);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), !=, wb_fleet_digest(right, now_ms));
+    wb_engine_note(read, "m1", "", FALSE, now_ms, 1000, 60000);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), ==, wb_fleet_digest(right, now_ms));
+    engine_announce(right, TRUE);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), !=, wb_fleet_digest(right, now_ms));
+    wb_fleet_remove(left, "e1", 0);
+    wb_fleet_remove(right, "e1", 0);
+    g_assert_cmpuint(wb_fleet_digest(left, now_ms), ==, wb_fleet_digest(right, now_ms));
+}
+
 static void tests_add(void) {
+    g_test_add_func("/fleet/digest", test_digest);
     g_test_add_func("/fleet/holdings", test_holdings);
     g_test_add_func("/fleet/news-yield-to-later-rows", test_news_yield_to_later_rows);
     g_test_add_func("/fleet/gone-since-last-known", test_gone_since_last_known);
