Ask a lost store rarely after one quick retry, but soon for what is known to be there

Cause: of the calls in trouble a fifth were retries at 0.15, 0.3, 0.6 and 1.2 s by each table of each node that the store turns away.

Change: after one retry at 0.15 s the next come at the longest pause (1.2 s for the table that probes, 2.4 s or until woken for the others), without hold. What another node has told of is tried for each 0.9 s.

Test: table-watch/look-after-failures, fails without the 0.9 s.

--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -5,6 +5,11 @@
 
 #define RETRY_MS 150
 #define RETRY_LIMIT_MS 1200
+/* A call that fails by chance is good at the second try; a store that is away is so for seconds. */
+#define RETRY_GROWTH 8
+/* What another node has told of is tried for at least so often: within the shortest time after
+ * which a node must be in touch again (3 s) by two calls of which the first is lost. */
+#define LOOK_RETRY_MS 900
 /* After the history is gone, the whole read begins so soon. */
 #define READ_AGAIN_MS 25
 #define HURRY_PAUSE_MS 300
@@ -155,8 +160,11 @@
 /* When an own call is due, after a call that began at asked_ms. */
 static int64_t due_ms(const wb_table_watch_t *watch) {
     int64_t retry_at_ms = watch->failed_ms + watch->retry_ms;
-    if (watch->vouched_ms != 0 && watch->look_since_ms != 0)
-        return MAX(watch->asked_ms + watch->pace.look_ms, retry_at_ms);
+    if (watch->vouched_ms != 0 && watch->look_since_ms != 0) {
+        /* Something is known to be there, so whoever told of it reaches the store. */
+        int64_t look_retry_ms = watch->failed_ms + MIN(watch->retry_ms, LOOK_RETRY_MS);
+        return MAX(watch->asked_ms + watch->pace.look_ms, look_retry_ms);
+    }
     int64_t due = MAX(watch->asked_ms + watch->pace.pause_ms, retry_at_ms);
     if (watch->vouched_ms == 0)
         return due;
@@ -196,7 +204,7 @@
 
 static void retry_later(wb_table_watch_t *watch) {
     int64_t limit_ms = watch->pace.retry_ms > 0 ? watch->pace.retry_ms : RETRY_LIMIT_MS;
-    watch->retry_ms = MIN(MAX(watch->retry_ms * 2, RETRY_MS), limit_ms);
+    watch->retry_ms = MIN(MAX(watch->retry_ms * RETRY_GROWTH, RETRY_MS), limit_ms);
     watch->failed_ms = wb_clock_ms();
     if (watch->state == WB_WATCH_FOLLOWING) {
         ask_after(watch, due_ms(watch) - wb_clock_ms());
@@ -290,8 +298,10 @@
     watch->cause = cause_of(watch, now_ms);
     watch->asked_ms = now_ms;
     if (watch->state == WB_WATCH_FOLLOWING) {
-        /* Who looks wants to know now, also that nothing has changed. */
-        int64_t wait_ms = watch->cause == WB_STORE_CAUSE_LOOK ? 0 : watch->pace.wait_ms;
+        /* Who looks, or tries again, wants to know now, also that nothing has changed. */
+        gboolean at_once =
+            watch->cause == WB_STORE_CAUSE_LOOK || watch->cause == WB_STORE_CAUSE_RETRY;
+        int64_t wait_ms = at_once ? 0 : watch->pace.wait_ms;
         watch->table->changes(watch->table, watch->name, watch->version, wait_ms, changes_answered,
                               watch);
         return;
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -118,7 +118,7 @@
                                  .trust_ms = NODES_TRUST_MS,
                                  .look_ms = NODES_LOOK_MS,
                                  .safety_ms = MIN(seldom_ms, node_life_ms),
-                                 .retry_ms = node->held ? RETRY_OFTEN_MS : RETRY_RARELY_MS};
+                                 .retry_ms = RETRY_OFTEN_MS};
     }
 }
 
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -227,6 +227,45 @@
     held_play(page_play, &held);
 }
 
+static void failed_answer(held_t *held) {
+    answer_give(held->on_answer, held->context, WB_TABLE_NOT_DONE, rows_make(), 0);
+}
+
+static void look_retried(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 4);
+    wb_loop_quit(held->loop);
+}
+
+static void look_told(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 3);
+    failed_answer(held); /* the next try of its own would come after 9.6 s */
+    wb_table_watch_vouch(held->watch, 99, wb_clock_ms());
+    wb_loop_after(held->loop, 1100, look_retried, held);
+}
+
+static void look_second(void *context) {
+    held_t *held = context;
+    g_assert_cmpint(held->calls, ==, 2);
+    failed_answer(held);
+    wb_loop_after(held->loop, 1400, look_told, held);
+}
+
+static void look_play(void *context) {
+    held_t *held = context;
+    wb_table_pace_t pace = {.wait_ms = 10, .pause_ms = 20, .trust_ms = 500, .retry_ms = 60000};
+    wb_table_watch_set_pace(held->watch, &pace);
+    failed_answer(held);
+    wb_loop_after(held->loop, 250, look_second, held);
+}
+
+/* A table that fails is asked ever more rarely, but soon for what another node has told of. */
+static void test_look_after_failures(void) {
+    held_t held = {0};
+    held_play(look_play, &held);
+}
+
 static void read_trusted_end(void *context) {
     held_t *held = context;
     g_assert_cmpint(held->calls, ==, 1);
@@ -257,6 +296,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/table-watch/look-after-failures", test_look_after_failures);
     g_test_add_func("/table-watch/whole-read-is-trusted", test_whole_read_is_trusted);
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
     g_test_add_func("/table-watch/vouched-table-is-not-asked", test_vouched_table_is_not_asked);
