Try for a lost store also while others read it

Change: after a failed call a table is asked again at its pause whoever vouches for it.

Test: that one, 5 of 5 at once; edge-store, edge-control, edge-cut_off, edge-stops pass.

--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -166,7 +166,9 @@
         return MAX(watch->asked_ms + watch->pace.look_ms, look_retry_ms);
     }
     int64_t due = MAX(watch->asked_ms + watch->pace.pause_ms, retry_at_ms);
-    if (watch->vouched_ms == 0)
+    /* A store that is lost is tried for also while others read it: this node must know when it is
+     * back. */
+    if (watch->vouched_ms == 0 || watch->retry_ms != 0)
         return due;
     int64_t safety_ms = (int64_t)((double)watch->pace.safety_ms * watch->spread);
     int64_t vouched_until_ms =
