Split the controller's reach from its news, and missing models from replicas

Found on rereading the whole change: node_news.c held the news, their paces and what a node thinks of the controller; controller_models.c both missing models and replicas. Each is a file of its own now (node_reach.c, controller_missing.c).

--- /dev/null
+++ b/src/control/controller_missing.c
@@ -0,0 +1,123 @@
+/* Models that no engine holds: in which order they are loaded, and what gateways are told of those
+ * that must wait for the weight store. */
+#include "control/controller_types.h"
+
+#include "control/load_queue.h"
+
+#include "wickbridge/event_log.h"
+
+/* A model that is waited for though an engine should hold it gets another engine after this time.
+ */
+#define STUCK_MS 600
+/* Who was refused for a missing model comes back within a third of the time that it has left, which
+ * is 20 s at most. */
+#define MISSED_LIFE_MS 7000
+/* A request that was refused for a missing model has lost about so much. */
+#define MISSED_COST_MS 1000.0
+/* Gateways are told anew when a model should be there if that has moved by more than this, and by
+ * more than a fifth of the time until then. */
+#define PLAN_STEP_MS 500
+#define PLAN_SHARE 5
+
+/* Whether a model is to be loaded though no more of it is wanted than one replica. */
+static gboolean is_missing(const wb_usage_t *usage, int64_t now_ms) {
+    const wb_model_use_t *use = &usage->use;
+    if (use->in_loading > 0) {
+        return FALSE;
+    }
+    if (use->waiting > 0) {
+        return use->replicas == 0 || now_ms - usage->waited_ms >= STUCK_MS;
+    }
+    if (use->replicas > 0) {
+        return FALSE;
+    }
+    /* Who was refused comes back. */
+    return usage->missed > 0 && now_ms - usage->used_ms < MISSED_LIFE_MS;
+}
+
+static GArray *missing_collect(const wb_controller_t *controller,
+                               const wb_placement_snapshot_t *snapshot, int64_t now_ms) {
+    GArray *missing = g_array_new(FALSE, FALSE, sizeof(wb_missing_model_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, snapshot->service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_model_spec_t *spec = value;
+        wb_usage_t *usage =
+            wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "");
+        if (usage == NULL) {
+            continue;
+        }
+        if (usage->use.replicas > 0) {
+            usage->missed = 0;
+            usage->told_ready_ms = 0;
+        }
+        if (is_missing(usage, now_ms)) {
+            wb_missing_model_t model = {spec, usage->missed, usage->time_left_ms};
+            g_array_append_val(missing, model);
+        }
+    }
+    g_array_sort(missing, wb_load_queue_order);
+    return missing;
+}
+
+/* What may be dropped for a missing model: anything while someone waits; less for those that were
+ * refused and may come back. */
+static double missing_limit_ms(const wb_usage_t *usage, const wb_model_spec_t *spec) {
+    if (usage->use.waiting > 0) {
+        return G_MAXDOUBLE;
+    }
+    return wb_placement_store_price_ms(spec) + MISSED_COST_MS * usage->missed;
+}
+
+/* Notes for gateways when a model that waits for its turn should be there, if that has changed by
+ * more than they need to know. */
+static void plan_note(GArray *entries, wb_usage_t *usage, const wb_model_spec_t *spec,
+                      int64_t ready_in_ms, int64_t now_ms) {
+    int64_t ready_ms = now_ms + ready_in_ms;
+    int64_t differs_ms = ABS(ready_ms - usage->told_ready_ms);
+    if (usage->told_ready_ms != 0 && differs_ms < MAX(PLAN_STEP_MS, ready_in_ms / PLAN_SHARE)) {
+        return;
+    }
+    usage->told_ready_ms = ready_ms;
+    wb_wire_load_plan_entry entry = {spec->name, (unsigned)ready_in_ms};
+    g_array_append_val(entries, entry);
+}
+
+static void plan_tell(wb_controller_t *controller, const char *service, const GArray *entries) {
+    if (entries->len == 0) {
+        return;
+    }
+    wb_wire_message news = {.kind = WB_WIRE_LOAD_PLAN};
+    wb_wire_load_plan *plan = &news.wb_wire_message_u.load_plan;
+    plan->token = controller->token;
+    plan->service = (char *)service;
+    plan->entries.entries_len = entries->len;
+    plan->entries.entries_val = (wb_wire_load_plan_entry *)(void *)entries->data;
+    controller->events.on_news(&news, controller->events.context);
+    wb_event("load-plan", ",\"service\":\"%s\",\"told\":%u", wb_event_text(service), entries->len);
+}
+
+void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                 int64_t now_ms) {
+    const char *service = snapshot->service->name;
+    g_autoptr(GArray) missing = missing_collect(controller, snapshot, now_ms);
+    g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_load_plan_entry));
+    unsigned before = 0;
+    for (guint i = 0; i < missing->len; i++) {
+        const wb_missing_model_t *model = &g_array_index(missing, wb_missing_model_t, i);
+        wb_usage_t *usage = wb_demand_book_find(controller->book, service, model->spec->name, "");
+        if (wb_controller_place_model(controller, snapshot, model->spec,
+                                      missing_limit_ms(usage, model->spec),
+                                      usage->use.waiting > 0 ? "waited-for" : "missing")) {
+            usage->told_ready_ms = 0;
+        } else if (snapshot->store_room == 0 && usage->use.replicas == 0 && model->missed > 0) {
+            int64_t ready_in_ms = wb_load_queue_ready_ms(
+                wb_controller_store_limit(controller, service),
+                wb_controller_store_loads(controller, service), before, model->spec->store_load_ms);
+            plan_note(entries, usage, model->spec, ready_in_ms, now_ms);
+            before++;
+        }
+    }
+    plan_tell(controller, service, entries);
+}
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -55,12 +55,18 @@
                             wb_placement_snapshot_t *snapshot);
 void wb_controller_snapshot_clear(wb_placement_snapshot_t *snapshot);
 
-/* controller_models.c */
+/* controller_missing.c */
 /** Place models that no engine holds or loads: those that are waited for, or for which requests
  * were lately refused. Tell gateways when those should be there that must wait for the weight
  * store. */
 void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                  int64_t now_ms);
+
+/* controller_models.c */
+/** Load a model where that costs least. @return FALSE when no engine does it for less than the
+ * limit */
+gboolean wb_controller_place_model(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                   const wb_model_spec_t *spec, double limit_ms, const char *why);
 /** Place models whose prompts, or places among what runs, take more than their engines should
  * give to one. */
 void wb_controller_spread(wb_controller_t *controller, wb_placement_snapshot_t *snapshot);
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -299,6 +299,10 @@
     return use->rate_per_s * HORIZON_S * saved_ms;
 }
 
+double wb_placement_store_price_ms(const wb_model_spec_t *model) {
+    return LOAD_PRICE * (double)model->store_load_ms;
+}
+
 double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state) {
     return LOAD_PRICE * wb_placement_load_ms(model, state, NULL);
 }
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -96,6 +96,9 @@
  */
 double wb_placement_gain_ms(const wb_model_use_t *use, const wb_engine_power_t *power);
 
+/** As wb_placement_load_price_ms, for a load from the weight store. */
+double wb_placement_store_price_ms(const wb_model_spec_t *model);
+
 /** What a load costs all others, in ms, besides what it displaces. */
 double wb_placement_load_price_ms(const wb_model_spec_t *model, const wb_engine_state_t *state);
 
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -114,7 +114,18 @@
 /** Keep one link to whoever holds the lease, unless it is this node. */
 void wb_edge_node_tick_link(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_reach.c */
+/** Note whether a controller is heard; tell those that wait when that has changed. */
+void wb_edge_node_tick_hearing(wb_edge_node_t *node, int64_t now_ms);
+/** @return whether the controller hears of what is asked for here, as far as is known
+ * @param context the node */
+wb_controller_view_t wb_edge_node_controller_view(void *context);
+
 /* node_news.c */
+/* A gateway that has heard nothing for so long asks the store itself. */
+#define WB_NEWS_LIFE_MS 1200
+/** @return the watch of a table, or NULL. @param table a wb_table_name_t, perhaps from a message */
+wb_table_watch_t *wb_edge_node_watch(const wb_edge_node_t *node, unsigned table);
 /** How often this node asks for a table, by whether it holds the lease. */
 wb_table_pace_t wb_edge_node_pace(const wb_edge_node_t *node, wb_table_name_t table);
 /** Set how often all tables are asked for; when the lease or the settings have changed. */
@@ -128,11 +139,6 @@
 void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news);
 /** @return TRUE while the holder tells this node what it reads, or this node is the holder */
 gboolean wb_edge_node_hears_news(const wb_edge_node_t *node);
-/** Note whether someone is heard who decides on loads. */
-void wb_edge_node_tick_hearing(wb_edge_node_t *node, int64_t now_ms);
-/** @return whether the controller hears of what is asked for here, as far as is known
- * @param context the node */
-wb_controller_view_t wb_edge_node_controller_view(void *context);
 /** Send a message on every link from a gateway that reads what it is sent. */
 void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
 
--- a/tests/fuzz/fuzz_control_check.c
+++ b/tests/fuzz/fuzz_control_check.c
@@ -65,7 +65,7 @@
 static int64_t ask_order(const char *engine, void *context) {
     (void)engine;
     (void)context;
-    return g_random_int_range(0, 4) == 0 ? -1 : 0;
+    return g_rand_int_range(playing->random, 0, 4) == 0 ? -1 : 0;
 }
 
 static int64_t blocked_ms(const char *engine, void *context) {
