Judge holders' orders in the soak engine by engine

The soak compared each order with the one before it at any engine. Since a successor orders at once what its predecessor's row doesn't name, two holders' orders to different engines may come close; the rule is for one engine.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -69,23 +69,35 @@
     return excused;
 }
 
+/* Two orders that an engine got one after the other. */
+static void order_pair_check(soak_t *soak, const json_t *before, const json_t *after) {
+    int64_t gap_ms = number_of(after, "at_ms") - number_of(before, "at_ms");
+    int64_t rise = number_of(after, "token") - number_of(before, "token");
+    gboolean same = strcmp(text_of(before, "holder"), text_of(after, "holder")) == 0;
+    if (rise < 0 || (!same && rise == 0)) {
+        soak_broken(soak, "orders: token %lld of %s after %lld of %s at %s",
+                    (long long)number_of(after, "token"), text_of(after, "holder"),
+                    (long long)number_of(before, "token"), text_of(before, "holder"),
+                    text_of(after, "engine"));
+    } else if (!same && gap_ms < SOAK_LEASE_QUIET_MS &&
+               !order_is_excused(soak, number_of(before, "at_ms"))) {
+        soak_broken(soak, "orders: %s follows %s after %lld ms at %s", text_of(after, "holder"),
+                    text_of(before, "holder"), (long long)gap_ms, text_of(after, "engine"));
+    }
+}
+
+/* At each engine tokens rise, and two holders are the quiet time apart. */
 static void holders_check(soak_t *soak, const json_t *seen) {
     const json_t *orders = json_object_get(seen, "orders");
-    for (size_t i = 1; i < json_array_size(orders); i++) {
-        const json_t *before = json_array_get(orders, i - 1);
-        const json_t *after = json_array_get(orders, i);
-        int64_t gap_ms = number_of(after, "at_ms") - number_of(before, "at_ms");
-        int64_t rise = number_of(after, "token") - number_of(before, "token");
-        gboolean same = strcmp(text_of(before, "holder"), text_of(after, "holder")) == 0;
-        if (rise < 0 || (!same && rise == 0)) {
-            soak_broken(soak, "orders: token %lld of %s after %lld of %s",
-                        (long long)number_of(after, "token"), text_of(after, "holder"),
-                        (long long)number_of(before, "token"), text_of(before, "holder"));
-        } else if (!same && gap_ms < SOAK_LEASE_QUIET_MS &&
-                   !order_is_excused(soak, number_of(before, "at_ms"))) {
-            soak_broken(soak, "orders: %s follows %s after %lld ms", text_of(after, "holder"),
-                        text_of(before, "holder"), (long long)gap_ms);
-        }
+    g_autoptr(GHashTable) last = g_hash_table_new(g_str_hash, g_str_equal);
+    size_t i;
+    json_t *order;
+    json_array_foreach(orders, i, order) {
+        const char *engine = text_of(order, "engine");
+        const json_t *before = g_hash_table_lookup(last, engine);
+        if (before != NULL)
+            order_pair_check(soak, before, order);
+        g_hash_table_insert(last, (gpointer)engine, order);
     }
 }
 
