Wait for the lease's holder by one function in the tests

Found on rereading: test_cut_off.c had a copy of test_control.c's controller_find. Both call estate_wait_controller of the harness now.

--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -38,15 +38,6 @@
     json_decref(seen);
 }
 
-static int controller_find(const estate_t *estate, int timeout_ms) {
-    int64_t until_ms = harness_now_ms() + timeout_ms;
-    int found;
-    while ((found = estate_controller(estate)) < 0 && harness_now_ms() < until_ms)
-        g_usleep(50000);
-    g_assert_cmpint(found, >=, 0);
-    return found;
-}
-
 static void model_asked(const estate_t *estate, int node, const char *model, const char *id) {
     g_autofree char *headers = g_strdup_printf(
         "Model: %s\r\nPrompt-Prefix: ab:50\r\nRequest-Deadline-Ms: 20000\r\n", model);
@@ -58,11 +49,11 @@
 /* The controller is killed; another takes over after the quiet time, with a higher token. */
 static void test_takeover(void) {
     estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
-    int first = controller_find(estate, 3000);
+    int first = estate_wait_controller(estate, 3000);
     model_asked(estate, first, "m5", "t1");
     process_kill(&estate->nodes[first].process);
     int64_t killed_ms = harness_now_ms();
-    int next = controller_find(estate, 8000);
+    int next = estate_wait_controller(estate, 8000);
     g_test_message("another controller after %d ms", (int)(harness_now_ms() - killed_ms));
     g_assert_cmpint(harness_now_ms() - killed_ms, <, 4000);
     model_asked(estate, next, "m6", "t2");
@@ -75,11 +66,11 @@
 /* A successor waits out the quiet time only at engines that its predecessor may have ordered. */
 static void test_successor_orders_others_at_once(void) {
     estate_t *estate = estate_start(3, "--lease-quiet-ms=4000 --lease-duration-ms=800");
-    int first = controller_find(estate, 3000);
+    int first = estate_wait_controller(estate, 3000);
     model_asked(estate, first, "m5", "s1");
     process_kill(&estate->nodes[first].process);
     int64_t killed_ms = harness_now_ms();
-    int next = controller_find(estate, 8000);
+    int next = estate_wait_controller(estate, 8000);
     model_asked(estate, next, "m6", "s2");
     g_test_message("served %d ms after the kill", (int)(harness_now_ms() - killed_ms));
     g_assert_cmpint(harness_now_ms() - killed_ms, <, 3000);
@@ -93,7 +84,7 @@
  * when to come back, and its model is there by then. */
 static void test_refused_while_nobody_decides(void) {
     estate_t *estate = estate_start(2, "--lease-quiet-ms=2500 --lease-duration-ms=4000");
-    int first = controller_find(estate, 3000);
+    int first = estate_wait_controller(estate, 3000);
     int other = 1 - first;
     g_usleep(1000000);
     process_kill(&estate->nodes[first].process);
@@ -128,7 +119,7 @@
 static void test_frozen_controller(void) {
     estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
     for (int round = 0; round < 2; round++) {
-        int frozen = controller_find(estate, 8000);
+        int frozen = estate_wait_controller(estate, 8000);
         g_autofree char *id = g_strdup_printf("z%d", round);
         process_signal(&estate->nodes[frozen].process, SIGSTOP);
         g_usleep(3500000);
@@ -147,7 +138,7 @@
 static void test_released_lease(void) {
     estate_t *estate =
         estate_start(2, "--lease-quiet-ms=500 --lease-duration-ms=3000 --stop-grace-s=6");
-    int first = controller_find(estate, 3000);
+    int first = estate_wait_controller(estate, 3000);
     int other = 1 - first;
     process_signal(&estate->nodes[first].process, SIGTERM);
     g_usleep(1000000);
@@ -165,7 +156,7 @@
 
 static void order_fault(const char *fault) {
     estate_t *estate = estate_start(1, NULL);
-    controller_find(estate, 3000);
+    estate_wait_controller(estate, 3000);
     for (int i = 1; i <= 2; i++)
         estate_do(estate,
                   "{\"do\":\"engine-fault\",\"engine\":\"llm-%d\",\"fault\":\"%s\",\"count\":1}", i,
@@ -189,7 +180,7 @@
  * more. */
 static void test_model_is_loaded_once(void) {
     estate_t *estate = estate_start(2, "--demand-interval-ms=3000");
-    int controller = controller_find(estate, 3000);
+    int controller = estate_wait_controller(estate, 3000);
     model_asked(estate, 1 - controller, "m5", "o1");
     g_usleep(2000000);
     g_assert_cmpint(estate_runs(estate, "o1"), ==, 1);
@@ -200,7 +191,7 @@
 /* An engine that dies is replaced by a load elsewhere. */
 static void test_engine_dies(void) {
     estate_t *estate = estate_start(1, NULL);
-    controller_find(estate, 3000);
+    estate_wait_controller(estate, 3000);
     estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"llm-2\",\"announce\":true}");
     g_usleep(500000);
     model_asked(estate, 0, "m2", "d1");
--- a/tests/edge/test_cut_off.c
+++ b/tests/edge/test_cut_off.c
@@ -15,16 +15,6 @@
 /* A caller that comes back later than this has waited for nothing: other nodes are well. */
 #define COME_BACK_MOST_S 1.0
 
-static int controller_of(const estate_t *estate) {
-    int64_t until_ms = harness_now_ms() + 8000;
-    int found;
-    while ((found = estate_controller(estate)) < 0 && harness_now_ms() < until_ms) {
-        g_usleep(50000);
-    }
-    g_assert_cmpint(found, >=, 0);
-    return found;
-}
-
 /* Asks for a model that no engine holds, and is refused at once with a time to come back. */
 static void assert_refused_at_once(const estate_t *estate, int node, const char *id) {
     int64_t asked_ms = harness_now_ms();
@@ -51,7 +41,7 @@
 /* Cut off from its peers only: it sees that the lease is renewed by one that it can't reach. */
 static void test_from_peers(void) {
     estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = controller_of(estate);
+    int controller = estate_wait_controller(estate, 8000);
     int cut = 1 - controller;
     g_usleep(1000000);
     estate_link_fault(estate, controller, "cut", 0);
@@ -70,7 +60,7 @@
 /* Cut off from its peers and from the store, at first while a take-over could be under way. */
 static void test_from_peers_and_store(void) {
     estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = controller_of(estate);
+    int controller = estate_wait_controller(estate, 8000);
     int cut = 1 - controller;
     g_usleep(1000000);
     estate_link_fault(estate, controller, "cut", 0);
@@ -93,7 +83,7 @@
  */
 static void test_while_it_waits(void) {
     estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = controller_of(estate);
+    int controller = estate_wait_controller(estate, 8000);
     int cut = 1 - controller;
     g_usleep(1000000);
     estate_link_fault(estate, controller, "cut", 0);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -145,6 +145,15 @@
     return -1;
 }
 
+int estate_wait_controller(const estate_t *estate, int timeout_ms) {
+    int64_t until_ms = harness_now_ms() + timeout_ms;
+    int found;
+    while ((found = estate_controller(estate)) < 0 && harness_now_ms() < until_ms)
+        g_usleep(50000);
+    g_assert_cmpint(found, >=, 0);
+    return found;
+}
+
 gboolean estate_log_has(const estate_t *estate, int index, const char *text) {
     g_autofree char *log = NULL;
     if (!g_file_get_contents(estate->nodes[index].process.log_path, &log, NULL, NULL))
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -49,6 +49,8 @@
 double estate_metric(const estate_t *estate, int index, const char *name);
 /** @return the index of the node that holds the controller's lease, or -1 */
 int estate_controller(const estate_t *estate);
+/** Wait until a node holds the controller's lease. @return its index */
+int estate_wait_controller(const estate_t *estate, int timeout_ms);
 /** @return TRUE when a node's log has a line with this text */
 gboolean estate_log_has(const estate_t *estate, int index, const char *text);
 
