Know tenants by their keys: 401, the tenant's name for engines, its rank before the route's

Change: a configuration's tenants (tenant.h) hold keys as HMAC digests under a secret of the process; the edge reads one well-formed key (api_key.h), drops it and the caller's own Tenant, Hold, Pin-Ms, Kv-Backup, Kv-From and Kv-Fetch, and tells the engine the tenant's name. A tenant's rank goes before the route's. A key that nobody holds is 401 with WWW-Authenticate; at a node whose configuration may be old it is 503 with Retry-After, as the key may be new and the next try reaches another node. Requests that wait under a key that a new configuration drops end with 401. Without tenants in the configuration nothing changes.

--- a/include/wickbridge/catalog.h
+++ b/include/wickbridge/catalog.h
@@ -8,6 +8,8 @@
 #ifndef WICKBRIDGE_CATALOG_H
 #define WICKBRIDGE_CATALOG_H
 
+#include "wickbridge/tenant.h"
+
 #include <glib.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -36,6 +38,7 @@
     int64_t target_gap_ms;     /**< 0: none */
     int rank;                  /**< 0 is the most urgent */
     int max_attempts;          /**< most engines that may run one request */
+    gboolean is_public;        /**< a request needs no key */
     GArray *parts;             /**< of wb_route_part_t */
     double split_point;        /**< private: state of wb_route_pick_service */
 } wb_route_t;
@@ -71,8 +74,9 @@
 typedef struct wb_catalog_t {
     int references;
     int64_t version;
-    GHashTable *hosts;    /**< host -> GPtrArray of wb_route_t, longest prefix first */
-    GHashTable *services; /**< name -> wb_service_t */
+    GHashTable *hosts;     /**< host -> GPtrArray of wb_route_t, longest prefix first */
+    GHashTable *services;  /**< name -> wb_service_t */
+    wb_tenants_t *tenants; /**< NULL: callers have no keys */
     wb_caller_limits_t limits;
     unsigned route_count;
 } wb_catalog_t;
--- a/include/wickbridge/dialect.h
+++ b/include/wickbridge/dialect.h
@@ -34,6 +34,11 @@
     const char *urgency;      /**< 0 to 9, 0 is the most urgent */
     const char *expected_engine;
     const char *last_event_id;
+    const char *api_key;        /**< the caller's key, after a scheme */
+    const char *api_key_scheme; /**< the word before the key */
+    const char *tenant;         /**< whom the caller's key belongs to, told to engines */
+    /** Headers that only this system may send to engines: a caller's are dropped. NULL ends. */
+    const char *const *reserved;
     /* Headers of answers. */
     const char *not_run;
     const char *seal;
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -53,6 +53,7 @@
         return;
     g_hash_table_unref(catalog->hosts);
     g_hash_table_unref(catalog->services);
+    wb_tenants_free(catalog->tenants);
     g_free(catalog);
 }
 
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -279,6 +279,14 @@
         g_ascii_strcasecmp(name, dialect->expected_engine) == 0 ||
         g_ascii_strcasecmp(name, dialect->urgency) == 0)
         return TRUE;
+    for (const char *const *reserved = dialect->reserved; *reserved != NULL; reserved++) {
+        if (g_ascii_strcasecmp(name, *reserved) == 0) {
+            return TRUE;
+        }
+    }
+    if (exchange->catalog->tenants != NULL && wb_api_key_is_private(dialect, name)) {
+        return TRUE;
+    }
     return exchange->resuming && g_ascii_strcasecmp(name, dialect->last_event_id) == 0;
 }
 
@@ -297,7 +305,9 @@
     int64_t left_ms = MAX(exchange->hold_until_ms - now_ms, 1);
     g_string_append_printf(text, "%s: %lld\r\n%s: %s\r\n%s: %d\r\n", dialect->deadline_ms,
                            (long long)left_ms, dialect->expected_engine, engine->state->id,
-                           dialect->urgency, CLAMP(exchange->route->rank, 0, 9));
+                           dialect->urgency, CLAMP(exchange->rank, 0, 9));
+    if (exchange->tenant != NULL)
+        g_string_append_printf(text, "%s: %s\r\n", dialect->tenant, exchange->tenant->name);
     if (exchange->resuming && exchange->last_event_id != NULL)
         g_string_append_printf(text, "%s: %s\r\n", dialect->last_event_id, exchange->last_event_id);
     if (exchange->body->len > 0 || head->has_length ||
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -80,6 +80,9 @@
 #define WB_LEASE_KEY "controller"
 
 /* node_store.c */
+/** Time since this node knew the newest configuration, by its own reading or the holder's. @param
+ * context the node */
+int64_t wb_edge_node_catalog_age_ms(void *context);
 /** Begin to follow configuration, engines and own rows. */
 void wb_edge_node_follow_store(wb_edge_node_t *node);
 /** Keep this node's own row in the store; forget nodes whose rows don't change. */
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -17,6 +17,7 @@
 #include "wickbridge/tcp_stream.h"
 
 #include "wickbridge/edge_metrics.h"
+#include "edge/api_key.h"
 #include "edge/retry_budget.h"
 
 typedef struct wb_exchange_t wb_exchange_t;
@@ -82,6 +83,9 @@
     void *need_context;
     /** Whether the controller can be reached; NULL: it always can. With need_context. */
     wb_controller_view_t (*controller_view)(void *context);
+    /** Time since this node knew for sure which configuration is the newest; NULL: it always does.
+     * With need_context. */
+    int64_t (*catalog_age_ms)(void *context);
 };
 
 /** Why a request ended, for logs and metrics. */
@@ -99,7 +103,9 @@
     WB_ENDING_BROKEN,     /* an engine broke off, and it may not be sent again */
     WB_ENDING_TIMED_OUT,  /* the route's time or the caller's is over */
     WB_ENDING_CALLER_GONE,
-    WB_ENDING_STOPPING, /* it came too late in a planned stop */
+    WB_ENDING_STOPPING,      /* it came too late in a planned stop */
+    WB_ENDING_BAD_KEY,       /* it has no key that a tenant holds */
+    WB_ENDING_KEY_UNCERTAIN, /* nobody holds its key in a configuration that may be old */
     WB_ENDING_COUNT
 } wb_ending_t;
 
@@ -131,10 +137,13 @@
     wb_catalog_t *catalog;
     const wb_route_t *route;
     const wb_service_t *service;
-    const char *id; /* owned by head; "" when there is none */
-    char *model;    /* NULL: none named */
-    char *adapter;  /* "" when none */
-    GArray *parts;  /* of wb_prompt_part_t */
+    const char *id;            /* owned by head; "" when there is none */
+    char *model;               /* NULL: none named */
+    char *adapter;             /* "" when none */
+    const wb_tenant_t *tenant; /* as of its arrival; of its catalog; NULL: none */
+    wb_key_digest_t key;       /* of its tenant, when it has one */
+    int rank;                  /* 0 is the most urgent: its tenant's, or else its route's */
+    GArray *parts;             /* of wb_prompt_part_t */
     int64_t prompt_tokens;
     int64_t began_ms;
     int64_t deadline_ms;   /* steady time at which the caller stops waiting */
@@ -193,6 +202,8 @@
  * are refused. */
 void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
                          unsigned ready_in_ms);
+/** Another configuration is in force: those that wait under a key that it dropped are refused. */
+void wb_exchanges_check_keys(wb_edge_t *edge);
 /** What is known of who decides on loads has changed: those that wait in vain are refused. */
 void wb_exchanges_reconsider(wb_edge_t *edge);
 /** A model is loaded: nothing is expected any more. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -125,15 +125,21 @@
                                wb_clock_ms() + come_back_ms + PROMISE_KEPT_MS);
         }
     }
+    if (status == 401) {
+        g_snprintf(headers, sizeof(headers), "WWW-Authenticate: %s\r\n",
+                   exchange->edge->dialect->api_key_scheme);
+    }
     wb_http_connection_t *connection = wb_exchange_end(exchange, ending, status);
     wb_http_connection_answer(connection, status, wb_http_reason(status), headers, NULL, 0);
 }
 
-/* Gives up: 503 when the request surely has not run, else a status that promises nothing. */
+/* Gives up: with the ending's own status when the request surely has not run, else with one that
+ * promises nothing. */
 void wb_exchange_give_up(wb_exchange_t *exchange, wb_ending_t ending) {
     unsigned may_have_run = ending == WB_ENDING_TIMED_OUT ? 504 : 502;
     attempt_stop(exchange);
-    exchange_refuse(exchange, ending, exchange->runs == 0 ? 503 : may_have_run);
+    exchange_refuse(exchange, ending,
+                    exchange->runs == 0 ? wb_ending_status(ending) : may_have_run);
 }
 
 static void engine_failed(wb_engine_t *engine, const char *reason, const char *request_id) {
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -2,9 +2,9 @@
 #include "edge/exchange_inner.h"
 
 static const char *const ending_names[WB_ENDING_COUNT] = {
-    "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
-    "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
-    "broken",        "timed-out",     "caller-gone", "stopping"};
+    "served",      "engine-failed", "no-catalog", "no-route",     "bad-request", "unknown-model",
+    "no-engine",   "not-loaded",    "rejected",   "no-budget",    "broken",      "timed-out",
+    "caller-gone", "stopping",      "bad-key",    "key-uncertain"};
 
 const char *wb_ending_name(wb_ending_t ending) {
     return ending_names[ending];
@@ -41,7 +41,7 @@
         ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
         "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
         "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"most_pause_ms\":%lld,"
-        "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s",
+        "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\"",
         wb_event_text(exchange->id), ending_names[ending], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_text(exchange->model),
@@ -50,5 +50,6 @@
         (long long)exchange->waited_ms, (long long)exchange->first_event_ms,
         (long long)exchange->most_pause_ms, (long long)(exchange->deadline_ms - now_ms),
         exchange->catalog != NULL ? (long long)exchange->catalog->version : 0LL,
-        exchange->answer_begun ? "true" : "false");
+        exchange->answer_begun ? "true" : "false",
+        exchange->tenant != NULL ? wb_event_text(exchange->tenant->name) : "");
 }
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -143,8 +143,9 @@
         edge->on_need(edge->need_context);
 }
 
-void wb_exchanges_retry_waiting(wb_edge_t *edge) {
-    /* A sending that fails at once may end other requests, so the list is copied. */
+/* Calls a function for each request that waits. What ends one request may end others or begin new
+ * ones, so the list is copied. */
+static void waiting_each(wb_edge_t *edge, void (*visit)(wb_exchange_t *exchange)) {
     g_autoptr(GPtrArray) waiting = g_ptr_array_sized_new(edge->waiting.len);
     WB_LIST_EACH(item, &edge->waiting) {
         g_ptr_array_add(waiting, WB_LIST_OF(item, wb_exchange_t, waiting));
@@ -152,10 +153,14 @@
     for (guint i = 0; i < waiting->len; i++) {
         wb_exchange_t *exchange = g_ptr_array_index(waiting, i);
         if (g_hash_table_contains(edge->open, exchange) && wb_list_is_linked(&exchange->waiting))
-            wb_exchange_dispatch(exchange);
+            visit(exchange);
     }
 }
 
+void wb_exchanges_retry_waiting(wb_edge_t *edge) {
+    waiting_each(edge, wb_exchange_dispatch);
+}
+
 /* What is known of its model has changed: who waits in vain is refused by the timer, at once. */
 static void wait_reconsider(wb_exchange_t *exchange) {
     exchange->wait_until_ms = wait_until_ms(exchange);
@@ -182,6 +187,22 @@
     }
 }
 
+/* Refuses a request whose key nobody holds any more. What has run, or may have, is left to its end.
+ */
+static void key_check(wb_exchange_t *exchange) {
+    const wb_catalog_t *catalog = exchange->edge->catalog;
+    gboolean may_end = exchange->runs == 0 && !exchange->answer_begun;
+    gboolean needs_key = exchange->tenant != NULL && !exchange->route->is_public;
+    if (may_end && needs_key && catalog->tenants != NULL &&
+        wb_tenants_of_key(catalog->tenants, &exchange->key) == NULL) {
+        wb_exchange_give_up(exchange, WB_ENDING_BAD_KEY);
+    }
+}
+
+void wb_exchanges_check_keys(wb_edge_t *edge) {
+    waiting_each(edge, key_check);
+}
+
 void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model) {
     g_autofree char *key = expected_key(service, model);
     g_hash_table_remove(edge->expected, key);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -44,6 +44,11 @@
 
 /* News of the catalog. */
 
+int64_t wb_edge_node_catalog_age_ms(void *context) {
+    const wb_edge_node_t *node = context;
+    return wb_clock_ms() - wb_table_watch_fresh_ms(node->catalog_watch);
+}
+
 static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog) {
     wb_edge_t *edge = &node->edge;
     int64_t before = edge->catalog != NULL ? edge->catalog->version : 0;
@@ -71,6 +76,7 @@
         return;
     }
     catalog_take(node, catalog);
+    wb_exchanges_check_keys(&node->edge);
     wb_exchanges_retry_waiting(&node->edge);
 }
 
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -46,6 +46,8 @@
         return "OK";
     case 400:
         return "Bad Request";
+    case 401:
+        return "Unauthorized";
     case 404:
         return "Not Found";
     case 408:
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -168,6 +168,16 @@
     run->timer = wb_loop_after(engine->loop, option(engine, "event_ms", 5), run_go_on, run);
 }
 
+/* The headers that came, as an object; of several with one name the last. */
+static json_t *headers_json(const wb_http_head_t *head) {
+    json_t *headers = json_object();
+    for (guint i = 0; i < head->headers->len; i++) {
+        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
+        json_object_set_new(headers, header->name, json_string(header->value));
+    }
+    return headers;
+}
+
 static void run_begin(wb_estate_engine_t *engine, wb_http_connection_t *connection,
                       const wb_http_head_t *head, const GByteArray *body) {
     wb_estate_run_t *run = g_new0(wb_estate_run_t, 1);
@@ -197,14 +207,14 @@
     }
     json_array_append_new(
         engine->seen->runs,
-        json_pack("{s:s, s:s, s:s%, s:s, s:s, s:s, s:I, s:I}", "id", run->id, "engine", engine->id,
-                  "body", (const char *)body->data, (size_t)body->len, "path", head->target,
-                  "model", model != NULL ? model : "", "last_event_id",
+        json_pack("{s:s, s:s, s:s%, s:s, s:s, s:s, s:I, s:I, s:o}", "id", run->id, "engine",
+                  engine->id, "body", (const char *)body->data, (size_t)body->len, "path",
+                  head->target, "model", model != NULL ? model : "", "last_event_id",
                   wb_http_head_get(head, "Last-Event-Id") != NULL
                       ? wb_http_head_get(head, "Last-Event-Id")
                       : "",
                   "deadline_ms", (json_int_t)wb_http_head_number(head, "Request-Deadline-Ms", -1),
-                  "at_ms", (json_int_t)wb_clock_ms()));
+                  "at_ms", (json_int_t)wb_clock_ms(), "headers", headers_json(head)));
     if (fault_take(engine, "error")) {
         run_answer(run, 500, "Response-Seal: seal\r\n", "failed");
         return;
--- /dev/null
+++ b/tests/edge/test_tenants.c
@@ -0,0 +1,188 @@
+/* Callers' keys: whose they are is told to engines, and the keys themselves to nobody. */
+#include "edge.h"
+
+#include <string.h>
+
+#define KEY(key) "Authorization: Token " key "\r\n"
+
+static const char two_tenants[] =
+    "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\",\"k-north-2\"],\"priority\":3},"
+    "{\"name\":\"south\",\"apiKeys\":[\"k-south\"]}]";
+
+static estate_t *tenants_start(int nodes, const char *tenants) {
+    estate_t *estate = estate_start(nodes, NULL);
+    estate->tenants = tenants;
+    estate_configure(estate, NULL);
+    g_usleep(900000);
+    return estate;
+}
+
+/* Returns a header that the engine got with a request, to be freed; NULL when there was none. */
+static char *header_at_engine(const estate_t *estate, const char *id, const char *name) {
+    json_t *seen = estate_seen(estate);
+    char *value = NULL;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        if (strcmp(json_string_value(json_object_get(run, "id")), id) == 0) {
+            json_t *headers = json_object_get(run, "headers");
+            value = g_strdup(json_string_value(json_object_get(headers, name)));
+        }
+    }
+    json_decref(seen);
+    return value;
+}
+
+static void assert_header(const estate_t *estate, const char *id, const char *name,
+                          const char *expected) {
+    g_autofree char *value = header_at_engine(estate, id, name);
+    g_assert_cmpstr(value, ==, expected);
+}
+
+static int status_of(const estate_t *estate, int node, const char *path, const char *id,
+                     const char *headers) {
+    wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, path, id, headers);
+    int status = answer->status;
+    wire_answer_free(answer);
+    return status;
+}
+
+/* The key stays here, the tenant's name goes on, and a tenant's rank goes before the route's. */
+static void test_tenant_is_told_and_key_is_not(void) {
+    estate_t *estate = tenants_start(1, two_tenants);
+    g_assert_cmpint(status_of(estate, 0, "/chat/x", "t1",
+                              EDGE_MODEL("m0") KEY("k-north-2") "Tenant: south\r\nHold: h1\r\n"
+                                                                "Pin-Ms: 4000\r\n"
+                                                                "Kv-Backup: 10.0.0.1:80\r\n"
+                                                                "Kv-From: 10.0.0.1:80/a\r\n"),
+                    ==, 200);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "t2", EDGE_DEADLINE KEY("k-south")), ==, 200);
+    assert_header(estate, "t1", "Tenant", "north");
+    assert_header(estate, "t2", "Tenant", "south");
+    assert_header(estate, "t1", "Request-Urgency", "3");
+    assert_header(estate, "t2", "Request-Urgency", "2");
+    const char *const dropped[] = {"Authorization", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From"};
+    for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
+        assert_header(estate, "t1", dropped[i], NULL);
+    }
+    g_assert_false(estate_log_has(estate, 0, "k-north"));
+    estate_stop(estate);
+}
+
+static void test_bad_keys_are_refused(void) {
+    estate_t *estate = tenants_start(1, two_tenants);
+    const char *const bad[] = {EDGE_DEADLINE, EDGE_DEADLINE KEY("k-nobody"),
+                               EDGE_DEADLINE "Authorization: Bearer k-south\r\n",
+                               EDGE_DEADLINE "Authorization:\r\n",
+                               EDGE_DEADLINE KEY("k-south") KEY("k-south")};
+    wire_t *wire = wire_open(estate->nodes[0].callers_port);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_autofree char *id = g_strdup_printf("b%zu", i);
+        wire_post(wire, "/lock/x", id, bad[i], "hello");
+        wire_answer_t *answer = wire_read(wire, 5000);
+        g_assert_cmpint(answer->status, ==, 401);
+        g_assert_nonnull(strstr(answer->head->str, "WWW-Authenticate: Token"));
+        g_assert_cmpint(estate_runs(estate, id), ==, 0);
+        wire_answer_free(answer);
+    }
+    /* The connection is as good as before. */
+    wire_post(wire, "/lock/x", "b-good", EDGE_DEADLINE KEY("k-south"), "hello");
+    wire_answer_t *answer = wire_read(wire, 5000);
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    wire_close(wire);
+    g_assert_false(estate_log_has(estate, 0, "k-nobody"));
+    estate_stop(estate);
+}
+
+/* Nobody's key is needed on a public route; a key that is given there goes to no engine either. */
+static void test_public_route(void) {
+    estate_t *estate = estate_start(1, NULL);
+    estate->tenants = two_tenants;
+    estate_configure(estate, "{\"name\":\"open\",\"host\":\"a.example\",\"pathPrefix\":\"/open/\","
+                             "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"public\":true,"
+                             "\"service\":\"lock\",\"maxAttempts\":2}");
+    g_usleep(900000);
+    g_assert_cmpint(status_of(estate, 0, "/open/x", "p1", EDGE_DEADLINE "Tenant: south\r\n"), ==,
+                    200);
+    g_assert_cmpint(status_of(estate, 0, "/open/x", "p2", EDGE_DEADLINE KEY("k-nobody")), ==, 200);
+    assert_header(estate, "p1", "Tenant", NULL);
+    assert_header(estate, "p2", "Tenant", NULL);
+    assert_header(estate, "p2", "Authorization", NULL);
+    estate_stop(estate);
+}
+
+/* Without tenants in the configuration callers' own headers are none of our business. */
+static void test_without_tenants(void) {
+    estate_t *estate = estate_start(1, NULL);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "w1", EDGE_DEADLINE KEY("k-any")), ==, 200);
+    assert_header(estate, "w1", "Authorization", "Token k-any");
+    estate_stop(estate);
+}
+
+/* A key that was taken away isn't served any more, and who waits under it is refused at once. */
+static void test_key_is_taken_away(void) {
+    estate_t *estate = tenants_start(1, two_tenants);
+    /* No engine is left to load a model, so its request waits. */
+    wire_t *wire = wire_open(estate->nodes[0].callers_port);
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"llm-1\"}");
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"llm-2\"}");
+    g_usleep(400000);
+    int64_t asked_ms = harness_now_ms();
+    wire_post(wire, "/chat/x", "k1", EDGE_MODEL("m5") KEY("k-south"), "hello");
+    g_usleep(100000);
+    estate->tenants = "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\"]},"
+                      "{\"name\":\"south\",\"apiKeys\":[\"k-south-2\"]}]";
+    estate_configure(estate, NULL);
+    wire_answer_t *answer = wire_read(wire, 5000);
+    g_test_message("answered after %d ms", (int)(harness_now_ms() - asked_ms));
+    g_assert_cmpint(answer->status, ==, 401);
+    wire_answer_free(answer);
+    wire_close(wire);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "k2", EDGE_DEADLINE KEY("k-north-2")), ==, 401);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "k3", EDGE_DEADLINE KEY("k-south-2")), ==, 200);
+    estate_stop(estate);
+}
+
+/* A key that moves to another tenant goes by its new one from then on. */
+static void test_key_moves(void) {
+    estate_t *estate = tenants_start(1, two_tenants);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "m1", EDGE_DEADLINE KEY("k-south")), ==, 200);
+    estate->tenants = "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\",\"k-south\"]},"
+                      "{\"name\":\"south\",\"apiKeys\":[]}]";
+    estate_configure(estate, NULL);
+    g_usleep(900000);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "m2", EDGE_DEADLINE KEY("k-south")), ==, 200);
+    assert_header(estate, "m1", "Tenant", "south");
+    assert_header(estate, "m2", "Tenant", "north");
+    estate_stop(estate);
+}
+
+/* A node that may not know the newest configuration doesn't call a key wrong that may be new. */
+static void test_unknown_key_at_a_node_that_lags(void) {
+    estate_t *estate = tenants_start(1, two_tenants);
+    estate_store_fault(estate, 0, "cut", 0);
+    g_usleep(3500000);
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[0].callers_port, "/lock/x", "u1", EDGE_DEADLINE KEY("k-new"));
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_nonnull(strstr(answer->head->str, "Retry-After: "));
+    wire_answer_free(answer);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "u2", EDGE_DEADLINE KEY("k-south")), ==, 200);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "u3", EDGE_DEADLINE), ==, 401);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/tenants/tenant-is-told-and-key-is-not",
+                    test_tenant_is_told_and_key_is_not);
+    g_test_add_func("/edge/tenants/bad-keys-are-refused", test_bad_keys_are_refused);
+    g_test_add_func("/edge/tenants/public-route", test_public_route);
+    g_test_add_func("/edge/tenants/without-tenants", test_without_tenants);
+    g_test_add_func("/edge/tenants/key-is-taken-away", test_key_is_taken_away);
+    g_test_add_func("/edge/tenants/key-moves", test_key_moves);
+    g_test_add_func("/edge/tenants/unknown-key-at-a-node-that-lags",
+                    test_unknown_key_at_a_node_that_lags);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -56,9 +56,10 @@
                      "\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":2,"
                      "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50}],"
                      "\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
-                     "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}}",
+                     "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}%s%s}",
                      (long long)estate->catalog_version, routes != NULL ? routes : usual_routes,
-                     models->str));
+                     models->str, estate->tenants != NULL ? ",\"tenants\":" : "",
+                     estate->tenants != NULL ? estate->tenants : ""));
     char *text = json_dumps(call, JSON_COMPACT);
     estate_do(estate, "%s", text);
     free(text);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -35,6 +35,8 @@
     int engine_relays[ESTATE_PROXIED_ENGINES]; /**< where lock-1 and lock-2 are reached */
     int engine_ports[ESTATE_PROXIED_ENGINES];
     int64_t catalog_version;
+    const char
+        *tenants; /**< JSON of a list of tenants for estate_configure; NULL: callers have no keys */
     const char *node_flags; /**< more flags, with spaces between */
 } estate_t;
 
