Keep tenants' limits over all nodes: a book at the lease's node, gates at gateways

The node that the lease names keeps the book, also while the store is away. A node that can't reach it keeps to what it saw lately; the book counts that off the others' share. Over the limit: 429 with the time at which a request of this cost fits. What didn't run is given back, what ran twice is charged twice. Tenants that aren't short cost nothing but some bytes in messages that are sent anyway.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -10,7 +10,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#define WB_ENDINGS_MAX 16
+#define WB_ENDINGS_MAX 24
 #define WB_LATENCY_BUCKETS 12
 
 /** A latency histogram; bounds are in edge_metrics.c. */
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -157,6 +157,7 @@
     wb_edge_node_tick_link(node, now_ms);
     wb_edge_node_tick_news(node, now_ms);
     wb_edge_node_tick_hearing(node, now_ms);
+    wb_edge_node_tick_quota(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.len > 0) {
@@ -178,6 +179,7 @@
     int64_t now_ms = wb_clock_ms();
     wb_upstreams_sweep(&node->edge, now_ms);
     wb_fleet_sweep(node->edge.fleet, now_ms);
+    wb_quota_gate_sweep(node->edge.quota, now_ms);
 }
 
 static void log_flush(void *context) {
@@ -198,6 +200,7 @@
                                           (GDestroyNotify)wb_retry_budget_free);
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->demand = wb_demand_create();
+    edge->quota = wb_quota_gate_create();
     wb_list_init(&edge->waiting);
     edge->node_count = 1;
     edge->open = g_hash_table_new(NULL, NULL);
@@ -207,7 +210,8 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    created->gateways = g_hash_table_new(NULL, NULL);
+    created->gateways = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    created->quota_book = wb_quota_book_create();
     created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     apr_status_t status = listeners_open(created, error);
     if (status != APR_SUCCESS)
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -10,6 +10,8 @@
 
 #include "control/controller.h"
 
+#include "quota/quota_book.h"
+
 #include "wickbridge/lease.h"
 #include "wickbridge/link.h"
 #include "wickbridge/table_watch.h"
@@ -42,7 +44,10 @@
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
     wb_link_counters_t link_counters;
-    GHashTable *gateways; /* set of wb_link_t, when this node is the controller */
+    GHashTable *gateways; /* wb_link_t -> name of the node behind it, "" until it told that; when
+                           * this node is the controller */
+    wb_quota_book_t *quota_book;
+    uint64_t quota_token; /* of the lease under which this node keeps the book; 0: it doesn't */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
@@ -105,6 +110,20 @@
 /** The reverse; texts are borrowed. */
 wb_lease_row_t wb_edge_node_lease_from_wire(const wb_wire_lease *wire);
 
+/* node_quota.c */
+/** Another configuration is in force. */
+void wb_edge_node_quota_limits(wb_edge_node_t *node);
+/** Put what tenants spent here into a message for the node that keeps the book. */
+void wb_edge_node_quota_report(wb_edge_node_t *node, wb_wire_demand *demand);
+/** A node has told what tenants spent there. */
+void wb_edge_node_quota_take_report(wb_edge_node_t *node, const wb_wire_demand *demand);
+/** A node that reports can't be reached any more. @param name "" or NULL when it never told it */
+void wb_edge_node_quota_lost(wb_edge_node_t *node, const char *name);
+/** The node that keeps the book has told which tenants are short. */
+void wb_edge_node_quota_take_shares(wb_edge_node_t *node, const wb_wire_quota *told);
+/** Keep the book while the lease names this node, and tell gateways. */
+void wb_edge_node_tick_quota(wb_edge_node_t *node, int64_t now_ms);
+
 /* node_links.c */
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
 void wb_edge_node_gateway_open(wb_link_t *link, void *context);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -19,6 +19,7 @@
 #include "wickbridge/edge_metrics.h"
 #include "edge/api_key.h"
 #include "edge/retry_budget.h"
+#include "quota/quota_gate.h"
 
 typedef struct wb_exchange_t wb_exchange_t;
 typedef struct wb_attempt_t wb_attempt_t;
@@ -70,6 +71,7 @@
     wb_catalog_t *catalog; /* NULL: none known yet */
     GHashTable *budgets;   /* service -> wb_retry_budget_t */
     wb_demand_t *demand;
+    wb_quota_gate_t *quota;
     wb_edge_metrics_t metrics;
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
     wb_list_t waiting;    /* exchanges that wait for an engine, oldest first */
@@ -106,9 +108,12 @@
     WB_ENDING_STOPPING,      /* it came too late in a planned stop */
     WB_ENDING_BAD_KEY,       /* it has no key that a tenant holds */
     WB_ENDING_KEY_UNCERTAIN, /* nobody holds its key in a configuration that may be old */
+    WB_ENDING_OVER_QUOTA,    /* its tenant's limit is spent */
     WB_ENDING_COUNT
 } wb_ending_t;
 
+G_STATIC_ASSERT(WB_ENDING_COUNT <= WB_ENDINGS_MAX);
+
 /** @return an ending's name in logs and metrics */
 const char *wb_ending_name(wb_ending_t ending);
 
@@ -143,6 +148,8 @@
     const wb_tenant_t *tenant; /* as of its arrival; of its catalog; NULL: none */
     wb_key_digest_t key;       /* of its tenant, when it has one */
     int rank;                  /* 0 is the most urgent: its tenant's, or else its route's */
+    double quota_cost;         /* that its tenant's limit was charged; 0: not admitted yet */
+    int64_t quota_retry_ms;    /* when the limit is spent: time until there may be room */
     GArray *parts;             /* of wb_prompt_part_t */
     int64_t prompt_tokens;
     int64_t began_ms;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -100,6 +100,7 @@
 wb_http_connection_t *wb_exchange_end(wb_exchange_t *exchange, wb_ending_t ending,
                                       unsigned status) {
     wb_exchange_leave_waiting(exchange);
+    wb_exchange_settle_quota(exchange);
     wb_exchange_note_end(exchange, ending, status);
     wb_http_connection_t *connection = exchange->connection;
     wb_http_connection_set_request(connection, NULL);
@@ -107,6 +108,10 @@
     return connection;
 }
 
+static void retry_after_write(char *headers, size_t size, int64_t after_ms) {
+    g_snprintf(headers, size, "Retry-After: %.2f\r\n", (double)after_ms / 1000.0);
+}
+
 /* Gives the final answer of this node's own. The promise "not run" is made only when that is known.
  */
 static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
@@ -115,10 +120,12 @@
         return;
     }
     char headers[64] = "";
+    if (status == 429) {
+        retry_after_write(headers, sizeof(headers), exchange->quota_retry_ms);
+    }
     if (status == 503) {
         int64_t come_back_ms = wb_exchange_come_back_ms(exchange);
-        g_snprintf(headers, sizeof(headers), "Retry-After: %.2f\r\n",
-                   (double)come_back_ms / 1000.0);
+        retry_after_write(headers, sizeof(headers), come_back_ms);
         /* Who decides on loads knows what waits; while nobody does, it must be kept for later. */
         if (ending == WB_ENDING_NOT_LOADED && wb_exchange_nobody_decides(exchange)) {
             wb_demand_promised(exchange->edge->demand, exchange,
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -1,7 +1,7 @@
 /**
  * @file exchange_inner.h
  * @brief What the files of a request share: exchange.c (sendings and answers), exchange_read.c,
- * exchange_wait.c, exchange_end.c.
+ * exchange_tenant.c, exchange_wait.c, exchange_end.c.
  */
 #ifndef WICKBRIDGE_EXCHANGE_INNER_H
 #define WICKBRIDGE_EXCHANGE_INNER_H
@@ -28,6 +28,14 @@
 /** @return the status of an ending that wb_exchange_read gives */
 unsigned wb_ending_status(wb_ending_t ending);
 
+/* exchange_tenant.c */
+/** Find tenant and rank. @return WB_ENDING_COUNT, or why the request can't be served */
+wb_ending_t wb_exchange_read_tenant(wb_exchange_t *exchange);
+/** Charge its tenant's limit for one run. @return FALSE when the limit is spent */
+gboolean wb_exchange_charge_quota(wb_exchange_t *exchange);
+/** It has ended: what it didn't run is given back, what it ran more often is charged. */
+void wb_exchange_settle_quota(const wb_exchange_t *exchange);
+
 /** Let it wait for an engine, as long as that has a use. */
 void wb_exchange_wait(wb_exchange_t *exchange);
 /** It no longer waits; does nothing when it doesn't. */
--- a/src/edge/exchange_read.c
+++ b/src/edge/exchange_read.c
@@ -74,39 +74,17 @@
            MIN(exchange->hold_until_ms, now_ms + STOP_SHORT_MS) > end_ms - STOP_RESERVE_MS;
 }
 
-/* Nobody holds the key. When this node may not know the newest configuration, the key may be a new
- * one: a caller must not be told that it is wrong, and its next try reaches another node. */
-static wb_ending_t unknown_key(const wb_edge_t *edge) {
-    if (edge->catalog_age_ms == NULL) {
-        return WB_ENDING_BAD_KEY;
-    }
-    gboolean fresh = edge->catalog_age_ms(edge->need_context) <= edge->settings.catalog_ms;
-    return fresh ? WB_ENDING_BAD_KEY : WB_ENDING_KEY_UNCERTAIN;
-}
-
-/* Finds the tenant. Returns WB_ENDING_COUNT, or why the request can't be served. */
-static wb_ending_t tenant_read(wb_exchange_t *exchange) {
-    const wb_edge_t *edge = exchange->edge;
-    const wb_route_t *route = exchange->route;
-    exchange->rank = route->rank;
-    if (exchange->catalog->tenants == NULL) {
-        return WB_ENDING_COUNT;
-    }
-    wb_api_key_t key = wb_api_key_read(exchange->head, edge->dialect);
-    if (key.state == WB_API_KEY_GIVEN) {
-        exchange->key = key.digest;
-        exchange->tenant = wb_tenants_of_key(exchange->catalog->tenants, &key.digest);
-    }
-    if (exchange->tenant != NULL) {
-        if (exchange->tenant->rank != WB_TENANT_NO_RANK) {
-            exchange->rank = exchange->tenant->rank;
-        }
+/* Finds model and adapter. Returns WB_ENDING_COUNT, or why the request can't be served. */
+static wb_ending_t model_find(wb_exchange_t *exchange) {
+    if (g_hash_table_size(exchange->service->models) == 0)
         return WB_ENDING_COUNT;
-    }
-    if (route->is_public) {
+    model_read(exchange);
+    if (exchange->model == NULL)
         return WB_ENDING_COUNT;
-    }
-    return key.state == WB_API_KEY_GIVEN ? unknown_key(edge) : WB_ENDING_BAD_KEY;
+    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
+    if (spec == NULL || !adapter_is_known(spec, exchange->adapter))
+        return WB_ENDING_UNKNOWN_MODEL;
+    return WB_ENDING_COUNT;
 }
 
 /* Finds route and service. Returns WB_ENDING_COUNT, or why the request can't be served. */
@@ -123,7 +101,7 @@
         return WB_ENDING_NO_ROUTE;
     exchange->route = route;
     deadline_read(exchange);
-    wb_ending_t ending = tenant_read(exchange);
+    wb_ending_t ending = wb_exchange_read_tenant(exchange);
     if (ending != WB_ENDING_COUNT)
         return ending;
     if (comes_too_late(exchange))
@@ -132,15 +110,10 @@
     exchange->service = service != NULL ? wb_catalog_service(edge->catalog, service) : NULL;
     if (exchange->service == NULL)
         return WB_ENDING_NO_ENGINE;
-    if (g_hash_table_size(exchange->service->models) == 0)
-        return WB_ENDING_COUNT;
-    model_read(exchange);
-    if (exchange->model == NULL)
-        return WB_ENDING_COUNT;
-    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
-    if (spec == NULL || !adapter_is_known(spec, exchange->adapter))
-        return WB_ENDING_UNKNOWN_MODEL;
-    return WB_ENDING_COUNT;
+    ending = model_find(exchange);
+    if (ending != WB_ENDING_COUNT)
+        return ending;
+    return wb_exchange_charge_quota(exchange) ? WB_ENDING_COUNT : WB_ENDING_OVER_QUOTA;
 }
 
 unsigned wb_ending_status(wb_ending_t ending) {
@@ -149,6 +122,8 @@
         return 400;
     case WB_ENDING_BAD_KEY:
         return 401;
+    case WB_ENDING_OVER_QUOTA:
+        return 429;
     case WB_ENDING_NO_ROUTE:
     case WB_ENDING_UNKNOWN_MODEL:
         return 404;
--- /dev/null
+++ b/src/edge/exchange_tenant.c
@@ -0,0 +1,83 @@
+/* A request's tenant: who its key belongs to, and what it takes of that tenant's limit. */
+#include "edge/exchange_inner.h"
+
+/* Nobody holds the key. When this node may not know the newest configuration, the key may be a new
+ * one: a caller must not be told that it is wrong, and its next try reaches another node. */
+static wb_ending_t unknown_key(const wb_edge_t *edge) {
+    if (edge->catalog_age_ms == NULL) {
+        return WB_ENDING_BAD_KEY;
+    }
+    gboolean fresh = edge->catalog_age_ms(edge->need_context) <= edge->settings.catalog_ms;
+    return fresh ? WB_ENDING_BAD_KEY : WB_ENDING_KEY_UNCERTAIN;
+}
+
+/* Finds the tenant. Returns WB_ENDING_COUNT, or why the request can't be served. */
+wb_ending_t wb_exchange_read_tenant(wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    const wb_route_t *route = exchange->route;
+    exchange->rank = route->rank;
+    if (exchange->catalog->tenants == NULL) {
+        return WB_ENDING_COUNT;
+    }
+    wb_api_key_t key = wb_api_key_read(exchange->head, edge->dialect);
+    if (key.state == WB_API_KEY_GIVEN) {
+        exchange->key = key.digest;
+        exchange->tenant = wb_tenants_of_key(exchange->catalog->tenants, &key.digest);
+    }
+    if (exchange->tenant != NULL) {
+        if (exchange->tenant->rank != WB_TENANT_NO_RANK) {
+            exchange->rank = exchange->tenant->rank;
+        }
+        return WB_ENDING_COUNT;
+    }
+    if (route->is_public) {
+        return WB_ENDING_COUNT;
+    }
+    return key.state == WB_API_KEY_GIVEN ? unknown_key(edge) : WB_ENDING_BAD_KEY;
+}
+
+/* Prompt tokens and most tokens out, together; -1 when the request names none. */
+static double tokens_named(const wb_exchange_t *exchange) {
+    const char *text = wb_http_head_get(exchange->head, exchange->edge->dialect->token_usage);
+    if (text == NULL || !g_ascii_isdigit(*text)) {
+        return -1;
+    }
+    char *end;
+    double tokens = (double)g_ascii_strtoull(text, &end, 10);
+    return *end == ',' ? tokens + (double)g_ascii_strtoull(end + 1, NULL, 10) : tokens;
+}
+
+static void spent_log(const wb_exchange_t *exchange, double cost,
+                      const wb_quota_verdict_t *verdict) {
+    int64_t age_ms = verdict->told_ms != 0 ? wb_clock_ms() - verdict->told_ms : -1;
+    wb_event("quota-spent",
+             ",\"id\":\"%s\",\"tenant\":\"%s\",\"cost\":%.0f,\"limit_per_s\":%.0f,"
+             "\"share\":%.3f,\"book_reached\":%s,\"share_age_ms\":%lld,\"retry_ms\":%lld",
+             wb_event_text(exchange->id), wb_event_text(exchange->tenant->name), cost,
+             exchange->tenant->rate_per_s, verdict->share, verdict->reached ? "true" : "false",
+             (long long)age_ms, (long long)verdict->retry_ms);
+}
+
+gboolean wb_exchange_charge_quota(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    if (exchange->tenant == NULL) {
+        return TRUE;
+    }
+    double cost = wb_tenant_cost(exchange->tenant, tokens_named(exchange));
+    wb_quota_verdict_t verdict =
+        wb_quota_gate_ask(edge->quota, exchange->tenant, cost, edge->node_count, wb_clock_ms());
+    if (verdict.admitted) {
+        exchange->quota_cost = cost;
+        return TRUE;
+    }
+    exchange->quota_retry_ms = verdict.retry_ms;
+    spent_log(exchange, cost, &verdict);
+    return FALSE;
+}
+
+void wb_exchange_settle_quota(const wb_exchange_t *exchange) {
+    if (exchange->quota_cost > 0 && exchange->runs != 1) {
+        wb_quota_gate_adjust(exchange->edge->quota, exchange->tenant->name,
+                             exchange->quota_cost * ((double)exchange->runs - 1));
+    }
+}
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -52,37 +52,47 @@
 }
 
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
-    g_hash_table_add(((wb_edge_node_t *)context)->gateways, link);
+    g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, g_strdup(""));
 }
 
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
-    (void)link;
     wb_edge_node_t *node = context;
-    if (message->kind == WB_WIRE_DEMAND)
-        wb_controller_take_demand(node->controller, &message->wb_wire_message_u.demand);
+    if (message->kind != WB_WIRE_DEMAND)
+        return;
+    const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
+    const char *name = g_hash_table_lookup(node->gateways, link);
+    if (name == NULL || strcmp(name, demand->node) != 0)
+        g_hash_table_replace(node->gateways, link, g_strdup(demand->node));
+    wb_controller_take_demand(node->controller, demand);
+    wb_edge_node_quota_take_report(node, demand);
 }
 
 void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context) {
     (void)reason;
-    g_hash_table_remove(((wb_edge_node_t *)context)->gateways, link);
+    wb_edge_node_t *node = context;
+    wb_edge_node_quota_lost(node, g_hash_table_lookup(node->gateways, link));
+    g_hash_table_remove(node->gateways, link);
 }
 
 void wb_edge_node_tell_demand(wb_edge_node_t *node) {
-    gboolean to_self = node->held;
+    gboolean to_self = node->held || node->quota_token != 0;
     if (!to_self && !node->controller_link_open)
         return;
     wb_wire_message message;
     wb_demand_message(node->edge.demand, node->edge.fleet, node->edge.settings.id, &message);
-    gboolean empty = message.wb_wire_message_u.demand.entries.entries_len == 0;
+    wb_wire_demand *demand = &message.wb_wire_message_u.demand;
+    wb_edge_node_quota_report(node, demand);
+    gboolean empty = demand->entries.entries_len == 0 && demand->tenants.tenants_len == 0;
     node->demand_told_ms = wb_clock_ms();
     if (empty && !node->demand_told) {
         wb_message_clear(&message);
         return;
     }
     node->demand_told = !empty;
-    if (to_self)
-        wb_controller_take_demand(node->controller, &message.wb_wire_message_u.demand);
-    else
+    if (to_self) {
+        wb_controller_take_demand(node->controller, demand);
+        wb_edge_node_quota_take_report(node, demand);
+    } else
         wb_link_send(node->controller_link, &message);
     wb_message_clear(&message);
 }
@@ -117,6 +127,8 @@
         news_take(context, &message->wb_wire_message_u.placement);
     else if (message->kind == WB_WIRE_LOAD_PLAN)
         plan_take(context, &message->wb_wire_message_u.load_plan);
+    else if (message->kind == WB_WIRE_QUOTA)
+        wb_edge_node_quota_take_shares(context, &message->wb_wire_message_u.quota);
     else if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_news(context, &message->wb_wire_message_u.store_news);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -58,6 +58,7 @@
                                catalog->limits.head_timeout_ms, catalog->limits.idle_timeout_ms};
     wb_http_listener_set_limits(node->callers, &limits);
     wb_controller_set_catalog(node->controller, catalog);
+    wb_edge_node_quota_limits(node);
     wb_event("catalog-in-force", ",\"version\":%lld,\"before\":%lld,\"routes\":%u,\"services\":%u",
              (long long)catalog->version, (long long)before, catalog->route_count,
              g_hash_table_size(catalog->services));
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -264,10 +264,19 @@
     unsigned int time_left_ms; /* of the tightest that waits */
 };
 
-/* All that a gateway has running or waiting; it replaces what the gateway said before. */
+/* What a gateway spent of a tenant's limit since its last message, in the limit's unit. */
+struct wb_wire_tenant_use {
+    wb_wire_name tenant;
+    unsigned hyper asked;
+    hyper admitted; /* negative: more was given back than admitted */
+};
+
+/* All that a gateway has running or waiting; it replaces what the gateway said before. What tenants
+ * spent is added to it. */
 struct wb_wire_demand {
     wb_wire_name node;
     wb_wire_demand_entry entries<WB_WIRE_LIST_MAX>;
+    wb_wire_tenant_use tenants<WB_WIRE_LIST_MAX>;
 };
 
 /* News from the placement controller: an engine holds a model or adapter, or is about to drop it. */
@@ -337,6 +346,17 @@
     wb_wire_load_plan_entry entries<WB_WIRE_LIST_MAX>;
 };
 
+/* A tenant that is short of its limit: gateways admit a share of its requests. */
+struct wb_wire_quota_entry {
+    wb_wire_name tenant;
+    unsigned int share_ppm; /* millionths of what is asked */
+};
+
+/* All tenants that are short; the others are not. */
+struct wb_wire_quota {
+    wb_wire_quota_entry tenants<WB_WIRE_LIST_MAX>;
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -358,7 +378,8 @@
     WB_WIRE_DEMAND = 18,
     WB_WIRE_PLACEMENT = 19,
     WB_WIRE_STORE_NEWS = 20,
-    WB_WIRE_LOAD_PLAN = 21
+    WB_WIRE_LOAD_PLAN = 21,
+    WB_WIRE_QUOTA = 22
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -404,4 +425,6 @@
     wb_wire_store_news store_news;
 case WB_WIRE_LOAD_PLAN:
     wb_wire_load_plan load_plan;
+case WB_WIRE_QUOTA:
+    wb_wire_quota quota;
 };
--- /dev/null
+++ b/src/quota/quota_book.h
@@ -0,0 +1,69 @@
+/**
+ * @file quota_book.h
+ * @brief What all gateways together spend of each tenant's limit, and which share of a tenant's
+ * requests they may admit.
+ *
+ * One node keeps the book: the one that gateways tell what is asked for. It has a token bucket a
+ * tenant, filled at the tenant's rate up to its burst, from which it takes what gateways say that
+ * they have admitted. A tenant whose bucket would run empty before gateways can be told again is
+ * **short**: gateways then admit the share of its requests that the bucket can bear. Tenants that
+ * are not short cost nothing but the gateways' reports.
+ *
+ * A node that can't be reached goes on at the rate of its last reports (quota_gate.h), so the book
+ * takes that much for it.
+ *
+ * A book starts with empty buckets: who kept it before may have given the bursts away. A tenant
+ * within its rate isn't refused for that.
+ *
+ * Pure: the time is passed in. What it doesn't do: sending, and admitting single requests.
+ */
+#ifndef WICKBRIDGE_QUOTA_BOOK_H
+#define WICKBRIDGE_QUOTA_BOOK_H
+
+#include "quota/quota_share.h"
+
+#include "wickbridge/tenant.h"
+
+typedef struct wb_quota_book_t wb_quota_book_t;
+
+/** What the book knows of a tenant, for operators. */
+typedef struct wb_quota_state_t {
+    double asked_per_s;
+    double admitted_per_s;
+    double assumed_per_s; /**< of nodes that can't be reached */
+    double level;
+    double share; /**< 1: not short */
+} wb_quota_state_t;
+
+wb_quota_book_t *wb_quota_book_create(void);
+void wb_quota_book_free(wb_quota_book_t *book);
+
+/** Take the limits of another configuration. @param tenants NULL: there are none */
+void wb_quota_book_set_tenants(wb_quota_book_t *book, const wb_tenants_t *tenants, int64_t now_ms);
+
+/**
+ * A node has told what was asked of it and what it admitted since it told that last.
+ * @param admitted may be negative: what was admitted before has not run
+ */
+void wb_quota_book_report(wb_quota_book_t *book, const char *node, const char *tenant, double asked,
+                          double admitted, int64_t now_ms);
+/** A node is reached (anew): nothing is assumed of it any more. */
+void wb_quota_book_node_reached(wb_quota_book_t *book, const char *node);
+/** A node can't be reached any more; it may go on. */
+void wb_quota_book_node_lost(wb_quota_book_t *book, const char *node, int64_t now_ms);
+/** Begin anew, with empty buckets: another node has kept the book meanwhile. */
+void wb_quota_book_clear(wb_quota_book_t *book, int64_t now_ms);
+
+/**
+ * Which tenants are short.
+ * @param changed set to TRUE when gateways should be told: something has changed, or what was told
+ * has to be repeated
+ * @return wb_quota_share_t of all tenants that are short, owned by the book, until the next call
+ */
+const GArray *wb_quota_book_shares(wb_quota_book_t *book, int64_t now_ms, gboolean *changed);
+
+/** @return FALSE when nothing is known of the tenant */
+gboolean wb_quota_book_state(const wb_quota_book_t *book, const char *tenant, int64_t now_ms,
+                             wb_quota_state_t *state);
+
+#endif
--- /dev/null
+++ b/src/quota/quota_gate.c
@@ -0,0 +1,220 @@
+/* Admits requests within their tenants' limits. */
+#include "quota/quota_gate.h"
+
+#include "quota/token_bucket.h"
+
+/* A gateway's own demand of a tenant is averaged over about so long: a tenth of a request a second
+ * is usual where 84 gateways share 368 requests a second of 16 tenants. */
+#define DEMAND_TIME_S 8.0
+#define RETRY_LEAST_MS 100
+/* The window that limits are counted over on the users' deployments; later than this the state is
+ * another one. */
+#define RETRY_MOST_MS 8000
+/* A tenant without requests for so long has no demand worth to remember. */
+#define ENTRY_LIFE_MS 60000
+
+typedef struct wb_gate_entry_t {
+    char *tenant;
+    wb_decayed_rate_t demand;
+    double asked;        /* since the last report */
+    double admitted;     /* since the last report */
+    double share;        /* 1: not short */
+    double share_before; /* as told before the last list */
+    double credit;       /* while it is short; what was admitted beyond its share is owed */
+    gboolean credit_begins;
+    wb_token_bucket_t own; /* while the book can't be reached */
+    double own_rate_per_s; /* as of when it could be reached last */
+    gboolean own_begins;
+    int64_t used_ms;
+} wb_gate_entry_t;
+
+struct wb_quota_gate_t {
+    GHashTable *entries; /* tenant -> wb_gate_entry_t */
+    gboolean reached;
+    int64_t told_ms;
+};
+
+static void entry_free(gpointer data) {
+    wb_gate_entry_t *entry = data;
+    g_free(entry->tenant);
+    g_free(entry);
+}
+
+wb_quota_gate_t *wb_quota_gate_create(void) {
+    wb_quota_gate_t *gate = g_new0(wb_quota_gate_t, 1);
+    gate->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
+    return gate;
+}
+
+void wb_quota_gate_free(wb_quota_gate_t *gate) {
+    g_hash_table_unref(gate->entries);
+    g_free(gate);
+}
+
+static wb_gate_entry_t *entry_get(wb_quota_gate_t *gate, const char *tenant) {
+    wb_gate_entry_t *entry = g_hash_table_lookup(gate->entries, tenant);
+    if (entry == NULL) {
+        entry = g_new0(wb_gate_entry_t, 1);
+        entry->tenant = g_strdup(tenant);
+        entry->share = 1;
+        entry->share_before = 1;
+        entry->own_begins = TRUE;
+        g_hash_table_insert(gate->entries, entry->tenant, entry);
+    }
+    return entry;
+}
+
+static int64_t retry_after(double missing, double gain_per_s) {
+    if (gain_per_s <= 0) {
+        return RETRY_MOST_MS;
+    }
+    return (int64_t)CLAMP(1000.0 * missing / gain_per_s, RETRY_LEAST_MS, RETRY_MOST_MS);
+}
+
+/* Requests are admitted one after the other, so that their costs add up to the share. The first
+ * is admitted by chance: that of many nodes would be too much otherwise. */
+static void ask_short(wb_gate_entry_t *entry, double cost, int64_t now_ms,
+                      wb_quota_verdict_t *verdict) {
+    if (entry->credit_begins) {
+        entry->credit_begins = FALSE;
+        entry->credit = -cost * g_random_double();
+    }
+    entry->credit += entry->share * cost;
+    verdict->admitted = entry->credit > 0;
+    if (verdict->admitted) {
+        entry->credit -= cost;
+        return;
+    }
+    double gain_per_s = entry->share * wb_decayed_rate_read(&entry->demand, DEMAND_TIME_S, now_ms);
+    verdict->retry_ms = retry_after(-entry->credit, gain_per_s);
+}
+
+/* What this node may spend by itself: set once when the book is lost, and for tenants that came
+ * later. */
+static void own_begin(wb_gate_entry_t *entry, const wb_tenant_t *tenant, unsigned nodes,
+                      double demand_per_s, double cost, int64_t now_ms) {
+    double equal_per_s = WB_QUOTA_UNREACHED_PART * tenant->rate_per_s / MAX(nodes, 1);
+    double usual_per_s =
+        entry->share < 1 ? entry->share * demand_per_s : WB_QUOTA_UNREACHED_TIMES * demand_per_s;
+    entry->own_rate_per_s = MAX(usual_per_s, entry->share * equal_per_s);
+    entry->own.at_ms = now_ms;
+    entry->own.level = entry->share < 1
+                           ? (entry->share - g_random_double()) * cost
+                           : MAX(WB_QUOTA_UNREACHED_DEPTH_S * entry->own_rate_per_s, 1);
+    entry->own_begins = FALSE;
+}
+
+static void ask_alone(wb_gate_entry_t *entry, double cost, int64_t now_ms,
+                      wb_quota_verdict_t *verdict) {
+    double depth = MAX(WB_QUOTA_UNREACHED_DEPTH_S * entry->own_rate_per_s, 1);
+    double level = wb_token_bucket_fill(&entry->own, entry->own_rate_per_s, depth, now_ms);
+    verdict->admitted = level > 0;
+    if (verdict->admitted) {
+        entry->own.level -= cost;
+        return;
+    }
+    verdict->retry_ms = retry_after(-level, entry->own_rate_per_s);
+}
+
+wb_quota_verdict_t wb_quota_gate_ask(wb_quota_gate_t *gate, const wb_tenant_t *tenant, double cost,
+                                     unsigned nodes, int64_t now_ms) {
+    wb_quota_verdict_t verdict = {
+        .admitted = TRUE, .share = 1, .reached = gate->reached, .told_ms = gate->told_ms};
+    if (tenant->rate_per_s <= 0) {
+        return verdict;
+    }
+    wb_gate_entry_t *entry = entry_get(gate, tenant->name);
+    double usual_per_s = wb_decayed_rate_read(&entry->demand, DEMAND_TIME_S, now_ms);
+    wb_decayed_rate_add(&entry->demand, cost, DEMAND_TIME_S, now_ms);
+    entry->used_ms = now_ms;
+    entry->asked += cost;
+    verdict.share = entry->share;
+    if (!gate->reached) {
+        if (entry->own_begins) {
+            own_begin(entry, tenant, nodes, usual_per_s, cost, now_ms);
+        }
+        ask_alone(entry, cost, now_ms, &verdict);
+    } else if (entry->share < 1) {
+        ask_short(entry, cost, now_ms, &verdict);
+    }
+    if (verdict.admitted) {
+        entry->admitted += cost;
+    }
+    return verdict;
+}
+
+void wb_quota_gate_adjust(wb_quota_gate_t *gate, const char *tenant, double cost) {
+    wb_gate_entry_t *entry = g_hash_table_lookup(gate->entries, tenant);
+    if (entry != NULL) {
+        entry->admitted += cost;
+        entry->own.level -= cost;
+    }
+}
+
+void wb_quota_gate_set_reached(wb_quota_gate_t *gate, gboolean reached) {
+    if (gate->reached == reached) {
+        return;
+    }
+    gate->reached = reached;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gate->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gate_entry_t *entry = value;
+        entry->own_begins = TRUE;
+        if (reached) {
+            /* The book has assumed what was spent meanwhile. */
+            entry->asked = 0;
+            entry->admitted = 0;
+        }
+    }
+}
+
+void wb_quota_gate_tell(wb_quota_gate_t *gate, const wb_quota_share_t *told, size_t count,
+                        int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer value;
+    gate->told_ms = now_ms;
+    g_hash_table_iter_init(&iter, gate->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gate_entry_t *entry = value;
+        entry->share_before = entry->share;
+        entry->share = 1;
+    }
+    for (size_t i = 0; i < count; i++) {
+        wb_gate_entry_t *entry = entry_get(gate, told[i].tenant);
+        entry->credit_begins |= entry->share_before >= 1;
+        entry->share = CLAMP(told[i].share, 0, 1);
+        entry->used_ms = now_ms;
+    }
+}
+
+GArray *wb_quota_gate_take_uses(wb_quota_gate_t *gate) {
+    GArray *uses = g_array_new(FALSE, FALSE, sizeof(wb_quota_use_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gate->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gate_entry_t *entry = value;
+        if (entry->asked == 0 && entry->admitted == 0) {
+            continue;
+        }
+        wb_quota_use_t use = {entry->tenant, entry->asked, entry->admitted};
+        g_array_append_val(uses, use);
+        entry->asked = 0;
+        entry->admitted = 0;
+    }
+    return uses;
+}
+
+void wb_quota_gate_sweep(wb_quota_gate_t *gate, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, gate->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_gate_entry_t *entry = value;
+        if (now_ms - entry->used_ms > ENTRY_LIFE_MS && entry->asked == 0 && entry->admitted == 0) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
--- /dev/null
+++ b/src/quota/quota_share.h
@@ -0,0 +1,22 @@
+/**
+ * @file quota_share.h
+ * @brief What the node that keeps the book tells gateways of a tenant that is short of its limit.
+ */
+#ifndef WICKBRIDGE_QUOTA_SHARE_H
+#define WICKBRIDGE_QUOTA_SHARE_H
+
+/** While the book can't be reached, a tenant that wasn't short may ask at a node for so many times
+ * what it asked for there lately: limits are that far and more above what is usual (1.8 times on
+ * the users' sheet), and single requests are large beside what one node sees. */
+#define WB_QUOTA_UNREACHED_TIMES 1.5
+/** Or this part of an equal share of its limit, if that is more. */
+#define WB_QUOTA_UNREACHED_PART 0.5
+/** Meanwhile its bucket at a node holds what it gets there in so long. */
+#define WB_QUOTA_UNREACHED_DEPTH_S 1.0
+
+typedef struct wb_quota_share_t {
+    const char *tenant; /**< borrowed */
+    double share;       /**< of what is asked that may be admitted, 0 to 1 */
+} wb_quota_share_t;
+
+#endif
--- a/tests/edge/test_tenants.c
+++ b/tests/edge/test_tenants.c
@@ -173,7 +173,95 @@
     estate_stop(estate);
 }
 
+#define LIMIT_PER_S 20
+#define LIMIT_BURST 10
+static const char limited_tenants[] =
+    "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\"],\"ratePerS\":20,\"burst\":10},"
+    "{\"name\":\"south\",\"apiKeys\":[\"k-south\"]}]";
+
+static const int all_nodes[] = {0, 1, 2};
+
+/* Asks for a while under a tenant's key, one node after the other, as fast as they answer. Returns
+ * how many were served; all others were refused with 429 and a time. */
+static int ask_for(const estate_t *estate, const int *nodes, int node_count, int seconds) {
+    wire_t *wires[ESTATE_NODES];
+    int served = 0;
+    int64_t until_ms = harness_now_ms() + seconds * 1000;
+    for (int i = 0; i < node_count; i++) {
+        wires[i] = wire_open(estate->nodes[nodes[i]].callers_port);
+    }
+    for (int i = 0; harness_now_ms() < until_ms; i++) {
+        g_autofree char *id = g_strdup_printf("q%d-%d", (int)(until_ms % 100000), i);
+        wire_post(wires[i % node_count], "/lock/x", id, EDGE_DEADLINE KEY("k-north-1"), "hello");
+        wire_answer_t *answer = wire_read(wires[i % node_count], 5000);
+        if (answer->status == 200) {
+            served++;
+        } else {
+            g_assert_cmpint(answer->status, ==, 429);
+            g_assert_nonnull(strstr(answer->head->str, "Retry-After: "));
+            g_usleep(4000);
+        }
+        wire_answer_free(answer);
+    }
+    for (int i = 0; i < node_count; i++) {
+        wire_close(wires[i]);
+    }
+    return served;
+}
+
+/* A tenant's limit holds over all nodes together, and other tenants are none the worse. */
+static void test_limit_over_all_nodes(void) {
+    estate_t *estate = tenants_start(2, limited_tenants);
+    estate_wait_controller(estate, 5000);
+    g_usleep(1000000);
+    int served = ask_for(estate, all_nodes, 2, 6);
+    g_test_message("served %d in 6 s", served);
+    g_assert_cmpint(served, <=, (int)(1.1 * (6 * LIMIT_PER_S + LIMIT_BURST)));
+    g_assert_cmpint(served, >=, (int)(0.85 * 6 * LIMIT_PER_S));
+    g_assert_cmpint(status_of(estate, 0, "/lock/x", "o1", EDGE_DEADLINE KEY("k-south")), ==, 200);
+    estate_stop(estate);
+}
+
+/* The node that keeps the book is killed while the tenant is at its limit: neither is the limit
+ * forgotten nor the tenant shut out. */
+static void test_limit_while_the_book_is_lost(void) {
+    estate_t *estate = tenants_start(3, limited_tenants);
+    int keeper = estate_wait_controller(estate, 5000);
+    g_assert_cmpint(keeper, >=, 0);
+    ask_for(estate, all_nodes, 3, 2);
+    process_kill(&estate->nodes[keeper].process);
+    const int others[] = {(keeper + 1) % 3, (keeper + 2) % 3};
+    int served = ask_for(estate, others, 2, 6);
+    g_test_message("served %d in 6 s", served);
+    g_assert_cmpint(served, <=, (int)(1.1 * (6 * LIMIT_PER_S + LIMIT_BURST)));
+    g_assert_cmpint(served, >=, (int)(0.5 * 6 * LIMIT_PER_S));
+    estate_stop(estate);
+}
+
+/* A limit that is lowered holds for what comes after, and one that is lifted ends. */
+static void test_limit_changes(void) {
+    estate_t *estate = tenants_start(2, limited_tenants);
+    estate_wait_controller(estate, 5000);
+    ask_for(estate, all_nodes, 2, 2);
+    estate->tenants =
+        "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\"],\"ratePerS\":5,\"burst\":5}]";
+    estate_configure(estate, NULL);
+    g_usleep(1500000);
+    int served = ask_for(estate, all_nodes, 2, 5);
+    g_test_message("served %d in 5 s", served);
+    g_assert_cmpint(served, <=, 33);
+    estate->tenants = "[{\"name\":\"north\",\"apiKeys\":[\"k-north-1\"],\"ratePerS\":0}]";
+    estate_configure(estate, NULL);
+    g_usleep(1500000);
+    g_assert_cmpint(ask_for(estate, all_nodes, 2, 1), >, 40);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/tenants/limit-over-all-nodes", test_limit_over_all_nodes);
+    g_test_add_func("/edge/tenants/limit-while-the-book-is-lost",
+                    test_limit_while_the_book_is_lost);
+    g_test_add_func("/edge/tenants/limit-changes", test_limit_changes);
     g_test_add_func("/edge/tenants/tenant-is-told-and-key-is-not",
                     test_tenant_is_told_and_key_is_not);
     g_test_add_func("/edge/tenants/bad-keys-are-refused", test_bad_keys_are_refused);
--- /dev/null
+++ b/tests/unit/test_quota_book.c
@@ -0,0 +1,118 @@
+/* The book finds out who is short; with the gates it keeps limits as one bucket would. */
+#include "unit.h"
+
+#include "fuzz/quota_sim.h"
+#include "quota/quota_book.h"
+
+#define SEEDS 4
+#define NODES 84
+
+static wb_tenants_t *one_tenant(double rate_per_s) {
+    wb_tenants_t *tenants = wb_tenants_create();
+    wb_tenant_t *tenant = wb_tenants_add(tenants, "north");
+    tenant->rate_per_s = rate_per_s;
+    tenant->burst = rate_per_s;
+    return tenants;
+}
+
+/* Reports so much a second for a while. Returns the share at the end, 1 when it isn't short. */
+static double report_for(wb_quota_book_t *book, double per_s, int64_t from_ms, int64_t for_ms) {
+    gboolean changed;
+    double share = 1;
+    for (int64_t now_ms = from_ms; now_ms < from_ms + for_ms; now_ms += 100) {
+        wb_quota_book_report(book, "node-1", "north", per_s / 10, share * per_s / 10, now_ms);
+        const GArray *shares = wb_quota_book_shares(book, now_ms, &changed);
+        share = shares->len > 0 ? g_array_index(shares, wb_quota_share_t, 0).share : 1;
+    }
+    return share;
+}
+
+static void test_short_or_not(void) {
+    wb_quota_book_t *book = wb_quota_book_create();
+    wb_tenants_t *tenants = one_tenant(10000);
+    wb_quota_book_set_tenants(book, tenants, 0);
+    g_assert_cmpfloat(report_for(book, 6000, 1000, 10000), ==, 1);
+    double share = report_for(book, 40000, 11000, 10000);
+    g_assert_cmpfloat(share, >, 0.24);
+    g_assert_cmpfloat(share, <, 0.26);
+    g_assert_cmpfloat(report_for(book, 6000, 21000, 10000), ==, 1);
+    wb_tenants_free(tenants);
+    wb_quota_book_free(book);
+}
+
+/* A tenant that leaves the configuration, or has no limit there, is no matter of the book. */
+static void test_limits_change(void) {
+    wb_quota_book_t *book = wb_quota_book_create();
+    wb_tenants_t *tenants = one_tenant(10000);
+    wb_quota_state_t state;
+    wb_quota_book_set_tenants(book, tenants, 0);
+    g_assert_true(wb_quota_book_state(book, "north", 0, &state));
+    wb_tenants_t *without = one_tenant(0);
+    wb_quota_book_set_tenants(book, without, 1000);
+    g_assert_false(wb_quota_book_state(book, "north", 1000, &state));
+    g_assert_cmpfloat(report_for(book, 1e9, 1000, 1000), ==, 1);
+    wb_quota_book_set_tenants(book, NULL, 3000);
+    wb_tenants_free(without);
+    wb_tenants_free(tenants);
+    wb_quota_book_free(book);
+}
+
+/* A node that is lost goes on: what it may spend is taken off the others' share. */
+static void test_lost_node_counts(void) {
+    wb_quota_book_t *book = wb_quota_book_create();
+    wb_tenants_t *tenants = one_tenant(10000);
+    wb_quota_state_t state;
+    wb_quota_book_set_tenants(book, tenants, 0);
+    for (int64_t now_ms = 0; now_ms < 10000; now_ms += 100) {
+        wb_quota_book_report(book, "node-2", "north", 400, 400, now_ms);
+    }
+    wb_quota_book_node_lost(book, "node-2", 10000);
+    report_for(book, 40000, 10000, 9000);
+    g_assert_true(wb_quota_book_state(book, "north", 19000, &state));
+    g_assert_cmpfloat(state.assumed_per_s, >=, 3500);
+    g_assert_cmpfloat(state.admitted_per_s, <, 5000);
+    wb_quota_book_node_reached(book, "node-2");
+    report_for(book, 40000, 19000, 20000);
+    g_assert_true(wb_quota_book_state(book, "north", 39000, &state));
+    g_assert_cmpfloat(state.assumed_per_s, ==, 0);
+    g_assert_cmpfloat(state.admitted_per_s, >, 9000);
+    wb_tenants_free(tenants);
+    wb_quota_book_free(book);
+}
+
+/* Gates and book before 84 gateways, against one bucket that sees each request. Bounds: 1 is what
+ * the users' rule allows; refused is the share of what the one bucket admits. */
+static void test_limits_hold_over_all_nodes(void) {
+    static const struct {
+        quota_trouble_t trouble;
+        double most_of_rule;
+        double refused;
+    } bounds[] = {
+        {QUOTA_CALM, 0.75, 0.001},          {QUOTA_HOT, 0.95, 0.005},
+        {QUOTA_HOT_SMALL, 0.95, 0.005},     {QUOTA_HOT_CUT, 1.0, 0.01},
+        {QUOTA_HOT_CUT_AFTER, 0.95, 0.01},  {QUOTA_HOT_CUT_MANY, 1.0, 0.02},
+        {QUOTA_HOT_TAKE_OVER, 0.95, 0.025}, {QUOTA_HOT_RESTART, 0.95, 0.01},
+        {QUOTA_LOWERED, 0.95, 0.005},       {QUOTA_CUT, 0.75, 0.01},
+        {QUOTA_TAKE_OVER, 0.75, 0.01},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++) {
+        for (unsigned seed = 1; seed <= SEEDS; seed++) {
+            quota_result_t result =
+                quota_sim_play(quota_way_shares, NODES, bounds[i].trouble, seed);
+            g_test_message("%s, seed %u: %.3f of the rule, %.4f refused",
+                           quota_trouble_name(bounds[i].trouble), seed, result.most_of_rule,
+                           result.refused);
+            g_assert_cmpfloat(result.most_of_rule, <=, bounds[i].most_of_rule);
+            g_assert_cmpfloat(result.refused, <=, bounds[i].refused);
+        }
+    }
+}
+
+static void tests_add(void) {
+    g_test_add_func("/quota-book/short-or-not", test_short_or_not);
+    g_test_add_func("/quota-book/limits-change", test_limits_change);
+    g_test_add_func("/quota-book/lost-node-counts", test_lost_node_counts);
+    g_test_add_func("/quota-book/limits-hold-over-all-nodes", test_limits_hold_over_all_nodes);
+}
+
+UNIT_TEST_MAIN(tests_add)
