Quotas: two books share a limit by their nodes; silence of a link counts at once

Change: a book that begins counts each known node as lost until it reports, at an equal part of each limit; a book whose node can't renew the lease counts every node that left it so. What was spent without a book isn't reported late: the book has assumed it. A link without a message for 1.2 s counts as lost on both sides, as a cut says nothing for 3 s. quota-share lines tell what decided; request-ended lines tell the cost.

Ruled out: a late onset (a tenant that asks 17 times its usual is short after 0.6 s, and the bucket's burst bears that); costs counted wrongly (runs and refunds add up in the lines).

Test: the simulation's two-deciding troubles in unit-quota-book; before the change the hot one was not kept.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -210,7 +210,7 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    created->gateways = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
     created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     apr_status_t status = listeners_open(created, error);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -22,6 +22,13 @@
     int64_t version;
 } wb_node_row_t;
 
+/* A gateway that reports to this node. */
+typedef struct wb_gateway_t {
+    char *name;       /* NULL until it told it */
+    int64_t heard_ms; /* when its last message came */
+    gboolean lost;    /* it hasn't been heard for too long, though the link stands */
+} wb_gateway_t;
+
 struct wb_edge_node_t {
     wb_edge_t edge;
     wb_table_t *table;
@@ -44,10 +51,13 @@
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
     wb_link_counters_t link_counters;
-    GHashTable *gateways; /* wb_link_t -> name of the node behind it, "" until it told that; when
-                           * this node is the controller */
+    GHashTable *gateways; /* wb_link_t -> wb_gateway_t, when this node is the controller */
     wb_quota_book_t *quota_book;
-    uint64_t quota_token; /* of the lease under which this node keeps the book; 0: it doesn't */
+    uint64_t quota_token;  /* of the lease under which this node keeps the book; 0: it doesn't */
+    int64_t quota_told_ms; /* when this node told shares last */
+    int64_t quota_logged_ms;
+    int64_t quota_heard_ms;    /* when it was told shares last */
+    int64_t quota_reported_ms; /* when it reported last, by itself or to another node */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
@@ -115,10 +125,13 @@
 void wb_edge_node_quota_limits(wb_edge_node_t *node);
 /** Put what tenants spent here into a message for the node that keeps the book. */
 void wb_edge_node_quota_report(wb_edge_node_t *node, wb_wire_demand *demand);
+/** @return TRUE when the node that keeps the book must hear from this one, whatever there is to
+ * tell */
+gboolean wb_edge_node_quota_report_due(const wb_edge_node_t *node, int64_t now_ms);
 /** A node has told what tenants spent there. */
 void wb_edge_node_quota_take_report(wb_edge_node_t *node, const wb_wire_demand *demand);
-/** A node that reports can't be reached any more. @param name "" or NULL when it never told it */
-void wb_edge_node_quota_lost(wb_edge_node_t *node, const char *name);
+/** A node that reports can't be reached any more. */
+void wb_edge_node_quota_lost(wb_edge_node_t *node, const wb_gateway_t *gateway);
 /** The node that keeps the book has told which tenants are short. */
 void wb_edge_node_quota_take_shares(wb_edge_node_t *node, const wb_wire_quota *told);
 /** Keep the book while the lease names this node, and tell gateways. */
@@ -126,6 +139,8 @@
 
 /* node_links.c */
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
+/** Frees a wb_gateway_t. */
+void wb_edge_node_gateway_free(gpointer data);
 void wb_edge_node_gateway_open(wb_link_t *link, void *context);
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context);
 void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context);
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -41,7 +41,8 @@
         ",\"id\":\"%s\",\"ending\":\"%s\",\"status\":%u,\"route\":\"%s\",\"service\":\"%s\","
         "\"model\":\"%s\",\"adapter\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,"
         "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"most_pause_ms\":%lld,"
-        "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\"",
+        "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\",\"quota_cost\":%."
+        "0f",
         wb_event_text(exchange->id), ending_names[ending], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_text(exchange->model),
@@ -51,5 +52,6 @@
         (long long)exchange->most_pause_ms, (long long)(exchange->deadline_ms - now_ms),
         exchange->catalog != NULL ? (long long)exchange->catalog->version : 0LL,
         exchange->answer_begun ? "true" : "false",
-        exchange->tenant != NULL ? wb_event_text(exchange->tenant->name) : "");
+        exchange->tenant != NULL ? wb_event_text(exchange->tenant->name) : "",
+        exchange->quota_cost);
 }
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -51,8 +51,16 @@
         news_take(node, &news->wb_wire_message_u.placement);
 }
 
+void wb_edge_node_gateway_free(gpointer data) {
+    wb_gateway_t *gateway = data;
+    g_free(gateway->name);
+    g_free(gateway);
+}
+
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
-    g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, g_strdup(""));
+    wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
+    gateway->heard_ms = wb_clock_ms();
+    g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, gateway);
 }
 
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
@@ -60,9 +68,11 @@
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
-    const char *name = g_hash_table_lookup(node->gateways, link);
-    if (name == NULL || strcmp(name, demand->node) != 0)
-        g_hash_table_replace(node->gateways, link, g_strdup(demand->node));
+    wb_gateway_t *gateway = g_hash_table_lookup(node->gateways, link);
+    if (gateway->name == NULL)
+        gateway->name = g_strdup(demand->node);
+    gateway->heard_ms = wb_clock_ms();
+    gateway->lost = FALSE;
     wb_controller_take_demand(node->controller, demand);
     wb_edge_node_quota_take_report(node, demand);
 }
@@ -81,14 +91,17 @@
     wb_wire_message message;
     wb_demand_message(node->edge.demand, node->edge.fleet, node->edge.settings.id, &message);
     wb_wire_demand *demand = &message.wb_wire_message_u.demand;
+    gboolean report_due = wb_edge_node_quota_report_due(node, wb_clock_ms());
     wb_edge_node_quota_report(node, demand);
-    gboolean empty = demand->entries.entries_len == 0 && demand->tenants.tenants_len == 0;
+    gboolean empty =
+        demand->entries.entries_len == 0 && demand->tenants.tenants_len == 0 && !report_due;
     node->demand_told_ms = wb_clock_ms();
     if (empty && !node->demand_told) {
         wb_message_clear(&message);
         return;
     }
     node->demand_told = !empty;
+    node->quota_reported_ms = node->demand_told_ms;
     if (to_self) {
         wb_controller_take_demand(node->controller, demand);
         wb_edge_node_quota_take_report(node, demand);
@@ -117,6 +130,7 @@
     node->controller_link_open = TRUE;
     node->demand_told = TRUE;
     node->link_opened_ms = wb_clock_ms();
+    wb_quota_gate_set_reached(node->edge.quota, TRUE);
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
     wb_edge_node_tell_demand(node);
 }
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -8,6 +8,13 @@
 #include <string.h>
 
 #define PPM 1e6
+/* Who keeps the book hears from each gateway at least each half second, and is heard as often, so
+ * that either side knows within two and a half times that when the other can't be reached: a cut
+ * link says nothing by itself for 3 s. */
+#define REPORT_MOST_MS 500
+#define TELL_MOST_MS 500
+#define UNHEARD_MS 1200
+#define LOG_INTERVAL_MS 1000
 
 /* Returns the token of the lease that names this node, or 0. */
 static uint64_t own_token(const wb_edge_node_t *node) {
@@ -44,12 +51,34 @@
     }
 }
 
-void wb_edge_node_quota_lost(wb_edge_node_t *node, const char *name) {
-    if (name != NULL && *name != '\0') {
-        wb_quota_book_node_lost(node->quota_book, name, wb_clock_ms());
+void wb_edge_node_quota_lost(wb_edge_node_t *node, const wb_gateway_t *gateway) {
+    if (gateway != NULL && gateway->name != NULL) {
+        wb_quota_book_node_lost(node->quota_book, gateway->name, wb_clock_ms());
     }
 }
 
+/* Gateways behind a cut say nothing, and their links stand for a while. */
+static void silent_check(wb_edge_node_t *node, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gateway_t *gateway = value;
+        if (!gateway->lost && now_ms - gateway->heard_ms > UNHEARD_MS) {
+            gateway->lost = TRUE;
+            wb_edge_node_quota_lost(node, gateway);
+        }
+    }
+}
+
+static gboolean has_tenants(const wb_edge_node_t *node) {
+    return node->edge.catalog != NULL && node->edge.catalog->tenants != NULL;
+}
+
+gboolean wb_edge_node_quota_report_due(const wb_edge_node_t *node, int64_t now_ms) {
+    return has_tenants(node) && now_ms - node->quota_reported_ms >= REPORT_MOST_MS;
+}
+
 void wb_edge_node_quota_take_shares(wb_edge_node_t *node, const wb_wire_quota *told) {
     g_autofree wb_quota_share_t *shares =
         g_new0(wb_quota_share_t, MAX(told->tenants.tenants_len, 1));
@@ -57,14 +86,25 @@
         const wb_wire_quota_entry *entry = &told->tenants.tenants_val[i];
         shares[i] = (wb_quota_share_t){entry->tenant, entry->share_ppm / PPM};
     }
-    wb_quota_gate_tell(node->edge.quota, shares, told->tenants.tenants_len, wb_clock_ms());
+    node->quota_heard_ms = wb_clock_ms();
+    wb_quota_gate_tell(node->edge.quota, shares, told->tenants.tenants_len, node->quota_heard_ms);
 }
 
-static void shares_log(const GArray *shares) {
+/* Writes what decided the shares, once a second while a tenant is short. */
+static void shares_log(wb_edge_node_t *node, const GArray *shares, int64_t now_ms) {
+    if (now_ms - node->quota_logged_ms < LOG_INTERVAL_MS) {
+        return;
+    }
     for (guint i = 0; i < shares->len; i++) {
         const wb_quota_share_t *share = &g_array_index(shares, wb_quota_share_t, i);
-        wb_event("quota-share", ",\"tenant\":\"%s\",\"share\":%.3f", wb_event_text(share->tenant),
-                 share->share);
+        wb_quota_state_t state = {0};
+        wb_quota_book_state(node->quota_book, share->tenant, now_ms, &state);
+        node->quota_logged_ms = now_ms;
+        wb_event("quota-share",
+                 ",\"tenant\":\"%s\",\"share\":%.3f,\"level\":%.0f,\"asked_per_s\":%.0f,"
+                 "\"admitted_per_s\":%.0f,\"assumed_per_s\":%.0f",
+                 wb_event_text(share->tenant), share->share, state.level, state.asked_per_s,
+                 state.admitted_per_s, state.assumed_per_s);
     }
 }
 
@@ -80,22 +120,44 @@
     told->tenants.tenants_val = entries;
     wb_edge_node_tell_gateways(node, &message);
     wb_edge_node_quota_take_shares(node, told);
-    shares_log(shares);
+    shares_log(node, shares, wb_clock_ms());
+}
+
+/* Whether this node can reach the book: it keeps it, or has heard from who does. */
+static gboolean book_is_reached(const wb_edge_node_t *node, int64_t now_ms) {
+    int64_t heard_ms = MAX(MAX(node->news_heard_ms, node->quota_heard_ms), node->link_opened_ms);
+    return node->quota_token != 0 || (node->controller_link_open && now_ms - heard_ms < UNHEARD_MS);
+}
+
+/* All nodes that the store told of may have reported to the book before this one. */
+static void book_begin(wb_edge_node_t *node, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer id;
+    wb_quota_book_clear(node->quota_book, now_ms);
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        wb_quota_book_expect(node->quota_book, id, now_ms);
+    }
 }
 
 void wb_edge_node_tick_quota(wb_edge_node_t *node, int64_t now_ms) {
     uint64_t token = own_token(node);
-    wb_quota_gate_set_reached(node->edge.quota, token != 0 || node->controller_link_open);
     if (token != node->quota_token) {
         node->quota_token = token;
-        wb_quota_book_clear(node->quota_book, now_ms);
+        book_begin(node, now_ms);
     }
-    if (token == 0) {
+    wb_quota_gate_set_reached(node->edge.quota, book_is_reached(node, now_ms));
+    if (token == 0 || !has_tenants(node)) {
         return;
     }
+    silent_check(node, now_ms);
+    wb_quota_book_set_sole(node->quota_book, node->held);
     gboolean changed;
     const GArray *shares = wb_quota_book_shares(node->quota_book, now_ms, &changed);
-    if (changed) {
+    /* While it may give orders, its other news show that it is there. */
+    gboolean due = !node->held && now_ms - node->quota_told_ms >= TELL_MOST_MS;
+    if (changed || due) {
+        node->quota_told_ms = now_ms;
         shares_tell(node, shares);
     }
 }
--- a/src/quota/quota_book.c
+++ b/src/quota/quota_book.c
@@ -16,9 +16,9 @@
 #define ASKED_TIME_S 1.0
 /* What a node admits is averaged over some seconds: single requests are large. */
 #define ADMITTED_TIME_S 4.0
-/* A node that isn't reached for so long is taken to be gone: freezes and cuts of machines last some
- * seconds, and what one spent before is out of the window that limits are counted over (8 s). */
-#define LOST_LIFE_MS 10000
+/* A node that isn't reached for so long is taken to be gone: cuts of machines last up to 12 s on
+ * the users' sheets, and what is taken for a machine that is gone matters to short tenants only. */
+#define LOST_LIFE_MS 20000
 /* Shares are told again after this time while a tenant is short, and sooner when one moves by a
  * tenth. */
 #define TELL_INTERVAL_MS 200
@@ -41,14 +41,17 @@
     GHashTable *admitted; /* tenant -> wb_decayed_rate_t */
     GHashTable *assumed;  /* tenant -> double *, units a second it may spend while it is lost */
     int64_t lost_ms;      /* when it was lost; 0: it is reached */
+    gboolean reported;    /* to this book */
 } wb_quota_node_t;
 
 struct wb_quota_book_t {
-    GHashTable *entries; /* tenant -> wb_quota_entry_t; only tenants with a limit */
-    GHashTable *nodes;   /* node -> wb_quota_node_t */
-    unsigned lost_count;
-    GArray *shares;   /* of wb_quota_share_t */
-    guint told_count; /* tenants that were short when shares were told last */
+    GHashTable *entries;    /* tenant -> wb_quota_entry_t; only tenants with a limit */
+    GHashTable *nodes;      /* node -> wb_quota_node_t */
+    unsigned lost_count;    /* of the nodes */
+    unsigned unheard_count; /* of those: that never reported to this book */
+    gboolean sole;          /* no other node keeps a book */
+    GArray *shares;         /* of wb_quota_share_t */
+    guint told_count;       /* tenants that were short when shares were told last */
     int64_t told_ms;
 };
 
@@ -70,6 +73,7 @@
     book->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, entry_free);
     book->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, node_free);
     book->shares = g_array_new(FALSE, FALSE, sizeof(wb_quota_share_t));
+    book->sole = TRUE;
     return book;
 }
 
@@ -147,6 +151,7 @@
     wb_decayed_rate_add(&entry->asked, asked, ASKED_TIME_S, now_ms);
     wb_decayed_rate_add(&entry->admitted, admitted, ADMITTED_TIME_S, now_ms);
     wb_quota_node_t *node = node_get(book, node_name);
+    node->reported = TRUE;
     wb_decayed_rate_t *rate = g_hash_table_lookup(node->admitted, tenant);
     if (rate == NULL) {
         rate = g_new0(wb_decayed_rate_t, 1);
@@ -161,6 +166,19 @@
         node->lost_ms = 0;
         book->lost_count--;
     }
+    node->reported = TRUE;
+}
+
+void wb_quota_book_expect(wb_quota_book_t *book, const char *name, int64_t now_ms) {
+    wb_quota_node_t *node = node_get(book, name);
+    if (!node->reported && node->lost_ms == 0) {
+        node->lost_ms = now_ms;
+        book->lost_count++;
+    }
+}
+
+void wb_quota_book_set_sole(wb_quota_book_t *book, gboolean sole) {
+    book->sole = sole;
 }
 
 /* What a node may spend of each tenant's limit without the book: see quota_gate.h. */
@@ -195,6 +213,7 @@
     gpointer value;
     g_hash_table_remove_all(book->nodes);
     book->lost_count = 0;
+    book->unheard_count = 0;
     book->told_count = 0;
     g_hash_table_iter_init(&iter, book->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -207,6 +226,22 @@
     }
 }
 
+/* Of nodes whose rates aren't known, or that may report to another book, an equal part of each
+ * limit is taken. */
+static void assume_equal_parts(wb_quota_book_t *book) {
+    unsigned unknown = book->sole ? book->unheard_count : book->lost_count;
+    double nodes = MAX(g_hash_table_size(book->nodes), 1);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, book->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_quota_entry_t *entry = value;
+        double part_per_s = entry->rate_per_s * unknown / nodes;
+        entry->assumed_per_s =
+            book->sole ? entry->assumed_per_s + part_per_s : MAX(entry->assumed_per_s, part_per_s);
+    }
+}
+
 /* Adds up what lost nodes may spend, as of when each was lost. */
 static void assumed_sum(wb_quota_book_t *book, int64_t now_ms) {
     GHashTableIter entries;
@@ -216,6 +251,7 @@
     while (g_hash_table_iter_next(&entries, NULL, &value)) {
         ((wb_quota_entry_t *)value)->assumed_per_s = 0;
     }
+    book->unheard_count = 0;
     if (book->lost_count == 0) {
         return;
     }
@@ -225,11 +261,12 @@
         if (node->lost_ms == 0) {
             continue;
         }
-        if (now_ms - node->lost_ms > LOST_LIFE_MS) {
+        if (book->sole && now_ms - node->lost_ms > LOST_LIFE_MS) {
             g_hash_table_iter_remove(&nodes);
             book->lost_count--;
             continue;
         }
+        book->unheard_count += !node->reported;
         GHashTableIter rates;
         gpointer tenant;
         gpointer per_s;
@@ -260,6 +297,7 @@
     gboolean moved = FALSE;
     g_array_set_size(book->shares, 0);
     assumed_sum(book, now_ms);
+    assume_equal_parts(book);
     g_hash_table_iter_init(&iter, book->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wb_quota_entry_t *entry = value;
--- a/src/quota/quota_book.h
+++ b/src/quota/quota_book.h
@@ -10,7 +10,9 @@
  * are not short cost nothing but the gateways' reports.
  *
  * A node that can't be reached goes on at the rate of its last reports (quota_gate.h), so the book
- * takes that much for it.
+ * takes that much for it. Of a node that never reported to this book, or while another node may
+ * keep a book too, it takes an equal part of each limit: two books then share each limit by the
+ * nodes that report to either.
  *
  * A book starts with empty buckets: who kept it before may have given the bursts away. A tenant
  * within its rate isn't refused for that.
@@ -51,6 +53,10 @@
 void wb_quota_book_node_reached(wb_quota_book_t *book, const char *node);
 /** A node can't be reached any more; it may go on. */
 void wb_quota_book_node_lost(wb_quota_book_t *book, const char *node, int64_t now_ms);
+/** A node is known to be there: unless it reports, it counts as lost. */
+void wb_quota_book_expect(wb_quota_book_t *book, const char *node, int64_t now_ms);
+/** Whether this is surely the only book; when it isn't, others may report to another one. */
+void wb_quota_book_set_sole(wb_quota_book_t *book, gboolean sole);
 /** Begin anew, with empty buckets: another node has kept the book meanwhile. */
 void wb_quota_book_clear(wb_quota_book_t *book, int64_t now_ms);
 
--- a/tests/fuzz/quota_sim.c
+++ b/tests/fuzz/quota_sim.c
@@ -14,6 +14,8 @@
 #define LIMIT_TIMES 1.8
 #define HOT_TIMES 7.5
 #define WINDOW_S 8
+/* Refused requests come back once after so long, as the users' clients do. */
+#define RETRY_STEPS 40
 #define OVERAGE 0.1
 #define SLACK 110000.0
 #define STEP_MS 10
@@ -28,10 +30,12 @@
                                                   "hot, a sixth cut before",
                                                   "hot, a sixth cut after",
                                                   "hot, a third cut before",
+                                                  "hot, two deciding",
                                                   "hot, take-over",
                                                   "hot, all restarted",
                                                   "limit lowered",
                                                   "a sixth cut",
+                                                  "two deciding",
                                                   "take-over"};
 
 const char *quota_trouble_name(quota_trouble_t trouble) {
@@ -55,9 +59,17 @@
     GRand *random;
     int nodes;
     quota_trouble_t trouble;
-    gboolean down; /* all nodes are */
+    gboolean down;   /* all nodes are */
+    GArray *retries; /* of retry_t, oldest first */
+    guint retried;   /* of them */
 } play_t;
 
+typedef struct retry_t {
+    int tenant;
+    int step;
+    double cost;
+} retry_t;
+
 static double cost_draw(GRand *random) {
     double kind = g_rand_double(random);
     /* A long tail: the logarithm is spread evenly enough for our purpose. */
@@ -114,15 +126,15 @@
     return hot ? HOT_TIMES * usual : usual;
 }
 
-static void request_play(play_t *play, int tenant, int step) {
+static void request_play(play_t *play, int tenant, double cost, gboolean is_retry, int step) {
     tenant_play_t *one = &play->plays[tenant];
     int64_t now_ms = 1000000 + step * STEP_MS;
-    double cost = cost_draw(play->random);
     /* Clients keep to some nodes, so demand is uneven: the square crowds it. */
     double place = g_rand_double(play->random);
     int node = (int)(place * place * play->nodes);
     wb_token_bucket_fill(&one->oracle, one->tenant->rate_per_s, one->tenant->burst, now_ms);
-    gboolean owed = one->oracle.level > 0;
+    /* Nobody would have come back to the oracle, which admits all that it ever will at once. */
+    gboolean owed = !is_retry && one->oracle.level > 0;
     if (play->down) {
         return;
     }
@@ -134,6 +146,19 @@
     if (admitted) {
         one->admitted[step] += cost;
         one->admitted_sum += cost;
+    } else if (!is_retry) {
+        retry_t retry = {tenant, step + RETRY_STEPS, cost};
+        g_array_append_val(play->retries, retry);
+    }
+}
+
+static void retries_play(play_t *play, int step) {
+    for (; play->retried < play->retries->len; play->retried++) {
+        const retry_t retry = g_array_index(play->retries, retry_t, play->retried);
+        if (retry.step > step) {
+            break;
+        }
+        request_play(play, retry.tenant, retry.cost, TRUE, step);
     }
 }
 
@@ -164,6 +189,12 @@
             nodes_cut(play, ends, now_ms);
         }
         break;
+    case QUOTA_SPLIT:
+    case QUOTA_HOT_SPLIT:
+        if (begins || ends) {
+            play->way->split(play->way, begins, now_ms);
+        }
+        break;
     case QUOTA_TAKE_OVER:
     case QUOTA_HOT_TAKE_OVER:
         if (after) {
@@ -239,16 +270,18 @@
     g_random_set_seed(seed);
     tenants_make(&play);
     play.way = create(nodes, play.tenants);
+    play.retries = g_array_new(FALSE, FALSE, sizeof(retry_t));
     for (int step = 0; step < PLAY_S * STEPS_PER_S; step++) {
         int64_t now_ms = 1000000 + step * STEP_MS;
         trouble_play(&play, step);
         for (int i = 0; i < TENANTS; i++) {
             double expected = requests_per_s(&play, i, (double)step / STEPS_PER_S) / STEPS_PER_S;
             while (g_rand_double(play.random) < expected) {
-                request_play(&play, i, step);
+                request_play(&play, i, cost_draw(play.random), FALSE, step);
                 expected -= 1;
             }
         }
+        retries_play(&play, step);
         if (!play.down) {
             play.way->tick(play.way, now_ms);
         }
@@ -259,6 +292,7 @@
         g_free(play.plays[i].admitted);
     }
     wb_tenants_free(play.tenants);
+    g_array_unref(play.retries);
     g_rand_free(play.random);
     return result;
 }
--- a/tests/fuzz/quota_sim.h
+++ b/tests/fuzz/quota_sim.h
@@ -21,6 +21,9 @@
     void (*set_reached)(quota_way_t *way, int node, gboolean reached, int64_t now_ms);
     /** The one that decides is gone; another that knows nothing takes its place. */
     void (*take_over)(quota_way_t *way, int64_t now_ms);
+    /** The one that decides is cut off with a third of the nodes, for which it goes on to decide;
+     * another begins for the others. Or that is over: the other one decides for all. */
+    void (*split)(quota_way_t *way, gboolean begins, int64_t now_ms);
     void (*restart)(quota_way_t *way, int node, int64_t now_ms); /**< a node forgets all */
     void (*destroy)(quota_way_t *way);
 };
@@ -37,10 +40,12 @@
     QUOTA_HOT_CUT,       /**< and a sixth of the nodes is cut off a second before */
     QUOTA_HOT_CUT_AFTER, /**< and a sixth of the nodes is cut off while it does */
     QUOTA_HOT_CUT_MANY,  /**< and a third of the nodes is cut off a second before */
+    QUOTA_HOT_SPLIT,     /**< and a second one decides for two thirds of the nodes */
     QUOTA_HOT_TAKE_OVER, /**< and the one that decides is gone for 3 s while it does */
     QUOTA_HOT_RESTART,   /**< and all nodes are killed and come back after 1 s */
     QUOTA_LOWERED,       /**< the largest tenant's limit falls to a fifth */
     QUOTA_CUT,           /**< a sixth of the nodes is cut off; all ask as usual */
+    QUOTA_SPLIT,         /**< a second one decides for two thirds of the nodes; all as usual */
     QUOTA_TAKE_OVER,     /**< the one that decides is gone for 3 s; all ask as usual */
     QUOTA_TROUBLES
 } quota_trouble_t;
--- a/tests/fuzz/quota_ways.c
+++ b/tests/fuzz/quota_ways.c
@@ -76,6 +76,12 @@
     (void)now_ms;
 }
 
+static void nothing_split(quota_way_t *way, gboolean begins, int64_t now_ms) {
+    (void)way;
+    (void)begins;
+    (void)now_ms;
+}
+
 static void equal_restart(quota_way_t *way, int node, int64_t now_ms) {
     (void)now_ms;
     g_hash_table_remove_all(((equal_t *)way)->buckets[node]);
@@ -90,8 +96,9 @@
 quota_way_t *quota_way_equal(int nodes, const wb_tenants_t *tenants) {
     (void)tenants;
     equal_t *equal = g_new0(equal_t, 1);
-    equal->way = (quota_way_t){"equal",         equal_ask,    nothing_tick,  nothing_limits,
-                               nothing_reached, nothing_tick, equal_restart, equal_destroy};
+    equal->way =
+        (quota_way_t){"equal",      equal_ask,     nothing_tick,  nothing_limits, nothing_reached,
+                      nothing_tick, nothing_split, equal_restart, equal_destroy};
     equal->nodes = nodes;
     equal->buckets = tables_make(nodes);
     return &equal->way;
@@ -110,8 +117,13 @@
     GHashTable **balances; /* by node: tenant -> wb_token_bucket_t, whose level is a balance */
     GHashTable **alone;    /* by node, while it can't reach the accountant */
     gboolean knows_nothing;
+    GHashTable *second; /* accounts for the nodes that are not cut off; NULL: no split */
 } lots_t;
 
+static gboolean is_cut(int node) {
+    return node % 3 == 0;
+}
+
 static gboolean lots_ask(quota_way_t *way, int node, const wb_tenant_t *tenant, double cost,
                          int64_t now_ms) {
     lots_t *lots = (lots_t *)way;
@@ -126,7 +138,8 @@
                            equal_per_s, cost, now_ms);
     }
     double first = lots->knows_nothing ? 0 : tenant->burst;
-    wb_token_bucket_t *account = bucket_of(lots->accounts, tenant, first, now_ms);
+    GHashTable *accounts = lots->second != NULL && !is_cut(node) ? lots->second : lots->accounts;
+    wb_token_bucket_t *account = bucket_of(accounts, tenant, first, now_ms);
     double lot = MAX(cost - balance->level, LOT_S * equal_per_s);
     if (!bucket_take(account, tenant->rate_per_s, tenant->burst, lot, now_ms)) {
         return FALSE;
@@ -149,6 +162,19 @@
     g_hash_table_remove_all(lots->accounts);
 }
 
+static void lots_split(quota_way_t *way, gboolean begins, int64_t now_ms) {
+    (void)now_ms;
+    lots_t *lots = (lots_t *)way;
+    lots->knows_nothing = TRUE;
+    if (begins) {
+        lots->second = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    } else {
+        g_hash_table_unref(lots->accounts);
+        lots->accounts = lots->second;
+        lots->second = NULL;
+    }
+}
+
 static void lots_restart(quota_way_t *way, int node, int64_t now_ms) {
     (void)now_ms;
     g_hash_table_remove_all(((lots_t *)way)->balances[node]);
@@ -166,8 +192,9 @@
 quota_way_t *quota_way_lots(int nodes, const wb_tenants_t *tenants) {
     (void)tenants;
     lots_t *lots = g_new0(lots_t, 1);
-    lots->way = (quota_way_t){"lots",           lots_ask,       nothing_tick, nothing_limits,
-                              lots_set_reached, lots_take_over, lots_restart, lots_destroy};
+    lots->way =
+        (quota_way_t){"lots",         lots_ask,   nothing_tick, nothing_limits, lots_set_reached,
+                      lots_take_over, lots_split, lots_restart, lots_destroy};
     lots->nodes = nodes;
     lots->reached = g_new0(gboolean, nodes);
     for (int i = 0; i < nodes; i++) {
@@ -189,11 +216,18 @@
     int nodes;
     gboolean *reached;
     wb_quota_gate_t **gates;
+    const wb_tenants_t *tenants;
     wb_quota_book_t *book;
-    GArray *told; /* of wb_quota_share_t, on its way since the last tick */
-    gboolean telling;
+    wb_quota_book_t *second; /* for the nodes that are not cut off; NULL: no split */
+    GArray *told[2];         /* of wb_quota_share_t, by book, on their way since the last tick */
+    gboolean telling[2];
 } shares_t;
 
+/* Which book a node reports to. */
+static int book_of(const shares_t *shares, int node) {
+    return shares->second != NULL && !is_cut(node);
+}
+
 static gboolean shares_ask(quota_way_t *way, int node, const wb_tenant_t *tenant, double cost,
                            int64_t now_ms) {
     shares_t *shares = (shares_t *)way;
@@ -206,11 +240,18 @@
     GArray *uses = wb_quota_gate_take_uses(shares->gates[node]);
     for (guint i = 0; i < uses->len; i++) {
         const wb_quota_use_t *use = &g_array_index(uses, wb_quota_use_t, i);
-        wb_quota_book_report(shares->book, name, use->tenant, use->asked, use->admitted, now_ms);
+        wb_quota_book_t *book = book_of(shares, node) ? shares->second : shares->book;
+        wb_quota_book_report(book, name, use->tenant, use->asked, use->admitted, now_ms);
     }
     g_array_unref(uses);
 }
 
+static void book_tick(wb_quota_book_t *book, GArray *told, int64_t now_ms, gboolean *telling) {
+    const GArray *shares = wb_quota_book_shares(book, now_ms, telling);
+    g_array_set_size(told, 0);
+    g_array_append_vals(told, shares->data, shares->len);
+}
+
 static void shares_tick(quota_way_t *way, int64_t now_ms) {
     shares_t *shares = (shares_t *)way;
     for (int i = 0; i < shares->nodes; i++) {
@@ -220,19 +261,22 @@
         if ((now_ms + i * 10) % REPORT_MS == 0) {
             node_report(shares, i, now_ms);
         }
-        if (shares->telling) {
+        int book = book_of(shares, i);
+        if (shares->telling[book]) {
             wb_quota_gate_tell(shares->gates[i],
-                               (const wb_quota_share_t *)(void *)shares->told->data,
-                               shares->told->len, now_ms);
+                               (const wb_quota_share_t *)(void *)shares->told[book]->data,
+                               shares->told[book]->len, now_ms);
         }
     }
-    shares->telling = FALSE;
+    shares->telling[0] = FALSE;
+    shares->telling[1] = FALSE;
     if (now_ms % BOOK_TICK_MS != 0) {
         return;
     }
-    const GArray *told = wb_quota_book_shares(shares->book, now_ms, &shares->telling);
-    g_array_set_size(shares->told, 0);
-    g_array_append_vals(shares->told, told->data, told->len);
+    book_tick(shares->book, shares->told[0], now_ms, &shares->telling[0]);
+    if (shares->second != NULL) {
+        book_tick(shares->second, shares->told[1], now_ms, &shares->telling[1]);
+    }
 }
 
 static void shares_set_limits(quota_way_t *way, const wb_tenants_t *tenants, int64_t now_ms) {
@@ -255,6 +299,35 @@
     wb_quota_book_clear(((shares_t *)way)->book, now_ms);
 }
 
+static void nodes_report_to_second(shares_t *shares, gboolean cut_ones, int64_t now_ms) {
+    for (int i = 0; i < shares->nodes; i++) {
+        g_autofree char *name = g_strdup_printf("node-%d", i);
+        if (is_cut(i) == cut_ones) {
+            wb_quota_book_node_reached(shares->second, name);
+            wb_quota_book_node_lost(shares->book, name, now_ms);
+        }
+    }
+}
+
+static void shares_split(quota_way_t *way, gboolean begins, int64_t now_ms) {
+    shares_t *shares = (shares_t *)way;
+    if (!begins) {
+        nodes_report_to_second(shares, TRUE, now_ms);
+        wb_quota_book_free(shares->book);
+        shares->book = shares->second;
+        shares->second = NULL;
+        return;
+    }
+    shares->second = wb_quota_book_create();
+    wb_quota_book_set_tenants(shares->second, shares->tenants, now_ms);
+    for (int i = 0; i < shares->nodes; i++) {
+        g_autofree char *name = g_strdup_printf("node-%d", i);
+        wb_quota_book_expect(shares->second, name, now_ms);
+    }
+    wb_quota_book_set_sole(shares->book, FALSE);
+    nodes_report_to_second(shares, FALSE, now_ms);
+}
+
 static void shares_restart(quota_way_t *way, int node, int64_t now_ms) {
     (void)now_ms;
     shares_t *shares = (shares_t *)way;
@@ -269,7 +342,8 @@
         wb_quota_gate_free(shares->gates[i]);
     }
     wb_quota_book_free(shares->book);
-    g_array_unref(shares->told);
+    g_array_unref(shares->told[0]);
+    g_array_unref(shares->told[1]);
     g_free(shares->gates);
     g_free(shares->reached);
     g_free(shares);
@@ -277,14 +351,16 @@
 
 quota_way_t *quota_way_shares(int nodes, const wb_tenants_t *tenants) {
     shares_t *shares = g_new0(shares_t, 1);
-    shares->way =
-        (quota_way_t){"shares",           shares_ask,       shares_tick,    shares_set_limits,
-                      shares_set_reached, shares_take_over, shares_restart, shares_destroy};
+    shares->way = (quota_way_t){"shares",          shares_ask,         shares_tick,
+                                shares_set_limits, shares_set_reached, shares_take_over,
+                                shares_split,      shares_restart,     shares_destroy};
     shares->nodes = nodes;
     shares->reached = g_new0(gboolean, nodes);
     shares->gates = g_new0(wb_quota_gate_t *, nodes);
     shares->book = wb_quota_book_create();
-    shares->told = g_array_new(FALSE, FALSE, sizeof(wb_quota_share_t));
+    shares->tenants = tenants;
+    shares->told[0] = g_array_new(FALSE, FALSE, sizeof(wb_quota_share_t));
+    shares->told[1] = g_array_new(FALSE, FALSE, sizeof(wb_quota_share_t));
     wb_quota_book_set_tenants(shares->book, tenants, 0);
     for (int i = 0; i < nodes; i++) {
         shares->reached[i] = TRUE;
--- a/tests/unit/test_quota_book.c
+++ b/tests/unit/test_quota_book.c
@@ -91,6 +91,7 @@
         {QUOTA_CALM, 0.75, 0.001},          {QUOTA_HOT, 0.95, 0.005},
         {QUOTA_HOT_SMALL, 0.95, 0.005},     {QUOTA_HOT_CUT, 1.0, 0.01},
         {QUOTA_HOT_CUT_AFTER, 0.95, 0.01},  {QUOTA_HOT_CUT_MANY, 1.0, 0.02},
+        {QUOTA_HOT_SPLIT, 1.0, 0.03},       {QUOTA_SPLIT, 0.8, 0.02},
         {QUOTA_HOT_TAKE_OVER, 0.95, 0.025}, {QUOTA_HOT_RESTART, 0.95, 0.01},
         {QUOTA_LOWERED, 0.95, 0.005},       {QUOTA_CUT, 0.75, 0.01},
         {QUOTA_TAKE_OVER, 0.75, 0.01},
