Let the lease's holder announce itself to nodes that don't report to it

Cause: a node learns from the store who holds the lease.

Ruled out: the lease's row through other gateways, which have no links to one another.

Tests: /edge/cut-off/from-store-while-the-controller-changes and /edge/cut-off/controller-and-another-from-store, both failing before (503) and passing after.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -158,6 +158,7 @@
     wb_edge_node_tick_news(node, now_ms);
     wb_edge_node_tick_hearing(node, now_ms);
     wb_edge_node_tick_quota(node, now_ms);
+    wb_edge_node_tick_announce(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
     if (node->edge.waiting.len > 0) {
@@ -209,7 +210,8 @@
     edge->controller_view = wb_edge_node_controller_view;
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
-    created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
+    created->announcements = wb_edge_node_announcements_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
     created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -20,8 +20,11 @@
 typedef struct wb_node_row_t {
     int64_t seen_ms; /* when its row last changed */
     int64_t version;
+    char *address; /* where other nodes reach it; NULL when the row doesn't tell */
 } wb_node_row_t;
 
+typedef struct wb_announcement_t wb_announcement_t;
+
 /* A gateway that reports to this node. */
 typedef struct wb_gateway_t {
     char *name;       /* NULL until it told it */
@@ -51,7 +54,8 @@
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
     wb_link_counters_t link_counters;
-    GHashTable *gateways; /* wb_link_t -> wb_gateway_t, when this node is the controller */
+    GHashTable *gateways;      /* wb_link_t -> wb_gateway_t, when this node is the controller */
+    GHashTable *announcements; /* id of a node that doesn't report -> wb_announcement_t */
     wb_quota_book_t *quota_book;
     uint64_t quota_token;  /* of the lease under which this node keeps the book; 0: it doesn't */
     int64_t quota_told_ms; /* when this node told shares last */
@@ -95,6 +99,8 @@
 #define WB_LEASE_KEY "controller"
 
 /* node_store.c */
+/** Frees a wb_node_row_t. */
+void wb_edge_node_row_free(gpointer data);
 /** Time since this node knew the newest configuration, by its own reading or the holder's. @param
  * context the node */
 int64_t wb_edge_node_catalog_age_ms(void *context);
@@ -119,6 +125,13 @@
 wb_wire_lease wb_edge_node_lease_to_wire(const wb_lease_row_t *row);
 /** The reverse; texts are borrowed. */
 wb_lease_row_t wb_edge_node_lease_from_wire(const wb_wire_lease *wire);
+/** Without the lists of engines: who takes the lease over reads them in the store. */
+wb_lease_row_t wb_edge_node_lease_in_short(const wb_lease_row_t *row);
+
+/* node_announce.c */
+GHashTable *wb_edge_node_announcements_create(void);
+/** While this node holds the lease: tell nodes so that don't report to it. */
+void wb_edge_node_tick_announce(wb_edge_node_t *node, int64_t now_ms);
 
 /* node_quota.c */
 /** Another configuration is in force. */
@@ -174,6 +187,8 @@
 /** Tell gateways what is due, if this node holds the lease. */
 void wb_edge_node_tick_news(wb_edge_node_t *node, int64_t now_ms);
 void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news);
+/** Another node holds the lease, and says so on a link of its own. */
+void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_news *news);
 /** @return TRUE while the holder tells this node what it reads, or this node is the holder */
 gboolean wb_edge_node_hears_news(const wb_edge_node_t *node);
 /** Send a message on every link from a gateway that reads what it is sent. */
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -86,6 +86,14 @@
                             .inherited_count = wire->inherited.inherited_len};
 }
 
+wb_lease_row_t wb_edge_node_lease_in_short(const wb_lease_row_t *row) {
+    wb_lease_row_t in_short = *row;
+    in_short.grants_known = FALSE;
+    in_short.granted_count = 0;
+    in_short.inherited_count = 0;
+    return in_short;
+}
+
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
     g_autofree char *bytes = g_malloc(ROW_BYTES);
     wb_wire_lease wire = wb_edge_node_lease_to_wire(row);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -65,6 +65,8 @@
 
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     wb_edge_node_t *node = context;
+    if (message->kind == WB_WIRE_STORE_NEWS)
+        wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_news);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -168,11 +168,7 @@
     wb_wire_store_news *news = &message.wb_wire_message_u.store_news;
     news->views.views_len = G_N_ELEMENTS(views);
     news->views.views_val = views;
-    /* Who takes the lease over reads the row itself: without its lists the news stay short. */
-    wb_lease_row_t in_short = *lease;
-    in_short.grants_known = FALSE;
-    in_short.granted_count = 0;
-    in_short.inherited_count = 0;
+    wb_lease_row_t in_short = wb_edge_node_lease_in_short(lease);
     news->lease = wb_edge_node_lease_to_wire(&in_short);
     news->lease_version = (uint64_t)wb_lease_version(node->lease);
     news->rows.rows_len = node->news_rows->len;
@@ -231,11 +227,15 @@
         wb_table_watch_take(watch, &row);
 }
 
+void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_news *news) {
+    wb_lease_row_t lease = wb_edge_node_lease_from_wire(&news->lease);
+    wb_lease_on_row(node->lease, &lease, (int64_t)news->lease_version, wb_clock_ms());
+}
+
 void wb_edge_node_take_news(wb_edge_node_t *node, const wb_wire_store_news *news) {
     int64_t now_ms = wb_clock_ms();
     node->news_heard_ms = now_ms;
-    wb_lease_row_t lease = wb_edge_node_lease_from_wire(&news->lease);
-    wb_lease_on_row(node->lease, &lease, (int64_t)news->lease_version, now_ms);
+    wb_edge_node_take_announcement(node, news);
     for (guint i = 0; i < news->rows.rows_len; i++)
         row_take(node, &news->rows.rows_val[i]);
     if (news->look)
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -211,6 +211,18 @@
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
+/* A row holds the node's address and a count, with a blank between. */
+static char *address_read(const wb_table_row_t *row) {
+    const guchar *blank = memchr(row->value, ' ', row->length);
+    return blank != NULL ? g_strndup((const char *)row->value, (gsize)(blank - row->value)) : NULL;
+}
+
+void wb_edge_node_row_free(gpointer data) {
+    wb_node_row_t *row = data;
+    g_free(row->address);
+    g_free(row);
+}
+
 static void node_row_take(wb_edge_node_t *node, const wb_table_row_t *row) {
     const char *id = row->key + strlen(NODE_KEY_PREFIX);
     if (row->value == NULL) {
@@ -223,6 +235,7 @@
     wb_node_row_t *known = g_new0(wb_node_row_t, 1);
     known->seen_ms = wb_clock_ms();
     known->version = row->version;
+    known->address = address_read(row);
     g_hash_table_replace(node->nodes, g_strdup(id), known);
 }
 
--- a/tests/edge/test_cut_off.c
+++ b/tests/edge/test_cut_off.c
@@ -98,7 +98,47 @@
     estate_stop(estate);
 }
 
+/* Cut off from the store only, while the controller dies: the new one makes itself known, and what
+ * isn't loaded is served as at any node. */
+static void test_from_store_while_the_controller_changes(void) {
+    estate_t *estate = estate_start(3, LEASE_FLAGS);
+    int controller = estate_wait_controller(estate, 8000);
+    int cut = (controller + 1) % 3;
+    g_usleep(1000000);
+    estate_store_fault(estate, cut, "cut", 0);
+    process_kill(&estate->nodes[controller].process);
+    g_usleep(CUT_OFF_US);
+    int successor = estate_wait_controller(estate, 8000);
+    g_assert_cmpint(successor, !=, cut);
+    g_usleep(2500000);
+    assert_served(estate, cut, "c1", EDGE_MODEL("m5"));
+    g_assert_true(estate_log_has(estate, successor, "\"event\":\"announced\""));
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* The controller itself is cut off from the store, with another node: that one finds the new
+ * controller though both could see each other all the time. */
+static void test_controller_and_another_from_store(void) {
+    estate_t *estate = estate_start(3, LEASE_FLAGS);
+    int controller = estate_wait_controller(estate, 8000);
+    int cut = (controller + 1) % 3;
+    g_usleep(1000000);
+    estate_store_fault(estate, cut, "cut", 0);
+    estate_store_fault(estate, controller, "cut", 0);
+    g_usleep(CUT_OFF_US);
+    g_usleep(2500000);
+    assert_served(estate, cut, "d1", EDGE_MODEL("m5"));
+    assert_served(estate, controller, "d2", EDGE_MODEL("m6"));
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/cut-off/from-store-while-the-controller-changes",
+                    test_from_store_while_the_controller_changes);
+    g_test_add_func("/edge/cut-off/controller-and-another-from-store",
+                    test_controller_and_another_from_store);
     g_test_add_func("/edge/cut-off/from-peers", test_from_peers);
     g_test_add_func("/edge/cut-off/from-peers-and-store", test_from_peers_and_store);
     g_test_add_func("/edge/cut-off/while-it-waits", test_while_it_waits);
