Gather news of placements and encode them once: the holder's own messages made it too slow to hold the lease

Change: node_tell.c gathers news of models and adapters for 10 ms and encodes a message once for all links.

--- a/include/wickbridge/link.h
+++ b/include/wickbridge/link.h
@@ -48,6 +48,12 @@
 /** Queue a message; it is sent when the socket lets it. */
 void wb_link_send(wb_link_t *link, const wb_wire_message *message);
 
+/**
+ * Queue a message that was encoded before, so that one that goes to many links is encoded once.
+ * @param frame as wb_message_encode makes it
+ */
+void wb_link_send_frame(wb_link_t *link, const GByteArray *frame);
+
 /** @return bytes that wait to be sent */
 size_t wb_link_unsent(const wb_link_t *link);
 
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -211,6 +211,8 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
+    created->placements = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
+    g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -54,7 +54,10 @@
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
     wb_link_counters_t link_counters;
-    GHashTable *gateways;      /* wb_link_t -> wb_gateway_t, when this node is the controller */
+    GHashTable *gateways; /* wb_link_t -> wb_gateway_t, when this node is the controller */
+    GArray *placements;   /* of wb_wire_placement_entry, not yet told to gateways: node_tell.c */
+    uint64_t placements_token; /* under which they were decided */
+    wb_timer_t *placements_timer;
     GHashTable *announcements; /* id of a node that doesn't report -> wb_announcement_t */
     wb_quota_book_t *quota_book;
     uint64_t quota_token;  /* of the lease under which this node keeps the book; 0: it doesn't */
@@ -150,6 +153,12 @@
 /** Keep the book while the lease names this node, and tell gateways. */
 void wb_edge_node_tick_quota(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_tell.c */
+/** Tell all gateways; what is told of models and adapters may be sent some ms later. */
+void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
+/** Clears a wb_wire_placement_entry. */
+void wb_edge_node_placement_clear(gpointer data);
+
 /* node_links.c */
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
 /** Frees a wb_gateway_t. */
@@ -191,8 +200,6 @@
 void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_news *news);
 /** @return TRUE while the holder tells this node what it reads, or this node is the holder */
 gboolean wb_edge_node_hears_news(const wb_edge_node_t *node);
-/** Send a message on every link from a gateway that reads what it is sent. */
-void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
 
 /** Answers operators' calls and metrics: edge_operators.c. */
 void wb_edge_operators_request(wb_http_connection_t *connection, wb_http_head_t *head,
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -7,8 +7,6 @@
 #define NEWS_INTERVAL_MS 300
 /* Rows that would take more than this over all links are left out: gateways look themselves. */
 #define NEWS_LIMIT_BYTES (768 * 1024)
-/* A gateway that doesn't read what it is told is let go. */
-#define BACKLOG_LIMIT_BYTES (512 * 1024)
 /* What the holder has read stands for an own call for this share of the time in which a change must
  * be known: longer than a lease takes to change hands (2.2 s of 4), and an own call still has a
  * second or more. */
@@ -103,18 +101,6 @@
     }
 }
 
-void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message) {
-    GHashTableIter iter;
-    gpointer link;
-    g_hash_table_iter_init(&iter, node->gateways);
-    while (g_hash_table_iter_next(&iter, &link, NULL)) {
-        if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
-            wb_link_break(link, "it doesn't read what it is told");
-        else
-            wb_link_send(link, message);
-    }
-}
-
 static void news_clear(wb_edge_node_t *node) {
     for (guint i = 0; i < node->news_rows->len; i++)
         xdr_free((xdrproc_t)xdr_wb_wire_table_row,
--- /dev/null
+++ b/src/edge/node_tell.c
@@ -0,0 +1,89 @@
+/* Tells gateways what concerns all of them.
+ *
+ * Each message costs its sender a call of the system for each gateway: at 84 gateways, half of the
+ * processor of a small machine went into one message for each model. So what is told of models and
+ * adapters is gathered for some ms, and a message is encoded once for all. */
+#include "edge/edge_node_types.h"
+
+#include <string.h>
+
+/* Who waits for a model waits so much longer at most; a cold request takes 600 ms and more. */
+#define GATHER_MS 10
+/* A gateway that doesn't read what it is told is let go. */
+#define BACKLOG_LIMIT_BYTES (512 * 1024)
+
+static void frame_send(wb_edge_node_t *node, const GByteArray *frame) {
+    GHashTableIter iter;
+    gpointer link;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+        if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
+            wb_link_break(link, "it doesn't read what it is told");
+        else
+            wb_link_send_frame(link, frame);
+    }
+}
+
+static void message_send(wb_edge_node_t *node, const wb_wire_message *message) {
+    g_autoptr(GByteArray) frame = g_byte_array_new();
+    wb_error_t error;
+    if (g_hash_table_size(node->gateways) == 0)
+        return;
+    if (wb_message_encode(message, frame, &error) != APR_SUCCESS) {
+        wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
+                 wb_message_kind_name(message->kind), wb_event_text(error.message));
+        return;
+    }
+    frame_send(node, frame);
+}
+
+void wb_edge_node_placement_clear(gpointer data) {
+    wb_wire_placement_entry *entry = data;
+    g_free(entry->engine);
+    g_free(entry->model);
+    g_free(entry->adapter);
+}
+
+static void placements_send(wb_edge_node_t *node) {
+    if (node->placements_timer != NULL)
+        wb_timer_cancel(node->placements_timer);
+    node->placements_timer = NULL;
+    if (node->placements->len == 0)
+        return;
+    wb_wire_message message = {.kind = WB_WIRE_PLACEMENT};
+    wb_wire_placement *placement = &message.wb_wire_message_u.placement;
+    placement->token = node->placements_token;
+    placement->entries.entries_len = node->placements->len;
+    placement->entries.entries_val = (wb_wire_placement_entry *)(void *)node->placements->data;
+    message_send(node, &message);
+    g_array_set_size(node->placements, 0);
+}
+
+static void placements_due(void *context) {
+    wb_edge_node_t *node = context;
+    node->placements_timer = NULL;
+    placements_send(node);
+}
+
+static void placements_gather(wb_edge_node_t *node, const wb_wire_placement *placement) {
+    if (node->placements_token != placement->token)
+        placements_send(node);
+    node->placements_token = placement->token;
+    for (guint i = 0; i < placement->entries.entries_len; i++) {
+        const wb_wire_placement_entry *entry = &placement->entries.entries_val[i];
+        wb_wire_placement_entry copy = {g_strdup(entry->engine), g_strdup(entry->model),
+                                        g_strdup(entry->adapter), entry->held, entry->ready_in_ms};
+        g_array_append_val(node->placements, copy);
+    }
+    if (node->placements_timer == NULL)
+        node->placements_timer = wb_loop_after(node->edge.loop, GATHER_MS, placements_due, node);
+}
+
+void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message) {
+    if (message->kind == WB_WIRE_PLACEMENT) {
+        placements_gather(node, &message->wb_wire_message_u.placement);
+        return;
+    }
+    placements_send(node); /* what came first is told first */
+    message_send(node, message);
+}
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -140,17 +140,27 @@
     return TRUE;
 }
 
+/* A message was added to what is unsent. */
+static void message_queued(wb_link_t *link) {
+    link->counters->messages_sent++;
+    if (link->unsent->len > UNSENT_LIMIT_BYTES)
+        wb_link_break(link, "the peer doesn't read");
+    else if (link->open && !link_flush(link))
+        wb_link_break(link, "sending failed");
+}
+
 void wb_link_send(wb_link_t *link, const wb_wire_message *message) {
     wb_error_t error;
     if (wb_message_encode(message, link->unsent, &error) != APR_SUCCESS) {
         wb_log_warning(WB_PART_LINK, "A message was not sent: %s.", error.message);
         return;
     }
-    link->counters->messages_sent++;
-    if (link->unsent->len > UNSENT_LIMIT_BYTES)
-        wb_link_break(link, "the peer doesn't read");
-    else if (link->open && !link_flush(link))
-        wb_link_break(link, "sending failed");
+    message_queued(link);
+}
+
+void wb_link_send_frame(wb_link_t *link, const GByteArray *frame) {
+    g_byte_array_append(link->unsent, frame->data, frame->len);
+    message_queued(link);
 }
 
 size_t wb_link_unsent(const wb_link_t *link) {
