Let the machines with most processor take the lease first

Change: a node's row tells its share of a core (setting processor-share, from the platform's limits); nodes with less than 0.8 of the most that any row tells begin their tries 300 ms later. Where all are alike, or don't tell, nothing changes.

Ruled out: giving the lease to a stronger machine that comes back (an order's engines are blocked for leaseMs each time).

Tests: /lease/weak-machine-waits, /edge/control/strongest-takes-over.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -36,6 +36,7 @@
     int64_t lease_duration_ms;
     int64_t lease_renew_ms;
     int64_t lease_margin_ms;
+    double processor_share;
     double retry_ratio;
     double retry_window_s;
     double retry_slack;
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -108,8 +108,12 @@
 const wb_lease_row_t *wb_lease_known(const wb_lease_t *lease);
 /** @return what the holder before this one had begun; owned by the lease */
 const wb_lease_predecessor_t *wb_lease_predecessor(const wb_lease_t *lease);
-/** Change the time over which nodes spread their tries to take the lease over. */
-void wb_lease_set_spread(wb_lease_t *lease, int64_t spread_ms);
+/**
+ * Change when this node tries to take the lease over, once it may.
+ * @param first_ms  so much later at the earliest: others are better for it
+ * @param spread_ms and by chance up to so much later than that
+ */
+void wb_lease_set_spread(wb_lease_t *lease, int64_t first_ms, int64_t spread_ms);
 /** The store was away for this node, and answers again: whoever held the lease may renew it first.
  */
 void wb_lease_store_back(wb_lease_t *lease, int64_t now_ms);
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -39,6 +39,7 @@
     gboolean given_up;
     int64_t holder_first_ms; /* until then a holder that lost the store may renew first */
     double takeover_share;   /* this node's place in the spread, 0 to 1 */
+    int64_t first_ms;        /* before the spread begins */
     int64_t spread_ms;
     int64_t takeover_pause_ms; /* after the last try in a row that failed */
 };
@@ -159,7 +160,7 @@
 static int64_t takeover_delay_ms(const wb_lease_t *lease) {
     if (is_own(lease, &lease->known))
         return 0;
-    return (int64_t)(lease->takeover_share * (double)lease->spread_ms);
+    return lease->first_ms + (int64_t)(lease->takeover_share * (double)lease->spread_ms);
 }
 
 /* Whoever held the lease before may have ordered the engines of its row until its time was over. */
@@ -284,7 +285,8 @@
     return &lease->predecessor;
 }
 
-void wb_lease_set_spread(wb_lease_t *lease, int64_t spread_ms) {
+void wb_lease_set_spread(wb_lease_t *lease, int64_t first_ms, int64_t spread_ms) {
+    lease->first_ms = first_ms;
     lease->spread_ms = spread_ms;
 }
 
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -20,7 +20,8 @@
 typedef struct wb_node_row_t {
     int64_t seen_ms; /* when its row last changed */
     int64_t version;
-    char *address; /* where other nodes reach it; NULL when the row doesn't tell */
+    char *address;          /* where other nodes reach it; NULL when the row doesn't tell */
+    double processor_share; /* of a core; 0: the row doesn't tell */
 } wb_node_row_t;
 
 typedef struct wb_announcement_t wb_announcement_t;
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -39,6 +39,10 @@
         "Time between renewals of the controller's lease"),
     ROW("lease-margin-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "200", lease_margin_ms,
         "Added when a lease is waited out, taken off when it is used"),
+    ROW("processor-share", WB_SETTING_REAL, "cores", 0, 1024, "0", processor_share,
+        "Processor that this machine gives the node; the nodes that have most take the lease "
+        "first. "
+        "0: not told"),
     ROW("retry-ratio", WB_SETTING_REAL, "resends", 0, 100, "0.2", retry_ratio,
         "Resends to engines for each request, over all nodes"),
     ROW("retry-window-s", WB_SETTING_REAL, "s", 1, 3600, "10", retry_window_s,
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -10,6 +10,12 @@
 #define TAKEOVER_GAP_MS 30
 /* Few nodes spread their tries over so long. */
 #define TAKEOVER_SPREAD_MS 200
+/* Weaker machines leave the first tries to the strongest for so long: the spread of few nodes, and
+ * a write to the store. A holder with an eighth of a core before 84 gateways costs 0.04 of worth.
+ */
+#define TAKEOVER_WEAK_MS 300
+/* A machine is as good as the strongest if it has this share of its processor. */
+#define STRONG_SHARE 0.8
 
 void wb_edge_node_check_lease(wb_edge_node_t *node) {
     gboolean held = wb_lease_is_held(node->lease, wb_clock_ms());
@@ -121,11 +127,33 @@
            wb_table_watch_known_ms(node->nodes_watch) >= node->news_heard_ms;
 }
 
+/* Among nodes with different processors the strongest try first to take the lease over. */
+static void spread_set(wb_edge_node_t *node) {
+    double own = node->edge.settings.processor_share;
+    double strongest = own;
+    int64_t strong_count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        strongest = MAX(strongest, ((const wb_node_row_t *)value)->processor_share);
+    }
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        strong_count += ((const wb_node_row_t *)value)->processor_share >= STRONG_SHARE * strongest;
+    }
+    gboolean strong = own >= STRONG_SHARE * strongest;
+    int64_t rivals = strong ? strong_count : (int64_t)node->edge.node_count;
+    wb_lease_set_spread(node->lease, strong ? 0 : TAKEOVER_WEAK_MS,
+                        MAX(TAKEOVER_SPREAD_MS, TAKEOVER_GAP_MS * rivals));
+}
+
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected_version;
-    wb_lease_set_spread(node->lease,
-                        MAX(TAKEOVER_SPREAD_MS, TAKEOVER_GAP_MS * (int64_t)node->edge.node_count));
+    if (!node->held) {
+        spread_set(node);
+    }
     if (wb_table_watch_is_synced(node->nodes_watch) && store_answered(node) &&
         wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
         lease_write(node, &row, expected_version);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -211,10 +211,15 @@
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
-/* A row holds the node's address and a count, with a blank between. */
-static char *address_read(const wb_table_row_t *row) {
-    const guchar *blank = memchr(row->value, ' ', row->length);
-    return blank != NULL ? g_strndup((const char *)row->value, (gsize)(blank - row->value)) : NULL;
+/* A row holds the node's address, a count, and its share of a core, with blanks between. */
+static void row_read(const wb_table_row_t *row, wb_node_row_t *known) {
+    g_autofree char *text = g_strndup((const char *)row->value, row->length);
+    g_auto(GStrv) words = g_strsplit(text, " ", 3);
+    if (g_strv_length(words) < 2) {
+        return; /* an older form, which tells nothing */
+    }
+    known->address = g_strdup(words[0]);
+    known->processor_share = words[2] != NULL ? g_ascii_strtod(words[2], NULL) : 0;
 }
 
 void wb_edge_node_row_free(gpointer data) {
@@ -235,7 +240,7 @@
     wb_node_row_t *known = g_new0(wb_node_row_t, 1);
     known->seen_ms = wb_clock_ms();
     known->version = row->version;
-    known->address = address_read(row);
+    row_read(row, known);
     g_hash_table_replace(node->nodes, g_strdup(id), known);
 }
 
@@ -297,8 +302,9 @@
 static void node_row_write(wb_edge_node_t *node) {
     const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
-    g_autofree char *value = g_strdup_printf("%s %llu", wb_edge_node_address(node),
-                                             (unsigned long long)++node->node_row_beat);
+    g_autofree char *value = g_strdup_printf("%s %llu %.3f", wb_edge_node_address(node),
+                                             (unsigned long long)++node->node_row_beat,
+                                             node->edge.settings.processor_share);
     node->node_row_writing = TRUE;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -46,6 +46,24 @@
     wire_answer_free(answer);
 }
 
+/* Of the nodes that are left, the one with the most processor takes over. */
+static void test_strongest_takes_over(void) {
+    estate_t *estate =
+        estate_start(4, "--lease-quiet-ms=1000 --lease-duration-ms=800 --node-life-s=3");
+    int first = estate_wait_controller(estate, 3000);
+    int strongest = (first + 2) % 4;
+    process_kill(&estate->nodes[strongest].process);
+    estate->nodes[strongest].flags = "--processor-share=0.5";
+    estate_node_launch(estate, strongest);
+    estate_wait_ready(estate, strongest);
+    g_usleep(2500000); /* its row is written anew each second */
+    process_kill(&estate->nodes[first].process);
+    g_usleep(500000);
+    g_assert_cmpint(estate_wait_controller(estate, 8000), ==, strongest);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 /* The controller is killed; another takes over after the quiet time, with a higher token. */
 static void test_takeover(void) {
     estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
@@ -201,6 +219,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/edge/control/strongest-takes-over", test_strongest_takes_over);
     g_test_add_func("/edge/control/takeover", test_takeover);
     g_test_add_func("/edge/control/successor-orders-others-at-once",
                     test_successor_orders_others_at_once);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -176,7 +176,10 @@
     argument_add(arguments, "--store=127.0.0.1:%d", estate->store_relays[index]);
     argument_add(arguments, "--engine-heartbeat-ms=300");
     argument_add(arguments, "--log-lines-per-s=10000");
-    g_auto(GStrv) flags = g_strsplit(estate->node_flags != NULL ? estate->node_flags : "", " ", -1);
+    g_autofree char *all_flags =
+        g_strjoin(" ", estate->node_flags != NULL ? estate->node_flags : "",
+                  node->flags != NULL ? node->flags : "", NULL);
+    g_auto(GStrv) flags = g_strsplit(all_flags, " ", -1);
     for (char **flag = flags; *flag != NULL; flag++)
         if (**flag != '\0')
             g_ptr_array_add(arguments, g_strdup(*flag));
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -17,6 +17,7 @@
     int ready_port;
     int nodes_port;
     int metrics_port;
+    const char *flags; /**< more flags for this node only, with spaces between; or NULL */
 } estate_node_t;
 
 #define ESTATE_PROXIED_ENGINES 2
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -66,6 +66,24 @@
     wb_lease_free(b);
 }
 
+/* A weaker machine leaves the first tries to others, and takes over when none of them does. */
+static void test_lease_weak_machine_waits(void) {
+    wb_lease_settings_t first = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_settings_t second = {"b", "1.1.1.2:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *a = wb_lease_create(&first);
+    wb_lease_t *b = wb_lease_create(&second);
+    row_t store = {{0}, 0};
+    wb_lease_on_row(a, NULL, 0, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    wb_lease_set_spread(b, 300, 0);
+    wb_lease_on_row(b, &store.row, store.version, 100);
+    int64_t due_ms = wb_lease_takeover_at_ms(b);
+    g_assert_false(lease_write(b, &store, due_ms + 299));
+    g_assert_true(lease_write(b, &store, due_ms + 300));
+    wb_lease_free(a);
+    wb_lease_free(b);
+}
+
 /* A write whose answer is lost counts from when it was sent, and only once the row shows it. */
 static void test_lease_lost_answer(void) {
     wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
@@ -195,6 +213,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/lease/weak-machine-waits", test_lease_weak_machine_waits);
     g_test_add_func("/lease/takeovers-spread", test_lease_takeovers_spread);
     g_test_add_func("/lease/refused-tries-are-rare", test_lease_refused_tries_are_rare);
     g_test_add_func("/lease/takeover", test_lease_takeover);
