Begin with as many loads from the weight store as end in 8 s one after the other

Cause: on the shifted rail the weight store serves one load at full speed, in 13.2 s.

The other way, a setting that operators fill in from the sheet, isn't kept: the configuration doesn't carry the number, and one file of settings serves all deployments.

Test: /load-pace/begins-by-the-load-time. few-loads-raise-nothing plays shorter loads now: with one load at once as the limit the loads of 6 s that it played are at the limit, which rightly raises it.

--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -105,12 +105,27 @@
     return a_length > b_length ? -1 : a_length < b_length;
 }
 
+static void service_seal(wb_service_t *service) {
+    GHashTableIter iter;
+    gpointer model;
+    int64_t sum_ms = 0;
+    g_hash_table_iter_init(&iter, service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &model)) {
+        sum_ms += ((const wb_model_spec_t *)model)->store_load_ms;
+    }
+    service->store_load_ms = sum_ms / MAX((int64_t)g_hash_table_size(service->models), 1);
+}
+
 void wb_catalog_seal(wb_catalog_t *catalog) {
     GHashTableIter iter;
     gpointer routes;
     g_hash_table_iter_init(&iter, catalog->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &routes))
         g_ptr_array_sort(routes, longer_first);
+    gpointer service;
+    g_hash_table_iter_init(&iter, catalog->services);
+    while (g_hash_table_iter_next(&iter, NULL, &service))
+        service_seal(service);
 }
 
 wb_route_t *wb_catalog_route(const wb_catalog_t *catalog, const char *host, const char *path) {
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -78,8 +78,14 @@
     return loads;
 }
 
+/* What a load of the service's models takes alone; they differ little. */
+static int64_t nominal_load_ms(const wb_controller_t *controller, const char *service) {
+    const wb_service_t *known = wb_controller_service(service, (void *)controller);
+    return known != NULL ? known->store_load_ms : 0;
+}
+
 unsigned wb_controller_store_limit(wb_controller_t *controller, const char *service) {
-    return wb_load_pace_limit(pace_of(controller, service));
+    return wb_load_pace_limit(pace_of(controller, service), nominal_load_ms(controller, service));
 }
 
 unsigned wb_controller_store_room(wb_controller_t *controller, const char *service) {
@@ -102,7 +108,7 @@
     wb_event("store-load-ended",
              ",\"service\":\"%s\",\"at_once\":%u,\"ms\":%lld,\"alone_ms\":%lld,\"limit\":%u",
              wb_event_text(service), at_once, (long long)took_ms, (long long)nominal_ms,
-             wb_load_pace_limit(pace));
+             wb_load_pace_limit(pace, nominal_ms));
 }
 
 static uint64_t owner_token(void *context) {
--- a/src/control/load_pace.c
+++ b/src/control/load_pace.c
@@ -4,14 +4,18 @@
 #include <glib.h>
 #include <math.h>
 
-/* Before anything is known. */
-#define FIRST_LIMIT 6.0
+/* Before anything is known: as many as would end within this time one after the other. Callers of
+ * missing models come back for 7 s (MISSED_LIFE_MS of controller_missing.c). */
+#define FIRST_TIME_MS 8000.0
 /* Times what a load takes alone: below the first it was timely, above the second it was held up. */
 #define TIMELY 1.25
 #define SLOW 1.5
 
-unsigned wb_load_pace_limit(const wb_load_pace_t *pace) {
-    return (unsigned)MAX(pace->limit > 0 ? pace->limit : FIRST_LIMIT, 1);
+unsigned wb_load_pace_limit(const wb_load_pace_t *pace, int64_t nominal_ms) {
+    if (pace->limit > 0) {
+        return (unsigned)MAX(pace->limit, 1);
+    }
+    return (unsigned)MAX(FIRST_TIME_MS / (double)MAX(nominal_ms, 1), 1);
 }
 
 void wb_load_pace_note(wb_load_pace_t *pace, unsigned at_once, int64_t took_ms,
@@ -19,7 +23,7 @@
     if (at_once == 0 || took_ms <= 0 || nominal_ms <= 0) {
         return;
     }
-    double limit = wb_load_pace_limit(pace);
+    double limit = wb_load_pace_limit(pace, nominal_ms);
     double times = (double)took_ms / (double)nominal_ms;
     if (times < TIMELY && at_once >= limit) {
         limit += 1;
--- a/src/control/load_pace.h
+++ b/src/control/load_pace.h
@@ -5,7 +5,8 @@
  * Past some number, which nobody tells, each load takes longer by as much as there are more: no
  * more models arrive, all arrive later, and every engine takes no other order meanwhile. The number
  * is learnt from how long loads take: timely ones raise the limit by one, slow ones cut it to what
- * their time shows.
+ * their time shows. A wrong number is found out only when loads have ended, so it begins with as
+ * many as would end while callers still come back, were the store to serve one at a time.
  */
 #ifndef WICKBRIDGE_LOAD_PACE_H
 #define WICKBRIDGE_LOAD_PACE_H
@@ -16,8 +17,11 @@
     double limit; /**< 0: nothing is known yet */
 } wb_load_pace_t;
 
-/** @return most loads that may be under way; at least one */
-unsigned wb_load_pace_limit(const wb_load_pace_t *pace);
+/**
+ * @param nominal_ms what a load takes alone
+ * @return most loads that may be under way; at least one
+ */
+unsigned wb_load_pace_limit(const wb_load_pace_t *pace, int64_t nominal_ms);
 
 /**
  * A load has ended.
--- a/tests/unit/test_load_pace.c
+++ b/tests/unit/test_load_pace.c
@@ -4,15 +4,16 @@
 #include "control/load_pace.h"
 
 #define NOMINAL_MS 6000
+#define SHORT_MS 1300
 
 /* A weight store that serves so many loads at full speed, asked for as many as the pace allows. */
 static unsigned pace_play(wb_load_pace_t *pace, unsigned full_speed, unsigned loads) {
     for (unsigned i = 0; i < loads; i++) {
-        unsigned at_once = wb_load_pace_limit(pace);
+        unsigned at_once = wb_load_pace_limit(pace, NOMINAL_MS);
         double slowed = MAX((double)at_once / full_speed, 1);
         wb_load_pace_note(pace, at_once, (int64_t)(slowed * NOMINAL_MS) + 250, NOMINAL_MS);
     }
-    return wb_load_pace_limit(pace);
+    return wb_load_pace_limit(pace, NOMINAL_MS);
 }
 
 static void test_learns_the_store(void) {
@@ -35,14 +36,26 @@
 /* Few loads that are timely show nothing about more of them. */
 static void test_few_loads_raise_nothing(void) {
     wb_load_pace_t pace = {0};
-    unsigned limit = wb_load_pace_limit(&pace);
+    unsigned limit = wb_load_pace_limit(&pace, SHORT_MS);
+    g_assert_cmpuint(limit, >, 1);
     for (int i = 0; i < 20; i++) {
-        wb_load_pace_note(&pace, 1, NOMINAL_MS, NOMINAL_MS);
+        wb_load_pace_note(&pace, 1, SHORT_MS, SHORT_MS);
     }
-    g_assert_cmpuint(wb_load_pace_limit(&pace), ==, limit);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, SHORT_MS), ==, limit);
+}
+
+/* Where a wrong number costs long, it begins with one load; where it costs little, with several. */
+static void test_begins_by_the_load_time(void) {
+    wb_load_pace_t pace = {0};
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 13200), ==, 1);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 6500), ==, 1);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 3000), ==, 2);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 1300), ==, 6);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 0), >=, 1);
 }
 
 static void tests_add(void) {
+    g_test_add_func("/load-pace/begins-by-the-load-time", test_begins_by_the_load_time);
     g_test_add_func("/load-pace/learns-the-store", test_learns_the_store);
     g_test_add_func("/load-pace/follows-the-store", test_follows_the_store);
     g_test_add_func("/load-pace/few-loads-raise-nothing", test_few_loads_raise_nothing);
