--- a/src/ctl/commands_node.c
+++ b/src/ctl/commands_node.c
@@ -184,6 +184,27 @@
     printf("\n");
 }
 
+static double figure(const json_t *object, const char *name) {
+    return json_number_value(json_object_get(object, name));
+}
+
+static void tenant_print(const json_t *tenant) {
+    const char *unit = wb_json_text(tenant, "unit", "?");
+    const json_t *use = json_object_get(tenant, "use");
+    double limit = figure(tenant, "limit_per_s");
+    printf("%-20s rank %lld", wb_json_text(tenant, "tenant", "?"),
+           (long long)wb_json_integer(tenant, "rank", -1));
+    if (limit > 0)
+        printf(", %.0f %s a second, burst %.0f", limit, unit, figure(tenant, "burst"));
+    else
+        printf(", no limit");
+    if (use != NULL)
+        printf("; asks for %.0f a second, gets %.0f, %.0f left%s", figure(use, "asked_per_s"),
+               figure(use, "admitted_per_s"), figure(use, "left"),
+               figure(use, "share") < 1 ? ", short" : "");
+    printf("\n");
+}
+
 /* Shows a list that a node tells. */
 static int list_show(const ctl_options_t *options, const char *path, const char *list,
                      void (*print)(const json_t *entry)) {
@@ -205,6 +226,10 @@
     return list_show(options, "/operators/v1/routes", "routes", route_print);
 }
 
+int ctl_tenants(const ctl_options_t *options) {
+    return list_show(options, "/operators/v1/tenants", "tenants", tenant_print);
+}
+
 int ctl_models(const ctl_options_t *options) {
     return list_show(options, "/operators/v1/models", "models", loaded_print);
 }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -81,6 +81,7 @@
 int ctl_explain(const ctl_options_t *options);
 int ctl_routes(const ctl_options_t *options);
 int ctl_models(const ctl_options_t *options);
+int ctl_tenants(const ctl_options_t *options);
 int ctl_trace(const ctl_options_t *options);
 
 /* commands_policy.c */
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -28,6 +28,8 @@
     {"drain", "", "Let one node finish its work and hand its cells over", ctl_drain},
     {"routes", "", "Show the routes that an edge node has in force", ctl_routes},
     {"models", "", "Show models and the engines that hold them, as an edge node knows", ctl_models},
+    {"tenants", "", "Show tenants and limits; at the node that holds the lease also their use",
+     ctl_tenants},
     {"trace", "ID -f PATH", "Show a request's log lines from files of all nodes, in order",
      ctl_trace},
     {"explain", "model NAME | request ID", "Say why a model or request is where it is",
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -1,4 +1,5 @@
-/* Answers operators' calls: status, routes, models, explanations, a planned stop; and metrics. */
+/* Answers operators' calls: status, routes, models, tenants, explanations, a planned stop; and
+ * metrics. */
 #include "edge/edge_node_types.h"
 
 #include "control/placement.h"
@@ -153,6 +154,41 @@
     json_answer(connection, 200, json_pack("{s:o}", "models", models));
 }
 
+/* A tenant's limit; what all nodes use of it is known to the node that keeps the book only. */
+static json_t *tenant_json(const wb_edge_node_t *node, const wb_tenant_t *tenant) {
+    json_t *json =
+        json_pack("{s:s, s:i, s:s, s:f, s:f}", "tenant", tenant->name, "rank", tenant->rank, "unit",
+                  tenant->unit == WB_QUOTA_TOKENS ? "tokens" : "requests", "limit_per_s",
+                  tenant->rate_per_s, "burst", tenant->burst);
+    wb_quota_state_t state;
+    if (node->quota_token == 0 ||
+        !wb_quota_book_state(node->quota_book, tenant->name, wb_clock_ms(), &state))
+        return json;
+    json_object_set_new(json, "use",
+                        json_pack("{s:f, s:f, s:f, s:f, s:f}", "asked_per_s", state.asked_per_s,
+                                  "admitted_per_s", state.admitted_per_s, "assumed_per_s",
+                                  state.assumed_per_s, "left", state.level, "share", state.share));
+    return json;
+}
+
+static void tenants_show(wb_edge_node_t *node, wb_http_connection_t *connection,
+                         const char *query) {
+    (void)query;
+    json_t *tenants = json_array();
+    const wb_catalog_t *catalog = node->edge.catalog;
+    if (catalog == NULL || catalog->tenants == NULL) {
+        json_decref(tenants);
+        error_answer(connection, 404, "the configuration that is in force has no tenants");
+        return;
+    }
+    GHashTableIter iter;
+    gpointer tenant;
+    g_hash_table_iter_init(&iter, wb_tenants_all(catalog->tenants));
+    while (g_hash_table_iter_next(&iter, NULL, &tenant))
+        json_array_append_new(tenants, tenant_json(node, tenant));
+    json_answer(connection, 200, json_pack("{s:o}", "tenants", tenants));
+}
+
 static const wb_service_t *service_of_model(const wb_edge_t *edge, const char *model) {
     GHashTableIter iter;
     gpointer service;
@@ -278,6 +314,7 @@
     {"GET", "/operators/v1/status", status_show},
     {"GET", "/operators/v1/routes", routes_show},
     {"GET", "/operators/v1/models", models_show},
+    {"GET", "/operators/v1/tenants", tenants_show},
     {"GET", "/operators/v1/explain", explanation_show},
     {"POST", "/operators/v1/drain", drain_begin},
 };
--- a/tests/edge/test_tenants.c
+++ b/tests/edge/test_tenants.c
@@ -257,7 +257,27 @@
     estate_stop(estate);
 }
 
+/* Operators see limits everywhere, and what is used of them at the node that keeps the book. */
+static void test_wickctl_tenants(void) {
+    estate_t *estate = tenants_start(1, limited_tenants);
+    estate_wait_controller(estate, 5000);
+    ask_for(estate, all_nodes, 1, 2);
+    g_autofree char *command = g_strdup_printf("%s/wickctl tenants --node 127.0.0.1:%d",
+                                               estate->files.build, estate->nodes[0].metrics_port);
+    g_autofree char *output = NULL;
+    int status = 0;
+    g_assert_true(g_spawn_command_line_sync(command, &output, NULL, &status, NULL));
+    g_test_message("%s", output);
+    g_assert_cmpint(status, ==, 0);
+    g_assert_nonnull(strstr(output, "north"));
+    g_assert_nonnull(strstr(output, "20 requests a second, burst 10; asks for"));
+    g_assert_nonnull(strstr(output, "no limit"));
+    g_assert_null(strstr(output, "k-north"));
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/tenants/wickctl-tenants", test_wickctl_tenants);
     g_test_add_func("/edge/tenants/limit-over-all-nodes", test_limit_over_all_nodes);
     g_test_add_func("/edge/tenants/limit-while-the-book-is-lost",
                     test_limit_while_the_book_is_lost);
