--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -6,6 +6,9 @@
 #include <string.h>
 
 #define RETRY_AFTER_MS 300
+/* A node that has just started knows no configuration yet: it reads one 0.5 s after a start of the
+ * whole system (docs/PLATFORM.md), and callers that come back before are refused again. */
+#define NO_CATALOG_MS 700
 #define COME_BACK_MARGIN_MS 50
 /* An expected load may be so much late before its waiters are refused; then a prompt is read. */
 #define LOAD_LATE_MS 700
@@ -90,6 +93,9 @@
 
 /* When coming back has a use: once the model should be there, else soon. */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange) {
+    if (exchange->route == NULL && exchange->edge->catalog == NULL) {
+        return NO_CATALOG_MS;
+    }
     int64_t ready_in_ms = model_ready_in_ms(exchange);
     if (ready_in_ms > 0) {
         return ready_in_ms + COME_BACK_MARGIN_MS;
--- a/tests/unit/test_exchange_wait.c
+++ b/tests/unit/test_exchange_wait.c
@@ -137,6 +137,14 @@
     g_assert_cmpint(scene_wait(&scene), >=, 500);
 }
 
+/* A node without a configuration has one soon, but not at once. */
+static void test_no_catalog(void) {
+    scene_t scene;
+    scene_open(&scene, "m2", "");
+    scene.exchange->route = NULL;
+    g_assert_cmpint(wb_exchange_come_back_ms(scene.exchange), ==, 700);
+}
+
 /* A load that is late doesn't shorten the time that a request would wait without any news. */
 static void test_late_load_is_waited_for(void) {
     scene_t scene;
@@ -154,6 +162,7 @@
                     test_adapter_does_not_wait_for_a_replica);
     g_test_add_func("/exchange-wait/late-load-is-waited-for", test_late_load_is_waited_for);
     g_test_add_func("/exchange-wait/nobody-decides", test_nobody_decides);
+    g_test_add_func("/exchange-wait/no-catalog", test_no_catalog);
     g_test_add_func("/exchange-wait/load-time-is-that-of-a-copy", test_load_time_is_that_of_a_copy);
     g_test_add_func("/exchange-wait/controller-is-unreached", test_controller_is_unreached);
 }
