--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -9,10 +9,6 @@
 /* A model that is waited for though an engine should hold it gets another engine after this time.
  */
 #define STUCK_MS 600
-/* It doesn't get one from the weight store when that takes longer: whoever waits has left by then
- * (streams' callers leave after some seconds), and the engines that hold it serve those that come.
- */
-#define STUCK_LOAD_MS 4000
 /* Who was refused for a missing model comes back within a third of the time that it has left, which
  * is 20 s at most. */
 #define MISSED_LIFE_MS 7000
@@ -102,21 +98,6 @@
     wb_event("load-plan", ",\"service\":\"%s\",\"told\":%u", wb_event_text(service), entries->len);
 }
 
-/* Orders a load for a model that is waited for or missed. Returns FALSE when there is no place. */
-static gboolean missing_place(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
-                              const wb_usage_t *usage, const wb_model_spec_t *spec) {
-    const char *why = usage->use.waiting > 0 ? "waited-for" : "missing";
-    double limit_ms = missing_limit_ms(usage, spec);
-    if (usage->use.replicas == 0 || spec->store_load_ms <= STUCK_LOAD_MS) {
-        return wb_controller_place_model(controller, snapshot, spec, limit_ms, why);
-    }
-    unsigned store_room = snapshot->store_room;
-    snapshot->store_room = 0;
-    gboolean placed = wb_controller_place_model(controller, snapshot, spec, limit_ms, why);
-    snapshot->store_room = store_room;
-    return placed;
-}
-
 void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                  int64_t now_ms) {
     const char *service = snapshot->service->name;
@@ -126,7 +107,9 @@
     for (guint i = 0; i < missing->len; i++) {
         const wb_missing_model_t *model = &g_array_index(missing, wb_missing_model_t, i);
         wb_usage_t *usage = wb_demand_book_find(controller->book, service, model->spec->name, "");
-        if (missing_place(controller, snapshot, usage, model->spec)) {
+        if (wb_controller_place_model(controller, snapshot, model->spec,
+                                      missing_limit_ms(usage, model->spec),
+                                      usage->use.waiting > 0 ? "waited-for" : "missing")) {
             usage->told_ready_ms = 0;
         } else if (snapshot->store_room == 0 && usage->use.replicas == 0 && model->missed > 0) {
             int64_t ready_in_ms = wb_load_queue_ready_ms(
