Let a call to the store go on while its answer comes: a machine that woke never learned the newest configuration

A weak machine (10 Mbit/s) that was frozen for 6 s has missed six configurations of 250 KB; the store tells all of them in one answer. 900 ms are enough for 1.06 MB of it: each call, in four tries, ends at 1,064,884 bytes by its time-out, and the next begins anew. Seen in a build that logs where calls end; strong machines (200 Mbit/s) read it in 0.2 s.

Change: a call that only reads ends when nothing more of its answer has come for the store's time-out, not after that time as a whole (wb_http_request_t.progress_ms). Writes are bounded as before: a renewal counts from when it was sent.

Tests: unit-http-peer (progress-goes-on fails without it).

--- a/src/http/http_peer.c
+++ b/src/http/http_peer.c
@@ -121,6 +121,17 @@
     request.on_result(&result, request.context);
 }
 
+/* The answer goes on: wait for more of it, however long it has taken. */
+static void progress_note(wb_http_call_t *call) {
+    if (call->request.progress_ms == 0) {
+        return;
+    }
+    if (call->timer != NULL) {
+        wb_timer_cancel(call->timer);
+    }
+    call->timer = wb_loop_after(call->peer->loop, call->request.progress_ms, call_timed_out, call);
+}
+
 static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     (void)stream;
     wb_http_call_t *call = context;
@@ -128,6 +139,7 @@
         kept_drop(call); /* bytes that nobody asked for */
         return;
     }
+    progress_note(call);
     while (length > 0) {
         size_t used = wb_http_reader_feed(call->reader, data, length);
         data += used;
