--- a/tests/fuzz/fuzz_parsers_check.c
+++ b/tests/fuzz/fuzz_parsers_check.c
@@ -19,6 +19,12 @@
     "\"models\":[{\"name\":\"m\",\"bytes\":5,\"state\":\"loaded\",\"adapters\":[{\"name\":\"a\","
     "\"state\":\"loading\"}]}],\"disk_copies\":[\"m\",5]}";
 
+static const char request_sample[] =
+    "POST /chat/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k-1\r\n"
+    "authorization: Token k-2\r\nTenant: south\r\nContent-Length: 0\r\n\r\n";
+static const char key_sample[] =
+    "GET / HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k-1 \r\n\r\n";
+
 static GByteArray *message_sample(void) {
     wb_wire_slot slots[] = {{"m", "e1"}, {"m", "e2"}};
     wb_wire_name members[] = {"n1", "n2"};
@@ -62,6 +68,8 @@
     rounds_run(message->data, message->len, target_message);
     rounds_run(config_sample, sizeof(config_sample) - 1, target_config);
     rounds_run(inventory_sample, sizeof(inventory_sample) - 1, target_inventory);
-    printf("%d changed inputs for each of 3 parsers\n", ROUNDS);
+    rounds_run(request_sample, sizeof(request_sample) - 1, target_api_key);
+    rounds_run(key_sample, sizeof(key_sample) - 1, target_api_key);
+    printf("%d changed inputs for each of 5 samples\n", ROUNDS);
     return 0;
 }
--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -8,5 +8,6 @@
 void target_message(const uint8_t *data, size_t size);   /* XDR between nodes */
 void target_config(const uint8_t *data, size_t size);    /* declarations */
 void target_inventory(const uint8_t *data, size_t size); /* an engine's inventory */
+void target_api_key(const uint8_t *data, size_t size);   /* a caller's request and its key */
 
 #endif
