--- a/include/wickbridge/http_peer.h
+++ b/include/wickbridge/http_peer.h
@@ -37,9 +37,9 @@
     const char *target;
     const char *headers; /**< whole lines ended by CR LF, or NULL */
     const char *body;    /**< JSON, or NULL */
-    int64_t timeout_ms; /**< for the whole call, if progress_ms is 0 */
-    /** For answers that may be large: once some of it has come, the call ends only when no more comes
-     * for so long. 0: timeout_ms holds for the whole call. */
+    int64_t timeout_ms;  /**< for the whole call, if progress_ms is 0 */
+    /** For answers that may be large: once some of it has come, the call ends only when no more
+     * comes for so long. 0: timeout_ms holds for the whole call. */
     int64_t progress_ms;
     gboolean fresh; /**< don't use a kept connection */
     /** Asked right before the first byte is sent; FALSE ends the call as not sent. May be NULL. */
