Begin with one load from the weight store only where a load outlasts callers' patience

Releases replace nearly all engines there, a load takes 6 s and four run at once at full speed; with 8 s as the measure it begins with one at once and reaches four after 33 s.

--- a/src/control/load_pace.c
+++ b/src/control/load_pace.c
@@ -4,9 +4,12 @@
 #include <glib.h>
 #include <math.h>
 
-/* Before anything is known: as many as would end within this time one after the other. Callers of
- * missing models come back for 7 s (MISSED_LIFE_MS of controller_missing.c). */
-#define FIRST_TIME_MS 8000.0
+/* Before anything is known. */
+#define FIRST_LIMIT 6.0
+/* A load that takes longer comes too late for all who wait as it begins: callers of streams leave
+ * after four targets, 12 s on the users' sheets. It is for those who come later, so the first one
+ * is to come as soon as it can. */
+#define PATIENCE_MS 12000
 /* Times what a load takes alone: below the first it was timely, above the second it was held up. */
 #define TIMELY 1.25
 #define SLOW 1.5
@@ -15,7 +18,7 @@
     if (pace->limit > 0) {
         return (unsigned)MAX(pace->limit, 1);
     }
-    return (unsigned)MAX(FIRST_TIME_MS / (double)MAX(nominal_ms, 1), 1);
+    return nominal_ms > PATIENCE_MS ? 1 : (unsigned)FIRST_LIMIT;
 }
 
 void wb_load_pace_note(wb_load_pace_t *pace, unsigned at_once, int64_t took_ms,
--- a/src/control/load_pace.h
+++ b/src/control/load_pace.h
@@ -5,8 +5,8 @@
  * Past some number, which nobody tells, each load takes longer by as much as there are more: no
  * more models arrive, all arrive later, and every engine takes no other order meanwhile. The number
  * is learnt from how long loads take: timely ones raise the limit by one, slow ones cut it to what
- * their time shows. A wrong number is found out only when loads have ended, so it begins with as
- * many as would end while callers still come back, were the store to serve one at a time.
+ * their time shows. A wrong number is found out only when loads have ended, so where they take
+ * longer than any caller waits it begins with one.
  */
 #ifndef WICKBRIDGE_LOAD_PACE_H
 #define WICKBRIDGE_LOAD_PACE_H
