Test: requests that crash engines come again and reach ever more of them

The stand-in's engines crash under a body that begins with crash, and come back at the same address, empty and under another id.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -8,6 +8,11 @@
 
 #define ORDER_LATE_MS 1500
 #define REPORT_LAG_MS 40
+/* A request whose body begins so crashes each engine that begins to run it. */
+#define CRASH_TEXT "crash"
+#define CRASH_AFTER_MS 20
+/* A row that isn't renewed lapses after so many beats. */
+#define LAPSE_BEATS 3
 
 struct wb_estate_engine_t {
     wb_loop_t *loop;
@@ -15,15 +20,20 @@
     wb_estate_seen_t *seen;
     wb_http_listener_t *listener;
     wb_timer_t *beat;
+    char *name; /* that it keeps when it starts again */
     char *id;
+    unsigned starts;
+    unsigned port; /* 0: any */
+    wb_timer_t *crash;
+    wb_timer_t *restart;
     json_t *options; /* service, zone, models, work_ms, event_ms, events, load_ms, weights_mb,
-                        adapter_slots */
+                        adapter_slots, back_ms */
     json_t *models;  /* [{name, version, adapters}] */
     int64_t sequence;
     int64_t beats;
     gboolean busy;
     gboolean leaving;
-    gboolean ended;
+    gboolean ended; /* for good, or until it starts again */
     char *fault;
     int fault_count;
     GHashTable *runs; /* connection -> wb_estate_run_t */
@@ -88,6 +98,57 @@
     json_array_append_new(engine->seen->violations, json_sprintf("%s at %s", text, engine->id));
 }
 
+/* A row that lapses some time after its engine crashed. */
+typedef struct wb_estate_lapse_t {
+    wb_estate_store_t *store;
+    char *id;
+} wb_estate_lapse_t;
+
+static void row_lapses(void *context) {
+    wb_estate_lapse_t *lapse = context;
+    wb_estate_store_put(lapse->store, "servers", lapse->id, NULL);
+    g_free(lapse->id);
+    g_free(lapse);
+}
+
+static void engine_open(wb_estate_engine_t *engine);
+
+static void engine_restart(void *context) {
+    wb_estate_engine_t *engine = context;
+    engine->restart = NULL;
+    engine->ended = FALSE;
+    engine->busy = FALSE;
+    engine->leaving = FALSE;
+    engine->sequence = 0;
+    json_array_clear(engine->models);
+    engine_open(engine);
+}
+
+static void engine_down(wb_estate_engine_t *engine) {
+    engine->ended = TRUE;
+    if (engine->crash != NULL)
+        wb_timer_cancel(engine->crash);
+    engine->crash = NULL;
+    wb_timer_cancel(engine->beat);
+    wb_http_listener_close(engine->listener);
+}
+
+/* All connections end, nobody listens, and the row stays for a while. Another start of the engine
+ * comes at the same address, empty. */
+static void engine_crash(void *context) {
+    wb_estate_engine_t *engine = context;
+    engine->crash = NULL;
+    engine_down(engine);
+    json_array_append_new(engine->seen->crashes, json_pack("{s:s, s:I}", "engine", engine->id,
+                                                           "at_ms", (json_int_t)wb_clock_ms()));
+    wb_estate_lapse_t *lapse = g_new0(wb_estate_lapse_t, 1);
+    lapse->store = engine->store;
+    lapse->id = g_strdup(engine->id);
+    wb_loop_after(engine->loop, LAPSE_BEATS * option(engine, "beat_ms", 300), row_lapses, lapse);
+    engine->restart =
+        wb_loop_after(engine->loop, option(engine, "back_ms", 600), engine_restart, engine);
+}
+
 static json_t *model_find(const wb_estate_engine_t *engine, const char *name, size_t *place) {
     size_t i;
     json_t *model;
@@ -215,6 +276,9 @@
                       : "",
                   "deadline_ms", (json_int_t)wb_http_head_number(head, "Request-Deadline-Ms", -1),
                   "at_ms", (json_int_t)wb_clock_ms(), "headers", headers_json(head)));
+    if (body->len >= strlen(CRASH_TEXT) &&
+        memcmp(body->data, CRASH_TEXT, strlen(CRASH_TEXT)) == 0 && engine->crash == NULL)
+        engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, engine_crash, engine);
     if (fault_take(engine, "error")) {
         run_answer(run, 500, "Response-Seal: seal\r\n", "failed");
         return;
@@ -384,17 +448,32 @@
     g_hash_table_remove(engine->runs, connection);
 }
 
+/* Begins to listen and to announce itself, under an id of its own at each start. */
+static void engine_open(wb_estate_engine_t *engine) {
+    static const wb_http_limits_t limits = {65536, 8 * 1024 * 1024, 30000, 600000};
+    wb_http_handler_t handler = {engine_request, engine_gone, NULL, engine};
+    wb_error_t error;
+    engine->starts++;
+    g_free(engine->id);
+    engine->id = engine->starts == 1 ? g_strdup(engine->name)
+                                     : g_strdup_printf("%s.%u", engine->name, engine->starts);
+    g_autofree char *listen = g_strdup_printf("127.0.0.1:%u", engine->port);
+    if (wb_http_listener_open(engine->loop, listen, &handler, &limits, &engine->listener, &error) !=
+        APR_SUCCESS)
+        g_error("%s", error.message);
+    engine->port = wb_http_listener_port(engine->listener);
+    engine_announce(engine);
+    engine->beat = wb_loop_every(engine->loop, option(engine, "beat_ms", 300), engine_beat, engine);
+}
+
 wb_estate_engine_t *wb_estate_engine_start(wb_loop_t *loop, wb_estate_store_t *store,
                                            wb_estate_seen_t *seen, const char *id,
                                            json_t *options) {
-    static const wb_http_limits_t limits = {65536, 8 * 1024 * 1024, 30000, 600000};
     wb_estate_engine_t *engine = g_new0(wb_estate_engine_t, 1);
-    wb_http_handler_t handler = {engine_request, engine_gone, NULL, engine};
-    wb_error_t error;
     engine->loop = loop;
     engine->store = store;
     engine->seen = seen;
-    engine->id = g_strdup(id);
+    engine->name = g_strdup(id);
     engine->options = json_incref(options);
     engine->fault = g_strdup("");
     engine->runs = g_hash_table_new_full(NULL, NULL, NULL, run_free);
@@ -403,20 +482,17 @@
     json_t *name;
     json_array_foreach(json_object_get(options, "models"), i, name)
         model_put(engine, json_string_value(name));
-    g_autofree char *listen =
-        g_strdup_printf("127.0.0.1:%lld", (long long)option(engine, "port", 0));
-    if (wb_http_listener_open(loop, listen, &handler, &limits, &engine->listener, &error) !=
-        APR_SUCCESS)
-        g_error("%s", error.message);
-    engine_announce(engine);
-    engine->beat = wb_loop_every(loop, option(engine, "beat_ms", 300), engine_beat, engine);
+    engine->port = (unsigned)option(engine, "port", 0);
+    engine_open(engine);
     return engine;
 }
 
 void wb_estate_engine_stop(wb_estate_engine_t *engine, gboolean announce) {
-    engine->ended = TRUE;
-    wb_timer_cancel(engine->beat);
-    wb_http_listener_close(engine->listener);
+    if (engine->restart != NULL)
+        wb_timer_cancel(engine->restart);
+    engine->restart = NULL;
+    if (!engine->ended)
+        engine_down(engine);
     if (announce)
         wb_estate_store_put(engine->store, "servers", engine->id, NULL);
 }
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -21,6 +21,7 @@
     json_t *runs; /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
     json_t
         *orders; /**< {"engine","holder","token","operation","model","adapter","status","at_ms"} */
+    json_t *crashes;    /**< {"engine","at_ms"}: engines that a request crashed */
     json_t *violations; /**< texts */
 } wb_estate_seen_t;
 
@@ -37,7 +38,9 @@
  * answer */
 void wb_estate_store_set_fault(wb_estate_store_t *store, const char *fault, int64_t delay_ms);
 
-/* Engines: engine.c. */
+/* Engines: engine.c. A request whose body begins with "crash" crashes the engine that runs it;
+ * another start of it comes `back_ms` later at the same address, empty and with an id of its own:
+ * NAME.2, NAME.3 and so on. */
 /** @param row members of the engine's row besides those that it fills in itself */
 wb_estate_engine_t *wb_estate_engine_start(wb_loop_t *loop, wb_estate_store_t *store,
                                            wb_estate_seen_t *seen, const char *id, json_t *options);
--- /dev/null
+++ b/tests/edge/test_poison.c
@@ -0,0 +1,219 @@
+/* Requests that crash each engine that begins to run them.
+ *
+ * Seen: on a day of rare models one engine after the other ended, 28 in 90 s, each while it ran
+ * requests of one model; requests of other callers broke off with them, and each engine came back
+ * empty, so that its models were loaded anew.
+ *
+ * How it came about: a caller asked for the same again and again, at any node and each time under
+ * another id. Each time the request was new to the node that it reached, and went to whichever
+ * engine held its model; while the model was loaded anew, the repeats waited at all nodes and were
+ * sent together once it was there.
+ *
+ * Cause: a broken run counted against its engine alone. Nothing was kept of what the engine had
+ * been asked, so nothing told a repeat from any other request: neither at the same node, nor at
+ * another, nor after a start.
+ *
+ * Proof: the digest of what was asked for, written where an engine breaks a request off, was the
+ * same at engine after engine; and these tests, which fail without the memory of it. */
+#include "edge.h"
+
+#include <string.h>
+
+#define NODES 3
+/* A model that several engines hold and any may load; a stream that runs once for each try. */
+#define PATH "/note/x"
+#define POISON "crash: what no engine survives"
+/* Engines are crashed by it at most so often: three times until it is known, and what was under way
+ * elsewhere by then. */
+#define CRASHES_MOST 5
+/* From the third crash to when no node sends it any more. */
+#define KNOWN_MS 500
+/* Time between two tries of a caller that doesn't wait as it is told. */
+#define AGAIN_MS 60
+/* A repeat is refused for minutes, not for the moment. */
+#define COME_BACK_LEAST_S 60.0
+
+typedef struct repeats_t {
+    const estate_t *estate;
+    GPtrArray *wires;
+    int sent;
+} repeats_t;
+
+static void repeats_send(repeats_t *repeats, int node) {
+    g_autofree char *id = g_strdup_printf("again-%d", repeats->sent++);
+    wire_t *wire = wire_try_open(repeats->estate->nodes[node].callers_port);
+    if (wire == NULL) {
+        return; /* the node is down */
+    }
+    wire_post(wire, PATH, id, EDGE_MODEL("m0"), POISON);
+    g_ptr_array_add(repeats->wires, wire);
+}
+
+/* Sends the request again and again, to one node after the other, for so long. */
+static void repeats_send_for(repeats_t *repeats, int64_t duration_ms) {
+    int64_t until_ms = harness_now_ms() + duration_ms;
+    while (harness_now_ms() < until_ms) {
+        repeats_send(repeats, repeats->sent % repeats->estate->node_count);
+        g_usleep(AGAIN_MS * 1000);
+    }
+}
+
+static repeats_t repeats_begin(const estate_t *estate) {
+    return (repeats_t){estate, g_ptr_array_new_with_free_func((GDestroyNotify)wire_close), 0};
+}
+
+static int crashes_count(const estate_t *estate) {
+    json_t *seen = estate_seen(estate);
+    int count = (int)json_array_size(json_object_get(seen, "crashes"));
+    json_decref(seen);
+    return count;
+}
+
+/* Sends it until three engines have ended, and a little longer. */
+static void repeats_until_known(repeats_t *repeats) {
+    int64_t until_ms = harness_now_ms() + 15000;
+    while (crashes_count(repeats->estate) < 3) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        repeats_send_for(repeats, 200);
+    }
+    repeats_send_for(repeats, KNOWN_MS);
+}
+
+/* Checks how many engines it crashed, and that it reached none later than it had to be known. */
+static void assert_stopped(const estate_t *estate) {
+    json_t *seen = estate_seen(estate);
+    const json_t *crashes = json_object_get(seen, "crashes");
+    g_test_message("%zu engines crashed", json_array_size(crashes));
+    g_assert_cmpint(json_array_size(crashes), >=, 3);
+    int64_t third_ms = json_integer_value(json_object_get(json_array_get(crashes, 2), "at_ms"));
+    int late = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        gboolean is_poison = strcmp(json_string_value(json_object_get(run, "body")), POISON) == 0;
+        int64_t after_ms = json_integer_value(json_object_get(run, "at_ms")) - third_ms;
+        if (is_poison && after_ms > KNOWN_MS) {
+            late++;
+            g_test_message("reached an engine %d ms after the third crash", (int)after_ms);
+        }
+    }
+    g_assert_cmpint(late, ==, 0);
+    g_assert_cmpint(json_array_size(crashes), <=, CRASHES_MOST);
+    json_decref(seen);
+}
+
+/* Other requests of the same path are served at each node. */
+static void assert_others_served(const estate_t *estate, const char *prefix) {
+    for (int node = 0; node < estate->node_count; node++) {
+        g_autofree char *id = g_strdup_printf("%s-%d", prefix, node);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[node].callers_port, PATH, id, EDGE_MODEL("m0"));
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(answer->whole);
+        wire_answer_free(answer);
+    }
+}
+
+/* The caller is told at once that it has not run, and that coming back soon has no use. */
+static void assert_refused(const estate_t *estate, int node) {
+    int64_t asked_ms = harness_now_ms();
+    wire_t *wire = wire_open(estate->nodes[node].callers_port);
+    wire_post(wire, PATH, "told", EDGE_MODEL("m0"), POISON);
+    wire_answer_t *answer = wire_read(wire, 9000);
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_cmpint(harness_now_ms() - asked_ms, <, 300);
+    const char *told = strstr(answer->head->str, "Retry-After: ");
+    g_assert_nonnull(told);
+    g_assert_cmpfloat(g_ascii_strtod(told + strlen("Retry-After: "), NULL), >=, COME_BACK_LEAST_S);
+    g_assert_cmpint(estate_runs(estate, "told"), ==, 0);
+    wire_answer_free(answer);
+    wire_close(wire);
+}
+
+/* The same request comes to all nodes, also while its model is loaded anew and it waits. */
+static void test_repeats_at_all_nodes(void) {
+    estate_t *estate = estate_start(NODES, NULL);
+    repeats_t repeats = repeats_begin(estate);
+    estate_wait_controller(estate, 8000);
+    repeats_until_known(&repeats);
+    repeats_send_for(&repeats, 5000);
+    assert_stopped(estate);
+    for (int node = 0; node < NODES; node++) {
+        assert_refused(estate, node);
+    }
+    assert_others_served(estate, "other");
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
+/* All nodes are killed at once after it was known: none of those that start knows it by itself. */
+static void test_all_nodes_killed(void) {
+    estate_t *estate = estate_start(NODES, NULL);
+    repeats_t repeats = repeats_begin(estate);
+    estate_wait_controller(estate, 8000);
+    repeats_until_known(&repeats);
+    repeats_send_for(&repeats, 1500);
+    for (int node = 0; node < NODES; node++) {
+        process_kill(&estate->nodes[node].process);
+    }
+    for (int node = 0; node < NODES; node++) {
+        estate_node_launch(estate, node);
+    }
+    for (int node = 0; node < NODES; node++) {
+        estate_wait_ready(estate, node);
+    }
+    repeats_send_for(&repeats, 6000);
+    assert_stopped(estate);
+    assert_others_served(estate, "other");
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
+/* The node that the others report to dies right after the third crash, and comes back. */
+static void test_controller_killed(void) {
+    estate_t *estate = estate_start(NODES, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    repeats_t repeats = repeats_begin(estate);
+    int controller = estate_wait_controller(estate, 8000);
+    repeats_until_known(&repeats);
+    process_kill(&estate->nodes[controller].process);
+    repeats_send_for(&repeats, 4000);
+    estate_node_launch(estate, controller);
+    estate_wait_ready(estate, controller);
+    repeats_send_for(&repeats, 3000);
+    assert_stopped(estate);
+    assert_others_served(estate, "other");
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
+/* Answers that break off at engines that live say nothing against the request. */
+static void test_broken_answers_are_no_crash(void) {
+    estate_t *estate = estate_start(1, NULL);
+    for (int i = 0; i < 8; i++) {
+        g_autofree char *id = g_strdup_printf("cut-%d", i);
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"lock-%d\",\"fault\":\"reset\","
+                  "\"count\":1}",
+                  i % 2 + 1);
+        wire_answer_free(wire_ask(estate->nodes[0].callers_port, "/lock/x", id, EDGE_DEADLINE));
+        g_usleep(50000);
+    }
+    for (int i = 1; i <= 2; i++) {
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"lock-%d\",\"fault\":\"\",\"count\":0}", i);
+    }
+    wire_answer_t *answer =
+        wire_ask(estate->nodes[0].callers_port, "/lock/x", "well", EDGE_DEADLINE);
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/poison/repeats-at-all-nodes", test_repeats_at_all_nodes);
+    g_test_add_func("/edge/poison/all-nodes-killed", test_all_nodes_killed);
+    g_test_add_func("/edge/poison/controller-killed", test_controller_killed);
+    g_test_add_func("/edge/poison/broken-answers-are-no-crash", test_broken_answers_are_no_crash);
+}
+
+PROCESS_TEST_MAIN(tests_add)
