Refuse requests that crash the engines that run them, at every node

Cause: a run that broke off counted against its engine alone. Nothing was kept of what the engine had been asked, so a repeat under another id was a new request at every node, and copies that waited for their model were all sent once it was loaded anew.

Ruled out: our own resends (all 76 broken requests of the incident ran once), and that the requests were bystanders (the digest at engine after engine is one and the same in the test that plays it).

Change: a node that sees an engine break requests off connects to its address once; where nobody listens, the engine has ended under all of them. Books of such requests are merged by union over the lease's node, and stand behind the lease's row in the store. Three engines without a good end in between: the request is refused as not run, with the time for which that holds, at arrival, while it waits, before each sending and where a copy is under way. An engine's whole answer forgives.

--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -17,7 +17,8 @@
 
 /** How a connection ended. */
 typedef enum wb_tcp_end_t {
-    WB_TCP_END_UNREACHED, /**< it was never connected, so nothing was sent */
+    WB_TCP_END_UNREACHED, /**< it was never connected, so nothing was sent: there was no answer */
+    WB_TCP_END_REFUSED,   /**< the same, and the machine said that nobody listens there */
     WB_TCP_END_CLOSED,    /**< the peer closed it in order */
     WB_TCP_END_RESET      /**< it broke, or the peer stopped acknowledging */
 } wb_tcp_end_t;
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -68,12 +68,12 @@
     attempt_free(attempt);
 }
 
-static void attempt_fail(wb_attempt_t *attempt, const char *reason) {
-    gboolean sent = attempt->sent;
+static void attempt_fail(wb_attempt_t *attempt, gboolean broke_off, const char *reason) {
+    wb_attempt_failure_t failure = {attempt->sent, broke_off, reason};
     wb_exchange_t *exchange = attempt_detach(attempt);
     upstream_drop(attempt->upstream);
     attempt_free(attempt);
-    wb_exchange_attempt_failed(exchange, sent, reason);
+    wb_exchange_attempt_failed(exchange, &failure);
 }
 
 /* Puts the connection into its engine's queue, or closes it. */
@@ -197,7 +197,7 @@
     if (attempt->whole)
         attempt_finish(attempt);
     else if (length > 0 || wb_http_reader_failure(upstream->reader) != WB_HTTP_FAILURE_NONE)
-        attempt_fail(attempt, "not-an-answer");
+        attempt_fail(attempt, FALSE, "not-an-answer");
 }
 
 static void idle_drop(wb_upstream_t *upstream) {
@@ -219,6 +219,8 @@
     switch (how) {
     case WB_TCP_END_UNREACHED:
         return "unreached";
+    case WB_TCP_END_REFUSED:
+        return "refused";
     case WB_TCP_END_CLOSED:
         return "closed";
     default:
@@ -249,7 +251,7 @@
     if (attempt->whole)
         attempt_finish(attempt);
     else
-        attempt_fail(attempt, end_name(how));
+        attempt_fail(attempt, TRUE, end_name(how));
 }
 
 static void request_write(wb_attempt_t *attempt) {
--- /dev/null
+++ b/src/edge/crash_watch.c
@@ -0,0 +1,179 @@
+/* Finds out whether an engine has ended when it broke requests off. */
+#include "edge/crash_watch.h"
+
+#include "wickbridge/event_log.h"
+#include "wickbridge/tcp_stream.h"
+
+#include <string.h>
+
+/* A process that ends closes its connections one after the other and its listener among them; on a
+ * loaded machine that takes some ms. Engines come back after seconds. */
+#define CHECK_AFTER_MS 20
+/* A row lapses three heartbeats (of 1 to 2 s) after its engine ended, and is read within a second
+ * or two. */
+#define REMEMBERED_MS 10000
+/* An engine runs 64 requests at once and queues some more. */
+#define REQUESTS_MOST 128
+
+typedef enum wb_engine_end_t {
+    WB_ENGINE_END_ASKED,   /* the check is due or under way */
+    WB_ENGINE_END_UNKNOWN, /* nothing answered: its row will show */
+    WB_ENGINE_END_SURE
+} wb_engine_end_t;
+
+/* An engine that broke requests off. */
+typedef struct wb_broken_engine_t {
+    wb_crash_watch_t *watch;
+    char *id;
+    char *address;
+    wb_engine_end_t state;
+    GArray *requests; /* of wb_broken_request_t, not yet told */
+    wb_timer_t *timer;
+    wb_tcp_stream_t *stream;
+    int64_t since_ms;
+} wb_broken_engine_t;
+
+struct wb_crash_watch_t {
+    wb_loop_t *loop;
+    const int64_t *connect_timeout_ms;
+    wb_crash_watch_events_t events;
+    GHashTable *engines; /* id -> wb_broken_engine_t */
+    uint64_t checks;
+};
+
+static void check_end(wb_broken_engine_t *engine) {
+    if (engine->timer != NULL) {
+        wb_timer_cancel(engine->timer);
+    }
+    if (engine->stream != NULL) {
+        wb_tcp_stream_close(engine->stream);
+    }
+    engine->timer = NULL;
+    engine->stream = NULL;
+}
+
+static void engine_free(gpointer data) {
+    wb_broken_engine_t *engine = data;
+    check_end(engine);
+    g_array_unref(engine->requests);
+    g_free(engine->id);
+    g_free(engine->address);
+    g_free(engine);
+}
+
+wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const int64_t *connect_timeout_ms,
+                                        const wb_crash_watch_events_t *events) {
+    wb_crash_watch_t *watch = g_new0(wb_crash_watch_t, 1);
+    watch->loop = loop;
+    watch->connect_timeout_ms = connect_timeout_ms;
+    watch->events = *events;
+    watch->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
+    return watch;
+}
+
+void wb_crash_watch_free(wb_crash_watch_t *watch) {
+    g_hash_table_unref(watch->engines);
+    g_free(watch);
+}
+
+static void crash_tell(wb_broken_engine_t *engine, const char *shown_by) {
+    engine->state = WB_ENGINE_END_SURE;
+    if (engine->requests->len == 0) {
+        return;
+    }
+    wb_event("engine-crashed", ",\"engine\":\"%s\",\"shown_by\":\"%s\",\"requests\":%u",
+             wb_event_text(engine->id), shown_by, engine->requests->len);
+    g_autoptr(GArray) requests = engine->requests;
+    engine->requests = g_array_new(FALSE, FALSE, sizeof(wb_broken_request_t));
+    engine->watch->events.on_crashed(engine->id, requests, engine->watch->events.context);
+}
+
+/* Somebody listens there: the engine lives, or the next one came within milliseconds. */
+static void check_open(wb_tcp_stream_t *stream, void *context) {
+    (void)stream;
+    wb_broken_engine_t *engine = context;
+    g_hash_table_remove(engine->watch->engines, engine->id);
+}
+
+static void check_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
+    (void)stream;
+    (void)data; /* the check ends as it is connected: nothing is asked */
+    (void)length;
+    (void)context;
+}
+
+static void check_failed(wb_tcp_stream_t *stream, wb_tcp_end_t how, void *context) {
+    (void)stream;
+    wb_broken_engine_t *engine = context;
+    check_end(engine);
+    if (how == WB_TCP_END_REFUSED) {
+        crash_tell(engine, "refused");
+    } else {
+        engine->state = WB_ENGINE_END_UNKNOWN;
+    }
+}
+
+static void check_begin(void *context) {
+    static const wb_tcp_events_t events = {check_open, check_data, check_failed, NULL};
+    wb_broken_engine_t *engine = context;
+    int64_t limit_ms = *engine->watch->connect_timeout_ms;
+    wb_error_t error;
+    engine->timer = NULL;
+    engine->watch->checks++;
+    if (wb_tcp_stream_connect(engine->watch->loop, engine->address, limit_ms, limit_ms, &events,
+                              engine, &engine->stream, &error) != APR_SUCCESS) {
+        wb_event("engine-check-failed", ",\"engine\":\"%s\",\"reason\":\"%s\"",
+                 wb_event_text(engine->id), wb_event_text(error.message));
+        engine->stream = NULL;
+        engine->state = WB_ENGINE_END_UNKNOWN;
+    }
+}
+
+static wb_broken_engine_t *engine_begin(wb_crash_watch_t *watch, const char *id,
+                                        const char *address) {
+    wb_broken_engine_t *engine = g_new0(wb_broken_engine_t, 1);
+    engine->watch = watch;
+    engine->id = g_strdup(id);
+    engine->address = g_strdup(address);
+    engine->requests = g_array_new(FALSE, FALSE, sizeof(wb_broken_request_t));
+    engine->since_ms = wb_clock_ms();
+    engine->timer = wb_loop_after(watch->loop, CHECK_AFTER_MS, check_begin, engine);
+    g_hash_table_insert(watch->engines, engine->id, engine);
+    return engine;
+}
+
+void wb_crash_watch_broken(wb_crash_watch_t *watch, const char *engine_id, const char *address,
+                           const wb_broken_request_t *request) {
+    wb_broken_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
+    if (engine == NULL) {
+        engine = engine_begin(watch, engine_id, address);
+    }
+    if (engine->requests->len < REQUESTS_MOST) {
+        g_array_append_val(engine->requests, *request);
+    }
+    if (engine->state == WB_ENGINE_END_SURE) {
+        crash_tell(engine, "before");
+    }
+}
+
+void wb_crash_watch_row_gone(wb_crash_watch_t *watch, const char *engine_id) {
+    wb_broken_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
+    if (engine != NULL && engine->state != WB_ENGINE_END_SURE) {
+        check_end(engine);
+        crash_tell(engine, "row");
+    }
+}
+
+static gboolean engine_is_old(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    const int64_t *now_ms = context;
+    return *now_ms - ((const wb_broken_engine_t *)value)->since_ms > REMEMBERED_MS;
+}
+
+void wb_crash_watch_sweep(wb_crash_watch_t *watch, int64_t now_ms) {
+    g_hash_table_foreach_remove(watch->engines, engine_is_old, &now_ms);
+}
+
+uint64_t wb_crash_watch_checks(const wb_crash_watch_t *watch) {
+    return watch->checks;
+}
--- /dev/null
+++ b/src/edge/crash_watch.h
@@ -0,0 +1,52 @@
+/**
+ * @file crash_watch.h
+ * @brief Finds out whether an engine has ended when it broke requests off.
+ *
+ * A connection that ends in the middle of an answer may be the answer's fault, or the network's.
+ * So a moment after an engine broke something off this node connects to its address, once: where
+ * nobody listens any more the engine has ended, under all that it broke off at that time; where
+ * somebody does, nothing is held against requests. Where nothing answers, the engine's row in the
+ * store decides: it goes a few heartbeats after the engine has.
+ *
+ * Threads: everything here belongs on the loop's thread.
+ */
+#ifndef WICKBRIDGE_CRASH_WATCH_H
+#define WICKBRIDGE_CRASH_WATCH_H
+
+#include "poison/request_digest.h"
+
+#include "wickbridge/loop.h"
+
+#include <glib.h>
+
+/** A request that an engine broke off. */
+typedef struct wb_broken_request_t {
+    wb_request_digest_t digest;
+    uint32_t body_bytes;
+} wb_broken_request_t;
+
+typedef struct wb_crash_watch_events_t {
+    /** An engine has ended. @param requests of wb_broken_request_t that it broke off, not all of
+     * them different; those that are noticed later come with a further call */
+    void (*on_crashed)(const char *engine_id, const GArray *requests, void *context);
+    void *context;
+} wb_crash_watch_events_t;
+
+typedef struct wb_crash_watch_t wb_crash_watch_t;
+
+/** @param connect_timeout_ms longest time to connect to an engine; read at each use */
+wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const int64_t *connect_timeout_ms,
+                                        const wb_crash_watch_events_t *events);
+void wb_crash_watch_free(wb_crash_watch_t *watch);
+
+/** An engine ended the connection of a request that it had and hadn't answered whole. */
+void wb_crash_watch_broken(wb_crash_watch_t *watch, const char *engine_id, const char *address,
+                           const wb_broken_request_t *request);
+/** An engine's row went that hadn't said that it leaves. */
+void wb_crash_watch_row_gone(wb_crash_watch_t *watch, const char *engine_id);
+/** Forget engines that nothing more is heard of. */
+void wb_crash_watch_sweep(wb_crash_watch_t *watch, int64_t now_ms);
+/** @return engines that were asked so far whether they are there */
+uint64_t wb_crash_watch_checks(const wb_crash_watch_t *watch);
+
+#endif
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -158,6 +158,7 @@
     wb_edge_node_tick_news(node, now_ms);
     wb_edge_node_tick_hearing(node, now_ms);
     wb_edge_node_tick_quota(node, now_ms);
+    wb_edge_node_tick_poison(node);
     wb_edge_node_tick_announce(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
@@ -181,6 +182,8 @@
     wb_upstreams_sweep(&node->edge, now_ms);
     wb_fleet_sweep(node->edge.fleet, now_ms);
     wb_quota_gate_sweep(node->edge.quota, now_ms);
+    wb_crash_watch_sweep(node->edge.crashes, now_ms);
+    wb_poison_book_sweep(node->edge.poison, now_ms);
 }
 
 static void log_flush(void *context) {
@@ -202,6 +205,10 @@
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->demand = wb_demand_create();
     edge->quota = wb_quota_gate_create();
+    edge->poison = wb_poison_book_create();
+    wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, edge};
+    edge->crashes = wb_crash_watch_create(loop, &edge->settings.connect_timeout_ms, &crashes);
+    edge->on_poison = wb_edge_node_poison_changed;
     wb_list_init(&edge->waiting);
     edge->node_count = 1;
     edge->open = g_hash_table_new(NULL, NULL);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -66,6 +66,8 @@
     int64_t quota_logged_ms;
     int64_t quota_heard_ms;    /* when it was told shares last */
     int64_t quota_reported_ms; /* when it reported last, by itself or to another node */
+    uint64_t poison_told;      /* version of the book of poison requests that was told last */
+    gboolean poison_keeper;    /* at the last tick */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
@@ -154,6 +156,22 @@
 /** Keep the book while the lease names this node, and tell gateways. */
 void wb_edge_node_tick_quota(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_poison.c */
+/** What is held against requests has changed here: tell it. @param context the node */
+void wb_edge_node_poison_changed(void *context);
+/** The link to the node that the lease names is open: tell it all. */
+void wb_edge_node_poison_link_open(wb_edge_node_t *node);
+/** A gateway has linked to this node: tell it all, if this is the node that the lease names. */
+void wb_edge_node_poison_gateway_open(wb_edge_node_t *node, wb_link_t *link);
+/** Another node has told what is held against requests. */
+void wb_edge_node_poison_take(wb_edge_node_t *node, const wb_wire_poison *told);
+/** Tell all gateways once the lease names this node. */
+void wb_edge_node_tick_poison(wb_edge_node_t *node);
+/** Write what must outlive all nodes. @return bytes written, at most `room`; 0: it doesn't fit */
+u_int wb_edge_node_poison_write(const wb_edge_node_t *node, char *bytes, u_int room);
+/** Read it back. */
+void wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream);
+
 /* node_tell.c */
 /** Tell all gateways; what is told of models and adapters may be sent some ms later. */
 void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -18,8 +18,9 @@
 
 #include "wickbridge/edge_metrics.h"
 #include "edge/api_key.h"
+#include "edge/crash_watch.h"
 #include "edge/retry_budget.h"
-#include "poison/request_digest.h"
+#include "poison/poison_book.h"
 #include "quota/quota_gate.h"
 
 typedef struct wb_exchange_t wb_exchange_t;
@@ -73,6 +74,8 @@
     GHashTable *budgets;   /* service -> wb_retry_budget_t */
     wb_demand_t *demand;
     wb_quota_gate_t *quota;
+    wb_poison_book_t *poison; /* requests that crash engines */
+    wb_crash_watch_t *crashes;
     wb_edge_metrics_t metrics;
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
     wb_list_t waiting;    /* exchanges that wait for an engine, oldest first */
@@ -84,6 +87,8 @@
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
     void *need_context;
+    /** What is held against requests has changed: other nodes must know. With need_context. */
+    void (*on_poison)(void *context);
     /** Whether the controller can be reached; NULL: it always can. With need_context. */
     wb_controller_view_t (*controller_view)(void *context);
     /** Time since this node knew for sure which configuration is the newest; NULL: it always does.
@@ -110,6 +115,7 @@
     WB_ENDING_BAD_KEY,       /* it has no key that a tenant holds */
     WB_ENDING_KEY_UNCERTAIN, /* nobody holds its key in a configuration that may be old */
     WB_ENDING_OVER_QUOTA,    /* its tenant's limit is spent */
+    WB_ENDING_POISON,        /* it crashes the engines that run it */
     WB_ENDING_COUNT
 } wb_ending_t;
 
@@ -150,6 +156,8 @@
     wb_key_digest_t key;       /* of its tenant, when it has one */
     gboolean digest_known;     /* it was asked for: most requests never need one */
     wb_request_digest_t digest;
+    uint64_t poison_version; /* of the book of poison requests that is_poison was read in */
+    gboolean is_poison;
     int rank;               /* 0 is the most urgent: its tenant's, or else its route's */
     double quota_cost;      /* that its tenant's limit was charged; 0: not admitted yet */
     int64_t quota_retry_ms; /* when the limit is spent: time until there may be room */
@@ -218,6 +226,10 @@
 void wb_exchanges_reconsider(wb_edge_t *edge);
 /** A model is loaded: nothing is expected any more. */
 void wb_exchanges_no_longer_expect(wb_edge_t *edge, const char *service, const char *model);
+/** Answer those that are known to crash engines, also where copies wait or are under way. */
+void wb_exchanges_refuse_poison(wb_edge_t *edge);
+/** As wb_crash_watch_events_t.on_crashed. @param context the edge */
+void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context);
 /** Near the end of a stop: answer those that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a stop: answer all that have no answer yet. */
@@ -227,8 +239,13 @@
 void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head);
 void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length);
 void wb_exchange_attempt_done(wb_exchange_t *exchange);
-/** @param sent FALSE when no byte of the request left */
-void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason);
+/** How a sending failed. */
+typedef struct wb_attempt_failure_t {
+    gboolean sent;      /* FALSE: no byte of the request left */
+    gboolean broke_off; /* the connection ended before the answer was whole */
+    const char *reason; /* for logs */
+} wb_attempt_failure_t;
+void wb_exchange_attempt_failed(wb_exchange_t *exchange, const wb_attempt_failure_t *failure);
 
 /* One sending to one engine: attempt.c. */
 wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -124,7 +124,8 @@
         retry_after_write(headers, sizeof(headers), exchange->quota_retry_ms);
     }
     if (status == 503) {
-        int64_t come_back_ms = wb_exchange_come_back_ms(exchange);
+        int64_t come_back_ms = ending == WB_ENDING_POISON ? wb_exchange_poison_left_ms(exchange)
+                                                          : wb_exchange_come_back_ms(exchange);
         retry_after_write(headers, sizeof(headers), come_back_ms);
         /* Who decides on loads knows what waits; while nobody does, it must be kept for later. */
         if (ending == WB_ENDING_NOT_LOADED && wb_exchange_nobody_decides(exchange)) {
@@ -266,7 +267,8 @@
     exchange->runs++;
     edge->metrics.sends++;
     if (wb_attempt_start(exchange, engine) == NULL) {
-        wb_exchange_attempt_failed(exchange, FALSE, "no-connection");
+        wb_attempt_failure_t failure = {.reason = "no-connection"};
+        wb_exchange_attempt_failed(exchange, &failure);
         return;
     }
     exchange->counted = TRUE;
@@ -281,6 +283,12 @@
 
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
+    /* Asked before each sending: the copies that wait for a model would else all be sent once it is
+     * there, to one engine more. */
+    if (wb_exchange_is_poison(exchange)) {
+        wb_exchange_give_up(exchange, WB_ENDING_POISON);
+        return;
+    }
     if (now_ms >= exchange->hold_until_ms) {
         wb_exchange_give_up(exchange, WB_ENDING_TIMED_OUT);
         return;
@@ -309,6 +317,9 @@
         route->kind == WB_ROUTE_REPEATABLE || (route->kind == WB_ROUTE_STREAM && route->resumable);
     if (!repeatable || exchange->runs >= (unsigned)MAX(route->max_attempts, 1))
         return FALSE;
+    /* Whether its last engine crashed isn't known yet; if so, the next one would. */
+    if (wb_exchange_is_suspect(exchange))
+        return FALSE;
     if (exchange->answer_begun &&
         (route->kind != WB_ROUTE_STREAM || exchange->last_event_id == NULL))
         return FALSE;
@@ -348,9 +359,11 @@
         return;
     }
     if (!reply->sealed) {
-        wb_exchange_attempt_failed(exchange, TRUE, "unsealed");
+        wb_attempt_failure_t failure = {.sent = TRUE, .reason = "unsealed"};
+        wb_exchange_attempt_failed(exchange, &failure);
         return;
     }
+    wb_exchange_note_survived(exchange);
     gboolean failed = reply->status >= 500;
     if (failed && run_again(exchange))
         return;
@@ -363,26 +376,29 @@
 }
 
 /* The digest shows whether the same request broke off at engine after engine. */
-static void send_broken_log(wb_exchange_t *exchange, gboolean sent, const char *reason) {
+static void send_broken_log(wb_exchange_t *exchange, const wb_attempt_failure_t *failure) {
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES] = "";
-    if (sent) {
+    if (failure->sent) {
         wb_request_digest_write(wb_exchange_digest(exchange), digest);
     }
     wb_event("send-broken",
              ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\",\"sent\":%s,\"answer_begun\":%s,"
              "\"digest\":\"%s\",\"ms\":%lld,\"running\":%u",
-             wb_event_text(exchange->id), exchange->engine->state->id, reason,
-             sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
+             wb_event_text(exchange->id), exchange->engine->state->id, failure->reason,
+             failure->sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
              (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running);
 }
 
-void wb_exchange_attempt_failed(wb_exchange_t *exchange, gboolean sent, const char *reason) {
+void wb_exchange_attempt_failed(wb_exchange_t *exchange, const wb_attempt_failure_t *failure) {
     wb_edge_t *edge = exchange->edge;
     sending_release(exchange);
-    engine_failed(exchange->engine, reason, exchange->id);
+    engine_failed(exchange->engine, failure->reason, exchange->id);
     edge->metrics.broken_sends++;
-    send_broken_log(exchange, sent, reason);
-    if (!sent) {
+    send_broken_log(exchange, failure);
+    if (failure->sent && failure->broke_off) {
+        wb_exchange_note_broken(exchange);
+    }
+    if (!failure->sent) {
         exchange->sends--;
         exchange->runs--;
         if (++exchange->unreached >= UNREACHED_LIMIT)
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -4,7 +4,7 @@
 static const char *const ending_names[WB_ENDING_COUNT] = {
     "served",      "engine-failed", "no-catalog", "no-route",      "bad-request", "unknown-model",
     "no-engine",   "not-loaded",    "rejected",   "no-budget",     "broken",      "timed-out",
-    "caller-gone", "stopping",      "bad-key",    "key-uncertain", "over-quota"};
+    "caller-gone", "stopping",      "bad-key",    "key-uncertain", "over-quota",  "poison"};
 
 const char *wb_ending_name(wb_ending_t ending) {
     return ending_names[ending];
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -50,6 +50,17 @@
  * some 40 us for a body of 18 KB */
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange);
 
+/** @return TRUE when it is known to crash the engines that run it */
+gboolean wb_exchange_is_poison(wb_exchange_t *exchange);
+/** @return TRUE when one more engine that ends under it makes it poison */
+gboolean wb_exchange_is_suspect(wb_exchange_t *exchange);
+/** @return ms for which that is held against it */
+int64_t wb_exchange_poison_left_ms(wb_exchange_t *exchange);
+/** Its engine broke it off, and may have crashed under it. */
+void wb_exchange_note_broken(wb_exchange_t *exchange);
+/** Its engine has answered it whole, whatever the answer is. */
+void wb_exchange_note_survived(wb_exchange_t *exchange);
+
 /* exchange_answer.c */
 /** The answer begins to come; only the first call counts. */
 void wb_exchange_note_first_event(wb_exchange_t *exchange);
--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -1,4 +1,4 @@
-/* What a request asks for, by its digest: so that requests that crash engines are known again. */
+/* Requests that crash the engines that run them: found out, and refused. */
 #include "edge/exchange_inner.h"
 
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange) {
@@ -18,3 +18,103 @@
     exchange->digest_known = TRUE;
     return &exchange->digest;
 }
+
+/* Returns what is held against the request, or NULL. Few requests have a body as long as one that
+ * something is held against, so few digests are worked out. */
+static const wb_poison_entry_t *held_against(wb_exchange_t *exchange) {
+    const wb_poison_book_t *book = exchange->edge->poison;
+    if (!wb_poison_book_has_length(book, exchange->body->len)) {
+        return NULL;
+    }
+    return wb_poison_book_find(book, wb_exchange_digest(exchange));
+}
+
+gboolean wb_exchange_is_poison(wb_exchange_t *exchange) {
+    uint64_t version = wb_poison_book_version(exchange->edge->poison);
+    if (exchange->poison_version != version) {
+        exchange->poison_version = version;
+        exchange->is_poison = wb_poison_entry_state(held_against(exchange)) == WB_POISON_REFUSED;
+    }
+    return exchange->is_poison;
+}
+
+gboolean wb_exchange_is_suspect(wb_exchange_t *exchange) {
+    const wb_poison_entry_t *entry = held_against(exchange);
+    return entry != NULL && wb_poison_entry_engines(entry) + 1 >= WB_POISON_ENGINES;
+}
+
+int64_t wb_exchange_poison_left_ms(wb_exchange_t *exchange) {
+    const wb_poison_entry_t *entry = held_against(exchange);
+    return entry != NULL ? MAX(entry->until_ms - wb_clock_ms(), 1) : 1;
+}
+
+void wb_exchange_note_broken(wb_exchange_t *exchange) {
+    const wb_engine_t *engine = exchange->engine;
+    /* An engine that leaves ends what is left with it: that is nobody's fault. */
+    if (engine->leaving_ms != 0) {
+        return;
+    }
+    wb_broken_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
+    wb_crash_watch_broken(exchange->edge->crashes, engine->state->id, engine->state->address,
+                          &request);
+}
+
+static void book_changed(wb_edge_t *edge) {
+    if (edge->on_poison != NULL) {
+        edge->on_poison(edge->need_context);
+    }
+}
+
+void wb_exchange_note_survived(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    if (held_against(exchange) == NULL ||
+        !wb_poison_book_forgive(edge->poison, wb_exchange_digest(exchange))) {
+        return;
+    }
+    char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
+    wb_event("request-forgiven", ",\"id\":\"%s\",\"digest\":\"%s\",\"engine\":\"%s\"",
+             wb_event_text(exchange->id),
+             wb_request_digest_write(wb_exchange_digest(exchange), digest),
+             exchange->engine->state->id);
+    book_changed(edge);
+}
+
+void wb_exchanges_refuse_poison(wb_edge_t *edge) {
+    g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
+    for (GList *item = open; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        gboolean is_sent = exchange->attempt != NULL || wb_list_is_linked(&exchange->waiting);
+        if (g_hash_table_contains(edge->open, exchange) && is_sent &&
+            wb_exchange_is_poison(exchange)) {
+            wb_exchange_give_up(exchange, WB_ENDING_POISON);
+        }
+    }
+}
+
+static void suspicion_log(const wb_poison_entry_t *entry, const char *engine_id) {
+    char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
+    gboolean refused = wb_poison_entry_state(entry) == WB_POISON_REFUSED;
+    wb_event("request-suspected",
+             ",\"digest\":\"%s\",\"engine\":\"%s\",\"engines\":%u,\"refused\":%s",
+             wb_request_digest_write(&entry->digest, digest), wb_event_text(engine_id),
+             wb_poison_entry_engines(entry), refused ? "true" : "false");
+}
+
+void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context) {
+    wb_edge_t *edge = context;
+    uint64_t engine = wb_poison_engine_hash(engine_id);
+    gboolean news = FALSE;
+    edge->metrics.engine_crashes++;
+    for (guint i = 0; i < requests->len; i++) {
+        const wb_broken_request_t *request = &g_array_index(requests, wb_broken_request_t, i);
+        if (wb_poison_book_note(edge->poison, &request->digest, request->body_bytes, engine,
+                                wb_clock_ms())) {
+            news = TRUE;
+            suspicion_log(wb_poison_book_find(edge->poison, &request->digest), engine_id);
+        }
+    }
+    if (news) {
+        book_changed(edge);
+        wb_exchanges_refuse_poison(edge);
+    }
+}
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -3,8 +3,10 @@
 
 #include <string.h>
 
-/* The store takes rows of 64 KiB at most; this leaves room for 1,500 engines' names of 30 bytes. */
-#define ROW_BYTES (60 * 1024)
+/* The store takes rows of 64 KiB at most. The lease has room for 1,150 engines' names of 30 bytes,
+ * poison requests for 128 of them. */
+#define ROW_BYTES (64 * 1024)
+#define LEASE_BYTES (48 * 1024)
 /* Nodes try to take a lease over so far apart on average, so the first of any number tries soon,
  * and most others hear of it (some 60 ms later) before their turn. */
 #define TAKEOVER_GAP_MS 30
@@ -105,7 +107,7 @@
     wb_wire_lease wire = wb_edge_node_lease_to_wire(row);
     wire.recent_loads = wb_controller_recent_loads(node->controller);
     XDR stream;
-    xdrmem_create(&stream, bytes, ROW_BYTES, XDR_ENCODE);
+    xdrmem_create(&stream, bytes, LEASE_BYTES, XDR_ENCODE);
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
     u_int length = xdr_getpos(&stream);
     xdr_destroy(&stream);
@@ -115,6 +117,7 @@
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
+    length += wb_edge_node_poison_write(node, bytes + length, ROW_BYTES - length);
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_answered, node);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -61,12 +61,15 @@
     wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
     gateway->heard_ms = wb_clock_ms();
     g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, gateway);
+    wb_edge_node_poison_gateway_open(context, link);
 }
 
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     wb_edge_node_t *node = context;
     if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_news);
+    if (message->kind == WB_WIRE_POISON)
+        wb_edge_node_poison_take(node, &message->wb_wire_message_u.poison);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
@@ -135,6 +138,7 @@
     wb_quota_gate_set_reached(node->edge.quota, TRUE);
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
     wb_edge_node_tell_demand(node);
+    wb_edge_node_poison_link_open(node);
 }
 
 static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context) {
@@ -143,6 +147,8 @@
         news_take(context, &message->wb_wire_message_u.placement);
     else if (message->kind == WB_WIRE_LOAD_PLAN)
         plan_take(context, &message->wb_wire_message_u.load_plan);
+    else if (message->kind == WB_WIRE_POISON)
+        wb_edge_node_poison_take(context, &message->wb_wire_message_u.poison);
     else if (message->kind == WB_WIRE_QUOTA)
         wb_edge_node_quota_take_shares(context, &message->wb_wire_message_u.quota);
     else if (message->kind == WB_WIRE_STORE_NEWS)
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -151,6 +151,8 @@
     wb_edge_t *edge = &node->edge;
     wb_engine_t *known = wb_fleet_find(edge->fleet, row->key);
     if (row->value == NULL) {
+        if (known != NULL && known->leaving_ms == 0)
+            wb_crash_watch_row_gone(edge->crashes, row->key);
         if (known != NULL)
             wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
                      wb_event_text(row->key), (long long)row->version);
@@ -201,6 +203,9 @@
     XDR stream;
     xdrmem_create(&stream, (char *)row->value, (u_int)row->length, XDR_DECODE);
     gboolean whole = xdr_wb_wire_lease(&stream, &wire);
+    if (whole && xdr_getpos(&stream) < row->length) {
+        wb_edge_node_poison_read(node, &stream);
+    }
     xdr_destroy(&stream);
     if (whole) {
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -319,7 +319,7 @@
     wb_link_t *link = context;
     wb_watch_remove(link->watch);
     link->watch = NULL;
-    if (wb_socket_is_connected(link->socket, events))
+    if (wb_socket_connect_failure(link->socket, events) == 0)
         link_connected(link, FALSE);
     else
         link_fail(link, "it can't be reached");
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -6,6 +6,7 @@
 #include <apr_poll.h>
 #include <apr_portable.h>
 #include <apr_strings.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -71,13 +72,15 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
 }
 
-gboolean wb_socket_is_connected(apr_socket_t *socket, int16_t events) {
+int wb_socket_connect_failure(apr_socket_t *socket, int16_t events) {
     int failure = 0;
     socklen_t size = sizeof(failure);
     int descriptor;
     apr_os_sock_get(&descriptor, socket);
     getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &failure, &size);
-    return failure == 0 && !(events & (APR_POLLERR | APR_POLLHUP));
+    if (failure == 0 && (events & (APR_POLLERR | APR_POLLHUP)))
+        failure = ENOTCONN;
+    return failure;
 }
 
 unsigned wb_socket_port(apr_socket_t *socket) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -20,8 +20,9 @@
 /** Let a connection end when the peer acknowledges nothing for so long, or is gone while nothing is
  * sent. */
 void wb_socket_limit_silence(apr_socket_t *socket, int64_t limit_ms);
-/** @param events what the loop told of a socket that connects @return TRUE when it is connected */
-gboolean wb_socket_is_connected(apr_socket_t *socket, int16_t events);
+/** @param events what the loop told of a socket that connects. @return 0 when it is connected, else
+ * an errno; ENOTCONN when the reason was told before */
+int wb_socket_connect_failure(apr_socket_t *socket, int16_t events);
 /** @return the port that a socket is bound to, or 0 */
 unsigned wb_socket_port(apr_socket_t *socket);
 
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -6,6 +6,7 @@
 
 #include <apr_pools.h>
 #include <apr_portable.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -31,6 +32,7 @@
     void *context;
     GByteArray *unsent;
     gboolean open;
+    gboolean refused; /* the system said so while it began to connect */
     gboolean reading;
     gboolean finishing; /* close after the output */
     gboolean ended;     /* on_end was called */
@@ -291,8 +293,10 @@
 static void connect_ready(int16_t events, void *context) {
     wb_tcp_stream_t *stream = context;
     timer_clear(stream);
-    if (!wb_socket_is_connected(stream->socket, events)) {
-        stream_end(stream, WB_TCP_END_UNREACHED);
+    int failure = wb_socket_connect_failure(stream->socket, events);
+    if (failure != 0) {
+        gboolean refused = stream->refused || failure == ECONNREFUSED;
+        stream_end(stream, refused ? WB_TCP_END_REFUSED : WB_TCP_END_UNREACHED);
         return;
     }
     wb_watch_remove(stream->watch);
@@ -321,7 +325,7 @@
     }
     wb_tcp_stream_t *created = stream_create(loop, pool, socket, silence_limit_ms);
     wb_tcp_stream_set_events(created, events, context);
-    apr_socket_connect(socket, target);
+    created->refused = APR_STATUS_IS_ECONNREFUSED(apr_socket_connect(socket, target));
     created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
     created->timer = wb_loop_after(loop, connect_timeout_ms, connect_timed_out, created);
     *stream = created;
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -49,11 +49,10 @@
 
 const char *wb_message_kind_name(wb_wire_kind kind) {
     static const char *const names[] = {
-        "none",         "hello",           "heartbeat",     "gossip",
-        "sync",         "config-fetch",    "config-change", "group-state",
-        "group-append", "group-ack",       "group-vote",    "group-ballot",
-        "route-want",   "route-show",      "claim-want",    "claim-show",
-        "claim-done",   "group-hand-over", "demand",        "placement",
-        "store-news",   "load-plan",       "quota"};
+        "none",         "hello",         "heartbeat",       "gossip",       "sync",
+        "config-fetch", "config-change", "group-state",     "group-append", "group-ack",
+        "group-vote",   "group-ballot",  "route-want",      "route-show",   "claim-want",
+        "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement",
+        "store-news",   "load-plan",     "quota",           "poison"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -357,6 +357,24 @@
     wb_wire_quota_entry tenants<WB_WIRE_LIST_MAX>;
 };
 
+const WB_WIRE_DIGEST_BYTES = 16;
+const WB_WIRE_POISON_ENGINES = 8;
+
+/* What is held against a request that may crash the engines that run it. */
+struct wb_wire_poison_entry {
+    opaque digest[WB_WIRE_DIGEST_BYTES];
+    unsigned int body_bytes;
+    unsigned hyper engines<WB_WIRE_POISON_ENGINES>; /* that ended under it: hashes of their ids */
+    unsigned int forgiven; /* one bit for each engine */
+    unsigned int left_ms;  /* for which it is held against the request */
+};
+
+/* Added to what the receiver knows. Gateways tell the controller, which tells all gateways; it also
+ * stands in the store behind the lease's row. */
+struct wb_wire_poison {
+    wb_wire_poison_entry entries<WB_WIRE_LIST_MAX>;
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -379,7 +397,8 @@
     WB_WIRE_PLACEMENT = 19,
     WB_WIRE_STORE_NEWS = 20,
     WB_WIRE_LOAD_PLAN = 21,
-    WB_WIRE_QUOTA = 22
+    WB_WIRE_QUOTA = 22,
+    WB_WIRE_POISON = 23
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -427,4 +446,6 @@
     wb_wire_load_plan load_plan;
 case WB_WIRE_QUOTA:
     wb_wire_quota quota;
+case WB_WIRE_POISON:
+    wb_wire_poison poison;
 };
