--- a/src/ctl/commands_node.c
+++ b/src/ctl/commands_node.c
@@ -230,6 +230,39 @@
     return list_show(options, "/operators/v1/tenants", "tenants", tenant_print);
 }
 
+static void poison_print(const json_t *request) {
+    printf("%s %-9s %lld engines ended under it, body of %lld bytes, for %lld s more\n",
+           wb_json_text(request, "digest", "?"), wb_json_text(request, "state", "?"),
+           (long long)wb_json_integer(request, "engines", 0),
+           (long long)wb_json_integer(request, "body_bytes", 0),
+           (long long)wb_json_integer(request, "left_ms", 0) / 1000);
+}
+
+/* Lets a request through again that crashed engines. */
+static int poison_forgive(const ctl_options_t *options, const char *digest) {
+    g_autofree char *escaped = g_uri_escape_string(digest, NULL, FALSE);
+    g_autofree char *path = g_strconcat("/operators/v1/poison/forgive?digest=", escaped, NULL);
+    ctl_answer_t answer = {0};
+    wb_error_t error;
+    if (ctl_request(options, "POST", path, NULL, &answer, &error) != APR_SUCCESS)
+        return ctl_print_error(error.message);
+    if (options->json)
+        ctl_print_json(answer.body);
+    else
+        printf("%s is served again by all nodes that this one reaches\n", digest);
+    ctl_answer_clear(&answer);
+    return CTL_OK;
+}
+
+int ctl_poison(const ctl_options_t *options) {
+    if (options->word_count == 0)
+        return list_show(options, "/operators/v1/poison", "requests", poison_print);
+    if (options->word_count == 2 && strcmp(options->words[0], "forgive") == 0)
+        return poison_forgive(options, options->words[1]);
+    ctl_print_error("say: poison, or: poison forgive DIGEST");
+    return CTL_USAGE;
+}
+
 int ctl_models(const ctl_options_t *options) {
     return list_show(options, "/operators/v1/models", "models", loaded_print);
 }
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -82,6 +82,7 @@
 int ctl_routes(const ctl_options_t *options);
 int ctl_models(const ctl_options_t *options);
 int ctl_tenants(const ctl_options_t *options);
+int ctl_poison(const ctl_options_t *options);
 int ctl_trace(const ctl_options_t *options);
 
 /* commands_policy.c */
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -30,6 +30,8 @@
     {"models", "", "Show models and the engines that hold them, as an edge node knows", ctl_models},
     {"tenants", "", "Show tenants and limits; at the node that holds the lease also their use",
      ctl_tenants},
+    {"poison", "[forgive DIGEST]", "Show requests that crash engines, or let one be served again",
+     ctl_poison},
     {"trace", "ID -f PATH", "Show a request's log lines from files of all nodes, in order",
      ctl_trace},
     {"explain", "model NAME | request ID", "Say why a model or request is where it is",
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -192,6 +192,46 @@
     json_answer(connection, 200, json_pack("{s:o}", "tenants", tenants));
 }
 
+static json_t *poison_json(const wb_poison_entry_t *entry) {
+    static const char *const states[] = {"forgiven", "suspected", "refused"};
+    char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
+    return json_pack(
+        "{s:s, s:s, s:i, s:I, s:I}", "digest", wb_request_digest_write(&entry->digest, digest),
+        "state", states[wb_poison_entry_state(entry)], "engines",
+        (int)wb_poison_entry_engines(entry), "body_bytes", (json_int_t)entry->body_bytes, "left_ms",
+        (json_int_t)MAX(entry->until_ms - wb_clock_ms(), 0));
+}
+
+/* Requests under which engines ended, as far as this node knows; newest first. */
+static void poison_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
+    (void)query;
+    json_t *requests = json_array();
+    WB_LIST_EACH(item, wb_poison_book_entries(node->edge.poison)) {
+        json_array_append_new(requests, poison_json(WB_LIST_OF(item, wb_poison_entry_t, item)));
+    }
+    json_answer(connection, 200, json_pack("{s:o}", "requests", requests));
+}
+
+/* An operator knows that a request is served well from now on, as with mended engines. */
+static void poison_forgive(wb_edge_node_t *node, wb_http_connection_t *connection,
+                           const char *query) {
+    static const char member[] = "digest=";
+    wb_request_digest_t digest;
+    if (!g_str_has_prefix(query, member) ||
+        !wb_request_digest_read(query + strlen(member), &digest)) {
+        error_answer(connection, 400, "say ?digest= and 32 hexadecimal digits");
+        return;
+    }
+    if (!wb_poison_book_forgive(node->edge.poison, &digest)) {
+        error_answer(connection, 404, "nothing is held against this request here");
+        return;
+    }
+    wb_event("request-forgiven", ",\"id\":\"\",\"digest\":\"%s\",\"engine\":\"\"",
+             wb_event_text(query + strlen(member)));
+    wb_edge_node_poison_changed(node);
+    json_answer(connection, 200, json_pack("{s:b}", "forgiven", 1));
+}
+
 static const wb_service_t *service_of_model(const wb_edge_t *edge, const char *model) {
     GHashTableIter iter;
     gpointer service;
@@ -318,6 +358,8 @@
     {"GET", "/operators/v1/routes", routes_show},
     {"GET", "/operators/v1/models", models_show},
     {"GET", "/operators/v1/tenants", tenants_show},
+    {"GET", "/operators/v1/poison", poison_show},
+    {"POST", "/operators/v1/poison/forgive", poison_forgive},
     {"GET", "/operators/v1/explain", explanation_show},
     {"POST", "/operators/v1/drain", drain_begin},
 };
--- a/src/poison/request_digest.c
+++ b/src/poison/request_digest.c
@@ -39,6 +39,21 @@
     return text;
 }
 
+gboolean wb_request_digest_read(const char *text, wb_request_digest_t *digest) {
+    if (strlen(text) != 2 * WB_REQUEST_DIGEST_BYTES) {
+        return FALSE;
+    }
+    for (gsize i = 0; i < WB_REQUEST_DIGEST_BYTES; i++) {
+        int high = g_ascii_xdigit_value(text[2 * i]);
+        int low = g_ascii_xdigit_value(text[2 * i + 1]);
+        if (high < 0 || low < 0) {
+            return FALSE;
+        }
+        digest->bytes[i] = (guint8)(16 * high + low);
+    }
+    return TRUE;
+}
+
 gboolean wb_request_digest_equal(const wb_request_digest_t *left,
                                  const wb_request_digest_t *right) {
     return memcmp(left->bytes, right->bytes, sizeof(left->bytes)) == 0;
--- a/tests/edge/test_poison.c
+++ b/tests/edge/test_poison.c
@@ -209,10 +209,44 @@
     estate_stop(estate);
 }
 
+static char *wickctl(const estate_t *estate, int node, const char *words) {
+    g_autofree char *command =
+        g_strdup_printf("%s/wickctl poison %s --node 127.0.0.1:%d", estate->files.build, words,
+                        estate->nodes[node].metrics_port);
+    char *output = NULL;
+    int status = 0;
+    g_assert_true(g_spawn_command_line_sync(command, &output, NULL, &status, NULL));
+    g_test_message("%s", output);
+    g_assert_cmpint(status, ==, 0);
+    return output;
+}
+
+/* An operator sees what is refused, and lets it be served again, at any node for all. */
+static void test_operator_forgives(void) {
+    estate_t *estate = estate_start(2, NULL);
+    repeats_t repeats = repeats_begin(estate);
+    int controller = estate_wait_controller(estate, 8000);
+    repeats_until_known(&repeats);
+    g_autofree char *refused = wickctl(estate, 1 - controller, "");
+    g_assert_nonnull(strstr(refused, " refused   3 engines"));
+    g_autofree char *digest = g_strndup(refused, strcspn(refused, " "));
+    g_autofree char *words = g_strdup_printf("forgive %s", digest);
+    g_autofree char *done = wickctl(estate, 1 - controller, words);
+    g_assert_nonnull(strstr(done, "served again"));
+    g_usleep(500000);
+    for (int node = 0; node < 2; node++) {
+        g_autofree char *now = wickctl(estate, node, "");
+        g_assert_nonnull(strstr(now, " forgiven "));
+    }
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/poison/repeats-at-all-nodes", test_repeats_at_all_nodes);
     g_test_add_func("/edge/poison/all-nodes-killed", test_all_nodes_killed);
     g_test_add_func("/edge/poison/controller-killed", test_controller_killed);
+    g_test_add_func("/edge/poison/operator-forgives", test_operator_forgives);
     g_test_add_func("/edge/poison/broken-answers-are-no-crash", test_broken_answers_are_no_crash);
 }
 
--- a/tests/unit/test_request_digest.c
+++ b/tests/unit/test_request_digest.c
@@ -39,6 +39,21 @@
     assert_differs(&first, digest_of("POST", "a.example", "/x?y=1", "t1", "bodz"));
 }
 
+/* An operator names a request by what the log says. */
+static void test_read_back(void) {
+    char text[WB_REQUEST_DIGEST_TEXT_BYTES];
+    wb_request_digest_t digest = digest_of("POST", "a.example", "/x", "t1", "body");
+    wb_request_digest_t read;
+    g_assert_true(wb_request_digest_read(wb_request_digest_write(&digest, text), &read));
+    g_assert_true(wb_request_digest_equal(&digest, &read));
+    const char *const bad[] = {"", "f5", "f58b869447b9bab86a3e6d65b58d1e5",
+                               "f58b869447b9bab86a3e6d65b58d1e533",
+                               "g58b869447b9bab86a3e6d65b58d1e53"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_false(wb_request_digest_read(bad[i], &read));
+    }
+}
+
 /* Bytes that move from one part to the next make another request. */
 static void test_parts_dont_run_together(void) {
     wb_request_digest_t first = digest_of("POST", "a.example", "/x", "t1", "body");
@@ -51,6 +66,7 @@
     g_test_add_func("/request-digest/same-content", test_same_content);
     g_test_add_func("/request-digest/value-is-fixed", test_value_is_fixed);
     g_test_add_func("/request-digest/other-content", test_other_content);
+    g_test_add_func("/request-digest/read-back", test_read_back);
     g_test_add_func("/request-digest/parts-dont-run-together", test_parts_dont_run_together);
 }
 
