Tell bystanders from poison: what was lately served, trials, and engines that others stand before

What all callers ask for alike was refused for ten minutes with the poison, as it was under way at the same engines. And a request that was wrongly refused could never end well.

Change: an engine that took the check's connection has ended when another one announces itself at its address, or its row goes. Requests with short bodies that were answered whole in the last minute, at any node, are not suspected. The lease's node tries a refused request after a minute, then after four, sixteen.

The stand-in's crash no longer comes after an answer.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -40,6 +40,8 @@
     double retry_ratio;
     double retry_window_s;
     double retry_slack;
+    double poison_kept_s;
+    double poison_trial_s;
     double load_window_s;
     int64_t connect_timeout_ms;
     int64_t silence_limit_ms;
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -9,15 +9,19 @@
 /* A process that ends closes its connections one after the other and its listener among them; on a
  * loaded machine that takes some ms. Engines come back after seconds. */
 #define CHECK_AFTER_MS 20
-/* A row lapses three heartbeats (of 1 to 2 s) after its engine ended, and is read within a second
- * or two. */
-#define REMEMBERED_MS 10000
+/* A row lapses three heartbeats after its engine ended, and is read within three seconds, also just
+ * after a change of the controller. */
+#define LAPSE_BEATS 3
+#define ROW_READ_MS 3000
+/* An engine that lives and breaks answers off is asked so often at most: each time takes a new
+ * connection, of which it bears some hundred. */
+#define CHECK_AGAIN_MS 500
 /* An engine runs 64 requests at once and queues some more. */
 #define REQUESTS_MOST 128
 
 typedef enum wb_engine_end_t {
     WB_ENGINE_END_ASKED,   /* the check is due or under way */
-    WB_ENGINE_END_UNKNOWN, /* nothing answered: its row will show */
+    WB_ENGINE_END_UNKNOWN, /* its row will show */
     WB_ENGINE_END_SURE
 } wb_engine_end_t;
 
@@ -30,12 +34,12 @@
     GArray *requests; /* of wb_broken_request_t, not yet told */
     wb_timer_t *timer;
     wb_tcp_stream_t *stream;
-    int64_t since_ms;
+    int64_t since_ms; /* when the last check was planned */
 } wb_broken_engine_t;
 
 struct wb_crash_watch_t {
     wb_loop_t *loop;
-    const int64_t *connect_timeout_ms;
+    const wb_edge_settings_t *settings;
     wb_crash_watch_events_t events;
     GHashTable *engines; /* id -> wb_broken_engine_t */
     uint64_t checks;
@@ -61,11 +65,11 @@
     g_free(engine);
 }
 
-wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const int64_t *connect_timeout_ms,
+wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                         const wb_crash_watch_events_t *events) {
     wb_crash_watch_t *watch = g_new0(wb_crash_watch_t, 1);
     watch->loop = loop;
-    watch->connect_timeout_ms = connect_timeout_ms;
+    watch->settings = settings;
     watch->events = *events;
     watch->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
     return watch;
@@ -88,11 +92,12 @@
     engine->watch->events.on_crashed(engine->id, requests, engine->watch->events.context);
 }
 
-/* Somebody listens there: the engine lives, or the next one came within milliseconds. */
+/* Somebody listens there: the engine, the next one, or what stands before engines. */
 static void check_open(wb_tcp_stream_t *stream, void *context) {
     (void)stream;
     wb_broken_engine_t *engine = context;
-    g_hash_table_remove(engine->watch->engines, engine->id);
+    check_end(engine);
+    engine->state = WB_ENGINE_END_UNKNOWN;
 }
 
 static void check_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
@@ -116,7 +121,7 @@
 static void check_begin(void *context) {
     static const wb_tcp_events_t events = {check_open, check_data, check_failed, NULL};
     wb_broken_engine_t *engine = context;
-    int64_t limit_ms = *engine->watch->connect_timeout_ms;
+    int64_t limit_ms = engine->watch->settings->connect_timeout_ms;
     wb_error_t error;
     engine->timer = NULL;
     engine->watch->checks++;
@@ -129,6 +134,12 @@
     }
 }
 
+static void check_plan(wb_broken_engine_t *engine) {
+    engine->state = WB_ENGINE_END_ASKED;
+    engine->since_ms = wb_clock_ms();
+    engine->timer = wb_loop_after(engine->watch->loop, CHECK_AFTER_MS, check_begin, engine);
+}
+
 static wb_broken_engine_t *engine_begin(wb_crash_watch_t *watch, const char *id,
                                         const char *address) {
     wb_broken_engine_t *engine = g_new0(wb_broken_engine_t, 1);
@@ -136,8 +147,7 @@
     engine->id = g_strdup(id);
     engine->address = g_strdup(address);
     engine->requests = g_array_new(FALSE, FALSE, sizeof(wb_broken_request_t));
-    engine->since_ms = wb_clock_ms();
-    engine->timer = wb_loop_after(watch->loop, CHECK_AFTER_MS, check_begin, engine);
+    check_plan(engine);
     g_hash_table_insert(watch->engines, engine->id, engine);
     return engine;
 }
@@ -147,6 +157,9 @@
     wb_broken_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
     if (engine == NULL) {
         engine = engine_begin(watch, engine_id, address);
+    } else if (engine->state == WB_ENGINE_END_UNKNOWN &&
+               wb_clock_ms() - engine->since_ms > CHECK_AGAIN_MS) {
+        check_plan(engine);
     }
     if (engine->requests->len < REQUESTS_MOST) {
         g_array_append_val(engine->requests, *request);
@@ -156,22 +169,58 @@
     }
 }
 
+static void engine_ended(wb_broken_engine_t *engine, const char *shown_by) {
+    if (engine->state != WB_ENGINE_END_SURE) {
+        check_end(engine);
+        crash_tell(engine, shown_by);
+    }
+}
+
 void wb_crash_watch_row_gone(wb_crash_watch_t *watch, const char *engine_id) {
     wb_broken_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
-    if (engine != NULL && engine->state != WB_ENGINE_END_SURE) {
-        check_end(engine);
-        crash_tell(engine, "row");
+    if (engine != NULL) {
+        engine_ended(engine, "row");
+    }
+}
+
+/* Returns another engine that was at the address and isn't known to have ended, or NULL. */
+static wb_broken_engine_t *predecessor_find(const wb_crash_watch_t *watch, const char *engine_id,
+                                            const char *address) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, watch->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_broken_engine_t *engine = value;
+        if (engine->state != WB_ENGINE_END_SURE && strcmp(engine->address, address) == 0 &&
+            strcmp(engine->id, engine_id) != 0) {
+            return engine;
+        }
     }
+    return NULL;
 }
 
+void wb_crash_watch_address_taken(wb_crash_watch_t *watch, const char *engine_id,
+                                  const char *address) {
+    wb_broken_engine_t *engine;
+    while ((engine = predecessor_find(watch, engine_id, address)) != NULL) {
+        engine_ended(engine, "successor");
+    }
+}
+
+typedef struct wb_sweep_t {
+    int64_t now_ms;
+    int64_t remembered_ms;
+} wb_sweep_t;
+
 static gboolean engine_is_old(gpointer key, gpointer value, gpointer context) {
     (void)key;
-    const int64_t *now_ms = context;
-    return *now_ms - ((const wb_broken_engine_t *)value)->since_ms > REMEMBERED_MS;
+    const wb_sweep_t *sweep = context;
+    return sweep->now_ms - ((const wb_broken_engine_t *)value)->since_ms > sweep->remembered_ms;
 }
 
 void wb_crash_watch_sweep(wb_crash_watch_t *watch, int64_t now_ms) {
-    g_hash_table_foreach_remove(watch->engines, engine_is_old, &now_ms);
+    wb_sweep_t sweep = {now_ms, LAPSE_BEATS * watch->settings->engine_heartbeat_ms + ROW_READ_MS};
+    g_hash_table_foreach_remove(watch->engines, engine_is_old, &sweep);
 }
 
 uint64_t wb_crash_watch_checks(const wb_crash_watch_t *watch) {
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -3,10 +3,11 @@
  * @brief Finds out whether an engine has ended when it broke requests off.
  *
  * A connection that ends in the middle of an answer may be the answer's fault, or the network's.
- * So a moment after an engine broke something off this node connects to its address, once: where
- * nobody listens any more the engine has ended, under all that it broke off at that time; where
- * somebody does, nothing is held against requests. Where nothing answers, the engine's row in the
- * store decides: it goes a few heartbeats after the engine has.
+ * So a moment after an engine broke something off this node connects to its address, once. Where
+ * nobody listens any more the engine has ended, under all that it broke off at that time. Where
+ * nothing answers, or somebody takes the connection (the engine, or what stands before it), the
+ * store decides: the engine has ended when another one announces itself at its address, or when
+ * its row goes, a few heartbeats later.
  *
  * Threads: everything here belongs on the loop's thread.
  */
@@ -15,6 +16,7 @@
 
 #include "poison/request_digest.h"
 
+#include "wickbridge/edge.h"
 #include "wickbridge/loop.h"
 
 #include <glib.h>
@@ -34,8 +36,9 @@
 
 typedef struct wb_crash_watch_t wb_crash_watch_t;
 
-/** @param connect_timeout_ms longest time to connect to an engine; read at each use */
-wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const int64_t *connect_timeout_ms,
+/** @param settings its connect_timeout_ms and engine_heartbeat_ms are read at each use; it must
+ * outlive the watch */
+wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                         const wb_crash_watch_events_t *events);
 void wb_crash_watch_free(wb_crash_watch_t *watch);
 
@@ -44,6 +47,9 @@
                            const wb_broken_request_t *request);
 /** An engine's row went that hadn't said that it leaves. */
 void wb_crash_watch_row_gone(wb_crash_watch_t *watch, const char *engine_id);
+/** An engine announces itself at an address: any other one that was there has ended. */
+void wb_crash_watch_address_taken(wb_crash_watch_t *watch, const char *engine_id,
+                                  const char *address);
 /** Forget engines that nothing more is heard of. */
 void wb_crash_watch_sweep(wb_crash_watch_t *watch, int64_t now_ms);
 /** @return engines that were asked so far whether they are there */
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -205,9 +205,12 @@
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->demand = wb_demand_create();
     edge->quota = wb_quota_gate_create();
-    edge->poison = wb_poison_book_create();
+    wb_poison_options_t poison = {(int64_t)(settings->poison_kept_s * 1000),
+                                  (int64_t)(settings->poison_trial_s * 1000)};
+    edge->poison = wb_poison_book_create(&poison);
+    edge->served = wb_served_set_create();
     wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, edge};
-    edge->crashes = wb_crash_watch_create(loop, &edge->settings.connect_timeout_ms, &crashes);
+    edge->crashes = wb_crash_watch_create(loop, &edge->settings, &crashes);
     edge->on_poison = wb_edge_node_poison_changed;
     wb_list_init(&edge->waiting);
     edge->node_count = 1;
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -49,6 +49,11 @@
         "Window in which resends are counted"),
     ROW("retry-slack", WB_SETTING_REAL, "resends", 0, 1000000, "54", retry_slack,
         "Resends in a window beyond the ratio, over all nodes"),
+    ROW("poison-kept-s", WB_SETTING_REAL, "s", 1, 86400, "600", poison_kept_s,
+        "Time after its last crash for which a request that crashes engines is refused"),
+    ROW("poison-trial-s", WB_SETTING_REAL, "s", 0.1, 86400, "60", poison_trial_s,
+        "Time after which one node tries such a request, to find out whether it still does; then "
+        "after four times that, and so on"),
     ROW("load-window-s", WB_SETTING_REAL, "s", 1, 3600, "5", load_window_s,
         "Window in which loads from the weight store are counted"),
     ROW("connect-timeout-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "250", connect_timeout_ms,
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -21,6 +21,7 @@
 #include "edge/crash_watch.h"
 #include "edge/retry_budget.h"
 #include "poison/poison_book.h"
+#include "poison/served_set.h"
 #include "quota/quota_gate.h"
 
 typedef struct wb_exchange_t wb_exchange_t;
@@ -75,7 +76,9 @@
     wb_demand_t *demand;
     wb_quota_gate_t *quota;
     wb_poison_book_t *poison; /* requests that crash engines */
+    wb_served_set_t *served;
     wb_crash_watch_t *crashes;
+    gboolean tries_poison; /* this node is the one that tries refused requests now and then */
     wb_edge_metrics_t metrics;
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
     wb_list_t waiting;    /* exchanges that wait for an engine, oldest first */
@@ -158,6 +161,7 @@
     wb_request_digest_t digest;
     uint64_t poison_version; /* of the book of poison requests that is_poison was read in */
     gboolean is_poison;
+    gboolean is_trial;      /* it is sent though it is refused: whether it still crashes engines */
     int rank;               /* 0 is the most urgent: its tenant's, or else its route's */
     double quota_cost;      /* that its tenant's limit was charged; 0: not admitted yet */
     int64_t quota_retry_ms; /* when the limit is spent: time until there may be room */
--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -29,13 +29,28 @@
     return wb_poison_book_find(book, wb_exchange_digest(exchange));
 }
 
+static void trial_log(const wb_exchange_t *exchange) {
+    char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
+    wb_event("request-tried", ",\"id\":\"%s\",\"digest\":\"%s\"", wb_event_text(exchange->id),
+             wb_request_digest_write(&exchange->digest, digest));
+}
+
 gboolean wb_exchange_is_poison(wb_exchange_t *exchange) {
-    uint64_t version = wb_poison_book_version(exchange->edge->poison);
+    wb_edge_t *edge = exchange->edge;
+    uint64_t version = wb_poison_book_version(edge->poison);
     if (exchange->poison_version != version) {
         exchange->poison_version = version;
         exchange->is_poison = wb_poison_entry_state(held_against(exchange)) == WB_POISON_REFUSED;
     }
-    return exchange->is_poison;
+    if (!exchange->is_poison || exchange->is_trial) {
+        return FALSE;
+    }
+    if (edge->tries_poison &&
+        wb_poison_book_take_trial(edge->poison, &exchange->digest, wb_clock_ms())) {
+        exchange->is_trial = TRUE;
+        trial_log(exchange);
+    }
+    return !exchange->is_trial;
 }
 
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange) {
@@ -67,6 +82,9 @@
 
 void wb_exchange_note_survived(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
+    if (exchange->body->len <= WB_SERVED_BODY_BYTES) {
+        wb_served_set_add(edge->served, wb_exchange_digest(exchange), wb_clock_ms());
+    }
     if (held_against(exchange) == NULL ||
         !wb_poison_book_forgive(edge->poison, wb_exchange_digest(exchange))) {
         return;
@@ -103,12 +121,16 @@
 void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context) {
     wb_edge_t *edge = context;
     uint64_t engine = wb_poison_engine_hash(engine_id);
+    int64_t now_ms = wb_clock_ms();
     gboolean news = FALSE;
     edge->metrics.engine_crashes++;
     for (guint i = 0; i < requests->len; i++) {
         const wb_broken_request_t *request = &g_array_index(requests, wb_broken_request_t, i);
+        if (wb_served_set_has(edge->served, &request->digest, now_ms)) {
+            continue;
+        }
         if (wb_poison_book_note(edge->poison, &request->digest, request->body_bytes, engine,
-                                wb_clock_ms())) {
+                                now_ms)) {
             news = TRUE;
             suspicion_log(wb_poison_book_find(edge->poison, &request->digest), engine_id);
         }
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -10,13 +10,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* As long as the setting poison-kept-s may be: a day. */
+#define LEFT_MOST_MS (24 * 3600 * 1000U)
+
 G_STATIC_ASSERT(WB_WIRE_DIGEST_BYTES == WB_REQUEST_DIGEST_BYTES);
 G_STATIC_ASSERT(WB_WIRE_POISON_ENGINES == WB_POISON_ENGINES_KEPT);
 
 static wb_wire_poison_entry entry_to_wire(const wb_poison_entry_t *entry, int64_t now_ms) {
     wb_wire_poison_entry wire = {.body_bytes = entry->body_bytes, .forgiven = entry->forgiven};
     memcpy(wire.digest, entry->digest.bytes, sizeof(wire.digest));
-    wire.left_ms = (u_int)CLAMP(entry->until_ms - now_ms, 1, WB_POISON_KEPT_MS);
+    wire.left_ms = (u_int)CLAMP(entry->until_ms - now_ms, 1, LEFT_MOST_MS);
     wire.engines.engines_len = entry->engine_count;
     wire.engines.engines_val = malloc(sizeof(entry->engines));
     memcpy(wire.engines.engines_val, entry->engines, sizeof(entry->engines));
@@ -26,7 +29,7 @@
 static wb_poison_entry_t entry_from_wire(const wb_wire_poison_entry *wire, int64_t now_ms) {
     wb_poison_entry_t entry = {.body_bytes = wire->body_bytes, .forgiven = wire->forgiven};
     memcpy(entry.digest.bytes, wire->digest, sizeof(entry.digest.bytes));
-    entry.until_ms = now_ms + MIN(wire->left_ms, WB_POISON_KEPT_MS);
+    entry.until_ms = now_ms + MIN(wire->left_ms, LEFT_MOST_MS);
     entry.engine_count = MIN(wire->engines.engines_len, WB_POISON_ENGINES_KEPT);
     if (entry.engine_count > 0) {
         memcpy(entry.engines, wire->engines.engines_val, entry.engine_count * sizeof(uint64_t));
@@ -102,20 +105,41 @@
         changes_tell(node);
     }
     node->poison_keeper = keeper;
+    node->edge.tries_poison = keeper;
 }
 
-void wb_edge_node_poison_take(wb_edge_node_t *node, const wb_wire_poison *told) {
-    int64_t now_ms = wb_clock_ms();
+/* Takes what was told. Returns TRUE when it wasn't known. */
+static gboolean entries_merge(wb_edge_node_t *node, const wb_wire_poison *told, int64_t now_ms) {
     gboolean news = FALSE;
     for (guint i = 0; i < told->entries.entries_len; i++) {
         wb_poison_entry_t entry = entry_from_wire(&told->entries.entries_val[i], now_ms);
         news = wb_poison_book_merge(node->edge.poison, &entry) || news;
     }
-    if (!news) {
+    return news;
+}
+
+/* Forgives what was lately served here. Returns TRUE when there was such a request. */
+static gboolean served_forgive(wb_edge_node_t *node, int64_t now_ms) {
+    gboolean forgiven = FALSE;
+    WB_LIST_EACH(item, wb_poison_book_entries(node->edge.poison)) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (wb_served_set_has(node->edge.served, &entry->digest, now_ms)) {
+            forgiven = wb_poison_book_forgive(node->edge.poison, &entry->digest) || forgiven;
+        }
+    }
+    return forgiven;
+}
+
+void wb_edge_node_poison_take(wb_edge_node_t *node, const wb_wire_poison *told) {
+    int64_t now_ms = wb_clock_ms();
+    if (!entries_merge(node, told, now_ms)) {
         return;
     }
-    if (is_keeper(node)) {
+    gboolean forgiven = served_forgive(node, now_ms);
+    if (forgiven || is_keeper(node)) {
         changes_tell(node);
+    } else if (node->controller_link_open) {
+        node->poison_told = wb_poison_book_version(node->edge.poison); /* it comes from there */
     }
     wb_exchanges_refuse_poison(&node->edge);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -170,6 +170,8 @@
     }
     gboolean was_leaving = known != NULL && known->leaving_ms != 0;
     wb_engine_t *engine = engine_announce(node, known, state);
+    if (known == NULL)
+        wb_crash_watch_address_taken(edge->crashes, state->id, state->address);
     if (known == NULL || was_leaving != (engine->leaving_ms != 0)) {
         wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
         wb_event("engine-seen",
--- a/src/poison/poison_book.c
+++ b/src/poison/poison_book.c
@@ -5,12 +5,15 @@
 #include <xxhash.h>
 
 struct wb_poison_book_t {
+    wb_poison_options_t options;
     wb_list_t entries; /* of wb_poison_entry_t, newest first */
     uint64_t version;
 };
 
-wb_poison_book_t *wb_poison_book_create(void) {
+wb_poison_book_t *wb_poison_book_create(const wb_poison_options_t *options) {
     wb_poison_book_t *book = g_new0(wb_poison_book_t, 1);
+    book->options.kept_ms = options->kept_ms > 0 ? options->kept_ms : WB_POISON_KEPT_MS;
+    book->options.trial_ms = options->trial_ms > 0 ? options->trial_ms : WB_POISON_TRIAL_MS;
     wb_list_init(&book->entries);
     book->version = 1;
     return book;
@@ -141,7 +144,7 @@
     if (!engine_add(entry, engine, FALSE)) {
         return FALSE;
     }
-    entry->until_ms = now_ms + WB_POISON_KEPT_MS;
+    entry->until_ms = now_ms + book->options.kept_ms;
     entry_changed(book, entry);
     return TRUE;
 }
@@ -211,9 +214,27 @@
     return book->version;
 }
 
+gboolean wb_poison_book_take_trial(wb_poison_book_t *book, const wb_request_digest_t *digest,
+                                   int64_t now_ms) {
+    wb_poison_entry_t *entry = entry_find(book, digest);
+    if (wb_poison_entry_state(entry) != WB_POISON_REFUSED) {
+        return FALSE;
+    }
+    if (entry->trial_ms == 0) {
+        entry->trial_pause_ms = book->options.trial_ms;
+    } else if (now_ms < entry->trial_ms) {
+        return FALSE;
+    } else {
+        entry->trial_pause_ms *= WB_POISON_TRIAL_TIMES;
+    }
+    gboolean first = entry->trial_ms == 0;
+    entry->trial_ms = now_ms + entry->trial_pause_ms;
+    return !first;
+}
+
 /* Forgives engines until one more crash would refuse the request again. Which ones doesn't matter,
  * but every node must choose the same: the highest hashes. */
-static void entry_let_through(wb_poison_entry_t *entry) {
+static void entry_let_through(wb_poison_entry_t *entry, int64_t kept_ms) {
     while (wb_poison_entry_engines(entry) >= WB_POISON_ENGINES) {
         guint highest = entry->engine_count;
         for (guint i = 0; i < entry->engine_count; i++) {
@@ -225,7 +246,7 @@
         }
         entry->forgiven |= 1U << highest;
     }
-    entry->until_ms += WB_POISON_KEPT_MS;
+    entry->until_ms += kept_ms;
 }
 
 void wb_poison_book_sweep(wb_poison_book_t *book, int64_t now_ms) {
@@ -235,7 +256,7 @@
             continue;
         }
         if (wb_poison_entry_engines(entry) >= WB_POISON_ENGINES) {
-            entry_let_through(entry);
+            entry_let_through(entry, book->options.kept_ms);
             entry_changed(book, entry);
         } else {
             entry_remove(book, entry);
--- a/src/poison/poison_book.h
+++ b/src/poison/poison_book.h
@@ -13,8 +13,9 @@
  * that were forgiven. So it doesn't matter in which order, how often and by whom nodes are told.
  *
  * Bounds: WB_POISON_ENTRIES requests; the ones with the fewest engines give way, of those the
- * oldest. What is held against a request is forgotten WB_POISON_KEPT_MS after its last crash. A
- * refused one is let through once then: one more crash refuses it again, a good end forgives it.
+ * oldest. What is held against a request is forgotten `kept_ms` after its last crash; a
+ * refused one is let through then, until one more crash refuses it again. Long before, one node
+ * tries it: a bystander that was taken for poison, being refused, could never end well.
  *
  * Pure: the time is passed in. What it doesn't do: finding out which engines ended, and sending.
  */
@@ -40,6 +41,11 @@
 /** Ten minutes: an engine's crash costs its callers seconds, so one each ten minutes is borne to
  * find out whether the request still crashes engines. */
 #define WB_POISON_KEPT_MS (10 * 60 * 1000)
+/** One node tries a refused request after this time, after so many times that the next time, and so
+ * on. A minute is what a bystander pays for being taken for poison; poison crashes one engine more
+ * a minute after it became known, then one in four minutes, in sixteen. */
+#define WB_POISON_TRIAL_MS (60 * 1000)
+#define WB_POISON_TRIAL_TIMES 4
 
 /** A request under which engines ended. */
 typedef struct wb_poison_entry_t {
@@ -51,6 +57,8 @@
     guint forgiven;                           /**< one bit for each engine */
     int64_t until_ms;                         /**< steady time until which it is kept */
     uint64_t changed;                         /**< the book's version of its last change */
+    int64_t trial_ms; /**< private: steady time from which it may be tried; 0: not refused yet */
+    int64_t trial_pause_ms; /**< private */
 } wb_poison_entry_t;
 
 /** What is held against a request. */
@@ -62,7 +70,13 @@
 
 typedef struct wb_poison_book_t wb_poison_book_t;
 
-wb_poison_book_t *wb_poison_book_create(void);
+/** Zero values are the usual ones. */
+typedef struct wb_poison_options_t {
+    int64_t kept_ms;  /**< 0: WB_POISON_KEPT_MS */
+    int64_t trial_ms; /**< 0: WB_POISON_TRIAL_MS */
+} wb_poison_options_t;
+
+wb_poison_book_t *wb_poison_book_create(const wb_poison_options_t *options);
 void wb_poison_book_free(wb_poison_book_t *book);
 
 /** @return what stands for an engine in books; the same at every node */
@@ -93,6 +107,10 @@
 /** @return a number that grows with each change */
 uint64_t wb_poison_book_version(const wb_poison_book_t *book);
 
+/** The one node that tries refused requests asks for a request that has come. @return TRUE: send it
+ * to an engine, once */
+gboolean wb_poison_book_take_trial(wb_poison_book_t *book, const wb_request_digest_t *digest,
+                                   int64_t now_ms);
 /** Forget what is too old, and let refused requests through once when their time is over. */
 void wb_poison_book_sweep(wb_poison_book_t *book, int64_t now_ms);
 
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -33,7 +33,8 @@
     int64_t beats;
     gboolean busy;
     gboolean leaving;
-    gboolean ended; /* for good, or until it starts again */
+    gboolean hardened; /* no request crashes it any more */
+    gboolean ended;    /* for good, or until it starts again */
     char *fault;
     int fault_count;
     GHashTable *runs; /* connection -> wb_estate_run_t */
@@ -239,6 +240,11 @@
     return headers;
 }
 
+static gboolean body_crashes(const wb_estate_engine_t *engine, const GByteArray *body) {
+    return !engine->hardened && body->len >= strlen(CRASH_TEXT) &&
+           memcmp(body->data, CRASH_TEXT, strlen(CRASH_TEXT)) == 0;
+}
+
 static void run_begin(wb_estate_engine_t *engine, wb_http_connection_t *connection,
                       const wb_http_head_t *head, const GByteArray *body) {
     wb_estate_run_t *run = g_new0(wb_estate_run_t, 1);
@@ -276,9 +282,6 @@
                       : "",
                   "deadline_ms", (json_int_t)wb_http_head_number(head, "Request-Deadline-Ms", -1),
                   "at_ms", (json_int_t)wb_clock_ms(), "headers", headers_json(head)));
-    if (body->len >= strlen(CRASH_TEXT) &&
-        memcmp(body->data, CRASH_TEXT, strlen(CRASH_TEXT)) == 0 && engine->crash == NULL)
-        engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, engine_crash, engine);
     if (fault_take(engine, "error")) {
         run_answer(run, 500, "Response-Seal: seal\r\n", "failed");
         return;
@@ -300,6 +303,11 @@
             head_lines(run, "Response-Seal: seal\r\nContent-Type: text/event-stream\r\n");
         wb_http_connection_stream_begin(connection, 200, "OK", lines);
     }
+    if (body_crashes(engine, body)) {
+        if (engine->crash == NULL)
+            engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, engine_crash, engine);
+        return;
+    }
     run->timer = wb_loop_after(engine->loop, option(engine, "work_ms", 5), run_go_on, run);
 }
 
@@ -502,6 +510,10 @@
     engine_announce(engine);
 }
 
+void wb_estate_engine_harden(wb_estate_engine_t *engine) {
+    engine->hardened = TRUE;
+}
+
 void wb_estate_engine_set_fault(wb_estate_engine_t *engine, const char *fault, int count) {
     g_free(engine->fault);
     engine->fault = g_strdup(fault);
--- a/tests/edge/test_poison.c
+++ b/tests/edge/test_poison.c
@@ -28,6 +28,8 @@
 #define CRASHES_MOST 5
 /* From the third crash to when no node sends it any more. */
 #define KNOWN_MS 500
+/* Until an engine that crashed is back and its model loaded. */
+#define BACK_US 2500000
 /* Time between two tries of a caller that doesn't wait as it is told. */
 #define AGAIN_MS 60
 /* A repeat is refused for minutes, not for the moment. */
@@ -209,6 +211,71 @@
     estate_stop(estate);
 }
 
+/* Sends the request to a node. Returns its status. */
+static int status_at(const estate_t *estate, int node, const char *id) {
+    wire_t *wire = wire_open(estate->nodes[node].callers_port);
+    wire_post(wire, PATH, id, EDGE_MODEL("m0"), POISON);
+    wire_answer_t *answer = wire_read(wire, 9000);
+    int status = answer->whole ? answer->status : 0;
+    wire_answer_free(answer);
+    wire_close(wire);
+    return status;
+}
+
+/* What many callers ask for alike is under way at each engine that crashes, and is served on. */
+static void test_bystanders_are_served(void) {
+    estate_t *estate = estate_start(NODES, NULL);
+    repeats_t repeats = repeats_begin(estate);
+    estate_wait_controller(estate, 8000);
+    assert_others_served(estate, "before");
+    while (crashes_count(estate) < 3) {
+        for (int i = 0; i < 10; i++) {
+            g_autofree char *id = g_strdup_printf("beside-%d", repeats.sent);
+            int node = repeats.sent % NODES;
+            wire_t *wire = wire_open(estate->nodes[node].callers_port);
+            wire_post(wire, PATH, id, EDGE_MODEL("m0"), "hello");
+            g_ptr_array_add(repeats.wires, wire);
+            repeats_send(&repeats, node);
+            g_usleep(10000);
+        }
+    }
+    repeats_send_for(&repeats, KNOWN_MS);
+    assert_stopped(estate);
+    g_usleep(BACK_US);
+    assert_others_served(estate, "after");
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
+/* One node tries it now and then: no more engines crash for that than tries are made, and once
+ * engines bear it, all nodes serve it again. */
+static void test_tried_again(void) {
+    estate_t *estate = estate_start(NODES, "--poison-trial-s=1");
+    repeats_t repeats = repeats_begin(estate);
+    int controller = estate_wait_controller(estate, 8000);
+    repeats_until_known(&repeats);
+    repeats_send_for(&repeats, 3500); /* the first try falls into this, the second doesn't */
+    g_assert_true(estate_log_has(estate, controller, "\"event\":\"request-tried\""));
+    g_test_message("%d crashes", crashes_count(estate));
+    g_assert_cmpint(crashes_count(estate), ==, 4);
+    for (int engine = 1; engine <= 2; engine++) {
+        estate_do(estate, "{\"do\":\"engine-harden\",\"engine\":\"llm-%d\"}", engine);
+    }
+    int64_t until_ms = harness_now_ms() + 8000;
+    int served = 0;
+    while (served != 200) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        served = status_at(estate, controller, "tried");
+        g_usleep(100000);
+    }
+    g_usleep(300000);
+    for (int node = 0; node < NODES; node++) {
+        g_assert_cmpint(status_at(estate, node, "after"), ==, 200);
+    }
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
 static char *wickctl(const estate_t *estate, int node, const char *words) {
     g_autofree char *command =
         g_strdup_printf("%s/wickctl poison %s --node 127.0.0.1:%d", estate->files.build, words,
@@ -246,6 +313,8 @@
     g_test_add_func("/edge/poison/repeats-at-all-nodes", test_repeats_at_all_nodes);
     g_test_add_func("/edge/poison/all-nodes-killed", test_all_nodes_killed);
     g_test_add_func("/edge/poison/controller-killed", test_controller_killed);
+    g_test_add_func("/edge/poison/tried-again", test_tried_again);
+    g_test_add_func("/edge/poison/bystanders-are-served", test_bystanders_are_served);
     g_test_add_func("/edge/poison/operator-forgives", test_operator_forgives);
     g_test_add_func("/edge/poison/broken-answers-are-no-crash", test_broken_answers_are_no_crash);
 }
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -8,6 +8,7 @@
 #define EVENTS 5
 #define MODELS 8
 #define RECOVERY_MS 15000
+#define POISON_CALLERS 4
 
 typedef struct soak_caller_t {
     soak_t *soak;
@@ -66,13 +67,14 @@
     }
 }
 
-static void request_play(soak_t *soak, soak_request_t *request, const char *headers) {
+static void request_play(soak_t *soak, soak_request_t *request, const char *headers,
+                         const char *body) {
     request->began_ms = harness_now_ms();
     wire_t *wire = wire_try_open(soak->estate->nodes[request->node].callers_port);
     if (wire == NULL) {
         return; /* the node is down: nothing was asked */
     }
-    wire_post(wire, request->path, request->id, headers, "hello");
+    wire_post(wire, request->path, request->id, headers, body);
     wire_answer_t *answer = wire_read(wire, DEADLINE_MS + LATE_MS);
     wire_close(wire);
     request->ended_ms = harness_now_ms();
@@ -97,7 +99,7 @@
                         g_rand_int_range(caller->rand, 0, MODELS / 2));
         g_autofree char *headers =
             headers_create(request.path, model, g_rand_int_range(caller->rand, 0, 10) == 0);
-        request_play(soak, &request, headers);
+        request_play(soak, &request, headers, "hello");
         g_usleep((gulong)g_rand_int_range(caller->rand, 0, 60) * 1000);
     }
     g_rand_free(caller->rand);
@@ -117,6 +119,36 @@
     return threads;
 }
 
+/* Each of these callers asks for the same: the path, model and body are the seed's. */
+static gpointer poison_run(gpointer data) {
+    soak_caller_t *caller = data;
+    soak_t *soak = caller->soak;
+    const char *path = paths[soak->seed % G_N_ELEMENTS(paths)];
+    g_autofree char *headers = headers_create(path, (int)(soak->seed / 4 % 3), FALSE);
+    for (int i = 0; !g_atomic_int_get(&soak->poison_stop); i++) {
+        soak_request_t request = {.node = g_rand_int_range(caller->rand, 0, SOAK_NODES),
+                                  .path = path};
+        g_snprintf(request.id, sizeof(request.id), "p%d-%d", caller->number, i);
+        request_play(soak, &request, headers, SOAK_POISON_BODY);
+        g_usleep((gulong)g_rand_int_range(caller->rand, 0, 400) * 1000);
+    }
+    g_rand_free(caller->rand);
+    g_free(caller);
+    return NULL;
+}
+
+GPtrArray *soak_poison_start(soak_t *soak) {
+    GPtrArray *threads = g_ptr_array_new();
+    for (int i = 0; soak->has_poison && i < POISON_CALLERS; i++) {
+        soak_caller_t *caller = g_new0(soak_caller_t, 1);
+        caller->soak = soak;
+        caller->number = i;
+        caller->rand = g_rand_new_with_seed(soak->seed + 1000 + (guint32)i);
+        g_ptr_array_add(threads, g_thread_new("poison", poison_run, caller));
+    }
+    return threads;
+}
+
 void soak_callers_join(GPtrArray *threads) {
     for (guint i = 0; i < threads->len; i++) {
         g_thread_join(threads->pdata[i]);
@@ -129,7 +161,7 @@
     g_snprintf(request.id, sizeof(request.id), "r%d-%d-%d%s", node, model, try, path);
     g_strdelimit(request.id, "/", '-');
     g_autofree char *headers = headers_create(path, model, FALSE);
-    request_play(soak, &request, headers);
+    request_play(soak, &request, headers, "hello");
     return request.status == 200 && request.whole;
 }
 
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -1,6 +1,7 @@
 /* What engines saw, against what callers were told. */
 #include "soak.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define THAW_SLACK_MS 300
@@ -8,6 +9,13 @@
 #define WINDOW_MS 5000
 #define CEILING_OVERAGE 1.1
 #define CEILING_SLACK 3
+/* What the estate allows a request that crashes engines, once it has crashed so many. */
+#define POISON_ENGINES 3
+#define POISON_KNOWN_MS 3000
+#define POISON_LATE_MOST 3
+/* Whatever happens meanwhile: nodes that know of it no longer than the others, cut off and killed.
+ */
+#define POISON_LATE_MOST_EVER 12
 
 static const char *text_of(const json_t *object, const char *name) {
     return json_string_value(json_object_get(object, name));
@@ -35,7 +43,8 @@
         const char *id = text_of(run, "id");
         int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, id)) + 1;
         g_hash_table_replace(counts, g_strdup(id), GINT_TO_POINTER(count));
-        if (strcmp(text_of(run, "body"), "hello") != 0) {
+        const char *body = text_of(run, "body");
+        if (strcmp(body, "hello") != 0 && strcmp(body, SOAK_POISON_BODY) != 0) {
             soak_broken(soak, "%s: an engine ran another body", id);
         }
     }
@@ -142,6 +151,47 @@
     }
 }
 
+/* Returns the node that a request was asked of, or -1. */
+static int node_of(const soak_t *soak, const char *id) {
+    for (guint i = 0; i < soak->requests->len; i++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
+        if (strcmp(request->id, id) == 0) {
+            return request->node;
+        }
+    }
+    return -1;
+}
+
+/* A request that crashed three engines reaches few more, from nodes that nothing keeps from it. */
+static void poison_check(soak_t *soak, const json_t *seen) {
+    const json_t *crashes = json_object_get(seen, "crashes");
+    int late = 0;
+    int late_in_touch = 0;
+    size_t i;
+    json_t *run;
+    if (!soak->has_poison || json_array_size(crashes) < POISON_ENGINES) {
+        return;
+    }
+    int64_t from_ms =
+        number_of(json_array_get(crashes, POISON_ENGINES - 1), "at_ms") + POISON_KNOWN_MS;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        int64_t at_ms = number_of(run, "at_ms");
+        if (at_ms <= from_ms || strcmp(text_of(run, "body"), SOAK_POISON_BODY) != 0) {
+            continue;
+        }
+        int node = node_of(soak, text_of(run, "id"));
+        late++;
+        late_in_touch += !soak_is_disturbed(soak, node, at_ms - POISON_KNOWN_MS, at_ms);
+    }
+    printf("  poison: %zu engines crashed, %d runs later than %d ms after the third, %d of them in "
+           "touch\n",
+           json_array_size(crashes), late, POISON_KNOWN_MS, late_in_touch);
+    if (late_in_touch > POISON_LATE_MOST || late > POISON_LATE_MOST_EVER) {
+        soak_broken(soak, "a request that crashes engines reached %d more, %d in touch", late,
+                    late_in_touch);
+    }
+}
+
 void soak_checks_run(soak_t *soak) {
     json_t *seen = estate_seen(soak->estate);
     size_t i;
@@ -153,5 +203,6 @@
     holders_check(soak, seen);
     ceiling_check(soak, seen);
     drain_check(soak, seen);
+    poison_check(soak, seen);
     json_decref(seen);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,6 +9,8 @@
 #include <unistd.h>
 
 #define DEFAULT_SECONDS 30
+/* After all faults, requests that crash engines come for so long to nodes that are in touch. */
+#define POISON_CALM_US 6000000
 
 void soak_broken(soak_t *soak, const char *format, ...) {
     va_list values;
@@ -62,11 +64,18 @@
     soak.requests = g_array_new(FALSE, FALSE, sizeof(soak_request_t));
     soak.broken = g_ptr_array_new_with_free_func(g_free);
     soak.estate = estate_start(SOAK_NODES, flags);
+    soak.has_poison = seed / 16 % 2 == 0;
     GPtrArray *callers = soak_callers_start(&soak);
+    GPtrArray *poison = soak_poison_start(&soak);
     soak_faults_play(&soak, (int64_t)seconds * 1000);
     g_atomic_int_set(&soak.stop, 1);
     soak_callers_join(callers);
     soak_recovery_check(&soak);
+    if (soak.has_poison) {
+        g_usleep(POISON_CALM_US);
+    }
+    g_atomic_int_set(&soak.poison_stop, 1);
+    soak_callers_join(poison);
     exits_check(&soak);
     soak_checks_run(&soak);
     gboolean good = soak.broken->len == 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -14,6 +14,7 @@
 #define SOAK_NODES 4
 #define SOAK_CALLERS 12
 #define SOAK_DISTURBED_AFTER_MS 4000 /* a fault may be felt so long after its end */
+#define SOAK_POISON_BODY "crash: no engine survives this"
 #define SOAK_DRAIN_MS 2000
 #define SOAK_LEASE_QUIET_MS 1000
 
@@ -53,6 +54,8 @@
     GArray *requests;  /* of soak_request_t */
     GPtrArray *broken; /* texts: promises that did not hold */
     gint stop;
+    gint poison_stop;
+    gboolean has_poison; /* a request that crashes engines comes again and again */
     int engines_started; /* makes ids of engines unique */
     int64_t version;     /* of the configuration */
 } soak_t;
@@ -66,6 +69,9 @@
 /** Start the callers' threads. @return them; join with soak_callers_join */
 GPtrArray *soak_callers_start(soak_t *soak);
 void soak_callers_join(GPtrArray *threads);
+/** Start callers that send a request again and again that crashes engines, if this seed has one.
+ * @return their threads */
+GPtrArray *soak_poison_start(soak_t *soak);
 /** Every kind of request is served at every node: called once all faults are over. */
 void soak_recovery_check(soak_t *soak);
 
--- a/tests/unit/test_poison_book.c
+++ b/tests/unit/test_poison_book.c
@@ -8,6 +8,11 @@
 #define BODY_BYTES 500
 #define NOW_MS 1000000
 
+static wb_poison_book_t *book_create(void) {
+    static const wb_poison_options_t usual = {0};
+    return wb_poison_book_create(&usual);
+}
+
 static wb_request_digest_t digest_of(unsigned number) {
     wb_request_digest_t digest = {{0}};
     memcpy(digest.bytes, &number, sizeof(number));
@@ -36,7 +41,7 @@
 }
 
 static void test_three_engines(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     g_assert_cmpint(state_of(book, 1), ==, WB_POISON_NONE);
     g_assert_true(note(book, 1, 10));
     g_assert_true(note(book, 1, 11));
@@ -50,7 +55,7 @@
 
 /* Several copies that one engine took along count once. */
 static void test_one_engine_counts_once(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     g_assert_true(note(book, 1, 10));
     for (int i = 0; i < 10; i++) {
         g_assert_false(note(book, 1, 10));
@@ -61,7 +66,7 @@
 
 /* A bystander is served whole between two crashes: it starts anew. */
 static void test_good_end_forgives(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     note(book, 1, 10);
     note(book, 1, 11);
     g_assert_true(forgive(book, 1));
@@ -81,11 +86,11 @@
     static const int orders[][3] = {{0, 1, 2}, {2, 1, 0}, {1, 2, 0}, {1, 0, 2}};
     wb_poison_book_t *nodes[3];
     for (int i = 0; i < 3; i++) {
-        nodes[i] = wb_poison_book_create();
+        nodes[i] = book_create();
         note(nodes[i], 1, 10 + (uint64_t)i);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(orders); i++) {
-        wb_poison_book_t *keeper = wb_poison_book_create();
+        wb_poison_book_t *keeper = book_create();
         for (int j = 0; j < 3; j++) {
             merge_all(keeper, nodes[orders[i][j]]);
             merge_all(keeper, nodes[orders[i][0]]); /* told twice */
@@ -100,8 +105,8 @@
 
 /* What was forgiven isn't brought back by a node that hasn't heard of it. */
 static void test_old_news_dont_undo_forgiveness(void) {
-    wb_poison_book_t *served = wb_poison_book_create();
-    wb_poison_book_t *lagging = wb_poison_book_create();
+    wb_poison_book_t *served = book_create();
+    wb_poison_book_t *lagging = book_create();
     note(lagging, 1, 10);
     note(lagging, 1, 11);
     merge_all(served, lagging);
@@ -115,8 +120,8 @@
 }
 
 static void test_merge_tells_news_once(void) {
-    wb_poison_book_t *left = wb_poison_book_create();
-    wb_poison_book_t *right = wb_poison_book_create();
+    wb_poison_book_t *left = book_create();
+    wb_poison_book_t *right = book_create();
     note(left, 1, 10);
     const wb_poison_entry_t *entry =
         WB_LIST_OF(wb_list_first(wb_poison_book_entries(left)), wb_poison_entry_t, item);
@@ -132,7 +137,7 @@
 
 /* A refused request is let through after its time; one more crash refuses it again. */
 static void test_time_is_over(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     note(book, 1, 10);
     note(book, 1, 11);
     note(book, 1, 12);
@@ -151,8 +156,8 @@
 
 /* Two nodes that let a request through at different moments don't make each other refuse it. */
 static void test_let_through_alike(void) {
-    wb_poison_book_t *first = wb_poison_book_create();
-    wb_poison_book_t *second = wb_poison_book_create();
+    wb_poison_book_t *first = book_create();
+    wb_poison_book_t *second = book_create();
     for (uint64_t engine = 13; engine >= 10; engine--) {
         note(first, 1, engine);
     }
@@ -169,7 +174,7 @@
 
 /* Many requests that break off with engines don't push out those that matter. */
 static void test_bystanders_give_way(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     for (uint64_t engine = 10; engine < 13; engine++) {
         note(book, 1, engine);
     }
@@ -186,7 +191,7 @@
 
 /* Of many engines only some are kept; those that are forgiven give way to new ones. */
 static void test_many_engines(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     for (uint64_t engine = 10; engine < 50; engine++) {
         note(book, 1, engine);
     }
@@ -200,8 +205,31 @@
     wb_poison_book_free(book);
 }
 
+/* A refused request is tried a minute after it came again, then ever more rarely. */
+static void test_trials(void) {
+    wb_poison_book_t *book = book_create();
+    wb_request_digest_t digest = digest_of(1);
+    note(book, 1, 10);
+    note(book, 1, 11);
+    g_assert_false(wb_poison_book_take_trial(book, &digest, NOW_MS));
+    note(book, 1, 12);
+    int64_t now_ms = NOW_MS;
+    int64_t pause_ms = WB_POISON_TRIAL_MS;
+    g_assert_false(wb_poison_book_take_trial(book, &digest, now_ms));
+    for (int i = 0; i < 3; i++) {
+        g_assert_false(wb_poison_book_take_trial(book, &digest, now_ms + pause_ms - 1));
+        now_ms += pause_ms;
+        g_assert_true(wb_poison_book_take_trial(book, &digest, now_ms));
+        g_assert_false(wb_poison_book_take_trial(book, &digest, now_ms));
+        pause_ms *= WB_POISON_TRIAL_TIMES;
+    }
+    forgive(book, 1);
+    g_assert_false(wb_poison_book_take_trial(book, &digest, now_ms + pause_ms));
+    wb_poison_book_free(book);
+}
+
 static void test_lengths(void) {
-    wb_poison_book_t *book = wb_poison_book_create();
+    wb_poison_book_t *book = book_create();
     g_assert_false(wb_poison_book_has_length(book, BODY_BYTES));
     note(book, 1, 10);
     g_assert_true(wb_poison_book_has_length(book, BODY_BYTES));
@@ -221,6 +249,7 @@
     g_test_add_func("/poison-book/let-through-alike", test_let_through_alike);
     g_test_add_func("/poison-book/bystanders-give-way", test_bystanders_give_way);
     g_test_add_func("/poison-book/many-engines", test_many_engines);
+    g_test_add_func("/poison-book/trials", test_trials);
     g_test_add_func("/poison-book/lengths", test_lengths);
 }
 
