--- a/src/poison/poison_book.c
+++ b/src/poison/poison_book.c
@@ -4,10 +4,14 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Pauses don't grow further: 4^8 minutes are 45 days. */
+#define TRIALS_COUNTED 8
+
 struct wb_poison_book_t {
     wb_poison_options_t options;
     wb_list_t entries; /* of wb_poison_entry_t, newest first */
     uint64_t version;
+    int64_t next_trial_ms;
 };
 
 wb_poison_book_t *wb_poison_book_create(const wb_poison_options_t *options) {
@@ -214,22 +218,59 @@
     return book->version;
 }
 
+/* Returns engines that are held against both requests. */
+static guint engines_shared(const wb_poison_entry_t *left, const wb_poison_entry_t *right) {
+    guint shared = 0;
+    for (guint i = 0; i < left->engine_count; i++) {
+        guint place = engine_place(right, left->engines[i]);
+        gboolean both = place < right->engine_count && (left->forgiven & (1U << i)) == 0 &&
+                        (right->forgiven & (1U << place)) == 0;
+        shared += both;
+    }
+    return shared;
+}
+
+/* Returns TRUE when another refused request may explain why engines ended under this one. */
+static gboolean entry_is_tied(const wb_poison_book_t *book, const wb_poison_entry_t *entry) {
+    WB_LIST_EACH(item, &book->entries) {
+        const wb_poison_entry_t *other = entry_of(item);
+        if (other != entry && wb_poison_entry_state(other) == WB_POISON_REFUSED &&
+            engines_shared(entry, other) + 1 >= WB_POISON_ENGINES) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Returns the steady time from which the request may be tried. */
+static int64_t trial_due_ms(const wb_poison_book_t *book, const wb_poison_entry_t *entry) {
+    int64_t pause_ms = book->options.trial_ms;
+    if (entry->trials == 0) {
+        gboolean soon = pause_ms > WB_POISON_TIED_TRIAL_MS && entry_is_tied(book, entry);
+        return entry->asked_ms + (soon ? WB_POISON_TIED_TRIAL_MS : pause_ms);
+    }
+    for (guint i = 0; i < entry->trials; i++) {
+        pause_ms *= WB_POISON_TRIAL_TIMES;
+    }
+    return entry->tried_ms + pause_ms;
+}
+
 gboolean wb_poison_book_take_trial(wb_poison_book_t *book, const wb_request_digest_t *digest,
                                    int64_t now_ms) {
     wb_poison_entry_t *entry = entry_find(book, digest);
     if (wb_poison_entry_state(entry) != WB_POISON_REFUSED) {
         return FALSE;
     }
-    if (entry->trial_ms == 0) {
-        entry->trial_pause_ms = book->options.trial_ms;
-    } else if (now_ms < entry->trial_ms) {
+    if (entry->asked_ms == 0) {
+        entry->asked_ms = now_ms;
+    }
+    if (now_ms < trial_due_ms(book, entry) || now_ms < book->next_trial_ms) {
         return FALSE;
-    } else {
-        entry->trial_pause_ms *= WB_POISON_TRIAL_TIMES;
     }
-    gboolean first = entry->trial_ms == 0;
-    entry->trial_ms = now_ms + entry->trial_pause_ms;
-    return !first;
+    entry->tried_ms = now_ms;
+    entry->trials = MIN(entry->trials + 1, TRIALS_COUNTED);
+    book->next_trial_ms = now_ms + WB_POISON_TRIAL_APART_MS;
+    return TRUE;
 }
 
 /* Forgives engines until one more crash would refuse the request again. Which ones doesn't matter,
--- a/src/poison/poison_book.h
+++ b/src/poison/poison_book.h
@@ -46,6 +46,11 @@
  * a minute after it became known, then one in four minutes, in sixteen. */
 #define WB_POISON_TRIAL_MS (60 * 1000)
 #define WB_POISON_TRIAL_TIMES 4
+/** Two refused requests that share most of their engines: one is likely a bystander, and may be
+ * what many ask for. It is worth an engine to find out soon. */
+#define WB_POISON_TIED_TRIAL_MS (5 * 1000)
+/** Trials are so far apart that the engine of one isn't crashed by the next: a load and a run. */
+#define WB_POISON_TRIAL_APART_MS (2 * 1000)
 
 /** A request under which engines ended. */
 typedef struct wb_poison_entry_t {
@@ -57,8 +62,9 @@
     guint forgiven;                           /**< one bit for each engine */
     int64_t until_ms;                         /**< steady time until which it is kept */
     uint64_t changed;                         /**< the book's version of its last change */
-    int64_t trial_ms; /**< private: steady time from which it may be tried; 0: not refused yet */
-    int64_t trial_pause_ms; /**< private */
+    int64_t asked_ms; /**< private: steady time at which a trial was first asked for; 0: never */
+    int64_t tried_ms; /**< private: of the last trial */
+    guint trials;     /**< private */
 } wb_poison_entry_t;
 
 /** What is held against a request. */
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -14,6 +14,7 @@
     soak_t *soak;
     int number;
     GRand *rand;
+    wire_t *kept[SOAK_NODES]; /* connections used until the node ends them; NULL: none */
 } soak_caller_t;
 
 static const char *const paths[] = {"/lock/x", "/look/x", "/chat/x", "/note/x"};
@@ -67,16 +68,35 @@
     }
 }
 
-static void request_play(soak_t *soak, soak_request_t *request, const char *headers,
+/* Keeps a connection on which another request may follow, or closes it. */
+static void wire_put_back(wire_t **kept, wire_t *wire, const wire_answer_t *answer) {
+    gboolean goes_on =
+        answer->whole && !answer->closed && strstr(answer->head->str, "Connection: close") == NULL;
+    if (kept != NULL && goes_on) {
+        *kept = wire;
+    } else {
+        wire_close(wire);
+    }
+}
+
+/* Asks on the kept connection, if there is one. @param kept NULL: on a connection of its own */
+static void request_play(soak_t *soak, soak_request_t *request, wire_t **kept, const char *headers,
                          const char *body) {
     request->began_ms = harness_now_ms();
-    wire_t *wire = wire_try_open(soak->estate->nodes[request->node].callers_port);
+    wire_t *wire = kept != NULL ? *kept : NULL;
+    request->on_kept = wire != NULL;
+    if (wire == NULL) {
+        wire = wire_try_open(soak->estate->nodes[request->node].callers_port);
+    } else {
+        *kept = NULL;
+    }
     if (wire == NULL) {
         return; /* the node is down: nothing was asked */
     }
     wire_post(wire, request->path, request->id, headers, body);
     wire_answer_t *answer = wire_read(wire, DEADLINE_MS + LATE_MS);
-    wire_close(wire);
+    wire_put_back(kept, wire, answer);
+    request->closed = answer->closed;
     request->ended_ms = harness_now_ms();
     request->status = answer->status;
     request->whole = answer->whole;
@@ -87,6 +107,16 @@
     g_mutex_unlock(&soak->lock);
 }
 
+static void caller_free(soak_caller_t *caller) {
+    for (int i = 0; i < SOAK_NODES; i++) {
+        if (caller->kept[i] != NULL) {
+            wire_close(caller->kept[i]);
+        }
+    }
+    g_rand_free(caller->rand);
+    g_free(caller);
+}
+
 static gpointer caller_run(gpointer data) {
     soak_caller_t *caller = data;
     soak_t *soak = caller->soak;
@@ -99,11 +129,12 @@
                         g_rand_int_range(caller->rand, 0, MODELS / 2));
         g_autofree char *headers =
             headers_create(request.path, model, g_rand_int_range(caller->rand, 0, 10) == 0);
-        request_play(soak, &request, headers, "hello");
+        /* Some connections rest for a while between two requests, some are used at once. */
+        gboolean fresh = g_rand_int_range(caller->rand, 0, 4) == 0;
+        request_play(soak, &request, fresh ? NULL : &caller->kept[request.node], headers, "hello");
         g_usleep((gulong)g_rand_int_range(caller->rand, 0, 60) * 1000);
     }
-    g_rand_free(caller->rand);
-    g_free(caller);
+    caller_free(caller);
     return NULL;
 }
 
@@ -129,11 +160,10 @@
         soak_request_t request = {.node = g_rand_int_range(caller->rand, 0, SOAK_NODES),
                                   .path = path};
         g_snprintf(request.id, sizeof(request.id), "p%d-%d", caller->number, i);
-        request_play(soak, &request, headers, SOAK_POISON_BODY);
+        request_play(soak, &request, &caller->kept[request.node], headers, SOAK_POISON_BODY);
         g_usleep((gulong)g_rand_int_range(caller->rand, 0, 400) * 1000);
     }
-    g_rand_free(caller->rand);
-    g_free(caller);
+    caller_free(caller);
     return NULL;
 }
 
@@ -161,7 +191,7 @@
     g_snprintf(request.id, sizeof(request.id), "r%d-%d-%d%s", node, model, try, path);
     g_strdelimit(request.id, "/", '-');
     g_autofree char *headers = headers_create(path, model, FALSE);
-    request_play(soak, &request, headers, "hello");
+    request_play(soak, &request, NULL, headers, "hello");
     return request.status == 200 && request.whole;
 }
 
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -59,6 +59,11 @@
             soak_broken(soak, "%s %s: answered %d, and ran", request->id, request->path,
                         request->status);
         }
+        if (request->status == 0 && request->closed && count > 0 &&
+            !soak_is_halted(soak, request->node, request->began_ms, request->ended_ms)) {
+            soak_broken(soak, "%s %s: an engine got it, its %sconnection was closed unanswered",
+                        request->id, request->path, request->on_kept ? "kept " : "");
+        }
         if (count == 0 && request->status / 100 == 2) {
             soak_broken(soak, "%s %s: a success that no engine ran", request->id, request->path);
         }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -280,6 +280,22 @@
     }
 }
 
+gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const halts[] = {"kill", "pause", "all-killed"};
+    gboolean halted = FALSE;
+    g_mutex_lock(&soak->lock);
+    for (guint i = 0; i < soak->spans->len; i++) {
+        const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
+        gboolean here = (span->node < 0 || span->node == node) && span->from_ms <= to_ms &&
+                        span->to_ms >= from_ms;
+        for (size_t j = 0; here && j < G_N_ELEMENTS(halts); j++) {
+            halted |= strcmp(span->name, halts[j]) == 0;
+        }
+    }
+    g_mutex_unlock(&soak->lock);
+    return halted;
+}
+
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     gboolean disturbed = FALSE;
     g_mutex_lock(&soak->lock);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -39,6 +39,8 @@
     int node;
     int status; /* 0: the connection ended without an answer */
     gboolean whole;
+    gboolean closed;  /* the connection ended */
+    gboolean on_kept; /* it was asked on a connection that had served others */
     int64_t began_ms;
     int64_t ended_ms;
 } soak_request_t;
@@ -62,6 +64,8 @@
 
 /** Note that a promise did not hold. */
 void soak_broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** @return TRUE when the node's process was killed or stood still in this time */
+gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when a fault was at work that may keep this node from its promises in time */
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 
--- a/tests/unit/test_poison_book.c
+++ b/tests/unit/test_poison_book.c
@@ -228,6 +228,33 @@
     wb_poison_book_free(book);
 }
 
+/* A bystander that ended up refused beside the poison is tried soon, and not at the same time. */
+static void test_tied_requests_are_tried_soon(void) {
+    wb_poison_book_t *book = wb_poison_book_create(&(wb_poison_options_t){0});
+    wb_request_digest_t poison = digest_of(1);
+    wb_request_digest_t bystander = digest_of(2);
+    wb_request_digest_t alone = digest_of(3);
+    for (uint64_t engine = 10; engine < 13; engine++) {
+        note(book, 1, engine);
+        note(book, 2, engine);
+        note(book, 3, engine + 10);
+    }
+    int64_t due_ms = NOW_MS + WB_POISON_TIED_TRIAL_MS;
+    g_assert_false(wb_poison_book_take_trial(book, &poison, NOW_MS));
+    g_assert_false(wb_poison_book_take_trial(book, &bystander, NOW_MS));
+    g_assert_false(wb_poison_book_take_trial(book, &alone, NOW_MS));
+    g_assert_true(wb_poison_book_take_trial(book, &poison, due_ms));
+    g_assert_false(wb_poison_book_take_trial(book, &bystander, due_ms));
+    note(book, 1, 13);
+    due_ms += WB_POISON_TRIAL_APART_MS;
+    g_assert_true(wb_poison_book_take_trial(book, &bystander, due_ms));
+    forgive(book, 2);
+    g_assert_cmpint(state_of(book, 1), ==, WB_POISON_REFUSED);
+    g_assert_cmpint(state_of(book, 2), ==, WB_POISON_NONE);
+    g_assert_false(wb_poison_book_take_trial(book, &alone, due_ms + 2 * WB_POISON_TRIAL_APART_MS));
+    wb_poison_book_free(book);
+}
+
 static void test_lengths(void) {
     wb_poison_book_t *book = book_create();
     g_assert_false(wb_poison_book_has_length(book, BODY_BYTES));
@@ -249,6 +276,7 @@
     g_test_add_func("/poison-book/let-through-alike", test_let_through_alike);
     g_test_add_func("/poison-book/bystanders-give-way", test_bystanders_give_way);
     g_test_add_func("/poison-book/many-engines", test_many_engines);
+    g_test_add_func("/poison-book/tied-requests-are-tried-soon", test_tied_requests_are_tried_soon);
     g_test_add_func("/poison-book/trials", test_trials);
     g_test_add_func("/poison-book/lengths", test_lengths);
 }
