Count the time that a machine is suspended

Cause: all ages, deadlines and the lease ran on CLOCK_MONOTONIC, which stands still while a machine is suspended: a holder that woke believed that it still held its lease. Change: wb_clock_us reads CLOCK_BOOTTIME; leases, ages, deadlines, budgets and kept connections all ask it. unit-clock failed before (20 ms counted of 7,020).

--- a/include/wickbridge/loop.h
+++ b/include/wickbridge/loop.h
@@ -59,7 +59,8 @@
 void wb_watch_change(wb_watch_t *watch, int16_t events);
 void wb_watch_remove(wb_watch_t *watch);
 
-/** @return a monotonic clock in milliseconds */
+/** @return a steady clock in milliseconds that also counts the time for which the machine was
+ * suspended */
 int64_t wb_clock_ms(void);
 /** @return the same clock in microseconds */
 int64_t wb_clock_us(void);
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -5,6 +5,7 @@
 
 #include <apr_pools.h>
 #include <glib.h>
+#include <time.h>
 
 #define POLL_LIMIT_MS 1000
 
@@ -43,12 +44,16 @@
     GPtrArray *removed; /* watches to free after the present round */
 };
 
-int64_t wb_clock_ms(void) {
-    return g_get_monotonic_time() / 1000;
+/* CLOCK_MONOTONIC stands still while the machine is suspended: who woke would believe that its lease
+ * goes on, that its configuration is fresh, and that callers still wait. */
+int64_t wb_clock_us(void) {
+    struct timespec now;
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
-int64_t wb_clock_us(void) {
-    return g_get_monotonic_time();
+int64_t wb_clock_ms(void) {
+    return wb_clock_us() / 1000;
 }
 
 apr_status_t wb_loop_create(wb_loop_t **loop, const char *name, unsigned capacity,
