--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -44,8 +44,8 @@
     GPtrArray *removed; /* watches to free after the present round */
 };
 
-/* CLOCK_MONOTONIC stands still while the machine is suspended: who woke would believe that its lease
- * goes on, that its configuration is fresh, and that callers still wait. */
+/* CLOCK_MONOTONIC stands still while the machine is suspended: who woke would believe that its
+ * lease goes on, that its configuration is fresh, and that callers still wait. */
 int64_t wb_clock_us(void) {
     struct timespec now;
     clock_gettime(CLOCK_BOOTTIME, &now);
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -1,45 +1,17 @@
 /* The stand-in's engines: they run requests, stream events, and take orders. */
-#include "estate.h"
+#include "engine_inner.h"
 
 #include "wickbridge/json.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define ORDER_LATE_MS 1500
-#define REPORT_LAG_MS 40
 /* A request whose body begins so crashes each engine that begins to run it. */
 #define CRASH_TEXT "crash"
 #define CRASH_AFTER_MS 20
 /* A row that isn't renewed lapses after so many beats. */
 #define LAPSE_BEATS 3
 
-struct wb_estate_engine_t {
-    wb_loop_t *loop;
-    wb_estate_store_t *store;
-    wb_estate_seen_t *seen;
-    wb_http_listener_t *listener;
-    wb_timer_t *beat;
-    char *name; /* that it keeps when it starts again */
-    char *id;
-    unsigned starts;
-    unsigned port; /* 0: any */
-    wb_timer_t *crash;
-    wb_timer_t *restart;
-    json_t *options; /* service, zone, models, work_ms, event_ms, events, load_ms, weights_mb,
-                        adapter_slots, back_ms */
-    json_t *models;  /* [{name, version, adapters}] */
-    int64_t sequence;
-    int64_t beats;
-    gboolean busy;
-    gboolean leaving;
-    gboolean hardened; /* no request crashes it any more */
-    gboolean ended;    /* for good, or until it starts again */
-    char *fault;
-    int fault_count;
-    GHashTable *runs; /* connection -> wb_estate_run_t */
-};
-
 /* A request that runs. */
 typedef struct wb_estate_run_t {
     wb_estate_engine_t *engine;
@@ -52,31 +24,26 @@
     int cut_after; /* events after which it breaks off; -1: never */
 } wb_estate_run_t;
 
-/* An order that takes its time. */
-typedef struct wb_estate_load_t {
-    wb_estate_engine_t *engine;
-    json_t *order;
-} wb_estate_load_t;
-
 const char *wb_estate_engine_id(const wb_estate_engine_t *engine) {
     return engine->id;
 }
 
-static int64_t option(const wb_estate_engine_t *engine, const char *name, int64_t fallback) {
+int64_t wb_estate_engine_option(const wb_estate_engine_t *engine, const char *name,
+                                int64_t fallback) {
     return wb_json_integer(engine->options, name, fallback);
 }
 
-static void engine_announce(wb_estate_engine_t *engine) {
+void wb_estate_engine_announce(wb_estate_engine_t *engine) {
     if (engine->ended)
         return;
     int64_t own_port = wb_http_listener_port(engine->listener);
-    g_autofree char *address =
-        g_strdup_printf("127.0.0.1:%lld", (long long)option(engine, "announce_port", own_port));
+    g_autofree char *address = g_strdup_printf(
+        "127.0.0.1:%lld", (long long)wb_estate_engine_option(engine, "announce_port", own_port));
     json_t *row = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:O}", "service",
                             wb_json_text(engine->options, "service", "engines"), "address", address,
                             "zone", wb_json_text(engine->options, "zone", "zone-1"), "version",
-                            "v1", "slots", (int)option(engine, "slots", 8), "state",
-                            engine->leaving ? "draining" : "ready", "coldRemainingMs", 0,
+                            "v1", "slots", (int)wb_estate_engine_option(engine, "slots", 8),
+                            "state", engine->leaving ? "draining" : "ready", "coldRemainingMs", 0,
                             "sequence", (json_int_t)++engine->beats, "models", engine->models);
     char *text = wb_json_dump(row);
     wb_estate_store_put(engine->store, "servers", engine->id, text);
@@ -85,20 +52,16 @@
 }
 
 static void engine_beat(void *context) {
-    engine_announce(context);
+    wb_estate_engine_announce(context);
 }
 
-static gboolean fault_take(wb_estate_engine_t *engine, const char *fault) {
+gboolean wb_estate_engine_take_fault(wb_estate_engine_t *engine, const char *fault) {
     if (engine->fault_count <= 0 || strcmp(engine->fault, fault) != 0)
         return FALSE;
     engine->fault_count--;
     return TRUE;
 }
 
-static void violation(wb_estate_engine_t *engine, const char *text) {
-    json_array_append_new(engine->seen->violations, json_sprintf("%s at %s", text, engine->id));
-}
-
 /* A row that lapses some time after its engine crashed. */
 typedef struct wb_estate_lapse_t {
     wb_estate_store_t *store;
@@ -145,35 +108,10 @@
     wb_estate_lapse_t *lapse = g_new0(wb_estate_lapse_t, 1);
     lapse->store = engine->store;
     lapse->id = g_strdup(engine->id);
-    wb_loop_after(engine->loop, LAPSE_BEATS * option(engine, "beat_ms", 300), row_lapses, lapse);
-    engine->restart =
-        wb_loop_after(engine->loop, option(engine, "back_ms", 600), engine_restart, engine);
-}
-
-static json_t *model_find(const wb_estate_engine_t *engine, const char *name, size_t *place) {
-    size_t i;
-    json_t *model;
-    json_array_foreach(engine->models, i,
-                       model) if (strcmp(wb_json_text(model, "name", ""), name) == 0) {
-        if (place != NULL)
-            *place = i;
-        return model;
-    }
-    return NULL;
-}
-
-static size_t adapter_find(const json_t *model, const char *name) {
-    size_t i;
-    json_t *adapter;
-    json_array_foreach(json_object_get(model, "adapters"), i,
-                       adapter) if (strcmp(json_string_value(adapter), name) == 0) return i;
-    return G_MAXSIZE;
-}
-
-static gboolean engine_holds(const wb_estate_engine_t *engine, const char *wanted) {
-    g_auto(GStrv) names = g_strsplit(wanted, "/", 2);
-    const json_t *model = model_find(engine, names[0], NULL);
-    return model != NULL && (names[1] == NULL || adapter_find(model, names[1]) != G_MAXSIZE);
+    wb_loop_after(engine->loop, LAPSE_BEATS * wb_estate_engine_option(engine, "beat_ms", 300),
+                  row_lapses, lapse);
+    engine->restart = wb_loop_after(engine->loop, wb_estate_engine_option(engine, "back_ms", 600),
+                                    engine_restart, engine);
 }
 
 static void run_free(gpointer data) {
@@ -196,7 +134,7 @@
     return g_strdup_printf("Request-Attempt-Id: %s\r\nServer-Load: %u,0,%d\r\n"
                            "Keep-Alive: timeout=5\r\n%s",
                            run->id, g_hash_table_size(run->engine->runs),
-                           (int)option(run->engine, "slots", 8), more);
+                           (int)wb_estate_engine_option(run->engine, "slots", 8), more);
 }
 
 static void run_answer(wb_estate_run_t *run, unsigned status, const char *more, const char *body) {
@@ -227,7 +165,8 @@
         g_strdup_printf("id: %d\ndata: %s-%d\n\n", run->next_event, run->id, run->next_event);
     run->next_event++;
     wb_http_connection_stream_write(run->connection, event, strlen(event));
-    run->timer = wb_loop_after(engine->loop, option(engine, "event_ms", 5), run_go_on, run);
+    run->timer =
+        wb_loop_after(engine->loop, wb_estate_engine_option(engine, "event_ms", 5), run_go_on, run);
 }
 
 /* The headers that came, as an object; of several with one name the last. */
@@ -254,8 +193,8 @@
     run->connection = connection;
     run->id = g_strdup(id != NULL ? id : "");
     run->cut_after = -1;
-    run->events = (int)option(engine, "events", 5);
-    run->streams = option(engine, "streams", 0) != 0;
+    run->events = (int)wb_estate_engine_option(engine, "events", 5);
+    run->streams = wb_estate_engine_option(engine, "streams", 0) != 0;
     run->next_event = (int)wb_http_head_number(head, "Last-Event-Id", 0) + 1;
     g_hash_table_insert(engine->runs, connection, run);
     wb_http_connection_set_request(connection, run);
@@ -264,11 +203,11 @@
         run_answer(run, 421, "", "");
         return;
     }
-    if (model != NULL && !engine_holds(engine, model)) {
+    if (model != NULL && !wb_estate_engine_holds(engine, model)) {
         run_answer(run, 421, "Not-Executed: 1\r\n", "");
         return;
     }
-    if (fault_take(engine, "reject")) {
+    if (wb_estate_engine_take_fault(engine, "reject")) {
         run_answer(run, 503, "Not-Executed: 1\r\n", "");
         return;
     }
@@ -282,21 +221,21 @@
                       : "",
                   "deadline_ms", (json_int_t)wb_http_head_number(head, "Request-Deadline-Ms", -1),
                   "at_ms", (json_int_t)wb_clock_ms(), "headers", headers_json(head)));
-    if (fault_take(engine, "error")) {
+    if (wb_estate_engine_take_fault(engine, "error")) {
         run_answer(run, 500, "Response-Seal: seal\r\n", "failed");
         return;
     }
-    if (fault_take(engine, "unsealed")) {
+    if (wb_estate_engine_take_fault(engine, "unsealed")) {
         run_answer(run, 200, "", "no seal");
         return;
     }
-    if (fault_take(engine, "reset")) {
+    if (wb_estate_engine_take_fault(engine, "reset")) {
         wb_http_connection_abort(run_end(run));
         return;
     }
-    if (fault_take(engine, "mute"))
+    if (wb_estate_engine_take_fault(engine, "mute"))
         return;
-    if (fault_take(engine, "cut"))
+    if (wb_estate_engine_take_fault(engine, "cut"))
         run->cut_after = 2;
     if (run->streams) {
         g_autofree char *lines =
@@ -308,121 +247,8 @@
             engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, engine_crash, engine);
         return;
     }
-    run->timer = wb_loop_after(engine->loop, option(engine, "work_ms", 5), run_go_on, run);
-}
-
-static double used_mb(const wb_estate_engine_t *engine) {
-    double used = 0;
-    size_t i;
-    json_t *model;
-    json_array_foreach(engine->models, i, model) used += (double)option(engine, "model_mb", 1000);
-    return used;
-}
-
-static void model_put(wb_estate_engine_t *engine, const char *name) {
-    if (used_mb(engine) + (double)option(engine, "model_mb", 1000) >
-        (double)option(engine, "weights_mb", 2000))
-        violation(engine, "loaded beyond its room");
-    json_array_append_new(engine->models,
-                          json_pack("{s:s, s:i, s:[]}", "name", name, "version", 1, "adapters"));
-}
-
-static void load_done(void *context) {
-    wb_estate_load_t *load = context;
-    wb_estate_engine_t *engine = load->engine;
-    const char *name = wb_json_text(load->order, "model", "");
-    size_t place;
-    engine->busy = FALSE;
-    if (strcmp(wb_json_text(load->order, "operation", ""), "model_load") == 0) {
-        if (model_find(engine, name, NULL) == NULL)
-            model_put(engine, name);
-    } else if (model_find(engine, name, &place) != NULL) {
-        json_array_remove(engine->models, place);
-    }
-    engine_announce(engine);
-    json_decref(load->order);
-    g_free(load);
-}
-
-static unsigned adapter_order(wb_estate_engine_t *engine, const json_t *order, gboolean is_load) {
-    json_t *model = model_find(engine, wb_json_text(order, "model", ""), NULL);
-    const char *adapter = wb_json_text(order, "adapter", "");
-    if (model == NULL)
-        return 400;
-    json_t *adapters = json_object_get(model, "adapters");
-    size_t place = adapter_find(model, adapter);
-    if (is_load && place == G_MAXSIZE) {
-        if ((int64_t)json_array_size(adapters) >= option(engine, "adapter_slots", 2))
-            violation(engine, "adapters beyond its places");
-        json_array_append_new(adapters, json_string(adapter));
-    } else if (!is_load && place != G_MAXSIZE) {
-        json_array_remove(adapters, place);
-    }
-    engine->sequence++;
-    return is_load ? 202 : 200;
-}
-
-/* Carries an order out. Returns its status. */
-static unsigned order_do(wb_estate_engine_t *engine, const json_t *order) {
-    const json_t *expected = json_object_get(order, "expectedVersion");
-    if (json_object_get(order, "holder") == NULL || json_object_get(order, "fencingToken") == NULL)
-        return 400;
-    if (engine->busy || (expected != NULL && json_integer_value(expected) != engine->sequence))
-        return 409;
-    gboolean is_load = strcmp(wb_json_text(order, "operation", ""), "model_load") == 0;
-    if (json_object_get(order, "adapter") != NULL)
-        return adapter_order(engine, order, is_load);
-    if (is_load == (model_find(engine, wb_json_text(order, "model", ""), NULL) != NULL))
-        return 200;
-    engine->sequence++;
-    engine->busy = TRUE;
-    wb_estate_load_t *load = g_new0(wb_estate_load_t, 1);
-    load->engine = engine;
-    load->order = json_deep_copy(order);
-    wb_loop_after(engine->loop, option(engine, is_load ? "load_ms" : "unload_ms", 50), load_done,
-                  load);
-    return 202;
-}
-
-static void order_late(void *context) {
-    wb_estate_load_t *load = context;
-    order_do(load->engine, load->order);
-    json_decref(load->order);
-    g_free(load);
-}
-
-static void order_call(wb_estate_engine_t *engine, wb_http_connection_t *connection,
-                       const wb_http_head_t *head, const GByteArray *body) {
-    json_t *order = json_loadb((const char *)body->data, body->len, 0, NULL);
-    const char *expected = wb_http_head_get(head, "Expected-Instance");
-    unsigned status = 400;
-    gboolean answered = TRUE;
-    if (expected != NULL && strcmp(expected, engine->id) != 0) {
-        status = 421;
-    } else if (fault_take(engine, "order-lost")) {
-        status = order_do(engine, order);
-        answered = FALSE;
-    } else if (fault_take(engine, "order-late")) {
-        wb_estate_load_t *load = g_new0(wb_estate_load_t, 1);
-        load->engine = engine;
-        load->order = json_deep_copy(order);
-        wb_loop_after(engine->loop, ORDER_LATE_MS, order_late, load);
-        status = 0;
-        answered = FALSE;
-    } else if (order != NULL) {
-        status = order_do(engine, order);
-    }
-    json_array_append_new(engine->seen->orders,
-                          json_pack("{s:s, s:s, s:I, s:s, s:s, s:s, s:i, s:I}", "engine",
-                                    engine->id, "holder", wb_json_text(order, "holder", ""),
-                                    "token", (json_int_t)wb_json_integer(order, "fencingToken", 0),
-                                    "operation", wb_json_text(order, "operation", ""), "model",
-                                    wb_json_text(order, "model", ""), "adapter",
-                                    wb_json_text(order, "adapter", ""), "status", (int)status,
-                                    "at_ms", (json_int_t)wb_clock_ms()));
-    json_decref(order);
-    if (answered)
-        wb_http_connection_answer(connection, status, wb_http_reason(status), "", NULL, 0);
+    run->timer =
+        wb_loop_after(engine->loop, wb_estate_engine_option(engine, "work_ms", 5), run_go_on, run);
 }
 
 static void report_call(wb_estate_engine_t *engine, wb_http_connection_t *connection) {
@@ -443,7 +269,7 @@
     if (strcmp(head->target, "/report") == 0)
         report_call(engine, connection);
     else if (strcmp(head->target, "/order") == 0)
-        order_call(engine, connection, head, body);
+        wb_estate_engine_order(engine, connection, head, body);
     else
         run_begin(engine, connection, head, body);
     wb_http_head_free(head);
@@ -470,8 +296,9 @@
         APR_SUCCESS)
         g_error("%s", error.message);
     engine->port = wb_http_listener_port(engine->listener);
-    engine_announce(engine);
-    engine->beat = wb_loop_every(engine->loop, option(engine, "beat_ms", 300), engine_beat, engine);
+    wb_estate_engine_announce(engine);
+    engine->beat = wb_loop_every(engine->loop, wb_estate_engine_option(engine, "beat_ms", 300),
+                                 engine_beat, engine);
 }
 
 wb_estate_engine_t *wb_estate_engine_start(wb_loop_t *loop, wb_estate_store_t *store,
@@ -489,8 +316,8 @@
     size_t i;
     json_t *name;
     json_array_foreach(json_object_get(options, "models"), i, name)
-        model_put(engine, json_string_value(name));
-    engine->port = (unsigned)option(engine, "port", 0);
+        wb_estate_engine_put_model(engine, json_string_value(name));
+    engine->port = (unsigned)wb_estate_engine_option(engine, "port", 0);
     engine_open(engine);
     return engine;
 }
@@ -507,7 +334,7 @@
 
 void wb_estate_engine_set_leaving(wb_estate_engine_t *engine) {
     engine->leaving = TRUE;
-    engine_announce(engine);
+    wb_estate_engine_announce(engine);
 }
 
 void wb_estate_engine_harden(wb_estate_engine_t *engine) {
--- a/tests/unit/test_clock.c
+++ b/tests/unit/test_clock.c
@@ -1,4 +1,5 @@
-/* The clock by which leases, deadlines and ages are counted goes on while a machine is suspended. */
+/* The clock by which leases, deadlines and ages are counted goes on while a machine is suspended.
+ */
 #include "unit.h"
 
 #include "wickbridge/lease.h"
