--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -99,9 +99,7 @@
 
 /* All connections end, nobody listens, and the row stays for a while. Another start of the engine
  * comes at the same address, empty. */
-static void engine_crash(void *context) {
-    wb_estate_engine_t *engine = context;
-    engine->crash = NULL;
+void wb_estate_engine_crash(wb_estate_engine_t *engine) {
     engine_down(engine);
     json_array_append_new(engine->seen->crashes, json_pack("{s:s, s:I}", "engine", engine->id,
                                                            "at_ms", (json_int_t)wb_clock_ms()));
@@ -169,6 +167,12 @@
         wb_loop_after(engine->loop, wb_estate_engine_option(engine, "event_ms", 5), run_go_on, run);
 }
 
+static void crash_due(void *context) {
+    wb_estate_engine_t *engine = context;
+    engine->crash = NULL;
+    wb_estate_engine_crash(engine);
+}
+
 /* The headers that came, as an object; of several with one name the last. */
 static json_t *headers_json(const wb_http_head_t *head) {
     json_t *headers = json_object();
@@ -244,7 +248,7 @@
     }
     if (body_crashes(engine, body)) {
         if (engine->crash == NULL)
-            engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, engine_crash, engine);
+            engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, crash_due, engine);
         return;
     }
     run->timer =
@@ -337,6 +341,11 @@
     wb_estate_engine_announce(engine);
 }
 
+void wb_estate_engine_set_crash_model(wb_estate_engine_t *engine, const char *model) {
+    g_free(engine->crash_model);
+    engine->crash_model = g_strdup(model);
+}
+
 void wb_estate_engine_harden(wb_estate_engine_t *engine) {
     engine->hardened = TRUE;
 }
--- a/standins/estate/engine_inner.h
+++ b/standins/estate/engine_inner.h
@@ -28,6 +28,7 @@
     gboolean busy;
     gboolean leaving;
     gboolean hardened; /* no request crashes it any more */
+    char *crash_model; /* its load ends in a crash; NULL: none */
     gboolean ended;    /* for good, or until it starts again */
     char *fault;
     int fault_count;
@@ -51,4 +52,8 @@
 void wb_estate_engine_order(wb_estate_engine_t *engine, wb_http_connection_t *connection,
                             const wb_http_head_t *head, const GByteArray *body);
 
+/* engine.c */
+/** It ends at once; another start of it comes some time later. */
+void wb_estate_engine_crash(wb_estate_engine_t *engine);
+
 #endif
--- a/standins/estate/engine_orders.c
+++ b/standins/estate/engine_orders.c
@@ -88,6 +88,11 @@
         return;
     }
     engine->busy = FALSE;
+    if (g_strcmp0(name, engine->crash_model) == 0) {
+        load_free(load);
+        wb_estate_engine_crash(engine);
+        return;
+    }
     if (strcmp(wb_json_text(load->order, "operation", ""), "model_load") == 0) {
         if (model_find(engine, name, NULL) == NULL)
             wb_estate_engine_put_model(engine, name);
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -46,6 +46,8 @@
                                            wb_estate_seen_t *seen, const char *id, json_t *options);
 void wb_estate_engine_stop(wb_estate_engine_t *engine, gboolean announce);
 void wb_estate_engine_set_leaving(wb_estate_engine_t *engine);
+/** From now on it crashes at the end of each load of this model. */
+void wb_estate_engine_set_crash_model(wb_estate_engine_t *engine, const char *model);
 /** From now on no request crashes it. */
 void wb_estate_engine_harden(wb_estate_engine_t *engine);
 /** Set a fault for the next `count` requests or orders: "error", "reject", "cut", "mute", "reset",
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -53,6 +53,8 @@
     else if (strcmp(verb, "engine-fault") == 0)
         wb_estate_engine_set_fault(engine, wb_json_text(call, "fault", ""),
                                    (int)wb_json_integer(call, "count", 1));
+    else if (strcmp(verb, "engine-crash-model") == 0)
+        wb_estate_engine_set_crash_model(engine, wb_json_text(call, "model", ""));
     else if (strcmp(verb, "engine-harden") == 0)
         wb_estate_engine_harden(engine);
     else if (strcmp(verb, "engine-leave") == 0)
--- a/tests/edge/test_control.c
+++ b/tests/edge/test_control.c
@@ -218,7 +218,41 @@
     estate_stop(estate);
 }
 
+/* The load of a model crashes each engine that begins it: it is given up for a while, long before
+ * all engines have gone round, and the others' models are served. */
+static void test_model_that_crashes_engines(void) {
+    enum { LOADS_MOST = 4, ASKED_FOR_MS = 12000 };
+    estate_t *estate = estate_start(2, NULL);
+    estate_wait_controller(estate, 8000);
+    for (int engine = 1; engine <= 2; engine++) {
+        estate_do(estate, "{\"do\":\"engine-crash-model\",\"engine\":\"llm-%d\",\"model\":\"m5\"}",
+                  engine);
+    }
+    int64_t until_ms = harness_now_ms() + ASKED_FOR_MS;
+    for (int i = 0; harness_now_ms() < until_ms; i++) {
+        g_autofree char *id = g_strdup_printf("x%d", i);
+        wire_answer_free(
+            wire_ask(estate->nodes[i % 2].callers_port, "/note/x", id, EDGE_MODEL("m5")));
+        g_usleep(100000);
+    }
+    json_t *seen = estate_seen(estate);
+    size_t crashes = json_array_size(json_object_get(seen, "crashes"));
+    json_decref(seen);
+    g_test_message("%zu engines crashed", crashes);
+    g_assert_cmpint(crashes, >=, 2);
+    g_assert_cmpint(crashes, <=, LOADS_MOST);
+    for (int node = 0; node < 2; node++) {
+        g_autofree char *id = g_strdup_printf("y%d", node);
+        wire_answer_t *answer =
+            wire_ask(estate->nodes[node].callers_port, "/note/x", id, EDGE_MODEL("m0"));
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_answer_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/control/model-that-crashes-engines", test_model_that_crashes_engines);
     g_test_add_func("/edge/control/strongest-takes-over", test_strongest_takes_over);
     g_test_add_func("/edge/control/takeover", test_takeover);
     g_test_add_func("/edge/control/successor-orders-others-at-once",
