Give a model up for a while when its loads crash engines

Change: an engine at whose address nobody listens any more while it loads counts against the model; after three in a row with no good load the model isn't ordered for a minute, then two, and so on, and who waits is told when.

--- a/include/wickbridge/http_peer.h
+++ b/include/wickbridge/http_peer.h
@@ -27,6 +27,7 @@
     unsigned status; /**< 0 unless answered */
     const char *body;
     size_t length;
+    gboolean refused; /**< not sent, as nobody listens at the address */
 } wb_http_result_t;
 
 typedef void (*wb_http_result_fn)(const wb_http_result_t *result, void *context);
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -111,6 +111,19 @@
              wb_load_pace_limit(pace, nominal_ms));
 }
 
+static void owner_load_crashed(const wb_engine_t *engine, const char *model, void *context) {
+    wb_controller_t *controller = context;
+    const char *service = engine->state->service;
+    int64_t now_ms = wb_clock_ms();
+    guint engines = wb_load_faults_crashed(controller->faults, service, model, now_ms);
+    wb_event("load-crashed",
+             ",\"service\":\"%s\",\"model\":\"%s\",\"engine\":\"%s\",\"in_a_row\":%u,"
+             "\"paused_ms\":%lld",
+             wb_event_text(service), wb_event_text(model), wb_event_text(engine->state->id),
+             engines,
+             (long long)wb_load_faults_paused_ms(controller->faults, service, model, now_ms));
+}
+
 static uint64_t owner_token(void *context) {
     return ((wb_controller_t *)context)->token;
 }
@@ -118,6 +131,8 @@
 static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
                            gboolean held, void *context) {
     wb_controller_t *controller = context;
+    if (held && *adapter == '\0')
+        wb_load_faults_loaded(controller->faults, engine->state->service, model);
     if (held)
         wb_demand_book_served(controller->book, engine->state->service, model, adapter);
     wb_controller_tell(controller, engine, model, adapter, held, 0);
@@ -140,6 +155,7 @@
                                       owner_store_has_room,
                                       owner_store_load_begins,
                                       owner_store_load_ended,
+                                      owner_load_crashed,
                                       owner_announce,
                                       owner_expect,
                                       owner_token,
@@ -215,6 +231,7 @@
     controller->book = wb_demand_book_create();
     controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                (GDestroyNotify)wb_engine_orders_free);
+    controller->faults = wb_load_faults_create();
     controller->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     controller->windows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_load_window_free);
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -52,7 +52,9 @@
             usage->missed = 0;
             usage->told_ready_ms = 0;
         }
-        if (is_missing(usage, now_ms)) {
+        if (is_missing(usage, now_ms) &&
+            wb_load_faults_paused_ms(controller->faults, snapshot->service->name, spec->name,
+                                     now_ms) == 0) {
             wb_missing_model_t model = {spec, usage->missed, usage->time_left_ms};
             g_array_append_val(missing, model);
         }
@@ -98,12 +100,36 @@
     wb_event("load-plan", ",\"service\":\"%s\",\"told\":%u", wb_event_text(service), entries->len);
 }
 
+/* Who waits for a model whose loads crash engines is told when the next one may begin. */
+static void paused_note(const wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                        GArray *entries, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer value;
+    if (!wb_load_faults_any(controller->faults)) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, snapshot->service->models);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_model_spec_t *spec = value;
+        int64_t paused_ms = wb_load_faults_paused_ms(controller->faults, snapshot->service->name,
+                                                     spec->name, now_ms);
+        wb_usage_t *usage =
+            paused_ms > 0
+                ? wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "")
+                : NULL;
+        if (usage != NULL && usage->use.replicas == 0) {
+            plan_note(entries, usage, spec, paused_ms + spec->store_load_ms, now_ms);
+        }
+    }
+}
+
 void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                  int64_t now_ms) {
     const char *service = snapshot->service->name;
     g_autoptr(GArray) missing = missing_collect(controller, snapshot, now_ms);
     g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_load_plan_entry));
     unsigned before = 0;
+    paused_note(controller, snapshot, entries, now_ms);
     for (guint i = 0; i < missing->len; i++) {
         const wb_missing_model_t *model = &g_array_index(missing, wb_missing_model_t, i);
         wb_usage_t *usage = wb_demand_book_find(controller->book, service, model->spec->name, "");
--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -49,7 +49,9 @@
         const wb_model_spec_t *spec = value;
         const wb_usage_t *usage =
             wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "");
-        if (usage == NULL || usage->use.replicas == 0)
+        if (usage == NULL || usage->use.replicas == 0 ||
+            wb_load_faults_paused_ms(controller->faults, snapshot->service->name, spec->name,
+                                     wb_clock_ms()) > 0)
             continue;
         unsigned wanted = wb_placement_wanted(&usage->use, &snapshot->power);
         if (usage->use.replicas + usage->use.in_loading >= wanted)
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -9,6 +9,7 @@
 
 #include "control/demand_book.h"
 #include "control/engine_orders.h"
+#include "control/load_faults.h"
 #include "control/load_pace.h"
 #include "control/load_window.h"
 #include "control/placement.h"
@@ -26,6 +27,7 @@
     GHashTable *orders;  /* engine id -> wb_engine_orders_t */
     GHashTable *windows; /* service -> wb_load_window_t */
     GHashTable *paces;   /* service -> wb_load_pace_t */
+    wb_load_faults_t *faults;
     int64_t spread_ms;
     int64_t next_us; /* not before this is a decision made for a message */
 };
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -104,6 +104,17 @@
         task_over(orders, "unreachable");
 }
 
+/* Nobody listens at the engine's address any more, and it was loading a model. */
+static void load_crashed(wb_engine_orders_t *orders) {
+    orders->owner.load_crashed(orders->engine, orders->order_model, orders->owner.context);
+    orders->failures = 0;
+    orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
+    state_forget(orders);
+    if (wb_task_first(&orders->tasks) != NULL)
+        task_over(orders, "crashed");
+    orders->settle = WB_SETTLE_NONE;
+}
+
 static gboolean state_has(const wb_engine_state_t *state, const char *model, const char *adapter) {
     const wb_engine_model_t *held = g_hash_table_lookup(state->models, model);
     if (held == NULL)
@@ -172,6 +183,10 @@
     if (result->outcome == WB_HTTP_ANSWERED && result->status == 200)
         state =
             orders->dialect->report_parse(orders->engine->state->id, result->body, result->length);
+    if (result->refused && orders->settle == WB_SETTLE_LOADED) {
+        load_crashed(orders);
+        return;
+    }
     if (state == NULL) {
         call_failed(orders);
         return;
@@ -266,7 +281,13 @@
              orders->order_model, orders->order_adapter, (long long)orders->order.expected_sequence,
              (unsigned long long)orders->order.token, result->status, (int)result->outcome);
     if (result->outcome == WB_HTTP_NOT_SENT) {
-        call_failed(orders);
+        /* It may have taken the order whose answer never came. */
+        gboolean may_load = orders->resends > 0 && orders->order.kind == WB_ORDER_LOAD &&
+                            *orders->order_adapter == '\0';
+        if (result->refused && may_load)
+            load_crashed(orders);
+        else
+            call_failed(orders);
         return;
     }
     if (result->outcome == WB_HTTP_UNKNOWN) {
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -32,6 +32,8 @@
     /** A load from the weight store is done. @param at_once as told when it began */
     void (*store_load_ended)(const char *service, unsigned at_once, int64_t took_ms,
                              int64_t nominal_ms, void *context);
+    /** The engine ended while it loaded a model. */
+    void (*load_crashed)(const wb_engine_t *engine, const char *model, void *context);
     void (*announce)(wb_engine_t *engine, const char *model, const char *adapter, gboolean held,
                      void *context);
     /** A model that is being loaded should be there in so many ms. */
--- a/src/http/http_peer.c
+++ b/src/http/http_peer.c
@@ -31,7 +31,8 @@
     unsigned status;
     gboolean keep_alive;
     gboolean sent;
-    gboolean whole; /* the answer is read */
+    gboolean refused; /* nobody listens there */
+    gboolean whole;   /* the answer is read */
     int64_t kept_since_ms;
 };
 
@@ -50,9 +51,9 @@
 /* Ends the running call: its connection is closed, and its owner is told. */
 static void call_end(wb_http_call_t *call, wb_http_outcome_t outcome) {
     wb_http_request_t request = call->request;
+    wb_http_result_t result = {.outcome = outcome, .refused = call->refused};
     g_ptr_array_remove_fast(call->peer->calls, call);
     connection_free(call);
-    wb_http_result_t result = {outcome, 0, NULL, 0};
     request.on_result(&result, request.context);
 }
 
@@ -117,7 +118,8 @@
     } else {
         connection_free(call);
     }
-    wb_http_result_t result = {WB_HTTP_ANSWERED, status, (const char *)body->data, body->len};
+    wb_http_result_t result = {WB_HTTP_ANSWERED, status, (const char *)body->data, body->len,
+                               FALSE};
     request.on_result(&result, request.context);
 }
 
@@ -162,6 +164,7 @@
         kept_drop(call);
         return;
     }
+    call->refused = how == WB_TCP_END_REFUSED;
     if (how == WB_TCP_END_CLOSED)
         wb_http_reader_end(call->reader);
     if (call->whole)
