--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -27,6 +27,7 @@
     uint64_t resends;
     uint64_t rejections;
     uint64_t broken_sends;
+    uint64_t engine_checks;
     uint64_t engine_crashes;
     uint64_t waits;
     uint64_t connections_opened;
@@ -53,7 +54,6 @@
     unsigned open_requests;
     unsigned waiting_requests;
     unsigned nodes;
-    uint64_t engine_checks;
     unsigned suspected_requests; /**< different ones, by what they ask for */
     unsigned poison_requests;    /**< the same */
     gboolean holds_lease;
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -115,6 +115,9 @@
     wb_controller_t *controller = context;
     const char *service = engine->state->service;
     int64_t now_ms = wb_clock_ms();
+    if (engine->leaving_ms != 0) {
+        return; /* it ended as it had said */
+    }
     guint engines = wb_load_faults_crashed(controller->faults, service, model, now_ms);
     wb_event("load-crashed",
              ",\"service\":\"%s\",\"model\":\"%s\",\"engine\":\"%s\",\"in_a_row\":%u,"
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -103,6 +103,7 @@
 /* Who waits for a model whose loads crash engines is told when the next one may begin. */
 static void paused_note(const wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
                         GArray *entries, int64_t now_ms) {
+    const char *service = snapshot->service->name;
     GHashTableIter iter;
     gpointer value;
     if (!wb_load_faults_any(controller->faults)) {
@@ -111,13 +112,10 @@
     g_hash_table_iter_init(&iter, snapshot->service->models);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_model_spec_t *spec = value;
-        int64_t paused_ms = wb_load_faults_paused_ms(controller->faults, snapshot->service->name,
-                                                     spec->name, now_ms);
-        wb_usage_t *usage =
-            paused_ms > 0
-                ? wb_demand_book_find(controller->book, snapshot->service->name, spec->name, "")
-                : NULL;
-        if (usage != NULL && usage->use.replicas == 0) {
+        int64_t paused_ms =
+            wb_load_faults_paused_ms(controller->faults, service, spec->name, now_ms);
+        wb_usage_t *usage = wb_demand_book_find(controller->book, service, spec->name, "");
+        if (paused_ms > 0 && usage != NULL && usage->use.replicas == 0) {
             plan_note(entries, usage, spec, paused_ms + spec->store_load_ms, now_ms);
         }
     }
--- a/src/control/load_faults.h
+++ b/src/control/load_faults.h
@@ -18,8 +18,8 @@
 
 /** Engines that must have ended in a row, as for requests (poison_book.h). */
 #define WB_LOAD_FAULTS_MOST 3
-/** A minute, then twice that and so on: so much a model is missed that two other causes hit, and an
- * engine each time is what finding out costs. */
+/** A minute, then twice that and so on. It is what callers of a sound model lose when three engines
+ * that loaded it ended for other reasons; a damaged one costs an engine after each pause. */
 #define WB_LOAD_FAULTS_PAUSE_MS (60 * 1000)
 #define WB_LOAD_FAULTS_PAUSE_LIMIT_MS (16 * 60 * 1000)
 
--- a/src/edge/crash_watch.c
+++ b/src/edge/crash_watch.c
@@ -41,8 +41,8 @@
     wb_loop_t *loop;
     const wb_edge_settings_t *settings;
     wb_crash_watch_events_t events;
+    wb_edge_metrics_t *metrics;
     GHashTable *engines; /* id -> wb_broken_engine_t */
-    uint64_t checks;
 };
 
 static void check_end(wb_broken_engine_t *engine) {
@@ -66,10 +66,12 @@
 }
 
 wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                        wb_edge_metrics_t *metrics,
                                         const wb_crash_watch_events_t *events) {
     wb_crash_watch_t *watch = g_new0(wb_crash_watch_t, 1);
     watch->loop = loop;
     watch->settings = settings;
+    watch->metrics = metrics;
     watch->events = *events;
     watch->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
     return watch;
@@ -81,6 +83,7 @@
 }
 
 static void crash_tell(wb_broken_engine_t *engine, const char *shown_by) {
+    engine->watch->metrics->engine_crashes += engine->state != WB_ENGINE_END_SURE;
     engine->state = WB_ENGINE_END_SURE;
     if (engine->requests->len == 0) {
         return;
@@ -124,7 +127,7 @@
     int64_t limit_ms = engine->watch->settings->connect_timeout_ms;
     wb_error_t error;
     engine->timer = NULL;
-    engine->watch->checks++;
+    engine->watch->metrics->engine_checks++;
     if (wb_tcp_stream_connect(engine->watch->loop, engine->address, limit_ms, limit_ms, &events,
                               engine, &engine->stream, &error) != APR_SUCCESS) {
         wb_event("engine-check-failed", ",\"engine\":\"%s\",\"reason\":\"%s\"",
@@ -222,7 +225,3 @@
     wb_sweep_t sweep = {now_ms, LAPSE_BEATS * watch->settings->engine_heartbeat_ms + ROW_READ_MS};
     g_hash_table_foreach_remove(watch->engines, engine_is_old, &sweep);
 }
-
-uint64_t wb_crash_watch_checks(const wb_crash_watch_t *watch) {
-    return watch->checks;
-}
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -17,6 +17,7 @@
 #include "poison/request_digest.h"
 
 #include "wickbridge/edge.h"
+#include "wickbridge/edge_metrics.h"
 #include "wickbridge/loop.h"
 
 #include <glib.h>
@@ -36,9 +37,13 @@
 
 typedef struct wb_crash_watch_t wb_crash_watch_t;
 
-/** @param settings its connect_timeout_ms and engine_heartbeat_ms are read at each use; it must
- * outlive the watch */
+/**
+ * @param settings its connect_timeout_ms and engine_heartbeat_ms are read at each use; it must
+ * outlive the watch
+ * @param metrics  where checks and crashes are counted; must outlive the watch
+ */
 wb_crash_watch_t *wb_crash_watch_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
+                                        wb_edge_metrics_t *metrics,
                                         const wb_crash_watch_events_t *events);
 void wb_crash_watch_free(wb_crash_watch_t *watch);
 
@@ -52,7 +57,5 @@
                                   const char *address);
 /** Forget engines that nothing more is heard of. */
 void wb_crash_watch_sweep(wb_crash_watch_t *watch, int64_t now_ms);
-/** @return engines that were asked so far whether they are there */
-uint64_t wb_crash_watch_checks(const wb_crash_watch_t *watch);
 
 #endif
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -210,7 +210,7 @@
     edge->poison = wb_poison_book_create(&poison);
     edge->served = wb_served_set_create();
     wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, edge};
-    edge->crashes = wb_crash_watch_create(loop, &edge->settings, &crashes);
+    edge->crashes = wb_crash_watch_create(loop, &edge->settings, &edge->metrics, &crashes);
     edge->on_poison = wb_edge_node_poison_changed;
     wb_list_init(&edge->waiting);
     edge->node_count = 1;
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -285,7 +285,7 @@
     int64_t now_ms = wb_clock_ms();
     /* Asked before each sending: the copies that wait for a model would else all be sent once it is
      * there, to one engine more. */
-    if (wb_exchange_is_poison(exchange)) {
+    if (!wb_exchange_may_send(exchange)) {
         wb_exchange_give_up(exchange, WB_ENDING_POISON);
         return;
     }
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -50,8 +50,8 @@
  * some 40 us for a body of 18 KB */
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange);
 
-/** @return TRUE when it is known to crash the engines that run it */
-gboolean wb_exchange_is_poison(wb_exchange_t *exchange);
+/** @return FALSE when it is known to crash the engines that run it, but for one try now and then */
+gboolean wb_exchange_may_send(wb_exchange_t *exchange);
 /** @return TRUE when one more engine that ends under it makes it poison */
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange);
 /** @return ms for which that is held against it */
--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -35,7 +35,7 @@
              wb_request_digest_write(&exchange->digest, digest));
 }
 
-gboolean wb_exchange_is_poison(wb_exchange_t *exchange) {
+gboolean wb_exchange_may_send(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     uint64_t version = wb_poison_book_version(edge->poison);
     if (exchange->poison_version != version) {
@@ -43,14 +43,14 @@
         exchange->is_poison = wb_poison_entry_state(held_against(exchange)) == WB_POISON_REFUSED;
     }
     if (!exchange->is_poison || exchange->is_trial) {
-        return FALSE;
+        return TRUE;
     }
     if (edge->tries_poison &&
         wb_poison_book_take_trial(edge->poison, &exchange->digest, wb_clock_ms())) {
         exchange->is_trial = TRUE;
         trial_log(exchange);
     }
-    return !exchange->is_trial;
+    return exchange->is_trial;
 }
 
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange) {
@@ -103,7 +103,7 @@
         wb_exchange_t *exchange = item->data;
         gboolean is_sent = exchange->attempt != NULL || wb_list_is_linked(&exchange->waiting);
         if (g_hash_table_contains(edge->open, exchange) && is_sent &&
-            wb_exchange_is_poison(exchange)) {
+            !wb_exchange_may_send(exchange)) {
             wb_exchange_give_up(exchange, WB_ENDING_POISON);
         }
     }
@@ -123,7 +123,6 @@
     uint64_t engine = wb_poison_engine_hash(engine_id);
     int64_t now_ms = wb_clock_ms();
     gboolean news = FALSE;
-    edge->metrics.engine_crashes++;
     for (guint i = 0; i < requests->len; i++) {
         const wb_broken_request_t *request = &g_array_index(requests, wb_broken_request_t, i);
         if (wb_served_set_has(edge->served, &request->digest, now_ms)) {
