--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -185,6 +185,8 @@
 void wb_edge_node_gateway_open(wb_link_t *link, void *context);
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context);
 void wb_edge_node_gateway_close(wb_link_t *link, const char *reason, void *context);
+/** @return TRUE when the other nodes report to this one: it holds the lease, or did last */
+gboolean wb_edge_node_is_reported_to(const wb_edge_node_t *node);
 /** Tell the controller what is asked for here. */
 void wb_edge_node_tell_demand(wb_edge_node_t *node);
 /** Someone waits for what isn't loaded: tell the controller once this round's requests are in. */
--- a/src/edge/node_announce.c
+++ b/src/edge/node_announce.c
@@ -123,11 +123,8 @@
 }
 
 void wb_edge_node_tick_announce(wb_edge_node_t *node, int64_t now_ms) {
-    if (!node->held) {
-        g_hash_table_remove_all(node->announcements);
-        return;
-    }
-    if (g_hash_table_size(node->gateways) + 1 >= g_hash_table_size(node->nodes)) {
+    gboolean all_report = g_hash_table_size(node->gateways) + 1 >= g_hash_table_size(node->nodes);
+    if (!node->held || all_report) {
         g_hash_table_remove_all(node->announcements);
         return;
     }
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -89,8 +89,12 @@
     g_hash_table_remove(node->gateways, link);
 }
 
+gboolean wb_edge_node_is_reported_to(const wb_edge_node_t *node) {
+    return node->held || node->quota_token != 0;
+}
+
 void wb_edge_node_tell_demand(wb_edge_node_t *node) {
-    gboolean to_self = node->held || node->quota_token != 0;
+    gboolean to_self = wb_edge_node_is_reported_to(node);
     if (!to_self && !node->controller_link_open)
         return;
     wb_wire_message message;
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -52,11 +52,6 @@
     return wire;
 }
 
-/* Returns TRUE when other nodes report to this one. */
-static gboolean is_keeper(const wb_edge_node_t *node) {
-    return node->held || node->quota_token != 0;
-}
-
 static void message_tell(wb_edge_node_t *node, wb_link_t *link, uint64_t since, guint engines) {
     wb_wire_message message = {.kind = WB_WIRE_POISON};
     message.wb_wire_message_u.poison = entries_collect(node, since, engines);
@@ -73,7 +68,7 @@
 /* Tells what has changed since this was done last: to gateways, or to the node that keeps count. */
 static void changes_tell(wb_edge_node_t *node) {
     uint64_t version = wb_poison_book_version(node->edge.poison);
-    if (is_keeper(node)) {
+    if (wb_edge_node_is_reported_to(node)) {
         message_tell(node, NULL, node->poison_told, WB_POISON_TOLD_ENGINES);
     } else if (node->controller_link_open) {
         message_tell(node, node->controller_link, node->poison_told, 1);
@@ -93,13 +88,13 @@
 }
 
 void wb_edge_node_poison_gateway_open(wb_edge_node_t *node, wb_link_t *link) {
-    if (is_keeper(node)) {
+    if (wb_edge_node_is_reported_to(node)) {
         message_tell(node, link, 0, WB_POISON_TOLD_ENGINES);
     }
 }
 
 void wb_edge_node_tick_poison(wb_edge_node_t *node) {
-    gboolean keeper = is_keeper(node);
+    gboolean keeper = wb_edge_node_is_reported_to(node);
     if (keeper && !node->poison_keeper) {
         node->poison_told = 0;
         changes_tell(node);
@@ -136,7 +131,7 @@
         return;
     }
     gboolean forgiven = served_forgive(node, now_ms);
-    if (forgiven || is_keeper(node)) {
+    if (forgiven || wb_edge_node_is_reported_to(node)) {
         changes_tell(node);
     } else if (node->controller_link_open) {
         node->poison_told = wb_poison_book_version(node->edge.poison); /* it comes from there */
--- a/src/quota/quota_gate.c
+++ b/src/quota/quota_gate.c
@@ -89,6 +89,11 @@
     verdict->retry_ms = retry_after(-entry->credit, gain_per_s);
 }
 
+/* Depth of the bucket that a tenant has at this node alone; one unit at least. */
+static double own_depth(const wb_gate_entry_t *entry) {
+    return MAX(WB_QUOTA_UNREACHED_DEPTH_S * entry->own_rate_per_s, 1);
+}
+
 /* What this node may spend by itself: set once when the book is lost, and for tenants that came
  * later. */
 static void own_begin(wb_gate_entry_t *entry, const wb_tenant_t *tenant, unsigned nodes,
@@ -98,16 +103,15 @@
         entry->share < 1 ? entry->share * demand_per_s : WB_QUOTA_UNREACHED_TIMES * demand_per_s;
     entry->own_rate_per_s = MAX(usual_per_s, entry->share * equal_per_s);
     entry->own.at_ms = now_ms;
-    entry->own.level = entry->share < 1
-                           ? (entry->share - g_random_double()) * cost
-                           : MAX(WB_QUOTA_UNREACHED_DEPTH_S * entry->own_rate_per_s, 1);
+    entry->own.level =
+        entry->share < 1 ? (entry->share - g_random_double()) * cost : own_depth(entry);
     entry->own_begins = FALSE;
 }
 
 static void ask_alone(wb_gate_entry_t *entry, double cost, int64_t now_ms,
                       wb_quota_verdict_t *verdict) {
-    double depth = MAX(WB_QUOTA_UNREACHED_DEPTH_S * entry->own_rate_per_s, 1);
-    double level = wb_token_bucket_fill(&entry->own, entry->own_rate_per_s, depth, now_ms);
+    double level =
+        wb_token_bucket_fill(&entry->own, entry->own_rate_per_s, own_depth(entry), now_ms);
     verdict->admitted = level > 0;
     if (verdict->admitted) {
         entry->own.level -= cost;
--- a/tests/edge/test_cut_off.c
+++ b/tests/edge/test_cut_off.c
@@ -31,6 +31,21 @@
     g_assert_cmpint(estate_runs(estate, id), ==, 0);
 }
 
+/* An estate whose nodes have known each other and the controller for a second. */
+typedef struct cut_off_t {
+    estate_t *estate;
+    int controller;
+    int cut; /* the node next to it */
+} cut_off_t;
+
+static cut_off_t cut_off_begin(int nodes) {
+    cut_off_t scene = {estate_start(nodes, LEASE_FLAGS), 0, 0};
+    scene.controller = estate_wait_controller(scene.estate, 8000);
+    scene.cut = (scene.controller + 1) % nodes;
+    g_usleep(1000000);
+    return scene;
+}
+
 static void assert_served(const estate_t *estate, int node, const char *id, const char *headers) {
     wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, "/chat/x", id, headers);
     g_assert_cmpint(answer->status, ==, 200);
@@ -40,10 +55,10 @@
 
 /* Cut off from its peers only: it sees that the lease is renewed by one that it can't reach. */
 static void test_from_peers(void) {
-    estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = estate_wait_controller(estate, 8000);
-    int cut = 1 - controller;
-    g_usleep(1000000);
+    cut_off_t scene = cut_off_begin(2);
+    estate_t *estate = scene.estate;
+    int controller = scene.controller;
+    int cut = scene.cut;
     estate_link_fault(estate, controller, "cut", 0);
     g_usleep(CUT_OFF_US);
     assert_refused_at_once(estate, cut, "p1");
@@ -59,10 +74,10 @@
 
 /* Cut off from its peers and from the store, at first while a take-over could be under way. */
 static void test_from_peers_and_store(void) {
-    estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = estate_wait_controller(estate, 8000);
-    int cut = 1 - controller;
-    g_usleep(1000000);
+    cut_off_t scene = cut_off_begin(2);
+    estate_t *estate = scene.estate;
+    int controller = scene.controller;
+    int cut = scene.cut;
     estate_link_fault(estate, controller, "cut", 0);
     estate_store_fault(estate, cut, "freeze", 0);
     g_usleep(CUT_OFF_US);
@@ -82,10 +97,10 @@
 /* A request that waits as the node is cut off is refused once that is known, not at its deadline.
  */
 static void test_while_it_waits(void) {
-    estate_t *estate = estate_start(2, LEASE_FLAGS);
-    int controller = estate_wait_controller(estate, 8000);
-    int cut = 1 - controller;
-    g_usleep(1000000);
+    cut_off_t scene = cut_off_begin(2);
+    estate_t *estate = scene.estate;
+    int controller = scene.controller;
+    int cut = scene.cut;
     estate_link_fault(estate, controller, "cut", 0);
     estate_store_fault(estate, cut, "freeze", 0);
     int64_t asked_ms = harness_now_ms();
@@ -101,10 +116,10 @@
 /* Cut off from the store only, while the controller dies: the new one makes itself known, and what
  * isn't loaded is served as at any node. */
 static void test_from_store_while_the_controller_changes(void) {
-    estate_t *estate = estate_start(3, LEASE_FLAGS);
-    int controller = estate_wait_controller(estate, 8000);
-    int cut = (controller + 1) % 3;
-    g_usleep(1000000);
+    cut_off_t scene = cut_off_begin(3);
+    estate_t *estate = scene.estate;
+    int controller = scene.controller;
+    int cut = scene.cut;
     estate_store_fault(estate, cut, "cut", 0);
     process_kill(&estate->nodes[controller].process);
     g_usleep(CUT_OFF_US);
@@ -120,10 +135,10 @@
 /* The controller itself is cut off from the store, with another node: that one finds the new
  * controller though both could see each other all the time. */
 static void test_controller_and_another_from_store(void) {
-    estate_t *estate = estate_start(3, LEASE_FLAGS);
-    int controller = estate_wait_controller(estate, 8000);
-    int cut = (controller + 1) % 3;
-    g_usleep(1000000);
+    cut_off_t scene = cut_off_begin(3);
+    estate_t *estate = scene.estate;
+    int controller = scene.controller;
+    int cut = scene.cut;
     estate_store_fault(estate, cut, "cut", 0);
     estate_store_fault(estate, controller, "cut", 0);
     g_usleep(CUT_OFF_US);
