--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -65,8 +65,9 @@
 
 void wb_exchange_note_broken(wb_exchange_t *exchange) {
     const wb_engine_t *engine = exchange->engine;
-    /* An engine that leaves ends what is left with it: that is nobody's fault. */
-    if (engine->leaving_ms != 0) {
+    /* An engine that has said that it leaves ends what is left with it: that is nobody's fault. One
+     * whose row went without a word may live on, and crash: rows lapse while the store is away. */
+    if (engine->state->leaving) {
         return;
     }
     wb_broken_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
