Let copies whose answer has begun go on; ask whether a request is still open before looking at it

Read anew: refusing copies under way looked at a request before asking whether an earlier refusal had ended it. And a copy whose answer comes is past sparing its engine, while its good end would forgive a bystander.

--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -98,12 +98,21 @@
     book_changed(edge);
 }
 
+/* Whether ending it now may spare an engine: it waits, or its engine may not have begun to run it.
+ * One whose answer comes is let go on: its good end would show that it was no more than a
+ * bystander.
+ */
+static gboolean may_be_stopped(const wb_exchange_t *exchange) {
+    return wb_list_is_linked(&exchange->waiting) ||
+           (exchange->attempt != NULL && !exchange->first_event_seen);
+}
+
 void wb_exchanges_refuse_poison(wb_edge_t *edge) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
-        gboolean is_sent = exchange->attempt != NULL || wb_list_is_linked(&exchange->waiting);
-        if (g_hash_table_contains(edge->open, exchange) && is_sent &&
+        /* What ends one request may end others. */
+        if (g_hash_table_contains(edge->open, exchange) && may_be_stopped(exchange) &&
             !wb_exchange_may_send(exchange)) {
             wb_exchange_give_up(exchange, WB_ENDING_POISON);
         }
