--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -13,8 +13,7 @@
 #define POISON_ENGINES 3
 #define POISON_KNOWN_MS 3000
 #define POISON_LATE_MOST 3
-/* Whatever happens meanwhile: nodes that know of it no longer than the others, cut off and killed.
- */
+/* The same from all nodes, also those that are cut off, paused or have just been started anew. */
 #define POISON_LATE_MOST_EVER 12
 
 static const char *text_of(const json_t *object, const char *name) {
