Replicas of busy models and missing models take turns at a slow weight store

Cause: a model with one slow engine and 13 requests a second, 90 in 100 of them late, never got its second replica: models that somebody waited for were there first each time the store was free, though a load (13.2 s) comes too late for who waits.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -64,6 +64,15 @@
     return pace;
 }
 
+wb_store_turns_t *wb_controller_turns(wb_controller_t *controller, const char *service) {
+    wb_store_turns_t *turns = g_hash_table_lookup(controller->turns, service);
+    if (turns == NULL) {
+        turns = g_new0(wb_store_turns_t, 1);
+        g_hash_table_insert(controller->turns, g_strdup(service), turns);
+    }
+    return turns;
+}
+
 unsigned wb_controller_store_loads(const wb_controller_t *controller, const char *service) {
     unsigned loads = 0;
     GHashTableIter iter;
@@ -235,6 +244,7 @@
     controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                (GDestroyNotify)wb_engine_orders_free);
     controller->faults = wb_load_faults_create();
+    controller->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     controller->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     controller->windows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_load_window_free);
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -121,6 +121,33 @@
     }
 }
 
+/* What requests for a missing model gain by its load: those that wait or were refused, and those
+ * that come while it lasts. */
+static double missing_gain_ms(const wb_usage_t *usage, const wb_model_spec_t *spec) {
+    double coming = usage->use.rate_per_s * (double)spec->store_load_ms / 1000;
+    return MISSED_COST_MS * (usage->use.waiting + usage->missed + coming);
+}
+
+/* Loads a missing model, from the weight store only when it is its turn. */
+static gboolean missing_place(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                              const wb_model_spec_t *spec, const wb_usage_t *usage,
+                              int64_t now_ms) {
+    const wb_store_turns_t *turns = wb_controller_turns(controller, snapshot->service->name);
+    unsigned room = snapshot->store_room;
+    gboolean may = wb_store_turns_missing_may(turns, missing_gain_ms(usage, spec),
+                                              spec->store_load_ms, now_ms);
+    if (!may) {
+        snapshot->store_room = 0;
+    }
+    gboolean placed =
+        wb_controller_place_model(controller, snapshot, spec, missing_limit_ms(usage, spec),
+                                  usage->use.waiting > 0 ? "waited-for" : "missing");
+    if (!may) {
+        snapshot->store_room = room;
+    }
+    return placed;
+}
+
 void wb_controller_place_missing(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
                                  int64_t now_ms) {
     const char *service = snapshot->service->name;
@@ -131,9 +158,7 @@
     for (guint i = 0; i < missing->len; i++) {
         const wb_missing_model_t *model = &g_array_index(missing, wb_missing_model_t, i);
         wb_usage_t *usage = wb_demand_book_find(controller->book, service, model->spec->name, "");
-        if (wb_controller_place_model(controller, snapshot, model->spec,
-                                      missing_limit_ms(usage, model->spec),
-                                      usage->use.waiting > 0 ? "waited-for" : "missing")) {
+        if (missing_place(controller, snapshot, model->spec, usage, now_ms)) {
             usage->told_ready_ms = 0;
         } else if (snapshot->store_room == 0 && usage->use.replicas == 0 && model->missed > 0) {
             int64_t ready_in_ms = wb_load_queue_ready_ms(
--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -27,8 +27,11 @@
     wb_engine_orders_add(wb_controller_orders(controller, place->engine), spec->name, "");
     gboolean from_store;
     double load_ms = wb_placement_load_ms(spec, place->engine->state, &from_store);
-    if (from_store && snapshot->store_room > 0)
-        snapshot->store_room--;
+    if (from_store) {
+        snapshot->store_room -= snapshot->store_room > 0;
+        wb_store_turns_loaded(wb_controller_turns(controller, snapshot->service->name),
+                              usage->use.replicas == 0);
+    }
     double ready_ms = place->busy_ms + load_ms + (victims_ms > 0 ? DROP_TIME_MS : 0);
     wb_controller_tell(controller, place->engine, spec->name, "", FALSE,
                        (unsigned)MAX(ready_ms, 1));
@@ -100,6 +103,11 @@
     const wb_placement_engine_t *place =
         wb_placement_choose(snapshot, spread->spec, &cost_ms, &victims_ms);
     if (place == NULL) {
+        if (snapshot->store_room == 0 &&
+            spread->gain_ms > wb_placement_store_price_ms(spread->spec)) {
+            wb_store_turns_wish(wb_controller_turns(controller, snapshot->service->name),
+                                spread->gain_ms, wb_clock_ms());
+        }
         return FALSE;
     }
     double gain_ms = wb_placement_gain_ms(spread->use, &snapshot->power, place->speed);
@@ -112,6 +120,7 @@
     g_autoptr(GArray) spreads = spreads_collect(controller, snapshot);
     unsigned placed = 0;
     for (guint i = 0; i < spreads->len && placed < SPREADS_AT_ONCE; i++) {
+        /* The first that lacks the store makes the wish: it gains most. */
         placed += spread_one(controller, snapshot, &g_array_index(spreads, wb_spread_t, i));
     }
 }
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -13,6 +13,7 @@
 #include "control/load_pace.h"
 #include "control/load_window.h"
 #include "control/placement.h"
+#include "control/store_turns.h"
 
 struct wb_controller_t {
     wb_loop_t *loop;
@@ -27,6 +28,7 @@
     GHashTable *orders;  /* engine id -> wb_engine_orders_t */
     GHashTable *windows; /* service -> wb_load_window_t */
     GHashTable *paces;   /* service -> wb_load_pace_t */
+    GHashTable *turns;   /* service -> wb_store_turns_t */
     wb_load_faults_t *faults;
     int64_t spread_ms;
     int64_t next_us; /* not before this is a decision made for a message */
@@ -39,6 +41,8 @@
 /** @return loads from the weight store that may begin now, by its rate and by what it is found to
  * deliver at once */
 unsigned wb_controller_store_room(wb_controller_t *controller, const char *service);
+/** @return whose turn at the weight store it is; created when there is none */
+wb_store_turns_t *wb_controller_turns(wb_controller_t *controller, const char *service);
 /** @return an engine's orders; they are created when there are none */
 wb_engine_orders_t *wb_controller_orders(wb_controller_t *controller, wb_engine_t *engine);
 /** Tell all gateways of a model or adapter. @param ready_in_ms when it should be there; 0: no load
--- /dev/null
+++ b/src/control/store_turns.c
@@ -0,0 +1,35 @@
+/* Who loads next from a slow weight store. */
+#include "control/store_turns.h"
+
+/* Callers of streams leave after four targets, 8 s for one of 2 s: a load that takes longer comes
+ * too late for nearly all that wait as it begins. */
+#define SLOW_LOAD_MS 8000
+/* Replicas are looked for each 300 ms; a wish that isn't renewed has passed. */
+#define WISH_LIFE_MS 1000
+
+void wb_store_turns_wish(wb_store_turns_t *turns, double gain_ms, int64_t now_ms) {
+    if (turns->wished_at_ms == now_ms && turns->wished_ms >= gain_ms) {
+        return; /* of those that are looked at together the greatest counts */
+    }
+    turns->wished_ms = gain_ms;
+    turns->wished_at_ms = now_ms;
+}
+
+gboolean wb_store_turns_is_wished(const wb_store_turns_t *turns, int64_t now_ms) {
+    return turns->wished_ms > 0 && now_ms - turns->wished_at_ms < WISH_LIFE_MS;
+}
+
+gboolean wb_store_turns_missing_may(const wb_store_turns_t *turns, double gain_ms, int64_t load_ms,
+                                    int64_t now_ms) {
+    if (!wb_store_turns_is_wished(turns, now_ms) || load_ms < SLOW_LOAD_MS) {
+        return TRUE;
+    }
+    return !turns->was_missing || gain_ms >= turns->wished_ms;
+}
+
+void wb_store_turns_loaded(wb_store_turns_t *turns, gboolean is_missing) {
+    turns->was_missing = is_missing;
+    if (!is_missing) {
+        turns->wished_ms = 0;
+    }
+}
