A tenant short of its limit: cheap and urgent kinds of request go first

Cause: a tenant at 7.5 times its usual had each kind refused by chance (a quarter served), though payouts, look-ups and chats are an eighth of its tokens. Ruled out: each gateway ordering what it sees (6 requests a second); by single costs (long prompts would starve within their kind).

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -270,6 +270,7 @@
     own->read_piece_tokens = settings->read_piece_tokens;
     own->event_tokens = settings->event_tokens;
     own->engine_pace = settings->engine_pace;
+    own->quota_order = settings->quota_order;
     own->load_news_ms = settings->load_news_ms;
     own->load_news_bytes_per_s = settings->load_news_bytes_per_s;
     wb_edge_node_set_paces(node);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -87,6 +87,9 @@
     ROW("engine-pace", WB_SETTING_INTEGER, "", 0, 1, "1", engine_pace,
         "1: requests and models are placed by how long work takes at each engine, and by what a "
         "prompt does to streams there; 0: all engines count as alike"),
+    ROW("quota-order", WB_SETTING_INTEGER, "", 0, 1, "1", quota_order,
+        "1: of a tenant that is short of its limit, cheap and urgent kinds of request go first; 0: "
+        "all kinds alike"),
     ROW("load-news-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "500", load_news_ms,
         "Time between messages to gateways about what all of them send to engines; 0: none"),
     ROW("load-news-bytes-per-s", WB_SETTING_INTEGER, "bytes", 1000, 1 << 30, "200000",
--- a/src/edge/exchange_tenant.c
+++ b/src/edge/exchange_tenant.c
@@ -58,14 +58,23 @@
              (long long)age_ms, (long long)verdict->retry_ms);
 }
 
+/* Kinds of request are told apart by their service and their route's rank: a tenant's own rank is
+ * the same for all of its requests. */
+static wb_quota_kind_t kind_of(const wb_exchange_t *exchange) {
+    if (exchange->edge->settings.quota_order == 0) {
+        return WB_QUOTA_OTHER_KINDS;
+    }
+    return wb_quota_kind(exchange->service->name, exchange->route->rank);
+}
+
 gboolean wb_exchange_charge_quota(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (exchange->tenant == NULL) {
         return TRUE;
     }
     double cost = wb_tenant_cost(exchange->tenant, tokens_named(exchange));
-    wb_quota_verdict_t verdict =
-        wb_quota_gate_ask(edge->quota, exchange->tenant, cost, edge->node_count, wb_clock_ms());
+    wb_quota_verdict_t verdict = wb_quota_gate_ask(edge->quota, exchange->tenant, kind_of(exchange),
+                                                   cost, edge->node_count, wb_clock_ms());
     if (verdict.admitted) {
         exchange->quota_cost = cost;
         return TRUE;
@@ -77,7 +86,7 @@
 
 void wb_exchange_settle_quota(const wb_exchange_t *exchange) {
     if (exchange->quota_cost > 0 && exchange->runs != 1) {
-        wb_quota_gate_adjust(exchange->edge->quota, exchange->tenant->name,
+        wb_quota_gate_adjust(exchange->edge->quota, exchange->tenant->name, kind_of(exchange),
                              exchange->quota_cost * ((double)exchange->runs - 1));
     }
 }
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -36,7 +36,8 @@
     for (guint i = 0; i < uses->len; i++) {
         const wb_quota_use_t *use = &g_array_index(uses, wb_quota_use_t, i);
         demand->tenants.tenants_val[i] =
-            (wb_wire_tenant_use){strdup(use->tenant), (uint64_t)use->asked, (int64_t)use->admitted};
+            (wb_wire_tenant_use){strdup(use->tenant), use->kind, (u_int)use->requests,
+                                 (uint64_t)use->asked, (int64_t)use->admitted};
     }
     g_array_unref(uses);
 }
@@ -45,9 +46,10 @@
     int64_t now_ms = wb_clock_ms();
     wb_quota_book_node_reached(node->quota_book, demand->node);
     for (guint i = 0; i < demand->tenants.tenants_len; i++) {
-        const wb_wire_tenant_use *use = &demand->tenants.tenants_val[i];
-        wb_quota_book_report(node->quota_book, demand->node, use->tenant, (double)use->asked,
-                             (double)use->admitted, now_ms);
+        const wb_wire_tenant_use *wire = &demand->tenants.tenants_val[i];
+        wb_quota_use_t use = {wire->tenant, wire->kind, (double)wire->asked, (double)wire->requests,
+                              (double)wire->admitted};
+        wb_quota_book_report(node->quota_book, demand->node, &use, now_ms);
     }
 }
 
@@ -84,7 +86,7 @@
         g_new0(wb_quota_share_t, MAX(told->tenants.tenants_len, 1));
     for (guint i = 0; i < told->tenants.tenants_len; i++) {
         const wb_wire_quota_entry *entry = &told->tenants.tenants_val[i];
-        shares[i] = (wb_quota_share_t){entry->tenant, entry->share_ppm / PPM};
+        shares[i] = (wb_quota_share_t){entry->tenant, entry->kind, entry->share_ppm / PPM};
     }
     node->quota_heard_ms = wb_clock_ms();
     wb_quota_gate_tell(node->edge.quota, shares, told->tenants.tenants_len, node->quota_heard_ms);
@@ -101,10 +103,11 @@
         wb_quota_book_state(node->quota_book, share->tenant, now_ms, &state);
         node->quota_logged_ms = now_ms;
         wb_event("quota-share",
-                 ",\"tenant\":\"%s\",\"share\":%.3f,\"level\":%.0f,\"asked_per_s\":%.0f,"
+                 ",\"tenant\":\"%s\",\"kind\":\"%08x\",\"share\":%.3f,\"level\":%.0f,\"asked_per_"
+                 "s\":%.0f,"
                  "\"admitted_per_s\":%.0f,\"assumed_per_s\":%.0f",
-                 wb_event_text(share->tenant), share->share, state.level, state.asked_per_s,
-                 state.admitted_per_s, state.assumed_per_s);
+                 wb_event_text(share->tenant), share->kind, share->share, state.level,
+                 state.asked_per_s, state.admitted_per_s, state.assumed_per_s);
     }
 }
 
@@ -114,7 +117,8 @@
     g_autofree wb_wire_quota_entry *entries = g_new0(wb_wire_quota_entry, MAX(shares->len, 1));
     for (guint i = 0; i < shares->len; i++) {
         const wb_quota_share_t *share = &g_array_index(shares, wb_quota_share_t, i);
-        entries[i] = (wb_wire_quota_entry){(char *)share->tenant, (u_int)(share->share * PPM)};
+        entries[i] =
+            (wb_wire_quota_entry){(char *)share->tenant, share->kind, (u_int)(share->share * PPM)};
     }
     told->tenants.tenants_len = shares->len;
     told->tenants.tenants_val = entries;
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -267,6 +267,8 @@
 /* What a gateway spent of a tenant's limit since its last message, in the limit's unit. */
 struct wb_wire_tenant_use {
     wb_wire_name tenant;
+    unsigned int kind;     /* of its requests: a service and a rank */
+    unsigned int requests; /* that asked */
     unsigned hyper asked;
     hyper admitted; /* negative: more was given back than admitted */
 };
@@ -358,6 +360,7 @@
 /* A tenant that is short of its limit: gateways admit a share of its requests. */
 struct wb_wire_quota_entry {
     wb_wire_name tenant;
+    unsigned int kind;      /* of its requests; 0: all that aren't named */
     unsigned int share_ppm; /* millionths of what is asked */
 };
 
--- a/src/quota/quota_book.c
+++ b/src/quota/quota_book.c
@@ -16,6 +16,8 @@
 #define ASKED_TIME_S 1.0
 /* What a node admits is averaged over some seconds: single requests are large. */
 #define ADMITTED_TIME_S 4.0
+/* The mean cost of a kind's requests is over so long. */
+#define COST_TIME_S 8.0
 /* A node that isn't reached for so long is taken to be gone: cuts of machines last up to 12 s on
  * the users' sheets, and what is taken for a machine that is gone matters to short tenants only. */
 #define LOST_LIFE_MS 20000
@@ -24,8 +26,18 @@
 #define TELL_INTERVAL_MS 200
 #define TELL_CHANGE 0.1
 
+/* What a tenant asks for of one kind. */
+typedef struct wb_quota_asked_t {
+    wb_decayed_rate_t units;
+    wb_decayed_rate_t costs;    /* units, over a longer time */
+    wb_decayed_rate_t requests; /* over the same */
+    double share;
+    double share_told;
+} wb_quota_asked_t;
+
 typedef struct wb_quota_entry_t {
     char *tenant;
+    GHashTable *kinds; /* wb_quota_kind_t -> wb_quota_asked_t */
     double rate_per_s;
     double burst;
     wb_token_bucket_t bucket;
@@ -57,6 +69,7 @@
 
 static void entry_free(gpointer data) {
     wb_quota_entry_t *entry = data;
+    g_hash_table_unref(entry->kinds);
     g_free(entry->tenant);
     g_free(entry);
 }
@@ -89,6 +102,7 @@
     if (entry == NULL) {
         entry = g_new0(wb_quota_entry_t, 1);
         entry->tenant = g_strdup(tenant->name);
+        entry->kinds = g_hash_table_new_full(NULL, NULL, NULL, g_free);
         entry->bucket.at_ms = now_ms;
         entry->share = 1;
         entry->share_told = 1;
@@ -140,8 +154,24 @@
                                 entry->burst, now_ms);
 }
 
-void wb_quota_book_report(wb_quota_book_t *book, const char *node_name, const char *tenant,
-                          double asked, double admitted, int64_t now_ms) {
+static void kind_note(wb_quota_entry_t *entry, const wb_quota_use_t *use, int64_t now_ms) {
+    wb_quota_asked_t *kind = g_hash_table_lookup(entry->kinds, GUINT_TO_POINTER(use->kind));
+    if (kind == NULL) {
+        kind = g_new0(wb_quota_asked_t, 1);
+        kind->share = entry->share;
+        kind->share_told = 1;
+        g_hash_table_insert(entry->kinds, GUINT_TO_POINTER(use->kind), kind);
+    }
+    wb_decayed_rate_add(&kind->units, use->asked, ASKED_TIME_S, now_ms);
+    wb_decayed_rate_add(&kind->costs, use->asked, COST_TIME_S, now_ms);
+    wb_decayed_rate_add(&kind->requests, use->requests, COST_TIME_S, now_ms);
+}
+
+void wb_quota_book_report(wb_quota_book_t *book, const char *node_name, const wb_quota_use_t *use,
+                          int64_t now_ms) {
+    const char *tenant = use->tenant;
+    double asked = use->asked;
+    double admitted = use->admitted;
     wb_quota_entry_t *entry = g_hash_table_lookup(book->entries, tenant);
     if (entry == NULL) {
         return; /* no limit, or one that is not in this node's configuration yet */
@@ -149,6 +179,7 @@
     entry_fill(entry, now_ms);
     entry->bucket.level = MIN(entry->bucket.level - admitted, entry->burst);
     wb_decayed_rate_add(&entry->asked, asked, ASKED_TIME_S, now_ms);
+    kind_note(entry, use, now_ms);
     wb_decayed_rate_add(&entry->admitted, admitted, ADMITTED_TIME_S, now_ms);
     wb_quota_node_t *node = node_get(book, node_name);
     node->reported = TRUE;
@@ -223,6 +254,7 @@
         memset(&entry->admitted, 0, sizeof(entry->admitted));
         entry->share = 1;
         entry->share_told = 1;
+        g_hash_table_remove_all(entry->kinds);
     }
 }
 
@@ -280,15 +312,79 @@
     }
 }
 
-/* The share of what is asked that the bucket bears. */
-static double share_find(wb_quota_entry_t *entry, int64_t now_ms) {
+/* Shares what the bucket bears among the kinds that are asked for. */
+static void kinds_share(wb_quota_entry_t *entry, double bearable_per_s, int64_t now_ms) {
+    g_autoptr(GArray) claims = g_array_new(FALSE, FALSE, sizeof(wb_quota_claim_t));
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wb_quota_asked_t *kind = value;
+        double requests = wb_decayed_rate_read(&kind->requests, COST_TIME_S, now_ms);
+        double units = wb_decayed_rate_read(&kind->costs, COST_TIME_S, now_ms);
+        wb_quota_claim_t claim = {GPOINTER_TO_UINT(key),
+                                  wb_decayed_rate_read(&kind->units, ASKED_TIME_S, now_ms),
+                                  requests > 0 ? units / requests : 0, 1};
+        g_array_append_val(claims, claim);
+    }
+    wb_quota_order_share((wb_quota_claim_t *)(void *)claims->data, claims->len, bearable_per_s);
+    for (guint i = 0; i < claims->len; i++) {
+        const wb_quota_claim_t *claim = &g_array_index(claims, wb_quota_claim_t, i);
+        wb_quota_asked_t *kind = g_hash_table_lookup(entry->kinds, GUINT_TO_POINTER(claim->kind));
+        kind->share = claim->share;
+    }
+}
+
+/* Finds the share of what is asked that the bucket bears: of all kinds together, and of each. */
+static void shares_find(wb_quota_entry_t *entry, int64_t now_ms) {
     double level = entry_fill(entry, now_ms);
     double bearable_per_s = entry->rate_per_s - entry->assumed_per_s + level / STEER_TIME_S;
     double asked_per_s = wb_decayed_rate_read(&entry->asked, ASKED_TIME_S, now_ms);
+    entry->share = 1;
     if (asked_per_s <= bearable_per_s) {
-        return 1;
+        return;
+    }
+    entry->share = MAX(bearable_per_s, 0) / asked_per_s;
+    kinds_share(entry, bearable_per_s, now_ms);
+}
+
+static gboolean has_moved(double share, double told) {
+    return fabs(share - told) > TELL_CHANGE * told;
+}
+
+/* Adds what is to be told of a tenant that is short. Returns TRUE when a share has moved. */
+static gboolean entry_collect(wb_quota_book_t *book, wb_quota_entry_t *entry) {
+    gboolean moved = has_moved(entry->share, entry->share_told);
+    if (entry->share >= 1) {
+        return moved;
+    }
+    wb_quota_share_t share = {entry->tenant, WB_QUOTA_OTHER_KINDS, entry->share};
+    g_array_append_val(book->shares, share);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wb_quota_asked_t *kind = value;
+        if (GPOINTER_TO_UINT(key) != WB_QUOTA_OTHER_KINDS) {
+            wb_quota_share_t one = {entry->tenant, GPOINTER_TO_UINT(key), kind->share};
+            g_array_append_val(book->shares, one);
+            moved |= has_moved(kind->share, kind->share_told);
+        }
+    }
+    return moved;
+}
+
+static void entry_told(wb_quota_entry_t *entry) {
+    GHashTableIter iter;
+    gpointer value;
+    entry->share_told = entry->share;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_quota_asked_t *kind = value;
+        kind->share_told = entry->share < 1 ? kind->share : 1;
     }
-    return MAX(bearable_per_s, 0) / asked_per_s;
 }
 
 const GArray *wb_quota_book_shares(wb_quota_book_t *book, int64_t now_ms, gboolean *changed) {
@@ -300,13 +396,8 @@
     assume_equal_parts(book);
     g_hash_table_iter_init(&iter, book->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wb_quota_entry_t *entry = value;
-        entry->share = share_find(entry, now_ms);
-        moved |= fabs(entry->share - entry->share_told) > TELL_CHANGE * entry->share_told;
-        if (entry->share < 1) {
-            wb_quota_share_t share = {entry->tenant, entry->share};
-            g_array_append_val(book->shares, share);
-        }
+        shares_find(value, now_ms);
+        moved |= entry_collect(book, value);
     }
     gboolean any = book->shares->len > 0 || book->told_count > 0;
     *changed = moved || (any && now_ms - book->told_ms >= TELL_INTERVAL_MS);
@@ -317,7 +408,7 @@
     book->told_count = book->shares->len;
     g_hash_table_iter_init(&iter, book->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        ((wb_quota_entry_t *)value)->share_told = ((wb_quota_entry_t *)value)->share;
+        entry_told(value);
     }
     return book->shares;
 }
--- a/src/quota/quota_book.h
+++ b/src/quota/quota_book.h
@@ -43,12 +43,10 @@
 /** Take the limits of another configuration. @param tenants NULL: there are none */
 void wb_quota_book_set_tenants(wb_quota_book_t *book, const wb_tenants_t *tenants, int64_t now_ms);
 
-/**
- * A node has told what was asked of it and what it admitted since it told that last.
- * @param admitted may be negative: what was admitted before has not run
+/** A node has told what was asked of it of a kind, and what it admitted, since it told that last.
  */
-void wb_quota_book_report(wb_quota_book_t *book, const char *node, const char *tenant, double asked,
-                          double admitted, int64_t now_ms);
+void wb_quota_book_report(wb_quota_book_t *book, const char *node, const wb_quota_use_t *use,
+                          int64_t now_ms);
 /** A node is reached (anew): nothing is assumed of it any more. */
 void wb_quota_book_node_reached(wb_quota_book_t *book, const char *node);
 /** A node can't be reached any more; it may go on. */
--- a/src/quota/quota_gate.c
+++ b/src/quota/quota_gate.c
@@ -13,15 +13,23 @@
 /* A tenant without requests for so long has no demand worth to remember. */
 #define ENTRY_LIFE_MS 60000
 
+/* A kind of a tenant's requests. */
+typedef struct wb_gate_kind_t {
+    wb_decayed_rate_t demand;
+    double asked;    /* since the last report */
+    double requests; /* the same */
+    double admitted; /* the same */
+    double share;    /* while the tenant is short */
+    double credit;   /* the same; what was admitted beyond its share is owed */
+    gboolean credit_begins;
+} wb_gate_kind_t;
+
 typedef struct wb_gate_entry_t {
     char *tenant;
+    GHashTable *kinds; /* wb_quota_kind_t -> wb_gate_kind_t */
     wb_decayed_rate_t demand;
-    double asked;        /* since the last report */
-    double admitted;     /* since the last report */
-    double share;        /* 1: not short */
-    double share_before; /* as told before the last list */
-    double credit;       /* while it is short; what was admitted beyond its share is owed */
-    gboolean credit_begins;
+    double share;          /* of all kinds that aren't named; 1: not short */
+    double share_before;   /* as told before the last list */
     wb_token_bucket_t own; /* while the book can't be reached */
     double own_rate_per_s; /* as of when it could be reached last */
     gboolean own_begins;
@@ -36,6 +44,7 @@
 
 static void entry_free(gpointer data) {
     wb_gate_entry_t *entry = data;
+    g_hash_table_unref(entry->kinds);
     g_free(entry->tenant);
     g_free(entry);
 }
@@ -56,6 +65,7 @@
     if (entry == NULL) {
         entry = g_new0(wb_gate_entry_t, 1);
         entry->tenant = g_strdup(tenant);
+        entry->kinds = g_hash_table_new_full(NULL, NULL, NULL, g_free);
         entry->share = 1;
         entry->share_before = 1;
         entry->own_begins = TRUE;
@@ -64,6 +74,17 @@
     return entry;
 }
 
+static wb_gate_kind_t *kind_get(wb_gate_entry_t *entry, wb_quota_kind_t kind) {
+    wb_gate_kind_t *one = g_hash_table_lookup(entry->kinds, GUINT_TO_POINTER(kind));
+    if (one == NULL) {
+        one = g_new0(wb_gate_kind_t, 1);
+        one->share = entry->share;
+        one->credit_begins = TRUE;
+        g_hash_table_insert(entry->kinds, GUINT_TO_POINTER(kind), one);
+    }
+    return one;
+}
+
 static int64_t retry_after(double missing, double gain_per_s) {
     if (gain_per_s <= 0) {
         return RETRY_MOST_MS;
@@ -73,7 +94,7 @@
 
 /* Requests are admitted one after the other, so that their costs add up to the share. The first
  * is admitted by chance: that of many nodes would be too much otherwise. */
-static void ask_short(wb_gate_entry_t *entry, double cost, int64_t now_ms,
+static void ask_short(wb_gate_kind_t *entry, double cost, int64_t now_ms,
                       wb_quota_verdict_t *verdict) {
     if (entry->credit_begins) {
         entry->credit_begins = FALSE;
@@ -120,8 +141,9 @@
     verdict->retry_ms = retry_after(-level, entry->own_rate_per_s);
 }
 
-wb_quota_verdict_t wb_quota_gate_ask(wb_quota_gate_t *gate, const wb_tenant_t *tenant, double cost,
-                                     unsigned nodes, int64_t now_ms) {
+wb_quota_verdict_t wb_quota_gate_ask(wb_quota_gate_t *gate, const wb_tenant_t *tenant,
+                                     wb_quota_kind_t kind_id, double cost, unsigned nodes,
+                                     int64_t now_ms) {
     wb_quota_verdict_t verdict = {
         .admitted = TRUE, .share = 1, .reached = gate->reached, .told_ms = gate->told_ms};
     if (tenant->rate_per_s <= 0) {
@@ -131,30 +153,46 @@
     double usual_per_s = wb_decayed_rate_read(&entry->demand, DEMAND_TIME_S, now_ms);
     wb_decayed_rate_add(&entry->demand, cost, DEMAND_TIME_S, now_ms);
     entry->used_ms = now_ms;
-    entry->asked += cost;
-    verdict.share = entry->share;
+    wb_gate_kind_t *kind = kind_get(entry, kind_id);
+    wb_decayed_rate_add(&kind->demand, cost, DEMAND_TIME_S, now_ms);
+    kind->asked += cost;
+    kind->requests += 1;
+    verdict.share = entry->share < 1 ? kind->share : 1;
     if (!gate->reached) {
         if (entry->own_begins) {
             own_begin(entry, tenant, nodes, usual_per_s, cost, now_ms);
         }
         ask_alone(entry, cost, now_ms, &verdict);
     } else if (entry->share < 1) {
-        ask_short(entry, cost, now_ms, &verdict);
+        ask_short(kind, cost, now_ms, &verdict);
     }
     if (verdict.admitted) {
-        entry->admitted += cost;
+        kind->admitted += cost;
     }
     return verdict;
 }
 
-void wb_quota_gate_adjust(wb_quota_gate_t *gate, const char *tenant, double cost) {
+void wb_quota_gate_adjust(wb_quota_gate_t *gate, const char *tenant, wb_quota_kind_t kind,
+                          double cost) {
     wb_gate_entry_t *entry = g_hash_table_lookup(gate->entries, tenant);
     if (entry != NULL) {
-        entry->admitted += cost;
+        kind_get(entry, kind)->admitted += cost;
         entry->own.level -= cost;
     }
 }
 
+static void uses_drop(wb_gate_entry_t *entry) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gate_kind_t *kind = value;
+        kind->asked = 0;
+        kind->requests = 0;
+        kind->admitted = 0;
+    }
+}
+
 void wb_quota_gate_set_reached(wb_quota_gate_t *gate, gboolean reached) {
     if (gate->reached == reached) {
         return;
@@ -167,13 +205,25 @@
         wb_gate_entry_t *entry = value;
         entry->own_begins = TRUE;
         if (reached) {
-            /* The book has assumed what was spent meanwhile. */
-            entry->asked = 0;
-            entry->admitted = 0;
+            uses_drop(entry); /* the book has assumed what was spent meanwhile */
         }
     }
 }
 
+/* A tenant is short, or still is: kinds that the list doesn't name get the share of all. */
+static void share_take(wb_gate_entry_t *entry, double share) {
+    gboolean begins = entry->share_before >= 1;
+    GHashTableIter iter;
+    gpointer value;
+    entry->share = CLAMP(share, 0, 1);
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_gate_kind_t *kind = value;
+        kind->share = entry->share;
+        kind->credit_begins |= begins;
+    }
+}
+
 void wb_quota_gate_tell(wb_quota_gate_t *gate, const wb_quota_share_t *told, size_t count,
                         int64_t now_ms) {
     GHashTableIter iter;
@@ -187,37 +237,63 @@
     }
     for (size_t i = 0; i < count; i++) {
         wb_gate_entry_t *entry = entry_get(gate, told[i].tenant);
-        entry->credit_begins |= entry->share_before >= 1;
-        entry->share = CLAMP(told[i].share, 0, 1);
         entry->used_ms = now_ms;
+        if (told[i].kind == WB_QUOTA_OTHER_KINDS) {
+            share_take(entry, told[i].share);
+        } else {
+            kind_get(entry, told[i].kind)->share = CLAMP(told[i].share, 0, 1);
+        }
     }
 }
 
+static void uses_append(GArray *uses, wb_gate_entry_t *entry) {
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wb_gate_kind_t *kind = value;
+        if (kind->asked == 0 && kind->admitted == 0) {
+            continue;
+        }
+        wb_quota_use_t use = {entry->tenant, GPOINTER_TO_UINT(key), kind->asked, kind->requests,
+                              kind->admitted};
+        g_array_append_val(uses, use);
+    }
+    uses_drop(entry);
+}
+
 GArray *wb_quota_gate_take_uses(wb_quota_gate_t *gate) {
     GArray *uses = g_array_new(FALSE, FALSE, sizeof(wb_quota_use_t));
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gate->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wb_gate_entry_t *entry = value;
-        if (entry->asked == 0 && entry->admitted == 0) {
-            continue;
-        }
-        wb_quota_use_t use = {entry->tenant, entry->asked, entry->admitted};
-        g_array_append_val(uses, use);
-        entry->asked = 0;
-        entry->admitted = 0;
+        uses_append(uses, value);
     }
     return uses;
 }
 
+static gboolean has_uses(const wb_gate_entry_t *entry) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, entry->kinds);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_gate_kind_t *kind = value;
+        if (kind->asked != 0 || kind->admitted != 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 void wb_quota_gate_sweep(wb_quota_gate_t *gate, int64_t now_ms) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, gate->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_gate_entry_t *entry = value;
-        if (now_ms - entry->used_ms > ENTRY_LIFE_MS && entry->asked == 0 && entry->admitted == 0) {
+        if (now_ms - entry->used_ms > ENTRY_LIFE_MS && !has_uses(entry)) {
             g_hash_table_iter_remove(&iter);
         }
     }
--- a/src/quota/quota_gate.h
+++ b/src/quota/quota_gate.h
@@ -4,7 +4,8 @@
  *
  * Three states, by what the node that keeps the book (quota_book.h) has told:
  * - the tenant isn't short: all its requests are admitted, and reported;
- * - it is short: the told share of its requests is admitted, by their cost, one after the other;
+ * - it is short: the told share of its requests of each kind (quota_order.h) is admitted, by their
+ *   cost, one after the other;
  * - the book can't be reached: the tenant has a bucket here that fills at what it asked for here
  *   lately and half as much again, or at an equal part of its limit if that is more; a tenant that
  *   was short keeps to its share of what it asked for.
@@ -32,28 +33,24 @@
     int64_t told_ms;  /**< steady time at which the share was told; 0: never */
 } wb_quota_verdict_t;
 
-/** What a tenant's requests spent here since the last report. */
-typedef struct wb_quota_use_t {
-    const char *tenant; /**< owned by the gate */
-    double asked;
-    double admitted; /**< negative when more was given back than admitted */
-} wb_quota_use_t;
-
 wb_quota_gate_t *wb_quota_gate_create(void);
 void wb_quota_gate_free(wb_quota_gate_t *gate);
 
 /**
  * Ask to admit a request.
+ * @param kind  as wb_quota_kind has it; WB_QUOTA_OTHER_KINDS when kinds don't count
  * @param cost  as wb_tenant_cost has it
  * @param nodes nodes that share the limit, at least 1
  */
-wb_quota_verdict_t wb_quota_gate_ask(wb_quota_gate_t *gate, const wb_tenant_t *tenant, double cost,
-                                     unsigned nodes, int64_t now_ms);
+wb_quota_verdict_t wb_quota_gate_ask(wb_quota_gate_t *gate, const wb_tenant_t *tenant,
+                                     wb_quota_kind_t kind, double cost, unsigned nodes,
+                                     int64_t now_ms);
 /**
  * An admitted request has run more often than once, or not at all.
  * @param cost what it costs more than was admitted; negative: it is given back
  */
-void wb_quota_gate_adjust(wb_quota_gate_t *gate, const char *tenant, double cost);
+void wb_quota_gate_adjust(wb_quota_gate_t *gate, const char *tenant, wb_quota_kind_t kind,
+                          double cost);
 /** The book can, or can't, be reached from now on. */
 void wb_quota_gate_set_reached(wb_quota_gate_t *gate, gboolean reached);
 /** The book has told all tenants that are short; the others aren't. */
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -5,6 +5,8 @@
 #ifndef WICKBRIDGE_QUOTA_SHARE_H
 #define WICKBRIDGE_QUOTA_SHARE_H
 
+#include "quota/quota_order.h"
+
 /** While the book can't be reached, a tenant that wasn't short may ask at a node for so many times
  * what it asked for there lately: limits are that far and more above what is usual (1.8 times on
  * the users' sheet), and single requests are large beside what one node sees. */
@@ -14,9 +16,20 @@
 /** Meanwhile its bucket at a node holds what it gets there in so long. */
 #define WB_QUOTA_UNREACHED_DEPTH_S 1.0
 
+/** A tenant that is short has one for all kinds that aren't named, and one a kind that is. */
 typedef struct wb_quota_share_t {
     const char *tenant; /**< borrowed */
-    double share;       /**< of what is asked that may be admitted, 0 to 1 */
+    wb_quota_kind_t kind;
+    double share; /**< of what is asked that may be admitted, 0 to 1 */
 } wb_quota_share_t;
 
+/** What a tenant's requests of a kind spent at a gateway since its last report. */
+typedef struct wb_quota_use_t {
+    const char *tenant; /**< borrowed */
+    wb_quota_kind_t kind;
+    double asked;
+    double requests; /**< that asked for it */
+    double admitted; /**< negative when more was given back than admitted */
+} wb_quota_use_t;
+
 #endif
--- a/tests/fuzz/quota_ways.c
+++ b/tests/fuzz/quota_ways.c
@@ -228,10 +228,19 @@
     return shares->second != NULL && !is_cut(node);
 }
 
+/* Kinds as on the users' sheets: calls to a ledger, chats, drafts. */
+static wb_quota_kind_t kind_of(double cost) {
+    if (cost <= 200) {
+        return wb_quota_kind("ledger", 2);
+    }
+    return wb_quota_kind("models", cost < 4000 ? 0 : 1);
+}
+
 static gboolean shares_ask(quota_way_t *way, int node, const wb_tenant_t *tenant, double cost,
                            int64_t now_ms) {
     shares_t *shares = (shares_t *)way;
-    return wb_quota_gate_ask(shares->gates[node], tenant, cost, (unsigned)shares->nodes, now_ms)
+    return wb_quota_gate_ask(shares->gates[node], tenant, kind_of(cost), cost,
+                             (unsigned)shares->nodes, now_ms)
         .admitted;
 }
 
@@ -241,7 +250,7 @@
     for (guint i = 0; i < uses->len; i++) {
         const wb_quota_use_t *use = &g_array_index(uses, wb_quota_use_t, i);
         wb_quota_book_t *book = book_of(shares, node) ? shares->second : shares->book;
-        wb_quota_book_report(book, name, use->tenant, use->asked, use->admitted, now_ms);
+        wb_quota_book_report(book, name, use, now_ms);
     }
     g_array_unref(uses);
 }
--- a/tests/unit/test_quota_book.c
+++ b/tests/unit/test_quota_book.c
@@ -20,7 +20,8 @@
     gboolean changed;
     double share = 1;
     for (int64_t now_ms = from_ms; now_ms < from_ms + for_ms; now_ms += 100) {
-        wb_quota_book_report(book, "node-1", "north", per_s / 10, share * per_s / 10, now_ms);
+        wb_quota_use_t use = {"north", WB_QUOTA_OTHER_KINDS, per_s / 10, 1, share * per_s / 10};
+        wb_quota_book_report(book, "node-1", &use, now_ms);
         const GArray *shares = wb_quota_book_shares(book, now_ms, &changed);
         share = shares->len > 0 ? g_array_index(shares, wb_quota_share_t, 0).share : 1;
     }
@@ -64,7 +65,8 @@
     wb_quota_state_t state;
     wb_quota_book_set_tenants(book, tenants, 0);
     for (int64_t now_ms = 0; now_ms < 10000; now_ms += 100) {
-        wb_quota_book_report(book, "node-2", "north", 400, 400, now_ms);
+        wb_quota_use_t use = {"north", WB_QUOTA_OTHER_KINDS, 400, 1, 400};
+        wb_quota_book_report(book, "node-2", &use, now_ms);
     }
     wb_quota_book_node_lost(book, "node-2", 10000);
     report_for(book, 40000, 10000, 9000);
--- a/tests/unit/test_quota_gate.c
+++ b/tests/unit/test_quota_gate.c
@@ -20,7 +20,8 @@
     unsigned admitted = 0;
     for (int64_t now_ms = from_ms; now_ms < from_ms + for_ms; now_ms += 10) {
         asked++;
-        admitted += wb_quota_gate_ask(gate, tenant, 1000, NODES, now_ms).admitted;
+        admitted +=
+            wb_quota_gate_ask(gate, tenant, WB_QUOTA_OTHER_KINDS, 1000, NODES, now_ms).admitted;
     }
     return (double)admitted / asked;
 }
@@ -40,7 +41,7 @@
 static void test_share_is_kept(void) {
     wb_quota_gate_t *gate = wb_quota_gate_create();
     wb_tenant_t tenant = limited();
-    wb_quota_share_t share = {"north", 0.25};
+    wb_quota_share_t share = {"north", WB_QUOTA_OTHER_KINDS, 0.25};
     wb_quota_gate_set_reached(gate, TRUE);
     ask_for(gate, &tenant, 0, 1000);
     wb_quota_gate_tell(gate, &share, 1, 1000);
@@ -56,7 +57,7 @@
 static void test_retry_comes_true(void) {
     wb_quota_gate_t *gate = wb_quota_gate_create();
     wb_tenant_t tenant = limited();
-    wb_quota_share_t share = {"north", 0.2};
+    wb_quota_share_t share = {"north", WB_QUOTA_OTHER_KINDS, 0.2};
     unsigned kept = 0;
     unsigned told = 0;
     wb_quota_gate_set_reached(gate, TRUE);
@@ -64,7 +65,8 @@
     wb_quota_gate_tell(gate, &share, 1, 20000);
     int64_t due_ms = 0;
     for (int64_t now_ms = 20000; now_ms < 40000; now_ms += 10) {
-        wb_quota_verdict_t verdict = wb_quota_gate_ask(gate, &tenant, 1000, NODES, now_ms);
+        wb_quota_verdict_t verdict =
+            wb_quota_gate_ask(gate, &tenant, WB_QUOTA_OTHER_KINDS, 1000, NODES, now_ms);
         if (!verdict.admitted && due_ms == 0) {
             due_ms = now_ms + verdict.retry_ms;
             told++;
@@ -86,17 +88,19 @@
     tenant.rate_per_s = 20000; /* an equal share is small beside what is asked here */
     wb_quota_gate_set_reached(gate, TRUE);
     for (int64_t now_ms = 0; now_ms < 40000; now_ms += 100) {
-        wb_quota_gate_ask(gate, &tenant, 1000, NODES, now_ms);
+        wb_quota_gate_ask(gate, &tenant, WB_QUOTA_OTHER_KINDS, 1000, NODES, now_ms);
     }
     wb_quota_gate_set_reached(gate, FALSE);
     unsigned admitted = 0;
     for (int64_t now_ms = 40000; now_ms < 50000; now_ms += 100) {
-        admitted += wb_quota_gate_ask(gate, &tenant, 1000, NODES, now_ms).admitted;
+        admitted +=
+            wb_quota_gate_ask(gate, &tenant, WB_QUOTA_OTHER_KINDS, 1000, NODES, now_ms).admitted;
     }
     g_assert_cmpuint(admitted, ==, 100);
     admitted = 0;
     for (int64_t now_ms = 50000; now_ms < 60000; now_ms += 10) {
-        admitted += wb_quota_gate_ask(gate, &tenant, 1000, NODES, now_ms).admitted;
+        admitted +=
+            wb_quota_gate_ask(gate, &tenant, WB_QUOTA_OTHER_KINDS, 1000, NODES, now_ms).admitted;
     }
     g_assert_cmpuint(admitted, >, 130);
     g_assert_cmpuint(admitted, <, 175);
@@ -109,7 +113,7 @@
     wb_tenant_t tenant = limited();
     wb_quota_gate_set_reached(gate, TRUE);
     ask_for(gate, &tenant, 0, 100);
-    wb_quota_gate_adjust(gate, "north", -3000);
+    wb_quota_gate_adjust(gate, "north", WB_QUOTA_OTHER_KINDS, -3000);
     GArray *uses = wb_quota_gate_take_uses(gate);
     g_assert_cmpuint(uses->len, ==, 1);
     g_assert_cmpfloat(g_array_index(uses, wb_quota_use_t, 0).asked, ==, 10000);
@@ -118,7 +122,7 @@
     uses = wb_quota_gate_take_uses(gate);
     g_assert_cmpuint(uses->len, ==, 0);
     g_array_unref(uses);
-    wb_quota_gate_adjust(gate, "nobody", 100);
+    wb_quota_gate_adjust(gate, "nobody", WB_QUOTA_OTHER_KINDS, 100);
     wb_quota_gate_sweep(gate, 1000000);
     wb_quota_gate_free(gate);
 }
