--- a/src/control/load_pace.h
+++ b/src/control/load_pace.h
@@ -11,12 +11,16 @@
 #ifndef WICKBRIDGE_LOAD_PACE_H
 #define WICKBRIDGE_LOAD_PACE_H
 
+#include <glib.h>
 #include <stdint.h>
 
 typedef struct wb_load_pace_t {
     double limit; /**< 0: nothing is known yet */
 } wb_load_pace_t;
 
+/** @return TRUE when a load that takes so long comes too late for nearly all who wait for it */
+gboolean wb_load_pace_is_late(int64_t nominal_ms);
+
 /**
  * @param nominal_ms what a load takes alone
  * @return most loads that may be under way; at least one
--- a/src/control/store_turns.c
+++ b/src/control/store_turns.c
@@ -1,9 +1,8 @@
 /* Who loads next from a slow weight store. */
 #include "control/store_turns.h"
 
-/* Callers of streams leave after four targets, 8 s for one of 2 s: a load that takes longer comes
- * too late for nearly all that wait as it begins. */
-#define SLOW_LOAD_MS 8000
+#include "control/load_pace.h"
+
 /* Replicas are looked for each 300 ms; a wish that isn't renewed has passed. */
 #define WISH_LIFE_MS 1000
 
@@ -21,7 +20,7 @@
 
 gboolean wb_store_turns_missing_may(const wb_store_turns_t *turns, double gain_ms, int64_t load_ms,
                                     int64_t now_ms) {
-    if (!wb_store_turns_is_wished(turns, now_ms) || load_ms < SLOW_LOAD_MS) {
+    if (!wb_store_turns_is_wished(turns, now_ms) || !wb_load_pace_is_late(load_ms)) {
         return TRUE;
     }
     return !turns->was_missing || gain_ms >= turns->wished_ms;
--- a/tests/unit/test_load_pace.c
+++ b/tests/unit/test_load_pace.c
@@ -47,6 +47,7 @@
     wb_load_pace_t pace = {0};
     g_assert_cmpuint(wb_load_pace_limit(&pace, 13200), ==, 1);
     g_assert_cmpuint(wb_load_pace_limit(&pace, 12001), ==, 1);
+    g_assert_cmpuint(wb_load_pace_limit(&pace, 10200), ==, 1);
     g_assert_cmpuint(wb_load_pace_limit(&pace, 6500), ==, 6);
     g_assert_cmpuint(wb_load_pace_limit(&pace, 1300), ==, 6);
     g_assert_cmpuint(wb_load_pace_limit(&pace, 0), >=, 1);
