Admission by prediction; waits by what is known instead of shares of targets

Waits for models and engines ended at 0.45 and 0.22 of patience and target, whatever was known. Change: the holder keeps each engine's backlog (what was sent less what it reads) and tells it; a request predicted far beyond its target at the best engine is refused at once, by degrees, the urgent last, with a time (admission, pure); waits per kind are learnt (wait_scale), as urgent ones are read first. Who waits for a model does so until its answer would be late or a load decided at once would have ended; who was turned away by engines, until one opens.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -59,6 +59,7 @@
     int64_t event_tokens;
     int64_t engine_pace;
     int64_t quota_order;
+    int64_t admission;
     int64_t load_news_ms;
     int64_t load_news_bytes_per_s;
 } wb_edge_settings_t;
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -66,13 +66,15 @@
     double tokens_sent;         /**< prompt tokens sent there since the last report */
     unsigned shared_running;    /**< requests there, by the counts of all nodes */
     double shared_tokens_per_s; /**< prompt tokens that all nodes send there */
-    unsigned failures;          /**< in a row */
-    int64_t avoid_until_ms;     /**< it failed: used only when there is no other */
-    int64_t unheard_since_ms;   /**< when the first request was sent after its last byte; 0: it owes
-                                   nothing */
-    int64_t rejected_until_ms;  /**< it turned a request away: full for the moment */
-    wb_list_t idle;             /**< kept connections; see attempt.c */
-    GHashTable *prefixes;       /**< parts of prompts it has read for this node -> time */
+    double shared_backlog_ms;   /**< time in which it has read them, as of shared_ms */
+    int64_t shared_ms;
+    unsigned failures;         /**< in a row */
+    int64_t avoid_until_ms;    /**< it failed: used only when there is no other */
+    int64_t unheard_since_ms;  /**< when the first request was sent after its last byte; 0: it owes
+                                  nothing */
+    int64_t rejected_until_ms; /**< it turned a request away: full for the moment */
+    wb_list_t idle;            /**< kept connections; see attempt.c */
+    GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
 } wb_engine_t;
 
 typedef struct wb_fleet_t wb_fleet_t;
--- /dev/null
+++ b/src/dispatch/admission.c
@@ -0,0 +1,33 @@
+/* Whether a request is taken, by when its first event is predicted. */
+#include "dispatch/admission.h"
+
+/* Predicted at its target, every other answer is in time; from this many targets on, one in twelve:
+ * the chance of a refusal begins there and is whole a target later. */
+#define LATE_FROM 1.5
+#define LATE_WHOLE 2.5
+/* What is most urgent is refused so many targets later. */
+#define URGENT_GRACE 1.0
+/* Nobody is told to come back sooner: gateways hear of a backlog that has gone half a second late.
+ */
+#define RETRY_LEAST_MS 500
+#define RETRY_MOST_MS 8000
+
+double wb_admission_refusal_chance(const wb_choice_request_t *request,
+                                   const wb_choice_estimate_t *estimate, int rank,
+                                   double patience_ms) {
+    if (!request->has_prompt || request->target_ms <= 0) {
+        return 0;
+    }
+    double first_ms = request->waited_ms + estimate->first_ms;
+    if (first_ms > patience_ms) {
+        return 1;
+    }
+    double grace = rank == 0 ? URGENT_GRACE : 0;
+    double targets = first_ms / request->target_ms - grace;
+    return CLAMP((targets - LATE_FROM) / (LATE_WHOLE - LATE_FROM), 0, 1);
+}
+
+int64_t wb_admission_retry_ms(const wb_choice_request_t *request,
+                              const wb_choice_estimate_t *estimate) {
+    return (int64_t)CLAMP(estimate->first_ms - request->target_ms, RETRY_LEAST_MS, RETRY_MOST_MS);
+}
--- a/src/dispatch/engine_choice.c
+++ b/src/dispatch/engine_choice.c
@@ -52,7 +52,7 @@
     double token_ms = engine->pace / setup->tokens_per_ms;
     double share = MIN(engine->reading_share, READING_MOST);
     double queued = share / (1 - share) * PROMPT_TOKENS;
-    return MAX(engine->backlog_tokens, queued) * token_ms;
+    return MAX(MAX(engine->backlog_tokens, queued) * token_ms, engine->backlog_ms);
 }
 
 static double fullness_ms(const wb_choice_engine_t *engine) {
@@ -74,7 +74,8 @@
     double token_ms = engine->pace / setup->tokens_per_ms;
     double step_ms = setup->step_ms * engine->pace;
     double read_ms = engine->unread_tokens * token_ms;
-    estimate.first_ms = wait_ms(setup, engine) + read_ms + step_ms;
+    estimate.wait_ms = wait_ms(setup, engine);
+    estimate.first_ms = request->wait_scale * estimate.wait_ms + read_ms + step_ms;
     estimate.pause_ms = setup->event_tokens * (step_ms + setup->piece_tokens * token_ms);
     estimate.cost_ms += estimate.first_ms;
     if (!setup->by_pace) {
--- a/src/dispatch/engine_choice.h
+++ b/src/dispatch/engine_choice.h
@@ -20,6 +20,10 @@
 
 #include <glib.h>
 
+/** Share of the prompt tokens sent to an engine that it reads anew, though the sender doesn't know
+ * that it keeps some: 0.56 of all tokens measured on three deployments, and some margin. */
+#define WB_UNREAD_SHARE 0.66
+
 /** What is known of engines of a service, at a usual engine's pace. */
 typedef struct wb_choice_setup_t {
     double tokens_per_ms; /**< prompt tokens read in a ms */
@@ -36,6 +40,7 @@
     double target_ms;     /**< from its arrival to its first event; 0: none */
     double target_gap_ms; /**< longest pause between two events; 0: none */
     double waited_ms;     /**< since its arrival */
+    double wait_scale;    /**< by which waits of its kind differ from the backlog (wait_scale.h) */
 } wb_choice_request_t;
 
 /** An engine that may be sent to. */
@@ -45,12 +50,14 @@
     double running;        /**< requests running and waiting there */
     double unread_tokens;  /**< of this prompt, that the engine doesn't keep */
     double backlog_tokens; /**< prompt tokens sent there and not known to be read */
+    double backlog_ms;     /**< time that it takes to read what all nodes have sent there */
     double reading_share;  /**< share of its time that it reads prompts, of what all nodes send */
     double penalty_ms;     /**< failures, other zones, leaving: what the caller knows beside load */
 } wb_choice_engine_t;
 
 /** What is predicted for a request at an engine. */
 typedef struct wb_choice_estimate_t {
+    double wait_ms;  /**< until its prompt is read, before it is scaled */
     double first_ms; /**< from the sending to the first event */
     double pause_ms; /**< the longest pause, if prompts are read all the time */
     double cost_ms;  /**< what is compared */
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -18,10 +18,6 @@
 #define READ_KEPT_MS 30000
 #define QUIET_MS 300.0
 #define PREFIXES_LIMIT 512
-/* Share of a prompt that an engine reads anew, of which this node doesn't know what other nodes had
- * it read: 0.56 of all tokens measured on three deployments, and some margin. */
-#define UNREAD_SHARE 0.66
-
 /* A key for a part of a prompt: what was read before it counts too, and the model that read it. */
 static uint64_t part_hash(uint64_t before, const char *id) {
     return XXH64(id, strlen(id), before);
@@ -132,12 +128,14 @@
                                .by_pace = settings->engine_pace != 0};
 }
 
-static wb_choice_request_t choice_request(const wb_exchange_t *exchange, int64_t now_ms) {
-    return (wb_choice_request_t){.has_prompt = exchange->model != NULL,
-                                 .out_tokens = (double)exchange->out_tokens,
-                                 .target_ms = (double)exchange->route->target_latency_ms,
-                                 .target_gap_ms = (double)exchange->route->target_gap_ms,
-                                 .waited_ms = (double)(now_ms - exchange->began_ms)};
+wb_choice_request_t wb_balancer_request(const wb_exchange_t *exchange, int64_t now_ms) {
+    return (wb_choice_request_t){
+        .has_prompt = exchange->model != NULL,
+        .out_tokens = (double)exchange->out_tokens,
+        .target_ms = (double)exchange->route->target_latency_ms,
+        .target_gap_ms = (double)exchange->route->target_gap_ms,
+        .waited_ms = (double)(now_ms - exchange->began_ms),
+        .wait_scale = wb_wait_scale_get(exchange->edge->wait_scale, exchange->route->name)};
 }
 
 static wb_choice_engine_t choice_engine(const wb_edge_t *edge, const wb_engine_t *engine,
@@ -157,8 +155,10 @@
     if (edge->loads_known) {
         double tokens_per_ms = edge->settings.prefill_tokens_per_ms;
         choice.running = MAX(choice.running, engine->shared_running);
-        choice.reading_share = UNREAD_SHARE * engine->shared_tokens_per_s / 1000.0 / tokens_per_ms *
-                               wb_engine_pace_usual(&engine->pace, now_ms);
+        choice.reading_share = WB_UNREAD_SHARE * engine->shared_tokens_per_s / 1000.0 /
+                               tokens_per_ms * wb_engine_pace_usual(&engine->pace, now_ms);
+        choice.backlog_ms =
+            MAX(engine->shared_backlog_ms - (double)(now_ms - engine->shared_ms), 0);
     }
     return choice;
 }
@@ -215,7 +215,7 @@
             g_ptr_array_add(usable, g_ptr_array_index(engines, i));
     const wb_engine_t *home = home_find(exchange, usable);
     wb_choice_setup_t setup = choice_setup(&edge->settings);
-    wb_choice_request_t request = choice_request(exchange, now_ms);
+    wb_choice_request_t request = wb_balancer_request(exchange, now_ms);
     wb_engine_t *best = NULL;
     double lowest = 0;
     for (guint i = 0; i < usable->len; i++) {
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -193,6 +193,11 @@
     wb_event_log_flush();
 }
 
+/* Time in which a usual engine reads a token that was sent. */
+static double token_ms(const wb_edge_settings_t *settings) {
+    return WB_UNREAD_SHARE / settings->prefill_tokens_per_ms;
+}
+
 apr_status_t wb_edge_node_create(wb_loop_t *loop, const wb_edge_settings_t *settings,
                                  wb_table_t *table, const wb_dialect_t *dialect,
                                  wb_edge_node_t **node, wb_error_t *error) {
@@ -212,6 +217,7 @@
     edge->poison = wb_poison_book_create(&poison);
     edge->served = wb_served_set_create();
     edge->lengths = wb_length_guess_create();
+    edge->wait_scale = wb_wait_scale_create();
     wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, edge};
     edge->crashes = wb_crash_watch_create(loop, &edge->settings, &edge->metrics, &crashes);
     edge->on_poison = wb_edge_node_poison_changed;
@@ -229,7 +235,7 @@
     created->announcements = wb_edge_node_announcements_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
-    created->pace_book = wb_pace_book_create();
+    created->pace_book = wb_pace_book_create(token_ms(settings));
     created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     apr_status_t status = listeners_open(created, error);
     if (status != APR_SUCCESS)
@@ -266,11 +272,13 @@
     own->order_timeout_ms = settings->order_timeout_ms;
     own->adapter_load_ms = settings->adapter_load_ms;
     own->prefill_tokens_per_ms = settings->prefill_tokens_per_ms;
+    wb_pace_book_set_token_ms(node->pace_book, token_ms(settings));
     own->step_ms = settings->step_ms;
     own->read_piece_tokens = settings->read_piece_tokens;
     own->event_tokens = settings->event_tokens;
     own->engine_pace = settings->engine_pace;
     own->quota_order = settings->quota_order;
+    own->admission = settings->admission;
     own->load_news_ms = settings->load_news_ms;
     own->load_news_bytes_per_s = settings->load_news_bytes_per_s;
     wb_edge_node_set_paces(node);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -90,6 +90,9 @@
     ROW("quota-order", WB_SETTING_INTEGER, "", 0, 1, "1", quota_order,
         "1: of a tenant that is short of its limit, cheap and urgent kinds of request go first; 0: "
         "all kinds alike"),
+    ROW("admission", WB_SETTING_INTEGER, "", 0, 1, "1", admission,
+        "1: a request whose answer is predicted far beyond its target at every engine is refused "
+        "at once; 0: it is sent all the same"),
     ROW("load-news-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "500", load_news_ms,
         "Time between messages to gateways about what all of them send to engines; 0: none"),
     ROW("load-news-bytes-per-s", WB_SETTING_INTEGER, "bytes", 1000, 1 << 30, "200000",
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -19,6 +19,7 @@
 #include "wickbridge/edge_metrics.h"
 #include "dispatch/engine_choice.h"
 #include "dispatch/length_guess.h"
+#include "dispatch/wait_scale.h"
 #include "edge/api_key.h"
 #include "edge/crash_watch.h"
 #include "edge/retry_budget.h"
@@ -81,6 +82,7 @@
     wb_served_set_t *served;
     wb_crash_watch_t *crashes;
     wb_length_guess_t *lengths;
+    wb_wait_scale_t *wait_scale;
     gboolean loads_known;  /* what was told of engines' loads still holds */
     gboolean tries_poison; /* this node is the one that tries refused requests now and then */
     wb_edge_metrics_t metrics;
@@ -123,6 +125,7 @@
     WB_ENDING_KEY_UNCERTAIN, /* nobody holds its key in a configuration that may be old */
     WB_ENDING_OVER_QUOTA,    /* its tenant's limit is spent */
     WB_ENDING_POISON,        /* it crashes the engines that run it */
+    WB_ENDING_NO_ROOM,       /* its model's engines are too far behind to answer in time */
     WB_ENDING_COUNT
 } wb_ending_t;
 
@@ -174,6 +177,7 @@
     gboolean is_trial;      /* it is sent though it is refused: whether it still crashes engines */
     int rank;               /* 0 is the most urgent: its tenant's, or else its route's */
     double quota_cost;      /* that its tenant's limit was charged; 0: not admitted yet */
+    int64_t room_retry_ms;  /* when there is no room: time until there may be */
     int64_t quota_retry_ms; /* when the limit is spent: time until there may be room */
     GArray *parts;          /* of wb_prompt_part_t */
     int64_t prompt_tokens;
@@ -218,6 +222,8 @@
  * @return NULL when none can be used; owned by the fleet */
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                 int64_t now_ms, wb_sending_t *sending);
+/** What is to be sent, as engines are chosen by. */
+wb_choice_request_t wb_balancer_request(const wb_exchange_t *exchange, int64_t now_ms);
 /** Prompt tokens that the engine must still read for this request, as far as this node knows. */
 int64_t wb_balancer_unread_tokens(const wb_engine_t *engine, const wb_exchange_t *exchange,
                                   int64_t now_ms);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -1,6 +1,8 @@
 /* A caller's request, from its arrival to its answer. */
 #include "edge/exchange_inner.h"
 
+#include "dispatch/admission.h"
+
 #include <string.h>
 
 #define SENDS_LIMIT 4
@@ -112,6 +114,17 @@
     g_snprintf(headers, size, "Retry-After: %.2f\r\n", (double)after_ms / 1000.0);
 }
 
+static int64_t come_back_after_ms(wb_exchange_t *exchange, wb_ending_t ending) {
+    switch (ending) {
+    case WB_ENDING_POISON:
+        return wb_exchange_poison_left_ms(exchange);
+    case WB_ENDING_NO_ROOM:
+        return exchange->room_retry_ms;
+    default:
+        return wb_exchange_come_back_ms(exchange);
+    }
+}
+
 /* Gives the final answer of this node's own. The promise "not run" is made only when that is known.
  */
 static void exchange_refuse(wb_exchange_t *exchange, wb_ending_t ending, unsigned status) {
@@ -124,8 +137,7 @@
         retry_after_write(headers, sizeof(headers), exchange->quota_retry_ms);
     }
     if (status == 503) {
-        int64_t come_back_ms = ending == WB_ENDING_POISON ? wb_exchange_poison_left_ms(exchange)
-                                                          : wb_exchange_come_back_ms(exchange);
+        int64_t come_back_ms = come_back_after_ms(exchange, ending);
         retry_after_write(headers, sizeof(headers), come_back_ms);
         /* Who decides on loads knows what waits; while nobody does, it must be kept for later. */
         if (ending == WB_ENDING_NOT_LOADED && wb_exchange_nobody_decides(exchange)) {
@@ -282,6 +294,23 @@
     patience_arm(exchange);
 }
 
+/* Whether an engine is sent a request that it may answer too late. What was sent before goes on. */
+static gboolean is_admitted(wb_exchange_t *exchange, int64_t now_ms) {
+    const wb_edge_t *edge = exchange->edge;
+    if (edge->settings.admission == 0 || !edge->loads_known || exchange->sends > 0) {
+        return TRUE;
+    }
+    wb_choice_request_t request = wb_balancer_request(exchange, now_ms);
+    const wb_choice_estimate_t *estimate = &exchange->sending.estimate;
+    double chance = wb_admission_refusal_chance(&request, estimate, exchange->rank,
+                                                (double)wb_exchange_patience_ms(exchange));
+    if (chance <= 0 || g_random_double() >= chance) {
+        return TRUE;
+    }
+    exchange->room_retry_ms = wb_admission_retry_ms(&request, estimate);
+    return FALSE;
+}
+
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Asked before each sending: the copies that wait for a model would else all be sent once it is
@@ -302,6 +331,10 @@
             wb_exchange_wait(exchange);
         return;
     }
+    if (!is_admitted(exchange, now_ms)) {
+        wb_exchange_give_up(exchange, WB_ENDING_NO_ROOM);
+        return;
+    }
     if (!resend_allowed(exchange)) {
         wb_event("resend-refused", ",\"id\":\"%s\",\"service\":\"%s\",\"sends\":%u",
                  wb_event_text(exchange->id), exchange->service->name, exchange->sends);
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -48,6 +48,17 @@
                                     reply->headers->str);
 }
 
+/* What the first event's time leaves beside reading the prompt was spent waiting for others'
+ * prompts. */
+static void wait_learn(const wb_exchange_t *exchange, double took_ms) {
+    const wb_edge_t *edge = exchange->edge;
+    const wb_sending_t *sending = &exchange->sending;
+    double read_ms =
+        sending->engine.unread_tokens * sending->engine.pace / edge->settings.prefill_tokens_per_ms;
+    wb_wait_scale_learn(edge->wait_scale, exchange->route->name, sending->estimate.wait_ms,
+                        took_ms - read_ms);
+}
+
 void wb_exchange_note_first_event(wb_exchange_t *exchange) {
     if (exchange->first_event_seen)
         return;
@@ -62,6 +73,7 @@
         int64_t error_ms =
             now_ms - exchange->sent_ms - (int64_t)exchange->sending.estimate.first_ms;
         wb_histogram_add(&metrics->prediction_error_ms, ABS(error_ms));
+        wait_learn(exchange, (double)(now_ms - exchange->sent_ms));
     }
     engine_succeeded(exchange->engine);
 }
--- a/src/edge/exchange_end.c
+++ b/src/edge/exchange_end.c
@@ -2,9 +2,10 @@
 #include "edge/exchange_inner.h"
 
 static const char *const ending_names[WB_ENDING_COUNT] = {
-    "served",      "engine-failed", "no-catalog", "no-route",      "bad-request", "unknown-model",
-    "no-engine",   "not-loaded",    "rejected",   "no-budget",     "broken",      "timed-out",
-    "caller-gone", "stopping",      "bad-key",    "key-uncertain", "over-quota",  "poison"};
+    "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
+    "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
+    "broken",        "timed-out",     "caller-gone", "stopping", "bad-key",
+    "key-uncertain", "over-quota",    "poison",      "no-room"};
 
 const char *wb_ending_name(wb_ending_t ending) {
     return ending_names[ending];
--- a/src/edge/exchange_inner.h
+++ b/src/edge/exchange_inner.h
@@ -36,6 +36,8 @@
 /** It has ended: what it didn't run is given back, what it ran more often is charged. */
 void wb_exchange_settle_quota(const wb_exchange_t *exchange);
 
+/** @return time from its arrival after which its caller leaves */
+int64_t wb_exchange_patience_ms(const wb_exchange_t *exchange);
 /** Let it wait for an engine, as long as that has a use. */
 void wb_exchange_wait(wb_exchange_t *exchange);
 /** It no longer waits; does nothing when it doesn't. */
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -13,11 +13,12 @@
 /* An expected load may be so much late before its waiters are refused; then a prompt is read. */
 #define LOAD_LATE_MS 700
 #define SERVE_MS 150
-/* Share of the time at hand after which waiting for a model is given up. */
-#define WAIT_SHARE 0.45
-/* Share of a target after which a request that no engine can take is refused. */
-#define HOPELESS_SHARE 0.22
-#define HOPELESS_MS 250
+/* Who decides on loads answers a new need within some ms, at 1,000 engines within some tens; the
+ * news pass one link. Who has heard nothing after so long won't. An adapter is there by then, too,
+ * unless its engine is loading a model. */
+#define DECIDED_MS 600
+/* An engine that opens again is asked at the next tick. */
+#define OPENS_MARGIN_MS 50
 /* A caller of a stream leaves after the longest of a fixed time, some targets, and some gaps. */
 #define STREAM_PATIENCE_MS 2000
 #define STREAM_PATIENCE_TARGETS 4
@@ -104,8 +105,7 @@
     return view.reach == WB_CONTROLLER_UNREACHED ? view.back_in_ms : RETRY_AFTER_MS;
 }
 
-/* Time in which an answer has a use, from the request's arrival. */
-static int64_t useful_time_ms(const wb_exchange_t *exchange) {
+int64_t wb_exchange_patience_ms(const wb_exchange_t *exchange) {
     const wb_route_t *route = exchange->route;
     int64_t time_ms = exchange->hold_until_ms - exchange->began_ms;
     if (route->kind != WB_ROUTE_STREAM || route->target_latency_ms == 0)
@@ -116,28 +116,56 @@
     return MIN(time_ms, patience_ms);
 }
 
+/* Steady time at which an engine that turned this request away is open to it again; -1: none will
+ * be. */
+static int64_t engine_opens_ms(const wb_exchange_t *exchange, int64_t now_ms) {
+    int64_t earliest_ms = -1;
+    for (guint i = 0; i < exchange->tried->len; i++) {
+        const wb_tried_engine_t *tried = &g_array_index(exchange->tried, wb_tried_engine_t, i);
+        const wb_engine_t *engine = wb_fleet_find(exchange->edge->fleet, tried->id);
+        gboolean opens = tried->again_ms > 0 && engine != NULL && wb_engine_is_open(engine, now_ms);
+        if (opens && (earliest_ms < 0 || tried->again_ms < earliest_ms)) {
+            earliest_ms = tried->again_ms;
+        }
+    }
+    return earliest_ms;
+}
+
+/* Any engine will do, and none can be used: until one is known to open, if that is in time. */
+static int64_t engine_wait_until_ms(const wb_exchange_t *exchange) {
+    int64_t opens_ms = engine_opens_ms(exchange, wb_clock_ms());
+    gboolean in_time =
+        opens_ms >= 0 && opens_ms < exchange->began_ms + wb_exchange_patience_ms(exchange);
+    return in_time ? opens_ms + OPENS_MARGIN_MS : 0;
+}
+
+/* Nothing is known of when the model, or its adapter, is there. It has a use to wait as long as the
+ * answer can be in time, and until a load would have ended that was decided on at once. */
+static int64_t unknown_wait_until_ms(const wb_exchange_t *exchange) {
+    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
+    int64_t load_ms = spec != NULL ? quickest_load_ms(exchange, spec) : 0;
+    int64_t in_time_ms = exchange->route->target_latency_ms - SERVE_MS;
+    int64_t useful_ms = MAX(wb_exchange_patience_ms(exchange) - SERVE_MS, 0);
+    return exchange->began_ms + MIN(MAX(in_time_ms, DECIDED_MS + load_ms), useful_ms);
+}
+
 /* Steady time until which waiting has a use; in the past when it has none. */
 static int64_t wait_until_ms(const wb_exchange_t *exchange) {
-    int64_t useful_ms = useful_time_ms(exchange);
-    int64_t target_ms = exchange->route->target_latency_ms;
     if (exchange->model == NULL) {
-        int64_t wait_ms =
-            target_ms > 0 ? (int64_t)(HOPELESS_SHARE * (double)target_ms) : HOPELESS_MS;
-        return exchange->began_ms + MIN(wait_ms, useful_ms);
+        return engine_wait_until_ms(exchange);
     }
-    int64_t patient_until_ms = exchange->began_ms + (int64_t)(WAIT_SHARE * (double)useful_ms);
     int64_t ready_in_ms = model_ready_in_ms(exchange);
     if (ready_in_ms < 0) {
         gboolean in_vain = controller_view(exchange->edge).reach == WB_CONTROLLER_UNREACHED;
-        return in_vain ? 0 : patient_until_ms;
+        return in_vain ? 0 : unknown_wait_until_ms(exchange);
     }
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
-    int64_t useful_until_ms = exchange->began_ms + useful_ms - SERVE_MS;
+    int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - SERVE_MS;
     if (ready_ms > useful_until_ms) {
         return 0;
     }
     /* A load that is late is no reason to leave earlier than with no load in sight. */
-    return MIN(MAX(ready_ms + LOAD_LATE_MS, patient_until_ms), useful_until_ms);
+    return MIN(MAX(ready_ms + LOAD_LATE_MS, unknown_wait_until_ms(exchange)), useful_until_ms);
 }
 
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
--- a/src/edge/node_pace.c
+++ b/src/edge/node_pace.c
@@ -3,14 +3,14 @@
  *
  * The node that gateways report to keeps it; the reports ride on the messages of demand. What it
  * tells is bounded by a number of bytes a second over all gateways: with 89 of them and the usual
- * settings that is 70 engines in each message, with 300 it is 20. */
+ * settings that is 56 engines in each message, with 300 it is 16. */
 #include "edge/edge_node_types.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 /* Bytes of an engine in a message to gateways. */
-#define ENTRY_BYTES 16
+#define ENTRY_BYTES 20
 /* What is told counts until its teller hasn't been heard for so long: it tells other news each
  * 300 ms while it may give orders. */
 #define LOADS_LIFE_MS 2000
@@ -77,6 +77,8 @@
         wb_engine_pace_share(&engine->pace, load->pace_percent);
         engine->shared_running = load->running;
         engine->shared_tokens_per_s = load->tokens_per_s;
+        engine->shared_backlog_ms = load->backlog_ms;
+        engine->shared_ms = node->pace_heard_ms;
     }
 }
 
@@ -89,7 +91,7 @@
     for (guint i = 0; i < count; i++) {
         const wb_engine_load_t *load = &g_array_index(loads, wb_engine_load_t, i);
         entries[i] = (wb_wire_engine_load){load->engine, load->pace_percent, load->running,
-                                           load->tokens_per_s};
+                                           load->tokens_per_s, load->backlog_ms};
     }
     told->engines.engines_len = count;
     told->engines.engines_val = entries;
--- a/src/pace/pace_book.c
+++ b/src/pace/pace_book.c
@@ -21,11 +21,16 @@
 #define RUNNING_STEP 2.0
 #define RUNNING_SHARE 0.25
 #define TOKENS_STEP 1500.0
+#define BACKLOG_STEP 100.0
+/* Callers leave, and engines drop their prompts: no backlog is longer than their patience. */
+#define BACKLOG_MOST_MS 4000.0
 
 typedef struct wb_book_engine_t {
     char *id;
     wb_engine_pace_t pace;
     wb_decayed_rate_t tokens;
+    double backlog_ms; /* as of backlog_at_ms */
+    int64_t backlog_at_ms;
     unsigned running; /* counted anew when changes are looked for */
     wb_engine_load_t told;
     gboolean was_told;
@@ -39,6 +44,7 @@
 } wb_book_node_t;
 
 struct wb_pace_book_t {
+    double token_ms;
     GHashTable *engines; /* id -> wb_book_engine_t */
     GHashTable *nodes;   /* name -> wb_book_node_t */
 };
@@ -59,19 +65,36 @@
     g_free(node);
 }
 
-wb_pace_book_t *wb_pace_book_create(void) {
+wb_pace_book_t *wb_pace_book_create(double token_ms) {
     wb_pace_book_t *book = g_new0(wb_pace_book_t, 1);
+    book->token_ms = token_ms;
     book->engines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, engine_free);
     book->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, node_free);
     return book;
 }
 
+void wb_pace_book_set_token_ms(wb_pace_book_t *book, double token_ms) {
+    book->token_ms = token_ms;
+}
+
 void wb_pace_book_free(wb_pace_book_t *book) {
     g_hash_table_unref(book->engines);
     g_hash_table_unref(book->nodes);
     g_free(book);
 }
 
+/* An engine reads for a ms in each ms. Returns what is left. */
+static double backlog_now(const wb_book_engine_t *engine, int64_t now_ms) {
+    return MAX(engine->backlog_ms - (double)(now_ms - engine->backlog_at_ms), 0);
+}
+
+static void backlog_add(const wb_pace_book_t *book, wb_book_engine_t *engine, double tokens,
+                        int64_t now_ms) {
+    double read_ms = tokens * book->token_ms * wb_engine_pace_usual(&engine->pace, now_ms);
+    engine->backlog_ms = MIN(backlog_now(engine, now_ms) + read_ms, BACKLOG_MOST_MS);
+    engine->backlog_at_ms = now_ms;
+}
+
 static wb_book_engine_t *engine_get(wb_pace_book_t *book, const char *id) {
     wb_book_engine_t *engine = g_hash_table_lookup(book->engines, id);
     if (engine == NULL) {
@@ -105,6 +128,7 @@
         wb_engine_pace_told(&engine->pace, report->pace_percent, now_ms);
         if (report->tokens > 0) {
             wb_decayed_rate_add(&engine->tokens, report->tokens, TOKENS_TIME_S, now_ms);
+            backlog_add(book, engine, report->tokens, now_ms);
         }
         if (report->running > 0) {
             g_hash_table_insert(node->running, g_strdup(report->engine),
@@ -144,6 +168,7 @@
     wb_engine_load_t load = engine->told;
     load.pace_percent = wb_engine_pace_own(&engine->pace, now_ms);
     load.running = engine->running;
+    load.backlog_ms = (unsigned)backlog_now(engine, now_ms);
     load.tokens_per_s = (unsigned)wb_decayed_rate_read(&engine->tokens, TOKENS_TIME_S, now_ms);
     return load;
 }
@@ -157,7 +182,9 @@
                      (RUNNING_STEP + RUNNING_SHARE * told->running);
     double tokens = fabs((double)load->tokens_per_s - told->tokens_per_s) /
                     (TOKENS_STEP + RUNNING_SHARE * told->tokens_per_s);
-    return MAX(pace, MAX(running, tokens));
+    double backlog = fabs((double)load->backlog_ms - told->backlog_ms) /
+                     (BACKLOG_STEP + RUNNING_SHARE * told->backlog_ms);
+    return MAX(MAX(pace, running), MAX(tokens, backlog));
 }
 
 typedef struct wb_change_t {
--- a/src/pace/pace_book.h
+++ b/src/pace/pace_book.h
@@ -33,12 +33,17 @@
     unsigned pace_percent; /**< 0: not known */
     unsigned running;
     unsigned tokens_per_s; /**< prompt tokens that all gateways send there */
+    unsigned backlog_ms;   /**< time that it takes to read those that it can't have read yet */
 } wb_engine_load_t;
 
 /** @return a short key of an engine's id; two engines of 1,400 share one in 0.02 % of fleets */
 uint32_t wb_pace_engine_key(const char *id);
 
-wb_pace_book_t *wb_pace_book_create(void);
+/** @param token_ms time in which a usual engine reads a prompt token that was sent, those that it
+ * keeps among them */
+wb_pace_book_t *wb_pace_book_create(double token_ms);
+/** Other figures of engines are in force. */
+void wb_pace_book_set_token_ms(wb_pace_book_t *book, double token_ms);
 void wb_pace_book_free(wb_pace_book_t *book);
 /** A gateway's count of all that runs; engines that it doesn't name have none of its requests. */
 void wb_pace_book_report(wb_pace_book_t *book, const char *node, const wb_pace_report_t *reports,
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -393,6 +393,7 @@
     unsigned int pace_percent; /* of what is usual; 0: not known */
     unsigned int running;
     unsigned int tokens_per_s; /* prompt tokens that are sent there */
+    unsigned int backlog_ms;   /* time in which it has read them */
 };
 
 /* Only engines whose figures have changed. */
