Paces outlive the node that puts them together; tests with real processes, the soak's engines differ in pace

Change: a gateway tells a keeper that it reaches anew all that it heard lately; a new keeper takes its own. Stand-in: engines' paces, told and real.

--- a/include/wickbridge/engine_pace.h
+++ b/include/wickbridge/engine_pace.h
@@ -43,6 +43,8 @@
 void wb_engine_pace_told(wb_engine_pace_t *pace, unsigned percent, int64_t now_ms);
 /** All nodes together have heard this least figure. */
 void wb_engine_pace_share(wb_engine_pace_t *pace, unsigned percent);
+/** @return the least figure that was heard here lately; 0: none */
+unsigned wb_engine_pace_heard(const wb_engine_pace_t *pace, int64_t now_ms);
 /** @return the engine's own figure in percent, neighbours aside; 0: nothing is known */
 unsigned wb_engine_pace_own(const wb_engine_pace_t *pace, int64_t now_ms);
 /** @return how many times as long as usual work takes there by itself: 1 when nothing is known */
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -58,8 +58,9 @@
 for program in $(programs 'fuzz-*-check'); do
     run_command "$program" "$build/$program"
 done
-# Three seeds of the soak, two with and one without requests that crash engines; the long run is `make soak`.
-run_command soak "$build/wb-soak" --seconds 15 --seeds 33,17,5
+# Four seeds of the soak, three with and one without requests that crash engines, one with engines of different pace; the
+# long run is `make soak`.
+run_command soak "$build/wb-soak" --seconds 15 --seeds 33,17,5,70
 run_command demo scripts/demo.sh "$build"
 passed=$(wc -l <"$results/passed")
 failed=$(wc -l <"$results/failed")
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -145,6 +145,9 @@
 void wb_edge_node_tick_announce(wb_edge_node_t *node, int64_t now_ms);
 
 /* node_pace.c */
+/** The node that keeps the book is reached anew, and may be another one: it is told all that was
+ * heard here lately. */
+void wb_edge_node_pace_link_open(wb_edge_node_t *node);
 /** Put what this node knows of engines into a message for the node that keeps the book. */
 void wb_edge_node_pace_report(wb_edge_node_t *node, wb_wire_demand *demand);
 /** A node has told what it knows of engines. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -145,6 +145,7 @@
     node->link_opened_ms = wb_clock_ms();
     wb_quota_gate_set_reached(node->edge.quota, TRUE);
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
+    wb_edge_node_pace_link_open(node);
     wb_edge_node_tell_demand(node);
     wb_edge_node_poison_link_open(node);
 }
--- a/src/edge/node_pace.c
+++ b/src/edge/node_pace.c
@@ -27,6 +27,17 @@
     return TRUE;
 }
 
+void wb_edge_node_pace_link_open(wb_edge_node_t *node) {
+    int64_t now_ms = wb_clock_ms();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_engine_t *engine = value;
+        engine->pace_heard = wb_engine_pace_heard(&engine->pace, now_ms);
+    }
+}
+
 void wb_edge_node_pace_report(wb_edge_node_t *node, wb_wire_demand *demand) {
     GHashTable *engines = wb_fleet_all(node->edge.fleet);
     demand->engines.engines_len = 0;
@@ -121,6 +132,7 @@
     gboolean keeper = wb_edge_node_is_reported_to(node);
     if (keeper && !node->pace_keeper) {
         wb_pace_book_tell_all(node->pace_book);
+        wb_edge_node_pace_link_open(node);
     }
     node->pace_keeper = keeper;
     node->edge.loads_known = loads_are_known(node, now_ms);
--- a/src/pace/engine_pace.c
+++ b/src/pace/engine_pace.c
@@ -43,17 +43,24 @@
     pace->shared_percent = percent;
 }
 
-unsigned wb_engine_pace_own(const wb_engine_pace_t *pace, int64_t now_ms) {
-    gboolean heard = pace->told_percent != 0 && now_ms - pace->told_ms < 2 * WB_PACE_WINDOW_MS;
-    if (!heard) {
-        return pace->shared_percent != 0 ? pace->shared_percent : pace->told_percent;
+unsigned wb_engine_pace_heard(const wb_engine_pace_t *pace, int64_t now_ms) {
+    if (pace->told_percent == 0 || now_ms - pace->told_ms >= 2 * WB_PACE_WINDOW_MS) {
+        return 0;
     }
     unsigned least = pace->least_percent;
     if (pace->least_before_percent != 0 && pace->least_before_percent < least) {
         least = pace->least_before_percent;
     }
+    return least;
+}
+
+unsigned wb_engine_pace_own(const wb_engine_pace_t *pace, int64_t now_ms) {
+    unsigned heard = wb_engine_pace_heard(pace, now_ms);
+    if (heard == 0) {
+        return pace->shared_percent != 0 ? pace->shared_percent : pace->told_percent;
+    }
     /* What others heard is lower while a neighbour is at work each time that this node hears. */
-    return pace->shared_percent != 0 ? MIN(least, pace->shared_percent) : least;
+    return pace->shared_percent != 0 ? MIN(heard, pace->shared_percent) : heard;
 }
 
 double wb_engine_pace_usual(const wb_engine_pace_t *pace, int64_t now_ms) {
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -128,11 +128,23 @@
     return connection;
 }
 
+void wb_estate_engine_set_pace(wb_estate_engine_t *engine, const char *told, int64_t percent) {
+    json_object_set_new(engine->options, "pace_told", json_string(told));
+    json_object_set_new(engine->options, "pace", json_integer(percent));
+}
+
+/* Time that work takes there: engines differ, whatever they tell. */
+static int64_t paced_ms(const wb_estate_engine_t *engine, int64_t usual_ms) {
+    return usual_ms * wb_estate_engine_option(engine, "pace", 100) / 100;
+}
+
 static char *head_lines(const wb_estate_run_t *run, const char *more) {
-    return g_strdup_printf("Request-Attempt-Id: %s\r\nServer-Load: %u,0,%d\r\n"
+    const char *told = wb_json_text(run->engine->options, "pace_told", "");
+    return g_strdup_printf("Request-Attempt-Id: %s\r\nServer-Load: %u,0,%d%s%s\r\n"
                            "Keep-Alive: timeout=5\r\n%s",
                            run->id, g_hash_table_size(run->engine->runs),
-                           (int)wb_estate_engine_option(run->engine, "slots", 8), more);
+                           (int)wb_estate_engine_option(run->engine, "slots", 8),
+                           *told != '\0' ? "," : "", told, more);
 }
 
 static void run_answer(wb_estate_run_t *run, unsigned status, const char *more, const char *body) {
@@ -163,8 +175,9 @@
         g_strdup_printf("id: %d\ndata: %s-%d\n\n", run->next_event, run->id, run->next_event);
     run->next_event++;
     wb_http_connection_stream_write(run->connection, event, strlen(event));
-    run->timer =
-        wb_loop_after(engine->loop, wb_estate_engine_option(engine, "event_ms", 5), run_go_on, run);
+    run->timer = wb_loop_after(engine->loop,
+                               paced_ms(engine, wb_estate_engine_option(engine, "event_ms", 5)),
+                               run_go_on, run);
 }
 
 static void crash_due(void *context) {
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -50,6 +50,8 @@
 void wb_estate_engine_set_crash_model(wb_estate_engine_t *engine, const char *model);
 /** From now on no request crashes it. */
 void wb_estate_engine_harden(wb_estate_engine_t *engine);
+/** What the engine tells of its pace from now on ("": nothing), and its real one in percent. */
+void wb_estate_engine_set_pace(wb_estate_engine_t *engine, const char *told, int64_t percent);
 /** Set a fault for the next `count` requests or orders: "error", "reject", "cut", "mute", "reset",
  * "extra", "unsealed", "order-lost", "order-late". */
 void wb_estate_engine_set_fault(wb_estate_engine_t *engine, const char *fault, int count);
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -55,6 +55,9 @@
                                    (int)wb_json_integer(call, "count", 1));
     else if (strcmp(verb, "engine-crash-model") == 0)
         wb_estate_engine_set_crash_model(engine, wb_json_text(call, "model", ""));
+    else if (strcmp(verb, "engine-pace") == 0)
+        wb_estate_engine_set_pace(engine, wb_json_text(call, "told", ""),
+                                  wb_json_integer(call, "percent", 100));
     else if (strcmp(verb, "engine-harden") == 0)
         wb_estate_engine_harden(engine);
     else if (strcmp(verb, "engine-leave") == 0)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -51,6 +51,14 @@
     return served;
 }
 
+/* One engine is slow and says so, one tells what can't be. */
+static void paces_set(const estate_t *estate) {
+    estate_do(estate, "{\"do\":\"engine-pace\",\"engine\":\"llm-1\",\"told\":\"300\","
+                      "\"percent\":300}");
+    estate_do(estate, "{\"do\":\"engine-pace\",\"engine\":\"llm-2\","
+                      "\"told\":\"1000000000\",\"percent\":50}");
+}
+
 /* Plays one seed. Returns TRUE when all promises held. */
 static gboolean seed_play(guint32 seed, int seconds) {
     g_autofree char *flags = g_strdup_printf(
@@ -65,6 +73,10 @@
     soak.broken = g_ptr_array_new_with_free_func(g_free);
     soak.estate = estate_start(SOAK_NODES, flags);
     soak.has_poison = seed / 16 % 2 == 0;
+    soak.has_paces = seed / 64 % 2 == 1;
+    if (soak.has_paces) {
+        paces_set(soak.estate);
+    }
     GPtrArray *callers = soak_callers_start(&soak);
     GPtrArray *poison = soak_poison_start(&soak);
     soak_faults_play(&soak, (int64_t)seconds * 1000);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -58,6 +58,7 @@
     gint stop;
     gint poison_stop;
     gboolean has_poison; /* a request that crashes engines comes again and again */
+    gboolean has_paces;  /* engines differ in pace, and some tell figures that can't be */
     int engines_started; /* makes ids of engines unique */
     int64_t version;     /* of the configuration */
 } soak_t;
--- a/tests/unit/test_engine_pace.c
+++ b/tests/unit/test_engine_pace.c
@@ -68,6 +68,7 @@
     g_assert_cmpfloat_with_epsilon(wb_engine_pace_now(&pace, 1000), 0.55, 0.001);
     wb_engine_pace_told(&pace, 137, 2000); /* a neighbour was at work the only time it was heard */
     g_assert_cmpuint(wb_engine_pace_own(&pace, 2000), ==, 55);
+    g_assert_cmpuint(wb_engine_pace_heard(&pace, 2000), ==, 137);
     wb_engine_pace_share(&pace, 200);
     g_assert_cmpuint(wb_engine_pace_own(&pace, 2000), ==, 137);
     g_assert_cmpuint(wb_engine_pace_own(&pace, 2000 + 3 * WB_PACE_WINDOW_MS), ==, 200);
