Quota: shares outlive all nodes, behind the lease's row

Change: the shares that were told last stand behind the lease's row, which is renewed twice a second; a node takes them at its start, for 3 s or until a book is heard. Test: /edge/tenants/limit-when-all-are-killed.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -235,6 +235,7 @@
     created->announcements = wb_edge_node_announcements_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
+    created->quota_row = g_byte_array_new();
     created->pace_book = wb_pace_book_create(token_ms(settings));
     created->news_rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     apr_status_t status = listeners_open(created, error);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -63,12 +63,15 @@
     GHashTable *announcements; /* id of a node that doesn't report -> wb_announcement_t */
     wb_quota_book_t *quota_book;
     uint64_t quota_token;  /* of the lease under which this node keeps the book; 0: it doesn't */
-    int64_t quota_told_ms; /* when this node told shares last */
+    GByteArray *quota_row; /* the shares that this node told last, as they stand in the store */
+    int64_t quota_row_until_ms; /* until when shares read there count; 0: none do */
+    int64_t quota_told_ms;      /* when this node told shares last */
     int64_t quota_logged_ms;
     int64_t quota_heard_ms;    /* when it was told shares last */
     int64_t quota_reported_ms; /* when it reported last, by itself or to another node */
     wb_pace_book_t *pace_book;
-    gboolean pace_keeper;   /* at the last tick */
+    gboolean pace_keeper; /* at the last tick */
+    int64_t pace_logged_ms;
     int64_t pace_told_ms;   /* when this node told engines' loads last */
     int64_t pace_heard_ms;  /* when it was told them last */
     uint64_t poison_told;   /* version of the book of poison requests that was told last */
@@ -164,6 +167,12 @@
 void wb_edge_node_quota_limits(wb_edge_node_t *node);
 /** Put what tenants spent here into a message for the node that keeps the book. */
 void wb_edge_node_quota_report(wb_edge_node_t *node, wb_wire_demand *demand);
+/** Write the shares that were told last behind the lease's row. @return bytes, 0 when there is no
+ * room
+ */
+u_int wb_edge_node_quota_write(const wb_edge_node_t *node, char *bytes, u_int room);
+/** Read them: after a start they count until the book is heard. */
+void wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream);
 /** @return TRUE when the node that keeps the book must hear from this one, whatever there is to
  * tell */
 gboolean wb_edge_node_quota_report_due(const wb_edge_node_t *node, int64_t now_ms);
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -117,7 +117,11 @@
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
-    length += wb_edge_node_poison_write(node, bytes + length, ROW_BYTES - length);
+    u_int poison = wb_edge_node_poison_write(node, bytes + length, ROW_BYTES - length);
+    length += poison;
+    if (poison > 0) {
+        length += wb_edge_node_quota_write(node, bytes + length, ROW_BYTES - length);
+    }
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_answered, node);
--- a/src/edge/node_pace.c
+++ b/src/edge/node_pace.c
@@ -14,6 +14,9 @@
 /* What is told counts until its teller hasn't been heard for so long: it tells other news each
  * 300 ms while it may give orders. */
 #define LOADS_LIFE_MS 2000
+/* An engine that is so far behind answers most requests late: targets are 0.5 to 5 s. */
+#define BEHIND_MS 1000.0
+#define LOG_INTERVAL_MS 1000
 
 /* What there is to tell of an engine, or FALSE. */
 static gboolean use_take(wb_engine_t *engine, wb_wire_engine_use *use) {
@@ -126,6 +129,22 @@
     return node->pace_keeper || (node->controller_link_open && now_ms - heard_ms < LOADS_LIFE_MS);
 }
 
+/* Once a second, who is furthest behind, if that is long: operators see where requests are refused.
+ */
+static void behind_log(wb_edge_node_t *node, int64_t now_ms) {
+    if (now_ms - node->pace_logged_ms < LOG_INTERVAL_MS) {
+        return;
+    }
+    double backlog_ms;
+    const char *engine = wb_pace_book_furthest_behind(node->pace_book, now_ms, &backlog_ms);
+    if (engine == NULL || backlog_ms < BEHIND_MS) {
+        return;
+    }
+    node->pace_logged_ms = now_ms;
+    wb_event("engine-behind", ",\"engine\":\"%s\",\"backlog_ms\":%.0f,\"pace_percent\":%u",
+             wb_event_text(engine), backlog_ms, wb_pace_book_pace(node->pace_book, engine, now_ms));
+}
+
 void wb_edge_node_tick_pace(wb_edge_node_t *node, int64_t now_ms) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     gboolean keeper = wb_edge_node_is_reported_to(node);
@@ -140,6 +159,7 @@
         return;
     }
     node->pace_told_ms = now_ms;
+    behind_log(node, now_ms);
     double bytes = (double)settings->load_news_bytes_per_s * (double)settings->load_news_ms / 1000;
     size_t gateways = MAX(g_hash_table_size(node->gateways), 1);
     size_t most = MAX((size_t)(bytes / ENTRY_BYTES) / gateways, 1);
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -15,6 +15,10 @@
 #define TELL_MOST_MS 500
 #define UNHEARD_MS 1200
 #define LOG_INTERVAL_MS 1000
+/* Shares read in the store count for so long after a start: by then a holder is found (at most the
+ * lease's 4.8 s after its last renewal, usually 1.8 s) and has heard what is asked for. A tenant
+ * that is no longer short is refused for them no longer. */
+#define ROW_SHARES_MS 3000
 
 /* Returns the token of the lease that names this node, or 0. */
 static uint64_t own_token(const wb_edge_node_t *node) {
@@ -111,6 +115,57 @@
     }
 }
 
+/* Keeps what is told in the form in which it stands in the store. */
+static void row_keep(wb_edge_node_t *node, wb_wire_quota *told) {
+    g_byte_array_set_size(node->quota_row, (guint)xdr_sizeof((xdrproc_t)xdr_wb_wire_quota, told));
+    XDR stream;
+    xdrmem_create(&stream, (char *)node->quota_row->data, node->quota_row->len, XDR_ENCODE);
+    if (!xdr_wb_wire_quota(&stream, told)) {
+        g_byte_array_set_size(node->quota_row, 0);
+    }
+    xdr_destroy(&stream);
+}
+
+u_int wb_edge_node_quota_write(const wb_edge_node_t *node, char *bytes, u_int room) {
+    guint length = node->quota_row->len;
+    if (length == 0 || length > room) {
+        return 0;
+    }
+    memcpy(bytes, node->quota_row->data, length);
+    return length;
+}
+
+/* All nodes may be killed at once while a tenant asks for many times its limit: what they knew of
+ * it goes with them, and each would admit all until a new book has heard of it. On a day of that
+ * kind 1.03 million tokens were admitted in half a second, 1.05 of the users' rule in its window.
+ */
+void wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream) {
+    wb_wire_quota told;
+    memset(&told, 0, sizeof(told));
+    if (!xdr_wb_wire_quota(stream, &told)) {
+        wb_event("quota-row-refused", "%s", "");
+    } else if (node->quota_heard_ms == 0 && told.tenants.tenants_len > 0) {
+        wb_edge_node_quota_take_shares(node, &told);
+        row_keep(node, &told); /* a new holder's first row is read by those that start later */
+        node->quota_row_until_ms = node->quota_heard_ms + ROW_SHARES_MS;
+        wb_event("quota-row-taken", ",\"shares\":%u", told.tenants.tenants_len);
+    }
+    xdr_free((xdrproc_t)xdr_wb_wire_quota, &told);
+}
+
+/* Shares from the store that no book has told anew are over. */
+static void row_lapse(wb_edge_node_t *node, int64_t now_ms) {
+    if (node->quota_row_until_ms == 0 || now_ms < node->quota_row_until_ms) {
+        return;
+    }
+    gboolean told_since = node->quota_heard_ms > node->quota_row_until_ms - ROW_SHARES_MS;
+    node->quota_row_until_ms = 0;
+    if (!told_since) {
+        g_byte_array_set_size(node->quota_row, 0);
+        wb_quota_gate_tell(node->edge.quota, NULL, 0, now_ms);
+    }
+}
+
 static void shares_tell(wb_edge_node_t *node, const GArray *shares) {
     wb_wire_message message = {.kind = WB_WIRE_QUOTA};
     wb_wire_quota *told = &message.wb_wire_message_u.quota;
@@ -122,6 +177,7 @@
     }
     told->tenants.tenants_len = shares->len;
     told->tenants.tenants_val = entries;
+    row_keep(node, told);
     wb_edge_node_tell_gateways(node, &message);
     wb_edge_node_quota_take_shares(node, told);
     shares_log(node, shares, wb_clock_ms());
@@ -145,6 +201,7 @@
 }
 
 void wb_edge_node_tick_quota(wb_edge_node_t *node, int64_t now_ms) {
+    row_lapse(node, now_ms);
     uint64_t token = own_token(node);
     if (token != node->quota_token) {
         node->quota_token = token;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -208,6 +208,9 @@
     if (whole && xdr_getpos(&stream) < row->length) {
         wb_edge_node_poison_read(node, &stream);
     }
+    if (whole && xdr_getpos(&stream) < row->length) {
+        wb_edge_node_quota_read(node, &stream);
+    }
     xdr_destroy(&stream);
     if (whole) {
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
--- a/src/pace/pace_book.c
+++ b/src/pace/pace_book.c
@@ -162,6 +162,24 @@
     return loads;
 }
 
+const char *wb_pace_book_furthest_behind(const wb_pace_book_t *book, int64_t now_ms,
+                                         double *backlog_ms) {
+    const char *furthest = NULL;
+    *backlog_ms = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, book->engines);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_book_engine_t *engine = value;
+        double behind_ms = backlog_now(engine, now_ms);
+        if (behind_ms > *backlog_ms) {
+            *backlog_ms = behind_ms;
+            furthest = engine->id;
+        }
+    }
+    return furthest;
+}
+
 GArray *wb_pace_book_told(const wb_pace_book_t *book) {
     GArray *loads = g_array_new(FALSE, FALSE, sizeof(wb_engine_load_t));
     GHashTableIter iter;
--- a/src/pace/pace_book.h
+++ b/src/pace/pace_book.h
@@ -57,6 +57,11 @@
  * changed most first; to be unreffed. They count as told.
  */
 GArray *wb_pace_book_changes(wb_pace_book_t *book, size_t most, int64_t now_ms);
+/** @param backlog_ms out: how far it is behind
+ * @return id of the engine that is furthest behind with reading, or NULL when none is; owned by the
+ * book */
+const char *wb_pace_book_furthest_behind(const wb_pace_book_t *book, int64_t now_ms,
+                                         double *backlog_ms);
 /** @return wb_engine_load_t of all engines as they were told last, for a gateway that has just
  * come; to be unreffed */
 GArray *wb_pace_book_told(const wb_pace_book_t *book);
--- a/tests/edge/test_tenants.c
+++ b/tests/edge/test_tenants.c
@@ -238,6 +238,29 @@
     estate_stop(estate);
 }
 
+/* All nodes are killed while a tenant asks for many times its limit, and its callers go on at once
+ * when they are back: nobody has told the new nodes of it, and each would admit all that it is
+ * asked until somebody has. Seen as 1.05 of the limit's rule on a day of that kind. */
+static void test_limit_when_all_are_killed(void) {
+    estate_t *estate = tenants_start(3, limited_tenants);
+    estate_wait_controller(estate, 5000);
+    ask_for(estate, all_nodes, 3, 4);
+    for (int i = 0; i < 3; i++) {
+        process_kill(&estate->nodes[i].process);
+    }
+    for (int i = 0; i < 3; i++) {
+        estate_node_launch(estate, i);
+    }
+    for (int i = 0; i < 3; i++) {
+        estate_wait_ready(estate, i);
+    }
+    int served = ask_for(estate, all_nodes, 3, 1);
+    g_test_message("served %d in 1 s", served);
+    g_assert_true(estate_log_has(estate, 0, "quota-row-taken"));
+    g_assert_cmpint(served, <=, LIMIT_PER_S + LIMIT_BURST);
+    estate_stop(estate);
+}
+
 /* A limit that is lowered holds for what comes after, and one that is lifted ends. */
 static void test_limit_changes(void) {
     estate_t *estate = tenants_start(2, limited_tenants);
@@ -281,6 +304,7 @@
     g_test_add_func("/edge/tenants/limit-over-all-nodes", test_limit_over_all_nodes);
     g_test_add_func("/edge/tenants/limit-while-the-book-is-lost",
                     test_limit_while_the_book_is_lost);
+    g_test_add_func("/edge/tenants/limit-when-all-are-killed", test_limit_when_all_are_killed);
     g_test_add_func("/edge/tenants/limit-changes", test_limit_changes);
     g_test_add_func("/edge/tenants/tenant-is-told-and-key-is-not",
                     test_tenant_is_told_and_key_is_not);
--- a/tests/unit/test_pace_book.c
+++ b/tests/unit/test_pace_book.c
@@ -85,6 +85,9 @@
     g_autoptr(GArray) piled = wb_pace_book_changes(book, 9, now_ms);
     g_assert_cmpuint(load_find(piled, "e1")->backlog_ms, >, 1500);
     g_assert_cmpuint(load_find(piled, "e1")->backlog_ms, <, 3000);
+    double behind_ms;
+    g_assert_cmpstr(wb_pace_book_furthest_behind(book, now_ms, &behind_ms), ==, "e1");
+    g_assert_cmpfloat(behind_ms, >, 1500);
     report.tokens = 5000;
     for (; now_ms < 8000; now_ms += 100) {
         wb_pace_book_report(book, &report, 1, now_ms);
