Quota: what nodes may spend alone stays within the limit when all of them are

Each node alone spends 1.5 times what is usual there or half of an equal part of the limit, whichever is more: 1.33 of a limit together. Test: QUOTA_HOT_ALONE in /quota-book/limits-hold-over-all-nodes fails with a half. Weighed: 1.3 times what is usual as well; a test of the assumed rate holds it at 1.5, and its bound is kept.

--- a/src/quota/quota_gate.h
+++ b/src/quota/quota_gate.h
@@ -7,8 +7,8 @@
  * - it is short: the told share of its requests of each kind (quota_order.h) is admitted, by their
  *   cost, one after the other;
  * - the book can't be reached: the tenant has a bucket here that fills at what it asked for here
- *   lately and half as much again, or at an equal part of its limit if that is more; a tenant that
- *   was short keeps to its share of what it asked for.
+ *   lately and somewhat more, or at a small part of an equal share of its limit if that is more; a
+ * tenant that was short keeps to its share of what it asked for.
  *
  * Costs are large beside what one node may spend in a second, so a request is admitted while its
  * bucket isn't empty, and what it costs beyond that is owed.
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -8,11 +8,14 @@
 #include "quota/quota_order.h"
 
 /** While the book can't be reached, a tenant that wasn't short may ask at a node for so many times
- * what it asked for there lately: limits are that far and more above what is usual (1.8 times on
- * the users' sheet), and single requests are large beside what one node sees. */
+ * what it asked for there lately: limits are further above what is usual (1.8 times on the users'
+ * sheets), and single requests are large beside what one node sees. */
 #define WB_QUOTA_UNREACHED_TIMES 1.5
-/** Or this part of an equal share of its limit, if that is more. */
-#define WB_QUOTA_UNREACHED_PART 0.5
+/** Or this part of an equal share of its limit, if that is more. All nodes may be alone at once,
+ * for as long as a holder is cut off from them that the store still serves: together they then
+ * spend 1.5 / 1.8 of a limit and this part of it, 0.98. With a half, 1.33: 9 s of a surge came
+ * to 1.09 of the users' rule in its window. */
+#define WB_QUOTA_UNREACHED_PART 0.15
 /** Meanwhile its bucket at a node holds what it gets there in so long. */
 #define WB_QUOTA_UNREACHED_DEPTH_S 1.0
 
--- a/tests/fuzz/quota_sim.c
+++ b/tests/fuzz/quota_sim.c
@@ -32,6 +32,7 @@
                                                   "hot, a third cut before",
                                                   "hot, two deciding",
                                                   "hot, take-over",
+                                                  "hot, all alone",
                                                   "hot, all restarted",
                                                   "limit lowered",
                                                   "a sixth cut",
@@ -204,6 +205,14 @@
             play->way->set_reached(play->way, i, after, now_ms);
         }
         break;
+    case QUOTA_HOT_ALONE:
+        if (ends) {
+            play->way->take_over(play->way, now_ms);
+        }
+        for (int i = 0; i < play->nodes && (begins || ends); i++) {
+            play->way->set_reached(play->way, i, ends, now_ms);
+        }
+        break;
     case QUOTA_HOT_RESTART:
         if (amid) {
             play->down = TRUE;
--- a/tests/fuzz/quota_sim.h
+++ b/tests/fuzz/quota_sim.h
@@ -42,6 +42,7 @@
     QUOTA_HOT_CUT_MANY,  /**< and a third of the nodes is cut off a second before */
     QUOTA_HOT_SPLIT,     /**< and a second one decides for two thirds of the nodes */
     QUOTA_HOT_TAKE_OVER, /**< and the one that decides is gone for 3 s while it does */
+    QUOTA_HOT_ALONE,     /**< and no node reaches the one that decides from a second before on */
     QUOTA_HOT_RESTART,   /**< and all nodes are killed and come back after 1 s */
     QUOTA_LOWERED,       /**< the largest tenant's limit falls to a fifth */
     QUOTA_CUT,           /**< a sixth of the nodes is cut off; all ask as usual */
--- a/tests/unit/test_quota_book.c
+++ b/tests/unit/test_quota_book.c
@@ -122,13 +122,13 @@
         double most_of_rule;
         double refused;
     } bounds[] = {
-        {QUOTA_CALM, 0.75, 0.001},          {QUOTA_HOT, 0.95, 0.005},
-        {QUOTA_HOT_SMALL, 0.95, 0.005},     {QUOTA_HOT_CUT, 1.0, 0.01},
-        {QUOTA_HOT_CUT_AFTER, 0.95, 0.01},  {QUOTA_HOT_CUT_MANY, 1.0, 0.02},
-        {QUOTA_HOT_SPLIT, 1.0, 0.03},       {QUOTA_SPLIT, 0.8, 0.02},
-        {QUOTA_HOT_TAKE_OVER, 0.95, 0.025}, {QUOTA_HOT_RESTART, 0.95, 0.01},
-        {QUOTA_LOWERED, 0.95, 0.005},       {QUOTA_CUT, 0.75, 0.01},
-        {QUOTA_TAKE_OVER, 0.75, 0.01},
+        {QUOTA_CALM, 0.75, 0.001},         {QUOTA_HOT, 0.95, 0.005},
+        {QUOTA_HOT_SMALL, 0.95, 0.005},    {QUOTA_HOT_CUT, 1.0, 0.01},
+        {QUOTA_HOT_CUT_AFTER, 0.95, 0.01}, {QUOTA_HOT_CUT_MANY, 1.0, 0.02},
+        {QUOTA_HOT_SPLIT, 1.0, 0.03},      {QUOTA_SPLIT, 0.8, 0.02},
+        {QUOTA_HOT_ALONE, 0.8, 0.05},      {QUOTA_HOT_TAKE_OVER, 0.95, 0.025},
+        {QUOTA_HOT_RESTART, 0.95, 0.01},   {QUOTA_LOWERED, 0.95, 0.005},
+        {QUOTA_CUT, 0.75, 0.01},           {QUOTA_TAKE_OVER, 0.75, 0.01},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(bounds); i++) {
         for (unsigned seed = 1; seed <= SEEDS; seed++) {
