--- a/src/dispatch/admission.c
+++ b/src/dispatch/admission.c
@@ -22,7 +22,8 @@
     if (request->waited_ms + estimate->first_ms > patience_ms) {
         return 1;
     }
-    /* Who has waited for a model is late already and served all the same: only the engine counts. */
+    /* Who has waited for a model is late already and served all the same: only the engine counts.
+     */
     double grace = rank == 0 ? URGENT_GRACE : 0;
     double targets = estimate->first_ms / request->target_ms - grace;
     return CLAMP((targets - LATE_FROM) / (LATE_WHOLE - LATE_FROM), 0, 1);
