--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -56,34 +56,27 @@
 }
 
 /* Whether a model's measured work asks for one more engine, or for a faster one. */
-static gboolean wants_engine(const wb_model_use_t *use, const wb_placement_snapshot_t *snapshot) {
+static gboolean wants_engine(const wb_model_use_t *use, const wb_engine_power_t *power,
+                             double fastest) {
     if (use->replicas == 0) {
         return FALSE;
     }
-    return wb_placement_speed(use) < wb_placement_wanted(use, &snapshot->power) ||
-           wb_placement_is_slow(use, snapshot);
-}
-
-static double fastest_speed(const wb_placement_snapshot_t *snapshot) {
-    double fastest = 1;
-    for (guint i = 0; i < snapshot->engines->len; i++) {
-        fastest = MAX(fastest, g_array_index(snapshot->engines, wb_placement_engine_t, i).speed);
-    }
-    return fastest;
+    return wb_placement_speed(use) < wb_placement_wanted(use, power) ||
+           wb_placement_is_slow(use, fastest);
 }
 
 static GArray *spreads_collect(const wb_controller_t *controller,
                                const wb_placement_snapshot_t *snapshot) {
     GArray *spreads = g_array_new(FALSE, FALSE, sizeof(wb_spread_t));
     const char *service = snapshot->service->name;
-    double fastest = fastest_speed(snapshot);
+    double fastest = wb_placement_fastest(snapshot);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, snapshot->service->models);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_model_spec_t *spec = value;
         const wb_usage_t *usage = wb_demand_book_find(controller->book, service, spec->name, "");
-        if (usage == NULL || !wants_engine(&usage->use, snapshot) ||
+        if (usage == NULL || !wants_engine(&usage->use, &snapshot->power, fastest) ||
             wb_load_faults_paused_ms(controller->faults, service, spec->name, wb_clock_ms()) > 0) {
             continue;
         }
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -198,9 +198,8 @@
 }
 
 static GArray *candidates_collect(const wb_placement_snapshot_t *snapshot,
-                                  const wb_engine_state_t *state) {
+                                  const wb_engine_state_t *state, double speed) {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(wb_candidate_t));
-    double speed = speed_of(snapshot, state);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, state->models);
@@ -226,13 +225,13 @@
 
 /* What costs least to drop so that so much room is made; NULL when that can't be done. */
 static GPtrArray *victims_gather(const wb_placement_snapshot_t *snapshot,
-                                 const wb_engine_state_t *state, double missing_mb,
+                                 const wb_engine_state_t *state, double speed, double missing_mb,
                                  double *cost_ms) {
     GPtrArray *victims = g_ptr_array_new_with_free_func(g_free);
     *cost_ms = 0;
     if (missing_mb <= 0)
         return victims;
-    g_autoptr(GArray) candidates = candidates_collect(snapshot, state);
+    g_autoptr(GArray) candidates = candidates_collect(snapshot, state, speed);
     const wb_candidate_t *single = single_find(candidates, missing_mb);
     double gathered_mb = 0;
     double gathered_ms = 0;
@@ -266,7 +265,8 @@
 GPtrArray *wb_placement_victims(const wb_placement_snapshot_t *snapshot,
                                 const wb_engine_state_t *state, const wb_model_spec_t *model,
                                 double *cost_ms) {
-    return victims_gather(snapshot, state, missing_mb(snapshot, state, model->weights_mb), cost_ms);
+    return victims_gather(snapshot, state, speed_of(snapshot, state),
+                          missing_mb(snapshot, state, model->weights_mb), cost_ms);
 }
 
 /* What making room costs beyond what the loads that were ordered there before make anyway. Returns
@@ -275,16 +275,18 @@
                           const wb_placement_engine_t *place, const wb_model_spec_t *model,
                           double *cost_ms) {
     double all_ms;
+    double speed = speed_or_usual(place->speed);
     double pending_ms = 0;
     double pending_mb = place->pending_mb;
     g_autoptr(GPtrArray) all =
-        victims_gather(snapshot, place->state,
+        victims_gather(snapshot, place->state, speed,
                        missing_mb(snapshot, place->state, pending_mb + model->weights_mb), &all_ms);
     if (all == NULL)
         return FALSE;
     if (pending_mb > 0) {
-        g_autoptr(GPtrArray) pending = victims_gather(
-            snapshot, place->state, missing_mb(snapshot, place->state, pending_mb), &pending_ms);
+        g_autoptr(GPtrArray) pending =
+            victims_gather(snapshot, place->state, speed,
+                           missing_mb(snapshot, place->state, pending_mb), &pending_ms);
     }
     *cost_ms = MAX(all_ms - pending_ms, 0);
     return TRUE;
@@ -356,14 +358,18 @@
     return held + loading;
 }
 
-gboolean wb_placement_is_slow(const wb_model_use_t *use, const wb_placement_snapshot_t *snapshot) {
-    unsigned engines = use->replicas + use->in_loading;
+double wb_placement_fastest(const wb_placement_snapshot_t *snapshot) {
     double fastest = 0;
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *place =
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
         fastest = MAX(fastest, place->available ? speed_or_usual(place->speed) : 0);
     }
+    return fastest;
+}
+
+gboolean wb_placement_is_slow(const wb_model_use_t *use, double fastest) {
+    unsigned engines = use->replicas + use->in_loading;
     return engines > 0 && wb_placement_speed(use) / engines < SLOW_SHARE * fastest;
 }
 
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -95,9 +95,13 @@
 /** @return speeds of the engines that hold a model or load it, together */
 double wb_placement_speed(const wb_model_use_t *use);
 
-/** @return TRUE when a model's engines are slower on average than the service's fastest by so much
- * that one more at a fast one may be worth its load, though they could read its prompts */
-gboolean wb_placement_is_slow(const wb_model_use_t *use, const wb_placement_snapshot_t *snapshot);
+/** @return speed of the service's fastest engine that can take a model */
+double wb_placement_fastest(const wb_placement_snapshot_t *snapshot);
+
+/** @return TRUE when a model's engines are slower on average than the fastest by so much that one
+ * more at a fast one may be worth its load, though they could read its prompts
+ * @param fastest as wb_placement_fastest gives it */
+gboolean wb_placement_is_slow(const wb_model_use_t *use, double fastest);
 
 /**
  * What one more engine of a speed would save a model's requests, in ms, over the time that its
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -161,7 +161,7 @@
     wb_model_use_t *busy = &scene.uses[0];
     *busy = (wb_model_use_t){.rate_per_s = 8, .replicas = 1, .running = 12, .speed = 0.8};
     g_assert_cmpstr(scene_choose(&scene, "m0"), ==, "e1");
-    g_assert_true(wb_placement_is_slow(busy, &scene.snapshot));
+    g_assert_true(wb_placement_is_slow(busy, wb_placement_fastest(&scene.snapshot)));
     wb_model_use_t *rare = &scene.uses[1];
     *rare = (wb_model_use_t){.rate_per_s = 0.2, .replicas = 1, .running = 0.4, .speed = 0.8};
     g_assert_cmpstr(scene_choose(&scene, "m1"), ==, "e0");
@@ -173,7 +173,7 @@
     g_assert_cmpfloat(fast_ms, >, 5000);
     g_assert_cmpfloat(slow_ms, <, 100);
     busy->speed = 1.8;
-    g_assert_false(wb_placement_is_slow(busy, &scene.snapshot));
+    g_assert_false(wb_placement_is_slow(busy, wb_placement_fastest(&scene.snapshot)));
     scene_close(&scene);
 }
 
