Engines that start again under their id are another engine; rows of other writers name none

Cause: an engine was known by its id alone, and its sequence taken to rise for ever. After a start under the same id nodes went on believing its models, running counts, pace and orders; a report of the new start looked older than what was known and was asked for again and again; a second crash under the same id was told without a look, as the first was 'sure'. Rows were taken with whatever fields they had.

Change: an announcement tells which start speaks (id, born). A later one takes the place of the earlier at once: fleet, orders, pace, kept connections, what runs there; an earlier one changes nothing. Crashes are held against one start. A row that lacks a field, or has one of another type, names no engine, takes the one out that stood there, and costs one log line a second. Where engines tell when they started, a row that doesn't is another writer's.

Ruled out: comparing with the node's own clock (machines' clocks differ by seconds); believing a row without a start while others tell theirs.

--- a/include/wickbridge/dialect.h
+++ b/include/wickbridge/dialect.h
@@ -53,7 +53,10 @@
     /* Rows of the store. */
     const char *catalog_key; /**< key of the row that holds the whole configuration */
     wb_catalog_t *(*catalog_parse)(const guchar *value, gsize length, wb_error_t *error);
-    wb_engine_state_t *(*engine_parse)(const char *key, const guchar *value, gsize length);
+    /** @return NULL, with the reason, for a row that names no engine to use: anybody may write one
+     */
+    wb_engine_state_t *(*engine_parse)(const char *key, const guchar *value, gsize length,
+                                       wb_error_t *error);
 } wb_dialect_t;
 
 #endif
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -29,6 +29,8 @@
     uint64_t broken_sends;
     uint64_t engine_checks;
     uint64_t engine_crashes;
+    uint64_t engine_restarts;     /**< starts of engines that were known by their id */
+    uint64_t engine_rows_refused; /**< rows that name no engine to use */
     uint64_t waits;
     uint64_t connections_opened;
     uint64_t connections_reused;
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -24,13 +24,17 @@
 
 /** What an engine announces of itself. */
 typedef struct wb_engine_state_t {
-    char *id; /**< new at each start of the engine */
+    char *id;
+    int64_t born_ms; /**< when the engine started, in Unix ms by its own clock, which may be wrong:
+                        compared only with that of the same id. 0: not told */
+    char *incarnation; /**< names one start of one engine: ID@BORN, or ID where no start is told */
     char *service;
     char *address;
     char *zone;
     int slots;
     gboolean leaving;
     int64_t remaining_ms;  /**< time until it is gone; -1: not told */
+    int64_t cold_ms;       /**< time for which it bears few requests yet; 0: it is warm */
     GHashTable *models;    /**< name -> wb_engine_model_t */
     GHashTable *in_memory; /**< set of models with copies of their weights in memory */
     GHashTable *on_disk;   /**< set of models with copies of their weights on disk */
@@ -43,6 +47,8 @@
 } wb_engine_state_t;
 
 wb_engine_state_t *wb_engine_state_create(const char *id);
+/** Set when the engine started. @param born_ms as in wb_engine_state_t */
+void wb_engine_state_set_born(wb_engine_state_t *state, int64_t born_ms);
 void wb_engine_state_free(wb_engine_state_t *state);
 wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
                                              int64_t version);
@@ -51,10 +57,13 @@
 typedef struct wb_engine_t {
     int references;
     wb_engine_state_t *state;
-    gboolean gone;        /**< no longer announced */
-    int64_t leaving_ms;   /**< steady time since which it is leaving or gone; 0: it isn't */
-    int64_t use_until_ms; /**< steady time until which a gone engine may still get work */
-    GHashTable *overlay;  /**< MODEL/ADAPTER -> private; the controller's news */
+    gboolean gone;          /**< no longer announced */
+    int64_t leaving_ms;     /**< steady time since which it is leaving or gone; 0: it isn't */
+    int64_t use_until_ms;   /**< steady time until which a gone engine may still get work */
+    int64_t closed_from_ms; /**< steady time from which it gets nothing new, as its zone is being
+                               evacuated; 0: it isn't */
+    int64_t cold_until_ms;  /**< steady time until which it bears few requests; 0: it is warm */
+    GHashTable *overlay;    /**< MODEL/ADAPTER -> private; the controller's news */
     /* What this node sees of it: */
     unsigned running;           /**< this node's requests on it */
     int64_t prefill_tokens;     /**< prompt tokens sent by this node and not yet answered */
@@ -79,8 +88,16 @@
 typedef struct wb_fleet_t wb_fleet_t;
 
 wb_fleet_t *wb_fleet_create(void);
-/** Take an engine's announcement; the state is owned by the fleet from now on. */
+/**
+ * Take an engine's announcement; the state is owned by the fleet from now on.
+ *
+ * An engine that has started again under its id is another one: what was known of the earlier start
+ * stays with that, which counts as gone, and nothing of it is believed of the new one.
+ * @return the engine; NULL when a later start of it is known already: then nothing changes
+ */
 wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state);
+/** @return TRUE when an announcement is of a later start of an engine than `known` */
+gboolean wb_engine_state_is_later(const wb_engine_state_t *known, const wb_engine_state_t *state);
 /**
  * The engine is no longer announced.
  * @param use_until_ms steady time until which it may still get work, if no other can; it counts
@@ -98,6 +115,8 @@
 
 /** @return TRUE when it may get work: it stays, or is gone and its time isn't over */
 gboolean wb_engine_is_open(const wb_engine_t *engine, int64_t now_ms);
+/** @return TRUE when it can be counted on: it doesn't leave, nor does its zone */
+gboolean wb_engine_stays(const wb_engine_t *engine);
 /** @return an engine that is announced, or NULL */
 wb_engine_t *wb_fleet_find(const wb_fleet_t *fleet, const char *id);
 /** @return engines of a service, those that are gone for a short while too; owned by the fleet, or
--- a/src/base/json.c
+++ b/src/base/json.c
@@ -1,8 +1,12 @@
 /* Reads members of JSON objects with fallbacks. */
 #include "wickbridge/json.h"
 
+#include <glib.h>
 #include <string.h>
 
+/* Real numbers up to this are whole without loss: 2 to the power of 53. */
+#define LARGEST_WHOLE 9007199254740992.0
+
 const char *wb_json_text(const json_t *object, const char *key, const char *fallback) {
     const json_t *member = json_object_get(object, key);
     return json_is_string(member) ? json_string_value(member) : fallback;
@@ -10,7 +14,13 @@
 
 int64_t wb_json_integer(const json_t *object, const char *key, int64_t fallback) {
     const json_t *member = json_object_get(object, key);
-    return json_is_number(member) ? (int64_t)json_number_value(member) : fallback;
+    if (json_is_integer(member)) {
+        return json_integer_value(member);
+    }
+    /* What is beyond the range of a whole number has no defined value as one. */
+    return json_is_real(member)
+               ? (int64_t)CLAMP(json_real_value(member), -LARGEST_WHOLE, LARGEST_WHOLE)
+               : fallback;
 }
 
 int wb_json_boolean(const json_t *object, const char *key, int fallback) {
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -298,6 +298,13 @@
         g_hash_table_remove(controller->orders, engine_id);
 }
 
+void wb_controller_engine_restarted(wb_controller_t *controller, const char *engine_id) {
+    wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine_id);
+    if (orders != NULL) {
+        wb_engine_orders_ended(orders);
+    }
+}
+
 const struct wb_model_use_t *wb_controller_use(const wb_controller_t *controller,
                                                const char *service, const char *model) {
     const wb_usage_t *usage = wb_demand_book_find(controller->book, service, model, "");
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -46,6 +46,8 @@
 void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog);
 /** A gateway told what it has running and waiting. */
 void wb_controller_take_demand(wb_controller_t *controller, const wb_wire_demand *demand);
+/** An engine has started again under its id: what it was ordered before is over. */
+void wb_controller_engine_restarted(wb_controller_t *controller, const char *engine_id);
 /** An engine announced itself anew, or is gone. */
 void wb_controller_engine_changed(wb_controller_t *controller, const char *engine_id);
 /** What is known of a model's use, or NULL when it isn't asked for; owned by the controller. */
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -92,14 +92,18 @@
     advance_after(orders, 0);
 }
 
+static void unreachable_begin(wb_engine_orders_t *orders) {
+    orders->failures = 0;
+    orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
+}
+
 static void call_failed(wb_engine_orders_t *orders) {
     orders->failures++;
     if (orders->failures < FAILURES_LIMIT) {
         advance_after(orders, RETRY_MS);
         return;
     }
-    orders->failures = 0;
-    orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
+    unreachable_begin(orders);
     if (wb_task_first(&orders->tasks) != NULL)
         task_over(orders, "unreachable");
 }
@@ -107,14 +111,37 @@
 /* Nobody listens at the engine's address any more, and it was loading a model. */
 static void load_crashed(wb_engine_orders_t *orders) {
     orders->owner.load_crashed(orders->engine, orders->order_model, orders->owner.context);
-    orders->failures = 0;
-    orders->unreachable_until_ms = wb_clock_ms() + UNREACHABLE_MS;
+    unreachable_begin(orders);
     state_forget(orders);
     if (wb_task_first(&orders->tasks) != NULL)
         task_over(orders, "crashed");
     orders->settle = WB_SETTLE_NONE;
 }
 
+void wb_engine_orders_ended(wb_engine_orders_t *orders) {
+    if (orders->settle == WB_SETTLE_LOADED) {
+        load_crashed(orders);
+        return;
+    }
+    unreachable_begin(orders);
+    state_forget(orders);
+    orders->settle = WB_SETTLE_NONE;
+    if (wb_task_first(&orders->tasks) != NULL) {
+        task_over(orders, "engine-restarted");
+    }
+}
+
+/* Which start of the engine has reported: -1 an earlier one than is known, 1 a later one. */
+static int start_compare(const wb_engine_orders_t *orders, const wb_engine_state_t *state) {
+    if (state->born_ms == 0) {
+        return 0; /* it doesn't tell */
+    }
+    if (wb_engine_state_is_later(orders->engine->state, state)) {
+        return 1;
+    }
+    return wb_engine_state_is_later(state, orders->engine->state) ? -1 : 0;
+}
+
 static gboolean state_has(const wb_engine_state_t *state, const char *model, const char *adapter) {
     const wb_engine_model_t *held = g_hash_table_lookup(state->models, model);
     if (held == NULL)
@@ -192,8 +219,15 @@
         return;
     }
     orders->failures = 0;
-    if (orders->state != NULL && state->sequence < orders->state->sequence) {
-        /* The report is older than what the engine has already taken. */
+    int start = start_compare(orders, state);
+    if (start > 0) {
+        /* Its row will tell, too; until then nothing is known of what it holds. */
+        wb_engine_state_free(state);
+        wb_engine_orders_ended(orders);
+        return;
+    }
+    if (start < 0 || (orders->state != NULL && state->sequence < orders->state->sequence)) {
+        /* The report is older than what is known of the engine. */
         wb_engine_state_free(state);
         advance_after(orders, LOOK_AGAIN_MS);
         return;
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -68,6 +68,9 @@
 gboolean wb_engine_orders_is_unreachable(const wb_engine_orders_t *orders);
 /** @return what the engine is believed to hold */
 const wb_engine_state_t *wb_engine_orders_state(const wb_engine_orders_t *orders);
+/** The engine has ended, and may have started again: nothing that was believed of it holds. If it
+ * was loading a model, that load may have crashed it. */
+void wb_engine_orders_ended(wb_engine_orders_t *orders);
 /** The engine announced itself anew. */
 void wb_engine_orders_announced(wb_engine_orders_t *orders);
 
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -78,6 +78,10 @@
     wb_exchange_attempt_failed(exchange, &failure);
 }
 
+void wb_attempt_engine_ended(wb_attempt_t *attempt) {
+    attempt_fail(attempt, TRUE, "engine-ended");
+}
+
 /* Puts the connection into its engine's queue, or closes it. */
 static void upstream_rest(wb_upstream_t *upstream, const wb_attempt_t *attempt) {
     gboolean keep = !attempt->tainted && attempt->keep_alive &&
--- a/src/edge/crash_watch.h
+++ b/src/edge/crash_watch.h
@@ -47,7 +47,8 @@
                                         const wb_crash_watch_events_t *events);
 void wb_crash_watch_free(wb_crash_watch_t *watch);
 
-/** An engine ended the connection of a request that it had and hadn't answered whole. */
+/** An engine ended the connection of a request that it had and hadn't answered whole.
+ * @param engine_id here and below names one start of an engine: it may start again under its id */
 void wb_crash_watch_broken(wb_crash_watch_t *watch, const char *engine_id, const char *address,
                            const wb_broken_request_t *request);
 /** An engine's row went that hadn't said that it leaves. */
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -47,6 +47,9 @@
     wb_lease_t *lease;
     wb_controller_t *controller;
     GHashTable *nodes;                       /* id -> wb_node_row_t */
+    gboolean births_told;                    /* some engine has told when it started: all do */
+    unsigned rows_refused;                   /* rows of engines, not yet logged */
+    int64_t rows_refused_ms;                 /* when a log line last told of them */
     gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
     gboolean node_row_written;
     gboolean node_row_writing;
@@ -123,6 +126,12 @@
 /** Keep this node's own row in the store; forget nodes whose rows don't change. */
 void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_engines.c */
+/** A row of an engine as the table's watch tells it. @param context the node */
+void wb_edge_node_engine_row(const wb_table_row_t *row, void *context);
+/** Rows of engines were taken. @param context the node */
+void wb_edge_node_engine_batch(gboolean whole, void *context);
+
 /* node_lease.c */
 void wb_edge_node_open_lease(wb_edge_node_t *node);
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row);
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -254,6 +254,9 @@
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
 /** As wb_crash_watch_events_t.on_crashed. @param context the edge */
 void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context);
+/** An engine has ended, though its connections may not show it: what was sent there goes on
+ * elsewhere where that is allowed, or is answered. */
+void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine);
 /** Near the end of a stop: answer those that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a stop: answer all that have no answer yet. */
@@ -276,6 +279,8 @@
 /** Stop it: the engine's connection is closed. */
 void wb_attempt_cancel(wb_attempt_t *attempt);
 void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading);
+/** Its engine is known to have ended: it fails as if the connection had been reset. */
+void wb_attempt_engine_ended(wb_attempt_t *attempt);
 /** Close an engine's kept connections: what is sent there next must connect first. */
 void wb_upstreams_drop(wb_engine_t *engine);
 /** Close kept connections of engines that are gone, or that rested too long. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -445,6 +445,18 @@
         wb_exchange_give_up(exchange, WB_ENDING_BROKEN);
 }
 
+void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine) {
+    g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
+    for (GList *item = open; item != NULL; item = item->next) {
+        const wb_exchange_t *exchange = item->data;
+        /* What ends one request may end others. */
+        if (g_hash_table_contains(edge->open, exchange) && exchange->engine == engine &&
+            exchange->attempt != NULL) {
+            wb_attempt_engine_ended(exchange->attempt);
+        }
+    }
+}
+
 void wb_exchange_begin(wb_edge_t *edge, wb_http_connection_t *connection, wb_http_head_t *head,
                        GByteArray *body) {
     wb_exchange_t *exchange = g_new0(wb_exchange_t, 1);
--- a/src/edge/exchange_poison.c
+++ b/src/edge/exchange_poison.c
@@ -71,8 +71,8 @@
         return;
     }
     wb_broken_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
-    wb_crash_watch_broken(exchange->edge->crashes, engine->state->id, engine->state->address,
-                          &request);
+    wb_crash_watch_broken(exchange->edge->crashes, engine->state->incarnation,
+                          engine->state->address, &request);
 }
 
 static void book_changed(wb_edge_t *edge) {
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -92,106 +92,6 @@
     (void)context; /* a configuration tells by itself when it is read */
 }
 
-/* News of engines. */
-
-/* Tells gateways of one model or adapter: KEY is MODEL/ADAPTER. */
-static void holding_tell(wb_edge_node_t *node, const char *engine, const char *key, gboolean held) {
-    g_auto(GStrv) names = g_strsplit(key, "/", 2);
-    wb_wire_placement_entry entry = {(char *)engine, names[0], names[1], held, 0};
-    wb_wire_message message = {.kind = WB_WIRE_PLACEMENT};
-    message.wb_wire_message_u.placement.token = wb_lease_token(node->lease);
-    message.wb_wire_message_u.placement.entries.entries_len = 1;
-    message.wb_wire_message_u.placement.entries.entries_val = &entry;
-    wb_edge_node_tell_gateways(node, &message);
-    wb_event("holding-differs",
-             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s",
-             wb_event_text(engine), wb_event_text(names[0]), wb_event_text(names[1]),
-             held ? "true" : "false");
-}
-
-/* An announcement may show what no order of this holder made: gateways, which rarely read
- * announcements themselves, are told what they can't know. */
-static void holdings_compare(wb_edge_node_t *node, const char *engine, GHashTable *before,
-                             GHashTable *after) {
-    GHashTableIter iter;
-    gpointer key;
-    g_hash_table_iter_init(&iter, before);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        if (!g_hash_table_contains(after, key)) {
-            holding_tell(node, engine, key, FALSE);
-        }
-    }
-    g_hash_table_iter_init(&iter, after);
-    while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        if (!g_hash_table_contains(before, key)) {
-            holding_tell(node, engine, key, TRUE);
-        }
-    }
-}
-
-/* Takes an engine's announcement. */
-static wb_engine_t *engine_announce(wb_edge_node_t *node, wb_engine_t *known,
-                                    wb_engine_state_t *state) {
-    int64_t now_ms = wb_clock_ms();
-    gboolean may_differ =
-        node->held && known != NULL &&
-        (wb_engine_has_news(known) || !wb_engine_state_holds_same(known->state, state));
-    if (!may_differ) {
-        return wb_fleet_announce(node->edge.fleet, state);
-    }
-    g_autoptr(GHashTable) before = wb_engine_holdings(known, now_ms);
-    wb_engine_t *engine = wb_fleet_announce(node->edge.fleet, state);
-    g_autoptr(GHashTable) after = wb_engine_holdings(engine, now_ms);
-    holdings_compare(node, state->id, before, after);
-    return engine;
-}
-
-static void engine_row(const wb_table_row_t *row, void *context) {
-    wb_edge_node_t *node = context;
-    wb_edge_t *edge = &node->edge;
-    wb_engine_t *known = wb_fleet_find(edge->fleet, row->key);
-    if (row->value == NULL) {
-        if (known != NULL && known->leaving_ms == 0)
-            wb_crash_watch_row_gone(edge->crashes, row->key);
-        if (known != NULL)
-            wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
-                     wb_event_text(row->key), (long long)row->version);
-        wb_fleet_remove(edge->fleet, row->key,
-                        wb_fleet_use_until_ms(wb_table_watch_fresh_ms(node->engines_watch),
-                                              edge->settings.drain_ms, wb_clock_ms()));
-        wb_controller_engine_changed(node->controller, row->key);
-        wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
-        return;
-    }
-    wb_engine_state_t *state = edge->dialect->engine_parse(row->key, row->value, row->length);
-    if (state == NULL) {
-        wb_event("engine-row-refused", ",\"engine\":\"%s\"", wb_event_text(row->key));
-        return;
-    }
-    gboolean was_leaving = known != NULL && known->leaving_ms != 0;
-    wb_engine_t *engine = engine_announce(node, known, state);
-    if (known == NULL)
-        wb_crash_watch_address_taken(edge->crashes, state->id, state->address);
-    if (known == NULL || was_leaving != (engine->leaving_ms != 0)) {
-        wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
-        wb_event("engine-seen",
-                 ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
-                 "\"row_version\":%lld",
-                 state->id, state->service, state->address, state->leaving ? "true" : "false",
-                 (long long)row->version);
-    }
-    wb_controller_engine_changed(node->controller, row->key);
-}
-
-static void engine_batch(gboolean whole, void *context) {
-    (void)whole;
-    wb_edge_node_t *node = context;
-    wb_exchanges_retry_waiting(&node->edge);
-    if (node->edge.waiting.len > 0) {
-        wb_edge_node_hurry(node);
-    }
-}
-
 /* The product's own rows: nodes, and the controller's lease. */
 
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row) {
@@ -367,7 +267,8 @@
     wb_loop_t *loop = node->edge.loop;
     node->catalog_reader = wb_catalog_reader_create(loop, node->edge.dialect, catalog_read, node);
     wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
-    wb_table_watch_events_t engines = {engine_row, engine_batch, store_called, node};
+    wb_table_watch_events_t engines = {wb_edge_node_engine_row, wb_edge_node_engine_batch,
+                                       store_called, node};
     wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_called, node};
     wb_table_pace_t pace = wb_edge_node_pace(node, WB_TABLE_CATALOG);
     node->catalog_watch =
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -22,52 +22,6 @@
     GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
 };
 
-static void model_free(gpointer data) {
-    wb_engine_model_t *model = data;
-    g_free(model->name);
-    g_hash_table_unref(model->adapters);
-    g_free(model);
-}
-
-static GHashTable *set_create(void) {
-    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-}
-
-wb_engine_state_t *wb_engine_state_create(const char *id) {
-    wb_engine_state_t *state = g_new0(wb_engine_state_t, 1);
-    state->id = g_strdup(id);
-    state->remaining_ms = -1;
-    state->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
-    state->in_memory = set_create();
-    state->on_disk = set_create();
-    state->arriving = set_create();
-    return state;
-}
-
-void wb_engine_state_free(wb_engine_state_t *state) {
-    if (state == NULL)
-        return;
-    g_free(state->id);
-    g_free(state->service);
-    g_free(state->address);
-    g_free(state->zone);
-    g_hash_table_unref(state->models);
-    g_hash_table_unref(state->in_memory);
-    g_hash_table_unref(state->on_disk);
-    g_hash_table_unref(state->arriving);
-    g_free(state);
-}
-
-wb_engine_model_t *wb_engine_state_add_model(wb_engine_state_t *state, const char *name,
-                                             int64_t version) {
-    wb_engine_model_t *model = g_new0(wb_engine_model_t, 1);
-    model->name = g_strdup(name);
-    model->version = version;
-    model->adapters = set_create();
-    g_hash_table_replace(state->models, model->name, model);
-    return model;
-}
-
 wb_engine_t *wb_engine_ref(wb_engine_t *engine) {
     engine->references++;
     return engine;
@@ -112,18 +66,38 @@
     return engine;
 }
 
-/* An engine that was removed and announces itself again, under the same id, is the same engine. */
-static wb_engine_t *engine_return(wb_fleet_t *fleet, const wb_engine_state_t *state) {
+/* Returns the latest start of an engine that is no longer announced, or NULL. */
+static wb_engine_t *gone_find(const wb_fleet_t *fleet, const wb_engine_state_t *state) {
     const GPtrArray *engines = wb_fleet_service(fleet, state->service);
+    wb_engine_t *latest = NULL;
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (strcmp(engine->state->id, state->id) != 0)
-            continue;
-        g_hash_table_insert(fleet->engines, g_strdup(state->id), wb_engine_ref(engine));
+        if (strcmp(engine->state->id, state->id) == 0 &&
+            (latest == NULL || wb_engine_state_is_later(latest->state, engine->state))) {
+            latest = engine;
+        }
+    }
+    return latest;
+}
+
+/* An engine that was removed and announces itself again, and hasn't started anew, is the same. */
+static void engine_return(wb_fleet_t *fleet, wb_engine_t *engine) {
+    if (engine->gone) {
+        g_hash_table_insert(fleet->engines, g_strdup(engine->state->id), wb_engine_ref(engine));
         engine->gone = FALSE;
-        return engine;
     }
-    return NULL;
+}
+
+/* Whether an announcement is of another engine than the one known by its id: a later start of it,
+ * or one of another service. */
+static gboolean is_another(const wb_engine_t *engine, const wb_engine_state_t *state) {
+    return wb_engine_state_is_later(engine->state, state) ||
+           strcmp(engine->state->service, state->service) != 0;
+}
+
+static void engine_take(wb_engine_t *engine, wb_engine_state_t *state) {
+    wb_engine_state_free(engine->state);
+    engine->state = state;
 }
 
 static gboolean note_is_settled(gpointer key, gpointer value, gpointer context) {
@@ -133,13 +107,19 @@
 
 wb_engine_t *wb_fleet_announce(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = wb_fleet_find(fleet, state->id);
-    if (engine == NULL)
-        engine = engine_return(fleet, state);
     if (engine == NULL) {
+        engine = gone_find(fleet, state);
+    }
+    if (engine != NULL && wb_engine_state_is_later(state, engine->state)) {
+        wb_engine_state_free(state);
+        return NULL;
+    }
+    if (engine == NULL || is_another(engine, state)) {
+        wb_fleet_remove(fleet, state->id, 0);
         engine = engine_create(fleet, state);
     } else {
-        wb_engine_state_free(engine->state);
-        engine->state = state;
+        engine_return(fleet, engine);
+        engine_take(engine, state);
     }
     int64_t now_ms = wb_clock_ms();
     g_hash_table_foreach_remove(engine->overlay, note_is_settled, &now_ms);
@@ -158,9 +138,16 @@
 }
 
 gboolean wb_engine_is_open(const wb_engine_t *engine, int64_t now_ms) {
+    if (engine->closed_from_ms != 0 && now_ms >= engine->closed_from_ms) {
+        return FALSE;
+    }
     return engine->leaving_ms == 0 || (engine->gone && now_ms < engine->use_until_ms);
 }
 
+gboolean wb_engine_stays(const wb_engine_t *engine) {
+    return engine->leaving_ms == 0 && engine->closed_from_ms == 0;
+}
+
 void wb_fleet_remove(wb_fleet_t *fleet, const char *id, int64_t use_until_ms) {
     wb_engine_t *engine = wb_fleet_find(fleet, id);
     if (engine == NULL)
@@ -275,7 +262,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_engine_t *engine = value;
         const char *id = engine->state->id;
-        uint64_t engine_hash = XXH64(id, strlen(id), engine->leaving_ms != 0);
+        uint64_t told = (uint64_t)(engine->leaving_ms != 0) + 2 * (uint64_t)engine->state->born_ms;
+        uint64_t engine_hash = XXH64(id, strlen(id), told);
         digest += engine_hash + models_digest(engine, engine_hash, now_ms);
     }
     return digest;
@@ -316,40 +304,12 @@
     return held;
 }
 
-static gboolean models_contain(GHashTable *models, GHashTable *others) {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, others);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wb_engine_model_t *other = value;
-        const wb_engine_model_t *model = g_hash_table_lookup(models, other->name);
-        if (model == NULL ||
-            g_hash_table_size(model->adapters) != g_hash_table_size(other->adapters)) {
-            return FALSE;
-        }
-        GHashTableIter adapters;
-        gpointer adapter;
-        g_hash_table_iter_init(&adapters, other->adapters);
-        while (g_hash_table_iter_next(&adapters, &adapter, NULL)) {
-            if (!g_hash_table_contains(model->adapters, adapter)) {
-                return FALSE;
-            }
-        }
-    }
-    return TRUE;
-}
-
-gboolean wb_engine_state_holds_same(const wb_engine_state_t *left, const wb_engine_state_t *right) {
-    return g_hash_table_size(left->models) == g_hash_table_size(right->models) &&
-           models_contain(left->models, right->models);
-}
-
 gboolean wb_fleet_holds(const wb_fleet_t *fleet, const char *service, const char *model,
                         const char *adapter, int64_t now_ms) {
     const GPtrArray *engines = wb_fleet_service(fleet, service);
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (engine->leaving_ms == 0 && wb_engine_holds(engine, model, adapter, now_ms)) {
+        if (wb_engine_stays(engine) && wb_engine_holds(engine, model, adapter, now_ms)) {
             return TRUE;
         }
     }
--- a/src/pace/pace_book.c
+++ b/src/pace/pace_book.c
@@ -208,6 +208,10 @@
     return *(const int64_t *)context - ((const wb_book_engine_t *)value)->used_ms > ENGINE_LIFE_MS;
 }
 
+void wb_pace_book_forget(wb_pace_book_t *book, const char *engine) {
+    g_hash_table_remove(book->engines, engine);
+}
+
 void wb_pace_book_sweep(wb_pace_book_t *book, int64_t now_ms) {
     g_hash_table_foreach_remove(book->engines, engine_is_old, &now_ms);
 }
--- a/src/pace/pace_book.h
+++ b/src/pace/pace_book.h
@@ -67,6 +67,8 @@
 GArray *wb_pace_book_told(const wb_pace_book_t *book);
 /** Nobody was told anything by this node yet: another one kept the book. */
 void wb_pace_book_tell_all(wb_pace_book_t *book);
+/** The engine has started again: what was heard of it and sent there before counts no more. */
+void wb_pace_book_forget(wb_pace_book_t *book, const char *engine);
 /** Forget engines that weren't reported for long. */
 void wb_pace_book_sweep(wb_pace_book_t *book, int64_t now_ms);
 
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -33,8 +33,17 @@
     return wb_json_integer(engine->options, name, fallback);
 }
 
+/* Everything that it says of itself tells when it started. */
+static void born_tell(const wb_estate_engine_t *engine, json_t *object) {
+    json_object_set_new(object, "born", json_integer((json_int_t)engine->born_ms));
+}
+
+void wb_estate_engine_set_option(wb_estate_engine_t *engine, const char *name, int64_t value) {
+    json_object_set_new(engine->options, name, json_integer((json_int_t)value));
+}
+
 void wb_estate_engine_announce(wb_estate_engine_t *engine) {
-    if (engine->ended)
+    if (engine->ended || wb_estate_engine_option(engine, "quiet", 0) != 0)
         return;
     int64_t own_port = wb_http_listener_port(engine->listener);
     g_autofree char *address = g_strdup_printf(
@@ -43,8 +52,10 @@
                             wb_json_text(engine->options, "service", "engines"), "address", address,
                             "zone", wb_json_text(engine->options, "zone", "zone-1"), "version",
                             "v1", "slots", (int)wb_estate_engine_option(engine, "slots", 8),
-                            "state", engine->leaving ? "draining" : "ready", "coldRemainingMs", 0,
-                            "sequence", (json_int_t)++engine->beats, "models", engine->models);
+                            "state", engine->leaving ? "draining" : "ready", "coldRemainingMs",
+                            (int)wb_estate_engine_option(engine, "cold_ms", 0), "sequence",
+                            (json_int_t)++engine->beats, "models", engine->models);
+    born_tell(engine, row);
     char *text = wb_json_dump(row);
     wb_estate_store_put(engine->store, "servers", engine->id, text);
     free(text);
@@ -103,13 +114,16 @@
     engine_down(engine);
     json_array_append_new(engine->seen->crashes, json_pack("{s:s, s:I}", "engine", engine->id,
                                                            "at_ms", (json_int_t)wb_clock_ms()));
+    engine->restart = wb_loop_after(engine->loop, wb_estate_engine_option(engine, "back_ms", 600),
+                                    engine_restart, engine);
+    if (wb_estate_engine_option(engine, "same_id", 0) != 0) {
+        return; /* the next start writes the row before it lapses */
+    }
     wb_estate_lapse_t *lapse = g_new0(wb_estate_lapse_t, 1);
     lapse->store = engine->store;
     lapse->id = g_strdup(engine->id);
     wb_loop_after(engine->loop, LAPSE_BEATS * wb_estate_engine_option(engine, "beat_ms", 300),
                   row_lapses, lapse);
-    engine->restart = wb_loop_after(engine->loop, wb_estate_engine_option(engine, "back_ms", 600),
-                                    engine_restart, engine);
 }
 
 static void run_free(gpointer data) {
@@ -273,6 +287,7 @@
         json_pack("{s:s, s:O, s:b, s:I, s:i, s:i}", "stage", "both", "models", engine->models,
                   "busy", engine->busy, "sequence", (json_int_t)engine->sequence, "queued", 0,
                   "running", (int)g_hash_table_size(engine->runs));
+    born_tell(engine, report);
     char *text = wb_json_dump(report);
     wb_http_connection_answer(connection, 200, "OK", "Content-Type: application/json\r\n", text,
                               strlen(text));
@@ -299,15 +314,19 @@
     g_hash_table_remove(engine->runs, connection);
 }
 
-/* Begins to listen and to announce itself, under an id of its own at each start. */
+/* Begins to listen and to announce itself, under an id of its own at each start unless it is to
+ * keep it. */
 static void engine_open(wb_estate_engine_t *engine) {
     static const wb_http_limits_t limits = {65536, 8 * 1024 * 1024, 30000, 600000};
     wb_http_handler_t handler = {engine_request, engine_gone, NULL, engine};
     wb_error_t error;
+    gboolean same_id = wb_estate_engine_option(engine, "same_id", 0) != 0;
     engine->starts++;
+    engine->born_ms = g_get_real_time() / 1000;
     g_free(engine->id);
-    engine->id = engine->starts == 1 ? g_strdup(engine->name)
-                                     : g_strdup_printf("%s.%u", engine->name, engine->starts);
+    engine->id = engine->starts == 1 || same_id
+                     ? g_strdup(engine->name)
+                     : g_strdup_printf("%s.%u", engine->name, engine->starts);
     g_autofree char *listen = g_strdup_printf("127.0.0.1:%u", engine->port);
     if (wb_http_listener_open(engine->loop, listen, &handler, &limits, &engine->listener, &error) !=
         APR_SUCCESS)
--- a/standins/estate/engine_inner.h
+++ b/standins/estate/engine_inner.h
@@ -17,11 +17,13 @@
     char *name; /* that it keeps when it starts again */
     char *id;
     unsigned starts;
-    unsigned port; /* 0: any */
+    int64_t born_ms; /* of this start, Unix ms */
+    unsigned port;   /* 0: any */
     wb_timer_t *crash;
     wb_timer_t *restart;
     json_t *options; /* service, zone, models, work_ms, event_ms, events, load_ms, weights_mb,
-                        adapter_slots, back_ms */
+                        adapter_slots, back_ms, same_id (1: it starts again under its id), cold_ms,
+                        quiet (1: it doesn't announce itself) */
     json_t *models;  /* [{name, version, adapters}] */
     int64_t sequence;
     int64_t beats;
@@ -52,8 +54,4 @@
 void wb_estate_engine_order(wb_estate_engine_t *engine, wb_http_connection_t *connection,
                             const wb_http_head_t *head, const GByteArray *body);
 
-/* engine.c */
-/** It ends at once; another start of it comes some time later. */
-void wb_estate_engine_crash(wb_estate_engine_t *engine);
-
 #endif
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -40,12 +40,16 @@
 
 /* Engines: engine.c. A request whose body begins with "crash" crashes the engine that runs it;
  * another start of it comes `back_ms` later at the same address, empty and with an id of its own:
- * NAME.2, NAME.3 and so on. */
+ * NAME.2, NAME.3 and so on; with the option `same_id` under the id that it had. */
 /** @param row members of the engine's row besides those that it fills in itself */
 wb_estate_engine_t *wb_estate_engine_start(wb_loop_t *loop, wb_estate_store_t *store,
                                            wb_estate_seen_t *seen, const char *id, json_t *options);
 void wb_estate_engine_stop(wb_estate_engine_t *engine, gboolean announce);
 void wb_estate_engine_set_leaving(wb_estate_engine_t *engine);
+/** It ends at once; another start of it comes some time later. */
+void wb_estate_engine_crash(wb_estate_engine_t *engine);
+/** Set an option, which counts from now on. */
+void wb_estate_engine_set_option(wb_estate_engine_t *engine, const char *name, int64_t value);
 /** From now on it crashes at the end of each load of this model. */
 void wb_estate_engine_set_crash_model(wb_estate_engine_t *engine, const char *model);
 /** From now on no request crashes it. */
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -58,6 +58,11 @@
     else if (strcmp(verb, "engine-pace") == 0)
         wb_estate_engine_set_pace(engine, wb_json_text(call, "told", ""),
                                   wb_json_integer(call, "percent", 100));
+    else if (strcmp(verb, "engine-crash") == 0)
+        wb_estate_engine_crash(engine);
+    else if (strcmp(verb, "engine-option") == 0)
+        wb_estate_engine_set_option(engine, wb_json_text(call, "name", ""),
+                                    wb_json_integer(call, "value", 0));
     else if (strcmp(verb, "engine-harden") == 0)
         wb_estate_engine_harden(engine);
     else if (strcmp(verb, "engine-leave") == 0)
--- /dev/null
+++ b/tests/edge/test_engines.c
@@ -0,0 +1,141 @@
+/* Engines that start again under their id, and rows that another writer puts among theirs. */
+#include "edge.h"
+
+#include <string.h>
+
+/* From the row that shows another start to the last request for what only the earlier one held. */
+#define DROPPED_MS 1500
+
+static int asked(const estate_t *estate, int node, const char *path, const char *id,
+                 const char *headers) {
+    wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, path, id, headers);
+    int status = answer->status;
+    wire_answer_free(answer);
+    return status;
+}
+
+static void engine_row(const estate_t *estate, const char *key, const char *value) {
+    json_t *call = json_pack("{s:s, s:s, s:s, s:s}", "do", "put", "table", "servers", "key", key,
+                             "value", value);
+    char *text = json_dumps(call, JSON_COMPACT);
+    estate_do(estate, "%s", text);
+    free(text);
+    json_decref(call);
+}
+
+static void engine_keeps_id(const estate_t *estate, const char *engine, int back_ms) {
+    estate_do(estate,
+              "{\"do\":\"engine-option\",\"engine\":\"%s\",\"name\":\"same_id\",\"value\":1}",
+              engine);
+    estate_do(estate,
+              "{\"do\":\"engine-option\",\"engine\":\"%s\",\"name\":\"back_ms\",\"value\":%d}",
+              engine, back_ms);
+}
+
+/* Only llm-2 holds m2. It crashes and is back under its id before its row could lapse, empty. A
+ * node must know so from its row, send nothing there for m2, and have m2 loaded. */
+static void test_start_under_a_known_id(void) {
+    estate_t *estate = estate_start(2, NULL);
+    g_assert_cmpint(asked(estate, 0, "/chat/x", "r1", EDGE_MODEL("m2")), ==, 200);
+    engine_keeps_id(estate, "llm-2", 100);
+    estate_do(estate, "{\"do\":\"engine-crash\",\"engine\":\"llm-2\"}");
+    g_usleep(DROPPED_MS * 1000);
+    for (int node = 0; node < 2; node++) {
+        g_assert_true(estate_log_has(estate, node, "\"event\":\"engine-restarted\""));
+    }
+    double rejections = estate_metric(estate, 0, "rejections_total");
+    g_assert_cmpint(asked(estate, 0, "/chat/x", "r2", EDGE_MODEL("m2")), ==, 200);
+    g_assert_cmpfloat(estate_metric(estate, 0, "rejections_total"), ==, rejections);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m2"), >=, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* Twice within two seconds: the room of the first start is no room taken at the last. */
+static void test_starts_twice(void) {
+    estate_t *estate = estate_start(1, NULL);
+    engine_keeps_id(estate, "llm-2", 50);
+    for (int i = 0; i < 2; i++) {
+        estate_do(estate, "{\"do\":\"engine-crash\",\"engine\":\"llm-2\"}");
+        g_usleep(900000);
+    }
+    g_usleep(600000);
+    static const char *const models[] = {EDGE_MODEL("m3"), EDGE_MODEL("m4"), EDGE_MODEL("m5")};
+    for (gsize i = 0; i < G_N_ELEMENTS(models); i++) {
+        g_autofree char *id = g_strdup_printf("w%zu", i);
+        g_assert_cmpint(asked(estate, 0, "/chat/x", id, models[i]), ==, 200);
+    }
+    g_assert_cmpfloat(estate_metric(estate, 0, "engine_restarts_total"), ==, 2);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* A request that its engine answers nothing for any more ends when the engine's next start is
+ * known, not when its time is over: a request that may run again goes on elsewhere. */
+static void test_what_ran_there_ends(void) {
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"llm-1\"}");
+    g_usleep(600000);
+    engine_keeps_id(estate, "llm-2", 100);
+    estate_do(estate, "{\"do\":\"engine-fault\",\"engine\":\"llm-2\",\"fault\":\"mute\"}");
+    wire_t *wire = wire_open(estate->nodes[0].callers_port);
+    int64_t began_ms = harness_now_ms();
+    wire_post(wire, "/note/x", "mute", EDGE_MODEL("m2"), "hello");
+    g_usleep(300000);
+    estate_do(estate, "{\"do\":\"engine-crash\",\"engine\":\"llm-2\"}");
+    wire_answer_t *answer = wire_read(wire, 10000);
+    g_assert_cmpint(answer->status, ==, 502);
+    g_assert_cmpint(harness_now_ms() - began_ms, <, 3000);
+    wire_answer_free(answer);
+    wire_close(wire);
+    estate_stop(estate);
+}
+
+/* Rows of another writer name no engine to use; the others hold. A good row that turns bad takes
+ * its engine out, and one that turns good again brings it back. */
+static void test_rows_of_another_writer(void) {
+    static const char *const bad[] = {
+        "{}",
+        "{\"service\":\"lock\",\"address\":7}",
+        "not JSON",
+        "[[[[[[",
+        "{\"state\":\"asleep\"}",
+        "{\"service\":\"lock\",\"address\":\"127.0.0.1:1\",\"zone\":\"zone-1\",\"slots\":8,"
+        "\"state\":\"ready\",\"sequence\":1}"};
+    estate_t *estate = estate_start(2, "--drain-ms=1000");
+    for (gsize i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_autofree char *key = g_strdup_printf("foreign-%zu", i);
+        engine_row(estate, key, bad[i]);
+    }
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
+                      "\"value\":1}");
+    engine_row(estate, "lock-1", "{\"service\":\"lock\"}");
+    g_usleep(1500000);
+    for (int i = 0; i < 20; i++) {
+        g_autofree char *id = g_strdup_printf("o%d", i);
+        g_assert_cmpint(asked(estate, i % 2, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+    }
+    json_t *seen = estate_seen(estate);
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run)
+        g_assert_cmpstr(json_string_value(json_object_get(run, "engine")), ==, "lock-2");
+    json_decref(seen);
+    g_assert_true(estate_log_has(estate, 0, "\"event\":\"engine-row-refused\""));
+    g_assert_cmpfloat(estate_metric(estate, 0, "broken_sends_total"), ==, 0);
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
+                      "\"value\":0}");
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-2\"}");
+    g_usleep(1500000);
+    g_assert_cmpint(asked(estate, 0, "/lock/x", "back", EDGE_DEADLINE), ==, 200);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/engines/start-under-a-known-id", test_start_under_a_known_id);
+    g_test_add_func("/edge/engines/starts-twice", test_starts_twice);
+    g_test_add_func("/edge/engines/what-ran-there-ends", test_what_ran_there_ends);
+    g_test_add_func("/edge/engines/rows-of-another-writer", test_rows_of_another_writer);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -108,8 +108,71 @@
     g_assert_cmpuint(wb_fleet_digest(left, now_ms), ==, wb_fleet_digest(right, now_ms));
 }
 
+static wb_engine_t *start_announce(wb_fleet_t *fleet, int64_t born_ms) {
+    wb_engine_state_t *state = wb_engine_state_create("e1");
+    state->service = g_strdup("llm");
+    wb_engine_state_set_born(state, born_ms);
+    return wb_fleet_announce(fleet, state);
+}
+
+/* An engine that starts again under its id is another one: it holds nothing of before, nothing runs
+ * there, and what was sent to the earlier start stays with that. */
+static void test_start_under_a_known_id(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_t *before = wb_engine_ref(start_announce(fleet, 1000));
+    wb_engine_state_add_model(before->state, "m1", 1);
+    wb_engine_note(before, "m2", "", TRUE, now_ms, 100, 60000);
+    before->running = 7;
+    before->failures = 3;
+    uint64_t digest = wb_fleet_digest(fleet, now_ms);
+    wb_engine_t *after = start_announce(fleet, 2000);
+    g_assert_true(after != before);
+    g_assert_true(wb_fleet_find(fleet, "e1") == after);
+    g_assert_cmpstr(after->state->incarnation, ==, "e1@2000");
+    g_assert_false(wb_engine_holds(after, "m1", "", now_ms));
+    g_assert_false(wb_engine_holds(after, "m2", "", now_ms));
+    g_assert_cmpuint(after->running, ==, 0);
+    g_assert_cmpuint(after->failures, ==, 0);
+    g_assert_false(wb_engine_is_open(before, now_ms));
+    g_assert_true(wb_engine_is_open(after, now_ms));
+    g_assert_cmpuint(wb_fleet_digest(fleet, now_ms), !=, digest);
+    wb_engine_unref(before);
+}
+
+/* A row that comes late, of an earlier start, changes nothing: neither while the later one is
+ * announced nor when that is gone. */
+static void test_earlier_start_changes_nothing(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    wb_engine_t *engine = start_announce(fleet, 2000);
+    wb_engine_state_add_model(engine->state, "m1", 1);
+    g_assert_null(start_announce(fleet, 1000));
+    g_assert_true(wb_fleet_find(fleet, "e1") == engine);
+    g_assert_true(wb_engine_holds(engine, "m1", "", wb_clock_ms()));
+    wb_fleet_remove(fleet, "e1", 0);
+    g_assert_null(start_announce(fleet, 1999));
+    g_assert_null(wb_fleet_find(fleet, "e1"));
+    g_assert_true(start_announce(fleet, 2000) == engine);
+    g_assert_true(start_announce(fleet, 2001) != engine);
+}
+
+/* Several times within the time for which gone engines are kept. */
+static void test_starts_in_quick_succession(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    for (int64_t born_ms = 1000; born_ms <= 5000; born_ms += 1000) {
+        const wb_engine_t *engine = start_announce(fleet, born_ms);
+        g_assert_cmpint(engine->state->born_ms, ==, born_ms);
+    }
+    wb_fleet_remove(fleet, "e1", 0);
+    g_assert_null(start_announce(fleet, 4000));
+    g_assert_cmpuint(wb_fleet_service(fleet, "llm")->len, ==, 5);
+}
+
 static void tests_add(void) {
     g_test_add_func("/fleet/digest", test_digest);
+    g_test_add_func("/fleet/start-under-a-known-id", test_start_under_a_known_id);
+    g_test_add_func("/fleet/earlier-start-changes-nothing", test_earlier_start_changes_nothing);
+    g_test_add_func("/fleet/starts-in-quick-succession", test_starts_in_quick_succession);
     g_test_add_func("/fleet/holdings", test_holdings);
     g_test_add_func("/fleet/news-yield-to-later-rows", test_news_yield_to_later_rows);
     g_test_add_func("/fleet/gone-since-last-known", test_gone_since_last_known);
