Evacuation of zones: nothing new to their engines, and elsewhere what stands there alone

Change: a zone's row closes its engines: at once for placement (they count as no replica, so what is waited for is loaded elsewhere), for gateways once what evacuate-ms leaves beyond catalog-ms has passed, less a quarter for what is under way; until then they get what no other engine can take. The lease's holder tells all that it knows of zones with each of its news, under a table number that older nodes pass over, so nodes that the store turns away know it too.

Ruled out: telling the row as a row of the catalog: a gateway that took it would believe to know the newest version of that table, and would miss a configuration written just before it.

Tests: /fleet/evacuated-zone, /edge/zones (3).

--- a/include/wickbridge/dialect.h
+++ b/include/wickbridge/dialect.h
@@ -51,7 +51,9 @@
     char *(*order_body)(const wb_order_t *order);
     wb_engine_state_t *(*report_parse)(const char *engine_id, const char *body, size_t length);
     /* Rows of the store. */
-    const char *catalog_key; /**< key of the row that holds the whole configuration */
+    const char *catalog_key;       /**< key of the row that holds the whole configuration */
+    const char *evacuation_prefix; /**< of keys in the same table: a zone follows, which is being
+                                      evacuated as long as the row is there. NULL: there are none */
     wb_catalog_t *(*catalog_parse)(const guchar *value, gsize length, wb_error_t *error);
     /** @return NULL, with the reason, for a row that names no engine to use: anybody may write one
      */
--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -31,6 +31,7 @@
     double stop_grace_s;
     int64_t drain_ms;
     int64_t catalog_ms;
+    int64_t evacuate_ms;
     int64_t engine_heartbeat_ms;
     int64_t lease_quiet_ms;
     int64_t lease_duration_ms;
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -31,6 +31,7 @@
     uint64_t engine_crashes;
     uint64_t engine_restarts;     /**< starts of engines that were known by their id */
     uint64_t engine_rows_refused; /**< rows that name no engine to use */
+    uint64_t evacuations;         /**< of zones */
     uint64_t waits;
     uint64_t connections_opened;
     uint64_t connections_reused;
@@ -61,6 +62,7 @@
     unsigned open_requests;
     unsigned waiting_requests;
     unsigned nodes;
+    unsigned evacuated_zones;
     unsigned suspected_requests; /**< different ones, by what they ask for */
     unsigned poison_requests;    /**< the same */
     gboolean holds_lease;
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -131,6 +131,18 @@
  * is named ("": none) */
 gboolean wb_fleet_holds(const wb_fleet_t *fleet, const char *service, const char *model,
                         const char *adapter, int64_t now_ms);
+/**
+ * A zone is being evacuated.
+ * @param from_ms steady time from which its engines get nothing new, those that come later too;
+ * until then they get what no other engine can take
+ * @return engines of that zone
+ */
+unsigned wb_fleet_close_zone(wb_fleet_t *fleet, const char *zone, int64_t from_ms);
+/** That is taken back. @return engines of that zone */
+unsigned wb_fleet_open_zone(wb_fleet_t *fleet, const char *zone);
+gboolean wb_fleet_zone_is_closed(const wb_fleet_t *fleet, const char *zone);
+/** @return zones that are being evacuated */
+unsigned wb_fleet_closed_zones(const wb_fleet_t *fleet);
 /** Forget engines that have been gone for some time. */
 void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms);
 
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -33,7 +33,7 @@
     place.speed = controller->settings->engine_pace != 0
                       ? 1 / wb_engine_pace_usual(&engine->pace, now_ms)
                       : 1;
-    place.available = engine->leaving_ms == 0 && now_ms >= engine->avoid_until_ms;
+    place.available = wb_engine_stays(engine) && now_ms >= engine->avoid_until_ms;
     if (orders != NULL) {
         place.state = wb_engine_orders_state(orders);
         place.busy_ms = wb_engine_orders_busy_ms(orders);
@@ -41,13 +41,13 @@
     }
     place.busy_ms +=
         (double)controller->events.blocked_ms(engine->state->id, controller->events.context);
-    if (orders != NULL && engine->leaving_ms == 0) {
+    if (orders != NULL && wb_engine_stays(engine)) {
         wb_loading_scene_t scene = {controller, snapshot->service, &place};
         wb_engine_orders_each(orders, loading_count, &scene);
     }
     g_array_append_val(snapshot->engines, place);
     snapshot->power.slots = MAX(snapshot->power.slots, engine->state->slots);
-    if (engine->leaving_ms != 0)
+    if (!wb_engine_stays(engine))
         return;
     GHashTableIter iter;
     gpointer name;
--- a/src/edge/attempt.c
+++ b/src/edge/attempt.c
@@ -86,7 +86,7 @@
 static void upstream_rest(wb_upstream_t *upstream, const wb_attempt_t *attempt) {
     gboolean keep = !attempt->tainted && attempt->keep_alive &&
                     wb_tcp_stream_unsent(upstream->stream) == 0 && !upstream->engine->gone &&
-                    upstream->engine->leaving_ms == 0 &&
+                    wb_engine_stays(upstream->engine) &&
                     upstream->engine->idle.len < KEPT_PER_ENGINE;
     int64_t keep_for_ms =
         attempt->keep_for_ms > 0 ? attempt->keep_for_ms - KEEP_ALIVE_MARGIN_MS : KEPT_UNTOLD_MS;
@@ -415,7 +415,7 @@
         const GPtrArray *engines = wb_fleet_service(edge->fleet, service);
         for (guint i = 0; engines != NULL && i < engines->len; i++) {
             wb_engine_t *engine = g_ptr_array_index(engines, i);
-            idle_sweep(engine, engine->leaving_ms != 0, now_ms);
+            idle_sweep(engine, !wb_engine_stays(engine), now_ms);
         }
     }
 }
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -115,7 +115,7 @@
         cost += AVOIDED_MS;
     if (now_ms < engine->rejected_until_ms)
         cost += REJECTED_COST_MS;
-    if (engine->leaving_ms != 0)
+    if (!wb_engine_stays(engine))
         cost += LEAVING_MS;
     return cost;
 }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -233,6 +233,7 @@
     created->placements = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
+    created->zones = wb_edge_node_zones_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->quota_book = wb_quota_book_create();
     created->quota_row = g_byte_array_new();
@@ -267,6 +268,7 @@
     wb_edge_settings_t *own = &node->edge.settings;
     own->stop_grace_s = settings->stop_grace_s;
     own->drain_ms = settings->drain_ms;
+    own->evacuate_ms = settings->evacuate_ms;
     own->retry_slack = settings->retry_slack;
     own->connect_timeout_ms = settings->connect_timeout_ms;
     own->silence_limit_ms = settings->silence_limit_ms;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -46,10 +46,11 @@
     wb_http_listener_t *operators;
     wb_lease_t *lease;
     wb_controller_t *controller;
-    GHashTable *nodes;                       /* id -> wb_node_row_t */
-    gboolean births_told;                    /* some engine has told when it started: all do */
-    unsigned rows_refused;                   /* rows of engines, not yet logged */
-    int64_t rows_refused_ms;                 /* when a log line last told of them */
+    GHashTable *nodes;       /* id -> wb_node_row_t */
+    GHashTable *zones;       /* zone that was ever evacuated -> private to node_zones.c */
+    gboolean births_told;    /* some engine has told when it started: all do */
+    unsigned rows_refused;   /* rows of engines, not yet logged */
+    int64_t rows_refused_ms; /* when a log line last told of them */
     gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
     gboolean node_row_written;
     gboolean node_row_writing;
@@ -132,6 +133,20 @@
 /** Rows of engines were taken. @param context the node */
 void wb_edge_node_engine_batch(gboolean whole, void *context);
 
+/* node_zones.c */
+/** Take a row of the catalog's table that says which zone is being evacuated. @return FALSE when it
+ * doesn't say that */
+gboolean wb_edge_node_zone_row(wb_edge_node_t *node, const wb_table_row_t *row);
+GHashTable *wb_edge_node_zones_create(void);
+/** Number of a table in news that tell of zones; no table of the store has it, so that nodes which
+ * don't know it pass over such rows. */
+#define WB_NEWS_ZONES 100
+/** Append what is known of zones to rows of news, with texts of their own. @param rows of
+ * wb_wire_table_row */
+void wb_edge_node_zones_tell(const wb_edge_node_t *node, GArray *rows);
+/** The lease's holder has told of a zone. */
+void wb_edge_node_zone_told(wb_edge_node_t *node, const wb_wire_table_row *wire);
+
 /* node_lease.c */
 void wb_edge_node_open_lease(wb_edge_node_t *node);
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row);
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -35,6 +35,7 @@
         .open_requests = g_hash_table_size(edge->open),
         .waiting_requests = edge->waiting.len,
         .nodes = edge->node_count,
+        .evacuated_zones = wb_fleet_closed_zones(edge->fleet),
         .suspected_requests = wb_poison_book_count(edge->poison, WB_POISON_SUSPECT),
         .poison_requests = wb_poison_book_count(edge->poison, WB_POISON_REFUSED),
         .holds_lease = node->held,
@@ -119,12 +120,12 @@
         const wb_engine_t *engine = g_ptr_array_index(engines, i);
         if (!wb_engine_holds(engine, model, "", now_ms))
             continue;
-        json_array_append_new(replicas, json_pack("{s:s, s:s, s:i, s:f, s:b, s:b}", "engine",
-                                                  engine->state->id, "zone", engine->state->zone,
-                                                  "running", (int)engine->running, "window",
-                                                  (double)engine->state->slots, "leaving",
-                                                  engine->leaving_ms != 0, "avoided",
-                                                  now_ms < engine->avoid_until_ms));
+        json_array_append_new(
+            replicas,
+            json_pack("{s:s, s:s, s:i, s:f, s:b, s:b, s:b}", "engine", engine->state->id, "zone",
+                      engine->state->zone, "running", (int)engine->running, "window",
+                      (double)engine->state->slots, "leaving", engine->leaving_ms != 0, "evacuated",
+                      engine->closed_from_ms != 0, "avoided", now_ms < engine->avoid_until_ms));
     }
     return replicas;
 }
@@ -272,7 +273,7 @@
                                         engine->state->id, "machine", engine->state->address,
                                         "slot", held, "model", held ? "loaded" : "not loaded",
                                         "free_bytes", (json_int_t)(free_mb * BYTES_PER_MB),
-                                        "usable", engine->leaving_ms == 0));
+                                        "usable", wb_engine_stays(engine)));
     }
     return json_pack(
         "{s:i, s:i, s:i, s:f, s:I, s:o}", "slots", use != NULL ? (int)use->replicas : 0, "waiting",
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -29,6 +29,9 @@
         "Time after which an engine that leaves must get no more requests"),
     ROW("catalog-ms", WB_SETTING_INTEGER, "ms", 1, 3600000, "2000", catalog_ms,
         "Time within which a change of the configuration must be in force"),
+    ROW("evacuate-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "0", evacuate_ms,
+        "Time after which engines of a zone that is evacuated must get no more requests; what is "
+        "beyond catalog-ms is used to load elsewhere what they alone hold"),
     ROW("engine-heartbeat-ms", WB_SETTING_INTEGER, "ms", 1, 3600000, "1200", engine_heartbeat_ms,
         "Time between the announcements of an engine"),
     ROW("lease-quiet-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "3000", lease_quiet_ms,
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -157,6 +157,7 @@
     wb_lease_row_t in_short = wb_edge_node_lease_in_short(lease);
     news->lease = wb_edge_node_lease_to_wire(&in_short);
     news->lease_version = (uint64_t)wb_lease_version(node->lease);
+    wb_edge_node_zones_tell(node, node->news_rows);
     news->rows.rows_len = node->news_rows->len;
     news->rows.rows_val = (wb_wire_table_row *)(void *)node->news_rows->data;
     news->look = node->news_look;
@@ -206,6 +207,10 @@
 }
 
 static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire) {
+    if (wire->table == WB_NEWS_ZONES) {
+        wb_edge_node_zone_told(node, wire);
+        return;
+    }
     wb_table_watch_t *watch = wb_edge_node_watch(node, wire->table);
     wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
                           wire->value.value_len, (int64_t)wire->row_version};
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -83,6 +83,8 @@
 
 static void catalog_row(const wb_table_row_t *row, void *context) {
     wb_edge_node_t *node = context;
+    if (wb_edge_node_zone_row(node, row))
+        return;
     if (strcmp(row->key, node->edge.dialect->catalog_key) == 0 && row->value != NULL)
         wb_catalog_reader_take(node->catalog_reader, row);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -20,6 +20,7 @@
 struct wb_fleet_t {
     GHashTable *engines;  /* id -> wb_engine_t, announced */
     GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
+    GHashTable *closed;   /* zone that is being evacuated -> int64_t *, as closed_from_ms */
 };
 
 wb_engine_t *wb_engine_ref(wb_engine_t *engine) {
@@ -42,6 +43,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_engine_unref);
     fleet->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    fleet->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return fleet;
 }
 
@@ -54,6 +56,14 @@
     return engines;
 }
 
+/* Sets from when on an engine gets nothing new by its zone. */
+static void zone_apply(const wb_fleet_t *fleet, wb_engine_t *engine) {
+    const int64_t *from_ms = engine->state->zone != NULL
+                                 ? g_hash_table_lookup(fleet->closed, engine->state->zone)
+                                 : NULL;
+    engine->closed_from_ms = from_ms != NULL ? *from_ms : 0;
+}
+
 static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = g_new0(wb_engine_t, 1);
     engine->references = 1;
@@ -61,6 +71,7 @@
     engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     wb_list_init(&engine->idle);
+    zone_apply(fleet, engine);
     g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
     g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
     return engine;
@@ -120,6 +131,7 @@
     } else {
         engine_return(fleet, engine);
         engine_take(engine, state);
+        zone_apply(fleet, engine);
     }
     int64_t now_ms = wb_clock_ms();
     g_hash_table_foreach_remove(engine->overlay, note_is_settled, &now_ms);
@@ -171,6 +183,43 @@
     return fleet->engines;
 }
 
+/* Sets what has changed for the engines of a zone. Returns how many there are. */
+static unsigned zone_apply_to_all(const wb_fleet_t *fleet, const char *zone) {
+    unsigned count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->services);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const GPtrArray *engines = value;
+        for (guint i = 0; i < engines->len; i++) {
+            wb_engine_t *engine = g_ptr_array_index(engines, i);
+            if (g_strcmp0(engine->state->zone, zone) == 0) {
+                zone_apply(fleet, engine);
+                count += !engine->gone;
+            }
+        }
+    }
+    return count;
+}
+
+unsigned wb_fleet_close_zone(wb_fleet_t *fleet, const char *zone, int64_t from_ms) {
+    g_hash_table_replace(fleet->closed, g_strdup(zone), g_memdup2(&from_ms, sizeof(from_ms)));
+    return zone_apply_to_all(fleet, zone);
+}
+
+unsigned wb_fleet_open_zone(wb_fleet_t *fleet, const char *zone) {
+    g_hash_table_remove(fleet->closed, zone);
+    return zone_apply_to_all(fleet, zone);
+}
+
+gboolean wb_fleet_zone_is_closed(const wb_fleet_t *fleet, const char *zone) {
+    return g_hash_table_contains(fleet->closed, zone);
+}
+
+unsigned wb_fleet_closed_zones(const wb_fleet_t *fleet) {
+    return g_hash_table_size(fleet->closed);
+}
+
 void wb_fleet_sweep(wb_fleet_t *fleet, int64_t now_ms) {
     GHashTableIter iter;
     gpointer value;
--- /dev/null
+++ b/tests/edge/test_zones.c
@@ -0,0 +1,116 @@
+/* Zones that operators evacuate: nothing new reaches their engines, what stands there alone is
+ * loaded elsewhere, and once the zone is taken back its engines serve again. */
+#include "edge.h"
+
+#include <string.h>
+
+#define EVACUATE_MS 2500
+#define FLAGS "--catalog-ms=1500 --evacuate-ms=2500"
+
+static int asked(const estate_t *estate, int node, const char *path, const char *id,
+                 const char *headers) {
+    wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, path, id, headers);
+    int status = answer->status;
+    wire_answer_free(answer);
+    return status;
+}
+
+static void zone_evacuate(const estate_t *estate, const char *zone, gboolean evacuate) {
+    estate_do(estate, "{\"do\":\"put\",\"table\":\"op\",\"key\":\"evacuate/%s\"%s}", zone,
+              evacuate ? ",\"value\":\"{}\"" : "");
+}
+
+/* Runs at an engine that began after a time of the harness's clock. */
+static int runs_after(const estate_t *estate, const char *engine, int64_t after_ms) {
+    json_t *seen = estate_seen(estate);
+    int count = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        count += strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0 &&
+                 json_integer_value(json_object_get(run, "at_ms")) > after_ms;
+    }
+    json_decref(seen);
+    return count;
+}
+
+static void ask_all(const estate_t *estate, const char *name, int count) {
+    for (int i = 0; i < count; i++) {
+        g_autofree char *lock = g_strdup_printf("%s-lock-%d", name, i);
+        g_autofree char *chat = g_strdup_printf("%s-chat-%d", name, i);
+        g_assert_cmpint(asked(estate, i % estate->node_count, "/lock/x", lock, EDGE_DEADLINE), ==,
+                        200);
+        g_assert_cmpint(asked(estate, i % estate->node_count, "/chat/x", chat, EDGE_MODEL("m1")),
+                        ==, 200);
+    }
+}
+
+/* Only llm-1 in zone-1 holds m1. */
+static void test_evacuated_and_taken_back(void) {
+    estate_t *estate = estate_start(2, FLAGS);
+    ask_all(estate, "before", 4);
+    int64_t acknowledged_ms = harness_now_ms();
+    zone_evacuate(estate, "zone-1", TRUE);
+    while (harness_now_ms() < acknowledged_ms + EVACUATE_MS) {
+        ask_all(estate, "while", 1);
+    }
+    ask_all(estate, "after", 10);
+    g_assert_cmpint(runs_after(estate, "lock-1", acknowledged_ms + EVACUATE_MS), ==, 0);
+    g_assert_cmpint(runs_after(estate, "llm-1", acknowledged_ms + EVACUATE_MS), ==, 0);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m1"), >=, 1);
+    zone_evacuate(estate, "zone-1", FALSE);
+    g_usleep(1500000);
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-2\"}");
+    g_usleep(800000);
+    g_assert_cmpint(asked(estate, 0, "/lock/x", "back", EDGE_DEADLINE), ==, 200);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* One node can't reach the store, and the other, which holds the lease, tells it. */
+static void test_node_without_the_store(void) {
+    estate_t *estate = estate_start(2, FLAGS);
+    int holder = estate_wait_controller(estate, 5000);
+    g_usleep(700000);
+    estate_store_fault(estate, 1 - holder, "freeze", 0);
+    int64_t acknowledged_ms = harness_now_ms();
+    zone_evacuate(estate, "zone-1", TRUE);
+    g_usleep(EVACUATE_MS * 1000);
+    for (int i = 0; i < 10; i++) {
+        g_autofree char *id = g_strdup_printf("cut-%d", i);
+        g_assert_cmpint(asked(estate, 1 - holder, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+    }
+    g_assert_cmpint(runs_after(estate, "lock-1", acknowledged_ms + EVACUATE_MS), ==, 0);
+    estate_store_fault(estate, 1 - holder, "pass", 0);
+    estate_stop(estate);
+}
+
+/* A node that starts meanwhile knows no time of grace; with all zones evacuated requests are
+ * refused at once, as not run; a zone that isn't there harms nothing. */
+static void test_two_zones_and_a_start(void) {
+    estate_t *estate = estate_start(1, FLAGS);
+    zone_evacuate(estate, "zone-nowhere", TRUE);
+    zone_evacuate(estate, "zone-2", TRUE);
+    g_usleep(300000);
+    zone_evacuate(estate, "zone-1", TRUE);
+    g_usleep(EVACUATE_MS * 1000);
+    process_kill(&estate->nodes[0].process);
+    estate_node_launch(estate, 0);
+    estate_wait_ready(estate, 0);
+    int64_t began_ms = harness_now_ms();
+    g_assert_cmpint(asked(estate, 0, "/lock/x", "none", EDGE_DEADLINE), ==, 503);
+    g_assert_cmpint(harness_now_ms() - began_ms, <, 500);
+    g_assert_cmpint(estate_runs(estate, "none"), ==, 0);
+    zone_evacuate(estate, "zone-2", FALSE);
+    g_usleep(1500000);
+    g_assert_cmpint(asked(estate, 0, "/lock/x", "some", EDGE_DEADLINE), ==, 200);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/zones/evacuated-and-taken-back", test_evacuated_and_taken_back);
+    g_test_add_func("/edge/zones/node-without-the-store", test_node_without_the_store);
+    g_test_add_func("/edge/zones/two-zones-and-a-start", test_two_zones_and_a_start);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -168,8 +168,34 @@
     g_assert_cmpuint(wb_fleet_service(fleet, "llm")->len, ==, 5);
 }
 
+/* Engines of a zone that is evacuated get work until it is closed, and don't count as staying from
+ * the start; those that announce themselves later are of the zone, too. */
+static void test_evacuated_zone(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_state_t *state = wb_engine_state_create("e1");
+    state->service = g_strdup("llm");
+    state->zone = g_strdup("z1");
+    wb_engine_state_add_model(state, "m1", 1);
+    wb_engine_t *engine = wb_fleet_announce(fleet, state);
+    g_assert_cmpuint(wb_fleet_close_zone(fleet, "z1", now_ms + 1000), ==, 1);
+    g_assert_cmpuint(wb_fleet_close_zone(fleet, "nowhere", now_ms), ==, 0);
+    g_assert_true(wb_engine_is_open(engine, now_ms + 999));
+    g_assert_false(wb_engine_is_open(engine, now_ms + 1000));
+    g_assert_false(wb_engine_stays(engine));
+    g_assert_false(wb_fleet_holds(fleet, "llm", "m1", "", now_ms));
+    wb_engine_state_t *other = wb_engine_state_create("e2");
+    other->service = g_strdup("llm");
+    other->zone = g_strdup("z1");
+    g_assert_false(wb_engine_is_open(wb_fleet_announce(fleet, other), now_ms + 1000));
+    g_assert_cmpuint(wb_fleet_open_zone(fleet, "z1"), ==, 2);
+    g_assert_true(wb_engine_is_open(engine, now_ms + 2000));
+    g_assert_true(wb_engine_stays(engine));
+}
+
 static void tests_add(void) {
     g_test_add_func("/fleet/digest", test_digest);
+    g_test_add_func("/fleet/evacuated-zone", test_evacuated_zone);
     g_test_add_func("/fleet/start-under-a-known-id", test_start_under_a_known_id);
     g_test_add_func("/fleet/earlier-start-changes-nothing", test_earlier_start_changes_nothing);
     g_test_add_func("/fleet/starts-in-quick-succession", test_starts_in_quick_succession);
