Cold engines: what they bear in a second is dealt out among all nodes without a word

Cause: nothing read coldPerS, coldRemainingMs or the bounds.

Change: rows tell for how long an engine is cold; engines of a zone that is taken back count as cold for the service's time. Of what a cold engine bears (a quarter kept for nodes that others don't know yet) each node has a share by rendezvous hashing, counted over 1.1 s. Warm engines go first; where there is none the request waits for its turn or for the end of the cold time if that is in time, and no load is asked for meanwhile.

Weighed: shares by chance or a bucket a node (87 nodes with a request each break the bound of 14 in the first second); the tenants' book (it tells half a second late, the bound counts any second).

Tests: /cold-share (5; storm: 87 nodes at one moment), /edge/engines/cold.

--- a/include/wickbridge/catalog.h
+++ b/include/wickbridge/catalog.h
@@ -60,6 +60,8 @@
     GHashTable *models;  /**< name -> wb_model_spec_t; empty for services without models */
     double weights_mb;   /**< an engine's room for weights and adapters */
     int adapter_slots;
+    double cold_per_s; /**< requests a second that a cold engine bears; 0: as many as a warm one */
+    int64_t cold_start_ms; /**< time for which an engine is cold after its start */
     double loads_per_s;    /**< loads from the weight store, all engines together; 0: no limit */
     int64_t store_load_ms; /**< mean time of its models' loads from there, set by wb_catalog_seal */
 } wb_service_t;
--- /dev/null
+++ b/include/wickbridge/cold_share.h
@@ -0,0 +1,54 @@
+/**
+ * @file cold_share.h
+ * @brief How many requests a second this node may send to an engine that is cold.
+ *
+ * The load that it answers: an engine has just started, or a whole zone of them comes back, with
+ * models that stand nowhere else, and bears some requests a second at first (6.5, say) where all
+ * gateways together would send it more: who waited for the model comes in one moment. It falls over
+ * then. All gateways share what it bears, in touch or not, new or paused, so the share of each must
+ * hold without a word between them.
+ *
+ * Each engine's requests a second are dealt out among the nodes by rendezvous hashing: every node
+ * finds the same order of nodes for an engine, and as many as it bears requests have one each (or
+ * several, where there are fewer nodes than that). The others wait until it is warm, which takes
+ * seconds, or use another engine. Shares by chance would let more callers through on average, but
+ * 87 nodes with a request each at one moment would break the bound of 14 one time in some. Nodes
+ * that are gone keep their share until their rows go: then less is sent than may be.
+ *
+ * Pure: the time is passed in.
+ */
+#ifndef WICKBRIDGE_COLD_SHARE_H
+#define WICKBRIDGE_COLD_SHARE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/** What this node sent to a cold engine lately; all zeros: nothing. */
+typedef struct wb_cold_gate_t {
+    GArray *sent_ms; /**< steady times, oldest first; NULL: none */
+} wb_cold_gate_t;
+
+/**
+ * @param per_s requests a second that the engine bears from all nodes together
+ * @param nodes all nodes, with this one
+ * @param rank  nodes that come before this one, by wb_cold_rank
+ * @return requests a second for this node
+ */
+unsigned wb_cold_share(double per_s, unsigned nodes, unsigned rank);
+
+/**
+ * @param incarnation of the engine
+ * @param own         this node's id
+ * @param nodes       set of nodes' ids, with or without this one's
+ * @return nodes that come before this one for that engine
+ */
+unsigned wb_cold_rank(const char *incarnation, const char *own, GHashTable *nodes);
+
+/** @param share requests a second for this node
+ * @return steady time from which it may send another one; now_ms: it may now; G_MAXINT64: never */
+int64_t wb_cold_gate_opens_ms(const wb_cold_gate_t *gate, unsigned share, int64_t now_ms);
+/** It has sent one. */
+void wb_cold_gate_note(wb_cold_gate_t *gate, int64_t now_ms);
+void wb_cold_gate_clear(wb_cold_gate_t *gate);
+
+#endif
--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -32,6 +32,8 @@
     int64_t drain_ms;
     int64_t catalog_ms;
     int64_t evacuate_ms;
+    double cold_overage;
+    double cold_slack;
     int64_t engine_heartbeat_ms;
     int64_t lease_quiet_ms;
     int64_t lease_duration_ms;
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -31,6 +31,7 @@
     uint64_t engine_crashes;
     uint64_t engine_restarts;     /**< starts of engines that were known by their id */
     uint64_t engine_rows_refused; /**< rows that name no engine to use */
+    uint64_t cold_sends;          /**< sendings to engines that were cold */
     uint64_t evacuations;         /**< of zones */
     uint64_t waits;
     uint64_t connections_opened;
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -8,6 +8,7 @@
 #ifndef WICKBRIDGE_FLEET_H
 #define WICKBRIDGE_FLEET_H
 
+#include "wickbridge/cold_share.h"
 #include "wickbridge/engine_pace.h"
 #include "wickbridge/list.h"
 #include "wickbridge/loop.h"
@@ -57,13 +58,16 @@
 typedef struct wb_engine_t {
     int references;
     wb_engine_state_t *state;
-    gboolean gone;          /**< no longer announced */
-    int64_t leaving_ms;     /**< steady time since which it is leaving or gone; 0: it isn't */
-    int64_t use_until_ms;   /**< steady time until which a gone engine may still get work */
-    int64_t closed_from_ms; /**< steady time from which it gets nothing new, as its zone is being
-                               evacuated; 0: it isn't */
-    int64_t cold_until_ms;  /**< steady time until which it bears few requests; 0: it is warm */
-    GHashTable *overlay;    /**< MODEL/ADAPTER -> private; the controller's news */
+    gboolean gone;            /**< no longer announced */
+    int64_t leaving_ms;       /**< steady time since which it is leaving or gone; 0: it isn't */
+    int64_t use_until_ms;     /**< steady time until which a gone engine may still get work */
+    int64_t closed_from_ms;   /**< steady time from which it gets nothing new, as its zone is being
+                                 evacuated; 0: it isn't */
+    int64_t cold_until_ms;    /**< steady time until which it bears few requests; 0: it is warm */
+    wb_cold_gate_t cold_gate; /**< what this node sent there while it was cold */
+    unsigned cold_share;      /**< requests a second that this node may send there meanwhile */
+    int64_t cold_shared_ms;   /**< when that was worked out; 0: never */
+    GHashTable *overlay;      /**< MODEL/ADAPTER -> private; the controller's news */
     /* What this node sees of it: */
     unsigned running;           /**< this node's requests on it */
     int64_t prefill_tokens;     /**< prompt tokens sent by this node and not yet answered */
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -17,6 +17,10 @@
 #define REPORT_TRUST_MS 1000.0
 #define READ_KEPT_MS 30000
 #define QUIET_MS 300.0
+/* A cold engine is used where no warm one would answer much earlier: it bears few requests. */
+#define COLD_MS 200.0
+/* Nodes come and go: what a cold engine bears is dealt out anew after so long. */
+#define COLD_SHARED_MS 1000
 #define PREFIXES_LIMIT 512
 /* A key for a part of a prompt: what was read before it counts too, and the model that read it. */
 static uint64_t part_hash(uint64_t before, const char *id) {
@@ -113,6 +117,8 @@
         cost += AVOIDED_MS;
     if (now_ms < engine->avoid_until_ms)
         cost += AVOIDED_MS;
+    if (now_ms < engine->cold_until_ms)
+        cost += COLD_MS;
     if (now_ms < engine->rejected_until_ms)
         cost += REJECTED_COST_MS;
     if (!wb_engine_stays(engine))
@@ -175,7 +181,29 @@
     return FALSE;
 }
 
-static gboolean is_usable(const wb_engine_t *engine, const wb_exchange_t *exchange,
+/* Steady time from which a cold engine takes another request of this node. */
+static int64_t cold_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
+                             const wb_service_t *service, int64_t now_ms) {
+    const wb_edge_settings_t *settings = &edge->settings;
+    if (now_ms >= engine->cold_until_ms || service->cold_per_s <= 0) {
+        return now_ms;
+    }
+    if (!edge->nodes_known) {
+        return engine->cold_until_ms; /* how many share it isn't known */
+    }
+    if (engine->cold_shared_ms == 0 || now_ms - engine->cold_shared_ms > COLD_SHARED_MS) {
+        double per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack;
+        engine->cold_shared_ms = now_ms;
+        engine->cold_share =
+            wb_cold_share(per_s, edge->node_count,
+                          wb_cold_rank(engine->state->incarnation, settings->id, edge->nodes));
+    }
+    return MIN(wb_cold_gate_opens_ms(&engine->cold_gate, engine->cold_share, now_ms),
+               engine->cold_until_ms);
+}
+
+/* Whether an engine can serve the request, cold or not. */
+static gboolean can_serve(const wb_engine_t *engine, const wb_exchange_t *exchange,
                           int64_t now_ms) {
     if (was_tried(exchange, engine, now_ms))
         return FALSE;
@@ -185,6 +213,25 @@
            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
 }
 
+static gboolean is_usable(const wb_edge_t *edge, wb_engine_t *engine, const wb_exchange_t *exchange,
+                          int64_t now_ms) {
+    return can_serve(engine, exchange, now_ms) &&
+           cold_opens_ms(edge, engine, exchange->service, now_ms) <= now_ms;
+}
+
+int64_t wb_balancer_cold_opens_ms(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                  int64_t now_ms) {
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
+    int64_t earliest_ms = G_MAXINT64;
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (now_ms < engine->cold_until_ms && can_serve(engine, exchange, now_ms)) {
+            earliest_ms = MIN(earliest_ms, cold_opens_ms(edge, engine, exchange->service, now_ms));
+        }
+    }
+    return earliest_ms;
+}
+
 /* The engine that rendezvous hashing gives a shared prompt: every node finds the same one. */
 static const wb_engine_t *home_find(const wb_exchange_t *exchange, const GPtrArray *usable) {
     if (exchange->model == NULL)
@@ -210,7 +257,7 @@
         return NULL;
     g_autoptr(GPtrArray) usable = g_ptr_array_sized_new(engines->len);
     for (guint i = 0; i < engines->len; i++)
-        if (is_usable(g_ptr_array_index(engines, i), exchange, now_ms))
+        if (is_usable(edge, g_ptr_array_index(engines, i), exchange, now_ms))
             g_ptr_array_add(usable, g_ptr_array_index(engines, i));
     const wb_engine_t *home = home_find(exchange, usable);
     wb_choice_setup_t setup = choice_setup(&edge->settings);
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -58,6 +58,7 @@
          metrics->engine_restarts},
         {"engine_rows_refused_total", "Rows of the store that name no engine to use.",
          metrics->engine_rows_refused},
+        {"cold_sends_total", "Sendings to engines that were cold.", metrics->cold_sends},
         {"evacuations_total", "Evacuations of zones that this node learned of.",
          metrics->evacuations},
         {"waits_total", "Requests that waited for an engine or a model.", metrics->waits},
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -230,6 +230,7 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
+    edge->nodes = created->nodes;
     created->placements = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
@@ -269,6 +270,8 @@
     own->stop_grace_s = settings->stop_grace_s;
     own->drain_ms = settings->drain_ms;
     own->evacuate_ms = settings->evacuate_ms;
+    own->cold_overage = settings->cold_overage;
+    own->cold_slack = settings->cold_slack;
     own->retry_slack = settings->retry_slack;
     own->connect_timeout_ms = settings->connect_timeout_ms;
     own->silence_limit_ms = settings->silence_limit_ms;
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -32,6 +32,10 @@
     ROW("evacuate-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "0", evacuate_ms,
         "Time after which engines of a zone that is evacuated must get no more requests; what is "
         "beyond catalog-ms is used to load elsewhere what they alone hold"),
+    ROW("cold-overage", WB_SETTING_REAL, "", 0, 1000, "1", cold_overage,
+        "Times the requests a second that a cold engine bears which it may get"),
+    ROW("cold-slack", WB_SETTING_REAL, "requests", 0, 1000000, "0", cold_slack,
+        "Requests beyond that in any second, from all nodes together"),
     ROW("engine-heartbeat-ms", WB_SETTING_INTEGER, "ms", 1, 3600000, "1200", engine_heartbeat_ms,
         "Time between the announcements of an engine"),
     ROW("lease-quiet-ms", WB_SETTING_INTEGER, "ms", 0, 3600000, "3000", lease_quiet_ms,
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -92,6 +92,8 @@
     wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
     unsigned ended_next;
     unsigned node_count;    /* nodes that share the slack of the retry budget */
+    GHashTable *nodes;      /* their ids, as keys, as far as known; NULL: this one is alone */
+    gboolean nodes_known;   /* the store has told which there are */
     int64_t drain_began_ms; /* steady time at which a planned stop began; 0: none */
     /** Someone waits for what isn't loaded: tell the controller soon. */
     void (*on_need)(void *context);
@@ -189,6 +191,7 @@
     wb_timer_t *hold_timer;
     wb_timer_t *patience_timer;
     wb_list_item_t waiting; /* on edge->waiting */
+    gboolean wants_load;    /* it waits for a model or adapter, not for an engine that is cold */
     int64_t waiting_since_ms;
     int64_t waited_ms;
     wb_attempt_t *attempt;   /* the one under way, or NULL */
@@ -222,6 +225,10 @@
  * @return NULL when none can be used; owned by the fleet */
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                 int64_t now_ms, wb_sending_t *sending);
+/** @return steady time from which a cold engine that could serve the request takes another one;
+ * G_MAXINT64: none will, or none is cold */
+int64_t wb_balancer_cold_opens_ms(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                  int64_t now_ms);
 /** What is to be sent, as engines are chosen by. */
 wb_choice_request_t wb_balancer_request(const wb_exchange_t *exchange, int64_t now_ms);
 /** Prompt tokens that the engine must still read for this request, as far as this node knows. */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -285,6 +285,10 @@
     }
     exchange->counted = TRUE;
     engine->running++;
+    if (now_ms < engine->cold_until_ms) {
+        wb_cold_gate_note(&engine->cold_gate, now_ms);
+        edge->metrics.cold_sends++;
+    }
     exchange->prefill_counted = wb_balancer_unread_tokens(engine, exchange, now_ms);
     engine->prefill_tokens += exchange->prefill_counted;
     engine->tokens_sent += (double)exchange->prefill_counted;
--- a/src/edge/exchange_wait.c
+++ b/src/edge/exchange_wait.c
@@ -32,7 +32,9 @@
     int64_t waited_ms = wb_clock_ms() - exchange->waiting_since_ms;
     exchange->waited_ms += waited_ms;
     wb_histogram_add(&exchange->edge->metrics.wait_ms, waited_ms);
-    wb_demand_waiting(exchange->edge->demand, exchange, FALSE);
+    if (exchange->wants_load) {
+        wb_demand_waiting(exchange->edge->demand, exchange, FALSE);
+    }
 }
 
 static char *expected_key(const char *service, const char *model) {
@@ -139,6 +141,14 @@
     return in_time ? opens_ms + OPENS_MARGIN_MS : 0;
 }
 
+/* Steady time until which it has a use to wait for a cold engine that takes no more of this node's
+ * requests for the moment; 0: no such engine could serve it, or not in time. */
+static int64_t cold_wait_until_ms(const wb_exchange_t *exchange) {
+    int64_t opens_ms = wb_balancer_cold_opens_ms(exchange->edge, exchange, wb_clock_ms());
+    int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - SERVE_MS;
+    return opens_ms < useful_until_ms ? opens_ms + OPENS_MARGIN_MS : 0;
+}
+
 /* Nothing is known of when the model, or its adapter, is there. It has a use to wait as long as the
  * answer can be in time, and until a load would have ended that was decided on at once. */
 static int64_t unknown_wait_until_ms(const wb_exchange_t *exchange) {
@@ -151,6 +161,10 @@
 
 /* Steady time until which waiting has a use; in the past when it has none. */
 static int64_t wait_until_ms(const wb_exchange_t *exchange) {
+    int64_t cold_until_ms = cold_wait_until_ms(exchange);
+    if (cold_until_ms != 0) {
+        return cold_until_ms;
+    }
     if (exchange->model == NULL) {
         return engine_wait_until_ms(exchange);
     }
@@ -168,17 +182,33 @@
     return MIN(MAX(ready_ms + LOAD_LATE_MS, unknown_wait_until_ms(exchange)), useful_until_ms);
 }
 
+/* It waited for a cold engine, which is no longer there: now it waits for a load. */
+static void cold_wait_check(wb_exchange_t *exchange) {
+    if (exchange->wants_load || cold_wait_until_ms(exchange) != 0) {
+        return;
+    }
+    exchange->wants_load = TRUE;
+    wb_demand_waiting(exchange->edge->demand, exchange, TRUE);
+    exchange->wait_until_ms = wait_until_ms(exchange);
+    wb_exchange_arm_hold(exchange);
+}
+
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
 void wb_exchange_wait(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (wb_list_is_linked(&exchange->waiting)) {
+        cold_wait_check(exchange);
         return;
     }
     exchange->wait_until_ms = wait_until_ms(exchange);
     exchange->waiting_since_ms = wb_clock_ms();
     wb_list_add_tail(&edge->waiting, &exchange->waiting);
     edge->metrics.waits++;
-    wb_demand_waiting(edge->demand, exchange, TRUE);
+    /* What a cold engine holds needs no load. */
+    exchange->wants_load = cold_wait_until_ms(exchange) == 0;
+    if (exchange->wants_load) {
+        wb_demand_waiting(edge->demand, exchange, TRUE);
+    }
     wb_event(
         "request-waits",
         ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\",\"for_ms\":%lld",
@@ -186,7 +216,7 @@
         wb_event_text(exchange->adapter), exchange->service->name,
         (long long)MAX(exchange->wait_until_ms - exchange->waiting_since_ms, 0));
     wb_exchange_arm_hold(exchange);
-    if (exchange->model != NULL && edge->on_need != NULL)
+    if (exchange->model != NULL && exchange->wants_load && edge->on_need != NULL)
         edge->on_need(edge->need_context);
 }
 
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -151,9 +151,9 @@
     wb_edge_node_news_add(node, WB_TABLE_ENGINES, row);
     wb_event("engine-seen",
              ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
-             "\"row_version\":%lld",
+             "\"cold_ms\":%lld,\"row_version\":%lld",
              state->id, state->service, state->address, state->leaving ? "true" : "false",
-             (long long)row->version);
+             (long long)state->cold_ms, (long long)row->version);
 }
 
 void wb_edge_node_engine_row(const wb_table_row_t *row, void *context) {
@@ -171,6 +171,7 @@
     }
     gboolean restarted = known != NULL && wb_engine_state_is_later(known->state, state);
     gboolean was_leaving = known != NULL && known->leaving_ms != 0;
+    gboolean was_cold = known != NULL && known->state->cold_ms > 0;
     wb_engine_t *before = known != NULL ? wb_engine_ref(known) : NULL;
     if (restarted) {
         engine_restarted(node, known, state);
@@ -186,7 +187,8 @@
         wb_crash_watch_address_taken(edge->crashes, engine->state->incarnation,
                                      engine->state->address);
     }
-    if (known == NULL || restarted || was_leaving != (engine->leaving_ms != 0)) {
+    gboolean turned_cold = !was_cold && engine->state->cold_ms > 0;
+    if (known == NULL || restarted || turned_cold || was_leaving != (engine->leaving_ms != 0)) {
         engine_seen(node, engine, row);
     }
     wb_controller_engine_changed(node->controller, row->key);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -186,6 +186,7 @@
         /* A table without the lease's row: nobody ever held it. */
         wb_lease_on_row(node->lease, NULL, 0, wb_clock_ms());
     node->edge.node_count = MAX(g_hash_table_size(node->nodes), 1);
+    node->edge.nodes_known = TRUE;
     wb_edge_node_check_lease(node);
     own_row_adopt(node);
 }
--- a/src/edge/node_zones.c
+++ b/src/edge/node_zones.c
@@ -45,11 +45,31 @@
              wb_event_text(zone), engines, (long long)(closed_ms - now_ms));
 }
 
+/* Engines of a zone that is taken back may have turned cold just before, and their rows, a
+ * heartbeat old, don't tell yet. */
+static void zone_is_cold(wb_edge_node_t *node, const char *zone) {
+    int64_t now_ms = wb_clock_ms();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wb_engine_t *engine = value;
+        const wb_service_t *service =
+            node->edge.catalog != NULL
+                ? wb_catalog_service(node->edge.catalog, engine->state->service)
+                : NULL;
+        if (service != NULL && strcmp(engine->state->zone, zone) == 0) {
+            engine->cold_until_ms = MAX(engine->cold_until_ms, now_ms + service->cold_start_ms);
+        }
+    }
+}
+
 static void zone_take_back(wb_edge_node_t *node, const char *zone) {
     if (!wb_fleet_zone_is_closed(node->edge.fleet, zone)) {
         return;
     }
     unsigned engines = wb_fleet_open_zone(node->edge.fleet, zone);
+    zone_is_cold(node, zone);
     wb_event("zone-taken-back", ",\"of\":\"%s\",\"engines\":%u", wb_event_text(zone), engines);
     wb_exchanges_retry_waiting(&node->edge);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -34,6 +34,7 @@
     wb_engine_state_free(engine->state);
     g_hash_table_unref(engine->overlay);
     g_hash_table_unref(engine->prefixes);
+    wb_cold_gate_clear(&engine->cold_gate);
     g_free(engine);
 }
 
@@ -134,6 +135,7 @@
         zone_apply(fleet, engine);
     }
     int64_t now_ms = wb_clock_ms();
+    engine->cold_until_ms = state->cold_ms > 0 ? now_ms + state->cold_ms : 0;
     g_hash_table_foreach_remove(engine->overlay, note_is_settled, &now_ms);
     if (!state->leaving)
         engine->leaving_ms = 0;
--- a/tests/edge/test_engines.c
+++ b/tests/edge/test_engines.c
@@ -131,10 +131,77 @@
     estate_stop(estate);
 }
 
+/* Most runs at an engine within a second. */
+static unsigned most_in_a_second(const estate_t *estate, const char *engine) {
+    json_t *seen = estate_seen(estate);
+    g_autoptr(GArray) times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        int64_t at_ms = json_integer_value(json_object_get(run, "at_ms"));
+        if (strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0) {
+            g_array_append_val(times, at_ms);
+        }
+    }
+    json_decref(seen);
+    unsigned most = 0;
+    for (guint first = 0, last = 0; last < times->len; last++) {
+        while (g_array_index(times, int64_t, last) - g_array_index(times, int64_t, first) >= 1000) {
+            first++;
+        }
+        most = MAX(most, last - first + 1);
+    }
+    return most;
+}
+
+/* Both engines of a service turn cold while three nodes have 40 requests at one moment: no second
+ * sees more of them at an engine than it bears, 2 x 1.5 + 1; and once they are warm all are served.
+ */
+static void test_cold_engines(void) {
+    estate_t *estate = estate_start(3, "--cold-overage=1.5 --cold-slack=1");
+    static const char *const engines[] = {"lock-1", "lock-2"};
+    for (gsize i = 0; i < G_N_ELEMENTS(engines); i++) {
+        estate_do(estate,
+                  "{\"do\":\"engine-option\",\"engine\":\"%s\",\"name\":\"cold_ms\","
+                  "\"value\":6000}",
+                  engines[i]);
+    }
+    g_usleep(1200000);
+    wire_t *wires[40];
+    for (int i = 0; i < 40; i++) {
+        g_autofree char *id = g_strdup_printf("cold-%d", i);
+        wires[i] = wire_open(estate->nodes[i % 3].callers_port);
+        wire_post(wires[i], "/lock/x", id, EDGE_DEADLINE, "hello");
+    }
+    int served = 0;
+    for (int i = 0; i < 40; i++) {
+        wire_answer_t *answer = wire_read(wires[i], 5000);
+        g_assert_true(answer->status == 200 || answer->status == 503);
+        served += answer->status == 200;
+        wire_answer_free(answer);
+        wire_close(wires[i]);
+    }
+    g_assert_cmpint(served, >=, 4);
+    for (gsize i = 0; i < G_N_ELEMENTS(engines); i++) {
+        g_assert_cmpuint(most_in_a_second(estate, engines[i]), <=, 4);
+        estate_do(estate,
+                  "{\"do\":\"engine-option\",\"engine\":\"%s\",\"name\":\"cold_ms\","
+                  "\"value\":0}",
+                  engines[i]);
+    }
+    g_usleep(1200000);
+    for (int i = 0; i < 20; i++) {
+        g_autofree char *id = g_strdup_printf("warm-%d", i);
+        g_assert_cmpint(asked(estate, i % 3, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/engines/start-under-a-known-id", test_start_under_a_known_id);
     g_test_add_func("/edge/engines/starts-twice", test_starts_twice);
     g_test_add_func("/edge/engines/what-ran-there-ends", test_what_ran_there_ends);
+    g_test_add_func("/edge/engines/cold", test_cold_engines);
     g_test_add_func("/edge/engines/rows-of-another-writer", test_rows_of_another_writer);
 }
 
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -54,7 +54,9 @@
         call, "value",
         json_sprintf("{\"version\":%lld,\"routes\":[%s],\"services\":[{\"name\":\"llm\","
                      "\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":2,"
-                     "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50}],"
+                     "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50,"
+                     "\"coldPerS\":2,"
+                     "\"coldStartS\":2}],"
                      "\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
                      "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}%s%s}",
                      (long long)estate->catalog_version, routes != NULL ? routes : usual_routes,
--- /dev/null
+++ b/tests/unit/test_cold_share.c
@@ -0,0 +1,123 @@
+/* Shares of what a cold engine bears: together they never exceed it, and they use it. */
+#include "unit.h"
+
+#include "wickbridge/cold_share.h"
+
+#include <math.h>
+#include <string.h>
+
+/* What an engine of the users' care homes bears: 6.5 a second, with their allowance. */
+#define PER_S 14.75
+#define SECOND_MS 1000
+
+static GHashTable *nodes_create(unsigned count) {
+    GHashTable *nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (unsigned i = 0; i < count; i++) {
+        g_hash_table_add(nodes, g_strdup_printf("edge-%u", i));
+    }
+    return nodes;
+}
+
+static unsigned shares_sum(const char *engine, GHashTable *nodes, double per_s) {
+    unsigned sum = 0;
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, nodes);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        sum += wb_cold_share(per_s, g_hash_table_size(nodes), wb_cold_rank(engine, id, nodes));
+    }
+    return sum;
+}
+
+/* At all sizes the shares add up to three quarters of what the engine bears, rounded down. */
+static void test_shares_add_up(void) {
+    static const unsigned sizes[] = {1, 2, 7, 11, 30, 87, 300, 985, 1970};
+    static const double limits[] = {0.5, 2, 6, PER_S, 60, 700};
+    for (gsize i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        g_autoptr(GHashTable) nodes = nodes_create(sizes[i]);
+        for (gsize j = 0; j < G_N_ELEMENTS(limits); j++) {
+            unsigned expected = (unsigned)fmax(0.75 * limits[j], 1);
+            g_assert_cmpuint(shares_sum("e1@5", nodes, limits[j]), ==, expected);
+        }
+    }
+}
+
+/* Another engine, or another start of it, is another node's. */
+static void test_engines_are_dealt_out(void) {
+    g_autoptr(GHashTable) nodes = nodes_create(87);
+    unsigned served = 0;
+    for (unsigned i = 0; i < 200; i++) {
+        g_autofree char *engine = g_strdup_printf("e%u@%u", i / 2, i % 2);
+        served += wb_cold_share(PER_S, 87, wb_cold_rank(engine, "edge-3", nodes));
+    }
+    g_assert_cmpuint(served, >, 10); /* 11 of 87 of them, 25 on average */
+    g_assert_cmpuint(served, <, 50);
+}
+
+/* A node that isn't in the others' lists yet counts itself; a quarter is left for such nodes. */
+static void test_new_nodes(void) {
+    g_autoptr(GHashTable) known = nodes_create(87);
+    g_autoptr(GHashTable) with_new = nodes_create(90);
+    unsigned sum = shares_sum("e1@5", known, PER_S);
+    for (unsigned i = 87; i < 90; i++) {
+        g_autofree char *id = g_strdup_printf("edge-%u", i);
+        sum += wb_cold_share(PER_S, 90, wb_cold_rank("e1@5", id, with_new));
+    }
+    g_assert_cmpuint(sum, <=, (unsigned)PER_S);
+}
+
+/* The moment at which a model is there that all nodes wait for: each sends as much as it may for
+ * five seconds; no second sees more than the engine bears. */
+static void test_storm(void) {
+    enum { NODES = 87, STEPS = 500, STEP_MS = 10 };
+    g_autoptr(GHashTable) nodes = nodes_create(NODES);
+    static wb_cold_gate_t gates[NODES];
+    unsigned sent[STEPS] = {0};
+    unsigned all = 0;
+    for (unsigned step = 0; step < STEPS; step++) {
+        int64_t now_ms = 1000 + (int64_t)step * STEP_MS;
+        for (unsigned i = 0; i < NODES; i++) {
+            g_autofree char *id = g_strdup_printf("edge-%u", i);
+            unsigned share = wb_cold_share(PER_S, NODES, wb_cold_rank("e1@5", id, nodes));
+            if (wb_cold_gate_opens_ms(&gates[i], share, now_ms) == now_ms) {
+                wb_cold_gate_note(&gates[i], now_ms);
+                sent[step]++;
+                all++;
+            }
+        }
+    }
+    for (unsigned from = 0; from + SECOND_MS / STEP_MS <= STEPS; from++) {
+        unsigned in_window = 0;
+        for (unsigned step = from; step < from + SECOND_MS / STEP_MS; step++) {
+            in_window += sent[step];
+        }
+        g_assert_cmpuint(in_window, <=, (unsigned)PER_S);
+    }
+    g_assert_cmpuint(all, >=, 50); /* 11 each 1.1 s */
+    for (unsigned i = 0; i < NODES; i++) {
+        wb_cold_gate_clear(&gates[i]);
+    }
+}
+
+static void test_gate(void) {
+    wb_cold_gate_t gate = {0};
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 0, 500), ==, G_MAXINT64);
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 2, 500), ==, 500);
+    wb_cold_gate_note(&gate, 500);
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 2, 600), ==, 600);
+    wb_cold_gate_note(&gate, 600);
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 2, 700), ==, 1600);
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 1, 700), ==, 1700);
+    g_assert_cmpint(wb_cold_gate_opens_ms(&gate, 2, 1600), ==, 1600);
+    wb_cold_gate_clear(&gate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/cold-share/shares-add-up", test_shares_add_up);
+    g_test_add_func("/cold-share/engines-are-dealt-out", test_engines_are_dealt_out);
+    g_test_add_func("/cold-share/new-nodes", test_new_nodes);
+    g_test_add_func("/cold-share/storm", test_storm);
+    g_test_add_func("/cold-share/gate", test_gate);
+}
+
+UNIT_TEST_MAIN(tests_add)
