Requests of routes and tenants that name regions are served there and nowhere else

Change: engines outside the regions of a request's route and tenant, both binding, are none that can serve it; a zone's region comes from the settings. Where no engine of the service stands in them the request is refused at once, as not run.

Not built: which regions wait for a model isn't told to the placement controller, which may load it elsewhere first.

--- a/include/wickbridge/catalog.h
+++ b/include/wickbridge/catalog.h
@@ -38,6 +38,7 @@
     int64_t target_gap_ms;     /**< 0: none */
     int rank;                  /**< 0 is the most urgent */
     int max_attempts;          /**< most engines that may run one request */
+    char **homes;              /**< regions in which its requests may be served; NULL: all */
     gboolean is_public;        /**< a request needs no key */
     GArray *parts;             /**< of wb_route_part_t */
     double split_point;        /**< private: state of wb_route_pick_service */
--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -21,6 +21,7 @@
 typedef struct wb_edge_settings_t {
     const char *id;
     const char *zone;
+    const char *zone_regions;
     const char *listen_callers;
     const char *listen_ready;
     const char *listen_nodes;
--- a/include/wickbridge/tenant.h
+++ b/include/wickbridge/tenant.h
@@ -38,6 +38,7 @@
     double plain_tokens; /**< what a request counts that names no tokens */
     double rate_per_s;   /**< units a second, over all nodes; 0: no limit */
     double burst;        /**< units on top of the rate */
+    char **homes;        /**< regions in which its requests may be served; NULL: all */
 } wb_tenant_t;
 
 typedef struct wb_tenants_t wb_tenants_t;
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -16,6 +16,7 @@
     g_free(route->name);
     g_free(route->host);
     g_free(route->path_prefix);
+    g_strfreev(route->homes);
     g_array_unref(route->parts);
     g_free(route);
 }
--- a/src/catalog/tenant.c
+++ b/src/catalog/tenant.c
@@ -12,6 +12,7 @@
 static void tenant_free(gpointer data) {
     wb_tenant_t *tenant = data;
     g_free(tenant->name);
+    g_strfreev(tenant->homes);
     g_free(tenant);
 }
 
--- a/src/edge/balancer.c
+++ b/src/edge/balancer.c
@@ -202,12 +202,34 @@
                engine->cold_until_ms);
 }
 
+/* Whether the request may be served where the engine stands. */
+static gboolean is_home(const wb_exchange_t *exchange, const wb_engine_t *engine) {
+    const char *const *by_route = (const char *const *)exchange->route->homes;
+    const char *const *by_tenant =
+        exchange->tenant != NULL ? (const char *const *)exchange->tenant->homes : NULL;
+    if (by_route == NULL && by_tenant == NULL) {
+        return TRUE;
+    }
+    const char *region = g_hash_table_lookup(exchange->edge->regions, engine->state->zone);
+    return wb_homes_allow(by_route, region) && wb_homes_allow(by_tenant, region);
+}
+
+gboolean wb_balancer_has_home(const wb_edge_t *edge, const wb_exchange_t *exchange) {
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        if (is_home(exchange, g_ptr_array_index(engines, i))) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 /* Whether an engine can serve the request, cold or not. */
 static gboolean can_serve(const wb_engine_t *engine, const wb_exchange_t *exchange,
                           int64_t now_ms) {
     if (was_tried(exchange, engine, now_ms))
         return FALSE;
-    if (!wb_engine_is_open(engine, now_ms))
+    if (!wb_engine_is_open(engine, now_ms) || !is_home(exchange, engine))
         return FALSE;
     return exchange->model == NULL ||
            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -210,6 +210,7 @@
     edge->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                           (GDestroyNotify)wb_retry_budget_free);
     edge->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    edge->regions = wb_regions_read(settings->zone_regions);
     edge->demand = wb_demand_create();
     edge->quota = wb_quota_gate_create();
     wb_poison_options_t poison = {(int64_t)(settings->poison_kept_s * 1000),
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -10,6 +10,10 @@
     ROW("id", WB_SETTING_TEXT, "", 0, 0, NULL, id,
         "Name of this node's machine; the same after a restart there"),
     ROW("zone", WB_SETTING_TEXT, "", 0, 0, NULL, zone, "Zone of this node"),
+    ROW("zone-regions", WB_SETTING_TEXT, "", 0, 0, "", zone_regions,
+        "Region that each zone lies in: ZONE=REGION with commas between; empty: not told, and "
+        "routes "
+        "and tenants that name regions are served nowhere"),
     ROW("listen-callers", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_callers,
         "Address for callers"),
     ROW("listen-ready", WB_SETTING_ADDRESS, "", 0, 0, NULL, listen_ready,
--- a/src/edge/edge_types.h
+++ b/src/edge/edge_types.h
@@ -11,6 +11,7 @@
 #include "wickbridge/edge.h"
 #include "wickbridge/event_log.h"
 #include "wickbridge/fleet.h"
+#include "wickbridge/homes.h"
 #include "wickbridge/http_listener.h"
 #include "wickbridge/list.h"
 #include "wickbridge/message.h"
@@ -75,6 +76,7 @@
     const wb_dialect_t *dialect;
     wb_fleet_t *fleet;
     wb_catalog_t *catalog; /* NULL: none known yet */
+    GHashTable *regions;   /* zone -> region */
     GHashTable *budgets;   /* service -> wb_retry_budget_t */
     wb_demand_t *demand;
     wb_quota_gate_t *quota;
@@ -225,6 +227,8 @@
  * @return NULL when none can be used; owned by the fleet */
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                 int64_t now_ms, wb_sending_t *sending);
+/** @return TRUE when some engine of the request's service stands where the request may be served */
+gboolean wb_balancer_has_home(const wb_edge_t *edge, const wb_exchange_t *exchange);
 /** @return steady time from which a cold engine that could serve the request takes another one;
  * G_MAXINT64: none will, or none is cold */
 int64_t wb_balancer_cold_opens_ms(const wb_edge_t *edge, const wb_exchange_t *exchange,
--- a/tests/edge/test_zones.c
+++ b/tests/edge/test_zones.c
@@ -122,8 +122,39 @@
     estate_stop(estate);
 }
 
+/* A route that names regions is served there and nowhere else, whatever the caller says; where no
+ * engine stands in them it is refused at once, as not run. */
+static void test_homes(void) {
+    estate_t *estate = estate_start(2, "--zone-regions=zone-1=north,zone-2=south");
+    estate_configure(
+        estate,
+        "{\"name\":\"s\",\"host\":\"a.example\",\"pathPrefix\":\"/south/\",\"routeType\":"
+        "\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\",\"allowedRegions\":[\"south\"]},"
+        "{\"name\":\"w\",\"host\":\"a.example\",\"pathPrefix\":\"/west/\",\"routeType\":"
+        "\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\",\"allowedRegions\":[\"west\"]}");
+    g_usleep(1000000);
+    int64_t began_ms = harness_now_ms();
+    for (int i = 0; i < 20; i++) {
+        g_autofree char *id = g_strdup_printf("home-%d", i);
+        g_assert_cmpint(asked(estate, i % 2, "/south/x", id, EDGE_DEADLINE "Region: north\r\n"), ==,
+                        200);
+    }
+    g_assert_cmpint(runs_after(estate, "lock-1", began_ms), ==, 0);
+    began_ms = harness_now_ms();
+    g_assert_cmpint(asked(estate, 0, "/west/x", "west", EDGE_DEADLINE), ==, 503);
+    g_assert_cmpint(harness_now_ms() - began_ms, <, 300);
+    g_assert_cmpint(estate_runs(estate, "west"), ==, 0);
+    /* The last engine at home leaves: there is none then. */
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-2\"}");
+    g_usleep(2500000);
+    g_assert_cmpint(asked(estate, 0, "/south/x", "gone", EDGE_DEADLINE), ==, 503);
+    g_assert_cmpint(runs_after(estate, "lock-1", began_ms), ==, 0);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/zones/evacuated-and-taken-back", test_evacuated_and_taken_back);
+    g_test_add_func("/edge/zones/homes", test_homes);
     g_test_add_func("/edge/zones/models-move-ahead", test_models_move_ahead);
     g_test_add_func("/edge/zones/node-without-the-store", test_node_without_the_store);
     g_test_add_func("/edge/zones/two-zones-and-a-start", test_two_zones_and_a_start);
