Messages and rows between nodes can grow, and nodes of two builds run side by side

Cause: messages had no version and no room; one more field and nodes of two builds couldn't read each other, nor a new one the old one's lease. News of models named an engine by its id, so late news of an earlier start counted at the later one.

Change: a hello on each link tells which form of messages its sender reads; to readers of form 2 parts follow the message, to those of form 1 they don't. Kinds and parts that aren't known are passed over. The lease's row ends with parts, a node's row with the form. News of models carry the starts of their engines, and count only at the start that they name.

Weighed (docs/COMPATIBILITY.md): structures with versions, a version in the node's row, a port of its own.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -38,6 +38,7 @@
     uint64_t connections_reused;
     wb_store_calls_t store_calls;
     uint64_t lease_takeovers;
+    uint64_t news_of_other_starts; /**< news of models at a start of an engine that isn't known */
     uint64_t orders;
     uint64_t orders_unknown;
     uint64_t store_loads;
@@ -64,6 +65,7 @@
     unsigned waiting_requests;
     unsigned nodes;
     unsigned evacuated_zones;
+    unsigned nodes_of_other_forms;
     unsigned suspected_requests; /**< different ones, by what they ask for */
     unsigned poison_requests;    /**< the same */
     gboolean holds_lease;
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,6 +13,12 @@
     [ -f KNOWN-RED.txt ] && grep -q "^$1[, ]" KNOWN-RED.txt
 }
 
+# Nodes of two builds run side by side while machines are replaced: the other one is built from the
+# repository's history. It is the last one whose messages have no form of their own.
+OLDER_COMMIT=b6fd989
+WICKBRIDGE_OLDER_BUILD=$WICKBRIDGE_BUILD/older
+export WICKBRIDGE_OLDER_BUILD
+
 # One process a test: a test that dies takes no other with it.
 run_one() {
     program=$1 test=$2
@@ -44,6 +50,7 @@
 }
 
 touch "$results/passed" "$results/failed"
+run_command older-build scripts/build-commit.sh "$OLDER_COMMIT" "$WICKBRIDGE_OLDER_BUILD"
 run_command format make -s format-check
 run_command lint make -s lint
 programs() {
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -233,6 +233,7 @@
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
     edge->nodes = created->nodes;
     created->placements = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
+    created->placement_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
     created->zones = wb_edge_node_zones_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -23,6 +23,7 @@
     int64_t version;
     char *address;          /* where other nodes reach it; NULL when the row doesn't tell */
     double processor_share; /* of a core; 0: the row doesn't tell */
+    unsigned form;          /* of messages that it reads */
 } wb_node_row_t;
 
 typedef struct wb_announcement_t wb_announcement_t;
@@ -45,6 +46,7 @@
     wb_http_listener_t *ready;
     wb_http_listener_t *operators;
     wb_lease_t *lease;
+    unsigned lease_form; /* of the build that wrote the lease's row last; 0: it didn't tell */
     wb_controller_t *controller;
     GHashTable *nodes;       /* id -> wb_node_row_t */
     GHashTable *zones;       /* zone that was ever evacuated -> private to node_zones.c */
@@ -62,6 +64,7 @@
     wb_link_counters_t link_counters;
     GHashTable *gateways; /* wb_link_t -> wb_gateway_t, when this node is the controller */
     GArray *placements;   /* of wb_wire_placement_entry, not yet told to gateways: node_tell.c */
+    GArray *placement_starts;  /* of uint64_t: when their engines started; 0: not told */
     uint64_t placements_token; /* under which they were decided */
     wb_timer_t *placements_timer;
     GHashTable *announcements; /* id of a node that doesn't report -> wb_announcement_t */
@@ -194,7 +197,7 @@
 /** Write the shares that were told last behind the lease's row. @return bytes, 0 when there is no
  * room
  */
-u_int wb_edge_node_quota_write(const wb_edge_node_t *node, char *bytes, u_int room);
+u_int wb_edge_node_quota_write(wb_edge_node_t *node, char *bytes, u_int room);
 /** Read them: after a start they count until the book is heard. */
 void wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream);
 /** @return TRUE when the node that keeps the book must hear from this one, whatever there is to
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -23,6 +23,17 @@
     json_answer(connection, status, json_pack("{s:{s:s}}", "error", "message", message));
 }
 
+static unsigned nodes_of_other_forms(const wb_edge_node_t *node) {
+    unsigned count = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        count += ((const wb_node_row_t *)value)->form != WB_WIRE_FORM;
+    }
+    return count;
+}
+
 static void metrics_show(wb_edge_node_t *node, wb_http_connection_t *connection,
                          const char *query) {
     (void)query;
@@ -35,6 +46,7 @@
         .open_requests = g_hash_table_size(edge->open),
         .waiting_requests = edge->waiting.len,
         .nodes = edge->node_count,
+        .nodes_of_other_forms = nodes_of_other_forms(node),
         .evacuated_zones = wb_fleet_closed_zones(edge->fleet),
         .suspected_requests = wb_poison_book_count(edge->poison, WB_POISON_SUSPECT),
         .poison_requests = wb_poison_book_count(edge->poison, WB_POISON_REFUSED),
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -102,6 +102,34 @@
     return in_short;
 }
 
+/* Says of which build the row is. Returns bytes written, 0 when there is no room. */
+static u_int parts_write(char *bytes, u_int room) {
+    wb_wire_parts parts = {0};
+    wb_wire_writer writer = {WB_WIRE_FORM};
+    XDR stream;
+    wb_parts_add(&parts, WB_WIRE_PART_WRITER, (xdrproc_t)xdr_wb_wire_writer, &writer);
+    xdrmem_create(&stream, bytes, room, XDR_ENCODE);
+    gboolean whole = xdr_wb_wire_parts(&stream, &parts);
+    u_int length = whole ? xdr_getpos(&stream) : 0;
+    xdr_destroy(&stream);
+    wb_parts_clear(&parts);
+    return length;
+}
+
+/* Writes what stands behind the lease: poison requests, shares of limits, parts. Each is read where
+ * the one before ends, so nothing follows one that didn't fit. Returns bytes written. */
+static u_int extras_write(wb_edge_node_t *node, char *bytes, u_int room) {
+    u_int poison = wb_edge_node_poison_write(node, bytes, room);
+    if (poison == 0) {
+        return 0;
+    }
+    u_int quota = wb_edge_node_quota_write(node, bytes + poison, room - poison);
+    if (quota == 0) {
+        return poison;
+    }
+    return poison + quota + parts_write(bytes + poison + quota, room - poison - quota);
+}
+
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
     g_autofree char *bytes = g_malloc(ROW_BYTES);
     wb_wire_lease wire = wb_edge_node_lease_to_wire(row);
@@ -117,11 +145,7 @@
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
-    u_int poison = wb_edge_node_poison_write(node, bytes + length, ROW_BYTES - length);
-    length += poison;
-    if (poison > 0) {
-        length += wb_edge_node_quota_write(node, bytes + length, ROW_BYTES - length);
-    }
+    length += extras_write(node, bytes + length, ROW_BYTES - length);
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_answered, node);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -4,10 +4,36 @@
 #include <string.h>
 
 #define LINK_RETRY_MS 150
+/* Names edge nodes in a hello. */
+#define EDGE_CLUSTER "wickbridge-edge"
 
-static void news_take(wb_edge_node_t *node, const wb_wire_placement *news) {
+/* Whether news are of the start of an engine that is known here. Those of a later one will count
+ * once its row is read, which is done now; those of an earlier one are over. */
+static gboolean start_is_known(wb_edge_node_t *node, const wb_engine_t *engine,
+                               const wb_wire_starts *starts, guint i) {
+    if (i >= starts->born_ms.born_ms_len || starts->born_ms.born_ms_val[i] == 0) {
+        return TRUE; /* not told */
+    }
+    int64_t born_ms = (int64_t)starts->born_ms.born_ms_val[i];
+    if (born_ms == engine->state->born_ms) {
+        return TRUE;
+    }
+    node->edge.metrics.news_of_other_starts++;
+    if (born_ms > engine->state->born_ms) {
+        wb_table_watch_look(node->engines_watch);
+    }
+    return FALSE;
+}
+
+/* Takes news of models. @param parts of their message; NULL: they are this node's own */
+static void news_take(wb_edge_node_t *node, const wb_wire_placement *news,
+                      const wb_wire_parts *parts) {
     wb_edge_t *edge = &node->edge;
     int64_t now_ms = wb_clock_ms();
+    wb_wire_starts starts = {{0, NULL}};
+    if (parts != NULL) {
+        wb_parts_read(parts, WB_WIRE_PART_STARTS, (xdrproc_t)xdr_wb_wire_starts, &starts);
+    }
     for (guint i = 0; i < news->entries.entries_len; i++) {
         const wb_wire_placement_entry *entry = &news->entries.entries_val[i];
         wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
@@ -15,6 +41,9 @@
             wb_table_watch_look(node->engines_watch);
             continue;
         }
+        if (!start_is_known(node, engine, &starts, i)) {
+            continue;
+        }
         if (entry->ready_in_ms > 0) {
             wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
             continue;
@@ -31,6 +60,7 @@
             wb_event_text(entry->adapter), entry->held ? "true" : "false",
             (unsigned long long)news->token);
     }
+    xdr_free((xdrproc_t)xdr_wb_wire_starts, &starts);
     wb_exchanges_retry_waiting(edge);
 }
 
@@ -48,7 +78,7 @@
     if (news->kind == WB_WIRE_LOAD_PLAN)
         plan_take(node, &news->wb_wire_message_u.load_plan);
     else
-        news_take(node, &news->wb_wire_message_u.placement);
+        news_take(node, &news->wb_wire_message_u.placement, NULL);
 }
 
 void wb_edge_node_gateway_free(gpointer data) {
@@ -57,7 +87,25 @@
     g_free(gateway);
 }
 
+/* Tells which form of messages this node reads. Nodes that know no forms pass over it. */
+static void hello_send(const wb_edge_node_t *node, wb_link_t *link) {
+    wb_wire_message message = {.kind = WB_WIRE_HELLO};
+    message.wb_wire_message_u.hello = (wb_wire_hello){.cluster = EDGE_CLUSTER,
+                                                      .node = (char *)node->edge.settings.id,
+                                                      .incarnation = WB_WIRE_FORM,
+                                                      .address = "",
+                                                      .zone = ""};
+    wb_link_send(link, &message);
+}
+
+static void hello_take(wb_link_t *link, const wb_wire_hello *hello) {
+    if (strcmp(hello->cluster, EDGE_CLUSTER) == 0) {
+        wb_link_set_form(link, (unsigned)CLAMP(hello->incarnation, 1, WB_WIRE_FORM));
+    }
+}
+
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
+    hello_send(context, link);
     wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
     gateway->heard_ms = wb_clock_ms();
     g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, gateway);
@@ -67,6 +115,8 @@
 
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     wb_edge_node_t *node = context;
+    if (message->kind == WB_WIRE_HELLO)
+        hello_take(link, &message->wb_wire_message_u.hello);
     if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_news);
     if (message->kind == WB_WIRE_POISON)
@@ -138,8 +188,8 @@
 }
 
 static void controller_open(wb_link_t *link, void *context) {
-    (void)link;
     wb_edge_node_t *node = context;
+    hello_send(node, link);
     node->controller_link_open = TRUE;
     node->demand_told = TRUE;
     node->link_opened_ms = wb_clock_ms();
@@ -151,9 +201,10 @@
 }
 
 static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context) {
-    (void)link;
-    if (message->kind == WB_WIRE_PLACEMENT)
-        news_take(context, &message->wb_wire_message_u.placement);
+    if (message->kind == WB_WIRE_HELLO)
+        hello_take(link, &message->wb_wire_message_u.hello);
+    else if (message->kind == WB_WIRE_PLACEMENT)
+        news_take(context, &message->wb_wire_message_u.placement, wb_link_parts(link));
     else if (message->kind == WB_WIRE_LOAD_PLAN)
         plan_take(context, &message->wb_wire_message_u.load_plan);
     else if (message->kind == WB_WIRE_POISON)
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -126,7 +126,11 @@
     xdr_destroy(&stream);
 }
 
-u_int wb_edge_node_quota_write(const wb_edge_node_t *node, char *bytes, u_int room) {
+u_int wb_edge_node_quota_write(wb_edge_node_t *node, char *bytes, u_int room) {
+    wb_wire_quota none = {{0, NULL}};
+    if (node->quota_row->len == 0) {
+        row_keep(node, &none);
+    }
     guint length = node->quota_row->len;
     if (length == 0 || length > room) {
         return 0;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -10,6 +10,7 @@
 #define NODE_ROW_RETRY_LIMIT_MS 8000
 #define CALLS_LOG_MS 5000
 #define NODE_KEY_PREFIX "node/"
+#define NODE_ROW_WORDS 4
 
 /* One table answers again: so should the others, which are asked rarely while they fail. */
 static void tables_wake(wb_edge_node_t *node) {
@@ -96,6 +97,22 @@
 
 /* The product's own rows: nodes, and the controller's lease. */
 
+/* What builds since the first of form 2 add to the lease's row. */
+static void lease_parts_read(wb_edge_node_t *node, XDR *stream) {
+    wb_wire_parts parts = {0};
+    wb_wire_writer writer = {1};
+    if (!xdr_wb_wire_parts(stream, &parts)) {
+        wb_event("lease-parts-refused", "%s", "");
+    } else {
+        wb_parts_read(&parts, WB_WIRE_PART_WRITER, (xdrproc_t)xdr_wb_wire_writer, &writer);
+    }
+    if (writer.form != node->lease_form) {
+        wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORM);
+    }
+    node->lease_form = writer.form;
+    wb_parts_clear(&parts);
+}
+
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row) {
     int64_t now_ms = wb_clock_ms();
     if (row->value == NULL) {
@@ -113,6 +130,9 @@
     if (whole && xdr_getpos(&stream) < row->length) {
         wb_edge_node_quota_read(node, &stream);
     }
+    if (whole && xdr_getpos(&stream) < row->length) {
+        lease_parts_read(node, &stream);
+    }
     xdr_destroy(&stream);
     if (whole) {
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
@@ -123,15 +143,19 @@
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
-/* A row holds the node's address, a count, and its share of a core, with blanks between. */
+/* A row holds the node's address, a count, its share of a core, and the form of messages that it
+ * reads, with blanks between; later builds may add more behind. */
 static void row_read(const wb_table_row_t *row, wb_node_row_t *known) {
     g_autofree char *text = g_strndup((const char *)row->value, row->length);
-    g_auto(GStrv) words = g_strsplit(text, " ", 3);
-    if (g_strv_length(words) < 2) {
+    g_auto(GStrv) words = g_strsplit(text, " ", NODE_ROW_WORDS + 1);
+    guint count = g_strv_length(words);
+    known->form = 1;
+    if (count < 2) {
         return; /* an older form, which tells nothing */
     }
     known->address = g_strdup(words[0]);
-    known->processor_share = words[2] != NULL ? g_ascii_strtod(words[2], NULL) : 0;
+    known->processor_share = count > 2 ? g_ascii_strtod(words[2], NULL) : 0;
+    known->form = count > 3 ? (unsigned)g_ascii_strtoull(words[3], NULL, 10) : 1;
 }
 
 void wb_edge_node_row_free(gpointer data) {
@@ -215,9 +239,9 @@
 static void node_row_write(wb_edge_node_t *node) {
     const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
-    g_autofree char *value = g_strdup_printf("%s %llu %.3f", wb_edge_node_address(node),
+    g_autofree char *value = g_strdup_printf("%s %llu %.3f %d", wb_edge_node_address(node),
                                              (unsigned long long)++node->node_row_beat,
-                                             node->edge.settings.processor_share);
+                                             node->edge.settings.processor_share, WB_WIRE_FORM);
     node->node_row_writing = TRUE;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
--- a/src/edge/node_tell.c
+++ b/src/edge/node_tell.c
@@ -12,7 +12,9 @@
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
 
-static void frame_send(wb_edge_node_t *node, const GByteArray *frame) {
+/* Sends a frame to gateways. @param with_parts to those that read parts, who get it with them */
+static void frame_send(wb_edge_node_t *node, const GByteArray *frame,
+                       const GByteArray *with_parts) {
     GHashTableIter iter;
     gpointer link;
     g_hash_table_iter_init(&iter, node->gateways);
@@ -20,21 +22,26 @@
         if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
             wb_link_break(link, "it doesn't read what it is told");
         else
-            wb_link_send_frame(link, frame);
+            wb_link_send_frame(link, wb_link_form(link) >= 2 ? with_parts : frame);
     }
 }
 
-static void message_send(wb_edge_node_t *node, const wb_wire_message *message) {
+/* @param parts NULL: none */
+static void message_send(wb_edge_node_t *node, const wb_wire_message *message,
+                         const wb_wire_parts *parts) {
     g_autoptr(GByteArray) frame = g_byte_array_new();
+    g_autoptr(GByteArray) with_parts = g_byte_array_new();
     wb_error_t error;
     if (g_hash_table_size(node->gateways) == 0)
         return;
-    if (wb_message_encode(message, frame, &error) != APR_SUCCESS) {
+    if (wb_message_encode(message, frame, &error) != APR_SUCCESS ||
+        (parts != NULL &&
+         wb_message_encode_parts(message, parts, with_parts, &error) != APR_SUCCESS)) {
         wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
                  wb_message_kind_name(message->kind), wb_event_text(error.message));
         return;
     }
-    frame_send(node, frame);
+    frame_send(node, frame, parts != NULL ? with_parts : frame);
 }
 
 void wb_edge_node_placement_clear(gpointer data) {
@@ -55,7 +62,13 @@
     placement->token = node->placements_token;
     placement->entries.entries_len = node->placements->len;
     placement->entries.entries_val = (wb_wire_placement_entry *)(void *)node->placements->data;
-    message_send(node, &message);
+    wb_wire_parts parts = {0};
+    wb_wire_starts starts = {
+        {node->placement_starts->len, (uint64_t *)(void *)node->placement_starts->data}};
+    wb_parts_add(&parts, WB_WIRE_PART_STARTS, (xdrproc_t)xdr_wb_wire_starts, &starts);
+    message_send(node, &message, &parts);
+    wb_parts_clear(&parts);
+    g_array_set_size(node->placement_starts, 0);
     g_array_set_size(node->placements, 0);
 }
 
@@ -74,6 +87,9 @@
         wb_wire_placement_entry copy = {g_strdup(entry->engine), g_strdup(entry->model),
                                         g_strdup(entry->adapter), entry->held, entry->ready_in_ms};
         g_array_append_val(node->placements, copy);
+        const wb_engine_t *engine = wb_fleet_find(node->edge.fleet, entry->engine);
+        uint64_t born_ms = engine != NULL ? (uint64_t)engine->state->born_ms : 0;
+        g_array_append_val(node->placement_starts, born_ms);
     }
     if (node->placements_timer == NULL)
         node->placements_timer = wb_loop_after(node->edge.loop, GATHER_MS, placements_due, node);
@@ -85,5 +101,5 @@
         return;
     }
     placements_send(node); /* what came first is told first */
-    message_send(node, message);
+    message_send(node, message, NULL);
 }
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -37,6 +37,8 @@
     GByteArray *unsent;
     char *break_reason;
     wb_tls_session_t *tls; /* NULL: plain */
+    unsigned form;         /* of messages that the other end reads */
+    wb_wire_parts parts;   /* of the message that is being delivered */
     void *data;
 };
 
@@ -150,8 +152,26 @@
 }
 
 void wb_link_send(wb_link_t *link, const wb_wire_message *message) {
+    wb_link_send_parts(link, message, NULL);
+}
+
+const wb_wire_parts *wb_link_parts(const wb_link_t *link) {
+    return &link->parts;
+}
+
+void wb_link_set_form(wb_link_t *link, unsigned form) {
+    link->form = form;
+}
+
+unsigned wb_link_form(const wb_link_t *link) {
+    return link->form;
+}
+
+void wb_link_send_parts(wb_link_t *link, const wb_wire_message *message,
+                        const wb_wire_parts *parts) {
     wb_error_t error;
-    if (wb_message_encode(message, link->unsent, &error) != APR_SUCCESS) {
+    const wb_wire_parts *readable = link->form >= 2 ? parts : NULL;
+    if (wb_message_encode_parts(message, readable, link->unsent, &error) != APR_SUCCESS) {
         wb_log_warning(WB_PART_LINK, "A message was not sent: %s.", error.message);
         return;
     }
@@ -182,17 +202,25 @@
     if (left < sizeof(head) + length)
         return FALSE;
     wb_wire_message message;
+    wb_wire_parts parts;
     wb_error_t error;
     const void *data = link->received->data + *used + sizeof(head);
-    if (wb_message_decode(data, length, &message, &error) != APR_SUCCESS) {
+    if (wb_message_is_unknown(data, length)) {
+        *used += (guint)sizeof(head) + length;
+        link->counters->messages_unknown++;
+        return TRUE;
+    }
+    if (wb_message_decode_parts(data, length, &message, &parts, &error) != APR_SUCCESS) {
         wb_log_warning(WB_PART_LINK, "A link sent something odd: %s.", error.message);
         *bad = TRUE;
         return FALSE;
     }
     *used += (guint)sizeof(head) + length;
     link->counters->messages_received++;
+    link->parts = parts;
     link->events.on_message(link, &message, link->events.context);
     wb_message_clear(&message);
+    wb_parts_clear(&link->parts);
     return TRUE;
 }
 
@@ -308,6 +336,7 @@
     link->socket = socket;
     link->events = *events;
     link->counters = counters;
+    link->form = 1;
     link->received = g_byte_array_new();
     link->unsent = g_byte_array_new();
     apr_socket_opt_set(socket, APR_SO_NONBLOCK, 1);
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -399,6 +399,36 @@
     wb_wire_engine_load engines<WB_WIRE_LIST_MAX>;
 };
 
+/* How messages between nodes are formed, told in a hello's incarnation by edge nodes. Form 1 is the
+ * message alone; form 2 lets parts follow it. docs/COMPATIBILITY.md tells what a release may
+ * change. */
+const WB_WIRE_FORM = 2;
+
+/* What was added to a message or a row later: a reader passes over kinds that it doesn't know. */
+enum wb_wire_part_kind {
+    WB_WIRE_PART_STARTS = 1, /* wb_wire_starts */
+    WB_WIRE_PART_WRITER = 2  /* wb_wire_writer */
+};
+
+struct wb_wire_part {
+    unsigned int kind; /* wb_wire_part_kind */
+    opaque value<WB_WIRE_TEXT_MAX>;
+};
+
+struct wb_wire_parts {
+    wb_wire_part parts<64>;
+};
+
+/* When the engines that a message's entries name started, one by one; 0: not known. */
+struct wb_wire_starts {
+    unsigned hyper born_ms<WB_WIRE_LIST_MAX>;
+};
+
+/* Who wrote a row. */
+struct wb_wire_writer {
+    unsigned int form; /* WB_WIRE_FORM of its build */
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -186,7 +186,12 @@
         if (**flag != '\0')
             g_ptr_array_add(arguments, g_strdup(*flag));
     g_autofree char *name = g_strdup_printf("edge-%d", index);
-    process_prepare(&estate->files, &node->process, name, "wickbridge-edge", arguments);
+    cluster_t files = estate->files;
+    if (node->older) {
+        files.build = (char *)g_getenv("WICKBRIDGE_OLDER_BUILD");
+        g_assert_nonnull(files.build); /* scripts/build-commit.sh makes it */
+    }
+    process_prepare(&files, &node->process, name, "wickbridge-edge", arguments);
     process_start(&node->process);
 }
 
@@ -270,6 +275,10 @@
 }
 
 estate_t *estate_start(int nodes, const char *node_flags) {
+    return estate_start_builds(nodes, 0, node_flags);
+}
+
+estate_t *estate_start_builds(int nodes, int older, const char *node_flags) {
     estate_t *estate = g_new0(estate_t, 1);
     const char *build = g_getenv("WICKBRIDGE_BUILD");
     g_assert_nonnull(build);
@@ -299,6 +308,7 @@
         node->callers_port = port_find();
         node->ready_port = port_find();
         node->metrics_port = port_find();
+        node->older = i < older;
         estate_node_launch(estate, i);
     }
     for (int i = 0; i < nodes; i++)
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -17,6 +17,7 @@
     int ready_port;
     int nodes_port;
     int metrics_port;
+    gboolean older;    /**< it runs the build that WICKBRIDGE_OLDER_BUILD names */
     const char *flags; /**< more flags for this node only, with spaces between; or NULL */
 } estate_node_t;
 
@@ -43,6 +44,8 @@
 
 /** Start the stand-in with the usual configuration and engines, and some nodes that are ready. */
 estate_t *estate_start(int nodes, const char *node_flags);
+/** As estate_start; the first `older` nodes run the older build. */
+estate_t *estate_start_builds(int nodes, int older, const char *node_flags);
 void estate_stop(estate_t *estate);
 /** Start a node, or start it again, on its old ports. */
 void estate_node_launch(estate_t *estate, int index);
