Large fleets: only the strongest machines read the engines' table, the others ask them

Cause: each of 985 nodes read 10,000 rows for a request in four seconds: 2,153 s of processor before traffic began. What grew was nodes times engines.

Change: a node whose table of engines has more than 4,000 rows stops reading it. The strongest machines (a thirty-second of all nodes at least) read it and relay; the others ask one of them for the engines of the models that their callers name, 64 at most by rendezvous hashing, own zone first, and are told of changes. A lost relay is noticed in 1.2 s and another one linked; who finds none for 4 to 10 s reads the table itself. Nodes that don't know all engines never take the lease. News of placement are gathered for longer the more gateways there are. Smaller fleets are as before.

Tests: /engine-subset (4, with rows counted at 1,000 to 40,000 engines), /edge/directory (4: weak nodes ask, changes are told, relays are lost, all killed). Not measured on the fleet yet.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -51,6 +51,7 @@
     int64_t silence_limit_ms;
     int64_t store_timeout_ms;
     double node_life_s;
+    int64_t engine_rows_most;
     int64_t order_timeout_ms;
     int64_t engine_poll_ms;
     double store_look_s;
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -33,6 +33,8 @@
     uint64_t engine_rows_refused; /**< rows that name no engine to use */
     uint64_t cold_sends;          /**< sendings to engines that were cold */
     uint64_t evacuations;         /**< of zones */
+    uint64_t directory_wants;     /**< questions to a relay for engines */
+    uint64_t directory_answers;   /**< answers as a relay */
     uint64_t waits;
     uint64_t connections_opened;
     uint64_t connections_reused;
--- /dev/null
+++ b/src/directory/engine_subset.c
@@ -0,0 +1,43 @@
+/* Which engines of a model a gateway is told of. */
+#include "directory/engine_subset.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+typedef struct wb_ranked_engine_t {
+    wb_engine_t *engine;
+    gboolean in_zone;
+    uint64_t weight;
+} wb_ranked_engine_t;
+
+static gint best_first(gconstpointer left, gconstpointer right) {
+    const wb_ranked_engine_t *a = left;
+    const wb_ranked_engine_t *b = right;
+    if (a->in_zone != b->in_zone) {
+        return a->in_zone ? -1 : 1;
+    }
+    return a->weight > b->weight ? -1 : a->weight < b->weight;
+}
+
+GPtrArray *wb_engine_subset(const GPtrArray *engines, const char *model, const char *zone,
+                            int64_t now_ms) {
+    g_autoptr(GArray) ranked = g_array_new(FALSE, FALSE, sizeof(wb_ranked_engine_t));
+    uint64_t seed = XXH64(model, strlen(model), 0);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        wb_engine_t *engine = g_ptr_array_index(engines, i);
+        const wb_engine_state_t *state = engine->state;
+        if (!wb_engine_is_open(engine, now_ms) ||
+            (*model != '\0' && !wb_engine_holds(engine, model, "", now_ms))) {
+            continue;
+        }
+        wb_ranked_engine_t one = {engine, g_strcmp0(state->zone, zone) == 0,
+                                  XXH64(state->id, strlen(state->id), seed)};
+        g_array_append_val(ranked, one);
+    }
+    g_array_sort(ranked, best_first);
+    GPtrArray *subset = g_ptr_array_new();
+    for (guint i = 0; i < ranked->len && i < WB_ENGINE_SUBSET_MOST; i++) {
+        g_ptr_array_add(subset, g_array_index(ranked, wb_ranked_engine_t, i).engine);
+    }
+    return subset;
+}
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -45,7 +45,7 @@
 
 gboolean wb_edge_node_is_ready(const wb_edge_node_t *node) {
     return node->edge.drain_began_ms == 0 && node->edge.catalog != NULL && node->node_row_written &&
-           wb_table_watch_is_synced(node->engines_watch);
+           wb_table_watch_is_synced(node->engines_watch) && wb_edge_node_directory_is_ready(node);
 }
 
 const char *wb_edge_node_address(const wb_edge_node_t *node) {
@@ -153,6 +153,8 @@
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
     wb_edge_node_tick_rows(node, now_ms);
+    wb_edge_node_tick_directory(node, now_ms);
+    wb_edge_node_tick_relay(node, now_ms);
     wb_edge_node_tick_lease(node, now_ms);
     wb_edge_node_tick_link(node, now_ms);
     wb_edge_node_tick_news(node, now_ms);
@@ -232,6 +234,10 @@
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
     edge->nodes = created->nodes;
+    created->directory = wb_edge_node_directory_create(created);
+    created->engine_rows =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_table_row_free);
+    edge->engines_known = wb_edge_node_directory_knows;
     created->placements = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
     created->placement_starts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -27,12 +27,23 @@
 } wb_node_row_t;
 
 typedef struct wb_announcement_t wb_announcement_t;
+typedef struct wb_directory_t wb_directory_t;
+typedef struct wb_subscription_t wb_subscription_t;
+
+/* How a node knows engines. */
+typedef enum wb_directory_state_t {
+    WB_DIRECTORY_SMALL,     /* it reads their table, which isn't large as far as known */
+    WB_DIRECTORY_UNDECIDED, /* the table is large: who reads it isn't known yet */
+    WB_DIRECTORY_WHOLE,     /* it reads the large table, and tells others */
+    WB_DIRECTORY_PART       /* it is told of the engines that its callers need */
+} wb_directory_state_t;
 
 /* A gateway that reports to this node. */
 typedef struct wb_gateway_t {
-    char *name;       /* NULL until it told it */
-    int64_t heard_ms; /* when its last message came */
-    gboolean lost;    /* it hasn't been heard for too long, though the link stands */
+    char *name;                      /* NULL until it told it */
+    int64_t heard_ms;                /* when its last message came */
+    gboolean lost;                   /* it hasn't been heard for too long, though the link stands */
+    wb_subscription_t *subscription; /* rows that it is told of here, on a link for that; or NULL */
 } wb_gateway_t;
 
 struct wb_edge_node_t {
@@ -48,13 +59,17 @@
     wb_lease_t *lease;
     unsigned lease_form; /* of the build that wrote the lease's row last; 0: it didn't tell */
     wb_controller_t *controller;
-    GHashTable *nodes;       /* id -> wb_node_row_t */
-    GHashTable *zones;       /* zone that was ever evacuated -> private to node_zones.c */
-    gboolean births_told;    /* some engine has told when it started: all do */
-    unsigned rows_refused;   /* rows of engines, not yet logged */
-    int64_t rows_refused_ms; /* when a log line last told of them */
+    GHashTable *nodes; /* id -> wb_node_row_t */
+    wb_directory_t *directory;
+    GHashTable
+        *engine_rows;     /* id -> wb_table_row_t, in a large fleet where others are told of them */
+    GHashTable *zones;    /* zone that was ever evacuated -> private to node_zones.c */
+    gboolean births_told; /* some engine has told when it started: all do */
+    unsigned rows_refused;                   /* rows of engines, not yet logged */
+    int64_t rows_refused_ms;                 /* when a log line last told of them */
     gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
     gboolean node_row_written;
+    gboolean node_row_adopted; /* it is that of the process before this one on the same machine */
     gboolean node_row_writing;
     int64_t node_row_due_ms;
     int64_t node_row_retry_ms; /* pause after the last write, if it failed */
@@ -136,6 +151,35 @@
 /** Rows of engines were taken. @param context the node */
 void wb_edge_node_engine_batch(gboolean whole, void *context);
 
+/* node_directory.c */
+wb_directory_t *wb_edge_node_directory_create(wb_edge_node_t *node);
+/** The table of engines is large: as wb_table_watch_events_t.on_large. @param context the node */
+void wb_edge_node_directory_large(void *context);
+/** Decide who reads the table; keep a link to a relay. */
+void wb_edge_node_tick_directory(wb_edge_node_t *node, int64_t now_ms);
+/** @return TRUE when the table of engines is large */
+gboolean wb_edge_node_is_large(const wb_edge_node_t *node);
+/** @return TRUE when this node reads the table of engines, so that it may decide on them */
+gboolean wb_edge_node_reads_engines(const wb_edge_node_t *node);
+/** @return TRUE when requests can be served: a relay has answered where one is needed */
+gboolean wb_edge_node_directory_is_ready(const wb_edge_node_t *node);
+/** As wb_edge_t.engines_known. @param context the node */
+gboolean wb_edge_node_directory_knows(const char *service, const char *model, int64_t since_ms,
+                                      void *context);
+/** News of an engine that isn't known here. @return FALSE when its row is to be read in the store
+ */
+gboolean wb_edge_node_directory_news(wb_edge_node_t *node, const wb_wire_placement_entry *entry);
+
+/* node_relay.c */
+void wb_edge_node_subscription_free(wb_subscription_t *subscription);
+/** A row of an engine is new or changed, or was removed: tell those that know it. */
+void wb_edge_node_relay_row(wb_edge_node_t *node, const wb_table_row_t *row);
+/** A gateway asks for engines. */
+void wb_edge_node_relay_want(wb_edge_node_t *node, wb_link_t *link, wb_gateway_t *gateway,
+                             const wb_wire_engines_want *want);
+/** Tell changes, or that there are none. */
+void wb_edge_node_tick_relay(wb_edge_node_t *node, int64_t now_ms);
+
 /* node_zones.c */
 /** Take a row of the catalog's table that says which zone is being evacuated. @return FALSE when it
  * doesn't say that */
@@ -235,6 +279,12 @@
 void wb_edge_node_placement_clear(gpointer data);
 
 /* node_links.c */
+/** Tell on a link which form of messages this node reads. */
+void wb_edge_node_hello_send(const wb_edge_node_t *node, wb_link_t *link);
+/** The other end has told. */
+void wb_edge_node_hello_take(wb_link_t *link, const wb_wire_hello *hello);
+/** Take one entry of news of models; its engine is known. */
+void wb_edge_node_placement_take(wb_edge_node_t *node, const wb_wire_placement_entry *entry);
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
 /** Frees a wb_gateway_t. */
 void wb_edge_node_gateway_free(gpointer data);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -75,6 +75,10 @@
         "Time after which the store's answer counts as lost"),
     ROW("node-life-s", WB_SETTING_REAL, "s", 1, 86400, "180", node_life_s,
         "A node whose row in the store hasn't changed for so long isn't counted any more"),
+    ROW("engine-rows-most", WB_SETTING_INTEGER, "rows", 0, 1000000000, "4000", engine_rows_most,
+        "Engines beyond which only the strongest machines read their table, and the others ask "
+        "those "
+        "for what their callers need; 0: each node always reads it"),
     ROW("order-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "400", order_timeout_ms,
         "Time after which an engine's answer to an order or a report counts as lost"),
     ROW("engine-poll-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "300", engine_poll_ms,
--- a/src/edge/node_announce.c
+++ b/src/edge/node_announce.c
@@ -123,8 +123,9 @@
 }
 
 void wb_edge_node_tick_announce(wb_edge_node_t *node, int64_t now_ms) {
-    gboolean all_report = g_hash_table_size(node->gateways) + 1 >= g_hash_table_size(node->nodes);
-    if (!node->held || all_report) {
+    gboolean all_linked = g_hash_table_size(node->gateways) + 1 >= g_hash_table_size(node->nodes);
+    /* In a large fleet there are links for rows of engines, too, which count for nothing here. */
+    if (!node->held || (all_linked && !wb_edge_node_is_large(node))) {
         g_hash_table_remove_all(node->announcements);
         return;
     }
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -160,6 +160,7 @@
     wb_edge_node_t *node = context;
     wb_edge_t *edge = &node->edge;
     wb_engine_t *known = wb_fleet_find(edge->fleet, row->key);
+    wb_edge_node_relay_row(node, row);
     if (row->value == NULL) {
         row_gone(node, known, row);
         return;
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -182,11 +182,11 @@
 void wb_edge_node_tick_lease(wb_edge_node_t *node, int64_t now_ms) {
     wb_lease_row_t row;
     int64_t expected_version;
-    if (!node->held) {
+    if (!node->held && wb_edge_node_reads_engines(node)) {
         spread_set(node);
     }
-    if (wb_table_watch_is_synced(node->nodes_watch) && store_answered(node) &&
-        wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
+    if (wb_edge_node_reads_engines(node) && wb_table_watch_is_synced(node->nodes_watch) &&
+        store_answered(node) && wb_lease_next_write(node->lease, now_ms, &row, &expected_version))
         lease_write(node, &row, expected_version);
     wb_edge_node_check_lease(node);
 }
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -25,11 +25,30 @@
     return FALSE;
 }
 
+void wb_edge_node_placement_take(wb_edge_node_t *node, const wb_wire_placement_entry *entry) {
+    wb_edge_t *edge = &node->edge;
+    wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
+    int64_t row_after_ms = 2 * edge->settings.engine_heartbeat_ms;
+    if (engine == NULL) {
+        return;
+    }
+    if (entry->ready_in_ms > 0) {
+        wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
+        return;
+    }
+    if (entry->held)
+        wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
+    wb_engine_note(engine, entry->model, entry->adapter, entry->held, wb_clock_ms(), row_after_ms,
+                   row_after_ms + (int64_t)(edge->settings.store_look_s * 1000));
+    wb_event("placement-news", ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s",
+             wb_event_text(entry->engine), wb_event_text(entry->model),
+             wb_event_text(entry->adapter), entry->held ? "true" : "false");
+}
+
 /* Takes news of models. @param parts of their message; NULL: they are this node's own */
 static void news_take(wb_edge_node_t *node, const wb_wire_placement *news,
                       const wb_wire_parts *parts) {
     wb_edge_t *edge = &node->edge;
-    int64_t now_ms = wb_clock_ms();
     wb_wire_starts starts = {{0, NULL}};
     if (parts != NULL) {
         wb_parts_read(parts, WB_WIRE_PART_STARTS, (xdrproc_t)xdr_wb_wire_starts, &starts);
@@ -38,27 +57,15 @@
         const wb_wire_placement_entry *entry = &news->entries.entries_val[i];
         wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
         if (engine == NULL) {
-            wb_table_watch_look(node->engines_watch);
+            if (!wb_edge_node_directory_news(node, entry)) {
+                wb_table_watch_look(node->engines_watch);
+            }
             continue;
         }
         if (!start_is_known(node, engine, &starts, i)) {
             continue;
         }
-        if (entry->ready_in_ms > 0) {
-            wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
-            continue;
-        }
-        if (entry->held)
-            wb_exchanges_no_longer_expect(edge, engine->state->service, entry->model);
-        int64_t row_after_ms = 2 * edge->settings.engine_heartbeat_ms;
-        wb_engine_note(engine, entry->model, entry->adapter, entry->held, now_ms, row_after_ms,
-                       row_after_ms + (int64_t)(edge->settings.store_look_s * 1000));
-        wb_event(
-            "placement-news",
-            ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s,\"token\":%llu",
-            wb_event_text(entry->engine), wb_event_text(entry->model),
-            wb_event_text(entry->adapter), entry->held ? "true" : "false",
-            (unsigned long long)news->token);
+        wb_edge_node_placement_take(node, entry);
     }
     xdr_free((xdrproc_t)xdr_wb_wire_starts, &starts);
     wb_exchanges_retry_waiting(edge);
@@ -84,11 +91,12 @@
 void wb_edge_node_gateway_free(gpointer data) {
     wb_gateway_t *gateway = data;
     g_free(gateway->name);
+    wb_edge_node_subscription_free(gateway->subscription);
     g_free(gateway);
 }
 
 /* Tells which form of messages this node reads. Nodes that know no forms pass over it. */
-static void hello_send(const wb_edge_node_t *node, wb_link_t *link) {
+void wb_edge_node_hello_send(const wb_edge_node_t *node, wb_link_t *link) {
     wb_wire_message message = {.kind = WB_WIRE_HELLO};
     message.wb_wire_message_u.hello = (wb_wire_hello){.cluster = EDGE_CLUSTER,
                                                       .node = (char *)node->edge.settings.id,
@@ -98,14 +106,14 @@
     wb_link_send(link, &message);
 }
 
-static void hello_take(wb_link_t *link, const wb_wire_hello *hello) {
+void wb_edge_node_hello_take(wb_link_t *link, const wb_wire_hello *hello) {
     if (strcmp(hello->cluster, EDGE_CLUSTER) == 0) {
         wb_link_set_form(link, (unsigned)CLAMP(hello->incarnation, 1, WB_WIRE_FORM));
     }
 }
 
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
-    hello_send(context, link);
+    wb_edge_node_hello_send(context, link);
     wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
     gateway->heard_ms = wb_clock_ms();
     g_hash_table_insert(((wb_edge_node_t *)context)->gateways, link, gateway);
@@ -116,7 +124,10 @@
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     wb_edge_node_t *node = context;
     if (message->kind == WB_WIRE_HELLO)
-        hello_take(link, &message->wb_wire_message_u.hello);
+        wb_edge_node_hello_take(link, &message->wb_wire_message_u.hello);
+    if (message->kind == WB_WIRE_ENGINES_WANT)
+        wb_edge_node_relay_want(node, link, g_hash_table_lookup(node->gateways, link),
+                                &message->wb_wire_message_u.engines_want);
     if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_news);
     if (message->kind == WB_WIRE_POISON)
@@ -189,7 +200,7 @@
 
 static void controller_open(wb_link_t *link, void *context) {
     wb_edge_node_t *node = context;
-    hello_send(node, link);
+    wb_edge_node_hello_send(node, link);
     node->controller_link_open = TRUE;
     node->demand_told = TRUE;
     node->link_opened_ms = wb_clock_ms();
@@ -202,7 +213,7 @@
 
 static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     if (message->kind == WB_WIRE_HELLO)
-        hello_take(link, &message->wb_wire_message_u.hello);
+        wb_edge_node_hello_take(link, &message->wb_wire_message_u.hello);
     else if (message->kind == WB_WIRE_PLACEMENT)
         news_take(context, &message->wb_wire_message_u.placement, wb_link_parts(link));
     else if (message->kind == WB_WIRE_LOAD_PLAN)
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -199,6 +199,8 @@
     wb_table_watch_t *watch = wb_edge_node_watch(node, view->table);
     if (watch == NULL || !wb_table_watch_is_synced(watch))
         return;
+    if (view->table == WB_TABLE_ENGINES && !wb_edge_node_reads_engines(node))
+        return; /* the relay tells how old its rows are */
     int64_t known_ms = now_ms - (int64_t)view->age_ms;
     if (view->table != WB_TABLE_ENGINES)
         wb_table_watch_vouch(watch, (int64_t)view->newest, known_ms);
@@ -214,6 +216,9 @@
     wb_table_watch_t *watch = wb_edge_node_watch(node, wire->table);
     wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
                           wire->value.value_len, (int64_t)wire->row_version};
+    if (wire->table == WB_TABLE_ENGINES && !wb_edge_node_reads_engines(node) &&
+        wb_fleet_find(node->edge.fleet, wire->key) == NULL)
+        return; /* none that callers here need */
     if (watch != NULL)
         wb_table_watch_take(watch, &row);
 }
--- /dev/null
+++ b/src/edge/node_relay.c
@@ -0,0 +1,165 @@
+/* A relay: a node that has read the table of engines tells those that haven't what they ask for.
+ *
+ * For each link it keeps which rows it has told. It tells their changes as it learns of them, and
+ * each half second that there are none, so that the other end knows within a bound whether it is
+ * still told. It keeps the rows as they stand in the store, for as long as somebody asks here. */
+#include "edge/edge_node_types.h"
+
+#include "directory/engine_subset.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What the other end has heard of its rows is at most so old. */
+#define TELL_MS 500
+
+/* What one link has asked for. */
+struct wb_subscription_t {
+    char *zone;
+    GHashTable *keys; /* set of rows that were told, or asked for by name */
+    GArray *changes;  /* of wb_wire_table_row, not yet told */
+    int64_t told_ms;
+};
+
+static void wire_row_clear(gpointer data) {
+    xdr_free((xdrproc_t)xdr_wb_wire_table_row, data);
+}
+
+void wb_edge_node_subscription_free(wb_subscription_t *subscription) {
+    if (subscription == NULL) {
+        return;
+    }
+    g_free(subscription->zone);
+    g_hash_table_unref(subscription->keys);
+    g_array_unref(subscription->changes);
+    g_free(subscription);
+}
+
+static wb_subscription_t *subscription_create(const char *zone) {
+    wb_subscription_t *subscription = g_new0(wb_subscription_t, 1);
+    subscription->zone = g_strdup(zone);
+    subscription->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    subscription->changes = g_array_new(FALSE, FALSE, sizeof(wb_wire_table_row));
+    g_array_set_clear_func(subscription->changes, wire_row_clear);
+    return subscription;
+}
+
+static void wire_row_append(GArray *rows, const char *key, const wb_table_row_t *row) {
+    wb_wire_table_row wire = {.table = WB_TABLE_ENGINES,
+                              .key = strdup(key),
+                              .row_version = (uint64_t)(row != NULL ? row->version : 0),
+                              .removed = row == NULL || row->value == NULL};
+    if (!wire.removed) {
+        wire.value.value_val = malloc(MAX(row->length, 1));
+        memcpy(wire.value.value_val, row->value, row->length);
+        wire.value.value_len = (u_int)row->length;
+    }
+    g_array_append_val(rows, wire);
+}
+
+void wb_edge_node_relay_row(wb_edge_node_t *node, const wb_table_row_t *row) {
+    if (!wb_edge_node_is_large(node)) {
+        return;
+    }
+    g_hash_table_replace(node->engine_rows, g_strdup(row->key),
+                         wb_table_row_create(row->key, g_memdup2(row->value, row->length),
+                                             row->length, row->version));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_gateway_t *gateway = value;
+        wb_subscription_t *subscription = gateway->subscription;
+        if (subscription != NULL && g_hash_table_contains(subscription->keys, row->key)) {
+            wire_row_append(subscription->changes, row->key, row);
+        }
+    }
+}
+
+static unsigned table_age_ms(const wb_edge_node_t *node, int64_t now_ms) {
+    int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
+    return fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
+}
+
+static void show_send(wb_edge_node_t *node, wb_link_t *link, wb_subscription_t *subscription,
+                      const wb_wire_engines_want *want, const GArray *holds) {
+    int64_t now_ms = wb_clock_ms();
+    wb_wire_message message = {.kind = WB_WIRE_ENGINES_SHOW};
+    wb_wire_engines_show *show = &message.wb_wire_message_u.engines_show;
+    show->whole = wb_edge_node_reads_engines(node) && wb_table_watch_is_synced(node->engines_watch);
+    show->age_ms = table_age_ms(node, now_ms);
+    if (want != NULL) {
+        show->answered.answered_len = want->wants.wants_len;
+        show->answered.answered_val = want->wants.wants_val;
+    }
+    show->rows.rows_len = subscription->changes->len;
+    show->rows.rows_val = (wb_wire_table_row *)(void *)subscription->changes->data;
+    if (holds != NULL) {
+        show->holds.holds_len = holds->len;
+        show->holds.holds_val = (wb_wire_placement_entry *)(void *)holds->data;
+    }
+    wb_link_send(link, &message);
+    g_array_set_size(subscription->changes, 0);
+    subscription->told_ms = now_ms;
+}
+
+/* Tells a row unless the other end has it; from now on its changes, too. */
+static void row_show(wb_edge_node_t *node, wb_subscription_t *subscription, const char *key,
+                     int64_t known_version) {
+    const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, key);
+    gboolean told = !g_hash_table_add(subscription->keys, g_strdup(key));
+    if (row != NULL && row->version > known_version && !(told && known_version < 0)) {
+        wire_row_append(subscription->changes, key, row);
+    }
+}
+
+/* News may be ahead of a row: what the model's engines hold by them goes with the answer. */
+static void holds_append(GArray *holds, const wb_engine_t *engine, const char *model) {
+    if (*model == '\0' || g_hash_table_contains(engine->state->models, model)) {
+        return;
+    }
+    wb_wire_placement_entry entry = {engine->state->id, (char *)model, (char *)"", TRUE, 0};
+    g_array_append_val(holds, entry);
+}
+
+void wb_edge_node_relay_want(wb_edge_node_t *node, wb_link_t *link, wb_gateway_t *gateway,
+                             const wb_wire_engines_want *want) {
+    int64_t now_ms = wb_clock_ms();
+    g_autoptr(GArray) holds = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
+    if (gateway->subscription == NULL) {
+        gateway->subscription = subscription_create(want->zone);
+    }
+    wb_subscription_t *subscription = gateway->subscription;
+    for (guint i = 0; i < want->known.known_len; i++) {
+        const wb_wire_known_row *known = &want->known.known_val[i];
+        row_show(node, subscription, known->key, (int64_t)known->row_version);
+    }
+    for (guint i = 0; i < want->wants.wants_len; i++) {
+        const wb_wire_engine_want *one = &want->wants.wants_val[i];
+        g_autoptr(GPtrArray) engines =
+            wb_engine_subset(wb_fleet_service(node->edge.fleet, one->service), one->model,
+                             subscription->zone, now_ms);
+        for (guint j = 0; j < engines->len; j++) {
+            const wb_engine_t *engine = g_ptr_array_index(engines, j);
+            row_show(node, subscription, engine->state->id, -1);
+            holds_append(holds, engine, one->model);
+        }
+    }
+    node->edge.metrics.directory_answers++;
+    show_send(node, link, subscription, want, holds);
+}
+
+void wb_edge_node_tick_relay(wb_edge_node_t *node, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer link;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, &value)) {
+        const wb_gateway_t *gateway = value;
+        wb_subscription_t *subscription = gateway->subscription;
+        if (subscription != NULL &&
+            (subscription->changes->len > 0 || now_ms - subscription->told_ms >= TELL_MS)) {
+            show_send(node, link, subscription, NULL, NULL);
+        }
+    }
+}
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -201,6 +201,7 @@
     }
     int64_t renewal_ms = node_row_life_ms(node) / NODE_ROW_RENEWALS;
     node->node_row_written = TRUE;
+    node->node_row_adopted = TRUE;
     node->node_row_due_ms = wb_clock_ms() + g_random_int_range(0, (gint32)MAX(renewal_ms, 1));
 }
 
@@ -294,8 +295,11 @@
     wb_loop_t *loop = node->edge.loop;
     node->catalog_reader = wb_catalog_reader_create(loop, node->edge.dialect, catalog_read, node);
     wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_called, node};
-    wb_table_watch_events_t engines = {wb_edge_node_engine_row, wb_edge_node_engine_batch,
-                                       store_called, node};
+    wb_table_watch_events_t engines = {.on_row = wb_edge_node_engine_row,
+                                       .on_batch = wb_edge_node_engine_batch,
+                                       .on_call = store_called,
+                                       .context = node,
+                                       .on_large = wb_edge_node_directory_large};
     wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_called, node};
     wb_table_pace_t pace = wb_edge_node_pace(node, WB_TABLE_CATALOG);
     node->catalog_watch =
@@ -303,6 +307,7 @@
     pace = wb_edge_node_pace(node, WB_TABLE_ENGINES);
     node->engines_watch =
         wb_table_watch_create(loop, node->table, WB_TABLE_ENGINES, &pace, &engines);
+    wb_table_watch_limit(node->engines_watch, (unsigned)node->edge.settings.engine_rows_most);
     pace = wb_edge_node_pace(node, WB_TABLE_NODES);
     node->nodes_watch = wb_table_watch_create(loop, node->table, WB_TABLE_NODES, &pace, &nodes);
 }
--- a/src/edge/node_tell.c
+++ b/src/edge/node_tell.c
@@ -9,6 +9,9 @@
 
 /* Who waits for a model waits so much longer at most; a cold request takes 600 ms and more. */
 #define GATHER_MS 10
+/* Time for each gateway beyond these: a message costs its sender a call for each of them, and at
+ * 985 gateways one each 10 ms would be 98,500 calls a second. */
+#define GATHER_GATEWAYS 84
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
 
@@ -17,8 +20,11 @@
                        const GByteArray *with_parts) {
     GHashTableIter iter;
     gpointer link;
+    gpointer gateway;
     g_hash_table_iter_init(&iter, node->gateways);
-    while (g_hash_table_iter_next(&iter, &link, NULL)) {
+    while (g_hash_table_iter_next(&iter, &link, &gateway)) {
+        if (((const wb_gateway_t *)gateway)->subscription != NULL)
+            continue; /* a link for rows of engines only: its gateway has another for news */
         if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
             wb_link_break(link, "it doesn't read what it is told");
         else
@@ -78,6 +84,11 @@
     placements_send(node);
 }
 
+static int64_t gather_ms(const wb_edge_node_t *node) {
+    guint gateways = g_hash_table_size(node->gateways);
+    return MAX(GATHER_MS, (int64_t)GATHER_MS * gateways / GATHER_GATEWAYS);
+}
+
 static void placements_gather(wb_edge_node_t *node, const wb_wire_placement *placement) {
     if (node->placements_token != placement->token)
         placements_send(node);
@@ -92,7 +103,8 @@
         g_array_append_val(node->placement_starts, born_ms);
     }
     if (node->placements_timer == NULL)
-        node->placements_timer = wb_loop_after(node->edge.loop, GATHER_MS, placements_due, node);
+        node->placements_timer =
+            wb_loop_after(node->edge.loop, gather_ms(node), placements_due, node);
 }
 
 void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message) {
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -399,6 +399,34 @@
     wb_wire_engine_load engines<WB_WIRE_LIST_MAX>;
 };
 
+/* Engines of a service that hold a model, or any of them. */
+struct wb_wire_engine_want {
+    wb_wire_name service;
+    wb_wire_name model; /* empty: any engine of the service */
+};
+
+struct wb_wire_known_row {
+    wb_wire_name key;
+    unsigned hyper row_version; /* 0: it isn't known */
+};
+
+/* A gateway that doesn't read the table of engines asks a node that does. Added to what it asked on
+ * this link before. */
+struct wb_wire_engines_want {
+    wb_wire_name zone; /* of the gateway */
+    wb_wire_engine_want wants<WB_WIRE_LIST_MAX>;
+    wb_wire_known_row known<WB_WIRE_LIST_MAX>; /* rows whose changes it needs, too */
+};
+
+/* The answer, later changes of rows that were told, and each half second that there are none. */
+struct wb_wire_engines_show {
+    bool whole;          /* the sender has read the table */
+    unsigned int age_ms; /* since it was last sure to know the newest rows */
+    wb_wire_engine_want answered<WB_WIRE_LIST_MAX>;
+    wb_wire_table_row rows<WB_WIRE_LIST_MAX>;
+    wb_wire_placement_entry holds<WB_WIRE_LIST_MAX>; /* what rows don't show yet */
+};
+
 /* How messages between nodes are formed, told in a hello's incarnation by edge nodes. Form 1 is the
  * message alone; form 2 lets parts follow it. docs/COMPATIBILITY.md tells what a release may
  * change. */
@@ -453,7 +481,9 @@
     WB_WIRE_LOAD_PLAN = 21,
     WB_WIRE_QUOTA = 22,
     WB_WIRE_POISON = 23,
-    WB_WIRE_ENGINE_LOADS = 24
+    WB_WIRE_ENGINE_LOADS = 24,
+    WB_WIRE_ENGINES_WANT = 25, /* from here on: only to readers of form 2 */
+    WB_WIRE_ENGINES_SHOW = 26
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -505,4 +535,8 @@
     wb_wire_poison poison;
 case WB_WIRE_ENGINE_LOADS:
     wb_wire_engine_loads engine_loads;
+case WB_WIRE_ENGINES_WANT:
+    wb_wire_engines_want engines_want;
+case WB_WIRE_ENGINES_SHOW:
+    wb_wire_engines_show engines_show;
 };
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -182,7 +182,8 @@
     return MIN(MAX(ready_ms + LOAD_LATE_MS, unknown_wait_until_ms(exchange)), useful_until_ms);
 }
 
-/* It waited for a cold engine, which is no longer there: now it waits for a load. */
+/* It waited for a cold engine, which is no longer there, or for its engines to be known, and there
+ * are none: now it waits for a load. */
 static void cold_wait_check(wb_exchange_t *exchange) {
     if (exchange->wants_load || cold_wait_until_ms(exchange) != 0) {
         return;
@@ -191,6 +192,9 @@
     wb_demand_waiting(exchange->edge->demand, exchange, TRUE);
     exchange->wait_until_ms = wait_until_ms(exchange);
     wb_exchange_arm_hold(exchange);
+    if (exchange->model != NULL && exchange->edge->on_need != NULL) {
+        exchange->edge->on_need(exchange->edge->need_context);
+    }
 }
 
 /* Waits for an engine that holds the model, or for any engine, as long as that has a use. */
@@ -220,6 +224,27 @@
         edge->on_need(edge->need_context);
 }
 
+void wb_exchange_wait_for_engines(wb_exchange_t *exchange) {
+    if (wb_list_is_linked(&exchange->waiting)) {
+        return;
+    }
+    exchange->wants_load = FALSE;
+    exchange->wait_until_ms = exchange->hold_until_ms;
+    exchange->waiting_since_ms = wb_clock_ms();
+    wb_list_add_tail(&exchange->edge->waiting, &exchange->waiting);
+    wb_exchange_arm_hold(exchange);
+}
+
+gboolean wb_exchanges_wait_for(const wb_edge_t *edge, const char *model) {
+    WB_LIST_EACH(item, &edge->waiting) {
+        const wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
+        if (exchange->model != NULL && strcmp(exchange->model, model) == 0) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
 /* Calls a function for each request that waits. What ends one request may end others or begin new
  * ones, so the list is copied. */
 static void waiting_each(wb_edge_t *edge, void (*visit)(wb_exchange_t *exchange)) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -108,6 +108,12 @@
     void (*on_poison)(void *context);
     /** Whether the controller can be reached; NULL: it always can. With need_context. */
     wb_controller_view_t (*controller_view)(void *context);
+    /** Whether the engines of a service that hold a model ("": any) are known here; if not, they
+     * are asked for, and requests that wait are tried again once they are. NULL: all engines are
+     * known.
+     * @param since_ms steady time since which the request has been here. With need_context. */
+    gboolean (*engines_known)(const char *service, const char *model, int64_t since_ms,
+                              void *context);
     /** Time since this node knew for sure which configuration is the newest; NULL: it always does.
      * With need_context. */
     int64_t (*catalog_age_ms)(void *context);
@@ -259,6 +265,8 @@
  * are refused. */
 void wb_exchanges_expect(wb_edge_t *edge, const char *service, const char *model,
                          unsigned ready_in_ms);
+/** @return TRUE when a request waits for the model */
+gboolean wb_exchanges_wait_for(const wb_edge_t *edge, const char *model);
 /** Another configuration is in force: those that wait under a key that it dropped are refused. */
 void wb_exchanges_check_keys(wb_edge_t *edge);
 /** What is known of who decides on loads has changed: those that wait in vain are refused. */
--- /dev/null
+++ b/tests/edge/test_directory.c
@@ -0,0 +1,139 @@
+/* A fleet whose table of engines only the strongest machines read: the others ask them for the
+ * engines that their callers need, and go on when such a machine is lost. */
+#include "edge.h"
+
+#include <string.h>
+
+#define NODES 4
+/* The estate has four engines. */
+#define FLAGS "--engine-rows-most=2"
+
+static const char *const two_strong[] = {"--processor-share=1", "--processor-share=1",
+                                         "--processor-share=0.12", "--processor-share=0.12"};
+
+static int asked(const estate_t *estate, int node, const char *path, const char *id,
+                 const char *headers) {
+    wire_answer_t *answer = wire_ask(estate->nodes[node].callers_port, path, id, headers);
+    int status = answer->status;
+    wire_answer_free(answer);
+    return status;
+}
+
+static void assert_reads(const estate_t *estate, int node, const char *how) {
+    g_autofree char *line = g_strdup_printf("\"read\":\"%s\"", how);
+    g_assert_true(estate_log_has(estate, node, line));
+}
+
+/* Weak nodes are told of what they ask for, and nothing else; what isn't loaded is loaded for them,
+ * once, and the lease is a strong node's. */
+static void test_weak_nodes_ask(void) {
+    estate_t *estate = estate_start_each(NODES, FLAGS, two_strong);
+    int holder = estate_wait_controller(estate, 8000);
+    g_assert_cmpint(holder, <, 2);
+    for (int node = 0; node < NODES; node++) {
+        assert_reads(estate, node, node < 2 ? "whole" : "part");
+    }
+    g_assert_cmpfloat(estate_metric(estate, 2, "engines"), ==, 0);
+    g_assert_cmpint(asked(estate, 2, "/chat/x", "w1", EDGE_MODEL("m2")), ==, 200);
+    g_assert_cmpfloat(estate_metric(estate, 2, "engines"), ==, 1); /* only llm-2 holds m2 */
+    g_assert_cmpint(asked(estate, 2, "/lock/x", "w2", EDGE_DEADLINE), ==, 200);
+    g_assert_cmpint(asked(estate, 3, "/chat/x", "w3", EDGE_MODEL("m5")), ==, 200);
+    g_assert_cmpint(asked(estate, 2, "/chat/x", "w4", EDGE_MODEL("m5")), ==, 200);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m5"), ==, 1);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m2"), ==, 0);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* Engines that leave, end or start again are known to weak nodes as soon as to others. */
+static void test_changes_are_told(void) {
+    estate_t *estate = estate_start_each(NODES, FLAGS " --drain-ms=1000", two_strong);
+    estate_wait_controller(estate, 8000);
+    for (int node = 2; node < NODES; node++) {
+        g_autofree char *id = g_strdup_printf("c%d", node);
+        g_assert_cmpint(asked(estate, node, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+        g_autofree char *chat = g_strdup_printf("cc%d", node);
+        g_assert_cmpint(asked(estate, node, "/chat/x", chat, EDGE_MODEL("m2")), ==, 200);
+    }
+    estate_do(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"llm-2\",\"name\":\"same_id\","
+                      "\"value\":1}");
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"llm-2\",\"name\":\"back_ms\","
+                      "\"value\":100}");
+    estate_do(estate, "{\"do\":\"engine-crash\",\"engine\":\"llm-2\"}");
+    g_usleep(1500000);
+    for (int i = 0; i < 20; i++) {
+        g_autofree char *id = g_strdup_printf("left-%d", i);
+        g_assert_cmpint(asked(estate, 2 + i % 2, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+    }
+    json_t *seen = estate_seen(estate);
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        gboolean later = g_str_has_prefix(json_string_value(json_object_get(run, "id")), "left-");
+        g_assert_false(later &&
+                       strcmp(json_string_value(json_object_get(run, "engine")), "lock-1") == 0);
+    }
+    json_decref(seen);
+    g_assert_true(estate_log_has(estate, 2, "\"event\":\"engine-restarted\""));
+    g_assert_cmpint(asked(estate, 3, "/chat/x", "again", EDGE_MODEL("m2")), ==, 200);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* One relay is killed, then the other: a weak node goes on by what it knows, finds the other, and
+ * in the end reads the table itself. */
+static void test_relays_are_lost(void) {
+    estate_t *estate = estate_start_each(
+        NODES, FLAGS " --lease-quiet-ms=1000 --lease-duration-ms=800", two_strong);
+    estate_wait_controller(estate, 8000);
+    g_assert_cmpint(asked(estate, 2, "/chat/x", "l1", EDGE_MODEL("m0")), ==, 200);
+    process_kill(&estate->nodes[0].process);
+    for (int i = 0; i < 10; i++) {
+        g_autofree char *id = g_strdup_printf("one-%d", i);
+        g_assert_cmpint(asked(estate, 2 + i % 2, "/chat/x", id, EDGE_MODEL("m0")), ==, 200);
+        g_usleep(100000);
+    }
+    g_usleep(2500000);
+    g_assert_cmpint(asked(estate, 3, "/chat/x", "cold", EDGE_MODEL("m6")), ==, 200);
+    process_kill(&estate->nodes[1].process);
+    g_assert_cmpint(asked(estate, 2, "/chat/x", "none", EDGE_MODEL("m0")), ==, 200);
+    g_usleep(14000000);
+    assert_reads(estate, 2, "whole");
+    assert_reads(estate, 3, "whole");
+    g_assert_cmpint(asked(estate, 2, "/chat/x", "own", EDGE_MODEL("m1")), ==, 200);
+    g_assert_cmpint(asked(estate, 3, "/chat/x", "own-cold", EDGE_MODEL("m7")), ==, 200);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* All are killed at once: rows tell who is strong, and all serve again soon. */
+static void test_all_killed(void) {
+    estate_t *estate = estate_start_each(NODES, FLAGS, two_strong);
+    estate_wait_controller(estate, 8000);
+    for (int node = 0; node < NODES; node++) {
+        process_kill(&estate->nodes[node].process);
+    }
+    int64_t began_ms = harness_now_ms();
+    for (int node = 0; node < NODES; node++) {
+        estate_node_launch(estate, node);
+    }
+    for (int node = 0; node < NODES; node++) {
+        estate_wait_ready(estate, node);
+    }
+    g_assert_cmpint(harness_now_ms() - began_ms, <, 2000);
+    for (int node = 0; node < NODES; node++) {
+        g_autofree char *id = g_strdup_printf("k%d", node);
+        g_assert_cmpint(asked(estate, node, "/chat/x", id, EDGE_MODEL("m0")), ==, 200);
+    }
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/directory/weak-nodes-ask", test_weak_nodes_ask);
+    g_test_add_func("/edge/directory/changes-are-told", test_changes_are_told);
+    g_test_add_func("/edge/directory/relays-are-lost", test_relays_are_lost);
+    g_test_add_func("/edge/directory/all-killed", test_all_killed);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -274,11 +274,23 @@
     relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
 }
 
+static estate_t *estate_begin(int nodes, int older, const char *node_flags,
+                              const char *const *flags);
+
 estate_t *estate_start(int nodes, const char *node_flags) {
     return estate_start_builds(nodes, 0, node_flags);
 }
 
+estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags) {
+    return estate_begin(nodes, 0, node_flags, flags);
+}
+
 estate_t *estate_start_builds(int nodes, int older, const char *node_flags) {
+    return estate_begin(nodes, older, node_flags, NULL);
+}
+
+static estate_t *estate_begin(int nodes, int older, const char *node_flags,
+                              const char *const *flags) {
     estate_t *estate = g_new0(estate_t, 1);
     const char *build = g_getenv("WICKBRIDGE_BUILD");
     g_assert_nonnull(build);
@@ -309,6 +321,7 @@
         node->ready_port = port_find();
         node->metrics_port = port_find();
         node->older = i < older;
+        node->flags = flags != NULL ? flags[i] : NULL;
         estate_node_launch(estate, i);
     }
     for (int i = 0; i < nodes; i++)
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -44,6 +44,8 @@
 
 /** Start the stand-in with the usual configuration and engines, and some nodes that are ready. */
 estate_t *estate_start(int nodes, const char *node_flags);
+/** As estate_start. @param flags more flags, for each node its own */
+estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags);
 /** As estate_start; the first `older` nodes run the older build. */
 estate_t *estate_start_builds(int nodes, int older, const char *node_flags);
 void estate_stop(estate_t *estate);
