A table of engines that grows large while it is followed is left to the strongest, too

Change: the limit counts rows that are followed as well; who reads the whole table is told again of rows that it knew (a relay keeps them), who doesn't forgets them.

Test: /table-watch/large-table.

--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -21,8 +21,8 @@
     void (*on_call)(wb_table_name_t table, wb_store_cause_t cause, gboolean good, int64_t age_ms,
                     void *context);
     void *context;
-    /** The table has more rows than the limit: the read stops until wb_table_watch_go_on or
-     * wb_table_watch_follow_part is called. With context. */
+    /** The table has more rows than the limit, at a read or by its changes: nothing is asked until
+     * wb_table_watch_go_on or wb_table_watch_follow_part is called. With context. */
     void (*on_large)(void *context);
 } wb_table_watch_events_t;
 
@@ -42,10 +42,10 @@
                                         const wb_table_watch_events_t *events);
 /** Stop reading a table that has more rows than this; 0: never. */
 void wb_table_watch_limit(wb_table_watch_t *watch, unsigned rows);
-/** Read a large table whole, whatever its size. */
+/** Read a large table whole, whatever its size; rows that are known are told again. */
 void wb_table_watch_go_on(wb_table_watch_t *watch);
-/** Don't read the table: what others tell of its rows is all that will be known. It counts as read.
- */
+/** Don't read the table: what others tell of its rows from now on is all that will be known. It
+ * counts as read. */
 void wb_table_watch_follow_part(wb_table_watch_t *watch);
 void wb_table_watch_set_pace(wb_table_watch_t *watch, const wb_table_pace_t *pace);
 /** Take a row that another node has read; an older one than is known changes nothing. */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -40,6 +40,7 @@
     wb_table_watch_events_t events;
     wb_watch_state_t state;
     unsigned rows_most;   /* 0: no limit */
+    gboolean tells_again; /* the whole read under way tells rows that are known, too */
     GHashTable *versions; /* key -> int64_t *, rows that are there */
     GHashTable *removed;  /* key -> wb_removed_row_t */
     int64_t newest_row;   /* highest version of a row that was taken */
@@ -114,7 +115,8 @@
 
 /* A row can't go back to an older version within this process. */
 static gboolean row_take(wb_table_watch_t *watch, const wb_table_row_t *row) {
-    if (row_known(watch, row->key) >= row->version)
+    int64_t known = row_known(watch, row->key);
+    if (known > row->version || (known == row->version && !watch->tells_again))
         return FALSE;
     watch->newest_row = MAX(watch->newest_row, row->version);
     if (row->value == NULL) {
@@ -189,6 +191,7 @@
     for (guint i = 0; i < watch->page_rows->len; i++)
         row_take(watch, g_ptr_array_index(watch->page_rows, i));
     missing_remove(watch);
+    watch->tells_again = FALSE;
     watch->version = watch->read_version;
     known_note(watch, watch->read_began_ms);
     watch->synced = TRUE;
@@ -218,6 +221,16 @@
     }
 }
 
+static gboolean is_too_large(const wb_table_watch_t *watch, unsigned rows) {
+    return watch->rows_most > 0 && rows > watch->rows_most;
+}
+
+static void large_begin(wb_table_watch_t *watch) {
+    read_begin(watch); /* nothing of a read under way is kept meanwhile */
+    watch->state = WB_WATCH_LARGE;
+    watch->events.on_large(watch->events.context);
+}
+
 static void page_answered(const wb_table_answer_t *answer, void *context) {
     wb_table_watch_t *watch = context;
     watch->asking = FALSE;
@@ -237,10 +250,8 @@
                         wb_table_row_create(row->key, g_memdup2(row->value, row->length),
                                             row->length, row->version));
     }
-    if (watch->rows_most > 0 && watch->page_rows->len > watch->rows_most) {
-        read_begin(watch); /* nothing of it is kept meanwhile */
-        watch->state = WB_WATCH_LARGE;
-        watch->events.on_large(watch->events.context);
+    if (is_too_large(watch, watch->page_rows->len)) {
+        large_begin(watch);
         return;
     }
     if (!answer->more || answer->rows->len == 0) {
@@ -275,6 +286,10 @@
     watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
+    if (is_too_large(watch, g_hash_table_size(watch->versions))) {
+        large_begin(watch);
+        return;
+    }
     if (answer->more && answer->rows->len > 0) {
         /* These were only the oldest changes: nothing is known yet as of this call. */
         ask_after(watch, 0);
@@ -350,6 +365,7 @@
 void wb_table_watch_go_on(wb_table_watch_t *watch) {
     if (watch->state == WB_WATCH_LARGE || watch->state == WB_WATCH_PART) {
         watch->rows_most = 0;
+        watch->tells_again = TRUE;
         read_begin(watch);
         ask_after(watch, 0);
     }
@@ -358,6 +374,7 @@
 void wb_table_watch_follow_part(wb_table_watch_t *watch) {
     g_assert(watch->state == WB_WATCH_LARGE);
     read_begin(watch);
+    g_hash_table_remove_all(watch->versions);
     watch->state = WB_WATCH_PART;
     watch->synced = TRUE;
 }
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -184,6 +184,17 @@
     wb_table_watch_go_on(directory->node->engines_watch);
 }
 
+/* What was read before the table was large would not be kept up to date. */
+static void engines_forget(wb_edge_node_t *node) {
+    g_autoptr(GList) ids = g_hash_table_get_keys(wb_fleet_all(node->edge.fleet));
+    for (GList *item = ids; item != NULL; item = item->next) {
+        g_autofree char *id = g_strdup(item->data);
+        wb_engine_t *engine = wb_fleet_find(node->edge.fleet, id);
+        wb_upstreams_drop(engine);
+        wb_fleet_remove(node->edge.fleet, id, 0);
+    }
+}
+
 /* Once the nodes are known this one is a reader of the table or leaves it to them. */
 static void decide(wb_directory_t *directory, int64_t now_ms) {
     wb_edge_node_t *node = directory->node;
@@ -199,6 +210,7 @@
     }
     state_set(directory, WB_DIRECTORY_PART, "weaker");
     wb_table_watch_follow_part(node->engines_watch);
+    engines_forget(node);
     directory->lost_since_ms = now_ms;
 }
 
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -295,7 +295,91 @@
     g_string_free(held.script.seen, TRUE);
 }
 
+/* A table that grows beyond the limit while it is followed. */
+typedef struct growing_t {
+    script_t script; /* first */
+    wb_table_watch_t *watch;
+    gboolean goes_on;
+    int larges;
+} growing_t;
+
+static void growing_read(wb_table_t *self, wb_table_name_t table, const char *from_key,
+                         wb_table_answer_fn on_answer, void *context) {
+    (void)table;
+    (void)from_key;
+    growing_t *growing = (growing_t *)self;
+    GPtrArray *rows = rows_make();
+    growing->script.reads++;
+    g_ptr_array_add(rows, row_make("a", 10));
+    g_ptr_array_add(rows, row_make("b", 11));
+    if (growing->script.reads > 1) {
+        g_ptr_array_add(rows, row_make("c", 13));
+    }
+    answer_give(on_answer, context, WB_TABLE_DONE, rows, growing->script.reads > 1 ? 14 : 11);
+    if (growing->script.reads > 1) {
+        wb_loop_quit(growing->script.loop);
+    }
+}
+
+static void growing_changes(wb_table_t *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+                            wb_table_answer_fn on_answer, void *context) {
+    (void)table;
+    (void)after;
+    (void)wait_ms;
+    growing_t *growing = (growing_t *)self;
+    if (growing->script.calls++ > 0) {
+        return;
+    }
+    GPtrArray *rows = rows_make();
+    g_ptr_array_add(rows, row_make("d", 12));
+    answer_give(on_answer, context, WB_TABLE_DONE, rows, 12);
+}
+
+static void growing_large(void *context) {
+    growing_t *growing = context;
+    growing->larges++;
+    if (growing->goes_on) {
+        wb_table_watch_go_on(growing->watch);
+    } else {
+        wb_table_watch_follow_part(growing->watch);
+        wb_table_row_t told = {(char *)"b", (guchar *)"v", 1, 11};
+        wb_table_row_t later = {(char *)"b", (guchar *)"v", 1, 15};
+        wb_table_watch_take(growing->watch, &told);
+        wb_table_watch_take(growing->watch, &later);
+        wb_table_watch_take(growing->watch, &told);
+        wb_loop_quit(growing->script.loop);
+    }
+}
+
+static char *growing_play(gboolean goes_on) {
+    growing_t growing = {.goes_on = goes_on};
+    wb_error_t error;
+    wb_table_watch_events_t events = {
+        .on_row = row_seen, .on_batch = batch_seen, .context = &growing, .on_large = growing_large};
+    g_assert_cmpint(wb_loop_create(&growing.script.loop, "test", 16, &error), ==, APR_SUCCESS);
+    growing.script.table = (wb_table_t){growing_read, growing_changes, NULL};
+    growing.script.seen = g_string_new(NULL);
+    wb_table_pace_t pace = {10, 20, 0, 20, 0};
+    growing.watch = wb_table_watch_create(growing.script.loop, &growing.script.table,
+                                          WB_TABLE_ENGINES, &pace, &events);
+    wb_table_watch_limit(growing.watch, 2);
+    wb_loop_run(growing.script.loop);
+    g_assert_cmpint(growing.larges, ==, 1);
+    g_assert_true(wb_table_watch_is_synced(growing.watch));
+    return g_string_free(growing.script.seen, FALSE);
+}
+
+/* Who reads it whole is told rows again that it knew, and what has gone meanwhile; who doesn't
+ * takes what others tell, and nothing older than that. */
+static void test_large_table(void) {
+    g_autofree char *whole = growing_play(TRUE);
+    g_assert_cmpstr(whole, ==, "+a@10 +b@11 +d@12 +a@10 +b@11 +c@13 -d@14 ");
+    g_autofree char *part = growing_play(FALSE);
+    g_assert_cmpstr(part, ==, "+a@10 +b@11 +d@12 +b@11 +b@15 ");
+}
+
 static void tests_add(void) {
+    g_test_add_func("/table-watch/large-table", test_large_table);
     g_test_add_func("/table-watch/look-after-failures", test_look_after_failures);
     g_test_add_func("/table-watch/whole-read-is-trusted", test_whole_read_is_trusted);
     g_test_add_func("/table-watch/told-removal-stays", test_told_removal_stays);
