--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -12,15 +12,12 @@
  * What it doesn't do: give orders. A node that doesn't know all engines never takes the lease. */
 #include "edge/edge_node_types.h"
 
+#include "directory/table_readers.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
-/* A machine with less than this share of the strongest one's processor leaves the table to it. */
-#define STRONG_SHARE 0.8
-/* Nodes that read the table: so many for each of them at most. A relay of the smallest kind (an
- * eighth of a core) tells 32 gateways of some rows a second. */
-#define GATEWAYS_A_RELAY 32
 /* All machines start within 0.3 s, and write their rows within 2 s. */
 #define DECIDE_MS 2500
 /* After a restart the rows are there: one read of them shows who is strong. */
@@ -120,25 +117,9 @@
 
 /* Which nodes read the table. */
 
-typedef struct wb_strength_t {
-    const char *id;
-    double share;
-    gboolean in_zone;
-    uint64_t weight;
-} wb_strength_t;
-
-static gint strongest_first(gconstpointer left, gconstpointer right) {
-    const wb_strength_t *a = left;
-    const wb_strength_t *b = right;
-    if (a->share != b->share) {
-        return a->share > b->share ? -1 : 1;
-    }
-    return strcmp(a->id, b->id);
-}
-
-/* Returns the nodes that read the table, as all nodes find them: wb_strength_t. */
+/* Returns the nodes that read the table, as all nodes find them: wb_table_reader_t. */
 static GArray *readers_find(const wb_edge_node_t *node) {
-    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(wb_strength_t));
+    GArray *readers = g_array_new(FALSE, FALSE, sizeof(wb_table_reader_t));
     GHashTableIter iter;
     gpointer id;
     gpointer value;
@@ -146,29 +127,12 @@
     while (g_hash_table_iter_next(&iter, &id, &value)) {
         const wb_node_row_t *row = value;
         if (row->form >= 2 && row->address != NULL) {
-            wb_strength_t one = {.id = id, .share = row->processor_share};
-            g_array_append_val(nodes, one);
-        }
-    }
-    g_array_sort(nodes, strongest_first);
-    guint least = (g_hash_table_size(node->nodes) + GATEWAYS_A_RELAY - 1) / GATEWAYS_A_RELAY;
-    guint count = 0;
-    while (count < nodes->len &&
-           (count < least || g_array_index(nodes, wb_strength_t, count).share >=
-                                 STRONG_SHARE * g_array_index(nodes, wb_strength_t, 0).share)) {
-        count++;
-    }
-    g_array_set_size(nodes, count);
-    return nodes;
-}
-
-static gboolean is_reader(const wb_edge_node_t *node, const GArray *readers) {
-    for (guint i = 0; i < readers->len; i++) {
-        if (strcmp(g_array_index(readers, wb_strength_t, i).id, node->edge.settings.id) == 0) {
-            return TRUE;
+            wb_table_reader_t one = {id, row->processor_share};
+            g_array_append_val(readers, one);
         }
     }
-    return FALSE;
+    wb_table_readers_select(readers, g_hash_table_size(node->nodes));
+    return readers;
 }
 
 void wb_edge_node_directory_large(void *context) {
@@ -204,7 +168,7 @@
         return;
     }
     g_autoptr(GArray) readers = readers_find(node);
-    if (readers->len == 0 || is_reader(node, readers)) {
+    if (readers->len == 0 || wb_table_readers_has(readers, node->edge.settings.id)) {
         whole_begin(directory, "reader");
         return;
     }
@@ -358,37 +322,17 @@
     relay_lost(context, reason);
 }
 
-/* Whether a node couldn't be reached lately: others go first. */
-static gboolean has_failed(const wb_directory_t *directory, const char *id, int64_t now_ms) {
-    const int64_t *failed_ms = g_hash_table_lookup(directory->failed, id);
-    return failed_ms != NULL && now_ms - *failed_ms < ALONE_MS;
-}
-
-/* Returns the relay to link to: of those that can be reached the one that hashing gives this
- * gateway.
- */
-static const wb_strength_t *relay_choose(const wb_directory_t *directory, const GArray *readers,
-                                         int64_t now_ms) {
-    const char *own = directory->node->edge.settings.id;
-    uint64_t seed = XXH64(own, strlen(own), 0);
-    const wb_strength_t *best = NULL;
-    uint64_t highest = 0;
-    for (guint i = 0; i < readers->len; i++) {
-        const wb_strength_t *reader = &g_array_index(readers, wb_strength_t, i);
-        uint64_t weight = XXH64(reader->id, strlen(reader->id), seed);
-        if (!has_failed(directory, reader->id, now_ms) && (best == NULL || weight > highest)) {
-            best = reader;
-            highest = weight;
-        }
-    }
-    return best;
+static gboolean failed_long_ago(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    return *(const int64_t *)context - *(const int64_t *)value > ALONE_MS;
 }
 
 static void relay_connect(wb_directory_t *directory, int64_t now_ms) {
     wb_edge_node_t *node = directory->node;
     g_autoptr(GArray) readers = readers_find(node);
-    const wb_strength_t *relay = relay_choose(directory, readers, now_ms);
-    const wb_node_row_t *row = relay != NULL ? g_hash_table_lookup(node->nodes, relay->id) : NULL;
+    g_hash_table_foreach_remove(directory->failed, failed_long_ago, &now_ms);
+    const char *relay = wb_table_readers_relay(readers, node->edge.settings.id, directory->failed);
+    const wb_node_row_t *row = relay != NULL ? g_hash_table_lookup(node->nodes, relay) : NULL;
     wb_link_events_t events = {link_open, link_message, link_close, directory, NULL, NULL};
     wb_error_t error;
     directory->connect_ms = now_ms + CONNECT_AGAIN_MS;
@@ -396,7 +340,7 @@
         return;
     }
     g_free(directory->relay);
-    directory->relay = g_strdup(relay->id);
+    directory->relay = g_strdup(relay);
     directory->greeted = FALSE;
     directory->early_answers = FALSE;
     directory->relay_told = FALSE;
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -315,14 +315,6 @@
     return FALSE;
 }
 
-static gboolean engines_are_known(const wb_exchange_t *exchange) {
-    const wb_edge_t *edge = exchange->edge;
-    return edge->engines_known == NULL ||
-           edge->engines_known(exchange->service->name,
-                               exchange->model != NULL ? exchange->model : "", exchange->began_ms,
-                               edge->need_context);
-}
-
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Asked before each sending: the copies that wait for a model would else all be sent once it is
@@ -335,7 +327,7 @@
         wb_exchange_give_up(exchange, WB_ENDING_TIMED_OUT);
         return;
     }
-    if (!engines_are_known(exchange)) {
+    if (!wb_exchange_engines_known(exchange)) {
         wb_exchange_wait_for_engines(exchange);
         return;
     }
--- a/src/request/exchange_inner.h
+++ b/src/request/exchange_inner.h
@@ -63,6 +63,9 @@
 /** Its engine has answered it whole, whatever the answer is. */
 void wb_exchange_note_survived(wb_exchange_t *exchange);
 
+/** @return TRUE when the engines that could serve it are known here; else they have been asked for
+ */
+gboolean wb_exchange_engines_known(const wb_exchange_t *exchange);
 /** It waits until its engines are known here, which takes some ms. */
 void wb_exchange_wait_for_engines(wb_exchange_t *exchange);
 
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -224,6 +224,14 @@
         edge->on_need(edge->need_context);
 }
 
+gboolean wb_exchange_engines_known(const wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    return edge->engines_known == NULL ||
+           edge->engines_known(exchange->service->name,
+                               exchange->model != NULL ? exchange->model : "", exchange->began_ms,
+                               edge->need_context);
+}
+
 void wb_exchange_wait_for_engines(wb_exchange_t *exchange) {
     if (wb_list_is_linked(&exchange->waiting)) {
         return;
