Relays: rows told early count, and engines that went between two relays are known to be gone

Found in rereading. A relay that hadn't read the whole table yet told rows that the gateway dropped, and never told them again; and a relay that had started anew knew nothing of an engine that had gone, so gateways that had been told of it before kept it.

Change: rows count whenever they come, and all is asked again once the relay knows all engines; a row that a gateway names and that isn't in the table is told as removed, as of the newest row.

Test: /edge/directory/relays-start-anew. The test weak-nodes-ask looked at once for what each node decides by its own clock (seen to fail once of four): it waits for it, 4 s at most.

--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -69,6 +69,8 @@
 void wb_table_watch_wake(wb_table_watch_t *watch);
 /** Ask sooner than the pause says, once. */
 void wb_table_watch_hurry(wb_table_watch_t *watch);
+/** @return TRUE while the table is being read whole, also when it was before */
+gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch);
 /** @return TRUE once the table was read whole */
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch);
 /** @return ms since the store last answered this node or one that vouches, for logs and metrics;
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -439,6 +439,10 @@
     return MAX(watch->known_ms, watch->vouched_ms);
 }
 
+gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch) {
+    return watch->state == WB_WATCH_READING;
+}
+
 gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch) {
     return watch->synced;
 }
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -161,6 +161,8 @@
 gboolean wb_edge_node_is_large(const wb_edge_node_t *node);
 /** @return TRUE when this node reads the table of engines, so that it may decide on them */
 gboolean wb_edge_node_reads_engines(const wb_edge_node_t *node);
+/** @return TRUE when it has read it */
+gboolean wb_edge_node_knows_engines(const wb_edge_node_t *node);
 /** @return TRUE when requests can be served: a relay has answered where one is needed */
 gboolean wb_edge_node_directory_is_ready(const wb_edge_node_t *node);
 /** As wb_edge_t.engines_known. @param context the node */
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -104,6 +104,11 @@
     return state == WB_DIRECTORY_SMALL || state == WB_DIRECTORY_WHOLE;
 }
 
+gboolean wb_edge_node_knows_engines(const wb_edge_node_t *node) {
+    return wb_edge_node_reads_engines(node) && wb_table_watch_is_synced(node->engines_watch) &&
+           !wb_table_watch_is_reading(node->engines_watch);
+}
+
 gboolean wb_edge_node_directory_is_ready(const wb_edge_node_t *node) {
     return node->directory->state != WB_DIRECTORY_PART || node->directory->told;
 }
@@ -239,22 +244,8 @@
     }
 }
 
-static void show_take(wb_directory_t *directory, const wb_wire_engines_show *show) {
+static void rows_take(wb_directory_t *directory, const wb_wire_engines_show *show) {
     wb_edge_node_t *node = directory->node;
-    int64_t now_ms = wb_clock_ms();
-    directory->heard_ms = now_ms;
-    if (!show->whole) {
-        directory->early_answers = TRUE;
-        return;
-    }
-    if (directory->early_answers) {
-        directory->early_answers = FALSE;
-        all_ask(directory);
-        return;
-    }
-    directory->told = TRUE;
-    directory->relay_told = TRUE;
-    directory->lost_since_ms = 0;
     for (guint i = 0; i < show->rows.rows_len; i++) {
         const wb_wire_table_row *wire = &show->rows.rows_val[i];
         int64_t version = (int64_t)wire->row_version;
@@ -267,6 +258,27 @@
     for (guint i = 0; i < show->holds.holds_len; i++) {
         wb_edge_node_placement_take(node, &show->holds.holds_val[i]);
     }
+}
+
+/* What a relay tells before it knows all engines is true, but nothing may be missed in it: all is
+ * asked again once it does. */
+static void show_take(wb_directory_t *directory, const wb_wire_engines_show *show) {
+    wb_edge_node_t *node = directory->node;
+    int64_t now_ms = wb_clock_ms();
+    gboolean ask_again = show->whole && directory->early_answers;
+    directory->heard_ms = now_ms;
+    directory->early_answers = !show->whole;
+    rows_take(directory, show);
+    if (ask_again) {
+        all_ask(directory);
+        return;
+    }
+    if (!show->whole) {
+        return;
+    }
+    directory->told = TRUE;
+    directory->relay_told = TRUE;
+    directory->lost_since_ms = 0;
     for (guint i = 0; i < show->answered.answered_len; i++) {
         answered_note(directory, &show->answered.answered_val[i], now_ms);
     }
--- a/src/edge/node_relay.c
+++ b/src/edge/node_relay.c
@@ -47,8 +47,8 @@
 static void wire_row_append(GArray *rows, const char *key, const wb_table_row_t *row) {
     wb_wire_table_row wire = {.table = WB_TABLE_ENGINES,
                               .key = strdup(key),
-                              .row_version = (uint64_t)(row != NULL ? row->version : 0),
-                              .removed = row == NULL || row->value == NULL};
+                              .row_version = (uint64_t)row->version,
+                              .removed = row->value == NULL};
     if (!wire.removed) {
         wire.value.value_val = malloc(MAX(row->length, 1));
         memcpy(wire.value.value_val, row->value, row->length);
@@ -103,13 +103,29 @@
     subscription->told_ms = now_ms;
 }
 
-/* Tells a row unless the other end has it; from now on its changes, too. */
-static void row_show(wb_edge_node_t *node, wb_subscription_t *subscription, const char *key,
-                     int64_t known_version) {
-    const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, key);
-    gboolean told = !g_hash_table_add(subscription->keys, g_strdup(key));
-    if (row != NULL && row->version > known_version && !(told && known_version < 0)) {
-        wire_row_append(subscription->changes, key, row);
+/* Tells a row that was asked for by name, if it is newer than the other end's; from now on its
+ * changes, too. One that isn't in the table any more went while another relay told of it. */
+static void known_show(wb_edge_node_t *node, wb_subscription_t *subscription,
+                       const wb_wire_known_row *known) {
+    const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, known->key);
+    wb_table_row_t gone = {known->key, NULL, 0, wb_table_watch_newest_row(node->engines_watch)};
+    gboolean may_be_gone = known->row_version > 0 && wb_edge_node_knows_engines(node);
+    if (row == NULL && may_be_gone) {
+        row = &gone;
+    }
+    g_hash_table_add(subscription->keys, g_strdup(known->key));
+    if (row != NULL && row->version > (int64_t)known->row_version) {
+        wire_row_append(subscription->changes, known->key, row);
+    }
+}
+
+/* Tells an engine's row, once; from then on its changes. */
+static void engine_show(wb_edge_node_t *node, wb_subscription_t *subscription,
+                        const wb_engine_t *engine) {
+    const char *id = engine->state->id;
+    const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, id);
+    if (row != NULL && g_hash_table_add(subscription->keys, g_strdup(id))) {
+        wire_row_append(subscription->changes, id, row);
     }
 }
 
@@ -131,8 +147,7 @@
     }
     wb_subscription_t *subscription = gateway->subscription;
     for (guint i = 0; i < want->known.known_len; i++) {
-        const wb_wire_known_row *known = &want->known.known_val[i];
-        row_show(node, subscription, known->key, (int64_t)known->row_version);
+        known_show(node, subscription, &want->known.known_val[i]);
     }
     for (guint i = 0; i < want->wants.wants_len; i++) {
         const wb_wire_engine_want *one = &want->wants.wants_val[i];
@@ -141,7 +156,7 @@
                              subscription->zone, now_ms);
         for (guint j = 0; j < engines->len; j++) {
             const wb_engine_t *engine = g_ptr_array_index(engines, j);
-            row_show(node, subscription, engine->state->id, -1);
+            engine_show(node, subscription, engine);
             holds_append(holds, engine, one->model);
         }
     }
--- a/tests/edge/test_directory.c
+++ b/tests/edge/test_directory.c
@@ -7,6 +7,7 @@
 #define NODES 4
 /* The estate has four engines. */
 #define FLAGS "--engine-rows-most=2"
+#define DECIDED_MS 4000
 
 static const char *const two_strong[] = {"--processor-share=1", "--processor-share=1",
                                          "--processor-share=0.12", "--processor-share=0.12"};
@@ -19,9 +20,14 @@
     return status;
 }
 
+/* Nodes decide 2.5 s after they see that the table is large, each by its own clock. */
 static void assert_reads(const estate_t *estate, int node, const char *how) {
     g_autofree char *line = g_strdup_printf("\"read\":\"%s\"", how);
-    g_assert_true(estate_log_has(estate, node, line));
+    int64_t until_ms = harness_now_ms() + DECIDED_MS;
+    while (!estate_log_has(estate, node, line)) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(20000);
+    }
 }
 
 /* Weak nodes are told of what they ask for, and nothing else; what isn't loaded is loaded for them,
@@ -107,6 +113,27 @@
     estate_stop(estate);
 }
 
+/* Relays start anew while an engine goes: who was told of it before hears that it is gone, though
+ * no relay has ever known it. */
+static void test_relays_start_anew(void) {
+    estate_t *estate = estate_start_each(NODES, FLAGS, two_strong);
+    estate_wait_controller(estate, 8000);
+    g_assert_cmpint(asked(estate, 2, "/lock/x", "s1", EDGE_DEADLINE), ==, 200);
+    g_assert_cmpfloat(estate_metric(estate, 2, "engines"), ==, 2);
+    process_kill(&estate->nodes[0].process);
+    process_kill(&estate->nodes[1].process);
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-1\"}");
+    estate_node_launch(estate, 0);
+    estate_node_launch(estate, 1);
+    estate_wait_ready(estate, 0);
+    estate_wait_ready(estate, 1);
+    g_usleep(3000000);
+    assert_reads(estate, 2, "part");
+    g_assert_cmpfloat(estate_metric(estate, 2, "engines"), ==, 1);
+    g_assert_cmpint(asked(estate, 2, "/lock/x", "s2", EDGE_DEADLINE), ==, 200);
+    estate_stop(estate);
+}
+
 /* All are killed at once: rows tell who is strong, and all serve again soon. */
 static void test_all_killed(void) {
     estate_t *estate = estate_start_each(NODES, FLAGS, two_strong);
@@ -133,6 +160,7 @@
     g_test_add_func("/edge/directory/weak-nodes-ask", test_weak_nodes_ask);
     g_test_add_func("/edge/directory/changes-are-told", test_changes_are_told);
     g_test_add_func("/edge/directory/relays-are-lost", test_relays_are_lost);
+    g_test_add_func("/edge/directory/relays-start-anew", test_relays_start_anew);
     g_test_add_func("/edge/directory/all-killed", test_all_killed);
 }
 
