--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -75,7 +75,7 @@
         "Time after which the store's answer counts as lost"),
     ROW("node-life-s", WB_SETTING_REAL, "s", 1, 86400, "180", node_life_s,
         "A node whose row in the store hasn't changed for so long isn't counted any more"),
-    ROW("engine-rows-most", WB_SETTING_INTEGER, "rows", 0, 1000000000, "2000", engine_rows_most,
+    ROW("engine-rows-most", WB_SETTING_INTEGER, "rows", 0, 1000000000, "500", engine_rows_most,
         "Engines beyond which only the strongest machines read their table, and the others ask "
         "those "
         "for what their callers need; 0: each node always reads it"),
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -9,6 +9,10 @@
  * gateways spread over the others. A gateway that finds none for some seconds reads the table
  * itself, like any node of a small fleet.
  *
+ * The limit, one page of the table (500 rows), is where reading begins to cost several calls: at
+ * 297 machines and 3,003 engines it gave 0.811 of worth, 2,000 rows 0.758, reading at all nodes
+ * 0.774.
+ *
  * What it doesn't do: give orders. A node that doesn't know all engines never takes the lease. */
 #include "edge/edge_node_types.h"
 
