A stop that comes while the process begins; the soak knows one that comes before its own code runs

Trace: node 2 was killed at 13.89 s, begun anew and told to stop at 14.09 s, in one round of the soak's loop; its log has no start for that process. SIGTERM came between exec and the program's own code, where the system ends a process; it had opened nothing and taken nothing.

--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -164,6 +164,20 @@
     return strstr(log, text) != NULL;
 }
 
+gboolean estate_node_has_started(const estate_t *estate, int index) {
+    static const char line[] = "\"event\":\"started\"";
+    const estate_node_t *node = &estate->nodes[index];
+    g_autofree char *log = NULL;
+    int starts = 0;
+    if (!g_file_get_contents(node->process.log_path, &log, NULL, NULL)) {
+        return FALSE;
+    }
+    for (const char *place = log; (place = strstr(place, line)) != NULL; place++) {
+        starts++;
+    }
+    return starts >= node->launches;
+}
+
 void estate_node_launch(estate_t *estate, int index) {
     estate_node_t *node = &estate->nodes[index];
     process_clear(&node->process);
@@ -191,6 +205,7 @@
         files.build = (char *)g_getenv("WICKBRIDGE_OLDER_BUILD");
         g_assert_nonnull(files.build); /* scripts/build-commit.sh makes it */
     }
+    node->launches++;
     process_prepare(&files, &node->process, name, "wickbridge-edge", arguments);
     process_start(&node->process);
 }
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -17,6 +17,7 @@
     int ready_port;
     int nodes_port;
     int metrics_port;
+    int launches;
     gboolean older;    /**< it runs the build that WICKBRIDGE_OLDER_BUILD names */
     const char *flags; /**< more flags for this node only, with spaces between; or NULL */
 } estate_node_t;
@@ -60,6 +61,8 @@
 /** Wait until a node holds the controller's lease. @return its index */
 int estate_wait_controller(const estate_t *estate, int timeout_ms);
 /** @return TRUE when a node's log has a line with this text */
+/** @return TRUE when the process that was launched last has logged that it started */
+gboolean estate_node_has_started(const estate_t *estate, int index);
 gboolean estate_log_has(const estate_t *estate, int index, const char *text);
 
 /** Set a fault between a node and the store, as wb-standin-proxy names them: pass, delay, cut,
