--- a/scripts/build-commit.sh
+++ b/scripts/build-commit.sh
@@ -2,6 +2,8 @@
 # Builds the edge node of a commit from the repository's own history, once.
 # Usage: scripts/build-commit.sh COMMIT FOLDER; the program is FOLDER/wickbridge-edge.
 set -eu
+# A shallow clone lacks the commit until the rest of the history is fetched.
+git cat-file -e "$1^{commit}" 2>/dev/null || git fetch -q --unshallow
 commit=$(git rev-parse "$1^{commit}")
 folder=$2
 [ -f "$folder/$commit" ] && exit 0
