Read again: one lookup, one condition, one way for what stood twice

No behaviour changes. How long a cold engine is waited for was worked out twice for each request that begins to wait, and once more when that wait ends; an engine's orders were looked up twice in each decision, an engine twice for each entry of news. Whether a request names regions was asked in two files. A zone's row in news was put together by hand beside wb_edge_node_wire_row_add. attempt.c ended a reader's call in two places alike. The directory's tick is three checks with names; the time a node goes alone is worked out only where it counts. Two loops that stop when a decision's time is over say so in the same way.

Left as it is: the shape-alike pairs of freeing and comparing functions, which share no logic; rendezvous hashing at five places is two lines each, over things of different kinds; news are encoded with and without parts though usually all gateways read both, once a message, not once a gateway.

--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -168,8 +168,9 @@
     g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_load_plan_entry));
     unsigned before = 0;
     paused_note(controller, snapshot, entries, now_ms);
-    for (guint i = 0; i < missing->len && (i == 0 || !wb_controller_time_is_over(controller));
-         i++) {
+    for (guint i = 0; i < missing->len; i++) {
+        if (i > 0 && wb_controller_time_is_over(controller))
+            break;
         const wb_missing_model_t *model = &g_array_index(missing, wb_missing_model_t, i);
         wb_usage_t *usage = wb_demand_book_find(controller->book, service, model->spec->name, "");
         if (missing_place(controller, snapshot, model->spec, usage, now_ms)) {
--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -121,9 +121,8 @@
     unsigned looked_at = 0;
     for (guint i = 0; i < spreads->len && placed < SPREADS_AT_ONCE && looked_at < SPREADS_LOOKED_AT;
          i++) {
-        if (i > 0 && wb_controller_time_is_over(controller)) {
+        if (i > 0 && wb_controller_time_is_over(controller))
             break;
-        }
         gboolean found;
         /* The first that lacks the store makes the wish: it gains most. */
         placed += spread_one(controller, snapshot, &g_array_index(spreads, wb_spread_t, i), &found);
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -24,6 +24,11 @@
         scene->place->pending_mb += spec->weights_mb;
 }
 
+static const wb_engine_orders_t *orders_of(const wb_controller_t *controller,
+                                           const wb_engine_t *engine) {
+    return g_hash_table_lookup(controller->orders, engine->state->id);
+}
+
 /* Counts an engine's models as replicas, or as those that its zone's evacuation takes away: these
  * are only looked up, as a model that nobody asks for isn't missed. */
 static void replicas_count(wb_controller_t *controller, const char *service,
@@ -47,11 +52,10 @@
     }
 }
 
-/* Adds an engine to a snapshot. Returns its place there. */
-static wb_placement_engine_t *snapshot_add_engine(wb_controller_t *controller,
-                                                  wb_placement_snapshot_t *snapshot,
-                                                  wb_engine_t *engine, int64_t now_ms) {
-    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+/* Adds an engine to a snapshot. Returns its place there. @param orders of the engine; NULL: none */
+static wb_placement_engine_t *
+snapshot_add_engine(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                    wb_engine_t *engine, const wb_engine_orders_t *orders, int64_t now_ms) {
     wb_placement_engine_t place = {.engine = engine, .state = engine->state};
     place.speed = controller->settings->engine_pace != 0
                       ? 1 / wb_engine_pace_usual(&engine->pace, now_ms)
@@ -71,9 +75,8 @@
 
 /* Counts what an engine holds and what it is about to load. */
 static void engine_count(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
-                         wb_placement_engine_t *place, int64_t now_ms) {
-    const wb_engine_orders_t *orders =
-        g_hash_table_lookup(controller->orders, place->engine->state->id);
+                         wb_placement_engine_t *place, const wb_engine_orders_t *orders,
+                         int64_t now_ms) {
     if (orders != NULL && wb_engine_stays(place->engine)) {
         wb_loading_scene_t scene = {controller, snapshot->service, place};
         wb_engine_orders_each(orders, loading_count, &scene);
@@ -98,7 +101,7 @@
 
 static gboolean engine_is_loading(const wb_engine_t *engine, const char *model, void *context) {
     const wb_controller_t *controller = context;
-    const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, engine->state->id);
+    const wb_engine_orders_t *orders = orders_of(controller, engine);
     return orders != NULL && wb_engine_orders_has(orders, model, "");
 }
 
@@ -142,9 +145,10 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wb_engine_t *engine = value;
         if (strcmp(engine->state->service, service->name) == 0) {
+            const wb_engine_orders_t *orders = orders_of(controller, engine);
             wb_placement_engine_t *place =
-                snapshot_add_engine(controller, snapshot, engine, now_ms);
-            engine_count(controller, snapshot, place, now_ms);
+                snapshot_add_engine(controller, snapshot, engine, orders, now_ms);
+            engine_count(controller, snapshot, place, orders, now_ms);
         }
     }
     if (snapshot->engines->len > WB_PLACES_JUDGED) {
@@ -156,7 +160,7 @@
 void wb_controller_snapshot_one(wb_controller_t *controller, const wb_service_t *service,
                                 wb_engine_t *engine, wb_placement_snapshot_t *snapshot) {
     snapshot_begin(controller, service, snapshot);
-    snapshot_add_engine(controller, snapshot, engine, wb_clock_ms());
+    snapshot_add_engine(controller, snapshot, engine, orders_of(controller, engine), wb_clock_ms());
     uses_add(controller, snapshot);
 }
 
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -285,8 +285,9 @@
 void wb_edge_node_hello_send(const wb_edge_node_t *node, wb_link_t *link);
 /** The other end has told. */
 void wb_edge_node_hello_take(wb_link_t *link, const wb_wire_hello *hello);
-/** Take one entry of news of models; its engine is known. */
-void wb_edge_node_placement_take(wb_edge_node_t *node, const wb_wire_placement_entry *entry);
+/** Take one entry of news of models. @param engine that it names */
+void wb_edge_node_placement_take(wb_edge_node_t *node, wb_engine_t *engine,
+                                 const wb_wire_placement_entry *entry);
 void wb_edge_node_tell_news(const wb_wire_message *news, void *context);
 /** Frees a wb_gateway_t. */
 void wb_edge_node_gateway_free(gpointer data);
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -229,11 +229,11 @@
 static void early_apply(wb_directory_t *directory, int64_t now_ms) {
     for (guint i = directory->early->len; i-- > 0;) {
         const wb_early_news_t *news = g_ptr_array_index(directory->early, i);
-        gboolean known = wb_fleet_find(directory->node->edge.fleet, news->entry.engine) != NULL;
-        if (known) {
-            wb_edge_node_placement_take(directory->node, &news->entry);
+        wb_engine_t *engine = wb_fleet_find(directory->node->edge.fleet, news->entry.engine);
+        if (engine != NULL) {
+            wb_edge_node_placement_take(directory->node, engine, &news->entry);
         }
-        if (known || now_ms - news->at_ms > NEWS_KEPT_MS) {
+        if (engine != NULL || now_ms - news->at_ms > NEWS_KEPT_MS) {
             g_ptr_array_remove_index_fast(directory->early, i);
         }
     }
@@ -260,7 +260,11 @@
         wb_table_watch_take(node->engines_watch, &row);
     }
     for (guint i = 0; i < show->holds.holds_len; i++) {
-        wb_edge_node_placement_take(node, &show->holds.holds_val[i]);
+        const wb_wire_placement_entry *entry = &show->holds.holds_val[i];
+        wb_engine_t *engine = wb_fleet_find(node->edge.fleet, entry->engine);
+        if (engine != NULL) {
+            wb_edge_node_placement_take(node, engine, entry);
+        }
     }
 }
 
@@ -372,6 +376,34 @@
              readers->len);
 }
 
+/* Lets a relay go that is silent or doesn't come to know all engines. */
+static void relay_check(wb_directory_t *directory, int64_t now_ms) {
+    gboolean silent = now_ms - directory->heard_ms > SILENT_MS;
+    gboolean knows_nothing = !directory->relay_told && now_ms - directory->linked_ms > READING_MS;
+    if (directory->link != NULL && (silent || knows_nothing)) {
+        wb_link_t *link = directory->link;
+        relay_lost(directory, silent ? "silent" : "it doesn't know all engines");
+        wb_link_close(link);
+    }
+}
+
+/* Time without a relay after which this node reads the table itself. */
+static int64_t alone_ms(const wb_directory_t *directory) {
+    const char *id = directory->node->edge.settings.id;
+    return ALONE_MS + (int64_t)(XXH64(id, strlen(id), 1) % ALONE_SPREAD_MS);
+}
+
+static void alone_check(wb_directory_t *directory, int64_t now_ms) {
+    if (directory->lost_since_ms == 0 || now_ms - directory->lost_since_ms <= alone_ms(directory)) {
+        return;
+    }
+    if (directory->link != NULL) {
+        wb_link_close(directory->link);
+        directory->link = NULL;
+    }
+    whole_begin(directory, "alone");
+}
+
 void wb_edge_node_tick_directory(wb_edge_node_t *node, int64_t now_ms) {
     wb_directory_t *directory = node->directory;
     if (directory->state == WB_DIRECTORY_UNDECIDED) {
@@ -380,25 +412,11 @@
     if (directory->state != WB_DIRECTORY_PART) {
         return;
     }
-    gboolean silent = now_ms - directory->heard_ms > SILENT_MS;
-    gboolean knows_nothing = !directory->relay_told && now_ms - directory->linked_ms > READING_MS;
-    if (directory->link != NULL && (silent || knows_nothing)) {
-        wb_link_t *link = directory->link;
-        relay_lost(directory, silent ? "silent" : "it doesn't know all engines");
-        wb_link_close(link);
-    }
+    relay_check(directory, now_ms);
     if (directory->link == NULL && now_ms >= directory->connect_ms) {
         relay_connect(directory, now_ms);
     }
-    uint64_t chance = XXH64(node->edge.settings.id, strlen(node->edge.settings.id), 1);
-    int64_t alone_ms = ALONE_MS + (int64_t)(chance % ALONE_SPREAD_MS);
-    if (directory->lost_since_ms != 0 && now_ms - directory->lost_since_ms > alone_ms) {
-        if (directory->link != NULL) {
-            wb_link_close(directory->link);
-            directory->link = NULL;
-        }
-        whole_begin(directory, "alone");
-    }
+    alone_check(directory, now_ms);
 }
 
 /* What requests ask. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -25,13 +25,10 @@
     return FALSE;
 }
 
-void wb_edge_node_placement_take(wb_edge_node_t *node, const wb_wire_placement_entry *entry) {
+void wb_edge_node_placement_take(wb_edge_node_t *node, wb_engine_t *engine,
+                                 const wb_wire_placement_entry *entry) {
     wb_edge_t *edge = &node->edge;
-    wb_engine_t *engine = wb_fleet_find(edge->fleet, entry->engine);
     int64_t row_after_ms = 2 * edge->settings.engine_heartbeat_ms;
-    if (engine == NULL) {
-        return;
-    }
     if (entry->ready_in_ms > 0) {
         wb_exchanges_expect(edge, engine->state->service, entry->model, entry->ready_in_ms);
         return;
@@ -62,10 +59,9 @@
             }
             continue;
         }
-        if (!start_is_known(node, engine, &starts, i)) {
-            continue;
+        if (start_is_known(node, engine, &starts, i)) {
+            wb_edge_node_placement_take(node, engine, entry);
         }
-        wb_edge_node_placement_take(node, entry);
     }
     xdr_free((xdrproc_t)xdr_wb_wire_starts, &starts);
     wb_exchanges_retry_waiting(edge);
--- a/src/edge/node_relay.c
+++ b/src/edge/node_relay.c
@@ -2,7 +2,7 @@
  *
  * For each link it keeps which rows it has told. It tells their changes as it learns of them, and
  * each half second that there are none, so that the other end knows within a bound whether it is
- * still told. It keeps the rows as they stand in the store, for as long as somebody asks here. */
+ * still told. It keeps all rows that it has read, those that were removed, too. */
 #include "edge/edge_node_types.h"
 
 #include "directory/engine_subset.h"
--- a/src/edge/node_zones.c
+++ b/src/edge/node_zones.c
@@ -115,11 +115,8 @@
     g_hash_table_iter_init(&iter, node->zones);
     while (g_hash_table_iter_next(&iter, &zone, &value)) {
         const wb_zone_row_t *known = value;
-        wb_wire_table_row wire = {.table = WB_NEWS_ZONES,
-                                  .key = strdup(zone),
-                                  .row_version = (uint64_t)known->version,
-                                  .removed = !known->evacuated};
-        g_array_append_val(rows, wire);
+        wb_table_row_t row = {zone, known->evacuated ? (guchar *)"" : NULL, 0, known->version};
+        wb_edge_node_wire_row_add(rows, WB_NEWS_ZONES, &row);
     }
 }
 
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -188,6 +188,17 @@
 
 static const wb_http_reader_events_t reader_events = {reader_head, reader_body, reader_complete};
 
+/* The reader has stopped. Returns the attempt that it read for, or NULL when that has ended
+ * meanwhile; the connection may be freed then. */
+static wb_attempt_t *feeding_end(wb_upstream_t *upstream) {
+    upstream->feeding = FALSE;
+    if (upstream->dropped) {
+        upstream_drop(upstream);
+        return NULL;
+    }
+    return upstream->attempt;
+}
+
 /* Reads an answer's bytes. Calls into the exchange may end the attempt, so it's looked up each
  * time. */
 static void upstream_feed(wb_upstream_t *upstream, const char *data, size_t length) {
@@ -200,12 +211,7 @@
         if (used == 0 || wb_http_reader_failure(upstream->reader) != WB_HTTP_FAILURE_NONE)
             break;
     }
-    upstream->feeding = FALSE;
-    if (upstream->dropped) {
-        upstream_drop(upstream);
-        return;
-    }
-    wb_attempt_t *attempt = upstream->attempt;
+    wb_attempt_t *attempt = feeding_end(upstream);
     if (attempt == NULL)
         return;
     if (length > 0)
@@ -251,16 +257,12 @@
         idle_drop(upstream);
         return;
     }
+    wb_attempt_t *attempt = upstream->attempt;
     if (how == WB_TCP_END_CLOSED) {
         upstream->feeding = TRUE;
         wb_http_reader_end(upstream->reader);
-        upstream->feeding = FALSE;
-        if (upstream->dropped) {
-            upstream_drop(upstream);
-            return;
-        }
+        attempt = feeding_end(upstream);
     }
-    wb_attempt_t *attempt = upstream->attempt;
     if (attempt == NULL)
         return;
     attempt->tainted = TRUE;
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -202,19 +202,29 @@
                engine->cold_until_ms);
 }
 
+/* Regions that a request's tenant names; NULL: none. */
+static const char *const *tenant_homes(const wb_exchange_t *exchange) {
+    return exchange->tenant != NULL ? (const char *const *)exchange->tenant->homes : NULL;
+}
+
+static gboolean names_no_home(const wb_exchange_t *exchange) {
+    return exchange->route->homes == NULL && tenant_homes(exchange) == NULL;
+}
+
 /* Whether the request may be served where the engine stands. */
 static gboolean is_home(const wb_exchange_t *exchange, const wb_engine_t *engine) {
-    const char *const *by_route = (const char *const *)exchange->route->homes;
-    const char *const *by_tenant =
-        exchange->tenant != NULL ? (const char *const *)exchange->tenant->homes : NULL;
-    if (by_route == NULL && by_tenant == NULL) {
+    if (names_no_home(exchange)) {
         return TRUE;
     }
     const char *region = g_hash_table_lookup(exchange->edge->regions, engine->state->zone);
-    return wb_homes_allow(by_route, region) && wb_homes_allow(by_tenant, region);
+    return wb_homes_allow((const char *const *)exchange->route->homes, region) &&
+           wb_homes_allow(tenant_homes(exchange), region);
 }
 
 gboolean wb_balancer_has_home(const wb_edge_t *edge, const wb_exchange_t *exchange) {
+    if (names_no_home(exchange)) {
+        return TRUE;
+    }
     const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         if (is_home(exchange, g_ptr_array_index(engines, i))) {
--- a/src/request/exchange_read.c
+++ b/src/request/exchange_read.c
@@ -99,11 +99,6 @@
     return WB_ENDING_COUNT;
 }
 
-static gboolean has_homes(const wb_exchange_t *exchange) {
-    return exchange->route->homes != NULL ||
-           (exchange->tenant != NULL && exchange->tenant->homes != NULL);
-}
-
 /* Finds route and service. Returns WB_ENDING_COUNT, or why the request can't be served. */
 wb_ending_t wb_exchange_read(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
@@ -127,7 +122,7 @@
     exchange->service = service != NULL ? wb_catalog_service(edge->catalog, service) : NULL;
     if (exchange->service == NULL)
         return WB_ENDING_NO_ENGINE;
-    if (has_homes(exchange) && !wb_balancer_has_home(edge, exchange))
+    if (!wb_balancer_has_home(edge, exchange))
         return WB_ENDING_NO_ENGINE;
     ending = model_find(exchange);
     if (ending != WB_ENDING_COUNT)
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -159,12 +159,9 @@
     return exchange->began_ms + MIN(MAX(in_time_ms, DECIDED_MS + load_ms), useful_ms);
 }
 
-/* Steady time until which waiting has a use; in the past when it has none. */
-static int64_t wait_until_ms(const wb_exchange_t *exchange) {
-    int64_t cold_until_ms = cold_wait_until_ms(exchange);
-    if (cold_until_ms != 0) {
-        return cold_until_ms;
-    }
+/* Steady time until which it has a use to wait for a load, or for an engine that isn't cold; in the
+ * past when it has none. */
+static int64_t load_wait_until_ms(const wb_exchange_t *exchange) {
     if (exchange->model == NULL) {
         return engine_wait_until_ms(exchange);
     }
@@ -182,6 +179,12 @@
     return MIN(MAX(ready_ms + LOAD_LATE_MS, unknown_wait_until_ms(exchange)), useful_until_ms);
 }
 
+/* Steady time until which waiting has a use; in the past when it has none. */
+static int64_t wait_until_ms(const wb_exchange_t *exchange) {
+    int64_t cold_until_ms = cold_wait_until_ms(exchange);
+    return cold_until_ms != 0 ? cold_until_ms : load_wait_until_ms(exchange);
+}
+
 /* It waited for a cold engine, which is no longer there, or for its engines to be known, and there
  * are none: now it waits for a load. */
 static void cold_wait_check(wb_exchange_t *exchange) {
@@ -190,7 +193,7 @@
     }
     exchange->wants_load = TRUE;
     wb_demand_waiting(exchange->edge->demand, exchange, TRUE);
-    exchange->wait_until_ms = wait_until_ms(exchange);
+    exchange->wait_until_ms = load_wait_until_ms(exchange);
     wb_exchange_arm_hold(exchange);
     if (exchange->model != NULL && exchange->edge->on_need != NULL) {
         exchange->edge->on_need(exchange->edge->need_context);
@@ -204,12 +207,13 @@
         cold_wait_check(exchange);
         return;
     }
-    exchange->wait_until_ms = wait_until_ms(exchange);
+    int64_t cold_until_ms = cold_wait_until_ms(exchange);
+    /* What a cold engine holds needs no load. */
+    exchange->wants_load = cold_until_ms == 0;
+    exchange->wait_until_ms = exchange->wants_load ? load_wait_until_ms(exchange) : cold_until_ms;
     exchange->waiting_since_ms = wb_clock_ms();
     wb_list_add_tail(&edge->waiting, &exchange->waiting);
     edge->metrics.waits++;
-    /* What a cold engine holds needs no load. */
-    exchange->wants_load = cold_wait_until_ms(exchange) == 0;
     if (exchange->wants_load) {
         wb_demand_waiting(edge->demand, exchange, TRUE);
     }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -237,7 +237,8 @@
  * @return NULL when none can be used; owned by the fleet */
 wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                 int64_t now_ms, wb_sending_t *sending);
-/** @return TRUE when some engine of the request's service stands where the request may be served */
+/** @return TRUE when the request names no regions, or some engine of its service stands where it
+ * may be served */
 gboolean wb_balancer_has_home(const wb_edge_t *edge, const wb_exchange_t *exchange);
 /** @return steady time from which a cold engine that could serve the request takes another one;
  * G_MAXINT64: none will, or none is cold */
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -289,21 +289,6 @@
     relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
 }
 
-static estate_t *estate_begin(int nodes, int older, const char *node_flags,
-                              const char *const *flags);
-
-estate_t *estate_start(int nodes, const char *node_flags) {
-    return estate_start_builds(nodes, 0, node_flags);
-}
-
-estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags) {
-    return estate_begin(nodes, 0, node_flags, flags);
-}
-
-estate_t *estate_start_builds(int nodes, int older, const char *node_flags) {
-    return estate_begin(nodes, older, node_flags, NULL);
-}
-
 static estate_t *estate_begin(int nodes, int older, const char *node_flags,
                               const char *const *flags) {
     estate_t *estate = g_new0(estate_t, 1);
@@ -344,6 +329,18 @@
     return estate;
 }
 
+estate_t *estate_start(int nodes, const char *node_flags) {
+    return estate_begin(nodes, 0, node_flags, NULL);
+}
+
+estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags) {
+    return estate_begin(nodes, 0, node_flags, flags);
+}
+
+estate_t *estate_start_builds(int nodes, int older, const char *node_flags) {
+    return estate_begin(nodes, older, node_flags, NULL);
+}
+
 void estate_stop(estate_t *estate) {
     for (int i = 0; i < estate->node_count; i++)
         process_clear(&estate->nodes[i].process);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -60,9 +60,9 @@
 int estate_controller(const estate_t *estate);
 /** Wait until a node holds the controller's lease. @return its index */
 int estate_wait_controller(const estate_t *estate, int timeout_ms);
-/** @return TRUE when a node's log has a line with this text */
 /** @return TRUE when the process that was launched last has logged that it started */
 gboolean estate_node_has_started(const estate_t *estate, int index);
+/** @return TRUE when a node's log has a line with this text */
 gboolean estate_log_has(const estate_t *estate, int index, const char *text);
 
 /** Set a fault between a node and the store, as wb-standin-proxy names them: pass, delay, cut,
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -165,23 +165,36 @@
     return g_str_has_prefix(engine, "guest") ? "zone-1" : "zone-2";
 }
 
-static int node_of(const soak_t *soak, const char *id);
+/* Returns the node that a request was asked of, or -1. */
+static int node_of(const soak_t *soak, const char *id) {
+    for (guint i = 0; i < soak->requests->len; i++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
+        if (strcmp(request->id, id) == 0) {
+            return request->node;
+        }
+    }
+    return -1;
+}
 
 /* Engines of a zone that is evacuated get nothing new from nodes that nothing keeps from knowing.
  */
 static void evacuation_check(soak_t *soak, const json_t *seen) {
     size_t i;
     json_t *run;
+    if (soak->has_builds) {
+        return; /* the older build knows no evacuations */
+    }
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
         int64_t at_ms = number_of(run, "at_ms");
-        for (guint j = 0; !soak->has_builds && j < soak->evacuations->len; j++) {
+        int node = node_of(soak, text_of(run, "id"));
+        const char *zone = zone_of_engine(text_of(run, "engine"));
+        for (guint j = 0; j < soak->evacuations->len; j++) {
             const soak_evacuation_t *evacuation =
                 &g_array_index(soak->evacuations, soak_evacuation_t, j);
-            if (strcmp(evacuation->zone, zone_of_engine(text_of(run, "engine"))) == 0 &&
+            if (strcmp(evacuation->zone, zone) == 0 &&
                 at_ms > evacuation->from_ms + SOAK_EVACUATE_MS && at_ms < evacuation->to_ms &&
-                node_of(soak, text_of(run, "id")) >= 0 &&
-                !soak_is_disturbed_but(soak, node_of(soak, text_of(run, "id")), evacuation->from_ms,
-                                       at_ms, "evacuation")) {
+                node >= 0 &&
+                !soak_is_disturbed_but(soak, node, evacuation->from_ms, at_ms, "evacuation")) {
                 soak_broken(soak, "%s: ran at %s %lld ms after its zone was evacuated",
                             text_of(run, "id"), text_of(run, "engine"),
                             (long long)(at_ms - evacuation->from_ms));
@@ -190,17 +203,6 @@
     }
 }
 
-/* Returns the node that a request was asked of, or -1. */
-static int node_of(const soak_t *soak, const char *id) {
-    for (guint i = 0; i < soak->requests->len; i++) {
-        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
-        if (strcmp(request->id, id) == 0) {
-            return request->node;
-        }
-    }
-    return -1;
-}
-
 /* A request that crashed three engines reaches few more, from nodes that nothing keeps from it. */
 static void poison_check(soak_t *soak, const json_t *seen) {
     const json_t *crashes = json_object_get(seen, "crashes");
