--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -25,6 +25,7 @@
     uint64_t endings[WB_ENDINGS_MAX];
     uint64_t sends;
     uint64_t resends;
+    uint64_t resends_refused; /* beyond what the retry budget allows */
     uint64_t rejections;
     uint64_t broken_sends;
     uint64_t engine_checks;
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -48,6 +48,8 @@
         {"requests_total", "Requests of callers.", metrics->requests},
         {"sends_total", "Sendings to engines.", metrics->sends},
         {"resends_total", "Sendings beyond the first of a request.", metrics->resends},
+        {"resends_refused_total", "Sendings beyond the first that the retry budget didn't allow.",
+         metrics->resends_refused},
         {"rejections_total", "Sendings that engines turned away.", metrics->rejections},
         {"broken_sends_total", "Sendings without a whole answer.", metrics->broken_sends},
         {"engine_checks_total", "Looks whether an engine is there that broke a request off.",
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -226,16 +226,32 @@
     return edge->settings.retry_slack / MAX(edge->node_count, 1);
 }
 
+/* Writes what the budget allowed when a request was sent again, or was not. */
+static void resend_log(const char *event, const wb_exchange_t *exchange, double left) {
+    const wb_edge_t *edge = exchange->edge;
+    wb_event(event,
+             ",\"id\":\"%s\",\"service\":\"%s\",\"sends\":%u,\"left\":%.2f,\"share\":%.2f,"
+             "\"nodes\":%u",
+             wb_event_text(exchange->id), exchange->service->name, exchange->sends, left,
+             slack_share(edge), edge->node_count);
+}
+
 static gboolean resend_allowed(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (exchange->sends == 0)
         return TRUE;
     if (exchange->sends >= SENDS_LIMIT)
         return FALSE;
-    if (!wb_retry_budget_take(budget_of(edge, exchange->service->name), slack_share(edge),
-                              wb_clock_ms()))
+    wb_retry_budget_t *budget = budget_of(edge, exchange->service->name);
+    int64_t now_ms = wb_clock_ms();
+    double left = wb_retry_budget_left(budget, slack_share(edge), now_ms);
+    if (!wb_retry_budget_take(budget, slack_share(edge), now_ms)) {
+        edge->metrics.resends_refused++;
+        resend_log("resend-refused", exchange, left);
         return FALSE;
+    }
     edge->metrics.resends++;
+    resend_log("resend", exchange, left);
     return TRUE;
 }
 
@@ -344,8 +360,6 @@
         return;
     }
     if (!resend_allowed(exchange)) {
-        wb_event("resend-refused", ",\"id\":\"%s\",\"service\":\"%s\",\"sends\":%u",
-                 wb_event_text(exchange->id), exchange->service->name, exchange->sends);
         wb_exchange_give_up(exchange, WB_ENDING_NO_BUDGET);
         return;
     }
