Failing tests: requests sent again beyond the bound, in four courses

What callers see: engines get up to twice the repeats that are allowed, while they turn most requests away. The oracle counts what callers sent and engines saw, by the rule's own sliding windows; the stand-in's engines tell all arrivals, also those they turned away.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -236,6 +236,10 @@
     run->next_event = (int)wb_http_head_number(head, "Last-Event-Id", 0) + 1;
     g_hash_table_insert(engine->runs, connection, run);
     wb_http_connection_set_request(connection, run);
+    json_array_append_new(engine->seen->arrivals,
+                          json_pack("{s:s, s:s, s:I}", "id", run->id, "service",
+                                    wb_json_text(engine->options, "service", "engines"), "at_ms",
+                                    (json_int_t)wb_clock_ms()));
     const char *expected = wb_http_head_get(head, "Expected-Instance");
     if (expected != NULL && strcmp(expected, engine->id) != 0) {
         run_answer(run, 421, "", "");
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -16,9 +16,10 @@
 typedef struct wb_estate_store_t wb_estate_store_t;
 typedef struct wb_estate_engine_t wb_estate_engine_t;
 
-/** What tests look at, kept as JSON: arrays of runs, orders and violations. */
+/** What tests look at, kept as JSON arrays. */
 typedef struct wb_estate_seen_t {
-    json_t *runs; /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
+    json_t *runs;     /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
+    json_t *arrivals; /**< {"id","service","at_ms"}: all requests, also those turned away */
     json_t
         *orders; /**< {"engine","holder","token","operation","model","adapter","status","at_ms"} */
     json_t *crashes;    /**< {"engine","at_ms"}: engines that a request crashed */
--- /dev/null
+++ b/tests/edge/test_budget.c
@@ -0,0 +1,127 @@
+/* Requests that are sent again stay within their bound over all nodes.
+ *
+ * Seen: while engines turned most requests away, a service got twice the arrivals beyond the first
+ * of a request that are allowed in 10 s (196 where 95 were), on days on which nodes were killed,
+ * started again, added or turned away by the store at the same time. */
+#include "edge.h"
+
+#include "harness/budget_oracle.h"
+
+#define RATIO 0.2
+#define SLACK 24
+#define WINDOW_MS 4000
+#define FLAGS "--retry-ratio=0.2 --retry-slack=24 --retry-window-s=4"
+/* Time between two requests of all callers together. */
+#define PACE_US 25000
+
+/* Callers that send one request after the other, whatever becomes of those before. */
+typedef struct callers_t {
+    const estate_t *estate;
+    budget_oracle_t *oracle;
+    GPtrArray *wires;
+    int sent;
+} callers_t;
+
+static callers_t callers_begin(const estate_t *estate) {
+    return (callers_t){estate, budget_oracle_create(RATIO, SLACK, WINDOW_MS),
+                       g_ptr_array_new_with_free_func((GDestroyNotify)wire_close), 0};
+}
+
+static void callers_send(callers_t *callers) {
+    const estate_t *estate = callers->estate;
+    int number = callers->sent++;
+    budget_oracle_request(callers->oracle, harness_now_ms());
+    wire_t *wire = wire_try_open(estate->nodes[number % estate->node_count].callers_port);
+    if (wire == NULL) {
+        return; /* the node is down */
+    }
+    g_autofree char *id = g_strdup_printf("r%d", number);
+    wire_post(wire, "/lock/x", id, EDGE_DEADLINE, "hello");
+    g_ptr_array_add(callers->wires, wire);
+}
+
+static void callers_send_for(callers_t *callers, int64_t duration_ms) {
+    int64_t until_ms = harness_now_ms() + duration_ms;
+    while (harness_now_ms() < until_ms) {
+        callers_send(callers);
+        g_usleep(PACE_US);
+    }
+}
+
+/* Checks what the engines saw, and that requests were sent again at all. */
+static void callers_end(callers_t *callers) {
+    json_t *seen = estate_seen(callers->estate);
+    size_t i;
+    json_t *arrival;
+    json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
+        budget_oracle_arrival(callers->oracle, json_string_value(json_object_get(arrival, "id")),
+                              json_integer_value(json_object_get(arrival, "at_ms")));
+    }
+    json_decref(seen);
+    budget_worst_t worst = budget_oracle_worst(callers->oracle);
+    g_test_message("%u arrivals beyond the first for %u requests, %.1f allowed", worst.repeats,
+                   worst.requests, worst.allowed);
+    g_assert_cmpuint(worst.repeats, >, 0);
+    g_assert_cmpfloat(worst.repeats, <=, worst.allowed);
+    g_ptr_array_unref(callers->wires);
+    budget_oracle_free(callers->oracle);
+}
+
+/* All engines of the service turn everything away, from now on or no longer. */
+static void engines_reject(const estate_t *estate, gboolean reject) {
+    for (int i = 1; i <= ESTATE_PROXIED_ENGINES; i++) {
+        estate_do(estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"lock-%d\",\"fault\":\"reject\","
+                  "\"count\":%d}",
+                  i, reject ? 1000000 : 0);
+    }
+}
+
+/* Nobody disturbs the nodes. */
+static void test_undisturbed(void) {
+    estate_t *estate = estate_start(3, FLAGS);
+    callers_t callers = callers_begin(estate);
+    callers_send_for(&callers, WINDOW_MS);
+    engines_reject(estate, TRUE);
+    callers_send_for(&callers, 2 * WINDOW_MS);
+    callers_end(&callers);
+    estate_stop(estate);
+}
+
+/* What a process has spent still counts when the next one runs on its machine. */
+static void test_nodes_killed_again_and_again(void) {
+    estate_t *estate = estate_start(3, FLAGS);
+    callers_t callers = callers_begin(estate);
+    callers_send_for(&callers, WINDOW_MS);
+    engines_reject(estate, TRUE);
+    for (int i = 0; i < 9; i++) {
+        callers_send_for(&callers, 700);
+        process_kill(&estate->nodes[i % 3].process);
+        estate_node_launch(estate, i % 3);
+    }
+    callers_end(&callers);
+    estate_stop(estate);
+}
+
+/* Nodes are added that one of those before can't learn of. */
+static void test_nodes_added_unseen(void) {
+    estate_t *estate = estate_start(1, FLAGS);
+    callers_t callers = callers_begin(estate);
+    callers_send_for(&callers, WINDOW_MS);
+    estate_store_fault(estate, 0, "cut", 0);
+    engines_reject(estate, TRUE);
+    for (int i = 0; i < 3; i++) {
+        estate_wait_ready(estate, estate_node_add(estate));
+    }
+    callers_send_for(&callers, 2 * WINDOW_MS);
+    callers_end(&callers);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/budget/undisturbed", test_undisturbed);
+    g_test_add_func("/edge/budget/nodes-killed-again-and-again", test_nodes_killed_again_and_again);
+    g_test_add_func("/edge/budget/nodes-added-unseen", test_nodes_added_unseen);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -289,6 +289,24 @@
     relay_fault(estate, estate->engine_relays[engine], fault, 0, bytes, times);
 }
 
+/* Starts one node more, on ports of its own. Returns its index. */
+static int node_begin(estate_t *estate, gboolean older, const char *flags) {
+    g_assert_cmpint(estate->node_count, <, ESTATE_NODES);
+    int index = estate->node_count++;
+    estate_node_t *node = &estate->nodes[index];
+    node->callers_port = port_find();
+    node->ready_port = port_find();
+    node->metrics_port = port_find();
+    node->older = older;
+    node->flags = flags;
+    estate_node_launch(estate, index);
+    return index;
+}
+
+int estate_node_add(estate_t *estate) {
+    return node_begin(estate, FALSE, NULL);
+}
+
 static estate_t *estate_begin(int nodes, int older, const char *node_flags,
                               const char *const *flags) {
     estate_t *estate = g_new0(estate_t, 1);
@@ -314,16 +332,8 @@
             "{\"do\":\"engine-start\",\"engine\":\"lock-%d\",\"options\":{\"service\":\"lock\","
             "\"zone\":\"zone-%d\",\"work_ms\":10,\"port\":%d,\"announce_port\":%d}}",
             i + 1, i + 1, estate->engine_ports[i], estate->engine_relays[i]);
-    estate->node_count = nodes;
-    for (int i = 0; i < nodes; i++) {
-        estate_node_t *node = &estate->nodes[i];
-        node->callers_port = port_find();
-        node->ready_port = port_find();
-        node->metrics_port = port_find();
-        node->older = i < older;
-        node->flags = flags != NULL ? flags[i] : NULL;
-        estate_node_launch(estate, i);
-    }
+    for (int i = 0; i < nodes; i++)
+        node_begin(estate, i < older, flags != NULL ? flags[i] : NULL);
     for (int i = 0; i < nodes; i++)
         estate_wait_ready(estate, i);
     return estate;
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -52,6 +52,8 @@
 void estate_stop(estate_t *estate);
 /** Start a node, or start it again, on its old ports. */
 void estate_node_launch(estate_t *estate, int index);
+/** Start one node more. @return its index; it isn't ready yet */
+int estate_node_add(estate_t *estate);
 gboolean estate_node_is_ready(const estate_t *estate, int index);
 void estate_wait_ready(const estate_t *estate, int index);
 /** @return a figure of a node's metrics, or -1 */
