Shares: the first process of a machine waits for nothing that nobody did; the soak counts repeats

A node that starts had only the ratio of its own requests for 17 s, also where nothing had been spent: a request that a single fresh node's engine turned away once got 503. Now the process that wrote the first row of its machine, and reads back that no other node is listed, has the whole at once: the store orders writes and reads, so of two that begin together at least one sees the other and waits. What a cold engine bears, of which a quarter is set aside for nodes that don't know of each other, waits only for what a process before may have sent (1.1 s).

Tests of /edge/once that send again ask a node that has its share (estate_wait_share: some 50 ms for a node alone); their checks are as before. Without that /edge/once/rejected-runs and six more failed, and /edge/engines/cold, as they asked within ms after the start. The simulation plays first processes, too.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -69,7 +69,9 @@
     int64_t rows_refused_ms;                 /* when a log line last told of them */
     gboolean store_lost[WB_TABLE_NODES + 1]; /* by wb_table_name_t */
     gboolean node_row_written;
-    gboolean node_row_adopted; /* it is that of the process before this one on the same machine */
+    gboolean node_row_creating; /* the write under way is that of a row that wasn't there */
+    gboolean node_row_created;  /* by this process, and not read back yet */
+    gboolean node_row_adopted;  /* it is that of the process before this one on the same machine */
     gboolean node_row_writing;
     int64_t node_row_due_ms;
     int64_t node_row_retry_ms; /* pause after the last write, if it failed */
--- a/src/edge/node_share.c
+++ b/src/edge/node_share.c
@@ -31,6 +31,15 @@
     }
 }
 
+/* The store orders writes and reads: of two nodes that begin at the same time at least one reads
+ * the other's row with its own. */
+static void begin_first(wb_edge_node_t *node, int64_t now_ms) {
+    if (node->node_row_created && g_hash_table_contains(node->nodes, node->edge.settings.id)) {
+        node->node_row_created = FALSE;
+        wb_equal_share_begin_first(node->edge.share, now_ms);
+    }
+}
+
 static void nodes_log(wb_edge_node_t *node, int64_t now_ms) {
     unsigned nodes = wb_equal_share_nodes(node->edge.share, node->share_window_ms, now_ms);
     if (nodes == node->share_nodes) {
@@ -50,6 +59,7 @@
     }
     node->share_ticked_ms = now_ms;
     wb_equal_share_known(share, wb_table_watch_known_ms(node->nodes_watch));
+    begin_first(node, now_ms);
     wb_equal_share_sweep(share, now_ms);
     nodes_log(node, now_ms);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -222,6 +222,10 @@
     node->node_row_writing = FALSE;
     int64_t now_ms = wb_clock_ms();
     if (answer->outcome == WB_TABLE_DONE) {
+        if (node->node_row_creating) {
+            node->node_row_created = TRUE;
+            wb_table_watch_hurry(node->nodes_watch);
+        }
         node->node_row_written = TRUE;
         node->node_row_retry_ms = 0;
         node->node_row_due_ms = now_ms + node_row_life_ms(node) / NODE_ROW_RENEWALS;
@@ -245,6 +249,7 @@
                                              (unsigned long long)++node->node_row_beat,
                                              node->edge.settings.processor_share, WB_WIRE_FORM);
     node->node_row_writing = TRUE;
+    node->node_row_creating = known == NULL;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
                        strlen(value), node_row_answered, node);
--- a/src/quota/equal_share.c
+++ b/src/quota/equal_share.c
@@ -19,7 +19,8 @@
     int64_t window_ms;
     GHashTable *nodes; /* id -> wb_shared_node_t */
     uint64_t digest;
-    int64_t as_of_ms; /* 0: nothing is known */
+    int64_t as_of_ms;  /* 0: nothing is known */
+    gboolean is_first; /* no process ran on this machine before this one */
 };
 
 wb_equal_share_t *wb_equal_share_create(const char *own_id, int64_t window_ms) {
@@ -75,6 +76,14 @@
     }
 }
 
+void wb_equal_share_begin_first(wb_equal_share_t *share, int64_t now_ms) {
+    wb_shared_node_t *own = g_hash_table_lookup(share->nodes, share->own_id);
+    share->is_first = TRUE;
+    if (own != NULL && own->listed && g_hash_table_size(share->nodes) == 1) {
+        own->since_ms = now_ms - SETTLES_MS - share->window_ms;
+    }
+}
+
 /* Whether a node that is no longer listed may still spend, or what it spent still counts. */
 static gboolean still_counts(const wb_shared_node_t *node, int64_t window_ms, int64_t now_ms) {
     return node->listed || now_ms - node->since_ms < SETTLES_MS + window_ms;
@@ -99,17 +108,17 @@
     return share->nodes;
 }
 
-/* Whether all others count this node, and what was spent before has left the window. */
-static gboolean has_part(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
+/* Whether this node has been listed for so long. */
+static gboolean is_listed_for(const wb_equal_share_t *share, int64_t least_ms, int64_t now_ms) {
     const wb_shared_node_t *own = g_hash_table_lookup(share->nodes, share->own_id);
-    return own != NULL && own->listed && now_ms - own->since_ms >= SETTLES_MS + window_ms &&
-           share->as_of_ms != 0 && now_ms - share->as_of_ms < WB_SHARE_TRUST_MS;
+    return own != NULL && own->listed && now_ms - own->since_ms >= least_ms;
 }
 
-unsigned wb_equal_share_nodes(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
-    if (!has_part(share, window_ms, now_ms)) {
-        return 0;
-    }
+static gboolean is_known_now(const wb_equal_share_t *share, int64_t now_ms) {
+    return share->as_of_ms != 0 && now_ms - share->as_of_ms < WB_SHARE_TRUST_MS;
+}
+
+static unsigned nodes_count(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
     unsigned count = 0;
     GHashTableIter iter;
     gpointer value;
@@ -119,3 +128,14 @@
     }
     return count;
 }
+
+unsigned wb_equal_share_nodes(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
+    gboolean has_part =
+        is_known_now(share, now_ms) && is_listed_for(share, SETTLES_MS + window_ms, now_ms);
+    return has_part ? nodes_count(share, window_ms, now_ms) : 0;
+}
+
+unsigned wb_equal_share_listed(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
+    int64_t least_ms = share->is_first ? 0 : window_ms;
+    return is_listed_for(share, least_ms, now_ms) ? nodes_count(share, window_ms, now_ms) : 0;
+}
--- a/src/quota/equal_share.h
+++ b/src/quota/equal_share.h
@@ -46,6 +46,12 @@
 /** This process stood still: how old what it is told was, it can't know. It waits as after a start.
  */
 void wb_equal_share_restart(wb_equal_share_t *share, int64_t now_ms);
+/**
+ * This process has written the first row that its machine ever had, and has read it back: no
+ * process before it has spent anything. If no other node is listed, nobody has: it has the whole at
+ * once.
+ */
+void wb_equal_share_begin_first(wb_equal_share_t *share, int64_t now_ms);
 /** Forget nodes that are gone for so long that nobody counts them. */
 void wb_equal_share_sweep(wb_equal_share_t *share, int64_t now_ms);
 /** @return a digest of the ids that are listed, whatever the order in which they came */
@@ -57,5 +63,10 @@
  * @return by how many the whole is divided in such a window; 0: this node has no part now
  */
 unsigned wb_equal_share_nodes(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms);
+/**
+ * The same where a part of the whole is set aside for nodes that don't know of each other yet: this
+ * one waits only until what a process before it spent has left the window.
+ */
+unsigned wb_equal_share_listed(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms);
 
 #endif
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -192,7 +192,7 @@
         double per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack;
         engine->cold_shared_ms = now_ms;
         engine->cold_share =
-            wb_cold_share(per_s, wb_equal_share_nodes(edge->share, WB_COLD_WINDOW_MS, now_ms),
+            wb_cold_share(per_s, wb_equal_share_listed(edge->share, WB_COLD_WINDOW_MS, now_ms),
                           wb_cold_rank(engine->state->incarnation, settings->id,
                                        wb_equal_share_ids(edge->share)));
     }
--- a/tests/edge/test_budget.c
+++ b/tests/edge/test_budget.c
@@ -80,18 +80,9 @@
     budget_oracle_free(callers->oracle);
 }
 
-/* Waits until a node divides the slack among so many, so that it has a share to spend. */
-static void share_wait(const estate_t *estate, int index, int nodes) {
-    int64_t until_ms = harness_now_ms() + 20000;
-    while (estate_metric(estate, index, "share_nodes") != nodes) {
-        g_assert_cmpint(harness_now_ms(), <, until_ms);
-        g_usleep(50000);
-    }
-}
-
 static void shares_wait(const estate_t *estate) {
     for (int i = 0; i < estate->node_count; i++) {
-        share_wait(estate, i, estate->node_count);
+        estate_wait_share(estate, i, estate->node_count);
     }
 }
 
--- a/tests/edge/test_once.c
+++ b/tests/edge/test_once.c
@@ -6,6 +6,7 @@
 /* Asks with a fault at both engines of the service, and checks status and runs. */
 static void asked_with_fault(const char *path, const char *fault, int count, int status, int runs) {
     estate_t *estate = estate_start(1, NULL);
+    estate_wait_share(estate, 0, 1);
     estate_do(estate,
               "{\"do\":\"engine-fault\",\"engine\":\"lock-1\",\"fault\":\"%s\",\"count\":%d}",
               fault, count);
@@ -38,6 +39,7 @@
  * and the model isn't loaded elsewhere. */
 static void test_only_holder_rejects(void) {
     estate_t *estate = estate_start(1, NULL);
+    estate_wait_share(estate, 0, 1);
     for (int i = 0; i < 3; i++) {
         g_autofree char *id = g_strdup_printf("h%d", i);
         estate_do(
@@ -65,6 +67,7 @@
 /* A resumable stream that breaks off goes on elsewhere after its last whole event. */
 static void test_stream_is_resumed(void) {
     estate_t *estate = estate_start(1, NULL);
+    estate_wait_share(estate, 0, 1);
     int resumed = 0;
     for (int i = 0; i < 8; i++) {
         /* One engine breaks its next answer off; the other goes on with it. */
@@ -181,6 +184,7 @@
     estate_stop(estate);
     /* Anew: connections that were kept would still be cut behind their byte. */
     estate = estate_start(1, NULL);
+    estate_wait_share(estate, 0, 1);
     again_cut_at_every_byte(estate, fault, bytes);
     estate_stop(estate);
 }
@@ -196,6 +200,7 @@
 /* An engine that can't be reached costs nobody a request. */
 static void test_unreached_engine(void) {
     estate_t *estate = estate_start(1, NULL);
+    estate_wait_share(estate, 0, 1);
     estate_engine_fault(estate, 0, "cut", 0, 0);
     for (int i = 0; i < 10; i++) {
         g_autofree char *id = g_strdup_printf("u%d", i);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define READY_TIMEOUT_MS 15000
+#define SHARE_TIMEOUT_MS 30000
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
@@ -141,6 +142,14 @@
     return value;
 }
 
+void estate_wait_share(const estate_t *estate, int index, int nodes) {
+    int64_t until_ms = harness_now_ms() + SHARE_TIMEOUT_MS;
+    while (estate_metric(estate, index, "share_nodes") != nodes) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(20000);
+    }
+}
+
 int estate_controller(const estate_t *estate) {
     for (int i = 0; i < estate->node_count; i++)
         if (estate->nodes[i].process.pid > 0 && estate_metric(estate, i, "lease_held") > 0)
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -58,6 +58,9 @@
 void estate_wait_ready(const estate_t *estate, int index);
 /** @return a figure of a node's metrics, or -1 */
 double estate_metric(const estate_t *estate, int index, const char *name);
+/** Wait until a node has its share of what requests may be sent again, divided among so many. One
+ * that begins alone has it at once, others some 17 s after their start. */
+void estate_wait_share(const estate_t *estate, int index, int nodes);
 /** @return the index of the node that holds the controller's lease, or -1 */
 int estate_controller(const estate_t *estate);
 /** Wait until a node holds the controller's lease. @return its index */
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -1,6 +1,8 @@
 /* What engines saw, against what callers were told. */
 #include "soak.h"
 
+#include "harness/budget_oracle.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -233,6 +235,60 @@
     }
 }
 
+static const char *service_of(const char *path) {
+    return strcmp(path, "/lock/x") == 0 || strcmp(path, "/look/x") == 0 ? "lock" : "llm";
+}
+
+static gint times_compare(gconstpointer a, gconstpointer b) {
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return (left > right) - (left < right);
+}
+
+/* When callers sent requests to a service, in order. */
+static GArray *sent_times(const soak_t *soak, const char *service) {
+    GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    for (guint i = 0; i < soak->requests->len; i++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
+        if (strcmp(service_of(request->path), service) == 0) {
+            g_array_append_val(times, request->began_ms);
+        }
+    }
+    g_array_sort(times, times_compare);
+    return times;
+}
+
+/* What is sent again stays within the budget of each service, whoever was killed, paused or cut
+ * off. */
+static void budget_check(soak_t *soak, const json_t *seen, const char *service) {
+    if (soak->has_builds) {
+        return; /* the older build has a share of its own for each process */
+    }
+    budget_oracle_t *oracle = budget_oracle_create(SOAK_RETRY_RATIO, soak->retry_slack,
+                                                   (int64_t)soak->retry_window_s * 1000);
+    g_autoptr(GArray) sent = sent_times(soak, service);
+    size_t i;
+    json_t *arrival;
+    for (guint j = 0; j < sent->len; j++) {
+        budget_oracle_request(oracle, g_array_index(sent, int64_t, j));
+    }
+    json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
+        if (strcmp(text_of(arrival, "service"), service) == 0) {
+            budget_oracle_arrival(oracle, text_of(arrival, "id"), number_of(arrival, "at_ms"));
+        }
+    }
+    budget_worst_t worst = budget_oracle_worst(oracle);
+    if (soak->has_sheds) {
+        printf("  %s: %u arrivals beyond the first for %u requests in %d s, %.1f allowed\n",
+               service, worst.repeats, worst.requests, soak->retry_window_s, worst.allowed);
+    }
+    if (worst.excess > 0) {
+        soak_broken(soak, "%s: %u arrivals beyond the first for %u requests, %.1f allowed", service,
+                    worst.repeats, worst.requests, worst.allowed);
+    }
+    budget_oracle_free(oracle);
+}
+
 void soak_checks_run(soak_t *soak) {
     json_t *seen = estate_seen(soak->estate);
     size_t i;
@@ -246,5 +302,7 @@
     drain_check(soak, seen);
     poison_check(soak, seen);
     evacuation_check(soak, seen);
+    budget_check(soak, seen, "lock");
+    budget_check(soak, seen, "llm");
     json_decref(seen);
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -255,6 +255,28 @@
     {"evacuation", evacuation_begin, evacuation_end, 500, 6000, FALSE},
 };
 
+static void engines_shed(const soak_t *soak, int count) {
+    static const char *const engines[] = {"llm-1", "llm-2", "lock-1", "lock-2"};
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
+        estate_do(soak->estate,
+                  "{\"do\":\"engine-fault\",\"engine\":\"%s\",\"fault\":\"reject\",\"count\":%d}",
+                  engines[i], count);
+    }
+}
+
+static void shed_begin(soak_fault_t *fault, soak_t *soak) {
+    (void)fault;
+    engines_shed(soak, G_MAXINT);
+}
+
+static void shed_end(soak_fault_t *fault, soak_t *soak) {
+    (void)fault;
+    engines_shed(soak, 0);
+}
+
+static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
+                                            2000,           8000,       FALSE};
+
 static const soak_fault_kind_t build_kind = {"other-build", build_begin, node_launch_again, 50,
                                              300,           TRUE};
 
@@ -290,11 +312,17 @@
     return is_all || soak->estate->nodes[fault->node].process.pid > 0;
 }
 
-/* Seeds without zones or builds draw as they always did. */
+/* Seeds without zones, builds or sheds draw as they always did. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
     if (soak->has_builds && g_rand_int_range(soak->plan, 0, 5) == 0) {
         return &build_kind;
     }
+    if (soak->has_sheds) {
+        int draw = g_rand_int_range(soak->plan, 0, 4);
+        if (draw < 2) {
+            return draw == 0 ? &shed_kind : &kinds[0]; /* processes are killed all the while */
+        }
+    }
     if (soak->has_zones && g_rand_int_range(soak->plan, 0, 3) == 0) {
         return &zone_kinds[g_rand_int_range(soak->plan, 0, G_N_ELEMENTS(zone_kinds))];
     }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -72,10 +72,16 @@
 
 /* Plays one seed. Returns TRUE when all promises held. */
 static gboolean seed_play(guint32 seed, int seconds) {
-    g_autofree char *flags = g_strdup_printf(
-        "--lease-quiet-ms=%d --lease-duration-ms=800 --drain-ms=%d --stop-grace-s=5",
-        SOAK_LEASE_QUIET_MS, SOAK_DRAIN_MS);
     soak_t soak = {.seed = seed, .plan = g_rand_new_with_seed(seed)};
+    /* A short window: a share is had again within the play after a node was killed. */
+    soak.has_sheds = seed / 512 % 2 == 1;
+    soak.retry_slack = soak.has_sheds ? 8 : 54;
+    soak.retry_window_s = soak.has_sheds ? 3 : 10;
+    g_autofree char *flags = g_strdup_printf(
+        "--lease-quiet-ms=%d --lease-duration-ms=800 --drain-ms=%d --stop-grace-s=5 "
+        "--retry-ratio=%g --retry-slack=%d --retry-window-s=%d",
+        SOAK_LEASE_QUIET_MS, SOAK_DRAIN_MS, SOAK_RETRY_RATIO, soak.retry_slack,
+        soak.retry_window_s);
     int64_t began_ms = harness_now_ms();
     g_mutex_init(&soak.lock);
     soak.spans = g_array_new(FALSE, FALSE, sizeof(soak_span_t));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,7 @@
 #define SOAK_DRAIN_MS 2000
 #define SOAK_EVACUATE_MS 2500 /* as nodes take it that aren't told for how long they may go on */
 #define SOAK_LEASE_QUIET_MS 1000
+#define SOAK_RETRY_RATIO 0.2
 
 /** A span in which a fault was at work. */
 typedef struct soak_span_t {
@@ -70,6 +71,9 @@
     gboolean has_zones;  /* engines start again under their id, zones are evacuated, other writers
                             put rows among those of engines */
     gboolean has_builds; /* nodes go from one build to the other, forth and back */
+    gboolean has_sheds;  /* engines turn everything away for a while */
+    int retry_slack;     /* requests sent again in a window beyond the ratio */
+    int retry_window_s;
     GArray *evacuations; /* of soak_evacuation_t */
     int engines_started; /* makes ids of engines unique */
     int64_t version;     /* of the configuration */
--- a/tests/unit/test_equal_share.c
+++ b/tests/unit/test_equal_share.c
@@ -66,6 +66,37 @@
     wb_equal_share_free(share);
 }
 
+/* The first process of the first machine has all at once; one that finds another listed waits. */
+static void test_begin_first(void) {
+    wb_equal_share_t *share = wb_equal_share_create("own", WINDOW_MS);
+    wb_equal_share_begin_first(share, 1000);
+    g_assert_cmpuint(nodes_at(share, 1000), ==, 0); /* it isn't listed yet */
+    wb_equal_share_add(share, "own", 1000);
+    wb_equal_share_begin_first(share, 1000);
+    g_assert_cmpuint(nodes_at(share, 1000), ==, 1);
+    wb_equal_share_add(share, "other", 2000);
+    g_assert_cmpuint(nodes_at(share, 2000), ==, 2);
+    wb_equal_share_free(share);
+    share = share_create(1, 1000);
+    wb_equal_share_begin_first(share, 1000);
+    g_assert_cmpuint(nodes_at(share, 1000 + SETTLED_MS - 1), ==, 0);
+    wb_equal_share_free(share);
+}
+
+/* Where a part is set aside for nodes that others don't count, only the window is waited for. */
+static void test_listed(void) {
+    wb_equal_share_t *share = share_create(2, 1000);
+    g_assert_cmpuint(wb_equal_share_listed(share, WINDOW_MS, 1000 + WINDOW_MS - 1), ==, 0);
+    g_assert_cmpuint(wb_equal_share_listed(share, WINDOW_MS, 1000 + WINDOW_MS), ==, 3);
+    wb_equal_share_remove(share, "own", 1000 + WINDOW_MS);
+    g_assert_cmpuint(wb_equal_share_listed(share, WINDOW_MS, 1000 + WINDOW_MS), ==, 0);
+    wb_equal_share_free(share);
+    share = share_create(2, 1000);
+    wb_equal_share_begin_first(share, 1000); /* nothing was spent there before */
+    g_assert_cmpuint(wb_equal_share_listed(share, WINDOW_MS, 1000), ==, 3);
+    wb_equal_share_free(share);
+}
+
 /* Machines before a store that lists them, with what each process there knows and has spent. */
 enum {
     SEEDS = 800,
@@ -79,6 +110,8 @@
     char *id;
     wb_equal_share_t *share; /* NULL: no process runs */
     gboolean listed;         /* in the store */
+    gboolean was_listed;     /* at some time */
+    gboolean created;        /* by the process that runs, and not read back yet */
     gboolean knows[MACHINES];
     int cut_step;        /* since when it is cut off from the store and from news; 0: it is not */
     double spent[STEPS]; /* by this process */
@@ -106,6 +139,7 @@
 static void process_start(sim_machine_t *machine) {
     process_end(machine);
     machine->share = wb_equal_share_create(machine->id, WINDOW_MS);
+    machine->created = FALSE;
     memset(machine->knows, 0, sizeof(machine->knows));
     memset(machine->spent, 0, sizeof(machine->spent));
 }
@@ -126,6 +160,12 @@
     int64_t now_ms = time_of(step);
     view_set(sim, machine, sim->listed[step], now_ms);
     wb_equal_share_known(machine->share, now_ms);
+    if (machine->created && machine->knows[machine - sim->machines]) {
+        machine->created = FALSE;
+        wb_equal_share_begin_first(machine->share, now_ms);
+    }
+    machine->created |= !machine->was_listed;
+    machine->was_listed = TRUE;
     machine->listed = TRUE;
 }
 
@@ -156,6 +196,14 @@
     return machine->spent[step];
 }
 
+static gboolean others_listed(const sim_t *sim, const sim_machine_t *machine) {
+    gboolean listed = FALSE;
+    for (int i = 0; i < MACHINES; i++) {
+        listed |= &sim->machines[i] != machine && sim->machines[i].listed;
+    }
+    return listed;
+}
+
 /* Processes are killed and started, machines cut off, rows removed, whoever they are of. */
 static void machine_disturb(sim_t *sim, sim_machine_t *machine, int step) {
     switch (g_rand_int_range(sim->random, 0, sim->calm)) {
@@ -169,7 +217,9 @@
         machine->cut_step = machine->cut_step == 0 ? step : 0;
         break;
     case 3:
-        machine->listed = FALSE;
+        if (others_listed(sim, machine)) { /* one of them removes it */
+            machine->listed = FALSE;
+        }
         break;
     default:
         break;
@@ -239,6 +289,8 @@
     g_test_add_func("/equal-share/start", test_start);
     g_test_add_func("/equal-share/old-view", test_old_view);
     g_test_add_func("/equal-share/come-and-go", test_come_and_go);
+    g_test_add_func("/equal-share/begin-first", test_begin_first);
+    g_test_add_func("/equal-share/listed", test_listed);
     g_test_add_func("/equal-share/never-spent-twice", test_never_spent_twice);
 }
 
