Who waits for a model is told when its load is ordered late

What callers saw: beside a slow store one request of six for a model that wasn't loaded got 503, though it might have waited for seconds and its load was ordered 30 to 100 ms before. When to expect the model was told at the decision, for a store that answers in ms, and not again before the load itself was late. Class: a promise of a time that isn't renewed when what it rests on takes longer.

--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -16,10 +16,6 @@
 #define GRANT_LOOK_MS 8
 #define UNLOAD_LOOK_MS 80
 #define LOAD_LATE_MS 250
-/* A load that is late is taken to need this share more of the time that it has had; gateways are
- * told so again at most so often. */
-#define LATE_SHARE 4
-#define LATE_TELL_MS 500
 #define RETRY_MS 150
 #define RESENDS_LIMIT 8
 #define FAILURES_LIMIT 3
@@ -138,18 +134,6 @@
     return CLAMP(passed_ms / LOOK_SHARE, LOOK_AGAIN_MS, LOOK_RARELY_MS);
 }
 
-/* The load goes on beyond its time: those that wait for it are told anew when to expect it. */
-static void load_is_late(wb_engine_orders_t *orders) {
-    int64_t now_ms = wb_clock_ms();
-    if (now_ms < orders->late_told_ms + LATE_TELL_MS) {
-        return;
-    }
-    orders->late_told_ms = now_ms;
-    int64_t passed_ms = now_ms - orders->order_sent_ms;
-    orders->owner.expect(orders->engine, orders->order_model, (unsigned)(passed_ms / LATE_SHARE),
-                         orders->owner.context);
-}
-
 /* Compares a fresh report with what is waited for. */
 static void settle_check(wb_engine_orders_t *orders) {
     gboolean has = state_has(orders->state, orders->order_model, "");
@@ -160,7 +144,7 @@
         if (lost)
             orders->settle = WB_SETTLE_NONE;
         else if (orders->settle == WB_SETTLE_LOADED && orders->state->busy)
-            load_is_late(orders);
+            wb_engine_orders_load_is_late(orders);
         advance_after(orders, look_again_ms(orders));
         return;
     }
@@ -450,8 +434,11 @@
         task_advance(orders, task);
     else if (wb_clock_ms() - task->created_ms > TASK_LIFE_MS)
         task_over(orders, "given-up");
-    else
+    else {
+        if (may_act)
+            wb_engine_orders_leave_is_late(orders, task);
         advance_after(orders, wait_ms);
+    }
 }
 
 void wb_engine_orders_add(wb_engine_orders_t *orders, const char *model, const char *adapter) {
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -132,6 +132,29 @@
     estate_stop(estate);
 }
 
+/* Seen: beside a slow store one request of six for a model that isn't loaded got 503 some ms before
+ * its load was ordered, though it might have waited for seconds.
+ *
+ * Cause: an order waits for the lease's row that names its engine, one write of the store or, where
+ * another is under way, two. Who waits for the model was told of the load once the order was
+ * answered, and had given up by then: the time it takes to decide at a store that answers in some
+ * ms. */
+static void test_slow_lease_row(void) {
+    estate_t *estate = estate_start(1, NULL);
+    estate_store_fault(estate, 0, "delay", 120);
+    store_fault(estate, "", 300);
+    g_usleep(4000000);
+    g_assert_cmpint(estate_controller(estate), ==, 0);
+    for (int model = 4; model < 7; model++) {
+        g_autofree char *id = g_strdup_printf("row-%d", model);
+        g_autofree char *headers =
+            g_strdup_printf("Model: m%d\r\nPrompt-Prefix: ab:50\r\n" EDGE_DEADLINE, model);
+        asked(estate, "/chat/x", id, headers, 200);
+    }
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 /* Nodes that are gone for long no longer share the retry budget; their rows go from the store. */
 static void test_gone_nodes_are_forgotten(void) {
     estate_t *estate = estate_start(2, "--node-life-s=2");
@@ -231,6 +254,7 @@
     g_test_add_func("/edge/store/gone-nodes-are-forgotten", test_gone_nodes_are_forgotten);
     g_test_add_func("/edge/store/one-node-is-cut", test_one_node_is_cut);
     g_test_add_func("/edge/store/slow", test_slow_store);
+    g_test_add_func("/edge/store/slow-lease-row", test_slow_lease_row);
     g_test_add_func("/edge/store/faults", test_faults);
     g_test_add_func("/edge/store/forgotten-history", test_forgotten_history);
     g_test_add_func("/edge/store/no-catalog", test_no_catalog);
