Shares: parts of less than one resend are dealt out whole, and counting nodes costs nothing

Where there are more nodes than units of slack, each node's part was less than one and nobody could ever send again by it: from 1,040 nodes on at the whole fleet's sheet. Now as many nodes as there are units have a whole one, by the order of their ids' hashes; who counts more nodes never comes earlier by that, so parts add up also where nodes know of different ones (the simulation plays it, 3 units for 2 to 9 machines). /equal-share/parts-add-up: 54 units at 1, 7, 54, 55, 108 and 216 nodes.

A node counted all listed nodes twice each 50 ms, 985 in the whole fleet; while none has gone the number is kept. The holder's digest is one more row of its news' list instead of a call that fills it in.

--- a/src/dispatch/cold_share.c
+++ b/src/dispatch/cold_share.c
@@ -7,6 +7,7 @@
 /* Nodes that come and go are known to others some seconds later: until then two of them may take
  * one share. Of 87 nodes some three come at a time. */
 #define USED_SHARE 0.75
+
 unsigned wb_cold_share(double per_s, unsigned nodes, unsigned rank) {
     if (nodes == 0) {
         return 0;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -208,9 +208,9 @@
 /* node_share.c */
 /** Learn which nodes share what all may spend, and write when that changes. */
 void wb_edge_node_tick_share(wb_edge_node_t *node, int64_t now_ms);
-/** The holder's news: a digest of the nodes that it knows. @param view its table and digest are set
- * @return FALSE when none is due */
-gboolean wb_edge_node_share_tell(wb_edge_node_t *node, int64_t now_ms, wb_wire_table_view *view);
+/** @return TRUE when the holder's news should have a digest of the nodes that it knows, which is
+ * not each time */
+gboolean wb_edge_node_share_digest_is_due(wb_edge_node_t *node, int64_t now_ms);
 /** Such a digest has come. */
 void wb_edge_node_share_hear(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms);
 
--- a/src/edge/node_news.c
+++ b/src/edge/node_news.c
@@ -146,19 +146,18 @@
     const wb_lease_row_t *lease = wb_lease_known(node->lease);
     if (lease == NULL)
         return;
-    wb_wire_table_view views[4] = {
+    wb_wire_table_view views[] = {
         {WB_TABLE_CATALOG, (uint64_t)wb_table_watch_newest_row(node->catalog_watch),
          age_of(node->catalog_watch, now_ms)},
         {WB_TABLE_ENGINES, wb_fleet_digest(node->edge.fleet, now_ms),
          age_of(node->engines_watch, now_ms)},
         {WB_TABLE_NODES, 0, age_of(node->nodes_watch, now_ms)},
+        {WB_NEWS_NODE_IDS, wb_equal_share_digest(node->edge.share),
+         age_of(node->nodes_watch, now_ms)}, /* the last: left out while it isn't due */
     };
     wb_wire_message message = {.kind = WB_WIRE_STORE_NEWS};
     wb_wire_store_news *news = &message.wb_wire_message_u.store_news;
-    wb_wire_table_view *ids = &views[G_N_ELEMENTS(views) - 1];
-    ids->age_ms = age_of(node->nodes_watch, now_ms);
-    gboolean ids_due = wb_edge_node_share_tell(node, now_ms, ids);
-    news->views.views_len = ids_due ? G_N_ELEMENTS(views) : G_N_ELEMENTS(views) - 1;
+    news->views.views_len = G_N_ELEMENTS(views) - !wb_edge_node_share_digest_is_due(node, now_ms);
     news->views.views_val = views;
     wb_lease_row_t in_short = wb_edge_node_lease_in_short(lease);
     news->lease = wb_edge_node_lease_to_wire(&in_short);
--- a/src/edge/node_share.c
+++ b/src/edge/node_share.c
@@ -11,13 +11,11 @@
 /* A node whose rounds are so far apart stood still. */
 #define SUSPENDED_MS 1000
 
-gboolean wb_edge_node_share_tell(wb_edge_node_t *node, int64_t now_ms, wb_wire_table_view *view) {
+gboolean wb_edge_node_share_digest_is_due(wb_edge_node_t *node, int64_t now_ms) {
     if (now_ms - node->share_told_ms < DIGEST_INTERVAL_MS) {
         return FALSE;
     }
     node->share_told_ms = now_ms;
-    view->table = WB_NEWS_NODE_IDS;
-    view->newest = wb_equal_share_digest(node->edge.share);
     return TRUE;
 }
 
--- a/src/quota/equal_share.c
+++ b/src/quota/equal_share.c
@@ -18,6 +18,7 @@
     char *own_id;
     int64_t window_ms;
     GHashTable *nodes; /* id -> wb_shared_node_t */
+    unsigned listed;   /* of these, those that are */
     uint64_t digest;
     int64_t as_of_ms;  /* 0: nothing is known */
     gboolean is_first; /* no process ran on this machine before this one */
@@ -52,6 +53,7 @@
     }
     node->listed = TRUE;
     node->since_ms = now_ms;
+    share->listed++;
     share->digest += id_digest(id);
 }
 
@@ -62,6 +64,7 @@
     }
     node->listed = FALSE;
     node->since_ms = now_ms;
+    share->listed--;
     share->digest -= id_digest(id);
 }
 
@@ -89,7 +92,14 @@
     return node->listed || now_ms - node->since_ms < SETTLES_MS + window_ms;
 }
 
+static gboolean all_are_listed(const wb_equal_share_t *share) {
+    return share->listed == g_hash_table_size(share->nodes);
+}
+
 void wb_equal_share_sweep(wb_equal_share_t *share, int64_t now_ms) {
+    if (all_are_listed(share)) {
+        return; /* as usual, also where there are a thousand */
+    }
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, share->nodes);
@@ -119,6 +129,9 @@
 }
 
 static unsigned nodes_count(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
+    if (all_are_listed(share)) {
+        return share->listed;
+    }
     unsigned count = 0;
     GHashTableIter iter;
     gpointer value;
@@ -135,6 +148,32 @@
     return has_part ? nodes_count(share, window_ms, now_ms) : 0;
 }
 
+/* Nodes that come before this one. Who counts more nodes never comes earlier by that, so that those
+ * who spend come to no more than the units even where they know of different nodes. */
+static unsigned rank_of(const wb_equal_share_t *share) {
+    uint64_t own = id_digest(share->own_id);
+    unsigned before = 0;
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, share->nodes);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        before += id_digest(id) > own;
+    }
+    return before;
+}
+
+double wb_equal_share_part(const wb_equal_share_t *share, double whole, int64_t window_ms,
+                           int64_t now_ms) {
+    unsigned nodes = wb_equal_share_nodes(share, window_ms, now_ms);
+    if (nodes == 0) {
+        return 0;
+    }
+    if (whole >= nodes) {
+        return whole / nodes;
+    }
+    return rank_of(share) + 1 <= whole ? 1 : 0;
+}
+
 unsigned wb_equal_share_listed(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms) {
     int64_t least_ms = share->is_first ? 0 : window_ms;
     return is_listed_for(share, least_ms, now_ms) ? nodes_count(share, window_ms, now_ms) : 0;
--- a/src/quota/equal_share.h
+++ b/src/quota/equal_share.h
@@ -3,16 +3,18 @@
  * @brief Among how many nodes something is divided that all of them may spend together.
  *
  * Each node spends an equal part of the whole in any window of time, without a message about what
- * it spends. That all parts together are never more than the whole, whichever nodes start, end,
- * come or are cut off from the store, rests on three rules, all kept here:
- * - A node has a part only while it knows which nodes there are as of WB_SHARE_TRUST_MS ago at
- * most, itself among them.
- * - It has none until it has known itself to be listed for the time in which nodes that can't know
- *   of it lose theirs, and a window more: by then all others count it, and what they spent by
- * larger parts, or what a process before it spent on its machine, has left the window.
- * - A node that is no longer listed is counted for just as long: it may go on spending by what it
- * knew. So whoever spends in a window is counted by all others that do, each of N nodes counts N at
- * least, and N parts of 1/N at most are spent.
+ * it spends. Whichever nodes start, end, come or are cut off from the store, all parts together are
+ * never more than the whole. That rests on three rules, all kept here:
+ *
+ * - A node has a part only while it knows which nodes are listed, itself among them, as of
+ *   WB_SHARE_TRUST_MS ago at most.
+ * - It has none until it has been listed for as long as it takes that nobody goes by an older list,
+ *   and a window more: by then all others count it, and what they spent by larger parts, or what a
+ *   process before it spent on its machine, has left the window.
+ * - A node that is no longer listed is counted for just as long: it may go on by an older list.
+ *
+ * So whoever spends in a window is counted by all others that do: each of N nodes divides by N at
+ * least, and no more than N parts of 1/N are spent.
  *
  * Pure: the time is passed in.
  */
@@ -40,10 +42,9 @@
 void wb_equal_share_add(wb_equal_share_t *share, const char *id, int64_t now_ms);
 /** A node is no longer listed. */
 void wb_equal_share_remove(wb_equal_share_t *share, const char *id, int64_t now_ms);
-/** All that are listed are known as of a steady time; an earlier one than before changes nothing.
- */
+/** All that are listed are known as of this steady time, or as of a later one told before. */
 void wb_equal_share_known(wb_equal_share_t *share, int64_t as_of_ms);
-/** This process stood still: how old what it is told was, it can't know. It waits as after a start.
+/** This process stood still and can't know how old what it is told is: it waits as after a start.
  */
 void wb_equal_share_restart(wb_equal_share_t *share, int64_t now_ms);
 /**
@@ -63,6 +64,14 @@
  * @return by how many the whole is divided in such a window; 0: this node has no part now
  */
 unsigned wb_equal_share_nodes(const wb_equal_share_t *share, int64_t window_ms, int64_t now_ms);
+/**
+ * @param whole     units that all nodes may spend together in the window
+ * @param window_ms as above
+ * @return this node's part. Where there are more nodes than units, a part of one is of no use to
+ * anybody: as many nodes as there are units have a whole one, by the order of their ids' hashes
+ */
+double wb_equal_share_part(const wb_equal_share_t *share, double whole, int64_t window_ms,
+                           int64_t now_ms);
 /**
  * The same where a part of the whole is set aside for nodes that don't know of each other yet: this
  * one waits only until what a process before it spent has left the window.
--- a/src/request/exchange_budget.c
+++ b/src/request/exchange_budget.c
@@ -14,17 +14,12 @@
     return budget;
 }
 
-/* Among how many nodes the slack is divided; 0: this one has no share now. */
-static unsigned slack_nodes(const wb_edge_t *edge) {
-    return wb_equal_share_nodes(edge->share, window_ms(edge), wb_clock_ms());
-}
-
 /* This node's equal share of the slack that all nodes have together. A process that starts doesn't
  * know what the one before it has spent, nor whether all others count it yet: until that is over it
  * has the ratio of its own requests alone. */
 static double slack_share(const wb_edge_t *edge) {
-    unsigned nodes = slack_nodes(edge);
-    return nodes > 0 ? edge->settings.retry_slack / nodes : 0;
+    return wb_equal_share_part(edge->share, edge->settings.retry_slack, window_ms(edge),
+                               wb_clock_ms());
 }
 
 void wb_exchange_count_request(const wb_exchange_t *exchange) {
@@ -44,7 +39,7 @@
              ",\"id\":\"%s\",\"service\":\"%s\",\"sends\":%u,\"left\":%.2f,\"share\":%.2f,"
              "\"nodes\":%u",
              wb_event_text(exchange->id), exchange->service->name, exchange->sends, left,
-             slack_share(edge), slack_nodes(edge));
+             slack_share(edge), wb_equal_share_nodes(edge->share, window_ms(edge), wb_clock_ms()));
 }
 
 gboolean wb_exchange_take_resend(wb_exchange_t *exchange) {
--- a/tests/unit/test_equal_share.c
+++ b/tests/unit/test_equal_share.c
@@ -97,6 +97,39 @@
     wb_equal_share_free(share);
 }
 
+/* The part of one of so many nodes that all know each other. */
+static double part_of(int number, int nodes, double whole) {
+    g_autofree char *own = g_strdup_printf("node-%d", number);
+    wb_equal_share_t *share = wb_equal_share_create(own, WINDOW_MS);
+    for (int i = 0; i < nodes; i++) {
+        g_autofree char *id = g_strdup_printf("node-%d", i);
+        wb_equal_share_add(share, id, 0);
+    }
+    wb_equal_share_known(share, SETTLED_MS);
+    double part = wb_equal_share_part(share, whole, WINDOW_MS, SETTLED_MS);
+    wb_equal_share_free(share);
+    return part;
+}
+
+/* All parts come to the whole, also where there are more nodes than units of it: then as many have
+ * one as there are. */
+static void test_parts_add_up(void) {
+    enum { WHOLE = 54 };
+    static const int sizes[] = {1, 7, WHOLE, WHOLE + 1, 2 * WHOLE, 4 * WHOLE};
+    for (gsize i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        double sum = 0;
+        int usable = 0;
+        for (int j = 0; j < sizes[i]; j++) {
+            double part = part_of(j, sizes[i], WHOLE);
+            sum += part;
+            usable += part >= 1;
+        }
+        g_assert_cmpfloat(sum, >, WHOLE - 1e-6);
+        g_assert_cmpfloat(sum, <, WHOLE + 1e-6);
+        g_assert_cmpint(usable, ==, MIN(sizes[i], WHOLE));
+    }
+}
+
 /* Machines before a store that lists them, with what each process there knows and has spent. */
 enum {
     SEEDS = 800,
@@ -122,7 +155,8 @@
     gboolean listed[STEPS][MACHINES]; /* what the store held */
     GRand *random;
     int count; /* machines of this play */
-    int calm;  /* steps of a machine between two disturbances of one kind */
+    double whole;
+    int calm; /* steps of a machine between two disturbances of one kind */
 } sim_t;
 
 static int64_t time_of(int step) {
@@ -189,8 +223,8 @@
 
 /* Now and then it spends all that it may. Returns what it spent. */
 static double process_spend(sim_t *sim, sim_machine_t *machine, int step) {
-    unsigned nodes = wb_equal_share_nodes(machine->share, WINDOW_MS, time_of(step));
-    double left = nodes > 0 ? 1.0 / nodes - spent_in_window(machine, step) : 0;
+    double part = wb_equal_share_part(machine->share, sim->whole, WINDOW_MS, time_of(step));
+    double left = part - spent_in_window(machine, step);
     gboolean spends = g_rand_int_range(sim->random, 0, 10) == 0;
     machine->spent[step] = spends ? MAX(left, 0) : 0;
     return machine->spent[step];
@@ -226,12 +260,13 @@
     }
 }
 
-/* Returns the most that was spent in a window, of a whole of 1. */
+/* Returns the most that was spent in a window, as a part of the whole. */
 static double sim_play(guint32 seed, double *all_spent) {
     sim_t *sim = g_new0(sim_t, 1);
     double *total = g_new0(double, STEPS);
     double most = 0;
     sim->random = g_rand_new_with_seed(seed);
+    sim->whole = seed % 2 == 0 ? 1000 : 3; /* more units than machines, or mostly fewer */
     sim->calm = 150 << (seed % 4);
     sim->count = 2 + (int)(seed / 4 % (MACHINES - 1));
     for (int i = 0; i < sim->count; i++) {
@@ -259,8 +294,8 @@
         for (int i = MAX(step - WINDOW_MS / STEP_MS + 1, 0); i <= step; i++) {
             window += total[i];
         }
-        most = MAX(most, window);
-        *all_spent += total[step];
+        most = MAX(most, window / sim->whole);
+        *all_spent += total[step] / sim->whole;
     }
     for (int i = 0; i < sim->count; i++) {
         process_end(&sim->machines[i]);
@@ -290,6 +325,7 @@
     g_test_add_func("/equal-share/old-view", test_old_view);
     g_test_add_func("/equal-share/come-and-go", test_come_and_go);
     g_test_add_func("/equal-share/begin-first", test_begin_first);
+    g_test_add_func("/equal-share/parts-add-up", test_parts_add_up);
     g_test_add_func("/equal-share/listed", test_listed);
     g_test_add_func("/equal-share/never-spent-twice", test_never_spent_twice);
 }
