--- a/tests/harness/budget_oracle.c
+++ b/tests/harness/budget_oracle.c
@@ -38,6 +38,12 @@
     }
 }
 
+static gint times_compare(gconstpointer a, gconstpointer b) {
+    int64_t left = *(const int64_t *)a;
+    int64_t right = *(const int64_t *)b;
+    return (left > right) - (left < right);
+}
+
 /* Times before a given one. */
 static unsigned count_before(const GArray *times, int64_t before_ms) {
     guint low = 0;
@@ -69,8 +75,10 @@
     return window;
 }
 
-budget_worst_t budget_oracle_worst(const budget_oracle_t *oracle) {
+budget_worst_t budget_oracle_worst(budget_oracle_t *oracle) {
     budget_worst_t worst = {.excess = -G_MAXDOUBLE};
+    g_array_sort(oracle->requests, times_compare);
+    g_array_sort(oracle->repeats, times_compare);
     if (oracle->repeats->len == 0) {
         return worst;
     }
--- a/tests/harness/budget_oracle.h
+++ b/tests/harness/budget_oracle.h
@@ -26,10 +26,10 @@
 
 budget_oracle_t *budget_oracle_create(double ratio, double slack, int64_t window_ms);
 void budget_oracle_free(budget_oracle_t *oracle);
-/** A caller has sent a request, whether it arrives or not. Times don't go back. */
+/** A caller has sent a request, whether it arrives or not. */
 void budget_oracle_request(budget_oracle_t *oracle, int64_t at_ms);
-/** A request has come to an engine, which may turn it away. Times don't go back. */
+/** A request has come to an engine, which may turn it away. Of one id the first is told first. */
 void budget_oracle_arrival(budget_oracle_t *oracle, const char *id, int64_t at_ms);
-budget_worst_t budget_oracle_worst(const budget_oracle_t *oracle);
+budget_worst_t budget_oracle_worst(budget_oracle_t *oracle);
 
 #endif
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -239,25 +239,6 @@
     return strcmp(path, "/lock/x") == 0 || strcmp(path, "/look/x") == 0 ? "lock" : "llm";
 }
 
-static gint times_compare(gconstpointer a, gconstpointer b) {
-    int64_t left = *(const int64_t *)a;
-    int64_t right = *(const int64_t *)b;
-    return (left > right) - (left < right);
-}
-
-/* When callers sent requests to a service, in order. */
-static GArray *sent_times(const soak_t *soak, const char *service) {
-    GArray *times = g_array_new(FALSE, FALSE, sizeof(int64_t));
-    for (guint i = 0; i < soak->requests->len; i++) {
-        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
-        if (strcmp(service_of(request->path), service) == 0) {
-            g_array_append_val(times, request->began_ms);
-        }
-    }
-    g_array_sort(times, times_compare);
-    return times;
-}
-
 /* What is sent again stays within the budget of each service, whoever was killed, paused or cut
  * off. */
 static void budget_check(soak_t *soak, const json_t *seen, const char *service) {
@@ -266,11 +247,13 @@
     }
     budget_oracle_t *oracle = budget_oracle_create(SOAK_RETRY_RATIO, soak->retry_slack,
                                                    (int64_t)soak->retry_window_s * 1000);
-    g_autoptr(GArray) sent = sent_times(soak, service);
     size_t i;
     json_t *arrival;
-    for (guint j = 0; j < sent->len; j++) {
-        budget_oracle_request(oracle, g_array_index(sent, int64_t, j));
+    for (guint j = 0; j < soak->requests->len; j++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, j);
+        if (strcmp(service_of(request->path), service) == 0) {
+            budget_oracle_request(oracle, request->began_ms);
+        }
     }
     json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
         if (strcmp(text_of(arrival, "service"), service) == 0) {
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -44,16 +44,6 @@
     budget_oracle_free(oracle);
 }
 
-static gint times_compare(gconstpointer a, gconstpointer b) {
-    int64_t left = *(const int64_t *)a;
-    int64_t right = *(const int64_t *)b;
-    return (left > right) - (left < right);
-}
-
-static void times_add(GArray *times, int64_t at_ms) {
-    g_array_append_val(times, at_ms);
-}
-
 /* Nodes whose traffic comes and goes in bursts, at each by itself; all send again whatever they
  * may. What is sent takes up to half a second from callers to nodes, and from nodes to engines. */
 static void nodes_play(guint32 seed, budget_worst_t *worst) {
@@ -61,8 +51,8 @@
     GRand *random = g_rand_new_with_seed(seed);
     wb_retry_budget_t *budgets[NODES];
     int rates[NODES] = {0}; /* requests in a hundred steps */
-    GArray *sent = g_array_new(FALSE, FALSE, sizeof(int64_t));
-    GArray *again = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    budget_oracle_t *oracle = budget_oracle_create(RATIO, NODES * SHARE, WINDOW_MS);
+    budget_oracle_arrival(oracle, "again", 0);
     for (int node = 0; node < NODES; node++) {
         budgets[node] = wb_retry_budget_create(RATIO, WINDOW_MS);
     }
@@ -74,30 +64,19 @@
         for (node = 0; node < NODES; node++) {
             for (int due = rates[node] - g_rand_int_range(random, 0, 100); due > 0; due -= 100) {
                 wb_retry_budget_request(budgets[node], now_ms);
-                times_add(sent, now_ms - g_rand_int_range(random, 0, DELAY_MS));
+                budget_oracle_request(oracle, now_ms - g_rand_int_range(random, 0, DELAY_MS));
             }
             while (wb_retry_budget_take(budgets[node], SHARE, now_ms)) {
-                times_add(again, now_ms + g_rand_int_range(random, 0, DELAY_MS));
+                budget_oracle_arrival(oracle, "again",
+                                      now_ms + g_rand_int_range(random, 0, DELAY_MS));
             }
         }
     }
-    budget_oracle_t *oracle = budget_oracle_create(RATIO, NODES * SHARE, WINDOW_MS);
-    budget_oracle_arrival(oracle, "again", 0);
-    g_array_sort(sent, times_compare);
-    g_array_sort(again, times_compare);
-    for (guint i = 0; i < sent->len; i++) {
-        budget_oracle_request(oracle, g_array_index(sent, int64_t, i));
-    }
-    for (guint i = 0; i < again->len; i++) {
-        budget_oracle_arrival(oracle, "again", g_array_index(again, int64_t, i));
-    }
     *worst = budget_oracle_worst(oracle);
     budget_oracle_free(oracle);
     for (int node = 0; node < NODES; node++) {
         wb_retry_budget_free(budgets[node]);
     }
-    g_array_unref(sent);
-    g_array_unref(again);
     g_rand_free(random);
 }
 
