--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -233,9 +233,8 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
-    created->share_window_ms = (int64_t)(settings->retry_window_s * 1000);
     edge->share =
-        wb_equal_share_create(settings->id, MAX(created->share_window_ms, WB_COLD_WINDOW_MS));
+        wb_equal_share_create(settings->id, MAX(wb_edge_retry_window_ms(edge), WB_COLD_WINDOW_MS));
     created->directory = wb_edge_node_directory_create(created);
     created->engine_rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_table_row_free);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -85,7 +85,6 @@
     uint64_t placements_token; /* under which they were decided */
     wb_timer_t *placements_timer;
     GHashTable *announcements; /* id of a node that doesn't report -> wb_announcement_t */
-    int64_t share_window_ms;   /* in which the retry budget is counted */
     int64_t share_told_ms;     /* when this node, as the holder, told its digest of nodes last */
     int64_t share_looked_ms;   /* when another digest than the own one made it ask the store last */
     int64_t share_ticked_ms;   /* the round before this one; 0: none */
--- a/src/edge/node_share.c
+++ b/src/edge/node_share.c
@@ -39,7 +39,8 @@
 }
 
 static void nodes_log(wb_edge_node_t *node, int64_t now_ms) {
-    unsigned nodes = wb_equal_share_nodes(node->edge.share, node->share_window_ms, now_ms);
+    unsigned nodes =
+        wb_equal_share_nodes(node->edge.share, wb_edge_retry_window_ms(&node->edge), now_ms);
     if (nodes == node->share_nodes) {
         return;
     }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -286,6 +286,9 @@
 /** At the end of a stop: answer all that have no answer yet. */
 void wb_exchanges_refuse_unanswered(wb_edge_t *edge);
 
+/** @return window in which what is sent again is counted */
+int64_t wb_edge_retry_window_ms(const wb_edge_t *edge);
+
 /* What an attempt tells its exchange. */
 void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head);
 void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length);
