Sight: what an engine tells of its limit, leaving and rest is read in one place, logged and counted

No decision uses it yet. Heads of answers to requests, reports and orders are read by one module; values that can't be are counted and tell nothing. A report or order without a limit ends none: it isn't known that they carry it.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -47,7 +47,10 @@
     uint64_t store_loads;
     uint64_t local_loads;
     uint64_t unloads;
-    uint64_t figures_refused;           /**< answers whose told load or pace can't be */
+    uint64_t figures_refused;           /**< what engines tell of themselves and can't be */
+    uint64_t engine_limits;             /**< limits that engines have named or changed */
+    uint64_t engine_leavings;           /**< engines whose answers have told that they leave */
+    uint64_t engine_rests;              /**< times that engines asked this node to stay away */
     uint64_t late_answers;              /**< first events later than their target */
     uint64_t long_pauses;               /**< streams that paused longer than their target */
     uint64_t load_news;                 /**< messages told or heard about what engines have */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -85,6 +85,9 @@
     int64_t unheard_since_ms;  /**< when the first request was sent after its last byte; 0: it owes
                                   nothing */
     int64_t rejected_until_ms; /**< it turned a request away: full for the moment */
+    gboolean limited;          /**< it takes limit_per_s from all nodes together, as it last told */
+    double limit_per_s;        /**< requests a second */
+    gboolean told_leaving;     /**< an answer of it has told that it leaves */
     wb_list_t idle;            /**< kept connections; see attempt.c */
     GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
 } wb_engine_t;
--- a/include/wickbridge/http_peer.h
+++ b/include/wickbridge/http_peer.h
@@ -45,6 +45,8 @@
     gboolean fresh; /**< don't use a kept connection */
     /** Asked right before the first byte is sent; FALSE ends the call as not sent. May be NULL. */
     gboolean (*may_send)(void *context);
+    /** Told the head of the answer, before its result. May be NULL. */
+    void (*on_head)(const wb_http_head_t *head, void *context);
     wb_http_result_fn on_result; /**< called once, never from inside wb_http_peer_call */
     void *context;
 } wb_http_request_t;
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -2,6 +2,7 @@
 #include "control/engine_orders_types.h"
 
 #include "control/placement.h"
+#include "fleet/engine_heard.h"
 
 #include "wickbridge/event_log.h"
 
@@ -197,13 +198,23 @@
     }
 }
 
+/* What the engine tells of itself beside a report or an order's outcome. */
+static void head_hear(const wb_http_head_t *head, void *context) {
+    wb_engine_orders_t *orders = context;
+    wb_heard_t heard = {orders->dialect, head, WB_HEARD_ON_CALL, orders->call_sent_ms,
+                        wb_clock_ms()};
+    wb_engine_hear(orders->engine, &heard, orders->metrics);
+}
+
 static void report_ask(wb_engine_orders_t *orders) {
     wb_http_request_t request = {.method = "GET",
                                  .target = orders->dialect->report_target,
                                  .timeout_ms = orders->settings->order_timeout_ms,
+                                 .on_head = head_hear,
                                  .on_result = report_answered,
                                  .context = orders};
     orders->calling = TRUE;
+    orders->call_sent_ms = wb_clock_ms();
     wb_http_peer_call(orders->peer, &request);
 }
 
@@ -320,9 +331,11 @@
                                  .timeout_ms = orders->settings->order_timeout_ms,
                                  .fresh = TRUE,
                                  .may_send = order_may_send,
+                                 .on_head = head_hear,
                                  .on_result = order_answered,
                                  .context = orders};
     orders->calling = TRUE;
+    orders->call_sent_ms = orders->order_sent_ms;
     wb_http_peer_call(orders->peer, &request);
 }
 
--- a/src/control/engine_orders_types.h
+++ b/src/control/engine_orders_types.h
@@ -24,6 +24,7 @@
     wb_list_t tasks;          /* of wb_task_t; the first is under way */
     wb_engine_state_t *state; /* as believed; NULL until it was read */
     gboolean calling;
+    int64_t call_sent_ms; /* of the report or order under way, or the last one */
     wb_timer_t *timer;
     /* The order under way, or the last one. */
     wb_order_t order;
--- /dev/null
+++ b/src/fleet/engine_heard.h
@@ -0,0 +1,30 @@
+/**
+ * @file engine_heard.h
+ * @brief The one place that takes what engines tell of themselves at the heads of their answers.
+ */
+#ifndef WICKBRIDGE_ENGINE_HEARD_H
+#define WICKBRIDGE_ENGINE_HEARD_H
+
+#include "wickbridge/dialect.h"
+#include "wickbridge/edge_metrics.h"
+#include "wickbridge/http_reader.h"
+
+/** To what an engine has answered. */
+typedef enum wb_heard_on_t {
+    WB_HEARD_ON_REQUEST, /**< a caller's request */
+    WB_HEARD_ON_CALL     /**< a report or an order, where not everything need be told */
+} wb_heard_on_t;
+
+/** An answer whose head has come. */
+typedef struct wb_heard_t {
+    const wb_dialect_t *dialect;
+    const wb_http_head_t *head;
+    wb_heard_on_t on;
+    int64_t sent_ms; /**< steady time at which what it answers was sent */
+    int64_t now_ms;
+} wb_heard_t;
+
+/** Take what the head tells into what is known of the engine; log what has changed. */
+void wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics);
+
+#endif
--- a/src/http/http_peer.c
+++ b/src/http/http_peer.c
@@ -80,6 +80,8 @@
     wb_http_call_t *call = context;
     call->status = head->status;
     call->keep_alive = head->keep_alive;
+    if (head->status >= 200 && call->request.on_head != NULL)
+        call->request.on_head(head, call->request.context);
 }
 
 static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -1,8 +1,7 @@
 /* One sending of a request to one engine, and the connections to engines that are kept. */
+#include "fleet/engine_heard.h"
 #include "request/request_types.h"
 
-#include "dispatch/told_load.h"
-
 #include <string.h>
 
 #define HEAD_LIMIT_BYTES 65536
@@ -124,26 +123,11 @@
     return strcmp(id, exchange->id) == 0;
 }
 
-static void engine_load_read(wb_edge_t *edge, wb_engine_t *engine, const wb_http_head_t *head) {
-    wb_told_load_t load;
-    int64_t now_ms = wb_clock_ms();
-    const char *text = wb_http_head_get(head, edge->dialect->engine_load);
-    if (text == NULL) {
-        return;
-    }
-    if (!wb_told_load_read(text, &load)) {
-        edge->metrics.figures_refused++;
-        return;
-    }
-    edge->metrics.figures_refused += load.pace_percent == 0 && wb_told_load_has_pace(text);
-    engine->reported_running = load.running;
-    engine->reported_waiting = load.waiting;
-    engine->reported_ms = now_ms;
-    wb_engine_pace_told(&engine->pace, load.pace_percent, now_ms);
-    if (load.pace_percent != 0 &&
-        (engine->pace_heard == 0 || load.pace_percent < engine->pace_heard)) {
-        engine->pace_heard = load.pace_percent;
-    }
+static void engine_hear(const wb_upstream_t *upstream, const wb_http_head_t *head) {
+    wb_edge_t *edge = upstream->edge;
+    wb_heard_t heard = {edge->dialect, head, WB_HEARD_ON_REQUEST,
+                        upstream->attempt->exchange->sent_ms, wb_clock_ms()};
+    wb_engine_hear(upstream->engine, &heard, &edge->metrics);
 }
 
 static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
@@ -164,7 +148,7 @@
     }
     attempt->keep_alive = head->keep_alive && !head->ends_with_connection;
     attempt->keep_for_ms = keep_alive_ms(head);
-    engine_load_read(upstream->edge, upstream->engine, head);
+    engine_hear(upstream, head);
     wb_exchange_attempt_head(attempt->exchange, head);
 }
 
--- /dev/null
+++ b/tests/unit/test_told_state.c
@@ -0,0 +1,95 @@
+/* What an engine tells of itself at the head of an answer, as far as it can be. */
+#include "unit.h"
+
+#include "dispatch/told_state.h"
+
+static const wb_dialect_t dialect = {.engine_limit = "Server-Limit",
+                                     .engine_leaving = "Server-Leaving"};
+
+/* Reads an answer with up to two headers. */
+static wb_told_state_t told_by(unsigned status, const char *name, const char *value,
+                               const char *again) {
+    wb_http_head_t *head = wb_http_head_create();
+    head->status = status;
+    const char *const values[] = {value, again};
+    for (gsize i = 0; i < G_N_ELEMENTS(values); i++) {
+        if (values[i] != NULL) {
+            wb_http_header_t header = {g_strdup(name), g_strdup(values[i])};
+            g_array_append_val(head->headers, header);
+        }
+    }
+    wb_told_state_t told = wb_told_state_read(head, &dialect);
+    wb_http_head_free(head);
+    return told;
+}
+
+static void test_nothing(void) {
+    wb_told_state_t told = told_by(200, "X-Other", "1", NULL);
+    g_assert_false(told.limit_named || told.limit_known || told.leaving);
+    g_assert_cmpint(told.rest_ms, ==, 0);
+    g_assert_cmpuint(told.refused, ==, 0);
+}
+
+static void test_limit(void) {
+    static const struct {
+        const char *text;
+        double per_s;
+    } limits[] = {{"1", 1}, {"0.4", 0.4}, {"0", 0}, {"250", 250}};
+    for (gsize i = 0; i < G_N_ELEMENTS(limits); i++) {
+        wb_told_state_t told = told_by(200, "server-limit", limits[i].text, NULL);
+        g_assert_true(told.limit_named && told.limit_known);
+        g_assert_cmpfloat(told.limit_per_s, ==, limits[i].per_s);
+        g_assert_cmpuint(told.refused, ==, 0);
+    }
+}
+
+/* It names a limit, so that none ends by it, and none that could be gone by. */
+static void test_limits_that_cant_be(void) {
+    static const char *const texts[] = {"",    "-1",  "nan", "inf",  "1e3",  "1000000000000",
+                                        "1,2", "1 2", ".",   "0x10", "1.2.3"};
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        wb_told_state_t told = told_by(200, "Server-Limit", texts[i], NULL);
+        g_assert_true(told.limit_named);
+        g_assert_false(told.limit_known);
+        g_assert_cmpuint(told.refused, ==, 1);
+    }
+    wb_told_state_t twice = told_by(200, "Server-Limit", "1", "5");
+    g_assert_true(twice.limit_named);
+    g_assert_false(twice.limit_known);
+    g_assert_cmpuint(twice.refused, ==, 1);
+}
+
+static void test_leaving(void) {
+    g_assert_true(told_by(200, "Server-Leaving", "1", NULL).leaving);
+    g_assert_false(told_by(200, "Server-Leaving", "0", NULL).leaving);
+    g_assert_cmpuint(told_by(200, "Server-Leaving", "0", NULL).refused, ==, 0);
+    g_assert_false(told_by(200, "Server-Leaving", "yes", NULL).leaving);
+    g_assert_cmpuint(told_by(200, "Server-Leaving", "yes", NULL).refused, ==, 1);
+    g_assert_cmpuint(told_by(200, "Server-Leaving", "1", "1").refused, ==, 1);
+}
+
+static void test_rest(void) {
+    g_assert_cmpint(told_by(503, "Retry-After", "3", NULL).rest_ms, ==, 3000);
+    g_assert_cmpint(told_by(503, "Retry-After", "0.25", NULL).rest_ms, ==, 250);
+    g_assert_cmpint(told_by(503, "Retry-After", "0", NULL).rest_ms, ==, 0);
+    /* Other answers may tell when to come back without asking for rest. */
+    g_assert_cmpint(told_by(429, "Retry-After", "3", NULL).rest_ms, ==, 0);
+    static const char *const texts[] = {"", "-3", "nan", "1000000000000",
+                                        "Thu, 03 Dec 2026 08:00:00 GMT"};
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        wb_told_state_t told = told_by(503, "Retry-After", texts[i], NULL);
+        g_assert_cmpint(told.rest_ms, ==, 0);
+        g_assert_cmpuint(told.refused, ==, 1);
+    }
+    g_assert_cmpuint(told_by(503, "Retry-After", "3", "5").refused, ==, 1);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/told-state/nothing", test_nothing);
+    g_test_add_func("/told-state/limit", test_limit);
+    g_test_add_func("/told-state/limits-that-cant-be", test_limits_that_cant_be);
+    g_test_add_func("/told-state/leaving", test_leaving);
+    g_test_add_func("/told-state/rest", test_rest);
+}
+
+UNIT_TEST_MAIN(tests_add)
