Failing tests: limits, leaving and rest that engines tell in their answers

The stand-in's engines name all three and note which engine a request came to; an oracle counts by the rule's own windows.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -94,6 +94,8 @@
     engine->ended = FALSE;
     engine->busy = FALSE;
     engine->leaving = FALSE;
+    wb_estate_engine_set_state_lines(engine, "");
+    wb_estate_engine_set_rest(engine, "");
     engine->sequence = 0;
     json_array_clear(engine->models);
     engine_open(engine);
@@ -159,13 +161,26 @@
     return usual_ms * wb_estate_engine_option(engine, "pace", 100) / 100;
 }
 
+/* What it tells of its state at the head of each answer. */
+static const char *state_lines(const wb_estate_engine_t *engine) {
+    return wb_json_text(engine->options, "state_lines", "");
+}
+
+void wb_estate_engine_set_state_lines(wb_estate_engine_t *engine, const char *lines) {
+    json_object_set_new(engine->options, "state_lines", json_string(lines));
+}
+
+void wb_estate_engine_set_rest(wb_estate_engine_t *engine, const char *retry_after) {
+    json_object_set_new(engine->options, "rest", json_string(retry_after));
+}
+
 static char *head_lines(const wb_estate_run_t *run, const char *more) {
     const char *told = wb_json_text(run->engine->options, "pace_told", "");
     return g_strdup_printf("Request-Attempt-Id: %s\r\nServer-Load: %u,0,%d%s%s\r\n"
-                           "Keep-Alive: timeout=5\r\n%s",
+                           "Keep-Alive: timeout=5\r\n%s%s",
                            run->id, g_hash_table_size(run->engine->runs),
                            (int)wb_estate_engine_option(run->engine, "slots", 8),
-                           *told != '\0' ? "," : "", told, more);
+                           *told != '\0' ? "," : "", told, state_lines(run->engine), more);
 }
 
 static void run_answer(wb_estate_run_t *run, unsigned status, const char *more, const char *body) {
@@ -237,9 +252,9 @@
     g_hash_table_insert(engine->runs, connection, run);
     wb_http_connection_set_request(connection, run);
     json_array_append_new(engine->seen->arrivals,
-                          json_pack("{s:s, s:s, s:I}", "id", run->id, "service",
-                                    wb_json_text(engine->options, "service", "engines"), "at_ms",
-                                    (json_int_t)wb_clock_ms()));
+                          json_pack("{s:s, s:s, s:s, s:I}", "id", run->id, "service",
+                                    wb_json_text(engine->options, "service", "engines"), "engine",
+                                    engine->id, "at_ms", (json_int_t)wb_clock_ms()));
     const char *expected = wb_http_head_get(head, "Expected-Instance");
     if (expected != NULL && strcmp(expected, engine->id) != 0) {
         run_answer(run, 421, "", "");
@@ -249,6 +264,12 @@
         run_answer(run, 421, "Not-Executed: 1\r\n", "");
         return;
     }
+    const char *rest = wb_json_text(engine->options, "rest", "");
+    if (*rest != '\0') {
+        g_autofree char *lines = g_strdup_printf("Not-Executed: 1\r\nRetry-After: %s\r\n", rest);
+        run_answer(run, 503, lines, "");
+        return;
+    }
     if (wb_estate_engine_take_fault(engine, "reject")) {
         run_answer(run, 503, "Not-Executed: 1\r\n", "");
         return;
@@ -300,8 +321,9 @@
                   "running", (int)g_hash_table_size(engine->runs));
     born_tell(engine, report);
     char *text = wb_json_dump(report);
-    wb_http_connection_answer(connection, 200, "OK", "Content-Type: application/json\r\n", text,
-                              strlen(text));
+    g_autofree char *lines =
+        g_strconcat("Content-Type: application/json\r\n", state_lines(engine), NULL);
+    wb_http_connection_answer(connection, 200, "OK", lines, text, strlen(text));
     free(text);
     json_decref(report);
 }
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -18,8 +18,9 @@
 
 /** What tests look at, kept as JSON arrays. */
 typedef struct wb_estate_seen_t {
-    json_t *runs;     /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
-    json_t *arrivals; /**< {"id","service","at_ms"}: all requests, also those turned away */
+    json_t *runs; /**< {"id","engine","body","path","model","last_event_id","deadline_ms"} */
+    json_t
+        *arrivals; /**< {"id","service","engine","at_ms"}: all requests, also those turned away */
     json_t
         *orders; /**< {"engine","holder","token","operation","model","adapter","status","at_ms"} */
     json_t *crashes;    /**< {"engine","at_ms"}: engines that a request crashed */
@@ -59,6 +60,12 @@
 void wb_estate_engine_harden(wb_estate_engine_t *engine);
 /** What the engine tells of its pace from now on ("": nothing), and its real one in percent. */
 void wb_estate_engine_set_pace(wb_estate_engine_t *engine, const char *told, int64_t percent);
+/** Lines ("NAME: VALUE", each ended by CR LF) that its answers have at their heads from now on:
+ * what it tells of its limit, or that it leaves. */
+void wb_estate_engine_set_state_lines(wb_estate_engine_t *engine, const char *lines);
+/** It turns requests away from now on and asks for so much rest, in the words of Retry-After; "":
+ * it takes them. */
+void wb_estate_engine_set_rest(wb_estate_engine_t *engine, const char *retry_after);
 /** Set a fault for the next `count` requests or orders: "error", "reject", "cut", "mute", "reset",
  * "extra", "unsealed", "order-lost", "order-late". */
 void wb_estate_engine_set_fault(wb_estate_engine_t *engine, const char *fault, int count);
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -58,6 +58,10 @@
     else if (strcmp(verb, "engine-pace") == 0)
         wb_estate_engine_set_pace(engine, wb_json_text(call, "told", ""),
                                   wb_json_integer(call, "percent", 100));
+    else if (strcmp(verb, "engine-state") == 0)
+        wb_estate_engine_set_state_lines(engine, wb_json_text(call, "lines", ""));
+    else if (strcmp(verb, "engine-rest") == 0)
+        wb_estate_engine_set_rest(engine, wb_json_text(call, "retry_after", ""));
     else if (strcmp(verb, "engine-crash") == 0)
         wb_estate_engine_end(engine);
     else if (strcmp(verb, "engine-option") == 0)
