--- a/include/wickbridge/cold_share.h
+++ b/include/wickbridge/cold_share.h
@@ -20,39 +20,18 @@
 #ifndef WICKBRIDGE_COLD_SHARE_H
 #define WICKBRIDGE_COLD_SHARE_H
 
-#include <glib.h>
-#include <stdint.h>
+#include "wickbridge/send_gate.h"
 
 /** In which requests are counted: a second as the engine counts it, and a tenth for what takes
  * longer on its way than what comes after it. */
 #define WB_COLD_WINDOW_MS 1100
 
-/** What this node sent to a cold engine lately; all zeros: nothing. */
-typedef struct wb_cold_gate_t {
-    GArray *sent_ms; /**< steady times, oldest first; NULL: none */
-} wb_cold_gate_t;
-
 /**
  * @param per_s requests a second that the engine bears from all nodes together
  * @param nodes all nodes that share it, with this one; 0: this one has no part now
- * @param rank  nodes that come before this one, by wb_cold_rank
+ * @param rank  nodes that come before this one, by wb_dealt_rank
  * @return requests a second for this node
  */
 unsigned wb_cold_share(double per_s, unsigned nodes, unsigned rank);
 
-/**
- * @param incarnation of the engine
- * @param own         this node's id
- * @param nodes       set of nodes' ids, with or without this one's
- * @return nodes that come before this one for that engine
- */
-unsigned wb_cold_rank(const char *incarnation, const char *own, GHashTable *nodes);
-
-/** @param share requests a second for this node
- * @return steady time from which it may send another one; now_ms: it may now; G_MAXINT64: never */
-int64_t wb_cold_gate_opens_ms(const wb_cold_gate_t *gate, unsigned share, int64_t now_ms);
-/** It has sent one. */
-void wb_cold_gate_note(wb_cold_gate_t *gate, int64_t now_ms);
-void wb_cold_gate_clear(wb_cold_gate_t *gate);
-
 #endif
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -64,7 +64,7 @@
     int64_t closed_from_ms;   /**< steady time from which it gets nothing new, as its zone is being
                                  evacuated; 0: it isn't */
     int64_t cold_until_ms;    /**< steady time until which it bears few requests; 0: it is warm */
-    wb_cold_gate_t cold_gate; /**< what this node sent there while it was cold */
+    wb_send_gate_t cold_gate; /**< what this node sent there while it was cold */
     unsigned cold_share;      /**< requests a second that this node may send there meanwhile */
     int64_t cold_shared_ms;   /**< when that was worked out; 0: never */
     GHashTable *overlay;      /**< MODEL/ADAPTER -> private; the controller's news */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -34,7 +34,7 @@
     wb_engine_state_free(engine->state);
     g_hash_table_unref(engine->overlay);
     g_hash_table_unref(engine->prefixes);
-    wb_cold_gate_clear(&engine->cold_gate);
+    wb_send_gate_clear(&engine->cold_gate);
     g_free(engine);
 }
 
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -193,11 +193,12 @@
         engine->cold_shared_ms = now_ms;
         engine->cold_share =
             wb_cold_share(per_s, wb_equal_share_listed(edge->share, WB_COLD_WINDOW_MS, now_ms),
-                          wb_cold_rank(engine->state->incarnation, settings->id,
-                                       wb_equal_share_ids(edge->share)));
+                          wb_dealt_rank(engine->state->incarnation, settings->id,
+                                        wb_equal_share_ids(edge->share)));
     }
-    return MIN(wb_cold_gate_opens_ms(&engine->cold_gate, engine->cold_share, now_ms),
-               engine->cold_until_ms);
+    return MIN(
+        wb_send_gate_opens_ms(&engine->cold_gate, engine->cold_share, WB_COLD_WINDOW_MS, 0, now_ms),
+        engine->cold_until_ms);
 }
 
 /* Regions that a request's tenant names; NULL: none. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -261,7 +261,7 @@
     exchange->counted = TRUE;
     engine->running++;
     if (now_ms < engine->cold_until_ms) {
-        wb_cold_gate_note(&engine->cold_gate, now_ms);
+        wb_send_gate_note(&engine->cold_gate, WB_COLD_WINDOW_MS, now_ms);
         edge->metrics.cold_sends++;
     }
     exchange->prefill_counted = wb_balancer_unread_tokens(engine, exchange, now_ms);
