--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -28,6 +28,7 @@
     uint64_t resends_refused; /* beyond what the retry budget allows */
     uint64_t rejections;
     uint64_t broken_sends;
+    uint64_t sends_withdrawn; /**< before a byte left, as the engine had told not to send */
     uint64_t engine_checks;
     uint64_t engine_crashes;
     uint64_t engine_restarts;     /**< starts of engines that were known by their id */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -9,6 +9,7 @@
 #define WICKBRIDGE_FLEET_H
 
 #include "wickbridge/cold_share.h"
+#include "wickbridge/engine_limit.h"
 #include "wickbridge/engine_pace.h"
 #include "wickbridge/list.h"
 #include "wickbridge/loop.h"
@@ -85,8 +86,11 @@
     int64_t unheard_since_ms;  /**< when the first request was sent after its last byte; 0: it owes
                                   nothing */
     int64_t rejected_until_ms; /**< it turned a request away: full for the moment */
-    gboolean limited;          /**< it takes limit_per_s from all nodes together, as it last told */
-    double limit_per_s;        /**< requests a second */
+    wb_engine_limit_t limit;   /**< what it takes from all nodes together */
+    wb_limit_place_t place;    /**< this node among them */
+    int64_t placed_ms;         /**< when that was worked out; 0: never */
+    wb_list_item_t state_news; /**< on a list while others should be told what it told */
+    int64_t state_told_ms;     /**< when they were told last; 0: never */
     gboolean told_leaving;     /**< an answer of it has told that it leaves */
     wb_list_t idle;            /**< kept connections; see attempt.c */
     GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -143,6 +143,11 @@
     return ((wb_controller_t *)context)->token;
 }
 
+static void owner_heard(wb_engine_t *engine, void *context) {
+    const wb_controller_t *controller = context;
+    controller->events.on_heard(engine, controller->events.context);
+}
+
 static void owner_announce(wb_engine_t *engine, const char *model, const char *adapter,
                            gboolean held, void *context) {
     wb_controller_t *controller = context;
@@ -174,6 +179,7 @@
                                       owner_announce,
                                       owner_expect,
                                       owner_token,
+                                      owner_heard,
                                       controller};
     orders = wb_engine_orders_create(controller->loop, controller->settings, controller->dialect,
                                      engine, controller->metrics, &owner);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -28,6 +28,8 @@
     int64_t (*blocked_ms)(const char *engine, void *context);
     /** Tell all gateways. */
     void (*on_news)(const wb_wire_message *news, void *context);
+    /** An engine has told something of itself that other nodes should know. */
+    void (*on_heard)(wb_engine_t *engine, void *context);
     void *context;
 } wb_controller_events_t;
 
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -6,16 +6,13 @@
 
 #include "wickbridge/event_log.h"
 
-/* A model that is waited for though an engine should hold it gets another engine after this time.
- */
-#define STUCK_MS 600
 /* Who was refused for a missing model comes back within a third of the time that it has left, which
  * is 20 s at most. */
 #define MISSED_LIFE_MS 7000
-/* A model that only engines of evacuated zones hold is loaded elsewhere before it is missed, if it
- * is asked for so often: one request in the five seconds over which rates are averaged counts 0.2
- * at first and 0.05 seven seconds later. */
-#define EVACUATED_RATE 0.05
+/* A model that only engines hold which can't be relied on is loaded elsewhere before it is missed,
+ * if it is asked for so often: one request in the five seconds over which rates are averaged counts
+ * 0.2 at first and 0.05 seven seconds later. */
+#define UNRELIABLE_RATE 0.05
 /* A request that was refused for a missing model has lost about so much. */
 #define MISSED_COST_MS 1000.0
 /* Gateways are told anew when a model should be there if that has moved by more than this, and by
@@ -30,12 +27,12 @@
         return FALSE;
     }
     if (use->waiting > 0) {
-        return use->replicas == 0 || now_ms - usage->waited_ms >= STUCK_MS;
+        return use->replicas == 0 || now_ms - usage->waited_ms >= WB_PLACEMENT_STUCK_MS;
     }
     if (use->replicas > 0) {
         return FALSE;
     }
-    if (use->evacuated > 0 && use->rate_per_s > EVACUATED_RATE) {
+    if (use->unreliable > 0 && use->rate_per_s > UNRELIABLE_RATE) {
         return TRUE;
     }
     /* Who was refused comes back. */
@@ -83,7 +80,7 @@
     }
     return wb_placement_store_price_ms(spec) +
            MISSED_COST_MS *
-               (usage->missed + (usage->use.evacuated > 0 ? coming_requests(usage, spec) : 0));
+               (usage->missed + (usage->use.unreliable > 0 ? coming_requests(usage, spec) : 0));
 }
 
 /* Notes for gateways when a model that waits for its turn should be there, if that has changed by
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+/* A limit is shared by nodes in whole requests, and these don't ask evenly: an engine serves its
+ * models' requests if it takes so many times what they come to. */
+#define LIMIT_HEADROOM 2.0
+
 /* What loading_count is asked with. */
 typedef struct wb_loading_scene_t {
     wb_controller_t *controller;
@@ -47,7 +51,7 @@
             usage->use.replicas++;
             usage->use.speed += place->speed;
         } else if (usage != NULL) {
-            usage->use.evacuated++;
+            usage->use.unreliable++;
         }
     }
 }
@@ -60,7 +64,8 @@
     place.speed = controller->settings->engine_pace != 0
                       ? 1 / wb_engine_pace_usual(&engine->pace, now_ms)
                       : 1;
-    place.available = wb_engine_stays(engine) && now_ms >= engine->avoid_until_ms;
+    place.available =
+        wb_engine_stays(engine) && now_ms >= engine->avoid_until_ms && !engine->limit.named;
     if (orders != NULL) {
         place.state = wb_engine_orders_state(orders);
         place.busy_ms = wb_engine_orders_busy_ms(orders);
@@ -84,6 +89,42 @@
     replicas_count(controller, snapshot->service->name, place, now_ms);
 }
 
+/* Requests a second that an engine's models are asked for, when their replicas share them. */
+static double asked_per_s(wb_controller_t *controller, const char *service,
+                          const wb_placement_engine_t *place) {
+    double per_s = 0;
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, place->state->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        const wb_usage_t *usage = wb_demand_book_find(controller->book, service, name, "");
+        per_s += usage != NULL ? usage->use.rate_per_s / MAX(usage->use.replicas, 1) : 0;
+    }
+    return per_s;
+}
+
+/* What an engine holds that takes less than it is asked for doesn't count as replicas. */
+static void limited_discount(wb_controller_t *controller, const wb_placement_snapshot_t *snapshot,
+                             const wb_placement_engine_t *place) {
+    const char *service = snapshot->service->name;
+    const wb_engine_limit_t *limit = &place->engine->limit;
+    if (!limit->named || !wb_engine_stays(place->engine) ||
+        limit->per_s >= LIMIT_HEADROOM * asked_per_s(controller, service, place)) {
+        return;
+    }
+    GHashTableIter iter;
+    gpointer name;
+    g_hash_table_iter_init(&iter, place->state->models);
+    while (g_hash_table_iter_next(&iter, &name, NULL)) {
+        wb_usage_t *usage = wb_demand_book_find(controller->book, service, name, "");
+        if (usage != NULL && usage->use.replicas > 0) {
+            usage->use.replicas--;
+            usage->use.speed -= place->speed;
+            usage->use.unreliable++;
+        }
+    }
+}
+
 /* Requests for a replica, on average over all models. */
 static double place_rate_per_s(const wb_placement_snapshot_t *snapshot) {
     double rate_per_s = 0;
@@ -151,6 +192,10 @@
             engine_count(controller, snapshot, place, orders, now_ms);
         }
     }
+    for (guint i = 0; i < snapshot->engines->len; i++) {
+        limited_discount(controller, snapshot,
+                         &g_array_index(snapshot->engines, wb_placement_engine_t, i));
+    }
     if (snapshot->engines->len > WB_PLACES_JUDGED) {
         snapshot->first = (guint)g_random_int_range(0, (gint32)snapshot->engines->len);
     }
--- a/src/control/demand_book.c
+++ b/src/control/demand_book.c
@@ -127,7 +127,7 @@
         usage->use.waiting = 0;
         usage->use.running = 0;
         usage->use.replicas = 0;
-        usage->use.evacuated = 0;
+        usage->use.unreliable = 0;
         usage->use.in_loading = 0;
         usage->use.speed = 0;
         usage->use.loading_speed = 0;
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -203,7 +203,9 @@
     wb_engine_orders_t *orders = context;
     wb_heard_t heard = {orders->dialect, head, WB_HEARD_ON_CALL, orders->call_sent_ms,
                         wb_clock_ms()};
-    wb_engine_hear(orders->engine, &heard, orders->metrics);
+    if (wb_engine_hear(orders->engine, &heard, orders->metrics)) {
+        orders->owner.heard(orders->engine, orders->owner.context);
+    }
 }
 
 static void report_ask(wb_engine_orders_t *orders) {
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -40,6 +40,8 @@
     void (*expect)(const wb_engine_t *engine, const char *model, unsigned ready_in_ms,
                    void *context);
     uint64_t (*token)(void *context);
+    /** The engine has told something of itself that other nodes should know. */
+    void (*heard)(wb_engine_t *engine, void *context);
     void *context;
 } wb_engine_orders_owner_t;
 
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -11,6 +11,10 @@
 #include "wickbridge/catalog.h"
 #include "wickbridge/fleet.h"
 
+/** A model that is waited for though an engine should hold it gets another engine after this time.
+ */
+#define WB_PLACEMENT_STUCK_MS 600
+
 /** How much a model is asked for, over all nodes. */
 typedef struct wb_model_use_t {
     unsigned waiting;          /**< requests that wait for it to be loaded */
@@ -21,7 +25,8 @@
     double recent_work_per_s;  /**< prompt tokens of the last moments' arrivals */
     double adapter_rate_per_s; /**< those arrivals that name an adapter, decayed */
     unsigned replicas;         /**< engines that hold it and stay */
-    unsigned evacuated;        /**< engines that hold it in zones that are being evacuated */
+    unsigned unreliable;       /**< engines that hold it and don't count: their zones are being
+                                  evacuated, or they take less than they are asked for */
     unsigned in_loading;       /**< engines that are about to load it */
     double speed;         /**< of the engines that hold it, together; 0: one for each replica */
     double loading_speed; /**< of those that are about to load it; 0: one for each */
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -163,6 +163,7 @@
     wb_edge_node_tick_quota(node, now_ms);
     wb_edge_node_tick_poison(node);
     wb_edge_node_tick_pace(node, now_ms);
+    wb_edge_node_tick_states(node, now_ms);
     wb_edge_node_tick_announce(node, now_ms);
     if (now_ms - node->demand_told_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_tell_demand(node);
@@ -185,6 +186,7 @@
     int64_t now_ms = wb_clock_ms();
     wb_upstreams_sweep(&node->edge, now_ms);
     wb_fleet_sweep(node->edge.fleet, now_ms);
+    wb_edge_told_engines_sweep(&node->edge);
     wb_quota_gate_sweep(node->edge.quota, now_ms);
     wb_crash_watch_sweep(node->edge.crashes, now_ms);
     wb_poison_book_sweep(node->edge.poison, now_ms);
@@ -226,6 +228,8 @@
     edge->crashes = wb_crash_watch_create(loop, &edge->settings, &edge->metrics, &crashes);
     edge->on_poison = wb_edge_node_poison_changed;
     wb_list_init(&edge->waiting);
+    wb_list_init(&edge->state_news);
+    edge->told_engines = g_hash_table_new_full(NULL, NULL, (GDestroyNotify)wb_engine_unref, NULL);
     edge->open = g_hash_table_new(NULL, NULL);
     edge->on_need = wb_edge_node_need_arose;
     edge->need_context = created;
@@ -234,7 +238,7 @@
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
     edge->share =
-        wb_equal_share_create(settings->id, MAX(wb_edge_retry_window_ms(edge), WB_COLD_WINDOW_MS));
+        wb_equal_share_create(settings->id, MAX(wb_edge_retry_window_ms(edge), WB_LIMIT_WINDOW_MS));
     created->directory = wb_edge_node_directory_create(created);
     created->engine_rows =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_table_row_free);
@@ -253,8 +257,9 @@
     if (status != APR_SUCCESS)
         return status;
     wb_edge_node_open_lease(created);
-    wb_controller_events_t events = {wb_edge_node_may_act, wb_edge_node_ask_order,
-                                     wb_edge_node_blocked_ms, wb_edge_node_tell_news, created};
+    wb_controller_events_t events = {wb_edge_node_may_act,      wb_edge_node_ask_order,
+                                     wb_edge_node_blocked_ms,   wb_edge_node_tell_news,
+                                     wb_edge_node_states_heard, created};
     created->controller =
         wb_controller_create(loop, &edge->settings, dialect, edge->fleet, &edge->metrics, &events);
     wb_edge_node_follow_store(created);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -43,6 +43,7 @@
     char *name;                      /* NULL until it told it */
     int64_t heard_ms;                /* when its last message came */
     gboolean lost;                   /* it hasn't been heard for too long, though the link stands */
+    gboolean states_told;            /* it was told all that engines have told of themselves */
     wb_subscription_t *subscription; /* rows that it is told of here, on a link for that; or NULL */
 } wb_gateway_t;
 
@@ -104,6 +105,7 @@
     int64_t pace_heard_ms;  /* when it was told them last */
     uint64_t poison_told;   /* version of the book of poison requests that was told last */
     gboolean poison_keeper; /* at the last tick */
+    gboolean states_told;   /* the node that all report to was told what engines have told here */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
@@ -291,7 +293,17 @@
 /** Read it back. */
 void wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream);
 
+/* node_states.c */
+/** Tell on what engines have told of themselves. */
+void wb_edge_node_tick_states(wb_edge_node_t *node, int64_t now_ms);
+/** Another node has told it. */
+void wb_edge_node_states_take(wb_edge_node_t *node, const wb_wire_engine_states *told);
+/** An engine has told the controller of this node something new. @param context the node */
+void wb_edge_node_states_heard(wb_engine_t *engine, void *context);
+
 /* node_tell.c */
+/** Tell the gateways that read messages of form 2 or later. */
+void wb_edge_node_tell_newer_gateways(wb_edge_node_t *node, const wb_wire_message *message);
 /** Tell all gateways; what is told of models and adapters may be sent some ms later. */
 void wb_edge_node_tell_gateways(wb_edge_node_t *node, const wb_wire_message *message);
 /** Clears a wb_wire_placement_entry. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -128,6 +128,8 @@
         wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_news);
     if (message->kind == WB_WIRE_POISON)
         wb_edge_node_poison_take(node, &message->wb_wire_message_u.poison);
+    if (message->kind == WB_WIRE_ENGINE_STATES)
+        wb_edge_node_states_take(node, &message->wb_wire_message_u.engine_states);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
@@ -199,6 +201,7 @@
     wb_edge_node_hello_send(node, link);
     node->controller_link_open = TRUE;
     node->demand_told = TRUE;
+    node->states_told = FALSE;
     node->link_opened_ms = wb_clock_ms();
     wb_quota_gate_set_reached(node->edge.quota, TRUE);
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
@@ -220,6 +223,8 @@
         wb_edge_node_quota_take_shares(context, &message->wb_wire_message_u.quota);
     else if (message->kind == WB_WIRE_ENGINE_LOADS)
         wb_edge_node_pace_take(context, &message->wb_wire_message_u.engine_loads);
+    else if (message->kind == WB_WIRE_ENGINE_STATES)
+        wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states);
     else if (message->kind == WB_WIRE_STORE_NEWS)
         wb_edge_node_take_news(context, &message->wb_wire_message_u.store_news);
 }
--- a/src/edge/node_tell.c
+++ b/src/edge/node_tell.c
@@ -15,7 +15,8 @@
 /* A gateway that doesn't read what it is told is let go. */
 #define BACKLOG_LIMIT_BYTES (512 * 1024)
 
-/* Sends a frame to gateways. @param with_parts to those that read parts, who get it with them */
+/* Sends a frame to gateways. @param frame to those that read messages without parts only; NULL:
+ * these aren't told. @param with_parts to the others */
 static void frame_send(wb_edge_node_t *node, const GByteArray *frame,
                        const GByteArray *with_parts) {
     GHashTableIter iter;
@@ -23,15 +24,27 @@
     gpointer gateway;
     g_hash_table_iter_init(&iter, node->gateways);
     while (g_hash_table_iter_next(&iter, &link, &gateway)) {
-        if (((const wb_gateway_t *)gateway)->subscription != NULL)
+        const GByteArray *form = wb_link_form(link) >= 2 ? with_parts : frame;
+        if (((const wb_gateway_t *)gateway)->subscription != NULL || form == NULL)
             continue; /* a link for rows of engines only: its gateway has another for news */
         if (wb_link_unsent(link) > BACKLOG_LIMIT_BYTES)
             wb_link_break(link, "it doesn't read what it is told");
         else
-            wb_link_send_frame(link, wb_link_form(link) >= 2 ? with_parts : frame);
+            wb_link_send_frame(link, form);
     }
 }
 
+void wb_edge_node_tell_newer_gateways(wb_edge_node_t *node, const wb_wire_message *message) {
+    g_autoptr(GByteArray) frame = g_byte_array_new();
+    wb_error_t error;
+    if (wb_message_encode(message, frame, &error) != APR_SUCCESS) {
+        wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
+                 wb_message_kind_name(message->kind), wb_event_text(error.message));
+        return;
+    }
+    frame_send(node, NULL, frame);
+}
+
 /* @param parts NULL: none */
 static void message_send(wb_edge_node_t *node, const wb_wire_message *message,
                          const wb_wire_parts *parts) {
--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -6,6 +6,12 @@
 
 #include "wickbridge/event_log.h"
 
+/* That a limit is named on, or is over, is told to others so often. */
+#define STATE_TELL_MS 2000
+/* Others may take an end for older than the limit that they know: it is told them again for so long
+ * after the limit was last named. */
+#define END_TOLD_FOR_MS 30000
+
 static void load_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics) {
     wb_told_load_t load;
     const char *text = wb_http_head_get(heard->head, heard->dialect->engine_load);
@@ -37,19 +43,30 @@
              wb_event_text(engine->state->id), heard->head->status, refused);
 }
 
-static void limit_hear(wb_engine_t *engine, const wb_heard_t *heard, const wb_told_state_t *told,
-                       wb_edge_metrics_t *metrics) {
-    gboolean ends = !told->limit_named && heard->on == WB_HEARD_ON_REQUEST;
-    if (told->limit_known && (!engine->limited || engine->limit_per_s != told->limit_per_s)) {
-        engine->limited = TRUE;
-        engine->limit_per_s = told->limit_per_s;
+/* @return TRUE when other nodes should know */
+static gboolean limit_hear(wb_engine_t *engine, const wb_heard_t *heard,
+                           const wb_told_state_t *told, wb_edge_metrics_t *metrics) {
+    wb_engine_limit_t *limit = &engine->limit;
+    gboolean told_lately = heard->now_ms - engine->state_told_ms < STATE_TELL_MS;
+    /* Only answers that would name a limit show that there is none. */
+    gboolean names_none = !told->limit_named && heard->on == WB_HEARD_ON_REQUEST;
+    if (told->limit_known) {
+        if (!wb_engine_limit_name(limit, told->limit_per_s, heard->sent_ms, heard->now_ms)) {
+            return limit->named && !told_lately;
+        }
         metrics->engine_limits++;
         wb_event("engine-limited", ",\"engine\":\"%s\",\"per_s\":%g",
                  wb_event_text(engine->state->id), told->limit_per_s);
-    } else if (ends && engine->limited) {
-        engine->limited = FALSE;
-        wb_event("engine-limit-ended", ",\"engine\":\"%s\"", wb_event_text(engine->state->id));
+        return TRUE;
+    }
+    if (!names_none || (!limit->named && limit->ended_ms == 0)) {
+        return FALSE;
+    }
+    if (!wb_engine_limit_unname(limit, heard->sent_ms)) {
+        return !limit->named && !told_lately && heard->now_ms - limit->named_ms < END_TOLD_FOR_MS;
     }
+    wb_event("engine-limit-ended", ",\"engine\":\"%s\"", wb_event_text(engine->state->id));
+    return TRUE;
 }
 
 static void leaving_hear(wb_engine_t *engine, const wb_told_state_t *told,
@@ -73,11 +90,11 @@
              (long long)told->rest_ms);
 }
 
-void wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics) {
+gboolean wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics) {
     wb_told_state_t told = wb_told_state_read(heard->head, heard->dialect);
     load_hear(engine, heard, metrics);
     refused_log(engine, heard, told.refused, metrics);
-    limit_hear(engine, heard, &told, metrics);
     leaving_hear(engine, &told, metrics);
     rest_hear(engine, &told, metrics);
+    return limit_hear(engine, heard, &told, metrics);
 }
--- a/src/fleet/engine_heard.h
+++ b/src/fleet/engine_heard.h
@@ -24,7 +24,8 @@
     int64_t now_ms;
 } wb_heard_t;
 
-/** Take what the head tells into what is known of the engine; log what has changed. */
-void wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics);
+/** Take what the head tells into what is known of the engine; log what has changed.
+ * @return TRUE when other nodes should know what it told */
+gboolean wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics);
 
 #endif
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -35,6 +35,7 @@
     g_hash_table_unref(engine->overlay);
     g_hash_table_unref(engine->prefixes);
     wb_send_gate_clear(&engine->cold_gate);
+    wb_engine_limit_clear(&engine->limit);
     g_free(engine);
 }
 
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define FRAME_HEAD_BYTES 4
-#define NEWEST_KIND WB_WIRE_ENGINES_SHOW
+#define NEWEST_KIND WB_WIRE_ENGINE_STATES
 
 static unsigned long sizeof_all(wb_wire_message *message, wb_wire_parts *parts) {
     unsigned long size = xdr_sizeof((xdrproc_t)xdr_wb_wire_message, message);
@@ -132,6 +132,6 @@
         "group-vote",   "group-ballot",  "route-want",      "route-show",   "claim-want",
         "claim-show",   "claim-done",    "group-hand-over", "demand",       "placement",
         "store-news",   "load-plan",     "quota",           "poison",       "engine-loads",
-        "engines-want", "engines-show"};
+        "engines-want", "engines-show",  "engine-states"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -427,6 +427,28 @@
     wb_wire_placement_entry holds<WB_WIRE_LIST_MAX>; /* what rows don't show yet */
 };
 
+/* What an engine's answers told last of its limit. */
+enum wb_wire_limit {
+    WB_WIRE_LIMIT_UNKNOWN = 0,
+    WB_WIRE_LIMIT_NAMED = 1,
+    WB_WIRE_LIMIT_ENDED = 2
+};
+
+/* What an engine has told a node of itself. */
+struct wb_wire_engine_state {
+    wb_wire_name engine;
+    unsigned hyper born_ms;     /* when it started; 0: not known */
+    unsigned int limit;         /* wb_wire_limit */
+    unsigned int limit_milli;   /* thousandths of a request a second */
+    unsigned int limit_age_ms;  /* since it was named, or since the request whose answer showed its end
+                                 * was sent */
+};
+
+/* Gateways tell the controller, which tells all gateways. */
+struct wb_wire_engine_states {
+    wb_wire_engine_state engines<WB_WIRE_LIST_MAX>;
+};
+
 /* How messages between nodes are formed, told in a hello's incarnation by edge nodes. Form 1 is the
  * message alone; form 2 lets parts follow it. docs/COMPATIBILITY.md tells what a release may
  * change. */
@@ -483,7 +505,8 @@
     WB_WIRE_POISON = 23,
     WB_WIRE_ENGINE_LOADS = 24,
     WB_WIRE_ENGINES_WANT = 25, /* from here on: only to readers of form 2 */
-    WB_WIRE_ENGINES_SHOW = 26
+    WB_WIRE_ENGINES_SHOW = 26,
+    WB_WIRE_ENGINE_STATES = 27
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -539,4 +562,6 @@
     wb_wire_engines_want engines_want;
 case WB_WIRE_ENGINES_SHOW:
     wb_wire_engines_show engines_show;
+case WB_WIRE_ENGINE_STATES:
+    wb_wire_engine_states engine_states;
 };
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -69,12 +69,16 @@
     attempt_free(attempt);
 }
 
-static void attempt_fail(wb_attempt_t *attempt, gboolean broke_off, const char *reason) {
-    wb_attempt_failure_t failure = {attempt->sent, broke_off, reason};
+static void attempt_end(wb_attempt_t *attempt, const wb_attempt_failure_t *failure) {
     wb_exchange_t *exchange = attempt_detach(attempt);
     upstream_drop(attempt->upstream);
     attempt_free(attempt);
-    wb_exchange_attempt_failed(exchange, &failure);
+    wb_exchange_attempt_failed(exchange, failure);
+}
+
+static void attempt_fail(wb_attempt_t *attempt, gboolean broke_off, const char *reason) {
+    wb_attempt_failure_t failure = {attempt->sent, broke_off, FALSE, reason};
+    attempt_end(attempt, &failure);
 }
 
 void wb_attempt_engine_ended(wb_attempt_t *attempt) {
@@ -126,8 +130,11 @@
 static void engine_hear(const wb_upstream_t *upstream, const wb_http_head_t *head) {
     wb_edge_t *edge = upstream->edge;
     wb_heard_t heard = {edge->dialect, head, WB_HEARD_ON_REQUEST,
-                        upstream->attempt->exchange->sent_ms, wb_clock_ms()};
-    wb_engine_hear(upstream->engine, &heard, &edge->metrics);
+                        upstream->attempt->exchange->written_ms, wb_clock_ms()};
+    if (wb_engine_hear(upstream->engine, &heard, &edge->metrics)) {
+        wb_edge_engine_told(edge, upstream->engine);
+        wb_edge_tell_state(edge, upstream->engine);
+    }
 }
 
 static void reader_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
@@ -258,6 +265,7 @@
 
 static void request_write(wb_attempt_t *attempt) {
     attempt->sent = TRUE;
+    attempt->exchange->written_ms = wb_clock_ms();
     if (attempt->upstream->engine->unheard_since_ms == 0)
         attempt->upstream->engine->unheard_since_ms = wb_clock_ms();
     wb_tcp_stream_write(attempt->upstream->stream, attempt->output->str, attempt->output->len);
@@ -268,8 +276,15 @@
 static void stream_open(wb_tcp_stream_t *stream, void *context) {
     (void)stream;
     wb_upstream_t *upstream = context;
-    if (upstream->attempt != NULL)
-        request_write(upstream->attempt);
+    wb_attempt_t *attempt = upstream->attempt;
+    if (attempt == NULL)
+        return;
+    if (wb_balancer_may_write(upstream->edge, attempt->exchange, wb_clock_ms())) {
+        request_write(attempt);
+        return;
+    }
+    wb_attempt_failure_t failure = {.withdrawn = TRUE, .reason = "engine-closed"};
+    attempt_end(attempt, &failure);
 }
 
 static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -19,8 +19,10 @@
 #define QUIET_MS 300.0
 /* A cold engine is used where no warm one would answer much earlier: it bears few requests. */
 #define COLD_MS 200.0
-/* Nodes come and go: what a cold engine bears is dealt out anew after so long. */
-#define COLD_SHARED_MS 1000
+/* What a limited engine takes is kept for what no other engine holds. */
+#define LIMITED_MS 1000.0
+/* Nodes come and go: what they share is dealt out anew after so long. */
+#define SHARED_MS 1000
 #define PREFIXES_LIMIT 512
 /* A key for a part of a prompt: what was read before it counts too, and the model that read it. */
 static uint64_t part_hash(uint64_t before, const char *id) {
@@ -119,6 +121,8 @@
         cost += AVOIDED_MS;
     if (now_ms < engine->cold_until_ms)
         cost += COLD_MS;
+    if (engine->limit.named)
+        cost += LIMITED_MS;
     if (now_ms < engine->rejected_until_ms)
         cost += REJECTED_COST_MS;
     if (!wb_engine_stays(engine))
@@ -168,27 +172,26 @@
     return choice;
 }
 
-/* Engines that turned the request away for the moment are open to it again after a pause. */
-static gboolean was_tried(const wb_exchange_t *exchange, const wb_engine_t *engine,
-                          int64_t now_ms) {
-    for (guint i = 0; i < exchange->tried->len; i++) {
-        const wb_tried_engine_t *tried = &g_array_index(exchange->tried, wb_tried_engine_t, i);
-        gboolean closed = tried->again_ms == 0 || now_ms < tried->again_ms;
-        if (closed && strcmp(tried->id, engine->state->id) == 0) {
-            return TRUE;
+/* Steady time from which an engine is open to a request again that it turned away; 0: it has not
+ * been tried; G_MAXINT64: never again. */
+static int64_t tried_until_ms(const wb_exchange_t *exchange, const wb_engine_t *engine) {
+    for (guint i = exchange->tried->len; i > 0; i--) {
+        const wb_tried_engine_t *tried = &g_array_index(exchange->tried, wb_tried_engine_t, i - 1);
+        if (strcmp(tried->id, engine->state->id) == 0) {
+            return tried->again_ms != 0 ? tried->again_ms : G_MAXINT64;
         }
     }
-    return FALSE;
+    return 0;
 }
 
 /* Steady time from which a cold engine takes another request of this node. */
 static int64_t cold_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
-                             const wb_service_t *service, int64_t now_ms) {
+                             const wb_service_t *service, unsigned ahead, int64_t now_ms) {
     const wb_edge_settings_t *settings = &edge->settings;
     if (now_ms >= engine->cold_until_ms || service->cold_per_s <= 0) {
         return now_ms;
     }
-    if (engine->cold_shared_ms == 0 || now_ms - engine->cold_shared_ms > COLD_SHARED_MS) {
+    if (engine->cold_shared_ms == 0 || now_ms - engine->cold_shared_ms > SHARED_MS) {
         double per_s = service->cold_per_s * settings->cold_overage + settings->cold_slack;
         engine->cold_shared_ms = now_ms;
         engine->cold_share =
@@ -196,9 +199,32 @@
                           wb_dealt_rank(engine->state->incarnation, settings->id,
                                         wb_equal_share_ids(edge->share)));
     }
-    return MIN(
-        wb_send_gate_opens_ms(&engine->cold_gate, engine->cold_share, WB_COLD_WINDOW_MS, 0, now_ms),
-        engine->cold_until_ms);
+    return MIN(wb_send_gate_opens_ms(&engine->cold_gate, engine->cold_share, WB_COLD_WINDOW_MS,
+                                     ahead, now_ms),
+               engine->cold_until_ms);
+}
+
+/* Steady time from which an engine that has named a limit takes another request of this node. */
+static int64_t limit_opens_ms(const wb_edge_t *edge, wb_engine_t *engine, unsigned ahead,
+                              int64_t now_ms) {
+    if (!engine->limit.named) {
+        return now_ms;
+    }
+    if (engine->placed_ms == 0 || now_ms - engine->placed_ms > SHARED_MS) {
+        engine->placed_ms = now_ms;
+        engine->place =
+            (wb_limit_place_t){wb_equal_share_listed(edge->share, WB_LIMIT_WINDOW_MS, now_ms),
+                               wb_dealt_rank(engine->state->incarnation, edge->settings.id,
+                                             wb_equal_share_ids(edge->share))};
+    }
+    return wb_engine_limit_opens_ms(&engine->limit, &engine->place, ahead, now_ms);
+}
+
+/* Steady time from which an engine takes another request of this node, as it has told itself. */
+static int64_t engine_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
+                               const wb_service_t *service, unsigned ahead, int64_t now_ms) {
+    return MAX(cold_opens_ms(edge, engine, service, ahead, now_ms),
+               limit_opens_ms(edge, engine, ahead, now_ms));
 }
 
 /* Regions that a request's tenant names; NULL: none. */
@@ -233,34 +259,74 @@
     return FALSE;
 }
 
-/* Whether an engine can serve the request, cold or not. */
+/* Whether an engine can serve the request, if not now. */
 static gboolean can_serve(const wb_engine_t *engine, const wb_exchange_t *exchange,
                           int64_t now_ms) {
-    if (was_tried(exchange, engine, now_ms))
-        return FALSE;
     if (!wb_engine_is_open(engine, now_ms) || !is_home(exchange, engine))
         return FALSE;
     return exchange->model == NULL ||
            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
 }
 
+/* Steady time from which an engine that can serve the request may be sent it. */
+static int64_t request_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
+                                const wb_exchange_t *exchange, unsigned ahead, int64_t now_ms) {
+    return MAX(tried_until_ms(exchange, engine),
+               engine_opens_ms(edge, engine, exchange->service, ahead, now_ms));
+}
+
 static gboolean is_usable(const wb_edge_t *edge, wb_engine_t *engine, const wb_exchange_t *exchange,
                           int64_t now_ms) {
     return can_serve(engine, exchange, now_ms) &&
-           cold_opens_ms(edge, engine, exchange->service, now_ms) <= now_ms;
+           request_opens_ms(edge, engine, exchange, 0, now_ms) <= now_ms;
 }
 
-int64_t wb_balancer_cold_opens_ms(const wb_edge_t *edge, const wb_exchange_t *exchange,
-                                  int64_t now_ms) {
+/* Requests that wait for the same engines to open and came before this one. */
+static unsigned waiting_ahead(const wb_edge_t *edge, const wb_exchange_t *exchange) {
+    unsigned ahead = 0;
+    WB_LIST_EACH(item, &edge->waiting) {
+        const wb_exchange_t *other = WB_LIST_OF(item, wb_exchange_t, waiting);
+        if (other == exchange) {
+            break;
+        }
+        ahead += other->awaits_opening && other->service == exchange->service &&
+                 g_strcmp0(other->model, exchange->model) == 0;
+    }
+    return ahead;
+}
+
+wb_opening_t wb_balancer_opening(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                 int64_t now_ms) {
     const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
-    int64_t earliest_ms = G_MAXINT64;
+    g_autoptr(GPtrArray) able = g_ptr_array_new();
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
-        wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (now_ms < engine->cold_until_ms && can_serve(engine, exchange, now_ms)) {
-            earliest_ms = MIN(earliest_ms, cold_opens_ms(edge, engine, exchange->service, now_ms));
+        if (can_serve(g_ptr_array_index(engines, i), exchange, now_ms)) {
+            g_ptr_array_add(able, g_ptr_array_index(engines, i));
+        }
+    }
+    wb_opening_t opening = {.at_ms = G_MAXINT64};
+    unsigned ahead = able->len > 0 ? waiting_ahead(edge, exchange) / able->len : 0;
+    for (guint i = 0; i < able->len; i++) {
+        wb_engine_t *engine = g_ptr_array_index(able, i);
+        int64_t opens_ms = request_opens_ms(edge, engine, exchange, ahead, now_ms);
+        if (opens_ms > now_ms && opens_ms < opening.at_ms) {
+            opening = (wb_opening_t){opens_ms, now_ms < engine->cold_until_ms};
         }
     }
-    return earliest_ms;
+    return opening;
+}
+
+gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                               int64_t now_ms) {
+    wb_engine_t *engine = exchange->engine;
+    if (exchange->limit_noted || !engine->limit.named) {
+        return TRUE;
+    }
+    if (limit_opens_ms(edge, engine, 0, now_ms) > now_ms) {
+        return FALSE;
+    }
+    wb_engine_limit_note(&engine->limit, now_ms);
+    return TRUE;
 }
 
 /* The engine that rendezvous hashing gives a shared prompt: every node finds the same one. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -252,6 +252,8 @@
     exchange->sent_ms = now_ms;
     exchange->sends++;
     exchange->runs++;
+    exchange->limit_noted = engine->limit.named;
+    wb_engine_limit_note(&engine->limit, now_ms);
     edge->metrics.sends++;
     if (wb_attempt_start(exchange, engine) == NULL) {
         wb_attempt_failure_t failure = {.reason = "no-connection"};
@@ -404,9 +406,24 @@
              (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running);
 }
 
+/* The engine told, while the connection came up, that it takes no more for now. */
+static void sending_withdraw(wb_exchange_t *exchange) {
+    exchange->edge->metrics.sends_withdrawn++;
+    wb_event("send-withdrawn", ",\"id\":\"%s\",\"engine\":\"%s\"", wb_event_text(exchange->id),
+             exchange->engine->state->id);
+    exchange->sends--;
+    exchange->runs--;
+    tried_last(exchange)->again_ms = wb_clock_ms();
+    wb_exchange_dispatch(exchange);
+}
+
 void wb_exchange_attempt_failed(wb_exchange_t *exchange, const wb_attempt_failure_t *failure) {
     wb_edge_t *edge = exchange->edge;
     sending_release(exchange);
+    if (failure->withdrawn) {
+        sending_withdraw(exchange);
+        return;
+    }
     engine_failed(exchange->engine, failure->reason, exchange->id);
     edge->metrics.broken_sends++;
     send_broken_log(exchange, failure);
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -17,7 +17,7 @@
  * news pass one link. Who has heard nothing after so long won't. An adapter is there by then, too,
  * unless its engine is loading a model. */
 #define DECIDED_MS 600
-/* An engine that opens again is asked at the next tick. */
+/* An engine that opens is asked at the next tick. */
 #define OPENS_MARGIN_MS 50
 /* A caller of a stream leaves after the longest of a fixed time, some targets, and some gaps. */
 #define STREAM_PATIENCE_MS 2000
@@ -94,12 +94,26 @@
     return view.back_in_ms + quickest_load_ms(exchange, spec);
 }
 
-/* When coming back has a use: once the model should be there, else soon. */
+/* Time until an engine opens that could serve the request; -1: none is known to. */
+static int64_t opens_in_ms(const wb_exchange_t *exchange) {
+    int64_t now_ms = wb_clock_ms();
+    if (exchange->service == NULL) {
+        return -1;
+    }
+    int64_t opens_ms = wb_balancer_opening(exchange->edge, exchange, now_ms).at_ms;
+    return opens_ms != G_MAXINT64 ? MAX(opens_ms - now_ms, 0) : -1;
+}
+
+/* When coming back has a use: once the model should be there, or an engine opens, else soon. */
 int64_t wb_exchange_come_back_ms(const wb_exchange_t *exchange) {
     if (exchange->route == NULL && exchange->edge->catalog == NULL) {
         return NO_CATALOG_MS;
     }
     int64_t ready_in_ms = model_ready_in_ms(exchange);
+    int64_t opens_ms = opens_in_ms(exchange);
+    if (opens_ms >= 0 && (ready_in_ms <= 0 || opens_ms < ready_in_ms)) {
+        return MAX(opens_ms + COME_BACK_MARGIN_MS, RETRY_AFTER_MS);
+    }
     if (ready_in_ms > 0) {
         return ready_in_ms + COME_BACK_MARGIN_MS;
     }
@@ -118,35 +132,12 @@
     return MIN(time_ms, patience_ms);
 }
 
-/* Steady time at which an engine that turned this request away is open to it again; -1: none will
- * be. */
-static int64_t engine_opens_ms(const wb_exchange_t *exchange, int64_t now_ms) {
-    int64_t earliest_ms = -1;
-    for (guint i = 0; i < exchange->tried->len; i++) {
-        const wb_tried_engine_t *tried = &g_array_index(exchange->tried, wb_tried_engine_t, i);
-        const wb_engine_t *engine = wb_fleet_find(exchange->edge->fleet, tried->id);
-        gboolean opens = tried->again_ms > 0 && engine != NULL && wb_engine_is_open(engine, now_ms);
-        if (opens && (earliest_ms < 0 || tried->again_ms < earliest_ms)) {
-            earliest_ms = tried->again_ms;
-        }
-    }
-    return earliest_ms;
-}
-
-/* Any engine will do, and none can be used: until one is known to open, if that is in time. */
-static int64_t engine_wait_until_ms(const wb_exchange_t *exchange) {
-    int64_t opens_ms = engine_opens_ms(exchange, wb_clock_ms());
-    gboolean in_time =
-        opens_ms >= 0 && opens_ms < exchange->began_ms + wb_exchange_patience_ms(exchange);
-    return in_time ? opens_ms + OPENS_MARGIN_MS : 0;
-}
-
-/* Steady time until which it has a use to wait for a cold engine that takes no more of this node's
- * requests for the moment; 0: no such engine could serve it, or not in time. */
-static int64_t cold_wait_until_ms(const wb_exchange_t *exchange) {
-    int64_t opens_ms = wb_balancer_cold_opens_ms(exchange->edge, exchange, wb_clock_ms());
-    int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - SERVE_MS;
-    return opens_ms < useful_until_ms ? opens_ms + OPENS_MARGIN_MS : 0;
+/* Steady time until which it has a use to wait for an engine that takes none of this node's
+ * requests for the moment; 0: none could serve it, or not in time. */
+static int64_t opening_wait_until_ms(const wb_exchange_t *exchange, const wb_opening_t *opening) {
+    int64_t serve_ms = exchange->model != NULL || opening->is_cold ? SERVE_MS : 0;
+    int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - serve_ms;
+    return opening->at_ms < useful_until_ms ? opening->at_ms + OPENS_MARGIN_MS : 0;
 }
 
 /* Nothing is known of when the model, or its adapter, is there. It has a use to wait as long as the
@@ -159,16 +150,29 @@
     return exchange->began_ms + MIN(MAX(in_time_ms, DECIDED_MS + load_ms), useful_ms);
 }
 
-/* Steady time until which it has a use to wait for a load, or for an engine that isn't cold; in the
- * past when it has none. */
-static int64_t load_wait_until_ms(const wb_exchange_t *exchange) {
+/* Steady time until which it has a use to wait for another replica of a model that is held only by
+ * engines which don't open in time; in the past when it has none. */
+static int64_t replica_wait_until_ms(const wb_exchange_t *exchange) {
+    const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
+    int64_t load_ms = spec != NULL ? quickest_load_ms(exchange, spec) : 0;
+    int64_t ready_ms = exchange->began_ms + WB_PLACEMENT_STUCK_MS + DECIDED_MS + load_ms;
+    int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - SERVE_MS;
+    return ready_ms < useful_until_ms ? unknown_wait_until_ms(exchange) : 0;
+}
+
+/* Steady time until which it has a use to wait for a load; in the past when it has none. */
+static int64_t load_wait_until_ms(const wb_exchange_t *exchange, const wb_opening_t *opening) {
     if (exchange->model == NULL) {
-        return engine_wait_until_ms(exchange);
+        return 0;
     }
     int64_t ready_in_ms = model_ready_in_ms(exchange);
     if (ready_in_ms < 0) {
         gboolean in_vain = controller_view(exchange->edge).reach == WB_CONTROLLER_UNREACHED;
-        return in_vain ? 0 : unknown_wait_until_ms(exchange);
+        gboolean held = opening->at_ms != G_MAXINT64;
+        if (in_vain) {
+            return 0;
+        }
+        return held ? replica_wait_until_ms(exchange) : unknown_wait_until_ms(exchange);
     }
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
     int64_t useful_until_ms = exchange->began_ms + wb_exchange_patience_ms(exchange) - SERVE_MS;
@@ -179,22 +183,39 @@
     return MIN(MAX(ready_ms + LOAD_LATE_MS, unknown_wait_until_ms(exchange)), useful_until_ms);
 }
 
-/* Steady time until which waiting has a use; in the past when it has none. */
-static int64_t wait_until_ms(const wb_exchange_t *exchange) {
-    int64_t cold_until_ms = cold_wait_until_ms(exchange);
-    return cold_until_ms != 0 ? cold_until_ms : load_wait_until_ms(exchange);
+/* For what a request waits, and until when that has a use: in the past when it has none. */
+typedef struct wb_wait_t {
+    gboolean awaits_opening;
+    gboolean wants_load;
+    int64_t until_ms;
+} wb_wait_t;
+
+static wb_wait_t wait_decide(const wb_exchange_t *exchange) {
+    wb_opening_t opening = wb_balancer_opening(exchange->edge, exchange, wb_clock_ms());
+    int64_t opening_until_ms = opening_wait_until_ms(exchange, &opening);
+    gboolean awaits_opening = opening_until_ms != 0;
+    if (awaits_opening && opening.is_cold) {
+        return (wb_wait_t){TRUE, FALSE, opening_until_ms};
+    }
+    int64_t load_until_ms = load_wait_until_ms(exchange, &opening);
+    return (wb_wait_t){awaits_opening, TRUE, MAX(opening_until_ms, load_until_ms)};
 }
 
-/* It waited for a cold engine, which is no longer there, or for its engines to be known, and there
- * are none: now it waits for a load. */
-static void cold_wait_check(wb_exchange_t *exchange) {
-    if (exchange->wants_load || cold_wait_until_ms(exchange) != 0) {
+/* What it waited for has changed: an engine that it awaited is no longer there, say. */
+static void wait_check(wb_exchange_t *exchange) {
+    wb_wait_t wait = wait_decide(exchange);
+    gboolean wants_load = wait.wants_load && !exchange->wants_load;
+    if (!wants_load && exchange->awaits_opening == wait.awaits_opening) {
+        return;
+    }
+    exchange->awaits_opening = wait.awaits_opening;
+    exchange->wait_until_ms = wait.until_ms;
+    wb_exchange_arm_hold(exchange);
+    if (!wants_load) {
         return;
     }
     exchange->wants_load = TRUE;
     wb_demand_waiting(exchange->edge->demand, exchange, TRUE);
-    exchange->wait_until_ms = load_wait_until_ms(exchange);
-    wb_exchange_arm_hold(exchange);
     if (exchange->model != NULL && exchange->edge->on_need != NULL) {
         exchange->edge->on_need(exchange->edge->need_context);
     }
@@ -204,13 +225,13 @@
 void wb_exchange_wait(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (wb_list_is_linked(&exchange->waiting)) {
-        cold_wait_check(exchange);
+        wait_check(exchange);
         return;
     }
-    int64_t cold_until_ms = cold_wait_until_ms(exchange);
-    /* What a cold engine holds needs no load. */
-    exchange->wants_load = cold_until_ms == 0;
-    exchange->wait_until_ms = exchange->wants_load ? load_wait_until_ms(exchange) : cold_until_ms;
+    wb_wait_t wait = wait_decide(exchange);
+    exchange->awaits_opening = wait.awaits_opening;
+    exchange->wants_load = wait.wants_load;
+    exchange->wait_until_ms = wait.until_ms;
     exchange->waiting_since_ms = wb_clock_ms();
     wb_list_add_tail(&edge->waiting, &exchange->waiting);
     edge->metrics.waits++;
@@ -241,6 +262,7 @@
         return;
     }
     exchange->wants_load = FALSE;
+    exchange->awaits_opening = FALSE;
     exchange->wait_until_ms = exchange->hold_until_ms;
     exchange->waiting_since_ms = wb_clock_ms();
     wb_list_add_tail(&exchange->edge->waiting, &exchange->waiting);
@@ -277,7 +299,7 @@
 
 /* What is known of its model has changed: who waits in vain is refused by the timer, at once. */
 static void wait_reconsider(wb_exchange_t *exchange) {
-    exchange->wait_until_ms = wait_until_ms(exchange);
+    exchange->wait_until_ms = wait_decide(exchange).until_ms;
     wb_exchange_arm_hold(exchange);
 }
 
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -94,8 +94,11 @@
     gboolean tries_poison; /* this node is the one that tries refused requests now and then */
     wb_edge_metrics_t metrics;
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
-    wb_list_t waiting;    /* exchanges that wait for an engine, oldest first */
-    GHashTable *open;     /* set of all exchanges */
+    wb_list_t state_news; /* engines that told something which others should know; each with a
+                             reference */
+    GHashTable *told_engines; /* set of engines that told of a limit; each with a reference */
+    wb_list_t waiting;        /* exchanges that wait for an engine, oldest first */
+    GHashTable *open;         /* set of all exchanges */
     wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
     unsigned ended_next;
     unsigned node_count;     /* nodes that the store lists; 0: not known yet */
@@ -202,15 +205,18 @@
     int64_t wait_until_ms; /* steady time until which waiting for an engine has a use */
     wb_timer_t *hold_timer;
     wb_timer_t *patience_timer;
-    wb_list_item_t waiting; /* on edge->waiting */
-    gboolean wants_load;    /* it waits for a model or adapter, not for an engine that is cold */
+    wb_list_item_t waiting;  /* on edge->waiting */
+    gboolean wants_load;     /* it waits for a model or adapter, not for an engine that is cold */
+    gboolean awaits_opening; /* it waits for an engine that will take it */
     int64_t waiting_since_ms;
     int64_t waited_ms;
     wb_attempt_t *attempt;   /* the one under way, or NULL */
     wb_engine_t *engine;     /* of the last sending; a reference, or NULL */
     int64_t sent_ms;         /* of the last sending */
+    int64_t written_ms;      /* when its first byte left */
     wb_sending_t sending;    /* the last one, as it was decided on */
     gboolean counted;        /* the sending counts as running at its engine */
+    gboolean limit_noted;    /* it counts against its engine's limit */
     int64_t prefill_counted; /* prompt tokens that count at its engine */
     wb_reply_t reply;
     gboolean paused; /* the caller doesn't take its answer: the engine isn't read */
@@ -240,10 +246,18 @@
 /** @return TRUE when the request names no regions, or some engine of its service stands where it
  * may be served */
 gboolean wb_balancer_has_home(const wb_edge_t *edge, const wb_exchange_t *exchange);
-/** @return steady time from which a cold engine that could serve the request takes another one;
- * G_MAXINT64: none will, or none is cold */
-int64_t wb_balancer_cold_opens_ms(const wb_edge_t *edge, const wb_exchange_t *exchange,
-                                  int64_t now_ms);
+/** An engine that can serve a request and takes none of this node for the moment. */
+typedef struct wb_opening_t {
+    int64_t at_ms;    /**< steady time from which it does; G_MAXINT64: none will, or not known */
+    gboolean is_cold; /**< it is cold, and no load elsewhere is needed */
+} wb_opening_t;
+/** @return the one that opens first, behind requests that wait for it already */
+wb_opening_t wb_balancer_opening(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                 int64_t now_ms);
+/** Asked when a connection has come up: the engine may have told a limit meanwhile. What is written
+ * counts against it. @return FALSE when the request must not be written */
+gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                               int64_t now_ms);
 /** What is to be sent, as engines are chosen by. */
 wb_choice_request_t wb_balancer_request(const wb_exchange_t *exchange, int64_t now_ms);
 /** Prompt tokens that the engine must still read for this request, as far as this node knows. */
@@ -286,6 +300,14 @@
 /** At the end of a stop: answer all that have no answer yet. */
 void wb_exchanges_refuse_unanswered(wb_edge_t *edge);
 
+/* What engines tell of themselves: engine_states.c. */
+/** An engine told of its state, here or to another node. */
+void wb_edge_engine_told(wb_edge_t *edge, wb_engine_t *engine);
+/** Other nodes should know it. */
+void wb_edge_tell_state(wb_edge_t *edge, wb_engine_t *engine);
+/** Forget those that have gone or have nothing more to tell. */
+void wb_edge_told_engines_sweep(wb_edge_t *edge);
+
 /** @return window in which what is sent again is counted */
 int64_t wb_edge_retry_window_ms(const wb_edge_t *edge);
 
@@ -297,6 +319,7 @@
 typedef struct wb_attempt_failure_t {
     gboolean sent;      /* FALSE: no byte of the request left */
     gboolean broke_off; /* the connection ended before the answer was whole */
+    gboolean withdrawn; /* by this node, before a byte left: the engine isn't at fault */
     const char *reason; /* for logs */
 } wb_attempt_failure_t;
 void wb_exchange_attempt_failed(wb_exchange_t *exchange, const wb_attempt_failure_t *failure);
--- a/tests/fuzz/fuzz_control_check.c
+++ b/tests/fuzz/fuzz_control_check.c
@@ -74,6 +74,11 @@
     return 0;
 }
 
+static void heard_ignore(wb_engine_t *engine, void *context) {
+    (void)engine;
+    (void)context;
+}
+
 static void news_ignore(const wb_wire_message *news, void *context) {
     (void)news;
     (void)context;
@@ -131,8 +136,8 @@
         settings->adapter_load_ms = 40;
         settings->prefill_tokens_per_ms = 30;
         play->nodes[i].fleet = wb_fleet_create();
-        wb_controller_events_t events = {may_act, ask_order, blocked_ms, news_ignore,
-                                         GINT_TO_POINTER(i)};
+        wb_controller_events_t events = {may_act,     ask_order,    blocked_ms,
+                                         news_ignore, heard_ignore, GINT_TO_POINTER(i)};
         play->nodes[i].controller = wb_controller_create(
             NULL, settings, &sim_dialect, play->nodes[i].fleet, &play->nodes[i].metrics, &events);
         wb_controller_set_catalog(play->nodes[i].controller, play->catalog);
