Rest: an engine that asks a node to stay away gets nothing from it in that time

Cause: a 503 set pauses of the node's own, whatever the engine asked for. Class: a wish of a peer taken for a sign of its load.

The time is kept with the engine and is a bar for all requests of the node, in the choice and again when a connection has come up; the longest of several counts, as each was asked for.

--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -91,6 +91,7 @@
     int64_t placed_ms;         /**< when that was worked out; 0: never */
     wb_list_item_t state_news; /**< on a list while others should be told what it told */
     int64_t state_told_ms;     /**< when they were told last; 0: never */
+    int64_t rest_until_ms;     /**< steady time until which it wants no request of this node */
     gboolean told_leaving;     /**< an answer of it has told that it leaves */
     wb_list_t idle;            /**< kept connections; see attempt.c */
     GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -80,11 +80,13 @@
              wb_event_text(engine->state->id), engine->leaving_ms != 0 ? "true" : "false");
 }
 
-static void rest_hear(const wb_engine_t *engine, const wb_told_state_t *told,
+/* Each time that was asked for is kept, so a shorter one that comes later ends nothing. */
+static void rest_hear(wb_engine_t *engine, const wb_heard_t *heard, const wb_told_state_t *told,
                       wb_edge_metrics_t *metrics) {
     if (told->rest_ms <= 0) {
         return;
     }
+    engine->rest_until_ms = MAX(engine->rest_until_ms, heard->now_ms + told->rest_ms);
     metrics->engine_rests++;
     wb_event("engine-rests", ",\"engine\":\"%s\",\"for_ms\":%lld", wb_event_text(engine->state->id),
              (long long)told->rest_ms);
@@ -95,6 +97,6 @@
     load_hear(engine, heard, metrics);
     refused_log(engine, heard, told.refused, metrics);
     leaving_hear(engine, &told, metrics);
-    rest_hear(engine, &told, metrics);
+    rest_hear(engine, heard, &told, metrics);
     return limit_hear(engine, heard, &told, metrics);
 }
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -223,8 +223,9 @@
 /* Steady time from which an engine takes another request of this node, as it has told itself. */
 static int64_t engine_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
                                const wb_service_t *service, unsigned ahead, int64_t now_ms) {
-    return MAX(cold_opens_ms(edge, engine, service, ahead, now_ms),
-               limit_opens_ms(edge, engine, ahead, now_ms));
+    int64_t opens_ms = MAX(cold_opens_ms(edge, engine, service, ahead, now_ms),
+                           limit_opens_ms(edge, engine, ahead, now_ms));
+    return MAX(opens_ms, engine->rest_until_ms);
 }
 
 /* Regions that a request's tenant names; NULL: none. */
@@ -319,6 +320,9 @@
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms) {
     wb_engine_t *engine = exchange->engine;
+    if (now_ms < engine->rest_until_ms) {
+        return FALSE;
+    }
     if (exchange->limit_noted || !engine->limit.named) {
         return TRUE;
     }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -254,8 +254,9 @@
 /** @return the one that opens first, behind requests that wait for it already */
 wb_opening_t wb_balancer_opening(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                  int64_t now_ms);
-/** Asked when a connection has come up: the engine may have told a limit meanwhile. What is written
- * counts against it. @return FALSE when the request must not be written */
+/** Asked when a connection has come up: the engine may have named a limit or asked for rest
+ * meanwhile. What is written counts against its limit.
+ * @return FALSE when the request must not be written */
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms);
 /** What is to be sent, as engines are chosen by. */
