Leaving: what an engine's answer tells of that holds for its start, at once and at all nodes

Class: one fact told in two ways, of which one was read, by the time of another's clock.

An answer's word closes the engine to all but what no other can do, and to that for half of a drain; no row of the same start opens it again, also when it had gone and was forgotten. Other nodes are told, the controller loads what it holds elsewhere at that word, and connections that come up later are not written to.

--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -61,7 +61,9 @@
     wb_engine_state_t *state;
     gboolean gone;            /**< no longer announced */
     int64_t leaving_ms;       /**< steady time since which it is leaving or gone; 0: it isn't */
-    int64_t use_until_ms;     /**< steady time until which a gone engine may still get work */
+    gboolean told_leaving;    /**< it told so in an answer, which no row of the same start undoes */
+    int64_t use_until_ms;     /**< steady time until which it may still get work if it is gone, or
+                                 leaves by an answer alone */
     int64_t closed_from_ms;   /**< steady time from which it gets nothing new, as its zone is being
                                  evacuated; 0: it isn't */
     int64_t cold_until_ms;    /**< steady time until which it bears few requests; 0: it is warm */
@@ -92,7 +94,6 @@
     wb_list_item_t state_news; /**< on a list while others should be told what it told */
     int64_t state_told_ms;     /**< when they were told last; 0: never */
     int64_t rest_until_ms;     /**< steady time until which it wants no request of this node */
-    gboolean told_leaving;     /**< an answer of it has told that it leaves */
     wb_list_t idle;            /**< kept connections; see attempt.c */
     GHashTable *prefixes;      /**< parts of prompts it has read for this node -> time */
 } wb_engine_t;
@@ -125,6 +126,12 @@
  */
 int64_t wb_fleet_use_until_ms(int64_t known_ms, int64_t drain_ms, int64_t now_ms);
 
+/**
+ * An answer of the engine, to this node or another, has told that it leaves: that holds for its
+ * start. It may get work for half of the drain's time, if no other engine can.
+ * @return FALSE when that was known
+ */
+gboolean wb_engine_tell_leaving(wb_engine_t *engine, int64_t drain_ms, int64_t now_ms);
 /** @return TRUE when it may get work: it stays, or is gone and its time isn't over */
 gboolean wb_engine_is_open(const wb_engine_t *engine, int64_t now_ms);
 /** @return TRUE when it can be counted on: it doesn't leave, nor does its zone */
@@ -136,7 +143,7 @@
 const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service);
 /** @return all engines that are announced: id -> wb_engine_t; owned by the fleet */
 GHashTable *wb_fleet_all(const wb_fleet_t *fleet);
-/** @return a hash of which engines are announced, which of them leave, and which models each holds;
+/** @return a hash of which engines are announced, which of them announce that they leave, and which models each holds;
  * two nodes with the same hash know the same */
 uint64_t wb_fleet_digest(const wb_fleet_t *fleet, int64_t now_ms);
 /** @return TRUE when some engine of the service that stays holds the model, and the adapter if one
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -33,12 +33,12 @@
     return g_hash_table_lookup(controller->orders, engine->state->id);
 }
 
-/* Counts an engine's models as replicas, or as those that its zone's evacuation takes away: these
- * are only looked up, as a model that nobody asks for isn't missed. */
+/* Counts an engine's models as replicas, or as those that go with its zone's evacuation or at its
+ * own word: these are only looked up, as a model that nobody asks for isn't missed. */
 static void replicas_count(wb_controller_t *controller, const char *service,
                            const wb_placement_engine_t *place, int64_t now_ms) {
     gboolean stays = wb_engine_stays(place->engine);
-    if (!stays && place->engine->leaving_ms != 0) {
+    if (!stays && place->engine->leaving_ms != 0 && !place->engine->told_leaving) {
         return;
     }
     GHashTableIter iter;
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -201,8 +201,8 @@
 /* What the engine tells of itself beside a report or an order's outcome. */
 static void head_hear(const wb_http_head_t *head, void *context) {
     wb_engine_orders_t *orders = context;
-    wb_heard_t heard = {orders->dialect, head, WB_HEARD_ON_CALL, orders->call_sent_ms,
-                        wb_clock_ms()};
+    wb_heard_t heard = {orders->dialect,      head,          WB_HEARD_ON_CALL,
+                        orders->call_sent_ms, wb_clock_ms(), orders->settings->drain_ms};
     if (wb_engine_hear(orders->engine, &heard, orders->metrics)) {
         orders->owner.heard(orders->engine, orders->owner.context);
     }
--- a/src/edge/node_states.c
+++ b/src/edge/node_states.c
@@ -21,7 +21,8 @@
 static void state_write(wb_engine_t *engine, wb_wire_engine_state *wire, int64_t now_ms) {
     const wb_engine_limit_t *limit = &engine->limit;
     *wire = (wb_wire_engine_state){.engine = engine->state->id,
-                                   .born_ms = (uint64_t)engine->state->born_ms};
+                                   .born_ms = (uint64_t)engine->state->born_ms,
+                                   .leaving = engine->told_leaving};
     if (limit->named) {
         wire->limit = WB_WIRE_LIMIT_NAMED;
         wire->limit_milli = (u_int)(limit->per_s * LIMIT_MILLI);
@@ -144,12 +145,15 @@
         if (engine == NULL || (int64_t)wire->born_ms != engine->state->born_ms) {
             continue; /* it isn't needed here, or another start of it is known */
         }
-        if (!limit_merge(engine, wire, now_ms)) {
+        gboolean leaves =
+            wire->leaving && wb_engine_tell_leaving(engine, node->edge.settings.drain_ms, now_ms);
+        if (!limit_merge(engine, wire, now_ms) && !leaves) {
             continue;
         }
-        wb_event("engine-state-news", ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g",
+        wb_event("engine-state-news",
+                 ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g,\"leaving\":%s",
                  wb_event_text(engine->state->id), engine->limit.named ? "true" : "false",
-                 engine->limit.per_s);
+                 engine->limit.per_s, engine->told_leaving ? "true" : "false");
         wb_edge_engine_told(&node->edge, engine);
         if (tells) {
             wb_edge_tell_state(&node->edge, engine);
--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -69,15 +69,17 @@
     return TRUE;
 }
 
-static void leaving_hear(wb_engine_t *engine, const wb_told_state_t *told,
-                         wb_edge_metrics_t *metrics) {
-    if (!told->leaving || engine->told_leaving) {
-        return;
+/* @return TRUE when other nodes should know */
+static gboolean leaving_hear(wb_engine_t *engine, const wb_heard_t *heard,
+                             const wb_told_state_t *told, wb_edge_metrics_t *metrics) {
+    gboolean announced = engine->leaving_ms != 0;
+    if (!told->leaving || !wb_engine_tell_leaving(engine, heard->drain_ms, heard->now_ms)) {
+        return FALSE;
     }
-    engine->told_leaving = TRUE;
     metrics->engine_leavings++;
     wb_event("engine-leaving", ",\"engine\":\"%s\",\"announced\":%s",
-             wb_event_text(engine->state->id), engine->leaving_ms != 0 ? "true" : "false");
+             wb_event_text(engine->state->id), announced ? "true" : "false");
+    return TRUE;
 }
 
 /* Each time that was asked for is kept, so a shorter one that comes later ends nothing. */
@@ -96,7 +98,7 @@
     wb_told_state_t told = wb_told_state_read(heard->head, heard->dialect);
     load_hear(engine, heard, metrics);
     refused_log(engine, heard, told.refused, metrics);
-    leaving_hear(engine, &told, metrics);
     rest_hear(engine, heard, &told, metrics);
-    return limit_hear(engine, heard, &told, metrics);
+    gboolean leaves = leaving_hear(engine, heard, &told, metrics);
+    return limit_hear(engine, heard, &told, metrics) || leaves;
 }
--- a/src/fleet/engine_heard.h
+++ b/src/fleet/engine_heard.h
@@ -22,6 +22,7 @@
     wb_heard_on_t on;
     int64_t sent_ms; /**< steady time at which what it answers was sent */
     int64_t now_ms;
+    int64_t drain_ms; /**< for which an engine that leaves serves on */
 } wb_heard_t;
 
 /** Take what the head tells into what is known of the engine; log what has changed.
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -4,11 +4,14 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Share of a drain's time for which a gone engine still gets work if there is no other. */
+/* Share of a drain's time for which an engine that is gone, or has told that it leaves, still gets
+ * work if there is no other. */
 #define GONE_USE_SHARE 0.5
 /* The same after the store was away; an engine that lives is back about two seconds later. */
 #define LAPSED_USE_SHARE 0.75
 #define GONE_KEPT_MS 5000
+/* Starts of engines that told that they leave, and are remembered beyond that. */
+#define LEFT_MOST 4096
 
 /* The controller's news of a model or adapter. */
 typedef struct wb_note_t {
@@ -20,7 +23,9 @@
 struct wb_fleet_t {
     GHashTable *engines;  /* id -> wb_engine_t, announced */
     GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
-    GHashTable *closed;   /* zone that is being evacuated -> int64_t *, as closed_from_ms */
+    GHashTable *left;   /* set of incarnations that told that they leave and were forgotten else */
+    GQueue left_order;  /* the same, oldest first; borrowed */
+    GHashTable *closed; /* zone that is being evacuated -> int64_t *, as closed_from_ms */
 };
 
 wb_engine_t *wb_engine_ref(wb_engine_t *engine) {
@@ -45,6 +50,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_engine_unref);
     fleet->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+    fleet->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_queue_init(&fleet->left_order);
     fleet->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return fleet;
 }
@@ -73,12 +80,26 @@
     engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     wb_list_init(&engine->idle);
+    engine->told_leaving = g_hash_table_contains(fleet->left, state->incarnation);
     zone_apply(fleet, engine);
     g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
     g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
     return engine;
 }
 
+/* What an engine told holds for its start, however often its row goes and comes back. */
+static void left_add(wb_fleet_t *fleet, const wb_engine_t *engine) {
+    if (!engine->told_leaving || g_hash_table_contains(fleet->left, engine->state->incarnation)) {
+        return;
+    }
+    if (g_hash_table_size(fleet->left) >= LEFT_MOST) {
+        g_hash_table_remove(fleet->left, g_queue_pop_head(&fleet->left_order));
+    }
+    char *incarnation = g_strdup(engine->state->incarnation);
+    g_hash_table_add(fleet->left, incarnation);
+    g_queue_push_tail(&fleet->left_order, incarnation);
+}
+
 /* Returns the latest start of an engine that is no longer announced, or NULL. */
 static wb_engine_t *gone_find(const wb_fleet_t *fleet, const wb_engine_state_t *state) {
     const GPtrArray *engines = wb_fleet_service(fleet, state->service);
@@ -138,13 +159,27 @@
     int64_t now_ms = wb_clock_ms();
     engine->cold_until_ms = state->cold_ms > 0 ? now_ms + state->cold_ms : 0;
     g_hash_table_foreach_remove(engine->overlay, note_is_settled, &now_ms);
-    if (!state->leaving)
+    if (!state->leaving && !engine->told_leaving)
         engine->leaving_ms = 0;
     else if (engine->leaving_ms == 0)
         engine->leaving_ms = now_ms;
+    if (state->leaving)
+        engine->use_until_ms = 0;
     return engine;
 }
 
+gboolean wb_engine_tell_leaving(wb_engine_t *engine, int64_t drain_ms, int64_t now_ms) {
+    if (engine->told_leaving) {
+        return FALSE;
+    }
+    engine->told_leaving = TRUE;
+    if (engine->leaving_ms == 0) {
+        engine->leaving_ms = now_ms;
+        engine->use_until_ms = now_ms + (int64_t)(GONE_USE_SHARE * (double)drain_ms);
+    }
+    return TRUE;
+}
+
 int64_t wb_fleet_use_until_ms(int64_t known_ms, int64_t drain_ms, int64_t now_ms) {
     if (now_ms - known_ms >= drain_ms) {
         return now_ms + (int64_t)(LAPSED_USE_SHARE * (double)drain_ms);
@@ -156,7 +191,8 @@
     if (engine->closed_from_ms != 0 && now_ms >= engine->closed_from_ms) {
         return FALSE;
     }
-    return engine->leaving_ms == 0 || (engine->gone && now_ms < engine->use_until_ms);
+    return engine->leaving_ms == 0 ||
+           ((engine->gone || engine->told_leaving) && now_ms < engine->use_until_ms);
 }
 
 gboolean wb_engine_stays(const wb_engine_t *engine) {
@@ -231,8 +267,10 @@
         GPtrArray *engines = value;
         for (guint i = engines->len; i > 0; i--) {
             const wb_engine_t *engine = g_ptr_array_index(engines, i - 1);
-            if (engine->gone && now_ms - engine->leaving_ms > GONE_KEPT_MS)
+            if (engine->gone && now_ms - engine->leaving_ms > GONE_KEPT_MS) {
+                left_add(fleet, engine);
                 g_ptr_array_remove_index_fast(engines, i - 1);
+            }
         }
     }
 }
@@ -314,7 +352,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wb_engine_t *engine = value;
         const char *id = engine->state->id;
-        uint64_t told = (uint64_t)(engine->leaving_ms != 0) + 2 * (uint64_t)engine->state->born_ms;
+        uint64_t told = (uint64_t)engine->state->leaving + 2 * (uint64_t)engine->state->born_ms;
         uint64_t engine_hash = XXH64(id, strlen(id), told);
         digest += engine_hash + models_digest(engine, engine_hash, now_ms);
     }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -438,6 +438,7 @@
 struct wb_wire_engine_state {
     wb_wire_name engine;
     unsigned hyper born_ms;     /* when it started; 0: not known */
+    bool leaving;
     unsigned int limit;         /* wb_wire_limit */
     unsigned int limit_milli;   /* thousandths of a request a second */
     unsigned int limit_age_ms;  /* since it was named, or since the request whose answer showed its end
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -129,8 +129,9 @@
 
 static void engine_hear(const wb_upstream_t *upstream, const wb_http_head_t *head) {
     wb_edge_t *edge = upstream->edge;
-    wb_heard_t heard = {edge->dialect, head, WB_HEARD_ON_REQUEST,
-                        upstream->attempt->exchange->written_ms, wb_clock_ms()};
+    wb_heard_t heard = {edge->dialect,       head,
+                        WB_HEARD_ON_REQUEST, upstream->attempt->exchange->written_ms,
+                        wb_clock_ms(),       edge->settings.drain_ms};
     if (wb_engine_hear(upstream->engine, &heard, &edge->metrics)) {
         wb_edge_engine_told(edge, upstream->engine);
         wb_edge_tell_state(edge, upstream->engine);
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -320,7 +320,7 @@
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms) {
     wb_engine_t *engine = exchange->engine;
-    if (now_ms < engine->rest_until_ms) {
+    if (now_ms < engine->rest_until_ms || !wb_engine_is_open(engine, now_ms)) {
         return FALSE;
     }
     if (exchange->limit_noted || !engine->limit.named) {
--- a/src/request/engine_states.c
+++ b/src/request/engine_states.c
@@ -17,7 +17,7 @@
     (void)value;
     (void)context;
     const wb_engine_t *engine = key;
-    return engine->gone || !engine->limit.named;
+    return engine->gone || !(engine->limit.named || engine->told_leaving);
 }
 
 void wb_edge_told_engines_sweep(wb_edge_t *edge) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -96,7 +96,8 @@
     GHashTable *expected; /* SERVICE/MODEL -> int64_t *, steady ms at which a load should be done */
     wb_list_t state_news; /* engines that told something which others should know; each with a
                              reference */
-    GHashTable *told_engines; /* set of engines that told of a limit; each with a reference */
+    GHashTable *told_engines; /* set of engines that told of a limit or that they leave; each with a
+                                 reference */
     wb_list_t waiting;        /* exchanges that wait for an engine, oldest first */
     GHashTable *open;         /* set of all exchanges */
     wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
@@ -254,8 +255,8 @@
 /** @return the one that opens first, behind requests that wait for it already */
 wb_opening_t wb_balancer_opening(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                  int64_t now_ms);
-/** Asked when a connection has come up: the engine may have named a limit or asked for rest
- * meanwhile. What is written counts against its limit.
+/** Asked when a connection has come up: the engine may have told meanwhile that it leaves, has a
+ * limit or wants rest. What is written counts against its limit.
  * @return FALSE when the request must not be written */
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -46,6 +46,35 @@
     g_assert_false(wb_engine_is_open(engine, now_ms));
 }
 
+/* What an engine told in an answer holds for its start: rows that were written before, or come back
+ * later, undo nothing. */
+static void test_told_leaving_holds(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_t *engine = engine_announce(fleet, FALSE);
+    uint64_t digest = wb_fleet_digest(fleet, now_ms);
+    g_assert_true(wb_engine_tell_leaving(engine, DRAIN_MS, now_ms));
+    g_assert_false(wb_engine_tell_leaving(engine, DRAIN_MS, now_ms));
+    g_assert_false(wb_engine_stays(engine));
+    /* Others can't do what it still does for a while. */
+    g_assert_true(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2 - 1));
+    g_assert_false(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2));
+    g_assert_true(engine_announce(fleet, FALSE) == engine);
+    g_assert_false(wb_engine_stays(engine));
+    g_assert_false(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2));
+    /* Nodes compare what they know of rows. */
+    g_assert_cmpuint(wb_fleet_digest(fleet, now_ms), ==, digest);
+    engine_announce(fleet, TRUE);
+    g_assert_false(wb_engine_is_open(engine, now_ms));
+    /* Its row goes for long, and comes back. */
+    wb_fleet_remove(fleet, "e1", now_ms + 500);
+    g_assert_false(wb_engine_is_open(engine, now_ms));
+    wb_fleet_sweep(fleet, now_ms + 60000);
+    const wb_engine_t *back = engine_announce(fleet, FALSE);
+    g_assert_false(wb_engine_stays(back));
+    g_assert_false(wb_engine_is_open(back, now_ms + 60000));
+}
+
 /* The controller's news go before announcements, but not before one that was made long after. */
 static void test_news_yield_to_later_rows(void) {
     wb_fleet_t *fleet = wb_fleet_create();
@@ -115,6 +144,18 @@
     return wb_fleet_announce(fleet, state);
 }
 
+/* Another start under the same id has told nothing. */
+static void test_told_leaving_ends_with_its_start(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_tell_leaving(start_announce(fleet, 100), DRAIN_MS, now_ms);
+    g_assert_true(wb_engine_stays(start_announce(fleet, 200)));
+    wb_fleet_sweep(fleet, now_ms + 60000);
+    wb_fleet_remove(fleet, "e1", 0);
+    wb_fleet_sweep(fleet, now_ms + 60000);
+    g_assert_true(wb_engine_stays(start_announce(fleet, 200)));
+}
+
 /* An engine that starts again under its id is another one: it holds nothing of before, nothing runs
  * there, and what was sent to the earlier start stays with that. */
 static void test_start_under_a_known_id(void) {
@@ -196,6 +237,9 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/fleet/told-leaving-holds", test_told_leaving_holds);
+    g_test_add_func("/fleet/told-leaving-ends-with-its-start",
+                    test_told_leaving_ends_with_its_start);
     g_test_add_func("/fleet/digest", test_digest);
     g_test_add_func("/fleet/evacuated-zone", test_evacuated_zone);
     g_test_add_func("/fleet/start-under-a-known-id", test_start_under_a_known_id);
