--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -143,8 +143,8 @@
 const GPtrArray *wb_fleet_service(const wb_fleet_t *fleet, const char *service);
 /** @return all engines that are announced: id -> wb_engine_t; owned by the fleet */
 GHashTable *wb_fleet_all(const wb_fleet_t *fleet);
-/** @return a hash of which engines are announced, which of them announce that they leave, and which models each holds;
- * two nodes with the same hash know the same */
+/** @return a hash of which engines are announced, which of them announce that they leave, and which
+ * models each holds; two nodes with the same hash know the same */
 uint64_t wb_fleet_digest(const wb_fleet_t *fleet, int64_t now_ms);
 /** @return TRUE when some engine of the service that stays holds the model, and the adapter if one
  * is named ("": none) */
