--- a/tests/unit/test_told_state.c
+++ b/tests/unit/test_told_state.c
@@ -60,28 +60,43 @@
 }
 
 static void test_leaving(void) {
-    g_assert_true(told_by(200, "Server-Leaving", "1", NULL).leaving);
-    g_assert_false(told_by(200, "Server-Leaving", "0", NULL).leaving);
-    g_assert_cmpuint(told_by(200, "Server-Leaving", "0", NULL).refused, ==, 0);
-    g_assert_false(told_by(200, "Server-Leaving", "yes", NULL).leaving);
-    g_assert_cmpuint(told_by(200, "Server-Leaving", "yes", NULL).refused, ==, 1);
-    g_assert_cmpuint(told_by(200, "Server-Leaving", "1", "1").refused, ==, 1);
+    static const struct {
+        const char *text;
+        const char *again;
+        gboolean leaving;
+        unsigned refused;
+    } words[] = {
+        {"1", NULL, TRUE, 0}, {"0", NULL, FALSE, 0}, {"yes", NULL, FALSE, 1}, {"1", "1", FALSE, 1}};
+    for (gsize i = 0; i < G_N_ELEMENTS(words); i++) {
+        wb_told_state_t told = told_by(200, "Server-Leaving", words[i].text, words[i].again);
+        g_assert_cmpint(told.leaving, ==, words[i].leaving);
+        g_assert_cmpuint(told.refused, ==, words[i].refused);
+    }
 }
 
 static void test_rest(void) {
-    g_assert_cmpint(told_by(503, "Retry-After", "3", NULL).rest_ms, ==, 3000);
-    g_assert_cmpint(told_by(503, "Retry-After", "0.25", NULL).rest_ms, ==, 250);
-    g_assert_cmpint(told_by(503, "Retry-After", "0", NULL).rest_ms, ==, 0);
-    /* Other answers may tell when to come back without asking for rest. */
-    g_assert_cmpint(told_by(429, "Retry-After", "3", NULL).rest_ms, ==, 0);
-    static const char *const texts[] = {"", "-3", "nan", "1000000000000",
-                                        "Thu, 03 Dec 2026 08:00:00 GMT"};
-    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
-        wb_told_state_t told = told_by(503, "Retry-After", texts[i], NULL);
-        g_assert_cmpint(told.rest_ms, ==, 0);
-        g_assert_cmpuint(told.refused, ==, 1);
+    static const struct {
+        unsigned status;
+        const char *text;
+        const char *again;
+        int64_t rest_ms;
+        unsigned refused;
+    } words[] = {{503, "3", NULL, 3000, 0},
+                 {503, "0.25", NULL, 250, 0},
+                 {503, "0", NULL, 0, 0},
+                 {429, "3", NULL, 0, 0}, /* when to come back, no wish for rest */
+                 {503, "", NULL, 0, 1},
+                 {503, "-3", NULL, 0, 1},
+                 {503, "nan", NULL, 0, 1},
+                 {503, "1000000000000", NULL, 0, 1},
+                 {503, "Thu, 03 Dec 2026 08:00:00 GMT", NULL, 0, 1},
+                 {503, "3", "5", 0, 1}};
+    for (gsize i = 0; i < G_N_ELEMENTS(words); i++) {
+        wb_told_state_t told =
+            told_by(words[i].status, "Retry-After", words[i].text, words[i].again);
+        g_assert_cmpint(told.rest_ms, ==, words[i].rest_ms);
+        g_assert_cmpuint(told.refused, ==, words[i].refused);
     }
-    g_assert_cmpuint(told_by(503, "Retry-After", "3", "5").refused, ==, 1);
 }
 
 static void tests_add(void) {
