--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -59,7 +59,8 @@
     /* Others can't do what it still does for a while. */
     g_assert_true(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2 - 1));
     g_assert_false(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2));
-    g_assert_true(engine_announce(fleet, FALSE) == engine);
+    const wb_engine_t *again = engine_announce(fleet, FALSE);
+    g_assert_true(again == engine);
     g_assert_false(wb_engine_stays(engine));
     g_assert_false(wb_engine_is_open(engine, now_ms + DRAIN_MS / 2));
     /* Nodes compare what they know of rows. */
@@ -149,11 +150,13 @@
     wb_fleet_t *fleet = wb_fleet_create();
     int64_t now_ms = wb_clock_ms();
     wb_engine_tell_leaving(start_announce(fleet, 100), DRAIN_MS, now_ms);
-    g_assert_true(wb_engine_stays(start_announce(fleet, 200)));
+    const wb_engine_t *later = start_announce(fleet, 200);
+    g_assert_true(wb_engine_stays(later));
     wb_fleet_sweep(fleet, now_ms + 60000);
     wb_fleet_remove(fleet, "e1", 0);
     wb_fleet_sweep(fleet, now_ms + 60000);
-    g_assert_true(wb_engine_stays(start_announce(fleet, 200)));
+    later = start_announce(fleet, 200);
+    g_assert_true(wb_engine_stays(later));
 }
 
 /* An engine that starts again under its id is another one: it holds nothing of before, nothing runs
