--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -168,6 +168,9 @@
 
 void wb_estate_engine_set_state_lines(wb_estate_engine_t *engine, const char *lines) {
     json_object_set_new(engine->options, "state_lines", json_string(lines));
+    json_array_append_new(engine->seen->states,
+                          json_pack("{s:s, s:s, s:I}", "engine", engine->id, "lines", lines,
+                                    "at_ms", (json_int_t)wb_clock_ms()));
 }
 
 void wb_estate_engine_set_rest(wb_estate_engine_t *engine, const char *retry_after) {
@@ -267,6 +270,10 @@
     const char *rest = wb_json_text(engine->options, "rest", "");
     if (*rest != '\0') {
         g_autofree char *lines = g_strdup_printf("Not-Executed: 1\r\nRetry-After: %s\r\n", rest);
+        json_array_append_new(engine->seen->rests,
+                              json_pack("{s:s, s:s, s:I, s:I}", "id", run->id, "engine", engine->id,
+                                        "rest_ms", (json_int_t)(g_ascii_strtod(rest, NULL) * 1000),
+                                        "at_ms", (json_int_t)wb_clock_ms()));
         run_answer(run, 503, lines, "");
         return;
     }
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -24,6 +24,9 @@
     json_t
         *orders; /**< {"engine","holder","token","operation","model","adapter","status","at_ms"} */
     json_t *crashes;    /**< {"engine","at_ms"}: engines that a request crashed */
+    json_t *states;     /**< {"engine","lines","at_ms"}: what engines tell from then on */
+    json_t *rests;      /**< {"id","engine","rest_ms","at_ms"}: requests turned away with a wish for
+                           rest */
     json_t *violations; /**< texts */
 } wb_estate_seen_t;
 
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -26,9 +26,10 @@
 }
 
 static json_t *seen_json(const wb_estate_t *estate) {
-    return json_pack("{s:O, s:O, s:O, s:O, s:O}", "runs", estate->seen.runs, "arrivals",
+    return json_pack("{s:O, s:O, s:O, s:O, s:O, s:O, s:O}", "runs", estate->seen.runs, "arrivals",
                      estate->seen.arrivals, "orders", estate->seen.orders, "crashes",
-                     estate->seen.crashes, "violations", estate->seen.violations);
+                     estate->seen.crashes, "states", estate->seen.states, "rests",
+                     estate->seen.rests, "violations", estate->seen.violations);
 }
 
 /* One call that steers: {"do": ..., ...}. Returns FALSE when it isn't known. */
@@ -108,8 +109,8 @@
     signal(SIGPIPE, SIG_IGN);
     if (wb_loop_create(&estate.loop, "estate", 4096, &error) != APR_SUCCESS)
         return 1;
-    estate.seen =
-        (wb_estate_seen_t){json_array(), json_array(), json_array(), json_array(), json_array()};
+    estate.seen = (wb_estate_seen_t){json_array(), json_array(), json_array(), json_array(),
+                                     json_array(), json_array(), json_array()};
     estate.engines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     estate.store = wb_estate_store_open(estate.loop, argv[1]);
     if (wb_http_listener_open(estate.loop, argv[2], &handler, &limits, &control, &error) !=
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -100,6 +100,8 @@
     request->ended_ms = harness_now_ms();
     request->status = answer->status;
     request->whole = answer->whole;
+    request->limited = strstr(answer->head->str, "Server-Limit: ") != NULL;
+    request->leaving = strstr(answer->head->str, "Server-Leaving: 1") != NULL;
     answer_check(soak, request, answer);
     wire_answer_free(answer);
     g_mutex_lock(&soak->lock);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -274,6 +274,50 @@
     engines_shed(soak, 0);
 }
 
+static void engine_tells(const soak_t *soak, const char *engine, const char *lines) {
+    estate_do(soak->estate, "{\"do\":\"engine-state\",\"engine\":\"%s\",\"lines\":\"%s\"}", engine,
+              lines);
+}
+
+/* Some of the limits can't be. */
+static void limited_begin(soak_fault_t *fault, soak_t *soak) {
+    static const char *const limits[] = {"1", "0.4", "0", "3", "12", "nan", "-1", "1000000000000"};
+    g_autofree char *lines = g_strdup_printf(
+        "Server-Limit: %s\\r\\n", limits[fault->variant / 4 % (int)G_N_ELEMENTS(limits)]);
+    engine_tells(soak, estate_engine(fault), lines);
+}
+
+static void limited_end(soak_fault_t *fault, soak_t *soak) {
+    engine_tells(soak, estate_engine(fault), "");
+}
+
+static void engine_rests(const soak_t *soak, const char *engine, const char *retry_after) {
+    estate_do(soak->estate, "{\"do\":\"engine-rest\",\"engine\":\"%s\",\"retry_after\":\"%s\"}",
+              engine, retry_after);
+}
+
+static void rest_begin(soak_fault_t *fault, soak_t *soak) {
+    static const char *const times[] = {"0.8", "1", "2.5", "4"};
+    engine_rests(soak, estate_engine(fault), times[fault->variant / 4 % (int)G_N_ELEMENTS(times)]);
+}
+
+static void rest_end(soak_fault_t *fault, soak_t *soak) {
+    engine_rests(soak, estate_engine(fault), "");
+}
+
+/* It leaves by its answers alone: its row says that it is ready. */
+static void guest_tells_leaving(soak_fault_t *fault, soak_t *soak) {
+    char name[32];
+    guest_name(fault, name);
+    engine_tells(soak, name, "Server-Leaving: 1\\r\\n");
+}
+
+static const soak_fault_kind_t state_kinds[] = {
+    {"engine-limited", limited_begin, limited_end, 3000, 12000, FALSE},
+    {"engine-rests", rest_begin, rest_end, 300, 4000, FALSE},
+    {"guest-tells-leaving", guest_begin, guest_tells_leaving, 500, 2500, FALSE},
+};
+
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
@@ -312,8 +356,11 @@
     return is_all || soak->estate->nodes[fault->node].process.pid > 0;
 }
 
-/* Seeds without zones, builds or sheds draw as they always did. */
+/* Seeds without zones, builds, sheds or states draw as they always did. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->has_states && g_rand_int_range(soak->plan, 0, 3) == 0) {
+        return &state_kinds[g_rand_int_range(soak->plan, 0, G_N_ELEMENTS(state_kinds))];
+    }
     if (soak->has_builds && g_rand_int_range(soak->plan, 0, 5) == 0) {
         return &build_kind;
     }
@@ -389,20 +436,37 @@
     }
 }
 
-gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
-    static const char *const halts[] = {"kill", "pause", "all-killed", "other-build"};
-    gboolean halted = FALSE;
+/* Whether a fault of one of these names was at work at a node. */
+static gboolean was_hit(soak_t *soak, int node, int64_t from_ms, int64_t to_ms,
+                        const char *const *names) {
+    gboolean hit = FALSE;
     g_mutex_lock(&soak->lock);
     for (guint i = 0; i < soak->spans->len; i++) {
         const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
         gboolean here = (span->node < 0 || span->node == node) && span->from_ms <= to_ms &&
                         span->to_ms >= from_ms;
-        for (size_t j = 0; here && j < G_N_ELEMENTS(halts); j++) {
-            halted |= strcmp(span->name, halts[j]) == 0;
-        }
+        hit |= here && g_strv_contains(names, span->name);
     }
     g_mutex_unlock(&soak->lock);
-    return halted;
+    return hit;
+}
+
+gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const halts[] = {"kill", "pause", "all-killed", "other-build", NULL};
+    return was_hit(soak, node, from_ms, to_ms, halts);
+}
+
+gboolean soak_is_restarted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const restarts[] = {"kill",       "pause",       "planned-stop",
+                                           "all-killed", "other-build", NULL};
+    return was_hit(soak, node, from_ms, to_ms, restarts);
+}
+
+gboolean soak_is_excused(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const excuses[] = {"kill",        "pause",         "planned-stop",
+                                          "all-killed",  "way-to-store",  "way-to-node",
+                                          "other-build", "way-to-engine", NULL};
+    return was_hit(soak, node, from_ms, to_ms, excuses);
 }
 
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -93,6 +93,7 @@
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
     soak.has_builds = seed / 256 % 2 == 1;
+    soak.has_states = seed / 1024 % 2 == 1;
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
         paces_set(soak.estate);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -50,6 +50,8 @@
     gboolean whole;
     gboolean closed;  /* the connection ended */
     gboolean on_kept; /* it was asked on a connection that had served others */
+    gboolean limited; /* its answer names its engine's limit */
+    gboolean leaving; /* its answer tells that its engine leaves */
     int64_t began_ms;
     int64_t ended_ms;
 } soak_request_t;
@@ -72,7 +74,9 @@
                             put rows among those of engines */
     gboolean has_builds; /* nodes go from one build to the other, forth and back */
     gboolean has_sheds;  /* engines turn everything away for a while */
-    int retry_slack;     /* requests sent again in a window beyond the ratio */
+    gboolean
+        has_states;  /* engines name limits, ask for rest, and tell in answers that they leave */
+    int retry_slack; /* requests sent again in a window beyond the ratio */
     int retry_window_s;
     GArray *evacuations; /* of soak_evacuation_t */
     int engines_started; /* makes ids of engines unique */
@@ -83,6 +87,10 @@
 void soak_broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /** @return TRUE when the node's process was killed or stood still in this time */
 gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+/** @return TRUE when the node was started anew, as planned or not, or stood still in this time */
+gboolean soak_is_restarted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+/** @return TRUE when the node was started anew, stood still or was cut off in this time */
+gboolean soak_is_excused(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when a fault was at work that may keep this node from its promises in time */
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 
@@ -104,6 +112,10 @@
 /** Begin and end faults as the seed lays down, until the time is over; then all are over. */
 void soak_faults_play(soak_t *soak, int64_t duration_ms);
 
+/* state_checks.c */
+/** Compare what engines got with the limits, rest and leaving that they told of. */
+void soak_states_check(soak_t *soak, const json_t *seen);
+
 /* checks.c */
 /** Compare what engines saw with what callers were told. */
 void soak_checks_run(soak_t *soak);
