Poison: the time until a refused request is tried runs from its last crash, whoever tries it

All callers got 503 for a harmless request for up to a minute: four engines had crashed under it and a request that crashes engines. Two refused for the same engines are tried after 5 s, but the time ran from the first ask at the node that may try, and each such node was killed before it was over. The last crash is known to all nodes and kept in the store.

--- a/src/poison/poison_book.h
+++ b/src/poison/poison_book.h
@@ -41,9 +41,9 @@
 /** Ten minutes: an engine's crash costs its callers seconds, so one each ten minutes is borne to
  * find out whether the request still crashes engines. */
 #define WB_POISON_KEPT_MS (10 * 60 * 1000)
-/** One node tries a refused request after this time, after so many times that the next time, and so
- * on. A minute is what a bystander pays for being taken for poison; poison crashes one engine more
- * a minute after it became known, then one in four minutes, in sixteen. */
+/** One node tries a refused request so long after its last crash, after so many times that the next
+ * time, and so on. A minute is what a bystander pays for being taken for poison; poison crashes one
+ * engine more a minute after it became known, then one in four minutes, in sixteen. */
 #define WB_POISON_TRIAL_MS (60 * 1000)
 #define WB_POISON_TRIAL_TIMES 4
 /** Two refused requests that share most of their engines: one is likely a bystander, and may be
@@ -62,9 +62,8 @@
     guint forgiven;                           /**< one bit for each engine */
     int64_t until_ms;                         /**< steady time until which it is kept */
     uint64_t changed;                         /**< the book's version of its last change */
-    int64_t asked_ms; /**< private: steady time at which a trial was first asked for; 0: never */
-    int64_t tried_ms; /**< private: of the last trial */
-    guint trials;     /**< private */
+    int64_t tried_ms;                         /**< private: of the last trial */
+    guint trials;                             /**< private */
 } wb_poison_entry_t;
 
 /** What is held against a request. */
--- a/tests/unit/test_poison_book.c
+++ b/tests/unit/test_poison_book.c
@@ -255,6 +255,26 @@
     wb_poison_book_free(book);
 }
 
+/* Guards against a harmless request that stays refused because each node that could have tried it
+ * ended before it had been one for long enough: the time runs from the last crash. */
+static void test_trials_outlive_nodes(void) {
+    wb_poison_book_t *book = wb_poison_book_create(&(wb_poison_options_t){0});
+    wb_poison_book_t *later = wb_poison_book_create(&(wb_poison_options_t){0});
+    wb_request_digest_t bystander = digest_of(2);
+    for (uint64_t engine = 10; engine < 13; engine++) {
+        note(book, 1, engine);
+        note(book, 2, engine);
+    }
+    WB_LIST_EACH(item, wb_poison_book_entries(book)) {
+        wb_poison_book_merge(later, WB_LIST_OF(item, wb_poison_entry_t, item));
+    }
+    int64_t due_ms = NOW_MS + WB_POISON_TIED_TRIAL_MS;
+    g_assert_false(wb_poison_book_take_trial(later, &bystander, due_ms - 1));
+    g_assert_true(wb_poison_book_take_trial(later, &bystander, due_ms));
+    wb_poison_book_free(book);
+    wb_poison_book_free(later);
+}
+
 static void test_lengths(void) {
     wb_poison_book_t *book = book_create();
     g_assert_false(wb_poison_book_has_length(book, BODY_BYTES));
@@ -278,6 +298,7 @@
     g_test_add_func("/poison-book/many-engines", test_many_engines);
     g_test_add_func("/poison-book/tied-requests-are-tried-soon", test_tied_requests_are_tried_soon);
     g_test_add_func("/poison-book/trials", test_trials);
+    g_test_add_func("/poison-book/trials-outlive-nodes", test_trials_outlive_nodes);
     g_test_add_func("/poison-book/lengths", test_lengths);
 }
 
