Adapters come to limited engines, which still take them

Callers of an adapter got 503 where only a limited engine held its model: it wasn't available to the controller for anything. It is one that no more models go to; adapters go to others first. /edge/told/adapter-at-a-limited-engine failed before (503).

--- a/src/control/controller_adapters.c
+++ b/src/control/controller_adapters.c
@@ -26,6 +26,8 @@
         const char *id = place->engine->state->id;
         uint64_t weight = XXH64(id, strlen(id), seed) >> 8;
         const wb_engine_orders_t *orders = g_hash_table_lookup(controller->orders, id);
+        if (!place->in_need)
+            weight += (uint64_t)1 << 61;
         if (orders == NULL || !wb_engine_orders_is_busy(orders))
             weight += (uint64_t)1 << 60; /* engines that can take an order go first */
         if (best == NULL || weight > highest) {
--- a/src/control/controller_snapshot.c
+++ b/src/control/controller_snapshot.c
@@ -64,8 +64,8 @@
     place.speed = controller->settings->engine_pace != 0
                       ? 1 / wb_engine_pace_usual(&engine->pace, now_ms)
                       : 1;
-    place.available = wb_engine_stays(engine) && now_ms >= engine->avoid_until_ms &&
-                      now_ms >= engine->rest_until_ms && !engine->limit.named;
+    place.available = wb_engine_stays(engine) && now_ms >= engine->avoid_until_ms;
+    place.in_need = engine->limit.named || now_ms < engine->rest_until_ms;
     if (orders != NULL) {
         place.state = wb_engine_orders_state(orders);
         place.busy_ms = wb_engine_orders_busy_ms(orders);
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -325,7 +325,8 @@
     for (guint i = 0; i < len && judged < WB_PLACES_JUDGED; i++) {
         wb_placement_engine_t *place =
             &g_array_index(snapshot->engines, wb_placement_engine_t, (snapshot->first + i) % len);
-        if (!place->available || g_hash_table_contains(place->state->models, model->name) ||
+        if (!place->available || place->in_need ||
+            g_hash_table_contains(place->state->models, model->name) ||
             (snapshot->is_loading != NULL &&
              snapshot->is_loading(place->engine, model->name, snapshot->context)))
             continue;
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -39,6 +39,7 @@
     double busy_ms;                 /**< time until it can take an order */
     double pending_mb;              /**< weights ordered there that it doesn't hold yet */
     gboolean available;             /**< it stays, and answers */
+    gboolean in_need;               /**< it wants fewer requests: no more models go there */
     double speed;                   /**< beside a usual engine's; 0: as a usual one */
 } wb_placement_engine_t;
 
--- a/tests/edge/test_told.c
+++ b/tests/edge/test_told.c
@@ -336,6 +336,20 @@
     estate_stop(estate);
 }
 
+/* A limited engine still takes adapters of what it holds, which need no other replica. */
+static void test_adapter_at_a_limited_engine(void) {
+    estate_t *estate = estate_start(1, NULL);
+    int port = estate->nodes[0].callers_port;
+    state_lines(estate, "llm-2", "Server-Limit: 2\\r\\n");
+    wire_answer_free(wire_ask(port, "/chat/x", "l1", EDGE_MODEL("m2")));
+    g_usleep(5000000);
+    wire_answer_t *answer = wire_ask(port, "/chat/x", "l2", EDGE_MODEL("m2/a1"));
+    g_assert_cmpint(answer->status, ==, 200);
+    wire_answer_free(answer);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m2"), ==, 1);
+    estate_stop(estate);
+}
+
 /* Arrivals of one node within a wish for rest. */
 typedef struct rest_look_t {
     int64_t asked_ms; /* when the engine first turned a request of the node away; 0: it hasn't */
@@ -436,6 +450,7 @@
     g_test_add_func("/edge/told/leaving-outlives-the-row", test_leaving_outlives_the_row);
     g_test_add_func("/edge/told/leaving-ends-with-a-start", test_leaving_ends_with_a_start);
     g_test_add_func("/edge/told/leaving-moves-models", test_leaving_moves_models);
+    g_test_add_func("/edge/told/adapter-at-a-limited-engine", test_adapter_at_a_limited_engine);
     g_test_add_func("/edge/told/rest-is-kept", test_rest_is_kept);
     g_test_add_func("/edge/told/rest-of-the-only-engine", test_rest_of_the_only_engine);
     g_test_add_func("/edge/told/absurd-values", test_absurd_values);
