What a wrong engine's 421 tells is not the engine's that was meant

An engine whose address another one has taken over was taken for leaving by that one's answer. /edge/told/word-of-another-engine failed before.

--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -95,6 +95,9 @@
 }
 
 gboolean wb_engine_hear(wb_engine_t *engine, const wb_heard_t *heard, wb_edge_metrics_t *metrics) {
+    if (heard->head->status == heard->dialect->wrong_engine_status) {
+        return FALSE; /* it may be another one that has the address by now */
+    }
     wb_told_state_t told = wb_told_state_read(heard->head, heard->dialect);
     load_hear(engine, heard, metrics);
     refused_log(engine, heard, told.refused, metrics);
--- a/tests/edge/test_told.c
+++ b/tests/edge/test_told.c
@@ -350,6 +350,31 @@
     estate_stop(estate);
 }
 
+/* What another engine tells that has taken over an address binds nobody to the one that was there.
+ */
+static void test_word_of_another_engine(void) {
+    estate_t *estate = estate_start(1, NULL);
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
+                      "\"value\":1}");
+    g_usleep(500000);
+    /* Its row now names the address of lock-2, which turns away what is meant for lock-1. */
+    estate_do(estate,
+              "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"announce_port\","
+              "\"value\":%d}",
+              estate->engine_ports[1]);
+    estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
+                      "\"value\":0}");
+    state_lines(estate, "lock-2", "Server-Leaving: 1\\r\\n");
+    g_usleep(1000000);
+    for (int i = 0; i < 20; i++) {
+        g_autofree char *id = g_strdup_printf("w%d", i);
+        wire_answer_free(wire_ask(estate->nodes[0].callers_port, "/lock/x", id, EDGE_DEADLINE));
+    }
+    g_assert_true(estate_log_has(estate, 0, "\"event\":\"engine-leaving\",\"engine\":\"lock-2\""));
+    g_assert_false(estate_log_has(estate, 0, "\"event\":\"engine-leaving\",\"engine\":\"lock-1\""));
+    estate_stop(estate);
+}
+
 /* Arrivals of one node within a wish for rest. */
 typedef struct rest_look_t {
     int64_t asked_ms; /* when the engine first turned a request of the node away; 0: it hasn't */
@@ -451,6 +476,7 @@
     g_test_add_func("/edge/told/leaving-ends-with-a-start", test_leaving_ends_with_a_start);
     g_test_add_func("/edge/told/leaving-moves-models", test_leaving_moves_models);
     g_test_add_func("/edge/told/adapter-at-a-limited-engine", test_adapter_at_a_limited_engine);
+    g_test_add_func("/edge/told/word-of-another-engine", test_word_of_another_engine);
     g_test_add_func("/edge/told/rest-is-kept", test_rest_is_kept);
     g_test_add_func("/edge/told/rest-of-the-only-engine", test_rest_of_the_only_engine);
     g_test_add_func("/edge/told/absurd-values", test_absurd_values);
