--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -201,8 +201,12 @@
     return (wb_wait_t){awaits_opening, TRUE, MAX(opening_until_ms, load_until_ms)};
 }
 
-/* What it waited for has changed: an engine that it awaited is no longer there, say. */
+/* What it waited for has changed: an engine that it awaited is no longer there, say. Who waits for
+ * a load alone is told by news of loads. */
 static void wait_check(wb_exchange_t *exchange) {
+    if (exchange->wants_load && !exchange->awaits_opening) {
+        return;
+    }
     wb_wait_t wait = wait_decide(exchange);
     gboolean wants_load = wait.wants_load && !exchange->wants_load;
     if (!wants_load && exchange->awaits_opening == wait.awaits_opening) {
