--- a/tests/fuzz/fuzz_parsers_check.c
+++ b/tests/fuzz/fuzz_parsers_check.c
@@ -33,6 +33,10 @@
 static const char key_sample[] =
     "GET / HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k-1 \r\n\r\n";
 
+static const char head_sample[] =
+    "HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nServer-Limit: 1.5\r\nServer-Leaving: 1\r\n"
+    "Server-Load: 3,0,8,120\r\nContent-Length: 0\r\n\r\n";
+
 static GByteArray *message_sample(void) {
     wb_wire_slot slots[] = {{"m", "e1"}, {"m", "e2"}};
     wb_wire_name members[] = {"n1", "n2"};
@@ -79,6 +83,7 @@
     rounds_run(request_sample, sizeof(request_sample) - 1, target_api_key);
     rounds_run(key_sample, sizeof(key_sample) - 1, target_api_key);
     rounds_run(engine_row_sample, sizeof(engine_row_sample) - 1, target_engine_row);
-    printf("%d changed inputs for each of 6 samples\n", ROUNDS);
+    rounds_run(head_sample, sizeof(head_sample) - 1, target_engine_head);
+    printf("%d changed inputs for each of 7 samples\n", ROUNDS);
     return 0;
 }
