A limit ends only by an answer that the engine made

Bytes without the engine's seal or its word that it did not run the request show nothing of its limit. /edge/told/unsealed-answer-ends-no-limit failed before.

--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -43,13 +43,20 @@
              wb_event_text(engine->state->id), heard->head->status, refused);
 }
 
+/* Whether the answer is one that the engine itself has made, and would name its limit in. */
+static gboolean would_name_limit(const wb_heard_t *heard) {
+    const wb_dialect_t *dialect = heard->dialect;
+    return heard->on == WB_HEARD_ON_REQUEST &&
+           (wb_http_head_get(heard->head, dialect->seal) != NULL ||
+            wb_http_head_get(heard->head, dialect->not_run) != NULL);
+}
+
 /* @return TRUE when other nodes should know */
 static gboolean limit_hear(wb_engine_t *engine, const wb_heard_t *heard,
                            const wb_told_state_t *told, wb_edge_metrics_t *metrics) {
     wb_engine_limit_t *limit = &engine->limit;
     gboolean told_lately = heard->now_ms - engine->state_told_ms < STATE_TELL_MS;
-    /* Only answers that would name a limit show that there is none. */
-    gboolean names_none = !told->limit_named && heard->on == WB_HEARD_ON_REQUEST;
+    gboolean names_none = !told->limit_named && would_name_limit(heard);
     if (told->limit_known) {
         if (!wb_engine_limit_name(limit, told->limit_per_s, heard->sent_ms, heard->now_ms)) {
             return limit->named && !told_lately;
--- a/tests/edge/test_told.c
+++ b/tests/edge/test_told.c
@@ -226,6 +226,28 @@
     estate_stop(estate);
 }
 
+/* Bytes that the engine didn't make end no limit: here an answer without a seal, or a name. */
+static void test_unsealed_answer_ends_no_limit(void) {
+    estate_t *estate = estate_start(1, NULL);
+    int port = estate->nodes[0].callers_port;
+    estate_do(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-2\"}");
+    g_usleep(5000000);
+    state_lines(estate, "lock-1", "Server-Limit: 1\\r\\n");
+    wire_answer_free(wire_ask(port, "/lock/x", "u1", EDGE_DEADLINE));
+    state_lines(estate, "lock-1", "");
+    g_usleep(50000);
+    estate_do(estate, "{\"do\":\"engine-fault\",\"engine\":\"lock-1\",\"fault\":\"unsealed\","
+                      "\"count\":1}");
+    wire_answer_free(wire_ask(port, "/lock/x", "u2", EDGE_DEADLINE));
+    g_usleep(300000); /* logs are written ten times a second */
+    g_assert_true(estate_log_has(estate, 0, "\"event\":\"engine-limited\""));
+    g_assert_false(estate_log_has(estate, 0, "\"event\":\"engine-limit-ended\""));
+    wire_answer_free(wire_ask(port, "/lock/x", "u3", EDGE_DEADLINE));
+    g_usleep(300000);
+    g_assert_true(estate_log_has(estate, 0, "\"event\":\"engine-limit-ended\""));
+    estate_stop(estate);
+}
+
 /* What is known of requests to an engine that leaves. */
 typedef struct leaving_look_t {
     const callers_t *callers;
@@ -471,6 +493,7 @@
     g_test_add_func("/edge/told/limit-of-many", test_limit_of_many);
     g_test_add_func("/edge/told/limit-of-none-ends", test_limit_of_none_ends);
     g_test_add_func("/edge/told/limit-ends", test_limit_ends);
+    g_test_add_func("/edge/told/unsealed-answer-ends-no-limit", test_unsealed_answer_ends_no_limit);
     g_test_add_func("/edge/told/leaving-is-kept", test_leaving_is_kept);
     g_test_add_func("/edge/told/leaving-outlives-the-row", test_leaving_outlives_the_row);
     g_test_add_func("/edge/told/leaving-ends-with-a-start", test_leaving_ends_with_a_start);
--- a/tests/fuzz/target_engine_head.c
+++ b/tests/fuzz/target_engine_head.c
@@ -11,7 +11,9 @@
 
 /* Whatever comes, what is kept of it can be. */
 static void head_check(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
-    static const wb_dialect_t dialect = {.engine_load = "Server-Load",
+    static const wb_dialect_t dialect = {.not_run = "Not-Executed",
+                                         .seal = "Response-Seal",
+                                         .engine_load = "Server-Load",
                                          .engine_limit = "Server-Limit",
                                          .engine_leaving = "Server-Leaving",
                                          .wrong_engine_status = 421};
