--- a/tests/edge/test_told.c
+++ b/tests/edge/test_told.c
@@ -397,6 +397,44 @@
     estate_stop(estate);
 }
 
+static void log_wait(const estate_t *estate, int node, const char *text) {
+    int64_t until_ms = harness_now_ms() + 5000;
+    while (!estate_log_has(estate, node, text)) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        g_usleep(20000);
+    }
+}
+
+/* What one node has heard is known to all, also to one that starts later, and to those that report
+ * to another controller than before. */
+static void test_others_learn(void) {
+    static const char limited[] =
+        "\"event\":\"engine-state-news\",\"engine\":\"lock-1\",\"limited\":true";
+    static const char leaving[] =
+        "\"event\":\"engine-state-news\",\"engine\":\"lock-2\",\"limited\":false,\"per_s\":0,"
+        "\"leaving\":true";
+    estate_t *estate = estate_start(3, NULL);
+    int controller = estate_wait_controller(estate, 5000);
+    int asked = (controller + 1) % 3;
+    int other = (controller + 2) % 3;
+    state_lines(estate, "lock-1", "Server-Limit: 1\\r\\n");
+    state_lines(estate, "lock-2", "Server-Leaving: 1\\r\\n");
+    for (int i = 0; i < 10; i++) {
+        g_autofree char *id = g_strdup_printf("o%d", i);
+        wire_answer_free(wire_ask(estate->nodes[asked].callers_port, "/lock/x", id, EDGE_DEADLINE));
+    }
+    log_wait(estate, controller, limited);
+    log_wait(estate, other, limited);
+    log_wait(estate, other, leaving);
+    /* No node tells what it was told, so nothing goes round. */
+    g_assert_false(estate_log_has(estate, asked, "engine-state-news"));
+    process_kill(&estate->nodes[controller].process);
+    estate_node_launch(estate, controller);
+    log_wait(estate, controller, limited);
+    log_wait(estate, controller, leaving);
+    estate_stop(estate);
+}
+
 /* Arrivals of one node within a wish for rest. */
 typedef struct rest_look_t {
     int64_t asked_ms; /* when the engine first turned a request of the node away; 0: it hasn't */
@@ -500,6 +538,7 @@
     g_test_add_func("/edge/told/leaving-moves-models", test_leaving_moves_models);
     g_test_add_func("/edge/told/adapter-at-a-limited-engine", test_adapter_at_a_limited_engine);
     g_test_add_func("/edge/told/word-of-another-engine", test_word_of_another_engine);
+    g_test_add_func("/edge/told/others-learn", test_others_learn);
     g_test_add_func("/edge/told/rest-is-kept", test_rest_is_kept);
     g_test_add_func("/edge/told/rest-of-the-only-engine", test_rest_of_the_only_engine);
     g_test_add_func("/edge/told/absurd-values", test_absurd_values);
