--- a/include/wickbridge/engine_limit.h
+++ b/include/wickbridge/engine_limit.h
@@ -13,7 +13,7 @@
  * no answers. It learns the end from others; where nobody has heard the engine for some time, such
  * nodes may try in turn, one in five seconds.
  *
- * Over all nodes that is at most what is named and three requests in four seconds.
+ * Over all nodes that is at most what is named, or one request, and two more in four seconds.
  *
  * Pure: the time is passed in.
  */
@@ -28,9 +28,8 @@
 /** An engine's limit; all zeros: it has none. */
 typedef struct wb_engine_limit_t {
     gboolean named;
-    double per_s; /**< requests a second */
-    int64_t
-        named_ms; /**< steady time at which an answer last named it, to any node as far as known */
+    double per_s;        /**< requests a second */
+    int64_t named_ms;    /**< steady time at which an answer to any node last named it */
     int64_t ended_ms;    /**< when the request was sent whose answer showed its end; 0: never */
     wb_send_gate_t gate; /**< what this node has sent since */
 } wb_engine_limit_t;
--- a/src/dispatch/engine_limit.c
+++ b/src/dispatch/engine_limit.c
@@ -1,13 +1,13 @@
 /* How many requests this node may send to an engine that has named a limit. */
 #include "wickbridge/engine_limit.h"
 
-/* In which an engine counts. */
+/* Time for which a limit is dealt out in whole requests. */
 #define LIMIT_PERIOD_S 4.0
-/* An engine that takes less than a request in this time is asked once in it whether that holds. */
+/* Longest time between two requests of all nodes: one shows whether a limit still holds. */
 #define PROBE_MS 10000
-/* Nobody has heard the engine for so long: nodes without a part may try, too, */
+/* Nodes without a part try in turn once nobody has heard the engine for so long. */
 #define UNHEARD_MS 10000
-/* each in its turn of so long. */
+/* Length of a turn. */
 #define TURN_MS 5000
 
 /* Requests that all nodes may send within a window. */
@@ -31,7 +31,6 @@
         if (limit->ended_ms != 0 && sent_ms <= limit->ended_ms) {
             return FALSE; /* overtaken by the answer that showed its end */
         }
-        wb_send_gate_clear(&limit->gate);
         limit->named = TRUE;
         limit->per_s = per_s;
         limit->named_ms = named_ms;
@@ -65,7 +64,8 @@
     int64_t next = turn - turn % turns + own;
     next += next < turn ? turns : 0;
     int64_t from_ms = first_ms + next * TURN_MS;
-    int64_t opens_ms = MAX(from_ms, wb_send_gate_opens_ms(&limit->gate, 1, TURN_MS, 0, now_ms));
+    int64_t gate_ms = wb_send_gate_opens_ms(&limit->gate, 1, TURN_MS, 0, now_ms);
+    int64_t opens_ms = MAX(from_ms, gate_ms);
     return opens_ms < from_ms + TURN_MS ? opens_ms : from_ms + turns * TURN_MS;
 }
 
@@ -82,11 +82,7 @@
     if (share > 0) {
         return wb_send_gate_opens_ms(&limit->gate, share, units.window_ms, ahead, now_ms);
     }
-    /* A node that isn't listed yet may have a rank beyond the others'. */
-    if (ahead > 0 || place->rank < units.count) {
-        return G_MAXINT64;
-    }
-    return turn_opens_ms(limit, place, units.count, now_ms);
+    return ahead == 0 ? turn_opens_ms(limit, place, units.count, now_ms) : G_MAXINT64;
 }
 
 void wb_engine_limit_note(wb_engine_limit_t *limit, int64_t now_ms) {
--- a/src/edge/node_states.c
+++ b/src/edge/node_states.c
@@ -5,15 +5,11 @@
  * which are late on their way look newer than they are, by a link's delay at most. */
 #include "edge/edge_node_types.h"
 
-#include <stdlib.h>
-#include <string.h>
+#include "fleet/engine_heard.h"
 
 /* Bytes of an engine in a message. */
 #define ENTRY_BYTES 48
 #define TELL_MS 50
-/* That a limit is named on is told so often: well before nodes begin to try whether it has ended.
- */
-#define CONFIRM_MS 2000
 /* An end that was told with a delay beyond this might be older than the limit that is known. */
 #define DELAY_MOST_MS 500
 #define LIMIT_MILLI 1000.0
@@ -129,7 +125,7 @@
         gboolean newer = as_of_ms > limit->named_ms;
         changed =
             wb_engine_limit_name(limit, wire->limit_milli / LIMIT_MILLI, as_of_ms, as_of_ms) ||
-            (newer && now_ms - engine->state_told_ms >= CONFIRM_MS);
+            (newer && now_ms - engine->state_told_ms >= WB_STATE_CONFIRM_MS);
     } else if (wire->limit == WB_WIRE_LIMIT_ENDED && as_of_ms > limit->named_ms + DELAY_MOST_MS) {
         changed = wb_engine_limit_unname(limit, as_of_ms);
     }
--- a/src/fleet/engine_heard.c
+++ b/src/fleet/engine_heard.c
@@ -6,8 +6,6 @@
 
 #include "wickbridge/event_log.h"
 
-/* That a limit is named on, or is over, is told to others so often. */
-#define STATE_TELL_MS 2000
 /* Others may take an end for older than the limit that they know: it is told them again for so long
  * after the limit was last named. */
 #define END_TOLD_FOR_MS 30000
@@ -55,7 +53,7 @@
 static gboolean limit_hear(wb_engine_t *engine, const wb_heard_t *heard,
                            const wb_told_state_t *told, wb_edge_metrics_t *metrics) {
     wb_engine_limit_t *limit = &engine->limit;
-    gboolean told_lately = heard->now_ms - engine->state_told_ms < STATE_TELL_MS;
+    gboolean told_lately = heard->now_ms - engine->state_told_ms < WB_STATE_CONFIRM_MS;
     gboolean names_none = !told->limit_named && would_name_limit(heard);
     if (told->limit_known) {
         if (!wb_engine_limit_name(limit, told->limit_per_s, heard->sent_ms, heard->now_ms)) {
--- a/src/fleet/engine_heard.h
+++ b/src/fleet/engine_heard.h
@@ -9,6 +9,10 @@
 #include "wickbridge/edge_metrics.h"
 #include "wickbridge/http_reader.h"
 
+/** That a limit still holds, or is over, is told to other nodes so often: well before nodes begin
+ * to try whether it has ended. */
+#define WB_STATE_CONFIRM_MS 2000
+
 /** To what an engine has answered. */
 typedef enum wb_heard_on_t {
     WB_HEARD_ON_REQUEST, /**< a caller's request */
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -199,9 +199,9 @@
                           wb_dealt_rank(engine->state->incarnation, settings->id,
                                         wb_equal_share_ids(edge->share)));
     }
-    return MIN(wb_send_gate_opens_ms(&engine->cold_gate, engine->cold_share, WB_COLD_WINDOW_MS,
-                                     ahead, now_ms),
-               engine->cold_until_ms);
+    int64_t opens_ms = wb_send_gate_opens_ms(&engine->cold_gate, engine->cold_share,
+                                             WB_COLD_WINDOW_MS, ahead, now_ms);
+    return MIN(opens_ms, engine->cold_until_ms);
 }
 
 /* Steady time from which an engine that has named a limit takes another request of this node. */
@@ -223,8 +223,9 @@
 /* Steady time from which an engine takes another request of this node, as it has told itself. */
 static int64_t engine_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
                                const wb_service_t *service, unsigned ahead, int64_t now_ms) {
-    int64_t opens_ms = MAX(cold_opens_ms(edge, engine, service, ahead, now_ms),
-                           limit_opens_ms(edge, engine, ahead, now_ms));
+    int64_t cold_ms = cold_opens_ms(edge, engine, service, ahead, now_ms);
+    int64_t limit_ms = limit_opens_ms(edge, engine, ahead, now_ms);
+    int64_t opens_ms = MAX(cold_ms, limit_ms);
     return MAX(opens_ms, engine->rest_until_ms);
 }
 
@@ -272,8 +273,9 @@
 /* Steady time from which an engine that can serve the request may be sent it. */
 static int64_t request_opens_ms(const wb_edge_t *edge, wb_engine_t *engine,
                                 const wb_exchange_t *exchange, unsigned ahead, int64_t now_ms) {
-    return MAX(tried_until_ms(exchange, engine),
-               engine_opens_ms(edge, engine, exchange->service, ahead, now_ms));
+    int64_t tried_ms = tried_until_ms(exchange, engine);
+    int64_t opens_ms = engine_opens_ms(edge, engine, exchange->service, ahead, now_ms);
+    return MAX(tried_ms, opens_ms);
 }
 
 static gboolean is_usable(const wb_edge_t *edge, wb_engine_t *engine, const wb_exchange_t *exchange,
--- a/tests/edge/test_told.c
+++ b/tests/edge/test_told.c
@@ -374,7 +374,7 @@
 
 /* What another engine tells that has taken over an address binds nobody to the one that was there.
  */
-static void test_word_of_another_engine(void) {
+static void test_answer_of_another_engine(void) {
     estate_t *estate = estate_start(1, NULL);
     estate_do(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
                       "\"value\":1}");
@@ -537,7 +537,7 @@
     g_test_add_func("/edge/told/leaving-ends-with-a-start", test_leaving_ends_with_a_start);
     g_test_add_func("/edge/told/leaving-moves-models", test_leaving_moves_models);
     g_test_add_func("/edge/told/adapter-at-a-limited-engine", test_adapter_at_a_limited_engine);
-    g_test_add_func("/edge/told/word-of-another-engine", test_word_of_another_engine);
+    g_test_add_func("/edge/told/answer-of-another-engine", test_answer_of_another_engine);
     g_test_add_func("/edge/told/others-learn", test_others_learn);
     g_test_add_func("/edge/told/rest-is-kept", test_rest_is_kept);
     g_test_add_func("/edge/told/rest-of-the-only-engine", test_rest_of_the_only_engine);
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -18,14 +18,6 @@
 /* The same from all nodes, also those that are cut off, paused or have just been started anew. */
 #define POISON_LATE_MOST_EVER 12
 
-static const char *text_of(const json_t *object, const char *name) {
-    return json_string_value(json_object_get(object, name));
-}
-
-static int64_t number_of(const json_t *object, const char *name) {
-    return json_integer_value(json_object_get(object, name));
-}
-
 /* The most engines that may run a request, by its path. */
 static int runs_allowed(const char *path) {
     gboolean once = strcmp(path, "/lock/x") == 0 || strcmp(path, "/note/x") == 0;
@@ -41,10 +33,10 @@
     size_t i;
     json_t *run;
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        const char *id = text_of(run, "id");
+        const char *id = soak_text_of(run, "id");
         int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, id)) + 1;
         g_hash_table_replace(counts, g_strdup(id), GINT_TO_POINTER(count));
-        const char *body = text_of(run, "body");
+        const char *body = soak_text_of(run, "body");
         if (strcmp(body, "hello") != 0 && strcmp(body, SOAK_POISON_BODY) != 0) {
             soak_broken(soak, "%s: an engine ran another body", id);
         }
@@ -86,18 +78,19 @@
 
 /* Two orders that an engine got one after the other. */
 static void order_pair_check(soak_t *soak, const json_t *before, const json_t *after) {
-    int64_t gap_ms = number_of(after, "at_ms") - number_of(before, "at_ms");
-    int64_t rise = number_of(after, "token") - number_of(before, "token");
-    gboolean same = strcmp(text_of(before, "holder"), text_of(after, "holder")) == 0;
+    int64_t gap_ms = soak_number_of(after, "at_ms") - soak_number_of(before, "at_ms");
+    int64_t rise = soak_number_of(after, "token") - soak_number_of(before, "token");
+    gboolean same = strcmp(soak_text_of(before, "holder"), soak_text_of(after, "holder")) == 0;
     if (rise < 0 || (!same && rise == 0)) {
         soak_broken(soak, "orders: token %lld of %s after %lld of %s at %s",
-                    (long long)number_of(after, "token"), text_of(after, "holder"),
-                    (long long)number_of(before, "token"), text_of(before, "holder"),
-                    text_of(after, "engine"));
+                    (long long)soak_number_of(after, "token"), soak_text_of(after, "holder"),
+                    (long long)soak_number_of(before, "token"), soak_text_of(before, "holder"),
+                    soak_text_of(after, "engine"));
     } else if (!same && gap_ms < SOAK_LEASE_QUIET_MS &&
-               !order_is_excused(soak, number_of(before, "at_ms"))) {
-        soak_broken(soak, "orders: %s follows %s after %lld ms at %s", text_of(after, "holder"),
-                    text_of(before, "holder"), (long long)gap_ms, text_of(after, "engine"));
+               !order_is_excused(soak, soak_number_of(before, "at_ms"))) {
+        soak_broken(soak, "orders: %s follows %s after %lld ms at %s",
+                    soak_text_of(after, "holder"), soak_text_of(before, "holder"),
+                    (long long)gap_ms, soak_text_of(after, "engine"));
     }
 }
 
@@ -108,7 +101,7 @@
     size_t i;
     json_t *order;
     json_array_foreach(orders, i, order) {
-        const char *engine = text_of(order, "engine");
+        const char *engine = soak_text_of(order, "engine");
         const json_t *before = g_hash_table_lookup(last, engine);
         if (before != NULL)
             order_pair_check(soak, before, order);
@@ -124,9 +117,9 @@
     json_t *order;
     guint most = (guint)(LOADS_PER_S * (WINDOW_MS / 1000.0) * CEILING_OVERAGE) + CEILING_SLACK;
     json_array_foreach(orders, i, order) {
-        int64_t at_ms = number_of(order, "at_ms");
-        if (number_of(order, "status") != 202 || *text_of(order, "adapter") != '\0' ||
-            strcmp(text_of(order, "operation"), "model_load") != 0) {
+        int64_t at_ms = soak_number_of(order, "at_ms");
+        if (soak_number_of(order, "status") != 202 || *soak_text_of(order, "adapter") != '\0' ||
+            strcmp(soak_text_of(order, "operation"), "model_load") != 0) {
             continue;
         }
         g_array_append_val(began, at_ms);
@@ -144,13 +137,13 @@
     size_t i;
     json_t *run;
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        int64_t at_ms = number_of(run, "at_ms");
+        int64_t at_ms = soak_number_of(run, "at_ms");
         for (guint j = 0; j < soak->leaves->len; j++) {
             const soak_leave_t *leave = &g_array_index(soak->leaves, soak_leave_t, j);
-            if (strcmp(text_of(run, "engine"), leave->engine) == 0 &&
+            if (strcmp(soak_text_of(run, "engine"), leave->engine) == 0 &&
                 at_ms > leave->at_ms + SOAK_DRAIN_MS &&
                 !soak_is_disturbed(soak, -1, leave->at_ms + 1, at_ms)) {
-                soak_broken(soak, "%s: ran at %s %lld ms after it left", text_of(run, "id"),
+                soak_broken(soak, "%s: ran at %s %lld ms after it left", soak_text_of(run, "id"),
                             leave->engine, (long long)(at_ms - leave->at_ms));
             }
         }
@@ -187,9 +180,9 @@
         return; /* the older build knows no evacuations */
     }
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        int64_t at_ms = number_of(run, "at_ms");
-        int node = node_of(soak, text_of(run, "id"));
-        const char *zone = zone_of_engine(text_of(run, "engine"));
+        int64_t at_ms = soak_number_of(run, "at_ms");
+        int node = node_of(soak, soak_text_of(run, "id"));
+        const char *zone = zone_of_engine(soak_text_of(run, "engine"));
         for (guint j = 0; j < soak->evacuations->len; j++) {
             const soak_evacuation_t *evacuation =
                 &g_array_index(soak->evacuations, soak_evacuation_t, j);
@@ -198,7 +191,7 @@
                 node >= 0 &&
                 !soak_is_disturbed_but(soak, node, evacuation->from_ms, at_ms, "evacuation")) {
                 soak_broken(soak, "%s: ran at %s %lld ms after its zone was evacuated",
-                            text_of(run, "id"), text_of(run, "engine"),
+                            soak_text_of(run, "id"), soak_text_of(run, "engine"),
                             (long long)(at_ms - evacuation->from_ms));
             }
         }
@@ -216,13 +209,13 @@
         return;
     }
     int64_t from_ms =
-        number_of(json_array_get(crashes, POISON_ENGINES - 1), "at_ms") + POISON_KNOWN_MS;
+        soak_number_of(json_array_get(crashes, POISON_ENGINES - 1), "at_ms") + POISON_KNOWN_MS;
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        int64_t at_ms = number_of(run, "at_ms");
-        if (at_ms <= from_ms || strcmp(text_of(run, "body"), SOAK_POISON_BODY) != 0) {
+        int64_t at_ms = soak_number_of(run, "at_ms");
+        if (at_ms <= from_ms || strcmp(soak_text_of(run, "body"), SOAK_POISON_BODY) != 0) {
             continue;
         }
-        int node = node_of(soak, text_of(run, "id"));
+        int node = node_of(soak, soak_text_of(run, "id"));
         late++;
         late_in_touch += !soak_is_disturbed(soak, node, at_ms - POISON_KNOWN_MS, at_ms);
     }
@@ -256,8 +249,9 @@
         }
     }
     json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
-        if (strcmp(text_of(arrival, "service"), service) == 0) {
-            budget_oracle_arrival(oracle, text_of(arrival, "id"), number_of(arrival, "at_ms"));
+        if (strcmp(soak_text_of(arrival, "service"), service) == 0) {
+            budget_oracle_arrival(oracle, soak_text_of(arrival, "id"),
+                                  soak_number_of(arrival, "at_ms"));
         }
     }
     budget_worst_t worst = budget_oracle_worst(oracle);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -83,6 +83,15 @@
     int64_t version;     /* of the configuration */
 } soak_t;
 
+/** @return a text of an object that the stand-in saw */
+static inline const char *soak_text_of(const json_t *object, const char *name) {
+    return json_string_value(json_object_get(object, name));
+}
+
+static inline int64_t soak_number_of(const json_t *object, const char *name) {
+    return json_integer_value(json_object_get(object, name));
+}
+
 /** Note that a promise did not hold. */
 void soak_broken(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /** @return TRUE when the node's process was killed or stood still in this time */
--- a/tests/soak/state_checks.c
+++ b/tests/soak/state_checks.c
@@ -10,14 +10,6 @@
 /* Requests that may come in spite of a wish for rest. */
 #define REST_MOST 2
 
-static const char *text_of(const json_t *object, const char *name) {
-    return json_string_value(json_object_get(object, name));
-}
-
-static int64_t number_of(const json_t *object, const char *name) {
-    return json_integer_value(json_object_get(object, name));
-}
-
 /* A time in which an engine told one thing. */
 typedef struct told_t {
     const char *engine;
@@ -32,15 +24,15 @@
     size_t i;
     json_t *state;
     json_array_foreach(states, i, state) {
-        const char *engine = text_of(state, "engine");
-        int64_t at_ms = number_of(state, "at_ms");
+        const char *engine = soak_text_of(state, "engine");
+        int64_t at_ms = soak_number_of(state, "at_ms");
         for (guint j = 0; j < all->len; j++) {
             told_t *before = &g_array_index(all, told_t, j);
             if (strcmp(before->engine, engine) == 0) {
                 before->to_ms = MIN(before->to_ms, at_ms);
             }
         }
-        told_t told = {engine, text_of(state, "lines"), at_ms, G_MAXINT64};
+        told_t told = {engine, soak_text_of(state, "lines"), at_ms, G_MAXINT64};
         g_array_append_val(all, told);
     }
     return all;
@@ -63,8 +55,8 @@
     size_t i;
     json_t *run;
     json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        g_hash_table_insert(engines, (gpointer)text_of(run, "id"),
-                            (gpointer)text_of(run, "engine"));
+        g_hash_table_insert(engines, (gpointer)soak_text_of(run, "id"),
+                            (gpointer)soak_text_of(run, "engine"));
     }
     return engines;
 }
@@ -102,9 +94,9 @@
     size_t i;
     json_t *arrival;
     json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
-        int64_t at_ms = number_of(arrival, "at_ms");
-        int node = node_of(lookup, text_of(arrival, "id"));
-        if (node >= 0 && strcmp(text_of(arrival, "engine"), told->engine) == 0 &&
+        int64_t at_ms = soak_number_of(arrival, "at_ms");
+        int node = node_of(lookup, soak_text_of(arrival, "id"));
+        if (node >= 0 && strcmp(soak_text_of(arrival, "engine"), told->engine) == 0 &&
             at_ms >= told->from_ms && at_ms < told->to_ms && at_ms > passed_ms[node] &&
             !soak_is_excused(soak, node, passed_ms[node], at_ms)) {
             limit_oracle_arrival(oracle, node, at_ms);
@@ -138,22 +130,22 @@
 /* After each request that was turned away with a wish for rest. */
 static void rest_check(soak_t *soak, const json_t *seen, const lookup_t *lookup,
                        const json_t *rest) {
-    int node = node_of(lookup, text_of(rest, "id"));
-    int64_t asked_ms = number_of(rest, "at_ms");
-    int64_t until_ms = asked_ms + number_of(rest, "rest_ms");
+    int node = node_of(lookup, soak_text_of(rest, "id"));
+    int64_t asked_ms = soak_number_of(rest, "at_ms");
+    int64_t until_ms = asked_ms + soak_number_of(rest, "rest_ms");
     unsigned arrivals = 0;
     size_t i;
     json_t *arrival;
     json_array_foreach(json_object_get(seen, "arrivals"), i, arrival) {
-        int64_t at_ms = number_of(arrival, "at_ms");
+        int64_t at_ms = soak_number_of(arrival, "at_ms");
         arrivals += at_ms > asked_ms + REST_FROM_MS && at_ms < until_ms &&
-                    strcmp(text_of(arrival, "engine"), text_of(rest, "engine")) == 0 &&
-                    node_of(lookup, text_of(arrival, "id")) == node &&
+                    strcmp(soak_text_of(arrival, "engine"), soak_text_of(rest, "engine")) == 0 &&
+                    node_of(lookup, soak_text_of(arrival, "id")) == node &&
                     !soak_is_excused(soak, node, asked_ms, at_ms);
     }
     if (node >= 0 && arrivals > REST_MOST) {
         soak_broken(soak, "%s: asked node %d for %lld ms of rest and got %u requests in them",
-                    text_of(rest, "engine"), node, (long long)(until_ms - asked_ms), arrivals);
+                    soak_text_of(rest, "engine"), node, (long long)(until_ms - asked_ms), arrivals);
     }
 }
 
