Limits and rest, too, outlive a row that lapses and comes back

Beside a store in trouble an engine's row lapses and is back seconds later: nodes that had forgotten the engine sent it requests freely until its next answer. What a start of an engine told is kept as its leaving was. /fleet/told-limit-and-rest-outlive-the-row failed before.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -10,8 +10,8 @@
 /* The same after the store was away; an engine that lives is back about two seconds later. */
 #define LAPSED_USE_SHARE 0.75
 #define GONE_KEPT_MS 5000
-/* Starts of engines that told that they leave, and are remembered beyond that. */
-#define LEFT_MOST 4096
+/* Starts of engines whose told state is kept beyond that. */
+#define TOLD_KEPT_MOST 4096
 
 /* The controller's news of a model or adapter. */
 typedef struct wb_note_t {
@@ -20,12 +20,19 @@
     int64_t row_from_ms; /* announcements from then on know better */
 } wb_note_t;
 
+/* What a start of an engine told of itself. */
+typedef struct wb_kept_state_t {
+    gboolean leaving;
+    wb_engine_limit_t limit; /* without what was sent */
+    int64_t rest_until_ms;
+} wb_kept_state_t;
+
 struct wb_fleet_t {
     GHashTable *engines;  /* id -> wb_engine_t, announced */
     GHashTable *services; /* name -> GPtrArray of wb_engine_t, with those just gone */
-    GHashTable *left;   /* set of incarnations that told that they leave and were forgotten else */
-    GQueue left_order;  /* the same, oldest first; borrowed */
-    GHashTable *closed; /* zone that is being evacuated -> int64_t *, as closed_from_ms */
+    GHashTable *told;     /* incarnation of an engine that was forgotten -> wb_kept_state_t */
+    GQueue told_order;    /* their keys, oldest first; borrowed */
+    GHashTable *closed;   /* zone that is being evacuated -> int64_t *, as closed_from_ms */
 };
 
 wb_engine_t *wb_engine_ref(wb_engine_t *engine) {
@@ -50,8 +57,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)wb_engine_unref);
     fleet->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
-    fleet->left = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    g_queue_init(&fleet->left_order);
+    fleet->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    g_queue_init(&fleet->told_order);
     fleet->closed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return fleet;
 }
@@ -73,6 +80,36 @@
     engine->closed_from_ms = from_ms != NULL ? *from_ms : 0;
 }
 
+/* What an engine told holds for its start, however often its row goes and comes back. */
+static void told_keep(wb_fleet_t *fleet, const wb_engine_t *engine) {
+    const char *incarnation = engine->state->incarnation;
+    gboolean told = engine->told_leaving || engine->limit.named || engine->rest_until_ms != 0;
+    wb_kept_state_t *kept = g_hash_table_lookup(fleet->told, incarnation);
+    if (kept == NULL && !told) {
+        return;
+    }
+    if (kept == NULL) {
+        if (g_hash_table_size(fleet->told) >= TOLD_KEPT_MOST) {
+            g_hash_table_remove(fleet->told, g_queue_pop_head(&fleet->told_order));
+        }
+        char *key = g_strdup(incarnation);
+        kept = g_new0(wb_kept_state_t, 1);
+        g_hash_table_insert(fleet->told, key, kept);
+        g_queue_push_tail(&fleet->told_order, key);
+    }
+    *kept = (wb_kept_state_t){engine->told_leaving, engine->limit, engine->rest_until_ms};
+    kept->limit.gate = (wb_send_gate_t){NULL};
+}
+
+static void told_restore(const wb_fleet_t *fleet, wb_engine_t *engine) {
+    const wb_kept_state_t *kept = g_hash_table_lookup(fleet->told, engine->state->incarnation);
+    if (kept != NULL) {
+        engine->told_leaving = kept->leaving;
+        engine->limit = kept->limit;
+        engine->rest_until_ms = kept->rest_until_ms;
+    }
+}
+
 static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = g_new0(wb_engine_t, 1);
     engine->references = 1;
@@ -80,26 +117,13 @@
     engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     wb_list_init(&engine->idle);
-    engine->told_leaving = g_hash_table_contains(fleet->left, state->incarnation);
+    told_restore(fleet, engine);
     zone_apply(fleet, engine);
     g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
     g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
     return engine;
 }
 
-/* What an engine told holds for its start, however often its row goes and comes back. */
-static void left_add(wb_fleet_t *fleet, const wb_engine_t *engine) {
-    if (!engine->told_leaving || g_hash_table_contains(fleet->left, engine->state->incarnation)) {
-        return;
-    }
-    if (g_hash_table_size(fleet->left) >= LEFT_MOST) {
-        g_hash_table_remove(fleet->left, g_queue_pop_head(&fleet->left_order));
-    }
-    char *incarnation = g_strdup(engine->state->incarnation);
-    g_hash_table_add(fleet->left, incarnation);
-    g_queue_push_tail(&fleet->left_order, incarnation);
-}
-
 /* Returns the latest start of an engine that is no longer announced, or NULL. */
 static wb_engine_t *gone_find(const wb_fleet_t *fleet, const wb_engine_state_t *state) {
     const GPtrArray *engines = wb_fleet_service(fleet, state->service);
@@ -268,7 +292,7 @@
         for (guint i = engines->len; i > 0; i--) {
             const wb_engine_t *engine = g_ptr_array_index(engines, i - 1);
             if (engine->gone && now_ms - engine->leaving_ms > GONE_KEPT_MS) {
-                left_add(fleet, engine);
+                told_keep(fleet, engine);
                 g_ptr_array_remove_index_fast(engines, i - 1);
             }
         }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -145,6 +145,34 @@
     return wb_fleet_announce(fleet, state);
 }
 
+/* Guards against an engine that is sent requests freely when its row lapses beside a store in
+ * trouble and comes back, though it had named a limit and asked for rest. */
+static void test_told_limit_and_rest_outlive_the_row(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    int64_t now_ms = wb_clock_ms();
+    wb_engine_t *engine = start_announce(fleet, 100);
+    wb_engine_limit_name(&engine->limit, 0.4, now_ms, now_ms);
+    engine->rest_until_ms = now_ms + 100000;
+    wb_fleet_remove(fleet, "e1", 0);
+    wb_fleet_sweep(fleet, now_ms + 60000);
+    const wb_engine_t *back = start_announce(fleet, 100);
+    g_assert_true(back->limit.named);
+    g_assert_cmpfloat(back->limit.per_s, ==, 0.4);
+    g_assert_cmpint(back->limit.named_ms, ==, now_ms);
+    g_assert_cmpint(back->rest_until_ms, ==, now_ms + 100000);
+    g_assert_true(wb_engine_stays(back));
+    /* What is over isn't believed again. */
+    wb_engine_limit_unname(&wb_fleet_find(fleet, "e1")->limit, now_ms + 1000);
+    wb_fleet_remove(fleet, "e1", 0);
+    wb_fleet_sweep(fleet, now_ms + 60000);
+    back = start_announce(fleet, 100);
+    g_assert_false(back->limit.named);
+    /* Another start has told nothing. */
+    const wb_engine_t *later = start_announce(fleet, 200);
+    g_assert_false(later->limit.named);
+    g_assert_cmpint(later->rest_until_ms, ==, 0);
+}
+
 /* Another start under the same id has told nothing. */
 static void test_told_leaving_ends_with_its_start(void) {
     wb_fleet_t *fleet = wb_fleet_create();
@@ -241,6 +269,8 @@
 
 static void tests_add(void) {
     g_test_add_func("/fleet/told-leaving-holds", test_told_leaving_holds);
+    g_test_add_func("/fleet/told-limit-and-rest-outlive-the-row",
+                    test_told_limit_and_rest_outlive_the_row);
     g_test_add_func("/fleet/told-leaving-ends-with-its-start",
                     test_told_leaving_ends_with_its_start);
     g_test_add_func("/fleet/digest", test_digest);
