--- a/src/edge/node_states.c
+++ b/src/edge/node_states.c
@@ -150,15 +150,15 @@
                  ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g,\"leaving\":%s",
                  wb_event_text(engine->state->id), engine->limit.named ? "true" : "false",
                  engine->limit.per_s, engine->told_leaving ? "true" : "false");
-        wb_edge_engine_told(&node->edge, engine);
+        wb_edge_note_told(&node->edge, engine);
         if (tells) {
-            wb_edge_tell_state(&node->edge, engine);
+            wb_edge_queue_state(&node->edge, engine);
         }
     }
 }
 
 void wb_edge_node_states_heard(wb_engine_t *engine, void *context) {
     wb_edge_t *edge = &((wb_edge_node_t *)context)->edge;
-    wb_edge_engine_told(edge, engine);
-    wb_edge_tell_state(edge, engine);
+    wb_edge_note_told(edge, engine);
+    wb_edge_queue_state(edge, engine);
 }
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -133,8 +133,8 @@
                         WB_HEARD_ON_REQUEST, upstream->attempt->exchange->written_ms,
                         wb_clock_ms(),       edge->settings.drain_ms};
     if (wb_engine_hear(upstream->engine, &heard, &edge->metrics)) {
-        wb_edge_engine_told(edge, upstream->engine);
-        wb_edge_tell_state(edge, upstream->engine);
+        wb_edge_note_told(edge, upstream->engine);
+        wb_edge_queue_state(edge, upstream->engine);
     }
 }
 
--- a/src/request/engine_states.c
+++ b/src/request/engine_states.c
@@ -1,13 +1,13 @@
 /* Which engines have told of themselves, and which of them others should know of. */
 #include "request/request_types.h"
 
-void wb_edge_engine_told(wb_edge_t *edge, wb_engine_t *engine) {
+void wb_edge_note_told(wb_edge_t *edge, wb_engine_t *engine) {
     if (!g_hash_table_contains(edge->told_engines, engine)) {
         g_hash_table_add(edge->told_engines, wb_engine_ref(engine));
     }
 }
 
-void wb_edge_tell_state(wb_edge_t *edge, wb_engine_t *engine) {
+void wb_edge_queue_state(wb_edge_t *edge, wb_engine_t *engine) {
     if (!wb_list_is_linked(&engine->state_news)) {
         wb_list_add_tail(&edge->state_news, &wb_engine_ref(engine)->state_news);
     }
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -17,8 +17,9 @@
  * news pass one link. Who has heard nothing after so long won't. An adapter is there by then, too,
  * unless its engine is loading a model. */
 #define DECIDED_MS 600
-/* An engine that opens is asked at the next tick. */
-#define OPENS_MARGIN_MS 50
+/* Who waits for an engine that opens is sent at the next tick or, on a slow machine, the one after.
+ */
+#define OPENS_MARGIN_MS 100
 /* A caller of a stream leaves after the longest of a fixed time, some targets, and some gaps. */
 #define STREAM_PATIENCE_MS 2000
 #define STREAM_PATIENCE_TARGETS 4
@@ -208,14 +209,12 @@
         return;
     }
     wb_wait_t wait = wait_decide(exchange);
-    gboolean wants_load = wait.wants_load && !exchange->wants_load;
-    if (!wants_load && exchange->awaits_opening == wait.awaits_opening) {
-        return;
-    }
     exchange->awaits_opening = wait.awaits_opening;
-    exchange->wait_until_ms = wait.until_ms;
-    wb_exchange_arm_hold(exchange);
-    if (!wants_load) {
+    if (exchange->wait_until_ms != wait.until_ms) {
+        exchange->wait_until_ms = wait.until_ms;
+        wb_exchange_arm_hold(exchange);
+    }
+    if (exchange->wants_load || !wait.wants_load) {
         return;
     }
     exchange->wants_load = TRUE;
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -303,10 +303,10 @@
 void wb_exchanges_refuse_unanswered(wb_edge_t *edge);
 
 /* What engines tell of themselves: engine_states.c. */
-/** An engine told of its state, here or to another node. */
-void wb_edge_engine_told(wb_edge_t *edge, wb_engine_t *engine);
-/** Other nodes should know it. */
-void wb_edge_tell_state(wb_edge_t *edge, wb_engine_t *engine);
+/** An engine has told of its state, here or to another node: keep it among those that have. */
+void wb_edge_note_told(wb_edge_t *edge, wb_engine_t *engine);
+/** Tell other nodes of its state at the next tick. */
+void wb_edge_queue_state(wb_edge_t *edge, wb_engine_t *engine);
 /** Forget those that have gone or have nothing more to tell. */
 void wb_edge_told_engines_sweep(wb_edge_t *edge);
 
