--- a/src/poison/poison_book.c
+++ b/src/poison/poison_book.c
@@ -247,8 +247,9 @@
     int64_t pause_ms = book->options.trial_ms;
     if (entry->trials == 0) {
         gboolean soon = pause_ms > WB_POISON_TIED_TRIAL_MS && entry_is_tied(book, entry);
+        /* Neither lies before the last crash; what other nodes told late makes that look newer. */
         int64_t crashed_ms = entry->until_ms - book->options.kept_ms;
-        return crashed_ms + (soon ? WB_POISON_TIED_TRIAL_MS : pause_ms);
+        return MIN(crashed_ms, entry->asked_ms) + (soon ? WB_POISON_TIED_TRIAL_MS : pause_ms);
     }
     for (guint i = 0; i < entry->trials; i++) {
         pause_ms *= WB_POISON_TRIAL_TIMES;
@@ -262,6 +263,9 @@
     if (wb_poison_entry_state(entry) != WB_POISON_REFUSED) {
         return FALSE;
     }
+    if (entry->asked_ms == 0) {
+        entry->asked_ms = now_ms;
+    }
     if (now_ms < trial_due_ms(book, entry) || now_ms < book->next_trial_ms) {
         return FALSE;
     }
--- a/src/poison/poison_book.h
+++ b/src/poison/poison_book.h
@@ -62,8 +62,9 @@
     guint forgiven;                           /**< one bit for each engine */
     int64_t until_ms;                         /**< steady time until which it is kept */
     uint64_t changed;                         /**< the book's version of its last change */
-    int64_t tried_ms;                         /**< private: of the last trial */
-    guint trials;                             /**< private */
+    int64_t asked_ms; /**< private: steady time at which a trial was first asked for; 0: never */
+    int64_t tried_ms; /**< private: of the last trial */
+    guint trials;     /**< private */
 } wb_poison_entry_t;
 
 /** What is held against a request. */
--- a/tests/unit/test_poison_book.c
+++ b/tests/unit/test_poison_book.c
@@ -275,6 +275,24 @@
     wb_poison_book_free(later);
 }
 
+/* The same where what other nodes told was seconds on its way, so that the crash looks newer. */
+static void test_trials_of_late_news(void) {
+    enum { LATE_MS = 4000 };
+    wb_poison_book_t *book = wb_poison_book_create(&(wb_poison_options_t){0});
+    wb_request_digest_t bystander = digest_of(2);
+    for (uint64_t engine = 10; engine < 13; engine++) {
+        note(book, 1, engine);
+        note(book, 2, engine);
+    }
+    wb_poison_entry_t late = *wb_poison_book_find(book, &bystander);
+    late.until_ms += LATE_MS;
+    wb_poison_book_merge(book, &late);
+    g_assert_false(wb_poison_book_take_trial(book, &bystander, NOW_MS + 100));
+    g_assert_true(
+        wb_poison_book_take_trial(book, &bystander, NOW_MS + 100 + WB_POISON_TIED_TRIAL_MS));
+    wb_poison_book_free(book);
+}
+
 static void test_lengths(void) {
     wb_poison_book_t *book = book_create();
     g_assert_false(wb_poison_book_has_length(book, BODY_BYTES));
@@ -299,6 +317,7 @@
     g_test_add_func("/poison-book/tied-requests-are-tried-soon", test_tied_requests_are_tried_soon);
     g_test_add_func("/poison-book/trials", test_trials);
     g_test_add_func("/poison-book/trials-outlive-nodes", test_trials_outlive_nodes);
+    g_test_add_func("/poison-book/trials-of-late-news", test_trials_of_late_news);
     g_test_add_func("/poison-book/lengths", test_lengths);
 }
 
