--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -39,6 +39,10 @@
     "\"timeoutMs\":2000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"lock\","
     "\"maxAttempts\":2}";
 
+const char *estate_default_routes(void) {
+    return default_routes;
+}
+
 void estate_configure(estate_t *estate, const char *routes) {
     g_autoptr(GString) models = g_string_new(NULL);
     for (int i = 0; i < 8; i++)
@@ -57,11 +61,12 @@
                      "\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":2,"
                      "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50,"
                      "\"coldPerS\":2,"
-                     "\"coldStartS\":2}],"
+                     "\"coldStartS\":2}%s],"
                      "\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":100000,"
                      "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}%s%s}",
                      (long long)estate->catalog_version, routes != NULL ? routes : default_routes,
-                     models->str, estate->tenants != NULL ? ",\"tenants\":" : "",
+                     models->str, estate->services != NULL ? estate->services : "",
+                     estate->tenants != NULL ? ",\"tenants\":" : "",
                      estate->tenants != NULL ? estate->tenants : ""));
     char *text = json_dumps(call, JSON_COMPACT);
     estate_command(estate, "%s", text);
@@ -214,7 +219,7 @@
         files.build = (char *)g_getenv("WICKBRIDGE_OLDER_BUILD");
         g_assert_nonnull(files.build); /* built by scripts/build-commit.sh */
     }
-    node->launches++;
+    g_atomic_int_inc(&node->launches);
     process_prepare(&files, &node->process, name, "wickbridge-edge", arguments);
     process_start(&node->process);
 }
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -13,7 +13,7 @@
 
 #include "harness.h"
 
-#define ESTATE_NODES 4
+#define ESTATE_NODES 64
 
 typedef struct estate_node_t {
     process_t process;
@@ -43,6 +43,8 @@
     int engine_ports[ESTATE_PROXIED_ENGINES];
     int64_t catalog_version;
     const char *tenants;    /**< JSON list for estate_configure; NULL: clients have no keys */
+    const char *services;   /**< JSON of further services for estate_configure, each with a comma
+                               before it; NULL: none */
     const char *node_flags; /**< additional flags, separated by spaces */
 } estate_t;
 
@@ -98,6 +100,8 @@
 /** Write a new version of the default configuration. @param routes JSON of the routes, NULL: the
  * default ones */
 void estate_configure(estate_t *estate, const char *routes);
+/** @return JSON of the default routes, separated by commas */
+const char *estate_default_routes(void);
 
 /** A client's persistent connection. */
 typedef struct wire_t {
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -229,7 +229,11 @@
     }
 }
 
+/* The service of a route that never changes; "": the route does. */
 static const char *service_of(const char *path) {
+    if (soak_probe_route(path) < SOAK_PROBE_ROUTES) {
+        return "";
+    }
     return strcmp(path, "/lock/x") == 0 || strcmp(path, "/look/x") == 0 ? "lock" : "llm";
 }
 
@@ -283,5 +287,6 @@
     budget_check(soak, seen, "lock");
     budget_check(soak, seen, "llm");
     soak_states_check(soak, seen);
+    soak_config_check(soak, seen);
     json_decref(seen);
 }
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -16,7 +16,7 @@
     soak_t *soak;
     int number;
     GRand *rand;
-    wire_t *connections[SOAK_NODES]; /* kept open until the node closes them; NULL: none */
+    wire_t *connections[SOAK_NODES_MAX]; /* kept open until the node closes them; NULL: none */
 } soak_client_t;
 
 static const char *const paths[] = {"/lock/x", "/look/x", "/chat/x", "/note/x"};
@@ -84,15 +84,15 @@
     }
 }
 
-/* Sends on the kept connection, if there is one. @param connection NULL: use one for this request
- * only */
-static void request_send(soak_t *soak, soak_request_t *request, wire_t **connection,
-                         const char *headers, const char *body) {
+void soak_request_send(soak_t *soak, soak_request_t *request, wire_t **connection,
+                       const char *headers, const char *body) {
+    const estate_node_t *node = &soak->estate->nodes[request->node];
+    int life = g_atomic_int_get(&node->launches);
     request->began_ms = harness_now_ms();
     wire_t *wire = connection != NULL ? *connection : NULL;
     request->reused = wire != NULL;
     if (wire == NULL) {
-        wire = wire_try_open(soak->estate->nodes[request->node].clients_port);
+        wire = wire_try_open(node->clients_port);
     } else {
         *connection = NULL;
     }
@@ -104,6 +104,7 @@
     wire_release(connection, wire, answer);
     request->closed = answer->closed;
     request->ended_ms = harness_now_ms();
+    request->life = life == g_atomic_int_get(&node->launches) ? life : 0;
     request->status = answer->status;
     request->complete = answer->whole;
     request->reports_limit = strstr(answer->head->str, "Server-Limit: ") != NULL;
@@ -116,7 +117,7 @@
 }
 
 static void client_free(soak_client_t *client) {
-    for (int i = 0; i < SOAK_NODES; i++) {
+    for (int i = 0; i < client->soak->nodes; i++) {
         if (client->connections[i] != NULL) {
             wire_close(client->connections[i]);
         }
@@ -129,7 +130,7 @@
     soak_client_t *client = data;
     soak_t *soak = client->soak;
     for (int i = 0; !g_atomic_int_get(&soak->stop); i++) {
-        soak_request_t request = {.node = g_rand_int_range(client->rand, 0, SOAK_NODES)};
+        soak_request_t request = {.node = g_rand_int_range(client->rand, 0, soak->nodes)};
         request.path = paths[g_rand_int_range(client->rand, 0, G_N_ELEMENTS(paths))];
         g_snprintf(request.id, sizeof(request.id), "s%d-%d", client->number, i);
         /* Low numbers are more frequent. */
@@ -139,8 +140,8 @@
             headers_create(request.path, model, g_rand_int_range(client->rand, 0, 10) == 0);
         /* Most connections are reused, after being idle for a varying time. */
         gboolean fresh = g_rand_int_range(client->rand, 0, 4) == 0;
-        request_send(soak, &request, fresh ? NULL : &client->connections[request.node], headers,
-                     "hello");
+        soak_request_send(soak, &request, fresh ? NULL : &client->connections[request.node],
+                          headers, "hello");
         g_usleep((gulong)g_rand_int_range(client->rand, 0, 60) * 1000);
     }
     client_free(client);
@@ -166,10 +167,11 @@
     const char *path = paths[soak->seed % G_N_ELEMENTS(paths)];
     g_autofree char *headers = headers_create(path, (int)(soak->seed / 4 % 3), FALSE);
     for (int i = 0; !g_atomic_int_get(&soak->poison_stop); i++) {
-        soak_request_t request = {.node = g_rand_int_range(client->rand, 0, SOAK_NODES),
+        soak_request_t request = {.node = g_rand_int_range(client->rand, 0, soak->nodes),
                                   .path = path};
         g_snprintf(request.id, sizeof(request.id), "p%d-%d", client->number, i);
-        request_send(soak, &request, &client->connections[request.node], headers, SOAK_POISON_BODY);
+        soak_request_send(soak, &request, &client->connections[request.node], headers,
+                          SOAK_POISON_BODY);
         g_usleep((gulong)g_rand_int_range(client->rand, 0, 400) * 1000);
     }
     client_free(client);
@@ -200,13 +202,13 @@
     g_snprintf(request.id, sizeof(request.id), "r%d-%d-%d%s", node, model, try, path);
     g_strdelimit(request.id, "/", '-');
     g_autofree char *headers = headers_create(path, model, FALSE);
-    request_send(soak, &request, NULL, headers, "hello");
+    soak_request_send(soak, &request, NULL, headers, "hello");
     return request.status == 200 && request.complete;
 }
 
 void soak_recovery_check(soak_t *soak) {
     int64_t until_ms = harness_now_ms() + RECOVERY_MS;
-    for (int node = 0; node < SOAK_NODES; node++) {
+    for (int node = 0; node < soak->nodes; node++) {
         for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
             int try = 0;
             while (!is_served(soak, node, paths[i], node % MODELS, try++)) {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -80,14 +80,14 @@
 
 static void all_killed_begin(soak_fault_t *fault, soak_t *soak) {
     (void)fault;
-    for (int i = 0; i < SOAK_NODES; i++) {
+    for (int i = 0; i < soak->nodes; i++) {
         process_kill(&soak->estate->nodes[i].process);
     }
 }
 
 static void all_killed_end(soak_fault_t *fault, soak_t *soak) {
     (void)fault;
-    for (int i = 0; i < SOAK_NODES; i++) {
+    for (int i = 0; i < soak->nodes; i++) {
         if (soak->estate->nodes[i].process.pid <= 0) {
             estate_node_launch(soak->estate, i);
         }
@@ -193,7 +193,11 @@
 
 static void config_begin(soak_fault_t *fault, soak_t *soak) {
     (void)fault;
-    estate_configure(soak->estate, NULL);
+    if (soak->config_writer != NULL) {
+        soak_config_change(soak);
+    } else {
+        estate_configure(soak->estate, NULL);
+    }
 }
 
 static const char *engine_name(const soak_fault_t *fault) {
@@ -385,7 +389,7 @@
 
 static void fault_begin(soak_t *soak, GArray *active) {
     soak_fault_t fault = {.kind = kind_draw(soak),
-                          .node = g_rand_int_range(soak->rand, 0, SOAK_NODES),
+                          .node = g_rand_int_range(soak->rand, 0, soak->nodes),
                           .variant = g_rand_int_range(soak->rand, 0, 1000)};
     int controller = -1;
     int duration_ms = g_rand_int_range(soak->rand, fault.kind->min_ms, fault.kind->max_ms);
@@ -397,6 +401,7 @@
         return;
     }
     soak_span_t span = {.node = fault.kind->single_node ? fault.node : -1,
+                        .target = fault.node,
                         .from_ms = harness_now_ms(),
                         .to_ms = G_MAXINT64};
     g_strlcpy(span.name, fault.kind->name, sizeof(span.name));
@@ -438,7 +443,7 @@
         g_usleep(10000);
     }
     faults_end(soak, active, G_MAXINT64);
-    for (int i = 0; i < SOAK_NODES; i++) {
+    for (int i = 0; i < soak->nodes; i++) {
         estate_wait_ready(soak->estate, i);
     }
 }
@@ -476,6 +481,22 @@
     return had_fault(soak, node, from_ms, to_ms, excuses);
 }
 
+gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const own[] = {
+        "kill", "pause", "planned-stop", "other-build", "way-to-node", "way-to-store", NULL};
+    static const char *const common[] = {"all-killed", "store", NULL};
+    gboolean found = FALSE;
+    g_mutex_lock(&soak->lock);
+    for (guint i = 0; i < soak->spans->len; i++) {
+        const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
+        gboolean affects = g_strv_contains(common, span->name) ||
+                           (g_strv_contains(own, span->name) && span->target == node);
+        found |= affects && span->from_ms <= to_ms && span->to_ms >= from_ms;
+    }
+    g_mutex_unlock(&soak->lock);
+    return found;
+}
+
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     return soak_is_disturbed_except(soak, node, from_ms, to_ms, "");
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -24,7 +24,7 @@
 
 /* Checks that no node ended by itself. */
 static void exits_check(soak_t *soak) {
-    for (int i = 0; i < SOAK_NODES; i++) {
+    for (int i = 0; i < soak->nodes; i++) {
         process_t *process = &soak->estate->nodes[i].process;
         int status;
         if (process->pid > 0 && waitpid(process->pid, &status, WNOHANG) == process->pid) {
@@ -34,11 +34,11 @@
     }
 }
 
-static void spans_print(const soak_t *soak, int64_t began_ms) {
+static void spans_print(const soak_t *soak) {
     for (guint i = 0; i < soak->spans->len; i++) {
         const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
-        printf("  %6.2f s  %s at node %d\n", (double)(span->from_ms - began_ms) / 1000, span->name,
-               span->node);
+        printf("  %6.2f s  %s at node %d\n", (double)(span->from_ms - soak->began_ms) / 1000,
+               span->name, span->target);
     }
 }
 
@@ -71,8 +71,8 @@
 }
 
 /* Runs one seed. Returns TRUE when all checks passed. */
-static gboolean seed_run(guint32 seed, int seconds) {
-    soak_t soak = {.seed = seed, .rand = g_rand_new_with_seed(seed)};
+static gboolean seed_run(guint32 seed, int seconds, int nodes) {
+    soak_t soak = {.seed = seed, .nodes = nodes, .rand = g_rand_new_with_seed(seed)};
     /* With load shedding the window is short, so that a killed node's share is available again
      * within the run. */
     soak.has_load_shedding = seed / 512 % 2 == 1;
@@ -83,13 +83,13 @@
         "--retry-ratio=%g --retry-slack=%d --retry-window-s=%d",
         SOAK_LEASE_HANDOVER_MS, SOAK_DRAIN_MS, SOAK_RETRY_RATIO, soak.retry_slack,
         soak.retry_window_s);
-    int64_t began_ms = harness_now_ms();
+    soak.began_ms = harness_now_ms();
     g_mutex_init(&soak.lock);
     soak.spans = g_array_new(FALSE, FALSE, sizeof(soak_span_t));
     soak.drains = g_array_new(FALSE, FALSE, sizeof(soak_drain_t));
     soak.requests = g_array_new(FALSE, FALSE, sizeof(soak_request_t));
     soak.failures = g_ptr_array_new_with_free_func(g_free);
-    soak.estate = estate_start(SOAK_NODES, flags);
+    soak.estate = estate_start(nodes, flags);
     soak.has_poison = seed / 16 % 2 == 0;
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
@@ -104,6 +104,9 @@
     }
     GPtrArray *clients = soak_clients_start(&soak);
     GPtrArray *poison = soak_poison_start(&soak);
+    if (seed / 2048 % 2 == 1) {
+        soak_config_start(&soak, clients);
+    }
     soak_faults_run(&soak, (int64_t)seconds * 1000);
     g_atomic_int_set(&soak.stop, 1);
     soak_clients_join(clients);
@@ -123,12 +126,13 @@
         for (guint i = 0; i < soak.failures->len; i++) {
             printf("  %s\n", (char *)soak.failures->pdata[i]);
         }
-        spans_print(&soak, began_ms);
+        spans_print(&soak);
         printf("  logs: %s\n", soak.estate->files.folder);
         g_test_fail(); /* makes the harness keep its logs */
     }
     fflush(stdout);
     estate_stop(soak.estate);
+    soak_config_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
     g_array_unref(soak.requests);
@@ -141,16 +145,19 @@
 int main(int argc, char **argv) {
     int seconds = DEFAULT_SECONDS;
     int count = 1;
+    int nodes = SOAK_NODES;
     char *seeds = NULL;
     const GOptionEntry entries[] = {
         {"seconds", 's', 0, G_OPTION_ARG_INT, &seconds, "Length of each seed's faults", "S"},
+        {"nodes", 0, 0, G_OPTION_ARG_INT, &nodes, "Nodes to run", "N"},
         {"count", 'n', 0, G_OPTION_ARG_INT, &count, "Fresh seeds to play", "N"},
         {"seeds", 0, 0, G_OPTION_ARG_STRING, &seeds, "These seeds instead, with commas", "LIST"},
         {NULL}};
     g_autoptr(GOptionContext) options = g_option_context_new("- soak edge nodes with faults");
     g_option_context_add_main_entries(options, entries, NULL);
     g_autoptr(GError) error = NULL;
-    if (!g_option_context_parse(options, &argc, &argv, &error) || seconds < 1 || count < 1) {
+    if (!g_option_context_parse(options, &argc, &argv, &error) || seconds < 1 || count < 1 ||
+        nodes < 1 || nodes > SOAK_NODES_MAX) {
         fprintf(stderr, "wb-soak: %s\n", error != NULL ? error->message : "wrong numbers");
         return 2;
     }
@@ -161,11 +168,11 @@
     g_auto(GStrv) list = g_strsplit(seeds != NULL ? seeds : "", ",", -1);
     if (seeds == NULL) {
         for (; played < count; played++) {
-            failed += !seed_run(g_random_int(), seconds);
+            failed += !seed_run(g_random_int(), seconds, nodes);
         }
     }
     for (char **seed = list; *seed != NULL && **seed != '\0'; seed++, played++) {
-        failed += !seed_run((guint32)g_ascii_strtoull(*seed, NULL, 10), seconds);
+        failed += !seed_run((guint32)g_ascii_strtoull(*seed, NULL, 10), seconds, nodes);
     }
     printf("%d passed, %d failed\n", played - failed, failed);
     return failed == 0 ? 0 : 1;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,9 +12,11 @@
 #ifndef WICKBRIDGE_TEST_SOAK_H
 #define WICKBRIDGE_TEST_SOAK_H
 
+#include "harness/config_oracle.h"
 #include "harness/estate.h"
 
-#define SOAK_NODES 4
+#define SOAK_NODES 4 /* unless --nodes says otherwise */
+#define SOAK_NODES_MAX ESTATE_NODES
 #define SOAK_CLIENTS 12
 #define SOAK_DISTURBED_AFTER_MS 4000 /* a fault may have effects for this long after its end */
 #define SOAK_POISON_BODY "crash: no engine survives this"
@@ -22,11 +24,16 @@
 #define SOAK_EVACUATE_MS 2500 /* drain time of nodes for an evacuation without a given duration */
 #define SOAK_LEASE_HANDOVER_MS 1000
 #define SOAK_RETRY_RATIO 0.2
+#define SOAK_CONFIG_MS 2000 /* time within which a configuration takes effect */
+#define SOAK_PROBE_ROUTES 6 /* routes that the operator changes */
+
+typedef struct soak_config_writer_t soak_config_writer_t;
 
 /** Time during which a fault was active or may have had effects. */
 typedef struct soak_span_t {
     char name[32];
-    int node; /* the affected node; -1: several */
+    int node;   /* the affected node; -1: several */
+    int target; /* the node that the fault was drawn for */
     int64_t from_ms;
     int64_t to_ms; /* SOAK_DISTURBED_AFTER_MS after the fault's end */
 } soak_span_t;
@@ -49,6 +56,7 @@
     char id[32];
     const char *path; /* "/lock/x" and so on; static */
     int node;
+    int life;                  /* number of the node's process; 0: it changed meanwhile */
     int status;                /* 0: the connection closed without a response */
     gboolean complete;         /* the response arrived to its end */
     gboolean closed;           /* the node closed the connection */
@@ -62,6 +70,8 @@
 /** One run of a seed. The lock guards what threads share. */
 typedef struct soak_t {
     guint32 seed;
+    int nodes;
+    int64_t began_ms;
     GRand *rand;
     estate_t *estate;
     GMutex lock;
@@ -79,7 +89,9 @@
     gboolean has_load_shedding; /* engines reject every request for a while */
     gboolean has_engine_states; /* engines report limits and draining in responses, and ask for
                                    backoff */
-    int retry_slack;            /* retries in a window beyond the ratio */
+    soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
+    config_oracle_t *configurations;     /* what the operator wrote; guarded by the lock */
+    int retry_slack;                     /* retries in a window beyond the ratio */
     int retry_window_s;
     GArray *evacuations; /* of soak_evacuation_t */
     int engines_started; /* counter for unique engine ids */
@@ -106,6 +118,10 @@
 /** @return TRUE when a fault was active that may delay this node. @param node -1: any node */
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 
+/** @return TRUE when the node was disturbed itself, or cut off from other nodes or the store, or
+ * the store was disturbed, in this time or shortly before */
+gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+
 /** The same, without faults of this name. */
 gboolean soak_is_disturbed_except(soak_t *soak, int node, int64_t from_ms, int64_t to_ms,
                                   const char *name);
@@ -120,6 +136,25 @@
 /** Check that every kind of request is served at every node. Call after all faults are over. */
 void soak_recovery_check(soak_t *soak);
 
+/** Send a request, on the kept connection if there is one, check the response and record both.
+ * @param connection NULL: use one for this request only */
+void soak_request_send(soak_t *soak, soak_request_t *request, wire_t **connection,
+                       const char *headers, const char *body);
+
+/* config_writer.c */
+/** Start the operator, the services of its routes, and clients that probe them. @param threads
+ * takes their threads */
+void soak_config_start(soak_t *soak, GPtrArray *threads);
+void soak_config_free(soak_t *soak);
+/** Write a configuration with one thing changed. */
+void soak_config_change(soak_t *soak);
+/** @return number of the route that a probe was sent on; SOAK_PROBE_ROUTES: it isn't a probe */
+guint soak_probe_route(const char *path);
+
+/* config_checks.c */
+/** Compare how requests were handled with the configurations that the operator wrote. */
+void soak_config_check(soak_t *soak, const json_t *seen);
+
 /* faults.c */
 /** Begin and end faults as the seed determines, for this time; then end all and wait until nodes
  * are ready. */
