--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -73,8 +73,10 @@
 typedef struct wb_edge_gauges_t {
     int64_t catalog_version; /**< version of the configuration in force */
     int64_t catalog_age_ms;  /**< since the configuration was last confirmed by the store */
-    int64_t engines_age_ms;  /**< since the engines were last confirmed by the store */
-    unsigned engines;        /**< announced engines */
+    /** since the holder named a newer configuration than this node has; 0: it has the newest */
+    int64_t catalog_behind_ms;
+    int64_t engines_age_ms; /**< since the engines were last confirmed by the store */
+    unsigned engines;       /**< announced engines */
     unsigned open_requests;
     unsigned waiting_requests; /**< requests waiting for an engine or a model */
     unsigned nodes;
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -87,6 +87,12 @@
 void wb_table_watch_retry_now(wb_table_watch_t *watch);
 /** Shorten the pause before the next poll, once. */
 void wb_table_watch_expedite(wb_table_watch_t *watch);
+/** @return monotonic time since which another node has named a newer row than this node has read;
+ * 0: none has */
+int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch);
+/** @return monotonic time at which another node first named this row version, if it is the newest
+ * that one has named; 0: it isn't */
+int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version);
 /** @return TRUE during a full read, also a repeated one */
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch);
 /** @return TRUE once the first full read is complete */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -47,6 +47,7 @@
     GHashTable *tombstones;  /* key -> wb_tombstone_t */
     int64_t newest_row;      /* highest version of a row that was applied */
     int64_t peer_newest_row; /* highest version of a row that a peer has reported */
+    int64_t named_ms;        /* when a peer first reported it */
     int64_t known_ms;        /* time as of which this node has read the table; 0: never */
     int64_t read_started_ms;
     int64_t peer_known_ms;   /* time as of which a peer has read the table; 0: no peer has */
@@ -425,6 +426,8 @@
 void wb_table_watch_note_peer_read(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms) {
     if (newest_row > MAX(watch->newest_row, watch->peer_newest_row))
         watch->behind_since_ms = wb_clock_ms();
+    if (newest_row > watch->peer_newest_row)
+        watch->named_ms = wb_clock_ms();
     watch->peer_newest_row = MAX(watch->peer_newest_row, newest_row);
     watch->peer_known_ms = MAX(watch->peer_known_ms, known_ms);
     call_reschedule(watch);
@@ -447,6 +450,15 @@
     return MAX(watch->known_ms, watch->peer_known_ms);
 }
 
+int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch) {
+    gboolean behind = watch->peer_newest_row > MAX(watch->newest_row, watch->version);
+    return behind ? watch->named_ms : 0;
+}
+
+int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version) {
+    return watch->peer_newest_row == row_version ? watch->named_ms : 0;
+}
+
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch) {
     return watch->state == WB_WATCH_READING;
 }
--- a/src/edge/catalog_reader.c
+++ b/src/edge/catalog_reader.c
@@ -13,6 +13,7 @@
     guchar *value;
     gsize length;
     int64_t row_version;
+    int64_t taken_ms;
     wb_catalog_t *catalog;
     wb_error_t error;
 } wb_catalog_job_t;
@@ -42,6 +43,7 @@
     job->value = g_memdup2(row->value, row->length);
     job->length = row->length;
     job->row_version = row->version;
+    job->taken_ms = wb_clock_ms();
     return job;
 }
 
@@ -57,7 +59,8 @@
 /* Calls on_read, on the loop's thread. */
 static void job_deliver(wb_catalog_job_t *job) {
     const wb_catalog_reader_t *reader = job->reader;
-    reader->on_read(job->catalog, job->row_version, &job->error, reader->context);
+    reader->on_read(job->catalog, job->row_version, wb_clock_ms() - job->taken_ms, &job->error,
+                    reader->context);
     job_free(job);
 }
 
--- a/src/edge/catalog_reader.h
+++ b/src/edge/catalog_reader.h
@@ -23,9 +23,10 @@
  * A row was parsed.
  * @param catalog     owned by the callee; NULL when the row is invalid
  * @param row_version version of the row
+ * @param took_ms     since the row was passed to wb_catalog_reader_take
  * @param error       set when catalog is NULL
  */
-typedef void (*wb_catalog_read_fn)(wb_catalog_t *catalog, int64_t row_version,
+typedef void (*wb_catalog_read_fn)(wb_catalog_t *catalog, int64_t row_version, int64_t took_ms,
                                    const wb_error_t *error, void *context);
 
 /** The reader is never freed; it must not outlive its loop. @param dialect must outlive the reader
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -238,6 +238,7 @@
     edge->node_context = created;
     edge->controller_view = wb_edge_node_controller_view;
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
+    edge->catalog_behind_ms = wb_edge_node_catalog_behind_ms;
     created->table = table;
     created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
     edge->share =
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -133,6 +133,7 @@
     wb_timer_t *demand_timer;
     gboolean lease_held;
     gboolean ready_logged;
+    gboolean catalog_behind_logged;
     gboolean idle_closed; /* idle client connections were closed in a planned stop */
     gboolean releasing;
     int64_t release_until_ms;
@@ -156,6 +157,9 @@
  * the holder's
  * @param context the node */
 int64_t wb_edge_node_catalog_age_ms(void *context);
+/** @return ms for which the holder has named a newer configuration than this node has; 0: it hasn't
+ * @param context the node */
+int64_t wb_edge_node_catalog_behind_ms(void *context);
 /** Create the catalog reader and the watches of the catalog, engines and nodes tables. */
 void wb_edge_node_follow_store(wb_edge_node_t *node);
 /** Renew this node's row in the store and expire the rows of nodes that no longer change. */
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -43,6 +43,7 @@
     wb_edge_gauges_t gauges = {
         .catalog_version = edge->catalog != NULL ? edge->catalog->version : 0,
         .catalog_age_ms = wb_table_watch_age_ms(node->catalog_watch),
+        .catalog_behind_ms = wb_edge_node_catalog_behind_ms(node),
         .engines_age_ms = wb_table_watch_age_ms(node->engines_watch),
         .engines = g_hash_table_size(wb_fleet_all(edge->fleet)),
         .open_requests = g_hash_table_size(edge->open),
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -53,7 +53,32 @@
     return wb_clock_ms() - wb_table_watch_fresh_ms(node->catalog_watch);
 }
 
-static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog) {
+int64_t wb_edge_node_catalog_behind_ms(void *context) {
+    const wb_edge_node_t *node = context;
+    int64_t since_ms = wb_table_watch_behind_since_ms(node->catalog_watch);
+    return since_ms != 0 ? wb_clock_ms() - since_ms : 0;
+}
+
+/* Logs once that the newest configuration that the holder named isn't here after half of the time
+ * within which it must be in force. */
+static void catalog_behind_check(wb_edge_node_t *node) {
+    int64_t behind_ms = wb_edge_node_catalog_behind_ms(node);
+    if (behind_ms <= node->edge.settings.catalog_ms / 2) {
+        node->catalog_behind_logged = FALSE;
+        return;
+    }
+    if (node->catalog_behind_logged) {
+        return;
+    }
+    node->catalog_behind_logged = TRUE;
+    wb_event("catalog-behind", ",\"version\":%lld,\"for_ms\":%lld,\"own_read_age_ms\":%lld",
+             (long long)(node->edge.catalog != NULL ? node->edge.catalog->version : 0),
+             (long long)behind_ms,
+             (long long)(wb_clock_ms() - wb_table_watch_known_ms(node->catalog_watch)));
+}
+
+static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog, int64_t row_version,
+                         int64_t parse_ms) {
     wb_edge_t *edge = &node->edge;
     int64_t before = edge->catalog != NULL ? edge->catalog->version : 0;
     wb_catalog_unref(edge->catalog);
@@ -63,13 +88,17 @@
     wb_http_listener_set_limits(node->client_listener, &limits);
     wb_controller_set_catalog(node->controller, catalog);
     wb_edge_node_quota_set_limits(node);
-    wb_event("catalog-in-force", ",\"version\":%lld,\"before\":%lld,\"routes\":%u,\"services\":%u",
+    int64_t named_ms = wb_table_watch_named_ms(node->catalog_watch, row_version);
+    wb_event("catalog-in-force",
+             ",\"version\":%lld,\"before\":%lld,\"routes\":%u,\"services\":%u,"
+             "\"row_version\":%lld,\"parse_ms\":%lld,\"named_for_ms\":%lld",
              (long long)catalog->version, (long long)before, catalog->route_count,
-             g_hash_table_size(catalog->services));
+             g_hash_table_size(catalog->services), (long long)row_version, (long long)parse_ms,
+             named_ms != 0 ? (long long)(wb_clock_ms() - named_ms) : 0LL);
 }
 
-static void catalog_read_done(wb_catalog_t *catalog, int64_t row_version, const wb_error_t *error,
-                              void *context) {
+static void catalog_read_done(wb_catalog_t *catalog, int64_t row_version, int64_t took_ms,
+                              const wb_error_t *error, void *context) {
     wb_edge_node_t *node = context;
     if (catalog == NULL) {
         wb_event("catalog-refused", ",\"row_version\":%lld,\"reason\":\"%s\"",
@@ -80,7 +109,7 @@
         wb_catalog_unref(catalog);
         return;
     }
-    catalog_take(node, catalog);
+    catalog_take(node, catalog, row_version, took_ms);
     wb_exchanges_recheck_keys(&node->edge);
     wb_exchanges_retry_waiting(&node->edge);
 }
@@ -299,6 +328,7 @@
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
     node_rows_expire(node);
+    catalog_behind_check(node);
     wb_store_calls_log(&node->edge.metrics.store_calls, STORE_CALLS_LOG_MS, now_ms);
 }
 
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -51,7 +51,8 @@
         "\"rejections\":%u,\"ms\":%lld,\"waited_ms\":%lld,\"first_ms\":%lld,\"most_pause_ms\":%lld,"
         "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\",\"quota_cost\":%."
         "0f,\"digest\":\"%s\",\"out_tokens\":%lld,\"pace\":%.2f,\"running_there\":%.0f,"
-        "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld",
+        "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
+        "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -66,5 +67,8 @@
         exchange->decision.engine.pace, exchange->decision.engine.running,
         exchange->decision.engine.reading_share, exchange->decision.engine.uncached_tokens,
         exchange->decision.estimate.first_ms,
-        exchange->sends > 0 ? (long long)(now_ms - exchange->sent_ms) : 0LL);
+        exchange->sends > 0 ? (long long)(now_ms - exchange->sent_ms) : 0LL,
+        edge->catalog_age_ms != NULL ? (long long)edge->catalog_age_ms(edge->node_context) : 0LL,
+        edge->catalog_behind_ms != NULL ? (long long)edge->catalog_behind_ms(edge->node_context)
+                                        : 0LL);
 }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -131,6 +131,9 @@
     /** Duration since this node last verified that its catalog is the newest; NULL: it always is.
      */
     int64_t (*catalog_age_ms)(void *context);
+    /** Duration since a newer catalog was named that this node doesn't have; 0: none was. NULL:
+     * none ever is. */
+    int64_t (*catalog_behind_ms)(void *context);
 };
 
 /** Why a request ended, for logs and metrics. */
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -43,6 +43,8 @@
                          const char *value);
 /** Drop the change history: pending polls, and polls from an earlier version, get 410. */
 void wb_estate_store_compact(wb_estate_store_t *store);
+/** Drop the change history; for some time, full reads then show the rows as of `behind_ms` ago. */
+void wb_estate_store_set_behind(wb_estate_store_t *store, int64_t behind_ms, int64_t for_ms);
 /** Set a fault: "" (none), "busy" (503), "silent" (no response), "lost" (writes are applied,
  * without a response), "late" (writes are applied after a second, without a response), "reset"
  * (connection aborted). @param delay_ms delay before a transaction is applied and answered */
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -46,6 +46,9 @@
                                   wb_json_integer(command, "delay_ms", 0));
     else if (strcmp(name, "compact") == 0)
         wb_estate_store_compact(estate->store);
+    else if (strcmp(name, "store-behind") == 0)
+        wb_estate_store_set_behind(estate->store, wb_json_integer(command, "behind_ms", 0),
+                                   wb_json_integer(command, "for_ms", 0));
     else if (strcmp(name, "engine-start") == 0)
         g_hash_table_insert(estate->engines, g_strdup(id),
                             wb_estate_engine_start(estate->loop, estate->store, &estate->seen, id,
--- a/standins/estate/store.c
+++ b/standins/estate/store.c
@@ -7,12 +7,22 @@
 #include <string.h>
 
 #define LATE_WRITE_MS 1000
+/* Versions of a row that are kept for reads that are behind. */
+#define MAX_ROW_VERSIONS 64
+
+/* A row at one version. */
+typedef struct wb_estate_row_version_t {
+    char *value; /* base64; NULL: removed */
+    int64_t version;
+    int64_t at_ms;
+} wb_estate_row_version_t;
 
 typedef struct wb_estate_row_t {
     char *table;
     char *key;
     char *value; /* base64; NULL: removed */
     int64_t version;
+    GArray *versions; /* of wb_estate_row_version_t, oldest first; for reads that are behind */
 } wb_estate_row_t;
 
 /* A pending long poll for changes. */
@@ -44,6 +54,8 @@
     int64_t history_from; /* changes before it have expired */
     char *fault;
     int64_t delay_ms;
+    int64_t behind_ms; /* full reads show the rows as of this long ago; 0: the current ones */
+    int64_t behind_until_ms;
 };
 
 static wb_estate_row_t *row_find(const wb_estate_store_t *store, const char *table,
@@ -93,6 +105,29 @@
     return list;
 }
 
+/* Reads a table as it was at a time. Returns its rows, and the newest version of that time. */
+static json_t *past_rows_json(const wb_estate_store_t *store, const char *table, int64_t at_ms,
+                              int64_t *newest) {
+    json_t *list = json_array();
+    *newest = 0;
+    for (guint i = 0; i < store->rows->len; i++) {
+        const wb_estate_row_t *row = g_ptr_array_index(store->rows, i);
+        wb_estate_row_t past = {row->table, row->key, NULL, 0, NULL};
+        for (guint j = 0; j < row->versions->len; j++) {
+            const wb_estate_row_version_t *version =
+                &g_array_index(row->versions, wb_estate_row_version_t, j);
+            if (version->at_ms <= at_ms) {
+                past.value = version->value;
+                past.version = version->version;
+            }
+        }
+        *newest = MAX(*newest, past.version);
+        if (strcmp(row->table, table) == 0 && past.value != NULL)
+            json_array_append_new(list, row_json(&past));
+    }
+    return list;
+}
+
 static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body) {
     char *text = wb_json_dump(body);
     wb_http_connection_reply(connection, status, wb_http_status_reason(status),
@@ -141,11 +176,18 @@
         row = g_new0(wb_estate_row_t, 1);
         row->table = g_strdup(table);
         row->key = g_strdup(key);
+        row->versions = g_array_new(FALSE, FALSE, sizeof(wb_estate_row_version_t));
         g_ptr_array_add(store->rows, row);
     }
     g_free(row->value);
     row->value = g_strdup(base64);
     row->version = store->version;
+    wb_estate_row_version_t version = {g_strdup(base64), store->version, wb_clock_ms()};
+    g_array_append_val(row->versions, version);
+    if (row->versions->len > MAX_ROW_VERSIONS) {
+        g_free(g_array_index(row->versions, wb_estate_row_version_t, 0).value);
+        g_array_remove_index(row->versions, 0);
+    }
 }
 
 void wb_estate_store_put(wb_estate_store_t *store, const char *table, const char *key,
@@ -298,6 +340,23 @@
     json_decref(transaction);
 }
 
+static void read_handle(wb_estate_store_t *store, wb_http_connection_t *connection,
+                        const char *target) {
+    g_autofree char *table = query_value(target, "table");
+    int64_t now_ms = wb_clock_ms();
+    if (now_ms >= store->behind_until_ms) {
+        json_answer(connection, 200,
+                    answer_json(store, rows_json(store, table != NULL ? table : "", 0, FALSE)));
+        return;
+    }
+    int64_t newest;
+    json_t *rows =
+        past_rows_json(store, table != NULL ? table : "", now_ms - store->behind_ms, &newest);
+    json_t *answer = answer_json(store, rows);
+    json_object_set_new(answer, "ver", json_integer(newest));
+    json_answer(connection, 200, answer);
+}
+
 static void store_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
                           void *context) {
     wb_estate_store_t *store = context;
@@ -312,11 +371,9 @@
         transaction_handle(store, connection, body);
     else if (g_str_has_prefix(head->target, "/rows-feed"))
         changes_handle(store, connection, head->target);
-    else if (g_str_has_prefix(head->target, "/rows-get")) {
-        g_autofree char *table = query_value(head->target, "table");
-        json_answer(connection, 200,
-                    answer_json(store, rows_json(store, table != NULL ? table : "", 0, FALSE)));
-    } else
+    else if (g_str_has_prefix(head->target, "/rows-get"))
+        read_handle(store, connection, head->target);
+    else
         json_answer(connection, 404, json_object());
     wb_http_head_free(head);
     g_byte_array_unref(body);
@@ -370,6 +427,12 @@
     }
 }
 
+void wb_estate_store_set_behind(wb_estate_store_t *store, int64_t behind_ms, int64_t for_ms) {
+    store->behind_ms = behind_ms;
+    store->behind_until_ms = wb_clock_ms() + for_ms;
+    wb_estate_store_compact(store);
+}
+
 void wb_estate_store_set_fault(wb_estate_store_t *store, const char *fault, int64_t delay_ms) {
     g_free(store->fault);
     store->fault = g_strdup(fault);
--- a/standins/proxy/main.c
+++ b/standins/proxy/main.c
@@ -43,6 +43,11 @@
     const char *blocked = wb_json_text(body, "block", NULL);
     if (blocked != NULL)
         relay_set_blocked(relay, blocked);
+    if (json_object_get(body, "bytes_per_s") != NULL) {
+        relay_set_rate(relay, wb_json_integer(body, "bytes_per_s", 0));
+        standin_reply_json(exchange, 200, json_object());
+        return;
+    }
     relay_fault_t fault = {(relay_fault_kind_t)kind, wb_json_integer(body, "delay_ms", 0),
                            wb_json_integer(body, "bytes", 0), wb_json_integer(body, "times", 0)};
     relay_set_fault(relay, &fault);
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define CHUNK_BYTES 16384
+/* Bytes that wait for a link of limited rate, by the time that they take. */
+#define LINK_QUEUE_US 50000
 
 struct relay_t {
     wb_loop_t *loop;
@@ -13,6 +15,8 @@
     apr_pool_t *pool;
     apr_socket_t *socket;
     relay_fault_t fault;
+    int64_t bytes_per_s; /* in each direction, over all connections; 0: no limit */
+    int64_t free_us[2];  /* when the last queued byte will have passed, by direction */
     GPtrArray *pairs;
     char **blocked; /* IPs whose connections are closed; may be NULL */
 };
@@ -117,10 +121,28 @@
     return (gsize)MAX(fault->bytes - flow->forwarded, 0);
 }
 
+/* Time at which the bytes have passed a link of limited rate. */
+static int64_t passed_ms(flow_t *flow, gsize length) {
+    relay_t *relay = flow->pair->relay;
+    int64_t now_us = wb_clock_us();
+    if (relay->bytes_per_s <= 0)
+        return now_us / 1000;
+    int64_t *free_us = &relay->free_us[flow->is_response];
+    *free_us = MAX(*free_us, now_us) + (int64_t)length * G_USEC_PER_SEC / relay->bytes_per_s;
+    return *free_us / 1000;
+}
+
+/* Whether the queue holds as much as a link of limited rate buffers. */
+static gboolean flow_is_full(const flow_t *flow) {
+    const relay_t *relay = flow->pair->relay;
+    return relay->bytes_per_s > 0 &&
+           relay->free_us[flow->is_response] > wb_clock_us() + LINK_QUEUE_US;
+}
+
 static void chunk_queue(flow_t *flow, const char *data, gsize length) {
     const relay_fault_t *fault = pair_fault(flow->pair);
     chunk_t *chunk = g_malloc(sizeof(chunk_t) + length);
-    chunk->due_ms = wb_clock_ms() + (fault->kind == RELAY_DELAY ? fault->delay_ms : 0);
+    chunk->due_ms = passed_ms(flow, length) + (fault->kind == RELAY_DELAY ? fault->delay_ms : 0);
     chunk->length = length;
     chunk->sent = 0;
     memcpy(chunk->data, data, length);
@@ -131,7 +153,7 @@
     (void)events;
     flow_t *flow = context;
     pair_t *pair = flow->pair;
-    if (flow_is_frozen(flow)) {
+    if (flow_is_frozen(flow) || flow_is_full(flow)) {
         wb_watch_set_events(flow->watch, 0);
         return;
     }
@@ -158,7 +180,7 @@
     if (flow_is_frozen(flow)) {
         return TRUE;
     }
-    if (!flow->ended) {
+    if (!flow->ended && !flow_is_full(flow)) {
         wb_watch_set_events(flow->watch, APR_POLLIN);
     }
     return flow_send(flow);
@@ -297,6 +319,23 @@
     g_free(change);
 }
 
+typedef struct rate_change_t {
+    relay_t *relay;
+    int64_t bytes_per_s;
+} rate_change_t;
+
+static void rate_change(void *context) {
+    rate_change_t *change = context;
+    change->relay->bytes_per_s = change->bytes_per_s;
+    g_free(change);
+}
+
+void relay_set_rate(relay_t *relay, int64_t bytes_per_s) {
+    rate_change_t *change = g_new(rate_change_t, 1);
+    *change = (rate_change_t){relay, bytes_per_s};
+    wb_loop_post(relay->loop, rate_change, change);
+}
+
 typedef struct blocked_change_t {
     relay_t *relay;
     char **hosts;
--- a/standins/proxy/relay.h
+++ b/standins/proxy/relay.h
@@ -47,6 +47,10 @@
 /** Close connections from these IPs (separated by commas), open and new ones. Any thread. */
 void relay_set_blocked(relay_t *relay, const char *hosts);
 
+/** Limit the bytes per second that pass in each direction, over all connections; 0: no limit. Any
+ * thread. */
+void relay_set_rate(relay_t *relay, int64_t bytes_per_s);
+
 /** Set the fault. It affects open connections too, but for those that count against the `times` of
  * an earlier fault. Any thread. */
 void relay_set_fault(relay_t *relay, const relay_fault_t *fault);
--- /dev/null
+++ b/tests/edge/test_config.c
@@ -0,0 +1,96 @@
+/* A changed configuration takes effect in time at nodes that can't read it in the store themselves,
+ * and a node that may have an outdated one refuses no request as wrong. */
+#include "edge.h"
+
+#include <string.h>
+
+#define CATALOG_MS 2000 /* default of catalog-ms */
+
+static const char added_route[] =
+    ",{\"name\":\"new\",\"host\":\"a.example\",\"pathPrefix\":\"/new/\","
+    "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\",\"maxAttempts\":2}";
+
+static void route_add(estate_t *estate) {
+    g_autofree char *routes = g_strconcat(estate_default_routes(), added_route, NULL);
+    estate_configure(estate, routes);
+}
+
+static int status_of(const estate_t *estate, int node, const char *path) {
+    static int count;
+    g_autofree char *id = g_strdup_printf("c%d", ++count);
+    wire_response_t *answer =
+        wire_request(estate->nodes[node].clients_port, path, id, EDGE_DEADLINE);
+    int status = answer->status;
+    wire_response_free(answer);
+    return status;
+}
+
+/* Waits until a node serves the added route. Fails if that isn't within CATALOG_MS of the change.
+ */
+static void assert_in_force(const estate_t *estate, int node, int64_t changed_ms) {
+    while (status_of(estate, node, "/new/x") != 200) {
+        g_assert_cmpint(harness_now_ms() - changed_ms, <, CATALOG_MS);
+        g_usleep(20000);
+    }
+    g_test_message("node %d: in force after %d ms", node, (int)(harness_now_ms() - changed_ms));
+}
+
+/* Starts nodes and waits until one holds the lease and the others get its updates. */
+static estate_t *nodes_start(int count, int *holder) {
+    estate_t *estate = estate_start(count, NULL);
+    *holder = estate_wait_controller(estate, 8000);
+    g_usleep(1500000);
+    return estate;
+}
+
+/* Guards against a node that knows from the holder that there is a newer configuration, but can get
+ * it from nowhere but the store, which it doesn't reach. */
+static void test_node_without_a_store(void) {
+    static const char *const faults[] = {"cut", "freeze"};
+    for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+        int holder;
+        estate_t *estate = nodes_start(3, &holder);
+        int node = (holder + 1) % 3;
+        estate_store_fault(estate, node, faults[i], 0);
+        g_usleep(1500000);
+        route_add(estate);
+        assert_in_force(estate, node, harness_now_ms());
+        estate_stop(estate);
+    }
+}
+
+/* Guards against a node whose pending call for changes is on a connection that has gone silent: no
+ * other way was tried until the call timed out. */
+static void test_silent_connection(void) {
+    int holder;
+    estate_t *estate = nodes_start(3, &holder);
+    int node = (holder + 1) % 3;
+    process_kill(&estate->nodes[holder].process);
+    g_usleep(1400000); /* its reads are no longer fresh: the nodes poll */
+    estate_store_fault(estate, node, "freeze_answer", 0);
+    route_add(estate);
+    assert_in_force(estate, node, harness_now_ms());
+    estate_stop(estate);
+}
+
+/* Guards against 404 from a node whose configuration may be outdated: clients don't retry that. */
+static void test_no_404_while_unconfirmed(void) {
+    estate_t *estate = estate_start(1, NULL);
+    g_assert_cmpint(status_of(estate, 0, "/new/x"), ==, 404);
+    estate_store_fault(estate, 0, "freeze", 0);
+    g_usleep((CATALOG_MS + 1500) * 1000);
+    g_assert_cmpint(status_of(estate, 0, "/new/x"), ==, 503);
+    g_assert_cmpint(status_of(estate, 0, "/lock/x"), ==, 200);
+    estate_store_fault(estate, 0, "pass", 0);
+    g_usleep(2500000);
+    g_assert_cmpint(status_of(estate, 0, "/new/x"), ==, 404);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/config/node-without-a-store", test_node_without_a_store);
+    g_test_add_func("/edge/config/silent-connection", test_silent_connection);
+    g_test_add_func("/edge/config/no-404-while-unconfirmed", test_no_404_while_unconfirmed);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -294,6 +294,19 @@
     relay_fault(estate, estate->store_proxy_ports[node], fault, delay_ms, 0, 0);
 }
 
+static void relay_rate(const estate_t *estate, int port, int bytes_per_s) {
+    g_autofree char *body =
+        g_strdup_printf("{\"relay\":\"127.0.0.1:%d\",\"bytes_per_s\":%d}", port, bytes_per_s);
+    answer_t *answer = call("POST", estate->proxy_control_port, "/", NULL, body, 5000);
+    g_assert_cmpint(answer->status, ==, 200);
+    answer_free(answer);
+}
+
+void estate_link_rate(const estate_t *estate, int node, int bytes_per_s) {
+    relay_rate(estate, estate->store_proxy_ports[node], bytes_per_s);
+    relay_rate(estate, estate->link_proxy_ports[node], bytes_per_s);
+}
+
 void estate_link_fault(const estate_t *estate, int node, const char *fault, int delay_ms) {
     relay_fault(estate, estate->link_proxy_ports[node], fault, delay_ms, 0, 0);
 }
--- a/tests/soak/config_writer.c
+++ b/tests/soak/config_writer.c
@@ -7,6 +7,9 @@
 #define PROBE_CLIENTS 6
 #define PROBE_GAP_MAX_MS 60
 #define CHANGE_GAP_MAX_MS 2500
+/* Sometimes nothing changes for longer, so that a node which missed a change isn't helped by the
+ * next one. */
+#define REST_GAP_MAX_MS 14000
 #define SERIES_MAX 12
 #define SERIES_GAP_MS 200
 /* Routes that make a configuration too large to be parsed on a node's event loop. */
@@ -106,7 +109,12 @@
             soak_config_change(soak);
             g_usleep(is_series ? SERIES_GAP_MS * 1000 : 0);
         }
-        g_usleep((gulong)g_rand_int_range(rand, 0, CHANGE_GAP_MAX_MS) * 1000);
+        gboolean rests = g_rand_int_range(rand, 0, 3) == 0;
+        int gap_ms = g_rand_int_range(rand, 0, rests ? REST_GAP_MAX_MS : CHANGE_GAP_MAX_MS);
+        for (int waited_ms = 0; waited_ms < gap_ms && !g_atomic_int_get(&soak->stop);
+             waited_ms += 50) {
+            g_usleep(50000);
+        }
     }
     g_rand_free(rand);
     return NULL;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -52,10 +52,12 @@
 }
 
 static void pause_begin(soak_fault_t *fault, soak_t *soak) {
+    g_atomic_int_set(&soak->paused[fault->node], 1);
     process_signal(process_of(fault, soak), SIGSTOP);
 }
 
 static void pause_end(soak_fault_t *fault, soak_t *soak) {
+    g_atomic_int_set(&soak->paused[fault->node], 0);
     process_signal(process_of(fault, soak), SIGCONT);
 }
 
@@ -200,6 +202,12 @@
     }
 }
 
+/* Forgets the history, so that nodes read tables whole, which are behind by up to 3 s. */
+static void store_behind_begin(soak_fault_t *fault, soak_t *soak) {
+    estate_command(soak->estate, "{\"do\":\"store-behind\",\"behind_ms\":%d,\"for_ms\":%d}",
+                   500 + fault->variant * 5 / 2, 300 + fault->variant % 7 * 300);
+}
+
 static const char *engine_name(const soak_fault_t *fault) {
     static const char *const engines[] = {"llm-1", "llm-2", "lock-1", "lock-2"};
     return engines[fault->variant % (int)G_N_ELEMENTS(engines)];
@@ -331,6 +339,9 @@
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
+static const soak_fault_kind_t behind_kind = {
+    "store-behind", store_behind_begin, end_nothing, 2500, 3000, FALSE};
+
 static const soak_fault_kind_t build_kind = {"other-build", build_begin, node_relaunch, 50,
                                              300,           TRUE};
 
@@ -369,6 +380,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->config_writer != NULL && g_rand_int_range(soak->rand, 0, 6) == 0) {
+        return &behind_kind;
+    }
     if (soak->has_engine_states && g_rand_int_range(soak->rand, 0, 3) == 0) {
         return &state_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(state_kinds))];
     }
@@ -484,7 +498,7 @@
 gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     static const char *const own[] = {
         "kill", "pause", "planned-stop", "other-build", "way-to-node", "way-to-store", NULL};
-    static const char *const common[] = {"all-killed", "store", NULL};
+    static const char *const common[] = {"all-killed", "store", "store-behind", NULL};
     gboolean found = FALSE;
     g_mutex_lock(&soak->lock);
     for (guint i = 0; i < soak->spans->len; i++) {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -70,9 +70,18 @@
     }
 }
 
+typedef struct soak_options_t {
+    int seconds; /* length of the faults */
+    int nodes;
+    int processor_percent; /* of a core, for all nodes but the first two; 0: no limit */
+} soak_options_t;
+
 /* Runs one seed. Returns TRUE when all checks passed. */
-static gboolean seed_run(guint32 seed, int seconds, int nodes) {
-    soak_t soak = {.seed = seed, .nodes = nodes, .rand = g_rand_new_with_seed(seed)};
+static gboolean seed_run(guint32 seed, const soak_options_t *options) {
+    soak_t soak = {.seed = seed,
+                   .nodes = options->nodes,
+                   .processor_percent = options->processor_percent,
+                   .rand = g_rand_new_with_seed(seed)};
     /* With load shedding the window is short, so that a killed node's share is available again
      * within the run. */
     soak.has_load_shedding = seed / 512 % 2 == 1;
@@ -89,7 +98,7 @@
     soak.drains = g_array_new(FALSE, FALSE, sizeof(soak_drain_t));
     soak.requests = g_array_new(FALSE, FALSE, sizeof(soak_request_t));
     soak.failures = g_ptr_array_new_with_free_func(g_free);
-    soak.estate = estate_start(nodes, flags);
+    soak.estate = estate_start(soak.nodes, flags);
     soak.has_poison = seed / 16 % 2 == 0;
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
@@ -102,12 +111,14 @@
     if (soak.has_zones) {
         engines_keep_ids(soak.estate);
     }
+    GPtrArray *limits = g_ptr_array_new();
+    soak_processor_limit(&soak, limits);
     GPtrArray *clients = soak_clients_start(&soak);
     GPtrArray *poison = soak_poison_start(&soak);
     if (seed / 2048 % 2 == 1) {
         soak_config_start(&soak, clients);
     }
-    soak_faults_run(&soak, (int64_t)seconds * 1000);
+    soak_faults_run(&soak, (int64_t)options->seconds * 1000);
     g_atomic_int_set(&soak.stop, 1);
     soak_clients_join(clients);
     soak_recovery_check(&soak);
@@ -116,6 +127,8 @@
     }
     g_atomic_int_set(&soak.poison_stop, 1);
     soak_clients_join(poison);
+    g_atomic_int_set(&soak.processor_stop, 1);
+    soak_clients_join(limits);
     exits_check(&soak);
     soak_checks_run(&soak);
     gboolean passed = soak.failures->len == 0;
@@ -143,21 +156,23 @@
 }
 
 int main(int argc, char **argv) {
-    int seconds = DEFAULT_SECONDS;
+    soak_options_t options = {DEFAULT_SECONDS, SOAK_NODES, 0};
     int count = 1;
-    int nodes = SOAK_NODES;
     char *seeds = NULL;
     const GOptionEntry entries[] = {
-        {"seconds", 's', 0, G_OPTION_ARG_INT, &seconds, "Length of each seed's faults", "S"},
-        {"nodes", 0, 0, G_OPTION_ARG_INT, &nodes, "Nodes to run", "N"},
+        {"seconds", 's', 0, G_OPTION_ARG_INT, &options.seconds, "Length of each seed's faults",
+         "S"},
+        {"nodes", 0, 0, G_OPTION_ARG_INT, &options.nodes, "Nodes to run", "N"},
+        {"processor", 0, 0, G_OPTION_ARG_INT, &options.processor_percent,
+         "Limit nodes but the first two to this share of a core", "PERCENT"},
         {"count", 'n', 0, G_OPTION_ARG_INT, &count, "Fresh seeds to play", "N"},
         {"seeds", 0, 0, G_OPTION_ARG_STRING, &seeds, "These seeds instead, with commas", "LIST"},
         {NULL}};
-    g_autoptr(GOptionContext) options = g_option_context_new("- soak edge nodes with faults");
-    g_option_context_add_main_entries(options, entries, NULL);
+    g_autoptr(GOptionContext) context = g_option_context_new("- soak edge nodes with faults");
+    g_option_context_add_main_entries(context, entries, NULL);
     g_autoptr(GError) error = NULL;
-    if (!g_option_context_parse(options, &argc, &argv, &error) || seconds < 1 || count < 1 ||
-        nodes < 1 || nodes > SOAK_NODES_MAX) {
+    if (!g_option_context_parse(context, &argc, &argv, &error) || options.seconds < 1 ||
+        count < 1 || options.nodes < 1 || options.nodes > SOAK_NODES_MAX) {
         fprintf(stderr, "wb-soak: %s\n", error != NULL ? error->message : "wrong numbers");
         return 2;
     }
@@ -168,11 +183,11 @@
     g_auto(GStrv) list = g_strsplit(seeds != NULL ? seeds : "", ",", -1);
     if (seeds == NULL) {
         for (; played < count; played++) {
-            failed += !seed_run(g_random_int(), seconds, nodes);
+            failed += !seed_run(g_random_int(), &options);
         }
     }
     for (char **seed = list; *seed != NULL && **seed != '\0'; seed++, played++) {
-        failed += !seed_run((guint32)g_ascii_strtoull(*seed, NULL, 10), seconds, nodes);
+        failed += !seed_run((guint32)g_ascii_strtoull(*seed, NULL, 10), &options);
     }
     printf("%d passed, %d failed\n", played - failed, failed);
     return failed == 0 ? 0 : 1;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -80,6 +80,9 @@
     GArray *requests;    /* of soak_request_t */
     GPtrArray *failures; /* texts of failed checks, owned */
     gint stop;
+    gint processor_stop;
+    int processor_percent;       /* of a core, for all nodes but the first two; 0: no limit */
+    gint paused[SOAK_NODES_MAX]; /* by a fault: must not be resumed */
     gint poison_stop;
     gboolean has_poison; /* a request that crashes engines is sent repeatedly */
     gboolean has_paces;  /* engines differ in pace, and one reports a value out of range */
@@ -151,6 +154,10 @@
 /** @return number of the route that a probe was sent on; SOAK_PROBE_ROUTES: it isn't a probe */
 guint soak_probe_route(const char *path);
 
+/* processor.c */
+/** Start to limit the processor of nodes, if this run does. @param threads takes the thread */
+void soak_processor_limit(soak_t *soak, GPtrArray *threads);
+
 /* config_checks.c */
 /** Compare how requests were handled with the configurations that the operator wrote. */
 void soak_config_check(soak_t *soak, const json_t *seen);
--- a/tests/unit/test_catalog_reader.c
+++ b/tests/unit/test_catalog_reader.c
@@ -41,8 +41,9 @@
     wb_catalog_reader_take(fixture->reader, &row);
 }
 
-static void record_read(wb_catalog_t *catalog, int64_t row_version, const wb_error_t *error,
-                        void *context) {
+static void record_read(wb_catalog_t *catalog, int64_t row_version, int64_t took_ms,
+                        const wb_error_t *error, void *context) {
+    (void)took_ms;
     fixture_t *fixture = context;
     if (catalog == NULL) {
         g_assert_cmpstr(error->message, ==, "it makes no sense");
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -384,7 +384,77 @@
     g_assert_cmpstr(subset, ==, "+a@10 +b@11 +d@12 +b@11 +b@15 ");
 }
 
+/* A store that forgets its history and then, for some reads, shows an older state. */
+typedef struct behind_t {
+    wb_table_t table; /* first */
+    wb_loop_t *loop;
+    wb_table_watch_t *watch;
+    int reads;
+    int stale_reads; /* full reads after the first that are behind */
+    script_t script; /* records rows */
+} behind_t;
+
+static void behind_read(wb_table_t *self, wb_table_name_t table, const char *from_key,
+                        wb_table_answer_fn on_answer, void *context) {
+    (void)table;
+    (void)from_key;
+    behind_t *behind = (behind_t *)self;
+    int64_t version = ++behind->reads <= 1 + behind->stale_reads ? 5 : 9;
+    GPtrArray *rows = rows_make();
+    g_ptr_array_add(rows, row_make("a", version));
+    send_answer(on_answer, context, WB_TABLE_DONE, rows, version);
+}
+
+/* Never answers a long poll; else the history is gone. */
+static void behind_changes(wb_table_t *self, wb_table_name_t table, int64_t after, int64_t wait_ms,
+                           wb_table_answer_fn on_answer, void *context) {
+    (void)self;
+    (void)table;
+    if (after >= 9) {
+        return;
+    }
+    (void)wait_ms;
+    send_answer(on_answer, context, WB_TABLE_HISTORY_EXPIRED, rows_make(), 0);
+}
+
+static void peer_confirm(void *context) {
+    behind_t *behind = context;
+    wb_table_watch_note_peer_read(behind->watch, 9, wb_clock_ms());
+}
+
+static void behind_end(void *context) {
+    behind_t *behind = context;
+    g_assert_cmpstr(behind->script.seen->str, ==, "+a@5 +a@9 ");
+    g_assert_cmpint(behind->reads, <=, 2 + behind->stale_reads);
+    wb_loop_quit(behind->loop);
+}
+
+/* Guards against a node that stops looking for a version that a peer has named, because a read that
+ * began later was behind and didn't have it. */
+static void test_named_version_is_read(void) {
+    behind_t behind = {.stale_reads = 1};
+    wb_error_t error;
+    wb_table_watch_events_t events = {record_row, ignore_batch, NULL, &behind.script};
+    wb_table_watch_intervals_t pace = {.wait_ms = 10,
+                                       .pause_ms = 20,
+                                       .peer_read_valid_ms = 60000,
+                                       .look_ms = 20,
+                                       .safety_ms = 60000,
+                                       .full_read_valid_ms = 60000};
+    g_assert_cmpint(wb_loop_create(&behind.loop, "test", 16, &error), ==, APR_SUCCESS);
+    behind.table = (wb_table_t){behind_read, behind_changes, NULL};
+    behind.script.seen = g_string_new(NULL);
+    behind.watch =
+        wb_table_watch_create(behind.loop, &behind.table, WB_TABLE_CATALOG, &pace, &events);
+    wb_timer_t *confirm = wb_loop_every(behind.loop, 50, peer_confirm, &behind);
+    wb_loop_after(behind.loop, 1000, behind_end, &behind);
+    wb_loop_run(behind.loop);
+    wb_timer_cancel(confirm);
+    g_string_free(behind.script.seen, TRUE);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/table-watch/named-version-is-read", test_named_version_is_read);
     g_test_add_func("/table-watch/large-table", test_large_table);
     g_test_add_func("/table-watch/look-after-failures", test_look_after_failures);
     g_test_add_func("/table-watch/whole-read-is-trusted", test_whole_read_is_trusted);
