A version that a peer has named is looked for until it is read

What callers saw: requests run by the service that a route had led to before, added routes not served, until the next change of the configuration or for up to four minutes. Cause: that a newer row exists was a mark with a time, set when a peer first named the row and cleared by any read that began later. A read that is older than the row (a full read after the store has forgotten its history, while its reads are behind) cleared it; the same version was never news again, and as the holder vouches for its own table the node rested until the longest interval between own reads. Why this works: whether a row is missing is now derived from what was named and what was read, so that only the row itself, or a table read at a later version, ends the search. Changes that are announced without a version keep the mark.

--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -50,11 +50,12 @@
     int64_t named_ms;        /* when a peer first reported it */
     int64_t known_ms;        /* time as of which this node has read the table; 0: never */
     int64_t read_started_ms;
-    int64_t peer_known_ms;   /* time as of which a peer has read the table; 0: no peer has */
-    int64_t behind_since_ms; /* when something changed that isn't known here; 0: up to date */
-    double jitter;           /* random factor of the interval between own calls */
-    GHashTable *read_keys;   /* keys in the current full read */
-    GPtrArray *read_rows;    /* rows of the current full read */
+    int64_t peer_known_ms; /* time as of which a peer has read the table; 0: no peer has */
+    int64_t announced_ms;  /* when a change without a version was announced that no later read has
+                              covered; 0: none */
+    double jitter;         /* random factor of the interval between own calls */
+    GHashTable *read_keys; /* keys in the current full read */
+    GPtrArray *read_rows;  /* rows of the current full read */
     char *next_key;
     int64_t read_version; /* minimum of the table versions of the full read's pages */
     int64_t version;      /* table version up to which changes are known */
@@ -163,14 +164,24 @@
 /* The table is now known as of `known_ms`, the start of the call that returned it. */
 static void known_update(wb_table_watch_t *watch, int64_t known_ms) {
     watch->known_ms = known_ms;
-    if (known_ms >= watch->behind_since_ms)
-        watch->behind_since_ms = 0;
+    if (known_ms >= watch->announced_ms)
+        watch->announced_ms = 0;
+}
+
+/* Whether a peer has reported a row that this node hasn't read. A read that is older than the row
+ * doesn't change that. */
+static gboolean row_is_missing(const wb_table_watch_t *watch) {
+    return watch->peer_newest_row > MAX(watch->newest_row, watch->version);
+}
+
+static gboolean is_behind(const wb_table_watch_t *watch) {
+    return watch->announced_ms != 0 || row_is_missing(watch);
 }
 
 /* Returns when the next call for changes is due, after the one started at called_ms. */
 static int64_t next_call_ms(const wb_table_watch_t *watch) {
     int64_t retry_at_ms = watch->failed_ms + watch->retry_ms;
-    if (watch->peer_known_ms != 0 && watch->behind_since_ms != 0) {
+    if (watch->peer_known_ms != 0 && is_behind(watch)) {
         /* Something is known to have changed, so the node that reported it reaches the store: check
          * again soon. */
         int64_t check_retry_ms = watch->failed_ms + MIN(watch->retry_ms, CHECK_RETRY_MS);
@@ -317,7 +328,7 @@
         return WB_STORE_CAUSE_RETRY;
     if (watch->peer_known_ms == 0)
         return WB_STORE_CAUSE_POLL;
-    if (watch->behind_since_ms != 0)
+    if (is_behind(watch))
         return WB_STORE_CAUSE_CHANGE;
     if (now_ms >= watch->peer_known_ms + watch->settings.peer_read_valid_ms)
         return WB_STORE_CAUSE_STALE;
@@ -424,8 +435,6 @@
 }
 
 void wb_table_watch_note_peer_read(wb_table_watch_t *watch, int64_t newest_row, int64_t known_ms) {
-    if (newest_row > MAX(watch->newest_row, watch->peer_newest_row))
-        watch->behind_since_ms = wb_clock_ms();
     if (newest_row > watch->peer_newest_row)
         watch->named_ms = wb_clock_ms();
     watch->peer_newest_row = MAX(watch->peer_newest_row, newest_row);
@@ -434,7 +443,7 @@
 }
 
 void wb_table_watch_poll_soon(wb_table_watch_t *watch) {
-    watch->behind_since_ms = wb_clock_ms();
+    watch->announced_ms = wb_clock_ms();
     call_reschedule(watch);
 }
 
@@ -451,8 +460,7 @@
 }
 
 int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch) {
-    gboolean behind = watch->peer_newest_row > MAX(watch->newest_row, watch->version);
-    return behind ? watch->named_ms : 0;
+    return row_is_missing(watch) ? watch->named_ms : 0;
 }
 
 int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version) {
