Nodes get the configuration from each other when the store doesn't answer in time

What callers saw: nodes that the store turned away, or whose call to it hung, ran requests by routes that had moved, and refused added ones with 404, until the store served them again. Cause: a configuration came to a node by one way only, its own read of the store, one call at a time. The holder's updates named the newest version but nobody sent it; a call that is pending on a connection that went silent blocks the next one for catalog-ms and the store's time-out, longer than the change may take. Change: a node asks a peer when a version was named that its own call hasn't brought (at once if that call fails, else after a fifth of catalog-ms), and when nothing has confirmed its configuration for 0.65 of catalog-ms. Peers are asked one after the other in an order of its own; each answers with what it knows, how long ago that was confirmed, and the row if it is newer. What a peer confirms counts from when it was asked, not from when the answer came. A node sends at most what 600 kB a second would carry, and then only confirms. Why it works: whatever happens to the store's connection, the delay is at most 0.65 of the bound, two peers that don't answer (0.4 s each), and the row's way; no peer is set aside for it. Weighed: rows pushed by the holder (86 copies over its link of 10 Mbit/s take seconds for a large configuration), and all reads from peers (no calls to the store, but the same bytes twice between zones).

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -155,6 +155,7 @@
     wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
     wb_edge_node_tick_rows(node, now_ms);
+    wb_edge_node_tick_catalog(node, now_ms);
     wb_edge_node_tick_share(node, now_ms);
     wb_edge_node_tick_directory(node, now_ms);
     wb_edge_node_tick_relay(node, now_ms);
@@ -252,6 +253,7 @@
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
     created->zones = wb_edge_node_zones_create();
+    created->catalog_exchange = wb_edge_node_catalog_exchange_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->own_quota_ledger = wb_quota_ledger_create();
     created->quota_row = g_byte_array_new();
--- /dev/null
+++ b/src/edge/node_catalog.c
@@ -0,0 +1,203 @@
+/* Gets the configuration from another node when the store doesn't answer this one in time
+ * (catalog_fetch.h), and answers nodes that ask.
+ * A peer answers on the link on which it was asked: the newest row version that it knows, how long
+ * ago it was confirmed, and the configuration if the asking node's is older. One peer is asked at a
+ * time; one that doesn't answer is followed by the next.
+ * Times are in ms. Failures are logged; the next peer is asked on a later tick. */
+#include "edge/edge_node_types.h"
+
+#include "edge/catalog_fetch.h"
+
+#include <string.h>
+
+/* Time for a peer to answer; with the row, until the first bytes of it. */
+#define ANSWER_TIMEOUT_MS 400
+/* Delay after an answer or a failure before the next peer is asked. */
+#define NEXT_PEER_MS 50
+/* Once all peers were asked, they are asked again after this delay, doubled each time. */
+#define ROUND_MS 500
+#define ROUND_MAX_MS 4000
+
+struct wb_catalog_exchange_t {
+    wb_link_t *link; /* to the peer that is asked; NULL: none is */
+    char *peer;
+    GHashTable *asked; /* ids of peers asked in this round */
+    int64_t asked_ms;
+    int64_t next_ms;
+    int64_t round_ms;
+    gboolean answered;
+    wb_table_row_t *row; /* the configuration as last read, for peers; NULL: none yet */
+    wb_catalog_send_budget_t budget;
+};
+
+wb_catalog_exchange_t *wb_edge_node_catalog_exchange_create(void) {
+    wb_catalog_exchange_t *exchange = g_new0(wb_catalog_exchange_t, 1);
+    exchange->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    exchange->round_ms = ROUND_MS;
+    return exchange;
+}
+
+void wb_edge_node_catalog_keep(wb_edge_node_t *node, const wb_table_row_t *row) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    g_clear_pointer(&exchange->row, wb_table_row_free);
+    exchange->row = wb_table_row_create(row->key, g_memdup2(row->value, row->length), row->length,
+                                        row->version);
+}
+
+/* Answering. */
+
+void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
+                                 const wb_wire_catalog_fetch *fetch) {
+    const wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    const wb_table_row_t *row = exchange->row;
+    int64_t now_ms = wb_clock_ms();
+    int64_t fresh_ms = wb_table_watch_fresh_ms(node->catalog_watch);
+    g_autoptr(GArray) rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
+    wb_wire_message message = {.kind = WB_WIRE_CATALOG_ANSWER};
+    wb_wire_catalog_answer *answer = &message.wb_wire_message_u.catalog_answer;
+    answer->newest = (uint64_t)wb_table_watch_newest_row(node->catalog_watch);
+    answer->age_ms = fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
+    if (row != NULL && row->version > (int64_t)fetch->have &&
+        wb_catalog_send_budget_take(&node->catalog_exchange->budget, row->length, now_ms)) {
+        wb_edge_node_wire_row_add(rows, WB_TABLE_CATALOG, row);
+        node->edge.metrics.catalog_rows_sent++;
+    }
+    answer->rows.rows_len = rows->len;
+    answer->rows.rows_val = (wb_wire_table_row *)(void *)rows->data;
+    wb_link_send(link, &message);
+    for (guint i = 0; i < rows->len; i++) {
+        xdr_free((xdrproc_t)xdr_wb_wire_table_row,
+                 (char *)&g_array_index(rows, wb_wire_table_row, i));
+    }
+}
+
+/* Asking. */
+
+static void peer_done(wb_edge_node_t *node) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    exchange->link = NULL;
+    exchange->next_ms = wb_clock_ms() + NEXT_PEER_MS;
+}
+
+static void link_open(wb_link_t *link, void *context) {
+    wb_edge_node_t *node = context;
+    wb_wire_message message = {.kind = WB_WIRE_CATALOG_FETCH};
+    wb_edge_node_handshake_send(node, link);
+    message.wb_wire_message_u.catalog_fetch.have =
+        (uint64_t)wb_table_watch_newest_row(node->catalog_watch);
+    wb_link_send(link, &message);
+}
+
+/* The answer was made after the question was sent, which bounds the age of what it confirms. */
+static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    for (guint i = 0; i < answer->rows.rows_len; i++) {
+        const wb_wire_table_row *wire = &answer->rows.rows_val[i];
+        wb_table_row_t row = {wire->key, (guchar *)wire->value.value_val, wire->value.value_len,
+                              (int64_t)wire->row_version};
+        if (wire->table != WB_TABLE_CATALOG || wire->removed ||
+            strcmp(wire->key, node->edge.dialect->catalog_key) != 0) {
+            continue;
+        }
+        wb_table_watch_apply_row(node->catalog_watch, &row);
+        node->edge.metrics.catalog_rows_fetched++;
+        wb_event("catalog-fetched",
+                 ",\"from\":\"%s\",\"row_version\":%lld,\"age_ms\":%u,\"ms\":%lld",
+                 wb_event_escape(exchange->peer), (long long)row.version, answer->age_ms,
+                 (long long)(wb_clock_ms() - exchange->asked_ms));
+    }
+    wb_table_watch_note_peer_read(node->catalog_watch, (int64_t)answer->newest,
+                                  exchange->asked_ms - (int64_t)answer->age_ms);
+}
+
+static void link_message(wb_link_t *link, const wb_wire_message *message, void *context) {
+    wb_edge_node_t *node = context;
+    if (message->kind != WB_WIRE_CATALOG_ANSWER) {
+        return;
+    }
+    node->catalog_exchange->answered = TRUE;
+    answer_take(node, &message->wb_wire_message_u.catalog_answer);
+    wb_link_close_later(link, "answered");
+}
+
+static void link_close(wb_link_t *link, const char *reason, void *context) {
+    (void)link;
+    wb_edge_node_t *node = context;
+    if (!node->catalog_exchange->answered) {
+        wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"",
+                 wb_event_escape(node->catalog_exchange->peer), wb_event_escape(reason));
+    }
+    peer_done(node);
+}
+
+/* Returns the ids of the nodes that could be asked; borrowed. */
+static GPtrArray *peers_list(const wb_edge_node_t *node) {
+    GPtrArray *peers = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer id;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, &id, &value)) {
+        const wb_node_row_t *row = value;
+        if (row->address != NULL && row->format_version >= 2) {
+            g_ptr_array_add(peers, id);
+        }
+    }
+    return peers;
+}
+
+static void peer_ask(wb_edge_node_t *node, int64_t now_ms) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    g_autoptr(GPtrArray) peers = peers_list(node);
+    const char *id = wb_catalog_fetch_choose_peer(peers, node->edge.settings.id, exchange->asked);
+    if (id == NULL) {
+        g_hash_table_remove_all(exchange->asked);
+        exchange->next_ms = now_ms + exchange->round_ms;
+        exchange->round_ms = MIN(2 * exchange->round_ms, ROUND_MAX_MS);
+        return;
+    }
+    const wb_node_row_t *row = g_hash_table_lookup(node->nodes, id);
+    wb_link_events_t events = {link_open, link_message, link_close, node, NULL, NULL};
+    wb_error_t error;
+    g_free(exchange->peer);
+    exchange->peer = g_strdup(id);
+    g_hash_table_add(exchange->asked, g_strdup(id));
+    exchange->asked_ms = now_ms;
+    exchange->answered = FALSE;
+    node->edge.metrics.catalog_fetches++;
+    if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
+                        &exchange->link, &error) != APR_SUCCESS) {
+        wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
+                 wb_event_escape(error.message));
+        peer_done(node);
+    }
+}
+
+static gboolean fetch_is_due(wb_edge_node_t *node) {
+    wb_catalog_status_t status = {.age_ms = wb_edge_node_catalog_age_ms(node),
+                                  .behind_ms = wb_edge_node_catalog_behind_ms(node),
+                                  .store_failing = node->store_unavailable[WB_TABLE_CATALOG],
+                                  .bound_ms = node->edge.settings.catalog_ms};
+    return wb_table_watch_is_synced(node->catalog_watch) && wb_catalog_fetch_is_due(&status);
+}
+
+void wb_edge_node_tick_catalog(wb_edge_node_t *node, int64_t now_ms) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    if (exchange->link != NULL) {
+        if (now_ms - exchange->asked_ms > ANSWER_TIMEOUT_MS) {
+            wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
+                     wb_event_escape(exchange->peer));
+            wb_link_close(exchange->link);
+            peer_done(node);
+        }
+        return;
+    }
+    if (!fetch_is_due(node)) {
+        g_hash_table_remove_all(exchange->asked);
+        exchange->round_ms = ROUND_MS;
+        return;
+    }
+    if (now_ms >= exchange->next_ms) {
+        peer_ask(node, now_ms);
+    }
+}
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -137,6 +137,8 @@
         wb_edge_node_poison_take(node, &message->wb_wire_message_u.poison);
     if (message->kind == WB_WIRE_ENGINE_STATES)
         wb_edge_node_states_take(node, &message->wb_wire_message_u.engine_states);
+    if (message->kind == WB_WIRE_CATALOG_FETCH)
+        wb_edge_node_catalog_answer(node, link, &message->wb_wire_message_u.catalog_fetch);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -118,8 +118,10 @@
     wb_edge_node_t *node = context;
     if (wb_edge_node_zone_row(node, row))
         return;
-    if (strcmp(row->key, node->edge.dialect->catalog_key) == 0 && row->value != NULL)
-        wb_catalog_reader_take(node->catalog_reader, row);
+    if (strcmp(row->key, node->edge.dialect->catalog_key) != 0 || row->value == NULL)
+        return;
+    wb_edge_node_catalog_keep(node, row);
+    wb_catalog_reader_take(node->catalog_reader, row);
 }
 
 static void catalog_batch(gboolean full_read, void *context) {
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -471,6 +471,18 @@
     wb_wire_engine_state engines<WB_WIRE_LIST_MAX>;
 };
 
+/* A node that can't read the configuration in the store asks another one. */
+struct wb_wire_catalog_fetch {
+    unsigned hyper have; /* newest row version of the catalog that the sender has */
+};
+
+/* The answer. `rows` is empty if the sender has nothing newer, or sends too much already. */
+struct wb_wire_catalog_answer {
+    unsigned hyper newest; /* newest row version of the catalog that the sender has */
+    unsigned int age_ms;   /* since that was last confirmed to be the newest */
+    wb_wire_table_row rows<8>;
+};
+
 /* Version of the message format; edge nodes send theirs in the incarnation of the handshake.
  * Version 1 is the message alone; in version 2 extensions may follow it. docs/COMPATIBILITY.md says
  * what a release may change. */
@@ -528,7 +540,9 @@
     WB_WIRE_ENGINE_LOADS = 24,
     WB_WIRE_ENGINE_SUBSCRIBE = 25, /* this and later kinds are sent only to readers of version 2 */
     WB_WIRE_ENGINE_UPDATE = 26,
-    WB_WIRE_ENGINE_STATES = 27
+    WB_WIRE_ENGINE_STATES = 27,
+    WB_WIRE_CATALOG_FETCH = 28,
+    WB_WIRE_CATALOG_ANSWER = 29
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -586,4 +600,8 @@
     wb_wire_engine_update engine_update;
 case WB_WIRE_ENGINE_STATES:
     wb_wire_engine_states engine_states;
+case WB_WIRE_CATALOG_FETCH:
+    wb_wire_catalog_fetch catalog_fetch;
+case WB_WIRE_CATALOG_ANSWER:
+    wb_wire_catalog_answer catalog_answer;
 };
