404 and 401 only by a configuration that is confirmed to be the newest

What callers saw: requests on routes that had been added were ended with 404 by nodes that hadn't read the configuration which added them; clients don't retry a 404. Cause: only keys asked whether the configuration may be out of date, and by its age alone: an age that another node's read makes young also while this one lacks the version that the read found. Change: one question for routes, models, adapters and keys: confirmed within catalog-ms, no newer version named, none received that isn't in force yet. If not so, 503 with Retry-After ('unverified'), which is true: it has not run.

--- a/src/edge/catalog_reader.c
+++ b/src/edge/catalog_reader.c
@@ -24,6 +24,7 @@
     wb_catalog_read_fn on_read;
     void *context;
     gboolean busy;          /* a thread is parsing */
+    int64_t busy_since_ms;  /* when its row was taken */
     wb_catalog_job_t *next; /* the newest row that arrived meanwhile, or NULL */
 };
 
@@ -94,6 +95,7 @@
         return;
     }
     job->reader->busy = TRUE;
+    job->reader->busy_since_ms = job->taken_ms;
     g_thread_unref(thread);
 }
 
@@ -111,3 +113,7 @@
         job_start(job);
     }
 }
+
+int64_t wb_catalog_reader_pending_since_ms(const wb_catalog_reader_t *reader) {
+    return reader->busy ? reader->busy_since_ms : 0;
+}
--- a/src/edge/catalog_reader.h
+++ b/src/edge/catalog_reader.h
@@ -36,4 +36,7 @@
 /** Parse a row that has a value; the row is copied. on_read may be called before this returns. */
 void wb_catalog_reader_take(wb_catalog_reader_t *reader, const wb_table_row_t *row);
 
+/** @return monotonic time since which a row is being parsed or waits for that; 0: none does */
+int64_t wb_catalog_reader_pending_since_ms(const wb_catalog_reader_t *reader);
+
 #endif
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -159,7 +159,8 @@
  * the holder's
  * @param context the node */
 int64_t wb_edge_node_catalog_age_ms(void *context);
-/** @return ms for which the holder has named a newer configuration than this node has; 0: it hasn't
+/** @return ms since a newer configuration than the one in force was named or received; 0: there is
+ * none
  * @param context the node */
 int64_t wb_edge_node_catalog_behind_ms(void *context);
 /** Create the catalog reader and the watches of the catalog, engines and nodes tables. */
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -173,9 +173,10 @@
     }
 }
 
-static gboolean fetch_is_due(wb_edge_node_t *node) {
+static gboolean fetch_is_due(wb_edge_node_t *node, int64_t now_ms) {
+    int64_t behind_since_ms = wb_table_watch_behind_since_ms(node->catalog_watch);
     wb_catalog_status_t status = {.age_ms = wb_edge_node_catalog_age_ms(node),
-                                  .behind_ms = wb_edge_node_catalog_behind_ms(node),
+                                  .behind_ms = behind_since_ms != 0 ? now_ms - behind_since_ms : 0,
                                   .store_failing = node->store_unavailable[WB_TABLE_CATALOG],
                                   .bound_ms = node->edge.settings.catalog_ms};
     return wb_table_watch_is_synced(node->catalog_watch) && wb_catalog_fetch_is_due(&status);
@@ -192,7 +193,7 @@
         }
         return;
     }
-    if (!fetch_is_due(node)) {
+    if (!fetch_is_due(node, now_ms)) {
         g_hash_table_remove_all(exchange->asked);
         exchange->round_ms = ROUND_MS;
         return;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -56,7 +56,10 @@
 int64_t wb_edge_node_catalog_behind_ms(void *context) {
     const wb_edge_node_t *node = context;
     int64_t since_ms = wb_table_watch_behind_since_ms(node->catalog_watch);
-    return since_ms != 0 ? wb_clock_ms() - since_ms : 0;
+    if (since_ms == 0) {
+        since_ms = wb_catalog_reader_pending_since_ms(node->catalog_reader);
+    }
+    return since_ms != 0 ? MAX(wb_clock_ms() - since_ms, 1) : 0;
 }
 
 /* Logs once that the newest configuration that the holder named isn't here after half of the time
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -30,6 +30,8 @@
 void wb_exchange_arm_timeout(wb_exchange_t *exchange);
 
 /* exchange_read.c */
+/** @return TRUE when the catalog in force is known to be the newest that may be in force */
+gboolean wb_edge_catalog_is_confirmed(const wb_edge_t *edge);
 /** Find the request's route, service, model and times. @return WB_OUTCOME_COUNT, or why it can't be
  * served */
 wb_outcome_t wb_exchange_read(wb_exchange_t *exchange);
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -5,7 +5,7 @@
     "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
     "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
     "broken",        "timed-out",     "caller-gone", "stopping", "bad-key",
-    "key-uncertain", "over-quota",    "poison",      "no-room"};
+    "key-uncertain", "over-quota",    "poison",      "no-room",  "unverified"};
 
 const char *wb_outcome_name(wb_outcome_t outcome) {
     return outcome_names[outcome];
--- a/src/request/exchange_read.c
+++ b/src/request/exchange_read.c
@@ -88,6 +88,20 @@
            MIN(exchange->answer_due_ms, now_ms + STOP_SHORT_MS) > end_ms - STOP_RESERVE_MS;
 }
 
+gboolean wb_edge_catalog_is_confirmed(const wb_edge_t *edge) {
+    if (edge->catalog_age_ms == NULL) {
+        return TRUE;
+    }
+    return edge->catalog_age_ms(edge->node_context) <= edge->settings.catalog_ms &&
+           edge->catalog_behind_ms(edge->node_context) == 0;
+}
+
+/* Returns the outcome of a request for something that the catalog doesn't have: a client doesn't
+ * retry a 404, so it gets one only if the catalog is the newest. */
+static wb_outcome_t missing_outcome(const wb_exchange_t *exchange, wb_outcome_t outcome) {
+    return wb_edge_catalog_is_confirmed(exchange->edge) ? outcome : WB_OUTCOME_UNVERIFIED;
+}
+
 /* Finds the model and adapter. Returns WB_OUTCOME_COUNT, or why the request can't be served. */
 static wb_outcome_t model_find(wb_exchange_t *exchange) {
     if (g_hash_table_size(exchange->service->models) == 0)
@@ -97,7 +111,7 @@
         return WB_OUTCOME_COUNT;
     const wb_model_spec_t *spec = g_hash_table_lookup(exchange->service->models, exchange->model);
     if (spec == NULL || !adapter_is_known(spec, exchange->adapter))
-        return WB_OUTCOME_UNKNOWN_MODEL;
+        return missing_outcome(exchange, WB_OUTCOME_UNKNOWN_MODEL);
     output_length_read(exchange);
     return WB_OUTCOME_COUNT;
 }
@@ -112,7 +126,7 @@
     exchange->catalog = wb_catalog_ref(edge->catalog);
     wb_route_t *route = wb_catalog_route(edge->catalog, host, exchange->head->target);
     if (route == NULL)
-        return WB_OUTCOME_NO_ROUTE;
+        return missing_outcome(exchange, WB_OUTCOME_NO_ROUTE);
     exchange->route = route;
     deadline_read(exchange);
     wb_outcome_t outcome = wb_exchange_read_tenant(exchange);
--- a/src/request/exchange_tenant.c
+++ b/src/request/exchange_tenant.c
@@ -1,14 +1,9 @@
 /* Finds a request's tenant by its API key, and charges the request to the tenant's limit. */
 #include "request/exchange_internal.h"
 
-/* Outcome for a key that no tenant has. If this node's catalog may be out of date, the key may be a
- * new one: the client must not get a 401, but may retry, at another node. */
+/* Outcome for a key that no tenant has. */
 static wb_outcome_t unknown_key(const wb_edge_t *edge) {
-    if (edge->catalog_age_ms == NULL) {
-        return WB_OUTCOME_BAD_KEY;
-    }
-    gboolean fresh = edge->catalog_age_ms(edge->node_context) <= edge->settings.catalog_ms;
-    return fresh ? WB_OUTCOME_BAD_KEY : WB_OUTCOME_KEY_UNVERIFIED;
+    return wb_edge_catalog_is_confirmed(edge) ? WB_OUTCOME_BAD_KEY : WB_OUTCOME_KEY_UNVERIFIED;
 }
 
 wb_outcome_t wb_exchange_read_tenant(wb_exchange_t *exchange) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -157,6 +157,7 @@
     WB_OUTCOME_OVER_QUOTA,     /* its tenant's limit is used up */
     WB_OUTCOME_POISON,         /* it crashes the engines that run it */
     WB_OUTCOME_OVERLOADED,     /* its model's engines are too far behind to answer in time */
+    WB_OUTCOME_UNVERIFIED,     /* the catalog lacks its route or model, but may be out of date */
     WB_OUTCOME_COUNT
 } wb_outcome_t;
 
