Soak: the store turns a third of the nodes away for 6 to 11 s while the configuration changes

The harness opens proxies for the nodes that it runs only: 200 ports an estate ran into those of a program beside it.

--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -10,6 +10,8 @@
 
 #define READY_TIMEOUT_MS 15000
 #define SHARE_TIMEOUT_MS 30000
+/* Nodes that tests may run or add at least. */
+#define MIN_NODE_MAX 4
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
@@ -247,7 +249,7 @@
 static void proxy_start(estate_t *estate) {
     g_autoptr(GString) relays = g_string_new(NULL);
     estate->proxy_control_port = port_find();
-    for (int i = 0; i < ESTATE_NODES; i++) {
+    for (int i = 0; i < estate->node_max; i++) {
         estate->store_proxy_ports[i] = port_find();
         g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->store_proxy_ports[i],
                                estate->store_port);
@@ -318,7 +320,7 @@
 
 /* Starts another node on new ports. Returns its index. */
 static int node_add(estate_t *estate, gboolean older, const char *flags) {
-    g_assert_cmpint(estate->node_count, <, ESTATE_NODES);
+    g_assert_cmpint(estate->node_count, <, estate->node_max);
     int index = estate->node_count++;
     estate_node_t *node = &estate->nodes[index];
     node->clients_port = port_find();
@@ -342,6 +344,8 @@
     estate->files.build = g_strdup(build);
     estate->files.folder = g_dir_make_tmp("wickbridge-edge-XXXXXX", NULL);
     estate->node_flags = node_flags;
+    estate->node_max = MAX(nodes, MIN_NODE_MAX);
+    g_assert_cmpint(estate->node_max, <=, ESTATE_NODES);
     standin_start(estate);
     proxy_start(estate);
     estate_configure(estate, NULL);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -35,6 +35,7 @@
     int control_port;
     estate_node_t nodes[ESTATE_NODES];
     int node_count;
+    int node_max; /**< nodes for which there are proxies */
     process_t proxy;
     int proxy_control_port;
     int store_proxy_ports[ESTATE_NODES];            /**< proxy port per node, to the store */
--- a/tests/soak/config_checks.c
+++ b/tests/soak/config_checks.c
@@ -72,11 +72,20 @@
     return outcome->service != NULL ? outcome->service : "404";
 }
 
+/* Time beyond SOAK_CONFIG_MS that a change may take at this time. */
+static int64_t skew_ms(soak_t *soak, const soak_request_t *request) {
+    return soak_store_turns_nodes_away(soak, request->node, request->began_ms, request->ended_ms)
+               ? SOAK_CONFIG_SKEW_MS
+               : 0;
+}
+
 static void in_force_check(soak_t *soak, const GArray *probes) {
     for (guint i = 0; i < probes->len; i++) {
         const probe_t *probe = &g_array_index(probes, probe_t, i);
         const soak_request_t *request = probe->request;
-        config_verdict_t verdict = config_oracle_judge(soak->configurations, &probe->outcome);
+        config_outcome_t outcome = probe->outcome;
+        outcome.sent_ms -= skew_ms(soak, request);
+        config_verdict_t verdict = config_oracle_judge(soak->configurations, &outcome);
         if (verdict == CONFIG_INVALID) {
             soak_fail(soak, "%s %s at node %d: %s, which no configuration allows", request->id,
                       request->path, request->node, outcome_name(&probe->outcome));
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -339,8 +339,31 @@
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
-static const soak_fault_kind_t behind_kind = {
-    "store-behind", store_behind_begin, end_nothing, 2500, 3000, FALSE};
+/* The store turns a third of the nodes away, and serves the others and the operator. */
+static gboolean is_turned_away(const soak_fault_t *fault, int node) {
+    return (node + fault->variant) % 3 == 0;
+}
+
+static void turned_away_set(const soak_fault_t *fault, soak_t *soak, const char *mode) {
+    for (int node = 0; node < soak->nodes; node++) {
+        if (is_turned_away(fault, node)) {
+            estate_store_fault(soak->estate, node, mode, 0);
+        }
+    }
+}
+
+static void turned_away_begin(soak_fault_t *fault, soak_t *soak) {
+    turned_away_set(fault, soak, "cut");
+}
+
+static void turned_away_end(soak_fault_t *fault, soak_t *soak) {
+    turned_away_set(fault, soak, "pass");
+}
+
+static const soak_fault_kind_t config_kinds[] = {
+    {"store-turns-away", turned_away_begin, turned_away_end, 6000, 11000, FALSE},
+    {"store-behind", store_behind_begin, end_nothing, 2500, 3000, FALSE},
+};
 
 static const soak_fault_kind_t build_kind = {"other-build", build_begin, node_relaunch, 50,
                                              300,           TRUE};
@@ -381,7 +404,7 @@
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
     if (soak->config_writer != NULL && g_rand_int_range(soak->rand, 0, 6) == 0) {
-        return &behind_kind;
+        return &config_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(config_kinds))];
     }
     if (soak->has_engine_states && g_rand_int_range(soak->rand, 0, 3) == 0) {
         return &state_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(state_kinds))];
@@ -511,6 +534,11 @@
     return found;
 }
 
+gboolean soak_store_turns_nodes_away(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const names[] = {"store-turns-away", NULL};
+    return had_fault(soak, node, from_ms, to_ms, names);
+}
+
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     return soak_is_disturbed_except(soak, node, from_ms, to_ms, "");
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,8 +24,9 @@
 #define SOAK_EVACUATE_MS 2500 /* drain time of nodes for an evacuation without a given duration */
 #define SOAK_LEASE_HANDOVER_MS 1000
 #define SOAK_RETRY_RATIO 0.2
-#define SOAK_CONFIG_MS 2000 /* time within which a configuration takes effect */
-#define SOAK_PROBE_ROUTES 6 /* routes that the operator changes */
+#define SOAK_CONFIG_MS 2000      /* time within which a configuration takes effect */
+#define SOAK_CONFIG_SKEW_MS 5000 /* beyond that while the store turns some nodes away */
+#define SOAK_PROBE_ROUTES 6      /* routes that the operator changes */
 
 typedef struct soak_config_writer_t soak_config_writer_t;
 
@@ -125,6 +126,9 @@
  * the store was disturbed, in this time or shortly before */
 gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 
+/** @return TRUE when the store turned some nodes away in this time or shortly before */
+gboolean soak_store_turns_nodes_away(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+
 /** The same, without faults of this name. */
 gboolean soak_is_disturbed_except(soak_t *soak, int node, int64_t from_ms, int64_t to_ms,
                                   const char *name);
