What the holder and relays report counts from when it was sent

What callers saw: while the holder's messages queued on their way, gateways took an old configuration for confirmed and didn't read the store themselves; a change came into force seconds late. Cause: an update says how old its knowledge is when it is sent; the receiver counted that age from the arrival, so that time in queues made news out of history. Class: an age without the moment that it refers to. The same held for the digest of listed nodes (retry shares) and for the engines' rows that relays send. Change: updates carry the sender's clock. The message of a link that took least shows the offset of the two clocks; what others took longer is added to their age. A link opened anew starts afresh. The holder names a new configuration at its next tick instead of up to 300 ms later. Not covered: a delay that each message of a link has from the start on can't be told from the clocks' offset.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -14,6 +14,7 @@
 #define WICKBRIDGE_EDGE_NODE_TYPES_H
 
 #include "edge/catalog_reader.h"
+#include "edge/transit.h"
 #include "request/request_types.h"
 
 #include "control/controller.h"
@@ -128,7 +129,8 @@
     gboolean update_overflow; /* too many bytes to send: gateways poll the store instead */
     int64_t update_sent_ms;
     int64_t update_received_ms;
-    int64_t late_update_ms; /* update_received_ms at the last poll for a late update */
+    wb_transit_t update_transit; /* of the updates on controller_link */
+    int64_t late_update_ms;      /* update_received_ms at the last poll for a late update */
     wb_controller_reach_t reach_notified; /* as waiting requests were last notified */
     uint64_t unreached_token;             /* of the lease row known at unreached_since_ms */
     int64_t unreached_since_ms; /* since when no controller is reachable; 0: one is reachable */
@@ -333,6 +335,10 @@
 /** Send a message to all gateways. Placement messages are batched for some ms; the order of
  * the messages sent by this function is kept. */
 void wb_edge_node_broadcast(wb_edge_node_t *node, const wb_wire_message *message);
+/** The same for other messages, with extensions for gateways that read them. @param extensions
+ * NULL: none */
+void wb_edge_node_broadcast_with_extensions(wb_edge_node_t *node, const wb_wire_message *message,
+                                            const wb_wire_extensions *extensions);
 /** Frees the texts of a wb_wire_placement_entry. */
 void wb_edge_node_placement_clear(gpointer data);
 
@@ -341,6 +347,13 @@
 void wb_edge_node_handshake_send(const wb_edge_node_t *node, wb_link_t *link);
 /** Set the link's format version to the peer's. */
 void wb_edge_node_handshake_take(wb_link_t *link, const wb_wire_hello *hello);
+/** Add the time of sending to a message's extensions. */
+void wb_edge_node_sent_add(wb_wire_extensions *extensions, int64_t now_ms);
+/** @return when a message was sent, by this node's clock, so that a queued one doesn't make what it
+ * reports any younger; now_ms if its sender is of a release that doesn't include the time
+ * @param transit of the link */
+int64_t wb_edge_node_sent_ms(wb_transit_t *transit, const wb_wire_extensions *extensions,
+                             int64_t now_ms);
 /** Apply one entry of a placement update. @param engine that the entry names */
 void wb_edge_node_placement_take(wb_edge_node_t *node, wb_engine_t *engine,
                                  const wb_wire_placement_entry *entry);
@@ -394,7 +407,8 @@
 /** As the lease holder, send the store update when it is due. */
 void wb_edge_node_tick_updates(wb_edge_node_t *node, int64_t now_ms);
 /** Apply a store update from the lease holder. */
-void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update);
+void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
+                              const wb_wire_extensions *extensions);
 /** Apply the lease row of a store update, from a holder that this node has no link to yet. */
 void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update);
 /** @return TRUE while store updates arrive in time, or this node holds the lease */
--- a/src/edge/node_broadcast.c
+++ b/src/edge/node_broadcast.c
@@ -125,6 +125,11 @@
         placements_batch(node, &message->wb_wire_message_u.placement);
         return;
     }
+    wb_edge_node_broadcast_with_extensions(node, message, NULL);
+}
+
+void wb_edge_node_broadcast_with_extensions(wb_edge_node_t *node, const wb_wire_message *message,
+                                            const wb_wire_extensions *extensions) {
     placements_send(node); /* keep the order of messages */
-    message_send(node, message, NULL);
+    message_send(node, message, extensions);
 }
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -57,6 +57,7 @@
     GPtrArray *early_placements; /* of wb_early_placement_t */
     GHashTable *versions;        /* id of an engine -> int64_t *, version of its row as received */
     wb_link_t *link;
+    wb_transit_t transit;        /* of the updates on link */
     char *relay;                 /* id of the node at the other end of link */
     gboolean handshake_done;     /* the relay's format version allows subscriptions */
     gboolean incomplete_answers; /* the relay answered during its first full read */
@@ -267,9 +268,11 @@
 
 /* Rows that a relay sends before its first full read is complete are valid, but some may be
  * missing: subscribes to all again once it is complete. */
-static void engine_update_take(wb_directory_t *directory, const wb_wire_engine_update *update) {
+static void engine_update_take(wb_directory_t *directory, const wb_wire_engine_update *update,
+                               const wb_wire_extensions *extensions) {
     wb_edge_node_t *node = directory->node;
     int64_t now_ms = wb_clock_ms();
+    int64_t sent_ms = wb_edge_node_sent_ms(&directory->transit, extensions, now_ms);
     gboolean resubscribe = update->whole && directory->incomplete_answers;
     directory->received_ms = now_ms;
     directory->incomplete_answers = !update->whole;
@@ -287,7 +290,7 @@
     for (guint i = 0; i < update->answered.answered_len; i++) {
         wanted_answered(directory, &update->answered.answered_val[i], now_ms);
     }
-    wb_table_watch_note_peer_read(node->engines_watch, 0, now_ms - (int64_t)update->age_ms);
+    wb_table_watch_note_peer_read(node->engines_watch, 0, sent_ms - (int64_t)update->age_ms);
     early_placements_apply(directory, now_ms);
     if (update->answered.answered_len > 0 || update->rows.rows_len > 0) {
         wb_exchanges_retry_waiting(&node->edge);
@@ -299,6 +302,7 @@
 static void link_open(wb_link_t *link, void *context) {
     wb_directory_t *directory = context;
     directory->received_ms = wb_clock_ms();
+    directory->transit = (wb_transit_t){0};
     wb_edge_node_handshake_send(directory->node, link);
 }
 
@@ -311,7 +315,8 @@
             subscribe_all(directory);
         }
     } else if (message->kind == WB_WIRE_ENGINE_UPDATE) {
-        engine_update_take(directory, &message->wb_wire_message_u.engine_update);
+        engine_update_take(directory, &message->wb_wire_message_u.engine_update,
+                           wb_link_extensions(link));
     }
 }
 
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -115,6 +115,21 @@
     }
 }
 
+void wb_edge_node_sent_add(wb_wire_extensions *extensions, int64_t now_ms) {
+    wb_wire_sent sent = {(uint64_t)now_ms};
+    wb_extensions_add(extensions, WB_WIRE_EXTENSION_SENT, (xdrproc_t)xdr_wb_wire_sent, &sent);
+}
+
+int64_t wb_edge_node_sent_ms(wb_transit_t *transit, const wb_wire_extensions *extensions,
+                             int64_t now_ms) {
+    wb_wire_sent sent;
+    if (!wb_extensions_read(extensions, WB_WIRE_EXTENSION_SENT, (xdrproc_t)xdr_wb_wire_sent,
+                            &sent)) {
+        return now_ms;
+    }
+    return now_ms - wb_transit_delay_ms(transit, (int64_t)sent.sent_ms, now_ms);
+}
+
 void wb_edge_node_gateway_open(wb_link_t *link, void *context) {
     wb_edge_node_handshake_send(context, link);
     wb_gateway_t *gateway = g_new0(wb_gateway_t, 1);
@@ -211,6 +226,7 @@
     node->demand_sent = TRUE;
     node->states_sent = FALSE;
     node->link_opened_ms = wb_clock_ms();
+    node->update_transit = (wb_transit_t){0};
     wb_quota_limiter_set_connected(node->edge.quota, TRUE);
     wb_event("controller-reached", ",\"address\":\"%s\"", node->controller_address);
     wb_edge_node_pace_link_open(node);
@@ -234,7 +250,8 @@
     else if (message->kind == WB_WIRE_ENGINE_STATES)
         wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states);
     else if (message->kind == WB_WIRE_STORE_UPDATE)
-        wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update);
+        wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update,
+                                 wb_link_extensions(link));
 }
 
 static void controller_close(wb_link_t *link, const char *reason, void *context) {
--- a/src/edge/node_relay.c
+++ b/src/edge/node_relay.c
@@ -87,7 +87,10 @@
         update->holds.holds_len = holds->len;
         update->holds.holds_val = (wb_wire_placement_entry *)(void *)holds->data;
     }
-    wb_link_send(link, &message);
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_sent_add(&extensions, now_ms);
+    wb_link_send_with_extensions(link, &message, &extensions);
+    wb_extensions_clear(&extensions);
     g_array_set_size(subscription->changes, 0);
     subscription->sent_ms = now_ms;
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -124,6 +124,7 @@
     if (strcmp(row->key, node->edge.dialect->catalog_key) != 0 || row->value == NULL)
         return;
     wb_edge_node_catalog_keep(node, row);
+    node->update_sent_ms = 0; /* name it to gateways at the next tick */
     wb_catalog_reader_take(node->catalog_reader, row);
 }
 
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -180,7 +180,10 @@
     update->rows.rows_len = node->update_rows->len;
     update->rows.rows_val = (wb_wire_table_row *)(void *)node->update_rows->data;
     update->look = node->update_overflow;
-    wb_edge_node_broadcast(node, &message);
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_sent_add(&extensions, now_ms);
+    wb_edge_node_broadcast_with_extensions(node, &message, &extensions);
+    wb_extensions_clear(&extensions);
     update_clear(node);
     node->update_overflow = FALSE;
     node->update_sent_ms = now_ms;
@@ -214,9 +217,9 @@
 
 /* Counts the holder's read of a table as an own one. For the catalog the view names the newest
  * version, and a missed node row matters only later. */
-static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t now_ms) {
+static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t sent_ms) {
     if (view->table == WB_UPDATE_NODE_IDS) {
-        wb_edge_node_share_take_digest(node, view, now_ms);
+        wb_edge_node_share_take_digest(node, view, sent_ms);
         return;
     }
     wb_table_watch_t *watch = wb_edge_node_watch(node, view->table);
@@ -224,7 +227,7 @@
         return;
     if (view->table == WB_TABLE_ENGINES && !wb_edge_node_reads_engines(node))
         return; /* the relay sends the age of its rows */
-    int64_t known_ms = now_ms - (int64_t)view->age_ms;
+    int64_t known_ms = sent_ms - (int64_t)view->age_ms;
     if (view->table != WB_TABLE_ENGINES)
         wb_table_watch_note_peer_read(watch, (int64_t)view->newest, known_ms);
     else if (engines_match_holder(node, view->newest))
@@ -251,8 +254,10 @@
     wb_lease_on_row(node->lease, &lease, (int64_t)update->lease_version, wb_clock_ms());
 }
 
-void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update) {
+void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
+                              const wb_wire_extensions *extensions) {
     int64_t now_ms = wb_clock_ms();
+    int64_t sent_ms = wb_edge_node_sent_ms(&node->update_transit, extensions, now_ms);
     node->update_received_ms = now_ms;
     wb_edge_node_take_announcement(node, update);
     for (guint i = 0; i < update->rows.rows_len; i++)
@@ -260,7 +265,7 @@
     if (update->look)
         wb_table_watch_poll_soon(node->engines_watch);
     for (guint i = 0; i < update->views.views_len; i++)
-        view_take(node, &update->views.views_val[i], now_ms);
+        view_take(node, &update->views.views_val[i], sent_ms);
 }
 
 gboolean wb_edge_node_has_recent_updates(const wb_edge_node_t *node) {
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -491,7 +491,8 @@
 /* Extensions of messages and rows. Readers skip kinds that they don't know. */
 enum wb_wire_extension_kind {
     WB_WIRE_EXTENSION_STARTS = 1, /* wb_wire_start_times */
-    WB_WIRE_EXTENSION_WRITER = 2  /* wb_wire_writer */
+    WB_WIRE_EXTENSION_WRITER = 2, /* wb_wire_writer */
+    WB_WIRE_EXTENSION_SENT = 3    /* wb_wire_sent */
 };
 
 struct wb_wire_extension {
@@ -508,6 +509,12 @@
     unsigned hyper born_ms<WB_WIRE_LIST_MAX>;
 };
 
+/* When a message was sent, for the receiver to tell how long it was on its way compared with others
+ * on the same link. */
+struct wb_wire_sent {
+    unsigned hyper sent_ms; /* monotonic clock of the sender */
+};
+
 /* The writer of a row. */
 struct wb_wire_writer {
     unsigned int form; /* its format version */
--- a/tests/edge/test_config.c
+++ b/tests/edge/test_config.c
@@ -73,6 +73,19 @@
     estate_stop(estate);
 }
 
+/* Guards against updates of the holder that are old when they arrive and count as news of that
+ * moment: while they came, the node took its configuration for the newest. */
+static void test_delayed_updates(void) {
+    int holder;
+    estate_t *estate = nodes_start(3, &holder);
+    int node = (holder + 1) % 3;
+    estate_link_fault(estate, holder, "delay", 3000);
+    g_usleep(5000000);
+    route_add(estate);
+    assert_in_force(estate, node, harness_now_ms());
+    estate_stop(estate);
+}
+
 /* Guards against 404 from a node whose configuration may be outdated: clients don't retry that. */
 static void test_no_404_while_unconfirmed(void) {
     estate_t *estate = estate_start(1, NULL);
@@ -90,6 +103,7 @@
 static void tests_add(void) {
     g_test_add_func("/edge/config/node-without-a-store", test_node_without_a_store);
     g_test_add_func("/edge/config/silent-connection", test_silent_connection);
+    g_test_add_func("/edge/config/delayed-updates", test_delayed_updates);
     g_test_add_func("/edge/config/no-404-while-unconfirmed", test_no_404_while_unconfirmed);
 }
 
