Peers that have nothing newer are asked less and less often, up to five times in catalog-ms

While the store answers nobody, each node asked 20 peers a second, 1,700 links a second over 86 nodes. The delay after an answer now doubles from 50 ms to a fifth of catalog-ms; a peer that doesn't answer is followed by the next after 50 ms.

--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -12,11 +12,11 @@
 
 /* Time for a peer to answer; with the row, until the first bytes of it. */
 #define ANSWER_TIMEOUT_MS 400
-/* Delay after an answer or a failure before the next peer is asked. */
+/* Delay after a failure before the next peer is asked. */
 #define NEXT_PEER_MS 50
-/* Once all peers were asked, they are asked again after this delay, doubled each time. */
-#define ROUND_MS 500
-#define ROUND_MAX_MS 4000
+/* The delay after an answer is doubled each time, up to this share of the time within which a
+ * change must take effect: if the store answers nobody, asking more often is useless. */
+#define DELAY_SHARE 0.2
 
 struct wb_catalog_exchange_t {
     wb_link_t *link; /* to the peer that is asked; NULL: none is */
@@ -24,7 +24,7 @@
     GHashTable *asked; /* ids of peers asked in this round */
     int64_t asked_ms;
     int64_t next_ms;
-    int64_t round_ms;
+    int64_t delay_ms;
     gboolean answered;
     wb_table_row_t *row; /* the configuration as last read, for peers; NULL: none yet */
     wb_catalog_send_budget_t budget;
@@ -33,7 +33,7 @@
 wb_catalog_exchange_t *wb_edge_node_catalog_exchange_create(void) {
     wb_catalog_exchange_t *exchange = g_new0(wb_catalog_exchange_t, 1);
     exchange->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    exchange->round_ms = ROUND_MS;
+    exchange->delay_ms = NEXT_PEER_MS;
     return exchange;
 }
 
@@ -73,10 +73,14 @@
 
 /* Asking. */
 
-static void peer_done(wb_edge_node_t *node) {
+static void peer_done(wb_edge_node_t *node, gboolean answered) {
     wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    int64_t max_ms = (int64_t)(DELAY_SHARE * (double)node->edge.settings.catalog_ms);
     exchange->link = NULL;
-    exchange->next_ms = wb_clock_ms() + NEXT_PEER_MS;
+    exchange->next_ms = wb_clock_ms() + (answered ? exchange->delay_ms : NEXT_PEER_MS);
+    if (answered) {
+        exchange->delay_ms = MIN(2 * exchange->delay_ms, MAX(max_ms, NEXT_PEER_MS));
+    }
 }
 
 static void link_open(wb_link_t *link, void *context) {
@@ -127,7 +131,7 @@
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"",
                  wb_event_escape(node->catalog_exchange->peer), wb_event_escape(reason));
     }
-    peer_done(node);
+    peer_done(node, node->catalog_exchange->answered);
 }
 
 /* Returns the ids of the nodes that could be asked; borrowed. */
@@ -152,8 +156,7 @@
     const char *id = wb_catalog_fetch_choose_peer(peers, node->edge.settings.id, exchange->asked);
     if (id == NULL) {
         g_hash_table_remove_all(exchange->asked);
-        exchange->next_ms = now_ms + exchange->round_ms;
-        exchange->round_ms = MIN(2 * exchange->round_ms, ROUND_MAX_MS);
+        peer_done(node, FALSE);
         return;
     }
     const wb_node_row_t *row = g_hash_table_lookup(node->nodes, id);
@@ -169,7 +172,7 @@
                         &exchange->link, &error) != APR_SUCCESS) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
                  wb_event_escape(error.message));
-        peer_done(node);
+        peer_done(node, FALSE);
     }
 }
 
@@ -189,13 +192,13 @@
             wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
                      wb_event_escape(exchange->peer));
             wb_link_close(exchange->link);
-            peer_done(node);
+            peer_done(node, FALSE);
         }
         return;
     }
     if (!fetch_is_due(node, now_ms)) {
         g_hash_table_remove_all(exchange->asked);
-        exchange->round_ms = ROUND_MS;
+        exchange->delay_ms = NEXT_PEER_MS;
         return;
     }
     if (now_ms >= exchange->next_ms) {
--- a/tests/edge/test_config.c
+++ b/tests/edge/test_config.c
@@ -100,10 +100,33 @@
     estate_stop(estate);
 }
 
+/* Guards against nodes that ask each other although the store serves them. */
+static void test_no_needless_questions(void) {
+    int holder;
+    estate_t *estate = nodes_start(3, &holder);
+    double before = 0;
+    double after = 0;
+    for (int i = 0; i < 3; i++) {
+        before += estate_metric(estate, i, "catalog_fetches_total");
+    }
+    for (int i = 0; i < 4; i++) {
+        g_usleep(1000000);
+        route_add(estate);
+    }
+    for (int i = 0; i < 3; i++) {
+        after += estate_metric(estate, i, "catalog_fetches_total");
+        g_assert_cmpint(status_of(estate, i, "/new/x"), ==, 200);
+    }
+    g_test_message("%g questions at the start, %g later", before, after - before);
+    g_assert_cmpfloat(after, ==, before);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/config/node-without-a-store", test_node_without_a_store);
     g_test_add_func("/edge/config/silent-connection", test_silent_connection);
     g_test_add_func("/edge/config/delayed-updates", test_delayed_updates);
+    g_test_add_func("/edge/config/no-needless-questions", test_no_needless_questions);
     g_test_add_func("/edge/config/no-404-while-unconfirmed", test_no_404_while_unconfirmed);
 }
 
