A peer that is still sending the configuration isn't given up

What callers saw (in a test of our own only): a node that the store turned away got a large configuration from nobody over a slow link. Cause: the time for an answer was counted from the question to its end, 0.4 s, whatever its size. Change: it is counted from the last bytes that arrived.

--- a/include/wickbridge/link.h
+++ b/include/wickbridge/link.h
@@ -70,6 +70,9 @@
 /** @return bytes queued and not yet handed to the system */
 size_t wb_link_unsent(const wb_link_t *link);
 
+/** @return bytes received of a message that isn't complete yet */
+size_t wb_link_incomplete(const wb_link_t *link);
+
 /** Close without on_close and free. Must not be called from inside on_message of the same link. */
 void wb_link_close(wb_link_t *link);
 
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -10,7 +10,7 @@
 
 #include <string.h>
 
-/* Time for a peer to answer; with the row, until the first bytes of it. */
+/* Time for a peer to answer, and between two parts of its answer, which may be large. */
 #define ANSWER_TIMEOUT_MS 400
 /* Delay after a failure before the next peer is asked. */
 #define NEXT_PEER_MS 50
@@ -23,6 +23,8 @@
     char *peer;
     GHashTable *asked; /* ids of peers asked in this round */
     int64_t asked_ms;
+    int64_t progress_ms; /* when it was asked, or more of its answer was seen to have arrived */
+    size_t received;     /* bytes of the answer by then */
     int64_t next_ms;
     int64_t delay_ms;
     gboolean answered;
@@ -166,6 +168,8 @@
     exchange->peer = g_strdup(id);
     g_hash_table_add(exchange->asked, g_strdup(id));
     exchange->asked_ms = now_ms;
+    exchange->progress_ms = now_ms;
+    exchange->received = 0;
     exchange->answered = FALSE;
     node->edge.metrics.catalog_fetches++;
     if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
@@ -185,15 +189,26 @@
     return wb_table_watch_is_synced(node->catalog_watch) && wb_catalog_fetch_is_due(&status);
 }
 
+/* Gives up a peer that doesn't answer, or doesn't go on. */
+static void peer_check(wb_edge_node_t *node, int64_t now_ms) {
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    size_t received = wb_link_incomplete(exchange->link);
+    if (received > exchange->received) {
+        exchange->received = received;
+        exchange->progress_ms = now_ms;
+    }
+    if (now_ms - exchange->progress_ms > ANSWER_TIMEOUT_MS) {
+        wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
+                 wb_event_escape(exchange->peer));
+        wb_link_close(exchange->link);
+        peer_done(node, FALSE);
+    }
+}
+
 void wb_edge_node_tick_catalog(wb_edge_node_t *node, int64_t now_ms) {
     wb_catalog_exchange_t *exchange = node->catalog_exchange;
     if (exchange->link != NULL) {
-        if (now_ms - exchange->asked_ms > ANSWER_TIMEOUT_MS) {
-            wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
-                     wb_event_escape(exchange->peer));
-            wb_link_close(exchange->link);
-            peer_done(node, FALSE);
-        }
+        peer_check(node, now_ms);
         return;
     }
     if (!fetch_is_due(node, now_ms)) {
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -189,6 +189,10 @@
     return link->unsent->len;
 }
 
+size_t wb_link_incomplete(const wb_link_t *link) {
+    return link->received->len;
+}
+
 /* Delivers the frame at offset `used` of the received bytes and advances `used`. Returns FALSE when
  * there is no complete frame; sets `malformed` for an invalid one. */
 static gboolean frame_deliver(wb_link_t *link, guint *used, gboolean *malformed) {
--- a/tests/edge/test_config.c
+++ b/tests/edge/test_config.c
@@ -59,6 +59,30 @@
     }
 }
 
+/* Guards against giving up a peer that is still sending a large configuration. */
+static void test_large_row_from_a_peer(void) {
+    int holder;
+    estate_t *estate = nodes_start(3, &holder);
+    int node = (holder + 1) % 3;
+    for (int i = 0; i < 3; i++) {
+        estate_link_rate(estate, i, 350000);
+    }
+    estate_store_fault(estate, node, "cut", 0);
+    g_autoptr(GString) routes = g_string_new(estate_default_routes());
+    g_string_append(routes, added_route);
+    for (int i = 0; i < 2200; i++) {
+        g_string_append_printf(routes,
+                               ",{\"name\":\"more-%d\",\"host\":\"b.example\",\"pathPrefix\":"
+                               "\"/more-%d/\",\"routeType\":\"idempotent\",\"timeoutMs\":1500,"
+                               "\"service\":\"lock\",\"maxAttempts\":2}",
+                               i, i);
+    }
+    g_usleep(1500000);
+    estate_configure(estate, routes->str);
+    assert_in_force(estate, node, harness_now_ms());
+    estate_stop(estate);
+}
+
 /* Guards against a node whose pending call for changes is on a connection that has gone silent: no
  * other way was tried until the call timed out. */
 static void test_silent_connection(void) {
@@ -124,6 +148,7 @@
 
 static void tests_add(void) {
     g_test_add_func("/edge/config/node-without-a-store", test_node_without_a_store);
+    g_test_add_func("/edge/config/large-row-from-a-peer", test_large_row_from_a_peer);
     g_test_add_func("/edge/config/silent-connection", test_silent_connection);
     g_test_add_func("/edge/config/delayed-updates", test_delayed_updates);
     g_test_add_func("/edge/config/no-needless-questions", test_no_needless_questions);
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -304,8 +304,11 @@
     answer_free(answer);
 }
 
-void estate_link_rate(const estate_t *estate, int node, int bytes_per_s) {
+void estate_store_rate(const estate_t *estate, int node, int bytes_per_s) {
     relay_rate(estate, estate->store_proxy_ports[node], bytes_per_s);
+}
+
+void estate_link_rate(const estate_t *estate, int node, int bytes_per_s) {
     relay_rate(estate, estate->link_proxy_ports[node], bytes_per_s);
 }
 
--- a/tests/soak/processor.c
+++ b/tests/soak/processor.c
@@ -82,6 +82,7 @@
 void soak_processor_limit(soak_t *soak, GPtrArray *threads) {
     if (soak->processor_percent > 0) {
         for (int node = FIRST_LIMITED; node < soak->nodes; node++) {
+            estate_store_rate(soak->estate, node, LINK_BYTES_PER_S);
             estate_link_rate(soak->estate, node, LINK_BYTES_PER_S);
         }
         g_ptr_array_add(threads, g_thread_new("processor", limit_run, soak));
