--- a/src/directory/table_readers.c
+++ b/src/directory/table_readers.c
@@ -1,8 +1,9 @@
 /* Selects the nodes of a large fleet that read the engine table, and the relay of each gateway. */
 #include "directory/table_readers.h"
 
+#include "directory/rendezvous.h"
+
 #include <string.h>
-#include <xxhash.h>
 
 /* Nodes with less than this share of the strongest node's processor don't read the table, unless
  * they are needed for the minimum number of readers. */
@@ -46,17 +47,9 @@
 
 const char *wb_table_readers_choose_relay(const GArray *readers, const char *own,
                                           GHashTable *failed) {
-    uint64_t seed = XXH64(own, strlen(own), 0);
-    const char *best = NULL;
-    uint64_t highest = 0;
+    g_autoptr(GPtrArray) ids = g_ptr_array_sized_new(readers->len);
     for (guint i = 0; i < readers->len; i++) {
-        const char *id = g_array_index(readers, wb_table_reader_t, i).id;
-        uint64_t weight = XXH64(id, strlen(id), seed);
-        if ((failed == NULL || !g_hash_table_contains(failed, id)) &&
-            (best == NULL || weight > highest)) {
-            best = id;
-            highest = weight;
-        }
+        g_ptr_array_add(ids, (gpointer)g_array_index(readers, wb_table_reader_t, i).id);
     }
-    return best;
+    return wb_rendezvous_choose(ids, own, failed);
 }
--- a/src/edge/catalog_fetch.c
+++ b/src/edge/catalog_fetch.c
@@ -1,9 +1,6 @@
-/* Decides when a node asks another node for the configuration, and which one. */
+/* Decides when a node asks another node for the configuration, and how much it sends itself. */
 #include "edge/catalog_fetch.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 /* Share of the bound after which an unconfirmed configuration is asked for. Leaves time for two
  * peers that don't answer. */
 #define UNCONFIRMED_SHARE 0.65
@@ -22,23 +19,6 @@
     return (double)status->age_ms > UNCONFIRMED_SHARE * bound_ms;
 }
 
-const char *wb_catalog_fetch_choose_peer(const GPtrArray *peers, const char *own,
-                                         GHashTable *asked) {
-    uint64_t seed = XXH64(own, strlen(own), 0);
-    const char *best = NULL;
-    uint64_t highest = 0;
-    for (guint i = 0; i < peers->len; i++) {
-        const char *id = g_ptr_array_index(peers, i);
-        uint64_t weight = XXH64(id, strlen(id), seed);
-        if (strcmp(id, own) != 0 && !g_hash_table_contains(asked, id) &&
-            (best == NULL || weight > highest)) {
-            best = id;
-            highest = weight;
-        }
-    }
-    return best;
-}
-
 gboolean wb_catalog_send_budget_take(wb_catalog_send_budget_t *budget, size_t bytes,
                                      int64_t now_ms) {
     if (budget->free_ms > now_ms + SEND_BOOKED_MS) {
--- a/src/edge/catalog_fetch.h
+++ b/src/edge/catalog_fetch.h
@@ -1,11 +1,10 @@
 /**
  * @file catalog_fetch.h
- * @brief Decides when a node asks another node for the configuration, and which one.
+ * @brief Decides when a node asks another node for the configuration, and how much it sends itself.
  *
  * A node reads the configuration in the store. It asks a peer when the store doesn't answer it in
  * time: when a newer configuration was named that it can't read, or when nothing has confirmed its
- * own for most of the time within which a change must take effect. Peers are asked in an order that
- * differs between nodes, so that many nodes spread over many peers.
+ * own for most of the time within which a change must take effect.
  *
  * Pure: the time is passed in. Times are monotonic (wb_clock_ms) or durations, in milliseconds. The
  * functions can't fail.
@@ -26,16 +25,6 @@
 
 /** @return TRUE when a peer should be asked */
 gboolean wb_catalog_fetch_is_due(const wb_catalog_status_t *status);
-/**
- * Choose the next peer.
- * @param peers array of ids (char *)
- * @param own   id of the asking node, which is never chosen
- * @param asked set of ids that were asked before
- * @return its id, borrowed from `peers`; NULL: all were asked
- */
-const char *wb_catalog_fetch_choose_peer(const GPtrArray *peers, const char *own,
-                                         GHashTable *asked);
-
 /** Bytes that a node sends to peers that ask it. */
 typedef struct wb_catalog_send_budget_t {
     int64_t free_ms; /**< when the bytes sent so far will have passed its link */
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -6,6 +6,7 @@
  * Times are in ms. Failures are logged; the next peer is asked on a later tick. */
 #include "edge/edge_node_types.h"
 
+#include "directory/rendezvous.h"
 #include "edge/catalog_fetch.h"
 
 #include <string.h>
@@ -155,7 +156,7 @@
 static void peer_ask(wb_edge_node_t *node, int64_t now_ms) {
     wb_catalog_exchange_t *exchange = node->catalog_exchange;
     g_autoptr(GPtrArray) peers = peers_list(node);
-    const char *id = wb_catalog_fetch_choose_peer(peers, node->edge.settings.id, exchange->asked);
+    const char *id = wb_rendezvous_choose(peers, node->edge.settings.id, exchange->asked);
     if (id == NULL) {
         g_hash_table_remove_all(exchange->asked);
         peer_done(node, FALSE);
