--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define LINK_RETRY_MS 150
+/* No machine runs for as long. */
+#define SENT_MAX_MS (G_MAXINT64 / 2)
 /* Cluster name in the handshake, by which edge nodes recognize each other. */
 #define EDGE_CLUSTER "wickbridge-edge"
 
@@ -124,7 +126,8 @@
                              int64_t now_ms) {
     wb_wire_sent sent;
     if (!wb_extensions_read(extensions, WB_WIRE_EXTENSION_SENT, (xdrproc_t)xdr_wb_wire_sent,
-                            &sent)) {
+                            &sent) ||
+        sent.sent_ms > SENT_MAX_MS) {
         return now_ms;
     }
     return now_ms - wb_transit_delay_ms(transit, (int64_t)sent.sent_ms, now_ms);
--- a/tests/unit/test_transit.c
+++ b/tests/unit/test_transit.c
@@ -21,7 +21,21 @@
     g_assert_cmpint(wb_transit_delay_ms(&transit, OFFSET_MS + 300, 1310), ==, 1000);
 }
 
+/* Guards against a drift of the clocks that counts as delay, which grows for as long as the link
+ * lives. */
+static void test_drift(void) {
+    wb_transit_t transit = {0};
+    int64_t received_ms = OFFSET_MS;
+    for (int64_t sent_ms = 0; sent_ms < 100000000; sent_ms += 300) {
+        received_ms = OFFSET_MS + sent_ms + sent_ms / 2000; /* 500 ppm */
+        g_assert_cmpint(wb_transit_delay_ms(&transit, sent_ms, received_ms), <=, 31);
+    }
+    /* 50 s of drift later, a delay is still seen. */
+    g_assert_cmpint(wb_transit_delay_ms(&transit, 100000000, received_ms + 3300), >=, 3000);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/transit/drift", test_drift);
     g_test_add_func("/transit/delay", test_delay);
     g_test_add_func("/transit/sender-with-a-later-clock", test_sender_with_a_later_clock);
 }
