A peer's answer names the newest version that it knows of, not only the one that it has

What would have been seen: a node that knew that it was behind, told by the holder, vouched for its old version with the age of the holder's word, and the asking node took that for confirmed. Class: a confirmation passed on without what it confirms. /table-watch/named-version-is-passed-on (the accessor is new).

--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -87,6 +87,8 @@
 void wb_table_watch_retry_now(wb_table_watch_t *watch);
 /** Shorten the pause before the next poll, once. */
 void wb_table_watch_expedite(wb_table_watch_t *watch);
+/** @return highest version of a row that this node has applied or another one has named */
+int64_t wb_table_watch_newest_named(const wb_table_watch_t *watch);
 /** @return monotonic time since which another node has named a newer row than this node has read;
  * 0: none has */
 int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch);
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -459,6 +459,10 @@
     return MAX(watch->known_ms, watch->peer_known_ms);
 }
 
+int64_t wb_table_watch_newest_named(const wb_table_watch_t *watch) {
+    return MAX(watch->newest_row, watch->peer_newest_row);
+}
+
 int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch) {
     return row_is_missing(watch) ? watch->named_ms : 0;
 }
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -1,9 +1,9 @@
 /* Gets the configuration from another node when the store doesn't answer this one in time
  * (catalog_fetch.h), and answers nodes that ask.
- * A peer answers on the link on which it was asked: the newest row version that it knows, how long
- * ago it was confirmed, and the configuration if the asking node's is older. One peer is asked at a
- * time; one that doesn't answer is followed by the next.
- * Times are in ms. Failures are logged; the next peer is asked on a later tick. */
+ * A peer answers on the link on which it was asked: the newest row version that it knows of, how
+ * long ago that was confirmed, and its configuration if the asking node's is older. One peer is
+ * asked at a time; one that doesn't answer is followed by the next. Times are in ms. Failures are
+ * logged; the next peer is asked on a later tick. */
 #include "edge/edge_node_types.h"
 
 #include "directory/rendezvous.h"
@@ -51,17 +51,18 @@
 
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
                                  const wb_wire_catalog_fetch *fetch) {
-    const wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    wb_catalog_exchange_t *exchange = node->catalog_exchange;
     const wb_table_row_t *row = exchange->row;
     int64_t now_ms = wb_clock_ms();
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->catalog_watch);
     g_autoptr(GArray) rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     wb_wire_message message = {.kind = WB_WIRE_CATALOG_ANSWER};
     wb_wire_catalog_answer *answer = &message.wb_wire_message_u.catalog_answer;
-    answer->newest = (uint64_t)wb_table_watch_newest_row(node->catalog_watch);
+    /* Another node's read may have confirmed a version that isn't here yet. */
+    answer->newest = (uint64_t)wb_table_watch_newest_named(node->catalog_watch);
     answer->age_ms = fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
     if (row != NULL && row->version > (int64_t)fetch->have &&
-        wb_catalog_send_budget_take(&node->catalog_exchange->budget, row->length, now_ms)) {
+        wb_catalog_send_budget_take(&exchange->budget, row->length, now_ms)) {
         wb_edge_node_wire_row_add(rows, WB_TABLE_CATALOG, row);
         node->edge.metrics.catalog_rows_sent++;
     }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -478,7 +478,8 @@
 
 /* The answer. `rows` is empty if the sender has nothing newer, or sends too much already. */
 struct wb_wire_catalog_answer {
-    unsigned hyper newest; /* newest row version of the catalog that the sender has */
+    unsigned hyper newest; /* newest row version of the catalog that the sender knows of; it may
+                            * have an older one itself */
     unsigned int age_ms;   /* since that was last confirmed to be the newest */
     wb_wire_table_row rows<8>;
 };
--- a/tests/unit/test_table_watch.c
+++ b/tests/unit/test_table_watch.c
@@ -453,7 +453,28 @@
     g_string_free(behind.script.seen, TRUE);
 }
 
+static void named_step(void *context) {
+    long_poll_t *poll = context;
+    wb_table_watch_note_peer_read(poll->watch, 9, wb_clock_ms());
+    g_assert_cmpint(wb_table_watch_newest_row(poll->watch), ==, 5);
+    g_assert_cmpint(wb_table_watch_newest_named(poll->watch), ==, 9);
+    g_assert_cmpint(wb_table_watch_behind_since_ms(poll->watch), !=, 0);
+    wb_table_row_t row = {(char *)"a", (guchar *)"v", 1, 9};
+    wb_table_watch_apply_row(poll->watch, &row);
+    g_assert_cmpint(wb_table_watch_newest_row(poll->watch), ==, 9);
+    g_assert_cmpint(wb_table_watch_behind_since_ms(poll->watch), ==, 0);
+    wb_loop_quit(poll->loop);
+}
+
+/* Guards against passing on another node's confirmation together with an older version of one's
+ * own. */
+static void test_named_version_is_passed_on(void) {
+    long_poll_t poll = {0};
+    long_poll_run(named_step, &poll);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/table-watch/named-version-is-passed-on", test_named_version_is_passed_on);
     g_test_add_func("/table-watch/named-version-is-read", test_named_version_is_read);
     g_test_add_func("/table-watch/large-table", test_large_table);
     g_test_add_func("/table-watch/look-after-failures", test_look_after_failures);
