--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -253,7 +253,7 @@
     g_array_set_clear_func(created->placements, wb_edge_node_placement_clear);
     created->announcements = wb_edge_node_announcements_create();
     created->zones = wb_edge_node_zones_create();
-    created->catalog_exchange = wb_edge_node_catalog_exchange_create();
+    created->catalog_fetcher = wb_edge_node_catalog_fetcher_create();
     created->gateways = g_hash_table_new_full(NULL, NULL, NULL, wb_edge_node_gateway_free);
     created->own_quota_ledger = wb_quota_ledger_create();
     created->quota_row = g_byte_array_new();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -38,7 +38,7 @@
 typedef struct wb_announcement_t wb_announcement_t;
 typedef struct wb_directory_t wb_directory_t;
 typedef struct wb_subscription_t wb_subscription_t;
-typedef struct wb_catalog_exchange_t wb_catalog_exchange_t;
+typedef struct wb_catalog_fetcher_t wb_catalog_fetcher_t;
 
 /* Where a node gets engine rows from. */
 typedef enum wb_directory_state_t {
@@ -62,7 +62,7 @@
     wb_table_t *table;
     wb_catalog_reader_t *catalog_reader;
     wb_table_watch_t *catalog_watch;
-    wb_catalog_exchange_t *catalog_exchange;
+    wb_catalog_fetcher_t *catalog_fetcher;
     wb_table_watch_t *engines_watch;
     wb_table_watch_t *nodes_watch;
     wb_http_listener_t *client_listener;
@@ -171,7 +171,7 @@
 void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms);
 
 /* node_catalog.c */
-wb_catalog_exchange_t *wb_edge_node_catalog_exchange_create(void);
+wb_catalog_fetcher_t *wb_edge_node_catalog_fetcher_create(void);
 /** Keep a configuration that was read, for nodes that ask for it. The row is copied. */
 void wb_edge_node_catalog_keep(wb_edge_node_t *node, const wb_table_row_t *row);
 /** Answer a node that asks for the configuration. */
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -19,7 +19,7 @@
  * change must take effect: if the store answers nobody, asking more often is useless. */
 #define DELAY_SHARE 0.2
 
-struct wb_catalog_exchange_t {
+struct wb_catalog_fetcher_t {
     wb_link_t *link; /* to the peer that is asked; NULL: none is */
     char *peer;
     GHashTable *asked; /* ids of peers asked in this round */
@@ -33,26 +33,26 @@
     wb_catalog_send_budget_t budget;
 };
 
-wb_catalog_exchange_t *wb_edge_node_catalog_exchange_create(void) {
-    wb_catalog_exchange_t *exchange = g_new0(wb_catalog_exchange_t, 1);
-    exchange->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    exchange->delay_ms = NEXT_PEER_MS;
-    return exchange;
+wb_catalog_fetcher_t *wb_edge_node_catalog_fetcher_create(void) {
+    wb_catalog_fetcher_t *fetcher = g_new0(wb_catalog_fetcher_t, 1);
+    fetcher->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    fetcher->delay_ms = NEXT_PEER_MS;
+    return fetcher;
 }
 
 void wb_edge_node_catalog_keep(wb_edge_node_t *node, const wb_table_row_t *row) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
-    g_clear_pointer(&exchange->row, wb_table_row_free);
-    exchange->row = wb_table_row_create(row->key, g_memdup2(row->value, row->length), row->length,
-                                        row->version);
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
+    g_clear_pointer(&fetcher->row, wb_table_row_free);
+    fetcher->row = wb_table_row_create(row->key, g_memdup2(row->value, row->length), row->length,
+                                       row->version);
 }
 
 /* Answering. */
 
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
                                  const wb_wire_catalog_fetch *fetch) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
-    const wb_table_row_t *row = exchange->row;
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
+    const wb_table_row_t *row = fetcher->row;
     int64_t now_ms = wb_clock_ms();
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->catalog_watch);
     g_autoptr(GArray) rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
@@ -62,7 +62,7 @@
     answer->newest = (uint64_t)wb_table_watch_newest_named(node->catalog_watch);
     answer->age_ms = fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
     if (row != NULL && row->version > (int64_t)fetch->have &&
-        wb_catalog_send_budget_take(&exchange->budget, row->length, now_ms)) {
+        wb_catalog_send_budget_take(&fetcher->budget, row->length, now_ms)) {
         wb_edge_node_wire_row_add(rows, WB_TABLE_CATALOG, row);
         node->edge.metrics.catalog_rows_sent++;
     }
@@ -78,12 +78,12 @@
 /* Asking. */
 
 static void peer_done(wb_edge_node_t *node, gboolean answered) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
     int64_t max_ms = (int64_t)(DELAY_SHARE * (double)node->edge.settings.catalog_ms);
-    exchange->link = NULL;
-    exchange->next_ms = wb_clock_ms() + (answered ? exchange->delay_ms : NEXT_PEER_MS);
+    fetcher->link = NULL;
+    fetcher->next_ms = wb_clock_ms() + (answered ? fetcher->delay_ms : NEXT_PEER_MS);
     if (answered) {
-        exchange->delay_ms = MIN(2 * exchange->delay_ms, MAX(max_ms, NEXT_PEER_MS));
+        fetcher->delay_ms = MIN(2 * fetcher->delay_ms, MAX(max_ms, NEXT_PEER_MS));
     }
 }
 
@@ -98,7 +98,7 @@
 
 /* The answer was made after the question was sent, which bounds the age of what it confirms. */
 static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
     for (guint i = 0; i < answer->rows.rows_len; i++) {
         const wb_wire_table_row *wire = &answer->rows.rows_val[i];
         wb_table_row_t row = {wire->key, (guchar *)wire->value.value_val, wire->value.value_len,
@@ -111,11 +111,11 @@
         node->edge.metrics.catalog_rows_fetched++;
         wb_event("catalog-fetched",
                  ",\"from\":\"%s\",\"row_version\":%lld,\"age_ms\":%u,\"ms\":%lld",
-                 wb_event_escape(exchange->peer), (long long)row.version, answer->age_ms,
-                 (long long)(wb_clock_ms() - exchange->asked_ms));
+                 wb_event_escape(fetcher->peer), (long long)row.version, answer->age_ms,
+                 (long long)(wb_clock_ms() - fetcher->asked_ms));
     }
     wb_table_watch_note_peer_read(node->catalog_watch, (int64_t)answer->newest,
-                                  exchange->asked_ms - (int64_t)answer->age_ms);
+                                  fetcher->asked_ms - (int64_t)answer->age_ms);
 }
 
 static void link_message(wb_link_t *link, const wb_wire_message *message, void *context) {
@@ -123,7 +123,7 @@
     if (message->kind != WB_WIRE_CATALOG_ANSWER) {
         return;
     }
-    node->catalog_exchange->answered = TRUE;
+    node->catalog_fetcher->answered = TRUE;
     answer_take(node, &message->wb_wire_message_u.catalog_answer);
     wb_link_close_later(link, "answered");
 }
@@ -131,11 +131,11 @@
 static void link_close(wb_link_t *link, const char *reason, void *context) {
     (void)link;
     wb_edge_node_t *node = context;
-    if (!node->catalog_exchange->answered) {
+    if (!node->catalog_fetcher->answered) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"",
-                 wb_event_escape(node->catalog_exchange->peer), wb_event_escape(reason));
+                 wb_event_escape(node->catalog_fetcher->peer), wb_event_escape(reason));
     }
-    peer_done(node, node->catalog_exchange->answered);
+    peer_done(node, node->catalog_fetcher->answered);
 }
 
 /* Returns the ids of the nodes that could be asked; borrowed. */
@@ -155,27 +155,27 @@
 }
 
 static void peer_ask(wb_edge_node_t *node, int64_t now_ms) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
     g_autoptr(GPtrArray) peers = peers_list(node);
-    const char *id = wb_rendezvous_choose(peers, node->edge.settings.id, exchange->asked);
+    const char *id = wb_rendezvous_choose(peers, node->edge.settings.id, fetcher->asked);
     if (id == NULL) {
-        g_hash_table_remove_all(exchange->asked);
+        g_hash_table_remove_all(fetcher->asked);
         peer_done(node, FALSE);
         return;
     }
     const wb_node_row_t *row = g_hash_table_lookup(node->nodes, id);
     wb_link_events_t events = {link_open, link_message, link_close, node, NULL, NULL};
     wb_error_t error;
-    g_free(exchange->peer);
-    exchange->peer = g_strdup(id);
-    g_hash_table_add(exchange->asked, g_strdup(id));
-    exchange->asked_ms = now_ms;
-    exchange->progress_ms = now_ms;
-    exchange->received = 0;
-    exchange->answered = FALSE;
+    g_free(fetcher->peer);
+    fetcher->peer = g_strdup(id);
+    g_hash_table_add(fetcher->asked, g_strdup(id));
+    fetcher->asked_ms = now_ms;
+    fetcher->progress_ms = now_ms;
+    fetcher->received = 0;
+    fetcher->answered = FALSE;
     node->edge.metrics.catalog_fetches++;
     if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
-                        &exchange->link, &error) != APR_SUCCESS) {
+                        &fetcher->link, &error) != APR_SUCCESS) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
                  wb_event_escape(error.message));
         peer_done(node, FALSE);
@@ -193,32 +193,32 @@
 
 /* Gives up a peer that doesn't answer, or doesn't go on. */
 static void peer_check(wb_edge_node_t *node, int64_t now_ms) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
-    size_t received = wb_link_incomplete(exchange->link);
-    if (received > exchange->received) {
-        exchange->received = received;
-        exchange->progress_ms = now_ms;
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
+    size_t received = wb_link_incomplete(fetcher->link);
+    if (received > fetcher->received) {
+        fetcher->received = received;
+        fetcher->progress_ms = now_ms;
     }
-    if (now_ms - exchange->progress_ms > ANSWER_TIMEOUT_MS) {
+    if (now_ms - fetcher->progress_ms > ANSWER_TIMEOUT_MS) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
-                 wb_event_escape(exchange->peer));
-        wb_link_close(exchange->link);
+                 wb_event_escape(fetcher->peer));
+        wb_link_close(fetcher->link);
         peer_done(node, FALSE);
     }
 }
 
 void wb_edge_node_tick_catalog(wb_edge_node_t *node, int64_t now_ms) {
-    wb_catalog_exchange_t *exchange = node->catalog_exchange;
-    if (exchange->link != NULL) {
+    wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
+    if (fetcher->link != NULL) {
         peer_check(node, now_ms);
         return;
     }
     if (!fetch_is_due(node, now_ms)) {
-        g_hash_table_remove_all(exchange->asked);
-        exchange->delay_ms = NEXT_PEER_MS;
+        g_hash_table_remove_all(fetcher->asked);
+        fetcher->delay_ms = NEXT_PEER_MS;
         return;
     }
-    if (now_ms >= exchange->next_ms) {
+    if (now_ms >= fetcher->next_ms) {
         peer_ask(node, now_ms);
     }
 }
