Soak: added routes are checked at all nodes in touch, not only while nothing at all is disturbed

The check counted requests only while no fault was active or had ended within 4 s; with three faults at once that is never, so it couldn't fail. A build that sometimes uses the configuration of 1.5 s ago fails 'older than what it used before' (19 times).

--- a/tests/soak/config_checks.c
+++ b/tests/soak/config_checks.c
@@ -174,7 +174,7 @@
         if (route == SOAK_PROBE_ROUTES ||
             !config_oracle_has_route(soak->configurations, route, request->began_ms,
                                      request->ended_ms) ||
-            soak_is_disturbed(soak, request->node, request->began_ms, request->ended_ms)) {
+            soak_is_out_of_touch(soak, request->node, request->began_ms, request->ended_ms)) {
             continue;
         }
         gboolean added = !config_oracle_is_first(soak->configurations, route);
