--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -59,7 +59,7 @@
     if (since_ms == 0) {
         since_ms = wb_catalog_reader_pending_since_ms(node->catalog_reader);
     }
-    return since_ms != 0 ? MAX(wb_clock_ms() - since_ms, 1) : 0;
+    return since_ms != 0 ? MAX(wb_clock_ms() - since_ms, 1) : 0; /* 0 means not behind */
 }
 
 /* Logs once that the newest configuration that the holder named isn't here after half of the time
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -131,8 +131,8 @@
     /** Duration since this node last verified that its catalog is the newest; NULL: it always is.
      */
     int64_t (*catalog_age_ms)(void *context);
-    /** Duration since a newer catalog was named that this node doesn't have; 0: none was. NULL:
-     * none ever is. */
+    /** Duration since a newer catalog was named or received than the one in force; 0: there is
+     * none. Set together with catalog_age_ms. */
     int64_t (*catalog_behind_ms)(void *context);
 };
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,6 +113,7 @@
 
 /** Record a failed check. Any thread. */
 void soak_fail(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* spans.c */
 /** @return TRUE when the node was killed, paused or switched to the other build in this time */
 gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when the node was restarted (planned or not) or paused in this time */
@@ -121,18 +122,15 @@
 gboolean soak_is_excused(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when a fault was active that may delay this node. @param node -1: any node */
 gboolean soak_is_disturbed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
-
+/** The same, without faults of this name. */
+gboolean soak_is_disturbed_except(soak_t *soak, int node, int64_t from_ms, int64_t to_ms,
+                                  const char *name);
 /** @return TRUE when the node was disturbed itself, or cut off from other nodes or the store, or
  * the store was disturbed, in this time or shortly before */
 gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
-
 /** @return TRUE when the store turned some nodes away in this time or shortly before */
 gboolean soak_store_turns_nodes_away(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 
-/** The same, without faults of this name. */
-gboolean soak_is_disturbed_except(soak_t *soak, int node, int64_t from_ms, int64_t to_ms,
-                                  const char *name);
-
 /* clients.c */
 /** Start the clients. @return their threads, owned by the caller; end with soak_clients_join */
 GPtrArray *soak_clients_start(soak_t *soak);
