Logs and metrics that tell a store that went back from reads that are behind

`store-era` logs the header Store-Era of the store's answers; `store-read-discarded` says which table's read was thrown away, with both versions; gauges store_era and store_rows_ignored, counter store_reads_discarded_total. No decision changes.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -46,10 +46,11 @@
     uint64_t connections_opened;     /**< to engines */
     uint64_t connections_reused;     /**< to engines */
     wb_store_calls_t store_calls;
-    uint64_t catalog_fetches;      /**< times that this node asked another for the configuration */
-    uint64_t catalog_rows_fetched; /**< configurations received from another node */
-    uint64_t catalog_rows_sent;    /**< configurations sent to nodes that asked */
-    uint64_t lease_takeovers;      /**< times that this node took the lease over */
+    uint64_t store_reads_discarded; /**< full reads that were older than what was known */
+    uint64_t catalog_fetches;       /**< times that this node asked another for the configuration */
+    uint64_t catalog_rows_fetched;  /**< configurations received from another node */
+    uint64_t catalog_rows_sent;     /**< configurations sent to nodes that asked */
+    uint64_t lease_takeovers;       /**< times that this node took the lease over */
     uint64_t updates_of_other_starts;   /**< placement updates for another incarnation of an engine
                                         than the known one */
     uint64_t orders;                    /**< orders sent to engines */
@@ -78,6 +79,8 @@
     int64_t catalog_age_ms;  /**< since the configuration was last confirmed by the store */
     /** since the holder named a newer configuration than this node has; 0: it has the newest */
     int64_t catalog_behind_ms;
+    int64_t store_era;
+    uint64_t store_rows_ignored;
     int64_t engines_age_ms; /**< since the engines were last confirmed by the store */
     unsigned engines;       /**< announced engines */
     unsigned open_requests;
--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -58,6 +58,9 @@
      * `expected_version`; 0: that it doesn't exist. */
     void (*write)(wb_table_t *table, const char *key, int64_t expected_version, const guchar *value,
                   gsize length, wb_table_answer_fn on_answer, void *context);
+    /** Newest era that the store has named: each time that it comes back from an older copy, its
+     * era rises by one. 0: it has named none. */
+    int64_t era;
 };
 
 /** Create a row. @param key copied @param value taken over, to be freed with g_free */
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -33,6 +33,9 @@
     /** The table has more rows than wb_table_watch_set_row_limit allows. The watch makes no calls
      * until wb_table_watch_read_all or wb_table_watch_follow_subset is called. */
     void (*on_row_limit)(void *context);
+    /** A full read was discarded, as it was older than the version known here. May be NULL. */
+    void (*on_read_discarded)(wb_table_name_t table, int64_t known_version, int64_t read_version,
+                              void *context);
 } wb_table_watch_events_t;
 
 /** Polling intervals of a table. */
@@ -97,6 +100,8 @@
 /** @return monotonic time at which another node first named this row version, if it is the newest
  * that one has named; 0: it isn't */
 int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version);
+/** @return number of rows ignored so far, as a newer version of them was known */
+uint64_t wb_table_watch_ignored_rows(const wb_table_watch_t *watch);
 /** @return TRUE during a full read, also a repeated one */
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch);
 /** @return TRUE once the first full read is complete */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -59,8 +59,9 @@
     GHashTable *read_keys; /* keys in the current full read */
     GPtrArray *read_rows;  /* rows of the current full read */
     char *next_key;
-    int64_t read_version; /* minimum of the table versions of the full read's pages */
-    int64_t version;      /* table version up to which changes are known */
+    int64_t read_version;  /* minimum of the table versions of the full read's pages */
+    int64_t version;       /* table version up to which changes are known */
+    uint64_t ignored_rows; /* older than the known version */
     gboolean synced;
     gboolean calling;
     wb_timer_t *timer;
@@ -124,7 +125,11 @@
  * reported. */
 static gboolean row_apply(wb_table_watch_t *watch, const wb_table_row_t *row) {
     int64_t known = row_known_version(watch, row->key);
-    if (known > row->version || (known == row->version && !watch->reports_all))
+    if (known > row->version) {
+        watch->ignored_rows++;
+        return FALSE;
+    }
+    if (known == row->version && !watch->reports_all)
         return FALSE;
     watch->newest_row = MAX(watch->newest_row, row->version);
     if (row->value == NULL) {
@@ -203,6 +208,9 @@
 /* Applies a complete full read. If it is older than the known version, reads again. */
 static void read_finish(wb_table_watch_t *watch) {
     if (watch->read_version < watch->version) {
+        if (watch->events.on_read_discarded != NULL)
+            watch->events.on_read_discarded(watch->name, watch->version, watch->read_version,
+                                            watch->events.context);
         read_begin(watch);
         call_after(watch, RETRY_MS);
         return;
@@ -482,6 +490,10 @@
     return watch->peer_newest_row == row_version ? watch->named_ms : 0;
 }
 
+uint64_t wb_table_watch_ignored_rows(const wb_table_watch_t *watch) {
+    return watch->ignored_rows;
+}
+
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch) {
     return watch->state == WB_WATCH_READING;
 }
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -78,7 +78,9 @@
     gboolean starts_reported; /* an engine row had a start time: rows without one are invalid now */
     unsigned rejected_rows;   /* malformed engine rows since the last log line */
     int64_t rejected_rows_logged_ms;
+    int64_t store_era; /* as last logged; 0: the store has named none */
     gboolean store_unavailable[WB_TABLE_NODES + 1]; /* by wb_table_name_t: the last call failed */
+    int64_t read_discarded_ms; /* when a discarded read was last logged */
     gboolean node_row_written;
     gboolean node_row_creating; /* the write under way creates the row */
     gboolean node_row_created;  /* by this process, and not read back yet */
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -44,6 +44,10 @@
         .catalog_version = edge->catalog != NULL ? edge->catalog->version : 0,
         .catalog_age_ms = wb_table_watch_age_ms(node->catalog_watch),
         .catalog_behind_ms = wb_edge_node_catalog_behind_ms(node),
+        .store_era = node->store_era,
+        .store_rows_ignored = wb_table_watch_ignored_rows(node->catalog_watch) +
+                              wb_table_watch_ignored_rows(node->engines_watch) +
+                              wb_table_watch_ignored_rows(node->nodes_watch),
         .engines_age_ms = wb_table_watch_age_ms(node->engines_watch),
         .engines = g_hash_table_size(wb_fleet_all(edge->fleet)),
         .open_requests = g_hash_table_size(edge->open),
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -11,6 +11,8 @@
 #define NODE_ROW_RETRY_MS 500
 #define NODE_ROW_RETRY_MAX_MS 8000
 #define STORE_CALLS_LOG_MS 5000
+/* Min interval of the log line about discarded reads. */
+#define DISCARDED_LOG_MS 1000
 #define NODE_KEY_PREFIX "node/"
 #define NODE_ROW_FIELDS 4
 
@@ -23,11 +25,12 @@
         node->node_row_due_ms = 0;
 }
 
+static const char *const table_names[] = {"catalog", "engines", "nodes"};
+
 /* Counts each call to the store; logs when a table becomes unavailable and when it answers again.
  */
 static void store_call_done(wb_table_name_t table, wb_store_cause_t cause, gboolean succeeded,
                             int64_t age_ms, void *context) {
-    static const char *const names[] = {"catalog", "engines", "nodes"};
     wb_edge_node_t *node = context;
     wb_store_calls_note(&node->edge.metrics.store_calls, table, cause);
     if (!succeeded)
@@ -43,7 +46,29 @@
     if (succeeded)
         tables_retry(node);
     wb_event(succeeded ? "store-back" : "store-lost", ",\"table\":\"%s\",\"age_ms\":%lld",
-             names[table], (long long)(age_ms == G_MAXINT64 ? -1 : age_ms));
+             table_names[table], (long long)(age_ms == G_MAXINT64 ? -1 : age_ms));
+}
+
+static void store_read_discarded(wb_table_name_t table, int64_t known_version, int64_t read_version,
+                                 void *context) {
+    wb_edge_node_t *node = context;
+    int64_t now_ms = wb_clock_ms();
+    node->edge.metrics.store_reads_discarded++;
+    if (now_ms - node->read_discarded_ms < DISCARDED_LOG_MS)
+        return;
+    node->read_discarded_ms = now_ms;
+    wb_event("store-read-discarded",
+             ",\"table\":\"%s\",\"known_version\":%lld,\"read_version\":%lld,\"era\":%lld",
+             table_names[table], (long long)known_version, (long long)read_version,
+             (long long)node->table->era);
+}
+
+static void store_era_check(wb_edge_node_t *node) {
+    if (node->store_era == node->table->era)
+        return;
+    wb_event("store-era", ",\"era\":%lld,\"before\":%lld", (long long)node->table->era,
+             (long long)node->store_era);
+    node->store_era = node->table->era;
 }
 
 /* The catalog. */
@@ -330,6 +355,7 @@
 }
 
 void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms) {
+    store_era_check(node);
     if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
@@ -342,13 +368,22 @@
     wb_loop_t *loop = node->edge.loop;
     node->catalog_reader =
         wb_catalog_reader_create(loop, node->edge.dialect, catalog_read_done, node);
-    wb_table_watch_events_t catalog = {catalog_row, catalog_batch, store_call_done, node};
+    wb_table_watch_events_t catalog = {.on_row = catalog_row,
+                                       .on_batch = catalog_batch,
+                                       .on_call = store_call_done,
+                                       .context = node,
+                                       .on_read_discarded = store_read_discarded};
     wb_table_watch_events_t engines = {.on_row = wb_edge_node_engine_row,
                                        .on_batch = wb_edge_node_engine_batch,
                                        .on_call = store_call_done,
                                        .context = node,
-                                       .on_row_limit = wb_edge_node_directory_on_large};
-    wb_table_watch_events_t nodes = {nodes_row, nodes_batch, store_call_done, node};
+                                       .on_row_limit = wb_edge_node_directory_on_large,
+                                       .on_read_discarded = store_read_discarded};
+    wb_table_watch_events_t nodes = {.on_row = nodes_row,
+                                     .on_batch = nodes_batch,
+                                     .on_call = store_call_done,
+                                     .context = node,
+                                     .on_read_discarded = store_read_discarded};
     wb_table_watch_intervals_t policy = wb_edge_node_poll_policy(node, WB_TABLE_CATALOG);
     node->catalog_watch =
         wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG, &policy, &catalog);
