--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -43,6 +43,14 @@
                          const char *value);
 /** Drop the change history: pending polls, and polls from an earlier version, get 410. */
 void wb_estate_store_compact(wb_estate_store_t *store);
+/**
+ * Lose the last writes: don't answer for `away_ms`, then come back from a copy that is `back_ms`
+ * older than this moment. The counter of versions goes back with it, and the era rises by one.
+ * `rewrite_ms` after the return, rows that operators and engines wrote since the copy are written
+ * again.
+ */
+void wb_estate_store_roll_back(wb_estate_store_t *store, int64_t back_ms, int64_t away_ms,
+                               int64_t rewrite_ms);
 /** Drop the change history; for some time, full reads then show the rows as of `behind_ms` ago. */
 void wb_estate_store_set_behind(wb_estate_store_t *store, int64_t behind_ms, int64_t for_ms);
 /** Set a fault: "" (none), "busy" (503), "silent" (no response), "lost" (writes are applied,
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -49,6 +49,10 @@
     else if (strcmp(name, "store-behind") == 0)
         wb_estate_store_set_behind(estate->store, wb_json_integer(command, "behind_ms", 0),
                                    wb_json_integer(command, "for_ms", 0));
+    else if (strcmp(name, "store-rollback") == 0)
+        wb_estate_store_roll_back(estate->store, wb_json_integer(command, "back_ms", 0),
+                                  wb_json_integer(command, "away_ms", 0),
+                                  wb_json_integer(command, "rewrite_ms", 0));
     else if (strcmp(name, "engine-start") == 0)
         g_hash_table_insert(estate->engines, g_strdup(id),
                             wb_estate_engine_start(estate->loop, estate->store, &estate->seen, id,
--- a/standins/estate/store.c
+++ b/standins/estate/store.c
@@ -1,5 +1,5 @@
 /* The stand-in's store: versioned rows, conditional transactions, and long polls for changes. */
-#include "estate.h"
+#include "store_internal.h"
 
 #include "wickbridge/json.h"
 
@@ -9,21 +9,7 @@
 #define LATE_WRITE_MS 1000
 /* Versions of a row that are kept for reads that are behind. */
 #define MAX_ROW_VERSIONS 64
-
-/* A row at one version. */
-typedef struct wb_estate_row_version_t {
-    char *value; /* base64; NULL: removed */
-    int64_t version;
-    int64_t at_ms;
-} wb_estate_row_version_t;
-
-typedef struct wb_estate_row_t {
-    char *table;
-    char *key;
-    char *value; /* base64; NULL: removed */
-    int64_t version;
-    GArray *versions; /* of wb_estate_row_version_t, oldest first; for reads that are behind */
-} wb_estate_row_t;
+#define FIRST_ERA 3
 
 /* A pending long poll for changes. */
 typedef struct wb_estate_poll_t {
@@ -44,22 +30,8 @@
     gboolean unanswered;
 } wb_estate_delayed_t;
 
-struct wb_estate_store_t {
-    wb_loop_t *loop;
-    wb_http_listener_t *listener;
-    GPtrArray *rows; /* of wb_estate_row_t, removed rows included */
-    GPtrArray *polls;
-    GPtrArray *delayed;
-    int64_t version;
-    int64_t history_from; /* changes before it have expired */
-    char *fault;
-    int64_t delay_ms;
-    int64_t behind_ms; /* full reads show the rows as of this long ago; 0: the current ones */
-    int64_t behind_until_ms;
-};
-
-static wb_estate_row_t *row_find(const wb_estate_store_t *store, const char *table,
-                                 const char *key) {
+wb_estate_row_t *wb_estate_row_find(const wb_estate_store_t *store, const char *table,
+                                    const char *key) {
     for (guint i = 0; i < store->rows->len; i++) {
         wb_estate_row_t *row = g_ptr_array_index(store->rows, i);
         if (strcmp(row->table, table) == 0 && strcmp(row->key, key) == 0)
@@ -128,10 +100,13 @@
     return list;
 }
 
-static void json_answer(wb_http_connection_t *connection, unsigned status, json_t *body) {
+static void json_answer(const wb_estate_store_t *store, wb_http_connection_t *connection,
+                        unsigned status, json_t *body) {
+    g_autofree char *headers = g_strdup_printf(
+        "Content-Type: application/json\r\nStore-Era: %lld\r\n", (long long)store->era);
     char *text = wb_json_dump(body);
-    wb_http_connection_reply(connection, status, wb_http_status_reason(status),
-                             "Content-Type: application/json\r\n", text, strlen(text));
+    wb_http_connection_reply(connection, status, wb_http_status_reason(status), headers, text,
+                             strlen(text));
     free(text);
     json_decref(body);
 }
@@ -149,7 +124,7 @@
     wb_http_connection_t *connection = poll->connection;
     json_t *body = answer_json(store, rows_json(store, poll->table, poll->after, TRUE));
     poll_free(poll);
-    json_answer(connection, 200, body);
+    json_answer(store, connection, 200, body);
 }
 
 static void poll_timeout(void *context) {
@@ -159,7 +134,7 @@
 }
 
 /* Answers the pending polls of a changed table. */
-static void polls_answer(wb_estate_store_t *store, const char *table) {
+void wb_estate_polls_answer(wb_estate_store_t *store, const char *table) {
     for (guint i = store->polls->len; i > 0; i--) {
         if (i > store->polls->len)
             continue;
@@ -169,9 +144,9 @@
     }
 }
 
-static void row_write(wb_estate_store_t *store, const char *table, const char *key,
-                      const char *base64) {
-    wb_estate_row_t *row = row_find(store, table, key);
+void wb_estate_row_write(wb_estate_store_t *store, const char *table, const char *key,
+                         const char *base64) {
+    wb_estate_row_t *row = wb_estate_row_find(store, table, key);
     if (row == NULL) {
         row = g_new0(wb_estate_row_t, 1);
         row->table = g_strdup(table);
@@ -187,6 +162,7 @@
     if (row->versions->len > MAX_ROW_VERSIONS) {
         g_free(g_array_index(row->versions, wb_estate_row_version_t, 0).value);
         g_array_remove_index(row->versions, 0);
+        row->trimmed = TRUE;
     }
 }
 
@@ -195,8 +171,8 @@
     g_autofree char *base64 =
         value != NULL ? g_base64_encode((const guchar *)value, strlen(value)) : NULL;
     store->version++;
-    row_write(store, table, key, base64);
-    polls_answer(store, table);
+    wb_estate_row_write(store, table, key, base64);
+    wb_estate_polls_answer(store, table);
 }
 
 /* Returns NULL when all conditions hold, else the current rows that they name. */
@@ -206,8 +182,8 @@
     size_t i;
     json_t *entry;
     json_array_foreach(json_object_get(transaction, "expectedVersion"), i, entry) {
-        const wb_estate_row_t *row =
-            row_find(store, wb_json_text(entry, "table", ""), wb_json_text(entry, "key", ""));
+        const wb_estate_row_t *row = wb_estate_row_find(store, wb_json_text(entry, "table", ""),
+                                                        wb_json_text(entry, "key", ""));
         gboolean exists = row != NULL && row->value != NULL;
         int64_t version = exists ? row->version : 0;
         all_hold &= version == wb_json_integer(entry, "ver", -1);
@@ -234,16 +210,17 @@
     json_array_foreach(json_object_get(transaction, "put"), i, entry) {
         g_free(table);
         table = g_strdup(wb_json_text(entry, "table", ""));
-        row_write(store, table, wb_json_text(entry, "key", ""), wb_json_text(entry, "value", ""));
+        wb_estate_row_write(store, table, wb_json_text(entry, "key", ""),
+                            wb_json_text(entry, "value", ""));
     }
     json_array_foreach(json_object_get(transaction, "remove"), i, entry) {
         g_free(table);
         table = g_strdup(wb_json_text(entry, "table", ""));
-        row_write(store, table, wb_json_text(entry, "key", ""), NULL);
+        wb_estate_row_write(store, table, wb_json_text(entry, "key", ""), NULL);
     }
     *body = answer_json(store, json_array());
     if (table != NULL)
-        polls_answer(store, table);
+        wb_estate_polls_answer(store, table);
     return 200;
 }
 
@@ -268,13 +245,13 @@
                            const char *target) {
     g_autofree char *table = query_value(target, "table");
     int64_t after = query_number(target, "after");
-    if (after < store->history_from) {
-        json_answer(connection, 410, json_object());
+    if (after < store->history_from || after > store->version) {
+        json_answer(store, connection, 410, json_object());
         return;
     }
     json_t *rows = rows_json(store, table != NULL ? table : "", after, TRUE);
     if (json_array_size(rows) > 0) {
-        json_answer(connection, 200, answer_json(store, rows));
+        json_answer(store, connection, 200, answer_json(store, rows));
         return;
     }
     json_decref(rows);
@@ -294,7 +271,7 @@
         json_t *body = NULL;
         unsigned status = transaction_apply(delayed->store, delayed->transaction, &body);
         if (delayed->connection != NULL && !delayed->unanswered)
-            json_answer(delayed->connection, status, body);
+            json_answer(delayed->store, delayed->connection, status, body);
         else
             json_decref(body);
         json_decref(delayed->transaction);
@@ -323,7 +300,7 @@
     json_t *transaction = json_loadb((const char *)body->data, body->len, 0, NULL);
     json_t *answer = NULL;
     if (transaction == NULL) {
-        json_answer(connection, 400, json_object());
+        json_answer(store, connection, 400, json_object());
         return;
     }
     if (strcmp(store->fault, "late") == 0) {
@@ -335,7 +312,7 @@
         transaction_later(store, connection, transaction, store->delay_ms, FALSE);
     } else {
         unsigned status = transaction_apply(store, transaction, &answer);
-        json_answer(connection, status, answer);
+        json_answer(store, connection, status, answer);
     }
     json_decref(transaction);
 }
@@ -345,7 +322,7 @@
     g_autofree char *table = query_value(target, "table");
     int64_t now_ms = wb_clock_ms();
     if (now_ms >= store->behind_until_ms) {
-        json_answer(connection, 200,
+        json_answer(store, connection, 200,
                     answer_json(store, rows_json(store, table != NULL ? table : "", 0, FALSE)));
         return;
     }
@@ -354,7 +331,7 @@
         past_rows_json(store, table != NULL ? table : "", now_ms - store->behind_ms, &newest);
     json_t *answer = answer_json(store, rows);
     json_object_set_new(answer, "ver", json_integer(newest));
-    json_answer(connection, 200, answer);
+    json_answer(store, connection, 200, answer);
 }
 
 static void store_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
@@ -362,7 +339,7 @@
     wb_estate_store_t *store = context;
     wb_http_connection_set_request(connection, connection);
     if (strcmp(store->fault, "busy") == 0)
-        json_answer(connection, 503, json_object());
+        json_answer(store, connection, 503, json_object());
     else if (strcmp(store->fault, "reset") == 0)
         wb_http_connection_abort(connection);
     else if (strcmp(store->fault, "silent") == 0)
@@ -374,7 +351,7 @@
     else if (g_str_has_prefix(head->target, "/rows-get"))
         read_handle(store, connection, head->target);
     else
-        json_answer(connection, 404, json_object());
+        json_answer(store, connection, 404, json_object());
     wb_http_head_free(head);
     g_byte_array_unref(body);
 }
@@ -406,6 +383,8 @@
     store->polls = g_ptr_array_new();
     store->delayed = g_ptr_array_new();
     store->fault = g_strdup("");
+    store->era = FIRST_ERA;
+    store->lost = g_ptr_array_new();
     if (wb_http_listener_open(loop, address, &handler, &limits, &store->listener, &error) !=
         APR_SUCCESS)
         g_error("%s", error.message);
@@ -416,6 +395,15 @@
     return wb_http_listener_port(store->listener);
 }
 
+void wb_estate_polls_abort(wb_estate_store_t *store) {
+    while (store->polls->len > 0) {
+        wb_estate_poll_t *poll = g_ptr_array_index(store->polls, 0);
+        wb_http_connection_t *connection = poll->connection;
+        poll_free(poll);
+        wb_http_connection_abort(connection);
+    }
+}
+
 void wb_estate_store_compact(wb_estate_store_t *store) {
     store->version++;
     store->history_from = store->version;
@@ -423,7 +411,7 @@
         wb_estate_poll_t *poll = g_ptr_array_index(store->polls, 0);
         wb_http_connection_t *connection = poll->connection;
         poll_free(poll);
-        json_answer(connection, 410, json_object());
+        json_answer(store, connection, 410, json_object());
     }
 }
 
