--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -46,6 +46,7 @@
     uint64_t connections_opened;     /**< to engines */
     uint64_t connections_reused;     /**< to engines */
     wb_store_calls_t store_calls;
+    uint64_t store_rollbacks;       /**< times that the store was found to have gone back */
     uint64_t store_reads_discarded; /**< full reads that were older than what was known */
     uint64_t catalog_fetches;       /**< times that this node asked another for the configuration */
     uint64_t catalog_rows_fetched;  /**< configurations received from another node */
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -111,7 +111,7 @@
 /** @return when this node learned of the row's last change; 0: never */
 int64_t wb_lease_row_changed_ms(const wb_lease_t *lease);
 /** @return the known version of the row; 0: none */
-int64_t wb_lease_version(const wb_lease_t *lease);
+int64_t wb_lease_confirmed_version(const wb_lease_t *lease);
 /** @return the known row, also an expired or released one; NULL if there is none. Owned by the
  * lease */
 const wb_lease_row_t *wb_lease_known_row(const wb_lease_t *lease);
--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -5,10 +5,16 @@
  * A platform adapter implements it as an object whose first member is a wb_table_t. Every call is
  * asynchronous: its callback runs exactly once, later, on the loop's thread. Failures are reported
  * as a wb_table_outcome_t. Times are in milliseconds.
+ *
+ * Versions are those of store_version.h. The store may come back from an older copy: a call that
+ * was begun for an earlier era has no effect in the present one, or its effect is unknown, and a
+ * late answer of an earlier era is a failure.
  */
 #ifndef WICKBRIDGE_TABLE_H
 #define WICKBRIDGE_TABLE_H
 
+#include "wickbridge/store_version.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -23,7 +29,8 @@
     WB_TABLE_DONE,            /**< the read or write succeeded */
     WB_TABLE_CONFLICT,        /**< the row had another version; `rows` holds the current row */
     WB_TABLE_NOT_DONE,        /**< refused or not sent, without effect; may be retried */
-    WB_TABLE_HISTORY_EXPIRED, /**< the store no longer keeps the changes after that version */
+    WB_TABLE_HISTORY_EXPIRED, /**< the store doesn't keep the changes after that version, or lost
+                                 the version itself */
     WB_TABLE_UNKNOWN          /**< no response: a write may have taken effect, or may do so later */
 } wb_table_outcome_t;
 
@@ -55,7 +62,8 @@
     void (*changes)(wb_table_t *table, wb_table_name_t name, int64_t after, int64_t wait_ms,
                     wb_table_answer_fn on_answer, void *context);
     /** Write a row of WB_TABLE_NODES, or remove it if `value` is NULL, on the condition that it has
-     * `expected_version`; 0: that it doesn't exist. */
+     * `expected_version`; number 0: that it doesn't exist. The condition holds only in the era of
+     * that version; 0: in the present one. */
     void (*write)(wb_table_t *table, const char *key, int64_t expected_version, const guchar *value,
                   gsize length, wb_table_answer_fn on_answer, void *context);
     /** Newest era that the store has named: each time that it comes back from an older copy, its
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -6,6 +6,11 @@
  * well, and while that node's read is fresh this node polls only rarely. A row never reverts to an
  * older version. Failed calls are retried with backoff and reported to on_call only.
  *
+ * The store may come back from an older copy (store_version.h). The table is then read again, also
+ * while a call is under way, and what was known counts for some seconds: rows that the copy lacks
+ * are kept, and rows that had been removed are held back, as operators and engines write again what
+ * the store has lost. A full read after that time settles the rest.
+ *
  * Times are monotonic (wb_clock_ms) or durations, in milliseconds. All functions and callbacks run
  * on the loop's thread. A watch lives as long as the process.
  */
@@ -100,7 +105,17 @@
 /** @return monotonic time at which another node first named this row version, if it is the newest
  * that one has named; 0: it isn't */
 int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version);
-/** @return number of rows ignored so far, as a newer version of them was known */
+/** The store has come back from a copy, as this node or another has seen. @param era its new era
+ * @return TRUE if that was not known here */
+gboolean wb_table_watch_note_era(wb_table_watch_t *watch, int64_t era);
+/** @return the store's era in which this node has last read the table; 0: never, or none named */
+int64_t wb_table_watch_read_era(const wb_table_watch_t *watch);
+/** @return TRUE for the time after a rollback in which what is known here may be newer than what
+ * the store has */
+gboolean wb_table_watch_is_settling(const wb_table_watch_t *watch);
+/** @return wb_table_watch_fresh_ms as of just before the last rollback */
+int64_t wb_table_watch_fresh_before_rollback_ms(const wb_table_watch_t *watch);
+/** @return number of rows ignored so far, as they were older than what is known */
 uint64_t wb_table_watch_ignored_rows(const wb_table_watch_t *watch);
 /** @return TRUE during a full read, also a repeated one */
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch);
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -284,7 +284,7 @@
     return lease->known.holder != NULL ? &lease->known : NULL;
 }
 
-int64_t wb_lease_version(const wb_lease_t *lease) {
+int64_t wb_lease_confirmed_version(const wb_lease_t *lease) {
     return MAX(lease->version, 0);
 }
 
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -20,6 +20,16 @@
  * maximum number, those older than the TTL are dropped. */
 #define TOMBSTONE_TTL_MS 60000
 #define MAX_TOMBSTONES 256
+/* Max random delay of the full read after a rollback, so that not all nodes read at one moment. */
+#define ROLLBACK_READ_SPREAD_MS 250
+/* After a rollback, rows that the copy lacks are kept for this long: operators and engines write
+ * again what was lost. Less than the time after which a node counts as in contact again (3 s). */
+#define LOST_ROW_GRACE_MS 2500
+/* Rows that were removed before the rollback and are in the copy again are ignored for this long:
+ * an engine that has gone writes no more, and the store drops its row after three heartbeats. */
+#define REMOVED_ROW_HOLD_MS 6000
+/* Max random delay of the full reads that end these times. */
+#define SETTLE_SPREAD_MS 400
 
 typedef enum wb_watch_state_t {
     WB_WATCH_READING, /* full read, page by page */
@@ -34,6 +44,12 @@
     int64_t removed_ms;
 } wb_tombstone_t;
 
+/* A call under way. */
+typedef struct wb_watch_call_t {
+    wb_table_watch_t *watch;
+    unsigned serial;
+} wb_watch_call_t;
+
 struct wb_table_watch_t {
     wb_loop_t *loop;
     wb_table_t *table;
@@ -59,11 +75,18 @@
     GHashTable *read_keys; /* keys in the current full read */
     GPtrArray *read_rows;  /* rows of the current full read */
     char *next_key;
-    int64_t read_version;  /* minimum of the table versions of the full read's pages */
-    int64_t version;       /* table version up to which changes are known */
-    uint64_t ignored_rows; /* older than the known version */
+    int64_t read_version;    /* minimum of the table versions of the full read's pages */
+    int64_t era;             /* newest era of the store that is known here */
+    int64_t rollback_ms;     /* when the last rollback was noticed; 0: none was */
+    int64_t fresh_before_ms; /* until when the table was known before it */
+    int64_t settle_ms;       /* when the next full read after it is due; 0: none is */
+    unsigned held_rows;      /* rows that the last full read held back */
+    int64_t spread_ms;       /* random delay of those reads */
+    int64_t version;         /* table version up to which changes are known */
+    uint64_t ignored_rows;   /* older than the known version */
     gboolean synced;
     gboolean calling;
+    unsigned serial; /* of the call under way; answers of earlier ones are ignored */
     wb_timer_t *timer;
     int64_t called_ms;
     int64_t answered_ms;
@@ -121,11 +144,11 @@
     return tombstone != NULL ? tombstone->version : 0;
 }
 
-/* Applies and reports a row unless it is older than the known version. Returns TRUE if it was
- * reported. */
+/* Applies and reports a row unless it is older than the known version, or of a time that the store
+ * has lost. Returns TRUE if it was reported. */
 static gboolean row_apply(wb_table_watch_t *watch, const wb_table_row_t *row) {
     int64_t known = row_known_version(watch, row->key);
-    if (known > row->version) {
+    if (known > row->version || wb_store_version_era(row->version) < watch->era) {
         watch->ignored_rows++;
         return FALSE;
     }
@@ -159,6 +182,13 @@
     }
 }
 
+/* Returns TRUE if a row of a full read was removed before the store went back. */
+static gboolean row_is_held_back(const wb_table_watch_t *watch, const wb_table_row_t *row) {
+    const wb_tombstone_t *tombstone = g_hash_table_lookup(watch->tombstones, row->key);
+    return tombstone != NULL &&
+           wb_store_version_era(tombstone->version) < wb_store_version_era(row->version);
+}
+
 static void read_begin(wb_table_watch_t *watch) {
     watch->state = WB_WATCH_READING;
     g_hash_table_remove_all(watch->read_keys);
@@ -186,7 +216,7 @@
 }
 
 /* Returns when the next call for changes is due, after the one started at called_ms. */
-static int64_t next_call_ms(const wb_table_watch_t *watch) {
+static int64_t next_changes_ms(const wb_table_watch_t *watch) {
     int64_t retry_at_ms = watch->failed_ms + watch->retry_ms;
     if (watch->peer_known_ms != 0 && is_behind(watch)) {
         /* Something is known to have changed, so the node that reported it reaches the store: check
@@ -205,9 +235,42 @@
     return MAX(due, fresh_until_ms);
 }
 
+/* Returns when the next call is due: for changes, or the full read after a rollback. */
+static int64_t next_call_ms(const wb_table_watch_t *watch) {
+    int64_t due_ms = next_changes_ms(watch);
+    if (watch->settle_ms == 0)
+        return due_ms;
+    return MAX(MIN(due_ms, watch->settle_ms), watch->failed_ms + watch->retry_ms);
+}
+
+/* Applies the rows of a full read. After a rollback the rows that it lacks are kept for a while,
+ * and those that had been removed are held back. */
+static void read_apply(wb_table_watch_t *watch, int64_t now_ms) {
+    int64_t since_rollback_ms =
+        watch->rollback_ms != 0 ? now_ms - watch->rollback_ms : REMOVED_ROW_HOLD_MS;
+    gboolean holds_back = since_rollback_ms < REMOVED_ROW_HOLD_MS;
+    watch->held_rows = 0;
+    for (guint i = 0; i < watch->read_rows->len; i++) {
+        const wb_table_row_t *row = g_ptr_array_index(watch->read_rows, i);
+        if (holds_back && row_is_held_back(watch, row))
+            watch->held_rows++;
+        else
+            row_apply(watch, row);
+    }
+    watch->settle_ms = 0;
+    if (since_rollback_ms < LOST_ROW_GRACE_MS) {
+        watch->settle_ms = watch->rollback_ms + LOST_ROW_GRACE_MS + watch->spread_ms;
+        return;
+    }
+    missing_rows_remove(watch);
+    if (watch->held_rows > 0)
+        watch->settle_ms = watch->rollback_ms + REMOVED_ROW_HOLD_MS + watch->spread_ms;
+}
+
 /* Applies a complete full read. If it is older than the known version, reads again. */
 static void read_finish(wb_table_watch_t *watch) {
-    if (watch->read_version < watch->version) {
+    if (watch->read_version < watch->version ||
+        wb_store_version_era(watch->read_version) < watch->era) {
         if (watch->events.on_read_discarded != NULL)
             watch->events.on_read_discarded(watch->name, watch->version, watch->read_version,
                                             watch->events.context);
@@ -215,9 +278,7 @@
         call_after(watch, RETRY_MS);
         return;
     }
-    for (guint i = 0; i < watch->read_rows->len; i++)
-        row_apply(watch, g_ptr_array_index(watch->read_rows, i));
-    missing_rows_remove(watch);
+    read_apply(watch, wb_clock_ms());
     watch->reports_all = FALSE;
     watch->version = watch->read_version;
     known_update(watch, watch->read_started_ms);
@@ -258,10 +319,29 @@
     watch->events.on_row_limit(watch->events.context);
 }
 
-static void page_answered(const wb_table_answer_t *answer, void *context) {
-    wb_table_watch_t *watch = context;
+/* Ends a call. Returns its watch, or NULL if the answer must be ignored: another call was begun
+ * meanwhile, as the store was found to have gone back. */
+static wb_table_watch_t *call_end(wb_watch_call_t *call, gboolean succeeded) {
+    wb_table_watch_t *watch = call->watch;
+    unsigned serial = call->serial;
+    g_free(call);
+    if (serial != watch->serial)
+        return NULL;
+    call_report(watch, succeeded); /* may note the era, and begin another call */
+    if (serial != watch->serial)
+        return NULL;
     watch->calling = FALSE;
-    call_report(watch, answer->outcome == WB_TABLE_DONE);
+    if (!watch->synced) {
+        watch->era = MAX(watch->era, watch->table->era);
+        return watch;
+    }
+    return wb_table_watch_note_era(watch, watch->table->era) ? NULL : watch;
+}
+
+static void page_answered(const wb_table_answer_t *answer, void *context) {
+    wb_table_watch_t *watch = call_end(context, answer->outcome == WB_TABLE_DONE);
+    if (watch == NULL)
+        return;
     if (answer->outcome != WB_TABLE_DONE) {
         read_begin(watch);
         retry_later(watch);
@@ -269,6 +349,13 @@
     }
     watch->answered_ms = wb_clock_ms();
     watch->retry_ms = 0;
+    gboolean is_first = watch->read_version == G_MAXINT64;
+    if (!is_first &&
+        wb_store_version_era(answer->version) != wb_store_version_era(watch->read_version)) {
+        read_begin(watch); /* the store went back between two pages */
+        call_after(watch, REREAD_DELAY_MS);
+        return;
+    }
     watch->read_version = MIN(watch->read_version, answer->version);
     for (guint i = 0; i < answer->rows->len; i++) {
         wb_table_row_t *row = g_ptr_array_index(answer->rows, i);
@@ -293,10 +380,10 @@
 }
 
 static void changes_answered(const wb_table_answer_t *answer, void *context) {
-    wb_table_watch_t *watch = context;
-    watch->calling = FALSE;
-    call_report(watch,
-                answer->outcome == WB_TABLE_DONE || answer->outcome == WB_TABLE_HISTORY_EXPIRED);
+    wb_table_watch_t *watch = call_end(context, answer->outcome == WB_TABLE_DONE ||
+                                                    answer->outcome == WB_TABLE_HISTORY_EXPIRED);
+    if (watch == NULL)
+        return;
     if (answer->outcome == WB_TABLE_HISTORY_EXPIRED) {
         read_begin(watch);
         call_after(watch, REREAD_DELAY_MS);
@@ -357,9 +444,13 @@
     wb_table_watch_t *watch = context;
     int64_t now_ms = wb_clock_ms();
     watch->timer = NULL;
+    if (watch->state == WB_WATCH_FOLLOWING && watch->settle_ms != 0 && now_ms >= watch->settle_ms)
+        read_begin(watch);
     watch->calling = TRUE;
     watch->cause = cause_of(watch, now_ms);
     watch->called_ms = now_ms;
+    wb_watch_call_t *call = g_new0(wb_watch_call_t, 1);
+    *call = (wb_watch_call_t){watch, watch->serial};
     if (watch->state == WB_WATCH_FOLLOWING) {
         /* Checks and retries need an immediate response, even if nothing has changed. */
         gboolean immediately = watch->cause == WB_STORE_CAUSE_CHANGE ||
@@ -367,14 +458,14 @@
                                is_unconfirmed(watch, now_ms);
         watch->waited_ms = immediately ? 0 : watch->settings.wait_ms;
         watch->table->changes(watch->table, watch->name, watch->version, watch->waited_ms,
-                              changes_answered, watch);
+                              changes_answered, call);
         return;
     }
     if (watch->read_started_ms == 0) {
         watch->read_started_ms = watch->called_ms;
     }
     watch->table->read(watch->table, watch->name, watch->next_key != NULL ? watch->next_key : "",
-                       page_answered, watch);
+                       page_answered, call);
 }
 
 wb_table_watch_t *wb_table_watch_create(wb_loop_t *loop, wb_table_t *table, wb_table_name_t name,
@@ -448,7 +539,28 @@
     call_reschedule(watch);
 }
 
+/* The store has come back from an older copy. What was read before is no longer in it as it was, so
+ * the table is read again. */
+gboolean wb_table_watch_note_era(wb_table_watch_t *watch, int64_t era) {
+    if (!watch->synced || era <= watch->era)
+        return FALSE;
+    watch->era = era;
+    if (!wb_table_watch_is_settling(watch))
+        watch->fresh_before_ms = wb_table_watch_fresh_ms(watch);
+    watch->rollback_ms = wb_clock_ms();
+    watch->spread_ms = g_random_int_range(0, SETTLE_SPREAD_MS);
+    watch->settle_ms = 0;
+    watch->serial++;
+    watch->calling = FALSE;
+    if (watch->state == WB_WATCH_FOLLOWING || watch->state == WB_WATCH_READING) {
+        read_begin(watch);
+        call_after(watch, REREAD_DELAY_MS + g_random_int_range(0, ROLLBACK_READ_SPREAD_MS));
+    }
+    return TRUE;
+}
+
 void wb_table_watch_apply_row(wb_table_watch_t *watch, const wb_table_row_t *row) {
+    wb_table_watch_note_era(watch, wb_store_version_era(row->version));
     if (watch->synced && row_apply(watch, row))
         watch->events.on_batch(FALSE, watch->events.context);
 }
@@ -494,6 +606,19 @@
     return watch->ignored_rows;
 }
 
+int64_t wb_table_watch_read_era(const wb_table_watch_t *watch) {
+    return wb_store_version_era(watch->version);
+}
+
+int64_t wb_table_watch_fresh_before_rollback_ms(const wb_table_watch_t *watch) {
+    return watch->fresh_before_ms;
+}
+
+gboolean wb_table_watch_is_settling(const wb_table_watch_t *watch) {
+    return watch->rollback_ms != 0 &&
+           (wb_clock_ms() - watch->rollback_ms < LOST_ROW_GRACE_MS || watch->settle_ms != 0);
+}
+
 gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch) {
     return watch->state == WB_WATCH_READING;
 }
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -79,6 +79,8 @@
         {"store_calls_total", "Calls to the store.", wb_store_calls_sum(&metrics->store_calls)},
         {"store_failures_total", "Calls to the store without a good answer.",
          metrics->store_calls.failed},
+        {"store_rollbacks_total", "Times that the store was found to have come back from a copy.",
+         metrics->store_rollbacks},
         {"store_reads_discarded_total",
          "Reads of a whole table that were older than what was known.",
          metrics->store_reads_discarded},
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -78,9 +78,11 @@
     gboolean starts_reported; /* an engine row had a start time: rows without one are invalid now */
     unsigned rejected_rows;   /* malformed engine rows since the last log line */
     int64_t rejected_rows_logged_ms;
-    int64_t store_era; /* as last logged; 0: the store has named none */
+    int64_t store_era; /* newest era of the store that is known; 0: it has named none */
+    int64_t catalog_before_rollback; /* version of the configuration then in force; 0: none */
+    gboolean has_seen_rollback;      /* the era has risen since the start */
     gboolean store_unavailable[WB_TABLE_NODES + 1]; /* by wb_table_name_t: the last call failed */
-    int64_t read_discarded_ms; /* when a discarded read was last logged */
+    int64_t read_discarded_ms;                      /* when a discarded read was last logged */
     gboolean node_row_written;
     gboolean node_row_creating; /* the write under way creates the row */
     gboolean node_row_created;  /* by this process, and not read back yet */
@@ -178,10 +180,24 @@
 void wb_edge_node_catalog_keep(wb_edge_node_t *node, const wb_table_row_t *row);
 /** Answer a node that asks for the configuration. */
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
-                                 const wb_wire_catalog_fetch *fetch);
+                                 const wb_wire_catalog_fetch *fetch,
+                                 const wb_wire_extensions *extensions);
 /** Ask another node for the configuration when that is due. */
 void wb_edge_node_tick_catalog(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_era.c */
+/** Look whether the store's answers have named a new era. */
+void wb_edge_node_tick_era(wb_edge_node_t *node);
+/** Add the era whose numbers wb_edge_node_version_to_wire returns. */
+void wb_edge_node_era_add(const wb_edge_node_t *node, wb_wire_extensions *extensions);
+/** @return the era of the row versions in a message; 0 if nothing can be told from them */
+int64_t wb_edge_node_message_era(wb_edge_node_t *node, const wb_wire_extensions *extensions);
+/** @return the number of a version in the present era; 0: it is of an earlier one */
+uint64_t wb_edge_node_version_to_wire(const wb_edge_node_t *node, int64_t version);
+/** @return the version that a message names. @param era wb_edge_node_message_era
+ * @param number 0: none */
+int64_t wb_edge_node_version_from_wire(int64_t era, uint64_t number);
+
 /* node_engines.c */
 /** As wb_table_watch_events_t.on_row for engines. @param context the node */
 void wb_edge_node_engine_row(const wb_table_row_t *row, void *context);
@@ -214,9 +230,12 @@
 void wb_edge_node_subscription_free(wb_subscription_t *subscription);
 /** Store an engine row that was added, changed or removed, and queue it for its subscribers. */
 void wb_edge_node_relay_row(wb_edge_node_t *node, const wb_table_row_t *row);
-/** Extend a gateway's subscription and send it the rows that it subscribes to. */
+/** Extend a gateway's subscription and send it the rows that it subscribes to.
+ * @param era of the row versions that it names */
 void wb_edge_node_relay_subscribe(wb_edge_node_t *node, wb_link_t *link, wb_gateway_t *gateway,
-                                  const wb_wire_engine_subscribe *want);
+                                  const wb_wire_engine_subscribe *want, int64_t era);
+/** Drop the queued changes, which are of an earlier era of the store. */
+void wb_edge_node_relay_drop(wb_edge_node_t *node);
 /** Send subscribers the queued changes, or an empty message as a heartbeat. */
 void wb_edge_node_tick_relay(wb_edge_node_t *node, int64_t now_ms);
 
@@ -233,7 +252,7 @@
 /** Append a row for each known zone. @param rows of wb_wire_table_row; the rows own their texts */
 void wb_edge_node_zones_append(const wb_edge_node_t *node, GArray *rows);
 /** Apply a zone row received from the lease holder. */
-void wb_edge_node_zone_take(wb_edge_node_t *node, const wb_wire_table_row *wire);
+void wb_edge_node_zone_take(wb_edge_node_t *node, const wb_wire_table_row *wire, int64_t era);
 
 /* node_share.c */
 /** Update the number of nodes that divide cluster-wide budgets, and log changes of it. */
@@ -402,7 +421,10 @@
 /** Poll the engines table soon, unless the holder's updates are recent. */
 void wb_edge_node_expedite_engines(wb_edge_node_t *node);
 /** Append a copy of a row. @param rows of wb_wire_table_row; the row owns its texts */
-void wb_edge_node_wire_row_add(GArray *rows, unsigned table, const wb_table_row_t *row);
+void wb_edge_node_wire_row_add(const wb_edge_node_t *node, GArray *rows, unsigned table,
+                               const wb_table_row_t *row);
+/** Drop the queued rows, which are of an earlier era of the store. */
+void wb_edge_node_updates_drop(wb_edge_node_t *node);
 /** Queue a row for the next store update; does nothing unless this node holds the lease. */
 void wb_edge_node_update_add(wb_edge_node_t *node, wb_table_name_t table,
                              const wb_table_row_t *row);
@@ -412,7 +434,8 @@
 void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
                               const wb_wire_extensions *extensions);
 /** Apply the lease row of a store update, from a holder that this node has no link to yet. */
-void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update);
+void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update,
+                                    const wb_wire_extensions *extensions);
 /** @return TRUE while store updates arrive in time, or this node holds the lease */
 gboolean wb_edge_node_has_recent_updates(const wb_edge_node_t *node);
 
--- a/src/edge/node_announce.c
+++ b/src/edge/node_announce.c
@@ -23,8 +23,9 @@
 /* Announcements to one node. */
 struct wb_announcement_t {
     wb_edge_node_t *node;
-    wb_link_t *link;    /* NULL: no announcement under way */
-    int64_t connect_ms; /* when the link was started */
+    wb_link_t *link;         /* NULL: no announcement under way */
+    int64_t connect_ms;      /* when the link was started */
+    unsigned format_version; /* that the node reads */
     int64_t next_ms;
     int64_t retry_ms;
 };
@@ -45,15 +46,20 @@
     const wb_announcement_t *announcement = context;
     const wb_edge_node_t *node = announcement->node;
     const wb_lease_row_t *known = wb_lease_known_row(node->lease);
-    if (!node->lease_held || known == NULL) {
+    uint64_t version = wb_edge_node_version_to_wire(node, wb_lease_confirmed_version(node->lease));
+    if (!node->lease_held || known == NULL || version == 0) {
         return;
     }
     wb_wire_message message = {.kind = WB_WIRE_STORE_UPDATE};
     wb_wire_store_update *update = &message.wb_wire_message_u.store_update;
     wb_lease_row_t copy = wb_edge_node_lease_without_grants(known);
     update->lease = wb_edge_node_lease_to_wire(&copy);
-    update->lease_version = (uint64_t)wb_lease_version(node->lease);
-    wb_link_send(link, &message);
+    update->lease_version = version;
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_era_add(node, &extensions);
+    wb_link_set_format_version(link, announcement->format_version);
+    wb_link_send_with_extensions(link, &message, &extensions);
+    wb_extensions_clear(&extensions);
 }
 
 static void link_message(wb_link_t *link, const wb_wire_message *message, void *context) {
@@ -69,21 +75,22 @@
     announcement->link = NULL;
 }
 
-static void announce(wb_announcement_t *announcement, const char *id, const char *address,
+static void announce(wb_announcement_t *announcement, const char *id, const wb_node_row_t *row,
                      int64_t now_ms) {
     wb_edge_node_t *node = announcement->node;
     wb_link_events_t events = {link_open, link_message, link_close, announcement, NULL, NULL};
     wb_error_t error;
     announcement->connect_ms = now_ms;
+    announcement->format_version = row->format_version;
     announcement->retry_ms = CLAMP(2 * announcement->retry_ms, RETRY_MS, RETRY_MAX_MS);
     announcement->next_ms = now_ms + announcement->retry_ms;
-    if (wb_link_connect(node->edge.loop, address, &events, &node->link_counters,
+    if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
                         &announcement->link, &error) != APR_SUCCESS) {
         wb_event("announce-failed", ",\"to\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
                  wb_event_escape(error.message));
         return;
     }
-    wb_event("announced", ",\"to\":\"%s\",\"address\":\"%s\"", wb_event_escape(id), address);
+    wb_event("announced", ",\"to\":\"%s\",\"address\":\"%s\"", wb_event_escape(id), row->address);
 }
 
 /* Returns the ids of nodes that report to this one; borrowed. */
@@ -102,7 +109,7 @@
 }
 
 /* Returns TRUE when an announcement was started. */
-static gboolean announcement_check(wb_edge_node_t *node, const char *id, const char *address,
+static gboolean announcement_check(wb_edge_node_t *node, const char *id, const wb_node_row_t *row,
                                    int64_t now_ms) {
     wb_announcement_t *announcement = g_hash_table_lookup(node->announcements, id);
     if (announcement == NULL) {
@@ -118,7 +125,7 @@
     if (announcement->link != NULL || now_ms < announcement->next_ms) {
         return FALSE;
     }
-    announce(announcement, id, address, now_ms);
+    announce(announcement, id, row, now_ms);
     return TRUE;
 }
 
@@ -145,6 +152,6 @@
             g_hash_table_remove(node->announcements, id);
             continue;
         }
-        started += announcement_check(node, id, row->address, now_ms);
+        started += announcement_check(node, id, row, now_ms);
     }
 }
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -22,7 +22,8 @@
 struct wb_catalog_fetcher_t {
     wb_link_t *link; /* to the peer that is asked; NULL: none is */
     char *peer;
-    GHashTable *asked; /* ids of peers asked in this round */
+    unsigned format_version; /* that the peer reads */
+    GHashTable *asked;       /* ids of peers asked in this round */
     int64_t asked_ms;
     int64_t progress_ms; /* when it was asked, or more of its answer was seen to have arrived */
     size_t received;     /* bytes of the answer by then */
@@ -50,25 +51,34 @@
 /* Answering. */
 
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
-                                 const wb_wire_catalog_fetch *fetch) {
+                                 const wb_wire_catalog_fetch *fetch,
+                                 const wb_wire_extensions *extensions) {
     wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
     const wb_table_row_t *row = fetcher->row;
     int64_t now_ms = wb_clock_ms();
+    int64_t have =
+        wb_edge_node_version_from_wire(wb_edge_node_message_era(node, extensions), fetch->have);
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->catalog_watch);
     g_autoptr(GArray) rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     wb_wire_message message = {.kind = WB_WIRE_CATALOG_ANSWER};
     wb_wire_catalog_answer *answer = &message.wb_wire_message_u.catalog_answer;
     /* Another node's read may have confirmed a version that isn't here yet. */
-    answer->newest = (uint64_t)wb_table_watch_newest_named(node->catalog_watch);
-    answer->age_ms = fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
-    if (row != NULL && row->version > (int64_t)fetch->have &&
+    answer->newest =
+        wb_edge_node_version_to_wire(node, wb_table_watch_newest_named(node->catalog_watch));
+    answer->age_ms = fresh_ms == 0 || answer->newest == 0
+                         ? G_MAXINT
+                         : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
+    if (row != NULL && row->version > have &&
         wb_catalog_send_budget_take(&fetcher->budget, row->length, now_ms)) {
-        wb_edge_node_wire_row_add(rows, WB_TABLE_CATALOG, row);
+        wb_edge_node_wire_row_add(node, rows, WB_TABLE_CATALOG, row);
         node->edge.metrics.catalog_rows_sent++;
     }
     answer->rows.rows_len = rows->len;
     answer->rows.rows_val = (wb_wire_table_row *)(void *)rows->data;
-    wb_link_send(link, &message);
+    wb_wire_extensions era = {0};
+    wb_edge_node_era_add(node, &era);
+    wb_link_send_with_extensions(link, &message, &era);
+    wb_extensions_clear(&era);
     for (guint i = 0; i < rows->len; i++) {
         xdr_free((xdrproc_t)xdr_wb_wire_table_row,
                  (char *)&g_array_index(rows, wb_wire_table_row, i));
@@ -92,17 +102,26 @@
     wb_wire_message message = {.kind = WB_WIRE_CATALOG_FETCH};
     wb_edge_node_handshake_send(node, link);
     message.wb_wire_message_u.catalog_fetch.have =
-        (uint64_t)wb_table_watch_newest_row(node->catalog_watch);
-    wb_link_send(link, &message);
+        wb_edge_node_version_to_wire(node, wb_table_watch_newest_row(node->catalog_watch));
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_era_add(node, &extensions);
+    wb_link_set_format_version(link, node->catalog_fetcher->format_version);
+    wb_link_send_with_extensions(link, &message, &extensions);
+    wb_extensions_clear(&extensions);
 }
 
 /* The answer was made after the question was sent, which bounds the age of what it confirms. */
-static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer) {
+static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer,
+                        const wb_wire_extensions *extensions) {
     wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
+    int64_t era = wb_edge_node_message_era(node, extensions);
+    if (era < node->store_era) {
+        return; /* the peer hasn't noticed yet that the store went back */
+    }
     for (guint i = 0; i < answer->rows.rows_len; i++) {
         const wb_wire_table_row *wire = &answer->rows.rows_val[i];
         wb_table_row_t row = {wire->key, (guchar *)wire->value.value_val, wire->value.value_len,
-                              (int64_t)wire->row_version};
+                              wb_edge_node_version_from_wire(era, wire->row_version)};
         if (wire->table != WB_TABLE_CATALOG || wire->removed ||
             strcmp(wire->key, node->edge.dialect->catalog_key) != 0) {
             continue;
@@ -111,10 +130,11 @@
         node->edge.metrics.catalog_rows_fetched++;
         wb_event("catalog-fetched",
                  ",\"from\":\"%s\",\"row_version\":%lld,\"age_ms\":%u,\"ms\":%lld",
-                 wb_event_escape(fetcher->peer), (long long)row.version, answer->age_ms,
-                 (long long)(wb_clock_ms() - fetcher->asked_ms));
+                 wb_event_escape(fetcher->peer), (long long)wb_store_version_number(row.version),
+                 answer->age_ms, (long long)(wb_clock_ms() - fetcher->asked_ms));
     }
-    wb_table_watch_note_peer_read(node->catalog_watch, (int64_t)answer->newest,
+    wb_table_watch_note_peer_read(node->catalog_watch,
+                                  wb_edge_node_version_from_wire(era, answer->newest),
                                   fetcher->asked_ms - (int64_t)answer->age_ms);
 }
 
@@ -124,7 +144,7 @@
         return;
     }
     node->catalog_fetcher->answered = TRUE;
-    answer_take(node, &message->wb_wire_message_u.catalog_answer);
+    answer_take(node, &message->wb_wire_message_u.catalog_answer, wb_link_extensions(link));
     wb_link_close_later(link, "answered");
 }
 
@@ -168,6 +188,7 @@
     wb_error_t error;
     g_free(fetcher->peer);
     fetcher->peer = g_strdup(id);
+    fetcher->format_version = row->format_version;
     g_hash_table_add(fetcher->asked, g_strdup(id));
     fetcher->asked_ms = now_ms;
     fetcher->progress_ms = now_ms;
@@ -184,7 +205,7 @@
 
 static gboolean fetch_is_due(wb_edge_node_t *node, int64_t now_ms) {
     int64_t behind_since_ms = wb_table_watch_behind_since_ms(node->catalog_watch);
-    wb_catalog_status_t status = {.age_ms = wb_edge_node_catalog_age_ms(node),
+    wb_catalog_status_t status = {.age_ms = now_ms - wb_table_watch_fresh_ms(node->catalog_watch),
                                   .behind_ms = behind_since_ms != 0 ? now_ms - behind_since_ms : 0,
                                   .store_failing = node->store_unavailable[WB_TABLE_CATALOG],
                                   .bound_ms = node->edge.settings.catalog_ms};
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -16,6 +16,8 @@
 
 /* Delay before the readers are selected, so that all nodes of a cold start have written their rows.
  */
+/* Sent as the version of a row that is known from before the store went back. */
+#define OLDEST_NUMBER 1
 #define SELECT_READERS_MS 2500
 /* The same after a restart: the rows of the other nodes are there after one read. */
 #define SELECT_AFTER_RESTART_MS 100
@@ -201,7 +203,10 @@
     want->known.known_len = known != NULL ? known->len : 0;
     want->known.known_val = known != NULL ? (wb_wire_row_version *)(void *)known->data : NULL;
     directory->node->edge.metrics.subscriptions_sent++;
-    wb_link_send(directory->link, &message);
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_era_add(directory->node, &extensions);
+    wb_link_send_with_extensions(directory->link, &message, &extensions);
+    wb_extensions_clear(&extensions);
 }
 
 /* Sends all subscriptions and the versions of all known rows, to receive what has changed since: on
@@ -218,7 +223,8 @@
     }
     g_hash_table_iter_init(&iter, directory->versions);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        wb_wire_row_version row = {key, (uint64_t) * (const int64_t *)value};
+        uint64_t number = wb_edge_node_version_to_wire(directory->node, *(const int64_t *)value);
+        wb_wire_row_version row = {key, MAX(number, OLDEST_NUMBER)};
         g_array_append_val(known, row);
     }
     subscribe_send(directory, wanted, known);
@@ -246,11 +252,11 @@
     }
 }
 
-static void rows_take(wb_directory_t *directory, const wb_wire_engine_update *update) {
+static void rows_take(wb_directory_t *directory, const wb_wire_engine_update *update, int64_t era) {
     wb_edge_node_t *node = directory->node;
     for (guint i = 0; i < update->rows.rows_len; i++) {
         const wb_wire_table_row *wire = &update->rows.rows_val[i];
-        int64_t version = (int64_t)wire->row_version;
+        int64_t version = wb_edge_node_version_from_wire(era, wire->row_version);
         wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
                               wire->value.value_len, version};
         g_hash_table_replace(directory->versions, g_strdup(wire->key),
@@ -273,10 +279,14 @@
     wb_edge_node_t *node = directory->node;
     int64_t now_ms = wb_clock_ms();
     int64_t sent_ms = wb_edge_node_sent_ms(&directory->transit, extensions, now_ms);
+    int64_t era = wb_edge_node_message_era(node, extensions);
     gboolean resubscribe = update->whole && directory->incomplete_answers;
     directory->received_ms = now_ms;
+    if (era < node->store_era) {
+        return; /* the relay hasn't noticed yet that the store went back */
+    }
     directory->incomplete_answers = !update->whole;
-    rows_take(directory, update);
+    rows_take(directory, update, era);
     if (resubscribe) {
         subscribe_all(directory);
         return;
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -106,8 +106,8 @@
     }
     wb_event("engine-row-refused",
              ",\"engine\":\"%s\",\"row_version\":%lld,\"reason\":\"%s\",\"rows\":%u",
-             wb_event_escape(row->key), (long long)row->version, wb_event_escape(reason),
-             node->rejected_rows);
+             wb_event_escape(row->key), (long long)wb_store_version_number(row->version),
+             wb_event_escape(reason), node->rejected_rows);
     node->rejected_rows_logged_ms = now_ms;
     node->rejected_rows = 0;
 }
@@ -133,7 +133,7 @@
 static void row_removed(wb_edge_node_t *node, wb_engine_t *known, const wb_table_row_t *row) {
     if (known != NULL) {
         wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
-                 wb_event_escape(row->key), (long long)row->version);
+                 wb_event_escape(row->key), (long long)wb_store_version_number(row->version));
         engine_remove(node, known,
                       wb_fleet_grace_until_ms(wb_table_watch_fresh_ms(node->engines_watch),
                                               node->edge.settings.drain_ms, wb_clock_ms()));
@@ -156,7 +156,7 @@
              ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
              "\"cold_ms\":%lld,\"row_version\":%lld",
              state->id, state->service, state->address, state->leaving ? "true" : "false",
-             (long long)state->cold_ms, (long long)row->version);
+             (long long)state->cold_ms, (long long)wb_store_version_number(row->version));
 }
 
 void wb_edge_node_engine_row(const wb_table_row_t *row, void *context) {
@@ -175,6 +175,10 @@
     }
     gboolean restarted = known != NULL && wb_engine_state_is_later(known->state, state);
     gboolean was_draining = known != NULL && known->draining_since_ms != 0;
+    /* The copy of a store that went back may still have the row from before the engine drained. */
+    if (was_draining && !restarted && known->state->leaving &&
+        wb_table_watch_is_settling(node->engines_watch))
+        state->leaving = TRUE;
     gboolean was_cold = known != NULL && known->state->cold_ms > 0;
     wb_engine_t *before = known != NULL ? wb_engine_ref(known) : NULL;
     if (restarted) {
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -62,7 +62,7 @@
         wb_lease_on_not_written(node->lease, now_ms);
         for (guint i = 0; i < answer->rows->len; i++) {
             const wb_table_row_t *row = g_ptr_array_index(answer->rows, i);
-            if (strcmp(row->key, WB_LEASE_KEY) == 0 && row->version > 0)
+            if (strcmp(row->key, WB_LEASE_KEY) == 0 && wb_store_version_number(row->version) > 0)
                 wb_edge_node_take_lease_row(node, row);
         }
     }
--- a/src/edge/node_relay.c
+++ b/src/edge/node_relay.c
@@ -58,7 +58,19 @@
         const wb_gateway_t *gateway = value;
         wb_subscription_t *subscription = gateway->subscription;
         if (subscription != NULL && g_hash_table_contains(subscription->keys, row->key)) {
-            wb_edge_node_wire_row_add(subscription->changes, WB_TABLE_ENGINES, row);
+            wb_edge_node_wire_row_add(node, subscription->changes, WB_TABLE_ENGINES, row);
+        }
+    }
+}
+
+void wb_edge_node_relay_drop(wb_edge_node_t *node) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_gateway_t *gateway = value;
+        if (gateway->subscription != NULL) {
+            g_array_set_size(gateway->subscription->changes, 0);
         }
     }
 }
@@ -89,6 +101,7 @@
     }
     wb_wire_extensions extensions = {0};
     wb_edge_node_sent_add(&extensions, now_ms);
+    wb_edge_node_era_add(node, &extensions);
     wb_link_send_with_extensions(link, &message, &extensions);
     wb_extensions_clear(&extensions);
     g_array_set_size(subscription->changes, 0);
@@ -98,7 +111,8 @@
 /* Queues a row if the version that the subscriber knows is older, and later its changes. A row that
  * is no longer in the table was removed while the gateway was subscribed to another relay. */
 static void known_row_add(wb_edge_node_t *node, wb_subscription_t *subscription,
-                          const wb_wire_row_version *known) {
+                          const wb_wire_row_version *known, int64_t era) {
+    int64_t known_version = wb_edge_node_version_from_wire(era, known->row_version);
     const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, known->key);
     wb_table_row_t removed_row = {known->key, NULL, 0,
                                   wb_table_watch_newest_row(node->engines_watch)};
@@ -107,8 +121,8 @@
         row = &removed_row;
     }
     g_hash_table_add(subscription->keys, g_strdup(known->key));
-    if (row != NULL && row->version > (int64_t)known->row_version) {
-        wb_edge_node_wire_row_add(subscription->changes, WB_TABLE_ENGINES, row);
+    if (row != NULL && row->version > known_version) {
+        wb_edge_node_wire_row_add(node, subscription->changes, WB_TABLE_ENGINES, row);
     }
 }
 
@@ -118,7 +132,7 @@
     const char *id = engine->state->id;
     const wb_table_row_t *row = g_hash_table_lookup(node->engine_rows, id);
     if (row != NULL && g_hash_table_add(subscription->keys, g_strdup(id))) {
-        wb_edge_node_wire_row_add(subscription->changes, WB_TABLE_ENGINES, row);
+        wb_edge_node_wire_row_add(node, subscription->changes, WB_TABLE_ENGINES, row);
     }
 }
 
@@ -133,7 +147,7 @@
 }
 
 void wb_edge_node_relay_subscribe(wb_edge_node_t *node, wb_link_t *link, wb_gateway_t *gateway,
-                                  const wb_wire_engine_subscribe *want) {
+                                  const wb_wire_engine_subscribe *want, int64_t era) {
     int64_t now_ms = wb_clock_ms();
     g_autoptr(GArray) holds = g_array_new(FALSE, FALSE, sizeof(wb_wire_placement_entry));
     if (gateway->subscription == NULL) {
@@ -141,7 +155,7 @@
     }
     wb_subscription_t *subscription = gateway->subscription;
     for (guint i = 0; i < want->known.known_len; i++) {
-        known_row_add(node, subscription, &want->known.known_val[i]);
+        known_row_add(node, subscription, &want->known.known_val[i], era);
     }
     for (guint i = 0; i < want->wants.wants_len; i++) {
         const wb_wire_engine_selector *selector = &want->wants.wants_val[i];
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -32,6 +32,7 @@
 static void store_call_done(wb_table_name_t table, wb_store_cause_t cause, gboolean succeeded,
                             int64_t age_ms, void *context) {
     wb_edge_node_t *node = context;
+    wb_edge_node_tick_era(node);
     wb_store_calls_note(&node->edge.metrics.store_calls, table, cause);
     if (!succeeded)
         wb_store_calls_note_failure(&node->edge.metrics.store_calls);
@@ -59,23 +60,26 @@
     node->read_discarded_ms = now_ms;
     wb_event("store-read-discarded",
              ",\"table\":\"%s\",\"known_version\":%lld,\"read_version\":%lld,\"era\":%lld",
-             table_names[table], (long long)known_version, (long long)read_version,
-             (long long)node->table->era);
-}
-
-static void store_era_check(wb_edge_node_t *node) {
-    if (node->store_era == node->table->era)
-        return;
-    wb_event("store-era", ",\"era\":%lld,\"before\":%lld", (long long)node->table->era,
-             (long long)node->store_era);
-    node->store_era = node->table->era;
+             table_names[table], (long long)wb_store_version_number(known_version),
+             (long long)wb_store_version_number(read_version),
+             (long long)wb_store_version_era(read_version));
 }
 
 /* The catalog. */
 
+/* Returns TRUE while the store may lack a configuration that was acknowledged before it went back.
+ * Once the operator has written a newer one, that is the newest. */
+static gboolean catalog_is_settling(const wb_edge_node_t *node) {
+    return wb_table_watch_is_settling(node->catalog_watch) && node->edge.catalog != NULL &&
+           node->edge.catalog->version <= node->catalog_before_rollback;
+}
+
 int64_t wb_edge_node_catalog_age_ms(void *context) {
     const wb_edge_node_t *node = context;
-    return wb_clock_ms() - wb_table_watch_fresh_ms(node->catalog_watch);
+    const wb_table_watch_t *watch = node->catalog_watch;
+    return wb_clock_ms() - (catalog_is_settling(node)
+                                ? wb_table_watch_fresh_before_rollback_ms(watch)
+                                : wb_table_watch_fresh_ms(watch));
 }
 
 int64_t wb_edge_node_catalog_behind_ms(void *context) {
@@ -119,9 +123,10 @@
     int64_t named_ms = wb_table_watch_named_ms(node->catalog_watch, row_version);
     wb_event("catalog-in-force",
              ",\"version\":%lld,\"before\":%lld,\"routes\":%u,\"services\":%u,"
-             "\"row_version\":%lld,\"parse_ms\":%lld,\"named_for_ms\":%lld",
+             "\"row_version\":%lld,\"era\":%lld,\"parse_ms\":%lld,\"named_for_ms\":%lld",
              (long long)catalog->version, (long long)before, catalog->route_count,
-             g_hash_table_size(catalog->services), (long long)row_version, (long long)parse_ms,
+             g_hash_table_size(catalog->services), (long long)wb_store_version_number(row_version),
+             (long long)wb_store_version_era(row_version), (long long)parse_ms,
              named_ms != 0 ? (long long)(wb_clock_ms() - named_ms) : 0LL);
 }
 
@@ -130,7 +135,7 @@
     wb_edge_node_t *node = context;
     if (catalog == NULL) {
         wb_event("catalog-refused", ",\"row_version\":%lld,\"reason\":\"%s\"",
-                 (long long)row_version, wb_event_escape(error->message));
+                 (long long)wb_store_version_number(row_version), wb_event_escape(error->message));
         return;
     }
     if (node->edge.catalog != NULL && catalog->version <= node->edge.catalog->version) {
@@ -202,7 +207,8 @@
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
     } else {
-        wb_event("lease-row-refused", ",\"row_version\":%lld", (long long)row->version);
+        wb_event("lease-row-refused", ",\"row_version\":%lld",
+                 (long long)wb_store_version_number(row->version));
     }
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
@@ -274,8 +280,10 @@
 static void nodes_batch(gboolean full_read, void *context) {
     wb_edge_node_t *node = context;
     if (full_read)
-        /* A full read without the lease row: the lease was never held. */
-        wb_lease_on_row(node->lease, NULL, 0, wb_clock_ms());
+        /* A full read without the lease row: the store has no holder of this era. */
+        wb_lease_on_row(node->lease, NULL,
+                        wb_store_version(wb_table_watch_read_era(node->nodes_watch), 0),
+                        wb_clock_ms());
     node->edge.node_count = g_hash_table_size(node->nodes);
     wb_edge_node_check_lease(node);
     own_row_adopt(node);
@@ -295,9 +303,12 @@
         node->node_row_due_ms = now_ms + node_row_life_ms(node) / NODE_ROW_RENEWALS;
         return;
     }
+    wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
+    if (answer->outcome == WB_TABLE_CONFLICT && answer->rows->len == 0 && known != NULL)
+        known->version = 0; /* the row isn't there any more */
     for (guint i = 0; i < answer->rows->len; i++) {
         const wb_table_row_t *row = g_ptr_array_index(answer->rows, i);
-        if (row->version > 0 && row->value != NULL)
+        if (wb_store_version_number(row->version) > 0 && row->value != NULL)
             node_row_take(node, row);
     }
     node->node_row_retry_ms =
@@ -315,7 +326,9 @@
     node->node_row_writing = TRUE;
     node->node_row_creating = known == NULL;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
-    node->table->write(node->table, key, known != NULL ? known->version : 0, (const guchar *)value,
+    /* A row of an earlier era that wasn't read again is missing in the store's copy. */
+    gboolean is_stored = known != NULL && wb_store_version_era(known->version) == node->store_era;
+    node->table->write(node->table, key, is_stored ? known->version : 0, (const guchar *)value,
                        strlen(value), node_row_write_done, node);
 }
 
@@ -329,7 +342,7 @@
 static void node_row_remove(wb_edge_node_t *node, const char *id, const wb_node_row_t *row) {
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
     wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_escape(id),
-             (long long)row->version);
+             (long long)wb_store_version_number(row->version));
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, key, row->version, NULL, 0, node_row_remove_done, node);
 }
@@ -355,7 +368,7 @@
 }
 
 void wb_edge_node_tick_rows(wb_edge_node_t *node, int64_t now_ms) {
-    store_era_check(node);
+    wb_edge_node_tick_era(node);
     if (wb_table_watch_is_synced(node->nodes_watch) && !node->node_row_writing &&
         now_ms >= node->node_row_due_ms)
         node_row_write(node);
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -126,12 +126,20 @@
     node->update_bytes = 0;
 }
 
-void wb_edge_node_wire_row_add(GArray *rows, unsigned table, const wb_table_row_t *row) {
+void wb_edge_node_updates_drop(wb_edge_node_t *node) {
+    update_clear(node);
+    node->update_overflow = FALSE;
+}
+
+void wb_edge_node_wire_row_add(const wb_edge_node_t *node, GArray *rows, unsigned table,
+                               const wb_table_row_t *row) {
+    if (wb_store_version_era(row->version) != node->store_era)
+        return;
     g_array_set_size(rows, rows->len + 1);
     wb_wire_table_row *wire = &g_array_index(rows, wb_wire_table_row, rows->len - 1);
     *wire = (wb_wire_table_row){.table = table,
                                 .key = strdup(row->key),
-                                .row_version = (uint64_t)row->version,
+                                .row_version = wb_edge_node_version_to_wire(node, row->version),
                                 .removed = row->value == NULL};
     if (row->value == NULL)
         return;
@@ -150,12 +158,16 @@
         node->update_overflow = TRUE;
         return;
     }
-    wb_edge_node_wire_row_add(node->update_rows, table, row);
+    wb_edge_node_wire_row_add(node, node->update_rows, table, row);
 }
 
-static unsigned age_ms(const wb_table_watch_t *watch, int64_t now_ms) {
+/* Returns how old this node's own copy of a table is. What it read before the store went back is
+ * worth nothing to others. */
+static unsigned age_ms(const wb_edge_node_t *node, const wb_table_watch_t *watch, int64_t now_ms) {
     int64_t known_ms = wb_table_watch_known_ms(watch);
-    return known_ms == 0 ? G_MAXUINT : (unsigned)CLAMP(now_ms - known_ms, 0, G_MAXINT);
+    return known_ms == 0 || wb_table_watch_read_era(watch) != node->store_era
+               ? G_MAXUINT
+               : (unsigned)CLAMP(now_ms - known_ms, 0, G_MAXINT);
 }
 
 /* Sends the view of each table and the queued rows. Only the catalog's view names the version of
@@ -166,13 +178,14 @@
     if (lease == NULL)
         return;
     wb_wire_table_view views[] = {
-        {WB_TABLE_CATALOG, (uint64_t)wb_table_watch_newest_row(node->catalog_watch),
-         age_ms(node->catalog_watch, now_ms)},
+        {WB_TABLE_CATALOG,
+         wb_edge_node_version_to_wire(node, wb_table_watch_newest_row(node->catalog_watch)),
+         age_ms(node, node->catalog_watch, now_ms)},
         {WB_TABLE_ENGINES, wb_fleet_digest(node->edge.fleet, now_ms),
-         age_ms(node->engines_watch, now_ms)},
-        {WB_TABLE_NODES, 0, age_ms(node->nodes_watch, now_ms)},
+         age_ms(node, node->engines_watch, now_ms)},
+        {WB_TABLE_NODES, 0, age_ms(node, node->nodes_watch, now_ms)},
         {WB_UPDATE_NODE_IDS, wb_equal_share_digest(node->edge.share),
-         age_ms(node->nodes_watch, now_ms)}, /* must be last: left out unless it is due */
+         age_ms(node, node->nodes_watch, now_ms)}, /* must be last: left out unless it is due */
     };
     wb_wire_message message = {.kind = WB_WIRE_STORE_UPDATE};
     wb_wire_store_update *update = &message.wb_wire_message_u.store_update;
@@ -180,13 +193,15 @@
     update->views.views_val = views;
     wb_lease_row_t lease_copy = wb_edge_node_lease_without_grants(lease);
     update->lease = wb_edge_node_lease_to_wire(&lease_copy);
-    update->lease_version = (uint64_t)wb_lease_version(node->lease);
+    update->lease_version =
+        wb_edge_node_version_to_wire(node, wb_lease_confirmed_version(node->lease));
     wb_edge_node_zones_append(node, node->update_rows);
     update->rows.rows_len = node->update_rows->len;
     update->rows.rows_val = (wb_wire_table_row *)(void *)node->update_rows->data;
     update->look = node->update_overflow;
     wb_wire_extensions extensions = {0};
     wb_edge_node_sent_add(&extensions, now_ms);
+    wb_edge_node_era_add(node, &extensions);
     wb_edge_node_broadcast_with_extensions(node, &message, &extensions);
     wb_extensions_clear(&extensions);
     update_clear(node);
@@ -203,8 +218,7 @@
 
 void wb_edge_node_tick_updates(wb_edge_node_t *node, int64_t now_ms) {
     if (!node->lease_held) {
-        update_clear(node);
-        node->update_overflow = FALSE;
+        wb_edge_node_updates_drop(node);
         return;
     }
     gboolean pending = node->update_rows->len > 0 || node->update_overflow;
@@ -216,13 +230,15 @@
  * table since the link was opened (earlier changes may have been sent to other gateways only), or
  * both know the same engines and models. */
 static gboolean engines_match_holder(const wb_edge_node_t *node, uint64_t holder_digest) {
-    return wb_table_watch_known_ms(node->engines_watch) > node->link_opened_ms ||
-           wb_fleet_digest(node->edge.fleet, wb_clock_ms()) == holder_digest;
+    gboolean read_since = wb_table_watch_known_ms(node->engines_watch) > node->link_opened_ms &&
+                          wb_table_watch_read_era(node->engines_watch) == node->store_era;
+    return read_since || wb_fleet_digest(node->edge.fleet, wb_clock_ms()) == holder_digest;
 }
 
 /* Counts the holder's read of a table as an own one. For the catalog the view names the newest
  * version, and a missed node row matters only later. */
-static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t sent_ms) {
+static void view_take(wb_edge_node_t *node, const wb_wire_table_view *view, int64_t era,
+                      int64_t sent_ms) {
     if (view->table == WB_UPDATE_NODE_IDS) {
         wb_edge_node_share_take_digest(node, view, sent_ms);
         return;
@@ -234,19 +250,21 @@
         return; /* the relay sends the age of its rows */
     int64_t known_ms = sent_ms - (int64_t)view->age_ms;
     if (view->table != WB_TABLE_ENGINES)
-        wb_table_watch_note_peer_read(watch, (int64_t)view->newest, known_ms);
+        wb_table_watch_note_peer_read(watch, wb_edge_node_version_from_wire(era, view->newest),
+                                      known_ms);
     else if (engines_match_holder(node, view->newest))
         wb_table_watch_note_peer_read(watch, 0, known_ms);
 }
 
-static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire) {
+static void row_take(wb_edge_node_t *node, const wb_wire_table_row *wire, int64_t era) {
     if (wire->table == WB_UPDATE_ZONES) {
-        wb_edge_node_zone_take(node, wire);
+        wb_edge_node_zone_take(node, wire, era);
         return;
     }
     wb_table_watch_t *watch = wb_edge_node_watch(node, wire->table);
     wb_table_row_t row = {wire->key, wire->removed ? NULL : (guchar *)wire->value.value_val,
-                          wire->value.value_len, (int64_t)wire->row_version};
+                          wire->value.value_len,
+                          wb_edge_node_version_from_wire(era, wire->row_version)};
     if (wire->table == WB_TABLE_ENGINES && !wb_edge_node_reads_engines(node) &&
         wb_fleet_find(node->edge.fleet, wire->key) == NULL)
         return; /* not needed by the clients of this node */
@@ -254,23 +272,34 @@
         wb_table_watch_apply_row(watch, &row);
 }
 
-void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update) {
+/* A sender names no version while its lease row isn't the one in the store. */
+static void lease_take(wb_edge_node_t *node, const wb_wire_store_update *update, int64_t era) {
     wb_lease_row_t lease = wb_edge_node_lease_from_wire(&update->lease);
-    wb_lease_on_row(node->lease, &lease, (int64_t)update->lease_version, wb_clock_ms());
+    if (update->lease_version != 0)
+        wb_lease_on_row(node->lease, &lease,
+                        wb_edge_node_version_from_wire(era, update->lease_version), wb_clock_ms());
+}
+
+void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update,
+                                    const wb_wire_extensions *extensions) {
+    lease_take(node, update, wb_edge_node_message_era(node, extensions));
 }
 
 void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
                               const wb_wire_extensions *extensions) {
     int64_t now_ms = wb_clock_ms();
     int64_t sent_ms = wb_edge_node_sent_ms(&node->update_transit, extensions, now_ms);
+    int64_t era = wb_edge_node_message_era(node, extensions);
     node->update_received_ms = now_ms;
-    wb_edge_node_take_announcement(node, update);
+    if (era < node->store_era)
+        return; /* the holder hasn't noticed yet that the store went back */
+    lease_take(node, update, era);
     for (guint i = 0; i < update->rows.rows_len; i++)
-        row_take(node, &update->rows.rows_val[i]);
+        row_take(node, &update->rows.rows_val[i], era);
     if (update->look)
         wb_table_watch_poll_soon(node->engines_watch);
     for (guint i = 0; i < update->views.views_len; i++)
-        view_take(node, &update->views.views_val[i], sent_ms);
+        view_take(node, &update->views.views_val[i], era, sent_ms);
 }
 
 gboolean wb_edge_node_has_recent_updates(const wb_edge_node_t *node) {
--- a/src/edge/node_zones.c
+++ b/src/edge/node_zones.c
@@ -115,10 +115,11 @@
     while (g_hash_table_iter_next(&iter, &zone, &value)) {
         const wb_zone_row_t *known = value;
         wb_table_row_t row = {zone, known->evacuated ? (guchar *)"" : NULL, 0, known->version};
-        wb_edge_node_wire_row_add(rows, WB_UPDATE_ZONES, &row);
+        wb_edge_node_wire_row_add(node, rows, WB_UPDATE_ZONES, &row);
     }
 }
 
-void wb_edge_node_zone_take(wb_edge_node_t *node, const wb_wire_table_row *wire) {
-    zone_note(node, wire->key, (int64_t)wire->row_version, !wire->removed);
+void wb_edge_node_zone_take(wb_edge_node_t *node, const wb_wire_table_row *wire, int64_t era) {
+    zone_note(node, wire->key, wb_edge_node_version_from_wire(era, wire->row_version),
+              !wire->removed);
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -493,7 +493,8 @@
 enum wb_wire_extension_kind {
     WB_WIRE_EXTENSION_STARTS = 1, /* wb_wire_start_times */
     WB_WIRE_EXTENSION_WRITER = 2, /* wb_wire_writer */
-    WB_WIRE_EXTENSION_SENT = 3    /* wb_wire_sent */
+    WB_WIRE_EXTENSION_SENT = 3,   /* wb_wire_sent */
+    WB_WIRE_EXTENSION_ERA = 4     /* wb_wire_era */
 };
 
 struct wb_wire_extension {
@@ -516,6 +517,11 @@
     unsigned hyper sent_ms; /* monotonic clock of the sender */
 };
 
+/* The store's era, in which all row versions of the message or row are numbers. */
+struct wb_wire_era {
+    unsigned hyper era;
+};
+
 /* The writer of a row. */
 struct wb_wire_writer {
     unsigned int form; /* its format version */
