A lease row that the store restored from a copy isn't current

Callers could have seen a model loaded and unloaded by two controllers at once, or orders refused by engines that check fences: two holders with one fencing token, a lower token after a higher one, two machines ordering an engine within the handover interval.

Cause: the copy's lease row may be released, name this machine, or be missing, while its successor still holds the lease by its own clock; tokens were counted from the row, so the next holder came to a token that the lost past had used; the grants of the lost row were unknown to the successor; and a late write's condition can hold by a number that was given out again.

Each row now names the era that it was written in, in an extension; a row with an older one is a copy. A process that holds the lease goes on and writes its row again at once, under its token: nobody else can have taken it, since all others wait as for a holder that renewed when they learnt of the era. They take over as from a holder that may have ordered any engine. A token has the era in its upper bits, so it is higher than any of a lost past.

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -11,6 +11,12 @@
  * one engine. The token increases with each takeover. A restarted process on the holder's machine
  * takes the lease over at once.
  *
+ * The store may come back from an older copy (store_version.h). Each row names the era that it was
+ * written in; one with an older era is a copy, and says nothing of who holds the lease since. A
+ * process that holds it goes on, and writes its row again at once. All others wait as for a holder
+ * that has renewed just now, whatever the copy says, and take over as from one that may have
+ * ordered any engine. Tokens of a later era are higher than all of earlier ones.
+ *
  * Pure: the caller passes in the time, the rows read and the outcomes of writes, and performs the
  * writes. Times are monotonic (wb_clock_ms) in milliseconds. Not thread-safe. A failed write is an
  * input and is retried after a pause; the functions themselves report no errors.
@@ -28,6 +34,7 @@
     uint64_t token; /**< increases with each takeover */
     uint64_t beat;  /**< heartbeat counter, increased by each write; shows after a lost response
                        whether the write took effect */
+    int64_t era;    /**< of the store, when the row was written */
     gboolean released;
     unsigned recent_loads; /**< recently started loads from the weight store, for a successor */
     /* Engines that may have been ordered recently: */
@@ -110,7 +117,7 @@
 int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease);
 /** @return when this node learned of the row's last change; 0: never */
 int64_t wb_lease_row_changed_ms(const wb_lease_t *lease);
-/** @return the known version of the row; 0: none */
+/** @return the version of the known row; number 0: none, or the store has lost the row */
 int64_t wb_lease_confirmed_version(const wb_lease_t *lease);
 /** @return the known row, also an expired or released one; NULL if there is none. Owned by the
  * lease */
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -1,6 +1,8 @@
 /* The placement controller's lease, as a pure state machine. */
 #include "wickbridge/lease.h"
 
+#include "wickbridge/store_version.h"
+
 #include "control/lease_grants.h"
 
 #include <string.h>
@@ -13,6 +15,8 @@
 /* After the store was unavailable, the holder may renew first: other nodes leave it this many
  * renewal intervals, in each of which it tries at least twice. */
 #define HOLDER_PRIORITY_RENEWALS 2
+/* Position of the era in a token: more takeovers than any era has. */
+#define TOKEN_ERA_BITS 32
 
 typedef struct wb_lease_write_t {
     uint64_t beat;
@@ -21,8 +25,11 @@
 
 struct wb_lease_t {
     wb_lease_settings_t settings;
-    wb_lease_row_t known;     /* holder NULL: the row isn't there or was never read */
-    int64_t version;          /* of the row; 0: it isn't there; -1: never read */
+    wb_lease_row_t known; /* holder NULL: the row isn't there or was never read */
+    int64_t version;      /* of the row in the store; number 0: it isn't there; -1: never read */
+    gboolean copied;      /* that row is a copy from before the store went back */
+    gboolean reclaiming;  /* that row is such a copy, and this process held the lease when it
+                             learned so; `known` is the row that the store has lost */
     int64_t version_since_ms; /* when this node learned of the version */
     uint64_t own_token;       /* 0: never held by this process */
     uint64_t beat; /* heartbeat counter of the last write; starts at a random value, so that
@@ -110,6 +117,14 @@
         lease->held_until_ms = MAX(lease->held_until_ms, sent_ms + lease->settings.duration_ms);
 }
 
+/* Returns TRUE if the row was written in an earlier era than its version's, or was lost. */
+static gboolean is_copy(const wb_lease_t *lease, const wb_lease_row_t *row, int64_t version) {
+    int64_t era = wb_store_version_era(version);
+    if (row == NULL)
+        return lease->version > 0 && wb_store_version_era(lease->version) < era;
+    return row->era < era;
+}
+
 /* Another process has written the row, so this one doesn't hold the lease. */
 static void predecessor_update(wb_lease_t *lease, int64_t now_ms) {
     lease->held_until_ms = 0;
@@ -119,20 +134,34 @@
 
 void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version,
                      int64_t now_ms) {
-    if (version == lease->version && row != NULL && row->has_grants) {
+    if (version == lease->version && row != NULL && row->has_grants && !lease->reclaiming) {
         /* A peer sent this version of the row before, without its engines; this one is complete. */
         wb_lease_row_copy(&lease->known, row);
         return;
     }
     if (version <= lease->version && lease->version != -1)
         return;
+    gboolean copied = is_copy(lease, row, version);
+    lease->reclaiming = copied && wb_lease_is_held(lease, now_ms);
+    lease->copied = copied && !lease->reclaiming;
     lease->version = version;
     lease->version_since_ms = now_ms;
+    if (lease->reclaiming) {
+        lease->last_write_ms = now_ms - lease->settings.renew_ms;
+        lease->retry_at_ms = now_ms;
+        return;
+    }
     if (row == NULL) {
         wb_lease_row_clear(&lease->known);
+        if (copied)
+            predecessor_update(lease, now_ms);
         return;
     }
     wb_lease_row_copy(&lease->known, row);
+    if (copied) {
+        predecessor_update(lease, now_ms);
+        return;
+    }
     int64_t sent_ms = own_write_sent_ms(lease, row);
     if (sent_ms >= 0)
         own_row_apply(lease, sent_ms);
@@ -141,20 +170,22 @@
 }
 
 static gboolean is_holding(const wb_lease_t *lease) {
-    return lease->own_token != 0 && lease->known.token == lease->own_token &&
+    return !lease->copied && lease->own_token != 0 && lease->known.token == lease->own_token &&
            is_own(lease, &lease->known) && !lease->known.released;
 }
 
 /* Time until which the holder of the known row may send orders, as far as this node can tell. */
 static int64_t holder_expires_ms(const wb_lease_t *lease) {
     const wb_lease_settings_t *settings = &lease->settings;
-    int64_t valid_ms = lease->known.released ? 0 : settings->duration_ms + settings->margin_ms;
+    gboolean released = lease->known.released && !lease->copied;
+    int64_t valid_ms = released ? 0 : settings->duration_ms + settings->margin_ms;
     return lease->version_since_ms + valid_ms;
 }
 
 /* Time from which the lease may be taken over if the row doesn't change. */
 static int64_t takeover_at_ms(const wb_lease_t *lease) {
-    if (lease->known.holder == NULL || is_own(lease, &lease->known))
+    gboolean is_free = lease->known.holder == NULL || is_own(lease, &lease->known);
+    if (is_free && !lease->copied)
         return lease->version_since_ms;
     return MAX(holder_expires_ms(lease), lease->holder_priority_until_ms);
 }
@@ -162,7 +193,7 @@
 /* Delay of this node's takeover after takeover_at_ms, so that nodes don't all try at the same time.
  */
 static int64_t takeover_delay_ms(const wb_lease_t *lease) {
-    if (is_own(lease, &lease->known))
+    if (is_own(lease, &lease->known) && !lease->copied)
         return 0;
     return lease->takeover_min_delay_ms +
            (int64_t)(lease->takeover_fraction * (double)lease->takeover_spread_ms);
@@ -173,12 +204,18 @@
 static void takeover_begin(wb_lease_t *lease, int64_t now_ms) {
     const wb_lease_settings_t *settings = &lease->settings;
     gboolean had_holder = lease->known.holder != NULL;
-    gboolean engines_listed = lease->known.has_grants && !lease->known.grants_unlisted;
+    static const wb_lease_row_t any_engine = {.grants_unlisted = TRUE};
+    gboolean engines_listed =
+        lease->known.has_grants && !lease->known.grants_unlisted && !lease->copied;
     lease->predecessor.max_ordered_engines =
         engines_listed ? lease->known.granted_count : G_MAXUINT;
-    wb_lease_grants_begin(
-        lease->grants, had_holder ? &lease->known : NULL, is_own(lease, &lease->known),
-        holder_expires_ms(lease) + settings->handover_interval_ms + settings->margin_ms, now_ms);
+    int64_t blocked_until_ms =
+        holder_expires_ms(lease) + settings->handover_interval_ms + settings->margin_ms;
+    if (lease->copied)
+        wb_lease_grants_begin(lease->grants, &any_engine, FALSE, blocked_until_ms, now_ms);
+    else
+        wb_lease_grants_begin(lease->grants, had_holder ? &lease->known : NULL,
+                              is_own(lease, &lease->known), blocked_until_ms, now_ms);
 }
 
 int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease) {
@@ -189,6 +226,21 @@
     return lease->version_since_ms;
 }
 
+/* Returns the token of a takeover: higher than all of earlier eras, also those that were lost. */
+static uint64_t next_token(const wb_lease_t *lease) {
+    uint64_t before_era = (uint64_t)wb_store_version_era(lease->version) << TOKEN_ERA_BITS;
+    return MAX(MAX(lease->known.token, lease->own_token), before_era) + 1;
+}
+
+/* After its lease has expired, a process that wanted to go on has to wait like all others. */
+static void reclaim_check(wb_lease_t *lease, int64_t now_ms) {
+    if (!lease->reclaiming || lease->writing || wb_lease_is_held(lease, now_ms))
+        return;
+    lease->reclaiming = FALSE;
+    lease->copied = TRUE;
+    predecessor_update(lease, now_ms);
+}
+
 static gboolean write_is_due(const wb_lease_t *lease, int64_t now_ms) {
     if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
         return FALSE;
@@ -202,18 +254,20 @@
 
 gboolean wb_lease_next_write(wb_lease_t *lease, int64_t now_ms, wb_lease_row_t *row,
                              int64_t *expected_version) {
+    reclaim_check(lease, now_ms);
     if (!write_is_due(lease, now_ms))
         return FALSE;
     wb_lease_row_t next = {.holder = (char *)lease->settings.machine,
                            .address = (char *)lease->settings.address,
                            .token = lease->own_token,
-                           .beat = ++lease->beat};
+                           .beat = ++lease->beat,
+                           .era = MAX(wb_store_version_era(lease->version), 0)};
     if (is_holding(lease)) {
         next.released = lease->releasing;
         if (lease->releasing)
             lease->held_until_ms = 0; /* send no more orders */
     } else {
-        next.token = MAX(lease->known.token, lease->own_token) + 1;
+        next.token = next_token(lease);
         takeover_begin(lease, now_ms);
     }
     wb_lease_grants_fill_row(lease->grants, &next, now_ms);
@@ -235,6 +289,8 @@
         return; /* this write's row or a later one has been read meanwhile */
     lease->version = version;
     lease->version_since_ms = now_ms;
+    lease->copied = FALSE;
+    lease->reclaiming = FALSE;
     wb_lease_row_copy(&lease->known, &lease->written_row);
     own_row_apply(lease, lease->written_sent_ms);
 }
@@ -285,7 +341,7 @@
 }
 
 int64_t wb_lease_confirmed_version(const wb_lease_t *lease) {
-    return MAX(lease->version, 0);
+    return lease->copied || lease->reclaiming ? 0 : MAX(lease->version, 0);
 }
 
 const wb_lease_predecessor_t *wb_lease_predecessor(const wb_lease_t *lease) {
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -105,13 +105,16 @@
     return copy;
 }
 
-/* Writes the format version of this build. Returns bytes written; 0: it doesn't fit. */
-static u_int extensions_write(char *bytes, u_int room) {
+/* Writes the format version of this build and the era of the store that the row is written in.
+ * Returns bytes written; 0: they don't fit. */
+static u_int extensions_write(int64_t era, char *bytes, u_int room) {
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {WB_WIRE_FORMAT_VERSION};
     XDR stream;
     wb_extensions_add(&extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
                       &writer);
+    wb_wire_era written = {(uint64_t)era};
+    wb_extensions_add(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written);
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
     gboolean encoded = xdr_wb_wire_extensions(&stream, &extensions);
     u_int length = encoded ? xdr_getpos(&stream) : 0;
@@ -123,7 +126,7 @@
 /* Writes the data that follows the lease: poison requests, quota shares, extensions. Each is
  * decoded from where the previous one ends, so writing stops at the first that doesn't fit. Returns
  * bytes written. */
-static u_int appended_data_write(wb_edge_node_t *node, char *bytes, u_int room) {
+static u_int appended_data_write(wb_edge_node_t *node, int64_t era, char *bytes, u_int room) {
     u_int poison = wb_edge_node_poison_write(node, bytes, room);
     if (poison == 0) {
         return 0;
@@ -132,7 +135,7 @@
     if (quota == 0) {
         return poison;
     }
-    return poison + quota + extensions_write(bytes + poison + quota, room - poison - quota);
+    return poison + quota + extensions_write(era, bytes + poison + quota, room - poison - quota);
 }
 
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
@@ -150,7 +153,7 @@
         wb_lease_on_not_written(node->lease, wb_clock_ms());
         return;
     }
-    length += appended_data_write(node, bytes + length, ROW_BYTES - length);
+    length += appended_data_write(node, row->era, bytes + length, ROW_BYTES - length);
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_write_done, node);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -166,14 +166,18 @@
 /* The nodes table: nodes and the controller's lease. */
 
 /* Reads the extensions of the lease row, which builds before format version 2 don't write. */
-static void lease_extensions_read(wb_edge_node_t *node, XDR *stream) {
+static void lease_extensions_read(wb_edge_node_t *node, XDR *stream, int64_t *era) {
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {1};
+    wb_wire_era written;
     if (!xdr_wb_wire_extensions(stream, &extensions)) {
         wb_event("lease-parts-refused", "%s", "");
     } else {
         wb_extensions_read(&extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
                            &writer);
+        if (wb_extensions_read(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era,
+                               &written))
+            *era = (int64_t)MIN(written.era, (uint64_t)WB_STORE_ERA_MAX);
     }
     if (writer.form != node->lease_format_version) {
         wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORMAT_VERSION);
@@ -192,6 +196,8 @@
     memset(&wire, 0, sizeof(wire));
     XDR stream;
     xdrmem_create(&stream, (char *)row->value, (u_int)row->length, XDR_DECODE);
+    /* A row of a build that names no era is taken for current until a rollback was seen. */
+    int64_t era = node->has_seen_rollback ? 0 : wb_store_version_era(row->version);
     gboolean decoded = xdr_wb_wire_lease(&stream, &wire);
     if (decoded && xdr_getpos(&stream) < row->length) {
         wb_edge_node_poison_read(node, &stream);
@@ -200,11 +206,18 @@
         wb_edge_node_quota_read(node, &stream);
     }
     if (decoded && xdr_getpos(&stream) < row->length) {
-        lease_extensions_read(node, &stream);
+        lease_extensions_read(node, &stream, &era);
     }
     xdr_destroy(&stream);
     if (decoded) {
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
+        lease.era = era;
+        if (era < wb_store_version_era(row->version))
+            wb_event("lease-row-copied",
+                     ",\"row_version\":%lld,\"era\":%lld,\"written_in\":%lld,\"held\":%s",
+                     (long long)wb_store_version_number(row->version),
+                     (long long)wb_store_version_era(row->version), (long long)era,
+                     wb_lease_is_held(node->lease, now_ms) ? "true" : "false");
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
     } else {
         wb_event("lease-row-refused", ",\"row_version\":%lld",
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -275,6 +275,7 @@
 /* A sender names no version while its lease row isn't the one in the store. */
 static void lease_take(wb_edge_node_t *node, const wb_wire_store_update *update, int64_t era) {
     wb_lease_row_t lease = wb_edge_node_lease_from_wire(&update->lease);
+    lease.era = era;
     if (update->lease_version != 0)
         wb_lease_on_row(node->lease, &lease,
                         wb_edge_node_version_from_wire(era, update->lease_version), wb_clock_ms());
--- a/tests/fuzz/fuzz_lease_check.c
+++ b/tests/fuzz/fuzz_lease_check.c
@@ -1,13 +1,14 @@
 /*
  * Runs the lease on nodes that freeze, restart and are cut off, with a store that is slow or down,
- * loses responses and applies writes late. The oracle sees only the orders: which node ordered
- * which engine, when, and under which token.
+ * loses responses, applies writes late and comes back from an older copy of the row. The oracle
+ * sees only the orders: which node ordered which engine, when, and under which token.
  *
  * The lease is the server's code; time and store are simulated, with fixed seeds. `--take-out=NAME`
- * weakens one mechanism (quiet, duration, grants or inherited), to show that the oracle detects
- * it.
+ * weakens one mechanism (quiet, duration, grants, inherited or era), to show that the oracle
+ * detects it.
  */
 #include "wickbridge/lease.h"
+#include "wickbridge/store_version.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -21,6 +22,10 @@
 #define HANDOVER_INTERVAL_MS 3000
 #define MAX_PENDING_WRITES 32
 #define ENGINES 8
+#define FIRST_ERA 1
+/* Rollbacks begin once the copy certainly has the row. */
+#define FIRST_ROLLBACK_MS 12000
+#define ROLLBACK_MAX_MS 8000
 
 /* A write to the store in progress, and its response. */
 typedef struct pending_write_t {
@@ -35,8 +40,16 @@
     gboolean is_applied;
     gboolean took_effect;
     int64_t version;
+    int64_t asked_era; /* of the version that the write was conditional on */
 } pending_write_t;
 
+/* The row at one version, for rollbacks. */
+typedef struct row_state_t {
+    wb_lease_row_t row;
+    int64_t number;
+    int64_t at_ms;
+} row_state_t;
+
 typedef struct node_t {
     wb_lease_t *lease;
     wb_lease_settings_t settings;
@@ -47,6 +60,7 @@
     int64_t cut_until_ms;     /* its calls get no response */
     int64_t next_poll_ms;     /* when it polls the row next */
     int64_t write_started_ms; /* start of its outstanding write; 0: none */
+    int64_t era;              /* newest that it has seen */
 } node_t;
 
 typedef struct world_t {
@@ -55,7 +69,11 @@
     node_t nodes[NODES];
     pending_write_t pending[MAX_PENDING_WRITES];
     wb_lease_row_t row;
-    int64_t version; /* 0: the row doesn't exist */
+    int64_t version; /* its number; 0: the row doesn't exist */
+    int64_t era;
+    GArray *history;         /* of row_state_t, oldest first */
+    wb_lease_row_t lost_row; /* the newest row before the last rollback */
+    int64_t lost_version;
     int64_t down_until_ms;
     int64_t slow_until_ms;
     int64_t lossy_until_ms;
@@ -67,6 +85,7 @@
     } engines[ENGINES];
     int orders;
     int takeovers;
+    int rollbacks;
     const char *violation;
 } world_t;
 
@@ -94,6 +113,7 @@
     node->lease = wb_lease_create(&node->settings);
     node->incarnation++;
     node->write_started_ms = 0;
+    node->era = 0;
     node->next_poll_ms = world->now_ms;
 }
 
@@ -130,11 +150,17 @@
 /* Delivers the row to a node as read from the store, or without grants as received from a peer. */
 static void row_deliver(const world_t *world, node_t *node, gboolean without_grants,
                         int64_t local_ms) {
+    int64_t version = wb_store_version(world->era, world->version);
+    if (without_grants && world->row.era < world->era)
+        return; /* peers send no copies */
+    node->era = world->era;
     if (world->version == 0) {
-        wb_lease_on_row(node->lease, NULL, 0, local_ms);
+        wb_lease_on_row(node->lease, NULL, version, local_ms);
         return;
     }
     wb_lease_row_t row = world->row;
+    if (strcmp(weakened_mechanism, "era") == 0)
+        row.era = world->era;
     if (without_grants) {
         row.has_grants = FALSE;
         row.granted_count = 0;
@@ -142,7 +168,49 @@
     }
     if (strcmp(weakened_mechanism, "inherited") == 0)
         row.inherited_count = 0;
-    wb_lease_on_row(node->lease, &row, world->version, local_ms);
+    wb_lease_on_row(node->lease, &row, version, local_ms);
+}
+
+/* Delivers a peer's message that was sent before the last rollback. */
+static void lost_row_deliver(const world_t *world, const node_t *node, int64_t local_ms) {
+    if (world->lost_version == 0)
+        return;
+    wb_lease_row_t row = world->lost_row;
+    row.has_grants = FALSE;
+    row.granted_count = 0;
+    row.inherited_count = 0;
+    wb_lease_on_row(node->lease, &row, world->lost_version, local_ms);
+}
+
+static void row_state_clear(gpointer state) {
+    wb_lease_row_clear(&((row_state_t *)state)->row);
+}
+
+/* Stores the row at its new version. */
+static void row_store(world_t *world, const wb_lease_row_t *row) {
+    wb_lease_row_copy(&world->row, row);
+    world->version++;
+    row_state_t state = {.number = world->version, .at_ms = world->now_ms};
+    wb_lease_row_copy(&state.row, row);
+    g_array_append_val(world->history, state);
+}
+
+/* The store is away, and comes back with the row as it was some time before. */
+static void roll_back(world_t *world) {
+    int64_t to_ms = world->now_ms - random_between(world, 200, ROLLBACK_MAX_MS);
+    if (world->now_ms < FIRST_ROLLBACK_MS || world->history->len == 0 ||
+        g_array_index(world->history, row_state_t, 0).at_ms > to_ms)
+        return;
+    wb_lease_row_copy(&world->lost_row, &world->row);
+    world->lost_version = wb_store_version(world->era, world->version);
+    while (g_array_index(world->history, row_state_t, world->history->len - 1).at_ms > to_ms)
+        g_array_set_size(world->history, world->history->len - 1);
+    const row_state_t *state = &g_array_index(world->history, row_state_t, world->history->len - 1);
+    wb_lease_row_copy(&world->row, &state->row);
+    world->version = state->number;
+    world->era++;
+    world->rollbacks++;
+    world->down_until_ms = world->now_ms + random_between(world, 0, 2500);
 }
 
 static gboolean store_is_reachable(const world_t *world, const node_t *node) {
@@ -151,6 +219,10 @@
 
 static void write_send(world_t *world, int index, const wb_lease_row_t *row, int64_t expected) {
     node_t *node = &world->nodes[index];
+    if (wb_store_version_era(expected) < node->era) {
+        wb_lease_on_not_written(node->lease, world->now_ms + node->clock_offset_ms);
+        return;
+    }
     node->write_started_ms = world->now_ms;
     if (!store_is_reachable(world, node))
         return; /* never arrives; the node times out */
@@ -166,7 +238,8 @@
         pending->node = index;
         pending->incarnation = node->incarnation;
         pending->sent_ms = world->now_ms;
-        pending->expected = expected;
+        pending->expected = wb_store_version_number(expected);
+        pending->asked_era = wb_store_version_era(expected);
         pending->apply_ms = world->now_ms + delay_ms;
         pending->response_ms = pending->apply_ms + delay_ms;
         if (lossy && chance(world, 500)) {
@@ -185,11 +258,9 @@
     if (!pending->is_applied && world->now_ms >= pending->apply_ms) {
         pending->is_applied = TRUE;
         pending->took_effect = world->version == pending->expected;
-        if (pending->took_effect) {
-            wb_lease_row_copy(&world->row, &pending->row);
-            world->version++;
-        }
-        pending->version = world->version;
+        if (pending->took_effect)
+            row_store(world, &pending->row);
+        pending->version = wb_store_version(world->era, world->version);
     }
     node_t *node = &world->nodes[pending->node];
     /* The response to a call that timed out is dropped. */
@@ -204,7 +275,12 @@
             return;
         node->write_started_ms = 0;
         int64_t local_ms = world->now_ms + node->clock_offset_ms;
-        if (pending->took_effect)
+        int64_t answer_era = wb_store_version_era(pending->version);
+        gboolean is_late = answer_era < node->era;
+        node->era = MAX(node->era, answer_era);
+        if (pending->took_effect && (is_late || answer_era != pending->asked_era))
+            wb_lease_on_write_unknown(node->lease, local_ms);
+        else if (pending->took_effect)
             wb_lease_on_written(node->lease, pending->version, local_ms);
         else
             wb_lease_on_not_written(node->lease, local_ms);
@@ -220,6 +296,8 @@
         node->next_poll_ms = world->now_ms + random_between(world, 50, 500);
         row_deliver(world, node, chance(world, 300), local_ms);
     }
+    if (chance(world, 5))
+        lost_row_deliver(world, node, local_ms);
     if (node->write_started_ms != 0 &&
         world->now_ms - node->write_started_ms >= node->settings.write_timeout_ms) {
         node->write_started_ms = 0;
@@ -249,6 +327,8 @@
         world->lossy_until_ms = world->now_ms + random_between(world, 500, 6000);
     if (chance(world, 1))
         wb_lease_release(node->lease);
+    if (chance(world, 1))
+        roll_back(world);
 }
 
 static void world_free(world_t *world) {
@@ -257,12 +337,17 @@
     for (int i = 0; i < MAX_PENDING_WRITES; i++)
         wb_lease_row_clear(&world->pending[i].row);
     wb_lease_row_clear(&world->row);
+    wb_lease_row_clear(&world->lost_row);
+    g_array_unref(world->history);
     g_rand_free(world->random);
 }
 
 /* Runs one seed. Returns the violated invariant, or NULL. */
-static const char *seed_run(guint32 seed, int *orders, int *takeovers) {
+static const char *seed_run(guint32 seed, int *orders, int *takeovers, int *rollbacks) {
     world_t world = {0};
+    world.era = FIRST_ERA;
+    world.history = g_array_new(FALSE, FALSE, sizeof(row_state_t));
+    g_array_set_clear_func(world.history, row_state_clear);
     world.random = g_rand_new_with_seed(seed);
     g_random_set_seed(seed);
     for (int i = 0; i < ENGINES; i++)
@@ -281,6 +366,7 @@
     }
     *orders += world.orders;
     *takeovers += world.takeovers;
+    *rollbacks += world.rollbacks;
     const char *violation = world.violation;
     world_free(&world);
     return violation;
@@ -290,19 +376,20 @@
     int failed_seeds = 0;
     int orders = 0;
     int takeovers = 0;
+    int rollbacks = 0;
     if (argc > 1 && g_str_has_prefix(argv[1], "--take-out="))
         weakened_mechanism = argv[1] + strlen("--take-out=");
     for (guint32 seed = 1; seed <= SEEDS; seed++) {
-        const char *violation = seed_run(seed, &orders, &takeovers);
+        const char *violation = seed_run(seed, &orders, &takeovers, &rollbacks);
         if (violation == NULL)
             continue;
         failed_seeds++;
         if (failed_seeds <= 5)
             printf("seed %u: %s\n", seed, violation);
     }
-    printf("%d seeds, %d acts, %d take-overs, %d with a fault\n", SEEDS, orders, takeovers,
-           failed_seeds);
-    if (orders < SEEDS * 100 || takeovers < SEEDS) {
+    printf("%d seeds, %d acts, %d take-overs, %d rollbacks, %d with a fault\n", SEEDS, orders,
+           takeovers, rollbacks, failed_seeds);
+    if (orders < SEEDS * 100 || takeovers < SEEDS || rollbacks < SEEDS) {
         printf("too little happened to show anything\n");
         return 1;
     }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -3,6 +3,7 @@
 #include "unit.h"
 
 #include "wickbridge/lease.h"
+#include "wickbridge/store_version.h"
 
 #include <string.h>
 
@@ -215,6 +216,145 @@
     wb_lease_free(lease);
 }
 
+#define DURATION_MS 1600
+#define MARGIN_MS 200
+#define HANDOVER_MS 3000
+
+static const wb_lease_settings_t settings_a = {"a",         "1.1.1.1:1", DURATION_MS, 500,
+                                               HANDOVER_MS, MARGIN_MS,   900};
+static const wb_lease_settings_t settings_b = {"b",         "1.1.1.2:1", DURATION_MS, 500,
+                                               HANDOVER_MS, MARGIN_MS,   900};
+
+/* A store that goes back to the row as it was when `copy` was made. */
+static void store_roll_back(store_row_t *store, const store_row_t *copy) {
+    int64_t era = wb_store_version_era(store->version) + 1;
+    wb_lease_row_copy(&store->row, &copy->row);
+    store->version = wb_store_version(era, wb_store_version_number(copy->version));
+}
+
+static void store_copy(store_row_t *copy, const store_row_t *store) {
+    wb_lease_row_copy(&copy->row, &store->row);
+    copy->version = store->version;
+}
+
+/* Returns when the lease is taken over, trying from a time on. */
+static int64_t taken_over_ms(wb_lease_t *lease, store_row_t *store, int64_t from_ms) {
+    for (int64_t now_ms = from_ms; now_ms < from_ms + 20000; now_ms += 10) {
+        if (lease_write(lease, store, now_ms))
+            return now_ms;
+    }
+    return 0;
+}
+
+/* Guards against a holder that stops ordering, or loses the lease to others, as the store has lost
+ * its last renewals. */
+static void test_lease_rollback_holder_goes_on(void) {
+    wb_lease_t *a = wb_lease_create(&settings_a);
+    wb_lease_t *b = wb_lease_create(&settings_b);
+    store_row_t store = {{0}, wb_store_version(3, 0)};
+    store_row_t copy = {{0}, 0};
+    wb_lease_on_row(a, NULL, store.version, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    uint64_t token = wb_lease_token(a);
+    store_copy(&copy, &store);
+    g_assert_true(lease_write(a, &store, 700));
+    wb_lease_on_row(b, &store.row, store.version, 710);
+    store_roll_back(&store, &copy);
+    wb_lease_on_row(a, &store.row, store.version, 1000);
+    wb_lease_on_row(b, &store.row, store.version, 1000);
+    g_assert_true(wb_lease_is_held(a, 1000));
+    g_assert_cmpint(wb_lease_confirmed_version(a), ==, 0);
+    g_assert_true(lease_write(a, &store, 1000));
+    g_assert_true(wb_lease_is_held(a, 1000 + DURATION_MS - MARGIN_MS - 1));
+    g_assert_cmpuint(wb_lease_token(a), ==, token);
+    g_assert_cmpint(wb_lease_confirmed_version(a), ==, store.version);
+    /* A late message of the time that was lost. */
+    wb_lease_on_row(b, &store.row, wb_store_version(3, 50), 1010);
+    wb_lease_on_row(b, &store.row, store.version, 1020);
+    g_assert_cmpint(wb_lease_confirmed_version(b), ==, store.version);
+    wb_lease_free(a);
+    wb_lease_free(b);
+    wb_lease_row_clear(&store.row);
+    wb_lease_row_clear(&copy.row);
+}
+
+/* Guards against a second holder: the copy shows a released row, whose successor still holds. */
+static void test_lease_rollback_released_row(void) {
+    wb_lease_t *a = wb_lease_create(&settings_a);
+    wb_lease_t *b = wb_lease_create(&settings_b);
+    store_row_t store = {{0}, wb_store_version(3, 0)};
+    store_row_t copy = {{0}, 0};
+    wb_lease_on_row(a, NULL, store.version, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    wb_lease_release(a);
+    g_assert_true(lease_write(a, &store, 200));
+    store_copy(&copy, &store);
+    wb_lease_on_row(b, &store.row, store.version, 210);
+    int64_t held_ms = taken_over_ms(b, &store, 210);
+    g_assert_cmpint(held_ms, <, 210 + DURATION_MS);
+    uint64_t lost_token = wb_lease_token(b);
+    int64_t return_ms = held_ms + 500;
+    store_roll_back(&store, &copy);
+    /* A process that has just started, on a third machine and on that of the released row. */
+    const wb_lease_settings_t machines[] = {
+        {"c", "1.1.1.3:1", DURATION_MS, 500, HANDOVER_MS, MARGIN_MS, 900}, settings_a};
+    for (size_t i = 0; i < G_N_ELEMENTS(machines); i++) {
+        store_row_t branch = {{0}, 0};
+        store_copy(&branch, &store);
+        wb_lease_t *fresh = wb_lease_create(&machines[i]);
+        wb_lease_on_row(fresh, &branch.row, branch.version, return_ms);
+        int64_t taken_ms = taken_over_ms(fresh, &branch, return_ms);
+        g_assert_cmpint(taken_ms, >=, return_ms + DURATION_MS + MARGIN_MS);
+        g_assert_false(wb_lease_is_held(b, taken_ms));
+        g_assert_cmpuint(wb_lease_token(fresh), >, lost_token);
+        /* The lost holder may have ordered any engine. */
+        g_assert_cmpint(wb_lease_authorize_order(fresh, "e1", taken_ms), >=, HANDOVER_MS);
+        wb_lease_free(fresh);
+        wb_lease_row_clear(&branch.row);
+    }
+    wb_lease_free(a);
+    wb_lease_free(b);
+    wb_lease_row_clear(&store.row);
+    wb_lease_row_clear(&copy.row);
+}
+
+/* Guards against a holder that goes on after its lease has expired, as the copy names it. */
+static void test_lease_rollback_expired_holder(void) {
+    wb_lease_t *a = wb_lease_create(&settings_a);
+    store_row_t store = {{0}, wb_store_version(3, 0)};
+    store_row_t copy = {{0}, 0};
+    wb_lease_on_row(a, NULL, store.version, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    store_copy(&copy, &store);
+    int64_t return_ms = 100 + DURATION_MS + 10;
+    store_roll_back(&store, &copy);
+    wb_lease_on_row(a, &store.row, store.version, return_ms);
+    int64_t taken_ms = taken_over_ms(a, &store, return_ms);
+    g_assert_cmpint(taken_ms, >=, return_ms + DURATION_MS + MARGIN_MS);
+    wb_lease_free(a);
+    wb_lease_row_clear(&store.row);
+    wb_lease_row_clear(&copy.row);
+}
+
+/* Guards against a takeover at once where the copy has no lease row at all. */
+static void test_lease_rollback_without_row(void) {
+    wb_lease_t *b = wb_lease_create(&settings_b);
+    wb_lease_t *a = wb_lease_create(&settings_a);
+    store_row_t store = {{0}, wb_store_version(3, 0)};
+    wb_lease_on_row(a, NULL, store.version, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    wb_lease_on_row(b, &store.row, store.version, 110);
+    store_row_t empty = {{0}, wb_store_version(4, 0)};
+    wb_lease_on_row(b, NULL, empty.version, 200);
+    int64_t taken_ms = taken_over_ms(b, &empty, 200);
+    g_assert_cmpint(taken_ms, >=, 200 + DURATION_MS + MARGIN_MS);
+    g_assert_cmpuint(wb_lease_token(b), >, wb_lease_token(a));
+    wb_lease_free(a);
+    wb_lease_free(b);
+    wb_lease_row_clear(&store.row);
+    wb_lease_row_clear(&empty.row);
+}
+
 static void tests_add(void) {
     g_test_add_func("/lease/weak-machine-waits", test_lease_weak_machine_waits);
     g_test_add_func("/lease/takeovers-spread", test_lease_takeovers_spread);
@@ -224,6 +364,10 @@
     g_test_add_func("/lease/after-outage", test_lease_after_outage);
     g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
     g_test_add_func("/lease/restart", test_lease_restart);
+    g_test_add_func("/lease/rollback/holder-goes-on", test_lease_rollback_holder_goes_on);
+    g_test_add_func("/lease/rollback/released-row", test_lease_rollback_released_row);
+    g_test_add_func("/lease/rollback/expired-holder", test_lease_rollback_expired_holder);
+    g_test_add_func("/lease/rollback/without-row", test_lease_rollback_without_row);
 }
 
 UNIT_TEST_MAIN(tests_add)
