--- a/standins/estate/store_rollback.c
+++ b/standins/estate/store_rollback.c
@@ -103,7 +103,7 @@
     store->era++;
     store->history_from = MIN(store->history_from, store->version);
     store->returned_ms = wb_clock_ms();
-    wb_estate_store_set_fault(store, "", 0);
+    store->is_away = FALSE;
     wb_loop_after(store->loop, store->rewrite_ms, lost_write, store);
 }
 
@@ -111,7 +111,7 @@
                                int64_t rewrite_ms) {
     store->rollback_to_ms = wb_clock_ms() - back_ms;
     store->rewrite_ms = rewrite_ms;
-    wb_estate_store_set_fault(store, "silent", 0);
+    store->is_away = TRUE;
     wb_estate_polls_abort(store);
     wb_loop_after(store->loop, away_ms, rollback_end, store);
 }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -7,6 +7,9 @@
 #define GAP_MAX_MS 900 /* between the starts of two faults */
 #define FAULTS_AT_ONCE 3
 #define STOP_TIMEOUT_MS 12000
+/* Time of a rollback of the store, until all is written again. */
+#define ROLLBACK_MS 4000
+#define ROLLBACK_US (ROLLBACK_MS * 1000)
 /* Exit status of a node that SIGTERM ended before its main() ran: it was killed, relaunched and
  * stopped within a few ms, and has accepted no request. */
 #define STOPPED_BEFORE_MAIN (128 + SIGTERM)
@@ -365,6 +368,24 @@
     {"store-behind", store_behind_begin, end_nothing, 2500, 3000, FALSE},
 };
 
+/* The store is away for up to 2.6 s and comes back from a copy that is up to 7.6 s old by then;
+ * what operators and engines wrote since is written again within 1.2 s. Twice in a row at times. */
+static void rollback_begin(soak_fault_t *fault, soak_t *soak) {
+    estate_command(soak->estate,
+                   "{\"do\":\"store-rollback\",\"back_ms\":%d,\"away_ms\":%d,\"rewrite_ms\":%d}",
+                   200 + fault->variant * 5, fault->variant % 7 * 430, fault->variant % 5 * 300);
+}
+
+static void rollback_end(soak_fault_t *fault, soak_t *soak) {
+    if (fault->variant % 3 == 0) {
+        rollback_begin(fault, soak);
+        g_usleep(ROLLBACK_US);
+    }
+}
+
+static const soak_fault_kind_t rollback_kind = {"store-rollback", rollback_begin,  rollback_end,
+                                                ROLLBACK_MS,      ROLLBACK_MS + 1, FALSE};
+
 static const soak_fault_kind_t build_kind = {"other-build", build_begin, node_relaunch, 50,
                                              300,           TRUE};
 
@@ -403,6 +424,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->has_rollbacks && g_rand_int_range(soak->rand, 0, 5) == 0) {
+        return &rollback_kind;
+    }
     if (soak->config_writer != NULL && g_rand_int_range(soak->rand, 0, 6) == 0) {
         return &config_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(config_kinds))];
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -93,6 +93,7 @@
     gboolean has_load_shedding; /* engines reject every request for a while */
     gboolean has_engine_states; /* engines report limits and draining in responses, and ask for
                                    backoff */
+    gboolean has_rollbacks;     /* the store comes back from older copies */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
     config_oracle_t *configurations;     /* what the operator wrote; guarded by the lock */
     int retry_slack;                     /* retries in a window beyond the ratio */
--- a/tests/soak/spans.c
+++ b/tests/soak/spans.c
@@ -39,7 +39,8 @@
 gboolean soak_is_out_of_touch(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     static const char *const own[] = {
         "kill", "pause", "planned-stop", "other-build", "way-to-node", "way-to-store", NULL};
-    static const char *const common[] = {"all-killed", "store", "store-behind", NULL};
+    static const char *const common[] = {"all-killed", "store", "store-behind", "store-rollback",
+                                         NULL};
     gboolean found = FALSE;
     g_mutex_lock(&soak->lock);
     for (guint i = 0; i < soak->spans->len; i++) {
