Rollbacks: full reads that settle them don't wait for a call; tests of what the mend must not break

A call for changes that is under way, held by the store for up to 3 s, delayed the read that ends a rollback: it is given up now (/table-rollback/copy-is-settled failed before). A first full read of an era that peers know to be lost isn't accepted.

table_watch.c is split: the versions of rows and removals are in table_rows.c, queries in table_watch_state.c. A loop may be run again after it has returned, for tests.

--- a/include/wickbridge/loop.h
+++ b/include/wickbridge/loop.h
@@ -32,7 +32,8 @@
 /** Run the loop on a thread of its own. */
 void wb_loop_start(wb_loop_t *loop);
 
-/** Run the loop on the calling thread until wb_loop_quit; instead of wb_loop_start. */
+/** Run the loop on the calling thread until wb_loop_quit; instead of wb_loop_start. It may be run
+ * again after that. */
 void wb_loop_run(wb_loop_t *loop);
 
 /** Make the loop return after the current iteration. Any thread; not async-signal-safe. */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -1,5 +1,5 @@
 /* Keeps a copy of one table of the store up to date: a full read, then polling for changes. */
-#include "wickbridge/table_watch.h"
+#include "control/table_watch_types.h"
 
 #include <string.h>
 
@@ -16,86 +16,20 @@
 #define EXPEDITED_INTERVAL_MS 300
 /* Maximum random reduction, as a share, of the interval between own calls while peers read. */
 #define POLL_JITTER 0.25
-/* Removed rows are remembered so that older data from peers doesn't restore them. Beyond the
- * maximum number, those older than the TTL are dropped. */
-#define TOMBSTONE_TTL_MS 60000
-#define MAX_TOMBSTONES 256
 /* Max random delay of the full read after a rollback, so that not all nodes read at one moment. */
 #define ROLLBACK_READ_SPREAD_MS 250
-/* After a rollback, rows that the copy lacks are kept for this long: operators and engines write
- * again what was lost. Less than the time after which a node counts as in contact again (3 s). */
-#define LOST_ROW_GRACE_MS 2500
 /* Rows that were removed before the rollback and are in the copy again are ignored for this long:
  * an engine that has gone writes no more, and the store drops its row after three heartbeats. */
 #define REMOVED_ROW_HOLD_MS 6000
 /* Max random delay of the full reads that end these times. */
 #define SETTLE_SPREAD_MS 400
 
-typedef enum wb_watch_state_t {
-    WB_WATCH_READING, /* full read, page by page */
-    WB_WATCH_FOLLOWING,
-    WB_WATCH_TOO_LARGE, /* stopped at the row limit */
-    WB_WATCH_PEERS_ONLY /* no calls; rows come from peers */
-} wb_watch_state_t;
-
-/* A row that was removed. */
-typedef struct wb_tombstone_t {
-    int64_t version;
-    int64_t removed_ms;
-} wb_tombstone_t;
-
 /* A call under way. */
 typedef struct wb_watch_call_t {
     wb_table_watch_t *watch;
     unsigned serial;
 } wb_watch_call_t;
 
-struct wb_table_watch_t {
-    wb_loop_t *loop;
-    wb_table_t *table;
-    wb_table_name_t name;
-    wb_table_watch_intervals_t settings;
-    wb_table_watch_events_t events;
-    wb_watch_state_t state;
-    unsigned max_rows;       /* 0: no limit */
-    gboolean reports_all;    /* the full read also reports rows whose version is known */
-    GHashTable *versions;    /* key -> int64_t *, of existing rows */
-    GHashTable *tombstones;  /* key -> wb_tombstone_t */
-    int64_t newest_row;      /* highest version of a row that was applied */
-    int64_t peer_newest_row; /* highest version of a row that a peer has reported */
-    int64_t named_ms;        /* when a peer first reported it */
-    int64_t known_ms;        /* time as of which this node has read the table; 0: never */
-    int64_t waited_ms;       /* how long the store may hold the call for changes under way */
-    int64_t empty_until_ms;  /* until when a call for changes has shown that there were none */
-    int64_t read_started_ms;
-    int64_t peer_known_ms; /* time as of which a peer has read the table; 0: no peer has */
-    int64_t announced_ms;  /* when a change without a version was announced that no later read has
-                              covered; 0: none */
-    double jitter;         /* random factor of the interval between own calls */
-    GHashTable *read_keys; /* keys in the current full read */
-    GPtrArray *read_rows;  /* rows of the current full read */
-    char *next_key;
-    int64_t read_version;    /* minimum of the table versions of the full read's pages */
-    int64_t era;             /* newest era of the store that is known here */
-    int64_t rollback_ms;     /* when the last rollback was noticed; 0: none was */
-    int64_t fresh_before_ms; /* until when the table was known before it */
-    int64_t settle_ms;       /* when the next full read after it is due; 0: none is */
-    unsigned held_rows;      /* rows that the last full read held back */
-    int64_t spread_ms;       /* random delay of those reads */
-    int64_t version;         /* table version up to which changes are known */
-    uint64_t ignored_rows;   /* older than the known version */
-    gboolean synced;
-    gboolean calling;
-    unsigned serial; /* of the call under way; answers of earlier ones are ignored */
-    wb_timer_t *timer;
-    int64_t called_ms;
-    int64_t answered_ms;
-    int64_t retry_ms;  /* delay after failures in a row; 0: the last call succeeded */
-    int64_t failed_ms; /* when the last call failed */
-    gboolean expedited;
-    wb_store_cause_t cause; /* of the call under way */
-};
-
 static void watch_call(void *context);
 
 void wb_table_row_free(wb_table_row_t *row) {
@@ -119,76 +53,30 @@
     watch->timer = wb_loop_after(watch->loop, MAX(delay_ms, 0), watch_call, watch);
 }
 
-static gboolean tombstone_is_expired(gpointer key, gpointer value, gpointer context) {
-    (void)key;
-    return ((wb_tombstone_t *)value)->removed_ms < *(int64_t *)context;
-}
-
-static void tombstone_add(wb_table_watch_t *watch, const char *key, int64_t version) {
-    int64_t now_ms = wb_clock_ms();
-    if (g_hash_table_size(watch->tombstones) >= MAX_TOMBSTONES) {
-        int64_t oldest_ms = now_ms - TOMBSTONE_TTL_MS;
-        g_hash_table_foreach_remove(watch->tombstones, tombstone_is_expired, &oldest_ms);
-    }
-    wb_tombstone_t tombstone = {version, now_ms};
-    g_hash_table_replace(watch->tombstones, g_strdup(key),
-                         g_memdup2(&tombstone, sizeof(tombstone)));
-}
-
-/* Returns the known version of a row, removed or not; 0: unknown. */
-static int64_t row_known_version(const wb_table_watch_t *watch, const char *key) {
-    const int64_t *known = g_hash_table_lookup(watch->versions, key);
-    const wb_tombstone_t *tombstone = g_hash_table_lookup(watch->tombstones, key);
-    if (known != NULL)
-        return *known;
-    return tombstone != NULL ? tombstone->version : 0;
-}
-
-/* Applies and reports a row unless it is older than the known version, or of a time that the store
- * has lost. Returns TRUE if it was reported. */
+/* Applies a row, and reports it unless it is known. Returns TRUE if it was reported. */
 static gboolean row_apply(wb_table_watch_t *watch, const wb_table_row_t *row) {
-    int64_t known = row_known_version(watch, row->key);
-    if (known > row->version || wb_store_version_era(row->version) < watch->era) {
+    wb_row_change_t change = wb_table_rows_apply(watch->rows, row, wb_store_version(watch->era, 0));
+    if (change == WB_ROW_OLDER) {
         watch->ignored_rows++;
         return FALSE;
     }
-    if (known == row->version && !watch->reports_all)
-        return FALSE;
     watch->newest_row = MAX(watch->newest_row, row->version);
-    if (row->value == NULL) {
-        tombstone_add(watch, row->key, row->version);
-        if (!g_hash_table_remove(watch->versions, row->key))
-            return FALSE; /* the removed row was unknown here */
-    } else {
-        g_hash_table_replace(watch->versions, g_strdup(row->key),
-                             g_memdup2(&row->version, sizeof(row->version)));
-        g_hash_table_remove(watch->tombstones, row->key);
-    }
+    if (change == WB_ROW_NOT_HERE || (change == WB_ROW_SAME && !watch->reports_all))
+        return FALSE;
     watch->events.on_row(row, watch->events.context);
     return TRUE;
 }
 
 /* Reports the removal of rows that are missing from a full read. */
 static void missing_rows_remove(wb_table_watch_t *watch) {
-    g_autoptr(GList) keys = g_hash_table_get_keys(watch->versions);
-    for (GList *item = keys; item != NULL; item = item->next) {
-        if (g_hash_table_contains(watch->read_keys, item->data))
-            continue;
-        wb_table_row_t row = {g_strdup(item->data), NULL, 0, watch->read_version};
-        g_hash_table_remove(watch->versions, row.key);
-        tombstone_add(watch, row.key, row.version);
+    g_autoptr(GPtrArray) keys =
+        wb_table_rows_remove_others(watch->rows, watch->read_keys, watch->read_version);
+    for (guint i = 0; i < keys->len; i++) {
+        wb_table_row_t row = {g_ptr_array_index(keys, i), NULL, 0, watch->read_version};
         watch->events.on_row(&row, watch->events.context);
-        g_free(row.key);
     }
 }
 
-/* Returns TRUE if a row of a full read was removed before the store went back. */
-static gboolean row_is_held_back(const wb_table_watch_t *watch, const wb_table_row_t *row) {
-    const wb_tombstone_t *tombstone = g_hash_table_lookup(watch->tombstones, row->key);
-    return tombstone != NULL &&
-           wb_store_version_era(tombstone->version) < wb_store_version_era(row->version);
-}
-
 static void read_begin(wb_table_watch_t *watch) {
     watch->state = WB_WATCH_READING;
     g_hash_table_remove_all(watch->read_keys);
@@ -205,18 +93,12 @@
         watch->announced_ms = 0;
 }
 
-/* Whether a peer has reported a row that this node hasn't read. A read that is older than the row
- * doesn't change that. */
-static gboolean row_is_missing(const wb_table_watch_t *watch) {
-    return watch->peer_newest_row > MAX(watch->newest_row, watch->version);
-}
-
 static gboolean is_behind(const wb_table_watch_t *watch) {
-    return watch->announced_ms != 0 || row_is_missing(watch);
+    return watch->announced_ms != 0 || wb_watch_row_is_missing(watch);
 }
 
 /* Returns when the next call for changes is due, after the one started at called_ms. */
-static int64_t next_changes_ms(const wb_table_watch_t *watch) {
+static int64_t next_call_ms(const wb_table_watch_t *watch) {
     int64_t retry_at_ms = watch->failed_ms + watch->retry_ms;
     if (watch->peer_known_ms != 0 && is_behind(watch)) {
         /* Something is known to have changed, so the node that reported it reaches the store: check
@@ -235,12 +117,29 @@
     return MAX(due, fresh_until_ms);
 }
 
-/* Returns when the next call is due: for changes, or the full read after a rollback. */
-static int64_t next_call_ms(const wb_table_watch_t *watch) {
-    int64_t due_ms = next_changes_ms(watch);
-    if (watch->settle_ms == 0)
-        return due_ms;
-    return MAX(MIN(due_ms, watch->settle_ms), watch->failed_ms + watch->retry_ms);
+/* Reads the table again some time after a rollback. A call for changes that is under way, which may
+ * be held for seconds, is given up. */
+static void settle_read(void *context) {
+    wb_table_watch_t *watch = context;
+    watch->settle_timer = NULL;
+    if (watch->state != WB_WATCH_FOLLOWING)
+        return; /* a full read is under way */
+    watch->serial++;
+    watch->calling = FALSE;
+    read_begin(watch);
+    call_after(watch, watch->failed_ms + watch->retry_ms - wb_clock_ms());
+}
+
+static void settle_read_after(wb_table_watch_t *watch, int64_t since_rollback_ms) {
+    int64_t at_ms = watch->rollback_ms + since_rollback_ms + watch->spread_ms;
+    watch->settle_timer =
+        wb_loop_after(watch->loop, MAX(at_ms - wb_clock_ms(), 0), settle_read, watch);
+}
+
+static void settle_cancel(wb_table_watch_t *watch) {
+    if (watch->settle_timer != NULL)
+        wb_timer_cancel(watch->settle_timer);
+    watch->settle_timer = NULL;
 }
 
 /* Applies the rows of a full read. After a rollback the rows that it lacks are kept for a while,
@@ -252,19 +151,19 @@
     watch->held_rows = 0;
     for (guint i = 0; i < watch->read_rows->len; i++) {
         const wb_table_row_t *row = g_ptr_array_index(watch->read_rows, i);
-        if (holds_back && row_is_held_back(watch, row))
+        if (holds_back && wb_table_rows_was_removed_before(watch->rows, row))
             watch->held_rows++;
         else
             row_apply(watch, row);
     }
-    watch->settle_ms = 0;
-    if (since_rollback_ms < LOST_ROW_GRACE_MS) {
-        watch->settle_ms = watch->rollback_ms + LOST_ROW_GRACE_MS + watch->spread_ms;
+    settle_cancel(watch);
+    if (since_rollback_ms < WB_WATCH_LOST_ROW_GRACE_MS) {
+        settle_read_after(watch, WB_WATCH_LOST_ROW_GRACE_MS);
         return;
     }
     missing_rows_remove(watch);
     if (watch->held_rows > 0)
-        watch->settle_ms = watch->rollback_ms + REMOVED_ROW_HOLD_MS + watch->spread_ms;
+        settle_read_after(watch, REMOVED_ROW_HOLD_MS);
 }
 
 /* Applies a complete full read. If it is older than the known version, reads again. */
@@ -331,10 +230,6 @@
     if (serial != watch->serial)
         return NULL;
     watch->calling = FALSE;
-    if (!watch->synced) {
-        watch->era = MAX(watch->era, watch->table->era);
-        return watch;
-    }
     return wb_table_watch_note_era(watch, watch->table->era) ? NULL : watch;
 }
 
@@ -401,7 +296,7 @@
     watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
-    if (is_too_large(watch, g_hash_table_size(watch->versions))) {
+    if (is_too_large(watch, wb_table_rows_count(watch->rows))) {
         too_large_begin(watch);
         return;
     }
@@ -444,8 +339,6 @@
     wb_table_watch_t *watch = context;
     int64_t now_ms = wb_clock_ms();
     watch->timer = NULL;
-    if (watch->state == WB_WATCH_FOLLOWING && watch->settle_ms != 0 && now_ms >= watch->settle_ms)
-        read_begin(watch);
     watch->calling = TRUE;
     watch->cause = cause_of(watch, now_ms);
     watch->called_ms = now_ms;
@@ -478,8 +371,7 @@
     watch->settings = *settings;
     watch->events = *events;
     watch->jitter = 1 - POLL_JITTER * g_random_double();
-    watch->tombstones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    watch->versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    watch->rows = wb_table_rows_create();
     watch->read_keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     watch->read_rows = g_ptr_array_new_with_free_func((GDestroyNotify)wb_table_row_free);
     read_begin(watch);
@@ -503,7 +395,7 @@
 void wb_table_watch_follow_subset(wb_table_watch_t *watch) {
     g_assert(watch->state == WB_WATCH_TOO_LARGE);
     read_begin(watch);
-    g_hash_table_remove_all(watch->versions);
+    wb_table_rows_clear(watch->rows);
     watch->state = WB_WATCH_PEERS_ONLY;
     watch->synced = TRUE;
 }
@@ -542,14 +434,16 @@
 /* The store has come back from an older copy. What was read before is no longer in it as it was, so
  * the table is read again. */
 gboolean wb_table_watch_note_era(wb_table_watch_t *watch, int64_t era) {
-    if (!watch->synced || era <= watch->era)
+    if (era <= watch->era)
         return FALSE;
     watch->era = era;
+    if (!watch->synced)
+        return FALSE; /* the first full read must be one of this era */
     if (!wb_table_watch_is_settling(watch))
         watch->fresh_before_ms = wb_table_watch_fresh_ms(watch);
     watch->rollback_ms = wb_clock_ms();
     watch->spread_ms = g_random_int_range(0, SETTLE_SPREAD_MS);
-    watch->settle_ms = 0;
+    settle_cancel(watch);
     watch->serial++;
     watch->calling = FALSE;
     if (watch->state == WB_WATCH_FOLLOWING || watch->state == WB_WATCH_READING) {
@@ -577,57 +471,3 @@
     watch->announced_ms = wb_clock_ms();
     call_reschedule(watch);
 }
-
-int64_t wb_table_watch_newest_row(const wb_table_watch_t *watch) {
-    return watch->newest_row;
-}
-
-int64_t wb_table_watch_known_ms(const wb_table_watch_t *watch) {
-    return watch->known_ms;
-}
-
-int64_t wb_table_watch_fresh_ms(const wb_table_watch_t *watch) {
-    return MAX(MAX(watch->known_ms, watch->empty_until_ms), watch->peer_known_ms);
-}
-
-int64_t wb_table_watch_newest_named(const wb_table_watch_t *watch) {
-    return MAX(watch->newest_row, watch->peer_newest_row);
-}
-
-int64_t wb_table_watch_behind_since_ms(const wb_table_watch_t *watch) {
-    return row_is_missing(watch) ? watch->named_ms : 0;
-}
-
-int64_t wb_table_watch_named_ms(const wb_table_watch_t *watch, int64_t row_version) {
-    return watch->peer_newest_row == row_version ? watch->named_ms : 0;
-}
-
-uint64_t wb_table_watch_ignored_rows(const wb_table_watch_t *watch) {
-    return watch->ignored_rows;
-}
-
-int64_t wb_table_watch_read_era(const wb_table_watch_t *watch) {
-    return wb_store_version_era(watch->version);
-}
-
-int64_t wb_table_watch_fresh_before_rollback_ms(const wb_table_watch_t *watch) {
-    return watch->fresh_before_ms;
-}
-
-gboolean wb_table_watch_is_settling(const wb_table_watch_t *watch) {
-    return watch->rollback_ms != 0 &&
-           (wb_clock_ms() - watch->rollback_ms < LOST_ROW_GRACE_MS || watch->settle_ms != 0);
-}
-
-gboolean wb_table_watch_is_reading(const wb_table_watch_t *watch) {
-    return watch->state == WB_WATCH_READING;
-}
-
-gboolean wb_table_watch_is_synced(const wb_table_watch_t *watch) {
-    return watch->synced;
-}
-
-int64_t wb_table_watch_age_ms(const wb_table_watch_t *watch) {
-    int64_t contact_ms = MAX(watch->answered_ms, watch->peer_known_ms);
-    return contact_ms == 0 ? G_MAXINT64 : wb_clock_ms() - contact_ms;
-}
--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -180,6 +180,9 @@
 
 void wb_loop_run(wb_loop_t *loop) {
     loop_run(loop);
+    g_mutex_lock(&loop->lock);
+    loop->stopping = FALSE;
+    g_mutex_unlock(&loop->lock);
 }
 
 void wb_loop_quit(wb_loop_t *loop) {
--- a/tests/edge/test_rollback.c
+++ b/tests/edge/test_rollback.c
@@ -109,10 +109,166 @@
     estate_stop(estate);
 }
 
+/* Counts the runs of a request at an engine. */
+static int runs_at(const estate_t *estate, const char *id, const char *engine) {
+    json_t *seen = estate_records(estate);
+    int count = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) count +=
+        strcmp(json_string_value(json_object_get(run, "id")), id) == 0 &&
+        strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0;
+    json_decref(seen);
+    return count;
+}
+
+/* Sends requests to all nodes for some time. All must be served. */
+static void lock_requests_send(const estate_t *estate, const char *id, int64_t for_ms) {
+    int64_t until_ms = harness_now_ms() + for_ms;
+    for (int i = 0; harness_now_ms() < until_ms; i++) {
+        g_assert_cmpint(status_of(estate, i % NODES, "/lock/x", id, EDGE_DEADLINE), ==, 200);
+        wait_ms(20);
+    }
+}
+
+/* Guards against a node that uses an engine again, as the copy shows it from before it said that it
+ * leaves. */
+static void test_leaving_is_not_undone(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    estate_wait_controller(estate, 10000);
+    wait_ms(BACK_MS);
+    estate_command(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    wait_ms(DRAIN_MS);
+    estate_command(estate,
+                   "{\"do\":\"store-rollback\",\"back_ms\":%d,\"away_ms\":100,"
+                   "\"rewrite_ms\":2000}",
+                   BACK_MS);
+    lock_requests_send(estate, "left", 3500);
+    g_assert_cmpint(runs_at(estate, "left", "lock-1"), ==, 0);
+    g_assert_cmpint(runs_at(estate, "left", "lock-2"), >, 0);
+    estate_stop(estate);
+}
+
+/* Guards against a node that sends to an engine which has ended, as the copy still has its row. */
+static void test_removed_engine_stays_removed(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    estate_wait_controller(estate, 10000);
+    wait_ms(BACK_MS);
+    estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-1\",\"announce\":true}");
+    wait_ms(DRAIN_MS);
+    double sends = 0;
+    for (int i = 0; i < NODES; i++) {
+        sends -= estate_metric(estate, i, "broken_sends_total");
+    }
+    estate_command(estate,
+                   "{\"do\":\"store-rollback\",\"back_ms\":%d,\"away_ms\":100,"
+                   "\"rewrite_ms\":4000}",
+                   BACK_MS);
+    lock_requests_send(estate, "gone", 4500);
+    for (int i = 0; i < NODES; i++) {
+        sends += estate_metric(estate, i, "broken_sends_total");
+    }
+    g_assert_cmpfloat(sends, ==, 0);
+    estate_stop(estate);
+}
+
+/* Guards against 404 by a configuration that the store has lost, or that is older than what it has
+ * lost: what it says of a route that is unknown here is known only later. */
+static void test_no_404_from_a_copy(void) {
+    estate_t *estate = estate_start(NODES, FLAGS " --catalog-ms=1000");
+    estate_wait_controller(estate, 10000);
+    wait_ms(BACK_MS);
+    estate_configure(estate, NULL);
+    wait_ms(500);
+    estate_command(estate,
+                   "{\"do\":\"store-rollback\",\"back_ms\":%d,\"away_ms\":100,"
+                   "\"rewrite_ms\":1500}",
+                   BACK_MS);
+    wait_ms(1500); /* what was confirmed before the rollback counts for catalog-ms */
+    for (int i = 0; i < NODES; i++) {
+        g_assert_cmpint(status_of(estate, i, "/none/x", "early", EDGE_DEADLINE), ==, 503);
+        g_assert_cmpint(status_of(estate, i, "/lock/x", "known", EDGE_DEADLINE), ==, 200);
+    }
+    wait_ms(4000);
+    for (int i = 0; i < NODES; i++) {
+        g_assert_cmpint(status_of(estate, i, "/none/x", "late", EDGE_DEADLINE), ==, 404);
+    }
+    estate_stop(estate);
+}
+
+/* Guards against a node that the store turns away and that stays in the time that the store has
+ * lost: it learns of the era and of the configuration from the others. */
+static void test_node_without_a_store(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    int holder = estate_wait_controller(estate, 10000);
+    int cut = (holder + 1) % NODES;
+    wait_ms(BACK_MS);
+    store_write(estate, LOST_WRITES);
+    estate_configure(estate, NULL);
+    wait_ms(1500);
+    estate_store_fault(estate, cut, "cut", 0);
+    store_roll_back(estate, BACK_MS);
+    wait_ms(AWAY_MS + REWRITE_MS + 3000);
+    estate_configure(estate, NEW_ROUTE);
+    wait_ms(CONFIG_MS);
+    for (int i = 0; i < NODES; i++) {
+        g_assert_cmpint(status_of(estate, i, "/new/x", "added", EDGE_DEADLINE), ==, 200);
+    }
+    g_assert_cmpfloat(estate_metric(estate, cut, "store_era"), ==,
+                      estate_metric(estate, holder, "store_era"));
+    estate_stop(estate);
+}
+
+/* Guards against a second rollback that is taken for the first. */
+static void test_twice(void) {
+    estate_t *estate = rolled_back();
+    store_write(estate, LOST_WRITES);
+    estate_configure(estate, NULL);
+    wait_ms(300);
+    estate_command(estate, "{\"do\":\"store-rollback\",\"back_ms\":700,\"away_ms\":300,"
+                           "\"rewrite_ms\":300}");
+    wait_ms(1000);
+    estate_configure(estate, NEW_ROUTE);
+    wait_ms(CONFIG_MS);
+    for (int i = 0; i < NODES; i++) {
+        g_assert_cmpint(status_of(estate, i, "/new/x", "added", EDGE_DEADLINE), ==, 200);
+        g_assert_cmpfloat(estate_metric(estate, i, "store_rollbacks_total"), ==, 2);
+    }
+    estate_stop(estate);
+}
+
+/* Guards against a holder that stops, or a second one, where the store is away for less than a
+ * lease: the holder goes on under its token, and what it has loaded isn't loaded again. */
+static void test_holder_goes_on(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    int holder = estate_wait_controller(estate, 10000);
+    wait_ms(2000);
+    g_assert_cmpint(status_of(estate, 0, "/chat/x", "before", EDGE_MODEL("m5")), ==, 200);
+    double token = estate_metric(estate, holder, "lease_token");
+    estate_command(estate, "{\"do\":\"store-rollback\",\"back_ms\":1500,\"away_ms\":100,"
+                           "\"rewrite_ms\":300}");
+    wait_ms(600);
+    g_assert_cmpfloat(estate_metric(estate, holder, "lease_held"), ==, 1);
+    g_assert_cmpfloat(estate_metric(estate, holder, "lease_token"), ==, token);
+    g_assert_cmpint(status_of(estate, 0, "/chat/x", "after", EDGE_MODEL("m5")), ==, 200);
+    wait_ms(4000);
+    g_assert_cmpint(estate_controller(estate), ==, holder);
+    g_assert_cmpint(estate_orders(estate, "model_load", "m5"), ==, 1);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/rollback/config-after-return", test_config_after_return);
     g_test_add_func("/edge/rollback/leaving-after-return", test_leaving_after_return);
     g_test_add_func("/edge/rollback/holder-after-return", test_holder_after_return);
+    g_test_add_func("/edge/rollback/leaving-is-not-undone", test_leaving_is_not_undone);
+    g_test_add_func("/edge/rollback/removed-engine-stays-removed",
+                    test_removed_engine_stays_removed);
+    g_test_add_func("/edge/rollback/no-404-from-a-copy", test_no_404_from_a_copy);
+    g_test_add_func("/edge/rollback/node-without-a-store", test_node_without_a_store);
+    g_test_add_func("/edge/rollback/twice", test_twice);
+    g_test_add_func("/edge/rollback/holder-goes-on", test_holder_goes_on);
 }
 
 PROCESS_TEST_MAIN(tests_add)
