--- a/tests/edge/test_rollback.c
+++ b/tests/edge/test_rollback.c
@@ -258,6 +258,42 @@
     estate_stop(estate);
 }
 
+/* Guards against a node that gets engines' rows from a relay and ignores those of the new era, or
+ * keeps an engine that only the lost time knew. */
+static void test_relayed_rows(void) {
+    static const char *const node_flags[] = {"--processor-share=1", "--processor-share=1",
+                                             "--processor-share=0.12", "--processor-share=0.12"};
+    estate_t *estate = estate_start_each(4, FLAGS " --engine-rows-most=2", node_flags);
+    estate_wait_controller(estate, 10000);
+    wait_ms(BACK_MS);
+    store_write(estate, LOST_WRITES);
+    estate_command(estate, "{\"do\":\"engine-start\",\"engine\":\"lock-3\",\"options\":{"
+                           "\"service\":\"lock\",\"zone\":\"zone-1\",\"work_ms\":5}}");
+    for (int node = 2; node < 4; node++) {
+        g_assert_true(estate_log_has(estate, node, "\"read\":\"part\""));
+        g_assert_cmpint(status_of(estate, node, "/lock/x", "first", EDGE_DEADLINE), ==, 200);
+    }
+    wait_ms(500);
+    store_roll_back(estate, BACK_MS);
+    /* What is lost of it isn't written again in time: the engine has ended. */
+    estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-3\",\"announce\":true}");
+    wait_ms(AWAY_MS + REWRITE_MS + 500);
+    estate_command(estate, "{\"do\":\"engine-leave\",\"engine\":\"lock-1\"}");
+    wait_ms(DRAIN_MS);
+    for (int i = 0; i < 30; i++) {
+        g_assert_cmpint(status_of(estate, 2 + i % 2, "/lock/x", "leaving", EDGE_DEADLINE), ==, 200);
+    }
+    g_assert_cmpint(runs_at(estate, "leaving", "lock-1"), ==, 0);
+    wait_ms(3000);
+    double broken = estate_metric(estate, 2, "broken_sends_total");
+    for (int i = 0; i < 30; i++) {
+        g_assert_cmpint(status_of(estate, 2, "/lock/x", "later", EDGE_DEADLINE), ==, 200);
+    }
+    g_assert_cmpfloat(estate_metric(estate, 2, "broken_sends_total"), ==, broken);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/rollback/config-after-return", test_config_after_return);
     g_test_add_func("/edge/rollback/leaving-after-return", test_leaving_after_return);
@@ -269,6 +305,7 @@
     g_test_add_func("/edge/rollback/node-without-a-store", test_node_without_a_store);
     g_test_add_func("/edge/rollback/twice", test_twice);
     g_test_add_func("/edge/rollback/holder-goes-on", test_holder_goes_on);
+    g_test_add_func("/edge/rollback/relayed-rows", test_relayed_rows);
 }
 
 PROCESS_TEST_MAIN(tests_add)
