--- a/tests/edge/test_rollback.c
+++ b/tests/edge/test_rollback.c
@@ -5,6 +5,10 @@
 #include <string.h>
 
 #define NODES 3
+#define MANY_NODES 12
+/* Three reads of three tables, a write and its retry, and a poll of each table a second while the
+ * lease has no holder, for up to 3 s. */
+#define CALLS_MAX 20
 #define CONFIG_MS 2000
 #define DRAIN_MS 1500
 #define FLAGS "--catalog-ms=2000 --drain-ms=1500 --lease-quiet-ms=1000 --lease-duration-ms=1000"
@@ -294,6 +298,41 @@
     estate_stop(estate);
 }
 
+/* Returns the mean number of calls of all nodes but the busiest one, the holder. */
+static double calls_of_followers(const estate_t *estate, const double *before) {
+    double sum = 0;
+    double most = 0;
+    for (int i = 0; i < estate->node_count; i++) {
+        double calls = estate_metric(estate, i, "store_calls_total") - before[i];
+        sum += calls;
+        most = MAX(most, calls);
+    }
+    return (sum - most) / (estate->node_count - 1);
+}
+
+/* Guards against a store that comes back and is read without end: each node reads each of the three
+ * tables when it learns of the era, again when operators and engines have written, and once more if
+ * rows were held back; it writes its own row, and polls while there is no holder. */
+static void test_calls_after_return(void) {
+    estate_t *estate = estate_start(MANY_NODES, FLAGS);
+    double before[MANY_NODES];
+    estate_wait_controller(estate, 10000);
+    wait_ms(BACK_MS);
+    store_write(estate, LOST_WRITES);
+    estate_configure(estate, NULL);
+    wait_ms(1500);
+    store_roll_back(estate, BACK_MS);
+    wait_ms(AWAY_MS);
+    for (int i = 0; i < MANY_NODES; i++) {
+        before[i] = estate_metric(estate, i, "store_calls_total");
+    }
+    wait_ms(8000);
+    double calls = calls_of_followers(estate, before);
+    g_test_message("%g calls a node in 8 s after the return", calls);
+    g_assert_cmpfloat(calls, <=, CALLS_MAX);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/rollback/config-after-return", test_config_after_return);
     g_test_add_func("/edge/rollback/leaving-after-return", test_leaving_after_return);
@@ -306,6 +345,7 @@
     g_test_add_func("/edge/rollback/twice", test_twice);
     g_test_add_func("/edge/rollback/holder-goes-on", test_holder_goes_on);
     g_test_add_func("/edge/rollback/relayed-rows", test_relayed_rows);
+    g_test_add_func("/edge/rollback/calls-after-return", test_calls_after_return);
 }
 
 PROCESS_TEST_MAIN(tests_add)
