--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -16,11 +16,11 @@
 
 /* Delay before the readers are selected, so that all nodes of a cold start have written their rows.
  */
-/* Sent as the version of a row that is known from before the store went back. */
-#define OLDEST_NUMBER 1
 #define SELECT_READERS_MS 2500
 /* The same after a restart: the rows of the other nodes are there after one read. */
 #define SELECT_AFTER_RESTART_MS 100
+/* Sent as the version of a row that is known from before the store went back. */
+#define OLDEST_NUMBER 1
 /* Time in which a relay that has just started must complete its first full read. */
 #define RELAY_READ_TIMEOUT_MS 4000
 /* A relay sends a heartbeat after 500 ms without changes. */
