After a rollback a relay's copy is whole once it was read again; a node writes its row only if it was lost

A relay said of what it had read before the store went back that it was whole and fresh. It now says so once it has read the table again, so its subscribers ask it anew for what they know. A node wrote its own row at each new era, 985 writes in half a second on the fleet; now only if the copy lacks it.

--- a/src/edge/node_era.c
+++ b/src/edge/node_era.c
@@ -6,9 +6,6 @@
  * the present era until this process has seen a rollback, and for nothing after that. */
 #include "edge/edge_node_types.h"
 
-/* Max random delay before a node writes its own row again, which the copy may lack. */
-#define ROW_SPREAD_MS 500
-
 static void rollback_begin(wb_edge_node_t *node) {
     node->has_seen_rollback = TRUE;
     node->catalog_before_rollback = node->edge.catalog != NULL ? node->edge.catalog->version : 0;
@@ -18,8 +15,6 @@
     wb_table_watch_note_era(node->catalog_watch, node->store_era);
     wb_table_watch_note_era(node->engines_watch, node->store_era);
     wb_table_watch_note_era(node->nodes_watch, node->store_era);
-    if (node->node_row_written)
-        node->node_row_due_ms = wb_clock_ms() + g_random_int_range(0, ROW_SPREAD_MS);
 }
 
 /* @param from who named the era */
--- a/src/edge/node_relay.c
+++ b/src/edge/node_relay.c
@@ -75,9 +75,15 @@
     }
 }
 
+/* Returns FALSE after a rollback of the store until the table was read again. */
+static gboolean has_read_era(const wb_edge_node_t *node) {
+    return wb_table_watch_read_era(node->engines_watch) == node->store_era;
+}
+
 static unsigned table_age_ms(const wb_edge_node_t *node, int64_t now_ms) {
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
-    return fresh_ms == 0 ? G_MAXINT : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
+    return fresh_ms == 0 || !has_read_era(node) ? G_MAXINT
+                                                : (unsigned)CLAMP(now_ms - fresh_ms, 0, G_MAXINT);
 }
 
 static void engine_update_send(wb_edge_node_t *node, wb_link_t *link,
@@ -86,8 +92,8 @@
     int64_t now_ms = wb_clock_ms();
     wb_wire_message message = {.kind = WB_WIRE_ENGINE_UPDATE};
     wb_wire_engine_update *update = &message.wb_wire_message_u.engine_update;
-    update->whole =
-        wb_edge_node_reads_engines(node) && wb_table_watch_is_synced(node->engines_watch);
+    update->whole = wb_edge_node_reads_engines(node) &&
+                    wb_table_watch_is_synced(node->engines_watch) && has_read_era(node);
     update->age_ms = table_age_ms(node, now_ms);
     if (want != NULL) {
         update->answered.answered_len = want->wants.wants_len;
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -10,6 +10,8 @@
 /* A failed write is retried after this delay, doubled each time up to the maximum. */
 #define NODE_ROW_RETRY_MS 500
 #define NODE_ROW_RETRY_MAX_MS 8000
+/* Max random delay before a node writes its row again after the store has lost it. */
+#define NODE_ROW_LOST_SPREAD_MS 500
 #define STORE_CALLS_LOG_MS 5000
 /* Min interval of the log line about discarded reads. */
 #define DISCARDED_LOG_MS 1000
@@ -290,6 +292,16 @@
     node->node_row_due_ms = wb_clock_ms() + g_random_int_range(0, (gint32)MAX(renewal_ms, 1));
 }
 
+/* Writes this node's row again if the copy that the store came back from lacks it. */
+static void own_row_restore(wb_edge_node_t *node) {
+    const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
+    int64_t latest_ms = wb_clock_ms() + NODE_ROW_LOST_SPREAD_MS;
+    gboolean is_lost = known != NULL && wb_store_version_era(known->version) !=
+                                            wb_table_watch_read_era(node->nodes_watch);
+    if (is_lost && node->node_row_due_ms > latest_ms)
+        node->node_row_due_ms = latest_ms - g_random_int_range(0, NODE_ROW_LOST_SPREAD_MS);
+}
+
 static void nodes_batch(gboolean full_read, void *context) {
     wb_edge_node_t *node = context;
     if (full_read)
@@ -300,6 +312,8 @@
     node->edge.node_count = g_hash_table_size(node->nodes);
     wb_edge_node_check_lease(node);
     own_row_adopt(node);
+    if (full_read)
+        own_row_restore(node);
 }
 
 static void node_row_write_done(const wb_table_answer_t *answer, void *context) {
