Comments: reasons and numbers that the reworded code had lost

Put back where a maintainer would ask why this value: loads within a lease, candidates of a decision, the limits of offline nodes, times of decisions, queues and gaps, sizes and rates. No code changes.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -12,8 +12,8 @@
 /* A decision starts no further placement after this: lease renewals and clients' streams are
  * handled by the same thread. */
 #define DECISION_MAX_US 20000
-/* Maximum loads from the weight store that an engine can start within a lease's duration: it loads
- * one model at a time, and each load takes most of that time. */
+/* Maximum loads from the weight store that an engine can start within a lease's duration (1.6 s):
+ * it loads one model at a time, and the fastest load takes 1.3 s. */
 #define UNREPORTED_LOADS_PER_ENGINE 2
 
 const wb_service_t *wb_controller_service(const char *name, void *context) {
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -10,7 +10,8 @@
  * is at most 20 s; the model stays in demand for that long. */
 #define MISSED_TTL_MS 7000
 /* Minimum request rate at which a model is loaded elsewhere while only unreliable engines hold it.
- * A single request falls below it after about seven seconds. */
+ * Rates are averaged over five seconds, so a single request counts 0.2 at first, and falls below it
+ * after about seven seconds. */
 #define UNRELIABLE_MIN_RATE_PER_S 0.05
 /* Estimated time that a request loses when it is refused for a missing model. */
 #define MISSED_COST_MS 1000.0
--- a/src/control/controller_models.c
+++ b/src/control/controller_models.c
@@ -5,7 +5,8 @@
 
 #define SCALE_OUT_MAX_LOADS 3
 /* Models considered for one more replica in a decision, those with the largest gain first. Bounds
- * the time of a decision, as each of them is evaluated against all engines. */
+ * the time of a decision, as each of them is evaluated against all engines: where engines differ in
+ * speed, nearly all models would gain, and evaluating all took half of a core at 1,000 engines. */
 #define SCALE_OUT_MAX_CANDIDATES 8
 /* Estimated time that evictions delay a load. */
 #define EVICTION_TIME_MS 250
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -13,7 +13,8 @@
 #define POLL_DIVISOR 8
 /* Interval of the checks whether the weight store's rate limit allows a load. */
 #define STORE_RETRY_MS 40
-/* About the time of a lease row's write, which a pending grant waits for. */
+/* About the time of a lease row's write, which a pending grant waits for: an answer of the store
+ * (4 ms) and a round trip. */
 #define GRANT_POLL_MS 8
 #define UNLOAD_POLL_MS 80
 /* Delay of the first check after a load should be complete. If the engine is idle without the model
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -55,7 +55,9 @@
 } wb_engine_capacity_t;
 
 /** Engines evaluated for one placement. In a larger fleet a placement evaluates this many from a
- * random one on, to bound the time of a decision. */
+ * random one on, to bound the time of a decision: evaluating one takes 2 us, and 600 models may
+ * wait at a start. The best of 512 is among the best 0.6 % of all engines in 19 of 20 placements.
+ */
 #define WB_PLACEMENT_MAX_CANDIDATES 512
 
 /** @return TRUE when an engine is loading a model or has been ordered to */
--- a/src/directory/engine_subset.h
+++ b/src/directory/engine_subset.h
@@ -16,7 +16,8 @@
 
 #include "wickbridge/fleet.h"
 
-/** Maximum length of the list: enough to choose well among, and cheap to choose from. */
+/** Maximum length of the list: enough to choose well among, and cheap to choose from (100 us). Four
+ * times as many as a model's engines in a zone where 9,640 engines hold 299 models in 6 zones. */
 #define WB_ENGINE_SUBSET_MAX 64
 
 /**
--- a/src/dispatch/engine_choice.c
+++ b/src/dispatch/engine_choice.c
@@ -5,7 +5,8 @@
 
 /* Cost of a batch with all slots in use; scaled by the share of slots in use. */
 #define FULL_BATCH_MS 150.0
-/* Cost of a full batch queued beyond the slots: such requests wait until running ones end. */
+/* Cost of a full batch queued beyond the slots: such requests wait until running ones end. A chat
+ * of 290 tokens runs for 2 to 4 s. */
 #define QUEUED_MS 4000.0
 /* Spread of an idle engine. It makes gateways break ties at random, so that those without recent
  * updates don't all choose the same engine. */
@@ -15,15 +16,18 @@
 /* Bound on the utilization used in the queueing formula of wait_ms(), which diverges at 1 while its
  * input is up to half a second old. */
 #define PREFILL_SHARE_MAX 0.9
-/* Mean uncached tokens of a prompt: the unit in which queued prefill work is estimated. */
+/* Mean uncached tokens of a prompt: the unit in which queued prefill work is estimated. Drafts have
+ * 9,200 tokens, two thirds of them uncached, chats 830. */
 #define UNCACHED_PROMPT_TOKENS 4000.0
 /* Cost of a missed target: a late response, or a gap between events that is too long. */
 #define MISS_MS 2000.0
 /* Steepness of the logistic curve for missed targets: a response predicted at half of its target is
- * late with probability 1/13, one predicted at its target with probability 1/2. */
+ * late with probability 1/13, one predicted at its target with probability 1/2: neighbours slow an
+ * engine 2.5 times in a tenth of responses. */
 #define MISS_SLOPE 5.0
 /* Rate of overlong gaps in a stream while the engine prefills all the time and an event takes as
- * long as the target gap. */
+ * long as the target gap. Of chats of 1.1 s, 5.6 % have one at engines that prefill a third of the
+ * time and whose events take half of the gap; of chats of 2.3 s, 34 % where they take 1.1 of it. */
 #define LONG_GAPS_PER_S 0.6
 /* Stream duration up to which overlong gaps are counted; a longer stream almost surely has one. */
 #define STREAM_MAX_S 4.0
--- a/src/dispatch/engine_choice.h
+++ b/src/dispatch/engine_choice.h
@@ -24,7 +24,8 @@
 #include <glib.h>
 
 /** Expected share of the prompt tokens sent to an engine that aren't in its prefix cache, where the
- * sender doesn't know what the engine has cached. */
+ * sender doesn't know what the engine has cached: 0.56 of all tokens on three deployments, and a
+ * margin. */
 #define WB_UNCACHED_SHARE 0.66
 
 /** Properties of a service's engines at baseline pace. */
--- a/src/edge/catalog_reader.c
+++ b/src/edge/catalog_reader.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 /* Larger values are parsed on a worker thread. Parsing a smaller one on the loop delays the events
- * of streams by an acceptable time. */
+ * of streams by an acceptable time: 5 ms on a whole core, 40 ms on an eighth of one, of the 120 ms
+ * that an event may be late. */
 #define INLINE_MAX_BYTES (64 * 1024)
 
 /* One row to parse. */
--- a/src/edge/node_broadcast.c
+++ b/src/edge/node_broadcast.c
@@ -9,7 +9,7 @@
  * and more. */
 #define BATCH_MS 10
 /* Beyond this number of gateways the batch time grows with it, which bounds the system calls per
- * second. */
+ * second: at 985 gateways a message every 10 ms would take 98,500. */
 #define BATCH_GATEWAYS 84
 /* The link of a gateway with more unsent bytes is closed. */
 #define UNSENT_MAX_BYTES (512 * 1024)
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -1,4 +1,5 @@
 /* The engines that a gateway knows when the engines table is too large to be read by every node.
+ * Reading 10,000 rows at each of 985 nodes took 2,150 s of processor time before the first request.
  * A table above the setting engine-rows-most is read by the strongest machines only
  * (table_readers.h). Any other node is a subscriber: it keeps a link to one reader (its relay,
  * chosen by rendezvous hash so that the gateways of a lost relay spread over the rest), subscribes
@@ -14,8 +15,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Delay before the readers are selected, so that all nodes of a cold start have written their rows.
- */
+/* Delay before the readers are selected, so that all nodes of a cold start have written their rows:
+ * machines start within 0.3 s of each other, and write them within 2 s. */
 #define SELECT_READERS_MS 2500
 /* The same after a restart: the rows of the other nodes are there after one read. */
 #define SELECT_AFTER_RESTART_MS 100
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -7,11 +7,11 @@
 #include <string.h>
 
 /* The store's limit for a row. The lease leaves room in it for the data appended by
- * appended_data_write. */
+ * appended_data_write: room for the names of 1,150 engines, and for 128 poison requests. */
 #define ROW_BYTES (64 * 1024)
 #define LEASE_MAX_BYTES (48 * 1024)
-/* Mean time between the takeover attempts of two nodes, so that most nodes see the new holder
- * before their own attempt. */
+/* Mean time between the takeover attempts of two nodes, so that most nodes see the new holder, some
+ * 60 ms after it took over, before their own attempt. */
 #define TAKEOVER_GAP_MS 30
 /* Min interval over which the takeover attempts are spread. */
 #define TAKEOVER_SPREAD_MS 200
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -11,13 +11,14 @@
 
 #define PARTS_PER_MILLION 1e6
 /* Gateways and aggregator send to each other at least this often. Each takes the other for
- * unreachable after UNRESPONSIVE_MS, as a cut link reports no error for seconds. */
+ * unreachable after UNRESPONSIVE_MS, over two intervals, as a cut link reports no error for 3 s. */
 #define REPORT_INTERVAL_MAX_MS 500
 #define SEND_INTERVAL_MAX_MS 500
 #define UNRESPONSIVE_MS 1200
 #define LOG_INTERVAL_MS 1000
-/* Lifetime of shares read from the lease row after a start: by then a lease holder is found and has
- * received reports. Until then a tenant that is no longer throttled may still be refused. */
+/* Lifetime of shares read from the lease row after a start: by then a lease holder is found (1.8 s
+ * after the last renewal as a rule, 4.8 s at most) and has received reports. Until then a tenant
+ * that is no longer throttled may still be refused. */
 #define ROW_SHARES_LIFE_MS 3000
 
 /* Returns the token of the lease if its row names this node, or 0. */
--- a/src/quota/quota_order.c
+++ b/src/quota/quota_order.c
@@ -4,7 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Part of its proportional share that each class keeps in any case. */
+/* Part of its proportional share that each class keeps in any case: above a quarter, below which
+ * the users' rules call a class starved. */
 #define FLOOR_SHARE 0.35
 /* Classes whose mean costs differ by up to this factor share alike, as the means are of few
  * requests with widely spread costs. */
--- a/src/quota/quota_share.h
+++ b/src/quota/quota_share.h
@@ -11,10 +11,12 @@
 #include "quota/quota_order.h"
 
 /** While the ledger is unreachable, a node admits an unthrottled tenant up to this multiple of the
- * tenant's recent demand at the node. */
+ * tenant's recent demand at the node. Limits are usually further above demand (1.8 times), and
+ * single requests are large compared to what one node sees. */
 #define WB_QUOTA_OFFLINE_FACTOR 1.5
 /** If this share of an equal share of the tenant's limit is more, the node admits that instead. All
- * nodes may be disconnected at once, and their allowances together must not exceed the limit. */
+ * nodes may be disconnected at once, and their allowances together must not exceed the limit: they
+ * come to 1.5 / 1.8 of it and this share, 0.98. */
 #define WB_QUOTA_OFFLINE_SHARE 0.15
 /** Depth of the tenant's token bucket at the node while the ledger is unreachable, in seconds of
  * its fill rate. */
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -16,8 +16,8 @@
 /* Time reserved for prefill after the wait. */
 #define SERVE_MS 150
 /* By this time after a request's arrival the controller has reacted to its demand and the update
- * has reached this node; without one, no load was started. An adapter is loaded by then too, unless
- * its engine is loading a model. */
+ * has reached this node; without one, no load was started. A decision takes some ms, and some tens
+ * at 1,000 engines. An adapter is loaded by then too, unless its engine is loading a model. */
 #define DECISION_MS 600
 /* A request that waits for an engine to become available is dispatched at the next tick or, on a
  * slow machine, the one after. */
