Messages of format version 3 name the era of their row versions

A node sends without extensions until it has read the other's handshake, a moment after a link was opened. The receiver took the numbers of such a message for ones of its own era: a node that had started after a rollback, beside a holder that hadn't noticed it yet, would have ignored what the store wrote until its counter had overtaken them. A peer of version 3 that names no era tells nothing now, one of an earlier version is taken as before.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -180,8 +180,7 @@
 void wb_edge_node_catalog_keep(wb_edge_node_t *node, const wb_table_row_t *row);
 /** Answer a node that asks for the configuration. */
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
-                                 const wb_wire_catalog_fetch *fetch,
-                                 const wb_wire_extensions *extensions);
+                                 const wb_wire_catalog_fetch *fetch);
 /** Ask another node for the configuration when that is due. */
 void wb_edge_node_tick_catalog(wb_edge_node_t *node, int64_t now_ms);
 
@@ -190,8 +189,9 @@
 void wb_edge_node_tick_era(wb_edge_node_t *node);
 /** Add the era whose numbers wb_edge_node_version_to_wire returns. */
 void wb_edge_node_era_add(const wb_edge_node_t *node, wb_wire_extensions *extensions);
-/** @return the era of the row versions in a message; 0 if nothing can be told from them */
-int64_t wb_edge_node_message_era(wb_edge_node_t *node, const wb_wire_extensions *extensions);
+/** @return the era of the row versions in the message that a link delivers; 0 if nothing can be
+ * told from them */
+int64_t wb_edge_node_message_era(wb_edge_node_t *node, const wb_link_t *link);
 /** @return the number of a version in the present era; 0: it is of an earlier one */
 uint64_t wb_edge_node_version_to_wire(const wb_edge_node_t *node, int64_t version);
 /** @return the version that a message names. @param era wb_edge_node_message_era
@@ -430,12 +430,13 @@
                              const wb_table_row_t *row);
 /** As the lease holder, send the store update when it is due. */
 void wb_edge_node_tick_updates(wb_edge_node_t *node, int64_t now_ms);
-/** Apply a store update from the lease holder. */
+/** Apply a store update from the lease holder. @param era wb_edge_node_message_era */
 void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
-                              const wb_wire_extensions *extensions);
-/** Apply the lease row of a store update, from a holder that this node has no link to yet. */
+                              const wb_wire_extensions *extensions, int64_t era);
+/** Apply the lease row of a store update, from a holder that this node has no link to yet.
+ * @param era wb_edge_node_message_era */
 void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update,
-                                    const wb_wire_extensions *extensions);
+                                    int64_t era);
 /** @return TRUE while store updates arrive in time, or this node holds the lease */
 gboolean wb_edge_node_has_recent_updates(const wb_edge_node_t *node);
 
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -51,13 +51,12 @@
 /* Answering. */
 
 void wb_edge_node_catalog_answer(wb_edge_node_t *node, wb_link_t *link,
-                                 const wb_wire_catalog_fetch *fetch,
-                                 const wb_wire_extensions *extensions) {
+                                 const wb_wire_catalog_fetch *fetch) {
     wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
     const wb_table_row_t *row = fetcher->row;
     int64_t now_ms = wb_clock_ms();
     int64_t have =
-        wb_edge_node_version_from_wire(wb_edge_node_message_era(node, extensions), fetch->have);
+        wb_edge_node_version_from_wire(wb_edge_node_message_era(node, link), fetch->have);
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->catalog_watch);
     g_autoptr(GArray) rows = g_array_new(FALSE, TRUE, sizeof(wb_wire_table_row));
     wb_wire_message message = {.kind = WB_WIRE_CATALOG_ANSWER};
@@ -75,10 +74,10 @@
     }
     answer->rows.rows_len = rows->len;
     answer->rows.rows_val = (wb_wire_table_row *)(void *)rows->data;
-    wb_wire_extensions era = {0};
-    wb_edge_node_era_add(node, &era);
-    wb_link_send_with_extensions(link, &message, &era);
-    wb_extensions_clear(&era);
+    wb_wire_extensions extensions = {0};
+    wb_edge_node_era_add(node, &extensions);
+    wb_link_send_with_extensions(link, &message, &extensions);
+    wb_extensions_clear(&extensions);
     for (guint i = 0; i < rows->len; i++) {
         xdr_free((xdrproc_t)xdr_wb_wire_table_row,
                  (char *)&g_array_index(rows, wb_wire_table_row, i));
@@ -111,10 +110,8 @@
 }
 
 /* The answer was made after the question was sent, which bounds the age of what it confirms. */
-static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer,
-                        const wb_wire_extensions *extensions) {
+static void answer_take(wb_edge_node_t *node, const wb_wire_catalog_answer *answer, int64_t era) {
     wb_catalog_fetcher_t *fetcher = node->catalog_fetcher;
-    int64_t era = wb_edge_node_message_era(node, extensions);
     if (era < node->store_era) {
         return; /* the peer hasn't noticed yet that the store went back */
     }
@@ -144,7 +141,8 @@
         return;
     }
     node->catalog_fetcher->answered = TRUE;
-    answer_take(node, &message->wb_wire_message_u.catalog_answer, wb_link_extensions(link));
+    answer_take(node, &message->wb_wire_message_u.catalog_answer,
+                wb_edge_node_message_era(node, link));
     wb_link_close_later(link, "answered");
 }
 
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -276,11 +276,10 @@
 /* Rows that a relay sends before its first full read is complete are valid, but some may be
  * missing: subscribes to all again once it is complete. */
 static void engine_update_take(wb_directory_t *directory, const wb_wire_engine_update *update,
-                               const wb_wire_extensions *extensions) {
+                               const wb_wire_extensions *extensions, int64_t era) {
     wb_edge_node_t *node = directory->node;
     int64_t now_ms = wb_clock_ms();
     int64_t sent_ms = wb_edge_node_sent_ms(&directory->transit, extensions, now_ms);
-    int64_t era = wb_edge_node_message_era(node, extensions);
     gboolean resubscribe = update->whole && directory->incomplete_answers;
     directory->received_ms = now_ms;
     if (era < node->store_era) {
@@ -327,7 +326,8 @@
         }
     } else if (message->kind == WB_WIRE_ENGINE_UPDATE) {
         engine_update_take(directory, &message->wb_wire_message_u.engine_update,
-                           wb_link_extensions(link));
+                           wb_link_extensions(link),
+                           wb_edge_node_message_era(directory->node, link));
     }
 }
 
--- a/src/edge/node_era.c
+++ b/src/edge/node_era.c
@@ -3,9 +3,13 @@
  * A node learns of a new era from any answer of the store or from any message of a peer, and reads
  * all tables again. All row versions in a message are numbers of one era, which an extension names.
  * Builds without it can't tell whether they have noticed a rollback: their numbers count as ones of
- * the present era until this process has seen a rollback, and for nothing after that. */
+ * the present era until this process has seen a rollback, and for nothing after that. A message of
+ * a later build lacks it only before that node knows that this one reads extensions. */
 #include "edge/edge_node_types.h"
 
+/* First format version whose messages name the era. */
+#define FORMAT_WITH_ERA 3
+
 static void rollback_begin(wb_edge_node_t *node) {
     node->has_seen_rollback = TRUE;
     node->catalog_before_rollback = node->edge.catalog != NULL ? node->edge.catalog->version : 0;
@@ -38,10 +42,13 @@
     wb_extensions_add(extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &era);
 }
 
-int64_t wb_edge_node_message_era(wb_edge_node_t *node, const wb_wire_extensions *extensions) {
+int64_t wb_edge_node_message_era(wb_edge_node_t *node, const wb_link_t *link) {
     wb_wire_era wire;
-    if (!wb_extensions_read(extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &wire))
-        return node->has_seen_rollback ? 0 : node->store_era;
+    if (!wb_extensions_read(wb_link_extensions(link), WB_WIRE_EXTENSION_ERA,
+                            (xdrproc_t)xdr_wb_wire_era, &wire)) {
+        gboolean may_name_era = wb_link_format_version(link) >= FORMAT_WITH_ERA;
+        return may_name_era || node->has_seen_rollback ? 0 : node->store_era;
+    }
     int64_t era = (int64_t)MIN(wire.era, (uint64_t)WB_STORE_ERA_MAX);
     era_note(node, era, "peer");
     return era;
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -149,17 +149,16 @@
     if (message->kind == WB_WIRE_ENGINE_SUBSCRIBE)
         wb_edge_node_relay_subscribe(node, link, g_hash_table_lookup(node->gateways, link),
                                      &message->wb_wire_message_u.engine_subscribe,
-                                     wb_edge_node_message_era(node, wb_link_extensions(link)));
+                                     wb_edge_node_message_era(node, link));
     if (message->kind == WB_WIRE_STORE_UPDATE)
         wb_edge_node_take_announcement(node, &message->wb_wire_message_u.store_update,
-                                       wb_link_extensions(link));
+                                       wb_edge_node_message_era(node, link));
     if (message->kind == WB_WIRE_POISON)
         wb_edge_node_poison_take(node, &message->wb_wire_message_u.poison);
     if (message->kind == WB_WIRE_ENGINE_STATES)
         wb_edge_node_states_take(node, &message->wb_wire_message_u.engine_states);
     if (message->kind == WB_WIRE_CATALOG_FETCH)
-        wb_edge_node_catalog_answer(node, link, &message->wb_wire_message_u.catalog_fetch,
-                                    wb_link_extensions(link));
+        wb_edge_node_catalog_answer(node, link, &message->wb_wire_message_u.catalog_fetch);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
@@ -257,7 +256,7 @@
         wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states);
     else if (message->kind == WB_WIRE_STORE_UPDATE)
         wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update,
-                                 wb_link_extensions(link));
+                                 wb_link_extensions(link), wb_edge_node_message_era(context, link));
 }
 
 static void controller_close(wb_link_t *link, const char *reason, void *context) {
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -282,15 +282,14 @@
 }
 
 void wb_edge_node_take_announcement(wb_edge_node_t *node, const wb_wire_store_update *update,
-                                    const wb_wire_extensions *extensions) {
-    lease_take(node, update, wb_edge_node_message_era(node, extensions));
+                                    int64_t era) {
+    lease_take(node, update, era);
 }
 
 void wb_edge_node_take_update(wb_edge_node_t *node, const wb_wire_store_update *update,
-                              const wb_wire_extensions *extensions) {
+                              const wb_wire_extensions *extensions, int64_t era) {
     int64_t now_ms = wb_clock_ms();
     int64_t sent_ms = wb_edge_node_sent_ms(&node->update_transit, extensions, now_ms);
-    int64_t era = wb_edge_node_message_era(node, extensions);
     node->update_received_ms = now_ms;
     if (era < node->store_era)
         return; /* the holder hasn't noticed yet that the store went back */
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -485,9 +485,9 @@
 };
 
 /* Version of the message format; edge nodes send theirs in the incarnation of the handshake.
- * Version 1 is the message alone; in version 2 extensions may follow it. docs/COMPATIBILITY.md says
- * what a release may change. */
-const WB_WIRE_FORMAT_VERSION = 2;
+ * Version 1 is the message alone; in version 2 extensions may follow it; from version 3 on messages
+ * with row versions name their era. docs/COMPATIBILITY.md says what a release may change. */
+const WB_WIRE_FORMAT_VERSION = 3;
 
 /* Extensions of messages and rows. Readers skip kinds that they don't know. */
 enum wb_wire_extension_kind {
