Soak: checks of draining and of configurations bite through a rollback

- The check that an engine which leaves gets nothing new couldn't fail: the guest's own leaving counted as a disturbance for 4 s after it.
It now excuses a node only if it, its links or the store were disturbed, as the check of configurations does.
- After a rollback the stand-in's counter overtook its former value within some seconds, by engines' heartbeats, so no check of configurations applied before that.
The lost time now uses up 1,200 versions.
- Bit 8192: rollbacks and planned changes alone, some ten seconds apart, with engines that are there before and leave after one.

Comments and texts that had to be read twice: the lease row's room, store_rows_ignored, the version of the lease row.

--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -117,7 +117,7 @@
 int64_t wb_lease_takeover_at_ms(const wb_lease_t *lease);
 /** @return when this node learned of the row's last change; 0: never */
 int64_t wb_lease_row_changed_ms(const wb_lease_t *lease);
-/** @return the version of the known row; number 0: there is none, or the store has it no more */
+/** @return the version of the known row if the store has it as it is known; else one of number 0 */
 int64_t wb_lease_confirmed_version(const wb_lease_t *lease);
 /** @return the known row, also an expired or released one; NULL if there is none. Owned by the
  * lease */
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -139,7 +139,7 @@
         {"store_era", "Newest era that the store has named; 0: it has named none.",
          (uint64_t)gauges->store_era},
         {"store_rows_ignored",
-         "Rows of the store ignored so far, as a newer version of them was known.",
+         "Rows of the store ignored so far, as they were older than what was known.",
          gauges->store_rows_ignored},
         {"engines", "Engines that announce themselves.", gauges->engines},
         {"open_requests", "Requests under way.", gauges->open_requests},
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -6,8 +6,8 @@
 
 #include <string.h>
 
-/* The store's limit for a row. The lease leaves room in it for the data appended by
- * appended_data_write: room for the names of 1,150 engines, and for 128 poison requests. */
+/* The store's limit for a row. The lease, with the names of up to 1,150 engines, leaves room in it
+ * for the data appended by appended_data_write, with up to 128 poison requests. */
 #define ROW_BYTES (64 * 1024)
 #define LEASE_MAX_BYTES (48 * 1024)
 /* Mean time between the takeover attempts of two nodes, so that most nodes see the new holder, some
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -43,6 +43,8 @@
                          const char *value);
 /** Drop the change history: pending polls, and polls from an earlier version, get 410. */
 void wb_estate_store_compact(wb_estate_store_t *store);
+/** Give out no versions below one that is this much higher, as if other tables were written. */
+void wb_estate_store_skip_versions(wb_estate_store_t *store, int64_t count);
 /**
  * Lose the last writes: don't answer for `away_ms`, then come back from a copy that is `back_ms`
  * older than this moment. The counter of versions goes back with it, and the era rises by one.
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -49,6 +49,8 @@
     else if (strcmp(name, "store-behind") == 0)
         wb_estate_store_set_behind(estate->store, wb_json_integer(command, "behind_ms", 0),
                                    wb_json_integer(command, "for_ms", 0));
+    else if (strcmp(name, "store-skip-versions") == 0)
+        wb_estate_store_skip_versions(estate->store, wb_json_integer(command, "count", 0));
     else if (strcmp(name, "store-rollback") == 0)
         wb_estate_store_roll_back(estate->store, wb_json_integer(command, "back_ms", 0),
                                   wb_json_integer(command, "away_ms", 0),
--- a/standins/estate/store.c
+++ b/standins/estate/store.c
@@ -338,7 +338,7 @@
                           void *context) {
     wb_estate_store_t *store = context;
     wb_http_connection_set_request(connection, connection);
-    if (store->is_away)
+    if (store->rollbacks > 0)
         (void)connection; /* never answered */
     else if (strcmp(store->fault, "busy") == 0)
         json_answer(store, connection, 503, json_object());
--- a/standins/estate/store_internal.h
+++ b/standins/estate/store_internal.h
@@ -36,7 +36,7 @@
     int64_t behind_ms; /* full reads show the rows as of this long ago; 0: the current ones */
     int64_t behind_until_ms;
     int64_t era;
-    gboolean is_away;       /* answers nobody until the rollback */
+    unsigned rollbacks;     /* under way: answers nobody until they are over */
     int64_t rollback_to_ms; /* while away: the time of the copy */
     int64_t returned_ms;    /* end of the last rollback */
     int64_t rewrite_ms;     /* after the return, what was lost is written again */
--- a/standins/estate/store_rollback.c
+++ b/standins/estate/store_rollback.c
@@ -103,15 +103,19 @@
     store->era++;
     store->history_from = MIN(store->history_from, store->version);
     store->returned_ms = wb_clock_ms();
-    store->is_away = FALSE;
+    store->rollbacks--;
     wb_loop_after(store->loop, store->rewrite_ms, lost_write, store);
 }
 
+void wb_estate_store_skip_versions(wb_estate_store_t *store, int64_t count) {
+    store->version += count;
+}
+
 void wb_estate_store_roll_back(wb_estate_store_t *store, int64_t back_ms, int64_t away_ms,
                                int64_t rewrite_ms) {
     store->rollback_to_ms = wb_clock_ms() - back_ms;
     store->rewrite_ms = rewrite_ms;
-    store->is_away = TRUE;
+    store->rollbacks++;
     wb_estate_polls_abort(store);
     wb_loop_after(store->loop, away_ms, rollback_end, store);
 }
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -134,7 +134,25 @@
     }
 }
 
-/* Engines that drain undisturbed get no new requests after the drain time. */
+/* Returns the node that a request was sent to, or -1. */
+static int node_of(const soak_t *soak, const char *id) {
+    for (guint i = 0; i < soak->requests->len; i++) {
+        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
+        if (strcmp(request->id, id) == 0) {
+            return request->node;
+        }
+    }
+    return -1;
+}
+
+/* Whether the node may not know yet that an engine drains: it, its links or the store were
+ * disturbed. */
+static gboolean drain_is_excused(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    return node < 0 || soak_is_out_of_touch(soak, node, from_ms, to_ms) ||
+           soak_store_turns_nodes_away(soak, node, from_ms, to_ms);
+}
+
+/* Engines that drain get no new requests of undisturbed nodes after the drain time. */
 static void drain_check(soak_t *soak, const json_t *seen) {
     size_t i;
     json_t *run;
@@ -144,7 +162,8 @@
             const soak_drain_t *drain = &g_array_index(soak->drains, soak_drain_t, j);
             if (strcmp(soak_text_of(run, "engine"), drain->engine) == 0 &&
                 at_ms > drain->at_ms + SOAK_DRAIN_MS &&
-                !soak_is_disturbed(soak, -1, drain->at_ms + 1, at_ms)) {
+                !drain_is_excused(soak, node_of(soak, soak_text_of(run, "id")), drain->at_ms,
+                                  at_ms)) {
                 soak_fail(soak, "%s: ran at %s %lld ms after it left", soak_text_of(run, "id"),
                           drain->engine, (long long)(at_ms - drain->at_ms));
             }
@@ -162,17 +181,6 @@
     return g_str_has_prefix(engine, "guest") ? "zone-1" : "zone-2";
 }
 
-/* Returns the node that a request was sent to, or -1. */
-static int node_of(const soak_t *soak, const char *id) {
-    for (guint i = 0; i < soak->requests->len; i++) {
-        const soak_request_t *request = &g_array_index(soak->requests, soak_request_t, i);
-        if (strcmp(request->id, id) == 0) {
-            return request->node;
-        }
-    }
-    return -1;
-}
-
 /* Engines of an evacuated zone get no new requests from undisturbed nodes. */
 static void evacuation_check(soak_t *soak, const json_t *seen) {
     size_t i;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -1,40 +1,18 @@
 /* Faults of the soak. Each kind is a vtable (soak_fault_kind_t) in the first member of a fault. */
-#include "soak.h"
+#include "faults.h"
 
 #include <signal.h>
 #include <string.h>
 
 #define GAP_MAX_MS 900 /* between the starts of two faults */
 #define FAULTS_AT_ONCE 3
+#define CALM_DRAWS 25 /* one in so many faults is a rollback, where nothing else is disturbed */
 #define STOP_TIMEOUT_MS 12000
-/* Time of a rollback of the store, until all is written again. */
-#define ROLLBACK_MS 4000
-#define ROLLBACK_US (ROLLBACK_MS * 1000)
 /* Exit status of a node that SIGTERM ended before its main() ran: it was killed, relaunched and
  * stopped within a few ms, and has accepted no request. */
 #define STOPPED_BEFORE_MAIN (128 + SIGTERM)
 
-typedef struct soak_fault_t soak_fault_t;
-
-typedef struct soak_fault_kind_t {
-    const char *name;
-    void (*begin)(soak_fault_t *fault, soak_t *soak);
-    void (*end)(soak_fault_t *fault, soak_t *soak);
-    int min_ms;
-    int max_ms;
-    gboolean single_node; /* it affects one node only */
-} soak_fault_kind_t;
-
-/* An active fault. */
-struct soak_fault_t {
-    const soak_fault_kind_t *kind;
-    int node;
-    int variant;
-    int64_t end_ms;
-    guint span; /* index in soak->spans */
-};
-
-static void end_nothing(soak_fault_t *fault, soak_t *soak) {
+void soak_fault_end_nothing(soak_fault_t *fault, soak_t *soak) {
     (void)fault;
     (void)soak;
 }
@@ -135,23 +113,6 @@
     estate_engine_fault(soak->estate, fault->variant % ESTATE_PROXIED_ENGINES, "pass", 0, 0);
 }
 
-static void store_begin(soak_fault_t *fault, soak_t *soak) {
-    static const char *const faults[] = {"busy", "silent", "reset", "lost", "late", ""};
-    const char *name = faults[fault->variant % (int)G_N_ELEMENTS(faults)];
-    estate_command(soak->estate, "{\"do\":\"store-fault\",\"fault\":\"%s\",\"delay_ms\":%d}", name,
-                   *name == '\0' ? 200 : 0);
-}
-
-static void store_end(soak_fault_t *fault, soak_t *soak) {
-    (void)fault;
-    estate_command(soak->estate, "{\"do\":\"store-fault\",\"fault\":\"\",\"delay_ms\":0}");
-}
-
-static void compact_begin(soak_fault_t *fault, soak_t *soak) {
-    (void)fault;
-    estate_command(soak->estate, "{\"do\":\"compact\"}");
-}
-
 /* Wrong responses for a few requests, at one of the four initial engines. */
 static void engine_fault_begin(soak_fault_t *fault, soak_t *soak) {
     static const char *const faults[] = {"error",  "reset",    "mute",       "cut",
@@ -205,12 +166,6 @@
     }
 }
 
-/* Forgets the history, so that nodes read tables whole, which are behind by up to 3 s. */
-static void store_behind_begin(soak_fault_t *fault, soak_t *soak) {
-    estate_command(soak->estate, "{\"do\":\"store-behind\",\"behind_ms\":%d,\"for_ms\":%d}",
-                   500 + fault->variant * 5 / 2, 300 + fault->variant % 7 * 300);
-}
-
 static const char *engine_name(const soak_fault_t *fault) {
     static const char *const engines[] = {"llm-1", "llm-2", "lock-1", "lock-2"};
     return engines[fault->variant % (int)G_N_ELEMENTS(engines)];
@@ -268,8 +223,8 @@
 }
 
 static const soak_fault_kind_t zone_kinds[] = {
-    {"engine-restarts", engine_restart_begin, end_nothing, 10, 20, FALSE},
-    {"foreign-rows", foreign_row_begin, end_nothing, 10, 20, FALSE},
+    {"engine-restarts", engine_restart_begin, soak_fault_end_nothing, 10, 20, FALSE},
+    {"foreign-rows", foreign_row_begin, soak_fault_end_nothing, 10, 20, FALSE},
     {"evacuation", evacuation_begin, evacuation_end, 500, 6000, FALSE},
 };
 
@@ -342,50 +297,6 @@
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
-/* The store turns a third of the nodes away, and serves the others and the operator. */
-static gboolean is_turned_away(const soak_fault_t *fault, int node) {
-    return (node + fault->variant) % 3 == 0;
-}
-
-static void turned_away_set(const soak_fault_t *fault, soak_t *soak, const char *mode) {
-    for (int node = 0; node < soak->nodes; node++) {
-        if (is_turned_away(fault, node)) {
-            estate_store_fault(soak->estate, node, mode, 0);
-        }
-    }
-}
-
-static void turned_away_begin(soak_fault_t *fault, soak_t *soak) {
-    turned_away_set(fault, soak, "cut");
-}
-
-static void turned_away_end(soak_fault_t *fault, soak_t *soak) {
-    turned_away_set(fault, soak, "pass");
-}
-
-static const soak_fault_kind_t config_kinds[] = {
-    {"store-turns-away", turned_away_begin, turned_away_end, 6000, 11000, FALSE},
-    {"store-behind", store_behind_begin, end_nothing, 2500, 3000, FALSE},
-};
-
-/* The store is away for up to 2.6 s and comes back from a copy that is up to 7.6 s old by then;
- * what operators and engines wrote since is written again within 1.2 s. Twice in a row at times. */
-static void rollback_begin(soak_fault_t *fault, soak_t *soak) {
-    estate_command(soak->estate,
-                   "{\"do\":\"store-rollback\",\"back_ms\":%d,\"away_ms\":%d,\"rewrite_ms\":%d}",
-                   200 + fault->variant * 5, fault->variant % 7 * 430, fault->variant % 5 * 300);
-}
-
-static void rollback_end(soak_fault_t *fault, soak_t *soak) {
-    if (fault->variant % 3 == 0) {
-        rollback_begin(fault, soak);
-        g_usleep(ROLLBACK_US);
-    }
-}
-
-static const soak_fault_kind_t rollback_kind = {"store-rollback", rollback_begin,  rollback_end,
-                                                ROLLBACK_MS,      ROLLBACK_MS + 1, FALSE};
-
 static const soak_fault_kind_t build_kind = {"other-build", build_begin, node_relaunch, 50,
                                              300,           TRUE};
 
@@ -393,17 +304,17 @@
     {"kill", kill_begin, node_relaunch, 50, 1500, TRUE},
     {"pause", pause_begin, pause_end, 200, 6000, TRUE},
     {"planned-stop", stop_begin, stop_end, 300, 500, TRUE},
-    {"reload", reload_begin, end_nothing, 10, 20, TRUE},
+    {"reload", reload_begin, soak_fault_end_nothing, 10, 20, TRUE},
     {"all-killed", all_killed_begin, all_killed_end, 50, 800, FALSE},
     {"way-to-store", store_link_begin, store_link_end, 300, 5000, TRUE},
     {"way-to-node", peer_link_begin, peer_link_end, 300, 5000, FALSE},
     {"way-to-engine", engine_link_begin, engine_link_end, 300, 4000, FALSE},
-    {"store", store_begin, store_end, 300, 4000, FALSE},
-    {"history-forgotten", compact_begin, end_nothing, 10, 20, FALSE},
-    {"answers", engine_fault_begin, end_nothing, 10, 20, FALSE},
+    {"store", soak_store_fault_begin, soak_store_fault_end, 300, 4000, FALSE},
+    {"history-forgotten", soak_store_compact, soak_fault_end_nothing, 10, 20, FALSE},
+    {"answers", engine_fault_begin, soak_fault_end_nothing, 10, 20, FALSE},
     {"guest-leaves", guest_begin, guest_end, 500, 2500, FALSE},
     {"guest-crashes", guest_begin, guest_crash_end, 500, 2500, FALSE},
-    {"configuration", config_begin, end_nothing, 10, 20, FALSE},
+    {"configuration", config_begin, soak_fault_end_nothing, 10, 20, FALSE},
 };
 
 /* A process that isn't running can't be stopped, paused or reloaded. Active faults differ in
@@ -422,13 +333,30 @@
     return is_all || soak->estate->nodes[fault->node].process.pid > 0;
 }
 
+/* Rollbacks, with some ten seconds in between, beside what operators and engines do as planned. */
+static const soak_fault_kind_t *calm_kind_draw(soak_t *soak) {
+    static const soak_fault_kind_t planned[] = {
+        /* long enough to be there before a rollback and to leave after it */
+        {"guest-leaves", guest_begin, guest_end, 500, 20000, FALSE},
+        {"guest-crashes", guest_begin, guest_crash_end, 500, 2500, FALSE},
+        {"configuration", config_begin, soak_fault_end_nothing, 10, 20, FALSE},
+    };
+    if (g_rand_int_range(soak->rand, 0, CALM_DRAWS) == 0) {
+        return &soak_rollback_faults[g_rand_int_range(soak->rand, 0, SOAK_ROLLBACK_FAULTS)];
+    }
+    return &planned[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(planned))];
+}
+
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->only_rollbacks) {
+        return calm_kind_draw(soak);
+    }
     if (soak->has_rollbacks && g_rand_int_range(soak->rand, 0, 5) == 0) {
-        return &rollback_kind;
+        return &soak_rollback_faults[g_rand_int_range(soak->rand, 0, SOAK_ROLLBACK_FAULTS)];
     }
     if (soak->config_writer != NULL && g_rand_int_range(soak->rand, 0, 6) == 0) {
-        return &config_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(config_kinds))];
+        return &soak_config_faults[g_rand_int_range(soak->rand, 0, SOAK_CONFIG_FAULTS)];
     }
     if (soak->has_engine_states && g_rand_int_range(soak->rand, 0, 3) == 0) {
         return &state_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(state_kinds))];
--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,44 @@
+/**
+ * @file faults.h
+ * @brief Kinds of faults of the soak, for faults.c and store_faults.c.
+ */
+#ifndef WICKBRIDGE_TEST_FAULTS_H
+#define WICKBRIDGE_TEST_FAULTS_H
+
+#include "soak.h"
+
+typedef struct soak_fault_t soak_fault_t;
+
+typedef struct soak_fault_kind_t {
+    const char *name;
+    void (*begin)(soak_fault_t *fault, soak_t *soak);
+    void (*end)(soak_fault_t *fault, soak_t *soak);
+    int min_ms;
+    int max_ms;
+    gboolean single_node; /* it affects one node only */
+} soak_fault_kind_t;
+
+/* An active fault. */
+struct soak_fault_t {
+    const soak_fault_kind_t *kind;
+    int node;
+    int variant;
+    int64_t end_ms;
+    guint span; /* index in soak->spans */
+};
+
+/** The end of a fault that ends by itself. */
+void soak_fault_end_nothing(soak_fault_t *fault, soak_t *soak);
+
+/* store_faults.c */
+void soak_store_fault_begin(soak_fault_t *fault, soak_t *soak);
+void soak_store_fault_end(soak_fault_t *fault, soak_t *soak);
+/** Drop the store's history. */
+void soak_store_compact(soak_fault_t *fault, soak_t *soak);
+
+#define SOAK_CONFIG_FAULTS 2
+#define SOAK_ROLLBACK_FAULTS 2
+extern const soak_fault_kind_t soak_config_faults[SOAK_CONFIG_FAULTS];
+extern const soak_fault_kind_t soak_rollback_faults[SOAK_ROLLBACK_FAULTS];
+
+#endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -106,6 +106,7 @@
     soak.has_engine_states = seed / 1024 % 2 == 1;
     /* The older build doesn't know that a store may go back. */
     soak.has_rollbacks = seed / 4096 % 2 == 1 && !soak.has_builds;
+    soak.only_rollbacks = soak.has_rollbacks && seed / 8192 % 2 == 1;
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
         paces_set(soak.estate);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -94,6 +94,8 @@
     gboolean has_engine_states; /* engines report limits and draining in responses, and ask for
                                    backoff */
     gboolean has_rollbacks;     /* the store comes back from older copies */
+    gboolean
+        only_rollbacks; /* and nothing else is disturbed, so that all checks apply between them */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
     config_oracle_t *configurations;     /* what the operator wrote; guarded by the lock */
     int retry_slack;                     /* retries in a window beyond the ratio */
