--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -45,6 +45,7 @@
     uint64_t waits;                  /**< requests that waited for an engine or a model */
     uint64_t connections_opened;     /**< to engines */
     uint64_t connections_reused;     /**< to engines */
+    uint64_t connections_failed;     /**< to engines: not established */
     wb_store_calls_t store_calls;
     uint64_t store_rollbacks;       /**< times that the store was found to have gone back */
     uint64_t store_reads_discarded; /**< full reads that were older than what was known */
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -76,6 +76,8 @@
          metrics->connections_opened},
         {"engine_connections_reused_total", "Kept connections used again.",
          metrics->connections_reused},
+        {"engine_connections_failed_total", "Connections to engines that weren't established.",
+         metrics->connections_failed},
         {"store_calls_total", "Calls to the store.", wb_store_calls_sum(&metrics->store_calls)},
         {"store_failures_total", "Calls to the store without a good answer.",
          metrics->store_calls.failed},
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -436,6 +436,7 @@
         wb_exchange_note_aborted(exchange);
     }
     if (!failure->sent) {
+        edge->metrics.connections_failed++;
         exchange->sends--;
         exchange->runs--;
         if (++exchange->connect_failures >= CONNECT_FAILURES_MAX)
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -30,6 +30,13 @@
     ended->waited_ms = exchange->waited_ms;
 }
 
+/* Whether an engine announces the request's model; then a refusal isn't due to a missing load. */
+static gboolean model_is_held(const wb_exchange_t *exchange) {
+    return exchange->model != NULL && exchange->service != NULL &&
+           wb_fleet_holds(exchange->edge->fleet, exchange->service->name, exchange->model,
+                          exchange->adapter, wb_clock_ms());
+}
+
 void wb_exchange_record_outcome(const wb_exchange_t *exchange, wb_outcome_t outcome,
                                 unsigned status) {
     wb_edge_t *edge = exchange->edge;
@@ -52,7 +59,7 @@
         "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\",\"quota_cost\":%."
         "0f,\"digest\":\"%s\",\"out_tokens\":%lld,\"pace\":%.2f,\"running_there\":%.0f,"
         "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
-        "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld",
+        "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -70,5 +77,6 @@
         exchange->sends > 0 ? (long long)(now_ms - exchange->sent_ms) : 0LL,
         edge->catalog_age_ms != NULL ? (long long)edge->catalog_age_ms(edge->node_context) : 0LL,
         edge->catalog_behind_ms != NULL ? (long long)edge->catalog_behind_ms(edge->node_context)
-                                        : 0LL);
+                                        : 0LL,
+        exchange->connect_failures, model_is_held(exchange) ? "true" : "false");
 }
