--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -29,6 +29,7 @@
     const char *listen_nodes;
     const char *advertise_nodes;
     const char *listen_operators;
+    const char *bind_host;
     const char *store;
     int64_t log_lines_per_s;
     double stop_grace_s;
--- a/include/wickbridge/http_pool.h
+++ b/include/wickbridge/http_pool.h
@@ -11,6 +11,7 @@
 
 #include "wickbridge/http_reader.h"
 #include "wickbridge/loop.h"
+#include "wickbridge/tcp_stream.h"
 
 typedef struct wb_http_pool_t wb_http_pool_t;
 typedef struct wb_http_call_t wb_http_call_t;
@@ -55,12 +56,11 @@
 
 /**
  * Create a client. It connects on demand.
- * @param address            IP:PORT
- * @param connect_timeout_ms timeout of a connection attempt
- * @param silence_limit_ms   max time for which sent bytes may stay unacknowledged
+ * @param address IP:PORT
+ * @param options copied; its strings must outlive the client
  */
 wb_http_pool_t *wb_http_pool_create(wb_loop_t *loop, const char *address,
-                                    int64_t connect_timeout_ms, int64_t silence_limit_ms);
+                                    const wb_tcp_connect_options_t *options);
 /** Close all connections and free. Calls under way end without on_result. */
 void wb_http_pool_free(wb_http_pool_t *pool);
 /** Start a call. on_result reports its outcome. */
--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -34,20 +34,27 @@
     void (*on_drained)(wb_tcp_stream_t *stream, void *context);
 } wb_tcp_events_t;
 
+/** How to connect. */
+typedef struct wb_tcp_connect_options_t {
+    int64_t connect_timeout_ms; /**< after which on_end reports WB_TCP_END_UNREACHABLE */
+    int64_t silence_limit_ms;   /**< max time for which sent bytes may stay unacknowledged */
+    const char *bind_host;      /**< IP of the local end; NULL or "": any */
+} wb_tcp_connect_options_t;
+
 /** Called for each accepted connection; the callee sets its events. */
 typedef void (*wb_tcp_accept_fn)(wb_tcp_stream_t *stream, void *context);
 
 /**
  * Start to connect. on_open or on_end follows, never from inside this call.
- * @param address            IP:PORT
- * @param connect_timeout_ms timeout, after which on_end reports WB_TCP_END_UNREACHABLE
- * @param silence_limit_ms   max time for which sent bytes may stay unacknowledged
- * @param events             must outlive the stream
+ * @param address IP:PORT
+ * @param options used during the call only
+ * @param events  must outlive the stream
  * @return APR_SUCCESS, or the reason in `error`; no callback follows then
  */
-apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address, int64_t connect_timeout_ms,
-                                   int64_t silence_limit_ms, const wb_tcp_events_t *events,
-                                   void *context, wb_tcp_stream_t **stream, wb_error_t *error);
+apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address,
+                                   const wb_tcp_connect_options_t *options,
+                                   const wb_tcp_events_t *events, void *context,
+                                   wb_tcp_stream_t **stream, wb_error_t *error);
 
 /** Replace the callbacks of a stream. `events` must outlive it. */
 void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events,
@@ -80,7 +87,7 @@
 /**
  * Listen for connections.
  * @param address          IP:PORT; port 0 picks one
- * @param silence_limit_ms as in wb_tcp_stream_connect, for accepted connections
+ * @param silence_limit_ms as in wb_tcp_connect_options_t, for accepted connections
  * @return APR_SUCCESS, or the reason in `error`
  */
 apr_status_t wb_tcp_listen(wb_loop_t *loop, const char *address, int64_t silence_limit_ms,
--- a/src/control/engine_orders_create.c
+++ b/src/control/engine_orders_create.c
@@ -12,8 +12,9 @@
     orders->engine = wb_engine_ref(engine);
     orders->metrics = metrics;
     orders->owner = *owner;
-    orders->peer = wb_http_pool_create(loop, engine->state->address, settings->connect_timeout_ms,
-                                       settings->silence_limit_ms);
+    wb_tcp_connect_options_t options = {settings->connect_timeout_ms, settings->silence_limit_ms,
+                                        settings->bind_host};
+    orders->peer = wb_http_pool_create(loop, engine->state->address, &options);
     wb_list_init(&orders->tasks);
     return orders;
 }
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -25,6 +25,8 @@
         "Address that other nodes are told; empty: that of listen-nodes"),
     ROW("listen-operators", WB_SETTING_ADDRESS, "", 0, 0, "", listen_operators,
         "Address for operators and metrics; empty: none"),
+    ROW("bind-host", WB_SETTING_TEXT, "", 0, 0, "", bind_host,
+        "Local IP of connections to engines; empty: any"),
     ROW("store", WB_SETTING_ADDRESS, "", 0, 0, NULL, store, "Address of the store"),
     ROW("log-lines-per-s", WB_SETTING_INTEGER, "lines", 1, 100000, "100", log_lines_per_s,
         "Most log lines of one kind in a second"),
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -14,8 +14,7 @@
 struct wb_http_pool_t {
     wb_loop_t *loop;
     char *address;
-    int64_t connect_timeout_ms;
-    int64_t silence_limit_ms;
+    wb_tcp_connect_options_t options;
     GPtrArray *calls; /* connections with a running call */
     GPtrArray *idle;  /* pooled connections without a call */
 };
@@ -196,12 +195,11 @@
 static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
 
 wb_http_pool_t *wb_http_pool_create(wb_loop_t *loop, const char *address,
-                                    int64_t connect_timeout_ms, int64_t silence_limit_ms) {
+                                    const wb_tcp_connect_options_t *options) {
     wb_http_pool_t *pool = g_new0(wb_http_pool_t, 1);
     pool->loop = loop;
     pool->address = g_strdup(address);
-    pool->connect_timeout_ms = connect_timeout_ms;
-    pool->silence_limit_ms = silence_limit_ms;
+    pool->options = *options;
     pool->calls = g_ptr_array_new();
     pool->idle = g_ptr_array_new();
     return pool;
@@ -271,9 +269,8 @@
         return;
     }
     wb_error_t error;
-    if (wb_tcp_stream_connect(pool->loop, pool->address, pool->connect_timeout_ms,
-                              pool->silence_limit_ms, &stream_events, call, &call->stream,
-                              &error) != APR_SUCCESS)
+    if (wb_tcp_stream_connect(pool->loop, pool->address, &pool->options, &stream_events, call,
+                              &call->stream, &error) != APR_SUCCESS)
         call->timer = wb_loop_after(pool->loop, 0, call_failed_to_connect, call);
     else
         call->timer = wb_loop_after(pool->loop, request->timeout_ms, call_timed_out, call);
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -363,16 +363,6 @@
         link_fail(link, "connecting failed");
 }
 
-/* Binds the local end to this IP address. If that fails, the system chooses one. */
-static void host_bind(apr_socket_t *socket, const char *host, apr_pool_t *pool) {
-    apr_sockaddr_t *local;
-    if (host == NULL || *host == '\0')
-        return;
-    if (apr_sockaddr_info_get(&local, host, APR_INET, 0, 0, pool) != APR_SUCCESS ||
-        apr_socket_bind(socket, local) != APR_SUCCESS)
-        wb_log_warning(WB_LOG_LINK, "Can't bind a link to local address %s; using any.", host);
-}
-
 apr_status_t wb_link_connect(wb_loop_t *loop, const char *address, const wb_link_events_t *events,
                              wb_link_counters_t *counters, wb_link_t **link, wb_error_t *error) {
     apr_pool_t *pool;
@@ -385,7 +375,7 @@
         return status;
     }
     wb_link_t *created = link_create(loop, pool, socket, events, counters);
-    host_bind(socket, events->bind_host, pool);
+    wb_socket_bind_host(socket, events->bind_host, pool);
     apr_socket_connect(socket, target);
     created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
     created->connect_timer = wb_loop_after(loop, CONNECT_TIMEOUT_MS, connect_timed_out, created);
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -1,6 +1,7 @@
 /* TCP sockets by numeric address. */
 #include "net/socket.h"
 
+#include "wickbridge/log.h"
 #include "wickbridge/settings.h"
 
 #include <apr_poll.h>
@@ -57,6 +58,16 @@
     return APR_SUCCESS;
 }
 
+void wb_socket_bind_host(apr_socket_t *socket, const char *host, apr_pool_t *pool) {
+    apr_sockaddr_t *local;
+    if (host == NULL || *host == '\0')
+        return;
+    if (apr_sockaddr_info_get(&local, host, APR_INET, 0, 0, pool) != APR_SUCCESS ||
+        apr_socket_bind(socket, local) != APR_SUCCESS)
+        wb_log_warning(WB_LOG_LINK, "Can't bind a connection to local address %s; using any.",
+                       host);
+}
+
 void wb_socket_set_silence_limit(apr_socket_t *socket, int64_t limit_ms) {
     int descriptor;
     unsigned limit = (unsigned)limit_ms;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -20,6 +20,9 @@
 /** Create a non-blocking listening socket. @param address IP:PORT; port 0 picks a free port */
 apr_status_t wb_socket_listen(const char *address, apr_pool_t *pool, apr_socket_t **socket,
                               wb_error_t *error);
+/** Bind the local end to an IP address. If that fails, a warning is logged and the system chooses
+ * one. @param host NULL or "": the system chooses */
+void wb_socket_bind_host(apr_socket_t *socket, const char *host, apr_pool_t *pool);
 /** Make the system end a connection whose peer doesn't acknowledge sent bytes for `limit_ms`, or
  * doesn't answer keep-alive probes while the connection is idle. */
 void wb_socket_set_silence_limit(apr_socket_t *socket, int64_t limit_ms);
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -314,9 +314,10 @@
         output_ready(stream);
 }
 
-apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address, int64_t connect_timeout_ms,
-                                   int64_t silence_limit_ms, const wb_tcp_events_t *events,
-                                   void *context, wb_tcp_stream_t **stream, wb_error_t *error) {
+apr_status_t wb_tcp_stream_connect(wb_loop_t *loop, const char *address,
+                                   const wb_tcp_connect_options_t *options,
+                                   const wb_tcp_events_t *events, void *context,
+                                   wb_tcp_stream_t **stream, wb_error_t *error) {
     apr_pool_t *pool;
     apr_pool_create(&pool, NULL);
     apr_sockaddr_t *target;
@@ -326,11 +327,12 @@
         apr_pool_destroy(pool);
         return status;
     }
-    wb_tcp_stream_t *created = stream_create(loop, pool, socket, silence_limit_ms);
+    wb_tcp_stream_t *created = stream_create(loop, pool, socket, options->silence_limit_ms);
+    wb_socket_bind_host(socket, options->bind_host, pool);
     wb_tcp_stream_set_events(created, events, context);
     created->refused = APR_STATUS_IS_ECONNREFUSED(apr_socket_connect(socket, target));
     created->watch = wb_loop_watch(loop, socket, APR_POLLOUT, connect_ready, created);
-    created->timer = wb_loop_after(loop, connect_timeout_ms, connect_timed_out, created);
+    created->timer = wb_loop_after(loop, options->connect_timeout_ms, connect_timed_out, created);
     *stream = created;
     return APR_SUCCESS;
 }
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -359,10 +359,11 @@
     upstream->edge = edge;
     upstream->engine = wb_engine_ref(engine);
     upstream->reader = wb_http_reader_create(FALSE, HEAD_LIMIT_BYTES, &reader_events, upstream);
+    wb_tcp_connect_options_t options = {edge->settings.connect_timeout_ms,
+                                        edge->settings.silence_limit_ms, edge->settings.bind_host};
     wb_error_t error;
-    if (wb_tcp_stream_connect(edge->loop, engine->state->address, edge->settings.connect_timeout_ms,
-                              edge->settings.silence_limit_ms, &stream_events, upstream,
-                              &upstream->stream, &error) == APR_SUCCESS) {
+    if (wb_tcp_stream_connect(edge->loop, engine->state->address, &options, &stream_events,
+                              upstream, &upstream->stream, &error) == APR_SUCCESS) {
         edge->metrics.connections_opened++;
         return upstream;
     }
--- a/src/request/crash_watch.c
+++ b/src/request/crash_watch.c
@@ -125,12 +125,14 @@
 static void check_begin(void *context) {
     static const wb_tcp_events_t events = {check_open, check_data, check_failed, NULL};
     wb_watched_engine_t *engine = context;
-    int64_t timeout_ms = engine->watch->settings->connect_timeout_ms;
+    const wb_edge_settings_t *settings = engine->watch->settings;
+    wb_tcp_connect_options_t options = {settings->connect_timeout_ms, settings->connect_timeout_ms,
+                                        settings->bind_host};
     wb_error_t error;
     engine->timer = NULL;
     engine->watch->metrics->engine_checks++;
-    if (wb_tcp_stream_connect(engine->watch->loop, engine->address, timeout_ms, timeout_ms, &events,
-                              engine, &engine->stream, &error) != APR_SUCCESS) {
+    if (wb_tcp_stream_connect(engine->watch->loop, engine->address, &options, &events, engine,
+                              &engine->stream, &error) != APR_SUCCESS) {
         wb_event("engine-check-failed", ",\"engine\":\"%s\",\"reason\":\"%s\"",
                  wb_event_escape(engine->id), wb_event_escape(error.message));
         engine->stream = NULL;
--- a/standins/proxy/main.c
+++ b/standins/proxy/main.c
@@ -43,6 +43,17 @@
     const char *blocked = wb_json_text(body, "block", NULL);
     if (blocked != NULL)
         relay_set_blocked(relay, blocked);
+    const char *partitioned = wb_json_text(body, "partition", NULL);
+    if (partitioned != NULL) {
+        int how = relay_partition_parse(wb_json_text(body, "how", "silent"));
+        if (how < 0) {
+            standin_reply_error(exchange, 400, "bad_partition", "no such partition", -1);
+            return;
+        }
+        relay_set_partition(relay, partitioned, (relay_partition_t)how);
+        standin_reply_json(exchange, 200, json_object());
+        return;
+    }
     if (json_object_get(body, "bytes_per_s") != NULL) {
         relay_set_rate(relay, wb_json_integer(body, "bytes_per_s", 0));
         standin_reply_json(exchange, 200, json_object());
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -1,9 +1,13 @@
 /* Forwards bytes between two sockets, subject to the relay's fault. */
 #include "relay.h"
 
+#include "socket_filter.h"
+
 #include <apr_network_io.h>
 #include <apr_pools.h>
+#include <apr_portable.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define CHUNK_BYTES 16384
 /* Bytes that wait for a link of limited rate, by the time that they take. */
@@ -18,7 +22,8 @@
     int64_t bytes_per_s; /* in each direction, over all connections; 0: no limit */
     int64_t free_us[2];  /* when the last queued byte will have passed, by direction */
     GPtrArray *pairs;
-    char **blocked; /* IPs whose connections are closed; may be NULL */
+    char **blocked;     /* IPs whose connections are closed; may be NULL */
+    char **partitioned; /* IPs that are cut off; may be NULL */
 };
 
 /* Bytes that wait for their due time or for the socket. */
@@ -52,6 +57,7 @@
     wb_timer_t *timer;
     relay_fault_t fault; /* this connection's, when has_own_fault */
     gboolean has_own_fault;
+    gboolean partitioned; /* nothing passes, in either direction */
     gboolean closing;
 };
 
@@ -101,7 +107,7 @@
 
 static gboolean flow_is_frozen(const flow_t *flow) {
     relay_fault_kind_t kind = pair_fault(flow->pair)->kind;
-    return kind == RELAY_FREEZE ||
+    return flow->pair->partitioned || kind == RELAY_FREEZE ||
            kind == (flow->is_response ? RELAY_FREEZE_RESPONSE : RELAY_FREEZE_REQUEST);
 }
 
@@ -236,14 +242,17 @@
         *fault = (relay_fault_t){RELAY_PASS, 0, 0, 0};
 }
 
-static gboolean is_blocked(const relay_t *relay, apr_socket_t *client) {
+static gboolean is_from(apr_socket_t *client, char **hosts) {
     apr_sockaddr_t *address;
     char host[64] = "";
-    if (relay->blocked == NULL ||
-        apr_socket_addr_get(&address, APR_REMOTE, client) != APR_SUCCESS ||
+    if (hosts == NULL || apr_socket_addr_get(&address, APR_REMOTE, client) != APR_SUCCESS ||
         apr_sockaddr_ip_getbuf(host, sizeof(host), address) != APR_SUCCESS)
         return FALSE;
-    return g_strv_contains((const char *const *)relay->blocked, host);
+    return g_strv_contains((const char *const *)hosts, host);
+}
+
+static gboolean is_blocked(const relay_t *relay, apr_socket_t *client) {
+    return is_from(client, relay->blocked);
 }
 
 static void relay_accept(int16_t events, void *context) {
@@ -319,6 +328,62 @@
     g_free(change);
 }
 
+typedef struct partition_change_t {
+    relay_t *relay;
+    char **hosts;
+    relay_partition_t how;
+} partition_change_t;
+
+int relay_partition_parse(const char *name) {
+    static const char *const names[] = {"silent", "reset", "new"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+        if (strcmp(names[i], name) == 0)
+            return (int)i;
+    return -1;
+}
+
+static void pair_reset(pair_t *pair) {
+    struct linger immediate = {1, 0};
+    int descriptor;
+    apr_os_sock_get(&descriptor, pair->request.from);
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+    pair_close(pair);
+}
+
+/* A partition that ends lets connections that have outlived it go on. */
+static void pair_partition(pair_t *pair, gboolean cut) {
+    if (cut == pair->partitioned)
+        return;
+    pair->partitioned = cut;
+    if (cut)
+        socket_filter_all(pair->request.from);
+    else
+        socket_filter_none(pair->request.from);
+}
+
+static void partition_change(void *context) {
+    partition_change_t *change = context;
+    relay_t *relay = change->relay;
+    g_strfreev(relay->partitioned);
+    relay->partitioned = change->hosts;
+    socket_filter_hosts(relay->socket, relay->partitioned);
+    for (guint i = relay->pairs->len; i-- > 0;) {
+        pair_t *pair = relay->pairs->pdata[i];
+        gboolean cut = is_from(pair->request.from, relay->partitioned);
+        if (cut && change->how == RELAY_PARTITION_RESET)
+            pair_reset(pair);
+        else
+            pair_partition(pair, cut && change->how == RELAY_PARTITION_SILENT);
+    }
+    g_free(change);
+}
+
+void relay_set_partition(relay_t *relay, const char *hosts, relay_partition_t how) {
+    partition_change_t *change = g_new(partition_change_t, 1);
+    *change = (partition_change_t){relay, g_strsplit(hosts, ",", -1), how};
+    wb_loop_post(relay->loop, partition_change, change);
+}
+
 typedef struct rate_change_t {
     relay_t *relay;
     int64_t bytes_per_s;
--- a/standins/proxy/relay.h
+++ b/standins/proxy/relay.h
@@ -47,6 +47,20 @@
 /** Close connections from these IPs (separated by commas), open and new ones. Any thread. */
 void relay_set_blocked(relay_t *relay, const char *hosts);
 
+/** How hosts are cut off from a relay. */
+typedef enum relay_partition_t {
+    RELAY_PARTITION_SILENT, /**< open connections hang, and so do attempts to connect */
+    RELAY_PARTITION_RESET,  /**< open connections are reset, attempts to connect hang */
+    RELAY_PARTITION_NEW     /**< open connections live on, attempts to connect hang */
+} relay_partition_t;
+
+/** @return the partition with this name ("silent", "reset", "new") on the control interface, or -1
+ */
+int relay_partition_parse(const char *name);
+
+/** Cut these IPs (separated by commas) off from the relay, and no others. Any thread. */
+void relay_set_partition(relay_t *relay, const char *hosts, relay_partition_t how);
+
 /** Limit the bytes per second that pass in each direction, over all connections; 0: no limit. Any
  * thread. */
 void relay_set_rate(relay_t *relay, int64_t bytes_per_s);
--- a/tests/edge/test_budget.c
+++ b/tests/edge/test_budget.c
@@ -72,7 +72,7 @@
 
 /* Makes all engines of the service reject every request from now on. */
 static void engines_reject(const estate_t *estate) {
-    for (int i = 1; i <= ESTATE_PROXIED_ENGINES; i++) {
+    for (int i = 1; i <= ESTATE_LOCK_ENGINES; i++) {
         estate_command(estate,
                        "{\"do\":\"engine-fault\",\"engine\":\"lock-%d\",\"fault\":\"reject\","
                        "\"count\":1000000}",
--- /dev/null
+++ b/tests/edge/test_reach.c
@@ -0,0 +1,161 @@
+/* Nodes that are cut off from engines, while clients, the store and other nodes reach them, serve
+ * as the others do. */
+#include "edge.h"
+
+#include <string.h>
+
+#define FLAGS "--lease-quiet-ms=1000 --lease-duration-ms=800"
+/* Time after which nodes that are cut off from engines must serve as the others do. */
+#define CUT_DETECTION_US 3000000
+#define ALL_ENGINES 15U
+#define LOCK_ENGINES 3U
+#define ROUNDS 8
+/* Time for another node to take the lease over, and for its orders to be allowed. */
+#define HANDOVER_MS 6000
+#define HEAL_US 2000000
+/* Longer than the stand-in's engines keep idle connections. */
+#define KEEP_ALIVE_US 5500000
+
+static gboolean is_served(const estate_t *estate, int node, const char *path, const char *id,
+                          const char *headers) {
+    wire_response_t *answer = wire_request(estate->nodes[node].clients_port, path, id, headers);
+    gboolean served = answer->status == 200 && answer->whole;
+    if (!served)
+        g_test_message("%s at node %d: status %d", id, node, answer->status);
+    wire_response_free(answer);
+    return served;
+}
+
+/* Sends requests of each kind to a node. Returns how many are served at the first try; asserts that
+ * none runs more often than its route allows. */
+static int served_count(const estate_t *estate, int node, const char *phase) {
+    static const char *const paths[] = {"/lock/x", "/look/x", "/chat/x"};
+    int served = 0;
+    for (int i = 0; i < ROUNDS; i++) {
+        for (size_t j = 0; j < G_N_ELEMENTS(paths); j++) {
+            g_autofree char *id = g_strdup_printf("%s-%d-%d-%zu", phase, node, i, j);
+            served +=
+                is_served(estate, node, paths[j], id, j == 2 ? EDGE_MODEL("m0") : EDGE_DEADLINE);
+            g_assert_cmpint(estate_runs(estate, id), <=, j == 0 ? 1 : 2);
+        }
+    }
+    return served;
+}
+
+static void assert_all_serve(const estate_t *estate, const char *phase) {
+    for (int i = 0; i < estate->node_count; i++) {
+        int served = served_count(estate, i, phase);
+        g_test_message("%s: node %d serves %d of %d", phase, i, served, ROUNDS * 3);
+        g_assert_cmpint(served, ==, ROUNDS * 3);
+    }
+}
+
+static estate_t *start(int nodes) {
+    estate_t *estate = estate_start(nodes, FLAGS);
+    estate_wait_controller(estate, 8000);
+    g_usleep(1000000);
+    return estate;
+}
+
+static unsigned bit(int index) {
+    return 1U << index;
+}
+
+/* Cuts one node that isn't the controller off from all engines, and heals it. */
+static void one_node_cut(const char *how) {
+    estate_t *estate = start(3);
+    int cut = (estate_controller(estate) + 1) % 3;
+    assert_all_serve(estate, "before");
+    estate_partition(estate, bit(cut), ALL_ENGINES, how);
+    g_usleep(strcmp(how, "new") == 0 ? KEEP_ALIVE_US : CUT_DETECTION_US);
+    assert_all_serve(estate, "cut");
+    estate_partition(estate, 0, 0, how);
+    g_usleep(HEAL_US);
+    assert_all_serve(estate, "healed");
+    g_assert_cmpfloat(estate_metric(estate, cut, "suspected_requests"), ==, 0);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+static void test_silent(void) {
+    one_node_cut("silent");
+}
+
+static void test_reset(void) {
+    one_node_cut("reset");
+}
+
+static void test_new_connections(void) {
+    one_node_cut("new");
+}
+
+static void test_one_service(void) {
+    estate_t *estate = start(3);
+    int cut = (estate_controller(estate) + 1) % 3;
+    assert_all_serve(estate, "before");
+    estate_partition(estate, bit(cut), LOCK_ENGINES, "silent");
+    g_usleep(CUT_DETECTION_US);
+    assert_all_serve(estate, "cut");
+    estate_stop(estate);
+}
+
+static void test_all_but_one(void) {
+    estate_t *estate = start(4);
+    int reached = (estate_controller(estate) + 1) % 4;
+    estate_partition(estate, ~bit(reached), ALL_ENGINES, "silent");
+    g_usleep(CUT_DETECTION_US);
+    assert_all_serve(estate, "cut");
+    estate_stop(estate);
+}
+
+/* A controller that reaches no engine hands the lease over: models are loaded again. */
+static void test_controller(void) {
+    estate_t *estate = start(3);
+    int cut = estate_controller(estate);
+    estate_partition(estate, bit(cut), ALL_ENGINES, "silent");
+    /* The controller finds out by its orders: they are for models that aren't loaded. */
+    is_served(estate, (cut + 1) % 3, "/chat/x", "c0", EDGE_MODEL("m4"));
+    int64_t until_ms = harness_now_ms() + HANDOVER_MS;
+    while (estate_controller(estate) == cut && harness_now_ms() < until_ms)
+        g_usleep(50000);
+    g_assert_cmpint(estate_controller(estate), !=, cut);
+    g_usleep(CUT_DETECTION_US);
+    g_assert_true(is_served(estate, (cut + 1) % 3, "/chat/x", "c1", EDGE_MODEL("m5")));
+    g_assert_true(is_served(estate, cut, "/chat/x", "c2", EDGE_MODEL("m6")));
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+/* Where no node reaches any engine, the lease isn't handed round, and refusals name the reason. */
+static void test_nobody_reaches_engines(void) {
+    estate_t *estate = start(3);
+    int controller = estate_controller(estate);
+    double token = estate_metric(estate, controller, "lease_token");
+    assert_all_serve(estate, "before");
+    estate_partition(estate, ~0U, ALL_ENGINES, "silent");
+    g_usleep(CUT_DETECTION_US);
+    for (int i = 0; i < 3; i++) {
+        g_autofree char *id = g_strdup_printf("n-%d", i);
+        g_assert_false(is_served(estate, i, "/chat/x", id, EDGE_MODEL("m0")));
+        g_assert_true(estate_log_has(estate, i, "\"ending\":\"unreachable\""));
+    }
+    g_usleep(CUT_DETECTION_US);
+    g_assert_cmpint(estate_wait_controller(estate, HANDOVER_MS), ==, controller);
+    g_assert_cmpfloat(estate_metric(estate, controller, "lease_token"), ==, token);
+    estate_partition(estate, 0, 0, "silent");
+    g_usleep(HEAL_US);
+    assert_all_serve(estate, "healed");
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/reach/silent", test_silent);
+    g_test_add_func("/edge/reach/reset", test_reset);
+    g_test_add_func("/edge/reach/new-connections", test_new_connections);
+    g_test_add_func("/edge/reach/one-service", test_one_service);
+    g_test_add_func("/edge/reach/all-but-one", test_all_but_one);
+    g_test_add_func("/edge/reach/controller", test_controller);
+    g_test_add_func("/edge/reach/nobody-reaches-engines", test_nobody_reaches_engines);
+}
+
+PROCESS_TEST_MAIN(tests_add)
--- a/tests/fuzz/sim_worker.c
+++ b/tests/fuzz/sim_worker.c
@@ -418,10 +418,9 @@
 /* Replacement for wb_http_pool_t. */
 
 wb_http_pool_t *wb_http_pool_create(wb_loop_t *loop, const char *address,
-                                    int64_t connect_timeout_ms, int64_t silence_limit_ms) {
+                                    const wb_tcp_connect_options_t *options) {
     (void)loop;
-    (void)connect_timeout_ms;
-    (void)silence_limit_ms;
+    (void)options;
     wb_http_pool_t *peer = g_new0(wb_http_pool_t, 1);
     peer->worker = atoi(address);
     return peer;
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -12,6 +12,8 @@
 #define SHARE_TIMEOUT_MS 30000
 /* Nodes that tests may run or add at least. */
 #define MIN_NODE_MAX 4
+/* Local address of a node's connections to engines, by its number from 1. */
+#define NODE_HOST "127.0.1.%d"
 
 static void argument_add(GPtrArray *arguments, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
@@ -206,6 +208,8 @@
     argument_add(arguments, "--advertise-nodes=127.0.0.1:%d", estate->link_proxy_ports[index]);
     argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->metrics_port);
     argument_add(arguments, "--store=127.0.0.1:%d", estate->store_proxy_ports[index]);
+    if (!node->older) /* which doesn't know the setting */
+        argument_add(arguments, "--bind-host=" NODE_HOST, index + 1);
     argument_add(arguments, "--engine-heartbeat-ms=300");
     argument_add(arguments, "--log-lines-per-s=10000");
     g_autofree char *all_flags =
@@ -258,7 +262,7 @@
         g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->link_proxy_ports[i],
                                estate->nodes[i].nodes_port);
     }
-    for (int i = 0; i < ESTATE_PROXIED_ENGINES; i++) {
+    for (int i = 0; i < ESTATE_ENGINES; i++) {
         estate->engine_proxy_ports[i] = port_find();
         estate->engine_ports[i] = port_find();
         g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->engine_proxy_ports[i],
@@ -316,6 +320,21 @@
     relay_fault(estate, estate->link_proxy_ports[node], fault, delay_ms, 0, 0);
 }
 
+void estate_partition(const estate_t *estate, unsigned nodes, unsigned engines, const char *how) {
+    g_autoptr(GString) hosts = g_string_new(NULL);
+    for (int i = 0; i < estate->node_count; i++)
+        if ((nodes & 1U << i) != 0)
+            g_string_append_printf(hosts, "%s" NODE_HOST, hosts->len > 0 ? "," : "", i + 1);
+    for (int i = 0; i < ESTATE_ENGINES; i++) {
+        g_autofree char *body = g_strdup_printf(
+            "{\"relay\":\"127.0.0.1:%d\",\"partition\":\"%s\",\"how\":\"%s\"}",
+            estate->engine_proxy_ports[i], (engines & 1U << i) != 0 ? hosts->str : "", how);
+        answer_t *answer = call("POST", estate->proxy_control_port, "/", NULL, body, 5000);
+        g_assert_cmpint(answer->status, ==, 200);
+        answer_free(answer);
+    }
+}
+
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
                          int times) {
     relay_fault(estate, estate->engine_proxy_ports[engine], fault, 0, bytes, times);
@@ -339,6 +358,23 @@
     return node_add(estate, FALSE, NULL);
 }
 
+/* Starts one of the engines of the default configuration; its row names its proxy. */
+static void engine_start(const estate_t *estate, int index) {
+    static const char *const options[ESTATE_ENGINES] = {
+        "\"service\":\"lock\",\"zone\":\"zone-1\",\"work_ms\":10",
+        "\"service\":\"lock\",\"zone\":\"zone-2\",\"work_ms\":10",
+        "\"service\":\"llm\",\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m0\",\"m1\"],"
+        "\"load_ms\":200,\"weights_mb\":2100",
+        "\"service\":\"llm\",\"zone\":\"zone-2\",\"streams\":1,\"models\":[\"m0\",\"m2\"],"
+        "\"load_ms\":200,\"weights_mb\":2100"};
+    static const char *const names[ESTATE_ENGINES] = {"lock-1", "lock-2", "llm-1", "llm-2"};
+    estate_command(estate,
+                   "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{%s,\"port\":%d,"
+                   "\"announce_port\":%d}}",
+                   names[index], options[index], estate->engine_ports[index],
+                   estate->engine_proxy_ports[index]);
+}
+
 static estate_t *estate_create(int nodes, int older, const char *node_flags,
                                const char *const *flags) {
     estate_t *estate = g_new0(estate_t, 1);
@@ -352,20 +388,8 @@
     standin_start(estate);
     proxy_start(estate);
     estate_configure(estate, NULL);
-    estate_command(estate,
-                   "{\"do\":\"engine-start\",\"engine\":\"llm-1\",\"options\":{\"service\":\"llm\","
-                   "\"zone\":\"zone-1\",\"streams\":1,\"models\":[\"m0\",\"m1\"],\"load_ms\":200,"
-                   "\"weights_mb\":2100}}");
-    estate_command(estate,
-                   "{\"do\":\"engine-start\",\"engine\":\"llm-2\",\"options\":{\"service\":\"llm\","
-                   "\"zone\":\"zone-2\",\"streams\":1,\"models\":[\"m0\",\"m2\"],\"load_ms\":200,"
-                   "\"weights_mb\":2100}}");
-    for (int i = 0; i < ESTATE_PROXIED_ENGINES; i++)
-        estate_command(
-            estate,
-            "{\"do\":\"engine-start\",\"engine\":\"lock-%d\",\"options\":{\"service\":\"lock\","
-            "\"zone\":\"zone-%d\",\"work_ms\":10,\"port\":%d,\"announce_port\":%d}}",
-            i + 1, i + 1, estate->engine_ports[i], estate->engine_proxy_ports[i]);
+    for (int i = 0; i < ESTATE_ENGINES; i++)
+        engine_start(estate, i);
     for (int i = 0; i < nodes; i++)
         node_add(estate, i < older, flags != NULL ? flags[i] : NULL);
     for (int i = 0; i < nodes; i++)
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -4,7 +4,8 @@
  *
  * Engines: llm-1 (models m0, m1; zone-1) and llm-2 (m0, m2; zone-2) of the service "llm", lock-1
  * and lock-2 of the service "lock". Connections to the store, links between nodes and connections
- * to the lock engines go through a proxy that injects faults. Times are in ms. Functions without a
+ * to engines go through a proxy that injects faults. Each node connects to engines from a loopback
+ * address of its own, by which the proxy tells nodes apart. Times are in ms. Functions without a
  * result abort the test through a GLib assertion when they fail. Only processes that the harness
  * started are signalled, by their ids.
  */
@@ -26,7 +27,8 @@
     const char *flags; /**< additional flags of this node, separated by spaces; or NULL */
 } estate_node_t;
 
-#define ESTATE_PROXIED_ENGINES 2
+#define ESTATE_ENGINES 4      /* lock-1, lock-2, llm-1, llm-2 */
+#define ESTATE_LOCK_ENGINES 2 /* the first of them */
 
 typedef struct estate_t {
     cluster_t files; /**< only `folder` and `build` are used */
@@ -38,10 +40,10 @@
     int node_max; /**< nodes for which there are proxies */
     process_t proxy;
     int proxy_control_port;
-    int store_proxy_ports[ESTATE_NODES];            /**< proxy port per node, to the store */
-    int link_proxy_ports[ESTATE_NODES];             /**< proxy port per node, for other nodes */
-    int engine_proxy_ports[ESTATE_PROXIED_ENGINES]; /**< proxy ports of lock-1 and lock-2 */
-    int engine_ports[ESTATE_PROXIED_ENGINES];
+    int store_proxy_ports[ESTATE_NODES];    /**< proxy port per node, to the store */
+    int link_proxy_ports[ESTATE_NODES];     /**< proxy port per node, for other nodes */
+    int engine_proxy_ports[ESTATE_ENGINES]; /**< proxy port per engine */
+    int engine_ports[ESTATE_ENGINES];
     int64_t catalog_version;
     const char *tenants;    /**< JSON list for estate_configure; NULL: clients have no keys */
     const char *services;   /**< JSON of further services for estate_configure, each with a comma
@@ -87,8 +89,13 @@
 void estate_link_rate(const estate_t *estate, int node, int bytes_per_s);
 /** Inject a fault on links that other nodes open to a node, for orders and updates. */
 void estate_link_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
-/** Inject a fault between all nodes and lock-1 (0) or lock-2 (1). @param bytes passed before the
- * fault @param times number of connections, 0: all */
+/** Cut nodes off from engines, and no others: a node with bit 1 << index in `nodes`, from an engine
+ * with bit 1 << index (as in ESTATE_ENGINES) in `engines`. Nodes of the older build can't be cut
+ * off.
+ * @param how "silent", "reset" or "new", as wb-standin-proxy names partitions */
+void estate_partition(const estate_t *estate, unsigned nodes, unsigned engines, const char *how);
+/** Inject a fault between all nodes and an engine (as in ESTATE_ENGINES). @param bytes passed
+ * before the fault @param times number of connections, 0: all */
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
                          int times);
 /** Send a control command to the stand-in. @param format printf format of the command's JSON */
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -105,12 +105,11 @@
 }
 
 static void engine_link_begin(soak_fault_t *fault, soak_t *soak) {
-    estate_engine_fault(soak->estate, fault->variant % ESTATE_PROXIED_ENGINES, link_mode(fault), 0,
-                        0);
+    estate_engine_fault(soak->estate, fault->variant % ESTATE_LOCK_ENGINES, link_mode(fault), 0, 0);
 }
 
 static void engine_link_end(soak_fault_t *fault, soak_t *soak) {
-    estate_engine_fault(soak->estate, fault->variant % ESTATE_PROXIED_ENGINES, "pass", 0, 0);
+    estate_engine_fault(soak->estate, fault->variant % ESTATE_LOCK_ENGINES, "pass", 0, 0);
 }
 
 /* Wrong responses for a few requests, at one of the four initial engines. */
--- a/tests/unit/test_http_pool.c
+++ b/tests/unit/test_http_pool.c
@@ -77,7 +77,8 @@
                     ==, APR_SUCCESS);
     g_autofree char *address =
         g_strdup_printf("127.0.0.1:%u", wb_http_listener_port(fixture->listener));
-    wb_http_pool_t *peer = wb_http_pool_create(fixture->loop, address, 1000, 1000);
+    wb_tcp_connect_options_t options = {1000, 1000, NULL};
+    wb_http_pool_t *peer = wb_http_pool_create(fixture->loop, address, &options);
     wb_http_request_t request = {.method = "GET",
                                  .target = "/",
                                  .timeout_ms = TIMEOUT_MS,
