Nodes that reach no engine serve through other nodes

Cause: a request goes from the node that took it to an engine or nowhere, and each engine was found unreachable by itself, 250 ms a connect. What nobody told apart: an engine that has failed and one that isn't reached from here. Class: a conclusion about another party drawn from the state of one's own connection.

Change: engine_connect.c connects directly or through another node, whichever succeeds first; the other node only passes bytes (tunnel_server.c), so that choice, budgets, shares, quota, deadlines and at-most-once stay where the request arrived. Evidence a node (engine_reach.h): doubtful, cut, isolated; kept connections that may be dead aren't used then. A refused connection counts as a crash only if other nodes are refused too. A request whose engines nobody reaches ends as unreachable, not as not-loaded.

--- a/include/wickbridge/edge.h
+++ b/include/wickbridge/edge.h
@@ -28,6 +28,8 @@
     const char *listen_ready;
     const char *listen_nodes;
     const char *advertise_nodes;
+    const char *listen_tunnels;
+    const char *advertise_tunnels;
     const char *listen_operators;
     const char *bind_host;
     const char *store;
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -46,6 +46,13 @@
     uint64_t connections_opened;     /**< to engines */
     uint64_t connections_reused;     /**< to engines */
     uint64_t connections_failed;     /**< to engines: not established */
+    uint64_t tunnels_asked;   /**< times that another node was asked to connect to an engine */
+    uint64_t tunnels_opened;  /**< times that it did */
+    uint64_t tunnels_failed;  /**< times that it didn't, or didn't answer */
+    uint64_t tunnels_served;  /**< connections to engines opened for other nodes */
+    uint64_t tunnels_refused; /**< other nodes' questions that led to no connection */
+    uint64_t tunnel_bytes;    /**< passed for other nodes */
+    uint64_t isolations;      /**< times that this node reached few engines, and others did */
     wb_store_calls_t store_calls;
     uint64_t store_rollbacks;       /**< times that the store was found to have gone back */
     uint64_t store_reads_discarded; /**< full reads that were older than what was known */
@@ -90,6 +97,9 @@
     unsigned nodes;
     unsigned share_nodes; /**< nodes that share the retry slack; 0: this node has no share now */
     unsigned evacuated_zones;
+    unsigned engines_cut;          /**< engines that only other nodes reached lately */
+    gboolean is_isolated;          /**< this node reaches few engines, and others do */
+    unsigned open_tunnels;         /**< connections to engines open for other nodes */
     unsigned nodes_of_other_forms; /**< nodes with another version of the message format */
     unsigned suspected_requests;   /**< distinct requests suspected of crashing engines */
     unsigned poison_requests;      /**< distinct requests refused for crashing engines */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -16,6 +16,7 @@
 #include "wickbridge/cold_engine_share.h"
 #include "wickbridge/engine_limit.h"
 #include "wickbridge/engine_pace.h"
+#include "wickbridge/engine_reach.h"
 #include "wickbridge/list.h"
 #include "wickbridge/loop.h"
 
@@ -105,6 +106,7 @@
     wb_list_item_t state_update_item; /**< linked while a state update is pending */
     int64_t state_sent_ms;            /**< when that was last sent; 0: never */
     int64_t backoff_until_ms; /**< end of the backoff that it asked this node for (Retry-After) */
+    wb_engine_reach_t reach;  /**< whether this node or only others can connect to it */
     wb_list_t idle;           /**< idle keep-alive connections; see attempt.c */
     GHashTable *prefixes;     /**< hash of a prompt prefix -> when it was last prefilled there */
 } wb_engine_t;
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -151,6 +151,11 @@
     controller->events.on_engine_state(engine, controller->events.context);
 }
 
+static void owner_call_failed(wb_engine_t *engine, void *context) {
+    const wb_controller_t *controller = context;
+    controller->events.on_call_failed(engine, controller->events.context);
+}
+
 static void owner_report_holding(wb_engine_t *engine, const char *model, const char *adapter,
                                  gboolean held, void *context) {
     wb_controller_t *controller = context;
@@ -183,6 +188,7 @@
                                       owner_report_estimate,
                                       owner_token,
                                       owner_engine_state_changed,
+                                      owner_call_failed,
                                       controller};
     orders = wb_engine_orders_create(controller->loop, controller->settings, controller->dialect,
                                      engine, controller->metrics, &owner);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -34,6 +34,8 @@
     void (*on_update)(const wb_wire_message *update, void *context);
     /** Engine-reported state that other nodes need has changed. */
     void (*on_engine_state)(wb_engine_t *engine, void *context);
+    /** A call to an engine got no response. */
+    void (*on_call_failed)(wb_engine_t *engine, void *context);
     void *context;
 } wb_controller_events_t;
 
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -71,6 +71,7 @@
 
 static void call_failed(wb_engine_orders_t *orders) {
     orders->failures++;
+    orders->owner.call_failed(orders->engine, orders->owner.context);
     if (orders->failures < MAX_FAILURES) {
         advance_after(orders, RETRY_MS);
         return;
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -56,6 +56,8 @@
     uint64_t (*token)(void *context);
     /** Engine-reported state that other nodes need has changed. */
     void (*engine_state_changed)(wb_engine_t *engine, void *context);
+    /** A report or an order got no response. */
+    void (*call_failed)(wb_engine_t *engine, void *context);
     void *context;
 } wb_engine_orders_owner_t;
 
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -88,6 +88,8 @@
     if (status == APR_SUCCESS)
         status = wb_link_listen(edge->loop, edge->settings.listen_nodes, &links,
                                 &node->link_counters, &node->link_listener, error);
+    if (status == APR_SUCCESS)
+        status = wb_edge_node_open_tunnels(node, error);
     return status;
 }
 
@@ -123,7 +125,8 @@
         node->idle_closed = TRUE;
         wb_http_listener_close_idle(node->client_listener);
     }
-    if (wb_http_listener_active_count(node->client_listener) > 0)
+    if (wb_http_listener_active_count(node->client_listener) > 0 ||
+        (node->tunnel_server != NULL && wb_tunnel_server_count(node->tunnel_server) > 0))
         return;
     if (node->listener_stopped) {
         stop_finish(node, wb_clock_ms());
@@ -168,6 +171,7 @@
     wb_edge_node_tick_pace(node, now_ms);
     wb_edge_node_tick_states(node, now_ms);
     wb_edge_node_tick_announce(node, now_ms);
+    wb_edge_node_tick_tunnels(node, now_ms);
     if (now_ms - node->demand_sent_ms >= node->edge.settings.demand_interval_ms)
         wb_edge_node_send_demand(node);
     if (node->edge.waiting.len > 0) {
@@ -225,9 +229,12 @@
                                   (int64_t)(settings->poison_trial_s * 1000)};
     edge->poison = wb_poison_registry_create(&poison);
     edge->served = wb_served_set_create();
+    edge->reach = wb_reach_summary_create();
+    edge->peers = wb_peer_record_create();
+    edge->choose_peer = wb_edge_node_choose_peer;
     edge->lengths = wb_length_estimate_create();
     edge->wait_scale = wb_wait_scale_create();
-    wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, edge};
+    wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, wb_edge_confirm_refused, edge};
     edge->crashes = wb_crash_watch_create(loop, &edge->settings, &edge->metrics, &crashes);
     edge->on_poison_changed = wb_edge_node_poison_changed;
     wb_list_init(&edge->waiting);
@@ -263,9 +270,13 @@
     if (status != APR_SUCCESS)
         return status;
     wb_edge_node_open_lease(created);
-    wb_controller_events_t events = {wb_edge_node_may_act,         wb_edge_node_authorize_order,
-                                     wb_edge_node_blocked_ms,      wb_edge_node_publish,
-                                     wb_edge_node_engine_reported, created};
+    wb_controller_events_t events = {wb_edge_node_may_act,
+                                     wb_edge_node_authorize_order,
+                                     wb_edge_node_blocked_ms,
+                                     wb_edge_node_publish,
+                                     wb_edge_node_engine_reported,
+                                     wb_edge_node_call_failed,
+                                     created};
     created->controller =
         wb_controller_create(loop, &edge->settings, dialect, edge->fleet, &edge->metrics, &events);
     wb_edge_node_follow_store(created);
@@ -281,6 +292,8 @@
         return;
     node->edge.drain_began_ms = wb_clock_ms();
     wb_http_listener_drain(node->client_listener);
+    if (node->tunnel_server != NULL)
+        wb_tunnel_server_drain(node->tunnel_server);
     wb_event("stopping", ",\"open\":%u,\"grace_s\":%g", g_hash_table_size(node->edge.open),
              node->edge.settings.stop_grace_s);
 }
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -15,7 +15,9 @@
 
 #include "edge/catalog_reader.h"
 #include "edge/transit.h"
+#include "request/engine_connect.h"
 #include "request/request_types.h"
+#include "tunnel/tunnel_server.h"
 
 #include "control/controller.h"
 
@@ -33,6 +35,8 @@
     char *address;           /* for links from other nodes; NULL: not in the row */
     double processor_share;  /* in cores; 0: not in the row */
     unsigned format_version; /* newest WB_WIRE_FORMAT_VERSION that the node reads */
+    char *tunnel_address;    /* where it connects to engines for others; NULL: it doesn't */
+    char *zone;              /* NULL: not in the row */
 } wb_node_row_t;
 
 typedef struct wb_announcement_t wb_announcement_t;
@@ -93,6 +97,9 @@
     uint64_t node_row_writes;  /* part of the row, so that each write changes it */
     /* Links between gateways and the controller. */
     wb_link_listener_t *link_listener;
+    wb_tunnel_server_t *tunnel_server; /* NULL: it connects to no engines for others */
+    wb_engine_connect_t *probe;        /* under way, to find out whether an engine is reached */
+    int64_t probe_next_ms;
     wb_link_counters_t link_counters;
     GHashTable *gateways;      /* wb_link_t -> wb_gateway_t: links that other nodes opened */
     GArray *placements;        /* of wb_wire_placement_entry, queued in node_broadcast.c */
@@ -286,6 +293,19 @@
  * borrowed. */
 wb_lease_row_t wb_edge_node_lease_without_grants(const wb_lease_row_t *row);
 
+/* node_tunnels.c */
+/** Open the tunnel server, if the settings name an address for it. */
+apr_status_t wb_edge_node_open_tunnels(wb_edge_node_t *node, wb_error_t *error);
+/** @return address of the tunnel server for other nodes; "": there is none */
+const char *wb_edge_node_tunnel_address(const wb_edge_node_t *node);
+/** As wb_edge_t.choose_peer. @param context the node */
+gboolean wb_edge_node_choose_peer(GHashTable *asked, wb_peer_t *peer, void *context);
+/** As wb_controller_events_t.on_call_failed: finds out whether other nodes reach the engine.
+ * @param context the node */
+void wb_edge_node_call_failed(wb_engine_t *engine, void *context);
+/** Find out whether this node is isolated. */
+void wb_edge_node_tick_tunnels(wb_edge_node_t *node, int64_t now_ms);
+
 /* node_announce.c */
 GHashTable *wb_edge_node_announcements_create(void);
 /** As the lease holder, connect to nodes that have no link to this one. */
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -16,7 +16,9 @@
 /* Min interval of the log line about discarded reads. */
 #define DISCARDED_LOG_MS 1000
 #define NODE_KEY_PREFIX "node/"
-#define NODE_ROW_FIELDS 4
+#define NODE_ROW_FIELDS 6
+/* Stands for an address that a node doesn't have. */
+#define NODE_ROW_NONE "-"
 
 /* Polls the other tables at once when one answers again; they are polled rarely while they fail. */
 static void tables_retry(wb_edge_node_t *node) {
@@ -229,7 +231,7 @@
 }
 
 /* Fields of a node's row, separated by blanks: address, write count, processor share, format
- * version. Later builds may append fields. */
+ * version, address of the tunnel server, zone. Later builds may append fields. */
 static void row_read(const wb_table_row_t *row, wb_node_row_t *known) {
     g_autofree char *text = g_strndup((const char *)row->value, row->length);
     g_auto(GStrv) fields = g_strsplit(text, " ", NODE_ROW_FIELDS + 1);
@@ -241,11 +243,17 @@
     known->address = g_strdup(fields[0]);
     known->processor_share = count > 2 ? g_ascii_strtod(fields[2], NULL) : 0;
     known->format_version = count > 3 ? (unsigned)g_ascii_strtoull(fields[3], NULL, 10) : 1;
+    if (count > 5 && strcmp(fields[4], NODE_ROW_NONE) != 0) {
+        known->tunnel_address = g_strdup(fields[4]);
+        known->zone = g_strdup(fields[5]);
+    }
 }
 
 void wb_edge_node_row_free(gpointer data) {
     wb_node_row_t *row = data;
     g_free(row->address);
+    g_free(row->tunnel_address);
+    g_free(row->zone);
     g_free(row);
 }
 
@@ -347,9 +355,12 @@
 static void node_row_write(wb_edge_node_t *node) {
     const wb_node_row_t *known = g_hash_table_lookup(node->nodes, node->edge.settings.id);
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, node->edge.settings.id, NULL);
-    g_autofree char *value = g_strdup_printf(
-        "%s %llu %.3f %d", wb_edge_node_address(node), (unsigned long long)++node->node_row_writes,
-        node->edge.settings.processor_share, WB_WIRE_FORMAT_VERSION);
+    const char *tunnels = wb_edge_node_tunnel_address(node);
+    g_autofree char *value =
+        g_strdup_printf("%s %llu %.3f %d %s %s", wb_edge_node_address(node),
+                        (unsigned long long)++node->node_row_writes,
+                        node->edge.settings.processor_share, WB_WIRE_FORMAT_VERSION,
+                        *tunnels != '\0' ? tunnels : NODE_ROW_NONE, node->edge.settings.zone);
     node->node_row_writing = TRUE;
     node->node_row_creating = known == NULL;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -527,6 +527,28 @@
     unsigned int form; /* its format version */
 };
 
+/* Asks a node to connect to an engine. If it does, everything after the answer passes between the two
+ * connections as it comes. */
+struct wb_wire_tunnel_open {
+    wb_wire_name node;    /* that asks */
+    wb_wire_name request; /* id, for logs; empty: none */
+    wb_wire_name engine;
+    wb_wire_name incarnation; /* of the engine */
+    wb_wire_name address;     /* of the engine */
+};
+
+enum wb_wire_tunnel_result {
+    WB_WIRE_TUNNEL_CONNECTED = 0,
+    WB_WIRE_TUNNEL_UNREACHABLE = 1, /* the engine didn't accept in time */
+    WB_WIRE_TUNNEL_REFUSED = 2,     /* nothing listens at the engine's address */
+    WB_WIRE_TUNNEL_NOT_IN_USE = 3,  /* the node doesn't know the engine, or it is leaving */
+    WB_WIRE_TUNNEL_BUSY = 4         /* the node takes no tunnels now */
+};
+
+struct wb_wire_tunnel_answer {
+    unsigned int result; /* wb_wire_tunnel_result */
+};
+
 enum wb_wire_kind {
     WB_WIRE_HELLO = 1,
     WB_WIRE_HEARTBEAT = 2,
@@ -556,7 +578,9 @@
     WB_WIRE_ENGINE_UPDATE = 26,
     WB_WIRE_ENGINE_STATES = 27,
     WB_WIRE_CATALOG_FETCH = 28,
-    WB_WIRE_CATALOG_ANSWER = 29
+    WB_WIRE_CATALOG_ANSWER = 29,
+    WB_WIRE_TUNNEL_OPEN = 30, /* this and the next only on connections of their own, not on links */
+    WB_WIRE_TUNNEL_ANSWER = 31
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -618,4 +642,8 @@
     wb_wire_catalog_fetch catalog_fetch;
 case WB_WIRE_CATALOG_ANSWER:
     wb_wire_catalog_answer catalog_answer;
+case WB_WIRE_TUNNEL_OPEN:
+    wb_wire_tunnel_open tunnel_open;
+case WB_WIRE_TUNNEL_ANSWER:
+    wb_wire_tunnel_answer tunnel_answer;
 };
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -1,5 +1,6 @@
 /* One attempt of a request at one engine, and the pool of idle connections to engines. */
 #include "fleet/engine_response.h"
+#include "request/engine_connect.h"
 #include "request/request_types.h"
 
 #include <string.h>
@@ -14,7 +15,10 @@
 typedef struct wb_upstream_t {
     wb_edge_t *edge;
     wb_engine_t *engine;
-    wb_tcp_stream_t *stream;
+    wb_engine_connect_t *connect; /* while the connection is being established, else NULL */
+    wb_tcp_stream_t *stream;      /* NULL while it is being established */
+    gboolean by_peer;             /* it leads through another node, and carries one request only */
+    int64_t heard_ms; /* when the last bytes of the engine arrived, or it was established */
     wb_http_reader_t *reader;
     wb_attempt_t *attempt;   /* NULL while it is idle */
     wb_list_item_t idle;     /* on engine->idle while it is idle */
@@ -39,6 +43,9 @@
 static void upstream_close(wb_upstream_t *upstream) {
     if (!upstream->closed) {
         upstream->closed = TRUE;
+        if (upstream->connect != NULL)
+            wb_engine_connect_cancel(upstream->connect);
+        upstream->connect = NULL;
         if (upstream->stream != NULL)
             wb_tcp_stream_close(upstream->stream);
         upstream->stream = NULL;
@@ -78,7 +85,10 @@
 }
 
 static void attempt_fail(wb_attempt_t *attempt, gboolean aborted, const char *reason) {
-    wb_attempt_failure_t failure = {attempt->sent, aborted, FALSE, reason};
+    wb_attempt_failure_t failure = {.sent = attempt->sent,
+                                    .engine_aborted = aborted,
+                                    .by_peer = attempt->upstream->by_peer,
+                                    .reason = reason};
     attempt_end(attempt, &failure);
 }
 
@@ -88,7 +98,7 @@
 
 /* Returns the connection to the pool of its engine, or closes it. */
 static void upstream_release(wb_upstream_t *upstream, const wb_attempt_t *attempt) {
-    gboolean keep = !attempt->tainted && attempt->keep_alive &&
+    gboolean keep = !upstream->by_peer && !attempt->tainted && attempt->keep_alive &&
                     wb_tcp_stream_unsent(upstream->stream) == 0 && !upstream->engine->gone &&
                     wb_engine_is_available(upstream->engine) &&
                     upstream->engine->idle.len < IDLE_MAX_PER_ENGINE;
@@ -226,6 +236,7 @@
     (void)stream;
     wb_upstream_t *upstream = context;
     upstream->engine->unanswered_since_ms = 0;
+    upstream->heard_ms = wb_clock_ms();
     if (upstream->attempt == NULL)
         idle_close(upstream); /* a late response to an earlier request */
     else
@@ -277,12 +288,18 @@
     attempt->output = NULL;
 }
 
-static void stream_open(wb_tcp_stream_t *stream, void *context) {
-    (void)stream;
+static const wb_tcp_events_t stream_events = {NULL, stream_data, stream_end, NULL};
+
+static void upstream_connected(wb_tcp_stream_t *stream, const char *peer, void *context) {
     wb_upstream_t *upstream = context;
     wb_attempt_t *attempt = upstream->attempt;
-    if (attempt == NULL)
-        return;
+    upstream->connect = NULL;
+    upstream->stream = stream;
+    upstream->by_peer = peer != NULL;
+    upstream->heard_ms = wb_clock_ms();
+    wb_tcp_stream_set_events(stream, &stream_events, upstream);
+    upstream->edge->metrics.connections_opened += peer == NULL;
+    attempt->exchange->peer = g_strdup(peer);
     if (wb_balancer_may_write(upstream->edge, attempt->exchange, wb_clock_ms())) {
         request_write(attempt);
         return;
@@ -291,7 +308,14 @@
     attempt_end(attempt, &failure);
 }
 
-static const wb_tcp_events_t stream_events = {stream_open, stream_data, stream_end, NULL};
+static void upstream_not_connected(const char *reason, void *context) {
+    wb_upstream_t *upstream = context;
+    upstream->connect = NULL;
+    attempt_fail(upstream->attempt, TRUE, reason);
+}
+
+static const wb_engine_connect_events_t connect_events = {upstream_connected,
+                                                          upstream_not_connected};
 
 /* Whether a header of the client isn't forwarded: this node sets it itself, or it is private. */
 static gboolean header_is_reserved(const wb_exchange_t *exchange, const char *name) {
@@ -342,44 +366,46 @@
     return text;
 }
 
+/* Returns the time after which a connection must have had bytes to be trusted: the engine's
+ * connections may be dead since then. 0: there is no doubt. */
+static int64_t doubt_ms(const wb_edge_t *edge, const wb_engine_t *engine, int64_t now_ms) {
+    int64_t since_ms = edge->isolated_since_ms;
+    if (wb_engine_reach_is_doubtful(&engine->reach, now_ms))
+        since_ms = MAX(since_ms, engine->reach.failed_ms);
+    if (wb_balancer_is_unresponsive(edge, engine, now_ms))
+        since_ms = MAX(since_ms, engine->unanswered_since_ms);
+    return since_ms;
+}
+
 /* Returns an idle connection that the engine still keeps open, or NULL. */
-static wb_upstream_t *idle_take(wb_engine_t *engine, int64_t now_ms) {
+static wb_upstream_t *idle_take(const wb_edge_t *edge, wb_engine_t *engine, int64_t now_ms) {
     wb_list_item_t *item;
+    int64_t heard_after_ms = doubt_ms(edge, engine, now_ms);
     while ((item = wb_list_pop(&engine->idle)) != NULL) {
         wb_upstream_t *upstream = WB_LIST_OF(item, wb_upstream_t, idle);
-        if (now_ms < upstream->usable_until_ms && wb_tcp_stream_is_open(upstream->stream))
+        if (now_ms < upstream->usable_until_ms && wb_tcp_stream_is_open(upstream->stream) &&
+            (heard_after_ms == 0 || upstream->heard_ms > heard_after_ms))
             return upstream;
         upstream_close(upstream);
     }
     return NULL;
 }
 
-static wb_upstream_t *upstream_connect(wb_edge_t *edge, wb_engine_t *engine) {
+static wb_upstream_t *upstream_create(wb_edge_t *edge, wb_engine_t *engine) {
     wb_upstream_t *upstream = g_new0(wb_upstream_t, 1);
     upstream->edge = edge;
     upstream->engine = wb_engine_ref(engine);
     upstream->reader = wb_http_reader_create(FALSE, HEAD_LIMIT_BYTES, &reader_events, upstream);
-    wb_tcp_connect_options_t options = {edge->settings.connect_timeout_ms,
-                                        edge->settings.silence_limit_ms, edge->settings.bind_host};
-    wb_error_t error;
-    if (wb_tcp_stream_connect(edge->loop, engine->state->address, &options, &stream_events,
-                              upstream, &upstream->stream, &error) == APR_SUCCESS) {
-        edge->metrics.connections_opened++;
-        return upstream;
-    }
-    upstream_close(upstream);
-    return NULL;
+    return upstream;
 }
 
-wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine) {
+void wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
-    wb_upstream_t *upstream = idle_take(engine, now_ms);
+    wb_upstream_t *upstream = idle_take(edge, engine, now_ms);
     gboolean reused = upstream != NULL;
     if (!reused)
-        upstream = upstream_connect(edge, engine);
-    if (upstream == NULL)
-        return NULL;
+        upstream = upstream_create(edge, engine);
     wb_attempt_t *attempt = g_new0(wb_attempt_t, 1);
     attempt->exchange = exchange;
     attempt->upstream = upstream;
@@ -388,11 +414,14 @@
     upstream->attempt = attempt;
     wb_http_reader_expect_no_body(upstream->reader, strcmp(exchange->head->method, "HEAD") == 0);
     exchange->attempt = attempt;
+    g_clear_pointer(&exchange->peer, g_free);
     if (reused) {
         edge->metrics.connections_reused++;
         request_write(attempt);
+    } else {
+        upstream->connect =
+            wb_engine_connect_start(edge, engine, exchange->id, &connect_events, upstream);
     }
-    return attempt;
 }
 
 void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading) {
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -110,9 +110,9 @@
     return uncached;
 }
 
-/* Whether the engine has sent no byte for UNRESPONSIVE_MS and twice the estimated time to prefill
- * its pending requests. */
-static gboolean is_unresponsive(const wb_edge_t *edge, const wb_engine_t *engine, int64_t now_ms) {
+/* No byte for UNRESPONSIVE_MS and twice the estimated time to prefill its pending requests. */
+gboolean wb_balancer_is_unresponsive(const wb_edge_t *edge, const wb_engine_t *engine,
+                                     int64_t now_ms) {
     if (engine->unanswered_since_ms == 0)
         return FALSE;
     double allowed_ms =
@@ -125,7 +125,7 @@
     double cost = FAILURE_COST_MS * MIN(engine->failures, 8);
     if (strcmp(engine->state->zone, edge->settings.zone) != 0)
         cost += OTHER_ZONE_COST_MS;
-    if (is_unresponsive(edge, engine, now_ms))
+    if (wb_balancer_is_unresponsive(edge, engine, now_ms))
         cost += AVOIDED_COST_MS;
     if (now_ms < engine->avoid_until_ms)
         cost += AVOIDED_COST_MS;
--- a/src/request/crash_watch.c
+++ b/src/request/crash_watch.c
@@ -115,10 +115,12 @@
     (void)stream;
     wb_watched_engine_t *engine = context;
     check_stop(engine);
-    if (how == WB_TCP_END_REFUSED) {
-        crash_report(engine, "refused");
-    } else {
+    const wb_crash_watch_events_t *events = &engine->watch->events;
+    if (how != WB_TCP_END_REFUSED) {
         engine->state = WB_LIVENESS_UNKNOWN;
+    } else if (events->confirm_refused == NULL ||
+               !events->confirm_refused(engine->id, events->context)) {
+        crash_report(engine, "refused");
     }
 }
 
@@ -182,6 +184,18 @@
     }
 }
 
+void wb_crash_watch_confirm(wb_crash_watch_t *watch, const char *engine_id, gboolean ended) {
+    wb_watched_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
+    if (engine == NULL || engine->state != WB_LIVENESS_CHECKING) {
+        return;
+    }
+    if (ended) {
+        crash_report(engine, "refused");
+    } else {
+        engine->state = WB_LIVENESS_UNKNOWN;
+    }
+}
+
 void wb_crash_watch_row_removed(wb_crash_watch_t *watch, const char *engine_id) {
     wb_watched_engine_t *engine = g_hash_table_lookup(watch->engines, engine_id);
     if (engine != NULL) {
--- /dev/null
+++ b/src/request/engine_connect.h
@@ -0,0 +1,40 @@
+/**
+ * @file engine_connect.h
+ * @brief Connects to an engine, directly or through another node, whichever succeeds first.
+ *
+ * The direct attempt starts at once. If it fails, or isn't done after a short time, other nodes are
+ * asked to connect (tunnel/tunnel_client.h), one after the other, each a little later than the one
+ * before. At an engine whose last direct attempt failed, the first node is asked at once. Nothing
+ * is written to the engine by this module, so an attempt that fails has run no request.
+ *
+ * The direct attempt goes on after another node was faster: whether it succeeds tells a slow
+ * engine from one that this node can't reach (wickbridge/engine_reach.h).
+ *
+ * Times are in milliseconds. Loop thread only.
+ */
+#ifndef WICKBRIDGE_ENGINE_CONNECT_H
+#define WICKBRIDGE_ENGINE_CONNECT_H
+
+#include "request/request_types.h"
+
+typedef struct wb_engine_connect_t wb_engine_connect_t;
+
+typedef struct wb_engine_connect_events_t {
+    /** @param stream now the callee's, which sets its events
+     * @param peer id of the node that connected; NULL: this one did. Valid during the call */
+    void (*on_connected)(wb_tcp_stream_t *stream, const char *peer, void *context);
+    /** @param reason for logs; static */
+    void (*on_failed)(const char *reason, void *context);
+} wb_engine_connect_events_t;
+
+/** Start to connect. One of the events follows, never from inside this call.
+ * @param request_id for logs, also of the other node; "": none
+ * @param events     must outlive the attempt */
+wb_engine_connect_t *wb_engine_connect_start(wb_edge_t *edge, wb_engine_t *engine,
+                                             const char *request_id,
+                                             const wb_engine_connect_events_t *events,
+                                             void *context);
+/** Give up without an event. Not after an event. */
+void wb_engine_connect_cancel(wb_engine_connect_t *connect);
+
+#endif
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -98,6 +98,7 @@
     g_free(exchange->model);
     g_free(exchange->adapter);
     g_free(exchange->last_event_id);
+    g_free(exchange->peer);
     g_free(exchange);
 }
 
@@ -189,13 +190,20 @@
     wb_exchange_end(exchange, WB_OUTCOME_CLIENT_GONE, 0);
 }
 
+/* Returns why a request that waited isn't served. */
+static wb_outcome_t wait_outcome(const wb_exchange_t *exchange) {
+    if (exchange->model == NULL)
+        return WB_OUTCOME_NO_ENGINE;
+    gboolean unreachable = exchange->connect_failures > 0 && wb_exchange_model_is_held(exchange);
+    return unreachable ? WB_OUTCOME_UNREACHABLE : WB_OUTCOME_MODEL_NOT_LOADED;
+}
+
 static void due_expired(void *context) {
     wb_exchange_t *exchange = context;
     exchange->due_timer = NULL;
     int64_t now_ms = wb_clock_ms();
     if (wb_list_is_linked(&exchange->waiting) && now_ms < exchange->answer_due_ms) {
-        wb_exchange_give_up(exchange, exchange->model != NULL ? WB_OUTCOME_MODEL_NOT_LOADED
-                                                              : WB_OUTCOME_NO_ENGINE);
+        wb_exchange_give_up(exchange, wait_outcome(exchange));
         return;
     }
     if (engine_is_silent(exchange))
@@ -257,11 +265,7 @@
     exchange->limit_counted = engine->limit.named;
     wb_engine_limit_record(&engine->limit, now_ms);
     edge->metrics.sends++;
-    if (wb_attempt_start(exchange, engine) == NULL) {
-        wb_attempt_failure_t failure = {.reason = "no-connection"};
-        wb_exchange_attempt_failed(exchange, &failure);
-        return;
-    }
+    wb_attempt_start(exchange, engine);
     exchange->running_counted = TRUE;
     engine->running++;
     if (now_ms < engine->cold_until_ms) {
@@ -295,6 +299,12 @@
     return FALSE;
 }
 
+/* Whether neither this node nor another reaches engines, so that waiting is useless. */
+static gboolean no_engine_is_reached(const wb_edge_t *edge, int64_t now_ms) {
+    unsigned engines = g_hash_table_size(wb_fleet_all(edge->fleet));
+    return wb_reach_summary_verdict(edge->reach, engines, now_ms) == WB_REACH_NONE;
+}
+
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Checked before each attempt: else all copies of a poison request that wait for a model would
@@ -313,7 +323,9 @@
     }
     wb_engine_t *engine = wb_balancer_choose(exchange->edge, exchange, now_ms, &exchange->decision);
     if (engine == NULL) {
-        if (exchange->answer_begun && exchange->sends >= SENDS_MAX)
+        if (exchange->connect_failures > 0 && no_engine_is_reached(exchange->edge, now_ms))
+            wb_exchange_give_up(exchange, WB_OUTCOME_UNREACHABLE);
+        else if (exchange->answer_begun && exchange->sends >= SENDS_MAX)
             wb_exchange_give_up(exchange, WB_OUTCOME_ENGINE_ABORTED);
         else
             wb_exchange_wait(exchange);
@@ -429,7 +441,8 @@
         attempt_withdraw(exchange);
         return;
     }
-    engine_failed(exchange->engine, failure->reason, exchange->id);
+    if (!failure->by_peer)
+        engine_failed(exchange->engine, failure->reason, exchange->id);
     edge->metrics.failed_attempts++;
     attempt_failure_log(exchange, failure);
     if (failure->sent && failure->engine_aborted) {
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -98,6 +98,8 @@
 void wb_exchange_forward_answer(wb_exchange_t *exchange);
 
 /* exchange_outcome.c */
+/** @return TRUE when an engine announces the request's model: a refusal isn't for want of a load */
+gboolean wb_exchange_model_is_held(const wb_exchange_t *exchange);
 /** Record the request's outcome in the log, the metrics and the ring of ended requests. */
 void wb_exchange_record_outcome(const wb_exchange_t *exchange, wb_outcome_t outcome,
                                 unsigned status);
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -2,10 +2,10 @@
 #include "request/exchange_internal.h"
 
 static const char *const outcome_names[WB_OUTCOME_COUNT] = {
-    "served",        "engine-failed", "no-catalog",  "no-route", "bad-request",
-    "unknown-model", "no-engine",     "not-loaded",  "rejected", "no-budget",
-    "broken",        "timed-out",     "caller-gone", "stopping", "bad-key",
-    "key-uncertain", "over-quota",    "poison",      "no-room",  "unverified"};
+    "served",      "engine-failed", "no-catalog", "no-route",      "bad-request", "unknown-model",
+    "no-engine",   "not-loaded",    "rejected",   "no-budget",     "broken",      "timed-out",
+    "caller-gone", "stopping",      "bad-key",    "key-uncertain", "over-quota",  "poison",
+    "no-room",     "unverified",    "unreachable"};
 
 const char *wb_outcome_name(wb_outcome_t outcome) {
     return outcome_names[outcome];
@@ -30,8 +30,7 @@
     ended->waited_ms = exchange->waited_ms;
 }
 
-/* Whether an engine announces the request's model; then a refusal isn't due to a missing load. */
-static gboolean model_is_held(const wb_exchange_t *exchange) {
+gboolean wb_exchange_model_is_held(const wb_exchange_t *exchange) {
     return exchange->model != NULL && exchange->service != NULL &&
            wb_fleet_holds(exchange->edge->fleet, exchange->service->name, exchange->model,
                           exchange->adapter, wb_clock_ms());
@@ -59,7 +58,8 @@
         "\"left_ms\":%lld,\"catalog\":%lld,\"answer_begun\":%s,\"tenant\":\"%s\",\"quota_cost\":%."
         "0f,\"digest\":\"%s\",\"out_tokens\":%lld,\"pace\":%.2f,\"running_there\":%.0f,"
         "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
-        "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s",
+        "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s,"
+        "\"by\":\"%s\"",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -78,5 +78,6 @@
         edge->catalog_age_ms != NULL ? (long long)edge->catalog_age_ms(edge->node_context) : 0LL,
         edge->catalog_behind_ms != NULL ? (long long)edge->catalog_behind_ms(edge->node_context)
                                         : 0LL,
-        exchange->connect_failures, model_is_held(exchange) ? "true" : "false");
+        exchange->connect_failures, wb_exchange_model_is_held(exchange) ? "true" : "false",
+        exchange->peer != NULL ? wb_event_escape(exchange->peer) : "");
 }
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -1,6 +1,9 @@
 /* Poison requests: detects requests that crash the engines that run them, and refuses them. */
+#include "request/engine_connect.h"
 #include "request/exchange_internal.h"
 
+#include <string.h>
+
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange) {
     if (exchange->digest_known) {
         return &exchange->digest;
@@ -149,3 +152,48 @@
         wb_exchanges_refuse_poison(edge);
     }
 }
+
+/* A check whether another node connects to an engine that refused this one. */
+typedef struct wb_refusal_check_t {
+    wb_edge_t *edge;
+    char *engine_id;
+} wb_refusal_check_t;
+
+static void refusal_check_end(wb_refusal_check_t *check, gboolean ended) {
+    wb_crash_watch_confirm(check->edge->crashes, check->engine_id, ended);
+    g_free(check->engine_id);
+    g_free(check);
+}
+
+static void refusal_check_connected(wb_tcp_stream_t *stream, const char *peer, void *context) {
+    (void)peer;
+    wb_tcp_stream_close(stream);
+    refusal_check_end(context, FALSE);
+}
+
+static void refusal_check_failed(const char *reason, void *context) {
+    refusal_check_end(context, strcmp(reason, "refused") == 0);
+}
+
+/* Returns the known engine of an incarnation, or NULL. */
+static wb_engine_t *incarnation_find(const wb_edge_t *edge, const char *incarnation) {
+    g_auto(GStrv) parts = g_strsplit(incarnation, "@", 2);
+    wb_engine_t *engine = wb_fleet_find(edge->fleet, parts[0] != NULL ? parts[0] : "");
+    gboolean is_same = engine != NULL && strcmp(engine->state->incarnation, incarnation) == 0;
+    return is_same ? engine : NULL;
+}
+
+gboolean wb_edge_confirm_refused(const char *engine_id, void *context) {
+    static const wb_engine_connect_events_t events = {refusal_check_connected,
+                                                      refusal_check_failed};
+    wb_edge_t *edge = context;
+    wb_engine_t *engine = incarnation_find(edge, engine_id);
+    if (engine == NULL) {
+        return FALSE;
+    }
+    wb_refusal_check_t *check = g_new0(wb_refusal_check_t, 1);
+    check->edge = edge;
+    check->engine_id = g_strdup(engine_id);
+    wb_engine_connect_start(edge, engine, "", &events, check);
+    return TRUE;
+}
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -33,6 +33,7 @@
 #include "wickbridge/edge_metrics.h"
 #include "dispatch/engine_choice.h"
 #include "dispatch/length_estimate.h"
+#include "dispatch/peer_choice.h"
 #include "dispatch/wait_scale.h"
 #include "request/api_key.h"
 #include "request/crash_watch.h"
@@ -84,6 +85,12 @@
     int64_t available_in_ms;
 } wb_controller_view_t;
 
+/** A node that can be asked to connect to engines. Strings are borrowed. */
+typedef struct wb_peer_t {
+    const char *id;
+    const char *address; /* of its tunnel server */
+} wb_peer_t;
+
 /** Node state that all requests share. */
 struct wb_edge_t {
     wb_loop_t *loop;
@@ -100,6 +107,10 @@
     wb_crash_watch_t *crashes;
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
+    wb_reach_summary_t *reach; /* which engines this node reaches */
+    wb_peer_record_t *peers;   /* which nodes have reached engines for it */
+    int64_t
+        isolated_since_ms; /* since when it reaches few engines, and others do; 0: it isn't so */
     gboolean shared_loads_valid; /* the reported loads of engines are recent enough to be used */
     gboolean runs_poison_trials; /* this node runs the periodic trials of refused requests */
     wb_edge_metrics_t metrics;
@@ -122,6 +133,10 @@
     void (*on_poison_changed)(void *context);
     /** Whether the controller is reachable; NULL: it always is. */
     wb_controller_view_t (*controller_view)(void *context);
+    /** Choose a node to ask for a connection. NULL: there are none.
+     * @param asked set of the ids of those that have been asked for it
+     * @return FALSE: none is left */
+    gboolean (*choose_peer)(GHashTable *asked, wb_peer_t *peer, void *context);
     /** Whether this node knows the engines of a service that hold a model ("": any). If not, they
      * are requested from a relay, and waiting requests are dispatched again on the reply. NULL: all
      * engines are known.
@@ -158,6 +173,7 @@
     WB_OUTCOME_POISON,         /* it crashes the engines that run it */
     WB_OUTCOME_OVERLOADED,     /* its model's engines are too far behind to answer in time */
     WB_OUTCOME_UNVERIFIED,     /* the catalog lacks its route or model, but may be out of date */
+    WB_OUTCOME_UNREACHABLE,    /* engines hold its model, but none could be connected to */
     WB_OUTCOME_COUNT
 } wb_outcome_t;
 
@@ -225,11 +241,12 @@
     gboolean awaits_load;   /* it waits for a model or adapter to be loaded */
     gboolean awaits_engine; /* it waits for an engine that becomes available */
     int64_t waiting_since_ms;
-    int64_t waited_ms;               /* duration, of all completed waits */
-    wb_attempt_t *attempt;           /* the current one, or NULL */
-    wb_engine_t *engine;             /* of the last attempt; a reference, or NULL */
-    int64_t sent_ms;                 /* start of the last attempt */
-    int64_t written_ms;              /* when the request was written to the engine's connection */
+    int64_t waited_ms;     /* duration, of all completed waits */
+    wb_attempt_t *attempt; /* the current one, or NULL */
+    char *peer;          /* node through which the last connection to an engine leads; NULL: none */
+    wb_engine_t *engine; /* of the last attempt; a reference, or NULL */
+    int64_t sent_ms;     /* start of the last attempt */
+    int64_t written_ms;  /* when the request was written to the engine's connection */
     wb_dispatch_decision_t decision; /* of the last attempt */
     gboolean running_counted;        /* the attempt is counted in engine->running */
     gboolean limit_counted;          /* the attempt is counted against its engine's limit */
@@ -264,6 +281,10 @@
 /** @return TRUE when the request may be served in any region, or an engine of its service is in an
  * allowed one */
 gboolean wb_balancer_has_allowed_engine(const wb_edge_t *edge, const wb_exchange_t *exchange);
+/** @return TRUE when the engine has sent no byte for longer than its pending requests should take
+ */
+gboolean wb_balancer_is_unresponsive(const wb_edge_t *edge, const wb_engine_t *engine,
+                                     int64_t now_ms);
 /** When the next engine that can serve a request accepts another request of this node. */
 typedef struct wb_availability_t {
     int64_t at_ms;    /**< G_MAXINT64: none will, or it isn't known */
@@ -314,6 +335,8 @@
 /** Refuse requests that are known poison, also those that wait or are at an engine that hasn't
  * begun to answer. */
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
+/** As wb_crash_watch_events_t.confirm_refused. @param context the edge */
+gboolean wb_edge_confirm_refused(const char *engine_id, void *context);
 /** As wb_crash_watch_events_t.on_crashed. @param context the edge */
 void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context);
 /** An engine has ended, though its connections may still be open: its requests are sent to other
@@ -345,13 +368,19 @@
     gboolean sent;           /* FALSE: no byte of the request was sent */
     gboolean engine_aborted; /* the connection ended before the answer was complete */
     gboolean withdrawn;      /* by this node, before a byte was sent: the engine isn't at fault */
+    gboolean by_peer;        /* on a connection through another node, which may be at fault */
     const char *reason;      /* for logs */
 } wb_attempt_failure_t;
 void wb_exchange_attempt_failed(wb_exchange_t *exchange, const wb_attempt_failure_t *failure);
 
+/* Reaching engines: engine_connect.c. */
+/** Record whether an engine was reached. @param request_id for logs */
+void wb_edge_note_reach(wb_edge_t *edge, wb_engine_t *engine, wb_reach_result_t result,
+                        const char *request_id);
+
 /* Attempts and the pool of connections to engines: attempt.c. */
-/** @return the attempt, owned by itself until it ends; NULL when no connection could be started */
-wb_attempt_t *wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine);
+/** Start an attempt, which is owned by itself until it ends. It doesn't end inside this call. */
+void wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine);
 /** Cancel the attempt: its connection is closed. */
 void wb_attempt_cancel(wb_attempt_t *attempt);
 void wb_attempt_set_reading(wb_attempt_t *attempt, gboolean reading);
--- a/tests/edge/test_reach.c
+++ b/tests/edge/test_reach.c
@@ -13,6 +13,7 @@
 /* Time for another node to take the lease over, and for its orders to be allowed. */
 #define HANDOVER_MS 6000
 #define HEAL_US 2000000
+#define LOG_MS 1000
 /* Longer than the stand-in's engines keep idle connections. */
 #define KEEP_ALIVE_US 5500000
 
@@ -51,7 +52,7 @@
 }
 
 static estate_t *start(int nodes) {
-    estate_t *estate = estate_start(nodes, FLAGS);
+    estate_t *estate = estate_start_partitionable(nodes, FLAGS);
     estate_wait_controller(estate, 8000);
     g_usleep(1000000);
     return estate;
@@ -126,6 +127,14 @@
     estate_stop(estate);
 }
 
+/* Log lines are written some time after their event. */
+static gboolean log_has_soon(const estate_t *estate, int node, const char *text) {
+    int64_t until_ms = harness_now_ms() + LOG_MS;
+    while (!estate_log_has(estate, node, text) && harness_now_ms() < until_ms)
+        g_usleep(20000);
+    return estate_log_has(estate, node, text);
+}
+
 /* Where no node reaches any engine, the lease isn't handed round, and refusals name the reason. */
 static void test_nobody_reaches_engines(void) {
     estate_t *estate = start(3);
@@ -137,7 +146,7 @@
     for (int i = 0; i < 3; i++) {
         g_autofree char *id = g_strdup_printf("n-%d", i);
         g_assert_false(is_served(estate, i, "/chat/x", id, EDGE_MODEL("m0")));
-        g_assert_true(estate_log_has(estate, i, "\"ending\":\"unreachable\""));
+        g_assert_true(log_has_soon(estate, i, "\"ending\":\"unreachable\""));
     }
     g_usleep(CUT_DETECTION_US);
     g_assert_cmpint(estate_wait_controller(estate, HANDOVER_MS), ==, controller);
--- a/tests/fuzz/fuzz_control_check.c
+++ b/tests/fuzz/fuzz_control_check.c
@@ -141,6 +141,7 @@
                                          blocked_ms,
                                          placement_update_ignore,
                                          engine_response_ignore,
+                                         engine_response_ignore,
                                          GINT_TO_POINTER(i)};
         simulation->nodes[i].controller =
             wb_controller_create(NULL, settings, &sim_dialect, simulation->nodes[i].fleet,
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -208,8 +208,12 @@
     argument_add(arguments, "--advertise-nodes=127.0.0.1:%d", estate->link_proxy_ports[index]);
     argument_add(arguments, "--listen-operators=127.0.0.1:%d", node->metrics_port);
     argument_add(arguments, "--store=127.0.0.1:%d", estate->store_proxy_ports[index]);
-    if (!node->older) /* which doesn't know the setting */
+    if (!node->older) { /* which doesn't know these settings */
         argument_add(arguments, "--bind-host=" NODE_HOST, index + 1);
+        argument_add(arguments, "--listen-tunnels=127.0.0.1:%d", node->tunnels_port);
+        argument_add(arguments, "--advertise-tunnels=127.0.0.1:%d",
+                     estate->tunnel_proxy_ports[index]);
+    }
     argument_add(arguments, "--engine-heartbeat-ms=300");
     argument_add(arguments, "--log-lines-per-s=10000");
     g_autofree char *all_flags =
@@ -259,6 +263,10 @@
                                estate->store_port);
         estate->link_proxy_ports[i] = port_find();
         estate->nodes[i].nodes_port = port_find();
+        estate->tunnel_proxy_ports[i] = port_find();
+        estate->nodes[i].tunnels_port = port_find();
+        g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->tunnel_proxy_ports[i],
+                               estate->nodes[i].tunnels_port);
         g_string_append_printf(relays, "127.0.0.1:%d=127.0.0.1:%d,", estate->link_proxy_ports[i],
                                estate->nodes[i].nodes_port);
     }
@@ -320,6 +328,10 @@
     relay_fault(estate, estate->link_proxy_ports[node], fault, delay_ms, 0, 0);
 }
 
+void estate_tunnel_fault(const estate_t *estate, int node, const char *fault, int delay_ms) {
+    relay_fault(estate, estate->tunnel_proxy_ports[node], fault, delay_ms, 0, 0);
+}
+
 void estate_partition(const estate_t *estate, unsigned nodes, unsigned engines, const char *how) {
     g_autoptr(GString) hosts = g_string_new(NULL);
     for (int i = 0; i < estate->node_count; i++)
@@ -358,7 +370,7 @@
     return node_add(estate, FALSE, NULL);
 }
 
-/* Starts one of the engines of the default configuration; its row names its proxy. */
+/* Starts one of the engines of the default configuration. */
 static void engine_start(const estate_t *estate, int index) {
     static const char *const options[ESTATE_ENGINES] = {
         "\"service\":\"lock\",\"zone\":\"zone-1\",\"work_ms\":10",
@@ -368,16 +380,19 @@
         "\"service\":\"llm\",\"zone\":\"zone-2\",\"streams\":1,\"models\":[\"m0\",\"m2\"],"
         "\"load_ms\":200,\"weights_mb\":2100"};
     static const char *const names[ESTATE_ENGINES] = {"lock-1", "lock-2", "llm-1", "llm-2"};
-    estate_command(estate,
-                   "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{%s,\"port\":%d,"
-                   "\"announce_port\":%d}}",
-                   names[index], options[index], estate->engine_ports[index],
-                   estate->engine_proxy_ports[index]);
+    g_autofree char *ports =
+        index < estate->proxied_engines
+            ? g_strdup_printf(",\"port\":%d,\"announce_port\":%d", estate->engine_ports[index],
+                              estate->engine_proxy_ports[index])
+            : g_strdup("");
+    estate_command(estate, "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{%s%s}}",
+                   names[index], options[index], ports);
 }
 
 static estate_t *estate_create(int nodes, int older, const char *node_flags,
-                               const char *const *flags) {
+                               const char *const *flags, int proxied_engines) {
     estate_t *estate = g_new0(estate_t, 1);
+    estate->proxied_engines = proxied_engines;
     const char *build = g_getenv("WICKBRIDGE_BUILD");
     g_assert_nonnull(build);
     estate->files.build = g_strdup(build);
@@ -398,15 +413,19 @@
 }
 
 estate_t *estate_start(int nodes, const char *node_flags) {
-    return estate_create(nodes, 0, node_flags, NULL);
+    return estate_create(nodes, 0, node_flags, NULL, ESTATE_LOCK_ENGINES);
+}
+
+estate_t *estate_start_partitionable(int nodes, const char *node_flags) {
+    return estate_create(nodes, 0, node_flags, NULL, ESTATE_ENGINES);
 }
 
 estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags) {
-    return estate_create(nodes, 0, node_flags, flags);
+    return estate_create(nodes, 0, node_flags, flags, ESTATE_LOCK_ENGINES);
 }
 
 estate_t *estate_start_builds(int nodes, int older, const char *node_flags) {
-    return estate_create(nodes, older, node_flags, NULL);
+    return estate_create(nodes, older, node_flags, NULL, ESTATE_LOCK_ENGINES);
 }
 
 void estate_stop(estate_t *estate) {
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -4,10 +4,10 @@
  *
  * Engines: llm-1 (models m0, m1; zone-1) and llm-2 (m0, m2; zone-2) of the service "llm", lock-1
  * and lock-2 of the service "lock". Connections to the store, links between nodes and connections
- * to engines go through a proxy that injects faults. Each node connects to engines from a loopback
- * address of its own, by which the proxy tells nodes apart. Times are in ms. Functions without a
- * result abort the test through a GLib assertion when they fail. Only processes that the harness
- * started are signalled, by their ids.
+ * to the lock engines go through a proxy that injects faults. Each node connects to engines from a
+ * loopback address of its own, by which the proxy tells nodes apart. Times are in ms. Functions
+ * without a result abort the test through a GLib assertion when they fail. Only processes that the
+ * harness started are signalled, by their ids.
  */
 #ifndef WICKBRIDGE_TEST_ESTATE_H
 #define WICKBRIDGE_TEST_ESTATE_H
@@ -21,6 +21,7 @@
     int clients_port;
     int ready_port;
     int nodes_port;
+    int tunnels_port;
     int metrics_port;
     int launches;
     gboolean older;    /**< runs the build in WICKBRIDGE_OLDER_BUILD */
@@ -42,6 +43,8 @@
     int proxy_control_port;
     int store_proxy_ports[ESTATE_NODES];    /**< proxy port per node, to the store */
     int link_proxy_ports[ESTATE_NODES];     /**< proxy port per node, for other nodes */
+    int tunnel_proxy_ports[ESTATE_NODES];   /**< proxy port per node, for its tunnels */
+    int proxied_engines;                    /**< the first so many of ESTATE_ENGINES have a proxy */
     int engine_proxy_ports[ESTATE_ENGINES]; /**< proxy port per engine */
     int engine_ports[ESTATE_ENGINES];
     int64_t catalog_version;
@@ -56,6 +59,9 @@
 estate_t *estate_start(int nodes, const char *node_flags);
 /** As estate_start. @param flags additional flags per node */
 estate_t *estate_start_each(int nodes, const char *node_flags, const char *const *flags);
+/** As estate_start. All engines are behind the proxy, so that nodes can be cut off from them
+ * (estate_partition); an engine that has ended then accepts connections and closes them. */
+estate_t *estate_start_partitionable(int nodes, const char *node_flags);
 /** As estate_start; the first `older` nodes run the older build. */
 estate_t *estate_start_builds(int nodes, int older, const char *node_flags);
 /** Kill all processes and free; the logs are kept if the test has failed. */
@@ -87,15 +93,17 @@
 void estate_store_rate(const estate_t *estate, int node, int bytes_per_s);
 /** Limit the bytes per second on links that other nodes open to a node. */
 void estate_link_rate(const estate_t *estate, int node, int bytes_per_s);
+/** Inject a fault on tunnels that other nodes open through a node. */
+void estate_tunnel_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
 /** Inject a fault on links that other nodes open to a node, for orders and updates. */
 void estate_link_fault(const estate_t *estate, int node, const char *fault, int delay_ms);
-/** Cut nodes off from engines, and no others: a node with bit 1 << index in `nodes`, from an engine
- * with bit 1 << index (as in ESTATE_ENGINES) in `engines`. Nodes of the older build can't be cut
- * off.
+/** Cut nodes off from engines behind the proxy, and no others: a node with bit 1 << index in
+ * `nodes`, from an engine with bit 1 << index (as in ESTATE_ENGINES) in `engines`. Nodes of the
+ * older build can't be cut off.
  * @param how "silent", "reset" or "new", as wb-standin-proxy names partitions */
 void estate_partition(const estate_t *estate, unsigned nodes, unsigned engines, const char *how);
-/** Inject a fault between all nodes and an engine (as in ESTATE_ENGINES). @param bytes passed
- * before the fault @param times number of connections, 0: all */
+/** Inject a fault between all nodes and an engine (as in ESTATE_ENGINES) behind the proxy. @param
+ * bytes passed before the fault @param times number of connections, 0: all */
 void estate_engine_fault(const estate_t *estate, int engine, const char *fault, int bytes,
                          int times);
 /** Send a control command to the stand-in. @param format printf format of the command's JSON */
--- a/tests/unit/test_crash_watch.c
+++ b/tests/unit/test_crash_watch.c
@@ -46,7 +46,7 @@
         wb_tcp_listener_close(fixture->listener);
         fixture->listener = NULL;
     }
-    wb_crash_watch_events_t events = {on_crashed, fixture};
+    wb_crash_watch_events_t events = {.on_crashed = on_crashed, .context = fixture};
     fixture->watch =
         wb_crash_watch_create(fixture->loop, &fixture->settings, &fixture->metrics, &events);
     return fixture;
