A lease holder that reaches no engine hands the lease over

What callers saw: while the holder was cut off from engines, nobody's models were loaded: refusals (503, not-loaded) also at nodes that reached all engines.

Cause: the lease tells that its holder reaches the store, and nothing asked whether it can do what it holds it for. Class: a leader judged by its heartbeat alone.

Change: a call to an engine without a response makes the holder find out whether other nodes reach the engine. Isolated for 200 ms, it writes its row as released (wb_lease_hand_over) and orders nothing more; isolated nodes attempt a takeover 3 s after all others. Engines that it may have ordered wait for a successor as after any handover. Orders never go through another node: engines would see two holders. Where nobody reaches engines, nobody is isolated and the lease stays.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -53,6 +53,7 @@
     uint64_t tunnels_refused; /**< other nodes' questions that led to no connection */
     uint64_t tunnel_bytes;    /**< passed for other nodes */
     uint64_t isolations;      /**< times that this node reached few engines, and others did */
+    uint64_t lease_handovers; /**< times that it handed the lease over for that reason */
     wb_store_calls_t store_calls;
     uint64_t store_rollbacks;       /**< times that the store was found to have gone back */
     uint64_t store_reads_discarded; /**< full reads that were older than what was known */
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -135,6 +135,10 @@
 void wb_lease_on_store_recovered(wb_lease_t *lease, int64_t now_ms);
 /** Release the lease at the next write, and never take it over again. */
 void wb_lease_release(wb_lease_t *lease);
+/** Release the lease at the next write, for another node to take it over; a no-op unless it is
+ * held. From now on no order may be sent. This node takes it over again only as any other does,
+ * after the delay of wb_lease_set_takeover_delay. */
+void wb_lease_hand_over(wb_lease_t *lease, int64_t now_ms);
 /** @return TRUE while a requested release has not taken effect, as far as known */
 gboolean wb_lease_release_is_pending(const wb_lease_t *lease);
 
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -45,6 +45,7 @@
     int64_t written_sent_ms;
     wb_lease_predecessor_t predecessor; /* from the last row of another process */
     gboolean releasing;
+    gboolean handing_over;            /* the lease is released at the next write, for others */
     gboolean was_released;            /* this process doesn't take the lease again */
     int64_t holder_priority_until_ms; /* no takeover before this, so that a holder can renew */
     double takeover_fraction;         /* random share of takeover_spread_ms, 0 to 1 */
@@ -111,9 +112,10 @@
 static void own_row_apply(wb_lease_t *lease, int64_t sent_ms) {
     lease->own_token = lease->known.token;
     wb_lease_grants_on_written(lease->grants, lease->known.beat);
-    if (lease->known.released)
-        lease->was_released = TRUE;
-    else if (!lease->releasing)
+    if (lease->known.released) {
+        lease->was_released = lease->releasing;
+        lease->handing_over = FALSE;
+    } else if (!lease->releasing && !lease->handing_over)
         lease->held_until_ms = MAX(lease->held_until_ms, sent_ms + lease->settings.duration_ms);
 }
 
@@ -174,6 +176,13 @@
            is_own(lease, &lease->known) && !lease->known.released;
 }
 
+/* Whether the known row is of this machine, and was not handed over by this process. */
+static gboolean may_resume(const wb_lease_t *lease) {
+    gboolean handed_over =
+        lease->known.released && lease->own_token != 0 && lease->known.token == lease->own_token;
+    return is_own(lease, &lease->known) && !handed_over;
+}
+
 /* Time until which the holder of the known row may send orders, as far as this node can tell. */
 static int64_t holder_expires_ms(const wb_lease_t *lease) {
     const wb_lease_settings_t *settings = &lease->settings;
@@ -184,7 +193,7 @@
 
 /* Time from which the lease may be taken over if the row doesn't change. */
 static int64_t takeover_at_ms(const wb_lease_t *lease) {
-    gboolean is_free = lease->known.holder == NULL || is_own(lease, &lease->known);
+    gboolean is_free = lease->known.holder == NULL || may_resume(lease);
     if (is_free && !lease->copied)
         return lease->version_since_ms;
     return MAX(holder_expires_ms(lease), lease->holder_priority_until_ms);
@@ -193,7 +202,7 @@
 /* Delay of this node's takeover after takeover_at_ms, so that nodes don't all try at the same time.
  */
 static int64_t takeover_delay_ms(const wb_lease_t *lease) {
-    if (is_own(lease, &lease->known) && !lease->copied)
+    if (may_resume(lease) && !lease->copied)
         return 0;
     return lease->takeover_min_delay_ms +
            (int64_t)(lease->takeover_fraction * (double)lease->takeover_spread_ms);
@@ -245,7 +254,8 @@
     if (lease->writing || lease->version < 0 || now_ms < lease->retry_at_ms)
         return FALSE;
     if (is_holding(lease))
-        return lease->releasing || wb_lease_grants_has_pending(lease->grants) ||
+        return lease->releasing || lease->handing_over ||
+               wb_lease_grants_has_pending(lease->grants) ||
                now_ms - lease->last_write_ms >= lease->settings.renew_ms;
     if (lease->releasing || lease->was_released)
         return FALSE;
@@ -263,11 +273,12 @@
                            .beat = ++lease->beat,
                            .era = MAX(wb_store_version_era(lease->version), 0)};
     if (is_holding(lease)) {
-        next.released = lease->releasing;
-        if (lease->releasing)
+        next.released = lease->releasing || lease->handing_over;
+        if (next.released)
             lease->held_until_ms = 0; /* send no more orders */
     } else {
         next.token = next_token(lease);
+        lease->handing_over = FALSE;
         takeover_begin(lease, now_ms);
     }
     wb_lease_grants_fill_row(lease->grants, &next, now_ms);
@@ -361,6 +372,13 @@
     lease->releasing = TRUE;
 }
 
+void wb_lease_hand_over(wb_lease_t *lease, int64_t now_ms) {
+    if (!wb_lease_is_held(lease, now_ms))
+        return;
+    lease->handing_over = TRUE;
+    lease->held_until_ms = 0; /* send no more orders */
+}
+
 gboolean wb_lease_release_is_pending(const wb_lease_t *lease) {
     return lease->releasing && is_holding(lease);
 }
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -92,6 +92,8 @@
          metrics->tunnel_bytes},
         {"isolations_total", "Times that this node reached few engines while others did.",
          metrics->isolations},
+        {"lease_handovers_total", "Times that this node handed the lease over, being isolated.",
+         metrics->lease_handovers},
         {"store_calls_total", "Calls to the store.", wb_store_calls_sum(&metrics->store_calls)},
         {"store_failures_total", "Calls to the store without a good answer.",
          metrics->store_calls.failed},
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -18,6 +18,8 @@
 /* Delay before weaker machines attempt a takeover, so that the strongest go first: the spread of a
  * few nodes and one write to the store. */
 #define TAKEOVER_WEAK_DELAY_MS 300
+/* Delay before isolated nodes attempt one, as they could send no orders: all others go first. */
+#define TAKEOVER_ISOLATED_DELAY_MS 3000
 /* A machine is strong if its processor share is at least this ratio of the largest. */
 #define STRONG_PROCESSOR_RATIO 0.8
 
@@ -185,7 +187,10 @@
     }
     gboolean strong = own >= STRONG_PROCESSOR_RATIO * strongest;
     int64_t candidates = strong ? strong_count : (int64_t)node->edge.node_count;
-    wb_lease_set_takeover_delay(node->lease, strong ? 0 : TAKEOVER_WEAK_DELAY_MS,
+    int64_t first_ms = strong ? 0 : TAKEOVER_WEAK_DELAY_MS;
+    if (node->edge.isolated_since_ms != 0)
+        first_ms += TAKEOVER_ISOLATED_DELAY_MS;
+    wb_lease_set_takeover_delay(node->lease, first_ms,
                                 MAX(TAKEOVER_SPREAD_MS, TAKEOVER_GAP_MS * candidates));
 }
 
--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -1,5 +1,5 @@
 /* Reaching engines through other nodes: which nodes can be asked, the server for those that ask
- * this one. Times are in ms. */
+ * this one, and what being isolated means for the lease. Times are in ms. */
 #include "edge/edge_node_types.h"
 
 #include <string.h>
@@ -10,6 +10,8 @@
 #define MAX_TUNNELS 512
 /* Delay between the connections by which this node finds out whether it is isolated. */
 #define PROBE_INTERVAL_MS 100
+/* How long a holder is isolated before it hands the lease over. */
+#define HANDOVER_DELAY_MS 200
 
 const char *wb_edge_node_tunnel_address(const wb_edge_node_t *node) {
     const wb_edge_settings_t *settings = &node->edge.settings;
@@ -149,6 +151,20 @@
         probe_start(node, untried, now_ms);
 }
 
+/* A holder that can't order engines which others can hands the lease over. */
+static void holder_check(wb_edge_node_t *node, int64_t now_ms) {
+    wb_edge_t *edge = &node->edge;
+    if (!node->lease_held || edge->isolated_since_ms == 0 ||
+        now_ms - edge->isolated_since_ms < HANDOVER_DELAY_MS)
+        return;
+    edge->metrics.lease_handovers++;
+    wb_event("lease-handed-over", ",\"token\":%llu",
+             (unsigned long long)wb_lease_token(node->lease));
+    wb_lease_hand_over(node->lease, now_ms);
+    wb_edge_node_check_lease(node);
+}
+
 void wb_edge_node_tick_tunnels(wb_edge_node_t *node, int64_t now_ms) {
     isolation_update(node, now_ms);
+    holder_check(node, now_ms);
 }
--- a/tests/fuzz/fuzz_lease_check.c
+++ b/tests/fuzz/fuzz_lease_check.c
@@ -23,6 +23,9 @@
 #define MAX_PENDING_WRITES 32
 #define ENGINES 8
 #define FIRST_ERA 1
+/* One in so many steps of a node is a handover, if it holds the lease. */
+#define HANDOVER_STEPS 1500
+#define HANDOVER_SEED 1000000
 /* Rollbacks begin once the copy certainly has the row. */
 #define FIRST_ROLLBACK_MS 12000
 #define ROLLBACK_MAX_MS 8000
@@ -65,6 +68,7 @@
 
 typedef struct world_t {
     GRand *random;
+    GRand *handover_random; /* for handovers alone */
     int64_t now_ms;
     node_t nodes[NODES];
     pending_write_t pending[MAX_PENDING_WRITES];
@@ -311,6 +315,20 @@
         node_order_engine(world, index, local_ms);
 }
 
+/* A holder that reaches no engine hands its lease over, and waits longer than others. Draws from a
+ * generator of its own, so that the other faults of a seed stay the same. */
+static void handover_step(world_t *world) {
+    for (int i = 0; i < NODES; i++) {
+        node_t *node = &world->nodes[i];
+        if (g_rand_int_range(world->handover_random, 0, HANDOVER_STEPS) != 0 ||
+            world->now_ms < node->frozen_until_ms)
+            continue;
+        wb_lease_hand_over(node->lease, world->now_ms + node->clock_offset_ms);
+        wb_lease_set_takeover_delay(node->lease, g_rand_int_range(world->handover_random, 0, 3000),
+                                    200);
+    }
+}
+
 static void faults_step(world_t *world) {
     node_t *node = &world->nodes[random_between(world, 0, NODES)];
     if (chance(world, 2))
@@ -329,6 +347,7 @@
         wb_lease_release(node->lease);
     if (chance(world, 1))
         roll_back(world);
+    handover_step(world);
 }
 
 static void world_free(world_t *world) {
@@ -340,6 +359,7 @@
     wb_lease_row_clear(&world->lost_row);
     g_array_unref(world->history);
     g_rand_free(world->random);
+    g_rand_free(world->handover_random);
 }
 
 /* Runs one seed. Returns the violated invariant, or NULL. */
@@ -349,6 +369,7 @@
     world.history = g_array_new(FALSE, FALSE, sizeof(row_state_t));
     g_array_set_clear_func(world.history, row_state_clear);
     world.random = g_rand_new_with_seed(seed);
+    world.handover_random = g_rand_new_with_seed(seed + HANDOVER_SEED);
     g_random_set_seed(seed);
     for (int i = 0; i < ENGINES; i++)
         world.engines[i].last_node = -1;
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -87,6 +87,83 @@
     wb_lease_free(b);
 }
 
+/* Guards against a holder that goes on ordering after it has handed the lease over, or that takes
+ * it back before others could. */
+static void test_lease_handed_over(void) {
+    wb_lease_settings_t first = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_settings_t second = {"b", "1.1.1.2:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *a = wb_lease_create(&first);
+    wb_lease_t *b = wb_lease_create(&second);
+    store_row_t store = {{0}, 0};
+    wb_lease_on_row(a, NULL, 0, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    g_assert_cmpint(wb_lease_authorize_order(a, "e1", 105), ==, -1);
+    g_assert_true(lease_write(a, &store, 105));
+    g_assert_cmpint(wb_lease_authorize_order(a, "e1", 105), ==, 0);
+    wb_lease_hand_over(a, 200);
+    g_assert_false(wb_lease_is_held(a, 200));
+    g_assert_true(lease_write(a, &store, 200));
+    g_assert_true(store.row.released);
+    wb_lease_set_takeover_delay(a, 3000, 0);
+    wb_lease_set_takeover_delay(b, 0, 0);
+    g_assert_false(lease_write(a, &store, 3199));
+    wb_lease_on_row(b, &store.row, store.version, 210);
+    g_assert_true(lease_write(b, &store, 210));
+    g_assert_true(wb_lease_is_held(b, 210));
+    /* The engine that a may have ordered waits, as after any handover. */
+    g_assert_cmpint(wb_lease_authorize_order(b, "e1", 210), >=, 3000);
+    /* Once b is gone, a takes it over as any other node, and keeps it. */
+    wb_lease_on_row(a, &store.row, store.version, 220);
+    int64_t taken_ms = wb_lease_takeover_at_ms(a) + 3000;
+    g_assert_true(lease_write(a, &store, taken_ms));
+    g_assert_cmpuint(wb_lease_token(a), ==, 3);
+    g_assert_true(lease_write(a, &store, taken_ms + 600));
+    g_assert_false(store.row.released);
+    g_assert_true(wb_lease_is_held(a, taken_ms + 600));
+    wb_lease_free(a);
+    wb_lease_free(b);
+}
+
+/* If no other node takes it, the lease returns to the one that handed it over, after its delay. */
+static void test_lease_handed_over_to_nobody(void) {
+    wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *lease = wb_lease_create(&settings);
+    store_row_t store = {{0}, 0};
+    wb_lease_on_row(lease, NULL, 0, 100);
+    g_assert_true(lease_write(lease, &store, 100));
+    wb_lease_hand_over(lease, 200);
+    g_assert_true(lease_write(lease, &store, 200));
+    wb_lease_set_takeover_delay(lease, 3000, 0);
+    g_assert_false(lease_write(lease, &store, 3199));
+    g_assert_true(lease_write(lease, &store, 3200));
+    g_assert_true(wb_lease_is_held(lease, 3200));
+    g_assert_cmpuint(wb_lease_token(lease), ==, 2);
+    wb_lease_free(lease);
+}
+
+/* A handover that was overtaken by another holder doesn't release a later lease. */
+static void test_lease_handover_overtaken(void) {
+    wb_lease_settings_t first = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
+    wb_lease_settings_t second = {"b", "1.1.1.2:1", 1600, 500, 3000, 200, 900};
+    wb_lease_t *a = wb_lease_create(&first);
+    wb_lease_t *b = wb_lease_create(&second);
+    store_row_t store = {{0}, 0};
+    wb_lease_set_takeover_delay(a, 0, 0);
+    wb_lease_set_takeover_delay(b, 0, 0);
+    wb_lease_on_row(a, NULL, 0, 100);
+    g_assert_true(lease_write(a, &store, 100));
+    wb_lease_on_row(b, &store.row, store.version, 110);
+    wb_lease_hand_over(a, 200); /* and a can't write */
+    g_assert_true(lease_write(b, &store, wb_lease_takeover_at_ms(b)));
+    wb_lease_on_row(a, &store.row, store.version, 2000);
+    int64_t taken_ms = wb_lease_takeover_at_ms(a);
+    g_assert_true(lease_write(a, &store, taken_ms));
+    g_assert_true(lease_write(a, &store, taken_ms + 600));
+    g_assert_false(store.row.released);
+    wb_lease_free(a);
+    wb_lease_free(b);
+}
+
 /* A write whose answer was lost takes effect from when it was sent, once the row shows it. */
 static void test_lease_lost_answer(void) {
     wb_lease_settings_t settings = {"a", "1.1.1.1:1", 1600, 500, 3000, 200, 900};
@@ -365,6 +442,9 @@
     g_test_add_func("/lease/lost-answer", test_lease_lost_answer);
     g_test_add_func("/lease/restart", test_lease_restart);
     g_test_add_func("/lease/rollback/holder-goes-on", test_lease_rollback_holder_goes_on);
+    g_test_add_func("/lease/handed-over", test_lease_handed_over);
+    g_test_add_func("/lease/handed-over-to-nobody", test_lease_handed_over_to_nobody);
+    g_test_add_func("/lease/handover-overtaken", test_lease_handover_overtaken);
     g_test_add_func("/lease/rollback/released-row", test_lease_rollback_released_row);
     g_test_add_func("/lease/rollback/expired-holder", test_lease_rollback_expired_holder);
     g_test_add_func("/lease/rollback/without-row", test_lease_rollback_without_row);
