Soak: nodes that are cut off from engines (bit 16384); an engine that two nodes find refusing isn't asked for again

- When the engine's address refuses this node and another one, the engine has ended: no third node is asked.

--- a/src/request/engine_connect.c
+++ b/src/request/engine_connect.c
@@ -20,11 +20,12 @@
     const wb_engine_connect_events_t *events; /* NULL: the caller needs nothing more */
     void *context;
     wb_tcp_stream_t *direct; /* NULL: not under way */
-    gboolean direct_failed;
+    gboolean direct_refused;
     const char *direct_reason;
     wb_peer_attempt_t peers[MAX_PEERS];
     unsigned peers_asked;
     unsigned engine_failures; /* answers of nodes that didn't reach the engine */
+    gboolean refused_by_peer; /* nothing listens at the engine's address, another node found */
     gboolean no_more_peers;
     GHashTable *asked;  /* set of ids */
     wb_timer_t *timer;  /* for the next peer */
@@ -138,6 +139,7 @@
         edge->metrics.tunnels_failed++;
         connect->engine_failures +=
             outcome == WB_TUNNEL_ENGINE_FAILED || outcome == WB_TUNNEL_ENGINE_REFUSED;
+        connect->refused_by_peer |= outcome == WB_TUNNEL_ENGINE_REFUSED;
         peer_ask_next(connect);
         end_check(connect);
         return;
@@ -160,6 +162,7 @@
     timer_stop(&connect->timer);
     connect->no_more_peers =
         connect->peers_asked == MAX_PEERS || edge->choose_peer == NULL ||
+        (connect->refused_by_peer && connect->direct_refused) ||
         !wb_engine_reach_may_ask_peers(&connect->engine->reach, wb_clock_ms()) ||
         !edge->choose_peer(connect->asked, &peer, edge->node_context);
     if (connect->no_more_peers)
@@ -196,7 +199,6 @@
 
 /* The direct attempt has failed; another node may have succeeded before. */
 static void direct_lost(wb_engine_connect_t *connect, const char *reason) {
-    connect->direct_failed = TRUE;
     connect->direct_reason = reason;
     connect->engine->reach.failed_ms = wb_clock_ms();
     if (connect->events == NULL)
@@ -210,6 +212,7 @@
     wb_engine_connect_t *connect = context;
     connect->direct = NULL;
     wb_tcp_stream_close(stream);
+    connect->direct_refused = how == WB_TCP_END_REFUSED;
     direct_lost(connect, how == WB_TCP_END_REFUSED ? "refused" : "unreached");
 }
 
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -169,7 +169,7 @@
     for (int i = 0; !g_atomic_int_get(&soak->poison_stop); i++) {
         soak_request_t request = {.node = g_rand_int_range(client->rand, 0, soak->nodes),
                                   .path = path};
-        g_snprintf(request.id, sizeof(request.id), "p%d-%d", client->number, i);
+        g_snprintf(request.id, sizeof(request.id), SOAK_POISON_ID "%d-%d", client->number, i);
         soak_request_send(soak, &request, &client->connections[request.node], headers,
                           SOAK_POISON_BODY);
         g_usleep((gulong)g_rand_int_range(client->rand, 0, 400) * 1000);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -348,6 +348,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->has_partitions && g_rand_int_range(soak->rand, 0, 4) == 0) {
+        return &soak_partition_fault;
+    }
     if (soak->only_rollbacks) {
         return calm_kind_draw(soak);
     }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -36,6 +36,9 @@
 /** Drop the store's history. */
 void soak_store_compact(soak_fault_t *fault, soak_t *soak);
 
+/* partitions.c */
+extern const soak_fault_kind_t soak_partition_fault;
+
 #define SOAK_CONFIG_FAULTS 2
 #define SOAK_ROLLBACK_FAULTS 2
 extern const soak_fault_kind_t soak_config_faults[SOAK_CONFIG_FAULTS];
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -98,7 +98,11 @@
     soak.drains = g_array_new(FALSE, FALSE, sizeof(soak_drain_t));
     soak.requests = g_array_new(FALSE, FALSE, sizeof(soak_request_t));
     soak.failures = g_ptr_array_new_with_free_func(g_free);
-    soak.estate = estate_start(soak.nodes, flags);
+    /* Bit 14. The older build connects to engines itself or not at all. */
+    soak.has_partitions = seed / 16384 % 2 == 1 && seed / 256 % 2 == 0;
+    soak.partitions = g_array_new(FALSE, FALSE, sizeof(soak_partition_t));
+    soak.estate = soak.has_partitions ? estate_start_partitionable(soak.nodes, flags)
+                                      : estate_start(soak.nodes, flags);
     soak.has_poison = seed / 16 % 2 == 0;
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
@@ -151,6 +155,7 @@
     soak_config_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
+    g_array_unref(soak.partitions);
     g_array_unref(soak.requests);
     g_ptr_array_unref(soak.failures);
     g_rand_free(soak.rand);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -52,6 +52,13 @@
     int64_t to_ms;
 } soak_evacuation_t;
 
+/** A time during which nodes were cut off from all engines. */
+typedef struct soak_partition_t {
+    unsigned nodes; /* bit 1 << index for each */
+    int64_t from_ms;
+    int64_t to_ms;
+} soak_partition_t;
+
 /** A request as its client saw it. */
 typedef struct soak_request_t {
     char id[32];
@@ -96,6 +103,8 @@
     gboolean has_rollbacks;     /* the store comes back from older copies */
     gboolean
         only_rollbacks; /* and nothing else is disturbed, so that all checks apply between them */
+    gboolean has_partitions;             /* nodes are cut off from engines */
+    GArray *partitions;                  /* of soak_partition_t */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
     config_oracle_t *configurations;     /* what the operator wrote; guarded by the lock */
     int retry_slack;                     /* retries in a window beyond the ratio */
@@ -114,6 +123,13 @@
     return json_integer_value(json_object_get(object, name));
 }
 
+#define SOAK_POISON_ID "p" /* begins the ids of requests that crash engines, and of no others */
+
+/** @return TRUE if the request is one that crashes engines */
+static inline gboolean soak_is_poison(const soak_request_t *request) {
+    return g_str_has_prefix(request->id, SOAK_POISON_ID);
+}
+
 /** Record a failed check. Any thread. */
 void soak_fail(soak_t *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
 /* spans.c */
@@ -172,6 +188,10 @@
  * are ready. */
 void soak_faults_run(soak_t *soak, int64_t duration_ms);
 
+/* partitions.c */
+/** Compare what nodes served that were cut off from engines with what the others did. */
+void soak_partitions_check(soak_t *soak);
+
 /* state_checks.c */
 /** Compare what engines received with the limits, backoff and draining that they reported. */
 void soak_states_check(soak_t *soak, const json_t *seen);
