Brittle engines: nodes share the rejections that an engine survives

- engine_brittle.c: a node's share of N, by rendezvous hashing.
A brittle engine that was full a moment ago gets nothing.
- Nodes tell each other, as an extension of the message with engines' states; a new engine of a service with brittle ones is taken to be brittle before its first response.
- A fall looks like a crash: requests aborted within 2 s of a rejection by a brittle engine of the service are no evidence against what ran.

Not guaranteed: more nodes than N that all send in the same second.

--- a/include/wickbridge/dialect.h
+++ b/include/wickbridge/dialect.h
@@ -48,6 +48,7 @@
     const char *seal;            /**< present: the engine itself produced the response */
     const char *engine_load;     /**< RUNNING,WAITING[,SLOTS[,PACE]] */
     const char *engine_limit;    /**< requests per second that it accepts from all nodes together */
+    const char *engine_brittle;  /**< rejections in a second that it survives, of all nodes */
     const char *engine_draining; /**< "1": it is draining */
     /** HTTP status of a request that reached another engine than the expected one. */
     unsigned wrong_engine_status;
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -15,6 +15,7 @@
 
 #include "wickbridge/cold_engine_share.h"
 #include "wickbridge/engine_limit.h"
+#include "wickbridge/engine_brittle.h"
 #include "wickbridge/engine_pace.h"
 #include "wickbridge/engine_reach.h"
 #include "wickbridge/list.h"
@@ -101,7 +102,9 @@
                                  0: no response is pending */
     int64_t rejected_until_ms; /**< it rejected a request as it was full; assumed full until then */
     wb_engine_limit_t limit;   /**< request rate that it accepts from all nodes together */
-    wb_share_rank_t limit_rank; /**< this node's position among the nodes that share the limit */
+    wb_engine_brittle_t brittle; /**< whether rejecting many requests makes it fall over */
+    wb_share_rank_t limit_rank;  /**< this node's position among the nodes that share its limit and
+                                  the rejections that it survives */
     int64_t limit_share_updated_ms;   /**< when limit_rank was computed; 0: never */
     wb_list_item_t state_update_item; /**< linked while a state update is pending */
     int64_t state_sent_ms;            /**< when that was last sent; 0: never */
--- a/src/dispatch/state_headers.c
+++ b/src/dispatch/state_headers.c
@@ -40,6 +40,18 @@
     state->refused += state->limit_present && !state->limit_valid;
 }
 
+static void parse_brittle(const wb_http_head_t *head, const char *name, wb_state_headers_t *state) {
+    const char *text = NULL;
+    double rejections;
+    unsigned count = count_header(head, name, &text);
+    state->brittle_present = count > 0;
+    state->brittle_valid = count == 1 && parse_number(text, WB_STATE_MAX_REJECTIONS, &rejections);
+    if (state->brittle_valid) {
+        state->rejections = (unsigned)rejections;
+    }
+    state->refused += state->brittle_present && !state->brittle_valid;
+}
+
 static void parse_draining(const wb_http_head_t *head, const char *name,
                            wb_state_headers_t *state) {
     const char *text = NULL;
@@ -68,6 +80,7 @@
 wb_state_headers_t wb_state_headers_parse(const wb_http_head_t *head, const wb_dialect_t *dialect) {
     wb_state_headers_t state = {0};
     parse_limit(head, dialect->engine_limit, &state);
+    parse_brittle(head, dialect->engine_brittle, &state);
     parse_draining(head, dialect->engine_draining, &state);
     parse_backoff(head, &state);
     return state;
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -229,6 +229,7 @@
                                   (int64_t)(settings->poison_trial_s * 1000)};
     edge->poison = wb_poison_registry_create(&poison);
     edge->served = wb_served_set_create();
+    edge->brittle_rejections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
     edge->choose_peer = wb_edge_node_choose_peer;
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -366,13 +366,15 @@
 /** Send changed engine-reported state to the aggregator, or from it to all gateways. */
 void wb_edge_node_tick_states(wb_edge_node_t *node, int64_t now_ms);
 /** Merge engine-reported state received from another node. */
-void wb_edge_node_states_take(wb_edge_node_t *node, const wb_wire_engine_states *states);
+void wb_edge_node_states_take(wb_edge_node_t *node, const wb_wire_engine_states *states,
+                              const wb_wire_extensions *extensions);
 /** An engine reported new state in its response to the controller. @param context the node */
 void wb_edge_node_engine_reported(wb_engine_t *engine, void *context);
 
 /* node_broadcast.c */
-/** Send a message to all gateways of format version 2 or later. */
-void wb_edge_node_broadcast_v2(wb_edge_node_t *node, const wb_wire_message *message);
+/** Send a message to all gateways of format version 2 or later. @param extensions NULL: none */
+void wb_edge_node_broadcast_v2(wb_edge_node_t *node, const wb_wire_message *message,
+                               const wb_wire_extensions *extensions);
 /** Send a message to all gateways. Placement messages are batched for some ms; the order of
  * the messages sent by this function is kept. */
 void wb_edge_node_broadcast(wb_edge_node_t *node, const wb_wire_message *message);
--- a/src/edge/node_broadcast.c
+++ b/src/edge/node_broadcast.c
@@ -33,10 +33,11 @@
     }
 }
 
-void wb_edge_node_broadcast_v2(wb_edge_node_t *node, const wb_wire_message *message) {
+void wb_edge_node_broadcast_v2(wb_edge_node_t *node, const wb_wire_message *message,
+                               const wb_wire_extensions *extensions) {
     g_autoptr(GByteArray) frame = g_byte_array_new();
     wb_error_t error;
-    if (wb_message_encode(message, frame, &error) != APR_SUCCESS) {
+    if (wb_message_encode_with_extensions(message, extensions, frame, &error) != APR_SUCCESS) {
         wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
                  wb_message_kind_name(message->kind), wb_event_escape(error.message));
         return;
--- a/src/edge/node_engine_states.c
+++ b/src/edge/node_engine_states.c
@@ -1,4 +1,4 @@
-/* Engine-reported state (limit, draining), shared between nodes.
+/* Engine-reported state (limit, draining, brittle), shared between nodes.
  * A node that receives new state in a response sends it to the aggregator, which sends it to all
  * gateways. State that came from the aggregator isn't sent back, so nothing loops. Times are sent
  * as ages in ms, so an update that was delayed on a link looks newer than it is by that delay. */
@@ -30,44 +30,79 @@
     engine->state_sent_ms = now_ms;
 }
 
-/* Removes engines from the queue of updates, at most max_count. Returns an array of
- * wb_wire_engine_state whose names are borrowed from the engines. */
-static GArray *states_pop(wb_edge_node_t *node, guint max_count, int64_t now_ms) {
-    GArray *states = g_array_new(FALSE, FALSE, sizeof(wb_wire_engine_state));
+/* Engines' states for a message, and those of them that are or were brittle, for an extension. */
+typedef struct wb_states_t {
+    GArray *states;  /* of wb_wire_engine_state, whose names are borrowed from the engines */
+    GArray *brittle; /* of wb_wire_brittle_engine */
+} wb_states_t;
+
+static wb_states_t states_create(void) {
+    return (wb_states_t){g_array_new(FALSE, FALSE, sizeof(wb_wire_engine_state)),
+                         g_array_new(FALSE, FALSE, sizeof(wb_wire_brittle_engine))};
+}
+
+static void states_free(wb_states_t *states) {
+    g_array_unref(states->states);
+    g_array_unref(states->brittle);
+}
+
+static void states_add(wb_states_t *states, wb_engine_t *engine, int64_t now_ms) {
+    const wb_engine_brittle_t *brittle = &engine->brittle;
+    if (brittle->reported_ms != 0) {
+        wb_wire_brittle_engine wire = {states->states->len, brittle->named, brittle->rejections,
+                                       (u_int)(now_ms - brittle->reported_ms)};
+        g_array_append_val(states->brittle, wire);
+    }
+    wb_wire_engine_state wire;
+    state_write(engine, &wire, now_ms);
+    g_array_append_val(states->states, wire);
+}
+
+/* Removes engines from the queue of updates, at most max_count. */
+static void states_pop(wb_edge_node_t *node, wb_states_t *states, guint max_count, int64_t now_ms) {
     wb_list_t *updates = &node->edge.state_updates;
-    while (updates->len > 0 && states->len < max_count) {
+    while (updates->len > 0 && states->states->len < max_count) {
         wb_engine_t *engine = WB_LIST_OF(wb_list_pop(updates), wb_engine_t, state_update_item);
-        wb_wire_engine_state wire;
-        state_write(engine, &wire, now_ms);
-        g_array_append_val(states, wire);
+        states_add(states, engine, now_ms);
         wb_engine_unref(engine);
     }
-    return states;
 }
 
-static wb_wire_message states_message(const GArray *states) {
+/* Sends the states on a link, or to all gateways. Nothing, if there are none. */
+static void states_send(wb_edge_node_t *node, wb_link_t *link, const wb_states_t *states) {
+    if (states->states->len == 0) {
+        return;
+    }
     wb_wire_message message = {.kind = WB_WIRE_ENGINE_STATES};
-    message.wb_wire_message_u.engine_states.engines.engines_len = states->len;
-    message.wb_wire_message_u.engine_states.engines.engines_val =
-        (wb_wire_engine_state *)(void *)states->data;
-    return message;
+    wb_wire_engine_states *wire = &message.wb_wire_message_u.engine_states;
+    wire->engines.engines_len = states->states->len;
+    wire->engines.engines_val = (wb_wire_engine_state *)(void *)states->states->data;
+    wb_wire_extensions extensions = {0};
+    wb_wire_brittle_engines brittle = {
+        {states->brittle->len, (wb_wire_brittle_engine *)(void *)states->brittle->data}};
+    if (states->brittle->len > 0) {
+        wb_extensions_add(&extensions, WB_WIRE_EXTENSION_BRITTLE,
+                          (xdrproc_t)xdr_wb_wire_brittle_engines, &brittle);
+    }
+    if (link != NULL) {
+        wb_link_send_with_extensions(link, &message, &extensions);
+    } else {
+        wb_edge_node_broadcast_v2(node, &message, &extensions);
+    }
+    wb_extensions_clear(&extensions);
 }
 
 /* Sends all known engine-reported state on a link that was just opened. */
 static void all_states_send(wb_edge_node_t *node, wb_link_t *link, int64_t now_ms) {
-    g_autoptr(GArray) states = g_array_new(FALSE, FALSE, sizeof(wb_wire_engine_state));
+    wb_states_t states = states_create();
     GHashTableIter iter;
     gpointer engine;
     g_hash_table_iter_init(&iter, node->edge.reporting_engines);
-    while (states->len < WB_WIRE_LIST_MAX && g_hash_table_iter_next(&iter, &engine, NULL)) {
-        wb_wire_engine_state wire;
-        state_write(engine, &wire, now_ms);
-        g_array_append_val(states, wire);
-    }
-    if (states->len > 0) {
-        wb_wire_message message = states_message(states);
-        wb_link_send(link, &message);
+    while (states.states->len < WB_WIRE_LIST_MAX && g_hash_table_iter_next(&iter, &engine, NULL)) {
+        states_add(&states, engine, now_ms);
     }
+    states_send(node, link, &states);
+    states_free(&states);
 }
 
 /* Returns the number of engines that fit in a message to each of these nodes. */
@@ -88,12 +123,10 @@
             all_states_send(node, link, now_ms);
         }
     }
-    g_autoptr(GArray) states =
-        states_pop(node, max_engines(node, g_hash_table_size(node->gateways)), now_ms);
-    if (states->len > 0) {
-        wb_wire_message message = states_message(states);
-        wb_edge_node_broadcast_v2(node, &message);
-    }
+    wb_states_t states = states_create();
+    states_pop(node, &states, max_engines(node, g_hash_table_size(node->gateways)), now_ms);
+    states_send(node, NULL, &states);
+    states_free(&states);
 }
 
 static void controller_send(wb_edge_node_t *node, int64_t now_ms) {
@@ -101,11 +134,10 @@
         node->states_sent = TRUE;
         all_states_send(node, node->controller_link, now_ms);
     }
-    g_autoptr(GArray) states = states_pop(node, max_engines(node, 1), now_ms);
-    if (states->len > 0) {
-        wb_wire_message message = states_message(states);
-        wb_link_send(node->controller_link, &message);
-    }
+    wb_states_t states = states_create();
+    states_pop(node, &states, max_engines(node, 1), now_ms);
+    states_send(node, node->controller_link, &states);
+    states_free(&states);
 }
 
 void wb_edge_node_tick_states(wb_edge_node_t *node, int64_t now_ms) {
@@ -132,29 +164,65 @@
     return changed;
 }
 
-void wb_edge_node_states_take(wb_edge_node_t *node, const wb_wire_engine_states *states) {
+/* Returns TRUE when the engine has become brittle, or ceased to be. */
+static gboolean brittle_merge(wb_engine_t *engine, const wb_wire_brittle_engine *wire,
+                              int64_t now_ms) {
+    int64_t as_of_ms = now_ms - (int64_t)wire->age_ms;
+    if (wire->brittle) {
+        return as_of_ms > engine->brittle.reported_ms &&
+               wb_engine_brittle_set(&engine->brittle, wire->rejections, as_of_ms);
+    }
+    return wb_engine_brittle_end(&engine->brittle, as_of_ms - DELAY_MAX_MS);
+}
+
+/* Returns what the message says of the engine at this index, or NULL. */
+static const wb_wire_brittle_engine *brittle_find(const wb_wire_brittle_engines *brittle,
+                                                  guint index) {
+    for (u_int i = 0; i < brittle->engines.engines_len; i++) {
+        if (brittle->engines.engines_val[i].index == index) {
+            return &brittle->engines.engines_val[i];
+        }
+    }
+    return NULL;
+}
+
+/* Applies the state of one engine. Returns TRUE when it is news. */
+static gboolean state_merge(wb_edge_node_t *node, wb_engine_t *engine,
+                            const wb_wire_engine_state *wire, const wb_wire_brittle_engine *brittle,
+                            int64_t now_ms) {
+    gboolean draining =
+        wire->leaving && wb_engine_set_draining(engine, node->edge.settings.drain_ms, now_ms);
+    gboolean brittle_changed = brittle != NULL && brittle_merge(engine, brittle, now_ms);
+    return limit_merge(engine, wire, now_ms) || draining || brittle_changed;
+}
+
+void wb_edge_node_states_take(wb_edge_node_t *node, const wb_wire_engine_states *states,
+                              const wb_wire_extensions *extensions) {
     int64_t now_ms = wb_clock_ms();
     gboolean aggregator = wb_edge_node_is_aggregator(node);
+    wb_wire_brittle_engines brittle = {{0, NULL}};
+    wb_extensions_read(extensions, WB_WIRE_EXTENSION_BRITTLE,
+                       (xdrproc_t)xdr_wb_wire_brittle_engines, &brittle);
     for (guint i = 0; i < states->engines.engines_len; i++) {
         const wb_wire_engine_state *wire = &states->engines.engines_val[i];
         wb_engine_t *engine = wb_fleet_find(node->edge.fleet, wire->engine);
         if (engine == NULL || (int64_t)wire->born_ms != engine->state->born_ms) {
             continue; /* not needed here, or another incarnation is known */
         }
-        gboolean draining =
-            wire->leaving && wb_engine_set_draining(engine, node->edge.settings.drain_ms, now_ms);
-        if (!limit_merge(engine, wire, now_ms) && !draining) {
+        if (!state_merge(node, engine, wire, brittle_find(&brittle, i), now_ms)) {
             continue;
         }
         wb_event("engine-state-news",
-                 ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g,\"leaving\":%s",
+                 ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g,\"leaving\":%s,\"brittle\":%s",
                  wb_event_escape(engine->state->id), engine->limit.named ? "true" : "false",
-                 engine->limit.per_s, engine->drain_reported ? "true" : "false");
+                 engine->limit.per_s, engine->drain_reported ? "true" : "false",
+                 engine->brittle.named ? "true" : "false");
         wb_edge_track_reporting_engine(&node->edge, engine);
         if (aggregator) {
             wb_edge_queue_state_update(&node->edge, engine);
         }
     }
+    xdr_free((xdrproc_t)xdr_wb_wire_brittle_engines, (char *)&brittle);
 }
 
 void wb_edge_node_engine_reported(wb_engine_t *engine, void *context) {
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -156,7 +156,8 @@
     if (message->kind == WB_WIRE_POISON)
         wb_edge_node_poison_take(node, &message->wb_wire_message_u.poison);
     if (message->kind == WB_WIRE_ENGINE_STATES)
-        wb_edge_node_states_take(node, &message->wb_wire_message_u.engine_states);
+        wb_edge_node_states_take(node, &message->wb_wire_message_u.engine_states,
+                                 wb_link_extensions(link));
     if (message->kind == WB_WIRE_CATALOG_FETCH)
         wb_edge_node_catalog_answer(node, link, &message->wb_wire_message_u.catalog_fetch);
     if (message->kind != WB_WIRE_DEMAND)
@@ -253,7 +254,8 @@
     else if (message->kind == WB_WIRE_ENGINE_LOADS)
         wb_edge_node_pace_take_loads(context, &message->wb_wire_message_u.engine_loads);
     else if (message->kind == WB_WIRE_ENGINE_STATES)
-        wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states);
+        wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states,
+                                 wb_link_extensions(link));
     else if (message->kind == WB_WIRE_STORE_UPDATE)
         wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update,
                                  wb_link_extensions(link), wb_edge_node_message_era(context, link));
--- a/src/fleet/engine_response.c
+++ b/src/fleet/engine_response.c
@@ -42,7 +42,8 @@
              wb_event_escape(engine->state->id), response->head->status, invalid);
 }
 
-/* Whether the engine itself made this response and would have included a limit header. */
+/* Whether the engine itself made this response, and would have included its limit and whether it is
+ * brittle. */
 static gboolean must_carry_limit(const wb_engine_response_t *response) {
     const wb_dialect_t *dialect = response->dialect;
     return response->on == WB_RESPONSE_TO_REQUEST &&
@@ -76,6 +77,23 @@
     return TRUE;
 }
 
+/* @return TRUE when other nodes must be notified */
+static gboolean update_brittle(wb_engine_t *engine, const wb_engine_response_t *response,
+                               const wb_state_headers_t *state) {
+    gboolean changed = FALSE;
+    if (state->brittle_valid) {
+        changed = wb_engine_brittle_set(&engine->brittle, state->rejections, response->now_ms);
+    } else if (!state->brittle_present && must_carry_limit(response)) {
+        changed = wb_engine_brittle_end(&engine->brittle, response->sent_ms);
+    }
+    if (changed) {
+        wb_event("engine-brittle", ",\"engine\":\"%s\",\"brittle\":%s,\"rejections\":%u",
+                 wb_event_escape(engine->state->id), engine->brittle.named ? "true" : "false",
+                 engine->brittle.rejections);
+    }
+    return changed;
+}
+
 /* @return TRUE when other nodes must be notified */
 static gboolean update_draining(wb_engine_t *engine, const wb_engine_response_t *response,
                                 const wb_state_headers_t *state, wb_edge_metrics_t *metrics) {
@@ -111,5 +129,6 @@
     log_invalid(engine, response, state.refused, metrics);
     update_backoff(engine, response, &state, metrics);
     gboolean drains = update_draining(engine, response, &state, metrics);
-    return update_limit(engine, response, &state, metrics) || drains;
+    gboolean brittle = update_brittle(engine, response, &state);
+    return update_limit(engine, response, &state, metrics) || drains || brittle;
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -50,6 +50,7 @@
     g_hash_table_unref(engine->prefixes);
     wb_send_limiter_clear(&engine->cold_limiter);
     wb_engine_limit_clear(&engine->limit);
+    wb_engine_brittle_clear(&engine->brittle);
     g_free(engine);
 }
 
@@ -115,6 +116,17 @@
     }
 }
 
+/* Engines of a service are brittle alike: a new one is taken to be so before its first response. */
+static void brittle_inherit(wb_engine_t *engine, const GPtrArray *others) {
+    for (guint i = 0; i < others->len; i++) {
+        const wb_engine_brittle_t *other = &((const wb_engine_t *)others->pdata[i])->brittle;
+        if (other->named && other->reported_ms > engine->brittle.reported_ms) {
+            engine->brittle = (wb_engine_brittle_t){
+                .named = TRUE, .rejections = other->rejections, .reported_ms = other->reported_ms};
+        }
+    }
+}
+
 static wb_engine_t *engine_create(wb_fleet_t *fleet, wb_engine_state_t *state) {
     wb_engine_t *engine = g_new0(wb_engine_t, 1);
     engine->references = 1;
@@ -123,6 +135,7 @@
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     wb_list_init(&engine->idle);
     reported_state_restore(fleet, engine);
+    brittle_inherit(engine, service_engines(fleet, state->service));
     zone_update(fleet, engine);
     g_hash_table_insert(fleet->engines, g_strdup(state->id), engine);
     g_ptr_array_add(service_engines(fleet, state->service), wb_engine_ref(engine));
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -494,7 +494,8 @@
     WB_WIRE_EXTENSION_STARTS = 1, /* wb_wire_start_times */
     WB_WIRE_EXTENSION_WRITER = 2, /* wb_wire_writer */
     WB_WIRE_EXTENSION_SENT = 3,   /* wb_wire_sent */
-    WB_WIRE_EXTENSION_ERA = 4     /* wb_wire_era */
+    WB_WIRE_EXTENSION_ERA = 4,    /* wb_wire_era */
+    WB_WIRE_EXTENSION_BRITTLE = 5 /* wb_wire_brittle_engines */
 };
 
 struct wb_wire_extension {
@@ -522,6 +523,18 @@
     unsigned hyper era;
 };
 
+/* Engines of the message that are brittle, or have ceased to be. */
+struct wb_wire_brittle_engine {
+    unsigned int index;      /* of the engine in the message */
+    bool brittle;
+    unsigned int rejections; /* in a second that it survives */
+    unsigned int age_ms;     /* since a response last said that it is, or didn't say so */
+};
+
+struct wb_wire_brittle_engines {
+    wb_wire_brittle_engine engines<WB_WIRE_LIST_MAX>;
+};
+
 /* The writer of a row. */
 struct wb_wire_writer {
     unsigned int form; /* its format version */
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -28,6 +28,10 @@
 #define LIMITED_COST_MS 1000.0
 /* Interval at which this node's shares are recomputed, as nodes join and leave. */
 #define SHARE_REFRESH_MS 1000
+/* Age of a report that a brittle engine is full, up to which it gets no request, and the time after
+ * which that is looked at again. */
+#define FULL_REPORT_MS 150
+#define FULL_RECHECK_MS 50
 /* Prefixes kept for an engine; beyond that all are dropped. */
 #define PREFIXES_MAX 512
 
@@ -216,13 +220,8 @@
     return MIN(available_ms, engine->cold_until_ms);
 }
 
-/* Time from which an engine accepts another request of this node under the limit that it reported.
- */
-static int64_t limit_available_ms(const wb_edge_t *edge, wb_engine_t *engine, unsigned ahead,
-                                  int64_t now_ms) {
-    if (!engine->limit.named) {
-        return now_ms;
-    }
+/* This node's position among the nodes that share what the engine can take. */
+static const wb_share_rank_t *rank_of(const wb_edge_t *edge, wb_engine_t *engine, int64_t now_ms) {
     if (engine->limit_share_updated_ms == 0 ||
         now_ms - engine->limit_share_updated_ms > SHARE_REFRESH_MS) {
         engine->limit_share_updated_ms = now_ms;
@@ -231,7 +230,33 @@
                               wb_rendezvous_rank(engine->state->incarnation, edge->settings.id,
                                                  wb_equal_share_ids(edge->share))};
     }
-    return wb_engine_limit_next_ms(&engine->limit, &engine->limit_rank, ahead, now_ms);
+    return &engine->limit_rank;
+}
+
+/* Time from which an engine accepts another request of this node under the limit that it reported.
+ */
+static int64_t limit_available_ms(const wb_edge_t *edge, wb_engine_t *engine, unsigned ahead,
+                                  int64_t now_ms) {
+    if (!engine->limit.named) {
+        return now_ms;
+    }
+    return wb_engine_limit_next_ms(&engine->limit, rank_of(edge, engine, now_ms), ahead, now_ms);
+}
+
+/* Time from which this node may send a brittle engine another request that it may reject. */
+static int64_t brittle_available_ms(const wb_edge_t *edge, wb_engine_t *engine, unsigned ahead,
+                                    int64_t now_ms) {
+    if (!engine->brittle.named) {
+        return now_ms;
+    }
+    int64_t next_ms =
+        wb_engine_brittle_next_ms(&engine->brittle, rank_of(edge, engine, now_ms), ahead, now_ms);
+    /* It was full a moment ago. */
+    gboolean was_full = now_ms < engine->rejected_until_ms ||
+                        (now_ms - engine->reported_ms < FULL_REPORT_MS &&
+                         engine->reported_running + engine->reported_waiting >=
+                             (unsigned)MAX(engine->state->slots, 1));
+    return was_full ? MAX(next_ms, now_ms + FULL_RECHECK_MS) : next_ms;
 }
 
 /* Time from which an engine accepts another request of this node: it may be cold, limited, or have
@@ -240,7 +265,8 @@
                                    const wb_service_t *service, unsigned ahead, int64_t now_ms) {
     int64_t cold_ms = cold_available_ms(edge, engine, service, ahead, now_ms);
     int64_t limit_ms = limit_available_ms(edge, engine, ahead, now_ms);
-    int64_t available_ms = MAX(cold_ms, limit_ms);
+    int64_t brittle_ms = brittle_available_ms(edge, engine, ahead, now_ms);
+    int64_t available_ms = MAX(MAX(cold_ms, limit_ms), brittle_ms);
     return MAX(available_ms, engine->backoff_until_ms);
 }
 
--- a/src/request/engine_states.c
+++ b/src/request/engine_states.c
@@ -1,5 +1,5 @@
-/* Engines that reported a limit or that they are draining, and those whose state is to be sent to
- * other nodes. */
+/* Engines that reported a limit, that they are brittle or that they are draining, and those whose
+ * state is to be sent to other nodes. */
 #include "request/request_types.h"
 
 void wb_edge_track_reporting_engine(wb_edge_t *edge, wb_engine_t *engine) {
@@ -18,7 +18,8 @@
     (void)value;
     (void)context;
     const wb_engine_t *engine = key;
-    return engine->gone || !(engine->limit.named || engine->drain_reported);
+    return engine->gone ||
+           !(engine->limit.named || engine->drain_reported || engine->brittle.named);
 }
 
 void wb_edge_reporting_engines_sweep(wb_edge_t *edge) {
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -264,6 +264,7 @@
     exchange->runs++;
     exchange->limit_counted = engine->limit.named;
     wb_engine_limit_record(&engine->limit, now_ms);
+    wb_engine_brittle_sent(&engine->brittle, now_ms);
     edge->metrics.sends++;
     wb_attempt_start(exchange, engine);
     exchange->running_counted = TRUE;
@@ -375,6 +376,10 @@
              exchange->sends, wb_event_escape(exchange->model));
     int64_t now_ms = wb_clock_ms();
     engine->rejected_until_ms = now_ms + REJECTED_AVOID_MS;
+    if (exchange->reply.status != edge->dialect->wrong_engine_status)
+        wb_engine_brittle_rejected(&engine->brittle, exchange->sent_ms, now_ms);
+    if (engine->brittle.named)
+        wb_exchange_note_brittle_rejection(exchange);
     if (exchange->reply.status != edge->dialect->wrong_engine_status) {
         int64_t delay_ms = (int64_t)REJECTED_RETRY_MS << MIN(exchange->rejections - 1, 4);
         tried_last(exchange)->eligible_at_ms = now_ms + delay_ms;
@@ -449,6 +454,7 @@
         wb_exchange_note_aborted(exchange);
     }
     if (!failure->sent) {
+        wb_engine_brittle_accepted(&exchange->engine->brittle, exchange->sent_ms);
         edge->metrics.connections_failed++;
         exchange->sends--;
         exchange->runs--;
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -24,6 +24,8 @@
     wb_reply_t *reply = &exchange->reply;
     gboolean rejected = head->status == dialect->wrong_engine_status ||
                         wb_http_head_get(head, dialect->not_run) != NULL;
+    if (!rejected)
+        wb_engine_brittle_accepted(&exchange->engine->brittle, exchange->sent_ms);
     wb_exchange_clear_timer(&exchange->silence_timer);
     wb_exchange_clear_reply(reply);
     reply->status = head->status;
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -78,6 +78,8 @@
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange);
 /** @return the time until the request's poison entry expires; at least 1 */
 int64_t wb_exchange_poison_left_ms(wb_exchange_t *exchange);
+/** A brittle engine rejected the request: its end soon after shows nothing about what it ran. */
+void wb_exchange_note_brittle_rejection(const wb_exchange_t *exchange);
 /** The engine aborted the request, and may have crashed while running it. */
 void wb_exchange_note_aborted(wb_exchange_t *exchange);
 /** The engine completed an answer of any status: the request didn't crash it. */
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* Rejections at most this long before a brittle engine's end may have caused it. */
+#define FALL_MS 2000
+
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange) {
     if (exchange->digest_known) {
         return &exchange->digest;
@@ -67,6 +70,20 @@
     return entry != NULL ? MAX(entry->until_ms - wb_clock_ms(), 1) : 1;
 }
 
+void wb_exchange_note_brittle_rejection(const wb_exchange_t *exchange) {
+    int64_t now_ms = wb_clock_ms();
+    g_hash_table_replace(exchange->edge->brittle_rejections, g_strdup(exchange->service->name),
+                         g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+/* Whether brittle engines of the service have just rejected requests: they fall over after too
+ * many, whatever they run. */
+static gboolean may_have_fallen(const wb_exchange_t *exchange) {
+    const int64_t *rejected_ms =
+        g_hash_table_lookup(exchange->edge->brittle_rejections, exchange->service->name);
+    return rejected_ms != NULL && wb_clock_ms() - *rejected_ms < FALL_MS;
+}
+
 void wb_exchange_note_aborted(wb_exchange_t *exchange) {
     const wb_engine_t *engine = exchange->engine;
     /* A draining engine ends its remaining requests with itself, which is no crash. An engine whose
@@ -75,6 +92,9 @@
     if (engine->state->leaving) {
         return;
     }
+    if (may_have_fallen(exchange)) {
+        return;
+    }
     wb_aborted_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
     wb_crash_watch_note_aborted(exchange->edge->crashes, engine->state->incarnation,
                                 engine->state->address, &request);
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -105,6 +105,7 @@
     wb_poison_registry_t *poison; /* requests that crash engines */
     wb_served_set_t *served;
     wb_crash_watch_t *crashes;
+    GHashTable *brittle_rejections; /* service -> int64_t *, time of the last by a brittle engine */
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
     wb_reach_summary_t *reach; /* which engines this node reaches */
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -177,13 +177,22 @@
     json_object_set_new(engine->options, "rest", json_string(retry_after));
 }
 
+static int64_t brittle_option(const wb_estate_engine_t *engine) {
+    return wb_estate_engine_option(engine, "brittle", 0);
+}
+
 static char *head_lines(const wb_estate_run_t *run, const char *more) {
     const char *reported = wb_json_text(run->engine->options, "pace_told", "");
+    g_autofree char *brittle =
+        brittle_option(run->engine) > 0
+            ? g_strdup_printf("Server-Brittle: %d\r\n", (int)brittle_option(run->engine))
+            : g_strdup("");
     return g_strdup_printf("Request-Attempt-Id: %s\r\nServer-Load: %u,0,%d%s%s\r\n"
-                           "Keep-Alive: timeout=5\r\n%s%s",
+                           "Keep-Alive: timeout=5\r\n%s%s%s",
                            run->id, g_hash_table_size(run->engine->runs),
                            (int)wb_estate_engine_option(run->engine, "slots", 8),
-                           *reported != '\0' ? "," : "", reported, state_lines(run->engine), more);
+                           *reported != '\0' ? "," : "", reported, state_lines(run->engine),
+                           brittle, more);
 }
 
 static void run_answer(wb_estate_run_t *run, unsigned status, const char *more, const char *body) {
@@ -225,6 +234,20 @@
     wb_estate_engine_crash(engine);
 }
 
+/* Rejects a request for want of room. A brittle engine falls when that are too many in a second. */
+static void run_reject_full(wb_estate_run_t *run) {
+    wb_estate_engine_t *engine = run->engine;
+    int64_t now_ms = wb_clock_ms();
+    if (now_ms - engine->second_began_ms >= 1000) {
+        engine->second_began_ms = now_ms;
+        engine->rejections = 0;
+    }
+    gboolean falls = brittle_option(engine) > 0 && ++engine->rejections > brittle_option(engine);
+    run_answer(run, 503, "Not-Executed: 1\r\n", "");
+    if (falls && engine->crash == NULL)
+        engine->crash = wb_loop_after(engine->loop, 0, crash_due, engine);
+}
+
 /* The request's headers as an object. Of repeated headers the last one is kept. */
 static json_t *headers_json(const wb_http_head_t *head) {
     json_t *headers = json_object();
@@ -278,6 +301,11 @@
         run_answer(run, 503, lines, "");
         return;
     }
+    int64_t room = wb_estate_engine_option(engine, "room", 0);
+    if (room > 0 && g_hash_table_size(engine->runs) > room) {
+        run_reject_full(run);
+        return;
+    }
     if (wb_estate_engine_consume_fault(engine, "reject")) {
         run_answer(run, 503, "Not-Executed: 1\r\n", "");
         return;
--- a/standins/estate/engine_internal.h
+++ b/standins/estate/engine_internal.h
@@ -27,6 +27,8 @@
                         beat_ms (heartbeat interval), back_ms (from crash to restart), cold_ms,
                         work_ms (until the response or its first event), streams (1: answers with
                         events), event_ms, events, load_ms, unload_ms, weights_mb, model_mb,
+                        room (requests at once, beyond which it rejects; 0: any number), brittle
+                        (rejections in a second that it survives, and says so; 0: it isn't brittle),
                         adapter_slots, same_id (1: it restarts under its id), quiet (1: it writes no
                         row); set by functions: pace, pace_told, rest, state_lines */
     json_t *models;  /* [{name, version, adapters}] */
@@ -34,6 +36,8 @@
     int64_t heartbeats;
     gboolean busy;
     gboolean draining;
+    int64_t second_began_ms; /* of the rejections below */
+    int64_t rejections;
     gboolean hardened; /* requests no longer crash it */
     char *crash_model; /* loading it crashes the engine; NULL: none */
     gboolean ended;    /* stopped, or crashed and not restarted yet */
--- a/tests/fuzz/target_engine_head.c
+++ b/tests/fuzz/target_engine_head.c
@@ -15,6 +15,7 @@
                                          .seal = "Response-Seal",
                                          .engine_load = "Server-Load",
                                          .engine_limit = "Server-Limit",
+                                         .engine_brittle = "Server-Brittle",
                                          .engine_draining = "Server-Leaving",
                                          .wrong_engine_status = 421};
     (void)reader;
--- a/tests/unit/test_state_headers.c
+++ b/tests/unit/test_state_headers.c
@@ -4,6 +4,7 @@
 #include "dispatch/state_headers.h"
 
 static const wb_dialect_t dialect = {.engine_limit = "Server-Limit",
+                                     .engine_brittle = "Server-Brittle",
                                      .engine_draining = "Server-Leaving"};
 
 /* Parses a response with up to two headers of the same name. */
@@ -43,6 +44,19 @@
     }
 }
 
+static void test_brittle(void) {
+    wb_state_headers_t state = parse_response(503, "Server-Brittle", "12", NULL);
+    g_assert_true(state.brittle_present && state.brittle_valid);
+    g_assert_cmpuint(state.rejections, ==, 12);
+    static const char *const texts[] = {"", "-1", "many", "1000000000000", "3,4"};
+    for (gsize i = 0; i < G_N_ELEMENTS(texts); i++) {
+        wb_state_headers_t invalid = parse_response(200, "Server-Brittle", texts[i], NULL);
+        g_assert_true(invalid.brittle_present);
+        g_assert_false(invalid.brittle_valid);
+        g_assert_cmpuint(invalid.refused, ==, 1);
+    }
+}
+
 /* An invalid limit keeps the present limit, and sets none. */
 static void test_limits_that_cant_be(void) {
     static const char *const texts[] = {"",    "-1",  "nan", "inf",  "1e3",  "1000000000000",
@@ -103,6 +117,7 @@
 static void tests_add(void) {
     g_test_add_func("/told-state/nothing", test_nothing);
     g_test_add_func("/told-state/limit", test_limit);
+    g_test_add_func("/told-state/brittle", test_brittle);
     g_test_add_func("/told-state/limits-that-cant-be", test_limits_that_cant_be);
     g_test_add_func("/told-state/leaving", test_leaving);
     g_test_add_func("/told-state/rest", test_rest);
