Reading again: requests that wait, peers that break a tunnel

- A tunnel that breaks makes its node come last for the next questions; a withdrawn attempt no longer counts as one that a brittle engine may reject.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -190,20 +190,12 @@
     wb_exchange_end(exchange, WB_OUTCOME_CLIENT_GONE, 0);
 }
 
-/* Returns why a request that waited isn't served. */
-static wb_outcome_t wait_outcome(const wb_exchange_t *exchange) {
-    if (exchange->model == NULL)
-        return WB_OUTCOME_NO_ENGINE;
-    gboolean unreachable = exchange->connect_failures > 0 && wb_exchange_model_is_held(exchange);
-    return unreachable ? WB_OUTCOME_UNREACHABLE : WB_OUTCOME_MODEL_NOT_LOADED;
-}
-
 static void due_expired(void *context) {
     wb_exchange_t *exchange = context;
     exchange->due_timer = NULL;
     int64_t now_ms = wb_clock_ms();
     if (wb_list_is_linked(&exchange->waiting) && now_ms < exchange->answer_due_ms) {
-        wb_exchange_give_up(exchange, wait_outcome(exchange));
+        wb_exchange_give_up(exchange, wb_exchange_wait_outcome(exchange));
         return;
     }
     if (engine_is_silent(exchange))
@@ -300,12 +292,6 @@
     return FALSE;
 }
 
-/* Whether neither this node nor another reaches engines, so that waiting is useless. */
-static gboolean no_engine_is_reached(const wb_edge_t *edge, int64_t now_ms) {
-    unsigned engines = g_hash_table_size(wb_fleet_all(edge->fleet));
-    return wb_reach_summary_verdict(edge->reach, engines, now_ms) == WB_REACH_NONE;
-}
-
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Checked before each attempt: else all copies of a poison request that wait for a model would
@@ -324,7 +310,7 @@
     }
     wb_engine_t *engine = wb_balancer_choose(exchange->edge, exchange, now_ms, &exchange->decision);
     if (engine == NULL) {
-        if (exchange->connect_failures > 0 && no_engine_is_reached(exchange->edge, now_ms))
+        if (wb_exchange_reaches_no_engine(exchange))
             wb_exchange_give_up(exchange, WB_OUTCOME_UNREACHABLE);
         else if (exchange->answer_begun && exchange->sends >= SENDS_MAX)
             wb_exchange_give_up(exchange, WB_OUTCOME_ENGINE_ABORTED);
@@ -376,13 +362,12 @@
              exchange->sends, wb_event_escape(exchange->model));
     int64_t now_ms = wb_clock_ms();
     engine->rejected_until_ms = now_ms + REJECTED_AVOID_MS;
-    if (exchange->reply.status != edge->dialect->wrong_engine_status)
-        wb_engine_brittle_rejected(&engine->brittle, exchange->sent_ms, now_ms);
-    if (engine->brittle.named)
-        wb_exchange_note_brittle_rejection(exchange);
     if (exchange->reply.status != edge->dialect->wrong_engine_status) {
         int64_t delay_ms = (int64_t)REJECTED_RETRY_MS << MIN(exchange->rejections - 1, 4);
         tried_last(exchange)->eligible_at_ms = now_ms + delay_ms;
+        wb_engine_brittle_rejected(&engine->brittle, exchange->sent_ms, now_ms);
+        if (engine->brittle.named)
+            wb_exchange_note_brittle_rejection(exchange);
     }
     if (exchange->sends >= SENDS_MAX)
         wb_exchange_give_up(exchange, WB_OUTCOME_REJECTED);
@@ -431,6 +416,7 @@
 /* The engine became unavailable while the connection was being established. */
 static void attempt_withdraw(wb_exchange_t *exchange) {
     exchange->edge->metrics.attempts_withdrawn++;
+    wb_engine_brittle_accepted(&exchange->engine->brittle, exchange->sent_ms);
     wb_event("send-withdrawn", ",\"id\":\"%s\",\"engine\":\"%s\"", wb_event_escape(exchange->id),
              exchange->engine->state->id);
     exchange->sends--;
@@ -446,7 +432,9 @@
         attempt_withdraw(exchange);
         return;
     }
-    if (!failure->by_peer)
+    if (failure->by_peer) /* the node between may be at fault */
+        wb_peer_record_add(edge->peers, exchange->peer, FALSE, wb_clock_ms());
+    else
         engine_failed(exchange->engine, failure->reason, exchange->id);
     edge->metrics.failed_attempts++;
     attempt_failure_log(exchange, failure);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -60,6 +60,11 @@
 /** Let the request wait for an engine or a load as long as that is useful; if it waits already,
  * update the end of its wait. */
 void wb_exchange_wait(wb_exchange_t *exchange);
+/** @return why a request that has waited isn't served */
+wb_outcome_t wb_exchange_wait_outcome(const wb_exchange_t *exchange);
+/** @return TRUE when the request's engines couldn't be connected to, and neither this node nor
+ * another reaches any: waiting is useless */
+gboolean wb_exchange_reaches_no_engine(const wb_exchange_t *exchange);
 /** End the request's wait, if it waits. */
 void wb_exchange_stop_waiting(wb_exchange_t *exchange);
 /** @return TRUE while no controller is reachable */
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -260,6 +260,21 @@
         edge->on_pending_demand(edge->node_context);
 }
 
+wb_outcome_t wb_exchange_wait_outcome(const wb_exchange_t *exchange) {
+    if (exchange->model == NULL) {
+        return WB_OUTCOME_NO_ENGINE;
+    }
+    gboolean unreachable = exchange->connect_failures > 0 && wb_exchange_model_is_held(exchange);
+    return unreachable ? WB_OUTCOME_UNREACHABLE : WB_OUTCOME_MODEL_NOT_LOADED;
+}
+
+gboolean wb_exchange_reaches_no_engine(const wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    unsigned engines = g_hash_table_size(wb_fleet_all(edge->fleet));
+    return exchange->connect_failures > 0 &&
+           wb_reach_summary_verdict(edge->reach, engines, wb_clock_ms()) == WB_REACH_NONE;
+}
+
 gboolean wb_exchange_engines_known(const wb_exchange_t *exchange) {
     const wb_edge_t *edge = exchange->edge;
     return edge->engines_known == NULL ||
