A sound engine may be silent for a second without losing what it works on

What callers would see: streams that wait for their first event, or between two events, break off (502, or a resend) when their engine is silent for a second and goes on.

Cause: 1.5 s as TCP_USER_TIMEOUT with one probe a second.

Change: a request has 1.5 s to be acknowledged, as before; after that its connection's limit is 3.5 s, which outlasts three probes. Idle connections keep 1.5 s. Tunnels have 3.5 s.

--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -60,6 +60,11 @@
 void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events,
                               void *context);
 
+/** Change the max time for which sent bytes may stay unacknowledged. It also decides when the
+ * system takes a quiet peer for dead: at its first keep-alive probe after that time without a
+ * packet. */
+void wb_tcp_stream_set_silence_limit(wb_tcp_stream_t *stream, int64_t limit_ms);
+
 /** Queue bytes (copied) to be sent as the socket accepts them. */
 void wb_tcp_stream_write(wb_tcp_stream_t *stream, const void *data, size_t length);
 
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -78,7 +78,7 @@
     ROW("connect-timeout-ms", WB_SETTING_INTEGER, "ms", 10, 60000, "250", connect_timeout_ms,
         "Longest time to connect to an engine"),
     ROW("silence-limit-ms", WB_SETTING_INTEGER, "ms", 100, 60000, "1500", silence_limit_ms,
-        "Bytes that an engine doesn't acknowledge for so long end the connection"),
+        "A request that an engine doesn't acknowledge for so long ends the connection"),
     ROW("store-timeout-ms", WB_SETTING_INTEGER, "ms", 50, 60000, "900", store_timeout_ms,
         "Time after which the store's answer counts as lost"),
     ROW("node-life-s", WB_SETTING_REAL, "s", 1, 86400, "180", node_life_s,
--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -6,6 +6,9 @@
 
 /* A node that reaches an engine connects within a few ms; the asking one waits for little more. */
 #define TUNNEL_CONNECT_MS 150
+/* Silence of an engine or an asking node after which a tunnel ends: beyond three keep-alive probes,
+ * as a sound engine may be silent for a second or so. */
+#define TUNNEL_SILENCE_MS 3500
 /* Two descriptors each. */
 #define MAX_TUNNELS 512
 /* Delay between the connections by which this node finds out whether it is isolated. */
@@ -77,8 +80,8 @@
         return APR_SUCCESS;
     wb_tunnel_server_options_t options = {
         .listen = settings->listen_tunnels,
-        .connect = {TUNNEL_CONNECT_MS, settings->silence_limit_ms, settings->bind_host},
-        .silence_limit_ms = settings->silence_limit_ms,
+        .connect = {TUNNEL_CONNECT_MS, TUNNEL_SILENCE_MS, settings->bind_host},
+        .silence_limit_ms = TUNNEL_SILENCE_MS,
         .max_tunnels = MAX_TUNNELS,
         .metrics = &node->edge.metrics,
         .check = tunnel_check,
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -187,6 +187,10 @@
     watch_update(stream);
 }
 
+void wb_tcp_stream_set_silence_limit(wb_tcp_stream_t *stream, int64_t limit_ms) {
+    wb_socket_set_silence_limit(stream->socket, limit_ms);
+}
+
 void wb_tcp_stream_set_events(wb_tcp_stream_t *stream, const wb_tcp_events_t *events,
                               void *context) {
     stream->events = events;
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -10,6 +10,11 @@
 #define KEEP_ALIVE_MARGIN_MS 600
 #define IDLE_DEFAULT_MS 250 /* for engines that send no Keep-Alive timeout */
 #define IDLE_MAX_PER_ENGINE 6
+/* A sound engine may be silent for a second or so. While it works on a request, its connection
+ * outlives three keep-alive probes, one a second; a shorter limit would decide after the first. */
+#define QUIET_LIMIT_MS 3500
+/* Time after the silence limit at which a request that was written is known to have arrived. */
+#define ARRIVED_MARGIN_MS 100
 
 /* A connection to an engine, used by an attempt or idle on its engine's list. */
 typedef struct wb_upstream_t {
@@ -30,11 +35,13 @@
 struct wb_attempt_t {
     wb_exchange_t *exchange;
     wb_upstream_t *upstream;
-    GString *output;   /* the request, until the connection is established */
-    gboolean sent;     /* the request was written to the connection */
-    gboolean reused;   /* the connection was idle before, not opened for the attempt */
-    gboolean skipping; /* the current response isn't for this request */
-    gboolean tainted;  /* the connection must not be reused */
+    GString *output;           /* the request, until the connection is established */
+    gboolean sent;             /* the request was written to the connection */
+    wb_timer_t *arrival_timer; /* until the request is known to have arrived; NULL: it is, or isn't
+                                sent */
+    gboolean reused;           /* the connection was idle before, not opened for the attempt */
+    gboolean skipping;         /* the current response isn't for this request */
+    gboolean tainted;          /* the connection must not be reused */
     gboolean keep_alive;
     int64_t idle_limit_ms; /* duration, from the Keep-Alive header; 0: none */
     gboolean complete;
@@ -58,6 +65,8 @@
 }
 
 static void attempt_free(wb_attempt_t *attempt) {
+    if (attempt->arrival_timer != NULL)
+        wb_timer_cancel(attempt->arrival_timer);
     if (attempt->output != NULL)
         g_string_free(attempt->output, TRUE);
     g_free(attempt);
@@ -110,6 +119,9 @@
         return;
     }
     upstream->usable_until_ms = wb_clock_ms() + idle_limit_ms;
+    if (attempt->sent && attempt->arrival_timer == NULL)
+        wb_tcp_stream_set_silence_limit(upstream->stream,
+                                        upstream->edge->settings.silence_limit_ms);
     wb_http_reader_next(upstream->reader);
     wb_tcp_stream_set_reading(upstream->stream, TRUE);
     wb_list_add_head(&upstream->engine->idle, &upstream->idle);
@@ -278,8 +290,18 @@
         attempt_fail(attempt, TRUE, end_name(how));
 }
 
+/* The request has been acknowledged: else its connection would have ended by now. */
+static void request_arrived(void *context) {
+    wb_attempt_t *attempt = context;
+    attempt->arrival_timer = NULL;
+    wb_tcp_stream_set_silence_limit(attempt->upstream->stream, QUIET_LIMIT_MS);
+}
+
 static void request_write(wb_attempt_t *attempt) {
+    const wb_edge_t *edge = attempt->exchange->edge;
     attempt->sent = TRUE;
+    attempt->arrival_timer = wb_loop_after(
+        edge->loop, edge->settings.silence_limit_ms + ARRIVED_MARGIN_MS, request_arrived, attempt);
     attempt->exchange->written_ms = wb_clock_ms();
     if (attempt->upstream->engine->unanswered_since_ms == 0)
         attempt->upstream->engine->unanswered_since_ms = wb_clock_ms();
--- a/tests/edge/test_reach.c
+++ b/tests/edge/test_reach.c
@@ -15,6 +15,7 @@
 #define HEAL_US 2000000
 #define LOG_MS 1000
 #define ACKNOWLEDGED_US 200000
+#define SILENCE_US 1100000
 /* Of its requests a node must serve this share of what the others serve, at least. */
 #define SERVED_RATIO (2.0 / 3)
 /* Longer than the stand-in's engines keep idle connections. */
@@ -100,6 +101,40 @@
     one_node_cut("new");
 }
 
+/* Guards against requests that are broken off, or sent again, because a sound engine was silent for
+ * a second: a stream that waits for its first event, and one between two events. */
+static void test_engine_silent_for_a_second(void) {
+    estate_t *estate = start(2);
+    for (int i = 1; i <= 2; i++) {
+        estate_command(estate,
+                       "{\"do\":\"engine-option\",\"engine\":\"llm-%d\",\"name\":\"work_ms\","
+                       "\"value\":4500}",
+                       i);
+    }
+    wire_t *wires[4];
+    for (size_t i = 0; i < G_N_ELEMENTS(wires); i++) {
+        g_autofree char *id = g_strdup_printf("quiet-%zu", i);
+        wires[i] = wire_open(estate->nodes[i % 2].clients_port);
+        wire_post(wires[i], i < 2 ? "/chat/x" : "/note/x", id, EDGE_MODEL("m0"), "hello");
+        g_usleep(150000); /* so that the silence begins at different times after the last byte */
+    }
+    g_usleep(250000);
+    estate_partition(estate, ~0U, ALL_ENGINES, "silent");
+    g_usleep(SILENCE_US);
+    estate_partition(estate, 0, 0, "silent");
+    for (size_t i = 0; i < G_N_ELEMENTS(wires); i++) {
+        g_autofree char *id = g_strdup_printf("quiet-%zu", i);
+        wire_response_t *answer = wire_read(wires[i], 9000);
+        g_test_message("%s: status %d, whole %d", id, answer->status, answer->whole);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(answer->whole);
+        g_assert_cmpint(estate_runs(estate, id), ==, 1);
+        wire_response_free(answer);
+        wire_close(wires[i]);
+    }
+    estate_stop(estate);
+}
+
 /* Cut off in one direction, right after requests: what engines send again makes their kept
  * connections look alive, and the first requests on them may be lost. */
 static void test_one_way(void) {
@@ -186,6 +221,7 @@
     g_test_add_func("/edge/reach/silent", test_silent);
     g_test_add_func("/edge/reach/reset", test_reset);
     g_test_add_func("/edge/reach/new-connections", test_new_connections);
+    g_test_add_func("/edge/reach/engine-silent-for-a-second", test_engine_silent_for_a_second);
     g_test_add_func("/edge/reach/one-way", test_one_way);
     g_test_add_func("/edge/reach/one-service", test_one_service);
     g_test_add_func("/edge/reach/all-but-one", test_all_but_one);
