A holder keeps the rows that it reads while its lease has lapsed

Cause: the holder passes on rows of engines only while its lease is held. When the store's answers to its renewals come late, the lease lapses for some tenths of a second and goes on under the same token, on the same links. Rows read in between were dropped; gateways that have read the table since they were linked don't compare digests any more, and learnt of the change by their own look, up to two minutes later.

Change: rows are kept while the lease row is this process's own, and sent when it goes on; changes of engines' models likewise. Another node's row drops them, as before.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -447,7 +447,8 @@
                                const wb_table_row_t *row);
 /** Drop the queued rows, which are of an earlier era of the store. */
 void wb_edge_node_updates_drop(wb_edge_node_t *node);
-/** Queue a row for the next store update; does nothing unless this node holds the lease. */
+/** Queue a row for the next store update; does nothing unless the lease row is this process's own,
+ * though it may have expired. */
 void wb_edge_node_update_add(wb_edge_node_t *node, wb_table_name_t table,
                              const wb_table_row_t *row);
 /** As the lease holder, send the store update when it is due. */
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -49,7 +49,7 @@
 static wb_engine_t *engine_state_apply(wb_edge_node_t *node, wb_engine_t *known,
                                        wb_engine_state_t *state) {
     int64_t now_ms = wb_clock_ms();
-    gboolean may_differ = node->lease_held && known != NULL &&
+    gboolean may_differ = wb_lease_is_own(node->lease) && known != NULL &&
                           (wb_engine_has_placement_updates(known) ||
                            !wb_engine_state_holds_same(known->state, state));
     if (!may_differ) {
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -150,7 +150,7 @@
 
 void wb_edge_node_update_add(wb_edge_node_t *node, wb_table_name_t table,
                              const wb_table_row_t *row) {
-    if (!node->lease_held || node->update_overflow)
+    if (!wb_lease_is_own(node->lease) || node->update_overflow)
         return;
     node->update_bytes += strlen(row->key) + row->length;
     if (node->update_bytes * g_hash_table_size(node->gateways) > UPDATE_MAX_BYTES) {
@@ -217,10 +217,12 @@
 }
 
 void wb_edge_node_tick_updates(wb_edge_node_t *node, int64_t now_ms) {
-    if (!node->lease_held) {
+    /* A holder whose lease has lapsed keeps its rows: gateways that have read the table take its
+     * word that they miss none, once it goes on. */
+    if (!wb_lease_is_own(node->lease))
         wb_edge_node_updates_drop(node);
+    if (!node->lease_held)
         return;
-    }
     gboolean pending = node->update_rows->len > 0 || node->update_overflow;
     if (pending || now_ms - node->update_sent_ms >= UPDATE_INTERVAL_MS)
         update_send(node, now_ms);
--- a/tests/edge/test_store.c
+++ b/tests/edge/test_store.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+/* An answer to a renewal that takes so long comes after the lease, but before others may take it
+ * over. */
+#define LAPSE_DELAY_MS 700
+/* Time after which an engine that leaves must get no requests. */
+#define DRAIN_MS 2000
+
 static void assert_status(const estate_t *estate, const char *path, const char *id,
                           const char *headers, int status) {
     wire_response_t *answer = wire_request(estate->nodes[0].clients_port, path, id, headers);
@@ -244,7 +250,64 @@
     estate_stop(estate);
 }
 
+/* Returns how often an engine ran requests that it got from `from_ms` on. */
+static int runs_since(const estate_t *estate, const char *engine, int64_t from_ms) {
+    json_t *seen = estate_records(estate);
+    int count = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) count +=
+        strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0 &&
+        json_integer_value(json_object_get(run, "at_ms")) >= from_ms;
+    json_decref(seen);
+    return count;
+}
+
+/* Delays renewals until the holder's lease has lapsed. */
+static void lapse_begin(const estate_t *estate, int holder) {
+    int64_t until_ms = harness_now_ms() + 5000;
+    store_fault(estate, "", LAPSE_DELAY_MS);
+    while (estate_metric(estate, holder, "lease_held") > 0 && harness_now_ms() < until_ms)
+        g_usleep(5000);
+    g_assert_cmpfloat(estate_metric(estate, holder, "lease_held"), ==, 0);
+}
+
+/* Guards against a change that the holder reads while its lease has lapsed, for want of timely
+ * answers to its renewals, and that other nodes never hear of once it goes on: an engine that
+ * leaves. */
+static void test_leaving_in_a_lapse(void) {
+    estate_t *estate = estate_start(3, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    int holder = estate_wait_controller(estate, 8000);
+    int other = (holder + 1) % 3;
+    estate_command(estate, "{\"do\":\"engine-start\",\"engine\":\"guest\",\"options\":{"
+                           "\"service\":\"lock\",\"zone\":\"zone-1\",\"work_ms\":10}}");
+    /* A long lapse makes the other nodes read the table themselves, after which they take the
+     * holder's word for it. */
+    lapse_begin(estate, holder);
+    g_usleep(3000000);
+    store_fault(estate, "", 0);
+    g_usleep(1500000);
+    lapse_begin(estate, holder);
+    estate_command(estate, "{\"do\":\"engine-leave\",\"engine\":\"guest\"}");
+    int64_t left_ms = harness_now_ms();
+    g_usleep(450000); /* the holder reads it, and the others don't read yet */
+    store_fault(estate, "", 0);
+    while (harness_now_ms() < left_ms + DRAIN_MS)
+        g_usleep(10000);
+    for (int i = 0; i < 30; i++) {
+        g_autofree char *id = g_strdup_printf("left-%d", i);
+        wire_response_t *answer =
+            wire_request(estate->nodes[other].clients_port, "/lock/x", id, EDGE_DEADLINE);
+        g_assert_cmpint(answer->status, ==, 200);
+        wire_response_free(answer);
+    }
+    g_assert_cmpint(estate_controller(estate), ==, holder);
+    g_assert_cmpint(runs_since(estate, "guest", left_ms + DRAIN_MS), ==, 0);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/store/leaving-in-a-lapse", test_leaving_in_a_lapse);
     g_test_add_func("/edge/store/holder-reads-for-others", test_holder_reads_for_others);
     g_test_add_func("/edge/store/news-reach-a-cut-node", test_news_reach_a_cut_node);
     g_test_add_func("/edge/store/holder-without-a-store", test_holder_without_a_store);
