Tests: streams through another node, whose client leaves, and whose node between is killed or stopped

Three runs each held at once: the engine is at work no longer half a second after the client has left; a killed node between ends the stream as incomplete, after one run, and nothing counts as a crash; a planned stop lets it end.

--- a/tests/edge/test_reach.c
+++ b/tests/edge/test_reach.c
@@ -2,6 +2,7 @@
  * as the others do. */
 #include "edge.h"
 
+#include <signal.h>
 #include <string.h>
 
 #define FLAGS "--lease-quiet-ms=1000 --lease-duration-ms=800"
@@ -16,6 +17,9 @@
 #define LOG_MS 1000
 #define ACKNOWLEDGED_US 200000
 #define SILENCE_US 1100000
+#define EVENT_MS 600
+/* Time after which an engine must not be at work for a client that has left. */
+#define GONE_US 500000
 /* Of its requests a node must serve this share of what the others serve, at least. */
 #define SERVED_RATIO (2.0 / 3)
 /* Longer than the stand-in's engines keep idle connections. */
@@ -217,11 +221,90 @@
     estate_stop(estate);
 }
 
+/* A cut-off node that streams through the only other one. */
+typedef struct cut_stream_t {
+    estate_t *estate;
+    int cut;
+    int peer;
+    wire_t *wire; /* its first event has arrived */
+} cut_stream_t;
+
+static cut_stream_t cut_stream_open(const char *path, const char *id) {
+    cut_stream_t stream = {.estate = start(2)};
+    stream.cut = (estate_controller(stream.estate) + 1) % 2;
+    stream.peer = 1 - stream.cut;
+    for (int i = 1; i <= 2; i++) {
+        estate_command(stream.estate,
+                       "{\"do\":\"engine-option\",\"engine\":\"llm-%d\",\"name\":\"event_ms\","
+                       "\"value\":%d}",
+                       i, EVENT_MS);
+    }
+    estate_partition(stream.estate, bit(stream.cut), ALL_ENGINES, "silent");
+    stream.wire = wire_open(stream.estate->nodes[stream.cut].clients_port);
+    wire_post(stream.wire, path, id, EDGE_MODEL("m0"), "hello");
+    g_usleep(EVENT_MS * 1000);
+    return stream;
+}
+
+/* Returns how many requests the two engines with models run. */
+static int running_count(const estate_t *estate) {
+    int running = 0;
+    for (int i = ESTATE_LOCK_ENGINES; i < ESTATE_ENGINES; i++) {
+        answer_t *answer = call("GET", estate->engine_ports[i], "/report", NULL, NULL, 2000);
+        json_t *report = json_loads(answer->body, 0, NULL);
+        running += (int)json_integer_value(json_object_get(report, "running"));
+        json_decref(report);
+        answer_free(answer);
+    }
+    return running;
+}
+
+/* Guards against engines that stay at work for a client that has left, behind the node between. */
+static void test_client_leaves(void) {
+    cut_stream_t stream = cut_stream_open("/note/x", "gone");
+    g_assert_cmpint(running_count(stream.estate), ==, 1);
+    wire_close(stream.wire);
+    g_usleep(GONE_US);
+    g_assert_cmpint(running_count(stream.estate), ==, 0);
+    estate_stop(stream.estate);
+}
+
+/* Guards against a cut-off answer that looks complete, and against a second run, where the node
+ * between is killed. */
+static void test_peer_killed(void) {
+    cut_stream_t stream = cut_stream_open("/note/x", "killed");
+    process_kill(&stream.estate->nodes[stream.peer].process);
+    wire_response_t *answer = wire_read(stream.wire, 5000);
+    g_assert_false(answer->whole);
+    g_assert_cmpint(estate_runs(stream.estate, "killed"), ==, 1);
+    g_assert_cmpfloat(estate_metric(stream.estate, stream.cut, "suspected_requests"), ==, 0);
+    wire_response_free(answer);
+    wire_close(stream.wire);
+    estate_stop(stream.estate);
+}
+
+/* Guards against streams that a planned stop of the node between breaks off. */
+static void test_peer_stopped(void) {
+    cut_stream_t stream = cut_stream_open("/note/x", "stopped");
+    process_signal(&stream.estate->nodes[stream.peer].process, SIGTERM);
+    wire_response_t *answer = wire_read(stream.wire, 5000);
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    g_assert_cmpint(estate_runs(stream.estate, "stopped"), ==, 1);
+    wire_response_free(answer);
+    wire_close(stream.wire);
+    g_assert_cmpint(process_stop(&stream.estate->nodes[stream.peer].process, 12000), ==, 0);
+    estate_stop(stream.estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/reach/silent", test_silent);
     g_test_add_func("/edge/reach/reset", test_reset);
     g_test_add_func("/edge/reach/new-connections", test_new_connections);
     g_test_add_func("/edge/reach/engine-silent-for-a-second", test_engine_silent_for_a_second);
+    g_test_add_func("/edge/reach/client-leaves", test_client_leaves);
+    g_test_add_func("/edge/reach/peer-killed", test_peer_killed);
+    g_test_add_func("/edge/reach/peer-stopped", test_peer_stopped);
     g_test_add_func("/edge/reach/one-way", test_one_way);
     g_test_add_func("/edge/reach/one-service", test_one_service);
     g_test_add_func("/edge/reach/all-but-one", test_all_but_one);
