Soak: brittle engines (bit 15), held to the rule's number of falls

New parts come with soak, and the seeds of bit 15 were missing. The stand-in records falls by themselves; the check counts all of them after the first 3 s, through all faults. A first version that excused times of faults could not fail: there is hardly a moment without one in a soak.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -244,8 +244,11 @@
     }
     gboolean falls = brittle_option(engine) > 0 && ++engine->rejections > brittle_option(engine);
     run_answer(run, 503, "Not-Executed: 1\r\n", "");
-    if (falls && engine->crash == NULL)
-        engine->crash = wb_loop_after(engine->loop, 0, crash_due, engine);
+    if (!falls || engine->crash != NULL)
+        return;
+    json_array_append_new(engine->seen->falls, json_pack("{s:s, s:I}", "engine", engine->id,
+                                                         "at_ms", (json_int_t)now_ms));
+    engine->crash = wb_loop_after(engine->loop, 0, crash_due, engine);
 }
 
 /* The request's headers as an object. Of repeated headers the last one is kept. */
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -27,6 +27,8 @@
     json_t *orders;
     /** {"engine","at_ms"}: engines that crashed under a request or a load */
     json_t *crashes;
+    /** {"engine","at_ms"}: brittle engines that fell over as they rejected too much */
+    json_t *falls;
     /** {"engine","lines","at_ms"}: state headers that an engine sends from then on */
     json_t *states;
     /** {"id","engine","rest_ms","at_ms"}: requests rejected with a backoff */
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -26,10 +26,11 @@
 }
 
 static json_t *seen_json(const wb_estate_t *estate) {
-    return json_pack("{s:O, s:O, s:O, s:O, s:O, s:O, s:O}", "runs", estate->seen.runs, "arrivals",
-                     estate->seen.arrivals, "orders", estate->seen.orders, "crashes",
-                     estate->seen.crashes, "states", estate->seen.states, "rests",
-                     estate->seen.backoffs, "violations", estate->seen.violations);
+    return json_pack("{s:O, s:O, s:O, s:O, s:O, s:O, s:O, s:O}", "runs", estate->seen.runs,
+                     "arrivals", estate->seen.arrivals, "orders", estate->seen.orders, "crashes",
+                     estate->seen.crashes, "falls", estate->seen.falls, "states",
+                     estate->seen.states, "rests", estate->seen.backoffs, "violations",
+                     estate->seen.violations);
 }
 
 /* Runs a control command {"do": NAME, ...}. Returns FALSE for an unknown command or engine. */
@@ -120,7 +121,7 @@
     if (wb_loop_create(&estate.loop, "estate", 4096, &error) != APR_SUCCESS)
         return 1;
     estate.seen = (wb_estate_seen_t){json_array(), json_array(), json_array(), json_array(),
-                                     json_array(), json_array(), json_array()};
+                                     json_array(), json_array(), json_array(), json_array()};
     estate.engines = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     estate.store = wb_estate_store_open(estate.loop, argv[1]);
     if (wb_http_listener_open(estate.loop, argv[2], &handler, &limits, &control, &error) !=
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -70,6 +70,22 @@
     }
 }
 
+/* Engines of the locks have room for fewer requests than clients send, and are brittle. */
+static void engines_make_brittle(const estate_t *estate) {
+    static const struct {
+        const char *name;
+        int value;
+    } options[] = {{"work_ms", 60}, {"slots", 2}, {"room", 2}, {"brittle", 6}};
+    for (int i = 1; i <= ESTATE_LOCK_ENGINES; i++) {
+        for (size_t j = 0; j < G_N_ELEMENTS(options); j++) {
+            estate_command(estate,
+                           "{\"do\":\"engine-option\",\"engine\":\"lock-%d\",\"name\":\"%s\","
+                           "\"value\":%d}",
+                           i, options[j].name, options[j].value);
+        }
+    }
+}
+
 typedef struct soak_options_t {
     int seconds; /* length of the faults */
     int nodes;
@@ -107,6 +123,8 @@
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
     soak.has_builds = seed / 256 % 2 == 1;
+    /* Bit 15. The older build doesn't know that engines may be brittle. */
+    soak.has_brittle_engines = seed / 32768 % 2 == 1 && !soak.has_builds;
     soak.has_engine_states = seed / 1024 % 2 == 1;
     /* The older build doesn't know that a store may go back. */
     soak.has_rollbacks = seed / 4096 % 2 == 1 && !soak.has_builds;
@@ -118,6 +136,9 @@
     if (soak.has_zones) {
         engines_keep_ids(soak.estate);
     }
+    if (soak.has_brittle_engines) {
+        engines_make_brittle(soak.estate);
+    }
     GPtrArray *limits = g_ptr_array_new();
     soak_processor_limit(&soak, limits);
     GPtrArray *clients = soak_clients_start(&soak);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,8 +103,9 @@
     gboolean has_rollbacks;     /* the store comes back from older copies */
     gboolean
         only_rollbacks; /* and nothing else is disturbed, so that all checks apply between them */
-    gboolean has_partitions;             /* nodes are cut off from engines */
-    GArray *partitions;                  /* of soak_partition_t */
+    gboolean has_partitions;      /* nodes are cut off from engines */
+    gboolean has_brittle_engines; /* engines fall when they have to reject too many requests */
+    GArray *partitions;           /* of soak_partition_t */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
     config_oracle_t *configurations;     /* what the operator wrote; guarded by the lock */
     int retry_slack;                     /* retries in a window beyond the ratio */
--- a/tests/soak/state_checks.c
+++ b/tests/soak/state_checks.c
@@ -9,6 +9,11 @@
 #define BACKOFF_FROM_MS 500
 /* Requests that may arrive during a backoff. */
 #define BACKOFF_ARRIVALS_MAX 2
+/* Time after the start in which nodes learn that engines are brittle. */
+#define BRITTLE_KNOWN_MS 3000
+/* Falls of brittle engines, and as a share of the engines, that the rule allows. */
+#define FALLS_MAX 2
+#define FALLS_SHARE 0.1
 
 /* A time during which an engine reported the same state. */
 typedef struct engine_report_t {
@@ -153,7 +158,22 @@
     }
 }
 
+/* Checks that nodes spared brittle engines, through all faults. */
+static void falls_check(soak_t *soak, const json_t *seen) {
+    int counted = 0;
+    size_t i;
+    json_t *fall;
+    json_array_foreach(json_object_get(seen, "falls"), i, fall) {
+        counted += soak_number_of(fall, "at_ms") > soak->began_ms + BRITTLE_KNOWN_MS;
+    }
+    double allowed = FALLS_MAX + FALLS_SHARE * ESTATE_LOCK_ENGINES;
+    if (counted > allowed) {
+        soak_fail(soak, "brittle engines fell %d times, %g allowed", counted, allowed);
+    }
+}
+
 void soak_states_check(soak_t *soak, const json_t *seen) {
+    falls_check(soak, seen);
     if (!soak->has_engine_states || soak->has_builds) {
         return; /* the older build ignores engine-reported states */
     }
