--- a/src/dispatch/peer_choice.c
+++ b/src/dispatch/peer_choice.c
@@ -50,20 +50,16 @@
     return entry->useful ? PEER_USEFUL : PEER_USELESS;
 }
 
-/* Indexes of the candidates of one rank and zone. */
-typedef struct wb_peer_group_t {
-    GArray *indexes;
-} wb_peer_group_t;
-
-static int group_pick(const wb_peer_group_t *group) {
-    guint len = group->indexes->len;
-    return len > 0 ? g_array_index(group->indexes, int, g_random_int_range(0, (gint)len)) : -1;
+/* Picks one of these indexes at random; -1: there is none. */
+static int index_pick(const GArray *indexes) {
+    guint len = indexes->len;
+    return len > 0 ? g_array_index(indexes, int, g_random_int_range(0, (gint)len)) : -1;
 }
 
 /* Picks from the preferred ranks of one zone; -1: it has no candidate of them. */
-static int zone_pick(const wb_peer_group_t *groups) {
-    int useful = group_pick(&groups[PEER_USEFUL]);
-    int unknown = group_pick(&groups[PEER_UNKNOWN]);
+static int zone_pick(GArray *const ranks[PEER_RANKS]) {
+    int useful = index_pick(ranks[PEER_USEFUL]);
+    int unknown = index_pick(ranks[PEER_UNKNOWN]);
     if (useful < 0 || unknown < 0)
         return MAX(useful, unknown);
     return g_random_double() < USEFUL_SHARE ? useful : unknown;
@@ -71,28 +67,28 @@
 
 int wb_peer_choose(wb_peer_record_t *record, const GArray *candidates, GHashTable *asked,
                    const char *zone, int64_t now_ms) {
-    wb_peer_group_t groups[2][PEER_RANKS]; /* of other zones, of the own zone */
+    GArray *indexes[2][PEER_RANKS]; /* of candidates in other zones, in the own zone */
     for (int own = 0; own < 2; own++)
         for (int rank = 0; rank < PEER_RANKS; rank++)
-            groups[own][rank].indexes = g_array_new(FALSE, FALSE, sizeof(int));
+            indexes[own][rank] = g_array_new(FALSE, FALSE, sizeof(int));
     for (guint i = 0; i < candidates->len; i++) {
         const wb_peer_candidate_t *peer = &g_array_index(candidates, wb_peer_candidate_t, i);
         int index = (int)i;
         if (g_hash_table_contains(asked, peer->id))
             continue;
         gboolean own = strcmp(peer->zone, zone) == 0;
-        g_array_append_val(groups[own][rank_of(record, peer->id, now_ms)].indexes, index);
+        g_array_append_val(indexes[own][rank_of(record, peer->id, now_ms)], index);
     }
     gboolean own_first = g_hash_table_size(asked) % 2 == 0;
-    int chosen = zone_pick(groups[own_first]);
+    int chosen = zone_pick(indexes[own_first]);
     if (chosen < 0)
-        chosen = zone_pick(groups[!own_first]);
+        chosen = zone_pick(indexes[!own_first]);
     if (chosen < 0)
-        chosen = group_pick(&groups[own_first][PEER_USELESS]);
+        chosen = index_pick(indexes[own_first][PEER_USELESS]);
     if (chosen < 0)
-        chosen = group_pick(&groups[!own_first][PEER_USELESS]);
+        chosen = index_pick(indexes[!own_first][PEER_USELESS]);
     for (int own = 0; own < 2; own++)
         for (int rank = 0; rank < PEER_RANKS; rank++)
-            g_array_unref(groups[own][rank].indexes);
+            g_array_unref(indexes[own][rank]);
     return chosen;
 }
