A load isn't taken for crashed because its engine refuses this node

Found by reading the change once more; no run with real processes showed it.

What callers may have seen: while a cut refuses a lease holder, each load under way at an engine that refuses counts as crashed, and after a few the model isn't ordered for a while, though nothing has crashed.

A refused report or order, while a model may be loading, was the engine's end at once, without asking whether others reach it.

Change: the first refusal is a failed call, as any other, which makes the node find out who reaches the engine; refused again 150 ms later, it counts as the engine's end unless the node may be cut off. A refused order whose earlier sending had no answer now awaits the load, so that the next report decides.

A real crash is counted one retry (150 ms) later than before.

--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -156,6 +156,11 @@
     controller->events.on_call_failed(engine, controller->events.context);
 }
 
+static gboolean owner_may_be_cut_off(const wb_engine_t *engine, void *context) {
+    const wb_controller_t *controller = context;
+    return controller->events.may_be_cut_off(engine, controller->events.context);
+}
+
 static void owner_report_holding(wb_engine_t *engine, const char *model, const char *adapter,
                                  gboolean held, void *context) {
     wb_controller_t *controller = context;
@@ -189,6 +194,7 @@
                                       owner_token,
                                       owner_engine_state_changed,
                                       owner_call_failed,
+                                      owner_may_be_cut_off,
                                       controller};
     orders = wb_engine_orders_create(controller->loop, controller->settings, controller->dialect,
                                      engine, controller->metrics, &owner);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -36,6 +36,8 @@
     void (*on_engine_state)(wb_engine_t *engine, void *context);
     /** A call to an engine got no response. */
     void (*on_call_failed)(wb_engine_t *engine, void *context);
+    /** As wb_engine_orders_owner_t.may_be_cut_off. */
+    gboolean (*may_be_cut_off)(const wb_engine_t *engine, void *context);
     void *context;
 } wb_controller_events_t;
 
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -91,6 +91,17 @@
     orders->awaited = WB_AWAIT_NONE;
 }
 
+/* The engine refuses connections and may be loading a model. It has ended, unless only this node is
+ * refused: the first failed call makes the owner find that out. */
+static void load_refused(wb_engine_orders_t *orders) {
+    orders->awaited = WB_AWAIT_LOADED;
+    if (orders->failures > 0 &&
+        !orders->owner.may_be_cut_off(orders->engine, orders->owner.context))
+        load_crashed(orders);
+    else
+        call_failed(orders);
+}
+
 void wb_engine_orders_on_engine_ended(wb_engine_orders_t *orders) {
     if (orders->awaited == WB_AWAIT_LOADED) {
         load_crashed(orders);
@@ -174,7 +185,7 @@
         state =
             orders->dialect->report_parse(orders->engine->state->id, result->body, result->length);
     if (result->refused && orders->awaited == WB_AWAIT_LOADED) {
-        load_crashed(orders);
+        load_refused(orders);
         return;
     }
     if (state == NULL) {
@@ -297,7 +308,7 @@
         gboolean may_load = orders->resends > 0 && orders->order.kind == WB_ORDER_LOAD &&
                             *orders->order_adapter == '\0';
         if (result->refused && may_load)
-            load_crashed(orders);
+            load_refused(orders);
         else
             call_failed(orders);
         return;
--- a/src/control/engine_orders.h
+++ b/src/control/engine_orders.h
@@ -56,8 +56,11 @@
     uint64_t (*token)(void *context);
     /** Engine-reported state that other nodes need has changed. */
     void (*engine_state_changed)(wb_engine_t *engine, void *context);
-    /** A report or an order got no response. */
+    /** A report or an order got no response: find out who reaches the engine. */
     void (*call_failed)(wb_engine_t *engine, void *context);
+    /** @return TRUE if this node may be cut off from the engine: that it refuses connections
+     * doesn't show that it has ended */
+    gboolean (*may_be_cut_off)(const wb_engine_t *engine, void *context);
     void *context;
 } wb_engine_orders_owner_t;
 
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -271,13 +271,10 @@
     if (status != APR_SUCCESS)
         return status;
     wb_edge_node_open_lease(created);
-    wb_controller_events_t events = {wb_edge_node_may_act,
-                                     wb_edge_node_authorize_order,
-                                     wb_edge_node_blocked_ms,
-                                     wb_edge_node_publish,
-                                     wb_edge_node_engine_reported,
-                                     wb_edge_node_call_failed,
-                                     created};
+    wb_controller_events_t events = {wb_edge_node_may_act,         wb_edge_node_authorize_order,
+                                     wb_edge_node_blocked_ms,      wb_edge_node_publish,
+                                     wb_edge_node_engine_reported, wb_edge_node_call_failed,
+                                     wb_edge_node_may_be_cut_off,  created};
     created->controller =
         wb_controller_create(loop, &edge->settings, dialect, edge->fleet, &edge->metrics, &events);
     wb_edge_node_follow_store(created);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -303,6 +303,8 @@
 /** As wb_controller_events_t.on_call_failed: finds out whether other nodes reach the engine.
  * @param context the node */
 void wb_edge_node_call_failed(wb_engine_t *engine, void *context);
+/** As wb_controller_events_t.may_be_cut_off. @param context the node */
+gboolean wb_edge_node_may_be_cut_off(const wb_engine_t *engine, void *context);
 /** Find out whether this node is isolated; as the lease holder, hand the lease over then. */
 void wb_edge_node_tick_tunnels(wb_edge_node_t *node, int64_t now_ms);
 
--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -116,6 +116,11 @@
     probe_start(context, engine, wb_clock_ms());
 }
 
+gboolean wb_edge_node_may_be_cut_off(const wb_engine_t *engine, void *context) {
+    const wb_edge_node_t *node = context;
+    return node->edge.doubt_since_ms != 0 || wb_engine_reach_is_cut(&engine->reach, wb_clock_ms());
+}
+
 /* Returns an engine that wasn't tried lately, or NULL. */
 static wb_engine_t *untried_engine(const wb_edge_node_t *node, int64_t now_ms) {
     GHashTableIter iter;
--- a/tests/fuzz/fuzz_control_check.c
+++ b/tests/fuzz/fuzz_control_check.c
@@ -79,6 +79,12 @@
     (void)context;
 }
 
+static gboolean never_cut_off(const wb_engine_t *engine, void *context) {
+    (void)engine;
+    (void)context;
+    return FALSE;
+}
+
 static void placement_update_ignore(const wb_wire_message *update, void *context) {
     (void)update;
     (void)context;
@@ -142,6 +148,7 @@
                                          placement_update_ignore,
                                          engine_response_ignore,
                                          engine_response_ignore,
+                                         never_cut_off,
                                          GINT_TO_POINTER(i)};
         simulation->nodes[i].controller =
             wb_controller_create(NULL, settings, &sim_dialect, simulation->nodes[i].fleet,
