A node that is cut off itself doesn't testify that an engine has failed

Found by reading the change once more. A node that was asked for a tunnel and knows that it is cut off from the engine answered that the engine is unreachable, as one that has tried and failed. The answer now is a result of its own (5), which older readers take for a node that can't help, as this one does.

/tunnel/node-is-cut-off; with the former answer it gives WB_TUNNEL_ENGINE_FAILED.

--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -59,7 +59,7 @@
         strcmp(engine->state->address, question->address) != 0 ||
         !wb_engine_is_usable(engine, now_ms))
         return WB_WIRE_TUNNEL_NOT_IN_USE;
-    return wb_engine_reach_is_cut(&engine->reach, now_ms) ? WB_WIRE_TUNNEL_UNREACHABLE
+    return wb_engine_reach_is_cut(&engine->reach, now_ms) ? WB_WIRE_TUNNEL_CUT_OFF
                                                           : WB_WIRE_TUNNEL_CONNECTED;
 }
 
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -555,7 +555,8 @@
     WB_WIRE_TUNNEL_UNREACHABLE = 1, /* the engine didn't accept in time */
     WB_WIRE_TUNNEL_REFUSED = 2,     /* nothing listens at the engine's address */
     WB_WIRE_TUNNEL_NOT_IN_USE = 3,  /* the node doesn't know the engine, or it is leaving */
-    WB_WIRE_TUNNEL_BUSY = 4         /* the node takes no tunnels now */
+    WB_WIRE_TUNNEL_BUSY = 4,        /* the node takes no tunnels now */
+    WB_WIRE_TUNNEL_CUT_OFF = 5      /* the node itself is cut off from the engine */
 };
 
 struct wb_wire_tunnel_answer {
--- a/src/tunnel/tunnel_client.h
+++ b/src/tunnel/tunnel_client.h
@@ -18,7 +18,8 @@
     WB_TUNNEL_OPENED,
     WB_TUNNEL_ENGINE_FAILED,   /**< the node didn't reach the engine either */
     WB_TUNNEL_ENGINE_REFUSED,  /**< nothing listens at the engine's address */
-    WB_TUNNEL_PEER_UNAVAILABLE /**< no answer, or the node doesn't use the engine, or is busy */
+    WB_TUNNEL_PEER_UNAVAILABLE /**< no answer, or the node doesn't use the engine, is cut off from
+                                  it itself, or is busy */
 } wb_tunnel_outcome_t;
 
 typedef struct wb_tunnel_request_t {
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -239,6 +239,15 @@
     fixture_free(fixture);
 }
 
+/* A node that is cut off itself says nothing about the engine, so others are asked as before. */
+static void test_node_is_cut_off(void) {
+    fixture_t *fixture = fixture_create(4);
+    fixture->check_result = WB_WIRE_TUNNEL_CUT_OFF;
+    tunnel_open(fixture);
+    g_assert_cmpint(fixture->outcome, ==, WB_TUNNEL_PEER_UNAVAILABLE);
+    fixture_free(fixture);
+}
+
 static void test_limit_and_drain(void) {
     fixture_t *fixture = fixture_create(1);
     tunnel_open(fixture);
@@ -286,6 +295,7 @@
     g_test_add_func("/tunnel/back-pressure", test_back_pressure);
     g_test_add_func("/tunnel/engine-refuses", test_engine_refuses);
     g_test_add_func("/tunnel/not-in-use", test_not_in_use);
+    g_test_add_func("/tunnel/node-is-cut-off", test_node_is_cut_off);
     g_test_add_func("/tunnel/limit-and-drain", test_limit_and_drain);
     g_test_add_func("/tunnel/garbage", test_garbage);
     g_test_add_func("/tunnel/nobody-listens", test_nobody_listens);
