--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -65,10 +65,7 @@
 for program in $(programs 'fuzz-*-check'); do
     run_command "$program" "$build/$program"
 done
-# Twelve seeds of the soak: four with requests that crash engines, one with engines of different pace, two with engines that start
-# again under their ids, evacuations and foreign rows, one of these with nodes of two builds; one with engines
-# that turn requests away while nodes are killed; one with engines that name limits, ask for rest and leave by
-# their answers; one with a store that comes back from older copies, one with nodes that are cut off from engines, one with brittle engines; the long run is `make soak`.
+# A seed or more of the soak for each part that bits of a seed switch on (DEVELOPERS.md); the long run is `make soak`.
 run_command soak "$build/wb-soak" --seconds 15 --seeds 33,17,5,70,150,406,529,1026,2066,6145,16400,32785
 run_command demo scripts/demo.sh "$build"
 passed=$(wc -l <"$results/passed")
