Logs and metrics: how an engine's answer was framed, and whether a stream ended inside an event

No answer is treated otherwise, but for one thing: lines of an event stream may also end with CR alone, as the format allows; such events were held back to the end of the stream.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -78,6 +78,8 @@
     uint64_t late_answers;              /**< first events later than the route's target */
     uint64_t long_gaps;                 /**< streams with a longer gap than the route's target */
     uint64_t load_updates;              /**< messages about engine load sent or received */
+    uint64_t unframed_answers;          /**< engines' responses with neither length nor chunks */
+    uint64_t answers_ended_in_event;    /**< streams that ended inside an event */
     wb_histogram_t prediction_error_ms; /**< absolute error of the predicted time to first event */
     wb_histogram_t answer_ms;           /**< arrival to the first bytes of the response */
     wb_histogram_t whole_ms;            /**< arrival to the end of the response */
--- a/src/request/event_stream.c
+++ b/src/request/event_stream.c
@@ -5,18 +5,6 @@
 
 #define ID_FIELD "id:"
 
-size_t wb_events_complete_length(const char *text, size_t length) {
-    for (size_t i = length; i >= 2; i--) {
-        if (text[i - 1] != '\n')
-            continue;
-        if (text[i - 2] == '\n')
-            return i;
-        if (i >= 4 && text[i - 2] == '\r' && text[i - 3] == '\n')
-            return i;
-    }
-    return 0;
-}
-
 static size_t line_length(const char *text, size_t length) {
     size_t size = 0;
     while (size < length && text[size] != '\n' && text[size] != '\r')
@@ -24,11 +12,50 @@
     return size;
 }
 
+/* Returns the length of the line end at the start of the text; 0 when there is none, or when more
+ * text may follow and decide whether it is CR or CR LF. */
+static size_t line_end_length(const char *text, size_t length, gboolean is_whole) {
+    if (length == 0 || (length == 1 && text[0] == '\r' && !is_whole))
+        return 0;
+    return length > 1 && text[0] == '\r' && text[1] == '\n' ? 2 : 1;
+}
+
+/* Length up to and including the last blank line. */
+static size_t complete_length(const char *text, size_t length, gboolean is_whole) {
+    size_t complete = 0;
+    size_t at = 0;
+    while (at < length) {
+        size_t line = line_length(text + at, length - at);
+        size_t end = line_end_length(text + at + line, length - at - line, is_whole);
+        if (end == 0)
+            break;
+        at += line + end;
+        if (line == 0)
+            complete = at;
+    }
+    return complete;
+}
+
+size_t wb_events_complete_length(const char *text, size_t length) {
+    return complete_length(text, length, FALSE);
+}
+
+gboolean wb_events_is_inside_event(const char *text, size_t length) {
+    size_t at = complete_length(text, length, TRUE);
+    while (at < length) {
+        size_t line = line_length(text + at, length - at);
+        if (line > 0 && text[at] != ':')
+            return TRUE;
+        at += line + line_end_length(text + at + line, length - at - line, TRUE);
+    }
+    return FALSE;
+}
+
 char *wb_events_last_id(const char *text, size_t length) {
     size_t field = strlen(ID_FIELD);
     for (size_t i = length; i > 0; i--) {
         size_t at = i - 1;
-        gboolean begins_line = at == 0 || text[at - 1] == '\n';
+        gboolean begins_line = at == 0 || text[at - 1] == '\n' || text[at - 1] == '\r';
         if (!begins_line || length - at < field || memcmp(text + at, ID_FIELD, field) != 0)
             continue;
         at += field;
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -389,6 +389,7 @@
         wb_exchange_attempt_failed(exchange, &failure);
         return;
     }
+    wb_exchange_ended_in_event(exchange);
     wb_exchange_note_completed(exchange);
     gboolean failed = reply->status >= 500;
     if (failed && resend_run(exchange))
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -3,6 +3,9 @@
 #include "request/event_stream.h"
 #include "request/exchange_internal.h"
 
+#include <string.h>
+
+#define EVENT_STREAM_TYPE "text/event-stream"
 /* Unsent bytes for a client at which reading from its engine stops. */
 #define OUTPUT_LIMIT_BYTES (256 * 1024)
 
@@ -19,6 +22,22 @@
     return text;
 }
 
+static wb_framing_t framing_of(const wb_http_head_t *head) {
+    if (head->ends_at_close)
+        return WB_FRAMING_CLOSE;
+    if (head->has_length)
+        return WB_FRAMING_LENGTH;
+    return wb_http_head_get(head, "Transfer-Encoding") != NULL ? WB_FRAMING_CHUNKS
+                                                               : WB_FRAMING_NONE;
+}
+
+/* Engines may leave the type out of a stream. */
+static gboolean has_event_stream_type(const wb_http_head_t *head) {
+    const char *type = wb_http_head_get(head, "Content-Type");
+    return type == NULL ||
+           g_ascii_strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) == 0;
+}
+
 void wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
     wb_reply_t *reply = &exchange->reply;
@@ -29,12 +48,15 @@
     wb_exchange_clear_timer(&exchange->silence_timer);
     wb_exchange_clear_reply(reply);
     reply->status = head->status;
+    reply->framing = framing_of(head);
+    exchange->edge->metrics.unframed_answers += reply->framing == WB_FRAMING_CLOSE;
     reply->reason = g_strdup(head->reason);
     reply->headers = forwarded_headers(head);
     reply->sealed = wb_http_head_get(head, dialect->seal) != NULL;
     reply->rejected = rejected;
     reply->streamed = !rejected && reply->sealed && head->status / 100 == 2 &&
                       exchange->route->kind == WB_ROUTE_STREAM;
+    reply->has_events = reply->streamed && has_event_stream_type(head);
 }
 
 static void engine_succeeded(wb_engine_t *engine) {
@@ -140,6 +162,14 @@
         answer_forward(exchange, exchange->answer->len);
 }
 
+gboolean wb_exchange_ended_in_event(wb_exchange_t *exchange) {
+    const GByteArray *rest = exchange->answer;
+    exchange->ended_in_event = exchange->reply.has_events &&
+                               wb_events_is_inside_event((const char *)rest->data, rest->len);
+    exchange->edge->metrics.answers_ended_in_event += exchange->ended_in_event;
+    return exchange->ended_in_event;
+}
+
 void wb_exchange_forward_answer(wb_exchange_t *exchange) {
     wb_reply_t *reply = &exchange->reply;
     wb_outcome_t outcome = reply->status / 100 == 2 ? WB_OUTCOME_SERVED : WB_OUTCOME_ENGINE_FAILED;
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -7,6 +7,8 @@
     "caller-gone", "stopping",      "bad-key",     "key-uncertain", "over-quota",  "poison",
     "no-room",     "unverified",    "unreachable", "quota-unknown"};
 
+static const char *const framing_names[] = {"none", "length", "chunks", "close"};
+
 const char *wb_outcome_name(wb_outcome_t outcome) {
     return outcome_names[outcome];
 }
@@ -59,7 +61,8 @@
         "0f,\"digest\":\"%s\",\"out_tokens\":%lld,\"pace\":%.2f,\"running_there\":%.0f,"
         "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
         "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s,"
-        "\"by\":\"%s\",\"quota_basis\":\"%s\",\"quota_age_ms\":%lld",
+        "\"by\":\"%s\",\"quota_basis\":\"%s\",\"quota_age_ms\":%lld,\"framing\":\"%s\","
+        "\"ended_in_event\":%s",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -81,5 +84,6 @@
         exchange->connect_failures, wb_exchange_model_is_held(exchange) ? "true" : "false",
         exchange->peer != NULL ? wb_event_escape(exchange->peer) : "",
         exchange->quota_cost > 0 ? wb_quota_basis_name(exchange->quota_basis) : "",
-        (long long)exchange->quota_age_ms);
+        (long long)exchange->quota_age_ms, framing_names[exchange->reply.framing],
+        exchange->ended_in_event ? "true" : "false");
 }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -188,14 +188,24 @@
 /** @return an outcome's name in logs and metrics; static */
 const char *wb_outcome_name(wb_outcome_t outcome);
 
+/** How the end of an engine's response is marked. */
+typedef enum wb_framing_t {
+    WB_FRAMING_NONE,   /* there is no response, or it has no body */
+    WB_FRAMING_LENGTH, /* Content-Length */
+    WB_FRAMING_CHUNKS,
+    WB_FRAMING_CLOSE /* the connection's end, which an engine's crash looks like, too */
+} wb_framing_t;
+
 /** An engine's response, while it is read. */
 typedef struct wb_reply_t {
     unsigned status;
+    wb_framing_t framing;
     char *reason;
-    GString *headers;  /* lines to forward */
-    gboolean sealed;   /* it has the header that marks an engine's own response */
-    gboolean rejected; /* the engine states that it did not run the request */
-    gboolean streamed; /* complete events are forwarded as they arrive */
+    GString *headers;    /* lines to forward */
+    gboolean sealed;     /* it has the header that marks an engine's own response */
+    gboolean rejected;   /* the engine states that it did not run the request */
+    gboolean streamed;   /* complete events are forwarded as they arrive */
+    gboolean has_events; /* its body is a text/event-stream */
 } wb_reply_t;
 
 /** An engine that a request was sent to. */
@@ -260,10 +270,11 @@
     gboolean limit_counted;          /* the attempt is counted against its engine's limit */
     int64_t prefill_counted;         /* prompt tokens counted in engine->prefill_tokens */
     wb_reply_t reply;
-    gboolean paused; /* the client reads too slowly: reading from the engine is stopped */
-    GArray *tried;   /* of wb_tried_engine_t, the last attempt last */
-    unsigned sends;  /* attempts that may have reached an engine */
-    unsigned runs;   /* engines that ran it, or may have */
+    gboolean ended_in_event; /* the last response ended inside an event */
+    gboolean paused;         /* the client reads too slowly: reading from the engine is stopped */
+    GArray *tried;           /* of wb_tried_engine_t, the last attempt last */
+    unsigned sends;          /* attempts that may have reached an engine */
+    unsigned runs;           /* engines that ran it, or may have */
     unsigned rejections;
     unsigned connect_failures; /* attempts of which no byte was sent */
     gboolean answer_begun;     /* the response head was sent to the client */
--- a/tests/unit/test_event_stream.c
+++ b/tests/unit/test_event_stream.c
@@ -26,7 +26,49 @@
     }
 }
 
+/* Guards against a stream that was broken off inside an event and is taken for complete. */
+static void test_end_inside_event(void) {
+    static const struct {
+        const char *text;
+        gboolean inside;
+    } cases[] = {
+        {"", FALSE},
+        {"id: 1\ndata: a\n\n", FALSE},
+        {"id: 1\r\ndata: a\r\n\r\n", FALSE},
+        {"id: 1\rdata: a\r\r", FALSE},
+        {"data: a\n\n\n", FALSE},
+        {"data: a\n\n\r", FALSE},
+        {"data: a\n\n: comment\n", FALSE},
+        {"data: a\n\n: comment", FALSE},
+        {"data: a\n\n:", FALSE},
+        {"\n", FALSE},
+        {"data: a\n\nid: 2\n", TRUE},
+        {"data: a\n\n: comment\nd", TRUE},
+        {"data: a\n\nretry: 5\n", TRUE},
+        {"data: a\n", TRUE},
+        {"data: a\r", TRUE},
+        {"data: a\r\n", TRUE},
+        {"d", TRUE},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].text);
+        g_assert_cmpint(wb_events_is_inside_event(cases[i].text, strlen(cases[i].text)), ==,
+                        cases[i].inside);
+    }
+}
+
+/* Lines may end with CR alone: an event is complete as soon as the next byte shows that. */
+static void test_lines_end_with_cr(void) {
+    static const char text[] = "id: 1\rdata: a\r\rid: 2\r";
+    g_assert_cmpuint(wb_events_complete_length(text, 15), ==, 0);
+    g_assert_cmpuint(wb_events_complete_length(text, 16), ==, 15);
+    g_autofree char *id = wb_events_last_id(text, strlen(text));
+    g_assert_cmpstr(id, ==, "2");
+}
+
 static void tests_add(void) {
+    g_test_add_func("/events/end-inside-event", test_end_inside_event);
+    g_test_add_func("/events/lines-end-with-cr", test_lines_end_with_cr);
     g_test_add_func("/events/every-cut", test_events_at_every_cut);
 }
 
