--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -67,6 +67,9 @@
  */
 void wb_http_connection_reply(wb_http_connection_t *connection, unsigned status, const char *reason,
                               const char *headers, const void *body, size_t length);
+/** Let the next response end with its connection, without length or chunks, as to HTTP/1.0 clients.
+ */
+void wb_http_connection_end_by_close(wb_http_connection_t *connection);
 /** Begin a response of unknown length; it is sent in chunks. */
 void wb_http_connection_stream_begin(wb_http_connection_t *connection, unsigned status,
                                      const char *reason, const char *headers);
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -135,6 +135,11 @@
     request_finish(connection);
 }
 
+void wb_http_connection_end_by_close(wb_http_connection_t *connection) {
+    connection->without_chunks = TRUE;
+    connection->keep_alive = FALSE;
+}
+
 void wb_http_connection_stream_begin(wb_http_connection_t *connection, unsigned status,
                                      const char *reason, const char *headers) {
     if (connection->listener->draining)
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -21,7 +21,8 @@
     gboolean streams;
     int next_event;
     int events;
-    int cut_after; /* number of the event after which the stream is aborted; -1: never */
+    int cut_after;         /* number of the event after which the stream ends early; -1: never */
+    gboolean cut_is_plain; /* it then ends like a complete one */
 } wb_estate_run_t;
 
 const char *wb_estate_engine_id(const wb_estate_engine_t *engine) {
@@ -212,7 +213,10 @@
     }
     if (run->cut_after >= 0 && run->next_event > run->cut_after) {
         wb_http_connection_stream_write(run->connection, "id: 99\nda", 9); /* an incomplete event */
-        wb_http_connection_abort(run_detach(run));
+        if (run->cut_is_plain)
+            wb_http_connection_stream_end(run_detach(run));
+        else
+            wb_http_connection_abort(run_detach(run));
         return;
     }
     if (run->next_event > run->events) {
@@ -340,6 +344,12 @@
         return;
     if (wb_estate_engine_consume_fault(engine, "cut"))
         run->cut_after = 2;
+    if (wb_estate_engine_consume_fault(engine, "cut-plain")) {
+        run->cut_after = 2;
+        run->cut_is_plain = TRUE;
+    }
+    if (wb_estate_engine_option(engine, "unframed", 0) != 0)
+        wb_http_connection_end_by_close(connection);
     if (run->streams) {
         g_autofree char *lines =
             head_lines(run, "Response-Seal: seal\r\nContent-Type: text/event-stream\r\n");
