A stream that ends inside an event was broken off, however its end is marked

Cause: an answer with neither length nor chunks ends with its connection, and a dying process's kernel closes that plainly, like an engine that has finished. The node took the plain end for the answer's, passed on the rest of its buffer and ended the client's chunks properly. Nobody looked at what followed the last complete event; so an engine that ended its chunks properly inside an event was believed, too. Why it works: the format says where an event ends. A stream that ends after a field and without a blank line has failed like one that was reset: it goes on at another engine where its route allows, else the client's connection is broken off; no byte after the last complete event is passed on. An unframed stream without any event is a failure, too, unless it continues an earlier one. An unframed end shows nothing about its engine: what is recorded of a request that crashes engines isn't cleared by it.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -389,8 +389,18 @@
         wb_exchange_attempt_failed(exchange, &failure);
         return;
     }
-    wb_exchange_ended_in_event(exchange);
-    wb_exchange_note_completed(exchange);
+    const char *cut_off = wb_exchange_cut_off_reason(exchange);
+    if (cut_off != NULL) {
+        wb_attempt_failure_t failure = {.sent = TRUE,
+                                        .engine_aborted = reply->framing == WB_FRAMING_CLOSE,
+                                        .by_peer = exchange->peer != NULL,
+                                        .reason = cut_off};
+        wb_exchange_attempt_failed(exchange, &failure);
+        return;
+    }
+    /* A crashed engine closes its connections, too. */
+    if (reply->framing != WB_FRAMING_CLOSE)
+        wb_exchange_note_completed(exchange);
     gboolean failed = reply->status >= 500;
     if (failed && resend_run(exchange))
         return;
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -162,12 +162,22 @@
         answer_forward(exchange, exchange->answer->len);
 }
 
-gboolean wb_exchange_ended_in_event(wb_exchange_t *exchange) {
+/* Whether an unframed stream ended before its first event. One that goes on after the last event of
+ * an earlier one may have none. */
+static gboolean lacks_first_event(const wb_exchange_t *exchange) {
+    const char *last_event_id = exchange->edge->dialect->last_event_id;
+    return exchange->reply.framing == WB_FRAMING_CLOSE && exchange->reply.has_events &&
+           !exchange->answer_begun && wb_http_head_get(exchange->head, last_event_id) == NULL;
+}
+
+const char *wb_exchange_cut_off_reason(wb_exchange_t *exchange) {
     const GByteArray *rest = exchange->answer;
     exchange->ended_in_event = exchange->reply.has_events &&
                                wb_events_is_inside_event((const char *)rest->data, rest->len);
     exchange->edge->metrics.answers_ended_in_event += exchange->ended_in_event;
-    return exchange->ended_in_event;
+    if (exchange->ended_in_event)
+        return "ended-in-event";
+    return lacks_first_event(exchange) ? "no-event" : NULL;
 }
 
 void wb_exchange_forward_answer(wb_exchange_t *exchange) {
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -102,8 +102,9 @@
 /** The engine has begun to answer: record the latency, and clear the engine's failures. Only the
  * first call has an effect. */
 void wb_exchange_note_first_event(wb_exchange_t *exchange);
-/** The engine's response has ended. @return TRUE if it did so inside an event of a stream */
-gboolean wb_exchange_ended_in_event(wb_exchange_t *exchange);
+/** The engine's response has ended as its framing says. @return why it is incomplete all the same,
+ * for logs; NULL: it isn't */
+const char *wb_exchange_cut_off_reason(wb_exchange_t *exchange);
 /** Forward the engine's complete answer, or the rest of it. It is freed. */
 void wb_exchange_forward_answer(wb_exchange_t *exchange);
 
