The end of a tunnel is the engine's only if the node between says so

What callers saw: not reported; found by looking for the same cause elsewhere. Where another node connects to an engine for a node that can't, and that node dies in an answer with neither length nor chunks, the client got what had come so far as a complete answer. Cause: as with engines: a dying process's connections are closed plainly by its kernel, and the asking node took that for the engine's close. Why it works: what comes from the engine passes in blocks, and a block of length 0 says that the engine closed normally. A process that dies sends none. Nodes of the release before don't send blocks; unframed answers through them count as broken off.

--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -92,8 +92,9 @@
 
 /* Probes. */
 
-static void probe_connected(wb_tcp_stream_t *stream, const char *peer, void *context) {
-    (void)peer;
+static void probe_connected(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel,
+                            void *context) {
+    (void)tunnel;
     ((wb_edge_node_t *)context)->probe = NULL;
     wb_tcp_stream_close(stream);
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -497,7 +497,8 @@
     WB_WIRE_EXTENSION_ERA = 4,    /* wb_wire_era */
     WB_WIRE_EXTENSION_BRITTLE = 5, /* wb_wire_brittle_engines */
     WB_WIRE_EXTENSION_HEARD = 6, /* wb_wire_heard */
-    WB_WIRE_EXTENSION_HISTORY = 7 /* wb_wire_usage_history */
+    WB_WIRE_EXTENSION_HISTORY = 7, /* wb_wire_usage_history */
+    WB_WIRE_EXTENSION_TUNNEL = 8 /* wb_wire_tunnel_form */
 };
 
 struct wb_wire_extension {
@@ -561,7 +562,7 @@
 };
 
 /* Asks a node to connect to an engine. If it does, everything after the answer passes between the two
- * connections as it comes. */
+ * connections as it comes, or from the engine in blocks (wb_wire_tunnel_form). */
 struct wb_wire_tunnel_open {
     wb_wire_name node;    /* that asks */
     wb_wire_name request; /* id, for logs; empty: none */
@@ -570,6 +571,13 @@
     wb_wire_name address;     /* of the engine */
 };
 
+/* With the question: the asking node reads blocks. With the answer: what comes from the engine is
+ * sent in blocks: a length in 4 bytes, in network order, then so many bytes. A length of 0 says that
+ * the engine closed its connection normally; without it, the end of the tunnel isn't the engine's. */
+struct wb_wire_tunnel_form {
+    bool in_blocks;
+};
+
 enum wb_wire_tunnel_result {
     WB_WIRE_TUNNEL_CONNECTED = 0,
     WB_WIRE_TUNNEL_UNREACHABLE = 1, /* the engine didn't accept in time */
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -2,6 +2,7 @@
 #include "fleet/engine_response.h"
 #include "request/engine_connect.h"
 #include "request/request_types.h"
+#include "tunnel/tunnel_frame.h"
 
 #include <string.h>
 
@@ -23,6 +24,8 @@
     wb_engine_connect_t *connect; /* while the connection is being established, else NULL */
     wb_tcp_stream_t *stream;      /* NULL while it is being established */
     gboolean by_peer;             /* it leads through another node, and carries one request only */
+    gboolean in_blocks;           /* by_peer: the engine's bytes arrive in blocks */
+    wb_tunnel_blocks_t blocks;
     int64_t heard_ms; /* when the last bytes of the engine arrived, or it was established */
     wb_http_reader_t *reader;
     wb_attempt_t *attempt;   /* NULL while it is idle */
@@ -217,8 +220,9 @@
 }
 
 /* Feeds bytes of a response to the reader. Calls into the exchange may end the attempt, so it is
- * read again after each one. */
-static void upstream_feed(wb_upstream_t *upstream, const char *data, size_t length) {
+ * read again after each one. Returns FALSE when it has ended; the connection may have been freed.
+ */
+static gboolean upstream_feed(wb_upstream_t *upstream, const char *data, size_t length) {
     upstream->feeding = TRUE;
     while (length > 0 && !upstream->closed && upstream->attempt != NULL &&
            !upstream->attempt->complete) {
@@ -230,13 +234,16 @@
     }
     wb_attempt_t *attempt = feeding_end(upstream);
     if (attempt == NULL)
-        return;
+        return FALSE;
     if (length > 0)
         attempt->tainted = TRUE; /* bytes after the end of the response */
     if (attempt->complete)
         attempt_finish(attempt);
     else if (length > 0 || wb_http_reader_error(upstream->reader) != WB_HTTP_PARSE_OK)
         attempt_fail(attempt, FALSE, "not-an-answer");
+    else
+        return TRUE;
+    return FALSE;
 }
 
 static void idle_close(wb_upstream_t *upstream) {
@@ -244,6 +251,17 @@
     upstream_close(upstream);
 }
 
+static void upstream_end(wb_upstream_t *upstream, wb_tcp_end_reason_t how);
+
+/* Feeds bytes that another node passed on. */
+static void blocks_feed(wb_upstream_t *upstream, const char *data, size_t length) {
+    g_autoptr(GByteArray) content = g_byte_array_new();
+    wb_tunnel_blocks_read(&upstream->blocks, data, length, content);
+    gboolean ended = upstream->blocks.ended;
+    if (upstream_feed(upstream, (const char *)content->data, content->len) && ended)
+        upstream_end(upstream, WB_TCP_END_CLOSED);
+}
+
 static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     (void)stream;
     wb_upstream_t *upstream = context;
@@ -251,6 +269,8 @@
     upstream->heard_ms = wb_clock_ms();
     if (upstream->attempt == NULL)
         idle_close(upstream); /* a late response to an earlier request */
+    else if (upstream->in_blocks)
+        blocks_feed(upstream, data, length);
     else
         upstream_feed(upstream, data, length);
 }
@@ -268,15 +288,16 @@
     }
 }
 
-static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
-    (void)stream;
-    wb_upstream_t *upstream = context;
-    if (upstream->attempt == NULL) {
-        idle_close(upstream);
-        return;
-    }
+/* Whether the end of the connection is the engine's normal close. The kernel closes connections of
+ * a dead process normally, too, so the end of a connection through another node may be that node's.
+ */
+static gboolean is_closed_by_engine(const wb_upstream_t *upstream, wb_tcp_end_reason_t how) {
+    return how == WB_TCP_END_CLOSED && (!upstream->by_peer || upstream->blocks.ended);
+}
+
+static void upstream_end(wb_upstream_t *upstream, wb_tcp_end_reason_t how) {
     wb_attempt_t *attempt = upstream->attempt;
-    if (how == WB_TCP_END_CLOSED) {
+    if (is_closed_by_engine(upstream, how)) {
         upstream->feeding = TRUE;
         wb_http_reader_eof(upstream->reader);
         attempt = feeding_end(upstream);
@@ -290,6 +311,15 @@
         attempt_fail(attempt, TRUE, end_name(how));
 }
 
+static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
+    (void)stream;
+    wb_upstream_t *upstream = context;
+    if (upstream->attempt == NULL)
+        idle_close(upstream);
+    else
+        upstream_end(upstream, how);
+}
+
 /* The request has been acknowledged: else its connection would have ended by now. */
 static void request_arrived(void *context) {
     wb_attempt_t *attempt = context;
@@ -312,16 +342,18 @@
 
 static const wb_tcp_events_t stream_events = {NULL, stream_data, stream_end, NULL};
 
-static void upstream_connected(wb_tcp_stream_t *stream, const char *peer, void *context) {
+static void upstream_connected(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel,
+                               void *context) {
     wb_upstream_t *upstream = context;
     wb_attempt_t *attempt = upstream->attempt;
     upstream->connect = NULL;
     upstream->stream = stream;
-    upstream->by_peer = peer != NULL;
+    upstream->by_peer = tunnel != NULL;
+    upstream->in_blocks = tunnel != NULL && tunnel->in_blocks;
     upstream->heard_ms = wb_clock_ms();
     wb_tcp_stream_set_events(stream, &stream_events, upstream);
-    upstream->edge->metrics.connections_opened += peer == NULL;
-    attempt->exchange->peer = g_strdup(peer);
+    upstream->edge->metrics.connections_opened += tunnel == NULL;
+    attempt->exchange->peer = tunnel != NULL ? g_strdup(tunnel->peer) : NULL;
     if (wb_balancer_may_write(upstream->edge, attempt->exchange, wb_clock_ms())) {
         request_write(attempt);
         return;
--- a/src/request/engine_connect.c
+++ b/src/request/engine_connect.c
@@ -111,10 +111,11 @@
 }
 
 /* Hands the connection over. The direct attempt may go on. */
-static void connected(wb_engine_connect_t *connect, wb_tcp_stream_t *stream, const char *peer) {
+static void connected(wb_engine_connect_t *connect, wb_tcp_stream_t *stream,
+                      const wb_engine_tunnel_t *tunnel) {
     const wb_engine_connect_events_t *events = connect->events;
     connect->events = NULL;
-    events->on_connected(stream, peer, connect->context);
+    events->on_connected(stream, tunnel, connect->context);
 }
 
 static void peer_ask_next(wb_engine_connect_t *connect);
@@ -127,7 +128,7 @@
 }
 
 static void peer_done(wb_tunnel_client_t *client, wb_tunnel_outcome_t outcome,
-                      wb_tcp_stream_t *stream, void *context) {
+                      wb_tcp_stream_t *stream, gboolean in_blocks, void *context) {
     (void)client;
     wb_peer_attempt_t *attempt = context;
     wb_engine_connect_t *connect = attempt->connect;
@@ -154,7 +155,7 @@
         edge->doubt_since_ms = now_ms;
     if (connect->direct == NULL)
         result_note(connect, WB_REACH_BY_PEER);
-    connected(connect, stream, attempt->peer);
+    connected(connect, stream, &(wb_engine_tunnel_t){attempt->peer, in_blocks});
     end_check(connect);
 }
 
--- a/src/request/engine_connect.h
+++ b/src/request/engine_connect.h
@@ -19,10 +19,16 @@
 
 typedef struct wb_engine_connect_t wb_engine_connect_t;
 
+/** How a connection leads through another node. */
+typedef struct wb_engine_tunnel_t {
+    const char *peer;   /**< id of the node; valid during the call */
+    gboolean in_blocks; /**< the engine's bytes arrive in blocks (tunnel/tunnel_frame.h) */
+} wb_engine_tunnel_t;
+
 typedef struct wb_engine_connect_events_t {
     /** @param stream now the callee's, which sets its events
-     * @param peer id of the node that connected; NULL: this one did. Valid during the call */
-    void (*on_connected)(wb_tcp_stream_t *stream, const char *peer, void *context);
+     * @param tunnel NULL: this node connected itself */
+    void (*on_connected)(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel, void *context);
     /** @param reason for logs; static */
     void (*on_failed)(const char *reason, void *context);
 } wb_engine_connect_events_t;
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -185,8 +185,9 @@
     g_free(check);
 }
 
-static void refusal_check_connected(wb_tcp_stream_t *stream, const char *peer, void *context) {
-    (void)peer;
+static void refusal_check_connected(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel,
+                                    void *context) {
+    (void)tunnel;
     wb_tcp_stream_close(stream);
     refusal_check_end(context, FALSE);
 }
--- a/src/tunnel/tunnel_client.c
+++ b/src/tunnel/tunnel_client.c
@@ -9,6 +9,7 @@
     wb_tcp_stream_t *stream;
     wb_timer_t *timer;
     GByteArray *received;
+    gboolean in_blocks;           /* of the answer */
     wb_wire_tunnel_open question; /* strings owned */
     wb_tunnel_done_fn on_done;
     void *context;
@@ -29,11 +30,12 @@
 
 static void client_done(wb_tunnel_client_t *client, wb_tunnel_outcome_t outcome) {
     wb_tcp_stream_t *stream = client->stream;
+    gboolean in_blocks = client->in_blocks;
     if (outcome != WB_TUNNEL_OPENED) {
         wb_tcp_stream_close(stream);
         stream = NULL;
     }
-    client->on_done(client, outcome, stream, client->context);
+    client->on_done(client, outcome, stream, in_blocks, client->context);
     client_free(client);
 }
 
@@ -47,7 +49,7 @@
     const wb_tunnel_client_t *client = context;
     wb_wire_message message = {.kind = WB_WIRE_TUNNEL_OPEN};
     message.wb_wire_message_u.tunnel_open = client->question;
-    wb_tunnel_frame_send(stream, &message);
+    wb_tunnel_frame_send(stream, &message, TRUE);
 }
 
 static wb_tunnel_outcome_t outcome_of(unsigned result) {
@@ -68,7 +70,8 @@
     wb_tunnel_client_t *client = context;
     wb_wire_message message;
     g_byte_array_append(client->received, (const guint8 *)data, (guint)length);
-    switch (wb_tunnel_frame_read(client->received, WB_WIRE_TUNNEL_ANSWER, &message)) {
+    switch (wb_tunnel_frame_read(client->received, WB_WIRE_TUNNEL_ANSWER, &message,
+                                 &client->in_blocks)) {
     case WB_TUNNEL_FRAME_INCOMPLETE:
         return;
     case WB_TUNNEL_FRAME_INVALID:
--- a/src/tunnel/tunnel_client.h
+++ b/src/tunnel/tunnel_client.h
@@ -4,8 +4,10 @@
  *
  * On success the connection to that node behaves like one to the engine: what is written arrives
  * there, and it ends as the engine's connection ends. Nothing is written to the engine before
- * that, so a tunnel that isn't opened has run no request. An open tunnel that ends may be due to
- * the engine, the other node, or the network.
+ * that, so a tunnel that isn't opened has run no request. What the engine sends arrives in blocks
+ * (tunnel_frame.h), from nodes of an earlier release as it is. An open tunnel that ends may be due
+ * to the engine, the other node, or the network; it was a normal close of the engine only if the
+ * blocks say so.
  *
  * Times are in milliseconds. Loop thread only.
  */
@@ -35,9 +37,10 @@
 typedef struct wb_tunnel_client_t wb_tunnel_client_t;
 
 /** The question is decided; the client is freed after this. Not called from inside wb_tunnel_open.
- * @param stream WB_TUNNEL_OPENED: now the callee's, which sets its events; else NULL */
+ * @param stream WB_TUNNEL_OPENED: now the callee's, which sets its events; else NULL
+ * @param in_blocks the engine's bytes arrive in blocks */
 typedef void (*wb_tunnel_done_fn)(wb_tunnel_client_t *client, wb_tunnel_outcome_t outcome,
-                                  wb_tcp_stream_t *stream, void *context);
+                                  wb_tcp_stream_t *stream, gboolean in_blocks, void *context);
 
 /** Start to open a tunnel. @param request used during the call only @return NULL when no connection
  * can be started */
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -27,6 +27,7 @@
     wb_timer_t *timer;       /* until the question has arrived */
     GByteArray *received;    /* of the question; NULL once it has arrived */
     gboolean open;
+    gboolean in_blocks; /* the asking node reads blocks */
     char *asking;
     char *request;
     char *engine_id;
@@ -71,16 +72,16 @@
              wb_event_escape(tunnel->request), wb_event_escape(tunnel->asking),
              wb_event_escape(tunnel->engine_id), (int)result);
     engine_side_close(tunnel);
-    wb_tunnel_frame_send(tunnel->node, &message);
+    wb_tunnel_frame_send(tunnel->node, &message, tunnel->in_blocks);
     wb_tcp_stream_finish(tunnel->node);
     tunnel_free(tunnel);
 }
 
-static void bytes_pass(wb_tunnel_t *tunnel, wb_tcp_stream_t *from, wb_tcp_stream_t *to,
-                       const char *data, size_t length) {
+/* Counts passed bytes, and stops reading from a side while the other doesn't take them. */
+static void bytes_passed(wb_tunnel_t *tunnel, wb_tcp_stream_t *from, wb_tcp_stream_t *to,
+                         size_t length) {
     tunnel->bytes += (int64_t)length;
     tunnel->server->options.metrics->tunnel_bytes += length;
-    wb_tcp_stream_write(to, data, length);
     if (wb_tcp_stream_unsent(to) > UNSENT_MAX_BYTES)
         wb_tcp_stream_set_reading(from, FALSE);
 }
@@ -101,12 +102,16 @@
     wb_event("tunnel-open", ",\"id\":\"%s\",\"for\":\"%s\",\"engine\":\"%s\",\"ms\":%lld",
              wb_event_escape(tunnel->request), wb_event_escape(tunnel->asking),
              wb_event_escape(tunnel->engine_id), (long long)(wb_clock_ms() - tunnel->began_ms));
-    wb_tunnel_frame_send(tunnel->node, &message);
+    wb_tunnel_frame_send(tunnel->node, &message, tunnel->in_blocks);
 }
 
 static void engine_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     wb_tunnel_t *tunnel = context;
-    bytes_pass(tunnel, stream, tunnel->node, data, length);
+    if (tunnel->in_blocks)
+        wb_tunnel_block_send(tunnel->node, data, length);
+    else
+        wb_tcp_stream_write(tunnel->node, data, length);
+    bytes_passed(tunnel, stream, tunnel->node, length);
 }
 
 static void engine_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
@@ -122,6 +127,8 @@
     }
     engine_side_close(tunnel);
     closed_log(tunnel, how == WB_TCP_END_CLOSED ? "engine" : "engine-reset");
+    if (how == WB_TCP_END_CLOSED && tunnel->in_blocks)
+        wb_tunnel_block_send(tunnel->node, NULL, 0);
     if (how == WB_TCP_END_CLOSED)
         wb_tcp_stream_finish(tunnel->node);
     else
@@ -169,7 +176,8 @@
 static void question_read(wb_tunnel_t *tunnel, const char *data, size_t length) {
     wb_wire_message message;
     g_byte_array_append(tunnel->received, (const guint8 *)data, (guint)length);
-    switch (wb_tunnel_frame_read(tunnel->received, WB_WIRE_TUNNEL_OPEN, &message)) {
+    switch (
+        wb_tunnel_frame_read(tunnel->received, WB_WIRE_TUNNEL_OPEN, &message, &tunnel->in_blocks)) {
     case WB_TUNNEL_FRAME_INCOMPLETE:
         return;
     case WB_TUNNEL_FRAME_INVALID:
@@ -190,8 +198,10 @@
     wb_tunnel_t *tunnel = context;
     if (tunnel->received != NULL)
         question_read(tunnel, data, length);
-    else if (tunnel->engine != NULL)
-        bytes_pass(tunnel, stream, tunnel->engine, data, length);
+    else if (tunnel->engine != NULL) {
+        wb_tcp_stream_write(tunnel->engine, data, length);
+        bytes_passed(tunnel, stream, tunnel->engine, length);
+    }
 }
 
 static void node_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -5,7 +5,8 @@
  * A tunnel carries one request, as the asking node closes it after the answer. Reading from one
  * side stops while the other doesn't take what was read. When the asking node's side ends, the
  * engine's is closed at once, so that a request whose client has left ends there; when the engine's
- * side ends, what it sent is still delivered, and a reset arrives as a reset.
+ * side ends, what it sent is still delivered, and a reset arrives as a reset. To asking nodes that
+ * read blocks (tunnel_frame.h) a normal close is marked: this process's own end isn't.
  *
  * Nothing is forwarded further: a tunnel leads from a node to an engine that the server's own node
  * connects to.
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -3,6 +3,7 @@
 #include "unit.h"
 
 #include "tunnel/tunnel_client.h"
+#include "tunnel/tunnel_frame.h"
 #include "tunnel/tunnel_server.h"
 
 #include <string.h>
@@ -27,7 +28,8 @@
     wb_wire_tunnel_result check_result;
     int outcome; /* -1: none yet */
     wb_tcp_stream_t *stream;
-    GByteArray *received;
+    GByteArray *received; /* of the engine, without the blocks' lengths */
+    wb_tunnel_blocks_t blocks;
     gboolean ended;
     wb_tcp_end_reason_t end;
 } fixture_t;
@@ -63,7 +65,7 @@
 static void client_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     (void)stream;
     fixture_t *fixture = context;
-    g_byte_array_append(fixture->received, (const guint8 *)data, (guint)length);
+    wb_tunnel_blocks_read(&fixture->blocks, data, length, fixture->received);
 }
 
 static void client_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
@@ -75,13 +77,14 @@
 }
 
 static void opened(wb_tunnel_client_t *client, wb_tunnel_outcome_t outcome, wb_tcp_stream_t *stream,
-                   void *context) {
+                   gboolean in_blocks, void *context) {
     static const wb_tcp_events_t events = {NULL, client_data, client_end, NULL};
     (void)client;
     fixture_t *fixture = context;
     fixture->outcome = (int)outcome;
     fixture->stream = stream;
     if (stream != NULL) {
+        g_assert_true(in_blocks);
         wb_tcp_stream_set_events(stream, &events, fixture);
     }
 }
@@ -185,9 +188,37 @@
     g_assert_cmpuint(fixture->received->len, ==, LARGE_BYTES / 8);
     g_assert_true(fixture->ended);
     g_assert_cmpint(fixture->end, ==, WB_TCP_END_CLOSED);
+    g_assert_true(fixture->blocks.ended);
     fixture_free(fixture);
 }
 
+/* Guards against the end of the node between being taken for the engine's. */
+static void test_server_ends(void) {
+    fixture_t *fixture = fixture_create(4);
+    tunnel_open(fixture);
+    wb_tcp_stream_write(fixture->engine, "half", 4);
+    run(fixture);
+    wb_tunnel_server_free(fixture->server);
+    fixture->server = NULL;
+    run(fixture);
+    g_assert_true(fixture->ended);
+    g_assert_cmpmem(fixture->received->data, fixture->received->len, "half", 4);
+    g_assert_false(fixture->blocks.ended);
+    fixture_free(fixture);
+}
+
+/* Blocks that arrive byte by byte, and what comes after their end. */
+static void test_blocks_byte_by_byte(void) {
+    static const char bytes[] = "\0\0\0\2ab\0\0\0\1c\0\0\0\0xyz";
+    wb_tunnel_blocks_t blocks = {0};
+    g_autoptr(GByteArray) content = g_byte_array_new();
+    for (size_t i = 0; i < sizeof(bytes) - 1; i++) {
+        g_assert_cmpint(blocks.ended, ==, i >= 15);
+        wb_tunnel_blocks_read(&blocks, bytes + i, 1, content);
+    }
+    g_assert_cmpmem(content->data, content->len, "abc", 3);
+}
+
 /* A reset must not look like the regular end of an answer. */
 static void test_engine_resets(void) {
     fixture_t *fixture = fixture_create(4);
@@ -292,6 +323,8 @@
     g_test_add_func("/tunnel/both-ways", test_both_ways);
     g_test_add_func("/tunnel/engine-closes", test_engine_closes);
     g_test_add_func("/tunnel/engine-resets", test_engine_resets);
+    g_test_add_func("/tunnel/server-ends", test_server_ends);
+    g_test_add_func("/tunnel/blocks-byte-by-byte", test_blocks_byte_by_byte);
     g_test_add_func("/tunnel/back-pressure", test_back_pressure);
     g_test_add_func("/tunnel/engine-refuses", test_engine_refuses);
     g_test_add_func("/tunnel/not-in-use", test_not_in_use);
