--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -98,6 +98,7 @@
     int64_t shared_received_ms;
     unsigned failures;           /**< consecutive */
     int64_t avoid_until_ms;      /**< it failed: until then used only if no other engine can be */
+    int64_t heard_ms;            /**< when bytes of it last arrived here; 0: never */
     int64_t unanswered_since_ms; /**< when the first request after its last received byte was sent;
                                  0: no response is pending */
     int64_t rejected_until_ms; /**< it rejected a request as it was full; assumed full until then */
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -195,6 +195,7 @@
     wb_fleet_sweep(node->edge.fleet, now_ms);
     wb_edge_reporting_engines_sweep(&node->edge);
     wb_quota_limiter_sweep(node->edge.quota, now_ms);
+    wb_edge_confirm_unframed_ends(&node->edge, now_ms);
     wb_crash_watch_sweep(node->edge.crashes, now_ms);
     wb_poison_registry_sweep(node->edge.poison, now_ms);
     wb_pace_aggregate_sweep(node->own_pace_aggregate, now_ms);
@@ -229,6 +230,7 @@
                                   (int64_t)(settings->poison_trial_s * 1000)};
     edge->poison = wb_poison_registry_create(&poison);
     edge->served = wb_served_set_create();
+    edge->unframed_ends = wb_unframed_ends_create();
     edge->brittle_rejections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -267,6 +267,7 @@
     wb_upstream_t *upstream = context;
     upstream->engine->unanswered_since_ms = 0;
     upstream->heard_ms = wb_clock_ms();
+    upstream->engine->heard_ms = upstream->heard_ms;
     if (upstream->attempt == NULL)
         idle_close(upstream); /* a late response to an earlier request */
     else if (upstream->in_blocks)
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -398,9 +398,7 @@
         wb_exchange_attempt_failed(exchange, &failure);
         return;
     }
-    /* A crashed engine closes its connections, too. */
-    if (reply->framing != WB_FRAMING_CLOSE)
-        wb_exchange_note_completed(exchange);
+    wb_exchange_note_completed(exchange);
     gboolean failed = reply->status >= 500;
     if (failed && resend_run(exchange))
         return;
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -106,23 +106,46 @@
     }
 }
 
-void wb_exchange_note_completed(wb_exchange_t *exchange) {
-    wb_edge_t *edge = exchange->edge;
-    if (exchange->body->len <= WB_SERVED_BODY_BYTES) {
-        wb_served_set_add(edge->served, wb_exchange_digest(exchange), wb_clock_ms());
+/* The engine has completed an answer to a request: it didn't crash under it. */
+static void completed_note(wb_edge_t *edge, const wb_run_end_t *end, const char *request_id) {
+    if (end->body_bytes <= WB_SERVED_BODY_BYTES) {
+        wb_served_set_add(edge->served, &end->digest, wb_clock_ms());
     }
-    if (poison_entry_find(exchange) == NULL ||
-        !wb_poison_registry_clear_crashes(edge->poison, wb_exchange_digest(exchange))) {
+    if (!wb_poison_registry_has_length(edge->poison, end->body_bytes) ||
+        wb_poison_registry_find(edge->poison, &end->digest) == NULL ||
+        !wb_poison_registry_clear_crashes(edge->poison, &end->digest)) {
         return;
     }
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
     wb_event("request-forgiven", ",\"id\":\"%s\",\"digest\":\"%s\",\"engine\":\"%s\"",
-             wb_event_escape(exchange->id),
-             wb_request_digest_format(wb_exchange_digest(exchange), digest),
-             exchange->engine->state->id);
+             wb_event_escape(request_id), wb_request_digest_format(&end->digest, digest),
+             end->engine->state->id);
     poison_changed(edge);
 }
 
+void wb_exchange_note_completed(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    gboolean is_short = exchange->body->len <= WB_SERVED_BODY_BYTES;
+    if (!is_short && poison_entry_find(exchange) == NULL) {
+        return;
+    }
+    wb_run_end_t end = {exchange->engine, *wb_exchange_digest(exchange), exchange->body->len,
+                        wb_clock_ms()};
+    if (exchange->reply.framing == WB_FRAMING_CLOSE) {
+        wb_unframed_ends_add(edge->unframed_ends, &end);
+    } else {
+        completed_note(edge, &end, exchange->id);
+    }
+}
+
+static void unframed_end_confirmed(const wb_run_end_t *end, void *context) {
+    completed_note(context, end, "");
+}
+
+void wb_edge_confirm_unframed_ends(wb_edge_t *edge, int64_t now_ms) {
+    wb_unframed_ends_confirm(edge->unframed_ends, now_ms, unframed_end_confirmed, edge);
+}
+
 /* Whether refusing a request now may save an engine: it waits, or its engine may not run it yet.
  * A request that is being answered goes on: if it completes, it is no poison. */
 static gboolean may_refuse(const wb_exchange_t *exchange) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -38,6 +38,7 @@
 #include "request/api_key.h"
 #include "request/crash_watch.h"
 #include "request/retry_budget.h"
+#include "request/unframed_ends.h"
 #include "poison/poison_registry.h"
 #include "poison/served_set.h"
 #include "quota/equal_share.h"
@@ -105,6 +106,7 @@
     wb_poison_registry_t *poison; /* requests that crash engines */
     wb_served_set_t *served;
     wb_crash_watch_t *crashes;
+    wb_unframed_ends_t *unframed_ends;
     GHashTable *brittle_rejections; /* service -> int64_t *, time of the last by a brittle engine */
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
@@ -354,6 +356,8 @@
 /** Refuse requests that are known poison, also those that wait or are at an engine that hasn't
  * begun to answer. */
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
+/** Look which requests with unframed responses their engines have completed. */
+void wb_edge_confirm_unframed_ends(wb_edge_t *edge, int64_t now_ms);
 /** As wb_crash_watch_events_t.confirm_refused. @param context the edge */
 gboolean wb_edge_confirm_refused(const char *engine_id, void *context);
 /** As wb_crash_watch_events_t.on_crashed. @param context the edge */
--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -9,6 +9,7 @@
 /* The prefix of a body that crashes each engine that runs the request. */
 #define CRASH_TEXT "crash"
 #define CRASH_AFTER_MS 20
+#define INCOMPLETE_EVENT "id: 99\nda"
 /* A row that isn't renewed expires after this many heartbeat intervals. */
 #define EXPIRY_HEARTBEATS 3
 
@@ -23,6 +24,7 @@
     int events;
     int cut_after;         /* number of the event after which the stream ends early; -1: never */
     gboolean cut_is_plain; /* it then ends like a complete one */
+    gboolean unframed;     /* its response has neither length nor chunks */
 } wb_estate_run_t;
 
 const char *wb_estate_engine_id(const wb_estate_engine_t *engine) {
@@ -102,8 +104,22 @@
     engine_open(engine);
 }
 
+/* Only its last event shows that an unframed stream was cut off by a crash. */
+static void unframed_streams_cut(const wb_estate_engine_t *engine) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, engine->runs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_estate_run_t *run = value;
+        if (run->unframed && run->next_event > 1)
+            wb_http_connection_stream_write(run->connection, INCOMPLETE_EVENT,
+                                            strlen(INCOMPLETE_EVENT));
+    }
+}
+
 static void engine_close(wb_estate_engine_t *engine) {
     engine->ended = TRUE;
+    unframed_streams_cut(engine);
     if (engine->crash != NULL)
         wb_timer_cancel(engine->crash);
     engine->crash = NULL;
@@ -212,7 +228,8 @@
         return;
     }
     if (run->cut_after >= 0 && run->next_event > run->cut_after) {
-        wb_http_connection_stream_write(run->connection, "id: 99\nda", 9); /* an incomplete event */
+        wb_http_connection_stream_write(run->connection, INCOMPLETE_EVENT,
+                                        strlen(INCOMPLETE_EVENT));
         if (run->cut_is_plain)
             wb_http_connection_stream_end(run_detach(run));
         else
@@ -348,7 +365,8 @@
         run->cut_after = 2;
         run->cut_is_plain = TRUE;
     }
-    if (wb_estate_engine_option(engine, "unframed", 0) != 0)
+    run->unframed = run->streams && wb_estate_engine_option(engine, "unframed", 0) != 0;
+    if (run->unframed)
         wb_http_connection_end_by_close(connection);
     if (run->streams) {
         g_autofree char *lines =
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -294,6 +294,24 @@
     {"guest-tells-leaving", guest_begin, guest_report_draining, 500, 2500, FALSE},
 };
 
+/* Streams of one of the engines with models end inside an event, as if they were complete. */
+static void stream_end_begin(soak_fault_t *fault, soak_t *soak) {
+    estate_command(soak->estate,
+                   "{\"do\":\"engine-fault\",\"engine\":\"llm-%d\",\"fault\":\"cut-plain\","
+                   "\"count\":%d}",
+                   1 + fault->variant % 2, 1 + fault->variant % 3);
+}
+
+static void stream_engine_crash_begin(soak_fault_t *fault, soak_t *soak) {
+    estate_command(soak->estate, "{\"do\":\"engine-crash\",\"engine\":\"llm-%d\"}",
+                   1 + fault->variant % 2);
+}
+
+static const soak_fault_kind_t unframed_kinds[] = {
+    {"streams-end-early", stream_end_begin, soak_fault_end_nothing, 10, 20, FALSE},
+    {"stream-engine-crashes", stream_engine_crash_begin, soak_fault_end_nothing, 10, 20, FALSE},
+};
+
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
@@ -349,6 +367,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->has_unframed && g_rand_int_range(soak->rand, 0, 3) == 0) {
+        return &unframed_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(unframed_kinds))];
+    }
     if (soak->has_partitions && g_rand_int_range(soak->rand, 0, 4) == 0) {
         return &soak_partition_fault;
     }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -86,6 +86,20 @@
     }
 }
 
+/* Streams last long enough to be cut off. */
+static void engines_leave_out_framing(const estate_t *estate) {
+    for (int i = 1; i <= ESTATE_ENGINES - ESTATE_LOCK_ENGINES; i++) {
+        estate_command(estate,
+                       "{\"do\":\"engine-option\",\"engine\":\"llm-%d\",\"name\":\"unframed\","
+                       "\"value\":1}",
+                       i);
+        estate_command(estate,
+                       "{\"do\":\"engine-option\",\"engine\":\"llm-%d\",\"name\":\"event_ms\","
+                       "\"value\":40}",
+                       i);
+    }
+}
+
 typedef struct soak_options_t {
     int seconds; /* length of the faults */
     int nodes;
@@ -128,6 +142,8 @@
     /* Bit 16. The older build admits requests by shares that may be out of date. */
     soak.has_tenants = seed / 65536 % 2 == 1 && !soak.has_builds;
     soak.key_header = "";
+    /* Bit 17. The older build takes each plain close for the end of an answer. */
+    soak.has_unframed = seed / 131072 % 2 == 1 && !soak.has_builds;
     soak.has_engine_states = seed / 1024 % 2 == 1;
     /* The older build doesn't know that a store may go back. */
     soak.has_rollbacks = seed / 4096 % 2 == 1 && !soak.has_builds;
@@ -139,6 +155,9 @@
     if (soak.has_zones) {
         engines_keep_ids(soak.estate);
     }
+    if (soak.has_unframed) {
+        engines_leave_out_framing(soak.estate);
+    }
     if (soak.has_brittle_engines) {
         engines_make_brittle(soak.estate);
     }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,9 +103,10 @@
     gboolean has_rollbacks;     /* the store comes back from older copies */
     gboolean
         only_rollbacks; /* and nothing else is disturbed, so that all checks apply between them */
-    gboolean has_partitions;      /* nodes are cut off from engines */
-    gboolean has_tenants;         /* tenants with limits send far more than these at times */
-    const char *key_header;       /* of all other requests; "": configurations have no tenants */
+    gboolean has_partitions; /* nodes are cut off from engines */
+    gboolean has_unframed;   /* engines' streams have neither length nor chunks, and end early */
+    gboolean has_tenants;    /* tenants with limits send far more than these at times */
+    const char *key_header;  /* of all other requests; "": configurations have no tenants */
     gboolean has_brittle_engines; /* engines fall when they have to reject too many requests */
     GArray *partitions;           /* of soak_partition_t */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
