--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -29,6 +29,11 @@
  */
 void wb_exchange_arm_timeout(wb_exchange_t *exchange);
 
+/* exchange_refuse.c */
+/** End the exchange with an answer of this node; if an answer has begun, abort the connection. The
+ * exchange is freed. */
+void wb_exchange_refuse(wb_exchange_t *exchange, wb_outcome_t outcome, unsigned status);
+
 /* exchange_read.c */
 /** @return TRUE when the catalog in force is known to be the newest that may be in force */
 gboolean wb_edge_catalog_is_confirmed(const wb_edge_t *edge);
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -415,6 +415,11 @@
  * whose zone is being evacuated. */
 void wb_upstreams_sweep_idle(wb_edge_t *edge, int64_t now_ms);
 
+/* attempt_request.c */
+/** @return the request to send to an engine, owned by the caller */
+GString *wb_attempt_request_text(const wb_exchange_t *exchange, const wb_engine_t *engine,
+                                 int64_t now_ms);
+
 /* Demand by model: demand.c. */
 wb_demand_t *wb_demand_create(void);
 void wb_demand_note_arrival(wb_demand_t *demand, const wb_exchange_t *exchange);
