--- a/include/wickbridge/dialect.h
+++ b/include/wickbridge/dialect.h
@@ -37,6 +37,8 @@
     const char *urgency;      /**< priority, 0 to 9; 0 is the most urgent */
     const char *expected_engine;
     const char *last_event_id;
+    const char *resumes;        /**< id of the client's request that brought the first event of the
+                                   stream that this one takes up */
     const char *api_key;        /**< the client's API key, after api_key_scheme */
     const char *api_key_scheme; /**< authentication scheme that precedes the key */
     const char *tenant;         /**< the key's tenant; set on requests to engines */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -24,6 +24,9 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Max length of a software version in bytes; a longer one counts as unknown. */
+#define WB_SOFTWARE_VERSION_MAX 100
+
 /** A model loaded on an engine. */
 typedef struct wb_engine_model_t {
     char *name;
@@ -42,6 +45,8 @@
     char *service;
     char *address;
     char *zone;
+    char *software_version; /**< of the engine's software, not of its models; "": unknown. What two
+                               versions write doesn't fit together in one stream */
     int slots;
     gboolean leaving;      /**< it is draining */
     int64_t remaining_ms;  /**< time until a draining engine exits; -1: unknown */
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -153,10 +153,11 @@
     const wb_engine_state_t *state = engine->state;
     wb_edge_node_update_add(node, WB_TABLE_ENGINES, row);
     wb_event("engine-seen",
-             ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
-             "\"cold_ms\":%lld,\"row_version\":%lld",
-             state->id, state->service, state->address, state->leaving ? "true" : "false",
-             (long long)state->cold_ms, (long long)wb_store_version_number(row->version));
+             ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"software_version\":\"%s\","
+             "\"leaving\":%s,\"cold_ms\":%lld,\"row_version\":%lld",
+             state->id, state->service, state->address, wb_event_escape(state->software_version),
+             state->leaving ? "true" : "false", (long long)state->cold_ms,
+             (long long)wb_store_version_number(row->version));
 }
 
 void wb_edge_node_engine_row(const wb_table_row_t *row, void *context) {
--- a/src/fleet/engine_state.c
+++ b/src/fleet/engine_state.c
@@ -16,6 +16,7 @@
     wb_engine_state_t *state = g_new0(wb_engine_state_t, 1);
     state->id = g_strdup(id);
     state->incarnation = g_strdup(id);
+    state->software_version = g_strdup("");
     state->remaining_ms = -1;
     state->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
     state->in_memory = set_create();
@@ -32,6 +33,7 @@
     g_free(state->service);
     g_free(state->address);
     g_free(state->zone);
+    g_free(state->software_version);
     g_hash_table_unref(state->models);
     g_hash_table_unref(state->in_memory);
     g_hash_table_unref(state->on_disk);
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -62,7 +62,7 @@
         "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
         "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s,"
         "\"by\":\"%s\",\"quota_basis\":\"%s\",\"quota_age_ms\":%lld,\"framing\":\"%s\","
-        "\"ended_in_event\":%s",
+        "\"ended_in_event\":%s,\"software_version\":\"%s\",\"resumes\":\"%s\"",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -85,5 +85,7 @@
         exchange->peer != NULL ? wb_event_escape(exchange->peer) : "",
         exchange->quota_cost > 0 ? wb_quota_basis_name(exchange->quota_basis) : "",
         (long long)exchange->quota_age_ms, framing_names[exchange->reply.framing],
-        exchange->ended_in_event ? "true" : "false");
+        exchange->ended_in_event ? "true" : "false",
+        exchange->engine != NULL ? wb_event_escape(exchange->engine->state->software_version) : "",
+        wb_event_escape(wb_http_head_get(exchange->head, edge->dialect->resumes)));
 }
--- a/tests/unit/test_engine_rows.c
+++ b/tests/unit/test_engine_rows.c
@@ -39,6 +39,33 @@
                  0);
 }
 
+/* Guards against engines of an unknown software version that count as of the same one. */
+static void test_software_version(void) {
+    g_autofree char *longest = g_strnfill(WB_SOFTWARE_VERSION_MAX, 'v');
+    g_autofree char *too_long = g_strnfill(10000, 'v');
+    const struct {
+        const char *field;
+        const char *version;
+    } cases[] = {{"", ""},
+                 {",\"version\":\"\"", ""},
+                 {",\"version\":7", ""},
+                 {",\"version\":null", ""},
+                 {",\"version\":\"v1.2\"", "v1.2"},
+                 {NULL, longest},
+                 {NULL, too_long}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        wb_error_t error = {0};
+        g_autofree char *row =
+            cases[i].field != NULL
+                ? g_strdup_printf("{" VALID_FIELDS "%s}", cases[i].field)
+                : g_strdup_printf("{" VALID_FIELDS ",\"version\":\"%s\"}", cases[i].version);
+        wb_engine_state_t *state = parse(row, strlen(row), &error);
+        g_assert_nonnull(state);
+        g_assert_cmpstr(state->software_version, ==, i == 6 ? "" : cases[i].version);
+        wb_engine_state_free(state);
+    }
+}
+
 /* Each required field missing once, and once of another type. */
 static void test_fields_missing_or_of_another_type(void) {
     static const char *const invalid[] = {
@@ -135,6 +162,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/engine-rows/software-version", test_software_version);
     g_test_add_func("/engine-rows/good", test_good_rows);
     g_test_add_func("/engine-rows/fields", test_fields_missing_or_of_another_type);
     g_test_add_func("/engine-rows/starts-that-cannot-be", test_starts_that_cannot_be);
