Tests: streams go on at engines of another software version (fail)

Engines of the stand-in name their version in their row and in each event. All seven tests fail on this code: a stream that goes on within its answer, at its client's next try, at another node, with the first node or the controller killed, with an unknown start, with no engine of its version left, or with the model at none.

--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -54,8 +54,9 @@
     json_t *row = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I, s:O}", "service",
                             wb_json_text(engine->options, "service", "engines"), "address", address,
                             "zone", wb_json_text(engine->options, "zone", "zone-1"), "version",
-                            "v1", "slots", (int)wb_estate_engine_option(engine, "slots", 8),
-                            "state", engine->draining ? "draining" : "ready", "coldRemainingMs",
+                            wb_json_text(engine->options, "version", "v1"), "slots",
+                            (int)wb_estate_engine_option(engine, "slots", 8), "state",
+                            engine->draining ? "draining" : "ready", "coldRemainingMs",
                             (int)wb_estate_engine_option(engine, "cold_ms", 0), "sequence",
                             (json_int_t)++engine->heartbeats, "models", engine->models);
     start_time_add(engine, row);
@@ -240,8 +241,10 @@
         wb_http_connection_stream_end(run_detach(run));
         return;
     }
+    const char *version = wb_json_text(engine->options, "version", "");
     g_autofree char *event =
-        g_strdup_printf("id: %d\ndata: %s-%d\n\n", run->next_event, run->id, run->next_event);
+        g_strdup_printf("id: %d\ndata: %s-%d%s%s\n\n", run->next_event, run->id, run->next_event,
+                        *version != '\0' ? " " : "", version);
     run->next_event++;
     wb_http_connection_stream_write(run->connection, event, strlen(event));
     run->timer = wb_loop_after(engine->loop,
--- a/standins/estate/engine_internal.h
+++ b/standins/estate/engine_internal.h
@@ -23,7 +23,7 @@
     unsigned port;      /* 0: chosen by the system */
     wb_timer_t *crash;
     wb_timer_t *restart;
-    json_t *options; /* service, zone, models, slots, port, announce_port,
+    json_t *options; /* service, zone, version (of its software; its events name it), models, slots, port, announce_port,
                         beat_ms (heartbeat interval), back_ms (from crash to restart), cold_ms,
                         work_ms (until the response or its first event), streams (1: answers with
                         events), event_ms, events, load_ms, unload_ms, weights_mb, model_mb,
--- /dev/null
+++ b/tests/edge/test_versions.c
@@ -0,0 +1,269 @@
+/* Guards against streams that hold events of engines of two software versions. */
+#include "edge.h"
+
+#include <string.h>
+
+#define FLAGS "--lease-quiet-ms=1000 --lease-duration-ms=800 --retry-slack=300 --retry-ratio=1"
+#define STREAMS 12
+#define CUT_STREAMS_MIN 6
+#define NODES 3
+#define SETTLE_US 800000
+/* Within this time a resume that can't go on must be refused. */
+#define REFUSED_MS 1500
+
+/* Streams that are broken off go on at the next attempt ("chat") or only when their client comes
+ * back ("once"). */
+#define ROUTE(name, attempts)                                                                      \
+    "{\"name\":\"" name "\",\"host\":\"a.example\",\"pathPrefix\":\"/" name                        \
+    "/\",\"routeType\":\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":800,"                  \
+    "\"priority\":1,\"service\":\"llm\",\"maxAttempts\":" attempts                                 \
+    ",\"resumable\":true,\"targetGapMs\":400}"
+
+static const char *const versions[] = {"v1", "v2"};
+
+static void engine_start(const estate_t *estate, const char *name, const char *version,
+                         const char *models) {
+    estate_command(estate,
+                   "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{\"service\":\"llm\","
+                   "\"zone\":\"zone-1\",\"version\":\"%s\",\"streams\":1,\"models\":[%s],"
+                   "\"load_ms\":200,\"weights_mb\":2100}}",
+                   name, version, models);
+}
+
+static void engine_stop(const estate_t *estate, const char *name) {
+    estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"%s\",\"announce\":true}", name);
+}
+
+static void stream_fault_set(const estate_t *estate, const char *name, const char *fault,
+                             int count) {
+    estate_command(estate,
+                   "{\"do\":\"engine-fault\",\"engine\":\"%s\",\"fault\":\"%s\",\"count\":%d}",
+                   name, fault, count);
+}
+
+/* Starts nodes before engines a1 and a2 of version v1, b1 and b2 of v2.
+ * @param models of the second engine of each version */
+static estate_t *start(const char *models) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    estate_configure(estate, ROUTE("chat", "2") "," ROUTE("once", "1"));
+    engine_stop(estate, "llm-1");
+    engine_stop(estate, "llm-2");
+    engine_start(estate, "a1", "v1", "\"m3\"");
+    engine_start(estate, "b1", "v2", "\"m3\"");
+    engine_start(estate, "a2", "v1", models);
+    engine_start(estate, "b2", "v2", models);
+    estate_wait_controller(estate, 8000);
+    for (int i = 0; i < NODES; i++)
+        estate_wait_retry_share(estate, i, NODES);
+    g_usleep(SETTLE_US);
+    return estate;
+}
+
+static void faults_set(const estate_t *estate, const char *fault, int count) {
+    static const char *const engines[] = {"a1", "a2", "b1", "b2"};
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++)
+        stream_fault_set(estate, engines[i], fault, count);
+}
+
+static gboolean has_version(const wire_response_t *answer, const char *version) {
+    g_autofree char *end = g_strdup_printf(" %s\n", version);
+    return strstr(answer->body->str, end) != NULL;
+}
+
+/* Returns the version that wrote the answer's events, or NULL when there are none. */
+static const char *version_of(const wire_response_t *answer) {
+    for (size_t i = 0; i < G_N_ELEMENTS(versions); i++)
+        if (has_version(answer, versions[i]))
+            return versions[i];
+    return NULL;
+}
+
+/* Guards against an answer that goes on at an engine of another version. */
+static void test_within_an_answer(void) {
+    estate_t *estate = start("\"m3\"");
+    int cut = 0;
+    int whole = 0;
+    int mixed = 0;
+    stream_fault_set(estate, "a1", "cut", 1000);
+    stream_fault_set(estate, "b1", "cut", 1000);
+    for (int i = 0; i < 3 * STREAMS; i++) {
+        g_autofree char *id = g_strdup_printf("w%d", i);
+        wire_response_t *answer =
+            wire_request(estate->nodes[i % NODES].clients_port, "/chat/x", id, EDGE_MODEL("m3"));
+        gboolean was_cut = estate_runs(estate, id) > 1;
+        cut += was_cut;
+        whole += was_cut && answer->whole;
+        mixed += has_version(answer, "v1") && has_version(answer, "v2");
+        wire_response_free(answer);
+    }
+    g_test_message("%d cut, %d of them went on, %d mixed", cut, whole, mixed);
+    g_assert_cmpint(mixed, ==, 0);
+    g_assert_cmpint(whole, >=, CUT_STREAMS_MIN);
+    estate_stop(estate);
+}
+
+/* Begins streams that are broken off after two events. @param began out: their versions */
+static void streams_begin(const estate_t *estate, int node, const char *began[STREAMS]) {
+    faults_set(estate, "cut", 1000);
+    for (int i = 0; i < STREAMS; i++) {
+        g_autofree char *id = g_strdup_printf("s%d", i);
+        wire_response_t *answer =
+            wire_request(estate->nodes[node].clients_port, "/once/x", id, EDGE_MODEL("m3"));
+        began[i] = version_of(answer);
+        g_assert_nonnull(began[i]);
+        g_assert_false(answer->whole);
+        wire_response_free(answer);
+        g_usleep(150000);
+    }
+    faults_set(estate, "", 0);
+    g_usleep(SETTLE_US);
+}
+
+/* Takes a stream up as its client does. */
+static wire_response_t *stream_resume(const estate_t *estate, int node, int stream,
+                                      const char *id) {
+    g_autofree char *headers =
+        g_strdup_printf(EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: s%d\r\n", stream);
+    return wire_request(estate->nodes[node].clients_port, "/once/x", id, headers);
+}
+
+typedef struct resumed_t {
+    int mixed;
+    int whole;
+} resumed_t;
+
+/* Takes all streams up at two nodes in turn. */
+static resumed_t streams_resume(const estate_t *estate, const char *const began[STREAMS],
+                                int first_node, int second_node) {
+    resumed_t result = {0};
+    for (int i = 0; i < STREAMS; i++) {
+        g_autofree char *id = g_strdup_printf("r%d", i);
+        wire_response_t *answer =
+            stream_resume(estate, i % 2 == 0 ? first_node : second_node, i, id);
+        const char *version = version_of(answer);
+        result.mixed += version != NULL && strcmp(version, began[i]) != 0;
+        result.whole += answer->status == 200 && answer->whole;
+        g_test_message("s%d: began at %s, status %d at %s", i, began[i], answer->status,
+                       version != NULL ? version : "none");
+        wire_response_free(answer);
+    }
+    return result;
+}
+
+/* Guards against a client that takes its stream up, here or at another node, and gets events of
+ * another version. */
+static void test_client_resumes(void) {
+    estate_t *estate = start("\"m3\"");
+    const char *began[STREAMS];
+    streams_begin(estate, 0, began);
+    resumed_t result = streams_resume(estate, began, 0, 1);
+    g_assert_cmpint(result.mixed, ==, 0);
+    g_assert_cmpint(result.whole, ==, STREAMS);
+    estate_stop(estate);
+}
+
+/* The same where the node that began the streams was killed, be it the controller or not. */
+static void first_node_killed(gboolean is_controller) {
+    estate_t *estate = start("\"m3\"");
+    const char *began[STREAMS];
+    int controller = estate_wait_controller(estate, 8000);
+    int first = is_controller ? controller : (controller + 1) % NODES;
+    streams_begin(estate, first, began);
+    process_kill(&estate->nodes[first].process);
+    if (is_controller)
+        g_usleep(SETTLE_US * 4); /* another node takes the lease */
+    resumed_t result = streams_resume(estate, began, (first + 1) % NODES, (first + 2) % NODES);
+    g_assert_cmpint(result.mixed, ==, 0);
+    g_assert_cmpint(result.whole, ==, STREAMS);
+    estate_stop(estate);
+}
+
+static void test_first_node_killed(void) {
+    first_node_killed(FALSE);
+}
+
+static void test_controller_killed(void) {
+    first_node_killed(TRUE);
+}
+
+/* Guards against a guess: no node knows how the stream began, and two versions serve. */
+static void test_unknown_start(void) {
+    estate_t *estate = start("\"m3\"");
+    static const char *const headers[] = {
+        EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: never-seen\r\n",
+        EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: \r\n",
+        EDGE_MODEL("m3") "Last-Event-Id: 2\r\n",
+        EDGE_MODEL("m3") "Resumes: never-seen\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+        g_autofree char *id = g_strdup_printf("u%zu", i);
+        int64_t began_ms = harness_now_ms();
+        wire_response_t *answer =
+            wire_request(estate->nodes[i % NODES].clients_port, "/once/x", id, headers[i]);
+        g_test_message("%s: status %d", headers[i], answer->status);
+        g_assert_cmpint(answer->status, ==, 503);
+        g_assert_cmpint(harness_now_ms() - began_ms, <, REFUSED_MS);
+        g_assert_cmpint(estate_runs(estate, id), ==, 0);
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
+/* Returns the number of a stream that began at a version. */
+static int stream_of(const char *const began[STREAMS], const char *version) {
+    for (int i = 0; i < STREAMS; i++)
+        if (strcmp(began[i], version) == 0)
+            return i;
+    g_assert_not_reached();
+}
+
+/* Guards against a resume that waits in vain: no engine of its version is left. */
+static void test_no_engine_left(void) {
+    estate_t *estate = start("\"m3\"");
+    const char *began[STREAMS];
+    streams_begin(estate, 0, began);
+    engine_stop(estate, "a1");
+    engine_stop(estate, "a2");
+    g_usleep(SETTLE_US);
+    for (int node = 0; node < NODES; node++) {
+        g_autofree char *id = g_strdup_printf("r%d", node);
+        int64_t began_ms = harness_now_ms();
+        wire_response_t *answer = stream_resume(estate, node, stream_of(began, "v1"), id);
+        g_assert_cmpint(answer->status, ==, 503);
+        g_assert_cmpint(harness_now_ms() - began_ms, <, REFUSED_MS);
+        g_assert_cmpint(estate_runs(estate, id), ==, 0);
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
+/* The only other engine of the version lacks the model: it is loaded there. */
+static void test_model_is_loaded_at_the_version(void) {
+    estate_t *estate = start("");
+    const char *began[STREAMS];
+    streams_begin(estate, 0, began);
+    int stream = stream_of(began, "v1");
+    engine_stop(estate, "a1");
+    g_usleep(SETTLE_US);
+    wire_response_t *answer = stream_resume(estate, 1, stream, "r");
+    g_test_message("status %d: %s", answer->status, answer->body->str);
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    g_assert_cmpstr(version_of(answer), ==, "v1");
+    wire_response_free(answer);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
+    g_test_add_func("/edge/versions/client-resumes", test_client_resumes);
+    g_test_add_func("/edge/versions/first-node-killed", test_first_node_killed);
+    g_test_add_func("/edge/versions/controller-killed", test_controller_killed);
+    g_test_add_func("/edge/versions/unknown-start", test_unknown_start);
+    g_test_add_func("/edge/versions/no-engine-left", test_no_engine_left);
+    g_test_add_func("/edge/versions/model-is-loaded-at-the-version",
+                    test_model_is_loaded_at_the_version);
+}
+
+PROCESS_TEST_MAIN(tests_add)
