--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -64,21 +64,23 @@
     uint64_t catalog_rows_fetched;  /**< configurations received from another node */
     uint64_t catalog_rows_sent;     /**< configurations sent to nodes that asked */
     uint64_t lease_takeovers;       /**< times that this node took the lease over */
-    uint64_t updates_of_other_starts;   /**< placement updates for another incarnation of an engine
-                                        than the known one */
-    uint64_t orders;                    /**< orders sent to engines */
-    uint64_t orders_unknown;            /**< orders without a response */
-    uint64_t store_loads;               /**< loads ordered from the weight store */
-    uint64_t local_loads;               /**< loads ordered from an engine's memory or disk */
-    uint64_t unloads;                   /**< unloads ordered */
-    uint64_t invalid_engine_values;     /**< malformed or out-of-range values in engines' headers */
-    uint64_t engine_limits;             /**< limits that engines reported or changed */
-    uint64_t engine_drains;             /**< engines that reported draining in a response */
-    uint64_t engine_backoffs;           /**< times that engines asked this node for a backoff */
-    uint64_t late_answers;              /**< first events later than the route's target */
-    uint64_t long_gaps;                 /**< streams with a longer gap than the route's target */
-    uint64_t load_updates;              /**< messages about engine load sent or received */
-    uint64_t unframed_answers;          /**< engines' responses with neither length nor chunks */
+    uint64_t updates_of_other_starts; /**< placement updates for another incarnation of an engine
+                                      than the known one */
+    uint64_t orders;                  /**< orders sent to engines */
+    uint64_t orders_unknown;          /**< orders without a response */
+    uint64_t store_loads;             /**< loads ordered from the weight store */
+    uint64_t local_loads;             /**< loads ordered from an engine's memory or disk */
+    uint64_t unloads;                 /**< unloads ordered */
+    uint64_t invalid_engine_values;   /**< malformed or out-of-range values in engines' headers */
+    uint64_t engine_limits;           /**< limits that engines reported or changed */
+    uint64_t engine_drains;           /**< engines that reported draining in a response */
+    uint64_t engine_backoffs;         /**< times that engines asked this node for a backoff */
+    uint64_t late_answers;            /**< first events later than the route's target */
+    uint64_t long_gaps;               /**< streams with a longer gap than the route's target */
+    uint64_t load_updates;            /**< messages about engine load sent or received */
+    uint64_t streams_taken_up;    /**< requests that take up an earlier stream of their client */
+    uint64_t stream_starts_asked; /**< questions to the controller for the start of such a stream */
+    uint64_t unframed_answers;    /**< engines' responses with neither length nor chunks */
     uint64_t answers_ended_in_event;    /**< streams that ended inside an event */
     wb_histogram_t prediction_error_ms; /**< absolute error of the predicted time to first event */
     wb_histogram_t answer_ms;           /**< arrival to the first bytes of the response */
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -11,7 +11,7 @@
 #define BUFFER_LIMIT_BYTES 65536
 #define LINE_BYTES 1024
 #define TEXT_BYTES 200
-#define TEXT_BUFFERS 8
+#define TEXT_BUFFERS 12
 
 /* Lines of one kind of event in the current second. */
 typedef struct wb_event_budget_t {
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -207,6 +207,7 @@
     wb_placement_snapshot_t snapshot;
     wb_controller_snapshot(controller, service, &snapshot);
     wb_controller_place_missing(controller, &snapshot, now_ms);
+    wb_controller_place_versions(controller, &snapshot, now_ms);
     wb_controller_place_adapters(controller, &snapshot);
     if (scale_out)
         wb_controller_scale_out(controller, &snapshot);
@@ -256,6 +257,7 @@
     if (wb_clock_us() < controller->next_decision_us)
         return;
     if (wb_demand_stats_has_waiting(controller->stats) ||
+        wb_version_demand_any(controller->version_demand) ||
         now_ms - controller->scale_out_ms >= SCALE_OUT_INTERVAL_MS)
         wb_controller_decide(controller);
 }
@@ -272,6 +274,7 @@
     controller->metrics = metrics;
     controller->events = *events;
     controller->stats = wb_demand_stats_create();
+    controller->version_demand = wb_version_demand_create();
     controller->orders = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
                                                (GDestroyNotify)wb_engine_orders_free);
     controller->faults = wb_load_faults_create();
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -62,6 +62,9 @@
 void wb_controller_set_catalog(wb_controller_t *controller, wb_catalog_t *catalog);
 /** Handle a gateway's report of its running and waiting requests. */
 void wb_controller_on_demand(wb_controller_t *controller, const wb_wire_demand *demand);
+/** Handle a gateway's report of requests that wait at engines of one software version. */
+void wb_controller_on_version_waits(wb_controller_t *controller, const char *node,
+                                    const wb_wire_version_waits *waits);
 /** An engine has restarted under its id: orders to its previous incarnation are void. */
 void wb_controller_engine_restarted(wb_controller_t *controller, const char *engine_id);
 /** An engine's announcement has changed or was removed. */
--- a/src/control/controller_adapters.c
+++ b/src/control/controller_adapters.c
@@ -21,7 +21,8 @@
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *candidate =
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
-        if (!candidate->available || !g_hash_table_contains(candidate->state->models, model))
+        if (!candidate->available || !wb_placement_allows(snapshot, candidate) ||
+            !g_hash_table_contains(candidate->state->models, model))
             continue;
         const char *id = candidate->engine->state->id;
         uint64_t weight = XXH64(id, strlen(id), seed) >> 8;
@@ -46,25 +47,19 @@
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
         const wb_engine_orders_t *orders =
             g_hash_table_lookup(controller->orders, candidate->engine->state->id);
-        if (orders != NULL && wb_engine_orders_has(orders, model, adapter))
+        if (orders != NULL && wb_placement_allows(snapshot, candidate) &&
+            wb_engine_orders_has(orders, model, adapter))
             return TRUE;
     }
     return FALSE;
 }
 
-/* Context of adapter_place. */
-typedef struct wb_adapter_context_t {
-    wb_controller_t *controller;
-    const wb_placement_snapshot_t *snapshot;
-} wb_adapter_context_t;
-
-static void adapter_place(const wb_wire_demand_entry *entry, void *context) {
-    const wb_adapter_context_t *data = context;
-    wb_controller_t *controller = data->controller;
-    if (adapter_is_ordered(controller, data->snapshot, entry->model, entry->adapter))
+void wb_controller_place_adapter(wb_controller_t *controller,
+                                 const wb_placement_snapshot_t *snapshot,
+                                 const wb_wire_demand_entry *entry) {
+    if (adapter_is_ordered(controller, snapshot, entry->model, entry->adapter))
         return;
-    wb_engine_t *engine =
-        adapter_engine_choose(controller, data->snapshot, entry->model, entry->adapter);
+    wb_engine_t *engine = adapter_engine_choose(controller, snapshot, entry->model, entry->adapter);
     if (engine == NULL)
         return;
     wb_event("adapter-placed",
@@ -75,10 +70,21 @@
     wb_engine_orders_add(wb_controller_orders(controller, engine), entry->model, entry->adapter);
 }
 
+/* Context of adapter_visit. */
+typedef struct wb_adapter_context_t {
+    wb_controller_t *controller;
+    const wb_placement_snapshot_t *snapshot;
+} wb_adapter_context_t;
+
+static void adapter_visit(const wb_wire_demand_entry *entry, void *context) {
+    const wb_adapter_context_t *data = context;
+    wb_controller_place_adapter(data->controller, data->snapshot, entry);
+}
+
 void wb_controller_place_adapters(wb_controller_t *controller,
                                   const wb_placement_snapshot_t *snapshot) {
     wb_adapter_context_t data = {controller, snapshot};
-    wb_demand_stats_each_waiting_adapter(controller->stats, snapshot->service->name, adapter_place,
+    wb_demand_stats_each_waiting_adapter(controller->stats, snapshot->service->name, adapter_visit,
                                          &data);
 }
 
--- a/src/control/controller_types.h
+++ b/src/control/controller_types.h
@@ -16,6 +16,7 @@
 #include "control/load_window.h"
 #include "control/placement.h"
 #include "control/store_fairness.h"
+#include "control/version_demand.h"
 
 struct wb_controller_t {
     wb_loop_t *loop;
@@ -27,6 +28,7 @@
     wb_catalog_t *catalog;
     uint64_t token; /* 0: this node doesn't hold the lease */
     wb_demand_stats_t *stats;
+    wb_version_demand_t *version_demand;
     GHashTable *orders;             /* engine id -> wb_engine_orders_t */
     GHashTable *windows;            /* service -> wb_load_window_t */
     GHashTable *concurrency_limits; /* service -> wb_load_concurrency_t */
@@ -98,7 +100,16 @@
 GPtrArray *wb_controller_pick_victims(const wb_engine_state_t *state, const char *model,
                                       void *context);
 
+/* controller_versions.c */
+/** Load models and adapters at engines of the software versions where requests wait for them. */
+void wb_controller_place_versions(wb_controller_t *controller, wb_placement_snapshot_t *snapshot,
+                                  int64_t now_ms);
+
 /* controller_adapters.c */
+/** Load an adapter that requests wait for, unless that has been ordered. */
+void wb_controller_place_adapter(wb_controller_t *controller,
+                                 const wb_placement_snapshot_t *snapshot,
+                                 const wb_wire_demand_entry *entry);
 /** Load adapters that requests wait for on engines that hold their models. */
 void wb_controller_place_adapters(wb_controller_t *controller,
                                   const wb_placement_snapshot_t *snapshot);
--- a/src/control/placement.c
+++ b/src/control/placement.c
@@ -325,6 +325,12 @@
     return excess_rate * HORIZON_S * own_ms * (1 / speed_or_baseline(speed) - 1);
 }
 
+gboolean wb_placement_allows(const wb_placement_snapshot_t *snapshot,
+                             const wb_placement_engine_t *candidate) {
+    return snapshot->software_version == NULL ||
+           strcmp(candidate->engine->state->software_version, snapshot->software_version) == 0;
+}
+
 wb_placement_engine_t *wb_placement_choose(const wb_placement_snapshot_t *snapshot,
                                            const wb_model_spec_t *model, double *cost_ms,
                                            double *victim_cost_ms) {
@@ -335,6 +341,7 @@
         wb_placement_engine_t *candidate =
             &g_array_index(snapshot->engines, wb_placement_engine_t, (snapshot->first + i) % len);
         if (!candidate->available || candidate->overloaded ||
+            !wb_placement_allows(snapshot, candidate) ||
             g_hash_table_contains(candidate->state->models, model->name) ||
             (snapshot->is_loading != NULL &&
              snapshot->is_loading(candidate->engine, model->name, snapshot->context)))
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -72,6 +72,7 @@
     GHashTable *uses;                      /**< model -> wb_model_use_t */
     wb_engine_capacity_t power;            /**< capacity of an engine of speed 1 */
     double replica_rate_per_s;             /**< requests per replica, on average over all models */
+    const char *software_version;          /**< only engines of it are chosen; NULL: of any */
     unsigned store_loads_allowed;          /**< loads from the weight store that may start now */
     wb_placement_is_loading_fn is_loading; /**< NULL: no engine is loading */
     void *context;                         /**< of is_loading */
@@ -103,6 +104,10 @@
                                 const wb_engine_state_t *state, const wb_model_spec_t *model,
                                 double *cost_ms);
 
+/** @return FALSE when the engine is of another software version than the snapshot asks for */
+gboolean wb_placement_allows(const wb_placement_snapshot_t *snapshot,
+                             const wb_placement_engine_t *candidate);
+
 /**
  * Choose the cheapest engine to load a model on, among those that neither hold nor load it.
  * @param cost_ms out: total cost, including the load's time
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -170,6 +170,7 @@
     wb_edge_node_tick_poison(node);
     wb_edge_node_tick_pace(node, now_ms);
     wb_edge_node_tick_states(node, now_ms);
+    wb_edge_node_tick_streams(node, now_ms);
     wb_edge_node_tick_announce(node, now_ms);
     wb_edge_node_tick_tunnels(node, now_ms);
     if (now_ms - node->demand_sent_ms >= node->edge.settings.demand_interval_ms)
@@ -197,6 +198,7 @@
     wb_quota_limiter_sweep(node->edge.quota, now_ms);
     wb_edge_confirm_unframed_ends(&node->edge, now_ms);
     wb_crash_watch_sweep(node->edge.crashes, now_ms);
+    wb_edge_node_sweep_streams(node, now_ms);
     wb_poison_registry_sweep(node->edge.poison, now_ms);
     wb_pace_aggregate_sweep(node->own_pace_aggregate, now_ms);
 }
@@ -231,6 +233,11 @@
     edge->poison = wb_poison_registry_create(&poison);
     edge->served = wb_served_set_create();
     edge->unframed_ends = wb_unframed_ends_create();
+    edge->stream_starts = wb_stream_starts_create();
+    edge->on_stream_begun = wb_edge_node_stream_begun;
+    edge->ask_stream_start = wb_edge_node_ask_stream_start;
+    edge->sole_version = wb_edge_node_sole_version;
+    created->versions = wb_version_history_create(wb_clock_ms());
     edge->brittle_rejections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -21,6 +21,8 @@
 
 #include "control/controller.h"
 
+#include "fleet/version_history.h"
+
 #include "pace/pace_aggregate.h"
 #include "quota/quota_ledger.h"
 
@@ -60,6 +62,7 @@
     gboolean report_unacknowledged;  /* with usage of limits */
     gboolean unresponsive;           /* no message for too long, but the link is still up */
     gboolean states_sent;            /* all engine-reported state was sent to it */
+    uint64_t starts_number;          /* of the last start of a stream that was sent to it */
     wb_subscription_t *subscription; /* engine rows it subscribed to on this link; or NULL */
 } wb_gateway_t;
 
@@ -134,6 +137,9 @@
     uint64_t poison_sent_version; /* poison registry version last sent */
     gboolean poison_aggregator;   /* as of the last tick */
     gboolean states_sent;         /* all engine-reported state was sent on controller_link */
+    wb_version_history_t *versions;
+    int64_t streams_since_ms; /* since when it keeps the starts of all streams, as the aggregator;
+                                 0: it isn't */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
@@ -316,6 +322,28 @@
 /** Find out whether this node is isolated; as the lease holder, hand the lease over then. */
 void wb_edge_node_tick_tunnels(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_streams.c */
+/** As wb_edge_t.on_stream_begun. @param context the node */
+void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context);
+/** As wb_edge_t.ask_stream_start. @param context the node */
+gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key, const char *service,
+                                       void *context);
+/** As wb_edge_t.sole_version. @param context the node */
+const char *wb_edge_node_sole_version(const char *service, void *context);
+/** Merge starts of streams that another node knows. */
+void wb_edge_node_streams_take(wb_edge_node_t *node, const wb_wire_stream_starts *starts);
+/** Answer a gateway that asks how a stream began. */
+void wb_edge_node_stream_query(wb_edge_node_t *node, wb_link_t *link,
+                               const wb_wire_stream_query *query);
+/** Handle the controller's answer. */
+void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer);
+/** Send all known starts of streams on a new link to the controller. */
+void wb_edge_node_streams_link_open(wb_edge_node_t *node);
+/** As the aggregator, send new starts of streams to some gateways. */
+void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms);
+/** Forget starts whose time is over; note which software versions have engines. */
+void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms);
+
 /* node_announce.c */
 GHashTable *wb_edge_node_announcements_create(void);
 /** As the lease holder, connect to nodes that have no link to this one. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -37,11 +37,13 @@
     wb_edge_t *edge = &node->edge;
     int64_t row_after_ms = 2 * edge->settings.engine_heartbeat_ms;
     if (entry->ready_in_ms > 0) {
-        wb_exchanges_expect_model(edge, engine->state->service, entry->model, entry->ready_in_ms);
+        wb_exchanges_expect_model(edge, engine->state->service, entry->model,
+                                  engine->state->software_version, entry->ready_in_ms);
         return;
     }
     if (entry->held)
-        wb_exchanges_clear_expected(edge, engine->state->service, entry->model);
+        wb_exchanges_clear_expected(edge, engine->state->service, entry->model,
+                                    engine->state->software_version);
     wb_engine_apply_placement(engine, entry->model, entry->adapter, entry->held, wb_clock_ms(),
                               row_after_ms,
                               row_after_ms + (int64_t)(edge->settings.store_look_s * 1000));
@@ -82,7 +84,8 @@
 static void load_plan_take(wb_edge_node_t *node, const wb_wire_load_plan *plan) {
     for (guint i = 0; i < plan->entries.entries_len; i++) {
         const wb_wire_load_plan_entry *entry = &plan->entries.entries_val[i];
-        wb_exchanges_expect_model(&node->edge, plan->service, entry->model, entry->ready_in_ms);
+        wb_exchanges_expect_model(&node->edge, plan->service, entry->model, NULL,
+                                  entry->ready_in_ms);
     }
 }
 
@@ -144,6 +147,15 @@
     wb_edge_node_pace_gateway_open(context, link);
 }
 
+static void version_waits_take(wb_edge_node_t *node, const char *name,
+                               const wb_wire_extensions *extensions) {
+    wb_wire_version_waits waits = {{0, NULL}};
+    wb_extensions_read(extensions, WB_WIRE_EXTENSION_VERSION_WAITS,
+                       (xdrproc_t)xdr_wb_wire_version_waits, &waits);
+    wb_controller_on_version_waits(node->controller, name, &waits);
+    xdr_free((xdrproc_t)xdr_wb_wire_version_waits, &waits);
+}
+
 void wb_edge_node_gateway_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     wb_edge_node_t *node = context;
     if (message->kind == WB_WIRE_HELLO)
@@ -162,6 +174,10 @@
                                  wb_link_extensions(link));
     if (message->kind == WB_WIRE_CATALOG_FETCH)
         wb_edge_node_catalog_answer(node, link, &message->wb_wire_message_u.catalog_fetch);
+    if (message->kind == WB_WIRE_STREAM_STARTS)
+        wb_edge_node_streams_take(node, &message->wb_wire_message_u.stream_starts);
+    if (message->kind == WB_WIRE_STREAM_QUERY)
+        wb_edge_node_stream_query(node, link, &message->wb_wire_message_u.stream_query);
     if (message->kind != WB_WIRE_DEMAND)
         return;
     const wb_wire_demand *demand = &message->wb_wire_message_u.demand;
@@ -179,6 +195,7 @@
         gateway->report_ms = sent.sent_ms;
     gateway->report_unacknowledged |= demand->tenants.tenants_len > 0;
     wb_controller_on_demand(node->controller, demand);
+    version_waits_take(node, demand->node, wb_link_extensions(link));
     wb_edge_node_quota_take_history(node, demand->node, wb_link_extensions(link));
     wb_edge_node_quota_take_report(node, demand);
     wb_edge_node_pace_take_report(node, demand);
@@ -207,10 +224,14 @@
     gboolean report_due = wb_edge_node_quota_report_due(node, wb_clock_ms());
     wb_edge_node_quota_report(node, demand);
     wb_edge_node_pace_report(node, demand);
-    gboolean empty = demand->entries.entries_len == 0 && demand->tenants.tenants_len == 0 &&
-                     demand->engines.engines_len == 0 && !report_due;
+    wb_wire_version_waits waits;
+    wb_demand_build_version_waits(node->edge.demand, &waits);
+    gboolean empty = demand->entries.entries_len == 0 && waits.entries.entries_len == 0 &&
+                     demand->tenants.tenants_len == 0 && demand->engines.engines_len == 0 &&
+                     !report_due;
     node->demand_sent_ms = wb_clock_ms();
     if (empty && !node->demand_sent) {
+        xdr_free((xdrproc_t)xdr_wb_wire_version_waits, &waits);
         wb_message_clear(&message);
         return;
     }
@@ -218,6 +239,7 @@
     node->quota_reported_ms = node->demand_sent_ms;
     if (to_self) {
         wb_controller_on_demand(node->controller, demand);
+        wb_controller_on_version_waits(node->controller, demand->node, &waits);
         wb_edge_node_quota_take_report(node, demand);
         wb_edge_node_pace_take_report(node, demand);
     } else {
@@ -225,10 +247,14 @@
         wb_edge_node_sent_add(&extensions, node->demand_sent_ms);
         if (node->quota_history_due)
             wb_edge_node_quota_history_add(node, &extensions);
+        if (waits.entries.entries_len > 0)
+            wb_extensions_add(&extensions, WB_WIRE_EXTENSION_VERSION_WAITS,
+                              (xdrproc_t)xdr_wb_wire_version_waits, &waits);
         node->quota_history_due = FALSE;
         wb_link_send_with_extensions(node->controller_link, &message, &extensions);
         wb_extensions_clear(&extensions);
     }
+    xdr_free((xdrproc_t)xdr_wb_wire_version_waits, &waits);
     wb_message_clear(&message);
 }
 
@@ -278,9 +304,17 @@
     wb_edge_node_quota_take_shares(node, quota, sent_ms);
 }
 
+/* From here on it is known which messages the controller reads. */
+static void controller_handshake_take(wb_edge_node_t *node, wb_link_t *link,
+                                      const wb_wire_hello *hello) {
+    wb_edge_node_handshake_take(link, hello);
+    if (wb_link_format_version(link) >= 2)
+        wb_edge_node_streams_link_open(node);
+}
+
 static void controller_message(wb_link_t *link, const wb_wire_message *message, void *context) {
     if (message->kind == WB_WIRE_HELLO)
-        wb_edge_node_handshake_take(link, &message->wb_wire_message_u.hello);
+        controller_handshake_take(context, link, &message->wb_wire_message_u.hello);
     else if (message->kind == WB_WIRE_PLACEMENT)
         placements_take(context, &message->wb_wire_message_u.placement, wb_link_extensions(link));
     else if (message->kind == WB_WIRE_LOAD_PLAN)
@@ -294,6 +328,10 @@
     else if (message->kind == WB_WIRE_ENGINE_STATES)
         wb_edge_node_states_take(context, &message->wb_wire_message_u.engine_states,
                                  wb_link_extensions(link));
+    else if (message->kind == WB_WIRE_STREAM_STARTS)
+        wb_edge_node_streams_take(context, &message->wb_wire_message_u.stream_starts);
+    else if (message->kind == WB_WIRE_STREAM_ANSWER)
+        wb_edge_node_stream_answer(context, &message->wb_wire_message_u.stream_answer);
     else if (message->kind == WB_WIRE_STORE_UPDATE)
         wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update,
                                  wb_link_extensions(link), wb_edge_node_message_era(context, link));
--- /dev/null
+++ b/src/edge/node_streams.c
@@ -0,0 +1,227 @@
+/* How streams began, shared between nodes, so that clients can take them up anywhere.
+ * A node sends each start to the aggregator with the stream's first event. The aggregator keeps
+ * all, sends them to a few gateways besides, and answers the others' questions. A node sends all
+ * that it knows on a new link to an aggregator, so a new one learns what its predecessor knew.
+ * Times are in ms; what is sent are durations. */
+#include "edge/edge_node_types.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Gateways that keep the starts of all nodes: enough that one lives on. */
+#define KEEPERS_MAX 8
+/* Time in which gateways link to a new aggregator and send what they know. */
+#define SETTLE_MS 2000
+/* Older knowledge of engines says nothing about which versions serve. */
+#define ENGINES_AGE_MAX_MS 3000
+/* For this long the answer to a question holds that no record was needed for. */
+#define SOLE_LEFT_MS 30000
+#define LEFT_MAX_MS (600 * 1000U)
+
+G_STATIC_ASSERT(WB_WIRE_DIGEST_BYTES == WB_REQUEST_DIGEST_BYTES);
+
+static void key_to_wire(const wb_request_digest_t *key, char wire[WB_WIRE_DIGEST_BYTES]) {
+    memcpy(wire, key->bytes, WB_WIRE_DIGEST_BYTES);
+}
+
+static wb_request_digest_t key_from_wire(const char wire[WB_WIRE_DIGEST_BYTES]) {
+    wb_request_digest_t key;
+    memcpy(key.bytes, wire, WB_WIRE_DIGEST_BYTES);
+    return key;
+}
+
+/* Texts are borrowed. */
+static wb_wire_stream_start start_to_wire(const wb_stream_start_t *start, int64_t now_ms) {
+    wb_wire_stream_start wire = {.service = start->service,
+                                 .software_version = start->software_version,
+                                 .left_ms = (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS)};
+    key_to_wire(&start->key, wire.key);
+    return wire;
+}
+
+static void starts_message_send(wb_link_t *link, GArray *entries) {
+    wb_wire_message message = {.kind = WB_WIRE_STREAM_STARTS};
+    wb_wire_stream_starts *starts = &message.wb_wire_message_u.stream_starts;
+    starts->entries.entries_len = entries->len;
+    starts->entries.entries_val = (wb_wire_stream_start *)(void *)entries->data;
+    if (entries->len > 0)
+        wb_link_send(link, &message);
+    g_array_set_size(entries, 0);
+}
+
+/* Sends the entries after a number, the latest first. */
+static void starts_send(const wb_edge_node_t *node, wb_link_t *link, uint64_t after) {
+    const wb_list_t *all = wb_stream_starts_all(node->edge.stream_starts);
+    int64_t now_ms = wb_clock_ms();
+    g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_stream_start));
+    for (wb_list_item_t *item = all->ring.prev; item != &all->ring; item = item->prev) {
+        const wb_stream_start_t *start = WB_LIST_OF(item, wb_stream_start_t, item);
+        if (start->number <= after)
+            break;
+        wb_wire_stream_start wire = start_to_wire(start, now_ms);
+        g_array_append_val(entries, wire);
+        if (entries->len == WB_WIRE_LIST_MAX)
+            starts_message_send(link, entries);
+    }
+    starts_message_send(link, entries);
+}
+
+static gboolean link_reads_starts(wb_link_t *link) {
+    return wb_link_format_version(link) >= 2;
+}
+
+void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context) {
+    wb_edge_node_t *node = context;
+    if (wb_edge_node_is_aggregator(node) || !node->controller_link_open ||
+        !link_reads_starts(node->controller_link))
+        return; /* the tick, or a new link, sends it */
+    g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_stream_start));
+    wb_wire_stream_start wire = start_to_wire(start, wb_clock_ms());
+    g_array_append_val(entries, wire);
+    starts_message_send(node->controller_link, entries);
+}
+
+void wb_edge_node_streams_take(wb_edge_node_t *node, const wb_wire_stream_starts *starts) {
+    int64_t now_ms = wb_clock_ms();
+    for (guint i = 0; i < starts->entries.entries_len; i++) {
+        const wb_wire_stream_start *wire = &starts->entries.entries_val[i];
+        wb_request_digest_t key = key_from_wire(wire->key);
+        wb_stream_starts_add(node->edge.stream_starts, &key, wire->service, wire->software_version,
+                             now_ms + MIN(wire->left_ms, LEFT_MAX_MS));
+    }
+}
+
+/* Whether a stream that this aggregator doesn't know is known to nobody. */
+static gboolean is_settled(const wb_edge_node_t *node, int64_t now_ms) {
+    return node->streams_since_ms != 0 && now_ms - node->streams_since_ms >= SETTLE_MS;
+}
+
+gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key, const char *service,
+                                       void *context) {
+    wb_edge_node_t *node = context;
+    if (wb_edge_node_is_aggregator(node))
+        return !is_settled(node, wb_clock_ms());
+    if (!node->controller_link_open || !link_reads_starts(node->controller_link))
+        return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE;
+    wb_wire_message message = {.kind = WB_WIRE_STREAM_QUERY};
+    wb_wire_stream_query *query = &message.wb_wire_message_u.stream_query;
+    key_to_wire(key, query->key);
+    query->service = (char *)service;
+    wb_link_send(node->controller_link, &message);
+    return TRUE;
+}
+
+void wb_edge_node_stream_query(wb_edge_node_t *node, wb_link_t *link,
+                               const wb_wire_stream_query *query) {
+    int64_t now_ms = wb_clock_ms();
+    wb_request_digest_t key = key_from_wire(query->key);
+    const wb_stream_start_t *start = wb_stream_starts_find(node->edge.stream_starts, &key);
+    const char *sole =
+        *query->service != '\0' ? wb_edge_node_sole_version(query->service, node) : NULL;
+    gboolean known = start != NULL || sole != NULL;
+    if (!wb_edge_node_is_aggregator(node) || (!known && !is_settled(node, now_ms)))
+        return; /* the gateway asks again */
+    wb_wire_message message = {.kind = WB_WIRE_STREAM_ANSWER};
+    wb_wire_stream_answer *answer = &message.wb_wire_message_u.stream_answer;
+    memcpy(answer->key, query->key, sizeof(answer->key));
+    answer->known = known;
+    answer->service = start != NULL ? start->service : query->service;
+    answer->software_version = start != NULL ? start->software_version : known ? (char *)sole : "";
+    answer->left_ms =
+        start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : SOLE_LEFT_MS;
+    wb_link_send(link, &message);
+}
+
+void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer) {
+    wb_request_digest_t key = key_from_wire(answer->key);
+    if (!answer->known) {
+        wb_exchanges_start_unknown(&node->edge, &key);
+        return;
+    }
+    wb_stream_starts_add(node->edge.stream_starts, &key, answer->service, answer->software_version,
+                         wb_clock_ms() + MIN(answer->left_ms, LEFT_MAX_MS));
+    wb_exchanges_retry_waiting(&node->edge);
+}
+
+void wb_edge_node_streams_link_open(wb_edge_node_t *node) {
+    starts_send(node, node->controller_link, 0);
+}
+
+/* A gateway that may keep all starts. */
+typedef struct wb_keeper_t {
+    wb_link_t *link;
+    wb_gateway_t *gateway;
+    uint64_t rank;
+} wb_keeper_t;
+
+static gint lower_rank_first(gconstpointer left, gconstpointer right) {
+    const wb_keeper_t *a = left;
+    const wb_keeper_t *b = right;
+    return a->rank < b->rank ? -1 : a->rank > b->rank;
+}
+
+/* The same gateways each time, as long as they are linked. */
+static GArray *keepers_choose(const wb_edge_node_t *node) {
+    GArray *keepers = g_array_new(FALSE, FALSE, sizeof(wb_keeper_t));
+    GHashTableIter iter;
+    gpointer link;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, &value)) {
+        wb_gateway_t *gateway = value;
+        if (gateway->name == NULL || gateway->subscription != NULL || !link_reads_starts(link))
+            continue;
+        wb_keeper_t keeper = {link, gateway, XXH64(gateway->name, strlen(gateway->name), 0)};
+        g_array_append_val(keepers, keeper);
+    }
+    g_array_sort(keepers, lower_rank_first);
+    g_array_set_size(keepers, MIN(keepers->len, KEEPERS_MAX));
+    return keepers;
+}
+
+static void keepers_update(wb_edge_node_t *node) {
+    uint64_t number = wb_stream_starts_number(node->edge.stream_starts);
+    g_autoptr(GArray) keepers = keepers_choose(node);
+    for (guint i = 0; i < keepers->len; i++) {
+        const wb_keeper_t *keeper = &g_array_index(keepers, wb_keeper_t, i);
+        if (keeper->gateway->starts_number < number)
+            starts_send(node, keeper->link, keeper->gateway->starts_number);
+        keeper->gateway->starts_number = number;
+    }
+}
+
+void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms) {
+    if (!wb_edge_node_is_aggregator(node)) {
+        node->streams_since_ms = 0;
+        return;
+    }
+    if (node->streams_since_ms == 0)
+        node->streams_since_ms = now_ms;
+    keepers_update(node);
+}
+
+/* Software versions. */
+
+const char *wb_edge_node_sole_version(const char *service, void *context) {
+    const wb_edge_node_t *node = context;
+    int64_t now_ms = wb_clock_ms();
+    if (!wb_edge_node_knows_engines(node) ||
+        now_ms - wb_table_watch_fresh_ms(node->engines_watch) > ENGINES_AGE_MAX_MS)
+        return NULL;
+    return wb_version_history_sole(node->versions, service, now_ms);
+}
+
+void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
+    wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
+    int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
+    if (!wb_edge_node_reads_engines(node) || now_ms - fresh_ms > ENGINES_AGE_MAX_MS)
+        wb_version_history_restart(node->versions, now_ms);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_engine_state_t *state = ((const wb_engine_t *)value)->state;
+        wb_version_history_see(node->versions, state->service, state->software_version, now_ms);
+    }
+}
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define FRAME_HEADER_BYTES 4
-#define LAST_KNOWN_KIND WB_WIRE_TUNNEL_ANSWER
+#define LAST_KNOWN_KIND WB_WIRE_STREAM_ANSWER
 
 /* Returns the encoded size in bytes, or 0 when something exceeds a limit of the protocol. */
 static unsigned long encoded_size(wb_wire_message *message, wb_wire_extensions *extensions) {
@@ -143,6 +143,6 @@
         "claim-show",   "claim-done",    "group-hand-over", "demand",        "placement",
         "store-news",   "load-plan",     "quota",           "poison",        "engine-loads",
         "engines-want", "engines-show",  "engine-states",   "catalog-fetch", "catalog-answer",
-        "tunnel-open",  "tunnel-answer"};
+        "tunnel-open",  "tunnel-answer", "stream-starts",   "stream-query",  "stream-answer"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -498,7 +498,9 @@
     WB_WIRE_EXTENSION_BRITTLE = 5, /* wb_wire_brittle_engines */
     WB_WIRE_EXTENSION_HEARD = 6, /* wb_wire_heard */
     WB_WIRE_EXTENSION_HISTORY = 7, /* wb_wire_usage_history */
-    WB_WIRE_EXTENSION_TUNNEL = 8 /* wb_wire_tunnel_form */
+    WB_WIRE_EXTENSION_TUNNEL = 8, /* wb_wire_tunnel_form */
+    WB_WIRE_EXTENSION_VERSION_WAITS = 9, /* wb_wire_version_waits */
+    WB_WIRE_EXTENSION_VERSIONS = 10 /* wb_wire_service_versions */
 };
 
 struct wb_wire_extension {
@@ -539,6 +541,32 @@
     unsigned hyper sent_ms; /* monotonic clock of the sender */
 };
 
+/* With demand: requests that wait for a model or adapter at engines of one software version. The
+ * entries of the demand leave them out. */
+struct wb_wire_version_wait {
+    wb_wire_name service;
+    wb_wire_name model;
+    wb_wire_name adapter; /* empty: the model itself */
+    wb_wire_name software_version;
+    unsigned int waiting;
+};
+
+struct wb_wire_version_waits {
+    wb_wire_version_wait entries<WB_WIRE_LIST_MAX>;
+};
+
+/* A software version that engines of a service had lately. */
+struct wb_wire_service_version {
+    wb_wire_name service;
+    wb_wire_name software_version; /* empty: unknown */
+    unsigned int age_ms;           /* since such an engine was last announced */
+};
+
+/* In the lease row, and with starts of streams that a node sends on a new link. Empty: not known. */
+struct wb_wire_service_versions {
+    wb_wire_service_version entries<WB_WIRE_LIST_MAX>;
+};
+
 /* The store's era, in which all row versions of the message or row are numbers. */
 struct wb_wire_era {
     unsigned hyper era;
@@ -561,6 +589,35 @@
     unsigned int form; /* its format version */
 };
 
+/* The software version that a stream began at; for clients that take it up. */
+struct wb_wire_stream_start {
+    opaque key[WB_WIRE_DIGEST_BYTES]; /* wb_stream_key */
+    wb_wire_name service;
+    wb_wire_name software_version; /* empty: unknown */
+    unsigned int left_ms;          /* while its client may take it up */
+};
+
+/* From a gateway: streams that began there, and on a new link all that it knows. From the
+ * controller: streams of all gateways, to a few of them. */
+struct wb_wire_stream_starts {
+    wb_wire_stream_start entries<WB_WIRE_LIST_MAX>;
+};
+
+/* A gateway asks the controller how a stream began. */
+struct wb_wire_stream_query {
+    opaque key[WB_WIRE_DIGEST_BYTES];
+    wb_wire_name service; /* the answer is its only software version, if it had no other lately; empty:
+                           * it isn't */
+};
+
+struct wb_wire_stream_answer {
+    opaque key[WB_WIRE_DIGEST_BYTES];
+    bool known;
+    wb_wire_name service;
+    wb_wire_name software_version;
+    unsigned int left_ms;
+};
+
 /* Asks a node to connect to an engine. If it does, everything after the answer passes between the two
  * connections as it comes, or from the engine in blocks (wb_wire_tunnel_form). */
 struct wb_wire_tunnel_open {
@@ -622,7 +679,10 @@
     WB_WIRE_CATALOG_FETCH = 28,
     WB_WIRE_CATALOG_ANSWER = 29,
     WB_WIRE_TUNNEL_OPEN = 30, /* this and the next only on connections of their own, not on links */
-    WB_WIRE_TUNNEL_ANSWER = 31
+    WB_WIRE_TUNNEL_ANSWER = 31,
+    WB_WIRE_STREAM_STARTS = 32,
+    WB_WIRE_STREAM_QUERY = 33,
+    WB_WIRE_STREAM_ANSWER = 34
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -688,4 +748,10 @@
     wb_wire_tunnel_open tunnel_open;
 case WB_WIRE_TUNNEL_ANSWER:
     wb_wire_tunnel_answer tunnel_answer;
+case WB_WIRE_STREAM_STARTS:
+    wb_wire_stream_starts stream_starts;
+case WB_WIRE_STREAM_QUERY:
+    wb_wire_stream_query stream_query;
+case WB_WIRE_STREAM_ANSWER:
+    wb_wire_stream_answer stream_answer;
 };
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -1,6 +1,6 @@
 /* Chooses the engine of each attempt, and computes when engines become available to this node.
  * Times are monotonic, in ms. */
-#include "request/request_types.h"
+#include "request/exchange_internal.h"
 
 #include "dispatch/engine_choice.h"
 
@@ -305,7 +305,8 @@
 /* Whether an engine can serve the request, now or once it is available. */
 static gboolean can_serve(const wb_engine_t *engine, const wb_exchange_t *exchange,
                           int64_t now_ms) {
-    if (!wb_engine_is_usable(engine, now_ms) || !region_allowed(exchange, engine))
+    if (!wb_engine_is_usable(engine, now_ms) || !region_allowed(exchange, engine) ||
+        !wb_exchange_may_use(exchange, engine))
         return FALSE;
     return exchange->model == NULL ||
            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms);
@@ -363,7 +364,8 @@
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms) {
     wb_engine_t *engine = exchange->engine;
-    if (now_ms < engine->backoff_until_ms || !wb_engine_is_usable(engine, now_ms)) {
+    if (now_ms < engine->backoff_until_ms || !wb_engine_is_usable(engine, now_ms) ||
+        !wb_exchange_may_use(exchange, engine)) {
         return FALSE;
     }
     if (exchange->limit_counted || !engine->limit.named) {
--- a/src/request/demand.c
+++ b/src/request/demand.c
@@ -8,6 +8,7 @@
     char *service;
     char *model;
     char *adapter;
+    char *software_version; /* it waits at engines of this version; NULL: of any */
     unsigned waiting;
     unsigned running;
     unsigned arrivals;          /* since the last message */
@@ -19,7 +20,9 @@
 } wb_demand_entry_t;
 
 struct wb_demand_t {
-    GHashTable *entries; /* SERVICE/MODEL/ADAPTER -> wb_demand_entry_t */
+    GHashTable *entries;       /* SERVICE/MODEL/ADAPTER -> wb_demand_entry_t */
+    GHashTable *version_waits; /* SERVICE/MODEL/ADAPTER/VERSION -> wb_demand_entry_t, of which only
+                                  `waiting` is used */
 };
 
 static void entry_free(gpointer data) {
@@ -27,33 +30,48 @@
     g_free(entry->service);
     g_free(entry->model);
     g_free(entry->adapter);
+    g_free(entry->software_version);
     g_free(entry);
 }
 
 wb_demand_t *wb_demand_create(void) {
     wb_demand_t *demand = g_new0(wb_demand_t, 1);
     demand->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_free);
+    demand->version_waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, entry_free);
     return demand;
 }
 
-/* Returns the entry of a request's model, or NULL when it names none. */
-static wb_demand_entry_t *entry_of(wb_demand_t *demand, const wb_exchange_t *exchange) {
-    if (exchange->model == NULL)
-        return NULL;
-    g_autofree char *key =
-        g_strjoin("/", exchange->service->name, exchange->model, exchange->adapter, NULL);
-    wb_demand_entry_t *entry = g_hash_table_lookup(demand->entries, key);
+/* Returns the entry of a request's model in one of the tables.
+ * @param software_version NULL: of any */
+static wb_demand_entry_t *entry_get(GHashTable *entries, const wb_exchange_t *exchange,
+                                    const char *software_version) {
+    g_autofree char *key = g_strjoin("/", exchange->service->name, exchange->model,
+                                     exchange->adapter, software_version, NULL);
+    wb_demand_entry_t *entry = g_hash_table_lookup(entries, key);
     if (entry != NULL)
         return entry;
     entry = g_new0(wb_demand_entry_t, 1);
     entry->service = g_strdup(exchange->service->name);
     entry->model = g_strdup(exchange->model);
     entry->adapter = g_strdup(exchange->adapter);
+    entry->software_version = g_strdup(software_version);
     entry->earliest_target_ms = G_MAXINT64;
-    g_hash_table_insert(demand->entries, g_steal_pointer(&key), entry);
+    g_hash_table_insert(entries, g_steal_pointer(&key), entry);
     return entry;
 }
 
+/* Returns the entry of a request's model, or NULL when it names none. */
+static wb_demand_entry_t *entry_of(wb_demand_t *demand, const wb_exchange_t *exchange) {
+    return exchange->model != NULL ? entry_get(demand->entries, exchange, NULL) : NULL;
+}
+
+/* The same for a request that waits, which may be bound to a software version. */
+static wb_demand_entry_t *waiting_entry_of(wb_demand_t *demand, const wb_exchange_t *exchange) {
+    if (exchange->model == NULL || exchange->bound_version == NULL)
+        return entry_of(demand, exchange);
+    return entry_get(demand->version_waits, exchange, exchange->bound_version);
+}
+
 void wb_demand_note_arrival(wb_demand_t *demand, const wb_exchange_t *exchange) {
     wb_demand_entry_t *entry = entry_of(demand, exchange);
     if (entry == NULL)
@@ -63,7 +81,7 @@
 }
 
 void wb_demand_set_waiting(wb_demand_t *demand, wb_exchange_t *exchange, gboolean waiting) {
-    wb_demand_entry_t *entry = entry_of(demand, exchange);
+    wb_demand_entry_t *entry = waiting_entry_of(demand, exchange);
     if (entry == NULL)
         return;
     if (!waiting) {
@@ -142,3 +160,28 @@
         entry->work = 0;
     }
 }
+
+static gboolean nobody_waits(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    (void)context;
+    return ((const wb_demand_entry_t *)value)->waiting == 0;
+}
+
+void wb_demand_build_version_waits(const wb_demand_t *demand, wb_wire_version_waits *waits) {
+    g_hash_table_foreach_remove(demand->version_waits, nobody_waits, NULL);
+    guint count = g_hash_table_size(demand->version_waits);
+    waits->entries.entries_len = 0;
+    waits->entries.entries_val = calloc(MAX(count, 1), sizeof(wb_wire_version_wait));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, demand->version_waits);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wb_demand_entry_t *entry = value;
+        waits->entries.entries_val[waits->entries.entries_len++] =
+            (wb_wire_version_wait){.service = strdup(entry->service),
+                                   .model = strdup(entry->model),
+                                   .adapter = strdup(entry->adapter),
+                                   .software_version = strdup(entry->software_version),
+                                   .waiting = entry->waiting};
+    }
+}
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -96,6 +96,7 @@
     g_free(exchange->model);
     g_free(exchange->adapter);
     g_free(exchange->last_event_id);
+    g_free(exchange->bound_version);
     g_free(exchange->peer);
     g_free(exchange);
 }
@@ -248,6 +249,13 @@
     return FALSE;
 }
 
+/* The start of its stream is known now: ends that wait, since it may have to wait for a load. */
+static void exchange_unpark(wb_exchange_t *exchange) {
+    if (exchange->awaits_start)
+        wb_exchange_stop_waiting(exchange);
+    exchange->awaits_start = FALSE;
+}
+
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Checked before each attempt: else all copies of a poison request that wait for a model would
@@ -264,6 +272,15 @@
         wb_exchange_wait_for_engines(exchange);
         return;
     }
+    if (!wb_exchange_find_start(exchange)) {
+        wb_exchange_await_start(exchange);
+        return;
+    }
+    if (!wb_exchange_version_serves(exchange)) {
+        wb_exchange_give_up(exchange, WB_OUTCOME_NO_VERSION);
+        return;
+    }
+    exchange_unpark(exchange);
     wb_engine_t *engine = wb_balancer_choose(exchange->edge, exchange, now_ms, &exchange->decision);
     if (engine == NULL) {
         if (wb_exchange_reaches_no_engine(exchange))
@@ -456,6 +473,7 @@
         wb_exchange_refuse(exchange, outcome, wb_outcome_status(outcome));
         return;
     }
+    wb_exchange_read_stream(exchange);
     wb_exchange_count_request(exchange);
     wb_demand_note_arrival(edge->demand, exchange);
     wb_exchange_dispatch(exchange);
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -140,6 +140,7 @@
     if (length == 0)
         return;
     wb_exchange_note_first_event(exchange);
+    wb_exchange_note_stream_began(exchange);
     gap_note(exchange);
     exchange->events++;
     wb_exchange_release_prefill(exchange);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -114,6 +114,26 @@
 /** Forward the engine's complete answer, or the rest of it. It is freed. */
 void wb_exchange_forward_answer(wb_exchange_t *exchange);
 
+/* exchange_stream.c */
+/** Read whether the request takes up an earlier stream. */
+void wb_exchange_read_stream(wb_exchange_t *exchange);
+/** Find out at which software version the stream began that the request takes up.
+ * @return FALSE: it isn't known here */
+gboolean wb_exchange_find_start(wb_exchange_t *exchange);
+/** Let the request wait until that is known, or refuse it. The exchange may be freed. */
+void wb_exchange_await_start(wb_exchange_t *exchange);
+/** The first event is about to be forwarded: its engine's software version binds the stream. Only
+ * the first call has an effect. */
+void wb_exchange_note_stream_began(wb_exchange_t *exchange);
+/** @return FALSE when the engine's software version isn't that of the request's stream */
+gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine);
+/** @return TRUE when the request isn't bound to a software version, or an engine of that version
+ * serves it, or may once its model is loaded there */
+gboolean wb_exchange_version_serves(const wb_exchange_t *exchange);
+/** @return TRUE when an available engine that the request may use holds its model, and the adapter
+ * unless it is "" */
+gboolean wb_exchange_is_held(const wb_exchange_t *exchange, const char *adapter);
+
 /* exchange_outcome.c */
 /** @return TRUE when an engine announces the request's model: a refusal isn't for want of a load */
 gboolean wb_exchange_model_is_held(const wb_exchange_t *exchange);
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -2,10 +2,11 @@
 #include "request/exchange_internal.h"
 
 static const char *const outcome_names[WB_OUTCOME_COUNT] = {
-    "served",      "engine-failed", "no-catalog",  "no-route",      "bad-request", "unknown-model",
-    "no-engine",   "not-loaded",    "rejected",    "no-budget",     "broken",      "timed-out",
-    "caller-gone", "stopping",      "bad-key",     "key-uncertain", "over-quota",  "poison",
-    "no-room",     "unverified",    "unreachable", "quota-unknown"};
+    "served",        "engine-failed", "no-catalog",    "no-route",  "bad-request",
+    "unknown-model", "no-engine",     "not-loaded",    "rejected",  "no-budget",
+    "broken",        "timed-out",     "caller-gone",   "stopping",  "bad-key",
+    "key-uncertain", "over-quota",    "poison",        "no-room",   "unverified",
+    "unreachable",   "quota-unknown", "start-unknown", "no-version"};
 
 static const char *const framing_names[] = {"none", "length", "chunks", "close"};
 
@@ -34,8 +35,7 @@
 
 gboolean wb_exchange_model_is_held(const wb_exchange_t *exchange) {
     return exchange->model != NULL && exchange->service != NULL &&
-           wb_fleet_holds(exchange->edge->fleet, exchange->service->name, exchange->model,
-                          exchange->adapter, wb_clock_ms());
+           wb_exchange_is_held(exchange, exchange->adapter);
 }
 
 void wb_exchange_record_outcome(const wb_exchange_t *exchange, wb_outcome_t outcome,
@@ -62,7 +62,8 @@
         "\"reading_share\":%.2f,\"unread\":%.0f,\"predicted_first_ms\":%.0f,\"sent_for_ms\":%lld,"
         "\"catalog_age_ms\":%lld,\"catalog_behind_ms\":%lld,\"unconnected\":%u,\"held\":%s,"
         "\"by\":\"%s\",\"quota_basis\":\"%s\",\"quota_age_ms\":%lld,\"framing\":\"%s\","
-        "\"ended_in_event\":%s,\"software_version\":\"%s\",\"resumes\":\"%s\"",
+        "\"ended_in_event\":%s,\"software_version\":\"%s\",\"resumes\":\"%s\","
+        "\"stream_version\":\"%s\",\"version_by\":\"%s\"",
         wb_event_escape(exchange->id), outcome_names[outcome], status,
         exchange->route != NULL ? exchange->route->name : "",
         exchange->service != NULL ? exchange->service->name : "", wb_event_escape(exchange->model),
@@ -87,5 +88,7 @@
         (long long)exchange->quota_age_ms, framing_names[exchange->reply.framing],
         exchange->ended_in_event ? "true" : "false",
         exchange->engine != NULL ? wb_event_escape(exchange->engine->state->software_version) : "",
-        wb_event_escape(wb_http_head_get(exchange->head, edge->dialect->resumes)));
+        wb_event_escape(wb_http_head_get(exchange->head, edge->dialect->resumes)),
+        wb_event_escape(exchange->bound_version),
+        exchange->bound_by != NULL ? exchange->bound_by : "");
 }
--- a/src/request/exchange_refuse.c
+++ b/src/request/exchange_refuse.c
@@ -1,6 +1,9 @@
 /* Answers of this node itself. */
 #include "request/exchange_internal.h"
 
+/* Retry-After of a stream that can't go on now: another node may know how it began, and an engine
+ * of its version may come back. */
+#define STREAM_RETRY_MS 1000
 /* How much later than its Retry-After a client is still expected to retry. */
 #define RETRY_GRACE_MS 500
 
@@ -16,6 +19,9 @@
         return exchange->overload_retry_ms;
     case WB_OUTCOME_QUOTA_UNKNOWN:
         return exchange->quota_retry_ms;
+    case WB_OUTCOME_START_UNKNOWN:
+    case WB_OUTCOME_NO_VERSION:
+        return STREAM_RETRY_MS;
     default:
         return wb_exchange_retry_after_ms(exchange);
     }
--- /dev/null
+++ b/src/request/exchange_stream.c
@@ -0,0 +1,167 @@
+/* Streams go on only at engines of the software version that began them, within an answer and when
+ * a client takes its stream up. */
+#include "request/exchange_internal.h"
+
+#include <string.h>
+
+/* The controller answers within some ms; one that has just taken over learns of streams for a
+ * while.
+ */
+#define START_LOOKUP_MS 800
+#define START_ASK_AGAIN_MS 100
+/* Clients may come back after the deadline of their first try. */
+#define START_KEPT_MS 30000
+
+static gboolean route_is_resumable(const wb_exchange_t *exchange) {
+    return exchange->route->kind == WB_ROUTE_STREAM && exchange->route->resumable;
+}
+
+static const char *tenant_name(const wb_exchange_t *exchange) {
+    return exchange->tenant != NULL ? exchange->tenant->name : NULL;
+}
+
+void wb_exchange_read_stream(wb_exchange_t *exchange) {
+    const wb_dialect_t *dialect = exchange->edge->dialect;
+    const char *resumes = wb_http_head_get(exchange->head, dialect->resumes);
+    exchange->takes_up =
+        route_is_resumable(exchange) &&
+        (resumes != NULL || wb_http_head_get(exchange->head, dialect->last_event_id) != NULL);
+    if (!exchange->takes_up)
+        return;
+    exchange->edge->metrics.streams_taken_up++;
+    exchange->stream_key = wb_stream_key(tenant_name(exchange), resumes != NULL ? resumes : "");
+}
+
+/* @param by for logs: how the version is known */
+static void version_bind(wb_exchange_t *exchange, const char *software_version, const char *by) {
+    exchange->bound_version = g_strdup(software_version);
+    exchange->bound_by = by;
+}
+
+/* Whether the request would be sent to the same service again: parts of a split are drawn. */
+static gboolean has_one_service(const wb_exchange_t *exchange) {
+    return exchange->route->parts == NULL || exchange->route->parts->len == 0;
+}
+
+gboolean wb_exchange_find_start(wb_exchange_t *exchange) {
+    const wb_edge_t *edge = exchange->edge;
+    if (!exchange->takes_up || exchange->bound_version != NULL)
+        return TRUE;
+    const char *service = exchange->service->name;
+    const wb_stream_start_t *start =
+        wb_stream_starts_find(edge->stream_starts, &exchange->stream_key);
+    if (start != NULL) {
+        gboolean same_service = strcmp(start->service, service) == 0;
+        version_bind(exchange, same_service ? start->software_version : "", "record");
+        return TRUE;
+    }
+    const char *sole = edge->sole_version != NULL && has_one_service(exchange)
+                           ? edge->sole_version(service, edge->node_context)
+                           : NULL;
+    if (sole == NULL)
+        return FALSE;
+    version_bind(exchange, sole, "sole");
+    return TRUE;
+}
+
+/* Returns FALSE when the start can't be learned. */
+static gboolean start_ask(wb_exchange_t *exchange, int64_t now_ms) {
+    wb_edge_t *edge = exchange->edge;
+    if (edge->ask_stream_start == NULL)
+        return FALSE;
+    if (exchange->start_asked_ms != 0 && now_ms - exchange->start_asked_ms < START_ASK_AGAIN_MS)
+        return TRUE;
+    exchange->start_asked_ms = now_ms;
+    edge->metrics.stream_starts_asked++;
+    const char *service = has_one_service(exchange) ? exchange->service->name : "";
+    return edge->ask_stream_start(&exchange->stream_key, service, edge->node_context);
+}
+
+void wb_exchange_await_start(wb_exchange_t *exchange) {
+    int64_t now_ms = wb_clock_ms();
+    if (!start_ask(exchange, now_ms)) {
+        wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
+        return;
+    }
+    if (wb_list_is_linked(&exchange->waiting))
+        return;
+    exchange->awaits_start = TRUE;
+    exchange->awaits_load = FALSE;
+    exchange->awaits_engine = FALSE;
+    exchange->waiting_since_ms = now_ms;
+    exchange->wait_until_ms = now_ms + START_LOOKUP_MS;
+    wb_list_add_tail(&exchange->edge->waiting, &exchange->waiting);
+    wb_exchange_arm_timeout(exchange);
+}
+
+void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key) {
+    g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
+    for (GList *item = open; item != NULL; item = item->next) {
+        wb_exchange_t *exchange = item->data;
+        /* Ending one request may end others, so each is checked to be still open. */
+        if (g_hash_table_contains(edge->open, exchange) && exchange->awaits_start &&
+            wb_list_is_linked(&exchange->waiting) &&
+            wb_request_digest_equal(&exchange->stream_key, key)) {
+            wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
+        }
+    }
+}
+
+void wb_exchange_note_stream_began(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    if (exchange->bound_version != NULL)
+        return;
+    version_bind(exchange, exchange->engine->state->software_version, "began");
+    if (!route_is_resumable(exchange) || *exchange->id == '\0')
+        return;
+    wb_request_digest_t key = wb_stream_key(tenant_name(exchange), exchange->id);
+    int64_t until_ms = MAX(exchange->deadline_ms, wb_clock_ms()) + START_KEPT_MS;
+    const wb_stream_start_t *start = wb_stream_starts_add(
+        edge->stream_starts, &key, exchange->service->name, exchange->bound_version, until_ms);
+    if (start != NULL && edge->on_stream_begun != NULL)
+        edge->on_stream_begun(start, edge->node_context);
+}
+
+gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine) {
+    const char *bound = exchange->bound_version;
+    return bound == NULL || (*bound != '\0' && strcmp(engine->state->software_version, bound) == 0);
+}
+
+/* Whether an engine serves the request, or could once its model is loaded there. */
+static gboolean may_serve(const wb_exchange_t *exchange, const wb_engine_t *engine,
+                          int64_t now_ms) {
+    if (!wb_exchange_may_use(exchange, engine))
+        return FALSE;
+    if (wb_engine_is_available(engine))
+        return TRUE;
+    return wb_engine_is_usable(engine, now_ms) &&
+           (exchange->model == NULL ||
+            wb_engine_holds(engine, exchange->model, exchange->adapter, now_ms));
+}
+
+gboolean wb_exchange_version_serves(const wb_exchange_t *exchange) {
+    const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
+    int64_t now_ms = wb_clock_ms();
+    if (exchange->bound_version == NULL)
+        return TRUE;
+    for (guint i = 0; engines != NULL && i < engines->len; i++)
+        if (may_serve(exchange, g_ptr_array_index(engines, i), now_ms))
+            return TRUE;
+    return FALSE;
+}
+
+gboolean wb_exchange_is_held(const wb_exchange_t *exchange, const char *adapter) {
+    const wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    if (exchange->bound_version == NULL)
+        return wb_fleet_holds(edge->fleet, exchange->service->name, exchange->model, adapter,
+                              now_ms);
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (wb_engine_is_available(engine) && wb_exchange_may_use(exchange, engine) &&
+            wb_engine_holds(engine, exchange->model, adapter, now_ms))
+            return TRUE;
+    }
+    return FALSE;
+}
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -41,12 +41,14 @@
     }
 }
 
-static char *expected_key(const char *service, const char *model) {
-    return g_strjoin("/", service, model, NULL);
+/* @param software_version NULL: at an engine of any */
+static char *expected_key(const char *service, const char *model, const char *software_version) {
+    return g_strjoin("/", service, model, software_version, NULL);
 }
 
 static int64_t *expected_find(const wb_exchange_t *exchange) {
-    g_autofree char *key = expected_key(exchange->service->name, exchange->model);
+    g_autofree char *key =
+        expected_key(exchange->service->name, exchange->model, exchange->bound_version);
     return g_hash_table_lookup(exchange->edge->expected, key);
 }
 
@@ -67,7 +69,8 @@
     double min_ms = (double)spec->store_load_ms;
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        min_ms = MIN(min_ms, wb_placement_load_ms(spec, engine->state, NULL));
+        if (wb_exchange_may_use(exchange, engine))
+            min_ms = MIN(min_ms, wb_placement_load_ms(spec, engine->state, NULL));
     }
     return (int64_t)min_ms;
 }
@@ -82,8 +85,7 @@
     }
     /* If the model is held, an expected load is that of another replica, while the adapter is
      * loaded where the model is. */
-    gboolean held =
-        wb_fleet_holds(edge->fleet, exchange->service->name, exchange->model, "", now_ms);
+    gboolean held = wb_exchange_is_held(exchange, "");
     const int64_t *ready_ms = held ? NULL : expected_find(exchange);
     if (ready_ms != NULL && *ready_ms + LOAD_GRACE_MS >= now_ms) {
         return MAX(*ready_ms - now_ms, 0);
@@ -261,6 +263,9 @@
 }
 
 wb_outcome_t wb_exchange_wait_outcome(const wb_exchange_t *exchange) {
+    if (exchange->awaits_start) {
+        return WB_OUTCOME_START_UNKNOWN;
+    }
     if (exchange->model == NULL) {
         return WB_OUTCOME_NO_ENGINE;
     }
@@ -325,15 +330,25 @@
 
 /* Recomputes how long a request waits. If waiting is now useless, the timer refuses it at once. */
 static void wait_update(wb_exchange_t *exchange) {
+    if (exchange->awaits_start) {
+        return;
+    }
     exchange->wait_until_ms = wait_decide(exchange).until_ms;
     wb_exchange_arm_timeout(exchange);
 }
 
+static void expected_set(wb_edge_t *edge, const char *service, const char *model,
+                         const char *software_version, int64_t ready_ms) {
+    g_hash_table_replace(edge->expected, expected_key(service, model, software_version),
+                         g_memdup2(&ready_ms, sizeof(ready_ms)));
+}
+
 void wb_exchanges_expect_model(wb_edge_t *edge, const char *service, const char *model,
-                               unsigned ready_in_ms) {
+                               const char *software_version, unsigned ready_in_ms) {
     int64_t ready_ms = wb_clock_ms() + ready_in_ms;
-    g_hash_table_replace(edge->expected, expected_key(service, model),
-                         g_memdup2(&ready_ms, sizeof(ready_ms)));
+    expected_set(edge, service, model, NULL, ready_ms);
+    if (software_version != NULL)
+        expected_set(edge, service, model, software_version, ready_ms);
     WB_LIST_EACH(item, &edge->waiting) {
         wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
         if (exchange->model != NULL && strcmp(exchange->model, model) == 0 &&
@@ -364,11 +379,20 @@
     waiting_each(edge, key_check);
 }
 
-void wb_exchanges_clear_expected(wb_edge_t *edge, const char *service, const char *model) {
-    g_autofree char *key = expected_key(service, model);
+static void expected_clear(wb_edge_t *edge, const char *service, const char *model,
+                           const char *software_version) {
+    g_autofree char *key = expected_key(service, model, software_version);
     g_hash_table_remove(edge->expected, key);
 }
 
+void wb_exchanges_clear_expected(wb_edge_t *edge, const char *service, const char *model,
+                                 const char *software_version) {
+    expected_clear(edge, service, model, NULL);
+    if (software_version != NULL) {
+        expected_clear(edge, service, model, software_version);
+    }
+}
+
 static void exchanges_stop(wb_edge_t *edge, gboolean waiting_only) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -38,6 +38,7 @@
 #include "request/api_key.h"
 #include "request/crash_watch.h"
 #include "request/retry_budget.h"
+#include "request/stream_starts.h"
 #include "request/unframed_ends.h"
 #include "poison/poison_registry.h"
 #include "poison/served_set.h"
@@ -108,6 +109,7 @@
     wb_crash_watch_t *crashes;
     wb_unframed_ends_t *unframed_ends;
     GHashTable *brittle_rejections; /* service -> int64_t *, time of the last by a brittle engine */
+    wb_stream_starts_t *stream_starts;
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
     wb_reach_summary_t *reach;   /* which engines this node reaches */
@@ -150,6 +152,17 @@
      * @param since_ms when the request arrived */
     gboolean (*engines_known)(const char *service, const char *model, int64_t since_ms,
                               void *context);
+    /** A stream that its client may take up has begun: tell other nodes. May be NULL. */
+    void (*on_stream_begun)(const wb_stream_start_t *start, void *context);
+    /** Ask how a stream began. The answer is added to stream_starts, or leads to a call of
+     * wb_exchanges_start_unknown. NULL: nobody can be asked.
+     * @param service if it has had one software version only, that is the answer; "": don't look
+     * @return FALSE: nobody knows */
+    gboolean (*ask_stream_start)(const wb_request_digest_t *key, const char *service,
+                                 void *context);
+    /** The only software version that engines of a service had for longer than any stream lasts.
+     * NULL: not known; as a result, NULL: there were several, or it isn't known. */
+    const char *(*sole_version)(const char *service, void *context);
     /** Duration since this node last verified that its catalog is the newest; NULL: it always is.
      */
     int64_t (*catalog_age_ms)(void *context);
@@ -182,6 +195,8 @@
     WB_OUTCOME_UNVERIFIED,     /* the catalog lacks its route or model, but may be out of date */
     WB_OUTCOME_UNREACHABLE,    /* engines hold its model, but none could be connected to */
     WB_OUTCOME_QUOTA_UNKNOWN,  /* what is left of its tenant's limit is not known here */
+    WB_OUTCOME_START_UNKNOWN,  /* it takes a stream up, of which the software version isn't known */
+    WB_OUTCOME_NO_VERSION,     /* no engine of its stream's software version serves */
     WB_OUTCOME_COUNT
 } wb_outcome_t;
 
@@ -257,7 +272,14 @@
     int64_t wait_until_ms; /* when waiting for an engine ends */
     wb_timer_t *due_timer;
     wb_timer_t *silence_timer;
+    gboolean takes_up;              /* it takes up an earlier stream of its client */
+    wb_request_digest_t stream_key; /* of that stream */
+    int64_t start_asked_ms;         /* when its start was last asked for; 0: never */
+    char *bound_version;    /* software version that its stream began at. NULL: it hasn't begun, or
+                               isn't known; "": an unknown one, so no engine may go on */
+    const char *bound_by;   /* for logs: how that is known */
     wb_list_item_t waiting; /* on edge->waiting */
+    gboolean awaits_start;  /* it waits to learn how its stream began */
     gboolean awaits_load;   /* it waits for a model or adapter to be loaded */
     gboolean awaits_engine; /* it waits for an engine that becomes available */
     int64_t waiting_since_ms;
@@ -341,9 +363,10 @@
 void wb_exchanges_retry_waiting(wb_edge_t *edge);
 
 /** A model is being loaded and should be ready after this duration: requests that wait for it
- * continue to wait, or are refused if that is too late for them. */
+ * continue to wait, or are refused if that is too late for them.
+ * @param software_version of the engine that loads it; NULL: it isn't known which one will */
 void wb_exchanges_expect_model(wb_edge_t *edge, const char *service, const char *model,
-                               unsigned ready_in_ms);
+                               const char *software_version, unsigned ready_in_ms);
 /** @return TRUE when a request waits for the model */
 gboolean wb_exchanges_any_waiting_for(const wb_edge_t *edge, const char *model);
 /** A new catalog is in force: refuse waiting requests whose API key it no longer has. */
@@ -351,8 +374,10 @@
 /** The reachability of the controller has changed: recompute how long requests wait, and refuse
  * those for which waiting is useless. */
 void wb_exchanges_update_waits(wb_edge_t *edge);
-/** A model is loaded: drop the expected time of its load. */
-void wb_exchanges_clear_expected(wb_edge_t *edge, const char *service, const char *model);
+/** A model is loaded: drop the expected time of its load.
+ * @param software_version as for wb_exchanges_expect_model */
+void wb_exchanges_clear_expected(wb_edge_t *edge, const char *service, const char *model,
+                                 const char *software_version);
 /** Refuse requests that are known poison, also those that wait or are at an engine that hasn't
  * begun to answer. */
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
@@ -365,6 +390,8 @@
 /** An engine has ended, though its connections may still be open: its requests are sent to other
  * engines where that is allowed, or answered. */
 void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine);
+/** Nobody knows how a stream began: refuse requests that take it up. */
+void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key);
 /** Near the end of a planned stop: refuse requests that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a planned stop: refuse all requests whose answer hasn't begun. */
@@ -432,5 +459,8 @@
  * that no engine holds. Resets the counts of arrivals. Free the message with wb_message_clear. */
 void wb_demand_build_message(wb_demand_t *demand, const wb_fleet_t *fleet, const char *node,
                              wb_wire_message *message);
+/** Fill in the requests that wait for a model at engines of one software version, which the message
+ * above leaves out. Free it with xdr_free. */
+void wb_demand_build_version_waits(const wb_demand_t *demand, wb_wire_version_waits *waits);
 
 #endif
--- a/tests/unit/test_exchange_wait.c
+++ b/tests/unit/test_exchange_wait.c
@@ -75,7 +75,7 @@
 static void test_model_that_comes_too_late(void) {
     fixture_t fixture;
     fixture_init(&fixture, "m2", "");
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", LONG_LOAD_MS);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", NULL, LONG_LOAD_MS);
     g_assert_cmpint(fixture_wait_ms(&fixture), ==, 0);
     g_assert_cmpint(wb_exchange_retry_after_ms(fixture.exchange), >, LONG_LOAD_MS - 1000);
 }
@@ -84,13 +84,13 @@
 static void test_adapter_does_not_wait_for_a_replica(void) {
     fixture_t fixture;
     fixture_init(&fixture, "m1", "a1");
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m1", LONG_LOAD_MS);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m1", NULL, LONG_LOAD_MS);
     int64_t wait_ms = fixture_wait_ms(&fixture);
     g_assert_cmpint(wait_ms, >, TARGET_MS / 2);
     g_assert_cmpint(wait_ms, <, 4 * TARGET_MS);
     g_assert_cmpint(wb_exchange_retry_after_ms(fixture.exchange), <, 1000);
     /* Nor when the load is reported while it waits. */
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m1", LONG_LOAD_MS);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m1", NULL, LONG_LOAD_MS);
     g_assert_cmpint(fixture.exchange->wait_until_ms, >, wb_clock_ms());
 }
 
@@ -135,7 +135,7 @@
     g_assert_cmpint(fixture_wait_ms(&fixture), ==, 0);
     fixture_init(&fixture, "m2", "");
     fixture.view = unreachable;
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", 500);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", NULL, 500);
     g_assert_cmpint(fixture_wait_ms(&fixture), >=, 500);
 }
 
@@ -156,9 +156,9 @@
     int64_t wait_ms = fixture_wait_ms(&fixture);
     g_assert_cmpint(wait_ms, >=, 2250);
     g_assert_cmpint(wait_ms, <=, 2500);
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", 100);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", NULL, 100);
     g_assert_cmpint(fixture.exchange->wait_until_ms - wb_clock_ms(), >=, wait_ms - 50);
-    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", 4000);
+    wb_exchanges_expect_model(&fixture.edge, "llm", "m2", NULL, 4000);
     g_assert_cmpint(fixture.exchange->wait_until_ms - wb_clock_ms(), >=, 4600);
 }
 
--- /dev/null
+++ b/tests/unit/test_stream_starts.c
@@ -0,0 +1,73 @@
+/* Guards against streams that go on at a version that isn't known to be theirs. */
+#include "unit.h"
+
+#include "fleet/version_history.h"
+#include "request/stream_starts.h"
+
+#define NOW_MS 1000000
+
+static void test_first_entry_stays(void) {
+    wb_stream_starts_t *starts = wb_stream_starts_create();
+    wb_request_digest_t key = wb_stream_key(NULL, "r1");
+    wb_request_digest_t of_tenant = wb_stream_key("t", "r1");
+    g_assert_null(wb_stream_starts_find(starts, &key));
+    g_assert_nonnull(wb_stream_starts_add(starts, &key, "llm", "v1", NOW_MS));
+    g_assert_null(wb_stream_starts_add(starts, &key, "llm", "v2", NOW_MS));
+    g_assert_cmpstr(wb_stream_starts_find(starts, &key)->software_version, ==, "v1");
+    g_assert_null(wb_stream_starts_find(starts, &of_tenant));
+    wb_stream_starts_sweep(starts, NOW_MS - 1);
+    g_assert_nonnull(wb_stream_starts_find(starts, &key));
+    wb_stream_starts_sweep(starts, NOW_MS);
+    g_assert_null(wb_stream_starts_find(starts, &key));
+    wb_stream_starts_free(starts);
+}
+
+static void test_bounded(void) {
+    wb_stream_starts_t *starts = wb_stream_starts_create();
+    for (int i = 0; i < WB_STREAM_STARTS_MAX + 10; i++) {
+        g_autofree char *id = g_strdup_printf("r%d", i);
+        wb_request_digest_t key = wb_stream_key(NULL, id);
+        g_assert_nonnull(wb_stream_starts_add(starts, &key, "llm", "v1", NOW_MS));
+    }
+    wb_request_digest_t oldest = wb_stream_key(NULL, "r0");
+    wb_request_digest_t kept = wb_stream_key(NULL, "r10");
+    g_assert_cmpuint(wb_stream_starts_all(starts)->len, ==, WB_STREAM_STARTS_MAX);
+    g_assert_null(wb_stream_starts_find(starts, &oldest));
+    g_assert_nonnull(wb_stream_starts_find(starts, &kept));
+    wb_stream_starts_free(starts);
+}
+
+static void test_sole_version(void) {
+    wb_version_history_t *history = wb_version_history_create(0);
+    int64_t enough_ms = WB_VERSION_HISTORY_MS;
+    wb_version_history_see(history, "llm", "v1", 0);
+    wb_version_history_see(history, "llm", "v1", enough_ms - 1);
+    g_assert_null(wb_version_history_sole(history, "llm", enough_ms - 1)); /* too short */
+    g_assert_cmpstr(wb_version_history_sole(history, "llm", enough_ms), ==, "v1");
+    g_assert_null(wb_version_history_sole(history, "other", enough_ms));
+    wb_version_history_see(history, "llm", "v2", enough_ms);
+    g_assert_null(wb_version_history_sole(history, "llm", enough_ms + 1));
+    /* v1 is gone for long enough. */
+    wb_version_history_see(history, "llm", "v2", 3 * enough_ms);
+    g_assert_cmpstr(wb_version_history_sole(history, "llm", 3 * enough_ms), ==, "v2");
+    wb_version_history_restart(history, 3 * enough_ms);
+    g_assert_null(wb_version_history_sole(history, "llm", 3 * enough_ms + 1));
+    wb_version_history_free(history);
+}
+
+/* An unknown version is no match, not even as the only one. */
+static void test_unknown_version(void) {
+    wb_version_history_t *history = wb_version_history_create(0);
+    wb_version_history_see(history, "llm", "", WB_VERSION_HISTORY_MS);
+    g_assert_null(wb_version_history_sole(history, "llm", WB_VERSION_HISTORY_MS));
+    wb_version_history_free(history);
+}
+
+static void tests_add(void) {
+    g_test_add_func("/stream-starts/first-entry-stays", test_first_entry_stays);
+    g_test_add_func("/stream-starts/bounded", test_bounded);
+    g_test_add_func("/stream-starts/sole-version", test_sole_version);
+    g_test_add_func("/stream-starts/unknown-version", test_unknown_version);
+}
+
+UNIT_TEST_MAIN(tests_add)
