--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -364,6 +364,8 @@
         return;
     if (wb_estate_engine_consume_fault(engine, "cut"))
         run->cut_after = 2;
+    if (run->next_event == 1 && wb_estate_engine_consume_fault(engine, "cut-start"))
+        run->cut_after = 2;
     if (wb_estate_engine_consume_fault(engine, "cut-plain")) {
         run->cut_after = 2;
         run->cut_is_plain = TRUE;
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -90,10 +90,10 @@
 /** Reject requests with this Retry-After value; "": accept them. */
 void wb_estate_engine_set_backoff(wb_estate_engine_t *engine, const char *retry_after);
 /** Set a fault for the next `count` requests or orders: "error" (500), "reject" (503, not run),
- * "cut" (stream aborted within an event), "cut-plain" (stream ended within an event, but otherwise
- * like a complete one), "mute" (no response), "reset" (connection aborted),
- * "unsealed" (success without a seal), "order-lost" (order applied, without a response),
- * "order-late" (order applied late, without a response). */
+ * "cut" (stream aborted within an event), "cut-start" (the same for streams that begin),
+ * "cut-plain" (stream ended within an event, but otherwise like a complete one), "mute" (no
+ * response), "reset" (connection aborted), "unsealed" (success without a seal), "order-lost" (order
+ * applied, without a response), "order-late" (order applied late, without a response). */
 void wb_estate_engine_set_fault(wb_estate_engine_t *engine, const char *fault, int count);
 const char *wb_estate_engine_id(const wb_estate_engine_t *engine);
 
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -297,6 +297,7 @@
     soak_partitions_check(soak);
     soak_states_check(soak, seen);
     soak_tenants_check(soak, seen);
+    soak_versions_check(soak);
     soak_config_check(soak, seen);
     json_decref(seen);
 }
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -41,13 +41,13 @@
 static void stream_check(soak_t *soak, const soak_request_t *request,
                          const wire_response_t *answer) {
     g_autoptr(GString) wanted = g_string_new(NULL);
-    size_t matched = 0;
+    g_autofree char *body = soak_versions_remove(soak, request->id, answer->body->str);
     for (int event = 1; event <= EVENTS; event++) {
         g_string_append_printf(wanted, "id: %d\ndata: %s-%d\n\n", event, request->id, event);
     }
-    matched = answer->body->len;
-    if (matched > wanted->len || strncmp(answer->body->str, wanted->str, matched) != 0) {
-        soak_fail(soak, "%s: events out of order: %s", request->id, answer->body->str);
+    size_t matched = strlen(body);
+    if (matched > wanted->len || strncmp(body, wanted->str, matched) != 0) {
+        soak_fail(soak, "%s: events out of order: %s", request->id, body);
     } else if (answer->whole && matched != wanted->len) {
         soak_fail(soak, "%s: a cut stream was ended as whole", request->id);
     }
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -367,6 +367,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->has_versions && g_rand_int_range(soak->rand, 0, 2) == 0) {
+        return &soak_version_faults[g_rand_int_range(soak->rand, 0, SOAK_VERSION_FAULTS)];
+    }
     if (soak->has_unframed && g_rand_int_range(soak->rand, 0, 3) == 0) {
         return &unframed_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(unframed_kinds))];
     }
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -39,6 +39,10 @@
 /* partitions.c */
 extern const soak_fault_kind_t soak_partition_fault;
 
+#define SOAK_VERSION_FAULTS 3
+/* versions.c */
+extern const soak_fault_kind_t soak_version_faults[SOAK_VERSION_FAULTS];
+
 #define SOAK_CONFIG_FAULTS 2
 #define SOAK_ROLLBACK_FAULTS 2
 extern const soak_fault_kind_t soak_config_faults[SOAK_CONFIG_FAULTS];
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -148,6 +148,10 @@
     /* The older build doesn't know that a store may go back. */
     soak.has_rollbacks = seed / 4096 % 2 == 1 && !soak.has_builds;
     soak.only_rollbacks = soak.has_rollbacks && seed / 8192 % 2 == 1;
+    /* Bit 18. The older build sends streams to engines of any version. */
+    soak.has_versions =
+        seed / 262144 % 2 == 1 && !soak.has_builds && !soak.has_partitions && !soak.has_tenants;
+    GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
         paces_set(soak.estate);
@@ -158,6 +162,9 @@
     if (soak.has_unframed) {
         engines_leave_out_framing(soak.estate);
     }
+    if (soak.has_versions) {
+        soak_versions_start(&soak, versions);
+    }
     if (soak.has_brittle_engines) {
         engines_make_brittle(soak.estate);
     }
@@ -175,6 +182,7 @@
     soak_faults_run(&soak, (int64_t)options->seconds * 1000);
     g_atomic_int_set(&soak.stop, 1);
     soak_clients_join(tenants);
+    soak_clients_join(versions);
     soak_clients_join(clients);
     soak_recovery_check(&soak);
     if (soak.has_poison) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -75,6 +75,12 @@
     int64_t ended_ms;
 } soak_request_t;
 
+/** Streams that clients sent for, and those that brought events. */
+typedef struct soak_streams_t {
+    int sent;
+    int went_on;
+} soak_streams_t;
+
 /** One run of a seed. The lock guards what threads share. */
 typedef struct soak_t {
     guint32 seed;
@@ -105,6 +111,10 @@
         only_rollbacks; /* and nothing else is disturbed, so that all checks apply between them */
     gboolean has_partitions; /* nodes are cut off from engines */
     gboolean has_unframed;   /* engines' streams have neither length nor chunks, and end early */
+    gboolean has_versions;   /* engines of two software versions, and clients that take streams
+                                up at other nodes */
+    soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
+    soak_streams_t taken_up; /* streams that they took up there */
     gboolean has_tenants;    /* tenants with limits send far more than these at times */
     const char *key_header;  /* of all other requests; "": configurations have no tenants */
     gboolean has_brittle_engines; /* engines fall when they have to reject too many requests */
@@ -189,6 +199,16 @@
 /** Compare what engines ran of each tenant's requests with its limit. */
 void soak_tenants_check(soak_t *soak, const json_t *seen);
 
+/* versions.c */
+/** Start engines of two software versions, and clients that take streams up. @param threads takes
+ * their threads */
+void soak_versions_start(soak_t *soak, GPtrArray *threads);
+/** Check that a stream holds events of one version. @return its events without the versions, owned
+ * by the caller */
+char *soak_versions_remove(soak_t *soak, const char *id, const char *body);
+/** Compare how many streams that were taken up went on with how many new ones began. */
+void soak_versions_check(soak_t *soak);
+
 /* processor.c */
 /** Start to limit the processor of nodes, if this run does. @param threads takes the thread */
 void soak_processor_limit(soak_t *soak, GPtrArray *threads);
