One software version: streams may be taken up without a record, also after a restart of all nodes

What callers would have seen: 503 for streams that they take up after all nodes were killed, where one version only has engines. Why it works: the lease row names the versions that had engines in the window, and for how long its writer can tell; a process takes them from the first row that it reads, unless that is from a copy of the store. New setting resume-window-s (30), for records and history.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -138,6 +138,7 @@
     gboolean poison_aggregator;   /* as of the last tick */
     gboolean states_sent;         /* all engine-reported state was sent on controller_link */
     wb_version_history_t *versions;
+    gboolean versions_taken;  /* the lease row was read, which has those of earlier processes */
     int64_t streams_since_ms; /* since when it keeps the starts of all streams, as the aggregator;
                                  0: it isn't */
     wb_link_t *controller_link;
@@ -341,6 +342,10 @@
 void wb_edge_node_streams_link_open(wb_edge_node_t *node);
 /** As the aggregator, send new starts of streams to some gateways. */
 void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms);
+/** Add the software versions that engines had lately, for the lease row. */
+void wb_edge_node_versions_add(const wb_edge_node_t *node, wb_wire_extensions *extensions);
+/** Take them from the first lease row that this process reads. */
+void wb_edge_node_versions_take(wb_edge_node_t *node, const wb_wire_extensions *extensions);
 /** Forget starts whose time is over; note which software versions have engines. */
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms);
 
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -68,6 +68,8 @@
     ROW("retry-slack", WB_SETTING_REAL, "resends", 0, 1000000, "54", retry_slack,
         "Resends in a window beyond the ratio, over all nodes; a node has its part once all others "
         "count it"),
+    ROW("resume-window-s", WB_SETTING_REAL, "s", 1, 3600, "30", resume_window_s,
+        "Longest time from a stream's first event until its caller takes it up again"),
     ROW("poison-kept-s", WB_SETTING_REAL, "s", 1, 86400, "600", poison_kept_s,
         "Time after its last crash for which a request that crashes engines is refused"),
     ROW("poison-trial-s", WB_SETTING_REAL, "s", 0.1, 86400, "60", poison_trial_s,
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -107,9 +107,10 @@
     return copy;
 }
 
-/* Writes the format version of this build and the era of the store that the row is written in.
+/* Writes the format version of this build, the era of the store that the row is written in, and the
+ * software versions of engines.
  * Returns bytes written; 0: they don't fit. */
-static u_int extensions_write(int64_t era, char *bytes, u_int room) {
+static u_int extensions_write(const wb_edge_node_t *node, int64_t era, char *bytes, u_int room) {
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {WB_WIRE_FORMAT_VERSION};
     XDR stream;
@@ -117,6 +118,7 @@
                       &writer);
     wb_wire_era written = {(uint64_t)era};
     wb_extensions_add(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written);
+    wb_edge_node_versions_add(node, &extensions);
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
     gboolean encoded = xdr_wb_wire_extensions(&stream, &extensions);
     u_int length = encoded ? xdr_getpos(&stream) : 0;
@@ -137,7 +139,8 @@
     if (quota == 0) {
         return poison;
     }
-    return poison + quota + extensions_write(era, bytes + poison + quota, room - poison - quota);
+    return poison + quota +
+           extensions_write(node, era, bytes + poison + quota, room - poison - quota);
 }
 
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -174,6 +174,7 @@
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {1};
     wb_wire_era written;
+    int64_t row_era = *era;
     if (!xdr_wb_wire_extensions(stream, &extensions)) {
         wb_event("lease-parts-refused", "%s", "");
     } else {
@@ -182,7 +183,10 @@
         if (wb_extensions_read(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era,
                                &written))
             *era = (int64_t)MIN(written.era, (uint64_t)WB_STORE_ERA_MAX);
+        if (*era == row_era) /* not from a copy of the store */
+            wb_edge_node_versions_take(node, &extensions);
     }
+    node->versions_taken = TRUE;
     if (writer.form != node->lease_format_version) {
         wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORMAT_VERSION);
     }
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -16,7 +16,9 @@
 /* Older knowledge of engines says nothing about which versions serve. */
 #define ENGINES_AGE_MAX_MS 3000
 /* For this long the answer to a question holds that no record was needed for. */
-#define SOLE_LEFT_MS 30000
+#define SOLE_LEFT_MS 10000
+/* Versions in the lease row; with more, it names none. */
+#define VERSIONS_MAX 64
 #define LEFT_MAX_MS (600 * 1000U)
 
 G_STATIC_ASSERT(WB_WIRE_DIGEST_BYTES == WB_REQUEST_DIGEST_BYTES);
@@ -212,10 +214,49 @@
     return wb_version_history_sole(node->versions, service, now_ms);
 }
 
+/* Texts are borrowed from the history. */
+static void version_append(const char *service, const char *software_version, int64_t age_ms,
+                           void *context) {
+    GArray *entries = context;
+    wb_wire_service_version entry = {(char *)service, (char *)software_version, (u_int)age_ms};
+    if (entries->len < VERSIONS_MAX)
+        g_array_append_val(entries, entry);
+}
+
+void wb_edge_node_versions_add(const wb_edge_node_t *node, wb_wire_extensions *extensions) {
+    int64_t now_ms = wb_clock_ms();
+    int64_t known_for_ms = now_ms - wb_version_history_began_ms(node->versions);
+    g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_service_version));
+    wb_version_history_each(node->versions, now_ms, version_append, entries);
+    wb_wire_service_versions versions = {
+        (u_int)CLAMP(known_for_ms, 0, wb_version_history_window_ms(node->versions)),
+        {entries->len, (wb_wire_service_version *)(void *)entries->data}};
+    if (entries->len < VERSIONS_MAX)
+        wb_extensions_add(extensions, WB_WIRE_EXTENSION_VERSIONS,
+                          (xdrproc_t)xdr_wb_wire_service_versions, &versions);
+}
+
+void wb_edge_node_versions_take(wb_edge_node_t *node, const wb_wire_extensions *extensions) {
+    int64_t now_ms = wb_clock_ms();
+    wb_wire_service_versions versions = {0};
+    if (!node->versions_taken &&
+        wb_extensions_read(extensions, WB_WIRE_EXTENSION_VERSIONS,
+                           (xdrproc_t)xdr_wb_wire_service_versions, &versions)) {
+        for (guint i = 0; i < versions.entries.entries_len; i++) {
+            const wb_wire_service_version *entry = &versions.entries.entries_val[i];
+            wb_version_history_see(node->versions, entry->service, entry->software_version,
+                                   now_ms - (int64_t)entry->age_ms);
+        }
+        wb_version_history_extend(node->versions, now_ms - (int64_t)versions.known_for_ms);
+    }
+    xdr_free((xdrproc_t)xdr_wb_wire_service_versions, &versions);
+}
+
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
-    if (!wb_edge_node_reads_engines(node) || now_ms - fresh_ms > ENGINES_AGE_MAX_MS)
+    gboolean is_stale = fresh_ms != 0 && now_ms - fresh_ms > ENGINES_AGE_MAX_MS;
+    if (!wb_edge_node_reads_engines(node) || is_stale)
         wb_version_history_restart(node->versions, now_ms);
     GHashTableIter iter;
     gpointer value;
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -13,19 +13,29 @@
 #include <glib.h>
 #include <stdint.h>
 
-/** Longer than any stream lasts, its client's further tries included. */
-#define WB_VERSION_HISTORY_MS 60000
-
 typedef struct wb_version_history_t wb_version_history_t;
 
-wb_version_history_t *wb_version_history_create(int64_t now_ms);
+/** @param window_ms longer than any stream lasts, its client's further tries included */
+wb_version_history_t *wb_version_history_create(int64_t window_ms, int64_t now_ms);
+/** @return the window */
+int64_t wb_version_history_window_ms(const wb_version_history_t *history);
 void wb_version_history_free(wb_version_history_t *history);
 /** An engine of the service with this version ("": unknown) is announced. */
 void wb_version_history_see(wb_version_history_t *history, const char *service,
                             const char *software_version, int64_t now_ms);
+/** Another node knows that no engine came and went unseen since a time, up to now.
+ * wb_version_history_see adds what it has seen. */
+void wb_version_history_extend(wb_version_history_t *history, int64_t began_ms);
+/** @return since when no engine can have come and gone unseen */
+int64_t wb_version_history_began_ms(const wb_version_history_t *history);
+/** Call a function for each version seen in the window. */
+void wb_version_history_each(const wb_version_history_t *history, int64_t now_ms,
+                             void (*visit)(const char *service, const char *software_version,
+                                           int64_t age_ms, void *context),
+                             void *context);
 /** Engines may have come and gone unseen until now. */
 void wb_version_history_restart(wb_version_history_t *history, int64_t now_ms);
-/** @return the only version that engines of the service had in the last WB_VERSION_HISTORY_MS;
+/** @return the only version that engines of the service had in the window;
  * NULL: there were several, one is unknown, or the history is too short */
 const char *wb_version_history_sole(const wb_version_history_t *history, const char *service,
                                     int64_t now_ms);
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -562,8 +562,9 @@
     unsigned int age_ms;           /* since such an engine was last announced */
 };
 
-/* In the lease row, and with starts of streams that a node sends on a new link. Empty: not known. */
+/* In the lease row: what its writer knows, so that a process that has just started knows it, too. */
 struct wb_wire_service_versions {
+    unsigned int known_for_ms; /* for so long no engine can have come and gone unseen */
     wb_wire_service_version entries<WB_WIRE_LIST_MAX>;
 };
 
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -9,8 +9,6 @@
  */
 #define START_LOOKUP_MS 800
 #define START_ASK_AGAIN_MS 100
-/* Clients may come back after the deadline of their first try. */
-#define START_KEPT_MS 30000
 
 static gboolean route_is_resumable(const wb_exchange_t *exchange) {
     return exchange->route->kind == WB_ROUTE_STREAM && exchange->route->resumable;
@@ -40,7 +38,7 @@
 
 /* Whether the request would be sent to the same service again: parts of a split are drawn. */
 static gboolean has_one_service(const wb_exchange_t *exchange) {
-    return exchange->route->parts == NULL || exchange->route->parts->len == 0;
+    return exchange->route->parts == NULL || exchange->route->parts->len <= 1;
 }
 
 gboolean wb_exchange_find_start(wb_exchange_t *exchange) {
@@ -115,7 +113,7 @@
     if (!route_is_resumable(exchange) || *exchange->id == '\0')
         return;
     wb_request_digest_t key = wb_stream_key(tenant_name(exchange), exchange->id);
-    int64_t until_ms = MAX(exchange->deadline_ms, wb_clock_ms()) + START_KEPT_MS;
+    int64_t until_ms = wb_clock_ms() + (int64_t)(edge->settings.resume_window_s * 1000);
     const wb_stream_start_t *start = wb_stream_starts_add(
         edge->stream_starts, &key, exchange->service->name, exchange->bound_version, until_ms);
     if (start != NULL && edge->on_stream_begun != NULL)
--- a/tests/edge/test_versions.c
+++ b/tests/edge/test_versions.c
@@ -8,6 +8,8 @@
 #define CUT_STREAMS_MIN 6
 #define NODES 3
 #define SETTLE_US 800000
+/* Longer than the resume window of the test with one version, and than the lease row takes. */
+#define WINDOW_US 6000000
 /* Within this time a resume that can't go on must be refused. */
 #define REFUSED_MS 1500
 
@@ -255,7 +257,44 @@
     estate_stop(estate);
 }
 
+/* All nodes are killed, and with them what they knew of streams. */
+static void all_killed(estate_t *estate) {
+    for (int i = 0; i < NODES; i++)
+        process_kill(&estate->nodes[i].process);
+    for (int i = 0; i < NODES; i++)
+        estate_node_launch(estate, i);
+    for (int i = 0; i < NODES; i++)
+        estate_wait_ready(estate, i);
+    estate_wait_controller(estate, 8000);
+    g_usleep(SETTLE_US);
+}
+
+/* Guards against streams that nobody may take up after a restart of all nodes, though one version
+ * only has had engines; and against a guess after that once there are two. */
+static void test_one_version(void) {
+    estate_t *estate = estate_start(NODES, FLAGS " --resume-window-s=4");
+    estate_configure(estate, ROUTE("chat", "2") "," ROUTE("once", "1"));
+    engine_stop(estate, "llm-1");
+    engine_stop(estate, "llm-2");
+    engine_start(estate, "a1", "v1", "\"m3\"");
+    g_usleep(WINDOW_US);
+    all_killed(estate);
+    wire_response_t *answer = stream_resume(estate, 1, 0, "r-one");
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    wire_response_free(answer);
+    engine_start(estate, "b1", "v2", "\"m3\"");
+    g_usleep(SETTLE_US);
+    all_killed(estate);
+    answer = stream_resume(estate, 1, 0, "r-two");
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_cmpint(estate_runs(estate, "r-two"), ==, 0);
+    wire_response_free(answer);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/versions/one-version", test_one_version);
     g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
     g_test_add_func("/edge/versions/client-resumes", test_client_resumes);
     g_test_add_func("/edge/versions/first-node-killed", test_first_node_killed);
--- a/tests/unit/test_stream_starts.c
+++ b/tests/unit/test_stream_starts.c
@@ -5,6 +5,7 @@
 #include "request/stream_starts.h"
 
 #define NOW_MS 1000000
+#define WINDOW_MS 30000
 
 static void test_first_entry_stays(void) {
     wb_stream_starts_t *starts = wb_stream_starts_create();
@@ -38,8 +39,8 @@
 }
 
 static void test_sole_version(void) {
-    wb_version_history_t *history = wb_version_history_create(0);
-    int64_t enough_ms = WB_VERSION_HISTORY_MS;
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
+    int64_t enough_ms = WINDOW_MS;
     wb_version_history_see(history, "llm", "v1", 0);
     wb_version_history_see(history, "llm", "v1", enough_ms - 1);
     g_assert_null(wb_version_history_sole(history, "llm", enough_ms - 1)); /* too short */
@@ -55,11 +56,24 @@
     wb_version_history_free(history);
 }
 
+/* Guards against a history that a restart of all nodes ends, though one version only had engines.
+ */
+static void test_history_of_predecessor(void) {
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, WINDOW_MS);
+    wb_version_history_see(history, "llm", "v1", WINDOW_MS);
+    g_assert_null(wb_version_history_sole(history, "llm", WINDOW_MS));
+    wb_version_history_extend(history, 0);
+    g_assert_cmpstr(wb_version_history_sole(history, "llm", WINDOW_MS), ==, "v1");
+    wb_version_history_see(history, "llm", "v2", WINDOW_MS - 1);
+    g_assert_null(wb_version_history_sole(history, "llm", WINDOW_MS));
+    wb_version_history_free(history);
+}
+
 /* An unknown version is no match, not even as the only one. */
 static void test_unknown_version(void) {
-    wb_version_history_t *history = wb_version_history_create(0);
-    wb_version_history_see(history, "llm", "", WB_VERSION_HISTORY_MS);
-    g_assert_null(wb_version_history_sole(history, "llm", WB_VERSION_HISTORY_MS));
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
+    wb_version_history_see(history, "llm", "", WINDOW_MS);
+    g_assert_null(wb_version_history_sole(history, "llm", WINDOW_MS));
     wb_version_history_free(history);
 }
 
@@ -67,6 +81,7 @@
     g_test_add_func("/stream-starts/first-entry-stays", test_first_entry_stays);
     g_test_add_func("/stream-starts/bounded", test_bounded);
     g_test_add_func("/stream-starts/sole-version", test_sole_version);
+    g_test_add_func("/stream-starts/history-of-predecessor", test_history_of_predecessor);
     g_test_add_func("/stream-starts/unknown-version", test_unknown_version);
 }
 
