Software versions: large fleets, and an id that comes back with another version

Nodes that know a part of a large fleet get engines of each software version from their relay, and don't conclude that none serves; an engine that announces another version under its id is another engine. Neither was seen to fail: found by reading (a stream bound to a version of which a subscriber knows no engine would have been refused). /engine-subset/each-version failed before, /fleet/other-version-is-other-engine too.

--- a/src/directory/engine_subset.c
+++ b/src/directory/engine_subset.c
@@ -20,6 +20,16 @@
     return a->weight > b->weight ? -1 : a->weight < b->weight;
 }
 
+/* How many engines of the subset have this software version. */
+static unsigned version_count(const GPtrArray *subset, const char *software_version) {
+    unsigned count = 0;
+    for (guint i = 0; i < subset->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(subset, i);
+        count += strcmp(engine->state->software_version, software_version) == 0;
+    }
+    return count;
+}
+
 GPtrArray *wb_engine_subset(const GPtrArray *engines, const char *model, const char *zone,
                             int64_t now_ms) {
     g_autoptr(GArray) ranked = g_array_new(FALSE, FALSE, sizeof(wb_ranked_engine_t));
@@ -37,8 +47,13 @@
     }
     g_array_sort(ranked, best_first);
     GPtrArray *subset = g_ptr_array_new();
-    for (guint i = 0; i < ranked->len && i < WB_ENGINE_SUBSET_MAX; i++) {
-        g_ptr_array_add(subset, g_array_index(ranked, wb_ranked_engine_t, i).engine);
+    for (guint i = 0; i < ranked->len && subset->len < WB_ENGINE_SUBSET_LIMIT; i++) {
+        wb_engine_t *engine = g_array_index(ranked, wb_ranked_engine_t, i).engine;
+        /* Streams go on only at engines of the version that began them. */
+        if (i < WB_ENGINE_SUBSET_MAX ||
+            version_count(subset, engine->state->software_version) < WB_ENGINE_SUBSET_VERSION_MIN) {
+            g_ptr_array_add(subset, engine);
+        }
     }
     return subset;
 }
--- a/src/directory/engine_subset.h
+++ b/src/directory/engine_subset.h
@@ -16,16 +16,21 @@
 
 #include "wickbridge/fleet.h"
 
-/** Maximum length of the list: enough to choose well among, and cheap to choose from (100 us). Four
- * times as many as a model's engines in a zone where 9,640 engines hold 299 models in 6 zones. */
+/** Length of the list, as long as software versions don't matter: enough to choose well among, and
+ * cheap to choose from (100 us). Four times as many as a model's engines in a zone where 9,640
+ * engines hold 299 models in 6 zones. */
 #define WB_ENGINE_SUBSET_MAX 64
+/** Beyond that, engines are added of software versions that have fewer than this in the list. */
+#define WB_ENGINE_SUBSET_VERSION_MIN 8
+/** Maximum length with those. */
+#define WB_ENGINE_SUBSET_LIMIT (2 * WB_ENGINE_SUBSET_MAX)
 
 /**
  * @param engines the service's engines, from wb_fleet_service; NULL: none
  * @param model   "" for any engine of the service
  * @param zone    of the requesting gateway
  * @param now_ms  monotonic time
- * @return at most WB_ENGINE_SUBSET_MAX borrowed wb_engine_t that hold the model and are usable;
+ * @return at most WB_ENGINE_SUBSET_LIMIT borrowed wb_engine_t that hold the model and are usable;
  * the array is to be freed with g_ptr_array_unref
  */
 GPtrArray *wb_engine_subset(const GPtrArray *engines, const char *model, const char *zone,
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -194,6 +194,7 @@
 }
 
 void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms) {
+    node->edge.engines_partial = !wb_edge_node_reads_engines(node);
     if (!wb_edge_node_is_aggregator(node)) {
         node->streams_since_ms = 0;
         return;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -165,10 +165,11 @@
 }
 
 /* Whether an announcement is by another engine than the known one with its id: by a later
- * incarnation, or for another service. */
+ * incarnation, for another service, or of another software version. */
 static gboolean is_other_engine(const wb_engine_t *engine, const wb_engine_state_t *state) {
     return wb_engine_state_is_later(engine->state, state) ||
-           strcmp(engine->state->service, state->service) != 0;
+           strcmp(engine->state->service, state->service) != 0 ||
+           strcmp(engine->state->software_version, state->software_version) != 0;
 }
 
 static void engine_set_state(wb_engine_t *engine, wb_engine_state_t *state) {
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -127,8 +127,8 @@
 void wb_exchange_note_stream_began(wb_exchange_t *exchange);
 /** @return FALSE when the engine's software version isn't that of the request's stream */
 gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine);
-/** @return TRUE when the request isn't bound to a software version, or an engine of that version
- * serves it, or may once its model is loaded there */
+/** @return FALSE when the request is bound to a software version, and no engine of it serves the
+ * request, or may once its model is loaded there */
 gboolean wb_exchange_version_serves(const wb_exchange_t *exchange);
 /** @return TRUE when an available engine that the request may use holds its model, and the adapter
  * unless it is "" */
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -140,7 +140,8 @@
 gboolean wb_exchange_version_serves(const wb_exchange_t *exchange) {
     const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
     int64_t now_ms = wb_clock_ms();
-    if (exchange->bound_version == NULL)
+    if (exchange->bound_version == NULL ||
+        (exchange->edge->engines_partial && *exchange->bound_version != '\0'))
         return TRUE;
     for (guint i = 0; engines != NULL && i < engines->len; i++)
         if (may_serve(exchange, g_ptr_array_index(engines, i), now_ms))
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -251,12 +251,13 @@
     if (exchange->awaits_load) {
         wb_demand_set_waiting(edge->demand, exchange, TRUE);
     }
-    wb_event(
-        "request-waits",
-        ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\",\"for_ms\":%lld",
-        wb_event_escape(exchange->id), wb_event_escape(exchange->model),
-        wb_event_escape(exchange->adapter), exchange->service->name,
-        (long long)MAX(exchange->wait_until_ms - exchange->waiting_since_ms, 0));
+    wb_event("request-waits",
+             ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\","
+             "\"stream_version\":\"%s\",\"for_ms\":%lld",
+             wb_event_escape(exchange->id), wb_event_escape(exchange->model),
+             wb_event_escape(exchange->adapter), exchange->service->name,
+             wb_event_escape(exchange->bound_version),
+             (long long)MAX(exchange->wait_until_ms - exchange->waiting_since_ms, 0));
     wb_exchange_arm_timeout(exchange);
     if (exchange->model != NULL && exchange->awaits_load && edge->on_pending_demand != NULL)
         edge->on_pending_demand(edge->node_context);
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -129,9 +129,10 @@
     GHashTable *open;              /* set of all exchanges */
     wb_ended_request_t ended[WB_ENDED_REQUESTS]; /* a ring */
     unsigned ended_next;
-    unsigned node_count;     /* nodes that the store lists; 0: not known yet */
-    wb_equal_share_t *share; /* this node's equal share of budgets common to all nodes */
-    int64_t drain_began_ms;  /* when a planned stop began; 0: none */
+    gboolean engines_partial; /* this node knows a part of each service's engines */
+    unsigned node_count;      /* nodes that the store lists; 0: not known yet */
+    wb_equal_share_t *share;  /* this node's equal share of budgets common to all nodes */
+    int64_t drain_began_ms;   /* when a planned stop began; 0: none */
     /** Requests wait for a model that isn't loaded: send the pending demand to the controller. */
     void (*on_pending_demand)(void *context);
     /** So much of a tenant's limit was admitted here that the ledger must know of it soon; may be
--- a/tests/unit/test_engine_subset.c
+++ b/tests/unit/test_engine_subset.c
@@ -75,6 +75,29 @@
     }
 }
 
+/* Guards against a gateway that knows no engine of the version at which a stream has to go on. */
+static void test_each_version(void) {
+    wb_fleet_t *fleet = fleet_create(1000);
+    for (unsigned i = 0; i < 12 * MODELS; i += MODELS) {
+        g_autofree char *id = g_strdup_printf("older-%u", i);
+        wb_engine_state_t *state = wb_engine_state_create(id);
+        state->service = g_strdup("llm");
+        state->zone = g_strdup("z5");
+        g_free(state->software_version);
+        state->software_version = g_strdup_printf("v%u", i % 5 == 0);
+        wb_engine_state_add_model(state, "m7", 1);
+        wb_fleet_announce(fleet, state);
+    }
+    g_autoptr(GPtrArray) of_service = subset(fleet, "", "z1");
+    unsigned older = 0;
+    for (guint i = 0; i < of_service->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(of_service, i);
+        older += *engine->state->software_version != '\0';
+    }
+    g_assert_cmpuint(older, >=, WB_ENGINE_SUBSET_VERSION_MIN);
+    g_assert_cmpuint(of_service->len, <=, WB_ENGINE_SUBSET_LIMIT);
+}
+
 static void test_nothing_there(void) {
     wb_fleet_t *fleet = fleet_create(10);
     g_autoptr(GPtrArray) none = subset(fleet, "m299", "z1");
@@ -87,6 +110,7 @@
     g_test_add_func("/engine-subset/rows-told-are-bounded", test_rows_told_are_bounded);
     g_test_add_func("/engine-subset/own-zone-first-and-alike", test_own_zone_first_and_alike);
     g_test_add_func("/engine-subset/changes-little", test_changes_little);
+    g_test_add_func("/engine-subset/each-version", test_each_version);
     g_test_add_func("/engine-subset/nothing-there", test_nothing_there);
 }
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -38,6 +38,21 @@
     g_assert_true(wb_engine_is_usable(engine, now_ms + 5000));
 }
 
+/* Guards against streams sent on to an engine as of its predecessor's software version. */
+static void test_other_version_is_other_engine(void) {
+    wb_fleet_t *fleet = wb_fleet_create();
+    wb_engine_t *engine = announce_engine(fleet, FALSE);
+    wb_engine_state_t *state = wb_engine_state_create("e1");
+    state->service = g_strdup("llm");
+    g_free(state->software_version);
+    state->software_version = g_strdup("v2");
+    const wb_engine_t *other = wb_fleet_announce(fleet, state);
+    g_assert_true(other != engine);
+    g_assert_true(engine->gone);
+    g_assert_true(wb_fleet_find(fleet, "e1") == other);
+    g_assert_cmpstr(other->state->software_version, ==, "v2");
+}
+
 /* An engine that announced its drain stays unusable when its row is removed. */
 static void test_leaving_engine_stays_closed(void) {
     wb_fleet_t *fleet = wb_fleet_create();
@@ -270,6 +285,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/fleet/other-version-is-other-engine", test_other_version_is_other_engine);
     g_test_add_func("/fleet/told-leaving-holds", test_told_leaving_holds);
     g_test_add_func("/fleet/told-limit-and-rest-outlive-the-row",
                     test_told_limit_and_rest_outlive_the_row);
