Streams: the wait for a start ends another wait; fewer choices of keepers

A request that had waited for engines of a large fleet, and then for the start of its stream, kept the first wait's end: it would have been held to its deadline instead of refused (found by reading; no run shows it). The controller chooses the gateways that keep all starts only when a stream has begun, or each half second.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -138,9 +138,11 @@
     gboolean poison_aggregator;   /* as of the last tick */
     gboolean states_sent;         /* all engine-reported state was sent on controller_link */
     wb_version_history_t *versions;
-    gboolean versions_taken;  /* the lease row was read, which has those of earlier processes */
-    int64_t streams_since_ms; /* since when it keeps the starts of all streams, as the aggregator;
-                                 0: it isn't */
+    gboolean versions_taken;    /* the lease row was read, which has those of earlier processes */
+    int64_t streams_since_ms;   /* since when it keeps the starts of all streams, as the aggregator;
+                                   0: it isn't */
+    uint64_t streams_number;    /* of the last start that was sent to the gateways that keep all */
+    int64_t keepers_updated_ms; /* when that was */
     wb_link_t *controller_link;
     char *controller_address;
     gboolean controller_link_open;
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -11,6 +11,8 @@
 
 /* Gateways that keep the starts of all nodes: enough that one lives on. */
 #define KEEPERS_MAX 8
+/* Interval at which they are chosen again while no stream begins. */
+#define KEEPERS_UPDATE_MS 500
 /* Time in which gateways link to a new aggregator and send what they know. */
 #define SETTLE_MS 2000
 /* Older knowledge of engines says nothing about which versions serve. */
@@ -182,8 +184,13 @@
     return keepers;
 }
 
-static void keepers_update(wb_edge_node_t *node) {
+static void keepers_update(wb_edge_node_t *node, int64_t now_ms) {
     uint64_t number = wb_stream_starts_number(node->edge.stream_starts);
+    gboolean changed = number != node->streams_number;
+    if (!changed && now_ms - node->keepers_updated_ms < KEEPERS_UPDATE_MS)
+        return;
+    node->streams_number = number;
+    node->keepers_updated_ms = now_ms;
     g_autoptr(GArray) keepers = keepers_choose(node);
     for (guint i = 0; i < keepers->len; i++) {
         const wb_keeper_t *keeper = &g_array_index(keepers, wb_keeper_t, i);
@@ -201,7 +208,7 @@
     }
     if (node->streams_since_ms == 0)
         node->streams_since_ms = now_ms;
-    keepers_update(node);
+    keepers_update(node, now_ms);
 }
 
 /* Software versions. */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -249,13 +249,6 @@
     return FALSE;
 }
 
-/* The start of its stream is known now: ends that wait, since it may have to wait for a load. */
-static void exchange_unpark(wb_exchange_t *exchange) {
-    if (exchange->awaits_start)
-        wb_exchange_stop_waiting(exchange);
-    exchange->awaits_start = FALSE;
-}
-
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Checked before each attempt: else all copies of a poison request that wait for a model would
@@ -280,7 +273,7 @@
         wb_exchange_give_up(exchange, WB_OUTCOME_NO_VERSION);
         return;
     }
-    exchange_unpark(exchange);
+    wb_exchange_end_start_wait(exchange);
     wb_engine_t *engine = wb_balancer_choose(exchange->edge, exchange, now_ms, &exchange->decision);
     if (engine == NULL) {
         if (wb_exchange_reaches_no_engine(exchange))
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -122,6 +122,8 @@
 gboolean wb_exchange_find_start(wb_exchange_t *exchange);
 /** Let the request wait until that is known, or refuse it. The exchange may be freed. */
 void wb_exchange_await_start(wb_exchange_t *exchange);
+/** It is known now: end that wait, as the request may have to wait for an engine or a load. */
+void wb_exchange_end_start_wait(wb_exchange_t *exchange);
 /** The first event is about to be forwarded: its engine's software version binds the stream. Only
  * the first call has an effect. */
 void wb_exchange_note_stream_began(wb_exchange_t *exchange);
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -81,8 +81,9 @@
         wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
         return;
     }
-    if (wb_list_is_linked(&exchange->waiting))
+    if (exchange->awaits_start)
         return;
+    wb_exchange_stop_waiting(exchange);
     exchange->awaits_start = TRUE;
     exchange->awaits_load = FALSE;
     exchange->awaits_engine = FALSE;
@@ -92,6 +93,12 @@
     wb_exchange_arm_timeout(exchange);
 }
 
+void wb_exchange_end_start_wait(wb_exchange_t *exchange) {
+    if (exchange->awaits_start)
+        wb_exchange_stop_waiting(exchange);
+    exchange->awaits_start = FALSE;
+}
+
 void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
