Placement: one more engine of the version where a stream waits though one holds its model

What callers would have seen: streams that were broken off by the only engine of their version with their model waited 0.7 s for nothing and were broken off then.

--- a/src/control/controller_versions.c
+++ b/src/control/controller_versions.c
@@ -6,6 +6,10 @@
 
 #include <string.h>
 
+/* Requests that wait for so long though an engine holds their model can't use it: it broke their
+ * stream off, or has ended unnoticed. */
+#define STUCK_MS 300
+
 /* Context of wait_place. */
 typedef struct wb_versions_context_t {
     wb_controller_t *controller;
@@ -17,39 +21,54 @@
     return strcmp(candidate->engine->state->software_version, software_version) == 0;
 }
 
-/* Whether an available engine of the version holds the model, or is loading it. */
-static gboolean is_placed(const wb_placement_snapshot_t *snapshot,
-                          const wb_wire_version_wait *wait) {
+static gboolean holds(const wb_placement_snapshot_t *snapshot,
+                      const wb_placement_engine_t *candidate, const char *model) {
+    (void)snapshot;
+    return g_hash_table_contains(candidate->state->models, model);
+}
+
+static gboolean is_loading(const wb_placement_snapshot_t *snapshot,
+                           const wb_placement_engine_t *candidate, const char *model) {
+    return snapshot->is_loading(candidate->engine, model, snapshot->context);
+}
+
+/* Whether a condition holds at any available engine of the version. */
+static gboolean
+any_engine(const wb_placement_snapshot_t *snapshot, const wb_wire_version_wait *wait,
+           gboolean (*condition)(const wb_placement_snapshot_t *snapshot,
+                                 const wb_placement_engine_t *candidate, const char *model)) {
     for (guint i = 0; i < snapshot->engines->len; i++) {
         const wb_placement_engine_t *candidate =
             &g_array_index(snapshot->engines, wb_placement_engine_t, i);
         if (candidate->available && has_version(candidate, wait->software_version) &&
-            (g_hash_table_contains(candidate->state->models, wait->model) ||
-             snapshot->is_loading(candidate->engine, wait->model, snapshot->context)))
+            condition(snapshot, candidate, wait->model))
             return TRUE;
     }
     return FALSE;
 }
 
-static void wait_place(const wb_wire_version_wait *wait, void *context) {
+static void wait_place(const wb_wire_version_wait *wait, int64_t waited_ms, void *context) {
     const wb_versions_context_t *data = context;
+    wb_controller_t *controller = data->controller;
     wb_placement_snapshot_t *snapshot = data->snapshot;
     const char *service = snapshot->service->name;
     const wb_model_spec_t *spec = g_hash_table_lookup(snapshot->service->models, wait->model);
-    if (spec == NULL || wb_controller_deadline_passed(data->controller))
+    if (spec == NULL || wb_controller_deadline_passed(controller) ||
+        any_engine(snapshot, wait, is_loading))
         return;
     snapshot->software_version = wait->software_version;
-    if (!is_placed(snapshot, wait)) {
-        if (wb_load_faults_backoff_ms(data->controller->faults, service, wait->model,
-                                      data->now_ms) == 0)
-            wb_controller_place_model(data->controller, snapshot, spec, G_MAXDOUBLE, "resumed");
-    } else if (*wait->adapter != '\0') {
+    gboolean held = any_engine(snapshot, wait, holds);
+    gboolean paused =
+        wb_load_faults_backoff_ms(controller->faults, service, wait->model, data->now_ms) > 0;
+    if (held && *wait->adapter != '\0') {
         wb_wire_demand_entry entry = {.service = wait->service,
                                       .model = wait->model,
                                       .adapter = wait->adapter,
                                       .waiting = wait->waiting};
-        wb_controller_place_adapter(data->controller, snapshot, &entry);
+        wb_controller_place_adapter(controller, snapshot, &entry);
     }
+    if (!paused && (!held || waited_ms >= STUCK_MS))
+        wb_controller_place_model(controller, snapshot, spec, G_MAXDOUBLE, "resumed");
     snapshot->software_version = NULL;
 }
 
--- a/src/control/version_demand.h
+++ b/src/control/version_demand.h
@@ -18,9 +18,10 @@
 void wb_version_demand_update(wb_version_demand_t *demand, const char *node,
                               const wb_wire_version_waits *waits, int64_t now_ms);
 /** Call `visit` for each wait of a service in recent reports; the same model, adapter and version
- * may come once per gateway. */
+ * may come once per gateway. `waited_ms`: for how long that gateway has reported it. */
 void wb_version_demand_each(wb_version_demand_t *demand, const char *service, int64_t now_ms,
-                            void (*visit)(const wb_wire_version_wait *wait, void *context),
+                            void (*visit)(const wb_wire_version_wait *wait, int64_t waited_ms,
+                                          void *context),
                             void *context);
 /** @return TRUE when there is any wait */
 gboolean wb_version_demand_any(const wb_version_demand_t *demand);
