One software version: a short time without the store doesn't end the history

Cause: each time in which a node's knowledge of engines was over 3 s old began the history anew, so a store that is away for some seconds left no node with a whole window. Why it works: while knowledge is old nothing is concluded, as before. Afterwards the table is read again, and versions of streams that other nodes began count as seen; only what came and went within 10 s, with the records of its streams lost besides, would go unnoticed.

--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -17,6 +17,9 @@
 #define SETTLE_MS 2000
 /* Older knowledge of engines says nothing about which versions serve. */
 #define ENGINES_AGE_MAX_MS 3000
+/* In a longer time without knowledge of engines, some may have come, been used by other nodes, and
+ * gone again. */
+#define ENGINES_GAP_MAX_MS 10000
 /* For this long the answer to a question holds that no record was needed for. */
 #define SOLE_LEFT_MS 10000
 /* Versions in the lease row; with more, it names none. */
@@ -93,6 +96,8 @@
         wb_request_digest_t key = key_from_wire(wire->key);
         wb_stream_starts_add(node->edge.stream_starts, &key, wire->service, wire->software_version,
                              now_ms + MIN(wire->left_ms, LEFT_MAX_MS));
+        /* Other nodes may know engines that this one doesn't. */
+        wb_version_history_see(node->versions, wire->service, wire->software_version, now_ms);
     }
 }
 
@@ -263,7 +268,7 @@
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
-    gboolean is_stale = fresh_ms != 0 && now_ms - fresh_ms > ENGINES_AGE_MAX_MS;
+    gboolean is_stale = fresh_ms != 0 && now_ms - fresh_ms > ENGINES_GAP_MAX_MS;
     if (!wb_edge_node_reads_engines(node) || is_stale)
         wb_version_history_restart(node->versions, now_ms);
     GHashTableIter iter;
--- a/tests/edge/test_versions.c
+++ b/tests/edge/test_versions.c
@@ -10,6 +10,8 @@
 #define SETTLE_US 800000
 /* Longer than the resume window of the test with one version, and than the lease row takes. */
 #define WINDOW_US 6000000
+/* Long enough for knowledge of engines to be old, and too short for some to come and go unseen. */
+#define STORE_AWAY_US 5000000
 /* Within this time a resume that can't go on must be refused. */
 #define REFUSED_MS 1500
 
@@ -293,7 +295,31 @@
     estate_stop(estate);
 }
 
+/* Guards against streams that nobody may take up after a time without the store, though one version
+ * only has had engines. */
+static void test_store_away(void) {
+    estate_t *estate = estate_start(NODES, FLAGS " --resume-window-s=4");
+    estate_configure(estate, ROUTE("chat", "2") "," ROUTE("once", "1"));
+    engine_stop(estate, "llm-1");
+    engine_stop(estate, "llm-2");
+    engine_start(estate, "a1", "v1", "\"m3\"");
+    g_usleep(WINDOW_US);
+    for (int i = 0; i < NODES; i++)
+        estate_store_fault(estate, i, "cut", 0);
+    g_usleep(STORE_AWAY_US);
+    for (int i = 0; i < NODES; i++)
+        estate_store_fault(estate, i, "pass", 0);
+    estate_wait_controller(estate, 8000);
+    g_usleep(SETTLE_US);
+    wire_response_t *answer = stream_resume(estate, 1, 0, "r-away");
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    wire_response_free(answer);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/versions/store-away", test_store_away);
     g_test_add_func("/edge/versions/one-version", test_one_version);
     g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
     g_test_add_func("/edge/versions/client-resumes", test_client_resumes);
