One software version: a system's first half minute

Cause: a history counted from the node's start. Why it works: where the store has no lease row yet, no node has served before, so no earlier stream can be taken up: the history is whole from the start.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -348,6 +348,9 @@
 void wb_edge_node_versions_add(const wb_edge_node_t *node, wb_wire_extensions *extensions);
 /** Take them from the first lease row that this process reads. */
 void wb_edge_node_versions_take(wb_edge_node_t *node, const wb_wire_extensions *extensions);
+/** The table of nodes was read. If it has no lease row, no node has served before: the history is
+ * whole from the start. */
+void wb_edge_node_versions_begin(wb_edge_node_t *node);
 /** Forget starts whose time is over; note which software versions have engines. */
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms);
 
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -186,7 +186,6 @@
         if (*era == row_era) /* not from a copy of the store */
             wb_edge_node_versions_take(node, &extensions);
     }
-    node->versions_taken = TRUE;
     if (writer.form != node->lease_format_version) {
         wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORMAT_VERSION);
     }
@@ -231,6 +230,7 @@
         wb_event("lease-row-refused", ",\"row_version\":%lld",
                  (long long)wb_store_version_number(row->version));
     }
+    node->versions_taken = TRUE;
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
@@ -324,8 +324,10 @@
     node->edge.node_count = g_hash_table_size(node->nodes);
     wb_edge_node_check_lease(node);
     own_row_adopt(node);
-    if (full_read)
+    if (full_read) {
         own_row_restore(node);
+        wb_edge_node_versions_begin(node);
+    }
 }
 
 static void node_row_write_done(const wb_table_answer_t *answer, void *context) {
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -265,6 +265,13 @@
     xdr_free((xdrproc_t)xdr_wb_wire_service_versions, &versions);
 }
 
+void wb_edge_node_versions_begin(wb_edge_node_t *node) {
+    int64_t window_ms = wb_version_history_window_ms(node->versions);
+    if (!node->versions_taken)
+        wb_version_history_extend(node->versions, wb_clock_ms() - window_ms);
+    node->versions_taken = TRUE;
+}
+
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
     int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
--- a/tests/edge/test_versions.c
+++ b/tests/edge/test_versions.c
@@ -318,7 +318,24 @@
     estate_stop(estate);
 }
 
+/* Guards against streams that nobody may take up in the first half minute of a system. */
+static void test_new_system(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    estate_configure(estate, ROUTE("chat", "2") "," ROUTE("once", "1"));
+    g_usleep(SETTLE_US);
+    for (int i = 0; i < NODES; i++) {
+        g_autofree char *id = g_strdup_printf("n%d", i);
+        wire_response_t *answer = wire_request(estate->nodes[i].clients_port, "/once/x", id,
+                                               EDGE_MODEL("m0") "Last-Event-Id: 2\r\n");
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(answer->whole);
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/versions/new-system", test_new_system);
     g_test_add_func("/edge/versions/store-away", test_store_away);
     g_test_add_func("/edge/versions/one-version", test_one_version);
     g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
