Log: an event isn't lost for the length of its texts

What operators saw: nothing yet; found by reading. Longer ids of a request and of the stream that it takes up, or a long `Resumes` from a client, and the line says "cut":true in place of all it knows, though OPERATIONS sends operators to it by that id.

Cause: a line's room was a number beside the number and size of the texts in it. It follows from these now. The header says how many texts one call may have.

--- a/include/wickbridge/event_log.h
+++ b/include/wickbridge/event_log.h
@@ -22,13 +22,13 @@
  * Log an event.
  * @param kind   the kind of event, for example "request-ended"; a string constant
  * @param format printf format of further JSON members, each preceded by a comma:
- * ,"id":"%s","status":%u. If they exceed 1023 bytes, "cut":true is logged in place of them.
+ * ,"id":"%s","status":%u. If they exceed 3999 bytes, "cut":true is logged in place of them.
  * Strings from outside must be passed through wb_event_escape.
  */
 void wb_event(const char *kind, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 /** Sanitize a string for a JSON literal: quotes, backslashes and control characters become '?', and
- * it is truncated to 199 bytes. @return a static buffer, reused after eight calls; "" for NULL */
+ * it is truncated to 199 bytes. @return a static buffer, reused after twelve calls; "" for NULL */
 const char *wb_event_escape(const char *text);
 
 /** Write buffered lines, as far as possible without blocking. */
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -9,9 +9,11 @@
 #include <unistd.h>
 
 #define BUFFER_LIMIT_BYTES 65536
-#define LINE_BYTES 1024
 #define TEXT_BYTES 200
 #define TEXT_BUFFERS 12
+/* All other members of a line. */
+#define NAMES_AND_NUMBERS_BYTES 1600
+#define LINE_BYTES (TEXT_BUFFERS * TEXT_BYTES + NAMES_AND_NUMBERS_BYTES)
 
 /* Lines of one kind of event in the current second. */
 typedef struct wb_event_budget_t {
