--- a/include/wickbridge/http_client.h
+++ b/include/wickbridge/http_client.h
@@ -40,6 +40,8 @@
     int64_t retry_after_ms; /**< from Retry-After, -1 if absent */
     const char *reason;     /**< one line on why the call failed */
     const char *seed; /**< from Engine-Seed, NULL if absent; invalid after wb_http_client_fetch */
+    gboolean framed;  /**< Content-Length or chunks mark the body's end, else it ended with its
+                         connection, as it does when the server crashes */
 } wb_http_result_t;
 
 typedef void (*wb_http_done_fn)(const wb_http_result_t *result, void *context);
--- a/src/gateway/run.c
+++ b/src/gateway/run.c
@@ -460,6 +460,16 @@
     }
 }
 
+/* Whether an engine's answer is whole: the end of one without a frame may be that of the engine. */
+static gboolean answer_is_whole(const wb_http_result_t *result) {
+    size_t flags = JSON_DECODE_ANY | JSON_ALLOW_NUL | JSON_DECODE_INT_AS_REAL;
+    if (result->framed)
+        return TRUE;
+    json_t *answer = json_loadb(result->body, result->body_length, flags, NULL);
+    json_decref(answer);
+    return answer != NULL;
+}
+
 /* A call to an engine has ended. On the HTTP client's thread. */
 static void run_done(const wb_http_result_t *result, void *context) {
     gw_request_t *request = context;
@@ -467,8 +477,8 @@
     if (request->seed == NULL && result->seed != NULL)
         request->seed = g_strdup(result->seed);
     gboolean answered = result->outcome == WB_HTTP_COMPLETED;
-    gboolean complete =
-        answered && result->status == 200 && (!request->streaming || request->done_forwarded);
+    gboolean complete = answered && result->status == 200 &&
+                        (request->streaming ? request->done_forwarded : answer_is_whole(result));
     if (complete || (request->streaming && request->done_forwarded))
         run_completed(request, result);
     else if (answered && result->status != 200)
@@ -478,7 +488,8 @@
         run_retry(request, "the engine can't be reached");
     } else {
         request->may_have_run = TRUE;
-        request_set_reason(request, "cut from the engine: %s", result->reason);
+        request_set_reason(request, "cut from the engine: %s",
+                           answered ? "its answer is incomplete" : result->reason);
         run_resume(request);
     }
 }
--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -37,6 +37,7 @@
     int64_t last_activity_us;
     int64_t retry_after_ms;
     gboolean got_bytes;
+    gboolean framed;
     char seed[24];
     char reason[CURL_ERROR_SIZE];
     wb_http_data_fn on_data;
@@ -73,11 +74,16 @@
     return length;
 }
 
-/* Returns the value when the header line begins with `name` (with its colon), else NULL. The line
- * is not zero-terminated. */
+/* Whether the header line begins with `name` (with its colon). The line is not zero-terminated. */
+static gboolean header_is(const char *line, size_t length, const char *name) {
+    size_t name_length = strlen(name);
+    return length > name_length && g_ascii_strncasecmp(line, name, name_length) == 0;
+}
+
+/* Returns the value when the header line begins with `name`, else NULL. */
 static char *header_value(const char *line, size_t length, const char *name) {
     size_t name_length = strlen(name);
-    if (length <= name_length || g_ascii_strncasecmp(line, name, name_length) != 0)
+    if (!header_is(line, length, name))
         return NULL;
     return g_strstrip(g_strndup(line + name_length, length - name_length));
 }
@@ -93,6 +99,8 @@
     g_autofree char *seed = header_value(line, length, "engine-seed:");
     if (seed != NULL)
         g_strlcpy(call->seed, seed, sizeof(call->seed));
+    call->framed = call->framed || header_is(line, length, "content-length:") ||
+                   header_is(line, length, "transfer-encoding:");
     return length;
 }
 
@@ -129,7 +137,8 @@
                                call->response->len,
                                call->retry_after_ms,
                                call->reason,
-                               call->seed[0] != '\0' ? call->seed : NULL};
+                               call->seed[0] != '\0' ? call->seed : NULL,
+                               call->framed};
     long status = 0;
     curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
     result.status = (unsigned)status;
--- a/standins/proxy/relay.c
+++ b/standins/proxy/relay.c
@@ -63,9 +63,10 @@
 };
 
 int relay_fault_kind_parse(const char *name) {
-    static const char *const names[] = {"pass",       "delay",          "cut",
-                                        "freeze",     "drop_answer",    "cut_request",
-                                        "cut_answer", "freeze_request", "freeze_answer"};
+    static const char *const names[] = {"pass",        "delay",          "cut",
+                                        "freeze",      "drop_answer",    "cut_request",
+                                        "cut_answer",  "freeze_request", "freeze_answer",
+                                        "cut_unframed"};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
         if (strcmp(names[i], name) == 0)
             return (int)i;
@@ -122,6 +123,10 @@
         *close = TRUE;
         return 0;
     }
+    if (fault->kind == RELAY_CUT_UNFRAMED && flow->is_response) {
+        *close = TRUE;
+        return MIN(length, (gsize)fault->bytes);
+    }
     if (!applies || flow->forwarded + (int64_t)length < fault->bytes)
         return length;
     *close = TRUE;
@@ -146,6 +151,14 @@
            relay->free_us[flow->is_response] > wb_clock_us() + LINK_QUEUE_US;
 }
 
+/* Makes a response's Content-Length a header that means nothing. */
+static void length_remove(char *data, gsize length) {
+    static const char name[] = "\r\nContent-Length:";
+    char *header = memmem(data, length, name, strlen(name));
+    if (header != NULL)
+        header[2] = 'X';
+}
+
 static void chunk_queue(flow_t *flow, const char *data, gsize length) {
     const relay_fault_t *fault = pair_fault(flow->pair);
     chunk_t *chunk = g_malloc(sizeof(chunk_t) + length);
@@ -170,6 +183,8 @@
     gboolean close = FALSE;
     if (length > 0) {
         gsize allowed = fault_limit(flow, length, &close);
+        if (pair_fault(pair)->kind == RELAY_CUT_UNFRAMED && flow->is_response)
+            length_remove(data, length);
         if (allowed > 0)
             chunk_queue(flow, data, allowed);
     } else if (APR_STATUS_IS_EOF(status)) {
--- a/standins/proxy/relay.h
+++ b/standins/proxy/relay.h
@@ -15,15 +15,17 @@
 
 typedef enum relay_fault_kind_t {
     RELAY_PASS,
-    RELAY_DELAY,          /**< each chunk is forwarded `delay_ms` late */
-    RELAY_CUT,            /**< open connections are closed, new ones closed at once */
-    RELAY_FREEZE,         /**< connections stay open, nothing is forwarded */
-    RELAY_DROP_RESPONSE,  /**< the request is forwarded; the first byte of the response closes the
-                             connection */
-    RELAY_CUT_REQUEST,    /**< closed after `bytes` of the request were forwarded */
-    RELAY_CUT_RESPONSE,   /**< closed after `bytes` of the response were forwarded */
-    RELAY_FREEZE_REQUEST, /**< open, but nothing is forwarded to the target */
-    RELAY_FREEZE_RESPONSE /**< open, but nothing is forwarded to the client */
+    RELAY_DELAY,           /**< each chunk is forwarded `delay_ms` late */
+    RELAY_CUT,             /**< open connections are closed, new ones closed at once */
+    RELAY_FREEZE,          /**< connections stay open, nothing is forwarded */
+    RELAY_DROP_RESPONSE,   /**< the request is forwarded; the first byte of the response closes the
+                              connection */
+    RELAY_CUT_REQUEST,     /**< closed after `bytes` of the request were forwarded */
+    RELAY_CUT_RESPONSE,    /**< closed after `bytes` of the response were forwarded */
+    RELAY_FREEZE_REQUEST,  /**< open, but nothing is forwarded to the target */
+    RELAY_FREEZE_RESPONSE, /**< open, but nothing is forwarded to the client */
+    RELAY_CUT_UNFRAMED     /**< a response names no length, and ends with its connection, after
+                              `bytes` at most */
 } relay_fault_kind_t;
 
 typedef struct relay_fault_t {
--- a/tests/integration/test_streams.c
+++ b/tests/integration/test_streams.c
@@ -20,6 +20,23 @@
     cluster_stop(cluster);
 }
 
+/* Guards against half an answer without a length that reaches its client as a whole one: its end
+ * looks like that of the connection of an engine that has crashed. */
+static void test_cut_answers_without_length(void) {
+    cluster_options_t options = {.nodes = 1, .engines = 1, .proxied = TRUE};
+    cluster_t *cluster = cluster_start(&options);
+    declare_defaults(cluster, 1, 1);
+    answer_free(chat(cluster->nodes[0].clients_port, "m1", 4, NULL, NULL));
+    for (int bytes = 200; bytes < 700; bytes += 61) {
+        engine_fault(cluster, 0, "cut_unframed", 0, bytes, 1);
+        answer_t *answer = chat(cluster->nodes[0].clients_port, "m1", 40, NULL, NULL);
+        answer_print(answer);
+        g_assert_true(answer_is_complete(answer, 40));
+        answer_free(answer);
+    }
+    cluster_stop(cluster);
+}
+
 /* If an engine dies during a stream, the answer continues from another engine without mixing
  * runs. */
 static void test_engine_killed_in_mid_stream(void) {
@@ -138,6 +155,7 @@
 
 static void tests_add(void) {
     g_test_add_func("/streams/cut-streams-are-resumed", test_cut_streams_are_resumed);
+    g_test_add_func("/streams/cut-answers-without-length", test_cut_answers_without_length);
     g_test_add_func("/streams/engine-killed-in-mid-stream", test_engine_killed_in_mid_stream);
     g_test_add_func("/streams/lost-stream-ends-with-an-error", test_lost_stream_ends_with_an_error);
     g_test_add_func("/streams/answers-out-of-order", test_answers_out_of_order);
