Streams on split routes go on at the service that they began at

Reported by nobody; found by reading this change for places that treat engines of one service as alike: here it was the services of one route.

Cause: the service was drawn before the start was known, and a start at another service counted as unknown. The record names the service; the request goes there now if its route leads there with a weight above 0 and the model is declared there, else it is refused as before. A start that is known at this node is looked up before the request is counted, so that demand and retry budget are those of its service. The tenant's charge remembers its class, as that names the service and is settled later.

No form on the wire has changed: records named the service from the start.

--- a/include/wickbridge/catalog.h
+++ b/include/wickbridge/catalog.h
@@ -125,5 +125,7 @@
  * @return the service's name, or NULL if no split target has a weight above 0
  */
 const char *wb_route_pick_service(wb_route_t *route);
+/** @return TRUE when a split target of the route with a weight above 0 has this service */
+gboolean wb_route_leads_to(const wb_route_t *route, const char *service);
 
 #endif
--- a/src/catalog/catalog.c
+++ b/src/catalog/catalog.c
@@ -152,6 +152,15 @@
     return g_hash_table_lookup(catalog->services, name);
 }
 
+gboolean wb_route_leads_to(const wb_route_t *route, const char *service) {
+    for (guint i = 0; i < route->parts->len; i++) {
+        const wb_route_target_t *target = &g_array_index(route->parts, wb_route_target_t, i);
+        if (target->weight > 0 && strcmp(target->service, service) == 0)
+            return TRUE;
+    }
+    return FALSE;
+}
+
 const char *wb_route_pick_service(wb_route_t *route) {
     double total = 0;
     for (guint i = 0; i < route->parts->len; i++)
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -40,6 +40,9 @@
 /** Find the request's route, service, model and times. @return WB_OUTCOME_COUNT, or why it can't be
  * served */
 wb_outcome_t wb_exchange_read(wb_exchange_t *exchange);
+/** Send the request to this service, whichever of its route's is drawn.
+ * @return FALSE: its route doesn't lead there, or the service doesn't have its model */
+gboolean wb_exchange_change_service(wb_exchange_t *exchange, const char *name);
 /** @return the HTTP status of an outcome of a request that has not run */
 unsigned wb_outcome_status(wb_outcome_t outcome);
 
@@ -115,7 +118,8 @@
 void wb_exchange_forward_answer(wb_exchange_t *exchange);
 
 /* exchange_stream.c */
-/** Read whether the request takes up an earlier stream. */
+/** Read whether the request takes up an earlier stream, and look whether its start is known here.
+ */
 void wb_exchange_read_stream(wb_exchange_t *exchange);
 /** Find out at which software version the stream began that the request takes up.
  * @return FALSE: it isn't known here */
--- a/src/request/exchange_read.c
+++ b/src/request/exchange_read.c
@@ -116,6 +116,27 @@
     return WB_OUTCOME_COUNT;
 }
 
+/* Whether the request's model and adapter are declared for a service, too. */
+static gboolean is_declared_for(const wb_exchange_t *exchange, const wb_service_t *service) {
+    if (exchange->model == NULL) {
+        gboolean has_models = g_hash_table_size(exchange->service->models) > 0;
+        return has_models == (g_hash_table_size(service->models) > 0);
+    }
+    const wb_model_spec_t *spec = g_hash_table_lookup(service->models, exchange->model);
+    return spec != NULL && adapter_is_known(spec, exchange->adapter);
+}
+
+gboolean wb_exchange_change_service(wb_exchange_t *exchange, const char *name) {
+    const wb_service_t *service = wb_catalog_service(exchange->catalog, name);
+    if (service == exchange->service)
+        return TRUE;
+    if (service == NULL || !wb_route_leads_to(exchange->route, name) ||
+        !is_declared_for(exchange, service))
+        return FALSE;
+    exchange->service = service;
+    return TRUE;
+}
+
 wb_outcome_t wb_exchange_read(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     if (edge->catalog == NULL)
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -28,6 +28,8 @@
         return;
     exchange->edge->metrics.streams_taken_up++;
     exchange->stream_key = wb_stream_key(tenant_name(exchange), resumes != NULL ? resumes : "");
+    /* So that what is known here changes the service before the request is counted at it. */
+    wb_exchange_find_start(exchange);
 }
 
 /* @param by for logs: how the version is known */
@@ -36,7 +38,7 @@
     exchange->bound_by = by;
 }
 
-/* Whether the request would be sent to the same service again: parts of a split are drawn. */
+/* Whether the route leads to one service, where its streams begin, then. */
 static gboolean has_one_service(const wb_exchange_t *exchange) {
     return exchange->route->parts == NULL || exchange->route->parts->len <= 1;
 }
@@ -45,16 +47,15 @@
     const wb_edge_t *edge = exchange->edge;
     if (!exchange->takes_up || exchange->bound_version != NULL)
         return TRUE;
-    const char *service = exchange->service->name;
     const wb_stream_start_t *start =
         wb_stream_starts_find(edge->stream_starts, &exchange->stream_key);
     if (start != NULL) {
-        gboolean same_service = strcmp(start->service, service) == 0;
-        version_bind(exchange, same_service ? start->software_version : "", "record");
+        gboolean can_go_on = wb_exchange_change_service(exchange, start->service);
+        version_bind(exchange, can_go_on ? start->software_version : "", "record");
         return TRUE;
     }
     const char *sole = edge->sole_version != NULL && has_one_service(exchange)
-                           ? edge->sole_version(service, edge->node_context)
+                           ? edge->sole_version(exchange->service->name, edge->node_context)
                            : NULL;
     if (sole == NULL)
         return FALSE;
--- a/src/request/exchange_tenant.c
+++ b/src/request/exchange_tenant.c
@@ -67,8 +67,9 @@
         return WB_OUTCOME_COUNT;
     }
     double cost = wb_tenant_cost(exchange->tenant, requested_tokens(exchange));
+    exchange->quota_class = traffic_class(exchange);
     wb_quota_decision_t decision =
-        wb_quota_limiter_admit(edge->quota, exchange->tenant, traffic_class(exchange), cost,
+        wb_quota_limiter_admit(edge->quota, exchange->tenant, exchange->quota_class, cost,
                                edge->node_count, wb_clock_ms());
     exchange->quota_basis = decision.basis;
     exchange->quota_age_ms = decision.age_ms;
@@ -89,7 +90,7 @@
 void wb_exchange_settle_quota(const wb_exchange_t *exchange) {
     if (exchange->quota_cost > 0 && exchange->runs != 1) {
         wb_quota_limiter_adjust(exchange->edge->quota, exchange->tenant->name,
-                                traffic_class(exchange),
+                                exchange->quota_class,
                                 exchange->quota_cost * ((double)exchange->runs - 1));
     }
 }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -257,11 +257,12 @@
     wb_request_digest_t digest;
     uint64_t poison_version; /* version of the poison registry that is_poison was computed from */
     gboolean is_poison;
-    gboolean is_trial;         /* poison, but sent to find out whether it still crashes engines */
-    int priority;              /* its tenant's, or else its route's; 0 is the most urgent */
-    double quota_cost;         /* charged to its tenant's limit; 0: not admitted yet */
-    int64_t overload_retry_ms; /* duration: Retry-After when overloaded */
-    int64_t quota_retry_ms;    /* duration: Retry-After when over the quota */
+    gboolean is_trial; /* poison, but sent to find out whether it still crashes engines */
+    int priority;      /* its tenant's, or else its route's; 0 is the most urgent */
+    double quota_cost; /* charged to its tenant's limit; 0: not admitted yet */
+    wb_quota_class_t quota_class; /* that it was charged in; its service may change after that */
+    int64_t overload_retry_ms;    /* duration: Retry-After when overloaded */
+    int64_t quota_retry_ms;       /* duration: Retry-After when over the quota */
     wb_quota_basis_t quota_basis; /* by what it was admitted */
     int64_t quota_age_ms;         /* age of what the quota ledger's node last sent; -1: nothing */
     GArray *parts;                /* of wb_prompt_part_t */
--- a/tests/edge/test_versions.c
+++ b/tests/edge/test_versions.c
@@ -23,15 +23,34 @@
     "\"priority\":1,\"service\":\"llm\",\"maxAttempts\":" attempts                                 \
     ",\"resumable\":true,\"targetGapMs\":400}"
 
+/* A route that splits over two services, and the second of them. */
+#define SPLIT_ROUTE                                                                                \
+    "{\"name\":\"once\",\"host\":\"a.example\",\"pathPrefix\":\"/once/\",\"routeType\":"           \
+    "\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":800,\"priority\":1,\"trafficSplit\":["   \
+    "{\"service\":\"llm\",\"weight\":50},{\"service\":\"other\",\"weight\":50}],\"maxAttempts\":"  \
+    "1,"                                                                                           \
+    "\"resumable\":true,\"targetGapMs\":400}"
+#define OTHER_SERVICE                                                                              \
+    ",{\"name\":\"other\",\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":" \
+    "2,"                                                                                           \
+    "\"loadsPerS\":4,\"models\":[{\"name\":\"m3\",\"weightsMb\":1000,\"loadS\":0.2,\"adapters\":"  \
+    "5,"                                                                                           \
+    "\"adapterMb\":1,\"warmS\":0.1,\"diskS\":0.15}]}}"
+
 static const char *const versions[] = {"v1", "v2"};
 
-static void engine_start(const estate_t *estate, const char *name, const char *version,
-                         const char *models) {
+static void service_engine_start(const estate_t *estate, const char *service, const char *name,
+                                 const char *version, const char *models) {
     estate_command(estate,
-                   "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{\"service\":\"llm\","
+                   "{\"do\":\"engine-start\",\"engine\":\"%s\",\"options\":{\"service\":\"%s\","
                    "\"zone\":\"zone-1\",\"version\":\"%s\",\"streams\":1,\"models\":[%s],"
                    "\"load_ms\":200,\"weights_mb\":2100}}",
-                   name, version, models);
+                   name, service, version, models);
+}
+
+static void engine_start(const estate_t *estate, const char *name, const char *version,
+                         const char *models) {
+    service_engine_start(estate, "llm", name, version, models);
 }
 
 static void engine_stop(const estate_t *estate, const char *name) {
@@ -123,6 +142,14 @@
     g_usleep(SETTLE_US);
 }
 
+/* Returns the number of a stream that began at a version. */
+static int stream_of(const char *const began[STREAMS], const char *version) {
+    for (int i = 0; i < STREAMS; i++)
+        if (strcmp(began[i], version) == 0)
+            return i;
+    g_assert_not_reached();
+}
+
 /* Takes a stream up as its client does. */
 static wire_response_t *stream_resume(const estate_t *estate, int node, int stream,
                                       const char *id) {
@@ -166,7 +193,30 @@
     estate_stop(estate);
 }
 
-/* The same where the node that began the streams was killed, be it the controller or not. */
+/* Guards against a stream of a route that splits over services being refused, or begun anew, at the
+ * service where it didn't begin. */
+static void test_split_route(void) {
+    estate_t *estate = estate_start(NODES, FLAGS);
+    const char *began[STREAMS];
+    estate->services = OTHER_SERVICE;
+    estate_configure(estate, SPLIT_ROUTE);
+    engine_stop(estate, "llm-1");
+    engine_stop(estate, "llm-2");
+    service_engine_start(estate, "llm", "a1", "v1", "\"m3\"");
+    service_engine_start(estate, "llm", "a2", "v1", "\"m3\"");
+    service_engine_start(estate, "other", "b1", "v2", "\"m3\"");
+    service_engine_start(estate, "other", "b2", "v2", "\"m3\"");
+    estate_wait_controller(estate, 8000);
+    g_usleep(SETTLE_US);
+    streams_begin(estate, 0, began);
+    g_assert_cmpint(stream_of(began, "v1"), !=, stream_of(began, "v2"));
+    resumed_t result = streams_resume(estate, began, 0, 1);
+    g_assert_cmpint(result.mixed, ==, 0);
+    g_assert_cmpint(result.whole, ==, STREAMS);
+    estate_stop(estate);
+}
+
+/* Streams go on where the node that began them was killed, be it the controller or not. */
 static void first_node_killed(gboolean is_controller) {
     estate_t *estate = start("\"m3\"");
     const char *began[STREAMS];
@@ -213,14 +263,6 @@
     estate_stop(estate);
 }
 
-/* Returns the number of a stream that began at a version. */
-static int stream_of(const char *const began[STREAMS], const char *version) {
-    for (int i = 0; i < STREAMS; i++)
-        if (strcmp(began[i], version) == 0)
-            return i;
-    g_assert_not_reached();
-}
-
 /* Guards against a resume that waits in vain: no engine of its version is left. */
 static void test_no_engine_left(void) {
     estate_t *estate = start("\"m3\"");
@@ -340,6 +382,7 @@
     g_test_add_func("/edge/versions/one-version", test_one_version);
     g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
     g_test_add_func("/edge/versions/client-resumes", test_client_resumes);
+    g_test_add_func("/edge/versions/split-route", test_split_route);
     g_test_add_func("/edge/versions/first-node-killed", test_first_node_killed);
     g_test_add_func("/edge/versions/controller-killed", test_controller_killed);
     g_test_add_func("/edge/versions/unknown-start", test_unknown_start);
--- a/tests/unit/test_catalog.c
+++ b/tests/unit/test_catalog.c
@@ -54,9 +54,22 @@
     wb_catalog_unref(catalog);
 }
 
+/* Guards against requests for a split target of weight 0, and for a service of other routes. */
+static void test_split_targets(void) {
+    wb_catalog_t *catalog = catalog_create();
+    wb_route_t *route = wb_catalog_route(catalog, "a.example", "/a/b/c");
+    g_assert_true(wb_route_leads_to(route, "two"));
+    g_assert_true(wb_route_leads_to(route, "three"));
+    wb_route_add_target(route, "unused", 0);
+    g_assert_false(wb_route_leads_to(route, "unused"));
+    g_assert_false(wb_route_leads_to(route, "elsewhere"));
+    wb_catalog_unref(catalog);
+}
+
 static void tests_add(void) {
     g_test_add_func("/catalog/longest-prefix", test_longest_prefix);
     g_test_add_func("/catalog/split-shares", test_split_shares);
+    g_test_add_func("/catalog/split-targets", test_split_targets);
 }
 
 UNIT_TEST_MAIN(tests_add)
