--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -3,7 +3,8 @@
  * @brief Which software versions of each service have had engines lately. While there was only one,
  * every stream began at it.
  *
- * The history counts from its begin, and anew after each gap in this node's knowledge of engines.
+ * The history counts from its begin, and anew (wb_version_history_restart) after a time without
+ * knowledge of engines in which some may have come and gone.
  *
  * Times are monotonic and in milliseconds. Pure: the time is passed in. No errors.
  */
@@ -20,7 +21,7 @@
 /** @return the window */
 int64_t wb_version_history_window_ms(const wb_version_history_t *history);
 void wb_version_history_free(wb_version_history_t *history);
-/** An engine of the service with this version ("": unknown) is announced. */
+/** An engine of the service has this version ("": unknown), or has served with it. */
 void wb_version_history_see(wb_version_history_t *history, const char *service,
                             const char *software_version, int64_t now_ms);
 /** Another node knows that no engine came and went unseen since a time, up to now.
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -138,7 +138,7 @@
 gboolean wb_exchange_version_serves(const wb_exchange_t *exchange);
 /** @return TRUE when an available engine that the request may use holds its model, and the adapter
  * unless it is "" */
-gboolean wb_exchange_is_held(const wb_exchange_t *exchange, const char *adapter);
+gboolean wb_exchange_version_holds(const wb_exchange_t *exchange, const char *adapter);
 
 /* exchange_outcome.c */
 /** @return TRUE when an engine announces the request's model: a refusal isn't for want of a load */
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -35,7 +35,7 @@
 
 gboolean wb_exchange_model_is_held(const wb_exchange_t *exchange) {
     return exchange->model != NULL && exchange->service != NULL &&
-           wb_exchange_is_held(exchange, exchange->adapter);
+           wb_exchange_version_holds(exchange, exchange->adapter);
 }
 
 void wb_exchange_record_outcome(const wb_exchange_t *exchange, wb_outcome_t outcome,
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -157,7 +157,7 @@
     return FALSE;
 }
 
-gboolean wb_exchange_is_held(const wb_exchange_t *exchange, const char *adapter) {
+gboolean wb_exchange_version_holds(const wb_exchange_t *exchange, const char *adapter) {
     const wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
     if (exchange->bound_version == NULL)
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -85,7 +85,7 @@
     }
     /* If the model is held, an expected load is that of another replica, while the adapter is
      * loaded where the model is. */
-    gboolean held = wb_exchange_is_held(exchange, "");
+    gboolean held = wb_exchange_version_holds(exchange, "");
     const int64_t *ready_ms = held ? NULL : expected_find(exchange);
     if (ready_ms != NULL && *ready_ms + LOAD_GRACE_MS >= now_ms) {
         return MAX(*ready_ms - now_ms, 0);
