--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -115,15 +115,23 @@
     return changed;
 }
 
+static void served_clear_log(const wb_poison_entry_t *entry) {
+    char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
+    wb_event("request-forgiven",
+             ",\"id\":\"\",\"digest\":\"%s\",\"engine\":\"\",\"status\":0,\"by\":\"served-before\"",
+             wb_request_digest_format(&entry->digest, digest));
+}
+
 /* Clears entries whose request was recently served at this node. Returns TRUE when there were any.
  */
 static gboolean served_clear(wb_edge_node_t *node, int64_t now_ms) {
     gboolean cleared = FALSE;
     WB_LIST_EACH(item, wb_poison_registry_entries(node->edge.poison)) {
         const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
-        if (wb_served_set_has(node->edge.served, &entry->digest, now_ms)) {
-            cleared =
-                wb_poison_registry_clear_crashes(node->edge.poison, &entry->digest) || cleared;
+        if (wb_served_set_has(node->edge.served, &entry->digest, now_ms) &&
+            wb_poison_registry_clear_crashes(node->edge.poison, &entry->digest)) {
+            served_clear_log(entry);
+            cleared = TRUE;
         }
     }
     return cleared;
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -84,15 +84,22 @@
     return rejected_ms != NULL && wb_clock_ms() - *rejected_ms < FALL_MS;
 }
 
+static void abort_ignored_log(const wb_exchange_t *exchange, const char *reason) {
+    wb_event("crash-evidence-ignored", ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\"",
+             wb_event_escape(exchange->id), wb_event_escape(exchange->engine->state->id), reason);
+}
+
 void wb_exchange_note_aborted(wb_exchange_t *exchange) {
     const wb_engine_t *engine = exchange->engine;
     /* A draining engine ends its remaining requests with itself, which is no crash. An engine whose
      * row was removed without notice may still run, and crash: rows expire while the store is
      * unavailable. */
     if (engine->state->leaving) {
+        abort_ignored_log(exchange, "draining");
         return;
     }
     if (may_have_fallen(exchange)) {
+        abort_ignored_log(exchange, "brittle");
         return;
     }
     wb_aborted_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
@@ -117,9 +124,10 @@
         return;
     }
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
-    wb_event("request-forgiven", ",\"id\":\"%s\",\"digest\":\"%s\",\"engine\":\"%s\"",
+    wb_event("request-forgiven",
+             ",\"id\":\"%s\",\"digest\":\"%s\",\"engine\":\"%s\",\"status\":%u,\"by\":\"response\"",
              wb_event_escape(request_id), wb_request_digest_format(&end->digest, digest),
-             end->engine->state->id);
+             end->engine->state->id, end->status);
     poison_changed(edge);
 }
 
@@ -130,7 +138,7 @@
         return;
     }
     wb_run_end_t end = {exchange->engine, *wb_exchange_digest(exchange), exchange->body->len,
-                        wb_clock_ms()};
+                        exchange->reply.status, wb_clock_ms()};
     if (exchange->reply.framing == WB_FRAMING_CLOSE) {
         wb_unframed_ends_add(edge->unframed_ends, &end);
     } else {
--- a/src/request/unframed_ends.h
+++ b/src/request/unframed_ends.h
@@ -20,6 +20,7 @@
     wb_engine_t *engine;
     wb_request_digest_t digest;
     size_t body_bytes;
+    unsigned status; /**< of the engine's response */
     int64_t ended_ms;
 } wb_run_end_t;
 
