--- a/tests/edge/test_poison.c
+++ b/tests/edge/test_poison.c
@@ -65,6 +65,16 @@
     repeats_send_for(repeats, DETECTION_MS);
 }
 
+/* Sends a harmless request to each node, without waiting for the response. */
+static void others_send(repeats_t *repeats) {
+    for (int node = 0; node < repeats->estate->node_count; node++) {
+        g_autofree char *id = g_strdup_printf("other-%d-%d", repeats->sent, node);
+        wire_t *wire = wire_open(repeats->estate->nodes[node].clients_port);
+        wire_post(wire, PATH, id, EDGE_MODEL("m0"), id);
+        g_ptr_array_add(repeats->wires, wire);
+    }
+}
+
 /* Asserts the number of crashes, and that the request reached no engine from DETECTION_MS after the
  * third crash. */
 static void assert_stopped(const estate_t *estate) {
@@ -264,6 +274,62 @@
     estate_stop(estate);
 }
 
+/* A request that crashes engines stays recorded though an engine rejects it with an error response,
+ * before it has begun to run it. */
+static void test_error_clears_nothing(void) {
+    estate_t *estate = estate_start(NODES, NULL);
+    repeats_t repeats = repeats_create(estate);
+    estate_wait_controller(estate, 8000);
+    /* Each node gets an error response: it must not take the request for harmless. */
+    for (int engine = 1; engine <= 2; engine++) {
+        estate_command(
+            estate,
+            "{\"do\":\"engine-fault\",\"engine\":\"llm-%d\",\"fault\":\"error\",\"count\":6}",
+            engine);
+    }
+    for (int i = 0; i < 6 * NODES; i++) {
+        g_autofree char *id = g_strdup_printf("error-%d", i);
+        status_at(estate, i % NODES, id);
+    }
+    repeats_send_until_detected(&repeats);
+    repeats_send_for(&repeats, 3000);
+    assert_stopped(estate);
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
+/* A request that crashes engines is refused also where engines reject others for want of room. */
+static void test_brittle_engines(void) {
+    estate_t *estate = estate_start(NODES, NULL);
+    repeats_t repeats = repeats_create(estate);
+    estate_wait_controller(estate, 8000);
+    for (int engine = 1; engine <= 2; engine++) {
+        static const char *const options[] = {"\"work_ms\",\"value\":150", "\"slots\",\"value\":1",
+                                              "\"room\",\"value\":1", "\"brittle\",\"value\":30"};
+        for (size_t i = 0; i < G_N_ELEMENTS(options); i++) {
+            estate_command(estate, "{\"do\":\"engine-option\",\"engine\":\"llm-%d\",\"name\":%s}",
+                           engine, options[i]);
+        }
+    }
+    int64_t until_ms = harness_now_ms() + 20000;
+    while (crashes_count(estate) < 3) {
+        g_assert_cmpint(harness_now_ms(), <, until_ms);
+        others_send(&repeats);
+        repeats_send_for(&repeats, 200);
+    }
+    int64_t settled_ms = harness_now_ms() + DETECTION_MS + 4000;
+    while (harness_now_ms() < settled_ms) {
+        others_send(&repeats);
+        repeats_send_for(&repeats, 200);
+    }
+    json_t *seen = estate_records(estate);
+    g_assert_cmpuint(json_array_size(json_object_get(seen, "falls")), ==, 0);
+    json_decref(seen);
+    assert_stopped(estate);
+    g_ptr_array_unref(repeats.wires);
+    estate_stop(estate);
+}
+
 static char *wickctl(const estate_t *estate, int node, const char *words) {
     g_autofree char *command =
         g_strdup_printf("%s/wickctl poison %s --node 127.0.0.1:%d", estate->files.build, words,
@@ -304,6 +370,8 @@
     g_test_add_func("/edge/poison/tried-again", test_tried_again);
     g_test_add_func("/edge/poison/bystanders-are-served", test_bystanders_are_served);
     g_test_add_func("/edge/poison/operator-forgives", test_operator_forgives);
+    g_test_add_func("/edge/poison/error-clears-nothing", test_error_clears_nothing);
+    g_test_add_func("/edge/poison/brittle-engines", test_brittle_engines);
     g_test_add_func("/edge/poison/broken-answers-are-no-crash", test_broken_answers_are_no_crash);
 }
 
