--- a/src/poison/poison_registry.h
+++ b/src/poison/poison_registry.h
@@ -6,8 +6,8 @@
  * requests there. Clients send it again, to any node, so what one node observes must reach all and
  * outlive that node. The registry stores for each request, by its digest, the engines that crashed
  * while running it. Other requests on those engines look the same at first, so a request is refused
- * only after WB_POISON_ENGINES different engines have crashed under it. A complete response in
- * between clears all recorded crashes.
+ * only after WB_POISON_ENGINES different engines have crashed under it. A complete successful
+ * response in between clears all recorded crashes.
  *
  * Each node has a registry. Registries merge by union: the crashed engines of a request form a
  * set, and so do the cleared ones. So it doesn't matter in which order, how often and by which node
@@ -94,7 +94,7 @@
 gboolean wb_poison_registry_add_crash(wb_poison_registry_t *registry,
                                       const wb_request_digest_t *digest, uint32_t body_bytes,
                                       uint64_t engine, int64_t now_ms);
-/** An engine answered a request completely: clear its crashes. @return TRUE when it had any */
+/** An engine has run a request to its end: clear its crashes. @return TRUE when it had any */
 gboolean wb_poison_registry_clear_crashes(wb_poison_registry_t *registry,
                                           const wb_request_digest_t *digest);
 /** Merge another node's entry. @return TRUE when it held anything new */
--- a/src/poison/served_set.h
+++ b/src/poison/served_set.h
@@ -1,6 +1,6 @@
 /**
  * @file served_set.h
- * @brief Requests to which engines have recently given complete responses at this node.
+ * @brief Requests to which engines have recently given complete successful responses at this node.
  *
  * A request that many clients send alike (a status query, an empty search) runs on nearly every
  * engine that crashes and would soon be taken for a poison request. But it also succeeds all the
@@ -30,7 +30,7 @@
 
 wb_served_set_t *wb_served_set_create(void);
 void wb_served_set_free(wb_served_set_t *set);
-/** Record that an engine has answered a request completely. */
+/** Record that an engine has run a request to its end. */
 void wb_served_set_add(wb_served_set_t *set, const wb_request_digest_t *digest, int64_t now_ms);
 /** @return TRUE when the request was served less than WB_SERVED_MS ago and isn't overwritten */
 gboolean wb_served_set_has(const wb_served_set_t *set, const wb_request_digest_t *digest,
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -211,6 +211,7 @@
     exchange->sent_ms = now_ms;
     exchange->sends++;
     exchange->runs++;
+    exchange->attempt_events = 0;
     exchange->limit_counted = engine->limit.named;
     wb_engine_limit_record(&engine->limit, now_ms);
     wb_engine_brittle_sent(&engine->brittle, now_ms);
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -143,6 +143,7 @@
     wb_exchange_note_stream_began(exchange);
     gap_note(exchange);
     exchange->events++;
+    exchange->attempt_events++;
     wb_exchange_release_prefill(exchange);
     char *id = wb_events_last_id(text, length);
     if (id != NULL) {
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -96,8 +96,8 @@
 void wb_exchange_note_brittle_rejection(const wb_exchange_t *exchange);
 /** The engine aborted the request, and may have crashed while running it. */
 void wb_exchange_note_aborted(wb_exchange_t *exchange);
-/** The engine completed an answer of any status: the request didn't crash it. An unframed answer
- * counts once the engine has sent something later. */
+/** The engine completed an answer. If it shows that the engine has run the request, the request
+ * didn't crash it. An unframed answer counts once the engine has sent something later. */
 void wb_exchange_note_completed(wb_exchange_t *exchange);
 
 /* exchange_wait.c */
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -131,8 +131,18 @@
     poison_changed(edge);
 }
 
+/* An engine may answer with an error, or end a stream without an event, before it begins to work on
+ * the request. */
+static gboolean answer_shows_run(const wb_exchange_t *exchange) {
+    const wb_reply_t *reply = &exchange->reply;
+    return reply->status / 100 == 2 && (!reply->streamed || exchange->attempt_events > 0);
+}
+
 void wb_exchange_note_completed(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
+    if (!answer_shows_run(exchange)) {
+        return;
+    }
     gboolean is_short = exchange->body->len <= WB_SERVED_BODY_BYTES;
     if (!is_short && poison_entry_find(exchange) == NULL) {
         return;
@@ -190,6 +200,9 @@
     for (guint i = 0; i < requests->len; i++) {
         const wb_aborted_request_t *request = &g_array_index(requests, wb_aborted_request_t, i);
         if (wb_served_set_has(edge->served, &request->digest, now_ms)) {
+            wb_event("crash-evidence-ignored",
+                     ",\"id\":\"\",\"engine\":\"%s\",\"reason\":\"served\"",
+                     wb_event_escape(engine_id));
             continue;
         }
         if (wb_poison_registry_add_crash(edge->poison, &request->digest, request->body_bytes,
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -308,10 +308,11 @@
     GByteArray *answer;        /* bytes of the answer not yet forwarded */
     char *last_event_id;
     gboolean first_event_seen;
-    int64_t first_event_ms; /* duration from its arrival */
-    int64_t last_event_ms;  /* 0: no event yet */
-    int64_t longest_gap_ms; /* duration: longest time between two events */
-    unsigned events;        /* reads from the engine that completed at least one event */
+    int64_t first_event_ms;  /* duration from its arrival */
+    int64_t last_event_ms;   /* 0: no event yet */
+    int64_t longest_gap_ms;  /* duration: longest time between two events */
+    unsigned events;         /* reads from the engine that completed at least one event */
+    unsigned attempt_events; /* those of the current attempt */
 };
 
 /** @return the id of the engine of the last attempt; "" when there was none */
