--- a/include/wickbridge/engine_brittle.h
+++ b/include/wickbridge/engine_brittle.h
@@ -48,6 +48,15 @@
 void wb_engine_brittle_accepted(wb_engine_brittle_t *brittle, int64_t sent_ms);
 /** The request sent at this time was rejected. */
 void wb_engine_brittle_rejected(wb_engine_brittle_t *brittle, int64_t sent_ms, int64_t now_ms);
+/**
+ * Whether an engine that has ended may have fallen over, judged by what it rejected of this node.
+ * @param position as above
+ * @param is_shared all nodes know that the engine is brittle: while none exceeds its share, it
+ * doesn't fall over
+ */
+gboolean wb_engine_brittle_may_have_fallen(const wb_engine_brittle_t *brittle,
+                                           const wb_share_rank_t *position, gboolean is_shared,
+                                           int64_t now_ms);
 /** Free the recorded times. */
 void wb_engine_brittle_clear(wb_engine_brittle_t *brittle);
 
--- a/src/dispatch/engine_brittle.c
+++ b/src/dispatch/engine_brittle.c
@@ -95,6 +95,19 @@
     return last_ms + (int64_t)(1 + (index - ends->len) / limit) * CONFIRM_MS;
 }
 
+gboolean wb_engine_brittle_may_have_fallen(const wb_engine_brittle_t *brittle,
+                                           const wb_share_rank_t *position, gboolean is_shared,
+                                           int64_t now_ms) {
+    g_autoptr(GArray) ends = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    ends_add(ends, brittle->rejected_ms, WINDOW_MS, now_ms);
+    unsigned share = wb_rendezvous_share(brittle->rejections, position->nodes, position->rank);
+    if (!brittle->named || ends->len == 0 || (is_shared && ends->len <= MAX(share, 1))) {
+        return FALSE;
+    }
+    ends_add(ends, brittle->pending_ms, CONFIRM_MS, now_ms);
+    return ends->len * position->nodes > brittle->rejections;
+}
+
 void wb_engine_brittle_clear(wb_engine_brittle_t *brittle) {
     if (brittle->pending_ms != NULL) {
         g_array_unref(brittle->pending_ms);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -239,7 +239,7 @@
     edge->sole_version = wb_edge_node_sole_version;
     created->versions =
         wb_version_history_create((int64_t)(settings->resume_window_s * 1000), wb_clock_ms());
-    edge->brittle_rejections = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    edge->brittle_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
     edge->choose_peer = wb_edge_node_choose_peer;
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -259,6 +259,12 @@
     return was_full ? MAX(next_ms, now_ms + FULL_RECHECK_MS) : next_ms;
 }
 
+gboolean wb_balancer_may_have_fallen(const wb_edge_t *edge, wb_engine_t *engine, gboolean is_shared,
+                                     int64_t now_ms) {
+    return wb_engine_brittle_may_have_fallen(&engine->brittle, rank_of(edge, engine, now_ms),
+                                             is_shared, now_ms);
+}
+
 /* Time from which an engine accepts another request of this node: it may be cold, limited, or have
  * asked for a backoff. */
 static int64_t engine_available_ms(const wb_edge_t *edge, wb_engine_t *engine,
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -4,8 +4,9 @@
 
 #include <string.h>
 
-/* Rejections at most this long before a brittle engine's end may have caused it. */
-#define FALL_MS 2000
+/* Time after which all nodes know that a service's engines are brittle, and keep to their shares.
+ */
+#define BRITTLE_SHARED_MS 3000
 
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange) {
     if (exchange->digest_known) {
@@ -71,17 +72,22 @@
 }
 
 void wb_exchange_note_brittle_rejection(const wb_exchange_t *exchange) {
-    int64_t now_ms = wb_clock_ms();
-    g_hash_table_replace(exchange->edge->brittle_rejections, g_strdup(exchange->service->name),
-                         g_memdup2(&now_ms, sizeof(now_ms)));
+    GHashTable *services = exchange->edge->brittle_services;
+    if (!g_hash_table_contains(services, exchange->service->name)) {
+        int64_t now_ms = wb_clock_ms();
+        g_hash_table_insert(services, g_strdup(exchange->service->name),
+                            g_memdup2(&now_ms, sizeof(now_ms)));
+    }
 }
 
-/* Whether brittle engines of the service have just rejected requests: they fall over after too
- * many, whatever they run. */
+/* Whether the request's engine may have fallen over, whatever it ran: a brittle engine does so
+ * after too many rejections. */
 static gboolean may_have_fallen(const wb_exchange_t *exchange) {
-    const int64_t *rejected_ms =
-        g_hash_table_lookup(exchange->edge->brittle_rejections, exchange->service->name);
-    return rejected_ms != NULL && wb_clock_ms() - *rejected_ms < FALL_MS;
+    wb_edge_t *edge = exchange->edge;
+    int64_t now_ms = wb_clock_ms();
+    const int64_t *known_ms = g_hash_table_lookup(edge->brittle_services, exchange->service->name);
+    gboolean is_shared = known_ms != NULL && now_ms - *known_ms >= BRITTLE_SHARED_MS;
+    return wb_balancer_may_have_fallen(edge, exchange->engine, is_shared, now_ms);
 }
 
 static void abort_ignored_log(const wb_exchange_t *exchange, const char *reason) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -108,7 +108,8 @@
     wb_served_set_t *served;
     wb_crash_watch_t *crashes;
     wb_unframed_ends_t *unframed_ends;
-    GHashTable *brittle_rejections; /* service -> int64_t *, time of the last by a brittle engine */
+    GHashTable *brittle_services; /* service -> int64_t *, time of the first rejection by one of its
+                                     brittle engines */
     wb_stream_starts_t *stream_starts;
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
@@ -345,6 +346,9 @@
  * @return FALSE when the request must not be written */
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms);
+/** As wb_engine_brittle_may_have_fallen. */
+gboolean wb_balancer_may_have_fallen(const wb_edge_t *edge, wb_engine_t *engine, gboolean is_shared,
+                                     int64_t now_ms);
 /** @return the request as input for the choice of an engine */
 wb_choice_request_t wb_balancer_request(const wb_exchange_t *exchange, int64_t now_ms);
 /** @return prompt tokens of this request that the engine doesn't have cached, as far as this node
--- a/tests/unit/test_engine_brittle.c
+++ b/tests/unit/test_engine_brittle.c
@@ -142,12 +142,46 @@
     wb_engine_brittle_clear(&brittle);
 }
 
+/* The end of an engine that has rejected little can't be a fall, so it counts as a crash. */
+static void test_few_rejections_are_no_fall(void) {
+    wb_engine_brittle_t engine = {0};
+    wb_share_rank_t rank = {3, 0};
+    wb_engine_brittle_set(&engine, 30, 0);
+    wb_engine_brittle_rejected(&engine, 0, 1000);
+    g_assert_false(wb_engine_brittle_may_have_fallen(&engine, &rank, FALSE, 1010));
+    for (int i = 1; i < 11; i++) {
+        wb_engine_brittle_rejected(&engine, 0, 1000);
+    }
+    g_assert_true(wb_engine_brittle_may_have_fallen(&engine, &rank, FALSE, 1010));
+    g_assert_true(wb_engine_brittle_may_have_fallen(&engine, &rank, TRUE, 1010));
+    g_assert_false(wb_engine_brittle_may_have_fallen(&engine, &rank, TRUE, 3000));
+    wb_engine_brittle_clear(&engine);
+}
+
+/* Nodes that know the number keep to their shares of it: an engine that rejected no more of a node
+ * than its share has crashed, however small the number is. */
+static void test_shares_kept_are_no_fall(void) {
+    wb_engine_brittle_t engine = {0};
+    wb_share_rank_t rank = {3, 0};
+    wb_engine_brittle_set(&engine, 6, 0);
+    wb_engine_brittle_rejected(&engine, 0, 1000);
+    wb_engine_brittle_rejected(&engine, 0, 1000);
+    wb_engine_brittle_sent(&engine, 1000);
+    g_assert_true(wb_engine_brittle_may_have_fallen(&engine, &rank, FALSE, 1010));
+    g_assert_false(wb_engine_brittle_may_have_fallen(&engine, &rank, TRUE, 1010));
+    wb_engine_brittle_rejected(&engine, 0, 1000);
+    g_assert_true(wb_engine_brittle_may_have_fallen(&engine, &rank, TRUE, 1010));
+    wb_engine_brittle_clear(&engine);
+}
+
 static void tests_add(void) {
     g_test_add_func("/engine-brittle/full-engine", test_full_engine);
     g_test_add_func("/engine-brittle/engine-with-room", test_engine_with_room);
     g_test_add_func("/engine-brittle/no-share", test_no_share);
     g_test_add_func("/engine-brittle/begins-and-ends", test_begins_and_ends);
     g_test_add_func("/engine-brittle/requests-ahead", test_requests_ahead);
+    g_test_add_func("/engine-brittle/few-rejections-are-no-fall", test_few_rejections_are_no_fall);
+    g_test_add_func("/engine-brittle/shares-kept-are-no-fall", test_shares_kept_are_no_fall);
 }
 
 UNIT_TEST_MAIN(tests_add)
