--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -74,6 +74,10 @@
         engine->reach.failed_ms = wb_clock_ms();
 }
 
+static gboolean is_in_doubt(void *context) {
+    return ((const wb_edge_node_t *)context)->edge.doubt_since_ms != 0;
+}
+
 apr_status_t wb_edge_node_open_tunnels(wb_edge_node_t *node, wb_error_t *error) {
     const wb_edge_settings_t *settings = &node->edge.settings;
     if (*settings->listen_tunnels == '\0')
@@ -85,6 +89,7 @@
         .max_tunnels = MAX_TUNNELS,
         .metrics = &node->edge.metrics,
         .check = tunnel_check,
+        .may_be_cut_off = is_in_doubt,
         .on_result = tunnel_result,
         .context = node};
     return wb_tunnel_server_create(node->edge.loop, &options, &node->tunnel_server, error);
--- a/src/request/crash_watch.c
+++ b/src/request/crash_watch.c
@@ -116,11 +116,13 @@
     wb_watched_engine_t *engine = context;
     check_stop(engine);
     const wb_crash_watch_events_t *events = &engine->watch->events;
-    if (how != WB_TCP_END_REFUSED) {
-        engine->state = WB_LIVENESS_UNKNOWN;
-    } else if (events->confirm_refused == NULL ||
-               !events->confirm_refused(engine->id, events->context)) {
+    if (events->confirm_ended != NULL && events->confirm_ended(engine->id, events->context)) {
+        return;
+    }
+    if (how == WB_TCP_END_REFUSED) {
         crash_report(engine, "refused");
+    } else {
+        engine->state = WB_LIVENESS_UNKNOWN;
     }
 }
 
--- a/src/request/crash_watch.h
+++ b/src/request/crash_watch.h
@@ -6,9 +6,10 @@
  * A connection that ends in the middle of an answer may also be due to that answer or to the
  * network. So shortly after an engine aborted a request, this node connects to its address once:
  *
- * - If the connection is refused, the engine has ended, with all requests that it aborted then,
- *   unless another node connects to it: then the network refuses this node.
- * - If the attempt times out, or is accepted (by the engine, its successor or a proxy), the store
+ * - If the connection is refused, or times out, other nodes are asked to connect: this node may be
+ *   cut off from the engine. If they are refused, or none can be asked and this node was refused,
+ *   the engine has ended, with all requests that it aborted then.
+ * - If it is accepted (by the engine, its successor or a proxy), or nobody knows, the store
  *   decides: the engine has ended when another engine announces itself at its address, or when its
  *   row is removed, a few heartbeats later.
  *
@@ -39,10 +40,10 @@
      * @param requests array of wb_aborted_request_t, maybe with duplicates; valid during the call.
      * Requests whose abort is noticed later are reported by a further call. */
     void (*on_crashed)(const char *engine_id, const GArray *requests, void *context);
-    /** An engine refused a connection: find out whether another node connects to it, and call
-     * wb_crash_watch_confirm. NULL: it isn't asked.
-     * @return FALSE if that can't be found out: the engine counts as ended */
-    gboolean (*confirm_refused)(const char *engine_id, void *context);
+    /** An engine refused a connection or didn't answer: find out whether another node connects to
+     * it, and call wb_crash_watch_confirm. NULL: it isn't asked.
+     * @return FALSE if that can't be found out: the engine counts as ended if it refused */
+    gboolean (*confirm_ended)(const char *engine_id, void *context);
     void *context;
 } wb_crash_watch_events_t;
 
@@ -63,7 +64,8 @@
  * @param engine_id here and below: the engine's incarnation */
 void wb_crash_watch_note_aborted(wb_crash_watch_t *watch, const char *engine_id,
                                  const char *address, const wb_aborted_request_t *request);
-/** Answer to confirm_refused. @param ended FALSE: another node has connected to the engine */
+/** Answer to confirm_ended. @param ended FALSE: another node has connected to the engine, or nobody
+ * knows */
 void wb_crash_watch_confirm(wb_crash_watch_t *watch, const char *engine_id, gboolean ended);
 /** The row of an engine was removed that had not announced that it is draining. */
 void wb_crash_watch_row_removed(wb_crash_watch_t *watch, const char *engine_id);
--- a/src/request/engine_connect.c
+++ b/src/request/engine_connect.c
@@ -105,7 +105,9 @@
         if (connect->engine_failures > 0)
             connect->engine->reach.peers_failed_ms = wb_clock_ms();
         result_note(connect, WB_REACH_FAILED);
-        connect->events->on_failed(connect->direct_reason, connect->context);
+        connect->events->on_failed(connect->refused_by_peer ? WB_CONNECT_REFUSED_BY_PEER
+                                                            : connect->direct_reason,
+                                   connect->context);
     }
     connect_free(connect);
 }
@@ -217,7 +219,7 @@
     connect->direct = NULL;
     wb_tcp_stream_close(stream);
     connect->direct_refused = how == WB_TCP_END_REFUSED;
-    direct_lost(connect, how == WB_TCP_END_REFUSED ? "refused" : "unreached");
+    direct_lost(connect, how == WB_TCP_END_REFUSED ? WB_CONNECT_REFUSED : "unreached");
 }
 
 static void direct_not_started(void *context) {
--- a/src/request/engine_connect.h
+++ b/src/request/engine_connect.h
@@ -17,6 +17,11 @@
 
 #include "request/request_types.h"
 
+/** Reasons of a failure: nothing listens at the engine's address, as this node found, or another
+ * one did. */
+#define WB_CONNECT_REFUSED "refused"
+#define WB_CONNECT_REFUSED_BY_PEER "refused-by-peer"
+
 typedef struct wb_engine_connect_t wb_engine_connect_t;
 
 /** How a connection leads through another node. */
@@ -29,7 +34,7 @@
     /** @param stream now the callee's, which sets its events
      * @param tunnel NULL: this node connected itself */
     void (*on_connected)(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel, void *context);
-    /** @param reason for logs; static */
+    /** @param reason one of the above or another one, for logs; static */
     void (*on_failed)(const char *reason, void *context);
 } wb_engine_connect_events_t;
 
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -223,27 +223,32 @@
     }
 }
 
-/* A check whether another node connects to an engine that refused this one. */
-typedef struct wb_refusal_check_t {
+/* A check whether another node connects to an engine to which this one doesn't. */
+typedef struct wb_liveness_check_t {
     wb_edge_t *edge;
     char *engine_id;
-} wb_refusal_check_t;
+} wb_liveness_check_t;
 
-static void refusal_check_end(wb_refusal_check_t *check, gboolean ended) {
+static void liveness_check_done(wb_liveness_check_t *check, gboolean ended) {
     wb_crash_watch_confirm(check->edge->crashes, check->engine_id, ended);
     g_free(check->engine_id);
     g_free(check);
 }
 
-static void refusal_check_connected(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel,
-                                    void *context) {
+static void liveness_check_connected(wb_tcp_stream_t *stream, const wb_engine_tunnel_t *tunnel,
+                                     void *context) {
     (void)tunnel;
     wb_tcp_stream_close(stream);
-    refusal_check_end(context, FALSE);
+    liveness_check_done(context, FALSE);
 }
 
-static void refusal_check_failed(const char *reason, void *context) {
-    refusal_check_end(context, strcmp(reason, "refused") == 0);
+static void liveness_check_failed(const char *reason, void *context) {
+    wb_liveness_check_t *check = context;
+    gboolean refused_here = strcmp(reason, WB_CONNECT_REFUSED) == 0;
+    /* A node that may be cut off is refused by the network, too. */
+    gboolean may_be_cut_off = check->edge->doubt_since_ms != 0;
+    liveness_check_done(check, strcmp(reason, WB_CONNECT_REFUSED_BY_PEER) == 0 ||
+                                   (refused_here && !may_be_cut_off));
 }
 
 /* Returns the known engine of an incarnation, or NULL. */
@@ -254,15 +259,15 @@
     return is_same ? engine : NULL;
 }
 
-gboolean wb_edge_confirm_refused(const char *engine_id, void *context) {
-    static const wb_engine_connect_events_t events = {refusal_check_connected,
-                                                      refusal_check_failed};
+gboolean wb_edge_confirm_ended(const char *engine_id, void *context) {
+    static const wb_engine_connect_events_t events = {liveness_check_connected,
+                                                      liveness_check_failed};
     wb_edge_t *edge = context;
     wb_engine_t *engine = incarnation_find(edge, engine_id);
     if (engine == NULL) {
         return FALSE;
     }
-    wb_refusal_check_t *check = g_new0(wb_refusal_check_t, 1);
+    wb_liveness_check_t *check = g_new0(wb_liveness_check_t, 1);
     check->edge = edge;
     check->engine_id = g_strdup(engine_id);
     wb_engine_connect_start(edge, engine, "", &events, check);
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -390,8 +390,8 @@
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
 /** Look which requests with unframed responses their engines have completed. */
 void wb_edge_confirm_unframed_ends(wb_edge_t *edge, int64_t now_ms);
-/** As wb_crash_watch_events_t.confirm_refused. @param context the edge */
-gboolean wb_edge_confirm_refused(const char *engine_id, void *context);
+/** As wb_crash_watch_events_t.confirm_ended. @param context the edge */
+gboolean wb_edge_confirm_ended(const char *engine_id, void *context);
 /** As wb_crash_watch_events_t.on_crashed. @param context the edge */
 void wb_edge_engine_crashed(const char *engine_id, const GArray *requests, void *context);
 /** An engine has ended, though its connections may still be open: its requests are sent to other
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -121,8 +121,10 @@
     if (!tunnel->open) {
         if (options->on_result != NULL)
             options->on_result(tunnel->engine_id, FALSE, options->context);
-        tunnel_refuse(tunnel, how == WB_TCP_END_REFUSED ? WB_WIRE_TUNNEL_REFUSED
-                                                        : WB_WIRE_TUNNEL_UNREACHABLE);
+        gboolean in_doubt =
+            options->may_be_cut_off != NULL && options->may_be_cut_off(options->context);
+        tunnel_refuse(tunnel, how == WB_TCP_END_REFUSED && !in_doubt ? WB_WIRE_TUNNEL_REFUSED
+                                                                     : WB_WIRE_TUNNEL_UNREACHABLE);
         return;
     }
     engine_side_close(tunnel);
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -32,6 +32,9 @@
     /** Whether the engine may be connected to for another node now.
      * @return WB_WIRE_TUNNEL_CONNECTED, or why not */
     wb_wire_tunnel_result (*check)(const wb_wire_tunnel_open *question, void *context);
+    /** Whether this node may be cut off from engines: then a refused connection doesn't show that
+     * nothing listens there. May be NULL. */
+    gboolean (*may_be_cut_off)(void *context);
     /** The result of a connection attempt. May be NULL. */
     void (*on_result)(const char *engine, gboolean connected, void *context);
     void *context;
--- a/tests/unit/test_crash_watch.c
+++ b/tests/unit/test_crash_watch.c
@@ -5,6 +5,10 @@
 
 #include "wickbridge/tcp_stream.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #define SETTLE_MS 150
 
 typedef struct fixture_t {
@@ -17,6 +21,7 @@
     guint calls;
     guint requests;
     char *engine; /* last engine reported as crashed */
+    char *asked;  /* last engine that other nodes were to be asked about */
 } fixture_t;
 
 static void on_crashed(const char *engine_id, const GArray *requests, void *context) {
@@ -73,9 +78,27 @@
     }
     g_free(fixture->address);
     g_free(fixture->engine);
+    g_free(fixture->asked);
     g_free(fixture);
 }
 
+/* Opens a listener whose queue is full: further connections get no answer. */
+static int silent_listener_open(char **address) {
+    struct sockaddr_in name = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    socklen_t length = sizeof(name);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(listener, (struct sockaddr *)&name, sizeof(name)), ==, 0);
+    g_assert_cmpint(listen(listener, 0), ==, 0);
+    g_assert_cmpint(getsockname(listener, (struct sockaddr *)&name, &length), ==, 0);
+    for (int i = 0; i < 4; i++) {
+        int queued = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        connect(queued, (struct sockaddr *)&name, sizeof(name)); /* stays open */
+    }
+    g_free(*address);
+    *address = g_strdup_printf("127.0.0.1:%u", ntohs(name.sin_port));
+    return listener;
+}
+
 /* All requests that the engine aborted are reported after one connection check; later ones at once.
  */
 static void test_nobody_listens(void) {
@@ -144,9 +167,37 @@
     fixture_free(fixture);
 }
 
+static gboolean confirm_start(const char *engine_id, void *context) {
+    fixture_t *fixture = context;
+    g_free(fixture->asked);
+    fixture->asked = g_strdup(engine_id);
+    return TRUE;
+}
+
+/* A node that is cut off from engines learns of a crash by asking other nodes, not only when the
+ * engine's row goes, some seconds later. */
+static void test_silent_address_is_confirmed(void) {
+    fixture_t *fixture = fixture_create(FALSE);
+    int silent = silent_listener_open(&fixture->address);
+    wb_crash_watch_events_t events = {
+        .on_crashed = on_crashed, .confirm_ended = confirm_start, .context = fixture};
+    wb_crash_watch_free(fixture->watch);
+    fixture->watch =
+        wb_crash_watch_create(fixture->loop, &fixture->settings, &fixture->metrics, &events);
+    abort_request(fixture, "e1", 1);
+    fixture_run(fixture);
+    g_assert_cmpstr(fixture->asked, ==, "e1");
+    g_assert_cmpuint(fixture->calls, ==, 0);
+    wb_crash_watch_confirm(fixture->watch, "e1", TRUE);
+    g_assert_cmpuint(fixture->calls, ==, 1);
+    close(silent);
+    fixture_free(fixture);
+}
+
 static void tests_add(void) {
     g_test_add_func("/crash-watch/nobody-listens", test_nobody_listens);
     g_test_add_func("/crash-watch/somebody-listens", test_somebody_listens);
+    g_test_add_func("/crash-watch/silent-address-is-confirmed", test_silent_address_is_confirmed);
     g_test_add_func("/crash-watch/successor-announces-itself", test_successor_announces_itself);
     g_test_add_func("/crash-watch/row-goes", test_row_goes);
     g_test_add_func("/crash-watch/old-breaks-are-forgotten", test_old_breaks_are_forgotten);
