--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -381,12 +381,14 @@
     if (failure->sent) {
         wb_request_digest_format(wb_exchange_digest(exchange), digest);
     }
-    wb_event("send-broken",
-             ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\",\"sent\":%s,\"answer_begun\":%s,"
-             "\"digest\":\"%s\",\"ms\":%lld,\"running\":%u",
-             wb_event_escape(exchange->id), exchange->engine->state->id, failure->reason,
-             failure->sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
-             (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running);
+    wb_event(
+        "send-broken",
+        ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\",\"sent\":%s,\"answer_begun\":%s,"
+        "\"digest\":\"%s\",\"ms\":%lld,\"running\":%u,\"parts\":\"%s\"",
+        wb_event_escape(exchange->id), exchange->engine->state->id, failure->reason,
+        failure->sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
+        (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running,
+        wb_event_escape(wb_http_head_get(exchange->head, exchange->edge->dialect->prompt_parts)));
 }
 
 /* The engine became unavailable while the connection was being established. */
