--- a/standins/estate/engine.c
+++ b/standins/estate/engine.c
@@ -8,6 +8,8 @@
 
 /* The prefix of a body that crashes each engine that runs the request. */
 #define CRASH_TEXT "crash"
+/* The prefix of the id of a part that does so, anywhere in a prompt but at its end. */
+#define CRASH_PART "bad"
 #define CRASH_AFTER_MS 20
 #define INCOMPLETE_EVENT "id: 99\nda"
 /* A row that isn't renewed expires after this many heartbeat intervals. */
@@ -101,7 +103,8 @@
     wb_estate_engine_set_state_lines(engine, "");
     wb_estate_engine_set_backoff(engine, "");
     engine->sequence = 0;
-    json_array_clear(engine->models);
+    if (wb_estate_engine_option(engine, "keep_models", 0) == 0)
+        json_array_clear(engine->models);
     engine_open(engine);
 }
 
@@ -129,8 +132,11 @@
 }
 
 void wb_estate_engine_crash(wb_estate_engine_t *engine) {
-    json_array_append_new(engine->seen->crashes, json_pack("{s:s, s:I}", "engine", engine->id,
-                                                           "at_ms", (json_int_t)wb_clock_ms()));
+    json_array_append_new(engine->seen->crashes,
+                          json_pack("{s:s, s:s, s:I}", "engine", engine->id, "part",
+                                    engine->crash_part != NULL ? engine->crash_part : "", "at_ms",
+                                    (json_int_t)wb_clock_ms()));
+    g_clear_pointer(&engine->crash_part, g_free);
     wb_estate_engine_kill(engine);
 }
 
@@ -290,6 +296,18 @@
            memcmp(body->data, CRASH_TEXT, strlen(CRASH_TEXT)) == 0;
 }
 
+/* Returns the part of a prompt that crashes the engine, or NULL. */
+static char *crash_part_find(const wb_estate_engine_t *engine, const wb_http_head_t *head) {
+    const char *text = wb_http_head_get(head, "Prompt-Prefix");
+    if (engine->hardened || text == NULL)
+        return NULL;
+    g_auto(GStrv) parts = g_strsplit(text, ",", -1);
+    for (guint i = 0; parts[i] != NULL && parts[i + 1] != NULL; i++)
+        if (g_str_has_prefix(parts[i], CRASH_PART))
+            return g_strndup(parts[i], strcspn(parts[i], ":"));
+    return NULL;
+}
+
 static void run_begin(wb_estate_engine_t *engine, wb_http_connection_t *connection,
                       const wb_http_head_t *head, const GByteArray *body) {
     wb_estate_run_t *run = g_new0(wb_estate_run_t, 1);
@@ -378,9 +396,12 @@
             head_lines(run, "Response-Seal: seal\r\nContent-Type: text/event-stream\r\n");
         wb_http_connection_stream_begin(connection, 200, "OK", lines);
     }
-    if (body_crashes(engine, body)) {
-        if (engine->crash == NULL)
+    g_autofree char *part = crash_part_find(engine, head);
+    if (part != NULL || body_crashes(engine, body)) {
+        if (engine->crash == NULL) {
+            engine->crash_part = g_steal_pointer(&part);
             engine->crash = wb_loop_after(engine->loop, CRASH_AFTER_MS, crash_due, engine);
+        }
         return;
     }
     run->timer = wb_loop_after(engine->loop, wb_estate_engine_option(engine, "work_ms", 5),
--- a/standins/estate/engine_internal.h
+++ b/standins/estate/engine_internal.h
@@ -22,6 +22,7 @@
     int64_t started_ms; /* start of this incarnation, Unix ms */
     unsigned port;      /* 0: chosen by the system */
     wb_timer_t *crash;
+    char *crash_part; /* the part of a prompt that causes the pending crash; NULL: none */
     wb_timer_t *restart;
     json_t *options; /* service, zone, version (of its software; its events name it), models, slots,
                         port, announce_port, beat_ms (heartbeat interval), back_ms (from crash to
@@ -30,8 +31,9 @@
                         model_mb, room (requests at once, beyond which it rejects; 0: any number),
                         brittle (rejections in a second that it survives, and says so; 0: it isn't
                         brittle), adapter_slots, unframed (1: its streams have neither length nor
-                        chunks), same_id (1: it restarts under its id), quiet (1: it writes no row);
-                        set by functions: pace, pace_told, rest, state_lines */
+                        chunks), same_id (1: it restarts under its id), keep_models (1: and with its
+                        models), quiet (1: it writes no row); set by functions: pace, pace_told,
+                        rest, state_lines */
     json_t *models;  /* [{name, version, adapters}] */
     int64_t sequence;
     int64_t heartbeats;
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -25,7 +25,8 @@
     json_t *arrivals;
     /** {"engine","holder","token","operation","model","adapter","status","at_ms"} */
     json_t *orders;
-    /** {"engine","at_ms"}: engines that crashed under a request or a load */
+    /** {"engine","part","at_ms"}: engines that crashed under a request or a load; part: the part of
+     * its prompt that caused it; "": it was something else */
     json_t *crashes;
     /** {"engine","at_ms"}: brittle engines that fell over as they rejected too much */
     json_t *falls;
@@ -62,8 +63,9 @@
  * (connection aborted). @param delay_ms delay before a transaction is applied and answered */
 void wb_estate_store_set_fault(wb_estate_store_t *store, const char *fault, int64_t delay_ms);
 
-/* engine.c. A request whose body begins with "crash" crashes the engine that runs it. The engine
- * restarts `back_ms` later at the same address, without models, under a new id (NAME.2, NAME.3,
+/* engine.c. A request whose body begins with "crash", or with a part of the prompt, but for the
+ * last one, whose id begins with "bad", crashes the engine that runs it. The engine restarts
+ * `back_ms` later at the same address, without models, under a new id (NAME.2, NAME.3,
  * ...) or, with the option `same_id`, under its old one. */
 /** Start an engine. @param options see wb_estate_engine_t in engine_internal.h; a reference is kept
  */
