--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -38,6 +38,7 @@
     uint64_t attempts_withdrawn;  /**< attempts cancelled before the first byte was sent, as the
                                   engine had meanwhile reported a limit, draining or a backoff */
     uint64_t engine_checks;       /**< connections made to find out whether an engine has crashed */
+    uint64_t part_refusals;       /**< requests refused for a part of their prompts */
     uint64_t engine_crashes;      /**< engines found to have crashed while running requests */
     uint64_t engine_restarts;     /**< new incarnations of known engine ids */
     uint64_t engine_rows_refused; /**< invalid rows of the engines table */
@@ -110,6 +111,7 @@
     unsigned open_tunnels;         /**< connections to engines open for other nodes */
     unsigned nodes_of_other_forms; /**< nodes with another version of the message format */
     unsigned suspected_requests;   /**< distinct requests suspected of crashing engines */
+    unsigned poison_parts;         /**< parts of prompts refused for crashing engines */
     unsigned poison_requests;      /**< distinct requests refused for crashing engines */
     gboolean holds_lease;
     uint64_t lease_token; /**< token of this node's last lease */
--- a/src/ctl/commands_node.c
+++ b/src/ctl/commands_node.c
@@ -231,14 +231,19 @@
 }
 
 static void poison_print(const json_t *request) {
-    printf("%s %-9s %lld engines ended under it, body of %lld bytes, for %lld s more\n",
+    gboolean is_part = strcmp(wb_json_text(request, "kind", "request"), "part") == 0;
+    g_autofree char *what =
+        is_part ? g_strdup("part of prompts")
+                : g_strdup_printf("body of %lld bytes",
+                                  (long long)wb_json_integer(request, "body_bytes", 0));
+    printf("%s %-9s %lld engines ended under it, %s, for %lld s more\n",
            wb_json_text(request, "digest", "?"), wb_json_text(request, "state", "?"),
-           (long long)wb_json_integer(request, "engines", 0),
-           (long long)wb_json_integer(request, "body_bytes", 0),
+           (long long)wb_json_integer(request, "engines", 0), what,
            (long long)wb_json_integer(request, "left_ms", 0) / 1000);
 }
 
-/* Clears the record of a request that crashed engines, so that it is served again. */
+/* Clears the record of a request, or a part of prompts, that crashed engines, so that it is served
+ * again. */
 static int poison_forgive(const ctl_options_t *options, const char *digest) {
     g_autofree char *escaped = g_uri_escape_string(digest, NULL, FALSE);
     g_autofree char *path = g_strconcat("/operators/v1/poison/forgive?digest=", escaped, NULL);
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -200,6 +200,7 @@
     wb_crash_watch_sweep(node->edge.crashes, now_ms);
     wb_edge_node_sweep_streams(node, now_ms);
     wb_poison_registry_sweep(node->edge.poison, now_ms);
+    wb_part_registry_sweep(node->edge.parts, now_ms);
     wb_pace_aggregate_sweep(node->own_pace_aggregate, now_ms);
 }
 
@@ -231,6 +232,7 @@
     wb_poison_options_t poison = {(int64_t)(settings->poison_kept_s * 1000),
                                   (int64_t)(settings->poison_trial_s * 1000)};
     edge->poison = wb_poison_registry_create(&poison);
+    edge->parts = wb_part_registry_create(&poison, edge->poison);
     edge->served = wb_served_set_create();
     edge->unframed_ends = wb_unframed_ends_create();
     edge->stream_starts = wb_stream_starts_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -66,6 +66,12 @@
     wb_subscription_t *subscription; /* engine rows it subscribed to on this link; or NULL */
 } wb_gateway_t;
 
+/** Versions of the registries of what crashes engines. */
+typedef struct wb_poison_versions_t {
+    uint64_t requests;
+    uint64_t parts;
+} wb_poison_versions_t;
+
 struct wb_edge_node_t {
     wb_edge_t edge;
     wb_table_t *table;
@@ -132,11 +138,11 @@
     wb_pace_aggregate_t *own_pace_aggregate;
     gboolean pace_aggregator; /* as of the last tick */
     int64_t pace_logged_ms;
-    int64_t pace_sent_ms;         /* when this node last sent engine loads */
-    int64_t pace_received_ms;     /* when engine loads were last received */
-    uint64_t poison_sent_version; /* poison registry version last sent */
-    gboolean poison_aggregator;   /* as of the last tick */
-    gboolean states_sent;         /* all engine-reported state was sent on controller_link */
+    int64_t pace_sent_ms;             /* when this node last sent engine loads */
+    int64_t pace_received_ms;         /* when engine loads were last received */
+    wb_poison_versions_t poison_sent; /* last sent */
+    gboolean poison_aggregator;       /* as of the last tick */
+    gboolean states_sent;             /* all engine-reported state was sent on controller_link */
     wb_version_history_t *versions;
     gboolean versions_taken;    /* the lease row was read, which has those of earlier processes */
     int64_t streams_since_ms;   /* since when it keeps the starts of all streams, as the aggregator;
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -61,6 +61,7 @@
         .open_tunnels =
             node->tunnel_server != NULL ? wb_tunnel_server_count(node->tunnel_server) : 0,
         .suspected_requests = wb_poison_registry_count(edge->poison, WB_POISON_SUSPECT),
+        .poison_parts = wb_part_registry_refused_count(edge->parts, wb_clock_ms()),
         .poison_requests = wb_poison_registry_count(edge->poison, WB_POISON_REFUSED),
         .holds_lease = node->lease_held,
         .lease_token = wb_lease_token(node->lease),
@@ -217,28 +218,42 @@
     json_respond(connection, 200, json_pack("{s:o}", "tenants", tenants));
 }
 
-static json_t *poison_json(const wb_poison_entry_t *entry) {
+/* @param kind "request", or "part" of a prompt */
+static json_t *poison_json(const wb_poison_entry_t *entry, const char *kind,
+                           wb_poison_state_t state) {
     static const char *const states[] = {"forgiven", "suspected", "refused"};
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
-    return json_pack(
-        "{s:s, s:s, s:i, s:I, s:I}", "digest", wb_request_digest_format(&entry->digest, digest),
-        "state", states[wb_poison_entry_state(entry)], "engines",
-        (int)wb_poison_entry_engines(entry), "body_bytes", (json_int_t)entry->body_bytes, "left_ms",
-        (json_int_t)MAX(entry->until_ms - wb_clock_ms(), 0));
+    return json_pack("{s:s, s:s, s:s, s:i, s:I, s:I}", "digest",
+                     wb_request_digest_format(&entry->digest, digest), "kind", kind, "state",
+                     states[state], "engines", (int)wb_poison_entry_engines(entry), "body_bytes",
+                     (json_int_t)entry->body_bytes, "left_ms",
+                     (json_int_t)MAX(entry->until_ms - wb_clock_ms(), 0));
 }
 
-/* Poison and suspected requests that this node knows, newest first. */
+/* Poison and suspected requests and parts of prompts that this node knows, newest first. Parts that
+ * other parts explain are left out. */
 static void poison_show(wb_edge_node_t *node, wb_http_connection_t *connection, const char *query) {
     (void)query;
+    const wb_edge_t *edge = &node->edge;
     json_t *requests = json_array();
-    WB_LIST_EACH(item, wb_poison_registry_entries(node->edge.poison)) {
-        json_array_append_new(requests, poison_json(WB_LIST_OF(item, wb_poison_entry_t, item)));
+    WB_LIST_EACH(item, wb_poison_registry_entries(edge->poison)) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        json_array_append_new(requests,
+                              poison_json(entry, "request", wb_poison_entry_state(entry)));
+    }
+    WB_LIST_EACH(item, wb_poison_registry_entries(wb_part_registry_crashes(edge->parts))) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        wb_poison_state_t state =
+            wb_part_registry_state(edge->parts, &entry->digest, wb_clock_ms());
+        if (state != WB_POISON_NONE) {
+            json_array_append_new(requests, poison_json(entry, "part", state));
+        }
     }
     json_respond(connection, 200, json_pack("{s:o}", "requests", requests));
 }
 
-/* Clears a request's crashes on behalf of an operator, for example after a fix of the engines.
- */
+/* Clears the crashes of a request or a part on behalf of an operator, for example after a fix of
+ * the engines. */
 static void poison_clear(wb_edge_node_t *node, wb_http_connection_t *connection,
                          const char *query) {
     static const char member[] = "digest=";
@@ -248,8 +263,10 @@
         error_respond(connection, 400, "say ?digest= and 32 hexadecimal digits");
         return;
     }
-    if (!wb_poison_registry_clear_crashes(node->edge.poison, &digest)) {
-        error_respond(connection, 404, "nothing is held against this request here");
+    wb_poison_registry_t *parts = wb_part_registry_crashes(node->edge.parts);
+    if (!wb_poison_registry_clear_crashes(node->edge.poison, &digest) &&
+        !wb_poison_registry_clear_crashes(parts, &digest)) {
+        error_respond(connection, 404, "nothing is held against this request or part here");
         return;
     }
     wb_event("request-forgiven",
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -1,11 +1,10 @@
-/* Poison requests (those that crash engines): shares them between nodes and keeps them over
- * restarts.
- * A node that sees an engine crash under a request sends the entry to the aggregator. That sends
- * entries of WB_POISON_SYNC_ENGINES engines and more to all gateways, and the lease holder appends
- * them to the lease row: they survive the loss of all nodes, at no additional store call, as the
- * lease is renewed anyway. A new aggregator receives all entries from every gateway, so none are
- * lost while the store is unavailable.
- * Remaining lifetimes are sent in ms. Malformed entries in the lease row are logged and ignored. */
+/* Poison requests, and parts of prompts, that crash engines: shares them between nodes and keeps
+ * them over restarts. A node that sees an engine crash under a request sends the entry to the
+ * aggregator. That sends entries of WB_POISON_SYNC_ENGINES engines and more to all gateways, and
+ * the lease holder appends them to the lease row: they survive the loss of all nodes, at no
+ * additional store call, as the lease is renewed anyway. A new aggregator receives all entries from
+ * every gateway, so none are lost while the store is unavailable. Remaining lifetimes are sent in
+ * ms. Malformed entries in the lease row are logged and ignored. */
 #include "edge/edge_node_types.h"
 
 #include <stdlib.h>
@@ -14,6 +13,9 @@
 /* The maximum of the setting poison-kept-s. */
 #define LEFT_MAX_MS (24 * 3600 * 1000U)
 
+/* Parts in the lease row. */
+#define ROW_PARTS_MAX 64
+
 G_STATIC_ASSERT(WB_WIRE_DIGEST_BYTES == WB_REQUEST_DIGEST_BYTES);
 G_STATIC_ASSERT(WB_WIRE_POISON_ENGINES == WB_POISON_ENGINES_KEPT);
 
@@ -38,23 +40,38 @@
     return entry;
 }
 
-/* Returns the entries that changed after a version of the registry and concern at least min_engines
- * engines; to be freed with xdr_free. */
-static wb_wire_poison entries_collect(const wb_edge_node_t *node, uint64_t since,
-                                      guint min_engines) {
+/* Appends the entries that changed after a version of the registry and concern at least min_engines
+ * engines. */
+static void entries_add(const wb_poison_registry_t *registry, uint64_t since, guint min_engines,
+                        wb_wire_poison *wire) {
     int64_t now_ms = wb_clock_ms();
-    const wb_list_t *entries = wb_poison_registry_entries(node->edge.poison);
-    wb_wire_poison wire = {{0, calloc(MAX(entries->len, 1), sizeof(wb_wire_poison_entry))}};
+    const wb_list_t *entries = wb_poison_registry_entries(registry);
+    wire->entries.entries_val =
+        realloc(wire->entries.entries_val,
+                (wire->entries.entries_len + entries->len + 1) * sizeof(wb_wire_poison_entry));
     WB_LIST_EACH(item, entries) {
         const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
         if (entry->changed > since && entry->engine_count >= min_engines) {
-            wire.entries.entries_val[wire.entries.entries_len++] = entry_to_wire(entry, now_ms);
+            wire->entries.entries_val[wire->entries.entries_len++] = entry_to_wire(entry, now_ms);
         }
     }
+}
+
+static const wb_poison_registry_t *part_crashes(const wb_edge_node_t *node) {
+    return wb_part_registry_crashes(node->edge.parts);
+}
+
+/* Returns what changed after these versions of the registries; to be freed with xdr_free. */
+static wb_wire_poison entries_collect(const wb_edge_node_t *node, const wb_poison_versions_t *since,
+                                      guint min_engines) {
+    wb_wire_poison wire = {{0, NULL}};
+    entries_add(node->edge.poison, since->requests, min_engines, &wire);
+    entries_add(part_crashes(node), since->parts, min_engines, &wire);
     return wire;
 }
 
-static void entries_send(wb_edge_node_t *node, wb_link_t *link, uint64_t since, guint min_engines) {
+static void entries_send(wb_edge_node_t *node, wb_link_t *link, const wb_poison_versions_t *since,
+                         guint min_engines) {
     wb_wire_message message = {.kind = WB_WIRE_POISON};
     message.wb_wire_message_u.poison = entries_collect(node, since, min_engines);
     if (message.wb_wire_message_u.poison.entries.entries_len > 0) {
@@ -67,17 +84,22 @@
     wb_message_clear(&message);
 }
 
+static wb_poison_versions_t current_versions(const wb_edge_node_t *node) {
+    return (wb_poison_versions_t){wb_poison_registry_version(node->edge.poison),
+                                  wb_poison_registry_version(part_crashes(node))};
+}
+
 /* Sends the changes since the last call: to all gateways, or to the aggregator. */
 static void changes_send(wb_edge_node_t *node) {
-    uint64_t version = wb_poison_registry_version(node->edge.poison);
+    wb_poison_versions_t versions = current_versions(node);
     if (wb_edge_node_is_aggregator(node)) {
-        entries_send(node, NULL, node->poison_sent_version, WB_POISON_SYNC_ENGINES);
+        entries_send(node, NULL, &node->poison_sent, WB_POISON_SYNC_ENGINES);
     } else if (node->controller_link_open) {
-        entries_send(node, node->controller_link, node->poison_sent_version, 1);
+        entries_send(node, node->controller_link, &node->poison_sent, 1);
     } else {
         return; /* all entries are sent once the link is open */
     }
-    node->poison_sent_version = version;
+    node->poison_sent = versions;
 }
 
 void wb_edge_node_poison_changed(void *context) {
@@ -85,34 +107,46 @@
 }
 
 void wb_edge_node_poison_link_open(wb_edge_node_t *node) {
-    node->poison_sent_version = 0;
+    node->poison_sent = (wb_poison_versions_t){0};
     changes_send(node);
 }
 
 void wb_edge_node_poison_gateway_open(wb_edge_node_t *node, wb_link_t *link) {
     if (wb_edge_node_is_aggregator(node)) {
-        entries_send(node, link, 0, WB_POISON_SYNC_ENGINES);
+        entries_send(node, link, &(wb_poison_versions_t){0}, WB_POISON_SYNC_ENGINES);
     }
 }
 
 void wb_edge_node_tick_poison(wb_edge_node_t *node) {
     gboolean aggregator = wb_edge_node_is_aggregator(node);
     if (aggregator && !node->poison_aggregator) {
-        node->poison_sent_version = 0;
+        node->poison_sent = (wb_poison_versions_t){0};
         changes_send(node);
     }
     node->poison_aggregator = aggregator;
     node->edge.runs_poison_trials = aggregator;
 }
 
-/* Returns TRUE when an entry was new or changed. */
-static gboolean entries_merge(wb_edge_node_t *node, const wb_wire_poison *poison, int64_t now_ms) {
-    gboolean changed = FALSE;
+/* Result of a merge of entries. */
+typedef struct wb_entries_merged_t {
+    gboolean changed;
+    gboolean cleared; /* some of them by what was served here */
+} wb_entries_merged_t;
+
+static wb_entries_merged_t entries_merge(wb_edge_node_t *node, const wb_wire_poison *poison,
+                                         int64_t now_ms) {
+    wb_entries_merged_t merged = {FALSE, FALSE};
     for (guint i = 0; i < poison->entries.entries_len; i++) {
         wb_poison_entry_t entry = entry_from_wire(&poison->entries.entries_val[i], now_ms);
-        changed = wb_poison_registry_merge(node->edge.poison, &entry) || changed;
+        if (entry.body_bytes == WB_PART_BODY_BYTES) {
+            wb_part_merge_t result = wb_edge_part_merge(&node->edge, &entry);
+            merged.changed |= result != WB_PART_MERGE_NOTHING;
+            merged.cleared |= result == WB_PART_MERGE_CLEARED;
+        } else {
+            merged.changed |= wb_poison_registry_merge(node->edge.poison, &entry);
+        }
     }
-    return changed;
+    return merged;
 }
 
 static void served_clear_log(const wb_poison_entry_t *entry) {
@@ -139,21 +173,42 @@
 
 void wb_edge_node_poison_take(wb_edge_node_t *node, const wb_wire_poison *poison) {
     int64_t now_ms = wb_clock_ms();
-    if (!entries_merge(node, poison, now_ms)) {
+    wb_entries_merged_t merged = entries_merge(node, poison, now_ms);
+    if (!merged.changed) {
         return;
     }
-    gboolean cleared = served_clear(node, now_ms);
-    if (cleared || wb_edge_node_is_aggregator(node)) {
+    merged.cleared |= served_clear(node, now_ms);
+    if (merged.cleared || wb_edge_node_is_aggregator(node)) {
         changes_send(node);
     } else if (node->controller_link_open) {
         /* The aggregator has just sent these entries. */
-        node->poison_sent_version = wb_poison_registry_version(node->edge.poison);
+        node->poison_sent = current_versions(node);
     }
     wb_exchanges_refuse_poison(&node->edge);
 }
 
+/* Appends parts that are suspected or refused: few, unlike those whose crashes others explain. */
+static void suspect_parts_add(const wb_edge_node_t *node, wb_wire_poison *wire) {
+    int64_t now_ms = wb_clock_ms();
+    const wb_list_t *entries = wb_poison_registry_entries(part_crashes(node));
+    unsigned count = 0;
+    wire->entries.entries_val =
+        realloc(wire->entries.entries_val,
+                (wire->entries.entries_len + ROW_PARTS_MAX) * sizeof(wb_wire_poison_entry));
+    WB_LIST_EACH(item, entries) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (count < ROW_PARTS_MAX &&
+            wb_part_registry_state(node->edge.parts, &entry->digest, now_ms) != WB_POISON_NONE) {
+            wire->entries.entries_val[wire->entries.entries_len++] = entry_to_wire(entry, now_ms);
+            count++;
+        }
+    }
+}
+
 u_int wb_edge_node_poison_write(const wb_edge_node_t *node, char *bytes, u_int room) {
-    wb_wire_poison wire = entries_collect(node, 0, WB_POISON_SYNC_ENGINES);
+    wb_wire_poison wire = {{0, NULL}};
+    entries_add(node->edge.poison, 0, WB_POISON_SYNC_ENGINES, &wire);
+    suspect_parts_add(node, &wire);
     XDR stream;
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
     gboolean encoded = xdr_wb_wire_poison(&stream, &wire);
--- /dev/null
+++ b/src/poison/part_registry.c
@@ -0,0 +1,194 @@
+/* Registry of parts of prompts that crash engines. */
+#include "poison/part_registry.h"
+
+#include "poison/served_set.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct wb_part_registry_t {
+    const wb_poison_registry_t *requests;
+    wb_poison_registry_t *crashes;
+    wb_served_set_t *completed;
+    int64_t trial_ms;
+    int64_t next_trial_ms;
+};
+
+G_STATIC_ASSERT(sizeof(XXH128_canonical_t) == WB_REQUEST_DIGEST_BYTES);
+
+wb_part_registry_t *wb_part_registry_create(const wb_poison_options_t *options,
+                                            const wb_poison_registry_t *requests) {
+    wb_part_registry_t *registry = g_new0(wb_part_registry_t, 1);
+    wb_poison_options_t crashes = {.retention_ms = options->retention_ms,
+                                   .entries_max = WB_PART_ENTRIES,
+                                   .engines = WB_PART_ENGINES};
+    registry->crashes = wb_poison_registry_create(&crashes);
+    registry->requests = requests;
+    registry->completed = wb_served_set_create();
+    registry->trial_ms = options->trial_ms > 0 ? options->trial_ms : WB_POISON_TRIAL_MS;
+    return registry;
+}
+
+void wb_part_registry_free(wb_part_registry_t *registry) {
+    wb_poison_registry_free(registry->crashes);
+    wb_served_set_free(registry->completed);
+    g_free(registry);
+}
+
+wb_request_digest_t wb_part_key(const char *id) {
+    XXH128_canonical_t canonical;
+    wb_request_digest_t key;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits(id, strlen(id)));
+    memcpy(key.bytes, canonical.digest, sizeof(key.bytes));
+    return key;
+}
+
+gboolean wb_part_registry_add_crash(wb_part_registry_t *registry, const wb_request_digest_t *key,
+                                    uint64_t engine, int64_t aborted_ms) {
+    return wb_served_set_last_ms(registry->completed, key) <= aborted_ms &&
+           wb_poison_registry_add_crash(registry->crashes, key, WB_PART_BODY_BYTES, engine,
+                                        aborted_ms);
+}
+
+gboolean wb_part_registry_note_completed(wb_part_registry_t *registry,
+                                         const wb_request_digest_t *key, int64_t now_ms) {
+    wb_served_set_add(registry->completed, key, now_ms);
+    return wb_poison_registry_clear_crashes(registry->crashes, key);
+}
+
+wb_part_merge_t wb_part_registry_merge(wb_part_registry_t *registry,
+                                       const wb_poison_entry_t *received) {
+    if (!wb_poison_registry_merge(registry->crashes, received)) {
+        return WB_PART_MERGE_NOTHING;
+    }
+    const wb_poison_entry_t *entry = wb_poison_registry_find(registry->crashes, &received->digest);
+    gboolean completed_since =
+        wb_served_set_last_ms(registry->completed, &received->digest) > entry->crashed_ms;
+    return completed_since && wb_poison_registry_clear_crashes(registry->crashes, &received->digest)
+               ? WB_PART_MERGE_CLEARED
+               : WB_PART_MERGE_CHANGED;
+}
+
+/* Whether the other part is more likely to be the cause of crashes that both have. */
+static gboolean is_likelier(const wb_part_registry_t *registry, const wb_poison_entry_t *other,
+                            const wb_poison_entry_t *entry) {
+    guint others = wb_poison_entry_engines(other);
+    guint own = wb_poison_entry_engines(entry);
+    if (others != own) {
+        return others > own;
+    }
+    return wb_served_set_last_ms(registry->completed, &other->digest) <
+           wb_served_set_last_ms(registry->completed, &entry->digest);
+}
+
+/* Whether the engine crashed under a request that has nearly as many crashes as the part. */
+static gboolean has_request_crashed(const wb_part_registry_t *registry,
+                                    const wb_poison_entry_t *entry, uint64_t engine) {
+    WB_LIST_EACH(item, wb_poison_registry_entries(registry->requests)) {
+        const wb_poison_entry_t *request = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (wb_poison_entry_engines(request) >= WB_PART_SUSPECT_ENGINES &&
+            wb_poison_entry_engines(request) + 1 >= wb_poison_entry_engines(entry) &&
+            wb_poison_entry_has_crash(request, engine)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Whether the crash of an engine, which isn't cleared for this part, has a likelier cause. */
+static gboolean engine_is_explained(const wb_part_registry_t *registry,
+                                    const wb_poison_entry_t *entry, uint64_t engine) {
+    if (has_request_crashed(registry, entry, engine)) {
+        return TRUE;
+    }
+    WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
+        const wb_poison_entry_t *other = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (other != entry && wb_poison_entry_has_crash(other, engine) &&
+            is_likelier(registry, other, entry)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Whether all crashes under a part but one have likelier causes; for one there may be no record. */
+static gboolean is_explained(const wb_part_registry_t *registry, const wb_poison_entry_t *entry) {
+    guint explained = 0;
+    for (guint i = 0; i < entry->engine_count; i++) {
+        explained += wb_poison_entry_has_crash(entry, entry->engines[i]) &&
+                     engine_is_explained(registry, entry, entry->engines[i]);
+    }
+    return explained + 1 >= wb_poison_entry_engines(entry);
+}
+
+/* Whether another part has just the same crashes, and nothing tells which one is their cause. */
+static gboolean is_tied(const wb_part_registry_t *registry, const wb_poison_entry_t *entry) {
+    guint own = wb_poison_entry_engines(entry);
+    WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
+        const wb_poison_entry_t *other = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (other != entry && wb_poison_entry_engines(other) == own &&
+            wb_poison_entry_common_engines(entry, other) == own &&
+            !is_likelier(registry, entry, other)) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+static wb_poison_state_t entry_state(const wb_part_registry_t *registry,
+                                     const wb_poison_entry_t *entry, int64_t now_ms) {
+    guint engines = entry != NULL ? wb_poison_entry_engines(entry) : 0;
+    if (engines < WB_PART_SUSPECT_ENGINES || is_explained(registry, entry)) {
+        return WB_POISON_NONE;
+    }
+    gboolean is_refused = engines >= WB_PART_ENGINES &&
+                          now_ms - entry->since_ms >= WB_PART_CONFIRM_MS &&
+                          (engines >= WB_PART_TIE_ENGINES || !is_tied(registry, entry));
+    return is_refused ? WB_POISON_REFUSED : WB_POISON_SUSPECT;
+}
+
+wb_poison_state_t wb_part_registry_state(const wb_part_registry_t *registry,
+                                         const wb_request_digest_t *key, int64_t now_ms) {
+    return entry_state(registry, wb_poison_registry_find(registry->crashes, key), now_ms);
+}
+
+unsigned wb_part_registry_refused_count(const wb_part_registry_t *registry, int64_t now_ms) {
+    unsigned count = 0;
+    WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        count += entry_state(registry, entry, now_ms) == WB_POISON_REFUSED;
+    }
+    return count;
+}
+
+gboolean wb_part_registry_take_trial(wb_part_registry_t *registry, const wb_request_digest_t *key,
+                                     int64_t now_ms) {
+    const wb_poison_entry_t *entry = wb_poison_registry_find(registry->crashes, key);
+    if (entry_state(registry, entry, now_ms) != WB_POISON_REFUSED ||
+        now_ms < registry->next_trial_ms) {
+        return FALSE;
+    }
+    guint engines = wb_poison_entry_engines(entry);
+    int64_t delay_ms = registry->trial_ms;
+    for (guint i = WB_PART_ENGINES; i < engines; i++) {
+        delay_ms *= WB_POISON_TRIAL_FACTOR;
+    }
+    if (engines >= WB_PART_TRIALS_END || now_ms - entry->crashed_ms < delay_ms) {
+        return FALSE;
+    }
+    registry->next_trial_ms = now_ms + registry->trial_ms;
+    return TRUE;
+}
+
+gboolean wb_part_registry_note_refused(wb_part_registry_t *registry, const wb_request_digest_t *key,
+                                       int64_t now_ms) {
+    return wb_poison_registry_renew(registry->crashes, key, now_ms);
+}
+
+void wb_part_registry_sweep(wb_part_registry_t *registry, int64_t now_ms) {
+    wb_poison_registry_sweep(registry->crashes, now_ms);
+}
+
+wb_poison_registry_t *wb_part_registry_crashes(const wb_part_registry_t *registry) {
+    return registry->crashes;
+}
--- a/src/poison/poison_registry.c
+++ b/src/poison/poison_registry.c
@@ -7,19 +7,38 @@
 /* Trials up to which the delay between trials grows: 4^8 minutes are 45 days. */
 #define TRIALS_MAX 8
 
+/* An expiry that is later by this share of the retention was renewed, so others are told. */
+#define RENEWAL_SHARE 4
+
 struct wb_poison_registry_t {
     wb_poison_options_t options;
     wb_list_t entries; /* of wb_poison_entry_t, newest first */
+    GHashTable *index; /* digest -> wb_poison_entry_t */
     uint64_t version;
     int64_t next_trial_ms;
 };
 
+/* The first bytes of a digest are uniformly distributed. */
+static guint digest_hash(gconstpointer digest) {
+    guint hash;
+    memcpy(&hash, ((const wb_request_digest_t *)digest)->bytes, sizeof(hash));
+    return hash;
+}
+
+static gboolean digest_equal(gconstpointer left, gconstpointer right) {
+    return wb_request_digest_equal(left, right);
+}
+
 wb_poison_registry_t *wb_poison_registry_create(const wb_poison_options_t *options) {
     wb_poison_registry_t *registry = g_new0(wb_poison_registry_t, 1);
     registry->options.retention_ms =
         options->retention_ms > 0 ? options->retention_ms : WB_POISON_RETENTION_MS;
     registry->options.trial_ms = options->trial_ms > 0 ? options->trial_ms : WB_POISON_TRIAL_MS;
+    registry->options.entries_max =
+        options->entries_max > 0 ? options->entries_max : WB_POISON_ENTRIES;
+    registry->options.engines = options->engines > 0 ? options->engines : WB_POISON_ENGINES;
     wb_list_init(&registry->entries);
+    registry->index = g_hash_table_new(digest_hash, digest_equal);
     registry->version = 1;
     return registry;
 }
@@ -29,6 +48,7 @@
 }
 
 static void entry_remove(wb_poison_registry_t *registry, wb_poison_entry_t *entry) {
+    g_hash_table_remove(registry->index, &entry->digest);
     wb_list_remove(&registry->entries, &entry->item);
     g_free(entry);
 }
@@ -38,6 +58,7 @@
     while ((item = wb_list_pop(&registry->entries)) != NULL) {
         g_free(entry_of(item));
     }
+    g_hash_table_unref(registry->index);
     g_free(registry);
 }
 
@@ -59,13 +80,7 @@
 
 static wb_poison_entry_t *entry_find(const wb_poison_registry_t *registry,
                                      const wb_request_digest_t *digest) {
-    WB_LIST_EACH(item, &registry->entries) {
-        wb_poison_entry_t *entry = entry_of(item);
-        if (wb_request_digest_equal(&entry->digest, digest)) {
-            return entry;
-        }
-    }
-    return NULL;
+    return g_hash_table_lookup(registry->index, digest);
 }
 
 /* Returns the entry to evict: the one with the fewest engines, of those the first to expire. */
@@ -85,13 +100,14 @@
 
 static wb_poison_entry_t *entry_add(wb_poison_registry_t *registry,
                                     const wb_request_digest_t *digest, uint32_t body_bytes) {
-    if (registry->entries.len >= WB_POISON_ENTRIES) {
+    if (registry->entries.len >= registry->options.entries_max) {
         entry_remove(registry, entry_evictable(registry));
     }
     wb_poison_entry_t *entry = g_new0(wb_poison_entry_t, 1);
     entry->digest = *digest;
     entry->body_bytes = body_bytes;
     wb_list_add_head(&registry->entries, &entry->item);
+    g_hash_table_insert(registry->index, &entry->digest, entry);
     return entry;
 }
 
@@ -104,6 +120,11 @@
     return index;
 }
 
+gboolean wb_poison_entry_has_crash(const wb_poison_entry_t *entry, uint64_t engine) {
+    guint index = engine_index(entry, engine);
+    return index < entry->engine_count && (entry->forgiven & (1U << index)) == 0;
+}
+
 /* Makes room for one more engine; in a full entry a cleared one is removed. Returns FALSE when
  * there is none. */
 static gboolean engine_make_room(wb_poison_entry_t *entry) {
@@ -141,6 +162,15 @@
     return TRUE;
 }
 
+/* Its crashes have changed. */
+static void since_update(wb_poison_entry_t *entry) {
+    if (wb_poison_entry_engines(entry) == 0) {
+        entry->since_ms = 0;
+    } else if (entry->since_ms == 0) {
+        entry->since_ms = entry->crashed_ms;
+    }
+}
+
 gboolean wb_poison_registry_add_crash(wb_poison_registry_t *registry,
                                       const wb_request_digest_t *digest, uint32_t body_bytes,
                                       uint64_t engine, int64_t now_ms) {
@@ -152,6 +182,8 @@
         return FALSE;
     }
     entry->until_ms = now_ms + registry->options.retention_ms;
+    entry->crashed_ms = MAX(entry->crashed_ms, now_ms);
+    since_update(entry);
     entry_mark_changed(registry, entry);
     return TRUE;
 }
@@ -163,6 +195,18 @@
         return FALSE;
     }
     entry->forgiven = (1U << entry->engine_count) - 1;
+    since_update(entry);
+    entry_mark_changed(registry, entry);
+    return TRUE;
+}
+
+gboolean wb_poison_registry_renew(wb_poison_registry_t *registry, const wb_request_digest_t *digest,
+                                  int64_t now_ms) {
+    wb_poison_entry_t *entry = entry_find(registry, digest);
+    if (entry == NULL || entry->until_ms - now_ms >= registry->options.retention_ms / 2) {
+        return FALSE;
+    }
+    entry->until_ms = now_ms + registry->options.retention_ms;
     entry_mark_changed(registry, entry);
     return TRUE;
 }
@@ -178,7 +222,15 @@
         gboolean cleared = (received->forgiven & (1U << i)) != 0;
         changed = engine_add(entry, received->engines[i], cleared) || changed;
     }
+    if (changed) {
+        entry->crashed_ms =
+            MAX(entry->crashed_ms, received->until_ms - registry->options.retention_ms);
+    }
+    gboolean renewed =
+        received->until_ms - entry->until_ms >= registry->options.retention_ms / RENEWAL_SHARE;
+    changed |= renewed;
     entry->until_ms = MAX(entry->until_ms, received->until_ms);
+    since_update(entry);
     if (changed) {
         entry_mark_changed(registry, entry);
     }
@@ -223,14 +275,12 @@
     return registry->version;
 }
 
-/* Returns the number of engines that crashed under both requests and aren't cleared. */
-static guint common_engines(const wb_poison_entry_t *left, const wb_poison_entry_t *right) {
+guint wb_poison_entry_common_engines(const wb_poison_entry_t *left,
+                                     const wb_poison_entry_t *right) {
     guint common = 0;
     for (guint i = 0; i < left->engine_count; i++) {
-        guint index = engine_index(right, left->engines[i]);
-        gboolean both = index < right->engine_count && (left->forgiven & (1U << i)) == 0 &&
-                        (right->forgiven & (1U << index)) == 0;
-        common += both;
+        common += wb_poison_entry_has_crash(left, left->engines[i]) &&
+                  wb_poison_entry_has_crash(right, left->engines[i]);
     }
     return common;
 }
@@ -241,7 +291,7 @@
     WB_LIST_EACH(item, &registry->entries) {
         const wb_poison_entry_t *other = entry_of(item);
         if (other != entry && wb_poison_entry_state(other) == WB_POISON_REFUSED &&
-            common_engines(entry, other) + 1 >= WB_POISON_ENGINES) {
+            wb_poison_entry_common_engines(entry, other) + 1 >= WB_POISON_ENGINES) {
             return TRUE;
         }
     }
@@ -286,8 +336,8 @@
 
 /* Clears engines until one more crash would refuse the request again. It doesn't matter which, but
  * every node must choose the same ones: those with the highest hashes. */
-static void entry_demote(wb_poison_entry_t *entry, int64_t retention_ms) {
-    while (wb_poison_entry_engines(entry) >= WB_POISON_ENGINES) {
+static void entry_demote(const wb_poison_registry_t *registry, wb_poison_entry_t *entry) {
+    while (wb_poison_entry_engines(entry) >= registry->options.engines) {
         guint highest = entry->engine_count;
         for (guint i = 0; i < entry->engine_count; i++) {
             gboolean uncleared = (entry->forgiven & (1U << i)) == 0;
@@ -298,7 +348,7 @@
         }
         entry->forgiven |= 1U << highest;
     }
-    entry->until_ms += retention_ms;
+    entry->until_ms += registry->options.retention_ms;
 }
 
 void wb_poison_registry_sweep(wb_poison_registry_t *registry, int64_t now_ms) {
@@ -307,8 +357,8 @@
         if (now_ms < entry->until_ms) {
             continue;
         }
-        if (wb_poison_entry_engines(entry) >= WB_POISON_ENGINES) {
-            entry_demote(entry, registry->options.retention_ms);
+        if (wb_poison_entry_engines(entry) >= registry->options.engines) {
+            entry_demote(registry, entry);
             entry_mark_changed(registry, entry);
         } else {
             entry_remove(registry, entry);
--- a/src/poison/poison_registry.h
+++ b/src/poison/poison_registry.h
@@ -64,10 +64,12 @@
     guint engine_count;                       /**< of engines */
     guint forgiven;                           /**< bit i: engines[i] is cleared */
     int64_t until_ms;                         /**< expiry */
-    uint64_t changed;                         /**< registry version of the last change */
-    int64_t asked_ms; /**< private: when a trial was first asked for; 0: never */
-    int64_t tried_ms; /**< private: time of the last trial */
-    guint trials;     /**< private: number of trials, up to a bound */
+    int64_t since_ms;   /**< since when it has crashes that aren't cleared; 0: it has none */
+    int64_t crashed_ms; /**< time of the last crash, as far as is known */
+    uint64_t changed;   /**< registry version of the last change */
+    int64_t asked_ms;   /**< private: when a trial was first asked for; 0: never */
+    int64_t tried_ms;   /**< private: time of the last trial */
+    guint trials;       /**< private: number of trials, up to a bound */
 } wb_poison_entry_t;
 
 /** State of a request by its uncleared crashes. */
@@ -82,6 +84,8 @@
 typedef struct wb_poison_options_t {
     int64_t retention_ms; /**< 0: WB_POISON_RETENTION_MS */
     int64_t trial_ms;     /**< 0: WB_POISON_TRIAL_MS */
+    guint entries_max;    /**< 0: WB_POISON_ENTRIES */
+    guint engines; /**< crashed engines for which an entry is refused; 0: WB_POISON_ENGINES */
 } wb_poison_options_t;
 
 wb_poison_registry_t *wb_poison_registry_create(const wb_poison_options_t *options);
@@ -97,6 +101,10 @@
 /** An engine has run a request to its end: clear its crashes. @return TRUE when it had any */
 gboolean wb_poison_registry_clear_crashes(wb_poison_registry_t *registry,
                                           const wb_request_digest_t *digest);
+/** Keep an entry that is still asked for. Other nodes learn of it by its change.
+ * @return TRUE when it would have expired soon */
+gboolean wb_poison_registry_renew(wb_poison_registry_t *registry, const wb_request_digest_t *digest,
+                                  int64_t now_ms);
 /** Merge another node's entry. @return TRUE when it held anything new */
 gboolean wb_poison_registry_merge(wb_poison_registry_t *registry, const wb_poison_entry_t *entry);
 
@@ -108,6 +116,10 @@
                                                  const wb_request_digest_t *digest);
 /** @return number of crashed engines that aren't cleared */
 guint wb_poison_entry_engines(const wb_poison_entry_t *entry);
+/** @return TRUE when the engine crashed under the entry, and that isn't cleared */
+gboolean wb_poison_entry_has_crash(const wb_poison_entry_t *entry, uint64_t engine);
+/** @return number of engines that crashed under both and aren't cleared */
+guint wb_poison_entry_common_engines(const wb_poison_entry_t *left, const wb_poison_entry_t *right);
 /** @param entry NULL: WB_POISON_NONE */
 wb_poison_state_t wb_poison_entry_state(const wb_poison_entry_t *entry);
 /** @return all entries, linked by `item`; owned by the registry */
--- a/src/poison/served_set.c
+++ b/src/poison/served_set.c
@@ -32,9 +32,14 @@
     set->slots[tag % WB_SERVED_SLOTS] = (wb_served_slot_t){tag, now_ms};
 }
 
-gboolean wb_served_set_has(const wb_served_set_t *set, const wb_request_digest_t *digest,
-                           int64_t now_ms) {
+int64_t wb_served_set_last_ms(const wb_served_set_t *set, const wb_request_digest_t *digest) {
     uint64_t tag = tag_of(digest);
     const wb_served_slot_t *slot = &set->slots[tag % WB_SERVED_SLOTS];
-    return slot->tag == tag && slot->at_ms != 0 && now_ms - slot->at_ms < WB_SERVED_MS;
+    return slot->tag == tag ? slot->at_ms : 0;
+}
+
+gboolean wb_served_set_has(const wb_served_set_t *set, const wb_request_digest_t *digest,
+                           int64_t now_ms) {
+    int64_t last_ms = wb_served_set_last_ms(set, digest);
+    return last_ms != 0 && now_ms - last_ms < WB_SERVED_MS;
 }
--- a/src/poison/served_set.h
+++ b/src/poison/served_set.h
@@ -36,4 +36,7 @@
 gboolean wb_served_set_has(const wb_served_set_t *set, const wb_request_digest_t *digest,
                            int64_t now_ms);
 
+/** @return when the request was last recorded, however long ago; 0: it isn't, or is overwritten */
+int64_t wb_served_set_last_ms(const wb_served_set_t *set, const wb_request_digest_t *digest);
+
 #endif
--- a/src/request/crash_watch.h
+++ b/src/request/crash_watch.h
@@ -21,7 +21,7 @@
 #ifndef WICKBRIDGE_CRASH_WATCH_H
 #define WICKBRIDGE_CRASH_WATCH_H
 
-#include "poison/request_digest.h"
+#include "poison/part_registry.h"
 
 #include "wickbridge/edge.h"
 #include "wickbridge/edge_metrics.h"
@@ -33,6 +33,9 @@
 typedef struct wb_aborted_request_t {
     wb_request_digest_t digest;
     uint32_t body_bytes;
+    int64_t aborted_ms;
+    guint part_count;
+    wb_request_digest_t parts[WB_PARTS_MAX]; /**< keys of its prompt's parts */
 } wb_aborted_request_t;
 
 typedef struct wb_crash_watch_events_t {
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -92,6 +92,8 @@
     g_byte_array_unref(exchange->answer);
     g_array_unref(exchange->tried);
     g_array_unref(exchange->parts);
+    if (exchange->part_keys != NULL)
+        g_array_unref(exchange->part_keys);
     wb_catalog_unref(exchange->catalog);
     g_free(exchange->model);
     g_free(exchange->adapter);
@@ -113,6 +115,8 @@
 }
 
 void wb_exchange_give_up(wb_exchange_t *exchange, wb_outcome_t outcome) {
+    if (outcome == WB_OUTCOME_POISON)
+        wb_exchange_note_refused(exchange);
     unsigned ran_status = outcome == WB_OUTCOME_TIMED_OUT ? 504 : 502;
     attempt_stop(exchange);
     wb_exchange_refuse(exchange, outcome,
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -88,9 +88,12 @@
 /** @return FALSE when the request is known to crash the engines that run it, unless a trial is due:
  * then it is marked as the trial */
 gboolean wb_exchange_may_send(wb_exchange_t *exchange);
-/** @return TRUE when one more crash of an engine that runs the request would make it poison */
+/** @return TRUE when it may be the cause of crashes, so that it isn't sent again by itself */
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange);
-/** @return the time until the request's poison entry expires; at least 1 */
+/** The request is refused as it crashes engines: log and count it if a part of its prompt is why.
+ */
+void wb_exchange_note_refused(wb_exchange_t *exchange);
+/** @return the time until the entry expires for which it is refused; at least 1 */
 int64_t wb_exchange_poison_left_ms(wb_exchange_t *exchange);
 /** A brittle engine rejected the request: its end soon after shows nothing about what it ran. */
 void wb_exchange_note_brittle_rejection(const wb_exchange_t *exchange);
@@ -100,6 +103,22 @@
  * didn't crash it. An unframed answer counts once the engine has sent something later. */
 void wb_exchange_note_completed(wb_exchange_t *exchange);
 
+/* exchange_parts.c */
+/** @return keys of the parts of the request's prompt (wb_request_digest_t), but for its last one;
+ * WB_PARTS_MAX at most */
+const GArray *wb_exchange_part_keys(wb_exchange_t *exchange);
+/** @return the first part of its prompt that is refused, or NULL */
+const wb_request_digest_t *wb_exchange_refused_part(wb_exchange_t *exchange);
+/** @return TRUE when a part of its prompt is suspected to crash engines, or refused */
+gboolean wb_exchange_has_suspect_part(wb_exchange_t *exchange);
+void wb_exchange_log_refused_part(const wb_exchange_t *exchange, const wb_request_digest_t *key);
+/** An engine has run a request to its end. @param keys of its prompt's parts */
+void wb_edge_parts_completed(wb_edge_t *edge, const GArray *keys, const char *request_id);
+/** An engine crashed that had broken off a request. @return TRUE when that is new for a part of its
+ * prompt */
+gboolean wb_edge_parts_crashed(wb_edge_t *edge, const char *engine_id,
+                               const wb_aborted_request_t *request);
+
 /* exchange_wait.c */
 /** @return TRUE when the engines that can serve the request are known here; else they have been
  * requested from a relay */
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -8,6 +8,12 @@
  */
 #define BRITTLE_SHARED_MS 3000
 
+static void poison_changed(wb_edge_t *edge) {
+    if (edge->on_poison_changed != NULL) {
+        edge->on_poison_changed(edge->node_context);
+    }
+}
+
 const wb_request_digest_t *wb_exchange_digest(wb_exchange_t *exchange) {
     if (exchange->digest_known) {
         return &exchange->digest;
@@ -36,13 +42,15 @@
     return wb_poison_registry_find(registry, wb_exchange_digest(exchange));
 }
 
-static void trial_log(const wb_exchange_t *exchange) {
+/* @param key of the request's content, or of a part of its prompt */
+static void trial_log(const wb_exchange_t *exchange, const wb_request_digest_t *key) {
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
     wb_event("request-tried", ",\"id\":\"%s\",\"digest\":\"%s\"", wb_event_escape(exchange->id),
-             wb_request_digest_format(&exchange->digest, digest));
+             wb_request_digest_format(key, digest));
 }
 
-gboolean wb_exchange_may_send(wb_exchange_t *exchange) {
+/* Whether the request's content isn't refused, or it was made the trial of it. */
+static gboolean content_may_send(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
     uint64_t version = wb_poison_registry_version(edge->poison);
     if (exchange->poison_version != version) {
@@ -56,18 +64,54 @@
     if (edge->runs_poison_trials &&
         wb_poison_registry_take_trial(edge->poison, &exchange->digest, wb_clock_ms())) {
         exchange->is_trial = TRUE;
-        trial_log(exchange);
+        trial_log(exchange, &exchange->digest);
+    }
+    return exchange->is_trial;
+}
+
+/* Whether no part of its prompt is refused, or it was made the trial of one. */
+static gboolean parts_may_send(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    const wb_request_digest_t *part = wb_exchange_refused_part(exchange);
+    if (part == NULL || exchange->is_trial) {
+        return TRUE;
+    }
+    if (edge->runs_poison_trials && wb_part_registry_take_trial(edge->parts, part, wb_clock_ms())) {
+        exchange->is_trial = TRUE;
+        trial_log(exchange, part);
     }
     return exchange->is_trial;
 }
 
+gboolean wb_exchange_may_send(wb_exchange_t *exchange) {
+    return content_may_send(exchange) && parts_may_send(exchange);
+}
+
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange) {
     const wb_poison_entry_t *entry = poison_entry_find(exchange);
-    return entry != NULL && wb_poison_entry_engines(entry) + 1 >= WB_POISON_ENGINES;
+    return (entry != NULL && wb_poison_entry_engines(entry) + 1 >= WB_POISON_ENGINES) ||
+           wb_exchange_has_suspect_part(exchange);
+}
+
+void wb_exchange_note_refused(wb_exchange_t *exchange) {
+    wb_edge_t *edge = exchange->edge;
+    const wb_request_digest_t *part = wb_exchange_refused_part(exchange);
+    if (part == NULL) {
+        return;
+    }
+    edge->metrics.part_refusals++;
+    wb_exchange_log_refused_part(exchange, part);
+    if (wb_part_registry_note_refused(edge->parts, part, wb_clock_ms())) {
+        poison_changed(edge);
+    }
 }
 
 int64_t wb_exchange_poison_left_ms(wb_exchange_t *exchange) {
-    const wb_poison_entry_t *entry = poison_entry_find(exchange);
+    const wb_request_digest_t *part = wb_exchange_refused_part(exchange);
+    const wb_poison_entry_t *entry =
+        part != NULL
+            ? wb_poison_registry_find(wb_part_registry_crashes(exchange->edge->parts), part)
+            : poison_entry_find(exchange);
     return entry != NULL ? MAX(entry->until_ms - wb_clock_ms(), 1) : 1;
 }
 
@@ -108,19 +152,22 @@
         abort_ignored_log(exchange, "brittle");
         return;
     }
-    wb_aborted_request_t request = {*wb_exchange_digest(exchange), exchange->body->len};
+    wb_aborted_request_t request = {.digest = *wb_exchange_digest(exchange),
+                                    .body_bytes = exchange->body->len,
+                                    .aborted_ms = wb_clock_ms()};
+    const GArray *parts = wb_exchange_part_keys(exchange);
+    request.part_count = parts->len;
+    memcpy(request.parts, parts->data, parts->len * sizeof(wb_request_digest_t));
     wb_crash_watch_note_aborted(exchange->edge->crashes, engine->state->incarnation,
                                 engine->state->address, &request);
 }
 
-static void poison_changed(wb_edge_t *edge) {
-    if (edge->on_poison_changed != NULL) {
-        edge->on_poison_changed(edge->node_context);
-    }
-}
-
 /* The engine has completed an answer to a request: it didn't crash under it. */
 static void completed_note(wb_edge_t *edge, const wb_run_end_t *end, const char *request_id) {
+    wb_edge_parts_completed(edge, end->parts, request_id);
+    if (!end->has_digest) {
+        return;
+    }
     if (end->body_bytes <= WB_SERVED_BODY_BYTES) {
         wb_served_set_add(edge->served, &end->digest, wb_clock_ms());
     }
@@ -149,12 +196,16 @@
     if (!answer_shows_run(exchange)) {
         return;
     }
-    gboolean is_short = exchange->body->len <= WB_SERVED_BODY_BYTES;
-    if (!is_short && poison_entry_find(exchange) == NULL) {
-        return;
+    wb_exchange_part_keys(exchange);
+    wb_run_end_t end = {.engine = exchange->engine,
+                        .parts = exchange->part_keys,
+                        .body_bytes = exchange->body->len,
+                        .status = exchange->reply.status,
+                        .ended_ms = wb_clock_ms()};
+    end.has_digest = end.body_bytes <= WB_SERVED_BODY_BYTES || poison_entry_find(exchange) != NULL;
+    if (end.has_digest) {
+        end.digest = *wb_exchange_digest(exchange);
     }
-    wb_run_end_t end = {exchange->engine, *wb_exchange_digest(exchange), exchange->body->len,
-                        exchange->reply.status, wb_clock_ms()};
     if (exchange->reply.framing == WB_FRAMING_CLOSE) {
         wb_unframed_ends_add(edge->unframed_ends, &end);
     } else {
@@ -205,6 +256,7 @@
     gboolean changed = FALSE;
     for (guint i = 0; i < requests->len; i++) {
         const wb_aborted_request_t *request = &g_array_index(requests, wb_aborted_request_t, i);
+        changed = wb_edge_parts_crashed(edge, engine_id, request) || changed;
         if (wb_served_set_has(edge->served, &request->digest, now_ms)) {
             wb_event("crash-evidence-ignored",
                      ",\"id\":\"\",\"engine\":\"%s\",\"reason\":\"served\"",
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -40,6 +40,7 @@
 #include "request/retry_budget.h"
 #include "request/stream_starts.h"
 #include "request/unframed_ends.h"
+#include "poison/part_registry.h"
 #include "poison/poison_registry.h"
 #include "poison/served_set.h"
 #include "quota/equal_share.h"
@@ -105,6 +106,7 @@
     wb_demand_t *demand;
     wb_quota_limiter_t *quota;
     wb_poison_registry_t *poison; /* requests that crash engines */
+    wb_part_registry_t *parts;    /* parts of prompts that do */
     wb_served_set_t *served;
     wb_crash_watch_t *crashes;
     wb_unframed_ends_t *unframed_ends;
@@ -267,6 +269,7 @@
     wb_quota_basis_t quota_basis; /* by what it was admitted */
     int64_t quota_age_ms;         /* age of what the quota ledger's node last sent; -1: nothing */
     GArray *parts;                /* of wb_prompt_part_t */
+    GArray *part_keys;            /* wb_exchange_part_keys(); NULL: not computed yet */
     int64_t prompt_tokens;
     int64_t out_tokens; /* expected tokens of its answer */
     int64_t began_ms;
@@ -388,6 +391,8 @@
 /** Refuse requests that are known poison, also those that wait or are at an engine that hasn't
  * begun to answer. */
 void wb_exchanges_refuse_poison(wb_edge_t *edge);
+/** Merge what another node knows of a part. */
+wb_part_merge_t wb_edge_part_merge(wb_edge_t *edge, const wb_poison_entry_t *entry);
 /** Look which requests with unframed responses their engines have completed. */
 void wb_edge_confirm_unframed_ends(wb_edge_t *edge, int64_t now_ms);
 /** As wb_crash_watch_events_t.confirm_ended. @param context the edge */
--- a/src/request/unframed_ends.c
+++ b/src/request/unframed_ends.c
@@ -12,6 +12,7 @@
 static void end_free(gpointer data) {
     wb_run_end_t *end = data;
     wb_engine_unref(end->engine);
+    g_array_unref(end->parts);
     g_free(end);
 }
 
@@ -29,6 +30,7 @@
 void wb_unframed_ends_add(wb_unframed_ends_t *ends, const wb_run_end_t *end) {
     wb_run_end_t *copy = g_memdup2(end, sizeof(*end));
     wb_engine_ref(copy->engine);
+    g_array_ref(copy->parts);
     g_queue_push_tail(&ends->queue, copy);
     if (ends->queue.length > ENDS_MAX)
         end_free(g_queue_pop_head(&ends->queue));
--- a/src/request/unframed_ends.h
+++ b/src/request/unframed_ends.h
@@ -18,7 +18,9 @@
 /** The end of a request at an engine. */
 typedef struct wb_run_end_t {
     wb_engine_t *engine;
-    wb_request_digest_t digest;
+    gboolean has_digest;
+    wb_request_digest_t digest; /**< of its content; if has_digest */
+    GArray *parts;              /**< of wb_request_digest_t, keys of its prompt's parts */
     size_t body_bytes;
     unsigned status; /**< of the engine's response */
     int64_t ended_ms;
@@ -33,7 +35,7 @@
 
 wb_unframed_ends_t *wb_unframed_ends_create(void);
 void wb_unframed_ends_free(wb_unframed_ends_t *ends);
-/** Add a request. A reference to its engine is kept. */
+/** Add a request. References to its engine and its parts are kept. */
 void wb_unframed_ends_add(wb_unframed_ends_t *ends, const wb_run_end_t *end);
 /** Call a function for each request whose engine has sent bytes since (wb_engine_t.heard_ms), and
  * forget it; forget also those that were not confirmed for long. */
--- a/tests/unit/test_crash_watch.c
+++ b/tests/unit/test_crash_watch.c
@@ -67,7 +67,7 @@
 }
 
 static void abort_request(fixture_t *fixture, const char *engine, guint8 digest) {
-    wb_aborted_request_t request = {{{digest}}, 5};
+    wb_aborted_request_t request = {.digest = {{digest}}, .body_bytes = 5};
     wb_crash_watch_note_aborted(fixture->watch, engine, fixture->address, &request);
 }
 
--- a/tests/unit/test_unframed_ends.c
+++ b/tests/unit/test_unframed_ends.c
@@ -24,7 +24,8 @@
     wb_fleet_t *fleet = wb_fleet_create();
     wb_engine_t *engine = engine_of(fleet);
     wb_unframed_ends_t *ends = wb_unframed_ends_create();
-    wb_run_end_t end = {.engine = engine, .body_bytes = 7, .ended_ms = ENDED_MS};
+    g_autoptr(GArray) parts = g_array_new(FALSE, FALSE, sizeof(wb_request_digest_t));
+    wb_run_end_t end = {.engine = engine, .parts = parts, .body_bytes = 7, .ended_ms = ENDED_MS};
     unsigned confirmed = 0;
     wb_unframed_ends_add(ends, &end);
     engine->heard_ms = ENDED_MS + WB_UNFRAMED_END_DELAY_MS - 1; /* sent before the end */
@@ -41,7 +42,8 @@
     wb_fleet_t *fleet = wb_fleet_create();
     wb_engine_t *engine = engine_of(fleet);
     wb_unframed_ends_t *ends = wb_unframed_ends_create();
-    wb_run_end_t end = {.engine = engine, .body_bytes = 7, .ended_ms = ENDED_MS};
+    g_autoptr(GArray) parts = g_array_new(FALSE, FALSE, sizeof(wb_request_digest_t));
+    wb_run_end_t end = {.engine = engine, .parts = parts, .body_bytes = 7, .ended_ms = ENDED_MS};
     unsigned confirmed = 0;
     wb_unframed_ends_add(ends, &end);
     wb_unframed_ends_confirm(ends, ENDED_MS + 20000, count, &confirmed);
