--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -40,19 +40,20 @@
     return entry;
 }
 
-/* Appends the entries that changed after a version of the registry and concern at least min_engines
- * engines. */
-static void entries_add(const wb_poison_registry_t *registry, uint64_t since, guint min_engines,
-                        wb_wire_poison *wire) {
-    int64_t now_ms = wb_clock_ms();
-    const wb_list_t *entries = wb_poison_registry_entries(registry);
-    wire->entries.entries_val =
-        realloc(wire->entries.entries_val,
-                (wire->entries.entries_len + entries->len + 1) * sizeof(wb_wire_poison_entry));
-    WB_LIST_EACH(item, entries) {
+static void entry_add(wb_wire_poison *wire, const wb_poison_entry_t *entry) {
+    u_int len = wire->entries.entries_len++;
+    wire->entries.entries_val = realloc(wire->entries.entries_val,
+                                        wire->entries.entries_len * sizeof(wb_wire_poison_entry));
+    wire->entries.entries_val[len] = entry_to_wire(entry, wb_clock_ms());
+}
+
+/* Appends requests that changed after a version and concern at least min_engines engines. */
+static void requests_add(const wb_edge_node_t *node, uint64_t since, guint min_engines,
+                         wb_wire_poison *wire) {
+    WB_LIST_EACH(item, wb_poison_registry_entries(node->edge.poison)) {
         const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
         if (entry->changed > since && entry->engine_count >= min_engines) {
-            wire->entries.entries_val[wire->entries.entries_len++] = entry_to_wire(entry, now_ms);
+            entry_add(wire, entry);
         }
     }
 }
@@ -61,12 +62,28 @@
     return wb_part_registry_crashes(node->edge.parts);
 }
 
+/* Appends parts that changed after a version. Gateways send each to the aggregator. That sends
+ * those which it suspects, as it knows most of what explains the others, and those that were
+ * cleared. */
+static void parts_add(const wb_edge_node_t *node, uint64_t since, wb_wire_poison *wire) {
+    gboolean sends_all = !wb_edge_node_is_aggregator(node);
+    int64_t now_ms = wb_clock_ms();
+    WB_LIST_EACH(item, wb_poison_registry_entries(part_crashes(node))) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (entry->changed > since &&
+            (sends_all || wb_poison_entry_engines(entry) == 0 ||
+             wb_part_registry_state(node->edge.parts, &entry->digest, now_ms) != WB_POISON_NONE)) {
+            entry_add(wire, entry);
+        }
+    }
+}
+
 /* Returns what changed after these versions of the registries; to be freed with xdr_free. */
 static wb_wire_poison entries_collect(const wb_edge_node_t *node, const wb_poison_versions_t *since,
                                       guint min_engines) {
     wb_wire_poison wire = {{0, NULL}};
-    entries_add(node->edge.poison, since->requests, min_engines, &wire);
-    entries_add(part_crashes(node), since->parts, min_engines, &wire);
+    requests_add(node, since->requests, min_engines, &wire);
+    parts_add(node, since->parts, &wire);
     return wire;
 }
 
@@ -117,6 +134,21 @@
     }
 }
 
+/* A part may be refused though its own entry hasn't changed: time has passed, or what explained its
+ * crashes was cleared. */
+static void refused_parts_update(wb_edge_node_t *node) {
+    unsigned refused = wb_part_registry_refused_count(node->edge.parts, wb_clock_ms());
+    gboolean is_new = refused > node->refused_parts;
+    node->refused_parts = refused;
+    if (is_new && node->poison_aggregator) {
+        node->poison_sent.parts = 0;
+        changes_send(node);
+    }
+    if (is_new) {
+        wb_exchanges_refuse_poison(&node->edge);
+    }
+}
+
 void wb_edge_node_tick_poison(wb_edge_node_t *node) {
     gboolean aggregator = wb_edge_node_is_aggregator(node);
     if (aggregator && !node->poison_aggregator) {
@@ -124,6 +156,7 @@
         changes_send(node);
     }
     node->poison_aggregator = aggregator;
+    refused_parts_update(node);
     node->edge.runs_poison_trials = aggregator;
 }
 
@@ -190,16 +223,12 @@
 /* Appends parts that are suspected or refused: few, unlike those whose crashes others explain. */
 static void suspect_parts_add(const wb_edge_node_t *node, wb_wire_poison *wire) {
     int64_t now_ms = wb_clock_ms();
-    const wb_list_t *entries = wb_poison_registry_entries(part_crashes(node));
     unsigned count = 0;
-    wire->entries.entries_val =
-        realloc(wire->entries.entries_val,
-                (wire->entries.entries_len + ROW_PARTS_MAX) * sizeof(wb_wire_poison_entry));
-    WB_LIST_EACH(item, entries) {
+    WB_LIST_EACH(item, wb_poison_registry_entries(part_crashes(node))) {
         const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
         if (count < ROW_PARTS_MAX &&
             wb_part_registry_state(node->edge.parts, &entry->digest, now_ms) != WB_POISON_NONE) {
-            wire->entries.entries_val[wire->entries.entries_len++] = entry_to_wire(entry, now_ms);
+            entry_add(wire, entry);
             count++;
         }
     }
@@ -207,7 +236,7 @@
 
 u_int wb_edge_node_poison_write(const wb_edge_node_t *node, char *bytes, u_int room) {
     wb_wire_poison wire = {{0, NULL}};
-    entries_add(node->edge.poison, 0, WB_POISON_SYNC_ENGINES, &wire);
+    requests_add(node, 0, WB_POISON_SYNC_ENGINES, &wire);
     suspect_parts_add(node, &wire);
     XDR stream;
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
--- a/src/poison/part_registry.c
+++ b/src/poison/part_registry.c
@@ -69,11 +69,25 @@
                : WB_PART_MERGE_CHANGED;
 }
 
+/* Whether requests with the part were completed here lately, or cleared some of its crashes at any
+ * node, which a process that has just started learns, too. */
+static gboolean is_completed_lately(const wb_part_registry_t *registry,
+                                    const wb_poison_entry_t *entry, int64_t now_ms) {
+    return entry->forgiven != 0 || wb_served_set_has(registry->completed, &entry->digest, now_ms);
+}
+
 /* Whether the other part is more likely to be the cause of crashes that both have. */
 static gboolean is_likelier(const wb_part_registry_t *registry, const wb_poison_entry_t *other,
-                            const wb_poison_entry_t *entry) {
+                            const wb_poison_entry_t *entry, int64_t now_ms) {
     guint others = wb_poison_entry_engines(other);
     guint own = wb_poison_entry_engines(entry);
+    gboolean own_completed = is_completed_lately(registry, entry, now_ms);
+    gboolean others_completed = is_completed_lately(registry, other, now_ms);
+    /* What all requests share has the crashes of several bad parts. */
+    if (MIN(own, others) >= WB_PART_SUSPECT_ENGINES && MAX(own, others) < WB_POISON_ENGINES_KEPT &&
+        own_completed != others_completed) {
+        return own_completed;
+    }
     if (others != own) {
         return others > own;
     }
@@ -97,14 +111,15 @@
 
 /* Whether the crash of an engine, which isn't cleared for this part, has a likelier cause. */
 static gboolean engine_is_explained(const wb_part_registry_t *registry,
-                                    const wb_poison_entry_t *entry, uint64_t engine) {
+                                    const wb_poison_entry_t *entry, uint64_t engine,
+                                    int64_t now_ms) {
     if (has_request_crashed(registry, entry, engine)) {
         return TRUE;
     }
     WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
         const wb_poison_entry_t *other = WB_LIST_OF(item, wb_poison_entry_t, item);
         if (other != entry && wb_poison_entry_has_crash(other, engine) &&
-            is_likelier(registry, other, entry)) {
+            is_likelier(registry, other, entry, now_ms)) {
             return TRUE;
         }
     }
@@ -112,23 +127,25 @@
 }
 
 /* Whether all crashes under a part but one have likelier causes; for one there may be no record. */
-static gboolean is_explained(const wb_part_registry_t *registry, const wb_poison_entry_t *entry) {
+static gboolean is_explained(const wb_part_registry_t *registry, const wb_poison_entry_t *entry,
+                             int64_t now_ms) {
     guint explained = 0;
     for (guint i = 0; i < entry->engine_count; i++) {
         explained += wb_poison_entry_has_crash(entry, entry->engines[i]) &&
-                     engine_is_explained(registry, entry, entry->engines[i]);
+                     engine_is_explained(registry, entry, entry->engines[i], now_ms);
     }
     return explained + 1 >= wb_poison_entry_engines(entry);
 }
 
 /* Whether another part has just the same crashes, and nothing tells which one is their cause. */
-static gboolean is_tied(const wb_part_registry_t *registry, const wb_poison_entry_t *entry) {
+static gboolean is_tied(const wb_part_registry_t *registry, const wb_poison_entry_t *entry,
+                        int64_t now_ms) {
     guint own = wb_poison_entry_engines(entry);
     WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
         const wb_poison_entry_t *other = WB_LIST_OF(item, wb_poison_entry_t, item);
         if (other != entry && wb_poison_entry_engines(other) == own &&
             wb_poison_entry_common_engines(entry, other) == own &&
-            !is_likelier(registry, entry, other)) {
+            !is_likelier(registry, entry, other, now_ms)) {
             return TRUE;
         }
     }
@@ -138,12 +155,12 @@
 static wb_poison_state_t entry_state(const wb_part_registry_t *registry,
                                      const wb_poison_entry_t *entry, int64_t now_ms) {
     guint engines = entry != NULL ? wb_poison_entry_engines(entry) : 0;
-    if (engines < WB_PART_SUSPECT_ENGINES || is_explained(registry, entry)) {
+    if (engines < WB_PART_SUSPECT_ENGINES || is_explained(registry, entry, now_ms)) {
         return WB_POISON_NONE;
     }
     gboolean is_refused = engines >= WB_PART_ENGINES &&
                           now_ms - entry->since_ms >= WB_PART_CONFIRM_MS &&
-                          (engines >= WB_PART_TIE_ENGINES || !is_tied(registry, entry));
+                          (engines >= WB_PART_TIE_ENGINES || !is_tied(registry, entry, now_ms));
     return is_refused ? WB_POISON_REFUSED : WB_POISON_SUSPECT;
 }
 
--- a/src/poison/part_registry.h
+++ b/src/poison/part_registry.h
@@ -16,7 +16,7 @@
  *   refuses nothing.
  * - It isn't refused while its crashes are explained otherwise: all but one of these engines ran a
  *   part with more crashes, or with as many and an older last completion, or the same request
- *   again and again.
+ *   again and again; or, if it was completed lately, parts that weren't and have several crashes.
  *
  * A prompt's last part is the request's own and is never recorded. A part is known by its id alone,
  * whatever its place, model, tenant or service: engines of all of them crash under it, and with
--- a/tests/soak/clients.c
+++ b/tests/soak/clients.c
@@ -11,6 +11,8 @@
 #define MODELS 8
 #define RECOVERY_MS 15000
 #define POISON_CLIENTS 4
+/* Only requests that crash engines are told to come back so late. */
+#define REFUSED_FOR_LONG_S 20
 
 typedef struct soak_client_t {
     soak_t *soak;
@@ -108,6 +110,10 @@
     request->life = life == g_atomic_int_get(&node->launches) ? life : 0;
     request->status = answer->status;
     request->complete = answer->whole;
+    const char *retry_after = strstr(answer->head->str, "Retry-After: ");
+    request->refused_for_long =
+        answer->status == 503 && retry_after != NULL &&
+        g_ascii_strtod(retry_after + strlen("Retry-After: "), NULL) > REFUSED_FOR_LONG_S;
     request->reports_limit = strstr(answer->head->str, "Server-Limit: ") != NULL;
     request->reports_draining = strstr(answer->head->str, "Server-Leaving: 1") != NULL;
     answer_check(soak, request, answer);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -69,6 +69,7 @@
     gboolean complete;         /* the response arrived to its end */
     gboolean closed;           /* the node closed the connection */
     gboolean reused;           /* sent on a connection that had carried other requests */
+    gboolean refused_for_long; /* 503 with a Retry-After as for requests that crash engines */
     gboolean reports_limit;    /* its response reports its engine's limit */
     gboolean reports_draining; /* its response reports that its engine is draining */
     int64_t began_ms;
@@ -115,6 +116,8 @@
                                 up at other nodes */
     soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
     soak_streams_t taken_up; /* streams that they took up there */
+    gboolean has_parts;      /* requests that share a part which crashes engines, and sound ones */
+    int64_t parts_from_ms;   /* when the former begin */
     gboolean has_tenants;    /* tenants with limits send far more than these at times */
     const char *key_header;  /* of all other requests; "": configurations have no tenants */
     gboolean has_brittle_engines; /* engines fall when they have to reject too many requests */
@@ -139,6 +142,11 @@
 
 #define SOAK_POISON_ID "p" /* begins the ids of requests that crash engines, and of no others */
 
+/* Begin the ids of requests with a part that crashes engines, and of those that share other parts.
+ */
+#define SOAK_BAD_PART_ID "q"
+#define SOAK_SOUND_PART_ID "g"
+
 #define SOAK_TENANT_ID "t" /* begins the ids of requests of tenants with limits */
 
 /** @return TRUE if the request is one that crashes engines */
@@ -209,6 +217,13 @@
 /** Compare how many streams that were taken up went on with how many new ones began. */
 void soak_versions_check(soak_t *soak);
 
+/* parts.c */
+/** Start engines, clients that share parts of prompts, and, 4 s later, those with a part that
+ * crashes engines. @param threads takes their threads, which end with poison_stop */
+void soak_parts_start(soak_t *soak, GPtrArray *threads);
+/** Check how often such parts reached engines, and how many sound requests began. */
+void soak_parts_check(soak_t *soak, const json_t *seen);
+
 /* processor.c */
 /** Start to limit the processor of nodes, if this run does. @param threads takes the thread */
 void soak_processor_limit(soak_t *soak, GPtrArray *threads);
--- a/tests/unit/test_part_registry.c
+++ b/tests/unit/test_part_registry.c
@@ -112,6 +112,55 @@
     fixture_free(&fixture);
 }
 
+/* Nothing is completed while two bad parts crash all engines: what all requests share has the
+ * crashes of both, but was completed before. */
+static void test_two_bad_parts_in_an_outage(void) {
+    fixture_t fixture = fixture_create();
+    complete(&fixture, "shared");
+    for (int i = 0; i < WB_POISON_ENGINES_KEPT - 1; i++) {
+        crash(&fixture, i % 2 == 0 ? "shared bad1" : "shared bad2");
+        g_assert_cmpint(state_of(&fixture, "shared"), !=, WB_POISON_REFUSED);
+    }
+    g_assert_cmpint(state_of(&fixture, "bad1"), ==, WB_POISON_REFUSED);
+    fixture_free(&fixture);
+}
+
+/* A process that has just started knows of no completion, but that others cleared crashes. */
+static void test_cleared_elsewhere(void) {
+    fixture_t there = fixture_create();
+    fixture_t here = fixture_create();
+    crash(&there, "shared");
+    complete(&there, "shared");
+    for (int i = 0; i < WB_POISON_ENGINES_KEPT - 1; i++) {
+        crash(&there, i % 2 == 0 ? "shared bad1" : "shared bad2");
+    }
+    WB_LIST_EACH(item, wb_poison_registry_entries(wb_part_registry_crashes(there.parts))) {
+        wb_part_registry_merge(here.parts, WB_LIST_OF(item, wb_poison_entry_t, item));
+    }
+    here.now_ms = there.now_ms + WB_PART_CONFIRM_MS;
+    g_assert_cmpint(state_of(&here, "shared"), ==, WB_POISON_NONE);
+    g_assert_cmpint(state_of(&here, "bad1"), ==, WB_POISON_REFUSED);
+    fixture_free(&here);
+    fixture_free(&there);
+}
+
+/* A part that was completed before it began to crash engines is refused nevertheless, also where
+ * each client adds a part of its own. */
+static void test_part_turns_bad(void) {
+    fixture_t fixture = fixture_create();
+    complete(&fixture, "bad");
+    complete(&fixture, "shared");
+    for (int i = 0; i < WB_POISON_ENGINES_KEPT; i++) {
+        g_autofree char *parts = g_strdup_printf("shared bad client%d", i % 3);
+        fixture.now_ms++;
+        crash(&fixture, parts);
+        complete(&fixture, "shared");
+    }
+    g_assert_cmpint(state_of(&fixture, "bad"), ==, WB_POISON_REFUSED);
+    g_assert_cmpint(state_of(&fixture, "shared"), ==, WB_POISON_NONE);
+    fixture_free(&fixture);
+}
+
 /* Engines that are lost together aren't lost to a part that all of them ran. */
 static void test_many_engines_at_once(void) {
     fixture_t fixture = fixture_create();
@@ -233,6 +282,9 @@
     g_test_add_func("/part-registry/last-completion-decides", test_last_completion_decides);
     g_test_add_func("/part-registry/tie", test_tie);
     g_test_add_func("/part-registry/two-bad-parts", test_two_bad_parts);
+    g_test_add_func("/part-registry/two-bad-parts-in-an-outage", test_two_bad_parts_in_an_outage);
+    g_test_add_func("/part-registry/cleared-elsewhere", test_cleared_elsewhere);
+    g_test_add_func("/part-registry/part-turns-bad", test_part_turns_bad);
     g_test_add_func("/part-registry/many-engines-at-once", test_many_engines_at_once);
     g_test_add_func("/part-registry/repeated-request", test_repeated_request);
     g_test_add_func("/part-registry/requests-repeated-once", test_requests_repeated_once);
