--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -32,19 +32,20 @@
                                                       they were decided by (wb_quota_basis_t) */
     uint64_t sends;                                /**< attempts: requests sent to engines */
     uint64_t resends;                              /**< attempts after the first one of a request */
-    uint64_t resends_refused;     /**< retries that the retry budget didn't allow */
-    uint64_t rejections;          /**< attempts that engines rejected without running them */
-    uint64_t failed_attempts;     /**< attempts without a complete response */
-    uint64_t attempts_withdrawn;  /**< attempts cancelled before the first byte was sent, as the
-                                  engine had meanwhile reported a limit, draining or a backoff */
-    uint64_t engine_checks;       /**< connections made to find out whether an engine has crashed */
-    uint64_t part_refusals;       /**< requests refused for a part of their prompts */
-    uint64_t engine_crashes;      /**< engines found to have crashed while running requests */
-    uint64_t engine_restarts;     /**< new incarnations of known engine ids */
-    uint64_t engine_rows_refused; /**< invalid rows of the engines table */
-    uint64_t cold_attempts;       /**< attempts at cold engines */
-    uint64_t evacuations;         /**< zone evacuations that this node learned of */
-    uint64_t subscriptions_sent;  /**< queries for engines sent to a relay */
+    uint64_t resends_refused;    /**< retries that the retry budget didn't allow */
+    uint64_t rejections;         /**< attempts that engines rejected without running them */
+    uint64_t failed_attempts;    /**< attempts without a complete response */
+    uint64_t attempts_withdrawn; /**< attempts cancelled before the first byte was sent, as the
+                                 engine had meanwhile reported a limit, draining or a backoff */
+    uint64_t engine_checks;      /**< connections made to find out whether an engine has crashed */
+    uint64_t limit_shares_borrowed;  /**< requests that count in another node's share of a limit */
+    uint64_t part_refusals;          /**< requests refused for a part of their prompts */
+    uint64_t engine_crashes;         /**< engines found to have crashed while running requests */
+    uint64_t engine_restarts;        /**< new incarnations of known engine ids */
+    uint64_t engine_rows_refused;    /**< invalid rows of the engines table */
+    uint64_t cold_attempts;          /**< attempts at cold engines */
+    uint64_t evacuations;            /**< zone evacuations that this node learned of */
+    uint64_t subscriptions_sent;     /**< queries for engines sent to a relay */
     uint64_t subscriptions_answered; /**< such queries answered as a relay */
     uint64_t waits;                  /**< requests that waited for an engine or a model */
     uint64_t connections_opened;     /**< to engines */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -114,6 +114,7 @@
     int64_t limit_share_updated_ms;   /**< when limit_rank was computed; 0: never */
     wb_list_item_t state_update_item; /**< linked while a state update is pending */
     int64_t state_sent_ms;            /**< when that was last sent; 0: never */
+    int64_t share_refused_ms; /**< when no node asked had a share of its limit left; 0: never */
     int64_t backoff_until_ms; /**< end of the backoff that it asked this node for (Retry-After) */
     wb_engine_reach_t reach;  /**< whether this node or only others can connect to it */
     wb_list_t idle;           /**< idle keep-alive connections; see attempt.c */
--- a/src/edge/node_tunnels.c
+++ b/src/edge/node_tunnels.c
@@ -48,19 +48,23 @@
 
 /* The server. */
 
-static wb_wire_tunnel_result tunnel_check(const wb_wire_tunnel_open *question, void *context) {
-    const wb_edge_node_t *node = context;
+static wb_wire_tunnel_result tunnel_check(const wb_wire_tunnel_open *question, gboolean is_counted,
+                                          void *context) {
+    wb_edge_node_t *node = context;
     int64_t now_ms = wb_clock_ms();
-    const wb_engine_t *engine = wb_fleet_find(node->edge.fleet, question->engine);
+    wb_engine_t *engine = wb_fleet_find(node->edge.fleet, question->engine);
     if (engine == NULL)
-        return wb_edge_node_has_large_fleet(node) ? WB_WIRE_TUNNEL_CONNECTED
-                                                  : WB_WIRE_TUNNEL_NOT_IN_USE;
+        return wb_edge_node_has_large_fleet(node) && !is_counted ? WB_WIRE_TUNNEL_CONNECTED
+                                                                 : WB_WIRE_TUNNEL_NOT_IN_USE;
     if (strcmp(engine->state->incarnation, question->incarnation) != 0 ||
         strcmp(engine->state->address, question->address) != 0 ||
         !wb_engine_is_usable(engine, now_ms))
         return WB_WIRE_TUNNEL_NOT_IN_USE;
-    return wb_engine_reach_is_cut(&engine->reach, now_ms) ? WB_WIRE_TUNNEL_CUT_OFF
-                                                          : WB_WIRE_TUNNEL_CONNECTED;
+    if (wb_engine_reach_is_cut(&engine->reach, now_ms))
+        return WB_WIRE_TUNNEL_CUT_OFF;
+    if (is_counted && !wb_balancer_take_limit_share(&node->edge, engine, now_ms))
+        return WB_WIRE_TUNNEL_NO_SHARE;
+    return WB_WIRE_TUNNEL_CONNECTED;
 }
 
 static void tunnel_result(const char *engine_id, gboolean connected, void *context) {
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define FRAME_HEADER_BYTES 4
-#define LAST_KNOWN_KIND WB_WIRE_STREAM_ANSWER
+#define LAST_KNOWN_KIND WB_WIRE_TUNNEL_OPEN_COUNTED
 
 /* Returns the encoded size in bytes, or 0 when something exceeds a limit of the protocol. */
 static unsigned long encoded_size(wb_wire_message *message, wb_wire_extensions *extensions) {
@@ -137,12 +137,14 @@
 
 const char *wb_message_kind_name(wb_wire_kind kind) {
     static const char *const names[] = {
-        "none",         "hello",         "heartbeat",       "gossip",        "sync",
-        "config-fetch", "config-change", "group-state",     "group-append",  "group-ack",
-        "group-vote",   "group-ballot",  "route-want",      "route-show",    "claim-want",
-        "claim-show",   "claim-done",    "group-hand-over", "demand",        "placement",
-        "store-news",   "load-plan",     "quota",           "poison",        "engine-loads",
-        "engines-want", "engines-show",  "engine-states",   "catalog-fetch", "catalog-answer",
-        "tunnel-open",  "tunnel-answer", "stream-starts",   "stream-query",  "stream-answer"};
+        "none",          "hello",           "heartbeat",     "gossip",
+        "sync",          "config-fetch",    "config-change", "group-state",
+        "group-append",  "group-ack",       "group-vote",    "group-ballot",
+        "route-want",    "route-show",      "claim-want",    "claim-show",
+        "claim-done",    "group-hand-over", "demand",        "placement",
+        "store-news",    "load-plan",       "quota",         "poison",
+        "engine-loads",  "engines-want",    "engines-show",  "engine-states",
+        "catalog-fetch", "catalog-answer",  "tunnel-open",   "tunnel-answer",
+        "stream-starts", "stream-query",    "stream-answer", "tunnel-open-counted"};
     return (unsigned)kind < G_N_ELEMENTS(names) ? names[kind] : "unknown";
 }
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -642,7 +642,8 @@
     WB_WIRE_TUNNEL_REFUSED = 2,     /* nothing listens at the engine's address */
     WB_WIRE_TUNNEL_NOT_IN_USE = 3,  /* the node doesn't know the engine, or it is leaving */
     WB_WIRE_TUNNEL_BUSY = 4,        /* the node takes no tunnels now */
-    WB_WIRE_TUNNEL_CUT_OFF = 5      /* the node itself is cut off from the engine */
+    WB_WIRE_TUNNEL_CUT_OFF = 5,     /* the node itself is cut off from the engine */
+    WB_WIRE_TUNNEL_NO_SHARE = 6     /* it has no share of the engine's limit left */
 };
 
 struct wb_wire_tunnel_answer {
@@ -683,7 +684,9 @@
     WB_WIRE_TUNNEL_ANSWER = 31,
     WB_WIRE_STREAM_STARTS = 32,
     WB_WIRE_STREAM_QUERY = 33,
-    WB_WIRE_STREAM_ANSWER = 34
+    WB_WIRE_STREAM_ANSWER = 34,
+    WB_WIRE_TUNNEL_OPEN_COUNTED = 35 /* as WB_WIRE_TUNNEL_OPEN; the request counts in the receiver's
+                                      * share of the engine's limit */
 };
 
 union wb_wire_message switch (wb_wire_kind kind) {
@@ -746,6 +749,7 @@
 case WB_WIRE_CATALOG_ANSWER:
     wb_wire_catalog_answer catalog_answer;
 case WB_WIRE_TUNNEL_OPEN:
+case WB_WIRE_TUNNEL_OPEN_COUNTED:
     wb_wire_tunnel_open tunnel_open;
 case WB_WIRE_TUNNEL_ANSWER:
     wb_wire_tunnel_answer tunnel_answer;
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -2,6 +2,7 @@
 #include "fleet/engine_response.h"
 #include "request/engine_connect.h"
 #include "request/request_types.h"
+#include "request/share_connect.h"
 #include "tunnel/tunnel_frame.h"
 
 #include <string.h>
@@ -21,10 +22,11 @@
 typedef struct wb_upstream_t {
     wb_edge_t *edge;
     wb_engine_t *engine;
-    wb_engine_connect_t *connect; /* while the connection is being established, else NULL */
-    wb_tcp_stream_t *stream;      /* NULL while it is being established */
-    gboolean by_peer;             /* it leads through another node, and carries one request only */
-    gboolean in_blocks;           /* by_peer: the engine's bytes arrive in blocks */
+    wb_engine_connect_t *connect;      /* while the connection is being established, else NULL */
+    wb_share_connect_t *share_connect; /* while another node's share is asked for, else NULL */
+    wb_tcp_stream_t *stream;           /* NULL while it is being established */
+    gboolean by_peer;   /* it leads through another node, and carries one request only */
+    gboolean in_blocks; /* by_peer: the engine's bytes arrive in blocks */
     wb_tunnel_blocks_t blocks;
     int64_t heard_ms; /* when the last bytes of the engine arrived, or it was established */
     wb_http_reader_t *reader;
@@ -56,6 +58,9 @@
         if (upstream->connect != NULL)
             wb_engine_connect_cancel(upstream->connect);
         upstream->connect = NULL;
+        if (upstream->share_connect != NULL)
+            wb_share_connect_cancel(upstream->share_connect);
+        upstream->share_connect = NULL;
         if (upstream->stream != NULL)
             wb_tcp_stream_close(upstream->stream);
         upstream->stream = NULL;
@@ -348,6 +353,7 @@
     wb_upstream_t *upstream = context;
     wb_attempt_t *attempt = upstream->attempt;
     upstream->connect = NULL;
+    upstream->share_connect = NULL;
     upstream->stream = stream;
     upstream->by_peer = tunnel != NULL;
     upstream->in_blocks = tunnel != NULL && tunnel->in_blocks;
@@ -372,6 +378,16 @@
 static const wb_engine_connect_events_t connect_events = {upstream_connected,
                                                           upstream_not_connected};
 
+static void upstream_no_share(const char *reason, void *context) {
+    wb_upstream_t *upstream = context;
+    wb_attempt_failure_t failure = {.withdrawn = TRUE, .reason = reason};
+    upstream->share_connect = NULL;
+    upstream->engine->share_refused_ms = wb_clock_ms();
+    attempt_end(upstream->attempt, &failure);
+}
+
+static const wb_engine_connect_events_t share_events = {upstream_connected, upstream_no_share};
+
 /* Returns the time after which a connection must have had bytes to be trusted: the engine's
  * connections may be dead since then. 0: there is no doubt. */
 static int64_t doubt_ms(const wb_edge_t *edge, const wb_engine_t *engine, int64_t now_ms) {
@@ -408,7 +424,7 @@
 void wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
-    wb_upstream_t *upstream = idle_take(edge, engine, now_ms);
+    wb_upstream_t *upstream = exchange->uses_peer_share ? NULL : idle_take(edge, engine, now_ms);
     gboolean reused = upstream != NULL;
     if (!reused)
         upstream = upstream_create(edge, engine);
@@ -424,6 +440,9 @@
     if (reused) {
         edge->metrics.connections_reused++;
         request_write(attempt);
+    } else if (exchange->uses_peer_share) {
+        upstream->share_connect =
+            wb_share_connect_start(edge, engine, exchange->id, &share_events, upstream);
     } else {
         upstream->connect =
             wb_engine_connect_start(edge, engine, exchange->id, &connect_events, upstream);
--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -32,6 +32,8 @@
  * which that is looked at again. */
 #define FULL_REPORT_MS 150
 #define FULL_RECHECK_MS 50
+/* Time for which other nodes aren't asked again for a share of an engine's limit. */
+#define SHARE_REFUSED_MS 100
 /* Prefixes kept for an engine; beyond that all are dropped. */
 #define PREFIXES_MAX 512
 
@@ -403,15 +405,10 @@
     return preferred;
 }
 
-wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
-                                int64_t now_ms, wb_dispatch_decision_t *decision) {
-    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
-    if (engines == NULL)
-        return NULL;
-    g_autoptr(GPtrArray) usable = g_ptr_array_sized_new(engines->len);
-    for (guint i = 0; i < engines->len; i++)
-        if (is_usable(edge, g_ptr_array_index(engines, i), exchange, now_ms))
-            g_ptr_array_add(usable, g_ptr_array_index(engines, i));
+/* Chooses among engines that may be used now. */
+static wb_engine_t *choose_among(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                 const GPtrArray *usable, int64_t now_ms,
+                                 wb_dispatch_decision_t *decision) {
     const wb_engine_t *preferred = preferred_find(exchange, usable);
     wb_choice_setup_t setup = choice_setup(&edge->settings);
     wb_choice_request_t request = wb_balancer_request(exchange, now_ms);
@@ -431,3 +428,53 @@
     }
     return best;
 }
+
+typedef gboolean (*wb_usable_fn)(const wb_edge_t *edge, wb_engine_t *engine,
+                                 const wb_exchange_t *exchange, int64_t now_ms);
+
+static wb_engine_t *choose_usable(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                  wb_usable_fn is_usable_now, int64_t now_ms,
+                                  wb_dispatch_decision_t *decision) {
+    const GPtrArray *engines = wb_fleet_service(edge->fleet, exchange->service->name);
+    if (engines == NULL)
+        return NULL;
+    g_autoptr(GPtrArray) usable = g_ptr_array_sized_new(engines->len);
+    for (guint i = 0; i < engines->len; i++)
+        if (is_usable_now(edge, g_ptr_array_index(engines, i), exchange, now_ms))
+            g_ptr_array_add(usable, g_ptr_array_index(engines, i));
+    return choose_among(edge, exchange, usable, now_ms, decision);
+}
+
+wb_engine_t *wb_balancer_choose(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                int64_t now_ms, wb_dispatch_decision_t *decision) {
+    return choose_usable(edge, exchange, is_usable, now_ms, decision);
+}
+
+/* Whether only this node's share of its limit keeps an engine from taking the request. */
+static gboolean lacks_only_share(const wb_edge_t *edge, wb_engine_t *engine,
+                                 const wb_exchange_t *exchange, int64_t now_ms) {
+    if (!engine->limit.named || now_ms - engine->share_refused_ms < SHARE_REFUSED_MS ||
+        !can_serve(engine, exchange, now_ms)) {
+        return FALSE;
+    }
+    int64_t cold_ms = cold_available_ms(edge, engine, exchange->service, 0, now_ms);
+    int64_t brittle_ms = brittle_available_ms(edge, engine, 0, now_ms);
+    int64_t other_ms = MAX(MAX(cold_ms, brittle_ms), engine->backoff_until_ms);
+    return MAX(other_ms, tried_until_ms(exchange, engine)) <= now_ms;
+}
+
+wb_engine_t *wb_balancer_choose_by_share(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                         int64_t now_ms, wb_dispatch_decision_t *decision) {
+    return edge->choose_peer != NULL
+               ? choose_usable(edge, exchange, lacks_only_share, now_ms, decision)
+               : NULL;
+}
+
+gboolean wb_balancer_take_limit_share(const wb_edge_t *edge, wb_engine_t *engine, int64_t now_ms) {
+    if (!engine->limit.named || now_ms < engine->backoff_until_ms ||
+        limit_available_ms(edge, engine, 0, now_ms) > now_ms) {
+        return FALSE;
+    }
+    wb_engine_limit_record(&engine->limit, now_ms);
+    return TRUE;
+}
--- a/src/request/engine_connect.h
+++ b/src/request/engine_connect.h
@@ -21,6 +21,8 @@
  * one did. */
 #define WB_CONNECT_REFUSED "refused"
 #define WB_CONNECT_REFUSED_BY_PEER "refused-by-peer"
+/** No node that was asked has a share of the engine's limit left. */
+#define WB_CONNECT_NO_SHARE "no-share"
 
 typedef struct wb_engine_connect_t wb_engine_connect_t;
 
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -217,7 +217,8 @@
     exchange->runs++;
     exchange->attempt_events = 0;
     exchange->limit_counted = engine->limit.named;
-    wb_engine_limit_record(&engine->limit, now_ms);
+    if (!exchange->uses_peer_share)
+        wb_engine_limit_record(&engine->limit, now_ms);
     wb_engine_brittle_sent(&engine->brittle, now_ms);
     edge->metrics.sends++;
     wb_attempt_start(exchange, engine);
@@ -254,6 +255,18 @@
     return FALSE;
 }
 
+/* Chooses an engine; without a share of its limit left, one that is used within another node's. */
+static wb_engine_t *engine_choose(wb_exchange_t *exchange, int64_t now_ms) {
+    const wb_edge_t *edge = exchange->edge;
+    wb_engine_t *engine = wb_balancer_choose(edge, exchange, now_ms, &exchange->decision);
+    exchange->uses_peer_share = FALSE;
+    if (engine == NULL) {
+        engine = wb_balancer_choose_by_share(edge, exchange, now_ms, &exchange->decision);
+        exchange->uses_peer_share = engine != NULL;
+    }
+    return engine;
+}
+
 void wb_exchange_dispatch(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     /* Checked before each attempt: else all copies of a poison request that wait for a model would
@@ -279,7 +292,7 @@
         return;
     }
     wb_exchange_end_start_wait(exchange);
-    wb_engine_t *engine = wb_balancer_choose(exchange->edge, exchange, now_ms, &exchange->decision);
+    wb_engine_t *engine = engine_choose(exchange, now_ms);
     if (engine == NULL) {
         if (wb_exchange_reaches_no_engine(exchange))
             wb_exchange_give_up(exchange, WB_OUTCOME_UNREACHABLE);
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -298,6 +298,7 @@
     wb_dispatch_decision_t decision; /* of the last attempt */
     gboolean running_counted;        /* the attempt is counted in engine->running */
     gboolean limit_counted;          /* the attempt is counted against its engine's limit */
+    gboolean uses_peer_share;        /* in another node's share, through which it goes */
     int64_t prefill_counted;         /* prompt tokens counted in engine->prefill_tokens */
     wb_reply_t reply;
     gboolean ended_in_event; /* the last response ended inside an event */
@@ -349,6 +350,13 @@
  * @return FALSE when the request must not be written */
 gboolean wb_balancer_may_write(const wb_edge_t *edge, const wb_exchange_t *exchange,
                                int64_t now_ms);
+/** Choose the engine for an attempt whose request counts in another node's share of the engine's
+ * limit, as this node has none left. @return NULL when none is usable in this way */
+wb_engine_t *wb_balancer_choose_by_share(const wb_edge_t *edge, const wb_exchange_t *exchange,
+                                         int64_t now_ms, wb_dispatch_decision_t *decision);
+/** Count another node's request in this node's share of an engine's limit. @return FALSE: none is
+ * left, or it isn't known that the engine has a limit */
+gboolean wb_balancer_take_limit_share(const wb_edge_t *edge, wb_engine_t *engine, int64_t now_ms);
 /** As wb_engine_brittle_may_have_fallen. */
 gboolean wb_balancer_may_have_fallen(const wb_edge_t *edge, wb_engine_t *engine, gboolean is_shared,
                                      int64_t now_ms);
--- a/src/tunnel/tunnel_client.c
+++ b/src/tunnel/tunnel_client.c
@@ -9,7 +9,8 @@
     wb_tcp_stream_t *stream;
     wb_timer_t *timer;
     GByteArray *received;
-    gboolean in_blocks;           /* of the answer */
+    gboolean in_blocks; /* of the answer */
+    gboolean is_counted;
     wb_wire_tunnel_open question; /* strings owned */
     wb_tunnel_done_fn on_done;
     void *context;
@@ -47,7 +48,8 @@
 
 static void stream_open(wb_tcp_stream_t *stream, void *context) {
     const wb_tunnel_client_t *client = context;
-    wb_wire_message message = {.kind = WB_WIRE_TUNNEL_OPEN};
+    wb_wire_message message = {.kind = client->is_counted ? WB_WIRE_TUNNEL_OPEN_COUNTED
+                                                          : WB_WIRE_TUNNEL_OPEN};
     message.wb_wire_message_u.tunnel_open = client->question;
     wb_tunnel_frame_send(stream, &message, TRUE);
 }
@@ -105,6 +107,7 @@
                                              .engine = strdup(request->engine),
                                              .incarnation = strdup(request->incarnation),
                                              .address = strdup(request->engine_address)};
+    client->is_counted = request->is_counted;
     client->on_done = on_done;
     client->context = context;
     client->timer = wb_loop_after(loop, request->connect.connect_timeout_ms, timed_out, client);
--- a/src/tunnel/tunnel_client.h
+++ b/src/tunnel/tunnel_client.h
@@ -31,6 +31,7 @@
     const char *engine;
     const char *incarnation;
     const char *engine_address;
+    gboolean is_counted; /**< the request counts in the other node's share of the engine's limit */
     wb_tcp_connect_options_t connect; /**< the timeout includes the node's answer */
 } wb_tunnel_request_t;
 
--- a/src/tunnel/tunnel_frame.c
+++ b/src/tunnel/tunnel_frame.c
@@ -47,7 +47,9 @@
                                     (xdrproc_t)xdr_wb_wire_tunnel_form, &form) &&
                  form.in_blocks;
     wb_extensions_clear(&extensions);
-    if (message->kind == kind)
+    gboolean is_counted_question =
+        kind == WB_WIRE_TUNNEL_OPEN && message->kind == WB_WIRE_TUNNEL_OPEN_COUNTED;
+    if (message->kind == kind || is_counted_question)
         return WB_TUNNEL_FRAME_COMPLETE;
     wb_message_clear(message);
     return WB_TUNNEL_FRAME_INVALID;
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -155,7 +155,9 @@
     tunnel->engine_id = g_strdup(question->engine);
 }
 
-static void question_take(wb_tunnel_t *tunnel, const wb_wire_tunnel_open *question) {
+static void question_take(wb_tunnel_t *tunnel, const wb_wire_message *message) {
+    const wb_wire_tunnel_open *question = &message->wb_wire_message_u.tunnel_open;
+    gboolean is_counted = message->kind == WB_WIRE_TUNNEL_OPEN_COUNTED;
     static const wb_tcp_events_t events = {engine_open, engine_data, engine_end, engine_drained};
     wb_tunnel_server_t *server = tunnel->server;
     const wb_tunnel_server_options_t *options = &server->options;
@@ -165,7 +167,7 @@
         tunnel_refuse(tunnel, WB_WIRE_TUNNEL_BUSY);
         return;
     }
-    wb_wire_tunnel_result result = options->check(question, options->context);
+    wb_wire_tunnel_result result = options->check(question, is_counted, options->context);
     if (result != WB_WIRE_TUNNEL_CONNECTED) {
         tunnel_refuse(tunnel, result);
         return;
@@ -192,7 +194,7 @@
     g_clear_pointer(&tunnel->received, g_byte_array_unref);
     wb_timer_cancel(tunnel->timer);
     tunnel->timer = NULL;
-    question_take(tunnel, &message.wb_wire_message_u.tunnel_open);
+    question_take(tunnel, &message);
     wb_message_clear(&message);
 }
 
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -30,8 +30,10 @@
     unsigned max_tunnels;             /**< further ones are refused */
     wb_edge_metrics_t *metrics;       /**< must outlive the server */
     /** Whether the engine may be connected to for another node now.
+     * @param is_counted the request is to count in this node's share of the engine's limit
      * @return WB_WIRE_TUNNEL_CONNECTED, or why not */
-    wb_wire_tunnel_result (*check)(const wb_wire_tunnel_open *question, void *context);
+    wb_wire_tunnel_result (*check)(const wb_wire_tunnel_open *question, gboolean is_counted,
+                                   void *context);
     /** Whether this node may be cut off from engines: then a refused connection doesn't show that
      * nothing listens there. May be NULL. */
     gboolean (*may_be_cut_off)(void *context);
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -104,7 +104,7 @@
 }
 
 static void test_kinds_of_a_later_build(void) {
-    static const guchar later[] = {0, 0, 0, WB_WIRE_STREAM_ANSWER + 1, 1, 2, 3};
+    static const guchar later[] = {0, 0, 0, WB_WIRE_TUNNEL_OPEN_COUNTED + 1, 1, 2, 3};
     static const guchar known[] = {0, 0, 0, WB_WIRE_SYNC};
     static const guchar none[] = {0, 0, 0, 0};
     g_assert_true(wb_message_is_unknown(later, sizeof(later)));
--- a/tests/unit/test_tunnel.c
+++ b/tests/unit/test_tunnel.c
@@ -26,7 +26,9 @@
     wb_tunnel_server_t *server;
     char *server_address;
     wb_wire_tunnel_result check_result;
-    int outcome; /* -1: none yet */
+    gboolean is_counted;  /* of the question */
+    gboolean was_counted; /* as the server read it */
+    int outcome;          /* -1: none yet */
     wb_tcp_stream_t *stream;
     GByteArray *received; /* of the engine, without the blocks' lengths */
     wb_tunnel_blocks_t blocks;
@@ -55,11 +57,14 @@
     wb_tcp_stream_set_events(stream, &events, fixture);
 }
 
-static wb_wire_tunnel_result check(const wb_wire_tunnel_open *question, void *context) {
+static wb_wire_tunnel_result check(const wb_wire_tunnel_open *question, gboolean is_counted,
+                                   void *context) {
     g_assert_cmpstr(question->node, ==, "asking");
     g_assert_cmpstr(question->request, ==, "r1");
     g_assert_cmpstr(question->engine, ==, "e1");
-    return ((fixture_t *)context)->check_result;
+    fixture_t *fixture = context;
+    fixture->was_counted = is_counted;
+    return fixture->check_result;
 }
 
 static void client_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
@@ -131,6 +136,7 @@
                                    .engine = "e1",
                                    .incarnation = "e1@7",
                                    .engine_address = fixture->engine_address,
+                                   .is_counted = fixture->is_counted,
                                    .connect = {TIMEOUT_MS, TIMEOUT_MS, NULL}};
     g_assert_nonnull(wb_tunnel_open(fixture->loop, &request, opened, fixture));
     run(fixture);
@@ -176,6 +182,19 @@
     fixture_free(fixture);
 }
 
+/* A request that counts in the other node's share of a limit is told from one that doesn't. */
+static void test_counted(void) {
+    for (int counted = 0; counted <= 1; counted++) {
+        fixture_t *fixture = fixture_create(4);
+        fixture->is_counted = counted;
+        tunnel_open(fixture);
+        g_assert_cmpint(fixture->outcome, ==, WB_TUNNEL_OPENED);
+        g_assert_cmpint(fixture->was_counted, ==, counted);
+        wb_tcp_stream_close(fixture->stream);
+        fixture_free(fixture);
+    }
+}
+
 /* What the engine sent before it closed arrives first, then the close. */
 static void test_engine_closes(void) {
     fixture_t *fixture = fixture_create(4);
@@ -321,6 +340,7 @@
 
 static void tests_add(void) {
     g_test_add_func("/tunnel/both-ways", test_both_ways);
+    g_test_add_func("/tunnel/counted", test_counted);
     g_test_add_func("/tunnel/engine-closes", test_engine_closes);
     g_test_add_func("/tunnel/engine-resets", test_engine_resets);
     g_test_add_func("/tunnel/server-ends", test_server_ends);
