--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -163,7 +163,7 @@
 /* Result of a merge of entries. */
 typedef struct wb_entries_merged_t {
     gboolean changed;
-    gboolean cleared; /* some of them by what was served here */
+    gboolean added; /* what was served here; others are to be told */
 } wb_entries_merged_t;
 
 static wb_entries_merged_t entries_merge(wb_edge_node_t *node, const wb_wire_poison *poison,
@@ -174,7 +174,7 @@
         if (entry.body_bytes == WB_PART_BODY_BYTES) {
             wb_part_merge_t result = wb_edge_part_merge(&node->edge, &entry);
             merged.changed |= result != WB_PART_MERGE_NOTHING;
-            merged.cleared |= result == WB_PART_MERGE_CLEARED;
+            merged.added |= result == WB_PART_MERGE_ADDED;
         } else {
             merged.changed |= wb_poison_registry_merge(node->edge.poison, &entry);
         }
@@ -210,8 +210,8 @@
     if (!merged.changed) {
         return;
     }
-    merged.cleared |= served_clear(node, now_ms);
-    if (merged.cleared || wb_edge_node_is_aggregator(node)) {
+    merged.added |= served_clear(node, now_ms);
+    if (merged.added || wb_edge_node_is_aggregator(node)) {
         changes_send(node);
     } else if (node->controller_link_open) {
         /* The aggregator has just sent these entries. */
--- a/src/poison/part_registry.c
+++ b/src/poison/part_registry.c
@@ -49,8 +49,8 @@
     return wb_poison_registry_clear_crashes(registry->crashes, key);
 }
 
-/* Whether requests with the part were completed here lately, or cleared some of its crashes at any
- * node, which a process that has just started learns, too. */
+/* Whether requests with the part were completed here lately, or at any node that noted it, which a
+ * process that has just started learns, too. */
 static gboolean is_completed_lately(const wb_part_registry_t *registry,
                                     const wb_poison_entry_t *entry, int64_t now_ms) {
     return entry->forgiven != 0 || wb_served_set_has(registry->completed, &entry->digest, now_ms);
@@ -93,14 +93,24 @@
     }
 }
 
+/* If a request with the part was completed here lately, its entry says so to other nodes. Returns
+ * TRUE when that is new. */
+static gboolean completion_note(wb_part_registry_t *registry, const wb_request_digest_t *key,
+                                int64_t now_ms) {
+    return wb_served_set_has(registry->completed, key, now_ms) &&
+           wb_poison_registry_note_completed(registry->crashes, key);
+}
+
 gboolean wb_part_registry_add_crash(wb_part_registry_t *registry, const wb_request_digest_t *key,
                                     uint64_t engine, int64_t aborted_ms) {
     if (wb_served_set_last_ms(registry->completed, key) > aborted_ms) {
         return FALSE;
     }
     room_make(registry, key, aborted_ms);
-    return wb_poison_registry_add_crash(registry->crashes, key, WB_PART_BODY_BYTES, engine,
-                                        aborted_ms);
+    gboolean is_new = wb_poison_registry_add_crash(registry->crashes, key, WB_PART_BODY_BYTES,
+                                                   engine, aborted_ms);
+    completion_note(registry, key, aborted_ms);
+    return is_new;
 }
 
 wb_part_merge_t wb_part_registry_merge(wb_part_registry_t *registry,
@@ -109,12 +119,13 @@
     if (!wb_poison_registry_merge(registry->crashes, received)) {
         return WB_PART_MERGE_NOTHING;
     }
+    gboolean is_noted = completion_note(registry, &received->digest, now_ms);
     const wb_poison_entry_t *entry = wb_poison_registry_find(registry->crashes, &received->digest);
     gboolean completed_since =
         wb_served_set_last_ms(registry->completed, &received->digest) > entry->crashed_ms;
-    return completed_since && wb_poison_registry_clear_crashes(registry->crashes, &received->digest)
-               ? WB_PART_MERGE_CLEARED
-               : WB_PART_MERGE_CHANGED;
+    gboolean is_cleared =
+        completed_since && wb_poison_registry_clear_crashes(registry->crashes, &received->digest);
+    return is_noted || is_cleared ? WB_PART_MERGE_ADDED : WB_PART_MERGE_CHANGED;
 }
 
 /* Whether the engine crashed under a request that has nearly as many crashes as the part. */
--- a/src/poison/part_registry.h
+++ b/src/poison/part_registry.h
@@ -23,7 +23,8 @@
  * narrower keys each would have to lose as many engines.
  *
  * Crashes are kept in a registry of their own (wb_part_registry_crashes), whose entries nodes merge
- * as those of requests. Completions aren't sent to other nodes, only what they clear.
+ * as those of requests. Of completions only what they clear is sent to other nodes, and in an entry
+ * that there was one.
  *
  * Trials: a refused part is tried after `trial_ms`, then after WB_POISON_TRIAL_FACTOR times as
  * long, and so on, until WB_PART_TRIALS_END engines have crashed. Each failed trial adds an engine,
@@ -80,7 +81,7 @@
 typedef enum wb_part_merge_t {
     WB_PART_MERGE_NOTHING, /**< it held nothing new */
     WB_PART_MERGE_CHANGED,
-    WB_PART_MERGE_CLEARED /**< a request with the part was completed here since its last crash */
+    WB_PART_MERGE_ADDED /**< requests with the part were completed here, which the entry now says */
 } wb_part_merge_t;
 /** Merge another node's entry. */
 wb_part_merge_t wb_part_registry_merge(wb_part_registry_t *registry, const wb_poison_entry_t *entry,
--- a/src/poison/poison_registry.c
+++ b/src/poison/poison_registry.c
@@ -200,6 +200,16 @@
     return TRUE;
 }
 
+gboolean wb_poison_registry_note_completed(wb_poison_registry_t *registry,
+                                           const wb_request_digest_t *digest) {
+    wb_poison_entry_t *entry = entry_find(registry, digest);
+    if (entry == NULL || entry->forgiven != 0 || !engine_add(entry, WB_POISON_NO_ENGINE, TRUE)) {
+        return FALSE;
+    }
+    entry_mark_changed(registry, entry);
+    return TRUE;
+}
+
 void wb_poison_registry_clear_common(wb_poison_registry_t *registry,
                                      const wb_request_digest_t *digest,
                                      const wb_request_digest_t *other) {
--- a/src/poison/poison_registry.h
+++ b/src/poison/poison_registry.h
@@ -39,6 +39,8 @@
 #define WB_POISON_SYNC_ENGINES 2
 /** Max engines stored for a request. */
 #define WB_POISON_ENGINES_KEPT 8
+/** Stands for no engine: cleared in an entry, it says that a request was completed. */
+#define WB_POISON_NO_ENGINE 0
 /** Max requests in a registry: those of two crashed engines with all slots in use. */
 #define WB_POISON_ENTRIES 128
 /** Default retention of crashes. After it the request runs again, which costs an engine if it still
@@ -101,6 +103,10 @@
 /** An engine has run a request to its end: clear its crashes. @return TRUE when it had any */
 gboolean wb_poison_registry_clear_crashes(wb_poison_registry_t *registry,
                                           const wb_request_digest_t *digest);
+/** Note in an entry that a request was completed, though that clears none of its crashes. Other
+ * nodes learn of it. @return TRUE when there is an entry and that is new */
+gboolean wb_poison_registry_note_completed(wb_poison_registry_t *registry,
+                                           const wb_request_digest_t *digest);
 /** Clear those crashes of an entry that another one has, too. */
 void wb_poison_registry_clear_common(wb_poison_registry_t *registry,
                                      const wb_request_digest_t *digest,
--- a/src/request/exchange_parts.c
+++ b/src/request/exchange_parts.c
@@ -107,7 +107,9 @@
 
 wb_part_merge_t wb_edge_part_merge(wb_edge_t *edge, const wb_poison_entry_t *entry) {
     wb_part_merge_t result = wb_part_registry_merge(edge->parts, entry, wb_clock_ms());
-    if (result == WB_PART_MERGE_CLEARED) {
+    const wb_poison_entry_t *merged =
+        wb_poison_registry_find(wb_part_registry_crashes(edge->parts), &entry->digest);
+    if (result == WB_PART_MERGE_ADDED && wb_poison_entry_engines(merged) == 0) {
         part_cleared_log(&entry->digest, "");
     }
     return result;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -221,6 +221,12 @@
 /** Start engines, clients that share parts of prompts, and, 4 s later, those with a part that
  * crashes engines. @param threads takes their threads, which end with poison_stop */
 void soak_parts_start(soak_t *soak, GPtrArray *threads);
+/** @return body of a request with parts of prompts: no two are alike; owned by the caller */
+char *soak_part_body(const char *id);
+/** @return TRUE if it is the id of such a request */
+static inline gboolean soak_has_parts(const char *id) {
+    return g_str_has_prefix(id, SOAK_BAD_PART_ID) || g_str_has_prefix(id, SOAK_SOUND_PART_ID);
+}
 /** Check how often such parts reached engines, and how many sound requests began. */
 void soak_parts_check(soak_t *soak, const json_t *seen);
 
