--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -158,8 +158,9 @@
                                     .body_bytes = exchange->body->len,
                                     .aborted_ms = wb_clock_ms()};
     const GArray *parts = wb_exchange_part_keys(exchange);
-    request.part_count = parts->len;
-    memcpy(request.parts, parts->data, parts->len * sizeof(wb_request_digest_t));
+    for (guint i = 0; i < parts->len; i++) {
+        request.parts[request.part_count++] = g_array_index(parts, wb_request_digest_t, i);
+    }
     wb_crash_watch_note_aborted(exchange->edge->crashes, engine->state->incarnation,
                                 engine->state->address, &request);
 }
