--- a/tests/soak/parts.c
+++ b/tests/soak/parts.c
@@ -85,14 +85,15 @@
 }
 
 void soak_parts_start(soak_t *soak, GPtrArray *threads) {
+    const char *version = soak->has_versions ? "\"version\":\"v1\"," : "";
     for (int i = 1; i <= ENGINES; i++) {
         estate_command(
             soak->estate,
             "{\"do\":\"engine-start\",\"engine\":\"part-%d\",\"options\":{\"service\":\"llm\","
             "\"zone\":\"zone-%d\",\"streams\":1,\"models\":[\"m0\"],\"slots\":16,"
             "\"event_ms\":20,\"back_ms\":2000,\"load_ms\":200,\"keep_models\":1,"
-            "\"weights_mb\":2100}}",
-            i, i % 2 + 1);
+            "%s\"weights_mb\":2100}}",
+            i, i % 2 + 1, version);
     }
     clients_start(soak, FALSE, SOUND_CLIENTS, threads);
     g_usleep(BEFORE_US);
