--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -49,44 +49,38 @@
              wb_request_digest_format(key, digest));
 }
 
-/* Whether the request's content isn't refused, or it was made the trial of it. */
-static gboolean content_may_send(wb_exchange_t *exchange) {
-    wb_edge_t *edge = exchange->edge;
-    uint64_t version = wb_poison_registry_version(edge->poison);
+/* Whether the request's content is refused. */
+static gboolean is_content_refused(wb_exchange_t *exchange) {
+    uint64_t version = wb_poison_registry_version(exchange->edge->poison);
     if (exchange->poison_version != version) {
         exchange->poison_version = version;
         exchange->is_poison =
             wb_poison_entry_state(poison_entry_find(exchange)) == WB_POISON_REFUSED;
     }
-    if (!exchange->is_poison || exchange->is_trial) {
-        return TRUE;
-    }
-    if (edge->runs_poison_trials &&
-        wb_poison_registry_take_trial(edge->poison, &exchange->digest, wb_clock_ms())) {
-        exchange->is_trial = TRUE;
-        trial_log(exchange, &exchange->digest);
-    }
-    return exchange->is_trial;
+    return exchange->is_poison;
 }
 
-/* Whether no part of its prompt is refused, or it was made the trial of one. */
-static gboolean parts_may_send(wb_exchange_t *exchange) {
+/* Makes the request the trial of its content, or of a part of its prompt, if one is due. */
+static void trial_take(wb_exchange_t *exchange, const wb_request_digest_t *part) {
     wb_edge_t *edge = exchange->edge;
-    wb_refused_parts_t refused = wb_exchange_refused_parts(exchange);
-    if (refused.count == 0 || exchange->is_trial) {
-        return TRUE;
-    }
-    /* With two of them a crash wouldn't show which one is harmless. */
-    if (edge->runs_poison_trials && refused.count == 1 &&
-        wb_part_registry_take_trial(edge->parts, refused.first, wb_clock_ms())) {
-        exchange->is_trial = TRUE;
-        trial_log(exchange, refused.first);
+    int64_t now_ms = wb_clock_ms();
+    exchange->is_trial =
+        part != NULL ? wb_part_registry_take_trial(edge->parts, part, now_ms)
+                     : wb_poison_registry_take_trial(edge->poison, &exchange->digest, now_ms);
+    if (exchange->is_trial) {
+        trial_log(exchange, part != NULL ? part : &exchange->digest);
     }
-    return exchange->is_trial;
 }
 
 gboolean wb_exchange_may_send(wb_exchange_t *exchange) {
-    return content_may_send(exchange) && parts_may_send(exchange);
+    guint content_refused = is_content_refused(exchange) ? 1 : 0;
+    wb_refused_parts_t parts = wb_exchange_refused_parts(exchange);
+    guint refused = content_refused + parts.count;
+    /* With two of them a crash wouldn't show which one is harmless. */
+    if (refused == 1 && !exchange->is_trial && exchange->edge->runs_poison_trials) {
+        trial_take(exchange, parts.first);
+    }
+    return refused == 0 || exchange->is_trial;
 }
 
 gboolean wb_exchange_is_suspect(wb_exchange_t *exchange) {
