--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -260,7 +260,8 @@
     const wb_edge_t *edge = exchange->edge;
     wb_engine_t *engine = wb_balancer_choose(edge, exchange, now_ms, &exchange->decision);
     exchange->uses_peer_share = FALSE;
-    if (engine == NULL) {
+    /* A resend would take from the retry budget each time that no node has a share left. */
+    if (engine == NULL && exchange->sends == 0) {
         engine = wb_balancer_choose_by_share(edge, exchange, now_ms, &exchange->decision);
         exchange->uses_peer_share = engine != NULL;
     }
