--- a/tests/soak/parts.c
+++ b/tests/soak/parts.c
@@ -15,7 +15,7 @@
 #define DEADLINE_MS 3000
 /* How long sound requests are sent before the others. */
 #define BEFORE_US 4000000
-/* Once a part is known, undisturbed nodes and all nodes together may send it so many times more. */
+/* Late requests from all nodes together, those out of touch included. */
 #define LATE_MAX_TOTAL 12
 /* From so long after the fifth crash on, sound requests begin at least half as often as before. */
 #define RECOVERED_MS (2 * PART_ORACLE_CONTACT_MS)
