--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -313,6 +313,7 @@
     soak_tenants_check(soak, seen);
     soak_versions_check(soak);
     soak_parts_check(soak, seen);
+    soak_flood_check(soak);
     soak_config_check(soak, seen);
     json_decref(seen);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -11,6 +11,8 @@
 #define DEFAULT_SECONDS 30
 /* How long poison requests go on after all faults are over, when no node is disturbed. */
 #define POISON_TAIL_US 6000000
+/* How long connections go on to one node by turns: longer than two turns and what faults leave. */
+#define FLOOD_TAIL_US 27000000
 
 void soak_fail(soak_t *soak, const char *format, ...) {
     va_list values;
@@ -155,6 +157,8 @@
     soak.has_poison = seed / 16 % 2 == 0 && !soak.has_versions;
     /* Bit 19. The older build records crashes by request only. */
     soak.has_parts = seed / 524288 % 2 == 1 && !soak.has_builds;
+    /* Bit 20. The older build doesn't lend its share of a limit. */
+    soak.has_flood = seed / 1048576 % 2 == 1 && !soak.has_builds;
     GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
@@ -183,6 +187,9 @@
     if (soak.has_parts) {
         soak_parts_start(&soak, poison);
     }
+    if (soak.has_flood) {
+        soak_flood_start(&soak, poison);
+    }
     if (seed / 2048 % 2 == 1) {
         soak_config_start(&soak, clients);
     }
@@ -192,7 +199,9 @@
     soak_clients_join(versions);
     soak_clients_join(clients);
     soak_recovery_check(&soak);
-    if (soak.has_poison || soak.has_parts) {
+    if (soak.has_flood) {
+        g_usleep(FLOOD_TAIL_US);
+    } else if (soak.has_poison || soak.has_parts) {
         g_usleep(POISON_TAIL_US);
     }
     g_atomic_int_set(&soak.poison_stop, 1);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -116,6 +116,8 @@
                                 up at other nodes */
     soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
     soak_streams_t taken_up; /* streams that they took up there */
+    gboolean has_flood;      /* most new connections go to one node, by turns */
+    int64_t flood_from_ms;   /* when their clients begin */
     gboolean has_parts;      /* requests that share a part which crashes engines, and sound ones */
     int64_t parts_from_ms;   /* when the former begin */
     gboolean has_tenants;    /* tenants with limits send far more than these at times */
@@ -147,6 +149,8 @@
 #define SOAK_BAD_PART_ID "x"
 #define SOAK_SOUND_PART_ID "g"
 
+#define SOAK_FLOOD_ID "f" /* begins the ids of requests that go to one node by turns */
+
 #define SOAK_TENANT_ID "t" /* begins the ids of requests of tenants with limits */
 
 /** @return TRUE if the request is one that crashes engines */
@@ -230,6 +234,13 @@
 /** Check how often such parts reached engines, and how many sound requests began. */
 void soak_parts_check(soak_t *soak, const json_t *seen);
 
+/* flood.c */
+/** Start clients that open most connections to one node, by turns. @param threads takes their
+ * threads, which end with poison_stop */
+void soak_flood_start(soak_t *soak, GPtrArray *threads);
+/** Compare what a node served that got most connections with what all did before. */
+void soak_flood_check(soak_t *soak);
+
 /* processor.c */
 /** Start to limit the processor of nodes, if this run does. @param threads takes the thread */
 void soak_processor_limit(soak_t *soak, GPtrArray *threads);
