--- a/src/poison/poison_registry.c
+++ b/src/poison/poison_registry.c
@@ -18,17 +18,6 @@
     int64_t next_trial_ms;
 };
 
-/* The first bytes of a digest are uniformly distributed. */
-static guint digest_hash(gconstpointer digest) {
-    guint hash;
-    memcpy(&hash, ((const wb_request_digest_t *)digest)->bytes, sizeof(hash));
-    return hash;
-}
-
-static gboolean digest_equal(gconstpointer left, gconstpointer right) {
-    return wb_request_digest_equal(left, right);
-}
-
 wb_poison_registry_t *wb_poison_registry_create(const wb_poison_options_t *options) {
     wb_poison_registry_t *registry = g_new0(wb_poison_registry_t, 1);
     registry->options.retention_ms =
@@ -38,7 +27,7 @@
         options->entries_max > 0 ? options->entries_max : WB_POISON_ENTRIES;
     registry->options.engines = options->engines > 0 ? options->engines : WB_POISON_ENGINES;
     wb_list_init(&registry->entries);
-    registry->index = g_hash_table_new(digest_hash, digest_equal);
+    registry->index = g_hash_table_new(wb_request_digest_hash, wb_request_digest_key_equal);
     registry->version = 1;
     return registry;
 }
--- a/src/poison/request_digest.c
+++ b/src/poison/request_digest.c
@@ -58,3 +58,14 @@
                                  const wb_request_digest_t *right) {
     return memcmp(left->bytes, right->bytes, sizeof(left->bytes)) == 0;
 }
+
+/* All bytes of a digest are uniformly distributed. */
+guint wb_request_digest_hash(gconstpointer digest) {
+    guint hash;
+    memcpy(&hash, ((const wb_request_digest_t *)digest)->bytes, sizeof(hash));
+    return hash;
+}
+
+gboolean wb_request_digest_key_equal(gconstpointer left, gconstpointer right) {
+    return wb_request_digest_equal(left, right);
+}
--- a/src/poison/request_digest.h
+++ b/src/poison/request_digest.h
@@ -41,5 +41,8 @@
 /** Parse the text form. @return FALSE when the text isn't a digest */
 gboolean wb_request_digest_parse(const char *text, wb_request_digest_t *digest);
 gboolean wb_request_digest_equal(const wb_request_digest_t *left, const wb_request_digest_t *right);
+/** For tables whose keys are digests. */
+guint wb_request_digest_hash(gconstpointer digest);
+gboolean wb_request_digest_key_equal(gconstpointer left, gconstpointer right);
 
 #endif
