--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -141,7 +141,6 @@
     int64_t pace_sent_ms;             /* when this node last sent engine loads */
     int64_t pace_received_ms;         /* when engine loads were last received */
     wb_poison_versions_t poison_sent; /* last sent */
-    unsigned refused_parts;           /* of prompts, as of the last tick */
     gboolean poison_aggregator;       /* as of the last tick */
     gboolean states_sent;             /* all engine-reported state was sent on controller_link */
     wb_version_history_t *versions;
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -134,19 +134,15 @@
     }
 }
 
-/* A part may be refused though its own entry hasn't changed: time has passed, or what explained its
- * crashes was cleared. */
 static void refused_parts_update(wb_edge_node_t *node) {
-    unsigned refused = wb_part_registry_refused_count(node->edge.parts, wb_clock_ms());
-    gboolean is_new = refused > node->refused_parts;
-    node->refused_parts = refused;
-    if (is_new && node->poison_aggregator) {
-        node->poison_sent.parts = 0;
-        changes_send(node);
+    if (!wb_part_registry_update_refused(node->edge.parts, wb_clock_ms())) {
+        return;
     }
-    if (is_new) {
-        wb_exchanges_refuse_poison(&node->edge);
+    if (node->poison_aggregator) {
+        node->poison_sent.parts = 0; /* the entry itself may not have changed */
+        changes_send(node);
     }
+    wb_exchanges_refuse_poison(&node->edge);
 }
 
 void wb_edge_node_tick_poison(wb_edge_node_t *node) {
--- a/src/poison/part_registry.c
+++ b/src/poison/part_registry.c
@@ -10,12 +10,17 @@
     const wb_poison_registry_t *requests;
     wb_poison_registry_t *crashes;
     wb_served_set_t *completed;
+    GHashTable *refused; /* set of wb_request_digest_t, as of the last update */
     int64_t trial_ms;
     int64_t next_trial_ms;
 };
 
 G_STATIC_ASSERT(sizeof(XXH128_canonical_t) == WB_REQUEST_DIGEST_BYTES);
 
+static GHashTable *digest_set_create(void) {
+    return g_hash_table_new_full(wb_request_digest_hash, wb_request_digest_key_equal, g_free, NULL);
+}
+
 wb_part_registry_t *wb_part_registry_create(const wb_poison_options_t *options,
                                             const wb_poison_registry_t *requests) {
     wb_part_registry_t *registry = g_new0(wb_part_registry_t, 1);
@@ -25,6 +30,7 @@
     registry->crashes = wb_poison_registry_create(&crashes);
     registry->requests = requests;
     registry->completed = wb_served_set_create();
+    registry->refused = digest_set_create();
     registry->trial_ms = options->trial_ms > 0 ? options->trial_ms : WB_POISON_TRIAL_MS;
     return registry;
 }
@@ -32,6 +38,7 @@
 void wb_part_registry_free(wb_part_registry_t *registry) {
     wb_poison_registry_free(registry->crashes);
     wb_served_set_free(registry->completed);
+    g_hash_table_unref(registry->refused);
     g_free(registry);
 }
 
@@ -211,6 +218,21 @@
     return count;
 }
 
+gboolean wb_part_registry_update_refused(wb_part_registry_t *registry, int64_t now_ms) {
+    GHashTable *refused = digest_set_create();
+    gboolean is_new = FALSE;
+    WB_LIST_EACH(item, wb_poison_registry_entries(registry->crashes)) {
+        const wb_poison_entry_t *entry = WB_LIST_OF(item, wb_poison_entry_t, item);
+        if (entry_state(registry, entry, now_ms) == WB_POISON_REFUSED) {
+            is_new |= !g_hash_table_contains(registry->refused, &entry->digest);
+            g_hash_table_add(refused, g_memdup2(&entry->digest, sizeof(entry->digest)));
+        }
+    }
+    g_hash_table_unref(registry->refused);
+    registry->refused = refused;
+    return is_new;
+}
+
 /* Time from the last crash to the next trial. */
 static int64_t trial_delay_ms(const wb_part_registry_t *registry, const wb_poison_entry_t *entry,
                               int64_t now_ms) {
--- a/src/poison/part_registry.h
+++ b/src/poison/part_registry.h
@@ -99,6 +99,10 @@
                                          const wb_request_digest_t *key, int64_t now_ms);
 /** @return number of refused parts */
 unsigned wb_part_registry_refused_count(const wb_part_registry_t *registry, int64_t now_ms);
+/** Look which parts are refused now: that changes without a change of their entries when time
+ * passes, or what explained their crashes is cleared.
+ * @return TRUE when one is that wasn't at the last call */
+gboolean wb_part_registry_update_refused(wb_part_registry_t *registry, int64_t now_ms);
 /** Ask whether to send a request with a refused part as a trial. Only the one node that runs trials
  * may call this. @return TRUE: send it, once */
 gboolean wb_part_registry_take_trial(wb_part_registry_t *registry, const wb_request_digest_t *key,
--- a/tests/unit/test_part_registry.c
+++ b/tests/unit/test_part_registry.c
@@ -140,6 +140,25 @@
     fixture_free(&fixture);
 }
 
+/* A part is newly refused in the moment in which the part that explained its crashes is cleared,
+ * though as many are refused as before. */
+static void test_refused_instead_of_another(void) {
+    fixture_t fixture = fixture_create();
+    crash(&fixture, "first");
+    for (int i = 0; i < WB_PART_ENGINES; i++) {
+        crash(&fixture, "first second");
+    }
+    g_assert_true(wb_part_registry_update_refused(fixture.parts, fixture.now_ms));
+    g_assert_false(wb_part_registry_update_refused(fixture.parts, fixture.now_ms));
+    complete(&fixture, "first");
+    g_assert_cmpint(state_of(&fixture, "second"), ==, WB_POISON_REFUSED);
+    g_assert_cmpuint(wb_part_registry_refused_count(fixture.parts, fixture.now_ms), ==, 1);
+    g_assert_true(wb_part_registry_update_refused(fixture.parts, fixture.now_ms));
+    complete(&fixture, "second");
+    g_assert_false(wb_part_registry_update_refused(fixture.parts, fixture.now_ms));
+    fixture_free(&fixture);
+}
+
 /* A process that has just started learns of completions with the crashes. */
 static void test_completed_elsewhere(void) {
     fixture_t there = fixture_create();
@@ -319,6 +338,7 @@
     g_test_add_func("/part-registry/two-bad-parts", test_two_bad_parts);
     g_test_add_func("/part-registry/two-bad-parts-in-an-outage", test_two_bad_parts_in_an_outage);
     g_test_add_func("/part-registry/not-explained-any-more", test_not_explained_any_more);
+    g_test_add_func("/part-registry/refused-instead-of-another", test_refused_instead_of_another);
     g_test_add_func("/part-registry/completed-elsewhere", test_completed_elsewhere);
     g_test_add_func("/part-registry/part-turns-bad", test_part_turns_bad);
     g_test_add_func("/part-registry/many-engines-at-once", test_many_engines_at_once);
