--- a/src/request/stream_starts.c
+++ b/src/request/stream_starts.c
@@ -1,24 +1,12 @@
 /* The software versions at which streams began, in a table by key and a list by age. */
 #include "request/stream_starts.h"
 
-#include <string.h>
-
 struct wb_stream_starts_t {
     GHashTable *by_key; /* wb_request_digest_t, in the entry -> wb_stream_start_t */
     wb_list_t entries;
     uint64_t number;
 };
 
-static guint key_hash(gconstpointer key) {
-    guint hash;
-    memcpy(&hash, ((const wb_request_digest_t *)key)->bytes, sizeof(hash));
-    return hash;
-}
-
-static gboolean key_equal(gconstpointer left, gconstpointer right) {
-    return wb_request_digest_equal(left, right);
-}
-
 wb_request_digest_t wb_stream_key(const char *tenant, const char *request_id) {
     wb_request_content_t content = {.method = "stream",
                                     .host = "",
@@ -30,7 +18,7 @@
 
 wb_stream_starts_t *wb_stream_starts_create(void) {
     wb_stream_starts_t *starts = g_new0(wb_stream_starts_t, 1);
-    starts->by_key = g_hash_table_new(key_hash, key_equal);
+    starts->by_key = g_hash_table_new(wb_request_digest_hash, wb_request_digest_key_equal);
     wb_list_init(&starts->entries);
     return starts;
 }
