--- a/review/common/engines.py
+++ b/review/common/engines.py
@@ -14,7 +14,7 @@
 class Engine:
     """Subclasses override handle(). The engine keeps its row in the store until it is closed."""
 
-    def __init__(self, lab, name, service, zone, slots=6, models=None):
+    def __init__(self, lab, name, service, zone, slots=6, models=None, port=0):
         self.lab, self.name, self.service, self.zone = lab, name, service, zone
         self.slots, self.models = slots, models
         self.born = int(time.time() * 1000)
@@ -22,7 +22,8 @@
         self.state = "ready"
         self.open = True
         self.listener = socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", port))
         self.listener.listen(128)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
