--- a/include/wickbridge/catalog.h
+++ b/include/wickbridge/catalog.h
@@ -44,6 +44,7 @@
     gboolean is_public;        /**< requests need no API key */
     GArray *parts;             /**< of wb_route_target_t: the split targets */
     double split_point;        /**< private: state of wb_route_pick_service */
+    gboolean moved;            /**< streams may have begun at another service: route_moves.h */
 } wb_route_t;
 
 /** A model that engines of a service may load. */
@@ -86,6 +87,7 @@
     wb_tenants_t *tenants; /**< NULL: clients need no API keys */
     wb_client_limits_t limits;
     unsigned route_count;
+    gboolean moves_stored; /**< that its routes have moved is stored where it outlives all nodes */
 } wb_catalog_t;
 
 wb_catalog_t *wb_catalog_create(int64_t version);
--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -82,6 +82,7 @@
     uint64_t long_gaps;               /**< streams with a longer gap than the route's target */
     uint64_t load_updates;            /**< messages about engine load sent or received */
     uint64_t streams_taken_up;    /**< requests that take up an earlier stream of their client */
+    uint64_t stream_origin_waits; /**< waits of streams that began only once it was stored where */
     uint64_t stream_starts_asked; /**< questions to the controller for the start of such a stream */
     uint64_t unframed_answers;    /**< engines' responses with neither length nor chunks */
     uint64_t answers_ended_in_event;    /**< streams that ended inside an event */
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -145,6 +145,8 @@
  * held. From now on no order may be sent. This node takes it over again only as any other does,
  * after the delay of wb_lease_set_takeover_delay. */
 void wb_lease_hand_over(wb_lease_t *lease, int64_t now_ms);
+/** Make the next write of the holder due now. */
+void wb_lease_write_soon(wb_lease_t *lease);
 /** @return number of renewals that were sent beside one that the store hadn't answered */
 uint64_t wb_lease_resends(const wb_lease_t *lease);
 /** @return TRUE while a requested release has not taken effect, as far as known */
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -54,6 +54,7 @@
     wb_lease_grants_t *grants;
     wb_lease_predecessor_t predecessor; /* from the last row of another process */
     gboolean releasing;
+    gboolean write_requested;         /* the holder's next write is due now */
     gboolean handing_over;            /* the lease is released at the next write, for others */
     gboolean was_released;            /* this process doesn't take the lease again */
     int64_t holder_priority_until_ms; /* no takeover before this, so that a holder can renew */
@@ -312,7 +313,7 @@
         if (renewal_must_wait(lease, now_ms))
             return FALSE;
         return last_write_is_open(lease) || lease->releasing || lease->handing_over ||
-               wb_lease_grants_has_pending(lease->grants) ||
+               lease->write_requested || wb_lease_grants_has_pending(lease->grants) ||
                now_ms - lease->last_write_ms >= lease->settings.renew_ms;
     }
     if (writes_under_way(lease) > 0 || lease->releasing || lease->was_released)
@@ -348,6 +349,7 @@
     write->expected_version = lease->version;
     wb_lease_row_copy(&write->row, &next);
     lease->last_write_ms = now_ms;
+    lease->write_requested = FALSE;
     *row = write->row;
     *expected_version = write->expected_version;
     return TRUE;
@@ -455,6 +457,10 @@
     lease->held_until_ms = 0; /* send no more orders */
 }
 
+void wb_lease_write_soon(wb_lease_t *lease) {
+    lease->write_requested = TRUE;
+}
+
 uint64_t wb_lease_resends(const wb_lease_t *lease) {
     return lease->resends;
 }
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -201,6 +201,7 @@
     wb_edge_confirm_unframed_ends(&node->edge, now_ms);
     wb_crash_watch_sweep(node->edge.crashes, now_ms);
     wb_edge_node_sweep_streams(node, now_ms);
+    wb_edge_node_origins_sweep(node, now_ms);
     wb_poison_registry_sweep(node->edge.poison, now_ms);
     wb_part_registry_sweep(node->edge.parts, now_ms);
     wb_pace_aggregate_sweep(node->own_pace_aggregate, now_ms);
@@ -241,8 +242,7 @@
     edge->on_stream_begun = wb_edge_node_stream_begun;
     edge->ask_stream_start = wb_edge_node_ask_stream_start;
     edge->sole_version = wb_edge_node_sole_version;
-    created->versions =
-        wb_version_history_create((int64_t)(settings->resume_window_s * 1000), wb_clock_ms());
+    wb_edge_node_origins_create(created);
     edge->brittle_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -21,6 +21,7 @@
 
 #include "control/controller.h"
 
+#include "catalog/route_moves.h"
 #include "fleet/version_history.h"
 
 #include "pace/pace_aggregate.h"
@@ -62,6 +63,7 @@
     gboolean report_unacknowledged;  /* with usage of limits */
     gboolean unresponsive;           /* no message for too long, but the link is still up */
     gboolean states_sent;            /* all engine-reported state was sent to it */
+    gboolean origins_sent;           /* where streams may have begun, as far as it is stored */
     uint64_t starts_number;          /* of the last start of a stream that was sent to it */
     wb_subscription_t *subscription; /* engine rows it subscribed to on this link; or NULL */
 } wb_gateway_t;
@@ -143,8 +145,17 @@
     wb_poison_versions_t poison_sent; /* last sent */
     gboolean poison_aggregator;       /* as of the last tick */
     gboolean states_sent;             /* all engine-reported state was sent on controller_link */
+    /* Where streams may have begun: node_origins.c. */
     wb_version_history_t *versions;
-    gboolean versions_taken;    /* the lease row was read, which has those of earlier processes */
+    wb_route_moves_t *route_moves;
+    int64_t catalogs_in_force[8]; /* versions of the latest catalogs here; 0: none */
+    guint catalogs_next;
+    gboolean origins_required; /* streams begin only where that is stored */
+    gboolean origins_by_link;  /* all that is stored was received on controller_link */
+    gboolean lease_row_seen;   /* there has been a lease row */
+    int64_t origins_version;   /* of the latest lease row of which all is known here; -1: none */
+    int64_t stored_catalog_version; /* whose moves the lease row has; 0: none */
+    int64_t created_ms; /* when this process found that there was no lease row yet; 0: there was */
     int64_t streams_since_ms;   /* since when it keeps the starts of all streams, as the aggregator;
                                    0: it isn't */
     uint64_t streams_number;    /* of the last start that was sent to the gateways that keep all */
@@ -335,10 +346,8 @@
 /** As wb_edge_t.on_stream_begun. @param context the node */
 void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context);
 /** As wb_edge_t.ask_stream_start. @param context the node */
-gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key, const char *service,
-                                       void *context);
-/** As wb_edge_t.sole_version. @param context the node */
-const char *wb_edge_node_sole_version(const char *service, void *context);
+gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
+                                       const wb_stream_place_t *place, void *context);
 /** Merge starts of streams that another node knows. */
 void wb_edge_node_streams_take(wb_edge_node_t *node, const wb_wire_stream_starts *starts);
 /** Answer a gateway that asks how a stream began. */
@@ -350,16 +359,50 @@
 void wb_edge_node_streams_link_open(wb_edge_node_t *node);
 /** As the aggregator, send new starts of streams to some gateways. */
 void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms);
-/** Add the software versions that engines had lately, for the lease row. */
-void wb_edge_node_versions_add(const wb_edge_node_t *node, wb_wire_extensions *extensions);
-/** Take them from the first lease row that this process reads. */
-void wb_edge_node_versions_take(wb_edge_node_t *node, const wb_wire_extensions *extensions);
-/** The table of nodes was read. If it has no lease row, no node has served before: the history is
- * whole from the start. */
-void wb_edge_node_versions_begin(wb_edge_node_t *node);
-/** Forget starts whose time is over; note which software versions have engines. */
+/** @return TRUE when a stream that this node has no record of is known to nobody: it has been the
+ * aggregator for long enough */
+gboolean wb_edge_node_streams_settled(const wb_edge_node_t *node, int64_t now_ms);
+/** Forget starts whose time is over. */
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms);
 
+/* node_origins.c */
+/** What a write of the lease row says of where streams may have begun. */
+typedef struct wb_origins_write_t {
+    gboolean is_written; /* it fits into the row */
+    uint64_t versions_number;
+    int64_t catalog_version;
+} wb_origins_write_t;
+
+void wb_edge_node_origins_create(wb_edge_node_t *node);
+/** An engine was announced: streams may begin at its version once that is stored. */
+void wb_edge_node_origins_engine(wb_edge_node_t *node, wb_engine_t *engine);
+/** A catalog comes into force. @param before NULL: there was none */
+void wb_edge_node_origins_catalog(wb_edge_node_t *node, const wb_catalog_t *before,
+                                  wb_catalog_t *after);
+/** Take what a lease row says. @param is_copy the store came back from an older copy since it was
+ * written */
+void wb_edge_node_origins_read(wb_edge_node_t *node, const wb_wire_extensions *extensions,
+                               int64_t row_version, gboolean is_copy);
+/** Add it for the lease row. @param expected_version of the row that the write replaces
+ * @param write out: for wb_edge_node_origins_written */
+void wb_edge_node_origins_write(wb_edge_node_t *node, int64_t expected_version,
+                                wb_wire_extensions *extensions, wb_origins_write_t *write);
+/** The store has taken the write. @param version of the row */
+void wb_edge_node_origins_written(wb_edge_node_t *node, const wb_origins_write_t *write,
+                                  int64_t version);
+/** As the holder, add what is stored to an update, unless all gateways know it. */
+void wb_edge_node_origins_update_add(wb_edge_node_t *node, wb_wire_extensions *extensions);
+/** Take it from the holder's update. @param lease_version of the lease row that it names; number 0:
+ * none */
+void wb_edge_node_origins_update_take(wb_edge_node_t *node, const wb_wire_extensions *extensions,
+                                      int64_t lease_version);
+/** The link to the holder was closed, so its later changes may be missing. */
+void wb_edge_node_origins_link_closed(wb_edge_node_t *node);
+/** As wb_edge_t.sole_version. @param context the node */
+const char *wb_edge_node_sole_version(const wb_stream_place_t *place, void *context);
+/** Note which versions engines have. */
+void wb_edge_node_origins_sweep(wb_edge_node_t *node, int64_t now_ms);
+
 /* node_announce.c */
 GHashTable *wb_edge_node_announcements_create(void);
 /** As the lease holder, connect to nodes that have no link to this one. */
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -70,6 +70,9 @@
         "count it"),
     ROW("resume-window-s", WB_SETTING_REAL, "s", 1, 3600, "30", resume_window_s,
         "Longest time from a stream's first event until its caller takes it up again"),
+    ROW("stream-age-max-s", WB_SETTING_REAL, "s", 1, 604800, "86400", stream_age_max_s,
+        "Max age of a stream that its caller takes up; for so long it counts that a service had "
+        "another software version, or a path led to another service"),
     ROW("poison-kept-s", WB_SETTING_REAL, "s", 1, 86400, "600", poison_kept_s,
         "Time after its last crash for which a request that crashes engines is refused"),
     ROW("poison-trial-s", WB_SETTING_REAL, "s", 0.1, 86400, "60", poison_trial_s,
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -197,8 +197,7 @@
         wb_crash_watch_address_taken(edge->crashes, engine->state->incarnation,
                                      engine->state->address);
     }
-    wb_version_history_see(node->versions, engine->state->service, engine->state->software_version,
-                           wb_clock_ms());
+    wb_edge_node_origins_engine(node, engine);
     gboolean turned_cold = !was_cold && engine->state->cold_ms > 0;
     if (known == NULL || restarted || turned_cold ||
         was_draining != (engine->draining_since_ms != 0)) {
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -54,6 +54,7 @@
 typedef struct wb_lease_call_t {
     wb_edge_node_t *node;
     uint64_t beat;
+    wb_origins_write_t origins;
 } wb_lease_call_t;
 
 static void lease_write_done(const wb_table_answer_t *answer, void *context) {
@@ -63,6 +64,7 @@
     switch (answer->outcome) {
     case WB_TABLE_DONE:
         wb_lease_on_written(node->lease, call->beat, answer->version, now_ms);
+        wb_edge_node_origins_written(node, &call->origins, answer->version);
         break;
     case WB_TABLE_UNKNOWN:
         wb_lease_on_write_unknown(node->lease, call->beat, now_ms);
@@ -114,10 +116,11 @@
     return copy;
 }
 
-/* Writes the format version of this build, the era of the store that the row is written in, and the
- * software versions of engines.
+/* Writes the format version of this build, the era of the store that the row is written in, and
+ * where streams may have begun.
  * Returns bytes written; 0: they don't fit. */
-static u_int extensions_write(const wb_edge_node_t *node, int64_t era, char *bytes, u_int room) {
+static u_int extensions_write(wb_lease_call_t *call, int64_t era, int64_t expected_version,
+                              char *bytes, u_int room) {
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {WB_WIRE_FORMAT_VERSION};
     XDR stream;
@@ -125,19 +128,22 @@
                       &writer);
     wb_wire_era written = {(uint64_t)era};
     wb_extensions_add(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written);
-    wb_edge_node_versions_add(node, &extensions);
+    wb_edge_node_origins_write(call->node, expected_version, &extensions, &call->origins);
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
     gboolean encoded = xdr_wb_wire_extensions(&stream, &extensions);
     u_int length = encoded ? xdr_getpos(&stream) : 0;
     xdr_destroy(&stream);
     wb_extensions_clear(&extensions);
+    call->origins.is_written = encoded;
     return length;
 }
 
 /* Writes the data that follows the lease: poison requests, quota shares, extensions. Each is
  * decoded from where the previous one ends, so writing stops at the first that doesn't fit. Returns
  * bytes written. */
-static u_int appended_data_write(wb_edge_node_t *node, int64_t era, char *bytes, u_int room) {
+static u_int appended_data_write(wb_lease_call_t *call, int64_t era, int64_t expected_version,
+                                 char *bytes, u_int room) {
+    wb_edge_node_t *node = call->node;
     u_int poison = wb_edge_node_poison_write(node, bytes, room);
     if (poison == 0) {
         return 0;
@@ -147,7 +153,8 @@
         return poison;
     }
     return poison + quota +
-           extensions_write(node, era, bytes + poison + quota, room - poison - quota);
+           extensions_write(call, era, expected_version, bytes + poison + quota,
+                            room - poison - quota);
 }
 
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
@@ -165,10 +172,11 @@
         wb_lease_on_not_written(node->lease, row->beat, wb_clock_ms());
         return;
     }
-    length += appended_data_write(node, row->era, bytes + length, ROW_BYTES - length);
-    wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     wb_lease_call_t *call = g_new0(wb_lease_call_t, 1);
-    *call = (wb_lease_call_t){node, row->beat};
+    *call = (wb_lease_call_t){.node = node, .beat = row->beat};
+    length +=
+        appended_data_write(call, row->era, expected_version, bytes + length, ROW_BYTES - length);
+    wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_LEASE_KEY, expected_version, (const guchar *)bytes, length,
                        lease_write_done, call);
 }
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -347,6 +347,7 @@
     if (node->controller_link_open)
         wb_table_watch_poll_soon(node->nodes_watch);
     node->controller_link_open = FALSE;
+    wb_edge_node_origins_link_closed(node);
     wb_quota_limiter_lost(node->edge.quota);
     node->link_retry_ms = wb_clock_ms() + LINK_RETRY_MS;
 }
@@ -371,6 +372,7 @@
         wb_link_close(node->controller_link);
         node->controller_link = NULL;
         node->controller_link_open = FALSE;
+        wb_edge_node_origins_link_closed(node);
         wb_quota_limiter_lost(node->edge.quota);
     }
     if (wanted && node->controller_link == NULL && now_ms >= node->link_retry_ms)
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -116,9 +116,11 @@
 static void catalog_take(wb_edge_node_t *node, wb_catalog_t *catalog, int64_t row_version,
                          int64_t parse_ms) {
     wb_edge_t *edge = &node->edge;
-    int64_t before = edge->catalog != NULL ? edge->catalog->version : 0;
-    wb_catalog_unref(edge->catalog);
+    wb_catalog_t *previous = edge->catalog;
+    int64_t before = previous != NULL ? previous->version : 0;
     edge->catalog = catalog;
+    wb_edge_node_origins_catalog(node, previous, catalog);
+    wb_catalog_unref(previous);
     wb_http_limits_t limits = {catalog->limits.head_bytes, catalog->limits.body_bytes,
                                catalog->limits.head_timeout_ms, catalog->limits.idle_timeout_ms};
     wb_http_listener_set_limits(node->client_listener, &limits);
@@ -170,11 +172,11 @@
 /* The nodes table: nodes and the controller's lease. */
 
 /* Reads the extensions of the lease row, which builds before format version 2 don't write. */
-static void lease_extensions_read(wb_edge_node_t *node, XDR *stream, int64_t *era) {
+static void lease_extensions_read(wb_edge_node_t *node, XDR *stream, int64_t version,
+                                  int64_t *era) {
     wb_wire_extensions extensions = {0};
     wb_wire_writer writer = {1};
     wb_wire_era written;
-    int64_t row_era = *era;
     if (!xdr_wb_wire_extensions(stream, &extensions)) {
         wb_event("lease-parts-refused", "%s", "");
     } else {
@@ -183,8 +185,7 @@
         if (wb_extensions_read(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era,
                                &written))
             *era = (int64_t)MIN(written.era, (uint64_t)WB_STORE_ERA_MAX);
-        if (*era == row_era) /* not from a copy of the store */
-            wb_edge_node_versions_take(node, &extensions);
+        wb_edge_node_origins_read(node, &extensions, version, *era < wb_store_version_era(version));
     }
     if (writer.form != node->lease_format_version) {
         wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORMAT_VERSION);
@@ -213,7 +214,7 @@
         wb_edge_node_quota_read(node, &stream);
     }
     if (decoded && xdr_getpos(&stream) < row->length) {
-        lease_extensions_read(node, &stream, &era);
+        lease_extensions_read(node, &stream, row->version, &era);
     }
     xdr_destroy(&stream);
     if (decoded) {
@@ -230,7 +231,7 @@
         wb_event("lease-row-refused", ",\"row_version\":%lld",
                  (long long)wb_store_version_number(row->version));
     }
-    node->versions_taken = TRUE;
+    node->lease_row_seen = TRUE;
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
@@ -324,10 +325,8 @@
     node->edge.node_count = g_hash_table_size(node->nodes);
     wb_edge_node_check_lease(node);
     own_row_adopt(node);
-    if (full_read) {
+    if (full_read)
         own_row_restore(node);
-        wb_edge_node_versions_begin(node);
-    }
 }
 
 static void node_row_write_done(const wb_table_answer_t *answer, void *context) {
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -202,6 +202,7 @@
     wb_wire_extensions extensions = {0};
     wb_edge_node_sent_add(&extensions, now_ms);
     wb_edge_node_era_add(node, &extensions);
+    wb_edge_node_origins_update_add(node, &extensions);
     wb_edge_node_broadcast_with_extensions(node, &message, &extensions);
     wb_extensions_clear(&extensions);
     update_clear(node);
@@ -296,6 +297,8 @@
     wb_edge_node_quota_heard(node, sent_ms);
     if (era < node->store_era)
         return; /* the holder hasn't noticed yet that the store went back */
+    wb_edge_node_origins_update_take(node, extensions,
+                                     wb_edge_node_version_from_wire(era, update->lease_version));
     lease_take(node, update, era);
     for (guint i = 0; i < update->rows.rows_len; i++)
         row_take(node, &update->rows.rows_val[i], era);
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -15,16 +15,9 @@
 #define KEEPERS_UPDATE_MS 500
 /* Time in which gateways link to a new aggregator and send what they know. */
 #define SETTLE_MS 2000
-/* Older knowledge of engines says nothing about which versions serve. */
-#define ENGINES_AGE_MAX_MS 3000
-/* In a longer time without knowledge of engines, some may have come, been used by other nodes, and
- * gone again. */
-#define ENGINES_GAP_MAX_MS 10000
-/* For this long the answer to a question holds that no record was needed for. */
-#define SOLE_LEFT_MS 10000
-/* Versions in the lease row; with more, it names none. */
-#define VERSIONS_MAX 64
 #define LEFT_MAX_MS (600 * 1000U)
+/* First format version whose controllers may answer without a record, and say what they rest on. */
+#define FORMAT_WITH_PLACES 4
 
 G_STATIC_ASSERT(WB_WIRE_DIGEST_BYTES == WB_REQUEST_DIGEST_BYTES);
 
@@ -96,40 +89,60 @@
         wb_request_digest_t key = key_from_wire(wire->key);
         wb_stream_starts_add(node->edge.stream_starts, &key, wire->service, wire->software_version,
                              now_ms + MIN(wire->left_ms, LEFT_MAX_MS));
-        /* Other nodes may know engines that this one doesn't. */
-        wb_version_history_see(node->versions, wire->service, wire->software_version, now_ms);
     }
 }
 
-/* Whether a stream that this aggregator doesn't know is known to nobody. */
-static gboolean is_settled(const wb_edge_node_t *node, int64_t now_ms) {
+gboolean wb_edge_node_streams_settled(const wb_edge_node_t *node, int64_t now_ms) {
     return node->streams_since_ms != 0 && now_ms - node->streams_since_ms >= SETTLE_MS;
 }
 
-gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key, const char *service,
-                                       void *context) {
+gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
+                                       const wb_stream_place_t *place, void *context) {
     wb_edge_node_t *node = context;
     if (wb_edge_node_is_aggregator(node))
-        return !is_settled(node, wb_clock_ms());
+        return !wb_edge_node_streams_settled(node, wb_clock_ms());
     if (!node->controller_link_open || !link_reads_starts(node->controller_link))
         return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE;
     wb_wire_message message = {.kind = WB_WIRE_STREAM_QUERY};
     wb_wire_stream_query *query = &message.wb_wire_message_u.stream_query;
     key_to_wire(key, query->key);
-    query->service = (char *)service;
-    wb_link_send(node->controller_link, &message);
+    query->service = "";
+    wb_wire_extensions extensions = {0};
+    if (wb_link_format_version(node->controller_link) >= FORMAT_WITH_PLACES) {
+        wb_wire_stream_place wire = {(char *)place->host, (char *)place->path, place->named};
+        query->service = (char *)place->service;
+        wb_extensions_add(&extensions, WB_WIRE_EXTENSION_STREAM_PLACE,
+                          (xdrproc_t)xdr_wb_wire_stream_place, &wire);
+    }
+    wb_link_send_with_extensions(node->controller_link, &message, &extensions);
+    wb_extensions_clear(&extensions);
     return TRUE;
 }
 
+/* Returns the version at which the stream must have begun that a gateway asks for; NULL: not known.
+ */
+static const char *sole_version(wb_edge_node_t *node, const wb_link_t *link,
+                                const wb_wire_stream_query *query) {
+    wb_wire_stream_place wire = {0};
+    const char *sole = NULL;
+    if (wb_extensions_read(wb_link_extensions(link), WB_WIRE_EXTENSION_STREAM_PLACE,
+                           (xdrproc_t)xdr_wb_wire_stream_place, &wire)) {
+        wb_stream_place_t place = {query->service, wire.host, wire.path, wire.named};
+        sole = wb_edge_node_sole_version(&place, node);
+    }
+    xdr_free((xdrproc_t)xdr_wb_wire_stream_place, &wire);
+    return sole;
+}
+
 void wb_edge_node_stream_query(wb_edge_node_t *node, wb_link_t *link,
                                const wb_wire_stream_query *query) {
     int64_t now_ms = wb_clock_ms();
     wb_request_digest_t key = key_from_wire(query->key);
     const wb_stream_start_t *start = wb_stream_starts_find(node->edge.stream_starts, &key);
-    const char *sole =
-        *query->service != '\0' ? wb_edge_node_sole_version(query->service, node) : NULL;
+    const char *sole = start == NULL ? sole_version(node, link, query) : NULL;
     gboolean known = start != NULL || sole != NULL;
-    if (!wb_edge_node_is_aggregator(node) || (!known && !is_settled(node, now_ms)))
+    if (!wb_edge_node_is_aggregator(node) ||
+        (!known && !wb_edge_node_streams_settled(node, now_ms)))
         return; /* the gateway asks again */
     wb_wire_message message = {.kind = WB_WIRE_STREAM_ANSWER};
     wb_wire_stream_answer *answer = &message.wb_wire_message_u.stream_answer;
@@ -137,8 +150,7 @@
     answer->known = known;
     answer->service = start != NULL ? start->service : query->service;
     answer->software_version = start != NULL ? start->software_version : known ? (char *)sole : "";
-    answer->left_ms =
-        start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : SOLE_LEFT_MS;
+    answer->left_ms = start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : 0;
     wb_link_send(link, &message);
 }
 
@@ -148,9 +160,7 @@
         wb_exchanges_start_unknown(&node->edge, &key);
         return;
     }
-    wb_stream_starts_add(node->edge.stream_starts, &key, answer->service, answer->software_version,
-                         wb_clock_ms() + MIN(answer->left_ms, LEFT_MAX_MS));
-    wb_exchanges_retry_waiting(&node->edge);
+    wb_exchanges_start_known(&node->edge, &key, answer->service, answer->software_version);
 }
 
 void wb_edge_node_streams_link_open(wb_edge_node_t *node) {
@@ -216,73 +226,6 @@
     keepers_update(node, now_ms);
 }
 
-/* Software versions. */
-
-const char *wb_edge_node_sole_version(const char *service, void *context) {
-    const wb_edge_node_t *node = context;
-    int64_t now_ms = wb_clock_ms();
-    if (!wb_edge_node_knows_engines(node) ||
-        now_ms - wb_table_watch_fresh_ms(node->engines_watch) > ENGINES_AGE_MAX_MS)
-        return NULL;
-    return wb_version_history_sole(node->versions, service, now_ms);
-}
-
-/* Texts are borrowed from the history. */
-static void version_append(const char *service, const char *software_version, int64_t age_ms,
-                           void *context) {
-    GArray *entries = context;
-    wb_wire_service_version entry = {(char *)service, (char *)software_version, (u_int)age_ms};
-    if (entries->len < VERSIONS_MAX)
-        g_array_append_val(entries, entry);
-}
-
-void wb_edge_node_versions_add(const wb_edge_node_t *node, wb_wire_extensions *extensions) {
-    int64_t now_ms = wb_clock_ms();
-    int64_t known_for_ms = now_ms - wb_version_history_began_ms(node->versions);
-    g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_service_version));
-    wb_version_history_each(node->versions, now_ms, version_append, entries);
-    wb_wire_service_versions versions = {
-        (u_int)CLAMP(known_for_ms, 0, wb_version_history_window_ms(node->versions)),
-        {entries->len, (wb_wire_service_version *)(void *)entries->data}};
-    if (entries->len < VERSIONS_MAX)
-        wb_extensions_add(extensions, WB_WIRE_EXTENSION_VERSIONS,
-                          (xdrproc_t)xdr_wb_wire_service_versions, &versions);
-}
-
-void wb_edge_node_versions_take(wb_edge_node_t *node, const wb_wire_extensions *extensions) {
-    int64_t now_ms = wb_clock_ms();
-    wb_wire_service_versions versions = {0};
-    if (!node->versions_taken &&
-        wb_extensions_read(extensions, WB_WIRE_EXTENSION_VERSIONS,
-                           (xdrproc_t)xdr_wb_wire_service_versions, &versions)) {
-        for (guint i = 0; i < versions.entries.entries_len; i++) {
-            const wb_wire_service_version *entry = &versions.entries.entries_val[i];
-            wb_version_history_see(node->versions, entry->service, entry->software_version,
-                                   now_ms - (int64_t)entry->age_ms);
-        }
-        wb_version_history_extend(node->versions, now_ms - (int64_t)versions.known_for_ms);
-    }
-    xdr_free((xdrproc_t)xdr_wb_wire_service_versions, &versions);
-}
-
-void wb_edge_node_versions_begin(wb_edge_node_t *node) {
-    int64_t window_ms = wb_version_history_window_ms(node->versions);
-    if (!node->versions_taken)
-        wb_version_history_extend(node->versions, wb_clock_ms() - window_ms);
-    node->versions_taken = TRUE;
-}
-
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
-    int64_t fresh_ms = wb_table_watch_fresh_ms(node->engines_watch);
-    gboolean is_stale = fresh_ms != 0 && now_ms - fresh_ms > ENGINES_GAP_MAX_MS;
-    if (!wb_edge_node_reads_engines(node) || is_stale)
-        wb_version_history_restart(node->versions, now_ms);
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wb_engine_state_t *state = ((const wb_engine_t *)value)->state;
-        wb_version_history_see(node->versions, state->service, state->software_version, now_ms);
-    }
 }
--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -1,23 +1,30 @@
-/* When engines of each software version were last announced, by service. */
+/* Software versions by service, with when engines last had them and whether they are stored. */
 #include "fleet/version_history.h"
 
+typedef struct wb_version_entry_t {
+    int64_t seen_ms;
+    uint64_t number;
+    gboolean stored;
+} wb_version_entry_t;
+
 struct wb_version_history_t {
-    GHashTable *services; /* service -> GHashTable: version -> int64_t *, when it was last seen */
-    int64_t window_ms;
+    GHashTable *services; /* service -> GHashTable: version -> wb_version_entry_t */
+    int64_t horizon_ms;
     int64_t began_ms;
+    uint64_t number; /* of the latest entry */
 };
 
-wb_version_history_t *wb_version_history_create(int64_t window_ms, int64_t now_ms) {
+wb_version_history_t *wb_version_history_create(int64_t horizon_ms, int64_t now_ms) {
     wb_version_history_t *history = g_new0(wb_version_history_t, 1);
     history->services =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_unref);
-    history->window_ms = window_ms;
+    history->horizon_ms = horizon_ms;
     history->began_ms = now_ms;
     return history;
 }
 
-int64_t wb_version_history_window_ms(const wb_version_history_t *history) {
-    return history->window_ms;
+int64_t wb_version_history_horizon_ms(const wb_version_history_t *history) {
+    return history->horizon_ms;
 }
 
 void wb_version_history_free(wb_version_history_t *history) {
@@ -28,39 +35,99 @@
 /* @param context time before which a version counts no more */
 static gboolean is_old(gpointer key, gpointer value, gpointer context) {
     (void)key;
-    return *(const int64_t *)value < *(const int64_t *)context;
+    return ((const wb_version_entry_t *)value)->seen_ms < *(const int64_t *)context;
 }
 
-void wb_version_history_see(wb_version_history_t *history, const char *service,
-                            const char *software_version, int64_t now_ms) {
+static GHashTable *service_versions(wb_version_history_t *history, const char *service) {
     GHashTable *versions = g_hash_table_lookup(history->services, service);
     if (versions == NULL) {
         versions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(history->services, g_strdup(service), versions);
     }
-    int64_t *seen_ms = g_hash_table_lookup(versions, software_version);
-    if (seen_ms != NULL) {
-        *seen_ms = MAX(*seen_ms, now_ms);
-        return;
+    return versions;
+}
+
+/* Returns the entry. @param added out: whether it is new */
+static wb_version_entry_t *entry_see(wb_version_history_t *history, const char *service,
+                                     const char *software_version, int64_t now_ms,
+                                     gboolean *added) {
+    GHashTable *versions = service_versions(history, service);
+    wb_version_entry_t *entry = g_hash_table_lookup(versions, software_version);
+    *added = entry == NULL;
+    if (entry != NULL) {
+        entry->seen_ms = MAX(entry->seen_ms, now_ms);
+        return entry;
+    }
+    int64_t oldest_ms = now_ms - history->horizon_ms;
+    g_hash_table_foreach_remove(versions, is_old, &oldest_ms);
+    entry = g_new0(wb_version_entry_t, 1);
+    *entry = (wb_version_entry_t){now_ms, ++history->number, FALSE};
+    g_hash_table_insert(versions, g_strdup(software_version), entry);
+    return entry;
+}
+
+gboolean wb_version_history_see(wb_version_history_t *history, const char *service,
+                                const char *software_version, int64_t now_ms) {
+    gboolean added;
+    entry_see(history, service, software_version, now_ms, &added);
+    return added;
+}
+
+gboolean wb_version_history_see_stored(wb_version_history_t *history, const char *service,
+                                       const char *software_version, int64_t now_ms) {
+    gboolean added;
+    wb_version_entry_t *entry = entry_see(history, service, software_version, now_ms, &added);
+    gboolean was_stored = entry->stored;
+    entry->stored = TRUE;
+    return !was_stored;
+}
+
+uint64_t wb_version_history_number(const wb_version_history_t *history) {
+    return history->number;
+}
+
+gboolean wb_version_history_confirm(wb_version_history_t *history, uint64_t number) {
+    gboolean changed = FALSE;
+    GHashTableIter services;
+    gpointer versions;
+    g_hash_table_iter_init(&services, history->services);
+    while (g_hash_table_iter_next(&services, NULL, &versions)) {
+        GHashTableIter iter;
+        gpointer value;
+        g_hash_table_iter_init(&iter, versions);
+        while (g_hash_table_iter_next(&iter, NULL, &value)) {
+            wb_version_entry_t *entry = value;
+            if (entry->number > number || entry->stored)
+                continue;
+            entry->stored = TRUE;
+            changed = TRUE;
+        }
     }
-    int64_t window_began_ms = now_ms - history->window_ms;
-    g_hash_table_foreach_remove(versions, is_old, &window_began_ms);
-    g_hash_table_insert(versions, g_strdup(software_version), g_memdup2(&now_ms, sizeof(now_ms)));
+    return changed;
 }
 
-void wb_version_history_extend(wb_version_history_t *history, int64_t began_ms) {
-    history->began_ms = MIN(history->began_ms, began_ms);
+gboolean wb_version_history_is_stored(const wb_version_history_t *history, const char *service,
+                                      const char *software_version) {
+    GHashTable *versions = g_hash_table_lookup(history->services, service);
+    const wb_version_entry_t *entry =
+        versions != NULL ? g_hash_table_lookup(versions, software_version) : NULL;
+    return entry != NULL && entry->stored;
+}
+
+void wb_version_history_set_began(wb_version_history_t *history, int64_t began_ms) {
+    history->began_ms = began_ms;
 }
 
 int64_t wb_version_history_began_ms(const wb_version_history_t *history) {
     return history->began_ms;
 }
 
-void wb_version_history_each(const wb_version_history_t *history, int64_t now_ms,
+void wb_version_history_each(const wb_version_history_t *history, gboolean stored_only,
+                             int64_t now_ms,
                              void (*visit)(const char *service, const char *software_version,
                                            int64_t age_ms, void *context),
                              void *context) {
-    int64_t window_began_ms = now_ms - history->window_ms;
+    int64_t oldest_ms = now_ms - history->horizon_ms;
     GHashTableIter services;
     gpointer service;
     gpointer versions;
@@ -68,32 +135,29 @@
     while (g_hash_table_iter_next(&services, &service, &versions)) {
         GHashTableIter iter;
         gpointer version;
-        gpointer seen_ms;
+        gpointer value;
         g_hash_table_iter_init(&iter, versions);
-        while (g_hash_table_iter_next(&iter, &version, &seen_ms)) {
-            if (!is_old(version, seen_ms, &window_began_ms))
-                visit(service, version, now_ms - *(const int64_t *)seen_ms, context);
+        while (g_hash_table_iter_next(&iter, &version, &value)) {
+            const wb_version_entry_t *entry = value;
+            if (!is_old(version, value, &oldest_ms) && (entry->stored || !stored_only))
+                visit(service, version, MAX(now_ms - entry->seen_ms, 0), context);
         }
     }
 }
 
-void wb_version_history_restart(wb_version_history_t *history, int64_t now_ms) {
-    history->began_ms = now_ms;
-}
-
 const char *wb_version_history_sole(const wb_version_history_t *history, const char *service,
                                     int64_t now_ms) {
     GHashTable *versions = g_hash_table_lookup(history->services, service);
-    int64_t window_began_ms = now_ms - history->window_ms;
-    if (versions == NULL || history->began_ms > window_began_ms)
+    int64_t oldest_ms = now_ms - history->horizon_ms;
+    if (versions == NULL || history->began_ms > oldest_ms)
         return NULL;
     const char *sole = NULL;
     GHashTableIter iter;
     gpointer version;
-    gpointer seen_ms;
+    gpointer value;
     g_hash_table_iter_init(&iter, versions);
-    while (g_hash_table_iter_next(&iter, &version, &seen_ms)) {
-        if (is_old(version, seen_ms, &window_began_ms))
+    while (g_hash_table_iter_next(&iter, &version, &value)) {
+        if (is_old(version, value, &oldest_ms))
             continue;
         if (sole != NULL)
             return NULL;
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -1,12 +1,14 @@
 /**
  * @file version_history.h
- * @brief Which software versions of each service have had engines lately. While there was only one,
- * every stream began at it.
+ * @brief Which software versions of each service streams can have begun at. While there was only
+ * one, every stream of the service began at it, also one of which nothing else is known.
  *
- * The history counts from its begin, and anew (wb_version_history_restart) after a time without
- * knowledge of engines in which some may have come and gone.
+ * That holds only if each version is stored where it outlives all nodes before a stream begins at
+ * it. So entries are numbered; the owner stores all of them, confirms the number up to which they
+ * are stored, and lets streams begin at stored versions only.
  *
- * Times are monotonic and in milliseconds. Pure: the time is passed in. No errors.
+ * A version counts until no engine has had it for the horizon. Times are monotonic and in
+ * milliseconds. Pure: the time is passed in. No errors.
  */
 #ifndef WICKBRIDGE_VERSION_HISTORY_H
 #define WICKBRIDGE_VERSION_HISTORY_H
@@ -16,28 +18,37 @@
 
 typedef struct wb_version_history_t wb_version_history_t;
 
-/** @param window_ms longer than any stream lasts, its client's further tries included */
-wb_version_history_t *wb_version_history_create(int64_t window_ms, int64_t now_ms);
-/** @return the window */
-int64_t wb_version_history_window_ms(const wb_version_history_t *history);
+/** @param horizon_ms max age of a stream that its client takes up */
+wb_version_history_t *wb_version_history_create(int64_t horizon_ms, int64_t now_ms);
+/** @return the horizon */
+int64_t wb_version_history_horizon_ms(const wb_version_history_t *history);
 void wb_version_history_free(wb_version_history_t *history);
-/** An engine of the service has this version ("": unknown), or has served with it. */
-void wb_version_history_see(wb_version_history_t *history, const char *service,
-                            const char *software_version, int64_t now_ms);
-/** Another node knows that no engine came and went unseen since a time, up to now.
- * wb_version_history_see adds what it has seen. */
-void wb_version_history_extend(wb_version_history_t *history, int64_t began_ms);
-/** @return since when no engine can have come and gone unseen */
+/** An engine of the service has this version ("": unknown).
+ * @return TRUE if the version wasn't known */
+gboolean wb_version_history_see(wb_version_history_t *history, const char *service,
+                                const char *software_version, int64_t now_ms);
+/** The same for one that is known to be stored. @return TRUE if that wasn't known */
+gboolean wb_version_history_see_stored(wb_version_history_t *history, const char *service,
+                                       const char *software_version, int64_t now_ms);
+/** @return number of the latest entry; 0: there is none */
+uint64_t wb_version_history_number(const wb_version_history_t *history);
+/** All entries up to a number are stored. @return TRUE if one of them wasn't before */
+gboolean wb_version_history_confirm(wb_version_history_t *history, uint64_t number);
+/** @return TRUE if the version is stored, so that streams may begin at it */
+gboolean wb_version_history_is_stored(const wb_version_history_t *history, const char *service,
+                                      const char *software_version);
+/** Set since when the history is whole: no stream began since at a version that it lacks. */
+void wb_version_history_set_began(wb_version_history_t *history, int64_t began_ms);
+/** @return since when the history is whole */
 int64_t wb_version_history_began_ms(const wb_version_history_t *history);
-/** Call a function for each version seen in the window. */
-void wb_version_history_each(const wb_version_history_t *history, int64_t now_ms,
+/** Call a function for each version within the horizon. @param stored_only skip the others */
+void wb_version_history_each(const wb_version_history_t *history, gboolean stored_only,
+                             int64_t now_ms,
                              void (*visit)(const char *service, const char *software_version,
                                            int64_t age_ms, void *context),
                              void *context);
-/** Engines may have come and gone unseen until now. */
-void wb_version_history_restart(wb_version_history_t *history, int64_t now_ms);
-/** @return the only version that engines of the service had in the window;
- * NULL: there were several, one is unknown, or the history is too short */
+/** @return the only version that streams of the service can have begun at within the horizon;
+ * NULL: there were several, one is unknown, or the history isn't whole for so long */
 const char *wb_version_history_sole(const wb_version_history_t *history, const char *service,
                                     int64_t now_ms);
 
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -486,8 +486,9 @@
 
 /* Version of the message format; edge nodes send theirs in the incarnation of the handshake.
  * Version 1 is the message alone; in version 2 extensions may follow it; from version 3 on messages
- * with row versions name their era. docs/COMPATIBILITY.md says what a release may change. */
-const WB_WIRE_FORMAT_VERSION = 3;
+ * with row versions name their era; from version 4 on streams begin only at software versions that
+ * the lease row has. docs/COMPATIBILITY.md says what a release may change. */
+const WB_WIRE_FORMAT_VERSION = 4;
 
 /* Extensions of messages and rows. Readers skip kinds that they don't know. */
 enum wb_wire_extension_kind {
@@ -500,7 +501,9 @@
     WB_WIRE_EXTENSION_HISTORY = 7, /* wb_wire_usage_history */
     WB_WIRE_EXTENSION_TUNNEL = 8, /* wb_wire_tunnel_form */
     WB_WIRE_EXTENSION_VERSION_WAITS = 9, /* wb_wire_version_waits */
-    WB_WIRE_EXTENSION_VERSIONS = 10 /* wb_wire_service_versions */
+    WB_WIRE_EXTENSION_VERSIONS = 10, /* wb_wire_service_versions */
+    WB_WIRE_EXTENSION_ROUTE_MOVES = 11, /* wb_wire_route_moves */
+    WB_WIRE_EXTENSION_STREAM_PLACE = 12 /* wb_wire_stream_place */
 };
 
 struct wb_wire_extension {
@@ -555,19 +558,29 @@
     wb_wire_version_wait entries<WB_WIRE_LIST_MAX>;
 };
 
-/* A software version that engines of a service had lately. */
+/* A software version of a service that streams may have begun at. */
 struct wb_wire_service_version {
     wb_wire_name service;
     wb_wire_name software_version; /* empty: unknown */
     unsigned int age_ms;           /* since such an engine was last announced */
 };
 
-/* In the lease row: what its writer knows, so that a process that has just started knows it, too. */
+/* In the lease row, and in store updates what is known to be in it. From format version 4 on no
+ * stream begins at a version before the row has it. */
 struct wb_wire_service_versions {
-    unsigned int known_for_ms; /* for so long no engine can have come and gone unseen */
+    unsigned int known_for_ms; /* for so long no stream began at a version that is missing here */
     wb_wire_service_version entries<WB_WIRE_LIST_MAX>;
 };
 
+/* With them, from writers of format version 4 on: path prefixes whose streams may have begun at
+ * other services than those that they lead to now. */
+struct wb_wire_route_moves {
+    unsigned hyper catalog_version; /* newest catalog whose moves are counted; 0: none was */
+    bool all;                       /* every prefix may have moved; the list is empty */
+    unsigned hyper hashes<256>;     /* of host and prefix */
+    unsigned int age_ms;            /* since a prefix last moved */
+};
+
 /* The store's era, in which all row versions of the message or row are numbers. */
 struct wb_wire_era {
     unsigned hyper era;
@@ -607,8 +620,15 @@
 /* A gateway asks the controller how a stream began. */
 struct wb_wire_stream_query {
     opaque key[WB_WIRE_DIGEST_BYTES];
-    wb_wire_name service; /* the answer is its only software version, if it had no other lately; empty:
-                           * it isn't */
+    wb_wire_name service; /* at which the stream began, if the path has led to no other; empty: it isn't
+                           * known */
+};
+
+/* With the query: where the request leads that takes the stream up. */
+struct wb_wire_stream_place {
+    wb_wire_name host;
+    wb_wire_text path;
+    bool named; /* the client names the stream that it takes up */
 };
 
 struct wb_wire_stream_answer {
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -284,7 +284,7 @@
         wb_exchange_wait_for_engines(exchange);
         return;
     }
-    if (!wb_exchange_find_start(exchange)) {
+    if (!wb_exchange_find_start(exchange) || !wb_exchange_may_begin(exchange)) {
         wb_exchange_await_start(exchange);
         return;
     }
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -148,14 +148,18 @@
 /** Find out at which software version the stream began that the request takes up.
  * @return FALSE: it isn't known here */
 gboolean wb_exchange_find_start(wb_exchange_t *exchange);
-/** Let the request wait until that is known, or refuse it. The exchange may be freed. */
+/** @return FALSE when the request begins a stream that its client may take up, and it isn't stored
+ * yet that streams may begin where it leads */
+gboolean wb_exchange_may_begin(const wb_exchange_t *exchange);
+/** Let the request wait until either changes, or refuse it. The exchange may be freed. */
 void wb_exchange_await_start(wb_exchange_t *exchange);
-/** It is known now: end that wait, as the request may have to wait for an engine or a load. */
+/** It has changed: end that wait, as the request may have to wait for an engine or a load. */
 void wb_exchange_end_start_wait(wb_exchange_t *exchange);
 /** The first event is about to be forwarded: its engine's software version binds the stream. Only
  * the first call has an effect. */
 void wb_exchange_note_stream_began(wb_exchange_t *exchange);
-/** @return FALSE when the engine's software version isn't that of the request's stream */
+/** @return FALSE when the engine's software version isn't that of the request's stream, or no
+ * stream may begin there yet */
 gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine);
 /** @return FALSE when the request is bound to a software version, and no engine of it serves the
  * request, or may once its model is loaded there */
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -4,9 +4,8 @@
 
 #include <string.h>
 
-/* The controller answers within some ms; one that has just taken over learns of streams for a
- * while.
- */
+/* The controller answers, or stores a new version, within some ms; one that has just taken over
+ * learns of streams for a while. */
 #define START_LOOKUP_MS 800
 #define START_ASK_AGAIN_MS 100
 
@@ -18,16 +17,29 @@
     return exchange->tenant != NULL ? exchange->tenant->name : NULL;
 }
 
+static const char *request_host(const wb_exchange_t *exchange) {
+    const char *host = wb_http_head_get(exchange->head, "Host");
+    return host != NULL ? host : "";
+}
+
+/* Returns what stands for all streams of a path that their clients don't name: no request has such
+ * an id. */
+static char *unnamed_streams(const wb_exchange_t *exchange) {
+    return g_strconcat("\n", request_host(exchange), exchange->head->target, NULL);
+}
+
 void wb_exchange_read_stream(wb_exchange_t *exchange) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
     const char *resumes = wb_http_head_get(exchange->head, dialect->resumes);
-    exchange->takes_up =
-        route_is_resumable(exchange) &&
-        (resumes != NULL || wb_http_head_get(exchange->head, dialect->last_event_id) != NULL);
+    const char *last_event_id = wb_http_head_get(exchange->head, dialect->last_event_id);
+    exchange->takes_up = route_is_resumable(exchange) && (resumes != NULL || last_event_id != NULL);
+    exchange->begins_stream = route_is_resumable(exchange) && !exchange->takes_up;
     if (!exchange->takes_up)
         return;
     exchange->edge->metrics.streams_taken_up++;
-    exchange->stream_key = wb_stream_key(tenant_name(exchange), resumes != NULL ? resumes : "");
+    exchange->names_stream = resumes != NULL && *resumes != '\0';
+    g_autofree char *name = exchange->names_stream ? g_strdup(resumes) : unnamed_streams(exchange);
+    exchange->stream_key = wb_stream_key(tenant_name(exchange), name);
     /* So that what is known here changes the service before the request is counted at it. */
     wb_exchange_find_start(exchange);
 }
@@ -43,6 +55,20 @@
     return exchange->route->parts == NULL || exchange->route->parts->len <= 1;
 }
 
+/* Texts are borrowed. */
+static wb_stream_place_t stream_place(const wb_exchange_t *exchange) {
+    return (wb_stream_place_t){has_one_service(exchange) ? exchange->service->name : "",
+                               request_host(exchange), exchange->head->target,
+                               exchange->names_stream};
+}
+
+/* @param by for logs */
+static void start_bind(wb_exchange_t *exchange, const char *service, const char *software_version,
+                       const char *by) {
+    gboolean can_go_on = wb_exchange_change_service(exchange, service);
+    version_bind(exchange, can_go_on ? software_version : "", by);
+}
+
 gboolean wb_exchange_find_start(wb_exchange_t *exchange) {
     const wb_edge_t *edge = exchange->edge;
     if (!exchange->takes_up || exchange->bound_version != NULL)
@@ -50,13 +76,12 @@
     const wb_stream_start_t *start =
         wb_stream_starts_find(edge->stream_starts, &exchange->stream_key);
     if (start != NULL) {
-        gboolean can_go_on = wb_exchange_change_service(exchange, start->service);
-        version_bind(exchange, can_go_on ? start->software_version : "", "record");
+        start_bind(exchange, start->service, start->software_version, "record");
         return TRUE;
     }
-    const char *sole = edge->sole_version != NULL && has_one_service(exchange)
-                           ? edge->sole_version(exchange->service->name, edge->node_context)
-                           : NULL;
+    wb_stream_place_t place = stream_place(exchange);
+    const char *sole =
+        edge->sole_version != NULL ? edge->sole_version(&place, edge->node_context) : NULL;
     if (sole == NULL)
         return FALSE;
     version_bind(exchange, sole, "sole");
@@ -72,18 +97,19 @@
         return TRUE;
     exchange->start_asked_ms = now_ms;
     edge->metrics.stream_starts_asked++;
-    const char *service = has_one_service(exchange) ? exchange->service->name : "";
-    return edge->ask_stream_start(&exchange->stream_key, service, edge->node_context);
+    wb_stream_place_t place = stream_place(exchange);
+    return edge->ask_stream_start(&exchange->stream_key, &place, edge->node_context);
 }
 
 void wb_exchange_await_start(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
-    if (!start_ask(exchange, now_ms)) {
+    if (exchange->takes_up && !start_ask(exchange, now_ms)) {
         wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
         return;
     }
     if (exchange->awaits_start)
         return;
+    exchange->edge->metrics.stream_origin_waits += exchange->begins_stream;
     wb_exchange_stop_waiting(exchange);
     exchange->awaits_start = TRUE;
     exchange->awaits_load = FALSE;
@@ -100,24 +126,62 @@
     exchange->awaits_start = FALSE;
 }
 
+/* Whether a request waits to learn how the stream with this key began. */
+static gboolean awaits_start_of(const wb_exchange_t *exchange, const wb_request_digest_t *key) {
+    return exchange->takes_up && exchange->awaits_start && exchange->bound_version == NULL &&
+           wb_list_is_linked(&exchange->waiting) &&
+           wb_request_digest_equal(&exchange->stream_key, key);
+}
+
 void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
         /* Ending one request may end others, so each is checked to be still open. */
-        if (g_hash_table_contains(edge->open, exchange) && exchange->awaits_start &&
-            wb_list_is_linked(&exchange->waiting) &&
-            wb_request_digest_equal(&exchange->stream_key, key)) {
+        if (g_hash_table_contains(edge->open, exchange) && awaits_start_of(exchange, key))
             wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
-        }
     }
 }
 
+void wb_exchanges_start_known(wb_edge_t *edge, const wb_request_digest_t *key, const char *service,
+                              const char *software_version) {
+    WB_LIST_EACH(item, &edge->waiting) {
+        wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
+        if (awaits_start_of(exchange, key))
+            start_bind(exchange, service, software_version, "answer");
+    }
+    wb_exchanges_retry_waiting(edge);
+}
+
+/* Whether an engine serves new requests of the service, and streams may begin there. */
+static gboolean may_begin_at_some_engine(const wb_exchange_t *exchange) {
+    const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
+    int64_t now_ms = wb_clock_ms();
+    for (guint i = 0; engines != NULL && i < engines->len; i++) {
+        const wb_engine_t *engine = g_ptr_array_index(engines, i);
+        if (!engine->version_unstored && wb_engine_is_usable(engine, now_ms))
+            return TRUE;
+    }
+    return FALSE;
+}
+
+gboolean wb_exchange_may_begin(const wb_exchange_t *exchange) {
+    if (!exchange->begins_stream || exchange->bound_version != NULL)
+        return TRUE;
+    if (exchange->route->moved && !exchange->catalog->moves_stored)
+        return FALSE;
+    return !exchange->edge->has_unstored_engines || may_begin_at_some_engine(exchange);
+}
+
 void wb_exchange_note_stream_began(wb_exchange_t *exchange) {
     wb_edge_t *edge = exchange->edge;
-    if (exchange->bound_version != NULL)
+    if (exchange->began_noted)
         return;
-    version_bind(exchange, exchange->engine->state->software_version, "began");
+    exchange->began_noted = TRUE;
+    /* One that takes a stream up is recorded too: its client may name it when it breaks off again.
+     */
+    if (exchange->bound_version == NULL)
+        version_bind(exchange, exchange->engine->state->software_version, "began");
     if (!route_is_resumable(exchange) || *exchange->id == '\0')
         return;
     wb_request_digest_t key = wb_stream_key(tenant_name(exchange), exchange->id);
@@ -130,7 +194,9 @@
 
 gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine) {
     const char *bound = exchange->bound_version;
-    return bound == NULL || (*bound != '\0' && strcmp(engine->state->software_version, bound) == 0);
+    if (bound == NULL)
+        return !exchange->begins_stream || !engine->version_unstored;
+    return *bound != '\0' && strcmp(engine->state->software_version, bound) == 0;
 }
 
 /* Whether an engine serves the request, or could once its model is loaded there. */
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -265,7 +265,7 @@
 
 wb_outcome_t wb_exchange_wait_outcome(const wb_exchange_t *exchange) {
     if (exchange->awaits_start) {
-        return WB_OUTCOME_START_UNKNOWN;
+        return exchange->takes_up ? WB_OUTCOME_START_UNKNOWN : WB_OUTCOME_NO_ENGINE;
     }
     if (exchange->model == NULL) {
         return WB_OUTCOME_NO_ENGINE;
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -74,6 +74,14 @@
     int64_t tokens;
 } wb_prompt_part_t;
 
+/** Where a request leads that takes a stream up. */
+typedef struct wb_stream_place_t {
+    const char *service; /* "": not a single one */
+    const char *host;
+    const char *path;
+    gboolean named; /* the client names the stream */
+} wb_stream_place_t;
+
 /** Whether the controller, which decides on model loads, receives this node's demand. */
 typedef enum wb_controller_reach_t {
     WB_CONTROLLER_REACHABLE,        /* it is reachable, or this node is the controller */
@@ -159,15 +167,16 @@
                               void *context);
     /** A stream that its client may take up has begun: tell other nodes. May be NULL. */
     void (*on_stream_begun)(const wb_stream_start_t *start, void *context);
-    /** Ask how a stream began. The answer is added to stream_starts, or leads to a call of
-     * wb_exchanges_start_unknown. NULL: nobody can be asked.
-     * @param service if it has had one software version only, that is the answer; "": don't look
+    /** Ask how a stream began. The answer leads to a call of
+     * wb_exchanges_start_known or wb_exchanges_start_unknown. NULL: nobody can be asked.
+     * @param place service "": without a record the start isn't known
      * @return FALSE: nobody knows */
-    gboolean (*ask_stream_start)(const wb_request_digest_t *key, const char *service,
+    gboolean (*ask_stream_start)(const wb_request_digest_t *key, const wb_stream_place_t *place,
                                  void *context);
-    /** The only software version that engines of a service had for longer than any stream lasts.
-     * NULL: not known; as a result, NULL: there were several, or it isn't known. */
-    const char *(*sole_version)(const char *service, void *context);
+    /** The only software version that a stream can have begun at whose start isn't recorded. NULL:
+     * not known here; as a result, NULL: there were several, or it isn't known. */
+    const char *(*sole_version)(const wb_stream_place_t *place, void *context);
+    gboolean has_unstored_engines; /* at an engine that is known here no stream may begin yet */
     /** Duration since this node last verified that its catalog is the newest; NULL: it always is.
      */
     int64_t (*catalog_age_ms)(void *context);
@@ -280,14 +289,17 @@
     int64_t wait_until_ms; /* when waiting for an engine ends */
     wb_timer_t *due_timer;
     wb_timer_t *silence_timer;
+    gboolean began_noted;           /* its stream's start was recorded */
     gboolean takes_up;              /* it takes up an earlier stream of its client */
+    gboolean begins_stream;         /* it begins one that its client may take up */
+    gboolean names_stream;          /* takes_up: the client names that stream */
     wb_request_digest_t stream_key; /* of that stream */
     int64_t start_asked_ms;         /* when its start was last asked for; 0: never */
     char *bound_version;    /* software version that its stream began at. NULL: it hasn't begun, or
                                isn't known; "": an unknown one, so no engine may go on */
     const char *bound_by;   /* for logs: how that is known */
     wb_list_item_t waiting; /* on edge->waiting */
-    gboolean awaits_start;  /* it waits to learn how its stream began */
+    gboolean awaits_start;  /* it waits to learn how its stream began, or until it may begin */
     gboolean awaits_load;   /* it waits for a model or adapter to be loaded */
     gboolean awaits_engine; /* it waits for an engine that becomes available */
     int64_t waiting_since_ms;
@@ -418,6 +430,9 @@
 void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine);
 /** Nobody knows how a stream began: refuse requests that take it up. */
 void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key);
+/** The start of a stream was learned: the requests that wait for it go on. */
+void wb_exchanges_start_known(wb_edge_t *edge, const wb_request_digest_t *key, const char *service,
+                              const char *software_version);
 /** Near the end of a planned stop: refuse requests that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a planned stop: refuse all requests whose answer hasn't begun. */
--- a/tests/unit/test_stream_starts.c
+++ b/tests/unit/test_stream_starts.c
@@ -51,7 +51,7 @@
     /* v1 is gone for long enough. */
     wb_version_history_see(history, "llm", "v2", 3 * enough_ms);
     g_assert_cmpstr(wb_version_history_sole(history, "llm", 3 * enough_ms), ==, "v2");
-    wb_version_history_restart(history, 3 * enough_ms);
+    wb_version_history_set_began(history, 3 * enough_ms);
     g_assert_null(wb_version_history_sole(history, "llm", 3 * enough_ms + 1));
     wb_version_history_free(history);
 }
@@ -62,13 +62,30 @@
     wb_version_history_t *history = wb_version_history_create(WINDOW_MS, WINDOW_MS);
     wb_version_history_see(history, "llm", "v1", WINDOW_MS);
     g_assert_null(wb_version_history_sole(history, "llm", WINDOW_MS));
-    wb_version_history_extend(history, 0);
+    wb_version_history_set_began(history, 0);
     g_assert_cmpstr(wb_version_history_sole(history, "llm", WINDOW_MS), ==, "v1");
-    wb_version_history_see(history, "llm", "v2", WINDOW_MS - 1);
+    g_assert_true(wb_version_history_see_stored(history, "llm", "v2", WINDOW_MS - 1));
+    g_assert_false(wb_version_history_see_stored(history, "llm", "v2", WINDOW_MS - 1));
     g_assert_null(wb_version_history_sole(history, "llm", WINDOW_MS));
     wb_version_history_free(history);
 }
 
+/* Guards against a stream that begins at a version before a write that has it was answered. */
+static void test_stored_versions(void) {
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
+    g_assert_true(wb_version_history_see(history, "llm", "v1", 0));
+    uint64_t written = wb_version_history_number(history);
+    g_assert_true(wb_version_history_see(history, "llm", "v2", 1));
+    g_assert_false(wb_version_history_see(history, "llm", "v2", 2));
+    g_assert_false(wb_version_history_is_stored(history, "llm", "v1"));
+    g_assert_true(wb_version_history_confirm(history, written));
+    g_assert_false(wb_version_history_confirm(history, written));
+    g_assert_true(wb_version_history_is_stored(history, "llm", "v1"));
+    g_assert_false(wb_version_history_is_stored(history, "llm", "v2"));
+    g_assert_false(wb_version_history_is_stored(history, "other", "v1"));
+    wb_version_history_free(history);
+}
+
 /* An unknown version is no match, not even as the only one. */
 static void test_unknown_version(void) {
     wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
@@ -82,6 +99,7 @@
     g_test_add_func("/stream-starts/bounded", test_bounded);
     g_test_add_func("/stream-starts/sole-version", test_sole_version);
     g_test_add_func("/stream-starts/history-of-predecessor", test_history_of_predecessor);
+    g_test_add_func("/stream-starts/stored-versions", test_stored_versions);
     g_test_add_func("/stream-starts/unknown-version", test_unknown_version);
 }
 
