Streams: a store that is away doesn't keep a new service from beginning streams

Streams now also begin at the only version of a service that the holder knows, or any node before there is a row. Whatever the holder writes of the service then has that version; a successor that finds nothing of the service in the row counts an unknown version for it, and so concludes nothing. A second version, which a release brings beside the first, still waits until it is stored; its engines serve everything else meanwhile.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -155,6 +155,7 @@
     gboolean lease_row_seen;   /* there has been a lease row */
     int64_t origins_version;   /* of the latest lease row of which all is known here; -1: none */
     int64_t stored_catalog_version; /* whose moves the lease row has; 0: none */
+    gboolean origins_created; /* this process wrote the first lease row, and only it has since */
     int64_t created_ms; /* when this process found that there was no lease row yet; 0: there was */
     int64_t streams_since_ms;   /* since when it keeps the starts of all streams, as the aggregator;
                                    0: it isn't */
--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -2,15 +2,18 @@
  * to other services. With that a node can tell at which version a stream began of which no record
  * is left: its path has led to one service only, which has had one version only.
  *
- * The lease row has them, as it outlives all nodes. A stream begins at a version, or at a route
- * that has moved, only once the row has it; else the row wouldn't show it after a kill of all
- * nodes. The holder writes the row as soon as there is something new, and sends what is stored to
- * gateways with its updates. Only the holder concludes anything from it: whatever another node has
- * begun a stream at, the holder has written before, or read when it took the lease over.
+ * The lease row has them, as it outlives all nodes. A stream begins at a version, or on a path that
+ * has moved, only once the row has it; else the row wouldn't show it after a kill of all nodes. So
+ * that a store that is away doesn't keep a new service from beginning streams, they also begin at
+ * the only version of a service that the holder knows, or any node before there is a row: if the
+ * row has nothing of the service, a successor takes it that there was an unknown version. The
+ * holder writes the row as soon as there is something new, and sends gateways with its updates
+ * where streams may begin. Only the holder concludes anything from all this: wherever another node
+ * has begun a stream, the holder has allowed it, or read of it as it took the lease over.
  *
  * A holder that doesn't know what the row had before it, as the store lost it or came back from a
- * copy, or an older build wrote it, begins anew: it concludes nothing for stream-age-max-s.
- * Times are in ms; what is stored or sent are durations. */
+ * copy, or an older build wrote it, concludes nothing for stream-age-max-s. Times are in ms; what
+ * is stored or sent are durations. */
 #include "edge/edge_node_types.h"
 
 #include <string.h>
@@ -30,9 +33,9 @@
 
 /* What is stored. */
 
-static gboolean version_is_stored(const wb_edge_node_t *node, const wb_engine_t *engine) {
+static gboolean may_begin(const wb_edge_node_t *node, const wb_engine_t *engine) {
     return !node->origins_required ||
-           wb_version_history_is_stored(node->versions, engine->state->service,
+           wb_version_history_may_begin(node->versions, engine->state->service,
                                         engine->state->software_version);
 }
 
@@ -49,14 +52,14 @@
 /* Lets streams begin where that has been stored since. */
 static void stored_changed(wb_edge_node_t *node) {
     gateways_are_behind(node);
-    node->edge.has_unstored_engines = FALSE;
+    node->edge.some_begin_no_stream = FALSE;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wb_engine_t *engine = value;
-        engine->version_unstored = !version_is_stored(node, engine);
-        node->edge.has_unstored_engines |= engine->version_unstored;
+        engine->begins_no_stream = !may_begin(node, engine);
+        node->edge.some_begin_no_stream |= engine->begins_no_stream;
     }
     wb_exchanges_retry_waiting(&node->edge);
 }
@@ -79,16 +82,28 @@
     wb_event("stream-origins-unknown", ",\"reason\":\"%s\"", reason);
 }
 
+/* Whether no node has written the row yet, as far as the store tells. */
+static gboolean row_is_missing(const wb_edge_node_t *node) {
+    return !node->lease_row_seen && wb_table_watch_is_synced(node->nodes_watch);
+}
+
 void wb_edge_node_origins_engine(wb_edge_node_t *node, wb_engine_t *engine) {
     const wb_engine_state_t *state = engine->state;
+    gboolean is_own = wb_lease_is_own(node->lease);
+    if (is_own && !node->origins_created &&
+        !wb_version_history_has_service(node->versions, state->service))
+        wb_version_history_see(node->versions, state->service, "", wb_clock_ms());
     if (wb_version_history_see(node->versions, state->service, state->software_version,
                                wb_clock_ms())) {
         wb_event("stream-origin-added", ",\"service\":\"%s\",\"software_version\":\"%s\"",
                  wb_event_escape(state->service), wb_event_escape(state->software_version));
         wb_lease_write_soon(node->lease);
+        gateways_are_behind(node);
     }
-    engine->version_unstored = !version_is_stored(node, engine);
-    node->edge.has_unstored_engines |= engine->version_unstored;
+    if (is_own || row_is_missing(node))
+        wb_version_history_allow_only(node->versions, state->service);
+    engine->begins_no_stream = !may_begin(node, engine);
+    node->edge.some_begin_no_stream |= engine->begins_no_stream;
 }
 
 /* Whether the moves of all catalogs since the one that the row names are known here. */
@@ -138,12 +153,12 @@
     g_array_append_val(entries, entry);
 }
 
-static void versions_add(const wb_edge_node_t *node, gboolean stored_only,
+static void versions_add(const wb_edge_node_t *node, gboolean open_only,
                          wb_wire_extensions *extensions) {
     int64_t now_ms = wb_clock_ms();
     int64_t known_for_ms = now_ms - wb_version_history_began_ms(node->versions);
     g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_service_version));
-    wb_version_history_each(node->versions, stored_only, now_ms, version_append, entries);
+    wb_version_history_each(node->versions, open_only, now_ms, version_append, entries);
     wb_wire_service_versions versions = {
         entries->len > VERSIONS_MAX
             ? 0
@@ -274,17 +289,21 @@
         return;
     }
     node->created_ms = now_ms;
+    node->origins_created = TRUE;
     wb_version_history_set_began(node->versions,
                                  now_ms - wb_version_history_horizon_ms(node->versions));
 }
 
 static void origins_prepare(wb_edge_node_t *node, int64_t expected_version) {
-    if (wb_lease_is_own(node->lease) || node->origins_version == expected_version)
+    if (wb_lease_is_own(node->lease))
         return;
+    node->origins_created = FALSE;
     if (wb_store_version_number(expected_version) == 0)
         row_begin(node);
-    else
+    else if (node->origins_version != expected_version)
         began_anew(node, "the lease row before this holder's isn't known");
+    if (!node->origins_created)
+        wb_version_history_doubt(node->versions, wb_clock_ms());
 }
 
 void wb_edge_node_origins_write(wb_edge_node_t *node, int64_t expected_version,
--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -1,10 +1,11 @@
-/* Software versions by service, with when engines last had them and whether they are stored. */
+/* Software versions by service, with when engines last had them and whether streams may begin
+ * there. */
 #include "fleet/version_history.h"
 
 typedef struct wb_version_entry_t {
     int64_t seen_ms;
     uint64_t number;
-    gboolean stored;
+    gboolean may_begin;
 } wb_version_entry_t;
 
 struct wb_version_history_t {
@@ -77,9 +78,9 @@
                                        const char *software_version, int64_t now_ms) {
     gboolean added;
     wb_version_entry_t *entry = entry_see(history, service, software_version, now_ms, &added);
-    gboolean was_stored = entry->stored;
-    entry->stored = TRUE;
-    return !was_stored;
+    gboolean was_open = entry->may_begin;
+    entry->may_begin = TRUE;
+    return !was_open;
 }
 
 uint64_t wb_version_history_number(const wb_version_history_t *history) {
@@ -97,21 +98,52 @@
         g_hash_table_iter_init(&iter, versions);
         while (g_hash_table_iter_next(&iter, NULL, &value)) {
             wb_version_entry_t *entry = value;
-            if (entry->number > number || entry->stored)
+            if (entry->number > number || entry->may_begin)
                 continue;
-            entry->stored = TRUE;
+            entry->may_begin = TRUE;
             changed = TRUE;
         }
     }
     return changed;
 }
 
-gboolean wb_version_history_is_stored(const wb_version_history_t *history, const char *service,
+void wb_version_history_allow_only(wb_version_history_t *history, const char *service) {
+    GHashTable *versions = g_hash_table_lookup(history->services, service);
+    if (versions == NULL || g_hash_table_size(versions) != 1)
+        return;
+    GHashTableIter iter;
+    gpointer entry;
+    g_hash_table_iter_init(&iter, versions);
+    g_hash_table_iter_next(&iter, NULL, &entry);
+    ((wb_version_entry_t *)entry)->may_begin = TRUE;
+}
+
+static gboolean is_open(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    (void)context;
+    return ((const wb_version_entry_t *)value)->may_begin;
+}
+
+void wb_version_history_doubt(wb_version_history_t *history, int64_t now_ms) {
+    g_autoptr(GList) services = g_hash_table_get_keys(history->services);
+    for (GList *item = services; item != NULL; item = item->next) {
+        GHashTable *versions = g_hash_table_lookup(history->services, item->data);
+        if (g_hash_table_find(versions, is_open, NULL) == NULL)
+            wb_version_history_see(history, item->data, "", now_ms);
+    }
+}
+
+gboolean wb_version_history_has_service(const wb_version_history_t *history, const char *service) {
+    GHashTable *versions = g_hash_table_lookup(history->services, service);
+    return versions != NULL && g_hash_table_size(versions) > 0;
+}
+
+gboolean wb_version_history_may_begin(const wb_version_history_t *history, const char *service,
                                       const char *software_version) {
     GHashTable *versions = g_hash_table_lookup(history->services, service);
     const wb_version_entry_t *entry =
         versions != NULL ? g_hash_table_lookup(versions, software_version) : NULL;
-    return entry != NULL && entry->stored;
+    return entry != NULL && entry->may_begin;
 }
 
 void wb_version_history_set_began(wb_version_history_t *history, int64_t began_ms) {
@@ -122,7 +154,7 @@
     return history->began_ms;
 }
 
-void wb_version_history_each(const wb_version_history_t *history, gboolean stored_only,
+void wb_version_history_each(const wb_version_history_t *history, gboolean open_only,
                              int64_t now_ms,
                              void (*visit)(const char *service, const char *software_version,
                                            int64_t age_ms, void *context),
@@ -139,7 +171,7 @@
         g_hash_table_iter_init(&iter, versions);
         while (g_hash_table_iter_next(&iter, &version, &value)) {
             const wb_version_entry_t *entry = value;
-            if (!is_old(version, value, &oldest_ms) && (entry->stored || !stored_only))
+            if (!is_old(version, value, &oldest_ms) && (entry->may_begin || !open_only))
                 visit(service, version, MAX(now_ms - entry->seen_ms, 0), context);
         }
     }
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -4,8 +4,10 @@
  * one, every stream of the service began at it, also one of which nothing else is known.
  *
  * That holds only if each version is stored where it outlives all nodes before a stream begins at
- * it. So entries are numbered; the owner stores all of them, confirms the number up to which they
- * are stored, and lets streams begin at stored versions only.
+ * it. So entries are numbered; the owner stores all of them and confirms the number up to which
+ * they are stored, and streams begin at those. They may also begin at the only version of a service
+ * that the owner knows before that is stored: whatever it stores of the service then has the
+ * version, and a successor that finds nothing of the service doubts it.
  *
  * A version counts until no engine has had it for the horizon. Times are monotonic and in
  * milliseconds. Pure: the time is passed in. No errors.
@@ -34,15 +36,22 @@
 uint64_t wb_version_history_number(const wb_version_history_t *history);
 /** All entries up to a number are stored. @return TRUE if one of them wasn't before */
 gboolean wb_version_history_confirm(wb_version_history_t *history, uint64_t number);
-/** @return TRUE if the version is stored, so that streams may begin at it */
-gboolean wb_version_history_is_stored(const wb_version_history_t *history, const char *service,
+/** Streams may begin at the service's version if it is the only one. */
+void wb_version_history_allow_only(wb_version_history_t *history, const char *service);
+/** Count an unknown version for each service at none of whose versions streams may begin. */
+void wb_version_history_doubt(wb_version_history_t *history, int64_t now_ms);
+/** @return TRUE if a version of the service is known */
+gboolean wb_version_history_has_service(const wb_version_history_t *history, const char *service);
+/** @return TRUE if streams may begin at the version */
+gboolean wb_version_history_may_begin(const wb_version_history_t *history, const char *service,
                                       const char *software_version);
 /** Set since when the history is whole: no stream began since at a version that it lacks. */
 void wb_version_history_set_began(wb_version_history_t *history, int64_t began_ms);
 /** @return since when the history is whole */
 int64_t wb_version_history_began_ms(const wb_version_history_t *history);
-/** Call a function for each version within the horizon. @param stored_only skip the others */
-void wb_version_history_each(const wb_version_history_t *history, gboolean stored_only,
+/** Call a function for each version within the horizon. @param open_only skip those at which
+ * no stream may begin */
+void wb_version_history_each(const wb_version_history_t *history, gboolean open_only,
                              int64_t now_ms,
                              void (*visit)(const char *service, const char *software_version,
                                            int64_t age_ms, void *context),
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -159,7 +159,7 @@
     int64_t now_ms = wb_clock_ms();
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (!engine->version_unstored && wb_engine_is_usable(engine, now_ms))
+        if (!engine->begins_no_stream && wb_engine_is_usable(engine, now_ms))
             return TRUE;
     }
     return FALSE;
@@ -170,7 +170,7 @@
         return TRUE;
     if (exchange->route->moved && !exchange->catalog->moves_stored)
         return FALSE;
-    return !exchange->edge->has_unstored_engines || may_begin_at_some_engine(exchange);
+    return !exchange->edge->some_begin_no_stream || may_begin_at_some_engine(exchange);
 }
 
 void wb_exchange_note_stream_began(wb_exchange_t *exchange) {
@@ -195,7 +195,7 @@
 gboolean wb_exchange_may_use(const wb_exchange_t *exchange, const wb_engine_t *engine) {
     const char *bound = exchange->bound_version;
     if (bound == NULL)
-        return !exchange->begins_stream || !engine->version_unstored;
+        return !exchange->begins_stream || !engine->begins_no_stream;
     return *bound != '\0' && strcmp(engine->state->software_version, bound) == 0;
 }
 
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -176,7 +176,7 @@
     /** The only software version that a stream can have begun at whose start isn't recorded. NULL:
      * not known here; as a result, NULL: there were several, or it isn't known. */
     const char *(*sole_version)(const wb_stream_place_t *place, void *context);
-    gboolean has_unstored_engines; /* at an engine that is known here no stream may begin yet */
+    gboolean some_begin_no_stream; /* at an engine that is known here no stream may begin yet */
     /** Duration since this node last verified that its catalog is the newest; NULL: it always is.
      */
     int64_t (*catalog_age_ms)(void *context);
--- a/tests/unit/test_stream_starts.c
+++ b/tests/unit/test_stream_starts.c
@@ -77,12 +77,30 @@
     uint64_t written = wb_version_history_number(history);
     g_assert_true(wb_version_history_see(history, "llm", "v2", 1));
     g_assert_false(wb_version_history_see(history, "llm", "v2", 2));
-    g_assert_false(wb_version_history_is_stored(history, "llm", "v1"));
+    g_assert_false(wb_version_history_may_begin(history, "llm", "v1"));
     g_assert_true(wb_version_history_confirm(history, written));
     g_assert_false(wb_version_history_confirm(history, written));
-    g_assert_true(wb_version_history_is_stored(history, "llm", "v1"));
-    g_assert_false(wb_version_history_is_stored(history, "llm", "v2"));
-    g_assert_false(wb_version_history_is_stored(history, "other", "v1"));
+    g_assert_true(wb_version_history_may_begin(history, "llm", "v1"));
+    g_assert_false(wb_version_history_may_begin(history, "llm", "v2"));
+    g_assert_false(wb_version_history_may_begin(history, "other", "v1"));
+    wb_version_history_free(history);
+}
+
+/* Guards against a store that is away keeping a new service from beginning streams, and against a
+ * successor that then takes the version that it sees for the only one. */
+static void test_only_version_before_it_is_stored(void) {
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
+    g_assert_false(wb_version_history_has_service(history, "llm"));
+    wb_version_history_see(history, "llm", "v1", 0);
+    wb_version_history_see(history, "other", "v1", 0);
+    wb_version_history_allow_only(history, "llm");
+    g_assert_true(wb_version_history_may_begin(history, "llm", "v1"));
+    wb_version_history_see(history, "llm", "v2", 1);
+    wb_version_history_allow_only(history, "llm");
+    g_assert_false(wb_version_history_may_begin(history, "llm", "v2"));
+    wb_version_history_doubt(history, WINDOW_MS);
+    g_assert_cmpstr(wb_version_history_sole(history, "llm", WINDOW_MS + 1), ==, "v2");
+    g_assert_null(wb_version_history_sole(history, "other", WINDOW_MS));
     wb_version_history_free(history);
 }
 
@@ -100,6 +118,8 @@
     g_test_add_func("/stream-starts/sole-version", test_sole_version);
     g_test_add_func("/stream-starts/history-of-predecessor", test_history_of_predecessor);
     g_test_add_func("/stream-starts/stored-versions", test_stored_versions);
+    g_test_add_func("/stream-starts/only-version-before-it-is-stored",
+                    test_only_version_before_it_is_stored);
     g_test_add_func("/stream-starts/unknown-version", test_unknown_version);
 }
 
