Streams: beside a holder of an older build they begin anywhere, also by its row alone

A lease row that ends before its extensions, as the oldest builds write it, left a node waiting for versions that such a holder never stores, until its link told of the holder's build; and a path that moved under a holder of an older build kept its streams waiting for good, as that holder stores no moves. Streams there would have been refused with 503.

Not shown by a test: no build in between can be asked for. edge-upgrade, edge-rejoin and edge-versions pass.

--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -52,6 +52,8 @@
 /* Lets streams begin where that has been stored since. */
 static void stored_changed(wb_edge_node_t *node) {
     gateways_are_behind(node);
+    if (node->edge.catalog != NULL && !node->origins_required)
+        node->edge.catalog->moves_stored = TRUE;
     node->edge.some_begin_no_stream = FALSE;
     GHashTableIter iter;
     gpointer value;
@@ -139,7 +141,7 @@
         moves_check(node);
     node->catalogs_next = (node->catalogs_next + 1) % G_N_ELEMENTS(node->catalogs_in_force);
     node->catalogs_in_force[node->catalogs_next] = after->version;
-    after->moves_stored = node->stored_catalog_version == after->version;
+    after->moves_stored = !node->origins_required || node->stored_catalog_version == after->version;
     wb_lease_write_soon(node->lease);
 }
 
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -215,6 +215,9 @@
     }
     if (decoded && xdr_getpos(&stream) < row->length) {
         lease_extensions_read(node, &stream, row->version, &era);
+    } else if (decoded) {
+        static const wb_wire_extensions none;
+        wb_edge_node_origins_read(node, &none, row->version, FALSE);
     }
     xdr_destroy(&stream);
     if (decoded) {
