Streams: more versions than the lease row takes don't close the later ones at gateways

Found by reading: with over 64 versions the holder sent gateways the first 64 only, so streams would have waited there in vain at the others. The bound holds for the row alone, which then says that it isn't whole. A lease row that a node learns of by an announcement counts as one that is there, so that it doesn't begin streams as if there were none.

--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -155,17 +155,20 @@
     g_array_append_val(entries, entry);
 }
 
+/* @param open_only for gateways: where streams may begin */
 static void versions_add(const wb_edge_node_t *node, gboolean open_only,
                          wb_wire_extensions *extensions) {
     int64_t now_ms = wb_clock_ms();
     int64_t known_for_ms = now_ms - wb_version_history_began_ms(node->versions);
     g_autoptr(GArray) entries = g_array_new(FALSE, FALSE, sizeof(wb_wire_service_version));
     wb_version_history_each(node->versions, open_only, now_ms, version_append, entries);
+    if (!open_only && entries->len > VERSIONS_MAX) {
+        known_for_ms = 0;
+        g_array_set_size(entries, VERSIONS_MAX);
+    }
     wb_wire_service_versions versions = {
-        entries->len > VERSIONS_MAX
-            ? 0
-            : (u_int)CLAMP(known_for_ms, 0, wb_version_history_horizon_ms(node->versions)),
-        {MIN(entries->len, VERSIONS_MAX), (wb_wire_service_version *)(void *)entries->data}};
+        (u_int)CLAMP(known_for_ms, 0, wb_version_history_horizon_ms(node->versions)),
+        {entries->len, (wb_wire_service_version *)(void *)entries->data}};
     wb_extensions_add(extensions, WB_WIRE_EXTENSION_VERSIONS,
                       (xdrproc_t)xdr_wb_wire_service_versions, &versions);
 }
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -279,6 +279,7 @@
 static void lease_take(wb_edge_node_t *node, const wb_wire_store_update *update, int64_t era) {
     wb_lease_row_t lease = wb_edge_node_lease_from_wire(&update->lease);
     lease.era = era;
+    node->lease_row_seen |= update->lease_version != 0;
     if (update->lease_version != 0)
         wb_lease_on_row(node->lease, &lease,
                         wb_edge_node_version_from_wire(era, update->lease_version), wb_clock_ms());
