--- a/tests/edge/test_versions.c
+++ b/tests/edge/test_versions.c
@@ -233,6 +233,29 @@
     estate_stop(estate);
 }
 
+/* Guards against a stream that breaks off again after it was taken up, and is refused as its client
+ * names the later of its requests. */
+static void test_breaks_again(void) {
+    estate_t *estate = start("\"m3\"");
+    const char *began[STREAMS];
+    streams_begin(estate, 0, began);
+    faults_set(estate, "cut", 1000);
+    wire_response_t *answer = wire_request(estate->nodes[0].clients_port, "/once/x", "r0",
+                                           EDGE_MODEL("m3") "Last-Event-Id: 1\r\nResumes: s0\r\n");
+    g_assert_cmpstr(version_of(answer), ==, began[0]);
+    g_assert_false(answer->whole);
+    wire_response_free(answer);
+    faults_set(estate, "", 0);
+    g_usleep(SETTLE_US);
+    answer = wire_request(estate->nodes[1].clients_port, "/once/x", "q0",
+                          EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: r0\r\n");
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_true(answer->whole);
+    g_assert_cmpstr(version_of(answer), ==, began[0]);
+    wire_response_free(answer);
+    estate_stop(estate);
+}
+
 /* Guards against streams that nobody may take up in the first half minute of a system. */
 static void test_new_system(void) {
     estate_t *estate = estate_start(NODES, FLAGS);
@@ -254,6 +277,7 @@
     g_test_add_func("/edge/versions/store-away", test_store_away);
     g_test_add_func("/edge/versions/one-version", test_one_version);
     g_test_add_func("/edge/versions/within-an-answer", test_within_an_answer);
+    g_test_add_func("/edge/versions/breaks-again", test_breaks_again);
     g_test_add_func("/edge/versions/client-resumes", test_client_resumes);
     g_test_add_func("/edge/versions/split-route", test_split_route);
     g_test_add_func("/edge/versions/first-node-killed", test_first_node_killed);
