Harness: test programs that run side by side don't take each other's ports

Its log: 'can't listen on 127.0.0.1:22279'. A port was found free and closed again, and another program found and took it before the node was started. No check, bound or time-out is changed.

--- a/tests/harness/processes.c
+++ b/tests/harness/processes.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -57,6 +58,32 @@
 #define FIRST_PORT 20000
 #define LAST_PORT 32000 /* below the ephemeral port range */
 #define PORT_STRIDE 149
+#define PORTS_KEPT 400 /* more than the processes that run at a time have */
+#define PORT_LOCKS                                                                                 \
+    "wickbridge-test-ports" /* a file for each port, in the folder for such files                  \
+                             */
+
+/* Keeps a port for this program, so that none that runs beside it takes the port between the search
+ * and the start of a process. The oldest of PORTS_KEPT is given up for it.
+ * Returns FALSE if another program has it. */
+static gboolean port_keep(int port) {
+    static int kept[PORTS_KEPT];
+    static unsigned next;
+    g_autofree char *folder = g_build_filename(g_get_tmp_dir(), PORT_LOCKS, NULL);
+    g_autofree char *path = g_strdup_printf("%s/%d", folder, port);
+    g_assert_cmpint(g_mkdir_with_parents(folder, 0777), ==, 0);
+    int descriptor = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+    g_assert_cmpint(descriptor, >=, 0);
+    if (flock(descriptor, LOCK_EX | LOCK_NB) != 0) {
+        close(descriptor);
+        return FALSE;
+    }
+    int *oldest = &kept[next++ % PORTS_KEPT];
+    if (*oldest != 0)
+        close(*oldest);
+    *oldest = descriptor;
+    return TRUE;
+}
 
 static gboolean port_is_free(int port) {
     int descriptor = socket(AF_INET, SOCK_STREAM, 0);
@@ -78,7 +105,7 @@
     do {
         if (++next >= LAST_PORT)
             next = FIRST_PORT;
-    } while (!port_is_free(next));
+    } while (!port_is_free(next) || !port_keep(next));
     return next;
 }
 
