Streams: the lease row is written early only where streams wait for it

Traced by the logs of both: the holder, killed some ms after it had taken the lease, had written the row a second time for the versions that it had just seen. The other strong node learned of that write 1 s later, in its next call, and that call, which waits up to 3 s for changes, was the first that could confirm the row after the holder's last update.

The first version of a service needs no early write: streams may begin at it before it is stored. Nor does a configuration that moves no path. Both are in the next renewal. A row that has no catalog yet is no longer taken for one from before all streams, except by the process that wrote it first.

--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -7,8 +7,8 @@
  * that a store that is away doesn't keep a new service from beginning streams, they also begin at
  * the only version of a service that the holder knows, or any node before there is a row: if the
  * row has nothing of the service, a successor takes it that there was an unknown version. The
- * holder writes the row as soon as there is something new, and sends gateways with its updates
- * where streams may begin. Only the holder concludes anything from all this: wherever another node
+ * holder writes the row as soon as streams wait for that, and sends gateways with its updates where
+ * streams may begin. Only the holder concludes anything from all this: wherever another node
  * has begun a stream, the holder has allowed it, or read of it as it took the lease over.
  *
  * A holder that doesn't know what the row had before it, as the store lost it or came back from a
@@ -95,16 +95,18 @@
     if (is_own && !node->origins_created &&
         !wb_version_history_has_service(node->versions, state->service))
         wb_version_history_see(node->versions, state->service, "", wb_clock_ms());
-    if (wb_version_history_see(node->versions, state->service, state->software_version,
-                               wb_clock_ms())) {
+    gboolean is_new = wb_version_history_see(node->versions, state->service,
+                                             state->software_version, wb_clock_ms());
+    if (is_own || row_is_missing(node))
+        wb_version_history_allow_only(node->versions, state->service);
+    engine->begins_no_stream = !may_begin(node, engine);
+    if (is_new) {
         wb_event("stream-origin-added", ",\"service\":\"%s\",\"software_version\":\"%s\"",
                  wb_event_escape(state->service), wb_event_escape(state->software_version));
-        wb_lease_write_soon(node->lease);
         gateways_are_behind(node);
+        if (engine->begins_no_stream)
+            wb_lease_write_soon(node->lease);
     }
-    if (is_own || row_is_missing(node))
-        wb_version_history_allow_only(node->versions, state->service);
-    engine->begins_no_stream = !may_begin(node, engine);
     node->edge.some_begin_no_stream |= engine->begins_no_stream;
 }
 
@@ -116,9 +118,11 @@
     return FALSE;
 }
 
-/* Before the first catalog no stream began. */
+/* Whether this node knows all that has moved since the row was last written. A row without a
+ * catalog is from before its first writer had one, but streams may have begun there since. */
 static gboolean moves_are_known(const wb_edge_node_t *node) {
-    return node->stored_catalog_version == 0 || has_had_catalog(node, node->stored_catalog_version);
+    return node->stored_catalog_version == 0 ? node->origins_created
+                                             : has_had_catalog(node, node->stored_catalog_version);
 }
 
 /* As the holder, or before this node becomes it. */
@@ -142,7 +146,8 @@
     node->catalogs_next = (node->catalogs_next + 1) % G_N_ELEMENTS(node->catalogs_in_force);
     node->catalogs_in_force[node->catalogs_next] = after->version;
     after->moves_stored = !node->origins_required || node->stored_catalog_version == after->version;
-    wb_lease_write_soon(node->lease);
+    if (moved > 0)
+        wb_lease_write_soon(node->lease);
 }
 
 /* The lease row, and updates from its holder. */
