Streams: a service without engines waits for them as ever, whatever another service stores

Found by reading: while an engine of any service wasn't open to new streams, a stream of a service without a usable engine waited until it may begin, 0.8 s, and was refused, instead of waiting for an engine. Not shown by a test of its own.

--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -153,16 +153,20 @@
     wb_exchanges_retry_waiting(edge);
 }
 
-/* Whether an engine serves new requests of the service, and streams may begin there. */
-static gboolean may_begin_at_some_engine(const wb_exchange_t *exchange) {
+/* Whether no stream may begin at any of the engines that serve new requests of the service. */
+static gboolean all_begin_no_stream(const wb_exchange_t *exchange) {
     const GPtrArray *engines = wb_fleet_service(exchange->edge->fleet, exchange->service->name);
     int64_t now_ms = wb_clock_ms();
+    gboolean has_any = FALSE;
     for (guint i = 0; engines != NULL && i < engines->len; i++) {
         const wb_engine_t *engine = g_ptr_array_index(engines, i);
-        if (!engine->begins_no_stream && wb_engine_is_usable(engine, now_ms))
-            return TRUE;
+        if (!wb_engine_is_usable(engine, now_ms))
+            continue;
+        if (!engine->begins_no_stream)
+            return FALSE;
+        has_any = TRUE;
     }
-    return FALSE;
+    return has_any;
 }
 
 gboolean wb_exchange_may_begin(const wb_exchange_t *exchange) {
@@ -170,7 +174,7 @@
         return TRUE;
     if (exchange->route->moved && !exchange->catalog->moves_stored)
         return FALSE;
-    return !exchange->edge->some_begin_no_stream || may_begin_at_some_engine(exchange);
+    return !exchange->edge->some_begin_no_stream || !all_begin_no_stream(exchange);
 }
 
 void wb_exchange_note_stream_began(wb_exchange_t *exchange) {
