Streams: a foreign lease row isn't taken for this process's own

Found by reading again. The row's word on where streams began was taken before the lease knew whose row it is. A process that still counted its lapsed lease as its own kept its own time since when the row is whole, also where the node that had taken over meanwhile had begun anew, as a client had named a stream from before the first row; taking the lease back it could have concluded from that.

A process whose catalog is behind the one that the row names no longer takes all paths for moved: the row has the moves until there.

--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -118,11 +118,14 @@
     return FALSE;
 }
 
-/* Whether this node knows all that has moved since the row was last written. A row without a
- * catalog is from before its first writer had one, but streams may have begun there since. */
+/* Whether this node, which has a catalog, knows all that has moved until then. The row has what
+ * moved up to the catalog that it names. A row without one is from before its first writer had one,
+ * but streams may have begun since. */
 static gboolean moves_are_known(const wb_edge_node_t *node) {
-    return node->stored_catalog_version == 0 ? node->origins_created
-                                             : has_had_catalog(node, node->stored_catalog_version);
+    int64_t stored = node->stored_catalog_version;
+    if (stored == 0)
+        return node->origins_created;
+    return node->edge.catalog->version <= stored || has_had_catalog(node, stored);
 }
 
 /* As the holder, or before this node becomes it. */
@@ -323,7 +326,8 @@
     moves_check(node);
     *write = (wb_origins_write_t){
         .versions_number = wb_version_history_number(node->versions),
-        .catalog_version = catalog != NULL ? catalog->version : node->stored_catalog_version};
+        .catalog_version = catalog != NULL ? MAX(catalog->version, node->stored_catalog_version)
+                                           : node->stored_catalog_version};
     versions_add(node, FALSE, extensions);
     moves_add(node, write->catalog_version, extensions);
 }
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -171,27 +171,26 @@
 
 /* The nodes table: nodes and the controller's lease. */
 
-/* Reads the extensions of the lease row, which builds before format version 2 don't write. */
-static void lease_extensions_read(wb_edge_node_t *node, XDR *stream, int64_t version,
-                                  int64_t *era) {
-    wb_wire_extensions extensions = {0};
+/* Reads the extensions of the lease row, which builds before format version 2 don't write.
+ * @param extensions out @return FALSE: they are malformed */
+static gboolean lease_extensions_read(wb_edge_node_t *node, XDR *stream,
+                                      wb_wire_extensions *extensions, int64_t *era) {
     wb_wire_writer writer = {1};
     wb_wire_era written;
-    if (!xdr_wb_wire_extensions(stream, &extensions)) {
+    gboolean readable = xdr_wb_wire_extensions(stream, extensions);
+    if (!readable) {
         wb_event("lease-parts-refused", "%s", "");
-    } else {
-        wb_extensions_read(&extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
-                           &writer);
-        if (wb_extensions_read(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era,
-                               &written))
-            *era = (int64_t)MIN(written.era, (uint64_t)WB_STORE_ERA_MAX);
-        wb_edge_node_origins_read(node, &extensions, version, *era < wb_store_version_era(version));
+        wb_extensions_clear(extensions);
     }
+    wb_extensions_read(extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
+                       &writer);
+    if (wb_extensions_read(extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written))
+        *era = (int64_t)MIN(written.era, (uint64_t)WB_STORE_ERA_MAX);
     if (writer.form != node->lease_format_version) {
         wb_event("lease-form", ",\"form\":%u,\"own\":%d", writer.form, WB_WIRE_FORMAT_VERSION);
     }
     node->lease_format_version = writer.form;
-    wb_extensions_clear(&extensions);
+    return readable;
 }
 
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row) {
@@ -202,6 +201,7 @@
     }
     wb_wire_lease wire;
     memset(&wire, 0, sizeof(wire));
+    wb_wire_extensions extensions = {0};
     XDR stream;
     xdrmem_create(&stream, (char *)row->value, (u_int)row->length, XDR_DECODE);
     /* A row of a build that names no era is taken for current until a rollback was seen. */
@@ -213,11 +213,9 @@
     if (decoded && xdr_getpos(&stream) < row->length) {
         wb_edge_node_quota_read(node, &stream);
     }
+    gboolean readable = decoded;
     if (decoded && xdr_getpos(&stream) < row->length) {
-        lease_extensions_read(node, &stream, row->version, &era);
-    } else if (decoded) {
-        static const wb_wire_extensions none;
-        wb_edge_node_origins_read(node, &none, row->version, FALSE);
+        readable = lease_extensions_read(node, &stream, &extensions, &era);
     }
     xdr_destroy(&stream);
     if (decoded) {
@@ -230,11 +228,16 @@
                      (long long)wb_store_version_era(row->version), (long long)era,
                      wb_lease_is_held(node->lease, now_ms) ? "true" : "false");
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
+        /* Whose row it is, is known only now. */
+        if (readable)
+            wb_edge_node_origins_read(node, &extensions, row->version,
+                                      era < wb_store_version_era(row->version));
     } else {
         wb_event("lease-row-refused", ",\"row_version\":%lld",
                  (long long)wb_store_version_number(row->version));
     }
     node->lease_row_seen = TRUE;
+    wb_extensions_clear(&extensions);
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
