Streams: one from before its route could be taken up isn't given to the present version

Found by reading: streams of a route that couldn't be taken up begin anywhere, also at versions that aren't stored. After a configuration that lets clients take them up, one could go on at the only version that is stored. Such a path counts as moved now. /route-moves/becomes-resumable failed before.

--- a/src/catalog/route_moves.c
+++ b/src/catalog/route_moves.c
@@ -102,8 +102,12 @@
     return FALSE;
 }
 
+static gboolean is_stream(const wb_route_t *route) {
+    return route != NULL && route->kind == WB_ROUTE_STREAM;
+}
+
 static gboolean may_be_taken_up(const wb_route_t *route) {
-    return route != NULL && route->kind == WB_ROUTE_STREAM && route->resumable;
+    return is_stream(route) && route->resumable;
 }
 
 /* Whether all services that streams of one route may begin at are among the other's. */
@@ -116,11 +120,11 @@
     return TRUE;
 }
 
-/* Whether streams that began on a route may continue at another service now, or after a later
- * catalog. @param after NULL: the path leads nowhere now */
+/* Whether it can't be told from the later route where streams of the earlier one began. Where they
+ * couldn't be taken up, it wasn't stored first either. @param after NULL: the path leads nowhere */
 static gboolean has_moved(const wb_route_t *before, const wb_route_t *after) {
     if (!may_be_taken_up(before))
-        return FALSE;
+        return is_stream(before) && may_be_taken_up(after);
     return !may_be_taken_up(after) || !leads_within(before, after) || !leads_within(after, before);
 }
 
--- a/tests/unit/test_route_moves.c
+++ b/tests/unit/test_route_moves.c
@@ -118,6 +118,18 @@
     case_end(&tested);
 }
 
+/* Guards against streams that began while they couldn't be taken up, and so before it was stored
+ * where, being taken for ones of the present version. */
+static void test_becomes_resumable(void) {
+    case_t tested = case_begin();
+    wb_catalog_seal(tested.before);
+    wb_catalog_route(tested.before, "a.example", "/once/")->resumable = FALSE;
+    stream_route_add(tested.after, "/once/", "llm");
+    g_assert_cmpuint(compare(&tested), ==, 1);
+    g_assert_true(has_moved(&tested, "/once/x"));
+    case_end(&tested);
+}
+
 /* Guards against a route that moved twice being used before its first move is stored. */
 static void test_unstored_move_stays(void) {
     case_t tested = case_begin();
@@ -156,6 +168,7 @@
     g_test_add_func("/route-moves/longer-prefix", test_longer_prefix);
     g_test_add_func("/route-moves/split", test_split);
     g_test_add_func("/route-moves/removed", test_removed);
+    g_test_add_func("/route-moves/becomes-resumable", test_becomes_resumable);
     g_test_add_func("/route-moves/unstored-move-stays", test_unstored_move_stays);
     g_test_add_func("/route-moves/bounded", test_bounded);
 }
