--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -75,9 +75,8 @@
     int references;
     wb_engine_state_t *state;  /**< the latest announcement; owned */
     gboolean gone;             /**< its announcement was removed */
-    gboolean begins_no_stream; /**< no stream that its client may take up begins here yet: it
-                                  isn't stored where it outlives all nodes that the service has this
-                                  software version */
+    gboolean begins_no_stream; /**< no stream that its client may take up begins here yet:
+                                  node_origins.c */
     int64_t draining_since_ms; /**< since when it has been draining or removed; 0: neither */
     gboolean drain_reported;   /**< a response reported draining; announcements of the same
                                 incarnation don't reset it */
--- a/src/catalog/route_moves.h
+++ b/src/catalog/route_moves.h
@@ -29,7 +29,7 @@
                                 wb_catalog_t *after, int64_t now_ms);
 /** Add a prefix by its hash. */
 void wb_route_moves_add(wb_route_moves_t *moves, uint64_t hash, int64_t now_ms);
-/** Every path may have moved. */
+/** Count every path as moved. */
 void wb_route_moves_add_all(wb_route_moves_t *moves, int64_t now_ms);
 /** @return TRUE if every path counts as moved */
 gboolean wb_route_moves_has_all(const wb_route_moves_t *moves, int64_t now_ms);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -63,11 +63,14 @@
     gboolean report_unacknowledged;  /* with usage of limits */
     gboolean unresponsive;           /* no message for too long, but the link is still up */
     gboolean states_sent;            /* all engine-reported state was sent to it */
-    gboolean origins_sent;           /* where streams may have begun, as far as it is stored */
+    gboolean origins_sent;           /* it was sent where streams may begin */
     uint64_t starts_number;          /* of the last start of a stream that was sent to it */
     wb_subscription_t *subscription; /* engine rows it subscribed to on this link; or NULL */
 } wb_gateway_t;
 
+/** More than come into force while a holder can't write the lease row. */
+#define WB_CATALOGS_REMEMBERED 8
+
 /** Versions of the registries of what crashes engines. */
 typedef struct wb_poison_versions_t {
     uint64_t requests;
@@ -148,15 +151,15 @@
     /* Where streams may have begun: node_origins.c. */
     wb_version_history_t *versions;
     wb_route_moves_t *route_moves;
-    int64_t catalogs_in_force[8]; /* versions of the latest catalogs here; 0: none */
+    int64_t catalogs_in_force[WB_CATALOGS_REMEMBERED]; /* versions of the latest; 0: none */
     guint catalogs_next;
     gboolean origins_required; /* streams begin only where that is stored */
     gboolean origins_by_link;  /* all that is stored was received on controller_link */
     gboolean lease_row_seen;   /* there has been a lease row */
     int64_t origins_version;   /* of the latest lease row of which all is known here; -1: none */
     int64_t stored_catalog_version; /* whose moves the lease row has; 0: none */
-    gboolean origins_created; /* this process wrote the first lease row, and only it has since */
-    int64_t created_ms; /* when this process found that there was no lease row yet; 0: there was */
+    gboolean origins_created;   /* this process wrote the first lease row, and only it has since */
+    int64_t row_absent_ms;      /* when this process found no lease row; 0: there was one */
     int64_t streams_since_ms;   /* since when it keeps the starts of all streams, as the aggregator;
                                    0: it isn't */
     uint64_t streams_number;    /* of the last start that was sent to the gateways that keep all */
@@ -371,7 +374,7 @@
 typedef struct wb_origins_write_t {
     gboolean is_written; /* it fits into the row */
     uint64_t versions_number;
-    int64_t catalog_version;
+    int64_t catalog_version; /* that the row names: the latest whose moves it has */
 } wb_origins_write_t;
 
 void wb_edge_node_origins_create(wb_edge_node_t *node);
--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -31,7 +31,7 @@
     node->origins_version = -1;
 }
 
-/* What is stored. */
+/* Where streams may begin. */
 
 static gboolean may_begin(const wb_edge_node_t *node, const wb_engine_t *engine) {
     return !node->origins_required ||
@@ -39,7 +39,7 @@
                                         engine->state->software_version);
 }
 
-/* Gateways learn what is stored with the next update. */
+/* Gateways learn with the next update where streams may begin. */
 static void gateways_are_behind(wb_edge_node_t *node) {
     GHashTableIter iter;
     gpointer gateway;
@@ -66,13 +66,18 @@
     wb_exchanges_retry_waiting(&node->edge);
 }
 
-/* Returns TRUE if that wasn't known. */
-static gboolean moves_stored(wb_edge_node_t *node, int64_t catalog_version) {
+/* The lease row has what moved until this catalog came into force. */
+static void catalog_stored(wb_edge_node_t *node, int64_t catalog_version) {
     wb_catalog_t *catalog = node->edge.catalog;
-    gboolean is_new = node->stored_catalog_version != catalog_version;
-    node->stored_catalog_version = catalog_version;
     if (catalog != NULL && catalog->version == catalog_version)
         catalog->moves_stored = TRUE;
+}
+
+/* The lease row names this catalog. Returns TRUE if that wasn't known. */
+static gboolean stored_catalog_set(wb_edge_node_t *node, int64_t catalog_version) {
+    gboolean is_new = node->stored_catalog_version != catalog_version;
+    node->stored_catalog_version = catalog_version;
+    catalog_stored(node, catalog_version);
     return is_new;
 }
 
@@ -112,7 +117,7 @@
 
 /* Whether the moves of all catalogs since the one that the row names are known here. */
 static gboolean has_had_catalog(const wb_edge_node_t *node, int64_t version) {
-    for (guint i = 0; i < G_N_ELEMENTS(node->catalogs_in_force); i++)
+    for (guint i = 0; i < WB_CATALOGS_REMEMBERED; i++)
         if (node->catalogs_in_force[i] == version)
             return TRUE;
     return FALSE;
@@ -143,10 +148,9 @@
     if (moved > 0)
         wb_event("routes-moved", ",\"catalog\":%lld,\"before\":%lld,\"moved\":\"%u\"",
                  (long long)after->version, (long long)before->version, moved);
-    gboolean is_holder = wb_lease_is_own(node->lease);
-    if (is_holder && before == NULL)
+    if (before == NULL && wb_lease_is_own(node->lease))
         moves_check(node);
-    node->catalogs_next = (node->catalogs_next + 1) % G_N_ELEMENTS(node->catalogs_in_force);
+    node->catalogs_next = (node->catalogs_next + 1) % WB_CATALOGS_REMEMBERED;
     node->catalogs_in_force[node->catalogs_next] = after->version;
     after->moves_stored = !node->origins_required || node->stored_catalog_version == after->version;
     if (moved > 0)
@@ -217,7 +221,7 @@
         wb_route_moves_add(node->route_moves, moves->hashes.hashes_val[i], changed_ms);
     if (moves->all)
         wb_route_moves_add_all(node->route_moves, changed_ms);
-    return moves_stored(node, (int64_t)MIN(moves->catalog_version, (uint64_t)G_MAXINT64));
+    return stored_catalog_set(node, (int64_t)MIN(moves->catalog_version, (uint64_t)G_MAXINT64));
 }
 
 /* Returns FALSE if the extensions lack them, or an older build wrote them.
@@ -301,7 +305,7 @@
         began_anew(node, "the store has lost the lease row");
         return;
     }
-    node->created_ms = now_ms;
+    node->row_absent_ms = now_ms;
     node->origins_created = TRUE;
     wb_version_history_set_began(node->versions,
                                  now_ms - wb_version_history_horizon_ms(node->versions));
@@ -337,7 +341,7 @@
     if (!write->is_written)
         return;
     gboolean changed = wb_version_history_confirm(node->versions, write->versions_number);
-    changed |= moves_stored(node, write->catalog_version);
+    changed |= stored_catalog_set(node, write->catalog_version);
     changed |= !node->origins_required;
     node->lease_row_seen = TRUE;
     node->origins_required = TRUE;
@@ -374,10 +378,10 @@
 static gboolean began_before_row(wb_edge_node_t *node, const wb_stream_place_t *place,
                                  int64_t now_ms) {
     int64_t kept_ms = (int64_t)(node->edge.settings.resume_window_s * 1000);
-    if (!place->named || node->created_ms == 0 || now_ms - node->created_ms >= kept_ms)
+    if (!place->named || node->row_absent_ms == 0 || now_ms - node->row_absent_ms >= kept_ms)
         return FALSE;
     if (wb_edge_node_streams_settled(node, now_ms)) {
-        node->created_ms = 0;
+        node->row_absent_ms = 0;
         began_anew(node, "a stream is taken up that began before the lease row");
     }
     return TRUE;
--- a/tests/harness/processes.c
+++ b/tests/harness/processes.c
@@ -59,9 +59,8 @@
 #define LAST_PORT 32000 /* below the ephemeral port range */
 #define PORT_STRIDE 149
 #define PORTS_KEPT 400 /* more than the processes that run at a time have */
-#define PORT_LOCKS                                                                                 \
-    "wickbridge-test-ports" /* a file for each port, in the folder for such files                  \
-                             */
+/* A folder with a file for each port. */
+#define PORT_LOCKS "wickbridge-test-ports"
 
 /* Keeps a port for this program, so that none that runs beside it takes the port between the search
  * and the start of a process. The oldest of PORTS_KEPT is given up for it.
