Streams: a holder whose configuration is older than the lease row's concludes nothing by it

Found by reading, which takes a configuration older than the one that the row names for one whose moves the row has. Other nodes have begun streams by the newer one, and after a rollback the older one may be followed by another with a lower number than the row's; a stream of unknown start could then go on at the service that a path leads to now. Such a holder tells gateways that the start isn't known until it has the newer configuration.

Besides, the holder's own paths that have moved are stored with its write also where the row names a newer configuration: streams there waited for as long as the holder lacked that one.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -374,7 +374,8 @@
 typedef struct wb_origins_write_t {
     gboolean is_written; /* it fits into the row */
     uint64_t versions_number;
-    int64_t catalog_version; /* that the row names: the latest whose moves it has */
+    int64_t own_catalog_version; /* in force at the writer; 0: none */
+    int64_t catalog_version;     /* that the row names: the latest whose moves it has */
 } wb_origins_write_t;
 
 void wb_edge_node_origins_create(wb_edge_node_t *node);
--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -66,11 +66,14 @@
     wb_exchanges_retry_waiting(&node->edge);
 }
 
-/* The lease row has what moved until this catalog came into force. */
-static void catalog_stored(wb_edge_node_t *node, int64_t catalog_version) {
+/* The lease row has what moved until this catalog came into force. Returns TRUE if streams waited
+ * for that. */
+static gboolean catalog_stored(wb_edge_node_t *node, int64_t catalog_version) {
     wb_catalog_t *catalog = node->edge.catalog;
-    if (catalog != NULL && catalog->version == catalog_version)
-        catalog->moves_stored = TRUE;
+    if (catalog == NULL || catalog->version != catalog_version || catalog->moves_stored)
+        return FALSE;
+    catalog->moves_stored = TRUE;
+    return TRUE;
 }
 
 /* The lease row names this catalog. Returns TRUE if that wasn't known. */
@@ -326,12 +329,13 @@
 void wb_edge_node_origins_write(wb_edge_node_t *node, int64_t expected_version,
                                 wb_wire_extensions *extensions, wb_origins_write_t *write) {
     const wb_catalog_t *catalog = node->edge.catalog;
+    int64_t own_version = catalog != NULL ? catalog->version : 0;
     origins_prepare(node, expected_version);
     moves_check(node);
-    *write = (wb_origins_write_t){
-        .versions_number = wb_version_history_number(node->versions),
-        .catalog_version = catalog != NULL ? MAX(catalog->version, node->stored_catalog_version)
-                                           : node->stored_catalog_version};
+    *write =
+        (wb_origins_write_t){.versions_number = wb_version_history_number(node->versions),
+                             .own_catalog_version = own_version,
+                             .catalog_version = MAX(own_version, node->stored_catalog_version)};
     versions_add(node, FALSE, extensions);
     moves_add(node, write->catalog_version, extensions);
 }
@@ -342,6 +346,7 @@
         return;
     gboolean changed = wb_version_history_confirm(node->versions, write->versions_number);
     changed |= stored_catalog_set(node, write->catalog_version);
+    changed |= catalog_stored(node, write->own_catalog_version);
     changed |= !node->origins_required;
     node->lease_row_seen = TRUE;
     node->origins_required = TRUE;
@@ -363,9 +368,10 @@
     return FALSE;
 }
 
-/* Whether the path has led to this service only. */
+/* Whether the path has led to this service only. A catalog older than the one that the lease row
+ * names can't tell: other nodes have begun streams by the newer one. */
 static gboolean leads_only_to(const wb_edge_node_t *node, const wb_stream_place_t *place) {
-    if (node->edge.catalog == NULL ||
+    if (node->edge.catalog == NULL || node->edge.catalog->version < node->stored_catalog_version ||
         wb_route_moves_include(node->route_moves, place->host, place->path, wb_clock_ms()))
         return FALSE;
     const wb_route_t *route = wb_catalog_route(node->edge.catalog, place->host, place->path);
