Requests: a HEAD has a connection to its engine of its own

What callers saw: an engine that sends its answer to a HEAD twice makes the next request on that connection fail with 502 though the engine has served it; an answer with a body that is sent twice makes a HEAD behind it fail.

Cause: an answer in excess is told by its id, but how long it is depends on the method of the request that it belongs to, not of the one that is running.

A connection that carries a HEAD is opened for it and closed behind it, so that no answer in excess meets another method. HEADs are rare; others share connections as before.

--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -30,6 +30,7 @@
     size_t passed_over_bytes;    /* read before that */
     gboolean skipping;           /* the current response isn't for this request */
     gboolean tainted;            /* the connection must not be reused */
+    gboolean is_head;            /* the request's method is HEAD */
     gboolean keep_alive;
     int64_t idle_limit_ms; /* duration, from the Keep-Alive header; 0: none */
     gboolean complete;
@@ -81,7 +82,7 @@
 
 /* Returns the connection to the pool of its engine, or closes it. */
 static void upstream_release(wb_upstream_t *upstream, const wb_attempt_t *attempt) {
-    if (attempt->tainted || !attempt->keep_alive) {
+    if (attempt->tainted || attempt->is_head || !attempt->keep_alive) {
         wb_upstream_close(upstream);
         return;
     }
@@ -403,8 +404,12 @@
 void wb_attempt_start(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
-    wb_upstream_t *upstream =
-        exchange->uses_peer_share ? NULL : wb_upstream_take(edge, engine, exchange->id, now_ms);
+    /* A HEAD has a connection of its own: whether a response in excess has a body depends on the
+     * method of the request that it belongs to. */
+    gboolean is_head = strcmp(exchange->head->method, "HEAD") == 0;
+    wb_upstream_t *upstream = exchange->uses_peer_share || is_head
+                                  ? NULL
+                                  : wb_upstream_take(edge, engine, exchange->id, now_ms);
     gboolean reused = upstream != NULL;
     if (!reused)
         upstream = wb_upstream_create(edge, engine, &reader_events);
@@ -412,9 +417,10 @@
     attempt->exchange = exchange;
     attempt->upstream = upstream;
     attempt->reused = reused;
+    attempt->is_head = is_head;
     attempt->output = wb_attempt_request_text(exchange, engine, now_ms);
     upstream->attempt = attempt;
-    wb_http_reader_expect_no_body(upstream->reader, strcmp(exchange->head->method, "HEAD") == 0);
+    wb_http_reader_expect_no_body(upstream->reader, is_head);
     exchange->attempt = attempt;
     g_clear_pointer(&exchange->peer, g_free);
     if (reused) {
--- a/standins/estate/faulty_engine.c
+++ b/standins/estate/faulty_engine.c
@@ -43,6 +43,7 @@
     wb_http_reader_t *reader;
     wb_timer_t *timer; /* until the running request is answered, or the next piece is sent */
     char *id;          /* of the running request */
+    gboolean is_head;  /* its method is HEAD: answers have no body */
     GString *body;     /* of the running request */
     char *piece;       /* what is sent without end; NULL: nothing is */
     GArray *held;      /* of held_answer_t */
@@ -101,7 +102,8 @@
                          const char *body) {
     return g_strdup_printf("HTTP/1.1 %s\r\nRequest-Attempt-Id: %s\r\nKeep-Alive: timeout=5\r\n%s"
                            "Content-Length: %zu\r\n\r\n%s",
-                           first_line, connection->id, lines, strlen(body), body);
+                           first_line, connection->id, lines, strlen(body),
+                           connection->is_head ? "" : body);
 }
 
 /* Sends an answer, and copies of it directly behind it or in front of a later one. */
@@ -258,6 +260,7 @@
     const char *id = wb_http_head_get(head, "Request-Attempt-Id");
     g_free(connection->id);
     connection->id = g_strdup(id != NULL ? id : "");
+    connection->is_head = strcmp(head->method, "HEAD") == 0;
     g_string_truncate(connection->body, 0);
 }
 
--- a/tests/edge/test_repeated_answers.c
+++ b/tests/edge/test_repeated_answers.c
@@ -99,6 +99,46 @@
     estate_stop(estate);
 }
 
+/* Sends a HEAD. Returns the response's status. */
+static int head_status(const estate_t *estate, int number) {
+    wire_t *wire = wire_open(estate->nodes[0].clients_port);
+    wire_send(
+        wire,
+        "HEAD /hold/x HTTP/1.1\r\nHost: a.example\r\nRequest-Attempt-Id: head-%d\r\n" EDGE_DEADLINE
+        "\r\n",
+        number);
+    wire_response_t *answer = wire_read(wire, 300);
+    int status = answer->status;
+    wire_response_free(answer);
+    wire_close(wire);
+    return status;
+}
+
+/* Guards against a copy of the answer to a HEAD, which names a length but has no body, taking the
+ * first bytes of the next request's answer for that body. */
+static void test_copy_before_an_answer_to_post(void) {
+    estate_t *estate = faulty_start(1, 1, NULL);
+    for (int i = 0; i < 5; i++) {
+        g_autofree char *id = g_strdup_printf("behind-%d", i);
+        faulty_fault(estate, 1, "error-again", 1);
+        g_assert_cmpint(head_status(estate, i), ==, 500);
+        assert_runs(estate, "/hold/x", id, 200, 1);
+    }
+    estate_stop(estate);
+}
+
+/* The reverse: the copy has a body, which isn't expected in front of the answer to a HEAD. */
+static void test_copy_before_an_answer_to_head(void) {
+    estate_t *estate = faulty_start(1, 1, NULL);
+    for (int i = 0; i < 5; i++) {
+        g_autofree char *id = g_strdup_printf("before-%d", i);
+        faulty_fault(estate, 1, "error-again", 1);
+        assert_runs(estate, "/hold/x", id, 500, 1);
+        g_assert_cmpint(head_status(estate, i), ==, 200);
+    }
+    estate_stop(estate);
+}
+
 /* Connections that have carried a request still carry all others. */
 static void test_connections_are_kept(void) {
     estate_t *estate = faulty_start(1, 1, NULL);
@@ -132,6 +172,10 @@
     g_test_add_func("/edge/repeated-answers/two-copies", test_two_copies);
     g_test_add_func("/edge/repeated-answers/client-comes-back", test_client_comes_back);
     g_test_add_func("/edge/repeated-answers/failures", test_failures);
+    g_test_add_func("/edge/repeated-answers/copy-before-an-answer-to-post",
+                    test_copy_before_an_answer_to_post);
+    g_test_add_func("/edge/repeated-answers/copy-before-an-answer-to-head",
+                    test_copy_before_an_answer_to_head);
     g_test_add_func("/edge/repeated-answers/connections-are-kept", test_connections_are_kept);
     g_test_add_func("/edge/repeated-answers/failure-promises-nothing",
                     test_failure_promises_nothing);
