Soak: all nodes are killed while versions come and go and a route moves

Bit 4194304: two services, whose further versions come, leave or end without a word, a route that leads to one or the other, all nodes killed at every third fault, the store going back with bit 4096; 20 clients whose streams break off, who take them up at once or later than records are kept, some without naming them. The oracle: an answer goes on in its stream's version, each event once.

Sending a try of a stream is shared with the clients of bit 262144, which send what they did.

--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -29,6 +29,13 @@
     return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+static char *body_expected(const char *id) {
+    if (soak_has_parts(id)) {
+        return soak_part_body(id);
+    }
+    return g_str_has_prefix(id, SOAK_REJOIN_ID) ? soak_rejoin_body(id) : g_strdup("hello");
+}
+
 static void runs_check(soak_t *soak, const json_t *seen) {
     g_autoptr(GHashTable) counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     size_t i;
@@ -38,7 +45,7 @@
         int count = GPOINTER_TO_INT(g_hash_table_lookup(counts, id)) + 1;
         g_hash_table_replace(counts, g_strdup(id), GINT_TO_POINTER(count));
         const char *body = soak_text_of(run, "body");
-        g_autofree char *expected = soak_has_parts(id) ? soak_part_body(id) : g_strdup("hello");
+        g_autofree char *expected = body_expected(id);
         if (strcmp(body, expected) != 0 && strcmp(body, SOAK_POISON_BODY) != 0) {
             soak_fail(soak, "%s: an engine ran another body", id);
         }
@@ -312,6 +319,7 @@
     soak_states_check(soak, seen);
     soak_tenants_check(soak, seen);
     soak_versions_check(soak);
+    soak_rejoin_report(soak);
     soak_parts_check(soak, seen);
     soak_flood_check(soak);
     soak_faulty_check(soak, seen);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -161,6 +161,8 @@
     soak_tenants_change(soak);
     if (soak->config_writer != NULL) {
         soak_config_change(soak);
+    } else if (soak->rejoin != NULL) {
+        soak_rejoin_move_route(soak);
     } else {
         estate_configure(soak->estate, NULL);
     }
@@ -367,6 +369,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->rejoin != NULL && g_rand_int_range(soak->rand, 0, 3) == 0) {
+        return &kinds[4]; /* kill all */
+    }
     if (soak->has_versions && g_rand_int_range(soak->rand, 0, 2) == 0) {
         return &soak_version_faults[g_rand_int_range(soak->rand, 0, SOAK_VERSION_FAULTS)];
     }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #define DEFAULT_SECONDS 30
-#define SEEDS_WITH_ALL_BITS 4194304U /* seeds below it have no bits without a meaning */
+#define SEEDS_WITH_ALL_BITS 8388608U /* seeds below it have no bits without a meaning */
 /* How long poison requests go on after all faults are over, when no node is disturbed. */
 #define POISON_TAIL_US 6000000
 /* How long connections go on to one node by turns: longer than two turns and what faults leave. */
@@ -120,11 +120,17 @@
     soak.has_load_shedding = seed / 512 % 2 == 1;
     soak.retry_slack = soak.has_load_shedding ? 8 : 54;
     soak.retry_window_s = soak.has_load_shedding ? 3 : 10;
-    g_autofree char *flags = g_strdup_printf(
-        "--lease-quiet-ms=%d --lease-duration-ms=800 --drain-ms=%d --stop-grace-s=5 "
-        "--retry-ratio=%g --retry-slack=%d --retry-window-s=%d",
-        SOAK_LEASE_HANDOVER_MS, SOAK_DRAIN_MS, SOAK_RETRY_RATIO, soak.retry_slack,
-        soak.retry_window_s);
+    g_autoptr(GString) flags = g_string_new(NULL);
+    g_string_printf(flags,
+                    "--lease-quiet-ms=%d --lease-duration-ms=800 --drain-ms=%d --stop-grace-s=5 "
+                    "--retry-ratio=%g --retry-slack=%d --retry-window-s=%d",
+                    SOAK_LEASE_HANDOVER_MS, SOAK_DRAIN_MS, SOAK_RETRY_RATIO, soak.retry_slack,
+                    soak.retry_window_s);
+    /* Bit 22, of seeds without higher bits. The older build sends streams to engines of any
+     * version. */
+    gboolean has_rejoins = seed / 4194304 == 1 && seed / 256 % 2 == 0;
+    if (has_rejoins)
+        g_string_append_printf(flags, " --resume-window-s=%d", SOAK_REJOIN_WINDOW_S);
     soak.began_ms = harness_now_ms();
     g_mutex_init(&soak.lock);
     soak.spans = g_array_new(FALSE, FALSE, sizeof(soak_span_t));
@@ -134,8 +140,8 @@
     /* Bit 14. The older build connects to engines itself or not at all. */
     soak.has_partitions = seed / 16384 % 2 == 1 && seed / 256 % 2 == 0;
     soak.partitions = g_array_new(FALSE, FALSE, sizeof(soak_partition_t));
-    soak.estate = soak.has_partitions ? estate_start_partitionable(soak.nodes, flags)
-                                      : estate_start(soak.nodes, flags);
+    soak.estate = soak.has_partitions ? estate_start_partitionable(soak.nodes, flags->str)
+                                      : estate_start(soak.nodes, flags->str);
     soak.has_paces = seed / 64 % 2 == 1;
     soak.has_zones = seed / 128 % 2 == 1;
     soak.has_builds = seed / 256 % 2 == 1;
@@ -168,6 +174,12 @@
         soak.has_poison = FALSE;
         soak.has_parts = FALSE;
     }
+    if (has_rejoins) {
+        soak.has_poison = FALSE;
+        soak.has_parts = FALSE;
+        soak.has_versions = FALSE;
+        soak.has_tenants = FALSE;
+    }
     GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
@@ -182,6 +194,9 @@
     if (soak.has_versions) {
         soak_versions_start(&soak, versions);
     }
+    if (has_rejoins) {
+        soak_rejoin_start(&soak, versions);
+    }
     if (soak.has_brittle_engines) {
         engines_make_brittle(soak.estate);
     }
@@ -202,7 +217,7 @@
     if (soak.has_faulty) {
         soak_faulty_start(&soak, clients);
     }
-    if (seed / 2048 % 2 == 1) {
+    if (seed / 2048 % 2 == 1 && !has_rejoins) {
         soak_config_start(&soak, clients);
     }
     soak_faults_run(&soak, (int64_t)options->seconds * 1000);
@@ -237,6 +252,7 @@
     fflush(stdout);
     estate_stop(soak.estate);
     soak_config_free(&soak);
+    soak_rejoin_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
     g_array_unref(soak.partitions);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,9 +26,11 @@
 #define SOAK_RETRY_RATIO 0.2
 #define SOAK_CONFIG_MS 2000      /* time within which a configuration takes effect */
 #define SOAK_CONFIG_SKEW_MS 5000 /* beyond that while the store turns some nodes away */
+#define SOAK_REJOIN_WINDOW_S 2   /* how long records of streams are kept, with soak_t.rejoin */
 #define SOAK_PROBE_ROUTES 6      /* routes that the operator changes */
 
 typedef struct soak_config_writer_t soak_config_writer_t;
+typedef struct soak_rejoin_t soak_rejoin_t;
 
 /** Time during which a fault was active or may have had effects. */
 typedef struct soak_span_t {
@@ -114,6 +116,7 @@
     gboolean has_unframed;   /* engines' streams have neither length nor chunks, and end early */
     gboolean has_versions;   /* engines of two software versions, and clients that take streams
                                 up at other nodes */
+    soak_rejoin_t *rejoin;   /* all nodes are killed while versions and routes change; NULL: not */
     soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
     soak_streams_t taken_up; /* streams that they took up there */
     gboolean has_flood;      /* most new connections go to one node, by turns */
@@ -150,6 +153,8 @@
 #define SOAK_BAD_PART_ID "x"
 #define SOAK_SOUND_PART_ID "g"
 
+#define SOAK_REJOIN_ID "w" /* begins the ids of streams that are taken up after all were killed */
+
 #define SOAK_FLOOD_ID "f" /* begins the ids of requests that go to one node by turns */
 
 #define SOAK_TENANT_ID "t" /* begins the ids of requests of tenants with limits */
@@ -212,7 +217,39 @@
 /** Compare what engines ran of each tenant's requests with its limit. */
 void soak_tenants_check(soak_t *soak, const json_t *seen);
 
+/* rejoin.c */
+/** Start services whose software versions come and go, and clients whose streams break off and are
+ * taken up at once or late. @param threads takes their threads, which end with stop */
+void soak_rejoin_start(soak_t *soak, GPtrArray *threads);
+void soak_rejoin_free(soak_t *soak);
+/** Lead the route of these streams to another service, or back. */
+void soak_rejoin_move_route(soak_t *soak);
+/** @return body of a try of such a stream: no two streams have the same; owned by the caller */
+char *soak_rejoin_body(const char *id);
+/** Print how many streams began and went on. */
+void soak_rejoin_report(soak_t *soak);
+
 /* versions.c */
+/** A stream over its client's tries. */
+typedef struct soak_stream_t {
+    char first_id[32]; /* of the try that brought the first event */
+    char version[16];  /* "": no event yet */
+    int last;          /* number of the last event */
+} soak_stream_t;
+
+/** One try of a stream: the first, or one that takes it up. */
+typedef struct soak_stream_try_t {
+    const char *id;
+    const char *path; /* static */
+    int node;
+    int model;
+    const char *body;
+    gboolean unnamed; /* it doesn't name the stream that it takes up */
+} soak_stream_try_t;
+
+/** Send a try, check that its events go on where the stream ended, in its version, and record it.
+ * @return TRUE when nothing more is to come */
+gboolean soak_stream_send(soak_t *soak, soak_stream_t *stream, const soak_stream_try_t *try);
 /** Start engines of two software versions, and clients that take streams up. @param threads takes
  * their threads */
 void soak_versions_start(soak_t *soak, GPtrArray *threads);
--- a/tests/soak/versions.c
+++ b/tests/soak/versions.c
@@ -6,11 +6,11 @@
 #include <string.h>
 
 #define CLIENTS 6
-#define EVENTS 5
 #define MODELS 3
 #define TRIES 4
-#define DEADLINE_MS 3000
-#define READ_MS 4500
+#define STREAM_EVENTS 5
+#define STREAM_DEADLINE_MS 3000
+#define STREAM_READ_MS 4500
 #define RETRY_US 250000
 /* Of so many or more streams taken up at nodes in touch, the share that goes on is at least half
  * of the share of new ones that begin. */
@@ -23,13 +23,6 @@
     GRand *rand;
 } version_client_t;
 
-/* A stream over its client's tries. */
-typedef struct taken_stream_t {
-    char first_id[32]; /* of the try that brought the first event */
-    char version[16];  /* "": no event yet */
-    int last;          /* number of the last event */
-} taken_stream_t;
-
 /* Reads the version at the end of a line of data; "": there is none. */
 static void version_read(const char *line, char version[16]) {
     const char *space = strrchr(line, ' ');
@@ -55,7 +48,7 @@
 }
 
 /* Adds the events of an answer to a stream. */
-static void events_take(soak_t *soak, taken_stream_t *stream, const char *id, const char *body) {
+static void events_take(soak_t *soak, soak_stream_t *stream, const char *id, const char *body) {
     g_auto(GStrv) events = g_strsplit(body, "\n\n", -1);
     for (guint i = 0; events[i] != NULL && events[i + 1] != NULL; i++) {
         char version[16];
@@ -86,37 +79,34 @@
     g_mutex_unlock(&soak->lock);
 }
 
-/* Sends one try of a stream. Returns TRUE when nothing more is to come. */
-static gboolean try_send(version_client_t *client, taken_stream_t *stream, const char *id,
-                         int model) {
-    soak_t *soak = client->soak;
-    soak_request_t request = {.path = "/chat/x",
-                              .node = g_rand_int_range(client->rand, 0, soak->nodes),
-                              .began_ms = harness_now_ms()};
-    g_strlcpy(request.id, id, sizeof(request.id));
+gboolean soak_stream_send(soak_t *soak, soak_stream_t *stream, const soak_stream_try_t *try) {
+    soak_request_t request = {.path = try->path, .node = try->node, .began_ms = harness_now_ms()};
+    g_strlcpy(request.id, try->id, sizeof(request.id));
     wire_t *wire = wire_try_open(soak->estate->nodes[request.node].clients_port);
     if (wire == NULL)
         return FALSE;
     int before = stream->last;
-    g_autofree char *resumes = before > 0 ? g_strdup_printf("Last-Event-Id: %d\r\nResumes: %s\r\n",
-                                                            before, stream->first_id)
-                                          : g_strdup("");
+    g_autoptr(GString) resumes = g_string_new(NULL);
+    if (before > 0)
+        g_string_append_printf(resumes, "Last-Event-Id: %d\r\n", before);
+    if (before > 0 && !try->unnamed)
+        g_string_append_printf(resumes, "Resumes: %s\r\n", stream->first_id);
     g_autofree char *headers =
         g_strdup_printf("Request-Deadline-Ms: %d\r\nModel: m%d\r\nToken-Usage: 100,20\r\n"
                         "Prompt-Prefix: ab:50\r\n%s%s",
-                        DEADLINE_MS, model, soak->key_header, resumes);
-    wire_post(wire, request.path, id, headers, "hello");
-    wire_response_t *answer = wire_read(wire, READ_MS);
+                        STREAM_DEADLINE_MS, try->model, soak->key_header, resumes->str);
+    wire_post(wire, request.path, try->id, headers, try->body);
+    wire_response_t *answer = wire_read(wire, STREAM_READ_MS);
     wire_close(wire);
     request.ended_ms = harness_now_ms();
     request.status = answer->status;
     request.complete = answer->whole;
     request.closed = answer->closed;
     if (answer->status == 200)
-        events_take(soak, stream, id, answer->body->str);
+        events_take(soak, stream, try->id, answer->body->str);
     gboolean whole = answer->status == 200 && answer->whole;
-    if (whole && stream->last != EVENTS)
-        soak_fail(soak, "%s: complete after event %d of %d", id, stream->last, EVENTS);
+    if (whole && stream->last != STREAM_EVENTS)
+        soak_fail(soak, "%s: complete after event %d of %d", try->id, stream->last, STREAM_EVENTS);
     wire_response_free(answer);
     outcome_count(soak, &request, before > 0, whole || stream->last > before);
     g_mutex_lock(&soak->lock);
@@ -128,12 +118,14 @@
 static gpointer client_run(gpointer data) {
     version_client_t *client = data;
     for (int i = 0; !g_atomic_int_get(&client->soak->stop); i++) {
-        taken_stream_t stream = {{0}};
+        soak_stream_t stream = {{0}};
         int model = g_rand_int_range(client->rand, 0, MODELS);
         for (int try = 0; try < TRIES; try++) {
             char id[32];
             g_snprintf(id, sizeof(id), "v%d-%d-%d", client->number, i, try);
-            if (try_send(client, &stream, id, model))
+            int node = g_rand_int_range(client->rand, 0, client->soak->nodes);
+            if (soak_stream_send(client->soak, &stream,
+                                 &(soak_stream_try_t){id, "/chat/x", node, model, "hello", FALSE}))
                 break;
             g_usleep(RETRY_US);
         }
