Streams: a client whose stream is lost isn't told to come back for it

What callers saw: a client that takes up a stream of which no node can know any more how it began was told to come back in 1 s, again and again until its tries were used up.

Cause: a start that the controller's node doesn't know was one answer, whether another node may still know it or none can.

The controller's node now tells them apart: all nodes that are listed are linked to it (each sends all starts that it knows on a new link), it has read the rows of the store, holds the lease, and has the newest configuration. Then the client gets 503 without Retry-After and a sentence that tells to send the request anew (ending stream-lost); else 503 with Retry-After, as before.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -13,7 +13,7 @@
 #include <glib.h>
 #include <stdint.h>
 
-#define WB_OUTCOMES_MAX 24
+#define WB_OUTCOMES_MAX 28
 #define WB_QUOTA_BASES_MAX 4
 #define WB_LATENCY_BUCKETS 12
 
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -352,15 +352,16 @@
 /** As wb_edge_t.on_stream_begun. @param context the node */
 void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context);
 /** As wb_edge_t.ask_stream_start. @param context the node */
-gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
-                                       const wb_stream_place_t *place, void *context);
+wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
+                                                const wb_stream_place_t *place, void *context);
 /** Merge starts of streams that another node knows. */
 void wb_edge_node_streams_take(wb_edge_node_t *node, const wb_wire_stream_starts *starts);
 /** Answer a gateway that asks how a stream began. */
 void wb_edge_node_stream_query(wb_edge_node_t *node, wb_link_t *link,
                                const wb_wire_stream_query *query);
 /** Handle the controller's answer. */
-void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer);
+void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer,
+                                const wb_wire_extensions *extensions);
 /** Send all known starts of streams on a new link to the controller. */
 void wb_edge_node_streams_link_open(wb_edge_node_t *node);
 /** As the aggregator, send new starts of streams to some gateways. */
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -331,7 +331,8 @@
     else if (message->kind == WB_WIRE_STREAM_STARTS)
         wb_edge_node_streams_take(context, &message->wb_wire_message_u.stream_starts);
     else if (message->kind == WB_WIRE_STREAM_ANSWER)
-        wb_edge_node_stream_answer(context, &message->wb_wire_message_u.stream_answer);
+        wb_edge_node_stream_answer(context, &message->wb_wire_message_u.stream_answer,
+                                   wb_link_extensions(link));
     else if (message->kind == WB_WIRE_STORE_UPDATE)
         wb_edge_node_take_update(context, &message->wb_wire_message_u.store_update,
                                  wb_link_extensions(link), wb_edge_node_message_era(context, link));
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -97,13 +97,49 @@
            wb_edge_node_stream_rows_known(node, now_ms);
 }
 
-gboolean wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
-                                       const wb_stream_place_t *place, void *context) {
+/* Whether all nodes are linked to this one, the aggregator: each sends all starts that it knows on
+ * a new link. */
+static gboolean all_are_linked(const wb_edge_node_t *node) {
+    g_autoptr(GHashTable) linked = g_hash_table_new(g_str_hash, g_str_equal);
+    g_hash_table_add(linked, (gpointer)node->edge.settings.id);
+    GHashTableIter iter;
+    gpointer link;
+    gpointer value;
+    g_hash_table_iter_init(&iter, node->gateways);
+    while (g_hash_table_iter_next(&iter, &link, &value)) {
+        const wb_gateway_t *gateway = value;
+        if (gateway->name != NULL && !gateway->unresponsive && link_reads_starts(link))
+            g_hash_table_add(linked, gateway->name);
+    }
+    gpointer id;
+    g_hash_table_iter_init(&iter, node->nodes);
+    while (g_hash_table_iter_next(&iter, &id, NULL))
+        if (!g_hash_table_contains(linked, id))
+            return FALSE;
+    return TRUE;
+}
+
+/* Whether no node can know how a stream began of which this node, the settled aggregator, has no
+ * record: it has those of all nodes, and its configuration is the newest that the lease row names.
+ */
+static gboolean unknown_is_lost(const wb_edge_node_t *node) {
+    const wb_catalog_t *catalog = node->edge.catalog;
+    return wb_lease_is_held(node->lease, wb_clock_ms()) && catalog != NULL &&
+           catalog->version >= node->stored_catalog_version && all_are_linked(node);
+}
+
+wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
+                                                const wb_stream_place_t *place, void *context) {
     wb_edge_node_t *node = context;
-    if (wb_edge_node_is_aggregator(node))
-        return !wb_edge_node_streams_settled(node, wb_clock_ms());
+    if (wb_edge_node_is_aggregator(node)) {
+        if (!wb_edge_node_streams_settled(node, wb_clock_ms()))
+            return WB_START_ASKED;
+        return unknown_is_lost(node) ? WB_START_LOST : WB_START_UNKNOWN;
+    }
     if (!node->controller_link_open || !link_reads_starts(node->controller_link))
-        return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE;
+        return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE
+                   ? WB_START_ASKED
+                   : WB_START_UNKNOWN;
     wb_wire_message message = {.kind = WB_WIRE_STREAM_QUERY};
     wb_wire_stream_query *query = &message.wb_wire_message_u.stream_query;
     key_to_wire(key, query->key);
@@ -117,7 +153,7 @@
     }
     wb_link_send_with_extensions(node->controller_link, &message, &extensions);
     wb_extensions_clear(&extensions);
-    return TRUE;
+    return WB_START_ASKED;
 }
 
 /* Returns the version at which the stream must have begun that a gateway asks for; NULL: not known.
@@ -152,13 +188,23 @@
     answer->service = start != NULL ? start->service : query->service;
     answer->software_version = start != NULL ? start->software_version : known ? (char *)sole : "";
     answer->left_ms = start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : 0;
-    wb_link_send(link, &message);
+    wb_wire_extensions extensions = {0};
+    wb_wire_stream_loss loss = {!known && unknown_is_lost(node)};
+    if (loss.is_lost)
+        wb_extensions_add(&extensions, WB_WIRE_EXTENSION_STREAM_LOSS,
+                          (xdrproc_t)xdr_wb_wire_stream_loss, &loss);
+    wb_link_send_with_extensions(link, &message, &extensions);
+    wb_extensions_clear(&extensions);
 }
 
-void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer) {
+void wb_edge_node_stream_answer(wb_edge_node_t *node, const wb_wire_stream_answer *answer,
+                                const wb_wire_extensions *extensions) {
     wb_request_digest_t key = key_from_wire(answer->key);
+    wb_wire_stream_loss loss = {FALSE};
+    wb_extensions_read(extensions, WB_WIRE_EXTENSION_STREAM_LOSS,
+                       (xdrproc_t)xdr_wb_wire_stream_loss, &loss);
     if (!answer->known) {
-        wb_exchanges_start_unknown(&node->edge, &key);
+        wb_exchanges_start_unknown(&node->edge, &key, loss.is_lost);
         return;
     }
     wb_exchanges_start_known(&node->edge, &key, answer->service, answer->software_version);
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -503,7 +503,8 @@
     WB_WIRE_EXTENSION_VERSION_WAITS = 9, /* wb_wire_version_waits */
     WB_WIRE_EXTENSION_VERSIONS = 10, /* wb_wire_service_versions */
     WB_WIRE_EXTENSION_ROUTE_MOVES = 11, /* wb_wire_route_moves */
-    WB_WIRE_EXTENSION_STREAM_PLACE = 12 /* wb_wire_stream_place */
+    WB_WIRE_EXTENSION_STREAM_PLACE = 12, /* wb_wire_stream_place */
+    WB_WIRE_EXTENSION_STREAM_LOSS = 13 /* wb_wire_stream_loss */
 };
 
 struct wb_wire_extension {
@@ -655,6 +656,11 @@
     bool named; /* the client names the stream that it takes up */
 };
 
+/* With an answer that the start isn't known. */
+struct wb_wire_stream_loss {
+    bool is_lost; /* no other node can know it either */
+};
+
 struct wb_wire_stream_answer {
     opaque key[WB_WIRE_DIGEST_BYTES];
     bool known;
--- a/src/request/exchange_outcome.c
+++ b/src/request/exchange_outcome.c
@@ -2,11 +2,11 @@
 #include "request/exchange_internal.h"
 
 static const char *const outcome_names[WB_OUTCOME_COUNT] = {
-    "served",        "engine-failed", "no-catalog",    "no-route",  "bad-request",
-    "unknown-model", "no-engine",     "not-loaded",    "rejected",  "no-budget",
-    "broken",        "timed-out",     "caller-gone",   "stopping",  "bad-key",
-    "key-uncertain", "over-quota",    "poison",        "no-room",   "unverified",
-    "unreachable",   "quota-unknown", "start-unknown", "no-version"};
+    "served",        "engine-failed", "no-catalog",    "no-route",   "bad-request",
+    "unknown-model", "no-engine",     "not-loaded",    "rejected",   "no-budget",
+    "broken",        "timed-out",     "caller-gone",   "stopping",   "bad-key",
+    "key-uncertain", "over-quota",    "poison",        "no-room",    "unverified",
+    "unreachable",   "quota-unknown", "start-unknown", "no-version", "stream-lost"};
 
 static const char *const framing_names[] = {"none", "length", "chunks", "close"};
 
--- a/src/request/exchange_refuse.c
+++ b/src/request/exchange_refuse.c
@@ -27,11 +27,25 @@
     }
 }
 
+/* Without a Retry-After: no node will ever know how the stream began. */
+static void lost_stream_refuse(wb_exchange_t *exchange, unsigned status) {
+    static const char text[] =
+        "The stream can't be continued: it isn't known any more which engine "
+        "software began it. Send the request again as a new one.\n";
+    wb_http_connection_t *connection = wb_exchange_end(exchange, WB_OUTCOME_STREAM_LOST, status);
+    wb_http_connection_reply(connection, status, wb_http_status_reason(status),
+                             "Content-Type: text/plain\r\n", text, sizeof(text) - 1);
+}
+
 void wb_exchange_refuse(wb_exchange_t *exchange, wb_outcome_t outcome, unsigned status) {
     if (exchange->answer_begun) {
         wb_http_connection_abort(wb_exchange_end(exchange, outcome, 0));
         return;
     }
+    if (outcome == WB_OUTCOME_STREAM_LOST) {
+        lost_stream_refuse(exchange, status);
+        return;
+    }
     char headers[64] = "";
     if (status == 429) {
         retry_after_write(headers, sizeof(headers), exchange->quota_retry_ms);
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -89,23 +89,27 @@
     return TRUE;
 }
 
-/* Returns FALSE when the start can't be learned. */
-static gboolean start_ask(wb_exchange_t *exchange, int64_t now_ms) {
+static wb_start_lookup_t start_ask(wb_exchange_t *exchange, int64_t now_ms) {
     wb_edge_t *edge = exchange->edge;
     if (edge->ask_stream_start == NULL)
-        return FALSE;
+        return WB_START_UNKNOWN;
     if (exchange->start_asked_ms != 0 && now_ms - exchange->start_asked_ms < START_ASK_AGAIN_MS)
-        return TRUE;
+        return WB_START_ASKED;
     exchange->start_asked_ms = now_ms;
     edge->metrics.stream_starts_asked++;
     wb_stream_place_t place = stream_place(exchange);
     return edge->ask_stream_start(&exchange->stream_key, &place, edge->node_context);
 }
 
+static wb_outcome_t unknown_outcome(gboolean is_lost) {
+    return is_lost ? WB_OUTCOME_STREAM_LOST : WB_OUTCOME_START_UNKNOWN;
+}
+
 void wb_exchange_await_start(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
-    if (exchange->takes_up && !start_ask(exchange, now_ms)) {
-        wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
+    wb_start_lookup_t lookup = exchange->takes_up ? start_ask(exchange, now_ms) : WB_START_ASKED;
+    if (lookup != WB_START_ASKED) {
+        wb_exchange_give_up(exchange, unknown_outcome(lookup == WB_START_LOST));
         return;
     }
     if (exchange->awaits_start)
@@ -134,13 +138,13 @@
            wb_request_digest_equal(&exchange->stream_key, key);
 }
 
-void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key) {
+void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key, gboolean is_lost) {
     g_autoptr(GList) open = g_hash_table_get_keys(edge->open);
     for (GList *item = open; item != NULL; item = item->next) {
         wb_exchange_t *exchange = item->data;
         /* Ending one request may end others, so each is checked to be still open. */
         if (g_hash_table_contains(edge->open, exchange) && awaits_start_of(exchange, key))
-            wb_exchange_give_up(exchange, WB_OUTCOME_START_UNKNOWN);
+            wb_exchange_give_up(exchange, unknown_outcome(is_lost));
     }
 }
 
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -82,6 +82,13 @@
     gboolean named; /* the client names the stream */
 } wb_stream_place_t;
 
+/** Whether the start of a stream can be learned. */
+typedef enum wb_start_lookup_t {
+    WB_START_ASKED,   /* the controller is asked, or will be */
+    WB_START_UNKNOWN, /* nobody that can be asked knows it; another node may */
+    WB_START_LOST     /* no node can know it */
+} wb_start_lookup_t;
+
 /** Whether the controller, which decides on model loads, receives this node's demand. */
 typedef enum wb_controller_reach_t {
     WB_CONTROLLER_REACHABLE,        /* it is reachable, or this node is the controller */
@@ -170,9 +177,9 @@
     /** Ask how a stream began. The answer leads to a call of
      * wb_exchanges_start_known or wb_exchanges_start_unknown. NULL: nobody can be asked.
      * @param place service "": without a record the start isn't known
-     * @return FALSE: nobody knows */
-    gboolean (*ask_stream_start)(const wb_request_digest_t *key, const wb_stream_place_t *place,
-                                 void *context);
+     * @return WB_START_ASKED, or why there will be no answer */
+    wb_start_lookup_t (*ask_stream_start)(const wb_request_digest_t *key,
+                                          const wb_stream_place_t *place, void *context);
     /** The only software version that a stream can have begun at whose start isn't recorded. NULL:
      * not known here; as a result, NULL: there were several, or it isn't known. */
     const char *(*sole_version)(const wb_stream_place_t *place, void *context);
@@ -211,6 +218,7 @@
     WB_OUTCOME_QUOTA_UNKNOWN,  /* what is left of its tenant's limit is not known here */
     WB_OUTCOME_START_UNKNOWN,  /* it takes a stream up, of which the software version isn't known */
     WB_OUTCOME_NO_VERSION,     /* no engine of its stream's software version serves */
+    WB_OUTCOME_STREAM_LOST,    /* it takes a stream up of which no node can know the version */
     WB_OUTCOME_COUNT
 } wb_outcome_t;
 
@@ -429,7 +437,7 @@
  * engines where that is allowed, or answered. */
 void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine);
 /** Nobody knows how a stream began: refuse requests that take it up. */
-void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key);
+void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key, gboolean is_lost);
 /** The start of a stream was learned: the requests that wait for it go on. */
 void wb_exchanges_start_known(wb_edge_t *edge, const wb_request_digest_t *key, const char *service,
                               const char *software_version);
--- a/tests/edge/test_stream_rows.c
+++ b/tests/edge/test_stream_rows.c
@@ -5,6 +5,8 @@
 /* After that all starts are in the store, but for those of the last batch. */
 #define BATCH_US 1200000
 #define ROLLBACK_MS 3000
+/* No client is told to wait longer for a stream. */
+#define TOLD_MS 1500
 
 static int count_of(const char *const began[STREAMS], const char *version) {
     int count = 0;
@@ -128,6 +130,34 @@
     estate_stop(estate);
 }
 
+/* Takes up a stream that nobody knows. Returns whether its client is invited to come back. */
+static gboolean is_invited(const estate_t *estate, int node, int try) {
+    g_autofree char *id = g_strdup_printf("n%d-%d", node, try);
+    int64_t began_ms = harness_now_ms();
+    wire_response_t *answer =
+        wire_request(estate->nodes[node].clients_port, "/once/x", id,
+                     EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: never-seen\r\n");
+    g_assert_cmpint(answer->status, ==, 503);
+    g_assert_cmpint(harness_now_ms() - began_ms, <, TOLD_MS);
+    g_assert_cmpint(estate_runs(estate, id), ==, 0);
+    gboolean is_told = strstr(answer->head->str, "Retry-After:") != NULL;
+    wire_response_free(answer);
+    return is_told;
+}
+
+/* Guards against a client that is told to come back for a stream which no node can know any more.
+ * While nodes are cut off from the controller, each of them may know it. */
+static void test_lost_stream_is_told(void) {
+    estate_t *estate = versions_start(FLAGS, TRUE);
+    for (int node = 0; node < NODES; node++)
+        g_assert_false(is_invited(estate, node, 0));
+    estate_link_fault(estate, estate_controller(estate), "cut", 0);
+    g_usleep(SETTLE_US);
+    for (int node = 0; node < NODES; node++)
+        g_assert_true(is_invited(estate, node, 1));
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/stream-rows/both-serve", test_both_serve);
     g_test_add_func("/edge/stream-rows/one-has-left", test_one_has_left);
@@ -136,6 +166,7 @@
     g_test_add_func("/edge/stream-rows/calls", test_calls);
     g_test_add_func("/edge/stream-rows/store-goes-back", test_store_goes_back);
     g_test_add_func("/edge/stream-rows/answers-are-lost", test_answers_are_lost);
+    g_test_add_func("/edge/stream-rows/lost-stream-is-told", test_lost_stream_is_told);
 }
 
 PROCESS_TEST_MAIN(tests_add)
