--- a/src/request/stream_batches.c
+++ b/src/request/stream_batches.c
@@ -4,6 +4,7 @@
 /* Slots beyond those of the time in which clients come back: batches follow each other at intervals
  * that may be a little shorter or longer. */
 #define SPARE_SLOTS 4
+/* Bounds what a take-over reads; with more intervals than this rows are written over sooner. */
 #define SLOTS_MAX 256
 
 struct wb_stream_batches_t {
