Streams: rows are also read where it isn't known which versions there were

Found by reading: a controller's node that finds no lease row, a copy, or one of an older build knew of one version only, read no rows, and told clients that their streams were lost. It reads them as well as long as its history of versions is shorter than clients come back.

Not shown by a test of its own; edge-stream_rows, edge-rejoin, edge-versions and edge-rollback pass.

--- a/src/edge/node_stream_rows.c
+++ b/src/edge/node_stream_rows.c
@@ -3,7 +3,7 @@
  * The aggregator writes the starts of all nodes in batches (stream_batches.h) while it holds the
  * lease, and as long as a service has several software versions, or had within the time in which
  * clients come back: else there is nothing to tell apart. One that takes over reads all rows before
- * it answers that nobody knows a stream.
+ * it answers that nobody knows a stream, also where it doesn't know which versions there were.
  * An entry binds like one in memory. How long it does is told by the store's clock, which rows and
  * answers name; a row of unknown age isn't used. What a copy of the store lacks is unknown.
  * Times are in ms. Failed calls are made again. */
@@ -70,12 +70,18 @@
     return (int64_t)(node->edge.settings.resume_window_s * 1000);
 }
 
-static gboolean are_needed(const wb_edge_node_t *node, int64_t now_ms) {
+static gboolean has_mixed_versions(const wb_edge_node_t *node, int64_t now_ms) {
     return wb_version_history_is_mixed(node->versions, now_ms - kept_ms(node));
 }
 
+/* Whether an earlier controller's node may have written starts that still count. */
+static gboolean must_read(const wb_edge_node_t *node, int64_t now_ms) {
+    return has_mixed_versions(node, now_ms) ||
+           wb_version_history_began_ms(node->versions) > now_ms - kept_ms(node);
+}
+
 gboolean wb_edge_node_stream_rows_known(const wb_edge_node_t *node, int64_t now_ms) {
-    return node->stream_rows->state == WB_STREAM_ROWS_READ || !are_needed(node, now_ms);
+    return node->stream_rows->state == WB_STREAM_ROWS_READ || !must_read(node, now_ms);
 }
 
 static void rows_forget(wb_stream_rows_t *rows) {
@@ -314,8 +320,8 @@
 
 static void write_tick(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_rows_t *rows = node->stream_rows;
-    gboolean may_write =
-        wb_lease_is_held(node->lease, now_ms) && rows->clock_ms > 0 && are_needed(node, now_ms);
+    gboolean may_write = wb_lease_is_held(node->lease, now_ms) && rows->clock_ms > 0 &&
+                         has_mixed_versions(node, now_ms);
     if (!may_write) {
         wb_stream_batches_pause(rows->batches);
         rows->is_writing = FALSE;
@@ -338,8 +344,7 @@
         rows_forget(rows);
     if (!wb_edge_node_is_aggregator(node))
         return;
-    if (rows->state == WB_STREAM_ROWS_UNREAD && now_ms >= rows->retry_ms &&
-        are_needed(node, now_ms))
+    if (rows->state == WB_STREAM_ROWS_UNREAD && now_ms >= rows->retry_ms && must_read(node, now_ms))
         read_begin(node, now_ms);
     if (rows->state == WB_STREAM_ROWS_READ)
         write_tick(node, now_ms);
--- a/tests/unit/test_stream_starts.c
+++ b/tests/unit/test_stream_starts.c
@@ -56,6 +56,20 @@
     wb_version_history_free(history);
 }
 
+/* Starts are stored as long as it matters which version they are of. */
+static void test_mixed_versions(void) {
+    wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
+    wb_version_history_see(history, "llm", "v1", 100);
+    wb_version_history_see(history, "other", "v2", 100);
+    g_assert_false(wb_version_history_is_mixed(history, 0));
+    wb_version_history_see(history, "llm", "v2", 200);
+    g_assert_true(wb_version_history_is_mixed(history, 100));
+    g_assert_false(wb_version_history_is_mixed(history, 101));
+    wb_version_history_see(history, "llm", "v1", 300);
+    g_assert_true(wb_version_history_is_mixed(history, 200));
+    wb_version_history_free(history);
+}
+
 /* Guards against a history that a restart of all nodes ends, though one version only had engines.
  */
 static void test_history_of_predecessor(void) {
@@ -116,6 +130,7 @@
     g_test_add_func("/stream-starts/first-entry-stays", test_first_entry_stays);
     g_test_add_func("/stream-starts/bounded", test_bounded);
     g_test_add_func("/stream-starts/sole-version", test_sole_version);
+    g_test_add_func("/stream-starts/mixed-versions", test_mixed_versions);
     g_test_add_func("/stream-starts/history-of-predecessor", test_history_of_predecessor);
     g_test_add_func("/stream-starts/stored-versions", test_stored_versions);
     g_test_add_func("/stream-starts/only-version-before-it-is-stored",
