Streams: starts that are forgotten unwritten are counted once

Found by reading: as long as the store took no batch, each try counted all that had expired since the last one that was written. /stream-batches/dropped failed before (3 of 0).

--- a/src/request/stream_batches.c
+++ b/src/request/stream_batches.c
@@ -118,6 +118,7 @@
         return FALSE;
     }
     batch->dropped = first->number - batches->written - 1;
+    batches->written = first->number - 1;
     batches->is_writing = TRUE;
     batches->sent_ms = now_ms;
     return TRUE;
--- a/tests/unit/test_stream_batches.c
+++ b/tests/unit/test_stream_batches.c
@@ -144,7 +144,7 @@
     fixture_close(&fixture);
 }
 
-/* Entries whose time is over before the store takes them are counted. */
+/* Entries whose time is over before the store takes them are counted, once. */
 static void test_dropped(void) {
     fixture_t fixture;
     wb_stream_batch_t batch;
@@ -158,6 +158,10 @@
     starts_add(&fixture, 1);
     g_assert_true(next(&fixture, &batch));
     g_assert_cmpuint(batch.dropped, ==, 3);
+    wb_stream_batches_done(fixture.batches, &batch, WB_STREAM_NOT_WRITTEN, 0);
+    fixture.now_ms += INTERVAL_MS;
+    g_assert_true(next(&fixture, &batch));
+    g_assert_cmpuint(batch.dropped, ==, 0); /* they were counted */
     fixture_close(&fixture);
 }
 
