Streams: one isn't called lost while its start may be under way

Found by reading: a client whose stream breaks right after its first event may ask before the start has reached the controller's node, and was told that its stream is lost. It is told so only if the stream was asked for 0.5 s ago or earlier; so its client comes back once.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -244,7 +244,7 @@
     edge->ask_stream_start = wb_edge_node_ask_stream_start;
     edge->sole_version = wb_edge_node_sole_version;
     wb_edge_node_origins_create(created);
-    created->stream_rows = wb_edge_node_stream_rows_create(settings);
+    wb_edge_node_streams_create(created);
     edge->brittle_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     edge->reach = wb_reach_summary_create();
     edge->peers = wb_peer_record_create();
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -165,6 +165,7 @@
                                    0: it isn't */
     uint64_t streams_number;    /* of the last start that was sent to the gateways that keep all */
     int64_t keepers_updated_ms; /* when that was */
+    GHashTable *streams_asked;  /* of wb_asked_stream_t: they aren't known */
     wb_stream_rows_t *stream_rows;
     wb_link_t *controller_link;
     char *controller_address;
@@ -349,6 +350,7 @@
 void wb_edge_node_tick_tunnels(wb_edge_node_t *node, int64_t now_ms);
 
 /* node_streams.c */
+void wb_edge_node_streams_create(wb_edge_node_t *node);
 /** As wb_edge_t.on_stream_begun. @param context the node */
 void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context);
 /** As wb_edge_t.ask_stream_start. @param context the node */
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -16,6 +16,10 @@
 /* Time in which gateways link to a new aggregator and send what they know. */
 #define SETTLE_MS 2000
 #define LEFT_MAX_MS (600 * 1000U)
+/* Time for a start that a node has sent to arrive: a stream isn't lost before it was asked for
+ * again after that. */
+#define START_ARRIVAL_MS 500
+#define ASKED_MAX 10000
 /* First format version whose controllers may answer without a record, and say what they rest on. */
 #define FORMAT_WITH_PLACES 4
 
@@ -119,13 +123,46 @@
     return TRUE;
 }
 
+/* A stream that was asked for and isn't known. */
+typedef struct wb_asked_stream_t {
+    wb_request_digest_t key;
+    int64_t first_ms;
+} wb_asked_stream_t;
+
+/* Notes that a stream isn't known. Returns TRUE if its start, had it been under way when the stream
+ * was first asked for, would have arrived by now. */
+static gboolean had_time_to_arrive(wb_edge_node_t *node, const wb_request_digest_t *key) {
+    int64_t now_ms = wb_clock_ms();
+    const wb_asked_stream_t *known = g_hash_table_lookup(node->streams_asked, key);
+    if (known != NULL)
+        return now_ms - known->first_ms >= START_ARRIVAL_MS;
+    if (g_hash_table_size(node->streams_asked) >= ASKED_MAX)
+        g_hash_table_remove_all(node->streams_asked);
+    wb_asked_stream_t *asked = g_new0(wb_asked_stream_t, 1);
+    *asked = (wb_asked_stream_t){*key, now_ms};
+    g_hash_table_insert(node->streams_asked, &asked->key, asked);
+    return FALSE;
+}
+
+static gboolean asked_is_over(gpointer key, gpointer value, gpointer context) {
+    (void)key;
+    return ((const wb_asked_stream_t *)value)->first_ms < *(const int64_t *)context;
+}
+
+void wb_edge_node_streams_create(wb_edge_node_t *node) {
+    node->streams_asked =
+        g_hash_table_new_full(wb_request_digest_hash, wb_request_digest_key_equal, NULL, g_free);
+    node->stream_rows = wb_edge_node_stream_rows_create(&node->edge.settings);
+}
+
 /* Whether no node can know how a stream began of which this node, the settled aggregator, has no
  * record: it has those of all nodes, and its configuration is the newest that the lease row names.
  */
-static gboolean unknown_is_lost(const wb_edge_node_t *node) {
+static gboolean unknown_is_lost(wb_edge_node_t *node, const wb_request_digest_t *key) {
     const wb_catalog_t *catalog = node->edge.catalog;
-    return wb_lease_is_held(node->lease, wb_clock_ms()) && catalog != NULL &&
-           catalog->version >= node->stored_catalog_version && all_are_linked(node);
+    return had_time_to_arrive(node, key) && wb_lease_is_held(node->lease, wb_clock_ms()) &&
+           catalog != NULL && catalog->version >= node->stored_catalog_version &&
+           all_are_linked(node);
 }
 
 wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
@@ -134,7 +171,7 @@
     if (wb_edge_node_is_aggregator(node)) {
         if (!wb_edge_node_streams_settled(node, wb_clock_ms()))
             return WB_START_ASKED;
-        return unknown_is_lost(node) ? WB_START_LOST : WB_START_UNKNOWN;
+        return unknown_is_lost(node, key) ? WB_START_LOST : WB_START_UNKNOWN;
     }
     if (!node->controller_link_open || !link_reads_starts(node->controller_link))
         return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE
@@ -189,7 +226,7 @@
     answer->software_version = start != NULL ? start->software_version : known ? (char *)sole : "";
     answer->left_ms = start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : 0;
     wb_wire_extensions extensions = {0};
-    wb_wire_stream_loss loss = {!known && unknown_is_lost(node)};
+    wb_wire_stream_loss loss = {!known && unknown_is_lost(node, &key)};
     if (loss.is_lost)
         wb_extensions_add(&extensions, WB_WIRE_EXTENSION_STREAM_LOSS,
                           (xdrproc_t)xdr_wb_wire_stream_loss, &loss);
@@ -274,5 +311,7 @@
 }
 
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms) {
+    int64_t oldest_ms = now_ms - (int64_t)(node->edge.settings.resume_window_s * 1000);
     wb_stream_starts_sweep(node->edge.stream_starts, now_ms);
+    g_hash_table_foreach_remove(node->streams_asked, asked_is_over, &oldest_ms);
 }
