Streams: their starts are stored only while one of their own services has several versions

What it cost: a release of a service without resumable streams made the controller's node write the starts of all others, two calls a second, though each of their versions served alone.

Cause: any service with several versions was taken as a reason.

Besides, in the same file: calls belong to a generation, whether batches have begun is kept once, and a row that can't be encoded is asserted where it is encoded.

--- a/src/edge/node_stream_rows.c
+++ b/src/edge/node_stream_rows.c
@@ -1,12 +1,12 @@
 /* Starts of streams in the store, so that a stream goes on at its version also once all nodes have
  * ended that knew how it began.
  * The aggregator writes the starts of all nodes in batches (stream_batches.h) while it holds the
- * lease, and as long as a service has several software versions, or had within the time in which
- * clients come back: else there is nothing to tell apart. One that takes over reads all rows before
- * it answers that nobody knows a stream, also where it doesn't know which versions there were.
- * An entry binds like one in memory. How long it does is told by the store's clock, which rows and
- * answers name; a row of unknown age isn't used. What a copy of the store lacks is unknown.
- * Times are in ms. Failed calls are made again. */
+ * lease, and as long as a service that has any has several software versions, or had within the
+ * time in which clients come back: else there is nothing to tell apart. One that takes over reads
+ * all rows before it answers that nobody knows a stream, also where it doesn't know which versions
+ * there were. An entry binds like one in memory. How long it does is told by the store's clock,
+ * which rows and answers name; a row of unknown age isn't used. What a copy of the store lacks is
+ * unknown. Times are in ms. Failed calls are made again. */
 #include "edge/edge_node_types.h"
 
 #include "request/stream_batches.h"
@@ -40,8 +40,7 @@
 struct wb_stream_rows_t {
     wb_stream_batches_t *batches;
     wb_stream_rows_state_t state;
-    gboolean is_writing; /* the batches have begun */
-    uint64_t run;        /* counted up when all is forgotten: calls of earlier ones count no more */
+    uint64_t generation; /* counted up when all is forgotten: calls of earlier ones don't count */
     int64_t era;         /* of the store when the rows were read */
     uint64_t token;      /* of the lease then */
     int64_t read_began_ms;
@@ -54,7 +53,7 @@
 /* A call under way. */
 typedef struct wb_stream_rows_call_t {
     wb_edge_node_t *node;
-    uint64_t run;
+    uint64_t generation; /* in which it began */
     wb_stream_batch_t batch;
     unsigned entries;
 } wb_stream_rows_call_t;
@@ -70,13 +69,20 @@
     return (int64_t)(node->edge.settings.resume_window_s * 1000);
 }
 
-static gboolean has_mixed_versions(const wb_edge_node_t *node, int64_t now_ms) {
-    return wb_version_history_is_mixed(node->versions, now_ms - kept_ms(node));
+/* Whether the starts that are known here are of several versions of a service, or could be. */
+static gboolean must_write(const wb_edge_node_t *node, int64_t now_ms) {
+    GHashTableIter iter;
+    gpointer service;
+    g_hash_table_iter_init(&iter, wb_stream_starts_services(node->edge.stream_starts));
+    while (g_hash_table_iter_next(&iter, &service, NULL))
+        if (wb_version_history_is_mixed(node->versions, service, now_ms - kept_ms(node)))
+            return TRUE;
+    return FALSE;
 }
 
 /* Whether an earlier controller's node may have written starts that still count. */
 static gboolean must_read(const wb_edge_node_t *node, int64_t now_ms) {
-    return has_mixed_versions(node, now_ms) ||
+    return wb_version_history_any_is_mixed(node->versions, now_ms - kept_ms(node)) ||
            wb_version_history_began_ms(node->versions) > now_ms - kept_ms(node);
 }
 
@@ -88,8 +94,7 @@
     if (rows->state == WB_STREAM_ROWS_UNREAD)
         return;
     rows->state = WB_STREAM_ROWS_UNREAD;
-    rows->is_writing = FALSE;
-    rows->run++;
+    rows->generation++;
     wb_stream_batches_reset(rows->batches);
 }
 
@@ -106,7 +111,7 @@
     wb_edge_node_t *node = call->node;
     if (answer->outcome == WB_TABLE_NOT_DONE || answer->outcome == WB_TABLE_UNKNOWN)
         wb_store_calls_note_failure(&node->edge.metrics.store_calls);
-    if (call->run != node->stream_rows->run)
+    if (call->generation != node->stream_rows->generation)
         return NULL;
     clock_note(node->stream_rows, answer);
     return node;
@@ -115,7 +120,7 @@
 static wb_stream_rows_call_t *call_begin(wb_edge_node_t *node, wb_store_cause_t cause) {
     wb_stream_rows_call_t *call = g_new0(wb_stream_rows_call_t, 1);
     call->node = node;
-    call->run = node->stream_rows->run;
+    call->generation = node->stream_rows->generation;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_STREAMS, cause);
     return call;
 }
@@ -248,7 +253,7 @@
     }
 }
 
-/* Writes a batch as a row. Returns its length; 0: it doesn't fit. */
+/* Writes a batch as a row. Returns its length. */
 static u_int row_encode(wb_edge_node_t *node, wb_stream_rows_call_t *call, char *bytes) {
     const wb_stream_rows_t *rows = node->stream_rows;
     g_autoptr(GArray) origins = g_array_new(FALSE, FALSE, sizeof(wb_wire_stored_origin));
@@ -263,7 +268,8 @@
     XDR stream;
     xdrmem_create(&stream, bytes, STREAM_ROW_BYTES, XDR_ENCODE);
     gboolean encoded = xdr_wb_wire_stored_starts(&stream, &stored) != 0;
-    u_int length = encoded ? xdr_getpos(&stream) : 0;
+    g_assert(encoded); /* a full batch fits */
+    u_int length = xdr_getpos(&stream);
     xdr_destroy(&stream);
     return length;
 }
@@ -313,23 +319,18 @@
     call->batch = *batch;
     node->edge.metrics.stream_starts_not_stored += batch->dropped;
     u_int length = row_encode(node, call, bytes);
-    g_assert(length > 0);
     node->table->write(node->table, WB_TABLE_STREAMS, key, batch->expected_version,
                        (const guchar *)bytes, length, batch_answered, call);
 }
 
 static void write_tick(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_rows_t *rows = node->stream_rows;
-    gboolean may_write = wb_lease_is_held(node->lease, now_ms) && rows->clock_ms > 0 &&
-                         has_mixed_versions(node, now_ms);
-    if (!may_write) {
+    if (!wb_lease_is_held(node->lease, now_ms) || rows->clock_ms == 0 ||
+        !must_write(node, now_ms)) {
         wb_stream_batches_pause(rows->batches);
-        rows->is_writing = FALSE;
         return;
     }
-    if (!rows->is_writing)
-        wb_stream_batches_begin(rows->batches, node->edge.stream_starts);
-    rows->is_writing = TRUE;
+    wb_stream_batches_begin(rows->batches, node->edge.stream_starts);
     wb_stream_batch_t batch;
     if (wb_stream_batches_next(rows->batches, node->edge.stream_starts, now_ms, &batch))
         batch_write(node, &batch);
@@ -337,10 +338,10 @@
 
 void wb_edge_node_tick_stream_rows(wb_edge_node_t *node, int64_t now_ms) {
     wb_stream_rows_t *rows = node->stream_rows;
-    gboolean is_another =
+    gboolean is_outdated =
         rows->era != node->table->era ||
         (wb_lease_is_held(node->lease, now_ms) && rows->token != wb_lease_token(node->lease));
-    if (!wb_edge_node_is_aggregator(node) || is_another)
+    if (!wb_edge_node_is_aggregator(node) || is_outdated)
         rows_forget(rows);
     if (!wb_edge_node_is_aggregator(node))
         return;
--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -177,20 +177,29 @@
     }
 }
 
-gboolean wb_version_history_is_mixed(const wb_version_history_t *history, int64_t since_ms) {
+static gboolean are_mixed(GHashTable *versions, int64_t since_ms) {
+    unsigned count = 0;
+    GHashTableIter iter;
+    gpointer entry;
+    g_hash_table_iter_init(&iter, versions);
+    while (g_hash_table_iter_next(&iter, NULL, &entry))
+        count += !is_old(NULL, entry, &since_ms);
+    return count > 1;
+}
+
+gboolean wb_version_history_is_mixed(const wb_version_history_t *history, const char *service,
+                                     int64_t since_ms) {
+    GHashTable *versions = g_hash_table_lookup(history->services, service);
+    return versions != NULL && are_mixed(versions, since_ms);
+}
+
+gboolean wb_version_history_any_is_mixed(const wb_version_history_t *history, int64_t since_ms) {
     GHashTableIter services;
     gpointer versions;
     g_hash_table_iter_init(&services, history->services);
-    while (g_hash_table_iter_next(&services, NULL, &versions)) {
-        unsigned count = 0;
-        GHashTableIter iter;
-        gpointer entry;
-        g_hash_table_iter_init(&iter, versions);
-        while (g_hash_table_iter_next(&iter, NULL, &entry))
-            count += !is_old(NULL, entry, &since_ms);
-        if (count > 1)
+    while (g_hash_table_iter_next(&services, NULL, &versions))
+        if (are_mixed(versions, since_ms))
             return TRUE;
-    }
     return FALSE;
 }
 
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -56,8 +56,11 @@
                              void (*visit)(const char *service, const char *software_version,
                                            int64_t age_ms, void *context),
                              void *context);
-/** @return TRUE if a service has had several versions since then */
-gboolean wb_version_history_is_mixed(const wb_version_history_t *history, int64_t since_ms);
+/** @return TRUE if the service has had several versions since then */
+gboolean wb_version_history_is_mixed(const wb_version_history_t *history, const char *service,
+                                     int64_t since_ms);
+/** @return TRUE if any service has */
+gboolean wb_version_history_any_is_mixed(const wb_version_history_t *history, int64_t since_ms);
 /** @return the only version that streams of the service can have begun at within the horizon;
  * NULL: there were several, one is unknown, or the history isn't whole for so long */
 const char *wb_version_history_sole(const wb_version_history_t *history, const char *service,
--- a/src/request/stream_batches.c
+++ b/src/request/stream_batches.c
@@ -63,6 +63,8 @@
 
 void wb_stream_batches_begin(wb_stream_batches_t *batches, const wb_stream_starts_t *starts) {
     const wb_list_t *all = wb_stream_starts_all(starts);
+    if (batches->is_begun)
+        return;
     batches->is_begun = TRUE;
     batches->written = wb_stream_starts_number(starts);
     if (all->len > 0)
--- a/src/request/stream_batches.h
+++ b/src/request/stream_batches.h
@@ -46,7 +46,8 @@
 /** A slot's row was read. @param written_ms by the store's clock */
 void wb_stream_batches_slot_read(wb_stream_batches_t *batches, unsigned slot, int64_t version,
                                  int64_t written_ms);
-/** All rows were read, or writing goes on after a pause: all entries are to be written. */
+/** All rows were read, or writing goes on after a pause: all entries are to be written. Does
+ * nothing while it goes on. */
 void wb_stream_batches_begin(wb_stream_batches_t *batches, const wb_stream_starts_t *starts);
 /** Stop writing, as nothing is to be written for now. */
 void wb_stream_batches_pause(wb_stream_batches_t *batches);
--- a/src/request/stream_starts.c
+++ b/src/request/stream_starts.c
@@ -2,7 +2,8 @@
 #include "request/stream_starts.h"
 
 struct wb_stream_starts_t {
-    GHashTable *by_key; /* wb_request_digest_t, in the entry -> wb_stream_start_t */
+    GHashTable *by_key;   /* wb_request_digest_t, in the entry -> wb_stream_start_t */
+    GHashTable *services; /* name -> number of its entries */
     wb_list_t entries;
     uint64_t number;
 };
@@ -19,12 +20,23 @@
 wb_stream_starts_t *wb_stream_starts_create(void) {
     wb_stream_starts_t *starts = g_new0(wb_stream_starts_t, 1);
     starts->by_key = g_hash_table_new(wb_request_digest_hash, wb_request_digest_key_equal);
+    starts->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     wb_list_init(&starts->entries);
     return starts;
 }
 
+/* Adds to the number of a service's entries. */
+static void service_count(wb_stream_starts_t *starts, const char *service, int change) {
+    int count = GPOINTER_TO_INT(g_hash_table_lookup(starts->services, service)) + change;
+    if (count == 0)
+        g_hash_table_remove(starts->services, service);
+    else
+        g_hash_table_replace(starts->services, g_strdup(service), GINT_TO_POINTER(count));
+}
+
 static void entry_drop(wb_stream_starts_t *starts, wb_stream_start_t *start) {
     g_hash_table_remove(starts->by_key, &start->key);
+    service_count(starts, start->service, -1);
     wb_list_remove(&starts->entries, &start->item);
     g_free(start->service);
     g_free(start->software_version);
@@ -36,6 +48,7 @@
         entry_drop(starts, WB_LIST_OF(item, wb_stream_start_t, item));
     }
     g_hash_table_unref(starts->by_key);
+    g_hash_table_unref(starts->services);
     g_free(starts);
 }
 
@@ -53,6 +66,7 @@
                                  .until_ms = until_ms,
                                  .number = ++starts->number};
     g_hash_table_insert(starts->by_key, &start->key, start);
+    service_count(starts, service, 1);
     wb_list_add_tail(&starts->entries, &start->item);
     return start;
 }
@@ -77,6 +91,10 @@
     return g_hash_table_lookup(starts->by_key, key);
 }
 
+GHashTable *wb_stream_starts_services(const wb_stream_starts_t *starts) {
+    return starts->services;
+}
+
 const wb_list_t *wb_stream_starts_all(const wb_stream_starts_t *starts) {
     return &starts->entries;
 }
--- a/src/request/stream_starts.h
+++ b/src/request/stream_starts.h
@@ -52,6 +52,8 @@
 /** @return the entry, or NULL; valid until the next change */
 const wb_stream_start_t *wb_stream_starts_find(const wb_stream_starts_t *starts,
                                                const wb_request_digest_t *key);
+/** @return the services that entries are of: a set of names; owned by `starts` */
+GHashTable *wb_stream_starts_services(const wb_stream_starts_t *starts);
 /** @return all entries, oldest first: wb_stream_start_t.item */
 const wb_list_t *wb_stream_starts_all(const wb_stream_starts_t *starts);
 /** @return the number of the latest entry; 0: there was none */
--- a/tests/edge/test_stream_rows.c
+++ b/tests/edge/test_stream_rows.c
@@ -86,6 +86,17 @@
     estate_stop(estate);
 }
 
+/* The same while another service, without streams, has two versions. */
+static void test_other_service_costs_nothing(void) {
+    estate_t *estate = one_version_start();
+    const char *began[STREAMS];
+    service_engine_start(estate, "lock", "c1", "v2", "");
+    g_usleep(SETTLE_US);
+    streams_begin(estate, 0, began);
+    g_assert_cmpfloat(metric_sum(estate, STREAM_CALLS("write")), ==, 0);
+    estate_stop(estate);
+}
+
 /* Two calls a second at most, also while streams begin all the time. */
 static void test_calls(void) {
     estate_t *estate = versions_start(FLAGS, TRUE);
@@ -130,13 +141,14 @@
     estate_stop(estate);
 }
 
-/* Takes up a stream that nobody knows. Returns whether its client is invited to come back. */
-static gboolean is_invited(const estate_t *estate, int node, int try) {
+/* Takes up a stream that can't go on. Returns whether its client is invited to come back. */
+static gboolean is_invited(const estate_t *estate, int node, const char *stream, int try) {
     g_autofree char *id = g_strdup_printf("n%d-%d", node, try);
+    g_autofree char *headers =
+        g_strdup_printf(EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: %s\r\n", stream);
     int64_t began_ms = harness_now_ms();
     wire_response_t *answer =
-        wire_request(estate->nodes[node].clients_port, "/once/x", id,
-                     EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: never-seen\r\n");
+        wire_request(estate->nodes[node].clients_port, "/once/x", id, headers);
     g_assert_cmpint(answer->status, ==, 503);
     g_assert_cmpint(harness_now_ms() - began_ms, <, TOLD_MS);
     g_assert_cmpint(estate_runs(estate, id), ==, 0);
@@ -149,14 +161,14 @@
  * While nodes are cut off from the controller, each of them may know it. */
 static void test_lost_stream_is_told(void) {
     estate_t *estate = versions_start(FLAGS, TRUE);
-    g_assert_true(is_invited(estate, 0, 0)); /* its start may be under way */
+    g_assert_true(is_invited(estate, 0, "never-seen", 0)); /* its start may be under way */
     g_usleep(SETTLE_US);
     for (int node = 0; node < NODES; node++)
-        g_assert_false(is_invited(estate, node, 1));
+        g_assert_false(is_invited(estate, node, "never-seen", 1));
     estate_link_fault(estate, estate_controller(estate), "cut", 0);
     g_usleep(SETTLE_US);
     for (int node = 0; node < NODES; node++)
-        g_assert_true(is_invited(estate, node, 2));
+        g_assert_true(is_invited(estate, node, "never-seen", 2));
     estate_stop(estate);
 }
 
@@ -165,6 +177,8 @@
     g_test_add_func("/edge/stream-rows/one-has-left", test_one_has_left);
     g_test_add_func("/edge/stream-rows/version-has-just-come", test_version_has_just_come);
     g_test_add_func("/edge/stream-rows/one-version-costs-nothing", test_one_version_costs_nothing);
+    g_test_add_func("/edge/stream-rows/other-service-costs-nothing",
+                    test_other_service_costs_nothing);
     g_test_add_func("/edge/stream-rows/calls", test_calls);
     g_test_add_func("/edge/stream-rows/store-goes-back", test_store_goes_back);
     g_test_add_func("/edge/stream-rows/answers-are-lost", test_answers_are_lost);
--- a/tests/unit/test_stream_starts.c
+++ b/tests/unit/test_stream_starts.c
@@ -23,6 +23,21 @@
     wb_stream_starts_free(starts);
 }
 
+static void test_services(void) {
+    wb_stream_starts_t *starts = wb_stream_starts_create();
+    GHashTable *services = wb_stream_starts_services(starts);
+    wb_request_digest_t first = wb_stream_key(NULL, "r1");
+    wb_request_digest_t second = wb_stream_key(NULL, "r2");
+    wb_stream_starts_add(starts, &first, "llm", "v1", NOW_MS);
+    wb_stream_starts_restore(starts, &second, "llm", "v2", NOW_MS + 1);
+    g_assert_cmpuint(g_hash_table_size(services), ==, 1);
+    wb_stream_starts_sweep(starts, NOW_MS);
+    g_assert_true(g_hash_table_contains(services, "llm"));
+    wb_stream_starts_sweep(starts, NOW_MS + 1);
+    g_assert_cmpuint(g_hash_table_size(services), ==, 0);
+    wb_stream_starts_free(starts);
+}
+
 static void test_bounded(void) {
     wb_stream_starts_t *starts = wb_stream_starts_create();
     for (int i = 0; i < WB_STREAM_STARTS_MAX + 10; i++) {
@@ -61,12 +76,15 @@
     wb_version_history_t *history = wb_version_history_create(WINDOW_MS, 0);
     wb_version_history_see(history, "llm", "v1", 100);
     wb_version_history_see(history, "other", "v2", 100);
-    g_assert_false(wb_version_history_is_mixed(history, 0));
+    g_assert_false(wb_version_history_any_is_mixed(history, 0));
     wb_version_history_see(history, "llm", "v2", 200);
-    g_assert_true(wb_version_history_is_mixed(history, 100));
-    g_assert_false(wb_version_history_is_mixed(history, 101));
+    g_assert_true(wb_version_history_any_is_mixed(history, 100));
+    g_assert_true(wb_version_history_is_mixed(history, "llm", 100));
+    g_assert_false(wb_version_history_is_mixed(history, "other", 100));
+    g_assert_false(wb_version_history_is_mixed(history, "third", 100));
+    g_assert_false(wb_version_history_any_is_mixed(history, 101));
     wb_version_history_see(history, "llm", "v1", 300);
-    g_assert_true(wb_version_history_is_mixed(history, 200));
+    g_assert_true(wb_version_history_is_mixed(history, "llm", 200));
     wb_version_history_free(history);
 }
 
@@ -128,6 +146,7 @@
 
 static void tests_add(void) {
     g_test_add_func("/stream-starts/first-entry-stays", test_first_entry_stays);
+    g_test_add_func("/stream-starts/services", test_services);
     g_test_add_func("/stream-starts/bounded", test_bounded);
     g_test_add_func("/stream-starts/sole-version", test_sole_version);
     g_test_add_func("/stream-starts/mixed-versions", test_mixed_versions);
