Streams: one that began at an engine without a version is told to be lost

What callers saw: a stream that began at an engine whose row names no software version matches no engine, ever, yet its client was told to come back in 1 s, each time it came.

Cause: a start without a version, and a version that no engine serves at the moment, were one answer. The former is now answered like a stream of which nobody knows how it began. A start at a service that the route doesn't lead to here stays 503 with Retry-After: this node's configuration may be behind.

/edge/stream-rows/engine-without-version failed before (Retry-After).

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -289,7 +289,8 @@
         return;
     }
     if (!wb_exchange_version_serves(exchange)) {
-        wb_exchange_give_up(exchange, WB_OUTCOME_NO_VERSION);
+        wb_exchange_give_up(exchange, exchange->start_has_no_version ? WB_OUTCOME_STREAM_LOST
+                                                                     : WB_OUTCOME_NO_VERSION);
         return;
     }
     wb_exchange_end_start_wait(exchange);
--- a/src/request/exchange_refuse.c
+++ b/src/request/exchange_refuse.c
@@ -27,11 +27,11 @@
     }
 }
 
-/* Without a Retry-After: no node will ever know how the stream began. */
+/* Without a Retry-After: coming back for the stream doesn't help. */
 static void lost_stream_refuse(wb_exchange_t *exchange, unsigned status) {
     static const char text[] =
-        "The stream can't be continued: it isn't known any more which engine "
-        "software began it. Send the request again as a new one.\n";
+        "The stream can't be continued: it isn't known which engine software "
+        "began it. Send the request again as a new one.\n";
     wb_http_connection_t *connection = wb_exchange_end(exchange, WB_OUTCOME_STREAM_LOST, status);
     wb_http_connection_reply(connection, status, wb_http_status_reason(status),
                              "Content-Type: text/plain\r\n", text, sizeof(text) - 1);
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -67,6 +67,7 @@
                        const char *by) {
     gboolean can_go_on = wb_exchange_change_service(exchange, service);
     version_bind(exchange, can_go_on ? software_version : "", by);
+    exchange->start_has_no_version = *software_version == '\0';
 }
 
 gboolean wb_exchange_find_start(wb_exchange_t *exchange) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -218,7 +218,7 @@
     WB_OUTCOME_QUOTA_UNKNOWN,  /* what is left of its tenant's limit is not known here */
     WB_OUTCOME_START_UNKNOWN,  /* it takes a stream up, of which the software version isn't known */
     WB_OUTCOME_NO_VERSION,     /* no engine of its stream's software version serves */
-    WB_OUTCOME_STREAM_LOST,    /* it takes a stream up of which no node can know the version */
+    WB_OUTCOME_STREAM_LOST,    /* it takes a stream up whose version isn't known and won't be */
     WB_OUTCOME_COUNT
 } wb_outcome_t;
 
@@ -301,6 +301,7 @@
     gboolean takes_up;              /* it takes up an earlier stream of its client */
     gboolean begins_stream;         /* it begins one that its client may take up */
     gboolean names_stream;          /* takes_up: the client names that stream */
+    gboolean start_has_no_version;  /* takes_up: it began at an engine that named no version */
     wb_request_digest_t stream_key; /* of that stream */
     int64_t start_asked_ms;         /* when its start was last asked for; 0: never */
     char *bound_version;    /* software version that its stream began at. NULL: it hasn't begun, or
--- a/tests/edge/test_stream_rows.c
+++ b/tests/edge/test_stream_rows.c
@@ -172,6 +172,25 @@
     estate_stop(estate);
 }
 
+/* The same for a stream that began at an engine which names no version: it matches no other. */
+static void test_engine_without_version(void) {
+    estate_t *estate = versions_start(FLAGS, FALSE);
+    version_start(estate, "llm", "", "n1", "n2");
+    version_stop(estate, "a1", "a2");
+    g_usleep(2 * SETTLE_US);
+    stream_fault_set(estate, "n1", "cut", 10);
+    stream_fault_set(estate, "n2", "cut", 10);
+    wire_response_t *answer =
+        wire_request(estate->nodes[0].clients_port, "/once/x", "s0", EDGE_MODEL("m3"));
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_false(answer->whole);
+    wire_response_free(answer);
+    g_usleep(SETTLE_US);
+    for (int node = 0; node < NODES; node++)
+        g_assert_false(is_invited(estate, node, "s0", 0));
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/stream-rows/both-serve", test_both_serve);
     g_test_add_func("/edge/stream-rows/one-has-left", test_one_has_left);
@@ -183,6 +202,7 @@
     g_test_add_func("/edge/stream-rows/store-goes-back", test_store_goes_back);
     g_test_add_func("/edge/stream-rows/answers-are-lost", test_answers_are_lost);
     g_test_add_func("/edge/stream-rows/lost-stream-is-told", test_lost_stream_is_told);
+    g_test_add_func("/edge/stream-rows/engine-without-version", test_engine_without_version);
 }
 
 PROCESS_TEST_MAIN(tests_add)
