Streams: a lease row that is full doesn't keep them from beginning, and nothing is concluded

What callers saw: while the shares of many tenants, or what crashes engines, fill the lease row, new streams that their clients may take up are refused (503) once the engines of a service have another version, at the holder or at other nodes, for as long as the row is full.

Cause, of: what comes behind the part that has no room isn't built at all, so the holder neither found out whether it knows the row before it, as it took over, nor what it would have written; its own row, read back, then looked like one of an older build. The class: that nothing was written was taken for nothing to write.

It is built first now, whether it fits or not. If it doesn't, streams begin all the same, and nothing is concluded for stream-age-max-s from then on, as the row can't show where they began. An own row without it isn't taken for an older build's.

The skipped check at a take-over was found by reading; no test shows it by itself.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -154,10 +154,11 @@
     wb_route_moves_t *route_moves;
     int64_t catalogs_in_force[WB_CATALOGS_REMEMBERED]; /* versions of the latest; 0: none */
     guint catalogs_next;
-    gboolean origins_required; /* streams begin only where that is stored */
-    gboolean origins_by_link;  /* all that is stored was received on controller_link */
-    gboolean lease_row_seen;   /* there has been a lease row */
-    int64_t origins_version;   /* of the latest lease row of which all is known here; -1: none */
+    gboolean origins_required;  /* streams begin only where that is stored */
+    gboolean origins_lack_room; /* they didn't fit into the lease row when it was last written */
+    gboolean origins_by_link;   /* all that is stored was received on controller_link */
+    gboolean lease_row_seen;    /* there has been a lease row */
+    int64_t origins_version;    /* of the latest lease row of which all is known here; -1: none */
     int64_t stored_catalog_version; /* whose moves the lease row has; 0: none */
     gboolean origins_created;   /* this process wrote the first lease row, and only it has since */
     int64_t row_absent_ms;      /* when this process found no lease row; 0: there was one */
@@ -368,8 +369,8 @@
 void wb_edge_node_streams_link_open(wb_edge_node_t *node);
 /** As the aggregator, send new starts of streams to some gateways. */
 void wb_edge_node_tick_streams(wb_edge_node_t *node, int64_t now_ms);
-/** @return TRUE when a stream that this node has no record of is known to nobody: it has been the
- * aggregator for long enough */
+/** @return TRUE when this node has been the aggregator for long enough to know what others have
+ * sent, and has read what the store has */
 gboolean wb_edge_node_streams_settled(const wb_edge_node_t *node, int64_t now_ms);
 /** Forget starts whose time is over. */
 void wb_edge_node_sweep_streams(wb_edge_node_t *node, int64_t now_ms);
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -116,45 +116,42 @@
     return copy;
 }
 
-/* Writes the format version of this build, the era of the store that the row is written in, and
- * where streams may have begun.
- * Returns bytes written; 0: they don't fit. */
-static u_int extensions_write(wb_lease_call_t *call, int64_t era, int64_t expected_version,
-                              char *bytes, u_int room) {
-    wb_wire_extensions extensions = {0};
+/* Adds the format version of this build, the era of the store that the row is written in, and where
+ * streams may have begun. */
+static void extensions_add(wb_lease_call_t *call, int64_t era, int64_t expected_version,
+                           wb_wire_extensions *extensions) {
     wb_wire_writer writer = {WB_WIRE_FORMAT_VERSION};
-    XDR stream;
-    wb_extensions_add(&extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
-                      &writer);
     wb_wire_era written = {(uint64_t)era};
-    wb_extensions_add(&extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written);
-    wb_edge_node_origins_write(call->node, expected_version, &extensions, &call->origins);
+    wb_extensions_add(extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer, &writer);
+    wb_extensions_add(extensions, WB_WIRE_EXTENSION_ERA, (xdrproc_t)xdr_wb_wire_era, &written);
+    wb_edge_node_origins_write(call->node, expected_version, extensions, &call->origins);
+}
+
+/* Returns bytes written; 0: they don't fit. */
+static u_int extensions_write(wb_wire_extensions *extensions, char *bytes, u_int room) {
+    XDR stream;
     xdrmem_create(&stream, bytes, room, XDR_ENCODE);
-    gboolean encoded = xdr_wb_wire_extensions(&stream, &extensions);
+    gboolean encoded = xdr_wb_wire_extensions(&stream, extensions);
     u_int length = encoded ? xdr_getpos(&stream) : 0;
     xdr_destroy(&stream);
-    wb_extensions_clear(&extensions);
-    call->origins.is_written = encoded;
     return length;
 }
 
 /* Writes the data that follows the lease: poison requests, quota shares, extensions. Each is
  * decoded from where the previous one ends, so writing stops at the first that doesn't fit. Returns
  * bytes written. */
-static u_int appended_data_write(wb_lease_call_t *call, int64_t era, int64_t expected_version,
-                                 char *bytes, u_int room) {
-    wb_edge_node_t *node = call->node;
-    u_int poison = wb_edge_node_poison_write(node, bytes, room);
-    if (poison == 0) {
+static u_int appended_data_write(wb_lease_call_t *call, wb_wire_extensions *extensions, char *bytes,
+                                 u_int room) {
+    u_int poison = wb_edge_node_poison_write(call->node, bytes, room);
+    if (poison == 0)
         return 0;
-    }
-    u_int quota = wb_edge_node_quota_write(node, bytes + poison, room - poison);
-    if (quota == 0) {
+    u_int quota = wb_edge_node_quota_write(call->node, bytes + poison, room - poison);
+    if (quota == 0)
         return poison;
-    }
-    return poison + quota +
-           extensions_write(call, era, expected_version, bytes + poison + quota,
-                            room - poison - quota);
+    u_int length = poison + quota;
+    u_int extended = extensions_write(extensions, bytes + length, room - length);
+    call->origins.is_written = extended > 0;
+    return length + extended;
 }
 
 static void lease_write(wb_edge_node_t *node, const wb_lease_row_t *row, int64_t expected_version) {
@@ -174,8 +171,10 @@
     }
     wb_lease_call_t *call = g_new0(wb_lease_call_t, 1);
     *call = (wb_lease_call_t){.node = node, .beat = row->beat};
-    length +=
-        appended_data_write(call, row->era, expected_version, bytes + length, ROW_BYTES - length);
+    wb_wire_extensions extensions = {0};
+    extensions_add(call, row->era, expected_version, &extensions);
+    length += appended_data_write(call, &extensions, bytes + length, ROW_BYTES - length);
+    wb_extensions_clear(&extensions);
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_TABLE_NODES, WB_LEASE_KEY, expected_version,
                        (const guchar *)bytes, length, lease_write_done, call);
--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -12,8 +12,9 @@
  * has begun a stream, the holder has allowed it, or read of it as it took the lease over.
  *
  * A holder that doesn't know what the row had before it, as the store lost it or came back from a
- * copy, or an older build wrote it, concludes nothing for stream-age-max-s. Times are in ms; what
- * is stored or sent are durations. */
+ * copy, or an older build wrote it, concludes nothing for stream-age-max-s; nor does one whose row
+ * has no room for this, which lets streams begin all the same. Times are in ms; what is stored or
+ * sent are durations. */
 #include "edge/edge_node_types.h"
 
 #include <string.h>
@@ -256,7 +257,9 @@
     node->lease_row_seen = TRUE;
     /* What a copy has is stored, but it may lack what was stored since. */
     gboolean sets_began = !is_own && !is_copy && row_version >= node->origins_version;
-    gboolean found = origins_take(node, extensions, sets_began);
+    gboolean found = wb_extensions_find(extensions, WB_WIRE_EXTENSION_ROUTE_MOVES) != NULL;
+    if (found || !is_own) /* an own row without them had no room for them */
+        found = origins_take(node, extensions, sets_began);
     if (is_own || (found && !is_copy))
         node->origins_version = MAX(node->origins_version, row_version);
 }
@@ -340,10 +343,18 @@
     moves_add(node, write->catalog_version, extensions);
 }
 
+/* What has no room in the row doesn't keep streams from beginning: then nothing is concluded. */
+static void room_check(wb_edge_node_t *node, const wb_origins_write_t *write) {
+    if (!write->is_written && !node->origins_lack_room)
+        began_anew(node, "there is no room for them in the lease row");
+    if (!write->is_written)
+        wb_version_history_set_began(node->versions, wb_clock_ms());
+    node->origins_lack_room = !write->is_written;
+}
+
 void wb_edge_node_origins_written(wb_edge_node_t *node, const wb_origins_write_t *write,
                                   int64_t version) {
-    if (!write->is_written)
-        return;
+    room_check(node, write);
     gboolean changed = wb_version_history_confirm(node->versions, write->versions_number);
     changed |= stored_catalog_set(node, write->catalog_version);
     changed |= catalog_stored(node, write->own_catalog_version);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -228,7 +228,7 @@
                      (long long)wb_store_version_era(row->version), (long long)era,
                      wb_lease_is_held(node->lease, now_ms) ? "true" : "false");
         wb_lease_on_row(node->lease, &lease, row->version, now_ms);
-        /* Whose row it is, is known only now. */
+        /* After wb_lease_on_row, which finds out whose row it is. */
         if (readable)
             wb_edge_node_origins_read(node, &extensions, row->version,
                                       era < wb_store_version_era(row->version));
--- a/tests/edge/test_stream_rows.c
+++ b/tests/edge/test_stream_rows.c
@@ -191,6 +191,70 @@
     estate_stop(estate);
 }
 
+/* More than the lease row has room for, with names of this length. */
+#define LIMITED_TENANTS 320
+#define TENANT_NAME_LENGTH 190
+
+/* Returns tenants whose limits are used up at once. */
+static char *tenants_json(void) {
+    g_autoptr(GString) tenants = g_string_new(NULL);
+    g_autofree char *filler = g_strnfill(TENANT_NAME_LENGTH - 4, 't');
+    for (int i = 0; i < LIMITED_TENANTS; i++)
+        g_string_append_printf(tenants,
+                               "%s{\"name\":\"%s%04d\",\"apiKeys\":[\"k-%d\"],"
+                               "\"ratePerS\":0.01,\"burst\":1}",
+                               i > 0 ? "," : "", filler, i, i);
+    return g_strdup_printf("[%s]", tenants->str);
+}
+
+/* Fills the lease row with the shares of tenants. */
+static void lease_row_fill(const estate_t *estate) {
+    for (int i = 0; i < LIMITED_TENANTS; i++) {
+        g_autofree char *id = g_strdup_printf("l%d", i);
+        g_autofree char *headers =
+            g_strdup_printf(EDGE_DEADLINE "Authorization: Token k-%d\r\n", i);
+        wire_response_free(wire_request(estate->nodes[0].clients_port, "/lock/x", id, headers));
+    }
+    g_usleep(3 * SETTLE_US);
+    gboolean is_full = FALSE;
+    for (int node = 0; node < NODES; node++)
+        is_full |= estate_log_has(estate, node, "there is no room for them in the lease row");
+    g_assert_true(is_full);
+}
+
+/* Guards against streams that don't begin at a new version because the lease row has no room for
+ * it.
+ */
+static void test_lease_row_is_full(void) {
+    estate_t *estate = versions_start(FLAGS, FALSE);
+    g_autofree char *tenants = tenants_json();
+    estate->tenants = tenants;
+    estate_configure(estate,
+                     "{\"name\":\"once\",\"host\":\"a.example\",\"pathPrefix\":\"/once/\","
+                     "\"routeType\":\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":800,"
+                     "\"priority\":1,\"service\":\"llm\",\"maxAttempts\":1,\"resumable\":true,"
+                     "\"targetGapMs\":400,\"public\":true},"
+                     "{\"name\":\"lock\",\"host\":\"a.example\",\"pathPrefix\":\"/lock/\","
+                     "\"routeType\":\"idempotent\",\"timeoutMs\":2000,\"service\":\"lock\","
+                     "\"maxAttempts\":2}");
+    g_usleep(3 * SETTLE_US);
+    lease_row_fill(estate);
+    version_start(estate, "llm", "v2", "b1", "b2");
+    g_usleep(SETTLE_US);
+    version_stop(estate, "a1", "a2");
+    g_usleep(SETTLE_US);
+    for (int node = 0; node < NODES; node++) {
+        g_autofree char *id = g_strdup_printf("r%d", node);
+        wire_response_t *answer =
+            wire_request(estate->nodes[node].clients_port, "/once/x", id, EDGE_MODEL("m3"));
+        g_test_message("node %d holder %d: %d", node, estate_controller(estate), answer->status);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(has_version(answer, "v2"));
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/stream-rows/both-serve", test_both_serve);
     g_test_add_func("/edge/stream-rows/one-has-left", test_one_has_left);
@@ -201,6 +265,7 @@
     g_test_add_func("/edge/stream-rows/calls", test_calls);
     g_test_add_func("/edge/stream-rows/store-goes-back", test_store_goes_back);
     g_test_add_func("/edge/stream-rows/answers-are-lost", test_answers_are_lost);
+    g_test_add_func("/edge/stream-rows/lease-row-is-full", test_lease_row_is_full);
     g_test_add_func("/edge/stream-rows/lost-stream-is-told", test_lost_stream_is_told);
     g_test_add_func("/edge/stream-rows/engine-without-version", test_engine_without_version);
 }
