Client connections: closes of idle ones are counted, and what was unread or came later

An idle close left no trace. Two metrics tell whether input waited to be read at the close, which separates a held loop from a limit that was lowered, and a third whether input came after it. The streams that an owner has told to finish stay in its lists until they are closed.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -8,6 +8,7 @@
 #ifndef WICKBRIDGE_EDGE_METRICS_H
 #define WICKBRIDGE_EDGE_METRICS_H
 
+#include "wickbridge/http_listener.h"
 #include "wickbridge/store_calls.h"
 
 #include <glib.h>
@@ -81,6 +82,7 @@
     uint64_t late_answers;            /**< first events later than the route's target */
     uint64_t long_gaps;               /**< streams with a longer gap than the route's target */
     uint64_t load_updates;            /**< messages about engine load sent or received */
+    wb_http_listener_counts_t client_connections;
     uint64_t streams_taken_up;    /**< requests that take up an earlier stream of their client */
     uint64_t stream_origin_waits; /**< waits of streams that began only once it was stored where */
     uint64_t stream_starts_asked; /**< questions to the controller for the start of such a stream */
--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -37,6 +37,13 @@
     void *context;
 } wb_http_handler_t;
 
+/** What became of connections without a running request, since the listener was opened. */
+typedef struct wb_http_listener_counts_t {
+    uint64_t idle_closes;        /**< connections closed because they were idle */
+    uint64_t idle_closes_unread; /**< of these, those with input that wasn't read yet */
+    uint64_t late_inputs;        /**< connections with input after the end of their output */
+} wb_http_listener_counts_t;
+
 /** Listen on an address. @param address IP:PORT; port 0 picks one @param handler copied
  * @param limits copied @return APR_SUCCESS, or the reason in `error` */
 apr_status_t wb_http_listener_open(wb_loop_t *loop, const char *address,
@@ -52,6 +59,7 @@
 void wb_http_listener_stop(wb_http_listener_t *listener);
 /** Close idle connections: those without a running or partly received request. */
 void wb_http_listener_close_idle(wb_http_listener_t *listener);
+wb_http_listener_counts_t wb_http_listener_counts(const wb_http_listener_t *listener);
 /** @return number of connections with a running or partly received request, or unsent output, ended
  * ones included */
 unsigned wb_http_listener_active_count(const wb_http_listener_t *listener);
--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -75,10 +75,21 @@
 /** @return TRUE while it is connected and neither ended nor closed */
 gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream);
 
+/** @return TRUE when the system has input for the stream that wasn't read yet */
+gboolean wb_tcp_stream_has_input(const wb_tcp_stream_t *stream);
+
 /** Pause or resume reading. While paused, a close by the peer is detected only after the unread
  * bytes. */
 void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading);
 
+/** Streams that were told to finish, by one owner. Zeroed, then wb_tcp_finishing_init. */
+typedef struct wb_tcp_finishing_t {
+    wb_list_t unsent;    /**< streams whose output the system doesn't have yet */
+    wb_list_t lingering; /**< streams that wait for the peer's close */
+    uint64_t
+        late_inputs; /**< streams that got input after the end of their output; it is dropped */
+} wb_tcp_finishing_t;
+
 /** Close at once and free. Safe from every callback of the stream. */
 void wb_tcp_stream_close(wb_tcp_stream_t *stream);
 
@@ -89,13 +100,14 @@
 /** Send all buffered output, then close, after the peer has closed or one second has passed. No
  * callbacks follow. */
 void wb_tcp_stream_finish(wb_tcp_stream_t *stream);
-/** The same; the stream is in a list until the system has all its output, or the connection ends.
- * @param unfinished must outlive that, or be emptied by wb_tcp_streams_unlist; NULL: none */
-void wb_tcp_stream_finish_listed(wb_tcp_stream_t *stream, wb_list_t *unfinished);
-/** @return output bytes of the streams in such a list that the system doesn't have yet */
-size_t wb_tcp_streams_unsent(const wb_list_t *unfinished);
-/** Take all streams out of such a list; they go on to finish. */
-void wb_tcp_streams_unlist(wb_list_t *unfinished);
+/** The same; the stream is in one of the owner's lists until it is closed.
+ * @param finishing must outlive that, or be emptied by wb_tcp_finishing_clear; NULL: none */
+void wb_tcp_stream_finish_listed(wb_tcp_stream_t *stream, wb_tcp_finishing_t *finishing);
+void wb_tcp_finishing_init(wb_tcp_finishing_t *finishing);
+/** @return output bytes of the finishing streams that the system doesn't have yet */
+size_t wb_tcp_finishing_unsent(const wb_tcp_finishing_t *finishing);
+/** Empty the lists; the streams go on to finish. */
+void wb_tcp_finishing_clear(wb_tcp_finishing_t *finishing);
 
 /**
  * Listen for connections.
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -163,6 +163,12 @@
          metrics->long_gaps},
         {"load_news_total", "Messages told or heard about what engines have.",
          metrics->load_updates},
+        {"client_idle_closes_total", "Client connections closed because they were idle.",
+         metrics->client_connections.idle_closes},
+        {"client_idle_closes_unread_total", "Of these, those with input that wasn't read yet.",
+         metrics->client_connections.idle_closes_unread},
+        {"client_late_inputs_total", "Client connections with input after the end of their output.",
+         metrics->client_connections.late_inputs},
     };
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
         metric_write(text, rows[i].name, "counter", rows[i].help, rows[i].value);
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -39,7 +39,8 @@
 static void metrics_show(wb_edge_node_t *node, wb_http_connection_t *connection,
                          const char *query) {
     (void)query;
-    const wb_edge_t *edge = &node->edge;
+    wb_edge_t *edge = &node->edge;
+    edge->metrics.client_connections = wb_http_listener_counts(node->client_listener);
     wb_edge_gauges_t gauges = {
         .catalog_version = edge->catalog != NULL ? edge->catalog->version : 0,
         .catalog_age_ms = wb_table_watch_age_ms(node->catalog_watch),
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -17,8 +17,9 @@
     wb_timer_t *sweep;
     wb_http_handler_t handler;
     wb_http_limits_t limits;
-    GHashTable *connections; /* set */
-    wb_list_t unfinished;    /* streams of ended connections that still have output */
+    GHashTable *connections;      /* set */
+    wb_tcp_finishing_t finishing; /* streams of ended connections */
+    wb_http_listener_counts_t counts;
     gboolean draining;
 };
 
@@ -86,7 +87,7 @@
 }
 
 static void connection_finish(wb_http_connection_t *connection) {
-    wb_tcp_stream_finish_listed(connection->stream, &connection->listener->unfinished);
+    wb_tcp_stream_finish_listed(connection->stream, &connection->listener->finishing);
     connection_free(connection);
 }
 
@@ -326,6 +327,13 @@
     g_hash_table_add(listener->connections, connection);
 }
 
+static void connection_close_idle(wb_http_connection_t *connection) {
+    connection->listener->counts.idle_closes++;
+    if (wb_tcp_stream_has_input(connection->stream))
+        connection->listener->counts.idle_closes_unread++;
+    connection_finish(connection);
+}
+
 /* Refuses a request whose head arrives too slowly, and closes an idle connection. */
 static void connection_check(wb_http_connection_t *connection, int64_t now_ms) {
     const wb_http_limits_t *limits = &connection->listener->limits;
@@ -336,7 +344,7 @@
     if (in_head && now_ms - connection->began_ms > limits->head_timeout_ms)
         connection_refuse(connection, 408);
     else if (now_ms - connection->active_ms > limits->idle_timeout_ms)
-        connection_finish(connection);
+        connection_close_idle(connection);
 }
 
 static void listener_sweep(void *context) {
@@ -355,7 +363,7 @@
     created->handler = *handler;
     created->limits = *limits;
     created->connections = g_hash_table_new(NULL, NULL);
-    wb_list_init(&created->unfinished);
+    wb_tcp_finishing_init(&created->finishing);
     apr_status_t status = wb_tcp_listen(loop, address, SILENCE_LIMIT_MS, connection_accepted,
                                         created, &created->listener, error);
     if (status != APR_SUCCESS) {
@@ -400,12 +408,18 @@
     for (GList *item = connections; item != NULL; item = item->next) {
         wb_http_connection_t *connection = item->data;
         if (!connection->running && connection->began_ms == 0)
-            connection_finish(connection);
+            connection_close_idle(connection);
     }
 }
 
+wb_http_listener_counts_t wb_http_listener_counts(const wb_http_listener_t *listener) {
+    wb_http_listener_counts_t counts = listener->counts;
+    counts.late_inputs = listener->finishing.late_inputs;
+    return counts;
+}
+
 unsigned wb_http_listener_active_count(const wb_http_listener_t *listener) {
-    unsigned busy = listener->unfinished.len;
+    unsigned busy = listener->finishing.unsent.len;
     GHashTableIter iter;
     gpointer key;
     g_hash_table_iter_init(&iter, listener->connections);
@@ -419,7 +433,7 @@
 }
 
 size_t wb_http_listener_unsent(const wb_http_listener_t *listener) {
-    size_t bytes = wb_tcp_streams_unsent(&listener->unfinished);
+    size_t bytes = wb_tcp_finishing_unsent(&listener->finishing);
     GHashTableIter iter;
     gpointer key;
     g_hash_table_iter_init(&iter, listener->connections);
@@ -430,7 +444,7 @@
 }
 
 void wb_http_listener_close(wb_http_listener_t *listener) {
-    wb_tcp_streams_unlist(&listener->unfinished);
+    wb_tcp_finishing_clear(&listener->finishing);
     wb_timer_cancel(listener->sweep);
     wb_http_listener_stop(listener);
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -35,12 +35,14 @@
     gboolean open;
     gboolean refused; /* connect() itself returned ECONNREFUSED */
     gboolean reading;
-    gboolean finishing;    /* close once all output is sent */
-    wb_list_t *unfinished; /* while it is finishing and has unsent output; or NULL */
-    wb_list_item_t unfinished_item;
-    gboolean ended;  /* on_end was called */
-    gboolean closed; /* to be freed when no callback runs */
-    int callbacks;   /* depth of running callbacks */
+    gboolean finishing;            /* close once all output is sent */
+    wb_tcp_finishing_t *group;     /* of the owner, while it is finishing; or NULL */
+    wb_list_item_t finishing_item; /* in one of their lists */
+    gboolean lingering;            /* all output is sent; waits for the peer's close */
+    gboolean late_input;           /* input came after the end of the output */
+    gboolean ended;                /* on_end was called */
+    gboolean closed;               /* to be freed when no callback runs */
+    int callbacks;                 /* depth of running callbacks */
 };
 
 static const wb_tcp_events_t no_events = {NULL, NULL, NULL, NULL};
@@ -58,18 +60,22 @@
     stream->timer = NULL;
 }
 
-static void unfinished_leave(wb_tcp_stream_t *stream) {
-    if (stream->unfinished == NULL)
+static wb_list_t *finishing_list(const wb_tcp_stream_t *stream) {
+    return stream->lingering ? &stream->group->lingering : &stream->group->unsent;
+}
+
+static void finishing_leave(wb_tcp_stream_t *stream) {
+    if (stream->group == NULL)
         return;
-    wb_list_remove(stream->unfinished, &stream->unfinished_item);
-    stream->unfinished = NULL;
+    wb_list_remove(finishing_list(stream), &stream->finishing_item);
+    stream->group = NULL;
 }
 
 void wb_tcp_stream_close(wb_tcp_stream_t *stream) {
     if (stream->closed)
         return;
     stream->closed = TRUE;
-    unfinished_leave(stream);
+    finishing_leave(stream);
     timer_clear(stream);
     if (stream->watch != NULL)
         wb_watch_remove(stream->watch);
@@ -135,7 +141,11 @@
 /* Shuts down sending after all output is sent, and waits up to LINGER_MS for the peer's close:
  * closing at once could reset the connection and lose output. */
 static void linger_begin(wb_tcp_stream_t *stream) {
-    unfinished_leave(stream);
+    if (stream->group != NULL) {
+        wb_list_remove(&stream->group->unsent, &stream->finishing_item);
+        wb_list_add_tail(&stream->group->lingering, &stream->finishing_item);
+    }
+    stream->lingering = TRUE;
     apr_socket_shutdown(stream->socket, APR_SHUTDOWN_WRITE);
     stream->reading = TRUE;
     watch_update(stream);
@@ -191,6 +201,13 @@
     return stream->open && !stream->ended && !stream->closed;
 }
 
+gboolean wb_tcp_stream_has_input(const wb_tcp_stream_t *stream) {
+    int descriptor;
+    char byte;
+    apr_os_sock_get(&descriptor, stream->socket);
+    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading) {
     if (stream->reading == reading)
         return;
@@ -212,21 +229,31 @@
     wb_tcp_stream_finish_listed(stream, NULL);
 }
 
-size_t wb_tcp_streams_unsent(const wb_list_t *unfinished) {
+void wb_tcp_finishing_init(wb_tcp_finishing_t *finishing) {
+    wb_list_init(&finishing->unsent);
+    wb_list_init(&finishing->lingering);
+}
+
+size_t wb_tcp_finishing_unsent(const wb_tcp_finishing_t *finishing) {
     size_t bytes = 0;
-    WB_LIST_EACH(item, unfinished) {
-        bytes += WB_LIST_OF(item, wb_tcp_stream_t, unfinished_item)->unsent->len;
+    WB_LIST_EACH(item, &finishing->unsent) {
+        bytes += WB_LIST_OF(item, wb_tcp_stream_t, finishing_item)->unsent->len;
     }
     return bytes;
 }
 
-void wb_tcp_streams_unlist(wb_list_t *unfinished) {
-    WB_LIST_EACH_SAFE(item, unfinished) {
-        unfinished_leave(WB_LIST_OF(item, wb_tcp_stream_t, unfinished_item));
+static void finishing_list_clear(wb_list_t *list) {
+    WB_LIST_EACH_SAFE(item, list) {
+        finishing_leave(WB_LIST_OF(item, wb_tcp_stream_t, finishing_item));
     }
 }
 
-void wb_tcp_stream_finish_listed(wb_tcp_stream_t *stream, wb_list_t *unfinished) {
+void wb_tcp_finishing_clear(wb_tcp_finishing_t *finishing) {
+    finishing_list_clear(&finishing->unsent);
+    finishing_list_clear(&finishing->lingering);
+}
+
+void wb_tcp_stream_finish_listed(wb_tcp_stream_t *stream, wb_tcp_finishing_t *finishing) {
     if (stream->closed || stream->finishing)
         return;
     if (stream->ended || !stream->open) {
@@ -235,15 +262,22 @@
     }
     stream->events = &no_events;
     stream->finishing = TRUE;
-    if (stream->unsent->len == 0) {
+    stream->group = finishing;
+    if (finishing != NULL)
+        wb_list_add_tail(&finishing->unsent, &stream->finishing_item);
+    if (stream->unsent->len == 0)
         linger_begin(stream);
+    else
+        watch_update(stream);
+}
+
+/* Counts, once a stream, input that nobody will answer. */
+static void late_input_note(wb_tcp_stream_t *stream) {
+    if (!stream->lingering || stream->late_input)
         return;
-    }
-    if (unfinished != NULL) {
-        stream->unfinished = unfinished;
-        wb_list_add_tail(unfinished, &stream->unfinished_item);
-    }
-    watch_update(stream);
+    stream->late_input = TRUE;
+    if (stream->group != NULL)
+        stream->group->late_inputs++;
 }
 
 /* Reads available input. Returns FALSE when the stream was closed or has ended. */
@@ -252,6 +286,8 @@
     for (int i = 0; i < READS_PER_WAKEUP && stream->reading; i++) {
         apr_size_t length = sizeof(chunk);
         apr_status_t status = apr_socket_recv(stream->socket, chunk, &length);
+        if (length > 0)
+            late_input_note(stream);
         if (length > 0 && stream->events->on_data != NULL) {
             callback_enter(stream);
             stream->events->on_data(stream, chunk, length, stream->context);
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -16,8 +16,8 @@
     wb_loop_t *loop;
     wb_tunnel_server_options_t options;
     wb_tcp_listener_t *listener;
-    GHashTable *tunnels;  /* set of wb_tunnel_t */
-    wb_list_t unfinished; /* streams to nodes of ended tunnels that still have output */
+    GHashTable *tunnels;          /* set of wb_tunnel_t */
+    wb_tcp_finishing_t finishing; /* streams to nodes of ended tunnels */
     gboolean draining;
 };
 
@@ -74,7 +74,7 @@
              wb_event_escape(tunnel->engine_id), (int)result);
     engine_side_close(tunnel);
     wb_tunnel_frame_send(tunnel->node, &message, tunnel->in_blocks);
-    wb_tcp_stream_finish_listed(tunnel->node, &tunnel->server->unfinished);
+    wb_tcp_stream_finish_listed(tunnel->node, &tunnel->server->finishing);
     tunnel_free(tunnel);
 }
 
@@ -133,7 +133,7 @@
     if (how == WB_TCP_END_CLOSED && tunnel->in_blocks)
         wb_tunnel_block_send(tunnel->node, NULL, 0);
     if (how == WB_TCP_END_CLOSED)
-        wb_tcp_stream_finish_listed(tunnel->node, &tunnel->server->unfinished);
+        wb_tcp_stream_finish_listed(tunnel->node, &tunnel->server->finishing);
     else
         wb_tcp_stream_reset(tunnel->node);
     tunnel_free(tunnel);
@@ -251,7 +251,7 @@
     created->loop = loop;
     created->options = *options;
     created->tunnels = g_hash_table_new(NULL, NULL);
-    wb_list_init(&created->unfinished);
+    wb_tcp_finishing_init(&created->finishing);
     apr_status_t status = wb_tcp_listen(loop, options->listen, options->silence_limit_ms, accepted,
                                         created, &created->listener, error);
     if (status != APR_SUCCESS) {
@@ -272,11 +272,11 @@
 }
 
 unsigned wb_tunnel_server_count(const wb_tunnel_server_t *server) {
-    return g_hash_table_size(server->tunnels) + server->unfinished.len;
+    return g_hash_table_size(server->tunnels) + server->finishing.unsent.len;
 }
 
 void wb_tunnel_server_free(wb_tunnel_server_t *server) {
-    wb_tcp_streams_unlist(&server->unfinished);
+    wb_tcp_finishing_clear(&server->finishing);
     g_autoptr(GList) tunnels = g_hash_table_get_keys(server->tunnels);
     for (GList *item = tunnels; item != NULL; item = item->next) {
         wb_tunnel_t *tunnel = item->data;
