Loop: input that arrived while it was held up is read before timers run

Cause: a timer judges by what the process has read, and after a hold (SIGSTOP, a slow processor, a long parse) all due timers ran before the sockets were asked. The wait for sockets ends with EINTR after SIGCONT, and the loop took that for 'nothing is readable'.

The loop notes when the callbacks of all readable sockets had run. When that is over 20 ms ago at the next due timer, it polls without waiting first, and once more if the callbacks took as long; not more often, so that input can't starve timers (/loop/timers-run-beside-input).

--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -1,4 +1,5 @@
-/* Event loop: each iteration runs posted tasks, then due timers, then waits for sockets. */
+/* Event loop: each iteration runs posted tasks, then due timers, then waits for sockets. Input that
+ * arrived while the loop was held up is read before the next timer. */
 #include "wickbridge/loop.h"
 
 #include "wickbridge/log.h"
@@ -8,6 +9,7 @@
 #include <time.h>
 
 #define POLL_LIMIT_MS 1000
+#define SOCKETS_STALE_MS 20
 
 struct wb_timer_t {
     wb_loop_t *loop;
@@ -40,8 +42,9 @@
     GMutex lock; /* guards `tasks` and `stopping` */
     GQueue tasks;
     gboolean stopping;
-    GSequence *timers;  /* ordered by due time */
-    GPtrArray *removed; /* watches to free after the iteration: its poll may have returned them */
+    GSequence *timers;       /* ordered by due time */
+    GPtrArray *removed;      /* watches to free after their poll, which may have returned them */
+    int64_t sockets_read_ms; /* when the callbacks of all readable sockets had run */
 };
 
 /* CLOCK_BOOTTIME, as CLOCK_MONOTONIC stops while the machine is suspended: after a resume, an
@@ -123,7 +126,38 @@
     timer->position = g_sequence_insert_sorted(loop->timers, timer, timer_compare, NULL);
 }
 
-/* Runs due timers. Returns the time until the next one in ms, at most POLL_LIMIT_MS. */
+/* Waits for sockets and runs their callbacks. Returns when the wait ended. */
+static int64_t sockets_poll(wb_loop_t *loop, int64_t wait_ms) {
+    const apr_pollfd_t *ready = NULL;
+    apr_int32_t count = 0;
+    apr_status_t status = apr_pollset_poll(loop->pollset, wait_ms * 1000, &count, &ready);
+    if (APR_STATUS_IS_EINTR(status)) /* also after SIGCONT; sockets may be readable */
+        status = apr_pollset_poll(loop->pollset, 0, &count, &ready);
+    int64_t polled_ms = wb_clock_ms();
+    for (apr_int32_t i = 0; status == APR_SUCCESS && i < count; i++) {
+        wb_watch_t *watch = ready[i].client_data;
+        if (watch != NULL && !watch->removed)
+            watch->callback(ready[i].rtnevents, watch->context);
+    }
+    g_ptr_array_set_size(loop->removed, 0);
+    return polled_ms;
+}
+
+/* Polls a second time if the callbacks took long, as other sockets may have become readable
+ * meanwhile. Not more often: input must not keep timers from running. */
+static void sockets_read(wb_loop_t *loop, int64_t wait_ms) {
+    int64_t polled_ms = sockets_poll(loop, wait_ms);
+    if (wb_clock_ms() - polled_ms > SOCKETS_STALE_MS)
+        sockets_poll(loop, 0);
+    loop->sockets_read_ms = wb_clock_ms();
+}
+
+static gboolean sockets_are_stale(const wb_loop_t *loop) {
+    return wb_clock_ms() - loop->sockets_read_ms > SOCKETS_STALE_MS;
+}
+
+/* Runs due timers, which may conclude from a silence: input that arrived while the loop was held up
+ * is read first. Returns the time until the next timer in ms, at most POLL_LIMIT_MS. */
 static int64_t timers_run(wb_loop_t *loop) {
     int64_t now_ms = wb_clock_ms();
     for (;;) {
@@ -132,8 +166,11 @@
             return POLL_LIMIT_MS;
         wb_timer_t *timer = g_sequence_get(first);
         if (timer->due_ms > now_ms)
-            return MIN(timer->due_ms - now_ms, POLL_LIMIT_MS);
-        timer_run(loop, timer, now_ms);
+            return CLAMP(timer->due_ms - wb_clock_ms(), 0, POLL_LIMIT_MS);
+        if (sockets_are_stale(loop))
+            sockets_read(loop, 0); /* may cancel the timer */
+        else
+            timer_run(loop, timer, now_ms);
     }
 }
 
@@ -159,17 +196,7 @@
         if (loop->tasks.length > 0)
             wait_ms = 0;
         g_mutex_unlock(&loop->lock);
-        const apr_pollfd_t *ready = NULL;
-        apr_int32_t count = 0;
-        apr_status_t status = apr_pollset_poll(loop->pollset, wait_ms * 1000, &count, &ready);
-        if (status != APR_SUCCESS)
-            continue;
-        for (apr_int32_t i = 0; i < count; i++) {
-            wb_watch_t *watch = ready[i].client_data;
-            if (watch != NULL && !watch->removed)
-                watch->callback(ready[i].rtnevents, watch->context);
-        }
-        g_ptr_array_set_size(loop->removed, 0);
+        sockets_read(loop, wait_ms);
     }
     return NULL;
 }
