Client connections: what has arrived is read before one is closed as idle

Now each of them reads the connection that it is about to end or refuse, and judges again. The list of connections is walked so that one ended meanwhile isn't touched.

--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -39,9 +39,9 @@
 
 /** What became of connections without a running request, since the listener was opened. */
 typedef struct wb_http_listener_counts_t {
-    uint64_t idle_closes;        /**< connections closed because they were idle */
-    uint64_t idle_closes_unread; /**< of these, those with input that wasn't read yet */
-    uint64_t late_inputs;        /**< connections with input after the end of their output */
+    uint64_t idle_closes; /**< connections closed because they were idle */
+    uint64_t idle_reads;  /**< times that one wasn't idle after all, as input waited to be read */
+    uint64_t late_inputs; /**< connections with input after the end of their output */
 } wb_http_listener_counts_t;
 
 /** Listen on an address. @param address IP:PORT; port 0 picks one @param handler copied
@@ -57,7 +57,8 @@
 void wb_http_listener_drain(wb_http_listener_t *listener);
 /** Stop listening: the system refuses new connections. Open connections are kept. */
 void wb_http_listener_stop(wb_http_listener_t *listener);
-/** Close idle connections: those without a running or partly received request. */
+/** Close idle connections: those without a running or partly received request, after reading what
+ * has arrived on them. */
 void wb_http_listener_close_idle(wb_http_listener_t *listener);
 wb_http_listener_counts_t wb_http_listener_counts(const wb_http_listener_t *listener);
 /** @return number of connections with a running or partly received request, or unsent output, ended
--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -75,8 +75,9 @@
 /** @return TRUE while it is connected and neither ended nor closed */
 gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream);
 
-/** @return TRUE when the system has input for the stream that wasn't read yet */
-gboolean wb_tcp_stream_has_input(const wb_tcp_stream_t *stream);
+/** Read what the system has received, before concluding from a silence. on_data and on_end may be
+ * called from inside; the owner must expect that the stream is closed after it. */
+void wb_tcp_stream_read_now(wb_tcp_stream_t *stream);
 
 /** Pause or resume reading. While paused, a close by the peer is detected only after the unread
  * bytes. */
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -165,8 +165,9 @@
          metrics->load_updates},
         {"client_idle_closes_total", "Client connections closed because they were idle.",
          metrics->client_connections.idle_closes},
-        {"client_idle_closes_unread_total", "Of these, those with input that wasn't read yet.",
-         metrics->client_connections.idle_closes_unread},
+        {"client_idle_reads_total",
+         "Times that input was found on a client connection that was to be closed as idle.",
+         metrics->client_connections.idle_reads},
         {"client_late_inputs_total", "Client connections with input after the end of their output.",
          metrics->client_connections.late_inputs},
     };
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -327,32 +327,64 @@
     g_hash_table_add(listener->connections, connection);
 }
 
-static void connection_close_idle(wb_http_connection_t *connection) {
-    connection->listener->counts.idle_closes++;
-    if (wb_tcp_stream_has_input(connection->stream))
-        connection->listener->counts.idle_closes_unread++;
-    connection_finish(connection);
+/* What a connection has waited for too long. */
+typedef enum wb_overdue_t {
+    WB_OVERDUE_NOTHING,
+    WB_OVERDUE_HEAD,
+    WB_OVERDUE_INPUT /* between requests or within a body */
+} wb_overdue_t;
+
+static wb_overdue_t connection_overdue(const wb_http_connection_t *connection, int64_t now_ms) {
+    const wb_http_limits_t *limits = &connection->listener->limits;
+    if (connection->running)
+        return WB_OVERDUE_NOTHING;
+    gboolean in_head = connection->began_ms != 0 && connection->body == NULL;
+    if (in_head && now_ms - connection->began_ms > limits->head_timeout_ms)
+        return WB_OVERDUE_HEAD;
+    return now_ms - connection->active_ms > limits->idle_timeout_ms ? WB_OVERDUE_INPUT
+                                                                    : WB_OVERDUE_NOTHING;
+}
+
+static gboolean connection_rests(const wb_http_connection_t *connection) {
+    return !connection->running && connection->began_ms == 0;
+}
+
+/* Reads what has arrived on a connection. Returns FALSE when that has ended the connection. */
+static gboolean connection_read(wb_http_listener_t *listener, wb_http_connection_t *connection) {
+    wb_tcp_stream_read_now(connection->stream);
+    return g_hash_table_contains(listener->connections, connection);
 }
 
 /* Refuses a request whose head arrives too slowly, and closes an idle connection. */
-static void connection_check(wb_http_connection_t *connection, int64_t now_ms) {
-    const wb_http_limits_t *limits = &connection->listener->limits;
-    if (connection->running)
+static void connection_check(wb_http_listener_t *listener, wb_http_connection_t *connection) {
+    if (connection_overdue(connection, wb_clock_ms()) == WB_OVERDUE_NOTHING ||
+        !connection_read(listener, connection))
         return;
-    gboolean in_request = connection->began_ms != 0;
-    gboolean in_head = in_request && connection->body == NULL;
-    if (in_head && now_ms - connection->began_ms > limits->head_timeout_ms)
+    switch (connection_overdue(connection, wb_clock_ms())) {
+    case WB_OVERDUE_NOTHING:
+        listener->counts.idle_reads++;
+        break;
+    case WB_OVERDUE_HEAD:
         connection_refuse(connection, 408);
-    else if (now_ms - connection->active_ms > limits->idle_timeout_ms)
-        connection_close_idle(connection);
+        break;
+    case WB_OVERDUE_INPUT:
+        listener->counts.idle_closes++;
+        connection_finish(connection);
+        break;
+    }
 }
 
-static void listener_sweep(void *context) {
-    wb_http_listener_t *listener = context;
-    int64_t now_ms = wb_clock_ms();
+/* Calls a function for each connection that is still open when its turn comes. */
+static void connections_each(wb_http_listener_t *listener,
+                             void (*visit)(wb_http_listener_t *, wb_http_connection_t *)) {
     g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
     for (GList *item = connections; item != NULL; item = item->next)
-        connection_check(item->data, now_ms);
+        if (g_hash_table_contains(listener->connections, item->data))
+            visit(listener, item->data);
+}
+
+static void listener_sweep(void *context) {
+    connections_each(context, connection_check);
 }
 
 apr_status_t wb_http_listener_open(wb_loop_t *loop, const char *address,
@@ -403,13 +435,20 @@
     listener->listener = NULL;
 }
 
-void wb_http_listener_close_idle(wb_http_listener_t *listener) {
-    g_autoptr(GList) connections = g_hash_table_get_keys(listener->connections);
-    for (GList *item = connections; item != NULL; item = item->next) {
-        wb_http_connection_t *connection = item->data;
-        if (!connection->running && connection->began_ms == 0)
-            connection_close_idle(connection);
+static void connection_close_resting(wb_http_listener_t *listener,
+                                     wb_http_connection_t *connection) {
+    if (!connection_rests(connection) || !connection_read(listener, connection))
+        return;
+    if (!connection_rests(connection)) {
+        listener->counts.idle_reads++;
+        return;
     }
+    listener->counts.idle_closes++;
+    connection_finish(connection);
+}
+
+void wb_http_listener_close_idle(wb_http_listener_t *listener) {
+    connections_each(listener, connection_close_resting);
 }
 
 wb_http_listener_counts_t wb_http_listener_counts(const wb_http_listener_t *listener) {
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -201,13 +201,6 @@
     return stream->open && !stream->ended && !stream->closed;
 }
 
-gboolean wb_tcp_stream_has_input(const wb_tcp_stream_t *stream) {
-    int descriptor;
-    char byte;
-    apr_os_sock_get(&descriptor, stream->socket);
-    return recv(descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading) {
     if (stream->reading == reading)
         return;
@@ -307,6 +300,14 @@
     return TRUE;
 }
 
+void wb_tcp_stream_read_now(wb_tcp_stream_t *stream) {
+    if (!wb_tcp_stream_is_open(stream) || !stream->reading)
+        return;
+    callback_enter(stream);
+    input_read(stream);
+    callback_leave(stream);
+}
+
 static void output_ready(wb_tcp_stream_t *stream) {
     if (!output_flush(stream)) {
         stream_end(stream, WB_TCP_END_RESET);
