Client connections: a lowered time doesn't act on a wait that began under the higher one

Callers saw: connections closed at the moment idleTimeoutMs goes down; 107 of 1,633 requests beside 48 changes of the limits had no answer, all closed within 0.2 s, none run, as clients still rested as the older figure allows.

The same held for the time of a head under way. Now a connection keeps the times that held when its wait, or its request, began; a raised limit counts at once, as its client may rest by it already.

/http-listener/lower-limit-spares-a-rest and lower-head-limit-spares-a-head failed 3 of 3 before and pass 3 of 3; higher-limit-holds-at-once held before. The next rest is under the lower limit.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -40,6 +40,8 @@
     unsigned refusal;        /* status to refuse the current request with; 0: none */
     int64_t began_ms;        /* first byte of the current request; 0: none yet */
     int64_t active_ms;       /* last input, or end of the last request */
+    int64_t head_timeout_ms; /* as when the current request began */
+    int64_t idle_timeout_ms; /* as when the current wait for input began */
 };
 
 static void connection_advance(wb_http_connection_t *connection);
@@ -108,11 +110,18 @@
     return !connection->is_head && status != 204 && status != 304;
 }
 
+/* Begins a wait for input. A limit that is lowered later doesn't apply to it, as the client may
+ * have begun to rest by the higher one. */
+static void wait_begin(wb_http_connection_t *connection) {
+    connection->active_ms = wb_clock_ms();
+    connection->idle_timeout_ms = connection->listener->limits.idle_timeout_ms;
+}
+
 /* Ends the answered request: closes the connection or goes on with the next request. */
 static void request_finish(wb_http_connection_t *connection) {
     connection->running = FALSE;
     connection->request = NULL;
-    connection->active_ms = wb_clock_ms();
+    wait_begin(connection);
     if (!connection->keep_alive) {
         connection_finish(connection);
         return;
@@ -257,8 +266,10 @@
 static void connection_advance(wb_http_connection_t *connection) {
     connection->advancing = TRUE;
     while (!connection->closed && !connection->running && connection->pending->len > 0) {
-        if (connection->began_ms == 0)
+        if (connection->began_ms == 0) {
             connection->began_ms = wb_clock_ms();
+            connection->head_timeout_ms = connection->listener->limits.head_timeout_ms;
+        }
         /* Takes the bytes out first: wb_http_reader_feed may run a request that is answered at
          * once, and `pending` may be used again meanwhile. */
         GByteArray *input = connection->pending;
@@ -282,7 +293,7 @@
 
 static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
     wb_http_connection_t *connection = context;
-    connection->active_ms = wb_clock_ms();
+    wait_begin(connection);
     g_byte_array_append(connection->pending, (const guint8 *)data, (guint)length);
     if (connection->running) {
         if (connection->pending->len > PENDING_LIMIT_BYTES)
@@ -322,7 +333,7 @@
     connection->reader =
         wb_http_reader_create(TRUE, listener->limits.head_bytes, &reader_events, connection);
     connection->pending = g_byte_array_new();
-    connection->active_ms = wb_clock_ms();
+    wait_begin(connection);
     wb_tcp_stream_set_events(stream, &stream_events, connection);
     g_hash_table_add(listener->connections, connection);
 }
@@ -339,10 +350,11 @@
     if (connection->running)
         return WB_OVERDUE_NOTHING;
     gboolean in_head = connection->began_ms != 0 && connection->body == NULL;
-    if (in_head && now_ms - connection->began_ms > limits->head_timeout_ms)
+    int64_t head_ms = MAX(connection->head_timeout_ms, limits->head_timeout_ms);
+    int64_t idle_ms = MAX(connection->idle_timeout_ms, limits->idle_timeout_ms);
+    if (in_head && now_ms - connection->began_ms > head_ms)
         return WB_OVERDUE_HEAD;
-    return now_ms - connection->active_ms > limits->idle_timeout_ms ? WB_OVERDUE_INPUT
-                                                                    : WB_OVERDUE_NOTHING;
+    return now_ms - connection->active_ms > idle_ms ? WB_OVERDUE_INPUT : WB_OVERDUE_NOTHING;
 }
 
 static gboolean connection_rests(const wb_http_connection_t *connection) {
