Client connections: one that sent much behind a running request is read again

Callers saw: a client that pipelines more than 256 KB behind a running request gets no answer to what lies beyond; 5 of 17 requests answered.

Cause: reading was paused in the read callback, and resumed only there, where nothing calls any more.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -262,6 +262,11 @@
     }
 }
 
+/* Reads on unless much is waiting behind a running request. */
+static void reading_update(wb_http_connection_t *connection) {
+    wb_tcp_stream_set_reading(connection->stream, connection->pending->len <= PENDING_LIMIT_BYTES);
+}
+
 /* Parses pending bytes until a request runs or no bytes are left. */
 static void connection_advance(wb_http_connection_t *connection) {
     connection->advancing = TRUE;
@@ -289,19 +294,19 @@
     connection->advancing = FALSE;
     if (connection->closed)
         connection_free(connection);
+    else
+        reading_update(connection);
 }
 
 static void stream_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
+    (void)stream;
     wb_http_connection_t *connection = context;
     wait_begin(connection);
     g_byte_array_append(connection->pending, (const guint8 *)data, (guint)length);
-    if (connection->running) {
-        if (connection->pending->len > PENDING_LIMIT_BYTES)
-            wb_tcp_stream_set_reading(stream, FALSE);
-        return;
-    }
-    wb_tcp_stream_set_reading(stream, TRUE);
-    connection_advance(connection);
+    if (connection->running)
+        reading_update(connection);
+    else
+        connection_advance(connection);
 }
 
 static void stream_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
