Client connections: a rest begins when the system has the whole answer

Callers saw: a client that reads a large answer slowly finds its connection closed right behind it, and its next request unanswered, though it has rested for less than the idle time. A peer that reads nothing is ended by the silence limit.

--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -324,6 +324,8 @@
     (void)stream;
     wb_http_connection_t *connection = context;
     wb_http_listener_t *listener = connection->listener;
+    if (!connection->running)
+        wait_begin(connection);
     if (connection->running && listener->handler.on_drained != NULL)
         listener->handler.on_drained(connection, connection->request, listener->handler.context);
 }
@@ -352,7 +354,7 @@
 
 static wb_overdue_t connection_overdue(const wb_http_connection_t *connection, int64_t now_ms) {
     const wb_http_limits_t *limits = &connection->listener->limits;
-    if (connection->running)
+    if (connection->running || wb_tcp_stream_unsent(connection->stream) > 0)
         return WB_OVERDUE_NOTHING;
     gboolean in_head = connection->began_ms != 0 && connection->body == NULL;
     int64_t head_ms = MAX(connection->head_timeout_ms, limits->head_timeout_ms);
--- a/tests/unit/test_http_listener.c
+++ b/tests/unit/test_http_listener.c
@@ -14,7 +14,9 @@
 #define IDLE_MS 400
 #define SWEEP_MS 200 /* how often the listener looks for idle connections */
 #define ANSWER_MS 3000
+#define NOTICE_MS 2000 /* how long waits begin by the higher limit after it was lowered */
 #define REQUEST_BYTES 65536
+#define LARGE_BYTES (16 * 1024 * 1024) /* more than the kernel's buffers take */
 #define RUNNING_MAX 64
 
 static const char request_text[] = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -24,6 +26,7 @@
     wb_loop_t *loop;
     wb_http_listener_t *listener;
     gboolean is_held; /* requests are answered by answer_all */
+    gboolean answers_large;
     wb_http_connection_t *held[RUNNING_MAX];
     int held_count;
     int requests;
@@ -36,6 +39,11 @@
     wb_http_listener_counts_t counts;
 } fixture_t;
 
+static void answer_large(wb_http_connection_t *connection) {
+    g_autofree char *body = g_strnfill(LARGE_BYTES, 'a');
+    wb_http_connection_reply(connection, 200, "OK", "", body, LARGE_BYTES);
+}
+
 static void on_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
                        void *context) {
     fixture_t *fixture = context;
@@ -44,6 +52,8 @@
     fixture->requests++;
     if (fixture->is_held)
         fixture->held[fixture->held_count++] = connection;
+    else if (fixture->answers_large)
+        answer_large(connection);
     else
         wb_http_connection_reply(connection, 200, "OK", "", "done", 4);
 }
@@ -258,7 +268,23 @@
     on_loop(&fixture, limits_apply);
     g_usleep(4 * IDLE_MS * 1000);
     g_assert_true(client_ask(client));
-    /* The next rest is under the lower limit. */
+    close(client);
+    fixture_stop(&fixture);
+}
+
+/* Guards against a lowered idle time that closes connections of clients that don't know of it yet;
+ * it is in force for rests that begin later. */
+static void test_lower_limit_after_notice(void) {
+    fixture_t fixture;
+    fixture_start(&fixture, 5 * IDLE_MS);
+    int client = client_open(&fixture);
+    fixture.limits.idle_timeout_ms = IDLE_MS / 2;
+    on_loop(&fixture, limits_apply);
+    g_assert_true(client_ask(client));
+    g_usleep(4 * IDLE_MS * 1000);
+    g_assert_true(client_ask(client));
+    g_usleep((NOTICE_MS - 4 * IDLE_MS + 100) * 1000);
+    g_assert_true(client_ask(client));
     g_usleep((IDLE_MS / 2 + 2 * SWEEP_MS + 100) * 1000);
     char byte;
     g_assert_cmpint(recv(client, &byte, 1, MSG_DONTWAIT), ==, 0);
@@ -268,6 +294,33 @@
     fixture_stop(&fixture);
 }
 
+static void client_read_large(int client) {
+    g_autofree char *part = g_malloc(REQUEST_BYTES);
+    size_t read_bytes = 0;
+    while (read_bytes < LARGE_BYTES) {
+        ssize_t length = recv(client, part, REQUEST_BYTES, 0);
+        g_assert_cmpint(length, >, 0);
+        read_bytes += (size_t)length;
+    }
+}
+
+/* Guards against an idle time that runs while a client still reads its last answer. */
+static void test_rest_begins_after_the_answer(void) {
+    fixture_t fixture;
+    fixture_start(&fixture, IDLE_MS);
+    fixture.answers_large = TRUE;
+    int client = client_open(&fixture);
+    client_send(client, request_text, strlen(request_text));
+    g_usleep(3 * IDLE_MS * 1000);
+    fixture.answers_large = FALSE;
+    client_read_large(client);
+    g_usleep(IDLE_MS / 2 * 1000);
+    client_send(client, request_text, strlen(request_text));
+    g_assert_cmpint(client_read(client, 1), ==, 1);
+    close(client);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a raised idle time that isn't in force for connections that already rest. */
 static void test_higher_limit_holds_at_once(void) {
     fixture_t fixture;
@@ -333,6 +386,9 @@
     g_test_add_func("/http-listener/head-in-a-held-loop", test_head_in_a_held_loop);
     g_test_add_func("/http-listener/close-idle-reads-first", test_close_idle_reads_first);
     g_test_add_func("/http-listener/lower-limit-spares-a-rest", test_lower_limit_spares_a_rest);
+    g_test_add_func("/http-listener/lower-limit-after-notice", test_lower_limit_after_notice);
+    g_test_add_func("/http-listener/rest-begins-after-the-answer",
+                    test_rest_begins_after_the_answer);
     g_test_add_func("/http-listener/higher-limit-holds-at-once", test_higher_limit_holds_at_once);
     g_test_add_func("/http-listener/lower-head-limit-spares-a-head",
                     test_lower_head_limit_spares_a_head);
