--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -52,7 +52,7 @@
 /** @return the port listened on */
 unsigned wb_http_listener_port(const wb_http_listener_t *listener);
 /** Change the limits. On open connections lower limits apply from the next request, or the next
- * wait for input, on. */
+ * wait for input, on; a lower idle timeout to waits that begin two seconds later or more. */
 void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits);
 /** From now on close each connection after its response. */
 void wb_http_listener_drain(wb_http_listener_t *listener);
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -10,6 +10,8 @@
 #define SILENCE_LIMIT_MS 8000
 #define PENDING_LIMIT_BYTES (256 * 1024)
 #define HEAD_TEXT_BYTES 256
+/* Clients may learn of a lower idle timeout that much later than this process. */
+#define LOWER_LIMIT_NOTICE_MS 2000
 
 struct wb_http_listener_t {
     wb_loop_t *loop;
@@ -17,8 +19,10 @@
     wb_timer_t *sweep;
     wb_http_handler_t handler;
     wb_http_limits_t limits;
-    GHashTable *connections;      /* set */
-    wb_tcp_finishing_t finishing; /* streams of ended connections */
+    int64_t noticed_idle_timeout_ms; /* the higher one before `limits` */
+    int64_t notice_until_ms;         /* until when waits begin by that */
+    GHashTable *connections;         /* set */
+    wb_tcp_finishing_t finishing;    /* streams of ended connections */
     wb_http_listener_counts_t counts;
     gboolean draining;
 };
@@ -110,11 +114,19 @@
     return !connection->is_head && status != 204 && status != 304;
 }
 
+/* Idle timeout of waits that begin now. */
+static int64_t idle_timeout_now_ms(const wb_http_listener_t *listener) {
+    int64_t idle_ms = listener->limits.idle_timeout_ms;
+    return wb_clock_ms() < listener->notice_until_ms
+               ? MAX(idle_ms, listener->noticed_idle_timeout_ms)
+               : idle_ms;
+}
+
 /* Begins a wait for input. A limit that is lowered later doesn't apply to it, as the client may
  * have begun to rest by the higher one. */
 static void wait_begin(wb_http_connection_t *connection) {
     connection->active_ms = wb_clock_ms();
-    connection->idle_timeout_ms = connection->listener->limits.idle_timeout_ms;
+    connection->idle_timeout_ms = idle_timeout_now_ms(connection->listener);
 }
 
 /* Ends the answered request: closes the connection or goes on with the next request. */
@@ -433,8 +445,13 @@
 
 void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits) {
     gboolean is_raised = limits->head_bytes > listener->limits.head_bytes;
+    int64_t idle_before_ms = idle_timeout_now_ms(listener);
     GHashTableIter iter;
     gpointer key;
+    if (limits->idle_timeout_ms < listener->limits.idle_timeout_ms) {
+        listener->noticed_idle_timeout_ms = idle_before_ms;
+        listener->notice_until_ms = wb_clock_ms() + LOWER_LIMIT_NOTICE_MS;
+    }
     listener->limits = *limits;
     g_hash_table_iter_init(&iter, listener->connections);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
