--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -104,6 +104,39 @@
     estate_stop(estate);
 }
 
+/* Guards against connections that are reset in the queue of those to be accepted: more of them than
+ * one round of the loop accepts, while the process is paused at the end of a stop. */
+static void test_crowd_beside_the_end(void) {
+    enum { CROWD = 150 };
+    estate_t *estate = estate_start(2, "--stop-grace-s=6");
+    while (estate_controller(estate) < 0) {
+        g_usleep(50000);
+    }
+    int other = 1 - estate_controller(estate);
+    process_t *process = &estate->nodes[other].process;
+    process_signal(process, SIGTERM);
+    g_usleep(2450000);
+    process_signal(process, SIGSTOP);
+    wire_t *wires[CROWD];
+    for (int i = 0; i < CROWD; i++) {
+        g_autofree char *id = g_strdup_printf("e%d", i);
+        wires[i] = wire_open(estate->nodes[other].clients_port);
+        wire_post(wires[i], "/lock/x", id, EDGE_DEADLINE, "hello");
+    }
+    g_usleep(300000);
+    process_signal(process, SIGCONT);
+    int whole = 0;
+    for (int i = 0; i < CROWD; i++) {
+        wire_response_t *answer = wire_read(wires[i], 3000);
+        whole += answer != NULL && answer->whole;
+        if (answer != NULL)
+            wire_response_free(answer);
+        wire_close(wires[i]);
+    }
+    g_assert_cmpint(whole, ==, CROWD);
+    estate_stop(estate);
+}
+
 /* A request that waits for its model is refused in time before a stop ends. */
 static void test_waiting_requests_are_answered(void) {
     estate_t *estate = estate_start(1, "--stop-grace-s=4");
@@ -242,6 +275,7 @@
                     test_waiting_requests_are_answered);
     g_test_add_func("/edge/stops/resting-connections-end-early",
                     test_resting_connections_end_early);
+    g_test_add_func("/edge/stops/crowd-beside-the-end", test_crowd_beside_the_end);
     g_test_add_func("/edge/stops/request-beside-the-end", test_request_beside_the_end);
     g_test_add_func("/edge/stops/late-request-is-refused", test_late_request_is_refused);
     g_test_add_func("/edge/stops/running-requests-finish", test_running_requests_finish);
