Streams: what is answered for one that its client doesn't name binds no later one

What callers saw: a stream that its client takes up by `Last-Event-Id` alone goes on at an engine of another software version than the one that began it (ORDER), at a node that heard nothing from the controller's node for some seconds while engines of a new version joined.

Cause: all such streams of a path shared one key. The node asks the controller's node, which concludes "one version only" while that is so; the answer is under way when the link stands still. By the time it arrives, other streams have begun at the new version through other nodes, and one of them waits at this node under the same key: it is bound by the answer to an earlier question. The class: an answer is taken for one to a question that was asked after it was made. A stream that its client names can't meet this, as its key is its own, and it began before it was first asked for.

Each such request has a key of its own now. What "lost" rests on needs none: no start can arrive of a stream that isn't named, so it is told so at the first question. `version_by` says `answer-sole` where the controller's node concluded, `answer` where it had a record: both were `answer`, so a joined answer didn't show what it rested on.

--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -157,12 +157,13 @@
 
 /* Whether no node can know how a stream began of which this node, the settled aggregator, has no
  * record: it has those of all nodes, and its configuration is the newest that the lease row names.
- */
-static gboolean unknown_is_lost(wb_edge_node_t *node, const wb_request_digest_t *key) {
+ * No record can arrive of a stream that its client doesn't name. */
+static gboolean unknown_is_lost(wb_edge_node_t *node, const wb_request_digest_t *key,
+                                gboolean named) {
     const wb_catalog_t *catalog = node->edge.catalog;
-    return had_time_to_arrive(node, key) && wb_lease_is_held(node->lease, wb_clock_ms()) &&
-           catalog != NULL && catalog->version >= node->stored_catalog_version &&
-           all_are_linked(node);
+    return (!named || had_time_to_arrive(node, key)) &&
+           wb_lease_is_held(node->lease, wb_clock_ms()) && catalog != NULL &&
+           catalog->version >= node->stored_catalog_version && all_are_linked(node);
 }
 
 wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
@@ -171,7 +172,7 @@
     if (wb_edge_node_is_aggregator(node)) {
         if (!wb_edge_node_streams_settled(node, wb_clock_ms()))
             return WB_START_ASKED;
-        return unknown_is_lost(node, key) ? WB_START_LOST : WB_START_UNKNOWN;
+        return unknown_is_lost(node, key, place->named) ? WB_START_LOST : WB_START_UNKNOWN;
     }
     if (!node->controller_link_open || !link_reads_starts(node->controller_link))
         return wb_edge_node_controller_view(node).reach != WB_CONTROLLER_UNREACHABLE
@@ -193,19 +194,23 @@
     return WB_START_ASKED;
 }
 
-/* Returns the version at which the stream must have begun that a gateway asks for; NULL: not known.
- */
-static const char *sole_version(wb_edge_node_t *node, const wb_link_t *link,
-                                const wb_wire_stream_query *query) {
+/* What a gateway asks for that has no record. */
+typedef struct wb_unrecorded_t {
+    gboolean named;   /* by its client */
+    const char *sole; /* the version at which it must have begun; NULL: not known */
+} wb_unrecorded_t;
+
+static wb_unrecorded_t unrecorded_read(wb_edge_node_t *node, const wb_link_t *link,
+                                       const wb_wire_stream_query *query) {
     wb_wire_stream_place wire = {0};
-    const char *sole = NULL;
+    wb_unrecorded_t unrecorded = {TRUE, NULL};
     if (wb_extensions_read(wb_link_extensions(link), WB_WIRE_EXTENSION_STREAM_PLACE,
                            (xdrproc_t)xdr_wb_wire_stream_place, &wire)) {
         wb_stream_place_t place = {query->service, wire.host, wire.path, wire.named};
-        sole = wb_edge_node_sole_version(&place, node);
+        unrecorded = (wb_unrecorded_t){wire.named, wb_edge_node_sole_version(&place, node)};
     }
     xdr_free((xdrproc_t)xdr_wb_wire_stream_place, &wire);
-    return sole;
+    return unrecorded;
 }
 
 void wb_edge_node_stream_query(wb_edge_node_t *node, wb_link_t *link,
@@ -213,8 +218,10 @@
     int64_t now_ms = wb_clock_ms();
     wb_request_digest_t key = key_from_wire(query->key);
     const wb_stream_start_t *start = wb_stream_starts_find(node->edge.stream_starts, &key);
-    const char *sole = start == NULL ? sole_version(node, link, query) : NULL;
-    gboolean known = start != NULL || sole != NULL;
+    wb_unrecorded_t unrecorded = {0};
+    if (start == NULL)
+        unrecorded = unrecorded_read(node, link, query);
+    gboolean known = start != NULL || unrecorded.sole != NULL;
     if (!wb_edge_node_is_aggregator(node) ||
         (!known && !wb_edge_node_streams_settled(node, now_ms)))
         return; /* the gateway asks again */
@@ -223,10 +230,12 @@
     memcpy(answer->key, query->key, sizeof(answer->key));
     answer->known = known;
     answer->service = start != NULL ? start->service : query->service;
-    answer->software_version = start != NULL ? start->software_version : known ? (char *)sole : "";
+    answer->software_version = start != NULL ? start->software_version
+                               : known       ? (char *)unrecorded.sole
+                                             : "";
     answer->left_ms = start != NULL ? (u_int)CLAMP(start->until_ms - now_ms, 1, LEFT_MAX_MS) : 0;
     wb_wire_extensions extensions = {0};
-    wb_wire_stream_loss loss = {!known && unknown_is_lost(node, &key)};
+    wb_wire_stream_loss loss = {!known && unknown_is_lost(node, &key, unrecorded.named)};
     if (loss.is_lost)
         wb_extensions_add(&extensions, WB_WIRE_EXTENSION_STREAM_LOSS,
                           (xdrproc_t)xdr_wb_wire_stream_loss, &loss);
@@ -244,7 +253,9 @@
         wb_exchanges_start_unknown(&node->edge, &key, loss.is_lost);
         return;
     }
-    wb_exchanges_start_known(&node->edge, &key, answer->service, answer->software_version);
+    /* Only a record has a time left. */
+    wb_exchanges_start_known(&node->edge, &key, answer->service, answer->software_version,
+                             answer->left_ms > 0);
 }
 
 void wb_edge_node_streams_link_open(wb_edge_node_t *node) {
--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -22,10 +22,11 @@
     return host != NULL ? host : "";
 }
 
-/* Returns what stands for all streams of a path that their clients don't name: no request has such
- * an id. */
-static char *unnamed_streams(const wb_exchange_t *exchange) {
-    return g_strconcat("\n", request_host(exchange), exchange->head->target, NULL);
+/* Returns what stands for a stream that its client doesn't name: no request has such an id. Each
+ * has its own: the answer to an earlier question, which may have been under way for long, says
+ * nothing about a stream that has begun since. */
+static char *unnamed_stream(wb_edge_t *edge) {
+    return g_strdup_printf("\n%llu", (unsigned long long)++edge->unnamed_streams);
 }
 
 void wb_exchange_read_stream(wb_exchange_t *exchange) {
@@ -38,7 +39,8 @@
         return;
     exchange->edge->metrics.streams_taken_up++;
     exchange->names_stream = resumes != NULL && *resumes != '\0';
-    g_autofree char *name = exchange->names_stream ? g_strdup(resumes) : unnamed_streams(exchange);
+    g_autofree char *name =
+        exchange->names_stream ? g_strdup(resumes) : unnamed_stream(exchange->edge);
     exchange->stream_key = wb_stream_key(tenant_name(exchange), name);
     /* So that what is known here changes the service before the request is counted at it. */
     wb_exchange_find_start(exchange);
@@ -150,11 +152,11 @@
 }
 
 void wb_exchanges_start_known(wb_edge_t *edge, const wb_request_digest_t *key, const char *service,
-                              const char *software_version) {
+                              const char *software_version, gboolean is_recorded) {
     WB_LIST_EACH(item, &edge->waiting) {
         wb_exchange_t *exchange = WB_LIST_OF(item, wb_exchange_t, waiting);
         if (awaits_start_of(exchange, key))
-            start_bind(exchange, service, software_version, "answer");
+            start_bind(exchange, service, software_version, is_recorded ? "answer" : "answer-sole");
     }
     wb_exchanges_retry_waiting(edge);
 }
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -128,6 +128,7 @@
     GHashTable *brittle_services; /* service -> int64_t *, time of the first rejection by one of its
                                      brittle engines */
     wb_stream_starts_t *stream_starts;
+    uint64_t unnamed_streams; /* that were taken up */
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
     wb_reach_summary_t *reach;   /* which engines this node reaches */
@@ -439,9 +440,10 @@
 void wb_exchanges_engine_ended(wb_edge_t *edge, const wb_engine_t *engine);
 /** Nobody knows how a stream began: refuse requests that take it up. */
 void wb_exchanges_start_unknown(wb_edge_t *edge, const wb_request_digest_t *key, gboolean is_lost);
-/** The start of a stream was learned: the requests that wait for it go on. */
+/** The start of a stream was learned: the requests that wait for it go on.
+ * @param is_recorded FALSE: no other version or service can have begun it */
 void wb_exchanges_start_known(wb_edge_t *edge, const wb_request_digest_t *key, const char *service,
-                              const char *software_version);
+                              const char *software_version, gboolean is_recorded);
 /** Near the end of a planned stop: refuse requests that wait for an engine. */
 void wb_exchanges_refuse_waiting(wb_edge_t *edge);
 /** At the end of a planned stop: refuse all requests whose answer hasn't begun. */
