Streams: a version that comes back is stored again before a stream begins at it

Cause: that streams may begin at a version, once noted, held for as long as a node runs; the holder counts a version for stream-age-max-s from when an engine last had it. So another node begins streams at the returned version at once, and the holder, asked before it has seen the engine, concludes that only the other version can have begun them. The class: a permission that outlives what it rests on.

The permission lapses with half of the time for which the holder counts the version, so that two nodes which have seen its engines leave at different moments differ by no more than the other half: a version that comes back later than that has a new number, and is stored like a new one. A list of what is stored that was sent before it came back doesn't renew it. While that waits, its engines serve everything but new resumable streams. A node that stood still for half of stream-age-max-s itself learns again with the holder's next list, or its own read of the lease row, where its streams may begin.

--- a/src/fleet/version_history.c
+++ b/src/fleet/version_history.c
@@ -2,6 +2,9 @@
  * there. */
 #include "fleet/version_history.h"
 
+/* What is stored covers a version until no engine has had it for the horizon divided by this. */
+#define STORED_SHARE 2
+
 typedef struct wb_version_entry_t {
     int64_t seen_ms;
     uint64_t number;
@@ -48,17 +51,36 @@
     return versions;
 }
 
+/* Whether what was stored at a time is too old for an engine seen at a later one: by then others
+ * may soon count the version no more. */
+static gboolean has_lapsed(const wb_version_history_t *history, int64_t stored_ms,
+                           int64_t seen_ms) {
+    return seen_ms - stored_ms > history->horizon_ms / STORED_SHARE;
+}
+
+/* A version that comes back after that is to be stored again, as a new one. */
+static gboolean entry_renew(wb_version_history_t *history, wb_version_entry_t *entry,
+                            int64_t now_ms) {
+    gboolean lapsed = has_lapsed(history, entry->seen_ms, now_ms);
+    entry->seen_ms = MAX(entry->seen_ms, now_ms);
+    if (lapsed) {
+        entry->number = ++history->number;
+        entry->may_begin = FALSE;
+    }
+    return lapsed;
+}
+
 /* Returns the entry. @param added out: whether it is new */
 static wb_version_entry_t *entry_see(wb_version_history_t *history, const char *service,
                                      const char *software_version, int64_t now_ms,
                                      gboolean *added) {
     GHashTable *versions = service_versions(history, service);
     wb_version_entry_t *entry = g_hash_table_lookup(versions, software_version);
-    *added = entry == NULL;
     if (entry != NULL) {
-        entry->seen_ms = MAX(entry->seen_ms, now_ms);
+        *added = entry_renew(history, entry, now_ms);
         return entry;
     }
+    *added = TRUE;
     int64_t oldest_ms = now_ms - history->horizon_ms;
     g_hash_table_foreach_remove(versions, is_old, &oldest_ms);
     entry = g_new0(wb_version_entry_t, 1);
@@ -75,12 +97,12 @@
 }
 
 gboolean wb_version_history_see_stored(wb_version_history_t *history, const char *service,
-                                       const char *software_version, int64_t now_ms) {
+                                       const char *software_version, int64_t seen_ms) {
     gboolean added;
-    wb_version_entry_t *entry = entry_see(history, service, software_version, now_ms, &added);
+    wb_version_entry_t *entry = entry_see(history, service, software_version, seen_ms, &added);
     gboolean was_open = entry->may_begin;
-    entry->may_begin = TRUE;
-    return !was_open;
+    entry->may_begin |= !has_lapsed(history, seen_ms, entry->seen_ms);
+    return entry->may_begin && !was_open;
 }
 
 uint64_t wb_version_history_number(const wb_version_history_t *history) {
--- a/src/fleet/version_history.h
+++ b/src/fleet/version_history.h
@@ -9,8 +9,10 @@
  * that the owner knows before that is stored: whatever it stores of the service then has the
  * version, and a successor that finds nothing of the service doubts it.
  *
- * A version counts until no engine has had it for the horizon. Times are monotonic and in
- * milliseconds. Pure: the time is passed in. No errors.
+ * A version counts until no engine has had it for the horizon. Owners don't see engines leave and
+ * return at the same time: one may still let streams begin at a version that the other counts no
+ * more. So a version that comes back after half of the horizon is stored again first. Times are
+ * monotonic and in milliseconds. Pure: the time is passed in. No errors.
  */
 #ifndef WICKBRIDGE_VERSION_HISTORY_H
 #define WICKBRIDGE_VERSION_HISTORY_H
@@ -26,12 +28,13 @@
 int64_t wb_version_history_horizon_ms(const wb_version_history_t *history);
 void wb_version_history_free(wb_version_history_t *history);
 /** An engine of the service has this version ("": unknown).
- * @return TRUE if the version wasn't known */
+ * @return TRUE if the version wasn't known, or has come back after half of the horizon */
 gboolean wb_version_history_see(wb_version_history_t *history, const char *service,
                                 const char *software_version, int64_t now_ms);
-/** The same for one that is known to be stored. @return TRUE if that wasn't known */
+/** The same for one that is known to be stored. @param seen_ms when engines last had it, as stored
+ * @return TRUE if streams may begin there only now */
 gboolean wb_version_history_see_stored(wb_version_history_t *history, const char *service,
-                                       const char *software_version, int64_t now_ms);
+                                       const char *software_version, int64_t seen_ms);
 /** @return number of the latest entry; 0: there is none */
 uint64_t wb_version_history_number(const wb_version_history_t *history);
 /** All entries up to a number are stored. @return TRUE if one of them wasn't before */
