HTTP client: a response whose connection ended within its head isn't complete

What callers of the older gateway could see: statuses that no engine had finished to say were acted on (a 404 without its body counts as "the model isn't held here", so the request is sent elsewhere); the store's 404 and 409 likewise. No wrong answer of 200 was shown: libcurl notices an end before a body whose length or chunks it has read, and an answer of 200 without either counts as whole only if it is whole JSON.

Cause: libcurl reports success for a connection that ends within a head, once the status line has come, and that of an interim response too; wb_http_client took that for a whole response. A frame that an interim response named stood for the final one besides.

The empty line that ends the head of the final response must have come now.

--- a/src/http/http_client.c
+++ b/src/http/http_client.c
@@ -39,6 +39,7 @@
     int64_t last_activity_us;
     int64_t retry_after_ms;
     gboolean got_bytes;
+    gboolean head_ended; /* of the latest response, which may be an interim one */
     gboolean framed;
     char seed[24];
     char reason[CURL_ERROR_SIZE];
@@ -93,11 +94,28 @@
     return g_strstrip(g_strndup(line + name_length, length - name_length));
 }
 
+/* Notes where a response's head begins and ends. */
+static void head_line_note(wb_http_call_t *call, const char *line, size_t length) {
+    if (header_is(line, length, "HTTP/")) {
+        call->head_ended = FALSE;
+        call->framed = FALSE;
+    } else if (*line == '\r' || *line == '\n') {
+        call->head_ended = TRUE;
+    }
+}
+
+/* Whether a final response's head has been read. libcurl takes a connection that ends within a head
+ * for the end of a response without a body. */
+static gboolean head_is_whole(const wb_http_call_t *call, unsigned status) {
+    return call->head_ended && status >= 200;
+}
+
 static size_t header_receive(char *line, size_t size, size_t count, void *context) {
     wb_http_call_t *call = context;
     size_t length = size * count;
     call->last_activity_us = g_get_monotonic_time();
     call->got_bytes = TRUE;
+    head_line_note(call, line, length);
     g_autofree char *retry_after = header_value(line, length, "retry-after:");
     if (retry_after != NULL)
         call->retry_after_ms = (int64_t)(g_ascii_strtod(retry_after, NULL) * 1000);
@@ -147,8 +165,10 @@
     long status = 0;
     curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
     result.status = (unsigned)status;
-    if (code == CURLE_OK)
+    if (code == CURLE_OK && head_is_whole(call, result.status))
         result.outcome = WB_HTTP_COMPLETED;
+    else if (code == CURLE_OK)
+        result.reason = "the connection ended within the response's head";
     else if (!call->got_bytes && call_was_not_sent(call->easy, code))
         result.outcome = WB_HTTP_NOT_SENT;
     if (call->reason[0] == '\0' && code != CURLE_OK)
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -1,9 +1,13 @@
-/* Guards against a response without end that is collected as long as bytes arrive. */
+/* Guards against a response without end that is collected as long as bytes arrive, and responses
+ * that are taken for complete although their connection ended before they did. */
 #include "unit.h"
 
 #include "wickbridge/http_client.h"
 #include "wickbridge/http_listener.h"
 #include "wickbridge/loop.h"
+#include "wickbridge/tcp_stream.h"
+
+#include <string.h>
 
 #define TIMEOUT_MS 20000
 #define RESPONSE_MAX_BYTES ((size_t)32 * 1024 * 1024)
@@ -12,7 +16,11 @@
 typedef struct fixture_t {
     wb_loop_t *loop;
     wb_http_outcome_t outcome;
+    unsigned status;
     size_t length;
+    gboolean framed;
+    const char *text; /* what a server of raw bytes sends */
+    size_t text_bytes;
 } fixture_t;
 
 static void send_endless(wb_http_connection_t *connection, void *request, void *context) {
@@ -33,7 +41,9 @@
 static void record_result(const wb_http_result_t *result, void *context) {
     fixture_t *fixture = context;
     fixture->outcome = result->outcome;
+    fixture->status = result->status;
     fixture->length = result->body_length;
+    fixture->framed = result->framed;
     wb_loop_quit(fixture->loop);
 }
 
@@ -64,8 +74,127 @@
     wb_http_client_stop(client);
 }
 
+static void raw_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
+    const fixture_t *fixture = context;
+    (void)data;
+    (void)length;
+    wb_tcp_stream_write(stream, fixture->text, fixture->text_bytes);
+    wb_tcp_stream_finish(stream);
+}
+
+static void raw_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
+    (void)how;
+    (void)context;
+    wb_tcp_stream_close(stream);
+}
+
+static void raw_accepted(wb_tcp_stream_t *stream, void *context) {
+    static const wb_tcp_events_t events = {NULL, raw_data, raw_end, NULL};
+    wb_tcp_stream_set_events(stream, &events, context);
+}
+
+/* A server that sends raw bytes and closes, and a client that calls it. */
+typedef struct raw_t {
+    fixture_t fixture;
+    wb_tcp_listener_t *listener;
+    wb_http_client_t *client;
+} raw_t;
+
+static raw_t *raw_create(void) {
+    raw_t *raw = g_new0(raw_t, 1);
+    wb_error_t error;
+    g_assert_cmpint(wb_loop_create(&raw->fixture.loop, "test", 64, &error), ==, APR_SUCCESS);
+    g_assert_cmpint(wb_tcp_listen(raw->fixture.loop, "127.0.0.1:0", TIMEOUT_MS, raw_accepted,
+                                  &raw->fixture, &raw->listener, &error),
+                    ==, APR_SUCCESS);
+    g_assert_cmpint(wb_http_client_start(&raw->client, NULL, &error), ==, APR_SUCCESS);
+    return raw;
+}
+
+static void raw_free(raw_t *raw) {
+    wb_http_client_stop(raw->client);
+    wb_tcp_listener_close(raw->listener);
+    g_free(raw);
+}
+
+/* Calls the server, which sends the first bytes of a text. */
+static void raw_call(raw_t *raw, const char *text, size_t bytes) {
+    g_autofree char *url =
+        g_strdup_printf("http://127.0.0.1:%u/", wb_tcp_listener_port(raw->listener));
+    wb_http_request_t request = {.method = "GET",
+                                 .url = url,
+                                 .timeout_ms = TIMEOUT_MS,
+                                 .send_once = TRUE,
+                                 .on_done = record_result,
+                                 .context = &raw->fixture};
+    raw->fixture.text = text;
+    raw->fixture.text_bytes = bytes;
+    wb_http_client_fetch(raw->client, raw->fixture.loop, &request);
+    wb_loop_run(raw->fixture.loop);
+}
+
+#define INTERIM "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\nLink: x\r\n\r\n"
+#define OK "HTTP/1.1 200 OK\r\nDate: today\r\n"
+#define FULL "HTTP/1.1 429 Full\r\nRetry-After: 1\r\n"
+#define LENGTH "Content-Length: 5\r\n\r\nhello"
+#define EMPTY "Content-Length: 0\r\n\r\n"
+#define CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n"
+
+static const char *const framed_responses[] = {
+    OK LENGTH,
+    OK EMPTY,
+    OK CHUNKS "\r\n",
+    OK CHUNKS "Checksum: 1\r\n\r\n",
+    INTERIM OK LENGTH,
+    INTERIM INTERIM OK CHUNKS "\r\n",
+    FULL LENGTH,
+    FULL EMPTY,
+    "HTTP/1.1 204 No Content\r\nDate: today\r\n\r\n",
+};
+
+static gboolean is_chunked(const char *text) {
+    return strstr(text, "chunked") != NULL;
+}
+
+/* Guards against a server that dies within its response's head, after the status line: what it has
+ * not sent is taken for an empty body, and its status for a whole response. */
+static void test_cut_responses_are_incomplete(void) {
+    raw_t *raw = raw_create();
+    for (size_t i = 0; i < G_N_ELEMENTS(framed_responses); i++) {
+        const char *text = framed_responses[i];
+        for (size_t bytes = 1; bytes < strlen(text); bytes++) {
+            raw_call(raw, text, bytes);
+            if (raw->fixture.outcome == WB_HTTP_INCOMPLETE)
+                continue;
+            g_test_message("response %zu, %zu of %zu bytes: complete, status %u, %zu bytes", i,
+                           bytes, strlen(text), raw->fixture.status, raw->fixture.length);
+            /* The last chunk has arrived: nothing but the line feed behind it lacks. */
+            g_assert_true(is_chunked(text) && bytes == strlen(text) - 1);
+            g_assert_cmpuint(raw->fixture.length, ==, 5);
+        }
+        raw_call(raw, text, strlen(text));
+        g_assert_cmpint(raw->fixture.outcome, ==, WB_HTTP_COMPLETED);
+    }
+    raw_free(raw);
+}
+
+/* A response without a frame ends with its connection, also where an interim one had a length. */
+static void test_unframed_responses(void) {
+    static const char *const texts[] = {OK "\r\nhello", INTERIM OK "\r\nhello"};
+    raw_t *raw = raw_create();
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        raw_call(raw, texts[i], strlen(texts[i]));
+        g_assert_cmpint(raw->fixture.outcome, ==, WB_HTTP_COMPLETED);
+        g_assert_cmpuint(raw->fixture.length, ==, 5);
+        g_assert_false(raw->fixture.framed);
+    }
+    raw_free(raw);
+}
+
 static void tests_add(void) {
     g_test_add_func("/http-client/endless-response-ends", test_endless_response_ends);
+    g_test_add_func("/http-client/cut-responses-are-incomplete", test_cut_responses_are_incomplete);
+    g_test_add_func("/http-client/unframed-responses", test_unframed_responses);
 }
 
 UNIT_TEST_MAIN(tests_add)
