HTTP reader: a response without a body by its status has none, whatever its headers say

What callers saw: an engine's 304 that names a length (as it may), or a 204 that does, isn't complete until its connection ends, and then it has failed; an interim response that names a length takes that many bytes of the final answer, which can't be read then, or only from within.

Cause: http-parser reads a body by length or chunks for any status; only answers to HEAD were told apart. The question was asked already for the end at a close (RFC 9112, 6.3) and is now asked once for both.

With it tests that cut responses behind each of their bytes: with a length, of length 0, in chunks with extensions and trailers, behind interim ones, 204, 304, to HEAD, of HTTP/1.0, in one piece and byte by byte, each followed by the end of the connection.

--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -13,7 +13,7 @@
 struct wb_http_reader_t {
     http_parser parser;
     gboolean is_request;
-    gboolean without_body; /* response to HEAD */
+    gboolean answers_head; /* it reads a response to HEAD */
     size_t head_limit_bytes;
     size_t head_bytes; /* target, header names and values read so far */
     const wb_http_reader_events_t *events;
@@ -170,13 +170,16 @@
     return head_bytes_add(reader, length);
 }
 
+/* Whether a response has no body, whatever its headers say (RFC 9112, 6.3). */
+static gboolean response_has_no_body(const wb_http_reader_t *reader) {
+    unsigned status = reader->parser.status_code;
+    return reader->answers_head || status / 100 == 1 || status == 204 || status == 304;
+}
+
 /* Returns TRUE for a response with neither length nor chunks; it ends with its connection. */
 static gboolean response_ends_at_close(const wb_http_reader_t *reader) {
-    const http_parser *parser = &reader->parser;
-    unsigned status = parser->status_code;
-    if (status / 100 == 1 || status == 204 || status == 304 || reader->without_body)
-        return FALSE;
-    return (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+    return !response_has_no_body(reader) &&
+           (reader->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 }
 
 static int on_head_complete(http_parser *parser) {
@@ -198,7 +201,7 @@
     reader->in_body = TRUE;
     if (reader->events->on_head != NULL)
         reader->events->on_head(reader, head, reader->context);
-    return reader->without_body ? SKIP_BODY : 0;
+    return !reader->is_request && response_has_no_body(reader) ? SKIP_BODY : 0;
 }
 
 static int on_body(http_parser *parser, const char *data, size_t length) {
@@ -279,7 +282,7 @@
 }
 
 void wb_http_reader_expect_no_body(wb_http_reader_t *reader, gboolean without_body) {
-    reader->without_body = without_body;
+    reader->answers_head = without_body;
 }
 
 void wb_http_reader_set_head_limit(wb_http_reader_t *reader, size_t head_limit_bytes) {
--- a/tests/unit/test_http_reader.c
+++ b/tests/unit/test_http_reader.c
@@ -1,4 +1,5 @@
-/* Guards against messages parsed differently when split, and request smuggling. */
+/* Guards against messages parsed differently when split, request smuggling, and responses that are
+ * complete although their connection ended before they did. */
 #include "unit.h"
 
 #include "wickbridge/http_reader.h"
@@ -83,9 +84,148 @@
         }
 }
 
+/* What the reader reported of a response whose connection ended behind some bytes of it. */
+typedef struct ending_t {
+    unsigned status; /* of the last head */
+    gboolean ends_at_close;
+    int complete_count; /* of final responses */
+} ending_t;
+
+static void ending_head(wb_http_reader_t *reader, const wb_http_head_t *head, void *context) {
+    (void)reader;
+    ending_t *ending = context;
+    ending->status = head->status;
+    ending->ends_at_close = head->ends_at_close;
+}
+
+static void ending_complete(wb_http_reader_t *reader, void *context) {
+    ending_t *ending = context;
+    ending->complete_count += ending->status >= 200;
+    if (ending->status < 200)
+        wb_http_reader_next(reader);
+}
+
+static const wb_http_reader_events_t ending_events = {ending_head, NULL, ending_complete};
+
+/* Feeds bytes of a response, at most `step` at once, then the end of its connection. */
+static ending_t response_end(const char *text, size_t length, size_t step, gboolean is_head) {
+    ending_t ending = {0};
+    wb_http_reader_t *reader = wb_http_reader_create(FALSE, 4096, &ending_events, &ending);
+    wb_http_reader_expect_no_body(reader, is_head);
+    for (size_t at = 0; at < length;) {
+        size_t used = wb_http_reader_feed(reader, text + at, MIN(step, length - at));
+        if (used == 0)
+            break;
+        at += used;
+    }
+    wb_http_reader_eof(reader);
+    wb_http_reader_free(reader);
+    return ending;
+}
+
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
+#define HINTS "HTTP/1.1 103 Early Hints\r\nLink: x\r\nContent-Length: 3\r\n\r\n"
+#define OK "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+#define LENGTH "Content-Length: 5\r\n\r\nhello"
+#define CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=1\r\nllo\r\n0\r\n"
+
+typedef struct framed_t {
+    const char *text;
+    gboolean is_head;
+} framed_t;
+
+static const framed_t framed_responses[] = {
+    {OK LENGTH, FALSE},
+    {OK "Content-Length: 0\r\n\r\n", FALSE},
+    {OK CHUNKS "\r\n", FALSE},
+    {OK CHUNKS "Checksum: 1\r\nOther: 2\r\n\r\n", FALSE},
+    {INTERIM OK LENGTH, FALSE},
+    {INTERIM HINTS OK CHUNKS "\r\n", FALSE},
+    {"HTTP/1.1 204 No Content\r\nResponse-Seal: s\r\n\r\n", FALSE},
+    {"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", FALSE},
+    {OK "Content-Length: 5\r\n\r\n", TRUE},
+    {OK "\r\n", TRUE},
+    {OK "Transfer-Encoding: chunked\r\n\r\n", TRUE},
+    {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" LENGTH, FALSE},
+    {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n" LENGTH, FALSE},
+};
+
+/* Guards against a connection that ends within a head, a length, a chunk or trailers, being taken
+ * for the end of the response. */
+static void test_cut_responses_never_complete(void) {
+    for (size_t i = 0; i < G_N_ELEMENTS(framed_responses); i++) {
+        const framed_t *framed = &framed_responses[i];
+        size_t length = strlen(framed->text);
+        for (size_t step = 1; step <= length; step += length - 1) {
+            for (size_t bytes = 0; bytes < length; bytes++) {
+                ending_t ending = response_end(framed->text, bytes, step, framed->is_head);
+                g_assert_cmpint(ending.complete_count, ==, 0);
+            }
+            ending_t whole = response_end(framed->text, length, step, framed->is_head);
+            g_assert_cmpint(whole.complete_count, ==, 1);
+        }
+    }
+}
+
+/* Guards against a response that has no body by its status, but tells a length, being read on, into
+ * the next one or until its connection ends. */
+static void test_statuses_without_body(void) {
+    static const char *const texts[] = {
+        HINTS OK LENGTH,
+        "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" OK LENGTH,
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ending_t ending = response_end(texts[i], strlen(texts[i]), 1, FALSE);
+        g_assert_cmpint(ending.complete_count, ==, 1);
+    }
+}
+
+/* A response without a frame ends with its connection, but not within its head. */
+static void test_unframed_responses_end_behind_their_head(void) {
+    static const char *const heads[] = {OK "\r\n", INTERIM HINTS OK "\r\n",
+                                        OK "Transfer-Encoding: identity\r\n\r\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        g_autofree char *text = g_strconcat(heads[i], "hello", NULL);
+        size_t head_bytes = strlen(heads[i]);
+        for (size_t bytes = 0; bytes <= strlen(text); bytes++) {
+            ending_t ending = response_end(text, bytes, bytes + 1, FALSE);
+            g_assert_cmpint(ending.complete_count, ==, bytes >= head_bytes ? 1 : 0);
+            g_assert_cmpint(ending.ends_at_close, ==, bytes >= head_bytes);
+        }
+    }
+}
+
+/* Guards against a length that was stated but can't be read being taken for none, so that the end
+ * of the connection is the end of the response. */
+static void test_unreadable_lengths(void) {
+    static const char *const texts[] = {
+        OK "Content-Length:\r\n\r\nhello",
+        OK "Content-Length: \r\n\r\nhello",
+        OK "Content-Length: five\r\n\r\nhello",
+        OK "Content-Length: -5\r\n\r\nhello",
+        OK "Content-Length: 5 5\r\n\r\nhello",
+        OK "Content-Length: 5, 5\r\n\r\nhello",
+        OK "Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ending_t ending = response_end(texts[i], strlen(texts[i]), strlen(texts[i]), FALSE);
+        if (ending.complete_count > 0)
+            g_test_message("complete: %s", texts[i] + strlen(OK));
+        g_assert_cmpint(ending.complete_count, ==, 0);
+    }
+}
+
 static void tests_add(void) {
     g_test_add_func("/http/pieces", test_http_pieces);
     g_test_add_func("/http/smuggling", test_http_smuggling);
+    g_test_add_func("/http/cut-responses-never-complete", test_cut_responses_never_complete);
+    g_test_add_func("/http/statuses-without-body", test_statuses_without_body);
+    g_test_add_func("/http/unframed-responses-end-behind-their-head",
+                    test_unframed_responses_end_behind_their_head);
+    g_test_add_func("/http/unreadable-lengths", test_unreadable_lengths);
 }
 
 UNIT_TEST_MAIN(tests_add)
