--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -119,4 +119,10 @@
 void wb_estate_faulty_engine_set_fault(wb_estate_faulty_engine_t *engine, const char *fault,
                                        int count);
 
+/* cut_answer.c */
+/** Return the beginning of an answer: FORM.LEFT.END.ANYTHING as a request's id asks for the FORM of
+ * cut_forms without its last LEFT bytes. @param reset set: END is "reset", not "close" @return NULL
+ * for any other id; free it with g_free */
+char *wb_estate_cut_answer(const char *request_id, gboolean *reset);
+
 #endif
--- a/standins/estate/faulty_engine.c
+++ b/standins/estate/faulty_engine.c
@@ -21,9 +21,9 @@
     wb_estate_seen_t *seen;
     char *id;
     json_t *options; /* service, zone, port, announce_port, work_ms, events (1: its answers are
-                        events); for repeated answers: after
-                        (how many answers later a copy comes; 0: directly behind its answer),
-                        copies; for endless ones: piece_bytes, pause_ms between pieces */
+                        events), cuts (1: it answers as wb_estate_cut_answer says); for repeated
+                        answers: after (how many answers later a copy comes; 0: directly behind its
+                        answer), copies; for endless ones: piece_bytes, pause_ms between pieces */
     wb_tcp_listener_t *listener;
     int64_t heartbeats;
     int64_t started_ms; /* Unix ms */
@@ -224,6 +224,22 @@
     answer_send(connection, "200 OK", SEAL, body, FALSE);
 }
 
+/* Sends the part of an answer that the request's id asks for, and ends the connection. Returns
+ * FALSE when it asks for none. */
+static gboolean cut_answer_send(connection_t *connection) {
+    gboolean reset = FALSE;
+    g_autofree char *text = wb_estate_cut_answer(connection->id, &reset);
+    if (text == NULL)
+        return FALSE;
+    run_record(connection);
+    text_send(connection, text);
+    if (reset)
+        wb_tcp_stream_reset(connection->stream);
+    else
+        wb_tcp_stream_finish(connection->stream);
+    return TRUE;
+}
+
 /* Answers a request with a fault. Returns FALSE when the fault is not one of a single answer. */
 static gboolean fault_answer(connection_t *connection, const char *fault) {
     if (g_str_has_prefix(fault, "reject")) {
@@ -278,6 +294,8 @@
                                     wb_json_text(engine->options, "service", "engines"), "engine",
                                     engine->id, "at_ms", (json_int_t)wb_clock_ms()));
     held_send(connection);
+    if (option(engine, "cuts", 0) != 0 && cut_answer_send(connection))
+        return;
     if (engine->fault_count > 0) {
         engine->fault_count--;
         const endless_way_t *way = endless_way_find(engine->fault);
--- a/tests/edge/faulty.h
+++ b/tests/edge/faulty.h
@@ -52,4 +52,18 @@
     return estate;
 }
 
+/* Starts two nodes that reach the engines of the service "lock" through a proxy, and cuts node 0
+ * off from them; seat-1 stands for lock-1. */
+static inline estate_t *faulty_start_tunnelled(void) {
+    estate_t *estate = estate_start_partitionable(2, NULL);
+    estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-1\"}");
+    estate_command(estate,
+                   "{\"do\":\"faulty-engine-start\",\"engine\":\"seat-1\",\"options\":{\"service\":"
+                   "\"lock\",\"zone\":\"zone-1\",\"port\":%d,\"announce_port\":%d}}",
+                   estate->engine_ports[0], estate->engine_proxy_ports[0]);
+    estate_wait_retry_share(estate, 0, 2);
+    estate_partition(estate, 1, 3, "silent");
+    return estate;
+}
+
 #endif
--- a/tests/edge/test_endless.c
+++ b/tests/edge/test_endless.c
@@ -251,25 +251,12 @@
     estate_stop(estate);
 }
 
-/* Both nodes reach the service's engines through a proxy; seat-1 stands for lock-1. */
-static estate_t *tunnelled_start(void) {
-    estate_t *estate = estate_start_partitionable(2, NULL);
-    estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-1\"}");
-    estate_command(estate,
-                   "{\"do\":\"faulty-engine-start\",\"engine\":\"seat-1\",\"options\":{\"service\":"
-                   "\"lock\",\"zone\":\"zone-1\",\"port\":%d,\"announce_port\":%d}}",
-                   estate->engine_ports[0], estate->engine_proxy_ports[0]);
-    estate_wait_retry_share(estate, 0, 2);
-    estate_partition(estate, 1, 3, "silent");
-    return estate;
-}
-
 /* Through another node: neither of the two grows, the sound engine serves, and the other one is
  * avoided, though the node between might be at fault for a connection that ends. What an engine has
  * sent is in the buffers of the test's proxy too, so the bound holds for what passes the node
  * between. */
 static void by_peer_test(const char *fault) {
-    estate_t *estate = tunnelled_start();
+    estate_t *estate = faulty_start_tunnelled();
     double passed_bytes = estate_metric(estate, 1, "tunnel_bytes_total");
     g_assert_cmpfloat(passed_bytes, >=, 0);
     faulty_fault(estate, 1, fault, ALWAYS);
