Answers: a success without a frame or a body is checked at another engine, and never framed as whole

What callers saw: an engine that sends the head of a 200 without length or chunks and closes before the body, as its kernel does when it dies there, was passed on as 200 with Content-Length: 0.

An empty body sent in this way on purpose looks the same.

A request that may be repeated is sent to another engine once, if one can be asked now, the retry budget has room for two and as much time is left as the first attempt took; that engine's answer counts, an empty one too. Else, and for requests that may run once, the answer is passed on as it came: without a frame, ending with the client's connection, so that the node doesn't state more than it knows. Answers without a frame that have a body are still framed here: so a client can tell when this node dies on the way.

New: the event answer-empty and wickbridge_unframed_empty_answers_total.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -91,6 +91,7 @@
     uint64_t stream_starts_not_stored;  /**< starts that were forgotten before they were stored */
     uint64_t stream_starts_restored;    /**< starts found in the store after a take-over */
     uint64_t unframed_answers;          /**< engines' responses with neither length nor chunks */
+    uint64_t unframed_empty_answers;    /**< successes of these without a body */
     uint64_t answers_ended_in_event;    /**< streams that ended inside an event */
     wb_histogram_t prediction_error_ms; /**< absolute error of the predicted time to first event */
     wb_histogram_t answer_ms;           /**< arrival to the first bytes of the response */
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -384,7 +384,7 @@
     }
     wb_exchange_note_completed(exchange);
     gboolean failed = reply->status >= 500;
-    if (failed && resend_run(exchange))
+    if ((failed || wb_exchange_doubts_answer(exchange)) && resend_run(exchange))
         return;
     if (exchange->resuming && reply->status / 100 != 2) {
         wb_exchange_give_up(exchange, WB_OUTCOME_ENGINE_ABORTED);
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -206,6 +206,44 @@
     return lacks_first_event(exchange) ? "no-event" : NULL;
 }
 
+/* Whether the answer is a success of which nothing but the head has come, without a frame: its
+ * engine has ended it or has died. */
+static gboolean is_empty_unframed(const wb_exchange_t *exchange) {
+    const wb_reply_t *reply = &exchange->reply;
+    return reply->framing == WB_FRAMING_CLOSE && reply->status / 100 == 2 &&
+           !exchange->answer_begun && exchange->answer->len == 0;
+}
+
+/* Whether an engine can be asked now that may answer in the time left, without taking the last
+ * resend from requests that have no answer at all. */
+static gboolean may_ask_another(const wb_exchange_t *exchange) {
+    int64_t now_ms = wb_clock_ms();
+    wb_dispatch_decision_t decision;
+    return exchange->answer_due_ms - now_ms > now_ms - exchange->sent_ms &&
+           wb_exchange_resends_left(exchange) >= 2 &&
+           wb_balancer_choose(exchange->edge, exchange, now_ms, &decision) != NULL;
+}
+
+gboolean wb_exchange_doubts_answer(wb_exchange_t *exchange) {
+    if (!is_empty_unframed(exchange))
+        return FALSE;
+    gboolean is_first = !exchange->was_empty;
+    exchange->was_empty = TRUE;
+    exchange->edge->metrics.unframed_empty_answers++;
+    wb_event("answer-empty", ",\"id\":\"%s\",\"engine\":\"%s\",\"runs\":%u",
+             wb_event_escape(exchange->id), exchange->engine->state->id, exchange->runs);
+    return is_first && may_ask_another(exchange);
+}
+
+/* Passes an empty answer without a frame on as one, as it isn't known to be whole. Others are
+ * framed here: then the client knows whether all of it has arrived. */
+static void empty_forward(wb_exchange_t *exchange, wb_outcome_t outcome) {
+    unsigned status = exchange->reply.status;
+    wb_http_connection_end_by_close(exchange->connection);
+    answer_begin(exchange);
+    wb_http_connection_stream_end(wb_exchange_end(exchange, outcome, status));
+}
+
 void wb_exchange_forward_answer(wb_exchange_t *exchange) {
     wb_reply_t *reply = &exchange->reply;
     wb_outcome_t outcome = reply->status / 100 == 2 ? WB_OUTCOME_SERVED : WB_OUTCOME_ENGINE_FAILED;
@@ -214,6 +252,10 @@
         wb_length_estimate_learn(edge->lengths, exchange->route->name,
                                  (double)exchange->events * (double)edge->settings.event_tokens);
     }
+    if (is_empty_unframed(exchange)) {
+        empty_forward(exchange, outcome);
+        return;
+    }
     if (exchange->answer_begun || reply->streamed) {
         answer_begin(exchange);
         answer_forward(exchange, exchange->answer->len);
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -138,6 +138,10 @@
 /** The engine's response has ended as its framing says. @return why it is incomplete all the same,
  * for logs; NULL: it isn't */
 const char *wb_exchange_cut_off_reason(wb_exchange_t *exchange);
+/** A complete answer may be one that broke off: a success of which no byte of the body has come,
+ * and whose end only its connection has shown. @return TRUE once for a request, if another engine
+ * can be asked now */
+gboolean wb_exchange_doubts_answer(wb_exchange_t *exchange);
 /** Forward the engine's complete answer, or the rest of it. It is freed. */
 void wb_exchange_forward_answer(wb_exchange_t *exchange);
 
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -328,6 +328,7 @@
     int64_t prefill_counted;         /* prompt tokens counted in engine->prefill_tokens */
     wb_reply_t reply;
     gboolean ended_in_event; /* the last response ended inside an event */
+    gboolean was_empty;      /* a success had neither length, chunks nor body */
     gboolean paused;         /* the client reads too slowly: reading from the engine is stopped */
     GArray *tried;           /* of wb_tried_engine_t, the last attempt last */
     unsigned sends;          /* attempts that may have reached an engine */
--- a/tests/edge/test_head_cut.c
+++ b/tests/edge/test_head_cut.c
@@ -217,12 +217,87 @@
     estate_stop(estate);
 }
 
+/* Sends requests whose answer is a whole head without a frame, and nothing behind it. */
+static wire_response_t *empty_request(const estate_t *estate, const char *path, int runs) {
+    cut_t cut = {"POST", path, "unframed", 0, "close", FALSE, runs};
+    g_autofree char *id = cut_id(&cut);
+    wire_response_t *answer = request_send(estate->nodes[0].clients_port, &cut, id);
+    g_test_message("%s: %d %s", path, answer->status, answer->body->str);
+    g_assert_cmpint(estate_runs(estate, id), ==, runs);
+    return answer;
+}
+
+/* The node doesn't know whether it is whole, and doesn't say so. */
+static void assert_passed_on_unframed(wire_response_t *answer) {
+    g_assert_cmpint(answer->status, ==, 200);
+    g_assert_cmpstr(answer->body->str, ==, "");
+    g_assert_null(strstr(answer->head->str, "Content-Length"));
+    g_assert_null(strstr(answer->head->str, "Transfer-Encoding"));
+    g_assert_nonnull(strstr(answer->head->str, "Connection: close"));
+    wire_response_free(answer);
+}
+
+/* Guards against an engine that dies between the head and the body of an answer without a frame,
+ * and whose client gets an empty answer framed as whole. Nobody else can be asked here. */
+static void test_empty_unframed_answer(void) {
+    static const char *const paths[] = {"/hold/x", "/find/x"};
+    estate_t *estate = start();
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++)
+        assert_passed_on_unframed(empty_request(estate, paths[i], 1));
+    g_assert_cmpfloat(estate_metric(estate, 0, "unframed_empty_answers_total"), ==, 2);
+    estate_stop(estate);
+}
+
+/* The same where the request may be repeated: another engine's answer decides. */
+static void test_empty_unframed_answer_is_checked(void) {
+    enum { REQUESTS = 12 };
+    estate_t *estate = faulty_start(1, 2, NULL);
+    int checked = 0;
+    faulty_option(estate, 1, "cuts", 1);
+    for (int i = 0; i < REQUESTS; i++) {
+        cut_t cut = {"POST", "/find/x", "unframed", 0, "close", FALSE, 2};
+        g_autofree char *id = cut_id(&cut);
+        wire_response_t *answer = request_send(estate->nodes[0].clients_port, &cut, id);
+        g_autofree char *expected = g_strdup_printf("data: ran %s at seat-2\n\n", id);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_cmpstr(answer->body->str, ==, expected);
+        g_assert_true(answer->whole);
+        checked += estate_runs(estate, id) == 2;
+        wire_response_free(answer);
+    }
+    g_test_message("%d of %d checked", checked, REQUESTS);
+    g_assert_cmpint(checked, >, 0);
+    estate_stop(estate);
+}
+
+/* Guards against the check of an empty answer costing the client that answer: a second engine
+ * answers alike, or the retry budget has no room. */
+static void test_proper_empty_unframed_answer(void) {
+    estate_t *estate = faulty_start(1, 2, NULL);
+    for (int i = 1; i <= 2; i++)
+        faulty_option(estate, i, "cuts", 1);
+    for (int i = 0; i < 5; i++)
+        assert_passed_on_unframed(empty_request(estate, "/find/x", 2));
+    estate_stop(estate);
+    estate = faulty_start(1, 2, "--retry-slack=0 --retry-ratio=0");
+    for (int i = 1; i <= 2; i++)
+        faulty_option(estate, i, "cuts", 1);
+    for (int i = 0; i < 5; i++)
+        assert_passed_on_unframed(empty_request(estate, "/find/x", 1));
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     for (size_t i = 0; i < G_N_ELEMENTS(cuts_tests); i++)
         g_test_add_data_func(cuts_tests[i].name, &cuts_tests[i], test_cuts);
     g_test_add_func("/edge/head-cut/by-peer", test_by_peer);
     g_test_add_func("/edge/head-cut/head-requests", test_head_requests);
     g_test_add_func("/edge/head-cut/whole-answers", test_whole_answers);
+    g_test_add_func("/edge/head-cut/empty-unframed-answer", test_empty_unframed_answer);
+    g_test_add_func("/edge/head-cut/empty-unframed-answer-is-checked",
+                    test_empty_unframed_answer_is_checked);
+    g_test_add_func("/edge/head-cut/proper-empty-unframed-answer",
+                    test_proper_empty_unframed_answer);
 }
 
 PROCESS_TEST_MAIN(tests_add)
