Lease: a row that can't be read doesn't end it for good

What callers saw: once another writer has put anything else into the lease's row, no node holds the lease any more: models aren't loaded, engines aren't ordered, shares of limits aren't counted, until somebody removes the row.

Cause: a row that couldn't be decoded was logged and dropped with its version. Each renewal and each takeover is written on the condition of the last version that was read, so all were refused, and the row that the refusal names was dropped again. By reading, a token of 2^64-1 did the same in another way: the next one is 0, which stands for a lease that was never held.

The version is now taken in any case. Who wrote the row isn't known, so it is treated like a copy of a store that went back: a process that holds the lease goes on, others wait for as long as a holder that doesn't renew has it, and any engine may have had orders. The token after it is higher than all that were given out: each takeover is a transaction of the store, so none exceeds the row's version. A row with a token higher than any node gives out counts as one that can't be read. rows_refused_total counts them.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -44,6 +44,7 @@
     uint64_t engine_crashes;         /**< engines found to have crashed while running requests */
     uint64_t engine_restarts;        /**< new incarnations of known engine ids */
     uint64_t engine_rows_refused;    /**< invalid rows of the engines table */
+    uint64_t rows_refused;           /**< invalid rows of the other tables */
     uint64_t cold_attempts;          /**< attempts at cold engines */
     uint64_t evacuations;            /**< zone evacuations that this node learned of */
     uint64_t subscriptions_sent;     /**< queries for engines sent to a relay */
--- a/include/wickbridge/lease.h
+++ b/include/wickbridge/lease.h
@@ -85,6 +85,11 @@
  * older than the known one are ignored. */
 void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version, int64_t now_ms);
 
+/** The row was read, and can't be decoded or holds what no node writes. Whoever wrote it may hold
+ * the lease and may have ordered any engine, so it is waited for like a holder that doesn't renew;
+ * a process that holds the lease goes on. */
+void wb_lease_on_unreadable_row(wb_lease_t *lease, int64_t version, int64_t now_ms);
+
 /**
  * Get the write that is due, if any. Its outcome must be reported with one of the three functions
  * below, in any order: while the store doesn't answer, the holder's next write becomes due beside
--- a/src/control/lease.c
+++ b/src/control/lease.c
@@ -25,6 +25,9 @@
 #define HOLDER_PRIORITY_RENEWALS 2
 /* Position of the era in a token: more takeovers than any era has. */
 #define TOKEN_ERA_BITS 32
+#define TOKEN_COUNT_MAX ((UINT64_C(1) << TOKEN_ERA_BITS) - 1)
+/* A row with a higher token is unreadable: the token after it might not be higher. */
+#define TOKEN_MAX (((uint64_t)WB_STORE_ERA_MAX << TOKEN_ERA_BITS) | TOKEN_COUNT_MAX)
 
 typedef struct wb_lease_write_t {
     uint64_t beat;
@@ -38,7 +41,8 @@
     wb_lease_settings_t settings;
     wb_lease_row_t known; /* holder NULL: the row isn't there or was never read */
     int64_t version;      /* of the row in the store; number 0: it isn't there; -1: never read */
-    gboolean copied;      /* that row is a copy from before the store went back */
+    gboolean copied;      /* that row is a copy from before the store went back, or unreadable */
+    gboolean unreadable;  /* its token is unknown; `known` is the row before it */
     gboolean reclaiming;  /* that row is such a copy, and this process held the lease when it
                              learned so; `known` is the row that the store has lost */
     int64_t version_since_ms; /* when this node learned of the version */
@@ -161,8 +165,35 @@
     lease->predecessor.seen_ms = now_ms;
 }
 
+/* Notes the version of a row that is read. Returns FALSE if the row is to be ignored, as this
+ * process wants to go on. @param is_doubtful it doesn't tell who holds the lease */
+static gboolean version_note(wb_lease_t *lease, int64_t version, gboolean is_doubtful,
+                             int64_t now_ms) {
+    lease->reclaiming = is_doubtful && wb_lease_is_held(lease, now_ms);
+    lease->copied = is_doubtful && !lease->reclaiming;
+    lease->version = version;
+    lease->version_since_ms = now_ms;
+    if (!lease->reclaiming)
+        return TRUE;
+    lease->last_write_ms = now_ms - lease->settings.renew_ms;
+    lease->retry_at_ms = now_ms;
+    return FALSE;
+}
+
+void wb_lease_on_unreadable_row(wb_lease_t *lease, int64_t version, int64_t now_ms) {
+    if (version <= lease->version)
+        return;
+    lease->unreadable = TRUE;
+    if (version_note(lease, version, TRUE, now_ms))
+        predecessor_update(lease, now_ms);
+}
+
 void wb_lease_on_row(wb_lease_t *lease, const wb_lease_row_t *row, int64_t version,
                      int64_t now_ms) {
+    if (row != NULL && row->token > TOKEN_MAX) {
+        wb_lease_on_unreadable_row(lease, version, now_ms);
+        return;
+    }
     if (version == lease->version && row != NULL && row->has_grants && !lease->reclaiming) {
         /* A peer sent this version of the row before, without its engines; this one is complete. */
         wb_lease_row_copy(&lease->known, row);
@@ -171,15 +202,9 @@
     if (version <= lease->version && lease->version != -1)
         return;
     gboolean copied = is_copy(lease, row, version);
-    lease->reclaiming = copied && wb_lease_is_held(lease, now_ms);
-    lease->copied = copied && !lease->reclaiming;
-    lease->version = version;
-    lease->version_since_ms = now_ms;
-    if (lease->reclaiming) {
-        lease->last_write_ms = now_ms - lease->settings.renew_ms;
-        lease->retry_at_ms = now_ms;
+    lease->unreadable = FALSE;
+    if (!version_note(lease, version, copied, now_ms))
         return;
-    }
     if (row == NULL) {
         wb_lease_row_clear(&lease->known);
         if (copied)
@@ -262,10 +287,13 @@
     return lease->version_since_ms;
 }
 
-/* Returns the token of a takeover: higher than all of earlier eras, also those that were lost. */
-static uint64_t next_token(const wb_lease_t *lease) {
-    uint64_t before_era = (uint64_t)wb_store_version_era(lease->version) << TOKEN_ERA_BITS;
-    return MAX(MAX(lease->known.token, lease->own_token), before_era) + 1;
+/* Returns a token that no earlier one exceeds: of all earlier eras, also those that were lost, and
+ * after an unreadable row of this one, as each takeover is a transaction of the store. */
+static uint64_t highest_token(const wb_lease_t *lease) {
+    uint64_t era_token = (uint64_t)wb_store_version_era(lease->version) << TOKEN_ERA_BITS;
+    if (lease->unreadable)
+        era_token += MIN((uint64_t)wb_store_version_number(lease->version), TOKEN_COUNT_MAX);
+    return MAX(MAX(lease->known.token, lease->own_token), era_token);
 }
 
 /* Whether the store hasn't answered the last write, which may still take effect. */
@@ -337,7 +365,7 @@
         if (next.released)
             lease->held_until_ms = 0; /* send no more orders */
     } else {
-        next.token = next_token(lease);
+        next.token = highest_token(lease) + 1;
         lease->handing_over = FALSE;
         takeover_begin(lease, now_ms);
     }
@@ -367,6 +395,7 @@
     lease->version = version;
     lease->version_since_ms = now_ms;
     lease->copied = FALSE;
+    lease->unreadable = FALSE;
     lease->reclaiming = FALSE;
     wb_lease_row_copy(&lease->known, &write->row);
     own_row_apply(lease, write->sent_ms);
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -69,6 +69,8 @@
          metrics->engine_restarts},
         {"engine_rows_refused_total", "Rows of the store that name no engine to use.",
          metrics->engine_rows_refused},
+        {"rows_refused_total", "Rows of the store's other tables that can't be read.",
+         metrics->rows_refused},
         {"cold_sends_total", "Sendings to engines that were cold.", metrics->cold_attempts},
         {"evacuations_total", "Evacuations of zones that this node learned of.",
          metrics->evacuations},
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -233,8 +233,10 @@
             wb_edge_node_origins_read(node, &extensions, row->version,
                                       era < wb_store_version_era(row->version));
     } else {
+        node->edge.metrics.rows_refused++;
         wb_event("lease-row-refused", ",\"row_version\":%lld",
                  (long long)wb_store_version_number(row->version));
+        wb_lease_on_unreadable_row(node->lease, row->version, now_ms);
     }
     node->lease_row_seen = TRUE;
     wb_extensions_clear(&extensions);
