Store: a row whose key is odd is left out alone

What callers saw: once another writer has put a row with a NUL character in its key into a table, or with half of a surrogate pair, no node can read that table any more: engines that join, leave or drain, configurations, evacuations and the lease are all missed, and a process that starts reads nothing.

Cause: the JSON library takes neither in a text, so the whole answer counted as none and was asked for again for ever. And the next page was asked for behind the last row that was used, so a page without any such row would have ended the read as if the table did.

A row whose key is no text, holds a NUL character (it would be taken for another row) or is longer than messages between nodes carry is left out, counted in rows_refused_total and logged as store-rows-refused; an answer names the key of its last row, used or not, and reading goes on behind it.

--- a/include/wickbridge/table.h
+++ b/include/wickbridge/table.h
@@ -18,6 +18,9 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Max bytes of a row's key. */
+#define WB_TABLE_KEY_MAX 200
+
 /** The tables that wickbridge uses. */
 typedef enum wb_table_name_t {
     WB_TABLE_CATALOG, /**< the operators' configuration; read only */
@@ -45,10 +48,13 @@
 
 typedef struct wb_table_answer_t {
     wb_table_outcome_t outcome;
-    GPtrArray *rows; /**< of wb_table_row_t; never NULL; freed after the callback */
-    gboolean more;   /**< there are further rows or changes after this page */
-    int64_t version; /**< the store's newest version; for a write, the row's new version */
-    int64_t now_ms;  /**< time of the store's steady clock; 0: the answer doesn't name it */
+    GPtrArray *rows;      /**< of wb_table_row_t; never NULL; freed after the callback */
+    gboolean more;        /**< there are further rows or changes after this page */
+    int64_t version;      /**< the store's newest version; for a write, the row's new version */
+    int64_t now_ms;       /**< time of the store's steady clock; 0: the answer doesn't name it */
+    const char *last_key; /**< of the last row of the page, also of one that isn't in `rows`, as its
+                             key can't be used; NULL: there is none */
+    unsigned refused;     /**< rows of the page that aren't in `rows` */
 } wb_table_answer_t;
 
 typedef struct wb_table_t wb_table_t;
--- a/include/wickbridge/table_watch.h
+++ b/include/wickbridge/table_watch.h
@@ -41,6 +41,8 @@
     /** A full read was discarded, as it was older than the version known here. May be NULL. */
     void (*on_read_discarded)(wb_table_name_t table, int64_t known_version, int64_t read_version,
                               void *context);
+    /** Rows of an answer can't be used, as their keys are none. May be NULL. */
+    void (*on_rows_refused)(wb_table_name_t table, unsigned rows, void *context);
 } wb_table_watch_events_t;
 
 /** Polling intervals of a table. */
--- a/src/control/table_watch.c
+++ b/src/control/table_watch.c
@@ -233,6 +233,11 @@
     return wb_table_watch_note_era(watch, watch->table->era) ? NULL : watch;
 }
 
+static void refused_report(const wb_table_watch_t *watch, const wb_table_answer_t *answer) {
+    if (answer->refused > 0 && watch->events.on_rows_refused != NULL)
+        watch->events.on_rows_refused(watch->name, answer->refused, watch->events.context);
+}
+
 static void page_answered(const wb_table_answer_t *answer, void *context) {
     wb_table_watch_t *watch = call_end(context, answer->outcome == WB_TABLE_DONE);
     if (watch == NULL)
@@ -259,18 +264,18 @@
                         wb_table_row_create(row->key, g_memdup2(row->value, row->length),
                                             row->length, row->version));
     }
+    refused_report(watch, answer);
     if (is_too_large(watch, watch->read_rows->len)) {
         too_large_begin(watch);
         return;
     }
-    if (!answer->more || answer->rows->len == 0) {
+    if (!answer->more || answer->last_key == NULL) {
         read_finish(watch);
         return;
     }
-    const wb_table_row_t *last = g_ptr_array_index(answer->rows, answer->rows->len - 1);
     g_free(watch->next_key);
     /* A key just above the last one. */
-    watch->next_key = g_strconcat(last->key, "\x01", NULL);
+    watch->next_key = g_strconcat(answer->last_key, "\x01", NULL);
     call_after(watch, 0);
 }
 
@@ -293,6 +298,8 @@
     gboolean changed = FALSE;
     for (guint i = 0; i < answer->rows->len; i++)
         changed |= row_apply(watch, g_ptr_array_index(answer->rows, i));
+    refused_report(watch, answer);
+    guint row_count = answer->rows->len + answer->refused;
     watch->version = MAX(watch->version, answer->version);
     if (changed)
         watch->events.on_batch(FALSE, watch->events.context);
@@ -300,14 +307,14 @@
         too_large_begin(watch);
         return;
     }
-    if (answer->more && answer->rows->len > 0) {
+    if (answer->more && row_count > 0) {
         /* More changes follow, so the table isn't known as of this call yet. */
         call_after(watch, 0);
         return;
     }
     known_update(watch, watch->called_ms);
     /* The store answers without changes only once it has waited for them. */
-    if (answer->rows->len == 0 && watch->answered_ms >= watch->called_ms + watch->waited_ms)
+    if (row_count == 0 && watch->answered_ms >= watch->called_ms + watch->waited_ms)
         watch->empty_until_ms = watch->called_ms + watch->waited_ms;
     int64_t next_ms =
         watch->expedited ? watch->called_ms + EXPEDITED_INTERVAL_MS : next_call_ms(watch);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -317,6 +317,8 @@
 void wb_edge_node_open_lease(wb_edge_node_t *node);
 /** Decode the lease row and the data appended to it. */
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row);
+/* Counts and logs rows without usable keys; the context is the node. */
+void wb_edge_node_rows_refused(wb_table_name_t table, unsigned rows, void *context);
 /** Start or stop the controller when the lease was gained or lost. */
 void wb_edge_node_check_lease(wb_edge_node_t *node);
 /** Renew or take over the lease when that is due. */
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -29,7 +29,7 @@
         node->node_row_due_ms = 0;
 }
 
-static const char *const table_names[] = {"catalog", "engines", "nodes"};
+static const char *const table_names[] = {"catalog", "engines", "nodes", "streams"};
 
 /* Counts each call to the store; logs when a table becomes unavailable and when it answers again.
  */
@@ -69,6 +69,12 @@
              (long long)wb_store_version_era(read_version));
 }
 
+void wb_edge_node_rows_refused(wb_table_name_t table, unsigned rows, void *context) {
+    wb_edge_node_t *node = context;
+    node->edge.metrics.rows_refused += rows;
+    wb_event("store-rows-refused", ",\"table\":\"%s\",\"rows\":%u", table_names[table], rows);
+}
+
 /* The catalog. */
 
 /* Returns TRUE while the store may lack a configuration that was acknowledged before it went back.
@@ -437,18 +443,21 @@
                                        .on_batch = catalog_batch,
                                        .on_call = store_call_done,
                                        .context = node,
-                                       .on_read_discarded = store_read_discarded};
+                                       .on_read_discarded = store_read_discarded,
+                                       .on_rows_refused = wb_edge_node_rows_refused};
     wb_table_watch_events_t engines = {.on_row = wb_edge_node_engine_row,
                                        .on_batch = wb_edge_node_engine_batch,
                                        .on_call = store_call_done,
                                        .context = node,
                                        .on_row_limit = wb_edge_node_directory_on_large,
-                                       .on_read_discarded = store_read_discarded};
+                                       .on_read_discarded = store_read_discarded,
+                                       .on_rows_refused = wb_edge_node_rows_refused};
     wb_table_watch_events_t nodes = {.on_row = nodes_row,
                                      .on_batch = nodes_batch,
                                      .on_call = store_call_done,
                                      .context = node,
-                                     .on_read_discarded = store_read_discarded};
+                                     .on_read_discarded = store_read_discarded,
+                                     .on_rows_refused = wb_edge_node_rows_refused};
     wb_table_watch_intervals_t policy = wb_edge_node_poll_policy(node, WB_TABLE_CATALOG);
     node->catalog_watch =
         wb_table_watch_create(loop, node->table, WB_TABLE_CATALOG, &policy, &catalog);
--- a/src/edge/node_stream_rows.c
+++ b/src/edge/node_stream_rows.c
@@ -153,8 +153,10 @@
     xdrmem_create(&stream, (char *)row->value, (u_int)row->length, XDR_DECODE);
     gboolean readable = xdr_wb_wire_stored_starts(&stream, &stored) != 0;
     xdr_destroy(&stream);
-    if (!readable)
+    if (!readable) {
+        node->edge.metrics.rows_refused++;
         wb_event("stream-row-refused", ",\"key\":\"%s\"", wb_event_escape(row->key));
+    }
     readable = readable && stored.format_version == STREAM_ROW_FORMAT;
     int64_t written_ms = readable ? (int64_t)MIN(stored.written_ms, (uint64_t)G_MAXINT64) : 0;
     unsigned slot = (unsigned)strtoul(row->key + strlen(SLOT_KEY_PREFIX), NULL, 10);
@@ -188,12 +190,13 @@
     }
     for (guint i = 0; i < answer->rows->len; i++)
         row_take(node, g_ptr_array_index(answer->rows, i), answer->now_ms);
-    if (!answer->more || answer->rows->len == 0) {
+    if (answer->refused > 0)
+        wb_edge_node_rows_refused(WB_TABLE_STREAMS, answer->refused, node);
+    if (!answer->more || answer->last_key == NULL) {
         read_end(node);
         return;
     }
-    const wb_table_row_t *last = g_ptr_array_index(answer->rows, answer->rows->len - 1);
-    g_autofree char *next_key = g_strconcat(last->key, "\x01", NULL);
+    g_autofree char *next_key = g_strconcat(answer->last_key, "\x01", NULL);
     page_read(node, next_key);
 }
 
--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -4,6 +4,7 @@
 #include "../../platform/platform.h"
 
 #include "wickbridge/http_listener.h"
+#include "wickbridge/table_watch.h"
 
 #include <string.h>
 
@@ -19,6 +20,7 @@
     unsigned status;
     const char *headers;
     const char *body;
+    const char *next_body; /* of the page behind key "b"; NULL: as `body` */
     int requests;
     char *target; /* of the last request */
     char *request_body;
@@ -26,6 +28,9 @@
     int64_t version;
     guint rows;
     int64_t row_version;
+    guint refused;
+    int64_t now_ms;
+    char *last_key;
 } fixture_t;
 
 static void on_request(wb_http_connection_t *connection, wb_http_head_t *head, GByteArray *body,
@@ -34,12 +39,14 @@
     fixture->requests++;
     g_free(fixture->target);
     fixture->target = g_strdup(head->target);
+    gboolean is_next = fixture->next_body != NULL && strstr(head->target, "startRev=b%01&") != NULL;
+    const char *text = is_next ? fixture->next_body : fixture->body;
     g_free(fixture->request_body);
     fixture->request_body = g_strndup((const char *)body->data, body->len);
     wb_http_head_free(head);
     g_byte_array_unref(body);
     wb_http_connection_reply(connection, fixture->status, wb_http_status_reason(fixture->status),
-                             fixture->headers, fixture->body, strlen(fixture->body));
+                             fixture->headers, text, strlen(text));
 }
 
 static void answer_record(const wb_table_answer_t *answer, void *context) {
@@ -47,6 +54,9 @@
     fixture->outcome = answer->outcome;
     fixture->version = answer->version;
     fixture->rows = answer->rows->len;
+    fixture->now_ms = answer->now_ms;
+    g_free(fixture->last_key);
+    fixture->last_key = g_strdup(answer->last_key);
     fixture->row_version =
         answer->rows->len > 0 ? ((wb_table_row_t *)answer->rows->pdata[0])->version : 0;
     wb_loop_quit(fixture->loop);
@@ -209,7 +219,155 @@
     g_assert_cmpint(fixture.outcome, ==, WB_TABLE_DONE);
 }
 
+/* Guards against a whole page that is lost for one row whose key can't be used, and against reading
+ * that stops there: the next page begins behind the last row of the answer. */
+static void test_odd_keys(void) {
+    static const char *const bodies[] = {
+        "{\"rows\":[{\"key\":\"a\",\"value\":\"dg==\",\"ver\":7},"
+        "{\"key\":\"b\\u0000c\",\"value\":\"dg==\",\"ver\":8}],\"ver\":9,\"more\":true}",
+        "{\"rows\":[{\"key\":\"a\",\"value\":\"dg==\",\"ver\":7},"
+        "{\"value\":\"dg==\",\"ver\":8}],\"ver\":9,\"more\":true}",
+        "{\"rows\":[{\"key\":\"a\",\"value\":\"dg==\",\"ver\":7},5,null,[],"
+        "{\"key\":7,\"ver\":8}],\"ver\":9,\"more\":true}"};
+    static const char *const last_keys[] = {"b", "a", "a"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        fixture_t fixture;
+        fixture_open(&fixture);
+        answer_set(&fixture, 200, "Store-Era: 3\r\n", bodies[i]);
+        table_read(&fixture);
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_DONE);
+        g_assert_cmpuint(fixture.rows, ==, 1);
+        g_assert_cmpint(fixture.row_version, ==, wb_store_version(ERA, 7));
+        g_assert_cmpint(fixture.version, ==, wb_store_version(ERA, 9));
+        g_assert_cmpstr(fixture.last_key, ==, last_keys[i]);
+    }
+}
+
+/* Guards against times and versions that overflow, and values that end the process. */
+static void test_odd_values(void) {
+    static const char *const rows[] = {
+        "{\"key\":\"a\",\"value\":\"!!\",\"ver\":7}",
+        "{\"key\":\"a\",\"value\":\"=\",\"ver\":7}",
+        "{\"key\":\"a\",\"value\":\"\",\"ver\":7}",
+        "{\"key\":\"a\",\"value\":\"dg==dg==\",\"ver\":7.5}",
+        "{\"key\":\"a\",\"value\":{\"deep\":[[[[[]]]]]},\"ver\":-9223372036854775808}",
+        "{\"key\":\"a\",\"value\":5,\"ver\":9223372036854775807}",
+        "{\"key\":\"a\",\"value\":\"\\u0000\\u0000\",\"ver\":1e300,\"gone\":1}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        fixture_t fixture;
+        fixture_open(&fixture);
+        g_autofree char *body = g_strdup_printf("{\"rows\":[%s],\"ver\":9223372036854775807,"
+                                                "\"now_ms\":9223372036854775807}",
+                                                rows[i]);
+        answer_set(&fixture, 200, "Store-Era: 3\r\n", body);
+        table_read(&fixture);
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_DONE);
+        g_assert_cmpuint(fixture.rows, ==, 1);
+        g_assert_cmpint(fixture.version, ==, wb_store_version(ERA, WB_STORE_NUMBER_MAX));
+        g_assert_cmpint(wb_store_version_era(fixture.row_version), ==, ERA);
+    }
+}
+
+/* Guards against a process that ends, or a call without an end, by an answer that is no page. */
+static void test_odd_answers(void) {
+    g_autofree char *deep = g_strnfill(30000, '[');
+    const char *const bodies[] = {"",
+                                  "[]",
+                                  "null",
+                                  "{\"rows\":",
+                                  "{\"rows\":[{\"key\":\"a\"",
+                                  "<html>",
+                                  "\xff\xfe",
+                                  "{\"ver\":1e999}",
+                                  "{\"ver\":99999999999999999999999}",
+                                  deep};
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        fixture_t fixture;
+        fixture_open(&fixture);
+        answer_set(&fixture, 200, "Store-Era: 3\r\n", bodies[i]);
+        table_read(&fixture);
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_NOT_DONE);
+        g_assert_cmpuint(fixture.rows, ==, 0);
+        table_changes(&fixture, wb_store_version(ERA, 9));
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_NOT_DONE);
+        answer_set(&fixture, 200, "Store-Era: 3\r\n", rows_body);
+        table_read(&fixture);
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_DONE);
+        g_assert_cmpuint(fixture.rows, ==, 1);
+    }
+}
+
+static void watched_row(const wb_table_row_t *row, void *context) {
+    fixture_t *fixture = context;
+    fixture->rows++;
+    fixture->row_version = row->version;
+}
+
+static void watched_batch(gboolean full_read, void *context) {
+    fixture_t *fixture = context;
+    g_assert_true(full_read);
+    wb_loop_quit(fixture->loop);
+}
+
+static void watched_refused(wb_table_name_t table, unsigned rows, void *context) {
+    fixture_t *fixture = context;
+    g_assert_cmpint(table, ==, WB_TABLE_ENGINES);
+    fixture->refused += rows;
+}
+
+/* Guards against a table that ends for its readers at a page of odd rows only. */
+static void test_odd_page(void) {
+    fixture_t fixture;
+    fixture_open(&fixture);
+    g_autoptr(GString) page = g_string_new("{\"ver\":900,\"more\":true,\"rows\":[");
+    for (int i = 0; i < 500; i++)
+        g_string_append_printf(page, "%s{\"key\":\"b\\u0000%d\",\"value\":\"dg==\",\"ver\":%d}",
+                               i > 0 ? "," : "", i, i + 1);
+    g_string_append(page, "]}");
+    answer_set(&fixture, 200, "Store-Era: 3\r\n", page->str);
+    fixture.next_body = "{\"ver\":900,\"more\":false,\"rows\":[{\"key\":\"z\",\"value\":\"dg==\","
+                        "\"ver\":777}]}";
+    wb_table_watch_intervals_t settings = {10, 10, 500, 20, 300};
+    wb_table_watch_events_t events = {.on_row = watched_row,
+                                      .on_batch = watched_batch,
+                                      .context = &fixture,
+                                      .on_rows_refused = watched_refused};
+    wb_table_watch_create(fixture.loop, fixture.table, WB_TABLE_ENGINES, &settings, &events);
+    wb_loop_run(fixture.loop);
+    g_assert_cmpuint(fixture.rows, ==, 1);
+    g_assert_cmpuint(fixture.refused, ==, 500);
+    g_assert_cmpint(fixture.row_version, ==, wb_store_version(ERA, 777));
+}
+
+/* Guards against a page that is lost for a text that is no Unicode, escaped or not. */
+static void test_odd_texts(void) {
+    static const char *const keys[] = {"\\ud800",      "\\udc00\\ud800", "x\\ud83dy", "\xff\xfe",
+                                       "\xed\xa0\x80", "\\\\\\ud800",    "\\uDBFF\\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        fixture_t fixture;
+        fixture_open(&fixture);
+        g_autofree char *body =
+            g_strdup_printf("{\"ver\":9,\"rows\":[{\"key\":\"a\",\"value\":\"dg==\",\"ver\":7},"
+                            "{\"key\":\"%s\",\"value\":\"dg==\",\"ver\":8}]}",
+                            keys[i]);
+        answer_set(&fixture, 200, "Store-Era: 3\r\n", body);
+        table_read(&fixture);
+        g_assert_cmpint(fixture.outcome, ==, WB_TABLE_DONE);
+        g_assert_cmpuint(fixture.rows, ==, 2);
+        g_assert_true(g_utf8_validate(fixture.last_key, -1, NULL));
+        answer_set(&fixture, 200, "Store-Era: 3\r\n",
+                   "{\"ver\":9,\"rows\":[{\"key\":\"\\ud83d\\ude00\",\"ver\":7}]}");
+        table_read(&fixture);
+        g_assert_cmpstr(fixture.last_key, ==, "\xf0\x9f\x98\x80");
+    }
+}
+
 static void tests_add(void) {
+    g_test_add_func("/platform-store/odd-page", test_odd_page);
+    g_test_add_func("/platform-store/odd-texts", test_odd_texts);
+    g_test_add_func("/platform-store/odd-keys", test_odd_keys);
+    g_test_add_func("/platform-store/odd-values", test_odd_values);
+    g_test_add_func("/platform-store/odd-answers", test_odd_answers);
     g_test_add_func("/platform-store/versions-carry-era", test_versions_carry_era);
     g_test_add_func("/platform-store/no-era", test_no_era);
     g_test_add_func("/platform-store/feed-of-earlier-era", test_feed_of_earlier_era);
