--- a/tests/unit/test_platform_store.c
+++ b/tests/unit/test_platform_store.c
@@ -265,6 +265,7 @@
         g_assert_cmpuint(fixture.rows, ==, 1);
         g_assert_cmpint(fixture.version, ==, wb_store_version(ERA, WB_STORE_NUMBER_MAX));
         g_assert_cmpint(wb_store_version_era(fixture.row_version), ==, ERA);
+        g_assert_cmpint(fixture.now_ms, <=, G_MAXINT64 / 2);
     }
 }
 
