Configuration: one that can't be read doesn't replace the one in force

What callers saw: 404 for requests that the last sound configuration allows, at all nodes, once the row holds a configuration whose routes aren't a list, or 503 where its services aren't; and after one with a version near 2^63, or real numbers beyond it, none of the later ones is ever in force. The store takes only valid ones yet, so nobody met it.

Cause: members of another type were read as absent, so a configuration without routes came into force. Numbers were converted without a bound: beyond 2^63 that is undefined, and times near it overflow as they are added to the clock. The class: what another party writes was read member by member, without being checked as a whole.

A configuration that fails is refused with the member and its place (catalog-refused, rows_refused_total); the one before stays in force, the next is followed.

--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -146,6 +146,7 @@
                               const wb_error_t *error, void *context) {
     wb_edge_node_t *node = context;
     if (catalog == NULL) {
+        node->edge.metrics.rows_refused++;
         wb_event("catalog-refused", ",\"row_version\":%lld,\"reason\":\"%s\"",
                  (long long)wb_store_version_number(row_version), wb_event_escape(error->message));
         return;
--- a/tests/edge/test_odd_rows.c
+++ b/tests/edge/test_odd_rows.c
@@ -12,6 +12,7 @@
  * wait before a takeover. */
 #define LEASE_BACK_MS 6000
 #define SETTLE_US 1500000
+#define DEEP 30000
 
 static void row_put(const estate_t *estate, const char *table, const char *key, const char *value) {
     json_t *command = json_pack("{s:s, s:s, s:s}", "do", "put", "table", table, "key", key);
@@ -54,7 +55,58 @@
     estate_stop(estate);
 }
 
+/* Asserts that the configuration with these routes is in force at all nodes. */
+static void assert_default_routes(const estate_t *estate, const char *id) {
+    for (int node = 0; node < NODES; node++) {
+        assert_served(estate, node, "/look/x", id, EDGE_DEADLINE);
+        assert_served(estate, node, "/chat/x", id, EDGE_MODEL("m0"));
+    }
+}
+
+/* Guards against a configuration by which no request is allowed any more, as it can't be read, and
+ * against one that keeps later ones from being followed. */
+static void test_configuration(void) {
+    static const char *const members[] = {"\"services\":[]",
+                                          "\"routes\":{},\"services\":[]",
+                                          "\"routes\":[5],\"services\":[]",
+                                          "\"routes\":[{\"host\":7}],\"services\":[]",
+                                          "\"routes\":[],\"services\":\"none\"",
+                                          "\"routes\":[],\"services\":[],\"limits\":[]",
+                                          "\"routes\":[],\"services\":[],\"limits\":"
+                                          "{\"idleTimeoutMs\":-1}",
+                                          "\"routes\":[],\"services\":[],\"tenants\":{}"};
+    estate_t *estate = estate_start(NODES, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(members); i++) {
+        g_autofree char *value = g_strdup_printf(
+            "{\"version\":%lld,%s}", (long long)estate->catalog_version + 1, members[i]);
+        row_put(estate, "op", "config", value);
+    }
+    g_usleep(SETTLE_US);
+    assert_default_routes(estate, "odd");
+    g_autoptr(GString) deep = g_string_new("{\"version\":9,\"routes\":");
+    for (int i = 0; i < DEEP; i++)
+        g_string_append_c(deep, '[');
+    row_put(estate, "op", "config", deep->str);
+    row_put(estate, "op", "config",
+            "{\"version\":9223372036854775807,\"routes\":[],\"services\":[]}");
+    row_put(estate, "op", "config", "{\"version\":1e300,\"routes\":[],\"services\":[]}");
+    g_usleep(SETTLE_US);
+    assert_default_routes(estate, "far");
+    g_assert_cmpfloat(estate_metric(estate, 0, "rows_refused_total"), >, 0);
+    g_assert_true(estate_log_has(estate, 0, "\"event\":\"catalog-refused\""));
+    /* The next one is followed. */
+    estate_configure(estate, "{\"name\":\"new\",\"host\":\"a.example\",\"pathPrefix\":\"/new/\","
+                             "\"routeType\":\"idempotent\",\"timeoutMs\":2000,"
+                             "\"service\":\"lock\"}");
+    g_usleep(SETTLE_US);
+    for (int node = 0; node < NODES; node++)
+        assert_served(estate, node, "/new/x", "next", EDGE_DEADLINE);
+    assert_all_live(estate);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/odd-rows/configuration", test_configuration);
     g_test_add_func("/edge/odd-rows/lease-row", test_lease_row);
 }
 
