Evacuations: rows of zones that aren't there don't hide others

What callers saw: once 64 evacuations had been listed in a process's life, whatever their zones and also if they had ended, further ones were ignored: requests went on to the engines of an evacuated zone.

Cause: the bound of what the holder's updates carry was a bound of what is followed, and rows that another writer chooses count in it for ever. Up to 4,096 zones are followed now, ended ones are forgotten first; an update names 64, with more than that only those of known engines.

The count of runs at an engine is in the harness now, as two tests use it.

--- a/src/edge/node_zones.c
+++ b/src/edge/node_zones.c
@@ -3,8 +3,8 @@
  * A row of the catalog table starts an evacuation, so it reaches nodes like a configuration, within
  * catalog-ms. The time that evacuate-ms allows beyond that is used to load elsewhere the models
  * that only this zone holds; until then its engines get the requests that no other engine can take.
- * The lease holder includes all known zones in each store update, so that nodes without access to
- * the store learn of them. Times are in ms. */
+ * The lease holder includes the zones of engines in each store update, so that nodes without access
+ * to the store learn of them. Times are in ms. */
 #include "edge/edge_node_types.h"
 
 #include <string.h>
@@ -12,8 +12,11 @@
 /* Share of the remaining time kept as a margin: a request that is sent at the last moment arrives
  * later, as a new connection takes up to connect-timeout-ms. */
 #define ARRIVAL_MARGIN_SHARE 0.25
-/* More zones than any deployment has; further rows are ignored. */
-#define ZONES_MAX 64
+/* Bounds memory; further rows are ignored. Far above the zones of any deployment, as rows of zones
+ * that aren't there must not keep those that are from being followed. */
+#define ZONES_MAX 4096
+/* Most zones in a store update. With more, those of known engines only. */
+#define ZONES_SENT_MAX 64
 
 /* The last known row of a zone. */
 typedef struct wb_zone_row_t {
@@ -73,9 +76,23 @@
     wb_exchanges_retry_waiting(&node->edge);
 }
 
+static gboolean zone_is_open(gpointer zone, gpointer row, gpointer context) {
+    (void)zone;
+    (void)context;
+    return !((const wb_zone_row_t *)row)->evacuated;
+}
+
+/* Returns FALSE if there are too many zones. Forgets those whose evacuation has ended first. */
+static gboolean has_room(wb_edge_node_t *node) {
+    if (g_hash_table_size(node->zones) >= ZONES_MAX)
+        g_hash_table_foreach_remove(node->zones, zone_is_open, NULL);
+    return g_hash_table_size(node->zones) < ZONES_MAX;
+}
+
 static void zone_note(wb_edge_node_t *node, const char *zone, int64_t version, gboolean evacuated) {
     wb_zone_row_t *known = g_hash_table_lookup(node->zones, zone);
-    if (known == NULL && g_hash_table_size(node->zones) >= ZONES_MAX) {
+    if (known == NULL && !has_room(node)) {
+        node->edge.metrics.rows_refused++;
         wb_event("zone-ignored", ",\"of\":\"%s\",\"known\":%d", wb_event_escape(zone), ZONES_MAX);
         return;
     }
@@ -107,16 +124,41 @@
     return TRUE;
 }
 
-void wb_edge_node_zones_append(const wb_edge_node_t *node, GArray *rows) {
+/* Returns the zones of known engines; names are borrowed. */
+static GHashTable *engine_zones(const wb_edge_node_t *node) {
+    GHashTable *zones = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, wb_fleet_all(node->edge.fleet));
+    while (g_hash_table_iter_next(&iter, NULL, &value))
+        g_hash_table_add(zones, ((wb_engine_t *)value)->state->zone);
+    return zones;
+}
+
+/* Adds zones to a store update. @param only to add the zones in it only; NULL: all */
+static void zones_add(const wb_edge_node_t *node, GHashTable *only, GArray *rows) {
     GHashTableIter iter;
     gpointer zone;
     gpointer value;
+    guint added = 0;
     g_hash_table_iter_init(&iter, node->zones);
-    while (g_hash_table_iter_next(&iter, &zone, &value)) {
+    while (added < ZONES_SENT_MAX && g_hash_table_iter_next(&iter, &zone, &value)) {
+        if (only != NULL && !g_hash_table_contains(only, zone))
+            continue;
         const wb_zone_row_t *known = value;
         wb_table_row_t row = {zone, known->evacuated ? (guchar *)"" : NULL, 0, known->version};
         wb_edge_node_wire_row_add(node, rows, WB_UPDATE_ZONES, &row);
+        added++;
+    }
+}
+
+void wb_edge_node_zones_append(const wb_edge_node_t *node, GArray *rows) {
+    if (g_hash_table_size(node->zones) <= ZONES_SENT_MAX) {
+        zones_add(node, NULL, rows);
+        return;
     }
+    g_autoptr(GHashTable) zones = engine_zones(node);
+    zones_add(node, zones, rows);
 }
 
 void wb_edge_node_zone_take(wb_edge_node_t *node, const wb_wire_table_row *wire, int64_t era) {
--- a/tests/edge/test_odd_rows.c
+++ b/tests/edge/test_odd_rows.c
@@ -13,6 +13,9 @@
 #define LEASE_BACK_MS 6000
 #define SETTLE_US 1500000
 #define DEEP 30000
+#define ODD_ROWS 90
+/* Until the engines of an evacuated zone get no requests, with a margin. */
+#define EVACUATED_US 3500000
 
 static void row_put(const estate_t *estate, const char *table, const char *key, const char *value) {
     json_t *command = json_pack("{s:s, s:s, s:s}", "do", "put", "table", table, "key", key);
@@ -105,7 +108,71 @@
     estate_stop(estate);
 }
 
+/* Guards against an evacuation that isn't followed for the rows of zones that aren't there, also at
+ * a node without the store. */
+static void test_evacuations(void) {
+    static const char *const names[] = {"",     "/", "\"quoted\"", "line\r\nX: y",
+                                        "%s%n", "{", "\\",         "\xc3\xa9"};
+    estate_t *estate = estate_start(NODES, "--catalog-ms=1500 --evacuate-ms=2500");
+    int holder = estate_wait_controller(estate, LEASE_BACK_MS);
+    int without_store = (holder + 1) % NODES;
+    estate_store_fault(estate, without_store, "cut", 0);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        g_autofree char *key = g_strconcat("evacuate/", names[i], NULL);
+        row_put(estate, "op", key, "\x01 odd");
+    }
+    for (int i = 0; i < ODD_ROWS; i++) {
+        g_autofree char *key = g_strdup_printf("evacuate/odd-%d", i);
+        row_put(estate, "op", key, "[[[[");
+    }
+    row_put(estate, "op", "evacuate/zone-1", "{}");
+    g_usleep(EVACUATED_US);
+    int64_t evacuated_ms = harness_now_ms();
+    for (int i = 0; i < 12; i++) {
+        g_autofree char *id = g_strdup_printf("e%d", i);
+        assert_served(estate, i % NODES, "/look/x", id, EDGE_DEADLINE);
+    }
+    g_assert_cmpint(estate_runs_after(estate, "lock-1", evacuated_ms), ==, 0);
+    assert_all_live(estate);
+    estate_stop(estate);
+}
+
+/* Guards against rows of nodes that end those that read them, and rows after them that are missed.
+ */
+static void test_node_rows(void) {
+    static const char *const values[] = {"",
+                                         " ",
+                                         "nowhere 1",
+                                         "127.0.0.1:99999 1 nan 4 - z",
+                                         "127.0.0.1:-1 1 inf 99999999999999999999 127.0.0.1:0 z",
+                                         "999.1.1.1:1 -1 1e999 -4 x:y \"\r\n",
+                                         "127.0.0.1:1 1 -1 0 127.0.0.1:99999 \xc3\xa9",
+                                         "a b c d e f g h i j k",
+                                         "127.0.0.1: 1 0x10 1e5 [::1]:1 z"};
+    estate_t *estate = estate_start(NODES, "--lease-quiet-ms=1000 --lease-duration-ms=800");
+    for (int i = 0; i < ODD_ROWS; i++) {
+        g_autofree char *key = g_strdup_printf("node/%s%d", i % 2 == 0 ? "odd-" : "\r\n\"{", i);
+        row_put(estate, OWN_TABLE, key, values[(size_t)i % G_N_ELEMENTS(values)]);
+    }
+    g_autofree char *deep = g_strnfill(DEEP, ' ');
+    row_put(estate, OWN_TABLE, "node/", deep);
+    row_put(estate, OWN_TABLE, "\xc3\xa9", deep);
+    g_usleep(SETTLE_US);
+    assert_all_live(estate);
+    /* A node that starts reads them all, and one that takes over calls those that it can. */
+    int holder = estate_wait_controller(estate, LEASE_BACK_MS);
+    process_kill(&estate->nodes[holder].process);
+    estate_node_launch(estate, holder);
+    estate_wait_ready(estate, holder);
+    estate_wait_controller(estate, LEASE_BACK_MS);
+    assert_served(estate, holder, "/chat/x", "cold", EDGE_MODEL("m5"));
+    assert_all_live(estate);
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/odd-rows/evacuations", test_evacuations);
+    g_test_add_func("/edge/odd-rows/node-rows", test_node_rows);
     g_test_add_func("/edge/odd-rows/configuration", test_configuration);
     g_test_add_func("/edge/odd-rows/lease-row", test_lease_row);
 }
--- a/tests/edge/test_zones.c
+++ b/tests/edge/test_zones.c
@@ -20,20 +20,6 @@
                    evacuate ? ",\"value\":\"{}\"" : "");
 }
 
-/* Returns how many runs at an engine started after a time (harness_now_ms). */
-static int runs_after(const estate_t *estate, const char *engine, int64_t after_ms) {
-    json_t *seen = estate_records(estate);
-    int count = 0;
-    size_t i;
-    json_t *run;
-    json_array_foreach(json_object_get(seen, "runs"), i, run) {
-        count += strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0 &&
-                 json_integer_value(json_object_get(run, "at_ms")) > after_ms;
-    }
-    json_decref(seen);
-    return count;
-}
-
 static void assert_all_served(const estate_t *estate, const char *name, int count) {
     for (int i = 0; i < count; i++) {
         g_autofree char *lock = g_strdup_printf("%s-lock-%d", name, i);
@@ -55,8 +41,8 @@
         assert_all_served(estate, "while", 1);
     }
     assert_all_served(estate, "after", 10);
-    g_assert_cmpint(runs_after(estate, "lock-1", evacuated_ms + EVACUATE_MS), ==, 0);
-    g_assert_cmpint(runs_after(estate, "llm-1", evacuated_ms + EVACUATE_MS), ==, 0);
+    g_assert_cmpint(estate_runs_after(estate, "lock-1", evacuated_ms + EVACUATE_MS), ==, 0);
+    g_assert_cmpint(estate_runs_after(estate, "llm-1", evacuated_ms + EVACUATE_MS), ==, 0);
     g_assert_cmpint(estate_orders(estate, "model_load", "m1"), >=, 1);
     zone_evacuate(estate, "zone-1", FALSE);
     g_usleep(1500000);
@@ -95,7 +81,7 @@
         g_autofree char *id = g_strdup_printf("cut-%d", i);
         g_assert_cmpint(asked(estate, 1 - holder, "/lock/x", id, EDGE_DEADLINE), ==, 200);
     }
-    g_assert_cmpint(runs_after(estate, "lock-1", evacuated_ms + EVACUATE_MS), ==, 0);
+    g_assert_cmpint(estate_runs_after(estate, "lock-1", evacuated_ms + EVACUATE_MS), ==, 0);
     estate_store_fault(estate, 1 - holder, "pass", 0);
     estate_stop(estate);
 }
@@ -139,7 +125,7 @@
         g_assert_cmpint(asked(estate, i % 2, "/south/x", id, EDGE_DEADLINE "Region: north\r\n"), ==,
                         200);
     }
-    g_assert_cmpint(runs_after(estate, "lock-1", started_ms), ==, 0);
+    g_assert_cmpint(estate_runs_after(estate, "lock-1", started_ms), ==, 0);
     started_ms = harness_now_ms();
     g_assert_cmpint(asked(estate, 0, "/west/x", "west", EDGE_DEADLINE), ==, 503);
     g_assert_cmpint(harness_now_ms() - started_ms, <, 300);
@@ -148,7 +134,7 @@
     estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"lock-2\"}");
     g_usleep(2500000);
     g_assert_cmpint(asked(estate, 0, "/south/x", "gone", EDGE_DEADLINE), ==, 503);
-    g_assert_cmpint(runs_after(estate, "lock-1", started_ms), ==, 0);
+    g_assert_cmpint(estate_runs_after(estate, "lock-1", started_ms), ==, 0);
     estate_stop(estate);
 }
 
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -109,6 +109,19 @@
     return count;
 }
 
+int estate_runs_after(const estate_t *estate, const char *engine, int64_t after_ms) {
+    json_t *seen = estate_records(estate);
+    int count = 0;
+    size_t i;
+    json_t *run;
+    json_array_foreach(json_object_get(seen, "runs"), i, run) {
+        count += strcmp(json_string_value(json_object_get(run, "engine")), engine) == 0 &&
+                 json_integer_value(json_object_get(run, "at_ms")) > after_ms;
+    }
+    json_decref(seen);
+    return count;
+}
+
 int estate_orders(const estate_t *estate, const char *operation, const char *model) {
     json_t *seen = estate_records(estate);
     int count = 0;
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -114,6 +114,8 @@
 json_t *estate_records(const estate_t *estate);
 /** @return the number of runs of the request with this id */
 int estate_runs(const estate_t *estate, const char *id);
+/** @return how many runs at an engine started after a time (harness_now_ms) */
+int estate_runs_after(const estate_t *estate, const char *engine, int64_t after_ms);
 /** @return the number of orders with this operation and model ("": any) */
 int estate_orders(const estate_t *estate, const char *operation, const char *model);
 /** Assert that no engine was ordered to exceed its memory or its adapter slots. */
