Nodes: a row that names an impossible machine isn't taken for the strongest one

What callers saw: where the list of engines is large and only the strongest machines read it, one row in the nodes' table with a processor share such as inf, 1e300 or nan makes all real nodes take themselves for weaker ones: each forgets the engines that it has read and asks a node that isn't there, and the list isn't followed by anybody until they give that up.

Cause: the fields were taken as the text has them, a share without a bound, addresses unchecked, so that a row with an address that is none was a candidate to be asked, announced to and tunnelled through. They are checked where the row is read, in a module of its own now (node_row.c): what can't be counts as absent. A row with a share that a machine may have, written by another party, still counts until it expires.

--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -266,7 +266,7 @@
     edge->catalog_age_ms = wb_edge_node_catalog_age_ms;
     edge->catalog_behind_ms = wb_edge_node_catalog_behind_ms;
     created->table = table;
-    created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_edge_node_row_free);
+    created->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, wb_node_row_free);
     edge->share =
         wb_equal_share_create(settings->id, MAX(wb_edge_retry_window_ms(edge), WB_LIMIT_WINDOW_MS));
     created->directory = wb_edge_node_directory_create(created);
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -20,6 +20,7 @@
 #include "tunnel/tunnel_server.h"
 
 #include "control/controller.h"
+#include "edge/node_row.h"
 
 #include "catalog/route_moves.h"
 #include "fleet/version_history.h"
@@ -31,17 +32,6 @@
 #include "wickbridge/link.h"
 #include "wickbridge/table_watch.h"
 
-/* The last known row of a node. */
-typedef struct wb_node_row_t {
-    int64_t seen_ms; /* when the row last changed */
-    int64_t version;
-    char *address;           /* for links from other nodes; NULL: not in the row */
-    double processor_share;  /* in cores; 0: not in the row */
-    unsigned format_version; /* newest WB_WIRE_FORMAT_VERSION that the node reads */
-    char *tunnel_address;    /* where it connects to engines for others; NULL: it doesn't */
-    char *zone;              /* NULL: not in the row */
-} wb_node_row_t;
-
 typedef struct wb_announcement_t wb_announcement_t;
 typedef struct wb_directory_t wb_directory_t;
 typedef struct wb_subscription_t wb_subscription_t;
@@ -208,8 +198,6 @@
 #define WB_LEASE_KEY "controller"
 
 /* node_store.c */
-/** Frees a wb_node_row_t. */
-void wb_edge_node_row_free(gpointer data);
 /** @return ms since this node was last sure to know the newest configuration, from its own read or
  * the holder's
  * @param context the node */
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -1,5 +1,7 @@
 /* The settings of an edge node: command-line flags, settings file, help text and docs/SETTINGS.md
  * are all derived from this table. */
+#include "edge/node_row.h"
+
 #include "wickbridge/edge.h"
 
 #include <glib.h>
@@ -57,7 +59,8 @@
         "Time between renewals of the controller's lease"),
     ROW("lease-margin-ms", WB_SETTING_INTEGER, "ms", 0, 60000, "200", lease_margin_ms,
         "Added when a lease is waited out, taken off when it is used"),
-    ROW("processor-share", WB_SETTING_REAL, "cores", 0, 1024, "0", processor_share,
+    ROW("processor-share", WB_SETTING_REAL, "cores", 0, WB_NODE_PROCESSOR_SHARE_MAX, "0",
+        processor_share,
         "Processor that this machine gives the node; the nodes that have most take the lease "
         "first. "
         "0: not told"),
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -16,9 +16,6 @@
 /* Min interval of the log line about discarded reads. */
 #define DISCARDED_LOG_MS 1000
 #define NODE_KEY_PREFIX "node/"
-#define NODE_ROW_FIELDS 6
-/* Stands for an address that a node doesn't have. */
-#define NODE_ROW_NONE "-"
 
 /* Polls the other tables at once when one answers again; they are polled rarely while they fail. */
 static void tables_retry(wb_edge_node_t *node) {
@@ -250,33 +247,6 @@
     xdr_free((xdrproc_t)xdr_wb_wire_lease, &wire);
 }
 
-/* Fields of a node's row, separated by blanks: address, write count, processor share, format
- * version, address of the tunnel server, zone. Later builds may append fields. */
-static void row_read(const wb_table_row_t *row, wb_node_row_t *known) {
-    g_autofree char *text = g_strndup((const char *)row->value, row->length);
-    g_auto(GStrv) fields = g_strsplit(text, " ", NODE_ROW_FIELDS + 1);
-    guint count = g_strv_length(fields);
-    known->format_version = 1;
-    if (count < 2) {
-        return; /* an older format without these fields */
-    }
-    known->address = g_strdup(fields[0]);
-    known->processor_share = count > 2 ? g_ascii_strtod(fields[2], NULL) : 0;
-    known->format_version = count > 3 ? (unsigned)g_ascii_strtoull(fields[3], NULL, 10) : 1;
-    if (count > 5 && strcmp(fields[4], NODE_ROW_NONE) != 0) {
-        known->tunnel_address = g_strdup(fields[4]);
-        known->zone = g_strdup(fields[5]);
-    }
-}
-
-void wb_edge_node_row_free(gpointer data) {
-    wb_node_row_t *row = data;
-    g_free(row->address);
-    g_free(row->tunnel_address);
-    g_free(row->zone);
-    g_free(row);
-}
-
 static void node_row_take(wb_edge_node_t *node, const wb_table_row_t *row) {
     const char *id = row->key + strlen(NODE_KEY_PREFIX);
     if (row->value == NULL) {
@@ -291,7 +261,7 @@
     known->seen_ms = wb_clock_ms();
     known->version = row->version;
     wb_equal_share_add(node->edge.share, id, known->seen_ms);
-    row_read(row, known);
+    wb_node_row_read(row->value, row->length, known);
     g_hash_table_replace(node->nodes, g_strdup(id), known);
 }
 
@@ -380,7 +350,7 @@
         g_strdup_printf("%s %llu %.3f %d %s %s", wb_edge_node_address(node),
                         (unsigned long long)++node->node_row_writes,
                         node->edge.settings.processor_share, WB_WIRE_FORMAT_VERSION,
-                        *tunnels != '\0' ? tunnels : NODE_ROW_NONE, node->edge.settings.zone);
+                        *tunnels != '\0' ? tunnels : WB_NODE_ROW_NONE, node->edge.settings.zone);
     node->node_row_writing = TRUE;
     node->node_row_creating = known == NULL;
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
--- a/tests/edge/test_odd_rows.c
+++ b/tests/edge/test_odd_rows.c
@@ -2,6 +2,7 @@
  * it from following the table, or hide other rows. */
 #include "edge.h"
 
+#include <glib/gstdio.h>
 #include <string.h>
 
 #define NODES 3
@@ -13,6 +14,8 @@
 #define LEASE_BACK_MS 6000
 #define SETTLE_US 1500000
 #define DEEP 30000
+/* Nodes decide 2.5 s after they see that the table is large. */
+#define DECISION_TIMEOUT_MS 6000
 #define ODD_ROWS 90
 /* Until the engines of an evacuated zone get no requests, with a margin. */
 #define EVACUATED_US 3500000
@@ -170,7 +173,42 @@
     estate_stop(estate);
 }
 
+/* Restarts all nodes, and waits until each has logged again how it reads the table of engines. */
+static void all_restarted(estate_t *estate) {
+    for (int node = 0; node < NODES; node++)
+        process_kill(&estate->nodes[node].process);
+    for (int node = 0; node < NODES; node++) {
+        g_unlink(estate->nodes[node].process.log_path);
+        estate_node_launch(estate, node);
+    }
+    for (int node = 0; node < NODES; node++) {
+        int64_t until_ms = harness_now_ms() + DECISION_TIMEOUT_MS;
+        while (!estate_log_has(estate, node, "\"event\":\"engines-table\",\"read\":\"whole\"") &&
+               !estate_log_has(estate, node, "\"event\":\"engines-table\",\"read\":\"part\"")) {
+            g_assert_cmpint(harness_now_ms(), <, until_ms);
+            g_usleep(20000);
+        }
+    }
+}
+
+/* Guards against a list of engines that no node reads any more, as a row names a stronger node than
+ * there can be. */
+static void test_strongest_node(void) {
+    static const char *const shares[] = {"inf", "1e300", "nan", "1025"};
+    estate_t *estate = estate_start(NODES, "--engine-rows-most=2 --processor-share=1");
+    for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+        g_autofree char *value = g_strdup_printf("127.0.0.1:9 1 %s 4 - z", shares[i]);
+        row_put(estate, OWN_TABLE, "node/odd", value);
+        all_restarted(estate);
+        for (int node = 0; node < NODES; node++)
+            g_assert_true(estate_log_has(estate, node, "\"read\":\"whole\",\"why\":\"reader\""));
+        assert_served(estate, 0, "/look/x", shares[i], EDGE_DEADLINE);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/odd-rows/strongest-node", test_strongest_node);
     g_test_add_func("/edge/odd-rows/evacuations", test_evacuations);
     g_test_add_func("/edge/odd-rows/node-rows", test_node_rows);
     g_test_add_func("/edge/odd-rows/configuration", test_configuration);
