--- a/include/wickbridge/settings.h
+++ b/include/wickbridge/settings.h
@@ -67,7 +67,9 @@
 /** Write the table as a Markdown section. */
 void wb_settings_print_markdown(const wb_settings_table_t *table, FILE *file);
 
-/** @return nonzero if the text is IP:PORT with a numeric IPv4 address */
+/** @return the port of IP:PORT with a numeric IPv4 address, 0 to 65,535; -1 if the text is none */
+int wb_address_port(const char *text);
+/** @return nonzero if the text is an address; its port may be 0, which means any free port */
 int wb_address_is_valid(const char *text);
 
 #endif
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <arpa/inet.h>
 
+#define PORT_DIGITS_MAX 5
 #define FLAG_KEY_BASE 1000
 #define FLAG_KEY_SETTINGS 999
 #define FLAG_KEY_DOCUMENT 998
@@ -19,22 +20,29 @@
     const char **flag_values; /* one for each row; NULL when the flag was not given */
 } wb_settings_parse_t;
 
-int wb_address_is_valid(const char *text) {
+/* Stricter than strtol, which skips blanks and line breaks and takes a sign. */
+static int port_parse(const char *text) {
+    size_t digits = strspn(text, "0123456789");
+    if (digits == 0 || digits > PORT_DIGITS_MAX || text[digits] != '\0')
+        return -1;
+    long port = strtol(text, NULL, 10);
+    return port <= UINT16_MAX ? (int)port : -1;
+}
+
+int wb_address_port(const char *text) {
     const char *colon = strrchr(text, ':');
-    if (colon == NULL || colon == text)
-        return 0;
-    char host[64];
-    size_t length = (size_t)(colon - text);
-    if (length >= sizeof(host))
-        return 0;
+    char host[INET_ADDRSTRLEN];
+    struct in_addr address;
+    size_t length = colon != NULL ? (size_t)(colon - text) : 0;
+    if (length == 0 || length >= sizeof(host))
+        return -1;
     memcpy(host, text, length);
     host[length] = '\0';
-    struct in_addr address;
-    if (inet_pton(AF_INET, host, &address) != 1)
-        return 0;
-    char *end;
-    long port = strtol(colon + 1, &end, 10);
-    return end != colon + 1 && *end == '\0' && port >= 0 && port <= 65535;
+    return inet_pton(AF_INET, host, &address) == 1 ? port_parse(colon + 1) : -1;
+}
+
+int wb_address_is_valid(const char *text) {
+    return wb_address_port(text) >= 0;
 }
 
 static const wb_setting_t *row_find(const wb_settings_table_t *table, const char *name) {
--- a/src/net/socket.c
+++ b/src/net/socket.c
@@ -21,12 +21,11 @@
 
 /* Parses IP:PORT. apr_parse_addr_port rejects port 0, which means any free port. */
 static apr_status_t address_parse(const char *address, apr_pool_t *pool, apr_sockaddr_t **result) {
-    const char *colon = strrchr(address, ':');
-    if (colon == NULL || !wb_address_is_valid(address))
+    int port = wb_address_port(address);
+    if (port < 0)
         return APR_EINVAL;
-    const char *host = apr_pstrndup(pool, address, (apr_size_t)(colon - address));
-    apr_port_t port = (apr_port_t)strtoul(colon + 1, NULL, 10);
-    return apr_sockaddr_info_get(result, host, APR_INET, port, 0, pool);
+    const char *host = apr_pstrndup(pool, address, (apr_size_t)(strrchr(address, ':') - address));
+    return apr_sockaddr_info_get(result, host, APR_INET, (apr_port_t)port, 0, pool);
 }
 
 apr_status_t wb_socket_open(const char *address, apr_pool_t *pool, apr_sockaddr_t **target,
--- a/tests/unit/test_engine_rows.c
+++ b/tests/unit/test_engine_rows.c
@@ -161,7 +161,31 @@
     assert_invalid(large, 1 << 20);
 }
 
+/* Guards against rows whose address is found to be none only when a request is sent there. */
+static void test_addresses(void) {
+    static const char *const invalid[] = {"127.0.0.1:0",
+                                          "127.0.0.1:65536",
+                                          "127.0.0.1:99999999999999999999",
+                                          "127.0.0.1:-1",
+                                          "127.0.0.1: 80",
+                                          "127.0.0.1:80\\r\\nA: b",
+                                          "127.0.0.1:\\r\\n80",
+                                          "127.0.0.1:",
+                                          ":80",
+                                          "[::1]:80",
+                                          "host.invalid:80",
+                                          "300.1.1.1:80",
+                                          "%s%n:80"};
+    for (gsize i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        g_autofree char *row = g_strdup_printf("{" VALID_FIELDS ",\"address\":\"%s\"}", invalid[i]);
+        assert_invalid(row, strlen(row));
+    }
+    assert_valid("{" VALID_FIELDS ",\"address\":\"127.0.0.1:1\"}", 0);
+    assert_valid("{" VALID_FIELDS ",\"address\":\"255.255.255.255:65535\"}", 0);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/engine-rows/addresses", test_addresses);
     g_test_add_func("/engine-rows/software-version", test_software_version);
     g_test_add_func("/engine-rows/good", test_good_rows);
     g_test_add_func("/engine-rows/fields", test_fields_missing_or_of_another_type);
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -54,7 +54,51 @@
     g_assert_nonnull(strstr(error.message, "'name' must be given"));
 }
 
+/* Guards against addresses with a sign, a blank or a line break before the port, which then stand
+ * in a Host header. */
+static void test_addresses(void) {
+    static const struct {
+        const char *text;
+        int port;
+    } cases[] = {{"127.0.0.1:1", 1},
+                 {"10.0.0.1:65535", 65535},
+                 {"127.0.0.1:0", 0},
+                 {"127.0.0.1:00080", 80},
+                 {"127.0.0.1:65536", -1},
+                 {"127.0.0.1:99999", -1},
+                 {"127.0.0.1:000080", -1},
+                 {"127.0.0.1:-1", -1},
+                 {"127.0.0.1:-0", -1},
+                 {"127.0.0.1:+9", -1},
+                 {"127.0.0.1: 9", -1},
+                 {"127.0.0.1:\r\n9", -1},
+                 {"127.0.0.1:9\r\n", -1},
+                 {"127.0.0.1:9 ", -1},
+                 {" 127.0.0.1:9", -1},
+                 {"127.0.0.1:4294967305", -1},
+                 {"127.0.0.1:99999999999999999999", -1},
+                 {"127.0.0.1:9:9", -1},
+                 {"127.0.0.1:x", -1},
+                 {"127.0.0.1:", -1},
+                 {"127.0.0.1", -1},
+                 {":9", -1},
+                 {":", -1},
+                 {"", -1},
+                 {"::1", -1},
+                 {"[::1]:9", -1},
+                 {"300.1.1.1:9", -1},
+                 {"localhost:9", -1}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_cmpint(wb_address_port(cases[i].text), ==, cases[i].port);
+        g_assert_cmpint(wb_address_is_valid(cases[i].text), ==, cases[i].port >= 0);
+    }
+    g_autofree char *long_host = g_strnfill(20000, 'a');
+    g_autofree char *long_address = g_strconcat(long_host, ":9", NULL);
+    g_assert_cmpint(wb_address_port(long_address), ==, -1);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/settings/addresses", test_addresses);
     g_test_add_func("/settings/defaults-and-flags", test_defaults_and_flags);
     g_test_add_func("/settings/wrong-values", test_wrong_values);
 }
