--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -24,6 +24,11 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Max length of an engine's id in bytes. Messages between nodes name an engine by its incarnation,
+ * which has an @ and up to 19 digits more. */
+#define WB_ENGINE_ID_MAX 180
+/** Max length in bytes of its service and zone, and of names of models and adapters. */
+#define WB_ENGINE_NAME_MAX 200
 /** Max length of a software version in bytes; a longer one counts as unknown. */
 #define WB_SOFTWARE_VERSION_MAX 100
 
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -8,6 +8,11 @@
 
 /* Interval of the log line about rejected rows, of which there may be many. */
 #define REJECTED_LOG_MS 1000
+/* The incarnation has "@" and the digits of a start time after the id. */
+#define START_TIME_TEXT_MAX 20
+
+G_STATIC_ASSERT(WB_ENGINE_ID_MAX + START_TIME_TEXT_MAX <= WB_WIRE_NAME_MAX);
+G_STATIC_ASSERT(WB_ENGINE_NAME_MAX <= WB_WIRE_NAME_MAX);
 
 /* Sends gateways a change of one model or adapter. @param key MODEL/ADAPTER */
 static void placement_broadcast(wb_edge_node_t *node, const char *engine, const char *key,
--- a/tests/edge/test_directory.c
+++ b/tests/edge/test_directory.c
@@ -12,14 +12,6 @@
 static const char *const node_flags[] = {"--processor-share=1", "--processor-share=1",
                                          "--processor-share=0.12", "--processor-share=0.12"};
 
-static int asked(const estate_t *estate, int node, const char *path, const char *id,
-                 const char *headers) {
-    wire_response_t *answer = wire_request(estate->nodes[node].clients_port, path, id, headers);
-    int status = answer->status;
-    wire_response_free(answer);
-    return status;
-}
-
 /* Waits until a node has logged how it reads the table. Each node decides by its own clock, 2.5 s
  * after it sees that the table is large. */
 static void assert_reads(const estate_t *estate, int node, const char *mode) {
--- a/tests/edge/test_engines.c
+++ b/tests/edge/test_engines.c
@@ -6,23 +6,6 @@
 /* Time after a restart by which nodes must have dropped the models of the earlier process. */
 #define RESTART_DETECTION_MS 1500
 
-static int asked(const estate_t *estate, int node, const char *path, const char *id,
-                 const char *headers) {
-    wire_response_t *answer = wire_request(estate->nodes[node].clients_port, path, id, headers);
-    int status = answer->status;
-    wire_response_free(answer);
-    return status;
-}
-
-static void engine_row_write(const estate_t *estate, const char *key, const char *value) {
-    json_t *call = json_pack("{s:s, s:s, s:s, s:s}", "do", "put", "table", "servers", "key", key,
-                             "value", value);
-    char *text = json_dumps(call, JSON_COMPACT);
-    estate_command(estate, "%s", text);
-    free(text);
-    json_decref(call);
-}
-
 static void engine_restart_configure(const estate_t *estate, const char *engine, int restart_ms) {
     estate_command(estate,
                    "{\"do\":\"engine-option\",\"engine\":\"%s\",\"name\":\"same_id\",\"value\":1}",
@@ -105,11 +88,11 @@
     estate_t *estate = estate_start(2, "--drain-ms=1000");
     for (gsize i = 0; i < G_N_ELEMENTS(invalid_rows); i++) {
         g_autofree char *key = g_strdup_printf("foreign-%zu", i);
-        engine_row_write(estate, key, invalid_rows[i]);
+        estate_engine_row_write(estate, key, invalid_rows[i]);
     }
     estate_command(estate, "{\"do\":\"engine-option\",\"engine\":\"lock-1\",\"name\":\"quiet\","
                            "\"value\":1}");
-    engine_row_write(estate, "lock-1", "{\"service\":\"lock\"}");
+    estate_engine_row_write(estate, "lock-1", "{\"service\":\"lock\"}");
     g_usleep(1500000);
     for (int i = 0; i < 20; i++) {
         g_autofree char *id = g_strdup_printf("o%d", i);
--- a/tests/edge/test_zones.c
+++ b/tests/edge/test_zones.c
@@ -7,14 +7,6 @@
 #define EVACUATE_MS 2500
 #define FLAGS "--catalog-ms=1500 --evacuate-ms=2500"
 
-static int asked(const estate_t *estate, int node, const char *path, const char *id,
-                 const char *headers) {
-    wire_response_t *answer = wire_request(estate->nodes[node].clients_port, path, id, headers);
-    int status = answer->status;
-    wire_response_free(answer);
-    return status;
-}
-
 static void zone_evacuate(const estate_t *estate, const char *zone, gboolean evacuate) {
     estate_command(estate, "{\"do\":\"put\",\"table\":\"op\",\"key\":\"evacuate/%s\"%s}", zone,
                    evacuate ? ",\"value\":\"{}\"" : "");
--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -90,6 +90,18 @@
     answer_free(answer);
 }
 
+void estate_command_json(const estate_t *estate, json_t *command) {
+    char *text = json_dumps(command, JSON_COMPACT);
+    estate_command(estate, "%s", text);
+    free(text);
+    json_decref(command);
+}
+
+void estate_engine_row_write(const estate_t *estate, const char *key, const char *value) {
+    estate_command_json(estate, json_pack("{s:s, s:s, s:s, s:s*}", "do", "put", "table", "servers",
+                                          "key", key, "value", value));
+}
+
 json_t *estate_records(const estate_t *estate) {
     answer_t *answer = call("GET", estate->control_port, "/", NULL, NULL, 5000);
     json_t *seen = json_loads(answer->body, 0, NULL);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -109,6 +109,10 @@
                          int times);
 /** Send a control command to the stand-in. @param format printf format of the command's JSON */
 void estate_command(const estate_t *estate, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** As estate_command, for texts that need escaping. @param command taken over */
+void estate_command_json(const estate_t *estate, json_t *command);
+/** Write a row of the table of engines. @param value NULL: removes it */
+void estate_engine_row_write(const estate_t *estate, const char *key, const char *value);
 /** @return the stand-in's records: runs, arrivals, orders, crashes, violations; release it with
  * json_decref */
 json_t *estate_records(const estate_t *estate);
