Store updates: a row with a key too long for messages doesn't keep the others from being sent

What callers saw: one entry of another writer with a key of more than 200 bytes, and the holder of the lease sent no more updates that had it in them (message-refused, store-news), so the gateways missed the other rows of the same message; if the entry was complete and a model was placed on it, the placement went to nobody and the lease's row, which names the engines that may have had orders, couldn't be written (lease-row-too-long, four times within a second): requests that waited for the model got 503.

Cause: names in messages have 200 bytes at most, and one that is longer fails the whole message as it is encoded; keys of rows were never held to that. The class: one item that doesn't fit takes the others of its message with it.

Rows that name no engine, such as the removal of a long key, still went into the holder's updates: they are left out where rows are queued for messages, for all tables.

--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -135,6 +135,9 @@
                                const wb_table_row_t *row) {
     if (wb_store_version_era(row->version) != node->store_era)
         return;
+    /* It would keep the whole message from being encoded. No engine and no node has such an id. */
+    if (strlen(row->key) > WB_WIRE_NAME_MAX)
+        return;
     g_array_set_size(rows, rows->len + 1);
     wb_wire_table_row *wire = &g_array_index(rows, wb_wire_table_row, rows->len - 1);
     *wire = (wb_wire_table_row){.table = table,
--- a/tests/edge/test_rows.c
+++ b/tests/edge/test_rows.c
@@ -6,6 +6,7 @@
 
 #define SETTLE_MS 1500
 #define REQUESTS 40
+#define LONG_KEY_BYTES 250
 /* The library that reads rows reads no deeper. */
 #define NESTING_MAX 2048
 
@@ -84,6 +85,28 @@
     estate_stop(estate);
 }
 
+/* Guards against a key that is longer than messages between nodes take: the holder's update then
+ * went to nobody, with all other rows in it, and so did its placement. */
+static void test_long_ids(void) {
+    estate_t *estate = estate_start(2, NULL);
+    g_autofree char *engine = g_strnfill(LONG_KEY_BYTES, 'e');
+    g_autofree char *removed = g_strnfill(LONG_KEY_BYTES, 'r');
+    int controller = estate_wait_controller(estate, 3000);
+    double token = estate_metric(estate, controller, "lease_token");
+    engine_start(estate, engine, "llm");
+    estate_engine_row_write(estate, removed, "{}");
+    g_usleep(SETTLE_MS * 1000);
+    estate_engine_row_write(estate, removed, NULL);
+    g_assert_cmpint(asked(estate, 0, "/chat/x", "l0", EDGE_MODEL("m3")), ==, 200);
+    g_assert_cmpint(asked(estate, 1, "/chat/x", "l1", EDGE_MODEL("m4")), ==, 200);
+    assert_sound(estate, "later-long");
+    g_assert_cmpuint(arrivals_at(estate, engine), ==, 0);
+    g_assert_cmpint(estate_controller(estate), ==, controller);
+    g_assert_cmpfloat(estate_metric(estate, controller, "lease_token"), ==, token);
+    estate_assert_no_violation(estate);
+    estate_stop(estate);
+}
+
 /* The members of a valid row without its service. */
 #define VALID_FIELDS                                                                               \
     "\"address\":\"127.0.0.1:1\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":8,"              \
@@ -188,6 +211,7 @@
 
 static void tests_add(void) {
     g_test_add_func("/edge/rows/odd-ids", test_odd_ids);
+    g_test_add_func("/edge/rows/long-ids", test_long_ids);
     g_test_add_func("/edge/rows/odd-values", test_odd_values);
     g_test_add_func("/edge/rows/nested", test_nested);
 }
