Soak: clients that rest on kept connections while limits change and nodes pause

The operator changes idleTimeoutMs (1000 to 9000), headerTimeoutMs and sizes in quick succession while single nodes are paused for 0.3 to 1.2 s, stopped and reloaded. 40 clients rest for up to four fifths of the lowest idle timeout that may be in force (from the version that the node's metric told before the last request was sent, on to the newest written) and then send one request, two at once, or more than 256 KB behind a running one. A request that was sent whole must be answered or refused: it is lost when its connection closes without that and it ran, or the close came more than 200 ms after its last byte, or the request before it in the same packet was answered. A connection that closes within an allowed rest is told apart; only stops as planned and kills of its node excuse it.

--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -11,8 +11,12 @@
 #define READY_TIMEOUT_MS 15000
 #define SHARE_TIMEOUT_MS 30000
 /* Nodes that tests may run or add at least. */
-#define MAX_HEADER_BYTES 4096 /* of requests, in the default configuration */
 #define MIN_NODE_MAX 4
+/* Limits of the default configuration. */
+#define MAX_HEADER_BYTES 4096
+#define MAX_BODY_BYTES 100000
+#define HEADER_TIMEOUT_MS 800
+#define IDLE_TIMEOUT_MS 20000
 /* Local address of a node's connections to engines, by its number from 1. */
 #define NODE_HOST "127.0.1.%d"
 
@@ -48,6 +52,10 @@
     return default_routes;
 }
 
+static int limit_or(int limit, int fallback) {
+    return limit > 0 ? limit : fallback;
+}
+
 void estate_configure(estate_t *estate, const char *routes) {
     g_autoptr(GString) models = g_string_new(NULL);
     for (int i = 0; i < 8; i++)
@@ -55,6 +63,7 @@
                                "%s{\"name\":\"m%d\",\"weightsMb\":1000,\"loadS\":0.2,"
                                "\"adapters\":5,\"adapterMb\":1,\"warmS\":0.1,\"diskS\":0.15}",
                                i > 0 ? "," : "", i);
+    g_mutex_lock(&estate->configure_lock);
     estate->catalog_version += 3;
     json_t *call = json_object();
     json_object_set_new(call, "do", json_string("put"));
@@ -67,15 +76,19 @@
                      "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50,"
                      "\"coldPerS\":2,"
                      "\"coldStartS\":2}%s],"
-                     "\"limits\":{\"maxHeaderBytes\":%d,\"maxBodyBytes\":100000,"
-                     "\"headerTimeoutMs\":800,\"idleTimeoutMs\":20000}%s%s}",
+                     "\"limits\":{\"maxHeaderBytes\":%d,\"maxBodyBytes\":%d,"
+                     "\"headerTimeoutMs\":%d,\"idleTimeoutMs\":%d}%s%s}",
                      (long long)estate->catalog_version, routes != NULL ? routes : default_routes,
                      models->str, estate->services != NULL ? estate->services : "",
-                     estate->max_header_bytes > 0 ? estate->max_header_bytes : MAX_HEADER_BYTES,
+                     limit_or(estate->max_header_bytes, MAX_HEADER_BYTES),
+                     limit_or(estate->max_body_bytes, MAX_BODY_BYTES),
+                     limit_or(estate->header_timeout_ms, HEADER_TIMEOUT_MS),
+                     limit_or(estate->idle_timeout_ms, IDLE_TIMEOUT_MS),
                      estate->tenants != NULL ? ",\"tenants\":" : "",
                      estate->tenants != NULL ? estate->tenants : ""));
     char *text = json_dumps(call, JSON_COMPACT);
     estate_command(estate, "%s", text);
+    g_mutex_unlock(&estate->configure_lock);
     free(text);
     json_decref(call);
 }
@@ -419,6 +432,7 @@
 static estate_t *estate_create(int nodes, int older, const char *node_flags,
                                const char *const *flags, int proxied_engines) {
     estate_t *estate = g_new0(estate_t, 1);
+    g_mutex_init(&estate->configure_lock);
     estate->proxied_engines = proxied_engines;
     const char *build = g_getenv("WICKBRIDGE_BUILD");
     g_assert_nonnull(build);
@@ -464,6 +478,7 @@
         g_autofree char *command = g_strdup_printf("rm -rf '%s'", estate->files.folder);
         g_spawn_command_line_sync(command, NULL, NULL, NULL, NULL);
     }
+    g_mutex_clear(&estate->configure_lock);
     g_free(estate->files.folder);
     g_free(estate->files.build);
     g_free(estate);
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -51,7 +51,12 @@
     const char *tenants;    /**< JSON list for estate_configure; NULL: clients have no keys */
     const char *services;   /**< JSON of further services for estate_configure, each with a comma
                                before it; NULL: none */
-    int max_header_bytes;   /**< for estate_configure; 0: 4096 */
+    GMutex configure_lock;  /**< orders the versions that estate_configure writes; guards their
+                               limits, which are: */
+    int max_header_bytes;   /**< 0: 4096 */
+    int max_body_bytes;     /**< 0: 100000 */
+    int header_timeout_ms;  /**< 0: 800 */
+    int idle_timeout_ms;    /**< 0: 20000 */
     const char *node_flags; /**< additional flags, separated by spaces */
 } estate_t;
 
@@ -150,7 +155,10 @@
 /** As wire_open. @return NULL if nothing listens there */
 wire_t *wire_try_open(int port);
 void wire_close(wire_t *wire);
-void wire_send(wire_t *wire, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** @return FALSE if the server closed the connection before all was sent */
+gboolean wire_send(wire_t *wire, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/** @return TRUE if the server sent bytes or closed within `timeout_ms`; nothing is read */
+gboolean wire_wait(wire_t *wire, int timeout_ms);
 /** Read one response. A body with neither a Content-Length nor chunks stays in `unread`. @return
  * what arrived within `timeout_ms`; free it with wire_response_free */
 wire_response_t *wire_read(wire_t *wire, int timeout_ms);
--- a/tests/harness/wire.c
+++ b/tests/harness/wire.c
@@ -36,7 +36,7 @@
     g_free(wire);
 }
 
-void wire_send(wire_t *wire, const char *format, ...) {
+gboolean wire_send(wire_t *wire, const char *format, ...) {
     va_list values;
     va_start(values, format);
     g_autofree char *text = g_strdup_vprintf(format, values);
@@ -46,9 +46,15 @@
     while (sent < length) {
         ssize_t count = send(wire->descriptor, text + sent, length - sent, MSG_NOSIGNAL);
         if (count <= 0)
-            return; /* the server closed the connection; the next read reports it */
+            return FALSE; /* the server closed the connection; the next read reports it */
         sent += (size_t)count;
     }
+    return TRUE;
+}
+
+gboolean wire_wait(wire_t *wire, int timeout_ms) {
+    struct pollfd watched = {wire->descriptor, POLLIN, 0};
+    return wire->unread->len > 0 || poll(&watched, 1, timeout_ms) > 0;
 }
 
 /* Reads available bytes. Returns FALSE if the connection is closed or the time has passed. */
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -33,6 +33,9 @@
     if (soak_has_parts(id)) {
         return soak_part_body(id);
     }
+    if (g_str_has_prefix(id, SOAK_REST_ID)) {
+        return soak_rest_body(id);
+    }
     return g_str_has_prefix(id, SOAK_REJOIN_ID) ? soak_rejoin_body(id) : g_strdup("hello");
 }
 
@@ -322,6 +325,7 @@
     soak_rejoin_check(soak);
     soak_parts_check(soak, seen);
     soak_flood_check(soak);
+    soak_rests_check(soak, seen);
     soak_faulty_check(soak, seen);
     soak_config_check(soak, seen);
     json_decref(seen);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -314,6 +314,14 @@
     {"stream-engine-crashes", stream_engine_crash_begin, soak_fault_end_nothing, 10, 20, FALSE},
 };
 
+/* Short enough that a node's leases and shares stay with it. */
+static const soak_fault_kind_t rest_kinds[] = {
+    {"pause", pause_begin, pause_end, 300, 1200, TRUE},
+    {"pause", pause_begin, pause_end, 300, 1200, TRUE},
+    {"planned-stop", stop_begin, stop_end, 300, 500, TRUE},
+    {"reload", reload_begin, soak_fault_end_nothing, 10, 20, TRUE},
+};
+
 static const soak_fault_kind_t shed_kind = {"engines-shed", shed_begin, shed_end,
                                             2000,           8000,       FALSE};
 
@@ -369,6 +377,9 @@
 
 /* Seeds without an option draw the same sequence as before that option existed. */
 static const soak_fault_kind_t *kind_draw(soak_t *soak) {
+    if (soak->rests != NULL && g_rand_int_range(soak->rand, 0, 2) == 0) {
+        return &rest_kinds[g_rand_int_range(soak->rand, 0, G_N_ELEMENTS(rest_kinds))];
+    }
     if (soak->rejoin != NULL && g_rand_int_range(soak->rand, 0, 3) == 0) {
         return &kinds[4]; /* kill all */
     }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #define DEFAULT_SECONDS 30
-#define SEEDS_WITH_ALL_BITS 8388608U /* seeds below it have no bits without a meaning */
+#define SEEDS_WITH_ALL_BITS 16777216U /* seeds below it have no bits without a meaning */
 /* How long poison requests go on after all faults are over, when no node is disturbed. */
 #define POISON_TAIL_US 6000000
 /* How long connections go on to one node by turns: longer than two turns and what faults leave. */
@@ -180,6 +180,8 @@
         soak.has_versions = FALSE;
         soak.has_tenants = FALSE;
     }
+    /* Bit 23, of seeds without higher bits. The older build closes connections as it likes. */
+    gboolean has_rests = seed / 8388608 == 1 && !soak.has_builds;
     GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
@@ -220,6 +222,9 @@
     if (seed / 2048 % 2 == 1 && !has_rejoins) {
         soak_config_start(&soak, clients);
     }
+    if (has_rests) {
+        soak_rests_start(&soak, clients);
+    }
     soak_faults_run(&soak, (int64_t)options->seconds * 1000);
     g_atomic_int_set(&soak.stop, 1);
     soak_clients_join(tenants);
@@ -253,6 +258,7 @@
     estate_stop(soak.estate);
     soak_config_free(&soak);
     soak_rejoin_free(&soak);
+    soak_rests_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
     g_array_unref(soak.partitions);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,7 @@
 
 typedef struct soak_config_writer_t soak_config_writer_t;
 typedef struct soak_rejoin_t soak_rejoin_t;
+typedef struct soak_rests_t soak_rests_t;
 
 /** Time during which a fault was active or may have had effects. */
 typedef struct soak_span_t {
@@ -117,6 +118,7 @@
     gboolean has_versions;   /* engines of two software versions, and clients that take streams
                                 up at other nodes */
     soak_rejoin_t *rejoin;   /* all nodes are killed while versions and routes change; NULL: not */
+    soak_rests_t *rests;     /* clients rest on kept connections while limits change; NULL: not */
     soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
     soak_streams_t taken_up; /* streams that they took up there */
     gboolean has_flood;      /* most new connections go to one node, by turns */
@@ -155,6 +157,8 @@
 
 #define SOAK_REJOIN_ID "w" /* begins the ids of streams that are taken up after all were killed */
 
+#define SOAK_REST_ID "k" /* begins the ids of requests after a rest */
+
 #define SOAK_FLOOD_ID "f" /* begins the ids of requests that go to one node by turns */
 
 #define SOAK_TENANT_ID "t" /* begins the ids of requests of tenants with limits */
@@ -169,6 +173,10 @@
 /* spans.c */
 /** @return TRUE when the node was killed, paused or switched to the other build in this time */
 gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+/** @return TRUE when the node's process was killed in this time */
+gboolean soak_is_killed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
+/** @return TRUE when the node was killed in this time or being stopped as planned */
+gboolean soak_is_stopped(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when the node was restarted (planned or not) or paused in this time */
 gboolean soak_is_restarted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms);
 /** @return TRUE when the node was restarted, paused or cut off in this time */
@@ -229,6 +237,17 @@
 /** Check that streams go on, and print how many. */
 void soak_rejoin_check(soak_t *soak);
 
+/* rests.c */
+/** Start the operator who changes limits, and clients that rest on kept connections as long as
+ * these allow. @param threads takes their threads, which end with stop */
+void soak_rests_start(soak_t *soak, GPtrArray *threads);
+void soak_rests_free(soak_t *soak);
+/** @return body of a request after a rest; owned by the caller */
+char *soak_rest_body(const char *id);
+/** Check that each whole request was answered, and that connections stayed open while their clients
+ * rested as long as they may. */
+void soak_rests_check(soak_t *soak, const json_t *seen);
+
 /* versions.c */
 /** A stream over its client's tries. */
 typedef struct soak_stream_t {
--- a/tests/soak/spans.c
+++ b/tests/soak/spans.c
@@ -18,6 +18,28 @@
     return found;
 }
 
+/* A process is killed at the beginning of the span, all of them one after the other. */
+#define KILL_MS 500
+
+gboolean soak_is_killed(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const kills[] = {"kill", "all-killed", "other-build", NULL};
+    gboolean found = FALSE;
+    g_mutex_lock(&soak->lock);
+    for (guint i = 0; i < soak->spans->len; i++) {
+        const soak_span_t *span = &g_array_index(soak->spans, soak_span_t, i);
+        found |= (span->node < 0 || span->node == node) && span->from_ms <= to_ms &&
+                 span->from_ms >= from_ms - KILL_MS && g_strv_contains(kills, span->name);
+    }
+    g_mutex_unlock(&soak->lock);
+    return found;
+}
+
+gboolean soak_is_stopped(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
+    static const char *const stops[] = {"planned-stop", NULL};
+    return soak_is_killed(soak, node, from_ms, to_ms) ||
+           had_fault(soak, node, from_ms, to_ms, stops);
+}
+
 gboolean soak_is_halted(soak_t *soak, int node, int64_t from_ms, int64_t to_ms) {
     static const char *const halts[] = {"kill", "pause", "all-killed", "other-build", NULL};
     return had_fault(soak, node, from_ms, to_ms, halts);
