Soak: another writer's odd rows among those of engines

Rows that are nested deeply, with numbers, texts and addresses out of range, and keys with line breaks, quotes and control characters are put and removed all the time among the rows of a service of its own; a sound engine comes after them again and again. Checked: at nodes in touch at most 2 % and 10 of that service's requests fail; each node that is in touch follows an engine within 2 s of its row, the bound for engines that leave; no engine gets a header that a key or text made; each log line is JSON. Processes that end by themselves are now found when they do, in all seeds: a kill before the end of the run took them away unnoticed, and now they are started again.

--- a/tests/harness/estate.c
+++ b/tests/harness/estate.c
@@ -71,7 +71,7 @@
     json_object_set_new(call, "key", json_string("config"));
     json_object_set_new(
         call, "value",
-        json_sprintf("{\"version\":%lld,\"routes\":[%s],\"services\":[{\"name\":\"llm\","
+        json_sprintf("{\"version\":%lld,\"routes\":[%s%s],\"services\":[{\"name\":\"llm\","
                      "\"maxConnections\":100,\"engine\":{\"weightsMb\":2100,\"adapterSlots\":2,"
                      "\"loadsPerS\":4,\"models\":[%s]}},{\"name\":\"lock\",\"maxConnections\":50,"
                      "\"coldPerS\":2,"
@@ -79,7 +79,8 @@
                      "\"limits\":{\"maxHeaderBytes\":%d,\"maxBodyBytes\":%d,"
                      "\"headerTimeoutMs\":%d,\"idleTimeoutMs\":%d}%s%s}",
                      (long long)estate->catalog_version, routes != NULL ? routes : default_routes,
-                     models->str, estate->services != NULL ? estate->services : "",
+                     estate->routes != NULL ? estate->routes : "", models->str,
+                     estate->services != NULL ? estate->services : "",
                      limit_or(estate->max_header_bytes, MAX_HEADER_BYTES),
                      limit_or(estate->max_body_bytes, MAX_BODY_BYTES),
                      limit_or(estate->header_timeout_ms, HEADER_TIMEOUT_MS),
--- a/tests/harness/estate.h
+++ b/tests/harness/estate.h
@@ -48,9 +48,11 @@
     int engine_proxy_ports[ESTATE_ENGINES]; /**< proxy port per engine */
     int engine_ports[ESTATE_ENGINES];
     int64_t catalog_version;
-    const char *tenants;    /**< JSON list for estate_configure; NULL: clients have no keys */
-    const char *services;   /**< JSON of further services for estate_configure, each with a comma
-                               before it; NULL: none */
+    const char *tenants;  /**< JSON list for estate_configure; NULL: clients have no keys */
+    const char *routes;   /**< JSON of further routes for estate_configure, each with a comma before
+                             it; NULL: none */
+    const char *services; /**< JSON of further services for estate_configure, each with a comma
+                             before it; NULL: none */
     GMutex configure_lock;  /**< orders the versions that estate_configure writes; guards their
                                limits, which are: */
     int max_header_bytes;   /**< 0: 4096 */
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -183,7 +183,7 @@
 }
 
 static const char *zone_of_engine(const char *engine) {
-    static const char *const zone_1[] = {"llm-1", "lock-1"};
+    static const char *const zone_1[] = {"llm-1", "lock-1", "kiosk-1"};
     for (size_t i = 0; i < G_N_ELEMENTS(zone_1); i++) {
         if (strcmp(engine, zone_1[i]) == 0) {
             return "zone-1";
@@ -261,9 +261,10 @@
     }
 }
 
-/* The service of a route that never changes; "": the route does. */
+/* The service of a route that never changes; "": the route does, or its service has no budget to
+ * check. */
 static const char *service_of(const char *path) {
-    if (soak_probe_route(path) < SOAK_PROBE_ROUTES) {
+    if (soak_probe_route(path) < SOAK_PROBE_ROUTES || strcmp(path, SOAK_KIOSK_PATH) == 0) {
         return "";
     }
     return strcmp(path, "/lock/x") == 0 || strcmp(path, "/look/x") == 0 ? "lock" : "llm";
@@ -326,6 +327,7 @@
     soak_parts_check(soak, seen);
     soak_flood_check(soak);
     soak_rests_check(soak, seen);
+    soak_odd_rows_check(soak, seen);
     soak_faulty_check(soak, seen);
     soak_config_check(soak, seen);
     json_decref(seen);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -3,6 +3,7 @@
 
 #include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #define GAP_MAX_MS 900 /* between the starts of two faults */
 #define FAULTS_AT_ONCE 3
@@ -156,9 +157,7 @@
                    name);
 }
 
-static void config_begin(soak_fault_t *fault, soak_t *soak) {
-    (void)fault;
-    soak_tenants_change(soak);
+void soak_config_rewrite(soak_t *soak) {
     if (soak->config_writer != NULL) {
         soak_config_change(soak);
     } else if (soak->rejoin != NULL) {
@@ -168,6 +167,12 @@
     }
 }
 
+static void config_begin(soak_fault_t *fault, soak_t *soak) {
+    (void)fault;
+    soak_tenants_change(soak);
+    soak_config_rewrite(soak);
+}
+
 static const char *engine_name(const soak_fault_t *fault) {
     static const char *const engines[] = {"llm-1", "llm-2", "lock-1", "lock-2"};
     return engines[fault->variant % (int)G_N_ELEMENTS(engines)];
@@ -461,6 +466,31 @@
     }
 }
 
+static gboolean is_being_stopped(const GArray *active, int node) {
+    for (guint i = 0; i < active->len; i++) {
+        const soak_fault_t *fault = &g_array_index(active, soak_fault_t, i);
+        if (fault->kind->begin == stop_begin && fault->node == node) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+/* Checks that no node has ended by itself, and starts those again that have. */
+static void exits_check(soak_t *soak, const GArray *active) {
+    for (int i = 0; i < soak->nodes; i++) {
+        process_t *process = &soak->estate->nodes[i].process;
+        int status;
+        if (process->pid > 0 && !is_being_stopped(active, i) &&
+            waitpid(process->pid, &status, WNOHANG) == process->pid) {
+            process->pid = 0;
+            soak_fail(soak, "node %d ended by itself at %.2f s, status %d", i,
+                      (double)(harness_now_ms() - soak->began_ms) / 1000, status);
+            estate_node_launch(soak->estate, i);
+        }
+    }
+}
+
 void soak_faults_run(soak_t *soak, int64_t duration_ms) {
     g_autoptr(GArray) active = g_array_new(FALSE, FALSE, sizeof(soak_fault_t));
     int64_t until_ms = harness_now_ms() + duration_ms;
@@ -468,6 +498,7 @@
     while (harness_now_ms() < until_ms) {
         int64_t now_ms = harness_now_ms();
         faults_end(soak, active, now_ms);
+        exits_check(soak, active);
         if (now_ms >= next_ms) {
             fault_begin(soak, active);
             next_ms = now_ms + g_rand_int_range(soak->rand, 50, GAP_MAX_MS);
--- a/tests/soak/rests.c
+++ b/tests/soak/rests.c
@@ -102,11 +102,7 @@
     rests->changes++;
     g_mutex_unlock(&rests->lock);
     g_mutex_unlock(&estate->configure_lock);
-    if (soak->config_writer != NULL) {
-        soak_config_change(soak);
-    } else {
-        estate_configure(estate, NULL);
-    }
+    soak_config_rewrite(soak);
 }
 
 static gpointer limits_run(gpointer data) {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 #define DEFAULT_SECONDS 30
-#define SEEDS_WITH_ALL_BITS 16777216U /* seeds below it have no bits without a meaning */
+#define SEEDS_WITH_ALL_BITS 33554432U /* seeds below it have no bits without a meaning */
 /* How long poison requests go on after all faults are over, when no node is disturbed. */
 #define POISON_TAIL_US 6000000
 /* How long connections go on to one node by turns: longer than two turns and what faults leave. */
@@ -180,8 +180,11 @@
         soak.has_versions = FALSE;
         soak.has_tenants = FALSE;
     }
-    /* Bit 23, of seeds without higher bits. The older build closes connections as it likes. */
-    gboolean has_rests = seed / 8388608 == 1 && !soak.has_builds;
+    /* Bits 23 and 24 of seeds without higher bits. The older build closes connections as it likes,
+     * and takes rows as they are. */
+    gboolean has_rests = seed < SEEDS_WITH_ALL_BITS && seed / 8388608 % 2 == 1 && !soak.has_builds;
+    gboolean has_odd_rows =
+        seed < SEEDS_WITH_ALL_BITS && seed / 16777216 % 2 == 1 && !soak.has_builds;
     GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
@@ -222,6 +225,9 @@
     if (seed / 2048 % 2 == 1 && !has_rejoins) {
         soak_config_start(&soak, clients);
     }
+    if (has_odd_rows) {
+        soak_odd_rows_start(&soak, clients);
+    }
     if (has_rests) {
         soak_rests_start(&soak, clients);
     }
@@ -259,6 +265,7 @@
     soak_config_free(&soak);
     soak_rejoin_free(&soak);
     soak_rests_free(&soak);
+    soak_odd_rows_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
     g_array_unref(soak.partitions);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -32,6 +32,7 @@
 typedef struct soak_config_writer_t soak_config_writer_t;
 typedef struct soak_rejoin_t soak_rejoin_t;
 typedef struct soak_rests_t soak_rests_t;
+typedef struct soak_odd_rows_t soak_odd_rows_t;
 
 /** Time during which a fault was active or may have had effects. */
 typedef struct soak_span_t {
@@ -119,15 +120,16 @@
                                 up at other nodes */
     soak_rejoin_t *rejoin;   /* all nodes are killed while versions and routes change; NULL: not */
     soak_rests_t *rests;     /* clients rest on kept connections while limits change; NULL: not */
-    soak_streams_t begun;    /* new streams of these clients, at nodes in touch */
-    soak_streams_t taken_up; /* streams that they took up there */
-    gboolean has_flood;      /* most new connections go to one node, by turns */
-    gboolean has_faulty;     /* engines send answers twice, or bytes without end */
-    int64_t flood_from_ms;   /* when their clients begin */
-    gboolean has_parts;      /* requests that share a part which crashes engines, and sound ones */
-    int64_t parts_from_ms;   /* when the former begin */
-    gboolean has_tenants;    /* tenants with limits send far more than these at times */
-    const char *key_header;  /* of all other requests; "": configurations have no tenants */
+    soak_odd_rows_t *odd_rows; /* another writer's rows among those of engines; NULL: none */
+    soak_streams_t begun;      /* new streams of these clients, at nodes in touch */
+    soak_streams_t taken_up;   /* streams that they took up there */
+    gboolean has_flood;        /* most new connections go to one node, by turns */
+    gboolean has_faulty;       /* engines send answers twice, or bytes without end */
+    int64_t flood_from_ms;     /* when their clients begin */
+    gboolean has_parts;     /* requests that share a part which crashes engines, and sound ones */
+    int64_t parts_from_ms;  /* when the former begin */
+    gboolean has_tenants;   /* tenants with limits send far more than these at times */
+    const char *key_header; /* of all other requests; "": configurations have no tenants */
     gboolean has_brittle_engines; /* engines fall when they have to reject too many requests */
     GArray *partitions;           /* of soak_partition_t */
     soak_config_writer_t *config_writer; /* changes routes; NULL: this seed has none */
@@ -159,6 +161,8 @@
 
 #define SOAK_REST_ID "k" /* begins the ids of requests after a rest */
 
+#define SOAK_KIOSK_PATH "/kiosk/x" /* of the service among whose engines odd rows are */
+
 #define SOAK_FLOOD_ID "f" /* begins the ids of requests that go to one node by turns */
 
 #define SOAK_TENANT_ID "t" /* begins the ids of requests of tenants with limits */
@@ -248,6 +252,15 @@
  * rested as long as they may. */
 void soak_rests_check(soak_t *soak, const json_t *seen);
 
+/* odd_rows.c */
+/** Start a service with sound engines, its clients, and another writer who puts odd rows among
+ * those of its engines. @param threads takes their threads, which end with stop */
+void soak_odd_rows_start(soak_t *soak, GPtrArray *threads);
+void soak_odd_rows_free(soak_t *soak);
+/** Check that the service was served, that engines which came after odd rows were followed, that no
+ * engine got a header of a row's making, and that logs stayed readable. */
+void soak_odd_rows_check(soak_t *soak, const json_t *seen);
+
 /* versions.c */
 /** A stream over its client's tries. */
 typedef struct soak_stream_t {
@@ -317,6 +330,8 @@
 /** Begin and end faults as the seed determines, for this time; then end all and wait until nodes
  * are ready. */
 void soak_faults_run(soak_t *soak, int64_t duration_ms);
+/** Write another version of the configuration, with a change where this seed makes any. */
+void soak_config_rewrite(soak_t *soak);
 
 /* partitions.c */
 /** Compare what nodes served that were cut off from engines with what the others did. */
