Soak: a node out of step may be cut off from the store too, and begin with one version

A third kind of bit cuts the node off from the other nodes and the store; in one round of three the engines that joined stop two seconds after its return, so that it begins the next round with one version only, of which it could conclude that every stream began there.

--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -40,7 +40,7 @@
 /* zone_faults.c */
 extern const soak_fault_kind_t soak_zone_faults[SOAK_ZONE_FAULTS];
 
-#define SOAK_STEP_FAULTS 2
+#define SOAK_STEP_FAULTS 3
 /* steps.c */
 extern const soak_fault_kind_t soak_step_faults[SOAK_STEP_FAULTS];
 
--- a/tests/soak/steps.c
+++ b/tests/soak/steps.c
@@ -88,10 +88,22 @@
     round_end(soak, fault->node);
 }
 
+/* Cut off from the store as well. */
+static void step_alone_begin(soak_fault_t *fault, soak_t *soak) {
+    estate_store_fault(soak->estate, fault->node, "freeze", 0);
+    step_cut_begin(fault, soak);
+}
+
+static void step_alone_end(soak_fault_t *fault, soak_t *soak) {
+    estate_store_fault(soak->estate, fault->node, "pass", 0);
+    step_cut_end(fault, soak);
+}
+
 /* Named as the faults of which they are a longer form: the node is excused as for those. */
 const soak_fault_kind_t soak_step_faults[SOAK_STEP_FAULTS] = {
     {"pause", step_pause_begin, step_pause_end, 1000, 4000, TRUE},
     {"way-to-node", step_cut_begin, step_cut_end, 1000, 4000, FALSE},
+    {"way-to-store", step_alone_begin, step_alone_end, 1000, 4000, TRUE},
 };
 
 static void engine_name(int round, int index, char name[32]) {
@@ -139,8 +151,9 @@
     }
 }
 
-/* Lets engines join in each round, and those of the round before stop. In one round of three they
- * stop before the node is back. */
+/* Lets engines join in each round, and stops those of the round before. In one round of three they
+ * stop before the node is back, in another some time after it: the node then begins the next round
+ * with one version only. */
 static gpointer engines_run(gpointer data) {
     soak_t *soak = data;
     GRand *rand = g_rand_new_with_seed(soak->seed + 9000);
@@ -161,8 +174,14 @@
             engines_stop(soak, before, g_rand_boolean(rand));
         }
         before = number;
-        if (g_rand_int_range(rand, 0, 3) == 0) {
+        int end = g_rand_int_range(rand, 0, 3);
+        if (end == 0) {
             g_usleep((JOIN_MAX_MS + BEGIN_MAX_MS) * 1000);
+        } else if (end == 1) {
+            round_wait(soak, number, TRUE);
+            g_usleep(2 * RETURN_MAX_MS * 1000);
+        }
+        if (end <= 1) {
             engines_stop(soak, number, g_rand_boolean(rand));
             before = 0;
         }
@@ -183,7 +202,8 @@
                        : round->node;
         g_snprintf(id, sizeof(id), SOAK_REJOIN_ID "%d-%d-%d", client->number, stream_number, try);
         g_autofree char *body = soak_rejoin_body(id);
-        gboolean was_away = round_now(soak).is_away;
+        round_t now = round_now(soak);
+        gboolean was_away = now.is_away && now.node == node;
         int before = stream.last;
         gboolean whole = soak_stream_send(
             soak, &stream,
