Streams: one that goes on and gets nothing but an unframed head isn't complete

Cause: an unframed stream without an event has failed, but any answer that had begun, or whose request takes a stream up, was excepted, as nothing may be left behind the last event. Within an answer it is known that the stream broke off, so that this is unlikely, and its client may take it up itself, while it can't repair an end that isn't one. It fails now: another engine is asked if the route allows one more run, else the client's connection breaks off.

--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -187,12 +187,15 @@
         answer_forward(exchange, exchange->answer->len);
 }
 
-/* Whether an unframed stream ended before its first event. One that goes on after the last event of
- * an earlier one may have none. */
+/* Whether an unframed stream ended before the attempt's first event. One whose client takes it up
+ * behind the last event may have none. One that goes on within its answer may, too, but it was
+ * broken off before: then its client is left to take it up. */
 static gboolean lacks_first_event(const wb_exchange_t *exchange) {
     const char *last_event_id = exchange->edge->dialect->last_event_id;
-    return exchange->reply.framing == WB_FRAMING_CLOSE && exchange->reply.has_events &&
-           !exchange->answer_begun && wb_http_head_get(exchange->head, last_event_id) == NULL;
+    if (exchange->reply.framing != WB_FRAMING_CLOSE || !exchange->reply.has_events ||
+        exchange->attempt_events > 0)
+        return FALSE;
+    return exchange->answer_begun || wb_http_head_get(exchange->head, last_event_id) == NULL;
 }
 
 const char *wb_exchange_cut_off_reason(wb_exchange_t *exchange) {
--- a/standins/estate/cut_answer.c
+++ b/standins/estate/cut_answer.c
@@ -28,6 +28,7 @@
     {"204", "HTTP/1.1 204 No Content\r\n" HEAD "\r\n"},
     {"304", "HTTP/1.1 304 Not Modified\r\n" HEAD "Content-Length: 5\r\n\r\n"},
     {"head", OK "Content-Length: 13\r\n\r\n"},
+    {"stream", OK "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\n" EVENT "\r\n0\r\n\r\n"},
 };
 
 static const char *form_text(const char *name) {
@@ -37,15 +38,18 @@
     return NULL;
 }
 
-char *wb_estate_cut_answer(const char *request_id, gboolean *reset) {
+char *wb_estate_cut_answer(const char *request_id, gboolean goes_on, gboolean *reset) {
     g_auto(GStrv) asked = g_strsplit(request_id, ".", 4);
     const char *form = g_strv_length(asked) >= 3 ? form_text(asked[0]) : NULL;
+    if (form != NULL && goes_on)
+        form = form_text("unframed");
     if (form == NULL)
         return NULL;
     g_auto(GStrv) around_id = g_strsplit(form, "%s", 2);
     char *text = g_strjoinv(request_id, around_id);
     size_t length = strlen(text);
-    text[length - MIN((size_t)atol(asked[1]), length)] = '\0';
+    if (!goes_on)
+        text[length - MIN((size_t)atol(asked[1]), length)] = '\0';
     *reset = strcmp(asked[2], "reset") == 0;
     return text;
 }
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -121,8 +121,9 @@
 
 /* cut_answer.c */
 /** Return the beginning of an answer: FORM.LEFT.END.ANYTHING as a request's id asks for the FORM of
- * cut_forms without its last LEFT bytes. @param reset set: END is "reset", not "close" @return NULL
- * for any other id; free it with g_free */
-char *wb_estate_cut_answer(const char *request_id, gboolean *reset);
+ * cut_forms without its last LEFT bytes. @param goes_on the request takes up a stream: the head
+ * "unframed" is all that comes then @param reset set: END is "reset", not "close" @return NULL for
+ * any other id; free it with g_free */
+char *wb_estate_cut_answer(const char *request_id, gboolean goes_on, gboolean *reset);
 
 #endif
--- a/standins/estate/faulty_engine.c
+++ b/standins/estate/faulty_engine.c
@@ -43,6 +43,7 @@
     wb_http_reader_t *reader;
     wb_timer_t *timer; /* until the running request is answered, or the next piece is sent */
     char *id;          /* of the running request */
+    gboolean goes_on;  /* it has a Last-Event-Id */
     gboolean is_head;  /* its method is HEAD: answers have no body */
     GString *body;     /* of the running request */
     char *piece;       /* what is sent without end; NULL: nothing is */
@@ -228,7 +229,7 @@
  * FALSE when it asks for none. */
 static gboolean cut_answer_send(connection_t *connection) {
     gboolean reset = FALSE;
-    g_autofree char *text = wb_estate_cut_answer(connection->id, &reset);
+    g_autofree char *text = wb_estate_cut_answer(connection->id, connection->goes_on, &reset);
     if (text == NULL)
         return FALSE;
     run_record(connection);
@@ -277,6 +278,7 @@
     g_free(connection->id);
     connection->id = g_strdup(id != NULL ? id : "");
     connection->is_head = strcmp(head->method, "HEAD") == 0;
+    connection->goes_on = wb_http_head_get(head, "Last-Event-Id") != NULL;
     g_string_truncate(connection->body, 0);
 }
 
--- a/tests/edge/test_head_cut.c
+++ b/tests/edge/test_head_cut.c
@@ -287,6 +287,29 @@
     estate_stop(estate);
 }
 
+/* Guards against a stream that was broken off, goes on at another engine, and is ended as complete
+ * when that one dies behind the head of an answer without a frame. */
+static void test_stream_goes_on_with_nothing(void) {
+    estate_t *estate = faulty_start(1, 2, NULL);
+    cut_t cut = {"POST", "/go/x", "stream", 3, "close", FALSE, 2};
+    estate_configure(estate, ROUTES);
+    for (int i = 1; i <= 2; i++)
+        faulty_option(estate, i, "cuts", 1);
+    g_usleep(500000); /* until the routes are known */
+    for (int i = 0; i < 5; i++) {
+        g_autofree char *id = cut_id(&cut);
+        wire_response_t *answer = request_send(estate->nodes[0].clients_port, &cut, id);
+        g_test_message("%d, whole %d, %d runs", answer->status, answer->whole,
+                       estate_runs(estate, id));
+        g_assert_cmpint(estate_runs(estate, id), ==, 2);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_cmpstr(answer->body->str, ==, "id: 1\n" WHOLE);
+        g_assert_false(answer->whole);
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
     for (size_t i = 0; i < G_N_ELEMENTS(cuts_tests); i++)
         g_test_add_data_func(cuts_tests[i].name, &cuts_tests[i], test_cuts);
@@ -298,6 +321,7 @@
                     test_empty_unframed_answer_is_checked);
     g_test_add_func("/edge/head-cut/proper-empty-unframed-answer",
                     test_proper_empty_unframed_answer);
+    g_test_add_func("/edge/head-cut/stream-goes-on-with-nothing", test_stream_goes_on_with_nothing);
 }
 
 PROCESS_TEST_MAIN(tests_add)
