--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -1,11 +1,11 @@
 /* Guards against a response without end that is collected as long as bytes arrive, and responses
  * that are taken for complete although their connection ended before they did. */
+#include "raw_server.h"
 #include "unit.h"
 
 #include "wickbridge/http_client.h"
 #include "wickbridge/http_listener.h"
 #include "wickbridge/loop.h"
-#include "wickbridge/tcp_stream.h"
 
 #include <string.h>
 
@@ -19,8 +19,6 @@
     unsigned status;
     size_t length;
     gboolean framed;
-    const char *text; /* what a server of raw bytes sends */
-    size_t text_bytes;
 } fixture_t;
 
 static void send_endless(wb_http_connection_t *connection, void *request, void *context) {
@@ -74,29 +72,11 @@
     wb_http_client_stop(client);
 }
 
-static void raw_data(wb_tcp_stream_t *stream, const char *data, size_t length, void *context) {
-    const fixture_t *fixture = context;
-    (void)data;
-    (void)length;
-    wb_tcp_stream_write(stream, fixture->text, fixture->text_bytes);
-    wb_tcp_stream_finish(stream);
-}
-
-static void raw_end(wb_tcp_stream_t *stream, wb_tcp_end_reason_t how, void *context) {
-    (void)how;
-    (void)context;
-    wb_tcp_stream_close(stream);
-}
-
-static void raw_accepted(wb_tcp_stream_t *stream, void *context) {
-    static const wb_tcp_events_t events = {NULL, raw_data, raw_end, NULL};
-    wb_tcp_stream_set_events(stream, &events, context);
-}
-
-/* A server that sends raw bytes and closes, and a client that calls it. */
+/* A client, and a server that sends raw bytes. */
 typedef struct raw_t {
     fixture_t fixture;
-    wb_tcp_listener_t *listener;
+    raw_server_t server;
+    char *url;
     wb_http_client_t *client;
 } raw_t;
 
@@ -104,31 +84,29 @@
     raw_t *raw = g_new0(raw_t, 1);
     wb_error_t error;
     g_assert_cmpint(wb_loop_create(&raw->fixture.loop, "test", 64, &error), ==, APR_SUCCESS);
-    g_assert_cmpint(wb_tcp_listen(raw->fixture.loop, "127.0.0.1:0", TIMEOUT_MS, raw_accepted,
-                                  &raw->fixture, &raw->listener, &error),
-                    ==, APR_SUCCESS);
+    g_autofree char *address = raw_server_open(&raw->server, raw->fixture.loop);
+    raw->url = g_strdup_printf("http://%s/", address);
     g_assert_cmpint(wb_http_client_start(&raw->client, NULL, &error), ==, APR_SUCCESS);
     return raw;
 }
 
 static void raw_free(raw_t *raw) {
     wb_http_client_stop(raw->client);
-    wb_tcp_listener_close(raw->listener);
+    wb_tcp_listener_close(raw->server.listener);
+    g_free(raw->url);
     g_free(raw);
 }
 
 /* Calls the server, which sends the first bytes of a text. */
 static void raw_call(raw_t *raw, const char *text, size_t bytes) {
-    g_autofree char *url =
-        g_strdup_printf("http://127.0.0.1:%u/", wb_tcp_listener_port(raw->listener));
     wb_http_request_t request = {.method = "GET",
-                                 .url = url,
+                                 .url = raw->url,
                                  .timeout_ms = TIMEOUT_MS,
                                  .send_once = TRUE,
                                  .on_done = record_result,
                                  .context = &raw->fixture};
-    raw->fixture.text = text;
-    raw->fixture.text_bytes = bytes;
+    raw->server.text = text;
+    raw->server.text_bytes = bytes;
     wb_http_client_fetch(raw->client, raw->fixture.loop, &request);
     wb_loop_run(raw->fixture.loop);
 }
--- a/tests/unit/test_http_pool.c
+++ b/tests/unit/test_http_pool.c
@@ -1,5 +1,7 @@
-/* Guards against large responses cut off by the timeout while bytes arrive, and calls that don't
- * end as their response stalls or has no end. */
+/* Guards against large responses cut off by the timeout while bytes arrive, calls that don't end as
+ * their response stalls or has no end, and responses that are taken for complete although their
+ * connection ended before they did. */
+#include "raw_server.h"
 #include "unit.h"
 
 #include "wickbridge/http_listener.h"
@@ -143,11 +145,53 @@
     g_assert_cmpuint(fixture.endless_bytes, <, MAX_BYTES + KERNEL_BYTES);
 }
 
+#define OK "HTTP/1.1 200 OK\r\nDate: today\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+
+/* Guards against a store, or an engine that reports, that dies within its response and whose call
+ * counts as answered. */
+static void test_cut_responses_are_unknown(void) {
+    static const char *const responses[] = {
+        OK "Content-Length: 2\r\n\r\n{}",
+        OK "Content-Length: 0\r\n\r\n",
+        OK CHUNKED "\r\n",
+        OK CHUNKED "Checksum: 1\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n" OK "Content-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 204 No Content\r\nDate: today\r\n\r\n",
+    };
+    fixture_t fixture = {0};
+    raw_server_t server = {0};
+    wb_error_t error;
+    wb_tcp_connect_options_t options = {1000, 1000, NULL};
+    g_assert_cmpint(wb_loop_create(&fixture.loop, "test", 64, &error), ==, APR_SUCCESS);
+    g_autofree char *address = raw_server_open(&server, fixture.loop);
+    wb_http_pool_t *pool = wb_http_pool_create(fixture.loop, address, &options);
+    wb_http_request_t request = {.method = "GET",
+                                 .target = "/",
+                                 .timeout_ms = 5000,
+                                 .fresh = TRUE,
+                                 .on_result = record_result,
+                                 .context = &fixture};
+    for (size_t i = 0; i < G_N_ELEMENTS(responses); i++) {
+        size_t length = strlen(responses[i]);
+        server.text = responses[i];
+        for (server.text_bytes = 0; server.text_bytes <= length; server.text_bytes++) {
+            gboolean is_whole = server.text_bytes == length;
+            wb_http_pool_call(pool, &request);
+            wb_loop_run(fixture.loop);
+            g_assert_cmpint(fixture.outcome, ==, is_whole ? WB_HTTP_COMPLETED : WB_HTTP_UNKNOWN);
+        }
+    }
+    wb_http_pool_free(pool);
+}
+
 static void tests_add(void) {
     g_test_add_func("/http-peer/whole-call-is-bounded", test_whole_call_is_bounded);
     g_test_add_func("/http-peer/progress-goes-on", test_progress_goes_on);
     g_test_add_func("/http-peer/silence-ends-it", test_silence_ends_it);
     g_test_add_func("/http-peer/endless-response-ends", test_endless_response_ends);
+    g_test_add_func("/http-peer/cut-responses-are-unknown", test_cut_responses_are_unknown);
 }
 
 UNIT_TEST_MAIN(tests_add)
