Tests: no stream is joined where nodes were out of step while a version joined

/edge/out-of-step: the node that takes streams up stood still, alone or with another one; held the lease; was cut off from the others, in one direction too, with and without the store; the store was away for it alone; the version left within its absence; seven nodes. Twelve streams each, taken up from before the node's return on, at intervals that the seed chooses, by their names and without, and a question for an unnamed one right before. None may get events of another version, and each whose version serves goes on within 5 s of the return.

--- a/tests/edge/test_out_of_step.c
+++ b/tests/edge/test_out_of_step.c
@@ -19,6 +19,24 @@
 #define RETURN_STREAMS 10
 #define RETURN_SPREAD_US 60000
 
+/* Streams that are taken up one after the other, some of them before the node's return, at
+ * intervals that the seed chooses. */
+#define TAKEN_UP 12
+#define TAKEN_UP_BEFORE 3
+#define TAKE_UP_SPREAD_MIN_US 10000
+#define TAKE_UP_SPREAD_MAX_US 140000
+/* How long nodes are out of step besides the time in which streams begin. */
+#define ABSENCE_US 700000
+/* After its return a node takes streams up within this time: the links between nodes, and the
+ * lease, are found anew. */
+#define GO_ON_MS 5000
+#define AGAIN_US 300000
+#define BEGIN_SPREAD_US 120000
+#define BEGIN_TRIES 30
+/* Of the streams so many begin at the version that joins. */
+#define JOINED_MIN 3
+#define MANY_NODES 7
+
 /* Starts nodes with engines a1 and a2 of version v1. */
 static estate_t *nodes_start(int nodes, const char *flags) {
     estate_t *estate = estate_start(nodes, flags);
@@ -135,8 +153,252 @@
     estate_stop(estate);
 }
 
+/* How nodes are out of step. */
+typedef enum absence_t {
+    STANDS_STILL,
+    STORE_AWAY,         /* for these nodes only */
+    CUT_OFF,            /* nothing passes on the links of the controller's node, which stay open */
+    CUT_OFF_WITH_STORE, /* the same, and the store is away for the nodes that are out of step */
+    HEARS_NOTHING,      /* what the controller's node sends reaches nobody */
+    IS_NOT_HEARD        /* nothing that is sent to the controller's node arrives */
+} absence_t;
+
+/* Faults of the links to the controller's node, by absence_t. */
+static const char *const link_faults[] = {"pass",   "pass",          "freeze",
+                                          "freeze", "freeze_answer", "freeze_request"};
+
+typedef struct out_of_step_t {
+    estate_t *estate;
+    absence_t absence;
+    unsigned nodes; /* that are out of step, as bits */
+    int controller; /* when they became so */
+    int first;      /* of them */
+    int begins_at;  /* a node that isn't, and that may have streams begin at a new version */
+    int64_t back_ms;
+} out_of_step_t;
+
+static gboolean is_out(const out_of_step_t *test, int node) {
+    return (test->nodes & 1U << node) != 0;
+}
+
+static void absence_set(out_of_step_t *test, gboolean on) {
+    estate_t *estate = test->estate;
+    for (int i = 0; i < estate->node_count; i++) {
+        if (is_out(test, i) && test->absence == STANDS_STILL)
+            process_signal(&estate->nodes[i].process, on ? SIGSTOP : SIGCONT);
+        if (is_out(test, i) && (test->absence == STORE_AWAY || test->absence == CUT_OFF_WITH_STORE))
+            estate_store_fault(estate, i, on ? "freeze" : "pass", 0);
+    }
+    estate_link_fault(estate, test->controller, on ? link_faults[test->absence] : "pass", 0);
+    if (!on)
+        test->back_ms = harness_now_ms();
+}
+
+/* @param count of nodes out of step: the controller's, or the next ones */
+static out_of_step_t out_of_step_begin(int nodes, absence_t absence, gboolean with_controller,
+                                       int count) {
+    out_of_step_t test = {.estate = nodes_start(nodes, FLAGS), .absence = absence};
+    test.controller = estate_wait_controller(test.estate, 8000);
+    for (int i = 0; i < count; i++)
+        test.nodes |= 1U << (test.controller + (with_controller ? 0 : 1) + i) % nodes;
+    test.first = (test.controller + (with_controller ? 0 : 1)) % nodes;
+    /* Where only links are at fault, others don't hear what the controller's node has stored. */
+    test.begins_at =
+        with_controller || absence == STANDS_STILL ? (test.first + count) % nodes : test.controller;
+    return test;
+}
+
+/* Takes a stream up again and again until it goes on. Returns its answer. */
+static wire_response_t *go_on(const out_of_step_t *test, const char *stream, const char *id) {
+    g_autofree char *headers =
+        g_strdup_printf(EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: %s\r\n", stream);
+    for (int again = 0;; again++) {
+        g_autofree char *try_id = g_strdup_printf("%s-%d", id, again);
+        wire_response_t *answer =
+            wire_request(test->estate->nodes[test->first].clients_port, "/once/x", try_id, headers);
+        if (answer->status == 200 || harness_now_ms() - test->back_ms > GO_ON_MS)
+            return answer;
+        wire_response_free(answer);
+        g_usleep(AGAIN_US);
+    }
+}
+
+typedef struct stream_t {
+    char id[32];
+    const char *version; /* that began it */
+} stream_t;
+
+/* Returns whether an answer has events of another version than the one that began the stream. */
+static gboolean is_joined(const wire_response_t *answer, const stream_t *stream) {
+    const char *version = version_of(answer);
+    return version != NULL && strcmp(version, stream->version) != 0;
+}
+
+/* Takes streams up around the node's return, each of them also without naming it: none may get
+ * events of another version. @param left the version that has left; named streams of others go on
+ */
+static void take_up(out_of_step_t *test, const stream_t streams[TAKEN_UP], const char *left) {
+    wire_t *wires[TAKEN_UP];
+    wire_t *unnamed[TAKEN_UP];
+    int joined = 0;
+    int at_once = 0;
+    int spread_us = g_test_rand_int_range(TAKE_UP_SPREAD_MIN_US, TAKE_UP_SPREAD_MAX_US);
+    int port = test->estate->nodes[test->first].clients_port;
+    for (int i = 0; i < TAKEN_UP; i++) {
+        g_autofree char *headers =
+            g_strdup_printf(EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: %s\r\n", streams[i].id);
+        g_autofree char *id = g_strdup_printf("t%d", i);
+        wires[i] = wire_open(port);
+        wire_post(wires[i], "/once/x", id, headers, "hello");
+        g_autofree char *unnamed_id = g_strdup_printf("u%d", i);
+        unnamed[i] = wire_open(port);
+        wire_post(unnamed[i], "/once/x", unnamed_id, UNNAMED, "hello");
+        if (i == TAKEN_UP_BEFORE)
+            absence_set(test, FALSE);
+        g_usleep((gulong)spread_us);
+    }
+    g_test_message("taken up each %d ms", spread_us / 1000);
+    for (int i = 0; i < TAKEN_UP; i++) {
+        g_autofree char *id = g_strdup_printf("t%d", i);
+        wire_response_t *answer = wire_read(wires[i], ANSWER_MS);
+        g_test_message("%s: began at %s, status %d", id, streams[i].version, answer->status);
+        joined += is_joined(answer, &streams[i]);
+        at_once += answer->status == 200;
+        if (answer->status != 200 && g_strcmp0(streams[i].version, left) != 0) {
+            wire_response_free(answer);
+            answer = go_on(test, streams[i].id, id);
+            g_test_message("%s: status %d, %d ms after the return", id, answer->status,
+                           (int)(harness_now_ms() - test->back_ms));
+            joined += is_joined(answer, &streams[i]);
+            g_assert_cmpint(answer->status, ==, 200);
+        }
+        wire_response_free(answer);
+        wire_close(wires[i]);
+        answer = wire_read(unnamed[i], ANSWER_MS);
+        joined += is_joined(answer, &streams[i]);
+        wire_response_free(answer);
+        wire_close(unnamed[i]);
+    }
+    g_test_message("%d went on at once, %d joined", at_once, joined);
+    g_assert_cmpint(joined, ==, 0);
+}
+
+/* Begins a stream that is broken off. */
+static stream_t stream_begin(const estate_t *estate, int node) {
+    static int number;
+    for (int i = 0; i < BEGIN_TRIES; i++) {
+        stream_t stream;
+        g_snprintf(stream.id, sizeof(stream.id), "s%d", ++number);
+        wire_response_t *answer =
+            wire_request(estate->nodes[node].clients_port, "/once/x", stream.id, EDGE_MODEL("m3"));
+        stream.version = version_of(answer);
+        wire_response_free(answer);
+        g_usleep(BEGIN_SPREAD_US);
+        if (stream.version != NULL)
+            return stream;
+    }
+    g_error("no stream begins");
+}
+
+/* Engines of v2 join while nodes are out of step, and streams begin through another node. @param
+ * leaves whether v2 leaves within that time */
+static void joins_unseen(out_of_step_t *test, gboolean leaves) {
+    estate_t *estate = test->estate;
+    stream_t streams[TAKEN_UP];
+    int new_ones = 0;
+    absence_set(test, TRUE);
+    if (test->absence != STANDS_STILL)
+        wire_response_free(
+            wire_request(estate->nodes[test->first].clients_port, "/once/x", "early", UNNAMED));
+    version_start(estate, "llm", "v2", "b1", "b2");
+    faults_set(estate, "cut", 1000);
+    g_usleep(ABSENCE_US);
+    for (int i = 0; i < TAKEN_UP; i++) {
+        streams[i] = stream_begin(estate, test->begins_at);
+        new_ones += strcmp(streams[i].version, "v2") == 0;
+    }
+    g_assert_cmpint(new_ones, >=, JOINED_MIN);
+    faults_set(estate, "", 0);
+    if (leaves)
+        version_stop(estate, "b1", "b2");
+    take_up(test, streams, leaves ? "v2" : NULL);
+    estate_stop(estate);
+}
+
+static void test_stands_still(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STANDS_STILL, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_holder_stands_still(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STANDS_STILL, TRUE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_two_stand_still(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STANDS_STILL, TRUE, 2);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_comes_and_leaves(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STANDS_STILL, TRUE, 1);
+    joins_unseen(&test, TRUE);
+}
+
+static void test_cut_off(void) {
+    out_of_step_t test = out_of_step_begin(NODES, CUT_OFF, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_holder_is_cut_off(void) {
+    out_of_step_t test = out_of_step_begin(NODES, CUT_OFF, TRUE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_holder_is_alone(void) {
+    out_of_step_t test = out_of_step_begin(NODES, CUT_OFF_WITH_STORE, TRUE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_is_alone(void) {
+    out_of_step_t test = out_of_step_begin(NODES, CUT_OFF_WITH_STORE, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_store_away(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STORE_AWAY, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_hears_nothing(void) {
+    out_of_step_t test = out_of_step_begin(NODES, HEARS_NOTHING, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_is_not_heard(void) {
+    out_of_step_t test = out_of_step_begin(NODES, IS_NOT_HEARD, FALSE, 1);
+    joins_unseen(&test, FALSE);
+}
+
+static void test_seven_nodes(void) {
+    out_of_step_t test = out_of_step_begin(MANY_NODES, STANDS_STILL, TRUE, 2);
+    joins_unseen(&test, FALSE);
+}
+
 static void tests_add(void) {
     g_test_add_func("/edge/out-of-step/version-returns", test_version_returns);
+    g_test_add_func("/edge/out-of-step/stands-still", test_stands_still);
+    g_test_add_func("/edge/out-of-step/holder-stands-still", test_holder_stands_still);
+    g_test_add_func("/edge/out-of-step/two-stand-still", test_two_stand_still);
+    g_test_add_func("/edge/out-of-step/comes-and-leaves", test_comes_and_leaves);
+    g_test_add_func("/edge/out-of-step/cut-off", test_cut_off);
+    g_test_add_func("/edge/out-of-step/holder-is-cut-off", test_holder_is_cut_off);
+    g_test_add_func("/edge/out-of-step/holder-is-alone", test_holder_is_alone);
+    g_test_add_func("/edge/out-of-step/is-alone", test_is_alone);
+    g_test_add_func("/edge/out-of-step/store-away", test_store_away);
+    g_test_add_func("/edge/out-of-step/hears-nothing", test_hears_nothing);
+    g_test_add_func("/edge/out-of-step/is-not-heard", test_is_not_heard);
+    g_test_add_func("/edge/out-of-step/seven-nodes", test_seven_nodes);
     g_test_add_func("/edge/out-of-step/late-answer", test_late_answer);
 }
 
