Log: wb_event_escape and its ring of buffers are gone

Mechanical: the calls pass their texts as they are, which wb_event escapes; events without members go through wb_event_members. What a reader sees that differs: quotes, backslashes and control characters of a text are there instead of question marks, and a text of more than 200 bytes ends with an ellipsis.

--- a/include/wickbridge/event_log.h
+++ b/include/wickbridge/event_log.h
@@ -33,10 +33,6 @@
  */
 void wb_event_members(const char *kind, const char *members);
 
-/** Sanitize a string for a JSON literal: quotes, backslashes and control characters become '?', and
- * it is truncated to 199 bytes. @return a static buffer, reused after twelve calls; "" for NULL */
-const char *wb_event_escape(const char *text);
-
 /** Write buffered lines, as far as possible without blocking. */
 void wb_event_log_flush(void);
 /** @return number of lines dropped so far */
--- a/src/base/event_log.c
+++ b/src/base/event_log.c
@@ -23,7 +23,6 @@
 #define NUMBER_BYTES 64
 /* Larger ones are written with an exponent: readers take digits alone for an integer of 64 bits. */
 #define REAL_DIGITS_MAX 1e15
-#define TEXT_BUFFERS 12
 /* The first members of a line: two times, the node's name and the kind of event. */
 #define HEAD_BYTES 512
 
@@ -232,17 +231,6 @@
     line_end();
 }
 
-const char *wb_event_escape(const char *text) {
-    static char buffers[TEXT_BUFFERS][TEXT_MAX_BYTES];
-    static unsigned next;
-    char *buffer = buffers[next++ % TEXT_BUFFERS];
-    size_t used = 0;
-    for (; text != NULL && *text != '\0' && used + 1 < TEXT_MAX_BYTES; text++)
-        buffer[used++] = *text == '"' || *text == '\\' || (unsigned char)*text < ' ' ? '?' : *text;
-    buffer[used] = '\0';
-    return buffer;
-}
-
 void wb_event_log_flush(void) {
     if (output.buffered == NULL || output.buffered->len == 0)
         return;
--- a/src/control/controller.c
+++ b/src/control/controller.c
@@ -122,7 +122,7 @@
     wb_load_concurrency_record(concurrency, concurrent, took_ms, nominal_ms);
     wb_event("store-load-ended",
              ",\"service\":\"%s\",\"at_once\":%u,\"ms\":%lld,\"alone_ms\":%lld,\"limit\":%u",
-             wb_event_escape(service), concurrent, (long long)took_ms, (long long)nominal_ms,
+             service, concurrent, (long long)took_ms, (long long)nominal_ms,
              wb_load_concurrency_limit(concurrency, nominal_ms));
 }
 
@@ -137,8 +137,7 @@
     wb_event("load-crashed",
              ",\"service\":\"%s\",\"model\":\"%s\",\"engine\":\"%s\",\"in_a_row\":%u,"
              "\"paused_ms\":%lld",
-             wb_event_escape(service), wb_event_escape(model), wb_event_escape(engine->state->id),
-             engines,
+             service, model, engine->state->id, engines,
              (long long)wb_load_faults_backoff_ms(controller->faults, service, model, now_ms));
 }
 
--- a/src/control/controller_missing.c
+++ b/src/control/controller_missing.c
@@ -110,8 +110,7 @@
     plan->entries.entries_len = entries->len;
     plan->entries.entries_val = (wb_wire_load_plan_entry *)(void *)entries->data;
     controller->events.on_update(&update, controller->events.context);
-    wb_event("load-plan", ",\"service\":\"%s\",\"told\":%u", wb_event_escape(service),
-             entries->len);
+    wb_event("load-plan", ",\"service\":\"%s\",\"told\":%u", service, entries->len);
 }
 
 /* Adds estimates for models whose loads are in backoff because they crashed engines. */
--- a/src/edge/edge_operators.c
+++ b/src/edge/edge_operators.c
@@ -272,7 +272,7 @@
     }
     wb_event("request-forgiven",
              ",\"id\":\"\",\"digest\":\"%s\",\"engine\":\"\",\"status\":0,\"by\":\"operator\"",
-             wb_event_escape(query + strlen(member)));
+             query + strlen(member));
     wb_edge_node_poison_changed(node);
     json_respond(connection, 200, json_pack("{s:b}", "forgiven", 1));
 }
--- a/src/edge/node_announce.c
+++ b/src/edge/node_announce.c
@@ -86,11 +86,10 @@
     announcement->next_ms = now_ms + announcement->retry_ms;
     if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
                         &announcement->link, &error) != APR_SUCCESS) {
-        wb_event("announce-failed", ",\"to\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
-                 wb_event_escape(error.message));
+        wb_event("announce-failed", ",\"to\":\"%s\",\"reason\":\"%s\"", id, error.message);
         return;
     }
-    wb_event("announced", ",\"to\":\"%s\",\"address\":\"%s\"", wb_event_escape(id), row->address);
+    wb_event("announced", ",\"to\":\"%s\",\"address\":\"%s\"", id, row->address);
 }
 
 /* Returns the ids of nodes that report to this one; borrowed. */
--- a/src/edge/node_broadcast.c
+++ b/src/edge/node_broadcast.c
@@ -39,7 +39,7 @@
     wb_error_t error;
     if (wb_message_encode_with_extensions(message, extensions, frame, &error) != APR_SUCCESS) {
         wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
-                 wb_message_kind_name(message->kind), wb_event_escape(error.message));
+                 wb_message_kind_name(message->kind), error.message);
         return;
     }
     frame_send(node, NULL, frame);
@@ -57,7 +57,7 @@
         (extensions != NULL && wb_message_encode_with_extensions(
                                    message, extensions, with_extensions, &error) != APR_SUCCESS)) {
         wb_event("message-refused", ",\"kind\":\"%s\",\"reason\":\"%s\"",
-                 wb_message_kind_name(message->kind), wb_event_escape(error.message));
+                 wb_message_kind_name(message->kind), error.message);
         return;
     }
     frame_send(node, frame, extensions != NULL ? with_extensions : frame);
--- a/src/edge/node_catalog.c
+++ b/src/edge/node_catalog.c
@@ -126,9 +126,9 @@
         wb_table_watch_apply_row(node->catalog_watch, &row);
         node->edge.metrics.catalog_rows_fetched++;
         wb_event("catalog-fetched",
-                 ",\"from\":\"%s\",\"row_version\":%lld,\"age_ms\":%u,\"ms\":%lld",
-                 wb_event_escape(fetcher->peer), (long long)wb_store_version_number(row.version),
-                 answer->age_ms, (long long)(wb_clock_ms() - fetcher->asked_ms));
+                 ",\"from\":\"%s\",\"row_version\":%lld,\"age_ms\":%u,\"ms\":%lld", fetcher->peer,
+                 (long long)wb_store_version_number(row.version), answer->age_ms,
+                 (long long)(wb_clock_ms() - fetcher->asked_ms));
     }
     wb_table_watch_note_peer_read(node->catalog_watch,
                                   wb_edge_node_version_from_wire(era, answer->newest),
@@ -151,7 +151,7 @@
     wb_edge_node_t *node = context;
     if (!node->catalog_fetcher->answered) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"",
-                 wb_event_escape(node->catalog_fetcher->peer), wb_event_escape(reason));
+                 node->catalog_fetcher->peer, reason);
     }
     peer_done(node, node->catalog_fetcher->answered);
 }
@@ -195,8 +195,7 @@
     node->edge.metrics.catalog_fetches++;
     if (wb_link_connect(node->edge.loop, row->address, &events, &node->link_counters,
                         &fetcher->link, &error) != APR_SUCCESS) {
-        wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"", wb_event_escape(id),
-                 wb_event_escape(error.message));
+        wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"%s\"", id, error.message);
         peer_done(node, FALSE);
     }
 }
@@ -220,7 +219,7 @@
     }
     if (now_ms - fetcher->progress_ms > ANSWER_TIMEOUT_MS) {
         wb_event("catalog-fetch-failed", ",\"from\":\"%s\",\"reason\":\"no answer\"",
-                 wb_event_escape(fetcher->peer));
+                 fetcher->peer);
         wb_link_close(fetcher->link);
         peer_done(node, FALSE);
     }
--- a/src/edge/node_directory.c
+++ b/src/edge/node_directory.c
@@ -335,8 +335,7 @@
     int64_t now_ms = wb_clock_ms();
     GHashTableIter iter;
     gpointer value;
-    wb_event("relay-lost", ",\"of\":\"%s\",\"reason\":\"%s\"", wb_event_escape(directory->relay),
-             wb_event_escape(reason));
+    wb_event("relay-lost", ",\"of\":\"%s\",\"reason\":\"%s\"", directory->relay, reason);
     g_hash_table_replace(directory->failed, g_strdup(directory->relay),
                          g_memdup2(&now_ms, sizeof(now_ms)));
     directory->link = NULL;
@@ -386,8 +385,7 @@
         relay_lost(directory, error.message);
         return;
     }
-    wb_event("relay-linked", ",\"of\":\"%s\",\"readers\":%u", wb_event_escape(directory->relay),
-             readers->len);
+    wb_event("relay-linked", ",\"of\":\"%s\",\"readers\":%u", directory->relay, readers->len);
 }
 
 /* Drops a relay that is unresponsive or doesn't complete its first full read. */
--- a/src/edge/node_engine_states.c
+++ b/src/edge/node_engine_states.c
@@ -214,8 +214,8 @@
         }
         wb_event("engine-state-news",
                  ",\"engine\":\"%s\",\"limited\":%s,\"per_s\":%g,\"leaving\":%s,\"brittle\":%s",
-                 wb_event_escape(engine->state->id), engine->limit.named ? "true" : "false",
-                 engine->limit.per_s, engine->drain_reported ? "true" : "false",
+                 engine->state->id, engine->limit.named ? "true" : "false", engine->limit.per_s,
+                 engine->drain_reported ? "true" : "false",
                  engine->brittle.named ? "true" : "false");
         wb_edge_track_reporting_engine(&node->edge, engine);
         if (aggregator) {
--- a/src/edge/node_engines.c
+++ b/src/edge/node_engines.c
@@ -25,9 +25,8 @@
     message.wb_wire_message_u.placement.entries.entries_val = &entry;
     wb_edge_node_broadcast(node, &message);
     wb_event("holding-differs",
-             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s",
-             wb_event_escape(engine), wb_event_escape(names[0]), wb_event_escape(names[1]),
-             held ? "true" : "false");
+             ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s", engine, names[0],
+             names[1], held ? "true" : "false");
 }
 
 /* Sends gateways changes of an engine's models that this holder didn't order; gateways rarely
@@ -91,9 +90,8 @@
     wb_event("engine-restarted",
              ",\"engine\":\"%s\",\"born_ms\":%lld,\"before_ms\":%lld,\"running\":%u,"
              "\"models\":%u",
-             wb_event_escape(state->id), (long long)state->born_ms,
-             (long long)engine->state->born_ms, engine->running,
-             g_hash_table_size(engine->state->models));
+             state->id, (long long)state->born_ms, (long long)engine->state->born_ms,
+             engine->running, g_hash_table_size(engine->state->models));
     wb_engine_ref(engine);
     wb_upstreams_close_idle(engine);
     wb_controller_engine_restarted(node->controller, state->id);
@@ -111,9 +109,8 @@
         return;
     }
     wb_event("engine-row-refused",
-             ",\"engine\":\"%s\",\"row_version\":%lld,\"reason\":\"%s\",\"rows\":%u",
-             wb_event_escape(row->key), (long long)wb_store_version_number(row->version),
-             wb_event_escape(reason), node->rejected_rows);
+             ",\"engine\":\"%s\",\"row_version\":%lld,\"reason\":\"%s\",\"rows\":%u", row->key,
+             (long long)wb_store_version_number(row->version), reason, node->rejected_rows);
     node->rejected_rows_logged_ms = now_ms;
     node->rejected_rows = 0;
 }
@@ -138,8 +135,8 @@
 
 static void row_removed(wb_edge_node_t *node, wb_engine_t *known, const wb_table_row_t *row) {
     if (known != NULL) {
-        wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld",
-                 wb_event_escape(row->key), (long long)wb_store_version_number(row->version));
+        wb_event("engine-gone", ",\"engine\":\"%s\",\"row_version\":%lld", row->key,
+                 (long long)wb_store_version_number(row->version));
         engine_remove(node, known,
                       wb_fleet_grace_until_ms(wb_table_watch_fresh_ms(node->engines_watch),
                                               node->edge.settings.drain_ms, wb_clock_ms()));
@@ -161,7 +158,7 @@
     wb_event("engine-seen",
              ",\"engine\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"software_version\":\"%s\","
              "\"leaving\":%s,\"cold_ms\":%lld,\"row_version\":%lld",
-             state->id, state->service, state->address, wb_event_escape(state->software_version),
+             state->id, state->service, state->address, state->software_version,
              state->leaving ? "true" : "false", (long long)state->cold_ms,
              (long long)wb_store_version_number(row->version));
 }
--- a/src/edge/node_lease.c
+++ b/src/edge/node_lease.c
@@ -32,7 +32,7 @@
         wb_edge_node_set_poll_policies(node);
         wb_event(held ? "lease-held" : "lease-not-held",
                  ",\"token\":%llu,\"known_holder\":\"%s\",\"known_token\":%llu",
-                 (unsigned long long)token, known != NULL ? wb_event_escape(known->holder) : "",
+                 (unsigned long long)token, known != NULL ? known->holder : "",
                  known != NULL ? (unsigned long long)known->token : 0ULL);
         if (held) {
             node->edge.metrics.lease_takeovers++;
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -48,8 +48,7 @@
                               row_after_ms,
                               row_after_ms + (int64_t)(edge->settings.store_look_s * 1000));
     wb_event("placement-news", ",\"engine\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"held\":%s",
-             wb_event_escape(entry->engine), wb_event_escape(entry->model),
-             wb_event_escape(entry->adapter), entry->held ? "true" : "false");
+             entry->engine, entry->model, entry->adapter, entry->held ? "true" : "false");
 }
 
 /* Applies a placement update. @param extensions of its message; NULL: it comes from this
--- a/src/edge/node_origins.c
+++ b/src/edge/node_origins.c
@@ -111,7 +111,7 @@
     engine->begins_no_stream = !may_begin(node, engine);
     if (is_new) {
         wb_event("stream-origin-added", ",\"service\":\"%s\",\"software_version\":\"%s\"",
-                 wb_event_escape(state->service), wb_event_escape(state->software_version));
+                 state->service, state->software_version);
         gateways_are_behind(node);
         if (engine->begins_no_stream)
             wb_lease_write_soon(node->lease);
--- a/src/edge/node_pace.c
+++ b/src/edge/node_pace.c
@@ -144,9 +144,8 @@
         return;
     }
     node->pace_logged_ms = now_ms;
-    wb_event("engine-behind", ",\"engine\":\"%s\",\"backlog_ms\":%.0f,\"pace_percent\":%u",
-             wb_event_escape(engine), backlog_ms,
-             wb_pace_aggregate_pace(node->own_pace_aggregate, engine, now_ms));
+    wb_event("engine-behind", ",\"engine\":\"%s\",\"backlog_ms\":%.0f,\"pace_percent\":%u", engine,
+             backlog_ms, wb_pace_aggregate_pace(node->own_pace_aggregate, engine, now_ms));
 }
 
 void wb_edge_node_tick_pace(wb_edge_node_t *node, int64_t now_ms) {
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -280,7 +280,7 @@
     if (xdr_wb_wire_poison(stream, &wire)) {
         wb_edge_node_poison_take(node, &wire);
     } else {
-        wb_event("poison-row-refused", "%s", "");
+        wb_event_members("poison-row-refused", "");
     }
     xdr_free((xdrproc_t)xdr_wb_wire_poison, &wire);
 }
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -212,10 +212,9 @@
         wb_event("quota-admitted",
                  ",\"tenant\":\"%s\",\"requests\":%u,\"unthrottled\":%.0f,\"share\":%.0f,"
                  "\"local\":%.0f,\"refused\":%.0f,\"age_ms\":%lld",
-                 wb_event_escape(activity->tenant), activity->requests,
-                 activity->admitted[WB_QUOTA_UNTHROTTLED], activity->admitted[WB_QUOTA_SHARE],
-                 activity->admitted[WB_QUOTA_LOCAL], activity->refused,
-                 (long long)activity->age_max_ms);
+                 activity->tenant, activity->requests, activity->admitted[WB_QUOTA_UNTHROTTLED],
+                 activity->admitted[WB_QUOTA_SHARE], activity->admitted[WB_QUOTA_LOCAL],
+                 activity->refused, (long long)activity->age_max_ms);
     }
 }
 
@@ -227,7 +226,7 @@
 
 void wb_edge_node_quota_set_unheard(wb_edge_node_t *node, gboolean unheard) {
     if (unheard && !node->quota_unheard) {
-        wb_event("quota-unheard", "%s", "");
+        wb_event_members("quota-unheard", "");
         wb_quota_limiter_lost(node->edge.quota);
     }
     node->quota_unheard = unheard;
@@ -262,8 +261,8 @@
                  ",\"tenant\":\"%s\",\"kind\":\"%08x\",\"share\":%.3f,\"level\":%.0f,\"asked_per_"
                  "s\":%.0f,"
                  "\"admitted_per_s\":%.0f,\"assumed_per_s\":%.0f",
-                 wb_event_escape(share->tenant), share->kind, share->share, state.level,
-                 state.asked_per_s, state.admitted_per_s, state.assumed_per_s);
+                 share->tenant, share->kind, share->share, state.level, state.asked_per_s,
+                 state.admitted_per_s, state.assumed_per_s);
     }
 }
 
@@ -309,7 +308,7 @@
     wb_wire_quota quota;
     memset(&quota, 0, sizeof(quota));
     if (!xdr_wb_wire_quota(stream, &quota)) {
-        wb_event("quota-row-refused", "%s", "");
+        wb_event_members("quota-row-refused", "");
     } else if (node->quota_received_ms == 0 && quota.tenants.tenants_len > 0) {
         wb_edge_node_quota_take_shares(node, &quota, 0);
         quota_row_encode(node, &quota); /* nodes that start later read the new holder's first row */
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -145,7 +145,7 @@
     if (catalog == NULL) {
         node->edge.metrics.rows_refused++;
         wb_event("catalog-refused", ",\"row_version\":%lld,\"reason\":\"%s\"",
-                 (long long)wb_store_version_number(row_version), wb_event_escape(error->message));
+                 (long long)wb_store_version_number(row_version), error->message);
         return;
     }
     if (node->edge.catalog != NULL && catalog->version <= node->edge.catalog->version) {
@@ -183,7 +183,7 @@
     wb_wire_era written;
     gboolean readable = xdr_wb_wire_extensions(stream, extensions);
     if (!readable) {
-        wb_event("lease-parts-refused", "%s", "");
+        wb_event_members("lease-parts-refused", "");
         wb_extensions_clear(extensions);
     }
     wb_extensions_read(extensions, WB_WIRE_EXTENSION_WRITER, (xdrproc_t)xdr_wb_wire_writer,
@@ -369,7 +369,7 @@
  */
 static void node_row_remove(wb_edge_node_t *node, const char *id, const wb_node_row_t *row) {
     g_autofree char *key = g_strconcat(NODE_KEY_PREFIX, id, NULL);
-    wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", wb_event_escape(id),
+    wb_event("node-forgotten", ",\"of\":\"%s\",\"row_version\":%lld", id,
              (long long)wb_store_version_number(row->version));
     wb_store_calls_note(&node->edge.metrics.store_calls, WB_TABLE_NODES, WB_STORE_CAUSE_WRITE);
     node->table->write(node->table, WB_TABLE_NODES, key, row->version, NULL, 0,
--- a/src/edge/node_stream_rows.c
+++ b/src/edge/node_stream_rows.c
@@ -155,7 +155,7 @@
     xdr_destroy(&stream);
     if (!readable) {
         node->edge.metrics.rows_refused++;
-        wb_event("stream-row-refused", ",\"key\":\"%s\"", wb_event_escape(row->key));
+        wb_event("stream-row-refused", ",\"key\":\"%s\"", row->key);
     }
     readable = readable && stored.format_version == STREAM_ROW_FORMAT;
     int64_t written_ms = readable ? (int64_t)MIN(stored.written_ms, (uint64_t)G_MAXINT64) : 0;
--- a/src/edge/node_zones.c
+++ b/src/edge/node_zones.c
@@ -43,8 +43,8 @@
     int64_t from_ms = now_ms + grace_ms(node);
     unsigned engines = wb_fleet_evacuate_zone(node->edge.fleet, zone, from_ms);
     node->edge.metrics.evacuations++;
-    wb_event("zone-evacuated", ",\"of\":\"%s\",\"engines\":%u,\"closed_in_ms\":%lld",
-             wb_event_escape(zone), engines, (long long)(from_ms - now_ms));
+    wb_event("zone-evacuated", ",\"of\":\"%s\",\"engines\":%u,\"closed_in_ms\":%lld", zone, engines,
+             (long long)(from_ms - now_ms));
 }
 
 /* Treats the engines of a zone as cold when its evacuation ends: they may have turned cold just
@@ -72,7 +72,7 @@
     }
     unsigned engines = wb_fleet_end_evacuation(node->edge.fleet, zone);
     zone_engines_set_cold(node, zone);
-    wb_event("zone-taken-back", ",\"of\":\"%s\",\"engines\":%u", wb_event_escape(zone), engines);
+    wb_event("zone-taken-back", ",\"of\":\"%s\",\"engines\":%u", zone, engines);
     wb_exchanges_retry_waiting(&node->edge);
 }
 
@@ -93,7 +93,7 @@
     wb_zone_row_t *known = g_hash_table_lookup(node->zones, zone);
     if (known == NULL && !has_room(node)) {
         node->edge.metrics.rows_refused++;
-        wb_event("zone-ignored", ",\"of\":\"%s\",\"known\":%d", wb_event_escape(zone), ZONES_MAX);
+        wb_event("zone-ignored", ",\"of\":\"%s\",\"known\":%d", zone, ZONES_MAX);
         return;
     }
     if (known == NULL) {
--- a/src/fleet/engine_response.c
+++ b/src/fleet/engine_response.c
@@ -39,7 +39,7 @@
     }
     metrics->invalid_engine_values += invalid;
     wb_event("engine-state-refused", ",\"engine\":\"%s\",\"status\":%u,\"values\":%u",
-             wb_event_escape(engine->state->id), response->head->status, invalid);
+             engine->state->id, response->head->status, invalid);
 }
 
 /* Whether the engine itself made this response, and would have included its limit and whether it is
@@ -62,8 +62,8 @@
             return limit->named && !recently_sent;
         }
         metrics->engine_limits++;
-        wb_event("engine-limited", ",\"engine\":\"%s\",\"per_s\":%g",
-                 wb_event_escape(engine->state->id), state->limit_per_s);
+        wb_event("engine-limited", ",\"engine\":\"%s\",\"per_s\":%g", engine->state->id,
+                 state->limit_per_s);
         return TRUE;
     }
     if (!limit_omitted || (!limit->named && limit->ended_ms == 0)) {
@@ -73,7 +73,7 @@
         return !limit->named && !recently_sent &&
                response->now_ms - limit->limit_reported_ms < END_RESEND_MS;
     }
-    wb_event("engine-limit-ended", ",\"engine\":\"%s\"", wb_event_escape(engine->state->id));
+    wb_event("engine-limit-ended", ",\"engine\":\"%s\"", engine->state->id);
     return TRUE;
 }
 
@@ -88,7 +88,7 @@
     }
     if (changed) {
         wb_event("engine-brittle", ",\"engine\":\"%s\",\"brittle\":%s,\"rejections\":%u",
-                 wb_event_escape(engine->state->id), engine->brittle.named ? "true" : "false",
+                 engine->state->id, engine->brittle.named ? "true" : "false",
                  engine->brittle.rejections);
     }
     return changed;
@@ -102,8 +102,8 @@
         return FALSE;
     }
     metrics->engine_drains++;
-    wb_event("engine-leaving", ",\"engine\":\"%s\",\"announced\":%s",
-             wb_event_escape(engine->state->id), announced ? "true" : "false");
+    wb_event("engine-leaving", ",\"engine\":\"%s\",\"announced\":%s", engine->state->id,
+             announced ? "true" : "false");
     return TRUE;
 }
 
@@ -115,8 +115,8 @@
     }
     engine->backoff_until_ms = MAX(engine->backoff_until_ms, response->now_ms + state->rest_ms);
     metrics->engine_backoffs++;
-    wb_event("engine-rests", ",\"engine\":\"%s\",\"for_ms\":%lld",
-             wb_event_escape(engine->state->id), (long long)state->rest_ms);
+    wb_event("engine-rests", ",\"engine\":\"%s\",\"for_ms\":%lld", engine->state->id,
+             (long long)state->rest_ms);
 }
 
 gboolean wb_engine_update_from_response(wb_engine_t *engine, const wb_engine_response_t *response,
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -159,7 +159,7 @@
         attempt->skipping = TRUE;
         attempt->tainted = TRUE;
         wb_event("answer-passed-over", ",\"id\":\"%s\",\"engine\":\"%s\",\"status\":%u",
-                 wb_event_escape(attempt->exchange->id), upstream->engine->state->id, head->status);
+                 attempt->exchange->id, upstream->engine->state->id, head->status);
         return;
     }
     attempt->answered = TRUE;
@@ -336,9 +336,8 @@
     wb_event("request-sent-again",
              ",\"id\":\"%s\",\"engine\":\"%s\",\"sends\":%u,\"runs\":%u,\"connection\":%llu,"
              "\"requests_before\":%u",
-             wb_event_escape(exchange->id), exchange->engine->state->id, exchange->sends,
-             exchange->runs, (unsigned long long)exchange->connection_number,
-             exchange->connection_requests);
+             exchange->id, exchange->engine->state->id, exchange->sends, exchange->runs,
+             (unsigned long long)exchange->connection_number, exchange->connection_requests);
 }
 
 static void request_write(wb_attempt_t *attempt) {
--- a/src/request/crash_watch.c
+++ b/src/request/crash_watch.c
@@ -89,8 +89,8 @@
     if (engine->requests->len == 0) {
         return;
     }
-    wb_event("engine-crashed", ",\"engine\":\"%s\",\"shown_by\":\"%s\",\"requests\":%u",
-             wb_event_escape(engine->id), shown_by, engine->requests->len);
+    wb_event("engine-crashed", ",\"engine\":\"%s\",\"shown_by\":\"%s\",\"requests\":%u", engine->id,
+             shown_by, engine->requests->len);
     g_autoptr(GArray) requests = engine->requests;
     engine->requests = g_array_new(FALSE, FALSE, sizeof(wb_aborted_request_t));
     engine->watch->events.on_crashed(engine->id, requests, engine->watch->events.context);
@@ -137,8 +137,8 @@
     engine->watch->metrics->engine_checks++;
     if (wb_tcp_stream_connect(engine->watch->loop, engine->address, &options, &events, engine,
                               &engine->stream, &error) != APR_SUCCESS) {
-        wb_event("engine-check-failed", ",\"engine\":\"%s\",\"reason\":\"%s\"",
-                 wb_event_escape(engine->id), wb_event_escape(error.message));
+        wb_event("engine-check-failed", ",\"engine\":\"%s\",\"reason\":\"%s\"", engine->id,
+                 error.message);
         engine->stream = NULL;
         engine->state = WB_LIVENESS_UNKNOWN;
     }
--- a/src/request/engine_connect.c
+++ b/src/request/engine_connect.c
@@ -68,7 +68,7 @@
         return;
     engine->reach.cut_logged = cut;
     wb_event(cut ? "engine-cut" : "engine-reached-again", ",\"engine\":\"%s\",\"id\":\"%s\"",
-             wb_event_escape(engine->state->id), wb_event_escape(request_id));
+             engine->state->id, request_id);
 }
 
 void wb_edge_note_reach(wb_edge_t *edge, wb_engine_t *engine, wb_reach_result_t result,
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -132,8 +132,7 @@
     wb_upstreams_close_idle(engine);
     wb_event("engine-avoided",
              ",\"engine\":\"%s\",\"id\":\"%s\",\"reason\":\"%s\",\"failures\":%u,\"for_ms\":%lld",
-             engine->state->id, wb_event_escape(request_id), reason, engine->failures,
-             (long long)avoid_ms);
+             engine->state->id, request_id, reason, engine->failures, (long long)avoid_ms);
 }
 
 /* Whether the engine has sent nothing on any connection since it got this request, more than
@@ -346,9 +345,9 @@
         "request-rejected",
         ",\"id\":\"%s\",\"engine\":\"%s\",\"status\":%u,\"sends\":%u,\"runs\":%u,\"model\":\"%s\","
         "\"connection\":%llu,\"requests_before\":%u",
-        wb_event_escape(exchange->id), engine->state->id, exchange->reply.status, exchange->sends,
-        exchange->runs, wb_event_escape(exchange->model),
-        (unsigned long long)exchange->connection_number, exchange->connection_requests);
+        exchange->id, engine->state->id, exchange->reply.status, exchange->sends, exchange->runs,
+        exchange->model, (unsigned long long)exchange->connection_number,
+        exchange->connection_requests);
     int64_t now_ms = wb_clock_ms();
     if (exchange->reply.incomplete)
         engine_failed(engine, "rejection-incomplete", exchange->id);
@@ -400,21 +399,20 @@
     if (failure->sent) {
         wb_request_digest_format(wb_exchange_digest(exchange), digest);
     }
-    wb_event(
-        "send-broken",
-        ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\",\"sent\":%s,\"answer_begun\":%s,"
-        "\"digest\":\"%s\",\"ms\":%lld,\"running\":%u,\"parts\":\"%s\"",
-        wb_event_escape(exchange->id), exchange->engine->state->id, failure->reason,
-        failure->sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
-        (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running,
-        wb_event_escape(wb_http_head_get(exchange->head, exchange->edge->dialect->prompt_parts)));
+    wb_event("send-broken",
+             ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\",\"sent\":%s,\"answer_begun\":%s,"
+             "\"digest\":\"%s\",\"ms\":%lld,\"running\":%u,\"parts\":\"%s\"",
+             exchange->id, exchange->engine->state->id, failure->reason,
+             failure->sent ? "true" : "false", exchange->answer_begun ? "true" : "false", digest,
+             (long long)(wb_clock_ms() - exchange->sent_ms), exchange->engine->running,
+             wb_http_head_get(exchange->head, exchange->edge->dialect->prompt_parts));
 }
 
 /* The engine became unavailable while the connection was being established. */
 static void attempt_withdraw(wb_exchange_t *exchange) {
     exchange->edge->metrics.attempts_withdrawn++;
     wb_engine_brittle_accepted(&exchange->engine->brittle, exchange->sent_ms);
-    wb_event("send-withdrawn", ",\"id\":\"%s\",\"engine\":\"%s\"", wb_event_escape(exchange->id),
+    wb_event("send-withdrawn", ",\"id\":\"%s\",\"engine\":\"%s\"", exchange->id,
              exchange->engine->state->id);
     exchange->sends--;
     exchange->runs--;
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -233,8 +233,8 @@
     gboolean is_first = !exchange->was_empty;
     exchange->was_empty = TRUE;
     exchange->edge->metrics.unframed_empty_answers++;
-    wb_event("answer-empty", ",\"id\":\"%s\",\"engine\":\"%s\",\"runs\":%u",
-             wb_event_escape(exchange->id), exchange->engine->state->id, exchange->runs);
+    wb_event("answer-empty", ",\"id\":\"%s\",\"engine\":\"%s\",\"runs\":%u", exchange->id,
+             exchange->engine->state->id, exchange->runs);
     return is_first && may_ask_another(exchange);
 }
 
--- a/src/request/exchange_budget.c
+++ b/src/request/exchange_budget.c
@@ -48,7 +48,7 @@
     wb_event(taken ? "resend" : "resend-refused",
              ",\"id\":\"%s\",\"service\":\"%s\",\"sends\":%u,\"left\":%.2f,\"share\":%.2f,"
              "\"nodes\":%u",
-             wb_event_escape(exchange->id), exchange->service->name, exchange->sends, left, share,
+             exchange->id, exchange->service->name, exchange->sends, left, share,
              wb_equal_share_nodes(edge->share, wb_edge_retry_window_ms(edge), now_ms));
     return taken;
 }
--- a/src/request/exchange_parts.c
+++ b/src/request/exchange_parts.c
@@ -48,7 +48,7 @@
 /* @param id of the request whose answer cleared them; "": another node reported them */
 static void part_cleared_log(const wb_request_digest_t *key, const char *id) {
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
-    wb_event("part-cleared", ",\"id\":\"%s\",\"digest\":\"%s\"", wb_event_escape(id),
+    wb_event("part-cleared", ",\"id\":\"%s\",\"digest\":\"%s\"", id,
              wb_request_digest_format(key, digest));
 }
 
@@ -71,13 +71,12 @@
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
     const wb_poison_entry_t *entry =
         wb_poison_registry_find(wb_part_registry_crashes(exchange->edge->parts), key);
-    wb_event(
-        "part-refused",
-        ",\"id\":\"%s\",\"digest\":\"%s\",\"engines\":%u,\"left_ms\":%lld,\"parts\":\"%s\"",
-        wb_event_escape(exchange->id), wb_request_digest_format(key, digest),
-        entry != NULL ? wb_poison_entry_engines(entry) : 0,
-        entry != NULL ? (long long)(entry->until_ms - wb_clock_ms()) : 0LL,
-        wb_event_escape(wb_http_head_get(exchange->head, exchange->edge->dialect->prompt_parts)));
+    wb_event("part-refused",
+             ",\"id\":\"%s\",\"digest\":\"%s\",\"engines\":%u,\"left_ms\":%lld,\"parts\":\"%s\"",
+             exchange->id, wb_request_digest_format(key, digest),
+             entry != NULL ? wb_poison_entry_engines(entry) : 0,
+             entry != NULL ? (long long)(entry->until_ms - wb_clock_ms()) : 0LL,
+             wb_http_head_get(exchange->head, exchange->edge->dialect->prompt_parts));
 }
 
 static void part_suspected_log(const wb_edge_t *edge, const wb_request_digest_t *key,
@@ -88,8 +87,7 @@
         wb_poison_registry_find(wb_part_registry_crashes(edge->parts), key);
     wb_event("part-suspected",
              ",\"digest\":\"%s\",\"engine\":\"%s\",\"engines\":%u,\"state\":\"%s\"",
-             wb_request_digest_format(key, digest), wb_event_escape(engine_id),
-             wb_poison_entry_engines(entry),
+             wb_request_digest_format(key, digest), engine_id, wb_poison_entry_engines(entry),
              states[wb_part_registry_state(edge->parts, key, wb_clock_ms())]);
 }
 
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -45,7 +45,7 @@
 /* @param key of the request's content, or of a part of its prompt */
 static void trial_log(const wb_exchange_t *exchange, const wb_request_digest_t *key) {
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
-    wb_event("request-tried", ",\"id\":\"%s\",\"digest\":\"%s\"", wb_event_escape(exchange->id),
+    wb_event("request-tried", ",\"id\":\"%s\",\"digest\":\"%s\"", exchange->id,
              wb_request_digest_format(key, digest));
 }
 
@@ -143,7 +143,7 @@
 
 static void abort_ignored_log(const wb_exchange_t *exchange, const char *reason) {
     wb_event("crash-evidence-ignored", ",\"id\":\"%s\",\"engine\":\"%s\",\"reason\":\"%s\"",
-             wb_event_escape(exchange->id), wb_event_escape(exchange->engine->state->id), reason);
+             exchange->id, exchange->engine->state->id, reason);
 }
 
 void wb_exchange_note_aborted(wb_exchange_t *exchange) {
@@ -187,8 +187,8 @@
     char digest[WB_REQUEST_DIGEST_TEXT_BYTES];
     wb_event("request-forgiven",
              ",\"id\":\"%s\",\"digest\":\"%s\",\"engine\":\"%s\",\"status\":%u,\"by\":\"response\"",
-             wb_event_escape(request_id), wb_request_digest_format(&end->digest, digest),
-             end->engine->state->id, end->status);
+             request_id, wb_request_digest_format(&end->digest, digest), end->engine->state->id,
+             end->status);
     poison_changed(edge);
 }
 
@@ -253,7 +253,7 @@
     gboolean refused = wb_poison_entry_state(entry) == WB_POISON_REFUSED;
     wb_event("request-suspected",
              ",\"digest\":\"%s\",\"engine\":\"%s\",\"engines\":%u,\"refused\":%s",
-             wb_request_digest_format(&entry->digest, digest), wb_event_escape(engine_id),
+             wb_request_digest_format(&entry->digest, digest), engine_id,
              wb_poison_entry_engines(entry), refused ? "true" : "false");
 }
 
@@ -268,8 +268,7 @@
         changed = wb_edge_parts_crashed(edge, engine_id, request) || changed;
         if (wb_served_set_has(edge->served, &request->digest, now_ms)) {
             wb_event("crash-evidence-ignored",
-                     ",\"id\":\"\",\"engine\":\"%s\",\"reason\":\"served\"",
-                     wb_event_escape(engine_id));
+                     ",\"id\":\"\",\"engine\":\"%s\",\"reason\":\"served\"", engine_id);
             continue;
         }
         if (wb_poison_registry_add_crash(edge->poison, &request->digest, request->body_bytes,
--- a/src/request/exchange_tenant.c
+++ b/src/request/exchange_tenant.c
@@ -46,10 +46,9 @@
     wb_event("quota-spent",
              ",\"id\":\"%s\",\"tenant\":\"%s\",\"cost\":%.0f,\"limit_per_s\":%.0f,"
              "\"share\":%.3f,\"book_reached\":%s,\"share_age_ms\":%lld,\"retry_ms\":%lld",
-             wb_event_escape(exchange->id), wb_event_escape(exchange->tenant->name), cost,
-             exchange->tenant->rate_per_s, decision->share,
-             decision->basis != WB_QUOTA_LOCAL ? "true" : "false", (long long)decision->age_ms,
-             (long long)decision->retry_ms);
+             exchange->id, exchange->tenant->name, cost, exchange->tenant->rate_per_s,
+             decision->share, decision->basis != WB_QUOTA_LOCAL ? "true" : "false",
+             (long long)decision->age_ms, (long long)decision->retry_ms);
 }
 
 /* Traffic classes are distinguished by service and by the route's priority, as a tenant's own
--- a/src/request/exchange_wait.c
+++ b/src/request/exchange_wait.c
@@ -254,9 +254,8 @@
     wb_event("request-waits",
              ",\"id\":\"%s\",\"model\":\"%s\",\"adapter\":\"%s\",\"service\":\"%s\","
              "\"stream_version\":\"%s\",\"for_ms\":%lld",
-             wb_event_escape(exchange->id), wb_event_escape(exchange->model),
-             wb_event_escape(exchange->adapter), exchange->service->name,
-             wb_event_escape(exchange->bound_version),
+             exchange->id, exchange->model, exchange->adapter, exchange->service->name,
+             exchange->bound_version,
              (long long)MAX(exchange->wait_until_ms - exchange->waiting_since_ms, 0));
     wb_exchange_arm_timeout(exchange);
     if (exchange->model != NULL && exchange->awaits_load && edge->on_pending_demand != NULL)
--- a/src/tunnel/tunnel_server.c
+++ b/src/tunnel/tunnel_server.c
@@ -59,8 +59,7 @@
         wb_event("tunnel-closed",
                  ",\"id\":\"%s\",\"for\":\"%s\",\"engine\":\"%s\",\"by\":\"%s\",\"bytes\":%lld,"
                  "\"ms\":%lld",
-                 wb_event_escape(tunnel->request), wb_event_escape(tunnel->asking),
-                 wb_event_escape(tunnel->engine_id), by, (long long)tunnel->bytes,
+                 tunnel->request, tunnel->asking, tunnel->engine_id, by, (long long)tunnel->bytes,
                  (long long)(wb_clock_ms() - tunnel->began_ms));
 }
 
@@ -70,8 +69,7 @@
     message.wb_wire_message_u.tunnel_answer.result = (u_int)result;
     tunnel->server->options.metrics->tunnels_refused++;
     wb_event("tunnel-refused", ",\"id\":\"%s\",\"for\":\"%s\",\"engine\":\"%s\",\"result\":%d",
-             wb_event_escape(tunnel->request), wb_event_escape(tunnel->asking),
-             wb_event_escape(tunnel->engine_id), (int)result);
+             tunnel->request, tunnel->asking, tunnel->engine_id, (int)result);
     engine_side_close(tunnel);
     wb_tunnel_frame_send(tunnel->node, &message, tunnel->in_blocks);
     wb_tcp_stream_finish_listed(tunnel->node, &tunnel->server->finishing);
@@ -101,8 +99,8 @@
     options->metrics->tunnels_served++;
     options->metrics->connections_opened++;
     wb_event("tunnel-open", ",\"id\":\"%s\",\"for\":\"%s\",\"engine\":\"%s\",\"ms\":%lld",
-             wb_event_escape(tunnel->request), wb_event_escape(tunnel->asking),
-             wb_event_escape(tunnel->engine_id), (long long)(wb_clock_ms() - tunnel->began_ms));
+             tunnel->request, tunnel->asking, tunnel->engine_id,
+             (long long)(wb_clock_ms() - tunnel->began_ms));
     wb_tunnel_frame_send(tunnel->node, &message, tunnel->in_blocks);
 }
 
--- a/tests/unit/test_event_log.c
+++ b/tests/unit/test_event_log.c
@@ -70,7 +70,7 @@
     const char *t[TEXTS];
     catch_begin(&caught);
     for (int i = 0; i < TEXTS; i++)
-        t[i] = wb_event_escape(text);
+        t[i] = text;
     wb_event("long", ",\"texts\":\"%s%s%s%s%s%s%s%s%s%s%s%s\",\"last\":true", t[0], t[1], t[2],
              t[3], t[4], t[5], t[6], t[7], t[8], t[9], t[10], t[11]);
     return catch_end(&caught);
