HTTP: header lines are written by one function, which lets no value end its line

The same texts went into heads unchecked in four places, and others' texts beside them: a tenant's name from the configuration, the id of an event from an engine's stream, the address in Host.

The class is that of the ids: a text of another party is formatted into a head. wb_http_header_append replaces control characters other than tabs by blanks, as RFC 9110 (5.5) has it for recipients; requests to engines, orders, reports and forwarded answers are written by it. A tunnel's question is XDR, with lengths; no label of a metric has a text of a row, an engine or a client: all come from lists in the code (looked through).

Evidence: /http-head/request on the old request text had X-Odd: 1 as a line of its own after the client's header, the engine's id, the tenant and the event's id (1 of 1); it passes. edge-rows, edge-engines, edge-once and edge-callers pass.

--- a/include/wickbridge/http_reader.h
+++ b/include/wickbridge/http_reader.h
@@ -38,9 +38,6 @@
 const char *wb_http_head_get(const wb_http_head_t *head, const char *name);
 /** @return the number that a header's value begins with, or `fallback` if it begins with none */
 int64_t wb_http_head_get_integer(const wb_http_head_t *head, const char *name, int64_t fallback);
-/** @return TRUE if a receiver of the text as a header's value gets the same text: it is UTF-8, not
- * empty, and has neither a control character nor a blank at an end */
-gboolean wb_http_value_is_valid(const char *text);
 /** @return TRUE for hop-by-hop headers, which must not be forwarded */
 gboolean wb_http_header_is_hop_by_hop(const wb_http_head_t *head, const char *name);
 
--- a/src/control/engine_orders.c
+++ b/src/control/engine_orders.c
@@ -5,6 +5,7 @@
 #include "fleet/engine_response.h"
 
 #include "wickbridge/event_log.h"
+#include "wickbridge/http_head.h"
 
 #include <string.h>
 
@@ -349,11 +350,11 @@
             orders->owner.store_load_started(orders->engine->state->service, orders->owner.context);
     orders->metrics->orders++;
     g_autofree char *body = orders->dialect->order_body(&orders->order);
-    g_autofree char *headers =
-        g_strdup_printf("%s: %s\r\n", orders->dialect->expected_engine, orders->engine->state->id);
+    g_autoptr(GString) headers = g_string_new(NULL);
+    wb_http_header_append(headers, orders->dialect->expected_engine, orders->engine->state->id);
     wb_http_request_t request = {.method = "POST",
                                  .target = orders->dialect->order_target,
-                                 .headers = headers,
+                                 .headers = headers->str,
                                  .body = body,
                                  .timeout_ms = orders->settings->order_timeout_ms,
                                  .max_bytes = RESPONSE_MAX_BYTES,
--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -2,6 +2,7 @@
  * closed when the call fails. */
 #include "wickbridge/http_pool.h"
 
+#include "wickbridge/http_head.h"
 #include "wickbridge/tcp_stream.h"
 
 #include <string.h>
@@ -223,8 +224,9 @@
 
 static GString *request_text(const wb_http_pool_t *pool, const wb_http_request_t *request) {
     GString *text = g_string_sized_new(512);
-    g_string_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s", request->method, request->target,
-                    pool->address, request->headers != NULL ? request->headers : "");
+    g_string_printf(text, "%s %s HTTP/1.1\r\n", request->method, request->target);
+    wb_http_header_append(text, "Host", pool->address);
+    g_string_append(text, request->headers != NULL ? request->headers : "");
     if (request->body != NULL)
         g_string_append_printf(text, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
                                strlen(request->body));
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -79,15 +79,6 @@
     return g_ascii_strtoll(text, NULL, 10);
 }
 
-gboolean wb_http_value_is_valid(const char *text) {
-    size_t length = strlen(text);
-    for (size_t i = 0; i < length; i++)
-        if (g_ascii_iscntrl(text[i]))
-            return FALSE;
-    return length > 0 && text[0] != ' ' && text[length - 1] != ' ' &&
-           g_utf8_validate(text, (gssize)length, NULL);
-}
-
 static gboolean list_has(const char *list, const char *name) {
     size_t length = strlen(name);
     while (list != NULL && *list != '\0') {
--- a/src/request/attempt_request.c
+++ b/src/request/attempt_request.c
@@ -1,6 +1,8 @@
 /* The text of the request that an attempt sends to its engine. */
 #include "request/request_types.h"
 
+#include "wickbridge/http_head.h"
+
 /* Whether a header of the client isn't forwarded: this node sets it itself, or it is private. */
 static gboolean header_is_reserved(const wb_exchange_t *exchange, const char *name) {
     const wb_dialect_t *dialect = exchange->edge->dialect;
@@ -32,16 +34,16 @@
         if (wb_http_header_is_hop_by_hop(head, header->name) ||
             header_is_reserved(exchange, header->name))
             continue;
-        g_string_append_printf(text, "%s: %s\r\n", header->name, header->value);
+        wb_http_header_append(text, header->name, header->value);
     }
     int64_t left_ms = MAX(exchange->answer_due_ms - now_ms, 1);
-    g_string_append_printf(text, "%s: %lld\r\n%s: %s\r\n%s: %d\r\n", dialect->deadline_ms,
-                           (long long)left_ms, dialect->expected_engine, engine->state->id,
+    g_string_append_printf(text, "%s: %lld\r\n%s: %d\r\n", dialect->deadline_ms, (long long)left_ms,
                            dialect->urgency, CLAMP(exchange->priority, 0, 9));
+    wb_http_header_append(text, dialect->expected_engine, engine->state->id);
     if (exchange->tenant != NULL)
-        g_string_append_printf(text, "%s: %s\r\n", dialect->tenant, exchange->tenant->name);
+        wb_http_header_append(text, dialect->tenant, exchange->tenant->name);
     if (exchange->resuming && exchange->last_event_id != NULL)
-        g_string_append_printf(text, "%s: %s\r\n", dialect->last_event_id, exchange->last_event_id);
+        wb_http_header_append(text, dialect->last_event_id, exchange->last_event_id);
     if (exchange->body->len > 0 || head->has_length ||
         wb_http_head_get(head, "Transfer-Encoding") != NULL)
         g_string_append_printf(text, "Content-Length: %u\r\n", exchange->body->len);
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -3,6 +3,8 @@
 #include "request/event_stream.h"
 #include "request/exchange_internal.h"
 
+#include "wickbridge/http_head.h"
+
 #include <string.h>
 
 #define EVENT_STREAM_TYPE "text/event-stream"
@@ -17,7 +19,7 @@
         if (wb_http_header_is_hop_by_hop(head, header->name) ||
             g_ascii_strcasecmp(header->name, "Content-Length") == 0)
             continue;
-        g_string_append_printf(text, "%s: %s\r\n", header->name, header->value);
+        wb_http_header_append(text, header->name, header->value);
     }
     return text;
 }
