--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -54,7 +54,6 @@
                                versions write doesn't fit together in one stream */
     int slots;
     gboolean leaving;      /**< it is draining */
-    int64_t remaining_ms;  /**< time until a draining engine exits; -1: unknown */
     int64_t cold_ms;       /**< remaining warm-up time, with reduced capacity; 0: it is warm */
     GHashTable *models;    /**< name -> wb_engine_model_t */
     GHashTable *in_memory; /**< set of models whose weights are cached in host memory */
--- a/src/fleet/engine_state.c
+++ b/src/fleet/engine_state.c
@@ -17,7 +17,6 @@
     state->id = g_strdup(id);
     state->incarnation = g_strdup(id);
     state->software_version = g_strdup("");
-    state->remaining_ms = -1;
     state->models = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, model_free);
     state->in_memory = set_create();
     state->on_disk = set_create();
