Tests: /edge/rows/long-ids names both refusals

It now has a key that is one and no engine's id, and one that is no key, and asserts the metric and the event of each.

--- a/tests/edge/test_rows.c
+++ b/tests/edge/test_rows.c
@@ -6,7 +6,8 @@
 
 #define SETTLE_MS 1500
 #define REQUESTS 40
-#define LONG_KEY_BYTES 250
+#define LONG_ID_BYTES 190  /* a key, and no engine's id */
+#define LONG_KEY_BYTES 250 /* no key */
 /* The library that reads rows reads no deeper. */
 #define NESTING_MAX 2048
 
@@ -51,12 +52,18 @@
     }
 }
 
+static void assert_refused(const estate_t *estate, int node, const char *metric,
+                           const char *event) {
+    g_autofree char *member = g_strdup_printf("\"event\":\"%s\"", event);
+    g_assert_cmpfloat(estate_metric(estate, node, metric), >, 0);
+    g_assert_true(estate_log_has(estate, node, member));
+}
+
 /* Asserts that the nodes run, follow rows that were written later, and wrote nothing but JSON, and
  * that the controller refused rows; it alone reads the table. */
 static void assert_sound(const estate_t *estate, const char *later_engine) {
     int controller = estate_wait_controller(estate, 3000);
-    g_assert_cmpfloat(estate_metric(estate, controller, "engine_rows_refused_total"), >, 0);
-    g_assert_true(estate_log_has(estate, controller, "\"event\":\"engine-row-refused\""));
+    assert_refused(estate, controller, "engine_rows_refused_total", "engine-row-refused");
     engine_start(estate, later_engine, "lock");
     g_usleep(SETTLE_MS * 1000);
     assert_all_served(estate, later_engine);
@@ -104,18 +111,22 @@
  * went to nobody, with all other rows in it, and so did its placement. */
 static void test_long_ids(void) {
     estate_t *estate = estate_start(2, NULL);
-    g_autofree char *engine = g_strnfill(LONG_KEY_BYTES, 'e');
+    g_autofree char *engine = g_strnfill(LONG_ID_BYTES, 'e');
+    g_autofree char *beyond = g_strnfill(LONG_KEY_BYTES, 'b');
     g_autofree char *removed = g_strnfill(LONG_KEY_BYTES, 'r');
     int controller = estate_wait_controller(estate, 3000);
     double token = estate_metric(estate, controller, "lease_token");
     engine_start(estate, engine, "llm");
+    engine_start(estate, beyond, "llm");
     estate_engine_row_write(estate, removed, "{}");
     g_usleep(SETTLE_MS * 1000);
     estate_engine_row_write(estate, removed, NULL);
     g_assert_cmpint(asked(estate, 0, "/chat/x", "l0", EDGE_MODEL("m3")), ==, 200);
     g_assert_cmpint(asked(estate, 1, "/chat/x", "l1", EDGE_MODEL("m4")), ==, 200);
     assert_sound(estate, "later-long");
+    assert_refused(estate, controller, "rows_refused_total", "store-rows-refused");
     g_assert_cmpuint(arrivals_at(estate, engine), ==, 0);
+    g_assert_cmpuint(arrivals_at(estate, beyond), ==, 0);
     g_assert_cmpint(estate_controller(estate), ==, controller);
     g_assert_cmpfloat(estate_metric(estate, controller, "lease_token"), ==, token);
     estate_assert_no_violation(estate);
