HTTP reader: an answer in a transfer coding other than chunks can't be read

What callers would see: of an engine's answer in an unasked coding the coded body, without the header that says so; for one whose last coding isn't chunks up to the end of the connection, framed as whole, also where the coding's name is cut or empty. No caller can have asked for one: the header isn't passed on.

Cause: http-parser takes all codings but chunks as they are; a frame that was stated, but can't be read, was taken for none. Such a response is a parse error now (reason not-an-answer), as lengths that can't be read are.

Requests are read as before.

--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -9,6 +9,8 @@
 
 /* Return value of on_headers_complete that makes http-parser expect no body. */
 #define SKIP_BODY 1
+/* One that makes it fail. */
+#define REFUSE_MESSAGE (-1)
 
 struct wb_http_reader_t {
     http_parser parser;
@@ -182,10 +184,31 @@
            (reader->parser.flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
 }
 
+/* Compares a header's value, which may have blanks behind it. */
+static gboolean value_is(const wb_http_header_t *header, const char *value) {
+    size_t length = strlen(value);
+    return strncasecmp(header->value, value, length) == 0 &&
+           header->value[length + strspn(header->value + length, " \t")] == '\0';
+}
+
+/* Whether the body is in no transfer coding but chunks, which http-parser removes. It takes one in
+ * any other coding as it is, or for one that ends with its connection. */
+static gboolean codings_are_known(const wb_http_head_t *head) {
+    for (guint i = 0; i < head->headers->len; i++) {
+        const wb_http_header_t *header = &g_array_index(head->headers, wb_http_header_t, i);
+        if (strcasecmp(header->name, "Transfer-Encoding") == 0 && !value_is(header, "chunked") &&
+            !value_is(header, "identity"))
+            return FALSE;
+    }
+    return TRUE;
+}
+
 static int on_head_complete(http_parser *parser) {
     wb_http_reader_t *reader = parser->data;
     header_finish(reader);
     wb_http_head_t *head = reader->head;
+    if (!reader->is_request && !response_has_no_body(reader) && !codings_are_known(head))
+        return REFUSE_MESSAGE;
     if (reader->is_request) {
         head->method = g_strdup(http_method_str(parser->method));
         head->target = g_strdup(reader->target->str);
--- a/tests/unit/test_http_reader.c
+++ b/tests/unit/test_http_reader.c
@@ -183,6 +183,27 @@
     }
 }
 
+/* Guards against a body in a coding that the reader doesn't undo being passed on as the body, to
+ * the end of the connection if the coding isn't in chunks. */
+static void test_unknown_transfer_codings(void) {
+    static const char *const texts[] = {
+        OK "Transfer-Encoding: chunke\r\n\r\nhello",
+        OK "Transfer-Encoding: chunked, gzip\r\n\r\nhello",
+        OK "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        OK "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        OK "Transfer-Encoding:\r\n\r\nhello",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        ending_t ending = response_end(texts[i], strlen(texts[i]), 1, FALSE);
+        g_assert_cmpint(ending.complete_count, ==, 0);
+        g_assert_cmpuint(ending.status, ==, 0);
+    }
+    static const char *const known[] = {OK "transfer-encoding: Chunked \r\n\r\n0\r\n\r\n",
+                                        OK "Transfer-Encoding: identity\r\n\r\nhello"};
+    for (size_t i = 0; i < G_N_ELEMENTS(known); i++)
+        g_assert_cmpint(response_end(known[i], strlen(known[i]), 1, FALSE).complete_count, ==, 1);
+}
+
 /* A response without a frame ends with its connection, but not within its head. */
 static void test_unframed_responses_end_behind_their_head(void) {
     static const char *const heads[] = {OK "\r\n", INTERIM HINTS OK "\r\n",
@@ -225,6 +246,7 @@
     g_test_add_func("/http/statuses-without-body", test_statuses_without_body);
     g_test_add_func("/http/unframed-responses-end-behind-their-head",
                     test_unframed_responses_end_behind_their_head);
+    g_test_add_func("/http/unknown-transfer-codings", test_unknown_transfer_codings);
     g_test_add_func("/http/unreadable-lengths", test_unreadable_lengths);
 }
 
