Streams: "lost" is told only once each node has shown that what it sent has arrived

What callers saw: while the lease's holder is cut off from the other nodes without a word (links stay open, nothing passes), streams that begin at those are told to be lost at the holder from the second try on: 503 without Retry-After, which tells the client to begin anew. Their versions serve, the other nodes know how they began, and they go on right after the cut.

Cause, of: a start counted as known to nobody if all listed nodes had a link to the holder and 0.5 s had passed. An open link shows neither that a start sent on it has arrived, nor that its sender still can send; nor does the clock, if the holder stood still meanwhile. The class: that nothing was heard is taken for nothing to hear.

An update carries a number now, once a stream was asked for that isn't known; each gateway returns it at once with its demand, on the link on which it sends starts. What it had sent before has then arrived, however long either side stood still. A number returned on an earlier link doesn't count on a new one. Nodes of builds before don't return it: while one is listed, clients are told to come back.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -87,7 +87,8 @@
     uint64_t streams_taken_up;    /**< requests that take up an earlier stream of their client */
     uint64_t stream_origin_waits; /**< waits of streams that began only once it was stored where */
     uint64_t stream_starts_asked; /**< questions to the controller for the start of such a stream */
-    uint64_t stream_starts_stored;      /**< starts that the store has taken */
+    uint64_t stream_echoes_wanted; /**< times that nodes were to show that their starts arrived */
+    uint64_t stream_starts_stored; /**< starts that the store has taken */
     uint64_t stream_starts_stored_late; /**< of these, more than a second after the first event */
     uint64_t stream_starts_not_stored;  /**< starts that were forgotten before they were stored */
     uint64_t stream_starts_restored;    /**< starts found in the store after a take-over */
--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -56,6 +56,7 @@
     gboolean states_sent;            /* all engine-reported state was sent to it */
     gboolean origins_sent;           /* it was sent where streams may begin */
     uint64_t starts_number;          /* of the last start of a stream that was sent to it */
+    uint64_t echo;                   /* latest number that it has returned on this link */
     wb_subscription_t *subscription; /* engine rows it subscribed to on this link; or NULL */
 } wb_gateway_t;
 
@@ -157,6 +158,10 @@
     uint64_t streams_number;    /* of the last start that was sent to the gateways that keep all */
     int64_t keepers_updated_ms; /* when that was */
     GHashTable *streams_asked;  /* of wb_asked_stream_t: they aren't known */
+    uint64_t echo_sent;         /* latest number that gateways were to return */
+    int64_t echo_sent_ms;       /* when that was */
+    gboolean echo_wanted;       /* they are to return the next one */
+    uint64_t echo_due;          /* to be returned to the aggregator; 0: none */
     wb_stream_rows_t *stream_rows;
     wb_link_t *controller_link;
     char *controller_address;
@@ -344,6 +349,15 @@
 void wb_edge_node_streams_create(wb_edge_node_t *node);
 /** As wb_edge_t.on_stream_begun. @param context the node */
 void wb_edge_node_stream_begun(const wb_stream_start_t *start, void *context);
+/** Add the next number that gateways are to return to an update, if one is wanted. */
+void wb_edge_node_echo_want(wb_edge_node_t *node, wb_wire_extensions *extensions);
+/** Return the number of an update at once, if it has one. */
+void wb_edge_node_echo_return(wb_edge_node_t *node, const wb_wire_extensions *extensions);
+/** Add the number to return to a message of demand. */
+void wb_edge_node_echo_add(wb_edge_node_t *node, wb_wire_extensions *extensions);
+/** Take the number that a gateway returns. */
+void wb_edge_node_echo_take(const wb_edge_node_t *node, wb_gateway_t *gateway,
+                            const wb_wire_extensions *extensions);
 /** As wb_edge_t.ask_stream_start. @param context the node */
 wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
                                                 const wb_stream_place_t *place, void *context);
--- a/src/edge/node_links.c
+++ b/src/edge/node_links.c
@@ -193,6 +193,7 @@
                            (xdrproc_t)xdr_wb_wire_sent, &sent))
         gateway->report_ms = sent.sent_ms;
     gateway->report_unacknowledged |= demand->tenants.tenants_len > 0;
+    wb_edge_node_echo_take(node, gateway, wb_link_extensions(link));
     wb_controller_on_demand(node->controller, demand);
     version_waits_take(node, demand->node, wb_link_extensions(link));
     wb_edge_node_quota_take_history(node, demand->node, wb_link_extensions(link));
@@ -227,7 +228,7 @@
     wb_demand_build_version_waits(node->edge.demand, &waits);
     gboolean empty = demand->entries.entries_len == 0 && waits.entries.entries_len == 0 &&
                      demand->tenants.tenants_len == 0 && demand->engines.engines_len == 0 &&
-                     !report_due;
+                     !report_due && node->echo_due == 0;
     node->demand_sent_ms = wb_clock_ms();
     if (empty && !node->demand_sent) {
         xdr_free((xdrproc_t)xdr_wb_wire_version_waits, &waits);
@@ -244,6 +245,7 @@
     } else {
         wb_wire_extensions extensions = {0};
         wb_edge_node_sent_add(&extensions, node->demand_sent_ms);
+        wb_edge_node_echo_add(node, &extensions);
         if (node->quota_history_due)
             wb_edge_node_quota_history_add(node, &extensions);
         if (waits.entries.entries_len > 0)
@@ -276,6 +278,7 @@
     node->controller_link_open = TRUE;
     node->demand_sent = TRUE;
     node->quota_history_due = TRUE;
+    node->echo_due = 0; /* asked for on the link before this one */
     node->states_sent = FALSE;
     node->link_opened_ms = wb_clock_ms();
     wb_edge_node_quota_set_unheard(node, FALSE);
--- a/src/edge/node_store_updates.c
+++ b/src/edge/node_store_updates.c
@@ -206,6 +206,7 @@
     wb_edge_node_sent_add(&extensions, now_ms);
     wb_edge_node_era_add(node, &extensions);
     wb_edge_node_origins_update_add(node, &extensions);
+    wb_edge_node_echo_want(node, &extensions);
     wb_edge_node_broadcast_with_extensions(node, &message, &extensions);
     wb_extensions_clear(&extensions);
     update_clear(node);
@@ -310,6 +311,7 @@
         wb_table_watch_poll_soon(node->engines_watch);
     for (guint i = 0; i < update->views.views_len; i++)
         view_take(node, &update->views.views_val[i], era, sent_ms);
+    wb_edge_node_echo_return(node, extensions);
 }
 
 gboolean wb_edge_node_has_recent_updates(const wb_edge_node_t *node) {
--- a/src/edge/node_streams.c
+++ b/src/edge/node_streams.c
@@ -20,6 +20,8 @@
  * again after that. */
 #define START_ARRIVAL_MS 500
 #define ASKED_MAX 10000
+/* Min interval of the numbers that all nodes return. */
+#define ECHO_INTERVAL_MS 200
 /* First format version whose controllers may answer without a record, and say what they rest on. */
 #define FORMAT_WITH_PLACES 4
 
@@ -101,9 +103,10 @@
            wb_edge_node_stream_rows_known(node, now_ms);
 }
 
-/* Whether all nodes are linked to this one, the aggregator: each sends all starts that it knows on
- * a new link. */
-static gboolean all_are_linked(const wb_edge_node_t *node) {
+/* Whether all nodes are linked to this one, the aggregator, and have returned this number: each
+ * sends all starts that it knows on a new link, and those that follow before it returns the number.
+ * That a link is open doesn't show that what was sent on it has arrived. */
+static gboolean all_have_echoed(const wb_edge_node_t *node, uint64_t echo) {
     g_autoptr(GHashTable) linked = g_hash_table_new(g_str_hash, g_str_equal);
     g_hash_table_add(linked, (gpointer)node->edge.settings.id);
     GHashTableIter iter;
@@ -112,7 +115,7 @@
     g_hash_table_iter_init(&iter, node->gateways);
     while (g_hash_table_iter_next(&iter, &link, &value)) {
         const wb_gateway_t *gateway = value;
-        if (gateway->name != NULL && !gateway->unresponsive && link_reads_starts(link))
+        if (gateway->name != NULL && gateway->echo >= echo && link_reads_starts(link))
             g_hash_table_add(linked, gateway->name);
     }
     gpointer id;
@@ -127,21 +130,66 @@
 typedef struct wb_asked_stream_t {
     wb_request_digest_t key;
     int64_t first_ms;
+    uint64_t echo; /* the first number that nodes are to return since */
 } wb_asked_stream_t;
 
-/* Notes that a stream isn't known. Returns TRUE if its start, had it been under way when the stream
- * was first asked for, would have arrived by now. */
-static gboolean had_time_to_arrive(wb_edge_node_t *node, const wb_request_digest_t *key) {
-    int64_t now_ms = wb_clock_ms();
+/* Notes that a stream isn't known. */
+static const wb_asked_stream_t *asked_note(wb_edge_node_t *node, const wb_request_digest_t *key) {
     const wb_asked_stream_t *known = g_hash_table_lookup(node->streams_asked, key);
     if (known != NULL)
-        return now_ms - known->first_ms >= START_ARRIVAL_MS;
+        return known;
     if (g_hash_table_size(node->streams_asked) >= ASKED_MAX)
         g_hash_table_remove_all(node->streams_asked);
     wb_asked_stream_t *asked = g_new0(wb_asked_stream_t, 1);
-    *asked = (wb_asked_stream_t){*key, now_ms};
+    *asked = (wb_asked_stream_t){*key, wb_clock_ms(), node->echo_sent + 1};
     g_hash_table_insert(node->streams_asked, &asked->key, asked);
-    return FALSE;
+    return asked;
+}
+
+/* Whether a stream's start, had any node known it when the stream was first asked for, would have
+ * arrived by now. */
+static gboolean has_no_start(wb_edge_node_t *node, const wb_request_digest_t *key) {
+    const wb_asked_stream_t *asked = asked_note(node, key);
+    if (!all_have_echoed(node, asked->echo)) {
+        node->echo_wanted = TRUE;
+        return FALSE;
+    }
+    return wb_clock_ms() - asked->first_ms >= START_ARRIVAL_MS;
+}
+
+void wb_edge_node_echo_want(wb_edge_node_t *node, wb_wire_extensions *extensions) {
+    int64_t now_ms = wb_clock_ms();
+    if (!node->echo_wanted || now_ms - node->echo_sent_ms < ECHO_INTERVAL_MS)
+        return;
+    node->echo_wanted = FALSE;
+    node->echo_sent_ms = now_ms;
+    node->edge.metrics.stream_echoes_wanted++;
+    wb_wire_echo echo = {++node->echo_sent};
+    wb_extensions_add(extensions, WB_WIRE_EXTENSION_ECHO, (xdrproc_t)xdr_wb_wire_echo, &echo);
+}
+
+void wb_edge_node_echo_return(wb_edge_node_t *node, const wb_wire_extensions *extensions) {
+    wb_wire_echo echo = {0};
+    if (!wb_extensions_read(extensions, WB_WIRE_EXTENSION_ECHO, (xdrproc_t)xdr_wb_wire_echo, &echo))
+        return;
+    node->echo_due = echo.number;
+    wb_edge_node_send_demand(node);
+}
+
+void wb_edge_node_echo_add(wb_edge_node_t *node, wb_wire_extensions *extensions) {
+    wb_wire_echo echo = {node->echo_due};
+    if (node->echo_due == 0)
+        return;
+    wb_extensions_add(extensions, WB_WIRE_EXTENSION_ECHO, (xdrproc_t)xdr_wb_wire_echo, &echo);
+    node->echo_due = 0;
+}
+
+void wb_edge_node_echo_take(const wb_edge_node_t *node, wb_gateway_t *gateway,
+                            const wb_wire_extensions *extensions) {
+    wb_wire_echo echo = {0};
+    wb_extensions_read(extensions, WB_WIRE_EXTENSION_ECHO, (xdrproc_t)xdr_wb_wire_echo, &echo);
+    if (echo.number <= node->echo_sent)
+        gateway->echo = MAX(gateway->echo, echo.number);
 }
 
 static gboolean asked_is_over(gpointer key, gpointer value, gpointer context) {
@@ -161,9 +209,9 @@
 static gboolean unknown_is_lost(wb_edge_node_t *node, const wb_request_digest_t *key,
                                 gboolean named) {
     const wb_catalog_t *catalog = node->edge.catalog;
-    return (!named || had_time_to_arrive(node, key)) &&
-           wb_lease_is_held(node->lease, wb_clock_ms()) && catalog != NULL &&
-           catalog->version >= node->stored_catalog_version && all_are_linked(node);
+    return (!named || has_no_start(node, key)) && wb_lease_is_held(node->lease, wb_clock_ms()) &&
+           catalog != NULL && catalog->version >= node->stored_catalog_version &&
+           all_have_echoed(node, 0);
 }
 
 wb_start_lookup_t wb_edge_node_ask_stream_start(const wb_request_digest_t *key,
--- a/src/protocol/messages.x
+++ b/src/protocol/messages.x
@@ -504,7 +504,8 @@
     WB_WIRE_EXTENSION_VERSIONS = 10, /* wb_wire_service_versions */
     WB_WIRE_EXTENSION_ROUTE_MOVES = 11, /* wb_wire_route_moves */
     WB_WIRE_EXTENSION_STREAM_PLACE = 12, /* wb_wire_stream_place */
-    WB_WIRE_EXTENSION_STREAM_LOSS = 13 /* wb_wire_stream_loss */
+    WB_WIRE_EXTENSION_STREAM_LOSS = 13, /* wb_wire_stream_loss */
+    WB_WIRE_EXTENSION_ECHO = 14 /* wb_wire_echo */
 };
 
 struct wb_wire_extension {
@@ -545,6 +546,12 @@
     unsigned hyper sent_ms; /* monotonic clock of the sender */
 };
 
+/* In an update: a number that each gateway returns at once in a message of demand. What it had sent
+ * on the link before that has then arrived. */
+struct wb_wire_echo {
+    unsigned hyper number;
+};
+
 /* With demand: requests that wait for a model or adapter at engines of one software version. The
  * entries of the demand leave them out. */
 struct wb_wire_version_wait {
--- a/tests/edge/test_out_of_step.c
+++ b/tests/edge/test_out_of_step.c
@@ -36,6 +36,8 @@
 /* Of the streams so many begin at the version that joins. */
 #define JOINED_MIN 3
 #define MANY_NODES 7
+#define TRIED 4
+#define TRIES 6
 
 /* Starts nodes with engines a1 and a2 of version v1. */
 static estate_t *nodes_start(int nodes, const char *flags) {
@@ -380,6 +382,44 @@
     joins_unseen(&test, FALSE);
 }
 
+/* Guards against a client that is told that its stream is lost while the nodes that know how it
+ * began are only cut off from the controller's, without a word. */
+static void test_not_lost(void) {
+    out_of_step_t test = out_of_step_begin(NODES, CUT_OFF, TRUE, 1);
+    estate_t *estate = test.estate;
+    stream_t streams[TRIED];
+    absence_set(&test, TRUE);
+    version_start(estate, "llm", "v2", "b1", "b2");
+    faults_set(estate, "cut", 1000);
+    g_usleep(ABSENCE_US);
+    for (int i = 0; i < TRIED; i++)
+        streams[i] = stream_begin(estate, test.begins_at);
+    faults_set(estate, "", 0);
+    for (int try = 0; try < TRIES; try++) {
+        for (int i = 0; i < TRIED; i++) {
+            g_autofree char *id = g_strdup_printf("t%d-%d", i, try);
+            g_autofree char *headers = g_strdup_printf(
+                EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: %s\r\n", streams[i].id);
+            wire_response_t *answer =
+                wire_request(estate->nodes[test.first].clients_port, "/once/x", id, headers);
+            g_test_message("%s: status %d", id, answer->status);
+            g_assert_cmpint(answer->status, ==, 503);
+            g_assert_nonnull(strstr(answer->head->str, "Retry-After:"));
+            wire_response_free(answer);
+        }
+        g_usleep(AGAIN_US);
+    }
+    absence_set(&test, FALSE);
+    for (int i = 0; i < TRIED; i++) {
+        g_autofree char *id = g_strdup_printf("r%d", i);
+        wire_response_t *answer = go_on(&test, streams[i].id, id);
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_false(is_joined(answer, &streams[i]));
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void test_seven_nodes(void) {
     out_of_step_t test = out_of_step_begin(MANY_NODES, STANDS_STILL, TRUE, 2);
     joins_unseen(&test, FALSE);
@@ -398,6 +438,7 @@
     g_test_add_func("/edge/out-of-step/store-away", test_store_away);
     g_test_add_func("/edge/out-of-step/hears-nothing", test_hears_nothing);
     g_test_add_func("/edge/out-of-step/is-not-heard", test_is_not_heard);
+    g_test_add_func("/edge/out-of-step/not-lost", test_not_lost);
     g_test_add_func("/edge/out-of-step/seven-nodes", test_seven_nodes);
     g_test_add_func("/edge/out-of-step/late-answer", test_late_answer);
 }
