Streams: whether a request takes one up is told by its headers, not by an older configuration

What callers saw: a node stands still for some seconds; meanwhile a route's streams become ones that clients take up, engines of another version join, streams begin there through other nodes and break.

Cause: `Last-Event-Id` and `Resumes` counted only on routes that are `resumable` in this node's configuration, which was as old as its absence; the request was passed on like any other. The class: the absence of something from a configuration that isn't known to be the newest is taken for its absence (as 404 was once).

A request on any streaming route that has one of the headers is looked up now. If a record is found, it binds. If none is, it is a request like any other where its own configuration is in force and confirmed, and has no streams on this route that are taken up; else it is refused like any of unknown start. Left open: a client that doesn't name its stream, at a node that was out of step for less than catalog-ms.

--- a/src/request/exchange_stream.c
+++ b/src/request/exchange_stream.c
@@ -33,7 +33,9 @@
     const wb_dialect_t *dialect = exchange->edge->dialect;
     const char *resumes = wb_http_head_get(exchange->head, dialect->resumes);
     const char *last_event_id = wb_http_head_get(exchange->head, dialect->last_event_id);
-    exchange->takes_up = route_is_resumable(exchange) && (resumes != NULL || last_event_id != NULL);
+    /* The headers tell, as the stream may have begun by a newer configuration than this node's. */
+    exchange->takes_up =
+        exchange->route->kind == WB_ROUTE_STREAM && (resumes != NULL || last_event_id != NULL);
     exchange->begins_stream = route_is_resumable(exchange) && !exchange->takes_up;
     if (!exchange->takes_up)
         return;
@@ -108,11 +110,28 @@
     return is_lost ? WB_OUTCOME_STREAM_LOST : WB_OUTCOME_START_UNKNOWN;
 }
 
+/* Whether the newest configuration has streams on this route that no client takes up. */
+static gboolean none_is_taken_up(const wb_exchange_t *exchange) {
+    return !route_is_resumable(exchange) && exchange->catalog == exchange->edge->catalog &&
+           wb_edge_catalog_is_confirmed(exchange->edge);
+}
+
+/* Nobody knows how the stream began. If none can be taken up, the request is one like any other. */
+static void start_is_unknown(wb_exchange_t *exchange, gboolean is_lost) {
+    if (!none_is_taken_up(exchange)) {
+        wb_exchange_give_up(exchange, unknown_outcome(is_lost));
+        return;
+    }
+    exchange->takes_up = FALSE;
+    wb_exchange_end_start_wait(exchange);
+    wb_exchange_dispatch(exchange);
+}
+
 void wb_exchange_await_start(wb_exchange_t *exchange) {
     int64_t now_ms = wb_clock_ms();
     wb_start_lookup_t lookup = exchange->takes_up ? start_ask(exchange, now_ms) : WB_START_ASKED;
     if (lookup != WB_START_ASKED) {
-        wb_exchange_give_up(exchange, unknown_outcome(lookup == WB_START_LOST));
+        start_is_unknown(exchange, lookup == WB_START_LOST);
         return;
     }
     if (exchange->awaits_start)
@@ -147,7 +166,7 @@
         wb_exchange_t *exchange = item->data;
         /* Ending one request may end others, so each is checked to be still open. */
         if (g_hash_table_contains(edge->open, exchange) && awaits_start_of(exchange, key))
-            wb_exchange_give_up(exchange, unknown_outcome(is_lost));
+            start_is_unknown(exchange, is_lost);
     }
 }
 
--- a/tests/edge/test_out_of_step.c
+++ b/tests/edge/test_out_of_step.c
@@ -39,6 +39,12 @@
 #define TRIED 4
 #define TRIES 6
 
+/* Streams that no client takes up. */
+#define FINAL_ROUTE                                                                                \
+    "{\"name\":\"once\",\"host\":\"a.example\",\"pathPrefix\":\"/once/\",\"routeType\":"           \
+    "\"streaming\",\"timeoutMs\":6000,\"targetLatencyMs\":800,\"priority\":1,\"service\":"         \
+    "\"llm\",\"maxAttempts\":1,\"resumable\":false,\"targetGapMs\":400}"
+
 /* Starts nodes with engines a1 and a2 of version v1. */
 static estate_t *nodes_start(int nodes, const char *flags) {
     estate_t *estate = estate_start(nodes, flags);
@@ -302,6 +308,16 @@
     g_error("no stream begins");
 }
 
+/* Engines of v2 join, and streams begin through a node that isn't out of step. */
+static void version_joins(const out_of_step_t *test, stream_t *streams, int count) {
+    version_start(test->estate, "llm", "v2", "b1", "b2");
+    faults_set(test->estate, "cut", 1000);
+    g_usleep(ABSENCE_US);
+    for (int i = 0; i < count; i++)
+        streams[i] = stream_begin(test->estate, test->begins_at);
+    faults_set(test->estate, "", 0);
+}
+
 /* Engines of v2 join while nodes are out of step, and streams begin through another node. @param
  * leaves whether v2 leaves within that time */
 static void joins_unseen(out_of_step_t *test, gboolean leaves) {
@@ -312,15 +328,10 @@
     if (test->absence != STANDS_STILL)
         wire_response_free(
             wire_request(estate->nodes[test->first].clients_port, "/once/x", "early", UNNAMED));
-    version_start(estate, "llm", "v2", "b1", "b2");
-    faults_set(estate, "cut", 1000);
-    g_usleep(ABSENCE_US);
-    for (int i = 0; i < TAKEN_UP; i++) {
-        streams[i] = stream_begin(estate, test->begins_at);
+    version_joins(test, streams, TAKEN_UP);
+    for (int i = 0; i < TAKEN_UP; i++)
         new_ones += strcmp(streams[i].version, "v2") == 0;
-    }
     g_assert_cmpint(new_ones, >=, JOINED_MIN);
-    faults_set(estate, "", 0);
     if (leaves)
         version_stop(estate, "b1", "b2");
     take_up(test, streams, leaves ? "v2" : NULL);
@@ -389,12 +400,7 @@
     estate_t *estate = test.estate;
     stream_t streams[TRIED];
     absence_set(&test, TRUE);
-    version_start(estate, "llm", "v2", "b1", "b2");
-    faults_set(estate, "cut", 1000);
-    g_usleep(ABSENCE_US);
-    for (int i = 0; i < TRIED; i++)
-        streams[i] = stream_begin(estate, test.begins_at);
-    faults_set(estate, "", 0);
+    version_joins(&test, streams, TRIED);
     for (int try = 0; try < TRIES; try++) {
         for (int i = 0; i < TRIED; i++) {
             g_autofree char *id = g_strdup_printf("t%d-%d", i, try);
@@ -425,7 +431,44 @@
     joins_unseen(&test, FALSE);
 }
 
+/* Guards against a node that takes a stream up by a configuration in which its streams couldn't be:
+ * they can since, and a version has joined. */
+static void test_becomes_resumable(void) {
+    out_of_step_t test = out_of_step_begin(NODES, STANDS_STILL, FALSE, 1);
+    estate_t *estate = test.estate;
+    stream_t streams[TAKEN_UP];
+    estate_configure(estate, FINAL_ROUTE);
+    g_usleep(3 * SETTLE_US);
+    absence_set(&test, TRUE);
+    estate_configure(estate, ROUTE("once", "1"));
+    version_joins(&test, streams, TAKEN_UP);
+    take_up(&test, streams, NULL);
+    estate_stop(estate);
+}
+
+/* Guards against a request that is refused for its headers on a route whose streams nobody takes
+ * up. */
+static void test_none_is_taken_up(void) {
+    estate_t *estate = nodes_start(NODES, FLAGS);
+    version_start(estate, "llm", "v2", "b1", "b2");
+    estate_configure(estate, FINAL_ROUTE);
+    g_usleep(3 * SETTLE_US);
+    for (int node = 0; node < NODES; node++) {
+        g_autofree char *id = g_strdup_printf("n%d", node);
+        wire_response_t *answer =
+            wire_request(estate->nodes[node].clients_port, "/once/x", id,
+                         EDGE_MODEL("m3") "Last-Event-Id: 2\r\nResumes: never-seen\r\n");
+        g_assert_cmpint(answer->status, ==, 200);
+        g_assert_true(answer->whole);
+        g_assert_cmpint(estate_runs(estate, id), ==, 1);
+        wire_response_free(answer);
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/out-of-step/none-is-taken-up", test_none_is_taken_up);
+    g_test_add_func("/edge/out-of-step/becomes-resumable", test_becomes_resumable);
     g_test_add_func("/edge/out-of-step/version-returns", test_version_returns);
     g_test_add_func("/edge/out-of-step/stands-still", test_stands_still);
     g_test_add_func("/edge/out-of-step/holder-stands-still", test_holder_stands_still);
