Lease row: behind a part that can't be read, no other part is

What could be seen: where what crashes engines can't be read in the lease's row, the bytes behind it were still read as shares of limits and extensions: a process that starts then admits by shares that nobody gave out, or nothing of a tenant.

Cause: each part is decoded from where the one before it ended, and went on from the middle of one that had failed. Reading stops there now, and nothing is concluded from what is missing.

--- a/src/edge/edge_node_types.h
+++ b/src/edge/edge_node_types.h
@@ -453,7 +453,7 @@
 /** Write the shares last sent, for the lease row. @return bytes written; 0: they don't fit */
 u_int wb_edge_node_quota_write(wb_edge_node_t *node, char *bytes, u_int room);
 /** Read shares from the lease row. After a start they apply until the aggregator sends shares. */
-void wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream);
+gboolean wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream);
 /** @return TRUE when a demand message has to be sent even if it is empty */
 gboolean wb_edge_node_quota_report_due(const wb_edge_node_t *node, int64_t now_ms);
 /** Add this node's usage of the last seconds to a report. */
@@ -496,7 +496,7 @@
 /** Write the entries for the lease row. @return bytes written, at most `room`; 0: they don't fit */
 u_int wb_edge_node_poison_write(const wb_edge_node_t *node, char *bytes, u_int room);
 /** Read the entries from the lease row. */
-void wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream);
+gboolean wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream);
 
 /* node_engine_states.c */
 /** Send changed engine-reported state to the aggregator, or from it to all gateways. */
--- a/src/edge/node_poison.c
+++ b/src/edge/node_poison.c
@@ -274,13 +274,15 @@
     return length;
 }
 
-void wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream) {
+gboolean wb_edge_node_poison_read(wb_edge_node_t *node, XDR *stream) {
     wb_wire_poison wire;
     memset(&wire, 0, sizeof(wire));
-    if (xdr_wb_wire_poison(stream, &wire)) {
+    gboolean readable = xdr_wb_wire_poison(stream, &wire) != 0;
+    if (readable) {
         wb_edge_node_poison_take(node, &wire);
     } else {
         wb_event_members("poison-row-refused", "");
     }
     xdr_free((xdrproc_t)xdr_wb_wire_poison, &wire);
+    return readable;
 }
--- a/src/edge/node_quota.c
+++ b/src/edge/node_quota.c
@@ -304,10 +304,11 @@
 /* If all nodes are killed at once while a tenant exceeds its limit, their state is lost, and
  * without the shares in the lease row each would admit everything until a new aggregator has
  * received reports. */
-void wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream) {
+gboolean wb_edge_node_quota_read(wb_edge_node_t *node, XDR *stream) {
     wb_wire_quota quota;
     memset(&quota, 0, sizeof(quota));
-    if (!xdr_wb_wire_quota(stream, &quota)) {
+    gboolean readable = xdr_wb_wire_quota(stream, &quota) != 0;
+    if (!readable) {
         wb_event_members("quota-row-refused", "");
     } else if (node->quota_received_ms == 0 && quota.tenants.tenants_len > 0) {
         wb_edge_node_quota_take_shares(node, &quota, 0);
@@ -316,6 +317,7 @@
         wb_event("quota-row-taken", ",\"shares\":%u", quota.tenants.tenants_len);
     }
     xdr_free((xdrproc_t)xdr_wb_wire_quota, &quota);
+    return readable;
 }
 
 /* Drops shares from the lease row that no aggregator has sent again in time. */
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -197,6 +197,17 @@
     return readable;
 }
 
+/* Reads what follows the lease in its row, as far as it goes. Where one part can't be read, what
+ * comes behind it isn't what it stands for. Returns FALSE then. */
+static gboolean appended_data_read(wb_edge_node_t *node, XDR *stream, gsize length,
+                                   wb_wire_extensions *extensions, int64_t *era) {
+    if (xdr_getpos(stream) < length && !wb_edge_node_poison_read(node, stream))
+        return FALSE;
+    if (xdr_getpos(stream) < length && !wb_edge_node_quota_read(node, stream))
+        return FALSE;
+    return xdr_getpos(stream) >= length || lease_extensions_read(node, stream, extensions, era);
+}
+
 void wb_edge_node_take_lease_row(wb_edge_node_t *node, const wb_table_row_t *row) {
     int64_t now_ms = wb_clock_ms();
     if (row->value == NULL) {
@@ -211,16 +222,8 @@
     /* A row of a build that names no era is taken for current until a rollback was seen. */
     int64_t era = node->has_seen_rollback ? 0 : wb_store_version_era(row->version);
     gboolean decoded = xdr_wb_wire_lease(&stream, &wire);
-    if (decoded && xdr_getpos(&stream) < row->length) {
-        wb_edge_node_poison_read(node, &stream);
-    }
-    if (decoded && xdr_getpos(&stream) < row->length) {
-        wb_edge_node_quota_read(node, &stream);
-    }
-    gboolean readable = decoded;
-    if (decoded && xdr_getpos(&stream) < row->length) {
-        readable = lease_extensions_read(node, &stream, &extensions, &era);
-    }
+    gboolean readable =
+        decoded && appended_data_read(node, &stream, row->length, &extensions, &era);
     xdr_destroy(&stream);
     if (decoded) {
         wb_lease_row_t lease = wb_edge_node_lease_from_wire(&wire);
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -46,6 +46,9 @@
 /** Write or remove (value NULL) a row, as the platform itself does. */
 void wb_estate_store_put(wb_estate_store_t *store, const char *table, const char *key,
                          const char *value);
+/** As wb_estate_store_put, with the bytes of the value in base64. */
+void wb_estate_store_put_base64(wb_estate_store_t *store, const char *table, const char *key,
+                                const char *base64);
 /** Drop the change history: pending polls, and polls from an earlier version, get 410. */
 void wb_estate_store_compact(wb_estate_store_t *store);
 /** Give out no versions below one that is this much higher, as if other tables were written. */
--- a/standins/estate/main.c
+++ b/standins/estate/main.c
@@ -57,15 +57,24 @@
     return TRUE;
 }
 
+/* Writes a row: `value` is its text, `base64` its bytes; without either it is removed. */
+static void row_put(wb_estate_t *estate, const json_t *command) {
+    const char *table = wb_json_text(command, "table", "op");
+    const char *key = wb_json_text(command, "key", "config");
+    const char *base64 = wb_json_text(command, "base64", NULL);
+    if (base64 != NULL)
+        wb_estate_store_put_base64(estate->store, table, key, base64);
+    else
+        wb_estate_store_put(estate->store, table, key, wb_json_text(command, "value", NULL));
+}
+
 /* Runs a control command {"do": NAME, ...}. Returns FALSE for an unknown command or engine. */
 static gboolean command_run(wb_estate_t *estate, const json_t *command) {
     const char *name = wb_json_text(command, "do", "");
     const char *id = wb_json_text(command, "engine", "");
     wb_estate_engine_t *engine = g_hash_table_lookup(estate->engines, id);
     if (strcmp(name, "put") == 0)
-        wb_estate_store_put(estate->store, wb_json_text(command, "table", "op"),
-                            wb_json_text(command, "key", "config"),
-                            wb_json_text(command, "value", NULL));
+        row_put(estate, command);
     else if (strcmp(name, "store-fault") == 0)
         wb_estate_store_set_fault(estate->store, wb_json_text(command, "fault", ""),
                                   wb_json_integer(command, "delay_ms", 0));
--- a/standins/estate/store.c
+++ b/standins/estate/store.c
@@ -166,13 +166,18 @@
     }
 }
 
+void wb_estate_store_put_base64(wb_estate_store_t *store, const char *table, const char *key,
+                                const char *base64) {
+    store->version++;
+    wb_estate_row_write(store, table, key, base64);
+    wb_estate_polls_answer(store, table);
+}
+
 void wb_estate_store_put(wb_estate_store_t *store, const char *table, const char *key,
                          const char *value) {
     g_autofree char *base64 =
         value != NULL ? g_base64_encode((const guchar *)value, strlen(value)) : NULL;
-    store->version++;
-    wb_estate_row_write(store, table, key, base64);
-    wb_estate_polls_answer(store, table);
+    wb_estate_store_put_base64(store, table, key, base64);
 }
 
 /* Returns NULL when all conditions hold, else the current rows that they name. */
--- a/tests/edge/test_odd_rows.c
+++ b/tests/edge/test_odd_rows.c
@@ -2,6 +2,8 @@
  * it from following the table, or hide other rows. */
 #include "edge.h"
 
+#include "wickbridge/message.h"
+
 #include <glib/gstdio.h>
 #include <string.h>
 
@@ -14,6 +16,7 @@
 #define LEASE_BACK_MS 6000
 #define SETTLE_US 1500000
 #define DEEP 30000
+#define ROW_MAX_BYTES 1024
 /* Nodes decide 2.5 s after they see that the table is large. */
 #define DECISION_TIMEOUT_MS 6000
 #define ODD_ROWS 90
@@ -207,7 +210,39 @@
     estate_stop(estate);
 }
 
+/* Guards against shares of limits that a row doesn't have, as a part before them can't be read. */
+static void test_parts_of_lease_row(void) {
+    wb_wire_lease lease = {.holder = "odd", .address = "127.0.0.1:9", .token = 5, .beat = 1};
+    wb_wire_quota_entry share = {"north", 0, 0};
+    wb_wire_quota quota = {{1, &share}};
+    u_int too_many = G_MAXUINT;
+    char bytes[ROW_MAX_BYTES];
+    XDR stream;
+    xdrmem_create(&stream, bytes, sizeof(bytes), XDR_ENCODE);
+    g_assert_true(xdr_wb_wire_lease(&stream, &lease));
+    g_assert_true(xdr_u_int(&stream, &too_many)); /* of requests that crash engines */
+    g_assert_true(xdr_wb_wire_quota(&stream, &quota));
+    g_autofree char *value = g_base64_encode((const guchar *)bytes, xdr_getpos(&stream));
+    xdr_destroy(&stream);
+    estate_t *estate = estate_start(NODES, NULL);
+    for (int node = 0; node < NODES; node++)
+        process_kill(&estate->nodes[node].process);
+    estate_command(estate,
+                   "{\"do\":\"put\",\"table\":\"" OWN_TABLE "\",\"key\":\"" LEASE_KEY
+                   "\",\"base64\":\"%s\"}",
+                   value);
+    for (int node = 0; node < NODES; node++)
+        estate_node_launch(estate, node);
+    estate_wait_controller(estate, LEASE_BACK_MS);
+    for (int node = 0; node < NODES; node++) {
+        g_assert_true(estate_log_has(estate, node, "\"event\":\"poison-row-refused\""));
+        g_assert_false(estate_log_has(estate, node, "\"event\":\"quota-row-taken\""));
+    }
+    estate_stop(estate);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/odd-rows/parts-of-lease-row", test_parts_of_lease_row);
     g_test_add_func("/edge/odd-rows/strongest-node", test_strongest_node);
     g_test_add_func("/edge/odd-rows/evacuations", test_evacuations);
     g_test_add_func("/edge/odd-rows/node-rows", test_node_rows);
