--- a/tests/fuzz/targets.h
+++ b/tests/fuzz/targets.h
@@ -14,5 +14,12 @@
                        size_t size); /* an engine's row in the store, in JSON */
 void target_engine_head(const uint8_t *data,
                         size_t size); /* engine-reported state in response headers */
+void target_engine_report(const uint8_t *data, size_t size); /* an engine's report, in JSON */
+void target_catalog_row(const uint8_t *data, size_t size);   /* operators' configuration, in JSON */
+void target_store_answer(const uint8_t *data, size_t size);  /* an answer of the store, in JSON */
+void target_node_row(const uint8_t *data, size_t size);      /* a node's row, in text */
+void target_lease_row(const uint8_t *data, size_t size);     /* the lease's row, in XDR */
+void target_stream_row(const uint8_t *data, size_t size);   /* a row of starts of streams, in XDR */
+void target_peer_message(const uint8_t *data, size_t size); /* what XDR messages make nodes do */
 
 #endif
