Loop: nothing is read after it was told to end, and the wakeup for that isn't lost

Callers saw, by reading: a request read after the last check of a planned stop goes to an engine, and the process ends without its answer.

Cause: whether the loop is to end was asked once a round, before its timers, while it reads at the end of the round.

--- a/src/net/loop.c
+++ b/src/net/loop.c
@@ -1,5 +1,6 @@
-/* Event loop: each iteration runs posted tasks, then due timers, then waits for sockets. Input that
- * arrived while the loop was held up is read before the next timer. */
+/* Event loop: each iteration runs posted tasks, then due timers, then waits for sockets. Sockets
+ * that became readable while the loop was held up are read, at most twice, before the next timer.
+ */
 #include "wickbridge/loop.h"
 
 #include "wickbridge/log.h"
@@ -126,6 +127,13 @@
     timer->position = g_sequence_insert_sorted(loop->timers, timer, timer_compare, NULL);
 }
 
+static gboolean is_stopping(wb_loop_t *loop) {
+    g_mutex_lock(&loop->lock);
+    gboolean stopping = loop->stopping;
+    g_mutex_unlock(&loop->lock);
+    return stopping;
+}
+
 /* Waits for sockets and runs their callbacks. Returns when the wait ended. */
 static int64_t sockets_poll(wb_loop_t *loop, int64_t wait_ms) {
     const apr_pollfd_t *ready = NULL;
@@ -167,7 +175,7 @@
         wb_timer_t *timer = g_sequence_get(first);
         if (timer->due_ms > now_ms)
             return CLAMP(timer->due_ms - wb_clock_ms(), 0, POLL_LIMIT_MS);
-        if (sockets_are_stale(loop))
+        if (sockets_are_stale(loop) && !is_stopping(loop))
             sockets_read(loop, 0); /* may cancel the timer */
         else
             timer_run(loop, timer, now_ms);
@@ -196,7 +204,9 @@
         if (loop->tasks.length > 0)
             wait_ms = 0;
         g_mutex_unlock(&loop->lock);
-        sockets_read(loop, wait_ms);
+        /* The wakeup may have been read between timers, and nothing is read after a stop. */
+        if (!is_stopping(loop))
+            sockets_read(loop, wait_ms);
     }
     return NULL;
 }
--- a/tests/unit/test_loop.c
+++ b/tests/unit/test_loop.c
@@ -144,11 +144,53 @@
     fixture_stop(&fixture);
 }
 
+static void quit_then_hold(void *context) {
+    const fixture_t *fixture = context;
+    wb_loop_quit(fixture->loop);
+    g_usleep(HOLD_MS * 1000);
+}
+
+static void nothing_due(void *context) {
+    (void)context;
+}
+
+/* Guards against a loop that waits for sockets after it was told to end, as reading between timers
+ * has taken the wakeup. */
+static void test_quit_between_timers(void) {
+    fixture_t fixture;
+    fixture_start(&fixture);
+    int64_t began_ms = wb_clock_ms();
+    wb_loop_after(fixture.loop, 10, quit_then_hold, &fixture);
+    wb_loop_after(fixture.loop, 10, nothing_due, &fixture);
+    wb_loop_run(fixture.loop);
+    g_assert_cmpint(wb_clock_ms() - began_ms, <, 3 * HOLD_MS);
+    fixture_stop(&fixture);
+}
+
+static void quit_with_input(void *context) {
+    fixture_t *fixture = context;
+    g_string_append_c(fixture->order, 't');
+    wb_loop_quit(fixture->loop);
+    peer_writes(fixture, 0);
+}
+
+/* Guards against requests that are read, and run, after the last check of a planned stop. */
+static void test_no_input_after_quit(void) {
+    fixture_t fixture;
+    fixture_start(&fixture);
+    wb_loop_after(fixture.loop, 10, quit_with_input, &fixture);
+    wb_loop_run(fixture.loop);
+    g_assert_cmpstr(fixture.order->str, ==, "t");
+    fixture_stop(&fixture);
+}
+
 static void tests_add(void) {
     g_test_add_func("/loop/input-before-timers", test_input_before_timers);
     g_test_add_func("/loop/input-between-timers", test_input_between_timers);
     g_test_add_func("/loop/input-after-a-long-callback", test_input_after_a_long_callback);
     g_test_add_func("/loop/timers-run-beside-input", test_timers_run_beside_input);
+    g_test_add_func("/loop/no-input-after-quit", test_no_input_after_quit);
+    g_test_add_func("/loop/quit-between-timers", test_quit_between_timers);
 }
 
 UNIT_TEST_MAIN(tests_add)
