--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -44,8 +44,8 @@
     unsigned refusal;        /* status to refuse the current request with; 0: none */
     int64_t began_ms;        /* first byte of the current request; 0: none yet */
     int64_t active_ms;       /* last input, or end of the last request */
-    int64_t head_timeout_ms; /* as when the current request began */
-    int64_t idle_timeout_ms; /* as when the current wait for input began */
+    int64_t head_timeout_ms; /* the highest since the current request began */
+    int64_t idle_timeout_ms; /* the highest since the current wait for input began */
 };
 
 static void connection_advance(wb_http_connection_t *connection);
@@ -365,15 +365,13 @@
 } wb_overdue_t;
 
 static wb_overdue_t connection_overdue(const wb_http_connection_t *connection, int64_t now_ms) {
-    const wb_http_limits_t *limits = &connection->listener->limits;
     if (connection->running || wb_tcp_stream_unsent(connection->stream) > 0)
         return WB_OVERDUE_NOTHING;
     gboolean in_head = connection->began_ms != 0 && connection->body == NULL;
-    int64_t head_ms = MAX(connection->head_timeout_ms, limits->head_timeout_ms);
-    int64_t idle_ms = MAX(connection->idle_timeout_ms, limits->idle_timeout_ms);
-    if (in_head && now_ms - connection->began_ms > head_ms)
+    if (in_head && now_ms - connection->began_ms > connection->head_timeout_ms)
         return WB_OVERDUE_HEAD;
-    return now_ms - connection->active_ms > idle_ms ? WB_OVERDUE_INPUT : WB_OVERDUE_NOTHING;
+    return now_ms - connection->active_ms > connection->idle_timeout_ms ? WB_OVERDUE_INPUT
+                                                                        : WB_OVERDUE_NOTHING;
 }
 
 static gboolean connection_rests(const wb_http_connection_t *connection) {
@@ -455,9 +453,12 @@
     listener->limits = *limits;
     g_hash_table_iter_init(&iter, listener->connections);
     while (g_hash_table_iter_next(&iter, &key, NULL)) {
-        const wb_http_connection_t *connection = key;
+        wb_http_connection_t *connection = key;
         if (connection->began_ms == 0 || is_raised)
             wb_http_reader_set_head_limit(connection->reader, limits->head_bytes);
+        /* Clients may wait by a raised limit from now on, also once it is lowered again. */
+        connection->idle_timeout_ms = MAX(connection->idle_timeout_ms, limits->idle_timeout_ms);
+        connection->head_timeout_ms = MAX(connection->head_timeout_ms, limits->head_timeout_ms);
     }
 }
 
--- a/tests/unit/test_http_listener.c
+++ b/tests/unit/test_http_listener.c
@@ -27,9 +27,11 @@
     wb_http_listener_t *listener;
     gboolean is_held; /* requests are answered by answer_all */
     gboolean answers_large;
+    size_t answers_medium; /* bytes; 0: not */
     wb_http_connection_t *held[RUNNING_MAX];
     int held_count;
     int requests;
+    int64_t request_ms; /* how long the handler of a request holds the loop up */
     GMutex lock;
     GCond done;
     gboolean is_done;
@@ -50,11 +52,16 @@
     wb_http_head_free(head);
     g_byte_array_unref(body);
     fixture->requests++;
+    g_usleep((gulong)fixture->request_ms * 1000);
     if (fixture->is_held)
         fixture->held[fixture->held_count++] = connection;
     else if (fixture->answers_large)
         answer_large(connection);
-    else
+    else if (fixture->answers_medium > 0) {
+        g_autofree char *text = g_strnfill(fixture->answers_medium, 'a');
+        wb_http_connection_reply(connection, 200, "OK", "", text, fixture->answers_medium);
+        g_assert_cmpuint(wb_http_connection_unsent(connection), ==, 0); /* the system has it */
+    } else
         wb_http_connection_reply(connection, 200, "OK", "", "done", 4);
 }
 
@@ -144,16 +151,22 @@
     g_cond_clear(&fixture->done);
 }
 
-static int client_open(const fixture_t *fixture) {
+static int client_open_sized(const fixture_t *fixture, int receive_bytes) {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port =
                                       htons((uint16_t)wb_http_listener_port(fixture->listener)),
                                   .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     int client = socket(AF_INET, SOCK_STREAM, 0);
+    if (receive_bytes > 0)
+        setsockopt(client, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
     g_assert_cmpint(connect(client, (struct sockaddr *)&address, sizeof(address)), ==, 0);
     return client;
 }
 
+static int client_open(const fixture_t *fixture) {
+    return client_open_sized(fixture, 0);
+}
+
 static void client_send(int client, const char *text, size_t length) {
     size_t sent = 0;
     while (sent < length) {
@@ -242,6 +255,28 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against the sweep closing one whose request arrived after the loop had read its sockets
+ * twice, as other requests held it up both times. */
+static void test_request_beside_long_callbacks(void) {
+    enum { REQUEST_MS = 300 };
+    fixture_t fixture;
+    fixture_start(&fixture, IDLE_MS);
+    int busy[] = {client_open(&fixture), client_open(&fixture)};
+    int client = client_open(&fixture);
+    g_assert_true(client_ask(client));
+    fixture.request_ms = REQUEST_MS;
+    for (int i = 0; i < 2; i++) {
+        client_send(busy[i], request_text, strlen(request_text));
+        g_usleep(REQUEST_MS / 3 * 1000);
+    }
+    g_usleep(REQUEST_MS / 2 * 1000);
+    g_assert_true(client_ask(client));
+    for (int i = 0; i < 2; i++)
+        close(busy[i]);
+    close(client);
+    fixture_stop(&fixture);
+}
+
 /* Guards against a planned stop that closes a connection as idle whose request wasn't read yet. */
 static void test_close_idle_reads_first(void) {
     fixture_t fixture;
@@ -294,16 +329,20 @@
     fixture_stop(&fixture);
 }
 
-static void client_read_large(int client) {
+static void client_read_bytes(int client, size_t bytes) {
     g_autofree char *part = g_malloc(REQUEST_BYTES);
     size_t read_bytes = 0;
-    while (read_bytes < LARGE_BYTES) {
+    while (read_bytes < bytes) {
         ssize_t length = recv(client, part, REQUEST_BYTES, 0);
         g_assert_cmpint(length, >, 0);
         read_bytes += (size_t)length;
     }
 }
 
+static void client_read_large(int client) {
+    client_read_bytes(client, LARGE_BYTES);
+}
+
 /* Guards against an idle time that runs while a client still reads its last answer. */
 static void test_rest_begins_after_the_answer(void) {
     fixture_t fixture;
@@ -351,6 +390,42 @@
     fixture_stop(&fixture);
 }
 
+/* Guards against a limit that is raised and lowered within one rest: its client may rest by the
+ * higher one. */
+static void test_lower_limit_after_a_raise(void) {
+    fixture_t fixture;
+    fixture_start(&fixture, 2 * IDLE_MS);
+    int client = client_open(&fixture);
+    g_assert_true(client_ask(client));
+    fixture.limits.idle_timeout_ms = 10 * IDLE_MS;
+    on_loop(&fixture, limits_apply);
+    g_usleep(4 * IDLE_MS * 1000);
+    fixture.limits.idle_timeout_ms = 2 * IDLE_MS;
+    on_loop(&fixture, limits_apply);
+    g_usleep((2 * SWEEP_MS + 100) * 1000);
+    g_assert_true(client_ask(client));
+    close(client);
+    fixture_stop(&fixture);
+}
+
+/* Guards against an idle time that runs while the system still sends the last answer. */
+static void test_rest_begins_after_a_medium_answer(void) {
+    enum { MEDIUM_BYTES = 256 * 1024 };
+    fixture_t fixture;
+    fixture_start(&fixture, IDLE_MS);
+    fixture.answers_medium = MEDIUM_BYTES;
+    int client = client_open_sized(&fixture, 4096);
+    client_send(client, request_text, strlen(request_text));
+    g_usleep(3 * IDLE_MS * 1000);
+    fixture.answers_medium = 0;
+    client_read_bytes(client, MEDIUM_BYTES);
+    g_usleep(IDLE_MS / 2 * 1000);
+    client_send(client, request_text, strlen(request_text));
+    g_assert_cmpint(client_read(client, 1), ==, 1);
+    close(client);
+    fixture_stop(&fixture);
+}
+
 static void *requests_send(void *context) {
     int client = GPOINTER_TO_INT(context);
     g_autoptr(GString) text = g_string_new(NULL);
@@ -384,6 +459,8 @@
     g_test_add_func("/http-listener/request-in-a-held-loop", test_request_in_a_held_loop);
     g_test_add_func("/http-listener/body-in-a-held-loop", test_body_in_a_held_loop);
     g_test_add_func("/http-listener/head-in-a-held-loop", test_head_in_a_held_loop);
+    g_test_add_func("/http-listener/request-beside-long-callbacks",
+                    test_request_beside_long_callbacks);
     g_test_add_func("/http-listener/close-idle-reads-first", test_close_idle_reads_first);
     g_test_add_func("/http-listener/lower-limit-spares-a-rest", test_lower_limit_spares_a_rest);
     g_test_add_func("/http-listener/lower-limit-after-notice", test_lower_limit_after_notice);
@@ -392,6 +469,9 @@
     g_test_add_func("/http-listener/higher-limit-holds-at-once", test_higher_limit_holds_at_once);
     g_test_add_func("/http-listener/lower-head-limit-spares-a-head",
                     test_lower_head_limit_spares_a_head);
+    g_test_add_func("/http-listener/lower-limit-after-a-raise", test_lower_limit_after_a_raise);
+    g_test_add_func("/http-listener/rest-begins-after-a-medium-answer",
+                    test_rest_begins_after_a_medium_answer);
     g_test_add_func("/http-listener/pipeline-beyond-the-limit", test_pipeline_beyond_the_limit);
 }
 
