Client connections: a rest begins when the client's system has the whole answer

Cause: the idle time ran from the moment at which the system took the last byte. A connection whose output isn't acknowledged isn't closed as idle; its wait begins anew.

--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -72,6 +72,10 @@
 /** @return bytes queued and not yet handed to the system */
 size_t wb_tcp_stream_unsent(const wb_tcp_stream_t *stream);
 
+/** @return TRUE while the system has output that the peer's system didn't acknowledge; FALSE where
+ * the system can't tell */
+gboolean wb_tcp_stream_has_unacknowledged(const wb_tcp_stream_t *stream);
+
 /** @return TRUE while it is connected and neither ended nor closed */
 gboolean wb_tcp_stream_is_open(const wb_tcp_stream_t *stream);
 
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -389,6 +389,10 @@
     if (connection_overdue(connection, wb_clock_ms()) == WB_OVERDUE_NOTHING ||
         !connection_read(listener, connection))
         return;
+    if (wb_tcp_stream_has_unacknowledged(connection->stream)) {
+        wait_begin(connection); /* its client still reads the last answer */
+        return;
+    }
     switch (connection_overdue(connection, wb_clock_ms())) {
     case WB_OVERDUE_NOTHING:
         listener->counts.idle_reads++;
--- a/src/net/tcp_stream.c
+++ b/src/net/tcp_stream.c
@@ -8,7 +8,9 @@
 #include <apr_pools.h>
 #include <apr_portable.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #define READ_CHUNK_BYTES 16384
@@ -201,6 +203,13 @@
     return stream->open && !stream->ended && !stream->closed;
 }
 
+gboolean wb_tcp_stream_has_unacknowledged(const wb_tcp_stream_t *stream) {
+    int descriptor;
+    int bytes = 0;
+    apr_os_sock_get(&descriptor, stream->socket);
+    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void wb_tcp_stream_set_reading(wb_tcp_stream_t *stream, gboolean reading) {
     if (stream->reading == reading)
         return;
