Connections to engines and the store: one whose end has arrived isn't used again

It is read once before it is used. /http-peer/ended-connection-is-not-reused failed 6 of 6 and passes 3 of 3. Costs a call to the system a request on a kept connection.

--- a/src/http/http_pool.c
+++ b/src/http/http_pool.c
@@ -238,7 +238,11 @@
  * have ended or were idle for too long. */
 static wb_http_call_t *idle_take(wb_http_pool_t *pool) {
     while (pool->idle->len > 0) {
-        wb_http_call_t *call = g_ptr_array_index(pool->idle, pool->idle->len - 1);
+        guint count = pool->idle->len;
+        wb_http_call_t *call = g_ptr_array_index(pool->idle, count - 1);
+        wb_tcp_stream_read_now(call->stream);
+        if (pool->idle->len < count)
+            continue; /* its end had arrived */
         if (wb_clock_ms() - call->idle_since_ms <= MAX_IDLE_MS &&
             wb_tcp_stream_is_open(call->stream)) {
             g_ptr_array_set_size(pool->idle, (gint)pool->idle->len - 1);
--- a/src/request/upstream.c
+++ b/src/request/upstream.c
@@ -98,18 +98,32 @@
            (heard_after_ms == 0 || upstream->heard_ms > heard_after_ms);
 }
 
-wb_upstream_t *wb_upstream_take(const wb_edge_t *edge, wb_engine_t *engine, const char *request_id,
+/* Returns an idle connection that may carry the request, or NULL. Closes those that aren't usable.
+ */
+static wb_upstream_t *idle_find(wb_engine_t *engine, uint64_t hash, int64_t heard_after_ms,
                                 int64_t now_ms) {
-    int64_t heard_after_ms = doubt_ms(edge, engine, now_ms);
-    uint64_t hash = id_hash(request_id);
     WB_LIST_EACH_SAFE(item, &engine->idle) {
         wb_upstream_t *upstream = WB_LIST_OF(item, wb_upstream_t, idle);
-        if (!is_usable(upstream, heard_after_ms, now_ms)) {
+        if (!is_usable(upstream, heard_after_ms, now_ms))
             wb_upstream_close_idle(upstream);
-        } else if (!has_carried(upstream, hash)) {
-            wb_list_remove(&engine->idle, item);
+        else if (!has_carried(upstream, hash))
             return upstream;
-        }
+    }
+    return NULL;
+}
+
+wb_upstream_t *wb_upstream_take(const wb_edge_t *edge, wb_engine_t *engine, const char *request_id,
+                                int64_t now_ms) {
+    int64_t heard_after_ms = doubt_ms(edge, engine, now_ms);
+    uint64_t hash = id_hash(request_id);
+    wb_upstream_t *upstream;
+    while ((upstream = idle_find(engine, hash, heard_after_ms, now_ms)) != NULL) {
+        unsigned count = engine->idle.len;
+        wb_tcp_stream_read_now(upstream->stream);
+        if (engine->idle.len < count)
+            continue; /* its end had arrived */
+        wb_list_remove(&engine->idle, &upstream->idle);
+        return upstream;
     }
     return NULL;
 }
--- a/tests/unit/test_http_pool.c
+++ b/tests/unit/test_http_pool.c
@@ -8,7 +8,10 @@
 #include "wickbridge/http_pool.h"
 #include "wickbridge/loop.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define CHUNKS 8
 #define CHUNK_MS 60
@@ -186,11 +189,75 @@
     wb_http_pool_free(pool);
 }
 
+/* Answers one request on each of two connections, and closes each soon after. */
+static gpointer closing_server(gpointer context) {
+    static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    int listening = GPOINTER_TO_INT(context);
+    for (int i = 0; i < 2; i++) {
+        char request[4096];
+        int connection = accept(listening, NULL, NULL);
+        if (recv(connection, request, sizeof(request), 0) > 0)
+            send(connection, answer, strlen(answer), MSG_NOSIGNAL);
+        g_usleep(50000);
+        close(connection);
+    }
+    return NULL;
+}
+
+typedef struct two_calls_t {
+    fixture_t fixture;
+    wb_http_pool_t *pool;
+    wb_http_request_t request;
+    int done;
+} two_calls_t;
+
+/* Holds the loop up while the server closes the idle connection, then calls again. */
+static void call_again(const wb_http_result_t *result, void *context) {
+    two_calls_t *calls = context;
+    calls->fixture.outcome = result->outcome;
+    if (++calls->done == 2) {
+        wb_loop_quit(calls->fixture.loop);
+        return;
+    }
+    g_usleep(200000);
+    wb_http_pool_call(calls->pool, &calls->request);
+}
+
+/* Guards against a call on an idle connection whose end has arrived and isn't read yet. */
+static void test_ended_connection_is_not_reused(void) {
+    two_calls_t calls = {.done = 0};
+    wb_error_t error;
+    wb_tcp_connect_options_t options = {1000, 1000, NULL};
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t size = sizeof(address);
+    int listening = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(listening, (struct sockaddr *)&address, size), ==, 0);
+    g_assert_cmpint(listen(listening, 2), ==, 0);
+    g_assert_cmpint(getsockname(listening, (struct sockaddr *)&address, &size), ==, 0);
+    GThread *thread = g_thread_new("server", closing_server, GINT_TO_POINTER(listening));
+    g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+    g_assert_cmpint(wb_loop_create(&calls.fixture.loop, "test", 64, &error), ==, APR_SUCCESS);
+    calls.pool = wb_http_pool_create(calls.fixture.loop, text, &options);
+    calls.request = (wb_http_request_t){.method = "GET",
+                                        .target = "/",
+                                        .timeout_ms = 5000,
+                                        .on_result = call_again,
+                                        .context = &calls};
+    wb_http_pool_call(calls.pool, &calls.request);
+    wb_loop_run(calls.fixture.loop);
+    g_assert_cmpint(calls.fixture.outcome, ==, WB_HTTP_COMPLETED);
+    g_thread_join(thread);
+    wb_http_pool_free(calls.pool);
+    close(listening);
+}
+
 static void tests_add(void) {
     g_test_add_func("/http-peer/whole-call-is-bounded", test_whole_call_is_bounded);
     g_test_add_func("/http-peer/progress-goes-on", test_progress_goes_on);
     g_test_add_func("/http-peer/silence-ends-it", test_silence_ends_it);
     g_test_add_func("/http-peer/endless-response-ends", test_endless_response_ends);
+    g_test_add_func("/http-peer/ended-connection-is-not-reused",
+                    test_ended_connection_is_not_reused);
     g_test_add_func("/http-peer/cut-responses-are-unknown", test_cut_responses_are_unknown);
 }
 
