--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -22,6 +22,7 @@
     size_t body_bytes;
     int64_t head_timeout_ms; /**< from a request's first byte to the end of its head */
     int64_t idle_timeout_ms; /**< max idle time between requests and within a body */
+    int64_t notice_ms;       /**< how long clients may not know of a lower idle timeout */
 } wb_http_limits_t;
 
 typedef struct wb_http_handler_t {
@@ -52,7 +53,7 @@
 /** @return the port listened on */
 unsigned wb_http_listener_port(const wb_http_listener_t *listener);
 /** Change the limits. On open connections lower limits apply from the next request, or the next
- * wait for input, on; a lower idle timeout to waits that begin two seconds later or more. */
+ * wait for input, on; a lower idle timeout to waits that begin later than `notice_ms` after it. */
 void wb_http_listener_set_limits(wb_http_listener_t *listener, const wb_http_limits_t *limits);
 /** From now on close each connection after its response. */
 void wb_http_listener_drain(wb_http_listener_t *listener);
--- a/src/edge/node_store.c
+++ b/src/edge/node_store.c
@@ -125,7 +125,8 @@
     wb_edge_node_origins_catalog(node, previous, catalog);
     wb_catalog_unref(previous);
     wb_http_limits_t limits = {catalog->limits.head_bytes, catalog->limits.body_bytes,
-                               catalog->limits.head_timeout_ms, catalog->limits.idle_timeout_ms};
+                               catalog->limits.head_timeout_ms, catalog->limits.idle_timeout_ms,
+                               edge->settings.catalog_ms};
     wb_http_listener_set_limits(node->client_listener, &limits);
     wb_controller_set_catalog(node->controller, catalog);
     wb_edge_node_quota_set_limits(node);
--- a/src/http/http_listener.c
+++ b/src/http/http_listener.c
@@ -10,8 +10,6 @@
 #define SILENCE_LIMIT_MS 8000
 #define PENDING_LIMIT_BYTES (256 * 1024)
 #define HEAD_TEXT_BYTES 256
-/* Clients may learn of a lower idle timeout that much later than this process. */
-#define LOWER_LIMIT_NOTICE_MS 2000
 
 struct wb_http_listener_t {
     wb_loop_t *loop;
@@ -452,7 +450,7 @@
     gpointer key;
     if (limits->idle_timeout_ms < listener->limits.idle_timeout_ms) {
         listener->noticed_idle_timeout_ms = idle_before_ms;
-        listener->notice_until_ms = wb_clock_ms() + LOWER_LIMIT_NOTICE_MS;
+        listener->notice_until_ms = wb_clock_ms() + limits->notice_ms;
     }
     listener->limits = *limits;
     g_hash_table_iter_init(&iter, listener->connections);
--- a/tests/unit/test_http_listener.c
+++ b/tests/unit/test_http_listener.c
@@ -138,7 +138,7 @@
     memset(fixture, 0, sizeof(*fixture));
     g_mutex_init(&fixture->lock);
     g_cond_init(&fixture->done);
-    fixture->limits = (wb_http_limits_t){4096, 4 * REQUEST_BYTES, 5000, idle_ms};
+    fixture->limits = (wb_http_limits_t){4096, 4 * REQUEST_BYTES, 5000, idle_ms, NOTICE_MS};
     g_assert_cmpint(wb_loop_create(&fixture->loop, "test", 256, &error), ==, APR_SUCCESS);
     wb_loop_start(fixture->loop);
     on_loop(fixture, listener_open);
