--- a/tests/unit/test_http_pool.c
+++ b/tests/unit/test_http_pool.c
@@ -234,7 +234,7 @@
     g_assert_cmpint(bind(listening, (struct sockaddr *)&address, size), ==, 0);
     g_assert_cmpint(listen(listening, 2), ==, 0);
     g_assert_cmpint(getsockname(listening, (struct sockaddr *)&address, &size), ==, 0);
-    GThread *thread = g_thread_new("server", closing_server, GINT_TO_POINTER(listening));
+    g_autoptr(GThread) thread = g_thread_new("server", closing_server, GINT_TO_POINTER(listening));
     g_autofree char *text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
     g_assert_cmpint(wb_loop_create(&calls.fixture.loop, "test", 64, &error), ==, APR_SUCCESS);
     calls.pool = wb_http_pool_create(calls.fixture.loop, text, &options);
@@ -246,7 +246,7 @@
     wb_http_pool_call(calls.pool, &calls.request);
     wb_loop_run(calls.fixture.loop);
     g_assert_cmpint(calls.fixture.outcome, ==, WB_HTTP_COMPLETED);
-    g_thread_join(thread);
+    g_thread_join(g_steal_pointer(&thread));
     wb_http_pool_free(calls.pool);
     close(listening);
 }
