--- a/include/wickbridge/http_listener.h
+++ b/include/wickbridge/http_listener.h
@@ -62,6 +62,7 @@
 /** Close idle connections: those without a running or partly received request, after reading what
  * has arrived on them. */
 void wb_http_listener_close_idle(wb_http_listener_t *listener);
+/** @return counts since the listener was opened */
 wb_http_listener_counts_t wb_http_listener_counts(const wb_http_listener_t *listener);
 /** @return number of connections with a running or partly received request, or unsent output, ended
  * ones included */
--- a/include/wickbridge/tcp_stream.h
+++ b/include/wickbridge/tcp_stream.h
@@ -89,10 +89,9 @@
 
 /** Streams that were told to finish, by one owner. Zeroed, then wb_tcp_finishing_init. */
 typedef struct wb_tcp_finishing_t {
-    wb_list_t unsent;    /**< streams whose output the system doesn't have yet */
-    wb_list_t lingering; /**< streams that wait for the peer's close */
-    uint64_t
-        late_inputs; /**< streams that got input after the end of their output; it is dropped */
+    wb_list_t unsent;     /**< streams whose output the system doesn't have yet */
+    wb_list_t lingering;  /**< streams that wait for the peer's close */
+    uint64_t late_inputs; /**< streams with input, which is dropped, after all output was sent */
 } wb_tcp_finishing_t;
 
 /** Close at once and free. Safe from every callback of the stream. */
--- a/src/request/upstream.c
+++ b/src/request/upstream.c
@@ -98,8 +98,7 @@
            (heard_after_ms == 0 || upstream->heard_ms > heard_after_ms);
 }
 
-/* Returns an idle connection that may carry the request, or NULL. Closes those that aren't usable.
- */
+/* Returns an idle connection that may carry the request, or NULL. Closes unusable ones. */
 static wb_upstream_t *idle_find(wb_engine_t *engine, uint64_t hash, int64_t heard_after_ms,
                                 int64_t now_ms) {
     WB_LIST_EACH_SAFE(item, &engine->idle) {
