--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,7 @@
 from estate import *  # noqa: E402,F403
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STREAMS = 48
+STREAMS = 72
 EVENTS = 16
 PAUSE_S = 0.08
 ERROR_EVERY = 7  # of an engine's requests, as seat-release's error_share of 0.14
@@ -134,7 +134,7 @@
              "service": "assistant", "maxAttempts": 3, "resumable": True, "targetGapMs": 400}],
             [{"name": "assistant", "healthPath": "/health", "maxConnections": 360,
               "protocol": "h1", "tls": False}]))
-        engines = [Streams(store, record, "assistant", "oslo-a", 64) for _ in range(3)]
+        engines = [Streams(store, record, "assistant", "oslo-a", 64) for _ in range(4)]
         for index, engine in enumerate(engines):
             await engine.open(loopback_host(20 + index))
         node = Node(record, store, "edge-oslo-a-1", loopback_host(2), "oslo-a",
--- a/review/common-2/estate.py
+++ b/review/common-2/estate.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import socket
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -20,6 +21,9 @@
 TEMPLATE = os.path.join(ROOT, "deploy", "edge.conf")
 ROW_LIMIT = 500
 
+# A script that is told to stop ends the processes that it started first.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 
 def now():
     return time.monotonic()
