Answers: one decision from the head says what may follow the events that a client has

Cause: what may follow bytes that a client has was decided three times, by length as the body came, by status at its end, and not at all as it was forwarded. answer_use.c decides once, from the head: refuse, drop, forward or stream. Behind events only an event stream of the same status, sealed and in no further coding, goes on; another engine is asked otherwise. A failure for which another engine will be asked is dropped from its head on, whatever its length.

It works as body and end have nothing left to decide.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -36,6 +36,7 @@
     uint64_t resends_refused;    /**< retries that the retry budget didn't allow */
     uint64_t rejections;         /**< attempts that engines rejected without running them */
     uint64_t failed_attempts;    /**< attempts without a complete response */
+    uint64_t answers_dropped;    /**< responses of engines that ran a request, not passed on */
     uint64_t attempts_withdrawn; /**< attempts cancelled before the first byte was sent, as the
                                  engine had meanwhile reported a limit, draining or a backoff */
     uint64_t engine_checks;      /**< connections made to find out whether an engine has crashed */
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -7,10 +7,9 @@
 /* A sound engine may be silent for a second or so. While it works on a request, its connection
  * outlives three keep-alive probes, one a second; a shorter limit would decide after the first. */
 #define QUIET_LIMIT_MS 3500
-/* Limits of the body of a rejection, which is read only to keep the connection: its head decides.
- */
-#define REJECTION_BODY_MAX_MS 100
-#define REJECTION_BODY_MAX_BYTES 65536
+/* Limits of a body that is read only to keep the connection. */
+#define DROPPED_BODY_MAX_MS 100
+#define DROPPED_BODY_MAX_BYTES (1024 * 1024)
 /* Limit of what may come before the request's own answer begins. */
 #define PASSED_OVER_MAX_BYTES (4 * 1024 * 1024)
 /* Time after the silence limit at which a request that was written is known to have arrived. */
@@ -23,14 +22,14 @@
     gboolean sent;             /* the request was written to the connection */
     wb_timer_t *arrival_timer; /* until the request is known to have arrived; NULL: it is, or isn't
                                 sent */
-    wb_timer_t *rejection_timer; /* until the body of a rejection must have ended; or NULL */
-    size_t rejection_bytes;      /* of that body */
-    gboolean reused;             /* the connection was idle before, not opened for the attempt */
-    gboolean answered;           /* the head of the request's own response has been read */
-    size_t passed_over_bytes;    /* read before that */
-    gboolean skipping;           /* the current response isn't for this request */
-    gboolean tainted;            /* the connection must not be reused */
-    gboolean is_head;            /* the request's method is HEAD */
+    wb_timer_t *drop_timer;    /* until a body that is dropped must have ended; or NULL */
+    size_t dropped_bytes;      /* of that body */
+    gboolean reused;           /* the connection was idle before, not opened for the attempt */
+    gboolean answered;         /* the head of the request's own response has been read */
+    size_t passed_over_bytes;  /* read before that */
+    gboolean skipping;         /* the current response isn't for this request */
+    gboolean tainted;          /* the connection must not be reused */
+    gboolean is_head;          /* the request's method is HEAD */
     gboolean keep_alive;
     int64_t idle_limit_ms; /* duration, from the Keep-Alive header; 0: none */
     gboolean complete;
@@ -40,8 +39,8 @@
 static void attempt_free(wb_attempt_t *attempt) {
     if (attempt->arrival_timer != NULL)
         wb_timer_cancel(attempt->arrival_timer);
-    if (attempt->rejection_timer != NULL)
-        wb_timer_cancel(attempt->rejection_timer);
+    if (attempt->drop_timer != NULL)
+        wb_timer_cancel(attempt->drop_timer);
     if (attempt->output != NULL)
         g_string_free(attempt->output, TRUE);
     g_free(attempt);
@@ -100,22 +99,22 @@
     wb_exchange_attempt_done(exchange);
 }
 
-/* The engine has rejected the request, but the body of its response doesn't end as it should. */
-static void rejection_cut(wb_attempt_t *attempt) {
+/* The body that is dropped doesn't end as it should. */
+static void drop_cut(wb_attempt_t *attempt) {
     attempt->tainted = TRUE;
     attempt->exchange->reply.incomplete = TRUE;
     attempt_finish(attempt);
 }
 
-static void rejection_timed_out(void *context) {
+static void drop_timed_out(void *context) {
     wb_attempt_t *attempt = context;
-    attempt->rejection_timer = NULL;
-    rejection_cut(attempt);
+    attempt->drop_timer = NULL;
+    drop_cut(attempt);
 }
 
-static void rejection_begin(wb_attempt_t *attempt) {
-    attempt->rejection_timer = wb_loop_after(attempt->exchange->edge->loop, REJECTION_BODY_MAX_MS,
-                                             rejection_timed_out, attempt);
+static void drop_begin(wb_attempt_t *attempt) {
+    attempt->drop_timer =
+        wb_loop_after(attempt->exchange->edge->loop, DROPPED_BODY_MAX_MS, drop_timed_out, attempt);
 }
 
 static int64_t keep_alive_timeout_ms(const wb_http_head_t *head) {
@@ -168,8 +167,8 @@
     engine_state_apply(upstream, head);
     attempt->invalid = wb_exchange_attempt_head(attempt->exchange, head);
     attempt->skipping = attempt->invalid != NULL;
-    if (attempt->exchange->reply.rejected)
-        rejection_begin(attempt);
+    if (attempt->exchange->reply.use == WB_ANSWER_DROP)
+        drop_begin(attempt);
 }
 
 static void reader_body(wb_http_reader_t *reader, const char *data, size_t length, void *context) {
@@ -178,8 +177,8 @@
     wb_attempt_t *attempt = upstream->attempt;
     if (attempt == NULL || attempt->skipping)
         return;
-    if (attempt->exchange->reply.rejected)
-        attempt->rejection_bytes += length;
+    if (attempt->exchange->reply.use == WB_ANSWER_DROP)
+        attempt->dropped_bytes += length;
     else
         wb_exchange_attempt_body(attempt->exchange, data, length);
 }
@@ -242,9 +241,9 @@
         attempt_fail(attempt, FALSE, attempt->invalid);
     else if (attempt->complete)
         attempt_finish(attempt);
-    else if (attempt->rejection_timer != NULL &&
-             (is_unreadable || attempt->rejection_bytes > REJECTION_BODY_MAX_BYTES))
-        rejection_cut(attempt);
+    else if (attempt->drop_timer != NULL &&
+             (is_unreadable || attempt->dropped_bytes > DROPPED_BODY_MAX_BYTES))
+        drop_cut(attempt);
     else if (is_unreadable)
         attempt_fail(attempt, FALSE, "not-an-answer");
     else
@@ -309,8 +308,8 @@
     attempt->tainted = TRUE;
     if (attempt->complete)
         attempt_finish(attempt);
-    else if (attempt->rejection_timer != NULL)
-        rejection_cut(attempt);
+    else if (attempt->drop_timer != NULL && attempt->exchange->reply.rejected)
+        drop_cut(attempt);
     else
         attempt_fail(attempt, TRUE, end_name(how));
 }
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -314,8 +314,11 @@
     exchange_send(exchange, engine);
 }
 
-/* Sends a request again although it has run, or may have. Returns FALSE when that isn't allowed. */
-static gboolean resend_run(wb_exchange_t *exchange) {
+gboolean wb_exchange_has_resend(const wb_exchange_t *exchange) {
+    return exchange->sends < SENDS_MAX && wb_exchange_resends_left(exchange) >= 1;
+}
+
+gboolean wb_exchange_may_run_again(wb_exchange_t *exchange) {
     const wb_route_t *route = exchange->route;
     gboolean repeatable =
         route->kind == WB_ROUTE_REPEATABLE || (route->kind == WB_ROUTE_STREAM && route->resumable);
@@ -325,8 +328,14 @@
      * next one too. */
     if (wb_exchange_is_suspect(exchange))
         return FALSE;
-    if (exchange->answer_begun && (route->kind != WB_ROUTE_STREAM ||
-                                   exchange->last_event_id == NULL || exchange->event_was_split))
+    return !exchange->answer_begun ||
+           (exchange->events_status != 0 && exchange->last_event_id != NULL &&
+            !exchange->event_was_split);
+}
+
+/* Sends a request again although it has run, or may have. Returns FALSE when that isn't allowed. */
+static gboolean resend_run(wb_exchange_t *exchange) {
+    if (!wb_exchange_may_run_again(exchange))
         return FALSE;
     exchange->resuming = exchange->answer_begun;
     g_byte_array_set_size(exchange->answer, 0);
@@ -365,6 +374,16 @@
         wb_exchange_dispatch(exchange);
 }
 
+/* The engine has run the request, but its response isn't the client's answer: tries another. */
+static void dropped_handle(wb_exchange_t *exchange) {
+    if (exchange->reply.incomplete)
+        engine_failed(exchange->engine, "answer-incomplete", exchange->id);
+    else
+        wb_exchange_note_completed(exchange);
+    if (!resend_run(exchange))
+        wb_exchange_give_up(exchange, WB_OUTCOME_ENGINE_ABORTED);
+}
+
 void wb_exchange_attempt_done(wb_exchange_t *exchange) {
     const wb_reply_t *reply = &exchange->reply;
     attempt_release(exchange);
@@ -372,6 +391,10 @@
         rejection_handle(exchange);
         return;
     }
+    if (reply->use == WB_ANSWER_DROP) {
+        dropped_handle(exchange);
+        return;
+    }
     const char *cut_off = wb_exchange_cut_off_reason(exchange);
     if (cut_off != NULL) {
         wb_attempt_failure_t failure = {.sent = TRUE,
@@ -382,13 +405,8 @@
         return;
     }
     wb_exchange_note_completed(exchange);
-    gboolean failed = reply->status >= 500;
-    if ((failed || wb_exchange_doubts_answer(exchange)) && resend_run(exchange))
-        return;
-    if (exchange->resuming && reply->status / 100 != 2) {
-        wb_exchange_give_up(exchange, WB_OUTCOME_ENGINE_ABORTED);
+    if (wb_exchange_doubts_answer(exchange) && resend_run(exchange))
         return;
-    }
     wb_exchange_note_first_event(exchange);
     wb_exchange_forward_answer(exchange);
 }
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -33,16 +33,22 @@
                                                                : WB_FRAMING_NONE;
 }
 
-/* Engines may leave the type out of a stream. */
-static gboolean has_event_stream_type(const wb_http_head_t *head) {
+/* Whether the body can be an event stream. Engines may leave its type out. */
+static gboolean may_have_events(const wb_http_head_t *head) {
     const char *type = wb_http_head_get(head, "Content-Type");
+    if (wb_http_head_get(head, "Content-Encoding") != NULL)
+        return FALSE;
     return type == NULL ||
            g_ascii_strncasecmp(type, EVENT_STREAM_TYPE, strlen(EVENT_STREAM_TYPE)) == 0;
 }
 
-/* Whether clients take the status to say that their request has not run, and never will. */
-static gboolean promises_no_run(unsigned status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
+static void dropped_note(const wb_exchange_t *exchange, const char *reason) {
+    exchange->edge->metrics.answers_dropped++;
+    wb_event("answer-dropped",
+             ",\"id\":\"%s\",\"engine\":\"%s\",\"status\":%u,\"reason\":\"%s\",\"answer_begun\":%s,"
+             "\"runs\":%u",
+             exchange->id, exchange->engine->state->id, exchange->reply.status, reason,
+             exchange->answer_begun ? "true" : "false", exchange->runs);
 }
 
 const char *wb_exchange_attempt_head(wb_exchange_t *exchange, const wb_http_head_t *head) {
@@ -61,12 +67,21 @@
     reply->headers = forwarded_headers(head);
     reply->sealed = wb_http_head_get(head, dialect->seal) != NULL;
     reply->rejected = rejected;
-    reply->streamed = !rejected && reply->sealed && head->status / 100 == 2 &&
-                      exchange->route->kind == WB_ROUTE_STREAM;
-    reply->has_events = reply->streamed && has_event_stream_type(head);
-    if (!rejected && promises_no_run(head->status))
-        return "promise-unfounded";
-    return rejected || reply->sealed ? NULL : "unsealed";
+    wb_answer_facts_t facts = {.status = head->status,
+                               .rejected = rejected,
+                               .sealed = reply->sealed,
+                               .has_events = may_have_events(head),
+                               .on_stream = exchange->route->kind == WB_ROUTE_STREAM,
+                               .client_status = exchange->events_status,
+                               .may_resend = head->status >= 500 &&
+                                             wb_exchange_may_run_again(exchange) &&
+                                             wb_exchange_has_resend(exchange)};
+    wb_answer_decision_t decision = wb_answer_decide(&facts);
+    reply->use = decision.use;
+    reply->has_events = decision.use == WB_ANSWER_STREAM && facts.has_events;
+    if (decision.use == WB_ANSWER_DROP && !rejected)
+        dropped_note(exchange, decision.reason);
+    return decision.use == WB_ANSWER_REFUSE ? decision.reason : NULL;
 }
 
 static void engine_succeeded(wb_engine_t *engine) {
@@ -80,6 +95,7 @@
         return;
     wb_reply_t *reply = &exchange->reply;
     exchange->answer_begun = TRUE;
+    exchange->events_status = reply->has_events ? reply->status : 0;
     wb_http_connection_stream_begin(exchange->connection, reply->status, reply->reason,
                                     reply->headers->str);
 }
@@ -179,13 +195,10 @@
 }
 
 void wb_exchange_attempt_body(wb_exchange_t *exchange, const char *data, size_t length) {
-    const wb_reply_t *reply = &exchange->reply;
-    if (reply->rejected)
-        return;
     g_byte_array_append(exchange->answer, (const guint8 *)data, (guint)length);
-    if (reply->streamed)
+    if (exchange->reply.use == WB_ANSWER_STREAM)
         events_forward(exchange);
-    else if (reply->sealed && exchange->answer->len > exchange->edge->settings.answer_buffer_bytes)
+    else if (exchange->answer->len > exchange->edge->settings.answer_buffer_bytes)
         answer_forward(exchange, exchange->answer->len);
 }
 
@@ -261,7 +274,7 @@
         empty_forward(exchange, outcome);
         return;
     }
-    if (exchange->answer_begun || reply->streamed) {
+    if (exchange->answer_begun || reply->use == WB_ANSWER_STREAM) {
         answer_begin(exchange);
         answer_forward(exchange, exchange->answer->len);
         wb_http_connection_stream_end(wb_exchange_end(exchange, outcome, reply->status));
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -25,6 +25,11 @@
 void wb_exchange_clear_reply(wb_reply_t *reply);
 /** The engine has prefilled the prompt, or won't: remove it from the engine's backlog. */
 void wb_exchange_release_prefill(wb_exchange_t *exchange);
+/** @return TRUE when the request may be sent again although it has run, or may have: by its route,
+ * what its client has got of an answer, and what is known of crashes under it */
+gboolean wb_exchange_may_run_again(wb_exchange_t *exchange);
+/** @return TRUE when its service's retry budget and its own attempts allow one more */
+gboolean wb_exchange_has_resend(const wb_exchange_t *exchange);
 /** Arm the timer for the end of the wait if the request waits, else for the time its answer is due.
  */
 void wb_exchange_arm_timeout(wb_exchange_t *exchange);
--- a/src/request/exchange_poison.c
+++ b/src/request/exchange_poison.c
@@ -196,7 +196,8 @@
  * the request. */
 static gboolean answer_shows_run(const wb_exchange_t *exchange) {
     const wb_reply_t *reply = &exchange->reply;
-    return reply->status / 100 == 2 && (!reply->streamed || exchange->attempt_events > 0);
+    return reply->status / 100 == 2 &&
+           (reply->use != WB_ANSWER_STREAM || exchange->attempt_events > 0);
 }
 
 void wb_exchange_note_completed(wb_exchange_t *exchange) {
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -35,6 +35,7 @@
 #include "dispatch/length_estimate.h"
 #include "dispatch/peer_choice.h"
 #include "dispatch/wait_scale.h"
+#include "request/answer_use.h"
 #include "request/api_key.h"
 #include "request/crash_watch.h"
 #include "request/retry_budget.h"
@@ -244,9 +245,9 @@
     GString *headers;    /* lines to forward */
     gboolean sealed;     /* it has the header that marks an engine's own response */
     gboolean rejected;   /* the engine states that it did not run the request */
-    gboolean incomplete; /* rejected: its body didn't end in time, or as its framing says */
-    gboolean streamed;   /* complete events are forwarded as they arrive */
+    gboolean incomplete; /* dropped: its body didn't end in time, or as its framing says */
     gboolean has_events; /* its body is a text/event-stream */
+    wb_answer_use_t use;
 } wb_reply_t;
 
 /** An engine that a request was sent to. */
@@ -336,6 +337,7 @@
     unsigned rejections;
     unsigned connect_failures; /* attempts of which no byte was sent */
     gboolean answer_begun;     /* the response head was sent to the client */
+    unsigned events_status;    /* of that head, if an event stream follows; 0: none does */
     gboolean resuming;         /* the attempt continues a stream that the client has begun to get */
     GByteArray *answer;        /* bytes of the answer not yet forwarded */
     char *last_event_id;
--- a/standins/estate/estate.h
+++ b/standins/estate/estate.h
@@ -122,6 +122,19 @@
 void wb_estate_faulty_engine_set_fault(wb_estate_faulty_engine_t *engine, const char *fault,
                                        int count);
 
+/* broken_stream.c */
+/** What an engine sends of an answer. */
+typedef struct wb_estate_stream_part_t {
+    char *text;      /* owned by the caller; NULL: the id asks for none */
+    gboolean resets; /* its connection is then reset */
+    gboolean closes; /* its connection is then closed */
+} wb_estate_stream_part_t;
+/** A request whose id is KIND.FORM.NUMBER: "broken", the first engine breaks its stream off behind
+ * an event, the second one answers as the form says, the third one goes on; "failed", the first one
+ * answers so, and the second one with the whole stream.
+ * @param send which of its sends it is; 1: the first */
+wb_estate_stream_part_t wb_estate_broken_stream(const char *request_id, unsigned send);
+
 /* cut_answer.c */
 /** Return the beginning of an answer: FORM.LEFT.END.ANYTHING as a request's id asks for the FORM of
  * cut_forms without its last LEFT bytes. @param goes_on the request takes up a stream: the head
--- a/standins/estate/faulty_engine.c
+++ b/standins/estate/faulty_engine.c
@@ -14,6 +14,8 @@
 #define SILENCE_LIMIT_MS 20000
 #define PIECE_BYTES 65536
 #define LONG_EVENT_BYTES 300000
+/* Until what was written before has been read. */
+#define RESET_AFTER_MS 50
 
 struct wb_estate_faulty_engine_t {
     wb_loop_t *loop;
@@ -21,7 +23,8 @@
     wb_estate_seen_t *seen;
     char *id;
     json_t *options; /* service, zone, port, announce_port, work_ms, events (1: its answers are
-                        events), cuts (1: it answers as wb_estate_cut_answer says); for repeated
+                        events), cuts (1: it answers as wb_estate_cut_answer says), breaks (1: as
+                        wb_estate_broken_stream says); for repeated
                         answers: after (how many answers later a copy comes; 0: directly behind its
                         answer), copies; for endless ones: piece_bytes, pause_ms between pieces */
     wb_tcp_listener_t *listener;
@@ -39,7 +42,7 @@
 
 typedef struct connection_t {
     wb_estate_faulty_engine_t *engine;
-    wb_tcp_stream_t *stream;
+    wb_tcp_stream_t *stream; /* NULL: it has been closed */
     wb_http_reader_t *reader;
     wb_timer_t *timer; /* until the running request is answered, or the next piece is sent */
     char *id;          /* of the running request */
@@ -86,7 +89,8 @@
                                         (json_int_t)(wb_clock_ms() - connection->flood_began_ms)));
     if (connection->timer != NULL)
         wb_timer_cancel(connection->timer);
-    wb_tcp_stream_close(connection->stream);
+    if (connection->stream != NULL)
+        wb_tcp_stream_close(connection->stream);
     wb_http_reader_free(connection->reader);
     g_array_unref(connection->held);
     g_free(connection->id);
@@ -241,6 +245,46 @@
     return TRUE;
 }
 
+/* Returns how often the running request has been sent to engines. */
+static unsigned sends_count(const connection_t *connection) {
+    unsigned count = 0;
+    size_t i;
+    json_t *arrival;
+    json_array_foreach(connection->engine->seen->arrivals, i, arrival) count +=
+        strcmp(wb_json_text(arrival, "id", ""), connection->id) == 0;
+    return count;
+}
+
+static void connection_reset(void *context) {
+    connection_t *connection = context;
+    connection->timer = NULL;
+    wb_tcp_stream_reset(connection->stream);
+    connection->stream = NULL;
+    connection_free(connection);
+}
+
+/* Sends the part of a broken stream that the request's id asks for. Returns FALSE when it asks for
+ * none. */
+static gboolean broken_stream_send(connection_t *connection) {
+    wb_estate_stream_part_t part = wb_estate_broken_stream(connection->id, sends_count(connection));
+    if (part.text == NULL)
+        return FALSE;
+    run_record(connection);
+    text_send(connection, part.text);
+    g_free(part.text);
+    if (part.resets) {
+        connection->timer =
+            wb_loop_after(connection->engine->loop, RESET_AFTER_MS, connection_reset, connection);
+    } else if (part.closes) {
+        wb_tcp_stream_finish(connection->stream);
+        connection->stream = NULL;
+        connection_free(connection);
+    } else {
+        wb_http_reader_next(connection->reader);
+    }
+    return TRUE;
+}
+
 /* Answers a request with a fault. Returns FALSE when the fault is not one of a single answer. */
 static gboolean fault_answer(connection_t *connection, const char *fault) {
     if (g_str_has_prefix(fault, "reject")) {
@@ -298,6 +342,8 @@
     held_send(connection);
     if (option(engine, "cuts", 0) != 0 && cut_answer_send(connection))
         return;
+    if (option(engine, "breaks", 0) != 0 && broken_stream_send(connection))
+        return;
     if (engine->fault_count > 0) {
         engine->fault_count--;
         const endless_way_t *way = endless_way_find(engine->fault);
--- a/tests/edge/faulty.h
+++ b/tests/edge/faulty.h
@@ -28,6 +28,12 @@
                    engine, name, value);
 }
 
+/* Streams that may be resumed, at up to three engines. */
+#define FAULTY_STREAM_ROUTE                                                                        \
+    "{\"name\":\"go\",\"host\":\"a.example\",\"pathPrefix\":\"/go/\",\"routeType\":\"streaming\""  \
+    ",\"timeoutMs\":3000,\"targetLatencyMs\":400,\"priority\":2,\"service\":\"seat\","             \
+    "\"maxAttempts\":3,\"resumable\":true,\"targetGapMs\":400}"
+
 /* Starts nodes with so many engines of the service, and waits until the first node serves it. */
 static inline estate_t *faulty_start(int nodes, int engines, const char *flags) {
     estate_t *estate = estate_start(nodes, flags);
@@ -52,6 +58,27 @@
     return estate;
 }
 
+/* Starts two nodes with three engines of the service "seat" behind a proxy, and cuts node 0 off
+ * from them: its streams lead through node 1. */
+static inline estate_t *faulty_start_streams_by_peer(void) {
+    enum { ENGINES = 3, ALL = (1 << ESTATE_ENGINES) - 1 };
+    static const char *const replaced[] = {"lock-1", "lock-2", "llm-1"};
+    estate_t *estate = estate_start_partitionable(2, NULL);
+    estate->services = ",{\"name\":\"seat\",\"maxConnections\":50}";
+    estate_configure(estate, FAULTY_STREAM_ROUTE);
+    for (int i = 0; i < ENGINES; i++) {
+        estate_command(estate, "{\"do\":\"engine-stop\",\"engine\":\"%s\"}", replaced[i]);
+        estate_command(estate,
+                       "{\"do\":\"faulty-engine-start\",\"engine\":\"seat-%d\",\"options\":"
+                       "{\"service\":\"seat\",\"zone\":\"zone-1\",\"events\":1,\"port\":%d,"
+                       "\"announce_port\":%d}}",
+                       i + 1, estate->engine_ports[i], estate->engine_proxy_ports[i]);
+    }
+    estate_wait_retry_share(estate, 0, 2);
+    estate_partition(estate, 1, ALL, "silent");
+    return estate;
+}
+
 /* Starts two nodes that reach the engines of the service "lock" through a proxy, and cuts node 0
  * off from them; seat-1 stands for lock-1. */
 static inline estate_t *faulty_start_tunnelled(void) {
