HTTP reader: a response whose status is outside 100 to 599, or 101, is none

Cause: users of the reader took any status below 200 for an interim response, and any above 599 for an engine's own failure. The reader refuses them now, so an attempt fails at once and its engine is avoided, and so do calls to the store.

--- a/include/wickbridge/http_reader.h
+++ b/include/wickbridge/http_reader.h
@@ -3,7 +3,8 @@
  * @brief Incremental HTTP/1.1 message parser (on http-parser) that keeps heads as they were sent.
  *
  * Targets, names and values are not decoded. A message with two lengths, or with both a length and
- * chunked encoding, is an error (request smuggling). After an error the reader accepts no more
+ * chunked encoding, is an error (request smuggling), and so is a response whose status is outside
+ * 100 to 599 (RFC 9110, 15) or 101. After an error the reader accepts no more
  * bytes; see wb_http_reader_error. Sizes are in bytes. One thread at a time.
  */
 #ifndef WICKBRIDGE_HTTP_READER_H
@@ -46,6 +47,7 @@
 typedef enum wb_http_parse_error_t {
     WB_HTTP_PARSE_OK,
     WB_HTTP_PARSE_SYNTAX,
+    WB_HTTP_PARSE_STATUS, /**< a response's status is none, or an upgrade that nobody asked for */
     WB_HTTP_PARSE_HEAD_TOO_LARGE
 } wb_http_parse_error_t;
 
--- a/src/http/http_reader.c
+++ b/src/http/http_reader.c
@@ -172,6 +172,11 @@
     return head_bytes_add(reader, length);
 }
 
+/* No request asks for an upgrade, so the bytes behind a 101 can't be understood. */
+static gboolean status_is_valid(unsigned status) {
+    return status >= 100 && status <= 599 && status != 101;
+}
+
 /* Whether a response has no body, whatever its headers say (RFC 9112, 6.3). */
 static gboolean response_has_no_body(const wb_http_reader_t *reader) {
     unsigned status = reader->parser.status_code;
@@ -207,6 +212,10 @@
     wb_http_reader_t *reader = parser->data;
     header_finish(reader);
     wb_http_head_t *head = reader->head;
+    if (!reader->is_request && !status_is_valid(parser->status_code)) {
+        reader->failure = WB_HTTP_PARSE_STATUS;
+        return REFUSE_MESSAGE;
+    }
     if (!reader->is_request && !response_has_no_body(reader) && !codings_are_known(head))
         return REFUSE_MESSAGE;
     if (reader->is_request) {
@@ -291,7 +300,7 @@
     enum http_errno code = HTTP_PARSER_ERRNO(&reader->parser);
     if (code == HPE_HEADER_OVERFLOW || reader->head_bytes > reader->head_limit_bytes)
         reader->failure = WB_HTTP_PARSE_HEAD_TOO_LARGE;
-    else if (code != HPE_OK && code != HPE_PAUSED)
+    else if (code != HPE_OK && code != HPE_PAUSED && reader->failure == WB_HTTP_PARSE_OK)
         reader->failure = WB_HTTP_PARSE_SYNTAX;
     complete_notify(reader);
     return used;
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -216,6 +216,10 @@
         attempt->invalid = "passed-over-too-much";
 }
 
+static const char *unreadable_reason(const wb_http_reader_t *reader) {
+    return wb_http_reader_error(reader) == WB_HTTP_PARSE_STATUS ? "no-status" : "not-an-answer";
+}
+
 /* Feeds bytes of a response to the reader. Calls into the exchange may end the attempt, so it is
  * read again after each one. Returns FALSE when it has ended; the connection may have been freed.
  */
@@ -245,7 +249,7 @@
              (is_unreadable || attempt->dropped_bytes > DROPPED_BODY_MAX_BYTES))
         drop_cut(attempt);
     else if (is_unreadable)
-        attempt_fail(attempt, FALSE, "not-an-answer");
+        attempt_fail(attempt, FALSE, unreadable_reason(upstream->reader));
     else
         return TRUE;
     return FALSE;
--- a/standins/estate/faulty_engine.c
+++ b/standins/estate/faulty_engine.c
@@ -13,6 +13,8 @@
 #define HEAD_LIMIT_BYTES 65536
 #define SILENCE_LIMIT_MS 20000
 #define PIECE_BYTES 65536
+/* Fault "status-NNN": sealed answers with this status, as it is written. */
+#define STATUS_FAULT "status-"
 #define LONG_EVENT_BYTES 300000
 /* Until what was written before has been read. */
 #define RESET_AFTER_MS 50
@@ -301,7 +303,10 @@
         return TRUE;
     }
     run_record(connection);
-    if (strcmp(fault, "long-event") == 0) {
+    if (g_str_has_prefix(fault, STATUS_FAULT)) {
+        g_autofree char *first_line = g_strdup_printf("%s Odd", fault + strlen(STATUS_FAULT));
+        answer_send(connection, first_line, SEAL, "trouble", FALSE);
+    } else if (strcmp(fault, "long-event") == 0) {
         g_autofree char *filler =
             g_strnfill((gsize)option(connection->engine, "event_bytes", LONG_EVENT_BYTES), 'z');
         g_autofree char *body = g_strdup_printf("data: a\n\ndata: %s\n\ndata: b\n\n", filler);
--- a/tests/unit/test_http_reader.c
+++ b/tests/unit/test_http_reader.c
@@ -167,6 +167,41 @@
     }
 }
 
+static wb_http_parse_error_t status_error(const char *status, const char *lines, size_t step) {
+    g_autofree char *text = g_strdup_printf("HTTP/1.1 %s Word\r\n%s\r\n", status, lines);
+    size_t length = strlen(text);
+    ending_t ending = {0};
+    wb_http_reader_t *reader = wb_http_reader_create(FALSE, 4096, &ending_events, &ending);
+    for (size_t at = 0; at < length && wb_http_reader_error(reader) == WB_HTTP_PARSE_OK; at += step)
+        wb_http_reader_feed(reader, text + at, MIN(step, length - at));
+    wb_http_parse_error_t failure = wb_http_reader_error(reader);
+    if (failure != WB_HTTP_PARSE_OK)
+        g_assert_cmpuint(ending.status, ==, 0);
+    wb_http_reader_free(reader);
+    return failure;
+}
+
+/* Guards against a status that is none, passed on as one or taken for an interim response, behind
+ * which the answer is waited for in vain. */
+static void test_statuses(void) {
+    static const char *const lines[] = {"", "Content-Length: 0\r\n", "Connection: close\r\n",
+                                        "Connection: upgrade\r\nUpgrade: x\r\n"};
+    for (unsigned status = 0; status <= 999; status++) {
+        gboolean is_valid = status >= 100 && status <= 599 && status != 101;
+        g_autofree char *text = g_strdup_printf("%03u", status);
+        for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+            g_assert_cmpint(status_error(text, lines[i], 1), ==,
+                            is_valid ? WB_HTTP_PARSE_OK : WB_HTTP_PARSE_STATUS);
+            g_assert_cmpint(status_error(text, lines[i], 4096), ==,
+                            is_valid ? WB_HTTP_PARSE_OK : WB_HTTP_PARSE_STATUS);
+        }
+    }
+    g_assert_cmpint(status_error("2", "", 1), ==, WB_HTTP_PARSE_STATUS);
+    g_assert_cmpint(status_error("20", "", 1), ==, WB_HTTP_PARSE_STATUS);
+    g_assert_cmpint(status_error("2000", "", 1), ==, WB_HTTP_PARSE_SYNTAX);
+    g_assert_cmpint(status_error("-20", "", 1), ==, WB_HTTP_PARSE_SYNTAX);
+}
+
 /* Guards against a response that has no body by its status, but tells a length, being read on, into
  * the next one or until its connection ends. */
 static void test_statuses_without_body(void) {
@@ -240,6 +275,7 @@
 }
 
 static void tests_add(void) {
+    g_test_add_func("/http/statuses", test_statuses);
     g_test_add_func("/http/pieces", test_http_pieces);
     g_test_add_func("/http/smuggling", test_http_smuggling);
     g_test_add_func("/http/cut-responses-never-complete", test_cut_responses_never_complete);
