Planned stop: requests are taken by how long their route's requests take

Callers saw: requests that came 4.0 to 6.2 s after SIGTERM were taken, passed on, and cut with 502 at the end of a grace of 8 s, among them ones that may run once (answer-rig.py: 15 with engines of 1.5 s, 24 with 3 s).

Cause: from 2.8 s on a request was taken if it would end when it takes 1 s. The longest time of the route's requests in the last minutes decides now, or when the answer is due; also before a request that has waited is sent. It works as a refusal comes before any run, and what is taken has the time it needs.

--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -103,9 +103,21 @@
     g_free(exchange);
 }
 
+/* Learns how long requests of the route may take, from those that ran to their end or their due
+ * time. */
+static void route_time_learn(const wb_exchange_t *exchange, wb_outcome_t outcome) {
+    gboolean has_ended = outcome == WB_OUTCOME_SERVED || outcome == WB_OUTCOME_ENGINE_FAILED ||
+                         outcome == WB_OUTCOME_TIMED_OUT;
+    int64_t now_ms = wb_clock_ms();
+    if (exchange->runs > 0 && has_ended)
+        wb_route_times_add(exchange->edge->route_times, exchange->route->name,
+                           now_ms - exchange->began_ms, now_ms);
+}
+
 wb_http_connection_t *wb_exchange_end(wb_exchange_t *exchange, wb_outcome_t outcome,
                                       unsigned status) {
     wb_exchange_stop_waiting(exchange);
+    route_time_learn(exchange, outcome);
     wb_exchange_settle_quota(exchange);
     wb_exchange_record_outcome(exchange, outcome, status);
     wb_http_connection_t *connection = exchange->connection;
@@ -279,6 +291,10 @@
         wb_exchange_give_up(exchange, WB_OUTCOME_TIMED_OUT);
         return;
     }
+    if (exchange->runs == 0 && wb_exchange_stop_refuses_run(exchange, now_ms)) {
+        wb_exchange_give_up(exchange, WB_OUTCOME_STOPPING);
+        return;
+    }
     if (!wb_exchange_engines_known(exchange)) {
         wb_exchange_wait_for_engines(exchange);
         return;
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -45,6 +45,9 @@
 /** Find the request's route, service, model and times. @return WB_OUTCOME_COUNT, or why it can't be
  * served */
 wb_outcome_t wb_exchange_read(wb_exchange_t *exchange);
+/** @return TRUE when a planned stop is under way, and the request can't be known to end before it
+ * does if it is sent to an engine now */
+gboolean wb_exchange_stop_refuses_run(const wb_exchange_t *exchange, int64_t now_ms);
 /** Send the request to this service, whichever of its route's is drawn.
  * @return FALSE: its route doesn't lead there, or the service doesn't have its model */
 gboolean wb_exchange_change_service(wb_exchange_t *exchange, const char *name);
--- a/src/request/exchange_read.c
+++ b/src/request/exchange_read.c
@@ -1,14 +1,10 @@
 /* Reads a request's head: its route, service, model, prompt parts and deadline. */
 #include "request/exchange_internal.h"
+#include "request/stop_admission.h"
 
 #include <string.h>
 
 #define DEADLINE_MAX_MS (24 * 3600 * 1000LL)
-/* For this long after the start of a planned stop, every request is accepted. */
-#define STOP_ACCEPT_MS 2800
-/* Time allowed for a short request after that, and time kept free before the end of the stop. */
-#define STOP_SHORT_MS 1000
-#define STOP_RESERVE_MS 800
 
 /* Parses the prompt's parts, a comma-separated list of ID:TOKENS. Items without a colon are
  * ignored. */
@@ -76,16 +72,26 @@
     return number >= 1 && number <= spec->adapters;
 }
 
-/* Late in a planned stop, streams are refused, and other requests are accepted only if they would
- * end in time when they take STOP_SHORT_MS at most. */
-static gboolean is_too_late_to_accept(const wb_exchange_t *exchange) {
+typedef gboolean (*stop_check_t)(const wb_stop_request_t *request, const wb_stop_time_t *time);
+
+/* Whether a planned stop is under way, and the request can't end before it does. */
+static gboolean stop_refuses(const wb_exchange_t *exchange, stop_check_t check, int64_t now_ms) {
     const wb_edge_t *edge = exchange->edge;
-    int64_t now_ms = wb_clock_ms();
-    if (edge->drain_began_ms == 0 || now_ms - edge->drain_began_ms < STOP_ACCEPT_MS)
+    const wb_route_t *route = exchange->route;
+    if (edge->drain_began_ms == 0)
         return FALSE;
-    int64_t end_ms = edge->drain_began_ms + (int64_t)(edge->settings.stop_grace_s * 1000);
-    return exchange->route->kind == WB_ROUTE_STREAM ||
-           MIN(exchange->answer_due_ms, now_ms + STOP_SHORT_MS) > end_ms - STOP_RESERVE_MS;
+    wb_stop_request_t request = {
+        .is_stream = route->kind == WB_ROUTE_STREAM,
+        .may_run_again = route->kind == WB_ROUTE_REPEATABLE,
+        .due_ms = exchange->answer_due_ms,
+        .longest_ms = wb_route_times_longest(edge->route_times, route->name, now_ms)};
+    wb_stop_time_t time = {edge->drain_began_ms, (int64_t)(edge->settings.stop_grace_s * 1000),
+                           now_ms};
+    return check(&request, &time);
+}
+
+gboolean wb_exchange_stop_refuses_run(const wb_exchange_t *exchange, int64_t now_ms) {
+    return stop_refuses(exchange, wb_stop_refuses_run, now_ms);
 }
 
 gboolean wb_edge_catalog_is_confirmed(const wb_edge_t *edge) {
@@ -153,7 +159,7 @@
     wb_outcome_t outcome = wb_exchange_read_tenant(exchange);
     if (outcome != WB_OUTCOME_COUNT)
         return outcome;
-    if (is_too_late_to_accept(exchange))
+    if (stop_refuses(exchange, wb_stop_refuses_arrival, wb_clock_ms()))
         return WB_OUTCOME_STOPPING;
     const char *service = wb_route_pick_service(route);
     exchange->service = service != NULL ? wb_catalog_service(edge->catalog, service) : NULL;
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -34,6 +34,7 @@
 #include "dispatch/engine_choice.h"
 #include "dispatch/length_estimate.h"
 #include "dispatch/peer_choice.h"
+#include "dispatch/route_times.h"
 #include "dispatch/wait_scale.h"
 #include "request/answer_use.h"
 #include "request/api_key.h"
@@ -132,6 +133,7 @@
     uint64_t unnamed_streams; /* that were taken up */
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
+    wb_route_times_t *route_times;
     wb_reach_summary_t *reach;   /* which engines this node reaches */
     wb_peer_record_t *peers;     /* which nodes have reached engines for it */
     int64_t isolated_since_ms;   /* since when only others reach most engines; 0: it isn't so */
--- a/tests/edge/test_stops.c
+++ b/tests/edge/test_stops.c
@@ -267,7 +267,119 @@
     estate_stop(estate);
 }
 
+#define LATE_CLIENTS 16
+#define LATE_ANSWERS_MAX 4000
+
+/* A request of a client, and what came of it. */
+typedef struct late_request_t {
+    char id[32];
+    int64_t sent_ms;
+    int status; /* 0: no answer */
+    gboolean whole;
+} late_request_t;
+
+/* A client that goes on until its node's process is gone. */
+typedef struct late_client_t {
+    const estate_t *estate;
+    const char *path;
+    int number;
+    gboolean keeps_connections;
+    GArray *requests; /* of late_request_t */
+} late_client_t;
+
+/* Sends requests on one connection. */
+static void late_connection_use(late_client_t *client, wire_t *wire) {
+    gboolean is_open = TRUE;
+    while (is_open) {
+        late_request_t request = {.sent_ms = harness_now_ms()};
+        g_snprintf(request.id, sizeof(request.id), "late-%d-%u", client->number,
+                   client->requests->len);
+        wire_post(wire, client->path, request.id, EDGE_DEADLINE, request.id);
+        wire_response_t *answer = wire_read(wire, 9000);
+        request.status = answer->status;
+        request.whole = answer->whole;
+        is_open = client->keeps_connections && answer->whole && !answer->closed &&
+                  strstr(answer->head->str, "Connection: close") == NULL;
+        wire_response_free(answer);
+        g_array_append_val(client->requests, request);
+        g_usleep(20000);
+    }
+}
+
+static gpointer late_client_run(gpointer data) {
+    late_client_t *client = data;
+    wire_t *wire;
+    while (client->requests->len < LATE_ANSWERS_MAX &&
+           (wire = wire_try_open(client->estate->nodes[0].clients_port)) != NULL) {
+        late_connection_use(client, wire);
+        wire_close(wire);
+    }
+    return NULL;
+}
+
+/* Returns how many requests a client sent that were cut: without a whole answer, or with one that
+ * promises nothing, though an engine had begun them. */
+static int late_cuts_count(const late_client_t *client, int64_t stopped_ms) {
+    int cuts = 0;
+    for (guint i = 0; i < client->requests->len; i++) {
+        const late_request_t *request = &g_array_index(client->requests, late_request_t, i);
+        gboolean is_good = request->whole && (request->status == 200 || request->status == 503);
+        int runs = is_good && request->status == 200 ? 1 : estate_runs(client->estate, request->id);
+        if (is_good && request->status == 503)
+            g_assert_cmpint(runs, ==, 0);
+        if (is_good || runs == 0)
+            continue;
+        g_test_message("%s: %d, sent %d ms after the signal", request->id, request->status,
+                       (int)(request->sent_ms - stopped_ms));
+        cuts++;
+    }
+    return cuts;
+}
+
+/* Clients send requests that may run once all through a planned stop. */
+static void late_test(int work_ms) {
+    estate_t *estate = faulty_start(1, 2, "--stop-grace-s=8");
+    late_client_t clients[LATE_CLIENTS];
+    GThread *threads[LATE_CLIENTS];
+    int cuts = 0;
+    estate_configure(estate, FAULTY_ROUTES(6000));
+    faulty_option(estate, 1, "work_ms", work_ms);
+    faulty_option(estate, 2, "work_ms", work_ms);
+    g_usleep(500000); /* until the routes are known */
+    for (int i = 0; i < LATE_CLIENTS; i++) {
+        clients[i] = (late_client_t){estate, "/hold/x", i, i % 2 == 0,
+                                     g_array_new(FALSE, FALSE, sizeof(late_request_t))};
+        threads[i] = g_thread_new("late", late_client_run, &clients[i]);
+        g_usleep((gulong)work_ms * 1000 /
+                 LATE_CLIENTS); /* so that some request comes at any time */
+    }
+    g_usleep(1000000);
+    process_signal(&estate->nodes[0].process, SIGTERM);
+    int64_t stopped_ms = harness_now_ms();
+    g_assert_cmpint(process_stop(&estate->nodes[0].process, 9000), ==, 0);
+    for (int i = 0; i < LATE_CLIENTS; i++) {
+        g_thread_join(threads[i]);
+        cuts += late_cuts_count(&clients[i], stopped_ms);
+        g_array_unref(clients[i].requests);
+    }
+    g_assert_cmpint(cuts, ==, 0);
+    estate_stop(estate);
+}
+
+/* Guards against a request that may run once, taken late in a planned stop and cut at its end. */
+static void test_late_requests_end(void) {
+    late_test(50);
+    late_test(1500);
+}
+
+static void test_late_long_requests_end(void) {
+    late_test(3000);
+    late_test(5000);
+}
+
 static void tests_add(void) {
+    g_test_add_func("/edge/stops/late-requests-end", test_late_requests_end);
+    g_test_add_func("/edge/stops/late-long-requests-end", test_late_long_requests_end);
     g_test_add_func("/edge/stops/slow-clients-get-their-answers",
                     test_slow_clients_get_their_answers);
     g_test_add_func("/edge/stops/settings-reload", test_settings_reload);
