--- a/tests/edge/test_endless.c
+++ b/tests/edge/test_endless.c
@@ -102,6 +102,18 @@
     endless_test("endless-body", TRICKLE);
 }
 
+/* Guards against an engine's own failure without end being passed on, until the request's time is
+ * over, although another engine can serve the request. */
+static void test_failure(void) {
+    endless_test("endless-failure", FLOOD);
+    endless_test("endless-failure-close", FLOOD);
+}
+
+static void test_slow_failure(void) {
+    endless_test("endless-failure", TRICKLE);
+    endless_test("endless-failure-close", TRICKLE);
+}
+
 /* The head of a rejection says that the request hasn't run: it needn't wait for the body's end. */
 static void test_rejection(void) {
     endless_test("endless-rejection", FLOOD);
@@ -287,6 +299,7 @@
 
 static void test_by_peer(void) {
     by_peer_test("endless-body");
+    by_peer_test("endless-failure");
     by_peer_test("endless-rejection");
     by_peer_test("endless-foreign");
 }
@@ -356,6 +369,8 @@
     g_test_add_func("/edge/endless/body", test_body);
     g_test_add_func("/edge/endless/body-until-close", test_body_until_close);
     g_test_add_func("/edge/endless/slow-body", test_slow_body);
+    g_test_add_func("/edge/endless/failure", test_failure);
+    g_test_add_func("/edge/endless/slow-failure", test_slow_failure);
     g_test_add_func("/edge/endless/rejection", test_rejection);
     g_test_add_func("/edge/endless/slow-rejection", test_slow_rejection);
     g_test_add_func("/edge/endless/answer-to-another-request", test_answer_to_another_request);
