Soak: engines that break streams off, and what the next one answers instead of going on

Bit: error pages of 20 to 74,000 bytes in all framings, answers without a body, other statuses, types and codings, statuses that are none, bytes without end. Oracles: a stream holds only its engines' events, ends as whole behind its last one only, and no client gets a status outside 200 to 599.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -66,7 +66,7 @@
     run_command "$program" "$build/$program"
 done
 # A seed or more of the soak for each part that bits of a seed switch on (DEVELOPERS.md); the long run is `make soak`.
-run_command soak "$build/wb-soak" --seconds 15 --seeds 33,17,5,70,150,406,529,1026,2066,6145,16400,32785,65540,131088,262160,524305,1048578,2097168,4194309,4198404,8388624,16777232,33554448
+run_command soak "$build/wb-soak" --seconds 15 --seeds 33,17,5,70,150,406,529,1026,2066,6145,16400,32785,65540,131088,262160,524305,1048578,2097168,4194309,4198404,8388624,16777232,33554448,67108865
 run_command demo scripts/demo.sh "$build"
 passed=$(wc -l <"$results/passed")
 failed=$(wc -l <"$results/failed")
--- a/standins/estate/broken_stream.c
+++ b/standins/estate/broken_stream.c
@@ -46,6 +46,8 @@
     {"200-coded", OK, EVENTS SEAL "Content-Encoding: gzip\r\n", FRAMED_BY_CHUNKS, SHORT_BYTES},
     {"200-unsealed", OK, EVENTS, FRAMED_BY_LENGTH, LONG_BYTES},
     {"503-own", "HTTP/1.1 503 Busy\r\n", PAGE SEAL, FRAMED_BY_LENGTH, LONG_BYTES},
+    {"000", "HTTP/1.1 000 None\r\n", PAGE SEAL, FRAMED_BY_LENGTH, LONG_BYTES},
+    {"999", "HTTP/1.1 999 None\r\n", PAGE SEAL, FRAMED_BY_LENGTH, LONG_BYTES},
     {"503-rejected", "HTTP/1.1 503 Full\r\n", PAGE "Not-Executed: 1\r\n", FRAMED_BY_CHUNKS,
      LONG_BYTES},
 };
--- a/tests/edge/test_broken_streams.c
+++ b/tests/edge/test_broken_streams.c
@@ -10,11 +10,11 @@
 /* So that the retry budget isn't used up at once. */
 #define BUDGET_PAUSE_US 300000
 
-static const char *const forms[] = {"500",          "500-long",   "500-chunks",     "500-close",
-                                    "500-events",   "404-long",   "302-long",       "304",
-                                    "204",          "206-events", "200-page",       "200-page-long",
-                                    "200-coded",    "503-own",    "200-page-close", "200-unsealed",
-                                    "503-rejected", NULL};
+static const char *const forms[] = {
+    "500",          "500-long",      "500-chunks", "500-close", "500-events",
+    "404-long",     "302-long",      "304",        "204",       "206-events",
+    "200-page",     "200-page-long", "200-coded",  "503-own",   "200-page-close",
+    "200-unsealed", "503-rejected",  "000",        "999",       NULL};
 /* Fewer, as the retry budget of a service is divided among nodes. */
 static const char *const forms_by_peer[] = {
     "500-long",      "500-close",      "404-long",     "204", "200-page",
--- a/tests/soak/checks.c
+++ b/tests/soak/checks.c
@@ -36,6 +36,9 @@
     if (g_str_has_prefix(id, SOAK_REST_ID)) {
         return soak_rest_body(id);
     }
+    if (soak_is_broken_stream(id)) {
+        return g_strdup(id);
+    }
     return g_str_has_prefix(id, SOAK_REJOIN_ID) ? soak_rejoin_body(id) : g_strdup("hello");
 }
 
@@ -329,6 +332,7 @@
     soak_flood_check(soak);
     soak_rests_check(soak, seen);
     soak_odd_rows_check(soak, seen);
+    soak_broken_streams_check(soak);
     soak_steps_check(soak);
     soak_faulty_check(soak, seen);
     soak_config_check(soak, seen);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -13,6 +13,8 @@
 /* Seeds below it, with its highest bit, are those in which streams are taken up after all nodes
  * were killed, or engines are faulty. */
 #define SEEDS_WITH_REJOINS 8388608U
+/* Of four fresh seeds, the one of the bit above. */
+#define BROKEN_STREAMS_TURN 3
 /* How long poison requests go on after all faults are over, when no node is disturbed. */
 #define POISON_TAIL_US 6000000
 /* How long connections go on to one node by turns: longer than two turns and what faults leave. */
@@ -191,6 +193,8 @@
     gboolean has_rests = seed < SEEDS_WITH_ALL_BITS && seed / 8388608 % 2 == 1 && !soak.has_builds;
     gboolean has_odd_rows =
         seed < SEEDS_WITH_ALL_BITS && seed / 16777216 % 2 == 1 && !soak.has_builds;
+    /* Bit 26, of seeds without higher bits. The older build passes on what comes. */
+    gboolean has_broken_streams = seed / SEEDS_WITH_ALL_BITS == 1 && !soak.has_builds;
     GPtrArray *versions = g_ptr_array_new();
     soak.evacuations = g_array_new(FALSE, FALSE, sizeof(soak_evacuation_t));
     if (soak.has_paces) {
@@ -237,6 +241,9 @@
     if (has_odd_rows) {
         soak_odd_rows_start(&soak, clients);
     }
+    if (has_broken_streams) {
+        soak_broken_streams_start(&soak, clients);
+    }
     if (has_rests) {
         soak_rests_start(&soak, clients);
     }
@@ -276,6 +283,7 @@
     soak_rests_free(&soak);
     soak_steps_free(&soak);
     soak_odd_rows_free(&soak);
+    soak_broken_streams_free(&soak);
     g_array_unref(soak.spans);
     g_array_unref(soak.drains);
     g_array_unref(soak.partitions);
@@ -315,8 +323,11 @@
     if (seeds == NULL) {
         for (; played < count; played++) {
             guint32 seed = g_random_int();
-            const guint32 ranges[] = {G_MAXUINT32, SEEDS_WITH_ALL_BITS, SEEDS_WITH_REJOINS};
-            failed += !seed_run(seed % ranges[played % (int)G_N_ELEMENTS(ranges)], &options);
+            const guint32 ranges[] = {G_MAXUINT32, SEEDS_WITH_ALL_BITS, SEEDS_WITH_REJOINS,
+                                      SEEDS_WITH_ALL_BITS};
+            int turn = played % (int)G_N_ELEMENTS(ranges);
+            guint32 first = turn == BROKEN_STREAMS_TURN ? SEEDS_WITH_ALL_BITS : 0;
+            failed += !seed_run(first + seed % ranges[turn], &options);
         }
     }
     for (char **seed = list; *seed != NULL && **seed != '\0'; seed++, played++) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,6 +34,7 @@
 typedef struct soak_rests_t soak_rests_t;
 typedef struct soak_steps_t soak_steps_t;
 typedef struct soak_odd_rows_t soak_odd_rows_t;
+typedef struct soak_broken_streams_t soak_broken_streams_t;
 
 /** Time during which a fault was active or may have had effects. */
 typedef struct soak_span_t {
@@ -123,11 +124,13 @@
     soak_rests_t *rests;     /* clients rest on kept connections while limits change; NULL: not */
     soak_steps_t *steps;     /* nodes are out of step while versions join; NULL: not */
     soak_odd_rows_t *odd_rows; /* another writer's rows among those of engines; NULL: none */
-    soak_streams_t begun;      /* new streams of these clients, at nodes in touch */
-    soak_streams_t taken_up;   /* streams that they took up there */
-    gboolean has_flood;        /* most new connections go to one node, by turns */
-    gboolean has_faulty;       /* engines send answers twice, or bytes without end */
-    int64_t flood_from_ms;     /* when their clients begin */
+    soak_broken_streams_t *broken_streams; /* engines answer with something else instead of going
+                                              on; NULL: none do */
+    soak_streams_t begun;                  /* new streams of these clients, at nodes in touch */
+    soak_streams_t taken_up;               /* streams that they took up there */
+    gboolean has_flood;                    /* most new connections go to one node, by turns */
+    gboolean has_faulty;                   /* engines send answers twice, or bytes without end */
+    int64_t flood_from_ms;                 /* when their clients begin */
     gboolean has_parts;     /* requests that share a part which crashes engines, and sound ones */
     int64_t parts_from_ms;  /* when the former begin */
     gboolean has_tenants;   /* tenants with limits send far more than these at times */
@@ -265,6 +268,16 @@
  * engine got a header of a row's making, and that logs stayed readable. */
 void soak_odd_rows_check(soak_t *soak, const json_t *seen);
 
+/* broken_streams.c */
+/** Start engines that break streams off and don't go on, and clients that send for these. @param
+ * threads takes their threads, which end with stop */
+void soak_broken_streams_start(soak_t *soak, GPtrArray *threads);
+void soak_broken_streams_free(soak_t *soak);
+/** @return TRUE for the id of such a stream, which is its body as well */
+gboolean soak_is_broken_stream(const char *id);
+/** Check that some were whole, and print how many. */
+void soak_broken_streams_check(soak_t *soak);
+
 /* steps.c */
 /** Start engines of new versions that join while a node is out of step, and clients that take up
  * streams there. @param threads takes their threads, which end with stop */
