--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -111,9 +111,7 @@
          "Engines' successes with neither length, chunks nor body, of which some may be cut off.",
          metrics->unframed_empty_answers},
         {"answers_dropped_total",
-         "Engines' own answers that were not passed on, as another engine was asked instead or "
-         "they "
-         "could not follow what the caller had got.",
+         "Engines' own answers that were not passed on, as another engine could serve the request.",
          metrics->answers_dropped},
         {"answers_ended_in_event_total", "Engines' streams that ended inside an event.",
          metrics->answers_ended_in_event},
--- a/src/request/stop_admission.c
+++ b/src/request/stop_admission.c
@@ -10,8 +10,8 @@
     return time->now_ms - time->began_ms < ACCEPT_MS;
 }
 
-/* Whether a plain request can't be known to end in time. One that can be repeated is worth a try
- * while none of its route has taken too long. */
+/* Whether a plain request may be cut by the end of the stop. Early on, it is refused only if that
+ * is known and it can't be repeated. */
 static gboolean plain_refused(const wb_stop_request_t *request, const wb_stop_time_t *time) {
     gboolean is_known = request->longest_ms >= 0;
     if (is_early(time) && (!is_known || request->may_run_again))
