--- a/tests/soak/broken_streams.c
+++ b/tests/soak/broken_streams.c
@@ -160,7 +160,7 @@
                        "{\"service\":\"" SERVICE
                        "\",\"zone\":\"zone-%d\",\"breaks\":1,\"events\":1}}",
                        i, i % 2 + 1);
-    estate_configure(estate, NULL);
+    soak_config_rewrite(soak);
     for (int i = 0; i < CLIENTS; i++)
         thread_start(soak, threads, i, client_run);
     thread_start(soak, threads, CLIENTS, faults_run);
