Silence: a request leaves its engine only for one that should answer sooner

Callers saw: one sound engine that takes 0.6 s, target 500 ms, time-out 4 s: 210 of 210 requests got 502 after 0.3 s.

Cause: an attempt was ended at 0.6 of the target, before another engine was known to be free, whatever engines take. It works as nothing under way is ended unless what takes its place is known.

--- a/include/wickbridge/edge_metrics.h
+++ b/include/wickbridge/edge_metrics.h
@@ -33,6 +33,7 @@
                                                       they were decided by (wb_quota_basis_t) */
     uint64_t sends;                                /**< attempts: requests sent to engines */
     uint64_t resends;                              /**< attempts after the first one of a request */
+    uint64_t second_tries;       /**< attempts for which another engine, still silent, was left */
     uint64_t resends_refused;    /**< retries that the retry budget didn't allow */
     uint64_t rejections;         /**< attempts that engines rejected without running them */
     uint64_t failed_attempts;    /**< attempts without a complete response */
--- a/include/wickbridge/fleet.h
+++ b/include/wickbridge/fleet.h
@@ -14,6 +14,7 @@
 #define WICKBRIDGE_FLEET_H
 
 #include "wickbridge/cold_engine_share.h"
+#include "wickbridge/answer_times.h"
 #include "wickbridge/engine_limit.h"
 #include "wickbridge/engine_brittle.h"
 #include "wickbridge/engine_pace.h"
@@ -107,7 +108,8 @@
     double total_tokens_per_s; /**< prompt tokens per second sent to it by all nodes */
     double total_backlog_ms;   /**< time it needs to prefill those, as of shared_received_ms */
     int64_t shared_received_ms;
-    unsigned failures;           /**< consecutive */
+    wb_answer_times_t *answer_times; /**< of repeatable requests of this node */
+    unsigned failures;               /**< consecutive */
     int64_t avoid_until_ms;      /**< it failed: until then used only if no other engine can be */
     int64_t heard_ms;            /**< when bytes of it last arrived here; 0: never */
     int64_t unanswered_since_ms; /**< when the first request after its last received byte was sent;
--- a/src/edge/edge_metrics.c
+++ b/src/edge/edge_metrics.c
@@ -49,6 +49,8 @@
         {"requests_total", "Requests of callers.", metrics->requests},
         {"sends_total", "Sendings to engines.", metrics->sends},
         {"resends_total", "Sendings beyond the first of a request.", metrics->resends},
+        {"second_tries_total", "Sendings for which another engine, still silent, was left.",
+         metrics->second_tries},
         {"resends_refused_total", "Sendings beyond the first that the retry budget didn't allow.",
          metrics->resends_refused},
         {"rejections_total", "Sendings that engines turned away.", metrics->rejections},
--- a/src/edge/edge_node.c
+++ b/src/edge/edge_node.c
@@ -252,6 +252,7 @@
     edge->lengths = wb_length_estimate_create();
     edge->wait_scale = wb_wait_scale_create();
     edge->route_times = wb_route_times_create();
+    edge->answer_times = wb_answer_times_create();
     wb_crash_watch_events_t crashes = {wb_edge_engine_crashed, wb_edge_confirm_ended, edge};
     edge->crashes = wb_crash_watch_create(loop, &edge->settings, &edge->metrics, &crashes);
     edge->on_poison_changed = wb_edge_node_poison_changed;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -48,6 +48,7 @@
     wb_engine_state_free(engine->state);
     g_hash_table_unref(engine->overlay);
     g_hash_table_unref(engine->prefixes);
+    wb_answer_times_free(engine->answer_times);
     wb_send_limiter_clear(&engine->cold_limiter);
     wb_engine_limit_clear(&engine->limit);
     wb_engine_brittle_clear(&engine->brittle);
@@ -131,6 +132,7 @@
     wb_engine_t *engine = g_new0(wb_engine_t, 1);
     engine->references = 1;
     engine->state = state;
+    engine->answer_times = wb_answer_times_create();
     engine->overlay = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     engine->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     wb_list_init(&engine->idle);
--- a/src/request/exchange.c
+++ b/src/request/exchange.c
@@ -7,10 +7,6 @@
 
 /* Maximum attempts of a request that may have reached an engine. */
 #define SENDS_MAX 4
-/* A repeatable request whose engine stays silent for this share of the target latency is sent to
- * another one. */
-#define SILENCE_SHARE 0.6
-#define SILENCE_MIN_MS 40
 /* How long an engine is avoided after a failure; doubled with each further one in a row. */
 #define AVOID_MS 400
 #define AVOID_MAX_MS 6400
@@ -74,7 +70,7 @@
     wb_demand_set_running(exchange->edge->demand, exchange, FALSE);
 }
 
-static void attempt_stop(wb_exchange_t *exchange) {
+void wb_exchange_stop_attempt(wb_exchange_t *exchange) {
     attempt_release(exchange);
     if (exchange->attempt != NULL)
         wb_attempt_cancel(exchange->attempt);
@@ -82,7 +78,7 @@
 
 static void exchange_free(wb_exchange_t *exchange) {
     wb_exchange_stop_waiting(exchange);
-    attempt_stop(exchange);
+    wb_exchange_stop_attempt(exchange);
     wb_exchange_clear_timer(&exchange->due_timer);
     wb_engine_unref(exchange->engine);
     wb_exchange_clear_reply(&exchange->reply);
@@ -130,13 +126,12 @@
     if (outcome == WB_OUTCOME_POISON)
         wb_exchange_note_refused(exchange);
     unsigned ran_status = outcome == WB_OUTCOME_TIMED_OUT ? 504 : 502;
-    attempt_stop(exchange);
+    wb_exchange_stop_attempt(exchange);
     wb_exchange_refuse(exchange, outcome,
                        exchange->runs == 0 ? wb_outcome_status(outcome) : ran_status);
 }
 
-/* Counts a failure of an engine, and avoids the engine for some time. */
-static void engine_failed(wb_engine_t *engine, const char *reason, const char *request_id) {
+void wb_engine_note_failure(wb_engine_t *engine, const char *reason, const char *request_id) {
     engine->failures++;
     int64_t avoid_ms = AVOID_MS << MIN(engine->failures - 1, 4);
     avoid_ms = MIN(avoid_ms, AVOID_MAX_MS);
@@ -158,7 +153,7 @@
 
 void wb_exchange_client_gone(wb_exchange_t *exchange) {
     if (engine_is_silent(exchange))
-        engine_failed(exchange->engine, "silent", exchange->id);
+        wb_engine_note_failure(exchange->engine, "silent", exchange->id);
     wb_exchange_end(exchange, WB_OUTCOME_CLIENT_GONE, 0);
 }
 
@@ -171,7 +166,9 @@
         return;
     }
     if (engine_is_silent(exchange))
-        engine_failed(exchange->engine, "silent", exchange->id);
+        wb_engine_note_failure(exchange->engine, "silent", exchange->id);
+    if (exchange->attempt != NULL)
+        wb_exchange_note_answer_time(exchange);
     wb_exchange_give_up(exchange, WB_OUTCOME_TIMED_OUT);
 }
 
@@ -189,31 +186,6 @@
            (exchange->sends < SENDS_MAX && wb_exchange_take_resend(exchange));
 }
 
-/* Sends the request to another engine, unless that would leave no resend in the budget. */
-static void silence_expired(void *context) {
-    wb_exchange_t *exchange = context;
-    exchange->silence_timer = NULL;
-    if (exchange->attempt == NULL || exchange->runs >= (unsigned)exchange->route->max_attempts ||
-        wb_exchange_resends_left(exchange) < 2)
-        return;
-    engine_failed(exchange->engine, "slow", exchange->id);
-    attempt_stop(exchange);
-    wb_exchange_dispatch(exchange);
-}
-
-/* Arms the timer after which a repeatable request without an answer is sent to another engine. */
-static void silence_arm(wb_exchange_t *exchange) {
-    wb_exchange_clear_timer(&exchange->silence_timer);
-    const wb_route_t *route = exchange->route;
-    if (route->kind != WB_ROUTE_REPEATABLE || route->target_latency_ms == 0 ||
-        exchange->runs >= (unsigned)route->max_attempts)
-        return;
-    int64_t silence_ms =
-        MAX(SILENCE_MIN_MS, (int64_t)(SILENCE_SHARE * (double)route->target_latency_ms));
-    exchange->silence_timer =
-        wb_loop_after(exchange->edge->loop, silence_ms, silence_expired, exchange);
-}
-
 static void exchange_send(wb_exchange_t *exchange, wb_engine_t *engine) {
     wb_edge_t *edge = exchange->edge;
     int64_t now_ms = wb_clock_ms();
@@ -245,7 +217,7 @@
     wb_balancer_note_prefilled(engine, exchange, now_ms);
     wb_demand_set_running(edge->demand, exchange, TRUE);
     wb_exchange_arm_timeout(exchange);
-    silence_arm(exchange);
+    wb_exchange_watch_silence(exchange);
 }
 
 /* Whether to send a request, or to refuse it because its answer is likely to be late. Only the
@@ -375,7 +347,7 @@
         exchange->connection_requests);
     int64_t now_ms = wb_clock_ms();
     if (exchange->reply.incomplete)
-        engine_failed(engine, "rejection-incomplete", exchange->id);
+        wb_engine_note_failure(engine, "rejection-incomplete", exchange->id);
     engine->rejected_until_ms = now_ms + REJECTED_AVOID_MS;
     if (exchange->reply.status != edge->dialect->wrong_engine_status) {
         int64_t delay_ms = (int64_t)REJECTED_RETRY_MS << MIN(exchange->rejections - 1, 4);
@@ -393,7 +365,7 @@
 /* The engine has run the request, but its response isn't the client's answer: tries another. */
 static void dropped_handle(wb_exchange_t *exchange) {
     if (exchange->reply.incomplete)
-        engine_failed(exchange->engine, "answer-incomplete", exchange->id);
+        wb_engine_note_failure(exchange->engine, "answer-incomplete", exchange->id);
     else
         wb_exchange_note_completed(exchange);
     if (!resend_run(exchange))
@@ -465,7 +437,7 @@
     if (failure->by_peer && (failure->engine_aborted || !failure->sent))
         wb_peer_record_add(edge->peers, exchange->peer, FALSE, wb_clock_ms());
     else
-        engine_failed(exchange->engine, failure->reason, exchange->id);
+        wb_engine_note_failure(exchange->engine, failure->reason, exchange->id);
     edge->metrics.failed_attempts++;
     attempt_failure_log(exchange, failure);
     if (failure->sent && failure->engine_aborted) {
--- a/src/request/exchange_answer.c
+++ b/src/request/exchange_answer.c
@@ -79,6 +79,8 @@
     wb_answer_decision_t decision = wb_answer_decide(&facts);
     reply->use = decision.use;
     reply->has_events = decision.use == WB_ANSWER_STREAM && facts.has_events;
+    if (decision.use != WB_ANSWER_REFUSE && !rejected)
+        wb_exchange_note_answer_time(exchange);
     if (decision.use == WB_ANSWER_DROP && !rejected)
         dropped_note(exchange, decision.reason);
     return decision.use == WB_ANSWER_REFUSE ? decision.reason : NULL;
--- a/src/request/exchange_internal.h
+++ b/src/request/exchange_internal.h
@@ -20,6 +20,10 @@
 /** Record the outcome and free the exchange. @return its connection, to send the answer on */
 wb_http_connection_t *wb_exchange_end(wb_exchange_t *exchange, wb_outcome_t outcome,
                                       unsigned status);
+/** Cancel the attempt, if there is one, and remove it from its engine's counts. */
+void wb_exchange_stop_attempt(wb_exchange_t *exchange);
+/** Count a failure of an engine, and avoid the engine for some time. @param reason for logs */
+void wb_engine_note_failure(wb_engine_t *engine, const char *reason, const char *request_id);
 /** Cancel a timer if it is set, and clear it. */
 void wb_exchange_clear_timer(wb_timer_t **timer);
 void wb_exchange_clear_reply(wb_reply_t *reply);
@@ -34,6 +38,13 @@
  */
 void wb_exchange_arm_timeout(wb_exchange_t *exchange);
 
+/* exchange_silence.c */
+/** From now on, send the request to another engine once that is expected to answer sooner than the
+ * one that has it. */
+void wb_exchange_watch_silence(wb_exchange_t *exchange);
+/** The attempt's engine has answered, or has been given this long in vain. */
+void wb_exchange_note_answer_time(const wb_exchange_t *exchange);
+
 /* exchange_refuse.c */
 /** End the exchange with an answer of this node; if an answer has begun, abort the connection. The
  * exchange is freed. */
--- a/src/request/request_types.h
+++ b/src/request/request_types.h
@@ -134,9 +134,10 @@
     wb_length_estimate_t *lengths;
     wb_wait_scale_t *wait_scale;
     wb_route_times_t *route_times;
-    wb_reach_summary_t *reach;   /* which engines this node reaches */
-    wb_peer_record_t *peers;     /* which nodes have reached engines for it */
-    int64_t isolated_since_ms;   /* since when only others reach most engines; 0: it isn't so */
+    wb_answer_times_t *answer_times; /* of repeatable requests at all engines */
+    wb_reach_summary_t *reach;       /* which engines this node reaches */
+    wb_peer_record_t *peers;         /* which nodes have reached engines for it */
+    int64_t isolated_since_ms;       /* since when only others reach most engines; 0: it isn't so */
     int64_t doubt_since_ms;      /* since when it may be cut off from engines; 0: no sign of that */
     int64_t doubted_ms;          /* when another node last connected faster than this one */
     gboolean shared_loads_valid; /* the reported loads of engines are recent enough to be used */
